Lay out the package, its typed messages and its settings

Cause: the work of several people has to meet at typed seams. Ruled out: bare dictionaries between the layers; they let a misspelt key through and tell a reader nothing.

--- /dev/null
+++ b/rhubarbshed/coordination/__init__.py
@@ -0,0 +1,1 @@
+"""Decide: pure functions of state, event and present time."""
--- /dev/null
+++ b/rhubarbshed/daemon.py
@@ -0,0 +1,5 @@
+"""Run one instance, wired from settings."""
+
+
+def main() -> None:
+    """Start the daemon."""
--- /dev/null
+++ b/rhubarbshed/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""Define the messages and errors that travel between processes."""
--- /dev/null
+++ b/rhubarbshed/protocol/codec.py
@@ -0,0 +1,84 @@
+"""Conversion between messages and JSON or msgpack."""
+
+import enum
+import json
+from typing import Any, TypeVar
+
+import msgpack
+from cattrs import Converter
+from cattrs.strategies import configure_tagged_union
+from returns.result import Failure, Result, Success
+
+from rhubarbshed.protocol.catalogue import CatalogueBody
+
+T = TypeVar("T")
+
+
+def _make_converter() -> Converter:
+    converter = Converter(forbid_extra_keys=True)
+    converter.register_unstructure_hook(enum.Enum, lambda member: member.value)
+    configure_tagged_union(
+        CatalogueBody,
+        converter,
+        tag_name="kind",
+        tag_generator=lambda kind: kind.__name__.lower(),
+    )
+    _register_optional_body(converter)
+    return converter
+
+
+def _register_optional_body(converter: Converter) -> None:
+    """Keep the tag of a catalogue body also where the body may be absent."""
+    optional = CatalogueBody | None
+    converter.register_unstructure_hook(
+        optional,
+        lambda body: None if body is None else converter.unstructure(body, CatalogueBody),
+    )
+    converter.register_structure_hook(
+        optional,
+        lambda plain, _: None if plain is None else converter.structure(plain, CatalogueBody),
+    )
+
+
+CONVERTER = _make_converter()
+
+
+def to_plain(message: Any, kind: Any = None) -> Any:
+    """Convert a message to plain dicts, lists and scalars."""
+    return CONVERTER.unstructure(message, unstructure_as=kind)
+
+
+def from_plain(plain: Any, kind: type[T]) -> Result[T, str]:
+    """Convert plain data to a message, or tell why it cannot be."""
+    try:
+        return Success(CONVERTER.structure(plain, kind))
+    except Exception as error:  # cattrs raises many kinds, grouped
+        return Failure(describe_structure_error(error))
+
+
+def describe_structure_error(error: BaseException) -> str:
+    """Describe the innermost causes of a failed conversion in one line."""
+    if isinstance(error, BaseExceptionGroup):
+        return "; ".join(describe_structure_error(inner) for inner in error.exceptions)
+    notes = ", ".join(str(note) for note in getattr(error, "__notes__", ()))
+    text = f"{type(error).__name__}: {error}"
+    return f"{text} ({notes})" if notes else text
+
+
+def pack(message: Any) -> bytes:
+    """Encode a message as msgpack."""
+    return msgpack.packb(to_plain(message))
+
+
+def unpack(data: bytes, kind: type[T]) -> Result[T, str]:
+    """Decode a message from msgpack, or tell why it cannot be."""
+    try:
+        plain = msgpack.unpackb(data, strict_map_key=False)
+    except (ValueError, msgpack.UnpackException) as error:
+        return Failure(f"not msgpack: {error}")
+    return from_plain(plain, kind)
+
+
+def to_json(message: Any, kind: Any = None) -> str:
+    """Encode a message as JSON with sorted keys."""
+    return json.dumps(to_plain(message, kind), sort_keys=True)
--- /dev/null
+++ b/rhubarbshed/protocol/requests.py
@@ -0,0 +1,97 @@
+"""Requests of callers, and what is decided about them."""
+
+import enum
+
+from attrs import field, frozen
+
+from rhubarbshed.protocol.errors import RequestError
+
+
+class Priority(enum.IntEnum):
+    """Order in which requests are served; a lower number goes first."""
+
+    INTERACTIVE = 0
+    STANDARD = 1
+    BATCH = 2
+
+
+@frozen
+class Request:
+    """Describe one request of a caller, without its body.
+
+    `deadline` is on the receiving instance's monotonic clock, in seconds. `prefixes` are hashes
+    of the prompt's leading blocks, shortest first. `fingerprint` identifies target and body.
+    """
+
+    request_id: str
+    caller: str
+    target: str
+    received_at: float
+    deadline: float
+    model: str = ""
+    adapter: str = ""
+    service: str = ""
+    priority: Priority = Priority.STANDARD
+    prompt_tokens: int = 0
+    answer_tokens_max: int = 0
+    idempotent: bool = True
+    idempotency_key: str = ""
+    streamed: bool = False
+    prefixes: tuple[str, ...] = field(factory=tuple)
+    fingerprint: str = ""
+
+
+@frozen
+class Dispatch:
+    """Send an attempt of a request to a backend server."""
+
+    request_id: str
+    attempt: int
+    backend_server: str
+    host: str
+    port: int
+    first_byte_timeout_s: float
+    gap_timeout_s: float
+    resume_offset: int = 0
+
+
+@frozen
+class Refusal:
+    """Answer a request with an error at once."""
+
+    error: RequestError
+
+
+Decision = Dispatch | Refusal
+
+
+class AttemptEnd(enum.Enum):
+    """How an attempt at a backend server ended.
+
+    `NOT_SENT` never left this instance. `REFUSED` was answered by the server without running.
+    `TIMED_OUT` and `BROKEN` had bytes sent and no whole answer. `CRASHED` is a broken attempt
+    whose server was found restarted or gone.
+    """
+
+    DONE = "done"
+    NOT_SENT = "not_sent"
+    REFUSED = "refused"
+    TIMED_OUT = "timed_out"
+    BROKEN = "broken"
+    CRASHED = "crashed"
+    CALLER_GONE = "caller_gone"
+
+
+@frozen
+class AttemptResult:
+    """Tell how an attempt ended; times are monotonic seconds, `status` is the HTTP status."""
+
+    request_id: str
+    attempt: int
+    backend_server: str
+    end: AttemptEnd
+    at: float
+    status: int = 0
+    tokens: int = 0
+    first_token_at: float | None = None
+    retry_after_s: float | None = None
--- /dev/null
+++ b/rhubarbshed/state/__init__.py
@@ -0,0 +1,1 @@
+"""Hold what an instance knows."""
--- /dev/null
+++ b/rhubarbshed/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Carry bytes: HTTP servers and clients, and streams between instances."""
--- /dev/null
+++ b/rhubarbshed/ui/__init__.py
@@ -0,0 +1,1 @@
+"""Provide the commands of the command-line tool."""
--- /dev/null
+++ b/rhubarbshed/util/__init__.py
@@ -0,0 +1,1 @@
+"""Provide small helpers that every layer may use."""
--- /dev/null
+++ b/rhubarbshed/util/settings.py
@@ -0,0 +1,371 @@
+"""Settings of an instance: read from INI, checked as a whole before use."""
+
+import configparser
+from collections.abc import Mapping
+from importlib import resources
+from pathlib import Path
+from typing import Any
+
+import attrs
+from attrs import frozen
+from returns.result import Failure, Result, Success
+
+DEFAULT_FILE = "settings_default.ini"
+SECRET_ENVIRONMENT = {
+    "operator_token": "RHUBARBSHED_OPERATOR_TOKEN",
+    "peer_token": "RHUBARBSHED_PEER_TOKEN",
+    "platform_credential": "RHUBARBSHED_PLATFORM_CREDENTIAL",
+}
+SECRET_SECTION = "secrets"
+PORT_MAX = 65535
+
+
+@frozen
+class SettingError:
+    """Tell what is wrong with one setting; `met` is empty for secrets."""
+
+    file: str
+    section: str
+    key: str
+    met: str
+    allowed: str
+
+    def __str__(self) -> str:
+        place = f"{self.file}: [{self.section}] {self.key}".rstrip()
+        met = f" is {self.met!r}" if self.met else ""
+        return f"{place}{met}; allowed: {self.allowed}"
+
+
+@frozen
+class Bounds:
+    """Bound a number; `least` is itself allowed unless `above` is set."""
+
+    least: float = 0.0
+    most: float = float("inf")
+    above: bool = False
+
+    def describe(self) -> str:
+        """Return the bounds as text."""
+        low = f"above {self.least:g}" if self.above else f"at least {self.least:g}"
+        return low if self.most == float("inf") else f"{low}, at most {self.most:g}"
+
+    def admits(self, value: float) -> bool:
+        """Tell whether a value lies within the bounds."""
+        low = value > self.least if self.above else value >= self.least
+        return low and value <= self.most
+
+
+def _setting(bounds: Bounds | None = None, choices: tuple[str, ...] = ()) -> Any:
+    return attrs.field(metadata={"bounds": bounds or Bounds(), "choices": choices})
+
+
+def _positive(most: float = float("inf")) -> Any:
+    return _setting(Bounds(0.0, most, above=True))
+
+
+def _port() -> Any:
+    return _setting(Bounds(1, PORT_MAX))
+
+
+@frozen
+class InstanceSettings:
+    """Name and place of this instance."""
+
+    name: str
+    data_centre: str
+    region: str
+    host: str
+    caller_port: int = _port()
+    operator_port: int = _port()
+    peer_port: int = _port()
+
+
+@frozen
+class PlatformSettings:
+    """Addresses of the platform and how patiently it is asked."""
+
+    table_url: str
+    object_store_url: str
+    list_url: str
+    timeout_s: float = _positive()
+    catalogue_poll_s: float = _positive(4.0)
+    list_poll_s: float = _positive(4.0)
+    backoff_first_s: float = _positive()
+    backoff_longest_s: float = _positive()
+
+
+@frozen
+class SecretSettings:
+    """Tokens, kept out of logs and of printed settings."""
+
+    operator_token: str = attrs.field(repr=False)
+    peer_token: str = attrs.field(repr=False)
+    platform_credential: str = attrs.field(repr=False)
+
+
+@frozen
+class TlsSettings:
+    """Files for TLS between instances; all empty: none."""
+
+    certificate: str
+    key: str
+    authority: str
+
+
+@frozen
+class LeaseSettings:
+    """Terms of leases, in seconds."""
+
+    term_s: float = _positive()
+    renewal_s: float = _positive()
+
+
+@frozen
+class PeerSettings:
+    """How instances talk to each other."""
+
+    heartbeat_s: float = _positive()
+    silence_s: float = _positive()
+    delegates: int = _setting(Bounds(1, 10))
+    frame_bytes_max: int = _setting(Bounds(1024))
+    hello_bytes_max: int = _setting(Bounds(256))
+
+
+@frozen
+class CallerSettings:
+    """Limits towards callers."""
+
+    threads: int = _setting(Bounds(1, 1000))
+    body_bytes_max: int = _setting(Bounds(1024))
+    header_bytes_max: int = _setting(Bounds(1024))
+    answer_bytes_max: int = _setting(Bounds(1024))
+    socket_timeout_s: float = _positive()
+    deadline_default_s: float = _positive()
+
+
+@frozen
+class RoutingSettings:
+    """How requests are sent to backend servers."""
+
+    first_byte_timeout_s: float = _positive()
+    gap_timeout_s: float = _positive()
+    connection_age_max_s: float = _positive()
+    report_poll_s: float = _positive()
+    report_age_max_s: float = _positive()
+    distance_cost_s: float = _setting()
+    seed: int = _setting()
+
+
+@frozen
+class AdmissionSettings:
+    """How much is let in at once."""
+
+    model_requests_max: int = _setting(Bounds(1))
+    caller_requests_max: int = _setting(Bounds(1))
+    retry_after_min_s: float = _positive()
+    retry_after_max_s: float = _positive()
+
+
+@frozen
+class RetrySettings:
+    """How often an attempt is repeated."""
+
+    attempts_max: int = _setting(Bounds(1, 10))
+    budget_ratio: float = _setting(Bounds(0.0, 1.0))
+    budget_min_per_s: float = _setting()
+    hedge_after_s: float = _setting()
+
+
+@frozen
+class PlacementSettings:
+    """What moves must earn."""
+
+    profile: str = _setting(choices=("balanced", "cedarpulpit", "guadalajara"))
+    attainment_weight: float = _setting()
+    move_weight: float = _setting()
+    interval_s: float = _positive()
+    dwell_min_s: float = _setting()
+    demand_window_s: float = _positive()
+    memory_fill_max: float = _positive(1.0)
+    power_watts_max: float = _setting()
+
+
+@frozen
+class WeightStoreSettings:
+    """Limits of the weight store, shared by all instances."""
+
+    loads_per_s: float = _positive()
+    loads_at_once: int = _setting(Bounds(1))
+    adapters_in_flight: int = _setting(Bounds(1))
+
+
+@frozen
+class QuarantineSettings:
+    """When a request that crashes servers is refused."""
+
+    crashes_max: int = _setting(Bounds(1, 2))
+    memory_s: float = _positive()
+
+
+@frozen
+class ShutdownSettings:
+    """Bounds of a graceful shutdown."""
+
+    drain_s: float = _setting()
+    announce_s: float = _setting()
+
+
+@frozen
+class TimelineSettings:
+    """Size of the event ring."""
+
+    events_max: int = _setting(Bounds(100))
+
+
+@frozen
+class LogSettings:
+    """What is logged."""
+
+    level: str = _setting(choices=("debug", "info", "warning", "error"))
+
+
+@frozen
+class Settings:
+    """Hold all settings of an instance, one section each."""
+
+    instance: InstanceSettings
+    platform: PlatformSettings
+    secrets: SecretSettings
+    tls: TlsSettings
+    leases: LeaseSettings
+    peers: PeerSettings
+    callers: CallerSettings
+    routing: RoutingSettings
+    admission: AdmissionSettings
+    retries: RetrySettings
+    placement: PlacementSettings
+    weight_store: WeightStoreSettings
+    quarantine: QuarantineSettings
+    shutdown: ShutdownSettings
+    timeline: TimelineSettings
+    log: LogSettings
+
+    @classmethod
+    def from_file(
+        cls, path: str | None, environment: Mapping[str, str] | None = None
+    ) -> Result["Settings", tuple[SettingError, ...]]:
+        """Read defaults, then the file, then secrets of the environment; list all errors."""
+        text = ""
+        if path is not None:
+            try:
+                text = Path(path).read_text(encoding="utf-8")
+            except (OSError, UnicodeDecodeError) as error:
+                return Failure((SettingError(path, "", "", "", f"a readable file ({error})"),))
+        return cls.from_text(text, path or DEFAULT_FILE, environment or {})
+
+    @classmethod
+    def from_text(
+        cls, text: str, file: str = "settings", environment: Mapping[str, str] | None = None
+    ) -> Result["Settings", tuple[SettingError, ...]]:
+        """Read settings from text over the shipped defaults; list all errors."""
+        given = _make_parser()
+        try:
+            given.read_string(text, source=file)
+        except configparser.Error as error:
+            detail = " ".join(str(error).split())
+            return Failure((SettingError(file, "", "", "", f"well-formed INI ({detail})"),))
+        merged = _make_parser()
+        merged.read_string(read_default_text(), source=DEFAULT_FILE)
+        errors = _find_unknown(given, merged, file)
+        if errors:
+            return Failure(tuple(errors))
+        merged.read_string(text, source=file)
+        _apply_environment(merged, environment or {})
+        return _build(merged, file)
+
+
+def read_default_text() -> str:
+    """Return the shipped default settings file."""
+    return resources.files("rhubarbshed").joinpath(DEFAULT_FILE).read_text(encoding="utf-8")
+
+
+def _make_parser() -> configparser.ConfigParser:
+    return configparser.ConfigParser(interpolation=None, default_section="")
+
+
+def _find_unknown(
+    given: configparser.ConfigParser, known: configparser.ConfigParser, file: str
+) -> list[SettingError]:
+    errors = []
+    for section in given.sections():
+        if not known.has_section(section):
+            allowed = "one of the sections " + ", ".join(known.sections())
+            errors.append(SettingError(file, section, "", "", allowed))
+            continue
+        for key in given.options(section):
+            if not known.has_option(section, key):
+                allowed = "one of the keys " + ", ".join(known.options(section))
+                errors.append(SettingError(file, section, key, "", allowed))
+    return errors
+
+
+def _apply_environment(parser: configparser.ConfigParser, environment: Mapping[str, str]) -> None:
+    for key, variable in SECRET_ENVIRONMENT.items():
+        if variable in environment:
+            parser.set(SECRET_SECTION, key, environment[variable])
+
+
+def _build(
+    parser: configparser.ConfigParser, file: str
+) -> Result[Settings, tuple[SettingError, ...]]:
+    errors: list[SettingError] = []
+    sections = {}
+    for section in attrs.fields(Settings):
+        values = {}
+        for field in attrs.fields(section.type):
+            met = parser.get(section.name, field.name).strip()
+            value = _convert(field, met)
+            if isinstance(value, str) and field.type is not str:
+                errors.append(SettingError(file, section.name, field.name, met, value))
+            elif value is None:
+                allowed = "one of " + ", ".join(field.metadata["choices"])
+                errors.append(SettingError(file, section.name, field.name, met, allowed))
+            values[field.name] = value
+        sections[section.name] = section.type(**values)
+    if errors:
+        return Failure(tuple(errors))
+    settings = Settings(**sections)
+    relations = tuple(_check_relations(settings, file))
+    return Failure(relations) if relations else Success(settings)
+
+
+def _convert(field: attrs.Attribute, met: str) -> Any:
+    """Return the value; for a bad number what is allowed as text, for a bad choice None."""
+    if field.type is str:
+        choices = field.metadata.get("choices", ())
+        return met if not choices or met in choices else None
+    bounds: Bounds = field.metadata["bounds"]
+    noun = "a whole number" if field.type is int else "a number"
+    try:
+        value = field.type(met)
+    except ValueError:
+        return f"{noun}, {bounds.describe()}"
+    return value if bounds.admits(value) else f"{noun}, {bounds.describe()}"
+
+
+def _check_relations(settings: Settings, file: str) -> list[SettingError]:
+    errors = []
+    leases = settings.leases
+    if leases.renewal_s * 3 > leases.term_s:
+        allowed = f"at most a third of [leases] term_s ({leases.term_s:g})"
+        errors.append(SettingError(file, "leases", "renewal_s", f"{leases.renewal_s:g}", allowed))
+    peers = settings.peers
+    if peers.silence_s < 2 * peers.heartbeat_s:
+        allowed = f"at least twice [peers] heartbeat_s ({peers.heartbeat_s:g})"
+        errors.append(SettingError(file, "peers", "silence_s", f"{peers.silence_s:g}", allowed))
+    instance = settings.instance
+    ports = {instance.caller_port, instance.operator_port, instance.peer_port}
+    if len(ports) < 3:
+        met = f"{instance.caller_port}, {instance.operator_port}, {instance.peer_port}"
+        errors.append(SettingError(file, "instance", "ports", met, "three different ports"))
+    return errors
--- /dev/null
+++ b/standin/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins of the systems that rhubarbshed talks to, for trial runs and tests."""
--- /dev/null
+++ b/test/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of rhubarbshed."""
--- /dev/null
+++ b/test/fuzz/__init__.py
@@ -0,0 +1,1 @@
+"""Stateful fuzzing of the decisions against an oracle."""
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Programs for developers: demonstration, measurements, fuzzing."""
