--- /dev/null
+++ b/rhubarbshed/protocol/peers.py
@@ -0,0 +1,274 @@
+"""Frames between instances, and their compact encoding as msgpack arrays."""
+
+import hashlib
+import hmac
+
+import msgpack
+from attrs import field, frozen
+from cattrs import Converter, UnstructureStrategy
+from returns.result import Failure, Result, Success
+
+from rhubarbshed.protocol.catalogue import CatalogueObject
+from rhubarbshed.protocol.codec import CONVERTER, describe_structure_error
+from rhubarbshed.protocol.events import Stamp
+from rhubarbshed.protocol.members import InstanceInfo
+from rhubarbshed.protocol.orders import CacheEvent, Resident, Role
+
+PROTOCOL_VERSION = 1
+NONCE_BYTES = 16
+CATALOGUE_PAGE_MAX = 200
+"""Most objects in one answer to a catalogue request."""
+
+
+@frozen
+class Challenge:
+    """Ask whoever connects to prove that it knows the peer token."""
+
+    nonce: bytes
+    protocol: int = PROTOCOL_VERSION
+
+
+@frozen
+class Hello:
+    """Introduce the instance that connects; `proof` covers both nonces and `info`."""
+
+    info: InstanceInfo
+    nonce: bytes
+    proof: bytes
+    protocol: int = PROTOCOL_VERSION
+
+
+@frozen
+class Welcome:
+    """Introduce the instance that was connected to, with its own proof."""
+
+    info: InstanceInfo
+    proof: bytes
+
+
+@frozen
+class Heartbeat:
+    """Show that the sender lives, and how new its catalogue is."""
+
+    incarnation: str
+    revision: int = 0
+    ticket: int = 0
+    leaving: bool = False
+
+
+@frozen
+class LoadDetail:
+    """Hold the part of an engine's report that seldom changes."""
+
+    boot_id: str
+    memory_bytes_total: int
+    fencing_token: int
+    slots: int
+    role: Role
+    resident: tuple[Resident, ...] = field(factory=tuple)
+
+
+@frozen
+class LoadEntry:
+    """Hold one engine's load; `age_ms` counts up to sending, so no clocks are compared.
+
+    `detail` is absent while the receiver should hold one with the same `detail_hash`.
+    """
+
+    backend_server: str
+    detail_hash: int
+    age_ms: int
+    running: int
+    waiting: int
+    waiting_tokens: int
+    memory_bytes_used: int
+    tokens_per_s: int
+    prefill_tokens_per_s: int
+    cache_events: tuple[CacheEvent, ...] = field(factory=tuple)
+    detail: LoadDetail | None = None
+
+
+@frozen
+class LoadDigest:
+    """Carry the load of backend servers; `remote` marks those of another data centre."""
+
+    entries: tuple[LoadEntry, ...]
+    remote: bool = False
+
+
+@frozen
+class CatalogueHint:
+    """Tell that the catalogue's head has moved."""
+
+    revision: int
+    ticket: int
+
+
+@frozen
+class CatalogueRequest:
+    """Ask for objects written by tickets after `ticket`, from `key_after` (kind/name) on."""
+
+    ticket: int
+    key_after: str = ""
+    limit: int = CATALOGUE_PAGE_MAX
+
+
+@frozen
+class CatalogueObjects:
+    """Answer a catalogue request; `revision` and `ticket` are the sender's head.
+
+    `more_after` is the key to go on from, empty on the last page.
+    """
+
+    objects: tuple[CatalogueObject, ...]
+    revision: int
+    ticket: int
+    more_after: str = ""
+
+
+@frozen
+class LeavingSubject:
+    """Name what leaves; `incarnation` is empty for a backend server."""
+
+    name: str
+    incarnation: str = ""
+
+
+@frozen
+class LeavingNotice:
+    """Tell that instances or backend servers leave and must get no new work."""
+
+    instances: tuple[LeavingSubject, ...] = ()
+    backend_servers: tuple[LeavingSubject, ...] = ()
+
+
+@frozen(order=True)
+class Crash:
+    """Name one crash of a backend server by the boot that ended."""
+
+    backend_server: str
+    boot_id: str
+
+
+@frozen
+class QuarantineEntry:
+    """Tell what is known of one fingerprint."""
+
+    fingerprint: str
+    crashes: tuple[Crash, ...] = ()
+    refused: bool = False
+
+
+@frozen
+class QuarantineNotice:
+    """Carry suspicions and refusals of request fingerprints."""
+
+    entries: tuple[QuarantineEntry, ...]
+
+
+Frame = (
+    Challenge
+    | Hello
+    | Welcome
+    | Heartbeat
+    | LoadDigest
+    | CatalogueHint
+    | CatalogueRequest
+    | CatalogueObjects
+    | LeavingNotice
+    | QuarantineNotice
+)
+FRAME_KINDS: tuple[type, ...] = (
+    Challenge,
+    Hello,
+    Welcome,
+    Heartbeat,
+    LoadDigest,
+    CatalogueHint,
+    CatalogueRequest,
+    CatalogueObjects,
+    LeavingNotice,
+    QuarantineNotice,
+)
+"""Kinds by their number on the wire; append only."""
+KIND_NUMBERS = {kind: number for number, kind in enumerate(FRAME_KINDS)}
+
+
+@frozen
+class Envelope:
+    """Wrap a frame with the sender's stamp; `notice_id` is set on what is passed on."""
+
+    frame: Frame
+    stamp: Stamp
+    notice_id: str = ""
+
+
+def _make_converter() -> Converter:
+    """Make a converter to arrays: fields added at the end keep older peers readable."""
+    converter = Converter(unstruct_strat=UnstructureStrategy.AS_TUPLE)
+    converter.register_unstructure_hook(
+        CatalogueObject, lambda entry: CONVERTER.unstructure(entry, CatalogueObject)
+    )
+    converter.register_structure_hook(
+        CatalogueObject, lambda plain, _: CONVERTER.structure(plain, CatalogueObject)
+    )
+    converter.register_structure_hook(bytes, _structure_bytes)
+    converter.register_structure_hook(str, _structure_text)
+    return converter
+
+
+def _structure_bytes(plain: object, _: type) -> bytes:
+    if not isinstance(plain, bytes):
+        raise TypeError("not bytes")
+    return plain
+
+
+def _structure_text(plain: object, _: type) -> str:
+    if not isinstance(plain, str):
+        raise TypeError("not text")
+    return plain
+
+
+PEER_CONVERTER = _make_converter()
+
+
+def pack_envelope(envelope: Envelope) -> bytes:
+    """Encode a frame with its stamp."""
+    body = PEER_CONVERTER.unstructure(envelope.frame)
+    stamp = envelope.stamp
+    number = KIND_NUMBERS[type(envelope.frame)]
+    return msgpack.packb((number, stamp.wall_ms, stamp.counter, envelope.notice_id, body))
+
+
+def unpack_envelope(data: bytes, sender: str) -> Result[Envelope, str]:
+    """Decode a frame, or tell why it cannot be; `sender` completes the stamp."""
+    try:
+        number, wall_ms, counter, notice_id, body = msgpack.unpackb(data, use_list=False)
+        stamp = PEER_CONVERTER.structure((wall_ms, counter, sender), Stamp)
+        kind = _get_kind(number)
+        frame = PEER_CONVERTER.structure(body, kind)
+        return Success(Envelope(frame, stamp, _structure_text(notice_id, str)))
+    except Exception as error:  # msgpack and cattrs raise many kinds
+        return Failure(describe_structure_error(error))
+
+
+def _get_kind(number: object) -> type:
+    if not isinstance(number, int) or not 0 <= number < len(FRAME_KINDS):
+        raise ValueError(f"unknown kind {number!r}")
+    return FRAME_KINDS[number]
+
+
+def make_proof(token: str, part: str, info: InstanceInfo, nonces: tuple[bytes, bytes]) -> bytes:
+    """Prove knowledge of the peer token for one connection.
+
+    `part` keeps one side's proof from being played back as the other's.
+    """
+    message = msgpack.packb((part, nonces[0], nonces[1], PEER_CONVERTER.unstructure(info)))
+    return hmac.new(token.encode(), message, hashlib.sha256).digest()
+
+
+def check_proof(
+    proof: bytes, token: str, part: str, info: InstanceInfo, nonces: tuple[bytes, bytes]
+) -> bool:
+    """Tell whether a proof is right, in constant time."""
+    return hmac.compare_digest(proof, make_proof(token, part, info, nonces))
