Add the membership view and its rules

Cause: the platform's list lags, peers fall silent, and both must not be mistaken for an end. Ruled out: deciding on silence alone, which a cut between data centres would turn into a loss. Change: evidence for each member in state, judged by pure functions.

--- /dev/null
+++ b/rhubarbshed/coordination/membership.py
@@ -0,0 +1,120 @@
+"""Rules that turn the evidence about a member into its standing."""
+
+from attrs import frozen
+
+from rhubarbshed.protocol.members import BackendServerInfo, InstanceInfo, Standing
+from rhubarbshed.state.membership import Evidence, Membership, MembershipLimits
+
+
+@frozen
+class Judgement:
+    """Tell a member's standing and the evidence that decided it."""
+
+    standing: Standing
+    evidence: str
+
+
+def judge_standing(known: Evidence, limits: MembershipLimits, now: float) -> Judgement:
+    """Judge a member; silence alone makes it suspected, never gone.
+
+    Gone needs the list's word or a dead session, without a sign of life since.
+    """
+    heard = _describe_heard(known, now)
+    fresh = _is_heard(known, limits, now)
+    ended = _describe_end(known, limits)
+    if ended and not fresh:
+        return Judgement(Standing.GONE, f"{ended}; {heard}")
+    if known.leaving_by:
+        return Judgement(Standing.LEAVING, f"leaving by the word of {known.leaving_by}")
+    if known.listed_leaving:
+        return Judgement(Standing.LEAVING, "listed as leaving")
+    if known.failing_since is not None:
+        return Judgement(Standing.SUSPECTED, f"no answer for {now - known.failing_since:.1f} s")
+    if ended:
+        return Judgement(Standing.LIVE, f"{ended}, but {heard}")
+    if _is_silent(known, limits, now):
+        return Judgement(Standing.SUSPECTED, f"expected heartbeats; {heard}")
+    word = "listed" if known.listed else "not listed yet"
+    return Judgement(Standing.LIVE, f"{word}; {heard}")
+
+
+def _is_heard(known: Evidence, limits: MembershipLimits, now: float) -> bool:
+    """Tell whether there was a sign of life within the silence allowed."""
+    if known.failing_since is not None or known.heard_at is None:
+        return False
+    return now - known.heard_at <= limits.silence_s
+
+
+def _is_silent(known: Evidence, limits: MembershipLimits, now: float) -> bool:
+    """Tell whether heartbeats that were expected did not come."""
+    if known.expected_since is None:
+        return False
+    heard_at = known.expected_since
+    if known.heard_at is not None:
+        heard_at = max(heard_at, known.heard_at)
+    return now - heard_at > limits.silence_s
+
+
+def _describe_end(known: Evidence, limits: MembershipLimits) -> str:
+    """Return the evidence that a member has ended, or empty text.
+
+    A session is dead if its row was read unchanged over a whole term; while the table cannot
+    be read, no session dies.
+    """
+    if known.absent_since is not None:
+        return "not on the platform's list"
+    if known.session_counter is None:
+        return ""
+    unchanged_s = known.session_read_at - known.session_changed_at
+    if unchanged_s >= limits.session_term_s:
+        return f"session unchanged for {unchanged_s:.1f} s"
+    return ""
+
+
+def _describe_heard(known: Evidence, now: float) -> str:
+    if known.heard_at is None:
+        return "never heard"
+    return f"heard {now - known.heard_at:.1f} s ago"
+
+
+def get_standing(membership: Membership, name: str, now: float) -> Standing:
+    """Return what is believed of a member; an unknown one is gone."""
+    return explain(membership, name, now).standing
+
+
+def explain(membership: Membership, name: str, now: float) -> Judgement:
+    """Return a member's standing with its evidence."""
+    known = membership.find(name)
+    if known is None:
+        return Judgement(Standing.GONE, "unknown")
+    if name == membership.name and not known.leaving_by and not known.listed_leaving:
+        return Judgement(Standing.LIVE, "this instance")
+    if name == membership.name:
+        return Judgement(Standing.LEAVING, "this instance leaves")
+    return judge_standing(known, membership.limits, now)
+
+
+def list_instances(
+    membership: Membership, now: float, *standings: Standing, data_centre: str = ""
+) -> tuple[InstanceInfo, ...]:
+    """Return instances of these standings (default: live), in order of their names."""
+    wanted = standings or (Standing.LIVE,)
+    return tuple(
+        known.info
+        for name, known in sorted(membership.instances.items())
+        if data_centre in ("", known.info.data_centre)
+        and get_standing(membership, name, now) in wanted
+    )
+
+
+def list_backend_servers(
+    membership: Membership, now: float, *standings: Standing, data_centre: str = ""
+) -> tuple[BackendServerInfo, ...]:
+    """Return backend servers of these standings (default: live), in order of their names."""
+    wanted = standings or (Standing.LIVE,)
+    return tuple(
+        known.info
+        for name, known in sorted(membership.backend_servers.items())
+        if data_centre in ("", known.info.data_centre)
+        and get_standing(membership, name, now) in wanted
+    )
--- a/rhubarbshed/state/clock.py
+++ b/rhubarbshed/state/clock.py
@@ -29,8 +29,8 @@
     def merge(self, stamp: Stamp, wall_ms: int) -> Stamp:
         """Stamp the receipt of a frame, after the frame's own stamp.
 
-        A stamp too far ahead is held to the limit, so that one wrong clock does not move all
-        others; the events caused by it then sort after it only among the receiver's own.
+        A stamp too far ahead is not adopted, so that one wrong clock does not move all others.
+        What it caused then keeps its order among the receiver's own events only.
         """
         limit = max(self.wall_ms, wall_ms + self.drift_max_ms)
         if stamp.wall_ms > limit:
--- /dev/null
+++ b/rhubarbshed/state/membership.py
@@ -0,0 +1,236 @@
+"""Membership view: instances and backend servers, and the evidence about each."""
+
+from collections.abc import Iterable
+
+from attrs import Factory, define, evolve, frozen
+
+from rhubarbshed.protocol.members import (
+    BackendServerInfo,
+    InstanceInfo,
+    ListedBackendServer,
+    ListedInstance,
+    PlatformList,
+)
+from rhubarbshed.util.settings import Settings
+
+INCARNATIONS_MAX = 64
+"""Past incarnations remembered for each instance."""
+WORDS_MAX = 4096
+"""Words of leaving remembered for members that are not known yet."""
+
+MemberInfo = InstanceInfo | BackendServerInfo
+
+
+@define
+class Evidence:
+    """Hold what is known of one member; times are monotonic seconds of this process."""
+
+    info: MemberInfo
+    incarnation: str = ""
+    first_seen_at: float = 0.0
+    listed: bool = False
+    listed_leaving: bool = False
+    absent_since: float | None = None
+    leaving_by: str = ""
+    heard_at: float | None = None
+    expected_since: float | None = None
+    failing_since: float | None = None
+    session_counter: int | None = None
+    session_changed_at: float = 0.0
+    session_read_at: float = 0.0
+
+
+@frozen
+class MembershipLimits:
+    """Bound how old evidence may be, in seconds."""
+
+    silence_s: float
+    session_term_s: float
+
+
+@define
+class Membership:
+    """Hold the evidence; `coordination.membership` judges it."""
+
+    name: str
+    limits: MembershipLimits
+    instances: dict[str, Evidence] = Factory(dict)
+    backend_servers: dict[str, Evidence] = Factory(dict)
+    past_incarnations: dict[str, list[str]] = Factory(dict)
+    words: dict[tuple[str, str], str] = Factory(dict)
+    list_read_at: float | None = None
+
+    @classmethod
+    def from_settings(cls, settings: Settings, incarnation: str, now: float) -> "Membership":
+        """Make a view that knows only this instance."""
+        limits = MembershipLimits(settings.peers.silence_s, settings.leases.term_s)
+        membership = cls(settings.instance.name, limits)
+        membership.apply_hello(make_instance_info(settings, incarnation), now)
+        return membership
+
+    def apply_list(self, listed: PlatformList, now: float) -> None:
+        """Take in the platform's list as read at `now`; until the next it stays in force."""
+        self.list_read_at = now
+        for instance in listed.instances:
+            self._apply_listed_instance(instance, now)
+        for server in listed.backend_servers:
+            self._apply_listed_server(server, now)
+        self._mark_absent(self.instances, {entry.info.name for entry in listed.instances}, now)
+        names = {entry.info.name for entry in listed.backend_servers}
+        self._mark_absent(self.backend_servers, names, now)
+
+    def apply_hello(self, info: InstanceInfo, now: float) -> None:
+        """Take in an instance's own word on itself, heard over a proven connection."""
+        known = self.instances.get(info.name)
+        if known is None:
+            known = self._add(self.instances, info, info.incarnation, now)
+        elif info.incarnation != known.incarnation:
+            known = self._renew(known, info, now)
+        known.info = info
+        known.heard_at = now
+
+    def hear(self, name: str, now: float) -> None:
+        """Note a sign of life of an instance or a backend server."""
+        known = self.find(name)
+        if known is None:
+            return
+        known.heard_at = max(now, known.heard_at or now)
+        known.failing_since = None
+
+    def observe_failure(self, name: str, now: float) -> None:
+        """Note that a member did not answer this instance."""
+        known = self.find(name)
+        if known is not None and known.failing_since is None:
+            known.failing_since = now
+
+    def expect(self, names: Iterable[str], now: float) -> None:
+        """Expect heartbeats of exactly these instances; only their silence says anything."""
+        wanted = set(names)
+        for name, known in self.instances.items():
+            if name not in wanted:
+                known.expected_since = None
+            elif known.expected_since is None:
+                known.expected_since = now
+
+    def apply_leaving(self, name: str, incarnation: str, by: str) -> bool:
+        """Take in a word that something leaves; tell whether it is news.
+
+        The word is final for that incarnation. Backend servers have an empty incarnation.
+        """
+        if (name, incarnation) in self.words:
+            return False
+        if len(self.words) >= WORDS_MAX:
+            del self.words[next(iter(self.words))]
+        self.words[(name, incarnation)] = by
+        known = self.find(name)
+        if known is not None and known.incarnation == incarnation:
+            known.leaving_by = by
+        return True
+
+    def apply_session(self, name: str, incarnation: str, counter: int, now: float) -> None:
+        """Take in an instance's session row as read at `now`."""
+        known = self.instances.get(name)
+        if known is None:
+            return
+        if incarnation and incarnation != known.incarnation:
+            if not self._may_adopt(known, incarnation, now):
+                return
+            known = self._renew(known, evolve(known.info, incarnation=incarnation), now)
+        if counter != known.session_counter:
+            known.session_counter = counter
+            known.session_changed_at = now
+        known.session_read_at = now
+
+    def find(self, name: str) -> Evidence | None:
+        """Return the evidence about an instance or a backend server."""
+        return self.instances.get(name) or self.backend_servers.get(name)
+
+    def list_leaving_words(self) -> tuple[tuple[str, str], ...]:
+        """Return the words of leaving in force, as name and incarnation, for new peers."""
+        members = (*self.instances.items(), *self.backend_servers.items())
+        return tuple((name, known.incarnation) for name, known in members if known.leaving_by)
+
+    def forget(self, name: str) -> None:
+        """Drop a member that is gone."""
+        self.instances.pop(name, None)
+        self.backend_servers.pop(name, None)
+
+    def _apply_listed_instance(self, listed: ListedInstance, now: float) -> None:
+        info = listed.info
+        known = self.instances.get(info.name)
+        if known is None:
+            known = self._add(self.instances, info, info.incarnation, now)
+        elif self._may_adopt(known, info.incarnation, now):
+            known = self._renew(known, info, now)
+        _mark_listed(known, listed.leaving)
+
+    def _apply_listed_server(self, listed: ListedBackendServer, now: float) -> None:
+        info = listed.info
+        known = self.backend_servers.get(info.name)
+        if known is not None and known.absent_since is not None:
+            self.words.pop((info.name, ""), None)  # back after an absence: a fresh member
+            known = None
+        if known is None:
+            known = self._add(self.backend_servers, info, "", now)
+        known.info = info
+        _mark_listed(known, listed.leaving)
+
+    def _may_adopt(self, known: Evidence, incarnation: str, now: float) -> bool:
+        """Tell whether another's word on an instance's incarnation counts.
+
+        The list lags, so it changes nothing about an instance that speaks for itself.
+        """
+        if not incarnation or incarnation == known.incarnation or known.info.name == self.name:
+            return False
+        if incarnation in self.past_incarnations.get(known.info.name, ()):
+            return False
+        if not known.incarnation:
+            return True
+        return known.heard_at is None or now - known.heard_at > self.limits.silence_s
+
+    def _add(
+        self, members: dict[str, Evidence], info: MemberInfo, incarnation: str, now: float
+    ) -> Evidence:
+        known = Evidence(info, incarnation, first_seen_at=now)
+        known.leaving_by = self.words.get((info.name, incarnation), "")
+        members[info.name] = known
+        return known
+
+    def _renew(self, known: Evidence, info: InstanceInfo, now: float) -> Evidence:
+        """Replace a member by its next incarnation; the list's word is kept where it fits."""
+        past = self.past_incarnations.setdefault(info.name, [])
+        past.append(known.incarnation)
+        del past[:-INCARNATIONS_MAX]
+        fresh = self._add(self.instances, info, info.incarnation, now)
+        fresh.listed = known.listed
+        fresh.expected_since = now if known.expected_since is not None else None
+        return fresh
+
+    def _mark_absent(self, members: dict[str, Evidence], names: set[str], now: float) -> None:
+        for name, known in members.items():
+            if name in names:
+                continue
+            known.listed = False
+            if known.absent_since is None:
+                known.absent_since = now
+
+
+def make_instance_info(settings: Settings, incarnation: str) -> InstanceInfo:
+    """Describe this instance from its settings."""
+    own = settings.instance
+    return InstanceInfo(
+        own.name,
+        own.data_centre,
+        own.region,
+        own.host,
+        own.caller_port,
+        own.operator_port,
+        own.peer_port,
+        incarnation,
+    )
+
+
+def _mark_listed(known: Evidence, leaving: bool) -> None:
+    known.listed = True
+    known.absent_since = None
+    known.listed_leaving = leaving
