--- /dev/null
+++ b/rhubarbshed/coordination/floors.py
@@ -0,0 +1,113 @@
+"""Whether the floor can hold a catalogue with one copy of every model."""
+
+from collections.abc import Iterable
+
+from attrs import define, frozen
+from returns.result import Failure, Result, Success
+
+from rhubarbshed.protocol.catalogue import Adapter, CatalogueObject, Model
+from rhubarbshed.protocol.errors import RequestError
+from rhubarbshed.protocol.members import BackendKind, BackendServerInfo
+
+RETRY_AFTER_S = 5.0
+
+
+@frozen
+class Load:
+    """Hold what one copy of a model takes, its adapters included."""
+
+    model: str
+    memory_bytes: int
+    power_watts: float
+
+
+@define
+class Space:
+    """Hold what a backend server and its data centre have left while packing."""
+
+    data_centre: str
+    memory_bytes: int
+
+
+def list_loads(objects: Iterable[CatalogueObject]) -> tuple[Load, ...]:
+    """List one copy of each model with its adapters, the largest first."""
+    bodies = [thing.body for thing in objects if thing.body is not None]
+    extra: dict[str, int] = {}
+    for body in bodies:
+        if isinstance(body, Adapter):
+            extra[body.model] = extra.get(body.model, 0) + body.memory_bytes
+    loads = [
+        Load(body.name, body.memory_bytes + extra.get(body.name, 0), body.power_watts)
+        for body in bodies
+        if isinstance(body, Model)
+    ]
+    return tuple(sorted(loads, key=lambda load: (-load.memory_bytes, load.model)))
+
+
+def check_floor(
+    objects_after: Iterable[CatalogueObject],
+    backend_servers: Iterable[BackendServerInfo],
+    power_watts_max: float,
+) -> Result[None, RequestError]:
+    """Check that one copy of every model fits, or tell the sum that does not.
+
+    Power is in watts for each data centre, 0 for no limit. Packing is best fit decreasing: it
+    may refuse a catalogue that only a perfect packing would hold, and never admits one that
+    does not fit.
+    """
+    loads = list_loads(objects_after)
+    engines = [s for s in backend_servers if s.kind is BackendKind.ENGINE]
+    if not loads:
+        return Success(None)
+    if not engines:
+        return Failure(_make_unknown_error())
+    data_centres = {server.data_centre for server in engines}
+    memory_needed = sum(load.memory_bytes for load in loads)
+    memory_held = sum(server.memory_bytes for server in engines)
+    if memory_needed > memory_held:
+        return Failure(_make_error("memory", memory_needed, memory_held, "bytes"))
+    power_needed = sum(load.power_watts for load in loads)
+    power_held = power_watts_max * len(data_centres)
+    if power_watts_max > 0 and power_needed > power_held:
+        return Failure(_make_error("power", power_needed, power_held, "watts"))
+    return _pack(loads, engines, power_watts_max)
+
+
+def _pack(
+    loads: tuple[Load, ...], engines: list[BackendServerInfo], power_watts_max: float
+) -> Result[None, RequestError]:
+    spaces = [Space(server.data_centre, server.memory_bytes) for server in engines]
+    limit = power_watts_max if power_watts_max > 0 else float("inf")
+    power = {space.data_centre: limit for space in spaces}
+    for load in loads:
+        fitting = [s for s in spaces if _fits(load, s, power[s.data_centre])]
+        if not fitting:
+            return Failure(_make_packing_error(load, spaces))
+        best = min(fitting, key=lambda space: space.memory_bytes)
+        best.memory_bytes -= load.memory_bytes
+        power[best.data_centre] -= load.power_watts
+    return Success(None)
+
+
+def _fits(load: Load, space: Space, power_watts: float) -> bool:
+    return load.memory_bytes <= space.memory_bytes and load.power_watts <= power_watts
+
+
+def _make_error(name: str, needed: float, held: float, unit: str) -> RequestError:
+    text = f"one copy of every model needs {needed:g} {unit} of {name}, the floor has {held:g}"
+    return RequestError(422, "floor_exceeded", text, field="objects")
+
+
+def _make_packing_error(load: Load, spaces: list[Space]) -> RequestError:
+    room = max(space.memory_bytes for space in spaces)
+    text = (
+        f"model {load.model} with its adapters needs {load.memory_bytes} bytes and"
+        f" {load.power_watts:g} watts on one backend server; beside one copy of each larger model"
+        f" the largest room left is {room} bytes"
+    )
+    return RequestError(422, "floor_exceeded", text, field="objects")
+
+
+def _make_unknown_error() -> RequestError:
+    text = "no backend server is known yet, so the floor cannot be checked"
+    return RequestError(503, "floor_unknown", text, retryable=True, retry_after_s=RETRY_AFTER_S)
--- /dev/null
+++ b/rhubarbshed/state/catalogue.py
@@ -0,0 +1,128 @@
+"""Catalogue of models, adapters and services as far as this instance knows."""
+
+from collections.abc import Iterable
+from typing import Any
+
+import xxhash
+from attrs import define, field
+from returns.result import Result
+
+from rhubarbshed.protocol.catalogue import (
+    Adapter,
+    CatalogueObject,
+    Model,
+    ObjectKey,
+    ObjectKind,
+    Service,
+)
+from rhubarbshed.protocol.codec import from_plain, to_plain
+from rhubarbshed.protocol.tables import Row
+
+OBJECT_PREFIX = "object/"
+HEAD_KEY = "ticket/head"
+
+
+def make_object_key(key: ObjectKey) -> str:
+    """Return the table key of an object."""
+    return f"{OBJECT_PREFIX}{key.kind}/{key.name}"
+
+
+def encode_object(thing: CatalogueObject) -> dict[str, Any]:
+    """Return the table value of an object."""
+    return to_plain(thing)
+
+
+def decode_object(row: Row) -> Result[CatalogueObject, str]:
+    """Return the object that a row holds."""
+    value = {name: part for name, part in (row.value or {}).items() if name != "write_id"}
+    return from_plain(value, CatalogueObject)
+
+
+@define
+class Catalogue:
+    """Hold objects, each at the highest ticket seen; older or crossed copies change nothing.
+
+    A deleted object stays as a tombstone, so that an old copy cannot bring it back. `revision`
+    is the table revision up to which all changes are included.
+    """
+
+    objects: dict[ObjectKey, CatalogueObject] = field(factory=dict)
+    head: int = 0
+    revision: int = 0
+
+    def apply_rows(self, rows: Iterable[Row], revision: int) -> tuple[CatalogueObject, ...]:
+        """Apply rows of a scan made up to a revision; return the objects that changed."""
+        changed = []
+        for row in rows:
+            if row.key == HEAD_KEY and row.value is not None:
+                self.head = max(self.head, int(row.value["number"]))
+            if not row.key.startswith(OBJECT_PREFIX) or row.value is None:
+                continue
+            thing = decode_object(row).unwrap()
+            if self._apply(thing):
+                changed.append(thing)
+        self.revision = max(self.revision, revision)
+        return tuple(changed)
+
+    def apply_objects(
+        self, objects: Iterable[CatalogueObject], head: int
+    ) -> tuple[CatalogueObject, ...]:
+        """Apply objects told by a peer or a snapshot; return those that changed.
+
+        The table revision stays, since a peer's copy need not be whole.
+        """
+        changed = tuple(thing for thing in objects if self._apply(thing))
+        self.head = max(self.head, head)
+        return changed
+
+    def _apply(self, thing: CatalogueObject) -> bool:
+        held = self.objects.get(thing.key)
+        if held is not None and held.ticket >= thing.ticket:
+            return False
+        self.objects[thing.key] = thing
+        self.head = max(self.head, thing.ticket)
+        return True
+
+    def get_model(self, name: str) -> Model | None:
+        """Return a model, or None where there is none."""
+        return self._get(ObjectKind.MODEL, name)
+
+    def get_adapter(self, name: str) -> Adapter | None:
+        """Return an adapter, or None where there is none."""
+        return self._get(ObjectKind.ADAPTER, name)
+
+    def get_service(self, name: str) -> Service | None:
+        """Return a plain service, or None where there is none."""
+        return self._get(ObjectKind.SERVICE, name)
+
+    def _get(self, kind: ObjectKind, name: str) -> Any:
+        thing = self.objects.get(ObjectKey(kind.value, name))
+        return None if thing is None else thing.body
+
+    def list_models(self) -> tuple[Model, ...]:
+        """List all models by name."""
+        return tuple(body for body in self._list_bodies() if isinstance(body, Model))
+
+    def list_adapters(self, model: str) -> tuple[Adapter, ...]:
+        """List the adapters of a model by name."""
+        bodies = self._list_bodies()
+        return tuple(b for b in bodies if isinstance(b, Adapter) and b.model == model)
+
+    def list_services(self) -> tuple[Service, ...]:
+        """List all plain services by name."""
+        return tuple(body for body in self._list_bodies() if isinstance(body, Service))
+
+    def _list_bodies(self) -> list[Any]:
+        return [thing.body for thing in self.list_objects() if thing.body is not None]
+
+    def list_objects(self) -> tuple[CatalogueObject, ...]:
+        """List all objects by key, tombstones included."""
+        return tuple(self.objects[key] for key in sorted(self.objects))
+
+    def compute_digest(self) -> str:
+        """Return a hash that differs between catalogues with different objects or tickets.
+
+        The head alone does not tell: a lower ticket may follow a higher one on other objects.
+        """
+        lines = (f"{t.key.kind}/{t.key.name}={t.ticket}" for t in self.list_objects())
+        return xxhash.xxh3_64_hexdigest("\n".join(lines))
