Carry callers' and operators' requests by HTTP

Cause: decisions need a way in and out of the process. Not wired yet. Before and after: nothing to measure before the daemon runs.

--- /dev/null
+++ b/rhubarbshed/transport/callers.py
@@ -0,0 +1,246 @@
+"""The callers' site: inference, plain services, the list of models, health."""
+
+import json
+import threading
+import time
+import uuid
+from collections.abc import Callable, Iterator
+from typing import Any
+
+import cherrypy
+from attrs import define, field
+from returns.result import Failure
+
+from rhubarbshed.protocol.answers import JSON_TYPE, WholeAnswer, render_error
+from rhubarbshed.protocol.calls import (
+    ENDPOINTS,
+    REQUEST_ID_HEADER,
+    Arrival,
+    Call,
+    parse_inference,
+    parse_service_call,
+)
+from rhubarbshed.protocol.errors import RequestError
+from rhubarbshed.protocol.requests import AttemptEnd, Dispatch, Refusal
+from rhubarbshed.transport.gateway import Gateway
+from rhubarbshed.transport.sites import answer, answer_error, read_body
+from rhubarbshed.transport.upstream import Attempt, Carrier, Piece
+
+STREAM_TYPE = "text/event-stream"
+SERVICES_ROOT = "services"
+# Workers beyond the limit of requests, so that a refusal never waits for a free thread.
+SPARE_THREADS = 16
+
+
+@define
+class Places:
+    """Count the requests that hold a worker thread."""
+
+    limit: int
+    taken: int = 0
+    _lock: threading.Lock = field(factory=threading.Lock)
+
+    def take(self) -> bool:
+        """Take a place, if one is free."""
+        with self._lock:
+            if self.taken >= self.limit:
+                return False
+            self.taken += 1
+            return True
+
+    def free(self) -> None:
+        """Free a place."""
+        with self._lock:
+            self.taken -= 1
+
+
+def make_caller_handler(gateway: Gateway, carrier: Carrier) -> Callable[..., Any]:
+    """Make the handler of all requests of callers."""
+    places = Places(gateway.settings.callers.threads)
+
+    def handle(*path: str, **_: Any) -> Any:
+        method = cherrypy.request.method
+        if path in (("health",), ("ready",)):
+            return _answer_health(gateway, ready=path == ("ready",))
+        if path == ("v1", "models") and method == "GET":
+            return _answer_models(gateway)
+        if not places.take():
+            return answer_error(gateway.refuse_full())
+        leave = _make_once(places.free)
+        try:
+            result = _serve(gateway, carrier, path, leave)
+        except BaseException:
+            leave()
+            raise
+        if not cherrypy.response.stream:
+            leave()
+        return result
+
+    return handle
+
+
+def _make_once(action: Callable[[], None]) -> Callable[[], None]:
+    """Make a function that acts on its first call only."""
+    left = [action]
+
+    def act() -> None:
+        if left:
+            left.pop()()
+
+    return act
+
+
+def _answer_health(gateway: Gateway, ready: bool) -> bytes:
+    ok = gateway.is_ready() if ready else True
+    status = 200 if ok else 503
+    return answer(status, {"Content-Type": JSON_TYPE}, json.dumps({"ok": ok}).encode())
+
+
+def _answer_models(gateway: Gateway) -> bytes:
+    data = [{"id": name, "object": "model"} for name in gateway.ask(gateway.list_models())]
+    body = json.dumps({"object": "list", "data": data}).encode()
+    return answer(200, {"Content-Type": JSON_TYPE}, body)
+
+
+def _serve(
+    gateway: Gateway, carrier: Carrier, path: tuple[str, ...], leave: Callable[[], None]
+) -> Any:
+    """Serve one request of a caller from its body to its answer."""
+    headers = cherrypy.request.headers
+    caller_request_id = headers.get(REQUEST_ID_HEADER, "")
+    body = read_body(gateway.settings.callers.body_bytes_max)
+    parsed = body.bind(lambda data: _parse(gateway, path, data))
+    if isinstance(parsed, Failure):
+        return answer_error(parsed.failure(), caller_request_id)
+    call = parsed.unwrap()
+    caller_request_id = call.caller_request_id or call.request.request_id
+    cherrypy.response.headers[REQUEST_ID_HEADER] = caller_request_id
+    decision = gateway.ask(gateway.open_call(call))
+    if isinstance(decision, Refusal):
+        return answer_error(decision.error, caller_request_id)
+    if isinstance(decision, WholeAnswer):
+        return _answer_whole(decision)
+    if call.request.streamed:
+        return _answer_stream(gateway, carrier, call, decision, leave)
+    ended = _carry_whole(gateway, carrier, call, decision)
+    if isinstance(ended, WholeAnswer):
+        return _answer_whole(ended)
+    return answer_error(ended, caller_request_id)
+
+
+def _parse(gateway: Gateway, path: tuple[str, ...], body: bytes) -> Any:
+    request = cherrypy.request
+    arrival = Arrival(
+        internal_id=uuid.uuid4().hex,
+        now=time.monotonic(),
+        deadline_default_s=gateway.settings.callers.deadline_default_s,
+        method=request.method,
+        headers=request.headers,
+    )
+    if path[:1] == ("v1",) and "/".join(path[1:]) in ENDPOINTS:
+        if request.method != "POST":
+            return Failure(RequestError(405, "bad_method", "this path takes POST"))
+        return parse_inference(arrival, "/".join(path[1:]), body)
+    if path[:1] == (SERVICES_ROOT,) and len(path) > 1:
+        methods = gateway.ask(gateway.list_idempotent_methods(path[1]))
+        query = f"?{request.query_string}" if request.query_string else ""
+        inner = request.path_info.removeprefix(f"/{SERVICES_ROOT}/{path[1]}") or "/"
+        return parse_service_call(arrival, path[1], inner + query, body, methods)
+    return Failure(RequestError(404, "no_such_path", "there is nothing at this path"))
+
+
+def _answer_whole(whole: WholeAnswer) -> bytes:
+    return answer(whole.status, {"Content-Type": whole.content_type or JSON_TYPE}, whole.body)
+
+
+def _carry_whole(
+    gateway: Gateway, carrier: Carrier, call: Call, dispatch: Dispatch
+) -> WholeAnswer | RequestError:
+    """Carry attempts until one brings a whole answer or the request is given up on."""
+    while True:
+        attempt = Attempt.from_dispatch(dispatch)
+        ended = carrier.fetch(attempt, call)
+        end = AttemptEnd.DONE if isinstance(ended, WholeAnswer) else ended
+        result = attempt.make_result(end, time.monotonic())
+        whole = ended if isinstance(ended, WholeAnswer) else None
+        following = gateway.ask(gateway.end_attempt(call, result, whole))
+        if following is None and whole is not None:
+            return whole
+        if isinstance(following, Refusal):
+            return following.error
+        dispatch = following
+
+
+def _carry_stream(
+    gateway: Gateway, carrier: Carrier, call: Call, dispatch: Dispatch
+) -> Iterator[bytes | WholeAnswer | RequestError]:
+    """Yield the bytes of a stream over all its attempts; another item is the last one."""
+    while True:
+        attempt = Attempt.from_dispatch(dispatch)
+        end = AttemptEnd.CALLER_GONE
+        whole = None
+        settled = False
+        try:
+            for item in carrier.stream(attempt, call):
+                if isinstance(item, Piece):
+                    yield item.data
+                elif isinstance(item, WholeAnswer):
+                    whole, end = item, AttemptEnd.DONE
+                else:
+                    end = item
+            settled = True
+        finally:
+            if not settled:
+                gateway.tell(gateway.end_attempt(call, attempt.make_result(end, time.monotonic())))
+        result = attempt.make_result(end, time.monotonic())
+        following = gateway.ask(gateway.end_attempt(call, result, whole))
+        if following is None:
+            if whole is not None:
+                yield whole
+            return
+        if isinstance(following, Refusal):
+            yield following.error
+            return
+        dispatch = following
+
+
+def _answer_stream(
+    gateway: Gateway,
+    carrier: Carrier,
+    call: Call,
+    dispatch: Dispatch,
+    leave: Callable[[], None],
+) -> Any:
+    """Answer with a stream, or with an error where nothing of it has come."""
+    items = _carry_stream(gateway, carrier, call, dispatch)
+    request_id = call.caller_request_id or call.request.request_id
+    first = next(items, b"")
+    if isinstance(first, WholeAnswer):
+        return _answer_whole(first)
+    if isinstance(first, RequestError):
+        return answer_error(first, request_id)
+    cherrypy.response.stream = True
+    cherrypy.response.headers["Content-Type"] = STREAM_TYPE
+    return _pass_on(first, items, request_id, leave)
+
+
+def _pass_on(
+    first: bytes, items: Iterator[Any], request_id: str, leave: Callable[[], None]
+) -> Iterator[bytes]:
+    """Yield a stream's bytes; a stream that ends early ends with an error event."""
+    try:
+        yield first
+        for item in items:
+            yield item if isinstance(item, bytes) else _render_error_event(item, request_id)
+    finally:
+        items.close()
+        leave()
+
+
+def _render_error_event(item: RequestError | WholeAnswer, request_id: str) -> bytes:
+    if isinstance(item, WholeAnswer):
+        item = RequestError(502, "stream_refused", "a backend server refused to resume the stream")
+    body = render_error(item, request_id)
+    return b"event: error\ndata: " + body + b"\n\n"
+
+
--- /dev/null
+++ b/rhubarbshed/transport/engines.py
@@ -0,0 +1,71 @@
+"""Client of model engines for orders, reports and cancellations."""
+
+from returns.result import Failure, Result, Success
+
+from rhubarbshed.protocol.codec import from_plain, to_plain
+from rhubarbshed.protocol.members import BackendServerInfo
+from rhubarbshed.protocol.orders import EngineReport, Order, OrderError, OrderFault
+from rhubarbshed.protocol.platform import EngineClient
+from rhubarbshed.transport.http import Answer, ExchangeError, HttpClient
+
+STATUS_OK = 200
+STATUS_CONFLICT = 409
+STATUS_UNAVAILABLE = 503
+# A load reads weights through the rate-limited weight store, which takes its time.
+ORDER_TIMEOUT_S = 60.0
+REPORT_TIMEOUT_S = 1.0
+
+
+def make_engine_client(http: HttpClient) -> EngineClient:
+    """Make a client for orders to engines and their reports."""
+
+    def send_order(server: BackendServerInfo, order: Order) -> Result[None, OrderError]:
+        url = f"{make_base_url(server)}/control/orders"
+        result = http.post_json(url, to_plain(order), ORDER_TIMEOUT_S)
+        if isinstance(result, Failure):
+            return Failure(_make_order_error(result.failure()))
+        return _read_order_answer(result.unwrap())
+
+    def fetch_report(
+        server: BackendServerInfo, sequence: int
+    ) -> Result[EngineReport, OrderError]:
+        url = f"{make_base_url(server)}/control/report?sequence={sequence}"
+        result = http.exchange("GET", url, timeout_s=REPORT_TIMEOUT_S)
+        if isinstance(result, Failure):
+            return Failure(_make_order_error(result.failure()))
+        answer = result.unwrap()
+        if answer.status != STATUS_OK:
+            return Failure(OrderError(OrderFault.UNAVAILABLE, f"status {answer.status}"))
+        return from_plain(answer.read_json(), EngineReport).alt(
+            lambda detail: OrderError(OrderFault.UNAVAILABLE, detail)
+        )
+
+    return EngineClient(send_order, fetch_report)
+
+
+def cancel_request(http: HttpClient, host: str, port: int, request_id: str) -> None:
+    """Ask an engine to stop a request; best effort."""
+    http.post_json(f"http://{host}:{port}/control/cancel", {"request_id": request_id})
+
+
+def make_base_url(server: BackendServerInfo) -> str:
+    """Return the base address of a backend server."""
+    return f"http://{server.host}:{server.port}"
+
+
+def _make_order_error(error: ExchangeError) -> OrderError:
+    fault = OrderFault.UNKNOWN if error.sent else OrderFault.UNAVAILABLE
+    return OrderError(fault, error.detail)
+
+
+def _read_order_answer(answer: Answer) -> Result[None, OrderError]:
+    if answer.status == STATUS_OK:
+        return Success(None)
+    detail = answer.body.decode(errors="replace")[:200]
+    if answer.status == STATUS_CONFLICT:
+        return Failure(OrderError(OrderFault.STALE_TOKEN, detail))
+    if answer.status == STATUS_UNAVAILABLE:
+        return Failure(OrderError(OrderFault.UNAVAILABLE, detail))
+    if answer.status // 100 == 4:
+        return Failure(OrderError(OrderFault.REFUSED, detail))
+    return Failure(OrderError(OrderFault.UNKNOWN, detail))
--- /dev/null
+++ b/rhubarbshed/transport/http.py
@@ -0,0 +1,80 @@
+"""Short HTTP exchanges with outside systems, with outcomes as values."""
+
+import json
+from typing import Any
+
+import urllib3
+from attrs import frozen
+from returns.result import Failure, Result, Success
+from urllib3.exceptions import ConnectTimeoutError, HTTPError, NewConnectionError
+
+INSTANCE_HEADER = "X-Instance"
+CONNECTIONS_PER_HOST = 8
+HOSTS_MAX = 1024
+
+
+@frozen
+class Answer:
+    """Hold a whole HTTP answer."""
+
+    status: int
+    body: bytes
+
+    def read_json(self) -> Any:
+        """Return the body decoded from JSON, or None where it is not JSON."""
+        try:
+            return json.loads(self.body)
+        except ValueError:
+            return None
+
+
+@frozen
+class ExchangeError:
+    """Describe an exchange without a whole answer; `sent` if the request may have arrived."""
+
+    sent: bool
+    detail: str
+
+
+@frozen
+class HttpClient:
+    """Hold the connections and the headers of all short exchanges of an instance."""
+
+    pool: urllib3.PoolManager
+    headers: dict[str, str]
+    timeout_s: float
+
+    @classmethod
+    def from_config(cls, instance: str, timeout_s: float, credential: str = "") -> "HttpClient":
+        """Make a client that names its instance and proves itself by a credential."""
+        headers = {INSTANCE_HEADER: instance, "Content-Type": "application/json"}
+        if credential:
+            headers["Authorization"] = f"Bearer {credential}"
+        pool = urllib3.PoolManager(num_pools=HOSTS_MAX, maxsize=CONNECTIONS_PER_HOST)
+        return cls(pool, headers, timeout_s)
+
+    def exchange(
+        self, method: str, url: str, body: bytes | None = None, timeout_s: float | None = None
+    ) -> Result[Answer, ExchangeError]:
+        """Send one request once and read its whole answer; blocks the calling thread."""
+        try:
+            response = self.pool.request(
+                method,
+                url,
+                body=body,
+                headers=self.headers,
+                timeout=timeout_s or self.timeout_s,
+                retries=False,
+                redirect=False,
+            )
+        except (NewConnectionError, ConnectTimeoutError) as error:
+            return Failure(ExchangeError(False, str(error)))
+        except (HTTPError, OSError) as error:
+            return Failure(ExchangeError(True, str(error)))
+        return Success(Answer(response.status, response.data))
+
+    def post_json(
+        self, url: str, message: Any, timeout_s: float | None = None
+    ) -> Result[Answer, ExchangeError]:
+        """Send a plain value as JSON by POST."""
+        return self.exchange("POST", url, json.dumps(message).encode(), timeout_s)
--- /dev/null
+++ b/rhubarbshed/transport/sites.py
@@ -0,0 +1,143 @@
+"""HTTP servers of an instance: one CherryPy application on a port of its own each."""
+
+import threading
+import time
+from collections.abc import Callable
+from types import SimpleNamespace
+from typing import Any
+
+import cherrypy
+from attrs import frozen
+from cheroot.wsgi import Server
+from returns.result import Failure, Result, Success
+
+from rhubarbshed.protocol.answers import make_error_headers, render_error
+from rhubarbshed.protocol.errors import Outcome, RequestError
+
+START_TIMEOUT_S = 5.0
+LISTEN_BACKLOG = 512
+CONNECTIONS_IDLE_MAX = 1024
+
+Handler = Callable[..., Any]
+
+
+@frozen
+class SiteLimits:
+    """Bound what a site takes in: threads, bytes, and seconds for a slow peer."""
+
+    threads: int
+    body_bytes_max: int
+    header_bytes_max: int
+    socket_timeout_s: float
+
+
+@frozen
+class Site:
+    """Hold a running HTTP server."""
+
+    server: Server
+    thread: threading.Thread
+
+    @classmethod
+    def from_config(cls, handler: Handler, host: str, port: int, limits: SiteLimits) -> "Site":
+        """Make a server that gives every request to one handler."""
+        server = Server(
+            (host, port),
+            make_application(handler),
+            numthreads=limits.threads,
+            max=limits.threads,
+            request_queue_size=LISTEN_BACKLOG,
+            timeout=limits.socket_timeout_s,
+            shutdown_timeout=1,
+        )
+        server.max_request_header_size = limits.header_bytes_max
+        server.keep_alive_conn_limit = CONNECTIONS_IDLE_MAX
+        return cls(server, threading.Thread(target=server.serve, daemon=True))
+
+    def start(self) -> Result[None, str]:
+        """Listen and serve on a thread of its own, or tell why that cannot be."""
+        try:
+            self.server.prepare()
+        except OSError as error:
+            return Failure(f"cannot listen on {self.server.bind_addr}: {error}")
+        self.thread.start()
+        return Success(None)
+
+    def stop(self) -> None:
+        """Stop to listen and end the worker threads."""
+        self.server.stop()
+
+
+def make_application(handler: Handler) -> cherrypy.Application:
+    """Make an application whose every path and method goes to one handler."""
+    handler.exposed = True
+    config = {
+        "/": {
+            "request.process_request_body": False,
+            "request.show_tracebacks": False,
+            "request.methods_with_bodies": ("POST", "PUT", "PATCH", "DELETE"),
+            "request.error_response": _answer_defect,
+            "tools.trailing_slash.on": False,
+            "tools.log_tracebacks.on": True,
+        }
+    }
+    application = cherrypy.Application(SimpleNamespace(default=handler, index=handler), "", config)
+    application.log.screen = False
+    application.log.access_log.disabled = True
+    return application
+
+
+def read_body(bytes_max: int) -> Result[bytes, RequestError]:
+    """Read the body of the request at hand, up to a size."""
+    headers = cherrypy.request.headers
+    if headers.get("Transfer-Encoding", "").lower() == "chunked":
+        return _read_chunked(bytes_max)
+    text = headers.get("Content-Length", "0")
+    if not text.isdigit():
+        return Failure(RequestError(400, "bad_request", "Content-Length is not a whole number"))
+    length = int(text)
+    if length > bytes_max:
+        return Failure(_refuse_large(bytes_max))
+    body = cherrypy.request.rfile.read(length) if length else b""
+    if len(body) < length:
+        return Failure(RequestError(400, "bad_request", "the body is shorter than its length"))
+    return Success(body)
+
+
+def _read_chunked(bytes_max: int) -> Result[bytes, RequestError]:
+    body = cherrypy.request.rfile.read(bytes_max + 1)
+    if len(body) > bytes_max:
+        return Failure(_refuse_large(bytes_max))
+    return Success(body)
+
+
+def _refuse_large(bytes_max: int) -> RequestError:
+    return RequestError(413, "too_large", f"the body is larger than {bytes_max} bytes", field="body")
+
+
+def answer(status: int, headers: dict[str, str], body: bytes) -> bytes:
+    """Set status and headers of the answer at hand and return its body."""
+    cherrypy.response.status = status
+    cherrypy.response.headers.update(headers)
+    return body
+
+
+def answer_error(error: RequestError, request_id: str = "") -> bytes:
+    """Answer the request at hand with an error."""
+    return answer(error.status, make_error_headers(error), render_error(error, request_id))
+
+
+def _answer_defect() -> None:
+    """Answer for a defect of the program; whether the work ran is not known."""
+    error = RequestError(500, "defect", "the instance met a defect", Outcome.UNKNOWN)
+    cherrypy.response.body = [answer_error(error)]
+
+
+def wait_until(condition: Callable[[], bool], timeout_s: float) -> bool:
+    """Wait until a condition holds; tell whether it did in time."""
+    end = time.monotonic() + timeout_s
+    while not condition():
+        if time.monotonic() > end:
+            return False
+        time.sleep(0.01)
+    return True
--- /dev/null
+++ b/rhubarbshed/ui/common.py
@@ -0,0 +1,88 @@
+"""Asking an instance's operator port, and showing what it answers."""
+
+import json
+import os
+from collections.abc import Sequence
+from typing import Any
+
+import typer
+import urllib3
+from attrs import frozen
+from urllib3.exceptions import HTTPError
+
+from rhubarbshed.protocol.errors import UserError
+
+TOKEN_VARIABLE = "RHUBARBSHED_OPERATOR_TOKEN"
+URL_VARIABLE = "RHUBARBSHED_URL"
+URL_DEFAULT = "http://127.0.0.1:8081"
+TIMEOUT_S = 15.0
+
+
+@frozen
+class Remote:
+    """Hold the addresses of operator ports, and the token; the first address is asked first."""
+
+    urls: tuple[str, ...]
+    token: str = ""
+
+    @classmethod
+    def from_environment(cls) -> "Remote":
+        """Take addresses, separated by commas, and the token from the environment."""
+        urls = os.environ.get(URL_VARIABLE, URL_DEFAULT).split(",")
+        return cls(tuple(urls), os.environ.get(TOKEN_VARIABLE, ""))
+
+    def ask(self, method: str, path: str, body: bytes | None = None) -> Any:
+        """Ask the first instance that can be reached; its errors become user errors."""
+        failures = []
+        for url in self.urls:
+            try:
+                return self.ask_one(url, method, path, body)
+            except HTTPError as error:
+                failures.append(f"{url}: {type(error).__name__}")
+        raise UserError("no instance can be reached: " + "; ".join(failures))
+
+    def ask_one(self, url: str, method: str, path: str, body: bytes | None = None) -> Any:
+        """Ask one instance; raises UserError for its errors and HTTPError where it is not met."""
+        response = urllib3.request(
+            method,
+            url.rstrip("/") + path,
+            body=body,
+            headers={"Authorization": f"Bearer {self.token}"},
+            timeout=TIMEOUT_S,
+            retries=False,
+        )
+        try:
+            plain = json.loads(response.data)
+        except ValueError:
+            raise UserError(f"{url} gave no JSON, status {response.status}") from None
+        if response.status >= 400:
+            raise UserError(_describe_error(plain, response.status))
+        return plain
+
+
+def _describe_error(plain: Any, status: int) -> str:
+    error = plain.get("error", {}) if isinstance(plain, dict) else {}
+    text = error.get("message", "no message")
+    if "retry_after_s" in error:
+        text += f"; come back in {error['retry_after_s']:g} s"
+    return f"{error.get('code', status)}: {text}"
+
+
+def show(rows: Sequence[dict[str, Any]], columns: Sequence[str], as_json: bool) -> None:
+    """Print rows as a table for people, or as JSON for programs."""
+    if as_json:
+        typer.echo(json.dumps(list(rows), indent=2))
+        return
+    texts = [[_format_cell(row.get(column)) for column in columns] for row in rows]
+    widths = [max(map(len, cells)) for cells in zip(columns, *texts, strict=True)]
+    for cells in [list(columns), *texts]:
+        line = "  ".join(cell.ljust(width) for cell, width in zip(cells, widths, strict=True))
+        typer.echo(line.rstrip())
+
+
+def _format_cell(value: Any) -> str:
+    if value is None:
+        return "-"
+    if isinstance(value, list):
+        return ",".join(map(str, value)) or "-"
+    return f"{value:g}" if isinstance(value, float) else str(value)
