Add the network of peers

Cause: instances must hear each other's load, hints and leaving words over streams. Ruled out: heartbeats as frames of their own writes; what goes out in a beat is one write. Change: handshake with proofs on both sides, bounded queues, replaced silent connections. Before and after: not measured yet.

--- /dev/null
+++ b/rhubarbshed/transport/frames.py
@@ -0,0 +1,133 @@
+"""Length-checked frames on asyncio streams, and the handshake that opens a connection."""
+
+import asyncio
+import secrets
+import ssl
+
+from attrs import field, frozen
+from returns.result import Failure, Result, Success
+
+from rhubarbshed.protocol.events import Stamp
+from rhubarbshed.protocol.members import InstanceInfo
+from rhubarbshed.protocol.peers import (
+    NONCE_BYTES,
+    PROTOCOL_VERSION,
+    Challenge,
+    Envelope,
+    Frame,
+    Hello,
+    Welcome,
+    check_proof,
+    make_proof,
+    pack_envelope,
+    unpack_envelope,
+)
+from rhubarbshed.util.settings import TlsSettings
+
+LENGTH_BYTES = 4
+NO_STAMP = Stamp(0, 0)
+DIALER = "dialer"
+LISTENER = "listener"
+
+
+@frozen
+class Identity:
+    """Hold what an instance shows and checks in a handshake."""
+
+    info: InstanceInfo
+    token: str = field(repr=False)
+    hello_bytes_max: int
+    frame_bytes_max: int
+
+
+async def read_frame(reader: asyncio.StreamReader, bytes_max: int) -> Result[bytes, str]:
+    """Read one frame; one that is longer than allowed is not read."""
+    try:
+        length = int.from_bytes(await reader.readexactly(LENGTH_BYTES))
+        if not 0 < length <= bytes_max:
+            return Failure(f"frame of {length} bytes, allowed are 1 to {bytes_max}")
+        return Success(await reader.readexactly(length))
+    except (asyncio.IncompleteReadError, OSError) as error:
+        return Failure(f"closed ({type(error).__name__})")
+
+
+def frame_bytes(envelope: Envelope) -> bytes:
+    """Encode an envelope with its length in front."""
+    data = pack_envelope(envelope)
+    return len(data).to_bytes(LENGTH_BYTES) + data
+
+
+async def greet_caller(
+    reader: asyncio.StreamReader, writer: asyncio.StreamWriter, own: Identity
+) -> Result[InstanceInfo, str]:
+    """Challenge whoever connected, check its proof and give the own one."""
+    nonce = secrets.token_bytes(NONCE_BYTES)
+    _write(writer, Challenge(nonce))
+    answer = await _read(reader, Hello, own)
+    if isinstance(answer, Failure):
+        return answer
+    hello = answer.unwrap()
+    nonces = (nonce, hello.nonce)
+    if hello.protocol != PROTOCOL_VERSION:
+        return Failure(f"protocol {hello.protocol}, not {PROTOCOL_VERSION}")
+    if not check_proof(hello.proof, own.token, DIALER, hello.info, nonces):
+        return Failure("wrong proof")
+    _write(writer, Welcome(own.info, make_proof(own.token, LISTENER, own.info, nonces)))
+    return Success(hello.info)
+
+
+async def greet_listener(
+    reader: asyncio.StreamReader, writer: asyncio.StreamWriter, own: Identity
+) -> Result[InstanceInfo, str]:
+    """Answer the challenge of a listener and check its proof."""
+    challenge = await _read(reader, Challenge, own)
+    if isinstance(challenge, Failure):
+        return challenge
+    nonces = (challenge.unwrap().nonce, secrets.token_bytes(NONCE_BYTES))
+    proof = make_proof(own.token, DIALER, own.info, nonces)
+    _write(writer, Hello(own.info, nonces[1], proof))
+    answer = await _read(reader, Welcome, own)
+    if isinstance(answer, Failure):
+        return answer
+    welcome = answer.unwrap()
+    if not check_proof(welcome.proof, own.token, LISTENER, welcome.info, nonces):
+        return Failure("wrong proof")
+    return Success(welcome.info)
+
+
+def _write(writer: asyncio.StreamWriter, frame: Frame) -> None:
+    writer.write(frame_bytes(Envelope(frame, NO_STAMP)))
+
+
+async def _read(reader: asyncio.StreamReader, kind: type, own: Identity) -> Result[Frame, str]:
+    data = await read_frame(reader, own.hello_bytes_max)
+    envelope = data.bind(lambda raw: unpack_envelope(raw, ""))
+    if isinstance(envelope, Failure):
+        return envelope
+    frame = envelope.unwrap().frame
+    if not isinstance(frame, kind):
+        return Failure(f"{type(frame).__name__} in place of {kind.__name__}")
+    return Success(frame)
+
+
+def make_server_context(tls: TlsSettings) -> ssl.SSLContext | None:
+    """Make the context of a listener that demands a certificate; None without TLS."""
+    return _make_context(tls, ssl.Purpose.CLIENT_AUTH)
+
+
+def make_client_context(tls: TlsSettings) -> ssl.SSLContext | None:
+    """Make the context of a dialer; None without TLS.
+
+    Peers are met by IP number, so the authority and the proof count, not the host name.
+    """
+    return _make_context(tls, ssl.Purpose.SERVER_AUTH)
+
+
+def _make_context(tls: TlsSettings, purpose: ssl.Purpose) -> ssl.SSLContext | None:
+    if not tls.certificate:
+        return None
+    context = ssl.create_default_context(purpose, cafile=tls.authority)
+    context.load_cert_chain(tls.certificate, tls.key)
+    context.check_hostname = False
+    context.verify_mode = ssl.CERT_REQUIRED
+    return context
--- /dev/null
+++ b/rhubarbshed/transport/links.py
@@ -0,0 +1,86 @@
+"""One proven connection to a peer, with a bounded queue of frames to send."""
+
+import asyncio
+from collections import deque
+
+from attrs import Factory, define
+
+from rhubarbshed.protocol.members import InstanceInfo
+
+BUFFER_BYTES_MAX = 65_536
+"""Bytes handed to the socket's buffer before frames wait in the queue."""
+QUEUE_BYTES_MAX = 2_097_152
+"""Bytes waiting in the queue before the connection is given up."""
+QUEUE_DIGESTS_MAX = 8
+"""Digests waiting in the queue; the oldest goes first, since newer ones replace it."""
+
+
+@define(eq=False)
+class Link:
+    """Hold a connection; times are monotonic seconds."""
+
+    info: InstanceInfo
+    writer: asyncio.StreamWriter
+    dialed_by: str
+    heard_at: float
+    drained_at: float
+    queue: deque[tuple[bytes, bool]] = Factory(deque)
+    queue_bytes: int = 0
+    digests_dropped: int = 0
+
+    def put(self, data: bytes, is_digest: bool) -> None:
+        """Queue an encoded frame; the oldest digests give way to newer ones."""
+        self.queue.append((data, is_digest))
+        self.queue_bytes += len(data)
+        if is_digest and sum(digest for _, digest in self.queue) > QUEUE_DIGESTS_MAX:
+            self._drop_oldest_digest()
+
+    def flush(self, now: float) -> None:
+        """Write what the socket's buffer takes, in one piece."""
+        if self.writer.transport.get_write_buffer_size() > BUFFER_BYTES_MAX:
+            return
+        self.drained_at = now
+        if not self.queue or self.writer.is_closing():
+            return
+        self.writer.write(b"".join(data for data, _ in self.queue))
+        self.queue.clear()
+        self.queue_bytes = 0
+
+    def find_fault(self, now: float, silence_s: float) -> str:
+        """Return why this connection is to be replaced, or empty text."""
+        if self.writer.is_closing():
+            return "closed"
+        if now - self.heard_at > silence_s:
+            return f"silent for {now - self.heard_at:.1f} s"
+        if now - self.drained_at > silence_s:
+            return f"takes nothing for {now - self.drained_at:.1f} s"
+        if self.queue_bytes > QUEUE_BYTES_MAX:
+            return f"{self.queue_bytes} bytes behind"
+        return ""
+
+    def abort(self) -> None:
+        """Close at once, whatever the other end does."""
+        self.queue.clear()
+        self.queue_bytes = 0
+        self.writer.transport.abort()
+
+    def _drop_oldest_digest(self) -> None:
+        for index, (data, is_digest) in enumerate(self.queue):
+            if is_digest:
+                del self.queue[index]
+                self.queue_bytes -= len(data)
+                self.digests_dropped += 1
+                return
+
+
+def choose_link(held: Link, fresh: Link, now: float, heartbeat_s: float) -> Link:
+    """Choose which of two connections between the same two instances is kept, alike on both.
+
+    A new one replaces one that is overdue or was opened by the same end, since that end knows
+    of no other. Of two opened crosswise the one dialed by the lower name stays.
+    """
+    overdue = now - held.heard_at > 2 * heartbeat_s
+    restarted = held.info.incarnation != fresh.info.incarnation
+    if overdue or restarted or held.dialed_by == fresh.dialed_by:
+        return fresh
+    return min(held, fresh, key=lambda link: link.dialed_by)
--- /dev/null
+++ b/rhubarbshed/transport/peers.py
@@ -0,0 +1,381 @@
+"""Network of peers: connects to those chosen, keeps heartbeats, passes frames on."""
+
+import asyncio
+import logging
+import random
+import time
+from collections.abc import Callable, Collection
+
+from attrs import Factory, define, field
+from returns.result import Failure, Result
+
+from rhubarbshed.coordination.dissemination import (
+    NoticeFilter,
+    Topology,
+    choose_dials,
+    choose_recipients,
+    choose_relays,
+    choose_topology,
+)
+from rhubarbshed.protocol.members import InstanceInfo
+from rhubarbshed.protocol.peers import (
+    CatalogueHint,
+    Envelope,
+    Frame,
+    Heartbeat,
+    LeavingNotice,
+    LoadDigest,
+    QuarantineNotice,
+    unpack_envelope,
+)
+from rhubarbshed.state.clock import HybridClock
+from rhubarbshed.state.membership import Membership
+from rhubarbshed.state.timeline import read_wall_ms
+from rhubarbshed.transport.frames import (
+    Identity,
+    frame_bytes,
+    greet_caller,
+    greet_listener,
+    make_client_context,
+    make_server_context,
+    read_frame,
+)
+from rhubarbshed.transport.links import Link, choose_link
+from rhubarbshed.util.logs import log_event
+from rhubarbshed.util.settings import PeerSettings, Settings, TlsSettings
+
+LOG = logging.getLogger(__name__)
+BACKOFF_FIRST_S = 0.2
+BACKOFF_LONGEST_S = 5.0
+HANDSHAKES_MAX = 64
+"""Connections accepted but not proven yet; more are closed at once."""
+NOTICES = (CatalogueHint, LeavingNotice, QuarantineNotice)
+
+OnFrame = Callable[[str, Frame, float], None]
+OnConnect = Callable[[str, float], tuple[Frame, ...]]
+Collect = Callable[[float], tuple[Frame, ...]]
+
+
+def collect_nothing(now: float) -> tuple[Frame, ...]:
+    """Add no frames to the heartbeats."""
+    return ()
+
+
+def greet_with_nothing(peer: str, now: float) -> tuple[Frame, ...]:
+    """Send no frames to a new peer."""
+    return ()
+
+
+@define
+class Backoff:
+    """Pause before a peer is dialed again."""
+
+    pause_s: float = 0.0
+    until: float = 0.0
+
+
+@define(eq=False)
+class PeerNetwork:
+    """Run this instance's connections to its peers; all of it on one loop."""
+
+    identity: Identity
+    settings: PeerSettings
+    tls: TlsSettings
+    membership: Membership
+    clock: HybridClock
+    on_frame: OnFrame
+    make_heartbeat: Callable[[], Heartbeat]
+    on_connect: OnConnect = greet_with_nothing
+    collect: Collect = collect_nothing
+    refuse: Collection[str] = ()
+    read_now: Callable[[], float] = time.monotonic
+    read_wall: Callable[[], int] = read_wall_ms
+    random: random.Random = Factory(random.Random)
+    links: dict[str, Link] = Factory(dict)
+    topology: Topology = Topology((), (), False)
+    notices: NoticeFilter = field(default=Factory(lambda: NoticeFilter("")))
+    backoffs: dict[str, Backoff] = Factory(dict)
+    dialing: set[str] = Factory(set)
+    tasks: set[asyncio.Task] = Factory(set)
+    handshakes: int = 0
+    beat_at: float = 0.0
+    server: asyncio.Server | None = None
+
+    @classmethod
+    def from_settings(
+        cls,
+        settings: Settings,
+        membership: Membership,
+        clock: HybridClock,
+        on_frame: OnFrame,
+        make_heartbeat: Callable[[], Heartbeat],
+        **hooks,
+    ) -> "PeerNetwork":
+        """Make a network that is not started; `hooks` set further fields."""
+        info = membership.instances[settings.instance.name].info
+        identity = Identity(
+            info,
+            settings.secrets.peer_token,
+            settings.peers.hello_bytes_max,
+            settings.peers.frame_bytes_max,
+        )
+        network = cls(
+            identity,
+            settings.peers,
+            settings.tls,
+            membership,
+            clock,
+            on_frame,
+            make_heartbeat,
+            **hooks,
+        )
+        network.notices.prefix = f"{info.name}/{info.incarnation}"
+        return network
+
+    async def start(self) -> None:
+        """Listen, and begin to connect."""
+        info = self.identity.info
+        context = make_server_context(self.tls)
+        self.server = await asyncio.start_server(
+            self._accept, info.host, info.peer_port, ssl=context
+        )
+        self._spawn(self._run())
+
+    async def stop(self) -> None:
+        """Send what is queued, close all connections and stop listening."""
+        if self.server is not None:
+            self.server.close()
+        now = self.read_now()
+        for link in self.links.values():
+            link.flush(now)
+            link.writer.close()
+        await asyncio.sleep(0)
+        tasks = tuple(self.tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        self.links.clear()
+
+    def publish(self, frame: Frame) -> None:
+        """Send a frame to all that should have it; notices are passed on by others."""
+        notice_id = self.notices.make_id() if isinstance(frame, NOTICES) else ""
+        names = choose_recipients(
+            frame, self.topology, self._list_connected(), self.identity.info.data_centre
+        )
+        self._send_all(names, frame, notice_id)
+
+    def send(self, peer: str, frame: Frame) -> bool:
+        """Send a frame to one connected peer; tell whether there was a connection."""
+        if peer not in self.links:
+            return False
+        self._send_all((peer,), frame)
+        return True
+
+    def list_connected(self) -> tuple[str, ...]:
+        """Return the names of connected peers, in order."""
+        return tuple(sorted(self.links))
+
+    def step(self, now: float) -> None:
+        """Replace silent connections, connect to peers that lack one, send heartbeats."""
+        self._close_faulty(now)
+        self.topology = choose_topology(self.membership, self.settings.delegates, now)
+        wanted = {info.name for info in (*self.topology.mesh, *self.topology.bridges)}
+        self.membership.expect(wanted | set(self.links), now)
+        self._close_unwanted(now)
+        connected = set(self.links) | self.dialing
+        for info in choose_dials(self.membership, self.topology, connected, now):
+            if info.name not in self.refuse:
+                self._try_dial(info, now)
+        if now - self.beat_at >= self.settings.heartbeat_s * 0.9:
+            self.beat_at = now
+            self._beat(now)
+        for link in self.links.values():
+            link.flush(now)
+
+    async def _run(self) -> None:
+        while True:
+            self.step(self.read_now())
+            jitter = self.random.uniform(0.9, 1.1)
+            await asyncio.sleep(self.settings.heartbeat_s / 4 * jitter)
+
+    def _beat(self, now: float) -> None:
+        """Queue the heartbeat and what goes with it, to be written in one piece."""
+        frames = (self.make_heartbeat(), *self.collect(now))
+        for frame in frames:
+            names = choose_recipients(
+                frame, self.topology, self._list_connected(), self.identity.info.data_centre
+            )
+            self._queue_all(names, frame)
+
+    def _send_all(self, names: Collection[str], frame: Frame, notice_id: str = "") -> None:
+        self._queue_all(names, frame, notice_id)
+        now = self.read_now()
+        for name in names:
+            self.links[name].flush(now)
+
+    def _queue_all(self, names: Collection[str], frame: Frame, notice_id: str = "") -> None:
+        if not names:
+            return
+        stamp = self.clock.tick(self.read_wall())
+        data = frame_bytes(Envelope(frame, stamp, notice_id))
+        for name in names:
+            self.links[name].put(data, isinstance(frame, LoadDigest | Heartbeat))
+
+    def _list_connected(self) -> dict[str, str]:
+        return {name: link.info.data_centre for name, link in self.links.items()}
+
+    def _close_faulty(self, now: float) -> None:
+        for name, link in tuple(self.links.items()):
+            fault = link.find_fault(now, self.settings.silence_s)
+            if name in self.refuse:
+                fault = "refused"
+            if fault:
+                self._drop(link, fault)
+
+    def _close_unwanted(self, now: float) -> None:
+        """Close bridges that this instance opened to a partner it no longer uses."""
+        wanted = {info.name for info in (*self.topology.mesh, *self.topology.bridges)}
+        for name, link in tuple(self.links.items()):
+            if link.dialed_by == self.membership.name and name not in wanted:
+                self._drop(link, "not needed")
+
+    def _drop(self, link: Link, reason: str) -> None:
+        link.abort()
+        if self.links.get(link.info.name) is link:
+            del self.links[link.info.name]
+            log_event(LOG, logging.INFO, "peer_lost", peer=link.info.name, reason=reason)
+
+    def _try_dial(self, info: InstanceInfo, now: float) -> None:
+        backoff = self.backoffs.setdefault(info.name, Backoff())
+        if now < backoff.until:
+            return
+        doubled = min(BACKOFF_LONGEST_S, max(BACKOFF_FIRST_S, backoff.pause_s * 2))
+        backoff.pause_s = doubled
+        backoff.until = now + doubled * self.random.uniform(0.5, 1.0)
+        self.dialing.add(info.name)
+        self._spawn(self._dial(info))
+
+    async def _dial(self, info: InstanceInfo) -> None:
+        try:
+            async with asyncio.timeout(self.settings.silence_s):
+                reader, writer = await asyncio.open_connection(
+                    info.host, info.peer_port, ssl=make_client_context(self.tls)
+                )
+        except (OSError, TimeoutError):
+            return
+        finally:
+            self.dialing.discard(info.name)
+        await self._serve(reader, writer, dials=True)
+
+    async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        if self.handshakes >= HANDSHAKES_MAX:
+            writer.transport.abort()
+            return
+        self._spawn(self._serve(reader, writer, dials=False))
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, dials: bool
+    ) -> None:
+        try:
+            greeted = await self._greet(reader, writer, dials)
+            if isinstance(greeted, Failure):
+                log_event(LOG, logging.WARNING, "peer_refused", reason=greeted.failure())
+                return
+            link = self._add_link(greeted.unwrap(), writer, dials)
+            if link is not None:
+                await self._read_frames(reader, link)
+        finally:
+            writer.transport.abort()
+
+    async def _greet(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, dials: bool
+    ) -> Result[InstanceInfo, str]:
+        greet = greet_listener if dials else greet_caller
+        self.handshakes += not dials
+        try:
+            async with asyncio.timeout(self.settings.silence_s):
+                return await greet(reader, writer, self.identity)
+        except TimeoutError:
+            return Failure("handshake took too long")
+        finally:
+            self.handshakes -= not dials
+
+    def _add_link(
+        self, info: InstanceInfo, writer: asyncio.StreamWriter, dials: bool
+    ) -> Link | None:
+        """Take a proven connection into use, unless a better one is held."""
+        now = self.read_now()
+        if info.name in self.refuse or info.name == self.membership.name:
+            return None
+        dialed_by = self.membership.name if dials else info.name
+        link = Link(info, writer, dialed_by, now, now)
+        held = self.links.get(info.name)
+        if held is not None:
+            if choose_link(held, link, now, self.settings.heartbeat_s) is held:
+                return None
+            self._drop(held, "replaced")
+        self.links[info.name] = link
+        self.backoffs.pop(info.name, None)
+        self.membership.apply_hello(info, now)
+        log_event(LOG, logging.INFO, "peer_connected", peer=info.name, dialed_by=dialed_by)
+        for frame in (self.make_heartbeat(), *self.on_connect(info.name, now)):
+            self._queue_all((info.name,), frame)
+        link.flush(now)
+        return link
+
+    async def _read_frames(self, reader: asyncio.StreamReader, link: Link) -> None:
+        while self.links.get(link.info.name) is link:
+            data = await read_frame(reader, self.settings.frame_bytes_max)
+            if isinstance(data, Failure):
+                self._drop(link, data.failure())
+                return
+            envelope = unpack_envelope(data.unwrap(), link.info.name)
+            if isinstance(envelope, Failure):
+                log_event(
+                    LOG,
+                    logging.WARNING,
+                    "peer_malformed",
+                    peer=link.info.name,
+                    reason=envelope.failure(),
+                )
+                self._drop(link, "malformed frame")
+                return
+            self._take(link, envelope.unwrap())
+
+    def _take(self, link: Link, envelope: Envelope) -> None:
+        """Take in a frame of a peer and pass it on where it should go."""
+        now = self.read_now()
+        if self.links.get(link.info.name) is not link or link.info.name in self.refuse:
+            return
+        link.heard_at = now
+        self.clock.merge(envelope.stamp, self.read_wall())
+        self.membership.hear(link.info.name, now)
+        frame = envelope.frame
+        if envelope.notice_id and not self.notices.is_news(envelope.notice_id):
+            return
+        self._apply_leaving(link.info, frame)
+        self._relay(link.info.name, frame, envelope.notice_id)
+        self.on_frame(link.info.name, frame, now)
+
+    def _apply_leaving(self, sender: InstanceInfo, frame: Frame) -> None:
+        if isinstance(frame, Heartbeat) and frame.leaving:
+            self.membership.apply_leaving(sender.name, frame.incarnation, sender.name)
+        if isinstance(frame, LeavingNotice):
+            for subject in (*frame.instances, *frame.backend_servers):
+                self.membership.apply_leaving(subject.name, subject.incarnation, sender.name)
+
+    def _relay(self, sender: str, frame: Frame, notice_id: str) -> None:
+        names = choose_relays(
+            frame,
+            self.topology,
+            self._list_connected(),
+            sender,
+            self.identity.info.data_centre,
+        )
+        if names:
+            self._send_all(names, frame, notice_id)
+
+    def _spawn(self, work) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
