--- /dev/null
+++ b/standin/engine.py
@@ -0,0 +1,405 @@
+"""Model engine that batches continuously, holds models in memory and takes orders."""
+
+import asyncio
+import json
+import random
+import time
+import uuid
+from typing import Any
+
+import typer
+from attrs import define, field, frozen
+
+from rhubarbshed.util.prefixes import BLOCK_WORDS, hash_prefixes
+from standin.batch import Batch, BatchSettings, Sequence
+from standin.cache import PrefixCache
+from standin.client import fetch
+from standin.memory import Entry, Memory
+from standin.orders import OrderState, carry_out
+from standin.report import SNAPSHOT_S, ReportHistory
+from standin.tokens import expected_embedding, hash_prompt, name_target, read_prompt
+from standin.web import Exchange, HttpRequest, HttpResponse, Server, make_error, make_json, serve
+
+MAX_TOKENS_DEFAULT = 16
+PRIORITY_DEFAULT = 1
+EVENT_STREAM = "text/event-stream"
+
+Plain = dict[str, Any]
+
+
+@frozen
+class EngineSettings:
+    """Settings of an engine besides those of its batch."""
+
+    name: str
+    memory_bytes: int
+    report_lag_s: float
+    checks_fencing: bool
+    forgets_token: bool
+    load_s: float
+    adapter_ms: float
+    weights_url: str
+    restart_s: float
+    cache_bytes: int
+    cache_block_bytes: int
+    event_loss: float
+    seed: int
+
+
+@define(eq=False)
+class Engine:
+    """Hold all state of an engine."""
+
+    settings: EngineSettings
+    batch: Batch
+    cache: PrefixCache
+    memory: Memory
+    orders: OrderState
+    history: ReportHistory
+    server: Server
+    boot_id: str = field(factory=lambda: uuid.uuid4().hex)
+    users: dict[Sequence, tuple[Entry, ...]] = field(factory=dict)
+
+
+def make_engine(settings: EngineSettings, batch_settings: BatchSettings) -> Engine:
+    """Return an engine with its server."""
+
+    async def handle(request: HttpRequest, exchange: Exchange) -> HttpResponse | None:
+        return await route(engine, request, exchange)
+
+    async def fetch_weights(kind: str, name: str, size: int) -> bool:
+        if settings.weights_url:
+            url = f"{settings.weights_url}/{kind}/{name}?bytes={size}"
+            return await fetch(url, {"X-Instance": settings.name}) == 200
+        await asyncio.sleep(settings.adapter_ms / 1000 if kind == "adapters" else settings.load_s)
+        return True
+
+    def count_users(entry: Entry) -> int:
+        return sum(entry in used for used in engine.users.values())
+
+    server = Server(
+        handle,
+        late_path="/control/orders",
+        restart_s=settings.restart_s,
+        on_crash=lambda: forget_all(engine),
+        describe=lambda: {"memory_bytes_used": engine.memory.count_used()},
+    )
+    memory = Memory(settings.memory_bytes, server.counters)
+    engine = Engine(
+        settings=settings,
+        batch=Batch(batch_settings, time.monotonic),
+        cache=PrefixCache(
+            settings.cache_bytes,
+            settings.cache_block_bytes,
+            settings.event_loss,
+            random.Random(settings.seed),
+        ),
+        memory=memory,
+        orders=OrderState(
+            memory, server.counters, settings.checks_fencing, fetch_weights, count_users
+        ),
+        history=ReportHistory(settings.report_lag_s),
+        server=server,
+    )
+    return engine
+
+
+def forget_all(engine: Engine) -> None:
+    """Empty an engine's memory, as a crash does."""
+    engine.batch.clear()
+    engine.users.clear()
+    engine.memory.entries.clear()
+    engine.cache.clear()
+    engine.history.clear()
+    engine.orders.answers.clear()
+    engine.orders.role = "mixed"
+    if engine.settings.forgets_token:
+        engine.orders.fencing_token = 0
+    engine.boot_id = uuid.uuid4().hex
+
+
+async def route(engine: Engine, request: HttpRequest, exchange: Exchange) -> HttpResponse | None:
+    """Answer one request to an engine."""
+    path = request.path
+    if path in ("/v1/chat/completions", "/v1/completions"):
+        return await complete(engine, request, exchange)
+    if path == "/v1/embeddings":
+        return embed(engine, request)
+    if path == "/control/report":
+        return make_json(make_report(engine, int(request.query.get("sequence", "0"))))
+    if path == "/control/orders":
+        work = carry_out(engine.orders, request.read_json())
+        return await asyncio.shield(engine.server.start_task(work))
+    if path == "/control/cancel":
+        return cancel(engine, request.read_json()["request_id"])
+    if path == "/control/kv/export":
+        return export_prefix(engine, request.read_json()["prefix"])
+    if path == "/control/kv/import":
+        return import_prefix(engine, request)
+    return make_error(404, "not_found")
+
+
+def find_entries(engine: Engine, body: Plain) -> tuple[Entry, ...] | None:
+    """Return what a request uses in memory, or None where some of it is not resident."""
+    entries = [engine.memory.find_ready(body["model"])]
+    if body.get("adapter"):
+        entries.append(engine.memory.find_ready(body["adapter"], body["model"]))
+    return None if None in entries else tuple(entries)
+
+
+async def complete(engine: Engine, request: HttpRequest, exchange: Exchange) -> HttpResponse | None:
+    """Answer a completion, streamed or whole."""
+    body = request.read_json()
+    entries = find_entries(engine, body)
+    if entries is None:
+        return make_error(404, "model_not_resident")
+    if engine.batch.is_full():
+        return make_error(429, "queue_full")
+    prompt = read_prompt(body)
+    answer = Answer.from_request(request, body, prompt, exchange)
+    sequence = make_sequence(engine, request, body, prompt, answer)
+    engine.users[sequence] = entries
+    engine.server.counters.add_run(answer.request_id, request.headers.get("idempotency-key", ""))
+    try:
+        if answer.streamed:
+            exchange.start_stream({"X-Request-Id": answer.request_id}, EVENT_STREAM)
+        engine.batch.add(sequence)
+        await answer.ended
+    finally:
+        engine.batch.remove(sequence)
+        engine.users.pop(sequence, None)
+    return None if answer.streamed else answer.make_response(len(prompt.split()))
+
+
+def make_sequence(
+    engine: Engine, request: HttpRequest, body: Plain, prompt: str, answer: "Answer"
+) -> Sequence:
+    """Return the sequence of a request; its prompt enters the prefix cache."""
+    words = prompt.split()
+    hashes = hash_prefixes(body["model"], words, body.get("adapter") or "")
+    cached = engine.cache.count_cached(hashes) * BLOCK_WORDS
+    engine.cache.store(hashes, time.monotonic())
+    engine.server.counters.add("prompt_tokens", len(words))
+    engine.server.counters.add("prompt_tokens_cached", cached)
+    return Sequence(
+        request_id=answer.request_id,
+        model=body["model"],
+        priority=int(request.headers.get("x-priority", PRIORITY_DEFAULT)),
+        prefill_tokens=len(words) - cached + answer.offset,
+        offset=answer.offset,
+        tokens_end=int(body.get("max_tokens", MAX_TOKENS_DEFAULT)),
+        emit=answer.emit,
+        finish=answer.finish,
+    )
+
+
+@define(eq=False)
+class Answer:
+    """Build one answer from its tokens."""
+
+    request_id: str
+    target: str
+    chat: bool
+    streamed: bool
+    mark: str
+    offset: int
+    exchange: Exchange
+    ended: asyncio.Future
+    event_head: bytes = b""
+    texts: list[str] = field(factory=list)
+    finish_reason: str = ""
+
+    @classmethod
+    def from_request(
+        cls, request: HttpRequest, body: Plain, prompt: str, exchange: Exchange
+    ) -> "Answer":
+        """Return the answer to be built for a request."""
+        request_id = request.headers.get("x-request-id") or uuid.uuid4().hex
+        target = name_target(body)
+        return cls(
+            request_id=request_id,
+            target=target,
+            chat=request.path == "/v1/chat/completions",
+            streamed=bool(body.get("stream")),
+            mark=hash_prompt(target, prompt),
+            offset=int(request.headers.get("x-resume-offset", 0)),
+            exchange=exchange,
+            ended=asyncio.get_running_loop().create_future(),
+            event_head=b'data: {"id": %b, "offset": ' % json.dumps(request_id).encode(),
+        )
+
+    def emit(self, offset: int, last: bool) -> None:
+        """Give one token."""
+        text = f"tok-{self.mark}-{offset} "
+        if not self.streamed:
+            self.texts.append(text)
+            return
+        if last:
+            self.finish_reason = "length"
+        self._write_event(offset, text, self.finish_reason)
+
+    def finish(self, reason: str) -> None:
+        """End the answer."""
+        if self.streamed:
+            if not self.finish_reason:
+                self._write_event(self.offset, "", reason)
+            self.exchange.write(b"data: [DONE]\n\n")
+            self.exchange.end_stream()
+        self.finish_reason = reason
+        if not self.ended.done():
+            self.ended.set_result(None)
+
+    def _write_event(self, offset: int, text: str, reason: str) -> None:
+        self.offset = offset + 1
+        end = b', "finish_reason": "%b"' % reason.encode() if reason else b""
+        event = b'%b%d, "choices": [{"index": 0, "delta": {"content": "%b"}%b}]}\n\n'
+        self.exchange.write(event % (self.event_head, offset, text.encode(), end))
+
+    def make_response(self, prompt_tokens: int) -> HttpResponse:
+        """Return a whole answer."""
+        text = "".join(self.texts)
+        part = {"message": {"role": "assistant", "content": text}} if self.chat else {"text": text}
+        plain = {
+            "id": self.request_id,
+            "model": self.target,
+            "offset": self.offset,
+            "choices": [{"index": 0, **part, "finish_reason": self.finish_reason}],
+            "usage": {"prompt_tokens": prompt_tokens, "completion_tokens": len(self.texts)},
+        }
+        return make_json(plain, headers={"X-Request-Id": self.request_id})
+
+
+def embed(engine: Engine, request: HttpRequest) -> HttpResponse:
+    """Answer embeddings at once."""
+    body = request.read_json()
+    if find_entries(engine, body) is None:
+        return make_error(404, "model_not_resident")
+    request_id = request.headers.get("x-request-id") or uuid.uuid4().hex
+    engine.server.counters.add_run(request_id, request.headers.get("idempotency-key", ""))
+    given = body["input"]
+    texts = given if isinstance(given, list) else [given]
+    target = name_target(body)
+    data = [
+        {"index": index, "object": "embedding", "embedding": expected_embedding(target, text)}
+        for index, text in enumerate(texts)
+    ]
+    plain = {"id": request_id, "object": "list", "model": target, "data": data}
+    return make_json(plain, headers={"X-Request-Id": request_id})
+
+
+def cancel(engine: Engine, request_id: str) -> HttpResponse:
+    """End all sequences of a request."""
+    found = [each for each in engine.batch.list_all() if each.request_id == request_id]
+    for sequence in found:
+        engine.batch.remove(sequence, "cancelled")
+    engine.server.counters.add("cancelled", len(found))
+    return make_json({"cancelled": len(found)})
+
+
+def export_prefix(engine: Engine, prefix: str) -> HttpResponse:
+    """Return the KV cache of a prefix as bytes."""
+    if prefix not in engine.cache.blocks:
+        return make_error(404, "prefix_not_cached")
+    engine.server.counters.add("kv_exports")
+    return HttpResponse(200, b"kv:" + prefix.encode(), "application/octet-stream")
+
+
+def import_prefix(engine: Engine, request: HttpRequest) -> HttpResponse:
+    """Take in the KV cache of a prefix."""
+    prefix = request.query["prefix"]
+    if request.body != b"kv:" + prefix.encode():
+        return make_error(422, "wrong_bytes")
+    engine.cache.store([prefix], time.monotonic())
+    engine.server.counters.add("kv_imports")
+    return make_json({})
+
+
+def take_snapshot(engine: Engine, now: float) -> Plain:
+    """Return an engine's load as it is now."""
+    batch = engine.batch
+    return {
+        "backend_server": engine.settings.name,
+        "running": len(batch.running),
+        "waiting": batch.count_waiting(),
+        "waiting_tokens": batch.count_waiting_tokens(),
+        "memory_bytes_used": engine.memory.count_used(),
+        "memory_bytes_total": engine.settings.memory_bytes,
+        "fencing_token": engine.orders.fencing_token,
+        "tokens_per_s": round(engine.history.count_rate(now, batch.tokens), 3),
+        "prefill_tokens_per_s": batch.settings.prefill_tokens_per_s,
+        "slots": batch.settings.slots,
+        "role": engine.orders.role,
+        "resident": [entry.to_plain() for entry in engine.memory.entries.values()],
+        "boot_id": engine.boot_id,
+    }
+
+
+def make_report(engine: Engine, sequence: int) -> Plain:
+    """Return the report as it was the lag ago."""
+    now = time.monotonic()
+    if engine.settings.report_lag_s <= 0 or not engine.history.snapshots:
+        engine.history.record(now, take_snapshot(engine, now))
+    at, plain = engine.history.find(now)
+    if engine.settings.report_lag_s <= 0:
+        at, plain = engine.history.snapshots[-1]
+    events = engine.cache.list_events(sequence, at)
+    return {**plain, "age_s": round(now - at, 6), "cache_events": events}
+
+
+async def record_load(engine: Engine) -> None:
+    """Take snapshots for the lagging report."""
+    while True:
+        now = time.monotonic()
+        engine.history.record(now, take_snapshot(engine, now))
+        await asyncio.sleep(SNAPSHOT_S)
+
+
+def main(
+    host: str = "127.0.0.1",
+    port: int = 0,
+    name: str = "engine",
+    memory_bytes: int = 80_000_000_000,
+    slots: int = 64,
+    token_gap_ms: float = 28.0,
+    prefill_tokens_per_s: float = 20_000.0,
+    knee: int = 1_000_000,
+    queue_max: int = 1000,
+    report_lag_s: float = 0.5,
+    checks_fencing: bool = typer.Option(True, "--checks-fencing/--ignores-fencing"),
+    forgets_token: bool = typer.Option(False, "--forgets-token/--keeps-token"),
+    load_s: float = 0.5,
+    adapter_ms: float = 5.0,
+    weights_url: str = "",
+    restart_s: float = 1.0,
+    cache_bytes: int = 256_000_000,
+    cache_block_bytes: int = 1_000_000,
+    event_loss: float = 0.02,
+    seed: int = 1,
+) -> None:
+    """Serve a model engine."""
+    settings = EngineSettings(
+        name=name,
+        memory_bytes=memory_bytes,
+        report_lag_s=report_lag_s,
+        checks_fencing=checks_fencing,
+        forgets_token=forgets_token,
+        load_s=load_s,
+        adapter_ms=adapter_ms,
+        weights_url=weights_url,
+        restart_s=restart_s,
+        cache_bytes=cache_bytes,
+        cache_block_bytes=cache_block_bytes,
+        event_loss=event_loss,
+        seed=seed,
+    )
+    batch = BatchSettings(slots, token_gap_ms / 1000, prefill_tokens_per_s, knee, queue_max)
+
+    async def start() -> None:
+        engine = make_engine(settings, batch)
+        await serve(engine.server, host, port, lambda: record_load(engine))
+
+    asyncio.run(start())
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- /dev/null
+++ b/tools/processes.py
@@ -0,0 +1,164 @@
+"""Start stand-ins and instances as processes, with bounded waits, and stop them by id."""
+
+import os
+import re
+import selectors
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Callable, Iterable, Mapping
+from pathlib import Path
+
+import urllib3
+from attrs import define
+
+READY_TIMEOUT_S = 15.0
+STOP_TIMEOUT_S = 15.0
+POLL_S = 0.02
+READY = re.compile(rb"event=ready port=(\d+)")
+
+
+@define(eq=False)
+class Process:
+    """Hold a process that this one started; its log is in `log`."""
+
+    name: str
+    popen: subprocess.Popen
+    url: str
+    log: Path
+
+    @property
+    def pid(self) -> int:
+        """Return the process id."""
+        return self.popen.pid
+
+    @property
+    def port(self) -> int:
+        """Return the port of `url`."""
+        return int(self.url.rsplit(":", 1)[1])
+
+    def stop(self, timeout_s: float = STOP_TIMEOUT_S) -> int:
+        """Ask the process to end, kill it when it does not, and return its exit code."""
+        if self.popen.poll() is None:
+            self.popen.send_signal(signal.SIGTERM)
+        try:
+            return self.popen.wait(timeout_s)
+        except subprocess.TimeoutExpired:
+            self.kill()
+            return self.popen.returncode
+
+    def kill(self) -> None:
+        """End the process at once."""
+        self.popen.kill()
+        self.popen.wait()
+
+    def read_log(self) -> str:
+        """Return what the process has written to standard error."""
+        return self.log.read_text(encoding="utf-8", errors="replace")
+
+
+def start_standin(name: str, *options: str, timeout_s: float = READY_TIMEOUT_S) -> Process:
+    """Start `standin.<name>` on a free port and wait until it listens."""
+    command = [sys.executable, "-m", f"standin.{name}", "--host", "127.0.0.1", *options]
+    log = make_file(f"standin-{name}-", ".log")
+    with log.open("wb") as stream:
+        popen = subprocess.Popen(command, stdout=subprocess.PIPE, stderr=stream)
+    process = Process(name, popen, "", log)
+    port = read_port(process, timeout_s)
+    process.url = f"http://127.0.0.1:{port}"
+    return process
+
+
+def read_port(process: Process, timeout_s: float) -> int:
+    """Return the port that a stand-in prints when it listens."""
+    output = process.popen.stdout
+    seen = b""
+    until = time.monotonic() + timeout_s
+    with selectors.DefaultSelector() as selector:
+        selector.register(output, selectors.EVENT_READ)
+        while (left := until - time.monotonic()) > 0:
+            if not selector.select(left):
+                break
+            data = os.read(output.fileno(), 4096)
+            seen += data
+            match = READY.search(seen)
+            if match:
+                return int(match.group(1))
+            if not data:
+                break
+    process.kill()
+    raise RuntimeError(f"{process.name} did not start: {process.read_log()}")
+
+
+def start_instance(
+    settings_text: str,
+    url: str,
+    ready_path: str = "/ready",
+    environment: Mapping[str, str] | None = None,
+    timeout_s: float = READY_TIMEOUT_S,
+) -> Process:
+    """Start an instance with these settings and wait until it is ready.
+
+    `url` is the base address of its caller port; with an empty `ready_path` it is not waited for.
+    """
+    settings = make_file("instance-", ".ini")
+    settings.write_text(settings_text, encoding="utf-8")
+    log = settings.with_suffix(".log")
+    command = [sys.executable, "-m", "rhubarbshed.daemon", "--settings", str(settings)]
+    with log.open("wb") as stream:
+        popen = subprocess.Popen(
+            command,
+            stdout=stream,
+            stderr=subprocess.STDOUT,
+            env={**os.environ, **(environment or {})},
+        )
+    process = Process("instance", popen, url, log)
+    if ready_path:
+        wait_until_answers(process, url + ready_path, timeout_s)
+    return process
+
+
+def wait_until_answers(process: Process, url: str, timeout_s: float) -> None:
+    """Wait until an address answers 200; raise when the process ends or time is up."""
+    http = urllib3.PoolManager(retries=False, timeout=1.0)
+
+    def answers() -> bool:
+        if process.popen.poll() is not None:
+            raise RuntimeError(f"{process.name} ended: {process.read_log()}")
+        try:
+            return http.request("GET", url).status == 200
+        except urllib3.exceptions.HTTPError:
+            return False
+
+    if not wait_until(answers, timeout_s):
+        process.kill()
+        raise RuntimeError(f"{process.name} was not ready: {process.read_log()}")
+
+
+def wait_until(is_true: Callable[[], bool], timeout_s: float) -> bool:
+    """Wait until something holds; tell whether it did within the time."""
+    until = time.monotonic() + timeout_s
+    while time.monotonic() < until:
+        if is_true():
+            return True
+        time.sleep(POLL_S)
+    return is_true()
+
+
+def stop_all(processes: Iterable[Process], timeout_s: float = STOP_TIMEOUT_S) -> list[int]:
+    """Ask all processes to end, then wait for each; return their exit codes."""
+    processes = list(processes)
+    for process in processes:
+        if process.popen.poll() is None:
+            process.popen.send_signal(signal.SIGTERM)
+    until = time.monotonic() + timeout_s
+    return [process.stop(max(0.1, until - time.monotonic())) for process in processes]
+
+
+def make_file(prefix: str, suffix: str) -> Path:
+    """Return the path of a new temporary file."""
+    handle, path = tempfile.mkstemp(prefix=prefix, suffix=suffix)
+    os.close(handle)
+    return Path(path)
