Add leases, ownership and the memory ledger

Cause: one owner for each backend server, with a ledger that survives it. Ruled out: scanning all sessions; at 62 instances a data centre that reads every row every renewal. Only owners of preferred servers are read.

--- /dev/null
+++ b/rhubarbshed/coordination/ownership.py
@@ -0,0 +1,337 @@
+"""Sessions of instances, and ownership of the backend servers of a data centre."""
+
+import logging
+from collections.abc import Callable, Iterable
+
+import xxhash
+from attrs import frozen
+from returns.result import Failure, Result, Success
+
+from rhubarbshed.coordination.transactions import Proposal, Rows, TableAccess, transact
+from rhubarbshed.protocol.codec import from_plain, to_plain
+from rhubarbshed.protocol.tables import Row, TableError, TableFault, Write
+from rhubarbshed.state.leases import NOBODY, Holder, Leases, Ownership, Session
+from rhubarbshed.state.ledger import (
+    EntryState,
+    Ledger,
+    LedgerError,
+    LedgerFault,
+    change_owner,
+    decode_ledger,
+    encode_ledger,
+    forget_holders,
+    release_owner,
+)
+
+LOG = logging.getLogger(__name__)
+
+SESSION_PREFIX = "session/"
+BACKEND_PREFIX = "backend/"
+TAKES_MAX = 8
+RELEASES_MAX = 1
+
+Clock = Callable[[], float]
+
+
+@frozen
+class OwnershipChange:
+    """Tell what one round changed: backend servers taken, released and lost."""
+
+    taken: tuple[str, ...] = ()
+    released: tuple[str, ...] = ()
+    lost: tuple[str, ...] = ()
+
+
+def make_session_key(instance: str) -> str:
+    """Return the table key of an instance's session."""
+    return f"{SESSION_PREFIX}{instance}"
+
+
+def make_backend_key(backend_server: str) -> str:
+    """Return the table key of a backend server."""
+    return f"{BACKEND_PREFIX}{backend_server}"
+
+
+def choose_owner(backend_server: str, instances: Iterable[str]) -> str:
+    """Choose an instance by rendezvous hashing, the same everywhere for the same instances.
+
+    Source: Thaler and Ravishankar, Using Name-Based Mappings to Increase Hit Rates, 1998.
+    """
+    return max(
+        instances, key=lambda name: (xxhash.xxh3_64_intdigest(f"{name}|{backend_server}"), name)
+    )
+
+
+def decode_session(row: Row) -> Session | None:
+    """Return the session that a row holds, or None where there is none."""
+    if row.value is None:
+        return None
+    plain = {name: part for name, part in row.value.items() if name != "write_id"}
+    return from_plain(plain, Session).unwrap()
+
+
+def plan_renewal(
+    rows: Rows, own: Holder, renewals: int, leaving: bool
+) -> Result[Proposal, LedgerError]:
+    """Plan the renewal of the own session; refused once a later run has taken its place."""
+    row = rows.get(make_session_key(own.instance))
+    session = decode_session(row)
+    if renewals > 0 and (session is None or session.holder != own):
+        return Failure(LedgerError(LedgerFault.NOT_OWNER, "another run holds the session"))
+    counter = 1 if session is None else session.counter + 1
+    value = to_plain(Session(own, counter, leaving))
+    return Success(Proposal(None, (Write(row.key, value),)))
+
+
+async def renew_session(
+    access: TableAccess, leases: Leases, clock: Clock, leaving: bool = False
+) -> Result[None, LedgerError | TableError]:
+    """Renew the own session once; costs one read and one write."""
+    sent_at = clock()
+    renewals = leases.renewals
+    answer = await transact(
+        access,
+        (make_session_key(leases.own.instance),),
+        lambda rows: plan_renewal(rows, leases.own, renewals, leaving),
+    )
+    if isinstance(answer, Success):
+        leases.confirm(sent_at, clock())
+        return answer
+    if isinstance(answer.failure(), LedgerError):
+        LOG.error("event=session_replaced instance=%s", leases.own.instance)
+        leases.lose()
+    return answer
+
+
+def observe_holder(leases: Leases, holder: Holder, row: Row, now: float) -> None:
+    """Take in the session row of a holder's instance.
+
+    A later run's session shows that the holder can no longer renew, whatever its own version.
+    """
+    session = decode_session(row)
+    version = row.version if session is not None and session.holder == holder else 0
+    leases.observe(holder, version, now)
+
+
+def plan_take(
+    rows: Rows, backend_server: str, expected: Holder, leases: Leases, now: float
+) -> Result[Proposal, LedgerError]:
+    """Plan to take a backend server from a holder whose lease has lapsed.
+
+    The session row is among those checked, so a renewal between the last look and the commit
+    makes a conflict.
+    """
+    row = rows.get(make_backend_key(backend_server))
+    ledger = decode_ledger(backend_server, row.value)
+    if ledger.owner == leases.own:
+        return Success(Proposal(ledger))
+    if ledger.owner != expected:
+        return Failure(LedgerError(LedgerFault.NOT_OWNER, ledger.owner.instance))
+    if expected != NOBODY:
+        observe_holder(leases, expected, rows.get(make_session_key(expected.instance)), now)
+    if not leases.is_lapsed(expected, now) or not leases.is_held(now):
+        return Failure(LedgerError(LedgerFault.NOT_OWNER, expected.instance))
+    taken = change_owner(ledger, leases.own)
+    return Success(Proposal(taken, (Write(row.key, encode_ledger(taken)),)))
+
+
+async def take_server(
+    access: TableAccess, leases: Leases, backend_server: str, expected: Holder, clock: Clock
+) -> Result[Ledger, LedgerError | TableError]:
+    """Take a backend server; costs one read and one write."""
+    keys: tuple[str, ...] = (make_backend_key(backend_server),)
+    if expected != NOBODY:
+        keys += (make_session_key(expected.instance),)
+    answer = await transact(
+        access, keys, lambda rows: plan_take(rows, backend_server, expected, leases, clock())
+    )
+    if isinstance(answer, Success):
+        note_ledger(leases, answer.unwrap(), clock())
+    return answer
+
+
+def note_ledger(leases: Leases, ledger: Ledger, now: float) -> None:
+    """Follow the owner that a row names, read or written while the own lease was held."""
+    if ledger.owner == leases.own and leases.is_held(now):
+        leases.take(Ownership(ledger.backend_server, ledger.owner, ledger.epoch))
+    else:
+        leases.drop(ledger.backend_server)
+
+
+def is_settled(ledger: Ledger) -> bool:
+    """Tell whether no load or unload is under way."""
+    return all(entry.state is EntryState.RESIDENT for entry in ledger.entries)
+
+
+async def release_server(
+    access: TableAccess, leases: Leases, backend_server: str
+) -> Result[Ledger, LedgerError | TableError]:
+    """Give up a backend server with its ledger.
+
+    The caller must have no order on its way to it. Costs one read and one write.
+    """
+    leases.drop(backend_server)
+
+    def plan(rows: Rows) -> Result[Proposal, LedgerError]:
+        row = rows.get(make_backend_key(backend_server))
+        ledger = decode_ledger(backend_server, row.value)
+        if ledger.owner != leases.own:
+            return Success(Proposal(ledger))
+        released = release_owner(ledger)
+        return Success(Proposal(released, (Write(row.key, encode_ledger(released)),)))
+
+    return await transact(access, (make_backend_key(backend_server),), plan)
+
+
+async def maintain_ownership(
+    access: TableAccess,
+    leases: Leases,
+    backend_servers: tuple[str, ...],
+    live: tuple[str, ...],
+    clock: Clock,
+    is_idle: Callable[[str], bool],
+) -> Result[OwnershipChange, TableError]:
+    """Follow, take and hand over backend servers of the own data centre; call every renewal.
+
+    `live` are the live instances of the data centre, `backend_servers` its engines. Costs one
+    read while nothing changes, another where a preferred server has a foreign owner.
+    """
+    if not leases.is_held(clock()):
+        return Success(OwnershipChange())
+    instances = {*live, leases.own.instance}
+    preferred = {s for s in backend_servers if choose_owner(s, instances) == leases.own.instance}
+    watched = tuple(sorted(preferred | set(leases.owned)))
+    ledgers = await _read_ledgers(access, watched)
+    if isinstance(ledgers, Failure):
+        return ledgers
+    before = set(leases.owned)
+    for ledger in ledgers.unwrap():
+        note_ledger(leases, ledger, clock())
+    lost = tuple(sorted(before - set(leases.owned)))
+    foreign = [ledger for ledger in ledgers.unwrap() if ledger.owner != leases.own]
+    foreign = [ledger for ledger in foreign if ledger.backend_server in preferred]
+    observed = await _observe_holders(access, leases, foreign, clock)
+    if isinstance(observed, Failure):
+        return observed
+    taken = await _take_lapsed(access, leases, foreign, clock)
+    known = set(backend_servers)
+    own = [ledger for ledger in ledgers.unwrap() if ledger.owner == leases.own]
+    excess = [x for x in own if x.backend_server in known and x.backend_server not in preferred]
+    released = await _release_excess(access, leases, excess, is_idle)
+    return Success(OwnershipChange(taken, released, lost))
+
+
+async def _read_ledgers(
+    access: TableAccess, backend_servers: tuple[str, ...]
+) -> Result[tuple[Ledger, ...], TableError]:
+    if not backend_servers:
+        return Success(())
+    keys = tuple(make_backend_key(name) for name in backend_servers)
+    read = await access.runner(access.table.read, keys)
+    return read.map(
+        lambda rows: tuple(
+            decode_ledger(name, row.value) for name, row in zip(backend_servers, rows, strict=True)
+        )
+    )
+
+
+async def _observe_holders(
+    access: TableAccess, leases: Leases, ledgers: list[Ledger], clock: Clock
+) -> Result[None, TableError]:
+    holders = sorted({ledger.owner for ledger in ledgers} - {NOBODY})
+    if not holders:
+        return Success(None)
+    keys = tuple(make_session_key(holder.instance) for holder in holders)
+    read = await access.runner(access.table.read, keys)
+    if isinstance(read, Failure):
+        return read
+    now = clock()
+    for holder, row in zip(holders, read.unwrap(), strict=True):
+        observe_holder(leases, holder, row, now)
+    return Success(None)
+
+
+async def _take_lapsed(
+    access: TableAccess, leases: Leases, ledgers: list[Ledger], clock: Clock
+) -> tuple[str, ...]:
+    lapsed = [ledger for ledger in ledgers if leases.is_lapsed(ledger.owner, clock())]
+    taken = []
+    for ledger in lapsed[:TAKES_MAX]:
+        name = ledger.backend_server
+        answer = await take_server(access, leases, name, ledger.owner, clock)
+        if isinstance(answer, Success):
+            taken.append(name)
+            LOG.info("event=ownership_taken backend_server=%s former=%s", name, ledger.owner)
+        elif _is_down(answer.failure()):
+            break
+    return tuple(taken)
+
+
+def _is_down(error: LedgerError | TableError) -> bool:
+    return isinstance(error, TableError) and error.fault is not TableFault.CONFLICT
+
+
+async def _release_excess(
+    access: TableAccess,
+    leases: Leases,
+    ledgers: list[Ledger],
+    is_idle: Callable[[str], bool],
+) -> tuple[str, ...]:
+    """Hand a settled server to the instance that is preferred for it, a few at a time."""
+    movable = [x.backend_server for x in ledgers if is_settled(x) and is_idle(x.backend_server)]
+    released = []
+    for name in movable[:RELEASES_MAX]:
+        answer = await release_server(access, leases, name)
+        if isinstance(answer, Success):
+            released.append(name)
+    return tuple(released)
+
+
+async def hand_over(
+    access: TableAccess, leases: Leases, clock: Clock, is_idle: Callable[[str], bool]
+) -> Result[tuple[str, ...], TableError]:
+    """Release all idle servers on drain, and mark the session as leaving.
+
+    Return the servers still owned because orders are on their way; call again for these.
+    """
+    for ownership in tuple(leases.owned.values()):
+        if not is_idle(ownership.backend_server):
+            continue
+        answer = await release_server(access, leases, ownership.backend_server)
+        if isinstance(answer, Failure) and isinstance(answer.failure(), TableError):
+            return Failure(answer.failure())
+    renewed = await renew_session(access, leases, clock, leaving=True)
+    if isinstance(renewed, Failure) and isinstance(renewed.failure(), TableError):
+        return Failure(renewed.failure())
+    return Success(tuple(sorted(leases.owned)))
+
+
+def find_gone(
+    leases: Leases, former: Iterable[Holder], listed: frozenset[str], now: float
+) -> frozenset[Holder]:
+    """Return the former holders that are known to be gone.
+
+    An instance is gone once the platform no longer lists it and its lease has lapsed.
+    """
+    return frozenset(
+        holder
+        for holder in former
+        if holder.instance not in listed and leases.is_lapsed(holder, now)
+    )
+
+
+async def forget_gone(
+    access: TableAccess, leases: Leases, backend_server: str, gone: frozenset[Holder]
+) -> Result[Ledger, LedgerError | TableError]:
+    """Take holders that are gone out of a ledger, which unpins what they may have ordered."""
+
+    def plan(rows: Rows) -> Result[Proposal, LedgerError]:
+        row = rows.get(make_backend_key(backend_server))
+        ledger = decode_ledger(backend_server, row.value)
+        if ledger.owner != leases.own:
+            return Failure(LedgerError(LedgerFault.NOT_OWNER, ledger.owner.instance))
+        changed = forget_holders(ledger, gone)
+        writes = () if changed == ledger else (Write(row.key, encode_ledger(changed)),)
+        return Success(Proposal(changed, writes))
+
+    return await transact(access, (make_backend_key(backend_server),), plan)
--- /dev/null
+++ b/rhubarbshed/state/leases.py
@@ -0,0 +1,138 @@
+"""Sessions of instances and the ownership of backend servers, as this instance knows them."""
+
+from attrs import define, field, frozen
+
+from rhubarbshed.util.settings import LeaseSettings
+
+DRIFT_SHARE_MAX = 0.02
+GAP_RENEWALS_MAX = 2.0
+NEVER = float("-inf")
+
+
+@frozen(order=True)
+class Holder:
+    """Name one run of an instance."""
+
+    instance: str
+    incarnation: str
+
+
+NOBODY = Holder("", "")
+
+
+@frozen
+class Session:
+    """Hold an instance's session row; `counter` rises with every renewal."""
+
+    holder: Holder
+    counter: int
+    leaving: bool = False
+
+
+@frozen
+class Ownership:
+    """Hold who owns a backend server; `epoch` is the fencing token and only rises."""
+
+    backend_server: str
+    holder: Holder
+    epoch: int
+
+
+@frozen
+class Sighting:
+    """Hold a session row's version, when it was first seen, and when it was last read.
+
+    Times are monotonic seconds of this instance.
+    """
+
+    version: int
+    at: float
+    read_at: float
+
+
+@define
+class Leases:
+    """Hold this instance's own lease, and what was seen of the others'.
+
+    Only this instance's clock is used. Its own lease counts from before a renewal was sent;
+    another's lapses a full term after its row was first seen unchanged. `term_s` and `gap_max_s`
+    are in seconds.
+    """
+
+    own: Holder
+    term_s: float
+    gap_max_s: float
+    held_until: float = NEVER
+    renewals: int = 0
+    sightings: dict[Holder, Sighting] = field(factory=dict)
+    owned: dict[str, Ownership] = field(factory=dict)
+
+    @classmethod
+    def from_config(cls, settings: LeaseSettings, own: Holder) -> "Leases":
+        """Build the state of an instance without a lease."""
+        return cls(own, settings.term_s, GAP_RENEWALS_MAX * settings.renewal_s)
+
+    def is_held(self, now: float) -> bool:
+        """Tell whether this instance's own lease is within its term."""
+        return now < self.held_until
+
+    def may_act(self, backend_server: str, epoch: int, now: float) -> bool:
+        """Tell whether this instance may order a backend server about under an epoch."""
+        owned = self.owned.get(backend_server)
+        return owned is not None and owned.epoch == epoch and self.is_held(now)
+
+    def list_owned(self, now: float) -> tuple[Ownership, ...]:
+        """List what this instance owns and may act on."""
+        if not self.is_held(now):
+            return ()
+        return tuple(self.owned[name] for name in sorted(self.owned))
+
+    def confirm(self, sent_at: float, now: float) -> None:
+        """Extend the lease from when the renewal was sent.
+
+        Ownership is dropped where the old term had lapsed by the time of the answer: another
+        instance may have taken over before the renewal took effect. It is read anew then.
+        """
+        if not self.is_held(now):
+            self.owned.clear()
+        self.renewals += 1
+        self.held_until = max(self.held_until, sent_at + self.term_s * (1 - DRIFT_SHARE_MAX))
+
+    def lose(self) -> None:
+        """Give up the lease and all ownership at once."""
+        self.held_until = NEVER
+        self.owned.clear()
+
+    def take(self, ownership: Ownership) -> None:
+        """Note that the table confirmed this instance's ownership."""
+        held = self.owned.get(ownership.backend_server)
+        if held is None or held.epoch <= ownership.epoch:
+            self.owned[ownership.backend_server] = ownership
+
+    def drop(self, backend_server: str) -> None:
+        """Note that a backend server is no longer owned."""
+        self.owned.pop(backend_server, None)
+
+    def observe(self, holder: Holder, version: int, now: float) -> None:
+        """Take in the row version under which a holder's session was read at `now`.
+
+        A changed row starts the term anew. So does a gap between reads, so that instances which
+        could not renew while the table was down are not taken for gone once it is back.
+        """
+        seen = self.sightings.get(holder)
+        since = now
+        if seen is not None and seen.version == version and now - seen.read_at <= self.gap_max_s:
+            since = seen.at
+        self.sightings[holder] = Sighting(version, since, now)
+
+    def is_lapsed(self, holder: Holder, now: float) -> bool:
+        """Tell whether a holder's lease is surely over: a term has passed without a renewal."""
+        if holder == NOBODY:
+            return True
+        seen = self.sightings.get(holder)
+        return seen is not None and now - seen.at >= self.term_s * (1 + DRIFT_SHARE_MAX)
+
+    def forget(self, holders: frozenset[Holder]) -> None:
+        """Forget holders that no longer matter."""
+        for holder in holders:
+            self.sightings.pop(holder, None)
--- /dev/null
+++ b/rhubarbshed/state/ledger.py
@@ -0,0 +1,288 @@
+"""Memory ledger of one backend server: what is resident, and what was ordered."""
+
+import enum
+from typing import Any
+
+from attrs import evolve, frozen
+from returns.result import Failure, Result, Success
+
+from rhubarbshed.protocol.codec import from_plain, to_plain
+from rhubarbshed.state.leases import NOBODY, Holder
+
+
+class EntryState(enum.Enum):
+    """Where a model or adapter stands; in each state its bytes are reserved.
+
+    `LOADING` from the intent on, `RESIDENT` once confirmed, `UNLOADING` from the intent to
+    unload until that is confirmed.
+    """
+
+    LOADING = "loading"
+    RESIDENT = "resident"
+    UNLOADING = "unloading"
+
+
+@frozen(order=True)
+class EntryKey:
+    """Identify an entry on its backend server; `model` is set for an adapter."""
+
+    name: str
+    version: str
+    model: str = ""
+
+
+@frozen
+class Entry:
+    """Hold one model or adapter of a backend server.
+
+    `load_id` and `unload_id` are order ids, `epoch` is the one the load was first ordered under.
+    `doubtful` tells that copies of the load order may still be under way. Power is in watts.
+    """
+
+    key: EntryKey
+    memory_bytes: int
+    state: EntryState
+    load_id: str
+    epoch: int
+    power_watts: float = 0.0
+    doubtful: bool = False
+    unload_id: str = ""
+
+
+class LedgerFault(enum.Enum):
+    """Reason for which a change of the ledger was refused."""
+
+    NOT_OWNER = "not_owner"
+    MEMORY = "memory"
+    POWER = "power"
+    SLOTS = "slots"
+    RATE = "rate"
+    QUOTA = "quota"
+    PRESENT = "present"
+    ABSENT = "absent"
+    BUSY = "busy"
+    PINNED = "pinned"
+    UNPROVED = "unproved"
+    ORDER = "order"
+    TABLE = "table"
+
+
+@frozen
+class LedgerError:
+    """Describe a refused change; `retry_after_s` where waiting helps."""
+
+    fault: LedgerFault
+    detail: str = ""
+    retry_after_s: float | None = None
+
+
+@frozen
+class Ledger:
+    """Hold the row of one backend server: its owner, and all that its memory may hold.
+
+    `epoch` is the fencing token. `former` are earlier holders whose orders may still arrive.
+    """
+
+    backend_server: str
+    owner: Holder = NOBODY
+    epoch: int = 0
+    boot_id: str = ""
+    entries: tuple[Entry, ...] = ()
+    former: tuple[Holder, ...] = ()
+
+    @property
+    def memory_bytes(self) -> int:
+        """Return the bytes that may be in use at any moment."""
+        return sum(entry.memory_bytes for entry in self.entries)
+
+    @property
+    def power_watts(self) -> float:
+        """Return the watts that may be drawn at any moment."""
+        return sum(entry.power_watts for entry in self.entries)
+
+    def find(self, key: EntryKey) -> Entry | None:
+        """Return the entry with a key."""
+        return next((entry for entry in self.entries if entry.key == key), None)
+
+    def find_load(self, load_id: str) -> Entry | None:
+        """Return the entry of a load order."""
+        return next((entry for entry in self.entries if entry.load_id == load_id), None)
+
+    def find_unload(self, unload_id: str) -> Entry | None:
+        """Return the entry of an unload order."""
+        return next((entry for entry in self.entries if entry.unload_id == unload_id), None)
+
+    def has_resident(self, model: str) -> bool:
+        """Tell whether any version of a model is confirmed resident."""
+        return any(
+            e.key.name == model and not e.key.model and e.state is EntryState.RESIDENT
+            for e in self.entries
+        )
+
+
+def replace_entry(ledger: Ledger, entry: Entry) -> Ledger:
+    """Put an entry in place of the one with its key."""
+    others = tuple(e for e in ledger.entries if e.key != entry.key)
+    return evolve(ledger, entries=(*others, entry))
+
+
+def remove_entry(ledger: Ledger, key: EntryKey) -> Ledger:
+    """Take an entry out, which frees its bytes."""
+    return evolve(ledger, entries=tuple(e for e in ledger.entries if e.key != key))
+
+
+def reserve_load(
+    ledger: Ledger, entry: Entry, memory_bytes_max: int
+) -> Result[Ledger, LedgerError]:
+    """Reserve the bytes of a load, or tell why not; a repeated reservation changes nothing."""
+    held = ledger.find(entry.key)
+    if held is not None and held.load_id == entry.load_id:
+        return Success(ledger)
+    if held is not None:
+        return Failure(LedgerError(LedgerFault.PRESENT, held.state.value))
+    if entry.key.model and not ledger.has_resident(entry.key.model):
+        return Failure(LedgerError(LedgerFault.ABSENT, f"model {entry.key.model}"))
+    needed = ledger.memory_bytes + entry.memory_bytes
+    if needed > memory_bytes_max:
+        return Failure(LedgerError(LedgerFault.MEMORY, f"{needed} bytes of {memory_bytes_max}"))
+    return Success(replace_entry(ledger, entry))
+
+
+def settle_load(ledger: Ledger, load_id: str, doubtful: bool) -> Ledger:
+    """Note that a load was confirmed; `doubtful` where another copy's answer was lost."""
+    entry = ledger.find_load(load_id)
+    if entry is None or entry.state is not EntryState.LOADING:
+        return ledger
+    doubtful = doubtful or entry.doubtful
+    return replace_entry(ledger, evolve(entry, state=EntryState.RESIDENT, doubtful=doubtful))
+
+
+def cancel_load(ledger: Ledger, load_id: str) -> Result[Ledger, LedgerError]:
+    """Free the bytes of a load of which no copy took effect or can.
+
+    Only the owner that wrote the intent can know that, and only under the same epoch.
+    """
+    entry = ledger.find_load(load_id)
+    if entry is None or entry.state is not EntryState.LOADING:
+        return Success(ledger)
+    if entry.doubtful or entry.epoch != ledger.epoch:
+        return Failure(LedgerError(LedgerFault.UNPROVED, "a copy of the order may be under way"))
+    return Success(remove_entry(ledger, entry.key))
+
+
+def begin_unload(
+    ledger: Ledger, key: EntryKey, unload_id: str, checks_fencing: bool, token_raised: int
+) -> Result[Ledger, LedgerError]:
+    """Write the intent to unload; the bytes stay reserved until that is confirmed.
+
+    A load in doubt is unloaded only once no copy can follow: a server that checks fencing
+    tokens must have had the current epoch raised; on one that does not, the entry is pinned
+    until all former holders are gone. A model goes after its adapters.
+    """
+    entry = ledger.find(key)
+    if entry is None:
+        return Failure(LedgerError(LedgerFault.ABSENT, key.name))
+    if entry.state is EntryState.UNLOADING:
+        return Success(ledger)
+    fault = _find_unload_fault(ledger, entry, checks_fencing, token_raised)
+    if fault is not None:
+        return Failure(fault)
+    changed = evolve(entry, state=EntryState.UNLOADING, unload_id=unload_id)
+    return Success(replace_entry(ledger, changed))
+
+
+def _find_unload_fault(
+    ledger: Ledger, entry: Entry, checks_fencing: bool, token_raised: int
+) -> LedgerError | None:
+    voided = checks_fencing and entry.epoch < ledger.epoch <= token_raised
+    if entry.state is EntryState.LOADING and not voided:
+        return LedgerError(LedgerFault.BUSY, "its load is not settled")
+    if _has_adapters(ledger, entry.key):
+        return LedgerError(LedgerFault.BUSY, "it has adapters")
+    if entry.doubtful and entry.epoch < ledger.epoch and not voided:
+        if checks_fencing:
+            return LedgerError(LedgerFault.UNPROVED, "the fencing token is not raised yet")
+        if ledger.former:
+            return LedgerError(LedgerFault.PINNED, ledger.former[0].instance)
+    return None
+
+
+def _has_adapters(ledger: Ledger, key: EntryKey) -> bool:
+    if key.model:
+        return False
+    others = [e for e in ledger.entries if not e.key.model and e.key.name == key.name]
+    return len(others) == 1 and any(e.key.model == key.name for e in ledger.entries)
+
+
+def settle_unload(ledger: Ledger, unload_id: str) -> Ledger:
+    """Free the bytes of a confirmed unload."""
+    entry = ledger.find_unload(unload_id)
+    return ledger if entry is None else remove_entry(ledger, entry.key)
+
+
+def change_owner(ledger: Ledger, holder: Holder) -> Ledger:
+    """Give a backend server to a holder under the next epoch, with all that it may hold.
+
+    Loads that were not settled are in doubt from then on.
+    """
+    former = {*ledger.former, ledger.owner} - {NOBODY, holder}
+    return evolve(
+        ledger,
+        owner=holder,
+        epoch=ledger.epoch + 1,
+        former=tuple(sorted(former)),
+        entries=tuple(_mark_doubtful(entry) for entry in ledger.entries),
+    )
+
+
+def _mark_doubtful(entry: Entry) -> Entry:
+    return evolve(entry, doubtful=True) if entry.state is EntryState.LOADING else entry
+
+
+def release_owner(ledger: Ledger) -> Ledger:
+    """Give up ownership; the holder promises to send no more orders."""
+    return evolve(ledger, owner=NOBODY)
+
+
+def forget_holders(ledger: Ledger, gone: frozenset[Holder]) -> Ledger:
+    """Drop former holders that are known to be gone."""
+    return evolve(ledger, former=tuple(h for h in ledger.former if h not in gone))
+
+
+def raise_epoch(ledger: Ledger) -> Ledger:
+    """Start the next epoch under the same owner, so that its own late orders can be voided."""
+    entries = tuple(_mark_doubtful(entry) for entry in ledger.entries)
+    return evolve(ledger, epoch=ledger.epoch + 1, entries=entries)
+
+
+def restart(ledger: Ledger, boot_id: str) -> Ledger:
+    """Note that the server restarted: its memory is empty, yet late orders may still come.
+
+    All bytes stay reserved and the epoch rises, so that raising the token voids older orders.
+    What was resident is to be loaded again under its old order id.
+    """
+    if ledger.boot_id == boot_id:
+        return ledger
+    if not ledger.boot_id:
+        return evolve(ledger, boot_id=boot_id)
+    entries = tuple(_expect_load(entry) for entry in ledger.entries)
+    return raise_epoch(evolve(ledger, boot_id=boot_id, entries=entries))
+
+
+def _expect_load(entry: Entry) -> Entry:
+    if entry.state is EntryState.RESIDENT:
+        return evolve(entry, state=EntryState.LOADING)
+    return entry
+
+
+def encode_ledger(ledger: Ledger) -> dict[str, Any]:
+    """Return the table value of a ledger."""
+    return to_plain(ledger)
+
+
+def decode_ledger(backend_server: str, value: dict[str, Any] | None) -> Ledger:
+    """Return the ledger of a row; an absent row is an empty ledger without owner."""
+    if value is None:
+        return Ledger(backend_server)
+    plain = {name: part for name, part in value.items() if name != "write_id"}
+    return from_plain(plain, Ledger).unwrap()
