Send SIGTERM once to a process that is stopped

Cause: stop_all and then stop sent two; the second met a process that had already taken its handler down, and it ended with -15 instead of 0. Change: a process remembers that it was asked.

--- a/tools/processes.py
+++ b/tools/processes.py
@@ -28,6 +28,7 @@
     popen: subprocess.Popen
     url: str
     log: Path
+    asked: bool = False
 
     @property
     def pid(self) -> int:
@@ -39,10 +40,15 @@
         """Return the port of `url`."""
         return int(self.url.rsplit(":", 1)[1])
 
+    def ask(self) -> None:
+        """Send SIGTERM, once, without waiting."""
+        if not self.asked and self.popen.poll() is None:
+            self.popen.send_signal(signal.SIGTERM)
+        self.asked = True
+
     def stop(self, timeout_s: float = STOP_TIMEOUT_S) -> int:
         """Ask the process to end, kill it when it does not, and return its exit code."""
-        if self.popen.poll() is None:
-            self.popen.send_signal(signal.SIGTERM)
+        self.ask()
         try:
             return self.popen.wait(timeout_s)
         except subprocess.TimeoutExpired:
@@ -151,8 +157,7 @@
     """Ask all processes to end, then wait for each; return their exit codes."""
     processes = list(processes)
     for process in processes:
-        if process.popen.poll() is None:
-            process.popen.send_signal(signal.SIGTERM)
+        process.ask()
     until = time.monotonic() + timeout_s
     return [process.stop(max(0.1, until - time.monotonic())) for process in processes]
 
