Tie the decisions together in the desk; claim and settle in the table

Cause: decisions on one request need load, bounds, budgets and suspicion together. Ruled out: one table write for each request that is idempotent; reading before a claim. Change: desk, suspects, claims with batched and confirmed commits, kept settlements. Conclusion: usable for wiring.

--- /dev/null
+++ b/rhubarbshed/coordination/claims.py
@@ -0,0 +1,194 @@
+"""Claims that let a non-idempotent request run at most once, decided on a row of the table."""
+
+import base64
+import hashlib
+
+from attrs import evolve, frozen
+
+from rhubarbshed.protocol.claims import ClaimRow, ClaimState, StoredAnswer
+from rhubarbshed.protocol.codec import from_plain, to_plain
+from rhubarbshed.protocol.errors import Outcome, RequestError
+from rhubarbshed.protocol.requests import Request
+from rhubarbshed.protocol.tables import Check, Row, Transaction, Write
+
+ROW_PREFIX = "claim/"
+DIGEST_CHARACTERS = 32
+STORED_BODY_BYTES_MAX = 32_768
+STORED_HEADERS = ("content-type",)
+CONFLICT = 409
+UNPROCESSABLE = 422
+
+
+@frozen
+class ClaimAsk:
+    """Describe a claim that this instance wants; `write_id` is unique to it."""
+
+    key: str
+    digest: str
+    instance: str
+    incarnation: str
+    write_id: str
+
+
+@frozen
+class ClaimProceed:
+    """Dispatch the request once the transaction is committed."""
+
+    transaction: Transaction
+
+
+@frozen
+class ClaimHeld:
+    """The claim stands: dispatch the request now, once."""
+
+    ask: ClaimAsk
+
+
+@frozen
+class ClaimReplay:
+    """Give the caller the answer of the first time."""
+
+    answer: StoredAnswer
+
+
+@frozen
+class ClaimRefused:
+    """Answer the caller with an error and dispatch nothing.
+
+    `transaction` is committed first, where there is one: it turns the claim of an instance that
+    is gone into an unknown outcome.
+    """
+
+    error: RequestError
+    transaction: Transaction | None = None
+
+
+ClaimDecision = ClaimProceed | ClaimReplay | ClaimRefused
+
+
+def make_claim_key(caller: str, idempotency_key: str) -> str:
+    """Return the row key of a claim; its length does not depend on what the caller sent."""
+    return f"{ROW_PREFIX}{_hash(caller.encode())}/{_hash(idempotency_key.encode())}"
+
+
+def compute_digest(target: str, body: bytes) -> str:
+    """Return the digest that tells a re-sent request from another one with the same key."""
+    return _hash(target.encode() + b"\0" + body)
+
+
+def make_ask(
+    request: Request, digest: str, instance: str, incarnation: str, write_id: str
+) -> ClaimAsk:
+    """Describe the claim for a request that has an idempotency key."""
+    key = make_claim_key(request.caller, request.idempotency_key)
+    return ClaimAsk(key, digest, instance, incarnation, write_id)
+
+
+def _hash(data: bytes) -> str:
+    return hashlib.sha256(data).hexdigest()[:DIGEST_CHARACTERS]
+
+
+def read_claim(row: Row) -> ClaimRow | None:
+    """Return the claim in a row, None where there is none; broken rows count as unknown."""
+    if row.value is None:
+        return None
+    broken = ClaimRow(ClaimState.UNKNOWN, "", "", "", "")
+    return from_plain(row.value, ClaimRow).value_or(broken)
+
+
+def plan_claim(
+    ask: ClaimAsk, row: Row, holder_is_gone: bool, retry_after_s: float
+) -> ClaimDecision:
+    """Decide what a claim meets in the table.
+
+    `holder_is_gone` tells whether the session of the instance in the row has ended.
+    """
+    present = read_claim(row)
+    if present is None:
+        return ClaimProceed(_write(row, _make_row(ask)))
+    if present.digest and present.digest != ask.digest:
+        return ClaimRefused(_describe_mismatch())
+    if present.state is ClaimState.NOT_RUN:
+        return ClaimProceed(_write(row, _make_row(ask)))
+    if present.state is ClaimState.DONE:
+        return _replay(present)
+    if present.state is ClaimState.UNKNOWN:
+        return ClaimRefused(_describe_unknown())
+    if holder_is_gone:
+        unknown = evolve(present, state=ClaimState.UNKNOWN)
+        return ClaimRefused(_describe_unknown(), _write(row, unknown))
+    return ClaimRefused(_describe_in_flight(retry_after_s))
+
+
+def plan_settle(
+    ask: ClaimAsk, row: Row, state: ClaimState, answer: StoredAnswer | None
+) -> Transaction | None:
+    """Return the transaction that tells how a claimed request ended; None where none is due.
+
+    A claim that never showed in the table may still take effect late. If the request was not
+    run, writing over the unchanged row makes that late claim fail its check.
+    """
+    present = read_claim(row)
+    settled = evolve(_make_row(ask), state=state, answer=answer)
+    is_free = present is None or present.state is ClaimState.NOT_RUN
+    is_own = present is not None and present.write_id == ask.write_id
+    if is_free and not is_own:
+        return _write(row, settled) if state is ClaimState.NOT_RUN else None
+    if not is_own or present.state in (ClaimState.DONE, state):
+        return None
+    return _write(row, settled)
+
+
+def make_answer(status: int, headers: tuple[tuple[str, str], ...], body: bytes) -> StoredAnswer:
+    """Return an answer as it is kept for re-sends; a body too large is left out whole."""
+    kept = tuple(pair for pair in headers if pair[0].lower() in STORED_HEADERS)
+    if len(body) > STORED_BODY_BYTES_MAX:
+        return StoredAnswer(status, kept, body_kept=False)
+    return StoredAnswer(status, kept, base64.b64encode(body).decode())
+
+
+def read_body(answer: StoredAnswer) -> bytes:
+    """Return the body of a stored answer."""
+    return base64.b64decode(answer.body)
+
+
+def _make_row(ask: ClaimAsk) -> ClaimRow:
+    return ClaimRow(ClaimState.CLAIMED, ask.digest, ask.instance, ask.incarnation, ask.write_id)
+
+
+def _write(row: Row, value: ClaimRow) -> Transaction:
+    return Transaction((Check(row.key, row.version),), (Write(row.key, to_plain(value)),))
+
+
+def _replay(present: ClaimRow) -> ClaimReplay | ClaimRefused:
+    if present.answer is not None and present.answer.body_kept:
+        return ClaimReplay(present.answer)
+    message = "the request was done, but its answer was too large to keep"
+    return ClaimRefused(RequestError(CONFLICT, "answer_not_kept", message, Outcome.DONE))
+
+
+def _describe_mismatch() -> RequestError:
+    message = "this idempotency key was used for another request"
+    return RequestError(
+        UNPROCESSABLE, "idempotency_mismatch", message, Outcome.NOT_RUN, field="Idempotency-Key"
+    )
+
+
+def _describe_unknown() -> RequestError:
+    message = "whether this request was done is unknown; it will not be run again"
+    return RequestError(CONFLICT, "outcome_unknown", message, Outcome.UNKNOWN)
+
+
+def _describe_in_flight(retry_after_s: float) -> RequestError:
+    message = "a request with this idempotency key is in progress; ask again with the same key"
+    return RequestError(
+        CONFLICT, "in_progress", message, Outcome.UNKNOWN, True, retry_after_s=retry_after_s
+    )
+
+
+def describe_table_down(retry_after_s: float) -> RequestError:
+    """Describe a request that was not sent since its claim could not be confirmed."""
+    message = "the claim on this request could not be confirmed; it was not sent"
+    return RequestError(
+        503, "claim_unavailable", message, Outcome.NOT_RUN, True, retry_after_s=retry_after_s
+    )
--- /dev/null
+++ b/rhubarbshed/coordination/commits.py
@@ -0,0 +1,188 @@
+"""Commits to the table service: gathered into few transactions, confirmed after lost answers."""
+
+import asyncio
+import enum
+import logging
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from attrs import define, field, frozen
+from returns.result import Failure, Result, Success
+
+from rhubarbshed.protocol.platform import TableClient
+from rhubarbshed.protocol.tables import Committed, Row, TableError, TableFault, Transaction
+
+log = logging.getLogger(__name__)
+
+BATCH_TRANSACTIONS_MAX = 50
+CONFIRM_TRIES = 3
+CONFIRM_PAUSE_S = 0.05
+
+Runner = Callable[..., Awaitable[Any]]
+Sleep = Callable[[float], Awaitable[None]]
+CommitOutcome = Result[Committed, TableError]
+
+
+class CommitEnd(enum.Enum):
+    """How a confirmed commit ended; `UNSURE` may have taken effect or still take it."""
+
+    COMMITTED = "committed"
+    CONFLICT = "conflict"
+    UNAVAILABLE = "unavailable"
+    UNSURE = "unsure"
+
+
+@frozen
+class CommitResult:
+    """Tell how a commit ended; `row` is the row as it stands after a conflict."""
+
+    end: CommitEnd
+    row: Row | None = None
+
+
+@frozen
+class _Waiting:
+    transaction: Transaction
+    done: asyncio.Future
+
+
+@define
+class CommitBatcher:
+    """Commit transactions of this instance; those that arrive during one commit go together.
+
+    `runner` calls a blocking function on a worker thread. A batch that meets a conflict is
+    committed again one by one, so no transaction fails for its neighbour.
+    """
+
+    client: TableClient
+    runner: Runner
+    sleep: Sleep = asyncio.sleep
+    waiting: list[_Waiting] = field(factory=list)
+    is_flushing: bool = False
+    commits: int = 0
+
+    async def read(self, key: str) -> Result[Row, TableError]:
+        """Read one row."""
+        result = await self.runner(self.client.read, (key,))
+        return result.map(lambda rows: rows[0])
+
+    async def commit(self, transaction: Transaction) -> CommitOutcome:
+        """Commit a transaction, together with others that wait."""
+        entry = _Waiting(transaction, asyncio.get_running_loop().create_future())
+        self.waiting.append(entry)
+        if not self.is_flushing:
+            self.is_flushing = True
+            flush = asyncio.ensure_future(self._flush())
+            flush.add_done_callback(_raise_fault)
+        return await entry.done
+
+    async def _flush(self) -> None:
+        try:
+            while self.waiting:
+                batch = self._take_batch()
+                try:
+                    await self._commit_batch(batch)
+                finally:
+                    _answer_rest(batch)
+        finally:
+            self.is_flushing = False
+
+    def _take_batch(self) -> list[_Waiting]:
+        """Take waiting transactions that touch different rows; the rest keep their order."""
+        batch: list[_Waiting] = []
+        rest: list[_Waiting] = []
+        keys: set[str] = set()
+        for entry in self.waiting:
+            touched = _list_keys(entry.transaction)
+            if len(batch) < BATCH_TRANSACTIONS_MAX and keys.isdisjoint(touched):
+                batch.append(entry)
+            else:
+                rest.append(entry)
+            keys |= touched
+        self.waiting = rest
+        return batch
+
+    async def _commit_batch(self, batch: list[_Waiting]) -> None:
+        merged = _merge_transactions([entry.transaction for entry in batch])
+        outcome = await self._commit_one(merged)
+        if len(batch) > 1 and _is_conflict(outcome):
+            log.info("event=claim_batch_split transactions=%d", len(batch))
+            for entry in batch:
+                _answer(entry, await self._commit_one(entry.transaction))
+            return
+        for entry in batch:
+            _answer(entry, outcome)
+
+    async def _commit_one(self, transaction: Transaction) -> CommitOutcome:
+        self.commits += 1
+        return await self.runner(self.client.commit, transaction)
+
+
+def _raise_fault(flush: asyncio.Future) -> None:
+    """Hand a broken invariant to the loop's exception handler."""
+    if not flush.cancelled():
+        flush.result()
+
+
+def _answer(entry: _Waiting, outcome: CommitOutcome) -> None:
+    if not entry.done.done():
+        entry.done.set_result(outcome)
+
+
+def _answer_rest(batch: list[_Waiting]) -> None:
+    """Leave nobody waiting when a flush was broken off; the write may have taken effect."""
+    for entry in batch:
+        _answer(entry, Failure(TableError(TableFault.UNKNOWN, detail="commit broken off")))
+
+
+def _list_keys(transaction: Transaction) -> set[str]:
+    checked = {check.key for check in transaction.checks}
+    return checked | {write.key for write in transaction.writes}
+
+
+def _merge_transactions(transactions: list[Transaction]) -> Transaction:
+    checks = tuple(check for one in transactions for check in one.checks)
+    writes = tuple(write for one in transactions for write in one.writes)
+    return Transaction(checks, writes)
+
+
+def _is_conflict(outcome: CommitOutcome) -> bool:
+    return isinstance(outcome, Failure) and outcome.failure().fault is TableFault.CONFLICT
+
+
+async def commit_confirmed(
+    table: CommitBatcher, transaction: Transaction, write_id: str
+) -> CommitResult:
+    """Commit a transaction on one row whose value holds `write_id`, and find out whether it stands.
+
+    After a lost answer the same transaction is committed again: either it stands now and the
+    lost one fails its check, or the conflict shows the row with this very `write_id`.
+    """
+    key = transaction.checks[0].key
+    is_unsure = False
+    for attempt in range(CONFIRM_TRIES):
+        if attempt:
+            await table.sleep(CONFIRM_PAUSE_S * 2 ** (attempt - 1))
+        outcome = await table.commit(transaction)
+        if isinstance(outcome, Success):
+            return CommitResult(CommitEnd.COMMITTED)
+        error = outcome.failure()
+        if error.fault is TableFault.CONFLICT:
+            return await _read_conflict(table, key, error, write_id, is_unsure)
+        is_unsure = is_unsure or error.fault is TableFault.UNKNOWN
+        if not is_unsure:
+            return CommitResult(CommitEnd.UNAVAILABLE)
+    return CommitResult(CommitEnd.UNSURE)
+
+
+async def _read_conflict(
+    table: CommitBatcher, key: str, error: TableError, write_id: str, is_unsure: bool
+) -> CommitResult:
+    row = next((row for row in error.rows if row.key == key), None)
+    if row is None:
+        row = (await table.read(key)).value_or(None)
+    if row is None:
+        end = CommitEnd.UNSURE if is_unsure else CommitEnd.UNAVAILABLE
+        return CommitResult(end)
+    is_own = row.value is not None and row.value.get("write_id") == write_id
+    return CommitResult(CommitEnd.COMMITTED if is_own else CommitEnd.CONFLICT, row)
--- /dev/null
+++ b/rhubarbshed/coordination/desk.py
@@ -0,0 +1,410 @@
+"""Desk that decides on every request open on this instance."""
+
+import logging
+import random
+from collections.abc import Callable
+
+from attrs import define, field, frozen
+
+from rhubarbshed.coordination.admission import Admission, describe_unknown_target
+from rhubarbshed.coordination.drain import Drain
+from rhubarbshed.coordination.quarantine import describe_refused
+from rhubarbshed.coordination.retries import (
+    RetryBudget,
+    compute_pause,
+    decide_hedge,
+    describe_deadline,
+    describe_failure,
+    list_budget_keys,
+    may_have_run,
+    may_send_again,
+)
+from rhubarbshed.coordination.routing import Route, choose_route, choose_solo_route
+from rhubarbshed.coordination.suspects import Suspects
+from rhubarbshed.protocol.catalogue import Adapter, Model, Service
+from rhubarbshed.protocol.errors import Outcome, RequestError
+from rhubarbshed.protocol.orders import EngineReport
+from rhubarbshed.protocol.requests import AttemptEnd, AttemptResult, Dispatch, Refusal, Request
+from rhubarbshed.protocol.services import ServiceReport
+from rhubarbshed.state.attempts import OpenRequest, OpenRequests
+from rhubarbshed.state.load import Candidate, LoadView
+from rhubarbshed.util.settings import Settings
+
+log = logging.getLogger(__name__)
+
+NOT_RESIDENT_WAIT_S = 2.0
+BUSY_WAIT_S = 1.0
+SOLO_WAIT_S = 2.0
+CONFLICT = 409
+UNAVAILABLE = 503
+
+FindModel = Callable[[str], Model | None]
+FindAdapter = Callable[[str], Adapter | None]
+FindService = Callable[[str], Service | None]
+
+
+@frozen
+class SoloNeeded:
+    """Claim the right to run this fingerprint alone, then call `Desk.resume_solo`."""
+
+    request_id: str
+    fingerprint: str
+
+
+@frozen
+class AttemptOpen:
+    """Another attempt of the same request is still in flight; nothing is to be done."""
+
+    request_id: str
+
+
+@frozen
+class Catalogue:
+    """Look up objects by name; each gives None where there is none."""
+
+    find_model: FindModel
+    find_adapter: FindAdapter
+    find_service: FindService
+
+
+@define
+class Desk:
+    """Hold all requests open on this instance and what is needed to decide on them."""
+
+    settings: Settings
+    catalogue: Catalogue
+    load: LoadView
+    admission: Admission
+    budget: RetryBudget
+    suspects: Suspects
+    drain: Drain
+    randomness: random.Random
+    open: OpenRequests = field(factory=OpenRequests)
+
+    @classmethod
+    def from_settings(
+        cls,
+        settings: Settings,
+        find_model: FindModel,
+        find_adapter: FindAdapter,
+        find_service: FindService,
+        load: LoadView | None = None,
+    ) -> "Desk":
+        """Make a desk without open requests."""
+        seed = f"{settings.routing.seed}:{settings.instance.name}"
+        load = load if load is not None else LoadView()
+        return cls(
+            settings=settings,
+            catalogue=Catalogue(find_model, find_adapter, find_service),
+            load=load,
+            admission=Admission.from_settings(settings.admission, settings.routing.seed),
+            budget=RetryBudget(settings.retries),
+            suspects=Suspects.from_settings(settings.quarantine),
+            drain=Drain.from_settings(settings.shutdown),
+            randomness=random.Random(seed),
+        )
+
+    def open_request(self, request: Request, now: float) -> Dispatch | Refusal | SoloNeeded:
+        """Decide on a new request; only with a dispatch or `SoloNeeded` is it open."""
+        error = self._check_new(request, now)
+        if error is not None:
+            return Refusal(error)
+        item = OpenRequest(request, self._find_target_s(request))
+        self.open.items[request.request_id] = item
+        self.admission.enter(request)
+        self.budget.deposit(list_budget_keys(request), now)
+        if self.suspects.is_suspect(request.fingerprint):
+            return SoloNeeded(request.request_id, request.fingerprint)
+        return self._dispatch(item, now)
+
+    def resume_solo(
+        self, request_id: str, held: bool, now: float
+    ) -> Dispatch | Refusal | AttemptOpen:
+        """Go on with a suspect after its claim was decided; `held` is whether it may run alone."""
+        item = self.open.items.get(request_id)
+        if item is None:
+            return AttemptOpen(request_id)
+        fingerprint = item.request.fingerprint
+        if self.suspects.is_refused(fingerprint):
+            return self._refuse(item, describe_refused(fingerprint))
+        if not held:
+            return self._refuse_retry(item, "suspect_busy", "a copy of it is being tried", now)
+        item.solo_held = True
+        return self._dispatch(item, now)
+
+    def end_attempt(
+        self, result: AttemptResult, now: float
+    ) -> Dispatch | Refusal | SoloNeeded | AttemptOpen | None:
+        """Take the end of an attempt; None where the request is finished.
+
+        `result.tokens` counts the tokens passed on in this attempt alone.
+        """
+        item = self.open.items.get(result.request_id)
+        sent = item.dispatches.pop(result.attempt, None) if item is not None else None
+        if item is None or sent is None:
+            return None
+        self._record_end(item, sent, result, now)
+        if result.end is AttemptEnd.DONE:
+            self.suspects.record_whole_answer(item.request.fingerprint, now)
+            self._close(item, now)
+            return None
+        if result.end is AttemptEnd.CALLER_GONE:
+            self._close(item, now)
+            return None
+        if item.dispatches:
+            return AttemptOpen(result.request_id)
+        return self._decide_again(item, result, now)
+
+    def hedge(self, request_id: str, now: float) -> Dispatch | None:
+        """Start a second attempt of a request without a first token, where that is due."""
+        item = self.open.items.get(request_id)
+        if item is None or len(item.dispatches) != 1 or item.solo_held:
+            return None
+        if item.attempts >= self.settings.retries.attempts_max:
+            return None
+        waited_s = now - item.request.received_at
+        if not decide_hedge(item.request, item.tokens > 0, waited_s, self.settings.retries):
+            return None
+        busy = next(iter(item.dispatches.values())).backend_server
+        route = self._choose(item, frozenset((busy,)), now)
+        if route is None or not self.budget.withdraw(list_budget_keys(item.request), now):
+            return None
+        return self._send(item, route, now)
+
+    def cancel(self, request_id: str, now: float) -> tuple[Dispatch, ...]:
+        """Close a request whose caller went away; return the attempts to cancel."""
+        item = self.open.items.get(request_id)
+        if item is None:
+            return ()
+        dispatches = tuple(item.dispatches.values())
+        for sent in dispatches:
+            self.load.record_end(sent.backend_server, (request_id, sent.attempt), None, now)
+        item.dispatches.clear()
+        self._close(item, now)
+        return dispatches
+
+    def report_crash(self, backend_server: str, boot_id: str, now: float) -> None:
+        """Take that a backend server's boot ended with a crash; telling it again is harmless."""
+        fingerprints = tuple(
+            item.request.fingerprint for item in self.open.list_on_server(backend_server)
+        )
+        self.suspects.confirm_crash(backend_server, boot_id, fingerprints, now)
+        self.load.record_crash(backend_server, now)
+
+    def apply_report(self, report: EngineReport | ServiceReport, now: float) -> None:
+        """Take a load report; one of another boot tells of a crash as well."""
+        if not self.load.is_news(report, now):
+            return
+        boot_before = self.load.servers[report.backend_server].boot_id
+        if boot_before and report.boot_id != boot_before:
+            self.report_crash(report.backend_server, boot_before, now)
+        else:
+            alive_at = now - report.age_s
+            self.suspects.refute(report.backend_server, report.boot_id, alive_at)
+        self.load.apply_report(report, now)
+
+    def tick(self, now: float) -> None:
+        """Forget what is old; to be called about once a second."""
+        self.suspects.forget_old(now)
+
+    def compute_pause(self, attempt: int) -> float:
+        """Return the seconds to wait before sending a repeated attempt."""
+        return compute_pause(attempt, self.randomness)
+
+    def list_open(self) -> tuple[OpenRequest, ...]:
+        """Return all open requests."""
+        return tuple(self.open.items.values())
+
+    def _check_new(self, request: Request, now: float) -> RequestError | None:
+        """Return the error of a request that is refused before a server is chosen, else None."""
+        busy_s = self.admission.compute_retry_after(BUSY_WAIT_S)
+        error = self.drain.check_open(busy_s, now)
+        if error is not None:
+            return error
+        if not self._is_known(request):
+            return describe_unknown_target(request)
+        if self.suspects.is_refused(request.fingerprint):
+            return describe_refused(request.fingerprint)
+        if request.request_id in self.open.items:
+            message = "a request with this id is in progress on this instance"
+            return RequestError(CONFLICT, "request_id_in_use", message, field="X-Request-Id")
+        if now >= request.deadline:
+            return describe_deadline(request, has_run=False)
+        return self.admission.check_bounds(request, BUSY_WAIT_S)
+
+    def _is_known(self, request: Request) -> bool:
+        if request.service:
+            return self.catalogue.find_service(request.service) is not None
+        has_model = self.catalogue.find_model(request.model) is not None
+        if not request.adapter:
+            return has_model
+        adapter = self.catalogue.find_adapter(request.adapter)
+        return has_model and adapter is not None and adapter.model == request.model
+
+    def _find_target_s(self, request: Request) -> float:
+        if request.service:
+            return self.catalogue.find_service(request.service).answer_target_s
+        return self.catalogue.find_model(request.model).first_token_target_s
+
+    def _list_candidates(self, request: Request, now: float) -> tuple[Candidate, ...]:
+        if not request.service:
+            return self.load.list_candidates(request.model, request.adapter, request.prefixes, now)
+        service = self.catalogue.find_service(request.service)
+        names = service.backend_servers if service is not None else ()
+        return self.load.list_service_candidates(names, now)
+
+    def _choose(self, item: OpenRequest, extra: frozenset[str], now: float) -> Route | None:
+        """Choose a server; copies of one fingerprint go where the first one runs."""
+        request = item.request
+        place = (self.settings.instance.data_centre, self.settings.routing)
+        candidates = self._list_candidates(request, now)
+        avoided = self.suspects.list_set_aside(now) | extra
+        if item.solo_held:
+            mine = self.suspects.list_set_aside_for(request.fingerprint, now)
+            return choose_solo_route(request, candidates, *place, avoided - mine)
+        copy_server = self.open.find_server_of(request.fingerprint)
+        same = [found for found in candidates if found.info.name == copy_server]
+        if same and not extra and copy_server not in avoided and not same[0].lost:
+            return choose_route(request, same, *place, self.randomness, avoided)
+        failed = avoided | item.failed_servers
+        route = choose_route(request, candidates, *place, self.randomness, failed)
+        if route is not None or extra:
+            return route
+        return choose_route(request, candidates, *place, self.randomness, avoided)
+
+    def _dispatch(self, item: OpenRequest, now: float) -> Dispatch | Refusal:
+        request = item.request
+        route = self._choose(item, frozenset(), now)
+        if route is None:
+            return self._refuse_without_server(item, now)
+        error = self.admission.check_time(request, route.predicted_s, item.target_s, now)
+        if error is not None and item.attempts == 0:
+            return self._refuse(item, error)
+        return self._send(item, route, now)
+
+    def _refuse_without_server(self, item: OpenRequest, now: float) -> Refusal:
+        candidates = self._list_candidates(item.request, now)
+        usable = [found for found in candidates if not found.lost]
+        if not usable:
+            message = "it is in no backend server's memory at present"
+            return self._refuse_retry(item, "not_resident", message, now, NOT_RESIDENT_WAIT_S)
+        if item.solo_held:
+            self.suspects.reserve(item.request.fingerprint, usable, now)
+            message = "no backend server is idle to try this request alone"
+            return self._refuse_retry(item, "suspect_waits", message, now, SOLO_WAIT_S)
+        message = "its backend servers cannot take it at present"
+        return self._refuse_retry(item, "servers_busy", message, now)
+
+    def _send(self, item: OpenRequest, route: Route, now: float) -> Dispatch:
+        request = item.request
+        info = route.candidate.info
+        left_s = max(0.0, request.deadline - now)
+        first_byte_s = self.settings.routing.first_byte_timeout_s + route.predicted_s
+        dispatch = Dispatch(
+            request_id=request.request_id,
+            attempt=item.attempts,
+            backend_server=info.name,
+            host=info.host,
+            port=info.port,
+            first_byte_timeout_s=min(left_s, first_byte_s),
+            gap_timeout_s=min(left_s, self.settings.routing.gap_timeout_s),
+            resume_offset=item.tokens,
+        )
+        item.attempts += 1
+        item.dispatches[dispatch.attempt] = dispatch
+        key = (request.request_id, dispatch.attempt)
+        self.load.record_dispatch(info.name, key, request.target, request.prompt_tokens, now)
+        if item.solo_held:
+            self.suspects.set_solo(info.name, request.fingerprint, request.deadline)
+        return dispatch
+
+    def _record_end(
+        self, item: OpenRequest, sent: Dispatch, result: AttemptResult, now: float
+    ) -> None:
+        has_failed = result.end is not AttemptEnd.DONE
+        failed = None if result.end is AttemptEnd.CALLER_GONE else has_failed
+        key = (result.request_id, result.attempt)
+        self.load.record_end(sent.backend_server, key, failed, now)
+        item.has_run = item.has_run or may_have_run(result.end)
+        item.tokens = max(item.tokens, sent.resume_offset + result.tokens)
+        if has_failed:
+            item.failed_servers.add(sent.backend_server)
+        server = self.load.servers.get(sent.backend_server)
+        boot_id = server.boot_id if server is not None else ""
+        fingerprint = item.request.fingerprint
+        if result.end in (AttemptEnd.BROKEN, AttemptEnd.CRASHED):
+            self.suspects.presume(fingerprint, sent.backend_server, boot_id, item.solo_held, now)
+        if result.end is AttemptEnd.CRASHED:
+            self.report_crash(sent.backend_server, boot_id, now)
+        self.suspects.clear_solo(sent.backend_server, fingerprint)
+
+    def _decide_again(
+        self, item: OpenRequest, result: AttemptResult, now: float
+    ) -> Dispatch | Refusal | SoloNeeded:
+        """Decide whether a failed request is sent once more."""
+        request = item.request
+        if self.suspects.is_refused(request.fingerprint):
+            return self._refuse(item, self._describe_crasher(item))
+        if now >= request.deadline:
+            return self._refuse(item, describe_deadline(request, item.has_run))
+        can_go_on = (
+            may_send_again(request, result.end)
+            and not (item.has_run and not request.idempotent)
+            and item.attempts < self.settings.retries.attempts_max
+            and not self.drain_is_over(now)
+            and self.budget.withdraw(list_budget_keys(request), now)
+        )
+        if not can_go_on:
+            return self._refuse(item, self._describe_last(item, result))
+        if self.suspects.is_suspect(request.fingerprint):
+            if self.suspects.is_exhausted(request.fingerprint) or item.solo_held:
+                return self._refuse(item, self._describe_last(item, result))
+            return SoloNeeded(request.request_id, request.fingerprint)
+        return self._dispatch(item, now)
+
+    def drain_is_over(self, now: float) -> bool:
+        """Tell whether the time for requests in progress has run out."""
+        drain = self.drain
+        if drain.started_at is None:
+            return False
+        return now - drain.started_at >= drain.announce_s + drain.drain_s
+
+    def _describe_last(self, item: OpenRequest, result: AttemptResult) -> RequestError:
+        if item.has_run:
+            return describe_failure(item.request, result, item.has_run)
+        wait_s = result.retry_after_s or BUSY_WAIT_S
+        message = f"no backend server took it ({result.end.value})"
+        return self.admission.refuse(UNAVAILABLE, "servers_busy", message, wait_s)
+
+    def _describe_crasher(self, item: OpenRequest) -> RequestError:
+        """Describe a refused fingerprint; non-idempotent work that was sent stays unknown."""
+        error = describe_refused(item.request.fingerprint)
+        if item.request.idempotent or not item.has_run:
+            return error
+        return RequestError(error.status, error.code, error.message, Outcome.UNKNOWN)
+
+    def _refuse_retry(
+        self, item: OpenRequest, code: str, message: str, now: float, wait_s: float = BUSY_WAIT_S
+    ) -> Refusal:
+        """Refuse with Retry-After; what ran before without an answer is not called not run."""
+        if item.has_run:
+            outcome = Outcome.FAILED if item.request.idempotent else Outcome.UNKNOWN
+            retry_after_s = self.admission.compute_retry_after(wait_s)
+            retryable = outcome is Outcome.FAILED
+            error = RequestError(UNAVAILABLE, code, message, outcome, retryable, retry_after_s)
+            return self._refuse(item, error)
+        return self._refuse(item, self.admission.refuse(UNAVAILABLE, code, message, wait_s))
+
+    def _refuse(self, item: OpenRequest, error: RequestError) -> Refusal:
+        self._close(item, item.request.received_at)
+        log.info(
+            "event=request_refused request_id=%s code=%s outcome=%s",
+            item.request.request_id,
+            error.code,
+            error.outcome.value,
+        )
+        return Refusal(error)
+
+    def _close(self, item: OpenRequest, now: float) -> None:
+        if self.open.items.pop(item.request.request_id, None) is not None:
+            self.admission.leave(item.request)
--- /dev/null
+++ b/rhubarbshed/coordination/settlement.py
@@ -0,0 +1,153 @@
+"""Rounds with the table service that claim non-idempotent requests and settle them."""
+
+import logging
+from collections import OrderedDict
+from collections.abc import Callable
+
+from attrs import define, field, frozen
+
+from rhubarbshed.coordination.claims import (
+    ClaimAsk,
+    ClaimHeld,
+    ClaimProceed,
+    ClaimRefused,
+    ClaimReplay,
+    describe_table_down,
+    plan_claim,
+    plan_settle,
+    read_claim,
+)
+from rhubarbshed.coordination.commits import CommitBatcher, CommitEnd, commit_confirmed
+from rhubarbshed.protocol.claims import ClaimState, StoredAnswer
+from rhubarbshed.protocol.tables import Row
+
+log = logging.getLogger(__name__)
+
+ROUNDS_MAX = 4
+PENDING_MAX = 2_000
+
+IsGone = Callable[[str, str], bool]
+ClaimAnswer = ClaimHeld | ClaimReplay | ClaimRefused
+
+
+@frozen
+class Settlement:
+    """Tell how a claimed request ended."""
+
+    ask: ClaimAsk
+    state: ClaimState
+    answer: StoredAnswer | None = None
+
+
+@define
+class Settlements:
+    """Hold settlements that the table could not take yet, oldest first.
+
+    One that is dropped leaves its row claimed, which reads as unknown once this instance is gone.
+    """
+
+    pending: OrderedDict[str, Settlement] = field(factory=OrderedDict)
+
+    def add(self, settlement: Settlement) -> None:
+        """Keep a settlement for later."""
+        self.pending[settlement.ask.write_id] = settlement
+        while len(self.pending) > PENDING_MAX:
+            write_id, _ = self.pending.popitem(last=False)
+            log.error("event=settlement_dropped write_id=%s", write_id)
+
+
+async def claim(
+    table: CommitBatcher,
+    settlements: Settlements,
+    ask: ClaimAsk,
+    is_gone: IsGone,
+    retry_after_s: float,
+) -> ClaimAnswer:
+    """Claim a request, or tell what its caller gets instead.
+
+    `is_gone(instance, incarnation)` tells whether that instance's session has ended. The first
+    round expects no row, so a new key costs one write and no read.
+    """
+    row = Row(ask.key, 0)
+    for _ in range(ROUNDS_MAX):
+        plan = plan_claim(ask, row, _find_gone(row, is_gone), retry_after_s)
+        if isinstance(plan, ClaimReplay):
+            return plan
+        if isinstance(plan, ClaimRefused) and plan.transaction is None:
+            return plan
+        result = await commit_confirmed(table, plan.transaction, ask.write_id)
+        if result.end is CommitEnd.COMMITTED:
+            return await _confirm(table, ask, plan, result.row, is_gone, retry_after_s)
+        if result.end is CommitEnd.CONFLICT and result.row is not None:
+            row = result.row
+            continue
+        if result.end is CommitEnd.UNSURE and isinstance(plan, ClaimProceed):
+            settlements.add(Settlement(ask, ClaimState.NOT_RUN))
+            log.warning("event=claim_unsure key=%s write_id=%s", ask.key, ask.write_id)
+        return _give_up(plan, retry_after_s)
+    return ClaimRefused(describe_table_down(retry_after_s))
+
+
+async def _confirm(
+    table: CommitBatcher,
+    ask: ClaimAsk,
+    plan: ClaimProceed | ClaimRefused,
+    row: Row | None,
+    is_gone: IsGone,
+    retry_after_s: float,
+) -> ClaimAnswer:
+    """Return what a committed plan amounts to; a row read back may have changed state since."""
+    if isinstance(plan, ClaimRefused):
+        return plan
+    present = read_claim(row) if row is not None else None
+    if present is None or present.state is ClaimState.CLAIMED:
+        return ClaimHeld(ask)
+    again = plan_claim(ask, row, _find_gone(row, is_gone), retry_after_s)
+    return again if not isinstance(again, ClaimProceed) else _give_up(again, retry_after_s)
+
+
+def _give_up(plan: ClaimProceed | ClaimRefused, retry_after_s: float) -> ClaimRefused:
+    """Return the answer without the table; an unknown outcome stays unknown."""
+    if isinstance(plan, ClaimRefused):
+        return ClaimRefused(plan.error)
+    return ClaimRefused(describe_table_down(retry_after_s))
+
+
+def _find_gone(row: Row, is_gone: IsGone) -> bool:
+    present = read_claim(row)
+    return present is not None and is_gone(present.instance, present.incarnation)
+
+
+async def settle(table: CommitBatcher, settlements: Settlements, settlement: Settlement) -> bool:
+    """Write how a claimed request ended; what the table cannot take now is kept for later."""
+    is_settled = await _try_settle(table, settlement)
+    if is_settled:
+        settlements.pending.pop(settlement.ask.write_id, None)
+    else:
+        settlements.add(settlement)
+    return is_settled
+
+
+async def settle_pending(table: CommitBatcher, settlements: Settlements) -> int:
+    """Try all kept settlements once more, until one fails; return how many were written."""
+    written = 0
+    for settlement in list(settlements.pending.values()):
+        if not await settle(table, settlements, settlement):
+            break
+        written += 1
+    return written
+
+
+async def _try_settle(table: CommitBatcher, settlement: Settlement) -> bool:
+    row = (await table.read(settlement.ask.key)).value_or(None)
+    for _ in range(ROUNDS_MAX):
+        if row is None:
+            return False
+        plan = plan_settle(settlement.ask, row, settlement.state, settlement.answer)
+        if plan is None:
+            return True
+        result = await commit_confirmed(table, plan, settlement.ask.write_id)
+        if result.end is CommitEnd.COMMITTED and result.row is None:
+            return True
+        row = result.row
+    return False
--- /dev/null
+++ b/rhubarbshed/coordination/suspects.py
@@ -0,0 +1,121 @@
+"""Suspicion of requests that were in flight when a backend server crashed or its stream broke."""
+
+import logging
+from collections.abc import Iterable
+
+from attrs import define, field
+
+from rhubarbshed.protocol.quarantine import CrashId
+from rhubarbshed.state.load import Candidate
+from rhubarbshed.state.presumptions import Presumption, Presumptions
+from rhubarbshed.state.quarantine import QuarantineView
+from rhubarbshed.util.settings import QuarantineSettings
+
+log = logging.getLogger(__name__)
+
+RESERVE_S = 10.0
+
+
+@define
+class Suspects:
+    """Tie crashes that are certain to those that are only presumed on this instance."""
+
+    view: QuarantineView
+    presumptions: Presumptions = field(factory=Presumptions)
+
+    @classmethod
+    def from_settings(cls, settings: QuarantineSettings) -> "Suspects":
+        """Make a record without suspects."""
+        return cls(QuarantineView(settings))
+
+    def is_refused(self, fingerprint: str) -> bool:
+        """Tell whether a fingerprint is refused for good."""
+        return bool(fingerprint) and self.view.is_refused(fingerprint)
+
+    def is_suspect(self, fingerprint: str) -> bool:
+        """Tell whether a fingerprint may only run alone."""
+        if not fingerprint:
+            return False
+        return self.view.is_suspect(fingerprint) or bool(
+            self.presumptions.list_crashes(fingerprint)
+        )
+
+    def is_exhausted(self, fingerprint: str) -> bool:
+        """Tell whether one more crash could be too many, the presumed ones counted."""
+        certain = set(self.view.find_entry(fingerprint).open_crashes)
+        presumed = set(self.presumptions.list_crashes(fingerprint))
+        return len(certain | presumed) >= self.view.settings.crashes_max
+
+    def presume(
+        self, fingerprint: str, backend_server: str, boot_id: str, alone: bool, now: float
+    ) -> None:
+        """Suspect a fingerprint whose attempt broke, until a report of its server decides."""
+        if fingerprint:
+            crash = CrashId(backend_server, boot_id)
+            self.presumptions.add(Presumption(fingerprint, crash, alone, now))
+
+    def refute(self, backend_server: str, boot_id: str, alive_at: float) -> None:
+        """Drop suspicions that a later report of the same boot shows to be wrong."""
+        self.presumptions.refute(backend_server, boot_id, alive_at)
+
+    def confirm_crash(
+        self, backend_server: str, boot_id: str, in_flight: Iterable[str], now: float
+    ) -> None:
+        """Hold a crash against what was in flight at it, and against what broke just before."""
+        crash = CrashId(backend_server, boot_id)
+        solo = self.view.find_solo(backend_server, now)
+        for presumed in self.presumptions.take(crash):
+            self._hold(presumed.fingerprint, crash, presumed.alone, now)
+        for fingerprint in dict.fromkeys(in_flight):
+            if fingerprint:
+                self._hold(fingerprint, crash, fingerprint == solo, now)
+
+    def _hold(self, fingerprint: str, crash: CrashId, alone: bool, now: float) -> None:
+        self.view.record_crash(fingerprint, crash, alone, now)
+        log.warning(
+            "event=crash_suspect fingerprint=%s backend_server=%s boot_id=%s alone=%s refused=%s",
+            fingerprint,
+            crash.backend_server,
+            crash.boot_id,
+            alone,
+            self.view.is_refused(fingerprint),
+        )
+
+    def record_whole_answer(self, fingerprint: str, now: float) -> None:
+        """Release a fingerprint that has been answered whole."""
+        if fingerprint:
+            self.presumptions.acquit(fingerprint)
+            self.view.record_whole_answer(fingerprint, now)
+
+    def list_set_aside(self, now: float) -> frozenset[str]:
+        """Return the servers that are kept for a suspect."""
+        return self.view.list_set_aside(now)
+
+    def list_set_aside_for(self, fingerprint: str, now: float) -> frozenset[str]:
+        """Return the servers that are kept for this suspect."""
+        names = self.view.list_set_aside(now)
+        return frozenset(name for name in names if self.view.find_solo(name, now) == fingerprint)
+
+    def set_solo(self, backend_server: str, fingerprint: str, until: float) -> None:
+        """Set a server aside while a suspect runs on it."""
+        self.view.set_solo(backend_server, fingerprint, until)
+
+    def clear_solo(self, backend_server: str, fingerprint: str) -> None:
+        """End the setting aside of a server for this suspect."""
+        self.view.clear_solo(backend_server, fingerprint)
+
+    def reserve(self, fingerprint: str, usable: list[Candidate], now: float) -> None:
+        """Set the least loaded server aside, so that it is idle when the suspect comes back.
+
+        One server at most is kept empty in this way among those that could run the request.
+        """
+        names = {found.info.name for found in usable}
+        if names & self.view.list_set_aside(now):
+            return
+        least = min(usable, key=lambda found: (found.in_flight, found.info.name))
+        self.view.set_solo(least.info.name, fingerprint, now + RESERVE_S)
+
+    def forget_old(self, now: float) -> None:
+        """Forget what is old."""
+        self.presumptions.forget_old(now)
+        self.view.forget_old(now)
--- a/rhubarbshed/protocol/errors.py
+++ b/rhubarbshed/protocol/errors.py
@@ -9,6 +9,7 @@
     """Whether the work of a request that got no answer was done."""
 
     NOT_RUN = "not_run"
+    DONE = "done"
     FAILED = "failed"
     UNKNOWN = "unknown"
 
--- /dev/null
+++ b/rhubarbshed/state/attempts.py
@@ -0,0 +1,47 @@
+"""Requests open on this instance and their attempts."""
+
+from attrs import define, field
+
+from rhubarbshed.protocol.requests import Dispatch, Request
+
+
+@define
+class OpenRequest:
+    """Hold one open request.
+
+    `dispatches` are its attempts in flight by number; more than one while a hedge runs. `has_run`
+    is whether any attempt may have begun on a backend server. `tokens` were passed to the caller.
+    """
+
+    request: Request
+    target_s: float
+    solo_held: bool = False
+    attempts: int = 0
+    has_run: bool = False
+    tokens: int = 0
+    dispatches: dict[int, Dispatch] = field(factory=dict)
+    failed_servers: set[str] = field(factory=set)
+
+
+@define
+class OpenRequests:
+    """Hold all open requests by request id."""
+
+    items: dict[str, OpenRequest] = field(factory=dict)
+
+    def list_on_server(self, backend_server: str) -> tuple[OpenRequest, ...]:
+        """Return the requests that have an attempt in flight on a backend server."""
+        return tuple(
+            item
+            for item in self.items.values()
+            if any(sent.backend_server == backend_server for sent in item.dispatches.values())
+        )
+
+    def find_server_of(self, fingerprint: str) -> str:
+        """Return a server that runs a copy of this fingerprint, or an empty string."""
+        if not fingerprint:
+            return ""
+        for item in self.items.values():
+            if item.request.fingerprint == fingerprint and item.dispatches:
+                return next(iter(item.dispatches.values())).backend_server
+        return ""
--- a/rhubarbshed/state/load.py
+++ b/rhubarbshed/state/load.py
@@ -3,7 +3,7 @@
 import math
 from collections.abc import Iterable
 
-from attrs import define, field, frozen
+from attrs import define, evolve, field, frozen
 
 from rhubarbshed.protocol.members import BackendServerInfo, Standing
 from rhubarbshed.protocol.orders import EngineReport
@@ -16,6 +16,7 @@
 FAILURES_MAX = 8.0
 ENDED_KEPT_S = 30.0
 LOST_HOLD_S = 5.0
+PAST_BOOTS_MAX = 8
 STANDINGS_USED = (Standing.LIVE, Standing.SUSPECTED)
 
 AttemptKey = tuple[str, int]
@@ -71,6 +72,7 @@
     failures_at: float = 0.0
     lost_at: float = -math.inf
     lost_targets: frozenset[str] = frozenset()
+    past_boots: tuple[str, ...] = ()
 
     @property
     def boot_id(self) -> str:
@@ -153,37 +155,48 @@
             server.info = info
             self.servers[info.name] = server
 
-    def set_standing(self, name: str, standing: Standing) -> None:
+    def set_standing(self, name: str, standing: Standing, now: float) -> None:
         """Take what is believed of a backend server."""
-        if name in self.servers:
-            self.servers[name].standing = standing
+        server = self.servers.get(name)
+        if server is None:
+            return
+        if standing is Standing.GONE and server.standing is not Standing.GONE:
+            self.record_crash(name, now)
+        server.standing = standing
+
+    def apply_report(self, report: EngineReport | ServiceReport, now: float) -> bool:
+        """Take a load report; tell whether it shows that the backend server started anew.
 
-    def apply_report(self, report: EngineReport, now: float) -> bool:
-        """Take an engine's report; tell whether it shows that the engine started anew."""
+        A report of the same boot that is older than the one in use is left out, and so is one of
+        an earlier boot that arrives late.
+        """
         server = self.servers.get(report.backend_server)
-        if server is None or _is_older(server, now - report.age_s, report.boot_id):
+        if server is None or self._is_outdated(server, report, now):
             return False
         restarted = bool(server.boot_id) and server.boot_id != report.boot_id
         if restarted:
             self.record_crash(report.backend_server, now)
-        server.engine = report
+            server.past_boots = (*server.past_boots, server.boot_id)[-PAST_BOOTS_MAX:]
         server.received_at = now
-        server.prefixes.apply_events(report.cache_events)
+        if isinstance(report, EngineReport):
+            server.engine = report
+            server.prefixes.apply_events(report.cache_events)
+        else:
+            server.service = report
         server.forget_ended(now)
         return restarted
 
-    def apply_service_report(self, report: ServiceReport, now: float) -> bool:
-        """Take a plain service's report; tell whether it shows that the service started anew."""
+    def is_news(self, report: EngineReport | ServiceReport, now: float) -> bool:
+        """Tell whether a report is of a known server and not older than the one in use."""
         server = self.servers.get(report.backend_server)
-        if server is None or _is_older(server, now - report.age_s, report.boot_id):
-            return False
-        restarted = bool(server.boot_id) and server.boot_id != report.boot_id
-        if restarted:
-            self.record_crash(report.backend_server, now)
-        server.service = report
-        server.received_at = now
-        server.forget_ended(now)
-        return restarted
+        return server is not None and not self._is_outdated(server, report, now)
+
+    def _is_outdated(
+        self, server: ServerLoad, report: EngineReport | ServiceReport, now: float
+    ) -> bool:
+        if report.boot_id in server.past_boots:
+            return True
+        return server.boot_id == report.boot_id and now - report.age_s < server.compute_taken_at()
 
     def record_crash(self, name: str, now: float) -> None:
         """Empty what a crash empties, and hold the server's place in the order of choice."""
@@ -201,21 +214,24 @@
         if name in self.servers:
             self.servers[name].sent[key] = Sent(target, prompt_tokens, now)
 
-    def record_end(self, name: str, key: AttemptKey, failed: bool, now: float) -> None:
-        """Count the end of an own attempt; a second call for one attempt changes nothing."""
+    def record_end(self, name: str, key: AttemptKey, failed: bool | None, now: float) -> None:
+        """Count the end of an own attempt; a second call for one attempt changes nothing.
+
+        `failed` is None for an attempt that tells nothing of the server, such as a cancelled one.
+        """
         server = self.servers.get(name)
         sent = server.sent.get(key) if server else None
         if server is None or sent is None or sent.ended_at is not None:
             return
-        server.sent[key] = Sent(sent.target, sent.prompt_tokens, sent.sent_at, now)
-        if failed:
-            server.failures = min(FAILURES_MAX, server.compute_failures(now) + 1.0)
-            server.failures_at = now
-        else:
-            server.hold_s += HOLD_SMOOTHING * (now - sent.sent_at - server.hold_s)
-            server.failures = server.compute_failures(now) / 2
-            server.failures_at = now
+        server.sent[key] = evolve(sent, ended_at=now)
         server.forget_ended(now)
+        if failed is None:
+            return
+        recent = server.compute_failures(now)
+        server.failures = min(FAILURES_MAX, recent + 1.0) if failed else recent / 2
+        server.failures_at = now
+        if not failed:
+            server.hold_s += HOLD_SMOOTHING * (now - sent.sent_at - server.hold_s)
 
     def count_in_flight(self, name: str) -> float:
         """Return the corrected number of requests in flight on a backend server."""
@@ -238,7 +254,8 @@
             server = self.servers[name]
             residents = server.find_residents()
             was_there = server.is_lost(now) and model in server.lost_targets
-            if server.standing not in STANDINGS_USED or not (model in residents or was_there):
+            is_there = server.standing in STANDINGS_USED and model in residents
+            if not is_there and not was_there:
                 continue
             share = server.prefixes.estimate_cached_share(prefixes)
             has_adapter = not adapter or adapter in residents
@@ -251,15 +268,10 @@
         return tuple(
             _make_candidate(server, 0.0, True, now)
             for server in servers
-            if server.standing in STANDINGS_USED
+            if server.standing in STANDINGS_USED or server.is_lost(now)
         )
 
 
-def _is_older(server: ServerLoad, taken_at: float, boot_id: str) -> bool:
-    """Tell whether a report of the same boot is older than the one in use."""
-    return server.boot_id == boot_id and taken_at < server.compute_taken_at()
-
-
 def _make_candidate(
     server: ServerLoad, cached_share: float, adapter_resident: bool, now: float
 ) -> Candidate:
--- /dev/null
+++ b/rhubarbshed/state/presumptions.py
@@ -0,0 +1,58 @@
+"""Broken attempts that may turn out to be crashes of their backend servers."""
+
+from attrs import define, field, frozen
+
+from rhubarbshed.protocol.quarantine import CrashId
+
+PRESUMED_S = 60.0
+PRESUMED_MAX = 5_000
+
+
+@frozen
+class Presumption:
+    """Hold that a fingerprint was in flight when its connection to a server broke."""
+
+    fingerprint: str
+    crash: CrashId
+    alone: bool
+    at: float
+
+
+@define
+class Presumptions:
+    """Hold broken attempts until a report shows whether their server crashed."""
+
+    items: dict[tuple[str, CrashId], Presumption] = field(factory=dict)
+
+    def add(self, presumption: Presumption) -> None:
+        """Presume a crash; the first time it is told counts."""
+        self.items.setdefault((presumption.fingerprint, presumption.crash), presumption)
+        while len(self.items) > PRESUMED_MAX:
+            del self.items[next(iter(self.items))]
+
+    def list_crashes(self, fingerprint: str) -> tuple[CrashId, ...]:
+        """Return the crashes presumed of a fingerprint."""
+        return tuple(crash for name, crash in self.items if name == fingerprint)
+
+    def refute(self, backend_server: str, boot_id: str, alive_at: float) -> None:
+        """Drop what was presumed before a time at which the same boot was still alive."""
+        crash = CrashId(backend_server, boot_id)
+        self._drop(lambda item: item.crash == crash and item.at < alive_at)
+
+    def take(self, crash: CrashId) -> tuple[Presumption, ...]:
+        """Remove and return what is presumed of a crash that has been confirmed."""
+        taken = tuple(item for item in self.items.values() if item.crash == crash)
+        self._drop(lambda item: item.crash == crash)
+        return taken
+
+    def acquit(self, fingerprint: str) -> None:
+        """Drop what is presumed of a fingerprint that has been answered whole."""
+        self._drop(lambda item: item.fingerprint == fingerprint)
+
+    def forget_old(self, now: float) -> None:
+        """Drop what no report has decided for a long time."""
+        self._drop(lambda item: item.at < now - PRESUMED_S)
+
+    def _drop(self, matches) -> None:
+        for key in [key for key, item in self.items.items() if matches(item)]:
+            del self.items[key]
