--- a/rhubarbshed/coordination/desk.py
+++ b/rhubarbshed/coordination/desk.py
@@ -106,7 +106,7 @@
 
     def open_request(self, request: Request, now: float) -> Dispatch | Refusal | SoloNeeded:
         """Decide on a new request; only with a dispatch or `SoloNeeded` is it open."""
-        error = self._check_new(request, now)
+        error = self.check_new(request, now)
         if error is not None:
             return Refusal(error)
         item = OpenRequest(request, self._find_target_s(request))
@@ -215,7 +215,7 @@
         """Return all open requests."""
         return tuple(self.open.items.values())
 
-    def _check_new(self, request: Request, now: float) -> RequestError | None:
+    def check_new(self, request: Request, now: float) -> RequestError | None:
         """Return the error of a request that is refused before a server is chosen, else None."""
         busy_s = self.admission.compute_retry_after(BUSY_WAIT_S)
         error = self.drain.check_open(busy_s, now)
--- a/rhubarbshed/coordination/dissemination.py
+++ b/rhubarbshed/coordination/dissemination.py
@@ -6,9 +6,7 @@
 """
 
 from collections import OrderedDict
-from collections.abc import Iterable
 
-import xxhash
 from attrs import Factory, define, frozen
 
 from rhubarbshed.coordination.membership import list_instances
@@ -21,6 +19,7 @@
     QuarantineNotice,
 )
 from rhubarbshed.state.membership import Membership
+from rhubarbshed.util.rendezvous import rank_by_rendezvous
 
 NOTICES_MAX = 4096
 """Notices remembered so that each is passed on once."""
@@ -39,11 +38,6 @@
     is_delegate: bool
 
 
-def rank_by_rendezvous(key: str, names: Iterable[str]) -> list[str]:
-    """Order names by rendezvous hash; removing one leaves the order of the rest."""
-    return sorted(names, key=lambda name: (-xxhash.xxh3_64_intdigest(f"{key}|{name}"), name))
-
-
 def choose_topology(membership: Membership, delegates: int, now: float) -> Topology:
     """Choose mesh and bridges from the membership view.
 
--- a/rhubarbshed/coordination/ownership.py
+++ b/rhubarbshed/coordination/ownership.py
@@ -3,7 +3,6 @@
 import logging
 from collections.abc import Callable, Iterable
 
-import xxhash
 from attrs import frozen
 from returns.result import Failure, Result, Success
 
@@ -22,6 +21,7 @@
     forget_holders,
     release_owner,
 )
+from rhubarbshed.util.rendezvous import rank_by_rendezvous
 
 LOG = logging.getLogger(__name__)
 
@@ -53,13 +53,8 @@
 
 
 def choose_owner(backend_server: str, instances: Iterable[str]) -> str:
-    """Choose an instance by rendezvous hashing, the same everywhere for the same instances.
-
-    Source: Thaler and Ravishankar, Using Name-Based Mappings to Increase Hit Rates, 1998.
-    """
-    return max(
-        instances, key=lambda name: (xxhash.xxh3_64_intdigest(f"{name}|{backend_server}"), name)
-    )
+    """Choose an instance by rendezvous hashing, the same everywhere for the same instances."""
+    return rank_by_rendezvous(backend_server, instances)[0]
 
 
 def decode_session(row: Row) -> Session | None:
--- a/rhubarbshed/coordination/routing.py
+++ b/rhubarbshed/coordination/routing.py
@@ -3,11 +3,11 @@
 import random
 from collections.abc import Iterable
 
-import xxhash
 from attrs import frozen
 
 from rhubarbshed.protocol.requests import Priority, Request
 from rhubarbshed.state.load import Candidate
+from rhubarbshed.util.rendezvous import weigh
 from rhubarbshed.util.settings import RoutingSettings
 
 ADAPTER_LOAD_S = 0.01
@@ -72,7 +72,7 @@
     """
     return sorted(
         candidates,
-        key=lambda candidate: xxhash.xxh64_intdigest(f"{key}\0{candidate.info.name}"),
+        key=lambda candidate: weigh(key, candidate.info.name),
     )
 
 
--- a/rhubarbshed/coordination/tickets.py
+++ b/rhubarbshed/coordination/tickets.py
@@ -226,3 +226,14 @@
     return RequestError(
         503, "table_unavailable", text, outcome, retryable=True, retry_after_s=RETRY_AFTER_S
     )
+
+
+async def find_ticket(access: TableAccess, number: int) -> Result[TicketReceipt, RequestError]:
+    """Read the receipt of an accepted ticket; costs one read."""
+    read = await access.runner(access.table.read, (make_ticket_key(number),))
+    if isinstance(read, Failure):
+        return Failure(_describe_table_error(read.failure()))
+    value = read.unwrap()[0].value
+    if value is None:
+        return Failure(RequestError(404, "no_such_ticket", f"no ticket {number} was accepted"))
+    return Success(from_plain(value["receipt"], TicketReceipt).unwrap())
--- a/rhubarbshed/daemon.py
+++ b/rhubarbshed/daemon.py
@@ -1,5 +1,40 @@
 """Run one instance, wired from settings."""
 
+import asyncio
+import logging
+import os
+import signal
+import sys
+
+import typer
+from returns.result import Failure
+
+from rhubarbshed.transport.instance import run_instance
+from rhubarbshed.util.logs import start_logging
+from rhubarbshed.util.settings import Settings
+
+EXIT_BAD_SETTINGS = 2
+
+app = typer.Typer(add_completion=False, pretty_exceptions_enable=False)
+
+
+@app.command()
+def run(settings: str = typer.Option(..., help="Settings file (INI).")) -> None:
+    """Run an instance until SIGTERM, which drains it; a second signal stops it at once."""
+    result = Settings.from_file(settings, os.environ)
+    if isinstance(result, Failure):
+        for error in result.failure():
+            print(f"rhubarbshedd: {error}", file=sys.stderr)
+        sys.exit(EXIT_BAD_SETTINGS)
+    start_logging(result.unwrap().log.level)
+    logging.getLogger("cherrypy").setLevel(logging.WARNING)
+    sys.exit(asyncio.run(run_instance(result.unwrap(), (signal.SIGTERM, signal.SIGINT))))
+
 
 def main() -> None:
-    """Start the daemon."""
+    """Run the daemon's command line."""
+    app()
+
+
+if __name__ == "__main__":
+    main()
--- a/rhubarbshed/protocol/peers.py
+++ b/rhubarbshed/protocol/peers.py
@@ -13,6 +13,7 @@
 from rhubarbshed.protocol.events import Stamp
 from rhubarbshed.protocol.members import InstanceInfo
 from rhubarbshed.protocol.orders import CacheEvent, Resident, Role
+from rhubarbshed.protocol.quarantine import QuarantineEntry
 
 PROTOCOL_VERSION = 1
 NONCE_BYTES = 16
@@ -142,23 +143,6 @@
     backend_servers: tuple[LeavingSubject, ...] = ()
 
 
-@frozen(order=True)
-class Crash:
-    """Name one crash of a backend server by the boot that ended."""
-
-    backend_server: str
-    boot_id: str
-
-
-@frozen
-class QuarantineEntry:
-    """Tell what is known of one fingerprint."""
-
-    fingerprint: str
-    crashes: tuple[Crash, ...] = ()
-    refused: bool = False
-
-
 @frozen
 class QuarantineNotice:
     """Carry suspicions and refusals of request fingerprints."""
--- /dev/null
+++ b/rhubarbshed/transport/admin.py
@@ -0,0 +1,77 @@
+"""What operators may ask of an instance, answered on its loop."""
+
+import asyncio
+import time
+from collections.abc import Callable
+from typing import Any
+
+from returns.result import Failure, Result
+
+from rhubarbshed.coordination.membership import list_backend_servers
+from rhubarbshed.coordination.tickets import accept_ticket, find_ticket
+from rhubarbshed.protocol.catalogue import Ticket, TicketReceipt
+from rhubarbshed.protocol.errors import RequestError
+from rhubarbshed.transport.operators import OperatorDesk
+from rhubarbshed.transport.pages import (
+    list_events,
+    list_instances,
+    list_models,
+    list_server_rows,
+    make_status,
+)
+from rhubarbshed.transport.runtime import Runtime
+
+ASK_TIMEOUT_S = 30.0
+
+
+def make_operator_desk(runtime: Runtime, start_drain: Callable[[], None]) -> OperatorDesk:
+    """Make the functions of the operators' site, which run on its worker threads."""
+
+    def ask(question: Any) -> Any:
+        return asyncio.run_coroutine_threadsafe(question, runtime.loop).result(ASK_TIMEOUT_S)
+
+    def drain() -> None:
+        runtime.loop.call_soon_threadsafe(start_drain)
+
+    return OperatorDesk(
+        accept_ticket=lambda ticket: ask(take_ticket(runtime, ticket)),
+        show_ticket=lambda number: ask(find_ticket(runtime.access, number)),
+        show=lambda page, query: ask(make_page(runtime, page, query)),
+        render_metrics=lambda: ask(render_metrics(runtime)),
+        start_drain=drain,
+    )
+
+
+async def take_ticket(runtime: Runtime, ticket: Ticket) -> Result[TicketReceipt, RequestError]:
+    """Accept a ticket through the table service, and put it in force here at once."""
+    servers = list_backend_servers(runtime.membership, time.monotonic())
+    power = runtime.settings.placement.power_watts_max
+    result = await accept_ticket(runtime.access, ticket, servers, power)
+    if isinstance(result, Failure):
+        error = result.failure()
+        runtime.timeline.record("ticket_refused", ticket=ticket.number, reason=error.message)
+        return result
+    runtime.timeline.record("ticket_accepted", ticket=ticket.number)
+    runtime.catalogue_wakeup.set()
+    return result
+
+
+async def make_page(runtime: Runtime, page: str, query: dict[str, str]) -> Any:
+    """Make the plain data of a page, or None where there is no such page."""
+    now = time.monotonic()
+    if page == "status":
+        return make_status(runtime, now)
+    if page == "models":
+        return list_models(runtime.catalogue, runtime.load)
+    if page == "backend-servers":
+        return list_server_rows(runtime, now)
+    if page == "instances":
+        return list_instances(runtime.membership, now)
+    if page == "timeline":
+        return list_events(runtime.timeline, query)
+    return None
+
+
+async def render_metrics(runtime: Runtime) -> bytes:
+    """Render the metrics on the loop, where they change."""
+    return runtime.metrics.render()
--- a/rhubarbshed/transport/callers.py
+++ b/rhubarbshed/transport/callers.py
@@ -54,9 +54,8 @@
             self.taken -= 1
 
 
-def make_caller_handler(gateway: Gateway, carrier: Carrier) -> Callable[..., Any]:
+def make_caller_handler(gateway: Gateway, carrier: Carrier, places: Places) -> Callable[..., Any]:
     """Make the handler of all requests of callers."""
-    places = Places(gateway.settings.callers.threads)
 
     def handle(*path: str, **_: Any) -> Any:
         method = cherrypy.request.method
@@ -242,5 +241,3 @@
         item = RequestError(502, "stream_refused", "a backend server refused to resume the stream")
     body = render_error(item, request_id)
     return b"event: error\ndata: " + body + b"\n\n"
-
-
--- a/rhubarbshed/transport/engines.py
+++ b/rhubarbshed/transport/engines.py
@@ -6,6 +6,7 @@
 from rhubarbshed.protocol.members import BackendServerInfo
 from rhubarbshed.protocol.orders import EngineReport, Order, OrderError, OrderFault
 from rhubarbshed.protocol.platform import EngineClient
+from rhubarbshed.protocol.services import ServiceReport
 from rhubarbshed.transport.http import Answer, ExchangeError, HttpClient
 
 STATUS_OK = 200
@@ -26,9 +27,7 @@
             return Failure(_make_order_error(result.failure()))
         return _read_order_answer(result.unwrap())
 
-    def fetch_report(
-        server: BackendServerInfo, sequence: int
-    ) -> Result[EngineReport, OrderError]:
+    def fetch_report(server: BackendServerInfo, sequence: int) -> Result[EngineReport, OrderError]:
         url = f"{make_base_url(server)}/control/report?sequence={sequence}"
         result = http.exchange("GET", url, timeout_s=REPORT_TIMEOUT_S)
         if isinstance(result, Failure):
@@ -69,3 +68,20 @@
     if answer.status // 100 == 4:
         return Failure(OrderError(OrderFault.REFUSED, detail))
     return Failure(OrderError(OrderFault.UNKNOWN, detail))
+
+
+def fetch_service_report(
+    http: HttpClient, server: BackendServerInfo
+) -> Result[ServiceReport, OrderError]:
+    """Read how busy a replica of a plain service is."""
+    result = http.exchange(
+        "GET", f"{make_base_url(server)}/control/report", timeout_s=REPORT_TIMEOUT_S
+    )
+    if isinstance(result, Failure):
+        return Failure(_make_order_error(result.failure()))
+    plain = result.unwrap().read_json()
+    if not isinstance(plain, dict):
+        return Failure(OrderError(OrderFault.UNAVAILABLE, "the report is not a JSON object"))
+    return from_plain({"backend_server": server.name, **plain}, ServiceReport).alt(
+        lambda detail: OrderError(OrderFault.UNAVAILABLE, detail)
+    )
--- /dev/null
+++ b/rhubarbshed/transport/exchange.py
@@ -0,0 +1,162 @@
+"""What an instance tells its peers and does with what they tell it."""
+
+import logging
+
+from attrs import define, field
+
+from rhubarbshed.protocol.catalogue import CatalogueObject
+from rhubarbshed.protocol.members import BackendServerInfo
+from rhubarbshed.protocol.orders import EngineReport
+from rhubarbshed.protocol.peers import (
+    CatalogueHint,
+    CatalogueObjects,
+    CatalogueRequest,
+    Frame,
+    Heartbeat,
+    LeavingNotice,
+    LeavingSubject,
+    LoadDigest,
+    QuarantineNotice,
+)
+from rhubarbshed.state.digests import LoadInbox, LoadOutbox
+from rhubarbshed.util.logs import log_event
+
+LOG = logging.getLogger(__name__)
+REMOTE_INTERVAL_S = 3.0
+# Time to wait for the table service to show a change that a peer has hinted at.
+PULL_PATIENCE_S = 2.0
+
+
+@define
+class PeerExchange:
+    """Hold what was last told to peers and asked of them.
+
+    `hinted_revision` is the newest catalogue any peer told of, `pulled_revision` the newest that
+    a peer has given whole.
+    """
+
+    outbox: LoadOutbox = field(factory=LoadOutbox)
+    remote_outbox: LoadOutbox = field(factory=LoadOutbox)
+    inbox: LoadInbox = field(factory=LoadInbox)
+    remote_at: float = 0.0
+    hinted_revision: int = 0
+    hinted_at: float = 0.0
+    pulled_revision: int = 0
+    pulled_at: float = 0.0
+
+
+def make_heartbeat(runtime) -> Heartbeat:
+    """Show that this instance lives and how new its catalogue is."""
+    catalogue = runtime.catalogue
+    known = max(catalogue.revision, runtime.exchange.pulled_revision)
+    leaving = runtime.desk.drain.started_at is not None
+    return Heartbeat(runtime.incarnation, known, catalogue.head, leaving)
+
+
+def greet_peer(runtime, peer: str, now: float) -> tuple[Frame, ...]:
+    """Tell a new peer what must not wait: who leaves, and which requests crash servers."""
+    exchange = runtime.exchange
+    exchange.outbox.forget()
+    exchange.remote_outbox.forget()
+    words = runtime.membership.list_leaving_words()
+    subjects = tuple(LeavingSubject(name, incarnation) for name, incarnation in words)
+    instances = tuple(subject for subject in subjects if subject.incarnation)
+    servers = tuple(subject for subject in subjects if not subject.incarnation)
+    entries = runtime.desk.suspects.view.list_entries()
+    return (LeavingNotice(instances, servers), QuarantineNotice(entries))
+
+
+def collect_digests(runtime, now: float) -> tuple[Frame, ...]:
+    """Collect the load that goes with the heartbeats, to other data centres less often."""
+    exchange = runtime.exchange
+    reports = tuple(_list_own_reports(runtime, now))
+    if not reports:
+        return ()
+    frames = [exchange.outbox.make_digest(reports, now)]
+    if now - exchange.remote_at >= REMOTE_INTERVAL_S:
+        exchange.remote_at = now
+        frames.append(exchange.remote_outbox.make_digest(reports, now, remote=True))
+    return tuple(frames)
+
+
+def _list_own_reports(runtime, now: float) -> list[tuple[EngineReport, float]]:
+    """List reports that this instance read itself, with the time of their receipt."""
+    oldest = now - runtime.settings.routing.report_age_max_s
+    servers = (runtime.load.servers.get(name) for name in runtime.reported)
+    return [
+        (server.engine, server.received_at)
+        for server in servers
+        if server is not None and server.engine is not None and server.received_at >= oldest
+    ]
+
+
+def take_frame(runtime, peer: str, frame: Frame, now: float) -> None:
+    """Act on a frame of a peer."""
+    match frame:
+        case LoadDigest():
+            for report in runtime.exchange.inbox.expand(frame):
+                runtime.desk.apply_report(report, now)
+        case Heartbeat(revision=revision):
+            _note_hint(runtime, peer, revision, now)
+        case CatalogueHint(revision=revision):
+            _note_hint(runtime, peer, revision, now)
+            runtime.catalogue_wakeup.set()
+        case CatalogueRequest():
+            runtime.network.send(peer, make_page(runtime, frame))
+        case CatalogueObjects():
+            _take_page(runtime, peer, frame)
+        case LeavingNotice():
+            runtime.apply_membership()
+        case QuarantineNotice():
+            for entry in frame.entries:
+                runtime.desk.suspects.view.merge_entry(entry, now)
+        case _:
+            log_event(LOG, logging.WARNING, "frame_unexpected", peer=peer)
+
+
+def _note_hint(runtime, peer: str, revision: int, now: float) -> None:
+    """Ask a peer for the catalogue where it knows more than the platform lets this one read."""
+    exchange = runtime.exchange
+    if revision > exchange.hinted_revision:
+        exchange.hinted_revision = revision
+        exchange.hinted_at = now
+    known = max(runtime.catalogue.revision, exchange.pulled_revision)
+    waited = now - exchange.hinted_at >= PULL_PATIENCE_S or not runtime.platform_up
+    asked = now - exchange.pulled_at < PULL_PATIENCE_S
+    if revision > known and waited and not asked:
+        exchange.pulled_at = now
+        runtime.network.send(peer, CatalogueRequest(0))
+
+
+def make_page(runtime, request: CatalogueRequest) -> CatalogueObjects:
+    """Make one page of the catalogue, in order of keys."""
+    catalogue = runtime.catalogue
+    found = [
+        entry
+        for entry in catalogue.list_objects()
+        if entry.ticket > request.ticket and _name_key(entry) > request.key_after
+    ]
+    page = tuple(found[: request.limit])
+    more = _name_key(page[-1]) if len(found) > len(page) else ""
+    known = max(catalogue.revision, runtime.exchange.pulled_revision)
+    return CatalogueObjects(page, known, catalogue.head, more)
+
+
+def _name_key(entry: CatalogueObject) -> str:
+    return f"{entry.key.kind}/{entry.key.name}"
+
+
+def _take_page(runtime, peer: str, page: CatalogueObjects) -> None:
+    changed = runtime.catalogue.apply_objects(page.objects, page.ticket)
+    if changed:
+        runtime.note_catalogue_change(len(changed), peer)
+    if page.more_after:
+        runtime.network.send(peer, CatalogueRequest(0, page.more_after))
+        return
+    exchange = runtime.exchange
+    exchange.pulled_revision = max(exchange.pulled_revision, page.revision)
+
+
+def notify_leaving_server(runtime, info: BackendServerInfo) -> None:
+    """Tell peers that a backend server leaves."""
+    runtime.network.publish(LeavingNotice(backend_servers=(LeavingSubject(info.name),)))
--- a/rhubarbshed/transport/gateway.py
+++ b/rhubarbshed/transport/gateway.py
@@ -2,37 +2,70 @@
 
 import asyncio
 import time
-from collections.abc import Coroutine
+import uuid
+from collections.abc import Callable, Coroutine
 from typing import Any
 
-from attrs import define, evolve
-
-from rhubarbshed.coordination.desk import Desk
-from rhubarbshed.coordination.drain import Drain
+from attrs import define, evolve, field
+
+from rhubarbshed.coordination.claims import (
+    ClaimAsk,
+    ClaimHeld,
+    ClaimReplay,
+    compute_digest,
+    make_answer,
+    make_ask,
+    read_body,
+)
+from rhubarbshed.coordination.commits import CommitBatcher
+from rhubarbshed.coordination.desk import AttemptOpen, Desk, SoloNeeded
 from rhubarbshed.coordination.quarantine import compute_fingerprint
-from rhubarbshed.protocol.answers import WholeAnswer
+from rhubarbshed.coordination.settlement import Settlement, Settlements, claim, settle
+from rhubarbshed.coordination.solo import (
+    SoloRun,
+    SoloRuns,
+    claim_solo,
+    make_holder,
+    release_solo,
+)
+from rhubarbshed.protocol.answers import JSON_TYPE, WholeAnswer
 from rhubarbshed.protocol.calls import Call
-from rhubarbshed.protocol.errors import RequestError
-from rhubarbshed.protocol.requests import AttemptResult, Dispatch, Refusal
+from rhubarbshed.protocol.claims import ClaimState, StoredAnswer
+from rhubarbshed.protocol.errors import Outcome, RequestError
+from rhubarbshed.protocol.requests import AttemptEnd, AttemptResult, Dispatch, Refusal
 from rhubarbshed.state.catalogue import Catalogue
 from rhubarbshed.state.timeline import Timeline
+from rhubarbshed.transport.metrics import Metrics
 from rhubarbshed.util.settings import Settings
 
 RETRY_AFTER_FULL_S = 1.0
+RETRY_AFTER_CLAIM_S = 2.0
 # The loop answers within milliseconds; longer means that it has stopped.
 ASK_TIMEOUT_S = 30.0
 
 
 @define
 class Gateway:
-    """Hold what decides on callers' requests; coroutines run on the loop, `ask` on any thread."""
+    """Hold what decides on callers' requests; coroutines run on the loop, `ask` on any thread.
+
+    `claims` and `solos` hold, by request, what the table must be told at its end; `ending` counts
+    the requests whose end it is being told.
+    """
 
     settings: Settings
+    incarnation: str
     loop: asyncio.AbstractEventLoop
     desk: Desk
-    drain: Drain
     catalogue: Catalogue
     timeline: Timeline
+    metrics: Metrics
+    table: CommitBatcher
+    is_gone: Callable[[str, str], bool]
+    settlements: Settlements = field(factory=Settlements)
+    solo_runs: SoloRuns = field(factory=SoloRuns)
+    claims: dict[str, ClaimAsk] = field(factory=dict)
+    solos: dict[str, SoloRun] = field(factory=dict)
+    ending: int = 0
 
     def ask(self, question: Coroutine[Any, Any, Any]) -> Any:
         """Run a coroutine on the loop and wait for its result."""
@@ -44,7 +77,7 @@
 
     def is_ready(self) -> bool:
         """Tell whether the balancer should send new requests here."""
-        return self.drain.started_at is None
+        return self.desk.drain.started_at is None
 
     def refuse_full(self) -> RequestError:
         """Describe a request for which no worker thread is free."""
@@ -65,20 +98,101 @@
         return found.methods_idempotent if found else ()
 
     async def open_call(self, call: Call) -> Dispatch | Refusal | WholeAnswer:
-        """Decide on a new call."""
+        """Decide on a new call; one that must not run twice is claimed in the table first."""
         request = call.request
-        target = request.target
-        fingerprint = compute_fingerprint(target, call.body)
-        request = evolve(request, fingerprint=fingerprint)
+        request = evolve(request, fingerprint=compute_fingerprint(request.target, call.body))
+        if not request.idempotent and request.idempotency_key:
+            refused = self.desk.check_new(request, time.monotonic())
+            if refused is not None:
+                return self._finish(call, Refusal(refused))
+            held = await self._claim(call)
+            if not isinstance(held, ClaimHeld):
+                return self._finish(call, held)
+            self.claims[request.request_id] = held.ask
         decision = self.desk.open_request(request, time.monotonic())
-        self._record_decision(call, decision)
-        return decision
+        return self._finish(call, await self._resolve_solo(decision))
 
     async def end_attempt(
         self, call: Call, result: AttemptResult, answer: WholeAnswer | None = None
     ) -> Dispatch | Refusal | None:
         """Decide on what follows an attempt; None: the request is answered."""
+        self._record_attempt(result)
         decision = self.desk.end_attempt(result, time.monotonic())
+        decision = await self._resolve_solo(decision)
+        if isinstance(decision, Dispatch):
+            await asyncio.sleep(self.desk.compute_pause(decision.attempt))
+        return self._finish(call, decision, answer, result)
+
+    async def _claim(self, call: Call) -> ClaimHeld | Refusal | WholeAnswer:
+        request = call.request
+        digest = compute_digest(f"{call.method} {request.target} {call.path}", call.body)
+        instance = self.settings.instance.name
+        ask = make_ask(request, digest, instance, self.incarnation, uuid.uuid4().hex)
+        claimed = await claim(self.table, self.settlements, ask, self.is_gone, RETRY_AFTER_CLAIM_S)
+        if isinstance(claimed, ClaimHeld):
+            return claimed
+        if isinstance(claimed, ClaimReplay):
+            return _make_whole(claimed.answer)
+        return Refusal(claimed.error)
+
+    async def _resolve_solo(
+        self, decision: Dispatch | Refusal | SoloNeeded | AttemptOpen | None
+    ) -> Dispatch | Refusal | None:
+        """Claim the right to a solo run where one is needed."""
+        if isinstance(decision, AttemptOpen):
+            return None
+        if not isinstance(decision, SoloNeeded):
+            return decision
+        view = self.desk.suspects.view
+        holder = make_holder(
+            view.find_entry(decision.fingerprint),
+            self.settings.instance.name,
+            self.incarnation,
+            uuid.uuid4().hex,
+        )
+        run = await claim_solo(self.table, view, holder, self.is_gone, time.monotonic())
+        following = self.desk.resume_solo(decision.request_id, run is not None, time.monotonic())
+        if run is not None and isinstance(following, Dispatch):
+            self.solos[decision.request_id] = run
+        elif run is not None:
+            self.tell_end(release_solo(self.table, view, self.solo_runs, run))
+        return None if isinstance(following, AttemptOpen) else following
+
+    def _finish(
+        self,
+        call: Call,
+        decision: Dispatch | Refusal | WholeAnswer | None,
+        answer: WholeAnswer | None = None,
+        result: AttemptResult | None = None,
+    ) -> Dispatch | Refusal | WholeAnswer | None:
+        """Record a decision, and tell the table of the end where it must know."""
+        self._record_decision(call, decision)
+        if isinstance(decision, Dispatch):
+            return decision
+        request_id = call.request.request_id
+        ask = self.claims.pop(request_id, None)
+        if ask is not None:
+            settlement = _make_settlement(ask, decision, answer, result)
+            self.tell_end(settle(self.table, self.settlements, settlement))
+        run = self.solos.pop(request_id, None)
+        if run is not None:
+            view = self.desk.suspects.view
+            self.tell_end(release_solo(self.table, view, self.solo_runs, run))
+        return decision
+
+    def tell_end(self, word: Coroutine[Any, Any, Any]) -> None:
+        """Tell the table of an end in the background, counted so that a drain waits for it."""
+        self.ending += 1
+        task = self.loop.create_task(word)
+        task.add_done_callback(self._count_end)
+
+    def _count_end(self, task: asyncio.Task) -> None:
+        self.ending -= 1
+        task.result()
+
+    def _record_attempt(self, result: AttemptResult) -> None:
+        self.metrics.attempts.inc({"end": result.end.value})
+        self.metrics.tokens.add({}, result.tokens)
         self.timeline.record(
             "attempt_ended",
             request=result.request_id,
@@ -87,27 +201,48 @@
             end=result.end.value,
             tokens=result.tokens,
         )
-        if decision is not None:
-            self._record_decision(call, decision)
-        return decision
 
-    def _record_decision(self, call: Call, decision: Dispatch | Refusal) -> None:
+    def _record_decision(
+        self, call: Call, decision: Dispatch | Refusal | WholeAnswer | None
+    ) -> None:
         request = call.request
+        fields = {"request": request.request_id, "target": request.target}
+        if request.model:
+            fields["model"] = request.model
         if isinstance(decision, Dispatch):
-            self.timeline.record(
-                "dispatched",
-                request=request.request_id,
-                model=request.model,
-                target=request.target,
-                backend_server=decision.backend_server,
-                attempt=decision.attempt,
-            )
+            server, attempt = decision.backend_server, decision.attempt
+            self.timeline.record("dispatched", backend_server=server, attempt=attempt, **fields)
             return
-        self.timeline.record(
-            "refused",
-            request=request.request_id,
-            model=request.model,
-            target=request.target,
-            code=decision.error.code,
-            outcome=decision.error.outcome.value,
-        )
+        outcome = "done"
+        if isinstance(decision, Refusal):
+            outcome = decision.error.outcome.value
+            fields["code"] = decision.error.code
+        self.metrics.requests.inc({"outcome": outcome})
+        self.timeline.record("answered", outcome=outcome, **fields)
+
+
+def _make_settlement(
+    ask: ClaimAsk,
+    decision: Refusal | WholeAnswer | None,
+    answer: WholeAnswer | None,
+    result: AttemptResult | None,
+) -> Settlement:
+    """Describe the end of a claimed request as the table should keep it.
+
+    A stream is not kept, so a re-send of one that ended whole is told that it was done.
+    """
+    if isinstance(decision, Refusal):
+        not_run = decision.error.outcome is Outcome.NOT_RUN
+        return Settlement(ask, ClaimState.NOT_RUN if not_run else ClaimState.UNKNOWN)
+    if answer is not None:
+        headers = (("Content-Type", answer.content_type),)
+        return Settlement(ask, ClaimState.DONE, make_answer(answer.status, headers, answer.body))
+    if result is not None and result.end is AttemptEnd.DONE:
+        return Settlement(ask, ClaimState.DONE, StoredAnswer(result.status, body_kept=False))
+    return Settlement(ask, ClaimState.UNKNOWN)
+
+
+def _make_whole(stored: StoredAnswer) -> WholeAnswer:
+    headers = {name.lower(): value for name, value in stored.headers}
+    content_type = headers.get("content-type", JSON_TYPE)
+    return WholeAnswer(stored.status, content_type, read_body(stored))
--- /dev/null
+++ b/rhubarbshed/transport/instance.py
@@ -0,0 +1,147 @@
+"""Life of one instance: start, work, drain, stop."""
+
+import asyncio
+import logging
+import signal
+import time
+from collections.abc import Coroutine, Iterable
+from typing import Any
+
+from attrs import define
+from returns.result import Failure
+
+from rhubarbshed.coordination.drain import DrainPhase
+from rhubarbshed.protocol.peers import LeavingNotice, LeavingSubject
+from rhubarbshed.transport.admin import make_operator_desk
+from rhubarbshed.transport.loops import (
+    follow_catalogue,
+    read_list,
+    read_reports,
+    repeat,
+    restore_catalogue,
+    settle_ends,
+)
+from rhubarbshed.transport.operators import make_operator_handler
+from rhubarbshed.transport.runtime import Runtime
+from rhubarbshed.util.logs import log_event
+from rhubarbshed.util.settings import Settings
+
+LOG = logging.getLogger(__name__)
+EXIT_OK = 0
+EXIT_START_FAILED = 1
+EXIT_CUT_OFF = 3
+SWEEP_INTERVAL_S = 0.25
+SETTLE_INTERVAL_S = 1.0
+DRAIN_POLL_S = 0.05
+LAG_INTERVAL_S = 0.1
+
+
+@define
+class Stop:
+    """Count the signals to stop."""
+
+    asked: asyncio.Event
+    at_once: asyncio.Event
+
+    def ask(self) -> None:
+        """Take a signal: the first one drains, a second one stops at once."""
+        if self.asked.is_set():
+            self.at_once.set()
+        self.asked.set()
+
+
+async def run_instance(settings: Settings, signals: Iterable[signal.Signals]) -> int:
+    """Run an instance until it is asked to stop; return the exit code."""
+    loop = asyncio.get_running_loop()
+    runtime = Runtime.from_settings(settings, loop)
+    stop = Stop(asyncio.Event(), asyncio.Event())
+    for number in signals:
+        loop.add_signal_handler(number, stop.ask)
+    await runtime.network.start()
+    await restore_catalogue(runtime)
+    start_tasks(runtime)
+    desk = make_operator_desk(runtime, stop.ask)
+    started = runtime.start_sites(make_operator_handler(desk, settings.secrets.operator_token))
+    if isinstance(started, Failure):
+        log_event(LOG, logging.ERROR, "start_failed", reason=started.failure())
+        return EXIT_START_FAILED
+    log_event(LOG, logging.INFO, "started", instance=settings.instance.name)
+    await stop.asked.wait()
+    code = await drain(runtime, stop)
+    await close(runtime)
+    return code
+
+
+def start_tasks(runtime: Runtime) -> None:
+    """Start all recurring work."""
+    settings = runtime.settings
+    platform = settings.platform
+    spawn(runtime, repeat(runtime, platform.list_poll_s, read_list))
+    spawn(runtime, follow_catalogue(runtime))
+    spawn(runtime, repeat(runtime, settings.routing.report_poll_s, read_reports))
+    spawn(runtime, repeat(runtime, SETTLE_INTERVAL_S, settle_ends))
+    spawn(runtime, sweep(runtime))
+    spawn(runtime, measure_lag(runtime))
+
+
+def spawn(runtime: Runtime, work: Coroutine[Any, Any, Any]) -> None:
+    """Start a task; a task that fails by a broken invariant stops the process."""
+    task = runtime.loop.create_task(work)
+    task.add_done_callback(_stop_on_defect)
+    runtime.tasks.append(task)
+
+
+def _stop_on_defect(task: asyncio.Task) -> None:
+    if task.cancelled() or task.exception() is None:
+        return
+    LOG.critical("event=defect", exc_info=task.exception())
+    signal.raise_signal(signal.SIGTERM)
+
+
+async def sweep(runtime: Runtime) -> None:
+    """Keep standings and gauges up to date."""
+    while True:
+        runtime.apply_membership()
+        runtime.desk.tick(time.monotonic())
+        runtime.metrics.open_requests.set({}, len(runtime.desk.list_open()))
+        await asyncio.sleep(SWEEP_INTERVAL_S)
+
+
+async def measure_lag(runtime: Runtime) -> None:
+    """Measure how late the loop's timers are, since leases depend on them."""
+    while True:
+        due = time.monotonic() + LAG_INTERVAL_S
+        await asyncio.sleep(LAG_INTERVAL_S)
+        runtime.metrics.loop_lag.observe({}, max(0.0, time.monotonic() - due))
+
+
+async def drain(runtime: Runtime, stop: Stop) -> int:
+    """Announce the stop, finish what is in progress, and return the exit code."""
+    now = time.monotonic()
+    name = runtime.settings.instance.name
+    runtime.desk.drain.start(now)
+    runtime.timeline.record("drain_started", instance=name)
+    log_event(LOG, logging.INFO, "drain_started", open_requests=len(runtime.desk.list_open()))
+    runtime.membership.apply_leaving(name, runtime.incarnation, name)
+    subject = LeavingSubject(name, runtime.incarnation)
+    runtime.network.publish(LeavingNotice(instances=(subject,)))
+    while not stop.at_once.is_set():
+        count = runtime.count_open()
+        if runtime.desk.drain.find_phase(count, time.monotonic()) is DrainPhase.DUE:
+            break
+        await asyncio.sleep(DRAIN_POLL_S)
+    count = runtime.count_open()
+    log_event(LOG, logging.INFO, "drain_ended", cut_off=count)
+    return EXIT_CUT_OFF if count else EXIT_OK
+
+
+async def close(runtime: Runtime) -> None:
+    """End all tasks, connections and sites."""
+    for task in runtime.tasks:
+        task.cancel()
+    await asyncio.gather(*runtime.tasks, return_exceptions=True)
+    await runtime.network.stop()
+    for site in runtime.sites:
+        await runtime.loop.run_in_executor(runtime.control, site.stop)
+    runtime.control.shutdown(wait=False, cancel_futures=True)
+    runtime.orders.shutdown(wait=False, cancel_futures=True)
--- /dev/null
+++ b/rhubarbshed/transport/loops.py
@@ -0,0 +1,150 @@
+"""Recurring work of an instance: reads of the platform and of load reports."""
+
+import asyncio
+import logging
+import time
+from collections.abc import Awaitable, Callable
+
+from returns.result import Failure, Result, Success
+
+from rhubarbshed.coordination.catalogues import load_snapshot, refresh_catalogue, store_snapshot
+from rhubarbshed.coordination.membership import (
+    list_backend_servers,
+    list_instances,
+)
+from rhubarbshed.coordination.settlement import settle_pending
+from rhubarbshed.coordination.solo import release_pending
+from rhubarbshed.protocol.members import BackendKind, BackendServerInfo
+from rhubarbshed.protocol.peers import CatalogueHint
+from rhubarbshed.transport.engines import fetch_service_report
+from rhubarbshed.transport.runtime import USED, Runtime
+from rhubarbshed.util.logs import log_event
+from rhubarbshed.util.rendezvous import rank_by_rendezvous
+
+LOG = logging.getLogger(__name__)
+JITTER = (0.8, 1.1)
+BACKOFF_FACTOR = 2.0
+
+Step = Callable[[Runtime], Awaitable[Result]]
+
+
+async def repeat(runtime: Runtime, interval_s: float, step: Step) -> None:
+    """Repeat a step; after failures wait longer each time, with jitter, up to a bound."""
+    pause_s = 0.0
+    while True:
+        result = await step(runtime)
+        pause_s = choose_pause(runtime, pause_s, isinstance(result, Success))
+        await asyncio.sleep((pause_s or interval_s) * runtime.chance.uniform(*JITTER))
+
+
+def choose_pause(runtime: Runtime, pause_s: float, succeeded: bool) -> float:
+    """Choose the pause after a step: none of its own after success, else doubled to a bound."""
+    platform = runtime.settings.platform
+    if succeeded:
+        return 0.0
+    longer = max(platform.backoff_first_s, pause_s * BACKOFF_FACTOR)
+    return min(platform.backoff_longest_s, longer)
+
+
+async def read_list(runtime: Runtime) -> Result[None, object]:
+    """Read the platform's list and apply it."""
+    fetched = await runtime.run_control(runtime.platform.fetch)
+    if isinstance(fetched, Failure):
+        runtime.metrics.platform_errors.inc({"call": "list"})
+        return fetched
+    runtime.membership.apply_list(fetched.unwrap(), time.monotonic())
+    runtime.apply_membership()
+    return Success(None)
+
+
+async def read_catalogue(runtime: Runtime) -> Result[None, object]:
+    """Read the catalogue's changes, tell peers, and keep a snapshot of it."""
+    refreshed = await refresh_catalogue(runtime.access, runtime.catalogue)
+    runtime.platform_up = isinstance(refreshed, Success)
+    if isinstance(refreshed, Failure):
+        runtime.metrics.platform_errors.inc({"call": "catalogue"})
+        return refreshed
+    changed = refreshed.unwrap()
+    if changed:
+        catalogue = runtime.catalogue
+        runtime.note_catalogue_change(len(changed), "the table")
+        runtime.network.publish(CatalogueHint(catalogue.revision, catalogue.head))
+        if is_snapshot_writer(runtime):
+            await store_snapshot(runtime.access, runtime.objects, catalogue)
+    return Success(None)
+
+
+async def follow_catalogue(runtime: Runtime) -> None:
+    """Read the catalogue's changes at intervals, and at once after a hint."""
+    platform = runtime.settings.platform
+    pause_s = 0.0
+    while True:
+        runtime.catalogue_wakeup.clear()
+        result = await read_catalogue(runtime)
+        pause_s = choose_pause(runtime, pause_s, isinstance(result, Success))
+        wait_s = pause_s or platform.catalogue_poll_s
+        try:
+            async with asyncio.timeout(wait_s * runtime.chance.uniform(*JITTER)):
+                await runtime.catalogue_wakeup.wait()
+        except TimeoutError:
+            continue
+
+
+def is_snapshot_writer(runtime: Runtime) -> bool:
+    """Tell whether this instance keeps the snapshot; two at a time do no harm."""
+    names = [info.name for info in list_instances(runtime.membership, time.monotonic())]
+    return rank_by_rendezvous("snapshot", names)[:1] == [runtime.membership.name]
+
+
+async def restore_catalogue(runtime: Runtime) -> None:
+    """Start from the snapshot, so that an instance serves while the table service is down."""
+    restored = await load_snapshot(runtime.access, runtime.objects, runtime.catalogue)
+    if isinstance(restored, Success) and restored.unwrap():
+        log_event(LOG, logging.INFO, "snapshot_restored", ticket=runtime.catalogue.head)
+
+
+def list_reported_servers(runtime: Runtime) -> list[BackendServerInfo]:
+    """List the backend servers whose load this instance reads for its data centre.
+
+    The choice needs no agreement: two readers at a time only cost a few messages more.
+    """
+    now = time.monotonic()
+    centre = runtime.settings.instance.data_centre
+    names = [info.name for info in list_instances(runtime.membership, now, data_centre=centre)]
+    servers = list_backend_servers(runtime.membership, now, *USED, data_centre=centre)
+    own = runtime.membership.name
+    return [info for info in servers if rank_by_rendezvous(info.name, names)[:1] == [own]]
+
+
+async def read_reports(runtime: Runtime) -> Result[None, object]:
+    """Read the load reports that this instance reads for its data centre."""
+    servers = list_reported_servers(runtime)
+    runtime.reported = tuple(info.name for info in servers)
+    await asyncio.gather(*(_read_report(runtime, info) for info in servers))
+    return Success(None)
+
+
+async def _read_report(runtime: Runtime, info: BackendServerInfo) -> None:
+    server = runtime.load.servers.get(info.name)
+    if server is None:
+        return
+    if info.kind is BackendKind.SERVICE:
+        fetched = await runtime.run_control(fetch_service_report, runtime.http, info)
+    else:
+        sequence = server.prefixes.sequence
+        fetched = await runtime.run_control(runtime.engines.fetch_report, info, sequence)
+    now = time.monotonic()
+    if isinstance(fetched, Failure):
+        runtime.membership.observe_failure(info.name, now)
+        return
+    runtime.membership.hear(info.name, now)
+    runtime.desk.apply_report(fetched.unwrap(), now)
+
+
+async def settle_ends(runtime: Runtime) -> Result[None, object]:
+    """Tell the table the ends of requests that it could not take before."""
+    gateway = runtime.gateway
+    await settle_pending(gateway.table, gateway.settlements)
+    await release_pending(gateway.table, runtime.desk.suspects.view, gateway.solo_runs)
+    waiting = len(gateway.settlements.pending) + len(gateway.solo_runs.ended)
+    return Failure(waiting) if waiting else Success(None)
--- /dev/null
+++ b/rhubarbshed/transport/metrics.py
@@ -0,0 +1,63 @@
+"""Metrics of an instance, kept by aioprometheus and rendered for operators."""
+
+from aioprometheus import Counter, Gauge, Histogram, Registry
+from aioprometheus.formats.text import TextFormatter
+from attrs import define, field
+
+FIRST_TOKEN_BUCKETS_S = [0.05, 0.1, 0.2, 0.45, 0.9, 1.8, 3.6, 10.0, 30.0]
+LAG_BUCKETS_S = [0.001, 0.005, 0.01, 0.02, 0.05, 0.1, 0.5, 1.0]
+
+
+@define
+class Metrics:
+    """Hold all metrics; they change on the loop only."""
+
+    registry: Registry
+    requests: Counter
+    attempts: Counter
+    first_token: Histogram
+    open_requests: Gauge
+    tokens: Counter
+    loop_lag: Histogram
+    ticket: Gauge
+    owned: Gauge
+    moves: Counter
+    platform_errors: Counter
+    _formatter: TextFormatter = field(factory=TextFormatter)
+
+    @classmethod
+    def from_instance(cls, instance: str) -> "Metrics":
+        """Make the metrics of an instance, each with its name as a label."""
+        registry = Registry()
+        labels = {"instance": instance}
+
+        def count(name: str, doc: str) -> Counter:
+            return Counter(f"rhubarbshed_{name}", doc, const_labels=labels, registry=registry)
+
+        def gauge(name: str, doc: str) -> Gauge:
+            return Gauge(f"rhubarbshed_{name}", doc, const_labels=labels, registry=registry)
+
+        def spread(name: str, doc: str, buckets: list[float]) -> Histogram:
+            return Histogram(
+                f"rhubarbshed_{name}", doc, const_labels=labels, registry=registry, buckets=buckets
+            )
+
+        return cls(
+            registry=registry,
+            requests=count("requests_total", "Requests answered, by kind and outcome."),
+            attempts=count("attempts_total", "Attempts at backend servers, by end."),
+            first_token=spread(
+                "first_token_seconds", "Time from arrival to first token.", FIRST_TOKEN_BUCKETS_S
+            ),
+            open_requests=gauge("open_requests", "Requests in progress."),
+            tokens=count("tokens_total", "Tokens passed to callers."),
+            loop_lag=spread("loop_lag_seconds", "Lateness of the loop's timers.", LAG_BUCKETS_S),
+            ticket=gauge("ticket_number", "Highest ticket in force here."),
+            owned=gauge("owned_backend_servers", "Backend servers owned by this instance."),
+            moves=count("moves_total", "Loads, unloads and role changes ordered, by kind."),
+            platform_errors=count("platform_errors_total", "Failed calls to the platform."),
+        )
+
+    def render(self) -> bytes:
+        """Return all metrics in the text format of Prometheus."""
+        return self._formatter.marshall(self.registry)
--- a/rhubarbshed/transport/peers.py
+++ b/rhubarbshed/transport/peers.py
@@ -90,7 +90,7 @@
     refuse: Collection[str] = ()
     read_now: Callable[[], float] = time.monotonic
     read_wall: Callable[[], int] = read_wall_ms
-    random: random.Random = Factory(random.Random)
+    rng: random.Random = Factory(random.Random)
     links: dict[str, Link] = Factory(dict)
     topology: Topology = Topology((), (), False)
     notices: NoticeFilter = field(default=Factory(lambda: NoticeFilter("")))
@@ -195,7 +195,7 @@
     async def _run(self) -> None:
         while True:
             self.step(self.read_now())
-            jitter = self.random.uniform(0.9, 1.1)
+            jitter = self.rng.uniform(0.9, 1.1)
             await asyncio.sleep(self.settings.heartbeat_s / 4 * jitter)
 
     def _beat(self, now: float) -> None:
@@ -251,7 +251,7 @@
             return
         doubled = min(BACKOFF_LONGEST_S, max(BACKOFF_FIRST_S, backoff.pause_s * 2))
         backoff.pause_s = doubled
-        backoff.until = now + doubled * self.random.uniform(0.5, 1.0)
+        backoff.until = now + doubled * self.rng.uniform(0.5, 1.0)
         self.dialing.add(info.name)
         self._spawn(self._dial(info))
 
--- /dev/null
+++ b/rhubarbshed/transport/runtime.py
@@ -0,0 +1,230 @@
+"""One instance at work: its collaborators, wired from settings."""
+
+import asyncio
+import functools
+import logging
+import random
+import time
+import uuid
+from collections.abc import Awaitable, Callable
+from concurrent.futures import ThreadPoolExecutor
+from typing import Any
+
+from attrs import define, field
+from returns.result import Result
+
+from rhubarbshed.coordination.commits import CommitBatcher
+from rhubarbshed.coordination.desk import Desk
+from rhubarbshed.coordination.membership import get_standing, list_backend_servers
+from rhubarbshed.coordination.transactions import TableAccess
+from rhubarbshed.protocol.members import Standing
+from rhubarbshed.protocol.platform import EngineClient, ListClient, ObjectClient
+from rhubarbshed.state.catalogue import Catalogue
+from rhubarbshed.state.load import LoadView
+from rhubarbshed.state.membership import Membership
+from rhubarbshed.state.timeline import Timeline
+from rhubarbshed.transport.callers import SPARE_THREADS, Places, make_caller_handler
+from rhubarbshed.transport.connections import Connections
+from rhubarbshed.transport.engines import make_engine_client
+from rhubarbshed.transport.exchange import (
+    PeerExchange,
+    collect_digests,
+    greet_peer,
+    make_heartbeat,
+    take_frame,
+)
+from rhubarbshed.transport.gateway import Gateway
+from rhubarbshed.transport.http import HttpClient
+from rhubarbshed.transport.metrics import Metrics
+from rhubarbshed.transport.objects import make_object_client
+from rhubarbshed.transport.peers import PeerNetwork
+from rhubarbshed.transport.platform import make_list_client
+from rhubarbshed.transport.sites import Site, SiteLimits
+from rhubarbshed.transport.table import make_table_client
+from rhubarbshed.transport.upstream import Carrier
+from rhubarbshed.util.logs import log_event
+from rhubarbshed.util.settings import Settings
+
+LOG = logging.getLogger(__name__)
+USED = (Standing.LIVE, Standing.LEAVING, Standing.SUSPECTED)
+
+# Threads that wait for the platform and for reports, and threads that wait for orders.
+CONTROL_THREADS = 16
+ORDER_THREADS = 16
+OPERATOR_THREADS = 8
+OPERATOR_BODY_BYTES_MAX = 4 * 1024 * 1024
+
+
+@define
+class Runtime:
+    """Hold the collaborators of one instance; all but the sites live on the loop."""
+
+    settings: Settings
+    incarnation: str
+    loop: asyncio.AbstractEventLoop
+    http: HttpClient
+    access: TableAccess
+    objects: ObjectClient
+    platform: ListClient
+    engines: EngineClient
+    membership: Membership
+    load: LoadView
+    catalogue: Catalogue
+    timeline: Timeline
+    metrics: Metrics
+    desk: Desk
+    chance: random.Random
+    control: ThreadPoolExecutor
+    orders: ThreadPoolExecutor
+    gateway: Gateway = field(init=False)
+    network: PeerNetwork = field(init=False)
+    places: Places = field(init=False)
+    exchange: PeerExchange = field(factory=PeerExchange)
+    catalogue_wakeup: asyncio.Event = field(factory=asyncio.Event)
+    reported: tuple[str, ...] = ()
+    platform_up: bool = True
+    tasks: list[asyncio.Task] = field(factory=list)
+    sites: list[Site] = field(factory=list)
+
+    @classmethod
+    def from_settings(cls, settings: Settings, loop: asyncio.AbstractEventLoop) -> "Runtime":
+        """Make an instance that does nothing yet."""
+        incarnation = uuid.uuid4().hex[:12]
+        platform = settings.platform
+        credential = settings.secrets.platform_credential
+        http = HttpClient.from_config(settings.instance.name, platform.timeout_s, credential)
+        control = ThreadPoolExecutor(CONTROL_THREADS, "control")
+        chance = random.Random(f"{settings.routing.seed}/{settings.instance.name}")
+        table = make_table_client(http, platform.table_url)
+        catalogue = Catalogue()
+        load = LoadView()
+        runtime = cls(
+            settings=settings,
+            incarnation=incarnation,
+            loop=loop,
+            http=http,
+            access=TableAccess(table, make_runner(loop, control), chance),
+            objects=make_object_client(http, platform.object_store_url),
+            platform=make_list_client(http, platform.list_url),
+            engines=make_engine_client(http),
+            membership=Membership.from_settings(settings, incarnation, time.monotonic()),
+            load=load,
+            catalogue=catalogue,
+            timeline=Timeline.from_settings(settings),
+            metrics=Metrics.from_instance(settings.instance.name),
+            desk=Desk.from_settings(
+                settings,
+                catalogue.get_model,
+                catalogue.get_adapter,
+                catalogue.get_service,
+                load,
+            ),
+            chance=chance,
+            control=control,
+            orders=ThreadPoolExecutor(ORDER_THREADS, "orders"),
+        )
+        runtime.places = Places(settings.callers.threads)
+        runtime.gateway = runtime._make_gateway()
+        runtime.network = runtime._make_network()
+        return runtime
+
+    def _make_gateway(self) -> Gateway:
+        return Gateway(
+            settings=self.settings,
+            incarnation=self.incarnation,
+            loop=self.loop,
+            desk=self.desk,
+            catalogue=self.catalogue,
+            timeline=self.timeline,
+            metrics=self.metrics,
+            table=CommitBatcher(self.access.table, self.access.runner),
+            is_gone=self.is_gone,
+        )
+
+    def is_gone(self, instance: str, incarnation: str) -> bool:
+        """Tell whether a run of an instance has ended."""
+        known = self.membership.instances.get(instance)
+        if known is not None and known.incarnation not in ("", incarnation):
+            return incarnation in self.membership.past_incarnations.get(instance, ())
+        return get_standing(self.membership, instance, time.monotonic()) is Standing.GONE
+
+    def _make_network(self) -> PeerNetwork:
+        return PeerNetwork.from_settings(
+            self.settings,
+            self.membership,
+            self.timeline.clock,
+            on_frame=functools.partial(take_frame, self),
+            make_heartbeat=functools.partial(make_heartbeat, self),
+            on_connect=functools.partial(greet_peer, self),
+            collect=functools.partial(collect_digests, self),
+            rng=self.chance,
+        )
+
+    def apply_membership(self) -> None:
+        """Pass what is believed of backend servers on to the view of their load."""
+        now = time.monotonic()
+        self.load.set_servers(list_backend_servers(self.membership, now, *USED))
+        for name in self.load.servers:
+            self.load.set_standing(name, get_standing(self.membership, name, now), now)
+
+    def note_catalogue_change(self, count: int, source: str) -> None:
+        """Record that objects of the catalogue have changed here."""
+        head = self.catalogue.head
+        self.timeline.record("ticket_in_force", ticket=head, objects=count, source=source)
+        self.metrics.ticket.set({}, head)
+        log_event(LOG, logging.INFO, "ticket_in_force", ticket=head, objects=count, source=source)
+
+    def count_open(self) -> int:
+        """Return the number of requests whose answer or end is not yet told."""
+        return self.places.taken + self.gateway.ending
+
+    async def run_control(self, call: Callable[..., Any], *args: Any) -> Any:
+        """Run a blocking call off the loop."""
+        return await self.loop.run_in_executor(self.control, functools.partial(call, *args))
+
+    async def run_order(self, call: Callable[..., Any], *args: Any) -> Any:
+        """Run a call that may block for long off the loop."""
+        return await self.loop.run_in_executor(self.orders, functools.partial(call, *args))
+
+    def start_sites(self, operator_handler: Callable[..., Any]) -> Result[None, str]:
+        """Listen for callers and operators."""
+        callers = self._make_caller_site()
+        operators = self._make_operator_site(operator_handler)
+        self.sites = [callers, operators]
+        return operators.start().bind(lambda _: callers.start())
+
+    def _make_caller_site(self) -> Site:
+        limits = self.settings.callers
+        instance = self.settings.instance
+        connections = Connections(self.settings.routing.connection_age_max_s)
+        carrier = Carrier(connections, instance.name, limits.answer_bytes_max)
+        site_limits = SiteLimits(
+            threads=limits.threads + SPARE_THREADS,
+            body_bytes_max=limits.body_bytes_max,
+            header_bytes_max=limits.header_bytes_max,
+            socket_timeout_s=limits.socket_timeout_s,
+        )
+        handler = make_caller_handler(self.gateway, carrier, self.places)
+        return Site.from_config(handler, instance.host, instance.caller_port, site_limits)
+
+    def _make_operator_site(self, handler: Callable[..., Any]) -> Site:
+        limits = self.settings.callers
+        site_limits = SiteLimits(
+            threads=OPERATOR_THREADS,
+            body_bytes_max=OPERATOR_BODY_BYTES_MAX,
+            header_bytes_max=limits.header_bytes_max,
+            socket_timeout_s=limits.socket_timeout_s,
+        )
+        instance = self.settings.instance
+        return Site.from_config(handler, instance.host, instance.operator_port, site_limits)
+
+
+def make_runner(
+    loop: asyncio.AbstractEventLoop, executor: ThreadPoolExecutor
+) -> Callable[..., Awaitable[Any]]:
+    """Make a function that runs a blocking call on an executor's thread."""
+
+    def run(call: Callable[..., Any], *args: Any) -> Awaitable[Any]:
+        return loop.run_in_executor(executor, functools.partial(call, *args))
+
+    return run
--- a/rhubarbshed/transport/sites.py
+++ b/rhubarbshed/transport/sites.py
@@ -112,7 +112,9 @@
 
 
 def _refuse_large(bytes_max: int) -> RequestError:
-    return RequestError(413, "too_large", f"the body is larger than {bytes_max} bytes", field="body")
+    return RequestError(
+        413, "too_large", f"the body is larger than {bytes_max} bytes", field="body"
+    )
 
 
 def answer(status: int, headers: dict[str, str], body: bytes) -> bytes:
--- a/rhubarbshed/transport/upstream.py
+++ b/rhubarbshed/transport/upstream.py
@@ -57,7 +57,7 @@
             end=end,
             at=now,
             status=self.status,
-            tokens=self.offset,
+            tokens=self.offset - self.dispatch.resume_offset,
             first_token_at=self.first_token_at,
             retry_after_s=self.retry_after_s,
         )
--- a/rhubarbshed/ui/ticket.py
+++ b/rhubarbshed/ui/ticket.py
@@ -12,9 +12,7 @@
 
 
 @ticket_app.command("apply")
-def apply(
-    file: str, as_json: bool = typer.Option(False, "--json", help="Print JSON.")
-) -> None:
+def apply(file: str, as_json: bool = typer.Option(False, "--json", help="Print JSON.")) -> None:
     """Apply the ticket in a JSON file; asked again, the answer is the same."""
     try:
         body = Path(file).read_bytes()
--- a/rhubarbshed/util/logs.py
+++ b/rhubarbshed/util/logs.py
@@ -55,7 +55,7 @@
         if fields is not None:
             pairs += [("event", message), *fields.items()]
         elif message.startswith("event="):
-            return " ".join((format_pairs(pairs), *message.split("\n")))
+            pairs += parse_pairs(message)
         else:
             pairs += [("event", "message"), ("message", message)]
         if record.exc_info:
--- /dev/null
+++ b/tools/demo.py
@@ -0,0 +1,153 @@
+"""Demonstrate a request's whole way over separate processes."""
+
+import sys
+import time
+
+import urllib3
+
+from tools.fleet import GIB, Fleet, ask, post
+from tools.processes import wait_until
+
+READY_TIMEOUT_S = 30.0
+MODELS = ("sermon-summary", "scripture-index", "draft-declaration")
+TICKET = {
+    "number": 1,
+    "note": "first models and the records service",
+    "objects": [
+        *(
+            {"kind": "model", "name": name, "version": "1", "memory_bytes": 8 * GIB}
+            for name in MODELS
+        ),
+        {
+            "kind": "adapter",
+            "name": "kamloops-style",
+            "model": "sermon-summary",
+            "version": "1",
+            "memory_bytes": GIB // 8,
+        },
+        {"kind": "service", "name": "records", "backend_servers": ["records-1"]},
+    ],
+}
+
+
+def main() -> int:
+    """Run the demonstration; return 0 when all went as it should."""
+    fleet = Fleet.from_options("[shutdown]\nannounce_s = 0.5\n")
+    try:
+        fill_fleet(fleet)
+        ok = show(fleet)
+    except Exception:
+        for instance in fleet.instances.values():
+            print(f"log of {instance.name}:\n{instance.process.read_log()}")
+        raise
+    finally:
+        codes = fleet.stop()
+    print(f"instances stopped with exit codes {codes}")
+    return 0 if ok and set(codes) == {0} else 1
+
+
+def fill_fleet(fleet: Fleet) -> None:
+    """Start three instances, three engines and a service in two data centres."""
+    weights = ("--weights-url", fleet.weights.url)
+    fleet.add_engine("engine-1", "dc-1", *weights)
+    fleet.add_engine("engine-2", "dc-2", *weights)
+    fleet.add_engine("engine-3", "dc-2", *weights)
+    fleet.add_service("records-1", "dc-1")
+    for name, data_centre in (("a", "dc-1"), ("b", "dc-1"), ("c", "dc-2")):
+        fleet.add_instance(name, data_centre)
+
+
+def show(fleet: Fleet) -> bool:
+    """Apply a ticket, send requests of each kind, and print what came back."""
+    load_directly(fleet, "engine-1", "sermon-summary")
+    load_directly(fleet, "engine-2", "scripture-index")
+    load_directly(fleet, "engine-3", "draft-declaration")
+    checks = [
+        show_ticket(fleet),
+        show_stream(fleet),
+        show_plain(fleet),
+        show_filing(fleet),
+    ]
+    show_moves(fleet)
+    return all(checks)
+
+
+def show_ticket(fleet: Fleet) -> bool:
+    """Apply the ticket through one instance and wait for all models."""
+    status, receipt = fleet.ask_operator("a", "POST", "/tickets", TICKET)
+    print(f"ticket 1: status {status}, {receipt}")
+    started = time.monotonic()
+
+    def all_resident() -> bool:
+        rows = fleet.ask_operator("c", "GET", "/models")[1]
+        return len(rows) == len(MODELS) and all(row["copies"] for row in rows)
+
+    resident = wait_until(all_resident, READY_TIMEOUT_S)
+    print(f"all models resident, as seen by c: {resident}, {time.monotonic() - started:.1f} s")
+    return status == 200 and resident
+
+
+def show_stream(fleet: Fleet) -> bool:
+    """Send a streamed request and print the time line of its way."""
+    body = {
+        "model": "sermon-summary",
+        "messages": [{"role": "user", "content": "Summarise Sunday's sermon, please."}],
+        "max_tokens": 8,
+        "stream": True,
+    }
+    url = fleet.instances["b"].url + "/v1/chat/completions"
+    response = urllib3.request("POST", url, json=body, headers={"X-Caller": "pastor"})
+    text = response.data.decode()
+    print(f"streamed through b: status {response.status}\n{text.strip()}")
+    request_id = response.headers.get("X-Request-Id", "")
+    print(f"time line of request {request_id}:")
+    for event in fleet.ask_operator("b", "GET", f"/timeline?request={request_id}")[1]:
+        print("  ", event["stamp"]["wall_ms"], event["name"], dict(event["fields"]))
+    return response.status == 200 and text.rstrip().endswith("[DONE]")
+
+
+def show_plain(fleet: Fleet) -> bool:
+    """Send a request with a whole answer through an instance of the other data centre."""
+    body = {"model": "draft-declaration", "prompt": "Volumes of May", "max_tokens": 4}
+    status, answer = ask("POST", fleet.instances["c"].url + "/v1/completions", body)
+    print(f"plain through c: status {status}, {answer}")
+    return status == 200
+
+
+def show_filing(fleet: Fleet) -> bool:
+    """File twice with one idempotency key, through two instances; it runs once."""
+    headers = {"Idempotency-Key": "return-2026-11", "X-Caller": "brewery-7"}
+    filing = {"period": "2026-11", "litres": 1200}
+    answers = []
+    for name in ("a", "c"):
+        url = fleet.instances[name].url + "/services/records/filings"
+        answers.append(ask("POST", url, filing, headers))
+        print(f"filing through {name}: {answers[-1]}")
+    counters = ask("GET", fleet.backend_servers["records-1"].url + "/counters")[1]
+    print(f"counters of the service: {counters}")
+    return answers[0] == answers[1] and answers[0][0] == 200
+
+
+def show_moves(fleet: Fleet) -> None:
+    """Print the loads that engines counted."""
+    for name, process in fleet.backend_servers.items():
+        counters = ask("GET", process.url + "/counters")[1]
+        kept = {key: counters.get(key) for key in ("loads", "unloads", "overcommitted", "answers")}
+        print(f"{name}: {kept}")
+
+
+def load_directly(fleet: Fleet, server: str, model: str) -> None:
+    """Order an engine to load a model, without rhubarbshed."""
+    order = {
+        "order_id": f"{server}-{model}",
+        "kind": "load",
+        "fencing_token": 0,
+        "name": model,
+        "version": "1",
+        "memory_bytes": 8 * GIB,
+    }
+    post(f"{fleet.backend_servers[server].url}/control/orders", order)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
