Add write-ahead loads and unloads, and reconciliation

Cause: memory must never be overcommitted with late orders, lost answers and paused holders. Ruled out: freeing bytes because a report shows a load absent; an accepted load may still be under way. Only a confirmed order frees bytes.

--- /dev/null
+++ b/rhubarbshed/coordination/budgets.py
@@ -0,0 +1,211 @@
+"""Pure plans for changes of a ledger together with the floor's power and the weight store."""
+
+from collections.abc import Callable
+from typing import Any
+
+from attrs import frozen
+from returns.result import Failure, Result, Success
+
+from rhubarbshed.coordination.ownership import make_backend_key
+from rhubarbshed.coordination.transactions import Proposal, Rows
+from rhubarbshed.protocol.codec import to_plain
+from rhubarbshed.protocol.members import BackendServerInfo
+from rhubarbshed.protocol.tables import Write
+from rhubarbshed.state.floors import decode_floor, make_floor_key, set_power
+from rhubarbshed.state.leases import Holder
+from rhubarbshed.state.ledger import (
+    Entry,
+    Ledger,
+    LedgerError,
+    LedgerFault,
+    cancel_load,
+    decode_ledger,
+    encode_ledger,
+    reserve_load,
+    settle_load,
+    settle_unload,
+)
+from rhubarbshed.state.weights import (
+    WEIGHTS_KEY,
+    WeightGate,
+    WeightUse,
+    decode_use,
+    free_slot,
+    grant_slot,
+)
+
+SLOTS_RETRY_S = 0.5
+
+
+@frozen
+class Budget:
+    """Bound what a backend server and its data centre may hold; power 0: no limit."""
+
+    server: BackendServerInfo
+    memory_fill_max: float
+    power_watts_max: float
+
+    @property
+    def memory_bytes_max(self) -> int:
+        """Return the bytes that loads may reserve on the backend server."""
+        return int(self.server.memory_bytes * self.memory_fill_max)
+
+    def list_keys(self) -> tuple[str, ...]:
+        """List the rows of the backend server and, with a power limit, of its floor."""
+        keys = (make_backend_key(self.server.name),)
+        if self.power_watts_max > 0:
+            keys += (make_floor_key(self.server.data_centre),)
+        return keys
+
+
+@frozen
+class Tenure:
+    """Name the owner and the epoch that a change is made under."""
+
+    holder: Holder
+    epoch: int
+
+
+Change = Callable[[Ledger], Result[Ledger, LedgerError]]
+
+
+def plan_change(
+    rows: Rows, budget: Budget, tenure: Tenure, change: Change
+) -> Result[Proposal, LedgerError]:
+    """Plan a change of the ledger under a tenure; the floor's power follows it."""
+    row = rows.get(make_backend_key(budget.server.name))
+    ledger = decode_ledger(budget.server.name, row.value)
+    if ledger.owner != tenure.holder or ledger.epoch != tenure.epoch:
+        return Failure(LedgerError(LedgerFault.NOT_OWNER, ledger.owner.instance))
+    changed = change(ledger)
+    if isinstance(changed, Failure):
+        return changed
+    after = changed.unwrap()
+    if after == ledger:
+        return Success(Proposal(ledger))
+    write = Write(row.key, encode_ledger(after))
+    return _plan_power(rows, budget, ledger, after).map(
+        lambda power: Proposal(after, (write, *power))
+    )
+
+
+def _plan_power(
+    rows: Rows, budget: Budget, before: Ledger, after: Ledger
+) -> Result[tuple[Write, ...], LedgerError]:
+    if budget.power_watts_max <= 0 or before.power_watts == after.power_watts:
+        return Success(())
+    key = make_floor_key(budget.server.data_centre)
+    use = set_power(decode_floor(rows.get(key).value), budget.server.name, after.power_watts)
+    if after.power_watts > before.power_watts and use.power_watts > budget.power_watts_max:
+        text = f"{use.power_watts:g} watts of {budget.power_watts_max:g}"
+        return Failure(LedgerError(LedgerFault.POWER, text))
+    return Success((Write(key, to_plain(use)),))
+
+
+def plan_load(
+    rows: Rows, budget: Budget, tenure: Tenure, entry: Entry, gate: WeightGate, now: float
+) -> Result[Proposal, LedgerError]:
+    """Plan a load intent: memory, power and, for a model, a slot of the weight store."""
+    planned = plan_change(
+        rows, budget, tenure, lambda x: reserve_load(x, entry, budget.memory_bytes_max)
+    )
+    if isinstance(planned, Failure) or entry.key.model:
+        return planned
+    return plan_grant(rows, budget, entry.load_id, gate, now).map(
+        lambda grant: add_writes(planned.unwrap(), grant)
+    )
+
+
+def plan_grant(
+    rows: Rows, budget: Budget, load_id: str, gate: WeightGate, now: float
+) -> Result[tuple[Write, ...], LedgerError]:
+    """Plan to take a slot of the weight store, unless the load has one."""
+    use = decode_use(rows.get(WEIGHTS_KEY).value)
+    wait_s = gate.measure_wait(use.grants, now)
+    if use.holds(load_id):
+        return Success(())
+    if len(use.slots) >= gate.slots_max:
+        text = f"{len(use.slots)} loads at once"
+        return Failure(LedgerError(LedgerFault.SLOTS, text, SLOTS_RETRY_S))
+    if wait_s > 0:
+        return Failure(LedgerError(LedgerFault.RATE, "rate of the weight store", wait_s))
+    granted = grant_slot(use, load_id, budget.server.name)
+    return Success((Write(WEIGHTS_KEY, to_plain(granted)),))
+
+
+def plan_reload(
+    rows: Rows, budget: Budget, tenure: Tenure, load_id: str, gate: WeightGate, now: float
+) -> Result[Proposal, LedgerError]:
+    """Plan to send a load again that already has its bytes reserved."""
+    planned = plan_change(rows, budget, tenure, Success)
+    if isinstance(planned, Failure):
+        return planned
+    entry = planned.unwrap().answer.find_load(load_id)
+    if entry is None:
+        return Failure(LedgerError(LedgerFault.ABSENT, load_id))
+    if entry.key.model:
+        return planned
+    return plan_grant(rows, budget, load_id, gate, now).map(
+        lambda grant: add_writes(planned.unwrap(), grant)
+    )
+
+
+def plan_settle_load(
+    rows: Rows, budget: Budget, tenure: Tenure, load_id: str, doubtful: bool
+) -> Result[Proposal, LedgerError]:
+    """Plan to note a confirmed load and to free its slot."""
+    planned = plan_change(
+        rows, budget, tenure, lambda x: Success(settle_load(x, load_id, doubtful))
+    )
+    return planned.map(lambda p: add_writes(p, plan_free(rows, (load_id,))))
+
+
+def plan_cancel(
+    rows: Rows, budget: Budget, tenure: Tenure, load_id: str
+) -> Result[Proposal, LedgerError]:
+    """Plan to free the bytes and the slot of a load that never took effect."""
+    planned = plan_change(rows, budget, tenure, lambda x: cancel_load(x, load_id))
+    return planned.map(lambda p: add_writes(p, plan_free(rows, (load_id,))))
+
+
+def plan_settle_unload(
+    rows: Rows, budget: Budget, tenure: Tenure, unload_id: str
+) -> Result[Proposal, LedgerError]:
+    """Plan to free the bytes of a confirmed unload, and a slot that its load still holds."""
+    row = rows.get(make_backend_key(budget.server.name))
+    entry = decode_ledger(budget.server.name, row.value).find_unload(unload_id)
+    load_ids = () if entry is None else (entry.load_id,)
+    planned = plan_change(rows, budget, tenure, lambda x: Success(settle_unload(x, unload_id)))
+    return planned.map(lambda p: add_writes(p, plan_free(rows, load_ids)))
+
+
+def plan_free(rows: Rows, load_ids: tuple[str, ...]) -> tuple[Write, ...]:
+    """Plan to free slots of the weight store, where the loads hold any."""
+    if not any(row.key == WEIGHTS_KEY for row in rows.read):
+        return ()
+    use = decode_use(rows.get(WEIGHTS_KEY).value)
+    after = use
+    for load_id in load_ids:
+        after = free_slot(after, load_id)
+    return () if after == use else (Write(WEIGHTS_KEY, to_plain(after)),)
+
+
+def plan_forget(rows: Rows, budget: Budget) -> Result[Proposal, Any]:
+    """Plan to empty the ledger of a backend server that is gone for good; its epoch stays."""
+    row = rows.get(make_backend_key(budget.server.name))
+    ledger = decode_ledger(budget.server.name, row.value)
+    after = Ledger(budget.server.name, epoch=ledger.epoch + 1)
+    if ledger.epoch == 0:
+        return Success(Proposal(ledger))
+    writes = [Write(row.key, encode_ledger(after))]
+    writes += plan_free(rows, tuple(entry.load_id for entry in ledger.entries))
+    if budget.power_watts_max > 0:
+        key = make_floor_key(budget.server.data_centre)
+        use = decode_floor(rows.get(key).value)
+        writes.append(Write(key, to_plain(set_power(use, budget.server.name, 0.0))))
+    return Success(Proposal(after, tuple(writes)))
+
+
+def add_writes(proposal: Proposal, writes: tuple[Write, ...]) -> Proposal:
+    """Add writes to a proposal."""
+    return Proposal(proposal.answer, proposal.writes + writes)
--- /dev/null
+++ b/rhubarbshed/coordination/loads.py
@@ -0,0 +1,364 @@
+"""Loads and unloads on backend servers, each written ahead as an intent."""
+
+import logging
+from collections.abc import Callable
+
+from attrs import frozen
+from returns.result import Failure, Result, Success
+
+from rhubarbshed.coordination.budgets import (
+    Budget,
+    Change,
+    Tenure,
+    plan_cancel,
+    plan_change,
+    plan_load,
+    plan_settle_load,
+    plan_settle_unload,
+)
+from rhubarbshed.coordination.quotas import AdapterQuota
+from rhubarbshed.coordination.transactions import Plan, TableAccess, transact
+from rhubarbshed.protocol.members import BackendServerInfo
+from rhubarbshed.protocol.orders import Order, OrderError, OrderFault, OrderKind
+from rhubarbshed.protocol.platform import EngineClient
+from rhubarbshed.protocol.tables import TableError
+from rhubarbshed.state.leases import Leases, Ownership
+from rhubarbshed.state.ledger import (
+    Entry,
+    EntryKey,
+    EntryState,
+    Ledger,
+    LedgerError,
+    LedgerFault,
+    begin_unload,
+    raise_epoch,
+)
+from rhubarbshed.state.moves import Moves, ServerMoves
+from rhubarbshed.state.weights import WEIGHTS_KEY, WeightGate
+
+LOG = logging.getLogger(__name__)
+
+PROOF_RETRY_S = 0.5
+QUOTA_RETRY_S = 0.05
+
+
+@frozen
+class MoveContext:
+    """Hold the collaborators of loads and unloads."""
+
+    access: TableAccess
+    engine: EngineClient
+    leases: Leases
+    gate: WeightGate
+    quota: AdapterQuota
+    moves: Moves
+    clock: Callable[[], float]
+
+
+@frozen
+class LoadSpec:
+    """Describe what to load; memory in bytes, power in watts."""
+
+    key: EntryKey
+    memory_bytes: int
+    power_watts: float = 0.0
+
+
+def find_tenure(context: MoveContext, backend_server: str) -> Result[Tenure, LedgerError]:
+    """Return what this instance may act under on a backend server at this moment."""
+    owned = context.leases.owned.get(backend_server)
+    if owned is None or not context.leases.is_held(context.clock()):
+        return Failure(LedgerError(LedgerFault.NOT_OWNER, backend_server))
+    return Success(Tenure(owned.holder, owned.epoch))
+
+
+async def change_ledger(
+    context: MoveContext, budget: Budget, plan: Plan, keys: tuple[str, ...] = ()
+) -> Result[Ledger, LedgerError]:
+    """Carry out a plan on a backend server's rows, and keep the ledger that it gives."""
+    held_until = context.leases.held_until
+    answer = await transact(context.access, budget.list_keys() + keys, plan)
+    if isinstance(answer, Failure):
+        return Failure(_describe_failure(answer.failure()))
+    ledger: Ledger = answer.unwrap()
+    now = context.clock()
+    context.moves.note(ledger, now)
+    if ledger.owner == context.leases.own and now < held_until:
+        context.leases.take(Ownership(ledger.backend_server, ledger.owner, ledger.epoch))
+    return Success(ledger)
+
+
+def _describe_failure(error: LedgerError | TableError) -> LedgerError:
+    if isinstance(error, LedgerError):
+        return error
+    return LedgerError(LedgerFault.TABLE, f"{error.fault.value} {error.detail}".strip())
+
+
+async def send_order(
+    context: MoveContext, server: BackendServerInfo, order: Order
+) -> Result[None, OrderError]:
+    """Send an order, on the worker thread only if the lease still holds there.
+
+    An order that met a lapsed lease was not sent and counts as unavailable.
+    """
+    leases = context.leases
+
+    def send_while_held() -> Result[None, OrderError]:
+        if not leases.may_act(server.name, order.fencing_token, context.clock()):
+            return Failure(OrderError(OrderFault.UNAVAILABLE, "lease lapsed before sending"))
+        return context.engine.send_order(server, order)
+
+    held = context.moves.servers[server.name]
+    held.in_flight.add(order.order_id)
+    try:
+        answer = await context.access.runner(send_while_held)
+    finally:
+        held.in_flight.discard(order.order_id)
+    _note_answer(context, server, order, answer)
+    return answer
+
+
+def _note_answer(
+    context: MoveContext, server: BackendServerInfo, order: Order, answer: Result
+) -> None:
+    held = context.moves.servers.get(server.name)
+    if held is None or isinstance(answer, Success):
+        return
+    error: OrderError = answer.failure()
+    if error.fault is OrderFault.UNKNOWN:
+        held.lost.add(order.order_id)
+    if error.fault is OrderFault.STALE_TOKEN:
+        context.leases.drop(server.name)
+    LOG.warning(
+        "event=order_failed backend_server=%s kind=%s order_id=%s fault=%s detail=%s",
+        server.name,
+        order.kind.value,
+        order.order_id,
+        error.fault.value,
+        error.detail,
+    )
+
+
+def make_load_order(entry: Entry, epoch: int) -> Order:
+    """Make the order of a load; the same entry always has the same order id."""
+    kind = OrderKind.LOAD_ADAPTER if entry.key.model else OrderKind.LOAD
+    return _make_order(kind, entry, entry.load_id, epoch)
+
+
+def make_unload_order(entry: Entry, epoch: int) -> Order:
+    """Make the order of an unload; the same intent always has the same order id."""
+    kind = OrderKind.UNLOAD_ADAPTER if entry.key.model else OrderKind.UNLOAD
+    return _make_order(kind, entry, entry.unload_id, epoch)
+
+
+def _make_order(kind: OrderKind, entry: Entry, order_id: str, epoch: int) -> Order:
+    return Order(
+        order_id=order_id,
+        kind=kind,
+        fencing_token=epoch,
+        name=entry.key.name,
+        version=entry.key.version,
+        memory_bytes=entry.memory_bytes,
+        model=entry.key.model,
+    )
+
+
+async def execute_load(
+    context: MoveContext, budget: Budget, spec: LoadSpec
+) -> Result[Ledger, LedgerError]:
+    """Load a model or adapter: intent, order, settlement.
+
+    Costs a read and a write for the intent and again for the settlement. Where an answer was
+    lost the bytes stay reserved, and `reconcile_server` sends the same order again.
+    """
+    tenure = find_tenure(context, budget.server.name).bind(
+        lambda found: _check_proved(context, budget.server, found)
+    )
+    if isinstance(tenure, Failure):
+        return tenure
+    load_id = context.access.make_id()
+    if spec.key.model and not context.quota.admit(load_id):
+        return Failure(LedgerError(LedgerFault.QUOTA, "adapters in flight", QUOTA_RETRY_S))
+    held = context.moves.servers[budget.server.name]
+    held.in_flight.add(load_id)
+    try:
+        return await _load(context, budget, spec, load_id, tenure.unwrap())
+    finally:
+        held.in_flight.discard(load_id)
+        context.quota.finish(load_id)
+
+
+def _check_proved(
+    context: MoveContext, server: BackendServerInfo, tenure: Tenure
+) -> Result[Tenure, LedgerError]:
+    held = context.moves.servers.get(server.name)
+    if held is None or held.proved != tenure.epoch:
+        text = "no report has shown its memory under this epoch"
+        return Failure(LedgerError(LedgerFault.UNPROVED, text, PROOF_RETRY_S))
+    return Success(tenure)
+
+
+async def _load(
+    context: MoveContext, budget: Budget, spec: LoadSpec, load_id: str, tenure: Tenure
+) -> Result[Ledger, LedgerError]:
+    entry = Entry(
+        key=spec.key,
+        memory_bytes=spec.memory_bytes,
+        state=EntryState.LOADING,
+        load_id=load_id,
+        epoch=tenure.epoch,
+        power_watts=spec.power_watts,
+    )
+    intent = await change_ledger(
+        context,
+        budget,
+        lambda rows: plan_load(rows, budget, tenure, entry, context.gate, context.clock()),
+        _list_load_keys(entry),
+    )
+    if isinstance(intent, Failure):
+        return intent
+    sent = await send_order(context, budget.server, make_load_order(entry, tenure.epoch))
+    if isinstance(sent, Success):
+        return await settle_sent_load(context, budget, tenure, entry)
+    if sent.failure().fault in (OrderFault.REFUSED, OrderFault.UNAVAILABLE):
+        await _cancel(context, budget, tenure, entry)
+    return Failure(describe_order_error(sent.failure()))
+
+
+def _list_load_keys(entry: Entry) -> tuple[str, ...]:
+    return () if entry.key.model else (WEIGHTS_KEY,)
+
+
+async def settle_sent_load(
+    context: MoveContext, budget: Budget, tenure: Tenure, entry: Entry
+) -> Result[Ledger, LedgerError]:
+    """Note in the table that a load was confirmed."""
+    held = context.moves.servers[budget.server.name]
+    held.changed_at = context.clock()
+    doubtful = entry.load_id in held.lost
+    settled = await change_ledger(
+        context,
+        budget,
+        lambda rows: plan_settle_load(rows, budget, tenure, entry.load_id, doubtful),
+        _list_load_keys(entry),
+    )
+    if isinstance(settled, Success):
+        held.lost.discard(entry.load_id)
+    return settled
+
+
+async def _cancel(context: MoveContext, budget: Budget, tenure: Tenure, entry: Entry) -> None:
+    await change_ledger(
+        context,
+        budget,
+        lambda rows: plan_cancel(rows, budget, tenure, entry.load_id),
+        _list_load_keys(entry),
+    )
+
+
+def describe_order_error(error: OrderError) -> LedgerError:
+    """Return an order's failure as a ledger error."""
+    return LedgerError(LedgerFault.ORDER, f"{error.fault.value} {error.detail}".strip())
+
+
+async def execute_unload(
+    context: MoveContext, budget: Budget, key: EntryKey
+) -> Result[Ledger, LedgerError]:
+    """Unload a model or adapter: intent, order, settlement; bytes are freed at the last.
+
+    Where copies of its load may be under way, the epoch rises first and the token is raised.
+    """
+    begun = await _begin_unload(context, budget, key)
+    if isinstance(begun, Failure) and begun.failure().fault is LedgerFault.UNPROVED:
+        voided = await void_orders(context, budget)
+        if isinstance(voided, Failure):
+            return voided
+        begun = await _begin_unload(context, budget, key)
+    if isinstance(begun, Failure):
+        return begun
+    entry = begun.unwrap().find(key)
+    held = context.moves.servers[budget.server.name]
+    if entry is None or entry.unload_id in held.in_flight:
+        return begun
+    return await send_unload(context, budget, entry)
+
+
+async def _begin_unload(
+    context: MoveContext, budget: Budget, key: EntryKey
+) -> Result[Ledger, LedgerError]:
+    tenure = find_tenure(context, budget.server.name)
+    if isinstance(tenure, Failure):
+        return tenure
+    held = context.moves.servers.get(budget.server.name)
+    raised = 0 if held is None else held.token_raised
+    unload_id = context.access.make_id()
+    checks = budget.server.checks_fencing
+    change: Change = lambda ledger: begin_unload(  # noqa: E731
+        ledger, key, unload_id, checks, raised
+    )
+    return await change_ledger(
+        context, budget, lambda rows: plan_change(rows, budget, tenure.unwrap(), change)
+    )
+
+
+async def send_unload(
+    context: MoveContext, budget: Budget, entry: Entry
+) -> Result[Ledger, LedgerError]:
+    """Send the order of an unload intent, and free its bytes once confirmed."""
+    tenure = find_tenure(context, budget.server.name)
+    if isinstance(tenure, Failure):
+        return tenure
+    order = make_unload_order(entry, tenure.unwrap().epoch)
+    sent = await send_order(context, budget.server, order)
+    if isinstance(sent, Failure):
+        return Failure(describe_order_error(sent.failure()))
+    return await settle_sent_unload(context, budget, tenure.unwrap(), entry)
+
+
+async def settle_sent_unload(
+    context: MoveContext, budget: Budget, tenure: Tenure, entry: Entry
+) -> Result[Ledger, LedgerError]:
+    """Note in the table that an unload was confirmed, which frees its bytes."""
+    context.moves.servers[budget.server.name].changed_at = context.clock()
+    return await change_ledger(
+        context,
+        budget,
+        lambda rows: plan_settle_unload(rows, budget, tenure, entry.unload_id),
+        _list_load_keys(entry),
+    )
+
+
+async def void_orders(context: MoveContext, budget: Budget) -> Result[Ledger, LedgerError]:
+    """Start the next epoch and raise the token, so that no earlier order takes effect."""
+    tenure = find_tenure(context, budget.server.name)
+    if isinstance(tenure, Failure):
+        return tenure
+    begun = await change_ledger(
+        context,
+        budget,
+        lambda rows: plan_change(rows, budget, tenure.unwrap(), lambda x: Success(raise_epoch(x))),
+    )
+    if isinstance(begun, Failure):
+        return begun
+    return (await raise_server_token(context, budget.server)).map(lambda _: begun.unwrap())
+
+
+async def raise_server_token(
+    context: MoveContext, server: BackendServerInfo
+) -> Result[None, LedgerError]:
+    """Have a backend server enforce the current epoch, unless it is known to."""
+    tenure = find_tenure(context, server.name)
+    if isinstance(tenure, Failure):
+        return tenure
+    epoch = tenure.unwrap().epoch
+    held: ServerMoves = context.moves.servers[server.name]
+    if not server.checks_fencing or held.token_raised >= epoch:
+        return Success(None)
+    order = Order(
+        f"raise/{server.name}/{epoch}/{held.ledger.boot_id}", OrderKind.RAISE_TOKEN, epoch
+    )
+    sent = await send_order(context, server, order)
+    if isinstance(sent, Failure):
+        return Failure(describe_order_error(sent.failure()))
+    held.token_raised = max(held.token_raised, epoch)
+    return Success(None)
--- a/rhubarbshed/coordination/ownership.py
+++ b/rhubarbshed/coordination/ownership.py
@@ -35,11 +35,12 @@
 
 @frozen
 class OwnershipChange:
-    """Tell what one round changed: backend servers taken, released and lost."""
+    """Tell what one round changed, and the ledgers of the servers owned after it."""
 
     taken: tuple[str, ...] = ()
     released: tuple[str, ...] = ()
     lost: tuple[str, ...] = ()
+    ledgers: tuple[Ledger, ...] = ()
 
 
 def make_session_key(instance: str) -> str:
@@ -139,6 +140,7 @@
     access: TableAccess, leases: Leases, backend_server: str, expected: Holder, clock: Clock
 ) -> Result[Ledger, LedgerError | TableError]:
     """Take a backend server; costs one read and one write."""
+    held_until = leases.held_until
     keys: tuple[str, ...] = (make_backend_key(backend_server),)
     if expected != NOBODY:
         keys += (make_session_key(expected.instance),)
@@ -146,13 +148,17 @@
         access, keys, lambda rows: plan_take(rows, backend_server, expected, leases, clock())
     )
     if isinstance(answer, Success):
-        note_ledger(leases, answer.unwrap(), clock())
+        note_ledger(leases, answer.unwrap(), held_until, clock())
     return answer
 
 
-def note_ledger(leases: Leases, ledger: Ledger, now: float) -> None:
-    """Follow the owner that a row names, read or written while the own lease was held."""
-    if ledger.owner == leases.own and leases.is_held(now):
+def note_ledger(leases: Leases, ledger: Ledger, held_until: float, now: float) -> None:
+    """Follow the owner that a row names.
+
+    `held_until` is the end of the own lease as of before the row was read or written. Past it,
+    another instance may have taken over since, so the row does not count.
+    """
+    if ledger.owner == leases.own and now < held_until:
         leases.take(Ownership(ledger.backend_server, ledger.owner, ledger.epoch))
     else:
         leases.drop(ledger.backend_server)
@@ -201,24 +207,27 @@
     instances = {*live, leases.own.instance}
     preferred = {s for s in backend_servers if choose_owner(s, instances) == leases.own.instance}
     watched = tuple(sorted(preferred | set(leases.owned)))
+    held_until = leases.held_until
     ledgers = await _read_ledgers(access, watched)
     if isinstance(ledgers, Failure):
         return ledgers
     before = set(leases.owned)
     for ledger in ledgers.unwrap():
-        note_ledger(leases, ledger, clock())
+        note_ledger(leases, ledger, held_until, clock())
     lost = tuple(sorted(before - set(leases.owned)))
     foreign = [ledger for ledger in ledgers.unwrap() if ledger.owner != leases.own]
     foreign = [ledger for ledger in foreign if ledger.backend_server in preferred]
     observed = await _observe_holders(access, leases, foreign, clock)
     if isinstance(observed, Failure):
         return observed
-    taken = await _take_lapsed(access, leases, foreign, clock)
+    adopted = await _take_lapsed(access, leases, foreign, clock)
+    taken = tuple(ledger.backend_server for ledger in adopted)
     known = set(backend_servers)
     own = [ledger for ledger in ledgers.unwrap() if ledger.owner == leases.own]
     excess = [x for x in own if x.backend_server in known and x.backend_server not in preferred]
     released = await _release_excess(access, leases, excess, is_idle)
-    return Success(OwnershipChange(taken, released, lost))
+    held = [x for x in (*own, *adopted) if x.backend_server in leases.owned]
+    return Success(OwnershipChange(taken, released, lost, tuple(held)))
 
 
 async def _read_ledgers(
@@ -253,14 +262,14 @@
 
 async def _take_lapsed(
     access: TableAccess, leases: Leases, ledgers: list[Ledger], clock: Clock
-) -> tuple[str, ...]:
+) -> tuple[Ledger, ...]:
     lapsed = [ledger for ledger in ledgers if leases.is_lapsed(ledger.owner, clock())]
     taken = []
     for ledger in lapsed[:TAKES_MAX]:
         name = ledger.backend_server
         answer = await take_server(access, leases, name, ledger.owner, clock)
         if isinstance(answer, Success):
-            taken.append(name)
+            taken.append(answer.unwrap())
             LOG.info("event=ownership_taken backend_server=%s former=%s", name, ledger.owner)
         elif _is_down(answer.failure()):
             break
--- /dev/null
+++ b/rhubarbshed/coordination/reconciliation.py
@@ -0,0 +1,235 @@
+"""Agreement of a backend server's ledger with what the server reports."""
+
+import logging
+
+from attrs import frozen
+from returns.result import Failure, Result, Success
+
+from rhubarbshed.coordination.budgets import Budget, Tenure, plan_change, plan_forget, plan_reload
+from rhubarbshed.coordination.loads import (
+    MoveContext,
+    change_ledger,
+    describe_order_error,
+    find_tenure,
+    make_load_order,
+    raise_server_token,
+    send_order,
+    send_unload,
+    settle_sent_load,
+    settle_sent_unload,
+)
+from rhubarbshed.coordination.transactions import TableAccess, transact
+from rhubarbshed.protocol.members import BackendServerInfo
+from rhubarbshed.protocol.orders import EngineReport, OrderFault
+from rhubarbshed.protocol.tables import TableError
+from rhubarbshed.state.ledger import (
+    Entry,
+    EntryState,
+    Ledger,
+    LedgerError,
+    LedgerFault,
+    correct_ledger,
+    find_missing,
+    find_strays,
+    make_resident_key,
+    restart,
+)
+from rhubarbshed.state.moves import ServerMoves
+from rhubarbshed.state.weights import WEIGHTS_KEY
+
+LOG = logging.getLogger(__name__)
+
+
+@frozen
+class Resend:
+    """Name the intents to send again now: all unloads, and at most one load."""
+
+    unloads: tuple[Entry, ...] = ()
+    load: Entry | None = None
+
+
+def is_proof(
+    held: ServerMoves, server: BackendServerInfo, report: EngineReport, taken_at: float
+) -> bool:
+    """Tell whether a report shows memory as of after all settled orders and this epoch.
+
+    `taken_at` is the earliest moment the report can be of, on this instance's clock.
+    """
+    if report.boot_id != held.ledger.boot_id or taken_at <= held.changed_at:
+        return False
+    return not server.checks_fencing or report.fencing_token >= held.ledger.epoch
+
+
+def choose_resend(held: ServerMoves, budget: Budget) -> Resend:
+    """Choose the intents to send again.
+
+    Loads wait until a report has proved what the memory holds and all of it fits. An adapter
+    waits for its model.
+    """
+    ledger = held.ledger
+    waiting = [e for e in ledger.entries if not {e.load_id, e.unload_id} & held.in_flight]
+    unloads = tuple(e for e in waiting if e.state is EntryState.UNLOADING)
+    fits = ledger.memory_bytes <= budget.server.memory_bytes
+    if not fits or held.proved != ledger.epoch:
+        return Resend(unloads)
+    loads = [e for e in waiting if e.state is EntryState.LOADING]
+    ready = [e for e in loads if not e.key.model or ledger.has_resident(e.key.model)]
+    ready.sort(key=lambda entry: (entry.key.model != "", entry.load_id))
+    return Resend(unloads, ready[0] if ready else None)
+
+
+async def reconcile_server(
+    context: MoveContext, budget: Budget, report: EngineReport, requested_at: float
+) -> Result[Ledger, LedgerError]:
+    """Bring ledger and backend server together after a report; call it for each report.
+
+    `requested_at` is when the report was asked for (monotonic seconds). Costs nothing at the
+    table while both agree.
+    """
+    held = context.moves.servers.get(budget.server.name)
+    tenure = find_tenure(context, budget.server.name)
+    if isinstance(tenure, Failure):
+        return tenure
+    if held is None:
+        return Failure(LedgerError(LedgerFault.ABSENT, budget.server.name))
+    if held.reconciling:
+        return Failure(LedgerError(LedgerFault.BUSY, "already reconciling"))
+    held.reconciling = True
+    try:
+        return await _reconcile(context, budget, report, requested_at - report.age_s)
+    finally:
+        held.reconciling = False
+
+
+async def _reconcile(
+    context: MoveContext, budget: Budget, report: EngineReport, taken_at: float
+) -> Result[Ledger, LedgerError]:
+    held = context.moves.servers[budget.server.name]
+    if report.boot_id != held.ledger.boot_id:
+        return await _follow_restart(context, budget, report)
+    raised = await raise_server_token(context, budget.server)
+    if isinstance(raised, Failure):
+        return raised
+    proof = is_proof(held, budget.server, report, taken_at)
+    if proof:
+        corrected = await _correct(context, budget, report)
+        if isinstance(corrected, Failure):
+            return corrected
+        held.proved = held.ledger.epoch
+    resend = choose_resend(held, budget)
+    for entry in resend.unloads:
+        await _resend_unload(context, budget, entry, report if proof else None)
+    if resend.load is not None:
+        return await _resend_load(context, budget, resend.load)
+    return Success(held.ledger)
+
+
+async def _follow_restart(
+    context: MoveContext, budget: Budget, report: EngineReport
+) -> Result[Ledger, LedgerError]:
+    tenure = find_tenure(context, budget.server.name)
+    if isinstance(tenure, Failure):
+        return tenure
+    held = context.moves.servers[budget.server.name]
+    LOG.warning("event=server_restarted backend_server=%s", budget.server.name)
+    held.token_raised = 0
+    held.proved = 0
+    followed = await change_ledger(
+        context,
+        budget,
+        lambda rows: plan_change(
+            rows, budget, tenure.unwrap(), lambda x: Success(restart(x, report.boot_id))
+        ),
+    )
+    held.changed_at = context.clock()
+    return followed
+
+
+async def _correct(
+    context: MoveContext, budget: Budget, report: EngineReport
+) -> Result[Ledger, LedgerError]:
+    """Write what a proving report shows beside or without the ledger's entries."""
+    held = context.moves.servers[budget.server.name]
+    tenure = find_tenure(context, budget.server.name)
+    if isinstance(tenure, Failure):
+        return tenure
+    strays = find_strays(held.ledger, report)
+    missing = find_missing(held.ledger, report)
+    if held.in_flight or not strays and not missing:
+        return Success(held.ledger)
+    LOG.warning(
+        "event=ledger_corrected backend_server=%s strays=%d missing=%d",
+        budget.server.name,
+        len(strays),
+        len(missing),
+    )
+    order_id = context.access.make_id()
+    return await change_ledger(
+        context,
+        budget,
+        lambda rows: plan_change(
+            rows,
+            budget,
+            tenure.unwrap(),
+            lambda ledger: Success(correct_ledger(ledger, report, order_id)),
+        ),
+    )
+
+
+async def _resend_unload(
+    context: MoveContext, budget: Budget, entry: Entry, proof: EngineReport | None
+) -> None:
+    """Send an unload again; a refusal settles it where a proving report shows it absent."""
+    sent = await send_unload(context, budget, entry)
+    if isinstance(sent, Success) or proof is None:
+        return
+    refused = sent.failure().detail.startswith(OrderFault.REFUSED.value)
+    absent = entry.key not in {make_resident_key(r) for r in proof.resident}
+    tenure = find_tenure(context, budget.server.name)
+    if refused and absent and isinstance(tenure, Success):
+        await settle_sent_unload(context, budget, tenure.unwrap(), entry)
+
+
+async def _resend_load(
+    context: MoveContext, budget: Budget, entry: Entry
+) -> Result[Ledger, LedgerError]:
+    """Send a load again under its own order id, with a slot of the weight store."""
+    found = find_tenure(context, budget.server.name)
+    if isinstance(found, Failure):
+        return found
+    if entry.key.model and not context.quota.admit(entry.load_id):
+        return Failure(LedgerError(LedgerFault.QUOTA, "adapters in flight"))
+    try:
+        return await _reload(context, budget, entry, found.unwrap())
+    finally:
+        context.quota.finish(entry.load_id)
+
+
+async def _reload(
+    context: MoveContext, budget: Budget, entry: Entry, tenure: Tenure
+) -> Result[Ledger, LedgerError]:
+    granted = await change_ledger(
+        context,
+        budget,
+        lambda rows: plan_reload(
+            rows, budget, tenure, entry.load_id, context.gate, context.clock()
+        ),
+        () if entry.key.model else (WEIGHTS_KEY,),
+    )
+    if isinstance(granted, Failure):
+        return granted
+    sent = await send_order(context, budget.server, make_load_order(entry, tenure.epoch))
+    if isinstance(sent, Failure):
+        return Failure(describe_order_error(sent.failure()))
+    return await settle_sent_load(context, budget, tenure, entry)
+
+
+async def forget_server(
+    access: TableAccess, budget: Budget
+) -> Result[Ledger, LedgerError | TableError]:
+    """Empty the ledger of a backend server that is gone for good, with its slots and power.
+
+    Call it only once the platform has taken the server off its list.
+    """
+    keys = (*budget.list_keys(), WEIGHTS_KEY)
+    return await transact(access, keys, lambda rows: plan_forget(rows, budget))
--- /dev/null
+++ b/rhubarbshed/state/floors.py
@@ -0,0 +1,48 @@
+"""Power that each backend server of a data centre has reserved."""
+
+from typing import Any
+
+from attrs import evolve, frozen
+
+from rhubarbshed.protocol.codec import from_plain
+
+
+@frozen
+class ServerPower:
+    """Hold the watts that one backend server has reserved."""
+
+    backend_server: str
+    power_watts: float
+
+
+@frozen
+class FloorUse:
+    """Hold the row of a data centre's floor."""
+
+    servers: tuple[ServerPower, ...] = ()
+
+    @property
+    def power_watts(self) -> float:
+        """Return the watts reserved by all backend servers."""
+        return sum(server.power_watts for server in self.servers)
+
+
+def make_floor_key(data_centre: str) -> str:
+    """Return the table key of a data centre's floor."""
+    return f"floor/{data_centre}"
+
+
+def set_power(use: FloorUse, backend_server: str, power_watts: float) -> FloorUse:
+    """Set what one backend server has reserved; 0 takes it out."""
+    others = tuple(s for s in use.servers if s.backend_server != backend_server)
+    if power_watts <= 0:
+        return evolve(use, servers=others)
+    return evolve(use, servers=(*others, ServerPower(backend_server, power_watts)))
+
+
+def decode_floor(value: dict[str, Any] | None) -> FloorUse:
+    """Return the floor's use that a row holds."""
+    if value is None:
+        return FloorUse()
+    plain = {name: part for name, part in value.items() if name != "write_id"}
+    return from_plain(plain, FloorUse).unwrap()
--- a/rhubarbshed/state/ledger.py
+++ b/rhubarbshed/state/ledger.py
@@ -7,6 +7,7 @@
 from returns.result import Failure, Result, Success
 
 from rhubarbshed.protocol.codec import from_plain, to_plain
+from rhubarbshed.protocol.orders import EngineReport, Resident
 from rhubarbshed.state.leases import NOBODY, Holder
 
 
@@ -199,11 +200,10 @@
         return LedgerError(LedgerFault.BUSY, "its load is not settled")
     if _has_adapters(ledger, entry.key):
         return LedgerError(LedgerFault.BUSY, "it has adapters")
-    if entry.doubtful and entry.epoch < ledger.epoch and not voided:
-        if checks_fencing:
-            return LedgerError(LedgerFault.UNPROVED, "the fencing token is not raised yet")
-        if ledger.former:
-            return LedgerError(LedgerFault.PINNED, ledger.former[0].instance)
+    if entry.doubtful and checks_fencing and not voided:
+        return LedgerError(LedgerFault.UNPROVED, "the fencing token is not raised yet")
+    if entry.doubtful and not checks_fencing and ledger.former:
+        return LedgerError(LedgerFault.PINNED, ledger.former[0].instance)
     return None
 
 
@@ -275,6 +275,54 @@
     return entry
 
 
+def find_strays(ledger: Ledger, report: EngineReport) -> tuple[Resident, ...]:
+    """Return what a server holds without an entry."""
+    known = {entry.key for entry in ledger.entries}
+    return tuple(r for r in report.resident if make_resident_key(r) not in known)
+
+
+def find_missing(ledger: Ledger, report: EngineReport) -> tuple[Entry, ...]:
+    """Return the entries that were confirmed and that a server no longer holds."""
+    shown = {make_resident_key(resident) for resident in report.resident}
+    return tuple(
+        entry
+        for entry in ledger.entries
+        if entry.state is EntryState.RESIDENT and entry.key not in shown
+    )
+
+
+def make_resident_key(resident: Resident) -> EntryKey:
+    """Return the key of what a report shows."""
+    return EntryKey(resident.name, resident.version, resident.model)
+
+
+def correct_ledger(ledger: Ledger, report: EngineReport, order_id: str) -> Ledger:
+    """Follow a report that is surely newer than all settled orders.
+
+    What the server holds without an entry is reserved and unloaded; what it lost is loaded
+    again under a new order id. `order_id` is a unique part of the ids made.
+    """
+    for resident in find_strays(ledger, report):
+        ledger = replace_entry(ledger, _make_stray(ledger, resident, order_id))
+    for entry in find_missing(ledger, report):
+        load_id = f"{order_id}/{entry.key.model}/{entry.key.name}"
+        lost = evolve(entry, state=EntryState.LOADING, load_id=load_id, epoch=ledger.epoch)
+        ledger = replace_entry(ledger, lost)
+    return ledger
+
+
+def _make_stray(ledger: Ledger, resident: Resident, order_id: str) -> Entry:
+    key = make_resident_key(resident)
+    return Entry(
+        key=key,
+        memory_bytes=resident.memory_bytes,
+        state=EntryState.UNLOADING,
+        load_id=f"stray/{order_id}/{key.model}/{key.name}",
+        epoch=ledger.epoch,
+        unload_id=f"{order_id}/{key.model}/{key.name}",
+    )
+
+
 def encode_ledger(ledger: Ledger) -> dict[str, Any]:
     """Return the table value of a ledger."""
     return to_plain(ledger)
--- /dev/null
+++ b/rhubarbshed/state/weights.py
@@ -0,0 +1,70 @@
+"""Shared use of the weight store: slots for loads at once, and the rate of grants."""
+
+from attrs import define, evolve, frozen
+
+from rhubarbshed.protocol.codec import from_plain
+from rhubarbshed.util.settings import WeightStoreSettings
+
+WEIGHTS_KEY = "weights"
+
+
+@frozen
+class Slot:
+    """Hold a load's place at the weight store."""
+
+    load_id: str
+    backend_server: str
+
+
+@frozen
+class WeightUse:
+    """Hold the row of the weight store; `grants` counts all loads ever granted."""
+
+    grants: int = 0
+    slots: tuple[Slot, ...] = ()
+
+    def holds(self, load_id: str) -> bool:
+        """Tell whether a load has a slot."""
+        return any(slot.load_id == load_id for slot in self.slots)
+
+
+@define
+class WeightGate:
+    """Hold when this instance first saw the last grant, by its own clock (monotonic seconds)."""
+
+    interval_s: float
+    slots_max: int
+    grants: int = -1
+    seen_at: float = 0.0
+
+    @classmethod
+    def from_config(cls, settings: WeightStoreSettings) -> "WeightGate":
+        """Build the gate of an instance that has seen no grant."""
+        return cls(1.0 / settings.loads_per_s, settings.loads_at_once)
+
+    def measure_wait(self, grants: int, now: float) -> float:
+        """Return the seconds until the next grant: one interval after the last was first seen."""
+        if grants == 0:
+            return 0.0
+        if grants != self.grants:
+            self.grants = grants
+            self.seen_at = now
+        return max(0.0, self.seen_at + self.interval_s - now)
+
+
+def grant_slot(use: WeightUse, load_id: str, backend_server: str) -> WeightUse:
+    """Give a load a slot."""
+    return evolve(use, grants=use.grants + 1, slots=(*use.slots, Slot(load_id, backend_server)))
+
+
+def free_slot(use: WeightUse, load_id: str) -> WeightUse:
+    """Take a load's slot back."""
+    return evolve(use, slots=tuple(slot for slot in use.slots if slot.load_id != load_id))
+
+
+def decode_use(value: dict | None) -> WeightUse:
+    """Return the weight store's use that a row holds."""
+    if value is None:
+        return WeightUse()
+    plain = {name: part for name, part in value.items() if name != "write_id"}
+    return from_plain(plain, WeightUse).unwrap()
