Keep a request on the two servers its fingerprint hashes to

Cause: copies of one request through several instances could reach any replica before the first crash is known. Ruled out: a table row for each idempotent request. Change: the pair holds for two choices, retries, hedges and solo runs; a lost server keeps its place for ten seconds; broken attempts are presumed crashes until a report decides; solo claims in the table. Conclusion: the bound of two servers no longer rests on how fast peers talk.

--- a/rhubarbshed/coordination/desk.py
+++ b/rhubarbshed/coordination/desk.py
@@ -2,13 +2,13 @@
 
 import logging
 import random
-from collections.abc import Callable
 
 from attrs import define, field, frozen
 
 from rhubarbshed.coordination.admission import Admission, describe_unknown_target
 from rhubarbshed.coordination.drain import Drain
-from rhubarbshed.coordination.quarantine import describe_refused
+from rhubarbshed.coordination.lookup import FindAdapter, FindModel, FindService, Lookup
+from rhubarbshed.coordination.quarantine import SoloRefused, describe_refused
 from rhubarbshed.coordination.retries import (
     RetryBudget,
     compute_pause,
@@ -19,15 +19,15 @@
     may_have_run,
     may_send_again,
 )
-from rhubarbshed.coordination.routing import Route, choose_route, choose_solo_route
+from rhubarbshed.coordination.routing import Route, choose_route, choose_solo_route, find_pair
+from rhubarbshed.coordination.solo import SoloAnswer, SoloHeld
 from rhubarbshed.coordination.suspects import Suspects
-from rhubarbshed.protocol.catalogue import Adapter, Model, Service
 from rhubarbshed.protocol.errors import Outcome, RequestError
 from rhubarbshed.protocol.orders import EngineReport
 from rhubarbshed.protocol.requests import AttemptEnd, AttemptResult, Dispatch, Refusal, Request
 from rhubarbshed.protocol.services import ServiceReport
 from rhubarbshed.state.attempts import OpenRequest, OpenRequests
-from rhubarbshed.state.load import Candidate, LoadView
+from rhubarbshed.state.load import LoadView
 from rhubarbshed.util.settings import Settings
 
 log = logging.getLogger(__name__)
@@ -36,12 +36,9 @@
 BUSY_WAIT_S = 1.0
 SOLO_WAIT_S = 2.0
 CONFLICT = 409
+SERVER_ERROR = 500
 UNAVAILABLE = 503
 
-FindModel = Callable[[str], Model | None]
-FindAdapter = Callable[[str], Adapter | None]
-FindService = Callable[[str], Service | None]
-
 
 @frozen
 class SoloNeeded:
@@ -58,21 +55,12 @@
     request_id: str
 
 
-@frozen
-class Catalogue:
-    """Look up objects by name; each gives None where there is none."""
-
-    find_model: FindModel
-    find_adapter: FindAdapter
-    find_service: FindService
-
-
 @define
 class Desk:
     """Hold all requests open on this instance and what is needed to decide on them."""
 
     settings: Settings
-    catalogue: Catalogue
+    lookup: Lookup
     load: LoadView
     admission: Admission
     budget: RetryBudget
@@ -95,7 +83,7 @@
         load = load if load is not None else LoadView()
         return cls(
             settings=settings,
-            catalogue=Catalogue(find_model, find_adapter, find_service),
+            lookup=Lookup(find_model, find_adapter, find_service),
             load=load,
             admission=Admission.from_settings(settings.admission, settings.routing.seed),
             budget=RetryBudget(settings.retries),
@@ -109,7 +97,7 @@
         error = self._check_new(request, now)
         if error is not None:
             return Refusal(error)
-        item = OpenRequest(request, self._find_target_s(request))
+        item = OpenRequest(request, self.lookup.find_target_s(request) or 0.0)
         self.open.items[request.request_id] = item
         self.admission.enter(request)
         self.budget.deposit(list_budget_keys(request), now)
@@ -118,17 +106,20 @@
         return self._dispatch(item, now)
 
     def resume_solo(
-        self, request_id: str, held: bool, now: float
-    ) -> Dispatch | Refusal | AttemptOpen:
-        """Go on with a suspect after its claim was decided; `held` is whether it may run alone."""
+        self, request_id: str, answer: SoloAnswer, now: float
+    ) -> Dispatch | Refusal | None:
+        """Go on with a suspect after the table's answer; None where its caller went away."""
+        if isinstance(answer, SoloHeld | SoloRefused):
+            self.suspects.view.merge_entry(answer.entry, now)
         item = self.open.items.get(request_id)
         if item is None:
-            return AttemptOpen(request_id)
-        fingerprint = item.request.fingerprint
-        if self.suspects.is_refused(fingerprint):
-            return self._refuse(item, describe_refused(fingerprint))
-        if not held:
-            return self._refuse_retry(item, "suspect_busy", "a copy of it is being tried", now)
+            return None
+        if self.suspects.is_refused(item.request.fingerprint):
+            return self._refuse(item, self._describe_crasher(item))
+        if now >= item.request.deadline:
+            return self._refuse(item, describe_deadline(item.request, item.has_run))
+        if not isinstance(answer, SoloHeld):
+            return self._refuse_retry(item, "suspect_busy", "it may only run alone, later")
         item.solo_held = True
         return self._dispatch(item, now)
 
@@ -137,6 +128,7 @@
     ) -> Dispatch | Refusal | SoloNeeded | AttemptOpen | None:
         """Take the end of an attempt; None where the request is finished.
 
+        The transport cancels what else of the request is in flight once it is finished.
         `result.tokens` counts the tokens passed on in this attempt alone.
         """
         item = self.open.items.get(result.request_id)
@@ -146,10 +138,8 @@
         self._record_end(item, sent, result, now)
         if result.end is AttemptEnd.DONE:
             self.suspects.record_whole_answer(item.request.fingerprint, now)
-            self._close(item, now)
-            return None
-        if result.end is AttemptEnd.CALLER_GONE:
-            self._close(item, now)
+        if result.end in (AttemptEnd.DONE, AttemptEnd.CALLER_GONE):
+            self.cancel(result.request_id, now)
             return None
         if item.dispatches:
             return AttemptOpen(result.request_id)
@@ -178,18 +168,19 @@
             return ()
         dispatches = tuple(item.dispatches.values())
         for sent in dispatches:
+            self._record_departure(item, sent, now)
             self.load.record_end(sent.backend_server, (request_id, sent.attempt), None, now)
+            self.suspects.clear_solo(sent.backend_server, item.request.fingerprint)
         item.dispatches.clear()
-        self._close(item, now)
+        self._close(item)
         return dispatches
 
     def report_crash(self, backend_server: str, boot_id: str, now: float) -> None:
         """Take that a backend server's boot ended with a crash; telling it again is harmless."""
-        fingerprints = tuple(
-            item.request.fingerprint for item in self.open.list_on_server(backend_server)
-        )
+        fingerprints = self.open.list_fingerprints(backend_server, boot_id)
         self.suspects.confirm_crash(backend_server, boot_id, fingerprints, now)
-        self.load.record_crash(backend_server, now)
+        if self.load.find_boot_id(backend_server) == boot_id:
+            self.load.record_crash(backend_server, now)
 
     def apply_report(self, report: EngineReport | ServiceReport, now: float) -> None:
         """Take a load report; one of another boot tells of a crash as well."""
@@ -221,10 +212,13 @@
         error = self.drain.check_open(busy_s, now)
         if error is not None:
             return error
-        if not self._is_known(request):
+        if self.lookup.find_target_s(request) is None:
             return describe_unknown_target(request)
         if self.suspects.is_refused(request.fingerprint):
             return describe_refused(request.fingerprint)
+        if self.suspects.is_exhausted(request.fingerprint):
+            message = "it may have crashed backend servers; whether it did is being found out"
+            return self.admission.refuse(UNAVAILABLE, "suspect_pending", message, SOLO_WAIT_S)
         if request.request_id in self.open.items:
             message = "a request with this id is in progress on this instance"
             return RequestError(CONFLICT, "request_id_in_use", message, field="X-Request-Id")
@@ -232,45 +226,24 @@
             return describe_deadline(request, has_run=False)
         return self.admission.check_bounds(request, BUSY_WAIT_S)
 
-    def _is_known(self, request: Request) -> bool:
-        if request.service:
-            return self.catalogue.find_service(request.service) is not None
-        has_model = self.catalogue.find_model(request.model) is not None
-        if not request.adapter:
-            return has_model
-        adapter = self.catalogue.find_adapter(request.adapter)
-        return has_model and adapter is not None and adapter.model == request.model
-
-    def _find_target_s(self, request: Request) -> float:
-        if request.service:
-            return self.catalogue.find_service(request.service).answer_target_s
-        return self.catalogue.find_model(request.model).first_token_target_s
-
-    def _list_candidates(self, request: Request, now: float) -> tuple[Candidate, ...]:
-        if not request.service:
-            return self.load.list_candidates(request.model, request.adapter, request.prefixes, now)
-        service = self.catalogue.find_service(request.service)
-        names = service.backend_servers if service is not None else ()
-        return self.load.list_service_candidates(names, now)
-
     def _choose(self, item: OpenRequest, extra: frozenset[str], now: float) -> Route | None:
         """Choose a server; copies of one fingerprint go where the first one runs."""
         request = item.request
         place = (self.settings.instance.data_centre, self.settings.routing)
-        candidates = self._list_candidates(request, now)
+        pair = find_pair(request, self.lookup.list_candidates(request, self.load, now))
         avoided = self.suspects.list_set_aside(now) | extra
         if item.solo_held:
             mine = self.suspects.list_set_aside_for(request.fingerprint, now)
-            return choose_solo_route(request, candidates, *place, avoided - mine)
+            return choose_solo_route(request, pair, *place, avoided - mine)
         copy_server = self.open.find_server_of(request.fingerprint)
-        same = [found for found in candidates if found.info.name == copy_server]
+        same = [found for found in pair if found.info.name == copy_server]
         if same and not extra and copy_server not in avoided and not same[0].lost:
             return choose_route(request, same, *place, self.randomness, avoided)
         failed = avoided | item.failed_servers
-        route = choose_route(request, candidates, *place, self.randomness, failed)
+        route = choose_route(request, pair, *place, self.randomness, failed)
         if route is not None or extra:
             return route
-        return choose_route(request, candidates, *place, self.randomness, avoided)
+        return choose_route(request, pair, *place, self.randomness, avoided)
 
     def _dispatch(self, item: OpenRequest, now: float) -> Dispatch | Refusal:
         request = item.request
@@ -283,17 +256,17 @@
         return self._send(item, route, now)
 
     def _refuse_without_server(self, item: OpenRequest, now: float) -> Refusal:
-        candidates = self._list_candidates(item.request, now)
-        usable = [found for found in candidates if not found.lost]
-        if not usable:
+        candidates = self.lookup.list_candidates(item.request, self.load, now)
+        usable = [found for found in find_pair(item.request, candidates) if not found.lost]
+        if all(found.lost for found in candidates):
             message = "it is in no backend server's memory at present"
-            return self._refuse_retry(item, "not_resident", message, now, NOT_RESIDENT_WAIT_S)
-        if item.solo_held:
+            return self._refuse_retry(item, "not_resident", message, NOT_RESIDENT_WAIT_S)
+        if item.solo_held and usable:
             self.suspects.reserve(item.request.fingerprint, usable, now)
             message = "no backend server is idle to try this request alone"
-            return self._refuse_retry(item, "suspect_waits", message, now, SOLO_WAIT_S)
+            return self._refuse_retry(item, "suspect_waits", message, SOLO_WAIT_S)
         message = "its backend servers cannot take it at present"
-        return self._refuse_retry(item, "servers_busy", message, now)
+        return self._refuse_retry(item, "servers_busy", message)
 
     def _send(self, item: OpenRequest, route: Route, now: float) -> Dispatch:
         request = item.request
@@ -312,6 +285,7 @@
         )
         item.attempts += 1
         item.dispatches[dispatch.attempt] = dispatch
+        item.boots[dispatch.attempt] = self.load.find_boot_id(info.name)
         key = (request.request_id, dispatch.attempt)
         self.load.record_dispatch(info.name, key, request.target, request.prompt_tokens, now)
         if item.solo_held:
@@ -321,7 +295,7 @@
     def _record_end(
         self, item: OpenRequest, sent: Dispatch, result: AttemptResult, now: float
     ) -> None:
-        has_failed = result.end is not AttemptEnd.DONE
+        has_failed = result.end is not AttemptEnd.DONE or result.status >= SERVER_ERROR
         failed = None if result.end is AttemptEnd.CALLER_GONE else has_failed
         key = (result.request_id, result.attempt)
         self.load.record_end(sent.backend_server, key, failed, now)
@@ -329,14 +303,22 @@
         item.tokens = max(item.tokens, sent.resume_offset + result.tokens)
         if has_failed:
             item.failed_servers.add(sent.backend_server)
-        server = self.load.servers.get(sent.backend_server)
-        boot_id = server.boot_id if server is not None else ""
-        fingerprint = item.request.fingerprint
+        if result.end in (AttemptEnd.CALLER_GONE, AttemptEnd.TIMED_OUT):
+            self._record_departure(item, sent, now)
         if result.end in (AttemptEnd.BROKEN, AttemptEnd.CRASHED):
-            self.suspects.presume(fingerprint, sent.backend_server, boot_id, item.solo_held, now)
-        if result.end is AttemptEnd.CRASHED:
-            self.report_crash(sent.backend_server, boot_id, now)
-        self.suspects.clear_solo(sent.backend_server, fingerprint)
+            self._record_break(item, sent, result.end, now)
+        self.suspects.clear_solo(sent.backend_server, item.request.fingerprint)
+
+    def _record_departure(self, item: OpenRequest, sent: Dispatch, now: float) -> None:
+        name, boot_id = sent.backend_server, item.boots.get(sent.attempt, "")
+        fingerprint = item.request.fingerprint
+        self.suspects.record_departure(fingerprint, name, boot_id, item.solo_held, now)
+
+    def _record_break(self, item: OpenRequest, sent: Dispatch, end: AttemptEnd, now: float) -> None:
+        name, boot_id = sent.backend_server, item.boots.get(sent.attempt, "")
+        self.suspects.presume(item.request.fingerprint, name, boot_id, item.solo_held, now)
+        if end is AttemptEnd.CRASHED:
+            self.report_crash(name, boot_id, now)
 
     def _decide_again(
         self, item: OpenRequest, result: AttemptResult, now: float
@@ -384,7 +366,7 @@
         return RequestError(error.status, error.code, error.message, Outcome.UNKNOWN)
 
     def _refuse_retry(
-        self, item: OpenRequest, code: str, message: str, now: float, wait_s: float = BUSY_WAIT_S
+        self, item: OpenRequest, code: str, message: str, wait_s: float = BUSY_WAIT_S
     ) -> Refusal:
         """Refuse with Retry-After; what ran before without an answer is not called not run."""
         if item.has_run:
@@ -396,7 +378,7 @@
         return self._refuse(item, self.admission.refuse(UNAVAILABLE, code, message, wait_s))
 
     def _refuse(self, item: OpenRequest, error: RequestError) -> Refusal:
-        self._close(item, item.request.received_at)
+        self._close(item)
         log.info(
             "event=request_refused request_id=%s code=%s outcome=%s",
             item.request.request_id,
@@ -405,6 +387,6 @@
         )
         return Refusal(error)
 
-    def _close(self, item: OpenRequest, now: float) -> None:
+    def _close(self, item: OpenRequest) -> None:
         if self.open.items.pop(item.request.request_id, None) is not None:
             self.admission.leave(item.request)
--- a/rhubarbshed/coordination/quarantine.py
+++ b/rhubarbshed/coordination/quarantine.py
@@ -7,7 +7,7 @@
 
 from rhubarbshed.protocol.codec import from_plain, to_plain
 from rhubarbshed.protocol.errors import Outcome, RequestError
-from rhubarbshed.protocol.quarantine import CrashId, QuarantineEntry, merge_entries
+from rhubarbshed.protocol.quarantine import QuarantineEntry, merge_entries
 from rhubarbshed.protocol.tables import Check, Row, Transaction, Write
 
 UNPROCESSABLE = 422
@@ -110,20 +110,16 @@
 
 
 def plan_solo_release(known: QuarantineEntry, row: Row, write_id: str) -> Transaction | None:
-    """Return the transaction that tells how a solo run ended; None where the row was taken."""
+    """Return the transaction that tells how a solo run ended; None where the row was taken.
+
+    A claim whose answer was lost may still take effect; writing over a row that nobody holds
+    makes it fail its check.
+    """
     present = read_solo_row(row, known.fingerprint)
-    if present.write_id != write_id:
+    if present.instance and present.write_id != write_id:
         return None
     return _make_transaction(row, SoloRow(merge_entries(present.entry, known)))
 
 
 def _make_transaction(row: Row, value: SoloRow) -> Transaction:
     return Transaction((Check(row.key, row.version),), (Write(row.key, to_plain(value)),))
-
-
-def list_crash_suspects(
-    fingerprints: tuple[str, ...], solo: str, crash: CrashId
-) -> tuple[tuple[str, CrashId, bool], ...]:
-    """Return each fingerprint in flight at a crash, the crash, and whether it ran alone."""
-    distinct = tuple(dict.fromkeys(name for name in fingerprints if name))
-    return tuple((name, crash, distinct == (solo,)) for name in distinct)
--- a/rhubarbshed/coordination/routing.py
+++ b/rhubarbshed/coordination/routing.py
@@ -17,7 +17,9 @@
 PREFILL_DEFAULT_TOKENS_PER_S = 4000.0
 CHOICES = 2
 WEIGHT_FLOOR_S = 0.05
-WEIGHT_EXPONENT = 3
+SHARPNESS_AGE_S = 2.0
+SHARPNESS_MIN = 2.0
+SHARPNESS_MAX = 8.0
 QUEUE_SHARE_AHEAD = {Priority.INTERACTIVE: 0.5, Priority.STANDARD: 1.0, Priority.BATCH: 1.5}
 
 
@@ -76,48 +78,68 @@
     )
 
 
+def find_pair(request: Request, candidates: Iterable[Candidate]) -> list[Candidate]:
+    """Return the two servers that a request may go to; servers just lost keep their place.
+
+    The fingerprint alone decides, so copies of one request meet the same two servers through
+    whichever instance they come, while different requests are spread over all servers.
+    """
+    key = request.fingerprint or request.request_id
+    return rank_by_fingerprint(key, candidates)[:CHOICES]
+
+
 def choose_route(
     request: Request,
-    candidates: Iterable[Candidate],
+    pair: Iterable[Candidate],
     data_centre: str,
     settings: RoutingSettings,
     randomness: random.Random,
     avoided: frozenset[str] = frozenset(),
 ) -> Route | None:
-    """Choose between the two servers that the fingerprint hashes to; None if neither is usable.
+    """Choose between the usable servers of a pair; None if there is none.
 
-    Two choices keep the load even (Mitzenmacher, The Power of Two Choices, 2001). Hashing the
-    fingerprint spreads different requests, also over instances with the same old report, and
-    keeps copies of one request on the same two servers, whichever instance they come through.
+    Two choices keep the load even. Source: Mitzenmacher, The Power of Two Choices in Randomized
+    Load Balancing, 2001.
     """
-    key = request.fingerprint or request.request_id
-    pair = rank_by_fingerprint(key, candidates)[:CHOICES]
-    usable = [found for found in pair if not found.lost and found.info.name not in avoided]
     routes = [
-        Route(found, predict_first_token(request, found, data_centre, settings)) for found in usable
+        Route(found, predict_first_token(request, found, data_centre, settings))
+        for found in pair
+        if not found.lost and found.info.name not in avoided
     ]
     return draw_route(routes, randomness)
 
 
 def draw_route(routes: list[Route], randomness: random.Random) -> Route | None:
-    """Draw a route, quicker ones far more often, so that equal views do not choose alike."""
+    """Draw a route, quicker ones more often: the fresher the reports, the more so.
+
+    Other instances decide on the same reports; the older these are, the less a difference
+    between them means, and taking the better one each time would send everyone there.
+    """
     if not routes:
         return None
-    weights = [(WEIGHT_FLOOR_S + route.predicted_s) ** -WEIGHT_EXPONENT for route in routes]
+    oldest_s = max(route.candidate.report_age_s for route in routes)
+    sharpness = compute_sharpness(oldest_s)
+    weights = [(WEIGHT_FLOOR_S + route.predicted_s) ** -sharpness for route in routes]
     return randomness.choices(routes, weights)[0]
 
 
+def compute_sharpness(report_age_s: float) -> float:
+    """Return the exponent by which a quicker server is preferred."""
+    wanted = SHARPNESS_AGE_S / max(report_age_s, 1e-9)
+    return min(SHARPNESS_MAX, max(SHARPNESS_MIN, wanted))
+
+
 def choose_solo_route(
     request: Request,
-    candidates: Iterable[Candidate],
+    pair: Iterable[Candidate],
     data_centre: str,
     settings: RoutingSettings,
     avoided: frozenset[str],
 ) -> Route | None:
-    """Choose a server with nothing in flight as far as known; None where there is none."""
+    """Choose a server of the pair with nothing in flight as far as known, or None."""
     routes = [
         Route(found, predict_first_token(request, found, data_centre, settings))
-        for found in candidates
+        for found in pair
         if not found.lost and found.in_flight == 0 and found.info.name not in avoided
     ]
     return min(routes, key=lambda route: route.predicted_s, default=None)
--- /dev/null
+++ b/rhubarbshed/coordination/solo.py
@@ -0,0 +1,128 @@
+"""Rounds with the table service that let a suspect run alone over all instances."""
+
+import logging
+from collections import OrderedDict
+from collections.abc import Callable
+
+from attrs import define, field, frozen
+
+from rhubarbshed.coordination.commits import CommitBatcher, CommitEnd, commit_confirmed
+from rhubarbshed.coordination.quarantine import (
+    SoloBusy,
+    SoloRefused,
+    SoloRow,
+    make_solo_key,
+    plan_solo,
+    plan_solo_release,
+    read_solo_row,
+)
+from rhubarbshed.protocol.quarantine import QuarantineEntry
+
+log = logging.getLogger(__name__)
+
+ROUNDS_MAX = 4
+PENDING_MAX = 1_000
+
+IsGone = Callable[[str, str], bool]
+
+
+@frozen
+class SoloHeld:
+    """The suspect may run alone; `entry` is all that is known against it."""
+
+    entry: QuarantineEntry
+
+
+@frozen
+class SoloUnavailable:
+    """The table did not confirm the claim, so the suspect must not run."""
+
+
+SoloAnswer = SoloHeld | SoloBusy | SoloRefused | SoloUnavailable
+
+
+@frozen
+class SoloHolder:
+    """Name the instance that wants a claim; `write_id` is unique to the claim."""
+
+    instance: str
+    incarnation: str
+    write_id: str
+
+
+@define
+class SoloReleases:
+    """Hold claims to be released once the table answers again, by `write_id`."""
+
+    pending: OrderedDict[str, QuarantineEntry] = field(factory=OrderedDict)
+
+    def add(self, write_id: str, entry: QuarantineEntry) -> None:
+        """Keep a release for later; one that is dropped ends with this instance's session."""
+        self.pending[write_id] = entry
+        while len(self.pending) > PENDING_MAX:
+            self.pending.popitem(last=False)
+
+
+async def claim_solo(
+    table: CommitBatcher,
+    releases: SoloReleases,
+    known: QuarantineEntry,
+    holder: SoloHolder,
+    is_gone: IsGone,
+    crashes_max: int,
+) -> SoloAnswer:
+    """Claim the right to run a suspect alone; without the table it does not run."""
+    row = (await table.read(make_solo_key(known.fingerprint))).value_or(None)
+    wanted = SoloRow(known, holder.instance, holder.incarnation, holder.write_id)
+    for _ in range(ROUNDS_MAX):
+        if row is None:
+            return SoloUnavailable()
+        present = read_solo_row(row, known.fingerprint)
+        holder_is_gone = bool(present.instance) and is_gone(present.instance, present.incarnation)
+        plan = plan_solo(known, row, wanted, holder_is_gone, crashes_max)
+        if isinstance(plan, SoloBusy | SoloRefused):
+            return plan
+        result = await commit_confirmed(table, plan.transaction, holder.write_id)
+        if result.end is CommitEnd.COMMITTED:
+            return SoloHeld(plan.row.entry)
+        if result.end is CommitEnd.UNSURE:
+            releases.add(holder.write_id, known)
+        row = result.row
+    return SoloUnavailable()
+
+
+async def release_solo(
+    table: CommitBatcher, releases: SoloReleases, known: QuarantineEntry, write_id: str
+) -> bool:
+    """Give a claim back and write what the run showed; kept for later where the table fails."""
+    is_released = await _try_release(table, known, write_id)
+    if is_released:
+        releases.pending.pop(write_id, None)
+    else:
+        releases.add(write_id, known)
+    return is_released
+
+
+async def release_pending(table: CommitBatcher, releases: SoloReleases) -> int:
+    """Try all kept releases once more, until one fails; return how many were written."""
+    written = 0
+    for write_id, known in list(releases.pending.items()):
+        if not await release_solo(table, releases, known, write_id):
+            break
+        written += 1
+    return written
+
+
+async def _try_release(table: CommitBatcher, known: QuarantineEntry, write_id: str) -> bool:
+    row = (await table.read(make_solo_key(known.fingerprint))).value_or(None)
+    for _ in range(ROUNDS_MAX):
+        if row is None:
+            return False
+        plan = plan_solo_release(known, row, write_id)
+        if plan is None:
+            return True
+        result = await commit_confirmed(table, plan, write_id)
+        if result.end is CommitEnd.COMMITTED and result.row is None:
+            return True
+        row = result.row
+    return False
--- a/rhubarbshed/coordination/suspects.py
+++ b/rhubarbshed/coordination/suspects.py
@@ -7,7 +7,7 @@
 
 from rhubarbshed.protocol.quarantine import CrashId
 from rhubarbshed.state.load import Candidate
-from rhubarbshed.state.presumptions import Presumption, Presumptions
+from rhubarbshed.state.presumptions import Presumption, Presumptions, make_presumed_crash
 from rhubarbshed.state.quarantine import QuarantineView
 from rhubarbshed.util.settings import QuarantineSettings
 
@@ -22,6 +22,7 @@
 
     view: QuarantineView
     presumptions: Presumptions = field(factory=Presumptions)
+    departures: Presumptions = field(factory=Presumptions)
 
     @classmethod
     def from_settings(cls, settings: QuarantineSettings) -> "Suspects":
@@ -41,7 +42,7 @@
         )
 
     def is_exhausted(self, fingerprint: str) -> bool:
-        """Tell whether one more crash could be too many, the presumed ones counted."""
+        """Tell whether the crashes are too many already, the presumed ones counted."""
         certain = set(self.view.find_entry(fingerprint).open_crashes)
         presumed = set(self.presumptions.list_crashes(fingerprint))
         return len(certain | presumed) >= self.view.settings.crashes_max
@@ -51,12 +52,24 @@
     ) -> None:
         """Suspect a fingerprint whose attempt broke, until a report of its server decides."""
         if fingerprint:
-            crash = CrashId(backend_server, boot_id)
+            crash = make_presumed_crash(backend_server, boot_id, alone)
             self.presumptions.add(Presumption(fingerprint, crash, alone, now))
 
+    def record_departure(
+        self, fingerprint: str, backend_server: str, boot_id: str, alone: bool, now: float
+    ) -> None:
+        """Remember an attempt given up here that the server may still be at work on.
+
+        It is no suspicion by itself, but a crash that is told soon counts against it.
+        """
+        if fingerprint:
+            crash = make_presumed_crash(backend_server, boot_id, alone)
+            self.departures.add(Presumption(fingerprint, crash, alone, now))
+
     def refute(self, backend_server: str, boot_id: str, alive_at: float) -> None:
         """Drop suspicions that a later report of the same boot shows to be wrong."""
         self.presumptions.refute(backend_server, boot_id, alive_at)
+        self.departures.refute(backend_server, boot_id, alive_at)
 
     def confirm_crash(
         self, backend_server: str, boot_id: str, in_flight: Iterable[str], now: float
@@ -64,8 +77,9 @@
         """Hold a crash against what was in flight at it, and against what broke just before."""
         crash = CrashId(backend_server, boot_id)
         solo = self.view.find_solo(backend_server, now)
-        for presumed in self.presumptions.take(crash):
-            self._hold(presumed.fingerprint, crash, presumed.alone, now)
+        for presumed in (*self.presumptions.take(crash), *self.departures.take(crash)):
+            held = crash if boot_id else presumed.crash
+            self._hold(presumed.fingerprint, held, presumed.alone, now)
         for fingerprint in dict.fromkeys(in_flight):
             if fingerprint:
                 self._hold(fingerprint, crash, fingerprint == solo, now)
@@ -85,6 +99,7 @@
         """Release a fingerprint that has been answered whole."""
         if fingerprint:
             self.presumptions.acquit(fingerprint)
+            self.departures.acquit(fingerprint)
             self.view.record_whole_answer(fingerprint, now)
 
     def list_set_aside(self, now: float) -> frozenset[str]:
@@ -118,4 +133,5 @@
     def forget_old(self, now: float) -> None:
         """Forget what is old."""
         self.presumptions.forget_old(now)
+        self.departures.forget_old(now)
         self.view.forget_old(now)
--- a/rhubarbshed/state/attempts.py
+++ b/rhubarbshed/state/attempts.py
@@ -9,8 +9,9 @@
 class OpenRequest:
     """Hold one open request.
 
-    `dispatches` are its attempts in flight by number; more than one while a hedge runs. `has_run`
-    is whether any attempt may have begun on a backend server. `tokens` were passed to the caller.
+    `dispatches` are its attempts in flight by number; more than one while a hedge runs. `boots`
+    holds the boot of the backend server that each attempt was sent to. `has_run` is whether any
+    attempt may have begun on a backend server. `tokens` were passed to the caller.
     """
 
     request: Request
@@ -20,6 +21,7 @@
     has_run: bool = False
     tokens: int = 0
     dispatches: dict[int, Dispatch] = field(factory=dict)
+    boots: dict[int, str] = field(factory=dict)
     failed_servers: set[str] = field(factory=set)
 
 
@@ -29,12 +31,13 @@
 
     items: dict[str, OpenRequest] = field(factory=dict)
 
-    def list_on_server(self, backend_server: str) -> tuple[OpenRequest, ...]:
-        """Return the requests that have an attempt in flight on a backend server."""
+    def list_fingerprints(self, backend_server: str, boot_id: str) -> tuple[str, ...]:
+        """Return the fingerprints in flight on one boot of a backend server."""
         return tuple(
-            item
+            item.request.fingerprint
             for item in self.items.values()
-            if any(sent.backend_server == backend_server for sent in item.dispatches.values())
+            for number, sent in item.dispatches.items()
+            if sent.backend_server == backend_server and item.boots.get(number, "") in ("", boot_id)
         )
 
     def find_server_of(self, fingerprint: str) -> str:
--- a/rhubarbshed/state/load.py
+++ b/rhubarbshed/state/load.py
@@ -15,7 +15,7 @@
 FAILURE_HALF_LIFE_S = 5.0
 FAILURES_MAX = 8.0
 ENDED_KEPT_S = 30.0
-LOST_HOLD_S = 5.0
+LOST_HOLD_S = 10.0
 PAST_BOOTS_MAX = 8
 STANDINGS_USED = (Standing.LIVE, Standing.SUSPECTED)
 
@@ -203,7 +203,8 @@
         server = self.servers.get(name)
         if server is None:
             return
-        server.lost_targets = server.find_residents() | server.lost_targets
+        kept = server.lost_targets if server.is_lost(now) else frozenset()
+        server.lost_targets = server.find_residents() | kept
         server.lost_at = now
         server.prefixes.clear()
 
@@ -233,6 +234,10 @@
         if not failed:
             server.hold_s += HOLD_SMOOTHING * (now - sent.sent_at - server.hold_s)
 
+    def find_boot_id(self, name: str) -> str:
+        """Return the boot that a backend server reported last, empty where none is known."""
+        return self.servers[name].boot_id if name in self.servers else ""
+
     def count_in_flight(self, name: str) -> float:
         """Return the corrected number of requests in flight on a backend server."""
         return self.servers[name].compute_in_flight() if name in self.servers else 0.0
@@ -258,7 +263,8 @@
             if not is_there and not was_there:
                 continue
             share = server.prefixes.estimate_cached_share(prefixes)
-            has_adapter = not adapter or adapter in residents
+            held = residents | server.lost_targets if was_there else residents
+            has_adapter = not adapter or adapter in held
             found.append(_make_candidate(server, share, has_adapter, now))
         return tuple(found)
 
--- a/rhubarbshed/state/presumptions.py
+++ b/rhubarbshed/state/presumptions.py
@@ -1,11 +1,15 @@
 """Broken attempts that may turn out to be crashes of their backend servers."""
 
+from collections.abc import Callable
+
 from attrs import define, field, frozen
 
 from rhubarbshed.protocol.quarantine import CrashId
 
 PRESUMED_S = 60.0
 PRESUMED_MAX = 5_000
+BOOT_UNKNOWN = ""
+BOOT_ALONE = "alone"
 
 
 @frozen
@@ -35,14 +39,19 @@
         return tuple(crash for name, crash in self.items if name == fingerprint)
 
     def refute(self, backend_server: str, boot_id: str, alive_at: float) -> None:
-        """Drop what was presumed before a time at which the same boot was still alive."""
+        """Drop what was presumed before a time at which the same boot was still alive.
+
+        A server that tells no boot id may have started anew in between, so it refutes nothing.
+        """
+        if not boot_id:
+            return
         crash = CrashId(backend_server, boot_id)
         self._drop(lambda item: item.crash == crash and item.at < alive_at)
 
     def take(self, crash: CrashId) -> tuple[Presumption, ...]:
         """Remove and return what is presumed of a crash that has been confirmed."""
-        taken = tuple(item for item in self.items.values() if item.crash == crash)
-        self._drop(lambda item: item.crash == crash)
+        taken = tuple(item for item in self.items.values() if _is_same(item.crash, crash))
+        self._drop(lambda item: _is_same(item.crash, crash))
         return taken
 
     def acquit(self, fingerprint: str) -> None:
@@ -53,6 +62,21 @@
         """Drop what no report has decided for a long time."""
         self._drop(lambda item: item.at < now - PRESUMED_S)
 
-    def _drop(self, matches) -> None:
+    def _drop(self, matches: Callable[[Presumption], bool]) -> None:
         for key in [key for key, item in self.items.items() if matches(item)]:
             del self.items[key]
+
+
+def make_presumed_crash(backend_server: str, boot_id: str, alone: bool) -> CrashId:
+    """Identify a presumed crash, also of a server that tells no boot id.
+
+    A fingerprint runs alone on one instance at a time, so its lone crashes need no boot id to be
+    told from those it shared with others.
+    """
+    return CrashId(backend_server, boot_id or (BOOT_ALONE if alone else BOOT_UNKNOWN))
+
+
+def _is_same(presumed: CrashId, confirmed: CrashId) -> bool:
+    if presumed.backend_server != confirmed.backend_server:
+        return False
+    return presumed.boot_id in (confirmed.boot_id, BOOT_UNKNOWN, BOOT_ALONE)
