--- a/rhubarbshed/coordination/desk.py
+++ b/rhubarbshed/coordination/desk.py
@@ -50,7 +50,7 @@
 
 @frozen
 class AttemptOpen:
-    """Another attempt of the same request is still in flight; nothing is to be done."""
+    """The attempt is no longer of interest, but its request is still open; nothing is to be done."""
 
     request_id: str
 
@@ -133,8 +133,10 @@
         """
         item = self.open.items.get(result.request_id)
         sent = item.dispatches.pop(result.attempt, None) if item is not None else None
-        if item is None or sent is None:
+        if item is None:
             return None
+        if sent is None:
+            return AttemptOpen(result.request_id)
         self._record_end(item, sent, result, now)
         if result.end is AttemptEnd.DONE:
             self.suspects.record_whole_answer(item.request.fingerprint, now)
--- a/rhubarbshed/coordination/routing.py
+++ b/rhubarbshed/coordination/routing.py
@@ -74,7 +74,7 @@
     """
     return sorted(
         candidates,
-        key=lambda candidate: xxhash.xxh64_intdigest(f"{key}\0{candidate.info.name}"),
+        key=lambda candidate: xxhash.xxh64_intdigest(f"{key}\0{candidate.info.name}".encode()),
     )
 
 
--- /dev/null
+++ b/test/test_admission.py
@@ -0,0 +1,52 @@
+"""Bounds, priorities and deadlines refuse at once, with when to come back."""
+
+import pytest
+
+from rhubarbshed.coordination.admission import Admission
+from rhubarbshed.protocol.errors import Outcome
+from rhubarbshed.protocol.requests import Priority
+from test.helper_requests import make_request, make_settings
+
+SETTINGS = make_settings("[admission]\nmodel_requests_max = 10\ncaller_requests_max = 8").admission
+
+
+def make_admission() -> Admission:
+    return Admission.from_settings(SETTINGS, 1)
+
+
+def test_caller_bound_is_429_and_a_left_place_is_free_again():
+    admission = make_admission()
+    for number in range(8):
+        admission.enter(make_request(number))
+    error = admission.check_bounds(make_request(9), 1.0)
+    assert (error.status, error.outcome, error.retryable) == (429, Outcome.NOT_RUN, True)
+    assert admission.check_bounds(make_request(9, caller="other"), 1.0) is None
+    admission.leave(make_request(0))
+    assert admission.check_bounds(make_request(9), 1.0) is None
+
+
+def test_batch_gives_up_before_interactive():
+    admission = make_admission()
+    for number in range(6):
+        admission.enter(make_request(number, caller=f"c{number}"))
+    batch = make_request(9, priority=Priority.BATCH)
+    interactive = make_request(9, priority=Priority.INTERACTIVE)
+    assert admission.check_bounds(batch, 1.0).status == 503
+    assert admission.check_bounds(interactive, 1.0) is None
+    assert admission.check_time(batch, 3.0, 0.9, 0.0) is not None
+    assert admission.check_time(interactive, 3.0, 0.9, 0.0) is None
+
+
+@pytest.mark.parametrize("priority", list(Priority))
+def test_unreachable_deadline_is_refused_at_once(priority):
+    request = make_request(deadline=0.5, priority=priority)
+    error = make_admission().check_time(request, 0.6, 0.9, 0.0)
+    assert (error.code, error.outcome) == ("deadline_unreachable", Outcome.NOT_RUN)
+
+
+def test_retry_after_stays_within_the_settings_and_is_jittered():
+    admission = make_admission()
+    given = [admission.compute_retry_after(wait) for wait in (0.0, 1.0, 5.0, 5.0, 1e9)]
+    assert all(SETTINGS.retry_after_min_s <= one <= SETTINGS.retry_after_max_s for one in given)
+    assert given[2] != given[3]
+    assert admission.compute_retry_after(5.0) >= 5.0
--- /dev/null
+++ b/test/test_quarantine.py
@@ -0,0 +1,334 @@
+"""Requests that crash servers are found, run alone and refused; innocent ones are released."""
+
+import asyncio
+import random
+
+import pytest
+from attrs import define, field
+
+from rhubarbshed.coordination.desk import Desk, SoloNeeded
+from rhubarbshed.coordination.quarantine import SoloBusy, SoloRefused, compute_fingerprint
+from rhubarbshed.coordination.solo import (
+    SoloHeld,
+    SoloHolder,
+    SoloReleases,
+    SoloUnavailable,
+    claim_solo,
+    release_pending,
+    release_solo,
+)
+from rhubarbshed.protocol.quarantine import CrashId, QuarantineEntry, merge_entries
+from rhubarbshed.protocol.requests import AttemptEnd, Dispatch, Refusal
+from rhubarbshed.state.quarantine import QuarantineView
+from test.helper_requests import (
+    FaultyTable,
+    end,
+    make_batcher,
+    make_desk,
+    make_report,
+    make_request,
+    make_settings,
+)
+
+SETTINGS = make_settings().quarantine
+FIRST = CrashId("b0", "boot-1")
+SECOND = CrashId("b1", "boot-1")
+
+
+def claim_now(table, entry, write_id="w1", instance="i1", gone=(), releases=None):
+    kept = releases if releases is not None else SoloReleases()
+    holder = SoloHolder(instance, "1", write_id)
+    is_gone = lambda name, incarnation: name in gone  # noqa: E731
+    return asyncio.run(claim_solo(make_batcher(table), kept, entry, holder, is_gone, 2))
+
+
+def release_now(table, entry, write_id="w1", releases=None):
+    kept = releases if releases is not None else SoloReleases()
+    return asyncio.run(release_solo(make_batcher(table), kept, entry, write_id))
+
+
+def test_fingerprint_ignores_layout_but_not_content_or_target():
+    one = compute_fingerprint("sermon", b'{"a": 1, "b": 2}')
+    assert compute_fingerprint("sermon", b'{"b":2,"a":1}') == one
+    assert compute_fingerprint("sermon", b'{"a": 1, "b": 3}') != one
+    assert compute_fingerprint("other", b'{"a": 1, "b": 2}') != one
+    assert compute_fingerprint("sermon", b"\xff") != compute_fingerprint("sermon", b"\xfe")
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_entries_merge_alike_in_any_order(seed):
+    randomness = random.Random(seed)
+    marks = [CrashId(f"b{number}", "x") for number in range(3)]
+    entries = [
+        QuarantineEntry("f", *(tuple(sorted(randomness.sample(marks, 2))) for _ in range(3)))
+        for _ in range(4)
+    ]
+    merged = []
+    for _ in range(5):
+        randomness.shuffle(entries)
+        total = QuarantineEntry("f")
+        for entry in [*entries, entries[0]]:
+            total = merge_entries(total, entry)
+        merged.append(total)
+    assert all(one == merged[0] for one in merged)
+
+
+def test_same_crash_told_twice_counts_once_and_the_second_refuses_for_good():
+    view = QuarantineView(SETTINGS)
+    view.record_crash("f", FIRST, False, 0.0)
+    view.record_crash("f", FIRST, False, 1.0)
+    assert view.is_suspect("f")
+    view.record_crash("f", SECOND, True, 2.0)
+    assert view.is_refused("f")
+    view.record_whole_answer("f", 3.0)
+    assert view.is_refused("f")
+
+
+def test_whole_answer_releases_an_innocent():
+    view = QuarantineView(SETTINGS)
+    view.record_crash("f", FIRST, False, 0.0)
+    view.record_whole_answer("f", 1.0)
+    assert not view.is_suspect("f")
+    view.record_crash("f", SECOND, False, 2.0)
+    assert view.is_suspect("f")
+
+
+def test_one_copy_runs_alone_over_all_instances():
+    table = FaultyTable()
+    entry = QuarantineEntry("f", (FIRST,))
+    assert isinstance(claim_now(table, entry), SoloHeld)
+    assert isinstance(claim_now(table, entry, "w2", "i2"), SoloBusy)
+    assert release_now(table, entry)
+    assert isinstance(claim_now(table, entry, "w2", "i2"), SoloHeld)
+
+
+def test_table_tells_crashes_that_this_instance_has_not_heard_of():
+    table = FaultyTable()
+    claim_now(table, QuarantineEntry("f", (FIRST,)))
+    release_now(table, QuarantineEntry("f", (FIRST, SECOND), refused=True))
+    answer = claim_now(table, QuarantineEntry("f", (FIRST,)), "w2", "i2")
+    assert isinstance(answer, SoloRefused)
+    assert answer.entry.refused
+
+
+def test_holder_that_dies_twice_in_a_run_ends_the_trying():
+    table = FaultyTable()
+    entry = QuarantineEntry("f", (FIRST,))
+    claim_now(table, entry, "w1", "i1")
+    assert isinstance(claim_now(table, entry, "w2", "i2", gone=("i1",)), SoloHeld)
+    answer = claim_now(table, entry, "w3", "i3", gone=("i1", "i2"))
+    assert isinstance(answer, SoloRefused)
+
+
+def test_suspect_does_not_run_without_the_table():
+    table = FaultyTable(is_down=True)
+    entry = QuarantineEntry("f", (FIRST,))
+    assert isinstance(claim_now(table, entry), SoloUnavailable)
+    table = FaultyTable(faults=["late", "late", "late"])
+    releases = SoloReleases()
+    assert isinstance(claim_now(table, entry, releases=releases), SoloUnavailable)
+    assert asyncio.run(release_pending(make_batcher(table), releases)) == 1
+    table.apply_late()
+    assert isinstance(claim_now(table, entry, "w2", "i2"), SoloHeld)
+
+
+def crash_first(desk: Desk, fingerprint: str = "f0") -> tuple[Dispatch, SoloNeeded]:
+    sent = desk.open_request(make_request(0, fingerprint=fingerprint), 1.0)
+    return sent, desk.end_attempt(end(sent, AttemptEnd.CRASHED), 2.0)
+
+
+def test_suspect_runs_alone_while_others_keep_away_and_its_second_crash_is_final():
+    desk = make_desk()
+    sent, need = crash_first(desk)
+    assert need == SoloNeeded("r0", "f0")
+    entry = desk.suspects.view.find_entry("f0")
+    solo = desk.resume_solo("r0", SoloHeld(entry), 2.1)
+    assert solo.backend_server != sent.backend_server
+    for number in range(1, 40):
+        other = desk.open_request(make_request(number, 2.2), 2.2)
+        assert isinstance(other, Refusal) or other.backend_server != solo.backend_server
+    refused = desk.end_attempt(end(solo, AttemptEnd.CRASHED), 3.0)
+    assert (refused.error.status, refused.error.retryable) == (422, False)
+    again = desk.open_request(make_request(99, 4.0, fingerprint="f0"), 4.0)
+    assert again.error.code == "quarantined"
+
+
+def test_innocent_in_flight_at_a_crash_is_released_by_a_clean_run_alone():
+    desk = make_desk()
+    _, need = crash_first(desk)
+    solo = desk.resume_solo(need.request_id, SoloHeld(QuarantineEntry("f0")), 2.1)
+    assert desk.end_attempt(end(solo, AttemptEnd.DONE), 3.0) is None
+    assert isinstance(desk.open_request(make_request(5, 4.0, fingerprint="f0"), 4.0), Dispatch)
+
+
+def test_suspect_without_an_idle_server_is_told_to_come_back_to_one():
+    desk = make_desk()
+    busy = [desk.open_request(make_request(n), 0.0) for n in range(10, 40)]
+    _, need = crash_first(desk)
+    refused = desk.resume_solo(need.request_id, SoloHeld(QuarantineEntry("f0")), 2.1)
+    assert (refused.error.code, refused.error.retryable) == ("suspect_waits", True)
+    (kept,) = desk.suspects.list_set_aside(2.2)
+    for sent in busy:
+        desk.end_attempt(end(sent, AttemptEnd.DONE), 3.0)
+    need = desk.open_request(make_request(50, 4.0, fingerprint="f0"), 4.0)
+    solo = desk.resume_solo(need.request_id, SoloHeld(QuarantineEntry("f0")), 4.0)
+    assert solo.backend_server == kept
+
+
+def test_late_word_of_an_old_crash_does_not_touch_what_runs_now():
+    desk = make_desk(servers=1)
+    desk.apply_report(make_report("b0", "boot-2"), 1.0)
+    sent = desk.open_request(make_request(1, 20.0), 20.0)
+    assert isinstance(sent, Dispatch)
+    desk.report_crash("b0", "boot-1", 21.0)
+    assert not desk.suspects.is_suspect("f1")
+
+
+def test_attempt_given_up_just_before_a_crash_is_suspect_too():
+    desk = make_desk()
+    sent = desk.open_request(make_request(0), 1.0)
+    desk.cancel("r0", 1.5)
+    desk.report_crash(sent.backend_server, "boot-1", 2.0)
+    assert desk.suspects.is_suspect("f0")
+
+
+RESTART_S = 1.0
+RELOAD_S = 3.0
+POISON = "poison"
+
+
+@define
+class Fleet:
+    """Play instances, backend servers that the poison crashes, and news that travels late."""
+
+    randomness: random.Random
+    desks: list[Desk]
+    table: FaultyTable
+    boots: dict[str, int] = field(factory=dict)
+    up_at: dict[str, float] = field(factory=dict)
+    crashes: list[str] = field(factory=list)
+    pending: list = field(factory=list)
+    refused_innocents: int = 0
+    number: int = 0
+
+    def at(self, when, action, *arguments):
+        self.number += 1
+        self.pending.append((when, self.number, action, arguments))
+
+    def run(self, until):
+        while self.pending:
+            self.pending.sort(key=lambda entry: entry[:2])
+            when, _, action, arguments = self.pending.pop(0)
+            if when > until:
+                return
+            action(when, *arguments)
+
+    def send(self, now, index, fingerprint):
+        self.number += 1
+        request = make_request(self.number, now, fingerprint=fingerprint)
+        self.decide(now, index, request, self.desks[index].open_request(request, now))
+
+    def decide(self, now, index, request, decision):
+        desk = self.desks[index]
+        if isinstance(decision, SoloNeeded):
+            entry = desk.suspects.view.find_entry(request.fingerprint)
+            write_id = f"w{self.number}-{index}"
+            holder = SoloHolder(f"i{index}", "1", write_id)
+            batcher, releases = make_batcher(self.table), SoloReleases()
+            call = claim_solo(batcher, releases, entry, holder, lambda *_: False, 2)
+            answer = asyncio.run(call)
+            again = desk.resume_solo(request.request_id, answer, now)
+            self.decide(now, index, request, again)
+            if isinstance(answer, SoloHeld):
+                self.at(now + 1.5, self.release, index, request.fingerprint, write_id)
+        elif isinstance(decision, Dispatch):
+            self.at(now + 0.005, self.arrive, index, request, decision)
+        elif isinstance(decision, Refusal) and request.fingerprint != POISON:
+            self.refused_innocents += decision.error.status == 422
+
+    def release(self, now, index, fingerprint, write_id):
+        entry = self.desks[index].suspects.view.find_entry(fingerprint)
+        call = release_solo(make_batcher(self.table), SoloReleases(), entry, write_id)
+        asyncio.run(call)
+
+    def arrive(self, now, index, request, sent):
+        name = sent.backend_server
+        if self.up_at.get(name, 0.0) > now:
+            how = AttemptEnd.REFUSED if self.up_at[name] - RELOAD_S < now else AttemptEnd.NOT_SENT
+            self.finish(now, index, request, sent, how)
+        elif request.fingerprint == POISON:
+            self.at(now + self.randomness.uniform(0.0, 0.3), self.crash, name, self.boot(name))
+            self.at(now + 1.0, self.finish_if_alive, index, request, sent, self.boot(name))
+        else:
+            self.at(now + 1.0, self.finish_if_alive, index, request, sent, self.boot(name))
+
+    def boot(self, name):
+        return self.boots.get(name, 1)
+
+    def crash(self, now, name, boot):
+        if self.boot(name) != boot:
+            return
+        self.crashes.append(name)
+        self.boots[name] = boot + 1
+        self.up_at[name] = now + RESTART_S + RELOAD_S
+        for index, desk in enumerate(self.desks):
+            for item in desk.list_open():
+                for sent in list(item.dispatches.values()):
+                    if sent.backend_server == name:
+                        delay = self.randomness.uniform(0.0, 0.05)
+                        how = AttemptEnd.BROKEN
+                        self.at(now + delay, self.finish, index, item.request, sent, how)
+            news = now + RESTART_S + self.randomness.uniform(0.1, 2.0)
+            self.at(news, self.report, index, name, ())
+            self.at(self.up_at[name] + 0.5, self.report, index, name, make_report(name).resident)
+
+    def report(self, now, index, name, resident):
+        boot = f"boot-{self.boot(name)}"
+        self.desks[index].apply_report(make_report(name, boot, resident=resident), now)
+
+    def finish_if_alive(self, now, index, request, sent, boot):
+        if self.boot(sent.backend_server) == boot:
+            self.finish(now, index, request, sent, AttemptEnd.DONE)
+
+    def finish(self, now, index, request, sent, how):
+        decision = self.desks[index].end_attempt(end(sent, how, now), now)
+        self.decide(now, index, request, decision)
+
+    def gossip(self, now, teller, hearer):
+        for entry in self.desks[teller].suspects.view.list_entries():
+            self.desks[hearer].suspects.view.merge_entry(entry, now)
+
+
+def play_poison(seed: int, instances: int = 6, with_innocents: bool = True) -> Fleet:
+    randomness = random.Random(seed)
+    desks = [make_desk(servers=5, name=f"i{index}") for index in range(instances)]
+    fleet = Fleet(randomness, desks, FaultyTable())
+    for _ in range(20):
+        index = randomness.randrange(instances)
+        fleet.at(randomness.uniform(0.0, 20.0), fleet.send, index, POISON)
+    for index in range(instances):
+        fleet.at(0.5, fleet.send, index, POISON)
+    for number in range(60 if with_innocents else 0):
+        when = randomness.uniform(0.0, 20.0)
+        fleet.at(when, fleet.send, randomness.randrange(instances), f"innocent{number}")
+    for second in range(30):
+        for teller in range(instances):
+            hearer = (teller + 1 + second % (instances - 1)) % instances
+            fleet.at(second + 0.9, fleet.gossip, teller, hearer)
+    fleet.run(60.0)
+    return fleet
+
+
+@pytest.mark.parametrize("seed", range(100))
+def test_poison_sent_through_all_instances_takes_down_two_servers_at_most(seed):
+    fleet = play_poison(seed)
+    assert len(set(fleet.crashes)) <= 2
+    assert len(fleet.crashes) <= 2
+    assert fleet.refused_innocents == 0
+
+
+def test_poison_takes_down_more_where_any_replica_may_be_chosen(monkeypatch):
+    """Show that the bound comes from the pair: without it the same plays lose more servers."""
+    monkeypatch.setattr("rhubarbshed.coordination.desk.find_pair", lambda _, found: list(found))
+    lost = [len(set(play_poison(seed).crashes)) for seed in range(20)]
+    assert max(lost) > 2
