--- a/rhubarbshed/coordination/desk.py
+++ b/rhubarbshed/coordination/desk.py
@@ -50,7 +50,7 @@
 
 @frozen
 class AttemptOpen:
-    """The attempt is no longer of interest, but its request is still open; nothing is to be done."""
+    """The request is still open, and this attempt no longer decides on it; do nothing."""
 
     request_id: str
 
