--- a/rhubarbshed/transport/gateway.py
+++ b/rhubarbshed/transport/gateway.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable, Coroutine
 from typing import Any
 
-from attrs import define, evolve, field
+from attrs import define, evolve, field, frozen
 
 from rhubarbshed.coordination.claims import (
     ClaimAsk,
@@ -22,10 +22,10 @@
 from rhubarbshed.coordination.quarantine import compute_fingerprint
 from rhubarbshed.coordination.settlement import Settlement, Settlements, claim, settle
 from rhubarbshed.coordination.solo import (
-    SoloRun,
-    SoloRuns,
+    SoloHeld,
+    SoloHolder,
+    SoloReleases,
     claim_solo,
-    make_holder,
     release_solo,
 )
 from rhubarbshed.protocol.answers import JSON_TYPE, WholeAnswer
@@ -44,6 +44,14 @@
 ASK_TIMEOUT_S = 30.0
 
 
+@frozen
+class SoloRun:
+    """Name a claim of this instance on running one suspect alone."""
+
+    fingerprint: str
+    write_id: str
+
+
 @define
 class Gateway:
     """Hold what decides on callers' requests; coroutines run on the loop, `ask` on any thread.
@@ -62,7 +70,7 @@
     table: CommitBatcher
     is_gone: Callable[[str, str], bool]
     settlements: Settlements = field(factory=Settlements)
-    solo_runs: SoloRuns = field(factory=SoloRuns)
+    solo_releases: SoloReleases = field(factory=SoloReleases)
     claims: dict[str, ClaimAsk] = field(factory=dict)
     solos: dict[str, SoloRun] = field(factory=dict)
     ending: int = 0
@@ -144,20 +152,24 @@
         if not isinstance(decision, SoloNeeded):
             return decision
         view = self.desk.suspects.view
-        holder = make_holder(
-            view.find_entry(decision.fingerprint),
-            self.settings.instance.name,
-            self.incarnation,
-            uuid.uuid4().hex,
+        known = view.find_entry(decision.fingerprint)
+        holder = SoloHolder(self.settings.instance.name, self.incarnation, uuid.uuid4().hex)
+        crashes_max = self.settings.quarantine.crashes_max
+        answer = await claim_solo(
+            self.table, self.solo_releases, known, holder, self.is_gone, crashes_max
         )
-        run = await claim_solo(self.table, view, holder, self.is_gone, time.monotonic())
-        following = self.desk.resume_solo(decision.request_id, run is not None, time.monotonic())
-        if run is not None and isinstance(following, Dispatch):
+        following = self.desk.resume_solo(decision.request_id, answer, time.monotonic())
+        run = SoloRun(decision.fingerprint, holder.write_id)
+        if isinstance(answer, SoloHeld) and isinstance(following, Dispatch):
             self.solos[decision.request_id] = run
-        elif run is not None:
-            self.tell_end(release_solo(self.table, view, self.solo_runs, run))
+        elif isinstance(answer, SoloHeld):
+            self._release(run)
         return None if isinstance(following, AttemptOpen) else following
 
+    def _release(self, run: SoloRun) -> None:
+        known = self.desk.suspects.view.find_entry(run.fingerprint)
+        self.tell_end(release_solo(self.table, self.solo_releases, known, run.write_id))
+
     def _finish(
         self,
         call: Call,
@@ -176,8 +188,7 @@
             self.tell_end(settle(self.table, self.settlements, settlement))
         run = self.solos.pop(request_id, None)
         if run is not None:
-            view = self.desk.suspects.view
-            self.tell_end(release_solo(self.table, view, self.solo_runs, run))
+            self._release(run)
         return decision
 
     def tell_end(self, word: Coroutine[Any, Any, Any]) -> None:
--- a/rhubarbshed/transport/loops.py
+++ b/rhubarbshed/transport/loops.py
@@ -145,6 +145,6 @@
     """Tell the table the ends of requests that it could not take before."""
     gateway = runtime.gateway
     await settle_pending(gateway.table, gateway.settlements)
-    await release_pending(gateway.table, runtime.desk.suspects.view, gateway.solo_runs)
-    waiting = len(gateway.settlements.pending) + len(gateway.solo_runs.ended)
+    await release_pending(gateway.table, gateway.solo_releases)
+    waiting = len(gateway.settlements.pending) + len(gateway.solo_releases.pending)
     return Failure(waiting) if waiting else Success(None)
