--- a/standin/faults.py
+++ b/standin/faults.py
@@ -2,7 +2,7 @@
 
 from typing import Any
 
-from attrs import define, field, frozen
+from attrs import define, field
 
 KINDS = (
     "slow",
@@ -15,9 +15,13 @@
 )
 
 
-@frozen
+@define
 class Fault:
-    """Describe one fault; `path` limits it to paths that start so."""
+    """Describe one fault; `path` limits it to paths that start so.
+
+    `count` falls with every answer lost, which is cut after `after_bytes` of a stream. `cut` lets
+    a stand-in that is down cut connections in place of answering 503.
+    """
 
     kind: str
     delay_s: float = 0.0
@@ -25,6 +29,7 @@
     text: str = ""
     instance: str = ""
     path: str = ""
+    after_bytes: int = 0
     cut: bool = False
 
 
@@ -33,7 +38,6 @@
     """Hold the faults in force."""
 
     active: list[Fault] = field(factory=list)
-    left_to_lose: int = 0
 
     def add(self, plain: dict[str, Any]) -> Fault:
         """Put a fault in force; raise ValueError or TypeError where it makes no sense."""
@@ -42,8 +46,6 @@
             raise ValueError(f"kind must be one of {', '.join(KINDS)}")
         if fault.kind == "crash_on" and not fault.text:
             raise ValueError("crash_on needs a text")
-        if fault.kind == "lose_answers":
-            self.left_to_lose += fault.count
         if fault.kind != "silent":
             self.active.append(fault)
         return fault
@@ -51,7 +53,6 @@
     def clear(self) -> None:
         """End all faults."""
         self.active.clear()
-        self.left_to_lose = 0
 
     def find(self, kind: str, path: str) -> Fault | None:
         """Return the fault of a kind that applies to a path."""
@@ -64,16 +65,20 @@
         """Tell whether requests of an instance are cut off."""
         return any(f.kind == "refuse_source" and f.instance == instance for f in self.active)
 
-    def crashes_on(self, body: bytes) -> bool:
-        """Tell whether a request with this body ends the process's work."""
-        return any(f.kind == "crash_on" and f.text.encode() in body for f in self.active)
+    def find_crash(self, body: bytes) -> Fault | None:
+        """Return the fault by which a request with this body ends the process's work."""
+        for fault in self.active:
+            if fault.kind == "crash_on" and fault.text.encode() in body:
+                return fault
+        return None
 
-    def take_loss(self, path: str) -> bool:
-        """Tell whether the answer of this request is lost, and count it."""
-        if self.left_to_lose <= 0 or self.find("lose_answers", path) is None:
-            return False
-        self.left_to_lose -= 1
-        return True
+    def take_loss(self, path: str) -> Fault | None:
+        """Return the fault by which the answer of this request is lost, and count it."""
+        for fault in self.active:
+            if fault.kind == "lose_answers" and fault.count > 0 and path.startswith(fault.path):
+                fault.count -= 1
+                return fault
+        return None
 
 
 @define
--- a/standin/web.py
+++ b/standin/web.py
@@ -64,28 +64,31 @@
 
 
 class Exchange:
-    """Let a handler stream its answer."""
+    """Let a handler stream its answer, which is cut after some bytes where it is to be lost."""
 
-    def __init__(self, connection: "Connection", lost: bool) -> None:
+    def __init__(self, connection: "Connection", bytes_left: int | None = None) -> None:
         self.connection = connection
-        self.lost = lost
-        self.streaming = False
+        self.bytes_left = bytes_left
 
     def start_stream(self, headers: dict[str, str], content_type: str) -> None:
         """Send the head of a chunked answer."""
-        if self.lost:
-            self.connection.cut()
-            return
-        self.streaming = True
-        self.connection.write(format_head(200, content_type, headers, None).encode())
+        self._send(format_head(200, content_type, headers, None).encode())
 
     def write(self, data: bytes) -> None:
         """Send one chunk."""
-        self.connection.write(b"%x\r\n%b\r\n" % (len(data), data))
+        self._send(b"%x\r\n%b\r\n" % (len(data), data))
 
     def end_stream(self) -> None:
         """End a chunked answer."""
-        self.connection.write(b"0\r\n\r\n")
+        self._send(b"0\r\n\r\n")
+
+    def _send(self, data: bytes) -> None:
+        if self.bytes_left is not None:
+            self.bytes_left -= len(data)
+            if self.bytes_left < 0:
+                self.connection.close_early()
+                return
+        self.connection.write(data)
 
 
 Handler = Callable[[HttpRequest, Exchange], Awaitable[HttpResponse | None]]
@@ -135,6 +138,12 @@
         for connection in self.connections:
             connection.silent = True
 
+    def cut_source(self, instance: str) -> None:
+        """Cut the open connections of an instance."""
+        for connection in list(self.connections):
+            if connection.source == instance:
+                connection.cut()
+
 
 class Connection(asyncio.Protocol):
     """Parse requests of one connection and answer them one after another."""
@@ -145,6 +154,7 @@
         self.buffer = bytearray()
         self.task: asyncio.Task | None = None
         self.silent = False
+        self.source = ""
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Take up a new connection."""
@@ -152,9 +162,9 @@
         self.server.connections.add(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Stop the work of a connection that is gone."""
+        """Stop the work of a connection that is gone; a silent one's end is never learnt."""
         self.server.connections.discard(self)
-        if self.task is not None:
+        if self.task is not None and not self.silent:
             self.task.cancel()
 
     def data_received(self, data: bytes) -> None:
@@ -174,6 +184,10 @@
         """Close at once, dropping what was not sent."""
         self.transport.abort()
 
+    def close_early(self) -> None:
+        """Close after what was written, in the midst of an answer."""
+        self.transport.close()
+
     def _start_next(self) -> None:
         end = self.buffer.find(b"\r\n\r\n")
         if end < 0:
@@ -253,7 +267,8 @@
         return make_json({**server.counters.to_plain(), **server.describe()})
     faults = server.faults
     now = asyncio.get_running_loop().time()
-    if server.is_down(now) or faults.refuses(request.headers.get("x-instance", "")):
+    connection.source = request.headers.get("x-instance", "")
+    if server.is_down(now) or faults.refuses(connection.source):
         connection.cut()
         return None
     down = faults.find("down", request.path)
@@ -282,15 +297,18 @@
     server: Server, connection: Connection, request: HttpRequest
 ) -> HttpResponse | None:
     """Run a request; its answer may be lost and it may crash the process."""
-    if server.faults.crashes_on(request.body):
+    crash = server.faults.find_crash(request.body)
+    if crash is not None:
         server.counters.add_run(
             request.headers.get("x-request-id", ""), request.headers.get("idempotency-key", "")
         )
+        await asyncio.sleep(crash.delay_s)
         server.crash()
         return None
-    lost = server.faults.take_loss(request.path)
-    response = await server.handle(request, Exchange(connection, lost))
-    if lost:
+    loss = server.faults.take_loss(request.path)
+    exchange = Exchange(connection, None if loss is None else loss.after_bytes)
+    response = await server.handle(request, exchange)
+    if loss is not None:
         connection.cut()
         return None
     return response
@@ -301,7 +319,7 @@
 ) -> None:
     """Let a request take effect after a delay, without an answer."""
     await asyncio.sleep(delay_s)
-    await server.handle(request, Exchange(connection, True))
+    await server.handle(request, Exchange(connection, 0))
 
 
 def change_faults(server: Server, connection: Connection, request: HttpRequest) -> HttpResponse:
@@ -313,6 +331,8 @@
     if fault.kind == "silent":
         server.silence()
         connection.silent = False
+    if fault.kind == "refuse_source":
+        server.cut_source(fault.instance)
     return make_json({})
 
 
