--- a/standin/engine.py
+++ b/standin/engine.py
@@ -1,7 +1,6 @@
 """Model engine that batches continuously, holds models in memory and takes orders."""
 
 import asyncio
-import json
 import random
 import time
 import uuid
@@ -11,13 +10,14 @@
 from attrs import define, field, frozen
 
 from rhubarbshed.util.prefixes import BLOCK_WORDS, hash_prefixes
+from standin.answer import Answer
 from standin.batch import Batch, BatchSettings, Sequence
 from standin.cache import PrefixCache
 from standin.client import fetch
 from standin.memory import Entry, Memory
 from standin.orders import OrderState, carry_out
 from standin.report import SNAPSHOT_S, ReportHistory
-from standin.tokens import expected_embedding, hash_prompt, name_target, read_prompt
+from standin.tokens import expected_embedding, name_target, read_prompt
 from standin.web import Exchange, HttpRequest, HttpResponse, Server, make_error, make_json, serve
 
 MAX_TOKENS_DEFAULT = 16
@@ -172,7 +172,7 @@
 
 
 def make_sequence(
-    engine: Engine, request: HttpRequest, body: Plain, prompt: str, answer: "Answer"
+    engine: Engine, request: HttpRequest, body: Plain, prompt: str, answer: Answer
 ) -> Sequence:
     """Return the sequence of a request; its prompt enters the prefix cache."""
     words = prompt.split()
@@ -193,82 +193,6 @@
     )
 
 
-@define(eq=False)
-class Answer:
-    """Build one answer from its tokens."""
-
-    request_id: str
-    target: str
-    chat: bool
-    streamed: bool
-    mark: str
-    offset: int
-    exchange: Exchange
-    ended: asyncio.Future
-    event_head: bytes = b""
-    texts: list[str] = field(factory=list)
-    finish_reason: str = ""
-
-    @classmethod
-    def from_request(
-        cls, request: HttpRequest, body: Plain, prompt: str, exchange: Exchange
-    ) -> "Answer":
-        """Return the answer to be built for a request."""
-        request_id = request.headers.get("x-request-id") or uuid.uuid4().hex
-        target = name_target(body)
-        return cls(
-            request_id=request_id,
-            target=target,
-            chat=request.path == "/v1/chat/completions",
-            streamed=bool(body.get("stream")),
-            mark=hash_prompt(target, prompt),
-            offset=int(request.headers.get("x-resume-offset", 0)),
-            exchange=exchange,
-            ended=asyncio.get_running_loop().create_future(),
-            event_head=b'data: {"id": %b, "offset": ' % json.dumps(request_id).encode(),
-        )
-
-    def emit(self, offset: int, last: bool) -> None:
-        """Give one token."""
-        text = f"tok-{self.mark}-{offset} "
-        if not self.streamed:
-            self.texts.append(text)
-            return
-        if last:
-            self.finish_reason = "length"
-        self._write_event(offset, text, self.finish_reason)
-
-    def finish(self, reason: str) -> None:
-        """End the answer."""
-        if self.streamed:
-            if not self.finish_reason:
-                self._write_event(self.offset, "", reason)
-            self.exchange.write(b"data: [DONE]\n\n")
-            self.exchange.end_stream()
-        self.finish_reason = reason
-        if not self.ended.done():
-            self.ended.set_result(None)
-
-    def _write_event(self, offset: int, text: str, reason: str) -> None:
-        self.offset = offset + 1
-        end = b', "finish_reason": "%b"' % reason.encode() if reason else b""
-        event = b'%b%d, "choices": [{"index": 0, "delta": {"content": "%b"}%b}]}\n\n'
-        self.exchange.write(event % (self.event_head, offset, text.encode(), end))
-
-    def make_response(self, prompt_tokens: int) -> HttpResponse:
-        """Return a whole answer."""
-        text = "".join(self.texts)
-        part = {"message": {"role": "assistant", "content": text}} if self.chat else {"text": text}
-        plain = {
-            "id": self.request_id,
-            "model": self.target,
-            "offset": self.offset,
-            "choices": [{"index": 0, **part, "finish_reason": self.finish_reason}],
-            "usage": {"prompt_tokens": prompt_tokens, "completion_tokens": len(self.texts)},
-        }
-        return make_json(plain, headers={"X-Request-Id": self.request_id})
-
-
 def embed(engine: Engine, request: HttpRequest) -> HttpResponse:
     """Answer embeddings at once."""
     body = request.read_json()
--- a/standin/table.py
+++ b/standin/table.py
@@ -92,12 +92,12 @@
         if not reads.take(now):
             server.counters.add("refused")
             return make_error(503, "rate")
-        server.counters.add("reads")
-        server.counters.add("scans" if request.path == "/scan" else "gets")
         if request.path == "/scan":
             found = table.scan(plain["prefix"], plain["revision"])
+            server.counters.add("scans")
         else:
             found = table.read(plain["keys"])
+        server.counters.add("reads")
         server.counters.add("rows_read", len(found["rows"]))
         return make_json(found)
 
@@ -105,14 +105,14 @@
         if not writes.take(now):
             server.counters.add("refused")
             return make_error(503, "rate")
-        server.counters.add("commits")
         conflicts = table.find_conflicts(plain["checks"])
         if conflicts:
             server.counters.add("conflicts")
             return make_json({"rows": conflicts}, 409)
+        revision = table.write(plain["writes"])
         server.counters.add("writes")
         server.counters.add("rows_written", len(plain["writes"]))
-        return make_json({"revision": table.write(plain["writes"])})
+        return make_json({"revision": revision})
 
     server = Server(handle, late_path="/commit")
     return server
