Keep a bridge on its next partner while the preferred one is silent

Cause: a partner that was given up was no longer expected to speak, so that it looked live and was chosen again every few seconds; notices were lost to a peer that connected later; and a task that failed took the network down without a word. Ruled out: a fixed penalty, which would also hold back a partner that is well again. Change: suspected partners stay expected and are probed; a new peer is greeted with the words of leaving; delegates pass urgent notices on whichever way they came; faults reach on_fault.

--- a/rhubarbshed/coordination/dissemination.py
+++ b/rhubarbshed/coordination/dissemination.py
@@ -24,6 +24,8 @@
 
 NOTICES_MAX = 4096
 """Notices remembered so that each is passed on once."""
+PROBES_MAX = 8
+"""Most suspected partners in a data centre that are tried beside the one in use."""
 CALLED_AFTER_SILENCES = 1.0
 """Silences waited for a lower-named peer's connection before connecting oneself."""
 TALKED_TO = (Standing.LIVE, Standing.LEAVING, Standing.SUSPECTED)
@@ -32,16 +34,26 @@
 
 @frozen
 class Topology:
-    """Name the instances that this one should be connected to, by their part."""
+    """Name the instances that this one should be connected to, by their part.
 
-    mesh: tuple[InstanceInfo, ...]
-    bridges: tuple[InstanceInfo, ...]
-    is_delegate: bool
+    `probes` are preferred partners for bridges that are suspected, and tried until heard.
+    """
+
+    mesh: tuple[InstanceInfo, ...] = ()
+    bridges: tuple[InstanceInfo, ...] = ()
+    probes: tuple[InstanceInfo, ...] = ()
+    is_delegate: bool = False
+
+    def list_wanted(self) -> tuple[InstanceInfo, ...]:
+        """Return all instances that a connection is kept or sought to."""
+        return (*self.mesh, *self.bridges, *self.probes)
 
 
 def rank_by_rendezvous(key: str, names: Iterable[str]) -> list[str]:
     """Order names by rendezvous hash; removing one leaves the order of the rest."""
-    return sorted(names, key=lambda name: (-xxhash.xxh3_64_intdigest(f"{key}|{name}"), name))
+    return sorted(
+        names, key=lambda name: (-xxhash.xxh3_64_intdigest(f"{key}|{name}".encode()), name)
+    )
 
 
 def choose_topology(membership: Membership, delegates: int, now: float) -> Topology:
@@ -55,24 +67,28 @@
     here = [info for info in members if info.data_centre == own.data_centre]
     live = {info.name for info in list_instances(membership, now, Standing.LIVE)}
     ranked = rank_by_rendezvous(own.data_centre, [info.name for info in here if info.name in live])
+    bridges, probes = _choose_bridges(own, members, live)
     return Topology(
         tuple(info for info in here if info.name != own.name),
-        _choose_bridges(own, members, live),
+        bridges,
+        probes,
         own.name in ranked[:delegates],
     )
 
 
 def _choose_bridges(
     own: InstanceInfo, members: tuple[InstanceInfo, ...], live: set[str]
-) -> tuple[InstanceInfo, ...]:
+) -> tuple[tuple[InstanceInfo, ...], tuple[InstanceInfo, ...]]:
+    """Choose one partner in each other data centre, and whom to probe in its place."""
     infos = {info.name: info for info in members}
-    centres = sorted({info.data_centre for info in members} - {own.data_centre})
-    bridges = []
-    for centre in centres:
+    bridges, probes = [], []
+    for centre in sorted({info.data_centre for info in members} - {own.data_centre}):
         names = [info.name for info in members if info.data_centre == centre]
-        wanted = [name for name in names if name in live] or names
-        bridges.append(infos[rank_by_rendezvous(own.name, wanted)[0]])
-    return tuple(bridges)
+        ranked = rank_by_rendezvous(own.name, names)
+        rank = next((rank for rank, name in enumerate(ranked) if name in live), 0)
+        bridges.append(infos[ranked[rank]])
+        probes += [infos[name] for name in ranked[: min(rank, PROBES_MAX)]]
+    return tuple(bridges), tuple(probes)
 
 
 def choose_dials(
@@ -91,7 +107,8 @@
         overdue = now - since > patience_s
         if info.name not in connected and (membership.name < info.name or overdue):
             chosen.append(info)
-    chosen += [info for info in topology.bridges if info.name not in connected]
+    across = (*topology.bridges, *topology.probes)
+    chosen += [info for info in across if info.name not in connected]
     return tuple(chosen)
 
 
@@ -145,14 +162,17 @@
 ) -> tuple[str, ...]:
     """Choose whom a frame heard from `sender` is passed on to.
 
-    What came over a bridge goes to the mesh. An urgent notice that came over the mesh goes
-    over the bridges of the data centre's delegates, in case the origin's bridges are cut.
+    What came from another data centre goes to the mesh. Delegates pass urgent notices on to
+    further data centres too, so that a cut between two of them is gone round by a third.
     """
-    crossed = connected.get(sender, "") != own_centre
-    if crossed:
-        if isinstance(frame, URGENT) or (isinstance(frame, LoadDigest) and frame.remote):
-            return tuple(name for name, centre in connected.items() if centre == own_centre)
-        return ()
-    if isinstance(frame, URGENT) and topology.is_delegate:
-        return tuple(name for name, centre in connected.items() if centre != own_centre)
-    return ()
+    origin_centre = connected.get(sender, "")
+    urgent = isinstance(frame, URGENT)
+    shared = urgent or (isinstance(frame, LoadDigest) and frame.remote)
+    to_mesh = shared and origin_centre != own_centre
+    to_bridges = urgent and topology.is_delegate
+    return tuple(
+        name
+        for name, centre in connected.items()
+        if (to_mesh and centre == own_centre)
+        or (to_bridges and centre not in (own_centre, origin_centre))
+    )
--- a/rhubarbshed/state/digests.py
+++ b/rhubarbshed/state/digests.py
@@ -1,5 +1,6 @@
 """Load digests: compact entries out, full engine reports in."""
 
+import msgpack
 import xxhash
 from attrs import Factory, define, evolve
 
@@ -110,7 +111,7 @@
 
 def hash_detail(detail: LoadDetail) -> int:
     """Return a hash that changes with the detail, alike on all instances."""
-    return xxhash.xxh32_intdigest(repr(PEER_CONVERTER.unstructure(detail)))
+    return xxhash.xxh32_intdigest(msgpack.packb(PEER_CONVERTER.unstructure(detail)))
 
 
 def add_age(digest: LoadDigest, held_s: float) -> LoadDigest:
--- a/rhubarbshed/state/membership.py
+++ b/rhubarbshed/state/membership.py
@@ -123,7 +123,11 @@
             del self.words[next(iter(self.words))]
         self.words[(name, incarnation)] = by
         known = self.find(name)
-        if known is not None and known.incarnation == incarnation:
+        if known is None:
+            return True
+        if not known.incarnation and incarnation not in self.past_incarnations.get(name, ()):
+            known.incarnation = incarnation
+        if known.incarnation == incarnation:
             known.leaving_by = by
         return True
 
@@ -162,13 +166,15 @@
             known = self._add(self.instances, info, info.incarnation, now)
         elif self._may_adopt(known, info.incarnation, now):
             known = self._renew(known, info, now)
+        elif known.leaving_by and self._is_back(known, now):
+            known = self._renew(known, info, now)
         _mark_listed(known, listed.leaving)
 
     def _apply_listed_server(self, listed: ListedBackendServer, now: float) -> None:
         info = listed.info
         known = self.backend_servers.get(info.name)
-        if known is not None and known.absent_since is not None:
-            self.words.pop((info.name, ""), None)  # back after an absence: a fresh member
+        if known is not None and self._is_back(known, now):
+            self.words.pop((info.name, ""), None)
             known = None
         if known is None:
             known = self._add(self.backend_servers, info, "", now)
@@ -188,6 +194,14 @@
             return True
         return known.heard_at is None or now - known.heard_at > self.limits.silence_s
 
+    def _is_back(self, known: Evidence, now: float) -> bool:
+        """Tell whether a listed member is a fresh one, after a whole term off the list.
+
+        A shorter absence may be a list that lags behind the one read before.
+        """
+        absent_since = known.absent_since
+        return absent_since is not None and now - absent_since >= self.limits.session_term_s
+
     def _add(
         self, members: dict[str, Evidence], info: MemberInfo, incarnation: str, now: float
     ) -> Evidence:
--- a/rhubarbshed/transport/peers.py
+++ b/rhubarbshed/transport/peers.py
@@ -24,6 +24,7 @@
     Frame,
     Heartbeat,
     LeavingNotice,
+    LeavingSubject,
     LoadDigest,
     QuarantineNotice,
     unpack_envelope,
@@ -66,6 +67,11 @@
     return ()
 
 
+def raise_fault(fault: BaseException) -> None:
+    """Raise in the loop, whose exception handler decides."""
+    raise fault
+
+
 @define
 class Backoff:
     """Pause before a peer is dialed again."""
@@ -87,12 +93,13 @@
     make_heartbeat: Callable[[], Heartbeat]
     on_connect: OnConnect = greet_with_nothing
     collect: Collect = collect_nothing
+    on_fault: Callable[[BaseException], None] = raise_fault
     refuse: Collection[str] = ()
     read_now: Callable[[], float] = time.monotonic
     read_wall: Callable[[], int] = read_wall_ms
-    random: random.Random = Factory(random.Random)
+    rng: random.Random = Factory(random.Random)
     links: dict[str, Link] = Factory(dict)
-    topology: Topology = Topology((), (), False)
+    topology: Topology = Topology()
     notices: NoticeFilter = field(default=Factory(lambda: NoticeFilter("")))
     backoffs: dict[str, Backoff] = Factory(dict)
     dialing: set[str] = Factory(set)
@@ -158,6 +165,7 @@
 
     def publish(self, frame: Frame) -> None:
         """Send a frame to all that should have it; notices are passed on by others."""
+        self._apply_leaving(self.identity.info, frame)
         notice_id = self.notices.make_id() if isinstance(frame, NOTICES) else ""
         names = choose_recipients(
             frame, self.topology, self._list_connected(), self.identity.info.data_centre
@@ -179,7 +187,7 @@
         """Replace silent connections, connect to peers that lack one, send heartbeats."""
         self._close_faulty(now)
         self.topology = choose_topology(self.membership, self.settings.delegates, now)
-        wanted = {info.name for info in (*self.topology.mesh, *self.topology.bridges)}
+        wanted = {info.name for info in self.topology.list_wanted()}
         self.membership.expect(wanted | set(self.links), now)
         self._close_unwanted(now)
         connected = set(self.links) | self.dialing
@@ -195,7 +203,7 @@
     async def _run(self) -> None:
         while True:
             self.step(self.read_now())
-            jitter = self.random.uniform(0.9, 1.1)
+            jitter = self.rng.uniform(0.9, 1.1)
             await asyncio.sleep(self.settings.heartbeat_s / 4 * jitter)
 
     def _beat(self, now: float) -> None:
@@ -234,7 +242,7 @@
 
     def _close_unwanted(self, now: float) -> None:
         """Close bridges that this instance opened to a partner it no longer uses."""
-        wanted = {info.name for info in (*self.topology.mesh, *self.topology.bridges)}
+        wanted = {info.name for info in self.topology.list_wanted()}
         for name, link in tuple(self.links.items()):
             if link.dialed_by == self.membership.name and name not in wanted:
                 self._drop(link, "not needed")
@@ -251,7 +259,7 @@
             return
         doubled = min(BACKOFF_LONGEST_S, max(BACKOFF_FIRST_S, backoff.pause_s * 2))
         backoff.pause_s = doubled
-        backoff.until = now + doubled * self.random.uniform(0.5, 1.0)
+        backoff.until = now + doubled * self.rng.uniform(0.5, 1.0)
         self.dialing.add(info.name)
         self._spawn(self._dial(info))
 
@@ -318,11 +326,22 @@
         self.backoffs.pop(info.name, None)
         self.membership.apply_hello(info, now)
         log_event(LOG, logging.INFO, "peer_connected", peer=info.name, dialed_by=dialed_by)
-        for frame in (self.make_heartbeat(), *self.on_connect(info.name, now)):
-            self._queue_all((info.name,), frame)
-        link.flush(now)
+        self._greet_peer(link, now)
         return link
 
+    def _greet_peer(self, link: Link, now: float) -> None:
+        """Tell a new peer what it may have missed; what is news to it goes further."""
+        leaving = self._make_leaving_notice()
+        for frame in (self.make_heartbeat(), *leaving, *self.on_connect(link.info.name, now)):
+            notice_id = self.notices.make_id() if isinstance(frame, NOTICES) else ""
+            self._queue_all((link.info.name,), frame, notice_id)
+        link.flush(now)
+
+    def _make_leaving_notice(self) -> tuple[LeavingNotice, ...]:
+        words = self.membership.list_leaving_words()
+        subjects = tuple(LeavingSubject(name, incarnation) for name, incarnation in words)
+        return (LeavingNotice(subjects),) if subjects else ()
+
     async def _read_frames(self, reader: asyncio.StreamReader, link: Link) -> None:
         while self.links.get(link.info.name) is link:
             data = await read_frame(reader, self.settings.frame_bytes_max)
@@ -378,4 +397,10 @@
     def _spawn(self, work) -> None:
         task = asyncio.get_running_loop().create_task(work)
         self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
+        task.add_done_callback(self._end_task)
+
+    def _end_task(self, task: asyncio.Task) -> None:
+        """Hand a broken invariant on, rather than go on without a task."""
+        self.tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            self.on_fault(task.exception())
--- /dev/null
+++ b/test/helper_peers.py
@@ -0,0 +1,123 @@
+"""Help tests of peers: instances on loopback in one loop, and waiting with a bound."""
+
+import asyncio
+import socket
+import time
+from collections.abc import Callable
+
+from attrs import Factory, define, evolve
+
+from rhubarbshed.protocol.members import ListedInstance, PlatformList
+from rhubarbshed.protocol.peers import Frame, Heartbeat
+from rhubarbshed.state.clock import HybridClock
+from rhubarbshed.state.membership import Membership, make_instance_info
+from rhubarbshed.transport.peers import PeerNetwork
+from rhubarbshed.util.settings import Settings
+
+HEARTBEAT_S = 0.1
+SILENCE_S = 0.4
+WAIT_S = 5.0
+
+
+def make_settings(
+    name: str, data_centre: str = "dc-1", port: int = 1, token: str = "t"
+) -> Settings:
+    text = f"""
+[instance]
+name = {name}
+data_centre = {data_centre}
+caller_port = 65001
+operator_port = 65002
+peer_port = {port}
+[secrets]
+peer_token = {token}
+[peers]
+heartbeat_s = {HEARTBEAT_S}
+silence_s = {SILENCE_S}
+"""
+    return Settings.from_text(text).unwrap()
+
+
+def find_ports(count: int) -> list[int]:
+    held = [socket.socket() for _ in range(count)]
+    for sock in held:
+        sock.bind(("127.0.0.1", 0))
+    ports = [sock.getsockname()[1] for sock in held]
+    for sock in held:
+        sock.close()
+    return ports
+
+
+@define(eq=False)
+class Peer:
+    """One instance under test and what it was told."""
+
+    settings: Settings
+    membership: Membership
+    network: PeerNetwork
+    refused: set[str]
+    faults: list[BaseException]
+    heard: list[tuple[str, Frame]] = Factory(list)
+
+    def heard_of(self, frame: Frame) -> int:
+        return sum(1 for _, met in self.heard if met == frame)
+
+
+def make_peer(settings: Settings, incarnation: str = "i1") -> Peer:
+    membership = Membership.from_settings(settings, incarnation, time.monotonic())
+    heard: list[tuple[str, Frame]] = []
+    refused: set[str] = set()
+    faults: list[BaseException] = []
+    network = PeerNetwork.from_settings(
+        settings,
+        membership,
+        HybridClock(settings.instance.name),
+        lambda sender, frame, now: heard.append((sender, frame)),
+        lambda: Heartbeat(incarnation),
+        refuse=refused,
+        on_fault=faults.append,
+    )
+    return Peer(settings, membership, network, refused, faults, heard)
+
+
+def make_peers(places: dict[str, str], token: str = "t") -> dict[str, Peer]:
+    """Make instances by name and data centre, all on the platform's list."""
+    ports = find_ports(len(places))
+    peers = {
+        name: make_peer(make_settings(name, centre, port, token))
+        for (name, centre), port in zip(places.items(), ports, strict=True)
+    }
+    listed = list_peers(peers)
+    for peer in peers.values():
+        peer.membership.apply_list(listed, time.monotonic())
+    return peers
+
+
+def list_peers(peers: dict[str, Peer]) -> PlatformList:
+    infos = (make_instance_info(peer.settings, "") for peer in peers.values())
+    return PlatformList(tuple(ListedInstance(evolve(info)) for info in infos), ())
+
+
+async def start_all(peers: dict[str, Peer]) -> None:
+    for peer in peers.values():
+        await peer.network.start()
+
+
+async def stop_all(peers: dict[str, Peer]) -> None:
+    for peer in peers.values():
+        await peer.network.stop()
+        assert peer.faults == []
+
+
+async def wait_for(condition: Callable[[], bool], wait_s: float = WAIT_S) -> float:
+    """Wait until a condition holds; return the seconds that took."""
+    began = time.monotonic()
+    while not condition():
+        assert time.monotonic() - began < wait_s, "condition not met in time"
+        await asyncio.sleep(0.01)
+    return time.monotonic() - began
+
+
+def are_meshed(peers: dict[str, Peer]) -> bool:
+    names = set(peers)
+    return all(set(peer.network.links) == names - {name} for name, peer in peers.items())
--- /dev/null
+++ b/test/test_digests.py
@@ -0,0 +1,136 @@
+"""Test load digests, topology and the encoding of frames."""
+
+from attrs import evolve
+
+from rhubarbshed.coordination.dissemination import (
+    NOTICES_MAX,
+    NoticeFilter,
+    choose_topology,
+    rank_by_rendezvous,
+)
+from rhubarbshed.protocol.catalogue import CatalogueObject, Model, ObjectKey
+from rhubarbshed.protocol.events import Stamp
+from rhubarbshed.protocol.members import ListedInstance, PlatformList
+from rhubarbshed.protocol.orders import CacheEvent, EngineReport, Resident
+from rhubarbshed.protocol.peers import (
+    CatalogueObjects,
+    CatalogueRequest,
+    Crash,
+    Envelope,
+    Heartbeat,
+    LeavingNotice,
+    LeavingSubject,
+    QuarantineEntry,
+    QuarantineNotice,
+    pack_envelope,
+    unpack_envelope,
+)
+from rhubarbshed.state.digests import DETAIL_INTERVAL_S, LoadInbox, LoadOutbox, add_age
+from rhubarbshed.state.membership import Membership, make_instance_info
+from test.helper_peers import SILENCE_S, make_settings
+
+REPORT = EngineReport("s1", 0.25, 3, 1, 900, 40 << 30, 80 << 30, 7, 310.0, 4000.0, 32)
+FULL = evolve(
+    REPORT, resident=(Resident("m1", "v1", 10 << 30),), cache_events=(CacheEvent(1, True, "ab"),)
+)
+KEPT = CatalogueObject(ObjectKey("model", "m1"), 4, Model("m1", "v1", 5))
+DELETED = CatalogueObject(ObjectKey("model", "m2"), 5, None)
+
+
+def make_membership(name: str, places: dict[str, int]) -> Membership:
+    """Make a view of so many instances in each data centre, all listed."""
+    settings = make_settings(name, name.rsplit("-", 1)[0])
+    membership = Membership.from_settings(settings, "i1", 0.0)
+    own = make_instance_info(settings, "")
+    infos = (
+        evolve(own, name=f"{centre}-{number}", data_centre=centre)
+        for centre, count in places.items()
+        for number in range(count)
+    )
+    membership.apply_list(PlatformList(tuple(ListedInstance(info) for info in infos), ()), 0.0)
+    return membership
+
+
+def test_frames_survive_the_wire():
+    frames = (
+        Heartbeat("i1", 5, 6, True),
+        LoadOutbox().make_digest(((FULL, 1.0),), 2.0),
+        CatalogueRequest(4),
+        CatalogueObjects((KEPT, DELETED), 9, 5, "model/m2"),
+        LeavingNotice((LeavingSubject("a1", "i1"),), (LeavingSubject("s1"),)),
+        QuarantineNotice((QuarantineEntry("f", (Crash("s1", "b1"),), True),)),
+    )
+    for frame in frames:
+        envelope = Envelope(frame, Stamp(1, 2, "a1"), "a1/i1/1")
+        assert unpack_envelope(pack_envelope(envelope), "a1").unwrap() == envelope
+
+
+def test_detail_travels_once_then_after_an_interval_or_change():
+    outbox, inbox = LoadOutbox(), LoadInbox()
+    first = outbox.make_digest(((FULL, 1.0),), 1.0)
+    second = outbox.make_digest(((FULL, 1.5),), 2.0)
+    assert inbox.expand(first) == (FULL,)
+    assert second.entries[0].detail is None
+    assert inbox.expand(second) == (evolve(FULL, age_s=0.75),)
+    changed = evolve(FULL, boot_id="b2")
+    assert outbox.make_digest(((changed, 2.0),), 2.0).entries[0].detail is not None
+    later = outbox.make_digest(((changed, 2.0),), 2.0 + DETAIL_INTERVAL_S)
+    assert later.entries[0].detail is not None
+
+
+def test_entry_without_its_detail_is_left_out():
+    outbox = LoadOutbox()
+    outbox.make_digest(((FULL, 1.0),), 1.0)
+    bare = outbox.make_digest(((FULL, 1.0),), 2.0)
+    assert LoadInbox().expand(bare) == ()
+
+
+def test_age_grows_while_a_digest_is_held():
+    digest = LoadOutbox().make_digest(((FULL, 1.0),), 1.0)
+    assert add_age(digest, 1.5).entries[0].age_ms == 1750
+
+
+def test_rendezvous_order_survives_a_removal():
+    names = [f"n{number}" for number in range(50)]
+    ranked = rank_by_rendezvous("k", names)
+    for removed in names[:10]:
+        rest = [name for name in names if name != removed]
+        assert rank_by_rendezvous("k", rest) == [name for name in ranked if name != removed]
+
+
+def test_silent_bridge_partner_is_replaced_by_the_next_and_taken_back():
+    membership = make_membership("dc-1-0", {"dc-1": 3, "dc-2": 5})
+    first = choose_topology(membership, 2, 0.0).bridges[0].name
+    membership.expect([first], 0.0)
+    late = SILENCE_S * 1.1
+    topology = choose_topology(membership, 2, late)
+    assert topology.bridges[0].name != first
+    assert [info.name for info in topology.probes] == [first]
+    membership.expect([info.name for info in topology.list_wanted()], late)
+    assert choose_topology(membership, 2, late * 5).bridges[0].name != first
+    membership.hear(first, late)
+    assert choose_topology(membership, 2, late).bridges[0].name == first
+
+
+def test_leaving_partner_gets_no_bridge_and_leaving_delegate_no_part():
+    membership = make_membership("dc-1-0", {"dc-1": 3, "dc-2": 5})
+    first = choose_topology(membership, 2, 0.0).bridges[0].name
+    membership.apply_leaving(first, "", "x")
+    assert choose_topology(membership, 2, 0.0).bridges[0].name != first
+    membership.apply_leaving("dc-1-0", "i1", "x")
+    assert not choose_topology(membership, 3, 0.0).is_delegate
+
+
+def test_each_data_centre_has_its_delegates_by_every_view():
+    places = {"dc-1": 6, "dc-2": 6}
+    views = [make_membership(f"dc-1-{number}", places) for number in range(6)]
+    assert sum(choose_topology(view, 2, 0.0).is_delegate for view in views) == 2
+
+
+def test_notice_is_news_once_and_memory_is_bounded():
+    notices = NoticeFilter("a1/i1")
+    assert not notices.is_news(notices.make_id())
+    assert notices.is_news("b") and not notices.is_news("b")
+    for number in range(2 * NOTICES_MAX):
+        notices.is_news(str(number))
+    assert len(notices.seen) == NOTICES_MAX
--- /dev/null
+++ b/test/test_membership.py
@@ -0,0 +1,150 @@
+"""Test what is believed of instances and backend servers, and on what evidence."""
+
+from attrs import evolve
+
+from rhubarbshed.coordination.membership import (
+    explain,
+    get_standing,
+    list_backend_servers,
+    list_instances,
+)
+from rhubarbshed.protocol.members import (
+    BackendKind,
+    BackendServerInfo,
+    ListedBackendServer,
+    ListedInstance,
+    PlatformList,
+    Standing,
+)
+from rhubarbshed.state.membership import Membership, make_instance_info
+from rhubarbshed.util.settings import Settings
+
+SETTINGS = Settings.from_text("[instance]\nname = a1").unwrap()
+SILENCE_S = SETTINGS.peers.silence_s
+TERM_S = SETTINGS.leases.term_s
+OWN = make_instance_info(SETTINGS, "i1")
+PEER = evolve(OWN, name="a2", incarnation="p1")
+SERVER = BackendServerInfo("s1", BackendKind.ENGINE, "dc-1", "region-1", "127.0.0.1", 9)
+LISTED = PlatformList((ListedInstance(OWN), ListedInstance(PEER)), (ListedBackendServer(SERVER),))
+EMPTY = PlatformList((ListedInstance(OWN),), ())
+LONG = 1000.0
+
+
+def make_membership(listed: PlatformList = LISTED) -> Membership:
+    membership = Membership.from_settings(SETTINGS, "i1", 0.0)
+    membership.apply_list(listed, 0.0)
+    return membership
+
+
+def judge(membership: Membership, name: str, now: float) -> Standing:
+    return get_standing(membership, name, now)
+
+
+def test_silence_makes_a_suspect_and_never_more():
+    membership = make_membership()
+    membership.expect(["a2"], 0.0)
+    membership.apply_hello(PEER, 1.0)
+    assert judge(membership, "a2", 1.0 + SILENCE_S) is Standing.LIVE
+    assert judge(membership, "a2", 1.1 + SILENCE_S) is Standing.SUSPECTED
+    assert judge(membership, "a2", LONG) is Standing.SUSPECTED
+    membership.hear("a2", LONG)
+    assert judge(membership, "a2", LONG) is Standing.LIVE
+
+
+def test_silence_of_an_instance_not_talked_to_says_nothing():
+    membership = make_membership()
+    assert judge(membership, "a2", LONG) is Standing.LIVE
+
+
+def test_leaving_word_stops_new_work_though_the_list_lags():
+    membership = make_membership()
+    membership.apply_hello(PEER, 1.0)
+    assert membership.apply_leaving("a2", "p1", "a2")
+    assert membership.apply_leaving("s1", "", "a2")
+    membership.apply_list(LISTED, 2.0)
+    membership.hear("a2", 2.0)
+    membership.hear("s1", 2.0)
+    assert list_instances(membership, 2.0) == (OWN,)
+    assert list_backend_servers(membership, 2.0) == ()
+    assert "word of a2" in explain(membership, "s1", 2.0).evidence
+    assert not membership.apply_leaving("a2", "p1", "a3")
+
+
+def test_leaving_word_may_come_before_the_member():
+    membership = make_membership(EMPTY)
+    membership.apply_leaving("a2", "p1", "a3")
+    membership.apply_leaving("s1", "", "a3")
+    membership.apply_list(LISTED, 1.0)
+    assert judge(membership, "a2", 1.0) is Standing.LEAVING
+    assert judge(membership, "s1", 1.0) is Standing.LEAVING
+
+
+def test_new_incarnation_is_a_fresh_member():
+    membership = make_membership()
+    membership.apply_hello(PEER, 1.0)
+    membership.apply_leaving("a2", "p1", "a2")
+    membership.apply_hello(evolve(PEER, incarnation="p2"), 2.0)
+    assert judge(membership, "a2", 2.0) is Standing.LIVE
+    membership.apply_list(LISTED, 2.0)
+    assert membership.instances["a2"].incarnation == "p2"
+    assert not membership.apply_leaving("a2", "p1", "a3")
+    assert judge(membership, "a2", 2.0) is Standing.LIVE
+
+
+def test_lagging_list_does_not_bring_an_old_incarnation_back():
+    membership = make_membership()
+    membership.apply_hello(evolve(PEER, incarnation="p2"), 2.0)
+    membership.apply_list(LISTED, LONG)
+    assert membership.instances["a2"].incarnation == "p2"
+
+
+def test_absence_from_the_list_counts_only_without_a_sign_of_life():
+    membership = make_membership()
+    membership.apply_hello(PEER, 1.0)
+    membership.hear("s1", 1.0)
+    membership.apply_list(EMPTY, 1.0)
+    assert judge(membership, "a2", 1.0) is Standing.LIVE
+    assert "not on the platform's list" in explain(membership, "a2", 1.0).evidence
+    assert judge(membership, "a2", 1.1 + SILENCE_S) is Standing.GONE
+    assert judge(membership, "s1", 1.1 + SILENCE_S) is Standing.GONE
+
+
+def test_platform_out_of_reach_keeps_the_last_list():
+    membership = make_membership()
+    assert judge(membership, "s1", LONG) is Standing.LIVE
+    assert judge(membership, "a2", LONG) is Standing.LIVE
+
+
+def test_session_dies_only_when_read_unchanged_over_a_term():
+    membership = make_membership()
+    membership.apply_session("a2", "p1", 4, 1.0)
+    assert judge(membership, "a2", LONG) is Standing.LIVE
+    membership.apply_session("a2", "p1", 4, 0.9 + TERM_S)
+    assert judge(membership, "a2", LONG) is Standing.LIVE
+    membership.apply_session("a2", "p1", 4, 1.0 + TERM_S)
+    assert judge(membership, "a2", LONG) is Standing.GONE
+    membership.apply_session("a2", "p1", 5, 2.0 + TERM_S)
+    assert judge(membership, "a2", LONG) is Standing.LIVE
+
+
+def test_server_that_does_not_answer_is_suspected_until_it_does():
+    membership = make_membership()
+    membership.observe_failure("s1", 1.0)
+    assert judge(membership, "s1", 2.0) is Standing.SUSPECTED
+    membership.hear("s1", 3.0)
+    assert judge(membership, "s1", 3.0) is Standing.LIVE
+
+
+def test_name_of_a_server_that_left_is_free_after_a_term_off_the_list():
+    membership = make_membership()
+    membership.apply_leaving("s1", "", "a2")
+    membership.apply_list(EMPTY, 1.0)
+    membership.apply_list(LISTED, 2.0)
+    assert judge(membership, "s1", 2.0) is Standing.LEAVING
+    membership.apply_list(EMPTY, 3.0)
+    membership.apply_list(LISTED, 3.0 + TERM_S)
+    assert judge(membership, "s1", 3.0 + TERM_S) is Standing.LIVE
+
+
+def test_unknown_name_is_gone():
+    assert explain(make_membership(), "x", 0.0).evidence == "unknown"
