Bound make-room unloads and measure placement against baselines

Cause: a trial at 600 servers unloaded 327 surplus copies at once, since a full adapter quota was taken for lack of memory; a version swap had the same fault with the load budget. Ruled out: fewer adapters in flight (the quota is the weight store's). Change: tell lack of memory from lack of budget; one plan makes room for no more loads than the weight store takes at once; a power limit gives way by unloading a surplus copy; costly packing strategies only for few items. Add tools/placement.py with static and greedy baselines.

--- a/rhubarbshed/coordination/packing.py
+++ b/rhubarbshed/coordination/packing.py
@@ -9,6 +9,12 @@
 RELOCATION_BAYS_MAX = 16
 """Servers tried when single copies have to be moved to fit one model."""
 
+EVICTION_ITEMS_MAX = 100
+"""Models without a copy beyond which surplus copies are not chosen one by one."""
+
+RELOCATION_ITEMS_MAX = 20
+"""Models without a copy beyond which single copies are not moved."""
+
 
 @frozen
 class Item:
@@ -90,7 +96,7 @@
     """Place one copy of each item, with the fewest moves that a few strategies find."""
     ordered = tuple(sorted(items, key=lambda item: (item.replaces, -item.memory_bytes, item.name)))
     best: Draft | None = None
-    for strategy in (pack_spread, pack_evicting, pack_first_fit, pack_relocating):
+    for strategy in _choose_strategies(len(items)):
         draft = strategy(floor, ordered)
         if best is None or draft.cost < best.cost:
             best = draft
@@ -99,6 +105,17 @@
     return best
 
 
+def _choose_strategies(count: int) -> tuple[Strategy, ...]:
+    """Return the strategies to try; the costly ones only for a few items."""
+    chosen: list[Strategy] = [pack_spread]
+    if count <= EVICTION_ITEMS_MAX:
+        chosen.append(pack_evicting)
+    chosen.append(pack_first_fit)
+    if count <= RELOCATION_ITEMS_MAX:
+        chosen.append(pack_relocating)
+    return tuple(chosen)
+
+
 def pack_spread(floor: Floor, items: tuple[Item, ...]) -> Draft:
     """Use free memory only, the server with the most of it first."""
     draft = Draft.from_floor(floor)
--- a/rhubarbshed/coordination/placement.py
+++ b/rhubarbshed/coordination/placement.py
@@ -103,7 +103,7 @@
         planner.load(model, candidate.server, MoveReason.DEMAND)
         return
     loads.remove_copy(candidate.victim)
-    planner.unload(candidate.victim, MoveReason.MAKE_ROOM)
+    planner.make_room(candidate.victim)
     planner.hold(candidate.server, model.memory_bytes)
     planner.loads_left -= 1
 
@@ -155,6 +155,8 @@
 def _propose_swaps(planner: Planner, loads: Loads, model: Model, server: str) -> list[Candidate]:
     """Return candidates that unload one copy of another model on the same server."""
     candidates = []
+    if planner.rooms_left <= 0:
+        return candidates
     gain = loads.estimate_gain(model.name, server)
     for copy in planner.floor.bays[server].copies:
         if copy.model or copy.name == model.name or not _is_victim(planner, copy):
--- a/rhubarbshed/coordination/planner.py
+++ b/rhubarbshed/coordination/planner.py
@@ -26,6 +26,7 @@
     now: float
     loads_left: int
     adapters_left: int
+    rooms_left: int
     spares: dict[str, int]
     held: dict[str, int] = Factory(lambda: defaultdict(int))
     unloaded_at: dict[str, float] = Factory(dict)
@@ -55,6 +56,7 @@
             now,
             max(0, min(store.loads_at_once - loading, per_interval)),
             max(0, store.adapters_in_flight - adapters),
+            store.loads_at_once,
             {spare.backend_server: spare.memory_bytes for spare in spares},
         )
         for record in records:
@@ -67,10 +69,13 @@
         """Return the plan; adapters go out before their model within it."""
         return PlacementPlan(tuple(self.moves), tuple(sorted(self.unplaced)))
 
+    def has_bytes(self, server: str, needed: int) -> bool:
+        """Tell whether bytes are free at once, spare slots counted as free."""
+        return self.floor.bays[server].free_bytes - self.held[server] >= needed
+
     def has_room(self, server: str, needed: int) -> bool:
         """Tell whether bytes are free at once, spare slots left alone."""
-        bay = self.floor.bays[server]
-        return bay.free_bytes - self.held[server] - self.spares.get(server, 0) >= needed
+        return self.has_bytes(server, needed + self.spares.get(server, 0))
 
     def has_power(self, server: str, watts: float) -> bool:
         """Tell whether the data centre's power limit admits more watts."""
@@ -94,8 +99,7 @@
     def load(self, model: Model, server: str, reason: MoveReason) -> bool:
         """Plan a load if it may start now; spare slots may be used to reach a model."""
         urgent = reason in (MoveReason.REACH, MoveReason.VERSION, MoveReason.LEAVING)
-        free = self.floor.bays[server].free_bytes - self.held[server]
-        fits = free >= model.memory_bytes if urgent else self.has_room(server, model.memory_bytes)
+        fits = (self.has_bytes if urgent else self.has_room)(server, model.memory_bytes)
         if not fits or self.loads_left <= 0 or not self.has_power(server, model.power_watts):
             return False
         self.loads_left -= 1
@@ -105,8 +109,7 @@
 
     def load_adapter(self, adapter: Adapter, server: str, reason: MoveReason) -> bool:
         """Plan the load of an adapter if it may start now."""
-        free = self.floor.bays[server].free_bytes - self.held[server]
-        if free < adapter.memory_bytes or self.adapters_left <= 0:
+        if not self.has_bytes(server, adapter.memory_bytes) or self.adapters_left <= 0:
             return False
         self.adapters_left -= 1
         size = adapter.memory_bytes
@@ -126,6 +129,13 @@
         self._remove(copy, kind, reason)
         return True
 
+    def make_room(self, copy: Copy) -> bool:
+        """Plan the unload of a surplus copy; one plan makes room for few loads at most."""
+        if self.rooms_left <= 0 or not self.unload(copy, MoveReason.MAKE_ROOM):
+            return False
+        self.rooms_left -= 1
+        return True
+
     def is_moving(self, name: str, data_centre: str) -> bool:
         """Tell whether a copy of a model is loading or going in a data centre."""
         for copy in self.floor.copies.get(name, ()):
--- a/rhubarbshed/coordination/reach.py
+++ b/rhubarbshed/coordination/reach.py
@@ -30,6 +30,7 @@
         if not planner.load(model, spot.server, reason):
             planner.hold(spot.server, spot.memory_bytes)
             _make_room(planner, draft, spot.server)
+            _make_power(planner, model, spot.server)
 
 
 def _list_items(planner: Planner) -> list[Item]:
@@ -57,7 +58,19 @@
     for copy in draft.evicted:
         if copy.server == server and not copy.going:
             if bay.free_bytes < planner.held[server]:
-                planner.unload(copy, MoveReason.MAKE_ROOM)
+                planner.make_room(copy)
+
+
+def _make_power(planner: Planner, model: Model, server: str) -> None:
+    """Unload one surplus copy of the data centre where its power limit is in the way."""
+    if planner.has_power(server, model.power_watts):
+        return
+    planner.unplaced.add(model.name)
+    centre = planner.floor.bays[server].data_centre
+    for bay in planner.floor.bays.values():
+        for copy in bay.copies if bay.data_centre == centre else ():
+            if not copy.model and planner.make_room(copy):
+                return
 
 
 def leave_servers(planner: Planner) -> None:
@@ -103,9 +116,10 @@
             unmatched.remove(twin)
             if twin.ready:
                 planner.unload(copy, MoveReason.VERSION)
-        elif not planner.load(model, copy.server, MoveReason.VERSION):
-            if not planner.is_moving(model.name, bays[copy.server].data_centre):
-                planner.unload(copy, MoveReason.VERSION)
+        elif planner.has_bytes(copy.server, model.memory_bytes):
+            planner.load(model, copy.server, MoveReason.VERSION)
+        elif not planner.is_moving(model.name, bays[copy.server].data_centre):
+            planner.unload(copy, MoveReason.VERSION)
 
 
 def reach_adapters(planner: Planner) -> None:
@@ -132,7 +146,8 @@
         if planner.load_adapter(adapter, server, MoveReason.REACH) and not spread:
             return
     if places and not spread:
-        _make_adapter_room(planner, adapter, places)
+        if not any(planner.has_bytes(server, adapter.memory_bytes) for server in places):
+            _make_adapter_room(planner, adapter, places)
 
 
 def _make_adapter_room(planner: Planner, adapter: Adapter, places: list[str]) -> None:
@@ -141,7 +156,7 @@
     for server in places:
         for copy in planner.floor.bays[server].copies:
             if not copy.model and copy.name != adapter.model:
-                if planner.unload(copy, MoveReason.MAKE_ROOM):
+                if planner.make_room(copy):
                     planner.hold(server, adapter.memory_bytes)
                     return
 
@@ -177,7 +192,7 @@
             return
         if load_roomiest(planner, model, centre, MoveReason.REACH):
             missing -= 1
-    if missing > 0:
+    if missing > 0 and planner.loads_left > 0:
         planner.unplaced.add(name)
 
 
--- a/rhubarbshed/state/demand.py
+++ b/rhubarbshed/state/demand.py
@@ -100,17 +100,17 @@
         """Make an empty demand with the window of the settings."""
         return cls(instance, settings.demand_window_s)
 
-    def record_arrival(self, model: str, now: float) -> None:
-        """Count one request for a model."""
-        self._rates(model, now).arrivals.add(1.0, now)
+    def record_arrival(self, model: str, now: float, count: int = 1) -> None:
+        """Count requests for a model."""
+        self._rates(model, now).arrivals.add(count, now)
 
     def record_tokens(self, model: str, tokens: int, now: float) -> None:
         """Count output tokens of a model."""
         self._rates(model, now).tokens.add(tokens, now)
 
-    def record_refusal(self, model: str, now: float) -> None:
-        """Count one request refused for lack of room."""
-        self._rates(model, now).refusals.add(1.0, now)
+    def record_refusal(self, model: str, now: float, count: int = 1) -> None:
+        """Count requests refused for lack of room."""
+        self._rates(model, now).refusals.add(count, now)
 
     def report(self, now: float) -> DemandReport:
         """Return this instance's own figures for its digest, and forget idle models."""
--- a/test/test_placement.py
+++ b/test/test_placement.py
@@ -104,6 +104,18 @@
     assert floor.list_holders("a1") == ["s0", "s1"]
 
 
+def test_full_adapter_quota_unloads_nothing():
+    adapters = [Adapter(f"a{n}", "m0", "1", 0) for n in range(60)]
+    floor = Floor.from_views(
+        [make_server("s0", 20, "m0", "m1"), make_server("s1", 20, "m0", "m1")],
+        [make_model("m0"), make_model("m1")],
+        adapters,
+    )
+    plan = floor.plan()
+    assert {move.kind for move in plan.moves} == {MoveKind.LOAD_ADAPTER}
+    assert len(plan.moves) == floor.settings.weight_store.adapters_in_flight
+
+
 def test_adapter_survives_unload_of_its_models_copy():
     adapters = [Adapter("a0", "m0", "1", 1)]
     leaving = make_server("s0", 20, "m0", standing=Standing.LEAVING)
@@ -151,6 +163,15 @@
     assert len(floor.list_ready()) == 2
 
 
+def test_surplus_copy_gives_its_power_to_unreachable_model():
+    limited = Settings.from_text("[placement]\npower_watts_max = 200\n").unwrap()
+    models = [make_model(f"m{n}", power_watts=100.0) for n in range(2)]
+    servers = [make_server("s0", 100, "m0"), make_server("s1", 100, "m0")]
+    floor = Floor.from_views(servers, models, settings=limited)
+    floor.run(3)
+    assert floor.list_ready() == {"m0", "m1"}
+
+
 def test_only_owned_servers_are_touched():
     floor = Floor.from_views(
         [make_server("s0", 10, centre="a"), make_server("s1", 10, centre="b")], [make_model("m0")]
--- /dev/null
+++ b/tools/placement.py
@@ -0,0 +1,341 @@
+"""Measure placement against static placement and greedy by demand on the same seeded demand."""
+
+import random
+import sys
+import time
+from collections.abc import Callable
+
+import attrs
+import typer
+from attrs import Factory, define, frozen
+
+from rhubarbshed.coordination.contingency import find_usable, plan_contingency
+from rhubarbshed.coordination.placement import plan_moves
+from rhubarbshed.protocol.members import Standing
+from rhubarbshed.protocol.orders import Resident
+from rhubarbshed.protocol.placement import (
+    ModelDemand,
+    Move,
+    MoveKind,
+    MoveRecord,
+    PlacementPlan,
+    ServerView,
+)
+from rhubarbshed.state.demand import Demand
+from rhubarbshed.util.settings import Settings
+from tools.baselines import choose_target, move_to, plan_greedy
+from tools.scenario import (
+    ANSWER_TOKENS,
+    SERVER_SLOTS,
+    SERVER_TOKENS_PER_S,
+    Scenario,
+    draw_count,
+)
+
+LOADS = (MoveKind.LOAD, MoveKind.LOAD_ADAPTER)
+USE_MAX = 0.9
+"""Part of a server's tokens per second up to which requests meet their target."""
+
+CUT_SAMPLE_S = 300.0
+
+
+@define
+class Counts:
+    """Count what one run did."""
+
+    asked: int = 0
+    met: float = 0.0
+    moves: int = 0
+    adapter_moves: int = 0
+    reachable: list[int] = Factory(list)
+    adapters_reachable: list[int] = Factory(list)
+    cut_plain: list[int] = Factory(list)
+    cut_covered: list[int] = Factory(list)
+    plan_s: float = 0.0
+    steps: int = 0
+
+
+Policy = Callable[["Bench", tuple[ModelDemand, ...]], PlacementPlan]
+
+
+@define
+class Bench:
+    """Step a floor in memory: loads take the weight store's time, unloads one interval."""
+
+    scenario: Scenario
+    settings: Settings
+    rng: random.Random
+    demand: Demand
+    views: dict[str, ServerView]
+    records: list[MoveRecord] = Factory(list)
+    counts: Counts = Factory(Counts)
+    now: float = 0.0
+
+    @classmethod
+    def from_config(cls, scenario: Scenario, settings: Settings, seed: int) -> "Bench":
+        """Start with the static placement for the mean demand."""
+        views = {
+            info.name: ServerView(info, slots=SERVER_SLOTS, tokens_per_s=SERVER_TOKENS_PER_S)
+            for info in scenario.servers
+        }
+        demand = Demand.from_config("bench", settings.placement)
+        bench = cls(scenario, settings, random.Random(seed), demand, views)
+        for server, models in bench.choose_static().items():
+            resident = tuple(Resident(each.name, "1", each.memory_bytes) for each in models)
+            bench.hold(server, resident)
+        return bench
+
+    def choose_static(self) -> dict:
+        """Return the placement for the mean demand with all servers live."""
+        names = [model.name for model in self.scenario.models]
+        rates = dict(zip(names, self.scenario.base_per_s, strict=True))
+        live = tuple(attrs.evolve(each, standing=Standing.LIVE) for each in self.views.values())
+        fill = self.settings.placement.memory_fill_max
+        return choose_target(self.scenario.models, rates, live, fill)
+
+    def hold(self, server: str, resident: tuple[Resident, ...]) -> None:
+        """Replace what a server holds."""
+        reserved = sum(each.memory_bytes for each in resident)
+        view = self.views[server]
+        assert reserved <= view.info.memory_bytes
+        self.views[server] = attrs.evolve(view, resident=resident, reserved_bytes=reserved)
+
+    def run(self, policy: Policy) -> Counts:
+        """Run the whole scenario."""
+        interval_s = self.settings.placement.interval_s
+        while self.now < self.scenario.duration_s:
+            self._set_standings()
+            self._settle()
+            self._serve(interval_s)
+            demand = self.demand.summarize(self.now)
+            started = time.process_time()
+            plan = policy(self, demand)
+            self.counts.plan_s += time.process_time() - started
+            self.counts.steps += 1
+            for move in plan.moves:
+                self._start(move)
+            self.now += interval_s
+        return self.counts
+
+    def _set_standings(self) -> None:
+        for number, info in enumerate(self.scenario.servers):
+            view = self.views[info.name]
+            standing = self.scenario.get_standing(number, self.now)
+            if standing is not view.standing:
+                self.views[info.name] = attrs.evolve(view, standing=standing)
+            if standing is Standing.GONE and view.resident:
+                self.hold(info.name, ())
+                self.records = [
+                    each for each in self.records if each.move.backend_server != info.name
+                ]
+
+    def _start(self, move: Move) -> None:
+        is_adapter = move.kind in (MoveKind.LOAD_ADAPTER, MoveKind.UNLOAD_ADAPTER)
+        self.counts.moves += not is_adapter
+        self.counts.adapter_moves += is_adapter
+        if move.kind in LOADS:
+            resident = Resident(move.name, move.version, move.memory_bytes, False, move.model)
+            view = self.views[move.backend_server]
+            self.hold(move.backend_server, (*view.resident, resident))
+        self.records.append(MoveRecord(move, self.now))
+
+    def _settle(self) -> None:
+        """Settle moves whose time has come; an unloading model stops serving at once."""
+        loading = [
+            each
+            for each in self.records
+            if each.settled_at is None and each.move.kind is MoveKind.LOAD
+        ]
+        store = self.settings.weight_store
+        one_s = store.loads_at_once / store.loads_per_s
+        load_s = one_s * max(1.0, len(loading) / store.loads_at_once)
+        kept = []
+        for record in self.records:
+            needed_s = load_s if record.move.kind is MoveKind.LOAD else 0.0
+            if record.settled_at is None and self.now - record.started_at >= needed_s:
+                self._apply(record.move)
+                record = attrs.evolve(record, settled_at=self.now)
+            age_s = self.now - record.started_at
+            if record.settled_at is None or age_s <= self.settings.placement.dwell_min_s:
+                kept.append(record)
+        self.records = kept
+
+    def _apply(self, move: Move) -> None:
+        resident = []
+        for each in self.views[move.backend_server].resident:
+            if each.name != move.name:
+                resident.append(each)
+            elif move.kind in LOADS:
+                resident.append(attrs.evolve(each, ready=True))
+        self.hold(move.backend_server, tuple(resident))
+
+    def _serve(self, interval_s: float) -> None:
+        room = {}
+        places: dict[str, list[str]] = {}
+        adapters = set()
+        going = self._list_going()
+        for name, view in self.views.items():
+            if view.standing is Standing.GONE:
+                continue
+            room[name] = USE_MAX * view.tokens_per_s * interval_s / ANSWER_TOKENS
+            for each in view.resident:
+                if each.ready and (name, each.name) not in going:
+                    places.setdefault(each.name, []).append(name)
+                    adapters.update({each.name} if each.model else ())
+        self.counts.adapters_reachable.append(len(adapters))
+        self.counts.reachable.append(
+            sum(1 for model in self.scenario.models if model.name in places)
+        )
+        if self.now % CUT_SAMPLE_S == 0.0:
+            self._sample_cut()
+        self._share(places, room, interval_s)
+
+    def _list_going(self) -> set[tuple[str, str]]:
+        return {
+            (each.move.backend_server, each.move.name)
+            for each in self.records
+            if each.settled_at is None and each.move.kind not in LOADS
+        }
+
+    def _share(self, places: dict[str, list[str]], room: dict[str, float], span_s: float) -> None:
+        """Send requests to the server with the most room, models with few copies first."""
+        counts = []
+        for number, model in enumerate(self.scenario.models):
+            rate = self.scenario.get_rate(number, self.now)
+            counts.append((model.name, draw_count(self.rng, rate * span_s)))
+        counts.sort(key=lambda each: (len(places.get(each[0], ())), each[0]))
+        for name, count in counts:
+            met = 0.0
+            while met < count and places.get(name):
+                server = max(places[name], key=lambda each: (room[each], each))
+                part = min(count - met, max(1.0, count / 8.0), room[server])
+                if part <= 0.0:
+                    break
+                room[server] -= part
+                met += part
+            self.counts.asked += count
+            self.counts.met += met
+            self.demand.record_arrival(name, self.now, count)
+            self.demand.record_tokens(name, int(met * ANSWER_TOKENS), self.now)
+            self.demand.record_refusal(name, self.now, int(count - met))
+
+    def _sample_cut(self) -> None:
+        """Count a cut-off data centre's models after each possible death, with intents or not."""
+        live = [view for view in self.views.values() if view.standing is Standing.LIVE]
+        fill = self.settings.placement.memory_fill_max
+        plan = plan_contingency(self.scenario.models, tuple(live), fill)
+        for dead in live:
+            peers = [view for view in live if view.info.data_centre == dead.info.data_centre]
+            left = {
+                each.name
+                for view in peers
+                if view is not dead
+                for each in view.resident
+                if each.ready and not each.model
+            }
+            owned = frozenset(view.info.name for view in peers)
+            gained = find_usable(plan, frozenset({dead.info.name}), owned)
+            self.counts.cut_plain.append(len(left))
+            self.counts.cut_covered.append(len(left | {each.model for each in gained}))
+
+
+def plan_product(bench: Bench, demand: tuple[ModelDemand, ...]) -> PlacementPlan:
+    """Plan with the product's function."""
+    return _plan(bench, demand, spared=False)
+
+
+def plan_spared(bench: Bench, demand: tuple[ModelDemand, ...]) -> PlacementPlan:
+    """Plan with the product's function, spare slots kept for contingency."""
+    return _plan(bench, demand, spared=True)
+
+
+def _plan(bench: Bench, demand: tuple[ModelDemand, ...], spared: bool) -> PlacementPlan:
+    views = tuple(bench.views.values())
+    placement = bench.settings.placement
+    scenario = bench.scenario
+    spares = ()
+    if spared:
+        spares = plan_contingency(scenario.models, views, placement.memory_fill_max).spares
+    return plan_moves(
+        scenario.models,
+        scenario.adapters,
+        views,
+        demand,
+        placement,
+        bench.settings.weight_store,
+        tuple(bench.records),
+        bench.now,
+        spares,
+    )
+
+
+def plan_static(bench: Bench, demand: tuple[ModelDemand, ...]) -> PlacementPlan:
+    """Only reload what a returned server held."""
+    fill = bench.settings.placement.memory_fill_max
+    return move_to(bench.choose_static(), tuple(bench.views.values()), fill)
+
+
+def plan_by_demand(bench: Bench, demand: tuple[ModelDemand, ...]) -> PlacementPlan:
+    """Follow demand at any cost."""
+    views = tuple(bench.views.values())
+    return plan_greedy(
+        bench.scenario.models, demand, views, bench.settings.placement.memory_fill_max
+    )
+
+
+@frozen
+class Row:
+    """Name one line of the table: a policy under a profile."""
+
+    label: str
+    policy: Policy
+    profile: str
+
+
+ROWS = (
+    Row("static", plan_static, "cedarpulpit"),
+    Row("greedy", plan_by_demand, "cedarpulpit"),
+    Row("cedarpulpit", plan_product, "cedarpulpit"),
+    Row("cedarpulpit+spare", plan_spared, "cedarpulpit"),
+    Row("guadalajara", plan_product, "guadalajara"),
+    Row("guadalajara+spare", plan_spared, "guadalajara"),
+)
+
+
+def print_row(scenario: Scenario, row: Row, seed: int) -> None:
+    """Run one line and print it."""
+    settings = Settings.from_file(f"rhubarbshed/profiles/{row.profile}.ini").unwrap()
+    counts = Bench.from_config(scenario, settings, seed).run(row.policy)
+    per_s = counts.met / scenario.duration_s / len(scenario.servers)
+    reach = counts.reachable
+    print(
+        f"{scenario.name:6} {row.label:18} {counts.met / counts.asked:8.4f} {per_s:9.3f}"
+        f" {counts.moves:6} {counts.adapter_moves:6} {min(reach):5}"
+        f" {sum(reach) / len(reach):8.2f}"
+        f" {sum(counts.adapters_reachable) / len(reach):8.2f}"
+        f" {_mean(counts.cut_plain):7.2f} {_mean(counts.cut_covered):7.2f}"
+        f" {1000.0 * counts.plan_s / counts.steps:7.2f}"
+    )
+    sys.stdout.flush()
+
+
+def _mean(values: list[int]) -> float:
+    return sum(values) / max(1, len(values))
+
+
+def main(seed: int = 1, size: str = "both", use: float = 0.6) -> None:
+    """Print one table; sizes are small (15 models, 5 servers) and large (200 models, 60)."""
+    print(
+        "floor  policy             attained  met/s/acc  moves  adapt   min     mean"
+        "   adapt.     cut cut+int plan ms"
+    )
+    small = Scenario.from_seed("small", seed, 15, 40, 5, 3, use, 10800.0)
+    large = Scenario.from_seed("large", seed, 200, 40, 60, 3, use, 10800.0)
+    for scenario in (small, large):
+        if size in ("both", scenario.name):
+            for row in ROWS:
+                print_row(scenario, row, seed)
+
+
+if __name__ == "__main__":
+    typer.run(main)
