Tell of crashes with one message type in digests and quarantine

Cause: peers and the quarantine each had their own crash and entry messages. Change: frames carry protocol.quarantine's entries; the codec's test follows and names the field it sets. Conclusion: one vocabulary for what peers tell of crashes.

--- a/test/test_digests.py
+++ b/test/test_digests.py
@@ -15,16 +15,15 @@
 from rhubarbshed.protocol.peers import (
     CatalogueObjects,
     CatalogueRequest,
-    Crash,
     Envelope,
     Heartbeat,
     LeavingNotice,
     LeavingSubject,
-    QuarantineEntry,
     QuarantineNotice,
     pack_envelope,
     unpack_envelope,
 )
+from rhubarbshed.protocol.quarantine import CrashId, QuarantineEntry
 from rhubarbshed.state.digests import DETAIL_INTERVAL_S, LoadInbox, LoadOutbox, add_age
 from rhubarbshed.state.membership import Membership, make_instance_info
 from test.helper_peers import SILENCE_S, make_settings
@@ -58,7 +57,7 @@
         CatalogueRequest(4),
         CatalogueObjects((KEPT, DELETED), 9, 5, "model/m2"),
         LeavingNotice((LeavingSubject("a1", "i1"),), (LeavingSubject("s1"),)),
-        QuarantineNotice((QuarantineEntry("f", (Crash("s1", "b1"),), True),)),
+        QuarantineNotice((QuarantineEntry("f", (CrashId("s1", "b1"),), refused=True),)),
     )
     for frame in frames:
         envelope = Envelope(frame, Stamp(1, 2, "a1"), "a1/i1/1")
