Keep models in place by leases, ledgers and planned moves

Cause: models were loaded by the demonstration, not by the instances. Ruled out: a controller (no instance is set aside) and forgetting a lost server's moves at once (an order on its way still needs them). Conclusion: wiring stands; demand is not shared between instances yet.

--- a/rhubarbshed/transport/gateway.py
+++ b/rhubarbshed/transport/gateway.py
@@ -34,12 +34,14 @@
 from rhubarbshed.protocol.errors import Outcome, RequestError
 from rhubarbshed.protocol.requests import AttemptEnd, AttemptResult, Dispatch, Refusal
 from rhubarbshed.state.catalogue import Catalogue
+from rhubarbshed.state.demand import Demand
 from rhubarbshed.state.timeline import Timeline
 from rhubarbshed.transport.metrics import Metrics
 from rhubarbshed.util.settings import Settings
 
 RETRY_AFTER_FULL_S = 1.0
 RETRY_AFTER_CLAIM_S = 2.0
+CODES_LACK_OF_ROOM = ("not_resident", "servers_busy", "too_late", "model_full")
 # The loop answers within milliseconds; longer means that it has stopped.
 ASK_TIMEOUT_S = 30.0
 
@@ -68,6 +70,7 @@
     timeline: Timeline
     metrics: Metrics
     table: CommitBatcher
+    demand: Demand
     is_gone: Callable[[str, str], bool]
     settlements: Settlements = field(factory=Settlements)
     solo_releases: SoloReleases = field(factory=SoloReleases)
@@ -125,12 +128,23 @@
     ) -> Dispatch | Refusal | None:
         """Decide on what follows an attempt; None: the request is answered."""
         self._record_attempt(result)
+        if call.request.model and result.tokens:
+            self.demand.record_tokens(call.request.model, result.tokens, time.monotonic())
         decision = self.desk.end_attempt(result, time.monotonic())
         decision = await self._resolve_solo(decision)
         if isinstance(decision, Dispatch):
             await asyncio.sleep(self.desk.compute_pause(decision.attempt))
         return self._finish(call, decision, answer, result)
 
+    def _count_demand(self, model: str, decision: Refusal | WholeAnswer | None) -> None:
+        """Count what placement follows: requests, and refusals for lack of room."""
+        if not model or self.catalogue.get_model(model) is None:
+            return
+        now = time.monotonic()
+        self.demand.record_arrival(model, now)
+        if isinstance(decision, Refusal) and decision.error.code in CODES_LACK_OF_ROOM:
+            self.demand.record_refusal(model, now)
+
     async def _claim(self, call: Call) -> ClaimHeld | Refusal | WholeAnswer:
         request = call.request
         digest = compute_digest(f"{call.method} {request.target} {call.path}", call.body)
@@ -224,6 +238,7 @@
             server, attempt = decision.backend_server, decision.attempt
             self.timeline.record("dispatched", backend_server=server, attempt=attempt, **fields)
             return
+        self._count_demand(request.model, decision)
         outcome = "done"
         if isinstance(decision, Refusal):
             outcome = decision.error.outcome.value
--- a/rhubarbshed/transport/instance.py
+++ b/rhubarbshed/transport/instance.py
@@ -14,7 +14,7 @@
 from rhubarbshed.protocol.peers import LeavingNotice, LeavingSubject
 from rhubarbshed.transport.admin import make_operator_desk
 from rhubarbshed.transport.loops import (
-    follow_catalogue,
+    read_catalogue,
     read_list,
     read_reports,
     repeat,
@@ -22,6 +22,7 @@
     settle_ends,
 )
 from rhubarbshed.transport.operators import make_operator_handler
+from rhubarbshed.transport.placing import hand_over_servers, keep_leases, place
 from rhubarbshed.transport.runtime import Runtime
 from rhubarbshed.util.logs import log_event
 from rhubarbshed.util.settings import Settings
@@ -33,6 +34,7 @@
 SWEEP_INTERVAL_S = 0.25
 SETTLE_INTERVAL_S = 1.0
 DRAIN_POLL_S = 0.05
+HAND_OVER_TRIES = 20
 LAG_INTERVAL_S = 0.1
 
 
@@ -77,7 +79,11 @@
     settings = runtime.settings
     platform = settings.platform
     spawn(runtime, repeat(runtime, platform.list_poll_s, read_list))
-    spawn(runtime, follow_catalogue(runtime))
+    poll_s = platform.catalogue_poll_s
+    spawn(runtime, repeat(runtime, poll_s, read_catalogue, runtime.catalogue_wakeup))
+    spawn(runtime, repeat(runtime, settings.leases.renewal_s, keep_leases))
+    interval_s = settings.placement.interval_s
+    spawn(runtime, repeat(runtime, interval_s, place, runtime.placement_wakeup))
     spawn(runtime, repeat(runtime, settings.routing.report_poll_s, read_reports))
     spawn(runtime, repeat(runtime, SETTLE_INTERVAL_S, settle_ends))
     spawn(runtime, sweep(runtime))
@@ -131,10 +137,20 @@
             break
         await asyncio.sleep(DRAIN_POLL_S)
     count = runtime.count_open()
+    if not stop.at_once.is_set():
+        await hand_over_all(runtime)
     log_event(LOG, logging.INFO, "drain_ended", cut_off=count)
     return EXIT_CUT_OFF if count else EXIT_OK
 
 
+async def hand_over_all(runtime: Runtime) -> None:
+    """Hand ownership on, for as long as orders on their way may take; else leases lapse."""
+    for _ in range(HAND_OVER_TRIES):
+        if await hand_over_servers(runtime):
+            return
+        await asyncio.sleep(DRAIN_POLL_S)
+
+
 async def close(runtime: Runtime) -> None:
     """End all tasks, connections and sites."""
     for task in runtime.tasks:
--- a/rhubarbshed/transport/loops.py
+++ b/rhubarbshed/transport/loops.py
@@ -1,6 +1,7 @@
 """Recurring work of an instance: reads of the platform and of load reports."""
 
 import asyncio
+import contextlib
 import logging
 import time
 from collections.abc import Awaitable, Callable
@@ -17,6 +18,7 @@
 from rhubarbshed.protocol.members import BackendKind, BackendServerInfo
 from rhubarbshed.protocol.peers import CatalogueHint
 from rhubarbshed.transport.engines import fetch_service_report
+from rhubarbshed.transport.placing import reconcile
 from rhubarbshed.transport.runtime import USED, Runtime
 from rhubarbshed.util.logs import log_event
 from rhubarbshed.util.rendezvous import rank_by_rendezvous
@@ -28,13 +30,26 @@
 Step = Callable[[Runtime], Awaitable[Result]]
 
 
-async def repeat(runtime: Runtime, interval_s: float, step: Step) -> None:
-    """Repeat a step; after failures wait longer each time, with jitter, up to a bound."""
+async def repeat(
+    runtime: Runtime, interval_s: float, step: Step, wakeup: asyncio.Event | None = None
+) -> None:
+    """Repeat a step; after failures wait longer each time, with jitter, up to a bound.
+
+    `wakeup` cuts the wait short, but not one after a failure.
+    """
+    wakeup = wakeup or asyncio.Event()
     pause_s = 0.0
     while True:
+        wakeup.clear()
         result = await step(runtime)
         pause_s = choose_pause(runtime, pause_s, isinstance(result, Success))
-        await asyncio.sleep((pause_s or interval_s) * runtime.chance.uniform(*JITTER))
+        wait_s = (pause_s or interval_s) * runtime.chance.uniform(*JITTER)
+        if pause_s:
+            await asyncio.sleep(wait_s)
+            continue
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(wait_s):
+                await wakeup.wait()
 
 
 def choose_pause(runtime: Runtime, pause_s: float, succeeded: bool) -> float:
@@ -74,22 +89,6 @@
     return Success(None)
 
 
-async def follow_catalogue(runtime: Runtime) -> None:
-    """Read the catalogue's changes at intervals, and at once after a hint."""
-    platform = runtime.settings.platform
-    pause_s = 0.0
-    while True:
-        runtime.catalogue_wakeup.clear()
-        result = await read_catalogue(runtime)
-        pause_s = choose_pause(runtime, pause_s, isinstance(result, Success))
-        wait_s = pause_s or platform.catalogue_poll_s
-        try:
-            async with asyncio.timeout(wait_s * runtime.chance.uniform(*JITTER)):
-                await runtime.catalogue_wakeup.wait()
-        except TimeoutError:
-            continue
-
-
 def is_snapshot_writer(runtime: Runtime) -> bool:
     """Tell whether this instance keeps the snapshot; two at a time do no harm."""
     names = [info.name for info in list_instances(runtime.membership, time.monotonic())]
@@ -128,6 +127,7 @@
     server = runtime.load.servers.get(info.name)
     if server is None:
         return
+    requested_at = time.monotonic()
     if info.kind is BackendKind.SERVICE:
         fetched = await runtime.run_control(fetch_service_report, runtime.http, info)
     else:
@@ -138,7 +138,10 @@
         runtime.membership.observe_failure(info.name, now)
         return
     runtime.membership.hear(info.name, now)
-    runtime.desk.apply_report(fetched.unwrap(), now)
+    report = fetched.unwrap()
+    runtime.desk.apply_report(report, now)
+    if info.kind is BackendKind.ENGINE:
+        await reconcile(runtime, info, report, requested_at)
 
 
 async def settle_ends(runtime: Runtime) -> Result[None, object]:
--- /dev/null
+++ b/rhubarbshed/transport/placing.py
@@ -0,0 +1,282 @@
+"""Recurring work that keeps models where they should be: leases, ledgers and moves."""
+
+import logging
+import time
+
+from returns.result import Failure, Result, Success
+
+from rhubarbshed.coordination.budgets import Budget
+from rhubarbshed.coordination.loads import LoadSpec, execute_load, execute_unload
+from rhubarbshed.coordination.membership import get_standing, list_backend_servers, list_instances
+from rhubarbshed.coordination.ownership import (
+    find_gone,
+    forget_gone,
+    hand_over,
+    maintain_ownership,
+    renew_session,
+)
+from rhubarbshed.coordination.placement import plan_moves, select_owned
+from rhubarbshed.coordination.reconciliation import reconcile_server
+from rhubarbshed.protocol.members import BackendKind, BackendServerInfo, Standing
+from rhubarbshed.protocol.orders import EngineReport, Resident
+from rhubarbshed.protocol.placement import Move, MoveKind, MoveRecord, ServerView
+from rhubarbshed.state.ledger import EntryKey, EntryState, Ledger, LedgerFault
+from rhubarbshed.state.load import ServerLoad
+from rhubarbshed.transport.runtime import USED, Runtime
+from rhubarbshed.util.logs import log_event
+
+LOG = logging.getLogger(__name__)
+# Time after start in which backend servers without a report hold placement back.
+GRACE_S = 10.0
+SLOTS_DEFAULT = 32
+TOKEN_GAP_S = 0.028
+MODEL_MOVES = (MoveKind.LOAD, MoveKind.UNLOAD)
+LOADS = (MoveKind.LOAD, MoveKind.LOAD_ADAPTER)
+
+
+async def keep_leases(runtime: Runtime) -> Result[None, object]:
+    """Renew the session, and take or hand on backend servers of the own data centre."""
+    leases = runtime.leases
+    renewed = await renew_session(runtime.access, leases, time.monotonic)
+    if isinstance(renewed, Failure):
+        runtime.metrics.platform_errors.inc({"call": "session"})
+        return renewed
+    now = time.monotonic()
+    centre = runtime.settings.instance.data_centre
+    runtime.quota.follow(tuple(info.name for info in list_instances(runtime.membership, now)))
+    live = tuple(i.name for i in list_instances(runtime.membership, now, data_centre=centre))
+    engines = tuple(info.name for info in list_engines(runtime, now, centre))
+    changed = await maintain_ownership(
+        runtime.access, leases, engines, live, time.monotonic, runtime.moves.is_idle
+    )
+    if isinstance(changed, Failure):
+        return changed
+    change = changed.unwrap()
+    for ledger in change.ledgers:
+        runtime.moves.note(ledger, time.monotonic())
+    for name in change.taken:
+        epoch = leases.owned[name].epoch if name in leases.owned else 0
+        runtime.timeline.record("server_taken", backend_server=name, epoch=epoch)
+    for name in (*change.released, *change.lost):
+        runtime.timeline.record("server_given_up", backend_server=name)
+        if runtime.moves.is_idle(name):
+            runtime.moves.forget(name)
+    runtime.metrics.owned.set({}, len(leases.list_owned(time.monotonic())))
+    return await _forget_former(runtime)
+
+
+async def _forget_former(runtime: Runtime) -> Result[None, object]:
+    """Unpin what former holders may have ordered, once they are gone."""
+    now = time.monotonic()
+    listed = frozenset(i.name for i in list_instances(runtime.membership, now, *USED))
+    for owned in runtime.leases.list_owned(now):
+        held = runtime.moves.servers.get(owned.backend_server)
+        if held is None or not held.ledger.former:
+            continue
+        gone = find_gone(runtime.leases, held.ledger.former, listed, now)
+        if gone:
+            await forget_gone(runtime.access, runtime.leases, owned.backend_server, gone)
+    return Success(None)
+
+
+def list_engines(
+    runtime: Runtime, now: float, data_centre: str = ""
+) -> tuple[BackendServerInfo, ...]:
+    """List the model engines in use, of one data centre or of all."""
+    servers = list_backend_servers(runtime.membership, now, *USED, data_centre=data_centre)
+    return tuple(info for info in servers if info.kind is BackendKind.ENGINE)
+
+
+def make_budget(runtime: Runtime, info: BackendServerInfo) -> Budget:
+    """Bound what a backend server may hold."""
+    placement = runtime.settings.placement
+    return Budget(info, placement.memory_fill_max, placement.power_watts_max)
+
+
+async def reconcile(
+    runtime: Runtime, info: BackendServerInfo, report: EngineReport, requested_at: float
+) -> None:
+    """Bring the ledger of an owned backend server together with its report."""
+    if info.name not in runtime.leases.owned:
+        return
+    result = await reconcile_server(
+        runtime.move_context, make_budget(runtime, info), report, requested_at
+    )
+    if isinstance(result, Failure) and result.failure().fault not in (
+        LedgerFault.ABSENT,
+        LedgerFault.BUSY,
+        LedgerFault.NOT_OWNER,
+    ):
+        error = result.failure()
+        log_event(
+            LOG,
+            logging.INFO,
+            "reconciliation_waits",
+            backend_server=info.name,
+            fault=error.fault.value,
+            detail=error.detail,
+        )
+
+
+async def place(runtime: Runtime) -> Result[None, object]:
+    """Plan the moves of this interval and carry out those on owned backend servers."""
+    now = time.monotonic()
+    views = list_views(runtime, now)
+    if views is None or not runtime.leases.is_held(now) or not runtime.platform_up:
+        return Success(None)
+    _forget_records(runtime, now)
+    catalogue = runtime.catalogue
+    models = catalogue.list_models()
+    plan = plan_moves(
+        models,
+        tuple(adapter for model in models for adapter in catalogue.list_adapters(model.name)),
+        views,
+        runtime.demand.summarize(now),
+        runtime.settings.placement,
+        runtime.settings.weight_store,
+        tuple(runtime.records),
+        now,
+    )
+    owned = frozenset(ownership.backend_server for ownership in runtime.leases.list_owned(now))
+    _start_moves(runtime, select_owned(plan, owned))
+    runtime.unplaced = plan.unplaced
+    return Success(None)
+
+
+def list_views(runtime: Runtime, now: float) -> tuple[ServerView, ...] | None:
+    """Describe all engines to placement; None while some are not known well enough.
+
+    An engine that has not been heard of might hold anything, so a new instance waits for its
+    first report rather than load what is there already.
+    """
+    views = []
+    for info in list_engines(runtime, now):
+        server = runtime.load.servers.get(info.name)
+        held = runtime.moves.servers.get(info.name)
+        standing = get_standing(runtime.membership, info.name, now)
+        if info.name in runtime.leases.owned and held is not None:
+            views.append(_view_owned(info, standing, server, held.ledger))
+        elif server is not None and server.engine is not None:
+            views.append(_view_reported(info, standing, server))
+        elif now - runtime.started_at < GRACE_S:
+            return None
+    return tuple(views)
+
+
+def _view_owned(
+    info: BackendServerInfo, standing: Standing, server: ServerLoad | None, ledger: Ledger
+) -> ServerView:
+    """Describe an owned engine by its ledger, which also knows what is under way."""
+    kept = [entry for entry in ledger.entries if entry.state is not EntryState.UNLOADING]
+    resident = tuple(
+        Resident(
+            entry.key.name,
+            entry.key.version,
+            entry.memory_bytes,
+            entry.state is EntryState.RESIDENT,
+            entry.key.model,
+        )
+        for entry in kept
+    )
+    slots = _find_slots(server)
+    return ServerView(
+        info,
+        standing,
+        resident,
+        ledger.memory_bytes,
+        ledger.power_watts,
+        slots,
+        slots / TOKEN_GAP_S,
+    )
+
+
+def _view_reported(info: BackendServerInfo, standing: Standing, server: ServerLoad) -> ServerView:
+    report = server.engine
+    slots = _find_slots(server)
+    return ServerView(
+        info,
+        standing,
+        report.resident,
+        report.memory_bytes_used,
+        slots=slots,
+        tokens_per_s=slots / TOKEN_GAP_S,
+    )
+
+
+def _find_slots(server: ServerLoad | None) -> int:
+    return server.engine.slots if server is not None and server.engine else SLOTS_DEFAULT
+
+
+def _forget_records(runtime: Runtime, now: float) -> None:
+    dwell_s = runtime.settings.placement.dwell_min_s
+    runtime.records = [
+        record
+        for record in runtime.records
+        if record.settled_at is None or now - record.settled_at < dwell_s
+    ]
+
+
+def _start_moves(runtime: Runtime, moves: tuple[Move, ...]) -> None:
+    """Start the moves of each backend server in order, one server's moves after another."""
+    by_server: dict[str, list[Move]] = {}
+    for move in moves:
+        by_server.setdefault(move.backend_server, []).append(move)
+    for name, wanted in by_server.items():
+        running = runtime.movers.get(name)
+        if running is None or running.done():
+            runtime.movers[name] = runtime.loop.create_task(_carry_out_all(runtime, wanted))
+
+
+async def _carry_out_all(runtime: Runtime, moves: list[Move]) -> None:
+    for move in moves:
+        if not await _carry_out(runtime, move):
+            break
+    runtime.placement_wakeup.set()
+
+
+async def _carry_out(runtime: Runtime, move: Move) -> bool:
+    """Carry out one move; tell whether it was done."""
+    known = runtime.membership.backend_servers.get(move.backend_server)
+    if known is None or runtime.desk.drain.started_at is not None:
+        return False
+    record = MoveRecord(move, time.monotonic())
+    runtime.records.append(record)
+    _note_move(runtime, move, "move_started")
+    result = await _execute(runtime, make_budget(runtime, known.info), move)
+    runtime.records.remove(record)
+    if isinstance(result, Failure):
+        error = result.failure()
+        _note_move(runtime, move, "move_failed", fault=error.fault.value, detail=error.detail)
+        return False
+    runtime.records.append(MoveRecord(move, record.started_at, time.monotonic()))
+    runtime.metrics.moves.inc({"kind": move.kind.value, "reason": move.reason.value})
+    _note_move(runtime, move, "move_done")
+    return True
+
+
+async def _execute(runtime: Runtime, budget: Budget, move: Move) -> Result:
+    key = EntryKey(move.name, move.version, move.model)
+    if move.kind not in LOADS:
+        return await execute_unload(runtime.move_context, budget, key)
+    model = runtime.catalogue.get_model(move.name) if move.kind is MoveKind.LOAD else None
+    power = model.power_watts if model is not None else 0.0
+    return await execute_load(runtime.move_context, budget, LoadSpec(key, move.memory_bytes, power))
+
+
+def _note_move(runtime: Runtime, move: Move, event: str, **more: object) -> None:
+    name = {"model": move.name} if move.kind in MODEL_MOVES else {"adapter": move.name}
+    fields = {
+        **name,
+        "backend_server": move.backend_server,
+        "kind": move.kind.value,
+        "reason": move.reason.value,
+        **more,
+    }
+    runtime.timeline.record(event, **fields)
+    log_event(LOG, logging.INFO, event, **fields)
+
+
+async def hand_over_servers(runtime: Runtime) -> bool:
+    """Hand the ownership of all backend servers on; tell whether none is left."""
+    handed = await hand_over(runtime.access, runtime.leases, time.monotonic, runtime.moves.is_idle)
+    return isinstance(handed, Success) and not handed.unwrap()
--- a/rhubarbshed/transport/runtime.py
+++ b/rhubarbshed/transport/runtime.py
@@ -10,19 +10,26 @@
 from concurrent.futures import ThreadPoolExecutor
 from typing import Any
 
-from attrs import define, field
+from attrs import define, evolve, field
 from returns.result import Result
 
 from rhubarbshed.coordination.commits import CommitBatcher
 from rhubarbshed.coordination.desk import Desk
+from rhubarbshed.coordination.loads import MoveContext
 from rhubarbshed.coordination.membership import get_standing, list_backend_servers
+from rhubarbshed.coordination.quotas import AdapterQuota
 from rhubarbshed.coordination.transactions import TableAccess
 from rhubarbshed.protocol.members import Standing
+from rhubarbshed.protocol.placement import MoveRecord
 from rhubarbshed.protocol.platform import EngineClient, ListClient, ObjectClient
 from rhubarbshed.state.catalogue import Catalogue
+from rhubarbshed.state.demand import Demand
+from rhubarbshed.state.leases import Holder, Leases
 from rhubarbshed.state.load import LoadView
 from rhubarbshed.state.membership import Membership
+from rhubarbshed.state.moves import Moves
 from rhubarbshed.state.timeline import Timeline
+from rhubarbshed.state.weights import WeightGate
 from rhubarbshed.transport.callers import SPARE_THREADS, Places, make_caller_handler
 from rhubarbshed.transport.connections import Connections
 from rhubarbshed.transport.engines import make_engine_client
@@ -50,7 +57,7 @@
 
 # Threads that wait for the platform and for reports, and threads that wait for orders.
 CONTROL_THREADS = 16
-ORDER_THREADS = 16
+ORDER_THREADS = 32
 OPERATOR_THREADS = 8
 OPERATOR_BODY_BYTES_MAX = 4 * 1024 * 1024
 
@@ -73,6 +80,11 @@
     timeline: Timeline
     metrics: Metrics
     desk: Desk
+    leases: Leases
+    moves: Moves
+    gate: WeightGate
+    quota: AdapterQuota
+    demand: Demand
     chance: random.Random
     control: ThreadPoolExecutor
     orders: ThreadPoolExecutor
@@ -81,7 +93,13 @@
     places: Places = field(init=False)
     exchange: PeerExchange = field(factory=PeerExchange)
     catalogue_wakeup: asyncio.Event = field(factory=asyncio.Event)
+    placement_wakeup: asyncio.Event = field(factory=asyncio.Event)
     reported: tuple[str, ...] = ()
+    records: list[MoveRecord] = field(factory=list)
+    movers: dict[str, asyncio.Task] = field(factory=dict)
+    unplaced: tuple[str, ...] = ()
+    started_at: float = field(factory=time.monotonic)
+    move_context: MoveContext = field(init=False)
     platform_up: bool = True
     tasks: list[asyncio.Task] = field(factory=list)
     sites: list[Site] = field(factory=list)
@@ -119,6 +137,11 @@
                 catalogue.get_service,
                 load,
             ),
+            leases=Leases.from_config(settings.leases, Holder(settings.instance.name, incarnation)),
+            moves=Moves(),
+            gate=WeightGate.from_config(settings.weight_store),
+            quota=AdapterQuota(settings.weight_store.adapters_in_flight, settings.instance.name),
+            demand=Demand.from_config(settings.instance.name, settings.placement),
             chance=chance,
             control=control,
             orders=ThreadPoolExecutor(ORDER_THREADS, "orders"),
@@ -126,8 +149,22 @@
         runtime.places = Places(settings.callers.threads)
         runtime.gateway = runtime._make_gateway()
         runtime.network = runtime._make_network()
+        runtime.move_context = runtime._make_move_context()
         return runtime
 
+    def _make_move_context(self) -> MoveContext:
+        """Make what loads need; their orders may block for long, on threads of their own."""
+        access = evolve(self.access, runner=make_runner(self.loop, self.orders))
+        return MoveContext(
+            access=access,
+            engine=self.engines,
+            leases=self.leases,
+            gate=self.gate,
+            quota=self.quota,
+            moves=self.moves,
+            clock=time.monotonic,
+        )
+
     def _make_gateway(self) -> Gateway:
         return Gateway(
             settings=self.settings,
@@ -138,6 +175,7 @@
             timeline=self.timeline,
             metrics=self.metrics,
             table=CommitBatcher(self.access.table, self.access.runner),
+            demand=self.demand,
             is_gone=self.is_gone,
         )
 
@@ -172,6 +210,7 @@
         head = self.catalogue.head
         self.timeline.record("ticket_in_force", ticket=head, objects=count, source=source)
         self.metrics.ticket.set({}, head)
+        self.placement_wakeup.set()
         log_event(LOG, logging.INFO, "ticket_in_force", ticket=head, objects=count, source=source)
 
     def count_open(self) -> int:
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -5,7 +5,7 @@
 
 import urllib3
 
-from tools.fleet import GIB, Fleet, ask, post
+from tools.fleet import GIB, Fleet, ask
 from tools.processes import wait_until
 
 READY_TIMEOUT_S = 30.0
@@ -59,9 +59,6 @@
 
 def show(fleet: Fleet) -> bool:
     """Apply a ticket, send requests of each kind, and print what came back."""
-    load_directly(fleet, "engine-1", "sermon-summary")
-    load_directly(fleet, "engine-2", "scripture-index")
-    load_directly(fleet, "engine-3", "draft-declaration")
     checks = [
         show_ticket(fleet),
         show_stream(fleet),
@@ -83,6 +80,9 @@
         return len(rows) == len(MODELS) and all(row["copies"] for row in rows)
 
     resident = wait_until(all_resident, READY_TIMEOUT_S)
+    if not resident:
+        for instance in fleet.instances.values():
+            print(f"log of {instance.name}:\n{instance.process.read_log()}")
     print(f"all models resident, as seen by c: {resident}, {time.monotonic() - started:.1f} s")
     return status == 200 and resident
 
@@ -136,18 +136,5 @@
         print(f"{name}: {kept}")
 
 
-def load_directly(fleet: Fleet, server: str, model: str) -> None:
-    """Order an engine to load a model, without rhubarbshed."""
-    order = {
-        "order_id": f"{server}-{model}",
-        "kind": "load",
-        "fencing_token": 0,
-        "name": model,
-        "version": "1",
-        "memory_bytes": 8 * GIB,
-    }
-    post(f"{fleet.backend_servers[server].url}/control/orders", order)
-
-
 if __name__ == "__main__":
     sys.exit(main())
