Keep an order's place in flight until it is settled

Ruled out: freeing a load in doubt at once; the late copy cannot be told. Change: the order's id stays in flight from intent to settlement; copies in doubt are judged by their last epoch, and without fencing an entry in doubt stays pinned for ORDER_LIFETIME_S.

--- a/rhubarbshed/coordination/loads.py
+++ b/rhubarbshed/coordination/loads.py
@@ -23,6 +23,7 @@
 from rhubarbshed.protocol.tables import TableError
 from rhubarbshed.state.leases import Leases, Ownership
 from rhubarbshed.state.ledger import (
+    Copies,
     Entry,
     EntryKey,
     EntryState,
@@ -32,7 +33,7 @@
     begin_unload,
     raise_epoch,
 )
-from rhubarbshed.state.moves import Moves, ServerMoves
+from rhubarbshed.state.moves import Loss, Moves, ServerMoves
 from rhubarbshed.state.weights import WEIGHTS_KEY, WeightGate
 
 LOG = logging.getLogger(__name__)
@@ -124,12 +125,7 @@
             return Failure(OrderError(OrderFault.UNAVAILABLE, "lease lapsed before sending"))
         return context.engine.send_order(server, order)
 
-    held = context.moves.servers[server.name]
-    held.in_flight.add(order.order_id)
-    try:
-        answer = await context.access.runner(send_while_held)
-    finally:
-        held.in_flight.discard(order.order_id)
+    answer = await context.access.runner(send_while_held)
     _note_answer(context, server, order, answer)
     return answer
 
@@ -142,7 +138,7 @@
         return
     error: OrderError = answer.failure()
     if error.fault is OrderFault.UNKNOWN:
-        held.lost.add(order.order_id)
+        held.lost[order.order_id] = Loss(context.clock(), order.fencing_token)
     if error.fault is OrderFault.STALE_TOKEN:
         context.leases.drop(server.name)
     LOG.warning(
@@ -252,15 +248,12 @@
     held = context.moves.servers[budget.server.name]
     held.changed_at = context.clock()
     doubtful = entry.load_id in held.lost
-    settled = await change_ledger(
+    return await change_ledger(
         context,
         budget,
         lambda rows: plan_settle_load(rows, budget, tenure, entry.load_id, doubtful),
         _list_load_keys(entry),
     )
-    if isinstance(settled, Success):
-        held.lost.discard(entry.load_id)
-    return settled
 
 
 async def _cancel(context: MoveContext, budget: Budget, tenure: Tenure, entry: Entry) -> None:
@@ -293,10 +286,7 @@
     if isinstance(begun, Failure):
         return begun
     entry = begun.unwrap().find(key)
-    held = context.moves.servers[budget.server.name]
-    if entry is None or entry.unload_id in held.in_flight:
-        return begun
-    return await send_unload(context, budget, entry)
+    return begun if entry is None else await send_unload(context, budget, entry)
 
 
 async def _begin_unload(
@@ -306,11 +296,15 @@
     if isinstance(tenure, Failure):
         return tenure
     held = context.moves.servers.get(budget.server.name)
-    raised = 0 if held is None else held.token_raised
+    if held is None:
+        return Failure(LedgerError(LedgerFault.ABSENT, budget.server.name))
     unload_id = context.access.make_id()
+    checks = budget.server.checks_fencing
 
     def begin(ledger: Ledger) -> Result[Ledger, LedgerError]:
-        return begin_unload(ledger, key, unload_id, budget.server.checks_fencing, raised)
+        entry = ledger.find(key)
+        copies = Copies() if entry is None else held.judge_copies(entry, checks, context.clock())
+        return begin_unload(ledger, key, unload_id, checks, copies)
 
     return await change_ledger(
         context, budget, lambda rows: plan_change(rows, budget, tenure.unwrap(), begin)
@@ -325,23 +319,34 @@
     if isinstance(tenure, Failure):
         return tenure
     order = make_unload_order(entry, tenure.unwrap().epoch)
-    sent = await send_order(context, budget.server, order)
-    if isinstance(sent, Failure):
-        return Failure(describe_order_error(sent.failure()))
-    return await settle_sent_unload(context, budget, tenure.unwrap(), entry)
+    held = context.moves.servers[budget.server.name]
+    if order.order_id in held.in_flight:
+        return Failure(LedgerError(LedgerFault.BUSY, "its unload is on its way"))
+    held.in_flight.add(order.order_id)
+    try:
+        sent = await send_order(context, budget.server, order)
+        if isinstance(sent, Failure):
+            return Failure(describe_order_error(sent.failure()))
+        return await settle_sent_unload(context, budget, tenure.unwrap(), entry)
+    finally:
+        held.in_flight.discard(order.order_id)
 
 
 async def settle_sent_unload(
     context: MoveContext, budget: Budget, tenure: Tenure, entry: Entry
 ) -> Result[Ledger, LedgerError]:
     """Note in the table that an unload was confirmed, which frees its bytes."""
-    context.moves.servers[budget.server.name].changed_at = context.clock()
-    return await change_ledger(
+    held = context.moves.servers[budget.server.name]
+    held.changed_at = context.clock()
+    settled = await change_ledger(
         context,
         budget,
         lambda rows: plan_settle_unload(rows, budget, tenure, entry.unload_id),
         _list_load_keys(entry),
     )
+    if isinstance(settled, Success):
+        held.forget_entry(entry)
+    return settled
 
 
 async def void_orders(context: MoveContext, budget: Budget) -> Result[Ledger, LedgerError]:
--- a/rhubarbshed/coordination/reconciliation.py
+++ b/rhubarbshed/coordination/reconciliation.py
@@ -204,11 +204,16 @@
     found = find_tenure(context, budget.server.name)
     if isinstance(found, Failure):
         return found
+    held = context.moves.servers[budget.server.name]
+    if entry.load_id in held.in_flight:
+        return Failure(LedgerError(LedgerFault.BUSY, "its load is on its way"))
     if entry.key.model and not context.quota.admit(entry.load_id):
         return Failure(LedgerError(LedgerFault.QUOTA, "adapters in flight"))
+    held.in_flight.add(entry.load_id)
     try:
         return await _reload(context, budget, entry, found.unwrap())
     finally:
+        held.in_flight.discard(entry.load_id)
         context.quota.finish(entry.load_id)
 
 
--- a/rhubarbshed/state/ledger.py
+++ b/rhubarbshed/state/ledger.py
@@ -50,6 +50,19 @@
     unload_id: str = ""
 
 
+@frozen
+class Copies:
+    """Tell what is known of copies of a load order that may still be under way.
+
+    `voided`: the server refuses them by its fencing token. `expired`: it checks no tokens, and
+    the longest time that an order may take has passed.
+    """
+
+    in_flight: bool = False
+    voided: bool = False
+    expired: bool = False
+
+
 class LedgerFault(enum.Enum):
     """Reason for which a change of the ledger was refused."""
 
@@ -172,20 +185,21 @@
 
 
 def begin_unload(
-    ledger: Ledger, key: EntryKey, unload_id: str, checks_fencing: bool, token_raised: int
+    ledger: Ledger, key: EntryKey, unload_id: str, checks_fencing: bool, copies: Copies
 ) -> Result[Ledger, LedgerError]:
     """Write the intent to unload; the bytes stay reserved until that is confirmed.
 
     A load in doubt is unloaded only once no copy can follow: a server that checks fencing
-    tokens must have had the current epoch raised; on one that does not, the entry is pinned
-    until all former holders are gone. A model goes after its adapters.
+    tokens must enforce a later epoch than theirs; on one that does not, the entry is pinned
+    until all former holders are gone and orders under way have expired. A model goes after its
+    adapters.
     """
     entry = ledger.find(key)
     if entry is None:
         return Failure(LedgerError(LedgerFault.ABSENT, key.name))
     if entry.state is EntryState.UNLOADING:
         return Success(ledger)
-    fault = _find_unload_fault(ledger, entry, checks_fencing, token_raised)
+    fault = _find_unload_fault(ledger, entry, checks_fencing, copies)
     if fault is not None:
         return Failure(fault)
     changed = evolve(entry, state=EntryState.UNLOADING, unload_id=unload_id)
@@ -193,17 +207,17 @@
 
 
 def _find_unload_fault(
-    ledger: Ledger, entry: Entry, checks_fencing: bool, token_raised: int
+    ledger: Ledger, entry: Entry, checks_fencing: bool, copies: Copies
 ) -> LedgerError | None:
-    voided = checks_fencing and entry.epoch < ledger.epoch <= token_raised
-    if entry.state is EntryState.LOADING and not voided:
+    if copies.in_flight or entry.state is EntryState.LOADING and not copies.voided:
         return LedgerError(LedgerFault.BUSY, "its load is not settled")
     if _has_adapters(ledger, entry.key):
         return LedgerError(LedgerFault.BUSY, "it has adapters")
-    if entry.doubtful and checks_fencing and not voided:
+    if entry.doubtful and checks_fencing and not copies.voided:
         return LedgerError(LedgerFault.UNPROVED, "the fencing token is not raised yet")
-    if entry.doubtful and not checks_fencing and ledger.former:
-        return LedgerError(LedgerFault.PINNED, ledger.former[0].instance)
+    if entry.doubtful and not checks_fencing and (ledger.former or not copies.expired):
+        names = ", ".join(holder.instance for holder in ledger.former)
+        return LedgerError(LedgerFault.PINNED, names or "an order may be under way")
     return None
 
 
--- a/rhubarbshed/state/moves.py
+++ b/rhubarbshed/state/moves.py
@@ -1,10 +1,19 @@
 """Orders that this instance has under way to the backend servers it owns."""
 
-from attrs import define, field
+from attrs import define, field, frozen
 
-from rhubarbshed.state.ledger import Ledger
+from rhubarbshed.state.ledger import Copies, Entry, Ledger
 
 NEVER = float("-inf")
+ORDER_LIFETIME_S = 60.0
+
+
+@frozen
+class Loss:
+    """Tell when an answer to an order was last lost (monotonic seconds), and its epoch."""
+
+    at: float
+    epoch: int
 
 
 @define
@@ -13,16 +22,34 @@
 
     `token_raised` is the highest epoch that the server confirmed to enforce, `proved` the epoch
     under which a report has shown its memory. `changed_at` is when an order was last settled
-    (monotonic seconds). `lost` are order ids of which an answer was lost.
+    and `adopted_at` when the epoch was first seen (monotonic seconds). `lost` holds the orders
+    to which an answer was lost.
     """
 
     ledger: Ledger
     token_raised: int = 0
     proved: int = 0
     changed_at: float = NEVER
+    adopted_at: float = NEVER
     reconciling: bool = False
     in_flight: set[str] = field(factory=set)
-    lost: set[str] = field(factory=set)
+    lost: dict[str, Loss] = field(factory=dict)
+
+    def judge_copies(self, entry: Entry, checks_fencing: bool, now: float) -> Copies:
+        """Tell what is known of copies of an entry's load order that may be under way."""
+        loss = self.lost.get(entry.load_id, Loss(NEVER, 0))
+        epoch = max(entry.epoch, loss.epoch)
+        lost_at = max(self.adopted_at, loss.at)
+        return Copies(
+            in_flight=entry.load_id in self.in_flight,
+            voided=checks_fencing and epoch < self.ledger.epoch <= self.token_raised,
+            expired=not checks_fencing and now - lost_at > ORDER_LIFETIME_S,
+        )
+
+    def forget_entry(self, entry: Entry) -> None:
+        """Forget the orders of an entry that was unloaded."""
+        for order_id in (entry.load_id, entry.unload_id):
+            self.lost.pop(order_id, None)
 
 
 @define
@@ -35,10 +62,11 @@
         """Take in a ledger as read or written; an older epoch changes nothing."""
         held = self.servers.get(ledger.backend_server)
         if held is None:
-            held = ServerMoves(ledger, changed_at=now)
+            held = ServerMoves(ledger, changed_at=now, adopted_at=now)
             self.servers[ledger.backend_server] = held
         elif ledger.epoch > held.ledger.epoch:
             held.changed_at = now
+            held.adopted_at = now
         if ledger.epoch >= held.ledger.epoch:
             held.ledger = ledger
         return held
