--- a/rhubarbshed/coordination/budgets.py
+++ b/rhubarbshed/coordination/budgets.py
@@ -15,6 +15,7 @@
 from rhubarbshed.state.leases import Holder
 from rhubarbshed.state.ledger import (
     Entry,
+    EntryState,
     Ledger,
     LedgerError,
     LedgerFault,
@@ -141,7 +142,7 @@
     if isinstance(planned, Failure):
         return planned
     entry = planned.unwrap().answer.find_load(load_id)
-    if entry is None:
+    if entry is None or entry.state is not EntryState.LOADING:
         return Failure(LedgerError(LedgerFault.ABSENT, load_id))
     if entry.key.model:
         return planned
--- a/rhubarbshed/coordination/loads.py
+++ b/rhubarbshed/coordination/loads.py
@@ -23,7 +23,6 @@
 from rhubarbshed.protocol.tables import TableError
 from rhubarbshed.state.leases import Leases, Ownership
 from rhubarbshed.state.ledger import (
-    Copies,
     Entry,
     EntryKey,
     EntryState,
@@ -277,34 +276,48 @@
 
     Where copies of its load may be under way, the epoch rises first and the token is raised.
     """
-    begun = await _begin_unload(context, budget, key)
+    held = context.moves.servers.get(budget.server.name)
+    entry = None if held is None else held.ledger.find(key)
+    if entry is None:
+        return Failure(LedgerError(LedgerFault.ABSENT, key.name))
+    if entry.load_id in held.in_flight:
+        return Failure(LedgerError(LedgerFault.BUSY, "an order for it is on its way"))
+    held.in_flight.add(entry.load_id)
+    try:
+        return await _unload(context, budget, entry)
+    finally:
+        held.in_flight.discard(entry.load_id)
+
+
+async def _unload(
+    context: MoveContext, budget: Budget, entry: Entry
+) -> Result[Ledger, LedgerError]:
+    begun = await _begin_unload(context, budget, entry)
     if isinstance(begun, Failure) and begun.failure().fault is LedgerFault.UNPROVED:
         voided = await void_orders(context, budget)
         if isinstance(voided, Failure):
             return voided
-        begun = await _begin_unload(context, budget, key)
+        begun = await _begin_unload(context, budget, entry)
     if isinstance(begun, Failure):
         return begun
-    entry = begun.unwrap().find(key)
-    return begun if entry is None else await send_unload(context, budget, entry)
+    found = begun.unwrap().find(entry.key)
+    return begun if found is None else await send_unload(context, budget, found)
 
 
 async def _begin_unload(
-    context: MoveContext, budget: Budget, key: EntryKey
+    context: MoveContext, budget: Budget, claimed: Entry
 ) -> Result[Ledger, LedgerError]:
     tenure = find_tenure(context, budget.server.name)
     if isinstance(tenure, Failure):
         return tenure
-    held = context.moves.servers.get(budget.server.name)
-    if held is None:
-        return Failure(LedgerError(LedgerFault.ABSENT, budget.server.name))
+    held = context.moves.servers[budget.server.name]
     unload_id = context.access.make_id()
     checks = budget.server.checks_fencing
 
     def begin(ledger: Ledger) -> Result[Ledger, LedgerError]:
-        entry = ledger.find(key)
-        copies = Copies() if entry is None else held.judge_copies(entry, checks, context.clock())
-        return begin_unload(ledger, key, unload_id, checks, copies)
+        entry = ledger.find(claimed.key) or claimed
+        copies = held.judge_copies(entry, checks, claimed.load_id, context.clock())
+        return begin_unload(ledger, claimed.key, unload_id, checks, copies)
 
     return await change_ledger(
         context, budget, lambda rows: plan_change(rows, budget, tenure.unwrap(), begin)
--- a/rhubarbshed/coordination/ownership.py
+++ b/rhubarbshed/coordination/ownership.py
@@ -271,7 +271,9 @@
         answer = await take_server(access, leases, name, ledger.owner, clock)
         if isinstance(answer, Success):
             taken.append(answer.unwrap())
-            LOG.info("event=ownership_taken backend_server=%s former=%s", name, ledger.owner)
+            LOG.info(
+                "event=ownership_taken backend_server=%s former=%s", name, ledger.owner.instance
+            )
         elif _is_down(answer.failure()):
             break
     return tuple(taken)
--- a/rhubarbshed/coordination/reconciliation.py
+++ b/rhubarbshed/coordination/reconciliation.py
@@ -205,7 +205,7 @@
     if isinstance(found, Failure):
         return found
     held = context.moves.servers[budget.server.name]
-    if entry.load_id in held.in_flight:
+    if entry.load_id in held.in_flight or held.ledger.find_load(entry.load_id) is None:
         return Failure(LedgerError(LedgerFault.BUSY, "its load is on its way"))
     if entry.key.model and not context.quota.admit(entry.load_id):
         return Failure(LedgerError(LedgerFault.QUOTA, "adapters in flight"))
--- a/rhubarbshed/state/ledger.py
+++ b/rhubarbshed/state/ledger.py
@@ -209,11 +209,14 @@
 def _find_unload_fault(
     ledger: Ledger, entry: Entry, checks_fencing: bool, copies: Copies
 ) -> LedgerError | None:
-    if copies.in_flight or entry.state is EntryState.LOADING and not copies.voided:
+    if copies.in_flight:
+        return LedgerError(LedgerFault.BUSY, "an order for it is on its way")
+    if entry.state is EntryState.LOADING and not checks_fencing:
         return LedgerError(LedgerFault.BUSY, "its load is not settled")
     if _has_adapters(ledger, entry.key):
         return LedgerError(LedgerFault.BUSY, "it has adapters")
-    if entry.doubtful and checks_fencing and not copies.voided:
+    doubtful = entry.doubtful or entry.state is EntryState.LOADING
+    if doubtful and checks_fencing and not copies.voided:
         return LedgerError(LedgerFault.UNPROVED, "the fencing token is not raised yet")
     if entry.doubtful and not checks_fencing and (ledger.former or not copies.expired):
         names = ", ".join(holder.instance for holder in ledger.former)
--- a/rhubarbshed/state/moves.py
+++ b/rhubarbshed/state/moves.py
@@ -35,13 +35,16 @@
     in_flight: set[str] = field(factory=set)
     lost: dict[str, Loss] = field(factory=dict)
 
-    def judge_copies(self, entry: Entry, checks_fencing: bool, now: float) -> Copies:
-        """Tell what is known of copies of an entry's load order that may be under way."""
+    def judge_copies(self, entry: Entry, checks_fencing: bool, claimed: str, now: float) -> Copies:
+        """Tell what is known of copies of an entry's load order that may be under way.
+
+        `claimed` is the load id whose place in flight the asker itself holds.
+        """
         loss = self.lost.get(entry.load_id, Loss(NEVER, 0))
         epoch = max(entry.epoch, loss.epoch)
         lost_at = max(self.adopted_at, loss.at)
         return Copies(
-            in_flight=entry.load_id in self.in_flight,
+            in_flight=entry.load_id != claimed,
             voided=checks_fencing and epoch < self.ledger.epoch <= self.token_raised,
             expired=not checks_fencing and now - lost_at > ORDER_LIFETIME_S,
         )
--- a/test/test_loads.py
+++ b/test/test_loads.py
@@ -316,6 +316,21 @@
     assert world.engine.resident == {}
 
 
+def test_load_that_is_always_refused_can_be_given_up():
+    world = make_world()
+    first = start(world, "i1")
+    world.engine.faults = ["late", OrderFault.REFUSED, OrderFault.REFUSED]
+    load(first, A)
+    reconcile(first, 2)
+    assert states(world) == {"a": EntryState.LOADING}
+    assert isinstance(unload(first, A), Success)
+    world.engine.deliver()
+    assert states(world) == {} and world.engine.resident == {}
+    reconcile(first, 2)
+    assert isinstance(load(first, B), Success)
+    check_agreed(world)
+
+
 def test_lost_model_is_loaded_again():
     world = make_world()
     first = start(world, "i1")
