Refuse what cannot meet its target, and reckon with what other instances send

Change: margins about the target; unseen load of other instances from the own rate; the time a slot is held counts from the first token.

--- a/rhubarbshed/coordination/admission.py
+++ b/rhubarbshed/coordination/admission.py
@@ -10,7 +10,7 @@
 from rhubarbshed.util.settings import AdmissionSettings
 
 MODEL_SHARE = {Priority.INTERACTIVE: 1.0, Priority.STANDARD: 0.9, Priority.BATCH: 0.5}
-TARGET_MARGIN = {Priority.INTERACTIVE: 4.0, Priority.STANDARD: 12.0, Priority.BATCH: 2.0}
+TARGET_MARGIN = {Priority.INTERACTIVE: 1.25, Priority.STANDARD: 1.0, Priority.BATCH: 0.7}
 JITTER_SHARE = 0.5
 NOT_FOUND = 404
 TOO_MANY_REQUESTS = 429
--- a/rhubarbshed/coordination/desk.py
+++ b/rhubarbshed/coordination/desk.py
@@ -300,7 +300,7 @@
         has_failed = result.end is not AttemptEnd.DONE or result.status >= SERVER_ERROR
         failed = None if result.end is AttemptEnd.CALLER_GONE else has_failed
         key = (result.request_id, result.attempt)
-        self.load.record_end(sent.backend_server, key, failed, now)
+        self.load.record_end(sent.backend_server, key, failed, now, result.first_token_at)
         item.has_run = item.has_run or may_have_run(result.end)
         item.tokens = max(item.tokens, sent.resume_offset + result.tokens)
         if has_failed:
--- a/rhubarbshed/coordination/routing.py
+++ b/rhubarbshed/coordination/routing.py
@@ -51,7 +51,7 @@
 
 def _predict_queue(priority: Priority, candidate: Candidate, trust: float) -> float:
     """Return the wait for a slot; a report counts less as it grows old, own attempts in full."""
-    others = max(0.0, candidate.in_flight - candidate.own_in_flight)
+    others = max(0.0, candidate.in_flight + candidate.unseen - candidate.own_in_flight)
     in_flight = candidate.own_in_flight + trust * others
     if in_flight < candidate.slots:
         return 0.0
@@ -67,7 +67,7 @@
     return (candidate.waiting_tokens * trust + own_tokens) / speed
 
 
-def rank_by_fingerprint(key: str, candidates: Iterable[Candidate]) -> list[Candidate]:
+def rank_by_key(key: str, candidates: Iterable[Candidate]) -> list[Candidate]:
     """Order candidates by rendezvous hashing: the same on every instance, no state shared.
 
     Source: Thaler and Ravishankar, A Name-Based Mapping Scheme for Rendezvous, 1996.
@@ -85,7 +85,7 @@
     whichever instance they come, while different requests are spread over all servers.
     """
     key = request.fingerprint or request.request_id
-    return rank_by_fingerprint(key, candidates)[:CHOICES]
+    return rank_by_key(key, candidates)[:CHOICES]
 
 
 def choose_route(
--- a/rhubarbshed/state/load.py
+++ b/rhubarbshed/state/load.py
@@ -14,6 +14,8 @@
 HOLD_SMOOTHING = 0.1
 FAILURE_HALF_LIFE_S = 5.0
 FAILURES_MAX = 8.0
+RATE_WINDOW_S = 3.0
+UNSEEN_AGE_MAX_S = 3.0
 ENDED_KEPT_S = 30.0
 LOST_HOLD_S = 10.0
 PAST_BOOTS_MAX = 8
@@ -37,14 +39,16 @@
     """Describe a backend server that a request may go to, as of one instant.
 
     `in_flight` and `waiting_tokens` are corrected by own dispatches, `own_in_flight` is known for
-    certain. `hold_s` is the mean time an attempt takes a slot. `lost` marks a server that crashed
-    moments ago: it still takes its place in the order of choice, but gets no requests.
+    certain. `unseen` estimates what other instances added since the report, less what ended; it
+    may be negative. `hold_s` is the mean time an attempt takes a slot. `lost` marks a server that
+    crashed moments ago: it still takes its place in the order of choice, but gets no requests.
     """
 
     info: BackendServerInfo
     in_flight: float
     waiting_tokens: float
     own_in_flight: int
+    unseen: float
     slots: int
     hold_s: float
     prefill_tokens_per_s: float
@@ -70,6 +74,8 @@
     hold_s: float = HOLD_DEFAULT_S
     failures: float = 0.0
     failures_at: float = 0.0
+    rate: float = 0.0
+    rate_at: float = 0.0
     lost_at: float = -math.inf
     lost_targets: frozenset[str] = frozenset()
     past_boots: tuple[str, ...] = ()
@@ -102,6 +108,28 @@
                 reported -= 1
         return float(max(reported, self.count_open()))
 
+    def count_dispatch(self, now: float) -> None:
+        """Add a dispatch to the mean rate of own dispatches, per second."""
+        self.rate = self.compute_rate(now) + 1.0 / RATE_WINDOW_S
+        self.rate_at = now
+
+    def compute_rate(self, now: float) -> float:
+        """Return the rate of own dispatches, per second, as a decaying mean."""
+        return self.rate * math.exp((self.rate_at - now) / RATE_WINDOW_S)
+
+    def compute_unseen(self, instances: int, now: float) -> float:
+        """Return the change in flight since the report that is due to other instances.
+
+        They are taken to send at the same rate as this one, and slots to free at their mean rate.
+        """
+        report = self.engine or self.service
+        if report is None or instances <= 1:
+            return 0.0
+        age_s = min(UNSEEN_AGE_MAX_S, max(0.0, now - self.compute_taken_at()))
+        arrivals = self.compute_rate(now) * (instances - 1)
+        ends = min(report.running, report.slots) / max(self.hold_s, 1e-3)
+        return age_s * (arrivals - ends * (instances - 1) / instances)
+
     def compute_waiting_tokens(self, now: float) -> float:
         """Return prompt tokens not yet processed, the time since the report taken into account."""
         taken_at = self.compute_taken_at()
@@ -145,6 +173,11 @@
     """Hold the load of all backend servers this instance knows of."""
 
     servers: dict[str, ServerLoad] = field(factory=dict)
+    instances: int = 1
+
+    def set_instances(self, instances: int) -> None:
+        """Take how many instances send to the same backend servers, this one included."""
+        self.instances = max(1, instances)
 
     def set_servers(self, infos: Iterable[BackendServerInfo]) -> None:
         """Take the list of backend servers; what is known of those that stay is kept."""
@@ -214,11 +247,21 @@
         """Count an own attempt that goes out now."""
         if name in self.servers:
             self.servers[name].sent[key] = Sent(target, prompt_tokens, now)
-
-    def record_end(self, name: str, key: AttemptKey, failed: bool | None, now: float) -> None:
+            self.servers[name].count_dispatch(now)
+
+    def record_end(
+        self,
+        name: str,
+        key: AttemptKey,
+        failed: bool | None,
+        now: float,
+        first_token_at: float | None = None,
+    ) -> None:
         """Count the end of an own attempt; a second call for one attempt changes nothing.
 
         `failed` is None for an attempt that tells nothing of the server, such as a cancelled one.
+        The time from the first token on counts as the time a slot was held, the wait before it
+        does not.
         """
         server = self.servers.get(name)
         sent = server.sent.get(key) if server else None
@@ -232,7 +275,8 @@
         server.failures = min(FAILURES_MAX, recent + 1.0) if failed else recent / 2
         server.failures_at = now
         if not failed:
-            server.hold_s += HOLD_SMOOTHING * (now - sent.sent_at - server.hold_s)
+            since = sent.sent_at if first_token_at is None else first_token_at
+            server.hold_s += HOLD_SMOOTHING * (now - since - server.hold_s)
 
     def find_boot_id(self, name: str) -> str:
         """Return the boot that a backend server reported last, empty where none is known."""
@@ -265,21 +309,21 @@
             share = server.prefixes.estimate_cached_share(prefixes)
             held = residents | server.lost_targets if was_there else residents
             has_adapter = not adapter or adapter in held
-            found.append(_make_candidate(server, share, has_adapter, now))
+            found.append(_make_candidate(server, share, has_adapter, self.instances, now))
         return tuple(found)
 
     def list_service_candidates(self, names: Iterable[str], now: float) -> tuple[Candidate, ...]:
         """Return those replicas of a plain service that are in use."""
         servers = (self.servers[name] for name in sorted(names) if name in self.servers)
         return tuple(
-            _make_candidate(server, 0.0, True, now)
+            _make_candidate(server, 0.0, True, self.instances, now)
             for server in servers
             if server.standing in STANDINGS_USED or server.is_lost(now)
         )
 
 
 def _make_candidate(
-    server: ServerLoad, cached_share: float, adapter_resident: bool, now: float
+    server: ServerLoad, cached_share: float, adapter_resident: bool, instances: int, now: float
 ) -> Candidate:
     report = server.engine or server.service
     return Candidate(
@@ -287,6 +331,7 @@
         in_flight=server.compute_in_flight(),
         waiting_tokens=server.compute_waiting_tokens(now),
         own_in_flight=server.count_open(),
+        unseen=server.compute_unseen(instances, now),
         slots=max(1, report.slots if report else 1),
         hold_s=server.hold_s,
         prefill_tokens_per_s=server.engine.prefill_tokens_per_s if server.engine else 0.0,
--- a/test/test_routing.py
+++ b/test/test_routing.py
@@ -26,6 +26,7 @@
         in_flight=0,
         waiting_tokens=0,
         own_in_flight=0,
+        unseen=0.0,
         slots=4,
         hold_s=2.0,
         prefill_tokens_per_s=1000.0,
