--- a/tools/load.py
+++ b/tools/load.py
@@ -57,6 +57,7 @@
         self.buffer = b""
         self.in_body = False
         self.wrong = False
+        self.answer_id = ""
         self.last_at = 0.0
         self.ended = asyncio.get_running_loop().create_future()
         self.transport: asyncio.Transport | None = None
@@ -77,6 +78,7 @@
             self.in_body = True
             self.buffer = rest
             self.record.status = int(head.split(b" ", 2)[1])
+            self.wrong = not carries_id(head, self.record.request_id)
             if self.record.status != 200:
                 self._end("refused")
                 return
@@ -107,7 +109,8 @@
             return
         offset = self.record.tokens
         good = text == expected_token(self.model, self.prompt, offset)
-        if not good or event["id"] != self.record.request_id:
+        self.answer_id = self.answer_id or event["id"]
+        if not good or event["id"] != self.answer_id:
             self.wrong = True
         self.record.tokens += 1
         if self.record.first_token_at is None:
@@ -125,6 +128,11 @@
         self.transport.close()
 
 
+def carries_id(head: bytes, request_id: str) -> bool:
+    """Tell whether the headers of an answer name the request."""
+    return f"\r\nx-request-id: {request_id}".lower().encode() in head.lower()
+
+
 def make_prompt(randomness: random.Random, words: int) -> str:
     """Return a random prompt."""
     return " ".join(randomness.choice(WORDS) for _ in range(words))
--- a/tools/processes.py
+++ b/tools/processes.py
@@ -4,6 +4,7 @@
 import re
 import selectors
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
@@ -162,6 +163,15 @@
     return [process.stop(max(0.1, until - time.monotonic())) for process in processes]
 
 
+def find_free_ports(count: int) -> list[int]:
+    """Return ports of the loopback that are free now."""
+    sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
+    ports = [each.getsockname()[1] for each in sockets]
+    for each in sockets:
+        each.close()
+    return ports
+
+
 def make_file(prefix: str, suffix: str) -> Path:
     """Return the path of a new temporary file."""
     handle, path = tempfile.mkstemp(prefix=prefix, suffix=suffix)
