--- /dev/null
+++ b/rhubarbshed/coordination/dissemination.py
@@ -0,0 +1,170 @@
+"""Who talks to whom, and what each frame is passed on to.
+
+Within a data centre every instance keeps a connection to every other. Across, each instance
+keeps one bridge to each other data centre, to a partner chosen by rendezvous hashing. No
+instance carries more than its share, and no frame takes more than three hops.
+"""
+
+from collections import OrderedDict
+
+from attrs import Factory, define, frozen
+
+from rhubarbshed.coordination.membership import list_instances
+from rhubarbshed.protocol.members import InstanceInfo, Standing
+from rhubarbshed.protocol.peers import (
+    CatalogueHint,
+    Frame,
+    LeavingNotice,
+    LoadDigest,
+    QuarantineNotice,
+)
+from rhubarbshed.state.membership import Membership
+from rhubarbshed.util.rendezvous import rank_by_rendezvous
+
+NOTICES_MAX = 4096
+"""Notices remembered so that each is passed on once."""
+PROBES_MAX = 8
+"""Most suspected partners in a data centre that are tried beside the one in use."""
+CALLED_AFTER_SILENCES = 1.0
+"""Silences waited for a lower-named peer's connection before connecting oneself."""
+TALKED_TO = (Standing.LIVE, Standing.LEAVING, Standing.SUSPECTED)
+URGENT = (CatalogueHint, LeavingNotice, QuarantineNotice)
+
+
+@frozen
+class Topology:
+    """Name the instances that this one should be connected to, by their part.
+
+    `probes` are preferred partners for bridges that are suspected, and tried until heard.
+    """
+
+    mesh: tuple[InstanceInfo, ...] = ()
+    bridges: tuple[InstanceInfo, ...] = ()
+    probes: tuple[InstanceInfo, ...] = ()
+    is_delegate: bool = False
+
+    def list_wanted(self) -> tuple[InstanceInfo, ...]:
+        """Return all instances that a connection is kept or sought to."""
+        return (*self.mesh, *self.bridges, *self.probes)
+
+
+def choose_topology(membership: Membership, delegates: int, now: float) -> Topology:
+    """Choose mesh and bridges from the membership view.
+
+    A suspected partner is replaced by the next in the rendezvous order, and taken back when
+    it is heard again. Mesh peers are tried for as long as they are not gone.
+    """
+    own = membership.instances[membership.name].info
+    members = list_instances(membership, now, *TALKED_TO)
+    here = [info for info in members if info.data_centre == own.data_centre]
+    live = {info.name for info in list_instances(membership, now, Standing.LIVE)}
+    ranked = rank_by_rendezvous(own.data_centre, [info.name for info in here if info.name in live])
+    bridges, probes = _choose_bridges(own, members, live)
+    return Topology(
+        tuple(info for info in here if info.name != own.name),
+        bridges,
+        probes,
+        own.name in ranked[:delegates],
+    )
+
+
+def _choose_bridges(
+    own: InstanceInfo, members: tuple[InstanceInfo, ...], live: set[str]
+) -> tuple[tuple[InstanceInfo, ...], tuple[InstanceInfo, ...]]:
+    """Choose one partner in each other data centre, and whom to probe in its place."""
+    infos = {info.name: info for info in members}
+    bridges, probes = [], []
+    for centre in sorted({info.data_centre for info in members} - {own.data_centre}):
+        names = [info.name for info in members if info.data_centre == centre]
+        ranked = rank_by_rendezvous(own.name, names)
+        rank = next((rank for rank, name in enumerate(ranked) if name in live), 0)
+        bridges.append(infos[ranked[rank]])
+        probes += [infos[name] for name in ranked[: min(rank, PROBES_MAX)]]
+    return tuple(bridges), tuple(probes)
+
+
+def choose_dials(
+    membership: Membership, topology: Topology, connected: set[str], now: float
+) -> tuple[InstanceInfo, ...]:
+    """Choose peers to connect to.
+
+    Of two mesh peers the one with the lower name connects; the other does so when it was not
+    called in time, since the peer may not know of it yet.
+    """
+    patience_s = membership.limits.silence_s * CALLED_AFTER_SILENCES
+    chosen = []
+    for info in topology.mesh:
+        known = membership.instances[info.name]
+        since = known.expected_since if known.expected_since is not None else now
+        overdue = now - since > patience_s
+        if info.name not in connected and (membership.name < info.name or overdue):
+            chosen.append(info)
+    across = (*topology.bridges, *topology.probes)
+    chosen += [info for info in across if info.name not in connected]
+    return tuple(chosen)
+
+
+@define
+class NoticeFilter:
+    """Remember notices, so that each is taken in and passed on once."""
+
+    prefix: str
+    count: int = 0
+    seen: OrderedDict[str, None] = Factory(OrderedDict)
+
+    def make_id(self) -> str:
+        """Return an id for a new notice of this instance."""
+        self.count += 1
+        notice_id = f"{self.prefix}/{self.count}"
+        self.is_news(notice_id)
+        return notice_id
+
+    def is_news(self, notice_id: str) -> bool:
+        """Tell whether a notice is met for the first time."""
+        if notice_id in self.seen:
+            return False
+        self.seen[notice_id] = None
+        if len(self.seen) > NOTICES_MAX:
+            self.seen.popitem(last=False)
+        return True
+
+
+def choose_recipients(
+    frame: Frame, topology: Topology, connected: dict[str, str], own_centre: str
+) -> tuple[str, ...]:
+    """Choose who gets a frame of this instance; `connected` maps names to data centres.
+
+    Load goes to the mesh each second and, marked as remote, over the bridges less often.
+    """
+    mesh = [name for name, centre in connected.items() if centre == own_centre]
+    if not isinstance(frame, LoadDigest):
+        return tuple(connected)
+    if not frame.remote:
+        return tuple(mesh)
+    bridges = {info.name for info in topology.bridges}
+    return tuple(name for name in connected if name in bridges)
+
+
+def choose_relays(
+    frame: Frame,
+    topology: Topology,
+    connected: dict[str, str],
+    sender: str,
+    own_centre: str,
+) -> tuple[str, ...]:
+    """Choose whom a frame heard from `sender` is passed on to.
+
+    What came from another data centre goes to the mesh. Delegates pass urgent notices on to
+    further data centres too, so that a cut between two of them is gone round by a third.
+    """
+    origin_centre = connected.get(sender, "")
+    urgent = isinstance(frame, URGENT)
+    shared = urgent or (isinstance(frame, LoadDigest) and frame.remote)
+    to_mesh = shared and origin_centre != own_centre
+    to_bridges = urgent and topology.is_delegate
+    return tuple(
+        name
+        for name, centre in connected.items()
+        if (to_mesh and centre == own_centre)
+        or (to_bridges and centre not in (own_centre, origin_centre))
+    )
