--- a/rhubarbshed/protocol/peers.py
+++ b/rhubarbshed/protocol/peers.py
@@ -50,7 +50,6 @@
 class Heartbeat:
     """Show that the sender lives, and how new its catalogue is."""
 
-    incarnation: str
     revision: int = 0
     ticket: int = 0
     leaving: bool = False
@@ -96,6 +95,11 @@
     remote: bool = False
 
 
+@frozen
+class LoadRequest:
+    """Ask for all load that the receiver knows of, details included."""
+
+
 @frozen
 class CatalogueHint:
     """Tell that the catalogue's head has moved."""
@@ -177,6 +181,7 @@
     | CatalogueObjects
     | LeavingNotice
     | QuarantineNotice
+    | LoadRequest
 )
 FRAME_KINDS: tuple[type, ...] = (
     Challenge,
@@ -189,6 +194,7 @@
     CatalogueObjects,
     LeavingNotice,
     QuarantineNotice,
+    LoadRequest,
 )
 """Kinds by their number on the wire; append only."""
 KIND_NUMBERS = {kind: number for number, kind in enumerate(FRAME_KINDS)}
--- a/rhubarbshed/state/digests.py
+++ b/rhubarbshed/state/digests.py
@@ -12,66 +12,105 @@
     LoadEntry,
 )
 
-DETAIL_INTERVAL_S = 10.0
+DETAIL_INTERVAL_S = 300.0
 """Longest time between two entries that carry an engine's detail."""
+REMOTE_INTERVAL_S = 15.0
+"""Time between two digests to other data centres."""
+REQUEST_INTERVAL_S = 5.0
+"""Shortest time between two requests for details that were missed."""
 CACHE_EVENTS_MAX = 2
 """Most cache events in one entry; a gap in their sequence counts as a loss."""
+CACHE_EVENT_PEERS_MAX = 16
+"""Most peers in the data centre for which cache events are sent; beyond, bytes forbid it."""
 MS_PER_S = 1000
 
+ReceivedReport = tuple[EngineReport, float]
+"""An engine's report and the monotonic time that it was received at."""
+
 
 @define
 class LoadOutbox:
     """Remember which detail was last sent of each engine, so that it is not repeated."""
 
-    sent: dict[str, tuple[int, float]] = Factory(dict)
-
-    def forget(self) -> None:
-        """Send every engine's detail next time, because a new peer holds none."""
-        self.sent.clear()
+    sent: dict[tuple[str, bool], tuple[int, float]] = Factory(dict)
+    remote_at: float | None = None
+
+    def collect(
+        self, reports: tuple[ReceivedReport, ...], now: float, peers: int
+    ) -> tuple[LoadDigest, ...]:
+        """Make this beat's digests: one for `peers` here, and when due one for elsewhere."""
+        if not reports:
+            return ()
+        digest = self.make_digest(reports, now, peers)
+        if self.remote_at is not None and now - self.remote_at < REMOTE_INTERVAL_S:
+            return (digest,)
+        self.remote_at = now
+        return digest, self.make_digest(reports, now, peers, remote=True)
 
     def make_digest(
-        self, reports: tuple[tuple[EngineReport, float], ...], now: float, remote: bool = False
+        self,
+        reports: tuple[ReceivedReport, ...],
+        now: float,
+        peers: int = 0,
+        remote: bool = False,
     ) -> LoadDigest:
-        """Make a digest of reports, each with the time that it was received at."""
-        entries = (self._make_entry(report, at, now) for report, at in reports)
+        """Make a digest, with the details that changed or were not sent for long."""
+        with_events = not remote and peers <= CACHE_EVENT_PEERS_MAX
+        entries = []
+        for report, at in reports:
+            detail = _make_detail(report)
+            detail_hash = hash_detail(detail)
+            needed = self._needs_detail((report.backend_server, remote), detail_hash, now)
+            entry = _make_entry(report, now - at, detail_hash, with_events)
+            entries.append(evolve(entry, detail=detail) if needed else entry)
         return LoadDigest(tuple(entries), remote)
 
-    def _make_entry(self, report: EngineReport, at: float, now: float) -> LoadEntry:
-        detail = _make_detail(report)
-        detail_hash = hash_detail(detail)
-        known_hash, sent_at = self.sent.get(report.backend_server, (None, now))
-        needed = known_hash != detail_hash or now - sent_at >= DETAIL_INTERVAL_S
-        if needed:
-            self.sent[report.backend_server] = (detail_hash, now)
-        return LoadEntry(
-            report.backend_server,
-            detail_hash,
-            round((report.age_s + now - at) * MS_PER_S),
-            report.running,
-            report.waiting,
-            report.waiting_tokens,
-            report.memory_bytes_used,
-            round(report.tokens_per_s),
-            round(report.prefill_tokens_per_s),
-            report.cache_events[-CACHE_EVENTS_MAX:],
-            detail if needed else None,
-        )
+    def _needs_detail(self, key: tuple[str, bool], detail_hash: int, now: float) -> bool:
+        known_hash, sent_at = self.sent.get(key, (None, now))
+        if known_hash == detail_hash and now - sent_at < DETAIL_INTERVAL_S:
+            return False
+        self.sent[key] = (detail_hash, now)
+        return True
 
 
 @define
 class LoadInbox:
-    """Hold the detail of each engine that peers told of."""
+    """Hold what peers told of each engine: the detail, and the newest report."""
 
     details: dict[str, tuple[int, LoadDetail]] = Factory(dict)
+    reports: dict[str, ReceivedReport] = Factory(dict)
+    missed: bool = False
+    requested_at: float | None = None
 
-    def expand(self, digest: LoadDigest) -> tuple[EngineReport, ...]:
+    def expand(self, digest: LoadDigest, now: float) -> tuple[EngineReport, ...]:
         """Return full reports; an entry whose detail has not come yet is left out."""
-        reports = (self._expand_entry(entry) for entry in digest.entries)
-        return tuple(report for report in reports if report is not None)
+        expanded = []
+        for entry in digest.entries:
+            report = self._expand_entry(entry)
+            if report is None:
+                self.missed = True
+                continue
+            expanded.append(report)
+            self.reports[report.backend_server] = (report, now)
+        return tuple(expanded)
+
+    def needs_request(self, now: float) -> bool:
+        """Tell whether to ask a peer for missed details now, and note that this is done."""
+        recent = self.requested_at is not None and now - self.requested_at < REQUEST_INTERVAL_S
+        if not self.missed or recent:
+            return False
+        self.missed = False
+        self.requested_at = now
+        return True
+
+    def make_answer(self, own: tuple[ReceivedReport, ...], now: float) -> LoadDigest:
+        """Answer a request with all that is known, the own engines' reports included."""
+        return LoadOutbox().make_digest((*self.reports.values(), *own), now)
 
     def forget(self, backend_server: str) -> None:
         """Drop an engine that is gone."""
         self.details.pop(backend_server, None)
+        self.reports.pop(backend_server, None)
 
     def _expand_entry(self, entry: LoadEntry) -> EngineReport | None:
         if entry.detail is not None:
@@ -98,6 +137,23 @@
         )
 
 
+def _make_entry(
+    report: EngineReport, held_s: float, detail_hash: int, with_events: bool
+) -> LoadEntry:
+    return LoadEntry(
+        report.backend_server,
+        detail_hash,
+        round((report.age_s + held_s) * MS_PER_S),
+        report.running,
+        report.waiting,
+        report.waiting_tokens,
+        report.memory_bytes_used,
+        round(report.tokens_per_s),
+        round(report.prefill_tokens_per_s),
+        report.cache_events[-CACHE_EVENTS_MAX:] if with_events else (),
+    )
+
+
 def _make_detail(report: EngineReport) -> LoadDetail:
     return LoadDetail(
         report.boot_id,
@@ -112,10 +168,3 @@
 def hash_detail(detail: LoadDetail) -> int:
     """Return a hash that changes with the detail, alike on all instances."""
     return xxhash.xxh32_intdigest(msgpack.packb(PEER_CONVERTER.unstructure(detail)))
-
-
-def add_age(digest: LoadDigest, held_s: float) -> LoadDigest:
-    """Return a digest that is passed on, older by the time that it was held."""
-    held_ms = round(held_s * MS_PER_S)
-    entries = tuple(evolve(entry, age_ms=entry.age_ms + held_ms) for entry in digest.entries)
-    return evolve(digest, entries=entries)
--- a/rhubarbshed/transport/links.py
+++ b/rhubarbshed/transport/links.py
@@ -1,6 +1,7 @@
 """One proven connection to a peer, with a bounded queue of frames to send."""
 
 import asyncio
+import random
 from collections import deque
 
 from attrs import Factory, define
@@ -11,10 +12,28 @@
 """Bytes handed to the socket's buffer before frames wait in the queue."""
 QUEUE_BYTES_MAX = 2_097_152
 """Bytes waiting in the queue before the connection is given up."""
+BACKOFF_FIRST_S = 0.2
+BACKOFF_LONGEST_S = 5.0
 QUEUE_DIGESTS_MAX = 8
 """Digests waiting in the queue; the oldest goes first, since newer ones replace it."""
 
 
+@define
+class Backoff:
+    """Pause before a peer is dialed again; `until` is in monotonic seconds."""
+
+    pause_s: float = 0.0
+    until: float = 0.0
+
+    def begin(self, now: float, rng: random.Random) -> bool:
+        """Tell whether to dial now; if so, the next time is set further off, with jitter."""
+        if now < self.until:
+            return False
+        self.pause_s = min(BACKOFF_LONGEST_S, max(BACKOFF_FIRST_S, self.pause_s * 2))
+        self.until = now + self.pause_s * rng.uniform(0.5, 1.0)
+        return True
+
+
 @define(eq=False)
 class Link:
     """Hold a connection; times are monotonic seconds."""
--- a/rhubarbshed/transport/peers.py
+++ b/rhubarbshed/transport/peers.py
@@ -6,7 +6,7 @@
 import time
 from collections.abc import Callable, Collection
 
-from attrs import Factory, define, field
+from attrs import Factory, define, evolve, field
 from returns.result import Failure, Result
 
 from rhubarbshed.coordination.dissemination import (
@@ -41,44 +41,18 @@
     make_server_context,
     read_frame,
 )
-from rhubarbshed.transport.links import Link, choose_link
+from rhubarbshed.transport.hooks import PeerHooks
+from rhubarbshed.transport.links import Backoff, Link, choose_link
 from rhubarbshed.util.logs import log_event
 from rhubarbshed.util.settings import PeerSettings, Settings, TlsSettings
 
 LOG = logging.getLogger(__name__)
-BACKOFF_FIRST_S = 0.2
-BACKOFF_LONGEST_S = 5.0
+BEAT_PART = 0.9
+"""Part of a heartbeat's interval after which the next may go, so that jitter skips none."""
 HANDSHAKES_MAX = 64
 """Connections accepted but not proven yet; more are closed at once."""
 NOTICES = (CatalogueHint, LeavingNotice, QuarantineNotice)
 
-OnFrame = Callable[[str, Frame, float], None]
-OnConnect = Callable[[str, float], tuple[Frame, ...]]
-Collect = Callable[[float], tuple[Frame, ...]]
-
-
-def collect_nothing(now: float) -> tuple[Frame, ...]:
-    """Add no frames to the heartbeats."""
-    return ()
-
-
-def greet_with_nothing(peer: str, now: float) -> tuple[Frame, ...]:
-    """Send no frames to a new peer."""
-    return ()
-
-
-def raise_fault(fault: BaseException) -> None:
-    """Raise in the loop, whose exception handler decides."""
-    raise fault
-
-
-@define
-class Backoff:
-    """Pause before a peer is dialed again."""
-
-    pause_s: float = 0.0
-    until: float = 0.0
-
 
 @define(eq=False)
 class PeerNetwork:
@@ -89,11 +63,7 @@
     tls: TlsSettings
     membership: Membership
     clock: HybridClock
-    on_frame: OnFrame
-    make_heartbeat: Callable[[], Heartbeat]
-    on_connect: OnConnect = greet_with_nothing
-    collect: Collect = collect_nothing
-    on_fault: Callable[[BaseException], None] = raise_fault
+    hooks: PeerHooks
     refuse: Collection[str] = ()
     read_now: Callable[[], float] = time.monotonic
     read_wall: Callable[[], int] = read_wall_ms
@@ -105,7 +75,7 @@
     dialing: set[str] = Factory(set)
     tasks: set[asyncio.Task] = Factory(set)
     handshakes: int = 0
-    beat_at: float = 0.0
+    beat_at: float = float("-inf")
     server: asyncio.Server | None = None
 
     @classmethod
@@ -114,11 +84,10 @@
         settings: Settings,
         membership: Membership,
         clock: HybridClock,
-        on_frame: OnFrame,
-        make_heartbeat: Callable[[], Heartbeat],
-        **hooks,
+        hooks: PeerHooks,
+        **fields,
     ) -> "PeerNetwork":
-        """Make a network that is not started; `hooks` set further fields."""
+        """Make a network that is not started; `fields` set further fields."""
         info = membership.instances[settings.instance.name].info
         identity = Identity(
             info,
@@ -132,9 +101,8 @@
             settings.tls,
             membership,
             clock,
-            on_frame,
-            make_heartbeat,
-            **hooks,
+            hooks,
+            **fields,
         )
         network.notices.prefix = f"{info.name}/{info.incarnation}"
         return network
@@ -186,20 +154,25 @@
     def step(self, now: float) -> None:
         """Replace silent connections, connect to peers that lack one, send heartbeats."""
         self._close_faulty(now)
-        self.topology = choose_topology(self.membership, self.settings.delegates, now)
-        wanted = {info.name for info in self.topology.list_wanted()}
-        self.membership.expect(wanted | set(self.links), now)
+        beats = now - self.beat_at >= self.settings.heartbeat_s * BEAT_PART
+        if beats:
+            self._choose_peers(now)
         self._close_unwanted(now)
         connected = set(self.links) | self.dialing
         for info in choose_dials(self.membership, self.topology, connected, now):
             if info.name not in self.refuse:
                 self._try_dial(info, now)
-        if now - self.beat_at >= self.settings.heartbeat_s * 0.9:
+        if beats:
             self.beat_at = now
             self._beat(now)
         for link in self.links.values():
             link.flush(now)
 
+    def _choose_peers(self, now: float) -> None:
+        self.topology = choose_topology(self.membership, self.settings.delegates, now)
+        wanted = {info.name for info in self.topology.list_wanted()}
+        self.membership.expect(wanted | set(self.links), now)
+
     async def _run(self) -> None:
         while True:
             self.step(self.read_now())
@@ -208,7 +181,7 @@
 
     def _beat(self, now: float) -> None:
         """Queue the heartbeat and what goes with it, to be written in one piece."""
-        frames = (self.make_heartbeat(), *self.collect(now))
+        frames = (self.hooks.make_heartbeat(), *self.hooks.collect(now))
         for frame in frames:
             names = choose_recipients(
                 frame, self.topology, self._list_connected(), self.identity.info.data_centre
@@ -255,11 +228,8 @@
 
     def _try_dial(self, info: InstanceInfo, now: float) -> None:
         backoff = self.backoffs.setdefault(info.name, Backoff())
-        if now < backoff.until:
+        if not backoff.begin(now, self.rng):
             return
-        doubled = min(BACKOFF_LONGEST_S, max(BACKOFF_FIRST_S, backoff.pause_s * 2))
-        backoff.pause_s = doubled
-        backoff.until = now + doubled * self.rng.uniform(0.5, 1.0)
         self.dialing.add(info.name)
         self._spawn(self._dial(info))
 
@@ -332,11 +302,20 @@
     def _greet_peer(self, link: Link, now: float) -> None:
         """Tell a new peer what it may have missed; what is news to it goes further."""
         leaving = self._make_leaving_notice()
-        for frame in (self.make_heartbeat(), *leaving, *self.on_connect(link.info.name, now)):
+        for frame in (
+            self.hooks.make_heartbeat(),
+            *leaving,
+            *self.hooks.on_connect(link.info.name, now),
+        ):
+            if isinstance(frame, LoadDigest):
+                frame = evolve(frame, remote=not self._is_here(link))
             notice_id = self.notices.make_id() if isinstance(frame, NOTICES) else ""
             self._queue_all((link.info.name,), frame, notice_id)
         link.flush(now)
 
+    def _is_here(self, link: Link) -> bool:
+        return link.info.data_centre == self.identity.info.data_centre
+
     def _make_leaving_notice(self) -> tuple[LeavingNotice, ...]:
         words = self.membership.list_leaving_words()
         subjects = tuple(LeavingSubject(name, incarnation) for name, incarnation in words)
@@ -374,11 +353,11 @@
             return
         self._apply_leaving(link.info, frame)
         self._relay(link.info.name, frame, envelope.notice_id)
-        self.on_frame(link.info.name, frame, now)
+        self.hooks.on_frame(link.info.name, frame, now)
 
     def _apply_leaving(self, sender: InstanceInfo, frame: Frame) -> None:
         if isinstance(frame, Heartbeat) and frame.leaving:
-            self.membership.apply_leaving(sender.name, frame.incarnation, sender.name)
+            self.membership.apply_leaving(sender.name, sender.incarnation, sender.name)
         if isinstance(frame, LeavingNotice):
             for subject in (*frame.instances, *frame.backend_servers):
                 self.membership.apply_leaving(subject.name, subject.incarnation, sender.name)
@@ -403,4 +382,4 @@
         """Hand a broken invariant on, rather than go on without a task."""
         self.tasks.discard(task)
         if not task.cancelled() and task.exception() is not None:
-            self.on_fault(task.exception())
+            self.hooks.on_fault(task.exception())
