Measure real peer networks over loopback

Cause: slopes worked out in memory leave out the loop and the sockets. Ruled out: processes of their own, which the size of a data centre does not need yet. Change: tools/capacity_peers.py runs 5 to 40 instances in one process.

--- /dev/null
+++ b/tools/capacity_peers.py
@@ -0,0 +1,132 @@
+"""Measure the CPU and bytes of real peer networks over loopback, all in one process.
+
+Run `python -m tools.capacity_peers`. Each size runs for a few seconds of heartbeats with load.
+"""
+
+import asyncio
+import socket
+import time
+
+from attrs import define, evolve, frozen
+
+from rhubarbshed.protocol.members import ListedInstance, PlatformList
+from rhubarbshed.protocol.peers import Frame, Heartbeat, LoadDigest
+from rhubarbshed.state.clock import HybridClock
+from rhubarbshed.state.digests import LoadInbox, LoadOutbox
+from rhubarbshed.state.membership import Membership
+from rhubarbshed.transport.hooks import PeerHooks
+from rhubarbshed.transport.peers import PeerNetwork
+from rhubarbshed.util.settings import Settings
+from tools.capacity import INSTANCES_HERE, fit, make_report
+
+SIZES = (5, 10, 20, 40)
+SETTLE_S = 6.0
+MEASURE_S = 8.0
+SERVERS_OWNED = 2
+"""Backend servers owned by each instance; at full size 1.6 on average."""
+PERCENT = 100.0
+
+
+@define(eq=False)
+class Trial:
+    """Run one instance with a made-up load."""
+
+    network: PeerNetwork
+    number: int
+    outbox: LoadOutbox
+    inbox: LoadInbox
+
+    @classmethod
+    def from_settings(cls, settings: Settings, number: int) -> "Trial":
+        """Make an instance that is not started."""
+        membership = Membership.from_settings(settings, "x", time.monotonic())
+        outbox, inbox = LoadOutbox(), LoadInbox()
+        trial = cls(None, number, outbox, inbox)
+        hooks = PeerHooks(trial.take, Heartbeat, trial.collect)
+        clock = HybridClock(settings.instance.name)
+        trial.network = PeerNetwork.from_settings(settings, membership, clock, hooks)
+        return trial
+
+    def take(self, peer: str, frame: Frame, now: float) -> None:
+        """Take in load as the daemon does."""
+        if isinstance(frame, LoadDigest):
+            self.inbox.expand(frame, now)
+
+    def collect(self, now: float) -> tuple[Frame, ...]:
+        """Give the load of the owned servers."""
+        first = self.number * SERVERS_OWNED
+        reports = tuple((make_report(first + share), now) for share in range(SERVERS_OWNED))
+        return self.outbox.collect(reports, now, INSTANCES_HERE)
+
+
+@frozen
+class Measured:
+    """Hold the cost of one instance: percent of a core, and lateness of the loop in ms."""
+
+    cpu_percent: float
+    links: int
+    loop_late_ms: float
+
+
+def find_ports(count: int) -> list[int]:
+    """Find free ports on loopback."""
+    held = [socket.socket() for _ in range(count)]
+    for sock in held:
+        sock.bind(("127.0.0.1", 0))
+    ports = [sock.getsockname()[1] for sock in held]
+    for sock in held:
+        sock.close()
+    return ports
+
+
+def make_trials(size: int) -> list[Trial]:
+    """Make instances of one data centre that know of each other by the list."""
+    trials = []
+    for number, port in enumerate(find_ports(size)):
+        text = f"[instance]\nname = i-{number}\npeer_port = {port}\n[secrets]\npeer_token = t"
+        trials.append(Trial.from_settings(Settings.from_text(text).unwrap(), number))
+    infos = [evolve(trial.network.identity.info, incarnation="") for trial in trials]
+    listed = PlatformList(tuple(ListedInstance(info) for info in infos), ())
+    for trial in trials:
+        trial.network.membership.apply_list(listed, time.monotonic())
+    return trials
+
+
+async def measure(size: int) -> Measured:
+    """Run so many instances and measure after they have met."""
+    trials = make_trials(size)
+    for trial in trials:
+        await trial.network.start()
+    await asyncio.sleep(SETTLE_S)
+    began, late = time.process_time(), 0.0
+    ends_at = time.monotonic() + MEASURE_S
+    while time.monotonic() < ends_at:
+        due = time.monotonic() + 0.01
+        await asyncio.sleep(0.01)
+        late = max(late, time.monotonic() - due)
+    spent = time.process_time() - began
+    links = min(len(trial.network.links) for trial in trials)
+    for trial in trials:
+        await trial.network.stop()
+    return Measured(spent / MEASURE_S / size * PERCENT, links, late * 1000)
+
+
+def main() -> None:
+    """Measure and print."""
+    points = {}
+    for size in SIZES:
+        measured = asyncio.run(measure(size))
+        points[size - 1] = measured.cpu_percent
+        print(
+            f"{size} instances, at least {measured.links} links each: "
+            f"{measured.cpu_percent:.3f}% of a core for each, "
+            f"loop late by at most {measured.loop_late_ms:.0f} ms"
+        )
+    slope = fit(points)
+    here = slope.per_item * (INSTANCES_HERE - 1) + slope.fixed
+    print(f"each peer costs {slope.per_item:.4f}% of a core, fixed {slope.fixed:.3f}%")
+    print(f"{INSTANCES_HERE} instances in a data centre: {here:.2f}% of a core, limit 1.4%")
+
+
+if __name__ == "__main__":
+    main()
