--- /dev/null
+++ b/rhubarbshed/transport/gateway.py
@@ -0,0 +1,259 @@
+"""Passage of callers' requests between worker threads and the loop that decides."""
+
+import asyncio
+import time
+import uuid
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+from attrs import define, evolve, field, frozen
+
+from rhubarbshed.coordination.claims import (
+    ClaimAsk,
+    ClaimHeld,
+    ClaimReplay,
+    compute_digest,
+    make_answer,
+    make_ask,
+    read_body,
+)
+from rhubarbshed.coordination.commits import CommitBatcher
+from rhubarbshed.coordination.desk import AttemptOpen, Desk, SoloNeeded
+from rhubarbshed.coordination.quarantine import compute_fingerprint
+from rhubarbshed.coordination.settlement import Settlement, Settlements, claim, settle
+from rhubarbshed.coordination.solo import (
+    SoloHeld,
+    SoloHolder,
+    SoloReleases,
+    claim_solo,
+    release_solo,
+)
+from rhubarbshed.protocol.answers import JSON_TYPE, WholeAnswer
+from rhubarbshed.protocol.calls import Call
+from rhubarbshed.protocol.claims import ClaimState, StoredAnswer
+from rhubarbshed.protocol.errors import Outcome, RequestError
+from rhubarbshed.protocol.requests import AttemptEnd, AttemptResult, Dispatch, Refusal
+from rhubarbshed.state.catalogue import Catalogue
+from rhubarbshed.state.timeline import Timeline
+from rhubarbshed.transport.metrics import Metrics
+from rhubarbshed.util.settings import Settings
+
+RETRY_AFTER_FULL_S = 1.0
+RETRY_AFTER_CLAIM_S = 2.0
+# The loop answers within milliseconds; longer means that it has stopped.
+ASK_TIMEOUT_S = 30.0
+
+
+@frozen
+class SoloRun:
+    """Name a claim of this instance on running one suspect alone."""
+
+    fingerprint: str
+    write_id: str
+
+
+@define
+class Gateway:
+    """Hold what decides on callers' requests; coroutines run on the loop, `ask` on any thread.
+
+    `claims` and `solos` hold, by request, what the table must be told at its end; `ending` counts
+    the requests whose end it is being told.
+    """
+
+    settings: Settings
+    incarnation: str
+    loop: asyncio.AbstractEventLoop
+    desk: Desk
+    catalogue: Catalogue
+    timeline: Timeline
+    metrics: Metrics
+    table: CommitBatcher
+    is_gone: Callable[[str, str], bool]
+    settlements: Settlements = field(factory=Settlements)
+    solo_releases: SoloReleases = field(factory=SoloReleases)
+    claims: dict[str, ClaimAsk] = field(factory=dict)
+    solos: dict[str, SoloRun] = field(factory=dict)
+    ending: int = 0
+
+    def ask(self, question: Coroutine[Any, Any, Any]) -> Any:
+        """Run a coroutine on the loop and wait for its result."""
+        return asyncio.run_coroutine_threadsafe(question, self.loop).result(ASK_TIMEOUT_S)
+
+    def tell(self, word: Coroutine[Any, Any, Any]) -> None:
+        """Run a coroutine on the loop without waiting."""
+        asyncio.run_coroutine_threadsafe(word, self.loop)
+
+    def is_ready(self) -> bool:
+        """Tell whether the balancer should send new requests here."""
+        return self.desk.drain.started_at is None
+
+    def refuse_full(self) -> RequestError:
+        """Describe a request for which no worker thread is free."""
+        text = f"all {self.settings.callers.threads} places of this instance are taken"
+        return RequestError(
+            503, "instance_full", text, retryable=True, retry_after_s=RETRY_AFTER_FULL_S
+        )
+
+    async def list_models(self) -> list[str]:
+        """List the names of all models and adapters that may be asked for."""
+        models = self.catalogue.list_models()
+        adapters = [a.name for m in models for a in self.catalogue.list_adapters(m.name)]
+        return [model.name for model in models] + adapters
+
+    async def list_idempotent_methods(self, service: str) -> tuple[str, ...]:
+        """List the HTTP methods of a plain service that may be sent twice."""
+        found = self.catalogue.get_service(service)
+        return found.methods_idempotent if found else ()
+
+    async def open_call(self, call: Call) -> Dispatch | Refusal | WholeAnswer:
+        """Decide on a new call; one that must not run twice is claimed in the table first."""
+        request = call.request
+        request = evolve(request, fingerprint=compute_fingerprint(request.target, call.body))
+        if not request.idempotent and request.idempotency_key:
+            refused = self.desk.check_new(request, time.monotonic())
+            if refused is not None:
+                return self._finish(call, Refusal(refused))
+            held = await self._claim(call)
+            if not isinstance(held, ClaimHeld):
+                return self._finish(call, held)
+            self.claims[request.request_id] = held.ask
+        decision = self.desk.open_request(request, time.monotonic())
+        return self._finish(call, await self._resolve_solo(decision))
+
+    async def end_attempt(
+        self, call: Call, result: AttemptResult, answer: WholeAnswer | None = None
+    ) -> Dispatch | Refusal | None:
+        """Decide on what follows an attempt; None: the request is answered."""
+        self._record_attempt(result)
+        decision = self.desk.end_attempt(result, time.monotonic())
+        decision = await self._resolve_solo(decision)
+        if isinstance(decision, Dispatch):
+            await asyncio.sleep(self.desk.compute_pause(decision.attempt))
+        return self._finish(call, decision, answer, result)
+
+    async def _claim(self, call: Call) -> ClaimHeld | Refusal | WholeAnswer:
+        request = call.request
+        digest = compute_digest(f"{call.method} {request.target} {call.path}", call.body)
+        instance = self.settings.instance.name
+        ask = make_ask(request, digest, instance, self.incarnation, uuid.uuid4().hex)
+        claimed = await claim(self.table, self.settlements, ask, self.is_gone, RETRY_AFTER_CLAIM_S)
+        if isinstance(claimed, ClaimHeld):
+            return claimed
+        if isinstance(claimed, ClaimReplay):
+            return _make_whole(claimed.answer)
+        return Refusal(claimed.error)
+
+    async def _resolve_solo(
+        self, decision: Dispatch | Refusal | SoloNeeded | AttemptOpen | None
+    ) -> Dispatch | Refusal | None:
+        """Claim the right to a solo run where one is needed."""
+        if isinstance(decision, AttemptOpen):
+            return None
+        if not isinstance(decision, SoloNeeded):
+            return decision
+        view = self.desk.suspects.view
+        known = view.find_entry(decision.fingerprint)
+        holder = SoloHolder(self.settings.instance.name, self.incarnation, uuid.uuid4().hex)
+        crashes_max = self.settings.quarantine.crashes_max
+        answer = await claim_solo(
+            self.table, self.solo_releases, known, holder, self.is_gone, crashes_max
+        )
+        following = self.desk.resume_solo(decision.request_id, answer, time.monotonic())
+        run = SoloRun(decision.fingerprint, holder.write_id)
+        if isinstance(answer, SoloHeld) and isinstance(following, Dispatch):
+            self.solos[decision.request_id] = run
+        elif isinstance(answer, SoloHeld):
+            self._release(run)
+        return None if isinstance(following, AttemptOpen) else following
+
+    def _release(self, run: SoloRun) -> None:
+        known = self.desk.suspects.view.find_entry(run.fingerprint)
+        self.tell_end(release_solo(self.table, self.solo_releases, known, run.write_id))
+
+    def _finish(
+        self,
+        call: Call,
+        decision: Dispatch | Refusal | WholeAnswer | None,
+        answer: WholeAnswer | None = None,
+        result: AttemptResult | None = None,
+    ) -> Dispatch | Refusal | WholeAnswer | None:
+        """Record a decision, and tell the table of the end where it must know."""
+        self._record_decision(call, decision)
+        if isinstance(decision, Dispatch):
+            return decision
+        request_id = call.request.request_id
+        ask = self.claims.pop(request_id, None)
+        if ask is not None:
+            settlement = _make_settlement(ask, decision, answer, result)
+            self.tell_end(settle(self.table, self.settlements, settlement))
+        run = self.solos.pop(request_id, None)
+        if run is not None:
+            self._release(run)
+        return decision
+
+    def tell_end(self, word: Coroutine[Any, Any, Any]) -> None:
+        """Tell the table of an end in the background, counted so that a drain waits for it."""
+        self.ending += 1
+        task = self.loop.create_task(word)
+        task.add_done_callback(self._count_end)
+
+    def _count_end(self, task: asyncio.Task) -> None:
+        self.ending -= 1
+        task.result()
+
+    def _record_attempt(self, result: AttemptResult) -> None:
+        self.metrics.attempts.inc({"end": result.end.value})
+        self.metrics.tokens.add({}, result.tokens)
+        self.timeline.record(
+            "attempt_ended",
+            request=result.request_id,
+            backend_server=result.backend_server,
+            attempt=result.attempt,
+            end=result.end.value,
+            tokens=result.tokens,
+        )
+
+    def _record_decision(
+        self, call: Call, decision: Dispatch | Refusal | WholeAnswer | None
+    ) -> None:
+        request = call.request
+        fields = {"request": request.request_id, "target": request.target}
+        if request.model:
+            fields["model"] = request.model
+        if isinstance(decision, Dispatch):
+            server, attempt = decision.backend_server, decision.attempt
+            self.timeline.record("dispatched", backend_server=server, attempt=attempt, **fields)
+            return
+        outcome = "done"
+        if isinstance(decision, Refusal):
+            outcome = decision.error.outcome.value
+            fields["code"] = decision.error.code
+        self.metrics.requests.inc({"outcome": outcome})
+        self.timeline.record("answered", outcome=outcome, **fields)
+
+
+def _make_settlement(
+    ask: ClaimAsk,
+    decision: Refusal | WholeAnswer | None,
+    answer: WholeAnswer | None,
+    result: AttemptResult | None,
+) -> Settlement:
+    """Describe the end of a claimed request as the table should keep it.
+
+    A stream is not kept, so a re-send of one that ended whole is told that it was done.
+    """
+    if isinstance(decision, Refusal):
+        not_run = decision.error.outcome is Outcome.NOT_RUN
+        return Settlement(ask, ClaimState.NOT_RUN if not_run else ClaimState.UNKNOWN)
+    if answer is not None:
+        headers = (("Content-Type", answer.content_type),)
+        return Settlement(ask, ClaimState.DONE, make_answer(answer.status, headers, answer.body))
+    if result is not None and result.end is AttemptEnd.DONE:
+        return Settlement(ask, ClaimState.DONE, StoredAnswer(result.status, body_kept=False))
+    return Settlement(ask, ClaimState.UNKNOWN)
+
+
+def _make_whole(stored: StoredAnswer) -> WholeAnswer:
+    headers = {name.lower(): value for name, value in stored.headers}
+    content_type = headers.get("content-type", JSON_TYPE)
+    return WholeAnswer(stored.status, content_type, read_body(stored))
--- a/test/test_digests.py
+++ b/test/test_digests.py
@@ -15,17 +15,16 @@
 from rhubarbshed.protocol.peers import (
     CatalogueObjects,
     CatalogueRequest,
-    Crash,
     Envelope,
     Heartbeat,
     LeavingNotice,
     LeavingSubject,
     LoadRequest,
-    QuarantineEntry,
     QuarantineNotice,
     pack_envelope,
     unpack_envelope,
 )
+from rhubarbshed.protocol.quarantine import CrashId, QuarantineEntry
 from rhubarbshed.state.digests import (
     CACHE_EVENT_PEERS_MAX,
     DETAIL_INTERVAL_S,
@@ -66,7 +65,7 @@
         CatalogueObjects((KEPT, DELETED), 9, 5, "model/m2"),
         LoadRequest(),
         LeavingNotice((LeavingSubject("a1", "i1"),), (LeavingSubject("s1"),)),
-        QuarantineNotice((QuarantineEntry("f", (Crash("s1", "b1"),), True),)),
+        QuarantineNotice((QuarantineEntry("f", (CrashId("s1", "b1"),), refused=True),)),
     )
     for frame in frames:
         envelope = Envelope(frame, Stamp(1, 2, "a1"), "a1/i1/1")
