Wire load requests and the single outbox; space remote digests by size

Cause: 15 s between remote digests is needed at 62 instances and needless at 5; details missed by a newcomer came only after minutes; what peers exchange called the older signatures. Ruled out: an interval in settings, which nobody could choose without the byte budget. Change: 0.25 s for each peer, at least 3 s; LoadRequest is asked and answered. Conclusion: the daemon's side and the network agree again.

--- a/rhubarbshed/state/digests.py
+++ b/rhubarbshed/state/digests.py
@@ -14,8 +14,9 @@
 
 DETAIL_INTERVAL_S = 300.0
 """Longest time between two entries that carry an engine's detail."""
-REMOTE_INTERVAL_S = 15.0
-"""Time between two digests to other data centres."""
+REMOTE_INTERVAL_MIN_S = 3.0
+REMOTE_INTERVAL_PER_PEER_S = 0.25
+"""Time between two digests to other data centres, by peers that each is passed on to there."""
 REQUEST_INTERVAL_S = 5.0
 """Shortest time between two requests for details that were missed."""
 CACHE_EVENTS_MAX = 2
@@ -42,7 +43,8 @@
         if not reports:
             return ()
         digest = self.make_digest(reports, now, peers)
-        if self.remote_at is not None and now - self.remote_at < REMOTE_INTERVAL_S:
+        interval_s = choose_remote_interval(peers)
+        if self.remote_at is not None and now - self.remote_at < interval_s:
             return (digest,)
         self.remote_at = now
         return digest, self.make_digest(reports, now, peers, remote=True)
@@ -137,6 +139,11 @@
         )
 
 
+def choose_remote_interval(peers: int) -> float:
+    """Return the seconds between digests to other data centres; bytes limit large ones."""
+    return max(REMOTE_INTERVAL_MIN_S, peers * REMOTE_INTERVAL_PER_PEER_S)
+
+
 def _make_entry(
     report: EngineReport, held_s: float, detail_hash: int, with_events: bool
 ) -> LoadEntry:
--- a/rhubarbshed/transport/exchange.py
+++ b/rhubarbshed/transport/exchange.py
@@ -16,13 +16,13 @@
     LeavingNotice,
     LeavingSubject,
     LoadDigest,
+    LoadRequest,
     QuarantineNotice,
 )
 from rhubarbshed.state.digests import LoadInbox, LoadOutbox
 from rhubarbshed.util.logs import log_event
 
 LOG = logging.getLogger(__name__)
-REMOTE_INTERVAL_S = 3.0
 # Time to wait for the table service to show a change that a peer has hinted at.
 PULL_PATIENCE_S = 2.0
 
@@ -36,9 +36,7 @@
     """
 
     outbox: LoadOutbox = field(factory=LoadOutbox)
-    remote_outbox: LoadOutbox = field(factory=LoadOutbox)
     inbox: LoadInbox = field(factory=LoadInbox)
-    remote_at: float = 0.0
     hinted_revision: int = 0
     hinted_at: float = 0.0
     pulled_revision: int = 0
@@ -50,33 +48,21 @@
     catalogue = runtime.catalogue
     known = max(catalogue.revision, runtime.exchange.pulled_revision)
     leaving = runtime.desk.drain.started_at is not None
-    return Heartbeat(runtime.incarnation, known, catalogue.head, leaving)
+    return Heartbeat(known, catalogue.head, leaving)
 
 
 def greet_peer(runtime, peer: str, now: float) -> tuple[Frame, ...]:
-    """Tell a new peer what must not wait: who leaves, and which requests crash servers."""
-    exchange = runtime.exchange
-    exchange.outbox.forget()
-    exchange.remote_outbox.forget()
-    words = runtime.membership.list_leaving_words()
-    subjects = tuple(LeavingSubject(name, incarnation) for name, incarnation in words)
-    instances = tuple(subject for subject in subjects if subject.incarnation)
-    servers = tuple(subject for subject in subjects if not subject.incarnation)
+    """Tell a new peer what must not wait: which requests crash servers, and the own load."""
     entries = runtime.desk.suspects.view.list_entries()
-    return (LeavingNotice(instances, servers), QuarantineNotice(entries))
+    load = LoadOutbox().make_digest(tuple(_list_own_reports(runtime, now)), now)
+    return (QuarantineNotice(entries), load)
 
 
 def collect_digests(runtime, now: float) -> tuple[Frame, ...]:
     """Collect the load that goes with the heartbeats, to other data centres less often."""
-    exchange = runtime.exchange
     reports = tuple(_list_own_reports(runtime, now))
-    if not reports:
-        return ()
-    frames = [exchange.outbox.make_digest(reports, now)]
-    if now - exchange.remote_at >= REMOTE_INTERVAL_S:
-        exchange.remote_at = now
-        frames.append(exchange.remote_outbox.make_digest(reports, now, remote=True))
-    return tuple(frames)
+    peers = len(runtime.network.topology.mesh)
+    return runtime.exchange.outbox.collect(reports, now, peers)
 
 
 def _list_own_reports(runtime, now: float) -> list[tuple[EngineReport, float]]:
@@ -94,8 +80,10 @@
     """Act on a frame of a peer."""
     match frame:
         case LoadDigest():
-            for report in runtime.exchange.inbox.expand(frame):
-                runtime.desk.apply_report(report, now)
+            _take_load(runtime, peer, frame, now)
+        case LoadRequest():
+            own = tuple(_list_own_reports(runtime, now))
+            runtime.network.send(peer, runtime.exchange.inbox.make_answer(own, now))
         case Heartbeat(revision=revision):
             _note_hint(runtime, peer, revision, now)
         case CatalogueHint(revision=revision):
@@ -114,6 +102,15 @@
             log_event(LOG, logging.WARNING, "frame_unexpected", peer=peer)
 
 
+def _take_load(runtime, peer: str, digest: LoadDigest, now: float) -> None:
+    """Take in the load of backend servers; ask for details that were missed."""
+    inbox = runtime.exchange.inbox
+    for report in inbox.expand(digest, now):
+        runtime.desk.apply_report(report, now)
+    if inbox.needs_request(now):
+        runtime.network.send(peer, LoadRequest())
+
+
 def _note_hint(runtime, peer: str, revision: int, now: float) -> None:
     """Ask a peer for the catalogue where it knows more than the platform lets this one read."""
     exchange = runtime.exchange
--- a/rhubarbshed/transport/runtime.py
+++ b/rhubarbshed/transport/runtime.py
@@ -34,6 +34,7 @@
     take_frame,
 )
 from rhubarbshed.transport.gateway import Gateway
+from rhubarbshed.transport.hooks import PeerHooks
 from rhubarbshed.transport.http import HttpClient
 from rhubarbshed.transport.metrics import Metrics
 from rhubarbshed.transport.objects import make_object_client
@@ -153,10 +154,12 @@
             self.settings,
             self.membership,
             self.timeline.clock,
-            on_frame=functools.partial(take_frame, self),
-            make_heartbeat=functools.partial(make_heartbeat, self),
-            on_connect=functools.partial(greet_peer, self),
-            collect=functools.partial(collect_digests, self),
+            PeerHooks(
+                on_frame=functools.partial(take_frame, self),
+                make_heartbeat=functools.partial(make_heartbeat, self),
+                on_connect=functools.partial(greet_peer, self),
+                collect=functools.partial(collect_digests, self),
+            ),
             rng=self.chance,
         )
 
--- a/test/test_digests.py
+++ b/test/test_digests.py
@@ -28,9 +28,9 @@
 from rhubarbshed.state.digests import (
     CACHE_EVENT_PEERS_MAX,
     DETAIL_INTERVAL_S,
-    REMOTE_INTERVAL_S,
     LoadInbox,
     LoadOutbox,
+    choose_remote_interval,
 )
 from rhubarbshed.state.membership import Membership, make_instance_info
 from test.helper_peers import SILENCE_S, make_settings
@@ -109,7 +109,7 @@
     assert first[1].entries[0].cache_events == ()
     assert all(digest.entries[0].detail is not None for digest in first)
     assert len(outbox.collect(reports, 1.0, 4)) == 1
-    assert len(outbox.collect(reports, REMOTE_INTERVAL_S, 4)) == 2
+    assert len(outbox.collect(reports, choose_remote_interval(4), 4)) == 2
     crowd = outbox.collect(reports, 1.0, CACHE_EVENT_PEERS_MAX + 1)
     assert crowd[0].entries[0].cache_events == ()
 
--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -28,9 +28,9 @@
 from rhubarbshed.protocol.peers import Envelope, Frame, Heartbeat, unpack_envelope
 from rhubarbshed.state.digests import (
     DETAIL_INTERVAL_S,
-    REMOTE_INTERVAL_S,
     LoadInbox,
     LoadOutbox,
+    choose_remote_interval,
 )
 from rhubarbshed.state.membership import Membership
 from rhubarbshed.transport.frames import LENGTH_BYTES, frame_bytes
@@ -43,6 +43,7 @@
 MODELS = 860
 INSTANCES_HERE = 62
 REPLICAS_HERE = 100
+REMOTE_INTERVAL_S = choose_remote_interval(INSTANCES_HERE - 1)
 CORE_PART_MAX = 0.014
 MEMORY_BYTES_MAX = 128_000_000
 BYTES_PER_S_MAX = 21_000
@@ -144,6 +145,11 @@
     return unpack_envelope(data[LENGTH_BYTES:], "i-1").unwrap().frame
 
 
+def encode_beat() -> bytes:
+    """Encode a heartbeat of a site that has run for long."""
+    return encode(Heartbeat(100_000, 5000))
+
+
 @frozen
 class DigestCosts:
     """Hold the costs of digests as slopes over their entries."""
@@ -280,7 +286,7 @@
 def work_out_mesh(digests: DigestCosts, socket_us: float, bridges_in: float) -> Load:
     """Work out full mesh and bridges; `bridges_in` counts bridges from other data centres."""
     peers = INSTANCES_HERE - 1
-    beat = len(encode(Heartbeat(100_000, 5000)))
+    beat = len(encode_beat())
     owned = REPLICAS_HERE / INSTANCES_HERE
     remote = REPLICAS - REPLICAS_HERE
     own = _sum_bytes(digests, owned, 1.0)
@@ -294,17 +300,18 @@
     relays = peers * bridges_in / REMOTE_INTERVAL_S
     messages = 2 * (peers + bridges + bridges_in) + relays
     entries = REPLICAS_HERE + remote / REMOTE_INTERVAL_S
-    cpu = messages * socket_us / 2 + entries * (
-        digests.decode_us.per_item + digests.expand_us.per_item
-    )
-    cpu += 2 * (peers + bridges + bridges_in) * digests.decode_us.fixed
+    small = encode(LoadOutbox().make_digest(make_reports(1), 0.0, INSTANCES_HERE))
+    beats = (peers + bridges + bridges_in) * measure_us(lambda: decode(encode_beat()), 500)
+    heads = peers * measure_us(lambda: decode(small), 500)
+    cpu = messages * socket_us / 2 + beats + heads
+    cpu += entries * (digests.decode_us.per_item + digests.expand_us.per_item)
     return Load(messages, sent, received, cpu)
 
 
 def work_out_hub(digests: DigestCosts, socket_us: float, delegates: int) -> Load:
     """Work out a delegate that gathers all digests of its data centre and passes them on."""
     peers = INSTANCES_HERE - 1
-    beat = len(encode(Heartbeat(100_000, 5000)))
+    beat = len(encode_beat())
     gathered = _sum_bytes(digests, REPLICAS_HERE, 1.0)
     remote = _sum_bytes(digests, REPLICAS - REPLICAS_HERE, REMOTE_INTERVAL_S)
     served = peers / delegates
@@ -343,7 +350,7 @@
     }
     for name, slope in rows.items():
         print(f"{name}: {slope.per_item:.1f} each, {slope.fixed:.1f} fixed")
-    beat = len(encode(Heartbeat(100_000, 5000)))
+    beat = len(encode_beat())
     print(f"heartbeat: {beat} bytes; socket write and read together: {socket_us:.1f} us")
 
 
