Estimate extra copies by pouring demand over the least used replicas

Change: spread demand by water-filling; a copy gains what it takes off full servers, and a victim loses what its replicas have no room for.

--- a/rhubarbshed/coordination/copies.py
+++ b/rhubarbshed/coordination/copies.py
@@ -1,8 +1,8 @@
-"""Expected requests within target, as a function of where copies are."""
+"""Expected output tokens per second within target, as a function of where copies are."""
 
 import math
 
-from attrs import Factory, define, field, frozen
+from attrs import Factory, define
 
 from rhubarbshed.coordination.floor import Bay, Copy, Floor
 from rhubarbshed.protocol.placement import ModelDemand
@@ -10,155 +10,146 @@
 ANSWER_TOKENS_DEFAULT = 240.0
 """Output tokens of a request where none have been counted."""
 
-TARGET_S = 0.9
-"""Wait in seconds for a slot beyond which a request misses its target."""
+WAITING_MAX = 0.2
+"""Part of requests that may wait for a slot before a server counts as full."""
 
+POUR_ROUNDS = 2
+"""Times the demand of all models is spread anew, each time given the others."""
 
-@frozen
-class ModelLoad:
-    """Hold a model's arrivals per second and output tokens of one request."""
-
-    arrivals_per_s: float
-    answer_tokens: float
+Shares = dict[str, float]
 
 
 @define
 class BayLoad:
-    """Hold a server's arrivals per second and the slots they keep busy."""
-
-    slots: int
-    token_gap_s: float
-    arrivals_per_s: float = 0.0
-    busy_slots: float = 0.0
-    exponent: float = field(init=False)
+    """Hold a server's load and what it takes within target, in output tokens per second."""
 
-    def __attrs_post_init__(self) -> None:
-        self.exponent = math.sqrt(2.0 * (self.slots + 1)) - 1.0
+    usable: float
+    load: float = 0.0
 
     @property
-    def utilization(self) -> float:
-        """Return the part of the slots that are busy; above 1 is overload."""
-        return self.busy_slots / self.slots
+    def spare(self) -> float:
+        """Return the tokens per second that still fit within target."""
+        return max(0.0, self.usable - self.load)
 
-    def estimate(self, arrivals_per_s: float, busy_slots: float) -> float:
-        """Return requests per second within target after a change of load.
+    @property
+    def excess(self) -> float:
+        """Return the tokens per second beyond what fits within target."""
+        return max(0.0, self.load - self.usable)
 
-        Source: Sakasegawa's approximation of the probability of waiting in an M/M/c queue,
-        1977; beyond full use the share that finds a slot.
-        """
-        arrivals = self.arrivals_per_s + arrivals_per_s
-        busy = self.busy_slots + busy_slots
-        if arrivals <= 1e-9 or busy <= 1e-9:
-            return 0.0
-        used = busy / self.slots
-        full = min(1.0, 1.0 / used)
-        if used >= 1.0:
-            return arrivals * full * 0.9
-        waiting = used**self.exponent
-        service_s = busy / arrivals
-        late = waiting * math.exp(-(1.0 - used) * self.slots * TARGET_S / service_s)
-        return arrivals * max(0.9, 1.0 - late)
+    @property
+    def utilization(self) -> float:
+        """Return the load as a part of what fits within target."""
+        return self.load / self.usable
 
 
 @define
 class Loads:
-    """Hold the load of each server under equal shares between a model's copies."""
+    """Hold the load of each server when requests go to the least used copy.
+
+    `shares` gives each model's tokens per second by server.
+    """
 
     floor: Floor
-    models: dict[str, ModelLoad]
-    bays: dict[str, BayLoad] = Factory(dict)
+    tokens_per_s: dict[str, float]
+    answer_tokens: dict[str, float]
+    bays: dict[str, BayLoad]
+    shares: dict[str, Shares] = Factory(dict)
 
     @classmethod
     def from_floor(cls, floor: Floor, demand: tuple[ModelDemand, ...]) -> "Loads":
-        """Spread the demand over the copies that stay."""
-        models = {each.model: _make_load(each) for each in demand if each.model in floor.models}
-        loads = cls(floor, models)
-        for bay in floor.bays.values():
-            loads.bays[bay.name] = _make_bay_load(bay)
-        for name in sorted(models):
-            copies = loads.list_serving(name)
-            for copy in copies:
-                loads._shift(name, copy.server, 1.0 / len(copies))
+        """Spread the demand over the copies that stay, loading ones included."""
+        known = sorted(
+            (each for each in demand if each.model in floor.models), key=lambda each: each.model
+        )
+        answers = {each.model: _measure_answer(each) for each in known}
+        wanted = {each.model: each.arrivals_per_s * answers[each.model] for each in known}
+        bays = {bay.name: BayLoad(_measure_usable(bay)) for bay in floor.bays.values()}
+        loads = cls(floor, wanted, answers, bays)
+        places = {
+            name: sorted({copy.server for copy in floor.list_copies(name)}) for name in wanted
+        }
+        order = sorted(wanted, key=lambda name: (len(places[name]), name))
+        for _ in range(POUR_ROUNDS):
+            for name in order:
+                loads._pour(name, places[name])
         return loads
 
-    def list_serving(self, name: str) -> list[Copy]:
-        """Return the copies of a model that serve or soon will."""
-        return self.floor.list_copies(name)
-
-    def estimate_unmet(self, name: str) -> float:
-        """Return a model's requests per second that miss their target."""
-        load = self.models[name]
-        copies = self.list_serving(name)
-        if not copies:
-            return load.arrivals_per_s
-        unmet = 0.0
-        for copy in copies:
-            bay = self.bays[copy.server]
-            if bay.arrivals_per_s > 0.0:
-                met = bay.estimate(0.0, 0.0) / bay.arrivals_per_s
-                unmet += load.arrivals_per_s / len(copies) * (1.0 - met)
-        return unmet
-
-    def estimate_gain(self, name: str, server: str) -> float:
-        """Return requests per second within target won by one more copy."""
-        copies = self.list_serving(name)
-        shares = {copy.server: 1.0 / len(copies) for copy in copies}
-        after = {each: 1.0 / (len(copies) + 1) for each in (*shares, server)}
-        return self._compare(name, shares, after)
+    def estimate_relief(self, name: str) -> float:
+        """Return requests per second that one more copy may take off full servers."""
+        shares = self.shares.get(name, {})
+        tokens = sum(min(share, self.bays[server].excess) for server, share in shares.items())
+        return tokens / self.answer_tokens[name]
+
+    def estimate_gain(self, name: str, server: str, freed: float = 0.0) -> float:
+        """Return requests per second within target won by one more copy.
+
+        `freed` tokens per second leave that server at the same time.
+        """
+        bay = self.bays[server]
+        spare = max(0.0, bay.usable - bay.load + freed) / self.answer_tokens[name]
+        return min(self.estimate_relief(name), spare)
+
+    def get_share(self, copy: Copy) -> float:
+        """Return the tokens per second that a copy serves."""
+        return self.shares.get(copy.name, {}).get(copy.server, 0.0)
 
     def estimate_loss(self, copy: Copy) -> float:
-        """Return requests per second within target lost without a copy."""
-        copies = self.list_serving(copy.name)
-        if copy.name not in self.models or len(copies) < 2:
+        """Return requests per second that a copy serves and its replicas have no room for."""
+        share = self.get_share(copy)
+        if share <= 0.0:
             return 0.0
-        shares = {each.server: 1.0 / len(copies) for each in copies}
-        after = {each: 1.0 / (len(copies) - 1) for each in shares if each != copy.server}
-        return -self._compare(copy.name, shares, after)
+        others = [server for server in self.shares[copy.name] if server != copy.server]
+        spare = sum(self.bays[server].spare for server in others)
+        return max(0.0, share - spare) / self.answer_tokens[copy.name]
 
     def add_copy(self, name: str, server: str) -> None:
-        """Shift load to a planned copy; call before the floor counts it."""
-        before = self.list_serving(name)
-        for copy in before:
-            self._shift(name, copy.server, -1.0 / len(before) + 1.0 / (len(before) + 1))
-        self._shift(name, server, 1.0 / (len(before) + 1))
+        """Let a planned copy take its part."""
+        self._pour(name, sorted({*self.shares.get(name, {}), server}))
 
     def remove_copy(self, copy: Copy) -> None:
-        """Shift load off a copy; call before the floor drops it."""
-        before = self.list_serving(copy.name)
-        if copy.name not in self.models or len(before) < 2:
-            return
-        for each in before:
-            share = 0.0 if each is copy else 1.0 / (len(before) - 1)
-            self._shift(copy.name, each.server, share - 1.0 / len(before))
-
-    def _compare(self, name: str, before: dict[str, float], after: dict[str, float]) -> float:
-        load = self.models[name]
-        change = 0.0
-        for server in sorted(before.keys() | after.keys()):
-            bay = self.bays[server]
-            arrivals = (after.get(server, 0.0) - before.get(server, 0.0)) * load.arrivals_per_s
-            busy = arrivals * load.answer_tokens * bay.token_gap_s
-            change += bay.estimate(arrivals, busy) - bay.estimate(0.0, 0.0)
-        return change
-
-    def _shift(self, name: str, server: str, share: float) -> None:
-        load = self.models.get(name)
-        if load is None:
-            return
-        bay = self.bays[server]
-        arrivals = share * load.arrivals_per_s
-        bay.arrivals_per_s += arrivals
-        bay.busy_slots += arrivals * load.answer_tokens * bay.token_gap_s
-
-
-def _make_load(demand: ModelDemand) -> ModelLoad:
+        """Give a copy's part to its replicas."""
+        if copy.name in self.shares:
+            left = [server for server in self.shares[copy.name] if server != copy.server]
+            self._pour(copy.name, left)
+
+    def _pour(self, name: str, servers: list[str]) -> None:
+        """Spread a model's demand so that its servers are used as evenly as can be."""
+        for server, share in self.shares.get(name, {}).items():
+            self.bays[server].load -= share
+        self.shares[name] = self._level(self.tokens_per_s[name], servers)
+        for server, share in self.shares[name].items():
+            self.bays[server].load += share
+
+    def _level(self, tokens_per_s: float, servers: list[str]) -> Shares:
+        """Return shares that raise the least used servers to one common level."""
+        if len(servers) < 2:
+            return {server: tokens_per_s for server in servers}
+        order = sorted(servers, key=lambda server: (self.bays[server].utilization, server))
+        load = usable = level = 0.0
+        for number, server in enumerate(order):
+            load += self.bays[server].load
+            usable += self.bays[server].usable
+            level = (tokens_per_s + load) / usable
+            following = order[number + 1 : number + 2]
+            if not following or level <= self.bays[following[0]].utilization:
+                break
+        return {
+            server: max(0.0, level * self.bays[server].usable - self.bays[server].load)
+            for server in servers
+        }
+
+
+def _measure_answer(demand: ModelDemand) -> float:
     served = demand.arrivals_per_s - demand.refusals_per_s
-    tokens = ANSWER_TOKENS_DEFAULT
     if served > 0.0 and demand.tokens_per_s > 0.0:
-        tokens = demand.tokens_per_s / served
-    return ModelLoad(demand.arrivals_per_s, tokens)
+        return demand.tokens_per_s / served
+    return ANSWER_TOKENS_DEFAULT
+
 
+def _measure_usable(bay: Bay) -> float:
+    """Return the tokens per second at which no more requests than allowed wait for a slot.
 
-def _make_bay_load(bay: Bay) -> BayLoad:
-    slots = max(1, bay.slots)
-    return BayLoad(slots, slots / max(1.0, bay.tokens_per_s))
+    Source: Sakasegawa's approximation of the probability of waiting in an M/M/c queue, 1977.
+    """
+    exponent = math.sqrt(2.0 * (max(1, bay.slots) + 1)) - 1.0
+    return max(1.0, bay.tokens_per_s) * WAITING_MAX ** (1.0 / exponent)
--- a/rhubarbshed/coordination/placement.py
+++ b/rhubarbshed/coordination/placement.py
@@ -35,13 +35,13 @@
 """Factor by which a gain must exceed the cost where another copy has to go."""
 
 HOT_MODELS_MAX = 12
-"""Models looked at for each extra copy, those that miss their target most."""
+"""Models looked at for each extra copy, those with the most requests on full servers."""
 
 PLACES_MAX = 6
 """Servers looked at for each extra copy, the least used first."""
 
-UNMET_MIN_PER_S = 0.01
-"""Requests per second a model must miss its target by to be given a copy."""
+RELIEF_MIN_PER_S = 0.01
+"""Requests per second on full servers from which on a model is given a copy."""
 
 
 @frozen
@@ -98,11 +98,12 @@
 
 def _carry_out(planner: Planner, loads: Loads, candidate: Candidate) -> None:
     model = planner.floor.models[candidate.name]
-    loads.add_copy(candidate.name, candidate.server)
     if candidate.victim is None:
+        loads.add_copy(candidate.name, candidate.server)
         planner.load(model, candidate.server, MoveReason.DEMAND)
         return
     loads.remove_copy(candidate.victim)
+    loads.add_copy(candidate.name, candidate.server)
     planner.make_room(candidate.victim)
     planner.hold(candidate.server, model.memory_bytes)
     planner.loads_left -= 1
@@ -110,10 +111,10 @@
 
 def _find_best(planner: Planner, loads: Loads) -> Candidate | None:
     hot = []
-    for name in loads.models:
-        unmet = loads.estimate_unmet(name)
-        if unmet >= UNMET_MIN_PER_S and planner.floor.list_current(name):
-            hot.append((-unmet, name))
+    for name in loads.shares:
+        relief = loads.estimate_relief(name)
+        if relief >= RELIEF_MIN_PER_S and planner.floor.list_current(name):
+            hot.append((-relief, name))
     best: Candidate | None = None
     for _, name in sorted(hot)[:HOT_MODELS_MAX]:
         for candidate in _propose(planner, loads, name):
@@ -157,12 +158,12 @@
     candidates = []
     if planner.rooms_left <= 0:
         return candidates
-    gain = loads.estimate_gain(model.name, server)
     for copy in planner.floor.bays[server].copies:
         if copy.model or copy.name == model.name or not _is_victim(planner, copy):
             continue
         if not planner.has_room(server, model.memory_bytes - copy.memory_bytes):
             continue
+        gain = loads.estimate_gain(model.name, server, loads.get_share(copy))
         loss = loads.estimate_loss(copy)
         if _is_only_in_centre(planner, copy):
             loss += COVERAGE_GAIN_PER_S
