Keep doubt about a server out of admission; expire news; release solo claims late

Cause: penalties counted as waiting time, so a lone server that had failed was refused as overloaded; news of the quarantine would have been told round for ever; a server set aside by a peer stayed so until a deadline. Ruled out: a wall-clock expiry. Change: rank apart from prediction; age with each entry; short marks; a claim is given back once the run's end is decided.

--- a/rhubarbshed/coordination/desk.py
+++ b/rhubarbshed/coordination/desk.py
@@ -9,12 +9,17 @@
 from rhubarbshed.coordination.drain import Drain
 from rhubarbshed.coordination.lookup import FindAdapter, FindModel, FindService, Lookup
 from rhubarbshed.coordination.quarantine import SoloRefused, describe_refused
+from rhubarbshed.coordination.refusals import (
+    BUSY_WAIT_S,
+    describe_busy,
+    describe_crasher,
+    describe_last,
+)
 from rhubarbshed.coordination.retries import (
     RetryBudget,
     compute_pause,
     decide_hedge,
     describe_deadline,
-    describe_failure,
     list_budget_keys,
     may_have_run,
     may_send_again,
@@ -22,7 +27,7 @@
 from rhubarbshed.coordination.routing import Route, choose_route, choose_solo_route, find_pair
 from rhubarbshed.coordination.solo import SoloAnswer, SoloHeld
 from rhubarbshed.coordination.suspects import Suspects
-from rhubarbshed.protocol.errors import Outcome, RequestError
+from rhubarbshed.protocol.errors import RequestError
 from rhubarbshed.protocol.orders import EngineReport
 from rhubarbshed.protocol.requests import AttemptEnd, AttemptResult, Dispatch, Refusal, Request
 from rhubarbshed.protocol.services import ServiceReport
@@ -33,7 +38,6 @@
 log = logging.getLogger(__name__)
 
 NOT_RESIDENT_WAIT_S = 2.0
-BUSY_WAIT_S = 1.0
 SOLO_WAIT_S = 2.0
 CONFLICT = 409
 SERVER_ERROR = 500
@@ -115,14 +119,25 @@
         if item is None:
             return None
         if self.suspects.is_refused(item.request.fingerprint):
-            return self._refuse(item, self._describe_crasher(item))
+            return self._refuse(item, describe_crasher(item.request, item.has_run))
         if now >= item.request.deadline:
             return self._refuse(item, describe_deadline(item.request, item.has_run))
         if not isinstance(answer, SoloHeld):
-            return self._refuse_retry(item, "suspect_busy", "it may only run alone, later")
+            return self._refuse_busy(item, "suspect_busy", "it may only run alone, later")
         item.solo_held = True
         return self._dispatch(item, now)
 
+    def may_release_solo(self, fingerprint: str) -> bool:
+        """Tell whether a claim may be given back: the run has ended, and how is known.
+
+        Given back too early, another instance would try the suspect on the next server.
+        """
+        is_running = any(
+            item.solo_held and item.request.fingerprint == fingerprint
+            for item in self.open.items.values()
+        )
+        return not is_running and not self.suspects.is_run_undecided(fingerprint)
+
     def end_attempt(
         self, result: AttemptResult, now: float
     ) -> Dispatch | Refusal | SoloNeeded | AttemptOpen | None:
@@ -262,13 +277,13 @@
         usable = [found for found in find_pair(item.request, candidates) if not found.lost]
         if all(found.lost for found in candidates):
             message = "it is in no backend server's memory at present"
-            return self._refuse_retry(item, "not_resident", message, NOT_RESIDENT_WAIT_S)
+            return self._refuse_busy(item, "not_resident", message, NOT_RESIDENT_WAIT_S)
         if item.solo_held and usable:
             self.suspects.reserve(item.request.fingerprint, usable, now)
             message = "no backend server is idle to try this request alone"
-            return self._refuse_retry(item, "suspect_waits", message, SOLO_WAIT_S)
+            return self._refuse_busy(item, "suspect_waits", message, SOLO_WAIT_S)
         message = "its backend servers cannot take it at present"
-        return self._refuse_retry(item, "servers_busy", message)
+        return self._refuse_busy(item, "servers_busy", message)
 
     def _send(self, item: OpenRequest, route: Route, now: float) -> Dispatch:
         request = item.request
@@ -328,7 +343,7 @@
         """Decide whether a failed request is sent once more."""
         request = item.request
         if self.suspects.is_refused(request.fingerprint):
-            return self._refuse(item, self._describe_crasher(item))
+            return self._refuse(item, describe_crasher(item.request, item.has_run))
         if now >= request.deadline:
             return self._refuse(item, describe_deadline(request, item.has_run))
         can_go_on = (
@@ -339,10 +354,10 @@
             and self.budget.withdraw(list_budget_keys(request), now)
         )
         if not can_go_on:
-            return self._refuse(item, self._describe_last(item, result))
+            return self._refuse_last(item, result)
         if self.suspects.is_suspect(request.fingerprint):
             if self.suspects.is_exhausted(request.fingerprint) or item.solo_held:
-                return self._refuse(item, self._describe_last(item, result))
+                return self._refuse_last(item, result)
             return SoloNeeded(request.request_id, request.fingerprint)
         return self._dispatch(item, now)
 
@@ -353,31 +368,15 @@
             return False
         return now - drain.started_at >= drain.announce_s + drain.drain_s
 
-    def _describe_last(self, item: OpenRequest, result: AttemptResult) -> RequestError:
-        if item.has_run:
-            return describe_failure(item.request, result, item.has_run)
-        wait_s = result.retry_after_s or BUSY_WAIT_S
-        message = f"no backend server took it ({result.end.value})"
-        return self.admission.refuse(UNAVAILABLE, "servers_busy", message, wait_s)
-
-    def _describe_crasher(self, item: OpenRequest) -> RequestError:
-        """Describe a refused fingerprint; non-idempotent work that was sent stays unknown."""
-        error = describe_refused(item.request.fingerprint)
-        if item.request.idempotent or not item.has_run:
-            return error
-        return RequestError(error.status, error.code, error.message, Outcome.UNKNOWN)
-
-    def _refuse_retry(
+    def _refuse_busy(
         self, item: OpenRequest, code: str, message: str, wait_s: float = BUSY_WAIT_S
     ) -> Refusal:
-        """Refuse with Retry-After; what ran before without an answer is not called not run."""
-        if item.has_run:
-            outcome = Outcome.FAILED if item.request.idempotent else Outcome.UNKNOWN
-            retry_after_s = self.admission.compute_retry_after(wait_s)
-            retryable = outcome is Outcome.FAILED
-            error = RequestError(UNAVAILABLE, code, message, outcome, retryable, retry_after_s)
-            return self._refuse(item, error)
-        return self._refuse(item, self.admission.refuse(UNAVAILABLE, code, message, wait_s))
+        error = describe_busy(self.admission, item.request, item.has_run, code, message, wait_s)
+        return self._refuse(item, error)
+
+    def _refuse_last(self, item: OpenRequest, result: AttemptResult) -> Refusal:
+        error = describe_last(self.admission, item.request, result, item.has_run)
+        return self._refuse(item, error)
 
     def _refuse(self, item: OpenRequest, error: RequestError) -> Refusal:
         self._close(item)
--- a/rhubarbshed/coordination/routing.py
+++ b/rhubarbshed/coordination/routing.py
@@ -25,28 +25,47 @@
 
 @frozen
 class Route:
-    """Name the chosen backend server and the predicted time to its first token, in seconds."""
+    """Name a backend server, the predicted time to its first token, and its rank, in seconds.
+
+    `rank_s` adds to the prediction what doubt there is about the server; only the choice between
+    servers uses it, so that doubt makes none unreachable.
+    """
 
     candidate: Candidate
     predicted_s: float
+    rank_s: float
 
 
 def predict_first_token(
     request: Request, candidate: Candidate, data_centre: str, settings: RoutingSettings
 ) -> float:
-    """Return the seconds until a request sent now has its first token.
-
-    Penalties for failures, suspicion and old reports are part of it, so it ranks servers as well.
-    """
-    trust = min(1.0, settings.report_age_max_s / max(candidate.report_age_s, 1e-9))
+    """Return the seconds until a request sent now has its first token."""
+    trust = _compute_trust(candidate, settings)
     queue_s = _predict_queue(request.priority, candidate, trust)
     prefill_s = _predict_prefill(request, candidate, trust)
     adapter_s = 0.0 if candidate.adapter_resident else ADAPTER_LOAD_S
     is_near = candidate.info.data_centre == data_centre
     distance_s = 0.0 if is_near else settings.distance_cost_s
-    doubt_s = candidate.failures * FAILURE_COST_S + (1.0 - trust) * STALE_COST_S
-    doubt_s += SUSPECTED_COST_S if candidate.suspected else 0.0
-    return queue_s + prefill_s + adapter_s + distance_s + doubt_s
+    return queue_s + prefill_s + adapter_s + distance_s
+
+
+def compute_doubt(candidate: Candidate, settings: RoutingSettings) -> float:
+    """Return the penalty, in seconds, for recent failures, suspicion and an old report."""
+    trust = _compute_trust(candidate, settings)
+    suspected_s = SUSPECTED_COST_S if candidate.suspected else 0.0
+    return candidate.failures * FAILURE_COST_S + (1.0 - trust) * STALE_COST_S + suspected_s
+
+
+def _compute_trust(candidate: Candidate, settings: RoutingSettings) -> float:
+    """Return how much a report counts, 1 while it is young enough and less the older it is."""
+    return min(1.0, settings.report_age_max_s / max(candidate.report_age_s, 1e-9))
+
+
+def _make_route(
+    request: Request, candidate: Candidate, data_centre: str, settings: RoutingSettings
+) -> Route:
+    predicted_s = predict_first_token(request, candidate, data_centre, settings)
+    return Route(candidate, predicted_s, predicted_s + compute_doubt(candidate, settings))
 
 
 def _predict_queue(priority: Priority, candidate: Candidate, trust: float) -> float:
@@ -102,7 +121,7 @@
     Load Balancing, 2001.
     """
     routes = [
-        Route(found, predict_first_token(request, found, data_centre, settings))
+        _make_route(request, found, data_centre, settings)
         for found in pair
         if not found.lost and found.info.name not in avoided
     ]
@@ -119,7 +138,7 @@
         return None
     oldest_s = max(route.candidate.report_age_s for route in routes)
     sharpness = compute_sharpness(oldest_s)
-    weights = [(WEIGHT_FLOOR_S + route.predicted_s) ** -sharpness for route in routes]
+    weights = [(WEIGHT_FLOOR_S + route.rank_s) ** -sharpness for route in routes]
     return randomness.choices(routes, weights)[0]
 
 
@@ -138,8 +157,8 @@
 ) -> Route | None:
     """Choose a server of the pair with nothing in flight as far as known, or None."""
     routes = [
-        Route(found, predict_first_token(request, found, data_centre, settings))
+        _make_route(request, found, data_centre, settings)
         for found in pair
         if not found.lost and found.in_flight == 0 and found.info.name not in avoided
     ]
-    return min(routes, key=lambda route: route.predicted_s, default=None)
+    return min(routes, key=lambda route: route.rank_s, default=None)
--- a/rhubarbshed/coordination/suspects.py
+++ b/rhubarbshed/coordination/suspects.py
@@ -102,6 +102,11 @@
             self.departures.acquit(fingerprint)
             self.view.record_whole_answer(fingerprint, now)
 
+    def is_run_undecided(self, fingerprint: str) -> bool:
+        """Tell whether a run alone broke and no report has told yet whether its server crashed."""
+        items = self.presumptions.items.values()
+        return any(item.alone and item.fingerprint == fingerprint for item in items)
+
     def list_set_aside(self, now: float) -> frozenset[str]:
         """Return the servers that are kept for a suspect."""
         return self.view.list_set_aside(now)
--- a/rhubarbshed/protocol/quarantine.py
+++ b/rhubarbshed/protocol/quarantine.py
@@ -50,6 +50,14 @@
     return tuple(sorted({*left, *right}))
 
 
+@frozen
+class QuarantineNews:
+    """Tell a peer of an entry that last grew `age_s` ago."""
+
+    entry: QuarantineEntry
+    age_s: float
+
+
 @frozen
 class SoloMark:
     """Tell that a suspect runs alone on a backend server for `remaining_s` more at most."""
--- a/rhubarbshed/state/quarantine.py
+++ b/rhubarbshed/state/quarantine.py
@@ -7,20 +7,26 @@
 from rhubarbshed.protocol.quarantine import (
     CrashId,
     QuarantineEntry,
+    QuarantineNews,
     SoloMark,
     merge_entries,
 )
 from rhubarbshed.util.settings import QuarantineSettings
 
 ENTRIES_MAX = 20_000
+SOLO_TOLD_S = 3.0
 
 
 @frozen
 class Solo:
-    """Set a backend server aside for one fingerprint until a monotonic time."""
+    """Set a backend server aside for one fingerprint until a monotonic time.
+
+    `is_own` is whether this instance did so.
+    """
 
     fingerprint: str
     until: float
+    is_own: bool = True
 
 
 @define
@@ -56,8 +62,14 @@
         if entry is not None and not entry.refused:
             self.merge_entry(evolve(entry, cleared=entry.crashes), now)
 
-    def merge_entry(self, told: QuarantineEntry, now: float) -> bool:
-        """Add what a peer or the table tells; tell whether anything was new."""
+    def merge_news(self, news: Iterable[QuarantineNews], now: float) -> None:
+        """Take what a peer tells; what it has known for too long is not taken up again."""
+        for one in news:
+            if one.age_s < self.settings.memory_s:
+                self.merge_entry(one.entry, now, one.age_s)
+
+    def merge_entry(self, told: QuarantineEntry, now: float, age_s: float = 0.0) -> bool:
+        """Add what is told of a fingerprint; tell whether anything was new."""
         known = self.find_entry(told.fingerprint)
         merged = merge_entries(known, told)
         if len(merged.open_crashes) >= self.settings.crashes_max:
@@ -65,7 +77,8 @@
         if merged == known:
             return False
         self.entries[told.fingerprint] = merged
-        self.seen_at[told.fingerprint] = now
+        seen_before = self.seen_at.get(told.fingerprint, now - age_s)
+        self.seen_at[told.fingerprint] = max(seen_before, now - age_s)
         self._bound_entries()
         return True
 
@@ -89,9 +102,14 @@
         for name in [name for name, solo in self.solos.items() if solo.until <= now]:
             del self.solos[name]
 
-    def list_entries(self) -> tuple[QuarantineEntry, ...]:
-        """Return all entries, to be told to peers."""
-        return tuple(self.entries.values())
+    def list_news(self, now: float, age_max_s: float | None = None) -> tuple[QuarantineNews, ...]:
+        """Return the entries that grew within `age_max_s`, or all, to be told to peers."""
+        longest = age_max_s if age_max_s is not None else self.settings.memory_s
+        return tuple(
+            QuarantineNews(entry, now - self.seen_at[name])
+            for name, entry in self.entries.items()
+            if now - self.seen_at[name] <= longest
+        )
 
     def set_solo(self, backend_server: str, fingerprint: str, until: float) -> None:
         """Set a server aside for a suspect."""
@@ -113,15 +131,20 @@
         return frozenset(name for name, solo in self.solos.items() if solo.until > now)
 
     def list_solo_marks(self, now: float) -> tuple[SoloMark, ...]:
-        """Return the servers set aside, to be told to peers."""
+        """Return the servers this instance set aside, to be told to peers every second.
+
+        The time told is short, so that peers use a server again soon after a run has ended.
+        """
         return tuple(
-            SoloMark(name, solo.fingerprint, solo.until - now)
+            SoloMark(name, solo.fingerprint, min(SOLO_TOLD_S, solo.until - now))
             for name, solo in self.solos.items()
-            if solo.until > now
+            if solo.is_own and solo.until > now
         )
 
     def merge_solo_marks(self, marks: Iterable[SoloMark], now: float) -> None:
         """Take servers that a peer set aside; own marks stay."""
         for mark in marks:
-            if mark.backend_server not in self.solos:
-                self.set_solo(mark.backend_server, mark.fingerprint, now + mark.remaining_s)
+            present = self.solos.get(mark.backend_server)
+            if present is None or not present.is_own or present.until <= now:
+                until = now + mark.remaining_s
+                self.solos[mark.backend_server] = Solo(mark.fingerprint, until, is_own=False)
--- a/test/test_desk.py
+++ b/test/test_desk.py
@@ -116,6 +116,16 @@
     assert 0.5 <= error.retry_after_s <= 30.0
 
 
+def test_only_server_stays_reachable_after_failures():
+    desk = make_desk(servers=1)
+    for number in range(10):
+        sent = desk.open_request(make_request(number), 0.0)
+        assert isinstance(sent, Dispatch)
+        desk.end_attempt(end(sent, AttemptEnd.TIMED_OUT), 0.0)
+        desk.cancel(f"r{number}", 0.0)
+    assert isinstance(desk.open_request(make_request(99), 0.0), Dispatch)
+
+
 def test_hedge_runs_on_another_server_and_the_first_answer_counts():
     desk = make_desk(text="[retries]\nhedge_after_s = 0.5")
     sent = desk.open_request(make_request(), 0.0)
