--- a/rhubarbshed/coordination/desk.py
+++ b/rhubarbshed/coordination/desk.py
@@ -348,7 +348,6 @@
             return self._refuse(item, describe_deadline(request, item.has_run))
         can_go_on = (
             may_send_again(request, result.end)
-            and not (item.has_run and not request.idempotent)
             and item.attempts < self.settings.retries.attempts_max
             and not self.drain_is_over(now)
             and self.budget.withdraw(list_budget_keys(request), now)
