Give free memory to demand before coverage of data centres

Cause: on the large floor a returned server was filled with cold models, which cover data centres, while hot ones missed their target; freed memory went the same way. Copies that were idle for a moment were unloaded and asked for again.

--- a/rhubarbshed/coordination/copies.py
+++ b/rhubarbshed/coordination/copies.py
@@ -10,9 +10,12 @@
 ANSWER_TOKENS_DEFAULT = 240.0
 """Output tokens of a request where none have been counted."""
 
-WAITING_MAX = 0.2
+WAITING_MAX = 0.5
 """Part of requests that may wait for a slot before a server counts as full."""
 
+GROWTH_KEPT = 1.5
+"""Factor of growth that the replicas of an unloaded copy must have room for."""
+
 POUR_ROUNDS = 2
 """Times the demand of all models is spread anew, each time given the others."""
 
@@ -94,13 +97,18 @@
         return self.shares.get(copy.name, {}).get(copy.server, 0.0)
 
     def estimate_loss(self, copy: Copy) -> float:
-        """Return requests per second that a copy serves and its replicas have no room for."""
-        share = self.get_share(copy)
-        if share <= 0.0:
+        """Return requests per second that replicas could not take over if demand grew."""
+        if copy.name not in self.shares:
             return 0.0
-        others = [server for server in self.shares[copy.name] if server != copy.server]
-        spare = sum(self.bays[server].spare for server in others)
-        return max(0.0, share - spare) / self.answer_tokens[copy.name]
+        shares = self.shares[copy.name]
+        elsewhere = sum(
+            share + self.bays[server].spare
+            for server, share in shares.items()
+            if server != copy.server
+        )
+        grown = self.tokens_per_s[copy.name] * GROWTH_KEPT
+        own = self.get_share(copy) + self.bays[copy.server].spare
+        return min(own, max(0.0, grown - elsewhere)) / self.answer_tokens[copy.name]
 
     def add_copy(self, name: str, server: str) -> None:
         """Let a planned copy take its part."""
--- a/rhubarbshed/coordination/placement.py
+++ b/rhubarbshed/coordination/placement.py
@@ -11,6 +11,7 @@
     reach_adapters,
     reach_data_centres,
     reach_models,
+    reach_replicas,
     replace_versions,
 )
 from rhubarbshed.protocol.catalogue import Adapter, Model
@@ -75,10 +76,11 @@
     drop_deleted(planner)
     reach_models(planner)
     reach_adapters(planner)
-    reach_data_centres(planner, demand)
-    leave_servers(planner)
+    reach_replicas(planner)
     replace_versions(planner)
     follow_demand(planner, Loads.from_floor(floor, demand))
+    reach_data_centres(planner, demand)
+    leave_servers(planner)
     return planner.finish()
 
 
--- a/rhubarbshed/coordination/reach.py
+++ b/rhubarbshed/coordination/reach.py
@@ -168,19 +168,27 @@
                 planner.unload(copy, MoveReason.VERSION)
 
 
-def reach_data_centres(planner: Planner, demand: tuple[ModelDemand, ...]) -> None:
-    """Use free memory for a copy in each data centre, and for the least number of replicas."""
-    rates = {each.model: each.arrivals_per_s for each in demand}
-    order = sorted(planner.floor.models, key=lambda name: (-rates.get(name, 0.0), name))
-    centres = sorted({bay.data_centre for bay in planner.floor.bays.values() if bay.live})
-    for name in order:
+def reach_replicas(planner: Planner) -> None:
+    """Load what models lack of their least number of replicas."""
+    centres = _list_centres(planner)
+    for name in sorted(planner.floor.models):
         current = planner.floor.list_current(name)
         if current and planner.loads_left > 0:
             _replicate(planner, name, current, centres)
-    for centre in centres:
+
+
+def reach_data_centres(planner: Planner, demand: tuple[ModelDemand, ...]) -> None:
+    """Use free memory for a copy in each data centre, the most asked models first."""
+    rates = {each.model: each.arrivals_per_s for each in demand}
+    order = sorted(planner.floor.models, key=lambda name: (-rates.get(name, 0.0), name))
+    for centre in _list_centres(planner):
         _cover(planner, order, centre)
 
 
+def _list_centres(planner: Planner) -> list[str]:
+    return sorted({bay.data_centre for bay in planner.floor.bays.values() if bay.live})
+
+
 def _replicate(planner: Planner, name: str, current: list[Copy], centres: list[str]) -> None:
     """Load what is missing to the least number of replicas, in other data centres first."""
     model = planner.floor.models[name]
