Load an adapter once beside two versions of its model

Change: list each server once; adapters stay while any version of their model stays; an adapter's other copy must be on another server. Conclusion: fixed; one focused test added.

--- a/rhubarbshed/coordination/floor.py
+++ b/rhubarbshed/coordination/floor.py
@@ -143,8 +143,13 @@
         return [copy for copy in self.list_copies(key) if self.is_current(copy)]
 
     def list_adapters(self, copy: Copy) -> list[Copy]:
-        """Return the adapters that run on a copy of a model."""
+        """Return the adapters that go with a copy of a model.
+
+        While the server has another version of the model, the adapters stay with that one.
+        """
         bay = self.bays[copy.server]
+        if any(each is not copy for each in bay.find(copy.name)):
+            return []
         return [each for each in bay.copies if each.model == copy.name and not each.going]
 
     def add(self, copy: Copy) -> None:
@@ -189,6 +194,8 @@
         current = self.is_current(copy)
         for other in self.copies[copy.key]:
             usable = other.ready and not other.going and self.bays[other.server].live
+            if copy.model and other.server == copy.server:
+                continue
             if other is not copy and usable and (self.is_current(other) or not current):
                 return True
         return False
--- a/rhubarbshed/coordination/reach.py
+++ b/rhubarbshed/coordination/reach.py
@@ -136,12 +136,12 @@
     servers = {copy.server for copy in held}
     if servers and not spread:
         return
-    places = [
+    ready = {
         copy.server
         for copy in planner.floor.list_copies(adapter.model)
-        if copy.ready and copy.server not in servers and planner.floor.bays[copy.server].live
-    ]
-    places.sort(key=lambda server: rank(adapter.name, server))
+        if copy.ready and planner.floor.bays[copy.server].live
+    }
+    places = sorted(ready - servers, key=lambda server: (rank(adapter.name, server), server))
     for server in places:
         if planner.load_adapter(adapter, server, MoveReason.REACH) and not spread:
             return
--- a/test/test_placement.py
+++ b/test/test_placement.py
@@ -116,6 +116,18 @@
     assert len(plan.moves) == floor.settings.weight_store.adapters_in_flight
 
 
+def test_adapter_is_loaded_once_beside_two_versions_and_outlives_the_older():
+    adapters = [Adapter("a0", "m0", "1", 1)]
+    floor = Floor.from_views(
+        [make_server("s0", 30, "m0=1", "m0=2")], [make_model("m0", version="2")], adapters
+    )
+    first = floor.plan()
+    assert [move.name for move in first.moves].count("a0") == 1
+    floor.run(4)
+    assert floor.list_holders("a0") == ["s0"]
+    assert floor.list_holders("m0", "1") == []
+
+
 def test_adapter_survives_unload_of_its_models_copy():
     adapters = [Adapter("a0", "m0", "1", 1)]
     leaving = make_server("s0", 20, "m0", standing=Standing.LEAVING)
