--- a/rhubarbshed/coordination/dissemination.py
+++ b/rhubarbshed/coordination/dissemination.py
@@ -18,6 +18,7 @@
     LoadDigest,
     QuarantineNotice,
 )
+from rhubarbshed.protocol.placement import DemandReport
 from rhubarbshed.state.membership import Membership
 from rhubarbshed.util.rendezvous import rank_by_rendezvous
 
@@ -135,14 +136,16 @@
     """Choose who gets a frame of this instance; `connected` maps names to data centres.
 
     Load goes to the mesh each second and, marked as remote, over the bridges less often.
+    Demand goes to both.
     """
     mesh = [name for name, centre in connected.items() if centre == own_centre]
-    if not isinstance(frame, LoadDigest):
+    if not isinstance(frame, LoadDigest | DemandReport):
         return tuple(connected)
-    if not frame.remote:
-        return tuple(mesh)
     bridges = {info.name for info in topology.bridges}
-    return tuple(name for name in connected if name in bridges)
+    across = [name for name in connected if name in bridges]
+    if isinstance(frame, DemandReport):
+        return (*mesh, *across)
+    return tuple(across if frame.remote else mesh)
 
 
 def choose_relays(
@@ -159,7 +162,8 @@
     """
     origin_centre = connected.get(sender, "")
     urgent = isinstance(frame, URGENT)
-    shared = urgent or (isinstance(frame, LoadDigest) and frame.remote)
+    is_load = isinstance(frame, LoadDigest) and frame.remote
+    shared = urgent or is_load or isinstance(frame, DemandReport)
     to_mesh = shared and origin_centre != own_centre
     to_bridges = urgent and topology.is_delegate
     return tuple(
--- a/rhubarbshed/protocol/peers.py
+++ b/rhubarbshed/protocol/peers.py
@@ -13,6 +13,7 @@
 from rhubarbshed.protocol.events import Stamp
 from rhubarbshed.protocol.members import InstanceInfo
 from rhubarbshed.protocol.orders import CacheEvent, Resident, Role
+from rhubarbshed.protocol.placement import DemandReport
 from rhubarbshed.protocol.quarantine import QuarantineEntry
 
 PROTOCOL_VERSION = 1
@@ -166,6 +167,7 @@
     | LeavingNotice
     | QuarantineNotice
     | LoadRequest
+    | DemandReport
 )
 FRAME_KINDS: tuple[type, ...] = (
     Challenge,
@@ -179,6 +181,7 @@
     LeavingNotice,
     QuarantineNotice,
     LoadRequest,
+    DemandReport,
 )
 """Kinds by their number on the wire; append only."""
 KIND_NUMBERS = {kind: number for number, kind in enumerate(FRAME_KINDS)}
--- a/rhubarbshed/transport/peers.py
+++ b/rhubarbshed/transport/peers.py
@@ -29,6 +29,7 @@
     QuarantineNotice,
     unpack_envelope,
 )
+from rhubarbshed.protocol.placement import DemandReport
 from rhubarbshed.state.clock import HybridClock
 from rhubarbshed.state.membership import Membership
 from rhubarbshed.state.timeline import read_wall_ms
@@ -51,6 +52,8 @@
 """Part of a heartbeat's interval after which the next may go, so that jitter skips none."""
 HANDSHAKES_MAX = 64
 """Connections accepted but not proven yet; more are closed at once."""
+REPLACEABLE = (Heartbeat, LoadDigest, DemandReport)
+"""Frames that a newer one makes useless, dropped first for a peer that takes nothing."""
 NOTICES = (CatalogueHint, LeavingNotice, QuarantineNotice)
 
 
@@ -112,7 +115,11 @@
         info = self.identity.info
         context = make_server_context(self.tls)
         self.server = await asyncio.start_server(
-            self._accept, info.host, info.peer_port, ssl=context
+            self._accept,
+            info.host,
+            info.peer_port,
+            ssl=context,
+            ssl_handshake_timeout=self.settings.silence_s if context else None,
         )
         self._spawn(self._run())
 
@@ -200,7 +207,7 @@
         stamp = self.clock.tick(self.read_wall())
         data = frame_bytes(Envelope(frame, stamp, notice_id))
         for name in names:
-            self.links[name].put(data, isinstance(frame, LoadDigest | Heartbeat))
+            self.links[name].put(data, isinstance(frame, REPLACEABLE))
 
     def _list_connected(self) -> dict[str, str]:
         return {name: link.info.data_centre for name, link in self.links.items()}
--- a/test/test_peers.py
+++ b/test/test_peers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from pathlib import Path
 
 from rhubarbshed.coordination.membership import get_standing
 from rhubarbshed.protocol.events import Stamp
@@ -16,7 +17,9 @@
     LoadEntry,
     unpack_envelope,
 )
+from rhubarbshed.protocol.placement import DemandReport, ModelDemand
 from rhubarbshed.transport.frames import frame_bytes, greet_listener, read_frame
+from rhubarbshed.util.settings import TlsSettings
 from test.helper_peers import (
     SILENCE_S,
     are_meshed,
@@ -29,6 +32,7 @@
     wait_for,
 )
 
+TLS_FILES = Path(__file__).parent / "tls"
 THREE = {"a1": "dc-1", "a2": "dc-1", "a3": "dc-1"}
 SIX = {"a1": "dc-1", "a2": "dc-1", "b1": "dc-2", "b2": "dc-2", "c1": "dc-3", "c2": "dc-3"}
 HINT = CatalogueHint(7, 3)
@@ -78,6 +82,21 @@
     run(peers, scenario)
 
 
+def test_demand_reaches_each_instance_once():
+    peers = make_peers(SIX)
+    report = DemandReport("a1", (ModelDemand("m1", 2.0),))
+
+    async def scenario() -> None:
+        await wait_for(lambda: all(len(peer.network.links) >= 3 for peer in peers.values()))
+        await asyncio.sleep(SILENCE_S)
+        peers["a1"].network.publish(report)
+        others = [peer for name, peer in peers.items() if name != "a1"]
+        await wait_for(lambda: all(peer.heard_of(report) for peer in others))
+        assert [peer.heard_of(report) for peer in others] == [1] * 5
+
+    run(peers, scenario)
+
+
 def test_silent_peer_is_suspected_and_its_connection_replaced():
     """A peer that stops reading and writing, with its connection left open."""
     peers = make_peers({"a1": "dc-1", "a2": "dc-1"})
@@ -151,6 +170,25 @@
     run(peers, scenario)
 
 
+def set_tls(peer, tls: TlsSettings) -> None:
+    peer.network.tls = tls
+
+
+def test_peers_meet_over_mutual_tls_and_refuse_plain_ones():
+    peers = make_peers(THREE)
+    certificate, key = str(TLS_FILES / "peer.crt"), str(TLS_FILES / "peer.key")
+    for name in ("a1", "a2"):
+        set_tls(peers[name], TlsSettings(certificate, key, certificate))
+
+    async def scenario() -> None:
+        await wait_for(lambda: "a2" in peers["a1"].network.links)
+        await asyncio.sleep(SILENCE_S)
+        assert set(peers["a1"].network.links) == {"a2"}
+        assert not peers["a3"].network.links
+
+    run(peers, scenario)
+
+
 def test_wrong_token_is_refused_on_both_sides():
     peers = make_peers({"a1": "dc-1", "a2": "dc-1"})
     for peer, token in zip(peers.values(), ("right", "wrong"), strict=True):
