Pass over frames of newer kinds; refuse a process that its successor replaced

Cause: versions run side by side while instances are replaced, and a paused process may wake. Ruled out: closing on an unknown kind, which would split instances by version. Change: UnknownFrame; past incarnations are not listened to. Conclusion: which evidence may call an incarnation past needs tightening next.

--- a/rhubarbshed/protocol/peers.py
+++ b/rhubarbshed/protocol/peers.py
@@ -155,6 +155,13 @@
     entries: tuple[QuarantineEntry, ...]
 
 
+@frozen
+class UnknownFrame:
+    """Stand for a frame of a kind that only newer instances know; it is never sent."""
+
+    number: int
+
+
 Frame = (
     Challenge
     | Hello
@@ -191,7 +198,7 @@
 class Envelope:
     """Wrap a frame with the sender's stamp; `notice_id` is set on what is passed on."""
 
-    frame: Frame
+    frame: Frame | UnknownFrame
     stamp: Stamp
     notice_id: str = ""
 
@@ -238,17 +245,18 @@
     try:
         number, wall_ms, counter, notice_id, body = msgpack.unpackb(data, use_list=False)
         stamp = PEER_CONVERTER.structure((wall_ms, counter, sender), Stamp)
-        kind = _get_kind(number)
-        frame = PEER_CONVERTER.structure(body, kind)
+        frame = _structure_frame(number, body)
         return Success(Envelope(frame, stamp, _structure_text(notice_id, str)))
     except Exception as error:  # msgpack and cattrs raise many kinds
         return Failure(describe_structure_error(error))
 
 
-def _get_kind(number: object) -> type:
-    if not isinstance(number, int) or not 0 <= number < len(FRAME_KINDS):
-        raise ValueError(f"unknown kind {number!r}")
-    return FRAME_KINDS[number]
+def _structure_frame(number: object, body: object) -> Frame | UnknownFrame:
+    if not isinstance(number, int) or number < 0:
+        raise ValueError(f"bad kind {number!r}")
+    if number >= len(FRAME_KINDS):
+        return UnknownFrame(number)
+    return PEER_CONVERTER.structure(body, FRAME_KINDS[number])
 
 
 def make_proof(token: str, part: str, info: InstanceInfo, nonces: tuple[bytes, bytes]) -> bytes:
--- a/rhubarbshed/state/membership.py
+++ b/rhubarbshed/state/membership.py
@@ -80,7 +80,12 @@
         self._mark_absent(self.backend_servers, names, now)
 
     def apply_hello(self, info: InstanceInfo, now: float) -> None:
-        """Take in an instance's own word on itself, heard over a proven connection."""
+        """Take in an instance's own word on itself, heard over a proven connection.
+
+        A process that wakes after a later one took its name is not listened to.
+        """
+        if self.is_past(info.name, info.incarnation):
+            return
         known = self.instances.get(info.name)
         if known is None:
             known = self._add(self.instances, info, info.incarnation, now)
@@ -125,7 +130,7 @@
         known = self.find(name)
         if known is None:
             return True
-        if not known.incarnation and incarnation not in self.past_incarnations.get(name, ()):
+        if not known.incarnation and not self.is_past(name, incarnation):
             known.incarnation = incarnation
         if known.incarnation == incarnation:
             known.leaving_by = by
@@ -145,6 +150,10 @@
             known.session_changed_at = now
         known.session_read_at = now
 
+    def is_past(self, name: str, incarnation: str) -> bool:
+        """Tell whether an instance has been started anew since this incarnation."""
+        return bool(incarnation) and incarnation in self.past_incarnations.get(name, ())
+
     def find(self, name: str) -> Evidence | None:
         """Return the evidence about an instance or a backend server."""
         return self.instances.get(name) or self.backend_servers.get(name)
@@ -188,7 +197,7 @@
         """
         if not incarnation or incarnation == known.incarnation or known.info.name == self.name:
             return False
-        if incarnation in self.past_incarnations.get(known.info.name, ()):
+        if self.is_past(known.info.name, incarnation):
             return False
         if not known.incarnation:
             return True
--- a/rhubarbshed/transport/peers.py
+++ b/rhubarbshed/transport/peers.py
@@ -27,6 +27,7 @@
     LeavingSubject,
     LoadDigest,
     QuarantineNotice,
+    UnknownFrame,
     unpack_envelope,
 )
 from rhubarbshed.protocol.placement import DemandReport
@@ -292,6 +293,9 @@
         now = self.read_now()
         if info.name in self.refuse or info.name == self.membership.name:
             return None
+        if self.membership.is_past(info.name, info.incarnation):
+            log_event(LOG, logging.WARNING, "peer_refused", peer=info.name, reason="ended before")
+            return None
         dialed_by = self.membership.name if dials else info.name
         link = Link(info, writer, dialed_by, now, now)
         held = self.links.get(info.name)
@@ -356,6 +360,8 @@
         self.clock.merge(envelope.stamp, self.read_wall())
         self.membership.hear(link.info.name, now)
         frame = envelope.frame
+        if isinstance(frame, UnknownFrame):
+            return
         if envelope.notice_id and not self.notices.is_news(envelope.notice_id):
             return
         self._apply_leaving(link.info, frame)
--- a/test/test_digests.py
+++ b/test/test_digests.py
@@ -1,6 +1,8 @@
 """Test load digests, topology and the encoding of frames."""
 
+import msgpack
 from attrs import evolve
+from returns.result import Failure
 
 from rhubarbshed.coordination.dissemination import (
     NOTICES_MAX,
@@ -13,6 +15,7 @@
 from rhubarbshed.protocol.members import ListedInstance, PlatformList
 from rhubarbshed.protocol.orders import CacheEvent, EngineReport, Resident
 from rhubarbshed.protocol.peers import (
+    FRAME_KINDS,
     CatalogueObjects,
     CatalogueRequest,
     Envelope,
@@ -21,6 +24,7 @@
     LeavingSubject,
     LoadRequest,
     QuarantineNotice,
+    UnknownFrame,
     pack_envelope,
     unpack_envelope,
 )
@@ -72,6 +76,13 @@
         assert unpack_envelope(pack_envelope(envelope), "a1").unwrap() == envelope
 
 
+def test_kind_of_a_newer_instance_is_told_from_a_malformed_frame():
+    newer = msgpack.packb((len(FRAME_KINDS), 1, 2, "", [7]))
+    assert unpack_envelope(newer, "a1").unwrap().frame == UnknownFrame(len(FRAME_KINDS))
+    for bad in ((-1, 1, 2, "", []), ("x", 1, 2, "", []), (3, 1, 2, ""), (1, 1, 2, "", [[], 1])):
+        assert isinstance(unpack_envelope(msgpack.packb(bad), "a1"), Failure)
+
+
 def test_detail_travels_once_then_after_an_interval_or_change():
     outbox, inbox = LoadOutbox(), LoadInbox()
     first = outbox.make_digest(((FULL, 1.0),), 1.0)
--- a/test/test_membership.py
+++ b/test/test_membership.py
@@ -91,6 +91,16 @@
     assert judge(membership, "a2", 2.0) is Standing.LIVE
 
 
+def test_process_that_wakes_after_its_successor_is_not_listened_to():
+    membership = make_membership()
+    membership.apply_hello(PEER, 1.0)
+    membership.apply_hello(evolve(PEER, incarnation="p2"), 2.0)
+    membership.apply_hello(PEER, LONG)
+    membership.apply_session("a2", "p1", 9, LONG)
+    assert membership.instances["a2"].incarnation == "p2"
+    assert membership.instances["a2"].heard_at == 2.0
+
+
 def test_lagging_list_does_not_bring_an_old_incarnation_back():
     membership = make_membership()
     membership.apply_hello(evolve(PEER, incarnation="p2"), 2.0)
