Tighten who may tell of a new incarnation

Cause: a lagging list or an unwritten session row could replace the incarnation of an instance that was silent for a moment, call the true one past and refuse it for good. Ruled out: ordering incarnations by wall clock, which differs between machines. Change: the list counts only for instances never heard, a session row only after the one before it; past ones are refused only while their successor is heard. Conclusion: no evidence that lags can lock an instance out.

--- a/rhubarbshed/state/membership.py
+++ b/rhubarbshed/state/membership.py
@@ -82,14 +82,16 @@
     def apply_hello(self, info: InstanceInfo, now: float) -> None:
         """Take in an instance's own word on itself, heard over a proven connection.
 
-        A process that wakes after a later one took its name is not listened to.
+        A process that wakes after a later one took its name is not listened to while the
+        later one is heard. Incarnations have no order, so it is the silence that decides.
         """
-        if self.is_past(info.name, info.incarnation):
+        if self.is_superseded(info, now):
             return
         known = self.instances.get(info.name)
         if known is None:
             known = self._add(self.instances, info, info.incarnation, now)
         elif info.incarnation != known.incarnation:
+            self._mark_past(known)
             known = self._renew(known, info, now)
         known.info = info
         known.heard_at = now
@@ -137,13 +139,18 @@
         return True
 
     def apply_session(self, name: str, incarnation: str, counter: int, now: float) -> None:
-        """Take in an instance's session row as read at `now`."""
+        """Take in another instance's session row as read at `now`."""
         known = self.instances.get(name)
-        if known is None:
+        if known is None or name == self.name:
             return
         if incarnation and incarnation != known.incarnation:
-            if not self._may_adopt(known, incarnation, now):
+            follows = known.session_counter is not None
+            if not follows and not self._may_adopt(known, incarnation):
+                return
+            if self.is_past(name, incarnation):
                 return
+            if follows:
+                self._mark_past(known)
             known = self._renew(known, evolve(known.info, incarnation=incarnation), now)
         if counter != known.session_counter:
             known.session_counter = counter
@@ -154,6 +161,13 @@
         """Tell whether an instance has been started anew since this incarnation."""
         return bool(incarnation) and incarnation in self.past_incarnations.get(name, ())
 
+    def is_superseded(self, info: InstanceInfo, now: float) -> bool:
+        """Tell whether a later start of an instance is heard, so that this one is not."""
+        known = self.instances.get(info.name)
+        if known is None or not self.is_past(info.name, info.incarnation):
+            return False
+        return known.heard_at is not None and now - known.heard_at <= self.limits.silence_s
+
     def find(self, name: str) -> Evidence | None:
         """Return the evidence about an instance or a backend server."""
         return self.instances.get(name) or self.backend_servers.get(name)
@@ -173,7 +187,7 @@
         known = self.instances.get(info.name)
         if known is None:
             known = self._add(self.instances, info, info.incarnation, now)
-        elif self._may_adopt(known, info.incarnation, now):
+        elif self._may_adopt(known, info.incarnation):
             known = self._renew(known, info, now)
         elif known.leaving_by and self._is_back(known, now):
             known = self._renew(known, info, now)
@@ -190,18 +204,23 @@
         known.info = info
         _mark_listed(known, listed.leaving)
 
-    def _may_adopt(self, known: Evidence, incarnation: str, now: float) -> bool:
+    def _may_adopt(self, known: Evidence, incarnation: str) -> bool:
         """Tell whether another's word on an instance's incarnation counts.
 
-        The list lags, so it changes nothing about an instance that speaks for itself.
+        The list lags, so it changes nothing about an instance known from itself or its session.
         """
         if not incarnation or incarnation == known.incarnation or known.info.name == self.name:
             return False
         if self.is_past(known.info.name, incarnation):
             return False
-        if not known.incarnation:
-            return True
-        return known.heard_at is None or now - known.heard_at > self.limits.silence_s
+        return not known.incarnation or (known.heard_at is None and known.session_counter is None)
+
+    def _mark_past(self, known: Evidence) -> None:
+        """Remember that an incarnation was followed by another, by its own or the table's word."""
+        past = self.past_incarnations.setdefault(known.info.name, [])
+        if known.incarnation and known.incarnation not in past:
+            past.append(known.incarnation)
+        del past[:-INCARNATIONS_MAX]
 
     def _is_back(self, known: Evidence, now: float) -> bool:
         """Tell whether a listed member is a fresh one, after a whole term off the list.
@@ -221,9 +240,9 @@
 
     def _renew(self, known: Evidence, info: InstanceInfo, now: float) -> Evidence:
         """Replace a member by its next incarnation; the list's word is kept where it fits."""
-        past = self.past_incarnations.setdefault(info.name, [])
-        past.append(known.incarnation)
-        del past[:-INCARNATIONS_MAX]
+        past = self.past_incarnations.get(info.name, [])
+        if info.incarnation in past:
+            past.remove(info.incarnation)
         fresh = self._add(self.instances, info, info.incarnation, now)
         fresh.listed = known.listed
         fresh.expected_since = now if known.expected_since is not None else None
--- a/rhubarbshed/transport/peers.py
+++ b/rhubarbshed/transport/peers.py
@@ -293,7 +293,7 @@
         now = self.read_now()
         if info.name in self.refuse or info.name == self.membership.name:
             return None
-        if self.membership.is_past(info.name, info.incarnation):
+        if self.membership.is_superseded(info, now):
             log_event(LOG, logging.WARNING, "peer_refused", peer=info.name, reason="ended before")
             return None
         dialed_by = self.membership.name if dials else info.name
