--- a/rhubarbshed/coordination/loads.py
+++ b/rhubarbshed/coordination/loads.py
@@ -32,7 +32,7 @@
     begin_unload,
     raise_epoch,
 )
-from rhubarbshed.state.moves import Moves, ServerMoves
+from rhubarbshed.state.moves import Loss, Moves, ServerMoves
 from rhubarbshed.state.weights import WEIGHTS_KEY, WeightGate
 
 LOG = logging.getLogger(__name__)
@@ -124,12 +124,7 @@
             return Failure(OrderError(OrderFault.UNAVAILABLE, "lease lapsed before sending"))
         return context.engine.send_order(server, order)
 
-    held = context.moves.servers[server.name]
-    held.in_flight.add(order.order_id)
-    try:
-        answer = await context.access.runner(send_while_held)
-    finally:
-        held.in_flight.discard(order.order_id)
+    answer = await context.access.runner(send_while_held)
     _note_answer(context, server, order, answer)
     return answer
 
@@ -142,7 +137,7 @@
         return
     error: OrderError = answer.failure()
     if error.fault is OrderFault.UNKNOWN:
-        held.lost.add(order.order_id)
+        held.lost[order.order_id] = Loss(context.clock(), order.fencing_token)
     if error.fault is OrderFault.STALE_TOKEN:
         context.leases.drop(server.name)
     LOG.warning(
@@ -252,15 +247,12 @@
     held = context.moves.servers[budget.server.name]
     held.changed_at = context.clock()
     doubtful = entry.load_id in held.lost
-    settled = await change_ledger(
+    return await change_ledger(
         context,
         budget,
         lambda rows: plan_settle_load(rows, budget, tenure, entry.load_id, doubtful),
         _list_load_keys(entry),
     )
-    if isinstance(settled, Success):
-        held.lost.discard(entry.load_id)
-    return settled
 
 
 async def _cancel(context: MoveContext, budget: Budget, tenure: Tenure, entry: Entry) -> None:
@@ -284,33 +276,48 @@
 
     Where copies of its load may be under way, the epoch rises first and the token is raised.
     """
-    begun = await _begin_unload(context, budget, key)
+    held = context.moves.servers.get(budget.server.name)
+    entry = None if held is None else held.ledger.find(key)
+    if entry is None:
+        return Failure(LedgerError(LedgerFault.ABSENT, key.name))
+    if entry.load_id in held.in_flight:
+        return Failure(LedgerError(LedgerFault.BUSY, "an order for it is on its way"))
+    held.in_flight.add(entry.load_id)
+    try:
+        return await _unload(context, budget, entry)
+    finally:
+        held.in_flight.discard(entry.load_id)
+
+
+async def _unload(
+    context: MoveContext, budget: Budget, entry: Entry
+) -> Result[Ledger, LedgerError]:
+    begun = await _begin_unload(context, budget, entry)
     if isinstance(begun, Failure) and begun.failure().fault is LedgerFault.UNPROVED:
         voided = await void_orders(context, budget)
         if isinstance(voided, Failure):
             return voided
-        begun = await _begin_unload(context, budget, key)
+        begun = await _begin_unload(context, budget, entry)
     if isinstance(begun, Failure):
         return begun
-    entry = begun.unwrap().find(key)
-    held = context.moves.servers[budget.server.name]
-    if entry is None or entry.unload_id in held.in_flight:
-        return begun
-    return await send_unload(context, budget, entry)
+    found = begun.unwrap().find(entry.key)
+    return begun if found is None else await send_unload(context, budget, found)
 
 
 async def _begin_unload(
-    context: MoveContext, budget: Budget, key: EntryKey
+    context: MoveContext, budget: Budget, claimed: Entry
 ) -> Result[Ledger, LedgerError]:
     tenure = find_tenure(context, budget.server.name)
     if isinstance(tenure, Failure):
         return tenure
-    held = context.moves.servers.get(budget.server.name)
-    raised = 0 if held is None else held.token_raised
+    held = context.moves.servers[budget.server.name]
     unload_id = context.access.make_id()
+    checks = budget.server.checks_fencing
 
     def begin(ledger: Ledger) -> Result[Ledger, LedgerError]:
-        return begin_unload(ledger, key, unload_id, budget.server.checks_fencing, raised)
+        entry = ledger.find(claimed.key) or claimed
+        copies = held.judge_copies(entry, checks, claimed.load_id, context.clock())
+        return begin_unload(ledger, claimed.key, unload_id, checks, copies)
 
     return await change_ledger(
         context, budget, lambda rows: plan_change(rows, budget, tenure.unwrap(), begin)
@@ -325,23 +332,34 @@
     if isinstance(tenure, Failure):
         return tenure
     order = make_unload_order(entry, tenure.unwrap().epoch)
-    sent = await send_order(context, budget.server, order)
-    if isinstance(sent, Failure):
-        return Failure(describe_order_error(sent.failure()))
-    return await settle_sent_unload(context, budget, tenure.unwrap(), entry)
+    held = context.moves.servers[budget.server.name]
+    if order.order_id in held.in_flight:
+        return Failure(LedgerError(LedgerFault.BUSY, "its unload is on its way"))
+    held.in_flight.add(order.order_id)
+    try:
+        sent = await send_order(context, budget.server, order)
+        if isinstance(sent, Failure):
+            return Failure(describe_order_error(sent.failure()))
+        return await settle_sent_unload(context, budget, tenure.unwrap(), entry)
+    finally:
+        held.in_flight.discard(order.order_id)
 
 
 async def settle_sent_unload(
     context: MoveContext, budget: Budget, tenure: Tenure, entry: Entry
 ) -> Result[Ledger, LedgerError]:
     """Note in the table that an unload was confirmed, which frees its bytes."""
-    context.moves.servers[budget.server.name].changed_at = context.clock()
-    return await change_ledger(
+    held = context.moves.servers[budget.server.name]
+    held.changed_at = context.clock()
+    settled = await change_ledger(
         context,
         budget,
         lambda rows: plan_settle_unload(rows, budget, tenure, entry.unload_id),
         _list_load_keys(entry),
     )
+    if isinstance(settled, Success):
+        held.forget_entry(entry)
+    return settled
 
 
 async def void_orders(context: MoveContext, budget: Budget) -> Result[Ledger, LedgerError]:
