--- a/rhubarbshed/coordination/dissemination.py
+++ b/rhubarbshed/coordination/dissemination.py
@@ -141,10 +141,9 @@
     mesh = [name for name, centre in connected.items() if centre == own_centre]
     if not isinstance(frame, DIGESTS):
         return tuple(connected)
-    if not frame.remote:
-        return tuple(mesh)
     bridges = {info.name for info in topology.bridges}
-    return tuple(name for name in connected if name in bridges)
+    across = [name for name in connected if name in bridges]
+    return tuple(across if frame.remote else mesh)
 
 
 def choose_relays(
--- a/rhubarbshed/transport/peers.py
+++ b/rhubarbshed/transport/peers.py
@@ -20,6 +20,7 @@
 from rhubarbshed.protocol.members import InstanceInfo
 from rhubarbshed.protocol.peers import (
     CatalogueHint,
+    DemandDigest,
     Envelope,
     Frame,
     Heartbeat,
@@ -27,6 +28,7 @@
     LeavingSubject,
     LoadDigest,
     QuarantineNotice,
+    UnknownFrame,
     unpack_envelope,
 )
 from rhubarbshed.state.clock import HybridClock
@@ -51,6 +53,8 @@
 """Part of a heartbeat's interval after which the next may go, so that jitter skips none."""
 HANDSHAKES_MAX = 64
 """Connections accepted but not proven yet; more are closed at once."""
+REPLACEABLE = (Heartbeat, LoadDigest, DemandDigest)
+"""Frames that a newer one makes useless, dropped first for a peer that takes nothing."""
 NOTICES = (CatalogueHint, LeavingNotice, QuarantineNotice)
 
 
@@ -112,7 +116,11 @@
         info = self.identity.info
         context = make_server_context(self.tls)
         self.server = await asyncio.start_server(
-            self._accept, info.host, info.peer_port, ssl=context
+            self._accept,
+            info.host,
+            info.peer_port,
+            ssl=context,
+            ssl_handshake_timeout=self.settings.silence_s if context else None,
         )
         self._spawn(self._run())
 
@@ -200,7 +208,7 @@
         stamp = self.clock.tick(self.read_wall())
         data = frame_bytes(Envelope(frame, stamp, notice_id))
         for name in names:
-            self.links[name].put(data, isinstance(frame, LoadDigest | Heartbeat))
+            self.links[name].put(data, isinstance(frame, REPLACEABLE))
 
     def _list_connected(self) -> dict[str, str]:
         return {name: link.info.data_centre for name, link in self.links.items()}
@@ -285,6 +293,9 @@
         now = self.read_now()
         if info.name in self.refuse or info.name == self.membership.name:
             return None
+        if self.membership.is_superseded(info, now):
+            log_event(LOG, logging.WARNING, "peer_refused", peer=info.name, reason="ended before")
+            return None
         dialed_by = self.membership.name if dials else info.name
         link = Link(info, writer, dialed_by, now, now)
         held = self.links.get(info.name)
@@ -349,6 +360,8 @@
         self.clock.merge(envelope.stamp, self.read_wall())
         self.membership.hear(link.info.name, now)
         frame = envelope.frame
+        if isinstance(frame, UnknownFrame):
+            return
         if envelope.notice_id and not self.notices.is_news(envelope.notice_id):
             return
         self._apply_leaving(link.info, frame)
