--- a/rhubarbshed/coordination/desk.py
+++ b/rhubarbshed/coordination/desk.py
@@ -167,7 +167,8 @@
         item = self.open.items.get(request_id)
         if item is None or len(item.dispatches) != 1 or item.solo_held:
             return None
-        if item.attempts >= self.settings.retries.attempts_max:
+        is_late = now >= item.request.deadline
+        if is_late or item.attempts >= self.settings.retries.attempts_max:
             return None
         waited_s = now - item.request.received_at
         if not decide_hedge(item.request, item.tokens > 0, waited_s, self.settings.retries):
