Tell news of the quarantine with its age

Change: notices carry news; marks are told again while they hold. Conclusion: a process test of the daemon is due.

--- a/rhubarbshed/protocol/peers.py
+++ b/rhubarbshed/protocol/peers.py
@@ -14,7 +14,7 @@
 from rhubarbshed.protocol.members import InstanceInfo
 from rhubarbshed.protocol.orders import CacheEvent, Resident, Role
 from rhubarbshed.protocol.placement import DemandReport
-from rhubarbshed.protocol.quarantine import QuarantineEntry, SoloMark
+from rhubarbshed.protocol.quarantine import QuarantineNews, SoloMark
 
 PROTOCOL_VERSION = 1
 NONCE_BYTES = 16
@@ -160,7 +160,7 @@
 class QuarantineNotice:
     """Carry suspicions and refusals of request fingerprints, and servers set aside for them."""
 
-    entries: tuple[QuarantineEntry, ...]
+    entries: tuple[QuarantineNews, ...]
     marks: tuple[SoloMark, ...] = ()
 
 
--- a/rhubarbshed/transport/exchange.py
+++ b/rhubarbshed/transport/exchange.py
@@ -28,6 +28,8 @@
 # Time to wait for the table service to show a change that a peer has hinted at.
 PULL_PATIENCE_S = 2.0
 DEMAND_INTERVAL_S = 5.0
+# Marks of servers set aside are short-lived, so they are told again while they hold.
+MARKS_INTERVAL_S = 1.0
 DEMAND_REMOTE_INTERVAL_S = 10.0
 
 
@@ -48,7 +50,7 @@
     demand_at: float = 0.0
     demand_remote_at: float = 0.0
     told_entries: dict[str, QuarantineEntry] = field(factory=dict)
-    told_solo: frozenset[tuple[str, str]] = frozenset()
+    marks_at: float = 0.0
 
 
 def make_heartbeat(runtime) -> Heartbeat:
@@ -61,7 +63,7 @@
 
 def greet_peer(runtime, peer: str, now: float) -> tuple[Frame, ...]:
     """Tell a new peer what must not wait: which requests crash servers, and the own load."""
-    entries = runtime.desk.suspects.view.list_entries()
+    entries = runtime.desk.suspects.view.list_news(now)
     load = LoadOutbox().make_digest(tuple(_list_own_reports(runtime, now)), now)
     return (QuarantineNotice(entries), load)
 
@@ -94,28 +96,25 @@
     exchange = runtime.exchange
     view = runtime.desk.suspects.view
     news = tuple(
-        entry
-        for entry in view.list_entries()
-        if exchange.told_entries.get(entry.fingerprint) != entry
+        one
+        for one in view.list_news(now)
+        if exchange.told_entries.get(one.entry.fingerprint) != one.entry
     )
     marks = view.list_solo_marks(now)
-    solo = frozenset((mark.backend_server, mark.fingerprint) for mark in marks)
-    if not news and solo <= exchange.told_solo:
-        exchange.told_solo = solo
+    if not news and (not marks or now - exchange.marks_at < MARKS_INTERVAL_S):
         return
-    exchange.told_entries.update({entry.fingerprint: entry for entry in news})
-    exchange.told_solo = solo
+    exchange.told_entries.update({one.entry.fingerprint: one.entry for one in news})
+    exchange.marks_at = now
     runtime.network.publish(QuarantineNotice(news, marks))
 
 
 def _take_suspects(runtime, notice: QuarantineNotice, now: float) -> None:
     view = runtime.desk.suspects.view
-    for entry in notice.entries:
-        view.merge_entry(entry, now)
-        runtime.exchange.told_entries[entry.fingerprint] = view.find_entry(entry.fingerprint)
+    view.merge_news(notice.entries, now)
+    for one in notice.entries:
+        fingerprint = one.entry.fingerprint
+        runtime.exchange.told_entries[fingerprint] = view.find_entry(fingerprint)
     view.merge_solo_marks(notice.marks, now)
-    told = {(mark.backend_server, mark.fingerprint) for mark in notice.marks}
-    runtime.exchange.told_solo |= told
 
 
 def _list_own_reports(runtime, now: float) -> list[tuple[EngineReport, float]]:
--- a/test/test_digests.py
+++ b/test/test_digests.py
@@ -28,7 +28,12 @@
     pack_envelope,
     unpack_envelope,
 )
-from rhubarbshed.protocol.quarantine import CrashId, QuarantineEntry
+from rhubarbshed.protocol.quarantine import (
+    CrashId,
+    QuarantineEntry,
+    QuarantineNews,
+    SoloMark,
+)
 from rhubarbshed.state.digests import (
     CACHE_EVENT_PEERS_MAX,
     DETAIL_INTERVAL_S,
@@ -43,6 +48,7 @@
 FULL = evolve(
     REPORT, resident=(Resident("m1", "v1", 10 << 30),), cache_events=(CacheEvent(1, True, "ab"),)
 )
+CRASHER = QuarantineEntry("f", (CrashId("s1", "b1"),), refused=True)
 KEPT = CatalogueObject(ObjectKey("model", "m1"), 4, Model("m1", "v1", 5))
 DELETED = CatalogueObject(ObjectKey("model", "m2"), 5, None)
 
@@ -69,7 +75,7 @@
         CatalogueObjects((KEPT, DELETED), 9, 5, "model/m2"),
         LoadRequest(),
         LeavingNotice((LeavingSubject("a1", "i1"),), (LeavingSubject("s1"),)),
-        QuarantineNotice((QuarantineEntry("f", (CrashId("s1", "b1"),), refused=True),)),
+        QuarantineNotice((QuarantineNews(CRASHER, 2.5),), (SoloMark("s1", "f", 3.0),)),
     )
     for frame in frames:
         envelope = Envelope(frame, Stamp(1, 2, "a1"), "a1/i1/1")
