Test the crossings of loads, unloads and restarts one by one

Change: six tests in test_loads. Before and after: pytest -q test/test_loads.py, 57 passed. Trial: with each of the five guards taken out one of the new tests fails.

--- a/test/test_loads.py
+++ b/test/test_loads.py
@@ -1,6 +1,7 @@
 """Tests of loads and unloads, and of the memory ledger behind them."""
 
 import pytest
+from attrs import evolve
 from returns.result import Failure, Success
 
 from rhubarbshed.coordination.loads import execute_load, execute_unload
@@ -331,6 +332,89 @@
     check_agreed(world)
 
 
+def count_loads(world):
+    return sum(order.kind is OrderKind.LOAD for order in world.engine.orders)
+
+
+def test_load_on_its_way_is_not_sent_again():
+    world = make_world()
+    first = start(world, "i1")
+    world.engine.faults = [lambda: reconcile(first, 2)]
+    assert isinstance(load(first, A), Success)
+    assert count_loads(world) == 1
+
+
+def test_load_being_cancelled_is_not_sent_again():
+    world = make_world()
+    first = start(world, "i1")
+    world.engine.faults = [OrderFault.REFUSED]
+    world.table.faults = [None, lambda: reconcile(first, 2)]
+    load(first, A)
+    assert count_loads(world) == 1 and states(world) == {}
+
+
+def test_unload_does_not_cross_a_load_sent_again():
+    world = make_world()
+    first = start(world, "i1")
+    load(first, A)
+    world.engine.restart()
+    reconcile(first, 1)
+    answers = []
+    world.engine.faults = [None, lambda: answers.append(unload(first, A))]
+    reconcile(first, 2)
+    assert count_loads(world) == 2
+    assert answers[0].failure().fault is LedgerFault.BUSY
+
+
+def test_load_is_not_sent_again_while_its_unload_begins():
+    world = make_world()
+    first = start(world, "i1")
+    load(first, A)
+    world.engine.restart()
+    reconcile(first, 1)
+    first.context.moves.servers["b1"].token_raised = world.ledger.epoch
+    first.context.moves.servers["b1"].proved = world.ledger.epoch
+    world.table.faults = [lambda: reconcile(first, 1)]
+    assert isinstance(unload(first, A), Success)
+    assert count_loads(world) == 1 and world.engine.resident == {}
+
+
+def test_reload_waits_until_a_stray_is_unloaded():
+    world = make_world()
+    first = start(world, "i1")
+    world.engine.faults = ["late"]
+    load(first, A)
+    reconcile(first, 3)
+    unload(first, A)
+    reconcile(first, 2)
+    assert isinstance(load(first, B), Success)
+    world.engine.restart()
+    world.engine.token = 0
+    world.engine.deliver()
+    reconcile(first, 8)
+    assert set(world.engine.resident) == {B.key}
+    check_agreed(world)
+
+
+def test_settlement_does_not_outlive_its_epoch():
+    world = make_world()
+    first = start(world, "i1")
+    plain = first.context
+
+    def send_then_restart(info, order):
+        answer = world.engine.send(info, order)
+        world.engine.restart()
+        first.context = plain
+        reconcile(first, 1)
+        return answer
+
+    first.context = evolve(plain, engine=evolve(plain.engine, send_order=send_then_restart))
+    assert load(first, A).failure().fault is LedgerFault.NOT_OWNER
+    assert states(world) == {"a": EntryState.LOADING}
+    reconcile(first, 5)
+    assert A.key in world.engine.resident and states(world) == {"a": EntryState.RESIDENT}
+
+
 def test_lost_model_is_loaded_again():
     world = make_world()
     first = start(world, "i1")
