Unpin what a former holder may have ordered once it is gone

Cause: a holder that the new owner never observed could not lapse, and a restarted instance keeps its name on the list; both stayed pinned for ever. Ruled out: taking a name's absence from the list alone; the list lags. Change: settle_former reads the sessions of former holders every renewal. Before and after: two tests in test_ownership; pytest -q passes.

--- a/rhubarbshed/coordination/ownership.py
+++ b/rhubarbshed/coordination/ownership.py
@@ -318,18 +318,40 @@
     return Success(tuple(sorted(leases.owned)))
 
 
-def find_gone(
-    leases: Leases, former: Iterable[Holder], listed: frozenset[str], now: float
-) -> frozenset[Holder]:
-    """Return the former holders that are known to be gone.
+def is_gone(leases: Leases, holder: Holder, row: Row, listed: frozenset[str], now: float) -> bool:
+    """Tell whether a former holder is known to be gone.
 
-    An instance is gone once the platform no longer lists it and its lease has lapsed.
+    Its lease must have lapsed, and either the platform no longer lists its instance or a later
+    run of the instance has taken over its session.
     """
-    return frozenset(
-        holder
-        for holder in former
-        if holder.instance not in listed and leases.is_lapsed(holder, now)
-    )
+    session = decode_session(row)
+    replaced = session is not None and session.holder != holder
+    return (replaced or holder.instance not in listed) and leases.is_lapsed(holder, now)
+
+
+async def settle_former(
+    access: TableAccess, leases: Leases, ledger: Ledger, listed: frozenset[str], clock: Clock
+) -> Result[Ledger, LedgerError | TableError]:
+    """Take former holders that are gone out of an owned ledger; call every renewal.
+
+    `listed` are the instances on the platform's list, leaving ones included. Costs one read
+    while there are former holders, and nothing otherwise.
+    """
+    if not ledger.former:
+        return Success(ledger)
+    keys = tuple(make_session_key(holder.instance) for holder in ledger.former)
+    read = await access.runner(access.table.read, keys)
+    if isinstance(read, Failure):
+        return read
+    now = clock()
+    gone = set()
+    for holder, row in zip(ledger.former, read.unwrap(), strict=True):
+        observe_holder(leases, holder, row, now)
+        if is_gone(leases, holder, row, listed, now):
+            gone.add(holder)
+    if not gone:
+        return Success(ledger)
+    return await forget_gone(access, leases, ledger.backend_server, frozenset(gone))
 
 
 async def forget_gone(
--- a/test/test_ownership.py
+++ b/test/test_ownership.py
@@ -5,7 +5,12 @@
 from attrs import evolve
 from returns.result import Success
 
-from rhubarbshed.coordination.ownership import choose_owner, find_gone, forget_gone, hand_over
+from rhubarbshed.coordination.ownership import (
+    choose_owner,
+    hand_over,
+    release_server,
+    settle_former,
+)
 from rhubarbshed.coordination.quotas import AdapterQuota, compute_share
 from rhubarbshed.state.leases import Holder
 from rhubarbshed.state.ledger import LedgerFault
@@ -195,10 +200,45 @@
     complete(first.maintain())
     watch(second, 2 * TERM_S)
     assert world.ledger.former == (Holder("i1", "1"),)
-    leases, now = second.context.leases, world.clock()
-    assert find_gone(leases, world.ledger.former, frozenset({"i1"}), now) == frozenset()
-    gone = find_gone(leases, world.ledger.former, frozenset(), now)
-    complete(forget_gone(second.context.access, leases, "b1", gone))
+    settle_for(second, 2 * TERM_S, {"i1", "i2"})
+    assert world.ledger.former == (Holder("i1", "1"),)
+    settle_for(second, RENEWAL_S, {"i2"})
+    assert world.ledger.former == ()
+
+
+def settle_for(instance, seconds, listed):
+    """Settle former holders every renewal for a time."""
+    end = instance.world.clock.now + seconds
+    while instance.world.clock.now < end:
+        complete(instance.renew())
+        complete(instance.maintain())
+        complete(settle(instance, listed))
+        instance.world.clock.now += RENEWAL_S
+
+
+def settle(instance, listed):
+    context = instance.context
+    return settle_former(
+        context.access, context.leases, instance.world.ledger, frozenset(listed), context.clock
+    )
+
+
+def test_former_run_of_a_listed_instance_is_forgotten_after_a_term():
+    world = World()
+    first, second = start(world, "i1"), start(world, "i2")
+    complete(first.maintain())
+    watch(second, 2 * TERM_S)
+    third = start(world, "i3")
+    complete(release_server(second.context.access, second.context.leases, "b1"))
+    assert complete(third.maintain()).unwrap().taken == ("b1",)
+    start(world, "i1", "2")
+    for _ in range(5):
+        complete(settle(third, {"i1", "i2", "i3"}))
+        complete(third.renew())
+        complete(third.maintain())
+        assert world.ledger.former == (Holder("i1", "1"),)
+        world.clock.now += RENEWAL_S - 0.5
+    complete(settle(third, {"i1", "i2", "i3"}))
     assert world.ledger.former == ()
 
 
