Check a ticket against the part of memory that placement may fill

Cause: a ticket that filled a server to the last byte was accepted, though placement fills 95% at most. Ruled out: shrinking the servers in the caller; the error would show figures that nobody knows. Change: memory_fill_max of check_floor and accept_ticket; Moves keeps a server while an order is on its way. Before and after: test_floor_keeps_to_the_part_that_may_be_filled is new; pytest -q passes.

--- a/rhubarbshed/coordination/floors.py
+++ b/rhubarbshed/coordination/floors.py
@@ -21,6 +21,14 @@
     power_watts: float
 
 
+@frozen
+class Engine:
+    """Hold the data centre of a backend server and the bytes that may be filled there."""
+
+    data_centre: str
+    memory_bytes: int
+
+
 @define
 class Space:
     """Hold what a backend server and its data centre have left while packing."""
@@ -48,15 +56,21 @@
     objects_after: Iterable[CatalogueObject],
     backend_servers: Iterable[BackendServerInfo],
     power_watts_max: float,
+    memory_fill_max: float = 1.0,
 ) -> Result[None, RequestError]:
     """Check that one copy of every model fits, or tell the sum that does not.
 
-    Power is in watts for each data centre, 0 for no limit. Packing is best fit decreasing: it
+    Power is in watts for each data centre, 0 for no limit. `memory_fill_max` is the part of a
+    backend server's memory that may be filled. Packing is best fit decreasing: it
     may refuse a catalogue that only a perfect packing would hold, and never admits one that
     does not fit.
     """
     loads = list_loads(objects_after)
-    engines = [s for s in backend_servers if s.kind is BackendKind.ENGINE]
+    engines = [
+        Engine(server.data_centre, int(server.memory_bytes * memory_fill_max))
+        for server in backend_servers
+        if server.kind is BackendKind.ENGINE
+    ]
     if not loads:
         return Success(None)
     if not engines:
@@ -74,7 +88,7 @@
 
 
 def _pack(
-    loads: tuple[Load, ...], engines: list[BackendServerInfo], power_watts_max: float
+    loads: tuple[Load, ...], engines: list[Engine], power_watts_max: float
 ) -> Result[None, RequestError]:
     spaces = [Space(server.data_centre, server.memory_bytes) for server in engines]
     limit = power_watts_max if power_watts_max > 0 else float("inf")
--- a/rhubarbshed/coordination/ownership.py
+++ b/rhubarbshed/coordination/ownership.py
@@ -351,6 +351,7 @@
             gone.add(holder)
     if not gone:
         return Success(ledger)
+    leases.forget(frozenset(gone))
     return await forget_gone(access, leases, ledger.backend_server, frozenset(gone))
 
 
--- a/rhubarbshed/coordination/tickets.py
+++ b/rhubarbshed/coordination/tickets.py
@@ -132,6 +132,7 @@
     rows: Rows,
     backend_servers: tuple[BackendServerInfo, ...],
     power_watts_max: float,
+    memory_fill_max: float,
 ) -> Result[Proposal, RequestError]:
     """Plan a ticket's transaction from the head, the ticket's own row and all objects.
 
@@ -141,10 +142,11 @@
     if own.value is not None:
         return _answer_again(ticket, own)
     held = tuple(decode_object(row).unwrap() for row in rows.scanned if row.value is not None)
+    after = merge_objects(held, ticket)
     checked = (
         _check_numbers(ticket, held)
-        .bind(lambda _: check_references(merge_objects(held, ticket), ticket))
-        .bind(lambda _: check_floor(merge_objects(held, ticket), backend_servers, power_watts_max))
+        .bind(lambda _: check_references(after, ticket))
+        .bind(lambda _: check_floor(after, backend_servers, power_watts_max, memory_fill_max))
     )
     return checked.map(lambda _: _propose(ticket, rows))
 
@@ -195,6 +197,7 @@
     ticket: Ticket,
     backend_servers: tuple[BackendServerInfo, ...],
     power_watts_max: float,
+    memory_fill_max: float = 1.0,
 ) -> Result[TicketReceipt, RequestError]:
     """Put a ticket in force as a whole, or tell why not; asked again, answer the same.
 
@@ -208,7 +211,7 @@
     answer = await transact(
         access,
         keys,
-        lambda rows: plan_ticket(ticket, rows, backend_servers, power_watts_max),
+        lambda rows: plan_ticket(ticket, rows, backend_servers, power_watts_max, memory_fill_max),
         OBJECT_PREFIX,
     )
     if isinstance(answer, Failure) and isinstance(answer.failure(), TableError):
--- a/rhubarbshed/state/moves.py
+++ b/rhubarbshed/state/moves.py
@@ -80,5 +80,6 @@
         return held is None or not held.in_flight and not held.reconciling
 
     def forget(self, backend_server: str) -> None:
-        """Forget a backend server that is no longer owned."""
-        self.servers.pop(backend_server, None)
+        """Forget a backend server that is no longer owned, unless an order is on its way."""
+        if self.is_idle(backend_server):
+            self.servers.pop(backend_server, None)
--- a/test/test_tickets.py
+++ b/test/test_tickets.py
@@ -130,6 +130,14 @@
     assert isinstance(accept(world, Ticket(1, hot), 600.0), Success)
 
 
+def test_floor_keeps_to_the_part_that_may_be_filled():
+    two = tuple(Model(f"m{n}", "v1", 98) for n in range(2))
+    assert isinstance(accept(World(), Ticket(1, two)), Success)
+    access = World().make_access()
+    error = complete(accept_ticket(access, Ticket(1, two), SERVERS, 0.0, 0.95)).failure()
+    assert "196" in error.message and "190" in error.message
+
+
 def test_table_down_is_not_run():
     world = World()
     world.table.down = True
