Read a ticket's rows anew when the scan after them is newer

Cause: fuzzing found a ticket refused as a conflict with itself: a copy of it took effect between the read of its row and the scan of the objects. Ruled out: scanning first; a commit could then pass on an old scan.

--- a/rhubarbshed/coordination/transactions.py
+++ b/rhubarbshed/coordination/transactions.py
@@ -72,9 +72,9 @@
     """Read rows, plan, and commit; plan again from fresh rows after a conflict.
 
     Every row read is checked, and only rows read may be written, so a late copy of a
-    transaction cannot take effect twice. `prefix` adds a scan whose rows are not checked. A
-    failure is the plan's error or a `TableError`; `UNKNOWN` means that the write may yet take
-    effect.
+    transaction cannot take effect twice. `prefix` adds a scan whose rows are not checked; one of
+    `keys` must change with each of them. A failure is the plan's error or a `TableError`;
+    `UNKNOWN` means that the write may yet take effect.
     """
     for attempt in range(ATTEMPTS_MAX):
         rows = await read_rows(access, keys, prefix)
@@ -99,16 +99,28 @@
 async def read_rows(
     access: TableAccess, keys: tuple[str, ...], prefix: str
 ) -> Result[Rows, TableError]:
-    """Read rows by key, then scan a prefix; a lost answer counts as unavailable."""
-    read = await access.runner(access.table.read, keys)
-    if isinstance(read, Failure):
-        return Failure(evolve(read.failure(), fault=TableFault.UNAVAILABLE))
-    if not prefix:
-        return Success(Rows(read.unwrap()))
-    scan = await access.runner(access.table.scan, prefix, 0)
-    if isinstance(scan, Failure):
-        return Failure(evolve(scan.failure(), fault=TableFault.UNAVAILABLE))
-    return Success(Rows(read.unwrap(), scan.unwrap().rows))
+    """Read rows by key, then scan a prefix; a lost answer counts as unavailable.
+
+    One of the rows read must change with every row of the prefix. Where the scan shows a later
+    change than any row read, both are read anew, so that a plan never sees two moments at once.
+    """
+    for attempt in range(ATTEMPTS_MAX):
+        read = await access.runner(access.table.read, keys)
+        if isinstance(read, Failure):
+            return Failure(evolve(read.failure(), fault=TableFault.UNAVAILABLE))
+        if not prefix:
+            return Success(Rows(read.unwrap()))
+        scan = await access.runner(access.table.scan, prefix, 0)
+        if isinstance(scan, Failure):
+            return Failure(evolve(scan.failure(), fault=TableFault.UNAVAILABLE))
+        if _find_latest(scan.unwrap().rows) <= _find_latest(read.unwrap()):
+            return Success(Rows(read.unwrap(), scan.unwrap().rows))
+        await access.sleep(choose_pause(attempt, access.chance))
+    return Failure(TableError(TableFault.UNAVAILABLE, detail="rows changed with every read"))
+
+
+def _find_latest(rows: tuple[Row, ...]) -> int:
+    return max((row.revision for row in rows), default=0)
 
 
 def make_transaction(rows: Rows, proposal: Proposal, write_id: str) -> Transaction:
--- a/test/test_tickets.py
+++ b/test/test_tickets.py
@@ -3,6 +3,7 @@
 import itertools
 
 import pytest
+from attrs import evolve
 from returns.result import Failure, Success
 
 from rhubarbshed.coordination.catalogues import refresh_catalogue
@@ -59,6 +60,21 @@
     assert world.table.revision == 1
 
 
+def test_same_ticket_put_in_force_between_read_and_scan():
+    world = World()
+    first = []
+
+    def scan(prefix, revision):
+        if not first:
+            first.append(None)
+            first.append(accept(world, Ticket(1, (M1,))))
+        return world.table.scan(prefix, revision)
+
+    access = world.make_access()
+    access.table = evolve(access.table, scan=scan)
+    assert complete(accept_ticket(access, Ticket(1, (M1,)), SERVERS, 0.0)) == first[1]
+
+
 def test_same_number_with_other_content_is_refused():
     world = World()
     accept(world, Ticket(1, (M1,)))
