--- a/rhubarbshed/coordination/ownership.py
+++ b/rhubarbshed/coordination/ownership.py
@@ -200,7 +200,9 @@
 ) -> Result[OwnershipChange, TableError]:
     """Follow, take and hand over backend servers of the own data centre; call every renewal.
 
-    `live` are the live instances of the data centre, `backend_servers` its engines. Costs one
+    `live` are the instances of the data centre that hold a lease by the word of their own
+    heartbeats, `backend_servers` its engines. An instance that cannot reach the table must not
+    count, or what it is preferred for stays without an owner. Costs one
     read while nothing changes, another where a preferred server has a foreign owner.
     """
     if not leases.is_held(clock()):
--- a/test/test_loads.py
+++ b/test/test_loads.py
@@ -10,6 +10,7 @@
 from rhubarbshed.state.floors import decode_floor
 from rhubarbshed.state.leases import Holder
 from rhubarbshed.state.ledger import EntryState, LedgerFault
+from rhubarbshed.state.moves import ORDER_LIFETIME_S
 from rhubarbshed.state.weights import decode_use
 from test.helper_agreed import (
     MEMORY_BYTES,
@@ -268,6 +269,17 @@
     assert world.ledger.former == (Holder("i1", "1"),)
 
 
+def test_own_load_in_doubt_is_pinned_for_an_orders_longest_time():
+    world = make_world(checks=False)
+    first = start(world, "i1")
+    world.engine.faults = ["late"]
+    load(first, A)
+    reconcile(first, 2)
+    assert unload(first, A).failure().fault is LedgerFault.PINNED
+    reconcile(first, int(ORDER_LIFETIME_S))
+    assert isinstance(unload(first, A), Success)
+
+
 @BOTH_KINDS
 def test_server_restart_loads_all_again(checks):
     world = make_world(checks)
--- a/test/test_tickets.py
+++ b/test/test_tickets.py
@@ -6,10 +6,11 @@
 from attrs import evolve
 from returns.result import Failure, Success
 
-from rhubarbshed.coordination.catalogues import refresh_catalogue
+from rhubarbshed.coordination.catalogues import load_snapshot, refresh_catalogue, store_snapshot
 from rhubarbshed.coordination.tickets import accept_ticket, compute_digest
 from rhubarbshed.protocol.catalogue import Adapter, Model, ObjectKey, Service, Ticket
 from rhubarbshed.protocol.errors import Outcome
+from rhubarbshed.protocol.platform import ObjectClient
 from rhubarbshed.state.catalogue import Catalogue
 from rhubarbshed.state.snapshots import apply_snapshot, decode_snapshot, encode_snapshot
 from test.helper_agreed import World, complete, make_server
@@ -196,5 +197,27 @@
     assert catalogue.compute_digest() != before
 
 
+def test_snapshot_in_the_object_store():
+    world, stored = World(), {}
+    objects = ObjectClient(lambda key: Success(stored.get(key)), make_put(stored))
+    access = world.make_access()
+    assert complete(load_snapshot(access, objects, Catalogue())) == Success(())
+    accept(world, Ticket(1, (M1,)))
+    full = refresh(world, Catalogue())
+    complete(store_snapshot(access, objects, full)).unwrap()
+    world.table.down = True
+    started = Catalogue()
+    complete(load_snapshot(access, objects, started)).unwrap()
+    assert started == full
+
+
+def make_put(stored):
+    def put(key, data):
+        stored[key] = data
+        return Success(None)
+
+    return put
+
+
 def test_bad_snapshot_is_told():
     assert isinstance(decode_snapshot(b"\xc1"), Failure)
