Split the following of ledgers out of maintain_ownership

Ruled out: nothing. Change: _follow_ledgers; no change of behaviour. Before and after: pytest -q passes as before.

--- a/rhubarbshed/coordination/ownership.py
+++ b/rhubarbshed/coordination/ownership.py
@@ -202,24 +202,23 @@
 
     `live` are the instances of the data centre that hold a lease by the word of their own
     heartbeats, `backend_servers` its engines. An instance that cannot reach the table must not
-    count, or what it is preferred for stays without an owner. Costs one
-    read while nothing changes, another where a preferred server has a foreign owner.
+    count, or what it is preferred for stays without an owner. Costs one read while nothing
+    changes, another where a preferred server has a foreign owner.
     """
     if not leases.is_held(clock()):
         return Success(OwnershipChange())
     instances = {*live, leases.own.instance}
     preferred = {s for s in backend_servers if choose_owner(s, instances) == leases.own.instance}
-    watched = tuple(sorted(preferred | set(leases.owned)))
-    held_until = leases.held_until
-    ledgers = await _read_ledgers(access, watched)
+    before = set(leases.owned)
+    ledgers = await _follow_ledgers(access, leases, preferred | before, clock)
     if isinstance(ledgers, Failure):
         return ledgers
-    before = set(leases.owned)
-    for ledger in ledgers.unwrap():
-        note_ledger(leases, ledger, held_until, clock())
     lost = tuple(sorted(before - set(leases.owned)))
-    foreign = [ledger for ledger in ledgers.unwrap() if ledger.owner != leases.own]
-    foreign = [ledger for ledger in foreign if ledger.backend_server in preferred]
+    foreign = [
+        ledger
+        for ledger in ledgers.unwrap()
+        if ledger.owner != leases.own and ledger.backend_server in preferred
+    ]
     observed = await _observe_holders(access, leases, foreign, clock)
     if isinstance(observed, Failure):
         return observed
@@ -233,18 +232,23 @@
     return Success(OwnershipChange(taken, released, lost, tuple(held)))
 
 
-async def _read_ledgers(
-    access: TableAccess, backend_servers: tuple[str, ...]
+async def _follow_ledgers(
+    access: TableAccess, leases: Leases, backend_servers: set[str], clock: Clock
 ) -> Result[tuple[Ledger, ...], TableError]:
-    if not backend_servers:
+    """Read the rows of backend servers, and follow the owners that they name."""
+    names = sorted(backend_servers)
+    if not names:
         return Success(())
-    keys = tuple(make_backend_key(name) for name in backend_servers)
+    held_until = leases.held_until
+    keys = tuple(make_backend_key(name) for name in names)
     read = await access.runner(access.table.read, keys)
-    return read.map(
-        lambda rows: tuple(
-            decode_ledger(name, row.value) for name, row in zip(backend_servers, rows, strict=True)
-        )
-    )
+    if isinstance(read, Failure):
+        return read
+    rows = zip(names, read.unwrap(), strict=True)
+    ledgers = tuple(decode_ledger(name, row.value) for name, row in rows)
+    for ledger in ledgers:
+        note_ledger(leases, ledger, held_until, clock())
+    return Success(ledgers)
 
 
 async def _observe_holders(
