Test that instances share the weight store's rate

Cause: only one instance's own rate was tested. Ruled out: nothing. Change: one test with two instances and two servers. Before and after: pytest -q passes.

--- a/test/test_loads.py
+++ b/test/test_loads.py
@@ -1,5 +1,7 @@
 """Tests of loads and unloads, and of the memory ledger behind them."""
 
+import itertools
+
 import pytest
 from attrs import evolve
 from returns.result import Failure, Success
@@ -24,6 +26,7 @@
     make_spec,
 )
 
+CLOCK_ERROR_S = 1e-6
 A, B = make_spec("a", 60), make_spec("b", 60)
 BOTH_KINDS = pytest.mark.parametrize("checks", [True, False])
 
@@ -484,6 +487,23 @@
     assert world.clock.now >= granted_at + 1 / 1.5
 
 
+def test_instances_share_the_rate_of_the_weight_store():
+    world = make_world()
+    other = World.from_server(make_server("b2"), table=world.table, clock=world.clock)
+    other.ids = world.ids
+    first, second = start(world, "i1"), Instance.start(other, "i2")
+    complete(second.renew())
+    complete(second.maintain(servers=("b2",)))
+    complete(second.reconcile(3))
+    granted_at = []
+    for instance, name in ((first, "m1"), (second, "m2"), (first, "m3"), (second, "m4")):
+        loaded = complete(execute_load(instance.context, instance.world.budget, make_spec(name, 1)))
+        assert isinstance(loaded, Success)
+        granted_at.append(world.clock.now)
+    gaps = [late - soon for soon, late in itertools.pairwise(granted_at)]
+    assert min(gaps) >= 1 / 1.5 - CLOCK_ERROR_S
+
+
 def test_gone_server_frees_slots_and_power():
     world = make_world(power_watts_max=500.0)
     first = start(world, "i1")
