--- a/rhubarbshed/coordination/ownership.py
+++ b/rhubarbshed/coordination/ownership.py
@@ -194,24 +194,25 @@
 ) -> Result[OwnershipChange, TableError]:
     """Follow, take and hand over backend servers of the own data centre; call every renewal.
 
-    `live` are the live instances of the data centre, `backend_servers` its engines. Costs one
-    read while nothing changes, another where a preferred server has a foreign owner.
+    `live` are the instances of the data centre that hold a lease by the word of their own
+    heartbeats, `backend_servers` its engines. An instance that cannot reach the table must not
+    count, or what it is preferred for stays without an owner. Costs one read while nothing
+    changes, another where a preferred server has a foreign owner.
     """
     if not leases.is_held(clock()):
         return Success(OwnershipChange())
     instances = {*live, leases.own.instance}
     preferred = {s for s in backend_servers if choose_owner(s, instances) == leases.own.instance}
-    watched = tuple(sorted(preferred | set(leases.owned)))
-    held_until = leases.held_until
-    ledgers = await _read_ledgers(access, watched)
+    before = set(leases.owned)
+    ledgers = await _follow_ledgers(access, leases, preferred | before, clock)
     if isinstance(ledgers, Failure):
         return ledgers
-    before = set(leases.owned)
-    for ledger in ledgers.unwrap():
-        note_ledger(leases, ledger, held_until, clock())
     lost = tuple(sorted(before - set(leases.owned)))
-    foreign = [ledger for ledger in ledgers.unwrap() if ledger.owner != leases.own]
-    foreign = [ledger for ledger in foreign if ledger.backend_server in preferred]
+    foreign = [
+        ledger
+        for ledger in ledgers.unwrap()
+        if ledger.owner != leases.own and ledger.backend_server in preferred
+    ]
     observed = await _observe_holders(access, leases, foreign, clock)
     if isinstance(observed, Failure):
         return observed
@@ -225,18 +226,23 @@
     return Success(OwnershipChange(taken, released, lost, tuple(held)))
 
 
-async def _read_ledgers(
-    access: TableAccess, backend_servers: tuple[str, ...]
+async def _follow_ledgers(
+    access: TableAccess, leases: Leases, backend_servers: set[str], clock: Clock
 ) -> Result[tuple[Ledger, ...], TableError]:
-    if not backend_servers:
+    """Read the rows of backend servers, and follow the owners that they name."""
+    names = sorted(backend_servers)
+    if not names:
         return Success(())
-    keys = tuple(make_backend_key(name) for name in backend_servers)
+    held_until = leases.held_until
+    keys = tuple(make_backend_key(name) for name in names)
     read = await access.runner(access.table.read, keys)
-    return read.map(
-        lambda rows: tuple(
-            decode_ledger(name, row.value) for name, row in zip(backend_servers, rows, strict=True)
-        )
-    )
+    if isinstance(read, Failure):
+        return read
+    rows = zip(names, read.unwrap(), strict=True)
+    ledgers = tuple(decode_ledger(name, row.value) for name, row in rows)
+    for ledger in ledgers:
+        note_ledger(leases, ledger, held_until, clock())
+    return Success(ledgers)
 
 
 async def _observe_holders(
@@ -312,18 +318,41 @@
     return Success(tuple(sorted(leases.owned)))
 
 
-def find_gone(
-    leases: Leases, former: Iterable[Holder], listed: frozenset[str], now: float
-) -> frozenset[Holder]:
-    """Return the former holders that are known to be gone.
+def is_gone(leases: Leases, holder: Holder, row: Row, listed: frozenset[str], now: float) -> bool:
+    """Tell whether a former holder is known to be gone.
 
-    An instance is gone once the platform no longer lists it and its lease has lapsed.
+    Its lease must have lapsed, and either the platform no longer lists its instance or a later
+    run of the instance has taken over its session.
     """
-    return frozenset(
-        holder
-        for holder in former
-        if holder.instance not in listed and leases.is_lapsed(holder, now)
-    )
+    session = decode_session(row)
+    replaced = session is not None and session.holder != holder
+    return (replaced or holder.instance not in listed) and leases.is_lapsed(holder, now)
+
+
+async def settle_former(
+    access: TableAccess, leases: Leases, ledger: Ledger, listed: frozenset[str], clock: Clock
+) -> Result[Ledger, LedgerError | TableError]:
+    """Take former holders that are gone out of an owned ledger; call every renewal.
+
+    `listed` are the instances on the platform's list, leaving ones included. Costs one read
+    while there are former holders, and nothing otherwise.
+    """
+    if not ledger.former:
+        return Success(ledger)
+    keys = tuple(make_session_key(holder.instance) for holder in ledger.former)
+    read = await access.runner(access.table.read, keys)
+    if isinstance(read, Failure):
+        return read
+    now = clock()
+    gone = set()
+    for holder, row in zip(ledger.former, read.unwrap(), strict=True):
+        observe_holder(leases, holder, row, now)
+        if is_gone(leases, holder, row, listed, now):
+            gone.add(holder)
+    if not gone:
+        return Success(ledger)
+    leases.forget(frozenset(gone))
+    return await forget_gone(access, leases, ledger.backend_server, frozenset(gone))
 
 
 async def forget_gone(
--- a/test/test_tickets.py
+++ b/test/test_tickets.py
@@ -3,12 +3,14 @@
 import itertools
 
 import pytest
+from attrs import evolve
 from returns.result import Failure, Success
 
-from rhubarbshed.coordination.catalogues import refresh_catalogue
+from rhubarbshed.coordination.catalogues import load_snapshot, refresh_catalogue, store_snapshot
 from rhubarbshed.coordination.tickets import accept_ticket, compute_digest
 from rhubarbshed.protocol.catalogue import Adapter, Model, ObjectKey, Service, Ticket
 from rhubarbshed.protocol.errors import Outcome
+from rhubarbshed.protocol.platform import ObjectClient
 from rhubarbshed.state.catalogue import Catalogue
 from rhubarbshed.state.snapshots import apply_snapshot, decode_snapshot, encode_snapshot
 from test.helper_agreed import World, complete, make_server
@@ -59,6 +61,21 @@
     assert world.table.revision == 1
 
 
+def test_same_ticket_put_in_force_between_read_and_scan():
+    world = World()
+    first = []
+
+    def scan(prefix, revision):
+        if not first:
+            first.append(None)
+            first.append(accept(world, Ticket(1, (M1,))))
+        return world.table.scan(prefix, revision)
+
+    access = world.make_access()
+    access.table = evolve(access.table, scan=scan)
+    assert complete(accept_ticket(access, Ticket(1, (M1,)), SERVERS, 0.0)) == first[1]
+
+
 def test_same_number_with_other_content_is_refused():
     world = World()
     accept(world, Ticket(1, (M1,)))
@@ -130,6 +147,14 @@
     assert isinstance(accept(world, Ticket(1, hot), 600.0), Success)
 
 
+def test_floor_keeps_to_the_part_that_may_be_filled():
+    two = tuple(Model(f"m{n}", "v1", 98) for n in range(2))
+    assert isinstance(accept(World(), Ticket(1, two)), Success)
+    access = World().make_access()
+    error = complete(accept_ticket(access, Ticket(1, two), SERVERS, 0.0, 0.95)).failure()
+    assert "196" in error.message and "190" in error.message
+
+
 def test_table_down_is_not_run():
     world = World()
     world.table.down = True
@@ -172,5 +197,27 @@
     assert catalogue.compute_digest() != before
 
 
+def test_snapshot_in_the_object_store():
+    world, stored = World(), {}
+    objects = ObjectClient(lambda key: Success(stored.get(key)), make_put(stored))
+    access = world.make_access()
+    assert complete(load_snapshot(access, objects, Catalogue())) == Success(())
+    accept(world, Ticket(1, (M1,)))
+    full = refresh(world, Catalogue())
+    complete(store_snapshot(access, objects, full)).unwrap()
+    world.table.down = True
+    started = Catalogue()
+    complete(load_snapshot(access, objects, started)).unwrap()
+    assert started == full
+
+
+def make_put(stored):
+    def put(key, data):
+        stored[key] = data
+        return Success(None)
+
+    return put
+
+
 def test_bad_snapshot_is_told():
     assert isinstance(decode_snapshot(b"\xc1"), Failure)
