--- a/tools/bench.py
+++ b/tools/bench.py
@@ -207,8 +207,11 @@
         platform.stop()
 
 
-def run_both(case: Case, settings: LoadSettings) -> None:
-    """Measure direct calls, then calls through an instance to the same engine."""
+def run_both(case: Case, settings: LoadSettings, preload: bool) -> None:
+    """Measure direct calls, then calls through an instance to the same engine.
+
+    `preload` loads the model without waiting for the instance to place it.
+    """
     platform = Platform.from_case(case)
     started = []
     try:
@@ -217,6 +220,8 @@
         instance = launch(platform, ports)
         started.append(instance)
         apply_ticket(f"http://127.0.0.1:{ports[1]}")
+        if preload:
+            load_directly(platform.engine)
         wait_until_served(instance.url)
         time.sleep(IDLE_S)
         idle = {"rss_idle_mb": round(read_rss_mb(instance.pid), 1)}
@@ -242,7 +247,12 @@
 
 
 def main(
-    direct_only: bool = False, share: float = 1.0, only: str = "", tokens: int = 240, seed: int = 1
+    direct_only: bool = False,
+    preload: bool = False,
+    share: float = 1.0,
+    only: str = "",
+    tokens: int = 240,
+    seed: int = 1,
 ) -> None:
     """Run all cases, or `only` one; `share` sends that part of the requests."""
     for case in CASES:
@@ -258,7 +268,10 @@
             stagger_s=case.stagger_s,
             seed=seed,
         )
-        (run_direct if direct_only else run_both)(case, settings)
+        if direct_only:
+            run_direct(case, settings)
+        else:
+            run_both(case, settings, preload)
 
 
 if __name__ == "__main__":
