--- a/rhubarbshed/coordination/placement.py
+++ b/rhubarbshed/coordination/placement.py
@@ -22,7 +22,6 @@
     MoveRecord,
     PlacementPlan,
     ServerView,
-    SpareSlot,
 )
 from rhubarbshed.util.settings import PlacementSettings, WeightStoreSettings
 
@@ -64,7 +63,6 @@
     store: WeightStoreSettings,
     records: tuple[MoveRecord, ...],
     now: float,
-    spares: tuple[SpareSlot, ...] = (),
 ) -> PlacementPlan:
     """Plan the moves of one interval for all servers given, the same on each instance.
 
@@ -72,7 +70,7 @@
     monotonic seconds. The caller carries out only moves of backend servers that it owns.
     """
     floor = Floor.from_views(models, adapters, servers, records, settings.memory_fill_max)
-    planner = Planner.from_config(floor, settings, store, records, spares, now)
+    planner = Planner.from_config(floor, settings, store, records, now)
     drop_deleted(planner)
     reach_models(planner)
     reach_adapters(planner)
--- a/rhubarbshed/coordination/planner.py
+++ b/rhubarbshed/coordination/planner.py
@@ -12,7 +12,6 @@
     MoveReason,
     MoveRecord,
     PlacementPlan,
-    SpareSlot,
 )
 from rhubarbshed.util.settings import PlacementSettings, WeightStoreSettings
 
@@ -27,7 +26,6 @@
     loads_left: int
     adapters_left: int
     rooms_left: int
-    spares: dict[str, int]
     held: dict[str, int] = Factory(lambda: defaultdict(int))
     unloaded_at: dict[str, float] = Factory(dict)
     moves: list[Move] = Factory(list)
@@ -40,7 +38,6 @@
         settings: PlacementSettings,
         store: WeightStoreSettings,
         records: tuple[MoveRecord, ...],
-        spares: tuple[SpareSlot, ...],
         now: float,
     ) -> "Planner":
         """Start a plan with what the moves in flight leave of the limits."""
@@ -57,7 +54,6 @@
             max(0, min(store.loads_at_once - loading, per_interval)),
             max(0, store.adapters_in_flight - adapters),
             store.loads_at_once,
-            {spare.backend_server: spare.memory_bytes for spare in spares},
         )
         for record in records:
             if record.move.kind is MoveKind.UNLOAD:
@@ -69,13 +65,9 @@
         """Return the plan; adapters go out before their model within it."""
         return PlacementPlan(tuple(self.moves), tuple(sorted(self.unplaced)))
 
-    def has_bytes(self, server: str, needed: int) -> bool:
-        """Tell whether bytes are free at once, spare slots counted as free."""
-        return self.floor.bays[server].free_bytes - self.held[server] >= needed
-
     def has_room(self, server: str, needed: int) -> bool:
-        """Tell whether bytes are free at once, spare slots left alone."""
-        return self.has_bytes(server, needed + self.spares.get(server, 0))
+        """Tell whether bytes are free at once and not held for something more urgent."""
+        return self.floor.bays[server].free_bytes - self.held[server] >= needed
 
     def has_power(self, server: str, watts: float) -> bool:
         """Tell whether the data centre's power limit admits more watts."""
@@ -97,9 +89,8 @@
         return self.now - last >= self.settings.dwell_min_s
 
     def load(self, model: Model, server: str, reason: MoveReason) -> bool:
-        """Plan a load if it may start now; spare slots may be used to reach a model."""
-        urgent = reason in (MoveReason.REACH, MoveReason.VERSION, MoveReason.LEAVING)
-        fits = (self.has_bytes if urgent else self.has_room)(server, model.memory_bytes)
+        """Plan a load if it may start now."""
+        fits = self.has_room(server, model.memory_bytes)
         if not fits or self.loads_left <= 0 or not self.has_power(server, model.power_watts):
             return False
         self.loads_left -= 1
@@ -109,7 +100,7 @@
 
     def load_adapter(self, adapter: Adapter, server: str, reason: MoveReason) -> bool:
         """Plan the load of an adapter if it may start now."""
-        if not self.has_bytes(server, adapter.memory_bytes) or self.adapters_left <= 0:
+        if not self.has_room(server, adapter.memory_bytes) or self.adapters_left <= 0:
             return False
         self.adapters_left -= 1
         size = adapter.memory_bytes
--- a/rhubarbshed/coordination/reach.py
+++ b/rhubarbshed/coordination/reach.py
@@ -116,7 +116,7 @@
             unmatched.remove(twin)
             if twin.ready:
                 planner.unload(copy, MoveReason.VERSION)
-        elif planner.has_bytes(copy.server, model.memory_bytes):
+        elif planner.has_room(copy.server, model.memory_bytes):
             planner.load(model, copy.server, MoveReason.VERSION)
         elif not planner.is_moving(model.name, bays[copy.server].data_centre):
             planner.unload(copy, MoveReason.VERSION)
@@ -146,7 +146,7 @@
         if planner.load_adapter(adapter, server, MoveReason.REACH) and not spread:
             return
     if places and not spread:
-        if not any(planner.has_bytes(server, adapter.memory_bytes) for server in places):
+        if not any(planner.has_room(server, adapter.memory_bytes) for server in places):
             _make_adapter_room(planner, adapter, places)
 
 
--- a/rhubarbshed/protocol/placement.py
+++ b/rhubarbshed/protocol/placement.py
@@ -26,7 +26,6 @@
     VERSION = "version"
     LEAVING = "leaving"
     MAKE_ROOM = "make_room"
-    CONTINGENCY = "contingency"
     DELETED = "deleted"
 
 
@@ -99,31 +98,3 @@
 
     moves: tuple[Move, ...] = field(factory=tuple)
     unplaced: tuple[str, ...] = field(factory=tuple)
-
-
-@frozen
-class ContingencyIntent:
-    """Allow a load to be made without the table service once `at_risk` has died."""
-
-    data_centre: str
-    at_risk: str
-    backend_server: str
-    model: str
-    version: str
-    memory_bytes: int
-
-
-@frozen
-class SpareSlot:
-    """Keep bytes of a backend server free for contingency intents."""
-
-    backend_server: str
-    memory_bytes: int
-
-
-@frozen
-class ContingencyPlan:
-    """Hold the intents to write ahead and the bytes they need; one death at a time shares them."""
-
-    intents: tuple[ContingencyIntent, ...] = field(factory=tuple)
-    spares: tuple[SpareSlot, ...] = field(factory=tuple)
--- a/test/test_placement.py
+++ b/test/test_placement.py
@@ -5,13 +5,13 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from rhubarbshed.coordination.contingency import plan_contingency
 from rhubarbshed.coordination.placement import select_owned
 from rhubarbshed.protocol.catalogue import Adapter
 from rhubarbshed.protocol.members import Standing
 from rhubarbshed.protocol.placement import ModelDemand, MoveKind, MoveReason
 from rhubarbshed.util.settings import Settings
 from test.helper_placement import Floor, make_model, make_server
+from tools.contingency import plan_contingency
 
 PROFILES = ("rhubarbshed/profiles/cedarpulpit.ini", "rhubarbshed/profiles/guadalajara.ini")
 
--- a/rhubarbshed/coordination/contingency.py
+++ b/tools/contingency.py
@@ -1,15 +1,40 @@
-"""Loads allowed ahead of time, for a data centre that is cut off from the table service."""
+"""Loads allowed ahead of time, measured for a data centre cut off from the table service."""
 
 from collections import defaultdict
 
+from attrs import field, frozen
+
 from rhubarbshed.protocol.catalogue import Model
 from rhubarbshed.protocol.members import BackendKind, Standing
-from rhubarbshed.protocol.placement import (
-    ContingencyIntent,
-    ContingencyPlan,
-    ServerView,
-    SpareSlot,
-)
+from rhubarbshed.protocol.placement import ServerView
+
+
+@frozen
+class ContingencyIntent:
+    """Allow a load to be made without the table service once `at_risk` has died."""
+
+    data_centre: str
+    at_risk: str
+    backend_server: str
+    model: str
+    version: str
+    memory_bytes: int
+
+
+@frozen
+class SpareSlot:
+    """Keep bytes of a backend server free for contingency intents."""
+
+    backend_server: str
+    memory_bytes: int
+
+
+@frozen
+class ContingencyPlan:
+    """Hold the intents to write ahead and the bytes they need; one death at a time shares them."""
+
+    intents: tuple[ContingencyIntent, ...] = field(factory=tuple)
+    spares: tuple[SpareSlot, ...] = field(factory=tuple)
 
 
 def plan_contingency(
--- a/tools/placement.py
+++ b/tools/placement.py
@@ -9,7 +9,6 @@
 import typer
 from attrs import Factory, define, frozen
 
-from rhubarbshed.coordination.contingency import find_usable, plan_contingency
 from rhubarbshed.coordination.placement import plan_moves
 from rhubarbshed.protocol.members import Standing
 from rhubarbshed.protocol.orders import Resident
@@ -24,6 +23,7 @@
 from rhubarbshed.state.demand import Demand
 from rhubarbshed.util.settings import Settings
 from tools.baselines import choose_target, move_to, plan_greedy
+from tools.contingency import find_usable, plan_contingency
 from tools.scenario import (
     ANSWER_TOKENS,
     SERVER_SLOTS,
@@ -253,9 +253,8 @@
     views = tuple(bench.views.values())
     placement = bench.settings.placement
     scenario = bench.scenario
-    spares = ()
     if spared:
-        spares = plan_contingency(scenario.models, views, placement.memory_fill_max).spares
+        views = _reserve_spares(scenario, views, placement.memory_fill_max)
     return plan_moves(
         scenario.models,
         scenario.adapters,
@@ -265,7 +264,20 @@
         bench.settings.weight_store,
         tuple(bench.records),
         bench.now,
-        spares,
+    )
+
+
+def _reserve_spares(
+    scenario: Scenario, views: tuple[ServerView, ...], fill: float
+) -> tuple[ServerView, ...]:
+    """Count the spare slots of contingency as reserved in the ledger."""
+    spares = {
+        spare.backend_server: spare.memory_bytes
+        for spare in plan_contingency(scenario.models, views, fill).spares
+    }
+    return tuple(
+        attrs.evolve(view, reserved_bytes=view.reserved_bytes + spares.get(view.info.name, 0))
+        for view in views
     )
 
 
@@ -323,16 +335,17 @@
     return sum(values) / max(1, len(values))
 
 
-def main(seed: int = 1, size: str = "both", use: float = 0.6) -> None:
-    """Print one table; sizes are small (15 models, 5 servers) and large (200 models, 60)."""
+def main(seed: int = 1, size: str = "all", use: float = 0.6) -> None:
+    """Print one table; sizes are small (15 models, 5 servers), roomy (9) and large (200, 60)."""
     print(
         "floor  policy             attained  met/s/acc  moves  adapt   min     mean"
         "   adapt.     cut cut+int plan ms"
     )
     small = Scenario.from_seed("small", seed, 15, 40, 5, 3, use, 10800.0)
+    roomy = Scenario.from_seed("roomy", seed, 15, 40, 9, 3, use, 10800.0)
     large = Scenario.from_seed("large", seed, 200, 40, 60, 3, use, 10800.0)
-    for scenario in (small, large):
-        if size in ("both", scenario.name):
+    for scenario in (small, roomy, large):
+        if size in ("all", scenario.name):
             for row in ROWS:
                 print_row(scenario, row, seed)
 
