Fuzz plans whose moves are lost or settle late

Ruled out: a longer run of the settled test, which settles every move. Change: the tests' floor can lose and delay moves; a derandomized test runs 200 floors with versions, adapters and a leaving server that way. Conclusion: lost and late moves are covered.

--- a/test/helper_placement.py
+++ b/test/helper_placement.py
@@ -1,6 +1,7 @@
 """Small builders and an in-memory floor for the tests of placement."""
 
 from collections.abc import Iterable
+from random import Random
 
 import attrs
 from attrs import Factory, define
@@ -50,6 +51,7 @@
     adapters: tuple[Adapter, ...] = ()
     settings: Settings = SETTINGS
     records: list[MoveRecord] = Factory(list)
+    pending: list[Move] = Factory(list)
     moves: list[Move] = Factory(list)
     now: float = 1000.0
 
@@ -73,27 +75,35 @@
     def step(self, demand: tuple[ModelDemand, ...] = ()) -> PlacementPlan:
         """Plan, start all moves, check, settle them."""
         plan = self.plan(demand)
-        held = self.list_ready()
-        for move in plan.moves:
-            self._start(move)
-        self._check(plan, held)
-        for move in plan.moves:
-            self._settle(move)
-        self.moves.extend(plan.moves)
+        self.start(plan.moves)
+        self.settle(tuple(self.pending))
         self.now += self.settings.placement.interval_s
         return plan
 
+    def step_partly(self, rng: Random, demand: tuple[ModelDemand, ...] = ()) -> None:
+        """Plan, lose some moves and settle others late."""
+        plan = self.plan(demand)
+        self.start(tuple(move for move in plan.moves if rng.random() < 0.8))
+        self.settle(tuple(move for move in self.pending if rng.random() < 0.6))
+        self.now += self.settings.placement.interval_s
+
     def run(self, steps: int, demand: tuple[ModelDemand, ...] = ()) -> None:
         for _ in range(steps):
             self.step(demand)
 
     def list_ready(self) -> set[str]:
+        """Return names with a ready copy that is not being unloaded."""
+        going = {
+            (move.backend_server, move.name, move.version)
+            for move in self.pending
+            if move.kind in (MoveKind.UNLOAD, MoveKind.UNLOAD_ADAPTER)
+        }
         return {
             each.name
             for view in self.servers.values()
             if view.standing is not Standing.GONE
             for each in view.resident
-            if each.ready
+            if each.ready and (view.info.name, each.name, each.version) not in going
         }
 
     def list_holders(self, name: str, version: str = "1") -> list[str]:
@@ -103,30 +113,33 @@
             if any((each.name, each.version) == (name, version) for each in view.resident)
         )
 
-    def _start(self, move: Move) -> None:
-        if move.kind in (MoveKind.LOAD, MoveKind.LOAD_ADAPTER):
-            resident = Resident(move.name, move.version, move.memory_bytes, False, move.model)
-            view = self.servers[move.backend_server]
-            self._replace(view, (*view.resident, resident))
-
-    def _check(self, plan: PlacementPlan, held: set[str]) -> None:
+    def start(self, moves: tuple[Move, ...]) -> None:
+        """Start moves; fail if memory is overcommitted or a last ready copy goes."""
+        held = self.list_ready()
+        for move in moves:
+            if move.kind in (MoveKind.LOAD, MoveKind.LOAD_ADAPTER):
+                resident = Resident(move.name, move.version, move.memory_bytes, False, move.model)
+                view = self.servers[move.backend_server]
+                self.replace(view, (*view.resident, resident))
+            self.records.append(MoveRecord(move, self.now))
+        self.pending.extend(moves)
+        self.moves.extend(moves)
         for view in self.servers.values():
-            assert view.reserved_bytes <= view.info.memory_bytes, plan
-        going = {
-            (move.backend_server, move.name, move.version)
-            for move in plan.moves
-            if move.kind in (MoveKind.UNLOAD, MoveKind.UNLOAD_ADAPTER)
-        }
-        left = {
-            each.name
-            for view in self.servers.values()
-            for each in view.resident
-            if each.ready and (view.info.name, each.name, each.version) not in going
-        }
+            assert view.reserved_bytes <= view.info.memory_bytes, moves
         alive = {each.name for each in (*self.models, *self.adapters)}
-        assert held & alive <= left, plan
-
-    def _settle(self, move: Move) -> None:
+        assert held & alive <= self.list_ready(), moves
+
+    def settle(self, moves: tuple[Move, ...]) -> None:
+        """Let moves take effect."""
+        for move in moves:
+            self.pending.remove(move)
+            self._apply(move)
+        self.records = [
+            attrs.evolve(record, settled_at=self.now) if record.move in moves else record
+            for record in self.records
+        ]
+
+    def _apply(self, move: Move) -> None:
         view = self.servers[move.backend_server]
         kept = []
         for each in view.resident:
@@ -135,10 +148,9 @@
                 kept.append(attrs.evolve(each, ready=True))
             elif not same:
                 kept.append(each)
-        self._replace(view, tuple(kept))
-        self.records.append(MoveRecord(move, self.now, self.now + 1.0))
+        self.replace(view, tuple(kept))
 
-    def _replace(self, view: ServerView, resident: tuple[Resident, ...]) -> None:
+    def replace(self, view: ServerView, resident: tuple[Resident, ...]) -> None:
         reserved = sum(each.memory_bytes for each in resident)
         name = view.info.name
         self.servers[name] = attrs.evolve(view, resident=resident, reserved_bytes=reserved)
--- a/test/test_placement.py
+++ b/test/test_placement.py
@@ -1,5 +1,7 @@
 """Tests of placement: reachability, versions, leaving servers, stability."""
 
+from random import Random
+
 import attrs
 import pytest
 from hypothesis import given, settings
@@ -162,8 +164,7 @@
 
 def test_move_in_flight_is_not_doubled():
     floor = Floor.from_views([make_server("s0", 10), make_server("s1", 10)], [make_model("m0")])
-    move = floor.plan().moves[0]
-    floor._start(move)
+    floor.start(floor.plan().moves)
     assert floor.plan().moves == ()
 
 
@@ -228,7 +229,7 @@
             view = floor.servers[name]
             if view.free_bytes >= model.memory_bytes:
                 resident = make_resident_of(model)
-                floor._replace(view, (*view.resident, resident))
+                floor.replace(view, (*view.resident, resident))
     return floor
 
 
@@ -264,3 +265,15 @@
     floor.run(12, demand)
     if has_room:
         assert floor.list_ready() == {model.name for model in floor.models}
+
+
+@settings(max_examples=200, derandomize=True, deadline=None)
+@given(draw_floors(), st.integers(0, 2**32), st.sampled_from(["1", "2"]), st.booleans())
+def test_lost_and_late_moves_break_nothing(floor, seed, version, leaving):
+    rng = Random(seed)
+    floor.models = (attrs.evolve(floor.models[0], version=version), *floor.models[1:])
+    floor.adapters = tuple(Adapter(f"a{n}", f"m{n % 2}", "1", n % 2) for n in range(3))
+    if leaving:
+        floor.servers["s0"] = attrs.evolve(floor.servers["s0"], standing=Standing.LEAVING)
+    for n in range(25):
+        floor.step_partly(rng, make_demand(m0=rng.random() * n, m1=rng.random()))
