Test the dwell and the bound on make-room unloads

Cause: mutating either left all tests green. Ruled out: the noise test, whose swings never earn a swap. Change: add swings shorter than the dwell, and a floor full of surplus. Before and after: pytest -q: 34 passed before, 36 after; with the dwell mutated away the new test fails. Conclusion: both limits are covered.

--- a/test/test_placement.py
+++ b/test/test_placement.py
@@ -153,6 +153,27 @@
     assert floor.moves[settled:] == late
 
 
+def test_swings_shorter_than_the_dwell_do_not_flap():
+    servers = [make_server(f"s{n}", 10, f"m{n % 2}", slots=4, tokens_per_s=240.0) for n in range(5)]
+    floor = Floor.from_views(servers, [make_model("m0"), make_model("m1")])
+    swings = (make_demand(m0=9.0, m1=0.1), make_demand(m0=0.1, m1=9.0))
+    steps = 48
+    for n in range(steps):
+        floor.step(swings[n // 3 % 2])
+    placement = floor.settings.placement
+    dwells = steps * placement.interval_s / placement.dwell_min_s
+    unloads = [move for move in floor.moves if move.kind is MoveKind.UNLOAD]
+    assert 1 <= len(unloads) <= len(servers) * dwells / 2
+
+
+def test_one_plan_makes_room_for_as_many_loads_as_run_at_once():
+    servers = [make_server(f"s{n:02}", 10, "m0") for n in range(40)]
+    floor = Floor.from_views(servers, [make_model(f"m{n}") for n in range(30)])
+    assert len(floor.plan().moves) == floor.settings.weight_store.loads_at_once
+    floor.run(20)
+    assert len(floor.list_ready()) == 30
+
+
 def test_plan_does_not_depend_on_the_order_of_its_input():
     servers = [make_server(f"s{n}", 30, f"m{n}", centre="abc"[n % 3]) for n in range(6)]
     models = [make_model(f"m{n}") for n in range(9)]
