Rename placement's parts to the field's terms

Cause: bay, pour, spot, going and rested need explaining. Ruled out: keeping them with a glossary entry. Change: ServerState, spread, assignment, unloading, has_dwelt; no change of behaviour. Conclusion: names only.

--- a/rhubarbshed/coordination/copies.py
+++ b/rhubarbshed/coordination/copies.py
@@ -4,7 +4,7 @@
 
 from attrs import Factory, define
 
-from rhubarbshed.coordination.floor import Bay, Copy, Floor
+from rhubarbshed.coordination.floor import Copy, Floor, ServerState
 from rhubarbshed.protocol.placement import ModelDemand
 
 ANSWER_TOKENS_DEFAULT = 240.0
@@ -16,14 +16,14 @@
 GROWTH_KEPT = 1.5
 """Factor of growth that the replicas of an unloaded copy must have room for."""
 
-POUR_ROUNDS = 2
+SPREAD_ROUNDS = 2
 """Times the demand of all models is spread anew, each time given the others."""
 
 Shares = dict[str, float]
 
 
 @define
-class BayLoad:
+class ServerLoad:
     """Hold a server's load and what it takes within target, in output tokens per second."""
 
     usable: float
@@ -55,7 +55,7 @@
     floor: Floor
     tokens_per_s: dict[str, float]
     answer_tokens: dict[str, float]
-    bays: dict[str, BayLoad]
+    servers: dict[str, ServerLoad]
     shares: dict[str, Shares] = Factory(dict)
 
     @classmethod
@@ -66,21 +66,23 @@
         )
         answers = {each.model: _measure_answer(each) for each in known}
         wanted = {each.model: each.arrivals_per_s * answers[each.model] for each in known}
-        bays = {bay.name: BayLoad(_measure_usable(bay)) for bay in floor.bays.values()}
-        loads = cls(floor, wanted, answers, bays)
+        states = {
+            state.name: ServerLoad(_measure_usable(state)) for state in floor.servers.values()
+        }
+        loads = cls(floor, wanted, answers, states)
         places = {
             name: sorted({copy.server for copy in floor.list_copies(name)}) for name in wanted
         }
         order = sorted(wanted, key=lambda name: (len(places[name]), name))
-        for _ in range(POUR_ROUNDS):
+        for _ in range(SPREAD_ROUNDS):
             for name in order:
-                loads._pour(name, places[name])
+                loads._spread(name, places[name])
         return loads
 
     def estimate_relief(self, name: str) -> float:
         """Return requests per second that one more copy may take off full servers."""
         shares = self.shares.get(name, {})
-        tokens = sum(min(share, self.bays[server].excess) for server, share in shares.items())
+        tokens = sum(min(share, self.servers[server].excess) for server, share in shares.items())
         return tokens / self.answer_tokens[name]
 
     def estimate_gain(self, name: str, server: str, freed: float = 0.0) -> float:
@@ -88,8 +90,8 @@
 
         `freed` tokens per second leave that server at the same time.
         """
-        bay = self.bays[server]
-        spare = max(0.0, bay.usable - bay.load + freed) / self.answer_tokens[name]
+        state = self.servers[server]
+        spare = max(0.0, state.usable - state.load + freed) / self.answer_tokens[name]
         return min(self.estimate_relief(name), spare)
 
     def get_share(self, copy: Copy) -> float:
@@ -102,47 +104,47 @@
             return 0.0
         shares = self.shares[copy.name]
         elsewhere = sum(
-            share + self.bays[server].spare
+            share + self.servers[server].spare
             for server, share in shares.items()
             if server != copy.server
         )
         grown = self.tokens_per_s[copy.name] * GROWTH_KEPT
-        own = self.get_share(copy) + self.bays[copy.server].spare
+        own = self.get_share(copy) + self.servers[copy.server].spare
         return min(own, max(0.0, grown - elsewhere)) / self.answer_tokens[copy.name]
 
     def add_copy(self, name: str, server: str) -> None:
         """Let a planned copy take its part."""
-        self._pour(name, sorted({*self.shares.get(name, {}), server}))
+        self._spread(name, sorted({*self.shares.get(name, {}), server}))
 
     def remove_copy(self, copy: Copy) -> None:
         """Give a copy's part to its replicas."""
         if copy.name in self.shares:
             left = [server for server in self.shares[copy.name] if server != copy.server]
-            self._pour(copy.name, left)
+            self._spread(copy.name, left)
 
-    def _pour(self, name: str, servers: list[str]) -> None:
+    def _spread(self, name: str, servers: list[str]) -> None:
         """Spread a model's demand so that its servers are used as evenly as can be."""
         for server, share in self.shares.get(name, {}).items():
-            self.bays[server].load -= share
+            self.servers[server].load -= share
         self.shares[name] = self._level(self.tokens_per_s[name], servers)
         for server, share in self.shares[name].items():
-            self.bays[server].load += share
+            self.servers[server].load += share
 
     def _level(self, tokens_per_s: float, servers: list[str]) -> Shares:
         """Return shares that raise the least used servers to one common level."""
         if len(servers) < 2:
             return {server: tokens_per_s for server in servers}
-        order = sorted(servers, key=lambda server: (self.bays[server].utilization, server))
+        order = sorted(servers, key=lambda server: (self.servers[server].utilization, server))
         load = usable = level = 0.0
         for number, server in enumerate(order):
-            load += self.bays[server].load
-            usable += self.bays[server].usable
+            load += self.servers[server].load
+            usable += self.servers[server].usable
             level = (tokens_per_s + load) / usable
             following = order[number + 1 : number + 2]
-            if not following or level <= self.bays[following[0]].utilization:
+            if not following or level <= self.servers[following[0]].utilization:
                 break
         return {
-            server: max(0.0, level * self.bays[server].usable - self.bays[server].load)
+            server: max(0.0, level * self.servers[server].usable - self.servers[server].load)
             for server in servers
         }
 
@@ -154,10 +156,10 @@
     return ANSWER_TOKENS_DEFAULT
 
 
-def _measure_usable(bay: Bay) -> float:
+def _measure_usable(state: ServerState) -> float:
     """Return the tokens per second at which no more requests than allowed wait for a slot.
 
     Source: Sakasegawa's approximation of the probability of waiting in an M/M/c queue, 1977.
     """
-    exponent = math.sqrt(2.0 * (max(1, bay.slots) + 1)) - 1.0
-    return max(1.0, bay.tokens_per_s) * WAITING_MAX ** (1.0 / exponent)
+    exponent = math.sqrt(2.0 * (max(1, state.slots) + 1)) - 1.0
+    return max(1.0, state.tokens_per_s) * WAITING_MAX ** (1.0 / exponent)
--- a/rhubarbshed/coordination/floor.py
+++ b/rhubarbshed/coordination/floor.py
@@ -19,7 +19,7 @@
 
 @define(eq=False)
 class Copy:
-    """Hold one copy of a model or adapter; `going` once an unload is planned or in flight."""
+    """Hold one copy of a model or adapter; `unloading` once an unload is planned or in flight."""
 
     server: str
     name: str
@@ -27,7 +27,7 @@
     memory_bytes: int
     ready: bool
     model: str = ""
-    going: bool = False
+    unloading: bool = False
     moved_at: float = float("-inf")
 
     @property
@@ -37,7 +37,7 @@
 
 
 @define(eq=False)
-class Bay:
+class ServerState:
     """Hold a server's copies; `free_bytes` is free at once, `later_bytes` after unloads."""
 
     name: str
@@ -55,8 +55,8 @@
         return self.standing is Standing.LIVE
 
     def find(self, key: str) -> list[Copy]:
-        """Return the copies of a key that are not going."""
-        return [copy for copy in self.copies if not copy.going and copy.key == key]
+        """Return the copies of a key that are not unloading."""
+        return [copy for copy in self.copies if not copy.unloading and copy.key == key]
 
 
 @define(eq=False)
@@ -65,7 +65,7 @@
 
     models: dict[str, Model]
     adapters: dict[str, Adapter]
-    bays: dict[str, Bay]
+    servers: dict[str, ServerState]
     copies: dict[str, list[Copy]]
     adapters_of: dict[str, list[Adapter]]
     power_watts: dict[str, float]
@@ -106,24 +106,24 @@
                 copy.model = self.adapters[copy.name].model
         used = max(view.reserved_bytes, sum(copy.memory_bytes for copy in copies))
         free = int(view.info.memory_bytes * fill) - used
-        going = sum(copy.memory_bytes for copy in copies if copy.going)
-        bay = Bay(
+        unloading = sum(copy.memory_bytes for copy in copies if copy.unloading)
+        state = ServerState(
             view.info.name,
             view.info.data_centre,
             view.standing,
             free,
-            free + going,
+            free + unloading,
             view.slots,
             view.tokens_per_s,
             copies,
         )
-        self.bays[bay.name] = bay
+        self.servers[state.name] = state
         drawn = 0.0
         for copy in copies:
             self.copies[copy.key].append(copy)
             model = None if copy.model else self.models.get(copy.name)
             drawn += model.power_watts if model is not None else 0.0
-        self.power_watts[bay.data_centre] += max(drawn, view.power_watts)
+        self.power_watts[state.data_centre] += max(drawn, view.power_watts)
 
     def list_copies(self, key: str) -> list[Copy]:
         """Return the copies of a key that stay, on servers that stay."""
@@ -131,7 +131,7 @@
 
     def stays(self, copy: Copy) -> bool:
         """Tell whether a copy is to stay on a server that is not leaving."""
-        return not copy.going and self.bays[copy.server].standing is not Standing.LEAVING
+        return not copy.unloading and self.servers[copy.server].standing is not Standing.LEAVING
 
     def is_current(self, copy: Copy) -> bool:
         """Tell whether a copy has the version of the catalogue."""
@@ -147,29 +147,29 @@
 
         While the server has another version of the model, the adapters stay with that one.
         """
-        bay = self.bays[copy.server]
-        if any(each is not copy for each in bay.find(copy.name)):
+        state = self.servers[copy.server]
+        if any(each is not copy for each in state.find(copy.name)):
             return []
-        return [each for each in bay.copies if each.model == copy.name and not each.going]
+        return [each for each in state.copies if each.model == copy.name and not each.unloading]
 
     def add(self, copy: Copy) -> None:
         """Count a planned load."""
-        bay = self.bays[copy.server]
-        bay.copies.append(copy)
-        bay.free_bytes -= copy.memory_bytes
-        bay.later_bytes -= copy.memory_bytes
+        state = self.servers[copy.server]
+        state.copies.append(copy)
+        state.free_bytes -= copy.memory_bytes
+        state.later_bytes -= copy.memory_bytes
         self.copies[copy.key].append(copy)
         if not copy.model:
-            self.power_watts[bay.data_centre] += self.models[copy.name].power_watts
+            self.power_watts[state.data_centre] += self.models[copy.name].power_watts
 
     def remove(self, copy: Copy) -> None:
         """Count a planned unload; its memory is free only later."""
-        copy.going = True
-        self.bays[copy.server].later_bytes += copy.memory_bytes
+        copy.unloading = True
+        self.servers[copy.server].later_bytes += copy.memory_bytes
 
     def can_unload(self, copy: Copy) -> bool:
         """Tell whether another ready copy takes this one's place, for its adapters too."""
-        if copy.going or not copy.ready:
+        if copy.unloading or not copy.ready:
             return False
         if not self.is_wanted(copy):
             return True
@@ -193,7 +193,7 @@
     def _has_other(self, copy: Copy) -> bool:
         current = self.is_current(copy)
         for other in self.copies[copy.key]:
-            usable = other.ready and not other.going and self.bays[other.server].live
+            usable = other.ready and not other.unloading and self.servers[other.server].live
             if copy.model and other.server == copy.server:
                 continue
             if other is not copy and usable and (self.is_current(other) or not current):
@@ -221,7 +221,7 @@
             )
         for copy in held:
             copy.moved_at = max(copy.moved_at, record.settled_at or record.started_at)
-            copy.going = copy.going or (move.kind in UNLOADS and in_flight)
+            copy.unloading = copy.unloading or (move.kind in UNLOADS and in_flight)
     return copies
 
 
--- a/rhubarbshed/coordination/packing.py
+++ b/rhubarbshed/coordination/packing.py
@@ -4,9 +4,9 @@
 
 from attrs import Factory, define, frozen
 
-from rhubarbshed.coordination.floor import Bay, Copy, Floor, rank
+from rhubarbshed.coordination.floor import Copy, Floor, ServerState, rank
 
-RELOCATION_BAYS_MAX = 16
+RELOCATION_SERVERS_MAX = 16
 """Servers tried when single copies have to be moved to fit one model."""
 
 EVICTION_STEPS_MAX = 6000
@@ -29,7 +29,7 @@
 
 
 @frozen
-class Spot:
+class Assignment:
     """Give an item, or a relocated model, its server."""
 
     name: str
@@ -45,14 +45,14 @@
     floor: Floor
     free: dict[str, int]
     kept: dict[str, list[Copy]]
-    spots: list[Spot] = Factory(list)
+    assignments: list[Assignment] = Factory(list)
     evicted: list[Copy] = Factory(list)
     missing: list[Item] = Factory(list)
 
     @classmethod
     def from_floor(cls, floor: Floor) -> "Draft":
         """Start from the memory that is free once all unloads in flight are done."""
-        free = {bay.name: bay.later_bytes for bay in floor.bays.values() if bay.live}
+        free = {state.name: state.later_bytes for state in floor.servers.values() if state.live}
         kept = {name: floor.list_copies(name) for name in list(floor.copies)}
         return cls(floor, free, kept)
 
@@ -60,12 +60,12 @@
     def cost(self) -> tuple[int, int, int, int]:
         """Return what is missing, then how many moves this takes."""
         unreachable = sum(1 for item in self.missing if not item.replaces)
-        relocated = sum(1 for spot in self.spots if spot.relocated)
+        relocated = sum(1 for assignment in self.assignments if assignment.relocated)
         return unreachable, len(self.missing), relocated, len(self.evicted)
 
     def is_surplus(self, copy: Copy) -> bool:
         """Tell whether the model and its adapters keep another copy without this one."""
-        if copy.model or copy.going or copy.server not in self.free:
+        if copy.model or copy.unloading or copy.server not in self.free:
             return False
         if not self.floor.is_wanted(copy):
             return True
@@ -89,7 +89,7 @@
     def put(self, item: Item, server: str, relocated: bool = False) -> None:
         """Give an item its server."""
         self.free[server] -= item.memory_bytes
-        self.spots.append(Spot(item.name, server, item.memory_bytes, relocated))
+        self.assignments.append(Assignment(item.name, server, item.memory_bytes, relocated))
 
 
 Strategy = Callable[[Floor, tuple[Item, ...]], Draft]
@@ -99,7 +99,7 @@
     """Place one copy of each item, with the fewest moves that a few strategies find."""
     ordered = tuple(sorted(items, key=lambda item: (item.replaces, -item.memory_bytes, item.name)))
     best: Draft | None = None
-    for strategy in _choose_strategies(len(items) * len(floor.bays)):
+    for strategy in _choose_strategies(len(items) * len(floor.servers)):
         draft = strategy(floor, ordered)
         if best is None or draft.cost < best.cost:
             best = draft
@@ -145,7 +145,7 @@
     for name in sorted(draft.free, key=lambda each: (rank(item.name, each), each)):
         if compared >= EVICTION_PLACES_MAX:
             break
-        victims = _choose_victims(draft, draft.floor.bays[name], item.memory_bytes)
+        victims = _choose_victims(draft, draft.floor.servers[name], item.memory_bytes)
         if victims is None:
             continue
         compared += 1
@@ -163,13 +163,13 @@
     return True
 
 
-def _choose_victims(draft: Draft, bay: Bay, needed: int) -> list[Copy] | None:
+def _choose_victims(draft: Draft, state: ServerState, needed: int) -> list[Copy] | None:
     """Return surplus copies whose unload frees enough, or None where that cannot be."""
-    free = draft.free[bay.name]
+    free = draft.free[state.name]
     victims: list[Copy] = []
     if free >= needed:
         return victims
-    surplus = [copy for copy in bay.copies if draft.is_surplus(copy)]
+    surplus = [copy for copy in state.copies if draft.is_surplus(copy)]
     for copy in sorted(surplus, key=lambda each: (-each.memory_bytes, each.name)):
         if any(each.name == copy.name for each in victims):
             continue
@@ -224,12 +224,12 @@
 
 
 def _evict_needed(draft: Draft, surplus: dict[str, list[Copy]]) -> None:
-    """Evict only what the spots need of the surplus copies."""
+    """Evict only what the assignments need of the surplus copies."""
     taken: dict[str, int] = {}
-    for spot in draft.spots:
-        taken[spot.server] = taken.get(spot.server, 0) + spot.memory_bytes
+    for assignment in draft.assignments:
+        taken[assignment.server] = taken.get(assignment.server, 0) + assignment.memory_bytes
     for server, needed in taken.items():
-        free = draft.floor.bays[server].later_bytes
+        free = draft.floor.servers[server].later_bytes
         for copy in sorted(surplus[server], key=lambda each: (-each.memory_bytes, each.name)):
             if free >= needed:
                 break
@@ -249,7 +249,7 @@
 def _relocate_for(draft: Draft, item: Item) -> bool:
     """Move single copies off one server so that the item fits there."""
     order = sorted(draft.free, key=lambda name: (-draft.free[name], name))
-    for server in order[:RELOCATION_BAYS_MAX]:
+    for server in order[:RELOCATION_SERVERS_MAX]:
         moved = _choose_moved(draft, server, item.memory_bytes)
         if moved is None:
             continue
@@ -267,7 +267,7 @@
     moved: list[tuple[Copy, str]] = []
     copies = [
         copy
-        for copy in draft.floor.bays[server].copies
+        for copy in draft.floor.servers[server].copies
         if not copy.model and draft.floor.stays(copy) and draft.floor.is_current(copy)
         if copy not in draft.evicted and not draft.floor.list_adapters(copy)
     ]
--- a/rhubarbshed/coordination/placement.py
+++ b/rhubarbshed/coordination/placement.py
@@ -3,7 +3,7 @@
 from attrs import frozen
 
 from rhubarbshed.coordination.copies import Loads
-from rhubarbshed.coordination.floor import Bay, Copy, Floor
+from rhubarbshed.coordination.floor import Copy, Floor, ServerState
 from rhubarbshed.coordination.planner import Planner
 from rhubarbshed.coordination.reach import (
     drop_deleted,
@@ -115,8 +115,8 @@
         relief = loads.estimate_relief(name)
         if relief >= RELIEF_MIN_PER_S and planner.floor.list_current(name):
             hot.append((-relief, name))
-    live = [bay for bay in planner.floor.bays.values() if bay.live]
-    live.sort(key=lambda bay: (loads.bays[bay.name].utilization, bay.name))
+    live = [state for state in planner.floor.servers.values() if state.live]
+    live.sort(key=lambda state: (loads.servers[state.name].utilization, state.name))
     best: Candidate | None = None
     for _, name in sorted(hot)[:HOT_MODELS_MAX]:
         for candidate in _propose(planner, loads, name, live):
@@ -125,24 +125,24 @@
     return best
 
 
-def _propose(planner: Planner, loads: Loads, name: str, live: list[Bay]) -> list[Candidate]:
+def _propose(planner: Planner, loads: Loads, name: str, live: list[ServerState]) -> list[Candidate]:
     """Return candidates for one model whose gain exceeds their cost."""
-    if not planner.is_model_rested(name):
+    if not planner.has_model_dwelt(name):
         return []
     model = planner.floor.models[name]
     held = {copy.server for copy in planner.floor.copies[name]}
     places = [
-        bay
-        for bay in live
-        if bay.name not in held and planner.has_power(bay.name, model.power_watts)
+        state
+        for state in live
+        if state.name not in held and planner.has_power(state.name, model.power_watts)
     ]
-    roomy = [bay for bay in places if planner.has_room(bay.name, model.memory_bytes)]
+    roomy = [state for state in places if planner.has_room(state.name, model.memory_bytes)]
     candidates = []
-    for bay in roomy[:PLACES_MAX]:
-        score = _score(planner, loads.estimate_gain(name, bay.name), 1)
-        candidates.append(Candidate(score, name, bay.name))
-    for bay in places[:PLACES_MAX]:
-        candidates.extend(_propose_swaps(planner, loads, model, bay.name))
+    for state in roomy[:PLACES_MAX]:
+        score = _score(planner, loads.estimate_gain(name, state.name), 1)
+        candidates.append(Candidate(score, name, state.name))
+    for state in places[:PLACES_MAX]:
+        candidates.extend(_propose_swaps(planner, loads, model, state.name))
     return [candidate for candidate in candidates if candidate.score > 0.0]
 
 
@@ -159,7 +159,7 @@
     candidates = []
     if planner.rooms_left <= 0:
         return candidates
-    for copy in planner.floor.bays[server].copies:
+    for copy in planner.floor.servers[server].copies:
         if copy.model or copy.name == model.name or not _is_victim(planner, copy):
             continue
         if not planner.has_room(server, model.memory_bytes - copy.memory_bytes):
@@ -174,7 +174,7 @@
 
 
 def _is_victim(planner: Planner, copy: Copy) -> bool:
-    if not planner.floor.can_unload(copy) or not planner.is_rested(copy):
+    if not planner.floor.can_unload(copy) or not planner.has_dwelt(copy):
         return False
     if any(not each.ready for each in planner.floor.list_adapters(copy)):
         return False
@@ -184,10 +184,10 @@
 
 
 def _is_only_in_centre(planner: Planner, copy: Copy) -> bool:
-    centre = planner.floor.bays[copy.server].data_centre
+    centre = planner.floor.servers[copy.server].data_centre
     others = [
         each
         for each in planner.floor.list_copies(copy.name)
-        if each is not copy and planner.floor.bays[each.server].data_centre == centre
+        if each is not copy and planner.floor.servers[each.server].data_centre == centre
     ]
     return not others
--- a/rhubarbshed/coordination/planner.py
+++ b/rhubarbshed/coordination/planner.py
@@ -42,8 +42,8 @@
     ) -> "Planner":
         """Start a plan with what the moves in flight leave of the limits."""
         loading = adapters = 0
-        for bay in floor.bays.values():
-            for copy in bay.copies:
+        for state in floor.servers.values():
+            for copy in state.copies:
                 loading += not copy.ready and not copy.model
                 adapters += not copy.ready and bool(copy.model)
         per_interval = max(1, int(store.loads_per_s * settings.interval_s))
@@ -67,23 +67,23 @@
 
     def has_room(self, server: str, needed: int) -> bool:
         """Tell whether bytes are free at once and not held for something more urgent."""
-        return self.floor.bays[server].free_bytes - self.held[server] >= needed
+        return self.floor.servers[server].free_bytes - self.held[server] >= needed
 
     def has_power(self, server: str, watts: float) -> bool:
         """Tell whether the data centre's power limit admits more watts."""
         limit = self.settings.power_watts_max
-        drawn = self.floor.power_watts[self.floor.bays[server].data_centre]
+        drawn = self.floor.power_watts[self.floor.servers[server].data_centre]
         return limit <= 0.0 or drawn + watts <= limit
 
     def hold(self, server: str, needed: int) -> None:
         """Keep bytes from loads that are less urgent, until an unload has freed them."""
         self.held[server] += needed
 
-    def is_rested(self, copy: Copy) -> bool:
+    def has_dwelt(self, copy: Copy) -> bool:
         """Tell whether a copy has stayed for the least dwell."""
         return self.now - copy.moved_at >= self.settings.dwell_min_s
 
-    def is_model_rested(self, name: str) -> bool:
+    def has_model_dwelt(self, name: str) -> bool:
         """Tell whether the least dwell has passed since a copy of a model was unloaded."""
         last = self.unloaded_at.get(name, float("-inf"))
         return self.now - last >= self.settings.dwell_min_s
@@ -128,10 +128,10 @@
         return True
 
     def is_moving(self, name: str, data_centre: str) -> bool:
-        """Tell whether a copy of a model is loading or going in a data centre."""
+        """Tell whether a copy of a model is loading or unloading in a data centre."""
         for copy in self.floor.copies.get(name, ()):
-            if self.floor.bays[copy.server].data_centre == data_centre:
-                if copy.going or not copy.ready:
+            if self.floor.servers[copy.server].data_centre == data_centre:
+                if copy.unloading or not copy.ready:
                     return True
         return False
 
--- a/rhubarbshed/coordination/reach.py
+++ b/rhubarbshed/coordination/reach.py
@@ -10,9 +10,9 @@
 
 def drop_deleted(planner: Planner) -> None:
     """Unload what the catalogue no longer has."""
-    for bay in planner.floor.bays.values():
-        for copy in list(bay.copies):
-            if not planner.floor.is_wanted(copy) and not copy.going:
+    for state in planner.floor.servers.values():
+        for copy in list(state.copies):
+            if not planner.floor.is_wanted(copy) and not copy.unloading:
                 planner.unload(copy, MoveReason.DELETED)
 
 
@@ -24,13 +24,13 @@
     draft = pack(planner.floor, items)
     for item in draft.missing:
         planner.unplaced.add(item.name)
-    for spot in draft.spots:
-        model = planner.floor.models[spot.name]
-        reason = MoveReason.MAKE_ROOM if spot.relocated else _explain(planner, model)
-        if not planner.load(model, spot.server, reason):
-            planner.hold(spot.server, spot.memory_bytes)
-            _make_room(planner, draft, spot.server)
-            _make_power(planner, model, spot.server)
+    for assignment in draft.assignments:
+        model = planner.floor.models[assignment.name]
+        reason = MoveReason.MAKE_ROOM if assignment.relocated else _explain(planner, model)
+        if not planner.load(model, assignment.server, reason):
+            planner.hold(assignment.server, assignment.memory_bytes)
+            _make_room(planner, draft, assignment.server)
+            _make_power(planner, model, assignment.server)
 
 
 def _list_items(planner: Planner) -> list[Item]:
@@ -54,10 +54,10 @@
 
 def _make_room(planner: Planner, draft: Draft, server: str) -> None:
     """Unload what the packing takes off a server, unless bytes are already on their way."""
-    bay = planner.floor.bays[server]
+    state = planner.floor.servers[server]
     for copy in draft.evicted:
-        if copy.server == server and not copy.going:
-            if bay.free_bytes < planner.held[server]:
+        if copy.server == server and not copy.unloading:
+            if state.free_bytes < planner.held[server]:
                 planner.make_room(copy)
 
 
@@ -66,29 +66,29 @@
     if planner.has_power(server, model.power_watts):
         return
     planner.unplaced.add(model.name)
-    centre = planner.floor.bays[server].data_centre
-    for bay in planner.floor.bays.values():
-        for copy in bay.copies if bay.data_centre == centre else ():
+    centre = planner.floor.servers[server].data_centre
+    for state in planner.floor.servers.values():
+        for copy in state.copies if state.data_centre == centre else ():
             if not copy.model and planner.make_room(copy):
                 return
 
 
 def leave_servers(planner: Planner) -> None:
     """Unload a leaving server's models once they are ready elsewhere."""
-    for bay in planner.floor.bays.values():
-        if bay.standing is not Standing.LEAVING:
+    for state in planner.floor.servers.values():
+        if state.standing is not Standing.LEAVING:
             continue
-        for copy in list(bay.copies):
-            if copy.model or copy.going:
+        for copy in list(state.copies):
+            if copy.model or copy.unloading:
                 continue
             if not _is_loading(planner, copy):
                 planner.unload(copy, MoveReason.LEAVING)
 
 
 def _is_loading(planner: Planner, copy: Copy) -> bool:
-    centre = planner.floor.bays[copy.server].data_centre
+    centre = planner.floor.servers[copy.server].data_centre
     for other in planner.floor.copies[copy.key]:
-        if not other.ready and planner.floor.bays[other.server].data_centre == centre:
+        if not other.ready and planner.floor.servers[other.server].data_centre == centre:
             return True
     return False
 
@@ -103,13 +103,13 @@
 
 
 def _replace_copies(planner: Planner, model: Model, current: list[Copy], old: list[Copy]) -> None:
-    bays = planner.floor.bays
+    states = planner.floor.servers
     unmatched = list(current)
     for copy in sorted(old, key=lambda each: each.server):
         twins = [
             each
             for each in unmatched
-            if bays[each.server].data_centre == bays[copy.server].data_centre
+            if states[each.server].data_centre == states[copy.server].data_centre
         ]
         if twins:
             twin = min(twins, key=lambda each: (each.server != copy.server, each.server))
@@ -118,7 +118,7 @@
                 planner.unload(copy, MoveReason.VERSION)
         elif planner.has_room(copy.server, model.memory_bytes):
             planner.load(model, copy.server, MoveReason.VERSION)
-        elif not planner.is_moving(model.name, bays[copy.server].data_centre):
+        elif not planner.is_moving(model.name, states[copy.server].data_centre):
             planner.unload(copy, MoveReason.VERSION)
 
 
@@ -139,7 +139,7 @@
     ready = {
         copy.server
         for copy in planner.floor.list_copies(adapter.model)
-        if copy.ready and planner.floor.bays[copy.server].live
+        if copy.ready and planner.floor.servers[copy.server].live
     }
     places = sorted(ready - servers, key=lambda server: (rank(adapter.name, server), server))
     for server in places:
@@ -154,7 +154,7 @@
     """Unload one surplus copy of another model from a server that has the adapter's model."""
     planner.unplaced.add(adapter.name)
     for server in places:
-        for copy in planner.floor.bays[server].copies:
+        for copy in planner.floor.servers[server].copies:
             if not copy.model and copy.name != adapter.model:
                 if planner.make_room(copy):
                     planner.hold(server, adapter.memory_bytes)
@@ -186,13 +186,13 @@
 
 
 def _list_centres(planner: Planner) -> list[str]:
-    return sorted({bay.data_centre for bay in planner.floor.bays.values() if bay.live})
+    return sorted({state.data_centre for state in planner.floor.servers.values() if state.live})
 
 
 def _replicate(planner: Planner, name: str, current: list[Copy], centres: list[str]) -> None:
     """Load what is missing to the least number of replicas, in other data centres first."""
     model = planner.floor.models[name]
-    covered = {planner.floor.bays[copy.server].data_centre for copy in current}
+    covered = {planner.floor.servers[copy.server].data_centre for copy in current}
     order = sorted(centres, key=lambda centre: (centre in covered, centre))
     missing = model.replicas_min - len(current)
     for centre in order * max(0, missing):
@@ -205,9 +205,11 @@
 
 
 def _cover(planner: Planner, order: list[str], centre: str) -> None:
-    bays = [bay for bay in planner.floor.bays.values() if bay.data_centre == centre]
-    present = {copy.name for bay in bays for copy in bay.copies if not copy.going and bay.live}
-    roomiest = max((bay.free_bytes for bay in bays if bay.live), default=0)
+    states = [state for state in planner.floor.servers.values() if state.data_centre == centre]
+    present = {
+        copy.name for state in states for copy in state.copies if not copy.unloading and state.live
+    }
+    roomiest = max((state.free_bytes for state in states if state.live), default=0)
     for name in order:
         if planner.loads_left <= 0:
             return
@@ -221,10 +223,12 @@
 def load_roomiest(planner: Planner, model: Model, centre: str, reason: MoveReason) -> bool:
     """Load a copy on the server of a data centre with the most free memory."""
     fitting = [
-        bay
-        for bay in planner.floor.bays.values()
-        if bay.live and bay.data_centre == centre and planner.has_room(bay.name, model.memory_bytes)
-        if not bay.find(model.name)
+        state
+        for state in planner.floor.servers.values()
+        if state.live
+        and state.data_centre == centre
+        and planner.has_room(state.name, model.memory_bytes)
+        if not state.find(model.name)
     ]
-    fitting.sort(key=lambda bay: (-bay.free_bytes, rank(model.name, bay.name)))
+    fitting.sort(key=lambda state: (-state.free_bytes, rank(model.name, state.name)))
     return bool(fitting) and planner.load(model, fitting[0].name, reason)
