--- a/rhubarbshed/coordination/planner.py
+++ b/rhubarbshed/coordination/planner.py
@@ -12,7 +12,6 @@
     MoveReason,
     MoveRecord,
     PlacementPlan,
-    SpareSlot,
 )
 from rhubarbshed.util.settings import PlacementSettings, WeightStoreSettings
 
@@ -27,7 +26,6 @@
     loads_left: int
     adapters_left: int
     rooms_left: int
-    spares: dict[str, int]
     held: dict[str, int] = Factory(lambda: defaultdict(int))
     unloaded_at: dict[str, float] = Factory(dict)
     moves: list[Move] = Factory(list)
@@ -40,13 +38,12 @@
         settings: PlacementSettings,
         store: WeightStoreSettings,
         records: tuple[MoveRecord, ...],
-        spares: tuple[SpareSlot, ...],
         now: float,
     ) -> "Planner":
         """Start a plan with what the moves in flight leave of the limits."""
         loading = adapters = 0
-        for bay in floor.bays.values():
-            for copy in bay.copies:
+        for state in floor.servers.values():
+            for copy in state.copies:
                 loading += not copy.ready and not copy.model
                 adapters += not copy.ready and bool(copy.model)
         per_interval = max(1, int(store.loads_per_s * settings.interval_s))
@@ -57,7 +54,6 @@
             max(0, min(store.loads_at_once - loading, per_interval)),
             max(0, store.adapters_in_flight - adapters),
             store.loads_at_once,
-            {spare.backend_server: spare.memory_bytes for spare in spares},
         )
         for record in records:
             if record.move.kind is MoveKind.UNLOAD:
@@ -69,37 +65,32 @@
         """Return the plan; adapters go out before their model within it."""
         return PlacementPlan(tuple(self.moves), tuple(sorted(self.unplaced)))
 
-    def has_bytes(self, server: str, needed: int) -> bool:
-        """Tell whether bytes are free at once, spare slots counted as free."""
-        return self.floor.bays[server].free_bytes - self.held[server] >= needed
-
     def has_room(self, server: str, needed: int) -> bool:
-        """Tell whether bytes are free at once, spare slots left alone."""
-        return self.has_bytes(server, needed + self.spares.get(server, 0))
+        """Tell whether bytes are free at once and not held for something more urgent."""
+        return self.floor.servers[server].free_bytes - self.held[server] >= needed
 
     def has_power(self, server: str, watts: float) -> bool:
         """Tell whether the data centre's power limit admits more watts."""
         limit = self.settings.power_watts_max
-        drawn = self.floor.power_watts[self.floor.bays[server].data_centre]
+        drawn = self.floor.power_watts[self.floor.servers[server].data_centre]
         return limit <= 0.0 or drawn + watts <= limit
 
     def hold(self, server: str, needed: int) -> None:
         """Keep bytes from loads that are less urgent, until an unload has freed them."""
         self.held[server] += needed
 
-    def is_rested(self, copy: Copy) -> bool:
+    def has_dwelt(self, copy: Copy) -> bool:
         """Tell whether a copy has stayed for the least dwell."""
         return self.now - copy.moved_at >= self.settings.dwell_min_s
 
-    def is_model_rested(self, name: str) -> bool:
+    def has_model_dwelt(self, name: str) -> bool:
         """Tell whether the least dwell has passed since a copy of a model was unloaded."""
         last = self.unloaded_at.get(name, float("-inf"))
         return self.now - last >= self.settings.dwell_min_s
 
     def load(self, model: Model, server: str, reason: MoveReason) -> bool:
-        """Plan a load if it may start now; spare slots may be used to reach a model."""
-        urgent = reason in (MoveReason.REACH, MoveReason.VERSION, MoveReason.LEAVING)
-        fits = (self.has_bytes if urgent else self.has_room)(server, model.memory_bytes)
+        """Plan a load if it may start now."""
+        fits = self.has_room(server, model.memory_bytes)
         if not fits or self.loads_left <= 0 or not self.has_power(server, model.power_watts):
             return False
         self.loads_left -= 1
@@ -109,7 +100,7 @@
 
     def load_adapter(self, adapter: Adapter, server: str, reason: MoveReason) -> bool:
         """Plan the load of an adapter if it may start now."""
-        if not self.has_bytes(server, adapter.memory_bytes) or self.adapters_left <= 0:
+        if not self.has_room(server, adapter.memory_bytes) or self.adapters_left <= 0:
             return False
         self.adapters_left -= 1
         size = adapter.memory_bytes
@@ -137,10 +128,10 @@
         return True
 
     def is_moving(self, name: str, data_centre: str) -> bool:
-        """Tell whether a copy of a model is loading or going in a data centre."""
+        """Tell whether a copy of a model is loading or unloading in a data centre."""
         for copy in self.floor.copies.get(name, ()):
-            if self.floor.bays[copy.server].data_centre == data_centre:
-                if copy.going or not copy.ready:
+            if self.floor.servers[copy.server].data_centre == data_centre:
+                if copy.unloading or not copy.ready:
                     return True
         return False
 
--- a/test/test_placement.py
+++ b/test/test_placement.py
@@ -1,17 +1,19 @@
 """Tests of placement: reachability, versions, leaving servers, stability."""
 
+from random import Random
+
 import attrs
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from rhubarbshed.coordination.contingency import plan_contingency
 from rhubarbshed.coordination.placement import select_owned
 from rhubarbshed.protocol.catalogue import Adapter
 from rhubarbshed.protocol.members import Standing
 from rhubarbshed.protocol.placement import ModelDemand, MoveKind, MoveReason
 from rhubarbshed.util.settings import Settings
 from test.helper_placement import Floor, make_model, make_server
+from tools.contingency import plan_contingency
 
 PROFILES = ("rhubarbshed/profiles/cedarpulpit.ini", "rhubarbshed/profiles/guadalajara.ini")
 
@@ -151,6 +153,27 @@
     assert floor.moves[settled:] == late
 
 
+def test_swings_shorter_than_the_dwell_do_not_flap():
+    servers = [make_server(f"s{n}", 10, f"m{n % 2}", slots=4, tokens_per_s=240.0) for n in range(5)]
+    floor = Floor.from_views(servers, [make_model("m0"), make_model("m1")])
+    swings = (make_demand(m0=9.0, m1=0.1), make_demand(m0=0.1, m1=9.0))
+    steps = 48
+    for n in range(steps):
+        floor.step(swings[n // 3 % 2])
+    placement = floor.settings.placement
+    dwells = steps * placement.interval_s / placement.dwell_min_s
+    unloads = [move for move in floor.moves if move.kind is MoveKind.UNLOAD]
+    assert 1 <= len(unloads) <= len(servers) * dwells / 2
+
+
+def test_one_plan_makes_room_for_as_many_loads_as_run_at_once():
+    servers = [make_server(f"s{n:02}", 10, "m0") for n in range(40)]
+    floor = Floor.from_views(servers, [make_model(f"m{n}") for n in range(30)])
+    assert len(floor.plan().moves) == floor.settings.weight_store.loads_at_once
+    floor.run(20)
+    assert len(floor.list_ready()) == 30
+
+
 def test_plan_does_not_depend_on_the_order_of_its_input():
     servers = [make_server(f"s{n}", 30, f"m{n}", centre="abc"[n % 3]) for n in range(6)]
     models = [make_model(f"m{n}") for n in range(9)]
@@ -162,8 +185,7 @@
 
 def test_move_in_flight_is_not_doubled():
     floor = Floor.from_views([make_server("s0", 10), make_server("s1", 10)], [make_model("m0")])
-    move = floor.plan().moves[0]
-    floor._start(move)
+    floor.start(floor.plan().moves)
     assert floor.plan().moves == ()
 
 
@@ -228,7 +250,7 @@
             view = floor.servers[name]
             if view.free_bytes >= model.memory_bytes:
                 resident = make_resident_of(model)
-                floor._replace(view, (*view.resident, resident))
+                floor.replace(view, (*view.resident, resident))
     return floor
 
 
@@ -264,3 +286,15 @@
     floor.run(12, demand)
     if has_room:
         assert floor.list_ready() == {model.name for model in floor.models}
+
+
+@settings(max_examples=200, derandomize=True, deadline=None)
+@given(draw_floors(), st.integers(0, 2**32), st.sampled_from(["1", "2"]), st.booleans())
+def test_lost_and_late_moves_break_nothing(floor, seed, version, leaving):
+    rng = Random(seed)
+    floor.models = (attrs.evolve(floor.models[0], version=version), *floor.models[1:])
+    floor.adapters = tuple(Adapter(f"a{n}", f"m{n % 2}", "1", n % 2) for n in range(3))
+    if leaving:
+        floor.servers["s0"] = attrs.evolve(floor.servers["s0"], standing=Standing.LEAVING)
+    for n in range(25):
+        floor.step_partly(rng, make_demand(m0=rng.random() * n, m1=rng.random()))
