Read a replaced connection on, so that notices on their way are not lost

Ruled out: confirming each notice, which would double their traffic. Change: a replaced connection is read for one more heartbeat before it is closed. Conclusion: what is lost now is only what a silent connection held; heartbeats and greetings repair that.

--- a/rhubarbshed/coordination/dissemination.py
+++ b/rhubarbshed/coordination/dissemination.py
@@ -15,6 +15,7 @@
     CatalogueHint,
     Frame,
     LeavingNotice,
+    LeavingSubject,
     LoadDigest,
     QuarantineNotice,
 )
@@ -172,3 +173,10 @@
         if (to_mesh and centre == own_centre)
         or (to_bridges and centre not in (own_centre, origin_centre))
     )
+
+
+def make_leaving_notices(membership: Membership) -> tuple[LeavingNotice, ...]:
+    """Make the notice that tells a new peer of all words of leaving, or none."""
+    words = membership.list_leaving_words()
+    subjects = tuple(LeavingSubject(name, incarnation) for name, incarnation in words)
+    return (LeavingNotice(subjects),) if subjects else ()
--- a/rhubarbshed/transport/peers.py
+++ b/rhubarbshed/transport/peers.py
@@ -16,6 +16,7 @@
     choose_recipients,
     choose_relays,
     choose_topology,
+    make_leaving_notices,
 )
 from rhubarbshed.protocol.members import InstanceInfo
 from rhubarbshed.protocol.peers import (
@@ -24,7 +25,6 @@
     Frame,
     Heartbeat,
     LeavingNotice,
-    LeavingSubject,
     LoadDigest,
     QuarantineNotice,
     UnknownFrame,
@@ -234,6 +234,13 @@
             del self.links[link.info.name]
             log_event(LOG, logging.INFO, "peer_lost", peer=link.info.name, reason=reason)
 
+    def _retire(self, link: Link) -> None:
+        """Read a replaced connection a little longer, since frames may be on their way in it."""
+        if self.links.get(link.info.name) is link:
+            del self.links[link.info.name]
+        log_event(LOG, logging.INFO, "peer_replaced", peer=link.info.name)
+        asyncio.get_running_loop().call_later(self.settings.heartbeat_s, link.abort)
+
     def _try_dial(self, info: InstanceInfo, now: float) -> None:
         backoff = self.backoffs.setdefault(info.name, Backoff())
         if not backoff.begin(now, self.rng):
@@ -300,9 +307,10 @@
         link = Link(info, writer, dialed_by, now, now)
         held = self.links.get(info.name)
         if held is not None:
-            if choose_link(held, link, now, self.settings.heartbeat_s) is held:
-                return None
-            self._drop(held, "replaced")
+            kept = choose_link(held, link, now, self.settings.heartbeat_s)
+            self._retire(link if kept is held else held)
+            if kept is held:
+                return link
         self.links[info.name] = link
         self.backoffs.pop(info.name, None)
         self.membership.apply_hello(info, now)
@@ -312,7 +320,7 @@
 
     def _greet_peer(self, link: Link, now: float) -> None:
         """Tell a new peer what it may have missed; what is news to it goes further."""
-        leaving = self._make_leaving_notice()
+        leaving = make_leaving_notices(self.membership)
         for frame in (
             self.hooks.make_heartbeat(),
             *leaving,
@@ -327,13 +335,8 @@
     def _is_here(self, link: Link) -> bool:
         return link.info.data_centre == self.identity.info.data_centre
 
-    def _make_leaving_notice(self) -> tuple[LeavingNotice, ...]:
-        words = self.membership.list_leaving_words()
-        subjects = tuple(LeavingSubject(name, incarnation) for name, incarnation in words)
-        return (LeavingNotice(subjects),) if subjects else ()
-
     async def _read_frames(self, reader: asyncio.StreamReader, link: Link) -> None:
-        while self.links.get(link.info.name) is link:
+        while not link.writer.is_closing():
             data = await read_frame(reader, self.settings.frame_bytes_max)
             if isinstance(data, Failure):
                 self._drop(link, data.failure())
@@ -354,7 +357,7 @@
     def _take(self, link: Link, envelope: Envelope) -> None:
         """Take in a frame of a peer and pass it on where it should go."""
         now = self.read_now()
-        if self.links.get(link.info.name) is not link or link.info.name in self.refuse:
+        if link.writer.is_closing() or link.info.name in self.refuse:
             return
         link.heard_at = now
         self.clock.merge(envelope.stamp, self.read_wall())
--- a/test/test_peers.py
+++ b/test/test_peers.py
@@ -19,6 +19,7 @@
 )
 from rhubarbshed.protocol.placement import DemandReport, ModelDemand
 from rhubarbshed.transport.frames import frame_bytes, greet_listener, read_frame
+from rhubarbshed.transport.peers import PeerNetwork
 from rhubarbshed.util.settings import TlsSettings
 from test.helper_peers import (
     SILENCE_S,
@@ -317,6 +318,29 @@
     run(peers, scenario)
 
 
+def test_frames_on_a_replaced_connection_are_not_lost(monkeypatch):
+    """A notice sent in the moment in which the connection is replaced still arrives."""
+    peers = make_peers({"a1": "dc-1", "a2": "dc-1"})
+    a1, a2 = peers["a1"].network, peers["a2"].network
+    add_link = PeerNetwork._add_link
+
+    def publish_then_add(network, *args):
+        if network is a2 and "a1" in a2.links:
+            a1.publish(HINT)
+        return add_link(network, *args)
+
+    monkeypatch.setattr(PeerNetwork, "_add_link", publish_then_add)
+
+    async def scenario() -> None:
+        await wait_for(lambda: are_meshed(peers))
+        old = a2.links["a1"]
+        a1._spawn(a1._dial(a2.identity.info))
+        await wait_for(lambda: a2.links.get("a1") not in (None, old))
+        await wait_for(lambda: peers["a2"].heard_of(HINT) == 1)
+
+    run(peers, scenario)
+
+
 def test_first_frame_of_a_listener_is_a_challenge():
     peers = make_peers({"a1": "dc-1"})
     port = peers["a1"].settings.instance.peer_port
