--- a/rhubarbshed/coordination/dissemination.py
+++ b/rhubarbshed/coordination/dissemination.py
@@ -13,13 +13,13 @@
 from rhubarbshed.protocol.members import InstanceInfo, Standing
 from rhubarbshed.protocol.peers import (
     CatalogueHint,
+    DemandDigest,
     Frame,
     LeavingNotice,
     LeavingSubject,
     LoadDigest,
     QuarantineNotice,
 )
-from rhubarbshed.protocol.placement import DemandReport
 from rhubarbshed.state.membership import Membership
 from rhubarbshed.util.rendezvous import rank_by_rendezvous
 
@@ -30,6 +30,7 @@
 CALLED_AFTER_SILENCES = 1.0
 """Silences waited for a lower-named peer's connection before connecting oneself."""
 TALKED_TO = (Standing.LIVE, Standing.LEAVING, Standing.SUSPECTED)
+DIGESTS = (LoadDigest, DemandDigest)
 URGENT = (CatalogueHint, LeavingNotice, QuarantineNotice)
 
 
@@ -136,16 +137,13 @@
 ) -> tuple[str, ...]:
     """Choose who gets a frame of this instance; `connected` maps names to data centres.
 
-    Load goes to the mesh each second and, marked as remote, over the bridges less often.
-    Demand goes to both.
+    Load and demand go to the mesh and, marked as remote, over the bridges less often.
     """
     mesh = [name for name, centre in connected.items() if centre == own_centre]
-    if not isinstance(frame, LoadDigest | DemandReport):
+    if not isinstance(frame, DIGESTS):
         return tuple(connected)
     bridges = {info.name for info in topology.bridges}
     across = [name for name in connected if name in bridges]
-    if isinstance(frame, DemandReport):
-        return (*mesh, *across)
     return tuple(across if frame.remote else mesh)
 
 
@@ -163,8 +161,7 @@
     """
     origin_centre = connected.get(sender, "")
     urgent = isinstance(frame, URGENT)
-    is_load = isinstance(frame, LoadDigest) and frame.remote
-    shared = urgent or is_load or isinstance(frame, DemandReport)
+    shared = urgent or (isinstance(frame, DIGESTS) and frame.remote)
     to_mesh = shared and origin_centre != own_centre
     to_bridges = urgent and topology.is_delegate
     return tuple(
--- a/rhubarbshed/coordination/reach.py
+++ b/rhubarbshed/coordination/reach.py
@@ -136,12 +136,12 @@
     servers = {copy.server for copy in held}
     if servers and not spread:
         return
-    places = [
+    ready = {
         copy.server
         for copy in planner.floor.list_copies(adapter.model)
-        if copy.ready and copy.server not in servers and planner.floor.bays[copy.server].live
-    ]
-    places.sort(key=lambda server: rank(adapter.name, server))
+        if copy.ready and planner.floor.bays[copy.server].live
+    }
+    places = sorted(ready - servers, key=lambda server: (rank(adapter.name, server), server))
     for server in places:
         if planner.load_adapter(adapter, server, MoveReason.REACH) and not spread:
             return
@@ -168,19 +168,27 @@
                 planner.unload(copy, MoveReason.VERSION)
 
 
-def reach_data_centres(planner: Planner, demand: tuple[ModelDemand, ...]) -> None:
-    """Use free memory for a copy in each data centre, and for the least number of replicas."""
-    rates = {each.model: each.arrivals_per_s for each in demand}
-    order = sorted(planner.floor.models, key=lambda name: (-rates.get(name, 0.0), name))
-    centres = sorted({bay.data_centre for bay in planner.floor.bays.values() if bay.live})
-    for name in order:
+def reach_replicas(planner: Planner) -> None:
+    """Load what models lack of their least number of replicas."""
+    centres = _list_centres(planner)
+    for name in sorted(planner.floor.models):
         current = planner.floor.list_current(name)
         if current and planner.loads_left > 0:
             _replicate(planner, name, current, centres)
-    for centre in centres:
+
+
+def reach_data_centres(planner: Planner, demand: tuple[ModelDemand, ...]) -> None:
+    """Use free memory for a copy in each data centre, the most asked models first."""
+    rates = {each.model: each.arrivals_per_s for each in demand}
+    order = sorted(planner.floor.models, key=lambda name: (-rates.get(name, 0.0), name))
+    for centre in _list_centres(planner):
         _cover(planner, order, centre)
 
 
+def _list_centres(planner: Planner) -> list[str]:
+    return sorted({bay.data_centre for bay in planner.floor.bays.values() if bay.live})
+
+
 def _replicate(planner: Planner, name: str, current: list[Copy], centres: list[str]) -> None:
     """Load what is missing to the least number of replicas, in other data centres first."""
     model = planner.floor.models[name]
--- a/rhubarbshed/transport/peers.py
+++ b/rhubarbshed/transport/peers.py
@@ -21,6 +21,7 @@
 from rhubarbshed.protocol.members import InstanceInfo
 from rhubarbshed.protocol.peers import (
     CatalogueHint,
+    DemandDigest,
     Envelope,
     Frame,
     Heartbeat,
@@ -30,7 +31,6 @@
     UnknownFrame,
     unpack_envelope,
 )
-from rhubarbshed.protocol.placement import DemandReport
 from rhubarbshed.state.clock import HybridClock
 from rhubarbshed.state.membership import Membership
 from rhubarbshed.state.timeline import read_wall_ms
@@ -53,7 +53,7 @@
 """Part of a heartbeat's interval after which the next may go, so that jitter skips none."""
 HANDSHAKES_MAX = 64
 """Connections accepted but not proven yet; more are closed at once."""
-REPLACEABLE = (Heartbeat, LoadDigest, DemandReport)
+REPLACEABLE = (Heartbeat, LoadDigest, DemandDigest)
 """Frames that a newer one makes useless, dropped first for a peer that takes nothing."""
 NOTICES = (CatalogueHint, LeavingNotice, QuarantineNotice)
 
