Mend how the desk and the ledgers are called

Cause: what their makers found on reading the wiring: one fingerprint for all bodiless calls of a service, suspects released before their run's end was known, no check of the server after a broken stream, former holders settled by a call that has changed, and the number of senders never told to the load view.

--- a/rhubarbshed/transport/gateway.py
+++ b/rhubarbshed/transport/gateway.py
@@ -3,7 +3,7 @@
 import asyncio
 import time
 import uuid
-from collections.abc import Callable, Coroutine
+from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any
 
 from attrs import define, evolve, field, frozen
@@ -41,6 +41,7 @@
 
 RETRY_AFTER_FULL_S = 1.0
 RETRY_AFTER_CLAIM_S = 2.0
+RELEASE_POLL_S = 0.5
 CODES_LACK_OF_ROOM = ("not_resident", "servers_busy", "too_late", "model_full")
 # The loop answers within milliseconds; longer means that it has stopped.
 ASK_TIMEOUT_S = 30.0
@@ -72,6 +73,7 @@
     table: CommitBatcher
     demand: Demand
     is_gone: Callable[[str, str], bool]
+    check_server: Callable[[str], Awaitable[None]]
     settlements: Settlements = field(factory=Settlements)
     solo_releases: SoloReleases = field(factory=SoloReleases)
     claims: dict[str, ClaimAsk] = field(factory=dict)
@@ -114,7 +116,8 @@
     async def open_call(self, call: Call) -> Dispatch | Refusal | WholeAnswer:
         """Decide on a new call; one that must not run twice is claimed in the table first."""
         request = call.request
-        request = evolve(request, fingerprint=compute_fingerprint(request.target, call.body))
+        target = f"{call.method} {request.target} {call.path}"
+        request = evolve(request, fingerprint=compute_fingerprint(target, call.body))
         if not request.idempotent and request.idempotency_key:
             refused = self.desk.check_new(request, time.monotonic())
             if refused is not None:
@@ -131,6 +134,8 @@
     ) -> Dispatch | Refusal | None:
         """Decide on what follows an attempt; None: the request is answered."""
         self._record_attempt(result)
+        if result.end is AttemptEnd.BROKEN:
+            await self.check_server(result.backend_server)
         if call.request.model and result.tokens:
             self.demand.record_tokens(call.request.model, result.tokens, time.monotonic())
         decision = self.desk.end_attempt(result, time.monotonic())
@@ -165,7 +170,7 @@
     ) -> Dispatch | Refusal | None:
         """Claim the right to a solo run where one is needed."""
         if isinstance(decision, AttemptOpen):
-            return None
+            raise AssertionError("no second attempt of a request is ever started")
         if not isinstance(decision, SoloNeeded):
             return decision
         view = self.desk.suspects.view
@@ -180,12 +185,15 @@
         if isinstance(answer, SoloHeld) and isinstance(following, Dispatch):
             self.solos[decision.request_id] = run
         elif isinstance(answer, SoloHeld):
-            self._release(run)
-        return None if isinstance(following, AttemptOpen) else following
+            self.tell_end(self._release(run))
+        return following
 
-    def _release(self, run: SoloRun) -> None:
+    async def _release(self, run: SoloRun) -> None:
+        """Give a claim back once a report has shown how the run ended."""
+        while not self.desk.may_release_solo(run.fingerprint):
+            await asyncio.sleep(RELEASE_POLL_S)
         known = self.desk.suspects.view.find_entry(run.fingerprint)
-        self.tell_end(release_solo(self.table, self.solo_releases, known, run.write_id))
+        await release_solo(self.table, self.solo_releases, known, run.write_id)
 
     def _finish(
         self,
@@ -205,7 +213,7 @@
             self.tell_end(settle(self.table, self.settlements, settlement))
         run = self.solos.pop(request_id, None)
         if run is not None:
-            self._release(run)
+            self.tell_end(self._release(run))
         return decision
 
     def tell_end(self, word: Coroutine[Any, Any, Any]) -> None:
--- a/rhubarbshed/transport/placing.py
+++ b/rhubarbshed/transport/placing.py
@@ -9,11 +9,10 @@
 from rhubarbshed.coordination.loads import LoadSpec, execute_load, execute_unload
 from rhubarbshed.coordination.membership import get_standing, list_backend_servers, list_instances
 from rhubarbshed.coordination.ownership import (
-    find_gone,
-    forget_gone,
     hand_over,
     maintain_ownership,
     renew_session,
+    settle_former,
 )
 from rhubarbshed.coordination.placement import plan_moves, select_owned
 from rhubarbshed.coordination.reconciliation import reconcile_server
@@ -71,11 +70,13 @@
     listed = frozenset(i.name for i in list_instances(runtime.membership, now, *USED))
     for owned in runtime.leases.list_owned(now):
         held = runtime.moves.servers.get(owned.backend_server)
-        if held is None or not held.ledger.former:
+        if held is None:
             continue
-        gone = find_gone(runtime.leases, held.ledger.former, listed, now)
-        if gone:
-            await forget_gone(runtime.access, runtime.leases, owned.backend_server, gone)
+        settled = await settle_former(
+            runtime.access, runtime.leases, held.ledger, listed, time.monotonic
+        )
+        if isinstance(settled, Success):
+            runtime.moves.note(settled.unwrap(), time.monotonic())
     return Success(None)
 
 
--- a/rhubarbshed/transport/runtime.py
+++ b/rhubarbshed/transport/runtime.py
@@ -11,15 +11,19 @@
 from typing import Any
 
 from attrs import define, evolve, field
-from returns.result import Result
+from returns.result import Result, Success
 
 from rhubarbshed.coordination.commits import CommitBatcher
 from rhubarbshed.coordination.desk import Desk
 from rhubarbshed.coordination.loads import MoveContext
-from rhubarbshed.coordination.membership import get_standing, list_backend_servers
+from rhubarbshed.coordination.membership import (
+    get_standing,
+    list_backend_servers,
+    list_instances,
+)
 from rhubarbshed.coordination.quotas import AdapterQuota
 from rhubarbshed.coordination.transactions import TableAccess
-from rhubarbshed.protocol.members import Standing
+from rhubarbshed.protocol.members import BackendKind, Standing
 from rhubarbshed.protocol.placement import MoveRecord
 from rhubarbshed.protocol.platform import EngineClient, ListClient, ObjectClient
 from rhubarbshed.state.catalogue import Catalogue
@@ -178,6 +182,7 @@
             table=CommitBatcher(self.access.table, self.access.runner),
             demand=self.demand,
             is_gone=self.is_gone,
+            check_server=self.check_server,
         )
 
     def is_gone(self, instance: str, incarnation: str) -> bool:
@@ -187,6 +192,16 @@
             return incarnation in self.membership.past_incarnations.get(instance, ())
         return get_standing(self.membership, instance, time.monotonic()) is Standing.GONE
 
+    async def check_server(self, name: str) -> None:
+        """Read a backend server's report out of turn, to tell a crash from a broken stream."""
+        server = self.load.servers.get(name)
+        if server is None or server.info.kind is not BackendKind.ENGINE:
+            return
+        sequence = server.prefixes.sequence
+        fetched = await self.run_control(self.engines.fetch_report, server.info, sequence)
+        if isinstance(fetched, Success):
+            self.desk.apply_report(fetched.unwrap(), time.monotonic())
+
     def _make_network(self) -> PeerNetwork:
         return PeerNetwork.from_settings(
             self.settings,
@@ -204,6 +219,7 @@
     def apply_membership(self) -> None:
         """Pass what is believed of backend servers on to the view of their load."""
         now = time.monotonic()
+        self.load.set_instances(len(list_instances(self.membership, now)))
         self.load.set_servers(list_backend_servers(self.membership, now, *USED))
         for name in self.load.servers:
             self.load.set_standing(name, get_standing(self.membership, name, now), now)
