--- a/rhubarbshed/coordination/floor.py
+++ b/rhubarbshed/coordination/floor.py
@@ -173,7 +173,7 @@
             return False
         if not self.is_wanted(copy):
             return True
-        if not self._has_other(copy):
+        if self.find_other(copy) is None:
             return False
         if copy.model:
             return True
@@ -182,7 +182,7 @@
     def can_lose_adapters(self, copy: Copy) -> bool:
         """Tell whether each adapter on a model's copy is ready elsewhere too."""
         return all(
-            self._has_other(adapter) or not self.is_wanted(adapter)
+            self.find_other(adapter) or not self.is_wanted(adapter)
             for adapter in self.list_adapters(copy)
         )
 
@@ -190,19 +190,23 @@
         """Tell whether the catalogue still has the model or adapter."""
         return copy.name in (self.adapters if copy.model else self.models)
 
-    def _has_other(self, copy: Copy) -> bool:
+    def find_other(self, copy: Copy) -> Copy | None:
+        """Return the ready copy on a live server that takes a copy's place, if there is one."""
         current = self.is_current(copy)
         for other in self.copies[copy.key]:
-            usable = other.ready and not other.unloading and self.servers[other.server].live
             if copy.model and other.server == copy.server:
                 continue
+            usable = other.ready and not other.unloading and self.servers[other.server].live
             if other is not copy and usable and (self.is_current(other) or not current):
-                return True
-        return False
+                return other
+        return None
 
 
 def _list_copies(view: ServerView, records: list[MoveRecord]) -> list[Copy]:
+    leaving = {(each.name, each.version) for each in view.unloading}
     copies = [_make_copy(view.info.name, resident) for resident in view.resident]
+    for copy in copies:
+        copy.unloading = (copy.name, copy.version) in leaving
     for record in records:
         move = record.move
         held = [copy for copy in copies if copy.name == move.name and copy.version == move.version]
--- a/rhubarbshed/protocol/placement.py
+++ b/rhubarbshed/protocol/placement.py
@@ -34,8 +34,9 @@
     """Describe a backend server as placement sees it.
 
     `reserved_bytes` is what the ledger holds, from the intent of a load to the confirmed unload,
-    resident copies included. `power_watts` is drawn by its models. `slots` is how many requests
-    it decodes at once, `tokens_per_s` its output at full batch.
+    resident copies included. `unloading` names those of `resident` that have an intent to unload
+    in the ledger; no other unload may rely on them. `power_watts` is drawn by its models. `slots`
+    is how many requests it decodes at once, `tokens_per_s` its output at full batch.
     """
 
     info: BackendServerInfo
@@ -45,6 +46,7 @@
     power_watts: float = 0.0
     slots: int = 32
     tokens_per_s: float = 800.0
+    unloading: tuple[Resident, ...] = field(factory=tuple)
 
     @property
     def free_bytes(self) -> int:
@@ -72,7 +74,11 @@
 
 @frozen
 class Move:
-    """Change what one backend server holds; `model` names an adapter's model."""
+    """Change what one backend server holds; `model` names an adapter's model.
+
+    `relies_on` names the backend server whose ready copy justifies an unload. The unload's
+    transaction must check that server's ledger row, since its owner may unload that copy too.
+    """
 
     kind: MoveKind
     backend_server: str
@@ -81,6 +87,7 @@
     memory_bytes: int
     reason: MoveReason
     model: str = ""
+    relies_on: str = ""
 
 
 @frozen
--- a/test/test_placement.py
+++ b/test/test_placement.py
@@ -41,6 +41,15 @@
     assert floor.list_holders("m0")
 
 
+def test_unload_names_the_server_it_relies_on():
+    floor = Floor.from_views(
+        [make_server("s0", 10, "m0"), make_server("s1", 10, "m0")],
+        [make_model("m0"), make_model("m1")],
+    )
+    move = floor.plan().moves[0]
+    assert {move.backend_server, move.relies_on} == {"s0", "s1"}
+
+
 def test_single_copy_is_relocated_for_fragmented_memory():
     floor = Floor.from_views(
         [make_server("s0", 20, "m0"), make_server("s1", 20, "m1")],
