--- a/rhubarbshed/daemon.py
+++ b/rhubarbshed/daemon.py
@@ -5,11 +5,12 @@
 import os
 import signal
 import sys
+from typing import NoReturn
 
 import typer
 from returns.result import Failure
 
-from rhubarbshed.transport.instance import run_instance
+from rhubarbshed.transport.instance import EXIT_CUT_OFF, run_instance
 from rhubarbshed.util.logs import start_logging
 from rhubarbshed.util.settings import Settings
 
@@ -32,7 +33,18 @@
     sys.setswitchinterval(SWITCH_INTERVAL_S)
     start_logging(result.unwrap().log.level)
     logging.getLogger("cherrypy").setLevel(logging.WARNING)
-    sys.exit(asyncio.run(run_instance(result.unwrap(), (signal.SIGTERM, signal.SIGINT))))
+    code = asyncio.run(run_instance(result.unwrap(), (signal.SIGTERM, signal.SIGINT)))
+    if code == EXIT_CUT_OFF:
+        exit_at_once(code)
+    sys.exit(code)
+
+
+def exit_at_once(code: int) -> NoReturn:
+    """End the process without waiting for the threads that carry what is cut off."""
+    logging.shutdown()
+    sys.stdout.flush()
+    sys.stderr.flush()
+    os._exit(code)
 
 
 def main() -> None:
--- a/rhubarbshed/protocol/calls.py
+++ b/rhubarbshed/protocol/calls.py
@@ -168,9 +168,9 @@
 
 def _find_bad_field(plain: dict[str, Any], endpoint: str) -> RequestError | None:
     """Return an error for the first field that is not as it should be."""
-    if not isinstance(plain.get("model"), str) or not plain["model"]:
+    if not _is_text(plain.get("model")) or not plain["model"]:
         return _refuse("model is not the name of a model", "model")
-    if not isinstance(plain.get("adapter", ""), str):
+    if not _is_text(plain.get("adapter", "")):
         return _refuse("adapter is not the name of an adapter", "adapter")
     if not isinstance(plain.get("stream", False), bool):
         return _refuse("stream is not true or false", "stream")
@@ -189,7 +189,7 @@
         whole = isinstance(given, list) and given and all(map(_is_message, given))
         return None if whole else _refuse("messages is not a list of role and content", field)
     texts = given if isinstance(given, list) else [given]
-    if texts and all(isinstance(text, str) for text in texts):
+    if texts and all(map(_is_text, texts)):
         return None
     return _refuse(f"{field} is not a text or a list of texts", field)
 
@@ -197,7 +197,18 @@
 def _is_message(message: Any) -> bool:
     if not isinstance(message, dict):
         return False
-    return isinstance(message.get("role"), str) and isinstance(message.get("content"), str)
+    return _is_text(message.get("role")) and _is_text(message.get("content"))
+
+
+def _is_text(value: Any) -> bool:
+    """Tell whether a value is text that UTF-8 can carry; JSON escapes allow lone surrogates."""
+    if not isinstance(value, str):
+        return False
+    try:
+        value.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
 
 
 def _refuse(message: str, field: str) -> RequestError:
--- a/rhubarbshed/transport/exchange.py
+++ b/rhubarbshed/transport/exchange.py
@@ -203,6 +203,7 @@
     if page.more_after:
         runtime.network.send(peer, CatalogueRequest(0, page.more_after))
         return
+    runtime.catalogue_known = True
     exchange = runtime.exchange
     exchange.pulled_revision = max(exchange.pulled_revision, page.revision)
 
--- a/rhubarbshed/transport/gateway.py
+++ b/rhubarbshed/transport/gateway.py
@@ -74,6 +74,7 @@
     demand: Demand
     is_gone: Callable[[str, str], bool]
     check_server: Callable[[str], Awaitable[None]]
+    knows_enough: Callable[[], bool]
     settlements: Settlements = field(factory=Settlements)
     solo_releases: SoloReleases = field(factory=SoloReleases)
     claims: dict[str, ClaimAsk] = field(factory=dict)
@@ -91,9 +92,9 @@
     def is_ready(self) -> bool:
         """Tell whether the balancer should send new requests here.
 
-        A new instance has to know backend servers first, else it could only refuse.
+        A new instance has to know models and backend servers first, else it could only refuse.
         """
-        return self.desk.drain.started_at is None and bool(self.desk.load.servers)
+        return self.desk.drain.started_at is None and self.knows_enough()
 
     def refuse_full(self) -> RequestError:
         """Describe a request for which no worker thread is free."""
--- a/rhubarbshed/transport/instance.py
+++ b/rhubarbshed/transport/instance.py
@@ -8,7 +8,7 @@
 from typing import Any
 
 from attrs import define
-from returns.result import Failure
+from returns.result import Failure, Result
 
 from rhubarbshed.coordination.drain import DrainPhase
 from rhubarbshed.protocol.peers import LeavingNotice, LeavingSubject
@@ -60,21 +60,32 @@
     stop = Stop(asyncio.Event(), asyncio.Event())
     for number in signals:
         loop.add_signal_handler(number, stop.ask)
-    await runtime.network.start()
-    await restore_catalogue(runtime)
-    start_tasks(runtime)
-    desk = make_operator_desk(runtime, stop.ask)
-    started = runtime.start_sites(make_operator_handler(desk, settings.secrets.operator_token))
-    if isinstance(started, Failure):
-        log_event(LOG, logging.ERROR, "start_failed", reason=started.failure())
+    listening = await listen(runtime, stop)
+    if isinstance(listening, Failure):
+        log_event(LOG, logging.ERROR, "start_failed", reason=listening.failure())
+        await close(runtime)
         return EXIT_START_FAILED
     log_event(LOG, logging.INFO, "started", instance=settings.instance.name)
     await stop.asked.wait()
     code = await drain(runtime, stop)
-    await close(runtime)
+    if code != EXIT_CUT_OFF:
+        await close(runtime)
     return code
 
 
+async def listen(runtime: Runtime, stop: Stop) -> Result[None, str]:
+    """Start to listen and to work, or tell which port cannot be had."""
+    try:
+        await runtime.network.start()
+    except OSError as error:
+        return Failure(f"cannot listen for peers: {error}")
+    await restore_catalogue(runtime)
+    start_tasks(runtime)
+    desk = make_operator_desk(runtime, stop.ask)
+    token = runtime.settings.secrets.operator_token
+    return runtime.start_sites(make_operator_handler(desk, token))
+
+
 def start_tasks(runtime: Runtime) -> None:
     """Start all recurring work."""
     settings = runtime.settings
--- a/rhubarbshed/transport/loops.py
+++ b/rhubarbshed/transport/loops.py
@@ -96,6 +96,7 @@
     if isinstance(refreshed, Failure):
         runtime.metrics.platform_errors.inc({"call": "catalogue"})
         return refreshed
+    runtime.catalogue_known = True
     changed = refreshed.unwrap()
     if changed:
         catalogue = runtime.catalogue
@@ -116,6 +117,7 @@
     """Start from the snapshot, so that an instance serves while the table service is down."""
     restored = await load_snapshot(runtime.access, runtime.objects, runtime.catalogue)
     if isinstance(restored, Success) and restored.unwrap():
+        runtime.catalogue_known = True
         log_event(LOG, logging.INFO, "snapshot_restored", ticket=runtime.catalogue.head)
 
 
--- a/rhubarbshed/transport/operators.py
+++ b/rhubarbshed/transport/operators.py
@@ -77,6 +77,8 @@
     """Read a ticket from JSON, naming what does not fit."""
     try:
         plain = json.loads(body)
+        # JSON escapes allow lone surrogates, which no name may hold.
+        json.dumps(plain, ensure_ascii=False).encode()
     except (ValueError, RecursionError) as error:
         return Failure(RequestError(400, "bad_ticket", f"the ticket is not JSON: {error}"))
     return from_plain(plain, Ticket).alt(
--- a/rhubarbshed/transport/runtime.py
+++ b/rhubarbshed/transport/runtime.py
@@ -64,6 +64,8 @@
 CONTROL_THREADS = 16
 ORDER_THREADS = 32
 OPERATOR_THREADS = 8
+# Time after start in which an instance without any load report is not ready.
+REPORT_PATIENCE_S = 5.0
 OPERATOR_BODY_BYTES_MAX = 4 * 1024 * 1024
 
 
@@ -106,6 +108,7 @@
     started_at: float = field(factory=time.monotonic)
     move_context: MoveContext = field(init=False)
     platform_up: bool = True
+    catalogue_known: bool = False
     tasks: list[asyncio.Task] = field(factory=list)
     sites: list[Site] = field(factory=list)
 
@@ -183,8 +186,19 @@
             demand=self.demand,
             is_gone=self.is_gone,
             check_server=self.check_server,
+            knows_enough=self.knows_enough,
         )
 
+    def knows_enough(self) -> bool:
+        """Tell whether requests could be served: what models there are, and who has them.
+
+        Where no report comes at all, it serves after a while all the same.
+        """
+        if not self.catalogue_known or not self.load.servers:
+            return False
+        reported = any(server.engine or server.service for server in self.load.servers.values())
+        return reported or time.monotonic() - self.started_at > REPORT_PATIENCE_S
+
     def is_gone(self, instance: str, incarnation: str) -> bool:
         """Tell whether a run of an instance has ended."""
         known = self.membership.instances.get(instance)
--- a/rhubarbshed/transport/sites.py
+++ b/rhubarbshed/transport/sites.py
@@ -8,6 +8,7 @@
 
 import cherrypy
 from attrs import frozen
+from cheroot.server import HTTPConnection, HTTPRequest
 from cheroot.wsgi import Server
 from returns.result import Failure, Result, Success
 
@@ -17,6 +18,9 @@
 START_TIMEOUT_S = 5.0
 LISTEN_BACKLOG = 512
 CONNECTIONS_IDLE_MAX = 1024
+# Bytes of a body that are still read after its request was refused, to keep the connection.
+UNREAD_BYTES_MAX = 256 * 1024
+BODY_TIMEOUT = 408
 
 Handler = Callable[..., Any]
 
@@ -31,6 +35,28 @@
     socket_timeout_s: float
 
 
+class BoundedRequest(HTTPRequest):
+    """Close the connection after a body that was not read to its end.
+
+    What is left of a chunked body would be taken for the next request.
+    """
+
+    def send_headers(self) -> None:
+        """Send the headers, once it is known whether the connection can be kept."""
+        unread = getattr(self.rfile, "remaining", 0)
+        if self.chunked_read and not self.rfile.closed:
+            self.close_connection = True
+        if unread > UNREAD_BYTES_MAX or self.status.startswith(str(BODY_TIMEOUT).encode()):
+            self.close_connection = True
+        super().send_headers()
+
+
+class BoundedConnection(HTTPConnection):
+    """Make requests that bound what is read after their answer."""
+
+    RequestHandlerClass = BoundedRequest
+
+
 @frozen
 class Site:
     """Hold a running HTTP server."""
@@ -52,6 +78,7 @@
         )
         server.max_request_header_size = limits.header_bytes_max
         server.keep_alive_conn_limit = CONNECTIONS_IDLE_MAX
+        server.ConnectionClass = BoundedConnection
         return cls(server, threading.Thread(target=server.serve, daemon=True))
 
     def start(self) -> Result[None, str]:
@@ -89,6 +116,16 @@
 
 def read_body(bytes_max: int) -> Result[bytes, RequestError]:
     """Read the body of the request at hand, up to a size."""
+    try:
+        return _read_whole(bytes_max)
+    except TimeoutError:
+        text = "the body did not come in time"
+        return Failure(RequestError(BODY_TIMEOUT, "body_timeout", text, retryable=True))
+    except (OSError, ValueError) as error:
+        return Failure(RequestError(400, "bad_request", f"the body cannot be read: {error}"))
+
+
+def _read_whole(bytes_max: int) -> Result[bytes, RequestError]:
     headers = cherrypy.request.headers
     if headers.get("Transfer-Encoding", "").lower() == "chunked":
         return _read_chunked(bytes_max)
