--- a/test/helper_processes.py
+++ b/test/helper_processes.py
@@ -1,12 +1,13 @@
 """Helper functions of tests that run the real daemon against stand-ins, as separate processes."""
 
 import contextlib
+import functools
 import http.client
 import json
 import socket
 import threading
-import time
 from collections.abc import Callable, Iterator
+from concurrent.futures import ThreadPoolExecutor
 from typing import Any
 
 from attrs import define, field
@@ -29,6 +30,9 @@
 [leases]
 term_s = 3
 renewal_s = 0.7
+[peers]
+heartbeat_s = 0.4
+silence_s = 1.2
 [placement]
 interval_s = 0.5
 [routing]
@@ -131,6 +135,26 @@
         fleet.stop()
 
 
+def start_together(*calls: Callable[[], Any]) -> list[Any]:
+    """Make calls on threads of their own and wait for all of them."""
+    with ThreadPoolExecutor(len(calls)) as pool:
+        return [each.result() for each in [pool.submit(call) for call in calls]]
+
+
+def add_instances(fleet: Fleet, data_centres: dict[str, str], extra: str = "") -> None:
+    """Start the instances that do not run, each in its data centre; wait until all are ready."""
+    ended = [n for n in data_centres if n not in fleet.instances or is_ended(fleet.instances[n])]
+    if ended:
+        start_together(
+            *(functools.partial(fleet.add_instance, n, data_centres[n], extra) for n in ended)
+        )
+
+
+def is_ended(instance: Instance) -> bool:
+    """Tell whether an instance's process has ended."""
+    return instance.process.popen.poll() is not None
+
+
 def send(
     instance: Instance,
     method: str,
@@ -246,8 +270,3 @@
         return fleet.ask_operator(instance, "GET", "/status")[1]["open_requests"] >= count
 
     assert wait_until(is_open, timeout_s)
-
-
-def sleep(seconds: float) -> None:
-    """Let time pass for the other processes."""
-    time.sleep(seconds)
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -1,6 +1,7 @@
 """A small fleet of instances and stand-ins on this machine, as separate processes."""
 
 import json
+import random
 import socket
 from typing import Any
 
@@ -13,6 +14,8 @@
 OPERATOR_TOKEN = "operator-demo"
 PEER_TOKEN = "peer-demo"
 GIB = 1024**3
+PORTS = (18_000, 32_000)
+CHANCE = random.SystemRandom()
 ENVIRONMENT = {
     "RHUBARBSHED_OPERATOR_TOKEN": OPERATOR_TOKEN,
     "RHUBARBSHED_PEER_TOKEN": PEER_TOKEN,
@@ -153,14 +156,18 @@
 
 
 def reserve_ports(count: int) -> tuple[int, ...]:
-    """Find ports that are free at present."""
-    sockets = [socket.socket() for _ in range(count)]
-    for one in sockets:
-        one.bind((HOST, 0))
-    ports = tuple(one.getsockname()[1] for one in sockets)
-    for one in sockets:
-        one.close()
-    return ports
+    """Find ports that are free at present, none of which a connection would be given."""
+    ports: list[int] = []
+    while len(ports) < count:
+        port = CHANCE.randrange(*PORTS)
+        with socket.socket() as one:
+            try:
+                one.bind((HOST, port))
+            except OSError:
+                continue
+        if port not in ports:
+            ports.append(port)
+    return tuple(ports)
 
 
 def post(url: str, plain: Any) -> Any:
