--- a/test/test_shutdown.py
+++ b/test/test_shutdown.py
@@ -26,8 +26,11 @@
 from tools.processes import wait_until
 
 SEED = 11
+LOADS = 6
 ANNOUNCE_S = 0.5
 STOP_BOUND_S = 12.0
+# Time that the balancer goes on sending to an instance that stops.
+BALANCER_LAG_S = 0.3
 READY_TIMEOUT_S = 10.0
 INSTANCES = {"a": "dc-1", "b": "dc-1", "c": "dc-1"}
 
@@ -129,30 +132,40 @@
         settings = LoadSettings(
             url=f"http://{HOST}:{instance.ports[0]}",
             models=("m1", "m2"),
-            requests=4,
-            streams=4,
+            requests=2,
+            streams=2,
             tokens=40,
             prompt_words=8,
-            seed=seed * 1000 + turn,
+            seed=(SEED + seed) * 1000 + turn,
         )
         records += asyncio.run(run_load(settings))
     return records
 
 
+def replace(fleet: Fleet, balancer: Balancer, name: str) -> None:
+    """Stop an instance while it has work, and start another run of it."""
+    wait_for_open(fleet, name, 3)
+    fleet.instances[name].process.ask()
+    time.sleep(BALANCER_LAG_S)
+    balancer.out.add(name)
+    assert leave(fleet, name) == 0
+    assert "cut_off=0" in fleet.instances[name].process.read_log()
+    fleet.add_instance(name, "dc-1")
+    assert wait_until(lambda: is_reachable(fleet, {"m1", "m2"}), READY_TIMEOUT_S)
+    balancer.out.discard(name)
+
+
 def test_rolling_restart_under_load_cuts_nothing_off(fleet):
     balancer = Balancer(fleet)
     until: list[bool] = []
-    loads = [Task.start(send_load, fleet, balancer, until, seed) for seed in (SEED, SEED + 1)]
+    loads = [Task.start(send_load, fleet, balancer, until, seed) for seed in range(LOADS)]
     filings = Task.start(send_filings, fleet, balancer, until)
     time.sleep(0.5)
-    for name in ("a", "b", "c"):
-        balancer.out.add(name)
-        assert leave(fleet, name) == 0
-        assert "cut_off=0" in fleet.instances[name].process.read_log()
-        fleet.add_instance(name, "dc-1")
-        assert wait_until(lambda: is_reachable(fleet, {"m1", "m2"}), 10.0)
-        balancer.out.discard(name)
-    until.append(True)
+    try:
+        for name in ("a", "b", "c"):
+            replace(fleet, balancer, name)
+    finally:
+        until.append(True)
     records = [record for load in loads for record in load.wait()]
     outcomes = {record.outcome for record in records}
     assert len(records) > 50
