Check the copy that an unload relies on in its transaction

Cause: two owners with lagging views could each unload the copy that the other one relied on; the plan named the server (`relies_on`), but nothing checked it. Change: `execute_unload` takes `relies_on` and reads that server's ledger in the same transaction; without a resident copy there it is refused as `LAST_COPY`. The mover passes it on. Conclusion: of two unloads that rely on each other one fails.

--- a/rhubarbshed/coordination/budgets.py
+++ b/rhubarbshed/coordination/budgets.py
@@ -15,6 +15,7 @@
 from rhubarbshed.state.leases import Holder
 from rhubarbshed.state.ledger import (
     Entry,
+    EntryKey,
     EntryState,
     Ledger,
     LedgerError,
@@ -89,6 +90,21 @@
     )
 
 
+def check_other_copy(rows: Rows, backend_server: str, key: EntryKey) -> Result[None, LedgerError]:
+    """Check that another backend server holds a copy, where an unload relies on it.
+
+    The transaction checks both rows, so of two unloads that rely on each other one fails.
+    """
+    if not backend_server:
+        return Success(None)
+    row = rows.get(make_backend_key(backend_server))
+    entries = decode_ledger(backend_server, row.value).entries
+    held = [e for e in entries if e.state is EntryState.RESIDENT]
+    if any((e.key.name, e.key.model) == (key.name, key.model) for e in held):
+        return Success(None)
+    return Failure(LedgerError(LedgerFault.LAST_COPY, f"{backend_server} holds no copy"))
+
+
 def _plan_power(
     rows: Rows, budget: Budget, before: Ledger, after: Ledger
 ) -> Result[tuple[Write, ...], LedgerError]:
--- a/rhubarbshed/coordination/loads.py
+++ b/rhubarbshed/coordination/loads.py
@@ -9,14 +9,16 @@
 from rhubarbshed.coordination.budgets import (
     Budget,
     Tenure,
+    check_other_copy,
     plan_cancel,
     plan_change,
     plan_load,
     plan_settle_load,
     plan_settle_unload,
 )
+from rhubarbshed.coordination.ownership import make_backend_key
 from rhubarbshed.coordination.quotas import AdapterQuota
-from rhubarbshed.coordination.transactions import Plan, TableAccess, transact
+from rhubarbshed.coordination.transactions import Plan, Proposal, Rows, TableAccess, transact
 from rhubarbshed.protocol.members import BackendServerInfo
 from rhubarbshed.protocol.orders import Order, OrderError, OrderFault, OrderKind
 from rhubarbshed.protocol.platform import EngineClient
@@ -270,11 +272,12 @@
 
 
 async def execute_unload(
-    context: MoveContext, budget: Budget, key: EntryKey
+    context: MoveContext, budget: Budget, key: EntryKey, relies_on: str = ""
 ) -> Result[Ledger, LedgerError]:
     """Unload a model or adapter: intent, order, settlement; bytes are freed at the last.
 
     Where copies of its load may be under way, the epoch rises first and the token is raised.
+    `relies_on` names the backend server that must hold another copy when the intent is written.
     """
     held = context.moves.servers.get(budget.server.name)
     entry = None if held is None else held.ledger.find(key)
@@ -284,20 +287,20 @@
         return Failure(LedgerError(LedgerFault.BUSY, "an order for it is on its way"))
     held.in_flight.add(entry.load_id)
     try:
-        return await _unload(context, budget, entry)
+        return await _unload(context, budget, entry, relies_on)
     finally:
         held.in_flight.discard(entry.load_id)
 
 
 async def _unload(
-    context: MoveContext, budget: Budget, entry: Entry
+    context: MoveContext, budget: Budget, entry: Entry, relies_on: str
 ) -> Result[Ledger, LedgerError]:
-    begun = await _begin_unload(context, budget, entry)
+    begun = await _begin_unload(context, budget, entry, relies_on)
     if isinstance(begun, Failure) and begun.failure().fault is LedgerFault.UNPROVED:
         voided = await void_orders(context, budget)
         if isinstance(voided, Failure):
             return voided
-        begun = await _begin_unload(context, budget, entry)
+        begun = await _begin_unload(context, budget, entry, relies_on)
     if isinstance(begun, Failure):
         return begun
     found = begun.unwrap().find(entry.key)
@@ -305,7 +308,7 @@
 
 
 async def _begin_unload(
-    context: MoveContext, budget: Budget, claimed: Entry
+    context: MoveContext, budget: Budget, claimed: Entry, relies_on: str
 ) -> Result[Ledger, LedgerError]:
     tenure = find_tenure(context, budget.server.name)
     if isinstance(tenure, Failure):
@@ -319,9 +322,12 @@
         copies = held.judge_copies(entry, checks, claimed.load_id, context.clock())
         return begin_unload(ledger, claimed.key, unload_id, checks, copies)
 
-    return await change_ledger(
-        context, budget, lambda rows: plan_change(rows, budget, tenure.unwrap(), begin)
-    )
+    def plan(rows: Rows) -> Result[Proposal, LedgerError]:
+        other = check_other_copy(rows, relies_on, claimed.key)
+        return other.bind(lambda _: plan_change(rows, budget, tenure.unwrap(), begin))
+
+    keys = (make_backend_key(relies_on),) if relies_on else ()
+    return await change_ledger(context, budget, plan, keys)
 
 
 async def send_unload(
--- a/rhubarbshed/state/ledger.py
+++ b/rhubarbshed/state/ledger.py
@@ -74,6 +74,7 @@
     QUOTA = "quota"
     PRESENT = "present"
     ABSENT = "absent"
+    LAST_COPY = "last_copy"
     BUSY = "busy"
     PINNED = "pinned"
     UNPROVED = "unproved"
--- a/rhubarbshed/transport/placing.py
+++ b/rhubarbshed/transport/placing.py
@@ -258,7 +258,7 @@
 async def _execute(runtime: Runtime, budget: Budget, move: Move) -> Result:
     key = EntryKey(move.name, move.version, move.model)
     if move.kind not in LOADS:
-        return await execute_unload(runtime.move_context, budget, key)
+        return await execute_unload(runtime.move_context, budget, key, move.relies_on)
     model = runtime.catalogue.get_model(move.name) if move.kind is MoveKind.LOAD else None
     power = model.power_watts if model is not None else 0.0
     return await execute_load(runtime.move_context, budget, LoadSpec(key, move.memory_bytes, power))
--- /dev/null
+++ b/test/fuzz/cluster.py
@@ -0,0 +1,399 @@
+"""Several instances with their real wiring in three data centres, on a virtual clock."""
+
+import asyncio
+import itertools
+import random
+from types import SimpleNamespace
+from typing import Any
+from unittest import mock
+
+from attrs import define, evolve, field
+
+from rhubarbshed.coordination.desk import Desk
+from rhubarbshed.coordination.quotas import AdapterQuota
+from rhubarbshed.coordination.tickets import accept_ticket
+from rhubarbshed.coordination.transactions import TableAccess
+from rhubarbshed.protocol.answers import WholeAnswer
+from rhubarbshed.protocol.calls import Arrival, parse_inference, parse_service_call
+from rhubarbshed.protocol.members import BackendKind, ListedInstance
+from rhubarbshed.protocol.peers import Heartbeat, LeavingNotice, LeavingSubject
+from rhubarbshed.protocol.requests import AttemptEnd, Dispatch, Refusal
+from rhubarbshed.state.catalogue import Catalogue
+from rhubarbshed.state.demand import Demand
+from rhubarbshed.state.leases import Holder, Leases
+from rhubarbshed.state.load import LoadView
+from rhubarbshed.state.membership import Membership, make_instance_info
+from rhubarbshed.state.moves import Moves
+from rhubarbshed.state.timeline import Timeline
+from rhubarbshed.state.weights import WeightGate
+from rhubarbshed.transport import exchange, instance, loops
+from rhubarbshed.transport.callers import Places
+from rhubarbshed.transport.metrics import Metrics
+from rhubarbshed.transport.placing import list_engines
+from rhubarbshed.transport.runtime import Runtime
+from rhubarbshed.transport.upstream import STATUS_OK, Attempt, _is_answer_to
+from rhubarbshed.util.settings import Settings
+from test.fuzz.outside import LIST_LAG_S, Outside, Server
+from test.fuzz.virtual import PacedEvent, Timer, VirtualLoop
+from test.helper_agreed import make_server
+
+SETTINGS = """[platform]
+list_poll_s = 2.0
+[routing]
+report_poll_s = 1.0
+[peers]
+heartbeat_s = 1.0
+[placement]
+interval_s = 2.0
+dwell_min_s = 5.0
+memory_fill_max = 1.0
+[weight_store]
+loads_per_s = 5.0
+[callers]
+deadline_default_s = 20.0
+"""
+PLACES = {"i1": "dc-1", "i2": "dc-1", "i3": "dc-2", "i4": "dc-3"}
+ENGINES = {"b1": ("dc-1", True), "b2": ("dc-1", False), "b3": ("dc-2", True), "b4": ("dc-3", True)}
+SERVICES = {"s1": "dc-1", "s2": "dc-2"}
+DELIST_S = 4.0
+WAKE_S = 0.5
+
+
+@define(eq=False)
+class Ask:
+    """Hold one request as its caller sees it; `ended` is None while it waits."""
+
+    request_id: str
+    payload: str
+    node: "Node"
+    at: float
+    target: str
+    key: str
+    once: bool
+    ended: Any = None
+    ended_at: float = 0.0
+    ends: int = 0
+    dispatches: list[tuple[Dispatch, float]] = field(factory=list)
+
+
+class Network:
+    """Stand for the connections of one instance to all others."""
+
+    def __init__(self, cluster: "Cluster", node: "Node"):
+        self.cluster = cluster
+        self.node = node
+        self.topology = SimpleNamespace(mesh=(), is_delegate=True)
+
+    def publish(self, frame: Any) -> None:
+        for other in self.cluster.list_running():
+            if other is not self.node:
+                self.cluster.post(self.node, other, frame)
+
+    def send(self, peer: str, frame: Any) -> None:
+        other = self.cluster.nodes.get(peer)
+        if other is not None:
+            self.cluster.post(self.node, other, frame)
+
+
+@define(eq=False)
+class Node:
+    """Hold one run of an instance."""
+
+    name: str
+    centre: str
+    loop: VirtualLoop
+    runtime: Runtime = field(init=False)
+    stop: instance.Stop = field(init=False)
+    running: bool = True
+    paused: bool = False
+    drained_at: float | None = None
+    left_open: int | None = None
+    disturbed_at: float = 0.0
+
+
+def make_runtime(node: Node, outside: Outside, number: int) -> Runtime:
+    text = f"[instance]\nname = {node.name}\ndata_centre = {node.centre}\n{SETTINGS}"
+    settings = Settings.from_text(text).unwrap()
+    incarnation, now = f"{node.name}.{number}", node.loop.time()
+    catalogue, load, chance = Catalogue(), LoadView(), random.Random(incarnation)
+    ids = itertools.count()
+
+    def run(call: Any, *args: Any) -> Any:
+        return node.loop.run_in_executor(None, call, *args)
+
+    access = TableAccess(
+        outside.make_table(node.centre), run, chance, make_id=lambda: f"{incarnation}/{next(ids)}"
+    )
+    found = (catalogue.get_model, catalogue.get_adapter, catalogue.get_service)
+    runtime = Runtime(
+        settings=settings,
+        incarnation=incarnation,
+        loop=node.loop,
+        http=lambda info: outside.fetch_service(node.centre, info),
+        access=access,
+        objects=outside.make_objects(node.centre),
+        platform=outside.make_list(node.centre),
+        engines=outside.make_engines(node.centre),
+        membership=Membership.from_settings(settings, incarnation, now),
+        load=load,
+        catalogue=catalogue,
+        timeline=Timeline.from_settings(settings, lambda: 0),
+        metrics=Metrics.from_instance(node.name),
+        desk=Desk.from_settings(settings, *found, load),
+        leases=Leases.from_config(settings.leases, Holder(node.name, incarnation)),
+        moves=Moves(),
+        gate=WeightGate.from_config(settings.weight_store),
+        quota=AdapterQuota(settings.weight_store.adapters_in_flight, node.name),
+        demand=Demand.from_config(node.name, settings.placement),
+        chance=chance,
+        control=None,
+        orders=None,
+        started_at=now,
+    )
+    runtime.places = Places(settings.callers.threads)
+    runtime.gateway = runtime._make_gateway()
+    runtime.move_context = runtime._make_move_context()
+    return runtime
+
+
+@define(eq=False)
+class Cluster:
+    """Hold all instances, what is outside of them, and what callers and operators were told."""
+
+    timer: Timer
+    chance: random.Random
+    outside: Outside
+    nodes: dict[str, Node] = field(factory=dict)
+    past: list[Node] = field(factory=list)
+    asks: list[Ask] = field(factory=list)
+    tickets: list[tuple[Any, Any]] = field(factory=list)
+    numbers: Any = field(factory=lambda: itertools.count(1))
+    faulty_at: float = 0.0
+    list_lag_s: float = LIST_LAG_S
+
+    @classmethod
+    def from_seed(cls, seed: int) -> "Cluster":
+        timer, chance = Timer(), random.Random(seed)
+        timer.patch_time()
+        timer.patches.append(
+            mock.patch.object(loops, "fetch_service_report", lambda http, info: http(info))
+        )
+        timer.patches[-1].start()
+        servers = {}
+        for name, (centre, checks) in ENGINES.items():
+            info = make_server(name, checks, data_centre=centre)
+            servers[name] = Server.from_info(info)
+        for name, centre in SERVICES.items():
+            info = make_server(name, data_centre=centre, kind=BackendKind.SERVICE)
+            servers[name] = Server.from_info(info)
+        cluster = cls(timer, chance, Outside(timer, chance, servers))
+        for name in PLACES:
+            cluster.start(name)
+        cluster.outside.note_list()
+        return cluster
+
+    def close(self) -> None:
+        self.timer.close()
+
+    def list_running(self) -> list[Node]:
+        return [node for node in self.nodes.values() if node.running]
+
+    def disturb(self) -> None:
+        """Note that a fault began or ended now."""
+        self.faulty_at = self.timer.now
+
+    def draw_delay(self) -> float:
+        return self.chance.choice((0.001, 0.004, 0.02, 0.02))
+
+    def start(self, name: str) -> None:
+        """Start an instance anew, as a later run of its name."""
+        loop = VirtualLoop(self.timer, self.draw_delay)
+        node = Node(name, PLACES[name], loop)
+        node.runtime = make_runtime(node, self.outside, next(self.numbers))
+        node.runtime.placement_wakeup = PacedEvent(loop, WAKE_S)
+        node.runtime.network = Network(self, node)
+        node.stop = instance.Stop(asyncio.Event(), asyncio.Event())
+        node.disturbed_at = self.timer.now
+        self.nodes[name] = node
+        self.timer.loops.append(loop)
+        info = make_instance_info(node.runtime.settings, node.runtime.incarnation)
+        self.outside.instances[name] = ListedInstance(info)
+        self.outside.note_list()
+        loop.create_task(self.live(node))
+
+    async def live(self, node: Node) -> None:
+        """Run an instance as `run_instance` does, without its sites and signals."""
+        runtime = node.runtime
+        await loops.restore_catalogue(runtime)
+        with mock.patch.object(instance, "measure_lag", beat_for(self, node)):
+            instance.start_tasks(runtime)
+        await node.stop.asked.wait()
+        node.drained_at = self.timer.now
+        self.list_again(node.name, leaving=True)
+        await instance.drain(runtime, node.stop)
+        node.left_open = runtime.count_open()
+        self.end(node)
+
+    def list_again(self, name: str, leaving: bool) -> None:
+        listed = self.outside.instances.get(name)
+        if listed is not None:
+            self.outside.instances[name] = evolve(listed, leaving=leaving)
+            self.outside.note_list()
+
+    def end(self, node: Node) -> None:
+        """End a run; its callers lose their connections, the list drops it later."""
+        node.running = False
+        if node.loop in self.timer.loops:
+            self.timer.loops.remove(node.loop)
+        self.past.append(node)
+        for ask in self.asks:
+            if ask.node is node and ask.ended is None:
+                self.tell(ask, "cut off")
+        self.timer.call_later(DELIST_S, lambda: self.delist(node))
+
+    def delist(self, node: Node) -> None:
+        if self.nodes[node.name] is node:
+            self.outside.instances.pop(node.name, None)
+            self.outside.note_list()
+
+    def pause(self, node: Node) -> None:
+        node.paused = True
+        if node.loop in self.timer.loops:
+            self.timer.loops.remove(node.loop)
+
+    def resume(self, node: Node) -> None:
+        node.paused = False
+        node.disturbed_at = self.timer.now
+        if node.running and node.loop not in self.timer.loops:
+            self.timer.loops.append(node.loop)
+
+    def post(self, source: Node, target: Node, frame: Any) -> None:
+        """Carry a frame to a peer; it may be lost, doubled or overtaken."""
+        if self.outside.is_cut(source.centre, target.centre) or not source.running:
+            return
+        if self.outside.draw(self.outside.rates.frame):
+            if self.chance.random() < 0.5:
+                return
+            self.timer.call_later(self.chance.uniform(0.0, 2.0), lambda: hear(source, target, frame))
+        self.timer.call_later(self.draw_delay(), lambda: hear(source, target, frame))
+
+    def beat(self, node: Node) -> None:
+        """Send what goes to peers each second; greet those whose link is new."""
+        runtime, now = node.runtime, self.timer.now
+        others = [other for other in self.list_running() if other is not node]
+        runtime.membership.expect([other.name for other in others], now)
+        frames = [exchange.make_heartbeat(runtime), *exchange.collect_digests(runtime, now)]
+        frames += exchange.greet_peer(runtime, "", now)
+        words = runtime.membership.list_leaving_words()
+        subjects = tuple(LeavingSubject(*word) for word in words if word[1])
+        servers = tuple(LeavingSubject(*word) for word in words if not word[1])
+        frames.append(LeavingNotice(subjects, servers))
+        for other in others:
+            for frame in frames:
+                self.post(node, other, frame)
+
+    def send_ticket(self, node: Node, ticket: Any) -> None:
+        """Have an operator send a ticket to an instance, and keep the answer."""
+
+        async def send() -> None:
+            runtime = node.runtime
+            engines = list_engines(runtime, self.timer.now)
+            answer = await accept_ticket(runtime.access, ticket, engines, 0.0)
+            self.tickets.append((ticket, answer, self.timer.now))
+
+        if node.running:
+            node.loop.create_task(send())
+
+    def ask(self, node: Node, payload: str, target: str, key: str = "", adapter: str = "") -> Ask:
+        """Have a caller send a request to an instance; a target `/name` is a plain service."""
+        request_id = f"r{next(self.numbers)}"
+        headers = {"Idempotency-Key": key} if key else {}
+        arrival = Arrival(request_id, self.timer.now, 20.0, "POST", headers)
+        body = f'{{"model": "{target}", "prompt": "{payload}"}}'.encode()
+        if adapter:
+            body = body.replace(b"{", f'{{"adapter": "{adapter}", '.encode(), 1)
+        if target.startswith("/"):
+            call = parse_service_call(arrival, target[1:], "/", body, ("GET",)).unwrap()
+        else:
+            call = parse_inference(arrival, "completions", body).unwrap()
+        once = not call.request.idempotent
+        ask = Ask(request_id, payload, node, self.timer.now, target, key, once)
+        self.asks.append(ask)
+        node.loop.create_task(self.serve(node, call, ask))
+        return ask
+
+    async def serve(self, node: Node, call: Any, ask: Ask) -> None:
+        """Carry a request as a worker thread of the callers' site does."""
+        gateway, places = node.runtime.gateway, node.runtime.places
+        places.take()
+        try:
+            decision = await gateway.open_call(call)
+            whole = None
+            while isinstance(decision, Dispatch):
+                ask.dispatches.append((decision, self.timer.now))
+                attempt = Attempt.from_dispatch(decision)
+                end, whole = await self.carry(node, attempt, call)
+                result = attempt.make_result(end, self.timer.now)
+                decision = await gateway.end_attempt(call, result, whole)
+        finally:
+            places.free()
+        answer = decision if decision is not None else whole
+        self.tell(ask, answer.error if isinstance(answer, Refusal) else answer)
+
+    async def carry(self, node: Node, attempt: Attempt, call: Any) -> tuple[AttemptEnd, Any]:
+        done: asyncio.Future = node.loop.create_future()
+
+        def end(how: AttemptEnd, whole: WholeAnswer | None) -> None:
+            if node.running and not done.done():
+                done.set_result((how, whole))
+
+        self.outside.submit(node.centre, attempt.dispatch, call, end)
+        try:
+            how, whole = await asyncio.wait_for(done, attempt.dispatch.first_byte_timeout_s)
+        except TimeoutError:
+            return AttemptEnd.TIMED_OUT, None
+        attempt.status = STATUS_OK if whole else 0
+        if whole and call.request.model and not _is_answer_to(whole.body, attempt):
+            return AttemptEnd.BROKEN, None
+        return how, whole
+
+    def tell(self, ask: Ask, ended: Any) -> None:
+        ask.ends += 1
+        ask.ended, ask.ended_at = ended, self.timer.now
+
+    def run(self, seconds: float) -> None:
+        self.timer.run_until(self.timer.now + seconds)
+
+
+def beat_for(cluster: Cluster, node: Node) -> Any:
+    """Make the task that sends heartbeats, in the place of the network's own."""
+
+    async def beat(_: Runtime) -> None:
+        while True:
+            cluster.beat(node)
+            await asyncio.sleep(node.runtime.settings.peers.heartbeat_s)
+
+    return beat
+
+
+def hear(source: Node, target: Node, frame: Any) -> None:
+    """Take in a frame on the target's loop, as the peer network does."""
+    if not target.running:
+        return
+    runtime = target.runtime
+
+    def take() -> None:
+        now = target.loop.time()
+        info = make_instance_info(source.runtime.settings, source.runtime.incarnation)
+        runtime.membership.apply_hello(info, now)
+        runtime.membership.hear(source.name, now)
+        if isinstance(frame, Heartbeat) and frame.leaving:
+            runtime.membership.apply_leaving(source.name, info.incarnation, source.name)
+        if isinstance(frame, LeavingNotice):
+            for subject in (*frame.instances, *frame.backend_servers):
+                runtime.membership.apply_leaving(subject.name, subject.incarnation, source.name)
+        exchange.take_frame(runtime, source.name, frame, now)
+
+    target.loop.call_soon(take)
+
+
--- /dev/null
+++ b/test/fuzz/outside.py
@@ -0,0 +1,251 @@
+"""Fakes around the instances: platform, engines and services with requests in progress, cuts."""
+
+import json
+import random
+from collections import Counter, defaultdict
+from collections.abc import Callable
+from typing import Any
+
+from attrs import define, evolve, field
+from returns.result import Failure, Result, Success
+
+from rhubarbshed.protocol.answers import WholeAnswer
+from rhubarbshed.protocol.members import (
+    BackendKind,
+    BackendServerInfo,
+    ListedBackendServer,
+    ListedInstance,
+    PlatformList,
+)
+from rhubarbshed.protocol.orders import OrderError, OrderFault
+from rhubarbshed.protocol.platform import EngineClient, ListClient, ObjectClient, TableClient
+from rhubarbshed.protocol.requests import AttemptEnd
+from rhubarbshed.protocol.services import ServiceReport
+from rhubarbshed.protocol.tables import TableError, TableFault
+from test.fuzz.virtual import Timer
+from test.helper_agreed import FakeEngine, FakeTable
+
+PLATFORM = "platform"
+LIST_LAG_S = 1.0
+LATE_MAX_S = 20.0
+POISON = "poison"
+
+
+@define
+class Rates:
+    """Hold the chance of each fault of one exchange while faults are on."""
+
+    commit: float = 0.0
+    order: float = 0.0
+    attempt: float = 0.0
+    frame: float = 0.0
+
+
+@define(eq=False)
+class Running:
+    """Hold one attempt that a backend server works on."""
+
+    payload: str
+    end: Callable[[AttemptEnd, WholeAnswer | None], None]
+
+
+@define(eq=False)
+class Server:
+    """Hold a backend server: its memory and orders, and the attempts that run on it."""
+
+    info: BackendServerInfo
+    engine: FakeEngine
+    running: list[Running] = field(factory=list)
+    leaving: bool = False
+
+    @classmethod
+    def from_info(cls, info: BackendServerInfo) -> "Server":
+        return cls(info, FakeEngine(info))
+
+    def crash(self) -> None:
+        """Start anew with empty memory; every open connection breaks."""
+        self.engine.restart()
+        broken, self.running = self.running, []
+        for item in broken:
+            item.end(AttemptEnd.BROKEN, None)
+
+    def has(self, model: str, adapter: str) -> bool:
+        names = {key.name for key in self.engine.resident}
+        return model in names and (not adapter or adapter in names)
+
+
+@define(eq=False)
+class Outside:
+    """Hold all that is outside of the instances, and the faults in force."""
+
+    timer: Timer
+    chance: random.Random
+    servers: dict[str, Server]
+    table: FakeTable = field(factory=FakeTable)
+    store: dict[str, bytes] = field(factory=dict)
+    listed: list[tuple[float, PlatformList]] = field(factory=list)
+    instances: dict[str, ListedInstance] = field(factory=dict)
+    cuts: set[tuple[str, str]] = field(factory=set)
+    rates: Rates = field(factory=Rates)
+    runs: dict[str, list[str]] = field(factory=lambda: defaultdict(list))
+    begun: Counter[str] = field(factory=Counter)
+    lost: dict[str, list[str]] = field(factory=lambda: defaultdict(list))
+    on_order: Callable[[Server, Any, set], None] = lambda *_: None
+
+    def is_cut(self, source: str, target: str) -> bool:
+        return (source, target) in self.cuts
+
+    def draw(self, rate: float) -> bool:
+        return rate > 0 and self.chance.random() < rate
+
+    def note_list(self) -> None:
+        """Remember the list as it stands, for reads that lag."""
+        listed = [ListedBackendServer(s.info, s.leaving) for s in self.servers.values()]
+        view = PlatformList(tuple(self.instances.values()), tuple(listed))
+        self.listed.append((self.timer.now, view))
+
+    def make_table(self, centre: str) -> TableClient:
+        def ask(call: Callable[..., Result], *args: Any) -> Result:
+            if self.is_cut(centre, PLATFORM) or self.is_cut(PLATFORM, centre):
+                return Failure(TableError(TableFault.UNAVAILABLE))
+            return call(*args)
+
+        def commit(transaction: Any) -> Result:
+            if self.is_cut(centre, PLATFORM):
+                return Failure(TableError(TableFault.UNAVAILABLE))
+            if not self.table.down and self.draw(self.rates.commit):
+                if self.chance.random() < 0.5:
+                    delay_s = self.chance.uniform(0.0, LATE_MAX_S)
+                    self.timer.call_later(delay_s, lambda: self.table.apply(transaction))
+                else:
+                    self.table.apply(transaction)
+                return Failure(TableError(TableFault.UNKNOWN))
+            answer = self.table.commit(transaction)
+            lost = self.is_cut(PLATFORM, centre)
+            return Failure(TableError(TableFault.UNKNOWN)) if lost else answer
+
+        return TableClient(
+            lambda keys: ask(self.table.read, keys),
+            lambda prefix, revision: ask(self.table.scan, prefix, revision),
+            commit,
+        )
+
+    def make_objects(self, centre: str) -> ObjectClient:
+        def reach(call: Callable[[], Any]) -> Result:
+            if self.table.down or self.is_cut(centre, PLATFORM):
+                return Failure(TableError(TableFault.UNAVAILABLE))
+            return Success(call())
+
+        return ObjectClient(
+            lambda key: reach(lambda: self.store.get(key)),
+            lambda key, data: reach(lambda: self.store.update({key: data})),
+        )
+
+    def make_list(self, centre: str) -> ListClient:
+        def fetch() -> Result:
+            if self.table.down or self.is_cut(centre, PLATFORM) or self.is_cut(PLATFORM, centre):
+                return Failure(TableError(TableFault.UNAVAILABLE))
+            old = [view for at, view in self.listed if at <= self.timer.now - LIST_LAG_S]
+            return Success(old[-1] if old else self.listed[0][1])
+
+        return ListClient(fetch)
+
+    def make_engines(self, centre: str) -> EngineClient:
+        return EngineClient(
+            lambda info, order: self.send_order(centre, info, order),
+            lambda info, _: self.fetch_report(centre, info),
+        )
+
+    def send_order(self, centre: str, info: BackendServerInfo, order: Any) -> Result:
+        if self.is_cut(centre, info.data_centre):
+            return Failure(OrderError(OrderFault.UNAVAILABLE))
+        server = self.servers[info.name]
+        if self.draw(self.rates.order):
+            fate = self.chance.choice(("late", "lost", "refused", "doubled"))
+            if fate == "refused":
+                return Failure(OrderError(OrderFault.REFUSED))
+            delay_s = 0.0 if fate == "lost" else self.chance.uniform(0.0, LATE_MAX_S)
+            self.timer.call_later(delay_s, lambda: self.run_order(server, order))
+            if fate != "doubled":
+                return Failure(OrderError(OrderFault.UNKNOWN))
+        answer = self.run_order(server, order)
+        lost = self.is_cut(info.data_centre, centre)
+        return Failure(OrderError(OrderFault.UNKNOWN)) if lost else answer
+
+    def run_order(self, server: Server, order: Any) -> Result:
+        before = set(server.engine.resident)
+        answer = server.engine.run(order)
+        self.on_order(server, order, before - set(server.engine.resident))
+        return answer
+
+    def fetch_report(self, centre: str, info: BackendServerInfo) -> Result:
+        if self.is_cut(centre, info.data_centre) or self.is_cut(info.data_centre, centre):
+            return Failure(OrderError(OrderFault.UNAVAILABLE))
+        server = self.servers[info.name]
+        report = evolve(server.engine.report(), running=len(server.running), slots=8)
+        return Success(evolve(report, tokens_per_s=300.0, prefill_tokens_per_s=4000.0))
+
+    def fetch_service(self, centre: str, info: BackendServerInfo) -> Result:
+        if self.is_cut(centre, info.data_centre) or self.is_cut(info.data_centre, centre):
+            return Failure("unreachable")
+        server = self.servers[info.name]
+        return Success(
+            ServiceReport(info.name, 0.0, len(server.running), 0, 8, str(server.engine.boot))
+        )
+
+    def submit(self, centre: str, dispatch: Any, call: Any, end: Callable[..., None]) -> None:
+        """Carry one attempt to its server and its answer back; `end` may never be called."""
+        server = self.servers[dispatch.backend_server]
+        if self.is_cut(centre, server.info.data_centre):
+            end(AttemptEnd.NOT_SENT, None)
+        elif not self.draw(self.rates.attempt / 4):
+            delay_s = self.chance.uniform(0.001, 0.05)
+            self.timer.call_later(delay_s, lambda: self.arrive(centre, server, dispatch, call, end))
+
+    def arrive(self, centre: str, server: Server, dispatch: Any, call: Any, end: Any) -> None:
+        request = call.request
+        if request.model and not server.has(request.model, request.adapter):
+            end(AttemptEnd.REFUSED, None)
+            return
+        payload = find_payload(call)
+        self.runs[payload].append(request.request_id)
+        self.begun[request.request_id] += 1
+        item = Running(payload, end)
+        server.running.append(item)
+        answer = make_answer(request.request_id, payload)
+        delay_s = self.chance.choice((0.05, 0.5, 3.0))
+        if POISON in payload:
+            self.timer.call_later(0.02, lambda: self.crash_by(server, item))
+        else:
+            self.timer.call_later(delay_s, lambda: self.finish(centre, server, item, answer))
+
+    def crash_by(self, server: Server, item: Running) -> None:
+        """Have a request crash the server that runs it."""
+        if item in server.running:
+            self.lost[item.payload].append(server.info.name)
+            server.crash()
+
+    def finish(self, centre: str, server: Server, item: Running, answer: WholeAnswer) -> None:
+        if item not in server.running:
+            return
+        server.running.remove(item)
+        if self.is_cut(server.info.data_centre, centre):
+            return
+        if not self.draw(self.rates.attempt):
+            item.end(AttemptEnd.DONE, answer)
+            return
+        fate = self.chance.choice(("lost", "broken", "crossed"))
+        if fate == "crossed" and server.info.kind is BackendKind.ENGINE:
+            item.end(AttemptEnd.DONE, make_answer("another", "another"))
+        elif fate != "lost":
+            item.end(AttemptEnd.BROKEN, None)
+
+
+def find_payload(call: Any) -> str:
+    """Return what tells a caller's work apart, whatever the request id."""
+    return json.loads(call.body)["prompt"]
+
+
+def make_answer(request_id: str, payload: str) -> WholeAnswer:
+    body = json.dumps({"id": request_id, "echo": payload}).encode()
+    return WholeAnswer(200, "application/json", body)
--- /dev/null
+++ b/test/fuzz/virtual.py
@@ -0,0 +1,123 @@
+"""Event loops on a virtual clock, one for each instance, so that one can be paused or killed."""
+
+import asyncio
+import heapq
+import itertools
+import math
+from collections.abc import Callable
+from types import SimpleNamespace
+from typing import Any
+from unittest import mock
+
+from attrs import define, field
+
+from rhubarbshed.transport import gateway, instance, loops, placing, runtime
+
+MODULES = (gateway, instance, loops, placing, runtime)
+
+
+class VirtualLoop(asyncio.BaseEventLoop):
+    """Run tasks when the scheduler asks, at the time that the scheduler holds.
+
+    A blocking call meant for a thread runs on the loop after a drawn delay, and its answer
+    arrives after another, so calls cross each other and a pause falls between their steps.
+    """
+
+    def __init__(self, timer: "Timer", draw_delay: Callable[[], float]):
+        super().__init__()
+        self.timer = timer
+        self.draw_delay = draw_delay
+        self._selector = SimpleNamespace(select=lambda timeout: [])
+        self._clock_resolution = 1e-9
+        self.set_exception_handler(lambda _, context: timer.defects.append(context))
+
+    def time(self) -> float:
+        return self.timer.now
+
+    def _process_events(self, events: list) -> None:
+        """Take no events: there are no sockets."""
+
+    def _write_to_self(self) -> None:
+        """Wake nobody: there are no threads."""
+
+    def run_in_executor(self, executor: Any, call: Callable[..., Any], *args: Any) -> Any:
+        done = self.create_future()
+
+        def answer(result: Any) -> None:
+            if not done.done():
+                done.set_result(result)
+
+        def run() -> None:
+            self.call_later(self.draw_delay(), answer, call(*args))
+
+        self.call_later(self.draw_delay(), run)
+        return done
+
+    def find_due(self) -> float:
+        """Return when this loop has work next."""
+        if self._ready:
+            return self.timer.now
+        return self._scheduled[0]._when if self._scheduled else math.inf
+
+    def run_ready(self) -> None:
+        """Run what is ready now."""
+        asyncio._set_running_loop(self)
+        try:
+            self._run_once()
+        finally:
+            asyncio._set_running_loop(None)
+
+
+class PacedEvent(asyncio.Event):
+    """Wake a step a little later, so that a step that wakes itself lets time pass."""
+
+    def __init__(self, loop: VirtualLoop, pause_s: float):
+        super().__init__()
+        self.loop = loop
+        self.pause_s = pause_s
+
+    def set(self) -> None:
+        self.loop.call_later(self.pause_s, super().set)
+
+
+@define(eq=False)
+class Timer:
+    """Hold the one clock, events outside all instances, and the loops that run."""
+
+    now: float = 1000.0
+    events: list = field(factory=list)
+    numbers: Any = field(factory=itertools.count)
+    loops: list[VirtualLoop] = field(factory=list)
+    defects: list[Any] = field(factory=list)
+    patches: list[Any] = field(factory=list)
+
+    def patch_time(self) -> None:
+        """Give the modules of the instance this clock."""
+        clock = SimpleNamespace(monotonic=lambda: self.now)
+        self.patches = [mock.patch.object(module, "time", clock) for module in MODULES]
+        for patch in self.patches:
+            patch.start()
+
+    def close(self) -> None:
+        for patch in self.patches:
+            patch.stop()
+        for loop in self.loops:
+            loop.close()
+
+    def call_later(self, delay_s: float, action: Callable[[], Any]) -> None:
+        heapq.heappush(self.events, (self.now + delay_s, next(self.numbers), action))
+
+    def run_until(self, end: float) -> None:
+        """Run events and loops in the order of their time."""
+        while True:
+            due = [(loop.find_due(), number) for number, loop in enumerate(self.loops)]
+            first, number = min(due, default=(math.inf, 0))
+            event_at = self.events[0][0] if self.events else math.inf
+            if min(first, event_at) > end:
+                break
+            self.now = max(self.now, min(first, event_at))
+            if event_at <= first:
+                heapq.heappop(self.events)[2]()
+            else:
+                self.loops[number].run_ready()
+        self.now = max(self.now, end)
--- a/test/test_loads.py
+++ b/test/test_loads.py
@@ -11,7 +11,13 @@
 from rhubarbshed.protocol.orders import OrderFault, OrderKind
 from rhubarbshed.state.floors import decode_floor
 from rhubarbshed.state.leases import Holder
-from rhubarbshed.state.ledger import EntryState, LedgerFault
+from rhubarbshed.state.ledger import (
+    Copies,
+    EntryState,
+    LedgerFault,
+    begin_unload,
+    encode_ledger,
+)
 from rhubarbshed.state.moves import ORDER_LIFETIME_S
 from rhubarbshed.state.weights import decode_use
 from test.helper_agreed import (
@@ -513,3 +519,41 @@
     complete(forget_server(first.context.access, world.budget))
     assert slots(world) == () and world.ledger.entries == ()
     assert decode_floor(world.table.rows["floor/dc-1"].value).power_watts == 0
+
+
+def test_unload_is_refused_once_the_server_it_relies_on_gives_up_its_copy():
+    world = World()
+    instance = Instance.start(world, "i1")
+    complete(instance.own())
+    spec = make_spec("a", 60)
+    complete(execute_load(instance.context, world.budget, spec)).unwrap()
+    held = world.table.rows["backend/b1"]
+
+    def ask():
+        context, budget = instance.context, world.budget
+        return complete(execute_unload(context, budget, spec.key, relies_on="b2"))
+
+    assert ask().failure().fault is LedgerFault.LAST_COPY
+    leaving = begin_unload(world.ledger, spec.key, "u", True, Copies(False, True, False)).unwrap()
+    world.table.rows["backend/b2"] = evolve(held, key="backend/b2", value=encode_ledger(leaving))
+    assert ask().failure().fault is LedgerFault.LAST_COPY
+    world.table.rows["backend/b2"] = evolve(held, key="backend/b2")
+    assert spec.key in world.engine.resident
+    assert isinstance(ask(), Success)
+    assert not world.engine.resident
+
+
+def test_of_two_unloads_that_rely_on_each_other_one_is_refused():
+    world = World()
+    instance = Instance.start(world, "i1")
+    complete(instance.own())
+    spec = make_spec("a", 60)
+    complete(execute_load(instance.context, world.budget, spec)).unwrap()
+    held = evolve(world.table.rows["backend/b1"], key="backend/b2")
+    world.table.rows["backend/b2"] = held
+    leaving = begin_unload(world.ledger, spec.key, "u", True, Copies(False, True, False)).unwrap()
+    gone = evolve(held, version=held.version + 1, value=encode_ledger(leaving))
+    world.table.faults.append(lambda: world.table.rows.update({"backend/b2": gone}))
+    asked = complete(execute_unload(instance.context, world.budget, spec.key, relies_on="b2"))
+    assert asked.failure().fault is LedgerFault.LAST_COPY
+    assert spec.key in world.engine.resident
