--- a/test/fuzz/outside.py
+++ b/test/fuzz/outside.py
@@ -57,6 +57,7 @@
     engine: FakeEngine
     running: list[Running] = field(factory=list)
     leaving: bool = False
+    lost: set[str] = field(factory=set)
 
     @classmethod
     def from_info(cls, info: BackendServerInfo) -> "Server":
@@ -64,6 +65,7 @@
 
     def crash(self) -> None:
         """Start anew with empty memory; every open connection breaks."""
+        self.lost |= {key.name for key in self.engine.resident}
         self.engine.restart()
         broken, self.running = self.running, []
         for item in broken:
@@ -175,6 +177,7 @@
     def run_order(self, server: Server, order: Any) -> Result:
         before = set(server.engine.resident)
         answer = server.engine.run(order)
+        server.lost -= {key.name for key in server.engine.resident}
         self.on_order(server, order, before - set(server.engine.resident))
         return answer
 
