Have backend servers leave in the fuzzing

Cause: point 6 also speaks of backend servers that leave. Change: a rule lists one as leaving; the oracle looks at each dispatch.

--- a/test/fuzz/cluster.py
+++ b/test/fuzz/cluster.py
@@ -2,12 +2,13 @@
 
 import asyncio
 import itertools
+import math
 import random
 from types import SimpleNamespace
 from typing import Any
 from unittest import mock
 
-from attrs import define, evolve, field
+from attrs import define, evolve, field, frozen
 
 from rhubarbshed.coordination.desk import Desk
 from rhubarbshed.coordination.quotas import AdapterQuota
@@ -60,6 +61,15 @@
 SWEEP_S = 1.0
 
 
+@frozen
+class Sending:
+    """Hold a dispatch, its time, and since when there has been no fault (never: infinite)."""
+
+    dispatch: Dispatch
+    at: float
+    calm_since: float
+
+
 @define(eq=False)
 class Ask:
     """Hold one request as its caller sees it; `ended` is None while it waits."""
@@ -74,7 +84,7 @@
     ended: Any = None
     ended_at: float = 0.0
     ends: int = 0
-    dispatches: list[tuple[Dispatch, float]] = field(factory=list)
+    dispatches: list[Sending] = field(factory=list)
 
 
 class Network:
@@ -169,6 +179,7 @@
     asks: list[Ask] = field(factory=list)
     tickets: list[tuple[Any, Any]] = field(factory=list)
     numbers: Any = field(factory=lambda: itertools.count(1))
+    left_at: dict[str, float] = field(factory=dict)
     faulty_at: float = 0.0
     list_lag_s: float = LIST_LAG_S
 
@@ -201,6 +212,11 @@
     def list_running(self) -> list[Node]:
         return [node for node in self.nodes.values() if node.running]
 
+    def find_calm(self) -> float:
+        """Return since when nothing has been cut or down."""
+        is_calm = not self.outside.cuts and not self.outside.table.down
+        return self.faulty_at if is_calm else math.inf
+
     def could_know(self, node: Node, ticket: Any) -> bool:
         """Tell whether a ticket can reach an instance, from the table or from a peer."""
         cuts = self.outside.cuts
@@ -253,6 +269,29 @@
         node.left_open = runtime.count_open()
         self.end(node)
 
+    def leave(self, name: str) -> None:
+        """Have the platform list a backend server as leaving."""
+        server = self.outside.servers[name]
+        server.leaving = True
+        self.left_at.setdefault(name, self.timer.now)
+        self.outside.note_list()
+
+    def take_off(self) -> None:
+        """Take the leaving backend servers off the list."""
+        for server in self.outside.servers.values():
+            if server.leaving:
+                server.listed = False
+        self.outside.note_list()
+
+    def replace_servers(self) -> None:
+        """Put fresh backend servers in the place of those taken off."""
+        for server in self.outside.servers.values():
+            if not server.listed:
+                server.crash()
+                server.listed, server.leaving = True, False
+        self.left_at.clear()
+        self.outside.note_list()
+
     def list_again(self, name: str, leaving: bool) -> None:
         listed = self.outside.instances.get(name)
         if listed is not None:
@@ -351,7 +390,8 @@
             decision = await gateway.open_call(call)
             whole = None
             while isinstance(decision, Dispatch):
-                ask.dispatches.append((decision, self.timer.now))
+                sending = Sending(decision, self.timer.now, self.find_calm())
+                ask.dispatches.append(sending)
                 attempt = Attempt.from_dispatch(decision)
                 end, whole = await self.carry(node, attempt, call)
                 result = attempt.make_result(end, self.timer.now)
--- a/test/fuzz/machines.py
+++ b/test/fuzz/machines.py
@@ -19,6 +19,7 @@
 WARM_S = 20.0
 SETTLE_STEP_S = 5.0
 SETTLE_MAX_S = 300.0
+REPLACE_S = 15.0
 FAULTY = Rates(commit=0.15, order=0.3, attempt=0.3, frame=0.1)
 
 NAMES = st.sampled_from(tuple(PLACES))
@@ -108,6 +109,12 @@
         self.cluster.outside.servers[name].crash()
         self.cluster.disturb()
 
+    @rule(name=st.sampled_from(("b1", "b3", "s1")))
+    def leave(self, name: str) -> None:
+        """Have a backend server leave, where no other one does."""
+        if not self.cluster.left_at:
+            self.cluster.leave(name)
+
     def settle(self) -> None:
         """End all faults; everything has to come back within bounded time."""
         cluster = self.cluster
@@ -118,6 +125,11 @@
             if node.paused:
                 cluster.resume(node)
         cluster.run(SETTLE_STEP_S)
+        if cluster.left_at:
+            cluster.run(REPLACE_S)
+            cluster.take_off()
+            cluster.run(REPLACE_S)
+            cluster.replace_servers()
         for name, node in cluster.nodes.items():
             if not node.running:
                 cluster.start(name)
--- a/test/fuzz/oracle.py
+++ b/test/fuzz/oracle.py
@@ -5,6 +5,7 @@
 """
 
 import json
+import math
 
 from attrs import define, field
 from returns.result import Success
@@ -21,6 +22,9 @@
 LEAVING_S = 3.0
 """Time after which something that leaves gets no new work from who could know."""
 
+BACKOFF_S = 6.0
+"""Longest pause between two reads of the platform after an outage."""
+
 IN_FORCE_S = 10.0
 """Time after which an accepted ticket is in force on every instance that could know."""
 
@@ -48,7 +52,6 @@
     cluster: Cluster
     faults: list[ViolationError] = field(factory=list)
     seen: dict[tuple[str, ObjectKey], int] = field(factory=dict)
-    leaving: dict[str, float] = field(factory=dict)
 
     @classmethod
     def from_cluster(cls, cluster: Cluster) -> "Oracle":
@@ -132,11 +135,13 @@
             left_at = ask.node.drained_at
             if left_at is not None and ask.at > left_at + LEAVING_S:
                 demand(not ask.dispatches, 6, f"{ask.node.name} took {ask.request_id} in a drain")
-            for dispatch, at in ask.dispatches:
-                since = self.leaving.get(dispatch.backend_server, at)
-                knew = max(since, self.cluster.faulty_at) + LEAVING_S + self.cluster.list_lag_s
-                text = f"{dispatch.backend_server} got {ask.request_id} while it was leaving"
-                demand(at <= knew or self.cluster.faulty_at > at, 6, text)
+            for sending in ask.dispatches:
+                name = sending.dispatch.backend_server
+                left_at = self.cluster.left_at.get(name, math.inf)
+                calm_at = max(sending.calm_since, ask.node.disturbed_at) + BACKOFF_S
+                knew = max(left_at + self.cluster.list_lag_s, calm_at) + LEAVING_S
+                text = f"{name} got {ask.request_id} at {sending.at}, leaving since {left_at}"
+                demand(sending.at <= knew, 6, text)
 
     def check_stops(self) -> None:
         """Check point 7: a planned stop ends with nothing in progress."""
--- a/test/fuzz/outside.py
+++ b/test/fuzz/outside.py
@@ -57,6 +57,7 @@
     engine: FakeEngine
     running: list[Running] = field(factory=list)
     leaving: bool = False
+    listed: bool = True
     lost: set[str] = field(factory=set)
 
     @classmethod
@@ -102,7 +103,8 @@
 
     def note_list(self) -> None:
         """Remember the list as it stands, for reads that lag."""
-        listed = [ListedBackendServer(s.info, s.leaving) for s in self.servers.values()]
+        known = [server for server in self.servers.values() if server.listed]
+        listed = [ListedBackendServer(server.info, server.leaving) for server in known]
         view = PlatformList(tuple(self.instances.values()), tuple(listed))
         self.listed.append((self.timer.now, view))
 
