Start instances while the platform is down, from seeds

Cause: an instance learned of peers and backend servers from the platform's list alone, so one started while the list could not be read stayed unready for good. A pull of the catalogue in several pages took the revision of the last page, though a change between two pages may be missing from the first.

Ruled out: keeping the list in the object store (down as well); letting a told list mark members as absent (a peer's list may be older than a word heard here).

Change: [peers] seeds are dialed while there is no connection; the greeting names the peer. ListRequest and ListAnswer carry the platform's list with its age. An own list goes before a told one unless older by a term; a told one only adds. A pull counts up to the revision of its first page. An instance is ready only once it knows the catalogue too.

--- a/rhubarbshed/protocol/peers.py
+++ b/rhubarbshed/protocol/peers.py
@@ -11,7 +11,7 @@
 from rhubarbshed.protocol.catalogue import CatalogueObject
 from rhubarbshed.protocol.codec import CONVERTER, describe_structure_error
 from rhubarbshed.protocol.events import Stamp
-from rhubarbshed.protocol.members import InstanceInfo
+from rhubarbshed.protocol.members import InstanceInfo, PlatformList
 from rhubarbshed.protocol.orders import CacheEvent, Resident, Role
 from rhubarbshed.protocol.placement import DemandReport
 from rhubarbshed.protocol.quarantine import QuarantineNews, SoloMark
@@ -50,11 +50,15 @@
 
 @frozen
 class Heartbeat:
-    """Show that the sender lives, and how new its catalogue is."""
+    """Show that the sender lives, how new its catalogue is, and whether it holds a lease.
+
+    Instances of a version that does not tell are taken to hold one.
+    """
 
     revision: int = 0
     ticket: int = 0
     leaving: bool = False
+    holds_lease: bool = True
 
 
 @frozen
@@ -164,6 +168,19 @@
     marks: tuple[SoloMark, ...] = ()
 
 
+@frozen
+class ListRequest:
+    """Ask for the platform's list as the receiver last knew it."""
+
+
+@frozen
+class ListAnswer:
+    """Carry the platform's list as last read; `age_s` counts up to sending."""
+
+    listed: PlatformList
+    age_s: float
+
+
 @frozen
 class UnknownFrame:
     """Stand for a frame of a kind that only newer instances know; it is never sent."""
@@ -184,6 +201,8 @@
     | QuarantineNotice
     | LoadRequest
     | DemandDigest
+    | ListRequest
+    | ListAnswer
 )
 FRAME_KINDS: tuple[type, ...] = (
     Challenge,
@@ -198,6 +217,8 @@
     QuarantineNotice,
     LoadRequest,
     DemandDigest,
+    ListRequest,
+    ListAnswer,
 )
 """Kinds by their number on the wire; append only."""
 KIND_NUMBERS = {kind: number for number, kind in enumerate(FRAME_KINDS)}
--- a/rhubarbshed/state/membership.py
+++ b/rhubarbshed/state/membership.py
@@ -59,6 +59,8 @@
     past_incarnations: dict[str, list[str]] = Factory(dict)
     words: dict[tuple[str, str], str] = Factory(dict)
     list_read_at: float | None = None
+    last_list: PlatformList | None = None
+    last_list_at: float = float("-inf")
 
     @classmethod
     def from_settings(cls, settings: Settings, incarnation: str, now: float) -> "Membership":
@@ -71,6 +73,7 @@
     def apply_list(self, listed: PlatformList, now: float) -> None:
         """Take in the platform's list as read at `now`; until the next it stays in force."""
         self.list_read_at = now
+        self._keep_list(listed, now)
         for instance in listed.instances:
             self._apply_listed_instance(instance, now)
         for server in listed.backend_servers:
@@ -79,6 +82,28 @@
         names = {entry.info.name for entry in listed.backend_servers}
         self._mark_absent(self.backend_servers, names, now)
 
+    def apply_told_list(self, listed: PlatformList, read_at: float) -> bool:
+        """Take in the list as a peer read it at `read_at`; tell whether it counts.
+
+        The list that this instance read itself goes before, unless it is older by a whole term.
+        A peer's list only adds: what it lacks may have been listed here since.
+        """
+        own = self.list_read_at
+        if own is not None and read_at - own <= self.limits.session_term_s:
+            return False
+        if read_at <= self.last_list_at:
+            return False
+        self._keep_list(listed, read_at)
+        for instance in listed.instances:
+            self._apply_listed_instance(instance, read_at)
+        for server in listed.backend_servers:
+            self._apply_listed_server(server, read_at)
+        return True
+
+    def _keep_list(self, listed: PlatformList, read_at: float) -> None:
+        self.last_list = listed
+        self.last_list_at = read_at
+
     def apply_hello(self, info: InstanceInfo, now: float) -> None:
         """Take in an instance's own word on itself, heard over a proven connection.
 
--- a/rhubarbshed/transport/exchange.py
+++ b/rhubarbshed/transport/exchange.py
@@ -1,6 +1,7 @@
 """What an instance tells its peers and does with what they tell it."""
 
 import logging
+import time
 
 from attrs import define, field
 
@@ -16,6 +17,8 @@
     Heartbeat,
     LeavingNotice,
     LeavingSubject,
+    ListAnswer,
+    ListRequest,
     LoadDigest,
     LoadRequest,
     QuarantineNotice,
@@ -31,6 +34,9 @@
 # Marks of servers set aside are short-lived, so they are told again while they hold.
 MARKS_INTERVAL_S = 1.0
 DEMAND_REMOTE_INTERVAL_S = 10.0
+# Time between requests for the platform's list while none is known, and while the one known ages.
+LIST_FIRST_INTERVAL_S = 1.0
+LIST_INTERVAL_S = 30.0
 
 
 @define
@@ -38,7 +44,7 @@
     """Hold what was last told to peers and asked of them.
 
     `hinted_revision` is the newest catalogue any peer told of, `pulled_revision` the newest that
-    a peer has given whole.
+    a peer has given whole. `pulling` holds, by peer, the revision of the first page of a pull.
     """
 
     outbox: LoadOutbox = field(factory=LoadOutbox)
@@ -51,6 +57,8 @@
     demand_remote_at: float = 0.0
     told_entries: dict[str, QuarantineEntry] = field(factory=dict)
     marks_at: float = 0.0
+    list_asked_at: float = float("-inf")
+    pulling: dict[str, int] = field(factory=dict)
 
 
 def make_heartbeat(runtime) -> Heartbeat:
@@ -58,14 +66,16 @@
     catalogue = runtime.catalogue
     known = max(catalogue.revision, runtime.exchange.pulled_revision)
     leaving = runtime.desk.drain.started_at is not None
-    return Heartbeat(known, catalogue.head, leaving)
+    holds_lease = runtime.leases.is_held(time.monotonic())
+    return Heartbeat(known, catalogue.head, leaving, holds_lease)
 
 
 def greet_peer(runtime, peer: str, now: float) -> tuple[Frame, ...]:
     """Tell a new peer what must not wait: which requests crash servers, and the own load."""
     entries = runtime.desk.suspects.view.list_news(now)
     load = LoadOutbox().make_digest(tuple(_list_own_reports(runtime, now)), now)
-    return (QuarantineNotice(entries), load)
+    asks = (ListRequest(),) if runtime.membership.last_list is None else ()
+    return (QuarantineNotice(entries), load, *asks)
 
 
 def collect_digests(runtime, now: float) -> tuple[Frame, ...]:
@@ -138,6 +148,7 @@
             runtime.network.send(peer, runtime.exchange.inbox.make_answer(own, now))
         case Heartbeat(revision=revision):
             _note_hint(runtime, peer, revision, now)
+            _ask_list(runtime, peer, now)
         case CatalogueHint(revision=revision):
             _note_hint(runtime, peer, revision, now)
             runtime.catalogue_wakeup.set()
@@ -149,6 +160,10 @@
             runtime.apply_membership()
         case QuarantineNotice():
             _take_suspects(runtime, frame, now)
+        case ListRequest():
+            _tell_list(runtime, peer, now)
+        case ListAnswer():
+            _take_list(runtime, peer, frame, now)
         case DemandDigest():
             runtime.demand.merge(frame.report, now)
         case _:
@@ -164,6 +179,31 @@
         runtime.network.send(peer, LoadRequest())
 
 
+def _ask_list(runtime, peer: str, now: float) -> None:
+    """Ask a peer for the platform's list while this instance cannot read it itself."""
+    membership, exchange = runtime.membership, runtime.exchange
+    interval_s = LIST_FIRST_INTERVAL_S if membership.last_list is None else LIST_INTERVAL_S
+    old = now - membership.last_list_at >= interval_s
+    if old and now - exchange.list_asked_at >= interval_s:
+        exchange.list_asked_at = now
+        runtime.network.send(peer, ListRequest())
+
+
+def _tell_list(runtime, peer: str, now: float) -> None:
+    listed = runtime.membership.last_list
+    if listed is not None:
+        age_s = now - runtime.membership.last_list_at
+        runtime.network.send(peer, ListAnswer(listed, age_s))
+
+
+def _take_list(runtime, peer: str, answer: ListAnswer, now: float) -> None:
+    if not runtime.membership.apply_told_list(answer.listed, now - max(0.0, answer.age_s)):
+        return
+    runtime.apply_membership()
+    runtime.timeline.record("list_told", peer=peer, age_s=round(answer.age_s, 1))
+    log_event(LOG, logging.INFO, "list_told", peer=peer, age_s=round(answer.age_s, 1))
+
+
 def _note_hint(runtime, peer: str, revision: int, now: float) -> None:
     """Ask a peer for the catalogue where it knows more than the platform lets this one read."""
     exchange = runtime.exchange
@@ -175,6 +215,7 @@
     asked = now - exchange.pulled_at < PULL_PATIENCE_S
     if revision > known and waited and not asked:
         exchange.pulled_at = now
+        exchange.pulling.pop(peer, None)
         runtime.network.send(peer, CatalogueRequest(0))
 
 
@@ -197,14 +238,20 @@
 
 
 def _take_page(runtime, peer: str, page: CatalogueObjects) -> None:
+    """Take in one page; the pull is whole up to the revision of its first page.
+
+    What changed at the sender between two pages may be missing from the earlier one.
+    """
     changed = runtime.catalogue.apply_objects(page.objects, page.ticket)
     if changed:
         runtime.note_catalogue_change(len(changed), peer)
+    exchange = runtime.exchange
+    first = exchange.pulling.setdefault(peer, page.revision)
     if page.more_after:
         runtime.network.send(peer, CatalogueRequest(0, page.more_after))
         return
-    exchange = runtime.exchange
-    exchange.pulled_revision = max(exchange.pulled_revision, page.revision)
+    del exchange.pulling[peer]
+    exchange.pulled_revision = max(exchange.pulled_revision, first)
 
 
 def notify_leaving_server(runtime, info: BackendServerInfo) -> None:
--- a/rhubarbshed/transport/gateway.py
+++ b/rhubarbshed/transport/gateway.py
@@ -91,9 +91,11 @@
     def is_ready(self) -> bool:
         """Tell whether the balancer should send new requests here.
 
-        A new instance has to know backend servers first, else it could only refuse.
+        A new instance has to know backend servers and the catalogue first, else it could only
+        refuse.
         """
-        return self.desk.drain.started_at is None and bool(self.desk.load.servers)
+        informed = self.catalogue.revision > 0 or self.catalogue.head > 0
+        return self.desk.drain.started_at is None and bool(self.desk.load.servers) and informed
 
     def refuse_full(self) -> RequestError:
         """Describe a request for which no worker thread is free."""
--- a/rhubarbshed/transport/peers.py
+++ b/rhubarbshed/transport/peers.py
@@ -46,7 +46,7 @@
 from rhubarbshed.transport.hooks import PeerHooks
 from rhubarbshed.transport.links import Backoff, Link, choose_link
 from rhubarbshed.util.logs import log_event
-from rhubarbshed.util.settings import PeerSettings, Settings, TlsSettings
+from rhubarbshed.util.settings import Address, PeerSettings, Settings, TlsSettings
 
 LOG = logging.getLogger(__name__)
 BEAT_PART = 0.9
@@ -169,7 +169,8 @@
         connected = set(self.links) | self.dialing
         for info in choose_dials(self.membership, self.topology, connected, now):
             if info.name not in self.refuse:
-                self._try_dial(info, now)
+                self._try_dial(info.name, self._dial, info, now)
+        self._dial_seeds(now)
         if beats:
             self.beat_at = now
             self._beat(now)
@@ -241,23 +242,37 @@
         log_event(LOG, logging.INFO, "peer_replaced", peer=link.info.name)
         asyncio.get_running_loop().call_later(self.settings.heartbeat_s, link.abort)
 
-    def _try_dial(self, info: InstanceInfo, now: float) -> None:
-        backoff = self.backoffs.setdefault(info.name, Backoff())
+    def _dial_seeds(self, now: float) -> None:
+        """Connect to the seeds while connected to nobody; their greeting tells who they are."""
+        if self.links:
+            return
+        for address in self.settings.list_seeds():
+            if str(address) not in self.dialing:
+                self._try_dial(str(address), self._dial_seed, address, now)
+
+    def _try_dial(self, name: str, dial: Callable, target: object, now: float) -> None:
+        backoff = self.backoffs.setdefault(name, Backoff())
         if not backoff.begin(now, self.rng):
             return
-        self.dialing.add(info.name)
-        self._spawn(self._dial(info))
+        self.dialing.add(name)
+        self._spawn(dial(target))
 
     async def _dial(self, info: InstanceInfo) -> None:
+        await self._connect(info.name, Address(info.host, info.peer_port))
+
+    async def _dial_seed(self, address: Address) -> None:
+        await self._connect(str(address), address)
+
+    async def _connect(self, name: str, address: Address) -> None:
         try:
             async with asyncio.timeout(self.settings.silence_s):
                 reader, writer = await asyncio.open_connection(
-                    info.host, info.peer_port, ssl=make_client_context(self.tls)
+                    address.host, address.port, ssl=make_client_context(self.tls)
                 )
         except (OSError, TimeoutError):
             return
         finally:
-            self.dialing.discard(info.name)
+            self.dialing.discard(name)
         await self._serve(reader, writer, dials=True)
 
     async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -314,6 +329,8 @@
         self.links[info.name] = link
         self.backoffs.pop(info.name, None)
         self.membership.apply_hello(info, now)
+        if all(info.name != wanted.name for wanted in self.topology.list_wanted()):
+            self._choose_peers(now)
         log_event(LOG, logging.INFO, "peer_connected", peer=info.name, dialed_by=dialed_by)
         self._greet_peer(link, now)
         return link
--- a/rhubarbshed/util/settings.py
+++ b/rhubarbshed/util/settings.py
@@ -1,6 +1,7 @@
 """Settings of an instance: read from INI, checked as a whole before use."""
 
 import configparser
+import ipaddress
 from collections.abc import Mapping
 from importlib import resources
 from pathlib import Path
@@ -55,6 +56,35 @@
         return low and value <= self.most
 
 
+@frozen
+class Address:
+    """Name a listener by IP number and port."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        host = f"[{self.host}]" if ":" in self.host else self.host
+        return f"{host}:{self.port}"
+
+
+def parse_address(text: str) -> Address | None:
+    """Return the address that `host:port` or `[host]:port` names, or None if malformed."""
+    host, _, port = text.strip().rpartition(":")
+    if host.startswith("[") and host.endswith("]"):
+        host = host[1:-1]
+    try:
+        ipaddress.ip_address(host)
+    except ValueError:
+        return None
+    is_port = port.isascii() and port.isdigit() and 0 < int(port) <= PORT_MAX
+    return Address(host, int(port)) if is_port else None
+
+
+def _split_list(text: str) -> list[str]:
+    return [part.strip() for part in text.split(",")] if text.strip() else []
+
+
 def _setting(bounds: Bounds | None = None, choices: tuple[str, ...] = ()) -> Any:
     return attrs.field(metadata={"bounds": bounds or Bounds(), "choices": choices})
 
@@ -129,6 +159,12 @@
     delegates: int = _setting(Bounds(1, 10))
     frame_bytes_max: int = _setting(Bounds(1024))
     hello_bytes_max: int = _setting(Bounds(256))
+    seeds: str = attrs.field()
+
+    def list_seeds(self) -> tuple[Address, ...]:
+        """Return the addresses of seeds; those that are malformed are left out."""
+        found = (parse_address(part) for part in _split_list(self.seeds))
+        return tuple(address for address in found if address is not None)
 
 
 @frozen
@@ -363,6 +399,10 @@
     if peers.silence_s < 2 * peers.heartbeat_s:
         allowed = f"at least twice [peers] heartbeat_s ({peers.heartbeat_s:g})"
         errors.append(SettingError(file, "peers", "silence_s", f"{peers.silence_s:g}", allowed))
+    for part in _split_list(peers.seeds):
+        if parse_address(part) is None:
+            allowed = "addresses host:port by IP number, with commas between"
+            errors.append(SettingError(file, "peers", "seeds", part, allowed))
     instance = settings.instance
     ports = {instance.caller_port, instance.operator_port, instance.peer_port}
     if len(ports) < 3:
--- a/test/helper_peers.py
+++ b/test/helper_peers.py
@@ -21,7 +21,7 @@
 
 
 def make_settings(
-    name: str, data_centre: str = "dc-1", port: int = 1, token: str = "t"
+    name: str, data_centre: str = "dc-1", port: int = 1, token: str = "t", seeds: str = ""
 ) -> Settings:
     text = f"""
 [instance]
@@ -35,6 +35,7 @@
 [peers]
 heartbeat_s = {HEARTBEAT_S}
 silence_s = {SILENCE_S}
+seeds = {seeds}
 """
     return Settings.from_text(text).unwrap()
 
--- a/test/test_digests.py
+++ b/test/test_digests.py
@@ -12,7 +12,13 @@
 )
 from rhubarbshed.protocol.catalogue import CatalogueObject, Model, ObjectKey
 from rhubarbshed.protocol.events import Stamp
-from rhubarbshed.protocol.members import ListedInstance, PlatformList
+from rhubarbshed.protocol.members import (
+    BackendKind,
+    BackendServerInfo,
+    ListedBackendServer,
+    ListedInstance,
+    PlatformList,
+)
 from rhubarbshed.protocol.orders import CacheEvent, EngineReport, Resident
 from rhubarbshed.protocol.peers import (
     FRAME_KINDS,
@@ -22,6 +28,8 @@
     Heartbeat,
     LeavingNotice,
     LeavingSubject,
+    ListAnswer,
+    ListRequest,
     LoadRequest,
     QuarantineNotice,
     UnknownFrame,
@@ -50,6 +58,14 @@
 )
 CRASHER = QuarantineEntry("f", (CrashId("s1", "b1"),), refused=True)
 KEPT = CatalogueObject(ObjectKey("model", "m1"), 4, Model("m1", "v1", 5))
+LISTED = PlatformList(
+    (ListedInstance(make_instance_info(make_settings("a1"), ""), leaving=True),),
+    (
+        ListedBackendServer(
+            BackendServerInfo("s1", BackendKind.ENGINE, "dc-1", "r", "127.0.0.1", 9, 2, 5, False)
+        ),
+    ),
+)
 DELETED = CatalogueObject(ObjectKey("model", "m2"), 5, None)
 
 
@@ -74,6 +90,8 @@
         CatalogueRequest(4),
         CatalogueObjects((KEPT, DELETED), 9, 5, "model/m2"),
         LoadRequest(),
+        ListRequest(),
+        ListAnswer(LISTED, 2.5),
         LeavingNotice((LeavingSubject("a1", "i1"),), (LeavingSubject("s1"),)),
         QuarantineNotice((QuarantineNews(CRASHER, 2.5),), (SoloMark("s1", "f", 3.0),)),
     )
--- a/test/test_membership.py
+++ b/test/test_membership.py
@@ -180,3 +180,28 @@
 
 def test_unknown_name_is_gone():
     assert explain(make_membership(), "x", 0.0).evidence == "unknown"
+
+
+def test_told_list_is_taken_while_none_was_read():
+    membership = Membership.from_settings(SETTINGS, "i1", 0.0)
+    assert membership.apply_told_list(LISTED, -20.0)
+    assert judge(membership, "a2", 0.0) is Standing.LIVE
+    assert judge(membership, "s1", 0.0) is Standing.LIVE
+    assert not membership.apply_told_list(EMPTY, -30.0)
+
+
+def test_own_list_goes_before_a_told_one():
+    membership = make_membership(EMPTY)
+    assert not membership.apply_told_list(LISTED, TERM_S)
+    assert judge(membership, "s1", TERM_S) is Standing.GONE
+    assert membership.apply_told_list(LISTED, TERM_S + 0.1)
+    assert judge(membership, "s1", TERM_S + 0.1) is Standing.LIVE
+    membership.apply_list(EMPTY, TERM_S + 1.0)
+    assert judge(membership, "s1", TERM_S + 1.0) is Standing.GONE
+
+
+def test_told_list_ends_nobody():
+    membership = make_membership()
+    assert membership.apply_told_list(EMPTY, LONG)
+    assert judge(membership, "a2", LONG) is Standing.LIVE
+    assert judge(membership, "s1", LONG) is Standing.LIVE
--- a/test/test_peers.py
+++ b/test/test_peers.py
@@ -4,6 +4,8 @@
 import time
 from pathlib import Path
 
+from attrs import evolve
+
 from rhubarbshed.coordination.membership import get_standing
 from rhubarbshed.protocol.events import Stamp
 from rhubarbshed.protocol.members import Standing
@@ -26,6 +28,7 @@
     SILENCE_S,
     are_meshed,
     find_ports,
+    list_peers,
     make_peer,
     make_peers,
     make_settings,
@@ -359,3 +362,41 @@
         writer.close()
 
     run(peers, scenario)
+
+
+def test_instance_that_knows_only_seeds_meets_all_others():
+    """One seed is dead, one is of another data centre, one is the instance itself."""
+    peers = make_peers(SIX)
+    dead, own = find_ports(2)
+    seed = peers["b1"].settings.instance.peer_port
+    text = ", ".join(f"127.0.0.1:{port}" for port in (dead, own, seed))
+    newcomer = make_peer(make_settings("a9", "dc-1", port=own, seeds=text))
+    listed = list_peers(peers)
+
+    async def scenario() -> None:
+        await newcomer.network.start()
+        await wait_for(lambda: "b1" in newcomer.network.links)
+        newcomer.membership.apply_told_list(listed, time.monotonic())
+        await wait_for(lambda: len(newcomer.network.links) >= 3)
+        await wait_for(lambda: "a9" in peers["a1"].network.links)
+        await newcomer.network.stop()
+        assert newcomer.faults == []
+
+    run(peers, scenario)
+
+
+def test_seeds_are_left_alone_while_connected():
+    peers = make_peers({"a1": "dc-1", "a2": "dc-1"})
+    spare = make_peer(make_settings("z9", "dc-1", port=find_ports(1)[0]))
+    seeded = peers["a1"].network
+    address = f"127.0.0.1:{spare.settings.instance.peer_port}"
+
+    async def scenario() -> None:
+        await wait_for(lambda: are_meshed(peers))
+        seeded.settings = evolve(seeded.settings, seeds=address)
+        await spare.network.start()
+        await asyncio.sleep(SILENCE_S * 2)
+        assert "z9" not in seeded.links
+        await spare.network.stop()
+
+    run(peers, scenario)
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -102,24 +102,31 @@
         }
         post(f"{self.platform.url}/backend_servers", {"info": info, "leaving": leaving})
 
-    def add_instance(self, name: str, data_centre: str, extra: str = "") -> Instance:
-        """Start an instance, wait until it is ready, and list it."""
+    def add_instance(
+        self, name: str, data_centre: str, extra: str = "", listed: bool = True
+    ) -> Instance:
+        """Start an instance, wait until it is ready, and list it where that is wanted."""
         ports = reserve_ports(3)
         text = self._make_settings(name, data_centre, ports) + self.settings + extra
         process = start_instance(text, f"http://{HOST}:{ports[0]}", environment=ENVIRONMENT)
         instance = Instance(name, data_centre, process, ports)
         self.instances[name] = instance
+        if listed:
+            self.list_instance(instance)
+        return instance
+
+    def list_instance(self, instance: Instance) -> None:
+        """Put an instance on the platform's list."""
         info = {
-            "name": name,
-            "data_centre": data_centre,
+            "name": instance.name,
+            "data_centre": instance.data_centre,
             "region": "region-1",
             "host": HOST,
-            "caller_port": ports[0],
-            "operator_port": ports[1],
-            "peer_port": ports[2],
+            "caller_port": instance.ports[0],
+            "operator_port": instance.ports[1],
+            "peer_port": instance.ports[2],
         }
         post(f"{self.platform.url}/instances", {"info": info, "leaving": False})
-        return instance
 
     def _make_settings(self, name: str, data_centre: str, ports: tuple[int, int, int]) -> str:
         lines = [
