Count only holders of a lease as owners of backend servers

Cause: an instance cut off from the table, but not from its peers, stays live to them and is preferred for its share of the backend servers, which nobody owned then: no loads, unloads or reconciliation there for the whole cut.

Ruled out: suspecting it (it serves requests well); reading all sessions (a read of every row each renewal).

Change: heartbeats tell whether the sender holds a lease; those of an older version count as holding one. keep_leases counts live holders only. Sessions read on the way feed the membership view; a term without a read starts a session's term anew, so that the end of an outage ends nobody.

--- a/rhubarbshed/coordination/membership.py
+++ b/rhubarbshed/coordination/membership.py
@@ -107,6 +107,16 @@
     )
 
 
+def list_holders(membership: Membership, now: float, data_centre: str) -> tuple[InstanceInfo, ...]:
+    """Return live instances of a data centre that may own backend servers.
+
+    One that says it holds no lease cannot take over what it would be preferred for. One that
+    has not said anything yet counts.
+    """
+    found = list_instances(membership, now, data_centre=data_centre)
+    return tuple(info for info in found if membership.instances[info.name].holds_lease)
+
+
 def list_backend_servers(
     membership: Membership, now: float, *standings: Standing, data_centre: str = ""
 ) -> tuple[BackendServerInfo, ...]:
--- a/rhubarbshed/coordination/ownership.py
+++ b/rhubarbshed/coordination/ownership.py
@@ -35,12 +35,13 @@
 
 @frozen
 class OwnershipChange:
-    """Tell what one round changed, and the ledgers of the servers owned after it."""
+    """Tell what one round changed, the ledgers of servers owned after it, and sessions read."""
 
     taken: tuple[str, ...] = ()
     released: tuple[str, ...] = ()
     lost: tuple[str, ...] = ()
     ledgers: tuple[Ledger, ...] = ()
+    sessions: tuple[Session, ...] = ()
 
 
 def make_session_key(instance: str) -> str:
@@ -223,7 +224,7 @@
     excess = [x for x in own if x.backend_server in known and x.backend_server not in preferred]
     released = await _release_excess(access, leases, excess, is_idle)
     held = [x for x in (*own, *adopted) if x.backend_server in leases.owned]
-    return Success(OwnershipChange(taken, released, lost, tuple(held)))
+    return Success(OwnershipChange(taken, released, lost, tuple(held), observed.unwrap()))
 
 
 async def _follow_ledgers(
@@ -247,10 +248,11 @@
 
 async def _observe_holders(
     access: TableAccess, leases: Leases, ledgers: list[Ledger], clock: Clock
-) -> Result[None, TableError]:
+) -> Result[tuple[Session, ...], TableError]:
+    """Read the sessions of owners, and take them in."""
     holders = sorted({ledger.owner for ledger in ledgers} - {NOBODY})
     if not holders:
-        return Success(None)
+        return Success(())
     keys = tuple(make_session_key(holder.instance) for holder in holders)
     read = await access.runner(access.table.read, keys)
     if isinstance(read, Failure):
@@ -258,7 +260,8 @@
     now = clock()
     for holder, row in zip(holders, read.unwrap(), strict=True):
         observe_holder(leases, holder, row, now)
-    return Success(None)
+    sessions = (decode_session(row) for row in read.unwrap())
+    return Success(tuple(session for session in sessions if session is not None))
 
 
 async def _take_lapsed(
--- a/rhubarbshed/state/membership.py
+++ b/rhubarbshed/state/membership.py
@@ -18,6 +18,7 @@
 WORDS_MAX = 4096
 """Words of leaving remembered for members that are not known yet."""
 
+
 MemberInfo = InstanceInfo | BackendServerInfo
 
 
@@ -35,6 +36,7 @@
     heard_at: float | None = None
     expected_since: float | None = None
     failing_since: float | None = None
+    holds_lease: bool = True
     session_counter: int | None = None
     session_changed_at: float = 0.0
     session_read_at: float = 0.0
@@ -129,6 +131,12 @@
         known.heard_at = max(now, known.heard_at or now)
         known.failing_since = None
 
+    def note_lease(self, name: str, holds_lease: bool) -> None:
+        """Note an instance's own word on whether it holds a lease."""
+        known = self.instances.get(name)
+        if known is not None:
+            known.holds_lease = holds_lease
+
     def observe_failure(self, name: str, now: float) -> None:
         """Note that a member did not answer this instance."""
         known = self.find(name)
@@ -164,7 +172,10 @@
         return True
 
     def apply_session(self, name: str, incarnation: str, counter: int, now: float) -> None:
-        """Take in another instance's session row as read at `now`."""
+        """Take in another instance's session row as read at `now`.
+
+        A term without a read starts the term anew: nobody could renew while the table was down.
+        """
         known = self.instances.get(name)
         if known is None or name == self.name:
             return
@@ -177,7 +188,8 @@
             if follows:
                 self._mark_past(known)
             known = self._renew(known, evolve(known.info, incarnation=incarnation), now)
-        if counter != known.session_counter:
+        missed = now - known.session_read_at > self.limits.session_term_s
+        if counter != known.session_counter or missed:
             known.session_counter = counter
             known.session_changed_at = now
         known.session_read_at = now
--- a/rhubarbshed/transport/exchange.py
+++ b/rhubarbshed/transport/exchange.py
@@ -146,7 +146,8 @@
         case LoadRequest():
             own = tuple(_list_own_reports(runtime, now))
             runtime.network.send(peer, runtime.exchange.inbox.make_answer(own, now))
-        case Heartbeat(revision=revision):
+        case Heartbeat(revision=revision, holds_lease=holds_lease):
+            runtime.membership.note_lease(peer, holds_lease)
             _note_hint(runtime, peer, revision, now)
             _ask_list(runtime, peer, now)
         case CatalogueHint(revision=revision):
--- a/rhubarbshed/transport/placing.py
+++ b/rhubarbshed/transport/placing.py
@@ -7,7 +7,12 @@
 
 from rhubarbshed.coordination.budgets import Budget
 from rhubarbshed.coordination.loads import LoadSpec, execute_load, execute_unload
-from rhubarbshed.coordination.membership import get_standing, list_backend_servers, list_instances
+from rhubarbshed.coordination.membership import (
+    get_standing,
+    list_backend_servers,
+    list_holders,
+    list_instances,
+)
 from rhubarbshed.coordination.ownership import (
     hand_over,
     maintain_ownership,
@@ -43,7 +48,7 @@
     now = time.monotonic()
     centre = runtime.settings.instance.data_centre
     runtime.quota.follow(tuple(info.name for info in list_instances(runtime.membership, now)))
-    live = tuple(i.name for i in list_instances(runtime.membership, now, data_centre=centre))
+    live = tuple(info.name for info in list_holders(runtime.membership, now, centre))
     engines = tuple(info.name for info in list_engines(runtime, now, centre))
     changed = await maintain_ownership(
         runtime.access, leases, engines, live, time.monotonic, runtime.moves.is_idle
@@ -51,6 +56,11 @@
     if isinstance(changed, Failure):
         return changed
     change = changed.unwrap()
+    for session in change.sessions:
+        holder = session.holder
+        runtime.membership.apply_session(
+            holder.instance, holder.incarnation, session.counter, time.monotonic()
+        )
     for ledger in change.ledgers:
         runtime.moves.note(ledger, time.monotonic())
     for name in change.taken:
--- a/test/test_membership.py
+++ b/test/test_membership.py
@@ -6,6 +6,7 @@
     explain,
     get_standing,
     list_backend_servers,
+    list_holders,
     list_instances,
 )
 from rhubarbshed.protocol.members import (
@@ -205,3 +206,36 @@
     assert membership.apply_told_list(EMPTY, LONG)
     assert judge(membership, "a2", LONG) is Standing.LIVE
     assert judge(membership, "s1", LONG) is Standing.LIVE
+
+
+def test_instance_without_a_lease_is_live_and_owns_nothing():
+    membership = make_membership()
+    names = [info.name for info in list_holders(membership, 1.0, OWN.data_centre)]
+    assert names == ["a1", "a2"]
+    membership.note_lease("a2", False)
+    assert judge(membership, "a2", 1.0) is Standing.LIVE
+    assert [info.name for info in list_holders(membership, 1.0, OWN.data_centre)] == ["a1"]
+    membership.note_lease("a2", True)
+    assert len(list_holders(membership, 1.0, OWN.data_centre)) == 2
+    assert list_holders(membership, 1.0, "dc-9") == ()
+
+
+def test_lease_of_a_former_run_says_nothing_of_the_next():
+    membership = make_membership()
+    membership.apply_hello(PEER, 1.0)
+    membership.note_lease("a2", False)
+    membership.apply_hello(evolve(PEER, incarnation="p2"), 2.0)
+    assert len(list_holders(membership, 2.0, OWN.data_centre)) == 2
+
+
+def test_gap_between_reads_of_a_session_starts_its_term_anew():
+    """The table was down for a term, so nobody could renew; the first read ends nobody."""
+    membership = make_membership()
+    membership.apply_session("a2", "p1", 7, 0.0)
+    membership.apply_session("a2", "p1", 7, 2 * TERM_S)
+    assert judge(membership, "a2", 2 * TERM_S) is Standing.LIVE
+    now = 2 * TERM_S
+    for _ in range(4):
+        now += TERM_S * 0.3
+        membership.apply_session("a2", "p1", 7, now)
+    assert judge(membership, "a2", now) is Standing.GONE
--- a/test/test_ownership.py
+++ b/test/test_ownership.py
@@ -259,3 +259,12 @@
     assert sum(admitted) == compute_share(50, names, "i1")
     quota.finish("0")
     assert quota.admit("new")
+
+
+def test_round_tells_the_sessions_that_it_read():
+    world = World()
+    first, second = start(world, "i1"), start(world, "i2")
+    complete(first.maintain())
+    assert complete(first.maintain()).unwrap().sessions == ()
+    (session,) = complete(second.maintain(ALONE)).unwrap().sessions
+    assert (session.holder.instance, session.counter) == ("i1", 1)
