Read rows of other versions, and leave alone what cannot be read

Cause: rows were decoded by a converter that forbids unknown keys, and its failure was unwrapped: one key added by a newer version in a rolling upgrade would have stopped each older instance on its next read of the row.

Ruled out: a version number in each row (needs the same tolerance first); raising (an unreadable row is an outcome, not a broken invariant).

Decoders return results. A backend server's row that cannot be read is given up and never written; an unreadable session counts as renewed by each change; a ticket is refused, not run, while an object cannot be read; loads are refused where the weight store's or the floor's row cannot be read. Operators' input stays strict.

Four calls of decoders in older tests got an unwrap, since the decoders return results.

--- a/rhubarbshed/coordination/budgets.py
+++ b/rhubarbshed/coordination/budgets.py
@@ -21,6 +21,7 @@
     LedgerFault,
     cancel_load,
     decode_ledger,
+    describe_unreadable,
     encode_ledger,
     reserve_load,
     settle_load,
@@ -29,6 +30,7 @@
 from rhubarbshed.state.weights import (
     WEIGHTS_KEY,
     WeightGate,
+    WeightUse,
     decode_use,
     free_slot,
     grant_slot,
@@ -74,7 +76,10 @@
 ) -> Result[Proposal, LedgerError]:
     """Plan a change of the ledger under a tenure; the floor's power follows it."""
     row = rows.get(make_backend_key(budget.server.name))
-    ledger = decode_ledger(budget.server.name, row.value)
+    decoded = decode_ledger(budget.server.name, row.value)
+    if isinstance(decoded, Failure):
+        return decoded
+    ledger = decoded.unwrap()
     if ledger.owner != tenure.holder or ledger.epoch != tenure.epoch:
         return Failure(LedgerError(LedgerFault.NOT_OWNER, ledger.owner.instance))
     changed = change(ledger)
@@ -95,7 +100,10 @@
     if budget.power_watts_max <= 0 or before.power_watts == after.power_watts:
         return Success(())
     key = make_floor_key(budget.server.data_centre)
-    use = set_power(decode_floor(rows.get(key).value), budget.server.name, after.power_watts)
+    decoded = decode_floor(rows.get(key).value).alt(describe_unreadable)
+    if isinstance(decoded, Failure):
+        return decoded
+    use = set_power(decoded.unwrap(), budget.server.name, after.power_watts)
     if after.power_watts > before.power_watts and use.power_watts > budget.power_watts_max:
         text = f"{use.power_watts:g} watts of {budget.power_watts_max:g}"
         return Failure(LedgerError(LedgerFault.POWER, text))
@@ -120,7 +128,10 @@
     rows: Rows, budget: Budget, load_id: str, gate: WeightGate, now: float
 ) -> Result[tuple[Write, ...], LedgerError]:
     """Plan to take a slot of the weight store, unless the load has one."""
-    use = decode_use(rows.get(WEIGHTS_KEY).value)
+    decoded = decode_use(rows.get(WEIGHTS_KEY).value).alt(describe_unreadable)
+    if isinstance(decoded, Failure):
+        return decoded
+    use = decoded.unwrap()
     wait_s = gate.measure_wait(use.grants, now)
     if use.holds(load_id):
         return Success(())
@@ -158,7 +169,7 @@
     planned = plan_change(
         rows, budget, tenure, lambda x: Success(settle_load(x, load_id, doubtful))
     )
-    return planned.map(lambda p: add_writes(p, plan_free(rows, (load_id,))))
+    return planned.bind(lambda p: _add_free(p, rows, (load_id,)))
 
 
 def plan_cancel(
@@ -166,7 +177,7 @@
 ) -> Result[Proposal, LedgerError]:
     """Plan to free the bytes and the slot of a load that never took effect."""
     planned = plan_change(rows, budget, tenure, lambda x: cancel_load(x, load_id))
-    return planned.map(lambda p: add_writes(p, plan_free(rows, (load_id,))))
+    return planned.bind(lambda p: _add_free(p, rows, (load_id,)))
 
 
 def plan_settle_unload(
@@ -174,37 +185,50 @@
 ) -> Result[Proposal, LedgerError]:
     """Plan to free the bytes of a confirmed unload, and a slot that its load still holds."""
     row = rows.get(make_backend_key(budget.server.name))
-    entry = decode_ledger(budget.server.name, row.value).find_unload(unload_id)
+    decoded = decode_ledger(budget.server.name, row.value)
+    if isinstance(decoded, Failure):
+        return decoded
+    entry = decoded.unwrap().find_unload(unload_id)
     load_ids = () if entry is None else (entry.load_id,)
     planned = plan_change(rows, budget, tenure, lambda x: Success(settle_unload(x, unload_id)))
-    return planned.map(lambda p: add_writes(p, plan_free(rows, load_ids)))
+    return planned.bind(lambda p: _add_free(p, rows, load_ids))
 
 
-def plan_free(rows: Rows, load_ids: tuple[str, ...]) -> tuple[Write, ...]:
+def plan_free(rows: Rows, load_ids: tuple[str, ...]) -> Result[tuple[Write, ...], LedgerError]:
     """Plan to free slots of the weight store, where the loads hold any."""
     if not any(row.key == WEIGHTS_KEY for row in rows.read):
-        return ()
-    use = decode_use(rows.get(WEIGHTS_KEY).value)
+        return Success(())
+    decoded = decode_use(rows.get(WEIGHTS_KEY).value).alt(describe_unreadable)
+    return decoded.map(lambda use: _free_all(use, load_ids))
+
+
+def _free_all(use: WeightUse, load_ids: tuple[str, ...]) -> tuple[Write, ...]:
     after = use
     for load_id in load_ids:
         after = free_slot(after, load_id)
     return () if after == use else (Write(WEIGHTS_KEY, to_plain(after)),)
 
 
+def _add_free(
+    proposal: Proposal, rows: Rows, load_ids: tuple[str, ...]
+) -> Result[Proposal, LedgerError]:
+    return plan_free(rows, load_ids).map(lambda writes: add_writes(proposal, writes))
+
+
 def plan_forget(rows: Rows, budget: Budget) -> Result[Proposal, Any]:
     """Plan to empty the ledger of a backend server that is gone for good; its epoch stays."""
     row = rows.get(make_backend_key(budget.server.name))
-    ledger = decode_ledger(budget.server.name, row.value)
+    decoded = decode_ledger(budget.server.name, row.value)
+    if isinstance(decoded, Failure):
+        return decoded
+    ledger = decoded.unwrap()
     after = Ledger(budget.server.name, epoch=ledger.epoch + 1)
     if ledger.epoch == 0:
         return Success(Proposal(ledger))
-    writes = [Write(row.key, encode_ledger(after))]
-    writes += plan_free(rows, tuple(entry.load_id for entry in ledger.entries))
-    if budget.power_watts_max > 0:
-        key = make_floor_key(budget.server.data_centre)
-        use = decode_floor(rows.get(key).value)
-        writes.append(Write(key, to_plain(set_power(use, budget.server.name, 0.0))))
-    return Success(Proposal(after, tuple(writes)))
+    load_ids = tuple(entry.load_id for entry in ledger.entries)
+    emptied = _add_free(Proposal(after, (Write(row.key, encode_ledger(after)),)), rows, load_ids)
+    power = _plan_power(rows, budget, ledger, after)
+    return emptied.bind(lambda p: power.map(lambda writes: add_writes(p, writes)))
 
 
 def add_writes(proposal: Proposal, writes: tuple[Write, ...]) -> Proposal:
--- a/rhubarbshed/coordination/claims.py
+++ b/rhubarbshed/coordination/claims.py
@@ -6,7 +6,7 @@
 from attrs import evolve, frozen
 
 from rhubarbshed.protocol.claims import ClaimRow, ClaimState, StoredAnswer
-from rhubarbshed.protocol.codec import from_plain, to_plain
+from rhubarbshed.protocol.codec import from_stored, to_plain
 from rhubarbshed.protocol.errors import Outcome, RequestError
 from rhubarbshed.protocol.requests import Request
 from rhubarbshed.protocol.tables import Check, Row, Transaction, Write
@@ -93,7 +93,7 @@
     if row.value is None:
         return None
     broken = ClaimRow(ClaimState.UNKNOWN, "", "", "", "")
-    return from_plain(row.value, ClaimRow).value_or(broken)
+    return from_stored(row.value, ClaimRow).value_or(broken)
 
 
 def plan_claim(
--- a/rhubarbshed/coordination/ownership.py
+++ b/rhubarbshed/coordination/ownership.py
@@ -7,7 +7,7 @@
 from returns.result import Failure, Result, Success
 
 from rhubarbshed.coordination.transactions import Proposal, Rows, TableAccess, transact
-from rhubarbshed.protocol.codec import from_plain, to_plain
+from rhubarbshed.protocol.codec import from_stored, to_plain
 from rhubarbshed.protocol.tables import Row, TableError, TableFault, Write
 from rhubarbshed.state.leases import NOBODY, Holder, Leases, Ownership, Session
 from rhubarbshed.state.ledger import (
@@ -59,20 +59,22 @@
     return rank_by_rendezvous(backend_server, instances)[0]
 
 
-def decode_session(row: Row) -> Session | None:
-    """Return the session that a row holds, or None where there is none."""
+def decode_session(row: Row) -> Result[Session | None, str]:
+    """Return the session that a row holds, None where there is none."""
     if row.value is None:
-        return None
-    plain = {name: part for name, part in row.value.items() if name != "write_id"}
-    return from_plain(plain, Session).unwrap()
+        return Success(None)
+    return from_stored(row.value, Session)
 
 
 def plan_renewal(
     rows: Rows, own: Holder, renewals: int, leaving: bool
 ) -> Result[Proposal, LedgerError]:
-    """Plan the renewal of the own session; refused once a later run has taken its place."""
+    """Plan the renewal of the own session; refused once a later run has taken its place.
+
+    A row that cannot be read is of another run, whose place the first renewal takes.
+    """
     row = rows.get(make_session_key(own.instance))
-    session = decode_session(row)
+    session = decode_session(row).value_or(None)
     if renewals > 0 and (session is None or session.holder != own):
         return Failure(LedgerError(LedgerFault.NOT_OWNER, "another run holds the session"))
     counter = 1 if session is None else session.counter + 1
@@ -104,10 +106,11 @@
     """Take in the session row of a holder's instance.
 
     A later run's session shows that the holder can no longer renew, whatever its own version.
+    One that cannot be read might be the holder's, so each change of it counts as a renewal.
     """
     session = decode_session(row)
-    version = row.version if session is not None and session.holder == holder else 0
-    leases.observe(holder, version, now)
+    is_own = session.map(lambda found: found is not None and found.holder == holder)
+    leases.observe(holder, row.version if is_own.value_or(True) else 0, now)
 
 
 def plan_take(
@@ -119,7 +122,10 @@
     makes a conflict.
     """
     row = rows.get(make_backend_key(backend_server))
-    ledger = decode_ledger(backend_server, row.value)
+    decoded = decode_ledger(backend_server, row.value)
+    if isinstance(decoded, Failure):
+        return decoded
+    ledger = decoded.unwrap()
     if ledger.owner == leases.own:
         return Success(Proposal(ledger))
     if ledger.owner != expected:
@@ -176,11 +182,13 @@
 
     def plan(rows: Rows) -> Result[Proposal, LedgerError]:
         row = rows.get(make_backend_key(backend_server))
-        ledger = decode_ledger(backend_server, row.value)
+        return decode_ledger(backend_server, row.value).map(lambda ledger: propose(row, ledger))
+
+    def propose(row: Row, ledger: Ledger) -> Proposal:
         if ledger.owner != leases.own:
-            return Success(Proposal(ledger))
+            return Proposal(ledger)
         released = release_owner(ledger)
-        return Success(Proposal(released, (Write(row.key, encode_ledger(released)),)))
+        return Proposal(released, (Write(row.key, encode_ledger(released)),))
 
     return await transact(access, (make_backend_key(backend_server),), plan)
 
@@ -230,7 +238,10 @@
 async def _follow_ledgers(
     access: TableAccess, leases: Leases, backend_servers: set[str], clock: Clock
 ) -> Result[tuple[Ledger, ...], TableError]:
-    """Read the rows of backend servers, and follow the owners that they name."""
+    """Read the rows of backend servers, and follow the owners that they name.
+
+    A server whose row cannot be read is left to instances of the version that wrote it.
+    """
     names = sorted(backend_servers)
     if not names:
         return Success(())
@@ -240,10 +251,17 @@
     if isinstance(read, Failure):
         return read
     rows = zip(names, read.unwrap(), strict=True)
-    ledgers = tuple(decode_ledger(name, row.value) for name, row in rows)
-    for ledger in ledgers:
-        note_ledger(leases, ledger, held_until, clock())
-    return Success(ledgers)
+    ledgers = []
+    for name, row in rows:
+        decoded = decode_ledger(name, row.value)
+        if isinstance(decoded, Failure):
+            leases.drop(name)
+            reason = decoded.failure().detail
+            LOG.error("event=row_unreadable key=%s reason=%s", row.key, reason)
+            continue
+        ledgers.append(decoded.unwrap())
+        note_ledger(leases, ledgers[-1], held_until, clock())
+    return Success(tuple(ledgers))
 
 
 async def _observe_holders(
@@ -260,7 +278,7 @@
     now = clock()
     for holder, row in zip(holders, read.unwrap(), strict=True):
         observe_holder(leases, holder, row, now)
-    sessions = (decode_session(row) for row in read.unwrap())
+    sessions = (decode_session(row).value_or(None) for row in read.unwrap())
     return Success(tuple(session for session in sessions if session is not None))
 
 
@@ -327,7 +345,7 @@
     Its lease must have lapsed, and either the platform no longer lists its instance or a later
     run of the instance has taken over its session.
     """
-    session = decode_session(row)
+    session = decode_session(row).value_or(None)
     replaced = session is not None and session.holder != holder
     return (replaced or holder.instance not in listed) and leases.is_lapsed(holder, now)
 
@@ -365,7 +383,9 @@
 
     def plan(rows: Rows) -> Result[Proposal, LedgerError]:
         row = rows.get(make_backend_key(backend_server))
-        ledger = decode_ledger(backend_server, row.value)
+        return decode_ledger(backend_server, row.value).bind(lambda ledger: forget(row, ledger))
+
+    def forget(row: Row, ledger: Ledger) -> Result[Proposal, LedgerError]:
         if ledger.owner != leases.own:
             return Failure(LedgerError(LedgerFault.NOT_OWNER, ledger.owner.instance))
         changed = forget_holders(ledger, gone)
--- a/rhubarbshed/coordination/quarantine.py
+++ b/rhubarbshed/coordination/quarantine.py
@@ -5,7 +5,7 @@
 import xxhash
 from attrs import evolve, frozen
 
-from rhubarbshed.protocol.codec import from_plain, to_plain
+from rhubarbshed.protocol.codec import from_stored, to_plain
 from rhubarbshed.protocol.errors import Outcome, RequestError
 from rhubarbshed.protocol.quarantine import QuarantineEntry, merge_entries
 from rhubarbshed.protocol.tables import Check, Row, Transaction, Write
@@ -80,7 +80,7 @@
     """Return a row's value, an empty one where there is none or it cannot be read."""
     if row.value is None:
         return SoloRow(QuarantineEntry(fingerprint))
-    return from_plain(row.value, SoloRow).value_or(SoloRow(QuarantineEntry(fingerprint)))
+    return from_stored(row.value, SoloRow).value_or(SoloRow(QuarantineEntry(fingerprint)))
 
 
 def plan_solo(
--- a/rhubarbshed/coordination/tickets.py
+++ b/rhubarbshed/coordination/tickets.py
@@ -19,7 +19,7 @@
     TicketReceipt,
     get_key,
 )
-from rhubarbshed.protocol.codec import from_plain, to_plain
+from rhubarbshed.protocol.codec import from_stored, to_plain
 from rhubarbshed.protocol.errors import Outcome, RequestError
 from rhubarbshed.protocol.members import BackendServerInfo
 from rhubarbshed.protocol.tables import Row, TableError, TableFault, Write
@@ -141,7 +141,10 @@
     own = rows.get(make_ticket_key(ticket.number))
     if own.value is not None:
         return _answer_again(ticket, own)
-    held = tuple(decode_object(row).unwrap() for row in rows.scanned if row.value is not None)
+    decoded = _decode_objects(rows.scanned)
+    if isinstance(decoded, Failure):
+        return decoded
+    held = decoded.unwrap()
     after = merge_objects(held, ticket)
     checked = (
         _check_numbers(ticket, held)
@@ -151,8 +154,34 @@
     return checked.map(lambda _: _propose(ticket, rows))
 
 
+def _decode_objects(rows: tuple[Row, ...]) -> Result[tuple[CatalogueObject, ...], RequestError]:
+    """Decode all objects; without one of them the floor cannot be checked."""
+    found = []
+    for row in rows:
+        if row.value is None:
+            continue
+        decoded = decode_object(row)
+        if isinstance(decoded, Failure):
+            return Failure(_describe_unreadable(row.key, decoded.failure()))
+        found.append(decoded.unwrap())
+    return Success(tuple(found))
+
+
+def _describe_unreadable(key: str, detail: str) -> RequestError:
+    text = f"this version cannot read {key} ({detail}); send it to an instance of the newer one"
+    return RequestError(503, "row_unreadable", text, retryable=True, retry_after_s=RETRY_AFTER_S)
+
+
+def _decode_receipt(row: Row) -> Result[TicketReceipt, RequestError]:
+    decoded = from_stored(row.value.get("receipt"), TicketReceipt)
+    return decoded.alt(lambda detail: _describe_unreadable(row.key, detail))
+
+
 def _answer_again(ticket: Ticket, own: Row) -> Result[Proposal, RequestError]:
-    receipt = from_plain(own.value["receipt"], TicketReceipt).unwrap()
+    return _decode_receipt(own).bind(lambda receipt: _compare_receipt(ticket, receipt))
+
+
+def _compare_receipt(ticket: Ticket, receipt: TicketReceipt) -> Result[Proposal, RequestError]:
     if receipt.digest == compute_digest(ticket):
         return Success(Proposal(receipt))
     touched = set(list_touched(ticket)) & set(receipt.touched)
@@ -236,7 +265,7 @@
     read = await access.runner(access.table.read, (make_ticket_key(number),))
     if isinstance(read, Failure):
         return Failure(_describe_table_error(read.failure()))
-    value = read.unwrap()[0].value
-    if value is None:
+    row = read.unwrap()[0]
+    if row.value is None:
         return Failure(RequestError(404, "no_such_ticket", f"no ticket {number} was accepted"))
-    return Success(from_plain(value["receipt"], TicketReceipt).unwrap())
+    return _decode_receipt(row)
--- a/rhubarbshed/protocol/codec.py
+++ b/rhubarbshed/protocol/codec.py
@@ -14,8 +14,8 @@
 T = TypeVar("T")
 
 
-def _make_converter() -> Converter:
-    converter = Converter(forbid_extra_keys=True)
+def _make_converter(forbid_extra_keys: bool) -> Converter:
+    converter = Converter(forbid_extra_keys=forbid_extra_keys)
     converter.register_unstructure_hook(enum.Enum, lambda member: member.value)
     configure_tagged_union(
         CatalogueBody,
@@ -40,7 +40,9 @@
     )
 
 
-CONVERTER = _make_converter()
+CONVERTER = _make_converter(forbid_extra_keys=True)
+STORED_CONVERTER = _make_converter(forbid_extra_keys=False)
+"""Reads what a newer version may have stored, passing over keys that it does not know."""
 
 
 def to_plain(message: Any, kind: Any = None) -> Any:
@@ -50,8 +52,20 @@
 
 def from_plain(plain: Any, kind: type[T]) -> Result[T, str]:
     """Convert plain data to a message, or tell why it cannot be."""
+    return _structure(CONVERTER, plain, kind)
+
+
+def from_stored(plain: Any, kind: type[T]) -> Result[T, str]:
+    """Convert stored plain data to a message; unknown keys are passed over.
+
+    Instances of two versions share the table during a rolling upgrade.
+    """
+    return _structure(STORED_CONVERTER, plain, kind)
+
+
+def _structure(converter: Converter, plain: Any, kind: type[T]) -> Result[T, str]:
     try:
-        return Success(CONVERTER.structure(plain, kind))
+        return Success(converter.structure(plain, kind))
     except Exception as error:  # cattrs raises many kinds, grouped
         return Failure(describe_structure_error(error))
 
@@ -71,12 +85,12 @@
 
 
 def unpack(data: bytes, kind: type[T]) -> Result[T, str]:
-    """Decode a message from msgpack, or tell why it cannot be."""
+    """Decode a stored message from msgpack, or tell why it cannot be."""
     try:
         plain = msgpack.unpackb(data, strict_map_key=False)
     except (ValueError, msgpack.UnpackException) as error:
         return Failure(f"not msgpack: {error}")
-    return from_plain(plain, kind)
+    return from_stored(plain, kind)
 
 
 def to_json(message: Any, kind: Any = None) -> str:
--- a/rhubarbshed/protocol/peers.py
+++ b/rhubarbshed/protocol/peers.py
@@ -9,7 +9,7 @@
 from returns.result import Failure, Result, Success
 
 from rhubarbshed.protocol.catalogue import CatalogueObject
-from rhubarbshed.protocol.codec import CONVERTER, describe_structure_error
+from rhubarbshed.protocol.codec import CONVERTER, STORED_CONVERTER, describe_structure_error
 from rhubarbshed.protocol.events import Stamp
 from rhubarbshed.protocol.members import InstanceInfo, PlatformList
 from rhubarbshed.protocol.orders import CacheEvent, Resident, Role
@@ -240,7 +240,7 @@
         CatalogueObject, lambda entry: CONVERTER.unstructure(entry, CatalogueObject)
     )
     converter.register_structure_hook(
-        CatalogueObject, lambda plain, _: CONVERTER.structure(plain, CatalogueObject)
+        CatalogueObject, lambda plain, _: STORED_CONVERTER.structure(plain, CatalogueObject)
     )
     converter.register_structure_hook(bytes, _structure_bytes)
     converter.register_structure_hook(str, _structure_text)
--- a/rhubarbshed/state/catalogue.py
+++ b/rhubarbshed/state/catalogue.py
@@ -1,11 +1,12 @@
 """Catalogue of models, adapters and services as far as this instance knows."""
 
+import logging
 from collections.abc import Iterable
 from typing import Any
 
 import xxhash
 from attrs import define, field
-from returns.result import Result
+from returns.result import Failure, Result
 
 from rhubarbshed.protocol.catalogue import (
     Adapter,
@@ -15,9 +16,11 @@
     ObjectKind,
     Service,
 )
-from rhubarbshed.protocol.codec import from_plain, to_plain
+from rhubarbshed.protocol.codec import from_stored, to_plain
 from rhubarbshed.protocol.tables import Row
 
+LOG = logging.getLogger(__name__)
+
 OBJECT_PREFIX = "object/"
 HEAD_KEY = "ticket/head"
 
@@ -33,9 +36,8 @@
 
 
 def decode_object(row: Row) -> Result[CatalogueObject, str]:
-    """Return the object that a row holds."""
-    value = {name: part for name, part in (row.value or {}).items() if name != "write_id"}
-    return from_plain(value, CatalogueObject)
+    """Return the object that a row holds, or tell why it cannot be read."""
+    return from_stored(row.value, CatalogueObject)
 
 
 @define
@@ -51,14 +53,21 @@
     revision: int = 0
 
     def apply_rows(self, rows: Iterable[Row], revision: int) -> tuple[CatalogueObject, ...]:
-        """Apply rows of a scan made up to a revision; return the objects that changed."""
+        """Apply rows of a scan made up to a revision; return the objects that changed.
+
+        A row that this version cannot read is passed over: the object held before stays.
+        """
         changed = []
         for row in rows:
             if row.key == HEAD_KEY and row.value is not None:
                 self.head = max(self.head, int(row.value["number"]))
             if not row.key.startswith(OBJECT_PREFIX) or row.value is None:
                 continue
-            thing = decode_object(row).unwrap()
+            decoded = decode_object(row)
+            if isinstance(decoded, Failure):
+                LOG.error("event=row_unreadable key=%s reason=%s", row.key, decoded.failure())
+                continue
+            thing = decoded.unwrap()
             if self._apply(thing):
                 changed.append(thing)
         self.revision = max(self.revision, revision)
--- a/rhubarbshed/state/floors.py
+++ b/rhubarbshed/state/floors.py
@@ -3,8 +3,9 @@
 from typing import Any
 
 from attrs import evolve, frozen
+from returns.result import Result, Success
 
-from rhubarbshed.protocol.codec import from_plain
+from rhubarbshed.protocol.codec import from_stored
 
 
 @frozen
@@ -40,9 +41,8 @@
     return evolve(use, servers=(*others, ServerPower(backend_server, power_watts)))
 
 
-def decode_floor(value: dict[str, Any] | None) -> FloorUse:
-    """Return the floor's use that a row holds."""
+def decode_floor(value: dict[str, Any] | None) -> Result[FloorUse, str]:
+    """Return the floor's use that a row holds, or tell why it cannot be read."""
     if value is None:
-        return FloorUse()
-    plain = {name: part for name, part in value.items() if name != "write_id"}
-    return from_plain(plain, FloorUse).unwrap()
+        return Success(FloorUse())
+    return from_stored(value, FloorUse)
--- a/rhubarbshed/state/ledger.py
+++ b/rhubarbshed/state/ledger.py
@@ -6,7 +6,7 @@
 from attrs import evolve, frozen
 from returns.result import Failure, Result, Success
 
-from rhubarbshed.protocol.codec import from_plain, to_plain
+from rhubarbshed.protocol.codec import from_stored, to_plain
 from rhubarbshed.protocol.orders import EngineReport, Resident
 from rhubarbshed.state.leases import NOBODY, Holder
 
@@ -79,6 +79,7 @@
     UNPROVED = "unproved"
     ORDER = "order"
     TABLE = "table"
+    UNREADABLE = "unreadable"
 
 
 @frozen
@@ -345,9 +346,13 @@
     return to_plain(ledger)
 
 
-def decode_ledger(backend_server: str, value: dict[str, Any] | None) -> Ledger:
+def decode_ledger(backend_server: str, value: dict[str, Any] | None) -> Result[Ledger, LedgerError]:
     """Return the ledger of a row; an absent row is an empty ledger without owner."""
     if value is None:
-        return Ledger(backend_server)
-    plain = {name: part for name, part in value.items() if name != "write_id"}
-    return from_plain(plain, Ledger).unwrap()
+        return Success(Ledger(backend_server))
+    return from_stored(value, Ledger).alt(describe_unreadable)
+
+
+def describe_unreadable(detail: str) -> LedgerError:
+    """Describe a row that this version cannot read; it must not be changed."""
+    return LedgerError(LedgerFault.UNREADABLE, detail)
--- a/rhubarbshed/state/weights.py
+++ b/rhubarbshed/state/weights.py
@@ -1,8 +1,9 @@
 """Shared use of the weight store: slots for loads at once, and the rate of grants."""
 
 from attrs import define, evolve, frozen
+from returns.result import Result, Success
 
-from rhubarbshed.protocol.codec import from_plain
+from rhubarbshed.protocol.codec import from_stored
 from rhubarbshed.util.settings import WeightStoreSettings
 
 WEIGHTS_KEY = "weights"
@@ -73,9 +74,8 @@
     return evolve(use, slots=tuple(slot for slot in use.slots if slot.load_id != load_id))
 
 
-def decode_use(value: dict | None) -> WeightUse:
-    """Return the weight store's use that a row holds."""
+def decode_use(value: dict | None) -> Result[WeightUse, str]:
+    """Return the weight store's use that a row holds, or tell why it cannot be read."""
     if value is None:
-        return WeightUse()
-    plain = {name: part for name, part in value.items() if name != "write_id"}
-    return from_plain(plain, WeightUse).unwrap()
+        return Success(WeightUse())
+    return from_stored(value, WeightUse)
--- a/test/helper_agreed.py
+++ b/test/helper_agreed.py
@@ -244,7 +244,7 @@
     def ledger(self) -> Ledger:
         name = self.engine.info.name
         row = self.table.rows.get(f"backend/{name}")
-        return decode_ledger(name, None if row is None else row.value)
+        return decode_ledger(name, None if row is None else row.value).unwrap()
 
 
 @define
--- a/test/test_loads.py
+++ b/test/test_loads.py
@@ -85,7 +85,7 @@
 
 def slots(world):
     row = world.table.rows.get("weights")
-    return decode_use(None if row is None else row.value).slots
+    return decode_use(None if row is None else row.value).unwrap().slots
 
 
 def check_agreed(world):
@@ -469,7 +469,7 @@
     assert isinstance(load(first, make_spec("a", 10, 300.0)), Success)
     assert load(first, make_spec("b", 10, 300.0)).failure().fault is LedgerFault.POWER
     unload(first, make_spec("a", 10))
-    assert decode_floor(world.table.rows["floor/dc-1"].value).power_watts == 0
+    assert decode_floor(world.table.rows["floor/dc-1"].value).unwrap().power_watts == 0
     assert isinstance(load(first, make_spec("b", 10, 300.0)), Success)
 
 
@@ -512,4 +512,4 @@
     assert len(slots(world)) == 1
     complete(forget_server(first.context.access, world.budget))
     assert slots(world) == () and world.ledger.entries == ()
-    assert decode_floor(world.table.rows["floor/dc-1"].value).power_watts == 0
+    assert decode_floor(world.table.rows["floor/dc-1"].value).unwrap().power_watts == 0
