Wait for answers as long as the dispatch says

Cause: urllib3 sets the socket's timeout anew from the connection's own with each request, so the timeout of the first byte was that of connecting, 1 s. Every answer that took longer was cut off; a call that must not run twice ended as unknown though it ran.

Ruled out: setting the socket's timeout after the request was sent (it would bound the wait, yet not the sending).

Change: the connection's timeout is set before each request, and back to the one for connecting before it connects.

--- a/rhubarbshed/transport/upstream.py
+++ b/rhubarbshed/transport/upstream.py
@@ -12,7 +12,7 @@
 from rhubarbshed.protocol.answers import WholeAnswer
 from rhubarbshed.protocol.calls import Call
 from rhubarbshed.protocol.requests import AttemptEnd, AttemptResult, Dispatch
-from rhubarbshed.transport.connections import Address, Channel, Connections
+from rhubarbshed.transport.connections import CONNECT_TIMEOUT_S, Address, Channel, Connections
 from rhubarbshed.transport.http import INSTANCE_HEADER
 
 READ_BYTES = 65536
@@ -130,12 +130,13 @@
         connection = channel.connection
         try:
             if connection.is_closed:
+                connection.timeout = CONNECT_TIMEOUT_S
                 connection.connect()
         except ERRORS:
             connection.close()
             return AttemptEnd.NOT_SENT
         try:
-            connection.sock.settimeout(attempt.dispatch.first_byte_timeout_s)
+            connection.timeout = attempt.dispatch.first_byte_timeout_s
             connection.request(
                 call.method,
                 call.path,
--- /dev/null
+++ b/test/test_upstream.py
@@ -0,0 +1,49 @@
+"""Test how long the answer of a backend server is waited for."""
+
+from collections.abc import Iterator
+
+import pytest
+
+from rhubarbshed.protocol.answers import WholeAnswer
+from rhubarbshed.protocol.calls import Call
+from rhubarbshed.protocol.requests import AttemptEnd, Dispatch, Request
+from rhubarbshed.transport.connections import CONNECT_TIMEOUT_S, Connections
+from rhubarbshed.transport.upstream import Attempt, Carrier
+from tools.processes import Process, start_standin
+
+SERVICE_S = CONNECT_TIMEOUT_S + 0.5
+
+
+@pytest.fixture
+def service() -> Iterator[Process]:
+    """Give a plain service that takes longer than a connection may."""
+    process = start_standin("service", "--service-ms", str(SERVICE_S * 1000))
+    yield process
+    process.stop()
+
+
+def fetch(service: Process, carrier: Carrier, first_byte_timeout_s: float):
+    dispatch = Dispatch(
+        request_id="r1",
+        attempt=0,
+        backend_server="s1",
+        host="127.0.0.1",
+        port=service.port,
+        first_byte_timeout_s=first_byte_timeout_s,
+        gap_timeout_s=5.0,
+    )
+    call = Call(Request("r1", "c1", "service:s", 0.0, 60.0, service="s"), "GET", "/slow", b"")
+    return carrier.fetch(Attempt.from_dispatch(dispatch), call)
+
+
+def test_answer_is_waited_for_as_long_as_the_dispatch_says(service):
+    """The second exchange goes over the connection that the first one has left."""
+    carrier = Carrier(Connections(60.0), "a1", 65536)
+    for _ in range(2):
+        answer = fetch(service, carrier, 2 * SERVICE_S)
+        assert isinstance(answer, WholeAnswer) and answer.status == 200
+
+
+def test_answer_is_not_waited_for_longer(service):
+    carrier = Carrier(Connections(60.0), "a1", 65536)
+    assert fetch(service, carrier, SERVICE_S / 2) is AttemptEnd.TIMED_OUT
