--- a/rhubarbshed/state/membership.py
+++ b/rhubarbshed/state/membership.py
@@ -18,6 +18,7 @@
 WORDS_MAX = 4096
 """Words of leaving remembered for members that are not known yet."""
 
+
 MemberInfo = InstanceInfo | BackendServerInfo
 
 
@@ -35,6 +36,7 @@
     heard_at: float | None = None
     expected_since: float | None = None
     failing_since: float | None = None
+    holds_lease: bool = True
     session_counter: int | None = None
     session_changed_at: float = 0.0
     session_read_at: float = 0.0
@@ -59,6 +61,8 @@
     past_incarnations: dict[str, list[str]] = Factory(dict)
     words: dict[tuple[str, str], str] = Factory(dict)
     list_read_at: float | None = None
+    last_list: PlatformList | None = None
+    last_list_at: float = float("-inf")
 
     @classmethod
     def from_settings(cls, settings: Settings, incarnation: str, now: float) -> "Membership":
@@ -71,6 +75,7 @@
     def apply_list(self, listed: PlatformList, now: float) -> None:
         """Take in the platform's list as read at `now`; until the next it stays in force."""
         self.list_read_at = now
+        self._keep_list(listed, now)
         for instance in listed.instances:
             self._apply_listed_instance(instance, now)
         for server in listed.backend_servers:
@@ -79,6 +84,28 @@
         names = {entry.info.name for entry in listed.backend_servers}
         self._mark_absent(self.backend_servers, names, now)
 
+    def apply_told_list(self, listed: PlatformList, read_at: float) -> bool:
+        """Take in the list as a peer read it at `read_at`; tell whether it counts.
+
+        The list that this instance read itself goes before, unless it is older by a whole term.
+        A peer's list only adds: what it lacks may have been listed here since.
+        """
+        own = self.list_read_at
+        if own is not None and read_at - own <= self.limits.session_term_s:
+            return False
+        if read_at <= self.last_list_at:
+            return False
+        self._keep_list(listed, read_at)
+        for instance in listed.instances:
+            self._apply_listed_instance(instance, read_at)
+        for server in listed.backend_servers:
+            self._apply_listed_server(server, read_at)
+        return True
+
+    def _keep_list(self, listed: PlatformList, read_at: float) -> None:
+        self.last_list = listed
+        self.last_list_at = read_at
+
     def apply_hello(self, info: InstanceInfo, now: float) -> None:
         """Take in an instance's own word on itself, heard over a proven connection.
 
@@ -104,6 +131,12 @@
         known.heard_at = max(now, known.heard_at or now)
         known.failing_since = None
 
+    def note_lease(self, name: str, holds_lease: bool) -> None:
+        """Note an instance's own word on whether it holds a lease."""
+        known = self.instances.get(name)
+        if known is not None:
+            known.holds_lease = holds_lease
+
     def observe_failure(self, name: str, now: float) -> None:
         """Note that a member did not answer this instance."""
         known = self.find(name)
@@ -139,7 +172,10 @@
         return True
 
     def apply_session(self, name: str, incarnation: str, counter: int, now: float) -> None:
-        """Take in another instance's session row as read at `now`."""
+        """Take in another instance's session row as read at `now`.
+
+        A term without a read starts the term anew: nobody could renew while the table was down.
+        """
         known = self.instances.get(name)
         if known is None or name == self.name:
             return
@@ -152,7 +188,8 @@
             if follows:
                 self._mark_past(known)
             known = self._renew(known, evolve(known.info, incarnation=incarnation), now)
-        if counter != known.session_counter:
+        missed = now - known.session_read_at > self.limits.session_term_s
+        if counter != known.session_counter or missed:
             known.session_counter = counter
             known.session_changed_at = now
         known.session_read_at = now
--- a/rhubarbshed/transport/upstream.py
+++ b/rhubarbshed/transport/upstream.py
@@ -12,6 +12,7 @@
 from rhubarbshed.protocol.calls import Call
 from rhubarbshed.protocol.requests import AttemptEnd
 from rhubarbshed.transport.connections import (
+    CONNECT_TIMEOUT_S,
     Address,
     Channel,
     Connections,
@@ -97,12 +98,15 @@
         connection = channel.connection
         try:
             if connection.is_closed:
+                connection.timeout = CONNECT_TIMEOUT_S
                 connection.connect()
         except ERRORS:
             connection.close()
             return AttemptEnd.NOT_SENT
         try:
             channel.sock = connection.sock
+            # urllib3 would set the socket's own timeout from this with each request.
+            connection.timeout = None
             set_timeouts(channel.sock, attempt.dispatch.first_byte_timeout_s)
             attempt.waiting_since = time.monotonic()
             connection.request(
--- a/test/fuzz/cluster.py
+++ b/test/fuzz/cluster.py
@@ -29,6 +29,7 @@
 from rhubarbshed.state.weights import WeightGate
 from rhubarbshed.transport import exchange, instance, loops
 from rhubarbshed.transport.callers import Places
+from rhubarbshed.transport.flows import Flows
 from rhubarbshed.transport.metrics import Metrics
 from rhubarbshed.transport.placing import list_engines
 from rhubarbshed.transport.runtime import Runtime
@@ -162,6 +163,7 @@
         started_at=now,
     )
     runtime.places = Places(settings.callers.threads)
+    runtime.flows = Flows(node.loop)
     runtime.gateway = runtime._make_gateway()
     runtime.move_context = runtime._make_move_context()
     return runtime
