Take a boot back that a late report made past

Cause: an instance that missed a backend server's second boot took a late peer report of it for a restart, held the present boot for past, and refused all its reports for good; the server's models stayed unreachable through that instance. Ruled out: ownership and ledger; the ledger held the present boot. Change: a report of another boot counts by its age like any other, and a past boot counts again once it reports 5 s later than the one in use. Conclusion: boots have no order, so only going on to report decides.

--- a/rhubarbshed/state/load.py
+++ b/rhubarbshed/state/load.py
@@ -19,6 +19,7 @@
 ENDED_KEPT_S = 30.0
 LOST_HOLD_S = 10.0
 PAST_BOOTS_MAX = 8
+PAST_BOOT_HOLD_S = 5.0
 STANDINGS_USED = (Standing.LIVE, Standing.SUSPECTED)
 
 AttemptKey = tuple[str, int]
@@ -200,8 +201,9 @@
     def apply_report(self, report: EngineReport | ServiceReport, now: float) -> bool:
         """Take a load report; tell whether it shows that the backend server started anew.
 
-        A report of the same boot that is older than the one in use is left out, and so is one of
-        an earlier boot that arrives late.
+        A report that is older than the one in use is left out, and so is one of an earlier boot
+        that arrives late. Boots have no order: one that came late may be taken for a new one, so
+        a boot held for past counts again once it goes on to report and the other does not.
         """
         server = self.servers.get(report.backend_server)
         if server is None or self._is_outdated(server, report, now):
@@ -209,7 +211,8 @@
         restarted = bool(server.boot_id) and server.boot_id != report.boot_id
         if restarted:
             self.record_crash(report.backend_server, now)
-            server.past_boots = (*server.past_boots, server.boot_id)[-PAST_BOOTS_MAX:]
+            past = [boot for boot in server.past_boots if boot != report.boot_id]
+            server.past_boots = (*past, server.boot_id)[-PAST_BOOTS_MAX:]
         server.received_at = now
         if isinstance(report, EngineReport):
             server.engine = report
@@ -227,9 +230,8 @@
     def _is_outdated(
         self, server: ServerLoad, report: EngineReport | ServiceReport, now: float
     ) -> bool:
-        if report.boot_id in server.past_boots:
-            return True
-        return server.boot_id == report.boot_id and now - report.age_s < server.compute_taken_at()
+        hold_s = PAST_BOOT_HOLD_S if report.boot_id in server.past_boots else 0.0
+        return now - report.age_s < server.compute_taken_at() + hold_s
 
     def record_crash(self, name: str, now: float) -> None:
         """Empty what a crash empties, and hold the server's place in the order of choice."""
--- a/test/test_load.py
+++ b/test/test_load.py
@@ -42,6 +42,25 @@
     assert view.count_in_flight("b0") == 0
 
 
+def test_boot_that_a_late_report_made_past_counts_again_once_it_goes_on_to_report():
+    view = make_view()
+    view.apply_report(make_report("b0", "boot-1"), 1.0)
+    view.apply_report(make_report("b0", "boot-3"), 2.0)
+    view.apply_report(make_report("b0", "boot-2"), 2.5)
+    assert not view.apply_report(make_report("b0", "boot-3"), 7.4)
+    assert view.find_boot_id("b0") == "boot-2"
+    assert view.apply_report(make_report("b0", "boot-3"), 7.6)
+    assert not view.apply_report(make_report("b0", "boot-2"), 8.0)
+    assert view.find_boot_id("b0") == "boot-3"
+
+
+def test_report_of_an_unknown_boot_older_than_the_one_in_use_is_left_out():
+    view = make_view()
+    view.apply_report(make_report("b0", "boot-3"), 5.0)
+    assert not view.apply_report(make_report("b0", "boot-2", age_s=1.0), 5.5)
+    assert view.find_boot_id("b0") == "boot-3"
+
+
 def test_changed_boot_empties_the_cache_and_holds_the_place():
     view = make_view()
     view.apply_report(make_report("b0", cache_events=(CacheEvent(1, True, "p"),)), 1.0)
