--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -42,9 +42,14 @@
 
 @define
 class Fleet:
-    """Hold the processes of a fleet; `settings` are INI lines added to each instance's."""
+    """Hold the processes of a fleet; `settings` are INI lines added to each instance's.
+
+    `module` is what an instance runs, and `environment` is added to its own.
+    """
 
     settings: str = ""
+    module: str = "rhubarbshed.daemon"
+    environment: dict[str, str] = field(factory=dict)
     table: Process | None = None
     objects: Process | None = None
     platform: Process | None = None
@@ -106,7 +111,12 @@
         """Start an instance, wait until it is ready, and list it."""
         ports = reserve_ports(3)
         text = self._make_settings(name, data_centre, ports) + self.settings + extra
-        process = start_instance(text, f"http://{HOST}:{ports[0]}", environment=ENVIRONMENT)
+        process = start_instance(
+            text,
+            f"http://{HOST}:{ports[0]}",
+            environment=ENVIRONMENT | self.environment,
+            module=self.module,
+        )
         instance = Instance(name, data_centre, process, ports)
         self.instances[name] = instance
         info = {
--- /dev/null
+++ b/tools/policy_instance.py
@@ -0,0 +1,64 @@
+"""Run an instance whose choice of backend servers is replaced by a simple baseline."""
+
+import os
+from itertools import count
+
+from rhubarbshed import daemon
+from rhubarbshed.coordination.desk import Desk
+from rhubarbshed.coordination.routing import Route
+from rhubarbshed.state.attempts import OpenRequest
+from rhubarbshed.state.load import Candidate, ServerLoad
+
+POLICY_VARIABLE = "RHUBARBSHED_MEASURED_POLICY"
+ROUND_ROBIN = "round_robin"
+LEAST_CONNECTIONS = "least_connections"
+
+choose_by_product = Desk._choose
+turns = count()
+
+
+def count_reported(server: ServerLoad) -> int:
+    """Return requests in flight by the last report alone, however old it is."""
+    report = server.engine or server.service
+    return report.running + report.waiting if report else 0
+
+
+def take_turn(desk: Desk, found: list[Candidate]) -> Candidate:
+    """Return each server in turn."""
+    return found[next(turns) % len(found)]
+
+
+def take_least(desk: Desk, found: list[Candidate]) -> Candidate:
+    """Return the server with the fewest requests by its last report."""
+    fewest = {each.info.name: count_reported(desk.load.servers[each.info.name]) for each in found}
+    return min(found, key=lambda each: (fewest[each.info.name], desk.randomness.random()))
+
+
+CHOICES = {ROUND_ROBIN: take_turn, LEAST_CONNECTIONS: take_least}
+
+
+def choose_by_baseline(
+    desk: Desk, item: OpenRequest, extra: frozenset[str], now: float
+) -> Route | None:
+    """Choose as the baseline does; a suspect that runs alone is placed as in the product."""
+    if item.solo_held:
+        return choose_by_product(desk, item, extra, now)
+    avoided = desk.suspects.list_set_aside(now) | extra
+    candidates = desk.lookup.list_candidates(item.request, desk.load, now)
+    found = [each for each in candidates if not each.lost and each.info.name not in avoided]
+    fresh = [each for each in found if each.info.name not in item.failed_servers]
+    if not found:
+        return None
+    chosen = CHOICES[os.environ[POLICY_VARIABLE]](desk, fresh or found)
+    return Route(chosen, 0.0, 0.0)
+
+
+def main() -> None:
+    """Run the daemon with the baseline that the environment names, if any."""
+    if os.environ.get(POLICY_VARIABLE) in CHOICES:
+        Desk._choose = choose_by_baseline
+    daemon.main()
+
+
+if __name__ == "__main__":
+    main()
--- a/tools/processes.py
+++ b/tools/processes.py
@@ -105,6 +105,7 @@
     ready_path: str = "/ready",
     environment: Mapping[str, str] | None = None,
     timeout_s: float = READY_TIMEOUT_S,
+    module: str = "rhubarbshed.daemon",
 ) -> Process:
     """Start an instance with these settings and wait until it is ready.
 
@@ -113,7 +114,7 @@
     settings = make_file("instance-", ".ini")
     settings.write_text(settings_text, encoding="utf-8")
     log = settings.with_suffix(".log")
-    command = [sys.executable, "-m", "rhubarbshed.daemon", "--settings", str(settings)]
+    command = [sys.executable, "-m", module, "--settings", str(settings)]
     with log.open("wb") as stream:
         popen = subprocess.Popen(
             command,
