--- a/rhubarbshed/transport/admin.py
+++ b/rhubarbshed/transport/admin.py
@@ -45,8 +45,10 @@
 async def take_ticket(runtime: Runtime, ticket: Ticket) -> Result[TicketReceipt, RequestError]:
     """Accept a ticket through the table service, and put it in force here at once."""
     servers = list_backend_servers(runtime.membership, time.monotonic())
-    power = runtime.settings.placement.power_watts_max
-    result = await accept_ticket(runtime.access, ticket, servers, power)
+    placement = runtime.settings.placement
+    result = await accept_ticket(
+        runtime.access, ticket, servers, placement.power_watts_max, placement.memory_fill_max
+    )
     if isinstance(result, Failure):
         error = result.failure()
         runtime.timeline.record("ticket_refused", ticket=ticket.number, reason=error.message)
--- a/rhubarbshed/transport/exchange.py
+++ b/rhubarbshed/transport/exchange.py
@@ -171,6 +171,8 @@
         exchange.hinted_revision = revision
         exchange.hinted_at = now
     known = max(runtime.catalogue.revision, exchange.pulled_revision)
+    if 0 < revision <= known:
+        runtime.catalogue_known = True
     waited = now - exchange.hinted_at >= PULL_PATIENCE_S or not runtime.platform_up
     asked = now - exchange.pulled_at < PULL_PATIENCE_S
     if revision > known and waited and not asked:
--- a/rhubarbshed/transport/loops.py
+++ b/rhubarbshed/transport/loops.py
@@ -117,7 +117,6 @@
     """Start from the snapshot, so that an instance serves while the table service is down."""
     restored = await load_snapshot(runtime.access, runtime.objects, runtime.catalogue)
     if isinstance(restored, Success) and restored.unwrap():
-        runtime.catalogue_known = True
         log_event(LOG, logging.INFO, "snapshot_restored", ticket=runtime.catalogue.head)
 
 
--- a/rhubarbshed/transport/pages.py
+++ b/rhubarbshed/transport/pages.py
@@ -45,6 +45,7 @@
 def list_server_rows(runtime: Any, now: float) -> list[dict[str, Any]]:
     """List backend servers with standing, owner and load."""
     membership = runtime.membership
+    owned = {ownership.backend_server for ownership in runtime.leases.list_owned(now)}
     rows = []
     for name, known in sorted(membership.backend_servers.items()):
         row = {
@@ -53,6 +54,7 @@
             "data_centre": known.info.data_centre,
             "standing": explain(membership, name, now).standing.value,
             "memory_bytes": known.info.memory_bytes,
+            "owned_here": name in owned,
         }
         rows.append(row | _describe_load(runtime.load.servers.get(name)))
     return rows
--- a/rhubarbshed/transport/runtime.py
+++ b/rhubarbshed/transport/runtime.py
@@ -64,8 +64,8 @@
 CONTROL_THREADS = 16
 ORDER_THREADS = 32
 OPERATOR_THREADS = 8
-# Time after start in which an instance without any load report is not ready.
-REPORT_PATIENCE_S = 5.0
+# Time after start in which an instance that has heard no news of catalogue and load is not ready.
+READY_PATIENCE_S = 5.0
 OPERATOR_BODY_BYTES_MAX = 4 * 1024 * 1024
 
 
@@ -192,12 +192,15 @@
     def knows_enough(self) -> bool:
         """Tell whether requests could be served: what models there are, and who has them.
 
-        Where no report comes at all, it serves after a while all the same.
+        A snapshot may be old, so the table or a peer is heard first. Where neither is heard, or
+        no report comes, it serves after a while all the same.
         """
-        if not self.catalogue_known or not self.load.servers:
+        if not self.catalogue.objects and not self.catalogue_known or not self.load.servers:
             return False
         reported = any(server.engine or server.service for server in self.load.servers.values())
-        return reported or time.monotonic() - self.started_at > REPORT_PATIENCE_S
+        if self.catalogue_known and reported:
+            return True
+        return time.monotonic() - self.started_at > READY_PATIENCE_S
 
     def is_gone(self, instance: str, incarnation: str) -> bool:
         """Tell whether a run of an instance has ended."""
--- a/test/test_daemon.py
+++ b/test/test_daemon.py
@@ -211,6 +211,13 @@
     assert plain["error"]["message"]
 
 
+def test_refuses_a_ticket_beyond_what_placement_may_fill(fleet):
+    status, plain = fleet.ask_operator("a", "POST", "/tickets", make_ticket(8, gib=39))
+    assert status in (409, 422), plain
+    assert "m1" in plain["error"]["message"]
+    assert fleet.ask_operator("a", "GET", "/tickets/8")[0] == 404
+
+
 def test_settings_errors_exit_2_and_are_all_listed(tmp_path):
     text = "[instance]\ncaller_port = 0\n[leases]\nterm_s = x\n[nonsense]\na = 1\n"
     process = start_instance(text, "", ready_path="")
