--- a/standin/web.py
+++ b/standin/web.py
@@ -287,6 +287,7 @@
 
 def refuse_down(connection: Connection, fault: Fault) -> HttpResponse | None:
     """Answer that the stand-in is down, or cut the connection."""
+    connection.server.counters.add("calls_while_down")
     if fault.cut:
         connection.cut()
         return None
--- a/test/test_platform_faults.py
+++ b/test/test_platform_faults.py
@@ -37,6 +37,12 @@
 # Ownership that lapsed in the outage is read and taken anew, once for each engine.
 TAKES = 2
 BATCHED = 2
+# While it is down: loops that ask the table (sessions, catalogue, settlements), each by the longest
+# back-off of the tests' settings with the least jitter after some shorter ones.
+LOOPS = 3
+BACKOFF_S = 1 * 0.8
+FIRST_TRIES = 3
+TRIES_EACH = 3
 
 
 @pytest.fixture(scope="module")
@@ -119,12 +125,14 @@
     before = list_in_force(fleet)
     until = []
     streams = [Task.start(send_streams, fleet, until) for _ in range(3)]
+    calls_before = read_counters(fleet.table).get("calls_while_down", 0)
     set_fault(fleet.table, "down", cut=cut)
     filed = refuse_filings(fleet, time.monotonic() + OUTAGE_S)
     status, plain = fleet.ask_operator("b", "POST", "/tickets", make_ticket(90, models=2))
     assert status == 503, plain
     assert plain["error"]["code"] == "table_unavailable"
     counted = read_counters(fleet.table)
+    calls = counted["calls_while_down"] - calls_before
     call(fleet.table, "DELETE", "/fault")
     time.sleep(RECOVERY_S)
     after = read_counters(fleet.table)
@@ -135,6 +143,8 @@
         assert (answer.status, answer.outcome) == (503, "not_run"), (key, answer)
         assert int(answer.headers["retry-after"]) >= 1
         assert took_s < REFUSAL_BOUND_S
+    tries_max = LOOPS * (OUTAGE_S / BACKOFF_S + FIRST_TRIES) * len(INSTANCES) + len(filed)
+    assert calls <= TRIES_EACH * tries_max, calls
     reads = after["reads"] - counted["reads"]
     writes = after["writes"] - counted["writes"]
     tries = len(INSTANCES) * RECOVERY_S
