Catch up with the table after an outage at a stated rate

Ruled out: a fixed rate for each instance (its sum grows with their number); a queue shared through the table (more writes).

Change: [platform] backlog_writes_per_s holds for all instances together, and each takes an equal share, without a burst after a long pause. Pauses after failures spread over 0.4 to 1 of the backed-off time.

--- a/rhubarbshed/coordination/settlement.py
+++ b/rhubarbshed/coordination/settlement.py
@@ -128,10 +128,15 @@
     return is_settled
 
 
-async def settle_pending(table: CommitBatcher, settlements: Settlements) -> int:
-    """Try all kept settlements once more, until one fails; return how many were written."""
+async def settle_pending(
+    table: CommitBatcher, settlements: Settlements, most: int = PENDING_MAX
+) -> int:
+    """Try kept settlements once more, oldest first, until one fails; return those written.
+
+    `most` bounds how many are tried.
+    """
     written = 0
-    for settlement in list(settlements.pending.values()):
+    for settlement in list(settlements.pending.values())[:most]:
         if not await settle(table, settlements, settlement):
             break
         written += 1
--- a/rhubarbshed/coordination/solo.py
+++ b/rhubarbshed/coordination/solo.py
@@ -103,10 +103,15 @@
     return is_released
 
 
-async def release_pending(table: CommitBatcher, releases: SoloReleases) -> int:
-    """Try all kept releases once more, until one fails; return how many were written."""
+async def release_pending(
+    table: CommitBatcher, releases: SoloReleases, most: int = PENDING_MAX
+) -> int:
+    """Try kept releases once more, oldest first, until one fails; return those written.
+
+    `most` bounds how many are tried.
+    """
     written = 0
-    for write_id, known in list(releases.pending.items()):
+    for write_id, known in list(releases.pending.items())[:most]:
         if not await release_solo(table, releases, known, write_id):
             break
         written += 1
--- /dev/null
+++ b/rhubarbshed/state/backlog.py
@@ -0,0 +1,39 @@
+"""Rate at which an instance catches up with the table service after an outage."""
+
+from attrs import define
+
+from rhubarbshed.util.settings import PlatformSettings
+
+BURST_S = 1.0
+"""Seconds of an instance's share that may be written at once."""
+
+
+@define
+class BacklogRate:
+    """Hold what this instance may write of its backlog at present.
+
+    The rate is for all instances together; each takes an equal share, so that the end of an
+    outage costs the table the same however many instances there are.
+    """
+
+    writes_per_s: float
+    allowed: float = 1.0
+    counted_at: float | None = None
+
+    @classmethod
+    def from_config(cls, settings: PlatformSettings) -> "BacklogRate":
+        """Build the rate of an instance without a backlog."""
+        return cls(settings.backlog_writes_per_s)
+
+    def count_allowed(self, instances: int, now: float) -> int:
+        """Return the number of writes that are allowed now, at least one in the long run."""
+        share = self.writes_per_s / max(1, instances)
+        since = now if self.counted_at is None else self.counted_at
+        self.counted_at = now
+        most = max(1.0, share * BURST_S)
+        self.allowed = min(most, self.allowed + share * (now - since))
+        return int(self.allowed)
+
+    def spend(self, writes: int) -> None:
+        """Note that writes were tried, answered or not."""
+        self.allowed -= writes
--- a/rhubarbshed/transport/loops.py
+++ b/rhubarbshed/transport/loops.py
@@ -26,6 +26,8 @@
 
 LOG = logging.getLogger(__name__)
 JITTER = (0.8, 1.1)
+# Pauses after failures spread wider, so that instances do not come back all at once.
+BACKOFF_JITTER = (0.4, 1.0)
 BACKOFF_FACTOR = 2.0
 
 Step = Callable[[Runtime], Awaitable[Result]]
@@ -44,10 +46,10 @@
         wakeup.clear()
         result = await step(runtime)
         pause_s = choose_pause(runtime, pause_s, isinstance(result, Success))
-        wait_s = (pause_s or interval_s) * runtime.chance.uniform(*JITTER)
         if pause_s:
-            await asyncio.sleep(wait_s)
+            await asyncio.sleep(pause_s * runtime.chance.uniform(*BACKOFF_JITTER))
             continue
+        wait_s = interval_s * runtime.chance.uniform(*JITTER)
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(wait_s):
                 await wakeup.wait()
@@ -90,7 +92,10 @@
 
 
 async def read_catalogue(runtime: Runtime) -> Result[None, object]:
-    """Read the catalogue's changes, tell peers, and keep a snapshot of it."""
+    """Read the catalogue's changes, tell peers, and keep a snapshot of it.
+
+    A snapshot that the object store did not take is tried again with the next read.
+    """
     refreshed = await refresh_catalogue(runtime.access, runtime.catalogue)
     runtime.platform_up = isinstance(refreshed, Success)
     if isinstance(refreshed, Failure):
@@ -101,8 +106,10 @@
         catalogue = runtime.catalogue
         runtime.note_catalogue_change(len(changed), "the table")
         runtime.network.publish(CatalogueHint(catalogue.revision, catalogue.head))
-        if is_snapshot_writer(runtime):
-            await store_snapshot(runtime.access, runtime.objects, catalogue)
+        runtime.snapshot_due = True
+    if runtime.snapshot_due and is_snapshot_writer(runtime):
+        stored = await store_snapshot(runtime.access, runtime.objects, runtime.catalogue)
+        runtime.snapshot_due = isinstance(stored, Failure)
     return Success(None)
 
 
@@ -162,9 +169,15 @@
 
 
 async def settle_ends(runtime: Runtime) -> Result[None, object]:
-    """Tell the table the ends of requests that it could not take before."""
+    """Tell the table the ends of requests that it could not take before, at a bounded rate."""
     gateway = runtime.gateway
-    await settle_pending(gateway.table, gateway.settlements)
-    await release_pending(gateway.table, gateway.solo_releases)
-    waiting = len(gateway.settlements.pending) + len(gateway.solo_releases.pending)
-    return Failure(waiting) if waiting else Success(None)
+    now = time.monotonic()
+    allowed = runtime.backlog.count_allowed(len(list_instances(runtime.membership, now)), now)
+    due = min(allowed, len(gateway.solo_releases.pending))
+    released = await release_pending(gateway.table, gateway.solo_releases, due)
+    runtime.backlog.spend(due)
+    rest = min(allowed - due, len(gateway.settlements.pending))
+    settled = await settle_pending(gateway.table, gateway.settlements, rest)
+    runtime.backlog.spend(rest)
+    failed = due + rest - released - settled
+    return Failure(failed) if failed else Success(None)
--- a/rhubarbshed/transport/runtime.py
+++ b/rhubarbshed/transport/runtime.py
@@ -26,6 +26,7 @@
 from rhubarbshed.protocol.members import BackendKind, Standing
 from rhubarbshed.protocol.placement import MoveRecord
 from rhubarbshed.protocol.platform import EngineClient, ListClient, ObjectClient
+from rhubarbshed.state.backlog import BacklogRate
 from rhubarbshed.state.catalogue import Catalogue
 from rhubarbshed.state.demand import Demand
 from rhubarbshed.state.leases import Holder, Leases
@@ -93,6 +94,7 @@
     chance: random.Random
     control: ThreadPoolExecutor
     orders: ThreadPoolExecutor
+    backlog: BacklogRate
     gateway: Gateway = field(init=False)
     network: PeerNetwork = field(init=False)
     places: Places = field(init=False)
@@ -106,6 +108,7 @@
     started_at: float = field(factory=time.monotonic)
     move_context: MoveContext = field(init=False)
     platform_up: bool = True
+    snapshot_due: bool = False
     tasks: list[asyncio.Task] = field(factory=list)
     sites: list[Site] = field(factory=list)
 
@@ -150,6 +153,7 @@
             chance=chance,
             control=control,
             orders=ThreadPoolExecutor(ORDER_THREADS, "orders"),
+            backlog=BacklogRate.from_config(platform),
         )
         runtime.places = Places(settings.callers.threads)
         runtime.gateway = runtime._make_gateway()
--- a/rhubarbshed/util/settings.py
+++ b/rhubarbshed/util/settings.py
@@ -122,6 +122,7 @@
     list_poll_s: float = _positive(4.0)
     backoff_first_s: float = _positive()
     backoff_longest_s: float = _positive()
+    backlog_writes_per_s: float = _positive()
 
 
 @frozen
--- a/test/test_cutoff.py
+++ b/test/test_cutoff.py
@@ -2,15 +2,26 @@
 
 import time
 from collections.abc import Iterator
+from concurrent.futures import ThreadPoolExecutor
 from typing import Any
 
 import pytest
 
 from test.helper_standins import call, read_counters, set_fault
-from tools.fleet import GIB, HOST, Fleet, ask
+from tools.fleet import GIB, HOST, Fleet, ask, post
 from tools.processes import wait_until
 
 READY_S = 30.0
+FILINGS = 40
+OWN_PER_S = 1.0
+"""Writes a second of an instance beside its backlog: a renewal each 3 s, a take or a load."""
+OWN_BURST = 5
+INSTANCES_TARGET = 370
+READS_PER_S = 2000
+WRITES_PER_S = 300
+"""Instances at the target size, and what the table takes from all of them."""
+OUTAGE_S = 14.0
+"""Longer than the term of a lease."""
 FORCE_S = 8.0
 """Longest time in which an accepted ticket comes into force everywhere."""
 
@@ -93,6 +104,14 @@
     return {row["name"] for row in rows if row.get("owned")}
 
 
+def count_owned(fleet: Fleet) -> int:
+    """Count the engines with an owner; each has at most one."""
+    owners = [list_owners(fleet, name) for name in fleet.instances]
+    owned = set().union(*owners)
+    assert sum(len(each) for each in owners) == len(owned)
+    return len(owned)
+
+
 def count_loads(fleet: Fleet) -> dict[str, int]:
     """Count the loads that each engine has carried out."""
     counters = {name: read_counters(one) for name, one in fleet.backend_servers.items()}
@@ -145,3 +164,77 @@
     assert wait_until(lambda: list_owners(fleet, "b") == set(engines), READY_S)
     print(f"all servers owned again after {time.monotonic() - began:.2f} s")
     assert list_owners(fleet, "a") == set()
+
+
+def count_claims(fleet: Fleet, state: str) -> int:
+    rows = post(f"{fleet.table.url}/scan", {"prefix": "claim/", "revision": 0})["rows"]
+    return sum(1 for row in rows if row["value"] and row["value"]["state"] == state)
+
+
+def send_filing(fleet: Fleet, number: int) -> int:
+    """Send a call that must not run twice; return its status."""
+    url = fleet.instances["a"].url + "/services/records/filings"
+    status, answer = ask("POST", url, {"number": number}, {"Idempotency-Key": f"filing-{number}"})
+    assert status == 200, answer
+    return status
+
+
+def test_backlog_of_an_outage_reaches_the_table_at_the_stated_rate(fleet):
+    """Forty calls end while the table is down; their ends are written at 5 a second."""
+    fleet.settings = "backlog_writes_per_s = 5\n" + fleet.settings
+    fleet.add_engine("engine-1", "dc-1")
+    fleet.add_service("records-1", "dc-1", "--service-ms", "4000", "--slots", "50")
+    fleet.add_instance("a", "dc-1")
+    service = {
+        "kind": "service",
+        "name": "records",
+        "backend_servers": ["records-1"],
+        "answer_target_s": 20.0,
+    }
+    send_ticket(fleet, "a", {"number": 1, "objects": [service]})
+    time.sleep(2.0)
+    with ThreadPoolExecutor(FILINGS) as callers:
+        answered = [callers.submit(send_filing, fleet, number) for number in range(FILINGS)]
+        assert wait_until(lambda: count_claims(fleet, "claimed") == FILINGS, 3.0)
+        set_fault(fleet.table, "down")
+        assert [one.result() for one in answered] == [200] * FILINGS
+    before = read_counters(fleet.table)["writes"]
+    clear_faults(fleet)
+    began = time.monotonic()
+    seen = []
+    while count_claims(fleet, "done") < FILINGS and time.monotonic() - began < READY_S:
+        seen.append((time.monotonic() - began, read_counters(fleet.table)["writes"] - before))
+        time.sleep(0.25)
+    took_s = time.monotonic() - began
+    print(f"{FILINGS} ends written in {took_s:.1f} s; writes by second: {seen[::4]}")
+    assert count_claims(fleet, "done") == FILINGS
+    assert all(writes <= OWN_BURST + (5 + OWN_PER_S) * (at + 1.0) for at, writes in seen)
+
+
+def test_table_is_not_stormed_after_an_outage(fleet):
+    """Each instance keeps to its part of what the table takes from all at the target size."""
+    names = ("a", "b", "c", "d")
+    for number in range(4):
+        fleet.add_engine(f"engine-{number}", "dc-1")
+    for name in names:
+        fleet.add_instance(name, "dc-1")
+    send_ticket(fleet, "a", make_ticket(1))
+    assert wait_until(lambda: all(answers(fleet, name) for name in names), READY_S)
+    set_fault(fleet.table, "down")
+    time.sleep(OUTAGE_S)
+    assert not any(list_owners(fleet, name) for name in names)
+    before = read_counters(fleet.table)
+    clear_faults(fleet)
+    began = time.monotonic()
+    seen = []
+    while time.monotonic() - began < FORCE_S:
+        after = read_counters(fleet.table)
+        counts = [after[kind] - before[kind] for kind in ("reads", "writes")]
+        seen.append((time.monotonic() - began, *counts))
+        time.sleep(0.1)
+    print(f"reads and writes after the outage: {seen[::10]}")
+    part = len(names) / INSTANCES_TARGET
+    assert all(reads <= part * READS_PER_S * (at + 1.0) for at, reads, _ in seen)
+    assert all(writes <= part * WRITES_PER_S * (at + 1.0) for at, _, writes in seen)
+    assert wait_until(lambda: count_owned(fleet) == 4, READY_S)
+    assert sum(count_loads(fleet).values()) <= 4
