--- a/rhubarbshed/transport/runtime.py
+++ b/rhubarbshed/transport/runtime.py
@@ -26,6 +26,7 @@
 from rhubarbshed.protocol.members import BackendKind, Standing
 from rhubarbshed.protocol.placement import MoveRecord
 from rhubarbshed.protocol.platform import EngineClient, ListClient, ObjectClient
+from rhubarbshed.state.backlog import BacklogRate
 from rhubarbshed.state.catalogue import Catalogue
 from rhubarbshed.state.demand import Demand
 from rhubarbshed.state.leases import Holder, Leases
@@ -96,6 +97,7 @@
     chance: random.Random
     control: ThreadPoolExecutor
     orders: ThreadPoolExecutor
+    backlog: BacklogRate
     gateway: Gateway = field(init=False)
     network: PeerNetwork = field(init=False)
     places: Places = field(init=False)
@@ -111,6 +113,7 @@
     move_context: MoveContext = field(init=False)
     platform_up: bool = True
     catalogue_known: bool = False
+    snapshot_due: bool = False
     tasks: list[asyncio.Task] = field(factory=list)
     sites: list[Site] = field(factory=list)
 
@@ -155,6 +158,7 @@
             chance=chance,
             control=control,
             orders=ThreadPoolExecutor(ORDER_THREADS, "orders"),
+            backlog=BacklogRate.from_config(platform),
         )
         runtime.flows = Flows(loop)
         runtime.places = Places(settings.callers.threads)
