Build a runtime on given clients of the outside systems

Cause: the fuzzing's cluster repeated the whole construction of the runtime and fell out of step with it twice in one merge. Ruled out: optional fields with defaults; they would hide a missing part. Change: Runtime.from_systems takes the clients; the daemon and the cluster use it. Conclusion: the construction stands once.

--- a/rhubarbshed/transport/runtime.py
+++ b/rhubarbshed/transport/runtime.py
@@ -7,10 +7,10 @@
 import time
 import uuid
 from collections.abc import Awaitable, Callable
-from concurrent.futures import ThreadPoolExecutor
+from concurrent.futures import Executor, ThreadPoolExecutor
 from typing import Any
 
-from attrs import define, evolve, field
+from attrs import define, evolve, field, frozen
 from returns.result import Result, Success
 
 from rhubarbshed.coordination.commits import CommitBatcher
@@ -33,7 +33,7 @@
 from rhubarbshed.state.load import LoadView
 from rhubarbshed.state.membership import Membership
 from rhubarbshed.state.moves import Moves
-from rhubarbshed.state.timeline import Timeline
+from rhubarbshed.state.timeline import Timeline, read_wall_ms
 from rhubarbshed.state.weights import WeightGate
 from rhubarbshed.transport.callers import SPARE_THREADS, Places, make_caller_handler
 from rhubarbshed.transport.connections import Connections
@@ -71,6 +71,19 @@
 OPERATOR_BODY_BYTES_MAX = 4 * 1024 * 1024
 
 
+@frozen
+class Systems:
+    """Hold the clients of the outside systems, and the threads that wait for them."""
+
+    http: HttpClient
+    access: TableAccess
+    objects: ObjectClient
+    platform: ListClient
+    engines: EngineClient
+    control: Executor | None = None
+    orders: Executor | None = None
+
+
 @define
 class Runtime:
     """Hold the collaborators of one instance; all but the sites live on the loop."""
@@ -95,8 +108,8 @@
     quota: AdapterQuota
     demand: Demand
     chance: random.Random
-    control: ThreadPoolExecutor
-    orders: ThreadPoolExecutor
+    control: Executor | None
+    orders: Executor | None
     backlog: BacklogRate
     gateway: Gateway = field(init=False)
     network: PeerNetwork = field(init=False)
@@ -120,45 +133,65 @@
     @classmethod
     def from_settings(cls, settings: Settings, loop: asyncio.AbstractEventLoop) -> "Runtime":
         """Make an instance that does nothing yet."""
-        incarnation = uuid.uuid4().hex[:12]
         platform = settings.platform
         credential = settings.secrets.platform_credential
         http = HttpClient.from_config(settings.instance.name, platform.timeout_s, credential)
         control = ThreadPoolExecutor(CONTROL_THREADS, "control")
         chance = random.Random(f"{settings.routing.seed}/{settings.instance.name}")
         table = make_table_client(http, platform.table_url)
+        systems = Systems(
+            http=http,
+            access=TableAccess(table, make_runner(loop, control), chance),
+            objects=make_object_client(http, platform.object_store_url),
+            platform=make_list_client(http, platform.list_url),
+            engines=make_engine_client(http),
+            control=control,
+            orders=ThreadPoolExecutor(ORDER_THREADS, "orders"),
+        )
+        incarnation = uuid.uuid4().hex[:12]
+        return cls.from_systems(settings, loop, systems, incarnation, time.monotonic())
+
+    @classmethod
+    def from_systems(
+        cls,
+        settings: Settings,
+        loop: asyncio.AbstractEventLoop,
+        systems: "Systems",
+        incarnation: str,
+        now: float,
+        read_wall: Callable[[], int] = read_wall_ms,
+    ) -> "Runtime":
+        """Make an instance on given clients of the outside systems."""
+        name = settings.instance.name
         catalogue = Catalogue()
         load = LoadView()
+        find = (catalogue.get_model, catalogue.get_adapter, catalogue.get_service)
+        adapters_in_flight = settings.weight_store.adapters_in_flight
         runtime = cls(
             settings=settings,
             incarnation=incarnation,
             loop=loop,
-            http=http,
-            access=TableAccess(table, make_runner(loop, control), chance),
-            objects=make_object_client(http, platform.object_store_url),
-            platform=make_list_client(http, platform.list_url),
-            engines=make_engine_client(http),
-            membership=Membership.from_settings(settings, incarnation, time.monotonic()),
+            http=systems.http,
+            access=systems.access,
+            objects=systems.objects,
+            platform=systems.platform,
+            engines=systems.engines,
+            membership=Membership.from_settings(settings, incarnation, now),
             load=load,
             catalogue=catalogue,
-            timeline=Timeline.from_settings(settings),
-            metrics=Metrics.from_instance(settings.instance.name),
-            desk=Desk.from_settings(
-                settings,
-                catalogue.get_model,
-                catalogue.get_adapter,
-                catalogue.get_service,
-                load,
-            ),
-            leases=Leases.from_config(settings.leases, Holder(settings.instance.name, incarnation)),
+            timeline=Timeline.from_settings(settings, read_wall),
+            metrics=Metrics.from_instance(name),
+            desk=Desk.from_settings(settings, *find, load),
+            leases=Leases.from_config(settings.leases, Holder(name, incarnation)),
             moves=Moves(),
             gate=WeightGate.from_config(settings.weight_store),
-            quota=AdapterQuota(settings.weight_store.adapters_in_flight, settings.instance.name),
-            demand=Demand.from_config(settings.instance.name, settings.placement),
-            chance=chance,
-            control=control,
-            orders=ThreadPoolExecutor(ORDER_THREADS, "orders"),
-            backlog=BacklogRate.from_config(platform),
+            quota=AdapterQuota(adapters_in_flight, name),
+            demand=Demand.from_config(name, settings.placement),
+            chance=systems.access.chance,
+            control=systems.control,
+            orders=systems.orders,
+            backlog=BacklogRate.from_config(settings.platform),
+            started_at=now,
         )
         runtime.flows = Flows(loop)
         runtime.places = Places(settings.callers.threads)
--- a/test/fuzz/cluster.py
+++ b/test/fuzz/cluster.py
@@ -10,8 +10,6 @@
 
 from attrs import define, evolve, field, frozen
 
-from rhubarbshed.coordination.desk import Desk
-from rhubarbshed.coordination.quotas import AdapterQuota
 from rhubarbshed.coordination.tickets import accept_ticket, list_touched
 from rhubarbshed.coordination.transactions import TableAccess
 from rhubarbshed.protocol.answers import WholeAnswer
@@ -19,20 +17,10 @@
 from rhubarbshed.protocol.members import BackendKind, ListedInstance
 from rhubarbshed.protocol.peers import Heartbeat, LeavingNotice, LeavingSubject
 from rhubarbshed.protocol.requests import AttemptEnd, Dispatch, Refusal
-from rhubarbshed.state.catalogue import Catalogue
-from rhubarbshed.state.demand import Demand
-from rhubarbshed.state.leases import Holder, Leases
-from rhubarbshed.state.load import LoadView
-from rhubarbshed.state.membership import Membership, make_instance_info
-from rhubarbshed.state.moves import Moves
-from rhubarbshed.state.timeline import Timeline
-from rhubarbshed.state.weights import WeightGate
+from rhubarbshed.state.membership import make_instance_info
 from rhubarbshed.transport import exchange, instance, loops
-from rhubarbshed.transport.callers import Places
-from rhubarbshed.transport.flows import Flows
-from rhubarbshed.transport.metrics import Metrics
 from rhubarbshed.transport.placing import list_engines
-from rhubarbshed.transport.runtime import Runtime
+from rhubarbshed.transport.runtime import Runtime, Systems
 from rhubarbshed.transport.upstream import STATUS_OK, Attempt, _is_answer_to
 from rhubarbshed.util.settings import Settings
 from test.fuzz.outside import LIST_LAG_S, PLATFORM, Outside, Server
@@ -126,47 +114,27 @@
 def make_runtime(node: Node, outside: Outside, number: int) -> Runtime:
     text = f"[instance]\nname = {node.name}\ndata_centre = {node.centre}\n{SETTINGS}"
     settings = Settings.from_text(text).unwrap()
-    incarnation, now = f"{node.name}.{number}", node.loop.time()
-    catalogue, load, chance = Catalogue(), LoadView(), random.Random(incarnation)
+    incarnation = f"{node.name}.{number}"
     ids = itertools.count()
 
     def run(call: Any, *args: Any) -> Any:
         return node.loop.run_in_executor(None, call, *args)
 
     access = TableAccess(
-        outside.make_table(node.centre), run, chance, make_id=lambda: f"{incarnation}/{next(ids)}"
+        outside.make_table(node.centre),
+        run,
+        random.Random(incarnation),
+        make_id=lambda: f"{incarnation}/{next(ids)}",
     )
-    found = (catalogue.get_model, catalogue.get_adapter, catalogue.get_service)
-    runtime = Runtime(
-        settings=settings,
-        incarnation=incarnation,
-        loop=node.loop,
+    systems = Systems(
         http=lambda info: outside.fetch_service(node.centre, info),
         access=access,
         objects=outside.make_objects(node.centre),
         platform=outside.make_list(node.centre),
         engines=outside.make_engines(node.centre),
-        membership=Membership.from_settings(settings, incarnation, now),
-        load=load,
-        catalogue=catalogue,
-        timeline=Timeline.from_settings(settings, lambda: 0),
-        metrics=Metrics.from_instance(node.name),
-        desk=Desk.from_settings(settings, *found, load),
-        leases=Leases.from_config(settings.leases, Holder(node.name, incarnation)),
-        moves=Moves(),
-        gate=WeightGate.from_config(settings.weight_store),
-        quota=AdapterQuota(settings.weight_store.adapters_in_flight, node.name),
-        demand=Demand.from_config(node.name, settings.placement),
-        chance=chance,
-        control=None,
-        orders=None,
-        started_at=now,
     )
-    runtime.places = Places(settings.callers.threads)
-    runtime.flows = Flows(node.loop)
-    runtime.gateway = runtime._make_gateway()
-    runtime.move_context = runtime._make_move_context()
-    return runtime
+    now = node.loop.time()
+    return Runtime.from_systems(settings, node.loop, systems, incarnation, now, lambda: 0)
 
 
 @define(eq=False)
