Spread refused callers' return, and reckon queues by priority and rate

Change: - Retry-After of refusals for lack of time is spaced so that returning callers take at most a quarter of the target's capacity. - The share of a queue that goes first is taken from the own attempts' priorities, not a constant. - The rate of other instances is the mean over the model's engines, in a window of 1 s, not 3 s. - The mean time a slot is held starts as a plain mean, not from 4 s. - The margin of the target is 0.7 (batch 0.5), not 1.25 (standard 1, batch 0.7).

--- a/rhubarbshed/coordination/admission.py
+++ b/rhubarbshed/coordination/admission.py
@@ -10,9 +10,11 @@
 from rhubarbshed.util.settings import AdmissionSettings
 
 MODEL_SHARE = {Priority.INTERACTIVE: 1.0, Priority.STANDARD: 0.9, Priority.BATCH: 0.5}
-TARGET_MARGIN = {Priority.INTERACTIVE: 1.25, Priority.STANDARD: 1.0, Priority.BATCH: 0.7}
+TARGET_MARGIN = {Priority.INTERACTIVE: 0.7, Priority.STANDARD: 0.7, Priority.BATCH: 0.5}
 OWN_MARGIN = 1.5
 JITTER_SHARE = 0.5
+# Part of a target's capacity that callers who come back may take.
+RETURN_SHARE = 0.25
 NOT_FOUND = 404
 TOO_MANY_REQUESTS = 429
 UNAVAILABLE = 503
@@ -26,6 +28,7 @@
     randomness: random.Random
     targets: Counter[str] = field(factory=Counter)
     callers: Counter[str] = field(factory=Counter)
+    returns_at: dict[str, float] = field(factory=dict)
 
     @classmethod
     def from_settings(cls, settings: AdmissionSettings, seed: int) -> "Admission":
@@ -50,6 +53,17 @@
         least = self.settings.retry_after_min_s
         return min(self.settings.retry_after_max_s, max(least, wait_s) * jitter)
 
+    def reserve_return(self, target: str, served_per_s: float, now: float) -> float:
+        """Return the seconds until a refused caller should be back, one after the other.
+
+        If all came back at once, they would take the place of those who can still be in time.
+        """
+        spacing_s = 1.0 / max(1e-3, served_per_s * RETURN_SHARE)
+        last = max(now, self.returns_at.get(target, now))
+        due = min(last + spacing_s, now + self.settings.retry_after_max_s)
+        self.returns_at[target] = due
+        return due - now
+
     def refuse(self, status: int, code: str, message: str, wait_s: float) -> RequestError:
         """Describe a request that was not run and may come back after about `wait_s`."""
         return RequestError(
--- a/rhubarbshed/coordination/desk.py
+++ b/rhubarbshed/coordination/desk.py
@@ -3,7 +3,7 @@
 import logging
 import random
 
-from attrs import define, field, frozen
+from attrs import define, evolve, field, frozen
 
 from rhubarbshed.coordination.admission import Admission, describe_unknown_target
 from rhubarbshed.coordination.drain import Drain
@@ -271,9 +271,16 @@
         times = (route.predicted_s, route.own_s, item.target_s)
         error = self.admission.check_time(request, *times, now)
         if error is not None and item.attempts == 0:
-            return self._refuse(item, error)
+            return self._refuse(item, self._spread_return(request, error, now))
         return self._send(item, route, now)
 
+    def _spread_return(self, request: Request, error: RequestError, now: float) -> RequestError:
+        """Let refused callers of one target come back no faster than it can serve them."""
+        candidates = self.lookup.list_candidates(request, self.load, now)
+        served_per_s = sum(each.slots / each.hold_s for each in candidates) / self.load.instances
+        wait_s = self.admission.reserve_return(request.target, served_per_s, now)
+        return evolve(error, retry_after_s=max(error.retry_after_s, wait_s))
+
     def _refuse_without_server(self, item: OpenRequest, now: float) -> Refusal:
         candidates = self.lookup.list_candidates(item.request, self.load, now)
         usable = [found for found in find_pair(item.request, candidates) if not found.lost]
@@ -306,7 +313,8 @@
         item.dispatches[dispatch.attempt] = dispatch
         item.boots[dispatch.attempt] = self.load.find_boot_id(info.name)
         key = (request.request_id, dispatch.attempt)
-        self.load.record_dispatch(info.name, key, request.target, request.prompt_tokens, now)
+        sent = (request.target, request.prompt_tokens, now, request.priority)
+        self.load.record_dispatch(info.name, key, *sent)
         if item.solo_held:
             self.suspects.set_solo(info.name, request.fingerprint, request.deadline)
         return dispatch
--- a/rhubarbshed/coordination/routing.py
+++ b/rhubarbshed/coordination/routing.py
@@ -20,7 +20,9 @@
 SHARPNESS_AGE_S = 2.0
 SHARPNESS_MIN = 2.0
 SHARPNESS_MAX = 8.0
-QUEUE_SHARE_AHEAD = {Priority.INTERACTIVE: 0.5, Priority.STANDARD: 1.0, Priority.BATCH: 1.5}
+QUEUE_SHARE_AHEAD = {Priority.INTERACTIVE: 0.5, Priority.STANDARD: 1.0, Priority.BATCH: 1.0}
+# Batch waits also for work of higher priority that arrives after it.
+OVERTAKEN_FACTOR = {Priority.INTERACTIVE: 1.0, Priority.STANDARD: 1.0, Priority.BATCH: 1.5}
 
 
 @frozen
@@ -88,10 +90,18 @@
     in_flight = candidate.own_in_flight + trust * others
     if in_flight < candidate.slots:
         return 0.0
-    ahead = (in_flight - candidate.slots) * QUEUE_SHARE_AHEAD[priority] + 1.0
+    share = _estimate_share_ahead(priority, candidate.own_priorities)
+    ahead = (in_flight - candidate.slots) * share * OVERTAKEN_FACTOR[priority] + 1.0
     return ahead * candidate.hold_s / candidate.slots
 
 
+def _estimate_share_ahead(priority: Priority, own: tuple[Priority, ...]) -> float:
+    """Return the part of a queue that goes first, taken to be mixed as the own attempts are."""
+    if not own:
+        return QUEUE_SHARE_AHEAD[priority]
+    return sum(1 for each in own if each <= priority) / len(own)
+
+
 def _find_prefill_speed(candidate: Candidate) -> float:
     """Return prompt tokens per second."""
     return candidate.prefill_tokens_per_s or PREFILL_DEFAULT_TOKENS_PER_S
--- a/rhubarbshed/state/load.py
+++ b/rhubarbshed/state/load.py
@@ -7,6 +7,7 @@
 
 from rhubarbshed.protocol.members import BackendServerInfo, Standing
 from rhubarbshed.protocol.orders import EngineReport
+from rhubarbshed.protocol.requests import Priority
 from rhubarbshed.protocol.services import ServiceReport
 from rhubarbshed.state.prefixes import PrefixCache
 
@@ -14,7 +15,7 @@
 HOLD_SMOOTHING = 0.1
 FAILURE_HALF_LIFE_S = 5.0
 FAILURES_MAX = 8.0
-RATE_WINDOW_S = 3.0
+RATE_WINDOW_S = 1.0
 UNSEEN_AGE_MAX_S = 3.0
 ENDED_KEPT_S = 30.0
 LOST_HOLD_S = 10.0
@@ -32,6 +33,7 @@
     prompt_tokens: int
     sent_at: float
     ended_at: float | None = None
+    priority: Priority = Priority.STANDARD
 
 
 @frozen
@@ -42,6 +44,7 @@
     certain. `unseen` estimates what other instances added since the report, less what ended; it
     may be negative. `hold_s` is the mean time an attempt takes a slot. `lost` marks a server that
     crashed moments ago: it still takes its place in the order of choice, but gets no requests.
+    `own_priorities` are those of the own attempts in flight.
     """
 
     info: BackendServerInfo
@@ -58,6 +61,7 @@
     report_age_s: float
     suspected: bool = False
     lost: bool = False
+    own_priorities: tuple[Priority, ...] = ()
 
 
 @define
@@ -72,6 +76,7 @@
     sent: dict[AttemptKey, Sent] = field(factory=dict)
     prefixes: PrefixCache = field(factory=PrefixCache)
     hold_s: float = HOLD_DEFAULT_S
+    holds: int = 0
     failures: float = 0.0
     failures_at: float = 0.0
     rate: float = 0.0
@@ -88,7 +93,16 @@
 
     def count_open(self) -> int:
         """Return the number of own attempts in flight."""
-        return sum(1 for sent in self.sent.values() if sent.ended_at is None)
+        return len(self.list_open_priorities())
+
+    def list_open_priorities(self) -> tuple[Priority, ...]:
+        """Return the priorities of own attempts in flight."""
+        return tuple(sent.priority for sent in self.sent.values() if sent.ended_at is None)
+
+    def record_hold(self, hold_s: float) -> None:
+        """Add the time one attempt held a slot; the first ones count as in a plain mean."""
+        self.holds += 1
+        self.hold_s += max(HOLD_SMOOTHING, 1.0 / self.holds) * (hold_s - self.hold_s)
 
     def compute_taken_at(self) -> float:
         """Return when the last report's figures were true, on this instance's clock."""
@@ -117,16 +131,16 @@
         """Return the rate of own dispatches, per second, as a decaying mean."""
         return self.rate * math.exp((self.rate_at - now) / RATE_WINDOW_S)
 
-    def compute_unseen(self, instances: int, now: float) -> float:
+    def compute_unseen(self, instances: int, rate: float, now: float) -> float:
         """Return the change in flight since the report that is due to other instances.
 
-        They are taken to send at the same rate as this one, and slots to free at their mean rate.
+        They are taken to send at this instance's `rate`, and slots to free at their mean rate.
         """
         report = self.engine or self.service
         if report is None or instances <= 1:
             return 0.0
         age_s = min(UNSEEN_AGE_MAX_S, max(0.0, now - self.compute_taken_at()))
-        arrivals = self.compute_rate(now) * (instances - 1)
+        arrivals = rate * (instances - 1)
         ends = min(report.running, report.slots) / max(self.hold_s, 1e-3)
         return age_s * (arrivals - ends * (instances - 1) / instances)
 
@@ -242,11 +256,18 @@
         server.prefixes.clear()
 
     def record_dispatch(
-        self, name: str, key: AttemptKey, target: str, prompt_tokens: int, now: float
+        self,
+        name: str,
+        key: AttemptKey,
+        target: str,
+        prompt_tokens: int,
+        now: float,
+        priority: Priority = Priority.STANDARD,
     ) -> None:
         """Count an own attempt that goes out now."""
         if name in self.servers:
-            self.servers[name].sent[key] = Sent(target, prompt_tokens, now)
+            sent = Sent(target, prompt_tokens, now, priority=priority)
+            self.servers[name].sent[key] = sent
             self.servers[name].count_dispatch(now)
 
     def record_end(
@@ -276,7 +297,7 @@
         server.failures_at = now
         if not failed:
             since = sent.sent_at if first_token_at is None else first_token_at
-            server.hold_s += HOLD_SMOOTHING * (now - since - server.hold_s)
+            server.record_hold(now - since)
 
     def find_boot_id(self, name: str) -> str:
         """Return the boot that a backend server reported last, empty where none is known."""
@@ -299,6 +320,7 @@
         self, model: str, adapter: str, prefixes: tuple[str, ...], now: float
     ) -> tuple[Candidate, ...]:
         found = []
+        rate = self._compute_mean_rate(model, now)
         for name in sorted(self.servers):
             server = self.servers[name]
             residents = server.find_residents()
@@ -309,21 +331,35 @@
             share = server.prefixes.estimate_cached_share(prefixes)
             held = residents | server.lost_targets if was_there else residents
             has_adapter = not adapter or adapter in held
-            found.append(_make_candidate(server, share, has_adapter, self.instances, now))
+            others = (self.instances, rate)
+            found.append(_make_candidate(server, share, has_adapter, others, now))
         return tuple(found)
 
+    def _compute_mean_rate(self, model: str, now: float) -> float:
+        """Return the mean rate of own dispatches over the engines that hold a model.
+
+        Other instances spread theirs as evenly, so the mean tells more than one engine's few.
+        """
+        holders = (each for each in self.servers.values() if model in each.find_residents())
+        rates = [each.compute_rate(now) for each in holders]
+        return sum(rates) / len(rates) if rates else 0.0
+
     def list_service_candidates(self, names: Iterable[str], now: float) -> tuple[Candidate, ...]:
         """Return those replicas of a plain service that are in use."""
         servers = (self.servers[name] for name in sorted(names) if name in self.servers)
         return tuple(
-            _make_candidate(server, 0.0, True, self.instances, now)
+            _make_candidate(server, 0.0, True, (self.instances, server.compute_rate(now)), now)
             for server in servers
             if server.standing in STANDINGS_USED or server.is_lost(now)
         )
 
 
 def _make_candidate(
-    server: ServerLoad, cached_share: float, adapter_resident: bool, instances: int, now: float
+    server: ServerLoad,
+    cached_share: float,
+    adapter_resident: bool,
+    others: tuple[int, float],
+    now: float,
 ) -> Candidate:
     report = server.engine or server.service
     return Candidate(
@@ -331,7 +367,7 @@
         in_flight=server.compute_in_flight(),
         waiting_tokens=server.compute_waiting_tokens(now),
         own_in_flight=server.count_open(),
-        unseen=server.compute_unseen(instances, now),
+        unseen=server.compute_unseen(*others, now),
         slots=max(1, report.slots if report else 1),
         hold_s=server.hold_s,
         prefill_tokens_per_s=server.engine.prefill_tokens_per_s if server.engine else 0.0,
@@ -341,4 +377,5 @@
         report_age_s=now - server.compute_taken_at(),
         suspected=server.standing is Standing.SUSPECTED,
         lost=server.is_lost(now),
+        own_priorities=server.list_open_priorities(),
     )
--- a/test/test_load.py
+++ b/test/test_load.py
@@ -1,5 +1,7 @@
 """Load is corrected by own dispatches, and cached prefixes survive late events with gaps."""
 
+import pytest
+
 from rhubarbshed.protocol.members import Standing
 from rhubarbshed.protocol.orders import CacheEvent, Resident
 from rhubarbshed.state.load import LoadView
@@ -79,3 +81,12 @@
     view.set_standing("b1", Standing.LEAVING, 1.0)
     found = view.list_candidates("sermon", "voice", (), 1.0)
     assert [(one.info.name, one.adapter_resident) for one in found] == [("b0", False)]
+
+
+def test_the_first_holds_count_as_in_a_plain_mean():
+    view = LoadView()
+    view.set_servers([make_info("b0")])
+    for number, hold_s in enumerate((1.0, 2.0, 3.0)):
+        view.record_dispatch("b0", (f"r{number}", 0), "sermon", 10, 0.0)
+        view.record_end("b0", (f"r{number}", 0), False, hold_s, first_token_at=0.0)
+    assert view.servers["b0"].hold_s == pytest.approx(2.0)
--- a/test/test_routing.py
+++ b/test/test_routing.py
@@ -123,3 +123,13 @@
     uneven = [Route(make_candidate("b0"), 0.1, 0.1), Route(make_candidate("b1"), 0.1, 5.0)]
     drawn = Counter(draw_route(uneven, randomness).candidate.info.name for _ in range(1000))
     assert drawn["b1"] < 10
+
+
+def test_interactive_counts_only_what_goes_first_in_a_queue_mixed_as_its_own_attempts():
+    waits = []
+    for own in ((0, 0, 0, 0), (0, 0, 2, 2), (2, 2, 2, 2)):
+        candidate = make_candidate("b0", in_flight=12, own_in_flight=4)
+        candidate = evolve(candidate, own_priorities=tuple(map(Priority, own)))
+        waits.append(predict(candidate, priority=Priority.INTERACTIVE))
+    assert waits == sorted(waits, reverse=True)
+    assert len(set(waits)) == 3
--- a/tools/policy.py
+++ b/tools/policy.py
@@ -1,7 +1,8 @@
 """Measure the policy of the request path against baselines, on a small fleet and seeded load.
 
-Times are scaled down: an answer takes under a second, a burst comes within a second, and a case
-lasts about ten. All policies of a case get the same requests at the same times.
+Times are scaled down: an answer takes 2.4 s, a burst comes within a second, and a case lasts 10 to
+14 s. The lags of reports are as shipped, so they weigh about three times as much as at full scale.
+All policies of a case get the same requests at the same times.
 """
 
 import asyncio
@@ -26,7 +27,7 @@
 DATA_CENTRES = ("dc-1", "dc-2", "dc-3")
 ENGINES = 5
 REPLICAS = 3
-BATCH = Batch(slots=8, knee=6, token_gap_s=0.020, prefill_tokens_per_s=8000.0)
+BATCH = Batch(slots=16, knee=12, token_gap_s=0.040, prefill_tokens_per_s=8000.0)
 READY_TIMEOUT_S = 30.0
 SETTLE_S = 1.5
 SETTINGS = """
@@ -35,8 +36,10 @@
 [placement]
 interval_s = 0.5
 [routing]
-first_byte_timeout_s = 2.0
+first_byte_timeout_s = 4.0
 gap_timeout_s = 1.0
+[weight_store]
+loads_per_s = 50
 [shutdown]
 announce_s = 0.1
 drain_s = 2.0
@@ -127,17 +130,17 @@
 
 def plan_burst(randomness: random.Random) -> list[Planned]:
     """Plan Sunday: tenfold demand of one model, with batch behind it."""
-    steps = ((3.0, 8.0), (1.0, 40.0), (5.0, 80.0), (2.0, 8.0))
-    batch = {"priority": 2, "target_s": 12.0, "patience_s": 10.0, "tokens": 60}
+    steps = ((3.0, 5.0), (1.0, 25.0), (8.0, 50.0), (2.0, 5.0))
+    batch = {"priority": 2, "target_s": 12.0, "patience_s": 10.0, "tokens": 100}
     return [
         *plan_model(randomness, "sunday", steps),
-        *plan_model(randomness, "batch", ((11.0, 6.0),), MODELS[1], **batch),
+        *plan_model(randomness, "batch", ((14.0, 2.0),), MODELS[1], **batch),
     ]
 
 
 def plan_deadline(randomness: random.Random) -> list[Planned]:
     """Plan a tax deadline: filings of many small callers, and drafting besides."""
-    steps = ((2.0, 10.0), (4.0, 40.0), (4.0, 80.0))
+    steps = ((2.0, 15.0), (4.0, 60.0), (4.0, 130.0))
     filings = [
         Planned(
             name=f"filing-{randomness.getrandbits(64):016x}",
@@ -149,10 +152,10 @@
         )
         for at in draw_arrivals(randomness, steps)
     ]
-    return [*filings, *plan_model(randomness, "draft", ((10.0, 20.0),), MODELS[1], priority=1)]
+    return [*filings, *plan_model(randomness, "draft", ((10.0, 10.0),), MODELS[1], priority=1)]
 
 
-def plan_steady(randomness: random.Random, per_s: float = 30.0) -> list[Planned]:
+def plan_steady(randomness: random.Random, per_s: float = 15.0) -> list[Planned]:
     """Plan a steady load that four of the engines could carry."""
     return plan_model(randomness, "steady", ((10.0, per_s),))
 
@@ -170,7 +173,7 @@
         )
         for number in range(10)
     ]
-    return [*plan_steady(randomness, 20.0), *copies]
+    return [*plan_steady(randomness, 10.0), *copies]
 
 
 def kill_engine(fleet: Fleet) -> list[Deed]:
--- a/tools/policy_load.py
+++ b/tools/policy_load.py
@@ -31,11 +31,11 @@
     priority: int = 0
     model: str = ""
     prompt: str = ""
-    tokens: int = 30
+    tokens: int = 60
     service: str = ""
     group: str = "main"
     target_s: float = 0.9
-    patience_s: float = 6.0
+    patience_s: float = 10.0
 
 
 @define
