--- a/rhubarbshed/transport/runtime.py
+++ b/rhubarbshed/transport/runtime.py
@@ -26,6 +26,7 @@
 from rhubarbshed.protocol.members import BackendKind, Standing
 from rhubarbshed.protocol.placement import MoveRecord
 from rhubarbshed.protocol.platform import EngineClient, ListClient, ObjectClient
+from rhubarbshed.state.backlog import BacklogRate
 from rhubarbshed.state.catalogue import Catalogue
 from rhubarbshed.state.demand import Demand
 from rhubarbshed.state.leases import Holder, Leases
@@ -44,6 +45,7 @@
     make_heartbeat,
     take_frame,
 )
+from rhubarbshed.transport.flows import Flows
 from rhubarbshed.transport.gateway import Gateway
 from rhubarbshed.transport.hooks import PeerHooks
 from rhubarbshed.transport.http import HttpClient
@@ -64,6 +66,8 @@
 CONTROL_THREADS = 16
 ORDER_THREADS = 32
 OPERATOR_THREADS = 8
+# Time after start in which an instance that has heard no news of catalogue and load is not ready.
+READY_PATIENCE_S = 5.0
 OPERATOR_BODY_BYTES_MAX = 4 * 1024 * 1024
 
 
@@ -93,9 +97,11 @@
     chance: random.Random
     control: ThreadPoolExecutor
     orders: ThreadPoolExecutor
+    backlog: BacklogRate
     gateway: Gateway = field(init=False)
     network: PeerNetwork = field(init=False)
     places: Places = field(init=False)
+    flows: Flows = field(init=False)
     exchange: PeerExchange = field(factory=PeerExchange)
     catalogue_wakeup: asyncio.Event = field(factory=asyncio.Event)
     placement_wakeup: asyncio.Event = field(factory=asyncio.Event)
@@ -106,6 +112,8 @@
     started_at: float = field(factory=time.monotonic)
     move_context: MoveContext = field(init=False)
     platform_up: bool = True
+    catalogue_known: bool = False
+    snapshot_due: bool = False
     tasks: list[asyncio.Task] = field(factory=list)
     sites: list[Site] = field(factory=list)
 
@@ -150,7 +158,9 @@
             chance=chance,
             control=control,
             orders=ThreadPoolExecutor(ORDER_THREADS, "orders"),
+            backlog=BacklogRate.from_config(platform),
         )
+        runtime.flows = Flows(loop)
         runtime.places = Places(settings.callers.threads)
         runtime.gateway = runtime._make_gateway()
         runtime.network = runtime._make_network()
@@ -183,8 +193,22 @@
             demand=self.demand,
             is_gone=self.is_gone,
             check_server=self.check_server,
+            knows_enough=self.knows_enough,
         )
 
+    def knows_enough(self) -> bool:
+        """Tell whether requests could be served: what models there are, and who has them.
+
+        A snapshot may be old, so the table or a peer is heard first. Where neither is heard, or
+        no report comes, it serves after a while all the same.
+        """
+        if not self.catalogue.objects and not self.catalogue_known or not self.load.servers:
+            return False
+        reported = any(server.engine or server.service for server in self.load.servers.values())
+        if self.catalogue_known and reported:
+            return True
+        return time.monotonic() - self.started_at > READY_PATIENCE_S
+
     def is_gone(self, instance: str, incarnation: str) -> bool:
         """Tell whether a run of an instance has ended."""
         known = self.membership.instances.get(instance)
@@ -255,7 +279,7 @@
         limits = self.settings.callers
         instance = self.settings.instance
         connections = Connections(self.settings.routing.connection_age_max_s)
-        carrier = Carrier(connections, instance.name, limits.answer_bytes_max)
+        carrier = Carrier(connections, self.flows, instance.name, limits.answer_bytes_max)
         site_limits = SiteLimits(
             threads=limits.threads + SPARE_THREADS,
             body_bytes_max=limits.body_bytes_max,
--- a/rhubarbshed/transport/sites.py
+++ b/rhubarbshed/transport/sites.py
@@ -1,5 +1,7 @@
 """HTTP servers of an instance: one CherryPy application on a port of its own each."""
 
+import logging
+import socket
 import threading
 import time
 from collections.abc import Callable
@@ -8,15 +10,22 @@
 
 import cherrypy
 from attrs import frozen
-from cheroot.wsgi import Server
+from cheroot.server import HTTPConnection, HTTPRequest
+from cheroot.wsgi import Gateway_10, Server
 from returns.result import Failure, Result, Success
 
 from rhubarbshed.protocol.answers import make_error_headers, render_error
 from rhubarbshed.protocol.errors import Outcome, RequestError
+from rhubarbshed.transport.flows import CallerLine
+from rhubarbshed.transport.timeouts import set_timeouts
 
-START_TIMEOUT_S = 5.0
+LOG = logging.getLogger(__name__)
 LISTEN_BACKLOG = 512
 CONNECTIONS_IDLE_MAX = 1024
+LINE_KEY = "rhubarbshed.line"
+# Bytes of a body that are still read after its request was refused, to keep the connection.
+UNREAD_BYTES_MAX = 256 * 1024
+BODY_TIMEOUT = 408
 
 Handler = Callable[..., Any]
 
@@ -31,6 +40,28 @@
     socket_timeout_s: float
 
 
+class BoundedRequest(HTTPRequest):
+    """Close the connection after a body that was not read to its end.
+
+    What is left of a chunked body would be taken for the next request.
+    """
+
+    def send_headers(self) -> None:
+        """Send the headers, once it is known whether the connection can be kept."""
+        unread = getattr(self.rfile, "remaining", 0)
+        if self.chunked_read and not self.rfile.closed:
+            self.close_connection = True
+        if unread > UNREAD_BYTES_MAX or self.status.startswith(str(BODY_TIMEOUT).encode()):
+            self.close_connection = True
+        super().send_headers()
+
+
+class BoundedConnection(HTTPConnection):
+    """Make requests that bound what is read after their answer."""
+
+    RequestHandlerClass = BoundedRequest
+
+
 @frozen
 class Site:
     """Hold a running HTTP server."""
@@ -51,6 +82,8 @@
             shutdown_timeout=1,
         )
         server.max_request_header_size = limits.header_bytes_max
+        server.ConnectionClass = make_connection
+        server.gateway = make_gateway
         server.keep_alive_conn_limit = CONNECTIONS_IDLE_MAX
         return cls(server, threading.Thread(target=server.serve, daemon=True))
 
@@ -68,6 +101,19 @@
         self.server.stop()
 
 
+def make_connection(server: Server, sock: socket.socket, makefile: Any) -> HTTPConnection:
+    """Make the server's connection on a socket whose sends need no poll before each."""
+    set_timeouts(sock, server.timeout)
+    return BoundedConnection(server, sock, makefile)
+
+
+def make_gateway(request: HTTPRequest) -> Gateway_10:
+    """Make the server's passage to the application, which also tells the way to the caller."""
+    gateway = Gateway_10(request)
+    gateway.env[LINE_KEY] = CallerLine(request.conn.socket, gateway.write)
+    return gateway
+
+
 def make_application(handler: Handler) -> cherrypy.Application:
     """Make an application whose every path and method goes to one handler."""
     handler.exposed = True
@@ -84,11 +130,22 @@
     application = cherrypy.Application(SimpleNamespace(default=handler, index=handler), "", config)
     application.log.screen = False
     application.log.access_log.disabled = True
+    application.log.error_log.disabled = True
     return application
 
 
 def read_body(bytes_max: int) -> Result[bytes, RequestError]:
     """Read the body of the request at hand, up to a size."""
+    try:
+        return _read_whole(bytes_max)
+    except TimeoutError:
+        text = "the body did not come in time"
+        return Failure(RequestError(BODY_TIMEOUT, "body_timeout", text, retryable=True))
+    except (OSError, ValueError) as error:
+        return Failure(RequestError(400, "bad_request", f"the body cannot be read: {error}"))
+
+
+def _read_whole(bytes_max: int) -> Result[bytes, RequestError]:
     headers = cherrypy.request.headers
     if headers.get("Transfer-Encoding", "").lower() == "chunked":
         return _read_chunked(bytes_max)
@@ -131,6 +188,7 @@
 
 def _answer_defect() -> None:
     """Answer for a defect of the program; whether the work ran is not known."""
+    LOG.critical("event=defect", exc_info=True)
     error = RequestError(500, "defect", "the instance met a defect", Outcome.UNKNOWN)
     cherrypy.response.body = [answer_error(error)]
 
--- a/test/helper_placement.py
+++ b/test/helper_placement.py
@@ -121,6 +121,8 @@
                 resident = Resident(move.name, move.version, move.memory_bytes, False, move.model)
                 view = self.servers[move.backend_server]
                 self.replace(view, (*view.resident, resident))
+            else:
+                self._mark_unloading(move)
             self.records.append(MoveRecord(move, self.now))
         self.pending.extend(moves)
         self.moves.extend(moves)
@@ -139,6 +141,28 @@
             for record in self.records
         ]
 
+    def has_seen(self, server: str, views: dict[str, ServerView]) -> bool:
+        """Tell whether a server's ledger row is as it was in the views."""
+        return not server or views[server] is self.servers[server]
+
+    def fits(self, move: Move) -> bool:
+        """Tell whether the ledger admits a move."""
+        view = self.servers[move.backend_server]
+        same = [
+            each for each in view.resident if (each.name, each.version) == (move.name, move.version)
+        ]
+        if move.kind in (MoveKind.LOAD, MoveKind.LOAD_ADAPTER):
+            return not same and view.free_bytes >= move.memory_bytes
+        return bool(same) and not any(each in view.unloading for each in same)
+
+    def _mark_unloading(self, move: Move) -> None:
+        view = self.servers[move.backend_server]
+        gone = tuple(
+            each for each in view.resident if (each.name, each.version) == (move.name, move.version)
+        )
+        marked = attrs.evolve(view, unloading=(*view.unloading, *gone))
+        self.servers[move.backend_server] = marked
+
     def _apply(self, move: Move) -> None:
         view = self.servers[move.backend_server]
         kept = []
@@ -152,5 +176,7 @@
 
     def replace(self, view: ServerView, resident: tuple[Resident, ...]) -> None:
         reserved = sum(each.memory_bytes for each in resident)
-        name = view.info.name
-        self.servers[name] = attrs.evolve(view, resident=resident, reserved_bytes=reserved)
+        unloading = tuple(each for each in view.unloading if each in resident)
+        self.servers[view.info.name] = attrs.evolve(
+            view, resident=resident, reserved_bytes=reserved, unloading=unloading
+        )
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -1,6 +1,7 @@
 """A small fleet of instances and stand-ins on this machine, as separate processes."""
 
 import json
+import random
 import socket
 from typing import Any
 
@@ -13,6 +14,8 @@
 OPERATOR_TOKEN = "operator-demo"
 PEER_TOKEN = "peer-demo"
 GIB = 1024**3
+PORTS = (18_000, 32_000)
+CHANCE = random.SystemRandom()
 ENVIRONMENT = {
     "RHUBARBSHED_OPERATOR_TOKEN": OPERATOR_TOKEN,
     "RHUBARBSHED_PEER_TOKEN": PEER_TOKEN,
@@ -107,8 +110,10 @@
         }
         post(f"{self.platform.url}/backend_servers", {"info": info, "leaving": leaving})
 
-    def add_instance(self, name: str, data_centre: str, extra: str = "") -> Instance:
-        """Start an instance, wait until it is ready, and list it."""
+    def add_instance(
+        self, name: str, data_centre: str, extra: str = "", listed: bool = True
+    ) -> Instance:
+        """Start an instance, wait until it is ready, and list it where that is wanted."""
         ports = reserve_ports(3)
         text = self._make_settings(name, data_centre, ports) + self.settings + extra
         process = start_instance(
@@ -119,17 +124,22 @@
         )
         instance = Instance(name, data_centre, process, ports)
         self.instances[name] = instance
+        if listed:
+            self.list_instance(instance)
+        return instance
+
+    def list_instance(self, instance: Instance) -> None:
+        """Put an instance on the platform's list."""
         info = {
-            "name": name,
-            "data_centre": data_centre,
+            "name": instance.name,
+            "data_centre": instance.data_centre,
             "region": "region-1",
             "host": HOST,
-            "caller_port": ports[0],
-            "operator_port": ports[1],
-            "peer_port": ports[2],
+            "caller_port": instance.ports[0],
+            "operator_port": instance.ports[1],
+            "peer_port": instance.ports[2],
         }
         post(f"{self.platform.url}/instances", {"info": info, "leaving": False})
-        return instance
 
     def _make_settings(self, name: str, data_centre: str, ports: tuple[int, int, int]) -> str:
         lines = [
@@ -163,14 +173,18 @@
 
 
 def reserve_ports(count: int) -> tuple[int, ...]:
-    """Find ports that are free at present."""
-    sockets = [socket.socket() for _ in range(count)]
-    for one in sockets:
-        one.bind((HOST, 0))
-    ports = tuple(one.getsockname()[1] for one in sockets)
-    for one in sockets:
-        one.close()
-    return ports
+    """Find ports that are free at present, none of which a connection would be given."""
+    ports: list[int] = []
+    while len(ports) < count:
+        port = CHANCE.randrange(*PORTS)
+        with socket.socket() as one:
+            try:
+                one.bind((HOST, port))
+            except OSError:
+                continue
+        if port not in ports:
+            ports.append(port)
+    return tuple(ports)
 
 
 def post(url: str, plain: Any) -> Any:
