Free the engine's slot when the caller of a whole answer goes away

Ruled out: watching callers of non-idempotent work; its outcome is kept for the caller's next try. Watching before a stream's first token: part of it may wait in a buffer the poll does not see. Change: the worker polls both sockets until the answer begins; a caller that has closed counts as gone, the engine's connection is closed, and the desk frees the place. An attempt that ended so also met a loop on None in the worker, mended as well.

--- a/rhubarbshed/transport/callers.py
+++ b/rhubarbshed/transport/callers.py
@@ -20,7 +20,7 @@
     parse_inference,
     parse_service_call,
 )
-from rhubarbshed.protocol.errors import RequestError
+from rhubarbshed.protocol.errors import Outcome, RequestError
 from rhubarbshed.protocol.requests import AttemptEnd, Dispatch, Refusal
 from rhubarbshed.transport.events import Attempt, Piece
 from rhubarbshed.transport.flows import CallerLine
@@ -32,6 +32,8 @@
 SERVICES_ROOT = "services"
 # Workers beyond the limit of requests, so that a refusal never waits for a free thread.
 SPARE_THREADS = 16
+# Nobody reads it; it ends the exchange with a caller that has closed its side.
+CALLER_GONE = RequestError(499, "caller_gone", "the caller went away", Outcome.FAILED)
 
 
 @define
@@ -158,15 +160,16 @@
     gateway: Gateway, carrier: Carrier, call: Call, dispatch: Dispatch
 ) -> WholeAnswer | RequestError:
     """Carry attempts until one brings a whole answer or the request is given up on."""
+    line = cherrypy.request.wsgi_environ.get(LINE_KEY)
     while True:
         attempt = Attempt.from_dispatch(dispatch)
-        ended = carrier.fetch(attempt, call)
+        ended = carrier.fetch(attempt, call, line)
         end = AttemptEnd.DONE if isinstance(ended, WholeAnswer) else ended
         result = attempt.make_result(end, time.monotonic())
         whole = ended if isinstance(ended, WholeAnswer) else None
         following = gateway.ask(gateway.end_attempt(call, result, whole))
-        if following is None and whole is not None:
-            return whole
+        if following is None:
+            return whole or CALLER_GONE
         if isinstance(following, Refusal):
             return following.error
         dispatch = following
--- a/rhubarbshed/transport/upstream.py
+++ b/rhubarbshed/transport/upstream.py
@@ -21,6 +21,7 @@
 from rhubarbshed.transport.events import ERRORS, READ_BYTES, Attempt, EventBuffer, Piece
 from rhubarbshed.transport.flows import CallerLine, Flow, Flows
 from rhubarbshed.transport.http import INSTANCE_HEADER
+from rhubarbshed.transport.presence import wait_for_answer
 from rhubarbshed.transport.timeouts import set_timeouts
 
 # An engine answers so where it has not run the request.
@@ -39,10 +40,16 @@
     instance: str
     answer_bytes_max: int
 
-    def fetch(self, attempt: Attempt, call: Call) -> WholeAnswer | AttemptEnd:
-        """Carry a request and its whole answer; blocks the calling thread."""
+    def fetch(
+        self, attempt: Attempt, call: Call, line: CallerLine | None = None
+    ) -> WholeAnswer | AttemptEnd:
+        """Carry a request and its whole answer; blocks the calling thread.
+
+        Idempotent work is given up where its caller goes away; the outcome of other work is kept
+        for when the caller asks again.
+        """
         channel = self._take(attempt, call)
-        opened = self._open(channel, attempt, call)
+        opened = self._open(channel, attempt, call, line if call.request.idempotent else None)
         if isinstance(opened, AttemptEnd):
             return opened
         try:
@@ -93,7 +100,7 @@
         return self.connections.take(address, time.monotonic(), fresh=not call.request.idempotent)
 
     def _open(
-        self, channel: Channel, attempt: Attempt, call: Call
+        self, channel: Channel, attempt: Attempt, call: Call, line: CallerLine | None = None
     ) -> urllib3.HTTPResponse | AttemptEnd:
         connection = channel.connection
         try:
@@ -117,6 +124,9 @@
                 preload_content=False,
                 decode_content=False,
             )
+            vain = self._watch(channel, attempt, line)
+            if vain is not None:
+                return vain
             response = connection.getresponse()
         except ERRORS:
             return self._fail(channel, attempt)
@@ -124,6 +134,20 @@
         attempt.retry_after_s = _read_retry_after(response)
         return response
 
+    def _watch(
+        self, channel: Channel, attempt: Attempt, line: CallerLine | None
+    ) -> AttemptEnd | None:
+        """Wait for the answer and watch the caller; return an end where none will be read."""
+        if line is None:
+            return None
+        timeout_s = attempt.dispatch.first_byte_timeout_s
+        vain = wait_for_answer(channel.sock, line.socket, timeout_s)
+        if vain is AttemptEnd.TIMED_OUT:
+            return self._fail(channel, attempt)
+        if vain is not None:
+            channel.connection.close()
+        return vain
+
     def _read_refusal(
         self, response: urllib3.HTTPResponse, attempt: Attempt
     ) -> WholeAnswer | AttemptEnd:
