--- a/test/helper_processes.py
+++ b/test/helper_processes.py
@@ -19,6 +19,7 @@
 
 RESIDENT_TIMEOUT_S = 20.0
 CALL_TIMEOUT_S = 30.0
+LOG_CHARACTERS = 20_000
 CHAT_PATH = "/v1/chat/completions"
 FILINGS_PATH = "/services/records/filings"
 # Short terms, so that each failure and what follows it fits into seconds.
@@ -119,17 +120,13 @@
 
 @contextlib.contextmanager
 def run_fleet(settings: str = "") -> Iterator[Fleet]:
-    """Start the platform's stand-ins; stop all at the end, and show logs after a failure."""
+    """Start the platform's stand-ins; at the end print logs, which pytest shows on failure."""
     fleet = Fleet.from_options(SETTINGS + settings, list_lag_s=0.1)
     try:
         yield fleet
-    except BaseException:
-        for instance in fleet.instances.values():
-            print(f"log of {instance.name}:\n{instance.process.read_log()[-6000:]}")
-        raise
     finally:
-        fleet.settings = ""
         for instance in fleet.instances.values():
+            print(f"log of {instance.name}:\n{instance.process.read_log()[-LOG_CHARACTERS:]}")
             instance.process.kill()
         fleet.instances.clear()
         fleet.stop()
