--- /dev/null
+++ b/test/test_backend_faults.py
@@ -0,0 +1,166 @@
+"""Tests of crashing requests, silent connections and cuts off from the platform, over processes."""
+
+import time
+
+import pytest
+
+from test.helper_processes import (
+    Task,
+    add_instances,
+    apply_ticket,
+    chat,
+    count_overcommitted,
+    file_once,
+    is_own_answer,
+    is_reachable,
+    make_ticket,
+    run_fleet,
+    start_together,
+    wait_for_open,
+)
+from test.helper_standins import call, read_counters, set_fault
+from tools.processes import wait_until
+
+INSTANCES = {"a": "dc-1", "b": "dc-1", "c": "dc-2"}
+ENGINES = {"engine-1": "dc-1", "engine-2": "dc-1", "engine-3": "dc-2"}
+COPIES_S = 20.0
+LOST_SERVERS_MAX = 2
+REFUSED_S = 40.0
+AT_ONCE_S = 0.5
+# Streams of 60 tokens take 1.7 s; a silent connection is left after 2 s without a first byte or
+# 1 s between tokens, and three attempts are allowed.
+SILENT_BOUND_S = 1.7 + 3 * 2.0 + 1.0
+IN_FORCE_S = 8.0
+
+
+@pytest.fixture(scope="module")
+def running():
+    with run_fleet() as fleet:
+        starts = [lambda n=name, d=dc: fleet.add_engine(n, d) for name, dc in ENGINES.items()]
+        start_together(*starts, lambda: fleet.add_service("records-1", "dc-1"))
+        add_instances(fleet, INSTANCES)
+        ticket = make_ticket(1)
+        ticket["objects"][0]["replicas_min"] = len(ENGINES)
+        apply_ticket(fleet, "a", ticket)
+        yield fleet
+
+
+@pytest.fixture
+def fleet(running):
+    """Return the fleet without faults and with a copy of the model on every engine."""
+    stand_ins = (running.table, running.objects, running.platform, running.weights)
+    for process in (*stand_ins, *running.backend_servers.values()):
+        call(process, "DELETE", "/fault")
+    assert wait_until(lambda: has_copies(running, len(ENGINES)), COPIES_S), "copies missing"
+    return running
+
+
+def has_copies(fleet, count):
+    """Tell whether all instances know this many copies of the model."""
+    pages = [fleet.ask_operator(name, "GET", "/models")[1] for name in INSTANCES]
+    return all(row["copies"] == count for rows in pages for row in rows if row["name"] == "m1")
+
+
+def count_crashes(fleet):
+    return sum(read_counters(fleet.backend_servers[name]).get("crashes", 0) for name in ENGINES)
+
+
+def list_standings(fleet):
+    """Return what each instance believes of each engine."""
+    pages = {name: fleet.ask_operator(name, "GET", "/backend-servers")[1] for name in INSTANCES}
+    return {(name, row["name"]): row["standing"] for name, rows in pages.items() for row in rows}
+
+
+def test_open_streams_survive_silent_connections(fleet):
+    prompts = [f"silent {number}" for number in range(9)]
+    instances = [fleet.instances[name] for name in sorted(INSTANCES)]
+    warm = [chat(instance, "warm", tokens=2) for instance in instances]
+    assert all(is_own_answer(answer, "warm", 2) for answer in warm)
+    started = time.monotonic()
+    streams = [
+        Task.start(chat, instances[number % 3], prompt, tokens=60)
+        for number, prompt in enumerate(prompts)
+    ]
+    for name in INSTANCES:
+        wait_for_open(fleet, name, 3)
+    for name in ENGINES:
+        set_fault(fleet.backend_servers[name], "silent")
+    new = [Task.start(chat, instance, "new", tokens=5) for instance in instances]
+    assert all(is_own_answer(each.wait(), "new", 5) for each in new)
+    answers = [stream.wait() for stream in streams]
+    assert time.monotonic() - started < SILENT_BOUND_S
+    for prompt, answer in zip(prompts, answers, strict=True):
+        assert is_own_answer(answer, prompt, 60), (prompt, answer)
+    assert "gone" not in list_standings(fleet).values()
+    assert wait_until(lambda: set(list_standings(fleet).values()) == {"live"}, 8.0)
+
+
+def test_cut_off_from_the_platform_an_instance_goes_on(fleet):
+    c = fleet.instances["c"]
+    platform = (fleet.table, fleet.objects, fleet.platform)
+    loads = {name: read_counters(fleet.backend_servers[name])["loads"] for name in ENGINES}
+    for process in (*platform, fleet.backend_servers["engine-1"]):
+        set_fault(process, "refuse_source", instance="c")
+    set_fault(fleet.backend_servers["engine-2"], "refuse_source", instance="c")
+    started = time.monotonic()
+    refused = file_once(c, "cut-off")
+    assert (refused.status, refused.outcome) == (503, "not_run"), refused
+    assert "retry-after" in refused.headers
+    ticket = {"number": 50, "note": "", "objects": [make_model("m2")]}
+    assert fleet.ask_operator("a", "POST", "/tickets", ticket)[0] == 200
+    assert wait_until(
+        lambda: fleet.ask_operator("c", "GET", "/status")[1]["ticket"] == 50, IN_FORCE_S
+    )
+    while time.monotonic() - started < 5.0:
+        assert is_own_answer(chat(c, "cut off", tokens=5), "cut off", 5)
+    for process in (*platform, *(fleet.backend_servers[name] for name in ENGINES)):
+        call(process, "DELETE", "/fault")
+    assert wait_until(lambda: is_reachable(fleet, {"m1", "m2"}), 15.0)
+    assert wait_until(lambda: set(list_standings(fleet).values()) == {"live"}, 8.0)
+    assert file_once(c, "cut-off").status == 200
+    heads = [fleet.ask_operator(name, "GET", "/status")[1] for name in INSTANCES]
+    assert {head["ticket"] for head in heads} == {50}
+    assert len({head["catalogue_digest"] for head in heads}) == 1
+    assert count_overcommitted(fleet) == 0
+    after = {name: read_counters(fleet.backend_servers[name])["loads"] for name in ENGINES}
+    # The new model alone was loaded, and no engine loaded anything twice.
+    assert all(0 <= after[name] - loads[name] <= 1 for name in ENGINES), (loads, after)
+
+
+def make_model(name):
+    return {"kind": "model", "name": name, "version": "1", "memory_bytes": 2**30}
+
+
+def test_a_crashing_request_takes_two_servers_at_most(fleet):
+    before = count_crashes(fleet)
+    for name in ENGINES:
+        set_fault(fleet.backend_servers[name], "crash_on", text="POISON", delay_s=0.1)
+    instances = [fleet.instances[name] for name in sorted(INSTANCES)]
+    innocents = [f"innocent {number}" for number in range(9)]
+    streams = [
+        Task.start(chat, instances[number % 3], prompt, tokens=40)
+        for number, prompt in enumerate(innocents)
+    ]
+    time.sleep(0.3)
+    sent = [Task.start(chat, instances[number % 3], "POISON", tokens=4) for number in range(10)]
+    answers = [each.wait(60.0) for each in sent]
+    assert all(answer.status != 200 and answer.whole for answer in answers), answers
+    until = time.monotonic() + REFUSED_S
+    while not all(chat(each, "POISON", tokens=4).status == 422 for each in instances):
+        assert time.monotonic() < until, "not refused"
+        assert count_crashes(fleet) - before <= LOST_SERVERS_MAX
+        time.sleep(0.3)
+    started = time.monotonic()
+    for instance in instances:
+        answer = chat(instance, "POISON", tokens=4)
+        assert (answer.status, answer.code) == (422, "quarantined")
+    assert time.monotonic() - started < AT_ONCE_S * len(instances)
+    assert count_crashes(fleet) - before <= LOST_SERVERS_MAX
+    for prompt, stream in zip(innocents, streams, strict=True):
+        answer = stream.wait()
+        assert answer.status != 422, answer
+    assert wait_until(lambda: is_reachable(fleet, {"m1"}), COPIES_S)
+    for prompt in innocents:
+        assert wait_until(
+            lambda p=prompt: is_own_answer(chat(instances[0], p, tokens=40), p, 40), 15.0
+        ), prompt
