--- a/rhubarbshed/coordination/quarantine.py
+++ b/rhubarbshed/coordination/quarantine.py
@@ -76,11 +76,11 @@
     return ROW_PREFIX + fingerprint
 
 
-def read_solo_row(row: Row, fingerprint: str) -> SoloRow:
-    """Return a row's value, an empty one where there is none or it cannot be read."""
+def read_solo_row(row: Row, fingerprint: str) -> SoloRow | None:
+    """Return a row's value, an empty one where there is none, None where it cannot be read."""
     if row.value is None:
         return SoloRow(QuarantineEntry(fingerprint))
-    return from_stored(row.value, SoloRow).value_or(SoloRow(QuarantineEntry(fingerprint)))
+    return from_stored(row.value, SoloRow).value_or(None)
 
 
 def plan_solo(
@@ -96,6 +96,8 @@
     session of the row's present holder has ended.
     """
     present = read_solo_row(row, known.fingerprint)
+    if present is None:
+        return SoloBusy()
     entry = merge_entries(present.entry, known)
     if entry.refused or len(entry.open_crashes) >= crashes_max:
         return SoloRefused(evolve(entry, refused=True))
@@ -110,13 +112,13 @@
 
 
 def plan_solo_release(known: QuarantineEntry, row: Row, write_id: str) -> Transaction | None:
-    """Return the transaction that tells how a solo run ended; None where the row was taken.
+    """Return the transaction that tells how a solo run ended; None where there is none to write.
 
-    A claim whose answer was lost may still take effect; writing over a row that nobody holds
-    makes it fail its check.
+    A row that was taken or cannot be read stays. A claim whose answer was lost may still take
+    effect; writing over a row that nobody holds makes it fail its check.
     """
     present = read_solo_row(row, known.fingerprint)
-    if present.instance and present.write_id != write_id:
+    if present is None or (present.instance and present.write_id != write_id):
         return None
     return _make_transaction(row, SoloRow(merge_entries(present.entry, known)))
 
--- a/rhubarbshed/coordination/solo.py
+++ b/rhubarbshed/coordination/solo.py
@@ -78,6 +78,8 @@
         if row is None:
             return SoloUnavailable()
         present = read_solo_row(row, known.fingerprint)
+        if present is None:
+            return SoloBusy()
         holder_is_gone = bool(present.instance) and is_gone(present.instance, present.incarnation)
         plan = plan_solo(known, row, wanted, holder_is_gone, crashes_max)
         if isinstance(plan, SoloBusy | SoloRefused):
--- a/test/test_rows.py
+++ b/test/test_rows.py
@@ -7,10 +7,18 @@
 from rhubarbshed.coordination.claims import read_claim
 from rhubarbshed.coordination.loads import execute_load
 from rhubarbshed.coordination.ownership import decode_session, is_gone, release_server
+from rhubarbshed.coordination.quarantine import (
+    SoloBusy,
+    SoloRow,
+    make_solo_key,
+    plan_solo,
+    plan_solo_release,
+)
 from rhubarbshed.coordination.tickets import accept_ticket, find_ticket
 from rhubarbshed.protocol.catalogue import Model, Ticket
 from rhubarbshed.protocol.claims import ClaimRow, ClaimState
 from rhubarbshed.protocol.codec import from_plain, pack, to_plain, unpack
+from rhubarbshed.protocol.quarantine import QuarantineEntry
 from rhubarbshed.protocol.tables import Row
 from rhubarbshed.state.catalogue import Catalogue, decode_object
 from rhubarbshed.state.floors import FloorUse, ServerPower, decode_floor
@@ -188,3 +196,11 @@
         )
         assert refused.failure().fault is LedgerFault.UNREADABLE
         assert world.ledger.entries == ()
+
+
+def test_refusal_that_cannot_be_read_is_not_written_over():
+    known = QuarantineEntry("f")
+    row = Row(make_solo_key("f"), 3, {"entry": {"refused": True, "fingerprint": 5, "crashes": 5}})
+    wanted = SoloRow(known, "i1", "1", "w1")
+    assert plan_solo(known, row, wanted, False, 2) == SoloBusy()
+    assert plan_solo_release(known, row, "w1") is None
