--- a/test/test_backend_faults.py
+++ b/test/test_backend_faults.py
@@ -156,7 +156,7 @@
         assert (answer.status, answer.code) == (422, "quarantined")
     assert time.monotonic() - started < AT_ONCE_S * len(instances)
     assert count_crashes(fleet) - before <= LOST_SERVERS_MAX
-    for prompt, stream in zip(innocents, streams, strict=True):
+    for _prompt, stream in zip(innocents, streams, strict=True):
         answer = stream.wait()
         assert answer.status != 422, answer
     assert wait_until(lambda: is_reachable(fleet, {"m1"}), COPIES_S)
