--- a/rhubarbshed/transport/callers.py
+++ b/rhubarbshed/transport/callers.py
@@ -20,16 +20,20 @@
     parse_inference,
     parse_service_call,
 )
-from rhubarbshed.protocol.errors import RequestError
+from rhubarbshed.protocol.errors import Outcome, RequestError
 from rhubarbshed.protocol.requests import AttemptEnd, Dispatch, Refusal
+from rhubarbshed.transport.events import Attempt, Piece
+from rhubarbshed.transport.flows import CallerLine
 from rhubarbshed.transport.gateway import Gateway
-from rhubarbshed.transport.sites import answer, answer_error, read_body
-from rhubarbshed.transport.upstream import Attempt, Carrier, Piece
+from rhubarbshed.transport.sites import LINE_KEY, answer, answer_error, read_body
+from rhubarbshed.transport.upstream import Carrier
 
 STREAM_TYPE = "text/event-stream"
 SERVICES_ROOT = "services"
 # Workers beyond the limit of requests, so that a refusal never waits for a free thread.
 SPARE_THREADS = 16
+# Nobody reads it; it ends the exchange with a caller that has closed its side.
+CALLER_GONE = RequestError(499, "caller_gone", "the caller went away", Outcome.FAILED)
 
 
 @define
@@ -156,22 +160,23 @@
     gateway: Gateway, carrier: Carrier, call: Call, dispatch: Dispatch
 ) -> WholeAnswer | RequestError:
     """Carry attempts until one brings a whole answer or the request is given up on."""
+    line = cherrypy.request.wsgi_environ.get(LINE_KEY)
     while True:
         attempt = Attempt.from_dispatch(dispatch)
-        ended = carrier.fetch(attempt, call)
+        ended = carrier.fetch(attempt, call, line)
         end = AttemptEnd.DONE if isinstance(ended, WholeAnswer) else ended
         result = attempt.make_result(end, time.monotonic())
         whole = ended if isinstance(ended, WholeAnswer) else None
         following = gateway.ask(gateway.end_attempt(call, result, whole))
-        if following is None and whole is not None:
-            return whole
+        if following is None:
+            return whole or CALLER_GONE
         if isinstance(following, Refusal):
             return following.error
         dispatch = following
 
 
 def _carry_stream(
-    gateway: Gateway, carrier: Carrier, call: Call, dispatch: Dispatch
+    gateway: Gateway, carrier: Carrier, call: Call, dispatch: Dispatch, line: CallerLine | None
 ) -> Iterator[bytes | WholeAnswer | RequestError]:
     """Yield the bytes of a stream over all its attempts; another item is the last one."""
     while True:
@@ -180,7 +185,7 @@
         whole = None
         settled = False
         try:
-            for item in carrier.stream(attempt, call):
+            for item in carrier.stream(attempt, call, line):
                 if isinstance(item, Piece):
                     yield item.data
                 elif isinstance(item, WholeAnswer):
@@ -211,7 +216,8 @@
     leave: Callable[[], None],
 ) -> Any:
     """Answer with a stream, or with an error where nothing of it has come."""
-    items = _carry_stream(gateway, carrier, call, dispatch)
+    line = cherrypy.request.wsgi_environ.get(LINE_KEY)
+    items = _carry_stream(gateway, carrier, call, dispatch, line)
     request_id = call.caller_request_id or call.request.request_id
     first = next(items, b"")
     if isinstance(first, WholeAnswer):
