--- a/test/fuzz/virtual.py
+++ b/test/fuzz/virtual.py
@@ -4,6 +4,7 @@
 import heapq
 import itertools
 import math
+import sys
 from collections.abc import Callable
 from types import SimpleNamespace
 from typing import Any
@@ -11,9 +12,7 @@
 
 from attrs import define, field
 
-from rhubarbshed.transport import gateway, instance, loops, placing, runtime
-
-MODULES = (gateway, instance, loops, placing, runtime)
+PACKAGE = "rhubarbshed.transport."
 
 
 class VirtualLoop(asyncio.BaseEventLoop):
@@ -92,9 +91,11 @@
     patches: list[Any] = field(factory=list)
 
     def patch_time(self) -> None:
-        """Give the modules of the instance this clock."""
+        """Give all modules of the wiring this clock."""
         clock = SimpleNamespace(monotonic=lambda: self.now)
-        self.patches = [mock.patch.object(module, "time", clock) for module in MODULES]
+        modules = [m for name, m in sys.modules.items() if name.startswith(PACKAGE)]
+        timed = [module for module in modules if hasattr(module, "time")]
+        self.patches = [mock.patch.object(module, "time", clock) for module in timed]
         for patch in self.patches:
             patch.start()
 
