Give the runtime its backlog rate by default

Cause: the runtime's new field had to be given, and the fuzzing that makes a runtime of its own did not know it (test/fuzz/test_machines.py: TypeError). Change: the field's default is made from the settings. A told list says nothing of the instance itself; tests of heartbeats of other versions.

--- a/rhubarbshed/state/membership.py
+++ b/rhubarbshed/state/membership.py
@@ -88,7 +88,8 @@
         """Take in the list as a peer read it at `read_at`; tell whether it counts.
 
         The list that this instance read itself goes before, unless it is older by a whole term.
-        A peer's list only adds: what it lacks may have been listed here since.
+        A peer's list only adds: what it lacks may have been listed here since. It says nothing of
+        this instance, whose name may be that of a run that left.
         """
         own = self.list_read_at
         if own is not None and read_at - own <= self.limits.session_term_s:
@@ -97,7 +98,8 @@
             return False
         self._keep_list(listed, read_at)
         for instance in listed.instances:
-            self._apply_listed_instance(instance, read_at)
+            if instance.info.name != self.name:
+                self._apply_listed_instance(instance, read_at)
         for server in listed.backend_servers:
             self._apply_listed_server(server, read_at)
         return True
--- a/rhubarbshed/transport/runtime.py
+++ b/rhubarbshed/transport/runtime.py
@@ -10,7 +10,7 @@
 from concurrent.futures import ThreadPoolExecutor
 from typing import Any
 
-from attrs import define, evolve, field
+from attrs import Factory, define, evolve, field
 from returns.result import Result, Success
 
 from rhubarbshed.coordination.commits import CommitBatcher
@@ -97,7 +97,6 @@
     chance: random.Random
     control: ThreadPoolExecutor
     orders: ThreadPoolExecutor
-    backlog: BacklogRate
     gateway: Gateway = field(init=False)
     network: PeerNetwork = field(init=False)
     places: Places = field(init=False)
@@ -114,6 +113,9 @@
     platform_up: bool = True
     catalogue_known: bool = False
     snapshot_due: bool = False
+    backlog: BacklogRate = field(
+        default=Factory(lambda self: BacklogRate.from_config(self.settings.platform), True)
+    )
     tasks: list[asyncio.Task] = field(factory=list)
     sites: list[Site] = field(factory=list)
 
@@ -158,7 +160,6 @@
             chance=chance,
             control=control,
             orders=ThreadPoolExecutor(ORDER_THREADS, "orders"),
-            backlog=BacklogRate.from_config(platform),
         )
         runtime.flows = Flows(loop)
         runtime.places = Places(settings.callers.threads)
--- a/test/test_digests.py
+++ b/test/test_digests.py
@@ -22,6 +22,7 @@
 from rhubarbshed.protocol.orders import CacheEvent, EngineReport, Resident
 from rhubarbshed.protocol.peers import (
     FRAME_KINDS,
+    KIND_NUMBERS,
     CatalogueObjects,
     CatalogueRequest,
     Envelope,
@@ -201,3 +202,11 @@
     assert len(outbox.collect(((REPORT, 1.0),), 1.0, 1)) == 1
     remote = outbox.collect(((FULL, 2.0),), 2.0, 1)[1]
     assert remote.remote and remote.entries[0].detail.resident == FULL.resident
+
+
+def test_heartbeats_of_other_versions_are_read():
+    """An older one lacks the word on the lease; a newer one may say more."""
+    older = msgpack.packb((KIND_NUMBERS[Heartbeat], 1, 2, "", (5, 6, True)))
+    newer = msgpack.packb((KIND_NUMBERS[Heartbeat], 1, 2, "", (5, 6, True, False, "more")))
+    assert unpack_envelope(older, "a1").unwrap().frame == Heartbeat(5, 6, True, True)
+    assert unpack_envelope(newer, "a1").unwrap().frame == Heartbeat(5, 6, True, False)
--- a/test/test_membership.py
+++ b/test/test_membership.py
@@ -239,3 +239,21 @@
         now += TERM_S * 0.3
         membership.apply_session("a2", "p1", 7, now)
     assert judge(membership, "a2", now) is Standing.GONE
+
+
+def test_told_list_says_nothing_of_this_instance():
+    """Its name may still be listed for a run before, which left."""
+    membership = Membership.from_settings(SETTINGS, "i2", 0.0)
+    former = PlatformList((ListedInstance(evolve(OWN, incarnation=""), leaving=True),), ())
+    assert membership.apply_told_list(former, -5.0)
+    assert judge(membership, "a1", 0.0) is Standing.LIVE
+
+
+def test_later_of_two_told_lists_counts():
+    leaving = PlatformList((ListedInstance(PEER, leaving=True),), ())
+    membership = Membership.from_settings(SETTINGS, "i1", 0.0)
+    assert membership.apply_told_list(LISTED, -5.0)
+    assert not membership.apply_told_list(leaving, -6.0)
+    assert judge(membership, "a2", 0.0) is Standing.LIVE
+    assert membership.apply_told_list(leaving, -4.0)
+    assert judge(membership, "a2", 0.0) is Standing.LEAVING
