Read rows of servers owned before a lapse, so that none stays without owner

Cause: after its lease had lapsed an instance forgot what it owned and read only the rows of servers that it is preferred for. Where another instance was preferred, the row went on naming the first, whose session was renewed: nobody acted for that server until a restart. A release whose commit failed did the same.

Ruled out: taking from a live holder (its lease is what makes it safe).

Change: Leases.unsure holds servers given up whose rows may still name this instance; their rows are read each renewal until they do not, or until the server is owned again and can be handed on.

Before: test_server_whose_owner_is_not_preferred_is_owned_again_after_a_lapse fails. After: passes, with test_ownership, test_loads, test_rows and fuzz/test_agreed.

--- a/rhubarbshed/coordination/ownership.py
+++ b/rhubarbshed/coordination/ownership.py
@@ -164,6 +164,8 @@
         leases.take(Ownership(ledger.backend_server, ledger.owner, ledger.epoch))
     else:
         leases.drop(ledger.backend_server)
+    if ledger.owner != leases.own or ledger.backend_server in leases.owned:
+        leases.settle(ledger.backend_server)
 
 
 def is_settled(ledger: Ledger) -> bool:
@@ -213,7 +215,7 @@
     instances = {*live, leases.own.instance}
     preferred = {s for s in backend_servers if choose_owner(s, instances) == leases.own.instance}
     before = set(leases.owned)
-    ledgers = await _follow_ledgers(access, leases, preferred | before, clock)
+    ledgers = await _follow_ledgers(access, leases, preferred | before | leases.unsure, clock)
     if isinstance(ledgers, Failure):
         return ledgers
     lost = tuple(sorted(before - set(leases.owned)))
--- a/rhubarbshed/state/leases.py
+++ b/rhubarbshed/state/leases.py
@@ -56,7 +56,7 @@
 
     Only this instance's clock is used. Its own lease counts from before a renewal was sent;
     another's lapses a full term after its row was first seen unchanged. `term_s` and `gap_max_s`
-    are in seconds.
+    are in seconds. `unsure` are servers no longer owned whose rows may still name this instance.
     """
 
     own: Holder
@@ -66,6 +66,7 @@
     renewals: int = 0
     sightings: dict[Holder, Sighting] = field(factory=dict)
     owned: dict[str, Ownership] = field(factory=dict)
+    unsure: set[str] = field(factory=set)
 
     @classmethod
     def from_config(cls, settings: LeaseSettings, own: Holder) -> "Leases":
@@ -94,6 +95,7 @@
         instance may have taken over before the renewal took effect. It is read anew then.
         """
         if not self.is_held(now):
+            self.unsure |= set(self.owned)
             self.owned.clear()
         self.renewals += 1
         self.held_until = max(self.held_until, sent_at + self.term_s * (1 - DRIFT_SHARE_MAX))
@@ -110,8 +112,13 @@
             self.owned[ownership.backend_server] = ownership
 
     def drop(self, backend_server: str) -> None:
-        """Note that a backend server is no longer owned."""
-        self.owned.pop(backend_server, None)
+        """Note that a backend server is no longer owned, whatever its row says."""
+        if self.owned.pop(backend_server, None) is not None:
+            self.unsure.add(backend_server)
+
+    def settle(self, backend_server: str) -> None:
+        """Note that a backend server's row does not name this instance, or that it is owned."""
+        self.unsure.discard(backend_server)
 
     def observe(self, holder: Holder, version: int, now: float) -> None:
         """Take in the row version under which a holder's session was read at `now`.
--- a/test/test_ownership.py
+++ b/test/test_ownership.py
@@ -268,3 +268,21 @@
     assert complete(first.maintain()).unwrap().sessions == ()
     (session,) = complete(second.maintain(ALONE)).unwrap().sessions
     assert (session.holder.instance, session.counter) == ("i1", 1)
+
+
+def test_server_whose_owner_is_not_preferred_is_owned_again_after_a_lapse():
+    """The row still names the owner, which renews: nobody else could take the server."""
+    world = World()
+    names = ("i1", "i2")
+    preferred = choose_owner("b1", names)
+    other = next(name for name in names if name != preferred)
+    holder, taker = start(world, other), start(world, preferred)
+    complete(holder.maintain(ALONE))
+    assert owns(holder) == ["b1"]
+    world.clock.now += 2 * TERM_S
+    for _ in range(6):
+        for instance in (holder, taker):
+            complete(instance.renew())
+            complete(instance.maintain(names))
+        world.clock.now += RENEWAL_S
+    assert owns(taker) == ["b1"] and owns(holder) == []
