--- a/rhubarbshed/coordination/dissemination.py
+++ b/rhubarbshed/coordination/dissemination.py
@@ -19,6 +19,7 @@
     LeavingSubject,
     LoadDigest,
     QuarantineNotice,
+    ServiceDigest,
 )
 from rhubarbshed.state.membership import Membership
 from rhubarbshed.util.rendezvous import rank_by_rendezvous
@@ -30,7 +31,7 @@
 CALLED_AFTER_SILENCES = 1.0
 """Silences waited for a lower-named peer's connection before connecting oneself."""
 TALKED_TO = (Standing.LIVE, Standing.LEAVING, Standing.SUSPECTED)
-DIGESTS = (LoadDigest, DemandDigest)
+DIGESTS = (LoadDigest, DemandDigest, ServiceDigest)
 URGENT = (CatalogueHint, LeavingNotice, QuarantineNotice)
 
 
--- a/rhubarbshed/protocol/peers.py
+++ b/rhubarbshed/protocol/peers.py
@@ -15,6 +15,7 @@
 from rhubarbshed.protocol.orders import CacheEvent, Resident, Role
 from rhubarbshed.protocol.placement import DemandReport
 from rhubarbshed.protocol.quarantine import QuarantineNews, SoloMark
+from rhubarbshed.protocol.services import ServiceReport
 
 PROTOCOL_VERSION = 1
 NONCE_BYTES = 16
@@ -152,6 +153,14 @@
     backend_servers: tuple[LeavingSubject, ...] = ()
 
 
+@frozen
+class ServiceDigest:
+    """Carry the load of replicas of plain services; `remote` marks those of other data centres."""
+
+    reports: tuple[ServiceReport, ...]
+    remote: bool = False
+
+
 @frozen
 class DemandDigest:
     """Carry the demand that an instance meets; `remote` marks the sum of a data centre."""
@@ -201,6 +210,7 @@
     | QuarantineNotice
     | LoadRequest
     | DemandDigest
+    | ServiceDigest
     | ListRequest
     | ListAnswer
 )
@@ -219,6 +229,7 @@
     DemandDigest,
     ListRequest,
     ListAnswer,
+    ServiceDigest,
 )
 """Kinds by their number on the wire; append only."""
 KIND_NUMBERS = {kind: number for number, kind in enumerate(FRAME_KINDS)}
--- a/rhubarbshed/transport/exchange.py
+++ b/rhubarbshed/transport/exchange.py
@@ -3,7 +3,7 @@
 import logging
 import time
 
-from attrs import define, field
+from attrs import define, evolve, field
 
 from rhubarbshed.protocol.catalogue import CatalogueObject
 from rhubarbshed.protocol.members import BackendServerInfo
@@ -22,6 +22,7 @@
     LoadDigest,
     LoadRequest,
     QuarantineNotice,
+    ServiceDigest,
 )
 from rhubarbshed.protocol.quarantine import QuarantineEntry
 from rhubarbshed.state.digests import LoadInbox, LoadOutbox
@@ -31,6 +32,7 @@
 # Time to wait for the table service to show a change that a peer has hinted at.
 PULL_PATIENCE_S = 2.0
 DEMAND_INTERVAL_S = 5.0
+SERVICES_REMOTE_INTERVAL_S = 3.0
 # Marks of servers set aside are short-lived, so they are told again while they hold.
 MARKS_INTERVAL_S = 1.0
 DEMAND_REMOTE_INTERVAL_S = 10.0
@@ -54,6 +56,7 @@
     pulled_revision: int = 0
     pulled_at: float = 0.0
     demand_at: float = 0.0
+    services_remote_at: float = 0.0
     demand_remote_at: float = 0.0
     told_entries: dict[str, QuarantineEntry] = field(factory=dict)
     marks_at: float = 0.0
@@ -82,7 +85,28 @@
     """Collect the load and demand that go with the heartbeats, afar less often."""
     reports = tuple(_list_own_reports(runtime, now))
     peers = len(runtime.network.topology.mesh)
-    return (*runtime.exchange.outbox.collect(reports, now, peers), *_collect_demand(runtime, now))
+    return (
+        *runtime.exchange.outbox.collect(reports, now, peers),
+        *_collect_services(runtime, now),
+        *_collect_demand(runtime, now),
+    )
+
+
+def _collect_services(runtime, now: float) -> tuple[ServiceDigest, ...]:
+    """Collect the load of plain services, to other data centres less often."""
+    exchange = runtime.exchange
+    servers = (runtime.load.servers.get(name) for name in runtime.reported)
+    reports = tuple(
+        evolve(server.service, age_s=now - server.compute_taken_at())
+        for server in servers
+        if server is not None and server.service is not None
+    )
+    if not reports:
+        return ()
+    if now - exchange.services_remote_at < SERVICES_REMOTE_INTERVAL_S:
+        return (ServiceDigest(reports),)
+    exchange.services_remote_at = now
+    return ServiceDigest(reports), ServiceDigest(reports, remote=True)
 
 
 def _collect_demand(runtime, now: float) -> tuple[DemandDigest, ...]:
@@ -165,6 +189,9 @@
             _tell_list(runtime, peer, now)
         case ListAnswer():
             _take_list(runtime, peer, frame, now)
+        case ServiceDigest():
+            for report in frame.reports:
+                runtime.desk.apply_report(report, now)
         case DemandDigest():
             runtime.demand.merge(frame.report, now)
         case _:
--- a/rhubarbshed/transport/peers.py
+++ b/rhubarbshed/transport/peers.py
@@ -28,6 +28,7 @@
     LeavingNotice,
     LoadDigest,
     QuarantineNotice,
+    ServiceDigest,
     UnknownFrame,
     unpack_envelope,
 )
@@ -53,7 +54,7 @@
 """Part of a heartbeat's interval after which the next may go, so that jitter skips none."""
 HANDSHAKES_MAX = 64
 """Connections accepted but not proven yet; more are closed at once."""
-REPLACEABLE = (Heartbeat, LoadDigest, DemandDigest)
+REPLACEABLE = (Heartbeat, LoadDigest, DemandDigest, ServiceDigest)
 """Frames that a newer one makes useless, dropped first for a peer that takes nothing."""
 NOTICES = (CatalogueHint, LeavingNotice, QuarantineNotice)
 
--- a/test/test_digests.py
+++ b/test/test_digests.py
@@ -33,6 +33,7 @@
     ListRequest,
     LoadRequest,
     QuarantineNotice,
+    ServiceDigest,
     UnknownFrame,
     pack_envelope,
     unpack_envelope,
@@ -43,6 +44,7 @@
     QuarantineNews,
     SoloMark,
 )
+from rhubarbshed.protocol.services import ServiceReport
 from rhubarbshed.state.digests import (
     CACHE_EVENT_PEERS_MAX,
     DETAIL_INTERVAL_S,
@@ -210,3 +212,9 @@
     newer = msgpack.packb((KIND_NUMBERS[Heartbeat], 1, 2, "", (5, 6, True, False, "more")))
     assert unpack_envelope(older, "a1").unwrap().frame == Heartbeat(5, 6, True, True)
     assert unpack_envelope(newer, "a1").unwrap().frame == Heartbeat(5, 6, True, False)
+
+
+def test_load_of_a_service_survives_the_wire():
+    frame = ServiceDigest((ServiceReport("records-1", 3, 1, 16, 0.25),), remote=True)
+    data = pack_envelope(Envelope(frame, Stamp(1, 2, "i1"), ""))
+    assert unpack_envelope(data, "i1").unwrap().frame == frame
