Judge standings once a second; measure what the views cost

Ruled out: judging only what changed (silence changes without an event). Change: standings are judged each second; words of leaving and the list still take effect when they come.

--- a/rhubarbshed/transport/instance.py
+++ b/rhubarbshed/transport/instance.py
@@ -8,7 +8,7 @@
 from typing import Any
 
 from attrs import define
-from returns.result import Failure, Result
+from returns.result import Failure, Result, Success
 
 from rhubarbshed.coordination.drain import DrainPhase
 from rhubarbshed.protocol.peers import LeavingNotice, LeavingSubject
@@ -33,6 +33,8 @@
 EXIT_START_FAILED = 1
 EXIT_CUT_OFF = 3
 SWEEP_INTERVAL_S = 0.25
+# Silence is judged this often; words of leaving and the list take effect at once.
+STANDINGS_INTERVAL_S = 1.0
 SETTLE_INTERVAL_S = 1.0
 DRAIN_POLL_S = 0.05
 HAND_OVER_TRIES = 20
@@ -98,6 +100,7 @@
     spawn(runtime, repeat(runtime, interval_s, place, runtime.placement_wakeup))
     spawn(runtime, repeat(runtime, settings.routing.report_poll_s, read_reports))
     spawn(runtime, repeat(runtime, SETTLE_INTERVAL_S, settle_ends))
+    spawn(runtime, repeat(runtime, STANDINGS_INTERVAL_S, refresh_standings))
     spawn(runtime, sweep(runtime))
     spawn(runtime, measure_lag(runtime))
 
@@ -116,10 +119,15 @@
     signal.raise_signal(signal.SIGTERM)
 
 
+async def refresh_standings(runtime: Runtime) -> Result[None, object]:
+    """Judge anew what has fallen silent; costs time for every backend server known."""
+    runtime.apply_membership()
+    return Success(None)
+
+
 async def sweep(runtime: Runtime) -> None:
-    """Keep standings and gauges up to date."""
+    """Keep suspects, streams and gauges up to date."""
     while True:
-        runtime.apply_membership()
         now = time.monotonic()
         runtime.desk.tick(now)
         tell_suspects(runtime, now)
--- /dev/null
+++ b/tools/capacity_view.py
@@ -0,0 +1,94 @@
+"""Measure what an instance's views cost with growing numbers of members and models.
+
+Run `python -m tools.capacity_view`. The product's code is fed in memory; one line for each size.
+"""
+
+import asyncio
+import time
+import tracemalloc
+
+from rhubarbshed.protocol.catalogue import CatalogueObject, Model, ObjectKey
+from rhubarbshed.protocol.members import (
+    BackendKind,
+    BackendServerInfo,
+    InstanceInfo,
+    ListedBackendServer,
+    ListedInstance,
+    PlatformList,
+)
+from rhubarbshed.transport.instance import STANDINGS_INTERVAL_S
+from rhubarbshed.transport.runtime import Runtime
+from rhubarbshed.util.settings import Settings
+
+SIZES = ((10, 10, 10), (20, 20, 20), (40, 40, 40), (80, 80, 80), (370, 600, 860))
+RUNS = 20
+DATA_CENTRES = 6
+
+
+def make_list(instances: int, servers: int) -> PlatformList:
+    """Make a platform list of these sizes over the data centres."""
+    listed = tuple(
+        ListedInstance(
+            InstanceInfo(f"i{number}", f"dc-{number % DATA_CENTRES}", "r", "127.0.0.1", 1, 2, 3)
+        )
+        for number in range(instances)
+    )
+    backends = tuple(
+        ListedBackendServer(
+            BackendServerInfo(
+                f"b{number}", BackendKind.ENGINE, f"dc-{number % DATA_CENTRES}", "r", "127.0.0.1", 4
+            )
+        )
+        for number in range(servers)
+    )
+    return PlatformList(listed, backends)
+
+
+def make_objects(models: int) -> list[CatalogueObject]:
+    """Make catalogue objects of as many models."""
+    return [
+        CatalogueObject(ObjectKey("model", f"m{number}"), 1, Model(f"m{number}", "1", 8 << 30))
+        for number in range(models)
+    ]
+
+
+def measure_ms(call) -> float:
+    """Return the mean CPU time of a call in ms."""
+    started = time.process_time()
+    for _ in range(RUNS):
+        call()
+    return (time.process_time() - started) * 1000 / RUNS
+
+
+def measure(instances: int, servers: int, models: int) -> str:
+    """Measure one size and return its line."""
+    loop = asyncio.new_event_loop()
+    tracemalloc.start()
+    runtime = Runtime.from_settings(Settings.from_text("[instance]\nname = i0\n").unwrap(), loop)
+    empty = tracemalloc.get_traced_memory()[0]
+    runtime.membership.apply_list(make_list(instances, servers), time.monotonic())
+    runtime.catalogue.apply_objects(make_objects(models), 1)
+    runtime.apply_membership()
+    held = tracemalloc.get_traced_memory()[0] - empty
+    tracemalloc.stop()
+    standings_ms = measure_ms(runtime.apply_membership)
+    digest_ms = measure_ms(runtime.catalogue.compute_digest)
+    listed_ms = measure_ms(runtime.catalogue.list_models)
+    share = standings_ms / 1000 / STANDINGS_INTERVAL_S
+    loop.close()
+    return (
+        f"instances={instances} servers={servers} models={models} standings_ms={standings_ms:.3f} "
+        f"standings_core={share:.2%} catalogue_digest_ms={digest_ms:.3f} "
+        f"list_models_ms={listed_ms:.3f} views_kb={held / 1000:.0f}"
+    )
+
+
+def main() -> None:
+    """Measure all sizes."""
+    print(f"standings each {STANDINGS_INTERVAL_S} s")
+    for size in SIZES:
+        print(measure(*size), flush=True)
+
+
+if __name__ == "__main__":
+    main()
