--- a/test/fuzz/runner.py
+++ b/test/fuzz/runner.py
@@ -2,9 +2,11 @@
 
 import time
 from collections.abc import Callable
+from unittest import mock
 
 from attrs import define, frozen
 from hypothesis import HealthCheck, Phase, settings
+from hypothesis.internal.conjecture import providers
 from hypothesis.stateful import RuleBasedStateMachine, run_state_machine_as_test
 
 from test.fuzz.machines import MACHINES
@@ -73,7 +75,11 @@
     shrinks: bool = False,
     tell: Callable[[int], None] = lambda _: None,
 ) -> Verdict:
-    """Run a machine; without a seed the sequences are those that hypothesis derives itself."""
+    """Run a machine; without a seed the sequences are those that hypothesis derives itself.
+
+    hypothesis also draws constants that it finds in the modules loaded so far, by which the
+    sequences of a seed would differ with the tests that ran before: these are left out.
+    """
     progress = Progress(tell)
     machine = make_counted(MACHINES[name], progress)
     if seed is not None:
@@ -93,7 +99,8 @@
     began = time.perf_counter()
     failure = None
     try:
-        run_state_machine_as_test(machine, settings=options)
+        with mock.patch.object(providers, "_get_local_constants", providers.Constants):
+            run_state_machine_as_test(machine, settings=options)
     except Exception as error:
         failure = error
     seconds = time.perf_counter() - began
--- a/test/fuzz/test_machines.py
+++ b/test/fuzz/test_machines.py
@@ -16,3 +16,9 @@
 def test_request_that_crashes_servers_takes_two_of_them_down_at_most():
     verdict = run_machine("crasher", seed=2002, examples=EXAMPLES)
     assert verdict.failure is None, verdict.describe()
+
+
+def test_last_copy_stays_while_owners_pause_and_tickets_race():
+    """A seed in which the oracle sees the last copy of a model unloaded; see KNOWN-RED.txt."""
+    verdict = run_machine("agreed", seed=9, examples=EXAMPLES)
+    assert verdict.failure is None, verdict.describe()
