--- a/test/fuzz/test_machines.py
+++ b/test/fuzz/test_machines.py
@@ -5,6 +5,7 @@
 from test.fuzz.runner import run_machine
 
 EXAMPLES = 30
+LAST_COPY_EXAMPLES = 100
 
 
 @pytest.mark.parametrize("name", ["agreed", "requests", "joined"])
@@ -20,5 +21,5 @@
 
 def test_last_copy_stays_while_owners_pause_and_tickets_race():
     """A seed in which the oracle sees the last copy of a model unloaded; see KNOWN-RED.txt."""
-    verdict = run_machine("agreed", seed=9, examples=EXAMPLES)
+    verdict = run_machine("agreed", seed=9, examples=LAST_COPY_EXAMPLES)
     assert verdict.failure is None, verdict.describe()
