Take out three functions that nothing calls

Cause: the read-through found to_json, cancel_request and a second wait_until (tools/processes.py has the one in use) without a caller. Ruled out: two port finders in tools/ are alike too, but take ports from different ranges on purpose. Before and after: lint and import layers clean; settings, upstream, digests, tickets and caller-gone tests pass; all entry points import. Conclusion: behaviour is the same.

--- a/rhubarbshed/protocol/codec.py
+++ b/rhubarbshed/protocol/codec.py
@@ -1,7 +1,6 @@
 """Conversion between messages and JSON or msgpack."""
 
 import enum
-import json
 from typing import Any, TypeVar
 
 import msgpack
@@ -91,8 +90,3 @@
     except (ValueError, msgpack.UnpackException) as error:
         return Failure(f"not msgpack: {error}")
     return from_stored(plain, kind)
-
-
-def to_json(message: Any, kind: Any = None) -> str:
-    """Encode a message as JSON with sorted keys."""
-    return json.dumps(to_plain(message, kind), sort_keys=True)
--- a/rhubarbshed/transport/engines.py
+++ b/rhubarbshed/transport/engines.py
@@ -42,11 +42,6 @@
     return EngineClient(send_order, fetch_report)
 
 
-def cancel_request(http: HttpClient, host: str, port: int, request_id: str) -> None:
-    """Ask an engine to stop a request; best effort."""
-    http.post_json(f"http://{host}:{port}/control/cancel", {"request_id": request_id})
-
-
 def make_base_url(server: BackendServerInfo) -> str:
     """Return the base address of a backend server."""
     return f"http://{server.host}:{server.port}"
--- a/rhubarbshed/transport/sites.py
+++ b/rhubarbshed/transport/sites.py
@@ -3,7 +3,6 @@
 import logging
 import socket
 import threading
-import time
 from collections.abc import Callable
 from types import SimpleNamespace
 from typing import Any
@@ -191,13 +190,3 @@
     LOG.critical("event=defect", exc_info=True)
     error = RequestError(500, "defect", "the instance met a defect", Outcome.UNKNOWN)
     cherrypy.response.body = [answer_error(error)]
-
-
-def wait_until(condition: Callable[[], bool], timeout_s: float) -> bool:
-    """Wait until a condition holds; tell whether it did in time."""
-    end = time.monotonic() + timeout_s
-    while not condition():
-        if time.monotonic() > end:
-            return False
-        time.sleep(0.01)
-    return True
