Run suspects on news younger than their mark; settle a pair before using new copies

It now marks a server, tells peers at once, and starts only when a report taken a second later shows nothing in flight (coordination/trials.py). One suspect at a time per pair. - Instances that had heard of different copies of a model formed different pairs. A copy heard of less than 2 s ago is chosen only where there is no other one. - An instance that could not reach two engines that live refused prompts whose pair these were. A server that does not answer here though a later report of a peer shows the same boot alive is left out for 30 s, tried each second, and shown as `cut_off` to operators.

--- a/rhubarbshed/coordination/desk.py
+++ b/rhubarbshed/coordination/desk.py
@@ -24,19 +24,21 @@
     may_have_run,
     may_send_again,
 )
-from rhubarbshed.coordination.routing import Route, choose_route, choose_solo_route, find_pair
+from rhubarbshed.coordination.routing import Route, choose_route, find_pair, make_route
 from rhubarbshed.coordination.solo import SoloAnswer, SoloHeld
 from rhubarbshed.coordination.suspects import Suspects
+from rhubarbshed.coordination.trials import SoloSettling, TrialStep, choose_trial, judge_trial
 from rhubarbshed.protocol.errors import RequestError
 from rhubarbshed.protocol.orders import EngineReport
 from rhubarbshed.protocol.requests import AttemptEnd, AttemptResult, Dispatch, Refusal, Request
 from rhubarbshed.protocol.services import ServiceReport
-from rhubarbshed.state.attempts import OpenRequest, OpenRequests
-from rhubarbshed.state.load import LoadView
-from rhubarbshed.util.settings import Settings
+from rhubarbshed.state.attempts import OpenRequest, OpenRequests, Trial
+from rhubarbshed.state.load import Candidate, LoadView
+from rhubarbshed.util.settings import RoutingSettings, Settings
 
 log = logging.getLogger(__name__)
 
+PENDING_MESSAGE = "it may have crashed backend servers; whether it did is being found out"
 NOT_RESIDENT_WAIT_S = 2.0
 SOLO_WAIT_S = 2.0
 # Least time that an attempt is reckoned to hold a slot; shorter ones were refused at once.
@@ -113,21 +115,64 @@
 
     def resume_solo(
         self, request_id: str, answer: SoloAnswer, now: float
-    ) -> Dispatch | Refusal | None:
+    ) -> SoloSettling | Refusal | None:
         """Go on with a suspect after the table's answer; None where its caller went away."""
         if isinstance(answer, SoloHeld | SoloRefused):
             self.suspects.view.merge_entry(answer.entry, now)
         item = self.open.items.get(request_id)
         if item is None:
             return None
+        refusal = self._check_suspect(item, now)
+        if refusal is not None:
+            return refusal
+        if not isinstance(answer, SoloHeld):
+            return self._refuse_busy(item, "suspect_busy", "it may only run alone, later")
+        item.solo_held = True
+        return self._begin_trial(item, now)
+
+    def start_solo(self, request_id: str, now: float) -> Dispatch | SoloSettling | Refusal | None:
+        """Start a suspect once its server is idle; None where its caller went away."""
+        item = self.open.items.get(request_id)
+        if item is None or item.trial is None:
+            return None
+        refusal = self._check_suspect(item, now)
+        if refusal is not None:
+            return refusal
+        boot_id = self.load.find_boot_id(item.trial.backend_server)
+        step, found = judge_trial(item.trial, self._find_pair(item.request, now), boot_id, now)
+        if step is TrialStep.WAIT:
+            return SoloSettling(request_id, item.trial.backend_server)
+        if step is TrialStep.START:
+            item.trial = None
+            return self._send(item, make_route(item.request, found, *self._place()), now)
+        if step is TrialStep.BUSY:
+            item.trial = None
+            self.suspects.reserve(item.request.fingerprint, found.info.name, now)
+        message = "no backend server is idle to try this request alone"
+        return self._refuse_busy(item, "suspect_waits", message, SOLO_WAIT_S)
+
+    def _check_suspect(self, item: OpenRequest, now: float) -> Refusal | None:
+        """Refuse a suspect of which enough has become known, or whose time has run out."""
         if self.suspects.is_refused(item.request.fingerprint):
             return self._refuse(item, describe_crasher(item.request, item.has_run))
+        if self.suspects.is_exhausted(item.request.fingerprint):
+            return self._refuse_busy(item, "suspect_pending", PENDING_MESSAGE, SOLO_WAIT_S)
         if now >= item.request.deadline:
             return self._refuse(item, describe_deadline(item.request, item.has_run))
-        if not isinstance(answer, SoloHeld):
-            return self._refuse_busy(item, "suspect_busy", "it may only run alone, later")
-        item.solo_held = True
-        return self._dispatch(item, now)
+        return None
+
+    def _begin_trial(self, item: OpenRequest, now: float) -> SoloSettling | Refusal:
+        """Set a server aside for a suspect that has the right to run alone."""
+        fingerprint = item.request.fingerprint
+        others = self.suspects.list_set_aside(now)
+        others -= self.suspects.list_set_aside_for(fingerprint, now)
+        found = choose_trial(self._find_pair(item.request, now), others)
+        if found is None:
+            return self._refuse_without_server(item, now)
+        name = found.info.name
+        item.trial = Trial(name, self.load.find_boot_id(name), now)
+        self.suspects.set_solo(name, fingerprint, item.request.deadline)
+        return SoloSettling(item.request.request_id, name)
 
     def may_release_solo(self, fingerprint: str) -> bool:
         """Tell whether a claim may be given back: the run has ended, and how is known.
@@ -237,8 +282,9 @@
         if self.suspects.is_refused(request.fingerprint):
             return describe_refused(request.fingerprint)
         if self.suspects.is_exhausted(request.fingerprint):
-            message = "it may have crashed backend servers; whether it did is being found out"
-            return self.admission.refuse(UNAVAILABLE, "suspect_pending", message, SOLO_WAIT_S)
+            return self.admission.refuse(
+                UNAVAILABLE, "suspect_pending", PENDING_MESSAGE, SOLO_WAIT_S
+            )
         if request.request_id in self.open.items:
             message = "a request with this id is in progress on this instance"
             return RequestError(CONFLICT, "request_id_in_use", message, field="X-Request-Id")
@@ -249,12 +295,9 @@
     def _choose(self, item: OpenRequest, extra: frozenset[str], now: float) -> Route | None:
         """Choose a server; copies of one fingerprint go where the first one runs."""
         request = item.request
-        place = (self.settings.instance.data_centre, self.settings.routing)
-        pair = find_pair(request, self.lookup.list_candidates(request, self.load, now))
+        place = self._place()
+        pair = self._find_pair(request, now)
         avoided = self.suspects.list_set_aside(now) | extra
-        if item.solo_held:
-            mine = self.suspects.list_set_aside_for(request.fingerprint, now)
-            return choose_solo_route(request, pair, *place, avoided - mine)
         copy_server = self.open.find_server_of(request.fingerprint)
         same = [found for found in pair if found.info.name == copy_server]
         if same and not extra and copy_server not in avoided and not same[0].lost:
@@ -265,6 +308,12 @@
             return route
         return choose_route(request, pair, *place, self.randomness, avoided)
 
+    def _find_pair(self, request: Request, now: float) -> list[Candidate]:
+        return find_pair(request, self.lookup.list_candidates(request, self.load, now))
+
+    def _place(self) -> tuple[str, RoutingSettings]:
+        return self.settings.instance.data_centre, self.settings.routing
+
     def _dispatch(self, item: OpenRequest, now: float) -> Dispatch | Refusal:
         request = item.request
         route = self._choose(item, frozenset(), now)
@@ -286,13 +335,11 @@
 
     def _refuse_without_server(self, item: OpenRequest, now: float) -> Refusal:
         candidates = self.lookup.list_candidates(item.request, self.load, now)
-        usable = [found for found in find_pair(item.request, candidates) if not found.lost]
         if all(found.lost for found in candidates):
             message = "it is in no backend server's memory at present"
             return self._refuse_busy(item, "not_resident", message, NOT_RESIDENT_WAIT_S)
-        if item.solo_held and usable:
-            self.suspects.reserve(item.request.fingerprint, usable, now)
-            message = "no backend server is idle to try this request alone"
+        if item.solo_held:
+            message = "its backend servers are kept for other requests that run alone"
             return self._refuse_busy(item, "suspect_waits", message, SOLO_WAIT_S)
         message = "its backend servers cannot take it at present"
         return self._refuse_busy(item, "servers_busy", message)
@@ -401,5 +448,7 @@
         return Refusal(error)
 
     def _close(self, item: OpenRequest) -> None:
+        if item.trial is not None:
+            self.suspects.clear_solo(item.trial.backend_server, item.request.fingerprint)
         if self.open.items.pop(item.request.request_id, None) is not None:
             self.admission.leave(item.request)
--- a/rhubarbshed/coordination/routing.py
+++ b/rhubarbshed/coordination/routing.py
@@ -75,9 +75,10 @@
     return min(1.0, settings.report_age_max_s / max(candidate.report_age_s, 1e-9))
 
 
-def _make_route(
+def make_route(
     request: Request, candidate: Candidate, data_centre: str, settings: RoutingSettings
 ) -> Route:
+    """Return the route to a candidate, with its prediction."""
     predicted_s = predict_first_token(request, candidate, data_centre, settings)
     rank_s = predicted_s + compute_doubt(candidate, settings)
     own_s = predict_own(request, candidate, data_centre, settings)
@@ -122,10 +123,13 @@
     """Return the two servers that a request may go to; servers just lost keep their place.
 
     The fingerprint alone decides, so copies of one request meet the same two servers through
-    whichever instance they come, while different requests are spread over all servers.
+    whichever instance they come, while different requests are spread over all servers. A copy
+    of a model that not every instance has heard of is chosen only where there is no other one.
     """
     key = request.fingerprint or request.request_id
-    return rank_by_key(key, candidates)[:CHOICES]
+    ranked = rank_by_key(key, candidates)
+    settled = [found for found in ranked if not found.fresh]
+    return settled[:CHOICES] or ranked[:1]
 
 
 def choose_route(
@@ -142,7 +146,7 @@
     Load Balancing, 2001.
     """
     routes = [
-        _make_route(request, found, data_centre, settings)
+        make_route(request, found, data_centre, settings)
         for found in pair
         if not found.lost and found.info.name not in avoided
     ]
@@ -167,19 +171,3 @@
     """Return the exponent by which a quicker server is preferred."""
     wanted = SHARPNESS_AGE_S / max(report_age_s, 1e-9)
     return min(SHARPNESS_MAX, max(SHARPNESS_MIN, wanted))
-
-
-def choose_solo_route(
-    request: Request,
-    pair: Iterable[Candidate],
-    data_centre: str,
-    settings: RoutingSettings,
-    avoided: frozenset[str],
-) -> Route | None:
-    """Choose a server of the pair with nothing in flight as far as known, or None."""
-    routes = [
-        _make_route(request, found, data_centre, settings)
-        for found in pair
-        if not found.lost and found.in_flight == 0 and found.info.name not in avoided
-    ]
-    return min(routes, key=lambda route: route.rank_s, default=None)
--- a/rhubarbshed/coordination/suspects.py
+++ b/rhubarbshed/coordination/suspects.py
@@ -6,7 +6,6 @@
 from attrs import define, field
 
 from rhubarbshed.protocol.quarantine import CrashId
-from rhubarbshed.state.load import Candidate
 from rhubarbshed.state.presumptions import Presumption, Presumptions, make_presumed_crash
 from rhubarbshed.state.quarantine import QuarantineView
 from rhubarbshed.util.settings import QuarantineSettings
@@ -124,16 +123,9 @@
         """End the setting aside of a server for this suspect."""
         self.view.clear_solo(backend_server, fingerprint)
 
-    def reserve(self, fingerprint: str, usable: list[Candidate], now: float) -> None:
-        """Set the least loaded server aside, so that it is idle when the suspect comes back.
-
-        One server at most is kept empty in this way among those that could run the request.
-        """
-        names = {found.info.name for found in usable}
-        if names & self.view.list_set_aside(now):
-            return
-        least = min(usable, key=lambda found: (found.in_flight, found.info.name))
-        self.view.set_solo(least.info.name, fingerprint, now + RESERVE_S)
+    def reserve(self, fingerprint: str, backend_server: str, now: float) -> None:
+        """Keep a server set aside for a while, so that it is idle when the suspect comes back."""
+        self.view.set_solo(backend_server, fingerprint, now + RESERVE_S)
 
     def forget_old(self, now: float) -> None:
         """Forget what is old."""
--- /dev/null
+++ b/rhubarbshed/coordination/trials.py
@@ -0,0 +1,61 @@
+"""Wait until a backend server is idle for a suspect, and known to be so by all instances."""
+
+from collections.abc import Iterable
+from enum import Enum
+
+from attrs import frozen
+
+from rhubarbshed.state.attempts import Trial
+from rhubarbshed.state.load import Candidate
+
+SETTLE_S = 1.0
+PATIENCE_S = 5.0
+
+
+class TrialStep(Enum):
+    """What a trial may do next."""
+
+    WAIT = "wait"
+    START = "start"
+    BUSY = "busy"
+    LOST = "lost"
+
+
+@frozen
+class SoloSettling:
+    """Call `Desk.start_solo` again in a moment; `backend_server` is being kept free."""
+
+    request_id: str
+    backend_server: str
+
+
+def choose_trial(pair: Iterable[Candidate], set_aside: frozenset[str]) -> Candidate | None:
+    """Choose the least busy server of a pair, or None.
+
+    While another suspect has either of them, the other one is left to other requests.
+    """
+    found = list(pair)
+    if any(each.info.name in set_aside for each in found):
+        return None
+    usable = [each for each in found if not each.lost]
+    return min(usable, key=lambda each: (each.in_flight, each.info.name), default=None)
+
+
+def judge_trial(
+    trial: Trial, pair: Iterable[Candidate], boot_id: str, now: float
+) -> tuple[TrialStep, Candidate | None]:
+    """Decide whether a suspect may start on the server that is kept free for it.
+
+    Other instances hear of the mark and tell of crashes within `SETTLE_S`; a report that was
+    taken later and shows nothing in flight then means that the suspect runs alone. Started on
+    older knowledge, it would be blamed for a crash that another request causes.
+    """
+    found = [each for each in pair if each.info.name == trial.backend_server]
+    if not found or found[0].lost or boot_id != trial.boot_id:
+        return TrialStep.LOST, None
+    taken_at = now - found[0].report_age_s
+    if taken_at >= trial.since + SETTLE_S and found[0].in_flight == 0:
+        return TrialStep.START, found[0]
+    if now >= trial.since + PATIENCE_S:
+        return TrialStep.BUSY, found[0]
+    return TrialStep.WAIT, found[0]
--- a/rhubarbshed/state/attempts.py
+++ b/rhubarbshed/state/attempts.py
@@ -1,22 +1,33 @@
 """Requests open on this instance and their attempts."""
 
-from attrs import define, field
+from attrs import define, field, frozen
 
 from rhubarbshed.protocol.requests import Dispatch, Request
 
 
+@frozen
+class Trial:
+    """Name the boot of a server that is kept free for a suspect, and since when."""
+
+    backend_server: str
+    boot_id: str
+    since: float
+
+
 @define
 class OpenRequest:
     """Hold one open request.
 
     `dispatches` are its attempts in flight by number; more than one while a hedge runs. `boots`
     holds the boot of the backend server that each attempt was sent to. `has_run` is whether any
-    attempt may have begun on a backend server. `tokens` were passed to the caller.
+    attempt may have begun on a backend server. `tokens` were passed to the caller. `trial` is set
+    while the request waits to run alone.
     """
 
     request: Request
     target_s: float
     solo_held: bool = False
+    trial: Trial | None = None
     attempts: int = 0
     has_run: bool = False
     tokens: int = 0
--- a/rhubarbshed/state/load.py
+++ b/rhubarbshed/state/load.py
@@ -19,6 +19,9 @@
 UNSEEN_AGE_MAX_S = 3.0
 ENDED_KEPT_S = 30.0
 LOST_HOLD_S = 10.0
+# Time in which all instances hear that a model is resident; until then it is no choice.
+SETTLE_S = 2.0
+CUT_HOLD_S = 30.0
 PAST_BOOTS_MAX = 8
 PAST_BOOT_HOLD_S = 5.0
 STANDINGS_USED = (Standing.LIVE, Standing.SUSPECTED)
@@ -45,7 +48,8 @@
     certain. `unseen` estimates what other instances added since the report, less what ended; it
     may be negative. `hold_s` is the mean time an attempt takes a slot. `lost` marks a server that
     crashed moments ago: it still takes its place in the order of choice, but gets no requests.
-    `own_priorities` are those of the own attempts in flight.
+    `fresh` marks one whose copy not every instance may have heard of. `own_priorities` are those
+    of the own attempts in flight.
     """
 
     info: BackendServerInfo
@@ -62,6 +66,7 @@
     report_age_s: float
     suspected: bool = False
     lost: bool = False
+    fresh: bool = False
     own_priorities: tuple[Priority, ...] = ()
 
 
@@ -85,6 +90,9 @@
     lost_at: float = -math.inf
     lost_targets: frozenset[str] = frozenset()
     past_boots: tuple[str, ...] = ()
+    resident_since: dict[str, float] = field(factory=dict)
+    unanswered_at: float = math.inf
+    cut_until: float = -math.inf
 
     @property
     def boot_id(self) -> str:
@@ -165,6 +173,27 @@
         """Tell whether the server crashed moments ago."""
         return now - self.lost_at < LOST_HOLD_S
 
+    def take_engine_report(self, report: EngineReport, now: float) -> None:
+        """Take a report, and note since when each resident is known.
+
+        Those of the first report may have been there for long.
+        """
+        since = -math.inf if self.engine is None else now
+        known = self.resident_since
+        self.engine = report
+        self.prefixes.apply_events(report.cache_events)
+        self.resident_since = {name: known.get(name, since) for name in self.find_residents()}
+
+    def note_cut(self, report: EngineReport | ServiceReport, restarted: bool, now: float) -> None:
+        """Note that a server lives, by what peers tell, that did not answer this instance."""
+        if not restarted and now - report.age_s > self.unanswered_at:
+            self.unanswered_at = math.inf
+            self.cut_until = now + CUT_HOLD_S
+
+    def is_fresh(self, names: Iterable[str], now: float) -> bool:
+        """Tell whether any of these residents became known moments ago."""
+        return any(now - self.resident_since.get(name, -math.inf) < SETTLE_S for name in names)
+
     def find_residents(self) -> frozenset[str]:
         """Return the names of models and adapters that are ready."""
         if self.engine is None:
@@ -228,9 +257,9 @@
             past = [boot for boot in server.past_boots if boot != report.boot_id]
             server.past_boots = (*past, server.boot_id)[-PAST_BOOTS_MAX:]
         server.received_at = now
+        server.note_cut(report, restarted, now)
         if isinstance(report, EngineReport):
-            server.engine = report
-            server.prefixes.apply_events(report.cache_events)
+            server.take_engine_report(report, now)
         else:
             server.service = report
         server.forget_ended(now)
@@ -247,6 +276,22 @@
         hold_s = PAST_BOOT_HOLD_S if report.boot_id in server.past_boots else 0.0
         return now - report.age_s < server.compute_taken_at() + hold_s
 
+    def record_unanswered(self, name: str, now: float) -> None:
+        """Note that a server did not answer this instance; it may be down or cut off."""
+        if name in self.servers:
+            self.servers[name].unanswered_at = now
+
+    def record_answered(self, name: str) -> None:
+        """Note that a server answered this instance."""
+        if name in self.servers:
+            self.servers[name].unanswered_at = math.inf
+            self.servers[name].cut_until = -math.inf
+
+    def list_cut_off(self, now: float) -> tuple[str, ...]:
+        """List the servers that live but are cut off from this instance, longest first."""
+        cut = [each for each in self.servers.values() if now < each.cut_until]
+        return tuple(each.info.name for each in sorted(cut, key=lambda each: each.cut_until))
+
     def record_crash(self, name: str, now: float) -> None:
         """Empty what a crash empties, and hold the server's place in the order of choice."""
         server = self.servers.get(name)
@@ -327,14 +372,15 @@
             server = self.servers[name]
             residents = server.find_residents()
             was_there = server.is_lost(now) and model in server.lost_targets
-            is_there = server.standing in STANDINGS_USED and model in residents
+            is_there = _is_used(server, now) and model in residents
             if not is_there and not was_there:
                 continue
             share = server.prefixes.estimate_cached_share(prefixes)
             held = residents | server.lost_targets if was_there else residents
             has_adapter = not adapter or adapter in held
-            others = (self.instances, rate)
-            found.append(_make_candidate(server, share, has_adapter, others, now))
+            fresh = server.is_fresh((model, adapter), now)
+            made = _make_candidate(server, share, has_adapter, (self.instances, rate), now)
+            found.append(evolve(made, fresh=fresh))
         return tuple(found)
 
     def _compute_mean_rate(self, model: str, now: float) -> float:
@@ -352,10 +398,14 @@
         return tuple(
             _make_candidate(server, 0.0, True, (self.instances, server.compute_rate(now)), now)
             for server in servers
-            if server.standing in STANDINGS_USED or server.is_lost(now)
+            if _is_used(server, now) or server.is_lost(now)
         )
 
 
+def _is_used(server: ServerLoad, now: float) -> bool:
+    return server.standing in STANDINGS_USED and now >= server.cut_until
+
+
 def _make_candidate(
     server: ServerLoad,
     cached_share: float,
--- a/rhubarbshed/transport/exchange.py
+++ b/rhubarbshed/transport/exchange.py
@@ -60,6 +60,7 @@
     demand_remote_at: float = 0.0
     told_entries: dict[str, QuarantineEntry] = field(factory=dict)
     marks_at: float = 0.0
+    told_marks: frozenset[tuple[str, str]] = frozenset()
     list_asked_at: float = float("-inf")
     pulling: dict[str, int] = field(factory=dict)
 
@@ -135,10 +136,14 @@
         if exchange.told_entries.get(one.entry.fingerprint) != one.entry
     )
     marks = view.list_solo_marks(now)
-    if not news and (not marks or now - exchange.marks_at < MARKS_INTERVAL_S):
+    kept = frozenset((mark.backend_server, mark.fingerprint) for mark in marks)
+    is_new = not kept <= exchange.told_marks
+    is_due = bool(marks) and now - exchange.marks_at >= MARKS_INTERVAL_S
+    if not news and not is_new and not is_due:
         return
     exchange.told_entries.update({one.entry.fingerprint: one.entry for one in news})
     exchange.marks_at = now
+    exchange.told_marks = kept
     runtime.network.publish(QuarantineNotice(news, marks))
 
 
--- a/rhubarbshed/transport/gateway.py
+++ b/rhubarbshed/transport/gateway.py
@@ -28,6 +28,7 @@
     claim_solo,
     release_solo,
 )
+from rhubarbshed.coordination.trials import SoloSettling
 from rhubarbshed.protocol.answers import JSON_TYPE, WholeAnswer
 from rhubarbshed.protocol.calls import Call
 from rhubarbshed.protocol.claims import ClaimState, StoredAnswer
@@ -42,6 +43,7 @@
 RETRY_AFTER_FULL_S = 1.0
 RETRY_AFTER_CLAIM_S = 2.0
 RELEASE_POLL_S = 0.5
+SOLO_POLL_S = 0.25
 # Longest time that an answer waits for the table to take its end.
 SETTLE_WAIT_S = 0.25
 CODES_LACK_OF_ROOM = ("not_resident", "servers_busy", "too_late", "model_full")
@@ -184,6 +186,10 @@
             self.table, self.solo_releases, known, holder, self.is_gone, crashes_max
         )
         following = self.desk.resume_solo(decision.request_id, answer, time.monotonic())
+        while isinstance(following, SoloSettling):
+            await asyncio.sleep(SOLO_POLL_S)
+            await self.check_server(following.backend_server)
+            following = self.desk.start_solo(decision.request_id, time.monotonic())
         run = SoloRun(decision.fingerprint, holder.write_id)
         if isinstance(answer, SoloHeld) and isinstance(following, Dispatch):
             self.solos[decision.request_id] = run
--- a/rhubarbshed/transport/instance.py
+++ b/rhubarbshed/transport/instance.py
@@ -15,6 +15,7 @@
 from rhubarbshed.transport.admin import make_operator_desk
 from rhubarbshed.transport.exchange import tell_suspects
 from rhubarbshed.transport.loops import (
+    probe_cut_servers,
     read_catalogue,
     read_list,
     read_reports,
@@ -35,6 +36,7 @@
 SWEEP_INTERVAL_S = 0.25
 # Silence is judged this often; words of leaving and the list take effect at once.
 STANDINGS_INTERVAL_S = 1.0
+PROBE_INTERVAL_S = 1.0
 SETTLE_INTERVAL_S = 1.0
 DRAIN_POLL_S = 0.05
 HAND_OVER_TRIES = 20
@@ -101,6 +103,7 @@
     spawn(runtime, repeat(runtime, settings.routing.report_poll_s, read_reports))
     spawn(runtime, repeat(runtime, SETTLE_INTERVAL_S, settle_ends))
     spawn(runtime, repeat(runtime, STANDINGS_INTERVAL_S, refresh_standings))
+    spawn(runtime, repeat(runtime, PROBE_INTERVAL_S, probe_cut_servers))
     spawn(runtime, sweep(runtime))
     spawn(runtime, measure_lag(runtime))
 
--- a/rhubarbshed/transport/loops.py
+++ b/rhubarbshed/transport/loops.py
@@ -31,6 +31,7 @@
 BACKOFF_FACTOR = 2.0
 
 Step = Callable[[Runtime], Awaitable[Result]]
+PROBES_AT_ONCE_MAX = 4
 
 
 async def repeat(
@@ -169,6 +170,13 @@
         await reconcile(runtime, info, report, requested_at)
 
 
+async def probe_cut_servers(runtime: Runtime) -> Result[None, object]:
+    """Try servers that live but did not answer here, so that they are used again soon."""
+    cut = runtime.load.list_cut_off(time.monotonic())[:PROBES_AT_ONCE_MAX]
+    await asyncio.gather(*(runtime.check_server(name) for name in cut))
+    return Success(None)
+
+
 async def settle_ends(runtime: Runtime) -> Result[None, object]:
     """Tell the table the ends of requests that it could not take before, at a bounded rate."""
     gateway = runtime.gateway
--- a/rhubarbshed/transport/pages.py
+++ b/rhubarbshed/transport/pages.py
@@ -46,6 +46,7 @@
     """List backend servers with standing, load, and whether this instance owns them."""
     membership = runtime.membership
     owned = {ownership.backend_server for ownership in runtime.leases.list_owned(now)}
+    cut_off = runtime.load.list_cut_off(now)
     rows = []
     for name, known in sorted(membership.backend_servers.items()):
         row = {
@@ -55,6 +56,7 @@
             "standing": explain(membership, name, now).standing.value,
             "memory_bytes": known.info.memory_bytes,
             "owned": name in owned,
+            "cut_off": name in cut_off,
         }
         rows.append(row | _describe_load(runtime.load.servers.get(name)))
     return rows
--- a/rhubarbshed/transport/runtime.py
+++ b/rhubarbshed/transport/runtime.py
@@ -257,7 +257,10 @@
         sequence = server.prefixes.sequence
         fetched = await self.run_control(self.engines.fetch_report, server.info, sequence)
         if isinstance(fetched, Success):
+            self.load.record_answered(name)
             self.desk.apply_report(fetched.unwrap(), time.monotonic())
+        else:
+            self.load.record_unanswered(name, time.monotonic())
 
     def _make_network(self) -> PeerNetwork:
         return PeerNetwork.from_settings(
--- a/standin/web.py
+++ b/standin/web.py
@@ -132,9 +132,15 @@
         return task
 
     def crash(self) -> None:
-        """Cut all connections, forget all work and come back after `restart_s`."""
+        """Cut all connections, forget all work and come back after `restart_s`.
+
+        What is due in the same turn of the loop finds the process gone: it crashes once.
+        """
+        now = asyncio.get_running_loop().time()
+        if self.is_down(now):
+            return
         self.counters.add("crashes")
-        self.back_at = asyncio.get_running_loop().time() + self.restart_s
+        self.back_at = now + self.restart_s
         for task in list(self.tasks):
             task.cancel()
         for connection in list(self.connections):
--- a/test/fuzz/test_requests.py
+++ b/test/fuzz/test_requests.py
@@ -10,6 +10,7 @@
 from rhubarbshed.coordination.desk import AttemptOpen, Desk, SoloNeeded
 from rhubarbshed.coordination.quarantine import SoloBusy
 from rhubarbshed.coordination.solo import SoloHeld, SoloUnavailable
+from rhubarbshed.coordination.trials import SoloSettling
 from rhubarbshed.protocol.errors import Outcome
 from rhubarbshed.protocol.members import Standing
 from rhubarbshed.protocol.quarantine import QuarantineEntry
@@ -35,6 +36,7 @@
     requests: dict[str, Request] = field(factory=dict)
     possibly_ran: Counter[str] = field(factory=Counter)
     answered: set[str] = field(factory=set)
+    settling: set[str] = field(factory=set)
     boots: dict[str, int] = field(factory=dict)
 
     def open(self):
@@ -62,12 +64,22 @@
             answers = [SoloHeld(entry), SoloBusy(), SoloUnavailable()]
             answer = self.randomness.choice(answers)
             self.take(request_id, self.desk.resume_solo(request_id, answer, self.now))
+        elif isinstance(decision, SoloSettling):
+            self.settling.add(request_id)
         elif isinstance(decision, Refusal):
             self.check_refusal(request_id, decision)
             self.answer(request_id)
         elif decision is None:
             self.answer(request_id)
 
+    def start_solo(self):
+        for request_id in sorted(self.settling):
+            decision = self.desk.start_solo(request_id, self.now)
+            if not isinstance(decision, SoloSettling):
+                self.settling.discard(request_id)
+                if request_id not in self.answered:
+                    self.take(request_id, decision)
+
     def answer(self, request_id):
         assert request_id not in self.answered
         self.answered.add(request_id)
@@ -170,7 +182,7 @@
 def test_no_request_is_answered_twice_falsely_or_never(randomness):
     game = Play(randomness, make_desk(servers=SERVERS, text=TEXT))
     actions = [game.open] * 4 + [game.end] * 4 + [game.report] * 2
-    actions += [game.cancel, game.hedge, game.stand, game.repeat_end]
+    actions += [game.cancel, game.hedge, game.stand, game.repeat_end, game.start_solo]
     for _ in range(STEPS):
         game.now += randomness.random()
         randomness.choice(actions)()
--- a/test/helper_requests.py
+++ b/test/helper_requests.py
@@ -8,6 +8,8 @@
 
 from rhubarbshed.coordination.commits import CommitBatcher
 from rhubarbshed.coordination.desk import Desk
+from rhubarbshed.coordination.solo import SoloHeld
+from rhubarbshed.coordination.trials import SETTLE_S, SoloSettling
 from rhubarbshed.protocol.catalogue import Adapter, Model, Service
 from rhubarbshed.protocol.members import BackendKind, BackendServerInfo
 from rhubarbshed.protocol.orders import EngineReport, Resident
@@ -77,6 +79,22 @@
     return desk
 
 
+def start_alone(desk: Desk, request_id: str, answer: SoloHeld, now: float):
+    """Go on with a suspect until it runs alone or is refused; return the decision.
+
+    All servers report again once others know which one is kept free.
+    """
+    decision = desk.resume_solo(request_id, answer, now)
+    if not isinstance(decision, SoloSettling):
+        return decision
+    until = now + SETTLE_S + 0.1
+    for name in list(desk.load.servers):
+        boot_id = desk.load.find_boot_id(name)
+        if boot_id:
+            desk.apply_report(make_report(name, boot_id), until)
+    return desk.start_solo(request_id, until)
+
+
 def end(sent: Dispatch, how: AttemptEnd, now: float = 0.0, **changes) -> AttemptResult:
     result = AttemptResult(sent.request_id, sent.attempt, sent.backend_server, how, now)
     return evolve(result, **changes)
--- a/test/test_backend_faults.py
+++ b/test/test_backend_faults.py
@@ -55,6 +55,7 @@
     for process in (*stand_ins, *running.backend_servers.values()):
         call(process, "DELETE", "/fault")
     assert wait_until(lambda: has_copies(running, len(ENGINES)), COPIES_S), "copies missing"
+    assert wait_until(lambda: not list_cut_off(running), COPIES_S), "still cut off"
     return running
 
 
@@ -68,6 +69,12 @@
     return sum(read_counters(fleet.backend_servers[name]).get("crashes", 0) for name in ENGINES)
 
 
+def list_cut_off(fleet):
+    """Return the engines that an instance cannot reach though they live."""
+    pages = [fleet.ask_operator(name, "GET", "/backend-servers")[1] for name in INSTANCES]
+    return [row["name"] for rows in pages for row in rows if row["cut_off"]]
+
+
 def list_standings(fleet):
     """Return what each instance believes of each engine."""
     pages = {name: fleet.ask_operator(name, "GET", "/backend-servers")[1] for name in INSTANCES}
--- a/test/test_load.py
+++ b/test/test_load.py
@@ -4,7 +4,7 @@
 
 from rhubarbshed.protocol.members import Standing
 from rhubarbshed.protocol.orders import CacheEvent, Resident
-from rhubarbshed.state.load import LoadView
+from rhubarbshed.state.load import SETTLE_S, LoadView
 from rhubarbshed.state.prefixes import PREFIXES_MAX, PrefixCache
 from test.helper_requests import make_info, make_report
 
@@ -109,3 +109,37 @@
         view.record_dispatch("b0", (f"r{number}", 0), "sermon", 10, 0.0)
         view.record_end("b0", (f"r{number}", 0), False, hold_s, first_token_at=0.0)
     assert view.servers["b0"].hold_s == pytest.approx(2.0)
+
+
+def test_copy_just_heard_of_is_fresh_and_the_first_report_is_not():
+    view = make_view()
+    for name in ("b0", "b1"):
+        resident = make_report(name).resident if name == "b0" else ()
+        view.apply_report(make_report(name, resident=resident), 1.0)
+    view.apply_report(make_report("b1"), 2.0)
+    found = {each.info.name: each.fresh for each in view.list_candidates("sermon", "", (), 2.5)}
+    assert found == {"b0": False, "b1": True}
+    later = view.list_candidates("sermon", "", (), 2.0 + SETTLE_S)
+    assert not any(each.fresh for each in later)
+
+
+def test_server_that_peers_see_alive_but_does_not_answer_here_is_no_choice_until_it_does():
+    view = make_view()
+    for name in ("b0", "b1"):
+        view.apply_report(make_report(name), 1.0)
+    view.record_unanswered("b0", 2.0)
+    view.apply_report(make_report("b0", age_s=0.5), 2.2)
+    assert view.list_cut_off(2.2) == ()
+    view.apply_report(make_report("b0"), 2.5)
+    assert view.list_cut_off(2.5) == ("b0",)
+    assert [each.info.name for each in view.list_candidates("sermon", "", (), 2.5)] == ["b1"]
+    view.record_answered("b0")
+    assert len(view.list_candidates("sermon", "", (), 2.6)) == 2
+
+
+def test_server_that_restarted_is_not_taken_for_cut_off():
+    view = make_view()
+    view.apply_report(make_report("b0"), 1.0)
+    view.record_unanswered("b0", 2.0)
+    view.apply_report(make_report("b0", "boot-2"), 3.0)
+    assert view.list_cut_off(3.0) == ()
--- a/test/test_quarantine.py
+++ b/test/test_quarantine.py
@@ -17,6 +17,7 @@
     release_pending,
     release_solo,
 )
+from rhubarbshed.coordination.trials import PATIENCE_S, SETTLE_S, SoloSettling
 from rhubarbshed.protocol.quarantine import CrashId, QuarantineEntry, merge_entries
 from rhubarbshed.protocol.requests import AttemptEnd, Dispatch, Refusal
 from rhubarbshed.state.quarantine import QuarantineView
@@ -28,6 +29,7 @@
     make_report,
     make_request,
     make_settings,
+    start_alone,
 )
 
 SETTINGS = make_settings().quarantine
@@ -142,12 +144,12 @@
     sent, need = crash_first(desk)
     assert need == SoloNeeded("r0", "f0")
     entry = desk.suspects.view.find_entry("f0")
-    solo = desk.resume_solo("r0", SoloHeld(entry), 2.1)
+    solo = start_alone(desk, "r0", SoloHeld(entry), 2.1)
     assert solo.backend_server != sent.backend_server
     for number in range(1, 40):
-        other = desk.open_request(make_request(number, 2.2), 2.2)
+        other = desk.open_request(make_request(number, 3.3), 3.3)
         assert isinstance(other, Refusal) or other.backend_server != solo.backend_server
-    refused = desk.end_attempt(end(solo, AttemptEnd.CRASHED), 3.0)
+    refused = desk.end_attempt(end(solo, AttemptEnd.CRASHED), 3.5)
     assert (refused.error.status, refused.error.retryable) == (422, False)
     again = desk.open_request(make_request(99, 4.0, fingerprint="f0"), 4.0)
     assert again.error.code == "quarantined"
@@ -156,8 +158,8 @@
 def test_innocent_in_flight_at_a_crash_is_released_by_a_clean_run_alone():
     desk = make_desk()
     _, need = crash_first(desk)
-    solo = desk.resume_solo(need.request_id, SoloHeld(QuarantineEntry("f0")), 2.1)
-    assert desk.end_attempt(end(solo, AttemptEnd.DONE), 3.0) is None
+    solo = start_alone(desk, need.request_id, SoloHeld(QuarantineEntry("f0")), 2.1)
+    assert desk.end_attempt(end(solo, AttemptEnd.DONE), 3.5) is None
     assert isinstance(desk.open_request(make_request(5, 4.0, fingerprint="f0"), 4.0), Dispatch)
 
 
@@ -167,16 +169,75 @@
     tried = [desk.open_request(make_request(n), 0.0) for n in range(10, 40)]
     busy = [sent for sent in tried if isinstance(sent, Dispatch)]
     need = desk.end_attempt(end(first, AttemptEnd.CRASHED), 2.0)
-    refused = desk.resume_solo(need.request_id, SoloHeld(QuarantineEntry("f0")), 2.1)
+    settling = desk.resume_solo(need.request_id, SoloHeld(QuarantineEntry("f0")), 2.1)
+    assert desk.start_solo("r0", 2.1 + PATIENCE_S - 0.1) == settling
+    refused = desk.start_solo("r0", 2.1 + PATIENCE_S)
     assert (refused.error.code, refused.error.retryable) == ("suspect_waits", True)
-    (kept,) = desk.suspects.list_set_aside(2.2)
+    (kept,) = desk.suspects.list_set_aside(7.2)
     for sent in busy:
-        desk.end_attempt(end(sent, AttemptEnd.DONE), 3.0)
-    need = desk.open_request(make_request(50, 4.0, fingerprint="f0"), 4.0)
-    solo = desk.resume_solo(need.request_id, SoloHeld(QuarantineEntry("f0")), 4.0)
+        desk.end_attempt(end(sent, AttemptEnd.DONE), 8.0)
+    need = desk.open_request(make_request(50, 9.0, fingerprint="f0"), 9.0)
+    solo = start_alone(desk, need.request_id, SoloHeld(QuarantineEntry("f0")), 9.0)
     assert solo.backend_server == kept
 
 
+def begin_trial(desk):
+    """Let a request crash one server; return its settling and the server it waits for."""
+    _, need = crash_first(desk)
+    settling = desk.resume_solo(need.request_id, SoloHeld(QuarantineEntry("f0")), 2.1)
+    return settling.backend_server
+
+
+def test_suspect_starts_on_news_only_that_is_younger_than_its_mark():
+    """A copy sent elsewhere before the mark was told may still crash the chosen server."""
+    desk = make_desk()
+    name = begin_trial(desk)
+    desk.apply_report(make_report(name), 2.2)
+    assert isinstance(desk.start_solo("r0", 2.1 + SETTLE_S), SoloSettling)
+    desk.apply_report(make_report(name, running=1), 3.2)
+    assert isinstance(desk.start_solo("r0", 3.2), SoloSettling)
+    desk.apply_report(make_report(name), 3.4)
+    assert desk.start_solo("r0", 3.4).backend_server == name
+
+
+def test_suspect_is_not_blamed_for_a_crash_before_its_run():
+    desk = make_desk()
+    name = begin_trial(desk)
+    desk.apply_report(make_report(name, "boot-2"), 3.2)
+    refused = desk.start_solo("r0", 3.3)
+    assert (refused.error.code, refused.error.status) == ("suspect_waits", 503)
+    assert not desk.suspects.is_refused("f0")
+    assert not desk.suspects.list_set_aside(3.3)
+
+
+def test_suspect_that_waits_is_refused_once_a_second_crash_is_told():
+    desk = make_desk()
+    name = begin_trial(desk)
+    told = CrashId("b9", "boot-1")
+    desk.suspects.view.record_crash("f0", told, False, 2.5)
+    refused = desk.start_solo("r0", 2.6)
+    assert refused.error.status == 422
+    assert name not in desk.suspects.list_set_aside(2.6)
+
+
+def test_caller_that_leaves_frees_the_server_kept_for_its_suspect():
+    desk = make_desk()
+    begin_trial(desk)
+    desk.cancel("r0", 2.5)
+    assert desk.start_solo("r0", 2.6) is None
+    assert not desk.suspects.list_set_aside(2.6)
+
+
+def test_one_suspect_at_a_time_takes_a_server_of_a_pair():
+    desk = make_desk(servers=2)
+    begin_trial(desk)
+    desk.suspects.view.record_crash("f7", CrashId("b8", "x"), False, 3.0)
+    need = desk.open_request(make_request(7, 3.0), 3.0)
+    assert isinstance(need, SoloNeeded)
+    refused = desk.resume_solo("r7", SoloHeld(QuarantineEntry("f7")), 3.0)
+    assert refused.error.code == "suspect_waits"
+
+
 def test_late_word_of_an_old_crash_does_not_touch_what_runs_now():
     desk = make_desk(servers=1)
     desk.apply_report(make_report("b0", "boot-2"), 1.0)
@@ -263,11 +324,25 @@
             self.decide(now, index, request, again)
             if isinstance(answer, SoloHeld):
                 self.at(now + 1.5, self.release, index, request.fingerprint, write_id)
+        elif isinstance(decision, SoloSettling):
+            self.at(now + 0.25, self.start_solo, index, request, decision.backend_server)
         elif isinstance(decision, Dispatch):
             self.at(now + 0.005, self.arrive, index, request, decision)
         elif isinstance(decision, Refusal) and request.fingerprint != POISON:
             self.refused_innocents += decision.error.status == 422
 
+    def start_solo(self, now, index, request, name):
+        if self.up_at.get(name, 0.0) <= now:
+            running = sum(
+                sent.backend_server == name
+                for desk in self.desks
+                for item in desk.list_open()
+                for sent in item.dispatches.values()
+            )
+            report = make_report(name, f"boot-{self.boot(name)}", running=running)
+            self.desks[index].apply_report(report, now)
+        self.decide(now, index, request, self.desks[index].start_solo(request.request_id, now))
+
     def release(self, now, index, fingerprint, write_id):
         if not self.desks[index].may_release_solo(fingerprint):
             self.at(now + 1.0, self.release, index, fingerprint, write_id)
--- a/test/test_routing.py
+++ b/test/test_routing.py
@@ -87,6 +87,18 @@
         assert route.candidate.info.name == max(pair)
 
 
+def test_instances_that_heard_of_different_copies_choose_the_same_pair():
+    """A crashing request sent at once through both would else cost a third server."""
+    known = [make_candidate(name) for name in ("b0", "b1", "b2")]
+    for number in range(50):
+        request = make_request(number)
+        pair = {found.info.name for found in find_pair(request, known)}
+        new = [make_candidate(name, fresh=True) for name in ("b3", "b4")]
+        for heard in (new[:1], new[1:], new):
+            assert {found.info.name for found in find_pair(request, known + heard)} == pair
+        assert len(find_pair(request, new)) == 1
+
+
 def count_choices(choose, instances: int = 15, requests: int = 8) -> Counter:
     """Count where instances send requests while all have the same old report."""
     candidates = [
