Use a new copy once the known one lacks the model; doubt what is known after a stall

Ruled out: a holder held for lost, marks of suspects (neither was logged).

Change: a server that answered 404 to a request is left out of its pair; a fresh copy completes a pair that has no usable settled server. Besides: a process that stood still for over 2 s waits half a second for its peers' news before it sends anything, since copies of a waiting request may have crashed servers meanwhile.

--- a/rhubarbshed/coordination/desk.py
+++ b/rhubarbshed/coordination/desk.py
@@ -34,6 +34,7 @@
 from rhubarbshed.protocol.services import ServiceReport
 from rhubarbshed.state.attempts import OpenRequest, OpenRequests, Trial
 from rhubarbshed.state.load import Candidate, LoadView
+from rhubarbshed.state.stall import Stall
 from rhubarbshed.util.settings import RoutingSettings, Settings
 
 log = logging.getLogger(__name__)
@@ -43,6 +44,7 @@
 SOLO_WAIT_S = 2.0
 # Least time that an attempt is reckoned to hold a slot; shorter ones were refused at once.
 HOLD_MIN_S = 0.001
+NOT_FOUND = 404
 CONFLICT = 409
 SERVER_ERROR = 500
 UNAVAILABLE = 503
@@ -76,6 +78,7 @@
     drain: Drain
     randomness: random.Random
     open: OpenRequests = field(factory=OpenRequests)
+    stall: Stall = field(factory=Stall)
 
     @classmethod
     def from_settings(
@@ -139,7 +142,7 @@
         if refusal is not None:
             return refusal
         boot_id = self.load.find_boot_id(item.trial.backend_server)
-        step, found = judge_trial(item.trial, self._find_pair(item.request, now), boot_id, now)
+        step, found = judge_trial(item.trial, self._find_pair(item, now), boot_id, now)
         if step is TrialStep.WAIT:
             return SoloSettling(request_id, item.trial.backend_server)
         if step is TrialStep.START:
@@ -166,7 +169,7 @@
         fingerprint = item.request.fingerprint
         others = self.suspects.list_set_aside(now)
         others -= self.suspects.list_set_aside_for(fingerprint, now)
-        found = choose_trial(self._find_pair(item.request, now), others)
+        found = choose_trial(self._find_pair(item, now), others)
         if found is None:
             return self._refuse_without_server(item, now)
         name = found.info.name
@@ -260,7 +263,8 @@
         self.load.apply_report(report, now)
 
     def tick(self, now: float) -> None:
-        """Forget what is old; to be called about once a second."""
+        """Forget what is old; to be called about once a second, or it counts as a stall."""
+        self.stall.note_turn(now)
         self.suspects.forget_old(now)
 
     def compute_pause(self, attempt: int) -> float:
@@ -296,7 +300,7 @@
         """Choose a server; copies of one fingerprint go where the first one runs."""
         request = item.request
         place = self._place()
-        pair = self._find_pair(request, now)
+        pair = self._find_pair(item, now)
         avoided = self.suspects.list_set_aside(now) | extra
         copy_server = self.open.find_server_of(request.fingerprint)
         same = [found for found in pair if found.info.name == copy_server]
@@ -308,8 +312,11 @@
             return route
         return choose_route(request, pair, *place, self.randomness, avoided)
 
-    def _find_pair(self, request: Request, now: float) -> list[Candidate]:
-        return find_pair(request, self.lookup.list_candidates(request, self.load, now))
+    def _find_pair(self, item: OpenRequest, now: float) -> list[Candidate]:
+        """Find the two servers for a request, those that lack its model left out."""
+        found = self.lookup.list_candidates(item.request, self.load, now)
+        holders = (each for each in found if each.info.name not in item.servers_without)
+        return find_pair(item.request, holders)
 
     def _place(self) -> tuple[str, RoutingSettings]:
         return self.settings.instance.data_centre, self.settings.routing
@@ -380,6 +387,8 @@
         item.tokens = max(item.tokens, sent.resume_offset + result.tokens)
         if has_failed:
             item.failed_servers.add(sent.backend_server)
+        if result.end is AttemptEnd.REFUSED and result.status == NOT_FOUND:
+            item.servers_without.add(sent.backend_server)
         if result.end in (AttemptEnd.CALLER_GONE, AttemptEnd.TIMED_OUT):
             self._record_departure(item, sent, now)
         if result.end in (AttemptEnd.BROKEN, AttemptEnd.CRASHED):
--- a/rhubarbshed/coordination/routing.py
+++ b/rhubarbshed/coordination/routing.py
@@ -128,8 +128,10 @@
     """
     key = request.fingerprint or request.request_id
     ranked = rank_by_key(key, candidates)
-    settled = [found for found in ranked if not found.fresh]
-    return settled[:CHOICES] or ranked[:1]
+    pair = [found for found in ranked if not found.fresh][:CHOICES]
+    if len(pair) < CHOICES and all(found.lost for found in pair):
+        pair += [found for found in ranked if found.fresh and not found.lost][:1]
+    return pair
 
 
 def choose_route(
--- a/rhubarbshed/transport/gateway.py
+++ b/rhubarbshed/transport/gateway.py
@@ -44,6 +44,7 @@
 RETRY_AFTER_CLAIM_S = 2.0
 RELEASE_POLL_S = 0.5
 SOLO_POLL_S = 0.25
+CATCH_UP_POLL_S = 0.1
 # Longest time that an answer waits for the table to take its end.
 SETTLE_WAIT_S = 0.25
 CODES_LACK_OF_ROOM = ("not_resident", "servers_busy", "too_late", "model_full")
@@ -131,6 +132,7 @@
             if not isinstance(held, ClaimHeld):
                 return await self._finish(call, held)
             self.claims[request.request_id] = held.ask
+        await self._catch_up()
         decision = self.desk.open_request(request, time.monotonic())
         return await self._finish(call, await self._resolve_solo(decision))
 
@@ -143,12 +145,21 @@
             await self.check_server(result.backend_server)
         if call.request.model and result.tokens:
             self.demand.record_tokens(call.request.model, result.tokens, time.monotonic())
+        await self._catch_up()
         decision = self.desk.end_attempt(result, time.monotonic())
         decision = await self._resolve_solo(decision)
         if isinstance(decision, Dispatch):
             await asyncio.sleep(self.desk.compute_pause(decision.attempt))
         return await self._finish(call, decision, answer, result)
 
+    async def _catch_up(self) -> None:
+        """Wait for the peers' news after this process stood still, before sending anything.
+
+        Copies of the request may have crashed backend servers meanwhile.
+        """
+        while self.desk.stall.is_catching_up(time.monotonic()):
+            await asyncio.sleep(CATCH_UP_POLL_S)
+
     def _count_demand(self, model: str, decision: Refusal | WholeAnswer | None) -> None:
         """Count what placement follows: requests, and refusals for lack of room."""
         if not model or self.catalogue.get_model(model) is None:
@@ -188,6 +199,7 @@
         following = self.desk.resume_solo(decision.request_id, answer, time.monotonic())
         while isinstance(following, SoloSettling):
             await asyncio.sleep(SOLO_POLL_S)
+            await self._catch_up()
             await self.check_server(following.backend_server)
             following = self.desk.start_solo(decision.request_id, time.monotonic())
         run = SoloRun(decision.fingerprint, holder.write_id)
--- a/test/test_desk.py
+++ b/test/test_desk.py
@@ -172,6 +172,30 @@
     assert isinstance(desk.open_request(make_request(1, fingerprint="f0"), 3.0), Dispatch)
 
 
+def test_copy_just_heard_of_is_used_once_the_known_one_is_gone():
+    """A move loads the new copy and unloads the old one before all reports tell so."""
+    desk = make_desk(servers=2)
+    desk.apply_report(make_report("b1", resident=()), 1.0)
+    desk.apply_report(make_report("b1"), 2.0)
+    sent = desk.open_request(make_request(0, now=2.5), 2.5)
+    assert sent.backend_server == "b0"
+    again = desk.end_attempt(end(sent, AttemptEnd.REFUSED, status=404), 2.6)
+    assert again.backend_server == "b1"
+
+
+def test_instance_that_stood_still_doubts_what_it_knows_until_it_has_heard_the_news():
+    """It held requests whose copies had crashed servers meanwhile."""
+    desk = make_desk()
+    for now in (0.0, 1.0, 2.9):
+        desk.tick(now)
+        assert not desk.stall.is_catching_up(now)
+    assert desk.stall.is_catching_up(9.0)
+    desk.tick(9.1)
+    assert desk.stall.is_catching_up(9.4)
+    desk.tick(10.0)
+    assert not desk.stall.is_catching_up(10.0)
+
+
 def test_duplicate_end_of_an_attempt_changes_nothing():
     desk = make_desk()
     sent = desk.open_request(make_request(), 0.0)
--- a/test/test_routing.py
+++ b/test/test_routing.py
@@ -97,6 +97,8 @@
         for heard in (new[:1], new[1:], new):
             assert {found.info.name for found in find_pair(request, known + heard)} == pair
         assert len(find_pair(request, new)) == 1
+        lost = [evolve(known[0], lost=True), evolve(known[1], lost=True, fresh=True)]
+        assert len([found for found in find_pair(request, lost + new) if found.fresh]) == 1
 
 
 def count_choices(choose, instances: int = 15, requests: int = 8) -> Counter:
