--- a/test/fuzz/test_mutations.py
+++ b/test/fuzz/test_mutations.py
@@ -7,7 +7,7 @@
 from attrs import frozen
 from returns.result import Success
 
-from rhubarbshed.coordination import desk, placement, tickets
+from rhubarbshed.coordination import desk, loads, placement, tickets
 from rhubarbshed.coordination.drain import Drain, DrainPhase
 from rhubarbshed.protocol.members import Standing
 from rhubarbshed.state import load
@@ -56,6 +56,7 @@
 MUTATIONS = (
     Mutation(1, "freed early", Ledger, "memory_bytes", property(count_early), "agreed", 15, 120),
     Mutation(2, "no plan loads", placement, "reach_models", do_nothing, "agreed", 4, 120),
+    Mutation(2, "unloads free", loads, "check_unload", answer(Success(None)), "agreed", 4, 120),
     Mutation(3, "ids unchecked", cluster, "_is_answer_to", answer(True), "requests", 4, 120),
     Mutation(4, "runs forgotten", desk, "may_have_run", answer(False), "requests", 4, 120),
     Mutation(5, "retries unchecked", desk, "may_send_again", answer(True), "requests", 4, 120),
