Name the check of a ticket's room and the reserved power for what they are

Cause: coordination/floor.py, coordination/floors.py and state/floors.py read alike and held three things. floors.py of coordination is feasibility.py now (whether the floor can hold a catalogue), that of state is power.py (power that each server has reserved); floor.py is placement's working copy, as before.

--- a/rhubarbshed/coordination/budgets.py
+++ b/rhubarbshed/coordination/budgets.py
@@ -13,7 +13,6 @@
 from rhubarbshed.protocol.members import BackendServerInfo
 from rhubarbshed.protocol.tables import Write
 from rhubarbshed.state.catalogue import decode_object, make_object_key
-from rhubarbshed.state.floors import decode_floor, make_floor_key, set_power
 from rhubarbshed.state.leases import Holder
 from rhubarbshed.state.ledger import (
     Entry,
@@ -30,6 +29,7 @@
     settle_load,
     settle_unload,
 )
+from rhubarbshed.state.power import decode_floor, make_floor_key, set_power
 from rhubarbshed.state.weights import (
     WEIGHTS_KEY,
     WeightGate,
--- a/rhubarbshed/coordination/tickets.py
+++ b/rhubarbshed/coordination/tickets.py
@@ -6,7 +6,7 @@
 import xxhash
 from returns.result import Failure, Result, Success
 
-from rhubarbshed.coordination.floors import check_floor
+from rhubarbshed.coordination.feasibility import check_floor
 from rhubarbshed.coordination.transactions import Proposal, Rows, TableAccess, transact
 from rhubarbshed.protocol.catalogue import (
     Adapter,
--- a/test/test_loads.py
+++ b/test/test_loads.py
@@ -12,7 +12,6 @@
 from rhubarbshed.protocol.orders import OrderFault, OrderKind
 from rhubarbshed.protocol.tables import Row
 from rhubarbshed.state.catalogue import encode_object, make_object_key
-from rhubarbshed.state.floors import decode_floor
 from rhubarbshed.state.leases import Holder
 from rhubarbshed.state.ledger import (
     Copies,
@@ -22,6 +21,7 @@
     encode_ledger,
 )
 from rhubarbshed.state.moves import ORDER_LIFETIME_S
+from rhubarbshed.state.power import decode_floor
 from rhubarbshed.state.weights import decode_use
 from test.helper_agreed import (
     MEMORY_BYTES,
--- a/test/test_rows.py
+++ b/test/test_rows.py
@@ -21,9 +21,9 @@
 from rhubarbshed.protocol.quarantine import QuarantineEntry
 from rhubarbshed.protocol.tables import Row
 from rhubarbshed.state.catalogue import Catalogue, decode_object
-from rhubarbshed.state.floors import FloorUse, ServerPower, decode_floor
 from rhubarbshed.state.leases import Holder, Session
 from rhubarbshed.state.ledger import Ledger, LedgerFault, decode_ledger, encode_ledger
+from rhubarbshed.state.power import FloorUse, ServerPower, decode_floor
 from rhubarbshed.state.snapshots import Snapshot, decode_snapshot, encode_snapshot
 from rhubarbshed.state.weights import Slot, WeightUse, decode_use
 from test.helper_agreed import RENEWAL_S, TERM_S, Instance, World, complete, make_spec
