Tell changes of demand in place of whole reports

Cause: each instance told its 50 busiest models to all 61 peers of the data centre each 5 s, with rates as floats of 9 bytes. CAPACITY.md had this worked out at 12 KB/s; encoded and counted in both directions it is 46 to 47 KB/s at full size, over the limit of 21 KB/s for everything.

Ruled out: only a share of change (a quarter) as the threshold: at 15 requests/s over 860 models nearly every request changes a rate by more, 13 KB/s with all models alike. Two deviations in both directions: a tenfold rise was seen after 50 to 55 s in place of 40 s.

Change: DemandUpdate carries at most 8 changes a beat, the largest first, in units of what chance explains, with rates as levels 10% apart; the whole of it each two windows, and to new peers of the data centre. The kind is appended, so older instances pass it over.

The models beyond the 50 busiest of an instance are told no more than before unless their rate rises.

--- a/rhubarbshed/coordination/dissemination.py
+++ b/rhubarbshed/coordination/dissemination.py
@@ -14,6 +14,7 @@
 from rhubarbshed.protocol.peers import (
     CatalogueHint,
     DemandDigest,
+    DemandUpdate,
     Frame,
     LeavingNotice,
     LeavingSubject,
@@ -31,7 +32,7 @@
 CALLED_AFTER_SILENCES = 1.0
 """Silences waited for a lower-named peer's connection before connecting oneself."""
 TALKED_TO = (Standing.LIVE, Standing.LEAVING, Standing.SUSPECTED)
-DIGESTS = (LoadDigest, DemandDigest, ServiceDigest)
+DIGESTS = (LoadDigest, DemandDigest, DemandUpdate, ServiceDigest)
 URGENT = (CatalogueHint, LeavingNotice, QuarantineNotice)
 
 
--- a/rhubarbshed/protocol/peers.py
+++ b/rhubarbshed/protocol/peers.py
@@ -169,6 +169,29 @@
     remote: bool = False
 
 
+@frozen
+class DemandEntry:
+    """Hold the demand for one model as levels of rates; all zero: no demand any more."""
+
+    model: str
+    arrivals: int = 0
+    tokens: int = 0
+    refusals: int = 0
+
+
+@frozen
+class DemandUpdate:
+    """Carry what changed in a demand, or a `whole` one, which replaces all that was told.
+
+    `remote` marks the sum of a data centre.
+    """
+
+    instance: str
+    entries: tuple[DemandEntry, ...] = ()
+    whole: bool = False
+    remote: bool = False
+
+
 @frozen
 class QuarantineNotice:
     """Carry suspicions and refusals of request fingerprints, and servers set aside for them."""
@@ -213,6 +236,7 @@
     | ServiceDigest
     | ListRequest
     | ListAnswer
+    | DemandUpdate
 )
 FRAME_KINDS: tuple[type, ...] = (
     Challenge,
@@ -230,6 +254,7 @@
     ListRequest,
     ListAnswer,
     ServiceDigest,
+    DemandUpdate,
 )
 """Kinds by their number on the wire; append only."""
 KIND_NUMBERS = {kind: number for number, kind in enumerate(FRAME_KINDS)}
--- a/rhubarbshed/state/demand.py
+++ b/rhubarbshed/state/demand.py
@@ -4,6 +4,7 @@
 
 from attrs import Factory, define
 
+from rhubarbshed.protocol.peers import DemandEntry, DemandUpdate
 from rhubarbshed.protocol.placement import DemandReport, ModelDemand
 from rhubarbshed.util.settings import PlacementSettings
 
@@ -19,6 +20,31 @@
 MODELS_TOLD_MAX = 50
 """Models that a digest carries, the busiest ones."""
 
+CHANGES_MAX = 8
+"""Most changes in one update; the others wait for the next."""
+
+WHOLE_WINDOWS = 2.0
+"""Time between two whole updates, in fast windows."""
+
+QUIET_WINDOWS = 0.5
+"""Longest time without an update, in fast windows; well below the age of reports."""
+
+CHANGE_SHARE = 0.25
+"""Change of a rate that is told, as a part of the rate told before."""
+
+CHANGE_EVENTS = 1.5
+"""Least change of a rate that is told, in events in a fast window."""
+
+RISE_DEVIATIONS = 1.0
+FALL_DEVIATIONS = 2.0
+"""Change that is told, in deviations of a count of random events in a fast window."""
+
+LEVEL_STEP = 1.1
+"""Ratio of the rates of two levels that follow each other."""
+
+LEVEL_MAX = 255
+"""Highest level, whose rate is above a million events per second."""
+
 DATA_CENTRE_PREFIX = "data-centre/"
 """Marks figures summed over a data centre in place of an instance's own."""
 
@@ -139,6 +165,18 @@
         if report.instance != self.instance:
             self.remote[report.instance] = RemoteReport(report, now)
 
+    def apply_update(self, update: DemandUpdate, now: float) -> None:
+        """Take an update of another instance; one that is not whole leaves other models alone."""
+        known = self.remote.get(update.instance)
+        if known is None or update.whole:
+            models = {}
+        else:
+            models = {figure.model: figure for figure in known.report.models}
+        for entry in update.entries:
+            models[entry.model] = _read_entry(entry)
+        busy = tuple(figure for figure in models.values() if _is_busy(figure))
+        self.merge(DemandReport(update.instance, busy), now)
+
     def summarize(self, now: float) -> tuple[ModelDemand, ...]:
         """Return the demand over all instances, by model name; old reports are dropped."""
         age_max_s = self.window_s * REPORT_AGE_WINDOWS
@@ -166,8 +204,11 @@
 
 
 def _keep_busiest(report: DemandReport) -> DemandReport:
-    ranked = sorted(report.models, key=lambda figure: (-figure.arrivals_per_s, figure.model))
-    return DemandReport(report.instance, tuple(ranked[:MODELS_TOLD_MAX]))
+    return DemandReport(report.instance, tuple(_rank(report)[:MODELS_TOLD_MAX]))
+
+
+def _rank(report: DemandReport) -> list[ModelDemand]:
+    return sorted(report.models, key=lambda figure: (-figure.arrivals_per_s, figure.model))
 
 
 def _is_busy(figure: ModelDemand) -> bool:
@@ -183,3 +224,91 @@
         one.tokens_per_s + other.tokens_per_s,
         one.refusals_per_s + other.refusals_per_s,
     )
+
+
+@define
+class DemandOutbox:
+    """Remember what peers were told of the own demand, so that only changes are told.
+
+    A whole update now and then repairs those that were lost.
+    """
+
+    window_s: float
+    told: dict[str, ModelDemand] = Factory(dict)
+    told_at: float = float("-inf")
+    whole_at: float = float("-inf")
+
+    def collect(self, report: DemandReport, now: float) -> DemandUpdate | None:
+        """Return the update that is due, or None."""
+        if now - self.whole_at >= self.window_s * WHOLE_WINDOWS:
+            self.whole_at = self.told_at = now
+            busiest = _keep_busiest(report)
+            self.told = {figure.model: figure for figure in busiest.models}
+            return make_whole_update(busiest)
+        changes = self._list_changes(report)
+        if not changes and now - self.told_at < self.window_s * QUIET_WINDOWS:
+            return None
+        self.told_at = now
+        for figure in changes:
+            self._note_told(figure)
+        return DemandUpdate(report.instance, tuple(_make_entry(figure) for figure in changes))
+
+    def _list_changes(self, report: DemandReport) -> tuple[ModelDemand, ...]:
+        """List the largest changes among the busiest models and those told before."""
+        figures = {figure.model: figure for figure in report.models}
+        names = {figure.model for figure in _keep_busiest(report).models} | set(self.told)
+        candidates = [figures.get(name, ModelDemand(name)) for name in sorted(names)]
+        sizes = [(self._measure_change(figure), figure) for figure in candidates]
+        changed = [(size, figure) for size, figure in sizes if size > 1.0]
+        changed.sort(key=lambda pair: pair[0], reverse=True)
+        return tuple(figure for _, figure in changed[:CHANGES_MAX])
+
+    def _measure_change(self, figure: ModelDemand) -> float:
+        """Return the change since a model was told, in the least changes that are told."""
+        told = self.told.get(figure.model, ModelDemand(figure.model))
+        return max(
+            self._compare(told.arrivals_per_s, figure.arrivals_per_s),
+            self._compare(told.refusals_per_s, figure.refusals_per_s),
+        )
+
+    def _compare(self, told: float, rate: float) -> float:
+        deviations = RISE_DEVIATIONS if rate > told else FALL_DEVIATIONS
+        noise = deviations * math.sqrt(told / self.window_s)
+        least = max(CHANGE_SHARE * told, noise, CHANGE_EVENTS / self.window_s)
+        return abs(rate - told) / least
+
+    def _note_told(self, figure: ModelDemand) -> None:
+        if _is_busy(figure):
+            self.told[figure.model] = figure
+        else:
+            self.told.pop(figure.model, None)
+
+
+def make_whole_update(report: DemandReport, remote: bool = False) -> DemandUpdate:
+    """Make an update that replaces whatever was told before."""
+    entries = tuple(_make_entry(figure) for figure in report.models)
+    return DemandUpdate(report.instance, entries, whole=True, remote=remote)
+
+
+def encode_rate(rate: float) -> int:
+    """Return the level nearest to a rate in events per second; level 0 is no rate."""
+    if rate < RATE_MIN_PER_S:
+        return 0
+    return min(LEVEL_MAX, 1 + round(math.log(rate / RATE_MIN_PER_S, LEVEL_STEP)))
+
+
+def decode_rate(level: int) -> float:
+    """Return the rate of a level, in events per second; a level out of bounds is the nearest."""
+    if level <= 0:
+        return 0.0
+    return RATE_MIN_PER_S * LEVEL_STEP ** (min(level, LEVEL_MAX) - 1)
+
+
+def _make_entry(figure: ModelDemand) -> DemandEntry:
+    rates = (figure.arrivals_per_s, figure.tokens_per_s, figure.refusals_per_s)
+    return DemandEntry(figure.model, *(encode_rate(rate) for rate in rates))
+
+
+def _read_entry(entry: DemandEntry) -> ModelDemand:
+    levels = (entry.arrivals, entry.tokens, entry.refusals)
+    return ModelDemand(entry.model, *(decode_rate(level) for level in levels))
--- a/rhubarbshed/transport/exchange.py
+++ b/rhubarbshed/transport/exchange.py
@@ -13,6 +13,7 @@
     CatalogueObjects,
     CatalogueRequest,
     DemandDigest,
+    DemandUpdate,
     Frame,
     Heartbeat,
     LeavingNotice,
@@ -25,6 +26,7 @@
     ServiceDigest,
 )
 from rhubarbshed.protocol.quarantine import QuarantineEntry
+from rhubarbshed.state.demand import DemandOutbox, make_whole_update
 from rhubarbshed.state.digests import LoadInbox, LoadOutbox
 from rhubarbshed.util.logs import log_event
 
@@ -55,6 +57,7 @@
     hinted_at: float = 0.0
     pulled_revision: int = 0
     pulled_at: float = 0.0
+    demand_outbox: DemandOutbox | None = None
     demand_at: float = 0.0
     services_remote_at: float = 0.0
     demand_remote_at: float = 0.0
@@ -79,7 +82,15 @@
     entries = runtime.desk.suspects.view.list_news(now)
     load = LoadOutbox().make_digest(tuple(_list_own_reports(runtime, now)), now)
     asks = (ListRequest(),) if runtime.membership.last_list is None else ()
-    return (QuarantineNotice(entries), load, *asks)
+    return (QuarantineNotice(entries), load, *_greet_with_demand(runtime, peer, now), *asks)
+
+
+def _greet_with_demand(runtime, peer: str, now: float) -> tuple[DemandUpdate, ...]:
+    """Tell the own demand within the data centre; others get the sum from the delegates."""
+    known = runtime.membership.instances.get(peer)
+    if known is None or known.info.data_centre != runtime.settings.instance.data_centre:
+        return ()
+    return (make_whole_update(runtime.demand.report_busiest(now)),)
 
 
 def collect_digests(runtime, now: float) -> tuple[Frame, ...]:
@@ -110,19 +121,22 @@
     return ServiceDigest(reports), ServiceDigest(reports, remote=True)
 
 
-def _collect_demand(runtime, now: float) -> tuple[DemandDigest, ...]:
-    """Collect the own demand, and as a delegate the sum of the data centre for others."""
+def _collect_demand(runtime, now: float) -> tuple[DemandUpdate, ...]:
+    """Collect changes of the own demand, and as a delegate the sum for other data centres."""
     exchange = runtime.exchange
     frames = []
     if now - exchange.demand_at >= DEMAND_INTERVAL_S:
         exchange.demand_at = now
-        frames.append(DemandDigest(runtime.demand.report_busiest(now)))
+        if exchange.demand_outbox is None:
+            exchange.demand_outbox = DemandOutbox(runtime.demand.window_s)
+        update = exchange.demand_outbox.collect(runtime.demand.report(now), now)
+        frames += [update] if update is not None else []
     due = now - exchange.demand_remote_at >= DEMAND_REMOTE_INTERVAL_S
     if due and runtime.network.topology.is_delegate:
         exchange.demand_remote_at = now
         data_centre = runtime.settings.instance.data_centre
         summed = runtime.demand.report_data_centre(data_centre, now)
-        frames.append(DemandDigest(summed, remote=True))
+        frames.append(make_whole_update(summed, remote=True))
     return tuple(frames)
 
 
@@ -197,6 +211,8 @@
         case ServiceDigest():
             for report in frame.reports:
                 runtime.desk.apply_report(report, now)
+        case DemandUpdate():
+            runtime.demand.apply_update(frame, now)
         case DemandDigest():
             runtime.demand.merge(frame.report, now)
         case _:
--- a/rhubarbshed/transport/peers.py
+++ b/rhubarbshed/transport/peers.py
@@ -22,6 +22,7 @@
 from rhubarbshed.protocol.peers import (
     CatalogueHint,
     DemandDigest,
+    DemandUpdate,
     Envelope,
     Frame,
     Heartbeat,
@@ -54,7 +55,7 @@
 """Part of a heartbeat's interval after which the next may go, so that jitter skips none."""
 HANDSHAKES_MAX = 64
 """Connections accepted but not proven yet; more are closed at once."""
-REPLACEABLE = (Heartbeat, LoadDigest, DemandDigest, ServiceDigest)
+REPLACEABLE = (Heartbeat, LoadDigest, DemandDigest, DemandUpdate, ServiceDigest)
 """Frames that a newer one makes useless, dropped first for a peer that takes nothing."""
 NOTICES = (CatalogueHint, LeavingNotice, QuarantineNotice)
 
