Remove old sessions, settled claims and quarantines from the table

Cause: nothing removed sessions of instances long gone, settled claims and quarantines past their time, so the table grew with each keyed request.

Ruled out: a time in each row (compares wall clocks); watching rows by one's own clock (starts anew with each restart, memory for every row); each instance removing its own (those that are gone can't).

Settings [retention] claim_s, session_s, interval_s, rows_max.

A step costs 2 scans, with rows due 1 read and 1 write more.

Conclusion: done for what is settled. A claim of an instance that died stays until its caller asks again. With very many claims one scan of 1/256 of them is too large; the table's scan has no bound.

--- a/rhubarbshed/coordination/membership.py
+++ b/rhubarbshed/coordination/membership.py
@@ -94,6 +94,19 @@
     return judge_standing(known, membership.limits, now)
 
 
+def may_return(membership: Membership, name: str, now: float) -> bool:
+    """Tell whether an instance may yet be needed: listed, or not gone by its own evidence.
+
+    While no list is known, none is ruled out.
+    """
+    listed = membership.last_list
+    if listed is None or any(one.info.name == name for one in listed.instances):
+        return True
+    if name not in membership.instances:
+        return False
+    return get_standing(membership, name, now) is not Standing.GONE
+
+
 def list_instances(
     membership: Membership, now: float, *standings: Standing, data_centre: str = ""
 ) -> tuple[InstanceInfo, ...]:
--- /dev/null
+++ b/rhubarbshed/coordination/retention.py
@@ -0,0 +1,154 @@
+"""Removal of rows that nothing needs any more: old sessions, claims and quarantines.
+
+The age of a row is told without comparing clocks. The instance that does this notes the table's
+revision in a row of its own, at least an interval after it first saw that row unchanged. What was
+last written before a mark is as old as the marks after it show. Each removal is a transaction that
+checks the rows it removes, so one that was written meanwhile stays.
+"""
+
+from collections.abc import Callable
+
+from attrs import frozen
+from returns.result import Failure, Result, Success
+
+from rhubarbshed.coordination.claims import ROW_PREFIX as CLAIM_PREFIX
+from rhubarbshed.coordination.claims import read_claim
+from rhubarbshed.coordination.ownership import SESSION_PREFIX, decode_session
+from rhubarbshed.coordination.quarantine import ROW_PREFIX as QUARANTINE_PREFIX
+from rhubarbshed.coordination.quarantine import read_solo_row
+from rhubarbshed.coordination.transactions import Proposal, Rows, TableAccess, transact
+from rhubarbshed.protocol.claims import ClaimState
+from rhubarbshed.protocol.codec import from_stored, to_plain
+from rhubarbshed.protocol.tables import Row, TableError, Write
+from rhubarbshed.state.retention import Retention, RetentionMarks
+from rhubarbshed.util.settings import QuarantineSettings, RetentionSettings
+
+MARKS_KEY = "retention/marks"
+CLAIM_PARTS = 256
+"""Parts in which claims are looked at, by the first digits of their keys; one scan shows one."""
+PARTS = CLAIM_PARTS + 2
+READS_GAP_MAX_S = 60.0
+"""Longest time between two reads of the marks for which they count as watched."""
+
+IsDue = Callable[[Row], bool]
+
+
+@frozen
+class Part:
+    """Name the rows looked at together, how long they are kept, and which may go."""
+
+    prefix: str
+    keep_s: float
+    is_over: IsDue
+
+
+def choose_part(
+    number: int,
+    settings: RetentionSettings,
+    quarantine: QuarantineSettings,
+    is_needed: Callable[[str], bool],
+) -> Part:
+    """Choose what is looked at in a step; `is_needed` tells whether an instance may yet return."""
+    if number == CLAIM_PARTS:
+        return Part(SESSION_PREFIX, settings.session_s, lambda row: _is_past(row, is_needed))
+    if number == CLAIM_PARTS + 1:
+        return Part(QUARANTINE_PREFIX, quarantine.memory_s, _is_free)
+    return Part(f"{CLAIM_PREFIX}{number:02x}", settings.claim_s, _is_settled)
+
+
+def _is_past(row: Row, is_needed: Callable[[str], bool]) -> bool:
+    session = decode_session(row).value_or(None)
+    return session is not None and not is_needed(session.holder.instance)
+
+
+def _is_settled(row: Row) -> bool:
+    """Tell whether a claim has ended; one that cannot be read reads as unknown, and stays."""
+    claim = read_claim(row)
+    return claim is not None and bool(claim.digest) and claim.state is not ClaimState.CLAIMED
+
+
+def _is_free(row: Row) -> bool:
+    solo = read_solo_row(row, row.key.removeprefix(QUARANTINE_PREFIX))
+    return solo is not None and not solo.instance
+
+
+async def watch_marks(
+    access: TableAccess, retention: Retention, clock: Callable[[], float]
+) -> Result[RetentionMarks, TableError]:
+    """Read the marks and add one when due; costs one scan, and a read and a write an interval."""
+    scan = await access.runner(access.table.scan, MARKS_KEY, 0)
+    if isinstance(scan, Failure):
+        return scan
+    row = next((row for row in scan.unwrap().rows if row.key == MARKS_KEY), Row(MARKS_KEY, 0))
+    now = clock()
+    retention.observe(row.version, now, READS_GAP_MAX_S)
+    if not retention.is_mark_due(now):
+        return Success(decode_marks(row))
+    revision, seen = scan.unwrap().revision, row.version
+
+    def plan(rows: Rows) -> Result[Proposal, TableError]:
+        present = rows.get(MARKS_KEY)
+        marks = decode_marks(present)
+        if present.version != seen:
+            return Success(Proposal(marks))
+        added = marks.add(revision)
+        return Success(Proposal(added, (Write(MARKS_KEY, to_plain(added)),)))
+
+    return await transact(access, (MARKS_KEY,), plan)
+
+
+def decode_marks(row: Row) -> RetentionMarks:
+    """Return the marks of a row; none where there are none or they cannot be read."""
+    if row.value is None:
+        return RetentionMarks()
+    return from_stored(row.value, RetentionMarks).value_or(RetentionMarks())
+
+
+async def remove_rows(
+    access: TableAccess, part: Part, limit: int, rows_max: int
+) -> Result[int, TableError]:
+    """Remove some rows of a part last written at or before a revision; return how many.
+
+    Costs one scan, and one read and one write where there is anything to remove.
+    """
+    scan = await access.runner(access.table.scan, part.prefix, 0)
+    if isinstance(scan, Failure):
+        return scan
+
+    def is_due(row: Row) -> bool:
+        return row.value is not None and row.revision <= limit and part.is_over(row)
+
+    keys = tuple(row.key for row in scan.unwrap().rows if is_due(row))[:rows_max]
+    if not keys:
+        return Success(0)
+
+    def plan(rows: Rows) -> Result[Proposal, TableError]:
+        writes = tuple(Write(row.key, None) for row in rows.read if is_due(row))
+        return Success(Proposal(len(writes), writes))
+
+    return await transact(access, keys, plan)
+
+
+async def retain(
+    access: TableAccess,
+    retention: Retention,
+    settings: RetentionSettings,
+    quarantine: QuarantineSettings,
+    is_needed: Callable[[str], bool],
+    clock: Callable[[], float],
+) -> Result[int, TableError]:
+    """Do one step: watch the marks, and remove what is due of the part that comes next."""
+    marks = await watch_marks(access, retention, clock)
+    if isinstance(marks, Failure):
+        return marks
+    part = choose_part(retention.part, settings, quarantine, is_needed)
+    limit = marks.unwrap().find_limit(part.keep_s)
+    if not limit:
+        retention.part = (retention.part + 1) % PARTS
+        return Success(0)
+    removed = await remove_rows(access, part, limit, settings.rows_max)
+    if isinstance(removed, Success):
+        retention.removed += removed.unwrap()
+        if removed.unwrap() < settings.rows_max:
+            retention.part = (retention.part + 1) % PARTS
+    return removed
--- a/rhubarbshed/transport/instance.py
+++ b/rhubarbshed/transport/instance.py
@@ -19,6 +19,7 @@
     read_catalogue,
     read_list,
     read_reports,
+    remove_old_rows,
     repeat,
     restore_catalogue,
     settle_ends,
@@ -104,6 +105,7 @@
     spawn(runtime, repeat(runtime, SETTLE_INTERVAL_S, settle_ends))
     spawn(runtime, repeat(runtime, STANDINGS_INTERVAL_S, refresh_standings))
     spawn(runtime, repeat(runtime, PROBE_INTERVAL_S, probe_cut_servers))
+    spawn(runtime, repeat(runtime, settings.retention.interval_s, remove_old_rows))
     spawn(runtime, sweep(runtime))
     spawn(runtime, measure_lag(runtime))
 
--- a/rhubarbshed/transport/loops.py
+++ b/rhubarbshed/transport/loops.py
@@ -12,7 +12,9 @@
 from rhubarbshed.coordination.membership import (
     list_backend_servers,
     list_instances,
+    may_return,
 )
+from rhubarbshed.coordination.retention import retain
 from rhubarbshed.coordination.settlement import settle_pending
 from rhubarbshed.coordination.solo import release_pending
 from rhubarbshed.protocol.members import BackendKind, BackendServerInfo
@@ -121,6 +123,30 @@
     return rank_by_rendezvous("snapshot", names)[:1] == [runtime.membership.name]
 
 
+async def remove_old_rows(runtime: Runtime) -> Result[None, object]:
+    """Remove rows that nothing needs any more, if this instance is the one that does so.
+
+    Two at a time do no harm.
+    """
+    names = [info.name for info in list_instances(runtime.membership, time.monotonic())]
+    first = rank_by_rendezvous("retention", names)[:1]
+    if first != [runtime.membership.name] or not runtime.leases.is_held(time.monotonic()):
+        return Success(None)
+
+    settings = runtime.settings
+    removed = await retain(
+        runtime.access,
+        runtime.retention,
+        settings.retention,
+        settings.quarantine,
+        lambda name: may_return(runtime.membership, name, time.monotonic()),
+        time.monotonic,
+    )
+    if isinstance(removed, Success) and removed.unwrap():
+        log_event(LOG, logging.INFO, "rows_removed", count=removed.unwrap())
+    return removed
+
+
 async def restore_catalogue(runtime: Runtime) -> None:
     """Start from the snapshot, so that an instance serves while the table service is down."""
     restored = await load_snapshot(runtime.access, runtime.objects, runtime.catalogue)
--- a/rhubarbshed/transport/runtime.py
+++ b/rhubarbshed/transport/runtime.py
@@ -33,6 +33,7 @@
 from rhubarbshed.state.load import LoadView
 from rhubarbshed.state.membership import Membership
 from rhubarbshed.state.moves import Moves
+from rhubarbshed.state.retention import Retention
 from rhubarbshed.state.timeline import Timeline, read_wall_ms
 from rhubarbshed.state.weights import WeightGate
 from rhubarbshed.transport.callers import SPARE_THREADS, Places, make_caller_handler
@@ -116,6 +117,7 @@
     places: Places = field(init=False)
     flows: Flows = field(init=False)
     exchange: PeerExchange = field(factory=PeerExchange)
+    retention: Retention = field(factory=Retention)
     catalogue_wakeup: asyncio.Event = field(factory=asyncio.Event)
     placement_wakeup: asyncio.Event = field(factory=asyncio.Event)
     reported: tuple[str, ...] = ()
--- a/rhubarbshed/util/settings.py
+++ b/rhubarbshed/util/settings.py
@@ -19,6 +19,8 @@
 }
 SECRET_SECTION = "secrets"
 PORT_MAX = 65535
+RETENTION_MAX_S = 40 * 86_400.0
+"""Longest time that rows can be kept, in seconds; marks of their age go back a little further."""
 
 
 @frozen
@@ -244,6 +246,16 @@
     memory_s: float = _positive()
 
 
+@frozen
+class RetentionSettings:
+    """How long rows of the table are kept, and how fast old ones are removed."""
+
+    claim_s: float = _setting(Bounds(3600.0, RETENTION_MAX_S))
+    session_s: float = _setting(Bounds(3600.0, RETENTION_MAX_S))
+    interval_s: float = _positive(30.0)
+    rows_max: int = _setting(Bounds(1, 100))
+
+
 @frozen
 class ShutdownSettings:
     """Bounds of a graceful shutdown."""
@@ -283,6 +295,7 @@
     placement: PlacementSettings
     weight_store: WeightStoreSettings
     quarantine: QuarantineSettings
+    retention: RetentionSettings
     shutdown: ShutdownSettings
     timeline: TimelineSettings
     log: LogSettings
--- a/test/test_membership.py
+++ b/test/test_membership.py
@@ -8,6 +8,7 @@
     list_backend_servers,
     list_holders,
     list_instances,
+    may_return,
 )
 from rhubarbshed.protocol.members import (
     BackendKind,
@@ -257,3 +258,17 @@
     assert judge(membership, "a2", 0.0) is Standing.LIVE
     assert membership.apply_told_list(leaving, -4.0)
     assert judge(membership, "a2", 0.0) is Standing.LEAVING
+
+
+def test_only_an_instance_neither_listed_nor_heard_can_be_forgotten():
+    unknown = Membership.from_settings(SETTINGS, "i1", 0.0)
+    assert may_return(unknown, "a9", 0.0)
+    membership = make_membership()
+    assert may_return(membership, "a2", LONG)
+    assert not may_return(membership, "a9", 0.0)
+    membership.apply_list(EMPTY, 1.0)
+    membership.apply_hello(PEER, 2.0)
+    membership.apply_list(EMPTY, LONG)
+    membership.hear("a2", LONG)
+    assert may_return(membership, "a2", LONG)
+    assert not may_return(membership, "a2", 2 * LONG)
