--- a/tools/capacity_peers.py
+++ b/tools/capacity_peers.py
@@ -22,8 +22,8 @@
 from rhubarbshed.util.settings import Settings
 from tools.capacity import INSTANCES_HERE, PACKET_BYTES, fit, make_report
 
-SIZES = (5, 10, 20, 40)
-SETTLE_S = 6.0
+SIZES = (20, 40, 62)
+SETTLE_S = 12.0
 MEASURE_S = 8.0
 SERVERS_OWNED = 2
 """Backend servers owned by each instance; at full size 1.6 on average."""
