--- a/rhubarbshed/transport/loops.py
+++ b/rhubarbshed/transport/loops.py
@@ -157,14 +157,20 @@
 def list_reported_servers(runtime: Runtime) -> list[BackendServerInfo]:
     """List the backend servers whose load this instance reads for its data centre.
 
-    The choice needs no agreement: two readers at a time only cost a few messages more.
+    The choice needs no agreement: two readers at a time only cost a few messages more. An owner
+    reads what it owns whoever else does, since only it can bring ledger and report together.
     """
     now = time.monotonic()
     centre = runtime.settings.instance.data_centre
     names = [info.name for info in list_instances(runtime.membership, now, data_centre=centre)]
     servers = list_backend_servers(runtime.membership, now, *USED, data_centre=centre)
     own = runtime.membership.name
-    return [info for info in servers if rank_by_rendezvous(info.name, names)[:1] == [own]]
+    owned = runtime.leases.owned
+    return [
+        info
+        for info in servers
+        if info.name in owned or rank_by_rendezvous(info.name, names)[:1] == [own]
+    ]
 
 
 async def read_reports(runtime: Runtime) -> Result[None, object]:
