Measure an engine that stalls: connections taken, nothing answered

Cause: no case of the policy measurement leaves a request without a first token for long. In `silence`, open connections go silent while new ones work, and first tokens come after 16 ms, so it strikes streams that have begun. Change: the case `stall` stops an engine's process for 5 s.

--- a/tools/policy.py
+++ b/tools/policy.py
@@ -8,6 +8,7 @@
 import asyncio
 import os
 import random
+import signal
 import time
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
@@ -71,6 +72,7 @@
 PREAMBLE_WORDS = 64
 QUESTION_WORDS = 16
 POISON = "unheard-of-word"
+STALL_S = 5.0
 
 Deed = tuple[float, Callable[[], object]]
 
@@ -187,6 +189,15 @@
     return [(at, partial(post, url, {"kind": "silent"})) for at in (3.0, 6.0)]
 
 
+def stall_engine(fleet: Fleet) -> list[Deed]:
+    """Stop an engine's process for a while: its port takes connections, and nothing is answered."""
+    process = fleet.backend_servers["engine-0"].popen
+    return [
+        (3.0, partial(process.send_signal, signal.SIGSTOP)),
+        (3.0 + STALL_S, partial(process.send_signal, signal.SIGCONT)),
+    ]
+
+
 def set_poison(fleet: Fleet) -> list[Deed]:
     """Make a text crash all engines."""
 
@@ -203,6 +214,7 @@
     Case("deadline", plan_deadline),
     Case("death", plan_steady, kill_engine),
     Case("silence", plan_steady, silence_engine),
+    Case("stall", plan_steady, stall_engine),
     Case("poison", plan_poison, set_poison),
 )
 
