Send a stream without a first token to the other server of its pair

Cause: the desk decided on hedges and nothing asked it. Ruled out: a second worker thread for each hedge, which needs a lock between the two; waiting for the first byte instead of the first token, since engines send the head at once; whole answers, whose first token cannot be told from their last; a new kind of end, since a lost attempt decides on nothing. Change: `Dispatch.hedge_after_s` tells the worker when to ask. It waits for both connections with one poller that wakes once for each arrival, peeks for a token, and goes on with the first. An attempt that fails while the other goes on is told without a decision. No hedge of what is not idempotent, runs alone, is suspect, has had one, or would come too late at the other server; none without budget. A quicker hedge counts as a failure of the slower server, so that routing leaves it.

--- a/rhubarbshed/coordination/desk.py
+++ b/rhubarbshed/coordination/desk.py
@@ -17,6 +17,7 @@
 )
 from rhubarbshed.coordination.retries import (
     RetryBudget,
+    compute_hedge_delay,
     compute_pause,
     decide_hedge,
     describe_deadline,
@@ -212,7 +213,9 @@
     def hedge(self, request_id: str, now: float) -> Dispatch | None:
         """Start a second attempt of a request without a first token, where that is due."""
         item = self.open.items.get(request_id)
-        if item is None or len(item.dispatches) != 1 or item.solo_held:
+        if item is None or len(item.dispatches) != 1 or item.solo_held or item.hedged:
+            return None
+        if self.suspects.is_suspect(item.request.fingerprint) or self.drain_is_over(now):
             return None
         is_late = now >= item.request.deadline
         if is_late or item.attempts >= self.settings.retries.attempts_max:
@@ -222,10 +225,31 @@
             return None
         busy = next(iter(item.dispatches.values())).backend_server
         route = self._choose(item, frozenset((busy,)), now)
-        if route is None or not self.budget.withdraw(list_budget_keys(item.request), now):
+        if route is None:
+            return None
+        times = (route.predicted_s, route.own_s, item.target_s)
+        if self.admission.check_time(item.request, *times, now) is not None:
+            return None
+        if not self.budget.withdraw(list_budget_keys(item.request), now):
             return None
+        item.hedged = True
         return self._send(item, route, now)
 
+    def give_up(self, request_id: str, attempt: int, now: float) -> Dispatch | None:
+        """Take that the other attempt has its first token; return what to cancel.
+
+        That the later attempt was quicker counts against the server of the earlier one.
+        """
+        item = self.open.items.get(request_id)
+        sent = item.dispatches.pop(attempt, None) if item is not None else None
+        if sent is None:
+            return None
+        is_slow = any(number > attempt for number in item.dispatches)
+        item.has_run = True
+        self._record_departure(item, sent, now)
+        self.load.record_end(sent.backend_server, (request_id, attempt), is_slow or None, now)
+        return sent
+
     def cancel(self, request_id: str, now: float) -> tuple[Dispatch, ...]:
         """Close a request whose caller went away; return the attempts to cancel."""
         item = self.open.items.get(request_id)
@@ -358,6 +382,7 @@
             first_byte_timeout_s=min(left_s, first_byte_s),
             gap_timeout_s=min(left_s, self.settings.routing.gap_timeout_s),
             resume_offset=item.tokens,
+            hedge_after_s=self._find_hedge_delay(item, route),
         )
         item.attempts += 1
         item.dispatches[dispatch.attempt] = dispatch
@@ -369,6 +394,11 @@
             self.suspects.set_solo(info.name, request.fingerprint, request.deadline)
         return dispatch
 
+    def _find_hedge_delay(self, item: OpenRequest, route: Route) -> float:
+        if item.solo_held or item.hedged:
+            return 0.0
+        return compute_hedge_delay(item.request, route.predicted_s, self.settings.retries)
+
     def _record_end(
         self, item: OpenRequest, sent: Dispatch, result: AttemptResult, now: float
     ) -> None:
--- a/rhubarbshed/coordination/retries.py
+++ b/rhubarbshed/coordination/retries.py
@@ -94,6 +94,16 @@
     return waited_s >= settings.hedge_after_s
 
 
+def compute_hedge_delay(request: Request, predicted_s: float, settings: RetrySettings) -> float:
+    """Return the wait for a first token after which a hedge is due; 0 where none ever is.
+
+    Only a stream tells its first token from its last; a whole answer that takes long is not late.
+    """
+    if not request.idempotent or not request.streamed or settings.hedge_after_s <= 0:
+        return 0.0
+    return predicted_s + settings.hedge_after_s
+
+
 def find_outcome(request: Request, has_run: bool) -> Outcome:
     """Return what to tell of a request that ended without a whole answer.
 
--- a/rhubarbshed/protocol/requests.py
+++ b/rhubarbshed/protocol/requests.py
@@ -43,7 +43,10 @@
 
 @frozen
 class Dispatch:
-    """Send an attempt of a request to a backend server."""
+    """Send an attempt of a request to a backend server.
+
+    Without a first token after `hedge_after_s` a second attempt is asked for; 0 means never.
+    """
 
     request_id: str
     attempt: int
@@ -53,6 +56,7 @@
     first_byte_timeout_s: float
     gap_timeout_s: float
     resume_offset: int = 0
+    hedge_after_s: float = 0.0
 
 
 @frozen
--- a/rhubarbshed/state/attempts.py
+++ b/rhubarbshed/state/attempts.py
@@ -21,7 +21,7 @@
     `dispatches` are its attempts in flight by number; more than one while a hedge runs. `boots`
     holds the boot of the backend server that each attempt was sent to. `has_run` is whether any
     attempt may have begun on a backend server. `tokens` were passed to the caller. `trial` is set
-    while the request waits to run alone.
+    while the request waits to run alone. `hedged` is whether it has had its one hedge.
     """
 
     request: Request
@@ -30,6 +30,7 @@
     trial: Trial | None = None
     attempts: int = 0
     has_run: bool = False
+    hedged: bool = False
     tokens: int = 0
     dispatches: dict[int, Dispatch] = field(factory=dict)
     boots: dict[int, str] = field(factory=dict)
--- a/rhubarbshed/transport/callers.py
+++ b/rhubarbshed/transport/callers.py
@@ -25,6 +25,7 @@
 from rhubarbshed.transport.events import Attempt, Piece
 from rhubarbshed.transport.flows import CallerLine
 from rhubarbshed.transport.gateway import Gateway
+from rhubarbshed.transport.races import Race
 from rhubarbshed.transport.sites import LINE_KEY, answer, answer_error, read_body
 from rhubarbshed.transport.upstream import Carrier
 
@@ -175,17 +176,31 @@
         dispatch = following
 
 
+def _make_race(gateway: Gateway, call: Call, dispatch: Dispatch) -> Race:
+    """Make the race of an attempt, which another one may join."""
+
+    def end(attempt: Attempt, how: AttemptEnd) -> None:
+        gateway.ask(gateway.end_loser(attempt.make_result(how, time.monotonic())))
+
+    return Race(
+        attempt=Attempt.from_dispatch(dispatch),
+        hedge=lambda: gateway.ask(gateway.hedge(call)),
+        give_up=lambda attempt: gateway.tell(gateway.give_up(attempt.dispatch)),
+        end=end,
+    )
+
+
 def _carry_stream(
     gateway: Gateway, carrier: Carrier, call: Call, dispatch: Dispatch, line: CallerLine | None
 ) -> Iterator[bytes | WholeAnswer | RequestError]:
     """Yield the bytes of a stream over all its attempts; another item is the last one."""
     while True:
-        attempt = Attempt.from_dispatch(dispatch)
+        race = _make_race(gateway, call, dispatch)
         end = AttemptEnd.CALLER_GONE
         whole = None
         settled = False
         try:
-            for item in carrier.stream(attempt, call, line):
+            for item in carrier.stream(race, call, line):
                 if isinstance(item, Piece):
                     yield item.data
                 elif isinstance(item, WholeAnswer):
@@ -195,8 +210,9 @@
             settled = True
         finally:
             if not settled:
-                gateway.tell(gateway.end_attempt(call, attempt.make_result(end, time.monotonic())))
-        result = attempt.make_result(end, time.monotonic())
+                result = race.attempt.make_result(end, time.monotonic())
+                gateway.tell(gateway.end_attempt(call, result))
+        result = race.attempt.make_result(end, time.monotonic())
         following = gateway.ask(gateway.end_attempt(call, result, whole))
         if following is None:
             if whole is not None:
--- a/rhubarbshed/transport/engines.py
+++ b/rhubarbshed/transport/engines.py
@@ -14,6 +14,7 @@
 STATUS_UNAVAILABLE = 503
 # A load reads weights through the rate-limited weight store, which takes its time.
 ORDER_TIMEOUT_S = 60.0
+CANCEL_TIMEOUT_S = 1.0
 REPORT_TIMEOUT_S = 1.0
 
 
@@ -42,6 +43,17 @@
     return EngineClient(send_order, fetch_report)
 
 
+def cancel_request(http: HttpClient, server: BackendServerInfo, request_id: str) -> None:
+    """Have an engine end its work on a request; where that fails, it goes on to its end.
+
+    The attempt may have been given up since its connection is silent, and open ones may be as well.
+    """
+    url = f"{make_base_url(server)}/control/cancel"
+    anew = http.open_anew()
+    anew.post_json(url, {"request_id": request_id}, CANCEL_TIMEOUT_S)
+    anew.pool.clear()
+
+
 def make_base_url(server: BackendServerInfo) -> str:
     """Return the base address of a backend server."""
     return f"http://{server.host}:{server.port}"
--- a/rhubarbshed/transport/gateway.py
+++ b/rhubarbshed/transport/gateway.py
@@ -47,6 +47,8 @@
 # Longest time that an answer waits for the table to take its end.
 SETTLE_WAIT_S = 0.25
 CODES_LACK_OF_ROOM = ("not_resident", "servers_busy", "too_late", "model_full")
+# How an attempt ended that lost to the other one of its request, in metrics and the time line.
+GIVEN_UP = "given_up"
 # The loop answers within milliseconds; longer means that it has stopped.
 ASK_TIMEOUT_S = 30.0
 
@@ -64,7 +66,7 @@
     """Hold what decides on callers' requests; coroutines run on the loop, `ask` on any thread.
 
     `claims` and `solos` hold, by request, what the table must be told at its end; `ending` counts
-    the requests whose end it is being told.
+    the requests whose end it is being told. `cancels` are the attempts being cancelled, by request.
     """
 
     settings: Settings
@@ -78,11 +80,13 @@
     demand: Demand
     is_gone: Callable[[str, str], bool]
     check_server: Callable[[str], Awaitable[None]]
+    cancel_attempt: Callable[[Dispatch], Awaitable[None]]
     knows_enough: Callable[[], bool]
     settlements: Settlements = field(factory=Settlements)
     solo_releases: SoloReleases = field(factory=SoloReleases)
     claims: dict[str, ClaimAsk] = field(factory=dict)
     solos: dict[str, SoloRun] = field(factory=dict)
+    cancels: dict[str, asyncio.Task] = field(factory=dict)
     ending: int = 0
 
     def ask(self, question: Coroutine[Any, Any, Any]) -> Any:
@@ -147,8 +151,51 @@
         decision = await self._resolve_solo(decision)
         if isinstance(decision, Dispatch):
             await asyncio.sleep(self.desk.compute_pause(decision.attempt))
+            await self._await_cancel(decision.request_id)
         return await self._finish(call, decision, answer, result)
 
+    async def hedge(self, call: Call) -> Dispatch | None:
+        """Decide whether a request without a first token gets a second attempt."""
+        decision = self.desk.hedge(call.request.request_id, time.monotonic())
+        if decision is not None:
+            self._record_decision(call, decision)
+        return decision
+
+    async def end_loser(self, result: AttemptResult) -> None:
+        """Take the failure of one of two attempts while the other goes on."""
+        self._record_attempt(result)
+        self.desk.end_attempt(result, time.monotonic())
+
+    async def give_up(self, dispatch: Dispatch) -> None:
+        """Give up one of two attempts: the other has its first token, or the caller is gone."""
+        request_id = dispatch.request_id
+        given_up = self.desk.give_up(request_id, dispatch.attempt, time.monotonic())
+        if given_up is None:
+            return
+        server, attempt = given_up.backend_server, given_up.attempt
+        self.metrics.attempts.inc({"end": GIVEN_UP})
+        self.timeline.record(
+            "attempt_ended",
+            request=request_id,
+            backend_server=server,
+            attempt=attempt,
+            end=GIVEN_UP,
+            tokens=0,
+        )
+        self.cancels[request_id] = self.loop.create_task(self._cancel(given_up))
+
+    async def _cancel(self, dispatch: Dispatch) -> None:
+        try:
+            await self.cancel_attempt(dispatch)
+        finally:
+            self.cancels.pop(dispatch.request_id, None)
+
+    async def _await_cancel(self, request_id: str) -> None:
+        """Wait until no cancel is on its way, since engines cancel all attempts of a request."""
+        cancel = self.cancels.get(request_id)
+        if cancel is not None:
+            await asyncio.wait((cancel,))
+
     def _count_demand(self, model: str, decision: Refusal | WholeAnswer | None) -> None:
         """Count what placement follows: requests, and refusals for lack of room."""
         if not model or self.catalogue.get_model(model) is None:
@@ -175,7 +222,7 @@
     ) -> Dispatch | Refusal | None:
         """Claim the right to a solo run where one is needed."""
         if isinstance(decision, AttemptOpen):
-            raise AssertionError("no second attempt of a request is ever started")
+            raise AssertionError("of two attempts, only the last one's end is decided on")
         if not isinstance(decision, SoloNeeded):
             return decision
         view = self.desk.suspects.view
--- a/rhubarbshed/transport/http.py
+++ b/rhubarbshed/transport/http.py
@@ -53,6 +53,10 @@
         pool = urllib3.PoolManager(num_pools=HOSTS_MAX, maxsize=CONNECTIONS_PER_HOST)
         return cls(pool, headers, timeout_s)
 
+    def open_anew(self) -> "HttpClient":
+        """Return a client with the same headers, but with no connection that may be silent."""
+        return HttpClient(urllib3.PoolManager(), self.headers, self.timeout_s)
+
     def exchange(
         self, method: str, url: str, body: bytes | None = None, timeout_s: float | None = None
     ) -> Result[Answer, ExchangeError]:
--- /dev/null
+++ b/rhubarbshed/transport/races.py
@@ -0,0 +1,103 @@
+"""Race of two attempts at one streamed request for the first token."""
+
+import re
+import select
+import socket
+import time
+from collections.abc import Callable
+
+from attrs import define, frozen
+
+from rhubarbshed.protocol.requests import AttemptEnd, Dispatch
+from rhubarbshed.transport.connections import Channel
+from rhubarbshed.transport.events import Attempt
+from rhubarbshed.transport.presence import is_gone
+
+# An engine answers so where it has not run the request.
+STATUSES_NOT_RUN = (404, 429, 503)
+STATUS_OK = 200
+# Longest head of an answer that is looked for.
+HEAD_BYTES_MAX = 65536
+HEAD_END = b"\r\n\r\n"
+STATUS_LINE = re.compile(rb"HTTP/1\.[01] ([0-9]{3})")
+# Each is told once for each arrival, so that a head without a token does not wake the wait again.
+SOURCE_EVENTS = select.EPOLLIN | select.EPOLLRDHUP | select.EPOLLET
+
+
+@frozen(eq=False)
+class Runner:
+    """Hold one attempt that has been sent, and its connection."""
+
+    attempt: Attempt
+    channel: Channel
+
+    @property
+    def parts(self) -> tuple[Channel, Attempt]:
+        """Return the connection and the attempt."""
+        return self.channel, self.attempt
+
+    def find_timeout_at(self) -> float:
+        """Return when the wait for a first token ends, in monotonic seconds."""
+        return self.attempt.waiting_since + self.attempt.dispatch.first_byte_timeout_s
+
+    def peek(self) -> bytes | None:
+        """Return what has arrived, without taking it; None where nothing has."""
+        flags = socket.MSG_PEEK | socket.MSG_DONTWAIT
+        try:
+            return self.channel.sock.recv(HEAD_BYTES_MAX, flags)
+        except BlockingIOError:
+            return None
+        except OSError:
+            return b""
+
+
+@define
+class Race:
+    """Hold the attempt that decides on a request, and the ways to another one.
+
+    `hedge` asks for a second attempt. `give_up` tells that one is no longer wanted, and `end` how
+    one failed while the other goes on.
+    """
+
+    attempt: Attempt
+    hedge: Callable[[], Dispatch | None]
+    give_up: Callable[[Attempt], None]
+    end: Callable[[Attempt, AttemptEnd], None]
+
+
+def wait_for_token(
+    runners: list[Runner], caller: socket.socket, until: float
+) -> Runner | AttemptEnd | None:
+    """Return the first attempt with a token or an end, `CALLER_GONE`, or None once time is up."""
+    sources = {runner.channel.sock.fileno(): runner for runner in runners}
+    with select.epoll() as poller:
+        for descriptor in (*sources, caller.fileno()):
+            poller.register(descriptor, SOURCE_EVENTS)
+        while True:
+            left_s = max(0.0, until - time.monotonic())
+            for descriptor, _ in poller.poll(left_s):
+                runner = sources.get(descriptor)
+                if runner is not None and _has_begun(runner.peek()):
+                    return runner
+                if runner is None and is_gone(caller):
+                    return AttemptEnd.CALLER_GONE
+            if time.monotonic() >= until:
+                return None
+
+
+def _has_begun(data: bytes | None) -> bool:
+    """Tell whether more than a head has arrived, or the connection has ended."""
+    if not data:
+        return data is not None
+    _, end, body = data.partition(HEAD_END)
+    return bool(body) if end else len(data) >= HEAD_BYTES_MAX
+
+
+def find_failure(runner: Runner) -> AttemptEnd | None:
+    """Return how an attempt has failed, None where its answer can be passed on."""
+    status_line = STATUS_LINE.match(runner.peek() or b"")
+    status = int(status_line[1]) if status_line else 0
+    if status in STATUSES_NOT_RUN:
+        return AttemptEnd.REFUSED
+    is_answer = status == STATUS_OK or status // 100 == 4
+    return None if is_answer else AttemptEnd.BROKEN
--- a/rhubarbshed/transport/runtime.py
+++ b/rhubarbshed/transport/runtime.py
@@ -26,6 +26,7 @@
 from rhubarbshed.protocol.members import BackendKind, Standing
 from rhubarbshed.protocol.placement import MoveRecord
 from rhubarbshed.protocol.platform import EngineClient, ListClient, ObjectClient
+from rhubarbshed.protocol.requests import Dispatch
 from rhubarbshed.state.backlog import BacklogRate
 from rhubarbshed.state.catalogue import Catalogue
 from rhubarbshed.state.demand import Demand
@@ -37,7 +38,7 @@
 from rhubarbshed.state.weights import WeightGate
 from rhubarbshed.transport.callers import SPARE_THREADS, Places, make_caller_handler
 from rhubarbshed.transport.connections import Connections
-from rhubarbshed.transport.engines import make_engine_client
+from rhubarbshed.transport.engines import cancel_request, make_engine_client
 from rhubarbshed.transport.exchange import (
     PeerExchange,
     collect_digests,
@@ -226,6 +227,7 @@
             demand=self.demand,
             is_gone=self.is_gone,
             check_server=self.check_server,
+            cancel_attempt=self.cancel_attempt,
             knows_enough=self.knows_enough,
         )
 
@@ -262,6 +264,12 @@
         else:
             self.load.record_unanswered(name, time.monotonic())
 
+    async def cancel_attempt(self, sent: Dispatch) -> None:
+        """Have an engine end what it still runs of an attempt that was given up."""
+        server = self.load.servers.get(sent.backend_server)
+        if server is not None and server.info.kind is BackendKind.ENGINE:
+            await self.run_control(cancel_request, self.http, server.info, sent.request_id)
+
     def _make_network(self) -> PeerNetwork:
         return PeerNetwork.from_settings(
             self.settings,
--- a/rhubarbshed/transport/upstream.py
+++ b/rhubarbshed/transport/upstream.py
@@ -2,6 +2,8 @@
 
 import functools
 import json
+import math
+import socket
 import time
 from collections.abc import Iterator
 
@@ -22,11 +24,16 @@
 from rhubarbshed.transport.flows import CallerLine, Flow, Flows
 from rhubarbshed.transport.http import INSTANCE_HEADER
 from rhubarbshed.transport.presence import wait_for_answer
+from rhubarbshed.transport.races import (
+    STATUS_OK,
+    STATUSES_NOT_RUN,
+    Race,
+    Runner,
+    find_failure,
+    wait_for_token,
+)
 from rhubarbshed.transport.timeouts import set_timeouts
 
-# An engine answers so where it has not run the request.
-STATUSES_NOT_RUN = (404, 429, 503)
-STATUS_OK = 200
 # Part of a timeout that must have passed for a failure to count as one.
 TIMEOUT_SHARE = 0.95
 
@@ -70,16 +77,19 @@
         return WholeAnswer(opened.status, opened.headers.get("Content-Type", ""), body)
 
     def stream(
-        self, attempt: Attempt, call: Call, line: CallerLine | None
+        self, race: Race, call: Call, line: CallerLine | None
     ) -> Iterator[Piece | WholeAnswer | AttemptEnd]:
-        """Carry a request and yield its stream; the last item tells how it ended.
+        """Carry a request and yield its stream; the last item tells how `race.attempt` ended.
 
         Most of the stream goes to the caller by `line`, without being yielded. A `WholeAnswer`
         comes in place of a stream where the server refused the request as wrong.
         """
-        address = Address(attempt.dispatch.host, attempt.dispatch.port)
-        channel = make_stream_channel(address, time.monotonic())
-        opened = self._open(channel, attempt, call)
+        runner = self._run(race, call, line)
+        if isinstance(runner, AttemptEnd):
+            yield runner
+            return
+        attempt, channel = runner.attempt, runner.channel
+        opened = self._receive(channel, attempt)
         if isinstance(opened, AttemptEnd):
             yield opened
             return
@@ -94,6 +104,62 @@
             opened.close()
             channel.connection.close()
 
+    def _run(self, race: Race, call: Call, line: CallerLine | None) -> Runner | AttemptEnd:
+        """Send a request and, where a hedge may be due, wait for the attempt to go on with."""
+        started = self._start(race.attempt, call)
+        if isinstance(started, AttemptEnd):
+            return started
+        if race.attempt.dispatch.hedge_after_s <= 0 or line is None:
+            return started
+        return self._await_first(started, race, call, line.socket)
+
+    def _start(self, attempt: Attempt, call: Call) -> Runner | AttemptEnd:
+        address = Address(attempt.dispatch.host, attempt.dispatch.port)
+        channel = make_stream_channel(address, time.monotonic())
+        end = self._send(channel, attempt, call)
+        return Runner(attempt, channel) if end is None else end
+
+    def _await_first(
+        self, first: Runner, race: Race, call: Call, caller: socket.socket
+    ) -> Runner | AttemptEnd:
+        """Wait for a first token, from now on also that of a hedge; `race` gets the attempt.
+
+        The caller's own thread waits for both attempts. A connection attempt to the hedge's
+        server holds it up for no longer than any other.
+        """
+        runners = [first]
+        hedge_at: float | None = first.attempt.waiting_since + first.attempt.dispatch.hedge_after_s
+        while True:
+            late = min(runners, key=Runner.find_timeout_at)
+            until = min(late.find_timeout_at(), hedge_at or math.inf)
+            found = wait_for_token(runners, caller, until)
+            if found is AttemptEnd.CALLER_GONE:
+                return _leave(runners, race)
+            if found is None and hedge_at is not None and time.monotonic() >= hedge_at:
+                hedge_at = None
+                runners += self._start_hedge(race, call)
+                continue
+            end = AttemptEnd.TIMED_OUT if found is None else find_failure(found)
+            found = found or late
+            if end is None or len(runners) == 1:
+                _settle(found, runners, race)
+                return found if end is not AttemptEnd.TIMED_OUT else self._fail(*found.parts)
+            runners.remove(found)
+            self._fail(*found.parts)
+            race.end(found.attempt, end)
+
+    def _start_hedge(self, race: Race, call: Call) -> list[Runner]:
+        """Start a second attempt where the loop allows one."""
+        dispatch = race.hedge()
+        if dispatch is None:
+            return []
+        attempt = Attempt.from_dispatch(dispatch)
+        started = self._start(attempt, call)
+        if isinstance(started, Runner):
+            return [started]
+        race.end(attempt, started)
+        return []
+
     def _take(self, attempt: Attempt, call: Call) -> Channel:
         """Take a connection; a request that must not run twice gets one that was never used."""
         address = Address(attempt.dispatch.host, attempt.dispatch.port)
@@ -102,6 +168,13 @@
     def _open(
         self, channel: Channel, attempt: Attempt, call: Call, line: CallerLine | None = None
     ) -> urllib3.HTTPResponse | AttemptEnd:
+        end = self._send(channel, attempt, call)
+        if end is None and line is not None:
+            end = self._watch(channel, attempt, line)
+        return end or self._receive(channel, attempt)
+
+    def _send(self, channel: Channel, attempt: Attempt, call: Call) -> AttemptEnd | None:
+        """Connect and send a request; return an end where that failed."""
         connection = channel.connection
         try:
             if connection.is_closed:
@@ -124,22 +197,22 @@
                 preload_content=False,
                 decode_content=False,
             )
-            vain = self._watch(channel, attempt, line)
-            if vain is not None:
-                return vain
-            response = connection.getresponse()
+        except ERRORS:
+            return self._fail(channel, attempt)
+        return None
+
+    def _receive(self, channel: Channel, attempt: Attempt) -> urllib3.HTTPResponse | AttemptEnd:
+        """Read the head of an answer."""
+        try:
+            response = channel.connection.getresponse()
         except ERRORS:
             return self._fail(channel, attempt)
         attempt.status = response.status
         attempt.retry_after_s = _read_retry_after(response)
         return response
 
-    def _watch(
-        self, channel: Channel, attempt: Attempt, line: CallerLine | None
-    ) -> AttemptEnd | None:
+    def _watch(self, channel: Channel, attempt: Attempt, line: CallerLine) -> AttemptEnd | None:
         """Wait for the answer and watch the caller; return an end where none will be read."""
-        if line is None:
-            return None
         timeout_s = attempt.dispatch.first_byte_timeout_s
         vain = wait_for_answer(channel.sock, line.socket, timeout_s)
         if vain is AttemptEnd.TIMED_OUT:
@@ -179,6 +252,22 @@
         return AttemptEnd.TIMED_OUT
 
 
+def _settle(winner: Runner, runners: list[Runner], race: Race) -> None:
+    """Go on with one attempt alone."""
+    race.attempt = winner.attempt
+    for other in runners:
+        if other is not winner:
+            other.channel.connection.close()
+            race.give_up(other.attempt)
+
+
+def _leave(runners: list[Runner], race: Race) -> AttemptEnd:
+    """Give up all attempts of a caller that has gone."""
+    _settle(runners[0], runners, race)
+    runners[0].channel.connection.close()
+    return AttemptEnd.CALLER_GONE
+
+
 def _is_refusal(attempt: Attempt) -> bool:
     return attempt.status in STATUSES_NOT_RUN
 
--- a/test/fuzz/test_requests.py
+++ b/test/fuzz/test_requests.py
@@ -149,8 +149,19 @@
             decision = self.desk.hedge(item.request.request_id, self.now)
             if decision is not None:
                 assert item.request.idempotent
+                assert len(self.sent[item.request.request_id]) == 1
                 self.take(item.request.request_id, decision)
 
+    def give_up(self):
+        """Let one of two attempts win."""
+        for request_id, flying in self.sent.items():
+            if len(flying) == 2:
+                loser = self.randomness.choice(flying)
+                assert self.desk.give_up(request_id, loser.attempt, self.now) == loser
+                assert self.desk.give_up(request_id, loser.attempt, self.now) is None
+                flying.remove(loser)
+                self.possibly_ran[request_id] += 1
+
     def report(self):
         name = f"b{self.randomness.randrange(SERVERS)}"
         if self.randomness.random() < 0.2:
@@ -182,7 +193,8 @@
 def test_no_request_is_answered_twice_falsely_or_never(randomness):
     game = Play(randomness, make_desk(servers=SERVERS, text=TEXT))
     actions = [game.open] * 4 + [game.end] * 4 + [game.report] * 2
-    actions += [game.cancel, game.hedge, game.stand, game.repeat_end, game.start_solo]
+    actions += [game.cancel, game.hedge, game.give_up, game.stand, game.repeat_end]
+    actions += [game.start_solo]
     for _ in range(STEPS):
         game.now += randomness.random()
         randomness.choice(actions)()
--- a/test/test_desk.py
+++ b/test/test_desk.py
@@ -149,6 +149,55 @@
     assert desk.hedge("r0", 9.0) is None
 
 
+def test_hedge_is_asked_for_once_and_only_of_streams():
+    desk = make_desk(text="[retries]\nhedge_after_s = 0.5")
+    assert desk.open_request(make_request(0), 0.0).hedge_after_s == 0.0
+    sent = desk.open_request(make_request(1, streamed=True), 0.0)
+    assert 0.5 <= sent.hedge_after_s < 0.9
+    assert desk.hedge("r1", 1.0).hedge_after_s == 0.0
+    desk.give_up("r1", 1, 1.5)
+    assert desk.hedge("r1", 2.0) is None
+
+
+def test_loser_of_a_hedge_frees_its_slot_and_counts_against_a_slow_server():
+    desk = make_desk(text="[retries]\nhedge_after_s = 0.5")
+    sent = desk.open_request(make_request(streamed=True), 0.0)
+    hedge = desk.hedge("r0", 1.0)
+    assert desk.give_up("r0", sent.attempt, 1.1) == sent
+    assert desk.give_up("r0", sent.attempt, 1.1) is None
+    assert desk.load.count_in_flight(sent.backend_server) == 0
+    assert desk.load.count_in_flight(hedge.backend_server) == 1
+    assert desk.load.servers[sent.backend_server].compute_failures(1.1) == 1.0
+    assert desk.end_attempt(end(sent, AttemptEnd.DONE), 1.2) == AttemptOpen("r0")
+    assert desk.end_attempt(end(hedge, AttemptEnd.DONE), 2.0) is None
+
+
+def test_crash_after_a_lost_hedge_counts_against_the_request():
+    desk = make_desk(text="[retries]\nhedge_after_s = 0.5")
+    sent = desk.open_request(make_request(streamed=True), 0.0)
+    desk.hedge("r0", 1.0)
+    desk.give_up("r0", sent.attempt, 1.1)
+    desk.apply_report(make_report(sent.backend_server, "boot-2"), 1.2)
+    assert desk.suspects.is_suspect("f0")
+
+
+def test_hedge_needs_budget_room_and_an_unsuspected_request():
+    text = "[retries]\nhedge_after_s = 0.5\nbudget_ratio = 0\nbudget_min_per_s = 0.1"
+    desk = make_desk(text=text)
+    for number in range(2):
+        desk.open_request(make_request(number, streamed=True), 0.0)
+    assert desk.hedge("r0", 1.0) is not None
+    assert desk.hedge("r1", 1.0) is None
+    desk = make_desk(text="[retries]\nhedge_after_s = 0.5")
+    desk.open_request(make_request(0, streamed=True), 0.0)
+    desk.open_request(make_request(1, streamed=True), 0.0)
+    desk.suspects.presume("f0", "b4", "boot-1", False, 0.1)
+    assert desk.hedge("r0", 1.0) is None
+    for number in range(5):
+        desk.apply_report(make_report(f"b{number}", running=4, waiting=400), 1.0)
+    assert desk.hedge("r1", 1.1) is None
+
+
 def test_drain_refuses_new_work_and_waits_for_the_rest():
     desk = make_desk(text="[shutdown]\nannounce_s = 1\ndrain_s = 10")
     sent = desk.open_request(make_request(0), 0.0)
