Take a stream that its engine cancelled for a broken one

Cause: an engine ends a cancelled stream by an event with `finish_reason` `cancelled` and the usual end mark, so it passed for a whole answer. A cancel names the request only: one of a lost hedge that is delivered late may end a later attempt of the same request, whose caller would get a cut answer as whole. Ruled out: relying on the wait for the cancel alone, which ends after 1 s. Change: such an event breaks the stream, is not passed on, and the request is resumed at its offset where retries allow. Conclusion: mended for streams. Whole answers are not hedged, so nothing here cancels one; their `finish_reason` is not looked at.

--- a/rhubarbshed/transport/events.py
+++ b/rhubarbshed/transport/events.py
@@ -14,6 +14,7 @@
 EVENT_PREFIX = b"data: "
 EVENT_DONE = b"data: [DONE]"
 EVENT_HEAD = re.compile(rb'data: \{"id": ?"([0-9A-Za-z-]+)", ?"offset": ?([0-9]+)[,}]')
+EVENT_CANCELLED = re.compile(rb'"finish_reason": ?"cancelled"')
 ERRORS = (HTTPError, http.client.HTTPException, OSError)
 
 
@@ -83,7 +84,7 @@
             kept.append(event + EVENT_END)
             return Piece(b"".join(kept), tokens), True, True
         offset = _read_offset(event, attempt.dispatch.request_id)
-        if offset is None or offset > attempt.offset:
+        if offset is None or offset > attempt.offset or _is_cancelled(event):
             return Piece(b"".join(kept), tokens), False, False
         if offset < attempt.offset:
             continue
@@ -93,6 +94,11 @@
     return Piece(b"".join(kept), tokens), True, False
 
 
+def _is_cancelled(event: bytes) -> bool:
+    """Tell whether an engine ended its answer early, by a cancel; its end mark is no whole end."""
+    return b"cancelled" in event and EVENT_CANCELLED.search(event) is not None
+
+
 def _read_offset(event: bytes, request_id: str) -> int | None:
     """Return an event's token offset, or None where the event is another request's or malformed.
 
--- a/test/test_races.py
+++ b/test/test_races.py
@@ -15,12 +15,16 @@
 from rhubarbshed.transport.races import Race
 from rhubarbshed.transport.upstream import Carrier
 
+BODY = b'{"prompt": "x"}'
 HEAD = b"HTTP/1.0 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"
 TOKEN = b'data: {"id": "r1", "offset": 0}\n\n'
 DONE = b"data: [DONE]\n\n"
 FULL = b"HTTP/1.0 429 Too Many\r\nContent-Length: 2\r\n\r\n{}"
-HEDGE_AFTER_S = 0.1
-TIMEOUT_S = 0.6
+CANCELLED = b'data: {"id": "r1", "offset": 1, "choices": [{"finish_reason": "cancelled"}]}\n\n'
+HEDGE_AFTER_S = 0.4
+TIMEOUT_S = 0.8
+# When an answer comes that a hedge has been asked for, and no attempt has timed out.
+AFTER_HEDGE_S = 0.55
 LONG_S = 5.0
 
 
@@ -41,7 +45,9 @@
         with contextlib.suppress(OSError):
             connection, _ = self.listener.accept()
             self.taken.set()
-            connection.recv(65536)
+            request = b""
+            while not request.endswith(BODY):
+                request += connection.recv(65536)
             for pause_s, data in self.steps:
                 time.sleep(pause_s)
                 connection.sendall(data)
@@ -71,7 +77,7 @@
     def carry(self) -> tuple[bytes, AttemptEnd]:
         """Return what the caller got and how the attempt ended that decided."""
         carrier = Carrier(Connections(60.0), PassBack(), "a1", 65536)
-        call = Call(Request("r1", "c1", "m1", 0.0, 60.0, model="m1"), "POST", "/v1/x", b"{}")
+        call = Call(Request("r1", "c1", "m1", 0.0, 60.0, model="m1"), "POST", "/v1/x", BODY)
         *pieces, end = carrier.stream(self.race, call, self.line)
         return b"".join(piece.data for piece in pieces if isinstance(piece, Piece)), end
 
@@ -103,7 +109,7 @@
 
 
 def test_first_attempt_may_still_win():
-    play = Play(Script((0.2, HEAD + TOKEN + DONE)), Script((LONG_S, b"")))
+    play = Play(Script((AFTER_HEDGE_S, HEAD + TOKEN + DONE)), Script((LONG_S, b"")))
     assert play.carry() == (TOKEN + DONE, AttemptEnd.DONE)
     assert play.told == [(1, "given_up")]
 
@@ -126,19 +132,19 @@
     "answer, end", [(FULL, "refused"), (b"", "broken"), (b"HTTP/1.0 500 No\r\n\r\nx", "broken")]
 )
 def test_failure_of_one_leaves_the_other_in_the_race(answer, end):
-    play = Play(Script((0.3, HEAD + TOKEN + DONE)), Script((0.0, answer)))
+    play = Play(Script((AFTER_HEDGE_S, HEAD + TOKEN + DONE)), Script((0.0, answer)))
     assert play.carry() == (TOKEN + DONE, AttemptEnd.DONE)
     assert play.told == [(1, end)]
 
 
 def test_hedge_outlives_the_time_of_the_first_attempt():
-    play = Play(Script((LONG_S, b"")), Script((TIMEOUT_S, HEAD + TOKEN + DONE)))
+    play = Play(Script((LONG_S, b"")), Script((TIMEOUT_S - 0.2, HEAD + TOKEN + DONE)))
     assert play.carry() == (TOKEN + DONE, AttemptEnd.DONE)
     assert play.told == [(0, "timed_out")]
 
 
 def test_only_the_last_failure_decides():
-    play = Play(Script((0.3, FULL)), Script((0.0, FULL)))
+    play = Play(Script((AFTER_HEDGE_S, FULL)), Script((0.0, FULL)))
     assert play.carry() == (b"", AttemptEnd.REFUSED)
     assert play.told == [(1, "refused")]
     assert play.race.attempt.dispatch.attempt == 0
@@ -151,3 +157,9 @@
     assert play.carry() == (b"", AttemptEnd.CALLER_GONE)
     assert play.told == [(1, "given_up")]
     assert play.race.attempt.dispatch.attempt == 0
+
+
+def test_stream_cancelled_at_the_engine_is_never_taken_for_a_whole_one():
+    """A cancel names the request only, so a late one may end the attempt that was to go on."""
+    play = Play(Script((0.0, HEAD + TOKEN), (0.05, CANCELLED + DONE)), None)
+    assert play.carry() == (TOKEN, AttemptEnd.BROKEN)
