Take the ends of attempts and the refusals for lack of servers out of the desk

No behaviour changes: test_desk, test_quarantine, test_loads, the 2,000 plays of fuzz/test_requests.py and the mutations of retries and runs pass.

--- a/rhubarbshed/coordination/desk.py
+++ b/rhubarbshed/coordination/desk.py
@@ -3,17 +3,21 @@
 import logging
 import random
 
-from attrs import define, evolve, field, frozen
+from attrs import define, field, frozen
 
 from rhubarbshed.coordination.admission import Admission, describe_unknown_target
 from rhubarbshed.coordination.drain import Drain
+from rhubarbshed.coordination.endings import record_departure, record_end
 from rhubarbshed.coordination.lookup import FindAdapter, FindModel, FindService, Lookup
 from rhubarbshed.coordination.quarantine import SoloRefused, describe_refused
 from rhubarbshed.coordination.refusals import (
     BUSY_WAIT_S,
+    SOLO_WAIT_S,
     describe_busy,
     describe_crasher,
+    describe_lack,
     describe_last,
+    spread_return,
 )
 from rhubarbshed.coordination.retries import (
     RetryBudget,
@@ -22,7 +26,6 @@
     decide_hedge,
     describe_deadline,
     list_budget_keys,
-    may_have_run,
     may_send_again,
 )
 from rhubarbshed.coordination.routing import Route, choose_route, find_pair, make_route
@@ -41,13 +44,8 @@
 log = logging.getLogger(__name__)
 
 PENDING_MESSAGE = "it may have crashed backend servers; whether it did is being found out"
-NOT_RESIDENT_WAIT_S = 2.0
-SOLO_WAIT_S = 2.0
-# Least time that an attempt is reckoned to hold a slot; shorter ones were refused at once.
-HOLD_MIN_S = 0.001
-NOT_FOUND = 404
+
 CONFLICT = 409
-SERVER_ERROR = 500
 UNAVAILABLE = 503
 
 
@@ -203,7 +201,10 @@
             return None
         if sent is None:
             return AttemptOpen(result.request_id)
-        self._record_end(item, sent, result, now)
+        record_end(self.load, self.suspects, item, sent, result, now)
+        if result.end is AttemptEnd.CRASHED:
+            self.report_crash(sent.backend_server, item.boots.get(sent.attempt, ""), now)
+        self.suspects.clear_solo(sent.backend_server, item.request.fingerprint)
         if result.end is AttemptEnd.DONE:
             self.suspects.record_whole_answer(item.request.fingerprint, now)
         if result.end in (AttemptEnd.DONE, AttemptEnd.CALLER_GONE):
@@ -249,7 +250,7 @@
             return None
         is_slow = any(number > attempt for number in item.dispatches)
         item.has_run = True
-        self._record_departure(item, sent, now)
+        record_departure(self.suspects, item, sent, now)
         self.load.record_end(sent.backend_server, (request_id, attempt), is_slow or None, now)
         return sent
 
@@ -260,7 +261,7 @@
             return ()
         dispatches = tuple(item.dispatches.values())
         for sent in dispatches:
-            self._record_departure(item, sent, now)
+            record_departure(self.suspects, item, sent, now)
             self.load.record_end(sent.backend_server, (request_id, sent.attempt), None, now)
             self.suspects.clear_solo(sent.backend_server, item.request.fingerprint)
         item.dispatches.clear()
@@ -353,27 +354,15 @@
         times = (route.predicted_s, route.own_s, item.target_s)
         error = self.admission.check_time(request, *times, now)
         if error is not None and item.attempts == 0:
-            return self._refuse(item, self._spread_return(request, error, now))
+            candidates = self.lookup.list_candidates(request, self.load, now)
+            instances = self.load.instances
+            error = spread_return(self.admission, request, candidates, instances, error, now)
+            return self._refuse(item, error)
         return self._send(item, route, now)
 
-    def _spread_return(self, request: Request, error: RequestError, now: float) -> RequestError:
-        """Let refused callers of one target come back no faster than it can serve them."""
-        candidates = self.lookup.list_candidates(request, self.load, now)
-        shares = (each.slots / max(each.hold_s, HOLD_MIN_S) for each in candidates)
-        served_per_s = sum(shares) / self.load.instances
-        wait_s = self.admission.reserve_return(request.target, served_per_s, now)
-        return evolve(error, retry_after_s=max(error.retry_after_s, wait_s))
-
     def _refuse_without_server(self, item: OpenRequest, now: float) -> Refusal:
         candidates = self.lookup.list_candidates(item.request, self.load, now)
-        if all(found.lost for found in candidates):
-            message = "it is in no backend server's memory at present"
-            return self._refuse_busy(item, "not_resident", message, NOT_RESIDENT_WAIT_S)
-        if item.solo_held:
-            message = "its backend servers are kept for other requests that run alone"
-            return self._refuse_busy(item, "suspect_waits", message, SOLO_WAIT_S)
-        message = "its backend servers cannot take it at present"
-        return self._refuse_busy(item, "servers_busy", message)
+        return self._refuse_busy(item, *describe_lack(candidates, item.solo_held))
 
     def _send(self, item: OpenRequest, route: Route, now: float) -> Dispatch:
         request = item.request
@@ -406,36 +395,6 @@
             return 0.0
         return compute_hedge_delay(item.request, route.predicted_s, self.settings.retries)
 
-    def _record_end(
-        self, item: OpenRequest, sent: Dispatch, result: AttemptResult, now: float
-    ) -> None:
-        has_failed = result.end is not AttemptEnd.DONE or result.status >= SERVER_ERROR
-        failed = None if result.end is AttemptEnd.CALLER_GONE else has_failed
-        key = (result.request_id, result.attempt)
-        self.load.record_end(sent.backend_server, key, failed, now, result.first_token_at)
-        item.has_run = item.has_run or may_have_run(result.end)
-        item.tokens = max(item.tokens, sent.resume_offset + result.tokens)
-        if has_failed:
-            item.failed_servers.add(sent.backend_server)
-        if result.end is AttemptEnd.REFUSED and result.status == NOT_FOUND:
-            item.servers_without.add(sent.backend_server)
-        if result.end in (AttemptEnd.CALLER_GONE, AttemptEnd.TIMED_OUT):
-            self._record_departure(item, sent, now)
-        if result.end in (AttemptEnd.BROKEN, AttemptEnd.CRASHED):
-            self._record_break(item, sent, result.end, now)
-        self.suspects.clear_solo(sent.backend_server, item.request.fingerprint)
-
-    def _record_departure(self, item: OpenRequest, sent: Dispatch, now: float) -> None:
-        name, boot_id = sent.backend_server, item.boots.get(sent.attempt, "")
-        fingerprint = item.request.fingerprint
-        self.suspects.record_departure(fingerprint, name, boot_id, item.solo_held, now)
-
-    def _record_break(self, item: OpenRequest, sent: Dispatch, end: AttemptEnd, now: float) -> None:
-        name, boot_id = sent.backend_server, item.boots.get(sent.attempt, "")
-        self.suspects.presume(item.request.fingerprint, name, boot_id, item.solo_held, now)
-        if end is AttemptEnd.CRASHED:
-            self.report_crash(name, boot_id, now)
-
     def _decide_again(
         self, item: OpenRequest, result: AttemptResult, now: float
     ) -> Dispatch | Refusal | SoloNeeded:
--- /dev/null
+++ b/rhubarbshed/coordination/endings.py
@@ -0,0 +1,42 @@
+"""What the end of an attempt tells of its request, its backend server, and who is suspect."""
+
+from rhubarbshed.coordination.retries import may_have_run
+from rhubarbshed.coordination.suspects import Suspects
+from rhubarbshed.protocol.requests import AttemptEnd, AttemptResult, Dispatch
+from rhubarbshed.state.attempts import OpenRequest
+from rhubarbshed.state.load import LoadView
+
+NOT_FOUND = 404
+SERVER_ERROR = 500
+
+
+def record_end(
+    load: LoadView,
+    suspects: Suspects,
+    item: OpenRequest,
+    sent: Dispatch,
+    result: AttemptResult,
+    now: float,
+) -> None:
+    """Record how an attempt ended; a crash of its server is reported apart from that."""
+    has_failed = result.end is not AttemptEnd.DONE or result.status >= SERVER_ERROR
+    failed = None if result.end is AttemptEnd.CALLER_GONE else has_failed
+    key = (result.request_id, result.attempt)
+    load.record_end(sent.backend_server, key, failed, now, result.first_token_at)
+    item.has_run = item.has_run or may_have_run(result.end)
+    item.tokens = max(item.tokens, sent.resume_offset + result.tokens)
+    if has_failed:
+        item.failed_servers.add(sent.backend_server)
+    if result.end is AttemptEnd.REFUSED and result.status == NOT_FOUND:
+        item.servers_without.add(sent.backend_server)
+    if result.end in (AttemptEnd.CALLER_GONE, AttemptEnd.TIMED_OUT):
+        record_departure(suspects, item, sent, now)
+    if result.end in (AttemptEnd.BROKEN, AttemptEnd.CRASHED):
+        name, boot_id = sent.backend_server, item.boots.get(sent.attempt, "")
+        suspects.presume(item.request.fingerprint, name, boot_id, item.solo_held, now)
+
+
+def record_departure(suspects: Suspects, item: OpenRequest, sent: Dispatch, now: float) -> None:
+    """Remember an attempt that is given up here and may still be at work."""
+    name, boot_id = sent.backend_server, item.boots.get(sent.attempt, "")
+    suspects.record_departure(item.request.fingerprint, name, boot_id, item.solo_held, now)
--- a/rhubarbshed/coordination/refusals.py
+++ b/rhubarbshed/coordination/refusals.py
@@ -1,12 +1,21 @@
 """Errors of requests that may have run already, so that none is called not run falsely."""
 
+from collections.abc import Sequence
+
+from attrs import evolve
+
 from rhubarbshed.coordination.admission import UNAVAILABLE, Admission
 from rhubarbshed.coordination.quarantine import describe_refused
 from rhubarbshed.coordination.retries import describe_failure, find_outcome
 from rhubarbshed.protocol.errors import Outcome, RequestError
 from rhubarbshed.protocol.requests import AttemptResult, Request
+from rhubarbshed.state.load import Candidate
 
 BUSY_WAIT_S = 1.0
+SOLO_WAIT_S = 2.0
+NOT_RESIDENT_WAIT_S = 2.0
+# Least time that an attempt is reckoned to hold a slot; shorter ones were refused at once.
+HOLD_MIN_S = 0.001
 
 
 def describe_crasher(request: Request, has_run: bool) -> RequestError:
@@ -38,3 +47,28 @@
     wait_s = result.retry_after_s or BUSY_WAIT_S
     message = f"no backend server took it ({result.end.value})"
     return admission.refuse(UNAVAILABLE, "servers_busy", message, wait_s)
+
+
+def describe_lack(candidates: Sequence[Candidate], runs_alone: bool) -> tuple[str, str, float]:
+    """Return code, message and seconds to wait of a request for which no server can be chosen."""
+    if all(found.lost for found in candidates):
+        message = "it is in no backend server's memory at present"
+        return "not_resident", message, NOT_RESIDENT_WAIT_S
+    if runs_alone:
+        message = "its backend servers are kept for other requests that run alone"
+        return "suspect_waits", message, SOLO_WAIT_S
+    return "servers_busy", "its backend servers cannot take it at present", BUSY_WAIT_S
+
+
+def spread_return(
+    admission: Admission,
+    request: Request,
+    candidates: Sequence[Candidate],
+    instances: int,
+    error: RequestError,
+    now: float,
+) -> RequestError:
+    """Let refused callers of one target come back no faster than it can serve them."""
+    shares = (each.slots / max(each.hold_s, HOLD_MIN_S) for each in candidates)
+    wait_s = admission.reserve_return(request.target, sum(shares) / instances, now)
+    return evolve(error, retry_after_s=max(error.retry_after_s, wait_s))
--- a/test/test_loads.py
+++ b/test/test_loads.py
@@ -50,6 +50,21 @@
     return instance
 
 
+@pytest.fixture
+def checks():
+    return True
+
+
+@pytest.fixture
+def world(checks):
+    return make_world(checks)
+
+
+@pytest.fixture
+def first(world):
+    return start(world, "i1")
+
+
 def load(instance, spec):
     tick(instance)
     return complete(execute_load(instance.context, instance.world.budget, spec))
@@ -105,9 +120,7 @@
 
 
 @BOTH_KINDS
-def test_load_and_unload(checks):
-    world = make_world(checks)
-    first = start(world, "i1")
+def test_load_and_unload(world, first):
     assert isinstance(load(first, A), Success)
     assert states(world) == {"a": EntryState.RESIDENT} and slots(world) == ()
     assert load(first, B).failure().fault is LedgerFault.MEMORY
@@ -116,9 +129,7 @@
     check_agreed(world)
 
 
-def test_cost_of_a_load():
-    world = make_world()
-    first = start(world, "i1")
+def test_cost_of_a_load(world, first):
     reads, commits = world.table.reads, world.table.commits
     load(first, A)
     assert (world.table.reads - reads, world.table.commits - commits) == (2, 2)
@@ -143,9 +154,7 @@
 
 
 @BOTH_KINDS
-def test_unload_in_doubt_keeps_its_bytes_until_confirmed(checks):
-    world = make_world(checks)
-    first = start(world, "i1")
+def test_unload_in_doubt_keeps_its_bytes_until_confirmed(world, first):
     load(first, A)
     world.engine.faults = ["late"]
     unload(first, A)
@@ -160,27 +169,20 @@
 
 
 @pytest.mark.parametrize("fault", [OrderFault.REFUSED, OrderFault.UNAVAILABLE])
-def test_load_that_never_ran_frees_its_bytes(fault):
-    world = make_world()
-    first = start(world, "i1")
+def test_load_that_never_ran_frees_its_bytes(fault, world, first):
     world.engine.faults = [fault]
     assert load(first, A).failure().fault is LedgerFault.ORDER
     assert states(world) == {} and slots(world) == ()
 
 
-def test_table_down_sends_no_order():
-    world = make_world()
-    first = start(world, "i1")
+def test_table_down_sends_no_order(world, first):
     sent = len(world.engine.orders)
     world.table.down = True
     assert load(first, A).failure().fault is LedgerFault.TABLE
     assert len(world.engine.orders) == sent
 
 
-def test_lost_settlement_is_made_up_for():
-    world = make_world()
-    first = start(world, "i1")
-
+def test_lost_settlement_is_made_up_for(world, first):
     def go_down():
         world.table.down = True
 
@@ -191,9 +193,7 @@
     assert states(world) == {"a": EntryState.RESIDENT} and world.engine.loads == 1
 
 
-def test_late_intent_is_found():
-    world = make_world()
-    first = start(world, "i1")
+def test_late_intent_is_found(world, first):
     world.table.faults = ["late"] * 20
     assert load(first, A).failure().fault is LedgerFault.TABLE
     world.table.faults = []
@@ -240,9 +240,7 @@
 
 
 @BOTH_KINDS
-def test_holder_frozen_between_intent_and_order(checks):
-    world = make_world(checks)
-    first = start(world, "i1")
+def test_holder_frozen_between_intent_and_order(checks, world, first):
     world.engine.faults = ["late"]
     load(first, A)
     second = succeed(world, "i2")
@@ -256,10 +254,7 @@
     check_agreed(world)
 
 
-def test_frozen_holder_does_not_send_past_its_lease():
-    world = make_world()
-    first = start(world, "i1")
-
+def test_frozen_holder_does_not_send_past_its_lease(world, first):
     def freeze():
         world.clock.now += 2 * TERM_S
 
@@ -293,9 +288,7 @@
 
 
 @BOTH_KINDS
-def test_server_restart_loads_all_again(checks):
-    world = make_world(checks)
-    first = start(world, "i1")
+def test_server_restart_loads_all_again(world, first):
     load(first, A)
     world.engine.restart()
     reconcile(first, 1)
@@ -309,9 +302,7 @@
     check_agreed(world)
 
 
-def test_late_order_after_a_restart_is_found_and_unloaded():
-    world = make_world()
-    first = start(world, "i1")
+def test_late_order_after_a_restart_is_found_and_unloaded(world, first):
     world.engine.faults = ["late"]
     load(first, A)
     reconcile(first, 2)
@@ -327,9 +318,7 @@
     check_agreed(world)
 
 
-def test_doubtful_load_is_voided_before_its_unload():
-    world = make_world()
-    first = start(world, "i1")
+def test_doubtful_load_is_voided_before_its_unload(world, first):
     world.engine.faults = ["late"]
     load(first, A)
     reconcile(first, 3)
@@ -341,9 +330,7 @@
     assert world.engine.resident == {}
 
 
-def test_load_that_is_always_refused_can_be_given_up():
-    world = make_world()
-    first = start(world, "i1")
+def test_load_that_is_always_refused_can_be_given_up(world, first):
     world.engine.faults = ["late", OrderFault.REFUSED, OrderFault.REFUSED]
     load(first, A)
     reconcile(first, 2)
@@ -360,26 +347,20 @@
     return sum(order.kind is OrderKind.LOAD for order in world.engine.orders)
 
 
-def test_load_on_its_way_is_not_sent_again():
-    world = make_world()
-    first = start(world, "i1")
+def test_load_on_its_way_is_not_sent_again(world, first):
     world.engine.faults = [lambda: reconcile(first, 2)]
     assert isinstance(load(first, A), Success)
     assert count_loads(world) == 1
 
 
-def test_load_being_cancelled_is_not_sent_again():
-    world = make_world()
-    first = start(world, "i1")
+def test_load_being_cancelled_is_not_sent_again(world, first):
     world.engine.faults = [OrderFault.REFUSED]
     world.table.faults = [None, lambda: reconcile(first, 2)]
     load(first, A)
     assert count_loads(world) == 1 and states(world) == {}
 
 
-def test_unload_does_not_cross_a_load_sent_again():
-    world = make_world()
-    first = start(world, "i1")
+def test_unload_does_not_cross_a_load_sent_again(world, first):
     load(first, A)
     world.engine.restart()
     reconcile(first, 1)
@@ -390,9 +371,7 @@
     assert answers[0].failure().fault is LedgerFault.BUSY
 
 
-def test_load_is_not_sent_again_while_its_unload_begins():
-    world = make_world()
-    first = start(world, "i1")
+def test_load_is_not_sent_again_while_its_unload_begins(world, first):
     load(first, A)
     world.engine.restart()
     reconcile(first, 1)
@@ -403,9 +382,7 @@
     assert count_loads(world) == 1 and world.engine.resident == {}
 
 
-def test_reload_waits_until_a_stray_is_unloaded():
-    world = make_world()
-    first = start(world, "i1")
+def test_reload_waits_until_a_stray_is_unloaded(world, first):
     world.engine.faults = ["late"]
     load(first, A)
     reconcile(first, 3)
@@ -420,9 +397,7 @@
     check_agreed(world)
 
 
-def test_settlement_does_not_outlive_its_epoch():
-    world = make_world()
-    first = start(world, "i1")
+def test_settlement_does_not_outlive_its_epoch(world, first):
     plain = first.context
 
     def send_then_restart(info, order):
@@ -439,18 +414,14 @@
     assert A.key in world.engine.resident and states(world) == {"a": EntryState.RESIDENT}
 
 
-def test_lost_model_is_loaded_again():
-    world = make_world()
-    first = start(world, "i1")
+def test_lost_model_is_loaded_again(world, first):
     load(first, A)
     world.engine.resident.clear()
     reconcile(first, 4)
     assert A.key in world.engine.resident and states(world) == {"a": EntryState.RESIDENT}
 
 
-def test_old_report_corrects_nothing():
-    world = make_world()
-    first = start(world, "i1")
+def test_old_report_corrects_nothing(world, first):
     old = world.engine.report(age_s=5.0)
     load(first, A)
     world.clock.now += 1.0
@@ -458,9 +429,7 @@
     assert states(world) == {"a": EntryState.RESIDENT}
 
 
-def test_adapter_needs_its_model_and_goes_first():
-    world = make_world()
-    first = start(world, "i1")
+def test_adapter_needs_its_model_and_goes_first(world, first):
     adapter = make_spec("x", 5, model="a")
     assert load(first, adapter).failure().fault is LedgerFault.ABSENT
     load(first, A)
@@ -482,9 +451,7 @@
     assert isinstance(load(first, make_spec("b", 10, 300.0)), Success)
 
 
-def test_weight_store_slots_and_rate():
-    world = make_world()
-    first = start(world, "i1")
+def test_weight_store_slots_and_rate(world, first):
     world.engine.faults = ["late"] * 6
     faults = [load(first, make_spec(f"m{n}", 1)).failure().fault for n in range(7)]
     assert faults == [LedgerFault.ORDER] * 6 + [LedgerFault.SLOTS]
@@ -569,9 +536,7 @@
     world.table.rows[key] = Row(key, ticket, encode_object(thing), ticket)
 
 
-def test_model_created_again_is_not_unloaded_by_an_owner_that_knows_it_as_deleted():
-    world = make_world()
-    first = start(world, "i1")
+def test_model_created_again_is_not_unloaded_by_an_owner_that_knows_it_as_deleted(world, first):
     load(first, A)
     model = Model("a", "v2", 60)
     write_object(world, model, 2, deleted=True)
@@ -583,9 +548,7 @@
     assert isinstance(unload(first, A), Success)
 
 
-def test_adapter_created_again_is_not_unloaded_either():
-    world = make_world()
-    first = start(world, "i1")
+def test_adapter_created_again_is_not_unloaded_either(world, first):
     adapter = make_spec("x", 5, model="a")
     load(first, A)
     load(first, adapter)
@@ -595,18 +558,14 @@
     assert isinstance(unload(first, adapter), Success)
 
 
-def test_unload_without_another_copy_waits_while_the_object_cannot_be_read():
-    world = make_world()
-    first = start(world, "i1")
+def test_unload_without_another_copy_waits_while_the_object_cannot_be_read(world, first):
     load(first, A)
     world.table.rows["object/model/a"] = Row("object/model/a", 1, {"of": "a later version"}, 1)
     assert unload(first, A).failure().fault is LedgerFault.UNREADABLE
     assert A.key in world.engine.resident
 
 
-def test_a_copy_is_not_its_own_other_copy():
-    world = make_world()
-    first = start(world, "i1")
+def test_a_copy_is_not_its_own_other_copy(world, first):
     load(first, A)
     context, budget = first.context, world.budget
     asked = complete(execute_unload(context, budget, A.key, relies_on="b1"))
