--- a/tools/policy.py
+++ b/tools/policy.py
@@ -310,6 +310,7 @@
         "not_final": sum(end in ("cut", "no_answer", "wrong") for end in ends),
         "p50_ms": round(find_percentile(first, 50) * 1000),
         "p95_ms": round(find_percentile(first, 95) * 1000),
+        "codes": describe_codes(innocent),
     }
 
 
