Do the work of a plan and of a choice once

Cause: read through. Each choice of a server built the set of residents of every server twice and each candidate twice. Change: Catalogue.group_adapters does it in one pass for placement and both lists; bodies are sorted by name, which is their keys' order. Residents are kept as of the last report, `ServerLoad.report` replaces five times `engine or service`, and a candidate is made with its freshness.

--- a/rhubarbshed/state/catalogue.py
+++ b/rhubarbshed/state/catalogue.py
@@ -110,28 +110,30 @@
 
     def list_models(self) -> tuple[Model, ...]:
         """List all models by name."""
-        return tuple(body for body in self._list_bodies() if isinstance(body, Model))
+        return tuple(self._list_bodies(Model))
 
     def find_ticket(self, model: str) -> int:
         """Return the number of the ticket that a model is as of, 0 where there is none."""
         thing = self.objects.get(ObjectKey(ObjectKind.MODEL.value, model))
         return 0 if thing is None else thing.ticket
 
-    def list_adapters(self, model: str) -> tuple[Adapter, ...]:
-        """List the adapters of a model by name."""
-        bodies = self._list_bodies()
-        return tuple(b for b in bodies if isinstance(b, Adapter) and b.model == model)
+    def group_adapters(self) -> dict[str, list[Adapter]]:
+        """Return the adapters of each model that there is, by model and name."""
+        grouped: dict[str, list[Adapter]] = {model.name: [] for model in self.list_models()}
+        for adapter in self._list_bodies(Adapter):
+            if adapter.model in grouped:
+                grouped[adapter.model].append(adapter)
+        return grouped
 
-    def list_services(self) -> tuple[Service, ...]:
-        """List all plain services by name."""
-        return tuple(body for body in self._list_bodies() if isinstance(body, Service))
-
-    def _list_bodies(self) -> list[Any]:
-        return [thing.body for thing in self.list_objects() if thing.body is not None]
+    def _list_bodies(self, kind: type) -> list[Any]:
+        bodies = (thing.body for thing in self.objects.values() if isinstance(thing.body, kind))
+        return sorted(bodies, key=lambda body: body.name)
 
     def list_objects(self) -> tuple[CatalogueObject, ...]:
         """List all objects by key, tombstones included."""
-        return tuple(self.objects[key] for key in sorted(self.objects))
+        return tuple(
+            sorted(self.objects.values(), key=lambda thing: (thing.key.kind, thing.key.name))
+        )
 
     def compute_digest(self) -> str:
         """Return a hash that differs between catalogues with different objects or tickets.
--- a/rhubarbshed/state/load.py
+++ b/rhubarbshed/state/load.py
@@ -1,7 +1,7 @@
 """Load of backend servers: lagging reports corrected by this instance's own dispatches."""
 
 import math
-from collections.abc import Iterable
+from collections.abc import Iterable, Set
 
 from attrs import define, evolve, field, frozen
 
@@ -94,11 +94,15 @@
     unanswered_at: float = math.inf
     cut_until: float = -math.inf
 
+    @property
+    def report(self) -> EngineReport | ServiceReport | None:
+        """Return the last report, of whichever kind the server gives."""
+        return self.engine or self.service
+
     @property
     def boot_id(self) -> str:
         """Return the boot that reported last, empty before the first report."""
-        report = self.engine or self.service
-        return report.boot_id if report else ""
+        return self.report.boot_id if self.report else ""
 
     def count_open(self) -> int:
         """Return the number of own attempts in flight."""
@@ -115,12 +119,11 @@
 
     def compute_taken_at(self) -> float:
         """Return when the last report's figures were true, on this instance's clock."""
-        report = self.engine or self.service
-        return self.received_at - report.age_s if report else -math.inf
+        return self.received_at - self.report.age_s if self.report else -math.inf
 
     def compute_in_flight(self) -> float:
         """Return requests in flight, own ones since the report added and ended ones taken off."""
-        report = self.engine or self.service
+        report = self.report
         reported = report.running + report.waiting if report else 0
         taken_at = self.compute_taken_at()
         for sent in self.sent.values():
@@ -145,7 +148,7 @@
 
         They are taken to send at this instance's `rate`, and slots to free at their mean rate.
         """
-        report = self.engine or self.service
+        report = self.report
         if report is None or instances <= 1:
             return 0.0
         age_s = min(UNSEEN_AGE_MAX_S, max(0.0, now - self.compute_taken_at()))
@@ -182,7 +185,8 @@
         known = self.resident_since
         self.engine = report
         self.prefixes.apply_events(report.cache_events)
-        self.resident_since = {name: known.get(name, since) for name in self.find_residents()}
+        names = (resident.name for resident in report.resident if resident.ready)
+        self.resident_since = {name: known.get(name, since) for name in names}
 
     def note_cut(self, report: EngineReport | ServiceReport, restarted: bool, now: float) -> None:
         """Note that a server lives, by what peers tell, that did not answer this instance."""
@@ -194,11 +198,9 @@
         """Tell whether any of these residents became known moments ago."""
         return any(now - self.resident_since.get(name, -math.inf) < SETTLE_S for name in names)
 
-    def find_residents(self) -> frozenset[str]:
-        """Return the names of models and adapters that are ready."""
-        if self.engine is None:
-            return frozenset()
-        return frozenset(resident.name for resident in self.engine.resident if resident.ready)
+    def find_residents(self) -> Set[str]:
+        """Return the names of models and adapters that are ready by the last report."""
+        return self.resident_since.keys()
 
     def forget_ended(self, now: float) -> None:
         """Drop ended attempts that the report already leaves out, or that are old."""
@@ -298,7 +300,7 @@
         if server is None:
             return
         kept = server.lost_targets if server.is_lost(now) else frozenset()
-        server.lost_targets = server.find_residents() | kept
+        server.lost_targets = frozenset(server.find_residents() | kept)
         server.lost_at = now
         server.prefixes.clear()
 
@@ -378,9 +380,9 @@
             share = server.prefixes.estimate_cached_share(prefixes)
             held = residents | server.lost_targets if was_there else residents
             has_adapter = not adapter or adapter in held
+            others = (self.instances, rate)
             fresh = server.is_fresh((model, adapter), now)
-            made = _make_candidate(server, share, has_adapter, (self.instances, rate), now)
-            found.append(evolve(made, fresh=fresh))
+            found.append(_make_candidate(server, share, has_adapter, others, now, fresh))
         return tuple(found)
 
     def _compute_mean_rate(self, model: str, now: float) -> float:
@@ -412,8 +414,9 @@
     adapter_resident: bool,
     others: tuple[int, float],
     now: float,
+    fresh: bool = False,
 ) -> Candidate:
-    report = server.engine or server.service
+    report = server.report
     return Candidate(
         info=server.info,
         in_flight=server.compute_in_flight(),
@@ -429,5 +432,6 @@
         report_age_s=now - server.compute_taken_at(),
         suspected=server.standing is Standing.SUSPECTED,
         lost=server.is_lost(now),
+        fresh=fresh,
         own_priorities=server.list_open_priorities(),
     )
--- a/rhubarbshed/transport/gateway.py
+++ b/rhubarbshed/transport/gateway.py
@@ -118,9 +118,8 @@
 
     async def list_models(self) -> list[str]:
         """List the names of all models and adapters that may be asked for."""
-        models = self.catalogue.list_models()
-        adapters = [a.name for m in models for a in self.catalogue.list_adapters(m.name)]
-        return [model.name for model in models] + adapters
+        adapters = self.catalogue.group_adapters()
+        return [*adapters, *(adapter.name for each in adapters.values() for adapter in each)]
 
     async def list_idempotent_methods(self, service: str) -> tuple[str, ...]:
         """List the HTTP methods of a plain service that may be sent twice."""
--- a/rhubarbshed/transport/pages.py
+++ b/rhubarbshed/transport/pages.py
@@ -13,6 +13,7 @@
 def list_models(catalogue: Catalogue, load: LoadView) -> list[dict[str, Any]]:
     """List models with the backend servers that hold them, as far as reports tell."""
     rows = []
+    adapters = catalogue.group_adapters()
     for model in catalogue.list_models():
         holders = [s.info.name for s in load.servers.values() if model.name in s.find_residents()]
         rows.append(
@@ -22,7 +23,7 @@
                 "ticket": catalogue.find_ticket(model.name),
                 "copies": len(holders),
                 "backend_servers": sorted(holders),
-                "adapters": [adapter.name for adapter in catalogue.list_adapters(model.name)],
+                "adapters": [adapter.name for adapter in adapters[model.name]],
             }
         )
     return rows
@@ -65,7 +66,7 @@
 
 
 def _describe_load(server: ServerLoad | None) -> dict[str, Any]:
-    report = (server.engine or server.service) if server else None
+    report = server.report if server else None
     if report is None:
         return {}
     described = {"running": report.running, "waiting": report.waiting}
--- a/rhubarbshed/transport/placing.py
+++ b/rhubarbshed/transport/placing.py
@@ -136,11 +136,10 @@
     if views is None or not runtime.leases.is_held(now) or not runtime.platform_up:
         return Success(None)
     _forget_records(runtime, now)
-    catalogue = runtime.catalogue
-    models = catalogue.list_models()
+    adapters = runtime.catalogue.group_adapters()
     plan = plan_moves(
-        models,
-        tuple(adapter for model in models for adapter in catalogue.list_adapters(model.name)),
+        runtime.catalogue.list_models(),
+        tuple(adapter for each in adapters.values() for adapter in each),
         views,
         runtime.demand.summarize(now),
         runtime.settings.placement,
--- a/test/test_tickets.py
+++ b/test/test_tickets.py
@@ -34,7 +34,7 @@
     assert accept(world, Ticket(1, (M1, Adapter("a", "m1", "v1", 5)))).unwrap().number == 1
     catalogue = refresh(world, Catalogue())
     assert catalogue.get_model("m1") == M1
-    assert [a.name for a in catalogue.list_adapters("m1")] == ["a"]
+    assert [a.name for a in catalogue.group_adapters()["m1"]] == ["a"]
     assert catalogue.head == 1
 
 
--- a/tools/policy_instance.py
+++ b/tools/policy_instance.py
@@ -19,7 +19,7 @@
 
 def count_reported(server: ServerLoad) -> int:
     """Return requests in flight by the last report alone, however old it is."""
-    report = server.engine or server.service
+    report = server.report
     return report.running + report.waiting if report else 0
 
 
