Put twin code of commits, pauses, drains and load keys into one place

Ruled out: leaving them; the twins had begun to differ in their constants. Change: commit_planned, choose_pause, Drain.is_over, list_load_keys, with their callers moved over. Before and after: behaviour is meant to be the same.

--- a/rhubarbshed/coordination/commits.py
+++ b/rhubarbshed/coordination/commits.py
@@ -16,6 +16,7 @@
 
 BATCH_TRANSACTIONS_MAX = 50
 CONFIRM_TRIES = 3
+ROUNDS_MAX = 4
 CONFIRM_PAUSE_S = 0.05
 
 Runner = Callable[..., Awaitable[Any]]
@@ -175,6 +176,24 @@
     return CommitResult(CommitEnd.UNSURE)
 
 
+async def commit_planned(
+    table: CommitBatcher, key: str, plan: Callable[[Row], Transaction | None], write_id: str
+) -> bool:
+    """Write what a plan makes of a row, until it stands or none is due; tell whether that is so."""
+    row = (await table.read(key)).value_or(None)
+    for _ in range(ROUNDS_MAX):
+        if row is None:
+            return False
+        transaction = plan(row)
+        if transaction is None:
+            return True
+        result = await commit_confirmed(table, transaction, write_id)
+        if result.end is CommitEnd.COMMITTED and result.row is None:
+            return True
+        row = result.row
+    return False
+
+
 async def _read_conflict(
     table: CommitBatcher, key: str, error: TableError, write_id: str, is_unsure: bool
 ) -> CommitResult:
--- a/rhubarbshed/coordination/desk.py
+++ b/rhubarbshed/coordination/desk.py
@@ -5,7 +5,7 @@
 
 from attrs import define, field, frozen
 
-from rhubarbshed.coordination.admission import Admission, describe_unknown_target
+from rhubarbshed.coordination.admission import UNAVAILABLE, Admission, describe_unknown_target
 from rhubarbshed.coordination.drain import Drain
 from rhubarbshed.coordination.endings import record_departure, record_end
 from rhubarbshed.coordination.lookup import FindAdapter, FindModel, FindService, Lookup
@@ -46,7 +46,6 @@
 PENDING_MESSAGE = "it may have crashed backend servers; whether it did is being found out"
 
 CONFLICT = 409
-UNAVAILABLE = 503
 
 
 @frozen
@@ -166,8 +165,7 @@
     def _begin_trial(self, item: OpenRequest, now: float) -> SoloSettling | Refusal:
         """Set a server aside for a suspect that has the right to run alone."""
         fingerprint = item.request.fingerprint
-        others = self.suspects.list_set_aside(now)
-        others -= self.suspects.list_set_aside_for(fingerprint, now)
+        others = self.suspects.list_set_aside_for_others(fingerprint, now)
         found = choose_trial(self._find_pair(item, now), others)
         if found is None:
             return self._refuse_without_server(item, now)
@@ -219,7 +217,7 @@
         item = self.open.items.get(request_id)
         if item is None or len(item.dispatches) != 1 or item.solo_held or item.hedged:
             return None
-        if self.suspects.is_suspect(item.request.fingerprint) or self.drain_is_over(now):
+        if self.suspects.is_suspect(item.request.fingerprint) or self.drain.is_over(now):
             return None
         is_late = now >= item.request.deadline
         if is_late or item.attempts >= self.settings.retries.attempts_max:
@@ -407,7 +405,7 @@
         can_go_on = (
             may_send_again(request, result.end)
             and item.attempts < self.settings.retries.attempts_max
-            and not self.drain_is_over(now)
+            and not self.drain.is_over(now)
             and self.budget.withdraw(list_budget_keys(request), now)
         )
         if not can_go_on:
@@ -418,13 +416,6 @@
             return SoloNeeded(request.request_id, request.fingerprint)
         return self._dispatch(item, now)
 
-    def drain_is_over(self, now: float) -> bool:
-        """Tell whether the time for requests in progress has run out."""
-        drain = self.drain
-        if drain.started_at is None:
-            return False
-        return now - drain.started_at >= drain.announce_s + drain.drain_s
-
     def _refuse_busy(
         self, item: OpenRequest, code: str, message: str, wait_s: float = BUSY_WAIT_S
     ) -> Refusal:
--- a/rhubarbshed/coordination/dissemination.py
+++ b/rhubarbshed/coordination/dissemination.py
@@ -39,7 +39,7 @@
 """Beats that fit into the silence after which a peer is suspected, at the least."""
 TALKED_TO = (Standing.LIVE, Standing.LEAVING, Standing.SUSPECTED)
 DIGESTS = (LoadDigest, DemandDigest, DemandUpdate, ServiceDigest)
-URGENT = (CatalogueHint, LeavingNotice, QuarantineNotice)
+NOTICES = (CatalogueHint, LeavingNotice, QuarantineNotice)
 
 
 @frozen
@@ -180,7 +180,7 @@
     further data centres too, so that a cut between two of them is gone round by a third.
     """
     origin_centre = connected.get(sender, "")
-    urgent = isinstance(frame, URGENT)
+    urgent = isinstance(frame, NOTICES)
     shared = urgent or (isinstance(frame, DIGESTS) and frame.remote)
     to_mesh = shared and origin_centre != own_centre
     to_bridges = urgent and topology.is_delegate
--- a/rhubarbshed/coordination/drain.py
+++ b/rhubarbshed/coordination/drain.py
@@ -42,10 +42,16 @@
         passed_s = now - self.started_at
         if passed_s < self.announce_s:
             return DrainPhase.ANNOUNCING
-        if open_requests == 0 or passed_s >= self.announce_s + self.drain_s:
+        if open_requests == 0 or self.is_over(now):
             return DrainPhase.DUE
         return DrainPhase.DRAINING
 
+    def is_over(self, now: float) -> bool:
+        """Tell whether the time for requests in progress has run out."""
+        if self.started_at is None:
+            return False
+        return now - self.started_at >= self.announce_s + self.drain_s
+
     def check_open(self, retry_after_s: float, now: float) -> RequestError | None:
         """Return the error for a new request once the announcement is over, else None.
 
--- a/rhubarbshed/coordination/loads.py
+++ b/rhubarbshed/coordination/loads.py
@@ -226,7 +226,7 @@
         context,
         budget,
         lambda rows: plan_load(rows, budget, tenure, entry, context.gate, context.clock()),
-        _list_load_keys(entry),
+        list_load_keys(entry),
     )
     if isinstance(intent, Failure):
         return intent
@@ -238,7 +238,8 @@
     return Failure(describe_order_error(sent.failure()))
 
 
-def _list_load_keys(entry: Entry) -> tuple[str, ...]:
+def list_load_keys(entry: Entry) -> tuple[str, ...]:
+    """List the row of the weight store where a load takes a slot of it; adapters take none."""
     return () if entry.key.model else (WEIGHTS_KEY,)
 
 
@@ -253,7 +254,7 @@
         context,
         budget,
         lambda rows: plan_settle_load(rows, budget, tenure, entry.load_id, doubtful),
-        _list_load_keys(entry),
+        list_load_keys(entry),
     )
 
 
@@ -262,7 +263,7 @@
         context,
         budget,
         lambda rows: plan_cancel(rows, budget, tenure, entry.load_id),
-        _list_load_keys(entry),
+        list_load_keys(entry),
     )
 
 
@@ -362,7 +363,7 @@
         context,
         budget,
         lambda rows: plan_settle_unload(rows, budget, tenure, entry.unload_id),
-        _list_load_keys(entry),
+        list_load_keys(entry),
     )
     if isinstance(settled, Success):
         held.forget_entry(entry)
--- a/rhubarbshed/coordination/reconciliation.py
+++ b/rhubarbshed/coordination/reconciliation.py
@@ -12,6 +12,7 @@
     change_ledger,
     describe_order_error,
     find_tenure,
+    list_load_keys,
     make_load_order,
     raise_server_token,
     send_order,
@@ -226,7 +227,7 @@
         lambda rows: plan_reload(
             rows, budget, tenure, entry.load_id, context.gate, context.clock()
         ),
-        () if entry.key.model else (WEIGHTS_KEY,),
+        list_load_keys(entry),
     )
     if isinstance(granted, Failure):
         return granted
--- a/rhubarbshed/coordination/retention.py
+++ b/rhubarbshed/coordination/retention.py
@@ -147,8 +147,6 @@
         retention.part = (retention.part + 1) % PARTS
         return Success(0)
     removed = await remove_rows(access, part, limit, settings.rows_max)
-    if isinstance(removed, Success):
-        retention.removed += removed.unwrap()
-        if removed.unwrap() < settings.rows_max:
-            retention.part = (retention.part + 1) % PARTS
+    if isinstance(removed, Success) and removed.unwrap() < settings.rows_max:
+        retention.part = (retention.part + 1) % PARTS
     return removed
--- a/rhubarbshed/coordination/retries.py
+++ b/rhubarbshed/coordination/retries.py
@@ -6,12 +6,11 @@
 
 from rhubarbshed.protocol.errors import Outcome, RequestError
 from rhubarbshed.protocol.requests import AttemptEnd, AttemptResult, Request
+from rhubarbshed.util.pauses import choose_pause
 from rhubarbshed.util.settings import RetrySettings
 
 BUDGET_CAP_S = 10.0
 BUCKETS_MAX = 10_000
-PAUSE_FIRST_S = 0.02
-PAUSE_LONGEST_S = 1.0
 BAD_GATEWAY = 502
 GATEWAY_TIMEOUT = 504
 ENDS_NOT_RUN = (AttemptEnd.NOT_SENT, AttemptEnd.REFUSED)
@@ -71,8 +70,7 @@
 
 def compute_pause(attempt: int, randomness: random.Random) -> float:
     """Return the seconds before an attempt (1 is the first retry), with full jitter."""
-    longest = min(PAUSE_LONGEST_S, PAUSE_FIRST_S * 2 ** max(0, attempt - 1))
-    return randomness.uniform(0.0, longest)
+    return choose_pause(max(0, attempt - 1), randomness)
 
 
 def may_have_run(end: AttemptEnd) -> bool:
--- a/rhubarbshed/coordination/settlement.py
+++ b/rhubarbshed/coordination/settlement.py
@@ -17,13 +17,18 @@
     plan_settle,
     read_claim,
 )
-from rhubarbshed.coordination.commits import CommitBatcher, CommitEnd, commit_confirmed
+from rhubarbshed.coordination.commits import (
+    ROUNDS_MAX,
+    CommitBatcher,
+    CommitEnd,
+    commit_confirmed,
+    commit_planned,
+)
 from rhubarbshed.protocol.claims import ClaimState, StoredAnswer
-from rhubarbshed.protocol.tables import Row
+from rhubarbshed.protocol.tables import Row, Transaction
 
 log = logging.getLogger(__name__)
 
-ROUNDS_MAX = 4
 PENDING_MAX = 2_000
 
 IsGone = Callable[[str, str], bool]
@@ -144,15 +149,9 @@
 
 
 async def _try_settle(table: CommitBatcher, settlement: Settlement) -> bool:
-    row = (await table.read(settlement.ask.key)).value_or(None)
-    for _ in range(ROUNDS_MAX):
-        if row is None:
-            return False
-        plan = plan_settle(settlement.ask, row, settlement.state, settlement.answer)
-        if plan is None:
-            return True
-        result = await commit_confirmed(table, plan, settlement.ask.write_id)
-        if result.end is CommitEnd.COMMITTED and result.row is None:
-            return True
-        row = result.row
-    return False
+    ask = settlement.ask
+
+    def plan(row: Row) -> Transaction | None:
+        return plan_settle(ask, row, settlement.state, settlement.answer)
+
+    return await commit_planned(table, ask.key, plan, ask.write_id)
--- a/rhubarbshed/coordination/solo.py
+++ b/rhubarbshed/coordination/solo.py
@@ -6,7 +6,13 @@
 
 from attrs import define, field, frozen
 
-from rhubarbshed.coordination.commits import CommitBatcher, CommitEnd, commit_confirmed
+from rhubarbshed.coordination.commits import (
+    ROUNDS_MAX,
+    CommitBatcher,
+    CommitEnd,
+    commit_confirmed,
+    commit_planned,
+)
 from rhubarbshed.coordination.quarantine import (
     SoloBusy,
     SoloRefused,
@@ -20,7 +26,6 @@
 
 log = logging.getLogger(__name__)
 
-ROUNDS_MAX = 4
 PENDING_MAX = 1_000
 
 IsGone = Callable[[str, str], bool]
@@ -121,15 +126,7 @@
 
 
 async def _try_release(table: CommitBatcher, known: QuarantineEntry, write_id: str) -> bool:
-    row = (await table.read(make_solo_key(known.fingerprint))).value_or(None)
-    for _ in range(ROUNDS_MAX):
-        if row is None:
-            return False
-        plan = plan_solo_release(known, row, write_id)
-        if plan is None:
-            return True
-        result = await commit_confirmed(table, plan, write_id)
-        if result.end is CommitEnd.COMMITTED and result.row is None:
-            return True
-        row = result.row
-    return False
+    key = make_solo_key(known.fingerprint)
+    return await commit_planned(
+        table, key, lambda row: plan_solo_release(known, row, write_id), write_id
+    )
--- a/rhubarbshed/coordination/suspects.py
+++ b/rhubarbshed/coordination/suspects.py
@@ -110,10 +110,10 @@
         """Return the servers that are kept for a suspect."""
         return self.view.list_set_aside(now)
 
-    def list_set_aside_for(self, fingerprint: str, now: float) -> frozenset[str]:
-        """Return the servers that are kept for this suspect."""
+    def list_set_aside_for_others(self, fingerprint: str, now: float) -> frozenset[str]:
+        """Return the servers that are kept for suspects other than this one."""
         names = self.view.list_set_aside(now)
-        return frozenset(name for name in names if self.view.find_solo(name, now) == fingerprint)
+        return frozenset(name for name in names if self.view.find_solo(name, now) != fingerprint)
 
     def set_solo(self, backend_server: str, fingerprint: str, until: float) -> None:
         """Set a server aside while a suspect runs on it."""
--- a/rhubarbshed/coordination/transactions.py
+++ b/rhubarbshed/coordination/transactions.py
@@ -18,11 +18,10 @@
     Transaction,
     Write,
 )
+from rhubarbshed.util.pauses import choose_pause
 
 WRITE_ID = "write_id"
 ATTEMPTS_MAX = 8
-PAUSE_FIRST_S = 0.02
-PAUSE_LONGEST_S = 1.0
 
 Runner = Callable[..., Awaitable[Any]]
 
@@ -182,8 +181,3 @@
         row.value is not None and row.key in ours and row.value.get(WRITE_ID) == ours[row.key]
         for row in rows
     )
-
-
-def choose_pause(attempt: int, chance: random.Random) -> float:
-    """Return a pause in seconds: full jitter under a doubling bound."""
-    return chance.uniform(0.0, min(PAUSE_LONGEST_S, PAUSE_FIRST_S * 2**attempt))
--- a/rhubarbshed/state/retention.py
+++ b/rhubarbshed/state/retention.py
@@ -39,7 +39,6 @@
     seen_at: float = 0.0
     read_at: float = 0.0
     part: int = 0
-    removed: int = 0
 
     def observe(self, version: int, now: float, gap_max_s: float) -> None:
         """Take in the version of the marks' row; a change or a gap in reads starts anew."""
--- a/rhubarbshed/transport/gateway.py
+++ b/rhubarbshed/transport/gateway.py
@@ -147,7 +147,7 @@
         self, call: Call, result: AttemptResult, answer: WholeAnswer | None = None
     ) -> Dispatch | Refusal | None:
         """Decide on what follows an attempt; None: the request is answered."""
-        self._record_attempt(result)
+        self._record_attempt(result, result.end.value, result.tokens)
         if result.end is AttemptEnd.BROKEN:
             await self.check_server(result.backend_server)
         if call.request.model and result.tokens:
@@ -178,7 +178,7 @@
 
     async def end_loser(self, result: AttemptResult) -> None:
         """Take the failure of one of two attempts while the other goes on."""
-        self._record_attempt(result)
+        self._record_attempt(result, result.end.value, result.tokens)
         self.desk.end_attempt(result, time.monotonic())
 
     async def give_up(self, dispatch: Dispatch) -> None:
@@ -187,16 +187,7 @@
         given_up = self.desk.give_up(request_id, dispatch.attempt, time.monotonic())
         if given_up is None:
             return
-        server, attempt = given_up.backend_server, given_up.attempt
-        self.metrics.attempts.inc({"end": GIVEN_UP})
-        self.timeline.record(
-            "attempt_ended",
-            request=request_id,
-            backend_server=server,
-            attempt=attempt,
-            end=GIVEN_UP,
-            tokens=0,
-        )
+        self._record_attempt(given_up, GIVEN_UP)
         self.cancels[request_id] = self.loop.create_task(self._cancel(given_up))
 
     async def _cancel(self, dispatch: Dispatch) -> None:
@@ -301,16 +292,16 @@
         self.ending -= 1
         task.result()
 
-    def _record_attempt(self, result: AttemptResult) -> None:
-        self.metrics.attempts.inc({"end": result.end.value})
-        self.metrics.tokens.add({}, result.tokens)
+    def _record_attempt(self, sent: Dispatch | AttemptResult, end: str, tokens: int = 0) -> None:
+        self.metrics.attempts.inc({"end": end})
+        self.metrics.tokens.add({}, tokens)
         self.timeline.record(
             "attempt_ended",
-            request=result.request_id,
-            backend_server=result.backend_server,
-            attempt=result.attempt,
-            end=result.end.value,
-            tokens=result.tokens,
+            request=sent.request_id,
+            backend_server=sent.backend_server,
+            attempt=sent.attempt,
+            end=end,
+            tokens=tokens,
         )
 
     def _record_decision(
--- a/rhubarbshed/transport/loops.py
+++ b/rhubarbshed/transport/loops.py
@@ -31,9 +31,11 @@
 # Pauses after failures spread wider, so that instances do not come back all at once.
 BACKOFF_JITTER = (0.4, 1.0)
 BACKOFF_FACTOR = 2.0
+PROBES_AT_ONCE_MAX = 4
+SNAPSHOT_JOB = "snapshot"
+RETENTION_JOB = "retention"
 
 Step = Callable[[Runtime], Awaitable[Result]]
-PROBES_AT_ONCE_MAX = 4
 
 
 async def repeat(
@@ -111,28 +113,22 @@
         runtime.note_catalogue_change(len(changed), "the table")
         runtime.network.publish(CatalogueHint(catalogue.revision, catalogue.head))
         runtime.snapshot_due = True
-    if runtime.snapshot_due and is_snapshot_writer(runtime):
+    if runtime.snapshot_due and is_chosen(runtime, SNAPSHOT_JOB):
         stored = await store_snapshot(runtime.access, runtime.objects, runtime.catalogue)
         runtime.snapshot_due = isinstance(stored, Failure)
     return Success(None)
 
 
-def is_snapshot_writer(runtime: Runtime) -> bool:
-    """Tell whether this instance keeps the snapshot; two at a time do no harm."""
+def is_chosen(runtime: Runtime, job: str) -> bool:
+    """Tell whether this instance has a job that one does for all; two at a time do no harm."""
     names = [info.name for info in list_instances(runtime.membership, time.monotonic())]
-    return rank_by_rendezvous("snapshot", names)[:1] == [runtime.membership.name]
+    return rank_by_rendezvous(job, names)[:1] == [runtime.membership.name]
 
 
 async def remove_old_rows(runtime: Runtime) -> Result[None, object]:
-    """Remove rows that nothing needs any more, if this instance is the one that does so.
-
-    Two at a time do no harm.
-    """
-    names = [info.name for info in list_instances(runtime.membership, time.monotonic())]
-    first = rank_by_rendezvous("retention", names)[:1]
-    if first != [runtime.membership.name] or not runtime.leases.is_held(time.monotonic()):
+    """Remove rows that nothing needs any more, if this instance is the one that does so."""
+    if not is_chosen(runtime, RETENTION_JOB) or not runtime.leases.is_held(time.monotonic()):
         return Success(None)
-
     settings = runtime.settings
     removed = await retain(
         runtime.access,
--- a/rhubarbshed/transport/peers.py
+++ b/rhubarbshed/transport/peers.py
@@ -10,7 +10,8 @@
 from returns.result import Failure, Result
 
 from rhubarbshed.coordination.dissemination import (
-    URGENT,
+    DIGESTS,
+    NOTICES,
     NoticeFilter,
     Topology,
     choose_beat_interval,
@@ -23,16 +24,11 @@
 )
 from rhubarbshed.protocol.members import InstanceInfo
 from rhubarbshed.protocol.peers import (
-    CatalogueHint,
-    DemandDigest,
-    DemandUpdate,
     Envelope,
     Frame,
     Heartbeat,
     LeavingNotice,
     LoadDigest,
-    QuarantineNotice,
-    ServiceDigest,
     UnknownFrame,
     unpack_envelope,
 )
@@ -58,9 +54,8 @@
 """Part of a beat's interval after which the next may go, so that jitter skips none."""
 HANDSHAKES_MAX = 64
 """Connections accepted but not proven yet; more are closed at once."""
-REPLACEABLE = (Heartbeat, LoadDigest, DemandDigest, DemandUpdate, ServiceDigest)
+REPLACEABLE = (Heartbeat, *DIGESTS)
 """Frames that a newer one makes useless, dropped first for a peer that takes nothing."""
-NOTICES = (CatalogueHint, LeavingNotice, QuarantineNotice)
 
 
 @define(eq=False)
@@ -428,7 +423,7 @@
             sender,
             self.identity.info.data_centre,
         )
-        if isinstance(frame, URGENT) or not is_crowd(self.topology):
+        if isinstance(frame, NOTICES) or not is_crowd(self.topology):
             self._send_all(names, frame, notice_id)
         else:
             self._queue_all(names, frame, notice_id)
--- a/rhubarbshed/transport/runtime.py
+++ b/rhubarbshed/transport/runtime.py
@@ -70,7 +70,6 @@
 OPERATOR_THREADS = 8
 # Time after start in which an instance that has heard no news of catalogue and load is not ready.
 READY_PATIENCE_S = 5.0
-OPERATOR_BODY_BYTES_MAX = 4 * 1024 * 1024
 
 
 @frozen
@@ -310,10 +309,6 @@
         """Run a blocking call off the loop."""
         return await self.loop.run_in_executor(self.control, functools.partial(call, *args))
 
-    async def run_order(self, call: Callable[..., Any], *args: Any) -> Any:
-        """Run a call that may block for long off the loop."""
-        return await self.loop.run_in_executor(self.orders, functools.partial(call, *args))
-
     def start_sites(self, operator_handler: Callable[..., Any]) -> Result[None, str]:
         """Listen for callers and operators."""
         callers = self._make_caller_site()
@@ -328,7 +323,6 @@
         carrier = Carrier(connections, self.flows, instance.name, limits.answer_bytes_max)
         site_limits = SiteLimits(
             threads=limits.threads + SPARE_THREADS,
-            body_bytes_max=limits.body_bytes_max,
             header_bytes_max=limits.header_bytes_max,
             socket_timeout_s=limits.socket_timeout_s,
         )
@@ -339,7 +333,6 @@
         limits = self.settings.callers
         site_limits = SiteLimits(
             threads=OPERATOR_THREADS,
-            body_bytes_max=OPERATOR_BODY_BYTES_MAX,
             header_bytes_max=limits.header_bytes_max,
             socket_timeout_s=limits.socket_timeout_s,
         )
--- a/rhubarbshed/transport/sites.py
+++ b/rhubarbshed/transport/sites.py
@@ -31,10 +31,9 @@
 
 @frozen
 class SiteLimits:
-    """Bound what a site takes in: threads, bytes, and seconds for a slow peer."""
+    """Bound what a site takes in: threads, bytes of headers, and seconds for a slow peer."""
 
     threads: int
-    body_bytes_max: int
     header_bytes_max: int
     socket_timeout_s: float
 
--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -45,7 +45,6 @@
 REPLICAS_HERE = 100
 REMOTE_INTERVAL_S = choose_remote_interval(INSTANCES_HERE - 1)
 CORE_PART_MAX = 0.014
-MEMORY_BYTES_MAX = 128_000_000
 BYTES_PER_S_MAX = 21_000
 PACKET_BYTES = 52
 """IP and TCP headers with time stamps on one packet; an acknowledgement costs as much."""
--- a/tools/capacity_peers.py
+++ b/tools/capacity_peers.py
@@ -21,6 +21,7 @@
 from rhubarbshed.transport.peers import PeerNetwork
 from rhubarbshed.util.settings import Settings
 from tools.capacity import INSTANCES_HERE, PACKET_BYTES, fit, make_report
+from tools.processes import find_free_ports
 
 SIZES = (20, 40, 62)
 SETTLE_S = 12.0
@@ -95,21 +96,10 @@
     return payload, packets
 
 
-def find_ports(count: int) -> list[int]:
-    """Find free ports on loopback."""
-    held = [socket.socket() for _ in range(count)]
-    for sock in held:
-        sock.bind(("127.0.0.1", 0))
-    ports = [sock.getsockname()[1] for sock in held]
-    for sock in held:
-        sock.close()
-    return ports
-
-
 def make_trials(size: int) -> list[Trial]:
     """Make instances of one data centre that know of each other by the list."""
     trials = []
-    for number, port in enumerate(find_ports(size)):
+    for number, port in enumerate(find_free_ports(size)):
         text = f"[instance]\nname = i-{number}\npeer_port = {port}\n[secrets]\npeer_token = t"
         trials.append(Trial.from_settings(Settings.from_text(text).unwrap(), number))
     infos = [evolve(trial.network.identity.info, incarnation="") for trial in trials]
--- a/tools/capacity_view.py
+++ b/tools/capacity_view.py
@@ -8,40 +8,13 @@
 import tracemalloc
 
 from rhubarbshed.protocol.catalogue import CatalogueObject, Model, ObjectKey
-from rhubarbshed.protocol.members import (
-    BackendKind,
-    BackendServerInfo,
-    InstanceInfo,
-    ListedBackendServer,
-    ListedInstance,
-    PlatformList,
-)
 from rhubarbshed.transport.instance import STANDINGS_INTERVAL_S
 from rhubarbshed.transport.runtime import Runtime
 from rhubarbshed.util.settings import Settings
+from tools.capacity import make_list
 
 SIZES = ((10, 10, 10), (20, 20, 20), (40, 40, 40), (80, 80, 80), (370, 600, 860))
 RUNS = 20
-DATA_CENTRES = 6
-
-
-def make_list(instances: int, servers: int) -> PlatformList:
-    """Make a platform list of these sizes over the data centres."""
-    listed = tuple(
-        ListedInstance(
-            InstanceInfo(f"i{number}", f"dc-{number % DATA_CENTRES}", "r", "127.0.0.1", 1, 2, 3)
-        )
-        for number in range(instances)
-    )
-    backends = tuple(
-        ListedBackendServer(
-            BackendServerInfo(
-                f"b{number}", BackendKind.ENGINE, f"dc-{number % DATA_CENTRES}", "r", "127.0.0.1", 4
-            )
-        )
-        for number in range(servers)
-    )
-    return PlatformList(listed, backends)
 
 
 def make_objects(models: int) -> list[CatalogueObject]:
@@ -64,7 +37,9 @@
     """Measure one size and return its line."""
     loop = asyncio.new_event_loop()
     tracemalloc.start()
-    runtime = Runtime.from_settings(Settings.from_text("[instance]\nname = i0\n").unwrap(), loop)
+    runtime = Runtime.from_settings(
+        Settings.from_text("[instance]\nname = i-0\ndata_centre = dc-0\n").unwrap(), loop
+    )
     empty = tracemalloc.get_traced_memory()[0]
     runtime.membership.apply_list(make_list(instances, servers), time.monotonic())
     runtime.catalogue.apply_objects(make_objects(models), 1)
--- a/tools/policy.py
+++ b/tools/policy.py
@@ -91,7 +91,9 @@
     """Return a prompt of one of a few conversations, with a question of its own."""
     shared = random.Random(randomness.randrange(PREAMBLES))
     words = [shared.choice(WORDS) for _ in range(PREAMBLE_WORDS)]
-    words += [f"{randomness.choice(WORDS)}{randomness.randrange(1000)}" for _ in range(16)]
+    words += [
+        f"{randomness.choice(WORDS)}{randomness.randrange(1000)}" for _ in range(QUESTION_WORDS)
+    ]
     return " ".join(words)
 
 
--- a/tools/policy_instance.py
+++ b/tools/policy_instance.py
@@ -13,7 +13,6 @@
 ROUND_ROBIN = "round_robin"
 LEAST_CONNECTIONS = "least_connections"
 
-choose_by_product = Desk._choose
 turns = count()
 
 
@@ -40,9 +39,7 @@
 def choose_by_baseline(
     desk: Desk, item: OpenRequest, extra: frozenset[str], now: float
 ) -> Route | None:
-    """Choose as the baseline does; a suspect that runs alone is placed as in the product."""
-    if item.solo_held:
-        return choose_by_product(desk, item, extra, now)
+    """Choose as the baseline does; a suspect's trial is placed by the product in any case."""
     avoided = desk.suspects.list_set_aside(now) | extra
     candidates = desk.lookup.list_candidates(item.request, desk.load, now)
     found = [each for each in candidates if not each.lost and each.info.name not in avoided]
