--- /dev/null
+++ b/rhubarbshed/coordination/serving/absence.py
@@ -0,0 +1,79 @@
+"""Requests for a model or adapter that no server holds yet: wait for its load, or be refused.
+
+Answers demand that moves to other models and rare models asked for at once. A load within a
+caller's patience is worth the wait, since a caller that is sent away comes back only once.
+"""
+
+from attrs import frozen
+
+from rhubarbshed.protocol.routes import EngineSpec, ModelSpec
+from rhubarbshed.state.fleet import ServerRecord
+
+ADAPTER_WAIT_S = 0.6
+"""Longest wait for an adapter: a load takes about 10 ms, an order to a busy queue some more."""
+
+ORDER_S = 0.25
+"""Time for a word to the order holder, its decision and its order."""
+
+LOAD_MARGIN = 3.0
+"""Factor on a load's time, which grows while several run and while room is made first."""
+
+PATIENCE_PART = 0.8
+"""Part of a caller's patience that may go into waiting; the rest is for the answer."""
+
+
+@frozen
+class Waiting:
+    """Wait until a time (monotonic seconds) for a load that should take `expected_s`."""
+
+    until: float
+    expected_s: float
+
+
+@frozen
+class Absent:
+    """Refuse: the load would take too long, or nothing by that name is configured."""
+
+    reason: str
+    over_in_s: float | None = None
+
+
+def decide_absent(
+    engine: EngineSpec | None,
+    needs: tuple[str, str],
+    capable: list[ServerRecord],
+    leaves_at: float,
+    now: float,
+) -> Waiting | Absent:
+    """Decide on a request whose (model, adapter) no server holds.
+
+    Its caller waits until `leaves_at` (monotonic seconds).
+    """
+    model, adapter = needs
+    spec = engine.models.get(model) if engine is not None else None
+    if spec is None:
+        return Absent("absent")
+    if adapter and any(model in record.held for record in capable):
+        expected_s, limit_s = ORDER_S, ADAPTER_WAIT_S
+    else:
+        expected_s = min(_find_ready_time(spec, record, now) for record in capable)
+        limit_s = ORDER_S + expected_s * LOAD_MARGIN
+    left_s = (leaves_at - now) * PATIENCE_PART
+    if expected_s > left_s:
+        return Absent("absent", expected_s)
+    return Waiting(now + min(limit_s, left_s), expected_s)
+
+
+def _find_ready_time(spec: ModelSpec, record: ServerRecord, now: float) -> float:
+    """Return the seconds until a server could hold a model; one that loads it knows better."""
+    if record.loading == spec.name:
+        return max(ORDER_S, record.loaded_at - now)
+    return ORDER_S + _find_load_time(spec, record)
+
+
+def _find_load_time(spec: ModelSpec, record: ServerRecord) -> float:
+    if spec.name in record.entry.in_memory:
+        return spec.warm_load_s
+    if spec.name in record.entry.on_disk:
+        return spec.disk_load_s
+    return spec.load_s
--- /dev/null
+++ b/rhubarbshed/coordination/serving/placement.py
@@ -0,0 +1,428 @@
+"""Which models and adapters engines are ordered to hold.
+
+Answers demand that moves to other models within seconds, rare models asked for at once, and
+engines that come back empty: first what callers wait for and nobody holds, then second copies of
+what is busy, and nothing is dropped that somebody still asks for unless another copy stays.
+"""
+
+from attrs import define, field, frozen
+
+from rhubarbshed.protocol.orders import OrderKind
+from rhubarbshed.protocol.routes import EngineSpec, ModelSpec
+from rhubarbshed.state.fleet import ServerRecord
+from rhubarbshed.state.places import Place
+from rhubarbshed.state.usage import Target, Usage
+
+WANT_S = 1.0
+"""Time for which a want counts; callers repeat it each 0.1 s while they wait."""
+
+COPY_PARTS = (1.0, 0.08, 0.02, 0.01, 0.005)
+"""What the first, second and further copies of a model are worth, as parts of its requests a
+second: the first answers them, a second one answers them while its server is lost."""
+
+STREAM_S = 1.5
+CROWDED = 0.15
+CROWDING_PART = 1.0
+"""A copy counts more while those that there are would be busy beyond a part of their slots, with
+streams of so many seconds: prompts that arrive together make pauses in the other streams."""
+
+RARE_RATE = 0.1
+"""Requests a second that a model is taken to have that nobody has asked for lately, since any may
+be asked for and a load takes seconds."""
+
+WANTED_RATE = 1.0
+"""Requests a second that count for a caller who waits."""
+
+MOVE_GAIN = 0.2
+"""Requests a second that a swap has to win beyond what it gives up, since it costs a load and some
+seconds in which neither model is there."""
+
+SWAP_FACTOR = 2.0
+"""How many times more a copy must be worth than what makes way for it, which keeps two models from
+taking turns."""
+
+RUNNING_PART = 0.3
+"""What a copy's requests a second count beside its worth when it is to make way."""
+
+TOLD_S = 1.0
+"""Age of a holder's word up to which its engines are left to it."""
+
+MODEL_PATIENCE_S = 0.6
+ADAPTER_PATIENCE_S = 0.15
+"""Time that a want lasts before each holder serves it on its own engines: each chooses the best
+engine of all, and in their different views that may be nobody's."""
+
+INTENT_S = 4.0
+"""Time for which room that is being made counts as the copy that it is made for."""
+
+BLOCKED_COST_S = 0.3
+"""Seconds of load time that weigh as much as one adapter request a second that a busy engine keeps
+waiting: while it loads a model it takes no order for adapters."""
+
+PENDING_ADAPTERS_MAX = 4
+"""Adapters on their way to one engine at a time, from the platform's pages."""
+
+FILL_MOVES = 3
+"""Adapters loaded ahead to one engine in one round, so that wanted ones wait little."""
+
+
+@frozen
+class Move:
+    """Order one engine to load or unload a model or adapter, for a reason shown in the log."""
+
+    server_id: str
+    kind: OrderKind
+    model: str
+    adapter: str
+    reason: str
+
+
+@define
+class LoadRate:
+    """Keep loads from the weight store within their rate: a bucket of `burst` loads."""
+
+    per_s: float
+    burst: float
+    tokens: float
+    filled_at: float
+
+    def allows(self, now: float) -> bool:
+        """Tell whether a load may begin."""
+        self._fill(now)
+        return self.tokens >= 1.0
+
+    def take(self, now: float) -> None:
+        """Count a load that begins."""
+        self._fill(now)
+        self.tokens -= 1.0
+
+    def _fill(self, now: float) -> None:
+        gained = self.per_s * max(0.0, now - self.filled_at)
+        self.tokens = min(self.burst, self.tokens + gained)
+        self.filled_at = now
+
+
+@define
+class Floor:
+    """Hold one service's engines for one round of planning."""
+
+    service: str
+    engine: EngineSpec
+    places: dict[str, Place]
+    records: dict[str, ServerRecord]
+    usage: Usage
+    now: float
+    moves: list[Move] = field(factory=list)
+    touched: set[str] = field(factory=set)
+
+    def list_open(self) -> list[Place]:
+        """List engines that can take an order now."""
+        return [
+            place
+            for server_id, place in self.places.items()
+            if place.is_known
+            and (place.ours or self.now - place.told_at < TOLD_S)
+            and server_id not in self.touched
+            and not place.loading
+            and not place.unloading
+            and self.records[server_id].takes_work(self.now)
+        ]
+
+    def is_overdue(self, target: Target, after_s: float) -> bool:
+        """Tell whether callers have waited so long that no other holder seems to act."""
+        return self.usage.measure_want(target, self.now) > after_s
+
+    def list_holders(self, model: str) -> list[Place]:
+        """List engines that have a model or are about to, and will stay."""
+        return [
+            place
+            for server_id, place in self.places.items()
+            if (model in place.models or model in (place.loading, place.find_intent(self.now)))
+            and model != place.unloading
+            and self.records[server_id].takes_work(self.now)
+        ]
+
+    def measure_rate(self, model: str) -> float:
+        """Return the requests per second for a model."""
+        return self.usage.measure_model(self.service, model, self.now)
+
+    def list_wants(self, model: str) -> list[Target]:
+        """List what callers wait for of a model and its adapters."""
+        return [
+            target
+            for target in self.usage.list_wanted(self.now - WANT_S)
+            if target[:2] == (self.service, model)
+        ]
+
+    def is_wanted(self, model: str) -> bool:
+        """Tell whether a caller waits for a model or one of its adapters."""
+        return bool(self.list_wants(model))
+
+    def is_busy(self, place: Place) -> bool:
+        """Tell whether an engine carries out an order for a model."""
+        return bool(place.loading or place.unloading) or place.server_id in self.touched
+
+    def measure_gain(self, model: str, copies: int) -> float:
+        """Return what one more copy is worth beside those that there are."""
+        rate = self.measure_rate(model)
+        part = COPY_PARTS[min(copies, len(COPY_PARTS) - 1)]
+        if copies > 0:
+            crowding = rate * STREAM_S / (self.engine.slots * copies) - CROWDED
+            part += CROWDING_PART * max(0.0, crowding)
+        gain = rate * part
+        if copies == 0:
+            gain += RARE_RATE + (WANTED_RATE if self.is_wanted(model) else 0.0)
+        return gain
+
+    def measure_free(self, place: Place, name: str) -> float:
+        """Return the megabytes that are free for a model; room made for another is not."""
+        free = self.engine.weights_mb - place.measure_weights(self.engine)
+        intended = place.find_intent(self.now)
+        if intended and intended not in (name, place.loading, *place.models):
+            free -= self.engine.models[intended].size_mb
+        return free
+
+    def move(self, place: Place, kind: OrderKind, model: str, adapter: str, reason: str) -> None:
+        """Plan an order; one engine gets one model order a round."""
+        self.moves.append(Move(place.server_id, kind, model, adapter, reason))
+        self.touched.add(place.server_id)
+
+
+def plan_models(floor: Floor, rate: LoadRate) -> list[Move]:
+    """Plan loads and unloads of models: additions by worth, each where it displaces least."""
+    additions = []
+    for name in floor.engine.models:
+        copies = len(floor.list_holders(name))
+        worth = floor.measure_gain(name, copies)
+        if worth >= RARE_RATE:
+            additions.append((worth, name, "copy" if copies else "missing"))
+    for worth, name, reason in sorted(additions, reverse=True):
+        _add(floor, rate, worth, name, reason)
+    return floor.moves
+
+
+def _add(floor: Floor, rate: LoadRate, worth: float, name: str, reason: str) -> None:
+    """Take the next step towards one more copy of a model, if it is worth its room."""
+    spec = floor.engine.models[name]
+    options = []
+    for place in floor.list_open():
+        if name in place.models:
+            continue
+        victims = _choose_victims(floor, place, spec)
+        loss = sum(each for each, _ in victims) if victims is not None else worth
+        if loss < worth:
+            options.append((loss, _rank(floor, place, spec), place.server_id, victims))
+    if not options:
+        return
+    own = [option for option in options if floor.places[option[2]].ours]
+    overdue = any(floor.is_overdue(want, MODEL_PATIENCE_S) for want in floor.list_wants(name))
+    _, _, server_id, victims = min(own if own and overdue else options)
+    place = floor.places[server_id]
+    if not place.ours:
+        return
+    if victims:
+        place.intended, place.intended_until = name, floor.now + INTENT_S
+        floor.move(place, OrderKind.UNLOAD, victims[0][1], "", f"room_for_{reason}")
+        return
+    if is_from_store(floor, place, name):
+        if not rate.allows(floor.now):
+            return
+        rate.take(floor.now)
+    floor.move(place, OrderKind.LOAD, name, "", reason)
+
+
+def _choose_victims(floor: Floor, place: Place, spec: ModelSpec) -> list[tuple[float, str]] | None:
+    """Return the copies on an engine that make way, with what each is worth there, or None."""
+    free = floor.measure_free(place, spec.name)
+    copies = sorted(
+        (measure_held(floor, model), model)
+        for model in place.models
+        if model in floor.engine.models
+    )
+    victims = []
+    for worth, model in copies:
+        if free >= spec.size_mb:
+            break
+        victims.append((worth, model))
+        free += floor.engine.models[model].size_mb
+    return victims if free >= spec.size_mb else None
+
+
+def measure_held(floor: Floor, model: str) -> float:
+    """Return what a copy that is there is worth: more than a new one, and more while it runs much.
+
+    An unload waits for its runs, and until then the engine takes no other order.
+    """
+    copies = max(1, len(floor.list_holders(model)))
+    worth = floor.measure_gain(model, copies - 1) * SWAP_FACTOR + MOVE_GAIN
+    return worth + RUNNING_PART * floor.measure_rate(model) / copies
+
+
+def _rank(floor: Floor, place: Place, spec: ModelSpec) -> tuple[float, float]:
+    """Prefer quick loads that keep few adapters waiting, then the tightest fit."""
+    load_s = estimate_load_time(floor.records[place.server_id], spec)
+    blocked_s = BLOCKED_COST_S * measure_blocked(floor, place)
+    return (load_s + blocked_s, floor.measure_free(place, spec.name) - spec.size_mb)
+
+
+def plan_warming(floor: Floor, rate: LoadRate) -> list[Move]:
+    """Load models once before there are requests, so that their weights are at hand later.
+
+    They take the room of models that were loaded so before, and of nothing else.
+    """
+    if sum(floor.measure_rate(name) for name in floor.engine.models) > 0.0:
+        return []
+    at_hand = _count_at_hand(floor)
+    cold = [name for name in floor.engine.models if not at_hand.get(name)]
+    before = len(floor.moves)
+    for place in floor.list_open():
+        if not place.ours:
+            continue
+        warmed = sorted(place.warmed & place.models)
+        if not cold or not rate.allows(floor.now):
+            break
+        if floor.measure_free(place, cold[0]) >= floor.engine.models[cold[0]].size_mb:
+            rate.take(floor.now)
+            floor.move(place, OrderKind.LOAD, cold.pop(0), "", "ahead")
+        elif warmed:
+            place.intended, place.intended_until = cold.pop(0), floor.now + INTENT_S
+            floor.move(place, OrderKind.UNLOAD, warmed[0], "", "room_ahead")
+    return floor.moves[before:]
+
+
+def _count_at_hand(floor: Floor) -> dict[str, int]:
+    """Count the engines that have each model's weights at hand, or are about to."""
+    counts: dict[str, int] = {}
+    for server_id, place in floor.places.items():
+        entry = floor.records[server_id].entry
+        own = {place.loading, place.intended}
+        for name in entry.in_memory | entry.on_disk | place.models | own:
+            counts[name] = counts.get(name, 0) + 1
+    return counts
+
+
+def measure_blocked(floor: Floor, place: Place) -> float:
+    """Return the requests a second whose adapters could not be loaded while an engine is busy."""
+    blocked = 0.0
+    for model in place.models:
+        spec = floor.engine.models.get(model)
+        if spec is None or not spec.adapters:
+            continue
+        idle = [each for each in floor.list_holders(model) if not floor.is_busy(each)]
+        blocked += floor.measure_rate(model) / max(1, len(idle))
+    return blocked
+
+
+def estimate_load_time(record: ServerRecord, spec: ModelSpec) -> float:
+    """Return the seconds that a load takes at an engine."""
+    if spec.name in record.entry.in_memory:
+        return spec.warm_load_s
+    return spec.disk_load_s if spec.name in record.entry.on_disk else spec.load_s
+
+
+def is_from_store(floor: Floor, place: Place, name: str) -> bool:
+    """Tell whether a load counts against the weight store's rate."""
+    entry = floor.records[place.server_id].entry
+    return name not in entry.in_memory | entry.on_disk | place.models
+
+
+def plan_adapters(floor: Floor) -> list[Move]:
+    """Plan loads of adapters that callers wait for, with unloads that make places free."""
+    moves: list[Move] = []
+    taken: dict[str, int] = {}
+    for service, model, adapter in floor.usage.list_wanted(floor.now - WANT_S):
+        spec = floor.engine.models.get(model)
+        if service != floor.service or not adapter or spec is None:
+            continue
+        key = (model, adapter)
+        holders = [place for place in floor.list_holders(model) if model in place.models]
+        if any(key in place.adapters or key in place.pending for place in holders):
+            continue
+        if floor.is_overdue((service, *key), ADAPTER_PATIENCE_S):
+            holders = [place for place in holders if place.ours]
+        planned = _plan_adapter(floor, holders, key, taken)
+        if planned and not floor.places[planned[0].server_id].ours:
+            continue
+        moves += planned
+        for move in planned:
+            taken[move.server_id] = taken.get(move.server_id, 0) + 1
+    return moves
+
+
+def _plan_adapter(
+    floor: Floor, holders: list[Place], key: tuple[str, str], taken: dict[str, int]
+) -> list[Move]:
+    idle = [
+        place
+        for place in holders
+        if place.is_known
+        and (place.ours or floor.now - place.told_at < TOLD_S)
+        and not floor.is_busy(place)
+        and len(place.pending) + taken.get(place.server_id, 0) < PENDING_ADAPTERS_MAX
+    ]
+    if not idle:
+        return []
+    best = min(idle, key=lambda place: (_count_taken(place, taken), place.server_id))
+    load = Move(best.server_id, OrderKind.LOAD, *key, "wanted")
+    if _count_taken(best, taken) < floor.engine.adapter_places:
+        return [load]
+    victims = [
+        (_measure_adapter_use(floor, held), place.server_id, held)
+        for place in idle
+        if not taken.get(place.server_id) and not place.doubts
+        for held in place.adapters
+    ]
+    if not victims:
+        return []
+    _, server_id, victim = min(victims)
+    return [
+        Move(server_id, OrderKind.UNLOAD, *victim, "place_for_wanted"),
+        Move(server_id, OrderKind.LOAD, *key, "wanted"),
+    ]
+
+
+def plan_fill(floor: Floor) -> list[Move]:
+    """Load adapters ahead into free places: those that nobody holds, the busiest first.
+
+    While the order holder or an engine is away nothing can be loaded, so what is there counts.
+    """
+    moves: list[Move] = []
+    copies = _count_copies(floor)
+    for place in floor.list_open():
+        if not place.ours:
+            continue
+        free = min(FILL_MOVES, floor.engine.adapter_places - place.count_adapters())
+        if free <= 0 or place.doubts or len(place.pending) + free > PENDING_ADAPTERS_MAX:
+            continue
+        wishes = []
+        for model in place.models:
+            spec = floor.engine.models.get(model)
+            for number in range(1, (spec.adapters if spec else 0) + 1):
+                key = (model, f"a{number}")
+                if key in place.adapters or key in place.pending or copies.get(key, 0) > 1:
+                    continue
+                rate = floor.usage.measure_adapter((floor.service, *key), floor.now)
+                wishes.append((copies.get(key, 0), -rate, number, key))
+        for _, _, _, key in sorted(wishes)[:free]:
+            moves.append(Move(place.server_id, OrderKind.LOAD, *key, "ahead"))
+            copies[key] = copies.get(key, 0) + 1
+    return moves
+
+
+def _count_copies(floor: Floor) -> dict[tuple[str, str], int]:
+    copies: dict[tuple[str, str], int] = {}
+    for place in floor.places.values():
+        for key in set(place.adapters) | set(place.pending):
+            copies[key] = copies.get(key, 0) + 1
+    return copies
+
+
+def _count_taken(place: Place, taken: dict[str, int]) -> int:
+    return place.count_adapters() + taken.get(place.server_id, 0)
+
+
+def _measure_adapter_use(floor: Floor, held: tuple[str, str]) -> float:
+    """Return the requests per second for an adapter, one copy of several counted as a part."""
+    rate = floor.usage.measure_adapter((floor.service, *held), floor.now)
+    copies = sum(1 for place in floor.places.values() if held in place.adapters)
+    return rate / max(1, copies)
--- /dev/null
+++ b/rhubarbshed/coordination/serving/repeats.py
@@ -0,0 +1,87 @@
+"""Repeats of requests: whether another attempt is allowed, by kind of request and by budget.
+
+Answers a failing service: without a common limit the repeats of all instances would multiply the
+load on what is left of it.
+"""
+
+import collections
+
+from attrs import define, field, frozen
+
+from rhubarbshed.protocol.exchanges import End
+from rhubarbshed.protocol.routes import Route
+
+BUDGET_SHARE = 0.8
+"""Part of the common budget that is used; requests are counted in windows that differ a little
+from instance to instance."""
+
+REFUSED_TRIES_MAX = 3
+"""Servers that may refuse one request before it is refused to its caller."""
+
+
+@define
+class RepeatWindow:
+    """Count a service's first attempts and repeats within a sliding window, by time."""
+
+    requests: collections.deque[float] = field(factory=collections.deque)
+    repeats: collections.deque[float] = field(factory=collections.deque)
+
+    def forget(self, until: float) -> None:
+        """Drop what is older than the window."""
+        for times in (self.requests, self.repeats):
+            while times and times[0] <= until:
+                times.popleft()
+
+
+@define
+class RepeatBudget:
+    """Allow this instance its part of the repeats that all instances may make together.
+
+    `instances` is how many share the fixed part of the budget.
+    """
+
+    ratio: float
+    extra: float
+    window_s: float
+    instances: int = 1
+    windows: dict[str, RepeatWindow] = field(factory=dict)
+
+    def count_request(self, service: str, now: float) -> None:
+        """Count the first attempt of a request."""
+        window = self.windows.setdefault(service, RepeatWindow())
+        window.requests.append(now)
+        window.forget(now - self.window_s)
+
+    def take(self, service: str, now: float) -> bool:
+        """Take one repeat from the budget; tell whether there was one."""
+        window = self.windows.setdefault(service, RepeatWindow())
+        window.forget(now - self.window_s)
+        if len(window.repeats) + 1 > self.compute_limit(window):
+            return False
+        window.repeats.append(now)
+        return True
+
+    def compute_limit(self, window: RepeatWindow) -> float:
+        """Return the repeats that this instance may make in one window."""
+        share = self.extra / max(1, self.instances)
+        return BUDGET_SHARE * (self.ratio * len(window.requests) + share)
+
+
+@frozen
+class Tries:
+    """Count a request's attempts: those that may have run, and those that were refused."""
+
+    run: int = 0
+    refused: int = 0
+
+
+def may_try_again(route: Route, end: End, tries: Tries) -> bool:
+    """Tell whether the kind of a request allows another attempt after one that failed.
+
+    An attempt that did not run does not count against the servers that may run a request.
+    """
+    if tries.run > 0 and not route.repeatable:
+        return False
+    if tries.run >= route.attempts_max:
+        return False
+    return end.may_have_run or tries.refused < REFUSED_TRIES_MAX
--- /dev/null
+++ b/rhubarbshed/coordination/serving/tenure.py
@@ -0,0 +1,110 @@
+"""Who may give orders: one instance at a time, by a lease in the platform's store.
+
+Answers a holder that is paused, cut off or dead, and one that does not know it. Times are chosen so
+that the last order of one holder and the first of the next lie a whole lease apart even if a
+renewal is on its way: a holder stops `RIGHT_PART` of a lease after it sent its last renewal that
+was answered, and the next one waits a lease from then. A holder that cannot reach the store stops,
+and goes on once a renewal shows that nobody took over.
+"""
+
+import enum
+
+from attrs import define
+
+RIGHT_PART = 0.4
+"""Part of a lease for which a renewal gives the right to order, from when it was sent."""
+
+RENEWAL_PART = 0.2
+"""Part of a lease between two renewals: one may be lost."""
+
+UNCHANGED_PART = 0.45
+"""Part of a lease for which the row must stay unchanged before another instance takes over; longer
+than the right of a renewal lasts."""
+
+SILENCE_PART = 0.25
+"""Part of a lease without a word from the holder after which its row is looked at."""
+
+
+class Step(enum.Enum):
+    """What an instance does about the lease next."""
+
+    WAIT = "wait"
+    READ = "read"
+    CREATE = "create"
+    TAKE_OVER = "take_over"
+    RENEW = "renew"
+
+
+@define
+class Tenure:
+    """Hold what an instance knows of the lease; times are monotonic seconds.
+
+    `version` is that of the row last seen and `version_at` when it was first seen so. `right_until`
+    is the end of this instance's right, and `orders_from` the time before which a new holder waits.
+    """
+
+    lease_s: float
+    jitter_s: float
+    holder: str = ""
+    version: int = -1
+    version_at: float = 0.0
+    heard_at: float = 0.0
+    read_at: float = -1e9
+    held: bool = False
+    token: int = 0
+    right_until: float = 0.0
+    orders_from: float = 0.0
+    renewed_at: float = 0.0
+
+    def may_order(self, now: float) -> bool:
+        """Tell whether this instance may give orders."""
+        return self.held and self.orders_from <= now < self.right_until
+
+    def choose_step(self, now: float) -> Step:
+        """Choose what to do next."""
+        if self.held:
+            due = now - self.renewed_at >= self.lease_s * RENEWAL_PART
+            return Step.RENEW if due else Step.WAIT
+        if now - self.heard_at < self.lease_s * SILENCE_PART + self.jitter_s:
+            return Step.WAIT
+        if now - self.read_at < self.lease_s * UNCHANGED_PART:
+            return Step.WAIT
+        if self.version == 0:
+            return Step.CREATE
+        if self.version > 0 and now - self.version_at >= self.lease_s * UNCHANGED_PART:
+            return Step.TAKE_OVER
+        return Step.READ
+
+    def note_row(self, version: int, holder: str, now: float) -> None:
+        """Take the row as it was read; 0 is the version of a row that does not exist."""
+        if version != self.version:
+            self.version = version
+            self.version_at = now
+        self.holder = holder
+        self.read_at = now
+
+    def note_won(self, version: int, sent_at: float, waits: bool) -> None:
+        """Take the lease; where somebody held it before, wait a lease from its last right.
+
+        The holder before sent its last renewal before the row was first seen at this version.
+        """
+        last_right = self.version_at + self.lease_s * RIGHT_PART
+        self.held = True
+        self.version = version
+        self.token = version
+        self.renewed_at = sent_at
+        self.right_until = sent_at + self.lease_s * RIGHT_PART
+        self.orders_from = last_right + self.lease_s if waits else sent_at
+
+    def note_renewed(self, version: int, sent_at: float) -> None:
+        """Take a renewal that the store has confirmed."""
+        self.version = version
+        self.renewed_at = sent_at
+        self.right_until = sent_at + self.lease_s * RIGHT_PART
+
+    def note_lost(self, now: float) -> None:
+        """Take the loss of the lease."""
+        self.held = False
+        self.version = -1
+        self.read_at = -1e9
+        self.heard_at = now
--- /dev/null
+++ b/rhubarbshed/front.py
@@ -0,0 +1,32 @@
+"""Run one instance on the users' platform."""
+
+import asyncio
+import os
+import sys
+
+from returns.result import Failure
+
+from rhubarbshed.transport.edge.node import Node
+from rhubarbshed.util.front import FrontSettings
+from rhubarbshed.util.lines import start_lines
+
+SETTINGS_VARIABLE = "RHUBARBSHED_SETTINGS"
+EXIT_BAD_SETTINGS = 2
+
+
+def main() -> None:
+    """Run the daemon on the settings file that the environment names."""
+    path = os.environ.get(SETTINGS_VARIABLE, "")
+    read = FrontSettings.from_file(path)
+    if isinstance(read, Failure):
+        print(f"rhubarbshed-front: {'; '.join(read.failure())}", file=sys.stderr)
+        sys.exit(EXIT_BAD_SETTINGS)
+    settings = read.unwrap()
+    handler = start_lines(settings.log_level)
+    code = asyncio.run(Node.from_settings(settings, path).run())
+    handler.flush()
+    sys.exit(code)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/rhubarbshed/platform/headers.py
@@ -0,0 +1,155 @@
+"""Headers of requests and answers on the platform."""
+
+from collections.abc import Iterable
+
+from rhubarbshed.protocol.exchanges import CallerRequest, Headers, ServerHead
+
+REQUEST_ID = b"rhubarbshed-request-id"
+DEADLINE = b"rhubarbshed-deadline-remaining"
+MODEL = b"rhubarbshed-model"
+TOKENS = b"rhubarbshed-token-count"
+PREFIX = b"rhubarbshed-prompt-prefix"
+EXPECT_INSTANCE = b"rhubarbshed-expect-instance"
+PRIORITY = b"rhubarbshed-request-priority"
+SIGNATURE = b"rhubarbshed-response-signature"
+NOT_EXECUTED = b"rhubarbshed-not-executed"
+SERVER_LOAD = b"rhubarbshed-server-load"
+LAST_EVENT_ID = b"last-event-id"
+
+HOP_BY_HOP = frozenset(
+    (
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"content-length",
+        b"expect",
+    )
+)
+# Set by the system alone: a caller's own would reserve, pin, copy or go on from other memory.
+SYSTEM_ONLY = frozenset(
+    (
+        DEADLINE,
+        EXPECT_INSTANCE,
+        PRIORITY,
+        b"rhubarbshed-expect-version",
+        b"rhubarbshed-hold",
+        b"rhubarbshed-pin-duration",
+        b"rhubarbshed-kv-backup",
+        b"kv-from",
+        b"kv-fetch",
+    )
+)
+STATUS_MISDIRECTED = 421
+
+
+def strip_hop_by_hop(headers: Iterable[tuple[bytes, bytes]]) -> Headers:
+    """Return the headers that travel on, without those of one connection."""
+    pairs = tuple(headers)
+    named = {
+        token.strip().lower()
+        for name, value in pairs
+        if name.lower() == b"connection"
+        for token in value.split(b",")
+    }
+    return tuple(
+        (name, value)
+        for name, value in pairs
+        if name.lower() not in HOP_BY_HOP and name.lower() not in named
+    )
+
+
+def read_request(
+    method: bytes, target: bytes, headers: Iterable[tuple[bytes, bytes]], now: float
+) -> CallerRequest:
+    """Decode the head of a caller's request; what cannot be read counts as left out."""
+    values = {name.lower(): value for name, value in headers}
+    model, _, adapter = values.get(MODEL, b"").decode("latin-1").partition("/")
+    prompt_tokens, output_tokens = _read_tokens(values.get(TOKENS, b""))
+    patience_ms = _read_number(values.get(DEADLINE, b""))
+    kept = strip_hop_by_hop(headers)
+    return CallerRequest(
+        request_id=values.get(REQUEST_ID, b"").decode("latin-1"),
+        method=method,
+        target=target,
+        host=values.get(b"host", b"").decode("latin-1").lower(),
+        headers=tuple(pair for pair in kept if pair[0].lower() not in SYSTEM_ONLY),
+        received_at=now,
+        patience_s=None if patience_ms is None else patience_ms / 1000.0,
+        model=model,
+        adapter=adapter,
+        prompt_tokens=prompt_tokens,
+        output_tokens_max=output_tokens,
+        parts=_read_parts(values.get(PREFIX, b"")),
+    )
+
+
+def make_headers(
+    request: CallerRequest, server_id: str, remaining_s: float, priority: int | None, after: str
+) -> list[tuple[bytes, bytes]]:
+    """Return the headers of an attempt; `after` is the last event id that the caller has."""
+    headers = [pair for pair in request.headers if not (after and pair[0].lower() == LAST_EVENT_ID)]
+    if after:
+        headers.append((LAST_EVENT_ID, after.encode("latin-1")))
+    if request.body or request.method in (b"POST", b"PUT", b"PATCH"):
+        headers.append((b"content-length", str(len(request.body)).encode()))
+    headers.append((EXPECT_INSTANCE, server_id.encode("latin-1")))
+    headers.append((DEADLINE, str(max(1, int(remaining_s * 1000))).encode()))
+    if priority is not None:
+        headers.append((PRIORITY, str(priority).encode()))
+    return headers
+
+
+def read_head(status: int, headers: Iterable[tuple[bytes, bytes]]) -> ServerHead:
+    """Decode the head of a server's answer."""
+    pairs = tuple(headers)
+    values = {name.lower(): value for name, value in pairs}
+    return ServerHead(
+        status=status,
+        headers=strip_hop_by_hop(pairs),
+        request_id=values.get(REQUEST_ID, b"").decode("latin-1"),
+        signed=SIGNATURE in values,
+        not_run=NOT_EXECUTED in values or status == STATUS_MISDIRECTED,
+        encoded=b"content-encoding" in values,
+        load=_read_load(values.get(SERVER_LOAD, b"")),
+    )
+
+
+def echo_request_id(request_id: str) -> Headers:
+    """Return the headers by which a caller tells which request an answer of ours is to."""
+    return ((REQUEST_ID, request_id.encode("latin-1")),) if request_id else ()
+
+
+def _read_number(value: bytes) -> float | None:
+    try:
+        number = float(value)
+    except ValueError:
+        return None
+    return number if 0.0 <= number < 1e9 else None
+
+
+def _read_tokens(value: bytes) -> tuple[int, int]:
+    first, _, second = value.partition(b",")
+    return int(_read_number(first) or 0), int(_read_number(second) or 0)
+
+
+def _read_parts(value: bytes) -> tuple[tuple[str, int], ...]:
+    parts = []
+    for item in value.split(b","):
+        name, colon, tokens = item.strip().partition(b":")
+        if colon:
+            parts.append((name.decode("latin-1"), int(_read_number(tokens) or 0)))
+    return tuple(parts)
+
+
+def _read_load(value: bytes) -> tuple[int, int, int] | None:
+    numbers = [_read_number(item) for item in value.split(b",")]
+    if len(numbers) != 3 or None in numbers:
+        return None
+    running, waiting, slots = (int(number) for number in numbers if number is not None)
+    return running, waiting, slots
--- /dev/null
+++ b/rhubarbshed/platform/orders.py
@@ -0,0 +1,44 @@
+"""Calls of model engines: orders and reports."""
+
+import json
+
+from rhubarbshed.platform.headers import EXPECT_INSTANCE, STATUS_MISDIRECTED
+from rhubarbshed.protocol.exchanges import ControlCall
+from rhubarbshed.protocol.servers import OrderEnd, ServerOrder
+
+ENDS = {
+    200: OrderEnd.HOLDS,
+    202: OrderEnd.ACCEPTED,
+    400: OrderEnd.WRONG,
+    409: OrderEnd.CONFLICT,
+    412: OrderEnd.FENCED,
+    STATUS_MISDIRECTED: OrderEnd.GONE,
+}
+
+
+def make_order(order: ServerOrder, server_id: str) -> ControlCall:
+    """Return the call that gives an engine an order."""
+    body: dict[str, object] = {
+        "Operation": order.kind.value,
+        "Model": order.model,
+        "Holder": order.holder,
+        "FencingToken": order.token,
+    }
+    if order.adapter:
+        body["Adapter"] = order.adapter
+    if order.expected is not None:
+        # "Expected" is the count of accepted orders, not a version of the model.
+        body["Expected"] = order.expected
+    headers = ((b"content-type", b"application/json"), (EXPECT_INSTANCE, server_id.encode()))
+    return ControlCall(b"POST", b"/rhubarbshed/order", json.dumps(body).encode(), headers)
+
+
+def read_order_end(status: int) -> OrderEnd:
+    """Decode the answer to an order."""
+    return ENDS.get(status, OrderEnd.UNKNOWN)
+
+
+def make_report_call(server_id: str) -> ControlCall:
+    """Return the call for an engine's report on itself."""
+    headers = ((EXPECT_INSTANCE, server_id.encode()),)
+    return ControlCall(b"GET", b"/rhubarbshed/report", headers=headers)
--- /dev/null
+++ b/rhubarbshed/platform/rows.py
@@ -0,0 +1,120 @@
+"""Calls of the platform's store: rows, transactions and the feed of changes."""
+
+import base64
+import binascii
+import json
+from typing import Any
+from urllib.parse import urlencode
+
+from attrs import frozen
+from returns.result import Failure, Result, Success
+
+from rhubarbshed.protocol.exchanges import ControlCall
+from rhubarbshed.protocol.tables import Committed, Row, Scan, TableError, TableFault, Transaction
+
+OPERATOR_TABLE = "op"
+CONFIGURATION_KEY = "config"
+SERVERS_TABLE = "servers"
+OWN_TABLE = "rhubarbshed"
+ROWS_MAX = 500
+"""Rows in one answer, from the platform's pages."""
+
+JSON_HEADERS = ((b"content-type", b"application/json"),)
+BAD_ANSWER = (KeyError, TypeError, ValueError, AttributeError)
+
+
+@frozen
+class Page:
+    """Hold some rows of a table; `more_from` is the key to go on at, None at the end.
+
+    `now_ms` is the store's steady clock.
+    """
+
+    scan: Scan
+    more_from: str | None = None
+    now_ms: float = 0.0
+
+
+def make_read(table: str, start: str = "") -> ControlCall:
+    """Ask for the rows of a table from a key on."""
+    query = {"Table": table, "part": "", "Limit": ROWS_MAX}
+    if start:
+        query["From"] = start
+    return ControlCall(b"GET", f"/rhubarbshed/rows-get?{urlencode(query)}".encode())
+
+
+def make_follow(table: str, after: int, wait_s: float) -> ControlCall:
+    """Ask for the rows of a table that changed after a revision, once there are any."""
+    query = {"Table": table, "after": after, "WaitMs": int(wait_s * 1000)}
+    return ControlCall(b"GET", f"/rhubarbshed/rows-feed?{urlencode(query)}".encode())
+
+
+def make_commit(table: str, transaction: Transaction) -> ControlCall:
+    """Ask for a transaction on rows of one table."""
+    place = {"Table": table, "part": ""}
+    body = {
+        "Expected": [
+            {**place, "Key": check.key, "Ver": check.version} for check in transaction.checks
+        ],
+        "Put": [
+            {**place, "Key": write.key, "Value": _encode(write.value)}
+            for write in transaction.writes
+            if write.value is not None
+        ],
+        "Remove": [
+            {**place, "Key": write.key} for write in transaction.writes if write.value is None
+        ],
+    }
+    return ControlCall(b"POST", b"/rhubarbshed/rows-tx", json.dumps(body).encode(), JSON_HEADERS)
+
+
+def read_page(status: int, body: bytes) -> Result[Page, TableError]:
+    """Decode the answer to a read or to a request for changes."""
+    if status == 410:
+        return Failure(TableError(TableFault.CONFLICT, detail="history is gone"))
+    if status != 200:
+        return Failure(TableError(TableFault.UNAVAILABLE, detail=f"status {status}"))
+    try:
+        plain = json.loads(body)
+        rows = tuple(_read_row(each) for each in plain["Rows"])
+        more = rows[-1].key + "\0" if plain.get("HasMore") and rows else None
+        return Success(Page(Scan(rows, int(plain["Ver"])), more, float(plain.get("NowMs", 0))))
+    except BAD_ANSWER as error:
+        return Failure(TableError(TableFault.UNKNOWN, detail=f"unreadable answer: {error!r}"))
+
+
+def read_commit(status: int, body: bytes) -> Result[Committed, TableError]:
+    """Decode the answer to a transaction."""
+    if status in (429, 503):
+        return Failure(TableError(TableFault.UNAVAILABLE, detail=f"status {status}"))
+    try:
+        plain = json.loads(body)
+        if status == 412:
+            rows = tuple(_read_row(each) for each in plain["Rows"])
+            return Failure(TableError(TableFault.CONFLICT, rows, "a row has changed"))
+        if status == 200:
+            return Success(Committed(int(plain["Ver"])))
+    except BAD_ANSWER as error:
+        return Failure(TableError(TableFault.UNKNOWN, detail=f"unreadable answer: {error!r}"))
+    return Failure(TableError(TableFault.UNKNOWN, detail=f"status {status}"))
+
+
+def _encode(value: dict[str, Any]) -> str:
+    return base64.b64encode(json.dumps(value).encode()).decode()
+
+
+def _read_row(plain: dict[str, Any]) -> Row:
+    # The store has one counter for all rows: a row's version is the revision that wrote it.
+    version = int(plain.get("Ver") or 0)
+    if plain.get("Deleted") or plain.get("Value") is None:
+        return Row(str(plain["Key"]), version, None, version)
+    return Row(str(plain["Key"]), version, _decode(plain["Value"]), version)
+
+
+def _decode(value: Any) -> dict[str, Any]:
+    """Return a row's object; bytes of another writer that hold none give an empty one."""
+    try:
+        plain = json.loads(base64.b64decode(value))
+    except (binascii.Error, RecursionError, TypeError, ValueError):
+        return {}
+    return plain if isinstance(plain, dict) else {}
--- /dev/null
+++ b/rhubarbshed/protocol/routes.py
@@ -0,0 +1,135 @@
+"""Configuration of a deployment: routes, services, engines and limits on callers."""
+
+import enum
+
+from attrs import field, frozen
+
+
+class RouteKind(enum.Enum):
+    """What a route's requests are, and so what may be repeated."""
+
+    IDEMPOTENT = "idempotent"
+    NON_IDEMPOTENT = "non_idempotent"
+    STREAMING = "streaming"
+
+
+@frozen
+class ModelSpec:
+    """Describe a model; sizes in megabytes, times in seconds.
+
+    A load takes `load_s` from the weight store, `disk_load_s` from the server's disk and
+    `warm_load_s` from its memory. Adapters are named a1 to a`adapters`.
+    """
+
+    name: str
+    size_mb: float
+    load_s: float
+    disk_load_s: float
+    warm_load_s: float
+    adapters: int = 0
+    adapter_mb: float = 0.0
+
+
+@frozen
+class EngineSpec:
+    """Describe the engines of a service; memory for weights in megabytes, for prompts in tokens."""
+
+    slots: int
+    kv_tokens: int
+    weights_mb: float
+    adapter_places: int
+    loads_per_s: float
+    models: dict[str, ModelSpec] = field(factory=dict)
+
+
+@frozen
+class ServiceSpec:
+    """Describe a service; `connections_max` is what one server accepts from all callers."""
+
+    name: str
+    health_path: str = "/"
+    connections_max: int = 0
+    engine: EngineSpec | None = None
+
+
+@frozen
+class Route:
+    """Describe a route; times in seconds, priority 0 first, `shares` as (service, weight).
+
+    `attempts_max` is how many servers may run one request.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    kind: RouteKind
+    timeout_s: float
+    target_s: float
+    gap_s: float
+    priority: int
+    shares: tuple[tuple[str, float], ...]
+    attempts_max: int = 1
+    resumable: bool = False
+
+    @property
+    def repeatable(self) -> bool:
+        """Tell whether a request may run more than once."""
+        return self.kind is RouteKind.IDEMPOTENT or self.resumable
+
+    @property
+    def stall_s(self) -> float:
+        """Return the gap in seconds, also before the first event, at which a stream is left.
+
+        From the platform's pages: two seconds, four targets or eight pauses, whichever is longest.
+        """
+        if not self.streamed:
+            return self.timeout_s
+        return max(2.0, 4.0 * self.target_s, 8.0 * self.gap_s)
+
+    @property
+    def streamed(self) -> bool:
+        """Tell whether answers are event streams."""
+        return self.kind is RouteKind.STREAMING
+
+
+@frozen
+class CallerLimits:
+    """Limit what a caller may send (bytes) and how long it may take or stay idle (seconds)."""
+
+    header_bytes: int = 16_384
+    body_bytes: int = 4_194_304
+    header_timeout_s: float = 5.0
+    idle_timeout_s: float = 30.0
+
+
+@frozen
+class Configuration:
+    """Hold the whole configuration at one version; routes by host, longest prefix first."""
+
+    version: int
+    routes: dict[str, tuple[Route, ...]] = field(factory=dict)
+    services: dict[str, ServiceSpec] = field(factory=dict)
+    limits: CallerLimits = field(factory=CallerLimits)
+
+    def find_route(self, host: str, path: str) -> Route | None:
+        """Return the route of a host with the longest prefix of the path."""
+        for route in self.routes.get(host, ()):
+            if path.startswith(route.prefix):
+                return route
+        return None
+
+    def find_engine(self, service: str) -> EngineSpec | None:
+        """Return the engines of a service, None for a plain or unknown one."""
+        spec = self.services.get(service)
+        return spec.engine if spec is not None else None
+
+
+def index_routes(routes: list[Route]) -> dict[str, tuple[Route, ...]]:
+    """Group routes by host, longest prefix first."""
+    hosts: dict[str, list[Route]] = {}
+    for route in routes:
+        hosts.setdefault(route.host, []).append(route)
+    return {
+        host: tuple(sorted(found, key=lambda route: -len(route.prefix)))
+        for host, found in hosts.items()
+    }
--- /dev/null
+++ b/rhubarbshed/protocol/words.py
@@ -0,0 +1,90 @@
+"""Datagrams between instances and those among them that give orders.
+
+Each data centre has one order holder, for the engines in it. Instances talk to the holder of their
+own data centre, and holders to each other.
+"""
+
+import msgpack
+from attrs import astuple, field, frozen
+from returns.result import Failure, Result, Success
+
+FORMAT = 1
+BAD_WORD = (KeyError, TypeError, ValueError, IndexError, msgpack.UnpackException)
+
+
+@frozen
+class DemandWord:
+    """Tell an order holder what was asked for since the last word.
+
+    `counts` are (service, model, adapter, requests); `wants` are (service, model, adapter) that
+    callers wait for.
+    """
+
+    sender: str
+    data_centre: str
+    counts: tuple[tuple[str, str, str, int], ...] = field(factory=tuple)
+    wants: tuple[tuple[str, str, str], ...] = field(factory=tuple)
+
+
+@frozen
+class HolderWord:
+    """Tell who gives orders in a data centre, and what the engines there hold.
+
+    `ordering` tells whether the holder's lease is good now, `instances` how many it hears.
+    `held` are (server, born_ms, ((model, adapters), ...)); `changes` are (server, model that it
+    loads, seconds left for that, model that it drops), for the same servers. `holders` are the
+    (data centre, host, port) of the other holders that it knows.
+    """
+
+    sender: str
+    data_centre: str
+    host: str
+    port: int
+    token: int
+    ordering: bool
+    instances: int
+    held: tuple[tuple[str, int, tuple[tuple[str, tuple[str, ...]], ...]], ...] = field(
+        factory=tuple
+    )
+    changes: tuple[tuple[str, str, float, str], ...] = field(factory=tuple)
+    holders: tuple[tuple[str, str, int], ...] = field(factory=tuple)
+
+
+@frozen
+class NewsWord:
+    """Tell the instances of a data centre what its order holder has read in the store.
+
+    `rows` are the servers' rows, as (key, version, value or None), that changed after revision
+    `before` up to `revision`. `settled` tells whether rows that lapsed while the store was away
+    would be back by now. `configuration` is the version of the configuration known.
+    """
+
+    sender: str
+    data_centre: str
+    token: int
+    configuration: int
+    settled: bool
+    before: int
+    revision: int
+    rows: tuple[tuple[str, int, dict | None], ...] = field(factory=tuple)
+
+
+Word = DemandWord | HolderWord | NewsWord
+KINDS: dict[str, type] = {"demand": DemandWord, "holder": HolderWord, "news": NewsWord}
+KIND_NAMES = {kind: name for name, kind in KINDS.items()}
+
+
+def pack_word(word: Word) -> bytes:
+    """Encode a word."""
+    return msgpack.packb((FORMAT, KIND_NAMES[type(word)], *astuple(word, recurse=False)))
+
+
+def unpack_word(data: bytes) -> Result[Word, str]:
+    """Decode a word; a reason comes in place of one that cannot be read."""
+    try:
+        version, kind, *parts = msgpack.unpackb(data, use_list=False)
+        if version != FORMAT:
+            return Failure(f"format {version!r}")
+        return Success(KINDS[kind](*parts))
+    except BAD_WORD as error:
+        return Failure(repr(error))
--- /dev/null
+++ b/rhubarbshed/state/places.py
@@ -0,0 +1,152 @@
+"""What the order holder knows of each engine: what it holds, and what is on its way."""
+
+from attrs import define, field
+
+from rhubarbshed.protocol.orders import OrderKind
+from rhubarbshed.protocol.routes import EngineSpec
+from rhubarbshed.protocol.servers import ServerOrder, ServerReport
+
+DOUBT_S = 13.0
+"""Time for which an unanswered order may still be carried out, from what the platform's list of
+troubles tells: up to 12 s."""
+
+
+@define
+class Doubt:
+    """Hold an order that got no answer: it takes effect while `expected` orders are accepted."""
+
+    order: ServerOrder
+    until: float
+
+
+@define
+class Place:
+    """Hold one incarnation of an engine; places and sizes count what may come true as well.
+
+    `ours` tells whether this instance gives its orders; of others the holder there tells, last at
+    `told_at`. `orders` is the number of orders it has accepted, None until a report was read.
+    `pending` are adapters being loaded with the time at which they should be there. `intended` is a
+    model for which room is being made; `warmed` are models that were loaded at our order.
+    """
+
+    server_id: str
+    born_ms: int
+    ours: bool = True
+    told_at: float = 0.0
+    orders: int | None = None
+    ordered_at: float = 0.0
+    models: set[str] = field(factory=set)
+    adapters: dict[tuple[str, str], float] = field(factory=dict)
+    pending: dict[tuple[str, str], float] = field(factory=dict)
+    loading: str = ""
+    unloading: str = ""
+    busy_until: float = 0.0
+    doubts: list[Doubt] = field(factory=list)
+    read_at: float = 0.0
+    intended: str = ""
+    intended_until: float = 0.0
+    warmed: set[str] = field(factory=set)
+
+    def take_report(self, report: ServerReport, now: float) -> None:
+        """Take what an engine says of itself; it may be some hundred milliseconds old."""
+        self.orders = report.orders
+        self.read_at = now
+        self.models = set(report.models)
+        held = {(model, adapter) for model, names in report.models.items() for adapter in names}
+        self.adapters = {key: self.adapters.get(key, now) for key in held}
+        self.pending = {key: now for key in report.pending if key not in held}
+        if not report.busy:
+            self.loading = self.unloading = ""
+        self.doubts = [
+            doubt
+            for doubt in self.doubts
+            if doubt.order.expected == report.orders and now < doubt.until
+        ]
+
+    @property
+    def is_known(self) -> bool:
+        """Tell whether it is known what the engine holds."""
+        return self.orders is not None or not self.ours
+
+    def take_word(
+        self, held: dict[str, tuple[str, ...]], change: tuple[str, float, str], now: float
+    ) -> None:
+        """Take what the holder of another data centre tells of an engine there."""
+        self.told_at = now
+        self.models = set(held)
+        self.adapters = {
+            (model, adapter): self.adapters.get((model, adapter), now)
+            for model, names in held.items()
+            for adapter in names
+        }
+        self.loading, left_s, self.unloading = change
+        self.busy_until = now + left_s
+
+    def list_doubtful(self) -> set[tuple[str, str]]:
+        """List (model, adapter) that unanswered loads may still bring."""
+        return {
+            (doubt.order.model, doubt.order.adapter)
+            for doubt in self.doubts
+            if doubt.order.kind is OrderKind.LOAD
+        }
+
+    def count_adapters(self) -> int:
+        """Count the places that are or may become taken."""
+        doubtful = {key for key in self.list_doubtful() if key[1]}
+        return len(set(self.adapters) | set(self.pending) | doubtful)
+
+    def measure_weights(self, engine: EngineSpec) -> float:
+        """Return the megabytes that are or may become taken."""
+        doubtful = {model for model, adapter in self.list_doubtful() if not adapter}
+        models = self.models | doubtful | ({self.loading} if self.loading else set())
+        total = sum(engine.models[name].size_mb for name in models if name in engine.models)
+        doubtful_adapters = {key for key in self.list_doubtful() if key[1]}
+        for model, _ in set(self.adapters) | set(self.pending) | doubtful_adapters:
+            if model in engine.models:
+                total += engine.models[model].adapter_mb
+        return total
+
+    def find_intent(self, now: float) -> str:
+        """Return the model for which room is being made here, if any."""
+        return self.intended if self.unloading or now < self.intended_until else ""
+
+    def has_room(self, order: ServerOrder, engine: EngineSpec) -> bool:
+        """Tell whether an engine surely has room for a load."""
+        if order.kind is not OrderKind.LOAD:
+            return True
+        spec = engine.models[order.model]
+        if order.adapter:
+            placed = self.count_adapters() < engine.adapter_places
+            return placed and self.measure_weights(engine) + spec.adapter_mb <= engine.weights_mb
+        return self.measure_weights(engine) + spec.size_mb <= engine.weights_mb
+
+    def accept(self, order: ServerOrder, done_at: float, at_once: bool, now: float) -> None:
+        """Take an order that the engine accepted; older ones can no longer take effect.
+
+        An adapter in use is dropped later, so its place counts until a report shows it gone.
+        """
+        self.orders = (order.expected or 0) + 1
+        self.ordered_at = now
+        self.doubts = []
+        key = (order.model, order.adapter)
+        if order.kind is OrderKind.LOAD and order.adapter:
+            self.pending[key] = done_at
+        elif order.kind is OrderKind.LOAD:
+            self.loading, self.busy_until = order.model, done_at
+            self.warmed.add(order.model)
+            self.intended = ""
+        elif order.adapter:
+            if at_once:
+                self.adapters.pop(key, None)
+        else:
+            self.unloading, self.busy_until = order.model, done_at
+            for held in [held for held in self.adapters if held[0] == order.model]:
+                del self.adapters[held]
+
+    def settle_pending(self, now: float) -> bool:
+        """Count adapters whose load must be over as held; tell whether there were any."""
+        done = [key for key, at in self.pending.items() if at <= now]
+        for key in done:
+            del self.pending[key]
+            self.adapters[key] = now
+        return bool(done)
--- /dev/null
+++ b/rhubarbshed/state/usage.py
@@ -0,0 +1,93 @@
+"""Demand for models and adapters as the order holder hears of it."""
+
+import math
+
+from attrs import define, field
+
+WINDOW_S = 5.0
+"""Time in which a request counts less by a factor of e: demand moves within some seconds, and a
+load takes as long."""
+
+SEEN_MIN_S = 0.5
+"""Time that counts as seen at the least, so that the first requests do not look like a flood."""
+
+WANT_GAP_S = 0.5
+"""Time without a want after which the next one begins anew; callers repeat theirs each 0.1 s."""
+
+Target = tuple[str, str, str]
+"""A service, a model of it and an adapter ("" for none)."""
+
+
+@define
+class Use:
+    """Hold a decaying sum of requests as of `at`, and when the target was last asked for."""
+
+    weight: float = 0.0
+    at: float = 0.0
+    asked_at: float = -math.inf
+
+    def add(self, count: float, now: float) -> None:
+        """Count requests."""
+        self.weight = self.weight * _decay(now - self.at) + count
+        self.at = now
+        self.asked_at = now
+
+    def measure_rate(self, since: float, now: float) -> float:
+        """Return requests per second, where counting began at `since`."""
+        seen_s = max(SEEN_MIN_S, WINDOW_S * (1.0 - _decay(now - since)))
+        return self.weight * _decay(now - self.at) / seen_s
+
+
+def _decay(age_s: float) -> float:
+    return math.exp(-max(0.0, age_s) / WINDOW_S)
+
+
+@define
+class Usage:
+    """Hold the use of models, of adapters, and what callers wait for now."""
+
+    models: dict[tuple[str, str], Use] = field(factory=dict)
+    adapters: dict[Target, Use] = field(factory=dict)
+    wanted: dict[Target, float] = field(factory=dict)
+    wanted_since: dict[Target, float] = field(factory=dict)
+    since: float = math.inf
+
+    def count(self, target: Target, requests: float, now: float) -> None:
+        """Count requests for a target."""
+        service, model, adapter = target
+        self.since = min(self.since, now)
+        self.models.setdefault((service, model), Use()).add(requests, now)
+        if adapter:
+            self.adapters.setdefault(target, Use()).add(requests, now)
+
+    def note_want(self, target: Target, now: float) -> None:
+        """Note that a caller waits for a target that no server holds."""
+        if now - self.wanted.get(target, -math.inf) > WANT_GAP_S:
+            self.wanted_since[target] = now
+        self.wanted[target] = now
+
+    def measure_want(self, target: Target, now: float) -> float:
+        """Return the seconds for which callers have waited for a target without a break."""
+        return now - self.wanted_since.get(target, now)
+
+    def measure_model(self, service: str, model: str, now: float) -> float:
+        """Return the requests per second for a model and its adapters."""
+        use = self.models.get((service, model))
+        return use.measure_rate(self.since, now) if use is not None else 0.0
+
+    def measure_adapter(self, target: Target, now: float) -> float:
+        """Return the requests per second for an adapter."""
+        use = self.adapters.get(target)
+        return use.measure_rate(self.since, now) if use is not None else 0.0
+
+    def count_adapters_in_use(self, service: str, model: str, since: float) -> int:
+        """Count a model's adapters that were asked for since a time."""
+        return sum(
+            1
+            for (found_service, found_model, _), use in self.adapters.items()
+            if (found_service, found_model) == (service, model) and use.asked_at >= since
+        )
+
+    def list_wanted(self, since: float) -> list[Target]:
+        """List what callers have waited for since a time."""
+        return [target for target, at in self.wanted.items() if at >= since]
--- /dev/null
+++ b/rhubarbshed/transport/edge/attempts.py
@@ -0,0 +1,237 @@
+"""One attempt of a request at one backend server, and the answer as it reaches the caller."""
+
+import asyncio
+import time
+
+import h11
+from attrs import define, field
+
+from rhubarbshed.platform.headers import make_headers, read_head
+from rhubarbshed.protocol.exchanges import CallerRequest, End, ServerHead
+from rhubarbshed.protocol.routes import Route
+from rhubarbshed.state.fleet import ServerRecord
+from rhubarbshed.transport.edge.channels import Channel, ChannelError, Event, GarbledError
+from rhubarbshed.transport.edge.lines import CallerLine
+from rhubarbshed.transport.edge.pools import Pool
+from rhubarbshed.transport.edge.streams import EventCutter
+
+FIRST_WAIT_S = 0.8
+FIRST_WAIT_TARGETS = 2.5
+"""Longest silence before the first bytes of an answer that may be asked for elsewhere: this time,
+or so many times the route's target if that is longer."""
+
+GAP_WAIT_S = 1.0
+"""Longest silence within a stream that may go on elsewhere; callers give up after two seconds."""
+
+KEPT_BYTES_MAX = 262_144
+"""Length up to which a plain answer is held until it is whole, so that a cut one can be asked for
+anew."""
+
+REFUSAL_STATUSES = (408, 421, 429, 503)
+"""Statuses that tell a caller that its request did not run."""
+
+
+@define(eq=False)
+class Passage:
+    """Hold the answer of one request as its caller sees it, over all attempts."""
+
+    line: CallerLine
+    request: CallerRequest
+    route: Route
+    begun: bool = False
+    status: int = 0
+    first_at: float | None = None
+    last_at: float = 0.0
+    gap_s: float = 0.0
+    cutter: EventCutter = field(factory=EventCutter)
+    kept: tuple[ServerHead, bytes] | None = None
+
+    def begin(self, head: ServerHead, length: int | None) -> None:
+        """Send the head of the first answer; later ones only continue it."""
+        if self.begun:
+            return
+        self.begun = True
+        self.status = head.status
+        self.line.send_head(head.status, head.headers, length)
+
+    async def send(self, data: bytes) -> None:
+        """Send a piece and wait for a caller that reads slowly."""
+        if not data:
+            return
+        now = time.monotonic()
+        if self.first_at is None:
+            self.first_at = now
+        else:
+            self.gap_s = max(self.gap_s, now - self.last_at)
+        self.last_at = now
+        self.line.send_data(data)
+        await self.line.wait_writable()
+
+    def send_whole(self, head: ServerHead, body: bytes) -> None:
+        """Send an answer that is in whole."""
+        self.begun = True
+        self.status = head.status
+        self.first_at = time.monotonic()
+        self.line.send_whole(head.status, head.headers, body)
+
+    def pass_kept(self) -> bool:
+        """Pass on a server's own failure that another attempt might have bettered."""
+        if self.kept is None or self.begun:
+            return False
+        self.send_whole(*self.kept)
+        return True
+
+
+@define(eq=False)
+class Attempt:
+    """Carry a request to a server; `failed` tells of an answer that speaks against the server."""
+
+    pool: Pool
+    record: ServerRecord
+    passage: Passage
+    deadline: float
+    status: int = 0
+    detail: str = ""
+    failed: bool = False
+    channel: Channel | None = None
+
+    async def run(self, may_repeat: bool) -> End:
+        """Send the request and pass on the answer; return how that ended."""
+        entry = self.record.entry
+        address = (entry.host, entry.port)
+        fresh = not self.passage.route.repeatable
+        try:
+            self.channel = await self.pool.take(address, time.monotonic(), fresh)
+        except ChannelError as error:
+            self.detail = str(error)
+            return End.NOT_SENT
+        finished = False
+        try:
+            end = await self.exchange(may_repeat)
+            finished = end in (End.DONE, End.REFUSED, End.ABSENT) or self.failed
+            return end
+        except GarbledError as error:
+            self.detail = str(error)
+            return End.GARBLED
+        except ChannelError as error:
+            self.detail = str(error)
+            return End.BROKEN
+        except TimeoutError:
+            if time.monotonic() >= self.deadline:
+                raise
+            self.detail = "no news in time"
+            return End.SILENT
+        finally:
+            if finished and self.channel.is_usable(time.monotonic()):
+                self.pool.give_back(address, self.channel)
+            else:
+                self.channel.abort()
+
+    async def exchange(self, may_repeat: bool) -> End:
+        """Send the request, read the head of the answer and go on by its status."""
+        passage = self.passage
+        request, route = passage.request, passage.route
+        now = time.monotonic()
+        after = passage.cutter.last_id if route.resumable else ""
+        priority = min(9, route.priority) if route.streamed else None
+        headers = make_headers(
+            request, self.record.entry.server_id, self.deadline - now, priority, after
+        )
+        self.channel.start(request.method, request.target, tuple(headers), request.body)
+        wait_s = max(FIRST_WAIT_S, FIRST_WAIT_TARGETS * route.target_s) if may_repeat else None
+        async with asyncio.timeout(wait_s):
+            response, head = await self.receive_head()
+            self.status = head.status
+            if head.load is not None:
+                self.record.take_sample(head.load[0], head.load[1], time.monotonic())
+            if head.not_run:
+                return await self.take_refusal(response, head)
+            if not 200 <= head.status < 300 or not route.streamed:
+                return await self.take_whole(response, head, may_repeat)
+            self.check_success(head)
+            first = await self.channel.receive()
+        return await self.take_stream(response, head, first, may_repeat)
+
+    async def receive_head(self) -> tuple[h11.Response, ServerHead]:
+        """Return the head of the answer, past late answers to other requests."""
+        while True:
+            response = await self.channel.receive()
+            while isinstance(response, h11.InformationalResponse):
+                response = await self.channel.receive()
+            if not isinstance(response, h11.Response):
+                raise GarbledError("a body without a head")
+            head = read_head(response.status_code, response.headers)
+            if not head.request_id or head.request_id == self.passage.request.request_id:
+                return response, head
+            while not isinstance(await self.channel.receive(), h11.EndOfMessage):
+                pass
+            self.channel.skip_answer()
+
+    async def take_refusal(self, response: h11.Response, head: ServerHead) -> End:
+        """Read a refusal to its end."""
+        while not isinstance(await self.channel.receive(), h11.EndOfMessage):
+            pass
+        self.channel.finish(response, time.monotonic())
+        return End.ABSENT if head.status == 421 else End.REFUSED
+
+    def check_success(self, head: ServerHead) -> None:
+        """Raise where a success is not the server's own."""
+        if not head.signed or head.encoded:
+            raise GarbledError("a success without a signature or with an encoding")
+
+    async def take_whole(self, response: h11.Response, head: ServerHead, may_repeat: bool) -> End:
+        """Read an answer whole and pass it on, or keep a failure that may yet be bettered."""
+        success = 200 <= head.status < 300
+        if success:
+            self.check_success(head)
+        pieces: list[bytes] = []
+        length = 0
+        while isinstance(event := await self.channel.receive(), h11.Data):
+            data = bytes(event.data)
+            if self.passage.begun:
+                await self.passage.send(data)
+                continue
+            pieces.append(data)
+            length += len(data)
+            if length > KEPT_BYTES_MAX and success:
+                self.passage.begin(head, None)
+                await self.passage.send(b"".join(pieces))
+        self.channel.finish(response, time.monotonic())
+        if self.passage.begun:
+            self.passage.line.send_end()
+            return End.DONE
+        return self.end_whole(head, b"".join(pieces), may_repeat)
+
+    def end_whole(self, head: ServerHead, body: bytes, may_repeat: bool) -> End:
+        """Decide what becomes of a whole answer."""
+        if head.status >= 500:
+            self.failed = True
+            self.detail = f"status {head.status}"
+            if head.status in REFUSAL_STATUSES:
+                return End.BROKEN
+            if may_repeat:
+                self.passage.kept = (head, body)
+                return End.BROKEN
+        elif head.status in REFUSAL_STATUSES:
+            return End.BROKEN
+        self.passage.send_whole(head, body)
+        return End.DONE
+
+    async def take_stream(
+        self, response: h11.Response, head: ServerHead, event: Event, may_repeat: bool
+    ) -> End:
+        """Pass on events as they come; a stream that breaks off is never ended."""
+        passage = self.passage
+        resumable = passage.route.resumable
+        passage.cutter.drop_cut()
+        passage.begin(head, None)
+        while not isinstance(event, h11.EndOfMessage):
+            data = bytes(event.data)
+            await passage.send(passage.cutter.take(data) if resumable else data)
+            async with asyncio.timeout(GAP_WAIT_S if may_repeat else None):
+                event = await self.channel.receive()
+        if resumable:
+            await passage.send(passage.cutter.flush())
+        self.channel.finish(response, time.monotonic())
+        passage.line.send_end()
+        return End.DONE
--- /dev/null
+++ b/rhubarbshed/transport/edge/channels.py
@@ -0,0 +1,190 @@
+"""Connections to backend servers and to the store, each for one exchange at a time."""
+
+import asyncio
+import re
+
+import h11
+from attrs import define, field
+
+from rhubarbshed.protocol.exchanges import Headers
+from rhubarbshed.transport.edge.sockets import set_options
+
+UNREAD_BYTES_MAX = 262_144
+"""Bytes of an answer that wait here for a slow caller before the server is made to wait."""
+
+HEAD_BYTES_MAX = 65_536
+"""Bytes of the head of an answer; servers send well below a kilobyte."""
+
+KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout=(\d+)")
+
+Event = h11.Response | h11.InformationalResponse | h11.Data | h11.EndOfMessage
+
+
+class ChannelError(Exception):
+    """Report a connection that broke, or an answer that is none."""
+
+
+class GarbledError(ChannelError):
+    """Report bytes that are not the answer of the protocol."""
+
+
+@define(eq=False)
+class Channel(asyncio.Protocol):
+    """Carry one exchange after another over one connection."""
+
+    host: str
+    opened_at: float = 0.0
+    idle_since: float = 0.0
+    idle_max_s: float | None = None
+    exchanges: int = 0
+    answer_begun: bool = False
+    _transport: asyncio.Transport | None = None
+    _parser: h11.Connection | None = None
+    _request: h11.Request | None = None
+    _waiter: asyncio.Future | None = None
+    _error: Exception | None = None
+    _closed: bool = False
+    _unread: int = 0
+    _drained: asyncio.Event = field(factory=asyncio.Event)
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Take a connection that is open."""
+        self._transport = transport
+        self._drained.set()
+        set_options(transport)
+
+    def data_received(self, data: bytes) -> None:
+        """Take bytes of an answer; bytes without an exchange spoil the connection."""
+        if self._parser is None:
+            self.abort()
+            return
+        self.answer_begun = True
+        self._parser.receive_data(data)
+        self._unread += len(data)
+        if self._unread > UNREAD_BYTES_MAX:
+            self._transport.pause_reading()
+        self._wake()
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """Take the end of the connection; one that was reset ends no answer."""
+        self._closed = True
+        if error is not None:
+            self._error = error
+        elif self._parser is not None and self._error is None:
+            self._parser.receive_data(b"")
+        self._drained.set()
+        self._wake()
+
+    def pause_writing(self) -> None:
+        """Wait with more data for a server that does not read."""
+        self._drained.clear()
+
+    def resume_writing(self) -> None:
+        """Go on with data."""
+        self._drained.set()
+
+    def is_usable(self, now: float) -> bool:
+        """Tell whether another exchange may begin."""
+        if self._closed or self._parser is not None:
+            return False
+        return self.idle_max_s is None or now - self.idle_since < self.idle_max_s
+
+    def start(self, method: bytes, target: bytes, headers: Headers, body: bytes) -> None:
+        """Send a request whole."""
+        self._request = h11.Request(method=method, target=target, headers=list(headers))
+        self._parser = h11.Connection(h11.CLIENT, max_incomplete_event_size=HEAD_BYTES_MAX)
+        self.exchanges += 1
+        self.answer_begun = False
+        data = self._parser.send(self._request)
+        if body:
+            data += self._parser.send(h11.Data(data=body))
+        data += self._parser.send(h11.EndOfMessage())
+        if self._closed:
+            raise ChannelError("the connection is closed")
+        self._transport.write(data)
+
+    async def receive(self) -> Event:
+        """Return the next event of the answer."""
+        while True:
+            event = self._next_event()
+            if event is not h11.NEED_DATA:
+                return event
+            if self._closed or self._error is not None:
+                raise ChannelError(f"the connection ended: {self._error}")
+            self._waiter = asyncio.get_running_loop().create_future()
+            try:
+                await self._waiter
+            finally:
+                self._waiter = None
+
+    def skip_answer(self) -> None:
+        """Begin anew behind a whole answer that belongs to another request."""
+        trailing, closed = self._parser.trailing_data
+        self._parser = h11.Connection(h11.CLIENT, max_incomplete_event_size=HEAD_BYTES_MAX)
+        self._parser.send(self._request)
+        if any(name == b"content-length" for name, _ in self._request.headers):
+            length = int(dict(self._request.headers)[b"content-length"])
+            if length:
+                self._parser.send(h11.Data(data=b"\0" * length))
+        self._parser.send(h11.EndOfMessage())
+        if trailing:
+            self._parser.receive_data(trailing)
+        if closed or self._closed:
+            self._parser.receive_data(b"")
+
+    def finish(self, response: h11.Response, now: float) -> bool:
+        """End an exchange whose answer is whole; tell whether the connection may be kept."""
+        parser, self._parser = self._parser, None
+        trailing, closed = parser.trailing_data
+        reusable = (
+            not trailing
+            and not closed
+            and not self._closed
+            and parser.our_state is h11.DONE
+            and parser.their_state is h11.DONE
+            and self._transport.get_write_buffer_size() == 0
+        )
+        if not reusable:
+            self.abort()
+            return False
+        self.idle_since = now
+        self.idle_max_s = _read_idle_max(response)
+        return True
+
+    def abort(self) -> None:
+        """Close at once, which ends the work of a server on an unfinished request."""
+        self._closed = True
+        if self._error is None:
+            self._error = ChannelError("given up")
+        if self._transport is not None:
+            self._transport.abort()
+
+    def _next_event(self) -> Event:
+        if self._error is not None:
+            raise ChannelError(f"the connection broke: {self._error}")
+        try:
+            event = self._parser.next_event()
+        except h11.RemoteProtocolError as error:
+            if self._closed:
+                raise ChannelError(f"the answer was cut off: {error}") from error
+            raise GarbledError(str(error)) from error
+        if event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
+            raise ChannelError("the connection ended without an answer")
+        if event is h11.NEED_DATA and self._unread:
+            self._unread = 0
+            if not self._closed:
+                self._transport.resume_reading()
+        return event
+
+    def _wake(self) -> None:
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(None)
+
+
+def _read_idle_max(response: h11.Response) -> float | None:
+    for name, value in response.headers:
+        if name == b"keep-alive":
+            found = KEEP_ALIVE_TIMEOUT.search(value)
+            if found is not None:
+                return float(found[1])
+    return None
--- /dev/null
+++ b/rhubarbshed/transport/edge/circle.py
@@ -0,0 +1,301 @@
+"""What instances tell the order holders, and what these tell them and each other.
+
+Each data centre has its own order holder, so that a cut or a death takes orders away from a part of
+the engines only. A holder passes the words of the others on to the instances of its own data
+centre: between data centres only holders talk.
+"""
+
+import asyncio
+import logging
+import time
+
+from attrs import define, field
+from returns.result import Failure, Result
+
+from rhubarbshed.protocol.tables import Row
+from rhubarbshed.protocol.words import DemandWord, HolderWord, NewsWord, Word
+from rhubarbshed.state.places import Place
+from rhubarbshed.state.usage import Target
+from rhubarbshed.transport.edge.datagrams import Datagrams
+from rhubarbshed.transport.edge.follower import Follower
+from rhubarbshed.transport.edge.holder import OrderDesk
+from rhubarbshed.transport.edge.lease import LeaseKeeper
+from rhubarbshed.transport.edge.view import View
+from rhubarbshed.util.logs import log_event
+
+LOG = logging.getLogger(__name__)
+
+DEMAND_S = 0.5
+"""Time between two words on demand; placement follows it within a second."""
+
+HOLDER_S = 0.25
+"""Time between two words of a holder; three lost ones in a row make others look at the lease."""
+
+SILENT_S = 0.6
+"""Time without a word of the own holder after which the others are told of wants."""
+
+FORGET_S = 5.0
+"""Time without a word after which a holder no longer counts an instance."""
+
+ROWS_PER_WORD = 8
+"""Rows of the store in one datagram; a server's row has some hundred bytes."""
+
+SERVERS_PER_WORD = 16
+"""Engines told of in one datagram, which keeps it within a packet or two."""
+
+WANT_PAUSE_S = 0.08
+"""Shortest time between two words on the same want."""
+
+Address = tuple[str, int]
+
+
+@define
+class KnownHolder:
+    """Hold what is known of the order holder of one data centre."""
+
+    address: Address
+    token: int
+    heard_at: float
+    instances: int
+
+
+@define
+class Circle:
+    """Exchange words with the order holders, or be one."""
+
+    view: View
+    lease: LeaseKeeper
+    desk: OrderDesk
+    follower: Follower
+    datagrams: Datagrams = field(init=False)
+    counts: dict[Target, int] = field(factory=dict)
+    wanted_at: dict[Target, float] = field(factory=dict)
+    instances: dict[Address, float] = field(factory=dict)
+    holders: dict[str, KnownHolder] = field(factory=dict)
+
+    def __attrs_post_init__(self) -> None:
+        """Make the socket's side."""
+        self.datagrams = Datagrams(self.take)
+
+    @property
+    def is_holder(self) -> bool:
+        """Tell whether this instance holds the lease of its data centre."""
+        return self.lease.tenure.held
+
+    def count_demand(self, service: str, model: str, adapter: str) -> None:
+        """Count a request, for the next word."""
+        target = (service, model, adapter)
+        self.counts[target] = self.counts.get(target, 0) + 1
+
+    def want(self, service: str, model: str, adapter: str) -> None:
+        """Tell the holder at once that a caller waits for something."""
+        target = (service, model, adapter)
+        now = time.monotonic()
+        if now - self.wanted_at.get(target, -1e9) < WANT_PAUSE_S:
+            return
+        self.wanted_at[target] = now
+        self.tell_demand(now, wants=(target,))
+
+    def tell_demand(self, now: float, wants: tuple[Target, ...] = ()) -> None:
+        """Tell the holder what was asked for since the last word."""
+        settings = self.view.settings
+        counts = tuple((*target, count) for target, count in self.counts.items())
+        word = DemandWord(settings.name, settings.data_centre, counts, wants)
+        if self.is_holder:
+            self.take_demand(word, now)
+            self.forward(word)
+        elif not self.send_demand(word, now):
+            return
+        self.counts.clear()
+
+    def send_demand(self, word: DemandWord, now: float) -> bool:
+        """Send a word to the own holder, and while that is silent to the others."""
+        own = self.lease.holder_address
+        if own is not None:
+            self.datagrams.send(word, own)
+        silent = now - self.lease.tenure.heard_at > SILENT_S
+        others = [known.address for known in self.holders.values() if known.address != own]
+        if silent:
+            for address in others:
+                self.datagrams.send(word, address)
+        return own is not None or bool(others)
+
+    def forward(self, word: DemandWord) -> None:
+        """Pass a word from the own data centre on to the other holders."""
+        for data_centre, known in self.holders.items():
+            if data_centre != self.view.settings.data_centre:
+                self.datagrams.send(word, known.address)
+
+    async def tell(self) -> None:
+        """Tell as a holder what engines hold, for ever: at each change and regularly."""
+        while True:
+            await self.desk.changed.wait(HOLDER_S)
+            if self.is_holder:
+                self.tell_all(time.monotonic())
+            await asyncio.sleep(0.01)
+
+    async def tell_regularly(self) -> None:
+        """Tell the holder of demand for ever, also when there is none."""
+        while True:
+            await asyncio.sleep(DEMAND_S * (0.8 + 0.4 * self.view.chance.random()))
+            self.tell_demand(time.monotonic())
+
+    def tell_all(self, now: float) -> None:
+        """Tell the instances here and the other holders what engines hold."""
+        for address in [key for key, at in self.instances.items() if now - at > FORGET_S]:
+            del self.instances[address]
+        self.lease.note_holders(self.holders, now)
+        revision = self.follower.servers_revision or 0
+        if self.follower.lost_at is None:
+            self.tell_news(now, revision, revision)
+        for word in self.make_words(now):
+            self.take_holder(word, now)
+            self.spread(word)
+            for data_centre, known in self.holders.items():
+                if data_centre != word.data_centre:
+                    self.datagrams.send(word, known.address)
+
+    def publish(self, before: int, revision: int, rows: tuple[Row, ...]) -> None:
+        """Tell the instances here what changed in the store."""
+        if self.is_holder:
+            self.tell_news(time.monotonic(), before, revision, rows)
+
+    def tell_news(self, now: float, before: int, revision: int, rows: tuple[Row, ...] = ()) -> None:
+        """Tell how far the store was read, with what changed."""
+        settings, known = self.view.settings, self.view.configuration
+        for start in range(0, max(1, len(rows)), ROWS_PER_WORD):
+            part = rows[start : start + ROWS_PER_WORD]
+            last = start + ROWS_PER_WORD >= len(rows)
+            reached = revision if last else part[-1].version
+            word = NewsWord(
+                settings.name,
+                settings.data_centre,
+                self.lease.tenure.token,
+                known.version if known is not None else 0,
+                self.follower.is_settled(now),
+                before,
+                reached,
+                tuple((row.key, row.version, row.value) for row in part),
+            )
+            before = reached
+            self.spread(word)
+
+    def spread(self, word: Word) -> None:
+        """Send a word to the instances of the own data centre."""
+        for address in self.instances:
+            self.datagrams.send(word, address)
+
+    def make_words(self, now: float) -> list[HolderWord]:
+        """Return the holder's words on the engines of its data centre."""
+        places = [place for place in self.desk.places.values() if place.is_known and place.ours]
+        tenure = self.lease.tenure
+        settings = self.view.settings
+        ordering = tenure.may_order(now) or now < tenure.orders_from
+        holders = tuple(
+            (data_centre, *known.address) for data_centre, known in self.holders.items()
+        )
+        words = []
+        for start in range(0, max(1, len(places)), SERVERS_PER_WORD):
+            part = places[start : start + SERVERS_PER_WORD]
+            word = HolderWord(
+                settings.name,
+                settings.data_centre,
+                *self.lease.address,
+                tenure.token,
+                ordering,
+                len(self.instances) + 1,
+                tuple((place.server_id, place.born_ms, _group(place)) for place in part),
+                tuple(
+                    (each.server_id, each.loading, max(0.0, each.busy_until - now), each.unloading)
+                    for each in part
+                ),
+                holders,
+            )
+            words.append(word)
+        return words
+
+    def take(self, read: Result[Word, str], address: Address) -> None:
+        """Take a datagram."""
+        now = time.monotonic()
+        if isinstance(read, Failure):
+            log_event(LOG, logging.INFO, "word_unreadable", sender=address[0], why=read.failure())
+            return
+        word = read.unwrap()
+        if isinstance(word, HolderWord):
+            is_new = self.take_holder(word, now)
+            if is_new and self.is_holder and word.data_centre != self.view.settings.data_centre:
+                self.spread(word)
+            return
+        if isinstance(word, NewsWord):
+            if word.token >= self.lease.tenure.token and not self.is_holder:
+                self.follower.take_news(word, now)
+            return
+        if not self.is_holder:
+            return
+        self.take_demand(word, now)
+        if word.data_centre == self.view.settings.data_centre:
+            self.instances[address] = now
+            if word.counts or word.wants:
+                self.forward(word)
+
+    def take_demand(self, word: DemandWord, now: float) -> None:
+        """Take an instance's word on demand."""
+        usage = self.desk.usage
+        for service, model, adapter, count in word.counts:
+            usage.count((service, model, adapter), count, now)
+        for target in word.wants:
+            usage.note_want(tuple(target), now)
+        if word.wants:
+            self.desk.wake.fire()
+
+    def take_holder(self, word: HolderWord, now: float) -> bool:
+        """Take a holder's word; tell whether it is a word of the newest one."""
+        known = self.holders.get(word.data_centre)
+        if known is not None and word.token < known.token:
+            return False
+        address = (word.host, word.port)
+        if known is None or known.address != address:
+            log_event(
+                LOG,
+                logging.INFO,
+                "order_holder",
+                holder=word.sender,
+                data_centre=word.data_centre,
+                token=word.token,
+            )
+        self.holders[word.data_centre] = KnownHolder(address, word.token, now, word.instances)
+        self.view.budget.instances = sum(each.instances for each in self.holders.values())
+        if word.data_centre == self.view.settings.data_centre:
+            self.lease.hear(word.token, address, word.ordering, now)
+            self.learn_holders(word, now)
+        elif self.is_holder:
+            self.desk.take_remote(word, now)
+        fleet = self.view.fleet
+        for server_id, born_ms, held in word.held:
+            fleet.announce_held(server_id, born_ms, dict(held), now)
+        for server_id, loading, left_s, unloading in word.changes:
+            fleet.note_changes(server_id, loading, left_s, unloading, now)
+        self.view.changed.fire()
+        return True
+
+    def learn_holders(self, word: HolderWord, now: float) -> None:
+        """Learn where the other holders are, for when the own one falls silent."""
+        for data_centre, host, port in word.holders:
+            if data_centre not in self.holders:
+                self.holders[data_centre] = KnownHolder((host, port), 0, now, 0)
+
+    def learn_addresses(self, others: dict[str, Address]) -> None:
+        """Take the addresses of the other holders from their rows in the store."""
+        for data_centre, address in others.items():
+            known = self.holders.get(data_centre)
+            if known is None or known.address != address:
+                token = known.token if known is not None else 0
+                self.holders[data_centre] = KnownHolder(address, token, -1e9, 0)
+
+
+def _group(place: Place) -> tuple[tuple[str, tuple[str, ...]], ...]:
+    grouped: dict[str, list[str]] = {model: [] for model in sorted(place.models)}
+    for model, adapter in sorted(place.adapters):
+        if model in grouped:
+            grouped[model].append(adapter)
+    return tuple((model, tuple(names)) for model, names in grouped.items())
--- /dev/null
+++ b/rhubarbshed/transport/edge/control.py
@@ -0,0 +1,67 @@
+"""Calls of our own: to the platform's store and to engines."""
+
+import asyncio
+import time
+
+import h11
+from attrs import frozen
+from returns.result import Failure, Result, Success
+
+from rhubarbshed.protocol.exchanges import ControlCall
+from rhubarbshed.protocol.tables import TableError, TableFault
+from rhubarbshed.transport.edge.channels import Channel, ChannelError
+from rhubarbshed.transport.edge.pools import Address, Pool
+
+BODY_BYTES_MAX = 8_388_608
+"""Longest answer to a call of our own; the store sends 1 MB of rows at most."""
+
+
+@frozen
+class ControlAnswer:
+    """Hold the answer to a call of our own."""
+
+    status: int
+    body: bytes
+
+
+async def call(
+    pool: Pool, address: Address, sent: ControlCall, timeout_s: float
+) -> Result[ControlAnswer, TableError]:
+    """Make a call; `UNAVAILABLE` never left this instance, `UNKNOWN` may take effect later."""
+    now = time.monotonic()
+    try:
+        channel = await pool.take(address, now, fresh=sent.method != b"GET")
+    except ChannelError as error:
+        return Failure(TableError(TableFault.UNAVAILABLE, detail=str(error)))
+    try:
+        async with asyncio.timeout(timeout_s):
+            return Success(await _exchange(pool, address, channel, sent))
+    except TimeoutError:
+        return Failure(TableError(TableFault.UNKNOWN, detail=f"no answer in {timeout_s:g} s"))
+    except ChannelError as error:
+        return Failure(TableError(TableFault.UNKNOWN, detail=str(error)))
+    finally:
+        if not channel.is_usable(time.monotonic()):
+            channel.abort()
+
+
+async def _exchange(
+    pool: Pool, address: Address, channel: Channel, sent: ControlCall
+) -> ControlAnswer:
+    headers = [(b"host", f"{address[0]}:{address[1]}".encode()), *sent.headers]
+    if sent.body or sent.method != b"GET":
+        headers.append((b"content-length", str(len(sent.body)).encode()))
+    channel.start(sent.method, sent.target, tuple(headers), sent.body)
+    response = await channel.receive()
+    while isinstance(response, h11.InformationalResponse):
+        response = await channel.receive()
+    pieces: list[bytes] = []
+    length = 0
+    while isinstance(event := await channel.receive(), h11.Data):
+        pieces.append(bytes(event.data))
+        length += len(event.data)
+        if length > BODY_BYTES_MAX:
+            raise ChannelError(f"the answer is longer than {BODY_BYTES_MAX} bytes")
+    if channel.finish(response, time.monotonic()):
+        pool.give_back(address, channel)
+    return ControlAnswer(response.status_code, b"".join(pieces))
--- /dev/null
+++ b/rhubarbshed/transport/edge/datagrams.py
@@ -0,0 +1,45 @@
+"""Datagrams between instances."""
+
+import asyncio
+from collections.abc import Callable
+
+from attrs import define
+from returns.result import Result
+
+from rhubarbshed.protocol.words import Word, pack_word, unpack_word
+
+Address = tuple[str, int]
+
+
+@define(eq=False)
+class Datagrams(asyncio.DatagramProtocol):
+    """Send and take words; one that is lost is made good by the next."""
+
+    take: Callable[[Result[Word, str], Address], None]
+    _transport: asyncio.DatagramTransport | None = None
+
+    async def listen(self, address: Address) -> None:
+        """Open the socket."""
+        loop = asyncio.get_running_loop()
+        await loop.create_datagram_endpoint(lambda: self, local_addr=address)
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Take the open socket."""
+        self._transport = transport
+
+    def datagram_received(self, data: bytes, address: Address) -> None:
+        """Take a word."""
+        self.take(unpack_word(data), address)
+
+    def error_received(self, error: OSError) -> None:
+        """Ignore that a peer's port is closed; its silence is judged elsewhere."""
+
+    def send(self, word: Word, address: Address) -> None:
+        """Send a word."""
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.sendto(pack_word(word), address)
+
+    def close(self) -> None:
+        """Close the socket."""
+        if self._transport is not None:
+            self._transport.close()
--- /dev/null
+++ b/rhubarbshed/transport/edge/follower.py
@@ -0,0 +1,268 @@
+"""The store's tables as an instance follows them: configuration and backend servers."""
+
+import asyncio
+import logging
+import time
+from collections.abc import Callable
+
+from attrs import define, field
+from returns.result import Failure, Success
+
+from rhubarbshed.platform.records import read_configuration, read_server
+from rhubarbshed.platform.rows import CONFIGURATION_KEY, OPERATOR_TABLE, SERVERS_TABLE
+from rhubarbshed.protocol.tables import Row, TableError, TableFault
+from rhubarbshed.protocol.words import NewsWord
+from rhubarbshed.transport.edge.store import StoreClient
+from rhubarbshed.transport.edge.view import Signal, View
+from rhubarbshed.util.logs import log_event
+
+LOG = logging.getLogger(__name__)
+
+OPERATOR_WAIT_S = 2.0
+"""Time that the store may hold a question for a new configuration. A connection that has gone
+silent is noticed only after it, and a configuration has to be in force within two seconds."""
+
+SERVERS_WAIT_S = 20.0
+"""Time that the store may hold a question for servers; the other question notices silence."""
+
+GATHER_S = 0.5
+"""Time in which changes of servers gather before the next question: each question has a price, and
+a leaving server may get work for two seconds."""
+
+PAUSE_FIRST_S = 0.1
+PAUSE_LONGEST_S = 0.5
+"""Pause between tries while the store is away, doubled up to the longest."""
+
+RETURN_S = 2.2
+"""Time after the store's return within which lapsed entries of living servers are back, by the
+platform's pages about two seconds."""
+
+DROP_MARGIN_S = 0.5
+"""Part of the drain time that is left when a server without an entry is dropped."""
+
+NEWS_S = 1.0
+"""Age of the order holder's last news up to which an instance does not ask for servers itself."""
+
+QUIET_WAIT_S = 10.0
+"""Time that the store may hold a question for a configuration while the order holder's news would
+tell of a new one."""
+
+Apply = Callable[[tuple[Row, ...], bool, float], None]
+
+
+@define
+class Follower:
+    """Keep a view up to date; `lost_at` is when the store was lost, None while it answers."""
+
+    store: StoreClient
+    view: View
+    suspect: Signal = field(factory=Signal)
+    lost_at: float | None = None
+    regained_at: float = -1e9
+    publish: Callable[[int, int, tuple[Row, ...]], None] = lambda before, revision, rows: None
+    is_holder: Callable[[], bool] = lambda: False
+    servers_revision: int | None = None
+    told_at: float = -1e9
+    told_settled: bool = True
+    behind: Signal = field(factory=Signal)
+    new_configuration: Signal = field(factory=Signal)
+    is_behind: bool = False
+
+    async def follow_configuration(self) -> None:
+        """Follow the operator's configuration for ever."""
+        await self._follow(OPERATOR_TABLE, self._apply_operator)
+
+    async def follow_servers(self) -> None:
+        """Follow the servers' entries for ever."""
+        await self._follow(SERVERS_TABLE, self._apply_servers)
+
+    def has_news(self, now: float) -> bool:
+        """Tell whether the order holder tells this instance what changes."""
+        return not self.is_holder() and now - self.told_at < NEWS_S
+
+    def take_news(self, word: NewsWord, now: float) -> None:
+        """Take the order holder's news; where some were missed, the store is asked."""
+        self.told_at = now
+        self.told_settled = word.settled
+        known = self.view.configuration
+        if word.configuration > (known.version if known is not None else 0):
+            self.new_configuration.fire()
+        if self.servers_revision is None or word.revision <= self.servers_revision:
+            return
+        if word.before > self.servers_revision:
+            self.is_behind = True
+            self.behind.fire()
+            return
+        rows = tuple(Row(key, version, value, version) for key, version, value in word.rows)
+        self.servers_revision = word.revision
+        self._apply_servers(rows, False, now)
+
+    async def _wait_for_turn(self, table: str) -> None:
+        """Wait with a question for servers as long as the order holder tells all changes."""
+        while table == SERVERS_TABLE and self.has_news(time.monotonic()) and not self.is_behind:
+            await self.behind.wait(NEWS_S)
+        self.is_behind = False
+
+    def _choose_wait(self, table: str) -> float:
+        if table == SERVERS_TABLE:
+            return 0.0 if self.has_news(time.monotonic()) else SERVERS_WAIT_S
+        return QUIET_WAIT_S if self.has_news(time.monotonic()) else OPERATOR_WAIT_S
+
+    async def _follow(self, table: str, apply: Apply) -> None:
+        revision: int | None = None
+        pause_s = PAUSE_FIRST_S
+        while True:
+            if table == SERVERS_TABLE and revision is not None:
+                await self._wait_for_turn(table)
+                revision = max(revision, self.servers_revision or 0)
+            wait_s = self._choose_wait(table)
+            whole = revision is None
+            if whole:
+                result = await self.store.read_all(table)
+            else:
+                result = await self._ask_changes(table, revision, wait_s)
+            now = time.monotonic()
+            if isinstance(result, Success):
+                self._note_answer(now)
+                scan = result.unwrap().scan
+                before, revision = revision, scan.revision
+                pause_s = PAUSE_FIRST_S
+                apply(scan.rows, whole, now)
+                if table == SERVERS_TABLE:
+                    self.servers_revision = revision
+                    if before is not None and scan.rows:
+                        self.publish(before, revision, scan.rows)
+                        await asyncio.sleep(GATHER_S)
+                continue
+            if result.failure().fault is TableFault.CONFLICT:
+                log_event(LOG, logging.WARNING, "history_gone", table=table, revision=revision)
+                revision = None
+                continue
+            self._note_failure(table, result.failure(), now)
+            await asyncio.sleep(pause_s * (0.75 + 0.5 * self.view.chance.random()))
+            pause_s = min(PAUSE_LONGEST_S, pause_s * 2)
+
+    async def _ask_changes(self, table: str, revision: int, wait_s: float):
+        """Ask for changes; give up a long question once another one has gone unanswered."""
+        asked = asyncio.ensure_future(self.store.follow(table, revision, wait_s))
+        signal = self.suspect if table == SERVERS_TABLE else self.new_configuration
+        called = asyncio.ensure_future(signal.wait(wait_s * 2 + 1.0))
+        try:
+            await asyncio.wait((asked, called), return_when=asyncio.FIRST_COMPLETED)
+            if not asked.done() and table == OPERATOR_TABLE:
+                # The connection may have gone silent, so the question goes out on another one.
+                return await self.store.follow(table, revision, 0.0)
+            if asked.done():
+                return asked.result()
+            return Failure(TableError(TableFault.UNKNOWN, detail="the store went silent"))
+        finally:
+            asked.cancel()
+            called.cancel()
+
+    def _note_answer(self, now: float) -> None:
+        if self.lost_at is not None:
+            away_s = round(now - self.lost_at, 2)
+            log_event(LOG, logging.WARNING, "dependency_regained", name="store", away_s=away_s)
+            self.lost_at = None
+            self.regained_at = now
+
+    def _note_failure(self, table: str, error: TableError, now: float) -> None:
+        if self.lost_at is None:
+            self.lost_at = now
+            log_event(
+                LOG,
+                logging.WARNING,
+                "dependency_lost",
+                name="store",
+                table=table,
+                reason=error.detail,
+            )
+            self.suspect.fire()
+
+    def _apply_operator(self, rows: tuple[Row, ...], whole: bool, now: float) -> None:
+        view = self.view
+        view.configured_at = now
+        for row in rows:
+            if row.key != CONFIGURATION_KEY or row.value is None:
+                continue
+            read = read_configuration(row.value)
+            if isinstance(read, Failure):
+                log_event(LOG, logging.ERROR, "configuration_unreadable", reason=read.failure())
+                continue
+            known = view.configuration
+            if known is not None and read.unwrap().version <= known.version:
+                continue
+            view.configuration = read.unwrap()
+            log_event(
+                LOG,
+                logging.INFO,
+                "configuration",
+                version=view.configuration.version,
+                before=known.version if known else 0,
+                revision=row.version,
+                routes=sum(len(each) for each in view.configuration.routes.values()),
+            )
+            view.changed.fire()
+
+    def _apply_servers(self, rows: tuple[Row, ...], whole: bool, now: float) -> None:
+        view = self.view
+        view.fleet_at = now
+        present = set()
+        for row in rows:
+            if row.value is None:
+                self._doubt(row.key, now)
+                continue
+            read = read_server(row.key, row.value)
+            if isinstance(read, Failure):
+                log_event(
+                    LOG, logging.INFO, "entry_unreadable", server=row.key, reason=read.failure()
+                )
+                continue
+            present.add(row.key)
+            self._apply_entry(row, read.unwrap(), now)
+        if whole:
+            for server_id in view.fleet.doubt_missing(present, now):
+                log_event(LOG, logging.INFO, "server_missing", server=server_id, why="not_listed")
+        view.changed.fire()
+
+    def _apply_entry(self, row: Row, entry, now: float) -> None:
+        what = self.view.fleet.apply(entry, now)
+        if what:
+            log_event(
+                LOG,
+                logging.INFO,
+                f"server_{what}",
+                server=entry.server_id,
+                service=entry.service,
+                state=entry.state.value,
+                data_centre=entry.data_centre,
+                address=f"{entry.host}:{entry.port}",
+                models=",".join(sorted(entry.models)),
+                revision=row.version,
+            )
+
+    def _doubt(self, server_id: str, now: float) -> None:
+        record = self.view.fleet.get(server_id)
+        if record is None:
+            return
+        if record.leaving_at is not None:
+            self._drop(server_id, "left")
+        elif record.doubted_since is None:
+            record.doubted_since = now
+            log_event(LOG, logging.INFO, "server_missing", server=server_id, why="entry_removed")
+
+    def is_settled(self, now: float) -> bool:
+        """Tell whether entries that lapsed while the store was away would be back."""
+        return self.lost_at is None and now - self.regained_at >= RETURN_S
+
+    def drop_missing(self, now: float) -> None:
+        """Drop servers that have been without an entry for long enough to be gone."""
+        if not self.is_settled(now) or (self.has_news(now) and not self.told_settled):
+            return
+        keep_s = max(0.2, self.view.settings.drain_s - DROP_MARGIN_S)
+        for server_id in self.view.fleet.list_doubted_since(now - keep_s):
+            self._drop(server_id, "without_entry")
+
+    def _drop(self, server_id: str, why: str) -> None:
+        self.view.fleet.remove(server_id)
+        log_event(LOG, logging.INFO, "server_gone", server=server_id, why=why)
--- /dev/null
+++ b/rhubarbshed/transport/edge/holder.py
@@ -0,0 +1,317 @@
+"""Orders to engines, given by the instance that holds the lease."""
+
+import asyncio
+import logging
+import time
+
+from attrs import define, field
+from returns.result import Failure, Success
+
+from rhubarbshed.coordination.serving.placement import (
+    Floor,
+    LoadRate,
+    Move,
+    estimate_load_time,
+    is_from_store,
+    plan_adapters,
+    plan_fill,
+    plan_models,
+    plan_warming,
+)
+from rhubarbshed.coordination.serving.tenure import Tenure
+from rhubarbshed.platform.orders import make_order, make_report_call, read_order_end
+from rhubarbshed.platform.records import read_report
+from rhubarbshed.protocol.orders import OrderKind
+from rhubarbshed.protocol.routes import EngineSpec
+from rhubarbshed.protocol.servers import OrderEnd, ServerOrder
+from rhubarbshed.protocol.tables import TableFault
+from rhubarbshed.protocol.words import HolderWord
+from rhubarbshed.state.fleet import ServerRecord
+from rhubarbshed.state.places import DOUBT_S, Doubt, Place
+from rhubarbshed.state.usage import Usage
+from rhubarbshed.transport.edge.control import call
+from rhubarbshed.transport.edge.numbers import Numbers
+from rhubarbshed.transport.edge.pools import Pool
+from rhubarbshed.transport.edge.view import Signal, View
+from rhubarbshed.util.logs import log_event
+
+LOG = logging.getLogger(__name__)
+
+ORDER_TIMEOUT_S = 0.6
+"""Time for an engine's answer to an order or a question, which takes a few milliseconds."""
+
+ADAPTER_S = 0.03
+"""Time after which an adapter that was ordered is there; loads take 5 to 10 ms."""
+
+UNLOAD_S = 0.5
+"""Time after which a model that was unloaded should be gone, unless runs of it are long."""
+
+MODEL_ROUND_S = 0.25
+"""Time between two plans of models; an engine takes one order at a time for seconds."""
+
+REREAD_S = 0.35
+"""Pause before an engine is asked again what it holds: its report lags by some hundred ms."""
+
+LOAD_BURST = 3.0
+LOAD_RATE_PART = 0.9
+"""Loads from the weight store at once, and the part of their rate that is used. Both together stay
+under the ceiling, which allows three loads beyond its rate in a window."""
+
+BUSY_MARGIN_S = 0.5
+"""Time beyond a load's own after which an engine that still seems busy is asked."""
+
+
+@define
+class OrderDesk:
+    """Plan and send orders while the lease is held; `tell` lets all instances know a change."""
+
+    view: View
+    pool: Pool
+    numbers: Numbers
+    tenure: Tenure
+    usage: Usage = field(factory=Usage)
+    places: dict[str, Place] = field(factory=dict)
+    rates: dict[str, LoadRate] = field(factory=dict)
+    wake: Signal = field(factory=Signal)
+    changed: Signal = field(factory=Signal)
+    busy: set[str] = field(factory=set)
+    tasks: set[asyncio.Task] = field(factory=set)
+
+    async def run(self) -> None:
+        """Give orders for ever, while the lease allows."""
+        models_at = 0.0
+        while True:
+            await self.wake.wait(0.05)
+            now = time.monotonic()
+            if not self.tenure.may_order(now):
+                if not self.tenure.held:
+                    self.places.clear()
+                    self.rates.clear()
+                continue
+            with_models = now - models_at >= MODEL_ROUND_S
+            if with_models:
+                models_at = now
+            for service, engine in self.list_engines():
+                self.plan(service, engine, with_models, now)
+
+    def list_engines(self) -> list[tuple[str, EngineSpec]]:
+        """List services of engines with what the operator says of them."""
+        configuration = self.view.configuration
+        if configuration is None:
+            return []
+        return [
+            (name, spec.engine)
+            for name, spec in configuration.services.items()
+            if spec.engine is not None and spec.engine.models
+        ]
+
+    def plan(self, service: str, engine: EngineSpec, with_models: bool, now: float) -> None:
+        """Bring the picture of a service's engines up to date, and send what is due."""
+        self.refresh_places(service, now)
+        floor = self.make_floor(service, engine, now)
+        moves = plan_adapters(floor)
+        if with_models:
+            rate = self.rates.get(service)
+            if rate is None:
+                rate = self.rates[service] = self.make_rate(service, engine, now)
+            moves += plan_fill(floor) or plan_models(floor, rate) or plan_warming(floor, rate)
+        for server_id in {move.server_id for move in moves}:
+            if server_id in self.busy:
+                continue
+            mine = [move for move in moves if move.server_id == server_id]
+            self.busy.add(server_id)
+            self.spawn(self.carry_out(floor, server_id, mine))
+
+    def make_rate(self, service: str, engine: EngineSpec, now: float) -> LoadRate:
+        """Return this holder's part of the weight store's rate: one for each data centre."""
+        servers = self.view.fleet.list_service(service)
+        parts = max(1, len({record.entry.data_centre for record in servers}))
+        per_s = engine.loads_per_s * LOAD_RATE_PART / parts
+        return LoadRate(per_s, max(1.0, LOAD_BURST / parts), 1.0, now)
+
+    def make_floor(self, service: str, engine: EngineSpec, now: float) -> Floor:
+        """Return the engines of a service as planning sees them."""
+        records = {
+            record.entry.server_id: record for record in self.view.fleet.list_service(service)
+        }
+        places = {key: self.places[key] for key in records if key in self.places}
+        records = {key: records[key] for key in places}
+        return Floor(service, engine, places, records, self.usage, now)
+
+    def refresh_places(self, service: str, now: float) -> None:
+        """Follow servers that came, went or restarted, and orders that should be done."""
+        for record in self.view.fleet.list_service(service):
+            server_id, born_ms = record.entry.incarnation
+            place = self.places.get(server_id)
+            if place is None or place.born_ms != born_ms:
+                ours = record.entry.data_centre == self.view.settings.data_centre
+                place = self.places[server_id] = Place(server_id, born_ms, ours)
+                place.models = set(record.entry.models)
+            if not place.ours:
+                continue
+            if place.settle_pending(now):
+                self.changed.fire()
+            if self.needs_report(place, record, now) and server_id not in self.busy:
+                place.read_at = now
+                self.busy.add(server_id)
+                self.spawn(self.read_report(server_id))
+        for server_id in [key for key in self.places if self.view.fleet.get(key) is None]:
+            del self.places[server_id]
+
+    def needs_report(self, place: Place, record: ServerRecord, now: float) -> bool:
+        """Tell whether an engine has to be asked what it holds.
+
+        Its entry in the store may be older than our last order, so it is no proof; where it says
+        something else than we believe, the engine itself is asked.
+        """
+        if now - place.read_at < REREAD_S:
+            return False
+        if place.orders is None:
+            return True
+        if place.loading or place.unloading:
+            return now >= place.busy_until
+        differs = set(record.entry.models) != place.models
+        return differs and record.seen_at > max(place.read_at, place.ordered_at + REREAD_S)
+
+    def take_remote(self, word: HolderWord, now: float) -> None:
+        """Take what the holder of another data centre tells of its engines."""
+        changes = {change[0]: change[1:] for change in word.changes}
+        for server_id, born_ms, held in word.held:
+            place = self.places.get(server_id)
+            if place is None or place.born_ms != born_ms or place.ours:
+                continue
+            place.take_word(dict(held), changes.get(server_id, ("", 0.0, "")), now)
+
+    async def read_report(self, server_id: str) -> None:
+        """Ask an engine what it holds."""
+        try:
+            record, place = self.view.fleet.get(server_id), self.places.get(server_id)
+            if record is None or place is None:
+                return
+            # A report lags: one that is too young would lack our last order.
+            await asyncio.sleep(max(0.0, place.ordered_at + REREAD_S - time.monotonic()))
+            address = (record.entry.host, record.entry.port)
+            answer = await call(self.pool, address, make_report_call(server_id), ORDER_TIMEOUT_S)
+            if isinstance(answer, Failure) or answer.unwrap().status != 200:
+                log_event(LOG, logging.INFO, "report_unread", server=server_id)
+                return
+            report = read_report(answer.unwrap().body)
+            now = time.monotonic()
+            if isinstance(report, Success) and report.unwrap().born_ms == place.born_ms:
+                place.take_report(report.unwrap(), now)
+                self.changed.fire()
+                log_event(
+                    LOG,
+                    logging.INFO,
+                    "report",
+                    server=server_id,
+                    orders=place.orders,
+                    at_hand=",".join(sorted(report.unwrap().in_memory | report.unwrap().on_disk)),
+                    models=",".join(sorted(place.models)),
+                    adapters=len(place.adapters),
+                    busy=report.unwrap().busy,
+                )
+        finally:
+            self.busy.discard(server_id)
+
+    async def carry_out(self, floor: Floor, server_id: str, moves: list[Move]) -> None:
+        """Send one engine its orders, one after another."""
+        try:
+            for move in moves:
+                place = self.places.get(server_id)
+                if place is None or place.orders is None:
+                    return
+                end = await self.send(floor, place, move)
+                if end not in (OrderEnd.ACCEPTED, OrderEnd.HOLDS):
+                    await asyncio.sleep(REREAD_S)
+                    self.busy.add(server_id)
+                    await self.read_report(server_id)
+                    return
+        finally:
+            self.busy.discard(server_id)
+            self.wake.fire()
+
+    async def send(self, floor: Floor, place: Place, move: Move) -> OrderEnd:
+        """Send one order and note what became of it."""
+        now = time.monotonic()
+        record = self.view.fleet.get(place.server_id)
+        if record is None or not self.tenure.may_order(now):
+            return OrderEnd.NOT_SENT
+        spec = floor.engine.models[move.model]
+        order = ServerOrder(
+            move.kind,
+            move.model,
+            self.view.settings.name,
+            self.tenure.token,
+            move.adapter,
+            place.orders,
+        )
+        if not place.has_room(order, floor.engine):
+            log_event(
+                LOG, logging.INFO, "order_held_back", server=place.server_id, model=move.model
+            )
+            return OrderEnd.NOT_SENT
+        from_store = not move.adapter and is_from_store(floor, place, move.model)
+        if move.adapter:
+            takes_s = ADAPTER_S
+        elif move.kind is OrderKind.LOAD:
+            takes_s = estimate_load_time(record, spec)
+        else:
+            takes_s = UNLOAD_S
+        # Counted before it is sent: an order without an answer may still be carried out.
+        doubt = Doubt(order, now + DOUBT_S)
+        place.doubts.append(doubt)
+        address = (record.entry.host, record.entry.port)
+        sent = make_order(order, place.server_id)
+        answer = await call(self.pool, address, sent, ORDER_TIMEOUT_S)
+        if isinstance(answer, Success):
+            end = read_order_end(answer.unwrap().status)
+        elif answer.failure().fault is TableFault.UNAVAILABLE:
+            end = OrderEnd.NOT_SENT
+        else:
+            end = OrderEnd.UNKNOWN
+        now = time.monotonic()
+        if end is not OrderEnd.UNKNOWN and doubt in place.doubts:
+            place.doubts.remove(doubt)
+        if end in (OrderEnd.ACCEPTED, OrderEnd.HOLDS):
+            self.note_accepted(place, order, end, now + takes_s, now)
+        self.numbers.count_order(move.kind.value, end.value)
+        log_event(
+            LOG,
+            logging.INFO,
+            "order",
+            kind=move.kind.value,
+            server=place.server_id,
+            model=move.model,
+            adapter=move.adapter,
+            why=move.reason,
+            end=end.value,
+            expected=order.expected,
+            token=order.token,
+            rate=round(floor.measure_rate(move.model), 2),
+            places_taken=place.count_adapters(),
+            from_store=from_store,
+        )
+        return end
+
+    def note_accepted(
+        self, place: Place, order: ServerOrder, end: OrderEnd, done_at: float, now: float
+    ) -> None:
+        """Take an order that was accepted or already held."""
+        if end is OrderEnd.HOLDS and order.kind is OrderKind.LOAD:
+            if order.adapter:
+                place.adapters[(order.model, order.adapter)] = now
+            else:
+                place.models.add(order.model)
+        else:
+            place.accept(order, done_at, end is OrderEnd.HOLDS, now)
+        self.changed.fire()
+        if order.adapter and order.kind is OrderKind.LOAD:
+            loop = asyncio.get_running_loop()
+            loop.call_later(ADAPTER_S, self.wake.fire)
+
+    def spawn(self, work) -> None:
+        """Start work in the background."""
+        task = asyncio.get_running_loop().create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
--- /dev/null
+++ b/rhubarbshed/transport/edge/lease.py
@@ -0,0 +1,201 @@
+"""The lease of the order holder, as rows of the store."""
+
+import asyncio
+import logging
+import time
+from collections.abc import Callable
+
+from attrs import define, field
+from returns.result import Failure, Result, Success
+
+from rhubarbshed.coordination.serving.tenure import Step, Tenure
+from rhubarbshed.platform.rows import OWN_TABLE
+from rhubarbshed.protocol.tables import (
+    Check,
+    Committed,
+    Row,
+    TableError,
+    TableFault,
+    Transaction,
+    Write,
+)
+from rhubarbshed.transport.edge.store import StoreClient
+from rhubarbshed.util.logs import log_event
+
+LOG = logging.getLogger(__name__)
+
+LEASE_PREFIX = "orders/"
+HOLDERS_PAUSE_S = 1.0
+"""Shortest time between two reads of the rows of the other holders, while one is unknown."""
+POLL_S = 0.05
+"""Time between two looks at whether a step is due; a small part of the shortest lease."""
+
+
+@define
+class LeaseKeeper:
+    """Keep or take the lease of a data centre; `address` is where words are taken (IP, port).
+
+    `others` are the addresses of the other data centres' holders as their rows name them.
+    """
+
+    store: StoreClient
+    tenure: Tenure
+    name: str
+    data_centre: str
+    address: tuple[str, int]
+    nonce: str
+    learned: Callable[[dict[str, tuple[str, int]]], None] = lambda others: None
+    holder_address: tuple[str, int] | None = None
+    lapsed: bool = False
+    others: dict[str, tuple[str, int]] = field(factory=dict)
+    others_read_at: float = -1e9
+    others_due: bool = False
+
+    async def keep(self) -> None:
+        """Follow the lease for ever."""
+        while True:
+            step = self.tenure.choose_step(time.monotonic())
+            if step is Step.RENEW:
+                await self._renew()
+            elif step is Step.READ:
+                await self._read()
+            elif step in (Step.CREATE, Step.TAKE_OVER):
+                await self._take(step)
+            elif self.others_due:
+                await self._read_others()
+            self._note_right(time.monotonic())
+            await asyncio.sleep(POLL_S)
+
+    async def release(self) -> None:
+        """Give the lease back before a stop."""
+        if self.tenure.held:
+            await self._write()
+            self._lose("released")
+
+    @property
+    def key(self) -> str:
+        """Return the key of the lease's row."""
+        return LEASE_PREFIX + self.data_centre
+
+    def hear(self, token: int, address: tuple[str, int], ordering: bool, now: float) -> None:
+        """Take a sign of life from the holder of this data centre."""
+        if token < self.tenure.token:
+            return
+        if not self.tenure.held:
+            self.tenure.token = token
+            self.holder_address = address
+        if ordering:
+            self.tenure.heard_at = now
+
+    def note_holders(self, known: dict, now: float) -> None:
+        """Ask for the rows of the other holders where one is unknown or silent."""
+        silent = [
+            data_centre
+            for data_centre, address in self.others.items()
+            if data_centre not in known
+            or now - known[data_centre].heard_at > HOLDERS_PAUSE_S
+            or known[data_centre].address != address
+        ]
+        unknown = not self.others or bool(silent)
+        self.others_due = unknown and now - self.others_read_at > HOLDERS_PAUSE_S
+
+    async def _read_others(self) -> None:
+        self.others_read_at = time.monotonic()
+        self.others_due = False
+        result = await self.store.read_all(OWN_TABLE)
+        if isinstance(result, Success):
+            self._note_others(result.unwrap().scan.rows)
+
+    def _note_others(self, rows: tuple[Row, ...]) -> None:
+        for row in rows:
+            data_centre = row.key.removeprefix(LEASE_PREFIX)
+            value = row.value or {}
+            host, port = value.get("host"), value.get("port")
+            other = row.key.startswith(LEASE_PREFIX) and data_centre != self.data_centre
+            if other and isinstance(host, str) and isinstance(port, int):
+                self.others[data_centre] = (host, port)
+        self.learned(self.others)
+
+    def _value(self) -> dict[str, object]:
+        host, port = self.address
+        return {"holder": self.name, "host": host, "port": port, "nonce": self.nonce}
+
+    async def _write(self) -> Result[Committed, TableError]:
+        checks = (Check(self.key, self.tenure.version),)
+        write = Write(self.key, self._value())
+        return await self.store.commit(OWN_TABLE, Transaction(checks, (write,)))
+
+    async def _read(self) -> None:
+        result = await self.store.read_all(OWN_TABLE)
+        now = time.monotonic()
+        if isinstance(result, Failure):
+            self.tenure.read_at = now
+            log_event(LOG, logging.INFO, "lease_unread", reason=result.failure().detail)
+            return
+        self._note_others(result.unwrap().scan.rows)
+        for row in result.unwrap().scan.rows:
+            if row.key == self.key and row.value is not None:
+                self._note_row(row.version, row.value, now)
+                return
+        self.tenure.note_row(0, "", now)
+
+    def _note_row(self, version: int, value: dict, now: float) -> None:
+        holder = str(value.get("holder", ""))
+        before = self.tenure.holder
+        self.tenure.note_row(version, holder, now)
+        host, port = value.get("host"), value.get("port")
+        if isinstance(host, str) and isinstance(port, int):
+            self.holder_address = (host, port)
+        if holder != before:
+            log_event(LOG, logging.INFO, "order_holder", holder=holder, version=version)
+
+    async def _take(self, step: Step) -> None:
+        sent_at = time.monotonic()
+        result = await self._write()
+        if isinstance(result, Success):
+            version = result.unwrap().revision
+            self.tenure.note_won(version, sent_at, waits=step is Step.TAKE_OVER)
+            self.holder_address = self.address
+            log_event(LOG, logging.INFO, "lease_taken", token=version, before=self.tenure.holder)
+            return
+        self._note_conflict(result.failure())
+
+    async def _renew(self) -> None:
+        sent_at = time.monotonic()
+        result = await self._write()
+        if isinstance(result, Success):
+            self.tenure.note_renewed(result.unwrap().revision, sent_at)
+            return
+        error = result.failure()
+        if error.fault is not TableFault.CONFLICT:
+            log_event(LOG, logging.INFO, "lease_unrenewed", reason=error.detail)
+            return
+        row = next((row for row in error.rows if row.key == self.key), None)
+        if row is not None and row.value and row.value.get("nonce") == self.nonce:
+            # A renewal whose answer was lost has been carried out: the row is still ours.
+            self.tenure.version = row.version
+            return
+        self._lose("taken_by_another")
+
+    def _note_conflict(self, error: TableError) -> None:
+        now = time.monotonic()
+        self.tenure.read_at = now
+        for row in error.rows:
+            if row.key == self.key and row.value is not None:
+                self._note_row(row.version, row.value, now)
+        if error.fault is not TableFault.CONFLICT:
+            log_event(LOG, logging.INFO, "lease_not_taken", reason=error.detail)
+            self.tenure.version = -1
+
+    def _note_right(self, now: float) -> None:
+        """Tell when the right to order lapses, and when it is back."""
+        lapsed = self.tenure.held and now >= self.tenure.right_until
+        if lapsed != self.lapsed:
+            self.lapsed = lapsed
+            event = "lease_lapsed" if lapsed else "lease_regained"
+            log_event(LOG, logging.WARNING, event, token=self.tenure.token)
+
+    def _lose(self, why: str) -> None:
+        log_event(LOG, logging.WARNING, "lease_lost", token=self.tenure.token, why=why)
+        self.lapsed = False
+        self.tenure.note_lost(time.monotonic())
--- /dev/null
+++ b/rhubarbshed/transport/edge/lines.py
@@ -0,0 +1,248 @@
+"""Connections of callers: requests in, answers out, one at a time on each."""
+
+import asyncio
+import time
+from collections.abc import Awaitable, Callable
+
+import h11
+from attrs import define, field
+
+from rhubarbshed.protocol.exchanges import Headers
+from rhubarbshed.protocol.routes import CallerLimits
+from rhubarbshed.transport.edge.sockets import set_options
+
+AHEAD_BYTES_MAX = 65_536
+"""Bytes of later requests that are taken in while one is being answered."""
+
+REASONS = {
+    400: b"Bad Request",
+    404: b"Not Found",
+    408: b"Request Timeout",
+    413: b"Content Too Large",
+    421: b"Misdirected Request",
+    429: b"Too Many Requests",
+    431: b"Request Header Fields Too Large",
+    502: b"Bad Gateway",
+    503: b"Service Unavailable",
+    504: b"Gateway Timeout",
+}
+
+Handler = Callable[["CallerLine", h11.Request, bytes, float], Awaitable[None]]
+
+
+@define(eq=False)
+class CallerLine(asyncio.Protocol):
+    """Read requests from one caller's connection and hand each, whole, to `handle`.
+
+    `is_closing` tells whether callers should go elsewhere after this answer.
+    """
+
+    handle: Handler
+    read_limits: Callable[[], CallerLimits]
+    is_closing: Callable[[], bool]
+    lines: set["CallerLine"]
+    task: asyncio.Task | None = None
+    _transport: asyncio.Transport | None = None
+    _parser: h11.Connection | None = None
+    _request: h11.Request | None = None
+    _begun_at: float = 0.0
+    _body: list[bytes] = field(factory=list)
+    _body_bytes: int = 0
+    _ahead_bytes: int = 0
+    _timer: asyncio.TimerHandle | None = None
+    _writable: asyncio.Event = field(factory=asyncio.Event)
+    _close_after: bool = False
+    _answering: bool = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Wait for the first request."""
+        self._transport = transport
+        set_options(transport)
+        limits = self.read_limits()
+        self._parser = h11.Connection(h11.SERVER, max_incomplete_event_size=limits.header_bytes)
+        self._writable.set()
+        self.lines.add(self)
+        self._set_timer(limits.header_timeout_s)
+
+    def data_received(self, data: bytes) -> None:
+        """Take bytes of a request."""
+        if self._close_after and not self._answering:
+            return
+        self._parser.receive_data(data)
+        if self._answering:
+            self._ahead_bytes += len(data)
+            if self._ahead_bytes > AHEAD_BYTES_MAX:
+                self._transport.pause_reading()
+            return
+        self._read()
+
+    def eof_received(self) -> bool:
+        """Take the caller's end of the connection as its leaving."""
+        return False
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """End the work for a caller that has gone."""
+        self._cancel_timer()
+        self.lines.discard(self)
+        self._writable.set()
+        if self.task is not None:
+            self.task.cancel()
+
+    def pause_writing(self) -> None:
+        """Wait with more data for a caller that does not read."""
+        self._writable.clear()
+
+    def resume_writing(self) -> None:
+        """Go on with data."""
+        self._writable.set()
+
+    @property
+    def is_idle(self) -> bool:
+        """Tell whether no request has begun to arrive."""
+        return not self._answering and self._request is None and not self._parser.trailing_data[0]
+
+    @property
+    def is_open(self) -> bool:
+        """Tell whether the caller can still be answered."""
+        return self._transport is not None and not self._transport.is_closing()
+
+    def close(self) -> None:
+        """Close the connection after what has been written."""
+        self._transport.close()
+
+    def abort(self) -> None:
+        """Break the connection off, so that an unfinished answer does not look complete."""
+        self._transport.abort()
+
+    async def wait_writable(self) -> None:
+        """Wait until the caller has read most of what was written."""
+        await self._writable.wait()
+
+    def send_head(self, status: int, headers: Headers, length: int | None) -> None:
+        """Begin an answer, in chunks where its length is not known."""
+        pairs = list(headers)
+        if length is not None:
+            pairs.append((b"content-length", str(length).encode()))
+        if self.is_closing():
+            pairs.append((b"connection", b"close"))
+        reason = REASONS.get(status, b"OK" if status == 200 else b"")
+        head = h11.Response(status_code=status, headers=pairs, reason=reason)
+        self._transport.write(self._parser.send(head))
+
+    def send_data(self, data: bytes) -> None:
+        """Send a piece of the body."""
+        if data:
+            self._transport.write(self._parser.send(h11.Data(data=data)))
+
+    def send_end(self) -> None:
+        """End an answer that is whole."""
+        self._transport.write(self._parser.send(h11.EndOfMessage()))
+
+    def send_whole(self, status: int, headers: Headers, body: bytes) -> None:
+        """Send an answer at once."""
+        self.send_head(status, headers, len(body))
+        if self._request is None or self._request.method != b"HEAD":
+            self.send_data(body)
+        self.send_end()
+
+    def _read(self) -> None:
+        try:
+            self._read_events()
+        except h11.RemoteProtocolError as error:
+            self._refuse(error.error_status_hint, str(error))
+
+    def _read_events(self) -> None:
+        while not self._answering and not self._close_after:
+            event = self._parser.next_event()
+            if event is h11.NEED_DATA:
+                if self._parser.they_are_waiting_for_100_continue:
+                    go_on = h11.InformationalResponse(status_code=100, headers=[])
+                    self._transport.write(self._parser.send(go_on))
+                return
+            if isinstance(event, h11.Request):
+                self._begin(event)
+            elif isinstance(event, h11.Data):
+                self._take_body(bytes(event.data))
+            elif isinstance(event, h11.EndOfMessage):
+                self._answer()
+            else:
+                self._transport.close()
+                return
+
+    def _begin(self, request: h11.Request) -> None:
+        limits = self.read_limits()
+        self._request = request
+        self._begun_at = time.monotonic()
+        self._body, self._body_bytes = [], 0
+        names = [name for name, _ in request.headers]
+        if b"transfer-encoding" in names and b"content-length" in names:
+            self._refuse(400, "both a length and chunks")
+            return
+        self._set_timer(limits.idle_timeout_s)
+        for name, value in request.headers:
+            if name == b"content-length" and int(value) > limits.body_bytes:
+                self._refuse(413, "the body is longer than allowed")
+
+    def _take_body(self, data: bytes) -> None:
+        self._body.append(data)
+        self._body_bytes += len(data)
+        self._set_timer(self.read_limits().idle_timeout_s)
+        if self._body_bytes > self.read_limits().body_bytes:
+            self._refuse(413, "the body is longer than allowed")
+
+    def _answer(self) -> None:
+        self._cancel_timer()
+        self._answering = True
+        body = b"".join(self._body)
+        self._body = []
+        work = self.handle(self, self._request, body, self._begun_at)
+        self.task = asyncio.get_running_loop().create_task(work)
+        self.task.add_done_callback(self._finish)
+
+    def _finish(self, task: asyncio.Task) -> None:
+        self.task = None
+        self._answering = False
+        self._request = None
+        if not self.is_open:
+            return
+        if task.cancelled() or task.exception() is not None:
+            self.abort()
+            if not task.cancelled():
+                loop = asyncio.get_running_loop()
+                loop.call_exception_handler({"message": "defect", "exception": task.exception()})
+            return
+        if self._parser.our_state is not h11.DONE or self._parser.their_state is not h11.DONE:
+            self.close()
+            return
+        self._parser.start_next_cycle()
+        self._ahead_bytes = 0
+        self._transport.resume_reading()
+        self._set_timer(self.read_limits().idle_timeout_s)
+        self._read()
+
+    def _refuse(self, status: int, reason: str) -> None:
+        """Answer a request that cannot be read, and close."""
+        self._cancel_timer()
+        self._close_after = True
+        if self._parser.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+            text = reason.encode("ascii", "replace") + b"\n"
+            headers = ((b"content-type", b"text/plain"), (b"connection", b"close"))
+            self.send_head(status, headers, len(text))
+            self.send_data(text)
+        self._transport.close()
+
+    def _set_timer(self, after_s: float) -> None:
+        self._cancel_timer()
+        self._timer = asyncio.get_running_loop().call_later(after_s, self._time_out)
+
+    def _cancel_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def _time_out(self) -> None:
+        self._timer = None
+        if self.is_idle:
+            self.close()
+        else:
+            self._refuse(408, "the request took too long to arrive")
--- /dev/null
+++ b/rhubarbshed/transport/edge/pools.py
@@ -0,0 +1,70 @@
+"""Idle connections by address, and the opening of new ones."""
+
+import asyncio
+import collections
+import functools
+
+from attrs import define, field
+
+from rhubarbshed.transport.edge.channels import Channel, ChannelError
+
+IDLE_MARGIN_S = 0.5
+"""Part of a server's idle time that is left unused: it may close while a request is on its way."""
+
+IDLE_DEFAULT_S = 0.4
+"""Idle time of a server that tells none, which is below the one second that can be told."""
+
+IDLE_PER_ADDRESS_MAX = 8
+"""Idle connections kept to one address; an instance has few requests at once at one server."""
+
+Address = tuple[str, int]
+
+
+@define
+class Pool:
+    """Hold idle connections; the one that was used last is used first."""
+
+    connect_timeout_s: float
+    idle: dict[Address, collections.deque[Channel]] = field(factory=dict)
+    opened: int = 0
+
+    async def take(self, address: Address, now: float, fresh: bool = False) -> Channel:
+        """Return a connection; raise `ChannelError` where none can be made."""
+        kept = self.idle.get(address)
+        while kept and not fresh:
+            channel = kept.pop()
+            if channel.is_usable(now):
+                return channel
+            channel.abort()
+        return await self.open(address, now)
+
+    async def open(self, address: Address, now: float) -> Channel:
+        """Open a connection."""
+        loop = asyncio.get_running_loop()
+        make = functools.partial(Channel, host=address[0], opened_at=now)
+        try:
+            async with asyncio.timeout(self.connect_timeout_s):
+                _, channel = await loop.create_connection(make, *address)
+        except (OSError, TimeoutError) as error:
+            raise ChannelError(f"no connection: {error!r}") from error
+        self.opened += 1
+        return channel
+
+    def give_back(self, address: Address, channel: Channel) -> None:
+        """Keep a connection whose exchange is over."""
+        told = channel.idle_max_s
+        channel.idle_max_s = IDLE_DEFAULT_S if told is None else max(0.0, told - IDLE_MARGIN_S)
+        kept = self.idle.setdefault(address, collections.deque())
+        kept.append(channel)
+        if len(kept) > IDLE_PER_ADDRESS_MAX:
+            kept.popleft().abort()
+
+    def drop(self, address: Address) -> None:
+        """Close all idle connections to an address."""
+        for channel in self.idle.pop(address, ()):
+            channel.abort()
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        for address in list(self.idle):
+            self.drop(address)
--- /dev/null
+++ b/rhubarbshed/transport/edge/relay.py
@@ -0,0 +1,294 @@
+"""A request's way from its caller to a backend server and back."""
+
+import asyncio
+import logging
+import time
+from collections.abc import Callable
+
+import h11
+from attrs import define, field
+
+from rhubarbshed.coordination.serving.absence import Waiting, decide_absent
+from rhubarbshed.coordination.serving.choice import (
+    Choice,
+    NoServer,
+    choose_server,
+    choose_service,
+)
+from rhubarbshed.coordination.serving.refusals import expire, fail, miss_route, refuse
+from rhubarbshed.coordination.serving.repeats import Tries, may_try_again
+from rhubarbshed.platform.headers import echo_request_id, read_request
+from rhubarbshed.protocol.errors import RequestError
+from rhubarbshed.protocol.exchanges import CallerRequest, End
+from rhubarbshed.protocol.routes import Route
+from rhubarbshed.state.fleet import ServerRecord
+from rhubarbshed.transport.edge.attempts import Attempt, Passage
+from rhubarbshed.transport.edge.lines import CallerLine
+from rhubarbshed.transport.edge.numbers import Numbers
+from rhubarbshed.transport.edge.pools import Pool
+from rhubarbshed.transport.edge.view import View
+from rhubarbshed.util.logs import log_event
+
+LOG = logging.getLogger(__name__)
+
+WORK_MIN_S = 0.02
+"""Time left below which a request is not sent: no server could answer it."""
+
+PATIENCE_DEFAULT_S = 30.0
+"""How long a caller waits that does not say, where its route has no shorter timeout."""
+
+WANT_INTERVAL_S = 0.1
+"""Time after which the order holder is asked again for what is missing; its word may be lost."""
+
+
+@define(eq=False)
+class Relay:
+    """Carry requests; `want` asks the order holder for a (service, model, adapter)."""
+
+    view: View
+    pool: Pool
+    numbers: Numbers
+    want: Callable[[str, str, str], None]
+    count_demand: Callable[[str, str, str], None]
+    open: int = 0
+
+    async def handle(
+        self, line: CallerLine, head: h11.Request, body: bytes, begun_at: float
+    ) -> None:
+        """Answer one request; cancelled when its caller goes away."""
+        request = read_request(head.method, head.target, tuple(head.headers), begun_at)
+        journey = Journey(self, line, request.with_body(body))
+        self.open += 1
+        try:
+            await journey.run()
+        except asyncio.CancelledError:
+            journey.log_end("caller_gone")
+            raise
+        finally:
+            self.open -= 1
+
+
+@define(eq=False)
+class Journey:
+    """Hold how far one request has come."""
+
+    relay: Relay
+    line: CallerLine
+    request: CallerRequest
+    route: Route | None = None
+    service: str = ""
+    tries: Tries = field(factory=Tries)
+    sends: int = 0
+    avoid: set[tuple[str, int]] = field(factory=set)
+    servers: list[str] = field(factory=list)
+    passage: Passage | None = None
+    deadline: float = 0.0
+    waited_s: float = 0.0
+    in_flight: bool = False
+    over_in_s: float | None = None
+
+    async def run(self) -> None:
+        """Find the route, then send the request to servers until one answers or time is over."""
+        view = self.relay.view
+        if view.configuration is None:
+            self.answer(refuse("not_configured", view.chance))
+            return
+        self.route = view.configuration.find_route(self.request.host, self.request.path)
+        if self.route is None:
+            self.answer(miss_route())
+            return
+        self.service = choose_service(self.route, self.request.request_id, view.chance)
+        patience_s = self.request.patience_s or PATIENCE_DEFAULT_S
+        self.deadline = self.request.received_at + min(patience_s, self.route.timeout_s)
+        self.passage = Passage(self.line, self.request, self.route)
+        view.budget.count_request(self.service, time.monotonic())
+        if self.request.model:
+            self.relay.count_demand(self.service, self.request.model, self.request.adapter)
+        try:
+            async with asyncio.timeout_at(self.deadline):
+                error = await self.send()
+        except TimeoutError:
+            error = expire(self.tries.run > 0 or self.in_flight)
+        if error is not None:
+            self.answer(error)
+        else:
+            self.log_end("answered")
+
+    async def send(self) -> RequestError | None:
+        """Send the request until it is answered; return the error to answer with, if any."""
+        while True:
+            now = time.monotonic()
+            if self.deadline - now < WORK_MIN_S:
+                return expire(self.tries.run > 0)
+            chosen = self.choose(now)
+            if isinstance(chosen, NoServer):
+                if chosen.reason == "absent" and await self.wait_for_load(now):
+                    continue
+                return self.give_up(chosen.reason)
+            end = await self.attempt(chosen)
+            if end is End.DONE:
+                return None
+            if not may_try_again(self.route, end, self.tries):
+                return self.give_up(end.value)
+            if not self.relay.view.budget.take(self.service, time.monotonic()):
+                return self.give_up("budget")
+
+    def choose(self, now: float) -> Choice | NoServer:
+        """Choose a server; where all were tried, one that only refused may be asked again."""
+        view = self.relay.view
+        needs = (self.request.model, self.request.adapter)
+        return choose_server(
+            view.fleet,
+            self.service,
+            needs,
+            frozenset(self.avoid),
+            view.settings.data_centre,
+            now,
+            view.chance,
+        )
+
+    async def attempt(self, chosen: Choice) -> End:
+        """Send the request to one server, and note how that went."""
+        record = chosen.server
+        self.sends += 1
+        self.servers.append(record.entry.server_id)
+        log_event(
+            LOG,
+            logging.DEBUG,
+            "dispatched",
+            request=self.request.request_id,
+            server=record.entry.server_id,
+            load=round(chosen.load, 1),
+            sample_age_s=round(min(chosen.sample_age_s, 999.0), 2),
+            candidates=chosen.candidates,
+        )
+        attempt = Attempt(self.relay.pool, record, self.passage, self.deadline)
+        more = self.tries.run + 1 < self.route.attempts_max and self.route.repeatable
+        record.open += 1
+        self.in_flight = True
+        try:
+            end = await attempt.run(more)
+        finally:
+            record.open -= 1
+        # Left true by a timeout: the server may be running the request.
+        self.in_flight = False
+        self.note_end(record, attempt, end)
+        return end
+
+    def note_end(self, record: ServerRecord, attempt: Attempt, end: End) -> None:
+        """Take what an attempt showed of its server."""
+        now = time.monotonic()
+        self.avoid.add(record.key)
+        if end.may_have_run:
+            self.tries = Tries(self.tries.run + 1, self.tries.refused)
+            record.record_end(end is not End.DONE or attempt.failed, now)
+        elif end is not End.NOT_SENT:
+            self.tries = Tries(self.tries.run, self.tries.refused + 1)
+        if end is End.NOT_SENT or end is End.SILENT:
+            self.relay.pool.drop((record.entry.host, record.entry.port))
+            record.record_silence(now)
+        if end is End.ABSENT and self.request.model:
+            self.forget_held(record)
+            self.relay.want(self.service, self.request.model, self.request.adapter)
+        self.relay.numbers.count_attempt(self.service, end.value)
+        if end is not End.DONE:
+            log_event(
+                LOG,
+                logging.INFO,
+                "attempt_failed",
+                request=self.request.request_id,
+                server=record.entry.server_id,
+                end=end.value,
+                status=attempt.status,
+                detail=attempt.detail,
+                run=self.tries.run,
+                refused=self.tries.refused,
+            )
+
+    def forget_held(self, record: ServerRecord) -> None:
+        """Believe a server that it lacks what it was asked for."""
+        if self.request.adapter:
+            record.held.get(self.request.model, set()).discard(self.request.adapter)
+        else:
+            record.held.pop(self.request.model, None)
+
+    async def wait_for_load(self, now: float) -> bool:
+        """Wait for a load of what is missing; tell whether some server holds it now."""
+        view = self.relay.view
+        model, adapter = self.request.model, self.request.adapter
+        capable = [
+            record for record in view.fleet.list_service(self.service) if record.takes_work(now)
+        ]
+        engine = view.configuration.find_engine(self.service)
+        leaves_at = min(self.deadline, self.request.received_at + self.route.stall_s)
+        decision = decide_absent(engine, (model, adapter), capable, leaves_at, now)
+        self.relay.want(self.service, model, adapter)
+        if not isinstance(decision, Waiting):
+            self.over_in_s = decision.over_in_s
+            return False
+        self.over_in_s = decision.expected_s
+        while time.monotonic() < decision.until:
+            left_s = decision.until - time.monotonic()
+            await view.changed.wait(min(left_s, WANT_INTERVAL_S))
+            if isinstance(self.choose(time.monotonic()), Choice):
+                self.waited_s += time.monotonic() - now
+                return True
+            self.relay.want(self.service, model, adapter)
+        self.waited_s += time.monotonic() - now
+        return False
+
+    def give_up(self, reason: str) -> RequestError | None:
+        """Return the final answer of a request that no server will answer."""
+        if self.passage.pass_kept():
+            return None
+        if self.tries.run > 0:
+            return fail(reason, "the backend server gave no whole answer")
+        known = reason if reason in ("no_servers", "absent", "full", "budget") else "all_tried"
+        over_in_s = self.over_in_s if known == "absent" else None
+        return refuse(known, self.relay.view.chance, over_in_s)
+
+    def answer(self, error: RequestError) -> None:
+        """Send an error of our own, or break off an answer that has begun."""
+        self.log_end(error.code, error)
+        if self.passage is not None and self.passage.begun:
+            self.line.abort()
+            return
+        headers = [(b"content-type", b"text/plain"), *echo_request_id(self.request.request_id)]
+        if error.retry_after_s is not None:
+            headers.append((b"retry-after", f"{error.retry_after_s:.3f}".encode()))
+        self.line.send_whole(
+            error.status, tuple(headers), f"{error.code}: {error.message}\n".encode()
+        )
+
+    def log_end(self, outcome: str, error: RequestError | None = None) -> None:
+        """Write the line by which an operator finds what decided on a request."""
+        now = time.monotonic()
+        view = self.relay.view
+        begun = self.passage is not None and self.passage.begun
+        status = self.passage.status if begun else (error.status if error is not None else 0)
+        elapsed_s = now - self.request.received_at
+        self.relay.numbers.count_request(self.route.name if self.route else "", status, elapsed_s)
+        fields = {
+            "request": self.request.request_id,
+            "outcome": outcome,
+            "status": status,
+            "route": self.route.name if self.route else "",
+            "service": self.service,
+            "model": self.request.model,
+            "adapter": self.request.adapter,
+            "servers": ",".join(self.servers),
+            "run": self.tries.run,
+            "refused": self.tries.refused,
+            "took_ms": round(elapsed_s * 1000),
+            "waited_ms": round(self.waited_s * 1000),
+            "left_ms": round((self.deadline - now) * 1000) if self.deadline else "",
+            "configuration": view.configuration.version if view.configuration else "",
+            "fleet_age_s": round(now - view.fleet_at, 1),
+        }
+        if self.passage is not None and self.passage.first_at is not None:
+            fields["first_ms"] = round((self.passage.first_at - self.request.received_at) * 1000)
+            fields["gap_ms"] = round(self.passage.gap_s * 1000)
+            self.relay.numbers.count_first(self.passage.first_at - self.request.received_at)
+        if error is not None and error.retry_after_s is not None:
+            fields["retry_after_s"] = round(error.retry_after_s, 3)
+        log_event(LOG, logging.INFO, "request_ended", **fields)
--- /dev/null
+++ b/rhubarbshed/transport/edge/sockets.py
@@ -0,0 +1,25 @@
+"""Options of the sockets that an instance uses."""
+
+import asyncio
+import socket
+
+KEEPALIVE_IDLE_S = 1
+KEEPALIVE_INTERVAL_S = 1
+KEEPALIVE_PROBES = 2
+"""A connection that went silent is noticed within about 3 s, the time in which a reset counts."""
+
+UNACKNOWLEDGED_MS = 2_500
+"""Time in milliseconds after which data that nobody acknowledges ends a connection."""
+
+
+def set_options(transport: asyncio.BaseTransport) -> None:
+    """Send small pieces at once, and notice peers that have gone without a word."""
+    sock = transport.get_extra_info("socket")
+    if sock is None or sock.family not in (socket.AF_INET, socket.AF_INET6):
+        return
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS)
--- /dev/null
+++ b/rhubarbshed/transport/edge/store.py
@@ -0,0 +1,62 @@
+"""Client of the platform's store."""
+
+from attrs import define
+from returns.result import Failure, Result, Success
+
+from rhubarbshed.platform.rows import (
+    Page,
+    make_commit,
+    make_follow,
+    make_read,
+    read_commit,
+    read_page,
+)
+from rhubarbshed.protocol.exchanges import ControlCall
+from rhubarbshed.protocol.tables import Committed, Row, Scan, TableError, Transaction
+from rhubarbshed.transport.edge.control import ControlAnswer, call
+from rhubarbshed.transport.edge.pools import Address, Pool
+
+CALL_TIMEOUT_S = 1.5
+"""Time for an answer; the store takes a few milliseconds, and tens of them when it is slow."""
+
+FOLLOW_MARGIN_S = 2.0
+"""Time beyond the agreed wait after which a request for changes is given up."""
+
+
+@define
+class StoreClient:
+    """Read, follow and change rows; each table has its own connection for following."""
+
+    address: Address
+    pool: Pool
+    calls: int = 0
+
+    async def read_all(self, table: str) -> Result[Page, TableError]:
+        """Return all rows of a table; `scan.revision` is that of the first part read."""
+        rows: list[Row] = []
+        start: str | None = ""
+        first: Page | None = None
+        while start is not None:
+            answer = await self._call(make_read(table, start), CALL_TIMEOUT_S)
+            page = answer.bind(lambda got: read_page(got.status, got.body))
+            if isinstance(page, Failure):
+                return page
+            found = page.unwrap()
+            first = first or found
+            rows += found.scan.rows
+            start = found.more_from
+        return Success(Page(Scan(tuple(rows), first.scan.revision), None, first.now_ms))
+
+    async def follow(self, table: str, after: int, wait_s: float) -> Result[Page, TableError]:
+        """Return the rows that changed after a revision, once there are any."""
+        answer = await self._call(make_follow(table, after, wait_s), wait_s + FOLLOW_MARGIN_S)
+        return answer.bind(lambda got: read_page(got.status, got.body))
+
+    async def commit(self, table: str, transaction: Transaction) -> Result[Committed, TableError]:
+        """Change rows of a table."""
+        answer = await self._call(make_commit(table, transaction), CALL_TIMEOUT_S)
+        return answer.bind(lambda got: read_commit(got.status, got.body))
+
+    async def _call(self, sent: ControlCall, timeout_s: float) -> Result[ControlAnswer, TableError]:
+        self.calls += 1
+        return await call(self.pool, self.address, sent, timeout_s)
--- /dev/null
+++ b/rhubarbshed/transport/edge/view.py
@@ -0,0 +1,89 @@
+"""What an instance on the platform knows and shares between its parts."""
+
+import asyncio
+import random
+
+from attrs import define, field
+
+from rhubarbshed.coordination.drain import Drain
+from rhubarbshed.coordination.serving.repeats import RepeatBudget
+from rhubarbshed.protocol.routes import CallerLimits, Configuration
+from rhubarbshed.state.fleet import Fleet
+from rhubarbshed.util.front import FrontSettings
+
+LIMITS_DEFAULT = CallerLimits()
+
+ANNOUNCE_S = 3.0
+"""Time after a stop was asked for in which new connections are still served: the platform takes
+an instance out after two missed questions, one a second."""
+
+CLOSE_MARGIN_S = 0.7
+"""Part of the grace time kept for closing; the platform kills the process at its end."""
+
+
+@define
+class Signal:
+    """Wake all that wait for a change."""
+
+    waiters: set[asyncio.Future] = field(factory=set)
+
+    def fire(self) -> None:
+        """Wake all waiters."""
+        for waiter in self.waiters:
+            if not waiter.done():
+                waiter.set_result(None)
+        self.waiters.clear()
+
+    async def wait(self, timeout_s: float) -> None:
+        """Wait for a change, or for a time."""
+        waiter = asyncio.get_running_loop().create_future()
+        self.waiters.add(waiter)
+        try:
+            async with asyncio.timeout(timeout_s):
+                await waiter
+        except TimeoutError:
+            return
+        finally:
+            self.waiters.discard(waiter)
+
+
+@define
+class View:
+    """Hold the beliefs and budgets of one instance; all change on the loop only.
+
+    `configured_at` and `fleet_at` are when the store last confirmed each (monotonic seconds).
+    """
+
+    settings: FrontSettings
+    drain: Drain
+    budget: RepeatBudget
+    chance: random.Random
+    configuration: Configuration | None = None
+    configured_at: float = 0.0
+    fleet: Fleet = field(factory=Fleet)
+    fleet_at: float = 0.0
+    changed: Signal = field(factory=Signal)
+
+    @classmethod
+    def from_settings(cls, settings: FrontSettings) -> "View":
+        """Make the view of an instance that knows nothing yet."""
+        drain_s = max(0.0, settings.grace_s - ANNOUNCE_S - CLOSE_MARGIN_S)
+        return cls(
+            settings=settings,
+            drain=Drain(ANNOUNCE_S, drain_s),
+            budget=RepeatBudget(
+                settings.retry_ratio, settings.retry_extra, settings.retry_window_s
+            ),
+            chance=random.Random(settings.name),
+        )
+
+    @property
+    def limits(self) -> CallerLimits:
+        """Return the limits on callers in force."""
+        return self.configuration.limits if self.configuration is not None else LIMITS_DEFAULT
+
+    @property
+    def is_ready(self) -> bool:
+        """Tell whether new connections should come here."""
+        known = self.configuration is not None and bool(self.fleet.servers)
+        return known and self.drain.started_at is None
--- /dev/null
+++ b/rhubarbshed/util/front.py
@@ -0,0 +1,116 @@
+"""Settings of an instance on the users' platform, from INI."""
+
+import configparser
+
+from attrs import frozen
+from returns.result import Failure, Result, Success
+
+
+@frozen
+class FrontSettings:
+    """Hold the settings of an instance; addresses are (IP, port), times in seconds."""
+
+    name: str
+    data_centre: str
+    host: str
+    callers: tuple[str, int]
+    ready: tuple[str, int]
+    peers_port: int
+    metrics_port: int
+    store: tuple[str, int]
+    log_level: str
+    drain_s: float
+    config_apply_s: float
+    stable_s: float
+    grace_s: float
+    lease_s: float
+    retry_ratio: float
+    retry_window_s: float
+    retry_extra: float
+    ceiling_window_s: float
+    ceiling_overage: float
+    memory_mb: float
+
+    @classmethod
+    def from_file(cls, path: str) -> Result["FrontSettings", list[str]]:
+        """Read a file; list all that is missing or cannot be read. Unknown keys are ignored."""
+        parser = configparser.ConfigParser(interpolation=None, strict=False)
+        try:
+            with open(path, encoding="utf-8") as file:
+                parser.read_file(file)
+        except (OSError, UnicodeDecodeError, configparser.Error) as error:
+            return Failure([f"cannot read settings {path!r}: {error}"])
+        return cls.from_parser(parser)
+
+    @classmethod
+    def from_parser(cls, parser: configparser.ConfigParser) -> Result["FrontSettings", list[str]]:
+        """Check the settings of a parsed file."""
+        reader = _Reader(parser)
+        values = {
+            "name": reader.read_text("instance", "name"),
+            "data_centre": reader.read_text("instance", "data_centre"),
+            "host": reader.read_text("instance", "host"),
+            "callers": reader.read_address("listen", "callers"),
+            "ready": reader.read_address("listen", "ready"),
+            "peers_port": reader.read_port("listen", "peers_ports"),
+            "metrics_port": int(reader.read_number("listen", "metrics_port")),
+            "store": reader.read_address("platform", "store"),
+            "log_level": reader.read_text("log", "level"),
+        }
+        for name in (
+            "drain_s",
+            "config_apply_s",
+            "stable_s",
+            "lease_s",
+        ):
+            values[name] = reader.read_number("bounds", name.replace("_s", "_ms")) / 1000.0
+        for name in (
+            "grace_s",
+            "retry_ratio",
+            "retry_window_s",
+            "retry_extra",
+            "ceiling_window_s",
+            "ceiling_overage",
+        ):
+            values[name] = reader.read_number("bounds", name)
+        values["memory_mb"] = reader.read_number("limits", "memory_mb")
+        if reader.errors:
+            return Failure(reader.errors)
+        return Success(cls(**values))
+
+
+class _Reader:
+    """Read values and collect what is wrong with them."""
+
+    def __init__(self, parser: configparser.ConfigParser) -> None:
+        self.parser = parser
+        self.errors: list[str] = []
+
+    def read_text(self, section: str, key: str) -> str:
+        text = self.parser.get(section, key, fallback="").strip()
+        if not text:
+            self.errors.append(f"[{section}] {key} is missing")
+        return text
+
+    def read_number(self, section: str, key: str) -> float:
+        text = self.read_text(section, key)
+        try:
+            return float(text)
+        except ValueError:
+            if text:
+                self.errors.append(f"[{section}] {key} is no number: {text!r}")
+            return 0.0
+
+    def read_address(self, section: str, key: str) -> tuple[str, int]:
+        text = self.read_text(section, key)
+        host, _, port = text.rpartition(":")
+        if text and not (host and port.isdigit()):
+            self.errors.append(f"[{section}] {key} is no address IP:PORT: {text!r}")
+        return host, int(port) if port.isdigit() else 0
+
+    def read_port(self, section: str, key: str) -> int:
+        """Return the first port of a range FIRST,LAST."""
+        text = self.read_text(section, key).partition(",")[0]
+        if text and not text.isdigit():
+            self.errors.append(f"[{section}] {key} is no range of ports: {text!r}")
+        return int(text) if text.isdigit() else 0
--- /dev/null
+++ b/rhubarbshed/util/lines.py
@@ -0,0 +1,79 @@
+"""Log lines to standard output, bounded in number and never waited for."""
+
+import collections
+import logging
+import os
+import time
+
+from rhubarbshed.util.logs import PairFormatter, format_pairs
+
+LINES_PER_S = 200.0
+LINES_BURST = 1_000.0
+"""Lines that a process may write, on average and at once; at about 300 bytes a line a log stays
+under 60 KB/s. A loaded instance writes some tens."""
+
+PENDING_BYTES_MAX = 1_048_576
+"""Bytes that wait for a reader that is slow; beyond them lines are dropped and counted."""
+
+
+class BoundedHandler(logging.Handler):
+    """Write lines without ever waiting; what does not fit is dropped, counted and told."""
+
+    def __init__(self, descriptor: int) -> None:
+        super().__init__()
+        os.set_blocking(descriptor, False)
+        self.descriptor = descriptor
+        self.setFormatter(PairFormatter())
+        self.tokens = LINES_BURST
+        self.filled_at = time.monotonic()
+        self.pending: collections.deque[bytes] = collections.deque()
+        self.pending_bytes = 0
+        self.dropped = 0
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Take one record."""
+        now = time.monotonic()
+        self.tokens = min(LINES_BURST, self.tokens + LINES_PER_S * (now - self.filled_at))
+        self.filled_at = now
+        urgent = record.levelno >= logging.WARNING
+        if (self.tokens < 1.0 and not urgent) or self.pending_bytes > PENDING_BYTES_MAX:
+            self.dropped += 1
+            return
+        self.tokens -= 1.0
+        if self.dropped:
+            self._queue(format_pairs([("event", "lines_dropped"), ("count", self.dropped)]))
+            self.dropped = 0
+        try:
+            self._queue(self.format(record))
+        except (TypeError, ValueError):
+            self.handleError(record)
+        self.flush()
+
+    def flush(self) -> None:
+        """Write what the descriptor takes now."""
+        while self.pending:
+            try:
+                written = os.write(self.descriptor, self.pending[0])
+            except BlockingIOError:
+                return
+            except OSError:
+                self.pending.clear()
+                self.pending_bytes = 0
+                return
+            self.pending_bytes -= written
+            if written < len(self.pending[0]):
+                self.pending[0] = self.pending[0][written:]
+                return
+            self.pending.popleft()
+
+    def _queue(self, line: str) -> None:
+        data = line.encode("utf-8", "replace") + b"\n"
+        self.pending.append(data)
+        self.pending_bytes += len(data)
+
+
+def start_lines(level: str) -> BoundedHandler:
+    """Send logs of at least this level to standard output."""
+    handler = BoundedHandler(1)
+    logging.basicConfig(level=level.upper(), handlers=[handler], force=True)
+    return handler
