Test what callers and replicas see of an instance on the platform; bound whole heads

The first run of these tests found that a head over MaxHeaderBytes that comes in one piece was served: h11 bounds incomplete heads alone.

--- a/rhubarbshed/coordination/serving/placement.py
+++ b/rhubarbshed/coordination/serving/placement.py
@@ -55,9 +55,18 @@
 INTENT_S = 4.0
 """Time for which room that is being made counts as the copy that it is made for."""
 
-BLOCKED_COST_S = 0.3
-"""Seconds of load time that weigh as much as one adapter request a second that a busy engine keeps
-waiting: while it loads a model it takes no order for adapters."""
+BLOCKED_PART = 0.3
+"""Part of an engine's adapter requests that a model order keeps waiting: while it is carried out
+the engine takes no order for adapters."""
+
+HORIZON_S = 5.0
+"""Time for which the loss of a copy is reckoned; demand moves about as fast."""
+
+UNLOAD_IDLE_S = 0.4
+UNLOAD_BUSY_S = 3.0
+BUSY_RATE = 1.0
+"""Seconds that an unload takes of a model without runs, and of one that is asked for more often
+than so many times a second: it waits for its runs, and a stream lasts some seconds."""
 
 PENDING_ADAPTERS_MAX = 4
 """Adapters on their way to one engine at a time, from the platform's pages."""
@@ -203,20 +212,19 @@
 
 def _add(floor: Floor, rate: LoadRate, worth: float, name: str, reason: str) -> None:
     """Take the next step towards one more copy of a model, if it is worth its room."""
-    spec = floor.engine.models[name]
     options = []
     for place in floor.list_open():
         if name in place.models:
             continue
-        victims = _choose_victims(floor, place, spec)
-        loss = sum(each for each, _ in victims) if victims is not None else worth
-        if loss < worth:
-            options.append((loss, _rank(floor, place, spec), place.server_id, victims))
-    if not options:
-        return
-    own = [option for option in options if floor.places[option[2]].ours]
+        victims = _choose_victims(floor, place, floor.engine.models[name])
+        if victims is not None and sum(loss for loss, _ in victims) < worth:
+            cost = _measure_cost(floor, place, name, worth, victims)
+            options.append((cost, place.server_id, victims))
+    own = [option for option in options if floor.places[option[1]].ours]
     overdue = any(floor.is_overdue(want, MODEL_PATIENCE_S) for want in floor.list_wants(name))
-    _, _, server_id, victims = min(own if own and overdue else options)
+    if not options or (overdue and not own):
+        return
+    _, server_id, victims = min(own if overdue else options)
     place = floor.places[server_id]
     if not place.ours:
         return
@@ -231,6 +239,17 @@
     floor.move(place, OrderKind.LOAD, name, "", reason)
 
 
+def _measure_cost(
+    floor: Floor, place: Place, name: str, worth: float, victims: list[tuple[float, str]]
+) -> float:
+    """Return the requests that a load costs: by what makes way, by waiting, by kept orders."""
+    takes_s = estimate_load_time(floor.records[place.server_id], floor.engine.models[name])
+    for _, victim in victims:
+        takes_s += UNLOAD_BUSY_S if floor.measure_rate(victim) > BUSY_RATE else UNLOAD_IDLE_S
+    lost = sum(loss for loss, _ in victims) * HORIZON_S
+    return lost + takes_s * (worth + BLOCKED_PART * measure_blocked(floor, place))
+
+
 def _choose_victims(floor: Floor, place: Place, spec: ModelSpec) -> list[tuple[float, str]] | None:
     """Return the copies on an engine that make way, with what each is worth there, or None."""
     free = floor.measure_free(place, spec.name)
@@ -258,49 +277,6 @@
     return worth + RUNNING_PART * floor.measure_rate(model) / copies
 
 
-def _rank(floor: Floor, place: Place, spec: ModelSpec) -> tuple[float, float]:
-    """Prefer quick loads that keep few adapters waiting, then the tightest fit."""
-    load_s = estimate_load_time(floor.records[place.server_id], spec)
-    blocked_s = BLOCKED_COST_S * measure_blocked(floor, place)
-    return (load_s + blocked_s, floor.measure_free(place, spec.name) - spec.size_mb)
-
-
-def plan_warming(floor: Floor, rate: LoadRate) -> list[Move]:
-    """Load models once before there are requests, so that their weights are at hand later.
-
-    They take the room of models that were loaded so before, and of nothing else.
-    """
-    if sum(floor.measure_rate(name) for name in floor.engine.models) > 0.0:
-        return []
-    at_hand = _count_at_hand(floor)
-    cold = [name for name in floor.engine.models if not at_hand.get(name)]
-    before = len(floor.moves)
-    for place in floor.list_open():
-        if not place.ours:
-            continue
-        warmed = sorted(place.warmed & place.models)
-        if not cold or not rate.allows(floor.now):
-            break
-        if floor.measure_free(place, cold[0]) >= floor.engine.models[cold[0]].size_mb:
-            rate.take(floor.now)
-            floor.move(place, OrderKind.LOAD, cold.pop(0), "", "ahead")
-        elif warmed:
-            place.intended, place.intended_until = cold.pop(0), floor.now + INTENT_S
-            floor.move(place, OrderKind.UNLOAD, warmed[0], "", "room_ahead")
-    return floor.moves[before:]
-
-
-def _count_at_hand(floor: Floor) -> dict[str, int]:
-    """Count the engines that have each model's weights at hand, or are about to."""
-    counts: dict[str, int] = {}
-    for server_id, place in floor.places.items():
-        entry = floor.records[server_id].entry
-        own = {place.loading, place.intended}
-        for name in entry.in_memory | entry.on_disk | place.models | own:
-            counts[name] = counts.get(name, 0) + 1
-    return counts
-
-
 def measure_blocked(floor: Floor, place: Place) -> float:
     """Return the requests a second whose adapters could not be loaded while an engine is busy."""
     blocked = 0.0
--- a/rhubarbshed/state/places.py
+++ b/rhubarbshed/state/places.py
@@ -26,7 +26,7 @@
     `ours` tells whether this instance gives its orders; of others the holder there tells, last at
     `told_at`. `orders` is the number of orders it has accepted, None until a report was read.
     `pending` are adapters being loaded with the time at which they should be there. `intended` is a
-    model for which room is being made; `warmed` are models that were loaded at our order.
+    model for which room is being made.
     """
 
     server_id: str
@@ -45,7 +45,6 @@
     read_at: float = 0.0
     intended: str = ""
     intended_until: float = 0.0
-    warmed: set[str] = field(factory=set)
 
     def take_report(self, report: ServerReport, now: float) -> None:
         """Take what an engine says of itself; it may be some hundred milliseconds old."""
@@ -133,7 +132,6 @@
             self.pending[key] = done_at
         elif order.kind is OrderKind.LOAD:
             self.loading, self.busy_until = order.model, done_at
-            self.warmed.add(order.model)
             self.intended = ""
         elif order.adapter:
             if at_once:
--- a/rhubarbshed/transport/edge/holder.py
+++ b/rhubarbshed/transport/edge/holder.py
@@ -16,7 +16,6 @@
     plan_adapters,
     plan_fill,
     plan_models,
-    plan_warming,
 )
 from rhubarbshed.coordination.serving.tenure import Tenure
 from rhubarbshed.platform.orders import make_order, make_report_call, read_order_end
@@ -114,7 +113,7 @@
             rate = self.rates.get(service)
             if rate is None:
                 rate = self.rates[service] = self.make_rate(service, engine, now)
-            moves += plan_fill(floor) or plan_models(floor, rate) or plan_warming(floor, rate)
+            moves += plan_fill(floor) or plan_models(floor, rate)
         for server_id in {move.server_id for move in moves}:
             if server_id in self.busy:
                 continue
--- a/rhubarbshed/transport/edge/lines.py
+++ b/rhubarbshed/transport/edge/lines.py
@@ -179,6 +179,9 @@
             self._refuse(400, "both a length and chunks")
             return
         self._set_timer(limits.idle_timeout_s)
+        if measure_head(request) > limits.header_bytes:
+            self._refuse(431, "the head is longer than allowed")
+            return
         for name, value in request.headers:
             if name == b"content-length" and int(value) > limits.body_bytes:
                 self._refuse(413, "the body is longer than allowed")
@@ -246,3 +249,9 @@
             self.close()
         else:
             self._refuse(408, "the request took too long to arrive")
+
+
+def measure_head(request: h11.Request) -> int:
+    """Return the bytes of a request's head; the parser bounds only heads that come in parts."""
+    lines = sum(len(name) + len(value) + len(b": \r\n") for name, value in request.headers)
+    return len(request.method) + len(request.target) + len(b"  HTTP/1.1\r\n\r\n") + lines
--- /dev/null
+++ b/standin/replica.py
@@ -0,0 +1,196 @@
+"""Stand-in of a replica on the platform: answers, streams, orders, and answers that are none."""
+
+import asyncio
+import json
+import socket
+import struct
+from collections.abc import Awaitable, Callable
+
+from attrs import define, field
+
+Reply = Callable[["Exchange"], Awaitable[None]]
+
+
+@define(eq=False)
+class Exchange:
+    """Hold one request as a replica got it, and the way back."""
+
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+    writer: asyncio.StreamWriter
+    replica: "Replica"
+
+    @property
+    def request_id(self) -> str:
+        """Return the request's id."""
+        return self.headers.get("rhubarbshed-request-id", "")
+
+    def write(self, data: bytes) -> None:
+        """Send bytes as they are."""
+        self.writer.write(data)
+
+    def answer(self, status: int, body: bytes, *lines: str, signed: bool = True) -> None:
+        """Send a whole answer."""
+        head = [f"HTTP/1.1 {status} X", f"Content-Length: {len(body)}", *lines]
+        head.append(f"Rhubarbshed-Request-Id: {self.request_id}")
+        if signed:
+            head.append(f"Rhubarbshed-Response-Signature: sig-{self.replica.server_id}")
+        self.write("\r\n".join(head).encode() + b"\r\n\r\n" + body)
+
+    def refuse(self, status: int = 503) -> None:
+        """Say that the request did not run."""
+        self.answer(status, b"", "Rhubarbshed-Not-Executed: 1", signed=False)
+
+    def begin_stream(self, *lines: str) -> None:
+        """Send the head of a stream in chunks."""
+        head = [
+            "HTTP/1.1 200 OK",
+            "Content-Type: text/event-stream",
+            "Transfer-Encoding: chunked",
+            f"Rhubarbshed-Request-Id: {self.request_id}",
+            f"Rhubarbshed-Response-Signature: sig-{self.replica.server_id}",
+            *lines,
+        ]
+        self.write("\r\n".join(head).encode() + b"\r\n\r\n")
+
+    def send_event(self, number: int) -> None:
+        """Send one event of a stream."""
+        self.send_chunk(f"id: {number}\ndata: t{number}\n\n".encode())
+
+    def send_chunk(self, data: bytes) -> None:
+        """Send one chunk."""
+        self.write(f"{len(data):x}\r\n".encode() + data + b"\r\n")
+
+    def end_stream(self) -> None:
+        """Send the end of a stream."""
+        self.write(b"0\r\n\r\n")
+
+    def reset(self) -> None:
+        """Break the connection off with a reset."""
+        sock = self.writer.transport.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        self.writer.transport.abort()
+
+
+async def reply_plainly(exchange: Exchange) -> None:
+    """Answer with the request's own words."""
+    exchange.answer(200, b"done:" + exchange.body)
+
+
+@define(eq=False)
+class Replica:
+    """Serve requests by `reply`; hold models by orders, checked as the platform checks them."""
+
+    server_id: str
+    service: str = "svc"
+    data_centre: str = "a"
+    slots: int = 8
+    born_ms: int = 1
+    models: dict[str, list[str]] = field(factory=dict)
+    reply: Reply = reply_plainly
+    orders: int = 0
+    got: list[Exchange] = field(factory=list)
+    ordered: list[dict] = field(factory=list)
+    gone: list[str] = field(factory=list)
+    address: tuple[str, int] = ("127.0.0.1", 0)
+    _server: asyncio.Server | None = None
+    _writers: set[asyncio.StreamWriter] = field(factory=set)
+
+    async def start(self) -> None:
+        """Listen on a free port."""
+        self._server = await asyncio.start_server(self._serve, *self.address)
+        self.address = self._server.sockets[0].getsockname()[:2]
+
+    async def stop(self) -> None:
+        """Close the port and reset all connections."""
+        self._server.close()
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+    def describe(self, **changes: object) -> dict:
+        """Return the entry that a replica keeps in the store."""
+        entry = {
+            "Service": self.service,
+            "Address": f"{self.address[0]}:{self.address[1]}",
+            "Zone": self.data_centre,
+            "Version": "v1",
+            "Slots": self.slots,
+            "State": "ready",
+            "ColdRemainingMs": 0,
+            "Seq": 1,
+            "born": self.born_ms,
+            "Models": self._list_models(),
+        }
+        return {**entry, **changes}
+
+    def _list_models(self) -> list[dict]:
+        return [
+            {"Name": name, "Version": 1, "Adapters": adapters}
+            for name, adapters in self.models.items()
+        ]
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._writers.add(writer)
+        try:
+            while True:
+                exchange = await self._read(reader, writer)
+                await self._route(exchange)
+                await writer.drain()
+        except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            pass
+        finally:
+            self._writers.discard(writer)
+            writer.close()
+
+    async def _read(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> Exchange:
+        lines = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
+        method, target, _ = lines[0].split(" ", 2)
+        pairs = (line.partition(":") for line in lines[1:] if line)
+        headers = {name.lower(): value.strip() for name, _, value in pairs}
+        body = await reader.readexactly(int(headers.get("content-length", 0)))
+        return Exchange(method, target, headers, body, writer, self)
+
+    async def _route(self, exchange: Exchange) -> None:
+        expected = exchange.headers.get("rhubarbshed-expect-instance", self.server_id)
+        if expected != self.server_id:
+            exchange.answer(421, b"", signed=False)
+        elif exchange.target == "/rhubarbshed/report":
+            exchange.answer(200, json.dumps(self._report()).encode(), signed=False)
+        elif exchange.target == "/rhubarbshed/order":
+            exchange.answer(self._take_order(json.loads(exchange.body)), b"", signed=False)
+        else:
+            self.got.append(exchange)
+            await self.reply(exchange)
+
+    def _report(self) -> dict:
+        return {
+            "Stage": "both",
+            "Models": self._list_models(),
+            "Busy": False,
+            "Seq": self.orders,
+            "Queued": 0,
+            "Active": 0,
+            "KvUsed": 0,
+            "KvTotal": 1000,
+            "Handles": 0,
+            "born": self.born_ms,
+        }
+
+    def _take_order(self, plain: dict) -> int:
+        self.ordered.append(plain)
+        if plain.get("Expected", self.orders) != self.orders:
+            return 409
+        model, adapter = plain["Model"], plain.get("Adapter")
+        self.orders += 1
+        if plain["Operation"] == "load":
+            held = self.models.setdefault(model, [])
+            if adapter:
+                held.append(adapter)
+            return 202
+        if adapter:
+            self.models[model].remove(adapter)
+            return 200
+        self.models.pop(model, None)
+        return 202
--- /dev/null
+++ b/standin/rows.py
@@ -0,0 +1,164 @@
+"""Stand-in of the platform's store: rows with versions, conditions and a feed of changes.
+
+Faults are switches: `down` refuses calls, `silent` takes them without an answer, `lose_answers`
+carries out writes and closes the connection, `forget` drops the history.
+"""
+
+import asyncio
+import base64
+import json
+import time
+from urllib.parse import parse_qs, urlsplit
+
+from attrs import define, field
+
+Key = tuple[str, str]
+ANSWER_500 = (500, {})
+
+
+@define(eq=False)
+class RowStore:
+    """Hold rows by (table, key) as (value bytes, version), and all changes in order."""
+
+    rows: dict[Key, tuple[bytes, int]] = field(factory=dict)
+    changes: list[tuple[int, str, str, bytes | None]] = field(factory=list)
+    version: int = 0
+    forgotten: int = 0
+    down: bool = False
+    silent: bool = False
+    lose_answers: bool = False
+    calls: list[str] = field(factory=list)
+    address: tuple[str, int] = ("127.0.0.1", 0)
+    _server: asyncio.Server | None = None
+    _changed: asyncio.Event = field(factory=asyncio.Event)
+    _writers: set[asyncio.StreamWriter] = field(factory=set)
+
+    async def start(self) -> None:
+        """Listen on a free port."""
+        self._server = await asyncio.start_server(self._serve, *self.address)
+        self.address = self._server.sockets[0].getsockname()[:2]
+
+    async def stop(self) -> None:
+        """Close the port and all connections."""
+        self._server.close()
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+    def put(self, table: str, key: str, value: dict | bytes) -> int:
+        """Write a row as the operator or a server would."""
+        data = value if isinstance(value, bytes) else json.dumps(value).encode()
+        self.version += 1
+        self._write(table, key, data)
+        return self.version
+
+    def remove(self, table: str, key: str) -> None:
+        """Drop a row."""
+        self.version += 1
+        self._write(table, key, None)
+
+    def forget(self) -> None:
+        """Drop the history of changes."""
+        self.forgotten = self.version
+        self.changes.clear()
+
+    def read(self, table: str, key: str) -> dict | None:
+        """Return a row's object."""
+        found = self.rows.get((table, key))
+        return None if found is None else json.loads(found[0])
+
+    def _write(self, table: str, key: str, data: bytes | None) -> None:
+        if data is None:
+            self.rows.pop((table, key), None)
+        else:
+            self.rows[(table, key)] = (data, self.version)
+        self.changes.append((self.version, table, key, data))
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._writers.add(writer)
+        try:
+            while await self._serve_one(reader, writer):
+                pass
+        except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            pass
+        finally:
+            self._writers.discard(writer)
+            writer.close()
+
+    async def _serve_one(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> bool:
+        head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+        method, target, _ = head.split(" ", 2)
+        length = 0
+        for line in head.split("\r\n"):
+            if line.lower().startswith("content-length:"):
+                length = int(line.partition(":")[2])
+        body = await reader.readexactly(length)
+        self.calls.append(f"{method} {target}")
+        if self.silent:
+            await asyncio.sleep(3600)
+        status, plain = (503, {}) if self.down else await self._answer(method, target, body)
+        if self.lose_answers and method == "POST":
+            return False
+        data = json.dumps(plain).encode()
+        writer.write(f"HTTP/1.1 {status} X\r\nContent-Length: {len(data)}\r\n\r\n".encode() + data)
+        await writer.drain()
+        return True
+
+    async def _answer(self, method: str, target: str, body: bytes) -> tuple[int, dict]:
+        parts = urlsplit(target)
+        query = {name: values[0] for name, values in parse_qs(parts.query).items()}
+        if parts.path == "/rhubarbshed/rows-tx":
+            return self._commit(json.loads(body))
+        if parts.path == "/rhubarbshed/rows-get":
+            return 200, self._list(query["Table"], query.get("From", ""), int(query["Limit"]))
+        if parts.path == "/rhubarbshed/rows-feed":
+            wait_s = int(query["WaitMs"]) / 1000
+            return await self._feed(query["Table"], int(query["after"]), wait_s)
+        return ANSWER_500
+
+    def _commit(self, plain: dict) -> tuple[int, dict]:
+        for check in plain["Expected"]:
+            key = (check["Table"], check["Key"])
+            if self.rows.get(key, (b"", 0))[1] != check["Ver"]:
+                rows = [self._show(*key, *self.rows.get(key, (None, 0)))]
+                return 412, {"Rows": rows, **self._stamp()}
+        self.version += 1
+        for put in plain["Put"]:
+            self._write(put["Table"], put["Key"], base64.b64decode(put["Value"]))
+        for row in plain["Remove"]:
+            self._write(row["Table"], row["Key"], None)
+        return 200, self._stamp()
+
+    def _list(self, table: str, start: str, limit: int) -> dict:
+        keys = sorted(key for name, key in self.rows if name == table and key >= start)
+        rows = [self._show(table, key, *self.rows[(table, key)]) for key in keys[:limit]]
+        return {"Rows": rows, "HasMore": len(keys) > limit, **self._stamp()}
+
+    async def _feed(self, table: str, after: int, wait_s: float) -> tuple[int, dict]:
+        until = time.monotonic() + wait_s
+        while True:
+            if after < self.forgotten:
+                return 410, self._stamp()
+            found = {
+                key: (data, ver)
+                for ver, name, key, data in self.changes
+                if name == table and ver > after
+            }
+            left_s = until - time.monotonic()
+            if found or left_s <= 0:
+                rows = [self._show(table, key, *row) for key, row in found.items()]
+                return 200, {"Rows": rows, **self._stamp()}
+            try:
+                await asyncio.wait_for(self._changed.wait(), left_s)
+            except TimeoutError:
+                continue
+
+    def _show(self, table: str, key: str, data: bytes | None, version: int) -> dict:
+        row = {"Table": table, "part": "", "Key": key, "Ver": version}
+        if data is None:
+            return {**row, "Deleted": True}
+        return {**row, "Value": base64.b64encode(data).decode()}
+
+    def _stamp(self) -> dict:
+        return {"Ver": self.version, "NowMs": int(time.monotonic() * 1000)}
