Never end a stream with the failure of the server that should go on with it

A stream broke off, the second server answered 500, and its body and end went out as the rest of the stream. Ruled out: the cutting of events; bodies were short by whole events. Change: an answer that is no stream never follows the head of one; the stream is broken off. Before and after: test_failure_of_the_second_replica_does_not_end_a_stream_as_whole failed with the body of the 500 appended, and passes.

--- a/rhubarbshed/transport/edge/attempts.py
+++ b/rhubarbshed/transport/edge/attempts.py
@@ -184,20 +184,28 @@
         success = 200 <= head.status < 300
         if success:
             self.check_success(head)
+        resumed = self.passage.begun
+        passing = False
         pieces: list[bytes] = []
         length = 0
         while isinstance(event := await self.channel.receive(), h11.Data):
             data = bytes(event.data)
-            if self.passage.begun:
+            if passing:
                 await self.passage.send(data)
                 continue
             pieces.append(data)
             length += len(data)
-            if length > KEPT_BYTES_MAX and success:
+            if length > KEPT_BYTES_MAX and success and not resumed:
+                passing = True
                 self.passage.begin(head, None)
                 await self.passage.send(b"".join(pieces))
         self.channel.finish(response, time.monotonic())
-        if self.passage.begun:
+        if resumed:
+            # The caller has the head of another server's stream: this answer cannot follow it.
+            self.failed = True
+            self.detail = f"status {head.status} in place of the rest of a stream"
+            return End.BROKEN
+        if passing:
             self.passage.line.send_end()
             return End.DONE
         return self.end_whole(head, b"".join(pieces), may_repeat)
--- a/test/test_edge_requests.py
+++ b/test/test_edge_requests.py
@@ -283,6 +283,27 @@
     play(scene)
 
 
+def test_failure_of_the_second_replica_does_not_end_a_stream_as_whole():
+    async def break_off(exchange: Exchange) -> None:
+        if "last-event-id" in exchange.headers:
+            exchange.answer(500, b"failed")
+            return
+        exchange.begin_stream()
+        exchange.send_event(1)
+        await exchange.writer.drain()
+        await asyncio.sleep(0.05)
+        exchange.reset()
+
+    async def scene():
+        replicas = [Replica("b1", reply=break_off), Replica("b2", reply=break_off)]
+        async with run_edge(make_configuration(*ROUTES), *replicas) as edge:
+            answer = await edge.ask("/s/x", b"prompt")
+            assert answer.body == b"id: 1\ndata: t1\n\n"
+            assert not answer.whole
+
+    play(scene)
+
+
 def test_work_ends_at_the_replica_when_its_caller_goes():
     closed = asyncio.Event()
 
