--- /dev/null
+++ b/test/test_edge_choice.py
@@ -0,0 +1,164 @@
+"""Choice of a server, repeats, refusals and waits, without sockets."""
+
+import random
+
+import pytest
+
+from rhubarbshed.coordination.serving.absence import Absent, Waiting, decide_absent
+from rhubarbshed.coordination.serving.choice import Choice, NoServer, choose_server
+from rhubarbshed.coordination.serving.refusals import expire, refuse
+from rhubarbshed.coordination.serving.repeats import RepeatBudget, Tries, may_try_again
+from rhubarbshed.protocol.exchanges import End
+from rhubarbshed.protocol.routes import EngineSpec, ModelSpec, Route, RouteKind
+from rhubarbshed.protocol.servers import ServerEntry, ServerState
+from rhubarbshed.state.fleet import Fleet
+
+NOW = 1000.0
+
+
+def make_entry(name: str, centre: str = "a", models: dict | None = None, **changes) -> ServerEntry:
+    held = {model: frozenset(names) for model, names in (models or {}).items()}
+    values = {
+        "server_id": name,
+        "service": "svc",
+        "host": "127.0.0.1",
+        "port": 1,
+        "data_centre": centre,
+        "state": ServerState.READY,
+        "slots": 8,
+        "models": held,
+        "born_ms": 1,
+    }
+    return ServerEntry(**{**values, **changes})
+
+
+def make_fleet(*entries: ServerEntry) -> Fleet:
+    fleet = Fleet()
+    for entry in entries:
+        fleet.apply(entry, NOW)
+    return fleet
+
+
+def choose(fleet: Fleet, needs=("", ""), avoid=frozenset(), now=NOW, seed=1):
+    return choose_server(fleet, "svc", needs, avoid, "a", now, random.Random(seed))
+
+
+def make_route(kind=RouteKind.STREAMING, attempts_max=2, resumable=True) -> Route:
+    shares = (("svc", 1.0),)
+    return Route("r", "h", "/p/", kind, 4.0, 0.3, 0.15, 1, shares, attempts_max, resumable)
+
+
+def test_instances_with_the_same_old_news_do_not_all_take_one_server():
+    fleet = make_fleet(*(make_entry(f"b{number}") for number in range(4)))
+    taken = {choose(fleet, seed=seed).server.entry.server_id for seed in range(40)}
+    assert len(taken) == 4
+
+
+def test_own_data_centre_goes_first_until_its_server_is_much_busier():
+    fleet = make_fleet(make_entry("near"), make_entry("far", "b"))
+    assert all(choose(fleet, seed=s).server.entry.server_id == "near" for s in range(20))
+    fleet.get("near").take_sample(6, 0, NOW)
+    assert all(choose(fleet, seed=s).server.entry.server_id == "far" for s in range(20))
+
+
+def test_server_that_fails_does_not_draw_requests_because_it_is_empty():
+    fleet = make_fleet(make_entry("bad"), make_entry("good"))
+    fleet.get("good").take_sample(4, 0, NOW)
+    for _ in range(6):
+        fleet.get("bad").record_end(True, NOW)
+    assert all(choose(fleet, seed=s).server.entry.server_id == "good" for s in range(20))
+    assert choose(fleet, now=NOW + 30.0) is not None
+
+
+def test_server_that_was_silent_is_left_out_for_a_while_that_doubles():
+    fleet = make_fleet(make_entry("b1"))
+    record = fleet.get("b1")
+    assert record.record_silence(NOW) == 0.5
+    assert isinstance(choose(fleet), NoServer)
+    assert isinstance(choose(fleet, now=NOW + 0.6), Choice)
+    assert record.record_silence(NOW + 1.0) == 1.0
+    record.record_end(False, NOW + 2.0)
+    assert record.record_silence(NOW + 2.0) == 0.5
+
+
+@pytest.mark.parametrize(
+    ("needs", "reason"), [(("m2", ""), "absent"), (("m1", "a9"), "absent"), (("m1", "a1"), "")]
+)
+def test_only_holders_of_model_and_adapter_are_chosen(needs, reason):
+    found = choose(make_fleet(make_entry("b1", models={"m1": ["a1"]})), needs)
+    assert (found.reason if isinstance(found, NoServer) else "") == reason
+
+
+def test_full_leaving_and_doubted_servers():
+    fleet = make_fleet(make_entry("b1"), make_entry("b2", state=ServerState.DRAINING))
+    fleet.get("b1").take_sample(8, 4, NOW)
+    assert choose(fleet).reason == "full"
+    assert isinstance(choose(fleet, now=NOW + 3.0), Choice)
+    fleet.apply(make_entry("b3"), NOW)
+    fleet.get("b3").doubted_since = NOW
+    assert choose(fleet, now=NOW + 3.0).server.entry.server_id == "b1"
+
+
+def test_entry_from_before_a_restart_changes_nothing():
+    fleet = make_fleet(make_entry("b1", born_ms=5))
+    assert fleet.apply(make_entry("b1", born_ms=4, state=ServerState.DRAINING), NOW) == ""
+    assert fleet.get("b1").leaving_at is None
+
+
+def test_budget_of_repeats_is_a_part_of_the_common_one():
+    budget = RepeatBudget(0.2, 100.0, 10.0, instances=10)
+    for number in range(100):
+        budget.count_request("svc", NOW + number * 0.01)
+    taken = sum(budget.take("svc", NOW + 1.0) for _ in range(200))
+    assert taken == 24, "0.8 x (0.2 x 100 + 100 / 10)"
+    assert budget.take("svc", NOW + 11.5)
+
+
+@pytest.mark.parametrize(
+    ("kind", "resumable", "end", "tries", "allowed"),
+    [
+        (RouteKind.NON_IDEMPOTENT, False, End.BROKEN, Tries(1, 0), False),
+        (RouteKind.NON_IDEMPOTENT, False, End.REFUSED, Tries(0, 1), True),
+        (RouteKind.NON_IDEMPOTENT, False, End.NOT_SENT, Tries(0, 0), True),
+        (RouteKind.NON_IDEMPOTENT, False, End.REFUSED, Tries(0, 3), False),
+        (RouteKind.IDEMPOTENT, False, End.BROKEN, Tries(1, 0), True),
+        (RouteKind.IDEMPOTENT, False, End.BROKEN, Tries(2, 0), False),
+        (RouteKind.STREAMING, True, End.SILENT, Tries(1, 0), True),
+        (RouteKind.STREAMING, False, End.BROKEN, Tries(1, 0), False),
+    ],
+)
+def test_repeats_follow_the_kind_of_route(kind, resumable, end, tries, allowed):
+    assert may_try_again(make_route(kind, 2, resumable), end, tries) is allowed
+
+
+def make_engine() -> EngineSpec:
+    spec = ModelSpec("m1", 60.0, 4.0, 0.8, 0.5, 4, 1.0)
+    return EngineSpec(8, 1000, 200.0, 4, 1.6, {"m1": spec})
+
+
+def test_wait_for_an_adapter_is_short_and_for_a_load_ends_before_the_caller_leaves():
+    holder, empty = make_entry("b1", models={"m1": []}), make_entry("b2")
+    fleet = make_fleet(holder)
+    found = decide_absent(make_engine(), ("m1", "a1"), fleet.list_service("svc"), NOW + 2, NOW)
+    assert isinstance(found, Waiting) and found.until <= NOW + 0.6
+    fleet = make_fleet(empty)
+    capable = fleet.list_service("svc")
+    found = decide_absent(make_engine(), ("m1", ""), capable, NOW + 2.0, NOW)
+    assert isinstance(found, Absent) and found.over_in_s > 4.0
+    found = decide_absent(make_engine(), ("m1", ""), capable, NOW + 12.0, NOW)
+    assert isinstance(found, Waiting) and found.until <= NOW + 12.0
+    assert isinstance(decide_absent(make_engine(), ("m9", ""), capable, NOW + 9, NOW), Absent)
+
+
+def test_load_under_way_is_reckoned_by_its_own_time():
+    fleet = make_fleet(make_entry("b1"))
+    fleet.note_changes("b1", "m1", 0.7, "", NOW)
+    found = decide_absent(make_engine(), ("m1", ""), fleet.list_service("svc"), NOW + 2, NOW)
+    assert isinstance(found, Waiting) and found.expected_s == pytest.approx(0.7)
+
+
+def test_refusal_promises_only_what_is_true():
+    assert expire(ran=True).status == 504
+    assert expire(ran=False).status == 503
+    times = {refuse("full", random.Random(seed)).retry_after_s for seed in range(20)}
+    assert len(times) > 10 and min(times) >= 0.05
--- /dev/null
+++ b/test/test_edge_orders.py
@@ -0,0 +1,231 @@
+"""Orders to engines: what is asked for is loaded, by one holder, never beyond room."""
+
+import asyncio
+
+from rhubarbshed.coordination.serving.placement import Floor, LoadRate, plan_adapters, plan_models
+from rhubarbshed.protocol.orders import OrderKind
+from rhubarbshed.protocol.routes import EngineSpec, ModelSpec
+from rhubarbshed.protocol.servers import ServerOrder, ServerReport
+from rhubarbshed.state.fleet import Fleet
+from rhubarbshed.state.places import Doubt, Place
+from rhubarbshed.state.usage import Usage
+from rhubarbshed.transport.edge.node import Node
+from standin.replica import Exchange, Replica
+from test.helper_edge import (
+    make_configuration,
+    make_engine_service,
+    make_route,
+    make_settings,
+    play,
+    run_edge,
+)
+from test.test_edge_choice import make_entry
+
+NOW = 1000.0
+STREAM = make_route("streaming", "/s/", Resumable=True, TargetGapMs=150, TargetLatencyMs=1000)
+
+
+def make_engine(places: int = 4, **models: int) -> EngineSpec:
+    specs = {
+        name: ModelSpec(name, 60.0, 4.0, 0.8, 0.5, count, 1.0) for name, count in models.items()
+    }
+    return EngineSpec(8, 1000, 200.0, places, 1.6, specs)
+
+
+def make_floor(engine: EngineSpec, usage: Usage, **held: dict[str, list[str]]) -> Floor:
+    fleet = Fleet()
+    places = {}
+    for name, models in held.items():
+        entry = make_entry(name, models=models)
+        fleet.apply(entry, NOW)
+        place = places[name] = Place(name, 1, orders=0)
+        models_held = {key: frozenset(names) for key, names in models.items()}
+        place.take_report(ServerReport(models_held, False, 0, 0, 0, 0, 0, 1), NOW)
+    return Floor("svc", engine, places, dict(fleet.servers), usage, NOW)
+
+
+def make_rate() -> LoadRate:
+    return LoadRate(1.0, 3.0, 3.0, NOW)
+
+
+def test_model_that_a_caller_waits_for_takes_free_room_first():
+    usage = Usage()
+    usage.note_want(("svc", "m9", ""), NOW)
+    engine = make_engine(m1=0, m2=0, m3=0, m9=0)
+    floor = make_floor(engine, usage, b1={"m1": [], "m2": [], "m3": []}, b2={"m1": []})
+    moves = plan_models(floor, make_rate())
+    assert [(move.server_id, move.kind, move.model) for move in moves][0] == (
+        "b2",
+        OrderKind.LOAD,
+        "m9",
+    )
+
+
+def test_room_is_made_by_a_second_copy_and_not_by_the_only_copy_in_use():
+    usage = Usage()
+    for _ in range(40):
+        usage.count(("svc", "m1", ""), 1, NOW)
+        usage.count(("svc", "m2", ""), 1, NOW)
+    usage.note_want(("svc", "m9", ""), NOW)
+    engine = make_engine(m1=0, m2=0, m3=0, m9=0)
+    held = {"m1": [], "m2": [], "m3": []}
+    moves = plan_models(make_floor(engine, usage, b1=held, b2=held), make_rate())
+    assert [move.model for move in moves if move.kind is OrderKind.UNLOAD] == ["m3"]
+
+
+def test_demand_that_moves_brings_a_copy_where_the_old_one_idles():
+    usage = Usage()
+    for _ in range(60):
+        usage.count(("svc", "m9", ""), 1, NOW)
+    engine = make_engine(m1=0, m2=0, m3=0, m9=0)
+    held = {"m1": [], "m2": [], "m3": []}
+    moves = plan_models(make_floor(engine, usage, b1=held, b2=held), make_rate())
+    assert moves and moves[0].kind is OrderKind.UNLOAD
+
+
+def test_loads_keep_to_the_rate_of_the_weight_store():
+    usage = Usage()
+    for name in ("m1", "m2", "m3"):
+        usage.note_want(("svc", name, ""), NOW)
+    engine = make_engine(m1=0, m2=0, m3=0)
+    floor = make_floor(engine, usage, b1={}, b2={}, b3={})
+    assert len(plan_models(floor, LoadRate(1.0, 1.0, 1.0, NOW))) == 1
+
+
+def test_wanted_adapter_takes_the_place_of_the_one_least_asked_for():
+    usage = Usage()
+    for adapter, count in (("a1", 9), ("a2", 1), ("a3", 9)):
+        usage.count(("svc", "m1", adapter), count, NOW)
+    usage.note_want(("svc", "m1", "a4"), NOW)
+    floor = make_floor(make_engine(3, m1=4), usage, b1={"m1": ["a1", "a2", "a3"]})
+    moves = plan_adapters(floor)
+    assert [(move.kind, move.adapter) for move in moves] == [
+        (OrderKind.UNLOAD, "a2"),
+        (OrderKind.LOAD, "a4"),
+    ]
+
+
+def test_order_without_an_answer_counts_until_a_newer_one_is_accepted():
+    engine = make_engine(2, m1=4)
+    place = Place("b1", 1, orders=3)
+    place.models = {"m1"}
+    place.adapters = {("m1", "a1"): NOW}
+    lost = ServerOrder(OrderKind.LOAD, "m1", "i1", 7, "a2", 3)
+    place.doubts.append(Doubt(lost, NOW + 13))
+    another = ServerOrder(OrderKind.LOAD, "m1", "i1", 7, "a3", 3)
+    assert not place.has_room(another, engine)
+    place.take_report(ServerReport({"m1": frozenset(["a1"])}, False, 3, 0, 0, 0, 0, 1), NOW + 1)
+    assert not place.has_room(another, engine), "it may still be carried out"
+    place.accept(ServerOrder(OrderKind.UNLOAD, "m1", "i1", 7, "a1", 3), NOW, True, NOW)
+    assert place.has_room(another, engine)
+
+
+def test_model_order_without_an_answer_counts_in_memory():
+    engine = make_engine(2, m1=0, m2=0, m3=0, m4=0)
+    place = Place("b1", 1, orders=0)
+    place.models = {"m1", "m2"}
+    order = ServerOrder(OrderKind.LOAD, "m4", "i1", 7, "", 0)
+    assert place.has_room(order, engine)
+    lost = ServerOrder(OrderKind.LOAD, "m3", "i1", 7, "", 0)
+    place.doubts.append(Doubt(lost, NOW + 13))
+    assert not place.has_room(order, engine)
+
+
+async def reply_with_stream(exchange: Exchange) -> None:
+    """Answer as an engine that has what is asked for, else say that it has not."""
+    model, _, adapter = exchange.headers["rhubarbshed-model"].partition("/")
+    held = exchange.replica.models
+    if model not in held or (adapter and adapter not in held[model]):
+        exchange.answer(421, b"", signed=False)
+        return
+    exchange.begin_stream()
+    exchange.send_event(1)
+    exchange.end_stream()
+
+
+def make_engines(*names: str, **models: list[str]) -> list[Replica]:
+    return [
+        Replica(
+            name,
+            models={model: list(held) for model, held in models.items()},
+            reply=reply_with_stream,
+        )
+        for name in names
+    ]
+
+
+def test_adapters_and_models_are_loaded_when_they_are_asked_for():
+    async def scene():
+        service = make_engine_service({"m1": 9, "m2": 0}, places=3)
+        configuration = make_configuration(STREAM, Services=[service])
+        async with run_edge(configuration, *make_engines("b1", "b2", m1=[])) as edge:
+            await edge.wait_until(lambda: edge.node.lease.tenure.held)
+            for number in (1, 2, 3, 4, 5, 6, 7, 8, 9, 1):
+                answer = await edge.ask("/s/x", b"p", Rhubarbshed_Model=f"m1/a{number}")
+                assert answer.status == 200, f"a{number}"
+                for replica in edge.replicas:
+                    assert len(replica.models["m1"]) <= 3
+            answer = await edge.ask("/s/x", b"p", Rhubarbshed_Model="m2")
+            assert answer.status == 200
+
+    play(scene)
+
+
+def test_model_that_is_configured_nowhere_is_refused_at_once():
+    async def scene():
+        service = make_engine_service({"m1": 0})
+        configuration = make_configuration(STREAM, Services=[service])
+        async with run_edge(configuration, *make_engines("b1", m1=[])) as edge:
+            loop = asyncio.get_running_loop()
+            begun = loop.time()
+            answer = await edge.ask("/s/x", b"p", Rhubarbshed_Model="m7")
+            assert answer.status == 503 and loop.time() - begun < 0.5
+
+    play(scene)
+
+
+def test_two_instances_give_orders_one_after_the_other_and_share_what_they_know():
+    async def scene():
+        service = make_engine_service({"m1": 9}, places=3)
+        configuration = make_configuration(STREAM, Services=[service])
+        engines = make_engines("b1", m1=[])
+        async with run_edge(configuration, *engines) as edge:
+            await edge.wait_until(lambda: edge.node.lease.tenure.held)
+            other = Node.from_settings(make_settings(edge.store.address, name="i2"), "")
+            task = asyncio.create_task(other.run())
+            await edge.wait_until(lambda: other.view.is_ready)
+            await edge.wait_until(lambda: len(edge.node.circle.instances) == 1)
+            first, edge.node = edge.node, other
+            answer = await edge.ask("/s/x", b"p", Rhubarbshed_Model="m1/a9")
+            edge.node = first
+            assert answer.status == 200
+            assert other.view.budget.instances == 2
+            assert {order["Holder"] for order in engines[0].ordered} == {"i1"}
+            calls = len(edge.store.calls)
+            edge.store.put("servers", "b1", engines[0].describe(State="draining", Seq=7))
+            await edge.wait_until(lambda: other.view.fleet.get("b1").leaving_at is not None)
+            told = [call for call in edge.store.calls[calls:] if "Table=servers" in call]
+            assert len(told) <= 1, "the holder alone asks the store"
+            other.stop.set()
+            other.view.drain.announce_s = 0.0
+            await task
+
+    play(scene)
+
+
+def test_engine_is_asked_when_its_entry_is_older_than_our_order():
+    """An entry without the model that was just loaded must not free its memory."""
+
+    async def scene():
+        service = make_engine_service({"m1": 0, "m2": 0, "m3": 0, "m4": 0})
+        configuration = make_configuration(STREAM, Services=[service])
+        async with run_edge(configuration, *make_engines("b1", m1=[], m2=[])) as edge:
+            await edge.wait_until(lambda: edge.node.lease.tenure.held)
+            old = edge.replicas[0].describe(Seq=2)
+            await edge.wait_until(lambda: len(edge.replicas[0].models) == 3)
+            for number in range(3, 9):
+                edge.store.put("servers", "b1", {**old, "Seq": number, "Slots": number})
+                await asyncio.sleep(0.3)
+                assert len(edge.replicas[0].models) <= 3
+
+    play(scene)
