Order nothing from a busy engine, forget met wants, share the weight store's ceiling

Ruled out: the doubt of unanswered orders (none was open); the lease (one holder at a time). Change: busy engines get no order until their report says that they are idle; loads of all holders are counted against the ceiling together; met wants are forgotten; a caller's want counts 0.3 requests a second, not 1; lesser moves wait while two fifths of the engines are busy. Before and after: three tests that failed first.

--- a/rhubarbshed/coordination/serving/placement.py
+++ b/rhubarbshed/coordination/serving/placement.py
@@ -5,6 +5,8 @@
 what is busy, and nothing is dropped that somebody still asks for unless another copy stays.
 """
 
+import collections
+
 from attrs import define, field, frozen
 
 from rhubarbshed.protocol.orders import OrderKind
@@ -30,8 +32,14 @@
 """Requests a second that a model is taken to have that nobody has asked for lately, since any may
 be asked for and a load takes seconds."""
 
-WANTED_RATE = 1.0
-"""Requests a second that count for a caller who waits."""
+WANTED_RATE = 0.3
+"""Requests a second that count for a caller who waits. With it a model that is asked for now and
+then takes the room of one that has not been asked for in some seconds, and of nothing busier."""
+
+URGENT_WORTH = 1.0
+BUSY_PART = 0.4
+"""Worth from which a change is made at any time; others wait while that part of the engines is
+busy with orders, since a busy engine takes no adapters."""
 
 MOVE_GAIN = 0.2
 """Requests a second that a swap has to win beyond what it gives up, since it costs a load and some
@@ -68,6 +76,12 @@
 """Seconds that an unload takes of a model without runs, and of one that is asked for more often
 than so many times a second: it waits for its runs, and a stream lasts some seconds."""
 
+CEILING_EXTRA = 3
+"""Loads beyond the rate that the platform's ceiling allows in a window."""
+
+WINDOW_MARGIN_S = 0.3
+"""Time added to a window: a load begins some time after its order was sent."""
+
 PENDING_ADAPTERS_MAX = 4
 """Adapters on their way to one engine at a time, from the platform's pages."""
 
@@ -88,27 +102,38 @@
 
 @define
 class LoadRate:
-    """Keep loads from the weight store within their rate: a bucket of `burst` loads."""
+    """Keep the loads that all holders begin from the weight store under its ceiling.
 
-    per_s: float
-    burst: float
-    tokens: float
-    filled_at: float
+    `limit` loads may begin in a window of `window_s`; `holders` share it. While each hears the
+    others, all count together, less one load in doubt for each other holder; a holder that does not
+    hear another keeps to its own part.
+    """
 
-    def allows(self, now: float) -> bool:
-        """Tell whether a load may begin."""
-        self._fill(now)
-        return self.tokens >= 1.0
+    limit: int
+    window_s: float
+    holders: int
+    begun: collections.deque[tuple[float, bool]] = field(factory=collections.deque)
 
-    def take(self, now: float) -> None:
-        """Count a load that begins."""
-        self._fill(now)
-        self.tokens -= 1.0
+    @classmethod
+    def from_bounds(
+        cls, loads_per_s: float, window_s: float, overage: float, holders: int
+    ) -> "LoadRate":
+        """Make the rate from the platform's bounds: three loads beyond the rate are allowed."""
+        limit = int(loads_per_s * window_s * overage) + CEILING_EXTRA - 1
+        return cls(max(holders, limit), window_s, holders)
 
-    def _fill(self, now: float) -> None:
-        gained = self.per_s * max(0.0, now - self.filled_at)
-        self.tokens = min(self.burst, self.tokens + gained)
-        self.filled_at = now
+    def allows(self, hears_all: bool, now: float) -> bool:
+        """Tell whether a load may begin."""
+        while self.begun and self.begun[0][0] <= now - self.window_s - WINDOW_MARGIN_S:
+            self.begun.popleft()
+        own = sum(1 for _, is_own in self.begun if is_own)
+        if hears_all:
+            return len(self.begun) + self.holders <= self.limit
+        return own + 1 <= self.limit // self.holders
+
+    def count(self, is_own: bool, now: float) -> None:
+        """Count a load that begins."""
+        self.begun.append((now, is_own))
 
 
 @define
@@ -121,6 +146,7 @@
     records: dict[str, ServerRecord]
     usage: Usage
     now: float
+    hears_all: bool = True
     moves: list[Move] = field(factory=list)
     touched: set[str] = field(factory=set)
 
@@ -132,8 +158,7 @@
             if place.is_known
             and (place.ours or self.now - place.told_at < TOLD_S)
             and server_id not in self.touched
-            and not place.loading
-            and not place.unloading
+            and not place.is_busy
             and self.records[server_id].takes_work(self.now)
         ]
 
@@ -169,7 +194,11 @@
 
     def is_busy(self, place: Place) -> bool:
         """Tell whether an engine carries out an order for a model."""
-        return bool(place.loading or place.unloading) or place.server_id in self.touched
+        return place.is_busy or place.server_id in self.touched
+
+    def count_busy(self) -> int:
+        """Count the engines that carry out an order for a model."""
+        return sum(1 for place in self.places.values() if self.is_busy(place))
 
     def measure_gain(self, model: str, copies: int) -> float:
         """Return what one more copy is worth beside those that there are."""
@@ -206,7 +235,8 @@
         if worth >= RARE_RATE:
             additions.append((worth, name, "copy" if copies else "missing"))
     for worth, name, reason in sorted(additions, reverse=True):
-        _add(floor, rate, worth, name, reason)
+        if worth >= URGENT_WORTH or floor.count_busy() < BUSY_PART * len(floor.places):
+            _add(floor, rate, worth, name, reason)
     return floor.moves
 
 
@@ -233,9 +263,9 @@
         floor.move(place, OrderKind.UNLOAD, victims[0][1], "", f"room_for_{reason}")
         return
     if is_from_store(floor, place, name):
-        if not rate.allows(floor.now):
+        if not rate.allows(floor.hears_all, floor.now):
             return
-        rate.take(floor.now)
+        rate.count(True, floor.now)
     floor.move(place, OrderKind.LOAD, name, "", reason)
 
 
@@ -302,6 +332,19 @@
     return name not in entry.in_memory | entry.on_disk | place.models
 
 
+def forget_met_wants(floor: Floor) -> None:
+    """Forget wants that are met, lest an adapter that made way comes back for nobody."""
+    for target in floor.usage.list_wanted(floor.now - WANT_S):
+        service, model, adapter = target
+        if service != floor.service:
+            continue
+        key = (model, adapter)
+        for place in floor.list_holders(model):
+            if model in place.models and (not adapter or key in place.adapters):
+                floor.usage.forget_want(target)
+                break
+
+
 def plan_adapters(floor: Floor) -> list[Move]:
     """Plan loads of adapters that callers wait for, with unloads that make places free."""
     moves: list[Move] = []
--- a/rhubarbshed/state/places.py
+++ b/rhubarbshed/state/places.py
@@ -25,8 +25,9 @@
 
     `ours` tells whether this instance gives its orders; of others the holder there tells, last at
     `told_at`. `orders` is the number of orders it has accepted, None until a report was read.
-    `pending` are adapters being loaded with the time at which they should be there. `intended` is a
-    model for which room is being made.
+    `busy` tells of an order under way, which may be that of a holder before. `pending` are adapters
+    being loaded with the time at which they should be there. `intended` is a model for which room
+    is being made.
     """
 
     server_id: str
@@ -40,6 +41,7 @@
     pending: dict[tuple[str, str], float] = field(factory=dict)
     loading: str = ""
     unloading: str = ""
+    busy: bool = False
     busy_until: float = 0.0
     doubts: list[Doubt] = field(factory=list)
     read_at: float = 0.0
@@ -54,6 +56,7 @@
         held = {(model, adapter) for model, names in report.models.items() for adapter in names}
         self.adapters = {key: self.adapters.get(key, now) for key in held}
         self.pending = {key: now for key in report.pending if key not in held}
+        self.busy = report.busy
         if not report.busy:
             self.loading = self.unloading = ""
         self.doubts = [
@@ -62,6 +65,11 @@
             if doubt.order.expected == report.orders and now < doubt.until
         ]
 
+    @property
+    def is_busy(self) -> bool:
+        """Tell whether an order for a model is under way, so that another would be turned down."""
+        return self.busy or bool(self.loading or self.unloading)
+
     @property
     def is_known(self) -> bool:
         """Tell whether it is known what the engine holds."""
@@ -113,6 +121,8 @@
         """Tell whether an engine surely has room for a load."""
         if order.kind is not OrderKind.LOAD:
             return True
+        if self.busy:
+            return False
         spec = engine.models[order.model]
         if order.adapter:
             placed = self.count_adapters() < engine.adapter_places
@@ -132,6 +142,7 @@
             self.pending[key] = done_at
         elif order.kind is OrderKind.LOAD:
             self.loading, self.busy_until = order.model, done_at
+            self.busy = False
             self.intended = ""
         elif order.adapter:
             if at_once:
--- a/rhubarbshed/state/usage.py
+++ b/rhubarbshed/state/usage.py
@@ -66,6 +66,11 @@
             self.wanted_since[target] = now
         self.wanted[target] = now
 
+    def forget_want(self, target: Target) -> None:
+        """Forget a want that is met."""
+        self.wanted.pop(target, None)
+        self.wanted_since.pop(target, None)
+
     def measure_want(self, target: Target, now: float) -> float:
         """Return the seconds for which callers have waited for a target without a break."""
         return now - self.wanted_since.get(target, now)
--- a/rhubarbshed/transport/edge/holder.py
+++ b/rhubarbshed/transport/edge/holder.py
@@ -8,10 +8,12 @@
 from returns.result import Failure, Success
 
 from rhubarbshed.coordination.serving.placement import (
+    TOLD_S,
     Floor,
     LoadRate,
     Move,
     estimate_load_time,
+    forget_met_wants,
     is_from_store,
     plan_adapters,
     plan_fill,
@@ -51,14 +53,6 @@
 REREAD_S = 0.35
 """Pause before an engine is asked again what it holds: its report lags by some hundred ms."""
 
-LOAD_BURST = 3.0
-LOAD_RATE_PART = 0.9
-"""Loads from the weight store at once, and the part of their rate that is used. Both together stay
-under the ceiling, which allows three loads beyond its rate in a window."""
-
-BUSY_MARGIN_S = 0.5
-"""Time beyond a load's own after which an engine that still seems busy is asked."""
-
 
 @define
 class OrderDesk:
@@ -108,11 +102,12 @@
         """Bring the picture of a service's engines up to date, and send what is due."""
         self.refresh_places(service, now)
         floor = self.make_floor(service, engine, now)
+        forget_met_wants(floor)
         moves = plan_adapters(floor)
         if with_models:
             rate = self.rates.get(service)
             if rate is None:
-                rate = self.rates[service] = self.make_rate(service, engine, now)
+                rate = self.rates[service] = self.make_rate(service, engine)
             moves += plan_fill(floor) or plan_models(floor, rate)
         for server_id in {move.server_id for move in moves}:
             if server_id in self.busy:
@@ -121,12 +116,14 @@
             self.busy.add(server_id)
             self.spawn(self.carry_out(floor, server_id, mine))
 
-    def make_rate(self, service: str, engine: EngineSpec, now: float) -> LoadRate:
-        """Return this holder's part of the weight store's rate: one for each data centre."""
+    def make_rate(self, service: str, engine: EngineSpec) -> LoadRate:
+        """Return the common rate of loads; each data centre with engines has a holder."""
         servers = self.view.fleet.list_service(service)
-        parts = max(1, len({record.entry.data_centre for record in servers}))
-        per_s = engine.loads_per_s * LOAD_RATE_PART / parts
-        return LoadRate(per_s, max(1.0, LOAD_BURST / parts), 1.0, now)
+        holders = max(1, len({record.entry.data_centre for record in servers}))
+        settings = self.view.settings
+        return LoadRate.from_bounds(
+            engine.loads_per_s, settings.ceiling_window_s, settings.ceiling_overage, holders
+        )
 
     def make_floor(self, service: str, engine: EngineSpec, now: float) -> Floor:
         """Return the engines of a service as planning sees them."""
@@ -135,7 +132,8 @@
         }
         places = {key: self.places[key] for key in records if key in self.places}
         records = {key: records[key] for key in places}
-        return Floor(service, engine, places, records, self.usage, now)
+        hears_all = all(place.ours or now - place.told_at < TOLD_S for place in places.values())
+        return Floor(service, engine, places, records, self.usage, now, hears_all)
 
     def refresh_places(self, service: str, now: float) -> None:
         """Follow servers that came, went or restarted, and orders that should be done."""
@@ -167,7 +165,7 @@
             return False
         if place.orders is None:
             return True
-        if place.loading or place.unloading:
+        if place.is_busy:
             return now >= place.busy_until
         differs = set(record.entry.models) != place.models
         return differs and record.seen_at > max(place.read_at, place.ordered_at + REREAD_S)
@@ -179,7 +177,19 @@
             place = self.places.get(server_id)
             if place is None or place.born_ms != born_ms or place.ours:
                 continue
-            place.take_word(dict(held), changes.get(server_id, ("", 0.0, "")), now)
+            change = changes.get(server_id, ("", 0.0, ""))
+            self.count_remote_load(place, change[0], now)
+            place.take_word(dict(held), change, now)
+
+    def count_remote_load(self, place: Place, loading: str, now: float) -> None:
+        """Count a load that another holder has begun, from the weight store for all one knows."""
+        record = self.view.fleet.get(place.server_id)
+        if not loading or loading == place.loading or record is None:
+            return
+        rate = self.rates.get(record.entry.service)
+        at_hand = record.entry.in_memory | record.entry.on_disk
+        if rate is not None and loading not in at_hand:
+            rate.count(False, now)
 
     async def read_report(self, server_id: str) -> None:
         """Ask an engine what it holds."""
--- a/test/test_edge_orders.py
+++ b/test/test_edge_orders.py
@@ -2,7 +2,13 @@
 
 import asyncio
 
-from rhubarbshed.coordination.serving.placement import Floor, LoadRate, plan_adapters, plan_models
+from rhubarbshed.coordination.serving.placement import (
+    Floor,
+    LoadRate,
+    forget_met_wants,
+    plan_adapters,
+    plan_models,
+)
 from rhubarbshed.protocol.orders import OrderKind
 from rhubarbshed.protocol.routes import EngineSpec, ModelSpec
 from rhubarbshed.protocol.servers import ServerOrder, ServerReport
@@ -44,8 +50,8 @@
     return Floor("svc", engine, places, dict(fleet.servers), usage, NOW)
 
 
-def make_rate() -> LoadRate:
-    return LoadRate(1.0, 3.0, 3.0, NOW)
+def make_rate(limit: int = 9) -> LoadRate:
+    return LoadRate(limit, 5.0, 1)
 
 
 def test_model_that_a_caller_waits_for_takes_free_room_first():
@@ -83,13 +89,30 @@
     assert moves and moves[0].kind is OrderKind.UNLOAD
 
 
-def test_loads_keep_to_the_rate_of_the_weight_store():
+def test_loads_keep_under_the_ceiling_of_the_weight_store():
     usage = Usage()
     for name in ("m1", "m2", "m3"):
         usage.note_want(("svc", name, ""), NOW)
     engine = make_engine(m1=0, m2=0, m3=0)
     floor = make_floor(engine, usage, b1={}, b2={}, b3={})
-    assert len(plan_models(floor, LoadRate(1.0, 1.0, 1.0, NOW))) == 1
+    assert len(plan_models(floor, make_rate(limit=1))) == 1
+
+
+def test_holders_keep_under_the_ceiling_together_whether_they_hear_each_other_or_not():
+    for hears_all in (True, False):
+        rates = [LoadRate.from_bounds(1.6, 5.0, 1.1, 3) for _ in range(3)]
+        begun = []
+        for step in range(400):
+            now = NOW + step * 0.05
+            starting = [rate for rate in rates if rate.allows(hears_all, now)]
+            for rate in starting:
+                begun.append(now)
+                for other in rates:
+                    if other is rate or hears_all:
+                        other.count(other is rate, now)
+        for at in begun:
+            assert sum(1 for each in begun if at <= each < at + 5.0) <= 1.6 * 5 * 1.1 + 3
+        assert len(begun) > 15
 
 
 def test_wanted_adapter_takes_the_place_of_the_one_least_asked_for():
@@ -105,6 +128,18 @@
     ]
 
 
+def test_want_that_was_met_does_not_bring_its_adapter_back_after_it_made_way():
+    usage = Usage()
+    for adapter in ("a1", "a2", "a3"):
+        usage.note_want(("svc", "m1", adapter), NOW)
+    floor = make_floor(make_engine(1, m1=3), usage, b1={"m1": ["a1"]})
+    forget_met_wants(floor)
+    assert [target[2] for target in usage.list_wanted(NOW - 1.0)] == ["a2", "a3"]
+    floor = make_floor(make_engine(1, m1=3), usage, b1={"m1": ["a2"]})
+    forget_met_wants(floor)
+    assert [move.adapter for move in plan_adapters(floor)] == ["a2", "a3"]
+
+
 def test_order_without_an_answer_counts_until_a_newer_one_is_accepted():
     engine = make_engine(2, m1=4)
     place = Place("b1", 1, orders=3)
@@ -131,6 +166,19 @@
     assert not place.has_room(order, engine)
 
 
+def test_engine_that_is_busy_for_a_former_holder_gets_no_order():
+    """What it loads is not in its report yet, so its room is not known."""
+    usage = Usage()
+    usage.note_want(("svc", "m2", ""), NOW)
+    floor = make_floor(make_engine(m1=0, m2=0), usage, b1={"m1": []})
+    place = floor.places["b1"]
+    held = {"m1": frozenset()}
+    place.take_report(ServerReport(held, True, 4, 0, 0, 0, 0, 1), NOW)
+    assert plan_models(floor, make_rate()) == []
+    place.take_report(ServerReport(held, False, 4, 0, 0, 0, 0, 1), NOW)
+    assert len(plan_models(floor, make_rate())) == 1
+
+
 async def reply_with_stream(exchange: Exchange) -> None:
     """Answer as an engine that has what is asked for, else say that it has not."""
     model, _, adapter = exchange.headers["rhubarbshed-model"].partition("/")
