Try a fast rate of demand beside the slow one, and fewer lesser moves at once

Ruled out: fewer requests at once on a server: callers are better off with a stream that pauses a fifth of a second than with none. Change: the larger of a rate over 1.5 s and one over 5 s counts; lesser moves wait while a fifth of the engines is busy.

--- a/rhubarbshed/coordination/serving/placement.py
+++ b/rhubarbshed/coordination/serving/placement.py
@@ -37,7 +37,7 @@
 then takes the room of one that has not been asked for in some seconds, and of nothing busier."""
 
 URGENT_WORTH = 1.0
-BUSY_PART = 0.4
+BUSY_PART = 0.2
 """Worth from which a change is made at any time; others wait while that part of the engines is
 busy with orders, since a busy engine takes no adapters."""
 
--- a/rhubarbshed/state/usage.py
+++ b/rhubarbshed/state/usage.py
@@ -4,9 +4,13 @@
 
 from attrs import define, field
 
-WINDOW_S = 5.0
-"""Time in which a request counts less by a factor of e: demand moves within some seconds, and a
-load takes as long."""
+SLOW_WINDOW_S = 5.0
+FAST_WINDOW_S = 1.5
+"""Times in which a request counts less by a factor of e. The larger rate of both counts: demand
+that rises is seen by the fast one, and what falls silent for a moment stays by the slow one."""
+
+FAST_WEIGHT_MIN = 3.0
+"""Recent requests from which the fast rate counts; fewer say little."""
 
 SEEN_MIN_S = 0.5
 """Time that counts as seen at the least, so that the first requests do not look like a flood."""
@@ -20,26 +24,40 @@
 
 @define
 class Use:
-    """Hold a decaying sum of requests as of `at`, and when the target was last asked for."""
+    """Hold decaying sums of requests as of `at`, and when the target was last asked for."""
 
-    weight: float = 0.0
+    slow: float = 0.0
+    fast: float = 0.0
     at: float = 0.0
     asked_at: float = -math.inf
 
     def add(self, count: float, now: float) -> None:
         """Count requests."""
-        self.weight = self.weight * _decay(now - self.at) + count
+        self.slow = self.slow * _decay(now - self.at, SLOW_WINDOW_S) + count
+        self.fast = self.fast * _decay(now - self.at, FAST_WINDOW_S) + count
         self.at = now
         self.asked_at = now
 
     def measure_rate(self, since: float, now: float) -> float:
         """Return requests per second, where counting began at `since`."""
-        seen_s = max(SEEN_MIN_S, WINDOW_S * (1.0 - _decay(now - since)))
-        return self.weight * _decay(now - self.at) / seen_s
+        slow = (
+            self.slow
+            * _decay(now - self.at, SLOW_WINDOW_S)
+            / _measure_seen(SLOW_WINDOW_S, now - since)
+        )
+        weight = self.fast * _decay(now - self.at, FAST_WINDOW_S)
+        if weight < FAST_WEIGHT_MIN:
+            return slow
+        return max(slow, weight / _measure_seen(FAST_WINDOW_S, now - since))
+
+
+def _measure_seen(window_s: float, age_s: float) -> float:
+    """Return the time that a window's sum stands for while it fills."""
+    return max(SEEN_MIN_S, window_s * (1.0 - _decay(age_s, window_s)))
 
 
-def _decay(age_s: float) -> float:
-    return math.exp(-max(0.0, age_s) / WINDOW_S)
+def _decay(age_s: float, window_s: float) -> float:
+    return math.exp(-max(0.0, age_s) / window_s)
 
 
 @define
