Let callers with long patience wait for rare models, each in turn

Change: a wait lasts as long as four fifths of the caller's patience; a want counts more the longer it lasts.

--- a/rhubarbshed/coordination/serving/absence.py
+++ b/rhubarbshed/coordination/serving/absence.py
@@ -15,9 +15,6 @@
 ORDER_S = 0.25
 """Time for a word to the order holder, its decision and its order."""
 
-LOAD_MARGIN = 3.0
-"""Factor on a load's time, which grows while several run and while room is made first."""
-
 PATIENCE_PART = 0.8
 """Part of a caller's patience that may go into waiting; the rest is for the answer."""
 
@@ -53,15 +50,13 @@
     spec = engine.models.get(model) if engine is not None else None
     if spec is None:
         return Absent("absent")
-    if adapter and any(model in record.held for record in capable):
-        expected_s, limit_s = ORDER_S, ADAPTER_WAIT_S
-    else:
-        expected_s = min(_find_ready_time(spec, record, now) for record in capable)
-        limit_s = ORDER_S + expected_s * LOAD_MARGIN
     left_s = (leaves_at - now) * PATIENCE_PART
+    if adapter and any(model in record.held for record in capable):
+        return Waiting(now + min(ADAPTER_WAIT_S, left_s), ORDER_S)
+    expected_s = min(_find_ready_time(spec, record, now) for record in capable)
     if expected_s > left_s:
         return Absent("absent", expected_s)
-    return Waiting(now + min(limit_s, left_s), expected_s)
+    return Waiting(now + left_s, expected_s)
 
 
 def _find_ready_time(spec: ModelSpec, record: ServerRecord, now: float) -> float:
--- a/rhubarbshed/coordination/serving/placement.py
+++ b/rhubarbshed/coordination/serving/placement.py
@@ -36,6 +36,10 @@
 """Requests a second that count for a caller who waits. With it a model that is asked for now and
 then takes the room of one that has not been asked for in some seconds, and of nothing busier."""
 
+WAITING_RATE = 0.1
+"""Requests a second that count beside for each second that a caller has waited, so that each model
+has its turn before callers leave."""
+
 URGENT_WORTH = 1.0
 BUSY_PART = 0.2
 """Worth from which a change is made at any time; others wait while that part of the engines is
@@ -188,10 +192,6 @@
             if target[:2] == (self.service, model)
         ]
 
-    def is_wanted(self, model: str) -> bool:
-        """Tell whether a caller waits for a model or one of its adapters."""
-        return bool(self.list_wants(model))
-
     def is_busy(self, place: Place) -> bool:
         """Tell whether an engine carries out an order for a model."""
         return place.is_busy or place.server_id in self.touched
@@ -209,7 +209,10 @@
             part += CROWDING_PART * max(0.0, crowding)
         gain = rate * part
         if copies == 0:
-            gain += RARE_RATE + (WANTED_RATE if self.is_wanted(model) else 0.0)
+            gain += RARE_RATE
+            waits = [self.usage.measure_want(want, self.now) for want in self.list_wants(model)]
+            if waits:
+                gain += WANTED_RATE + WAITING_RATE * max(waits)
         return gain
 
     def measure_free(self, place: Place, name: str) -> float:
