Keep the front's metrics by prometheus_client; test settings, logs and the daemon from outside

Cause: the front wrote the text format of its metrics by hand, against the house's rule. Ruled out: aioprometheus at start (0.56 s and 20 MB, measured in shared/CONVENTIONS.md) or at the first question (the loop would stand still for as long while requests wait). Change: prometheus_client, its nearest kin: 0.04 s and 4.9 MB to import. Tests of missing settings (exit 2), a change without a signal, SIGHUP, SIGTERM (exit 0), the line of a request, metrics, and the bound of the log.

--- a/rhubarbshed/transport/edge/node.py
+++ b/rhubarbshed/transport/edge/node.py
@@ -73,7 +73,7 @@
         """Make an instance that does nothing yet."""
         view = View.from_settings(settings)
         pool = Pool(CONNECT_TIMEOUT_S)
-        numbers = Numbers()
+        numbers = Numbers.from_instance()
         store = StoreClient(settings.store, Pool(STORE_CONNECT_S))
         tenure = Tenure(settings.lease_s, LEASE_JITTER_S * view.chance.random())
         address = (settings.host, settings.peers_port)
--- /dev/null
+++ b/test/test_edge_front.py
@@ -0,0 +1,174 @@
+"""The front's settings, logs, metrics and command, from outside."""
+
+import asyncio
+import logging
+import os
+import signal
+import subprocess
+import sys
+import time
+
+from returns.result import Failure
+
+from rhubarbshed.util.front import FrontSettings
+from rhubarbshed.util.lines import LINES_BURST, LINES_PER_S, BoundedHandler
+from rhubarbshed.util.logs import log_event
+from standin.replica import Replica
+from test.helper_edge import make_configuration, make_route, make_settings, play, run_edge
+
+TEXT = """
+[instance]
+name = i1
+data_centre = a
+host = 127.0.0.1
+unknown = ignored
+[listen]
+callers = 127.0.0.1:{callers}
+ready = 127.0.0.1:{ready}
+peers_ports = {peers},{peers}
+metrics_port = {metrics}
+[platform]
+store = 127.0.0.1:{store}
+[limits]
+memory_mb = 100
+[bounds]
+drain_ms = 2000
+config_apply_ms = 2000
+stable_ms = 3000
+lease_ms = 3000
+grace_s = 8
+retry_ratio = 0.2
+retry_window_s = 10
+retry_extra = 100
+ceiling_window_s = 5
+ceiling_overage = 1.1
+[log]
+level = info
+[unknown]
+"""
+
+
+def make_text(store_port: int) -> str:
+    settings = make_settings(("127.0.0.1", store_port))
+    return TEXT.format(
+        callers=settings.callers[1],
+        ready=settings.ready[1],
+        peers=settings.peers_port,
+        metrics=settings.metrics_port,
+        store=store_port,
+    )
+
+
+def test_all_that_is_wrong_with_settings_is_told(tmp_path):
+    path = tmp_path / "node.ini"
+    text = make_text(1).replace("name = i1", "").replace("grace_s = 8", "grace_s = soon")
+    path.write_text(text.replace("store = 127.0.0.1:1", "store = nowhere"))
+    read = FrontSettings.from_file(str(path))
+    assert isinstance(read, Failure)
+    told = " ".join(read.failure())
+    for word in ("[instance] name is missing", "grace_s is no number", "store is no address"):
+        assert word in told
+
+
+def test_missing_settings_end_the_daemon_with_one_line_and_code_2():
+    environment = {**os.environ, "RHUBARBSHED_SETTINGS": "/nowhere.ini"}
+    done = subprocess.run(
+        [sys.executable, "-m", "rhubarbshed.front"], env=environment, capture_output=True, text=True
+    )
+    assert done.returncode == 2
+    assert len(done.stderr.strip().splitlines()) == 1 and "/nowhere.ini" in done.stderr
+
+
+def test_daemon_serves_takes_new_settings_and_ends_with_0(tmp_path):
+    async def scene():
+        async with run_edge(make_configuration(make_route()), Replica("b1")) as edge:
+            path = tmp_path / "node.ini"
+            path.write_text(make_text(edge.store.address[1]))
+            process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "rhubarbshed.front",
+                env={**os.environ, "RHUBARBSHED_SETTINGS": str(path)},
+                stdout=asyncio.subprocess.PIPE,
+            )
+            lines: list[str] = []
+
+            async def read_until(word: str) -> None:
+                while not lines or word not in lines[-1]:
+                    line = await asyncio.wait_for(process.stdout.readline(), 8.0)
+                    assert line, lines
+                    lines.append(line.decode())
+
+            await read_until("event=server_came")
+            path.write_text(path.read_text().replace("level = info", "level = debug"))
+            await read_until("event=reloaded")
+            path.write_text(path.read_text().replace("level = debug", "level = info"))
+            process.send_signal(signal.SIGHUP)
+            await read_until("event=reloaded")
+            process.send_signal(signal.SIGTERM)
+            await read_until("event=drain_started")
+            assert await asyncio.wait_for(process.wait(), 9.0) == 0
+
+    play(scene)
+
+
+def test_each_request_leaves_a_line_with_what_decided(caplog):
+    async def scene():
+        async with run_edge(make_configuration(make_route()), Replica("b1")) as edge:
+            caplog.set_level(logging.INFO)
+            await edge.ask(Rhubarbshed_Request_Id="q77")
+            (record,) = [each for each in caplog.records if each.getMessage() == "request_ended"]
+            fields = record.pairs
+            assert fields["request"] == "q77" and fields["servers"] == "b1"
+            assert fields["configuration"] == 1 and fields["status"] == 200
+            assert fields["fleet_age_s"] >= 0
+
+    play(scene)
+
+
+def test_metrics_are_served_as_text():
+    async def scene():
+        async with run_edge(make_configuration(make_route()), Replica("b1")) as edge:
+            await edge.ask()
+            port = edge.node.settings.metrics_port
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.write(b"GET /metrics HTTP/1.1\r\nHost: m\r\nConnection: close\r\n\r\n")
+            text = (await reader.read()).decode()
+            assert 'rhubarbshed_requests_total{route="rp",status="200"} 1.0' in text
+            assert "rhubarbshed_request_seconds_bucket" in text
+            assert "rhubarbshed_servers 1.0" in text
+            writer.close()
+
+    play(scene)
+
+
+def test_log_is_bounded_counts_what_it_drops_and_never_waits():
+    reader, writer = os.pipe()
+    handler = BoundedHandler(writer)
+    logger = logging.getLogger("bounded")
+    logger.setLevel(logging.INFO)
+    logger.propagate = False
+    logger.addHandler(handler)
+    try:
+        begun, count = time.monotonic(), int(LINES_BURST) * 2
+        for number in range(count):
+            log_event(logger, logging.INFO, "line", number=number, words="x" * 200)
+        allowed = LINES_BURST + LINES_PER_S * (time.monotonic() - begun) + 1
+        assert 0 < count - handler.dropped <= allowed
+        assert handler.pending_bytes > 0, "nobody reads, and nothing waited"
+        os.set_blocking(reader, False)
+        handler.tokens = 10.0
+        text = b""
+        for _ in range(2000):
+            handler.flush()
+            try:
+                text += os.read(reader, 65_536)
+            except BlockingIOError:
+                break
+        log_event(logger, logging.INFO, "after")
+        text += os.read(reader, 65_536)
+        assert b"event=lines_dropped count=" in text and b"event=after" in text
+    finally:
+        logger.removeHandler(handler)
+        os.close(reader)
+        os.close(writer)
