Ask a server that was silent a moment ago rather than none

Cause: reading the choice for what happens when all servers of a service were silent once: each instance would refuse all requests for half a second to four. Ruled out: shorter pauses; a dark server would draw requests again and again. Change: servers left out after a silence are the last resort; nothing is waited for without servers. Before and after: test_server_that_was_silent_is_still_better_than_none failed with no_servers, passes.

--- a/rhubarbshed/coordination/serving/absence.py
+++ b/rhubarbshed/coordination/serving/absence.py
@@ -48,7 +48,7 @@
     """
     model, adapter = needs
     spec = engine.models.get(model) if engine is not None else None
-    if spec is None:
+    if spec is None or not capable:
         return Absent("absent")
     left_s = (leaves_at - now) * PATIENCE_PART
     if adapter and any(model in record.held for record in capable):
--- a/rhubarbshed/coordination/serving/choice.py
+++ b/rhubarbshed/coordination/serving/choice.py
@@ -74,10 +74,13 @@
     Servers to `avoid` were tried before and failed.
     """
     model, adapter = needs
-    capable = [record for record in fleet.list_service(service) if record.takes_work(now)]
-    if not capable:
+    staying = [record for record in fleet.list_service(service) if record.leaving_at is None]
+    if not staying:
         return NoServer("no_servers")
+    capable = [record for record in staying if record.takes_work(now)]
     holders = [record for record in capable if not model or record.holds(model, adapter)]
+    # One that was silent a moment ago is better than none.
+    holders = holders or [record for record in staying if not model or record.holds(model, adapter)]
     if not holders:
         return NoServer("absent", capable=len(capable))
     fresh = [record for record in holders if record.key not in avoid]
--- a/rhubarbshed/transport/edge/relay.py
+++ b/rhubarbshed/transport/edge/relay.py
@@ -217,7 +217,7 @@
         view = self.relay.view
         model, adapter = self.request.model, self.request.adapter
         capable = [
-            record for record in view.fleet.list_service(self.service) if record.takes_work(now)
+            record for record in view.fleet.list_service(self.service) if record.leaving_at is None
         ]
         engine = view.configuration.find_engine(self.service)
         leaves_at = min(self.deadline, self.request.received_at + self.route.stall_s)
