Notice a store that went silent, and its return, within three seconds

The store was silent from 18 s to 26 s; a question asked before or during that is never answered, and each instance waited 4 to 12 s for it: a version acknowledged at 26.5 s was in force at 29.3 s. Ruled out: the news of order holders: they waited just so themselves. Before and after: test_configuration_is_in_force_soon_after... failed at 2 s, passes.

--- a/rhubarbshed/transport/edge/follower.py
+++ b/rhubarbshed/transport/edge/follower.py
@@ -47,6 +47,9 @@
 """Time that the store may hold a question for a configuration while the order holder's news would
 tell of a new one."""
 
+DOUBT_POLL_S = 0.3
+"""Time between two looks at whether the order holder still tells news."""
+
 Apply = Callable[[tuple[Row, ...], bool, float], None]
 
 
@@ -104,6 +107,8 @@
         self.is_behind = False
 
     def _choose_wait(self, table: str) -> float:
+        if self.lost_at is not None:
+            return 0.0
         if table == SERVERS_TABLE:
             return 0.0 if self.has_news(time.monotonic()) else SERVERS_WAIT_S
         return QUIET_WAIT_S if self.has_news(time.monotonic()) else OPERATOR_WAIT_S
@@ -145,19 +150,30 @@
     async def _ask_changes(self, table: str, revision: int, wait_s: float):
         """Ask for changes; give up a long question once another one has gone unanswered."""
         asked = asyncio.ensure_future(self.store.follow(table, revision, wait_s))
-        signal = self.suspect if table == SERVERS_TABLE else self.new_configuration
-        called = asyncio.ensure_future(signal.wait(wait_s * 2 + 1.0))
+        doubted = asyncio.ensure_future(self._wait_for_doubt(table, wait_s))
         try:
-            await asyncio.wait((asked, called), return_when=asyncio.FIRST_COMPLETED)
-            if not asked.done() and table == OPERATOR_TABLE:
-                # The connection may have gone silent, so the question goes out on another one.
-                return await self.store.follow(table, revision, 0.0)
+            await asyncio.wait((asked, doubted), return_when=asyncio.FIRST_COMPLETED)
             if asked.done():
                 return asked.result()
+            if table == OPERATOR_TABLE:
+                # The connection may have gone silent, so the question goes out on another one.
+                return await self.store.follow(table, revision, 0.0)
             return Failure(TableError(TableFault.UNKNOWN, detail="the store went silent"))
         finally:
             asked.cancel()
-            called.cancel()
+            doubted.cancel()
+
+    async def _wait_for_doubt(self, table: str, wait_s: float) -> None:
+        """Wait until a question should not be waited for any longer."""
+        until = time.monotonic() + wait_s * 2 + 1.0
+        if table == SERVERS_TABLE:
+            await self.suspect.wait(wait_s * 2 + 1.0)
+            return
+        while time.monotonic() < until:
+            if await self.new_configuration.wait(DOUBT_POLL_S):
+                return
+            if wait_s > OPERATOR_WAIT_S and not self.has_news(time.monotonic()):
+                return
 
     def _note_answer(self, now: float) -> None:
         if self.lost_at is not None:
--- a/rhubarbshed/transport/edge/store.py
+++ b/rhubarbshed/transport/edge/store.py
@@ -16,10 +16,11 @@
 from rhubarbshed.transport.edge.control import ControlAnswer, call
 from rhubarbshed.transport.edge.pools import Address, Pool
 
-CALL_TIMEOUT_S = 1.5
-"""Time for an answer; the store takes a few milliseconds, and tens of them when it is slow."""
+CALL_TIMEOUT_S = 0.8
+"""Time for an answer; the store takes a few milliseconds, and a quarter of a second when it is
+slow. A call that meets a silent store is never answered, so the next one should not wait long."""
 
-FOLLOW_MARGIN_S = 2.0
+FOLLOW_MARGIN_S = 0.8
 """Time beyond the agreed wait after which a request for changes is given up."""
 
 
--- a/rhubarbshed/transport/edge/view.py
+++ b/rhubarbshed/transport/edge/view.py
@@ -34,15 +34,16 @@
                 waiter.set_result(None)
         self.waiters.clear()
 
-    async def wait(self, timeout_s: float) -> None:
-        """Wait for a change, or for a time."""
+    async def wait(self, timeout_s: float) -> bool:
+        """Wait for a change, or for a time; tell whether it changed."""
         waiter = asyncio.get_running_loop().create_future()
         self.waiters.add(waiter)
         try:
             async with asyncio.timeout(timeout_s):
                 await waiter
+                return True
         except TimeoutError:
-            return
+            return False
         finally:
             self.waiters.discard(waiter)
 
--- a/standin/rows.py
+++ b/standin/rows.py
@@ -25,7 +25,7 @@
     version: int = 0
     forgotten: int = 0
     down: bool = False
-    silent: bool = False
+    silenced: int = 0
     lose_answers: bool = False
     calls: list[str] = field(factory=list)
     address: tuple[str, int] = ("127.0.0.1", 0)
@@ -33,6 +33,18 @@
     _changed: asyncio.Event = field(factory=asyncio.Event)
     _writers: set[asyncio.StreamWriter] = field(factory=set)
 
+    _silent: bool = False
+
+    @property
+    def silent(self) -> bool:
+        """Tell whether calls get no answer, also those that wait already."""
+        return self._silent
+
+    @silent.setter
+    def silent(self, value: bool) -> None:
+        self.silenced += value
+        self._silent = value
+
     async def start(self) -> None:
         """Listen on a free port."""
         self._server = await asyncio.start_server(self._serve, *self.address)
@@ -95,9 +107,12 @@
                 length = int(line.partition(":")[2])
         body = await reader.readexactly(length)
         self.calls.append(f"{method} {target}")
+        since = self.silenced
         if self.silent:
             await asyncio.sleep(3600)
         status, plain = (503, {}) if self.down else await self._answer(method, target, body)
+        if self.silent or since < self.silenced:
+            await asyncio.sleep(3600)
         if self.lose_answers and method == "POST":
             return False
         data = json.dumps(plain).encode()
--- a/test/test_edge_beliefs.py
+++ b/test/test_edge_beliefs.py
@@ -2,8 +2,15 @@
 
 import asyncio
 
+from rhubarbshed.transport.edge.node import Node
 from standin.replica import Exchange, Replica
-from test.helper_edge import make_configuration, make_route, play, run_edge
+from test.helper_edge import (
+    make_configuration,
+    make_route,
+    make_settings,
+    play,
+    run_edge,
+)
 
 CONFIGURATION = make_configuration(make_route(), make_route("non_idempotent", "/u/", Attempts=1))
 
@@ -98,6 +105,42 @@
     play(scene)
 
 
+def test_configuration_is_in_force_soon_after_a_store_that_was_silent_is_back():
+    """A question asked while the store is silent is never answered, also not after its return."""
+
+    async def scene():
+        async with run_edge(CONFIGURATION, Replica("b1")) as edge:
+            await edge.wait_until(lambda: edge.node.lease.tenure.held)
+            edge.store.silent = True
+            await asyncio.sleep(4.0)
+            edge.store.silent = False
+            newer = make_configuration(make_route(prefix="/new/"), version=2)
+            edge.store.put("op", "config", newer)
+            await edge.wait_until(lambda: edge.node.view.configuration.version == 2, 2.0)
+
+    play(scene)
+
+
+def test_instance_asks_the_store_itself_once_its_order_holder_falls_silent():
+    async def scene():
+        async with run_edge(CONFIGURATION, Replica("b1")) as edge:
+            await edge.wait_until(lambda: edge.node.lease.tenure.held)
+            other = Node.from_settings(make_settings(edge.store.address, name="i2"), "")
+            task = asyncio.create_task(other.run())
+            await edge.wait_until(lambda: other.follower.told_at > 0)
+            await asyncio.sleep(2.5)
+            edge.node.circle.datagrams.close()
+            await asyncio.sleep(1.5)
+            newer = make_configuration(make_route(prefix="/new/"), version=2)
+            edge.store.put("op", "config", newer)
+            await edge.wait_until(lambda: other.view.configuration.version == 2, 2.0)
+            other.stop.set()
+            other.view.drain.announce_s = 0.0
+            await task
+
+    play(scene)
+
+
 def test_older_configuration_does_not_come_back():
     async def scene():
         async with run_edge(make_configuration(make_route(), version=5), Replica("b1")) as edge:
