Count no engine as a holder that is missing from the store or cannot be reached

Ruled out: an order without an answer as a sign (orders get lost while the engine serves). Change: engines without an entry, and those that an order could not be sent to, neither count as holders nor get orders; where most entries are missing, the store was away and they count. Before and after: test_engine_without_an_entry_... failed (no move), and passes.

--- a/rhubarbshed/coordination/serving/placement.py
+++ b/rhubarbshed/coordination/serving/placement.py
@@ -163,9 +163,19 @@
             and (place.ours or self.now - place.told_at < TOLD_S)
             and server_id not in self.touched
             and not place.is_busy
-            and self.records[server_id].takes_work(self.now)
+            and self.is_there(server_id)
         ]
 
+    def is_there(self, server_id: str) -> bool:
+        """Tell whether an engine takes work and is not missing from the store.
+
+        Where most of them are missing it is the store that was away.
+        """
+        doubted = sum(1 for each in self.records.values() if each.doubted_since is not None)
+        record = self.records[server_id]
+        missing = record.doubted_since is not None and doubted * 2 <= len(self.records)
+        return record.takes_work(self.now) and not missing
+
     def is_overdue(self, target: Target, after_s: float) -> bool:
         """Tell whether callers have waited so long that no other holder seems to act."""
         return self.usage.measure_want(target, self.now) > after_s
@@ -177,7 +187,7 @@
             for server_id, place in self.places.items()
             if (model in place.models or model in (place.loading, place.find_intent(self.now)))
             and model != place.unloading
-            and self.records[server_id].takes_work(self.now)
+            and self.is_there(server_id)
         ]
 
     def measure_rate(self, model: str) -> float:
--- a/rhubarbshed/transport/edge/holder.py
+++ b/rhubarbshed/transport/edge/holder.py
@@ -284,6 +284,8 @@
             place.doubts.remove(doubt)
         if end in (OrderEnd.ACCEPTED, OrderEnd.HOLDS):
             self.note_accepted(place, order, end, now + takes_s, now)
+        if end is OrderEnd.NOT_SENT:
+            record.record_silence(now)
         self.numbers.count_order(move.kind.value, end.value)
         log_event(
             LOG,
--- a/test/test_edge_orders.py
+++ b/test/test_edge_orders.py
@@ -89,6 +89,29 @@
     assert moves and moves[0].kind is OrderKind.UNLOAD
 
 
+def test_engine_without_an_entry_is_neither_a_holder_nor_gets_orders():
+    usage = Usage()
+    usage.note_want(("svc", "m1", ""), NOW)
+    engine = make_engine(m1=0)
+    floor = make_floor(engine, usage, b1={"m1": []}, b2={}, b3={})
+    floor.records["b1"].doubted_since = NOW
+    assert [move.server_id for move in plan_models(floor, make_rate())][0] in ("b2", "b3")
+    for record in floor.records.values():
+        record.doubted_since = NOW
+    floor = make_floor(engine, usage, b1={"m1": []}, b2={}, b3={})
+    for record in floor.records.values():
+        record.doubted_since = NOW
+    assert plan_models(floor, make_rate()) == [], "all lapsed: the store was away"
+
+
+def test_engine_that_does_not_answer_orders_is_left_out_for_a_while():
+    usage = Usage()
+    usage.note_want(("svc", "m1", ""), NOW)
+    floor = make_floor(make_engine(m1=0), usage, b1={})
+    floor.records["b1"].record_silence(NOW)
+    assert plan_models(floor, make_rate()) == []
+
+
 def test_loads_keep_under_the_ceiling_of_the_weight_store():
     usage = Usage()
     for name in ("m1", "m2", "m3"):
