Load the models of a crashed engine elsewhere at once; go back to one that has loaded its adapter

A crashed engine counted as the holder of its models until its entry lapsed 3.6 s later, a request never went back to an engine that had lacked its adapter, and the order holder was not told that its belief was wrong. Ruled out: dropping the adapter from the count of places at once; a 421 may be older than the load, and one place too few counted crashes an engine (LIMIT). Change: instances tell the order holder which servers turn connections down and which lack what; such an engine is no holder for the time that a silent one is left out; requests whose engines were all down wait as for an absent model; a lacking adapter is ordered again in its own place. 421 from another server at the address is told apart by its id. Before and after: two tests that failed with 503, and pass.

--- a/rhubarbshed/coordination/serving/placement.py
+++ b/rhubarbshed/coordination/serving/placement.py
@@ -353,7 +353,7 @@
             continue
         key = (model, adapter)
         for place in floor.list_holders(model):
-            if model in place.models and (not adapter or key in place.adapters):
+            if model in place.models and (not adapter or place.has_adapter(key)):
                 floor.usage.forget_want(target)
                 break
 
@@ -368,7 +368,7 @@
             continue
         key = (model, adapter)
         holders = [place for place in floor.list_holders(model) if model in place.models]
-        if any(key in place.adapters or key in place.pending for place in holders):
+        if any(place.has_adapter(key) for place in holders):
             continue
         if floor.is_overdue((service, *key), ADAPTER_PATIENCE_S):
             holders = [place for place in holders if place.ours]
@@ -394,9 +394,10 @@
     ]
     if not idle:
         return []
-    best = min(idle, key=lambda place: (_count_taken(place, taken), place.server_id))
+    lacking = [place for place in idle if key in place.adapters]
+    best = min(lacking or idle, key=lambda place: (_count_taken(place, taken), place.server_id))
     load = Move(best.server_id, OrderKind.LOAD, *key, "wanted")
-    if _count_taken(best, taken) < floor.engine.adapter_places:
+    if lacking or _count_taken(best, taken) < floor.engine.adapter_places:
         return [load]
     victims = [
         (_measure_adapter_use(floor, held), place.server_id, held)
--- a/rhubarbshed/platform/headers.py
+++ b/rhubarbshed/platform/headers.py
@@ -13,6 +13,7 @@
 PRIORITY = b"rhubarbshed-request-priority"
 SIGNATURE = b"rhubarbshed-response-signature"
 NOT_EXECUTED = b"rhubarbshed-not-executed"
+INSTANCE_ID = b"rhubarbshed-instance-id"
 SERVER_LOAD = b"rhubarbshed-server-load"
 LAST_EVENT_ID = b"last-event-id"
 
@@ -116,6 +117,7 @@
         signed=SIGNATURE in values,
         not_run=NOT_EXECUTED in values or status == STATUS_MISDIRECTED,
         encoded=b"content-encoding" in values,
+        server_id=values.get(INSTANCE_ID, b"").decode("latin-1"),
         load=_read_load(values.get(SERVER_LOAD, b"")),
     )
 
--- a/rhubarbshed/protocol/exchanges.py
+++ b/rhubarbshed/protocol/exchanges.py
@@ -44,7 +44,8 @@
     """Describe the head of a server's answer.
 
     `request_id` is the one that the server echoes. `not_run` is the server's word that it did not
-    run the request. `load` is (running, waiting, slots).
+    run the request. `server_id` is set where another server has the address. `load` is (running,
+    waiting, slots).
     """
 
     status: int
@@ -53,6 +54,7 @@
     signed: bool = False
     not_run: bool = False
     encoded: bool = False
+    server_id: str = ""
     load: tuple[int, int, int] | None = None
 
 
@@ -69,14 +71,17 @@
 class End(enum.Enum):
     """How an attempt ended.
 
-    `NOT_SENT` never left this instance; `REFUSED` did not run; the others after `DONE` may have
-    run. `ABSENT` is a refusal because the server lacks the model or is another one.
+    `NOT_SENT` and `DOWN` never left this instance, the latter because the server turned the
+    connection down; `REFUSED` did not run; the others after `DONE` may have run. `ABSENT` is a
+    refusal because the server lacks the model, `GONE` because it is another server.
     """
 
     DONE = "done"
     NOT_SENT = "not_sent"
+    DOWN = "down"
     REFUSED = "refused"
     ABSENT = "absent"
+    GONE = "gone"
     BROKEN = "broken"
     GARBLED = "garbled"
     SILENT = "silent"
@@ -85,3 +90,8 @@
     def may_have_run(self) -> bool:
         """Tell whether the server may have run the request."""
         return self in (End.DONE, End.BROKEN, End.GARBLED, End.SILENT)
+
+    @property
+    def was_sent(self) -> bool:
+        """Tell whether the request reached a server."""
+        return self not in (End.NOT_SENT, End.DOWN)
--- a/rhubarbshed/protocol/words.py
+++ b/rhubarbshed/protocol/words.py
@@ -17,13 +17,15 @@
     """Tell an order holder what was asked for since the last word.
 
     `counts` are (service, model, adapter, requests); `wants` are (service, model, adapter) that
-    callers wait for.
+    callers wait for. `lacks` are (server, born_ms, model, adapter) that a server said it has not,
+    with no model for a server that turns connections down.
     """
 
     sender: str
     data_centre: str
     counts: tuple[tuple[str, str, str, int], ...] = field(factory=tuple)
     wants: tuple[tuple[str, str, str], ...] = field(factory=tuple)
+    lacks: tuple[tuple[str, int, str, str], ...] = field(factory=tuple)
 
 
 @frozen
--- a/rhubarbshed/state/places.py
+++ b/rhubarbshed/state/places.py
@@ -11,6 +11,10 @@
 troubles tells: up to 12 s."""
 
 
+LOADED_S = 0.5
+"""Time after a load in which a server's word that it lacks an adapter may be older than that."""
+
+
 @define
 class Doubt:
     """Hold an order that got no answer: it takes effect while `expected` orders are accepted."""
@@ -27,7 +31,7 @@
     `told_at`. `orders` is the number of orders it has accepted, None until a report was read.
     `busy` tells of an order under way, which may be that of a holder before. `pending` are adapters
     being loaded with the time at which they should be there. `intended` is a model for which room
-    is being made.
+    is being made. `lacking` are adapters that the engine was found without, which keep their place.
     """
 
     server_id: str
@@ -45,6 +49,8 @@
     busy_until: float = 0.0
     doubts: list[Doubt] = field(factory=list)
     read_at: float = 0.0
+    recheck: bool = False
+    lacking: set[tuple[str, str]] = field(factory=set)
     intended: str = ""
     intended_until: float = 0.0
 
@@ -52,9 +58,11 @@
         """Take what an engine says of itself; it may be some hundred milliseconds old."""
         self.orders = report.orders
         self.read_at = now
+        self.recheck = False
         self.models = set(report.models)
         held = {(model, adapter) for model, names in report.models.items() for adapter in names}
         self.adapters = {key: self.adapters.get(key, now) for key in held}
+        self.lacking -= held
         self.pending = {key: now for key in report.pending if key not in held}
         self.busy = report.busy
         if not report.busy:
@@ -113,6 +121,15 @@
                 total += engine.models[model].adapter_mb
         return total
 
+    def doubt_adapter(self, key: tuple[str, str], now: float) -> None:
+        """Take it that an adapter is not there after all, unless it was loaded a moment ago."""
+        if now - self.adapters.get(key, now) > LOADED_S:
+            self.lacking.add(key)
+
+    def has_adapter(self, key: tuple[str, str]) -> bool:
+        """Tell whether an adapter is there or on its way."""
+        return (key in self.adapters and key not in self.lacking) or key in self.pending
+
     def find_intent(self, now: float) -> str:
         """Return the model for which room is being made here, if any."""
         return self.intended if self.unloading or now < self.intended_until else ""
@@ -125,7 +142,8 @@
             return False
         spec = engine.models[order.model]
         if order.adapter:
-            placed = self.count_adapters() < engine.adapter_places
+            counted = (order.model, order.adapter) in self.adapters
+            placed = counted or self.count_adapters() < engine.adapter_places
             return placed and self.measure_weights(engine) + spec.adapter_mb <= engine.weights_mb
         return self.measure_weights(engine) + spec.size_mb <= engine.weights_mb
 
@@ -138,6 +156,7 @@
         self.ordered_at = now
         self.doubts = []
         key = (order.model, order.adapter)
+        self.lacking.discard(key)
         if order.kind is OrderKind.LOAD and order.adapter:
             self.pending[key] = done_at
         elif order.kind is OrderKind.LOAD:
--- a/rhubarbshed/transport/edge/attempts.py
+++ b/rhubarbshed/transport/edge/attempts.py
@@ -6,11 +6,17 @@
 import h11
 from attrs import define, field
 
-from rhubarbshed.platform.headers import make_headers, read_head
+from rhubarbshed.platform.headers import STATUS_MISDIRECTED, make_headers, read_head
 from rhubarbshed.protocol.exchanges import CallerRequest, End, ServerHead
 from rhubarbshed.protocol.routes import Route
 from rhubarbshed.state.fleet import ServerRecord
-from rhubarbshed.transport.edge.channels import Channel, ChannelError, Event, GarbledError
+from rhubarbshed.transport.edge.channels import (
+    Channel,
+    ChannelError,
+    DownError,
+    Event,
+    GarbledError,
+)
 from rhubarbshed.transport.edge.lines import CallerLine
 from rhubarbshed.transport.edge.pools import Pool
 from rhubarbshed.transport.edge.streams import EventCutter
@@ -102,13 +108,16 @@
         fresh = not self.passage.route.repeatable
         try:
             self.channel = await self.pool.take(address, time.monotonic(), fresh)
+        except DownError as error:
+            self.detail = str(error)
+            return End.DOWN
         except ChannelError as error:
             self.detail = str(error)
             return End.NOT_SENT
         finished = False
         try:
             end = await self.exchange(may_repeat)
-            finished = end in (End.DONE, End.REFUSED, End.ABSENT) or self.failed
+            finished = end in (End.DONE, End.REFUSED, End.ABSENT, End.GONE) or self.failed
             return end
         except GarbledError as error:
             self.detail = str(error)
@@ -172,7 +181,9 @@
         while not isinstance(await self.channel.receive(), h11.EndOfMessage):
             pass
         self.channel.finish(response, time.monotonic())
-        return End.ABSENT if head.status == 421 else End.REFUSED
+        if head.server_id not in ("", self.record.entry.server_id):
+            return End.GONE
+        return End.ABSENT if head.status == STATUS_MISDIRECTED else End.REFUSED
 
     def check_success(self, head: ServerHead) -> None:
         """Raise where a success is not the server's own."""
--- a/rhubarbshed/transport/edge/channels.py
+++ b/rhubarbshed/transport/edge/channels.py
@@ -24,6 +24,10 @@
     """Report a connection that broke, or an answer that is none."""
 
 
+class DownError(ChannelError):
+    """Report an address where nobody listens."""
+
+
 class GarbledError(ChannelError):
     """Report bytes that are not the answer of the protocol."""
 
--- a/rhubarbshed/transport/edge/circle.py
+++ b/rhubarbshed/transport/edge/circle.py
@@ -96,11 +96,20 @@
         self.wanted_at[target] = now
         self.tell_demand(now, wants=(target,))
 
-    def tell_demand(self, now: float, wants: tuple[Target, ...] = ()) -> None:
+    def tell_lack(self, server_id: str, born_ms: int, model: str, adapter: str) -> None:
+        """Tell the holder that a server lacks something, or that it is down (no model)."""
+        self.tell_demand(time.monotonic(), lacks=((server_id, born_ms, model, adapter),))
+
+    def tell_demand(
+        self,
+        now: float,
+        wants: tuple[Target, ...] = (),
+        lacks: tuple[tuple[str, int, str, str], ...] = (),
+    ) -> None:
         """Tell the holder what was asked for since the last word."""
         settings = self.view.settings
         counts = tuple((*target, count) for target, count in self.counts.items())
-        word = DemandWord(settings.name, settings.data_centre, counts, wants)
+        word = DemandWord(settings.name, settings.data_centre, counts, wants, lacks)
         if self.is_holder:
             self.take_demand(word, now)
             self.forward(word)
@@ -235,7 +244,7 @@
         self.take_demand(word, now)
         if word.data_centre == self.view.settings.data_centre:
             self.instances[address] = now
-            if word.counts or word.wants:
+            if word.counts or word.wants or word.lacks:
                 self.forward(word)
 
     def take_demand(self, word: DemandWord, now: float) -> None:
@@ -245,7 +254,9 @@
             usage.count((service, model, adapter), count, now)
         for target in word.wants:
             usage.note_want(tuple(target), now)
-        if word.wants:
+        for server_id, born_ms, model, adapter in word.lacks:
+            self.desk.note_lack(server_id, born_ms, model, adapter, now)
+        if word.wants or word.lacks:
             self.desk.wake.fire()
 
     def take_holder(self, word: HolderWord, now: float) -> bool:
@@ -296,6 +307,6 @@
 def _group(place: Place) -> tuple[tuple[str, tuple[str, ...]], ...]:
     grouped: dict[str, list[str]] = {model: [] for model in sorted(place.models)}
     for model, adapter in sorted(place.adapters):
-        if model in grouped:
+        if model in grouped and (model, adapter) not in place.lacking:
             grouped[model].append(adapter)
     return tuple((model, tuple(names)) for model, names in grouped.items())
--- a/rhubarbshed/transport/edge/holder.py
+++ b/rhubarbshed/transport/edge/holder.py
@@ -163,7 +163,7 @@
         """
         if now - place.read_at < REREAD_S:
             return False
-        if place.orders is None:
+        if place.orders is None or place.recheck:
             return True
         if place.is_busy:
             return now >= place.busy_until
@@ -181,6 +181,24 @@
             self.count_remote_load(place, change[0], now)
             place.take_word(dict(held), change, now)
 
+    def note_lack(self, server_id: str, born_ms: int, model: str, adapter: str, now: float) -> None:
+        """Take an instance's word that an engine lacks something, or is down (no model).
+
+        What is said to be missing keeps its place until the engine itself is asked or ordered.
+        """
+        record, place = self.view.fleet.get(server_id), self.places.get(server_id)
+        if record is None or place is None or place.born_ms != born_ms:
+            return
+        if not model:
+            if record.takes_work(now):
+                record.record_silence(now)
+                log_event(LOG, logging.INFO, "server_down_told", server=server_id)
+            return
+        if adapter:
+            place.doubt_adapter((model, adapter), now)
+        elif model in place.models:
+            place.recheck = True
+
     def count_remote_load(self, place: Place, loading: str, now: float) -> None:
         """Count a load that another holder has begun, from the weight store for all one knows."""
         record = self.view.fleet.get(place.server_id)
--- a/rhubarbshed/transport/edge/pools.py
+++ b/rhubarbshed/transport/edge/pools.py
@@ -6,7 +6,7 @@
 
 from attrs import define, field
 
-from rhubarbshed.transport.edge.channels import Channel, ChannelError
+from rhubarbshed.transport.edge.channels import Channel, ChannelError, DownError
 
 IDLE_MARGIN_S = 0.5
 """Part of a server's idle time that is left unused: it may close while a request is on its way."""
@@ -45,6 +45,8 @@
         try:
             async with asyncio.timeout(self.connect_timeout_s):
                 _, channel = await loop.create_connection(make, *address)
+        except ConnectionRefusedError as error:
+            raise DownError(f"no connection: {error!r}") from error
         except (OSError, TimeoutError) as error:
             raise ChannelError(f"no connection: {error!r}") from error
         self.opened += 1
--- a/rhubarbshed/transport/edge/relay.py
+++ b/rhubarbshed/transport/edge/relay.py
@@ -43,13 +43,18 @@
 
 @define(eq=False)
 class Relay:
-    """Carry requests; `want` asks the order holder for a (service, model, adapter)."""
+    """Carry requests.
+
+    `want` asks the order holder for a (service, model, adapter); `tell_lack` tells it of a (server,
+    born_ms, model, adapter) that is not there.
+    """
 
     view: View
     pool: Pool
     numbers: Numbers
     want: Callable[[str, str, str], None]
     count_demand: Callable[[str, str, str], None]
+    tell_lack: Callable[[str, int, str, str], None]
     journeys: set["Journey"] = field(factory=set)
 
     @property
@@ -98,6 +103,7 @@
     in_flight: bool = False
     over_in_s: float | None = None
     ended: bool = False
+    only_lacked: bool = True
 
     def cut_off(self) -> None:
         """End the request now: the process stops."""
@@ -139,7 +145,8 @@
                 return expire(self.tries.run > 0)
             chosen = self.choose(now)
             if isinstance(chosen, NoServer):
-                if chosen.reason == "absent" and await self.wait_for_load(now):
+                lacked = chosen.reason == "all_tried" and self.only_lacked and self.request.model
+                if (chosen.reason == "absent" or lacked) and await self.wait_for_load(now):
                     continue
                 return self.give_up(chosen.reason)
             end = await self.attempt(chosen)
@@ -195,17 +202,23 @@
     def note_end(self, record: ServerRecord, attempt: Attempt, end: End) -> None:
         """Take what an attempt showed of its server."""
         now = time.monotonic()
-        self.avoid.add(record.key)
+        if end is not End.ABSENT or not self.request.model:
+            self.avoid.add(record.key)
+        if end not in (End.ABSENT, End.DOWN, End.GONE, End.NOT_SENT):
+            self.only_lacked = False
         if end.may_have_run:
             self.tries = Tries(self.tries.run + 1, self.tries.refused)
             record.record_end(end is not End.DONE or attempt.failed, now)
-        elif end is not End.NOT_SENT:
+        elif end.was_sent:
             self.tries = Tries(self.tries.run, self.tries.refused + 1)
-        if end is End.NOT_SENT or end is End.SILENT:
+        if end in (End.NOT_SENT, End.DOWN, End.GONE, End.SILENT):
             self.relay.pool.drop((record.entry.host, record.entry.port))
             record.record_silence(now)
+        if end in (End.DOWN, End.GONE):
+            self.relay.tell_lack(*record.key, "", "")
         if end is End.ABSENT and self.request.model:
             self.forget_held(record)
+            self.relay.tell_lack(*record.key, self.request.model, self.request.adapter)
             self.relay.want(self.service, self.request.model, self.request.adapter)
         self.relay.numbers.count_attempt(self.service, end.value)
         if end is not End.DONE:
--- a/standin/replica.py
+++ b/standin/replica.py
@@ -156,7 +156,8 @@
     async def _route(self, exchange: Exchange) -> None:
         expected = exchange.headers.get("rhubarbshed-expect-instance", self.server_id)
         if expected != self.server_id:
-            exchange.answer(421, b"", signed=False)
+            line = f"Rhubarbshed-Instance-Id: {self.server_id}"
+            exchange.answer(421, b"", line, signed=False)
         elif exchange.target == "/rhubarbshed/report":
             exchange.answer(200, json.dumps(self._report()).encode(), signed=False)
         elif exchange.target == "/rhubarbshed/order":
--- a/test/test_edge_orders.py
+++ b/test/test_edge_orders.py
@@ -255,6 +255,44 @@
     play(scene)
 
 
+def test_model_of_an_engine_that_crashed_is_loaded_elsewhere_before_its_entry_goes():
+    async def scene():
+        service = make_engine_service({"m1": 0})
+        configuration = make_configuration(STREAM, Services=[service])
+        engines = make_engines("b1", m1=[]) + make_engines("b2")
+        async with run_edge(configuration, *engines) as edge:
+            await edge.wait_until(lambda: edge.node.lease.tenure.held)
+            other = Node.from_settings(make_settings(edge.store.address, name="i2"), "")
+            task = asyncio.create_task(other.run())
+            await edge.wait_until(lambda: len(edge.node.circle.instances) == 1)
+            engines[1].models.clear()
+            await engines[0].stop()
+            first, edge.node = edge.node, other
+            answer = await edge.ask("/s/x", b"p", Rhubarbshed_Model="m1")
+            edge.node = first
+            assert answer.status == 200 and len(engines[1].got) >= 1
+            other.stop.set()
+            other.view.drain.announce_s = 0.0
+            await task
+
+    play(scene)
+
+
+def test_request_goes_back_to_an_engine_that_lacked_its_adapter_once_it_is_loaded():
+    async def scene():
+        service = make_engine_service({"m1": 3})
+        configuration = make_configuration(STREAM, Services=[service])
+        async with run_edge(configuration, *make_engines("b1", m1=[])) as edge:
+            await edge.wait_until(lambda: edge.node.lease.tenure.held)
+            await edge.wait_until(lambda: len(edge.replicas[0].models["m1"]) == 3)
+            await asyncio.sleep(0.5)
+            edge.replicas[0].models["m1"].remove("a2")
+            answer = await edge.ask("/s/x", b"p", Rhubarbshed_Model="m1/a2")
+            assert answer.status == 200
+
+    play(scene)
+
+
 def test_caller_that_waits_for_a_load_is_sent_elsewhere_when_the_instance_stops():
     async def scene():
         service = make_engine_service({"m1": 0, "m2": 0})
