Take no repeat from the budget for a server that was never reached

Ruled out: a larger part of the budget; the rule counts arrivals beyond the first, these never arrived. Change: a repeat is taken only once the request has reached some server. Before and after: test_server_that_cannot_be_reached_costs_no_repeat failed with 503, and passes.

--- a/rhubarbshed/transport/edge/relay.py
+++ b/rhubarbshed/transport/edge/relay.py
@@ -104,6 +104,7 @@
     over_in_s: float | None = None
     ended: bool = False
     only_lacked: bool = True
+    arrived: bool = False
 
     def cut_off(self) -> None:
         """End the request now: the process stops."""
@@ -154,7 +155,8 @@
                 return None
             if not may_try_again(self.route, end, self.tries):
                 return self.give_up(end.value)
-            if not self.relay.view.budget.take(self.service, time.monotonic()):
+            # The budget counts arrivals beyond the first.
+            if self.arrived and not self.relay.view.budget.take(self.service, time.monotonic()):
                 return self.give_up("budget")
 
     def choose(self, now: float) -> Choice | NoServer:
@@ -202,6 +204,7 @@
     def note_end(self, record: ServerRecord, attempt: Attempt, end: End) -> None:
         """Take what an attempt showed of its server."""
         now = time.monotonic()
+        self.arrived = self.arrived or end.was_sent
         if end is not End.ABSENT or not self.request.model:
             self.avoid.add(record.key)
         if end not in (End.ABSENT, End.DOWN, End.GONE, End.NOT_SENT):
--- a/test/test_edge_requests.py
+++ b/test/test_edge_requests.py
@@ -118,6 +118,20 @@
     play(scene)
 
 
+def test_server_that_cannot_be_reached_costs_no_repeat():
+    """Only requests that arrive at a second server count against the common budget."""
+
+    async def scene():
+        replicas = [Replica("b1"), Replica("b2")]
+        budget = {"retry_ratio": 0.0, "retry_extra": 0.0}
+        async with run_edge(make_configuration(*ROUTES), *replicas, **budget) as edge:
+            await replicas[0].stop()
+            for _ in range(6):
+                assert (await edge.ask("/u/x", b"pay")).status == 200
+
+    play(scene)
+
+
 def test_refusals_are_passed_over_and_end_in_503_only_if_nothing_ran():
     async def refuse(exchange: Exchange) -> None:
         exchange.refuse()
