Bound what callers' words can make an instance keep; close connections to servers that are gone

Cause: read for growth: a model's name comes from the caller, and each new one was counted, wanted and kept; idle connections to addresses that left stayed in the pool. Ruled out: a cap on the count; the operator's list of models is the bound. Change: demand and wants only of configured models; the pool keeps addresses of known servers. Before and after: no behaviour that a test sees.

--- a/rhubarbshed/transport/edge/node.py
+++ b/rhubarbshed/transport/edge/node.py
@@ -43,7 +43,10 @@
 """Time for the last answers to leave before the process ends."""
 
 SWEEP_S = 0.25
-"""Time between two looks at servers without entries and at the settings file."""
+"""Time between two looks at servers without entries."""
+
+RELOAD_TICKS = 8
+"""Sweeps between two looks at the settings file and at connections to servers that are gone."""
 
 LEASE_JITTER_S = 0.3
 """Spread of the times at which instances look at the lease, so that one of them takes it."""
@@ -192,8 +195,10 @@
             await asyncio.sleep(SWEEP_S)
             self.follower.drop_missing(time.monotonic())
             ticks += 1
-            if ticks % 8 == 0:
+            if ticks % RELOAD_TICKS == 0:
                 self.reload()
+                records = self.view.fleet.servers.values()
+                self.pool.keep_only({(each.entry.host, each.entry.port) for each in records})
 
     async def drain(self) -> None:
         """Take no new callers, finish what is open, and end."""
--- a/rhubarbshed/transport/edge/pools.py
+++ b/rhubarbshed/transport/edge/pools.py
@@ -66,7 +66,7 @@
         for channel in self.idle.pop(address, ()):
             channel.abort()
 
-    def close(self) -> None:
-        """Close all idle connections."""
-        for address in list(self.idle):
+    def keep_only(self, addresses: set[Address]) -> None:
+        """Close idle connections to all other addresses."""
+        for address in [each for each in self.idle if each not in addresses]:
             self.drop(address)
--- a/rhubarbshed/transport/edge/relay.py
+++ b/rhubarbshed/transport/edge/relay.py
@@ -126,7 +126,7 @@
         self.deadline = self.request.received_at + min(patience_s, self.route.timeout_s)
         self.passage = Passage(self.line, self.request, self.route)
         view.budget.count_request(self.service, time.monotonic())
-        if self.request.model:
+        if self.is_configured:
             self.relay.count_demand(self.service, self.request.model, self.request.adapter)
         try:
             async with asyncio.timeout_at(self.deadline):
@@ -138,6 +138,12 @@
         else:
             self.log_end("answered")
 
+    @property
+    def is_configured(self) -> bool:
+        """Tell whether the operator knows the model; callers may name anything."""
+        engine = self.relay.view.configuration.find_engine(self.service)
+        return engine is not None and self.request.model in engine.models
+
     async def send(self) -> RequestError | None:
         """Send the request until it is answered; return the error to answer with, if any."""
         while True:
@@ -255,7 +261,8 @@
         engine = view.configuration.find_engine(self.service)
         leaves_at = min(self.deadline, self.request.received_at + self.route.stall_s)
         decision = decide_absent(engine, (model, adapter), capable, leaves_at, now)
-        self.relay.want(self.service, model, adapter)
+        if self.is_configured:
+            self.relay.want(self.service, model, adapter)
         if not isinstance(decision, Waiting):
             self.over_in_s = decision.over_in_s
             return False
