Keep an adapter for a moment after its load; serve wants in the order in which they came

Ruled out: more places (the engine's), longer waits (the same again). Change: an adapter stays 0.4 s after its load; wants are served oldest first; a stop that could not write the lease's row says so.

--- a/rhubarbshed/coordination/serving/placement.py
+++ b/rhubarbshed/coordination/serving/placement.py
@@ -89,6 +89,10 @@
 PENDING_ADAPTERS_MAX = 4
 """Adapters on their way to one engine at a time, from the platform's pages."""
 
+ADAPTER_KEEP_S = 0.4
+"""Time after its load in which an adapter stays: the caller that waited for it, and those behind
+it, are on their way."""
+
 FILL_MOVES = 3
 """Adapters loaded ahead to one engine in one round, so that wanted ones wait little."""
 
@@ -403,7 +407,8 @@
         (_measure_adapter_use(floor, held), place.server_id, held)
         for place in idle
         if not taken.get(place.server_id) and not place.doubts
-        for held in place.adapters
+        for held, since in place.adapters.items()
+        if floor.now - since >= ADAPTER_KEEP_S
     ]
     if not victims:
         return []
--- a/rhubarbshed/state/places.py
+++ b/rhubarbshed/state/places.py
@@ -1,5 +1,7 @@
 """What the order holder knows of each engine: what it holds, and what is on its way."""
 
+import math
+
 from attrs import define, field
 
 from rhubarbshed.protocol.orders import OrderKind
@@ -61,7 +63,7 @@
         self.recheck = False
         self.models = set(report.models)
         held = {(model, adapter) for model, names in report.models.items() for adapter in names}
-        self.adapters = {key: self.adapters.get(key, now) for key in held}
+        self.adapters = {key: self.adapters.get(key, -math.inf) for key in held}
         self.lacking -= held
         self.pending = {key: now for key in report.pending if key not in held}
         self.busy = report.busy
--- a/rhubarbshed/state/usage.py
+++ b/rhubarbshed/state/usage.py
@@ -112,5 +112,6 @@
         )
 
     def list_wanted(self, since: float) -> list[Target]:
-        """List what callers have waited for since a time."""
-        return [target for target, at in self.wanted.items() if at >= since]
+        """List what callers have waited for since a time, those that have waited longest first."""
+        found = [target for target, at in self.wanted.items() if at >= since]
+        return sorted(found, key=lambda target: self.wanted_since.get(target, math.inf))
--- a/rhubarbshed/transport/edge/lease.py
+++ b/rhubarbshed/transport/edge/lease.py
@@ -69,8 +69,8 @@
     async def release(self) -> None:
         """Give the lease back before a stop."""
         if self.tenure.held:
-            await self._write()
-            self._lose("released")
+            written = await self._write()
+            self._lose("released" if isinstance(written, Success) else "stopping_unwritten")
 
     @property
     def key(self) -> str:
--- a/test/test_edge_orders.py
+++ b/test/test_edge_orders.py
@@ -151,6 +151,27 @@
     ]
 
 
+def test_adapter_that_was_just_loaded_is_not_dropped_before_its_caller_has_used_it():
+    usage = Usage()
+    usage.note_want(("svc", "m1", "a3"), NOW)
+    usage.note_want(("svc", "m1", "a4"), NOW)
+    floor = make_floor(make_engine(2, m1=4), usage, b1={"m1": ["a1", "a2"]})
+    place = floor.places["b1"]
+    place.adapters = {("m1", "a1"): NOW - 5.0, ("m1", "a2"): NOW - 0.1}
+    assert [move.adapter for move in plan_adapters(floor)] == ["a1", "a3"]
+    place.adapters = {("m1", "a1"): NOW - 0.1, ("m1", "a2"): NOW - 0.1}
+    assert plan_adapters(floor) == []
+
+
+def test_wants_of_adapters_are_served_in_the_order_in_which_they_came():
+    usage = Usage()
+    usage.note_want(("svc", "m1", "a4"), NOW - 0.6)
+    usage.note_want(("svc", "m1", "a3"), NOW - 0.3)
+    usage.note_want(("svc", "m1", "a4"), NOW - 0.2)
+    floor = make_floor(make_engine(4, m1=4), usage, b1={"m1": []})
+    assert [move.adapter for move in plan_adapters(floor)] == ["a4", "a3"]
+
+
 def test_want_that_was_met_does_not_bring_its_adapter_back_after_it_made_way():
     usage = Usage()
     for adapter in ("a1", "a2", "a3"):
