Take adapters out of the planning of models; explain what a journey and a follower hold

Ruled out: more than moves and words. Change: coordination/serving/adapters.py; docstrings, types, an unused field.

--- a/rhubarbshed/transport/edge/follower.py
+++ b/rhubarbshed/transport/edge/follower.py
@@ -6,10 +6,11 @@
 from collections.abc import Callable
 
 from attrs import define, field
-from returns.result import Failure, Success
+from returns.result import Failure, Result, Success
 
 from rhubarbshed.platform.records import read_configuration, read_server
-from rhubarbshed.platform.rows import CONFIGURATION_KEY, OPERATOR_TABLE, SERVERS_TABLE
+from rhubarbshed.platform.rows import CONFIGURATION_KEY, OPERATOR_TABLE, SERVERS_TABLE, Page
+from rhubarbshed.protocol.servers import ServerEntry
 from rhubarbshed.protocol.tables import Row, TableError, TableFault
 from rhubarbshed.protocol.words import NewsWord
 from rhubarbshed.transport.edge.store import StoreClient
@@ -56,7 +57,12 @@
 
 @define
 class Follower:
-    """Keep a view up to date; `lost_at` is when the store was lost, None while it answers."""
+    """Keep a view up to date.
+
+    `lost_at` is when the store was lost, None while it answers. An order holder publishes what it
+    read; other instances take it as news (`told_at`) and ask the store themselves where they are
+    behind or the news stop.
+    """
 
     store: StoreClient
     view: View
@@ -148,7 +154,9 @@
             await asyncio.sleep(pause_s * (0.75 + 0.5 * self.view.chance.random()))
             pause_s = min(PAUSE_LONGEST_S, pause_s * 2)
 
-    async def _ask_changes(self, table: str, revision: int, wait_s: float):
+    async def _ask_changes(
+        self, table: str, revision: int, wait_s: float
+    ) -> Result[Page, TableError]:
         """Ask for changes; give up a long question once another one has gone unanswered."""
         asked = asyncio.ensure_future(self.store.follow(table, revision, wait_s))
         doubted = asyncio.ensure_future(self._wait_for_doubt(table, wait_s))
@@ -242,7 +250,7 @@
                 log_event(LOG, logging.INFO, "server_missing", server=server_id, why="not_listed")
         view.changed.fire()
 
-    def _apply_entry(self, row: Row, entry, now: float) -> None:
+    def _apply_entry(self, row: Row, entry: ServerEntry, now: float) -> None:
         what = self.view.fleet.apply(entry, now)
         if what:
             log_event(
--- a/rhubarbshed/transport/edge/holder.py
+++ b/rhubarbshed/transport/edge/holder.py
@@ -3,20 +3,24 @@
 import asyncio
 import logging
 import time
+from collections.abc import Coroutine
+from typing import Any
 
 from attrs import define, field
 from returns.result import Failure, Success
 
+from rhubarbshed.coordination.serving.adapters import (
+    forget_met_wants,
+    plan_adapters,
+    plan_fill,
+)
 from rhubarbshed.coordination.serving.placement import (
     TOLD_S,
     Floor,
     LoadRate,
     Move,
     estimate_load_time,
-    forget_met_wants,
     is_from_store,
-    plan_adapters,
-    plan_fill,
     plan_models,
 )
 from rhubarbshed.coordination.serving.tenure import Tenure
@@ -339,7 +343,7 @@
             loop = asyncio.get_running_loop()
             loop.call_later(ADAPTER_S, self.wake.fire)
 
-    def spawn(self, work) -> None:
+    def spawn(self, work: Coroutine[Any, Any, None]) -> None:
         """Start work in the background."""
         task = asyncio.get_running_loop().create_task(work)
         self.tasks.add(task)
--- a/rhubarbshed/transport/edge/node.py
+++ b/rhubarbshed/transport/edge/node.py
@@ -6,7 +6,8 @@
 import signal
 import time
 import uuid
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Coroutine
+from typing import Any
 
 import h11
 from attrs import define, field
@@ -149,10 +150,9 @@
 
     async def answer_metrics(self, line: CallerLine, head: h11.Request, *_: object) -> None:
         """Answer with all metrics."""
-        fleet = self.view.fleet
         gauges = {
             "open_requests": self.relay.open,
-            "servers": len(fleet.servers),
+            "servers": len(self.view.fleet.servers),
             "configuration_version": (
                 self.view.configuration.version if self.view.configuration else 0
             ),
@@ -163,7 +163,7 @@
         headers = ((b"content-type", b"text/plain; version=0.0.4"),)
         line.send_whole(200, headers, self.numbers.render(gauges))
 
-    def spawn(self, work) -> None:
+    def spawn(self, work: Coroutine[Any, Any, None]) -> None:
         """Start work that lasts as long as the process; its failure stops the process."""
         task = asyncio.get_running_loop().create_task(work)
         task.add_done_callback(self.stop_on_defect)
--- a/rhubarbshed/transport/edge/relay.py
+++ b/rhubarbshed/transport/edge/relay.py
@@ -86,7 +86,12 @@
 
 @define(eq=False)
 class Journey:
-    """Hold how far one request has come."""
+    """Hold how far one request has come.
+
+    `avoid` are the servers that it has been to, `tries` what came of that; `in_flight` tells that a
+    server may be running it, `arrived` that one has had it, and `only_lacked` that all so far were
+    down or lacked the model. `over_in_s` is when a load that it needs should be done.
+    """
 
     relay: Relay
     line: CallerLine
@@ -94,7 +99,6 @@
     route: Route | None = None
     service: str = ""
     tries: Tries = field(factory=Tries)
-    sends: int = 0
     avoid: set[tuple[str, int]] = field(factory=set)
     servers: list[str] = field(factory=list)
     passage: Passage | None = None
@@ -166,7 +170,7 @@
                 return self.give_up("budget")
 
     def choose(self, now: float) -> Choice | NoServer:
-        """Choose a server; where all were tried, one that only refused may be asked again."""
+        """Choose a server that this request has not been to."""
         view = self.relay.view
         needs = (self.request.model, self.request.adapter)
         return choose_server(
@@ -182,7 +186,6 @@
     async def attempt(self, chosen: Choice) -> End:
         """Send the request to one server, and note how that went."""
         record = chosen.server
-        self.sends += 1
         self.servers.append(record.entry.server_id)
         log_event(
             LOG,
--- a/test/test_edge_orders.py
+++ b/test/test_edge_orders.py
@@ -2,11 +2,13 @@
 
 import asyncio
 
+from rhubarbshed.coordination.serving.adapters import (
+    forget_met_wants,
+    plan_adapters,
+)
 from rhubarbshed.coordination.serving.placement import (
     Floor,
     LoadRate,
-    forget_met_wants,
-    plan_adapters,
     plan_models,
 )
 from rhubarbshed.protocol.orders import OrderKind
