Tell which wants last; believe an engine that it holds what it was ordered to load

Reading the order's way for that showed that an adapter found lacking stayed so after the engine answered that it holds it, and would have been ordered again each 50 ms. Ruled out: a line for each plan; one each two seconds for a want that lasts a second. Change: want_unserved; Place.note_held; the sending of an order cut into steps. Before and after: two tests, both new, pass; without note_held the second fails.

--- a/rhubarbshed/state/places.py
+++ b/rhubarbshed/state/places.py
@@ -173,6 +173,15 @@
             for held in [held for held in self.adapters if held[0] == order.model]:
                 del self.adapters[held]
 
+    def note_held(self, order: ServerOrder, now: float) -> None:
+        """Take the engine's word that it holds already what it was ordered to load."""
+        key = (order.model, order.adapter)
+        if order.adapter:
+            self.adapters[key] = now
+            self.lacking.discard(key)
+        else:
+            self.models.add(order.model)
+
     def settle_pending(self, now: float) -> bool:
         """Count adapters whose load must be over as held; tell whether there were any."""
         done = [key for key, at in self.pending.items() if at <= now]
--- a/rhubarbshed/transport/edge/holder.py
+++ b/rhubarbshed/transport/edge/holder.py
@@ -16,6 +16,7 @@
 )
 from rhubarbshed.coordination.serving.placement import (
     TOLD_S,
+    WANT_S,
     Floor,
     LoadRate,
     Move,
@@ -33,7 +34,7 @@
 from rhubarbshed.protocol.words import HolderWord
 from rhubarbshed.state.fleet import ServerRecord
 from rhubarbshed.state.places import DOUBT_S, Doubt, Place
-from rhubarbshed.state.usage import Usage
+from rhubarbshed.state.usage import Target, Usage
 from rhubarbshed.transport.edge.control import call
 from rhubarbshed.transport.edge.numbers import Numbers
 from rhubarbshed.transport.edge.pools import Pool
@@ -51,6 +52,10 @@
 UNLOAD_S = 0.5
 """Time after which a model that was unloaded should be gone, unless runs of it are long."""
 
+UNSERVED_S = 1.0
+UNSERVED_TOLD_S = 2.0
+"""Time that a want lasts before the log tells of it, and between two lines on the same one."""
+
 MODEL_ROUND_S = 0.25
 """Time between two plans of models; an engine takes one order at a time for seconds."""
 
@@ -73,6 +78,7 @@
     changed: Signal = field(factory=Signal)
     busy: set[str] = field(factory=set)
     tasks: set[asyncio.Task] = field(factory=set)
+    told_unserved: dict[Target, float] = field(factory=dict)
 
     async def run(self) -> None:
         """Give orders for ever, while the lease allows."""
@@ -91,6 +97,29 @@
             for service, engine in self.list_engines():
                 self.plan(service, engine, with_models, now)
 
+    def log_unserved(self, floor: Floor, rate: LoadRate) -> None:
+        """Tell which wants last, and what may keep them waiting."""
+        usage, now = self.usage, floor.now
+        for target in usage.list_wanted(now - WANT_S):
+            lasts_s = usage.measure_want(target, now)
+            if target[0] != floor.service or lasts_s < UNSERVED_S:
+                continue
+            if now - self.told_unserved.get(target, -UNSERVED_TOLD_S) < UNSERVED_TOLD_S:
+                continue
+            self.told_unserved[target] = now
+            log_event(
+                LOG,
+                logging.INFO,
+                "want_unserved",
+                model=target[1],
+                adapter=target[2],
+                lasts_s=round(lasts_s, 2),
+                rate=round(floor.measure_rate(target[1]), 2),
+                holders=len(floor.list_holders(target[1])),
+                engines_open=len(floor.list_open()),
+                load_allowed=rate.allows(floor.hears_all, now),
+            )
+
     def list_engines(self) -> list[tuple[str, EngineSpec]]:
         """List services of engines with what the operator says of them."""
         configuration = self.view.configuration
@@ -113,6 +142,7 @@
             if rate is None:
                 rate = self.rates[service] = self.make_rate(service, engine)
             moves += plan_fill(floor) or plan_models(floor, rate)
+            self.log_unserved(floor, rate)
         for server_id in {move.server_id for move in moves}:
             if server_id in self.busy:
                 continue
@@ -268,7 +298,6 @@
         record = self.view.fleet.get(place.server_id)
         if record is None or not self.tenure.may_order(now):
             return OrderEnd.NOT_SENT
-        spec = floor.engine.models[move.model]
         order = ServerOrder(
             move.kind,
             move.model,
@@ -283,24 +312,11 @@
             )
             return OrderEnd.NOT_SENT
         from_store = not move.adapter and is_from_store(floor, place, move.model)
-        if move.adapter:
-            takes_s = ADAPTER_S
-        elif move.kind is OrderKind.LOAD:
-            takes_s = estimate_load_time(record, spec)
-        else:
-            takes_s = UNLOAD_S
+        takes_s = estimate_order_time(floor, record, move)
         # Counted before it is sent: an order without an answer may still be carried out.
         doubt = Doubt(order, now + DOUBT_S)
         place.doubts.append(doubt)
-        address = (record.entry.host, record.entry.port)
-        sent = make_order(order, place.server_id)
-        answer = await call(self.pool, address, sent, ORDER_TIMEOUT_S)
-        if isinstance(answer, Success):
-            end = read_order_end(answer.unwrap().status)
-        elif answer.failure().fault is TableFault.UNAVAILABLE:
-            end = OrderEnd.NOT_SENT
-        else:
-            end = OrderEnd.UNKNOWN
+        end = await self.call_engine(record, order)
         now = time.monotonic()
         if end is not OrderEnd.UNKNOWN and doubt in place.doubts:
             place.doubts.remove(doubt)
@@ -309,33 +325,26 @@
         if end is OrderEnd.NOT_SENT:
             record.record_silence(now)
         self.numbers.count_order(move.kind.value, end.value)
-        log_event(
-            LOG,
-            logging.INFO,
-            "order",
-            kind=move.kind.value,
-            server=place.server_id,
-            model=move.model,
-            adapter=move.adapter,
-            why=move.reason,
-            end=end.value,
-            expected=order.expected,
-            token=order.token,
-            rate=round(floor.measure_rate(move.model), 2),
-            places_taken=place.count_adapters(),
-            from_store=from_store,
-        )
+        log_order(floor, place, move, order, end, from_store)
         return end
 
+    async def call_engine(self, record: ServerRecord, order: ServerOrder) -> OrderEnd:
+        """Send an order and return what the engine made of it."""
+        address = (record.entry.host, record.entry.port)
+        sent = make_order(order, record.entry.server_id)
+        answer = await call(self.pool, address, sent, ORDER_TIMEOUT_S)
+        if isinstance(answer, Success):
+            return read_order_end(answer.unwrap().status)
+        if answer.failure().fault is TableFault.UNAVAILABLE:
+            return OrderEnd.NOT_SENT
+        return OrderEnd.UNKNOWN
+
     def note_accepted(
         self, place: Place, order: ServerOrder, end: OrderEnd, done_at: float, now: float
     ) -> None:
         """Take an order that was accepted or already held."""
         if end is OrderEnd.HOLDS and order.kind is OrderKind.LOAD:
-            if order.adapter:
-                place.adapters[(order.model, order.adapter)] = now
-            else:
-                place.models.add(order.model)
+            place.note_held(order, now)
         else:
             place.accept(order, done_at, end is OrderEnd.HOLDS, now)
         self.changed.fire()
@@ -348,3 +357,34 @@
         task = asyncio.get_running_loop().create_task(work)
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
+
+
+def estimate_order_time(floor: Floor, record: ServerRecord, move: Move) -> float:
+    """Return the seconds after which an order should be carried out."""
+    if move.adapter:
+        return ADAPTER_S
+    if move.kind is OrderKind.LOAD:
+        return estimate_load_time(record, floor.engine.models[move.model])
+    return UNLOAD_S
+
+
+def log_order(
+    floor: Floor, place: Place, move: Move, order: ServerOrder, end: OrderEnd, from_store: bool
+) -> None:
+    """Write the line of an order, with what decided it."""
+    log_event(
+        LOG,
+        logging.INFO,
+        "order",
+        kind=move.kind.value,
+        server=place.server_id,
+        model=move.model,
+        adapter=move.adapter,
+        why=move.reason,
+        end=end.value,
+        expected=order.expected,
+        token=order.token,
+        rate=round(floor.measure_rate(move.model), 2),
+        places_taken=place.count_adapters(),
+        from_store=from_store,
+    )
--- a/test/test_edge_orders.py
+++ b/test/test_edge_orders.py
@@ -1,6 +1,7 @@
 """Orders to engines: what is asked for is loaded, by one holder, never beyond room."""
 
 import asyncio
+import logging
 
 from rhubarbshed.coordination.serving.adapters import (
     forget_met_wants,
@@ -201,6 +202,16 @@
     assert place.has_room(another, engine)
 
 
+def test_engine_that_says_it_holds_an_adapter_no_longer_lacks_it():
+    place = Place("b1", 1, orders=3)
+    place.models = {"m1"}
+    place.adapters = {("m1", "a1"): NOW - 9.0}
+    place.doubt_adapter(("m1", "a1"), NOW)
+    assert not place.has_adapter(("m1", "a1")) and place.count_adapters() == 1
+    place.note_held(ServerOrder(OrderKind.LOAD, "m1", "i1", 7, "a1", 3), NOW)
+    assert place.has_adapter(("m1", "a1"))
+
+
 def test_model_order_without_an_answer_counts_in_memory():
     engine = make_engine(2, m1=0, m2=0, m3=0, m4=0)
     place = Place("b1", 1, orders=0)
@@ -316,6 +327,25 @@
     play(scene)
 
 
+def test_want_that_lasts_leaves_a_line_with_what_keeps_it_waiting(caplog):
+    async def scene():
+        caplog.set_level(logging.INFO)
+        service = make_engine_service({"m1": 0, "m2": 0})
+        route = make_route("streaming", "/s/", TimeoutMs=20_000, TargetLatencyMs=5_000)
+        configuration = make_configuration(route, Services=[service])
+        engines = make_engines("b1", m1=[])
+        engines[0].refuse_orders = True
+        async with run_edge(configuration, *engines) as edge:
+            await edge.wait_until(lambda: edge.node.lease.tenure.held)
+            asking = asyncio.create_task(edge.ask("/s/x", b"p", Rhubarbshed_Model="m2"))
+            await asyncio.sleep(1.8)
+            told = [each for each in caplog.records if each.getMessage() == "want_unserved"]
+            assert len(told) == 1 and told[0].pairs["model"] == "m2"
+            await asking
+
+    play(scene)
+
+
 def test_caller_that_waits_for_a_load_is_sent_elsewhere_when_the_instance_stops():
     async def scene():
         service = make_engine_service({"m1": 0, "m2": 0})
