Remove fields that nothing sets or reads; work out wants and missing entries once a round

Cause: reading the whole change once more. Floor.is_there counted all missing engines again for each engine, and list_wants sorted all wants again for each model and copy, in every round of planning. A channel's host, opened_at, exchanges and answer_begun, a server's full_until and Usage.count_adapters_in_use were written or kept for nobody; Fleet's text named fields it lacks. Ruled out: keeping the list of holders of a round as well; it changes as moves are planned. Change: cached properties of Floor, which lives for one round; the dead parts are gone. Before and after: behaviour is meant to be the same.

--- a/rhubarbshed/coordination/serving/choice.py
+++ b/rhubarbshed/coordination/serving/choice.py
@@ -97,8 +97,6 @@
 
 def is_full(record: ServerRecord, now: float) -> bool:
     """Tell whether another request would only be refused or wait long at a server."""
-    if now < record.full_until:
-        return True
     return record.estimate_load(now) >= record.entry.slots * (1.0 + QUEUE_PART)
 
 
--- a/rhubarbshed/coordination/serving/placement.py
+++ b/rhubarbshed/coordination/serving/placement.py
@@ -6,6 +6,7 @@
 """
 
 import collections
+import functools
 
 from attrs import define, field, frozen
 
@@ -165,11 +166,16 @@
 
         Where most of them are missing it is the store that was away.
         """
-        doubted = sum(1 for each in self.records.values() if each.doubted_since is not None)
         record = self.records[server_id]
-        missing = record.doubted_since is not None and doubted * 2 <= len(self.records)
+        missing = record.doubted_since is not None and not self.lacks_most_entries
         return record.takes_work(self.now) and not missing
 
+    @functools.cached_property
+    def lacks_most_entries(self) -> bool:
+        """Tell whether most engines are missing from the store; the same all through a round."""
+        doubted = sum(1 for each in self.records.values() if each.doubted_since is not None)
+        return doubted * 2 > len(self.records)
+
     def is_overdue(self, target: Target, after_s: float) -> bool:
         """Tell whether callers have waited so long that no other holder seems to act."""
         return self.usage.measure_want(target, self.now) > after_s
@@ -190,11 +196,16 @@
 
     def list_wants(self, model: str) -> list[Target]:
         """List what callers wait for of a model and its adapters."""
-        return [
-            target
-            for target in self.usage.list_wanted(self.now - WANT_S)
-            if target[:2] == (self.service, model)
-        ]
+        return self.wants_by_model.get(model, [])
+
+    @functools.cached_property
+    def wants_by_model(self) -> dict[str, list[Target]]:
+        """Group what callers wait for by model; the same while one round is planned."""
+        wants: dict[str, list[Target]] = {}
+        for target in self.usage.list_wanted(self.now - WANT_S):
+            if target[0] == self.service:
+                wants.setdefault(target[1], []).append(target)
+        return wants
 
     def is_busy(self, place: Place) -> bool:
         """Tell whether an engine carries out an order for a model."""
--- a/rhubarbshed/state/fleet.py
+++ b/rhubarbshed/state/fleet.py
@@ -47,7 +47,6 @@
     judged_at: float = 0.0
     silent_until: float = -math.inf
     silences: int = 0
-    full_until: float = -math.inf
     unloading: str = ""
     loading: str = ""
     loaded_at: float = math.inf
@@ -106,10 +105,7 @@
 
 @define
 class Fleet:
-    """Hold all backend servers by id; `revision` is the store's at the last change.
-
-    `doubted` are servers whose entries went while the store was away, kept for a moment.
-    """
+    """Hold all backend servers by id, and by service."""
 
     servers: dict[str, ServerRecord] = field(factory=dict)
     by_service: dict[str, dict[str, ServerRecord]] = field(factory=dict)
--- a/rhubarbshed/state/usage.py
+++ b/rhubarbshed/state/usage.py
@@ -103,14 +103,6 @@
         use = self.adapters.get(target)
         return use.measure_rate(self.since, now) if use is not None else 0.0
 
-    def count_adapters_in_use(self, service: str, model: str, since: float) -> int:
-        """Count a model's adapters that were asked for since a time."""
-        return sum(
-            1
-            for (found_service, found_model, _), use in self.adapters.items()
-            if (found_service, found_model) == (service, model) and use.asked_at >= since
-        )
-
     def list_wanted(self, since: float) -> list[Target]:
         """List what callers have waited for since a time, those that have waited longest first."""
         found = [target for target, at in self.wanted.items() if at >= since]
--- a/rhubarbshed/transport/edge/channels.py
+++ b/rhubarbshed/transport/edge/channels.py
@@ -36,12 +36,8 @@
 class Channel(asyncio.Protocol):
     """Carry one exchange after another over one connection."""
 
-    host: str
-    opened_at: float = 0.0
     idle_since: float = 0.0
     idle_max_s: float | None = None
-    exchanges: int = 0
-    answer_begun: bool = False
     _transport: asyncio.Transport | None = None
     _parser: h11.Connection | None = None
     _request: h11.Request | None = None
@@ -62,7 +58,6 @@
         if self._parser is None:
             self.abort()
             return
-        self.answer_begun = True
         self._parser.receive_data(data)
         self._unread += len(data)
         if self._unread > UNREAD_BYTES_MAX:
@@ -97,8 +92,6 @@
         """Send a request whole."""
         self._request = h11.Request(method=method, target=target, headers=list(headers))
         self._parser = h11.Connection(h11.CLIENT, max_incomplete_event_size=HEAD_BYTES_MAX)
-        self.exchanges += 1
-        self.answer_begun = False
         data = self._parser.send(self._request)
         if body:
             data += self._parser.send(h11.Data(data=body))
--- a/rhubarbshed/transport/edge/pools.py
+++ b/rhubarbshed/transport/edge/pools.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import collections
-import functools
 
 from attrs import define, field
 
@@ -36,15 +35,14 @@
             if channel.is_usable(now):
                 return channel
             channel.abort()
-        return await self.open(address, now)
+        return await self.open(address)
 
-    async def open(self, address: Address, now: float) -> Channel:
+    async def open(self, address: Address) -> Channel:
         """Open a connection."""
         loop = asyncio.get_running_loop()
-        make = functools.partial(Channel, host=address[0], opened_at=now)
         try:
             async with asyncio.timeout(self.connect_timeout_s):
-                _, channel = await loop.create_connection(make, *address)
+                _, channel = await loop.create_connection(Channel, *address)
         except ConnectionRefusedError as error:
             raise DownError(f"no connection: {error!r}") from error
         except (OSError, TimeoutError) as error:
