Plan a round of orders from figures worked out once

Ruled out: fewer rounds alone (one of them took longer than a caller's target). Change: Floor has its own module and keeps holders, rates, ranks and free room for one round; rounds come less often where they take more than a twentieth of the time. A wanted adapter is not loaded ahead in the same round as well; the stand-in answers 200 for what is held, as the platform does.

--- a/rhubarbshed/coordination/serving/adapters.py
+++ b/rhubarbshed/coordination/serving/adapters.py
@@ -4,13 +4,8 @@
 there, in the order in which they came, and free places are filled before anybody asks.
 """
 
-from rhubarbshed.coordination.serving.placement import (
-    ADAPTER_PATIENCE_S,
-    TOLD_S,
-    WANT_S,
-    Floor,
-    Move,
-)
+from rhubarbshed.coordination.serving.floor import TOLD_S, Floor, Move
+from rhubarbshed.coordination.serving.placement import ADAPTER_PATIENCE_S
 from rhubarbshed.protocol.orders import OrderKind
 from rhubarbshed.state.places import Place
 
@@ -27,10 +22,8 @@
 
 def forget_met_wants(floor: Floor) -> None:
     """Forget wants that are met, lest an adapter that made way comes back for nobody."""
-    for target in floor.usage.list_wanted(floor.now - WANT_S):
-        service, model, adapter = target
-        if service != floor.service:
-            continue
+    for target in floor.wants:
+        _, model, adapter = target
         key = (model, adapter)
         for place in floor.list_holders(model):
             if model in place.models and (not adapter or place.has_adapter(key)):
@@ -42,9 +35,8 @@
     """Plan loads of adapters that callers wait for, with unloads that make places free."""
     moves: list[Move] = []
     taken: dict[str, int] = {}
-    for service, model, adapter in floor.usage.list_wanted(floor.now - WANT_S):
-        spec = floor.engine.models.get(model)
-        if service != floor.service or not adapter or spec is None:
+    for service, model, adapter in floor.wants:
+        if not adapter or model not in floor.engine.models:
             continue
         key = (model, adapter)
         holders = [place for place in floor.list_holders(model) if model in place.models]
@@ -95,15 +87,20 @@
     ]
 
 
-def plan_fill(floor: Floor) -> list[Move]:
+def plan_fill(floor: Floor, planned: list[Move]) -> list[Move]:
     """Load adapters ahead into free places: those that nobody holds, the busiest first.
 
+    Engines that get orders by what is `planned` already are left alone.
+
     While the order holder or an engine is away nothing can be loaded, so what is there counts.
     """
     moves: list[Move] = []
-    copies = _count_copies(floor)
+    copies = dict(floor.adapter_copies)
+    for move in planned:
+        copies[(move.model, move.adapter)] = copies.get((move.model, move.adapter), 0) + 1
+    taken = {move.server_id for move in planned}
     for place in floor.list_open():
-        if not place.ours:
+        if not place.ours or place.server_id in taken:
             continue
         free = min(FILL_MOVES, floor.engine.adapter_places - place.count_adapters())
         if free <= 0 or place.doubts or len(place.pending) + free > PENDING_ADAPTERS_MAX:
@@ -123,14 +120,6 @@
     return moves
 
 
-def _count_copies(floor: Floor) -> dict[tuple[str, str], int]:
-    copies: dict[tuple[str, str], int] = {}
-    for place in floor.places.values():
-        for key in set(place.adapters) | set(place.pending):
-            copies[key] = copies.get(key, 0) + 1
-    return copies
-
-
 def _count_taken(place: Place, taken: dict[str, int]) -> int:
     return place.count_adapters() + taken.get(place.server_id, 0)
 
@@ -138,5 +127,4 @@
 def _measure_adapter_use(floor: Floor, held: tuple[str, str]) -> float:
     """Return the requests per second for an adapter, one copy of several counted as a part."""
     rate = floor.usage.measure_adapter((floor.service, *held), floor.now)
-    copies = sum(1 for place in floor.places.values() if held in place.adapters)
-    return rate / max(1, copies)
+    return rate / max(1, floor.adapter_copies.get(held, 0))
--- /dev/null
+++ b/rhubarbshed/coordination/serving/floor.py
@@ -0,0 +1,255 @@
+"""One service's engines as a round of planning sees them.
+
+Answers a holder with many models and engines: what each decision of a round asks for is worked out
+once, and followed as orders are planned, so that a round costs little on a small instance.
+"""
+
+import functools
+
+from attrs import define, field, frozen
+
+from rhubarbshed.protocol.orders import OrderKind
+from rhubarbshed.protocol.routes import EngineSpec
+from rhubarbshed.state.fleet import ServerRecord
+from rhubarbshed.state.places import Place
+from rhubarbshed.state.usage import Target, Usage
+
+WANT_S = 1.0
+"""Time for which a want counts; callers repeat it each 0.1 s while they wait."""
+
+TOLD_S = 1.0
+"""Age of a holder's word up to which its engines are left to it."""
+
+COPY_PARTS = (1.0, 0.08, 0.02, 0.01, 0.005)
+"""What the first, second and further copies of a model are worth, as parts of its requests a
+second: the first answers them, a second one answers them while its server is lost."""
+
+STREAM_S = 1.5
+CROWDED = 0.15
+CROWDING_PART = 1.0
+"""A copy counts more while those that there are would be busy beyond a part of their slots, with
+streams of so many seconds: prompts that arrive together make pauses in the other streams."""
+
+RARE_RATE = 0.1
+"""Requests a second that a model is taken to have that nobody has asked for lately, since any may
+be asked for and a load takes seconds."""
+
+WANTED_RATE = 0.3
+"""Requests a second that count for a caller who waits. With it a model that is asked for now and
+then takes the room of one that has not been asked for in some seconds, and of nothing busier."""
+
+WAITING_RATE = 0.1
+"""Requests a second that count beside for each second that a caller has waited, so that each model
+has its turn before callers leave."""
+
+MOVE_GAIN = 0.2
+"""Requests a second that a swap has to win beyond what it gives up, since it costs a load and some
+seconds in which neither model is there."""
+
+SWAP_FACTOR = 2.0
+"""How many times more a copy must be worth than what makes way for it, which keeps two models from
+taking turns."""
+
+RUNNING_PART = 0.3
+"""What a copy's requests a second count beside its worth when it is to make way."""
+
+
+@frozen
+class Move:
+    """Order one engine to load or unload a model or adapter, for a reason shown in the log."""
+
+    server_id: str
+    kind: OrderKind
+    model: str
+    adapter: str
+    reason: str
+
+
+@define
+class Floor:
+    """Hold one service's engines for one round of planning.
+
+    What is worked out on the way is kept until the end of the round.
+    """
+
+    service: str
+    engine: EngineSpec
+    places: dict[str, Place]
+    records: dict[str, ServerRecord]
+    usage: Usage
+    now: float
+    hears_all: bool = True
+    moves: list[Move] = field(factory=list)
+    touched: set[str] = field(factory=set)
+    _rates: dict[str, float] = field(factory=dict)
+    _held: dict[str, float] = field(factory=dict)
+    _free: dict[str, float] = field(factory=dict)
+    _blocked: dict[str, float] = field(factory=dict)
+    _copies: dict[str, list[tuple[float, str, float]]] = field(factory=dict)
+
+    @functools.cached_property
+    def present(self) -> frozenset[str]:
+        """Engines that take work and are not missing from the store.
+
+        Where most of them are missing it is the store that was away.
+        """
+        doubted = sum(1 for each in self.records.values() if each.doubted_since is not None)
+        store_was_away = doubted * 2 > len(self.records)
+        return frozenset(
+            server_id
+            for server_id, record in self.records.items()
+            if record.takes_work(self.now) and (store_was_away or record.doubted_since is None)
+        )
+
+    @functools.cached_property
+    def orderable(self) -> tuple[Place, ...]:
+        """Engines that could take an order when the round began."""
+        return tuple(
+            place
+            for server_id, place in self.places.items()
+            if place.is_known
+            and (place.ours or self.now - place.told_at < TOLD_S)
+            and not place.is_busy
+            and server_id in self.present
+        )
+
+    def list_open(self) -> list[Place]:
+        """List engines that can take an order now."""
+        return [place for place in self.orderable if place.server_id not in self.touched]
+
+    def is_overdue(self, target: Target, after_s: float) -> bool:
+        """Tell whether callers have waited so long that no other holder seems to act."""
+        return self.usage.measure_want(target, self.now) > after_s
+
+    @functools.cached_property
+    def holders(self) -> dict[str, list[Place]]:
+        """Engines by the model that they have or are about to, and that will stay."""
+        found: dict[str, list[Place]] = {}
+        for server_id in self.present:
+            place = self.places[server_id]
+            names = {*place.models, place.loading, place.find_intent(self.now)}
+            for name in names - {"", place.unloading}:
+                found.setdefault(name, []).append(place)
+        return found
+
+    def list_holders(self, model: str) -> list[Place]:
+        """List engines that have a model or are about to, and will stay."""
+        return self.holders.get(model, [])
+
+    def measure_rate(self, model: str) -> float:
+        """Return the requests per second for a model."""
+        rate = self._rates.get(model)
+        if rate is None:
+            rate = self._rates[model] = self.usage.measure_model(self.service, model, self.now)
+        return rate
+
+    def list_wants(self, model: str) -> list[Target]:
+        """List what callers wait for of a model and its adapters."""
+        return self.wants_by_model.get(model, [])
+
+    @functools.cached_property
+    def wants(self) -> tuple[Target, ...]:
+        """What callers wait for, those that have waited longest first."""
+        found = self.usage.list_wanted(self.now - WANT_S)
+        return tuple(target for target in found if target[0] == self.service)
+
+    @functools.cached_property
+    def wants_by_model(self) -> dict[str, list[Target]]:
+        """Group what callers wait for by model."""
+        wants: dict[str, list[Target]] = {}
+        for target in self.wants:
+            wants.setdefault(target[1], []).append(target)
+        return wants
+
+    @functools.cached_property
+    def adapter_copies(self) -> dict[tuple[str, str], int]:
+        """Count the engines that hold or load each adapter."""
+        copies: dict[tuple[str, str], int] = {}
+        for place in self.places.values():
+            for key in place.adapters.keys() | place.pending.keys():
+                copies[key] = copies.get(key, 0) + 1
+        return copies
+
+    def is_busy(self, place: Place) -> bool:
+        """Tell whether an engine carries out an order for a model."""
+        return place.is_busy or place.server_id in self.touched
+
+    def count_busy(self) -> int:
+        """Count the engines that carry out an order for a model."""
+        return sum(1 for place in self.places.values() if self.is_busy(place))
+
+    def measure_gain(self, model: str, copies: int) -> float:
+        """Return what one more copy is worth beside those that there are."""
+        rate = self.measure_rate(model)
+        part = COPY_PARTS[min(copies, len(COPY_PARTS) - 1)]
+        if copies > 0:
+            crowding = rate * STREAM_S / (self.engine.slots * copies) - CROWDED
+            part += CROWDING_PART * max(0.0, crowding)
+        gain = rate * part
+        if copies == 0:
+            gain += RARE_RATE
+            waits = [self.usage.measure_want(want, self.now) for want in self.list_wants(model)]
+            if waits:
+                gain += WANTED_RATE + WAITING_RATE * max(waits)
+        return gain
+
+    def measure_held(self, model: str) -> float:
+        """Return what a copy that is there is worth: more than a new one, more while it runs much.
+
+        An unload waits for its runs, and until then the engine takes no other order.
+        """
+        worth = self._held.get(model)
+        if worth is None:
+            copies = max(1, len(self.list_holders(model)))
+            gain = self.measure_gain(model, copies - 1) * SWAP_FACTOR + MOVE_GAIN
+            worth = gain + RUNNING_PART * self.measure_rate(model) / copies
+            self._held[model] = worth
+        return worth
+
+    def rank_copies(self, place: Place) -> list[tuple[float, str, float]]:
+        """Return the copies on an engine as (worth, model, megabytes), the least worth first."""
+        ranked = self._copies.get(place.server_id)
+        if ranked is None:
+            models = self.engine.models
+            ranked = sorted(
+                (self.measure_held(name), name, models[name].size_mb)
+                for name in place.models
+                if name in models
+            )
+            self._copies[place.server_id] = ranked
+        return ranked
+
+    def measure_blocked(self, place: Place) -> float:
+        """Return the requests a second whose adapters cannot be loaded while an engine is busy."""
+        blocked = self._blocked.get(place.server_id)
+        if blocked is None:
+            blocked = 0.0
+            for model in place.models:
+                spec = self.engine.models.get(model)
+                if spec is not None and spec.adapters:
+                    idle = sum(1 for each in self.list_holders(model) if not self.is_busy(each))
+                    blocked += self.measure_rate(model) / max(1, idle)
+            self._blocked[place.server_id] = blocked
+        return blocked
+
+    def measure_free(self, place: Place, name: str) -> float:
+        """Return the megabytes that are free for a model; room made for another is not."""
+        free = self._free.get(place.server_id)
+        if free is None:
+            free = self.engine.weights_mb - place.measure_weights(self.engine)
+            self._free[place.server_id] = free
+        intended = place.find_intent(self.now)
+        spec = self.engine.models.get(intended)
+        if spec is not None and intended not in (name, place.loading, *place.models):
+            free -= spec.size_mb
+        return free
+
+    def intend(self, place: Place, model: str, until: float) -> None:
+        """Note that room is being made for a model; it counts as a copy from now on."""
+        place.intended, place.intended_until = model, until
+        self.holders.setdefault(model, []).append(place)
+
+    def move(self, place: Place, kind: OrderKind, model: str, adapter: str, reason: str) -> None:
+        """Plan an order; one engine gets one model order a round."""
+        self.moves.append(Move(place.server_id, kind, model, adapter, reason))
+        self.touched.add(place.server_id)
--- a/rhubarbshed/transport/edge/holder.py
+++ b/rhubarbshed/transport/edge/holder.py
@@ -14,12 +14,9 @@
     plan_adapters,
     plan_fill,
 )
+from rhubarbshed.coordination.serving.floor import TOLD_S, Floor, Move
 from rhubarbshed.coordination.serving.placement import (
-    TOLD_S,
-    WANT_S,
-    Floor,
     LoadRate,
-    Move,
     estimate_load_time,
     is_from_store,
     plan_models,
@@ -59,6 +56,12 @@
 MODEL_ROUND_S = 0.25
 """Time between two plans of models; an engine takes one order at a time for seconds."""
 
+ROUND_PAUSE_S = 0.01
+"""Shortest pause between two rounds; callers' wants that arrive meanwhile are planned together."""
+
+PLANNING_PART = 0.05
+"""Part of the processor that planning may take: on a slow instance rounds come less often."""
+
 REREAD_S = 0.35
 """Pause before an engine is asked again what it holds: its report lags by some hundred ms."""
 
@@ -82,7 +85,7 @@
 
     async def run(self) -> None:
         """Give orders for ever, while the lease allows."""
-        models_at = 0.0
+        models_from = 0.0
         while True:
             await self.wake.wait(0.05)
             now = time.monotonic()
@@ -91,18 +94,20 @@
                     self.places.clear()
                     self.rates.clear()
                 continue
-            with_models = now - models_at >= MODEL_ROUND_S
-            if with_models:
-                models_at = now
+            with_models = now >= models_from
             for service, engine in self.list_engines():
                 self.plan(service, engine, with_models, now)
+            took_s = time.monotonic() - now
+            if with_models:
+                models_from = now + max(MODEL_ROUND_S, took_s / PLANNING_PART)
+            await asyncio.sleep(max(ROUND_PAUSE_S, took_s))
 
     def log_unserved(self, floor: Floor, rate: LoadRate) -> None:
         """Tell which wants last, and what may keep them waiting."""
         usage, now = self.usage, floor.now
-        for target in usage.list_wanted(now - WANT_S):
+        for target in floor.wants:
             lasts_s = usage.measure_want(target, now)
-            if target[0] != floor.service or lasts_s < UNSERVED_S:
+            if lasts_s < UNSERVED_S:
                 continue
             if now - self.told_unserved.get(target, -UNSERVED_TOLD_S) < UNSERVED_TOLD_S:
                 continue
@@ -141,7 +146,7 @@
             rate = self.rates.get(service)
             if rate is None:
                 rate = self.rates[service] = self.make_rate(service, engine)
-            moves += plan_fill(floor) or plan_models(floor, rate)
+            moves += plan_fill(floor, moves) or plan_models(floor, rate)
             self.log_unserved(floor, rate)
         for server_id in {move.server_id for move in moves}:
             if server_id in self.busy:
--- a/standin/replica.py
+++ b/standin/replica.py
@@ -185,8 +185,11 @@
         if self.refuse_orders or plain.get("Expected", self.orders) != self.orders:
             return 409
         model, adapter = plain["Model"], plain.get("Adapter")
+        loads = plain["Operation"] == "load"
+        if loads and model in self.models and (not adapter or adapter in self.models[model]):
+            return 200
         self.orders += 1
-        if plain["Operation"] == "load":
+        if loads:
             held = self.models.setdefault(model, [])
             if adapter:
                 held.append(adapter)
--- a/test/test_edge_orders.py
+++ b/test/test_edge_orders.py
@@ -6,9 +6,10 @@
 from rhubarbshed.coordination.serving.adapters import (
     forget_met_wants,
     plan_adapters,
+    plan_fill,
 )
+from rhubarbshed.coordination.serving.floor import Floor
 from rhubarbshed.coordination.serving.placement import (
-    Floor,
     LoadRate,
     plan_models,
 )
@@ -166,6 +167,17 @@
     assert plan_adapters(floor) == []
 
 
+def test_adapter_that_is_loaded_for_a_caller_is_not_loaded_ahead_in_the_same_round():
+    usage = Usage()
+    usage.note_want(("svc", "m1", "a3"), NOW)
+    floor = make_floor(make_engine(3, m1=4), usage, b1={"m1": []}, b2={"m1": []})
+    wanted = plan_adapters(floor)
+    assert [move.adapter for move in wanted] == ["a3"]
+    ahead = plan_fill(floor, wanted)
+    assert ahead and wanted[0].server_id not in {move.server_id for move in ahead}
+    assert "a3" not in [move.adapter for move in ahead]
+
+
 def test_wants_of_adapters_are_served_in_the_order_in_which_they_came():
     usage = Usage()
     usage.note_want(("svc", "m1", "a4"), NOW - 0.6)
@@ -233,7 +245,8 @@
     place.take_report(ServerReport(held, True, 4, 0, 0, 0, 0, 1), NOW)
     assert plan_models(floor, make_rate()) == []
     place.take_report(ServerReport(held, False, 4, 0, 0, 0, 0, 1), NOW)
-    assert len(plan_models(floor, make_rate())) == 1
+    next_round = Floor("svc", floor.engine, floor.places, floor.records, usage, NOW)
+    assert len(plan_models(next_round, make_rate())) == 1
 
 
 async def reply_with_stream(exchange: Exchange) -> None:
