Tell instances what changed instead of everything

Cause: an order holder sent the state of all engines to each instance four times a second and at each change, relayed the words of the other holders to each as well, and passed each demand word on by itself: at 56 engines and 34 instances about 4.5 Mbit/s, on links from 5 Mbit/s. Signals fired between two waits were lost, so a change waited up to 0.25 s. Ruled out: fewer regular words (a holder's death would be noticed later). Change: words tell of what changed, twice, and of the rest in turn within 1.5 s; a holder tells its own data centre of all engines and the others of its own; demand is gathered before it is passed on; a datagram is packed once. The lease goes to large instances first, and instances that start together no longer ask for it at once. Settings that nothing used are gone.

--- a/rhubarbshed/coordination/serving/tenure.py
+++ b/rhubarbshed/coordination/serving/tenure.py
@@ -8,6 +8,7 @@
 """
 
 import enum
+import random
 
 from attrs import define
 
@@ -21,6 +22,15 @@
 """Part of a lease for which the row must stay unchanged before another instance takes over; longer
 than the right of a renewal lasts."""
 
+JITTER_S = 0.3
+"""Spread of the times at which instances look at the lease, so that one of them takes it."""
+
+SMALL_DELAY_S = 0.6
+ENOUGH_CORES = 0.7
+ENOUGH_LINK_MBPS = 20.0
+"""Longest time that a small instance leaves to others. One that has enough of a core and of a link
+for the words and orders of some fifty engines and instances does not wait."""
+
 SILENCE_PART = 0.25
 """Part of a lease without a word from the holder after which its row is looked at."""
 
@@ -35,6 +45,12 @@
     RENEW = "renew"
 
 
+def draw_jitter(cores: float, link_mbps: float, chance: random.Random) -> float:
+    """Return the seconds that an instance leaves others to take the lease, long for a small one."""
+    size = min(1.0, cores / ENOUGH_CORES, link_mbps / ENOUGH_LINK_MBPS)
+    return JITTER_S * chance.random() + SMALL_DELAY_S * (1.0 - size)
+
+
 @define
 class Tenure:
     """Hold what an instance knows of the lease; times are monotonic seconds.
@@ -56,6 +72,11 @@
     orders_from: float = 0.0
     renewed_at: float = 0.0
 
+    @classmethod
+    def from_start(cls, lease_s: float, jitter_s: float, now: float) -> "Tenure":
+        """Make what an instance knows at its start: all that came with it must not ask at once."""
+        return cls(lease_s, jitter_s, heard_at=now - lease_s * SILENCE_PART)
+
     def may_order(self, now: float) -> bool:
         """Tell whether this instance may give orders."""
         return self.held and self.orders_from <= now < self.right_until
--- a/rhubarbshed/protocol/words.py
+++ b/rhubarbshed/protocol/words.py
@@ -8,7 +8,7 @@
 from attrs import astuple, field, frozen
 from returns.result import Failure, Result, Success
 
-FORMAT = 1
+FORMAT = 2
 BAD_WORD = (KeyError, TypeError, ValueError, IndexError, msgpack.UnpackException)
 
 
@@ -30,11 +30,13 @@
 
 @frozen
 class HolderWord:
-    """Tell who gives orders in a data centre, and what the engines there hold.
+    """Tell who gives orders in a data centre, and what engines hold.
 
-    `ordering` tells whether the holder's lease is good now, `instances` how many it hears.
-    `held` are (server, born_ms, ((model, adapters), ...)); `changes` are (server, model that it
-    loads, seconds left for that, model that it drops), for the same servers. `holders` are the
+    `ordering` tells whether the holder's lease is good now, `instances` how many it hears and
+    `elsewhere` how many the holders of the other data centres hear. A word tells of some engines:
+    to the instances of the own data centre of any, to other holders of its own. `held` are
+    (server, born_ms, ((model, adapters), ...)); `changes` are (server, model that it loads, seconds
+    left for that, model that it drops), for the same servers. `holders` are the
     (data centre, host, port) of the other holders that it knows.
     """
 
@@ -45,6 +47,7 @@
     token: int
     ordering: bool
     instances: int
+    elsewhere: int
     held: tuple[tuple[str, int, tuple[tuple[str, tuple[str, ...]], ...]], ...] = field(
         factory=tuple
     )
--- a/rhubarbshed/state/fleet.py
+++ b/rhubarbshed/state/fleet.py
@@ -18,9 +18,10 @@
 """Time for which a server that cannot be reached is left out, doubled with each failure up to the
 longest; a crashed server is back after some seconds."""
 
-ANNOUNCED_S = 2.0
+ANNOUNCED_S = 3.0
 """Time for which the order holder's word on what a server holds goes before the server's own entry,
-which may have been written before the order was carried out."""
+which may have been written before the order was carried out; twice the time in which the holder
+tells of each server."""
 
 
 @define
--- a/rhubarbshed/state/places.py
+++ b/rhubarbshed/state/places.py
@@ -87,8 +87,12 @@
 
     def take_word(
         self, held: dict[str, tuple[str, ...]], change: tuple[str, float, str], now: float
-    ) -> None:
-        """Take what the holder of another data centre tells of an engine there."""
+    ) -> bool:
+        """Take what the holder of another data centre tells of an engine there.
+
+        Tell whether that is something new.
+        """
+        before = (self.models, set(self.adapters), self.loading, self.unloading)
         self.told_at = now
         self.models = set(held)
         self.adapters = {
@@ -98,6 +102,7 @@
         }
         self.loading, left_s, self.unloading = change
         self.busy_until = now + left_s
+        return before != (self.models, set(self.adapters), self.loading, self.unloading)
 
     def list_doubtful(self) -> set[tuple[str, str]]:
         """List (model, adapter) that unanswered loads may still bring."""
--- a/rhubarbshed/transport/edge/circle.py
+++ b/rhubarbshed/transport/edge/circle.py
@@ -1,8 +1,9 @@
 """What instances tell the order holders, and what these tell them and each other.
 
 Each data centre has its own order holder, so that a cut or a death takes orders away from a part of
-the engines only. A holder passes the words of the others on to the instances of its own data
-centre: between data centres only holders talk.
+the engines only. A holder tells the instances of its own data centre of all engines, and the other
+holders of its own engines and of the demand that it heard of: between data centres only holders
+talk, and what an instance gets does not grow with the number of instances.
 """
 
 import asyncio
@@ -40,9 +41,16 @@
 ROWS_PER_WORD = 8
 """Rows of the store in one datagram; a server's row has some hundred bytes."""
 
-SERVERS_PER_WORD = 16
+SERVERS_PER_WORD = 12
 """Engines told of in one datagram, which keeps it within a packet or two."""
 
+GATHER_S = 0.025
+"""Time in which changes gather before they are told; a caller that waits for an adapter notices
+it little, and a holder sends 40 words a second to each instance at the most."""
+
+COUNTS_PER_WORD = 40
+"""Targets counted in one datagram between holders."""
+
 WANT_PAUSE_S = 0.08
 """Shortest time between two words on the same want."""
 
@@ -59,6 +67,28 @@
     instances: int
 
 
+@define
+class Heard:
+    """Hold what a holder heard from its data centre and has not passed on to the others yet."""
+
+    counts: dict[Target, int] = field(factory=dict)
+    wants: dict[Target, None] = field(factory=dict)
+    lacks: dict[tuple[str, int, str, str], None] = field(factory=dict)
+
+    def add(self, word: DemandWord) -> None:
+        """Add an instance's word."""
+        for service, model, adapter, count in word.counts:
+            target = (service, model, adapter)
+            self.counts[target] = self.counts.get(target, 0) + count
+        self.wants.update(dict.fromkeys(tuple(target) for target in word.wants))
+        self.lacks.update(dict.fromkeys(tuple(lack) for lack in word.lacks))
+
+    @property
+    def is_urgent(self) -> bool:
+        """Tell whether callers wait for some of it."""
+        return bool(self.wants or self.lacks)
+
+
 @define
 class Circle:
     """Exchange words with the order holders, or be one."""
@@ -72,6 +102,7 @@
     wanted_at: dict[Target, float] = field(factory=dict)
     instances: dict[Address, float] = field(factory=dict)
     holders: dict[str, KnownHolder] = field(factory=dict)
+    heard: Heard = field(factory=Heard)
 
     def __attrs_post_init__(self) -> None:
         """Make the socket's side."""
@@ -111,8 +142,7 @@
         counts = tuple((*target, count) for target, count in self.counts.items())
         word = DemandWord(settings.name, settings.data_centre, counts, wants, lacks)
         if self.is_holder:
-            self.take_demand(word, now)
-            self.forward(word)
+            self.take_own_demand(word, now)
         elif not self.send_demand(word, now):
             return
         self.counts.clear()
@@ -129,19 +159,38 @@
                 self.datagrams.send(word, address)
         return own is not None or bool(others)
 
-    def forward(self, word: DemandWord) -> None:
-        """Pass a word from the own data centre on to the other holders."""
-        for data_centre, known in self.holders.items():
-            if data_centre != self.view.settings.data_centre:
-                self.datagrams.send(word, known.address)
+    def forward(self) -> None:
+        """Pass on to the other holders what was heard from the own data centre."""
+        heard, self.heard = self.heard, Heard()
+        counts = [(*target, count) for target, count in heard.counts.items()]
+        if not counts and not heard.is_urgent:
+            return
+        settings = self.view.settings
+        others = self.list_other_holders()
+        wants, lacks = tuple(heard.wants), tuple(heard.lacks)
+        for start in range(0, max(1, len(counts)), COUNTS_PER_WORD):
+            part = tuple(counts[start : start + COUNTS_PER_WORD])
+            word = DemandWord(settings.name, settings.data_centre, part, wants, lacks)
+            self.datagrams.send(word, *others)
+            wants = lacks = ()
+
+    def list_other_holders(self) -> list[Address]:
+        """List the addresses of the holders of the other data centres."""
+        own = self.view.settings.data_centre
+        return [known.address for name, known in self.holders.items() if name != own]
 
     async def tell(self) -> None:
         """Tell as a holder what engines hold, for ever: at each change and regularly."""
+        told_at = time.monotonic()
         while True:
-            await self.desk.changed.wait(HOLDER_S)
+            await self.desk.changed.wait(max(0.0, told_at + HOLDER_S - time.monotonic()))
+            now = time.monotonic()
+            regular = now - told_at >= HOLDER_S
             if self.is_holder:
-                self.tell_all(time.monotonic())
-            await asyncio.sleep(0.01)
+                self.tell_all(now - told_at if regular else None, now)
+            if regular:
+                told_at = now
+            await asyncio.sleep(GATHER_S)
 
     async def tell_regularly(self) -> None:
         """Tell the holder of demand for ever, also when there is none."""
@@ -149,20 +198,37 @@
             await asyncio.sleep(DEMAND_S * (0.8 + 0.4 * self.view.chance.random()))
             self.tell_demand(time.monotonic())
 
-    def tell_all(self, now: float) -> None:
-        """Tell the instances here and the other holders what engines hold."""
+    def tell_all(self, since_regular_s: float | None, now: float) -> None:
+        """Tell the instances here and the other holders what engines hold and what was asked for.
+
+        `since_regular_s` is set for a regular word, which is sent also without news.
+        """
+        regular = since_regular_s is not None
+        if regular:
+            self.tell_regular_news(now)
+        places = self.desk.list_known(now)
+        chosen = self.desk.telling.choose(set(places), since_regular_s)
+        told = [places[server_id] for server_id in chosen]
+        own = [place for place in told if place.ours]
+        if told or regular:
+            for word in self.make_words(told, now):
+                self.take_holder(word, now)
+                self.datagrams.send(word, *self.instances)
+        if own or regular:
+            others = self.list_other_holders()
+            for word in self.make_words(own, now):
+                self.datagrams.send(word, *others)
+        if regular or self.heard.is_urgent:
+            self.forward()
+
+    def tell_regular_news(self, now: float) -> None:
+        """Forget instances that fell silent, and tell the others how far the store was read."""
         for address in [key for key, at in self.instances.items() if now - at > FORGET_S]:
             del self.instances[address]
         self.lease.note_holders(self.holders, now)
         revision = self.follower.servers_revision or 0
         if self.follower.lost_at is None:
             self.tell_news(now, revision, revision)
-        for word in self.make_words(now):
-            self.take_holder(word, now)
-            self.spread(word)
-            for data_centre, known in self.holders.items():
-                if data_centre != word.data_centre:
-                    self.datagrams.send(word, known.address)
 
     def publish(self, before: int, revision: int, rows: tuple[Row, ...]) -> None:
         """Tell the instances here what changed in the store."""
@@ -187,16 +253,10 @@
                 tuple((row.key, row.version, row.value) for row in part),
             )
             before = reached
-            self.spread(word)
+            self.datagrams.send(word, *self.instances)
 
-    def spread(self, word: Word) -> None:
-        """Send a word to the instances of the own data centre."""
-        for address in self.instances:
-            self.datagrams.send(word, address)
-
-    def make_words(self, now: float) -> list[HolderWord]:
-        """Return the holder's words on the engines of its data centre."""
-        places = [place for place in self.desk.places.values() if place.is_known and place.ours]
+    def make_words(self, places: list[Place], now: float) -> list[HolderWord]:
+        """Return the holder's words on engines."""
         tenure = self.lease.tenure
         settings = self.view.settings
         ordering = tenure.may_order(now) or now < tenure.orders_from
@@ -213,6 +273,7 @@
                 tenure.token,
                 ordering,
                 len(self.instances) + 1,
+                self.count_elsewhere(),
                 tuple((place.server_id, place.born_ms, _group(place)) for place in part),
                 tuple(
                     (each.server_id, each.loading, max(0.0, each.busy_until - now), each.unloading)
@@ -231,9 +292,7 @@
             return
         word = read.unwrap()
         if isinstance(word, HolderWord):
-            is_new = self.take_holder(word, now)
-            if is_new and self.is_holder and word.data_centre != self.view.settings.data_centre:
-                self.spread(word)
+            self.take_holder(word, now)
             return
         if isinstance(word, NewsWord):
             if word.token >= self.lease.tenure.token and not self.is_holder:
@@ -241,11 +300,18 @@
             return
         if not self.is_holder:
             return
-        self.take_demand(word, now)
         if word.data_centre == self.view.settings.data_centre:
             self.instances[address] = now
-            if word.counts or word.wants or word.lacks:
-                self.forward(word)
+            self.take_own_demand(word, now)
+        else:
+            self.take_demand(word, now)
+
+    def take_own_demand(self, word: DemandWord, now: float) -> None:
+        """Take a word from the own data centre, to be passed on."""
+        self.take_demand(word, now)
+        self.heard.add(word)
+        if self.heard.is_urgent:
+            self.desk.changed.fire()
 
     def take_demand(self, word: DemandWord, now: float) -> None:
         """Take an instance's word on demand."""
@@ -259,11 +325,16 @@
         if word.wants or word.lacks:
             self.desk.wake.fire()
 
-    def take_holder(self, word: HolderWord, now: float) -> bool:
-        """Take a holder's word; tell whether it is a word of the newest one."""
+    def count_elsewhere(self) -> int:
+        """Count the instances that the holders of the other data centres hear."""
+        own = self.view.settings.data_centre
+        return sum(known.instances for name, known in self.holders.items() if name != own)
+
+    def take_holder(self, word: HolderWord, now: float) -> None:
+        """Take a holder's word, unless it is one of a former holder."""
         known = self.holders.get(word.data_centre)
         if known is not None and word.token < known.token:
-            return False
+            return
         address = (word.host, word.port)
         if known is None or known.address != address:
             log_event(
@@ -275,7 +346,8 @@
                 token=word.token,
             )
         self.holders[word.data_centre] = KnownHolder(address, word.token, now, word.instances)
-        self.view.budget.instances = sum(each.instances for each in self.holders.values())
+        if word.data_centre == self.view.settings.data_centre:
+            self.view.budget.instances = word.instances + word.elsewhere
         if word.data_centre == self.view.settings.data_centre:
             self.lease.hear(word.token, address, word.ordering, now)
             self.learn_holders(word, now)
@@ -287,7 +359,6 @@
         for server_id, loading, left_s, unloading in word.changes:
             fleet.note_changes(server_id, loading, left_s, unloading, now)
         self.view.changed.fire()
-        return True
 
     def learn_holders(self, word: HolderWord, now: float) -> None:
         """Learn where the other holders are, for when the own one falls silent."""
--- a/rhubarbshed/transport/edge/datagrams.py
+++ b/rhubarbshed/transport/edge/datagrams.py
@@ -34,10 +34,13 @@
     def error_received(self, error: OSError) -> None:
         """Ignore that a peer's port is closed; its silence is judged elsewhere."""
 
-    def send(self, word: Word, address: Address) -> None:
-        """Send a word."""
-        if self._transport is not None and not self._transport.is_closing():
-            self._transport.sendto(pack_word(word), address)
+    def send(self, word: Word, *addresses: Address) -> None:
+        """Send a word, packed once, to each address."""
+        if self._transport is None or self._transport.is_closing() or not addresses:
+            return
+        data = pack_word(word)
+        for address in addresses:
+            self._transport.sendto(data, address)
 
     def close(self) -> None:
         """Close the socket."""
--- a/rhubarbshed/transport/edge/holder.py
+++ b/rhubarbshed/transport/edge/holder.py
@@ -21,6 +21,7 @@
     is_from_store,
     plan_models,
 )
+from rhubarbshed.coordination.serving.telling import Telling
 from rhubarbshed.coordination.serving.tenure import Tenure
 from rhubarbshed.platform.orders import make_order, make_report_call, read_order_end
 from rhubarbshed.platform.records import read_report
@@ -35,7 +36,7 @@
 from rhubarbshed.transport.edge.control import call
 from rhubarbshed.transport.edge.numbers import Numbers
 from rhubarbshed.transport.edge.pools import Pool
-from rhubarbshed.transport.edge.view import Signal, View
+from rhubarbshed.transport.edge.view import Alarm, View
 from rhubarbshed.util.logs import log_event
 
 LOG = logging.getLogger(__name__)
@@ -68,7 +69,7 @@
 
 @define
 class OrderDesk:
-    """Plan and send orders while the lease is held; `tell` lets all instances know a change."""
+    """Plan and send orders while the lease is held; `changed` calls for a word on changes."""
 
     view: View
     pool: Pool
@@ -77,8 +78,9 @@
     usage: Usage = field(factory=Usage)
     places: dict[str, Place] = field(factory=dict)
     rates: dict[str, LoadRate] = field(factory=dict)
-    wake: Signal = field(factory=Signal)
-    changed: Signal = field(factory=Signal)
+    wake: Alarm = field(factory=Alarm)
+    changed: Alarm = field(factory=Alarm)
+    telling: Telling = field(factory=Telling)
     busy: set[str] = field(factory=set)
     tasks: set[asyncio.Task] = field(factory=set)
     told_unserved: dict[Target, float] = field(factory=dict)
@@ -186,7 +188,7 @@
             if not place.ours:
                 continue
             if place.settle_pending(now):
-                self.changed.fire()
+                self.note_change(server_id)
             if self.needs_report(place, record, now) and server_id not in self.busy:
                 place.read_at = now
                 self.busy.add(server_id)
@@ -218,7 +220,25 @@
                 continue
             change = changes.get(server_id, ("", 0.0, ""))
             self.count_remote_load(place, change[0], now)
-            place.take_word(dict(held), change, now)
+            if place.take_word(dict(held), change, now):
+                self.note_change(server_id)
+        for server_id, place in self.places.items():
+            record = self.view.fleet.get(server_id)
+            if place.told_at and record and record.entry.data_centre == word.data_centre:
+                place.told_at = now
+
+    def list_known(self, now: float) -> dict[str, Place]:
+        """Return the engines of which it is known what they hold: own ones, and others as told."""
+        return {
+            server_id: place
+            for server_id, place in self.places.items()
+            if place.is_known and (place.ours or now - place.told_at < TOLD_S)
+        }
+
+    def note_change(self, server_id: str) -> None:
+        """Call for a word on an engine."""
+        self.telling.note(server_id)
+        self.changed.fire()
 
     def note_lack(self, server_id: str, born_ms: int, model: str, adapter: str, now: float) -> None:
         """Take an instance's word that an engine lacks something, or is down (no model).
@@ -235,6 +255,7 @@
             return
         if adapter:
             place.doubt_adapter((model, adapter), now)
+            self.note_change(server_id)
         elif model in place.models:
             place.recheck = True
 
@@ -265,7 +286,7 @@
             now = time.monotonic()
             if isinstance(report, Success) and report.unwrap().born_ms == place.born_ms:
                 place.take_report(report.unwrap(), now)
-                self.changed.fire()
+                self.note_change(server_id)
                 log_event(
                     LOG,
                     logging.INFO,
@@ -352,7 +373,7 @@
             place.note_held(order, now)
         else:
             place.accept(order, done_at, end is OrderEnd.HOLDS, now)
-        self.changed.fire()
+        self.note_change(place.server_id)
         if order.adapter and order.kind is OrderKind.LOAD:
             loop = asyncio.get_running_loop()
             loop.call_later(ADAPTER_S, self.wake.fire)
--- a/rhubarbshed/transport/edge/node.py
+++ b/rhubarbshed/transport/edge/node.py
@@ -14,7 +14,7 @@
 from returns.result import Failure, Success
 
 from rhubarbshed.coordination.drain import DrainPhase
-from rhubarbshed.coordination.serving.tenure import Tenure
+from rhubarbshed.coordination.serving.tenure import Tenure, draw_jitter
 from rhubarbshed.transport.edge.circle import Circle
 from rhubarbshed.transport.edge.follower import Follower
 from rhubarbshed.transport.edge.holder import OrderDesk
@@ -49,9 +49,6 @@
 RELOAD_TICKS = 8
 """Sweeps between two looks at the settings file and at connections to servers that are gone."""
 
-LEASE_JITTER_S = 0.3
-"""Spread of the times at which instances look at the lease, so that one of them takes it."""
-
 EXIT_OK = 0
 EXIT_START_FAILED = 1
 
@@ -82,7 +79,8 @@
         pool = Pool(CONNECT_TIMEOUT_S)
         numbers = Numbers.from_instance()
         store = StoreClient(settings.store, Pool(STORE_CONNECT_S))
-        tenure = Tenure(settings.lease_s, LEASE_JITTER_S * view.chance.random())
+        jitter_s = draw_jitter(settings.cores, settings.link_mbps, view.chance)
+        tenure = Tenure.from_start(settings.lease_s, jitter_s, time.monotonic())
         address = (settings.host, settings.peers_port)
         lease = LeaseKeeper(
             store, tenure, settings.name, settings.data_centre, address, uuid.uuid4().hex
--- a/rhubarbshed/transport/edge/view.py
+++ b/rhubarbshed/transport/edge/view.py
@@ -48,6 +48,27 @@
             self.waiters.discard(waiter)
 
 
+@define(eq=False)
+class Alarm:
+    """Wake the one that waits, also when it begins to wait after the call."""
+
+    _event: asyncio.Event = field(factory=asyncio.Event)
+
+    def fire(self) -> None:
+        """Wake the waiter, now or when it comes."""
+        self._event.set()
+
+    async def wait(self, timeout_s: float) -> None:
+        """Wait for a call or a time."""
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self._event.wait()
+        except TimeoutError:
+            return
+        finally:
+            self._event.clear()
+
+
 @define
 class View:
     """Hold the beliefs and budgets of one instance; all change on the loop only.
--- a/rhubarbshed/util/front.py
+++ b/rhubarbshed/util/front.py
@@ -8,7 +8,10 @@
 
 @frozen
 class FrontSettings:
-    """Hold the settings of an instance; addresses are (IP, port), times in seconds."""
+    """Hold the settings of an instance; addresses are (IP, port), times in seconds.
+
+    `cores` is the processor time that the instance gets, in usual cores.
+    """
 
     name: str
     data_centre: str
@@ -20,8 +23,6 @@
     store: tuple[str, int]
     log_level: str
     drain_s: float
-    config_apply_s: float
-    stable_s: float
     grace_s: float
     lease_s: float
     retry_ratio: float
@@ -29,7 +30,8 @@
     retry_extra: float
     ceiling_window_s: float
     ceiling_overage: float
-    memory_mb: float
+    cores: float
+    link_mbps: float
 
     @classmethod
     def from_file(cls, path: str) -> Result["FrontSettings", list[str]]:
@@ -59,8 +61,6 @@
         }
         for name in (
             "drain_s",
-            "config_apply_s",
-            "stable_s",
             "lease_s",
         ):
             values[name] = reader.read_number("bounds", name.replace("_s", "_ms")) / 1000.0
@@ -73,7 +73,9 @@
             "ceiling_overage",
         ):
             values[name] = reader.read_number("bounds", name)
-        values["memory_mb"] = reader.read_number("limits", "memory_mb")
+        share, speed = (reader.read_number("limits", key) for key in ("cpu_share", "core_speed"))
+        values["cores"] = share * speed
+        values["link_mbps"] = reader.read_number("limits", "link_mbps")
         if reader.errors:
             return Failure(reader.errors)
         return Success(cls(**values))
--- a/test/helper_edge.py
+++ b/test/helper_edge.py
@@ -37,8 +37,6 @@
         "store": store,
         "log_level": "info",
         "drain_s": 2.0,
-        "config_apply_s": 2.0,
-        "stable_s": 3.0,
         "grace_s": 8.0,
         "lease_s": 3.0,
         "retry_ratio": 0.2,
@@ -46,7 +44,8 @@
         "retry_extra": 100.0,
         "ceiling_window_s": 5.0,
         "ceiling_overage": 1.1,
-        "memory_mb": 200.0,
+        "cores": 1.0,
+        "link_mbps": 100.0,
     }
     return FrontSettings(**{**values, **changes})
 
--- a/test/test_edge_front.py
+++ b/test/test_edge_front.py
@@ -30,11 +30,11 @@
 [platform]
 store = 127.0.0.1:{store}
 [limits]
-memory_mb = 100
+cpu_share = 0.5
+core_speed = 2
+link_mbps = 100
 [bounds]
 drain_ms = 2000
-config_apply_ms = 2000
-stable_ms = 3000
 lease_ms = 3000
 grace_s = 8
 retry_ratio = 0.2
--- a/test/test_edge_orders.py
+++ b/test/test_edge_orders.py
@@ -17,7 +17,7 @@
 from rhubarbshed.protocol.routes import EngineSpec, ModelSpec
 from rhubarbshed.protocol.servers import ServerOrder, ServerReport
 from rhubarbshed.state.fleet import Fleet
-from rhubarbshed.state.places import Doubt, Place
+from rhubarbshed.state.places import LOADED_S, Doubt, Place
 from rhubarbshed.state.usage import Usage
 from rhubarbshed.transport.edge.node import Node
 from standin.replica import Exchange, Replica
@@ -332,7 +332,7 @@
         async with run_edge(configuration, *make_engines("b1", m1=[])) as edge:
             await edge.wait_until(lambda: edge.node.lease.tenure.held)
             await edge.wait_until(lambda: len(edge.replicas[0].models["m1"]) == 3)
-            await asyncio.sleep(0.5)
+            await asyncio.sleep(LOADED_S + 0.3)
             edge.replicas[0].models["m1"].remove("a2")
             answer = await edge.ask("/s/x", b"p", Rhubarbshed_Model="m1/a2")
             assert answer.status == 200
--- /dev/null
+++ b/test/test_edge_telling.py
@@ -0,0 +1,86 @@
+"""What an order holder tells, and what that costs its link."""
+
+import asyncio
+import random
+
+from rhubarbshed.coordination.serving.telling import TURN_S, Telling
+from rhubarbshed.coordination.serving.tenure import Step, Tenure, draw_jitter
+from rhubarbshed.protocol.words import pack_word
+from rhubarbshed.state.places import Place
+from rhubarbshed.transport.edge.circle import HOLDER_S
+from rhubarbshed.transport.edge.node import Node
+from rhubarbshed.transport.edge.view import Alarm
+from test.helper_edge import make_settings, play
+
+ENGINES = {f"i-{number:010x}" for number in range(56)}
+INSTANCES = 34
+LINK_BYTES_PER_S = 5_000_000 / 8
+"""The narrowest link of the grown deployments."""
+
+
+def test_change_is_told_at_once_and_once_more_with_the_next_regular_word():
+    telling = Telling()
+    telling.note("b1")
+    assert telling.has_news()
+    assert telling.choose({"b1"}, None) == ["b1"]
+    assert not telling.has_news() and telling.choose({"b1"}, None) == []
+    telling.turn.extend(["b2"])
+    assert "b1" in telling.choose({"b1", "b2"}, 0.25)
+    assert telling.due == {}
+
+
+def test_each_engine_has_its_turn_in_time_and_a_regular_word_tells_of_few():
+    telling = Telling()
+    last = dict.fromkeys(ENGINES, 0.0)
+    for step in range(1, 41):
+        now = step * HOLDER_S
+        told = telling.choose(ENGINES, HOLDER_S)
+        assert len(told) <= len(ENGINES) / 4
+        for server_id in told:
+            assert now - last[server_id] <= TURN_S + HOLDER_S
+            last[server_id] = now
+    assert min(last.values()) > 40 * HOLDER_S - TURN_S - HOLDER_S
+
+
+def test_engine_that_is_gone_is_not_told_of():
+    telling = Telling()
+    telling.note("b1")
+    assert telling.choose(set(), 0.25) == [] and telling.due == {}
+
+
+def test_regular_words_take_a_small_part_of_the_narrowest_link():
+    """Each word told of all engines once, and each change of one of all: 4.5 Mbit/s."""
+    node = Node.from_settings(make_settings(("127.0.0.1", 1)), "")
+    places = {}
+    for server_id in ENGINES:
+        place = places[server_id] = Place(server_id, 1_700_000_000_000, orders=1)
+        place.models = {"daka510000", "lode163d70", "ticu48c17c"}
+        place.adapters = {("daka510000", f"a{number}"): 0.0 for number in range(5)}
+    sent_bytes = 0
+    for _ in range(int(10 / HOLDER_S)):
+        told = [places[each] for each in node.desk.telling.choose(ENGINES, HOLDER_S)]
+        words = node.circle.make_words(told, 0.0)
+        sent_bytes += sum(len(pack_word(word)) for word in words) * INSTANCES
+    assert sent_bytes / 10 < 0.25 * LINK_BYTES_PER_S
+
+
+def test_alarm_that_fires_while_nobody_waits_is_not_lost():
+    async def scene():
+        alarm = Alarm()
+        alarm.fire()
+        await asyncio.wait_for(alarm.wait(5.0), 0.5)
+
+    play(scene)
+
+
+def test_large_instance_takes_the_lease_before_a_small_one():
+    chance = random.Random(1)
+    large = [draw_jitter(2.0, 100.0, chance) for _ in range(50)]
+    small = [draw_jitter(0.361, 5.0, chance) for _ in range(50)]
+    assert max(large) < min(small)
+
+
+def test_instances_that_start_together_do_not_ask_for_the_lease_at_once():
+    tenures = [Tenure.from_start(3.0, 0.01 * number, 100.0) for number in range(30)]
+    asking = [each for each in tenures if each.choose_step(100.05) is Step.READ]
+    assert 0 < len(asking) < 10
