Add a fault soak; leave a copy when holders plan at once; take runs as long as they are

Two causes: the holders of two data centres dropped a copy each at the same moment, each taking the other's for the one that stays; and runs were taken to last 1.5 s, so that a model whose runs last 0.25 s looked crowded and drove the only copy of another out. Change: of each model one copy, the same in the eyes of all holders, counts as the only one; instances tell how long runs took; a copy's part of the requests is one at the most. Adapters that the operator does not know are refused at once and not remembered. Soak: real instances, engines, servers and a store as processes, each behind a relay; kills, herds, pauses, links that delay, silence, reset, forget; the store down, without answers, without history; planned stops, servers that leave, configurations; twelve promises checked.

--- a/Makefile
+++ b/Makefile
@@ -5,9 +5,10 @@
 STAMP := $(VENV)/installed.stamp
 SEED ?= 1
 EXAMPLES ?= 2000
+COUNT ?= 10
 CODE := rhubarbshed standin test tools
 
-.PHONY: demo test lint format bench policy capacity fuzz
+.PHONY: demo test check lint format bench policy capacity fuzz soak
 
 $(STAMP): requirements.lock pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -27,8 +28,11 @@
 	$(BIN)/black --quiet $(CODE)
 	$(BIN)/ruff check --quiet --fix $(CODE)
 
+check: lint
+	$(BIN)/python -m pytest -n 6 --dist worksteal -m "not slow"
+
 test: lint
-	$(BIN)/python -m pytest
+	$(BIN)/python -m pytest -n 4 --dist worksteal
 
 bench: $(STAMP)
 	$(BIN)/python -m tools.bench
@@ -41,3 +45,6 @@
 
 fuzz: $(STAMP)
 	$(BIN)/python -m tools.fuzz --seed $(SEED) --examples $(EXAMPLES)
+
+soak: $(STAMP)
+	$(BIN)/python -m tools.soak --seed $(SEED) --count $(COUNT)
--- a/rhubarbshed/coordination/serving/floor.py
+++ b/rhubarbshed/coordination/serving/floor.py
@@ -24,11 +24,10 @@
 """What the first, second and further copies of a model are worth, as parts of its requests a
 second: the first answers them, a second one answers them while its server is lost."""
 
-STREAM_S = 1.5
 CROWDED = 0.15
 CROWDING_PART = 1.0
-"""A copy counts more while those that there are would be busy beyond a part of their slots, with
-streams of so many seconds: prompts that arrive together make pauses in the other streams."""
+"""A copy counts more while those that there are would be busy beyond a part of their slots: prompts
+that arrive together make pauses in the other streams."""
 
 RARE_RATE = 0.1
 """Requests a second that a model is taken to have that nobody has asked for lately, since any may
@@ -82,7 +81,7 @@
     moves: list[Move] = field(factory=list)
     touched: set[str] = field(factory=set)
     _rates: dict[str, float] = field(factory=dict)
-    _held: dict[str, float] = field(factory=dict)
+    _held: dict[tuple[str, bool], float] = field(factory=dict)
     _free: dict[str, float] = field(factory=dict)
     _blocked: dict[str, float] = field(factory=dict)
     _copies: dict[str, list[tuple[float, str, float]]] = field(factory=dict)
@@ -183,8 +182,9 @@
         rate = self.measure_rate(model)
         part = COPY_PARTS[min(copies, len(COPY_PARTS) - 1)]
         if copies > 0:
-            crowding = rate * STREAM_S / (self.engine.slots * copies) - CROWDED
-            part += CROWDING_PART * max(0.0, crowding)
+            running = rate * self.usage.measure_run(self.service, model)
+            crowding = running / (self.engine.slots * copies) - CROWDED
+            part = min(1.0, part + CROWDING_PART * max(0.0, crowding))
         gain = rate * part
         if copies == 0:
             gain += RARE_RATE
@@ -193,17 +193,28 @@
                 gain += WANTED_RATE + WAITING_RATE * max(waits)
         return gain
 
-    def measure_held(self, model: str) -> float:
+    def find_keeper(self, model: str) -> str:
+        """Return the engine whose copy of a model counts as the only one.
+
+        Holders of several data centres plan at the same moment: if each took the other's copy for
+        the one that stays, none would.
+        """
+        held = [place.server_id for place in self.list_holders(model) if model in place.models]
+        return min(held, default="")
+
+    def measure_held(self, place: Place, model: str) -> float:
         """Return what a copy that is there is worth: more than a new one, more while it runs much.
 
         An unload waits for its runs, and until then the engine takes no other order.
         """
-        worth = self._held.get(model)
+        key = (model, self.find_keeper(model) == place.server_id)
+        worth = self._held.get(key)
         if worth is None:
             copies = max(1, len(self.list_holders(model)))
-            gain = self.measure_gain(model, copies - 1) * SWAP_FACTOR + MOVE_GAIN
+            others = 0 if key[1] else copies - 1
+            gain = self.measure_gain(model, others) * SWAP_FACTOR + MOVE_GAIN
             worth = gain + RUNNING_PART * self.measure_rate(model) / copies
-            self._held[model] = worth
+            self._held[key] = worth
         return worth
 
     def rank_copies(self, place: Place) -> list[tuple[float, str, float]]:
@@ -212,7 +223,7 @@
         if ranked is None:
             models = self.engine.models
             ranked = sorted(
-                (self.measure_held(name), name, models[name].size_mb)
+                (self.measure_held(place, name), name, models[name].size_mb)
                 for name in place.models
                 if name in models
             )
--- a/rhubarbshed/protocol/routes.py
+++ b/rhubarbshed/protocol/routes.py
@@ -1,6 +1,7 @@
 """Configuration of a deployment: routes, services, engines and limits on callers."""
 
 import enum
+import functools
 
 from attrs import field, frozen
 
@@ -29,6 +30,15 @@
     adapters: int = 0
     adapter_mb: float = 0.0
 
+    def has_adapter(self, name: str) -> bool:
+        """Tell whether an adapter is one of the model's; "" stands for none and always is."""
+        return not name or name in self.adapter_names
+
+    @functools.cached_property
+    def adapter_names(self) -> frozenset[str]:
+        """Names of all adapters."""
+        return frozenset(f"a{number}" for number in range(1, self.adapters + 1))
+
 
 @frozen
 class EngineSpec:
--- a/rhubarbshed/state/usage.py
+++ b/rhubarbshed/state/usage.py
@@ -12,6 +12,13 @@
 FAST_WEIGHT_MIN = 3.0
 """Recent requests from which the fast rate counts; fewer say little."""
 
+RUN_S = 1.5
+"""Seconds that a run is taken to last while hardly any was seen; a stream of some hundred tokens
+takes one or two."""
+
+RUNS_MIN = 2.0
+"""Recent runs from which their mean counts."""
+
 SEEN_MIN_S = 0.5
 """Time that counts as seen at the least, so that the first requests do not look like a flood."""
 
@@ -22,21 +29,41 @@
 """A service, a model of it and an adapter ("" for none)."""
 
 
+@define
+class Tally:
+    """Count requests, and runs that were answered with the seconds that they took."""
+
+    requests: float = 0
+    runs: float = 0
+    run_s: float = 0.0
+
+    def add(self, other: "Tally") -> None:
+        """Add another tally."""
+        self.requests += other.requests
+        self.runs += other.runs
+        self.run_s += other.run_s
+
+
 @define
 class Use:
-    """Hold decaying sums of requests as of `at`, and when the target was last asked for."""
+    """Hold decaying sums of requests and of the seconds that their runs took, as of `at`."""
 
     slow: float = 0.0
     fast: float = 0.0
+    runs: float = 0.0
+    run_s: float = 0.0
     at: float = 0.0
-    asked_at: float = -math.inf
 
-    def add(self, count: float, now: float) -> None:
-        """Count requests."""
-        self.slow = self.slow * _decay(now - self.at, SLOW_WINDOW_S) + count
-        self.fast = self.fast * _decay(now - self.at, FAST_WINDOW_S) + count
+    def add(self, tally: Tally, now: float) -> None:
+        """Count requests and runs."""
+        slow, fast = (
+            _decay(now - self.at, window_s) for window_s in (SLOW_WINDOW_S, FAST_WINDOW_S)
+        )
+        self.slow = self.slow * slow + tally.requests
+        self.fast = self.fast * fast + tally.requests
+        self.runs = self.runs * slow + tally.runs
+        self.run_s = self.run_s * slow + tally.run_s
         self.at = now
-        self.asked_at = now
 
     def measure_rate(self, since: float, now: float) -> float:
         """Return requests per second, where counting began at `since`."""
@@ -70,13 +97,20 @@
     wanted_since: dict[Target, float] = field(factory=dict)
     since: float = math.inf
 
-    def count(self, target: Target, requests: float, now: float) -> None:
+    def count(self, target: Target, tally: Tally, now: float) -> None:
         """Count requests for a target."""
         service, model, adapter = target
         self.since = min(self.since, now)
-        self.models.setdefault((service, model), Use()).add(requests, now)
+        self.models.setdefault((service, model), Use()).add(tally, now)
         if adapter:
-            self.adapters.setdefault(target, Use()).add(requests, now)
+            self.adapters.setdefault(target, Use()).add(tally, now)
+
+    def measure_run(self, service: str, model: str) -> float:
+        """Return the seconds that a run of a model takes, as far as runs were seen."""
+        use = self.models.get((service, model))
+        if use is None or use.runs < RUNS_MIN:
+            return RUN_S
+        return use.run_s / use.runs
 
     def note_want(self, target: Target, now: float) -> None:
         """Note that a caller waits for a target that no server holds."""
--- a/rhubarbshed/transport/edge/circle.py
+++ b/rhubarbshed/transport/edge/circle.py
@@ -16,7 +16,7 @@
 from rhubarbshed.protocol.tables import Row
 from rhubarbshed.protocol.words import DemandWord, HolderWord, NewsWord, Word
 from rhubarbshed.state.places import Place
-from rhubarbshed.state.usage import Target
+from rhubarbshed.state.usage import Tally, Target
 from rhubarbshed.transport.edge.datagrams import Datagrams
 from rhubarbshed.transport.edge.follower import Follower
 from rhubarbshed.transport.edge.holder import OrderDesk
@@ -71,15 +71,14 @@
 class Heard:
     """Hold what a holder heard from its data centre and has not passed on to the others yet."""
 
-    counts: dict[Target, int] = field(factory=dict)
+    counts: dict[Target, Tally] = field(factory=dict)
     wants: dict[Target, None] = field(factory=dict)
     lacks: dict[tuple[str, int, str, str], None] = field(factory=dict)
 
     def add(self, word: DemandWord) -> None:
         """Add an instance's word."""
-        for service, model, adapter, count in word.counts:
-            target = (service, model, adapter)
-            self.counts[target] = self.counts.get(target, 0) + count
+        for service, model, adapter, *numbers in word.counts:
+            self.counts.setdefault((service, model, adapter), Tally()).add(Tally(*numbers))
         self.wants.update(dict.fromkeys(tuple(target) for target in word.wants))
         self.lacks.update(dict.fromkeys(tuple(lack) for lack in word.lacks))
 
@@ -98,7 +97,7 @@
     desk: OrderDesk
     follower: Follower
     datagrams: Datagrams = field(init=False)
-    counts: dict[Target, int] = field(factory=dict)
+    counts: dict[Target, Tally] = field(factory=dict)
     wanted_at: dict[Target, float] = field(factory=dict)
     instances: dict[Address, float] = field(factory=dict)
     holders: dict[str, KnownHolder] = field(factory=dict)
@@ -115,8 +114,11 @@
 
     def count_demand(self, service: str, model: str, adapter: str) -> None:
         """Count a request, for the next word."""
-        target = (service, model, adapter)
-        self.counts[target] = self.counts.get(target, 0) + 1
+        self.counts.setdefault((service, model, adapter), Tally()).requests += 1
+
+    def count_run(self, service: str, model: str, adapter: str, run_s: float) -> None:
+        """Count a run that was answered, for the next word."""
+        self.counts.setdefault((service, model, adapter), Tally()).add(Tally(0, 1, run_s))
 
     def want(self, service: str, model: str, adapter: str) -> None:
         """Tell the holder at once that a caller waits for something."""
@@ -139,7 +141,7 @@
     ) -> None:
         """Tell the holder what was asked for since the last word."""
         settings = self.view.settings
-        counts = tuple((*target, count) for target, count in self.counts.items())
+        counts = tuple(_list_counts(self.counts))
         word = DemandWord(settings.name, settings.data_centre, counts, wants, lacks)
         if self.is_holder:
             self.take_own_demand(word, now)
@@ -162,7 +164,7 @@
     def forward(self) -> None:
         """Pass on to the other holders what was heard from the own data centre."""
         heard, self.heard = self.heard, Heard()
-        counts = [(*target, count) for target, count in heard.counts.items()]
+        counts = _list_counts(heard.counts)
         if not counts and not heard.is_urgent:
             return
         settings = self.view.settings
@@ -316,8 +318,8 @@
     def take_demand(self, word: DemandWord, now: float) -> None:
         """Take an instance's word on demand."""
         usage = self.desk.usage
-        for service, model, adapter, count in word.counts:
-            usage.count((service, model, adapter), count, now)
+        for service, model, adapter, *numbers in word.counts:
+            usage.count((service, model, adapter), Tally(*numbers), now)
         for target in word.wants:
             usage.note_want(tuple(target), now)
         for server_id, born_ms, model, adapter in word.lacks:
@@ -375,6 +377,15 @@
                 self.holders[data_centre] = KnownHolder(address, token, -1e9, 0)
 
 
+def _list_counts(
+    counts: dict[Target, Tally],
+) -> list[tuple[str, str, str, float, float, float]]:
+    return [
+        (*target, tally.requests, tally.runs, round(tally.run_s, 3))
+        for target, tally in counts.items()
+    ]
+
+
 def _group(place: Place) -> tuple[tuple[str, tuple[str, ...]], ...]:
     grouped: dict[str, list[str]] = {model: [] for model in sorted(place.models)}
     for model, adapter in sorted(place.adapters):
--- a/rhubarbshed/transport/edge/node.py
+++ b/rhubarbshed/transport/edge/node.py
@@ -91,7 +91,15 @@
         lease.learned = circle.learn_addresses
         follower.publish = circle.publish
         follower.is_holder = lambda: tenure.held
-        relay = Relay(view, pool, numbers, circle.want, circle.count_demand, circle.tell_lack)
+        relay = Relay(
+            view,
+            pool,
+            numbers,
+            circle.want,
+            circle.count_demand,
+            circle.count_run,
+            circle.tell_lack,
+        )
         return cls(path, settings, view, pool, numbers, follower, lease, desk, circle, relay)
 
     async def run(self) -> int:
--- a/rhubarbshed/transport/edge/relay.py
+++ b/rhubarbshed/transport/edge/relay.py
@@ -45,8 +45,9 @@
 class Relay:
     """Carry requests.
 
-    `want` asks the order holder for a (service, model, adapter); `tell_lack` tells it of a (server,
-    born_ms, model, adapter) that is not there.
+    `want` asks the order holder for a (service, model, adapter); `count_demand` counts a request
+    for one, `count_run` a run with its seconds. `tell_lack` tells the holder of a (server, born_ms,
+    model, adapter) that is not there.
     """
 
     view: View
@@ -54,6 +55,7 @@
     numbers: Numbers
     want: Callable[[str, str, str], None]
     count_demand: Callable[[str, str, str], None]
+    count_run: Callable[[str, str, str, float], None]
     tell_lack: Callable[[str, int, str, str], None]
     journeys: set["Journey"] = field(factory=set)
 
@@ -144,9 +146,10 @@
 
     @property
     def is_configured(self) -> bool:
-        """Tell whether the operator knows the model; callers may name anything."""
+        """Tell whether the operator knows the model and adapter; callers may name anything."""
         engine = self.relay.view.configuration.find_engine(self.service)
-        return engine is not None and self.request.model in engine.models
+        spec = engine.models.get(self.request.model) if engine is not None else None
+        return spec is not None and spec.has_adapter(self.request.adapter)
 
     async def send(self) -> RequestError | None:
         """Send the request until it is answered; return the error to answer with, if any."""
@@ -201,6 +204,7 @@
         more = self.tries.run + 1 < self.route.attempts_max and self.route.repeatable
         record.open += 1
         self.in_flight = True
+        begun_at = time.monotonic()
         try:
             end = await attempt.run(more)
         finally:
@@ -208,6 +212,9 @@
         # Left true by a timeout: the server may be running the request.
         self.in_flight = False
         self.note_end(record, attempt, end)
+        if end is End.DONE and self.is_configured:
+            run_s = time.monotonic() - begun_at
+            self.relay.count_run(self.service, self.request.model, self.request.adapter, run_s)
         return end
 
     def note_end(self, record: ServerRecord, attempt: Attempt, end: End) -> None:
@@ -263,9 +270,10 @@
         ]
         engine = view.configuration.find_engine(self.service)
         leaves_at = min(self.deadline, self.request.received_at + self.route.stall_s)
+        if not self.is_configured:
+            return False
         decision = decide_absent(engine, (model, adapter), capable, leaves_at, now)
-        if self.is_configured:
-            self.relay.want(self.service, model, adapter)
+        self.relay.want(self.service, model, adapter)
         if not isinstance(decision, Waiting):
             self.over_in_s = decision.over_in_s
             return False
--- a/standin/replica.py
+++ b/standin/replica.py
@@ -4,6 +4,7 @@
 import json
 import socket
 import struct
+import time
 from collections.abc import Awaitable, Callable
 
 from attrs import define, field
@@ -81,7 +82,11 @@
 
 @define(eq=False)
 class Replica:
-    """Serve requests by `reply`; hold models by orders, checked as the platform checks them."""
+    """Serve requests by `reply`; hold models by orders, checked as the platform checks them.
+
+    With `models_max` and `adapters_max` it takes a load that it has no room for as its end, by
+    `burst`. An order for a model takes `load_s`; the next one is turned down until then.
+    """
 
     server_id: str
     service: str = "svc"
@@ -95,6 +100,13 @@
     got: list[Exchange] = field(factory=list)
     ordered: list[dict] = field(factory=list)
     gone: list[str] = field(factory=list)
+    models_max: int = 0
+    adapters_max: int = 0
+    load_s: float = 0.0
+    busy_until: float = 0.0
+    draining: bool = False
+    burst: Callable[[], None] = lambda: None
+    answer_order: Callable[["Exchange", dict], Awaitable[None]] | None = None
     address: tuple[str, int] = ("127.0.0.1", 0)
     _server: asyncio.Server | None = None
     _writers: set[asyncio.StreamWriter] = field(factory=set)
@@ -160,8 +172,10 @@
             exchange.answer(421, b"", line, signed=False)
         elif exchange.target == "/rhubarbshed/report":
             exchange.answer(200, json.dumps(self._report()).encode(), signed=False)
+        elif exchange.target == "/rhubarbshed/order" and self.answer_order is not None:
+            await self.answer_order(exchange, json.loads(exchange.body))
         elif exchange.target == "/rhubarbshed/order":
-            exchange.answer(self._take_order(json.loads(exchange.body)), b"", signed=False)
+            exchange.answer(self.take_order(json.loads(exchange.body)), b"", signed=False)
         else:
             self.got.append(exchange)
             await self.reply(exchange)
@@ -170,7 +184,7 @@
         return {
             "Stage": "both",
             "Models": self._list_models(),
-            "Busy": False,
+            "Busy": time.monotonic() < self.busy_until,
             "Seq": self.orders,
             "Queued": 0,
             "Active": 0,
@@ -180,8 +194,11 @@
             "born": self.born_ms,
         }
 
-    def _take_order(self, plain: dict) -> int:
+    def take_order(self, plain: dict) -> int:
+        """Carry out an order; return the status of its answer."""
         self.ordered.append(plain)
+        if not plain.get("Adapter") and time.monotonic() < self.busy_until:
+            return 409
         if self.refuse_orders or plain.get("Expected", self.orders) != self.orders:
             return 409
         model, adapter = plain["Model"], plain.get("Adapter")
@@ -189,13 +206,23 @@
         if loads and model in self.models and (not adapter or adapter in self.models[model]):
             return 200
         self.orders += 1
+        if not adapter:
+            self.busy_until = time.monotonic() + self.load_s
         if loads:
             held = self.models.setdefault(model, [])
             if adapter:
                 held.append(adapter)
+            if self._is_overfull():
+                self.burst()
             return 202
         if adapter:
-            self.models[model].remove(adapter)
+            if adapter in self.models.get(model, ()):
+                self.models[model].remove(adapter)
             return 200
         self.models.pop(model, None)
         return 202
+
+    def _is_overfull(self) -> bool:
+        adapters = sum(len(held) for held in self.models.values())
+        too_many = self.models_max and len(self.models) > self.models_max
+        return bool(too_many or (self.adapters_max and adapters > self.adapters_max))
--- a/standin/rows.py
+++ b/standin/rows.py
@@ -1,7 +1,8 @@
 """Stand-in of the platform's store: rows with versions, conditions and a feed of changes.
 
 Faults are switches: `down` refuses calls, `silent` takes them without an answer, `lose_answers`
-carries out writes and closes the connection, `forget` drops the history.
+carries out writes and closes the connection, `forget` drops the history. A process of its own takes
+them as calls of `POST /standin/NAME`; there, entries of servers that do not beat lapse.
 """
 
 import asyncio
@@ -28,6 +29,8 @@
     silenced: int = 0
     lose_answers: bool = False
     calls: list[str] = field(factory=list)
+    beats: dict[str, float] = field(factory=dict)
+    retired: set[str] = field(factory=set)
     address: tuple[str, int] = ("127.0.0.1", 0)
     _server: asyncio.Server | None = None
     _changed: asyncio.Event = field(factory=asyncio.Event)
@@ -73,6 +76,18 @@
         self.forgotten = self.version
         self.changes.clear()
 
+    def beat(self, key: str, value: dict, now: float) -> None:
+        """Take a server's heartbeat; its entry changes when it says something new."""
+        self.beats[key] = now
+        if self.read("servers", key) != value:
+            self.put("servers", key, value)
+
+    def lapse(self, silent_s: float, now: float) -> None:
+        """Drop the entries of servers that have not beaten for a time."""
+        for key in [key for key, at in self.beats.items() if now - at > silent_s]:
+            del self.beats[key]
+            self.remove("servers", key)
+
     def read(self, table: str, key: str) -> dict | None:
         """Return a row's object."""
         found = self.rows.get((table, key))
@@ -110,10 +125,10 @@
         since = self.silenced
         if self.silent:
             await asyncio.sleep(3600)
-        status, plain = (503, {}) if self.down else await self._answer(method, target, body)
+        status, plain = await self._answer(method, target, body)
         if self.silent or since < self.silenced:
             await asyncio.sleep(3600)
-        if self.lose_answers and method == "POST":
+        if self.lose_answers and target == "/rhubarbshed/rows-tx":
             return False
         data = json.dumps(plain).encode()
         writer.write(f"HTTP/1.1 {status} X\r\nContent-Length: {len(data)}\r\n\r\n".encode() + data)
@@ -123,6 +138,10 @@
     async def _answer(self, method: str, target: str, body: bytes) -> tuple[int, dict]:
         parts = urlsplit(target)
         query = {name: values[0] for name, values in parse_qs(parts.query).items()}
+        if parts.path.startswith("/standin/"):
+            return self._switch(parts.path.removeprefix("/standin/"), query, body)
+        if self.down:
+            return 503, {}
         if parts.path == "/rhubarbshed/rows-tx":
             return self._commit(json.loads(body))
         if parts.path == "/rhubarbshed/rows-get":
@@ -132,6 +151,23 @@
             return await self._feed(query["Table"], int(query["after"]), wait_s)
         return ANSWER_500
 
+    def _switch(self, name: str, query: dict[str, str], body: bytes) -> tuple[int, dict]:
+        if name == "put":
+            self.put(query["Table"], query["Key"], json.loads(body))
+        elif name == "retire":
+            self.retired.add(query["Key"])
+            self.beats.pop(query["Key"], None)
+            self.remove("servers", query["Key"])
+        elif name == "admit":
+            self.retired.discard(query["Key"])
+        elif name == "beat" and not self.down and query["Key"] not in self.retired:
+            self.beat(query["Key"], json.loads(body), time.monotonic())
+        elif name == "forget":
+            self.forget()
+        elif name in ("down", "lose_answers"):
+            setattr(self, name, query["on"] == "1")
+        return 200, self._stamp()
+
     def _commit(self, plain: dict) -> tuple[int, dict]:
         for check in plain["Expected"]:
             key = (check["Table"], check["Key"])
--- a/test/helper_edge.py
+++ b/test/helper_edge.py
@@ -140,9 +140,9 @@
             await asyncio.sleep(0.02)
 
 
-async def read_answer(reader: asyncio.StreamReader) -> Answer:
+async def read_answer(reader: asyncio.StreamReader, answer: Answer | None = None) -> Answer:
     """Read one answer; one that breaks off is returned as far as it came."""
-    answer = Answer()
+    answer = answer or Answer()
     try:
         lines = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
         answer.status = int(lines[0].split()[1])
--- /dev/null
+++ b/test/soak/scene.py
@@ -0,0 +1,245 @@
+"""Processes of a run: instances, a store, engines and plain servers, each behind relays."""
+
+import asyncio
+import signal
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+from attrs import define, field
+
+from standin.run import call_store
+from test.helper_edge import find_port, make_configuration, make_engine_service, make_route
+from test.soak.history import History, Stop
+from test.soak.relay import Relay
+
+INSTANCES = {"i1": "a", "i2": "a", "i3": "b", "i4": "b"}
+ENGINES = {"e1": "a", "e2": "a", "e3": "b"}
+PLAIN = {"p1": "a", "p2": "b"}
+OTHER = {"q1": "a", "q2": "b"}
+FIRST_MODELS = {"e1": "m1,m2,m3", "e2": "m4,m5", "e3": "m1,m2"}
+READY_S = 10.0
+
+SETTINGS = """
+[instance]
+name = {name}
+data_centre = {data_centre}
+host = 127.0.0.1
+[listen]
+callers = 127.0.0.1:{callers}
+ready = 127.0.0.1:{ready}
+peers_ports = {peers},{peers}
+metrics_port = {metrics}
+[platform]
+store = 127.0.0.1:{store}
+[limits]
+cpu_share = 1
+core_speed = 1
+link_mbps = 100
+[bounds]
+drain_ms = 2000
+lease_ms = 3000
+grace_s = 8
+retry_ratio = 0.2
+retry_window_s = 10
+retry_extra = 100
+ceiling_window_s = 5
+ceiling_overage = 1.1
+[log]
+level = debug
+"""
+
+
+def make_routes(moved_to: str, version: int) -> dict:
+    """Return the configuration whose route `/x/` leads to the service `moved_to`."""
+    routes = (
+        make_route("idempotent", "/p/", Service="plain"),
+        make_route("non_idempotent", "/u/", Service="plain"),
+        make_route("streaming", "/s/", Resumable=True, TargetGapMs=150, Attempts=3),
+        make_route("idempotent", "/x/", Service=moved_to),
+    )
+    engine = make_engine_service({"m1": 3, "m2": 1, "m3": 0, "m4": 0, "m5": 0})
+    plain = [{"Name": name, "HealthCheck": "/health", "MaxConnections": 100} for name in ("plain",)]
+    plain.append({"Name": "other", "HealthCheck": "/health", "MaxConnections": 100})
+    return make_configuration(*routes, version=version, Services=[engine, *plain])
+
+
+@define(eq=False)
+class Program:
+    """Hold one process that the soak started, and how to start it again."""
+
+    name: str
+    words: list[str]
+    environment: dict[str, str]
+    output: Path
+    process: subprocess.Popen | None = None
+    paused: bool = False
+
+    def start(self) -> None:
+        """Start the process, its lines going to a file."""
+        with self.output.open("ab") as file:
+            self.process = subprocess.Popen(
+                self.words, env=self.environment, stdout=file, stderr=subprocess.STDOUT
+            )
+        self.paused = False
+
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal, if the process still runs."""
+        if self.is_running:
+            self.process.send_signal(number)
+
+    @property
+    def is_running(self) -> bool:
+        """Tell whether the process has not ended."""
+        return self.process is not None and self.process.poll() is None
+
+    async def end(self, number: signal.Signals, patience_s: float) -> int:
+        """End the process and return its code; killed where it takes too long."""
+        if self.paused:
+            self.send(signal.SIGCONT)
+        self.send(number)
+        until = time.monotonic() + patience_s
+        while self.is_running and time.monotonic() < until:
+            await asyncio.sleep(0.02)
+        if self.is_running:
+            self.process.kill()
+        return self.process.wait()
+
+
+@define(eq=False)
+class Scene:
+    """Hold all processes and relays of a run in a folder of its own."""
+
+    folder: Path
+    seed: int
+    history: History = field(factory=History)
+    programs: dict[str, Program] = field(factory=dict)
+    relays: dict[str, Relay] = field(factory=dict)
+    callers: dict[str, int] = field(factory=dict)
+    services: dict[str, str] = field(factory=dict)
+    ending: set[str] = field(factory=set)
+    version: int = 1
+    moved_to: str = "plain"
+    store_port: int = 0
+    environment: dict[str, str] = field(factory=dict)
+
+    @property
+    def records(self) -> Path:
+        """Return the file that backend servers write to."""
+        return self.folder / "servers.jsonl"
+
+    async def start(self, environment: dict[str, str]) -> None:
+        """Start all processes and wait until each instance is ready."""
+        self.environment = environment
+        self.records.touch()
+        self.store_port = find_port()
+        self.add("store", "-m", "standin.run", "store", str(self.store_port))
+        await self.wait_until(lambda: call_store(self.store_port, "admit", Key="none"))
+        await self.configure("plain")
+        groups = (("svc", ENGINES), ("plain", PLAIN), ("other", OTHER))
+        for service, servers in groups:
+            for name, data_centre in servers.items():
+                await self.add_server(name, service, data_centre)
+        for name, data_centre in INSTANCES.items():
+            await self.add_instance(name, data_centre)
+        for name in INSTANCES:
+            await self.wait_until(lambda name=name: self.ask_ready(name))
+
+    def add(self, name: str, *words: str, **environment: str) -> None:
+        """Start a process."""
+        output = self.folder / f"{name}.log"
+        whole = {**self.environment, **environment}
+        program = Program(name, [sys.executable, *words], whole, output)
+        self.programs[name] = program
+        program.start()
+
+    async def add_relay(self, name: str, target: int) -> int:
+        """Put a relay in front of a port and return its own."""
+        relay = self.relays[name] = Relay(find_port(), target)
+        await relay.start()
+        return relay.port
+
+    async def add_server(self, name: str, service: str, data_centre: str) -> None:
+        """Start a backend server behind a relay."""
+        port = find_port()
+        self.services[name] = service
+        told = await self.add_relay(name, port)
+        places = [str(port), name, service, data_centre, str(self.store_port), str(self.records)]
+        models = FIRST_MODELS.get(name, "")
+        options = ["--told-port", str(told), "--models", models, "--trouble", str(self.seed)]
+        self.add(name, "-m", "standin.run", "replica", *places, *options)
+
+    async def add_instance(self, name: str, data_centre: str) -> None:
+        """Start an instance; its callers and its way to the store each go through a relay."""
+        port, ready = find_port(), find_port()
+        self.callers[name] = await self.add_relay(name, port)
+        text = SETTINGS.format(
+            name=name,
+            data_centre=data_centre,
+            callers=port,
+            ready=ready,
+            peers=find_port(),
+            metrics=find_port(),
+            store=await self.add_relay(f"store-{name}", self.store_port),
+        )
+        path = self.folder / f"{name}.ini"
+        path.write_text(text, encoding="utf-8")
+        self.callers[f"ready-{name}"] = ready
+        self.add(name, "-m", "rhubarbshed.front", RHUBARBSHED_SETTINGS=str(path))
+
+    async def ask_ready(self, name: str) -> bool:
+        """Ask an instance whether new connections should come to it."""
+        try:
+            port = self.callers[f"ready-{name}"]
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.write(b"GET /rhubarbshed/ready HTTP/1.1\r\nHost: x\r\n\r\n")
+            line = await asyncio.wait_for(reader.readline(), 1.0)
+            writer.close()
+            return b" 200 " in line
+        except (OSError, TimeoutError):
+            return False
+
+    async def wait_until(self, ask) -> None:
+        """Wait until an asynchronous question is answered with yes."""
+        until = time.monotonic() + READY_S
+        while not await ask():
+            if time.monotonic() > until:
+                raise TimeoutError("the scene did not come up")
+            await asyncio.sleep(0.1)
+
+    async def configure(self, moved_to: str) -> None:
+        """Write the next configuration as the operator does, and note it once acknowledged."""
+        self.version += 3
+        body = make_routes(moved_to, self.version)
+        status = await call_store(self.store_port, "put", body, Table="op", Key="config")
+        if status == 200 and moved_to != self.moved_to:
+            first = {"plain": "p", "other": "q"}
+            self.history.moves.append((time.monotonic(), first[self.moved_to], first[moved_to]))
+            self.moved_to = moved_to
+
+    async def stop_instance(self, name: str, grace_s: float) -> None:
+        """Stop an instance as planned, note how it ended, and start it again."""
+        program = self.programs[name]
+        self.ending.add(name)
+        at = time.monotonic()
+        code = await program.end(signal.SIGTERM, grace_s)
+        self.history.stops.append(Stop(name, at, time.monotonic(), code))
+        program.start()
+        self.ending.discard(name)
+
+    def note_own_ends(self) -> None:
+        """Note instances that ended without the soak's doing, and start them again."""
+        for name in INSTANCES:
+            program = self.programs[name]
+            if name not in self.ending and not program.is_running:
+                self.history.own_ends.append(f"{name} ended with {program.process.returncode}")
+                program.start()
+
+    async def stop(self) -> None:
+        """End all processes that the soak started, and the relays."""
+        for program in self.programs.values():
+            if program.is_running:
+                await program.end(signal.SIGKILL, 1.0)
+        for relay in self.relays.values():
+            relay.stop()
--- a/test/test_edge_orders.py
+++ b/test/test_edge_orders.py
@@ -18,7 +18,7 @@
 from rhubarbshed.protocol.servers import ServerOrder, ServerReport
 from rhubarbshed.state.fleet import Fleet
 from rhubarbshed.state.places import LOADED_S, Doubt, Place
-from rhubarbshed.state.usage import Usage
+from rhubarbshed.state.usage import Tally, Usage
 from rhubarbshed.transport.edge.node import Node
 from standin.replica import Exchange, Replica
 from test.helper_edge import (
@@ -74,8 +74,8 @@
 def test_room_is_made_by_a_second_copy_and_not_by_the_only_copy_in_use():
     usage = Usage()
     for _ in range(40):
-        usage.count(("svc", "m1", ""), 1, NOW)
-        usage.count(("svc", "m2", ""), 1, NOW)
+        usage.count(("svc", "m1", ""), Tally(1), NOW)
+        usage.count(("svc", "m2", ""), Tally(1), NOW)
     usage.note_want(("svc", "m9", ""), NOW)
     engine = make_engine(m1=0, m2=0, m3=0, m9=0)
     held = {"m1": [], "m2": [], "m3": []}
@@ -86,7 +86,7 @@
 def test_demand_that_moves_brings_a_copy_where_the_old_one_idles():
     usage = Usage()
     for _ in range(60):
-        usage.count(("svc", "m9", ""), 1, NOW)
+        usage.count(("svc", "m9", ""), Tally(1), NOW)
     engine = make_engine(m1=0, m2=0, m3=0, m9=0)
     held = {"m1": [], "m2": [], "m3": []}
     moves = plan_models(make_floor(engine, usage, b1=held, b2=held), make_rate())
@@ -145,7 +145,7 @@
 def test_wanted_adapter_takes_the_place_of_the_one_least_asked_for():
     usage = Usage()
     for adapter, count in (("a1", 9), ("a2", 1), ("a3", 9)):
-        usage.count(("svc", "m1", adapter), count, NOW)
+        usage.count(("svc", "m1", adapter), Tally(count), NOW)
     usage.note_want(("svc", "m1", "a4"), NOW)
     floor = make_floor(make_engine(3, m1=4), usage, b1={"m1": ["a1", "a2", "a3"]})
     moves = plan_adapters(floor)
--- a/test/test_edge_planning.py
+++ b/test/test_edge_planning.py
@@ -14,7 +14,7 @@
 from rhubarbshed.protocol.servers import ServerReport
 from rhubarbshed.state.fleet import Fleet
 from rhubarbshed.state.places import Place
-from rhubarbshed.state.usage import Usage
+from rhubarbshed.state.usage import Tally, Usage
 from test.test_edge_choice import make_entry
 
 NOW = 1000.0
@@ -57,7 +57,7 @@
         frozen = {model: frozenset(names) for model, names in held.items()}
         place.take_report(ServerReport(frozen, False, 0, 0, 0, 0, 0, 1), NOW)
     for rank, name in enumerate(models, 1):
-        usage.count(("svc", name, ""), 400 // rank, NOW)
+        usage.count(("svc", name, ""), Tally(400 // rank), NOW)
     for name in chance.sample(sorted(models), WANTS):
         usage.note_want(("svc", name, "a1" if models[name].adapters else ""), NOW)
     return Floor("svc", engine, places, dict(fleet.servers), usage, NOW)
@@ -75,3 +75,51 @@
         plan_models(floor, LoadRate(90, 5.0, 4))
         took_s.append(time.process_time() - begun)
     assert min(took_s) < ROUND_S
+
+
+def test_holders_that_plan_at_the_same_moment_leave_a_copy():
+    """Both took the other's copy for the one that stays, and a busy model was gone."""
+    models = {name: ModelSpec(name, 60.0, 4.0, 0.8, 0.5) for name in ("m1", "m2", "m3", "m4", "m5")}
+    engine = EngineSpec(64, 1000, 130.0, 4, 16.0, models)
+    held = {"e2": ["m1", "m4"], "e3": ["m2", "m4"]}
+    dropped = []
+    for own in held:
+        fleet, places, usage = Fleet(), {}, Usage()
+        for name, names in held.items():
+            fleet.apply(make_entry(name, models=dict.fromkeys(names, ())), NOW)
+            place = places[name] = Place(name, 1, ours=name == own, told_at=NOW)
+            frozen = {model: frozenset() for model in names}
+            place.take_report(ServerReport(frozen, False, 0, 0, 0, 0, 0, 1), NOW)
+        usage.since = NOW - 100
+        for name, count in (("m1", 12), ("m2", 12), ("m4", 4), ("m3", 8), ("m5", 8)):
+            usage.count(("svc", name, ""), Tally(count), NOW)
+        for at in (NOW - 0.8, NOW - 0.4, NOW):
+            usage.note_want(("svc", "m3", ""), at)
+        floor = Floor("svc", engine, places, dict(fleet.servers), usage, NOW)
+        moves = plan_models(floor, LoadRate(9, 5.0, 2))
+        dropped += [move.server_id for move in moves if move.model == "m4"]
+    assert len(dropped) <= 1
+
+
+def test_short_runs_do_not_look_like_crowding_that_is_worth_the_only_copy_of_another():
+    """Each run was taken to last 1.5 s; models that answer in 0.25 s drove others out."""
+    models = {name: ModelSpec(name, 60.0, 4.0, 0.8, 0.5) for name in ("m1", "m2")}
+    engine = EngineSpec(8, 1000, 70.0, 4, 16.0, models)
+    for run_s, dropped in ((0.25, 0), (4.0, 1)):
+        fleet, places, usage = Fleet(), {}, Usage()
+        for name, model in (("e1", "m1"), ("e2", "m2")):
+            fleet.apply(make_entry(name, models={model: ()}), NOW)
+            place = places[name] = Place(name, 1)
+            place.take_report(ServerReport({model: frozenset()}, False, 0, 0, 0, 0, 0, 1), NOW)
+        usage.since = NOW - 100
+        usage.count(("svc", "m1", ""), Tally(25, 25, 25 * run_s), NOW)
+        usage.count(("svc", "m2", ""), Tally(5, 5, 5 * run_s), NOW)
+        floor = Floor("svc", engine, places, dict(fleet.servers), usage, NOW)
+        moves = plan_models(floor, LoadRate(9, 5.0, 1))
+        assert [move.model for move in moves] == ["m2"] * dropped
+
+
+def test_adapter_that_the_operator_does_not_know_is_none_of_the_models():
+    spec = ModelSpec("m1", 60.0, 4.0, 0.8, 0.5, 12)
+    assert all(spec.has_adapter(name) for name in ("", "a1", "a12"))
+    assert not any(spec.has_adapter(name) for name in ("a0", "a13", "a01", "x", "a" + "9" * 5000))
--- /dev/null
+++ b/test/test_soak.py
@@ -0,0 +1,86 @@
+"""The soak in short, and its checks on made-up histories: each can fail."""
+
+import shutil
+
+import pytest
+from attrs import evolve
+
+from test.soak.checks import CHECKS, check_all
+from test.soak.history import ALL, Asked, Disturbance, History, Seen, Stop
+from test.soak.run import play_seed
+
+CI_SEED, CI_SECONDS = 1, 12.0
+EVENTS = b"".join(b"id: %d\ndata: t%d\n\n" % (number, number) for number in range(1, 13))
+PLAIN = Asked("c1-1", "/u/c1-1", "i1", 10.0, 10.1, 200, True, True, b"done:c1-1:x", b"x")
+STREAM = Asked("c1-2", "/s/c1-2", "i1", 10.0, 10.5, 200, True, True, EVENTS)
+REFUSED = Asked("c1-3", "/u/c1-3", "i1", 10.0, 10.1, 503, False, True, retry_after="0.3")
+LEFT = Asked("c1-4", "/s/c1-4", "i1", 10.0, 10.1, left=True)
+RUN = Seen(10.0, "run", "p1", 1, "c1-1", "/u/c1-1")
+ORDER = Seen(10.0, "order", "e1", 1, holder="i1", token=5)
+STOP = Stop("i1", 9.0, 12.0, 0)
+
+
+def make_history(**parts: object) -> History:
+    return History(**{"asked": [PLAIN, STREAM, REFUSED], "seen": [RUN, ORDER], **parts})
+
+
+def test_history_in_which_all_promises_hold_breaks_none():
+    leavings = {"p1": 9.0}
+    moves = [(9.5, "q", "p")]
+    history = make_history(stops=[STOP], leavings=leavings, moves=moves, calm_from=9.0)
+    history.asked.remove(REFUSED)
+    assert check_all(history) == {}
+
+
+BROKEN = {
+    "once": make_history(seen=[RUN, evolve(RUN, at=11.0, server="p2")]),
+    "not_run": make_history(seen=[evolve(RUN, at=30.0, request_id="c1-3")]),
+    "answers": make_history(asked=[evolve(PLAIN, body=b"done:c1-9:x")]),
+    "room": make_history(seen=[evolve(RUN, what="overfull")]),
+    "holders": make_history(seen=[ORDER, evolve(ORDER, at=12.0, holder="i2", token=6)]),
+    "leaving": make_history(leavings={"p1": 7.0}),
+    "configuration": make_history(
+        asked=[evolve(PLAIN, path="/x/c1-1")],
+        seen=[evolve(RUN, path="/x/c1-1")],
+        moves=[(7.0, "p", "q")],
+    ),
+    "stops": make_history(asked=[evolve(PLAIN, whole=False)], stops=[STOP]),
+    "gone": make_history(
+        asked=[LEFT],
+        seen=[
+            evolve(RUN, request_id="c1-4", path="/s/c1-4"),
+            evolve(RUN, at=11.5, what="end", request_id="c1-4", path="/s/c1-4"),
+        ],
+    ),
+    "refusals": make_history(asked=[evolve(REFUSED, retry_after="")]),
+    "own_ends": make_history(own_ends=["i1 ended with 1"]),
+    "recovery": make_history(calm_from=9.0),
+}
+
+
+@pytest.mark.parametrize("name", sorted(CHECKS))
+def test_each_check_tells_a_broken_promise(name):
+    assert name in check_all(BROKEN[name])
+
+
+@pytest.mark.parametrize(
+    "body",
+    [EVENTS[:40] + EVENTS[60:], EVENTS + EVENTS[-20:], EVENTS[:-16], EVENTS[18:]],
+    ids=["missing", "twice", "short", "late"],
+)
+def test_stream_with_a_piece_too_few_or_too_many_is_told(body):
+    assert "answers" in check_all(make_history(asked=[evolve(STREAM, body=body)]))
+
+
+def test_fault_excuses_what_the_pages_excuse_and_nothing_else():
+    fault = [Disturbance(ALL, "down", 6.0, 8.0)]
+    assert "leaving" not in check_all(evolve(BROKEN["leaving"], disturbances=fault))
+    assert "stops" not in check_all(evolve(BROKEN["stops"], disturbances=fault))
+    for name in ("once", "not_run", "answers", "room", "holders"):
+        assert name in check_all(evolve(BROKEN[name], disturbances=fault))
+
+
+def test_short_run_breaks_no_promise():
+    verdict = play_seed(CI_SEED, CI_SECONDS)
+    assert not verdict.broken, verdict.describe()
+    shutil.rmtree(verdict.folder)
