Judge copies by how busy engines are, and load from disks at hand

Ruled out: crowding as the cause of late answers there: of 8,900 streams under 16 of 24 places and 16 arrivals a second at their engine, under 1 in 100 paused over 200 ms. Change: a copy counts by how busy its engines are, with all their models, against 0.6 of their places and 10,000 prompt tokens a second; the cost of a load weighs the wait of callers over what makes way, and an engine that has the model at hand is waited for while it is busy for up to 2 s. Words count prompt tokens; the time until each holder loads by itself is 1.5 s instead of 0.6 s.

--- a/rhubarbshed/coordination/serving/floor.py
+++ b/rhubarbshed/coordination/serving/floor.py
@@ -20,14 +20,24 @@
 TOLD_S = 1.0
 """Age of a holder's word up to which its engines are left to it."""
 
+BUSY_WAIT_S = 2.0
+"""Time that an engine with a copy at hand may still be busy to be waited for; a load from the
+weight store takes three seconds longer than one from a disk."""
+
 COPY_PARTS = (1.0, 0.08, 0.02, 0.01, 0.005)
 """What the first, second and further copies of a model are worth, as parts of its requests a
 second: the first answers them, a second one answers them while its server is lost."""
 
-CROWDED = 0.15
-CROWDING_PART = 1.0
-"""A copy counts more while those that there are would be busy beyond a part of their slots: prompts
-that arrive together make pauses in the other streams."""
+BUSY_SLOTS_PART = 0.6
+BUSY_TOKENS_PER_S = 10_000
+"""Requests that run on an engine, as a part of its slots, and tokens of prompts that it reads in a
+second, from which streams get late: above them 3 to 9 in 100 pauses were too long on the grown
+cedarpulpit-archive, and more on engines of 64 slots (docs/dev/measurements.md)."""
+
+CROWDED = 0.6
+CROWDING_PART = 0.5
+"""A further copy counts from this part of a busy engine on, and so much of a model's requests for
+each part beyond: demand moves faster than a load takes."""
 
 RARE_RATE = 0.1
 """Requests a second that a model is taken to have that nobody has asked for lately, since any may
@@ -84,6 +94,10 @@
     _held: dict[tuple[str, bool], float] = field(factory=dict)
     _free: dict[str, float] = field(factory=dict)
     _blocked: dict[str, float] = field(factory=dict)
+    _keepers: dict[str, str] = field(factory=dict)
+    _losses: dict[tuple[str, bool], float] = field(factory=dict)
+    _loads: dict[str, float] = field(factory=dict)
+    _busy: dict[str, float] = field(factory=dict)
     _copies: dict[str, list[tuple[float, str, float]]] = field(factory=dict)
 
     @functools.cached_property
@@ -116,6 +130,17 @@
         """List engines that can take an order now."""
         return [place for place in self.orderable if place.server_id not in self.touched]
 
+    def list_busy_with_copy(self, model: str) -> list[Place]:
+        """List engines that have a model's weights at hand and will soon take an order again."""
+        return [
+            self.places[server_id]
+            for server_id in self.present
+            if self.places[server_id].is_busy
+            and server_id not in self.touched
+            and self.now < self.places[server_id].busy_until < self.now + BUSY_WAIT_S
+            and model in self.records[server_id].entry.at_hand
+        ]
+
     def is_overdue(self, target: Target, after_s: float) -> bool:
         """Tell whether callers have waited so long that no other holder seems to act."""
         return self.usage.measure_want(target, self.now) > after_s
@@ -181,9 +206,8 @@
         """Return what one more copy is worth beside those that there are."""
         rate = self.measure_rate(model)
         part = COPY_PARTS[min(copies, len(COPY_PARTS) - 1)]
-        if copies > 0:
-            running = rate * self.usage.measure_run(self.service, model)
-            crowding = running / (self.engine.slots * copies) - CROWDED
+        if copies > 0 and rate > 0.0:
+            crowding = self.measure_pressure(model, copies) - CROWDED
             part = min(1.0, part + CROWDING_PART * max(0.0, crowding))
         gain = rate * part
         if copies == 0:
@@ -193,14 +217,51 @@
                 gain += WANTED_RATE + WAITING_RATE * max(waits)
         return gain
 
+    def measure_load(self, model: str) -> float:
+        """Return how many engines a model alone would keep busy."""
+        load = self._loads.get(model)
+        if load is None:
+            rate = self.measure_rate(model)
+            run_s = self.usage.measure_run(self.service, model)
+            tokens = self.usage.measure_tokens(self.service, model)
+            slots = max(1.0, self.engine.slots * BUSY_SLOTS_PART)
+            load = self._loads[model] = rate * max(run_s / slots, tokens / BUSY_TOKENS_PER_S)
+        return load
+
+    def measure_pressure(self, model: str, copies: int) -> float:
+        """Return how busy the engines of a model would be with so many copies of it.
+
+        Requests are taken to go to all copies alike; the other models of the engines count as well.
+        """
+        holders = self.list_holders(model)
+        load = self.measure_load(model)
+        if not holders:
+            return load / copies
+        others = sum(self.measure_busy(place) for place in holders) - load
+        return load / copies + max(0.0, others) / len(holders)
+
+    def measure_busy(self, place: Place) -> float:
+        """Return how busy an engine is with its models; 1 is as much as leaves streams on time."""
+        busy = self._busy.get(place.server_id)
+        if busy is None:
+            busy = sum(
+                self.measure_load(name) / max(1, len(self.list_holders(name)))
+                for name in place.models
+            )
+            self._busy[place.server_id] = busy
+        return busy
+
     def find_keeper(self, model: str) -> str:
         """Return the engine whose copy of a model counts as the only one.
 
         Holders of several data centres plan at the same moment: if each took the other's copy for
         the one that stays, none would.
         """
-        held = [place.server_id for place in self.list_holders(model) if model in place.models]
-        return min(held, default="")
+        keeper = self._keepers.get(model)
+        if keeper is None:
+            held = [each.server_id for each in self.list_holders(model) if model in each.models]
+            keeper = self._keepers[model] = min(held, default="")
+        return keeper
 
     def measure_held(self, place: Place, model: str) -> float:
         """Return what a copy that is there is worth: more than a new one, more while it runs much.
@@ -217,6 +278,15 @@
             self._held[key] = worth
         return worth
 
+    def measure_loss(self, place: Place, model: str) -> float:
+        """Return the requests a second that go without a copy, of a model that is there."""
+        key = (model, self.find_keeper(model) == place.server_id)
+        loss = self._losses.get(key)
+        if loss is None:
+            others = 0 if key[1] else max(0, len(self.list_holders(model)) - 1)
+            loss = self._losses[key] = self.measure_gain(model, others)
+        return loss
+
     def rank_copies(self, place: Place) -> list[tuple[float, str, float]]:
         """Return the copies on an engine as (worth, model, megabytes), the least worth first."""
         ranked = self._copies.get(place.server_id)
--- a/rhubarbshed/coordination/serving/placement.py
+++ b/rhubarbshed/coordination/serving/placement.py
@@ -20,7 +20,7 @@
 """Worth from which a change is made at any time; others wait while that part of the engines is
 busy with orders, since a busy engine takes no adapters."""
 
-MODEL_PATIENCE_S = 0.6
+MODEL_PATIENCE_S = 1.5
 ADAPTER_PATIENCE_S = 0.15
 """Time that a want lasts before each holder serves it on its own engines: each chooses the best
 engine of all, and in their different views that may be nobody's."""
@@ -32,8 +32,13 @@
 """Part of an engine's adapter requests that a model order keeps waiting: while it is carried out
 the engine takes no order for adapters."""
 
-HORIZON_S = 5.0
-"""Time for which the loss of a copy is reckoned; demand moves about as fast."""
+WAITING_COST = 1.0
+"""Requests a second that a load costs at the least while a caller waits for it: one is late, and
+those that come meanwhile."""
+
+ABSENCE_S = 2.0
+"""Time for which requests for a copy that made way find none: it comes back from the disk of its
+engine when it is asked for."""
 
 UNLOAD_IDLE_S = 0.4
 UNLOAD_BUSY_S = 3.0
@@ -48,6 +53,10 @@
 """Time added to a window: a load begins some time after its order was sent."""
 
 
+Option = tuple[float, str, list[tuple[float, str]]]
+"""What a copy costs on an engine, the engine, and what makes way there."""
+
+
 @define
 class LoadRate:
     """Keep the loads that all holders begin from the weight store under its ceiling.
@@ -103,21 +112,17 @@
 
 def _add(floor: Floor, rate: LoadRate, worth: float, name: str, reason: str) -> None:
     """Take the next step towards one more copy of a model, if it is worth its room."""
-    options = []
-    for place in floor.list_open():
-        if name in place.models:
-            continue
-        victims = _choose_victims(floor, place, floor.engine.models[name], worth)
-        if victims is not None:
-            cost = _measure_cost(floor, place, name, worth, victims)
-            options.append((cost, place.server_id, victims))
-    own = [option for option in options if floor.places[option[1]].ours]
+    options = _list_options(floor, floor.list_open(), worth, name)
     overdue = any(floor.is_overdue(want, MODEL_PATIENCE_S) for want in floor.list_wants(name))
-    if not options or (overdue and not own):
+    if overdue:
+        options = [option for option in options if floor.places[option[1]].ours]
+    else:
+        options += _list_options(floor, floor.list_busy_with_copy(name), worth, name)
+    if not options:
         return
-    _, server_id, victims = min(own if overdue else options)
+    _, server_id, victims = min(options)
     place = floor.places[server_id]
-    if not place.ours:
+    if not place.ours or floor.is_busy(place):
         return
     if victims:
         floor.intend(place, name, floor.now + INTENT_S)
@@ -130,15 +135,33 @@
     floor.move(place, OrderKind.LOAD, name, "", reason)
 
 
+def _list_options(floor: Floor, places: list[Place], worth: float, name: str) -> list[Option]:
+    options = []
+    for place in places:
+        if name in place.models:
+            continue
+        victims = _choose_victims(floor, place, floor.engine.models[name], worth)
+        if victims is not None:
+            cost = _measure_cost(floor, place, name, worth, victims)
+            options.append((cost, place.server_id, victims))
+    return options
+
+
 def _measure_cost(
     floor: Floor, place: Place, name: str, worth: float, victims: list[tuple[float, str]]
 ) -> float:
-    """Return the requests that a load costs: by what makes way, by waiting, by kept orders."""
+    """Return the requests that a load costs: by what makes way, by waiting, by kept orders.
+
+    Callers wait for a model that is missing, so a load from a disk at hand goes before one from the
+    weight store that spares another model.
+    """
     takes_s = estimate_load_time(floor.records[place.server_id], floor.engine.models[name])
+    takes_s += max(0.0, place.busy_until - floor.now) if place.is_busy else 0.0
     for _, victim in victims:
         takes_s += UNLOAD_BUSY_S if floor.measure_rate(victim) > BUSY_RATE else UNLOAD_IDLE_S
-    lost = sum(loss for loss, _ in victims) * HORIZON_S
-    return lost + takes_s * (worth + BLOCKED_PART * floor.measure_blocked(place))
+    lost = sum(floor.measure_loss(place, victim) for _, victim in victims) * ABSENCE_S
+    waiting = max(worth, WAITING_COST) if floor.list_wants(name) else worth
+    return lost + takes_s * (waiting + BLOCKED_PART * floor.measure_blocked(place))
 
 
 def _choose_victims(
@@ -173,4 +196,4 @@
 def is_from_store(floor: Floor, place: Place, name: str) -> bool:
     """Tell whether a load counts against the weight store's rate."""
     entry = floor.records[place.server_id].entry
-    return name not in entry.in_memory | entry.on_disk | place.models
+    return name not in entry.at_hand | place.models
--- a/rhubarbshed/protocol/servers.py
+++ b/rhubarbshed/protocol/servers.py
@@ -39,6 +39,11 @@
     in_memory: frozenset[str] = frozenset()
     on_disk: frozenset[str] = frozenset()
 
+    @property
+    def at_hand(self) -> frozenset[str]:
+        """Models whose weights need not come from the weight store."""
+        return self.in_memory | self.on_disk
+
     @property
     def incarnation(self) -> tuple[str, int]:
         """Name one start of one server."""
--- a/rhubarbshed/protocol/words.py
+++ b/rhubarbshed/protocol/words.py
@@ -16,14 +16,15 @@
 class DemandWord:
     """Tell an order holder what was asked for since the last word.
 
-    `counts` are (service, model, adapter, requests, runs, seconds that these took). `wants` are
-    (service, model, adapter) that callers wait for. `lacks` are (server, born_ms, model, adapter)
-    that a server said it has not, with no model for a server that turns connections down.
+    `counts` are (service, model, adapter, requests, tokens of their prompts, runs, seconds of
+    these). `wants` are (service, model, adapter) that callers wait for. `lacks` are (server,
+    born_ms, model, adapter) that a server said it has not, with no model for a server that turns
+    connections down.
     """
 
     sender: str
     data_centre: str
-    counts: tuple[tuple[str, str, str, int, int, float], ...] = field(factory=tuple)
+    counts: tuple[tuple[str, str, str, int, int, int, float], ...] = field(factory=tuple)
     wants: tuple[tuple[str, str, str], ...] = field(factory=tuple)
     lacks: tuple[tuple[str, int, str, str], ...] = field(factory=tuple)
 
--- a/rhubarbshed/state/usage.py
+++ b/rhubarbshed/state/usage.py
@@ -31,25 +31,28 @@
 
 @define
 class Tally:
-    """Count requests, and runs that were answered with the seconds that they took."""
+    """Count requests with the tokens of their prompts, and answered runs with their seconds."""
 
     requests: float = 0
+    tokens: float = 0
     runs: float = 0
     run_s: float = 0.0
 
     def add(self, other: "Tally") -> None:
         """Add another tally."""
         self.requests += other.requests
+        self.tokens += other.tokens
         self.runs += other.runs
         self.run_s += other.run_s
 
 
 @define
 class Use:
-    """Hold decaying sums of requests and of the seconds that their runs took, as of `at`."""
+    """Hold decaying sums, as of `at`: requests, their tokens, and the seconds of their runs."""
 
     slow: float = 0.0
     fast: float = 0.0
+    tokens: float = 0.0
     runs: float = 0.0
     run_s: float = 0.0
     at: float = 0.0
@@ -61,6 +64,7 @@
         )
         self.slow = self.slow * slow + tally.requests
         self.fast = self.fast * fast + tally.requests
+        self.tokens = self.tokens * slow + tally.tokens
         self.runs = self.runs * slow + tally.runs
         self.run_s = self.run_s * slow + tally.run_s
         self.at = now
@@ -127,6 +131,11 @@
         """Return the seconds for which callers have waited for a target without a break."""
         return now - self.wanted_since.get(target, now)
 
+    def measure_tokens(self, service: str, model: str) -> float:
+        """Return the tokens of a model's prompts, on average."""
+        use = self.models.get((service, model))
+        return use.tokens / use.slow if use is not None and use.slow > 0 else 0.0
+
     def measure_model(self, service: str, model: str, now: float) -> float:
         """Return the requests per second for a model and its adapters."""
         use = self.models.get((service, model))
--- a/rhubarbshed/transport/edge/circle.py
+++ b/rhubarbshed/transport/edge/circle.py
@@ -112,13 +112,13 @@
         """Tell whether this instance holds the lease of its data centre."""
         return self.lease.tenure.held
 
-    def count_demand(self, service: str, model: str, adapter: str) -> None:
-        """Count a request, for the next word."""
-        self.counts.setdefault((service, model, adapter), Tally()).requests += 1
+    def count_demand(self, service: str, model: str, adapter: str, tokens: int) -> None:
+        """Count a request with the tokens of its prompt, for the next word."""
+        self.counts.setdefault((service, model, adapter), Tally()).add(Tally(1, tokens))
 
     def count_run(self, service: str, model: str, adapter: str, run_s: float) -> None:
         """Count a run that was answered, for the next word."""
-        self.counts.setdefault((service, model, adapter), Tally()).add(Tally(0, 1, run_s))
+        self.counts.setdefault((service, model, adapter), Tally()).add(Tally(runs=1, run_s=run_s))
 
     def want(self, service: str, model: str, adapter: str) -> None:
         """Tell the holder at once that a caller waits for something."""
@@ -377,11 +377,9 @@
                 self.holders[data_centre] = KnownHolder(address, token, -1e9, 0)
 
 
-def _list_counts(
-    counts: dict[Target, Tally],
-) -> list[tuple[str, str, str, float, float, float]]:
+def _list_counts(counts: dict[Target, Tally]) -> list[tuple]:
     return [
-        (*target, tally.requests, tally.runs, round(tally.run_s, 3))
+        (*target, tally.requests, tally.tokens, tally.runs, round(tally.run_s, 3))
         for target, tally in counts.items()
     ]
 
--- a/rhubarbshed/transport/edge/follower.py
+++ b/rhubarbshed/transport/edge/follower.py
@@ -45,9 +45,9 @@
 NEWS_S = 1.0
 """Age of the order holder's last news up to which an instance does not ask for servers itself."""
 
-QUIET_WAIT_S = 10.0
+QUIET_WAIT_S = 25.0
 """Time that the store may hold a question for a configuration while the order holder's news would
-tell of a new one."""
+tell of a new one; the store holds none for longer than 30 s."""
 
 DOUBT_POLL_S = 0.3
 """Time between two looks at whether the order holder still tells news."""
--- a/rhubarbshed/transport/edge/holder.py
+++ b/rhubarbshed/transport/edge/holder.py
@@ -265,7 +265,7 @@
         if not loading or loading == place.loading or record is None:
             return
         rate = self.rates.get(record.entry.service)
-        at_hand = record.entry.in_memory | record.entry.on_disk
+        at_hand = record.entry.at_hand
         if rate is not None and loading not in at_hand:
             rate.count(False, now)
 
--- a/rhubarbshed/transport/edge/node.py
+++ b/rhubarbshed/transport/edge/node.py
@@ -78,7 +78,7 @@
         view = View.from_settings(settings)
         pool = Pool(CONNECT_TIMEOUT_S)
         numbers = Numbers.from_instance()
-        store = StoreClient(settings.store, Pool(STORE_CONNECT_S))
+        store = StoreClient(settings.store, Pool(STORE_CONNECT_S), numbers.count_store_call)
         jitter_s = draw_jitter(settings.cores, settings.link_mbps, view.chance)
         tenure = Tenure.from_start(settings.lease_s, jitter_s, time.monotonic())
         address = (settings.host, settings.peers_port)
@@ -162,7 +162,6 @@
             "configuration_version": (
                 self.view.configuration.version if self.view.configuration else 0
             ),
-            "store_calls": self.follower.store.calls,
             "connections_opened": self.pool.opened,
             "order_holder": int(self.lease.tenure.held),
         }
--- a/rhubarbshed/transport/edge/numbers.py
+++ b/rhubarbshed/transport/edge/numbers.py
@@ -19,6 +19,7 @@
     requests: Counter
     attempts: Counter
     orders: Counter
+    store_calls: Counter
     took: Histogram
     first: Histogram
     values: dict[str, Gauge]
@@ -43,6 +44,7 @@
             ),
             count("attempts_total", "Attempts at backend servers, by end.", "service", "end"),
             count("orders_total", "Orders to engines, by kind and end.", "kind", "end"),
+            count("store_calls_total", "Calls to the store, by kind and table.", "kind", "table"),
             spread("request_seconds", "Time from arrival to the answer's end.", "route"),
             spread("first_bytes_seconds", "Time from arrival to the answer's first bytes."),
             {},
@@ -61,6 +63,10 @@
         """Count the time to the first bytes of an answer."""
         self.first.observe(after_s)
 
+    def count_store_call(self, kind: str, table: str) -> None:
+        """Count a call to the store."""
+        self.store_calls.labels(kind, table).inc()
+
     def count_order(self, kind: str, end: str) -> None:
         """Count an order to an engine."""
         self.orders.labels(kind, end).inc()
--- a/rhubarbshed/transport/edge/relay.py
+++ b/rhubarbshed/transport/edge/relay.py
@@ -54,7 +54,7 @@
     pool: Pool
     numbers: Numbers
     want: Callable[[str, str, str], None]
-    count_demand: Callable[[str, str, str], None]
+    count_demand: Callable[[str, str, str, int], None]
     count_run: Callable[[str, str, str, float], None]
     tell_lack: Callable[[str, int, str, str], None]
     journeys: set["Journey"] = field(factory=set)
@@ -133,7 +133,10 @@
         self.passage = Passage(self.line, self.request, self.route)
         view.budget.count_request(self.service, time.monotonic())
         if self.is_configured:
-            self.relay.count_demand(self.service, self.request.model, self.request.adapter)
+            request = self.request
+            self.relay.count_demand(
+                self.service, request.model, request.adapter, request.prompt_tokens
+            )
         try:
             async with asyncio.timeout_at(self.deadline):
                 error = await self.send()
--- a/rhubarbshed/transport/edge/store.py
+++ b/rhubarbshed/transport/edge/store.py
@@ -1,5 +1,7 @@
 """Client of the platform's store."""
 
+from collections.abc import Callable
+
 from attrs import define
 from returns.result import Failure, Result, Success
 
@@ -26,11 +28,14 @@
 
 @define
 class StoreClient:
-    """Read, follow and change rows; each table has its own connection for following."""
+    """Read, follow and change rows; each table has its own connection for following.
+
+    `count` takes the kind and table of each call.
+    """
 
     address: Address
     pool: Pool
-    calls: int = 0
+    count: Callable[[str, str], None] = lambda kind, table: None
 
     async def read_all(self, table: str) -> Result[Page, TableError]:
         """Return all rows of a table; `scan.revision` is that of the first part read."""
@@ -38,6 +43,7 @@
         start: str | None = ""
         first: Page | None = None
         while start is not None:
+            self.count("read", table)
             answer = await self._call(make_read(table, start), CALL_TIMEOUT_S)
             page = answer.bind(lambda got: read_page(got.status, got.body))
             if isinstance(page, Failure):
@@ -50,14 +56,15 @@
 
     async def follow(self, table: str, after: int, wait_s: float) -> Result[Page, TableError]:
         """Return the rows that changed after a revision, once there are any."""
+        self.count("follow", table)
         answer = await self._call(make_follow(table, after, wait_s), wait_s + FOLLOW_MARGIN_S)
         return answer.bind(lambda got: read_page(got.status, got.body))
 
     async def commit(self, table: str, transaction: Transaction) -> Result[Committed, TableError]:
         """Change rows of a table."""
+        self.count("commit", table)
         answer = await self._call(make_commit(table, transaction), CALL_TIMEOUT_S)
         return answer.bind(lambda got: read_commit(got.status, got.body))
 
     async def _call(self, sent: ControlCall, timeout_s: float) -> Result[ControlAnswer, TableError]:
-        self.calls += 1
         return await call(self.pool, self.address, sent, timeout_s)
--- a/test/conftest.py
+++ b/test/conftest.py
@@ -6,6 +6,21 @@
 
 KNOWN_RED = Path(__file__).parent.parent / "KNOWN-RED.txt"
 TEST_PREFIX = "test: "
+SLOW = (
+    "test/fuzz/",
+    "test_backend_faults",
+    "test_caller_gone",
+    "test_cutoff",
+    "test_daemon",
+    "test_hedge",
+    "test_platform_faults",
+    "test_races",
+    "test_shutdown",
+    "test_short_run",
+    "test_standin",
+    "test_takeover",
+)
+"""Parts of names of tests that start processes or fuzz for long."""
 
 
 def read_known_red() -> frozenset[str]:
@@ -19,9 +34,11 @@
 
 
 def pytest_collection_modifyitems(items: list[pytest.Item]) -> None:
-    """Let the tests listed fail, and these alone."""
+    """Let the tests listed fail, and these alone; mark those that take long."""
     known = read_known_red()
     for item in items:
+        if any(part in item.nodeid for part in SLOW):
+            item.add_marker(pytest.mark.slow)
         if item.nodeid in known:
             item.add_marker(pytest.mark.xfail(strict=False, reason="listed in KNOWN-RED.txt"))
 
--- a/test/test_edge_planning.py
+++ b/test/test_edge_planning.py
@@ -3,6 +3,8 @@
 import random
 import time
 
+from attrs import evolve
+
 from rhubarbshed.coordination.serving.adapters import (
     forget_met_wants,
     plan_adapters,
@@ -112,8 +114,8 @@
             place = places[name] = Place(name, 1)
             place.take_report(ServerReport({model: frozenset()}, False, 0, 0, 0, 0, 0, 1), NOW)
         usage.since = NOW - 100
-        usage.count(("svc", "m1", ""), Tally(25, 25, 25 * run_s), NOW)
-        usage.count(("svc", "m2", ""), Tally(5, 5, 5 * run_s), NOW)
+        usage.count(("svc", "m1", ""), Tally(25, runs=25, run_s=25 * run_s), NOW)
+        usage.count(("svc", "m2", ""), Tally(5, runs=5, run_s=5 * run_s), NOW)
         floor = Floor("svc", engine, places, dict(fleet.servers), usage, NOW)
         moves = plan_models(floor, LoadRate(9, 5.0, 1))
         assert [move.model for move in moves] == ["m2"] * dropped
@@ -123,3 +125,62 @@
     spec = ModelSpec("m1", 60.0, 4.0, 0.8, 0.5, 12)
     assert all(spec.has_adapter(name) for name in ("", "a1", "a12"))
     assert not any(spec.has_adapter(name) for name in ("a0", "a13", "a01", "x", "a" + "9" * 5000))
+
+
+def make_small_floor(models: dict[str, ModelSpec], held: dict[str, list[str]]) -> Floor:
+    """Return engines with room for three models, with nothing at hand beyond what they hold."""
+    engine = EngineSpec(24, 1000, 200.0, 4, 16.0, models)
+    fleet, places, usage = Fleet(), {}, Usage()
+    usage.since = NOW - 100
+    for name, names in held.items():
+        fleet.apply(make_entry(name, models=dict.fromkeys(names, ())), NOW)
+        place = places[name] = Place(name, 1)
+        frozen = {model: frozenset() for model in names}
+        place.take_report(ServerReport(frozen, False, 0, 0, 0, 0, 0, 1), NOW)
+    return Floor("svc", engine, places, dict(fleet.servers), usage, NOW)
+
+
+def test_busy_model_gets_as_many_copies_as_keep_its_streams_on_time_and_no_more():
+    """A model at 39 requests a second kept eleven engines while rare ones found no room."""
+    models = {name: ModelSpec(name, 60.0, 4.0, 0.8, 0.5) for name in ("m1", "m2")}
+    floor = make_small_floor(models, {f"e{number}": ["m1"] for number in range(11)})
+    floor.usage.count(("svc", "m1", ""), Tally(39 * 5, 39 * 5 * 600, 39 * 5, 39 * 5 * 1.0), NOW)
+    floor.usage.models["svc", "m1"].fast = 0.0
+    worths = [floor.measure_gain("m1", copies) for copies in range(1, 11)]
+    assert worths == sorted(worths, reverse=True)
+    enough = next(number for number, worth in enumerate(worths, 1) if worth < 1.0)
+    assert 4 <= enough <= 6
+
+
+def test_missing_model_waits_for_a_busy_engine_that_has_it_at_hand():
+    """98 of 121 loads for callers came from the weight store though a disk had the model."""
+    names = [f"m{number}" for number in range(1, 8)]
+    models = {name: ModelSpec(name, 60.0, 4.0, 0.8, 0.5) for name in names}
+    models |= {name: ModelSpec(name, 90.0, 4.0, 0.8, 0.5) for name in ("m8", "m9")}
+    full = {f"e{number}": ["m8", "m9"] for number in range(3, 7)}
+    held = {"e1": ["m1", "m2", "m3"], "e2": ["m4", "m5", "m6"], **full}
+    floor = make_small_floor(models, held)
+    for name in ("m8", "m9"):
+        floor.usage.count(("svc", name, ""), Tally(200), NOW)
+    entry = floor.records["e2"].entry
+    floor.records["e2"].entry = evolve(entry, on_disk=frozenset(["m7"]))
+    floor.places["e2"].unloading = "m4"
+    floor.places["e2"].busy_until = NOW + 0.5
+    for at in (NOW - 0.4, NOW):
+        floor.usage.note_want(("svc", "m7", ""), at)
+    assert plan_models(floor, LoadRate(9, 5.0, 1)) == []
+    floor.places["e2"].busy_until = NOW + 9.0
+    again = Floor("svc", floor.engine, floor.places, floor.records, floor.usage, NOW)
+    assert [move.server_id for move in plan_models(again, LoadRate(9, 5.0, 1))] == ["e1"]
+
+
+def test_missing_model_is_loaded_where_it_is_at_hand_though_more_makes_way():
+    names = [f"m{number}" for number in range(1, 8)]
+    models = {name: ModelSpec(name, 60.0, 4.0, 0.8, 0.5) for name in names}
+    floor = make_small_floor(models, {"e1": ["m1", "m2"], "e2": ["m4", "m5", "m6"]})
+    entry = floor.records["e2"].entry
+    floor.records["e2"].entry = evolve(entry, on_disk=frozenset(["m7"]))
+    for at in (NOW - 0.4, NOW):
+        floor.usage.note_want(("svc", "m7", ""), at)
+    moves = plan_models(floor, LoadRate(9, 5.0, 1))
+    assert [move.server_id for move in moves] == ["e2"]
