--- a/test/test_edge_planning.py
+++ b/test/test_edge_planning.py
@@ -161,7 +161,7 @@
     held = {"e1": ["m1", "m2", "m3"], "e2": ["m4", "m5", "m6"], **full}
     floor = make_small_floor(models, held)
     for name in ("m8", "m9"):
-        floor.usage.count(("svc", name, ""), Tally(200), NOW)
+        floor.usage.count(("svc", name, ""), Tally(20), NOW)
     entry = floor.records["e2"].entry
     floor.records["e2"].entry = evolve(entry, on_disk=frozenset(["m7"]))
     floor.places["e2"].unloading = "m4"
