--- /dev/null
+++ b/rhubarbshed/coordination/agreement/__init__.py
@@ -0,0 +1,1 @@
+"""Rounds with the table service: tickets, ownership, catalogue, removal of old rows."""
--- a/rhubarbshed/coordination/catalogues.py
+++ b/rhubarbshed/coordination/agreement/catalogues.py
@@ -2,12 +2,12 @@
 
 from returns.result import Failure, Result, Success
 
-from rhubarbshed.coordination.transactions import TableAccess
+from rhubarbshed.coordination.agreement.transactions import TableAccess
 from rhubarbshed.protocol.catalogue import CatalogueObject
 from rhubarbshed.protocol.platform import ObjectClient
 from rhubarbshed.protocol.tables import TableError, TableFault
-from rhubarbshed.state.catalogue import OBJECT_PREFIX, Catalogue
-from rhubarbshed.state.snapshots import (
+from rhubarbshed.state.agreement.catalogue import OBJECT_PREFIX, Catalogue
+from rhubarbshed.state.agreement.snapshots import (
     SNAPSHOT_KEY,
     apply_snapshot,
     decode_snapshot,
--- a/rhubarbshed/coordination/ownership.py
+++ b/rhubarbshed/coordination/agreement/ownership.py
@@ -6,11 +6,11 @@
 from attrs import frozen
 from returns.result import Failure, Result, Success
 
-from rhubarbshed.coordination.transactions import Proposal, Rows, TableAccess, transact
+from rhubarbshed.coordination.agreement.transactions import Proposal, Rows, TableAccess, transact
 from rhubarbshed.protocol.codec import from_stored, to_plain
 from rhubarbshed.protocol.tables import Row, TableError, TableFault, Write
-from rhubarbshed.state.leases import NOBODY, Holder, Leases, Ownership, Session
-from rhubarbshed.state.ledger import (
+from rhubarbshed.state.agreement.leases import NOBODY, Holder, Leases, Ownership, Session
+from rhubarbshed.state.placement.ledger import (
     EntryState,
     Ledger,
     LedgerError,
--- a/rhubarbshed/coordination/retention.py
+++ b/rhubarbshed/coordination/agreement/retention.py
@@ -11,16 +11,16 @@
 from attrs import frozen
 from returns.result import Failure, Result, Success
 
-from rhubarbshed.coordination.claims import ROW_PREFIX as CLAIM_PREFIX
-from rhubarbshed.coordination.claims import read_claim
-from rhubarbshed.coordination.ownership import SESSION_PREFIX, decode_session
-from rhubarbshed.coordination.quarantine import ROW_PREFIX as QUARANTINE_PREFIX
-from rhubarbshed.coordination.quarantine import read_solo_row
-from rhubarbshed.coordination.transactions import Proposal, Rows, TableAccess, transact
+from rhubarbshed.coordination.agreement.ownership import SESSION_PREFIX, decode_session
+from rhubarbshed.coordination.agreement.transactions import Proposal, Rows, TableAccess, transact
+from rhubarbshed.coordination.requests.claims import ROW_PREFIX as CLAIM_PREFIX
+from rhubarbshed.coordination.requests.claims import read_claim
+from rhubarbshed.coordination.requests.quarantine import ROW_PREFIX as QUARANTINE_PREFIX
+from rhubarbshed.coordination.requests.quarantine import read_solo_row
 from rhubarbshed.protocol.claims import ClaimState
 from rhubarbshed.protocol.codec import from_stored, to_plain
 from rhubarbshed.protocol.tables import Row, TableError, Write
-from rhubarbshed.state.retention import Retention, RetentionMarks
+from rhubarbshed.state.agreement.retention import Retention, RetentionMarks
 from rhubarbshed.util.settings import QuarantineSettings, RetentionSettings
 
 MARKS_KEY = "retention/marks"
--- a/rhubarbshed/coordination/tickets.py
+++ b/rhubarbshed/coordination/agreement/tickets.py
@@ -6,8 +6,8 @@
 import xxhash
 from returns.result import Failure, Result, Success
 
-from rhubarbshed.coordination.feasibility import check_floor
-from rhubarbshed.coordination.transactions import Proposal, Rows, TableAccess, transact
+from rhubarbshed.coordination.agreement.transactions import Proposal, Rows, TableAccess, transact
+from rhubarbshed.coordination.placement.feasibility import check_floor
 from rhubarbshed.protocol.catalogue import (
     Adapter,
     CatalogueObject,
@@ -23,7 +23,7 @@
 from rhubarbshed.protocol.errors import Outcome, RequestError
 from rhubarbshed.protocol.members import BackendServerInfo
 from rhubarbshed.protocol.tables import Row, TableError, TableFault, Write
-from rhubarbshed.state.catalogue import (
+from rhubarbshed.state.agreement.catalogue import (
     HEAD_KEY,
     OBJECT_PREFIX,
     decode_object,
--- /dev/null
+++ b/rhubarbshed/coordination/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions on who is here and who tells whom."""
--- a/rhubarbshed/coordination/dissemination.py
+++ b/rhubarbshed/coordination/membership/dissemination.py
@@ -9,7 +9,7 @@
 
 from attrs import Factory, define, frozen
 
-from rhubarbshed.coordination.membership import list_instances
+from rhubarbshed.coordination.membership.membership import list_instances
 from rhubarbshed.protocol.members import InstanceInfo, Standing
 from rhubarbshed.protocol.peers import (
     CatalogueHint,
@@ -22,7 +22,7 @@
     QuarantineNotice,
     ServiceDigest,
 )
-from rhubarbshed.state.membership import Membership
+from rhubarbshed.state.membership.membership import Membership
 from rhubarbshed.util.rendezvous import rank_by_rendezvous
 
 NOTICES_MAX = 4096
--- a/rhubarbshed/coordination/membership.py
+++ b/rhubarbshed/coordination/membership/membership.py
@@ -3,7 +3,7 @@
 from attrs import frozen
 
 from rhubarbshed.protocol.members import BackendServerInfo, InstanceInfo, Standing
-from rhubarbshed.state.membership import Evidence, Membership, MembershipLimits
+from rhubarbshed.state.membership.membership import Evidence, Membership, MembershipLimits
 
 
 @frozen
--- a/rhubarbshed/coordination/budgets.py
+++ b/rhubarbshed/coordination/placement/budgets.py
@@ -6,15 +6,15 @@
 from attrs import frozen
 from returns.result import Failure, Result, Success
 
-from rhubarbshed.coordination.ownership import make_backend_key
-from rhubarbshed.coordination.transactions import Proposal, Rows
+from rhubarbshed.coordination.agreement.ownership import make_backend_key
+from rhubarbshed.coordination.agreement.transactions import Proposal, Rows
 from rhubarbshed.protocol.catalogue import ObjectKey, ObjectKind
 from rhubarbshed.protocol.codec import to_plain
 from rhubarbshed.protocol.members import BackendServerInfo
 from rhubarbshed.protocol.tables import Write
-from rhubarbshed.state.catalogue import decode_object, make_object_key
-from rhubarbshed.state.leases import Holder
-from rhubarbshed.state.ledger import (
+from rhubarbshed.state.agreement.catalogue import decode_object, make_object_key
+from rhubarbshed.state.agreement.leases import Holder
+from rhubarbshed.state.placement.ledger import (
     Entry,
     EntryKey,
     EntryState,
@@ -29,8 +29,8 @@
     settle_load,
     settle_unload,
 )
-from rhubarbshed.state.power import decode_floor, make_floor_key, set_power
-from rhubarbshed.state.weights import (
+from rhubarbshed.state.placement.power import decode_floor, make_floor_key, set_power
+from rhubarbshed.state.placement.weights import (
     WEIGHTS_KEY,
     WeightGate,
     WeightUse,
--- a/rhubarbshed/coordination/copies.py
+++ b/rhubarbshed/coordination/placement/copies.py
@@ -4,7 +4,7 @@
 
 from attrs import Factory, define
 
-from rhubarbshed.coordination.floor import Copy, Floor, ServerState
+from rhubarbshed.coordination.placement.floor import Copy, Floor, ServerState
 from rhubarbshed.protocol.placement import ModelDemand
 
 ANSWER_TOKENS_DEFAULT = 240.0
--- a/rhubarbshed/coordination/loads.py
+++ b/rhubarbshed/coordination/placement/loads.py
@@ -6,7 +6,14 @@
 from attrs import frozen
 from returns.result import Failure, Result, Success
 
-from rhubarbshed.coordination.budgets import (
+from rhubarbshed.coordination.agreement.transactions import (
+    Plan,
+    Proposal,
+    Rows,
+    TableAccess,
+    transact,
+)
+from rhubarbshed.coordination.placement.budgets import (
     Budget,
     Tenure,
     check_unload,
@@ -17,14 +24,13 @@
     plan_settle_load,
     plan_settle_unload,
 )
-from rhubarbshed.coordination.quotas import AdapterQuota
-from rhubarbshed.coordination.transactions import Plan, Proposal, Rows, TableAccess, transact
+from rhubarbshed.coordination.requests.quotas import AdapterQuota
 from rhubarbshed.protocol.members import BackendServerInfo
 from rhubarbshed.protocol.orders import Order, OrderError, OrderFault, OrderKind
 from rhubarbshed.protocol.platform import EngineClient
 from rhubarbshed.protocol.tables import TableError
-from rhubarbshed.state.leases import Leases, Ownership
-from rhubarbshed.state.ledger import (
+from rhubarbshed.state.agreement.leases import Leases, Ownership
+from rhubarbshed.state.placement.ledger import (
     Entry,
     EntryKey,
     EntryState,
@@ -34,8 +40,8 @@
     begin_unload,
     raise_epoch,
 )
-from rhubarbshed.state.moves import Loss, Moves, ServerMoves
-from rhubarbshed.state.weights import WEIGHTS_KEY, WeightGate
+from rhubarbshed.state.placement.moves import Loss, Moves, ServerMoves
+from rhubarbshed.state.placement.weights import WEIGHTS_KEY, WeightGate
 
 LOG = logging.getLogger(__name__)
 
--- a/rhubarbshed/coordination/packing.py
+++ b/rhubarbshed/coordination/placement/packing.py
@@ -4,7 +4,7 @@
 
 from attrs import Factory, define, frozen
 
-from rhubarbshed.coordination.floor import Copy, Floor, ServerState, rank
+from rhubarbshed.coordination.placement.floor import Copy, Floor, ServerState, rank
 
 RELOCATION_SERVERS_MAX = 16
 """Servers tried when single copies have to be moved to fit one model."""
--- a/rhubarbshed/coordination/placement.py
+++ b/rhubarbshed/coordination/placement/placement.py
@@ -2,10 +2,10 @@
 
 from attrs import frozen
 
-from rhubarbshed.coordination.copies import Loads
-from rhubarbshed.coordination.floor import Copy, Floor, ServerState
-from rhubarbshed.coordination.planner import Planner
-from rhubarbshed.coordination.reach import (
+from rhubarbshed.coordination.placement.copies import Loads
+from rhubarbshed.coordination.placement.floor import Copy, Floor, ServerState
+from rhubarbshed.coordination.placement.planner import Planner
+from rhubarbshed.coordination.placement.reach import (
     drop_deleted,
     leave_servers,
     reach_adapters,
--- a/rhubarbshed/coordination/planner.py
+++ b/rhubarbshed/coordination/placement/planner.py
@@ -4,7 +4,7 @@
 
 from attrs import Factory, define
 
-from rhubarbshed.coordination.floor import Copy, Floor
+from rhubarbshed.coordination.placement.floor import Copy, Floor
 from rhubarbshed.protocol.catalogue import Adapter, Model
 from rhubarbshed.protocol.placement import (
     Move,
--- a/rhubarbshed/coordination/reach.py
+++ b/rhubarbshed/coordination/placement/reach.py
@@ -1,8 +1,8 @@
 """Moves that keep every model and adapter reachable in its current version."""
 
-from rhubarbshed.coordination.floor import ADAPTER_KEY_PREFIX, Copy, rank
-from rhubarbshed.coordination.packing import Draft, Item, pack
-from rhubarbshed.coordination.planner import Planner
+from rhubarbshed.coordination.placement.floor import ADAPTER_KEY_PREFIX, Copy, rank
+from rhubarbshed.coordination.placement.packing import Draft, Item, pack
+from rhubarbshed.coordination.placement.planner import Planner
 from rhubarbshed.protocol.catalogue import Adapter, Model
 from rhubarbshed.protocol.members import Standing
 from rhubarbshed.protocol.placement import ModelDemand, MoveReason
--- a/rhubarbshed/coordination/reconciliation.py
+++ b/rhubarbshed/coordination/placement/reconciliation.py
@@ -5,8 +5,15 @@
 from attrs import frozen
 from returns.result import Failure, Result, Success
 
-from rhubarbshed.coordination.budgets import Budget, Tenure, plan_change, plan_forget, plan_reload
-from rhubarbshed.coordination.loads import (
+from rhubarbshed.coordination.agreement.transactions import TableAccess, transact
+from rhubarbshed.coordination.placement.budgets import (
+    Budget,
+    Tenure,
+    plan_change,
+    plan_forget,
+    plan_reload,
+)
+from rhubarbshed.coordination.placement.loads import (
     MoveContext,
     change_at_rate,
     change_ledger,
@@ -20,11 +27,10 @@
     settle_sent_load,
     settle_sent_unload,
 )
-from rhubarbshed.coordination.transactions import TableAccess, transact
 from rhubarbshed.protocol.members import BackendServerInfo
 from rhubarbshed.protocol.orders import EngineReport, OrderFault
 from rhubarbshed.protocol.tables import TableError
-from rhubarbshed.state.ledger import (
+from rhubarbshed.state.placement.ledger import (
     Entry,
     EntryState,
     Ledger,
@@ -36,8 +42,8 @@
     make_resident_key,
     restart,
 )
-from rhubarbshed.state.moves import ServerMoves
-from rhubarbshed.state.weights import WEIGHTS_KEY
+from rhubarbshed.state.placement.moves import ServerMoves
+from rhubarbshed.state.placement.weights import WEIGHTS_KEY
 
 LOG = logging.getLogger(__name__)
 
--- /dev/null
+++ b/rhubarbshed/coordination/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions on requests: admission, routing, retries, refusal, quarantine, drain."""
--- a/rhubarbshed/coordination/desk.py
+++ b/rhubarbshed/coordination/requests/desk.py
@@ -5,12 +5,16 @@
 
 from attrs import define, field, frozen
 
-from rhubarbshed.coordination.admission import UNAVAILABLE, Admission, describe_unknown_target
-from rhubarbshed.coordination.drain import Drain
-from rhubarbshed.coordination.endings import record_departure, record_end
-from rhubarbshed.coordination.lookup import FindAdapter, FindModel, FindService, Lookup
-from rhubarbshed.coordination.quarantine import SoloRefused, describe_refused
-from rhubarbshed.coordination.refusals import (
+from rhubarbshed.coordination.requests.admission import (
+    UNAVAILABLE,
+    Admission,
+    describe_unknown_target,
+)
+from rhubarbshed.coordination.requests.drain import Drain
+from rhubarbshed.coordination.requests.endings import record_departure, record_end
+from rhubarbshed.coordination.requests.lookup import FindAdapter, FindModel, FindService, Lookup
+from rhubarbshed.coordination.requests.quarantine import SoloRefused, describe_refused
+from rhubarbshed.coordination.requests.refusals import (
     BUSY_WAIT_S,
     SOLO_WAIT_S,
     describe_busy,
@@ -19,7 +23,7 @@
     describe_last,
     spread_return,
 )
-from rhubarbshed.coordination.retries import (
+from rhubarbshed.coordination.requests.retries import (
     RetryBudget,
     compute_hedge_delay,
     compute_pause,
@@ -28,16 +32,21 @@
     list_budget_keys,
     may_send_again,
 )
-from rhubarbshed.coordination.routing import Route, choose_route, find_pair, make_route
-from rhubarbshed.coordination.solo import SoloAnswer, SoloHeld
-from rhubarbshed.coordination.suspects import Suspects
-from rhubarbshed.coordination.trials import SoloSettling, TrialStep, choose_trial, judge_trial
+from rhubarbshed.coordination.requests.routing import Route, choose_route, find_pair, make_route
+from rhubarbshed.coordination.requests.solo import SoloAnswer, SoloHeld
+from rhubarbshed.coordination.requests.suspects import Suspects
+from rhubarbshed.coordination.requests.trials import (
+    SoloSettling,
+    TrialStep,
+    choose_trial,
+    judge_trial,
+)
 from rhubarbshed.protocol.errors import RequestError
 from rhubarbshed.protocol.orders import EngineReport
 from rhubarbshed.protocol.requests import AttemptEnd, AttemptResult, Dispatch, Refusal, Request
 from rhubarbshed.protocol.services import ServiceReport
-from rhubarbshed.state.attempts import OpenRequest, OpenRequests, Trial
-from rhubarbshed.state.load import Candidate, LoadView
+from rhubarbshed.state.membership.load import Candidate, LoadView
+from rhubarbshed.state.requests.attempts import OpenRequest, OpenRequests, Trial
 from rhubarbshed.state.stall import Stall
 from rhubarbshed.util.settings import RoutingSettings, Settings
 
--- a/rhubarbshed/coordination/endings.py
+++ b/rhubarbshed/coordination/requests/endings.py
@@ -1,10 +1,10 @@
 """What the end of an attempt tells of its request, its backend server, and who is suspect."""
 
-from rhubarbshed.coordination.retries import may_have_run
-from rhubarbshed.coordination.suspects import Suspects
+from rhubarbshed.coordination.requests.retries import may_have_run
+from rhubarbshed.coordination.requests.suspects import Suspects
 from rhubarbshed.protocol.requests import AttemptEnd, AttemptResult, Dispatch
-from rhubarbshed.state.attempts import OpenRequest
-from rhubarbshed.state.load import LoadView
+from rhubarbshed.state.membership.load import LoadView
+from rhubarbshed.state.requests.attempts import OpenRequest
 
 NOT_FOUND = 404
 SERVER_ERROR = 500
--- a/rhubarbshed/coordination/lookup.py
+++ b/rhubarbshed/coordination/requests/lookup.py
@@ -6,7 +6,7 @@
 
 from rhubarbshed.protocol.catalogue import Adapter, Model, Service
 from rhubarbshed.protocol.requests import Request
-from rhubarbshed.state.load import Candidate, LoadView
+from rhubarbshed.state.membership.load import Candidate, LoadView
 
 FindModel = Callable[[str], Model | None]
 FindAdapter = Callable[[str], Adapter | None]
--- a/rhubarbshed/coordination/refusals.py
+++ b/rhubarbshed/coordination/requests/refusals.py
@@ -4,12 +4,12 @@
 
 from attrs import evolve
 
-from rhubarbshed.coordination.admission import UNAVAILABLE, Admission
-from rhubarbshed.coordination.quarantine import describe_refused
-from rhubarbshed.coordination.retries import describe_failure, find_outcome
+from rhubarbshed.coordination.requests.admission import UNAVAILABLE, Admission
+from rhubarbshed.coordination.requests.quarantine import describe_refused
+from rhubarbshed.coordination.requests.retries import describe_failure, find_outcome
 from rhubarbshed.protocol.errors import Outcome, RequestError
 from rhubarbshed.protocol.requests import AttemptResult, Request
-from rhubarbshed.state.load import Candidate
+from rhubarbshed.state.membership.load import Candidate
 
 BUSY_WAIT_S = 1.0
 SOLO_WAIT_S = 2.0
--- a/rhubarbshed/coordination/routing.py
+++ b/rhubarbshed/coordination/requests/routing.py
@@ -6,7 +6,7 @@
 from attrs import frozen
 
 from rhubarbshed.protocol.requests import Priority, Request
-from rhubarbshed.state.load import Candidate
+from rhubarbshed.state.membership.load import Candidate
 from rhubarbshed.util.rendezvous import weigh
 from rhubarbshed.util.settings import RoutingSettings
 
--- a/rhubarbshed/coordination/settlement.py
+++ b/rhubarbshed/coordination/requests/settlement.py
@@ -6,7 +6,14 @@
 
 from attrs import define, field, frozen
 
-from rhubarbshed.coordination.claims import (
+from rhubarbshed.coordination.agreement.commits import (
+    ROUNDS_MAX,
+    CommitBatcher,
+    CommitEnd,
+    commit_confirmed,
+    commit_planned,
+)
+from rhubarbshed.coordination.requests.claims import (
     ClaimAsk,
     ClaimHeld,
     ClaimProceed,
@@ -17,13 +24,6 @@
     plan_settle,
     read_claim,
 )
-from rhubarbshed.coordination.commits import (
-    ROUNDS_MAX,
-    CommitBatcher,
-    CommitEnd,
-    commit_confirmed,
-    commit_planned,
-)
 from rhubarbshed.protocol.claims import ClaimState, StoredAnswer
 from rhubarbshed.protocol.tables import Row, Transaction
 
--- a/rhubarbshed/coordination/solo.py
+++ b/rhubarbshed/coordination/requests/solo.py
@@ -6,14 +6,14 @@
 
 from attrs import define, field, frozen
 
-from rhubarbshed.coordination.commits import (
+from rhubarbshed.coordination.agreement.commits import (
     ROUNDS_MAX,
     CommitBatcher,
     CommitEnd,
     commit_confirmed,
     commit_planned,
 )
-from rhubarbshed.coordination.quarantine import (
+from rhubarbshed.coordination.requests.quarantine import (
     SoloBusy,
     SoloRefused,
     SoloRow,
--- a/rhubarbshed/coordination/suspects.py
+++ b/rhubarbshed/coordination/requests/suspects.py
@@ -6,8 +6,8 @@
 from attrs import define, field
 
 from rhubarbshed.protocol.quarantine import CrashId
-from rhubarbshed.state.presumptions import Presumption, Presumptions, make_presumed_crash
-from rhubarbshed.state.quarantine import QuarantineView
+from rhubarbshed.state.requests.presumptions import Presumption, Presumptions, make_presumed_crash
+from rhubarbshed.state.requests.quarantine import QuarantineView
 from rhubarbshed.util.settings import QuarantineSettings
 
 log = logging.getLogger(__name__)
--- a/rhubarbshed/coordination/trials.py
+++ b/rhubarbshed/coordination/requests/trials.py
@@ -5,8 +5,8 @@
 
 from attrs import frozen
 
-from rhubarbshed.state.attempts import Trial
-from rhubarbshed.state.load import Candidate
+from rhubarbshed.state.membership.load import Candidate
+from rhubarbshed.state.requests.attempts import Trial
 
 SETTLE_S = 1.0
 PATIENCE_S = 5.0
--- a/rhubarbshed/coordination/serving/absence.py
+++ b/rhubarbshed/coordination/serving/absence.py
@@ -7,7 +7,7 @@
 from attrs import frozen
 
 from rhubarbshed.protocol.routes import EngineSpec, ModelSpec
-from rhubarbshed.state.fleet import ServerRecord
+from rhubarbshed.state.membership.fleet import ServerRecord
 
 ADAPTER_WAIT_S = 0.6
 """Longest wait for an adapter: a load takes about 10 ms, an order to a busy queue some more."""
--- a/rhubarbshed/coordination/serving/adapters.py
+++ b/rhubarbshed/coordination/serving/adapters.py
@@ -7,7 +7,7 @@
 from rhubarbshed.coordination.serving.floor import TOLD_S, Floor, Move
 from rhubarbshed.coordination.serving.placement import ADAPTER_PATIENCE_S
 from rhubarbshed.protocol.orders import OrderKind
-from rhubarbshed.state.places import Place
+from rhubarbshed.state.placement.places import Place
 
 PENDING_ADAPTERS_MAX = 4
 """Adapters on their way to one engine at a time, from the platform's pages."""
--- a/rhubarbshed/coordination/serving/choice.py
+++ b/rhubarbshed/coordination/serving/choice.py
@@ -10,7 +10,7 @@
 from attrs import frozen
 
 from rhubarbshed.protocol.routes import Route
-from rhubarbshed.state.fleet import Fleet, ServerRecord
+from rhubarbshed.state.membership.fleet import Fleet, ServerRecord
 
 OTHER_CENTRE_COST = 0.25
 """Load, as a part of a server's slots, that is borne before a request goes to another data centre;
--- a/rhubarbshed/coordination/serving/floor.py
+++ b/rhubarbshed/coordination/serving/floor.py
@@ -10,9 +10,9 @@
 
 from rhubarbshed.protocol.orders import OrderKind
 from rhubarbshed.protocol.routes import EngineSpec
-from rhubarbshed.state.fleet import ServerRecord
-from rhubarbshed.state.places import Place
-from rhubarbshed.state.usage import Target, Usage
+from rhubarbshed.state.membership.fleet import ServerRecord
+from rhubarbshed.state.placement.places import Place
+from rhubarbshed.state.placement.usage import Target, Usage
 
 WANT_S = 1.0
 """Time for which a want counts; callers repeat it each 0.1 s while they wait."""
--- a/rhubarbshed/coordination/serving/placement.py
+++ b/rhubarbshed/coordination/serving/placement.py
@@ -12,8 +12,8 @@
 from rhubarbshed.coordination.serving.floor import RARE_RATE, Floor, Move
 from rhubarbshed.protocol.orders import OrderKind
 from rhubarbshed.protocol.routes import ModelSpec
-from rhubarbshed.state.fleet import ServerRecord
-from rhubarbshed.state.places import Place
+from rhubarbshed.state.membership.fleet import ServerRecord
+from rhubarbshed.state.placement.places import Place
 
 URGENT_WORTH = 1.0
 BUSY_PART = 0.2
--- a/rhubarbshed/state/snapshots.py
+++ b/rhubarbshed/state/agreement/snapshots.py
@@ -5,7 +5,7 @@
 
 from rhubarbshed.protocol.catalogue import CatalogueObject
 from rhubarbshed.protocol.codec import pack, unpack
-from rhubarbshed.state.catalogue import Catalogue
+from rhubarbshed.state.agreement.catalogue import Catalogue
 
 SNAPSHOT_KEY = "catalogue/snapshot"
 
--- /dev/null
+++ b/rhubarbshed/state/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Instances and backend servers as this instance sees them."""
--- a/rhubarbshed/state/load.py
+++ b/rhubarbshed/state/membership/load.py
@@ -9,7 +9,7 @@
 from rhubarbshed.protocol.orders import EngineReport
 from rhubarbshed.protocol.requests import Priority
 from rhubarbshed.protocol.services import ServiceReport
-from rhubarbshed.state.prefixes import PrefixCache
+from rhubarbshed.state.requests.prefixes import PrefixCache
 
 HOLD_DEFAULT_S = 4.0
 HOLD_SMOOTHING = 0.1
--- /dev/null
+++ b/rhubarbshed/state/placement/__init__.py
@@ -0,0 +1,1 @@
+"""What backend servers hold and reserve, and the demand for it."""
--- a/rhubarbshed/state/ledger.py
+++ b/rhubarbshed/state/placement/ledger.py
@@ -8,7 +8,7 @@
 
 from rhubarbshed.protocol.codec import from_stored, to_plain
 from rhubarbshed.protocol.orders import EngineReport, Resident
-from rhubarbshed.state.leases import NOBODY, Holder
+from rhubarbshed.state.agreement.leases import NOBODY, Holder
 
 
 class EntryState(enum.Enum):
--- a/rhubarbshed/state/moves.py
+++ b/rhubarbshed/state/placement/moves.py
@@ -2,7 +2,7 @@
 
 from attrs import define, field, frozen
 
-from rhubarbshed.state.ledger import Copies, Entry, Ledger
+from rhubarbshed.state.placement.ledger import Copies, Entry, Ledger
 
 NEVER = float("-inf")
 ORDER_LIFETIME_S = 60.0
--- /dev/null
+++ b/rhubarbshed/state/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Requests at hand and what they did to backend servers."""
--- a/rhubarbshed/transport/admin.py
+++ b/rhubarbshed/transport/admin.py
@@ -7,8 +7,8 @@
 
 from returns.result import Failure, Result
 
-from rhubarbshed.coordination.membership import list_backend_servers
-from rhubarbshed.coordination.tickets import accept_ticket, find_ticket
+from rhubarbshed.coordination.agreement.tickets import accept_ticket, find_ticket
+from rhubarbshed.coordination.membership.membership import list_backend_servers
 from rhubarbshed.protocol.catalogue import Ticket, TicketReceipt
 from rhubarbshed.protocol.errors import RequestError
 from rhubarbshed.transport.operators import OperatorDesk
--- a/rhubarbshed/transport/edge/attempts.py
+++ b/rhubarbshed/transport/edge/attempts.py
@@ -9,7 +9,7 @@
 from rhubarbshed.platform.headers import STATUS_MISDIRECTED, make_headers, read_head
 from rhubarbshed.protocol.exchanges import CallerRequest, End, ServerHead
 from rhubarbshed.protocol.routes import Route
-from rhubarbshed.state.fleet import ServerRecord
+from rhubarbshed.state.membership.fleet import ServerRecord
 from rhubarbshed.transport.edge.channels import (
     Channel,
     ChannelError,
--- a/rhubarbshed/transport/edge/circle.py
+++ b/rhubarbshed/transport/edge/circle.py
@@ -15,8 +15,8 @@
 
 from rhubarbshed.protocol.tables import Row
 from rhubarbshed.protocol.words import DemandWord, HolderWord, NewsWord, Word
-from rhubarbshed.state.places import Place
-from rhubarbshed.state.usage import Tally, Target
+from rhubarbshed.state.placement.places import Place
+from rhubarbshed.state.placement.usage import Tally, Target
 from rhubarbshed.transport.edge.datagrams import Datagrams
 from rhubarbshed.transport.edge.follower import Follower
 from rhubarbshed.transport.edge.holder import OrderDesk
--- a/rhubarbshed/transport/edge/holder.py
+++ b/rhubarbshed/transport/edge/holder.py
@@ -30,9 +30,9 @@
 from rhubarbshed.protocol.servers import OrderEnd, ServerOrder
 from rhubarbshed.protocol.tables import TableFault
 from rhubarbshed.protocol.words import HolderWord
-from rhubarbshed.state.fleet import ServerRecord
-from rhubarbshed.state.places import DOUBT_S, Doubt, Place
-from rhubarbshed.state.usage import Target, Usage
+from rhubarbshed.state.membership.fleet import ServerRecord
+from rhubarbshed.state.placement.places import DOUBT_S, Doubt, Place
+from rhubarbshed.state.placement.usage import Target, Usage
 from rhubarbshed.transport.edge.control import call
 from rhubarbshed.transport.edge.numbers import Numbers
 from rhubarbshed.transport.edge.pools import Pool
--- a/rhubarbshed/transport/edge/node.py
+++ b/rhubarbshed/transport/edge/node.py
@@ -13,7 +13,7 @@
 from attrs import define, field
 from returns.result import Failure, Success
 
-from rhubarbshed.coordination.drain import DrainPhase
+from rhubarbshed.coordination.requests.drain import DrainPhase
 from rhubarbshed.coordination.serving.tenure import Tenure, draw_jitter
 from rhubarbshed.transport.edge.circle import Circle
 from rhubarbshed.transport.edge.follower import Follower
--- a/rhubarbshed/transport/edge/relay.py
+++ b/rhubarbshed/transport/edge/relay.py
@@ -21,7 +21,7 @@
 from rhubarbshed.protocol.errors import RequestError
 from rhubarbshed.protocol.exchanges import CallerRequest, End
 from rhubarbshed.protocol.routes import Route
-from rhubarbshed.state.fleet import ServerRecord
+from rhubarbshed.state.membership.fleet import ServerRecord
 from rhubarbshed.transport.edge.attempts import Attempt, Passage
 from rhubarbshed.transport.edge.lines import CallerLine
 from rhubarbshed.transport.edge.numbers import Numbers
--- a/rhubarbshed/transport/edge/view.py
+++ b/rhubarbshed/transport/edge/view.py
@@ -5,10 +5,10 @@
 
 from attrs import define, field
 
-from rhubarbshed.coordination.drain import Drain
+from rhubarbshed.coordination.requests.drain import Drain
 from rhubarbshed.coordination.serving.repeats import RepeatBudget
 from rhubarbshed.protocol.routes import CallerLimits, Configuration
-from rhubarbshed.state.fleet import Fleet
+from rhubarbshed.state.membership.fleet import Fleet
 from rhubarbshed.util.front import FrontSettings
 
 LIMITS_DEFAULT = CallerLimits()
--- a/rhubarbshed/transport/exchange.py
+++ b/rhubarbshed/transport/exchange.py
@@ -26,8 +26,8 @@
     ServiceDigest,
 )
 from rhubarbshed.protocol.quarantine import QuarantineEntry, merge_entries
-from rhubarbshed.state.demand import DemandOutbox, make_whole_update
-from rhubarbshed.state.digests import LoadInbox, LoadOutbox
+from rhubarbshed.state.membership.digests import LoadInbox, LoadOutbox
+from rhubarbshed.state.placement.demand import DemandOutbox, make_whole_update
 from rhubarbshed.util.logs import log_event
 
 LOG = logging.getLogger(__name__)
--- a/rhubarbshed/transport/gateway.py
+++ b/rhubarbshed/transport/gateway.py
@@ -8,7 +8,8 @@
 
 from attrs import Factory, define, evolve, field, frozen
 
-from rhubarbshed.coordination.claims import (
+from rhubarbshed.coordination.agreement.commits import CommitBatcher
+from rhubarbshed.coordination.requests.claims import (
     ClaimAsk,
     ClaimHeld,
     ClaimReplay,
@@ -17,25 +18,24 @@
     make_ask,
     read_body,
 )
-from rhubarbshed.coordination.commits import CommitBatcher
-from rhubarbshed.coordination.desk import AttemptOpen, Desk, SoloNeeded
-from rhubarbshed.coordination.quarantine import compute_fingerprint
-from rhubarbshed.coordination.settlement import Settlement, Settlements, claim, settle
-from rhubarbshed.coordination.solo import (
+from rhubarbshed.coordination.requests.desk import AttemptOpen, Desk, SoloNeeded
+from rhubarbshed.coordination.requests.quarantine import compute_fingerprint
+from rhubarbshed.coordination.requests.settlement import Settlement, Settlements, claim, settle
+from rhubarbshed.coordination.requests.solo import (
     SoloHeld,
     SoloHolder,
     SoloReleases,
     claim_solo,
     release_solo,
 )
-from rhubarbshed.coordination.trials import SoloSettling
+from rhubarbshed.coordination.requests.trials import SoloSettling
 from rhubarbshed.protocol.answers import JSON_TYPE, WholeAnswer
 from rhubarbshed.protocol.calls import Call
 from rhubarbshed.protocol.claims import ClaimState, StoredAnswer
 from rhubarbshed.protocol.errors import Outcome, RequestError
 from rhubarbshed.protocol.requests import AttemptEnd, AttemptResult, Dispatch, Refusal
-from rhubarbshed.state.catalogue import Catalogue
-from rhubarbshed.state.demand import Demand
+from rhubarbshed.state.agreement.catalogue import Catalogue
+from rhubarbshed.state.placement.demand import Demand
 from rhubarbshed.state.timeline import Timeline
 from rhubarbshed.transport.metrics import Metrics
 from rhubarbshed.transport.questions import Questions
--- a/rhubarbshed/transport/instance.py
+++ b/rhubarbshed/transport/instance.py
@@ -10,7 +10,7 @@
 from attrs import define
 from returns.result import Failure, Result, Success
 
-from rhubarbshed.coordination.drain import DrainPhase
+from rhubarbshed.coordination.requests.drain import DrainPhase
 from rhubarbshed.protocol.peers import LeavingNotice, LeavingSubject
 from rhubarbshed.transport.admin import make_operator_desk
 from rhubarbshed.transport.exchange import tell_suspects
--- a/rhubarbshed/transport/loops.py
+++ b/rhubarbshed/transport/loops.py
@@ -8,15 +8,19 @@
 
 from returns.result import Failure, Result, Success
 
-from rhubarbshed.coordination.catalogues import load_snapshot, refresh_catalogue, store_snapshot
-from rhubarbshed.coordination.membership import (
+from rhubarbshed.coordination.agreement.catalogues import (
+    load_snapshot,
+    refresh_catalogue,
+    store_snapshot,
+)
+from rhubarbshed.coordination.agreement.retention import retain
+from rhubarbshed.coordination.membership.membership import (
     list_backend_servers,
     list_instances,
     may_return,
 )
-from rhubarbshed.coordination.retention import retain
-from rhubarbshed.coordination.settlement import settle_pending
-from rhubarbshed.coordination.solo import release_pending
+from rhubarbshed.coordination.requests.settlement import settle_pending
+from rhubarbshed.coordination.requests.solo import release_pending
 from rhubarbshed.protocol.members import BackendKind, BackendServerInfo
 from rhubarbshed.protocol.peers import CatalogueHint
 from rhubarbshed.transport.engines import fetch_service_report
--- a/rhubarbshed/transport/pages.py
+++ b/rhubarbshed/transport/pages.py
@@ -2,11 +2,11 @@
 
 from typing import Any
 
-from rhubarbshed.coordination.membership import explain
+from rhubarbshed.coordination.membership.membership import explain
 from rhubarbshed.protocol.codec import to_plain
-from rhubarbshed.state.catalogue import Catalogue
-from rhubarbshed.state.load import LoadView, ServerLoad
-from rhubarbshed.state.membership import Evidence, Membership
+from rhubarbshed.state.agreement.catalogue import Catalogue
+from rhubarbshed.state.membership.load import LoadView, ServerLoad
+from rhubarbshed.state.membership.membership import Evidence, Membership
 from rhubarbshed.state.timeline import LIST_LIMIT, Timeline
 
 
--- a/rhubarbshed/transport/peers.py
+++ b/rhubarbshed/transport/peers.py
@@ -9,7 +9,7 @@
 from attrs import Factory, define, evolve, field
 from returns.result import Failure, Result
 
-from rhubarbshed.coordination.dissemination import (
+from rhubarbshed.coordination.membership.dissemination import (
     DIGESTS,
     NOTICES,
     NoticeFilter,
@@ -33,7 +33,7 @@
     unpack_envelope,
 )
 from rhubarbshed.state.clock import HybridClock
-from rhubarbshed.state.membership import Membership
+from rhubarbshed.state.membership.membership import Membership
 from rhubarbshed.state.timeline import read_wall_ms
 from rhubarbshed.transport.frames import (
     Identity,
--- a/rhubarbshed/transport/placing.py
+++ b/rhubarbshed/transport/placing.py
@@ -5,27 +5,31 @@
 
 from returns.result import Failure, Result, Success
 
-from rhubarbshed.coordination.budgets import Budget
-from rhubarbshed.coordination.loads import LoadSpec, execute_load, execute_unload
-from rhubarbshed.coordination.membership import (
+from rhubarbshed.coordination.agreement.ownership import (
+    hand_over,
+    maintain_ownership,
+    renew_session,
+    settle_former,
+)
+from rhubarbshed.coordination.membership.membership import (
     get_standing,
     list_backend_servers,
     list_holders,
     list_instances,
 )
-from rhubarbshed.coordination.ownership import (
-    hand_over,
-    maintain_ownership,
-    renew_session,
-    settle_former,
+from rhubarbshed.coordination.placement.budgets import Budget
+from rhubarbshed.coordination.placement.loads import (
+    LoadSpec,
+    execute_load,
+    execute_unload,
 )
-from rhubarbshed.coordination.placement import plan_moves, select_owned
-from rhubarbshed.coordination.reconciliation import reconcile_server
+from rhubarbshed.coordination.placement.placement import plan_moves, select_owned
+from rhubarbshed.coordination.placement.reconciliation import reconcile_server
 from rhubarbshed.protocol.members import BackendKind, BackendServerInfo, Standing
 from rhubarbshed.protocol.orders import EngineReport, Resident
 from rhubarbshed.protocol.placement import Move, MoveKind, MoveRecord, ServerView
-from rhubarbshed.state.ledger import EntryKey, EntryState, Ledger, LedgerFault
-from rhubarbshed.state.load import ServerLoad
+from rhubarbshed.state.membership.load import ServerLoad
+from rhubarbshed.state.placement.ledger import EntryKey, EntryState, Ledger, LedgerFault
 from rhubarbshed.transport.runtime import USED, Runtime
 from rhubarbshed.util.logs import log_event
 
--- a/rhubarbshed/transport/runtime.py
+++ b/rhubarbshed/transport/runtime.py
@@ -13,30 +13,30 @@
 from attrs import define, evolve, field, frozen
 from returns.result import Result, Success
 
-from rhubarbshed.coordination.commits import CommitBatcher
-from rhubarbshed.coordination.desk import Desk
-from rhubarbshed.coordination.loads import MoveContext
-from rhubarbshed.coordination.membership import (
+from rhubarbshed.coordination.agreement.commits import CommitBatcher
+from rhubarbshed.coordination.agreement.transactions import TableAccess
+from rhubarbshed.coordination.membership.membership import (
     get_standing,
     list_backend_servers,
     list_instances,
 )
-from rhubarbshed.coordination.quotas import AdapterQuota
-from rhubarbshed.coordination.transactions import TableAccess
+from rhubarbshed.coordination.placement.loads import MoveContext
+from rhubarbshed.coordination.requests.desk import Desk
+from rhubarbshed.coordination.requests.quotas import AdapterQuota
 from rhubarbshed.protocol.members import BackendKind, Standing
 from rhubarbshed.protocol.placement import MoveRecord
 from rhubarbshed.protocol.platform import EngineClient, ListClient, ObjectClient
 from rhubarbshed.protocol.requests import Dispatch
-from rhubarbshed.state.backlog import BacklogRate
-from rhubarbshed.state.catalogue import Catalogue
-from rhubarbshed.state.demand import Demand
-from rhubarbshed.state.leases import Holder, Leases
-from rhubarbshed.state.load import LoadView
-from rhubarbshed.state.membership import Membership
-from rhubarbshed.state.moves import Moves
-from rhubarbshed.state.retention import Retention
+from rhubarbshed.state.agreement.backlog import BacklogRate
+from rhubarbshed.state.agreement.catalogue import Catalogue
+from rhubarbshed.state.agreement.leases import Holder, Leases
+from rhubarbshed.state.agreement.retention import Retention
+from rhubarbshed.state.membership.load import LoadView
+from rhubarbshed.state.membership.membership import Membership
+from rhubarbshed.state.placement.demand import Demand
+from rhubarbshed.state.placement.moves import Moves
+from rhubarbshed.state.placement.weights import WeightGate
 from rhubarbshed.state.timeline import Timeline, read_wall_ms
-from rhubarbshed.state.weights import WeightGate
 from rhubarbshed.transport.callers import SPARE_THREADS, Places, make_caller_handler
 from rhubarbshed.transport.connections import Connections
 from rhubarbshed.transport.engines import cancel_request, make_engine_client
--- a/test/fuzz/cluster.py
+++ b/test/fuzz/cluster.py
@@ -10,14 +10,14 @@
 
 from attrs import define, evolve, field, frozen
 
-from rhubarbshed.coordination.tickets import accept_ticket, list_touched
-from rhubarbshed.coordination.transactions import TableAccess
+from rhubarbshed.coordination.agreement.tickets import accept_ticket, list_touched
+from rhubarbshed.coordination.agreement.transactions import TableAccess
 from rhubarbshed.protocol.answers import WholeAnswer
 from rhubarbshed.protocol.calls import Arrival, parse_inference, parse_service_call
 from rhubarbshed.protocol.members import BackendKind, ListedInstance
 from rhubarbshed.protocol.peers import Heartbeat, LeavingNotice, LeavingSubject
 from rhubarbshed.protocol.requests import AttemptEnd, Dispatch, Refusal
-from rhubarbshed.state.membership import make_instance_info
+from rhubarbshed.state.membership.membership import make_instance_info
 from rhubarbshed.transport import exchange, instance, loops
 from rhubarbshed.transport.placing import list_engines
 from rhubarbshed.transport.runtime import Runtime, Systems
--- a/test/fuzz/oracle.py
+++ b/test/fuzz/oracle.py
@@ -10,15 +10,15 @@
 from attrs import define, field
 from returns.result import Success
 
-from rhubarbshed.coordination.tickets import list_touched
+from rhubarbshed.coordination.agreement.tickets import list_touched
 from rhubarbshed.protocol.answers import WholeAnswer
 from rhubarbshed.protocol.catalogue import Adapter, CatalogueObject, Model, ObjectKey
 from rhubarbshed.protocol.errors import Outcome, RequestError
 from rhubarbshed.protocol.members import BackendKind
 from rhubarbshed.protocol.orders import OrderKind
 from rhubarbshed.protocol.tables import Write
-from rhubarbshed.state.catalogue import Catalogue
-from rhubarbshed.state.ledger import EntryKey, EntryState, decode_ledger
+from rhubarbshed.state.agreement.catalogue import Catalogue
+from rhubarbshed.state.placement.ledger import EntryKey, EntryState, decode_ledger
 from test.fuzz.cluster import Ask, Cluster
 
 BACKEND_PREFIX = "backend/"
--- a/test/fuzz/test_agreed.py
+++ b/test/fuzz/test_agreed.py
@@ -9,9 +9,9 @@
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
-from rhubarbshed.coordination.loads import execute_load, execute_unload
+from rhubarbshed.coordination.placement.loads import execute_load, execute_unload
 from rhubarbshed.protocol.orders import OrderFault
-from rhubarbshed.state.ledger import EntryState
+from rhubarbshed.state.placement.ledger import EntryState
 from test.helper_agreed import (
     MEMORY_BYTES,
     RENEWAL_S,
--- a/test/fuzz/test_cluster.py
+++ b/test/fuzz/test_cluster.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from rhubarbshed.state.ledger import EntryState, decode_ledger
+from rhubarbshed.state.placement.ledger import EntryState, decode_ledger
 from test.fuzz.cluster import Cluster
 from test.fuzz.machines import FIRST_TICKET
 from test.fuzz.outside import Rates
--- a/test/fuzz/test_mutations.py
+++ b/test/fuzz/test_mutations.py
@@ -7,11 +7,13 @@
 from attrs import frozen
 from returns.result import Success
 
-from rhubarbshed.coordination import desk, endings, loads, placement, tickets
-from rhubarbshed.coordination.drain import Drain, DrainPhase
+from rhubarbshed.coordination.agreement import tickets
+from rhubarbshed.coordination.placement import loads, placement
+from rhubarbshed.coordination.requests import desk, endings
+from rhubarbshed.coordination.requests.drain import Drain, DrainPhase
 from rhubarbshed.protocol.members import Standing
-from rhubarbshed.state import load
-from rhubarbshed.state.ledger import EntryState, Ledger
+from rhubarbshed.state.membership import load
+from rhubarbshed.state.placement.ledger import EntryState, Ledger
 from test.fuzz import cluster
 from test.fuzz.oracle import ViolationError
 from test.fuzz.runner import run_machine
--- a/test/fuzz/test_oracle.py
+++ b/test/fuzz/test_oracle.py
@@ -7,8 +7,8 @@
 from rhubarbshed.protocol.catalogue import CatalogueObject, Model, get_key
 from rhubarbshed.protocol.orders import Order, OrderKind
 from rhubarbshed.protocol.tables import Transaction, Write
-from rhubarbshed.state.catalogue import encode_object, make_object_key
-from rhubarbshed.state.ledger import Entry, EntryKey, EntryState, Ledger, encode_ledger
+from rhubarbshed.state.agreement.catalogue import encode_object, make_object_key
+from rhubarbshed.state.placement.ledger import Entry, EntryKey, EntryState, Ledger, encode_ledger
 from test.fuzz.oracle import Oracle
 from test.fuzz.outside import Outside, Server
 from test.fuzz.virtual import Timer
--- a/test/fuzz/test_requests.py
+++ b/test/fuzz/test_requests.py
@@ -7,10 +7,10 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from rhubarbshed.coordination.desk import AttemptOpen, Desk, SoloNeeded
-from rhubarbshed.coordination.quarantine import SoloBusy
-from rhubarbshed.coordination.solo import SoloHeld, SoloUnavailable
-from rhubarbshed.coordination.trials import SoloSettling
+from rhubarbshed.coordination.requests.desk import AttemptOpen, Desk, SoloNeeded
+from rhubarbshed.coordination.requests.quarantine import SoloBusy
+from rhubarbshed.coordination.requests.solo import SoloHeld, SoloUnavailable
+from rhubarbshed.coordination.requests.trials import SoloSettling
 from rhubarbshed.protocol.errors import Outcome
 from rhubarbshed.protocol.members import Standing
 from rhubarbshed.protocol.quarantine import QuarantineEntry
--- a/test/fuzz/test_tickets.py
+++ b/test/fuzz/test_tickets.py
@@ -9,12 +9,12 @@
 from hypothesis import strategies as st
 from returns.result import Result, Success
 
-from rhubarbshed.coordination.catalogues import refresh_catalogue
-from rhubarbshed.coordination.tickets import accept_ticket, compute_digest, list_touched
+from rhubarbshed.coordination.agreement.catalogues import refresh_catalogue
+from rhubarbshed.coordination.agreement.tickets import accept_ticket, compute_digest, list_touched
 from rhubarbshed.protocol.catalogue import Model, ObjectKey, Ticket
 from rhubarbshed.protocol.errors import Outcome
-from rhubarbshed.state.catalogue import Catalogue
-from rhubarbshed.state.snapshots import apply_snapshot, decode_snapshot, encode_snapshot
+from rhubarbshed.state.agreement.catalogue import Catalogue
+from rhubarbshed.state.agreement.snapshots import apply_snapshot, decode_snapshot, encode_snapshot
 from test.fuzz.test_agreed import Pause
 from test.helper_agreed import World, complete, make_server
 
--- a/test/helper_agreed.py
+++ b/test/helper_agreed.py
@@ -9,12 +9,12 @@
 from attrs import define, evolve, field
 from returns.result import Failure, Result, Success
 
-from rhubarbshed.coordination.budgets import Budget
-from rhubarbshed.coordination.loads import LoadSpec, MoveContext
-from rhubarbshed.coordination.ownership import maintain_ownership, renew_session
-from rhubarbshed.coordination.quotas import AdapterQuota
-from rhubarbshed.coordination.reconciliation import reconcile_server
-from rhubarbshed.coordination.transactions import TableAccess
+from rhubarbshed.coordination.agreement.ownership import maintain_ownership, renew_session
+from rhubarbshed.coordination.agreement.transactions import TableAccess
+from rhubarbshed.coordination.placement.budgets import Budget
+from rhubarbshed.coordination.placement.loads import LoadSpec, MoveContext
+from rhubarbshed.coordination.placement.reconciliation import reconcile_server
+from rhubarbshed.coordination.requests.quotas import AdapterQuota
 from rhubarbshed.protocol.members import BackendKind, BackendServerInfo
 from rhubarbshed.protocol.orders import (
     EngineReport,
@@ -34,10 +34,10 @@
     Transaction,
     Write,
 )
-from rhubarbshed.state.leases import Holder, Leases
-from rhubarbshed.state.ledger import EntryKey, Ledger, decode_ledger
-from rhubarbshed.state.moves import Moves
-from rhubarbshed.state.weights import WeightGate
+from rhubarbshed.state.agreement.leases import Holder, Leases
+from rhubarbshed.state.placement.ledger import EntryKey, Ledger, decode_ledger
+from rhubarbshed.state.placement.moves import Moves
+from rhubarbshed.state.placement.weights import WeightGate
 
 TERM_S = 10.0
 RENEWAL_S = 3.0
--- a/test/helper_peers.py
+++ b/test/helper_peers.py
@@ -9,7 +9,7 @@
 from rhubarbshed.protocol.members import ListedInstance, PlatformList
 from rhubarbshed.protocol.peers import Frame, Heartbeat
 from rhubarbshed.state.clock import HybridClock
-from rhubarbshed.state.membership import Membership, make_instance_info
+from rhubarbshed.state.membership.membership import Membership, make_instance_info
 from rhubarbshed.transport.hooks import PeerHooks
 from rhubarbshed.transport.peers import PeerNetwork
 from rhubarbshed.util.settings import Settings
--- a/test/helper_placement.py
+++ b/test/helper_placement.py
@@ -6,7 +6,7 @@
 import attrs
 from attrs import Factory, define
 
-from rhubarbshed.coordination.placement import plan_moves
+from rhubarbshed.coordination.placement.placement import plan_moves
 from rhubarbshed.protocol.catalogue import Adapter, Model
 from rhubarbshed.protocol.members import BackendKind, BackendServerInfo, Standing
 from rhubarbshed.protocol.orders import Resident
--- a/test/helper_requests.py
+++ b/test/helper_requests.py
@@ -6,10 +6,10 @@
 from attrs import define, evolve, field
 from returns.result import Failure, Success
 
-from rhubarbshed.coordination.commits import CommitBatcher
-from rhubarbshed.coordination.desk import Desk
-from rhubarbshed.coordination.solo import SoloHeld
-from rhubarbshed.coordination.trials import SETTLE_S, SoloSettling
+from rhubarbshed.coordination.agreement.commits import CommitBatcher
+from rhubarbshed.coordination.requests.desk import Desk
+from rhubarbshed.coordination.requests.solo import SoloHeld
+from rhubarbshed.coordination.requests.trials import SETTLE_S, SoloSettling
 from rhubarbshed.protocol.catalogue import Adapter, Model, Service
 from rhubarbshed.protocol.members import BackendKind, BackendServerInfo
 from rhubarbshed.protocol.orders import EngineReport, Resident
--- a/test/test_admission.py
+++ b/test/test_admission.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from rhubarbshed.coordination.admission import Admission
+from rhubarbshed.coordination.requests.admission import Admission
 from rhubarbshed.protocol.errors import Outcome
 from rhubarbshed.protocol.requests import Priority
 from test.helper_requests import make_request, make_settings
--- a/test/test_backlog.py
+++ b/test/test_backlog.py
@@ -1,6 +1,6 @@
 """Test the rate at which an instance catches up with the table service."""
 
-from rhubarbshed.state.backlog import BacklogRate
+from rhubarbshed.state.agreement.backlog import BacklogRate
 from rhubarbshed.util.settings import Settings
 
 SETTINGS = Settings.from_text("[platform]\nbacklog_writes_per_s = 100").unwrap().platform
--- a/test/test_beats.py
+++ b/test/test_beats.py
@@ -5,16 +5,16 @@
 
 from attrs import evolve
 
-from rhubarbshed.coordination.dissemination import (
+from rhubarbshed.coordination.membership.dissemination import (
     CROWD_PEERS,
     Topology,
     choose_beat_interval,
     is_crowd,
 )
-from rhubarbshed.coordination.membership import get_standing
+from rhubarbshed.coordination.membership.membership import get_standing
 from rhubarbshed.protocol.members import Standing
 from rhubarbshed.protocol.peers import Heartbeat, LoadDigest
-from rhubarbshed.state.membership import make_instance_info
+from rhubarbshed.state.membership.membership import make_instance_info
 from test.helper_peers import (
     HEARTBEAT_S,
     SILENCE_S,
--- a/test/test_claims.py
+++ b/test/test_claims.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from rhubarbshed.coordination.claims import (
+from rhubarbshed.coordination.requests.claims import (
     ClaimAsk,
     ClaimHeld,
     ClaimRefused,
@@ -16,7 +16,7 @@
     read_body,
     read_claim,
 )
-from rhubarbshed.coordination.settlement import (
+from rhubarbshed.coordination.requests.settlement import (
     Settlement,
     Settlements,
     claim,
--- a/test/test_demand.py
+++ b/test/test_demand.py
@@ -13,7 +13,7 @@
     unpack_envelope,
 )
 from rhubarbshed.protocol.placement import DemandReport, ModelDemand
-from rhubarbshed.state.demand import (
+from rhubarbshed.state.placement.demand import (
     LEVEL_MAX,
     WHOLE_WINDOWS,
     Demand,
--- a/test/test_desk.py
+++ b/test/test_desk.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from rhubarbshed.coordination.desk import AttemptOpen, SoloNeeded
+from rhubarbshed.coordination.requests.desk import AttemptOpen, SoloNeeded
 from rhubarbshed.protocol.errors import Outcome
 from rhubarbshed.protocol.requests import AttemptEnd, Dispatch, Refusal
 from test.helper_requests import end, make_desk, make_report, make_request
--- a/test/test_digests.py
+++ b/test/test_digests.py
@@ -4,7 +4,7 @@
 from attrs import evolve
 from returns.result import Failure
 
-from rhubarbshed.coordination.dissemination import (
+from rhubarbshed.coordination.membership.dissemination import (
     NOTICES_MAX,
     NoticeFilter,
     choose_topology,
@@ -45,14 +45,14 @@
     SoloMark,
 )
 from rhubarbshed.protocol.services import ServiceReport
-from rhubarbshed.state.digests import (
+from rhubarbshed.state.membership.digests import (
     CACHE_EVENT_PEERS_MAX,
     DETAIL_INTERVAL_S,
     LoadInbox,
     LoadOutbox,
     choose_remote_interval,
 )
-from rhubarbshed.state.membership import Membership, make_instance_info
+from rhubarbshed.state.membership.membership import Membership, make_instance_info
 from test.helper_peers import SILENCE_S, make_settings
 
 REPORT = EngineReport("s1", 0.25, 3, 1, 900, 40 << 30, 80 << 30, 7, 310.0, 4000.0, 32)
--- a/test/test_edge_choice.py
+++ b/test/test_edge_choice.py
@@ -11,7 +11,7 @@
 from rhubarbshed.protocol.exchanges import End
 from rhubarbshed.protocol.routes import EngineSpec, ModelSpec, Route, RouteKind
 from rhubarbshed.protocol.servers import ServerEntry, ServerState
-from rhubarbshed.state.fleet import Fleet
+from rhubarbshed.state.membership.fleet import Fleet
 
 NOW = 1000.0
 
--- a/test/test_edge_orders.py
+++ b/test/test_edge_orders.py
@@ -16,9 +16,9 @@
 from rhubarbshed.protocol.orders import OrderKind
 from rhubarbshed.protocol.routes import EngineSpec, ModelSpec
 from rhubarbshed.protocol.servers import ServerOrder, ServerReport
-from rhubarbshed.state.fleet import Fleet
-from rhubarbshed.state.places import LOADED_S, Doubt, Place
-from rhubarbshed.state.usage import Tally, Usage
+from rhubarbshed.state.membership.fleet import Fleet
+from rhubarbshed.state.placement.places import LOADED_S, Doubt, Place
+from rhubarbshed.state.placement.usage import Tally, Usage
 from rhubarbshed.transport.edge.node import Node
 from standin.replica import Exchange, Replica
 from test.helper_edge import (
--- a/test/test_edge_planning.py
+++ b/test/test_edge_planning.py
@@ -14,9 +14,9 @@
 from rhubarbshed.coordination.serving.placement import LoadRate, plan_models
 from rhubarbshed.protocol.routes import EngineSpec, ModelSpec
 from rhubarbshed.protocol.servers import ServerReport
-from rhubarbshed.state.fleet import Fleet
-from rhubarbshed.state.places import Place
-from rhubarbshed.state.usage import Tally, Usage
+from rhubarbshed.state.membership.fleet import Fleet
+from rhubarbshed.state.placement.places import Place
+from rhubarbshed.state.placement.usage import Tally, Usage
 from test.test_edge_choice import make_entry
 
 NOW = 1000.0
--- a/test/test_edge_telling.py
+++ b/test/test_edge_telling.py
@@ -6,7 +6,7 @@
 from rhubarbshed.coordination.serving.telling import TURN_S, Telling
 from rhubarbshed.coordination.serving.tenure import Step, Tenure, draw_jitter
 from rhubarbshed.protocol.words import pack_word
-from rhubarbshed.state.places import Place
+from rhubarbshed.state.placement.places import Place
 from rhubarbshed.transport.edge.circle import HOLDER_S
 from rhubarbshed.transport.edge.node import Node
 from rhubarbshed.transport.edge.view import Alarm
--- a/test/test_load.py
+++ b/test/test_load.py
@@ -4,8 +4,8 @@
 
 from rhubarbshed.protocol.members import Standing
 from rhubarbshed.protocol.orders import CacheEvent, Resident
-from rhubarbshed.state.load import SETTLE_S, LoadView
-from rhubarbshed.state.prefixes import PREFIXES_MAX, PrefixCache
+from rhubarbshed.state.membership.load import SETTLE_S, LoadView
+from rhubarbshed.state.requests.prefixes import PREFIXES_MAX, PrefixCache
 from test.helper_requests import make_info, make_report
 
 
--- a/test/test_loads.py
+++ b/test/test_loads.py
@@ -6,23 +6,23 @@
 from attrs import evolve
 from returns.result import Failure, Success
 
-from rhubarbshed.coordination.loads import execute_load, execute_unload
-from rhubarbshed.coordination.reconciliation import forget_server, reconcile_server
+from rhubarbshed.coordination.placement.loads import execute_load, execute_unload
+from rhubarbshed.coordination.placement.reconciliation import forget_server, reconcile_server
 from rhubarbshed.protocol.catalogue import Adapter, CatalogueObject, Model, get_key
 from rhubarbshed.protocol.orders import OrderFault, OrderKind
 from rhubarbshed.protocol.tables import Row
-from rhubarbshed.state.catalogue import encode_object, make_object_key
-from rhubarbshed.state.leases import Holder
-from rhubarbshed.state.ledger import (
+from rhubarbshed.state.agreement.catalogue import encode_object, make_object_key
+from rhubarbshed.state.agreement.leases import Holder
+from rhubarbshed.state.placement.ledger import (
     Copies,
     EntryState,
     LedgerFault,
     begin_unload,
     encode_ledger,
 )
-from rhubarbshed.state.moves import ORDER_LIFETIME_S
-from rhubarbshed.state.power import decode_floor
-from rhubarbshed.state.weights import decode_use
+from rhubarbshed.state.placement.moves import ORDER_LIFETIME_S
+from rhubarbshed.state.placement.power import decode_floor
+from rhubarbshed.state.placement.weights import decode_use
 from test.helper_agreed import (
     MEMORY_BYTES,
     RENEWAL_S,
--- a/test/test_loops.py
+++ b/test/test_loops.py
@@ -12,8 +12,8 @@
     ListedInstance,
     PlatformList,
 )
-from rhubarbshed.state.leases import Ownership
-from rhubarbshed.state.membership import make_instance_info
+from rhubarbshed.state.agreement.leases import Ownership
+from rhubarbshed.state.membership.membership import make_instance_info
 from rhubarbshed.transport.loops import list_reported_servers
 from rhubarbshed.transport.runtime import Runtime
 from rhubarbshed.util.settings import Settings
--- a/test/test_membership.py
+++ b/test/test_membership.py
@@ -2,7 +2,7 @@
 
 from attrs import evolve
 
-from rhubarbshed.coordination.membership import (
+from rhubarbshed.coordination.membership.membership import (
     explain,
     get_standing,
     list_backend_servers,
@@ -18,7 +18,7 @@
     PlatformList,
     Standing,
 )
-from rhubarbshed.state.membership import Membership, make_instance_info
+from rhubarbshed.state.membership.membership import Membership, make_instance_info
 from rhubarbshed.util.settings import Settings
 
 SETTINGS = Settings.from_text("[instance]\nname = a1").unwrap()
--- a/test/test_ownership.py
+++ b/test/test_ownership.py
@@ -5,15 +5,15 @@
 from attrs import evolve
 from returns.result import Success
 
-from rhubarbshed.coordination.ownership import (
+from rhubarbshed.coordination.agreement.ownership import (
     choose_owner,
     hand_over,
     release_server,
     settle_former,
 )
-from rhubarbshed.coordination.quotas import AdapterQuota, compute_share
-from rhubarbshed.state.leases import Holder
-from rhubarbshed.state.ledger import LedgerFault
+from rhubarbshed.coordination.requests.quotas import AdapterQuota, compute_share
+from rhubarbshed.state.agreement.leases import Holder
+from rhubarbshed.state.placement.ledger import LedgerFault
 from test.helper_agreed import RENEWAL_S, TERM_S, Instance, World, complete
 
 ALONE = ()
--- a/test/test_peers.py
+++ b/test/test_peers.py
@@ -6,7 +6,7 @@
 
 from attrs import evolve
 
-from rhubarbshed.coordination.membership import get_standing
+from rhubarbshed.coordination.membership.membership import get_standing
 from rhubarbshed.protocol.events import Stamp
 from rhubarbshed.protocol.members import Standing
 from rhubarbshed.protocol.peers import (
--- a/test/test_placement.py
+++ b/test/test_placement.py
@@ -7,7 +7,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from rhubarbshed.coordination.placement import select_owned
+from rhubarbshed.coordination.placement.placement import select_owned
 from rhubarbshed.protocol.catalogue import Adapter
 from rhubarbshed.protocol.members import Standing
 from rhubarbshed.protocol.placement import ModelDemand, MoveKind, MoveReason
--- a/test/test_quarantine.py
+++ b/test/test_quarantine.py
@@ -6,9 +6,9 @@
 import pytest
 from attrs import define, field
 
-from rhubarbshed.coordination.desk import Desk, SoloNeeded
-from rhubarbshed.coordination.quarantine import SoloBusy, SoloRefused, compute_fingerprint
-from rhubarbshed.coordination.solo import (
+from rhubarbshed.coordination.requests.desk import Desk, SoloNeeded
+from rhubarbshed.coordination.requests.quarantine import SoloBusy, SoloRefused, compute_fingerprint
+from rhubarbshed.coordination.requests.solo import (
     SoloHeld,
     SoloHolder,
     SoloReleases,
@@ -17,10 +17,10 @@
     release_pending,
     release_solo,
 )
-from rhubarbshed.coordination.trials import PATIENCE_S, SETTLE_S, SoloSettling
+from rhubarbshed.coordination.requests.trials import PATIENCE_S, SETTLE_S, SoloSettling
 from rhubarbshed.protocol.quarantine import CrashId, QuarantineEntry, merge_entries
 from rhubarbshed.protocol.requests import AttemptEnd, Dispatch, Refusal
-from rhubarbshed.state.quarantine import QuarantineView
+from rhubarbshed.state.requests.quarantine import QuarantineView
 from test.helper_requests import (
     FaultyTable,
     end,
@@ -430,6 +430,8 @@
 
 def test_poison_takes_down_more_where_any_replica_may_be_chosen(monkeypatch):
     """Show that the bound comes from the pair: without it the same plays lose more servers."""
-    monkeypatch.setattr("rhubarbshed.coordination.desk.find_pair", lambda _, found: list(found))
+    monkeypatch.setattr(
+        "rhubarbshed.coordination.requests.desk.find_pair", lambda _, found: list(found)
+    )
     lost = [len(set(play_poison(seed).crashes)) for seed in range(20)]
     assert max(lost) > 2
--- a/test/test_retention.py
+++ b/test/test_retention.py
@@ -6,8 +6,8 @@
 from attrs import define, evolve, field
 from returns.result import Failure, Success
 
-from rhubarbshed.coordination.ownership import make_session_key
-from rhubarbshed.coordination.retention import (
+from rhubarbshed.coordination.agreement.ownership import make_session_key
+from rhubarbshed.coordination.agreement.retention import (
     CLAIM_PARTS,
     MARKS_KEY,
     PARTS,
@@ -16,12 +16,17 @@
     remove_rows,
     retain,
 )
-from rhubarbshed.coordination.transactions import TableAccess
+from rhubarbshed.coordination.agreement.transactions import TableAccess
 from rhubarbshed.protocol.claims import ClaimRow, ClaimState
 from rhubarbshed.protocol.codec import to_plain
 from rhubarbshed.protocol.tables import Transaction, Write
-from rhubarbshed.state.leases import Holder, Session
-from rhubarbshed.state.retention import MARK_INTERVAL_S, MARKS_MAX, Retention, RetentionMarks
+from rhubarbshed.state.agreement.leases import Holder, Session
+from rhubarbshed.state.agreement.retention import (
+    MARK_INTERVAL_S,
+    MARKS_MAX,
+    Retention,
+    RetentionMarks,
+)
 from rhubarbshed.util.settings import RETENTION_MAX_S, Settings
 from test.helper_agreed import FakeClock, FakeTable
 
--- a/test/test_retries.py
+++ b/test/test_retries.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from rhubarbshed.coordination.retries import (
+from rhubarbshed.coordination.requests.retries import (
     RetryBudget,
     compute_pause,
     decide_hedge,
--- a/test/test_routing.py
+++ b/test/test_routing.py
@@ -6,7 +6,7 @@
 import pytest
 from attrs import evolve
 
-from rhubarbshed.coordination.routing import (
+from rhubarbshed.coordination.requests.routing import (
     Route,
     choose_route,
     compute_doubt,
@@ -15,7 +15,7 @@
     predict_first_token,
 )
 from rhubarbshed.protocol.requests import Priority
-from rhubarbshed.state.load import Candidate
+from rhubarbshed.state.membership.load import Candidate
 from test.helper_requests import make_info, make_request, make_settings
 
 SETTINGS = make_settings().routing
--- a/test/test_rows.py
+++ b/test/test_rows.py
@@ -4,28 +4,28 @@
 from attrs import evolve
 from returns.result import Failure, Success
 
-from rhubarbshed.coordination.claims import read_claim
-from rhubarbshed.coordination.loads import execute_load
-from rhubarbshed.coordination.ownership import decode_session, is_gone, release_server
-from rhubarbshed.coordination.quarantine import (
+from rhubarbshed.coordination.agreement.ownership import decode_session, is_gone, release_server
+from rhubarbshed.coordination.agreement.tickets import accept_ticket, find_ticket
+from rhubarbshed.coordination.placement.loads import execute_load
+from rhubarbshed.coordination.requests.claims import read_claim
+from rhubarbshed.coordination.requests.quarantine import (
     SoloBusy,
     SoloRow,
     make_solo_key,
     plan_solo,
     plan_solo_release,
 )
-from rhubarbshed.coordination.tickets import accept_ticket, find_ticket
 from rhubarbshed.protocol.catalogue import Model, Ticket
 from rhubarbshed.protocol.claims import ClaimRow, ClaimState
 from rhubarbshed.protocol.codec import from_plain, pack, to_plain, unpack
 from rhubarbshed.protocol.quarantine import QuarantineEntry
 from rhubarbshed.protocol.tables import Row
-from rhubarbshed.state.catalogue import Catalogue, decode_object
-from rhubarbshed.state.leases import Holder, Session
-from rhubarbshed.state.ledger import Ledger, LedgerFault, decode_ledger, encode_ledger
-from rhubarbshed.state.power import FloorUse, ServerPower, decode_floor
-from rhubarbshed.state.snapshots import Snapshot, decode_snapshot, encode_snapshot
-from rhubarbshed.state.weights import Slot, WeightUse, decode_use
+from rhubarbshed.state.agreement.catalogue import Catalogue, decode_object
+from rhubarbshed.state.agreement.leases import Holder, Session
+from rhubarbshed.state.agreement.snapshots import Snapshot, decode_snapshot, encode_snapshot
+from rhubarbshed.state.placement.ledger import Ledger, LedgerFault, decode_ledger, encode_ledger
+from rhubarbshed.state.placement.power import FloorUse, ServerPower, decode_floor
+from rhubarbshed.state.placement.weights import Slot, WeightUse, decode_use
 from test.helper_agreed import RENEWAL_S, TERM_S, Instance, World, complete, make_spec
 
 HOLDER = Holder("i1", "1")
--- a/test/test_takeover.py
+++ b/test/test_takeover.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from rhubarbshed.state.ledger import LedgerFault
+from rhubarbshed.state.placement.ledger import LedgerFault
 from rhubarbshed.util.rendezvous import rank_by_rendezvous
 from test.helper_processes import (
     add_instances,
--- a/test/test_tickets.py
+++ b/test/test_tickets.py
@@ -6,13 +6,17 @@
 from attrs import evolve
 from returns.result import Failure, Success
 
-from rhubarbshed.coordination.catalogues import load_snapshot, refresh_catalogue, store_snapshot
-from rhubarbshed.coordination.tickets import accept_ticket, compute_digest
+from rhubarbshed.coordination.agreement.catalogues import (
+    load_snapshot,
+    refresh_catalogue,
+    store_snapshot,
+)
+from rhubarbshed.coordination.agreement.tickets import accept_ticket, compute_digest
 from rhubarbshed.protocol.catalogue import Adapter, Model, ObjectKey, Service, Ticket
 from rhubarbshed.protocol.errors import Outcome
 from rhubarbshed.protocol.platform import ObjectClient
-from rhubarbshed.state.catalogue import Catalogue
-from rhubarbshed.state.snapshots import apply_snapshot, decode_snapshot, encode_snapshot
+from rhubarbshed.state.agreement.catalogue import Catalogue
+from rhubarbshed.state.agreement.snapshots import apply_snapshot, decode_snapshot, encode_snapshot
 from test.helper_agreed import World, complete, make_server
 
 SERVERS = (make_server("b1"), make_server("b2"))
--- a/test/test_transactions.py
+++ b/test/test_transactions.py
@@ -4,7 +4,7 @@
 
 from returns.result import Failure, Success
 
-from rhubarbshed.coordination.transactions import Proposal, transact
+from rhubarbshed.coordination.agreement.transactions import Proposal, transact
 from rhubarbshed.protocol.tables import TableFault, Write
 from test.helper_agreed import World, complete
 
--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -13,8 +13,11 @@
 
 from attrs import frozen
 
-from rhubarbshed.coordination.dissemination import choose_beat_interval, choose_topology
-from rhubarbshed.coordination.membership import list_backend_servers
+from rhubarbshed.coordination.membership.dissemination import (
+    choose_beat_interval,
+    choose_topology,
+)
+from rhubarbshed.coordination.membership.membership import list_backend_servers
 from rhubarbshed.protocol.events import Stamp
 from rhubarbshed.protocol.members import (
     BackendKind,
@@ -26,13 +29,13 @@
 )
 from rhubarbshed.protocol.orders import CacheEvent, EngineReport, Resident
 from rhubarbshed.protocol.peers import Envelope, Frame, Heartbeat, unpack_envelope
-from rhubarbshed.state.digests import (
+from rhubarbshed.state.membership.digests import (
     DETAIL_INTERVAL_S,
     LoadInbox,
     LoadOutbox,
     choose_remote_interval,
 )
-from rhubarbshed.state.membership import Membership
+from rhubarbshed.state.membership.membership import Membership
 from rhubarbshed.transport.frames import LENGTH_BYTES, frame_bytes
 from rhubarbshed.util.settings import Settings
 
--- a/tools/capacity_demand.py
+++ b/tools/capacity_demand.py
@@ -10,7 +10,7 @@
 from attrs import frozen
 
 from rhubarbshed.protocol.peers import DemandDigest, Frame
-from rhubarbshed.state.demand import Demand, DemandOutbox, make_whole_update
+from rhubarbshed.state.placement.demand import Demand, DemandOutbox, make_whole_update
 from rhubarbshed.transport.exchange import DEMAND_INTERVAL_S, DEMAND_REMOTE_INTERVAL_S
 from rhubarbshed.util.settings import Settings
 from tools.capacity import DATA_CENTRES, INSTANCES_HERE, MODELS, encode
--- a/tools/capacity_peers.py
+++ b/tools/capacity_peers.py
@@ -15,8 +15,8 @@
 from rhubarbshed.protocol.members import ListedInstance, PlatformList
 from rhubarbshed.protocol.peers import Frame, Heartbeat, LoadDigest
 from rhubarbshed.state.clock import HybridClock
-from rhubarbshed.state.digests import LoadInbox, LoadOutbox
-from rhubarbshed.state.membership import Membership
+from rhubarbshed.state.membership.digests import LoadInbox, LoadOutbox
+from rhubarbshed.state.membership.membership import Membership
 from rhubarbshed.transport.hooks import PeerHooks
 from rhubarbshed.transport.peers import PeerNetwork
 from rhubarbshed.util.settings import Settings
--- a/tools/placement.py
+++ b/tools/placement.py
@@ -9,7 +9,7 @@
 import typer
 from attrs import Factory, define, frozen
 
-from rhubarbshed.coordination.placement import plan_moves
+from rhubarbshed.coordination.placement.placement import plan_moves
 from rhubarbshed.protocol.members import Standing
 from rhubarbshed.protocol.orders import Resident
 from rhubarbshed.protocol.placement import (
@@ -20,7 +20,7 @@
     PlacementPlan,
     ServerView,
 )
-from rhubarbshed.state.demand import Demand
+from rhubarbshed.state.placement.demand import Demand
 from rhubarbshed.util.settings import Settings
 from tools.baselines import choose_target, move_to, plan_greedy
 from tools.contingency import find_usable, plan_contingency
--- a/tools/plan_speed.py
+++ b/tools/plan_speed.py
@@ -5,7 +5,7 @@
 
 import typer
 
-from rhubarbshed.coordination.placement import plan_moves
+from rhubarbshed.coordination.placement.placement import plan_moves
 from rhubarbshed.protocol.catalogue import Adapter, Model
 from rhubarbshed.protocol.members import BackendKind, BackendServerInfo
 from rhubarbshed.protocol.orders import Resident
--- a/tools/policy_instance.py
+++ b/tools/policy_instance.py
@@ -4,10 +4,10 @@
 from itertools import count
 
 from rhubarbshed import daemon
-from rhubarbshed.coordination.desk import Desk
-from rhubarbshed.coordination.routing import Route
-from rhubarbshed.state.attempts import OpenRequest
-from rhubarbshed.state.load import Candidate, ServerLoad
+from rhubarbshed.coordination.requests.desk import Desk
+from rhubarbshed.coordination.requests.routing import Route
+from rhubarbshed.state.membership.load import Candidate, ServerLoad
+from rhubarbshed.state.requests.attempts import OpenRequest
 
 POLICY_VARIABLE = "RHUBARBSHED_MEASURED_POLICY"
 ROUND_ROBIN = "round_robin"
