Mend the flaky test of a crowd's heartbeats; give tests ports that nobody else gets

Cause: traced with a run that logged each sign of life: in 2 of 40 runs, with the loop never late by more than 20 ms, the watcher heard a hello 0.41 s after the peer had lost its tasks. Its listener still greeted the watcher's new connection, so it was alive, and the network was right. Ruled out: load, the loop. Change: the peer of the test says nothing more, with its connections open, as its text says; the bound stays.

--- a/test/helper_edge.py
+++ b/test/helper_edge.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import socket
 import time
 from collections.abc import AsyncIterator, Callable
 
@@ -12,6 +11,7 @@
 from rhubarbshed.util.front import FrontSettings
 from standin.replica import Replica
 from standin.rows import RowStore
+from tools.processes import find_free_ports
 
 HOST = "svc.example"
 WAIT_S = 5.0
@@ -19,9 +19,7 @@
 
 def find_port() -> int:
     """Return a port that is free now."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
+    return find_free_ports(1)[0]
 
 
 def make_settings(store: tuple[str, int], **changes: object) -> FrontSettings:
--- a/test/helper_peers.py
+++ b/test/helper_peers.py
@@ -11,7 +11,7 @@
 from rhubarbshed.state.clock import HybridClock
 from rhubarbshed.state.membership.membership import Membership, make_instance_info
 from rhubarbshed.transport.hooks import PeerHooks
-from rhubarbshed.transport.peers import PeerNetwork
+from rhubarbshed.transport.peers import HANDSHAKES_MAX, PeerNetwork
 from rhubarbshed.util.settings import Settings
 from tools.processes import find_free_ports
 
@@ -112,6 +112,17 @@
     return time.monotonic() - began
 
 
+def fall_silent(peer: Peer) -> None:
+    """Let a peer say nothing more with its connections open, as a paused process does.
+
+    One that only lost its tasks would still greet whoever connects anew, a sign of life.
+    """
+    peer.network.handshakes = HANDSHAKES_MAX
+    for task in tuple(peer.network.tasks):
+        if task.get_coro().__name__ == "_run":
+            task.cancel()
+
+
 def are_meshed(peers: dict[str, Peer]) -> bool:
     names = set(peers)
     return all(set(peer.network.links) == names - {name} for name, peer in peers.items())
--- a/test/test_beats.py
+++ b/test/test_beats.py
@@ -19,6 +19,7 @@
     HEARTBEAT_S,
     SILENCE_S,
     are_meshed,
+    fall_silent,
     make_peers,
     make_settings,
     start_all,
@@ -64,8 +65,7 @@
         now = time.monotonic()
         standings = {get_standing(watcher.membership, name, now) for name in names}
         assert standings == {Standing.LIVE}
-        for task in tuple(peers[other].network.tasks):
-            task.cancel()
+        fall_silent(peers[other])
         waited_s = await wait_for(
             lambda: (
                 get_standing(watcher.membership, other, time.monotonic()) == Standing.SUSPECTED
--- a/tools/processes.py
+++ b/tools/processes.py
@@ -1,6 +1,8 @@
 """Start stand-ins and instances as processes, with bounded waits, and stop them by id."""
 
+import itertools
 import os
+import random
 import re
 import selectors
 import signal
@@ -164,12 +166,24 @@
     return [process.stop(max(0.1, until - time.monotonic())) for process in processes]
 
 
+FIRST_PORT, PORTS = 10_000, 22_000
+PORTS_GIVEN = itertools.count(random.Random(os.getpid()).randrange(PORTS))
+"""Ports between those of well-known services and those that the kernel gives out."""
+
+
 def find_free_ports(count: int) -> list[int]:
-    """Return ports of the loopback that are free now."""
-    sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
-    ports = [each.getsockname()[1] for each in sockets]
-    for each in sockets:
-        each.close()
+    """Return ports of the loopback that are free now, and that no other run is given soon.
+
+    They lie below those that the kernel gives to connections, from a place of this process's own.
+    """
+    ports: list[int] = []
+    while len(ports) < count:
+        port = FIRST_PORT + next(PORTS_GIVEN) % PORTS
+        try:
+            socket.create_server(("127.0.0.1", port), reuse_port=False).close()
+        except OSError:
+            continue
+        ports.append(port)
     return ports
 
 
