Share what servers tell of their load; draw two servers and take the less busy

Cause: with 104 instances before 30 engines each pair meets once in seven seconds, so an instance knew the load of an engine from an answer seven seconds old and chose nearly blindly. Ruled out: reports of engines (priced as probes); the least busy of all on shared news: all instances run together after the news of an idle server (test_instances_do_not_run_together...). Change: instances tell the loads that they were told with demand, holders pass on what changed twice a second; each request goes to the less busy of two servers drawn, of the own data centre and of others. Soak: mutations of the code for each promise (tools.soak mutate); ports of a forked process are its own.

--- a/Makefile
+++ b/Makefile
@@ -47,4 +47,4 @@
 	$(BIN)/python -m tools.fuzz --seed $(SEED) --examples $(EXAMPLES)
 
 soak: $(STAMP)
-	$(BIN)/python -m tools.soak --seed $(SEED) --count $(COUNT)
+	$(BIN)/python -m tools.soak play --seed $(SEED) --count $(COUNT)
--- a/rhubarbshed/coordination/serving/choice.py
+++ b/rhubarbshed/coordination/serving/choice.py
@@ -19,6 +19,9 @@
 FAILURE_COST = 4.0
 """Load, as a part of a server's slots, that weighs as much as failing each request."""
 
+DRAWN = 2
+"""Servers of a group that are compared."""
+
 JITTER = 0.08
 """Random part of the cost, which keeps instances from choosing alike on old news."""
 
@@ -90,11 +93,27 @@
     free = [record for record in sure if not is_full(record, now)]
     if not free:
         return NoServer("full", holders=len(holders), capable=len(capable))
-    best = min(free, key=lambda record: compute_cost(record, data_centre, now, chance))
+    drawn = _draw_candidates(free, data_centre, chance)
+    best = min(drawn, key=lambda record: compute_cost(record, data_centre, now, chance))
     age_s = now - best.sampled_at
     return Choice(best, best.estimate_load(now), age_s, len(free))
 
 
+def _draw_candidates(
+    free: list[ServerRecord], data_centre: str, chance: random.Random
+) -> list[ServerRecord]:
+    """Draw two servers of the own data centre and two of others.
+
+    The less busy of two that were drawn spreads requests nearly as well as the least busy of all,
+    and does not send all instances to the same one until the next news of its load.
+    """
+    near = [record for record in free if record.entry.data_centre == data_centre]
+    far = [record for record in free if record.entry.data_centre != data_centre]
+    return [
+        record for group in (near, far) for record in chance.sample(group, min(DRAWN, len(group)))
+    ]
+
+
 def is_full(record: ServerRecord, now: float) -> bool:
     """Tell whether another request would only be refused or wait long at a server."""
     return record.estimate_load(now) >= record.entry.slots * (1.0 + QUEUE_PART)
--- a/rhubarbshed/coordination/serving/telling.py
+++ b/rhubarbshed/coordination/serving/telling.py
@@ -12,10 +12,18 @@
 TIMES_TOLD = 2
 """Words in which a change is told: the second one makes up for a lost datagram."""
 
-TURN_S = 1.5
+TURN_S = 2.5
 """Time in which each engine has its turn, changed or not."""
 
 
+LOADS_S = 0.5
+"""Time between two words on the load of servers, which changes within the length of a stream."""
+
+LOAD_STEP = 2
+LOAD_PART = 0.2
+"""Change of a load that is told, in requests or as a part of what was told before."""
+
+
 @define
 class Telling:
     """Hold which engines are due and whose turn it is.
@@ -25,6 +33,23 @@
 
     due: dict[str, int] = field(factory=dict)
     turn: collections.deque[str] = field(factory=collections.deque)
+    loads: dict[str, int] = field(factory=dict)
+    loads_told_at: float = -math.inf
+
+    def choose_loads(self, loads: dict[str, int], now: float) -> tuple[tuple[str, int], ...]:
+        """Choose the loads that have changed since they were told."""
+        if now - self.loads_told_at < LOADS_S:
+            return ()
+        self.loads_told_at = now
+        changed = {
+            server_id: load
+            for server_id, load in loads.items()
+            if server_id not in self.loads
+            or abs(load - self.loads[server_id])
+            >= max(LOAD_STEP, LOAD_PART * self.loads[server_id])
+        }
+        self.loads = {key: load for key, load in self.loads.items() if key in loads} | changed
+        return tuple(changed.items())
 
     def note(self, server_id: str) -> None:
         """Note that what an engine holds or does has changed."""
--- a/rhubarbshed/protocol/words.py
+++ b/rhubarbshed/protocol/words.py
@@ -8,7 +8,7 @@
 from attrs import astuple, field, frozen
 from returns.result import Failure, Result, Success
 
-FORMAT = 3
+FORMAT = 4
 BAD_WORD = (KeyError, TypeError, ValueError, IndexError, msgpack.UnpackException)
 
 
@@ -19,7 +19,7 @@
     `counts` are (service, model, adapter, requests, tokens of their prompts, runs, seconds of
     these). `wants` are (service, model, adapter) that callers wait for. `lacks` are (server,
     born_ms, model, adapter) that a server said it has not, with no model for a server that turns
-    connections down.
+    connections down. `loads` are (server, requests running or waiting there) that servers told.
     """
 
     sender: str
@@ -27,6 +27,7 @@
     counts: tuple[tuple[str, str, str, int, int, int, float], ...] = field(factory=tuple)
     wants: tuple[tuple[str, str, str], ...] = field(factory=tuple)
     lacks: tuple[tuple[str, int, str, str], ...] = field(factory=tuple)
+    loads: tuple[tuple[str, int], ...] = field(factory=tuple)
 
 
 @frozen
@@ -38,7 +39,8 @@
     to the instances of the own data centre of any, to other holders of its own. `held` are
     (server, born_ms, ((model, adapters), ...)); `changes` are (server, model that it loads, seconds
     left for that, model that it drops), for the same servers. `holders` are the
-    (data centre, host, port) of the other holders that it knows.
+    (data centre, host, port) of the other holders that it knows. `loads` are (server, requests
+    running or waiting there).
     """
 
     sender: str
@@ -54,6 +56,7 @@
     )
     changes: tuple[tuple[str, str, float, str], ...] = field(factory=tuple)
     holders: tuple[tuple[str, str, int], ...] = field(factory=tuple)
+    loads: tuple[tuple[str, int], ...] = field(factory=tuple)
 
 
 @frozen
--- a/rhubarbshed/state/membership/fleet.py
+++ b/rhubarbshed/state/membership/fleet.py
@@ -10,6 +10,9 @@
 """Time in which what a server said of its load counts less by a factor of e; the load of a server
 changes within the length of a stream, which is about two seconds."""
 
+TOLD_AGE_S = 0.5
+"""Age that a load told by another instance may have when it arrives, by way of order holders."""
+
 FAILURE_WINDOW_S = 4.0
 """Time in which a failure counts less by a factor of e; troubles last some seconds."""
 
@@ -18,20 +21,21 @@
 """Time for which a server that cannot be reached is left out, doubled with each failure up to the
 longest; a crashed server is back after some seconds."""
 
-ANNOUNCED_S = 3.0
+ANNOUNCED_S = 4.0
 """Time for which the order holder's word on what a server holds goes before the server's own entry,
-which may have been written before the order was carried out; twice the time in which the holder
-tells of each server."""
+which may have been written before the order was carried out; longer than the time in which the
+holder tells of each server."""
 
 
 @define
 class ServerRecord:
     """Hold one backend server; times are monotonic seconds.
 
-    `open` counts this instance's unfinished attempts. `others` is the load that the server last
-    told of beyond them. `held` are the models with their adapters. `failures` is a decaying sum,
-    as is `attempts`. `unloading` and
-    `loading` name models on their way, the latter due at `loaded_at`.
+    `open` counts this instance's unfinished attempts. `told` is the load that the server last told
+    of, to this instance at `answered_at` or to another, known here since `sampled_at`; `others` is
+    what of it was not this instance's. `held` are the models with their adapters. `failures` is a
+    decaying sum, as is `attempts`. `unloading` and `loading` name models on their way, the latter
+    due at `loaded_at`.
     """
 
     entry: ServerEntry
@@ -42,7 +46,9 @@
     announced_at: float = -math.inf
     open: int = 0
     others: float = 0.0
+    told: int = 0
     sampled_at: float = -math.inf
+    answered_at: float = -math.inf
     failures: float = 0.0
     attempts: float = 0.0
     judged_at: float = 0.0
@@ -74,7 +80,17 @@
 
     def take_sample(self, running: int, waiting: int, now: float) -> None:
         """Note the load that the server tells in an answer."""
-        self.others = max(0.0, running + waiting - self.open)
+        self._note_load(running + waiting, now)
+        self.answered_at = now
+
+    def take_told_load(self, load: int, now: float) -> None:
+        """Note the load that the server told another instance, unless it answered here since."""
+        if now - self.answered_at > TOLD_AGE_S:
+            self._note_load(load, now)
+
+    def _note_load(self, load: int, now: float) -> None:
+        self.told = load
+        self.others = max(0.0, load - self.open)
         self.sampled_at = now
 
     def record_end(self, failed: bool, now: float) -> None:
--- a/rhubarbshed/transport/edge/circle.py
+++ b/rhubarbshed/transport/edge/circle.py
@@ -15,6 +15,7 @@
 
 from rhubarbshed.protocol.tables import Row
 from rhubarbshed.protocol.words import DemandWord, HolderWord, NewsWord, Word
+from rhubarbshed.state.membership.fleet import SAMPLE_WINDOW_S
 from rhubarbshed.state.placement.places import Place
 from rhubarbshed.state.placement.usage import Tally, Target
 from rhubarbshed.transport.edge.datagrams import Datagrams
@@ -74,6 +75,7 @@
     counts: dict[Target, Tally] = field(factory=dict)
     wants: dict[Target, None] = field(factory=dict)
     lacks: dict[tuple[str, int, str, str], None] = field(factory=dict)
+    loads: dict[str, int] = field(factory=dict)
 
     def add(self, word: DemandWord) -> None:
         """Add an instance's word."""
@@ -81,6 +83,7 @@
             self.counts.setdefault((service, model, adapter), Tally()).add(Tally(*numbers))
         self.wants.update(dict.fromkeys(tuple(target) for target in word.wants))
         self.lacks.update(dict.fromkeys(tuple(lack) for lack in word.lacks))
+        self.loads.update(word.loads)
 
     @property
     def is_urgent(self) -> bool:
@@ -102,6 +105,7 @@
     instances: dict[Address, float] = field(factory=dict)
     holders: dict[str, KnownHolder] = field(factory=dict)
     heard: Heard = field(factory=Heard)
+    loads_told_at: float = -1e9
 
     def __attrs_post_init__(self) -> None:
         """Make the socket's side."""
@@ -142,12 +146,18 @@
         """Tell the holder what was asked for since the last word."""
         settings = self.view.settings
         counts = tuple(_list_counts(self.counts))
-        word = DemandWord(settings.name, settings.data_centre, counts, wants, lacks)
+        loads = tuple(
+            (server_id, record.told)
+            for server_id, record in self.view.fleet.servers.items()
+            if record.answered_at > self.loads_told_at
+        )
+        word = DemandWord(settings.name, settings.data_centre, counts, wants, lacks, loads)
         if self.is_holder:
             self.take_own_demand(word, now)
         elif not self.send_demand(word, now):
             return
         self.counts.clear()
+        self.loads_told_at = now
 
     def send_demand(self, word: DemandWord, now: float) -> bool:
         """Send a word to the own holder, and while that is silent to the others."""
@@ -165,16 +175,16 @@
         """Pass on to the other holders what was heard from the own data centre."""
         heard, self.heard = self.heard, Heard()
         counts = _list_counts(heard.counts)
-        if not counts and not heard.is_urgent:
+        if not counts and not heard.is_urgent and not heard.loads:
             return
         settings = self.view.settings
         others = self.list_other_holders()
-        wants, lacks = tuple(heard.wants), tuple(heard.lacks)
+        wants, lacks, loads = tuple(heard.wants), tuple(heard.lacks), tuple(heard.loads.items())
         for start in range(0, max(1, len(counts)), COUNTS_PER_WORD):
             part = tuple(counts[start : start + COUNTS_PER_WORD])
-            word = DemandWord(settings.name, settings.data_centre, part, wants, lacks)
+            word = DemandWord(settings.name, settings.data_centre, part, wants, lacks, loads)
             self.datagrams.send(word, *others)
-            wants = lacks = ()
+            wants = lacks = loads = ()
 
     def list_other_holders(self) -> list[Address]:
         """List the addresses of the holders of the other data centres."""
@@ -212,8 +222,9 @@
         chosen = self.desk.telling.choose(set(places), since_regular_s)
         told = [places[server_id] for server_id in chosen]
         own = [place for place in told if place.ours]
+        loads = self.desk.telling.choose_loads(self.list_loads(now), now) if regular else ()
         if told or regular:
-            for word in self.make_words(told, now):
+            for word in self.make_words(told, now, loads):
                 self.take_holder(word, now)
                 self.datagrams.send(word, *self.instances)
         if own or regular:
@@ -257,8 +268,18 @@
             before = reached
             self.datagrams.send(word, *self.instances)
 
-    def make_words(self, places: list[Place], now: float) -> list[HolderWord]:
-        """Return the holder's words on engines."""
+    def list_loads(self, now: float) -> dict[str, int]:
+        """Return the loads of servers as they were told of late."""
+        return {
+            server_id: record.told
+            for server_id, record in self.view.fleet.servers.items()
+            if now - record.sampled_at < SAMPLE_WINDOW_S
+        }
+
+    def make_words(
+        self, places: list[Place], now: float, loads: tuple[tuple[str, int], ...] = ()
+    ) -> list[HolderWord]:
+        """Return the holder's words on engines; the first one tells of loads."""
         tenure = self.lease.tenure
         settings = self.view.settings
         ordering = tenure.may_order(now) or now < tenure.orders_from
@@ -282,8 +303,10 @@
                     for each in part
                 ),
                 holders,
+                loads,
             )
             words.append(word)
+            loads = ()
         return words
 
     def take(self, read: Result[Word, str], address: Address) -> None:
@@ -324,6 +347,7 @@
             usage.note_want(tuple(target), now)
         for server_id, born_ms, model, adapter in word.lacks:
             self.desk.note_lack(server_id, born_ms, model, adapter, now)
+        self.take_loads(word.loads, word.sender, now)
         if word.wants or word.lacks:
             self.desk.wake.fire()
 
@@ -332,6 +356,13 @@
         own = self.view.settings.data_centre
         return sum(known.instances for name, known in self.holders.items() if name != own)
 
+    def take_loads(self, loads: tuple[tuple[str, int], ...], sender: str, now: float) -> None:
+        """Take what servers told other instances of their load."""
+        for server_id, load in loads if sender != self.view.settings.name else ():
+            record = self.view.fleet.get(server_id)
+            if record is not None:
+                record.take_told_load(load, now)
+
     def take_holder(self, word: HolderWord, now: float) -> None:
         """Take a holder's word, unless it is one of a former holder."""
         known = self.holders.get(word.data_centre)
@@ -360,6 +391,7 @@
             fleet.announce_held(server_id, born_ms, dict(held), now)
         for server_id, loading, left_s, unloading in word.changes:
             fleet.note_changes(server_id, loading, left_s, unloading, now)
+        self.take_loads(word.loads, word.sender, now)
         self.view.changed.fire()
 
     def learn_holders(self, word: HolderWord, now: float) -> None:
--- /dev/null
+++ b/test/soak/mutations.py
@@ -0,0 +1,111 @@
+"""Faults put into the code, one for each promise, to show that the soak can fail."""
+
+import shutil
+import tempfile
+from pathlib import Path
+
+from attrs import frozen
+
+ROOT = Path(__file__).parents[2]
+SERVING = "rhubarbshed/coordination/serving"
+EDGE = "rhubarbshed/transport/edge"
+
+
+@frozen
+class Mutation:
+    """Put `new` in place of `old` in a file; `promise` is the check that should tell."""
+
+    promise: str
+    path: str
+    old: str
+    new: str
+
+
+MUTATIONS = (
+    Mutation(
+        "once",
+        f"{SERVING}/repeats.py",
+        "if tries.run > 0 and not route.repeatable:\n        return False\n"
+        "    if tries.run >= route.attempts_max:",
+        "if tries.run >= 3:",
+    ),
+    Mutation(
+        "not_run",
+        f"{EDGE}/relay.py",
+        "if self.tries.run > 0:\n            return",
+        "if 0:\n            return",
+    ),
+    Mutation(
+        "answers",
+        f"{EDGE}/attempts.py",
+        'passage.cutter.last_id if route.resumable else ""',
+        '""',
+    ),
+    Mutation(
+        "room",
+        "rhubarbshed/state/placement/places.py",
+        "if order.kind is not OrderKind.LOAD:",
+        "if order.model:",
+    ),
+    Mutation(
+        "holders",
+        f"{SERVING}/tenure.py",
+        "return self.held and self.orders_from <= now < self.right_until",
+        "return self.held",
+    ),
+    Mutation(
+        "leaving",
+        f"{EDGE}/follower.py",
+        "for server_id in self.view.fleet.list_doubted_since(now - keep_s):",
+        "for server_id in ():",
+    ),
+    Mutation(
+        "configuration",
+        f"{EDGE}/follower.py",
+        "if known is not None and read.unwrap().version <= known.version:",
+        "if known is not None:",
+    ),
+    Mutation(
+        "stops",
+        "rhubarbshed/coordination/requests/drain.py",
+        "if open_requests == 0 or self.is_over(now):",
+        "if passed_s:",
+    ),
+    Mutation(
+        "gone",
+        f"{EDGE}/lines.py",
+        "if self.task is not None:\n            self.task.cancel()",
+        "",
+    ),
+    Mutation(
+        "refusals",
+        f"{SERVING}/refusals.py",
+        "retryable=True, retry_after_s=after_s",
+        "retryable=True",
+    ),
+    Mutation(
+        "own_ends",
+        f"{EDGE}/node.py",
+        "ticks += 1\n",
+        "ticks += 1\n            assert ticks < 60\n",
+    ),
+    Mutation(
+        "recovery",
+        "rhubarbshed/state/membership/fleet.py",
+        "self.silent_until = now + pause_s",
+        "self.silent_until = now + 3600.0",
+    ),
+)
+
+
+def apply_mutation(mutation: Mutation) -> Path:
+    """Return a folder with a copy of the programs that has the fault."""
+    folder = Path(tempfile.mkdtemp(prefix=f"mutated-{mutation.promise}-"))
+    for name in ("rhubarbshed", "standin"):
+        shutil.copytree(ROOT / name, folder / name, ignore=shutil.ignore_patterns("__pycache__"))
+    path = folder / mutation.path
+    text = path.read_text(encoding="utf-8")
+    if mutation.old not in text:
+        raise ValueError(f"{mutation.path} has no {mutation.old!r}")
+    path.write_text(text.replace(mutation.old, mutation.new, 1), encoding="utf-8")
+    return folder
--- a/test/soak/relay.py
+++ b/test/soak/relay.py
@@ -42,7 +42,8 @@
 
     def stop(self) -> None:
         """Close all."""
-        self.server.close()
+        if self.server is not None:
+            self.server.close()
         self.reset()
         for task in self.tasks:
             task.cancel()
--- a/test/soak/scene.py
+++ b/test/soak/scene.py
@@ -79,8 +79,13 @@
     def start(self) -> None:
         """Start the process, its lines going to a file."""
         with self.output.open("ab") as file:
+            # Not in the repository's folder, which would go before the folder of a mutated copy.
             self.process = subprocess.Popen(
-                self.words, env=self.environment, stdout=file, stderr=subprocess.STDOUT
+                self.words,
+                cwd=self.output.parent,
+                env=self.environment,
+                stdout=file,
+                stderr=subprocess.STDOUT,
             )
         self.paused = False
 
--- a/test/test_edge_choice.py
+++ b/test/test_edge_choice.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from rhubarbshed.coordination.serving import choice
 from rhubarbshed.coordination.serving.absence import Absent, Waiting, decide_absent
 from rhubarbshed.coordination.serving.choice import Choice, NoServer, choose_server
 from rhubarbshed.coordination.serving.refusals import expire, refuse
@@ -170,3 +171,43 @@
     assert expire(ran=False).status == 503
     times = {refuse("full", random.Random(seed)).retry_after_s for seed in range(20)}
     assert len(times) > 10 and min(times) >= 0.05
+
+
+def play_with_old_news() -> int:
+    """Return how far servers were apart; 35 instances hear of loads twice a second."""
+    names = [f"b{number:02d}" for number in range(12)]
+    load = dict.fromkeys(names, 0)
+    entries = [make_entry(name, slots=64) for name in names]
+    views = [(make_fleet(*entries), random.Random(seed)) for seed in range(35)]
+    apart = 0
+    for step in range(20):
+        now = NOW + step * 0.5
+        for fleet, _ in views:
+            for name in names:
+                fleet.get(name).take_told_load(load[name], now)
+        for number in range(90):
+            fleet, chance = views[number % len(views)]
+            chosen = choose_server(fleet, "svc", ("", ""), frozenset(), "a", now, chance)
+            load[chosen.server.entry.server_id] += 1
+        apart = max(apart, max(load.values()) - min(load.values()))
+        load = {name: max(0, count - 8) for name, count in load.items()}
+    return apart
+
+
+def test_instances_do_not_run_together_after_the_news_of_an_idle_server(monkeypatch):
+    """All took the least busy of all until the next news: a server got a fourth of the requests."""
+    apart = play_with_old_news()
+    monkeypatch.setattr(choice, "DRAWN", 12)
+    assert apart < play_with_old_news() / 2
+
+
+def test_load_that_another_instance_was_told_counts_unless_the_server_answered_here_since():
+    fleet = make_fleet(make_entry("b1"))
+    record = fleet.get("b1")
+    record.take_told_load(6, NOW)
+    assert record.estimate_load(NOW) == 6.0
+    record.take_sample(1, 0, NOW + 1.0)
+    record.take_told_load(6, NOW + 1.2)
+    assert record.estimate_load(NOW + 1.2) < 2.0
+    record.take_told_load(6, NOW + 2.0)
+    assert record.estimate_load(NOW + 2.0) == 6.0
--- a/test/test_edge_telling.py
+++ b/test/test_edge_telling.py
@@ -57,9 +57,11 @@
         place.models = {"daka510000", "lode163d70", "ticu48c17c"}
         place.adapters = {("daka510000", f"a{number}"): 0.0 for number in range(5)}
     sent_bytes = 0
-    for _ in range(int(10 / HOLDER_S)):
+    telling = node.desk.telling
+    for step in range(int(10 / HOLDER_S)):
+        loads = {server_id: step % 7 * 4 for server_id in ENGINES}
         told = [places[each] for each in node.desk.telling.choose(ENGINES, HOLDER_S)]
-        words = node.circle.make_words(told, 0.0)
+        words = node.circle.make_words(told, 0.0, telling.choose_loads(loads, step * HOLDER_S))
         sent_bytes += sum(len(pack_word(word)) for word in words) * INSTANCES
     assert sent_bytes / 10 < 0.25 * LINK_BYTES_PER_S
 
@@ -84,3 +86,11 @@
     tenures = [Tenure.from_start(3.0, 0.01 * number, 100.0) for number in range(30)]
     asking = [each for each in tenures if each.choose_step(100.05) is Step.READ]
     assert 0 < len(asking) < 10
+
+
+def test_load_is_told_when_it_has_changed_and_not_too_often():
+    telling = Telling()
+    assert telling.choose_loads({"b1": 4, "b2": 30}, 1.0) == (("b1", 4), ("b2", 30))
+    assert telling.choose_loads({"b1": 9, "b2": 30}, 1.2) == ()
+    assert telling.choose_loads({"b1": 5, "b2": 33}, 1.6) == ()
+    assert telling.choose_loads({"b1": 6, "b2": 37}, 2.2) == (("b1", 6), ("b2", 37))
--- a/tools/processes.py
+++ b/tools/processes.py
@@ -11,7 +11,7 @@
 import sys
 import tempfile
 import time
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable, Iterator, Mapping
 from pathlib import Path
 
 import urllib3
@@ -167,8 +167,9 @@
 
 
 FIRST_PORT, PORTS = 10_000, 22_000
-PORTS_GIVEN = itertools.count(random.Random(os.getpid()).randrange(PORTS))
-"""Ports between those of well-known services and those that the kernel gives out."""
+PORTS_GIVEN: dict[int, Iterator[int]] = {}
+"""Ports between those of well-known services and those that the kernel gives out, and how far each
+process is with them; a forked one begins at a place of its own."""
 
 
 def find_free_ports(count: int) -> list[int]:
@@ -177,8 +178,10 @@
     They lie below those that the kernel gives to connections, from a place of this process's own.
     """
     ports: list[int] = []
+    first = random.Random(os.getpid()).randrange(PORTS)
+    given = PORTS_GIVEN.setdefault(os.getpid(), itertools.count(first))
     while len(ports) < count:
-        port = FIRST_PORT + next(PORTS_GIVEN) % PORTS
+        port = FIRST_PORT + next(given) % PORTS
         try:
             socket.create_server(("127.0.0.1", port), reuse_port=False).close()
         except OSError:
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -2,17 +2,19 @@
 
 import shutil
 import sys
+from collections.abc import Iterable
 from concurrent.futures import ProcessPoolExecutor
 
 import typer
 
+from test.soak.mutations import MUTATIONS, Mutation, apply_mutation
 from test.soak.run import Verdict, play_seed
 
 app = typer.Typer(add_completion=False, pretty_exceptions_enable=False)
 
 
 @app.command()
-def run(
+def play(
     seed: int = typer.Option(1, help="First seed."),
     count: int = typer.Option(1, help="Seeds to play."),
     seconds: float = typer.Option(20.0, help="Time in which faults begin, for each seed."),
@@ -22,12 +24,48 @@
     failed = 0
     with ProcessPoolExecutor(jobs) as pool:
         seeds = range(seed, seed + count)
-        for verdict in pool.map(play_seed, seeds, [seconds] * count):
+        for verdict in pool.map(play_seed, seeds, [seconds] * count, [None] * count):
             failed += tell(verdict)
     print(f"{count - failed} passed, {failed} failed")
     sys.exit(1 if failed else 0)
 
 
+@app.command()
+def mutate(
+    seeds: int = typer.Option(4, help="Seeds to try for each fault, from 1 on."),
+    seconds: float = typer.Option(20.0, help="Time in which faults begin, for each seed."),
+    jobs: int = typer.Option(2, help="Faults tried beside each other."),
+) -> None:
+    """Put a fault into the code for each promise, and tell which seed shows it."""
+    with ProcessPoolExecutor(jobs) as pool:
+        caught = pool.map(catch, MUTATIONS, [seeds] * len(MUTATIONS), [seconds] * len(MUTATIONS))
+        missed = [name for name, seed in zip_promises(caught) if seed == 0]
+    sys.exit(1 if missed else 0)
+
+
+def zip_promises(caught: Iterable[int]) -> list[tuple[str, int]]:
+    """Print and return each promise with the seed that showed its fault, 0 for none."""
+    found = []
+    for mutation, seed in zip(MUTATIONS, caught, strict=True):
+        print(f"{mutation.promise}: {f'seed {seed}' if seed else 'not seen'}", flush=True)
+        found.append((mutation.promise, seed))
+    return found
+
+
+def catch(mutation: Mutation, seeds: int, seconds: float) -> int:
+    """Return the first seed that shows a fault by its promise, 0 for none."""
+    folder = apply_mutation(mutation)
+    try:
+        for seed in range(1, seeds + 1):
+            verdict = play_seed(seed, seconds, folder)
+            shutil.rmtree(verdict.folder)
+            if mutation.promise in verdict.broken:
+                return seed
+        return 0
+    finally:
+        shutil.rmtree(folder)
+
+
 def tell(verdict: Verdict) -> bool:
     """Print one line for a seed that passed, and all about one that did not."""
     if verdict.broken:
