--- a/standin/run.py
+++ b/standin/run.py
@@ -28,7 +28,7 @@
 EVENT_S = 0.1
 EVENTS = 12
 LATE_ORDER_S = (1.0, 4.0)
-"""How long answers, events and late orders take; streams last longer than a caller's leaving may."""
+"""How long answers, events and late orders take; a stream outlasts the time to end its work."""
 
 FAIL, LOSE, SPOIL, LATE = 0.01, 0.01, 0.01, 0.05
 """Parts of the requests that fail, lose their answer or get one that is cut, and of the orders that
