Forget a load within some runs of its server; let requests wait a moment for a place

What a server said of its queue counted for three seconds; while all seemed full nobody asked, so nobody learned better. Ruled out: places that were really taken (arrivals were half of what the service runs, and it turned 617 of 10,732 away itself). Change: what a server told counts for twice the mean time of its runs; a request that finds all servers full looks again each 30 ms for up to half of its target, then is refused.

--- a/rhubarbshed/state/membership/fleet.py
+++ b/rhubarbshed/state/membership/fleet.py
@@ -7,8 +7,14 @@
 from rhubarbshed.protocol.servers import ServerEntry, ServerState
 
 SAMPLE_WINDOW_S = 3.0
-"""Time in which what a server said of its load counts less by a factor of e; the load of a server
-changes within the length of a stream, which is about two seconds."""
+SAMPLE_WINDOW_MIN_S = 0.05
+SAMPLE_RUNS = 2.0
+"""What a server said of its load counts less by a factor of e in the time of so many of its runs,
+within these bounds: most of what it had at hand is done by then."""
+
+RUN_FIRST_S = 0.3
+RUN_WEIGHT = 0.1
+"""Seconds that a run is taken to last at first, and the weight of each new one in their mean."""
 
 TOLD_AGE_S = 0.5
 """Age that a load told by another instance may have when it arrives, by way of order holders."""
@@ -33,9 +39,9 @@
 
     `open` counts this instance's unfinished attempts. `told` is the load that the server last told
     of, to this instance at `answered_at` or to another, known here since `sampled_at`; `others` is
-    what of it was not this instance's. `held` are the models with their adapters. `failures` is a
-    decaying sum, as is `attempts`. `unloading` and `loading` name models on their way, the latter
-    due at `loaded_at`.
+    what of it was not this instance's. `run_s` is the mean time of its runs. `held` are the models
+    with their adapters. `failures` is a decaying sum, as is `attempts`. `unloading` and `loading`
+    name models on their way, the latter due at `loaded_at`.
     """
 
     entry: ServerEntry
@@ -49,6 +55,7 @@
     told: int = 0
     sampled_at: float = -math.inf
     answered_at: float = -math.inf
+    run_s: float = RUN_FIRST_S
     failures: float = 0.0
     attempts: float = 0.0
     judged_at: float = 0.0
@@ -76,7 +83,12 @@
     def estimate_load(self, now: float) -> float:
         """Return the requests that the server probably has at hand."""
         age_s = max(0.0, now - self.sampled_at)
-        return self.open + self.others * math.exp(-age_s / SAMPLE_WINDOW_S)
+        window_s = min(SAMPLE_WINDOW_S, max(SAMPLE_WINDOW_MIN_S, SAMPLE_RUNS * self.run_s))
+        return self.open + self.others * math.exp(-age_s / window_s)
+
+    def note_run(self, run_s: float) -> None:
+        """Note how long the server took for a request."""
+        self.run_s += RUN_WEIGHT * (run_s - self.run_s)
 
     def take_sample(self, running: int, waiting: int, now: float) -> None:
         """Note the load that the server tells in an answer."""
--- a/rhubarbshed/transport/edge/relay.py
+++ b/rhubarbshed/transport/edge/relay.py
@@ -15,6 +15,7 @@
     choose_server,
     choose_service,
 )
+from rhubarbshed.coordination.serving.queueing import decide_wait
 from rhubarbshed.coordination.serving.refusals import expire, fail, miss_route, refuse
 from rhubarbshed.coordination.serving.repeats import Tries, may_try_again
 from rhubarbshed.platform.headers import echo_request_id, read_request
@@ -92,7 +93,8 @@
 
     `avoid` are the servers that it has been to, `tries` what came of that; `in_flight` tells that a
     server may be running it, `arrived` that one has had it, and `only_lacked` that all so far were
-    down or lacked the model. `over_in_s` is when a load that it needs should be done.
+    down or lacked the model. `waited_s` went into a load and `queued_s` into full servers.
+    `over_in_s` is when a load that it needs should be done.
     """
 
     relay: Relay
@@ -106,6 +108,7 @@
     passage: Passage | None = None
     deadline: float = 0.0
     waited_s: float = 0.0
+    queued_s: float = 0.0
     in_flight: bool = False
     over_in_s: float | None = None
     ended: bool = False
@@ -162,6 +165,8 @@
                 return expire(self.tries.run > 0)
             chosen = self.choose(now)
             if isinstance(chosen, NoServer):
+                if chosen.reason == "full" and await self.wait_for_room(now):
+                    continue
                 lacked = chosen.reason == "all_tried" and self.only_lacked and self.request.model
                 if (chosen.reason == "absent" or lacked) and await self.wait_for_load(now):
                     continue
@@ -215,8 +220,10 @@
         # Left true by a timeout: the server may be running the request.
         self.in_flight = False
         self.note_end(record, attempt, end)
+        run_s = time.monotonic() - begun_at
+        if end is End.DONE:
+            record.note_run(run_s)
         if end is End.DONE and self.is_configured:
-            run_s = time.monotonic() - begun_at
             self.relay.count_run(self.service, self.request.model, self.request.adapter, run_s)
         return end
 
@@ -293,6 +300,15 @@
             self.over_in_s = 0.0
         return False
 
+    async def wait_for_room(self, now: float) -> bool:
+        """Wait a moment for a place at a server; tell whether it is worth another look."""
+        left_s = decide_wait(self.route, self.queued_s, self.deadline - now)
+        if left_s <= 0.0 or self.relay.view.drain.started_at is not None:
+            return False
+        await asyncio.sleep(left_s)
+        self.queued_s += time.monotonic() - now
+        return True
+
     def give_up(self, reason: str) -> RequestError | None:
         """Return the final answer of a request that no server will answer."""
         if self.passage.pass_kept():
@@ -338,6 +354,7 @@
             "refused": self.tries.refused,
             "took_ms": round(elapsed_s * 1000),
             "waited_ms": round(self.waited_s * 1000),
+            "queued_ms": round(self.queued_s * 1000),
             "left_ms": round((self.deadline - now) * 1000) if self.deadline else "",
             "configuration": view.configuration.version if view.configuration else "",
             "fleet_age_s": round(now - view.fleet_at, 1),
--- a/test/test_edge_choice.py
+++ b/test/test_edge_choice.py
@@ -7,6 +7,7 @@
 from rhubarbshed.coordination.serving import choice
 from rhubarbshed.coordination.serving.absence import Absent, Waiting, decide_absent
 from rhubarbshed.coordination.serving.choice import Choice, NoServer, choose_server
+from rhubarbshed.coordination.serving.queueing import decide_wait
 from rhubarbshed.coordination.serving.refusals import expire, refuse
 from rhubarbshed.coordination.serving.repeats import RepeatBudget, Tries, may_try_again
 from rhubarbshed.protocol.exchanges import End
@@ -211,3 +212,27 @@
     assert record.estimate_load(NOW + 1.2) < 2.0
     record.take_told_load(6, NOW + 2.0)
     assert record.estimate_load(NOW + 2.0) == 6.0
+
+
+def test_load_of_short_runs_is_forgotten_within_some_of_them():
+    """A server told of a queue once, and for a second all requests were refused as if it lasted."""
+    fleet = make_fleet(make_entry("b1", slots=6))
+    record = fleet.get("b1")
+    for _ in range(60):
+        record.note_run(0.07)
+    record.take_sample(6, 6, NOW)
+    assert isinstance(choose(fleet, now=NOW), NoServer)
+    assert isinstance(choose(fleet, now=NOW + 0.2), Choice)
+    for _ in range(60):
+        record.note_run(2.0)
+    record.take_sample(6, 6, NOW)
+    assert isinstance(choose(fleet, now=NOW + 0.2), NoServer)
+
+
+def test_request_waits_for_a_place_for_a_part_of_its_target_and_no_longer():
+    route = make_route()
+    waited_s, looks = 0.0, 0
+    while step_s := decide_wait(route, waited_s, 4.0):
+        waited_s, looks = waited_s + step_s, looks + 1
+    assert 0.5 * route.target_s <= waited_s <= 0.5 * route.target_s + 0.031 and looks < 10
+    assert decide_wait(route, 0.06, 0.1) == 0.0
