Split what grew over its size; use one text of settings in tests

Change: heard.py (demand to be told), order_lines.py (lines on orders), functions split, one template in helper_edge.

--- /dev/null
+++ b/rhubarbshed/state/placement/heard.py
@@ -0,0 +1,40 @@
+"""Demand that is to be told: counts of requests, wants, and what servers said."""
+
+from attrs import define, field
+
+from rhubarbshed.protocol.words import DemandWord
+from rhubarbshed.state.placement.usage import Tally, Target
+
+Count = tuple[str, str, str, float, float, float, float]
+"""A service, a model, an adapter, and the figures of a tally."""
+
+
+@define
+class Heard:
+    """Hold what an order holder heard from its data centre and has not passed on yet."""
+
+    counts: dict[Target, Tally] = field(factory=dict)
+    wants: dict[Target, None] = field(factory=dict)
+    lacks: dict[tuple[str, int, str, str], None] = field(factory=dict)
+    loads: dict[str, int] = field(factory=dict)
+
+    def add(self, word: DemandWord) -> None:
+        """Add an instance's word."""
+        for service, model, adapter, *numbers in word.counts:
+            self.counts.setdefault((service, model, adapter), Tally()).add(Tally(*numbers))
+        self.wants.update(dict.fromkeys(tuple(target) for target in word.wants))
+        self.lacks.update(dict.fromkeys(tuple(lack) for lack in word.lacks))
+        self.loads.update(word.loads)
+
+    @property
+    def is_urgent(self) -> bool:
+        """Tell whether callers wait for some of it."""
+        return bool(self.wants or self.lacks)
+
+
+def list_counts(counts: dict[Target, Tally]) -> list[Count]:
+    """Return tallies as they are told."""
+    return [
+        (*target, tally.requests, tally.tokens, tally.runs, round(tally.run_s, 3))
+        for target, tally in counts.items()
+    ]
--- a/rhubarbshed/transport/edge/circle.py
+++ b/rhubarbshed/transport/edge/circle.py
@@ -16,6 +16,7 @@
 from rhubarbshed.protocol.tables import Row
 from rhubarbshed.protocol.words import DemandWord, HolderWord, NewsWord, Word
 from rhubarbshed.state.membership.fleet import SAMPLE_WINDOW_S
+from rhubarbshed.state.placement.heard import Heard, list_counts
 from rhubarbshed.state.placement.places import Place
 from rhubarbshed.state.placement.usage import Tally, Target
 from rhubarbshed.transport.edge.datagrams import Datagrams
@@ -68,29 +69,6 @@
     instances: int
 
 
-@define
-class Heard:
-    """Hold what a holder heard from its data centre and has not passed on to the others yet."""
-
-    counts: dict[Target, Tally] = field(factory=dict)
-    wants: dict[Target, None] = field(factory=dict)
-    lacks: dict[tuple[str, int, str, str], None] = field(factory=dict)
-    loads: dict[str, int] = field(factory=dict)
-
-    def add(self, word: DemandWord) -> None:
-        """Add an instance's word."""
-        for service, model, adapter, *numbers in word.counts:
-            self.counts.setdefault((service, model, adapter), Tally()).add(Tally(*numbers))
-        self.wants.update(dict.fromkeys(tuple(target) for target in word.wants))
-        self.lacks.update(dict.fromkeys(tuple(lack) for lack in word.lacks))
-        self.loads.update(word.loads)
-
-    @property
-    def is_urgent(self) -> bool:
-        """Tell whether callers wait for some of it."""
-        return bool(self.wants or self.lacks)
-
-
 @define
 class Circle:
     """Exchange words with the order holders, or be one."""
@@ -145,7 +123,7 @@
     ) -> None:
         """Tell the holder what was asked for since the last word."""
         settings = self.view.settings
-        counts = tuple(_list_counts(self.counts))
+        counts = tuple(list_counts(self.counts))
         loads = tuple(
             (server_id, record.told)
             for server_id, record in self.view.fleet.servers.items()
@@ -174,7 +152,7 @@
     def forward(self) -> None:
         """Pass on to the other holders what was heard from the own data centre."""
         heard, self.heard = self.heard, Heard()
-        counts = _list_counts(heard.counts)
+        counts = list_counts(heard.counts)
         if not counts and not heard.is_urgent and not heard.loads:
             return
         settings = self.view.settings
@@ -409,13 +387,6 @@
                 self.holders[data_centre] = KnownHolder(address, token, -1e9, 0)
 
 
-def _list_counts(counts: dict[Target, Tally]) -> list[tuple]:
-    return [
-        (*target, tally.requests, tally.tokens, tally.runs, round(tally.run_s, 3))
-        for target, tally in counts.items()
-    ]
-
-
 def _group(place: Place) -> tuple[tuple[str, tuple[str, ...]], ...]:
     grouped: dict[str, list[str]] = {model: [] for model in sorted(place.models)}
     for model, adapter in sorted(place.adapters):
--- a/rhubarbshed/transport/edge/holder.py
+++ b/rhubarbshed/transport/edge/holder.py
@@ -35,6 +35,7 @@
 from rhubarbshed.state.placement.usage import Target, Usage
 from rhubarbshed.transport.edge.control import call
 from rhubarbshed.transport.edge.numbers import Numbers
+from rhubarbshed.transport.edge.order_lines import log_order, log_unserved
 from rhubarbshed.transport.edge.pools import Pool
 from rhubarbshed.transport.edge.view import Alarm, View
 from rhubarbshed.util.logs import log_event
@@ -50,10 +51,6 @@
 UNLOAD_S = 0.5
 """Time after which a model that was unloaded should be gone, unless runs of it are long."""
 
-UNSERVED_S = 1.0
-UNSERVED_TOLD_S = 2.0
-"""Time that a want lasts before the log tells of it, and between two lines on the same one."""
-
 MODEL_ROUND_S = 0.25
 """Time between two plans of models; an engine takes one order at a time for seconds."""
 
@@ -104,29 +101,6 @@
                 models_from = now + max(MODEL_ROUND_S, took_s / PLANNING_PART)
             await asyncio.sleep(max(ROUND_PAUSE_S, took_s))
 
-    def log_unserved(self, floor: Floor, rate: LoadRate) -> None:
-        """Tell which wants last, and what may keep them waiting."""
-        usage, now = self.usage, floor.now
-        for target in floor.wants:
-            lasts_s = usage.measure_want(target, now)
-            if lasts_s < UNSERVED_S:
-                continue
-            if now - self.told_unserved.get(target, -UNSERVED_TOLD_S) < UNSERVED_TOLD_S:
-                continue
-            self.told_unserved[target] = now
-            log_event(
-                LOG,
-                logging.INFO,
-                "want_unserved",
-                model=target[1],
-                adapter=target[2],
-                lasts_s=round(lasts_s, 2),
-                rate=round(floor.measure_rate(target[1]), 2),
-                holders=len(floor.list_holders(target[1])),
-                engines_open=len(floor.list_open()),
-                load_allowed=rate.allows(floor.hears_all, now),
-            )
-
     def list_engines(self) -> list[tuple[str, EngineSpec]]:
         """List services of engines with what the operator says of them."""
         configuration = self.view.configuration
@@ -149,7 +123,7 @@
             if rate is None:
                 rate = self.rates[service] = self.make_rate(service, engine)
             moves += plan_fill(floor, moves) or plan_models(floor, rate)
-            self.log_unserved(floor, rate)
+            log_unserved(floor, rate, self.told_unserved)
         for server_id in {move.server_id for move in moves}:
             if server_id in self.busy:
                 continue
@@ -392,25 +366,3 @@
     if move.kind is OrderKind.LOAD:
         return estimate_load_time(record, floor.engine.models[move.model])
     return UNLOAD_S
-
-
-def log_order(
-    floor: Floor, place: Place, move: Move, order: ServerOrder, end: OrderEnd, from_store: bool
-) -> None:
-    """Write the line of an order, with what decided it."""
-    log_event(
-        LOG,
-        logging.INFO,
-        "order",
-        kind=move.kind.value,
-        server=place.server_id,
-        model=move.model,
-        adapter=move.adapter,
-        why=move.reason,
-        end=end.value,
-        expected=order.expected,
-        token=order.token,
-        rate=round(floor.measure_rate(move.model), 2),
-        places_taken=place.count_adapters(),
-        from_store=from_store,
-    )
--- a/standin/run.py
+++ b/standin/run.py
@@ -34,6 +34,7 @@
 """Parts of the requests that fail, lose their answer or get one that is cut, and of the orders that
 are carried out late without an answer."""
 
+LOAD_S = 0.2
 MODELS_MAX = 3
 ADAPTERS_MAX = 4
 
@@ -64,6 +65,11 @@
     trouble: bool
     tasks: set[asyncio.Task] = field(factory=set)
 
+    def burst(self) -> None:
+        """End the process: it was ordered to hold more than it can."""
+        self.recorder.write("overfull")
+        os._exit(1)
+
     def calm(self) -> None:
         """Fail no more."""
         self.trouble = False
@@ -185,35 +191,32 @@
     born_ms = int(time.time() * 1000)
     recorder = Recorder(server_id, born_ms, descriptor)
     player = Player(recorder, random.Random(f"{trouble}{server_id}"), bool(trouble))
-
-    def burst() -> None:
-        recorder.write("overfull")
-        os._exit(1)
-
-    async def serve() -> None:
-        engine = Replica(
-            server_id,
-            service,
-            data_centre,
-            born_ms=born_ms,
-            models={name: [] for name in models.split(",") if name},
-            reply=player.reply,
-            models_max=MODELS_MAX,
-            adapters_max=ADAPTERS_MAX,
-            load_s=0.2,
-            burst=burst,
-            answer_order=player.answer_order,
-            address=("127.0.0.1", port),
-        )
-        await engine.start()
-        asyncio.get_running_loop().add_signal_handler(signal.SIGUSR1, player.calm)
-        recorder.write("start")
-        while True:
-            entry = engine.describe(Address=f"127.0.0.1:{told_port or port}")
-            await call_store(store_port, "beat", entry, Key=server_id)
-            await asyncio.sleep(BEAT_S)
-
-    asyncio.run(serve())
+    engine = Replica(
+        server_id,
+        service,
+        data_centre,
+        born_ms=born_ms,
+        models={name: [] for name in models.split(",") if name},
+        reply=player.reply,
+        models_max=MODELS_MAX,
+        adapters_max=ADAPTERS_MAX,
+        load_s=LOAD_S,
+        burst=player.burst,
+        answer_order=player.answer_order,
+        address=("127.0.0.1", port),
+    )
+    asyncio.run(serve_replica(engine, player, store_port, told_port or port))
+
+
+async def serve_replica(engine: Replica, player: Player, store_port: int, told_port: int) -> None:
+    """Serve for ever, with a heartbeat that tells of `told_port`."""
+    await engine.start()
+    asyncio.get_running_loop().add_signal_handler(signal.SIGUSR1, player.calm)
+    player.recorder.write("start")
+    while True:
+        entry = engine.describe(Address=f"127.0.0.1:{told_port}")
+        await call_store(store_port, "beat", entry, Key=engine.server_id)
+        await asyncio.sleep(BEAT_S)
 
 
 if __name__ == "__main__":
--- a/test/helper_edge.py
+++ b/test/helper_edge.py
@@ -17,6 +17,38 @@
 WAIT_S = 5.0
 
 
+SETTINGS_TEXT = """
+[instance]
+name = {name}
+data_centre = {data_centre}
+host = 127.0.0.1
+unknown = ignored
+[listen]
+callers = 127.0.0.1:{callers}
+ready = 127.0.0.1:{ready}
+peers_ports = {peers},{peers}
+metrics_port = {metrics}
+[platform]
+store = 127.0.0.1:{store}
+[limits]
+cpu_share = 0.5
+core_speed = 2
+link_mbps = 100
+[bounds]
+drain_ms = 2000
+lease_ms = 3000
+grace_s = 8
+retry_ratio = 0.2
+retry_window_s = 10
+retry_extra = 100
+ceiling_window_s = 5
+ceiling_overage = 1.1
+[log]
+level = {level}
+[unknown]
+"""
+
+
 def find_port() -> int:
     """Return a port that is free now."""
     return find_free_ports(1)[0]
--- a/test/soak/callers.py
+++ b/test/soak/callers.py
@@ -72,15 +72,13 @@
         writer.write(self.write_request(request_id, path, payload))
         leaves = self.chance.random() < LEAVE_PART
         patience_s = self.chance.uniform(*LEAVE_AFTER_S) if leaves else PATIENCE_S + 1.0
-        answer = Answer()
-        with contextlib.suppress(TimeoutError):
-            await asyncio.wait_for(read_answer(reader, answer), patience_s)
+        answer = await read_within(reader, patience_s)
         ended_at = time.monotonic()
         left = not answer.whole and ended_at - sent_at >= patience_s
         if left:
             writer.transport.abort()
         headers = answer.headers
-        asked = Asked(
+        seen = Asked(
             request_id,
             path,
             instance,
@@ -95,7 +93,7 @@
             left,
             kept,
         )
-        self.history.asked.append(asked)
+        self.history.asked.append(seen)
         return answer.whole and not left and headers.get("connection") != "close"
 
     def write_request(self, request_id: str, path: str, payload: bytes) -> bytes:
@@ -111,3 +109,11 @@
         if payload:
             lines.append(f"Content-Length: {len(payload)}")
         return "\r\n".join(lines).encode() + b"\r\n\r\n" + payload
+
+
+async def read_within(reader: asyncio.StreamReader, patience_s: float) -> Answer:
+    """Read an answer as far as it comes within a time."""
+    answer = Answer()
+    with contextlib.suppress(TimeoutError):
+        await asyncio.wait_for(read_answer(reader, answer), patience_s)
+    return answer
--- a/test/soak/scene.py
+++ b/test/soak/scene.py
@@ -10,7 +10,13 @@
 from attrs import define, field
 
 from standin.run import call_store
-from test.helper_edge import find_port, make_configuration, make_engine_service, make_route
+from test.helper_edge import (
+    SETTINGS_TEXT,
+    find_port,
+    make_configuration,
+    make_engine_service,
+    make_route,
+)
 from test.soak.history import History, Stop
 from test.soak.relay import Relay
 
@@ -21,35 +27,6 @@
 FIRST_MODELS = {"e1": "m1,m2,m3", "e2": "m4,m5", "e3": "m1,m2"}
 READY_S = 10.0
 
-SETTINGS = """
-[instance]
-name = {name}
-data_centre = {data_centre}
-host = 127.0.0.1
-[listen]
-callers = 127.0.0.1:{callers}
-ready = 127.0.0.1:{ready}
-peers_ports = {peers},{peers}
-metrics_port = {metrics}
-[platform]
-store = 127.0.0.1:{store}
-[limits]
-cpu_share = 1
-core_speed = 1
-link_mbps = 100
-[bounds]
-drain_ms = 2000
-lease_ms = 3000
-grace_s = 8
-retry_ratio = 0.2
-retry_window_s = 10
-retry_extra = 100
-ceiling_window_s = 5
-ceiling_overage = 1.1
-[log]
-level = debug
-"""
-
 
 def make_routes(moved_to: str, version: int) -> dict:
     """Return the configuration whose route `/x/` leads to the service `moved_to`."""
@@ -179,9 +156,10 @@
         """Start an instance; its callers and its way to the store each go through a relay."""
         port, ready = find_port(), find_port()
         self.callers[name] = await self.add_relay(name, port)
-        text = SETTINGS.format(
+        text = SETTINGS_TEXT.format(
             name=name,
             data_centre=data_centre,
+            level="debug",
             callers=port,
             ready=ready,
             peers=find_port(),
--- a/test/test_edge_front.py
+++ b/test/test_edge_front.py
@@ -14,43 +14,22 @@
 from rhubarbshed.util.lines import LINES_BURST, LINES_PER_S, BoundedHandler
 from rhubarbshed.util.logs import log_event
 from standin.replica import Replica
-from test.helper_edge import make_configuration, make_route, make_settings, play, run_edge
-
-TEXT = """
-[instance]
-name = i1
-data_centre = a
-host = 127.0.0.1
-unknown = ignored
-[listen]
-callers = 127.0.0.1:{callers}
-ready = 127.0.0.1:{ready}
-peers_ports = {peers},{peers}
-metrics_port = {metrics}
-[platform]
-store = 127.0.0.1:{store}
-[limits]
-cpu_share = 0.5
-core_speed = 2
-link_mbps = 100
-[bounds]
-drain_ms = 2000
-lease_ms = 3000
-grace_s = 8
-retry_ratio = 0.2
-retry_window_s = 10
-retry_extra = 100
-ceiling_window_s = 5
-ceiling_overage = 1.1
-[log]
-level = info
-[unknown]
-"""
+from test.helper_edge import (
+    SETTINGS_TEXT,
+    make_configuration,
+    make_route,
+    make_settings,
+    play,
+    run_edge,
+)
 
 
 def make_text(store_port: int) -> str:
     settings = make_settings(("127.0.0.1", store_port))
-    return TEXT.format(
+    return SETTINGS_TEXT.format(
+        name="i1",
+        data_centre="a",
+        level="info",
         callers=settings.callers[1],
         ready=settings.ready[1],
         peers=settings.peers_port,
