Judge servers that left in the soak

Change: leavings are kept with their end. Ruled out: instances in trouble (the plan waits 3.2 s without faults).

--- a/test/soak/checks.py
+++ b/test/soak/checks.py
@@ -88,13 +88,16 @@
     """A server that left gets nothing new after the drain time, but from those in trouble."""
     instances = {each.request_id: each.instance for each in history.asked}
     broken = []
-    for each in history.seen:
-        left_at = history.leavings.get(each.server)
-        if each.what != "run" or left_at is None or each.at < left_at + DRAIN_S + SLACK_S:
-            continue
-        instance = instances.get(each.request_id, "")
-        if not history.was_touched(instance, left_at - STABLE_S, each.at):
-            broken.append(f"{each.request_id} ran at {each.server} {each.at - left_at:.2f} s late")
+    for left in history.leavings:
+        for each in history.seen:
+            late = left.at + DRAIN_S + SLACK_S < each.at <= left.until
+            if each.what != "run" or each.server != left.server or not late:
+                continue
+            instance = instances.get(each.request_id, "")
+            if not history.was_touched(instance, left.at - STABLE_S, each.at):
+                broken.append(
+                    f"{each.request_id} ran at {each.server} {each.at - left.at:.2f} s late"
+                )
     return broken
 
 
--- a/test/soak/faults.py
+++ b/test/soak/faults.py
@@ -9,7 +9,7 @@
 from attrs import define, field
 
 from standin.run import call_store
-from test.soak.history import ALL, Disturbance
+from test.soak.history import ALL, Disturbance, Leaving
 from test.soak.relay import Mode
 from test.soak.scene import ENGINES, INSTANCES, OTHER, PLAIN, Scene
 
@@ -21,6 +21,9 @@
 DELAY_S = (0.02, 0.3)
 """How long faults last, how far apart a series begins, and how long a relay delays."""
 
+LEAVING_S = 4.0
+"""Time for which a server that left serves on, longer than it may get new requests."""
+
 PLANNED_GAP_S = 3.2
 """Time before and after planned work without faults, so that its promises are judged."""
 
@@ -185,14 +188,13 @@
     scene.ending.add(name)
     # Its heartbeats would bring the entry back, so the process goes on under another key.
     await call_store(scene.store_port, "retire", Key=name)
-    scene.history.leavings[name] = time.monotonic()
-    await asyncio.sleep(4.0)
+    left_at = time.monotonic()
+    await asyncio.sleep(LEAVING_S)
     await program.end(signal.SIGKILL, 1.0)
+    ended_at = time.monotonic()
+    scene.history.leavings.append(Leaving(name, left_at, ended_at))
+    scene.history.disturbances.append(Disturbance(name, "left", left_at, ended_at + 1.0))
     await asyncio.sleep(0.5)
-    del scene.history.leavings[name]
-    scene.history.disturbances.append(
-        Disturbance(name, "left", time.monotonic() - 4.5, time.monotonic() + 1.0)
-    )
     await call_store(scene.store_port, "admit", Key=name)
     program.start()
     scene.ending.discard(name)
--- a/test/soak/history.py
+++ b/test/soak/history.py
@@ -68,6 +68,15 @@
     code: int
 
 
+@frozen
+class Leaving:
+    """A backend server whose entry went at `at`, and that ended at `until`."""
+
+    server: str
+    at: float
+    until: float
+
+
 @define
 class History:
     """All of a run."""
@@ -76,7 +85,7 @@
     seen: list[Seen] = field(factory=list)
     disturbances: list[Disturbance] = field(factory=list)
     stops: list[Stop] = field(factory=list)
-    leavings: dict[str, float] = field(factory=dict)
+    leavings: list[Leaving] = field(factory=list)
     moves: list[tuple[float, str, str]] = field(factory=list)
     own_ends: list[str] = field(factory=list)
     calm_from: float = 0.0
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -6,7 +6,7 @@
 from attrs import evolve
 
 from test.soak.checks import CHECKS, check_all
-from test.soak.history import ALL, Asked, Disturbance, History, Seen, Stop
+from test.soak.history import ALL, Asked, Disturbance, History, Leaving, Seen, Stop
 from test.soak.run import play_seed
 
 CI_SEED, CI_SECONDS = 1, 12.0
@@ -25,7 +25,7 @@
 
 
 def test_history_in_which_all_promises_hold_breaks_none():
-    leavings = {"p1": 9.0}
+    leavings = [Leaving("p1", 9.0, 20.0)]
     moves = [(9.5, "q", "p")]
     history = make_history(stops=[STOP], leavings=leavings, moves=moves, calm_from=9.0)
     history.asked.remove(REFUSED)
@@ -38,7 +38,7 @@
     "answers": make_history(asked=[evolve(PLAIN, body=b"done:c1-9:x")]),
     "room": make_history(seen=[evolve(RUN, what="overfull")]),
     "holders": make_history(seen=[ORDER, evolve(ORDER, at=12.0, holder="i2", token=6)]),
-    "leaving": make_history(leavings={"p1": 7.0}),
+    "leaving": make_history(leavings=[Leaving("p1", 7.0, 20.0)]),
     "configuration": make_history(
         asked=[evolve(PLAIN, path="/x/c1-1")],
         seen=[evolve(RUN, path="/x/c1-1")],
