--- a/test/soak/faults.py
+++ b/test/soak/faults.py
@@ -24,6 +24,9 @@
 LEAVING_S = 4.0
 """Time for which a server that left serves on, longer than it may get new requests."""
 
+PLANNED_PART = 0.3
+"""Part of the times in which planned work is drawn in place of a fault."""
+
 PLANNED_GAP_S = 3.2
 """Time before and after planned work without faults, so that its promises are judged."""
 
@@ -42,7 +45,7 @@
         """Begin one fault after another, each while others last, with calm spells for plans."""
         until = time.monotonic() + seconds
         while time.monotonic() < until:
-            if self.chance.random() < 0.15:
+            if self.chance.random() < PLANNED_PART:
                 await self.finish()
                 await asyncio.sleep(PLANNED_GAP_S)
                 await self.chance.choice(PLANS)(self)
