Say in placement what it does, and where its figures come from

Cause: the module promised never to drop what is asked for, which it does for what is worth clearly more; a site's name stood in a constant's text. Before and after: no code.

--- a/rhubarbshed/coordination/serving/floor.py
+++ b/rhubarbshed/coordination/serving/floor.py
@@ -31,11 +31,10 @@
 BUSY_SLOTS_PART = 0.6
 BUSY_TOKENS_PER_S = 10_000
 """Requests that run on an engine, as a part of its slots, and tokens of prompts that it reads in a
-second, from which streams get late: above them 3 to 9 in 100 pauses were too long on the grown
-cedarpulpit-archive, and more on engines of 64 slots (docs/dev/measurements.md)."""
+second, from which streams get late; from the pauses in docs/dev/measurements.md."""
 
 UNEVEN = 1.5
-"""Part of a model's load that one copy may get beyond its even share."""
+"""Times its even share of a model's load that one copy may get: requests are not spread evenly."""
 
 CROWDED = 0.6
 CROWDING_PART = 0.35
--- a/rhubarbshed/coordination/serving/placement.py
+++ b/rhubarbshed/coordination/serving/placement.py
@@ -1,8 +1,8 @@
 """Which models and adapters engines are ordered to hold.
 
 Answers demand that moves to other models within seconds, rare models asked for at once, and
-engines that come back empty: first what callers wait for and nobody holds, then second copies of
-what is busy, and nothing is dropped that somebody still asks for unless another copy stays.
+engines that come back empty. Additions come by their worth, and a copy makes way only for one that
+is worth clearly more.
 """
 
 import collections
