Take servers in use away in the soak; put in faults that it can see

Change: servers of the plain service and an engine are taken away, twice as often; the fault against recovery is a store that is not asked again; the one against holders a lease for each instance.

--- a/test/soak/faults.py
+++ b/test/soak/faults.py
@@ -185,7 +185,7 @@
 
 async def remove_server(faults: Faults) -> None:
     """Take a backend server away as planned: its entry goes, it serves on for a while."""
-    name = faults.chance.choice(("e2", "p2", "q2"))
+    name = faults.chance.choice(("e2", "p1", "p2"))
     scene = faults.scene
     program = scene.programs[name]
     scene.ending.add(name)
@@ -217,4 +217,10 @@
     disturb_store,
     change_configuration,
 )
-PLANS: tuple[Fault, ...] = (stop_instance, stop_in_turn, change_configuration, remove_server)
+PLANS: tuple[Fault, ...] = (
+    stop_instance,
+    stop_in_turn,
+    change_configuration,
+    remove_server,
+    remove_server,
+)
--- a/test/soak/mutations.py
+++ b/test/soak/mutations.py
@@ -49,9 +49,9 @@
     ),
     Mutation(
         "holders",
-        f"{SERVING}/tenure.py",
-        "return self.held and self.orders_from <= now < self.right_until",
-        "return self.held",
+        f"{EDGE}/lease.py",
+        "return LEASE_PREFIX + self.data_centre",
+        "return LEASE_PREFIX + self.data_centre + self.name",
     ),
     Mutation(
         "leaving",
@@ -91,9 +91,9 @@
     ),
     Mutation(
         "recovery",
-        "rhubarbshed/state/membership/fleet.py",
-        "self.silent_until = now + pause_s",
-        "self.silent_until = now + 3600.0",
+        f"{EDGE}/follower.py",
+        "pause_s = min(PAUSE_LONGEST_S, pause_s * 2)",
+        "pause_s = 3600.0",
     ),
 )
 
