--- a/rhubarbshed/transport/edge/caller_connections.py
+++ b/rhubarbshed/transport/edge/caller_connections.py
@@ -5,7 +5,7 @@
 from collections.abc import Awaitable, Callable
 
 import h11
-from attrs import define, field
+from attrs import define, field, frozen
 
 from rhubarbshed.protocol.exchanges import Headers
 from rhubarbshed.protocol.routes import CallerLimits
@@ -30,6 +30,18 @@
 Handler = Callable[["CallerConnection", h11.Request, bytes, float], Awaitable[None]]
 
 
+@frozen
+class Disconnect:
+    """End of a caller's connection, seen at `at` (monotonic seconds) with bytes still unsent.
+
+    `kind` is "end" for a regular one and "reset" for one with an error.
+    """
+
+    kind: str
+    at: float
+    unsent_bytes: int
+
+
 @define(eq=False)
 class CallerConnection(asyncio.Protocol):
     """Connection of one caller that passes each request, complete, to `handle`.
@@ -42,6 +54,7 @@
     is_closing: Callable[[], bool]
     connections: set["CallerConnection"]
     task: asyncio.Task | None = None
+    disconnect: Disconnect | None = None
     _transport: asyncio.Transport | None = None
     _parser: h11.Connection | None = None
     _request: h11.Request | None = None
@@ -78,10 +91,12 @@
 
     def eof_received(self) -> bool:
         """Treat the caller's end of the connection as a disconnect."""
+        self._note_disconnect("end")
         return False
 
     def connection_lost(self, error: Exception | None) -> None:
         """Cancel the work for a caller that has disconnected."""
+        self._note_disconnect("end" if error is None else "reset")
         self._cancel_timer()
         self.connections.discard(self)
         self._writable.set()
@@ -145,6 +160,11 @@
             self.send_data(body)
         self.send_end()
 
+    def _note_disconnect(self, kind: str) -> None:
+        if self.disconnect is None:
+            unsent_bytes = self._transport.get_write_buffer_size()
+            self.disconnect = Disconnect(kind, time.monotonic(), unsent_bytes)
+
     def _read(self) -> None:
         try:
             self._read_events()
--- a/rhubarbshed/transport/edge/metrics.py
+++ b/rhubarbshed/transport/edge/metrics.py
@@ -22,6 +22,7 @@
     store_calls: Counter
     request_seconds: Histogram
     first_bytes_seconds: Histogram
+    loop_delay_seconds: Histogram
     gauges_by_name: dict[str, Gauge]
 
     @classmethod
@@ -51,6 +52,7 @@
             ),
             make_histogram("request_seconds", "Time from arrival to the answer's end.", "route"),
             make_histogram("first_bytes_seconds", "Time from arrival to the answer's first bytes."),
+            make_histogram("loop_delay_seconds", "Delay of a timer of the event loop."),
             {},
         )
 
@@ -67,6 +69,10 @@
         """Record the time to the first bytes of a response."""
         self.first_bytes_seconds.observe(after_s)
 
+    def observe_loop_delay(self, delay_s: float) -> None:
+        """Record by how much a timer of the event loop was late."""
+        self.loop_delay_seconds.observe(delay_s)
+
     def count_store_call(self, kind: str, table: str) -> None:
         """Count a call to the store."""
         self.store_calls.labels(kind, table).inc()
--- a/rhubarbshed/transport/edge/node.py
+++ b/rhubarbshed/transport/edge/node.py
@@ -46,6 +46,10 @@
 SWEEP_INTERVAL_S = 0.25
 """Time between two checks for servers without entries."""
 
+LOOP_DELAY_LOGGED_S = 0.1
+"""Delay of the event loop that is logged: all that callers and servers sent meanwhile has waited as
+long."""
+
 SWEEPS_PER_RELOAD = 8
 """Sweeps between two checks of the settings file and of connections to servers that are gone."""
 
@@ -205,7 +209,9 @@
         """Drop servers that are gone, and apply changed settings without a signal."""
         ticks = 0
         while True:
+            due_at = time.monotonic() + SWEEP_INTERVAL_S
             await asyncio.sleep(SWEEP_INTERVAL_S)
+            self.report_loop_delay(time.monotonic() - due_at)
             self.follower.drop_missing(time.monotonic())
             ticks += 1
             if ticks % SWEEPS_PER_RELOAD == 0:
@@ -213,6 +219,12 @@
                 records = self.view.fleet.servers.values()
                 self.pool.keep_only({(each.entry.host, each.entry.port) for each in records})
 
+    def report_loop_delay(self, delay_s: float) -> None:
+        """Record by how much the event loop was late, and log a long delay."""
+        self.metrics.observe_loop_delay(max(0.0, delay_s))
+        if delay_s >= LOOP_DELAY_LOGGED_S:
+            log_event(LOG, logging.WARNING, "loop_late", delay_ms=round(delay_s * 1000))
+
     async def drain(self) -> None:
         """Stop accepting callers, finish open requests, and end."""
         view = self.view
--- a/rhubarbshed/transport/edge/relay.py
+++ b/rhubarbshed/transport/edge/relay.py
@@ -32,6 +32,7 @@
 from rhubarbshed.transport.edge.caller_connections import CallerConnection
 from rhubarbshed.transport.edge.metrics import FrontMetrics
 from rhubarbshed.transport.edge.pools import Pool
+from rhubarbshed.transport.edge.request_logs import Stage, log_end
 from rhubarbshed.transport.edge.view import View
 from rhubarbshed.util.logs import log_event
 
@@ -90,7 +91,7 @@
             await progress.run()
         except asyncio.CancelledError:
             if not progress.ended:
-                progress.log_end("caller_gone")
+                log_end(progress, "caller_gone", None, time.monotonic())
             raise
         finally:
             self.open_requests.discard(progress)
@@ -103,7 +104,8 @@
     `excluded` are the servers already tried and `tries` the outcome there; `in_flight` means that a
     server may be running the request, `delivered` that one received it, and `only_missing` that all
     so far were down or lacked the model. `waited_s` was spent on a load and `queued_s` on full
-    servers. `available_in_s` is when a load that it needs should be complete.
+    servers. `available_in_s` is when a load that it needs should be complete. `waits_for` is the
+    stage it is in while no attempt is in flight.
     """
 
     relay: Relay
@@ -124,6 +126,8 @@
     ended: bool = False
     only_missing: bool = True
     delivered: bool = False
+    waits_for: Stage = Stage.CHOICE
+    last_attempt: Attempt | None = None
 
     def cut_off(self) -> None:
         """End the request now, because the process stops."""
@@ -158,7 +162,7 @@
         if error is not None:
             self.answer(error)
         else:
-            self.log_end("answered")
+            log_end(self, "answered", None, time.monotonic())
 
     @property
     def is_configured(self) -> bool:
@@ -183,6 +187,7 @@
                 if (chosen.reason == "absent" or all_missing) and await self.wait_for_load(now):
                     continue
                 if chosen.reason == "all_tried" and not all_missing and self.start_second_pass():
+                    self.waits_for = Stage.PAUSE
                     await asyncio.sleep(SECOND_PASS_PAUSE_S)
                     continue
                 return self.give_up(chosen.reason)
@@ -226,6 +231,7 @@
             candidates=chosen.candidates,
         )
         attempt = Attempt(self.relay.pool, record, self.caller_response, self.deadline)
+        self.last_attempt = attempt
         more = self.tries.run + 1 < self.route.attempts_max and self.route.repeatable
         record.open += 1
         self.in_flight = True
@@ -315,6 +321,7 @@
             self.available_in_s = decision.available_in_s
             return False
         self.available_in_s = decision.expected_s
+        self.waits_for = Stage.LOAD
         while time.monotonic() < decision.until and view.drain.started_at is None:
             left_s = decision.until - time.monotonic()
             await view.changed.wait(min(left_s, AWAITED_REPORT_INTERVAL_S))
@@ -344,6 +351,7 @@
         left_s = decide_wait(self.route, self.queued_s, self.deadline - now)
         if left_s <= 0.0 or self.relay.view.drain.started_at is not None:
             return False
+        self.waits_for = Stage.SLOT
         await asyncio.sleep(left_s)
         self.queued_s += time.monotonic() - now
         return True
@@ -361,7 +369,7 @@
     def answer(self, error: RequestError) -> None:
         """Send an error of this instance, or abort a response that has begun."""
         self.ended = True
-        self.log_end(error.code, error)
+        log_end(self, error.code, error, time.monotonic())
         if self.caller_response is not None and self.caller_response.begun:
             self.connection.abort()
             return
@@ -371,43 +379,3 @@
         self.connection.send_complete(
             error.status, tuple(headers), f"{error.code}: {error.message}\n".encode()
         )
-
-    def log_end(self, outcome: str, error: RequestError | None = None) -> None:
-        """Log the line that shows an operator what decided on a request."""
-        now = time.monotonic()
-        view = self.relay.view
-        begun = self.caller_response is not None and self.caller_response.begun
-        status = (
-            self.caller_response.status if begun else (error.status if error is not None else 0)
-        )
-        elapsed_s = now - self.request.received_at
-        self.relay.metrics.count_request(self.route.name if self.route else "", status, elapsed_s)
-        fields = {
-            "request": self.request.request_id,
-            "outcome": outcome,
-            "status": status,
-            "route": self.route.name if self.route else "",
-            "service": self.service,
-            "model": self.request.model,
-            "adapter": self.request.adapter,
-            "servers": ",".join(self.servers),
-            "run": self.tries.run,
-            "refused": self.tries.refused,
-            "took_ms": round(elapsed_s * 1000),
-            "waited_ms": round(self.waited_s * 1000),
-            "queued_ms": round(self.queued_s * 1000),
-            "left_ms": round((self.deadline - now) * 1000) if self.deadline else "",
-            "configuration": view.configuration.version if view.configuration else "",
-            "fleet_age_s": round(now - view.fleet_at, 1),
-        }
-        if self.caller_response is not None and self.caller_response.first_at is not None:
-            fields["first_ms"] = round(
-                (self.caller_response.first_at - self.request.received_at) * 1000
-            )
-            fields["gap_ms"] = round(self.caller_response.gap_s * 1000)
-            self.relay.metrics.observe_first_bytes(
-                self.caller_response.first_at - self.request.received_at
-            )
-        if error is not None and error.retry_after_s is not None:
-            fields["retry_after_s"] = round(error.retry_after_s, 3)
-        log_event(LOG, logging.INFO, "request_ended", **fields)
--- /dev/null
+++ b/rhubarbshed/transport/edge/request_logs.py
@@ -0,0 +1,80 @@
+"""Log lines on the ends of requests."""
+
+import enum
+import logging
+from typing import TYPE_CHECKING
+
+from rhubarbshed.protocol.errors import RequestError
+from rhubarbshed.util.logs import log_event
+
+if TYPE_CHECKING:
+    from rhubarbshed.transport.edge.relay import RequestProgress
+
+LOG = logging.getLogger(__name__)
+
+
+class Stage(enum.Enum):
+    """What a request is waiting for."""
+
+    CHOICE = "choice"
+    LOAD = "load"
+    SLOT = "slot"
+    PAUSE = "pause"
+    CONNECTION = "connection"
+    RESPONSE = "response"
+    BODY = "body"
+
+
+def find_stage(progress: "RequestProgress") -> Stage:
+    """Return what a request is waiting for: a decision, or an attempt's next step."""
+    attempt = progress.last_attempt
+    if not progress.in_flight or attempt is None:
+        return progress.waits_for
+    if attempt.channel is None:
+        return Stage.CONNECTION
+    return Stage.BODY if attempt.status else Stage.RESPONSE
+
+
+def log_end(
+    progress: "RequestProgress", outcome: str, error: RequestError | None, now: float
+) -> None:
+    """Count the end of a request, and log the line that shows an operator what decided on it."""
+    view = progress.relay.view
+    request, response = progress.request, progress.caller_response
+    status = error.status if error is not None else 0
+    if response is not None and response.begun:
+        status = response.status
+    elapsed_s = now - request.received_at
+    route_name = progress.route.name if progress.route else ""
+    progress.relay.metrics.count_request(route_name, status, elapsed_s)
+    fields = {
+        "request": request.request_id,
+        "outcome": outcome,
+        "status": status,
+        "route": route_name,
+        "service": progress.service,
+        "model": request.model,
+        "adapter": request.adapter,
+        "servers": ",".join(progress.servers),
+        "run": progress.tries.run,
+        "refused": progress.tries.refused,
+        "took_ms": round(elapsed_s * 1000),
+        "waited_ms": round(progress.waited_s * 1000),
+        "queued_ms": round(progress.queued_s * 1000),
+        "left_ms": round((progress.deadline - now) * 1000) if progress.deadline else "",
+        "configuration": view.configuration.version if view.configuration else "",
+        "fleet_age_s": round(now - view.fleet_at, 1),
+    }
+    if response is not None and response.first_at is not None:
+        fields["first_ms"] = round((response.first_at - request.received_at) * 1000)
+        fields["gap_ms"] = round(response.gap_s * 1000)
+        progress.relay.metrics.observe_first_bytes(response.first_at - request.received_at)
+    if error is not None and error.retry_after_s is not None:
+        fields["retry_after_s"] = round(error.retry_after_s, 3)
+    disconnect = progress.connection.disconnect
+    if disconnect is not None:
+        fields["stage"] = find_stage(progress).value
+        fields["closed"] = disconnect.kind
+        fields["unsent_bytes"] = disconnect.unsent_bytes
+        fields["closed_ms"] = round((now - disconnect.at) * 1000)
+    log_event(LOG, logging.INFO, "request_ended", **fields)
