--- a/test/test_edge_disconnects.py
+++ b/test/test_edge_disconnects.py
@@ -6,11 +6,14 @@
 import struct
 import time
 
+import pytest
+
 from standin.replica import Exchange, Replica
 from test.helper_edge import (
     HOST,
     Edge,
     make_configuration,
+    make_engine_service,
     make_route,
     play,
     run_edge,
@@ -20,6 +23,9 @@
 STREAM = make_route("streaming", "/s/", Resumable=True, TargetGapMs=150, TimeoutMs=20_000)
 ROUTES = (PLAIN, STREAM)
 
+WORK_END_MAX_S = 0.5
+"""Longest time that work may go on after its caller has disconnected."""
+
 LATE_S = 0.6
 """Time for which the event loop of a late instance does nothing."""
 
@@ -46,6 +52,163 @@
     return caller
 
 
+async def keep_connection(edge: Edge) -> None:
+    """Leave the instance with an idle connection to its server."""
+    assert (await edge.ask("/p/x")).status == 200
+    await edge.wait_until(lambda: edge.node.relay.open == 0)
+    assert any(edge.node.pool.idle.values())
+
+
+def list_reached(replica: Replica) -> list[str]:
+    """Return the ids of the requests of disconnected callers that reached a replica."""
+    return [each.request_id for each in replica.got if each.request_id == "left"]
+
+
+def is_connected(exchange: Exchange) -> bool:
+    """Return whether an exchange's connection is open."""
+    return not exchange.writer.is_closing() and not exchange.writer.transport.is_closing()
+
+
+async def keep_alive(exchange: Exchange) -> None:
+    """Answer with a keep-alive time, so that the connection may be used again."""
+    exchange.answer(200, b"done", "Keep-Alive: timeout=30")
+
+
+@pytest.mark.parametrize("kept", [False, True], ids=["new connection", "kept connection"])
+def test_request_read_late_is_not_sent_on_after_its_caller_left(kept):
+    """A late loop finds the request and the end of its connection together."""
+
+    async def scene():
+        replica = Replica("b1", reply=keep_alive)
+        async with run_edge(make_configuration(*ROUTES), replica) as edge:
+            await keep_connection(edge)
+            caller = connect(edge)
+            if kept:
+                await asyncio.sleep(0.05)
+            caller.sendall(make_head("/p/x"))
+            caller.close()
+            time.sleep(LATE_S)
+            await asyncio.sleep(0.3)
+            assert list_reached(replica) == []
+            assert edge.node.relay.open == 0
+
+    play(scene)
+
+
+def test_waiting_request_is_not_sent_on_when_its_load_ends_as_its_caller_leaves():
+    """A late loop finds the end of the load and of the connection together."""
+
+    async def scene():
+        replica = Replica("b1", models={"m2": []}, refuse_orders=True, reply=keep_alive)
+        services = [make_engine_service({"m1": 0, "m2": 0})]
+        async with run_edge(make_configuration(*ROUTES, Services=services), replica) as edge:
+            assert (await edge.ask("/s/x", b"x", Rhubarbshed_Model="m2")).status == 200
+            caller = connect(edge)
+            caller.sendall(make_head("/s/x", Rhubarbshed_Model="m1"))
+            await edge.wait_until(lambda: edge.node.relay.open == 1)
+            await asyncio.sleep(0.15)
+            caller.close()
+            (record,) = edge.node.view.fleet.servers.values()
+            record.held["m1"] = set()
+            edge.node.view.changed.fire()
+            await asyncio.sleep(0.3)
+            assert list_reached(replica) == []
+
+    play(scene)
+
+
+def test_stream_ends_when_its_caller_leaves_without_having_read_it():
+    """The caller's end must not wait for bytes that nobody reads."""
+    ends: list[float] = []
+
+    async def flood(exchange: Exchange) -> None:
+        exchange.begin_stream()
+        try:
+            for number in range(2_000):
+                exchange.send_chunk(f"id: {number}\ndata: {'x' * 8000}\n\n".encode())
+                await asyncio.wait_for(exchange.writer.drain(), 30.0)
+                await asyncio.sleep(0.001)
+        except OSError:
+            ends.append(time.monotonic())
+
+    async def scene():
+        replica = Replica("b1", reply=flood)
+        async with run_edge(make_configuration(*ROUTES), replica) as edge:
+            caller = connect(edge, receive_bytes=4096)
+            caller.sendall(make_head("/s/x"))
+            await edge.wait_until(lambda: edge.node.relay.open == 1)
+            await asyncio.sleep(1.0)
+            caller.shutdown(socket.SHUT_WR)
+            left_at = time.monotonic()
+            await edge.wait_until(lambda: edge.node.relay.open == 0)
+            await edge.wait_until(lambda: bool(ends))
+            assert ends[0] - left_at < WORK_END_MAX_S
+            caller.close()
+
+    play(scene)
+
+
+def test_request_ends_when_its_caller_leaves_after_sending_too_many_more():
+    """A connection whose later requests are not read must still show its end."""
+
+    async def hang(exchange: Exchange) -> None:
+        await asyncio.sleep(30.0)
+
+    async def scene():
+        replica = Replica("b1", reply=hang)
+        async with run_edge(make_configuration(*ROUTES), replica) as edge:
+            caller = connect(edge)
+            caller.sendall(make_head("/p/x"))
+            await edge.wait_until(lambda: edge.node.relay.open == 1)
+            caller.sendall(make_head("/p/x", length=100_000, request_id="next") + b"x" * 100_000)
+            await asyncio.sleep(0.2)
+            caller.close()
+            left_at = time.monotonic()
+            await edge.wait_until(lambda: edge.node.relay.open == 0)
+            assert time.monotonic() - left_at < WORK_END_MAX_S
+
+    play(scene)
+
+
+def test_request_that_a_server_has_not_read_is_withdrawn_when_its_caller_leaves():
+    """Bytes that wait in this instance's socket must not be delivered after the abort."""
+
+    async def scene():
+        listener = socket.socket()
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        listener.bind(("127.0.0.1", 0))
+        listener.listen()
+        replica = Replica("b1")
+        async with run_edge(make_configuration(*ROUTES), replica) as edge:
+            host, port = listener.getsockname()
+            edge.store.put("servers", "b1", replica.describe(Address=f"{host}:{port}", Seq=2))
+            await asyncio.sleep(0.3)
+            caller = connect(edge)
+            body = b"x" * 150_000
+            caller.sendall(make_head("/p/x", length=len(body)) + body)
+            await edge.wait_until(lambda: edge.node.relay.open == 1)
+            await asyncio.sleep(0.2)
+            caller.close()
+            await edge.wait_until(lambda: edge.node.relay.open == 0)
+            assert len(read_all(listener)) < len(body)
+        listener.close()
+
+    play(scene)
+
+
+def read_all(listener: socket.socket) -> bytes:
+    """Accept a connection and return all bytes up to its end or reset."""
+    connection, _ = listener.accept()
+    data = b""
+    try:
+        while piece := connection.recv(65_536):
+            data += piece
+    except ConnectionResetError:
+        pass
+    connection.close()
+    return data
+
+
 def test_line_of_a_disconnected_caller_names_its_stage_and_the_end_of_its_connection(caplog):
     """Without them, a close that was seen late looks like one that was not."""
     caplog.set_level(logging.INFO)
