End work at once when a caller ends its connection with bytes unsent

Callers saw nothing; servers went on working for callers that had left, 1.7 s in the test, up to the 2.5 s after which unacknowledged bytes end a connection.

Cause: eof_received left the closing to asyncio, which closes the transport and calls connection_lost, where the work is cancelled, only once the write buffer is empty. A caller that has stopped reading, or a full link, keeps it from emptying.

eof_received cancels the work and resets the connection itself, so neither waits for bytes that nobody reads. Where no request is in progress, what was written is still sent.

--- a/rhubarbshed/transport/edge/caller_connections.py
+++ b/rhubarbshed/transport/edge/caller_connections.py
@@ -90,8 +90,14 @@
         self._read()
 
     def eof_received(self) -> bool:
-        """Treat the caller's end of the connection as a disconnect."""
+        """Treat the caller's end of the connection as a disconnect.
+
+        Work in progress ends at once: `connection_lost` follows only when all bytes are sent.
+        """
         self._note_disconnect("end")
+        if self.task is not None:
+            self.task.cancel()
+            self.abort()
         return False
 
     def connection_lost(self, error: Exception | None) -> None:
@@ -100,7 +106,7 @@
         self._cancel_timer()
         self.connections.discard(self)
         self._writable.set()
-        if self.task is not None:
+        if self.task is not None and not self.task.cancelling():
             self.task.cancel()
 
     def pause_writing(self) -> None:
