Look for the end of the caller's connection before each attempt is sent

Servers got requests of callers that had left before the instance read them.

Cause: a loop that was late (a stalled or small instance, a long pass) finds the request and the end of its connection together. asyncio reads them in successive passes, and the request's task ran in between: with a kept connection to the server the request was written in that step. The same held for a request woken from a wait for a load, when the end of the connection was in the socket but not read yet.

Each attempt lets the loop make one pass after it has a connection and before it writes; a disconnect that is in the socket then cancels it. A connection on which nothing was sent goes back to the pool.

--- a/rhubarbshed/transport/edge/attempts.py
+++ b/rhubarbshed/transport/edge/attempts.py
@@ -94,7 +94,11 @@
 
 @define(eq=False)
 class Attempt:
-    """One attempt at a server; `failed` means that the response counts against the server."""
+    """One attempt at a server.
+
+    `sent` means that the server may have got the request, `failed` that the response counts against
+    the server.
+    """
 
     pool: Pool
     record: ServerRecord
@@ -102,6 +106,7 @@
     deadline: float
     status: int = 0
     detail: str = ""
+    sent: bool = False
     failed: bool = False
     channel: Channel | None = None
 
@@ -120,6 +125,9 @@
             return ExchangeEnd.NOT_SENT
         finished = False
         try:
+            # A late loop may have read the request but not yet the end of its caller's connection,
+            # which cancels this task.
+            await asyncio.sleep(0)
             end = await self.exchange(may_retry)
             finished = (
                 end
@@ -144,7 +152,7 @@
             self.detail = "no response in time"
             return ExchangeEnd.NO_RESPONSE
         finally:
-            if finished and self.channel.is_usable(time.monotonic()):
+            if (finished or not self.sent) and self.channel.is_usable(time.monotonic()):
                 self.pool.release(address, self.channel)
             else:
                 self.channel.abort()
@@ -159,6 +167,7 @@
         headers = make_headers(
             request, self.record.entry.server_id, self.deadline - now, priority, after
         )
+        self.sent = True
         self.channel.start(request.method, request.target, tuple(headers), request.body)
         wait_s = (
             max(FIRST_BYTES_TIMEOUT_S, FIRST_BYTES_TIMEOUT_TARGETS * route.target_s)
--- a/rhubarbshed/transport/edge/request_logs.py
+++ b/rhubarbshed/transport/edge/request_logs.py
@@ -30,7 +30,7 @@
     attempt = progress.last_attempt
     if not progress.in_flight or attempt is None:
         return progress.waits_for
-    if attempt.channel is None:
+    if not attempt.sent:
         return Stage.CONNECTION
     return Stage.BODY if attempt.status else Stage.RESPONSE
 
