Reset the connection to a server when a request is given up

Servers could still read and run a request whose caller had left.

Cause: Channel.abort closed the socket without a reset. What the instance's socket still held, the whole request in the test, was delivered afterwards, and a server that looks for the end of its connection only as it writes goes on until then.

An exchange that is not finished is closed with SO_LINGER 0: the unsent bytes are discarded and the server sees a reset. Idle connections are closed as before.

--- a/rhubarbshed/transport/edge/channels.py
+++ b/rhubarbshed/transport/edge/channels.py
@@ -7,7 +7,7 @@
 from attrs import define, field
 
 from rhubarbshed.protocol.exchanges import Headers
-from rhubarbshed.transport.edge.sockets import set_options
+from rhubarbshed.transport.edge.sockets import abort_with_reset, set_options
 
 UNREAD_BYTES_MAX = 262_144
 """Bytes of a response buffered for a slow caller before reading from the server is paused."""
@@ -149,11 +149,19 @@
         return True
 
     def abort(self) -> None:
-        """Close at once, which ends the work of a server on an unfinished request."""
+        """Close at once, which ends the work of a server on an unfinished request.
+
+        After a regular end of the connection the server could still read the request, and might
+        notice the end only as it writes its response.
+        """
         self._closed = True
         if self._error is None:
             self._error = ChannelError("aborted by this instance")
-        if self._transport is not None:
+        if self._transport is None:
+            return
+        if self._parser is not None:
+            abort_with_reset(self._transport)
+        else:
             self._transport.abort()
 
     def _next_event(self) -> Event:
--- a/rhubarbshed/transport/edge/sockets.py
+++ b/rhubarbshed/transport/edge/sockets.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+import struct
 
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
@@ -11,6 +12,9 @@
 UNACKNOWLEDGED_MS = 2_500
 """Time in milliseconds after which unacknowledged data ends a connection."""
 
+LINGER_NONE = struct.pack("ii", 1, 0)
+"""Value of SO_LINGER with which closing resets a connection and discards unsent bytes."""
+
 
 def set_options(transport: asyncio.BaseTransport) -> None:
     """Send small pieces at once, and detect peers that are gone without closing."""
@@ -23,3 +27,11 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS)
+
+
+def abort_with_reset(transport: asyncio.Transport) -> None:
+    """Close a connection by a reset, so that its unsent bytes are not delivered any more."""
+    sock = transport.get_extra_info("socket")
+    if sock is not None and not transport.is_closing():
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_NONE)
+    transport.abort()
