See the end of a caller's connection while its later requests are not read

Work for a caller that had pipelined over 64 KB and left went on for as long as the server took, 3.8 s in the test.

Cause: reading is paused then, and asyncio reports the end of a connection only to a reader.

While reading is paused the socket is checked ten times a second for POLLRDHUP, which shows the end also behind unread bytes. Dropping the later bytes instead, or reading on without bound, was ruled out: the one loses requests of a caller that may send them, the other lets it use up the memory.

--- a/rhubarbshed/transport/edge/caller_connections.py
+++ b/rhubarbshed/transport/edge/caller_connections.py
@@ -9,11 +9,14 @@
 
 from rhubarbshed.protocol.exchanges import Headers
 from rhubarbshed.protocol.routes import CallerLimits
-from rhubarbshed.transport.edge.sockets import set_options
+from rhubarbshed.transport.edge.sockets import has_peer_closed, set_options
 
 PIPELINED_BYTES_MAX = 65_536
 """Bytes of later requests that are accepted while one is being answered."""
 
+PAUSED_CHECK_INTERVAL_S = 0.1
+"""Time between two checks for the end of a connection that is not read."""
+
 REASON_PHRASES = {
     400: b"Bad Request",
     404: b"Not Found",
@@ -63,6 +66,7 @@
     _body_bytes: int = 0
     _pipelined_bytes: int = 0
     _timer: asyncio.TimerHandle | None = None
+    _paused_check: asyncio.TimerHandle | None = None
     _writable: asyncio.Event = field(factory=asyncio.Event)
     _close_after: bool = False
     _answering: bool = False
@@ -86,6 +90,8 @@
             self._pipelined_bytes += len(data)
             if self._pipelined_bytes > PIPELINED_BYTES_MAX:
                 self._transport.pause_reading()
+                if self._paused_check is None:
+                    self._watch_paused()
             return
         self._read()
 
@@ -260,6 +266,18 @@
             self.send_data(text)
         self._transport.close()
 
+    def _watch_paused(self) -> None:
+        """Look for the caller's end of the connection while it is not read."""
+        self._paused_check = None
+        if not self.is_open or self._transport.is_reading():
+            return
+        if has_peer_closed(self._transport):
+            self.eof_received()
+            return
+        self._paused_check = asyncio.get_running_loop().call_later(
+            PAUSED_CHECK_INTERVAL_S, self._watch_paused
+        )
+
     def _set_timer(self, after_s: float) -> None:
         self._cancel_timer()
         self._timer = asyncio.get_running_loop().call_later(after_s, self._time_out)
