See the end of a caller's connection behind bytes that it has sent

Cause: the end was looked for by peeking at the next byte, and wait_for_answer stopped watching the caller once it had sent more.

Both waits watch POLLRDHUP alone. The check that the platform's path uses while it does not read a connection moved to util/sockets.py.

--- a/rhubarbshed/transport/edge/caller_connections.py
+++ b/rhubarbshed/transport/edge/caller_connections.py
@@ -9,7 +9,8 @@
 
 from rhubarbshed.protocol.exchanges import Headers
 from rhubarbshed.protocol.routes import CallerLimits
-from rhubarbshed.transport.edge.sockets import has_peer_closed, set_options
+from rhubarbshed.transport.edge.sockets import set_options
+from rhubarbshed.util.sockets import has_peer_closed
 
 PIPELINED_BYTES_MAX = 65_536
 """Bytes of later requests that are accepted while one is being answered."""
@@ -271,7 +272,7 @@
         self._paused_check = None
         if not self.is_open or self._transport.is_reading():
             return
-        if has_peer_closed(self._transport):
+        if has_peer_closed(self._transport.get_extra_info("socket")):
             self.eof_received()
             return
         self._paused_check = asyncio.get_running_loop().call_later(
--- a/rhubarbshed/transport/edge/sockets.py
+++ b/rhubarbshed/transport/edge/sockets.py
@@ -1,7 +1,6 @@
 """Options of the sockets that an instance uses."""
 
 import asyncio
-import select
 import socket
 import struct
 
@@ -36,10 +35,3 @@
     if sock is not None and not transport.is_closing():
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_NONE)
     transport.abort()
-
-
-def has_peer_closed(transport: asyncio.Transport) -> bool:
-    """Return whether the peer has ended the connection, also behind bytes that are not read yet."""
-    poller = select.poll()
-    poller.register(transport.get_extra_info("socket"), select.POLLRDHUP)
-    return bool(poller.poll(0))
--- a/rhubarbshed/transport/races.py
+++ b/rhubarbshed/transport/races.py
@@ -9,7 +9,6 @@
 from attrs import define, frozen
 
 from rhubarbshed.protocol.requests import AttemptEnd, Dispatch
-from rhubarbshed.transport.caller_watch import is_gone
 from rhubarbshed.transport.connections import Channel
 from rhubarbshed.transport.events import Attempt
 
@@ -22,6 +21,7 @@
 STATUS_LINE = re.compile(rb"HTTP/1\.[01] ([0-9]{3})")
 # Edge-triggered, so that a head without a token does not end the next poll at once.
 SOURCE_EVENTS = select.EPOLLIN | select.EPOLLRDHUP | select.EPOLLET
+CALLER_EVENTS = select.EPOLLRDHUP
 
 
 @frozen(eq=False)
@@ -79,16 +79,17 @@
         running_attempt.channel.sock.fileno(): running_attempt for running_attempt in running
     }
     with select.epoll() as poller:
-        for descriptor in (*sources, caller.fileno()):
+        for descriptor in sources:
             poller.register(descriptor, SOURCE_EVENTS)
+        poller.register(caller, CALLER_EVENTS)
         while True:
             remaining_s = max(0.0, until - time.monotonic())
             for descriptor, _ in poller.poll(remaining_s):
                 running_attempt = sources.get(descriptor)
-                if running_attempt is not None and _has_body_or_end(running_attempt.peek()):
-                    return running_attempt
-                if running_attempt is None and is_gone(caller):
+                if running_attempt is None:
                     return AttemptEnd.CALLER_GONE
+                if _has_body_or_end(running_attempt.peek()):
+                    return running_attempt
             if time.monotonic() >= until:
                 return None
 
