Look for the end of the caller's connection before and during every attempt

The worker checks the caller before it sends, and every stream waits for its first token as hedged ones do. A request that may not run twice is not touched: its outcome is still kept for its caller.

test_attempt_of_a_caller_that_has_left_is_not_sent and test_caller_that_leaves_ends_a_stream_that_is_not_hedged failed before and pass.

--- a/rhubarbshed/transport/upstream.py
+++ b/rhubarbshed/transport/upstream.py
@@ -33,6 +33,7 @@
 )
 from rhubarbshed.transport.stream_relay import CallerConnection, RelayedStream, StreamRelay
 from rhubarbshed.transport.timeouts import set_timeouts
+from rhubarbshed.util.sockets import has_peer_closed
 
 # Fraction of a timeout that must have passed for a failure to count as a timeout.
 TIMEOUT_ELAPSED_RATIO = 0.95
@@ -58,10 +59,11 @@
         An idempotent request is abandoned if its caller disconnects; for others the outcome is kept
         in case the caller repeats the request.
         """
+        watched = caller_connection if call.request.idempotent else None
+        if watched is not None and has_peer_closed(watched.socket):
+            return AttemptEnd.CALLER_GONE
         channel = self._take_channel(attempt, call)
-        opened = self._open(
-            channel, attempt, call, caller_connection if call.request.idempotent else None
-        )
+        opened = self._open(channel, attempt, call, watched)
         if isinstance(opened, AttemptEnd):
             return opened
         try:
@@ -114,11 +116,11 @@
     def _run(
         self, race: Race, call: Call, caller_connection: CallerConnection | None
     ) -> RunningAttempt | AttemptEnd:
-        """Send a request; if it may be hedged, wait until one attempt is chosen."""
+        """Send a request; wait for its first token, or that of its hedge if it may be hedged."""
+        if caller_connection is not None and has_peer_closed(caller_connection.socket):
+            return AttemptEnd.CALLER_GONE
         started = self._start_attempt(race.attempt, call)
-        if isinstance(started, AttemptEnd):
-            return started
-        if race.attempt.dispatch.hedge_after_s <= 0 or caller_connection is None:
+        if isinstance(started, AttemptEnd) or caller_connection is None:
             return started
         return self._await_first_token(started, race, call, caller_connection.socket)
 
@@ -131,13 +133,14 @@
     def _await_first_token(
         self, first: RunningAttempt, race: Race, call: Call, caller: socket.socket
     ) -> RunningAttempt | AttemptEnd:
-        """Wait for a first token and start a hedge when due; set `race.attempt` to the one chosen.
+        """Wait for a first token and start a hedge if due; set `race.attempt` to the one chosen.
 
         The worker thread of the caller waits for both attempts. Connecting to the server of the
         hedge blocks it no longer than any other connection attempt.
         """
         running = [first]
-        hedge_at: float | None = first.attempt.waiting_since + first.attempt.dispatch.hedge_after_s
+        hedge_after_s = first.attempt.dispatch.hedge_after_s
+        hedge_at = first.attempt.waiting_since + hedge_after_s if hedge_after_s > 0 else None
         while True:
             next_timeout = min(running, key=RunningAttempt.find_timeout_at)
             until = min(next_timeout.find_timeout_at(), hedge_at or math.inf)
--- a/test/test_caller_watch.py
+++ b/test/test_caller_watch.py
@@ -50,3 +50,24 @@
     end = play.carry()[1] if streamed else fetch(play)
     assert end is AttemptEnd.CALLER_GONE
     assert time.monotonic() - started < WORK_END_MAX_S < TIMEOUT_S
+
+
+def test_caller_that_leaves_ends_a_stream_that_is_not_hedged():
+    """Without a hedge to start, nothing else wakes the worker before the first token."""
+    play = make_play(hedge_after_s=0.0)
+    leave_later(play.caller)
+    started = time.monotonic()
+    assert play.carry()[1] is AttemptEnd.CALLER_GONE
+    assert time.monotonic() - started < WORK_END_MAX_S
+
+
+@pytest.mark.parametrize("streamed", [False, True], ids=["answer", "stream"])
+def test_attempt_of_a_caller_that_has_left_is_not_sent(streamed):
+    """A request may have waited for long before its attempt, or follow a failed one."""
+    play = Play(Script((LONG_S, b"")), None)
+    server = Script((LONG_S, b""))
+    play.race.attempt = Attempt.from_dispatch(make_dispatch(0, server))
+    play.caller.close()
+    end = play.carry()[1] if streamed else fetch(play)
+    assert end is AttemptEnd.CALLER_GONE
+    assert not server.taken.wait(0.2)
