--- a/rhubarbshed/transport/stream_relay.py
+++ b/rhubarbshed/transport/stream_relay.py
@@ -18,6 +18,7 @@
 from rhubarbshed.protocol.requests import AttemptEnd
 from rhubarbshed.transport.events import ERRORS, READ_BYTES, Attempt, EventBuffer
 from rhubarbshed.transport.loop_calls import LoopCallQueue
+from rhubarbshed.util.sockets import has_peer_closed
 
 
 @frozen
@@ -100,9 +101,11 @@
             self._remove(descriptor, end)
 
     def sweep(self, now: float) -> None:
-        """End streams that received nothing for `gap_timeout_s`."""
+        """End streams that received nothing for `gap_timeout_s`, or whose callers have left."""
         for descriptor, relayed in list(self.streams.items()):
-            if now - relayed.attempt.waiting_since >= relayed.attempt.dispatch.gap_timeout_s:
+            if has_peer_closed(relayed.caller_connection.socket):
+                self._remove(descriptor, AttemptEnd.CALLER_GONE)
+            elif now - relayed.attempt.waiting_since >= relayed.attempt.dispatch.gap_timeout_s:
                 self._remove(descriptor, AttemptEnd.TIMED_OUT)
 
     def stop(self) -> None:
--- a/test/test_caller_watch.py
+++ b/test/test_caller_watch.py
@@ -1,8 +1,11 @@
 """Test that a worker thread sees the end of its caller's connection, over scripted servers."""
 
+import asyncio
+import contextlib
 import socket
 import threading
 import time
+from types import SimpleNamespace
 
 import pytest
 from attrs import evolve
@@ -10,7 +13,9 @@
 from rhubarbshed.protocol.calls import Call
 from rhubarbshed.protocol.requests import AttemptEnd, Request
 from rhubarbshed.transport.connections import ConnectionPool
-from rhubarbshed.transport.events import Attempt
+from rhubarbshed.transport.events import Attempt, EventBuffer
+from rhubarbshed.transport.loop_calls import LoopCallQueue
+from rhubarbshed.transport.stream_relay import RelayedStream, StreamRelay
 from rhubarbshed.transport.upstream import UpstreamClient
 from test.test_races import BODY, HEDGE_AFTER_S, LONG_S, TIMEOUT_S, Play, Script, make_dispatch
 
@@ -71,3 +76,31 @@
     end = play.carry()[1] if streamed else fetch(play)
     assert end is AttemptEnd.CALLER_GONE
     assert not server.taken.wait(0.2)
+
+
+def test_stalled_stream_ends_when_its_caller_leaves():
+    """The relay writes to the caller only when a token comes."""
+
+    async def scene():
+        loop = asyncio.get_running_loop()
+        stream_relay = StreamRelay(loop, LoopCallQueue(loop))
+        source, server = socket.socketpair()
+        play = Play(Script((LONG_S, b"")), None)
+        attempt = play.race.attempt
+        relayed = RelayedStream(SimpleNamespace(), source, attempt, EventBuffer(), play.line)
+        waiting = asyncio.create_task(asyncio.to_thread(stream_relay.relay, relayed))
+        while not stream_relay.streams:
+            await asyncio.sleep(0.01)
+        stream_relay.sweep(time.monotonic())
+        assert relayed.end is None and stream_relay.streams
+        play.caller.close()
+        stream_relay.sweep(time.monotonic())
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(asyncio.shield(waiting), WORK_END_MAX_S)
+        end = relayed.end
+        stream_relay.stop()
+        await waiting
+        server.close()
+        assert end is AttemptEnd.CALLER_GONE
+
+    asyncio.run(scene())
