Ask the socket whether the caller has left, instead of one pass of the loop

Letting the loop make one pass before an attempt was not enough.

The socket is asked with POLLRDHUP just before the request is written, which needs no pass. What sees an end there does what reading it would do.

--- a/rhubarbshed/transport/edge/attempts.py
+++ b/rhubarbshed/transport/edge/attempts.py
@@ -125,9 +125,9 @@
             return ExchangeEnd.NOT_SENT
         finished = False
         try:
-            # A late loop may have read the request but not yet the end of its caller's connection,
-            # which cancels this task.
-            await asyncio.sleep(0)
+            # A late loop may have read the request but not yet the end of its caller's connection.
+            if self.caller_response.connection.notice_disconnect():
+                await asyncio.sleep(0)
             end = await self.exchange(may_retry)
             finished = (
                 end
--- a/rhubarbshed/transport/edge/caller_connections.py
+++ b/rhubarbshed/transport/edge/caller_connections.py
@@ -107,6 +107,16 @@
             self.abort()
         return False
 
+    def notice_disconnect(self) -> bool:
+        """End the work if the caller has disconnected, even if that is not read yet.
+
+        Return whether it has; the task that does the work is then cancelled at its next wait.
+        """
+        if self.is_open and not has_peer_closed(self._transport.get_extra_info("socket")):
+            return False
+        self.eof_received()
+        return True
+
     def connection_lost(self, error: Exception | None) -> None:
         """Cancel the work for a caller that has disconnected."""
         self._note_disconnect("end" if error is None else "reset")
@@ -275,8 +285,7 @@
         self._paused_check = None
         if not self.is_open or self._transport.is_reading():
             return
-        if has_peer_closed(self._transport.get_extra_info("socket")):
-            self.eof_received()
+        if self.notice_disconnect():
             return
         self._paused_check = asyncio.get_running_loop().call_later(
             PAUSED_CHECK_INTERVAL_S, self._watch_paused
--- a/test/test_edge_disconnects.py
+++ b/test/test_edge_disconnects.py
@@ -2,12 +2,15 @@
 
 import asyncio
 import logging
+import random
 import socket
 import struct
 import time
 
 import pytest
 
+from rhubarbshed.state.membership.fleet import ServerRecord
+from rhubarbshed.transport.edge.channels import Channel
 from standin.replica import Exchange, Replica
 from test.helper_edge import (
     HOST,
@@ -209,6 +212,79 @@
     return data
 
 
+@pytest.mark.parametrize("seed", range(20))
+def test_nothing_is_sent_for_callers_that_left_while_the_loop_was_late(seed, monkeypatch):
+    """Callers leave in every stage and manner, between passes of the loop that take long."""
+    rng = random.Random(seed)
+    sent_at: dict[str, float] = {}
+    left_at: dict[str, float] = {}
+    start = Channel.start
+
+    def record_start(channel, method, target, headers, body):
+        sent_at[dict(headers).get(b"rhubarbshed-request-id", b"").decode()] = time.monotonic()
+        start(channel, method, target, headers, body)
+
+    async def reply(exchange: Exchange) -> None:
+        await asyncio.sleep(rng.uniform(0.0, 0.1))
+        exchange.answer(200, b"done", "Keep-Alive: timeout=30")
+
+    async def scene():
+        replicas = [Replica(f"b{n}", slots=2, refuse_orders=True, reply=reply) for n in (1, 2)]
+        services = [make_engine_service({"m1": 0, "m2": 0})]
+        async with run_edge(make_configuration(*ROUTES, Services=services), *replicas) as edge:
+            records = list(edge.node.view.fleet.servers.values())
+            callers: dict[str, socket.socket] = {}
+            for number in range(60):
+                name = f"q{number}"
+                model = {"Rhubarbshed_Model": "m1"} if rng.random() < 0.7 else {}
+                path = rng.choice(("/p/x", "/s/x"))
+                callers[name] = connect(edge)
+                if rng.random() < 0.5:
+                    await asyncio.sleep(0)
+                callers[name].sendall(make_head(path, request_id=name, **model))
+                for _ in range(rng.choice((0, 1, 2, 3, 8))):
+                    await asyncio.sleep(0)
+                if rng.random() < 0.3:
+                    await asyncio.sleep(rng.uniform(0.0, 0.03))
+                if rng.random() < 0.2:
+                    change_held(rng.choice(records), edge)
+                for leaving in rng.sample(sorted(callers), min(len(callers), rng.randrange(3))):
+                    disconnect(callers.pop(leaving), rng)
+                    left_at[leaving] = time.monotonic()
+                if rng.random() < 0.5:
+                    change_held(rng.choice(records), edge)
+                if rng.random() < 0.3:
+                    time.sleep(rng.uniform(0.0, 0.05))
+            for name, caller in callers.items():
+                disconnect(caller, rng)
+                left_at[name] = time.monotonic()
+            await edge.wait_until(lambda: edge.node.relay.open == 0, WORK_END_MAX_S)
+            late = {name for name in left_at if sent_at.get(name, 0.0) > left_at[name]}
+            assert not late
+
+    monkeypatch.setattr(Channel, "start", record_start)
+    play(scene)
+    assert any(name in sent_at for name in left_at)
+
+
+def change_held(record: ServerRecord, edge: Edge) -> None:
+    """Load or unload the model m1 at a server, as this instance sees it."""
+    if record.held.pop("m1", None) is None:
+        record.held["m1"] = set()
+    edge.node.view.changed.fire()
+
+
+def disconnect(caller: socket.socket, rng: random.Random) -> None:
+    """End a caller's connection: regularly, by a reset, or in its own direction only."""
+    manner = rng.choice(("end", "reset", "half"))
+    if manner == "half":
+        caller.shutdown(socket.SHUT_WR)
+        return
+    if manner == "reset":
+        caller.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    caller.close()
+
+
 def test_line_of_a_disconnected_caller_names_its_stage_and_the_end_of_its_connection(caplog):
     """Without them, a close that was seen late looks like one that was not."""
     caplog.set_level(logging.INFO)
