--- a/rhubarbshed/transport/edge/caller_connections.py
+++ b/rhubarbshed/transport/edge/caller_connections.py
@@ -5,15 +5,19 @@
 from collections.abc import Awaitable, Callable
 
 import h11
-from attrs import define, field
+from attrs import define, field, frozen
 
 from rhubarbshed.protocol.exchanges import Headers
 from rhubarbshed.protocol.routes import CallerLimits
 from rhubarbshed.transport.edge.sockets import set_options
+from rhubarbshed.util.sockets import has_peer_closed
 
 PIPELINED_BYTES_MAX = 65_536
 """Bytes of later requests that are accepted while one is being answered."""
 
+PAUSED_CHECK_INTERVAL_S = 0.1
+"""Time between two checks for the end of a connection that is not read."""
+
 REASON_PHRASES = {
     400: b"Bad Request",
     404: b"Not Found",
@@ -30,6 +34,18 @@
 Handler = Callable[["CallerConnection", h11.Request, bytes, float], Awaitable[None]]
 
 
+@frozen
+class Disconnect:
+    """End of a caller's connection, seen at `at` (monotonic seconds) with bytes still unsent.
+
+    `kind` is "end" for a regular one and "reset" for one with an error.
+    """
+
+    kind: str
+    at: float
+    unsent_bytes: int
+
+
 @define(eq=False)
 class CallerConnection(asyncio.Protocol):
     """Connection of one caller that passes each request, complete, to `handle`.
@@ -42,6 +58,7 @@
     is_closing: Callable[[], bool]
     connections: set["CallerConnection"]
     task: asyncio.Task | None = None
+    disconnect: Disconnect | None = None
     _transport: asyncio.Transport | None = None
     _parser: h11.Connection | None = None
     _request: h11.Request | None = None
@@ -50,6 +67,7 @@
     _body_bytes: int = 0
     _pipelined_bytes: int = 0
     _timer: asyncio.TimerHandle | None = None
+    _paused_check: asyncio.TimerHandle | None = None
     _writable: asyncio.Event = field(factory=asyncio.Event)
     _close_after: bool = False
     _answering: bool = False
@@ -73,20 +91,39 @@
             self._pipelined_bytes += len(data)
             if self._pipelined_bytes > PIPELINED_BYTES_MAX:
                 self._transport.pause_reading()
+                if self._paused_check is None:
+                    self._watch_paused()
             return
         self._read()
 
     def eof_received(self) -> bool:
-        """Treat the caller's end of the connection as a disconnect."""
+        """Treat the caller's end of the connection as a disconnect.
+
+        Work in progress ends at once: `connection_lost` follows only when all bytes are sent.
+        """
+        self._note_disconnect("end")
+        if self.task is not None:
+            self._cancel_work()
+            self.abort()
         return False
 
+    def notice_disconnect(self) -> bool:
+        """End the work if the caller has disconnected, even if that is not read yet.
+
+        Return whether it has; the task that does the work is then cancelled at its next wait.
+        """
+        if self.is_open and not has_peer_closed(self._transport.get_extra_info("socket")):
+            return False
+        self.eof_received()
+        return True
+
     def connection_lost(self, error: Exception | None) -> None:
         """Cancel the work for a caller that has disconnected."""
+        self._note_disconnect("end" if error is None else "reset")
         self._cancel_timer()
         self.connections.discard(self)
         self._writable.set()
-        if self.task is not None:
-            self.task.cancel()
+        self._cancel_work()
 
     def pause_writing(self) -> None:
         """Make `wait_writable` wait while the caller does not read."""
@@ -145,6 +182,15 @@
             self.send_data(body)
         self.send_end()
 
+    def _cancel_work(self) -> None:
+        if self.task is not None and not self.task.cancelling():
+            self.task.cancel()
+
+    def _note_disconnect(self, kind: str) -> None:
+        if self.disconnect is None:
+            unsent_bytes = self._transport.get_write_buffer_size()
+            self.disconnect = Disconnect(kind, time.monotonic(), unsent_bytes)
+
     def _read(self) -> None:
         try:
             self._read_events()
@@ -234,6 +280,17 @@
             self.send_data(text)
         self._transport.close()
 
+    def _watch_paused(self) -> None:
+        """Look for the caller's end of the connection while it is not read."""
+        self._paused_check = None
+        if not self.is_open or self._transport.is_reading():
+            return
+        if self.notice_disconnect():
+            return
+        self._paused_check = asyncio.get_running_loop().call_later(
+            PAUSED_CHECK_INTERVAL_S, self._watch_paused
+        )
+
     def _set_timer(self, after_s: float) -> None:
         self._cancel_timer()
         self._timer = asyncio.get_running_loop().call_later(after_s, self._time_out)
