Count the memory of an evicted copy once when models are packed

A model could stay without a copy though all fitted: servers of 7 and 17 bytes with a copy of m0 (3) each, models of 2, 4, 6 and 9; m1 was never ready.

Cause: in a packing that evicts surplus copies, a copy that it had evicted still counted as surplus for the next model, since the other copy of its model was kept. Its memory was freed twice, the packing looked complete (cost 0 missing), and the strategy that really places all models was not tried.

A copy is surplus only while the packing keeps it.

--- a/rhubarbshed/coordination/placement/packing.py
+++ b/rhubarbshed/coordination/placement/packing.py
@@ -69,6 +69,8 @@
         """Return whether the model and its adapters keep another copy without this one."""
         if copy.model or copy.unloading or copy.server not in self.free:
             return False
+        if not any(each is copy for each in self.kept[copy.key]):
+            return False
         if not self.cluster.is_in_catalogue(copy):
             return True
         if not self._has_other(copy):
--- a/test/test_placement.py
+++ b/test/test_placement.py
@@ -271,6 +271,20 @@
     )
 
 
+@pytest.mark.parametrize(
+    ("memory", "sizes"), [((7, 17), (3, 2, 4, 6, 9)), ((13, 12), (7, 6, 6, 6))]
+)
+def test_copy_that_a_packing_evicts_makes_room_once(memory, sizes):
+    """Counted for two models, its memory hid that another packing placed all of them."""
+    models = [make_model(f"m{number}", size) for number, size in enumerate(sizes)]
+    servers = [make_server(f"s{number}", size) for number, size in enumerate(memory)]
+    cluster = Cluster.from_views(servers, models)
+    for view in servers:
+        cluster.replace(view, (make_resident_of(models[0]),))
+    cluster.run(6)
+    assert cluster.list_ready() == {model.name for model in models}
+
+
 def fits_first_fit_decreasing(cluster: Cluster) -> bool:
     """Return whether models without a copy fit if each other model keeps only one copy."""
     free = {name: view.info.memory_bytes for name, view in sorted(cluster.servers.items())}
