--- a/test/test_edge_disconnects.py
+++ b/test/test_edge_disconnects.py
@@ -67,11 +67,6 @@
     return [each.request_id for each in replica.got if each.request_id == "left"]
 
 
-def is_connected(exchange: Exchange) -> bool:
-    """Return whether an exchange's connection is open."""
-    return not exchange.writer.is_closing() and not exchange.writer.transport.is_closing()
-
-
 async def keep_alive(exchange: Exchange) -> None:
     """Answer with a keep-alive time, so that the connection may be used again."""
     exchange.answer(200, b"done", "Keep-Alive: timeout=30")
