Log what tells the requests of a drain apart

Of three requests that stopping instances took and gave up, one instance's log could not tell whether the request came on a kept connection after the announcement, or between the decision to exit and the exit. request_ended now gives the request's number on its connection, the connection's age, the time from SIGTERM until the request was read and the bytes sent; the drain logs the end of the announcement, and the callers' connections, idle and busy, there and at the exit. These are four short fields a request and one line a stop, under the log's bound as before.

--- a/rhubarbshed/transport/edge/caller_connections.py
+++ b/rhubarbshed/transport/edge/caller_connections.py
@@ -50,7 +50,8 @@
 class CallerConnection(asyncio.Protocol):
     """Connection of one caller that passes each request, complete, to `handle`.
 
-    `is_closing` returns whether callers should connect elsewhere after this response.
+    `is_closing` returns whether callers should connect elsewhere after this response. `requests`
+    counts those read completely, the last at `read_at`; `sent_bytes` were written since then.
     """
 
     handle: Handler
@@ -59,6 +60,10 @@
     connections: set["CallerConnection"]
     task: asyncio.Task | None = None
     disconnect: Disconnect | None = None
+    opened_at: float = 0.0
+    read_at: float = 0.0
+    requests: int = 0
+    sent_bytes: int = 0
     _transport: asyncio.Transport | None = None
     _parser: h11.Connection | None = None
     _request: h11.Request | None = None
@@ -75,6 +80,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Wait for the first request."""
         self._transport = transport
+        self.opened_at = time.monotonic()
         set_options(transport)
         limits = self.read_limits()
         self._parser = h11.Connection(h11.SERVER, max_incomplete_event_size=limits.header_bytes)
@@ -164,16 +170,16 @@
             pairs.append((b"connection", b"close"))
         reason = REASON_PHRASES.get(status, b"OK" if status == 200 else b"")
         head = h11.Response(status_code=status, headers=pairs, reason=reason)
-        self._transport.write(self._parser.send(head))
+        self._write(self._parser.send(head))
 
     def send_data(self, data: bytes) -> None:
         """Send a piece of the body."""
         if data:
-            self._transport.write(self._parser.send(h11.Data(data=data)))
+            self._write(self._parser.send(h11.Data(data=data)))
 
     def send_end(self) -> None:
         """End a complete response."""
-        self._transport.write(self._parser.send(h11.EndOfMessage()))
+        self._write(self._parser.send(h11.EndOfMessage()))
 
     def send_complete(self, status: int, headers: Headers, body: bytes) -> None:
         """Send a complete response at once."""
@@ -182,6 +188,10 @@
             self.send_data(body)
         self.send_end()
 
+    def _write(self, data: bytes) -> None:
+        self.sent_bytes += len(data)
+        self._transport.write(data)
+
     def _cancel_work(self) -> None:
         if self.task is not None and not self.task.cancelling():
             self.task.cancel()
@@ -203,7 +213,7 @@
             if event is h11.NEED_DATA:
                 if self._parser.they_are_waiting_for_100_continue:
                     interim = h11.InformationalResponse(status_code=100, headers=[])
-                    self._transport.write(self._parser.send(interim))
+                    self._write(self._parser.send(interim))
                 return
             if isinstance(event, h11.Request):
                 self._begin(event)
@@ -242,6 +252,9 @@
     def _answer(self) -> None:
         self._cancel_timer()
         self._answering = True
+        self.read_at = time.monotonic()
+        self.requests += 1
+        self.sent_bytes = 0
         body = b"".join(self._body)
         self._body = []
         work = self.handle(self, self._request, body, self._begun_at)
--- a/rhubarbshed/transport/edge/node.py
+++ b/rhubarbshed/transport/edge/node.py
@@ -43,6 +43,9 @@
 CLOSE_DELAY_S = 0.1
 """Time for the last responses to leave before the process ends."""
 
+DRAIN_CHECK_INTERVAL_S = 0.05
+"""Time between two checks whether the drain may go on to its next phase."""
+
 SWEEP_INTERVAL_S = 0.25
 """Time between two checks for servers without entries."""
 
@@ -232,14 +235,18 @@
         view.changed.fire()
         log_event(LOG, logging.INFO, "drain_started", open_requests=self.relay.open)
         await self.lease.release()
+        announcing = True
         while True:
             phase = view.drain.find_phase(self.relay.open, time.monotonic())
+            if announcing and phase is not DrainPhase.ANNOUNCING:
+                announcing = False
+                self.log_connections("announcement_ended", open_requests=self.relay.open)
             if phase is DrainPhase.DUE:
                 break
             if phase is DrainPhase.DRAINING:
                 self.close_idle()
-            await asyncio.sleep(0.05)
-        log_event(LOG, logging.INFO, "stopped", cut_off=self.relay.open)
+            await asyncio.sleep(DRAIN_CHECK_INTERVAL_S)
+        self.log_connections("stopped", cut_off=self.relay.open)
         for task in self.tasks:
             task.cancel()
         self.relay.cut_off()
@@ -249,6 +256,14 @@
             connection.abort()
         self.holder_protocol.datagrams.close()
 
+    def log_connections(self, event: str, **fields: object) -> None:
+        """Log a step of the drain with the time since its start and the callers' connections."""
+        started_at = self.view.drain.started_at
+        passed_ms = round((time.monotonic() - started_at) * 1000)
+        idle = sum(connection.is_idle for connection in self.connections)
+        busy = len(self.connections) - idle
+        log_event(LOG, logging.INFO, event, after_ms=passed_ms, idle=idle, busy=busy, **fields)
+
     def close_idle(self) -> None:
         """Close the callers' listener and all connections without a request in progress."""
         self.listeners[0].close()
--- a/rhubarbshed/transport/edge/relay.py
+++ b/rhubarbshed/transport/edge/relay.py
@@ -369,10 +369,14 @@
     def answer(self, error: RequestError) -> None:
         """Send an error of this instance, or abort a response that has begun."""
         self.ended = True
-        log_end(self, error.code, error, time.monotonic())
         if self.caller_response is not None and self.caller_response.begun:
             self.connection.abort()
-            return
+        else:
+            self.send_error(error)
+        log_end(self, error.code, error, time.monotonic())
+
+    def send_error(self, error: RequestError) -> None:
+        """Send an error of this instance as a complete response."""
         headers = [(b"content-type", b"text/plain"), *echo_request_id(self.request.request_id)]
         if error.retry_after_s is not None:
             headers.append((b"retry-after", f"{error.retry_after_s:.3f}".encode()))
--- a/rhubarbshed/transport/edge/request_logs.py
+++ b/rhubarbshed/transport/edge/request_logs.py
@@ -71,7 +71,12 @@
         progress.relay.metrics.observe_first_bytes(response.first_at - request.received_at)
     if error is not None and error.retry_after_s is not None:
         fields["retry_after_s"] = round(error.retry_after_s, 3)
-    disconnect = progress.connection.disconnect
+    connection, stop_at = progress.connection, view.drain.started_at
+    fields["conn_request"] = connection.requests
+    fields["conn_age_ms"] = round((now - connection.opened_at) * 1000)
+    fields["stopping_ms"] = "" if stop_at is None else round((connection.read_at - stop_at) * 1000)
+    fields["sent_bytes"] = connection.sent_bytes
+    disconnect = connection.disconnect
     if disconnect is not None:
         fields["stage"] = find_stage(progress).value
         fields["closed"] = disconnect.kind
--- a/test/test_edge_front.py
+++ b/test/test_edge_front.py
@@ -101,6 +101,8 @@
             assert fields["request"] == "q77" and fields["servers"] == "b1"
             assert fields["configuration"] == 1 and fields["status"] == 200
             assert fields["fleet_age_s"] >= 0
+            assert fields["conn_request"] == 1 and 0 <= fields["conn_age_ms"] < 5000
+            assert fields["stopping_ms"] == "" and fields["sent_bytes"] > len("done:")
 
     play(scene)
 
