Refuse requests that are read after a stop's announcement

A request that an instance read after the announcement was passed on to a server, and cut when the instance exited: callers saw a stream break off 0.009 to 4.3 s after they sent the request. Drain.check_open existed, but nothing on this path asked it; connections were only closed between two checks, and one that was busy, had just been accepted or held a part of a request was left open until the reset.

The relay now asks it before anything else, in the same step of the loop that would choose a server. Whatever way a request comes in, its caller gets a complete 503 with Retry-After (50 to 75 ms, as others answer at once) and Connection: close, and no server sees it.

--- a/rhubarbshed/coordination/serving/refusals.py
+++ b/rhubarbshed/coordination/serving/refusals.py
@@ -21,8 +21,10 @@
 FULL_RETRY_S = 0.3
 NOT_READY_RETRY_S = 0.5
 BUSY_RETRY_S = 0.3
+DRAINING_RETRY_S = 0.05
 """Retry times in seconds: lost servers are known again within a heartbeat, a full server has
-finished some of its work, and a starting instance has read the store."""
+finished some of its work, a starting instance has read the store, and another instance answers at
+once."""
 
 
 @frozen
@@ -55,12 +57,17 @@
     """
     refusal = REFUSAL_REASONS[reason]
     base_s = refusal.available_in_s if available_in_s is None else available_in_s
-    after_s = max(RETRY_AFTER_MIN_S, base_s * (1.0 + rng.uniform(0.0, RETRY_AFTER_SPREAD)))
+    after_s = draw_retry_after(base_s, rng)
     return RequestError(
         503, refusal.code, refusal.message, Outcome.NOT_RUN, retryable=True, retry_after_s=after_s
     )
 
 
+def draw_retry_after(base_s: float, rng: random.Random) -> float:
+    """Return the time after which one of several refused callers should retry."""
+    return max(RETRY_AFTER_MIN_S, base_s * (1.0 + rng.uniform(0.0, RETRY_AFTER_SPREAD)))
+
+
 def make_failure(code: str, message: str) -> RequestError:
     """Return the error for a request that may have run."""
     return RequestError(502, code, message, Outcome.UNKNOWN)
--- a/rhubarbshed/transport/edge/relay.py
+++ b/rhubarbshed/transport/edge/relay.py
@@ -17,6 +17,8 @@
 from rhubarbshed.coordination.serving.missing_models import LoadWait, decide_load_wait
 from rhubarbshed.coordination.serving.queueing import decide_wait
 from rhubarbshed.coordination.serving.refusals import (
+    DRAINING_RETRY_S,
+    draw_retry_after,
     make_failure,
     make_no_route,
     make_refusal,
@@ -137,6 +139,10 @@
     async def run(self) -> None:
         """Find the route, then send the request to servers until one answers or time runs out."""
         view = self.relay.view
+        draining = self.check_draining(time.monotonic())
+        if draining is not None:
+            self.answer(draining)
+            return
         if view.configuration is None:
             self.answer(make_refusal("not_configured", view.rng))
             return
@@ -164,6 +170,13 @@
         else:
             log_end(self, "answered", None, time.monotonic())
 
+    def check_draining(self, now: float) -> RequestError | None:
+        """Return the error for a request that was read after the announcement of a stop."""
+        view = self.relay.view
+        if view.drain.started_at is None:
+            return None
+        return view.drain.check_open(draw_retry_after(DRAINING_RETRY_S, view.rng), now)
+
     @property
     def is_configured(self) -> bool:
         """Return whether the operator knows the model and adapter; callers may name anything."""
