Release the lease beside the drain, not before it

While the store did not answer, a stopping holder of the lease looked at its connections and the end of the announcement only after the write had timed out. Beside a silent store the announcement of 0.3 s ended after 803 ms. With the announcement of 3 s callers noticed nothing: connecting and calling take 1.8 s at most.

The release is now a task like the others and the drain goes on at once.

--- a/rhubarbshed/transport/edge/node.py
+++ b/rhubarbshed/transport/edge/node.py
@@ -234,7 +234,8 @@
         view.drain.start(time.monotonic())
         view.changed.fire()
         log_event(LOG, logging.INFO, "drain_started", open_requests=self.relay.open)
-        await self.lease.release()
+        # Beside the drain: the store may be slow or unresponsive.
+        self.spawn(self.lease.release())
         announcing = True
         while True:
             phase = view.drain.find_phase(self.relay.open, time.monotonic())
