--- a/rhubarbshed/transport/edge/relay.py
+++ b/rhubarbshed/transport/edge/relay.py
@@ -17,6 +17,8 @@
 from rhubarbshed.coordination.serving.missing_models import LoadWait, decide_load_wait
 from rhubarbshed.coordination.serving.queueing import decide_wait
 from rhubarbshed.coordination.serving.refusals import (
+    DRAINING_RETRY_S,
+    draw_retry_after,
     make_failure,
     make_no_route,
     make_refusal,
@@ -137,6 +139,10 @@
     async def run(self) -> None:
         """Find the route, then send the request to servers until one answers or time runs out."""
         view = self.relay.view
+        draining = self.check_draining(time.monotonic())
+        if draining is not None:
+            self.answer(draining)
+            return
         if view.configuration is None:
             self.answer(make_refusal("not_configured", view.rng))
             return
@@ -164,6 +170,13 @@
         else:
             log_end(self, "answered", None, time.monotonic())
 
+    def check_draining(self, now: float) -> RequestError | None:
+        """Return the error for a request that was read after the announcement of a stop."""
+        view = self.relay.view
+        if view.drain.started_at is None:
+            return None
+        return view.drain.check_open(draw_retry_after(DRAINING_RETRY_S, view.rng), now)
+
     @property
     def is_configured(self) -> bool:
         """Return whether the operator knows the model and adapter; callers may name anything."""
@@ -369,10 +382,14 @@
     def answer(self, error: RequestError) -> None:
         """Send an error of this instance, or abort a response that has begun."""
         self.ended = True
-        log_end(self, error.code, error, time.monotonic())
         if self.caller_response is not None and self.caller_response.begun:
             self.connection.abort()
-            return
+        else:
+            self.send_error(error)
+        log_end(self, error.code, error, time.monotonic())
+
+    def send_error(self, error: RequestError) -> None:
+        """Send an error of this instance as a complete response."""
         headers = [(b"content-type", b"text/plain"), *echo_request_id(self.request.request_id)]
         if error.retry_after_s is not None:
             headers.append((b"retry-after", f"{error.retry_after_s:.3f}".encode()))
