Close a connection whose answer outlasts the announcement

A stream whose head was sent before SIGTERM does not tell its caller to connect elsewhere. When it ended after the announcement its connection was kept until the drain's next check, 0 to 50 ms later: a caller that went on at once sent its request to an instance that refuses it.

The connection is now closed in the pass of the loop in which the answer ends, unless bytes of a further request have been received; that one is refused with a complete 503 as any other. A test with a long interval between checks fails without the change (the connection stays open for over 50 ms) and passes with it; one for a request behind the stream guards the exception, and passed before too.

--- a/rhubarbshed/coordination/requests/drain.py
+++ b/rhubarbshed/coordination/requests/drain.py
@@ -52,12 +52,16 @@
             return False
         return now - self.started_at >= self.announce_s + self.drain_s
 
+    def is_refusing(self, now: float) -> bool:
+        """Return whether new requests are refused, as the announcement is over."""
+        return self.started_at is not None and now - self.started_at >= self.announce_s
+
     def check_open(self, retry_after_s: float, now: float) -> RequestError | None:
         """Return the error for a new request once the announcement is over, else None.
 
         During the announcement, callers that do not know of it yet are still served.
         """
-        if self.started_at is None or now - self.started_at < self.announce_s:
+        if not self.is_refusing(now):
             return None
         return RequestError(
             status=503,
--- a/rhubarbshed/transport/edge/caller_connections.py
+++ b/rhubarbshed/transport/edge/caller_connections.py
@@ -50,13 +50,15 @@
 class CallerConnection(asyncio.Protocol):
     """Connection of one caller that passes each request, complete, to `handle`.
 
-    `is_closing` returns whether callers should connect elsewhere after this response. `requests`
-    counts those read completely, the last at `read_at`; `sent_bytes` were written since then.
+    `is_closing` returns whether callers should connect elsewhere after this response, `is_refusing`
+    whether further requests are refused. `requests` counts those read completely, the last at
+    `read_at`; `sent_bytes` were written since then.
     """
 
     handle: Handler
     read_limits: Callable[[], CallerLimits]
     is_closing: Callable[[], bool]
+    is_refusing: Callable[[], bool]
     connections: set["CallerConnection"]
     task: asyncio.Task | None = None
     disconnect: Disconnect | None = None
@@ -281,6 +283,8 @@
         self._transport.resume_reading()
         self._set_timer(self.read_limits().idle_timeout_s)
         self._read()
+        if self.is_refusing() and self.is_idle:
+            self.close()
 
     def _refuse(self, status: int, reason: str) -> None:
         """Answer a request that cannot be read, and close the connection."""
--- a/rhubarbshed/transport/edge/node.py
+++ b/rhubarbshed/transport/edge/node.py
@@ -149,7 +149,12 @@
         for address, handle in endpoints:
             connections = self.connections if address == self.settings.callers else set()
             make = functools.partial(
-                CallerConnection, handle, lambda: self.view.limits, self.is_closing, connections
+                CallerConnection,
+                handle,
+                lambda: self.view.limits,
+                self.is_closing,
+                self.is_refusing,
+                connections,
             )
             listener = await loop.create_server(
                 make, *address, backlog=ACCEPT_BACKLOG, reuse_address=True
@@ -160,6 +165,10 @@
         """Return whether callers should connect to another instance."""
         return self.view.drain.started_at is not None
 
+    def is_refusing(self) -> bool:
+        """Return whether a further request would be refused."""
+        return self.view.drain.is_refusing(time.monotonic())
+
     async def answer_ready(
         self, connection: CallerConnection, head: h11.Request, *_: object
     ) -> None:
--- a/test/test_edge_drain.py
+++ b/test/test_edge_drain.py
@@ -399,3 +399,40 @@
             assert max(passed_on.values()) < over_at + 0.1
 
     play(scene)
+
+
+def test_connection_whose_answer_outlasts_the_announcement_is_closed_after_it(monkeypatch):
+    """It stayed open until the next check of the drain, and its caller sent a request in vain."""
+    monkeypatch.setattr(node, "DRAIN_CHECK_INTERVAL_S", ANNOUNCE_S + 0.02)
+
+    async def scene():
+        async with run_edge(make_configuration(*ROUTES), Replica("b1", reply=hang)) as edge:
+            caller = await Caller.connect(edge)
+            reading = asyncio.create_task(caller.ask(f"/s/{ANNOUNCE_S + 0.05}"))
+            await edge.wait_until(lambda: edge.node.relay.open == 1)
+            stop(edge)
+            assert (await reading).whole
+            ended_at = time.monotonic()
+            assert await asyncio.wait_for(caller.reader.read(), 1.0) == b""
+            assert time.monotonic() < ended_at + 0.05
+
+    play(scene)
+
+
+def test_request_behind_an_answer_that_outlasts_the_announcement_is_refused():
+    """It was received with its connection still busy: closing that would lose it silently."""
+
+    async def scene():
+        replica = Replica("b1", reply=hang)
+        async with run_edge(make_configuration(*ROUTES), replica) as edge:
+            caller = await Caller.connect(edge)
+            reading = asyncio.create_task(caller.ask(f"/s/{ANNOUNCE_S + 0.1}", name="stream"))
+            await edge.wait_until(lambda: edge.node.relay.open == 1)
+            stop(edge)
+            caller.send(make_request("/p/x"))
+            assert (await reading).whole
+            answer = await read_answer(caller.reader)
+            check_not_run(answer, replica)
+            assert answer.whole
+
+    play(scene)
