Decide the exit of a stopping instance by its connections

The exit was due once no request was open. A connection that held a part of a request, had just ended an answer or had been accepted in that very pass of the loop was reset 0.1 s later: callers that were still sending a body saw a reset without an answer. One of the lost requests came on such a connection and was cut 9 ms after it was sent.

The exit is now due once no connection is left that may hand over a request, or at the end of the drain. The listener stops accepting first, and is closed after three passes of the loop, in which each connection that it accepted has become known; closing it at once makes asyncio drop one that is between accept and its first call. Idle connections are closed as before, and a request that arrived only in part by the end of the drain is refused with a 503 that has Retry-After in place of the reset.

A request that never becomes whole does not extend the drain beyond its bound.

--- a/rhubarbshed/coordination/requests/drain.py
+++ b/rhubarbshed/coordination/requests/drain.py
@@ -35,14 +35,17 @@
         if self.started_at is None:
             self.started_at = now
 
-    def find_phase(self, open_requests: int, now: float) -> DrainPhase:
-        """Return the phase; exit is due once all is answered after the announcement, or late."""
+    def find_phase(self, pending: int, now: float) -> DrainPhase:
+        """Return the phase; exit is due once nothing is pending after the announcement, or late.
+
+        `pending` counts open requests, and connections that may still hand one over.
+        """
         if self.started_at is None:
             return DrainPhase.SERVING
         passed_s = now - self.started_at
         if passed_s < self.announce_s:
             return DrainPhase.ANNOUNCING
-        if open_requests == 0 or self.is_over(now):
+        if pending == 0 or self.is_over(now):
             return DrainPhase.DUE
         return DrainPhase.DRAINING
 
--- a/rhubarbshed/transport/edge/caller_connections.py
+++ b/rhubarbshed/transport/edge/caller_connections.py
@@ -146,6 +146,11 @@
         """Return whether no request has begun to arrive."""
         return not self._answering and self._request is None and not self._parser.trailing_data[0]
 
+    @property
+    def is_receiving(self) -> bool:
+        """Return whether a request has arrived in part."""
+        return not self._answering and not self.is_idle and not self._close_after
+
     @property
     def is_open(self) -> bool:
         """Return whether the caller can still be answered."""
@@ -190,6 +195,19 @@
             self.send_data(body)
         self.send_end()
 
+    def refuse(self, status: int, reason: str, retry_after_s: float | None = None) -> None:
+        """Answer a request that cannot be read, and close the connection."""
+        self._cancel_timer()
+        self._close_after = True
+        if self._parser.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+            text = reason.encode("ascii", "replace") + b"\n"
+            headers = [(b"content-type", b"text/plain"), (b"connection", b"close")]
+            if retry_after_s is not None:
+                headers.append((b"retry-after", f"{retry_after_s:.3f}".encode()))
+            self.send_head(status, tuple(headers), len(text))
+            self.send_data(text)
+        self._transport.close()
+
     def _write(self, data: bytes) -> None:
         self.sent_bytes += len(data)
         self._transport.write(data)
@@ -207,7 +225,7 @@
         try:
             self._read_events()
         except h11.RemoteProtocolError as error:
-            self._refuse(error.error_status_hint, str(error))
+            self.refuse(error.error_status_hint, str(error))
 
     def _read_events(self) -> None:
         while not self._answering and not self._close_after:
@@ -234,22 +252,22 @@
         self._body, self._body_bytes = [], 0
         names = [name for name, _ in request.headers]
         if b"transfer-encoding" in names and b"content-length" in names:
-            self._refuse(400, "both a length and chunks")
+            self.refuse(400, "both a length and chunks")
             return
         self._set_timer(limits.idle_timeout_s)
         if measure_head(request) > limits.header_bytes:
-            self._refuse(431, "the head is longer than allowed")
+            self.refuse(431, "the head is longer than allowed")
             return
         for name, value in request.headers:
             if name == b"content-length" and int(value) > limits.body_bytes:
-                self._refuse(413, "the body is longer than allowed")
+                self.refuse(413, "the body is longer than allowed")
 
     def _add_body(self, data: bytes) -> None:
         self._body.append(data)
         self._body_bytes += len(data)
         self._set_timer(self.read_limits().idle_timeout_s)
         if self._body_bytes > self.read_limits().body_bytes:
-            self._refuse(413, "the body is longer than allowed")
+            self.refuse(413, "the body is longer than allowed")
 
     def _answer(self) -> None:
         self._cancel_timer()
@@ -286,17 +304,6 @@
         if self.is_refusing() and self.is_idle:
             self.close()
 
-    def _refuse(self, status: int, reason: str) -> None:
-        """Answer a request that cannot be read, and close the connection."""
-        self._cancel_timer()
-        self._close_after = True
-        if self._parser.our_state in (h11.IDLE, h11.SEND_RESPONSE):
-            text = reason.encode("ascii", "replace") + b"\n"
-            headers = ((b"content-type", b"text/plain"), (b"connection", b"close"))
-            self.send_head(status, headers, len(text))
-            self.send_data(text)
-        self._transport.close()
-
     def _watch_paused(self) -> None:
         """Look for the caller's end of the connection while it is not read."""
         self._paused_check = None
@@ -322,7 +329,7 @@
         if self.is_idle:
             self.close()
         else:
-            self._refuse(408, "the request took too long to arrive")
+            self.refuse(408, "the request took too long to arrive")
 
 
 def measure_head(request: h11.Request) -> int:
--- a/rhubarbshed/transport/edge/node.py
+++ b/rhubarbshed/transport/edge/node.py
@@ -15,6 +15,7 @@
 
 from rhubarbshed.coordination.requests.drain import DrainPhase
 from rhubarbshed.coordination.serving.lease_state import LeaseState, draw_jitter
+from rhubarbshed.coordination.serving.refusals import DRAINING_RETRY_S, draw_retry_after
 from rhubarbshed.transport.edge.caller_connections import CallerConnection
 from rhubarbshed.transport.edge.follower import Follower
 from rhubarbshed.transport.edge.holder_protocol import HolderProtocol
@@ -46,6 +47,9 @@
 DRAIN_CHECK_INTERVAL_S = 0.05
 """Time between two checks whether the drain may go on to its next phase."""
 
+ACCEPT_PASSES = 3
+"""Passes of the event loop from accepting a connection to its first call."""
+
 SWEEP_INTERVAL_S = 0.25
 """Time between two checks for servers without entries."""
 
@@ -245,27 +249,46 @@
         log_event(LOG, logging.INFO, "drain_started", open_requests=self.relay.open)
         # Beside the drain: the store may be slow or unresponsive.
         self.spawn(self.lease.release())
-        announcing = True
-        while True:
-            phase = view.drain.find_phase(self.relay.open, time.monotonic())
-            if announcing and phase is not DrainPhase.ANNOUNCING:
-                announcing = False
-                self.log_connections("announcement_ended", open_requests=self.relay.open)
-            if phase is DrainPhase.DUE:
-                break
-            if phase is DrainPhase.DRAINING:
-                self.close_idle()
+        while self.find_phase(time.monotonic()) is DrainPhase.ANNOUNCING:
+            await asyncio.sleep(DRAIN_CHECK_INTERVAL_S)
+        self.log_connections("announcement_ended", open_requests=self.relay.open)
+        await self.stop_accepting()
+        while self.find_phase(time.monotonic()) is DrainPhase.DRAINING:
+            self.close_idle()
             await asyncio.sleep(DRAIN_CHECK_INTERVAL_S)
         self.log_connections("stopped", cut_off=self.relay.open)
         for task in self.tasks:
             task.cancel()
-        self.relay.cut_off()
-        self.close_idle()
+        self.cut_off(time.monotonic())
         await asyncio.sleep(CLOSE_DELAY_S)
         for connection in list(self.connections):
             connection.abort()
         self.holder_protocol.datagrams.close()
 
+    def find_phase(self, now: float) -> DrainPhase:
+        """Return the phase of the drain by the requests and callers' connections that are open."""
+        return self.view.drain.find_phase(self.relay.open + len(self.connections), now)
+
+    async def stop_accepting(self) -> None:
+        """Close the callers' listener once all connections accepted from it are known."""
+        loop = asyncio.get_running_loop()
+        for sock in self.listeners[0].sockets:
+            loop.remove_reader(sock.fileno())
+        for _ in range(ACCEPT_PASSES):
+            await asyncio.sleep(0)
+        self.listeners[0].close()
+
+    def cut_off(self, now: float) -> None:
+        """Answer all requests that are left at the end of the drain, complete ones or not."""
+        self.relay.cut_off()
+        for connection in list(self.connections):
+            if connection.is_idle:
+                connection.close()
+            elif connection.is_receiving:
+                retry_after_s = draw_retry_after(DRAINING_RETRY_S, self.view.rng)
+                error = self.view.drain.check_open(retry_after_s, now)
+                connection.refuse(error.status, error.message, retry_after_s)
+
     def log_connections(self, event: str, **fields: object) -> None:
         """Log a step of the drain with the time since its start and the callers' connections."""
         started_at = self.view.drain.started_at
@@ -275,8 +298,7 @@
         log_event(LOG, logging.INFO, event, after_ms=passed_ms, idle=idle, busy=busy, **fields)
 
     def close_idle(self) -> None:
-        """Close the callers' listener and all connections without a request in progress."""
-        self.listeners[0].close()
+        """Close the callers' connections without a request in progress."""
         for connection in list(self.connections):
             if connection.is_idle:
                 connection.close()
--- a/test/test_edge_drain.py
+++ b/test/test_edge_drain.py
@@ -436,3 +436,40 @@
             assert answer.whole
 
     play(scene)
+
+
+def test_request_that_becomes_whole_late_in_the_drain_is_refused():
+    """Its connection was reset 0.1 s after the decision to exit, which did not wait for it."""
+
+    async def scene():
+        replica = Replica("b1", reply=hang)
+        async with run_edge(make_configuration(*ROUTES), replica) as edge:
+            data = make_request("/p/x", b"whole")
+            caller = await Caller.connect(edge)
+            caller.send(data[:-2])
+            await asyncio.sleep(0.05)
+            over_at = stop(edge)
+            await asyncio.sleep(over_at + 0.3 - time.monotonic())
+            caller.send(data[-2:])
+            answer = await read_answer(caller.reader)
+            check_not_run(answer, replica)
+            assert answer.whole
+
+    play(scene)
+
+
+def test_request_in_part_at_the_end_of_the_drain_is_refused():
+    """Its connection was reset without a word."""
+
+    async def scene():
+        replica = Replica("b1", reply=hang)
+        async with run_edge(make_configuration(*ROUTES), replica) as edge:
+            caller = await Caller.connect(edge)
+            caller.send(make_request("/p/x", b"whole")[:-2])
+            await asyncio.sleep(0.05)
+            stop(edge)
+            answer = await read_answer(caller.reader)
+            check_not_run(answer, replica)
+            assert answer.whole
+
+    play(scene)
