Let a refusal reach a caller that is still sending

A request refused before its body was read (408, 413, 431, 400, and a 503 at the end of a drain) was answered and its connection closed at once. A close with unread bytes resets the connection, and the answer that is on its way is lost: the caller saw a reset, and may not take that for a refusal.

After the answer the instance now ends its own direction, reads and discards what still comes for 0.5 s at most, and closes. The drain counts such a connection as open, within its bound.

--- a/rhubarbshed/transport/edge/caller_connections.py
+++ b/rhubarbshed/transport/edge/caller_connections.py
@@ -15,6 +15,9 @@
 PIPELINED_BYTES_MAX = 65_536
 """Bytes of later requests that are accepted while one is being answered."""
 
+DISCARD_S = 0.5
+"""Time for which the rest of a refused request is read and discarded."""
+
 PAUSED_CHECK_INTERVAL_S = 0.1
 """Time between two checks for the end of a connection that is not read."""
 
@@ -143,8 +146,10 @@
 
     @property
     def is_idle(self) -> bool:
-        """Return whether no request has begun to arrive."""
-        return not self._answering and self._request is None and not self._parser.trailing_data[0]
+        """Return whether no request has begun to arrive, and none is being refused."""
+        if self._answering or self._close_after:
+            return False
+        return self._request is None and not self._parser.trailing_data[0]
 
     @property
     def is_receiving(self) -> bool:
@@ -196,7 +201,9 @@
         self.send_end()
 
     def refuse(self, status: int, reason: str, retry_after_s: float | None = None) -> None:
-        """Answer a request that cannot be read, and close the connection."""
+        """Answer a request that cannot be read; discard what its caller still sends, and close."""
+        if self._close_after:
+            return
         self._cancel_timer()
         self._close_after = True
         if self._parser.our_state in (h11.IDLE, h11.SEND_RESPONSE):
@@ -206,7 +213,9 @@
                 headers.append((b"retry-after", f"{retry_after_s:.3f}".encode()))
             self.send_head(status, tuple(headers), len(text))
             self.send_data(text)
-        self._transport.close()
+        # A close with unread bytes resets the connection, which may destroy the answer on its way.
+        self._transport.write_eof()
+        self._timer = asyncio.get_running_loop().call_later(DISCARD_S, self.close)
 
     def _write(self, data: bytes) -> None:
         self.sent_bytes += len(data)
--- a/test/test_edge_drain.py
+++ b/test/test_edge_drain.py
@@ -473,3 +473,22 @@
             assert answer.whole
 
     play(scene)
+
+
+def test_refusal_reaches_a_caller_that_is_still_sending():
+    """The close with unread bytes reset the connection, and destroyed the refusal on its way."""
+
+    async def scene():
+        async with run_edge(make_configuration(*ROUTES), Replica("b1")) as edge:
+            caller = connect(edge, 4096)
+            caller.setblocking(False)
+            length = edge.node.view.limits.body_bytes + 1
+            loop = asyncio.get_running_loop()
+            await loop.sock_sendall(caller, make_request("/p/x", bytes(length))[:60_000])
+            for _ in range(10):
+                await asyncio.sleep(0.01)
+                await loop.sock_sendall(caller, bytes(10_000))
+            assert (await loop.sock_recv(caller, 4096)).startswith(b"HTTP/1.1 413 ")
+            caller.close()
+
+    play(scene)
