--- a/rhubarbshed/transport/edge/caller_connections.py
+++ b/rhubarbshed/transport/edge/caller_connections.py
@@ -15,6 +15,9 @@
 PIPELINED_BYTES_MAX = 65_536
 """Bytes of later requests that are accepted while one is being answered."""
 
+DISCARD_S = 0.5
+"""Time for which the rest of a refused request is read and discarded."""
+
 PAUSED_CHECK_INTERVAL_S = 0.1
 """Time between two checks for the end of a connection that is not read."""
 
@@ -50,13 +53,15 @@
 class CallerConnection(asyncio.Protocol):
     """Connection of one caller that passes each request, complete, to `handle`.
 
-    `is_closing` returns whether callers should connect elsewhere after this response. `requests`
-    counts those read completely, the last at `read_at`; `sent_bytes` were written since then.
+    `is_closing` returns whether callers should connect elsewhere after this response, `is_refusing`
+    whether further requests are refused. `requests` counts those read completely, the last at
+    `read_at`; `sent_bytes` were written since then.
     """
 
     handle: Handler
     read_limits: Callable[[], CallerLimits]
     is_closing: Callable[[], bool]
+    is_refusing: Callable[[], bool]
     connections: set["CallerConnection"]
     task: asyncio.Task | None = None
     disconnect: Disconnect | None = None
@@ -141,8 +146,15 @@
 
     @property
     def is_idle(self) -> bool:
-        """Return whether no request has begun to arrive."""
-        return not self._answering and self._request is None and not self._parser.trailing_data[0]
+        """Return whether no request has begun to arrive, and none is being refused."""
+        if self._answering or self._close_after:
+            return False
+        return self._request is None and not self._parser.trailing_data[0]
+
+    @property
+    def is_receiving(self) -> bool:
+        """Return whether a request has arrived in part."""
+        return not self._answering and not self.is_idle and not self._close_after
 
     @property
     def is_open(self) -> bool:
@@ -188,6 +200,23 @@
             self.send_data(body)
         self.send_end()
 
+    def refuse(self, status: int, reason: str, retry_after_s: float | None = None) -> None:
+        """Answer a request that cannot be read; discard what its caller still sends, and close."""
+        if self._close_after:
+            return
+        self._cancel_timer()
+        self._close_after = True
+        if self._parser.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+            text = reason.encode("ascii", "replace") + b"\n"
+            headers = [(b"content-type", b"text/plain"), (b"connection", b"close")]
+            if retry_after_s is not None:
+                headers.append((b"retry-after", f"{retry_after_s:.3f}".encode()))
+            self.send_head(status, tuple(headers), len(text))
+            self.send_data(text)
+        # A close with unread bytes resets the connection, which may destroy the answer on its way.
+        self._transport.write_eof()
+        self._timer = asyncio.get_running_loop().call_later(DISCARD_S, self.close)
+
     def _write(self, data: bytes) -> None:
         self.sent_bytes += len(data)
         self._transport.write(data)
@@ -205,7 +234,7 @@
         try:
             self._read_events()
         except h11.RemoteProtocolError as error:
-            self._refuse(error.error_status_hint, str(error))
+            self.refuse(error.error_status_hint, str(error))
 
     def _read_events(self) -> None:
         while not self._answering and not self._close_after:
@@ -232,22 +261,22 @@
         self._body, self._body_bytes = [], 0
         names = [name for name, _ in request.headers]
         if b"transfer-encoding" in names and b"content-length" in names:
-            self._refuse(400, "both a length and chunks")
+            self.refuse(400, "both a length and chunks")
             return
         self._set_timer(limits.idle_timeout_s)
         if measure_head(request) > limits.header_bytes:
-            self._refuse(431, "the head is longer than allowed")
+            self.refuse(431, "the head is longer than allowed")
             return
         for name, value in request.headers:
             if name == b"content-length" and int(value) > limits.body_bytes:
-                self._refuse(413, "the body is longer than allowed")
+                self.refuse(413, "the body is longer than allowed")
 
     def _add_body(self, data: bytes) -> None:
         self._body.append(data)
         self._body_bytes += len(data)
         self._set_timer(self.read_limits().idle_timeout_s)
         if self._body_bytes > self.read_limits().body_bytes:
-            self._refuse(413, "the body is longer than allowed")
+            self.refuse(413, "the body is longer than allowed")
 
     def _answer(self) -> None:
         self._cancel_timer()
@@ -281,17 +310,8 @@
         self._transport.resume_reading()
         self._set_timer(self.read_limits().idle_timeout_s)
         self._read()
-
-    def _refuse(self, status: int, reason: str) -> None:
-        """Answer a request that cannot be read, and close the connection."""
-        self._cancel_timer()
-        self._close_after = True
-        if self._parser.our_state in (h11.IDLE, h11.SEND_RESPONSE):
-            text = reason.encode("ascii", "replace") + b"\n"
-            headers = ((b"content-type", b"text/plain"), (b"connection", b"close"))
-            self.send_head(status, headers, len(text))
-            self.send_data(text)
-        self._transport.close()
+        if self.is_refusing() and self.is_idle:
+            self.close()
 
     def _watch_paused(self) -> None:
         """Look for the caller's end of the connection while it is not read."""
@@ -318,7 +338,7 @@
         if self.is_idle:
             self.close()
         else:
-            self._refuse(408, "the request took too long to arrive")
+            self.refuse(408, "the request took too long to arrive")
 
 
 def measure_head(request: h11.Request) -> int:
--- a/test/test_edge_drain.py
+++ b/test/test_edge_drain.py
@@ -399,3 +399,96 @@
             assert max(passed_on.values()) < over_at + 0.1
 
     play(scene)
+
+
+def test_connection_whose_answer_outlasts_the_announcement_is_closed_after_it(monkeypatch):
+    """It stayed open until the next check of the drain, and its caller sent a request in vain."""
+    monkeypatch.setattr(node, "DRAIN_CHECK_INTERVAL_S", ANNOUNCE_S + 0.02)
+
+    async def scene():
+        async with run_edge(make_configuration(*ROUTES), Replica("b1", reply=hang)) as edge:
+            caller = await Caller.connect(edge)
+            reading = asyncio.create_task(caller.ask(f"/s/{ANNOUNCE_S + 0.05}"))
+            await edge.wait_until(lambda: edge.node.relay.open == 1)
+            stop(edge)
+            assert (await reading).whole
+            ended_at = time.monotonic()
+            assert await asyncio.wait_for(caller.reader.read(), 1.0) == b""
+            assert time.monotonic() < ended_at + 0.05
+
+    play(scene)
+
+
+def test_request_behind_an_answer_that_outlasts_the_announcement_is_refused():
+    """It was received with its connection still busy: closing that would lose it silently."""
+
+    async def scene():
+        replica = Replica("b1", reply=hang)
+        async with run_edge(make_configuration(*ROUTES), replica) as edge:
+            caller = await Caller.connect(edge)
+            reading = asyncio.create_task(caller.ask(f"/s/{ANNOUNCE_S + 0.1}", name="stream"))
+            await edge.wait_until(lambda: edge.node.relay.open == 1)
+            stop(edge)
+            caller.send(make_request("/p/x"))
+            assert (await reading).whole
+            answer = await read_answer(caller.reader)
+            check_not_run(answer, replica)
+            assert answer.whole
+
+    play(scene)
+
+
+def test_request_that_becomes_whole_late_in_the_drain_is_refused():
+    """Its connection was reset 0.1 s after the decision to exit, which did not wait for it."""
+
+    async def scene():
+        replica = Replica("b1", reply=hang)
+        async with run_edge(make_configuration(*ROUTES), replica) as edge:
+            data = make_request("/p/x", b"whole")
+            caller = await Caller.connect(edge)
+            caller.send(data[:-2])
+            await asyncio.sleep(0.05)
+            over_at = stop(edge)
+            await asyncio.sleep(over_at + 0.3 - time.monotonic())
+            caller.send(data[-2:])
+            answer = await read_answer(caller.reader)
+            check_not_run(answer, replica)
+            assert answer.whole
+
+    play(scene)
+
+
+def test_request_in_part_at_the_end_of_the_drain_is_refused():
+    """Its connection was reset without a word."""
+
+    async def scene():
+        replica = Replica("b1", reply=hang)
+        async with run_edge(make_configuration(*ROUTES), replica) as edge:
+            caller = await Caller.connect(edge)
+            caller.send(make_request("/p/x", b"whole")[:-2])
+            await asyncio.sleep(0.05)
+            stop(edge)
+            answer = await read_answer(caller.reader)
+            check_not_run(answer, replica)
+            assert answer.whole
+
+    play(scene)
+
+
+def test_refusal_reaches_a_caller_that_is_still_sending():
+    """The close with unread bytes reset the connection, and destroyed the refusal on its way."""
+
+    async def scene():
+        async with run_edge(make_configuration(*ROUTES), Replica("b1")) as edge:
+            caller = connect(edge, 4096)
+            caller.setblocking(False)
+            length = edge.node.view.limits.body_bytes + 1
+            loop = asyncio.get_running_loop()
+            await loop.sock_sendall(caller, make_request("/p/x", bytes(length))[:60_000])
+            for _ in range(10):
+                await asyncio.sleep(0.01)
+                await loop.sock_sendall(caller, bytes(10_000))
+            assert (await loop.sock_recv(caller, 4096)).startswith(b"HTTP/1.1 413 ")
+            caller.close()
+
+    play(scene)
