List the test of streams that are cut for a server's silence

Callers lost the rest of a stream while its server was only slow: after 1 s without an event the instance gives the server up, and only then finds that no retry is left in the budget or that the other servers are full. It then has nothing but to cut the answer.

The test shows it with a pause of 1.5 s.

--- a/test/test_edge_changes.py
+++ b/test/test_edge_changes.py
@@ -20,6 +20,9 @@
 UNSAFE = make_route("non_idempotent", "/u/", Attempts=1)
 STREAM = make_route("streaming", "/s/", Resumable=True, TargetGapMs=150)
 ROUTES = (PLAIN, UNSAFE, STREAM)
+SILENCE_S = 1.5
+"""Pause of a server that is longer than a stream waits for it while another one could go on."""
+
 ENGINES = make_engine_service({"m1": 2, "m2": 0})
 
 
@@ -176,3 +179,30 @@
             writer.close()
 
     play(scene)
+
+
+@pytest.mark.parametrize("hindrance", ["budget", "full"])
+def test_begun_stream_is_not_cut_for_a_silence_if_no_other_server_may_go_on(hindrance):
+    """Without a retry or a free server, giving up a silent server would end the answer."""
+
+    async def pause(exchange: Exchange) -> None:
+        exchange.begin_stream()
+        exchange.send_event(1)
+        await exchange.writer.drain()
+        await asyncio.sleep(SILENCE_S)
+        exchange.send_event(2)
+        exchange.end_stream()
+
+    async def scene():
+        replicas = [Replica("b1", reply=pause), Replica("b2", reply=pause)]
+        changes = {}
+        if hindrance == "budget":
+            changes = {"retry_ratio": 0.0, "retry_extra": 0.0}
+        else:
+            replicas[1].slots = 0
+        async with run_edge(make_configuration(*ROUTES), *replicas, **changes) as edge:
+            answer = await edge.ask("/s/x", b"x")
+            assert answer.whole
+            assert answer.body == b"id: 1\ndata: t1\n\nid: 2\ndata: t2\n\n"
+
+    play(scene)
