Keep a silent server's stream while no other server may go on

Callers lost the rest of streams whose servers were slow: the answer was cut 1 s after its last event, with seconds left. An attempt gave its server up first, and only then were the retry budget and the other servers looked at.

Now the attempt asks before it gives up: once the silence has lasted its time, and every 0.1 s from then on, whether a server can be chosen and the budget pays for the retry, which is counted at once, as many streams become silent together. If not, it goes on waiting for its server. Requests whose answer has not begun are given up as before: they get an answer, and their callers try again.

--- a/rhubarbshed/transport/edge/attempts.py
+++ b/rhubarbshed/transport/edge/attempts.py
@@ -1,7 +1,9 @@
 """One attempt of a request at one backend server, and the response relayed to the caller."""
 
 import asyncio
+import contextlib
 import time
+from collections.abc import AsyncIterator, Callable
 
 import h11
 from attrs import define, field
@@ -30,6 +32,9 @@
 """Longest gap within a stream that another server can continue; callers give up after two
 seconds."""
 
+SILENCE_CHECK_INTERVAL_S = 0.1
+"""Time between two checks whether another server could go on with a silent server's stream."""
+
 BUFFERED_BYTES_MAX = 262_144
 """Length up to which a plain response is buffered until it is complete, so that a truncated one can
 be requested again."""
@@ -97,13 +102,14 @@
     """One attempt at a server.
 
     `sent` means that the server may have got the request, `failed` that the response counts against
-    the server.
+    the server. `may_move` returns whether another server may go on with a response that has begun.
     """
 
     pool: Pool
     record: ServerRecord
     caller_response: CallerResponse
     deadline: float
+    may_move: Callable[[], bool] = lambda: True
     status: int = 0
     detail: str = ""
     sent: bool = False
@@ -174,7 +180,7 @@
             if may_retry
             else None
         )
-        async with asyncio.timeout(wait_s):
+        async with self.limit_silence(wait_s):
             response, head = await self.receive_head()
             self.status = head.status
             if head.load is not None:
@@ -187,6 +193,31 @@
             first = await self.channel.receive()
         return await self.relay_stream(response, head, first, may_retry)
 
+    @contextlib.asynccontextmanager
+    async def limit_silence(self, limit_s: float | None) -> AsyncIterator[None]:
+        """Raise `TimeoutError` after `limit_s`, in a response that has begun only to move it.
+
+        To give up a silent server that no other can stand in for would end the response sooner.
+        """
+        loop = asyncio.get_running_loop()
+        timer: asyncio.TimerHandle | None = None
+
+        def check() -> None:
+            nonlocal timer
+            if not self.caller_response.begun or self.may_move():
+                timeout.reschedule(loop.time())
+            else:
+                timer = loop.call_later(SILENCE_CHECK_INTERVAL_S, check)
+
+        async with asyncio.timeout(None) as timeout:
+            if limit_s is not None:
+                timer = loop.call_later(limit_s, check)
+            try:
+                yield
+            finally:
+                if timer is not None:
+                    timer.cancel()
+
     async def receive_head(self) -> tuple[h11.Response, ResponseHead]:
         """Return the head of the response, skipping late responses to other requests."""
         while True:
@@ -277,7 +308,7 @@
         while not isinstance(event, h11.EndOfMessage):
             data = bytes(event.data)
             await caller_response.send(caller_response.splitter.feed(data) if resumable else data)
-            async with asyncio.timeout(STREAM_GAP_TIMEOUT_S if may_retry else None):
+            async with self.limit_silence(STREAM_GAP_TIMEOUT_S if may_retry else None):
                 event = await self.channel.receive()
         if resumable:
             await caller_response.send(caller_response.splitter.flush())
--- a/rhubarbshed/transport/edge/relay.py
+++ b/rhubarbshed/transport/edge/relay.py
@@ -105,7 +105,8 @@
     server may be running the request, `delivered` that one received it, and `only_missing` that all
     so far were down or lacked the model. `waited_s` was spent on a load and `queued_s` on full
     servers. `available_in_s` is when a load that it needs should be complete. `waits_for` is the
-    stage it is in while no attempt is in flight.
+    stage it is in while no attempt is in flight. `retry_paid` means that the budget has counted the
+    next retry.
     """
 
     relay: Relay
@@ -126,6 +127,7 @@
     ended: bool = False
     only_missing: bool = True
     delivered: bool = False
+    retry_paid: bool = False
     waits_for: Stage = Stage.CHOICE
     last_attempt: Attempt | None = None
 
@@ -197,10 +199,9 @@
             if not is_retry_allowed(self.route, end, self.tries):
                 return self.give_up(end.value)
             # The budget counts attempts that reached a server, beyond the first.
-            if self.delivered and not self.relay.view.budget.try_spend(
-                self.service, time.monotonic()
-            ):
+            if self.delivered and not self.pay_retry(time.monotonic()):
                 return self.give_up("budget")
+            self.retry_paid = False
 
     def choose(self, now: float) -> Choice | NoServer:
         """Choose a server that this request has not tried."""
@@ -230,7 +231,13 @@
             sample_age_s=round(min(chosen.sample_age_s, 999.0), 2),
             candidates=chosen.candidates,
         )
-        attempt = Attempt(self.relay.pool, record, self.caller_response, self.deadline)
+        attempt = Attempt(
+            self.relay.pool,
+            record,
+            self.caller_response,
+            self.deadline,
+            lambda: self.may_move(record, time.monotonic()),
+        )
         self.last_attempt = attempt
         more = self.tries.run + 1 < self.route.attempts_max and self.route.repeatable
         record.open += 1
@@ -297,6 +304,26 @@
                 refused=self.tries.refused,
             )
 
+    def pay_retry(self, now: float) -> bool:
+        """Return whether the budget allows the next retry, and count it there once."""
+        self.retry_paid = self.retry_paid or self.relay.view.budget.try_spend(self.service, now)
+        return self.retry_paid
+
+    def may_move(self, record: ServerRecord, now: float) -> bool:
+        """Return whether a server can go on with a stream in place of a silent one.
+
+        The retry is paid for at once: many streams may become silent together.
+        """
+        tried = self.excluded
+        self.excluded = tried | {record.key}
+        chosen = self.choose(now)
+        if isinstance(chosen, NoServer) and chosen.reason == "all_tried":
+            # A second pass may choose the silent server again, which may just have lost the answer.
+            self.excluded = set()
+            chosen = chosen if self.second_pass_started else self.choose(now)
+        self.excluded = tried
+        return isinstance(chosen, Choice) and self.pay_retry(now)
+
     def remove_held(self, record: ServerRecord) -> None:
         """Record that a server does not hold what it was asked for."""
         if self.request.adapter:
