List tests of requests that end with neither an answer nor a refusal

Looking for the request that got neither beside a change of the configuration, four paths were found by reading and shown with stand-ins:

- A limit that shrinks meets bodies on their way: the 413 is written and the connection closed with bytes unread, which resets it, and the caller never sees the refusal.
The same holds for 400, 408 and 431.
- The next request on a kept connection has what is left of the idle time for its head, not HeaderTimeoutMs.
- An entry in the store with a port above 65535, or under a key that no header can hold, is taken for a server; each request that is sent there ends without an answer.
- In general an exception in the handling of a request resets its caller's connection.

--- a/test/test_edge_changes.py
+++ b/test/test_edge_changes.py
@@ -1,9 +1,11 @@
 """Changes of the configuration while requests arrive, wait and run at an instance."""
 
 import asyncio
+import time
 
 import pytest
 
+from rhubarbshed.transport.edge.relay import RequestProgress
 from standin.replica import Exchange, Replica, Reply
 from test.helper_edge import (
     HOST,
@@ -20,6 +22,14 @@
 UNSAFE = make_route("non_idempotent", "/u/", Attempts=1)
 STREAM = make_route("streaming", "/s/", Resumable=True, TargetGapMs=150)
 ROUTES = (PLAIN, UNSAFE, STREAM)
+LIMITS = {
+    "MaxHeaderBytes": 16_384,
+    "MaxBodyBytes": 100_000,
+    "HeaderTimeoutMs": 2_000,
+    "IdleTimeoutMs": 1_000,
+}
+BODY_BYTES = 2_000_000
+PIECE_BYTES = 20_000
 SILENCE_S = 1.5
 """Pause of a server that is longer than a stream waits for it while another one could go on."""
 
@@ -206,3 +216,120 @@
             assert answer.body == b"id: 1\ndata: t1\n\nid: 2\ndata: t2\n\n"
 
     play(scene)
+
+
+def test_next_head_may_take_the_headers_time_though_the_idle_time_ends_meanwhile():
+    async def scene():
+        replica = Replica("b1")
+        async with run_edge(make_configuration(*ROUTES, Limits=LIMITS), replica) as edge:
+            reader, writer = await asyncio.open_connection(*edge.node.settings.callers)
+            writer.write(make_head("/p/x"))
+            assert (await read_answer(reader)).status == 200
+            await asyncio.sleep(0.7)
+            data = make_head("/p/x")
+            writer.write(data[:40])
+            await asyncio.sleep(0.6)
+            writer.write(data[40:])
+            answer = await read_answer(reader)
+            assert (answer.status, answer.whole) == (200, True)
+            writer.close()
+
+    play(scene)
+
+
+def test_head_that_never_ends_is_refused_after_the_headers_time():
+    async def scene():
+        replica = Replica("b1")
+        async with run_edge(make_configuration(*ROUTES, Limits=LIMITS), replica) as edge:
+            reader, writer = await asyncio.open_connection(*edge.node.settings.callers)
+            data = make_head("/p/x")
+            begun_at = time.monotonic()
+            for byte in data[:30]:
+                writer.write(bytes([byte]))
+                await asyncio.sleep(0.05)
+            answer = await read_answer(reader)
+            assert (answer.status, answer.whole) == (408, True)
+            assert 1.9 < time.monotonic() - begun_at < 2.5
+            writer.close()
+
+    play(scene)
+
+
+@pytest.mark.parametrize("how", ["length", "chunks"])
+def test_refusal_reaches_a_caller_that_is_still_sending(how):
+    """A limit that shrinks meets bodies on their way; unread bytes must not reset the refusal."""
+
+    async def scene():
+        replica = Replica("b1")
+        async with run_edge(make_configuration(*ROUTES), replica) as edge:
+            await change(edge, make_configuration(*ROUTES, version=2, Limits=LIMITS))
+            reader, writer = await asyncio.open_connection(*edge.node.settings.callers)
+            head = make_head("/p/x", BODY_BYTES)
+            if how == "chunks":
+                length = f"Content-Length: {BODY_BYTES}".encode()
+                head = head.replace(length, b"Transfer-Encoding: chunked")
+                writer.write(head + f"{BODY_BYTES:x}\r\n".encode())
+            else:
+                writer.write(head)
+            for _ in range(BODY_BYTES // PIECE_BYTES):
+                writer.write(b"x" * PIECE_BYTES)
+                await asyncio.sleep(0.002)
+            answer = await read_answer(reader)
+            assert (answer.status, answer.whole) == (413, True)
+            assert await asyncio.wait_for(reader.read(), 2.0) == b""
+            writer.close()
+
+    play(scene)
+
+
+@pytest.mark.parametrize(
+    ("key", "fields"),
+    [
+        ("b2", {"Address": "127.0.0.1:70000"}),
+        ("b\N{EURO SIGN}", {}),
+        ("b2 ", {}),
+        ("b\n2", {}),
+    ],
+    ids=["port", "letter", "space", "line"],
+)
+def test_entry_that_names_no_server_ends_no_request(key, fields):
+    async def scene():
+        replica = Replica("b1")
+        async with run_edge(make_configuration(*ROUTES), replica) as edge:
+            edge.store.put("servers", key, {**replica.describe(), **fields})
+            await asyncio.sleep(0.8)
+            for _ in range(8):
+                answer = await edge.ask("/p/x", b"x")
+                assert (answer.status, answer.whole) == (200, True)
+
+    play(scene)
+
+
+@pytest.mark.parametrize(
+    ("where", "status", "runs"), [("before", 503, 0), ("sent", 502, 1), ("answered", 200, 1)]
+)
+def test_request_that_meets_a_defect_is_answered(where, status, runs, monkeypatch, caplog):
+    async def scene():
+        replica = Replica("b1", models={"m1": []})
+        first = make_configuration(*ROUTES, Services=[make_engine_service({"m1": 0})])
+        async with run_edge(first, replica) as edge:
+            if where == "before":
+                edge.node.relay.count_demand = fail
+            elif where == "sent":
+                replica.reply = break_off
+                monkeypatch.setattr(RequestProgress, "note_end", fail)
+            else:
+                edge.node.relay.count_run = fail
+            answer = await edge.ask("/u/x", b"x", Rhubarbshed_Model="m1")
+            assert (answer.status, answer.whole) == (status, True)
+            assert len([each for each in replica.got if each.target == "/u/x"]) == runs
+            assert "event=defect" in caplog.text
+            assert edge.node.relay.open == 0
+
+    async def break_off(exchange: Exchange) -> None:
+        exchange.reset()
+
+    def fail(*_: object) -> None:
+        raise KeyError("defect")
+
+    play(scene)
