Give the head of each request the time that the operator set for heads

A caller that used a kept connection near the end of its idle time, and whose head came in parts, got 408 as the idle time ended, though HeaderTimeoutMs allowed it more. Only the first request of a connection had a time for its head.

The timer now starts anew once, when the first bytes of a head arrive: bytes that trickle in do not prolong it.

--- a/rhubarbshed/transport/edge/caller_connections.py
+++ b/rhubarbshed/transport/edge/caller_connections.py
@@ -67,6 +67,7 @@
     _parser: h11.Connection | None = None
     _request: h11.Request | None = None
     _begun_at: float = 0.0
+    _head_begun: bool = False
     _body: list[bytes] = field(factory=list)
     _body_bytes: int = 0
     _pipelined_bytes: int = 0
@@ -208,6 +209,7 @@
                 if self._parser.they_are_waiting_for_100_continue:
                     interim = h11.InformationalResponse(status_code=100, headers=[])
                     self._transport.write(self._parser.send(interim))
+                self._limit_head()
                 return
             if isinstance(event, h11.Request):
                 self._begin(event)
@@ -219,9 +221,16 @@
                 self._transport.close()
                 return
 
+    def _limit_head(self) -> None:
+        """Give a head that has begun to arrive its own time, not what is left of the idle time."""
+        if self._request is None and not self._head_begun and self._parser.trailing_data[0]:
+            self._head_begun = True
+            self._set_timer(self.read_limits().header_timeout_s)
+
     def _begin(self, request: h11.Request) -> None:
         limits = self.read_limits()
         self._request = request
+        self._head_begun = False
         self._begun_at = time.monotonic()
         self._body, self._body_bytes = [], 0
         names = [name for name, _ in request.headers]
