Take no server from an entry that no request can be sent to

Other writers may leave entries in the store. One with a port above 65535, or under a key that a header cannot hold (letters beyond ASCII, spaces at its ends, line breaks), was taken for a server: opening a connection raised OverflowError, writing the headers UnicodeEncodeError or LocalProtocolError, and each request that chose it lost its connection without an answer.

Such entries are now unreadable like others, with the line entry_unreadable.

--- a/rhubarbshed/platform/records.py
+++ b/rhubarbshed/platform/records.py
@@ -17,6 +17,9 @@
 )
 from rhubarbshed.protocol.servers import Models, ServerEntry, ServerReport, ServerState
 
+PORT_MAX = 65_535
+"""Highest TCP port."""
+
 DECODE_ERRORS = (AttributeError, KeyError, OverflowError, RecursionError, TypeError, ValueError)
 """Raised while decoding unexpected bytes, fields or types from other writers."""
 
@@ -103,10 +106,10 @@
         remaining_ms = plain.get("RemainingMs")
         return Success(
             ServerEntry(
-                server_id=key,
+                server_id=_require_header_value(key),
                 service=_require(plain["Service"], str),
                 host=_require_address(host),
-                port=int(port),
+                port=_require_port(port),
                 data_centre=_require(plain["Zone"], str),
                 state=ServerState(plain["State"]),
                 slots=_require(plain["Slots"], int),
@@ -167,3 +170,16 @@
     if not host or not all(part.isdigit() for part in host.split(".")):
         raise ValueError(f"{host!r} is not an IP address")
     return host
+
+
+def _require_port(port: str) -> int:
+    if not 0 < int(port) <= PORT_MAX:
+        raise ValueError(f"{port!r} is not a port")
+    return int(port)
+
+
+def _require_header_value(text: str) -> str:
+    """Return an id that each request to its server can name in a header."""
+    if not text.isascii() or not text.isprintable() or text != text.strip() or not text:
+        raise ValueError(f"{text!r} cannot be a header's value")
+    return text
