--- a/rhubarbshed/transport/edge/caller_connections.py
+++ b/rhubarbshed/transport/edge/caller_connections.py
@@ -73,6 +73,7 @@
     _parser: h11.Connection | None = None
     _request: h11.Request | None = None
     _begun_at: float = 0.0
+    _head_begun: bool = False
     _body: list[bytes] = field(factory=list)
     _body_bytes: int = 0
     _pipelined_bytes: int = 0
@@ -156,6 +157,11 @@
         """Return whether a request has arrived in part."""
         return not self._answering and not self.is_idle and not self._close_after
 
+    @property
+    def is_answered(self) -> bool:
+        """Return whether the response to the current request is complete."""
+        return self._parser.our_state not in (h11.IDLE, h11.SEND_RESPONSE, h11.SEND_BODY)
+
     @property
     def is_open(self) -> bool:
         """Return whether the caller can still be answered."""
@@ -243,6 +249,7 @@
                 if self._parser.they_are_waiting_for_100_continue:
                     interim = h11.InformationalResponse(status_code=100, headers=[])
                     self._write(self._parser.send(interim))
+                self._limit_head()
                 return
             if isinstance(event, h11.Request):
                 self._begin(event)
@@ -254,9 +261,16 @@
                 self._transport.close()
                 return
 
+    def _limit_head(self) -> None:
+        """Give a head that has begun to arrive its own time, not what is left of the idle time."""
+        if self._request is None and not self._head_begun and self._parser.trailing_data[0]:
+            self._head_begun = True
+            self._set_timer(self.read_limits().header_timeout_s)
+
     def _begin(self, request: h11.Request) -> None:
         limits = self.read_limits()
         self._request = request
+        self._head_begun = False
         self._begun_at = time.monotonic()
         self._body, self._body_bytes = [], 0
         names = [name for name, _ in request.headers]
