Log and count the software versions that write one stream

Callers got streams that hold events of two software versions. The log named the servers of a request but not their versions, nor the stream that a request takes up, so it could not tell a change of version within one answer from one over a caller's tries.

The entry's version and the headers that name a taken-up stream are decoded once, in platform/. request_ended shows the versions of the servers asked, the version that began the answer and the id of the stream; stream_parts_total{version="other"} counts the first case, continuations_total by outcome shows what becomes of the second. An entry without a version, or with one that is no text, is unreadable like one without any other field. No decision changes.

--- a/rhubarbshed/platform/headers.py
+++ b/rhubarbshed/platform/headers.py
@@ -16,6 +16,7 @@
 INSTANCE_ID = b"rhubarbshed-instance-id"
 SERVER_LOAD = b"rhubarbshed-server-load"
 LAST_EVENT_ID = b"last-event-id"
+RESUMES = b"resumes"
 
 HOP_BY_HOP = frozenset(
     (
@@ -88,6 +89,8 @@
         prompt_tokens=prompt_tokens,
         output_tokens_max=output_tokens,
         parts=_read_parts(values.get(PREFIX, b"")),
+        resumes=values.get(RESUMES, b"").decode("latin-1"),
+        last_event_id=values.get(LAST_EVENT_ID, b"").decode("latin-1"),
     )
 
 
--- a/rhubarbshed/platform/records.py
+++ b/rhubarbshed/platform/records.py
@@ -110,6 +110,8 @@
                 data_centre=_require(plain["Zone"], str),
                 state=ServerState(plain["State"]),
                 slots=_require(plain["Slots"], int),
+                # A model's "Version" is that of its weights.
+                version=_require(plain["Version"], str),
                 models=_read_models(plain.get("Models") or ()),
                 changes=_require(plain.get("Seq", 0), int),
                 started_ms=_require(plain.get("born", 0), int),
--- a/rhubarbshed/protocol/exchanges.py
+++ b/rhubarbshed/protocol/exchanges.py
@@ -12,7 +12,9 @@
     """Request of a caller; `headers` are those to forward, `received_at` is monotonic seconds.
 
     `caller_timeout_s` is how long the caller waits from `received_at`; None if it did not say.
-    `parts` are the prompt's parts that it shares with others, as (id, tokens) in order.
+    `parts` are the prompt's parts that it shares with others, as (id, tokens) in order. A caller
+    that takes a stream up sets `last_event_id`, the last event that it has, and `resumes`, the id
+    of the request that brought the first one.
     """
 
     request_id: str
@@ -28,6 +30,18 @@
     prompt_tokens: int = 0
     output_tokens_max: int = 0
     parts: tuple[tuple[str, int], ...] = field(factory=tuple)
+    resumes: str = ""
+    last_event_id: str = ""
+
+    @property
+    def stream_id(self) -> str:
+        """Return the id of the request that brought, or will bring, the stream's first event."""
+        return self.resumes or self.request_id
+
+    @property
+    def takes_up_stream(self) -> bool:
+        """Return whether the caller takes up a stream that an earlier request began."""
+        return bool(self.last_event_id or self.resumes)
 
     @property
     def path(self) -> str:
--- a/rhubarbshed/protocol/servers.py
+++ b/rhubarbshed/protocol/servers.py
@@ -21,6 +21,7 @@
 class ServerEntry:
     """Entry of a backend server; `started_ms` distinguishes its starts, `changes` its entries.
 
+    `version` is that of its software, compared for equality only: no order or form is promised.
     `remaining_s` is set if the server is about to be removed. `in_memory` and `on_disk` name the
     models whose weights it has cached.
     """
@@ -32,6 +33,7 @@
     data_centre: str
     state: ServerState
     slots: int
+    version: str
     models: Models = field(factory=dict)
     changes: int = 0
     started_ms: int = 0
--- a/rhubarbshed/transport/edge/attempts.py
+++ b/rhubarbshed/transport/edge/attempts.py
@@ -9,6 +9,7 @@
 from rhubarbshed.platform.headers import STATUS_MISDIRECTED, make_headers, read_head
 from rhubarbshed.protocol.exchanges import CallerRequest, ExchangeEnd, ResponseHead
 from rhubarbshed.protocol.routes import Route
+from rhubarbshed.protocol.streams import StreamOrigin
 from rhubarbshed.state.membership.fleet import ServerRecord
 from rhubarbshed.transport.edge.caller_connections import CallerConnection
 from rhubarbshed.transport.edge.channels import (
@@ -40,7 +41,11 @@
 
 @define(eq=False)
 class CallerResponse:
-    """Response to one request as its caller sees it, across all attempts."""
+    """Response to one request as its caller sees it, across all attempts.
+
+    `origin` is that of a resumable stream. `parts_same` and `parts_other` count the later servers
+    that sent parts of it, of the version of its origin and of other ones.
+    """
 
     connection: CallerConnection
     request: CallerRequest
@@ -52,6 +57,19 @@
     gap_s: float = 0.0
     splitter: EventSplitter = field(factory=EventSplitter)
     kept_failure: tuple[ResponseHead, bytes] | None = None
+    origin: StreamOrigin | None = None
+    parts_same: int = 0
+    parts_other: int = 0
+
+    def begin_stream(self, head: ResponseHead, origin: StreamOrigin) -> None:
+        """Send the head of the first response of a stream; later ones only continue it."""
+        if not self.begun and self.route.resumable:
+            self.origin = origin
+        elif self.begun and origin == self.origin:
+            self.parts_same += 1
+        elif self.begun:
+            self.parts_other += 1
+        self.begin(head, None)
 
     def begin(self, head: ResponseHead, length: int | None) -> None:
         """Send the head of the first response; later ones only continue it."""
@@ -97,7 +115,7 @@
     """One attempt at a server.
 
     `sent` means that the server may have got the request, `failed` that the response counts against
-    the server.
+    the server. `origin` is as of the choice of the server: its entry may change in the meantime.
     """
 
     pool: Pool
@@ -109,6 +127,11 @@
     sent: bool = False
     failed: bool = False
     channel: Channel | None = None
+    origin: StreamOrigin = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Keep the service and version that the server was chosen for."""
+        self.origin = StreamOrigin(self.record.entry.service, self.record.entry.version)
 
     async def run(self, may_retry: bool) -> ExchangeEnd:
         """Send the request and relay the response; return how the attempt ended."""
@@ -273,7 +296,7 @@
         caller_response = self.caller_response
         resumable = caller_response.route.resumable
         caller_response.splitter.drop_partial()
-        caller_response.begin(head, None)
+        caller_response.begin_stream(head, self.origin)
         while not isinstance(event, h11.EndOfMessage):
             data = bytes(event.data)
             await caller_response.send(caller_response.splitter.feed(data) if resumable else data)
--- a/rhubarbshed/transport/edge/metrics.py
+++ b/rhubarbshed/transport/edge/metrics.py
@@ -18,6 +18,8 @@
     registry: CollectorRegistry
     requests: Counter
     attempts: Counter
+    continuations: Counter
+    stream_parts: Counter
     orders: Counter
     store_calls: Counter
     request_seconds: Histogram
@@ -46,6 +48,14 @@
             make_counter(
                 "attempts_total", "Attempts at backend servers, by end.", "service", "end"
             ),
+            make_counter(
+                "continuations_total", "Requests that take up a stream, by outcome.", "outcome"
+            ),
+            make_counter(
+                "stream_parts_total",
+                "Parts of one answer's stream after its first, by whether the version is the same.",
+                "version",
+            ),
             make_counter("orders_total", "Orders to engines, by kind and end.", "kind", "end"),
             make_counter(
                 "store_calls_total", "Calls to the store, by kind and table.", "kind", "table"
@@ -65,6 +75,17 @@
         """Count an attempt at a server."""
         self.attempts.labels(service, end).inc()
 
+    def count_continuation(self, outcome: str) -> None:
+        """Count a request that takes up a stream which an earlier request began."""
+        self.continuations.labels(outcome).inc()
+
+    def count_stream_parts(self, same: int, other: int) -> None:
+        """Count the servers that continued a stream within one answer, by version."""
+        if same:
+            self.stream_parts.labels("same").inc(same)
+        if other:
+            self.stream_parts.labels("other").inc(other)
+
     def observe_first_bytes(self, after_s: float) -> None:
         """Record the time to the first bytes of a response."""
         self.first_bytes_seconds.observe(after_s)
--- a/rhubarbshed/transport/edge/relay.py
+++ b/rhubarbshed/transport/edge/relay.py
@@ -116,6 +116,7 @@
     tries: Tries = field(factory=Tries)
     excluded: set[tuple[str, int]] = field(factory=set)
     servers: list[str] = field(factory=list)
+    versions: list[str] = field(factory=list)
     caller_response: CallerResponse | None = None
     deadline: float = 0.0
     waited_s: float = 0.0
@@ -220,6 +221,7 @@
         """Send the request to one server, and record the outcome."""
         record = chosen.server
         self.servers.append(record.entry.server_id)
+        self.versions.append(record.entry.version)
         log_event(
             LOG,
             logging.DEBUG,
--- a/rhubarbshed/transport/edge/request_logs.py
+++ b/rhubarbshed/transport/edge/request_logs.py
@@ -56,6 +56,7 @@
         "model": request.model,
         "adapter": request.adapter,
         "servers": ",".join(progress.servers),
+        "versions": ",".join(progress.versions),
         "run": progress.tries.run,
         "refused": progress.tries.refused,
         "took_ms": round(elapsed_s * 1000),
@@ -69,6 +70,7 @@
         fields["first_ms"] = round((response.first_at - request.received_at) * 1000)
         fields["gap_ms"] = round(response.gap_s * 1000)
         progress.relay.metrics.observe_first_bytes(response.first_at - request.received_at)
+    fields |= count_stream(progress)
     if error is not None and error.retry_after_s is not None:
         fields["retry_after_s"] = round(error.retry_after_s, 3)
     disconnect = progress.connection.disconnect
@@ -78,3 +80,19 @@
         fields["unsent_bytes"] = disconnect.unsent_bytes
         fields["closed_ms"] = round((now - disconnect.at) * 1000)
     log_event(LOG, logging.INFO, "request_ended", **fields)
+
+
+def count_stream(progress: "RequestProgress") -> dict[str, object]:
+    """Count what became of a request's stream; return the fields for its log line."""
+    request, response = progress.request, progress.caller_response
+    if response is None or not response.route.resumable:
+        return {}
+    metrics = progress.relay.metrics
+    metrics.count_stream_parts(response.parts_same, response.parts_other)
+    fields: dict[str, object] = {}
+    if response.origin is not None:
+        fields["version"] = response.origin.version
+    if request.takes_up_stream:
+        fields["stream"] = request.stream_id
+        metrics.count_continuation("continued" if response.begun else "failed")
+    return fields
--- a/test/test_edge_choice.py
+++ b/test/test_edge_choice.py
@@ -32,6 +32,7 @@
         "data_centre": centre,
         "state": ServerState.READY,
         "slots": 8,
+        "version": "v1",
         "models": held,
         "started_ms": 1,
     }
