Give the relay a place for the memory of streams

Two callables, one that records the origin of a stream and one that searches for it, with defaults that know nothing. Nothing calls them yet; tests can set them, and the stand-in of a replica has a software version.

--- a/rhubarbshed/transport/edge/relay.py
+++ b/rhubarbshed/transport/edge/relay.py
@@ -30,6 +30,12 @@
 from rhubarbshed.state.membership.fleet import ServerRecord
 from rhubarbshed.transport.edge.attempts import Attempt, CallerResponse
 from rhubarbshed.transport.edge.caller_connections import CallerConnection
+from rhubarbshed.transport.edge.continuations import (
+    FindStream,
+    RecordStream,
+    find_nothing,
+    record_nothing,
+)
 from rhubarbshed.transport.edge.metrics import FrontMetrics
 from rhubarbshed.transport.edge.pools import Pool
 from rhubarbshed.transport.edge.request_logs import Stage, log_end
@@ -58,7 +64,8 @@
 
     `report_awaited` asks the order holder for a (service, model, adapter); `count_demand` counts a
     request for one, `count_run` a run with its seconds. `report_missing` reports to the holder a
-    (server, started_ms, model, adapter) that is not there.
+    (server, started_ms, model, adapter) that is not there. `record_stream` and `find_stream` are
+    the memory of the origins of streams.
     """
 
     view: View
@@ -68,6 +75,8 @@
     count_demand: Callable[[str, str, str, int], None]
     count_run: Callable[[str, str, str, float], None]
     report_missing: Callable[[str, int, str, str], None]
+    record_stream: RecordStream = record_nothing
+    find_stream: FindStream = find_nothing
     open_requests: set["RequestProgress"] = field(factory=set)
 
     @property
--- a/standin/replica.py
+++ b/standin/replica.py
@@ -108,6 +108,7 @@
     on_overfull: Callable[[], None] = lambda: None
     answer_order: Callable[["Exchange", dict], Awaitable[None]] | None = None
     address: tuple[str, int] = ("127.0.0.1", 0)
+    version: str = "v1"
     _server: asyncio.Server | None = None
     _writers: set[asyncio.StreamWriter] = field(factory=set)
 
@@ -128,7 +129,7 @@
             "Service": self.service,
             "Address": f"{self.address[0]}:{self.address[1]}",
             "Zone": self.data_centre,
-            "Version": "v1",
+            "Version": self.version,
             "Slots": self.slots,
             "State": "ready",
             "ColdRemainingMs": 0,
