--- /dev/null
+++ b/test/test_edge_versions.py
@@ -0,0 +1,606 @@
+"""Streams stay with the software version that began them, in one answer and over tries."""
+
+import asyncio
+import random
+import time
+from collections.abc import Awaitable, Callable
+
+import pytest
+from attrs import define, field
+
+from rhubarbshed.protocol.streams import StreamLookup, StreamOrigin
+from standin.replica import Exchange, Replica
+from test.helper_edge import Answer, Edge, make_configuration, make_route, play, run_edge
+
+EVENTS = 4
+"""Events of a whole stream."""
+
+STREAM = make_route("streaming", "/s/", Resumable=True, TargetGapMs=150)
+STREAM_SHORT = {**STREAM, "TimeoutMs": 400}
+"""Route whose streams cannot be older than 0.8 s."""
+
+CONFIGURATION = make_configuration(STREAM)
+VERSIONS = {
+    "usual": ("v1", "v1.1"),
+    "decimal": ("1.10", "1.9"),
+    "empty": ("", "0"),
+    "case": ("V1", "v1"),
+    "zeros": ("1.0", "1.00"),
+    "punctuation": ("a b,c=d", "a b, c=d"),
+    "accents": ("\u00e9\u4e16", "e\u0301\u4e16"),
+}
+"""Pairs of versions that differ, whatever order or form one would expect."""
+
+
+def add_service(configuration: dict, name: str) -> dict:
+    """Return the configuration with another service."""
+    services = [*configuration["Services"], {**configuration["Services"][0], "Name": name}]
+    return {**configuration, "Services": services}
+
+
+@define
+class Memory:
+    """Stub of the memory of streams.
+
+    A stream recorded at two versions of one service is not known any more; one that went on at
+    another service is known by the last one.
+    """
+
+    origins: dict[str, StreamOrigin | None] = field(factory=dict)
+    asked: int = 0
+    replied: int = 0
+    versions: frozenset[tuple[str, str]] = frozenset()
+
+    def record(self, stream_id: str, origin: StreamOrigin, now: float) -> None:
+        """Record the origin of a stream."""
+        known = self.origins.get(stream_id, origin)
+        if known is not None and known != origin and known.service == origin.service:
+            self.origins[stream_id] = None
+        elif known is not None:
+            self.origins[stream_id] = origin
+
+    async def find(self, stream_id: str, now: float) -> StreamLookup:
+        """Find the origin of a stream."""
+        found = self.origins.get(stream_id)
+        return StreamLookup(found, self.asked, self.replied, self.versions)
+
+    def attach(self, edge: Edge) -> "Memory":
+        """Let an instance use the memory."""
+        edge.node.relay.record_stream = self.record
+        edge.node.relay.find_stream = self.find
+        return self
+
+
+@define
+class Writer:
+    """Reply of a replica: events that hold its version; `break_off` is called once, at an event."""
+
+    break_at: int = 0
+    break_off: Callable[[Exchange], Awaitable[None]] | None = None
+
+    async def __call__(self, exchange: Exchange) -> None:
+        """Write the events that the caller does not have yet."""
+        after = int(exchange.headers.get("last-event-id", 0))
+        exchange.begin_stream()
+        for number in range(after + 1, EVENTS + 1):
+            if self.break_off is not None and number >= self.break_at:
+                break_off, self.break_off = self.break_off, None
+                await break_off(exchange)
+                return
+            text = exchange.replica.version
+            exchange.send_chunk(f"id: {number}\ndata: <{text}>\n\n".encode())
+            await exchange.writer.drain()
+            await asyncio.sleep(0.005)
+        exchange.end_stream()
+
+
+async def reset(exchange: Exchange) -> None:
+    """Reset the connection in the middle of an event."""
+    exchange.send_chunk(b"id: 9\nda")
+    await exchange.writer.drain()
+    await asyncio.sleep(0.02)
+    exchange.reset()
+
+
+async def crash(exchange: Exchange) -> None:
+    """End the server."""
+    await exchange.replica.stop()
+
+
+async def fall_silent(exchange: Exchange) -> None:
+    """Send nothing for longer than a stream may pause."""
+    await asyncio.sleep(2.5)
+
+
+async def garble(exchange: Exchange) -> None:
+    """Send bytes that are no response."""
+    exchange.write(b"\xff\xfe no chunk\r\n\x00")
+    await exchange.writer.drain()
+    await asyncio.sleep(0.05)
+
+
+FAULTS = [reset, crash, fall_silent, garble]
+
+
+def make_replica(name: str, version: str = "v1", **changes: object) -> Replica:
+    """Return a replica that writes its version."""
+    return Replica(name, reply=Writer(), version=version, **changes)
+
+
+async def add_replica(edge: Edge, replica: Replica) -> None:
+    """Start a replica and wait until the instance knows it."""
+    if replica not in edge.replicas:
+        await replica.start()
+        edge.replicas.append(replica)
+    edge.store.put("servers", replica.server_id, replica.describe())
+    fleet = edge.node.view.fleet
+    await edge.wait_until(lambda: fleet.get(replica.server_id) is not None)
+
+
+async def remove_replica(edge: Edge, replica: Replica) -> None:
+    """Let a replica leave, and wait until the instance knows it."""
+    edge.store.put("servers", replica.server_id, replica.describe(State="draining"))
+    fleet = edge.node.view.fleet
+    await edge.wait_until(lambda: fleet.get(replica.server_id).leaving_at is not None)
+
+
+def list_versions(*answers: Answer) -> set[bytes]:
+    """List the versions that the events of answers hold."""
+    lines = b"\n".join(answer.body for answer in answers).split(b"\n")
+    return {line for line in lines if line.startswith(b"data: <")}
+
+
+def list_ids(*answers: Answer) -> list[int]:
+    """List the ids of the events of answers."""
+    lines = b"\n".join(answer.body for answer in answers).split(b"\n")
+    return [int(line[4:]) for line in lines if line.startswith(b"id: ")]
+
+
+def assert_refused(answer: Answer, code: bytes) -> None:
+    """Check that an answer is a refusal which says that nothing has run."""
+    assert (answer.status, answer.body.split(b":")[0]) == (503, code)
+    assert float(answer.headers["retry-after"]) > 0
+
+
+def take_up(edge: Edge, stream_id: str = "q1", after: int = 2, path: str = "/s/x"):
+    """Take up a stream as a caller does whose connection broke."""
+    headers = {"Resumes": stream_id} if stream_id else {}
+    if after:
+        headers["Last-Event-Id"] = str(after)
+    return edge.ask(path, b"prompt", **headers)
+
+
+async def begin(edge: Edge, stream_id: str = "q1", path: str = "/s/x") -> Answer:
+    """Begin a stream."""
+    return await edge.ask(path, b"prompt", Rhubarbshed_Request_Id=stream_id)
+
+
+# --- Within one answer.
+
+
+@pytest.mark.parametrize("fault", FAULTS)
+def test_stream_that_breaks_goes_on_at_its_version_and_not_at_a_nearer_server(fault):
+    async def scene():
+        other = make_replica("b3", "v1.1")
+
+        async def break_off(exchange: Exchange) -> None:
+            await add_replica(edge, other)
+            await fault(exchange)
+
+        first = Replica("b1", reply=Writer(3, break_off))
+        same = make_replica("b2", data_centre="b")
+        async with run_edge(CONFIGURATION, first, same) as edge:
+            edge.node.view.fleet.get("b2").record_load_sample(2, 0, time.monotonic())
+            answer = await begin(edge)
+            assert list_versions(answer) == {b"data: <v1>"}
+            assert (answer.whole, list_ids(answer)) == (True, [1, 2, 3, 4])
+            assert other.got == []
+
+    play(scene)
+
+
+@pytest.mark.parametrize("leaves", [False, True])
+def test_stream_is_broken_off_at_once_without_a_server_of_its_version(leaves: bool):
+    async def scene():
+        other = make_replica("b2", "v1.1")
+        ended_at = 0.0
+
+        async def break_off(exchange: Exchange) -> None:
+            nonlocal ended_at
+            await add_replica(edge, other)
+            if leaves:
+                await remove_replica(edge, first)
+            await crash(exchange)
+            ended_at = time.monotonic()
+
+        first = Replica("b1", reply=Writer(3, break_off))
+        async with run_edge(CONFIGURATION, first) as edge:
+            answer = await begin(edge)
+            assert time.monotonic() - ended_at < 0.5
+            assert list_versions(answer) == {b"data: <v1>"}
+            assert (answer.whole, list_ids(answer)) == (False, [1, 2])
+            assert other.got == []
+
+    play(scene)
+
+
+@pytest.mark.parametrize(("version", "other_version"), VERSIONS.values(), ids=VERSIONS)
+def test_versions_of_any_text_that_are_not_equal_are_not_mixed(version: str, other_version: str):
+    async def scene():
+        other = make_replica("b2", other_version)
+
+        async def break_off(exchange: Exchange) -> None:
+            await add_replica(edge, other)
+            await crash(exchange)
+
+        first = Replica("b1", reply=Writer(3, break_off), version=version)
+        async with run_edge(CONFIGURATION, first) as edge:
+            memory = Memory().attach(edge)
+            answer = await begin(edge)
+            assert (answer.whole, other.got) == (False, [])
+            assert memory.origins == {"q1": StreamOrigin("svc", version)}
+            assert (await take_up(edge)).status == 503
+            assert other.got == []
+
+    play(scene)
+
+
+@pytest.mark.parametrize("changes", [{"Version": None}, {"Version": 1}, {"Version": ["v1"]}])
+def test_entry_without_a_version_in_text_names_no_server_to_use(changes: dict):
+    async def scene():
+        unreadable = make_replica("b2")
+        async with run_edge(CONFIGURATION, make_replica("b1")) as edge:
+            await unreadable.start()
+            edge.replicas.append(unreadable)
+            entry = unreadable.describe(**changes)
+            if entry["Version"] is None:
+                entry.pop("Version")
+            edge.store.put("servers", "b2", entry)
+            await asyncio.sleep(0.7)
+            assert edge.node.view.fleet.get("b2") is None
+
+    play(scene)
+
+
+# --- Over a caller's tries.
+
+
+def test_stream_taken_up_again_goes_on_at_the_version_that_began_it():
+    async def scene():
+        first, other = make_replica("b1"), make_replica("b2", "v1.1")
+        async with run_edge(CONFIGURATION, first) as edge:
+            Memory().attach(edge)
+            await begin(edge)
+            await add_replica(edge, other)
+            edge.node.view.fleet.get("b1").record_load_sample(6, 0, time.monotonic())
+            for after in (2, 0) * 4:
+                answer = await take_up(edge, after=after)
+                assert list_versions(answer) == {b"data: <v1>"}
+                assert (answer.whole, list_ids(answer)) == (True, list(range(after + 1, 5)))
+            assert other.got == []
+
+    play(scene)
+
+
+def test_stream_is_refused_while_only_other_versions_serve():
+    async def scene():
+        first, other = make_replica("b1"), make_replica("b2", "v1.1")
+        async with run_edge(CONFIGURATION, first) as edge:
+            Memory().attach(edge)
+            await begin(edge)
+            await add_replica(edge, other)
+            await remove_replica(edge, first)
+            begun = time.monotonic()
+            assert_refused(await take_up(edge), b"version_gone")
+            assert time.monotonic() - begun < 0.3
+            assert (len(first.got), other.got) == (1, [])
+            await add_replica(edge, make_replica("b3"))
+            answer = await take_up(edge)
+            assert list_versions(answer) == {b"data: <v1>"} and answer.whole
+
+    play(scene)
+
+
+def test_stream_waits_for_its_version_while_its_servers_are_full():
+    async def scene():
+        first, other = make_replica("b1", slots=1), make_replica("b2", "v1.1")
+        async with run_edge(CONFIGURATION, first) as edge:
+            Memory().attach(edge)
+            await begin(edge)
+            await add_replica(edge, other)
+            edge.node.view.fleet.get("b1").record_load_sample(40, 0, time.monotonic())
+            answer = await take_up(edge)
+            assert_refused(answer, b"servers_full")
+            assert (len(first.got), other.got) == (1, [])
+
+    play(scene)
+
+
+@pytest.mark.parametrize(
+    "stream_id", ["q9", "", "q\u00e9 ,=9"], ids=["unknown", "unnamed", "of_odd_text"]
+)
+def test_stream_of_unknown_version_is_refused_and_run_nowhere(stream_id: str):
+    async def scene():
+        replicas = [make_replica("b1"), make_replica("b2", "v1.1")]
+        async with run_edge(CONFIGURATION, *replicas) as edge:
+            Memory({"q1": StreamOrigin("svc", "v1")}).attach(edge)
+            for _ in range(4):
+                assert_refused(await take_up(edge, stream_id), b"version_unknown")
+            assert [replica.got for replica in replicas] == [[], []]
+
+    play(scene)
+
+
+def test_stream_without_an_event_begins_anew_and_is_known_by_both_ids():
+    async def scene():
+        replicas = [make_replica("b1"), make_replica("b2", "v1.1")]
+        async with run_edge(CONFIGURATION, *replicas) as edge:
+            memory = Memory().attach(edge)
+            answer = await edge.ask("/s/x", b"p", Resumes="q1", Rhubarbshed_Request_Id="q2")
+            assert (answer.whole, list_ids(answer)) == (True, [1, 2, 3, 4])
+            assert set(memory.origins) == {"q1", "q2"}
+            for stream_id in ("q1", "q2") * 3:
+                again = await take_up(edge, stream_id)
+                assert list_versions(answer, again) == list_versions(answer)
+
+    play(scene)
+
+
+def test_id_that_two_streams_of_two_versions_bear_decides_on_neither():
+    async def scene():
+        first, other = make_replica("b1"), make_replica("b2", "v1.1")
+        async with run_edge(CONFIGURATION, first) as edge:
+            Memory().attach(edge)
+            await begin(edge)
+            await add_replica(edge, other)
+            await remove_replica(edge, first)
+            assert list_versions(await begin(edge)) == {b"data: <v1.1>"}
+            assert_refused(await take_up(edge), b"version_unknown")
+            assert len(other.got) == 1
+
+    play(scene)
+
+
+def test_forged_id_sends_a_stream_to_the_version_of_that_id_only():
+    async def scene():
+        replicas = [make_replica("b1"), make_replica("b2", "v1.1")]
+        async with run_edge(CONFIGURATION, *replicas) as edge:
+            Memory({"of-another": StreamOrigin("svc", "v1.1")}).attach(edge)
+            for _ in range(4):
+                answer = await take_up(edge, "of-another")
+                assert list_versions(answer) == {b"data: <v1.1>"}
+            assert replicas[0].got == []
+
+    play(scene)
+
+
+def test_stream_whose_route_moved_to_another_service_goes_on_there():
+    async def scene():
+        first = make_replica("b1")
+        others = [make_replica(f"c{n}", f"w{n}", service="svc2") for n in (1, 2)]
+        async with run_edge(add_service(CONFIGURATION, "svc2"), first, *others) as edge:
+            Memory().attach(edge)
+            await begin(edge)
+            moved = make_configuration({**STREAM, "Service": "svc2"}, version=2)
+            edge.store.put("op", "config", add_service(moved, "svc2"))
+            await edge.wait_until(lambda: edge.node.view.configuration.version == 2)
+            answer = await take_up(edge)
+            assert (answer.whole, list_ids(answer)) == (True, [3, 4])
+            assert len(first.got) == 1
+            (version,) = list_versions(answer)
+            (chosen,) = (each for each in others if each.got)
+            for _ in range(4):
+                record = edge.node.view.fleet.get(chosen.server_id)
+                record.record_load_sample(6, 0, time.monotonic())
+                assert list_versions(await take_up(edge)) == {version}
+
+    play(scene)
+
+
+def test_stream_of_a_split_route_goes_on_at_the_service_that_began_it():
+    async def scene():
+        replicas = [
+            make_replica("b1"),
+            make_replica("b2", "v1.1"),
+            make_replica("c1", "w1", service="svc2"),
+        ]
+        split = [{"Service": "svc", "Weight": 1}, {"Service": "svc2", "Weight": 1000}]
+        configuration = add_service(
+            make_configuration({**STREAM, "TrafficSplit": split, "Service": None}), "svc2"
+        )
+        async with run_edge(configuration, *replicas) as edge:
+            Memory({"q1": StreamOrigin("svc", "v1.1")}).attach(edge)
+            for _ in range(6):
+                assert list_versions(await take_up(edge)) == {b"data: <v1.1>"}
+            assert (replicas[0].got, replicas[2].got) == ([], [])
+
+    play(scene)
+
+
+def test_plain_request_with_the_headers_of_a_stream_is_served_as_ever():
+    async def scene():
+        routes = (make_route(), make_route("streaming", "/o/", Attempts=1, TargetGapMs=150))
+        replicas = [Replica("b1"), Replica("b2", version="v1.1")]
+        async with run_edge(make_configuration(*routes), *replicas) as edge:
+            for path in ("/p/x", "/o/x"):
+                assert (await take_up(edge, path=path)).status == 200
+            got = [each.headers for replica in replicas for each in replica.got]
+            assert {(each["resumes"], each["last-event-id"]) for each in got} == {("q1", "2")}
+
+    play(scene)
+
+
+# --- Without anybody's memory: a service that has had one version for as long as a stream may last.
+
+
+def test_stream_goes_on_without_memory_once_only_one_version_was_seen_for_its_age():
+    async def scene():
+        async with run_edge(make_configuration(STREAM_SHORT), make_replica("b1")) as edge:
+            assert_refused(await take_up(edge), b"version_unknown")
+            await asyncio.sleep(0.9)
+            answer = await take_up(edge)
+            assert (answer.whole, list_ids(answer)) == (True, [3, 4])
+
+    play(scene)
+
+
+def test_stream_is_refused_without_memory_while_the_store_is_lost_and_after():
+    async def scene():
+        async with run_edge(make_configuration(STREAM_SHORT), make_replica("b1")) as edge:
+            await asyncio.sleep(0.9)
+            assert (await take_up(edge)).whole
+            await edge.store.stop()
+            await edge.wait_until(lambda: edge.node.follower.lost_at is not None)
+            assert_refused(await take_up(edge), b"version_unknown")
+            await asyncio.sleep(0.9)
+            assert_refused(await take_up(edge), b"version_unknown")
+            await edge.store.start()
+            await edge.wait_until(lambda: edge.node.follower.lost_at is None)
+            assert_refused(await take_up(edge), b"version_unknown")
+            await asyncio.sleep(0.9)
+            assert (await take_up(edge)).whole
+
+    play(scene)
+
+
+def test_stream_is_refused_without_memory_while_two_versions_serve_and_for_its_age_after():
+    async def scene():
+        first, other = make_replica("b1"), make_replica("b2", "v1.1")
+        async with run_edge(make_configuration(STREAM_SHORT), first) as edge:
+            await add_replica(edge, other)
+            await asyncio.sleep(0.9)
+            assert_refused(await take_up(edge), b"version_unknown")
+            edge.store.put("servers", "b2", other.describe(State="draining"))
+            edge.store.remove("servers", "b2")
+            await edge.wait_until(lambda: len(edge.node.view.fleet.servers) == 1)
+            assert_refused(await take_up(edge), b"version_unknown")
+            await asyncio.sleep(0.9)
+            answer = await take_up(edge)
+            assert list_versions(answer) == {b"data: <v1>"} and answer.whole
+            assert other.got == []
+
+    play(scene)
+
+
+def test_stream_is_refused_without_memory_after_a_server_that_was_never_seen_left():
+    async def scene():
+        async with run_edge(make_configuration(STREAM_SHORT), make_replica("b1")) as edge:
+            await asyncio.sleep(0.9)
+            assert (await take_up(edge)).whole
+            # The first entry is read at once and the next ones half a second later, together.
+            edge.store.put("servers", "b1", edge.replicas[0].describe(Seq=2))
+            await asyncio.sleep(0.1)
+            edge.store.put("servers", "b2", make_replica("b2", "v1.1").describe())
+            edge.store.remove("servers", "b2")
+            await asyncio.sleep(0.7)
+            assert edge.node.view.fleet.get("b2") is None
+            assert_refused(await take_up(edge), b"version_unknown")
+            await asyncio.sleep(0.9)
+            assert (await take_up(edge)).whole
+
+    play(scene)
+
+
+@pytest.mark.parametrize(
+    ("asked", "replied", "versions", "goes_on"),
+    [
+        (0, 0, [], True),
+        (2, 0, [], False),
+        (2, 1, [], True),
+        (2, 1, [("svc", "v1")], True),
+        (2, 2, [("svc", "v1"), ("svc", "v1.1")], False),
+        (2, 2, [("svc2", "v1.1")], True),
+    ],
+)
+def test_stream_goes_on_without_memory_only_if_other_instances_saw_no_other_version(
+    asked: int, replied: int, versions: list, goes_on: bool
+):
+    async def scene():
+        async with run_edge(make_configuration(STREAM_SHORT), make_replica("b1")) as edge:
+            Memory({}, asked, replied, frozenset(versions)).attach(edge)
+            await asyncio.sleep(0.9)
+            answer = await take_up(edge)
+            if goes_on:
+                assert (answer.whole, list_ids(answer)) == (True, [3, 4])
+            else:
+                assert_refused(answer, b"version_unknown")
+
+    play(scene)
+
+
+# --- A small model of a day: several versions, crashes, tries.
+
+STREAMS = 40
+TRIES_MAX = 5
+MODEL_VERSIONS = ("v1", "v1.1", "v1", "1.1", "v1.1", "v1")
+
+
+@define
+class Day:
+    """Streams of one run of the model: those that began, and the takings-up that went on."""
+
+    rng: random.Random
+    edge: Edge
+    begun: int = 0
+    refused: int = 0
+    taken_up: int = 0
+    went_on: int = 0
+    mixed: list[str] = field(factory=list)
+
+    async def crash_repeatedly(self) -> None:
+        """Crash a server at a time and start it again at its version."""
+        while True:
+            await asyncio.sleep(self.rng.uniform(0.02, 0.1))
+            replica = self.rng.choice(self.edge.replicas)
+            await replica.stop()
+            await asyncio.sleep(0.05)
+            await replica.start()
+
+    async def follow_stream(self, stream_id: str) -> None:
+        """Begin a stream and take it up again until it is whole."""
+        await asyncio.sleep(self.rng.uniform(0.0, 2.0))
+        answers = [await begin(self.edge, stream_id)]
+        self.begun += answers[0].status == 200
+        self.refused += answers[0].status != 200
+        while list_ids(*answers) and not answers[-1].whole and len(answers) < TRIES_MAX:
+            await asyncio.sleep(0.1)
+            self.taken_up += 1
+            answers.append(await take_up(self.edge, stream_id, list_ids(*answers)[-1]))
+            self.went_on += answers[-1].status == 200
+            if answers[-1].status != 200:
+                answers[-1].whole = False
+                answers[-1].body = b""
+        if len(list_versions(*answers)) > 1:
+            self.mixed.append(stream_id)
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_no_stream_of_a_day_with_crashes_mixes_versions_and_most_go_on(seed: int):
+    rng = random.Random(seed)
+
+    async def stumble(exchange: Exchange) -> None:
+        """Write a stream that breaks off in one of three cases."""
+        writer = Writer()
+        if rng.random() < 0.35:
+            writer = Writer(rng.randint(2, EVENTS), rng.choice((reset, garble)))
+        await writer(exchange)
+
+    async def scene():
+        replicas = [
+            Replica(f"b{number}", reply=stumble, version=version)
+            for number, version in enumerate(MODEL_VERSIONS)
+        ]
+        configuration = make_configuration({**STREAM, "Attempts": 2})
+        async with run_edge(configuration, *replicas, retry_extra=1000.0) as edge:
+            Memory().attach(edge)
+            day = Day(rng, edge)
+            crashes = asyncio.create_task(day.crash_repeatedly())
+            await asyncio.gather(*(day.follow_stream(f"q{n}") for n in range(STREAMS)))
+            crashes.cancel()
+            await asyncio.gather(crashes, return_exceptions=True)
+            print(day.begun, day.refused, day.taken_up, day.went_on, len(day.mixed))
+            assert day.mixed == []
+            assert day.taken_up > 0
+            assert day.went_on / day.taken_up >= 0.5 * day.begun / (day.begun + day.refused)
+
+    play(scene)
