Continue a broken stream at the version that began it, or not at all

Callers got answers whose first events came from a server of one software version and the rest from a server of another one.

The origin of a stream, its service and version, is fixed when the head of the first response goes out to the caller. From then on only servers of an equal version are candidates, also for a model that has to be loaded first; without any such server the answer is broken off at once, so that its caller takes the stream up itself. The origin is that of the entry by which the server was chosen, since the entry may change while the attempt runs.

--- a/rhubarbshed/coordination/serving/choice.py
+++ b/rhubarbshed/coordination/serving/choice.py
@@ -62,6 +62,15 @@
     return rng.choices(names, weights)[0]
 
 
+def list_staying(fleet: Fleet, service: str, version: str | None) -> list[ServerRecord]:
+    """List the servers that are not leaving; with `version`, those of that software version."""
+    return [
+        record
+        for record in fleet.list_service(service)
+        if record.leaving_at is None and (version is None or record.entry.version == version)
+    ]
+
+
 def choose_server(
     fleet: Fleet,
     service: str,
@@ -70,15 +79,17 @@
     data_centre: str,
     now: float,
     rng: random.Random,
+    version: str | None = None,
 ) -> Choice | NoServer:
     """Choose the least loaded available server that holds (model, adapter).
 
-    Servers to `avoid` have failed an earlier attempt of the request.
+    Servers to `avoid` have failed an earlier attempt of the request. The rest of a stream may come
+    from servers of one software `version` only.
     """
     model, adapter = needs
-    staying = [record for record in fleet.list_service(service) if record.leaving_at is None]
+    staying = list_staying(fleet, service, version)
     if not staying:
-        return NoServer("no_servers")
+        return NoServer("no_servers" if version is None else "version_gone")
     capable = [record for record in staying if record.takes_work(now)]
     holders = [record for record in capable if not model or record.holds(model, adapter)]
     # A server that was unresponsive a moment ago is better than none.
--- a/rhubarbshed/coordination/serving/refusals.py
+++ b/rhubarbshed/coordination/serving/refusals.py
@@ -39,12 +39,18 @@
     "absent": RefusalReason("model_absent", "no backend server holds the model yet", FULL_RETRY_S),
     "all_tried": RefusalReason("all_refused", "no backend server took the request", BUSY_RETRY_S),
     "full": RefusalReason("servers_full", "all backend servers are full", FULL_RETRY_S),
+    "version_gone": RefusalReason(
+        "version_gone", "no backend server of the stream's version is up", NO_SERVER_RETRY_S
+    ),
     "not_configured": RefusalReason(
         "not_configured", "no configuration is known", NOT_READY_RETRY_S
     ),
     "budget": RefusalReason("no_repeats", "the budget of repeats is used up", BUSY_RETRY_S),
 }
 
+STATED_REASONS = ("no_servers", "version_gone", "absent", "full", "budget")
+"""Ends of a search for a server that a refusal states; the others count as "all_tried"."""
+
 
 def make_refusal(
     reason: str, rng: random.Random, available_in_s: float | None = None
--- a/rhubarbshed/transport/edge/attempts.py
+++ b/rhubarbshed/transport/edge/attempts.py
@@ -61,6 +61,11 @@
     parts_same: int = 0
     parts_other: int = 0
 
+    @property
+    def version(self) -> str | None:
+        """Return the only software version that may write the stream, if there is one."""
+        return self.origin.version if self.origin is not None else None
+
     def begin_stream(self, head: ResponseHead, origin: StreamOrigin) -> None:
         """Send the head of the first response of a stream; later ones only continue it."""
         if not self.begun and self.route.resumable:
--- a/rhubarbshed/transport/edge/relay.py
+++ b/rhubarbshed/transport/edge/relay.py
@@ -13,10 +13,12 @@
     NoServer,
     choose_server,
     choose_service,
+    list_staying,
 )
 from rhubarbshed.coordination.serving.missing_models import LoadWait, decide_load_wait
 from rhubarbshed.coordination.serving.queueing import decide_wait
 from rhubarbshed.coordination.serving.refusals import (
+    STATED_REASONS,
     make_failure,
     make_no_route,
     make_refusal,
@@ -224,6 +226,7 @@
             view.settings.data_centre,
             now,
             view.rng,
+            self.caller_response.version,
         )
 
     async def attempt(self, chosen: Choice) -> ExchangeEnd:
@@ -319,9 +322,7 @@
         """Wait for a load of what is missing; return whether some server holds it now."""
         view = self.relay.view
         model, adapter = self.request.model, self.request.adapter
-        capable = [
-            record for record in view.fleet.list_service(self.service) if record.leaving_at is None
-        ]
+        capable = list_staying(view.fleet, self.service, self.caller_response.version)
         engine = view.configuration.find_engine(self.service)
         waits_until = min(self.deadline, self.request.received_at + self.route.stall_timeout_s)
         if not self.is_configured:
@@ -373,7 +374,7 @@
             return None
         if self.tries.run > 0:
             return make_failure(reason, "the backend server gave no whole answer")
-        known = reason if reason in ("no_servers", "absent", "full", "budget") else "all_tried"
+        known = reason if reason in STATED_REASONS else "all_tried"
         available_in_s = self.available_in_s if known == "absent" else None
         return make_refusal(known, self.relay.view.rng, available_in_s)
 
