End the wait for a load when the last server of a version leaves

A stream that is taken up waits for its model at servers of the version that began it. When the last of them left meanwhile, its caller was held until the wait was over and refused as if the model were absent. The wait ends now and the caller is refused at once (version_gone).

The test with a server that leaves fails before (model_absent) and passes now; the one with a server that stays passed before and guards the wait.

--- a/rhubarbshed/transport/edge/relay.py
+++ b/rhubarbshed/transport/edge/relay.py
@@ -326,7 +326,7 @@
             )
 
     async def wait_for_load(self, now: float) -> bool:
-        """Wait for a load of what is missing; return whether some server holds it now."""
+        """Wait for a load of what is missing; return whether to choose again."""
         view = self.relay.view
         model, adapter = self.request.model, self.request.adapter
         capable = list_staying(view.fleet, self.service, self.caller_response.version)
@@ -344,7 +344,8 @@
         while time.monotonic() < decision.until and view.drain.started_at is None:
             left_s = decision.until - time.monotonic()
             await view.changed.wait(min(left_s, AWAITED_REPORT_INTERVAL_S))
-            if isinstance(self.choose(time.monotonic()), Choice):
+            chosen = self.choose(time.monotonic())
+            if isinstance(chosen, Choice) or chosen.reason == "version_gone":
                 self.waited_s += time.monotonic() - now
                 return True
             self.relay.report_awaited(self.service, model, adapter)
--- a/test/test_edge_versions.py
+++ b/test/test_edge_versions.py
@@ -11,7 +11,15 @@
 
 from rhubarbshed.protocol.streams import StreamLookup, StreamOrigin
 from standin.replica import Exchange, Replica
-from test.helper_edge import Answer, Edge, make_configuration, make_route, play, run_edge
+from test.helper_edge import (
+    Answer,
+    Edge,
+    make_configuration,
+    make_engine_service,
+    make_route,
+    play,
+    run_edge,
+)
 
 EVENTS = 4
 """Events of a whole stream."""
@@ -317,6 +325,31 @@
     play(scene)
 
 
+@pytest.mark.parametrize("leaves", [False, True])
+def test_stream_whose_version_lacks_the_model_waits_for_it_while_a_server_may_load_it(leaves: bool):
+    async def scene():
+        first = make_replica("b1", refuse_orders=True)
+        other = make_replica("b2", "v1.1", models={"m1": []})
+        service = make_engine_service({"m1": 0})
+        configuration = make_configuration(STREAM, Services=[service])
+        async with run_edge(configuration, first, other) as edge:
+            Memory({"q1": StreamOrigin("svc", "v1")}).attach(edge)
+            begun = time.monotonic()
+            taken_up = asyncio.create_task(
+                edge.ask("/s/x", b"p", Resumes="q1", Last_Event_Id="2", Rhubarbshed_Model="m1")
+            )
+            await asyncio.sleep(0.1)
+            if leaves:
+                await remove_replica(edge, first)
+            left_at = time.monotonic()
+            answer = await taken_up
+            assert_refused(answer, b"version_gone" if leaves else b"model_absent")
+            assert time.monotonic() - left_at < 0.3 if leaves else time.monotonic() - begun > 0.5
+            assert (first.got, other.got) == ([], [])
+
+    play(scene)
+
+
 @pytest.mark.parametrize(
     "stream_id", ["q9", "", "q\u00e9 ,=9"], ids=["unknown", "unnamed", "of_odd_text"]
 )
