Let only up-to-date messages confirm the known versions

A message of the order holder confirmed the entries also when it was older than what this instance had read itself, as one that was delayed on its way may be. It counts now only if it reaches the known revision and misses nothing. Found while writing the tests of what an instance follows, which come with it: the case (3, 4) fails before and passes now.

--- a/rhubarbshed/transport/edge/follower.py
+++ b/rhubarbshed/transport/edge/follower.py
@@ -111,7 +111,7 @@
             versions.restart(now)
         if self.servers_revision is None:
             return
-        if message.before <= self.servers_revision and message.settled:
+        if message.before <= self.servers_revision <= message.revision and message.settled:
             versions.confirm(now)
         if message.revision <= self.servers_revision:
             return
--- a/test/test_versions.py
+++ b/test/test_versions.py
@@ -7,11 +7,17 @@
     find_stream_age_max,
 )
 from rhubarbshed.protocol.exchanges import CallerRequest
+from rhubarbshed.protocol.messages import StoreMessage
 from rhubarbshed.protocol.routes import Configuration, Route, RouteKind
 from rhubarbshed.protocol.servers import ServerEntry, ServerState
 from rhubarbshed.protocol.streams import StreamLookup, StreamOrigin
+from rhubarbshed.protocol.tables import Row, TableError, TableFault
 from rhubarbshed.state.membership.fleet import Fleet
 from rhubarbshed.state.membership.versions import VersionHistory
+from rhubarbshed.transport.edge.follower import Follower
+from rhubarbshed.transport.edge.view import View
+from standin.replica import Replica
+from test.helper_edge import make_settings
 
 NOW = 1000.0
 NOT_FOUND = StreamLookup(None)
@@ -114,3 +120,71 @@
     configuration = Configuration(1, {"h": (ROUTE,)})
     assert find_stream_age_max(configuration) == 20.0
     assert find_stream_age_max(None) == 60.0
+
+
+# --- What an instance follows.
+
+
+def make_follower() -> Follower:
+    """Return a follower that has read the server b1 of v1 at revision 5."""
+    view = View.from_settings(make_settings(("127.0.0.1", 1)))
+    follower = Follower(None, view)
+    follower._apply_servers((make_row("b1", "v1", 5),), True, NOW - 100.0)
+    follower.servers_revision = 5
+    return follower
+
+
+def make_row(server_id: str, version: str | None, revision: int) -> Row:
+    """Return the row of a server's entry, or of its removal."""
+    value = Replica(server_id, version=version or "").describe() if version is not None else None
+    return Row(server_id, revision, value, revision)
+
+
+def make_message(before: int, revision: int, *rows: Row, settled: bool = True) -> StoreMessage:
+    """Return a message of an order holder."""
+    changes = tuple((row.key, row.version, row.value) for row in rows)
+    return StoreMessage("i2", "a", 1, 0, settled, before, revision, changes)
+
+
+def test_message_of_the_order_holder_confirms_entries_that_miss_nothing():
+    cases = [(5, 5, True, True), (3, 5, True, True), (5, 6, True, True)]
+    cases += [(6, 7, True, False), (3, 4, True, False), (5, 5, False, False)]
+    for before, revision, settled, confirmed in cases:
+        follower = make_follower()
+        follower.handle_store_message(make_message(before, revision, settled=settled), NOW)
+        assert (follower.view.versions.confirmed_at == NOW) == confirmed, (before, revision)
+        gap = NOW - 100.0 if settled else NOW
+        assert follower.view.versions.followed_since == gap, (before, revision)
+
+
+def test_versions_of_servers_that_came_and_left_are_told_for_the_age_of_a_stream():
+    follower = make_follower()
+    came, left = make_row("b2", "v1.1", 6), make_row("b2", None, 7)
+    draining = Row("b2", 6, {**came.value, "State": "draining"}, 6)
+    follower.handle_store_message(make_message(5, 6, came, draining), NOW)
+    follower.handle_store_message(make_message(6, 7, left), NOW + 1.0)
+    view = follower.view
+    assert (list(view.fleet.servers), view.versions.followed_since) == (["b1"], NOW - 100.0)
+    assert view.list_versions(NOW + 60.0) == (("svc", "v1"), ("svc", "v1.1"))
+    assert view.list_versions(NOW + 62.0) == (("svc", "v1"),)
+
+
+def test_server_that_starts_again_at_another_version_leaves_both_versions_seen():
+    follower = make_follower()
+    again = make_row("b1", "v2", 6)
+    again.value["born"] = 2
+    follower.handle_store_message(make_message(5, 6, again), NOW)
+    view = follower.view
+    assert view.fleet.get("b1").entry.version == "v2"
+    assert view.list_versions(NOW + 1.0) == (("svc", "v1"), ("svc", "v2"))
+
+
+def test_loss_of_the_store_or_of_its_history_is_a_gap():
+    follower = make_follower()
+    versions = follower.view.versions
+    follower._record_failure("op", TableError(TableFault.UNKNOWN, detail="away"), NOW)
+    assert versions.followed_since is None
+    follower._record_response(NOW + 1.0)
+    assert versions.followed_since == NOW + 1.0
+    follower._apply_servers((make_row("b1", "v1", 9),), True, NOW + 2.0)
+    assert versions.followed_since == NOW + 2.0
