--- a/rhubarbshed/transport/edge/relay.py
+++ b/rhubarbshed/transport/edge/relay.py
@@ -1,6 +1,7 @@
 """Path of a request from its caller to a backend server and back."""
 
 import asyncio
+import functools
 import logging
 import time
 from collections.abc import Callable
@@ -13,11 +14,13 @@
     NoServer,
     choose_server,
     choose_service,
+    list_staying,
 )
 from rhubarbshed.coordination.serving.missing_models import LoadWait, decide_load_wait
 from rhubarbshed.coordination.serving.queueing import decide_wait
 from rhubarbshed.coordination.serving.refusals import (
     DRAINING_RETRY_S,
+    STATED_REASONS,
     draw_retry_after,
     make_defect,
     make_failure,
@@ -26,6 +29,7 @@
     make_timeout,
 )
 from rhubarbshed.coordination.serving.retry_budget import Tries, is_retry_allowed
+from rhubarbshed.coordination.serving.versions import Continuation
 from rhubarbshed.platform.headers import echo_request_id, read_request
 from rhubarbshed.protocol.errors import RequestError
 from rhubarbshed.protocol.exchanges import CallerRequest, ExchangeEnd
@@ -33,6 +37,14 @@
 from rhubarbshed.state.membership.fleet import ServerRecord
 from rhubarbshed.transport.edge.attempts import Attempt, CallerResponse
 from rhubarbshed.transport.edge.caller_connections import CallerConnection
+from rhubarbshed.transport.edge.continuations import (
+    FindStream,
+    RecordStream,
+    decide_stream,
+    find_nothing,
+    record_nothing,
+    record_origin,
+)
 from rhubarbshed.transport.edge.metrics import FrontMetrics
 from rhubarbshed.transport.edge.pools import Pool
 from rhubarbshed.transport.edge.request_logs import Stage, log_end
@@ -61,7 +73,8 @@
 
     `report_awaited` asks the order holder for a (service, model, adapter); `count_demand` counts a
     request for one, `count_run` a run with its seconds. `report_missing` reports to the holder a
-    (server, started_ms, model, adapter) that is not there.
+    (server, started_ms, model, adapter) that is not there. `record_stream` and `find_stream` are
+    the memory of the origins of streams.
     """
 
     view: View
@@ -71,6 +84,8 @@
     count_demand: Callable[[str, str, str, int], None]
     count_run: Callable[[str, str, str, float], None]
     report_missing: Callable[[str, int, str, str], None]
+    record_stream: RecordStream = record_nothing
+    find_stream: FindStream = find_nothing
     open_requests: set["RequestProgress"] = field(factory=set)
 
     @property
@@ -123,6 +138,7 @@
     tries: Tries = field(factory=Tries)
     excluded: set[tuple[str, int]] = field(factory=set)
     servers: list[str] = field(factory=list)
+    versions: list[str] = field(factory=list)
     caller_response: CallerResponse | None = None
     deadline: float = 0.0
     waited_s: float = 0.0
@@ -136,6 +152,7 @@
     retry_paid: bool = False
     waits_for: Stage = Stage.CHOICE
     last_attempt: Attempt | None = None
+    continuation: Continuation | None = None
 
     def cut_off(self) -> None:
         """End the request now, because the process stops."""
@@ -160,15 +177,15 @@
         caller_timeout_s = self.request.caller_timeout_s or TIMEOUT_DEFAULT_S
         self.deadline = self.request.received_at + min(caller_timeout_s, self.route.timeout_s)
         self.caller_response = CallerResponse(self.connection, self.request, self.route)
-        view.budget.count_request(self.service, time.monotonic())
-        if self.is_configured:
-            request = self.request
-            self.relay.count_demand(
-                self.service, request.model, request.adapter, request.prompt_tokens
-            )
+        self.caller_response.record_origin = functools.partial(record_origin, self)
         try:
             async with asyncio.timeout_at(self.deadline):
-                error = await self.send()
+                self.waits_for = Stage.LOOKUP
+                error = await decide_stream(self)
+                self.waits_for = Stage.CHOICE
+                if error is None:
+                    self.count()
+                    error = await self.send()
         except TimeoutError:
             error = make_timeout(self.tries.run > 0 or self.in_flight)
         if error is not None:
@@ -190,6 +207,15 @@
         spec = engine.models.get(self.request.model) if engine is not None else None
         return spec is not None and spec.has_adapter(self.request.adapter)
 
+    def count(self) -> None:
+        """Count the request for its service and model."""
+        self.relay.view.budget.count_request(self.service, time.monotonic())
+        if self.is_configured:
+            request = self.request
+            self.relay.count_demand(
+                self.service, request.model, request.adapter, request.prompt_tokens
+            )
+
     async def send(self) -> RequestError | None:
         """Send the request until it is answered; return the error to answer with, if any."""
         while True:
@@ -232,12 +258,14 @@
             view.settings.data_centre,
             now,
             view.rng,
+            self.caller_response.version,
         )
 
     async def attempt(self, chosen: Choice) -> ExchangeEnd:
         """Send the request to one server, and record the outcome."""
         record = chosen.server
         self.servers.append(record.entry.server_id)
+        self.versions.append(record.entry.version)
         log_event(
             LOG,
             logging.DEBUG,
@@ -303,7 +331,7 @@
         if end in (ExchangeEnd.CONNECTION_REFUSED, ExchangeEnd.WRONG_SERVER):
             self.relay.report_missing(*record.key, "", "")
         if end is ExchangeEnd.MODEL_MISSING and self.request.model:
-            self.remove_held(record)
+            record.remove_held(self.request.model, self.request.adapter)
             self.relay.report_missing(*record.key, self.request.model, self.request.adapter)
             self.relay.report_awaited(self.service, self.request.model, self.request.adapter)
         self.relay.metrics.count_attempt(self.service, end.value)
@@ -341,20 +369,11 @@
         self.excluded = tried
         return isinstance(chosen, Choice) and self.pay_retry(now)
 
-    def remove_held(self, record: ServerRecord) -> None:
-        """Record that a server does not hold what it was asked for."""
-        if self.request.adapter:
-            record.held.get(self.request.model, set()).discard(self.request.adapter)
-        else:
-            record.held.pop(self.request.model, None)
-
     async def wait_for_load(self, now: float) -> bool:
-        """Wait for a load of what is missing; return whether some server holds it now."""
+        """Wait for a load of what is missing; return whether to choose again."""
         view = self.relay.view
         model, adapter = self.request.model, self.request.adapter
-        capable = [
-            record for record in view.fleet.list_service(self.service) if record.leaving_at is None
-        ]
+        capable = list_staying(view.fleet, self.service, self.caller_response.version)
         engine = view.configuration.find_engine(self.service)
         waits_until = min(self.deadline, self.request.received_at + self.route.stall_timeout_s)
         if not self.is_configured:
@@ -369,7 +388,8 @@
         while time.monotonic() < decision.until and view.drain.started_at is None:
             left_s = decision.until - time.monotonic()
             await view.changed.wait(min(left_s, AWAITED_REPORT_INTERVAL_S))
-            if isinstance(self.choose(time.monotonic()), Choice):
+            chosen = self.choose(time.monotonic())
+            if isinstance(chosen, Choice) or chosen.reason == "version_gone":
                 self.waited_s += time.monotonic() - now
                 return True
             self.relay.report_awaited(self.service, model, adapter)
@@ -406,7 +426,7 @@
             return None
         if self.tries.run > 0:
             return make_failure(reason, "the backend server gave no whole answer")
-        known = reason if reason in ("no_servers", "absent", "full", "budget") else "all_tried"
+        known = reason if reason in STATED_REASONS else "all_tried"
         available_in_s = self.available_in_s if known == "absent" else None
         return make_refusal(known, self.relay.view.rng, available_in_s)
 
--- a/rhubarbshed/transport/edge/request_logs.py
+++ b/rhubarbshed/transport/edge/request_logs.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from rhubarbshed.protocol.errors import RequestError
+from rhubarbshed.transport.edge.continuations import is_continuation, name_outcome
 from rhubarbshed.util.logs import log_event
 
 if TYPE_CHECKING:
@@ -17,6 +18,7 @@
     """What a request is waiting for."""
 
     CHOICE = "choice"
+    LOOKUP = "lookup"
     LOAD = "load"
     SLOT = "slot"
     PAUSE = "pause"
@@ -56,6 +58,7 @@
         "model": request.model,
         "adapter": request.adapter,
         "servers": ",".join(progress.servers),
+        "versions": ",".join(progress.versions),
         "run": progress.tries.run,
         "refused": progress.tries.refused,
         "took_ms": round(elapsed_s * 1000),
@@ -69,6 +72,7 @@
         fields["first_ms"] = round((response.first_at - request.received_at) * 1000)
         fields["gap_ms"] = round(response.gap_s * 1000)
         progress.relay.metrics.observe_first_bytes(response.first_at - request.received_at)
+    fields |= count_stream(progress, error)
     if error is not None and error.retry_after_s is not None:
         fields["retry_after_s"] = round(error.retry_after_s, 3)
     connection, stop_at = progress.connection, view.drain.started_at
@@ -83,3 +87,22 @@
         fields["unsent_bytes"] = disconnect.unsent_bytes
         fields["closed_ms"] = round((now - disconnect.at) * 1000)
     log_event(LOG, logging.INFO, "request_ended", **fields)
+
+
+def count_stream(progress: "RequestProgress", error: RequestError | None) -> dict[str, object]:
+    """Count what became of a request's stream; return the fields for its log line."""
+    request, response = progress.request, progress.caller_response
+    if response is None or not response.route.resumable:
+        return {}
+    metrics = progress.relay.metrics
+    metrics.count_stream_parts(response.parts_same, response.parts_other)
+    fields: dict[str, object] = {}
+    if response.origin is not None:
+        fields["version"] = response.origin.version
+    if is_continuation(request, response.route):
+        fields["stream"] = request.stream_id
+        continuation = progress.continuation
+        fields["origin"] = continuation.source.value if continuation is not None else ""
+        code = error.code if error is not None else ""
+        metrics.count_continuation(name_outcome(request, continuation, response.begun, code))
+    return fields
