Define messages on the origins of streams and read past other kinds

New kinds instead of new fields: the build before reads fields by position.

Sizes and types of all fields are checked, as any datagram may be garbled. A kind that only a later build knows is logged once and counted; what is really unreadable is reported as before.

--- a/rhubarbshed/protocol/messages.py
+++ b/rhubarbshed/protocol/messages.py
@@ -2,15 +2,44 @@
 
 Each data centre has one order holder, the instance that sends orders to the engines in it.
 Instances exchange messages with the holder of their own data centre, and holders with each other.
+Only messages on the origin of streams go from any instance to any other.
 """
 
+import re
+import socket
+from collections.abc import Callable, Sequence
+from socket import AF_INET, AF_INET6
+
 import msgpack
-from attrs import astuple, field, frozen
+from attrs import Attribute, astuple, field, frozen
 from returns.result import Failure, Result, Success
 
 FORMAT = 4
 DECODE_ERRORS = (KeyError, TypeError, ValueError, IndexError, msgpack.UnpackException)
 
+STREAMS_PER_MESSAGE = 16
+"""Most streams in one datagram; an id, a service and a version have about 50 bytes."""
+
+VERSIONS_PER_MESSAGE = 128
+"""Most (service, version) pairs in one datagram."""
+
+ADDRESSES_PER_MESSAGE = 180
+"""Most addresses in one datagram: 6 bytes each, so that it has at most 1,200 bytes."""
+
+TEXT_LENGTH_MAX = 200
+"""Most characters of a stream's id, a service or a version in a message."""
+
+PARTS_MAX = 64
+"""Most datagrams of one list of instances."""
+
+KIND_NAME = re.compile(r"[a-z_]{1,24}")
+"""Names that a message kind of another build may have."""
+
+PACKED_ADDRESS_BYTES = 6
+PORT_MAX = 65535
+
+Address = tuple[str, int]
+
 
 @frozen
 class DemandMessage:
@@ -80,8 +109,178 @@
     rows: tuple[tuple[str, int, dict | None], ...] = field(factory=tuple)
 
 
-Message = DemandMessage | HolderMessage | StoreMessage
-KINDS: dict[str, type] = {"demand": DemandMessage, "holder": HolderMessage, "news": StoreMessage}
+def is_text(value: object) -> bool:
+    """Return whether a value is text that a message may carry."""
+    return isinstance(value, str) and len(value) <= TEXT_LENGTH_MAX and _is_encodable(value)
+
+
+def is_address(value: object) -> bool:
+    """Return whether a value is an IP address and a port; a name would have to be looked up."""
+    if not isinstance(value, tuple) or len(value) != 2:
+        return False
+    host, port = value
+    is_port = type(port) is int and 0 < port <= PORT_MAX
+    return is_port and is_text(host) and (_is_ip(host, AF_INET) or _is_ip(host, AF_INET6))
+
+
+def _is_ip(host: str, family: int) -> bool:
+    try:
+        socket.inet_pton(family, host)
+    except (OSError, ValueError):
+        return False
+    return True
+
+
+def _is_encodable(text: str) -> bool:
+    # JSON may carry lone surrogates, which have no UTF-8 form.
+    return text.isascii() or not any("\ud800" <= character <= "\udfff" for character in text)
+
+
+def _check_tuples(width: int, most: int) -> Callable[[object, Attribute, object], None]:
+    def check(message: object, attribute: Attribute, value: object) -> None:
+        fits = isinstance(value, tuple) and len(value) <= most
+        if not fits or not all(
+            isinstance(each, tuple) and len(each) == width and all(map(is_text, each))
+            for each in value
+        ):
+            raise ValueError(f"{attribute.name} is not a short list of tuples of text")
+
+    return check
+
+
+def _check_texts(message: object, attribute: Attribute, value: object) -> None:
+    fits = isinstance(value, tuple) and len(value) <= STREAMS_PER_MESSAGE
+    if not fits or not all(map(is_text, value)):
+        raise ValueError(f"{attribute.name} is not a short list of text")
+
+
+def _check_text(message: object, attribute: Attribute, value: object) -> None:
+    if not is_text(value):
+        raise ValueError(f"{attribute.name} is not short text")
+
+
+def _check_number(message: object, attribute: Attribute, value: object) -> None:
+    if type(value) is not int or value < 0:
+        raise ValueError(f"{attribute.name} is not a number")
+
+
+def _check_packed(message: object, attribute: Attribute, value: object) -> None:
+    most = ADDRESSES_PER_MESSAGE * PACKED_ADDRESS_BYTES
+    if not isinstance(value, bytes) or len(value) > most or len(value) % PACKED_ADDRESS_BYTES:
+        raise ValueError(f"{attribute.name} is not a list of packed addresses")
+
+
+def _check_addresses(message: object, attribute: Attribute, value: object) -> None:
+    fits = isinstance(value, tuple) and len(value) <= ADDRESSES_PER_MESSAGE
+    if not fits or not all(map(is_address, value)):
+        raise ValueError(f"{attribute.name} is not a list of addresses")
+
+
+@frozen
+class OriginsMessage:
+    """Origins of streams for an instance that is to keep them, as (stream, service, version)."""
+
+    origins: tuple[tuple[str, str, str], ...] = field(
+        validator=_check_tuples(3, STREAMS_PER_MESSAGE)
+    )
+
+
+@frozen
+class OriginQuestion:
+    """Question for the origins of streams, by their ids."""
+
+    streams: tuple[str, ...] = field(validator=_check_texts)
+
+
+@frozen
+class OriginReply:
+    """Reply to an `OriginQuestion`.
+
+    `origins` are (stream, service, version), `unknown` the streams asked for of which the replier
+    has no record. `versions` are the (service, version) that it has seen lately.
+    """
+
+    origins: tuple[tuple[str, str, str], ...] = field(
+        validator=_check_tuples(3, STREAMS_PER_MESSAGE)
+    )
+    unknown: tuple[str, ...] = field(factory=tuple, validator=_check_texts)
+    versions: tuple[tuple[str, str], ...] = field(
+        factory=tuple, validator=_check_tuples(2, VERSIONS_PER_MESSAGE)
+    )
+
+
+@frozen
+class InstancesMessage:
+    """Part of an order holder's list of the instances of one data centre.
+
+    `data_centre` and `token` are the holder's, `listed` is the data centre of the instances and
+    `number` rises with each change of its list. `packed` are IPv4 addresses with ports, 6 bytes
+    each; `others` are IPv6 addresses.
+    """
+
+    data_centre: str = field(validator=_check_text)
+    token: int = field(validator=_check_number)
+    listed: str = field(validator=_check_text)
+    number: int = field(validator=_check_number)
+    part: int = field(validator=_check_number)
+    parts: int = field(validator=_check_number)
+    packed: bytes = field(validator=_check_packed)
+    others: tuple[Address, ...] = field(factory=tuple, validator=_check_addresses)
+
+    def __attrs_post_init__(self) -> None:
+        """Refuse a part that its list can't have."""
+        if not self.part < self.parts <= PARTS_MAX:
+            raise ValueError(f"part {self.part} of {self.parts}")
+
+
+@frozen
+class InstancesQuestion:
+    """Question of an instance to its order holder for all lists of instances."""
+
+
+@frozen
+class UnknownMessage:
+    """Message of a kind that only another build knows."""
+
+    kind: str
+
+
+def pack_addresses(addresses: Sequence[Address]) -> tuple[bytes, tuple[Address, ...]]:
+    """Return IPv4 addresses as bytes, and IPv6 addresses; what is neither is left out."""
+    packed, others = bytearray(), []
+    for host, port in addresses:
+        if _is_ip(host, AF_INET):
+            packed += socket.inet_pton(AF_INET, host) + port.to_bytes(2)
+        elif is_address((host, port)):
+            others.append((host, port))
+    return bytes(packed), tuple(others)
+
+
+def list_addresses(message: InstancesMessage) -> tuple[Address, ...]:
+    """Return the addresses of a part of a list."""
+    packed = message.packed
+    listed = (
+        (
+            socket.inet_ntop(AF_INET, packed[start : start + 4]),
+            int.from_bytes(packed[start + 4 : start + PACKED_ADDRESS_BYTES]),
+        )
+        for start in range(0, len(packed), PACKED_ADDRESS_BYTES)
+    )
+    return tuple(each for each in (*listed, *message.others) if each[1])
+
+
+StreamMessage = OriginsMessage | OriginQuestion | OriginReply | InstancesMessage | InstancesQuestion
+Message = DemandMessage | HolderMessage | StoreMessage | StreamMessage
+KINDS: dict[str, type] = {
+    "demand": DemandMessage,
+    "holder": HolderMessage,
+    "news": StoreMessage,
+    "origins": OriginsMessage,
+    "origin_question": OriginQuestion,
+    "origin_reply": OriginReply,
+    "instances": InstancesMessage,
+    "instances_question": InstancesQuestion,
+}
 KIND_NAMES = {kind: name for name, kind in KINDS.items()}
 
 
@@ -90,12 +289,14 @@
     return msgpack.packb((FORMAT, KIND_NAMES[type(message)], *astuple(message, recurse=False)))
 
 
-def unpack_message(data: bytes) -> Result[Message, str]:
+def unpack_message(data: bytes) -> Result[Message | UnknownMessage, str]:
     """Decode a datagram, or return the reason why that fails."""
     try:
         version, kind, *parts = msgpack.unpackb(data, use_list=False)
         if version != FORMAT:
             return Failure(f"format {version!r}")
+        if isinstance(kind, str) and kind not in KINDS and KIND_NAME.fullmatch(kind):
+            return Success(UnknownMessage(kind))
         return Success(KINDS[kind](*parts))
     except DECODE_ERRORS as error:
         return Failure(repr(error))
--- a/rhubarbshed/transport/edge/datagrams.py
+++ b/rhubarbshed/transport/edge/datagrams.py
@@ -1,12 +1,19 @@
 """Datagrams between instances."""
 
 import asyncio
+import logging
 from collections.abc import Callable
 
-from attrs import define
-from returns.result import Result
+from attrs import define, field
+from returns.result import Result, Success
 
-from rhubarbshed.protocol.messages import Message, pack_message, unpack_message
+from rhubarbshed.protocol.messages import Message, UnknownMessage, pack_message, unpack_message
+from rhubarbshed.util.logs import log_event
+
+LOG = logging.getLogger(__name__)
+
+UNKNOWN_KINDS_MAX = 32
+"""Most kinds of messages of other builds that are counted one by one."""
 
 Address = tuple[str, int]
 
@@ -16,6 +23,7 @@
     """Datagram endpoint for messages; a lost message is not resent, as the next one replaces it."""
 
     handle: Callable[[Result[Message, str], Address], None]
+    unknown_kinds: dict[str, int] = field(factory=dict)
     _transport: asyncio.DatagramTransport | None = None
 
     async def listen(self, address: Address) -> None:
@@ -29,7 +37,19 @@
 
     def datagram_received(self, data: bytes, address: Address) -> None:
         """Decode a message and pass it on."""
-        self.handle(unpack_message(data), address)
+        read = unpack_message(data)
+        if isinstance(read, Success) and isinstance(read.unwrap(), UnknownMessage):
+            self._skip(read.unwrap().kind, address)
+            return
+        self.handle(read, address)
+
+    def _skip(self, kind: str, address: Address) -> None:
+        """Count a message that only another build knows; the first of each kind is logged."""
+        if kind not in self.unknown_kinds and len(self.unknown_kinds) < UNKNOWN_KINDS_MAX:
+            self.unknown_kinds[kind] = 0
+            log_event(LOG, logging.INFO, "message_kind_unknown", kind=kind, sender=address[0])
+        if kind in self.unknown_kinds:
+            self.unknown_kinds[kind] += 1
 
     def error_received(self, error: OSError) -> None:
         """Ignore that a peer's port is closed; unresponsive peers are detected elsewhere."""
--- a/rhubarbshed/transport/edge/holder_protocol.py
+++ b/rhubarbshed/transport/edge/holder_protocol.py
@@ -9,11 +9,18 @@
 import asyncio
 import logging
 import time
+from collections.abc import Callable
 
 from attrs import define, field
 from returns.result import Failure, Result
 
-from rhubarbshed.protocol.messages import DemandMessage, HolderMessage, Message, StoreMessage
+from rhubarbshed.protocol.messages import (
+    DemandMessage,
+    HolderMessage,
+    Message,
+    StoreMessage,
+    StreamMessage,
+)
 from rhubarbshed.protocol.tables import Row
 from rhubarbshed.state.membership.fleet import SAMPLE_WINDOW_S
 from rhubarbshed.state.placement.demand_buffer import DemandBuffer, list_counts
@@ -21,6 +28,12 @@
 from rhubarbshed.state.placement.usage import Tally, Target
 from rhubarbshed.transport.edge.datagrams import Datagrams
 from rhubarbshed.transport.edge.follower import Follower
+from rhubarbshed.transport.edge.holder_messages import (
+    list_changes,
+    list_held,
+    make_demand_messages,
+    split_rows,
+)
 from rhubarbshed.transport.edge.lease import LeaseClient
 from rhubarbshed.transport.edge.order_dispatcher import OrderDispatcher
 from rhubarbshed.transport.edge.view import View
@@ -42,9 +55,6 @@
 INSTANCE_EXPIRY_S = 5.0
 """Time without a message after which a holder no longer counts an instance."""
 
-ROWS_PER_MESSAGE = 8
-"""Most rows of the store in one datagram; a server's row has some hundred bytes."""
-
 SERVERS_PER_MESSAGE = 12
 """Most engines announced in one datagram, which keeps it within a packet or two."""
 
@@ -52,9 +62,6 @@
 """Time in which changes are collected before they are announced: hardly noticeable for a caller
 that waits for an adapter, and at most 40 messages a second from a holder to each instance."""
 
-COUNTS_PER_MESSAGE = 40
-"""Most targets counted in one datagram between holders."""
-
 AWAITED_REPORT_PAUSE_S = 0.08
 """Shortest time between two reports of the same awaited target."""
 
@@ -86,6 +93,9 @@
     holders: dict[str, KnownHolder] = field(factory=dict)
     demand_buffer: DemandBuffer = field(factory=DemandBuffer)
     loads_reported_at: float = -1e9
+    handle_stream_message: Callable[[StreamMessage, Address, float], None] = (
+        lambda message, address, now: None
+    )
 
     def __attrs_post_init__(self) -> None:
         """Create the datagram endpoint."""
@@ -159,23 +169,12 @@
     def forward_demand(self) -> None:
         """Forward to the other holders what was received from the own data centre."""
         demand_buffer, self.demand_buffer = self.demand_buffer, DemandBuffer()
-        counts = list_counts(demand_buffer.counts)
-        if not counts and not demand_buffer.is_urgent and not demand_buffer.loads:
+        if not (demand_buffer.counts or demand_buffer.is_urgent or demand_buffer.loads):
             return
         settings = self.view.settings
         others = self.list_other_holders()
-        awaited, missing, loads = (
-            tuple(demand_buffer.awaited),
-            tuple(demand_buffer.missing),
-            tuple(demand_buffer.loads.items()),
-        )
-        for start in range(0, max(1, len(counts)), COUNTS_PER_MESSAGE):
-            part = tuple(counts[start : start + COUNTS_PER_MESSAGE])
-            message = DemandMessage(
-                settings.name, settings.data_centre, part, awaited, missing, loads
-            )
+        for message in make_demand_messages(settings.name, settings.data_centre, demand_buffer):
             self.datagrams.send(message, *others)
-            awaited = missing = loads = ()
 
     def list_other_holders(self) -> list[Address]:
         """List the addresses of the holders of the other data centres."""
@@ -246,21 +245,17 @@
     ) -> None:
         """Announce how far the store was read, with the rows that changed."""
         settings, known = self.view.settings, self.view.configuration
-        for start in range(0, max(1, len(rows)), ROWS_PER_MESSAGE):
-            part = rows[start : start + ROWS_PER_MESSAGE]
-            last = start + ROWS_PER_MESSAGE >= len(rows)
-            reached = revision if last else part[-1].version
+        for first, reached, part in split_rows(before, revision, rows):
             message = StoreMessage(
                 settings.name,
                 settings.data_centre,
                 self.lease.lease_state.token,
                 known.version if known is not None else 0,
                 self.follower.is_settled(now),
-                before,
+                first,
                 reached,
                 tuple((row.key, row.version, row.value) for row in part),
             )
-            before = reached
             self.datagrams.send(message, *self.instances)
 
     def list_loads(self, now: float) -> dict[str, int]:
@@ -292,14 +287,8 @@
                 gives_orders,
                 len(self.instances) + 1,
                 self.count_remote_instances(),
-                tuple(
-                    (engine_state.server_id, engine_state.started_ms, _group_adapters(engine_state))
-                    for engine_state in part
-                ),
-                tuple(
-                    (each.server_id, each.loading, max(0.0, each.busy_until - now), each.unloading)
-                    for each in part
-                ),
+                list_held(part),
+                list_changes(part, now),
                 holders,
                 loads,
             )
@@ -314,6 +303,9 @@
             log_event(LOG, logging.INFO, "word_unreadable", sender=address[0], why=read.failure())
             return
         message = read.unwrap()
+        if isinstance(message, StreamMessage):
+            self.handle_stream_message(message, address, now)
+            return
         if isinstance(message, HolderMessage):
             self.handle_holder_message(message, now)
             return
@@ -400,6 +392,13 @@
             if data_centre not in self.holders:
                 self.holders[data_centre] = KnownHolder((host, port), 0, now, 0)
 
+    def list_holders(self) -> dict[str, Address]:
+        """Return the addresses of the known holders by data centre, the own one's from its row."""
+        holders = {data_centre: known.address for data_centre, known in self.holders.items()}
+        if self.lease.holder_address is not None:
+            holders[self.view.settings.data_centre] = self.lease.holder_address
+        return holders
+
     def learn_addresses(self, others: dict[str, Address]) -> None:
         """Record the addresses of the other holders from their rows in the store."""
         for data_centre, address in others.items():
@@ -407,11 +406,3 @@
             if known is None or known.address != address:
                 token = known.token if known is not None else 0
                 self.holders[data_centre] = KnownHolder(address, token, -1e9, 0)
-
-
-def _group_adapters(engine_state: EngineState) -> tuple[tuple[str, tuple[str, ...]], ...]:
-    grouped: dict[str, list[str]] = {model: [] for model in sorted(engine_state.models)}
-    for model, adapter in sorted(engine_state.adapters):
-        if model in grouped and (model, adapter) not in engine_state.missing_adapters:
-            grouped[model].append(adapter)
-    return tuple((model, tuple(names)) for model, names in grouped.items())
