Connect the registry of streams with each instance

Node has `streams` (StreamRegistry) and `instance_lists`; both send through the datagrams of HolderProtocol and get its new kinds of messages. Counts appear among the metrics as gauges named stream*.

An instance without a list asks its holder for one, less and less often: a holder of the build before logs each such message.

--- a/rhubarbshed/transport/edge/instance_lists.py
+++ b/rhubarbshed/transport/edge/instance_lists.py
@@ -49,6 +49,11 @@
 message every half second."""
 
 
+REQUEST_PAUSE_MAX_S = 4.0
+"""Longest pause between two requests for the lists, doubled from `CHECK_INTERVAL_S`: a holder of an
+older build does not know them and logs each."""
+
+
 @define(eq=False)
 class InstanceLists:
     """Exchange of the lists of instances, as an order holder or as another instance.
@@ -76,6 +81,9 @@
     _rotation: int = 0
     _rotated_at: float = -1e9
     _own_sent_at: float = -1e9
+    _requested_from: Address | None = None
+    _request_pause_s: float = 0.0
+    _request_at: float = 0.0
 
     async def maintain(self) -> None:
         """Send or ask for the lists forever."""
@@ -90,15 +98,9 @@
         else:
             self.held_since = None
             if self.data_centre not in self.known.lists:
-                self.request()
+                self._request(now)
         self._pass_on(now)
 
-    def request(self) -> None:
-        """Ask the order holder for all lists."""
-        holder = self.find_holders().get(self.data_centre)
-        if holder is not None and holder != self.address:
-            self.send(InstancesQuestion(), holder)
-
     def handle_message(
         self, message: InstancesMessage | InstancesQuestion, address: Address, now: float
     ) -> None:
@@ -126,6 +128,19 @@
             others.setdefault(name, set()).add(holder)
         return {name: tuple(sorted(each - {self.address})) for name, each in others.items()}
 
+    def _request(self, now: float) -> None:
+        """Ask the order holder for all lists, at once after a change of the holder."""
+        holder = self.find_holders().get(self.data_centre)
+        if holder != self._requested_from:
+            self._requested_from, self._request_pause_s, self._request_at = holder, 0.0, now
+        if holder is None or holder == self.address or now < self._request_at:
+            return
+        self.send(InstancesQuestion(), holder)
+        self._request_pause_s = min(
+            REQUEST_PAUSE_MAX_S, max(CHECK_INTERVAL_S, 2 * self._request_pause_s)
+        )
+        self._request_at = now + self._request_pause_s
+
     def _announce(self, now: float) -> None:
         if self.held_since is None:
             self.held_since = now
--- a/rhubarbshed/transport/edge/node.py
+++ b/rhubarbshed/transport/edge/node.py
@@ -15,15 +15,18 @@
 
 from rhubarbshed.coordination.requests.drain import DrainPhase
 from rhubarbshed.coordination.serving.lease_state import LeaseState, draw_jitter
+from rhubarbshed.protocol.messages import InstancesMessage, InstancesQuestion, StreamMessage
 from rhubarbshed.transport.edge.caller_connections import CallerConnection
 from rhubarbshed.transport.edge.follower import Follower
 from rhubarbshed.transport.edge.holder_protocol import HolderProtocol
+from rhubarbshed.transport.edge.instance_lists import InstanceLists
 from rhubarbshed.transport.edge.lease import LeaseClient
 from rhubarbshed.transport.edge.metrics import FrontMetrics
 from rhubarbshed.transport.edge.order_dispatcher import OrderDispatcher
 from rhubarbshed.transport.edge.pools import Pool
 from rhubarbshed.transport.edge.relay import Relay
 from rhubarbshed.transport.edge.store import StoreClient
+from rhubarbshed.transport.edge.stream_registry import StreamRegistry
 from rhubarbshed.transport.edge.view import View
 from rhubarbshed.util.front import FrontSettings
 from rhubarbshed.util.logs import log_event
@@ -71,6 +74,8 @@
     dispatcher: OrderDispatcher
     holder_protocol: HolderProtocol
     relay: Relay
+    streams: StreamRegistry
+    instance_lists: InstanceLists
     stop: asyncio.Event = field(factory=asyncio.Event)
     connections: set[CallerConnection] = field(factory=set)
     listeners: list[asyncio.Server] = field(factory=list)
@@ -95,6 +100,20 @@
         lease.on_holders_read = holder_protocol.learn_addresses
         follower.publish = holder_protocol.publish
         follower.is_holder = lambda: lease_state.held
+        streams = StreamRegistry(settings.data_centre, holder_protocol.datagrams.send)
+        instance_lists = InstanceLists(
+            settings.data_centre,
+            address,
+            holder_protocol.datagrams.send,
+            lambda: lease_state.held,
+            lambda: lease_state.token,
+            holder_protocol.instances,
+            holder_protocol.list_holders,
+            streams.learn_instances,
+        )
+        holder_protocol.handle_stream_message = functools.partial(
+            handle_stream_message, streams, instance_lists
+        )
         relay = Relay(
             view,
             pool,
@@ -105,7 +124,18 @@
             holder_protocol.report_missing,
         )
         return cls(
-            path, settings, view, pool, metrics, follower, lease, dispatcher, holder_protocol, relay
+            path,
+            settings,
+            view,
+            pool,
+            metrics,
+            follower,
+            lease,
+            dispatcher,
+            holder_protocol,
+            relay,
+            streams,
+            instance_lists,
         )
 
     async def run(self) -> int:
@@ -126,6 +156,7 @@
             self.dispatcher.run,
             self.holder_protocol.announce_repeatedly,
             self.holder_protocol.report_demand_repeatedly,
+            self.instance_lists.maintain,
             self.sweep,
         ):
             self.spawn(work())
@@ -176,6 +207,7 @@
             ),
             "connections_opened": self.pool.opened,
             "order_holder": int(self.lease.lease_state.held),
+            **self.streams.counts.list_values(),
         }
         headers = ((b"content-type", b"text/plain; version=0.0.4"),)
         connection.send_complete(200, headers, self.metrics.render(gauge_values))
@@ -255,3 +287,17 @@
         for connection in list(self.connections):
             if connection.is_idle:
                 connection.close()
+
+
+def handle_stream_message(
+    streams: StreamRegistry,
+    instance_lists: InstanceLists,
+    message: StreamMessage,
+    address: tuple[str, int],
+    now: float,
+) -> None:
+    """Pass a message on to the part of the instance that it is for."""
+    if isinstance(message, InstancesMessage | InstancesQuestion):
+        instance_lists.handle_message(message, address, now)
+    else:
+        streams.handle_message(message, address, now)
