End the work on a request that is cut off at the end of a drain

A request without an answer at the end of the drain gets an error, but its work went on until the connection was closed. Behind answers that its caller had not read, that is up to 0.1 s later: a server's answer that came in that time was sent as a second response, and the task ended with a protocol error, a defect in the log. The task is now cancelled with the error.

The new test fails before ("can't handle event type Response", 1 of 1 run) and passes after in 3 of 3 runs. No request was seen to be sent to a server after its error: the look at the connection before sending prevents it.

A further test, which passed before as well, stops an instance before its first configuration, with a second signal and a reload amid the drain.

--- a/rhubarbshed/transport/edge/caller_connections.py
+++ b/rhubarbshed/transport/edge/caller_connections.py
@@ -114,7 +114,7 @@
         """
         self._note_disconnect("end")
         if self.task is not None:
-            self._cancel_work()
+            self.cancel_work()
             self.abort()
         return False
 
@@ -134,7 +134,7 @@
         self._cancel_timer()
         self.connections.discard(self)
         self._writable.set()
-        self._cancel_work()
+        self.cancel_work()
 
     def pause_writing(self) -> None:
         """Make `wait_writable` wait while the caller does not read."""
@@ -217,14 +217,15 @@
         self._transport.write_eof()
         self._timer = asyncio.get_running_loop().call_later(DISCARD_S, self.close)
 
+    def cancel_work(self) -> None:
+        """Cancel the work on the request in progress, at its next wait."""
+        if self.task is not None and not self.task.cancelling():
+            self.task.cancel()
+
     def _write(self, data: bytes) -> None:
         self.sent_bytes += len(data)
         self._transport.write(data)
 
-    def _cancel_work(self) -> None:
-        if self.task is not None and not self.task.cancelling():
-            self.task.cancel()
-
     def _note_disconnect(self, kind: str) -> None:
         if self.disconnect is None:
             unsent_bytes = self._transport.get_write_buffer_size()
--- a/rhubarbshed/transport/edge/relay.py
+++ b/rhubarbshed/transport/edge/relay.py
@@ -135,6 +135,7 @@
         """End the request now, because the process stops."""
         self.answer(make_timeout(self.tries.run > 0 or self.in_flight))
         self.connection.close()
+        self.connection.cancel_work()
 
     async def run(self) -> None:
         """Find the route, then send the request to servers until one answers or time runs out."""
--- a/test/test_edge_drain.py
+++ b/test/test_edge_drain.py
@@ -341,6 +341,42 @@
     assert not defects
 
 
+def test_request_cut_off_behind_unread_answers_ends_once(monkeypatch, caplog):
+    """Its error could not be sent at once, the work went on, and its answer was a defect."""
+    monkeypatch.setattr(node, "DRAIN_CHECK_INTERVAL_S", 0.005)
+    caplog.set_level(logging.INFO)
+    unread = 24
+    defects: list[dict] = []
+
+    async def answer_late(exchange: Exchange) -> None:
+        if exchange.target == "/p/long":
+            exchange.answer(200, bytes(250_000))
+            return
+        await asyncio.sleep(0.34)
+        exchange.answer(200, b"late")
+
+    async def scene():
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda _, context: defects.append(context))
+        replica = Replica("b1", reply=answer_late)
+        async with run_edge(make_configuration(*ROUTES), replica) as edge:
+            caller = connect(edge, 4096)
+            for _ in range(unread):
+                caller.sendall(make_request("/p/long"))
+            await edge.wait_until(lambda: len(replica.got) == unread)
+            await asyncio.sleep(0.05)
+            caller.sendall(make_request("/p/x", name="late"))
+            await edge.wait_until(lambda: len(replica.got) == unread + 1)
+            stop(edge, 0.1, 0.18)
+            await edge.task
+            caller.close()
+
+    play(scene)
+    ends = [each["outcome"] for each in find_lines(caplog, "request_ended")]
+    assert ends[unread:] == ["too_late"]
+    assert not defects
+
+
 async def ask_repeatedly(edge: Edge, number: int, rng: random.Random) -> dict[str, Answer]:
     """Ask on one connection after the other until the instance is gone; return all answers."""
     answers: dict[str, Answer] = {}
@@ -492,3 +528,24 @@
             caller.close()
 
     play(scene)
+
+
+def test_second_signal_and_one_before_the_first_configuration_end_as_any_other(caplog):
+    caplog.set_level(logging.INFO)
+
+    async def scene():
+        async with run_edge(None) as edge:
+            caller, late = await Caller.connect(edge), await Caller.connect(edge)
+            over_at = stop(edge)
+            await asyncio.sleep(0.05)
+            answer = await caller.ask()
+            assert answer.whole and answer.status == 503 and "retry-after" in answer.headers
+            edge.node.stop.set()
+            edge.node.reload()
+            block_until(over_at + 0.005)
+            check_not_run(await late.ask(), Replica("none"))
+            assert await edge.task == node.EXIT_OK
+            assert time.monotonic() < over_at + CLOSE_S
+
+    play(scene)
+    assert len(find_lines(caplog, "drain_started")) == 1
