Learn instances only at changes; test replies read late

Each check built and compared the list of all instances, also without a change. A reply of an instance that this search had not asked counted as replied.

The test of a late loop passed without the steps that read what came in time: the questions of the second round were counted before they left. It now fails without them (11 questions instead of 6).

--- a/rhubarbshed/transport/edge/instance_lists.py
+++ b/rhubarbshed/transport/edge/instance_lists.py
@@ -74,7 +74,8 @@
     known: KnownInstances = field(factory=KnownInstances)
     held_since: float | None = None
     _before: tuple[Address, ...] = ()
-    _learned: tuple[dict[str, tuple[Address, ...]], bool] | None = None
+    _changed: bool = False
+    _holders: dict[str, Address] = field(factory=dict)
     _numbers: dict[str, int] = field(factory=dict)
     _sends_left: dict[str, int] = field(factory=dict)
     _told: set[Address] = field(factory=set)
@@ -183,14 +184,16 @@
     def _record_change(self, name: str, now: float) -> None:
         self._numbers[name] = self._numbers.get(name, 0) + 1
         self._sends_left[name] = SENDS_PER_CHANGE
+        self._changed = True
         count = len(self.known.lists[name].addresses)
         log_event(LOG, logging.DEBUG, "instances_listed", data_centre=name, instances=count)
 
     def _pass_on(self, now: float) -> None:
-        learned = (self.list_others(), self.data_centre in self.known.lists)
-        if learned != self._learned:
-            self._learned = learned
-            self.learn(*learned, now)
+        holders = self.find_holders()
+        if not self._changed and holders == self._holders:
+            return
+        self._changed, self._holders = False, holders
+        self.learn(self.list_others(), self.data_centre in self.known.lists, now)
 
     def _send_lists(self, names: list[str], *addresses: Address) -> None:
         for name in names if addresses else ():
--- a/rhubarbshed/transport/edge/stream_registry.py
+++ b/rhubarbshed/transport/edge/stream_registry.py
@@ -313,6 +313,8 @@
     def _conclude(self, stream_id: str, search: Search, now: float, took_s: float) -> StreamLookup:
         """Record what a search found, and count and log it."""
         replies = search.replies
+        # A late reply to an earlier question for the stream counts only if its sender was asked.
+        replied = len(replies.replied & replies.asked)
         origin = combine_origins(replies.origins)
         if origin is not None:
             self.origins.record(stream_id, origin, now + took_s)
@@ -327,9 +329,7 @@
             service=origin.service if origin else "",
             version=origin.version if origin else "",
             asked=len(replies.asked),
-            replied=len(replies.replied),
+            replied=replied,
             took_ms=round(took_s * 1000),
         )
-        return StreamLookup(
-            origin, len(replies.asked), len(replies.replied), frozenset(search.versions)
-        )
+        return StreamLookup(origin, len(replies.asked), replied, frozenset(search.versions))
--- a/test/test_stream_registry.py
+++ b/test/test_stream_registry.py
@@ -15,6 +15,7 @@
 )
 from rhubarbshed.protocol.streams import StreamOrigin
 from rhubarbshed.transport.edge.stream_registry import (
+    COLLECT_S,
     FIRST_ROUND_S,
     SECOND_ROUND_S,
     UNTOLD_MAX,
@@ -176,13 +177,26 @@
 
 
 def test_replies_that_came_while_the_loop_was_late_are_read():
+    """The loop reads one datagram in a step, and the round's time ends in the first of them."""
+
     async def scene():
-        network = Network({A[0]: {"s": ("svc", "v1")}})
-        slow = asyncio.create_task(network.registry.find_stream("s", time.monotonic()))
-        await asyncio.sleep(0)
+        network = Network({each: {"s": ("svc", "v1")} for each in (*A, *B)}, silent={*A, *B})
+        search = asyncio.create_task(network.registry.find_stream("s", time.monotonic()))
+        while not network.sent:
+            await asyncio.sleep(0.001)
+        unread = list(network.sent)
+
+        def read_one() -> None:
+            network.reply(*unread.pop())
+            if unread:
+                asyncio.get_running_loop().call_soon(read_one)
+
         time.sleep(FIRST_ROUND_S + 0.02)
-        lookup = await slow
+        asyncio.get_running_loop().call_soon(read_one)
+        lookup = await search
         assert lookup.origin == V1 and lookup.replied == 6
+        await asyncio.sleep(5 * COLLECT_S)
+        assert len(network.list_sent(OriginQuestion)) == 6
 
     play(scene)
 
