Choose the number of a soak run's instances

Why: faults that need many processes were not reachable with four instances. The number of callers and the time to become ready grow with it.

--- a/test/soak/faults.py
+++ b/test/soak/faults.py
@@ -11,7 +11,7 @@
 from standin.run import call_store
 from test.soak.history import ALL, Disturbance, Leaving
 from test.soak.relay import Mode
-from test.soak.scene import ENGINES, INSTANCES, OTHER_SERVERS, PLAIN_SERVERS, Scene
+from test.soak.scene import ENGINES, OTHER_SERVERS, PLAIN_SERVERS, Scene
 
 SERVERS = (*ENGINES, *PLAIN_SERVERS, *OTHER_SERVERS)
 STOP_TIMEOUT_S = 8.0
@@ -81,7 +81,7 @@
 
 async def kill_instance(faults: Faults) -> None:
     """Kill an instance and start it again."""
-    await _kill(faults, tuple(INSTANCES), "killed")
+    await _kill(faults, tuple(faults.scene.instances), "killed")
 
 
 async def kill_server(faults: Faults) -> None:
@@ -105,7 +105,7 @@
 
 async def kill_all_instances(faults: Faults) -> None:
     """Kill all instances at the same time."""
-    names = [name for name in INSTANCES if name not in faults.scene.disrupted]
+    names = [name for name in faults.scene.instances if name not in faults.scene.disrupted]
     faults.scene.disrupted.update(names)
     for name in names:
         faults.scene.programs[name].send(signal.SIGKILL)
@@ -119,7 +119,9 @@
 
 async def pause_process(faults: Faults) -> None:
     """Pause a process with SIGSTOP; a lease holder may resume after its lease has expired."""
-    name = faults.draw_process((*INSTANCES, *INSTANCES, *SERVERS, "store"))
+    name = faults.draw_process(
+        (*faults.scene.instances, *faults.scene.instances, *SERVERS, "store")
+    )
     if not name:
         return
     program = faults.scene.programs[name]
@@ -173,12 +175,14 @@
 
 async def stop_instance(faults: Faults) -> None:
     """Stop an instance as planned; callers keep their connections until it has ended."""
-    await faults.scene.stop_instance(faults.rng.choice(list(INSTANCES)), STOP_TIMEOUT_S)
+    await faults.scene.stop_instance(
+        faults.rng.choice(list(faults.scene.instances)), STOP_TIMEOUT_S
+    )
 
 
 async def stop_in_turn(faults: Faults) -> None:
     """Stop two instances, the second while the first drains."""
-    first, second = faults.rng.sample(list(INSTANCES), 2)
+    first, second = faults.rng.sample(list(faults.scene.instances), 2)
     stopping = asyncio.create_task(faults.scene.stop_instance(first, STOP_TIMEOUT_S))
     await asyncio.sleep(faults.rng.uniform(*FAULT_INTERVAL_S))
     await faults.scene.stop_instance(second, STOP_TIMEOUT_S)
--- a/test/soak/run.py
+++ b/test/soak/run.py
@@ -15,9 +15,9 @@
 from test.soak.checks import check_all
 from test.soak.faults import Faults
 from test.soak.history import History
-from test.soak.scene import INSTANCES, Scene
+from test.soak.scene import INSTANCES, Scene, name_instances
 
-CALLERS = 12
+CALLERS_PER_INSTANCE = 3
 RECOVERY_S = 12.0
 """Time after the faults until every request is served again, from the platform's pages."""
 
@@ -59,14 +59,14 @@
     await scene.start(environment)
 
     def choose_instance() -> tuple[str, int]:
-        name = rng.choice(list(INSTANCES))
+        name = rng.choice(list(scene.instances))
         return name, scene.callers[name]
 
     callers = [
         Caller(
             f"c{number}", random.Random(f"{scene.seed}c{number}"), scene.history, choose_instance
         )
-        for number in range(CALLERS)
+        for number in range(CALLERS_PER_INSTANCE * len(scene.instances))
     ]
     tasks = [asyncio.create_task(caller.run()) for caller in callers]
     tasks.append(asyncio.create_task(watch(scene)))
@@ -83,10 +83,12 @@
         await asyncio.gather(*tasks, return_exceptions=True)
 
 
-def play_seed(seed: int, seconds: float, root: Path | None = None) -> Verdict:
+def play_seed(
+    seed: int, seconds: float, root: Path | None = None, instances: int = INSTANCES
+) -> Verdict:
     """Run the soak with one seed on the programs in the folder `root`."""
     folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-    scene = Scene(folder, seed)
+    scene = Scene(folder, seed, name_instances(instances))
     code = str(root or Path(__file__).parents[2])
     environment = {**os.environ, "PYTHONPATH": code}
 
--- a/test/soak/scene.py
+++ b/test/soak/scene.py
@@ -20,12 +20,14 @@
 from test.soak.history import History, Stop
 from test.soak.relay import Relay
 
-INSTANCES = {"i1": "a", "i2": "a", "i3": "b", "i4": "b"}
+INSTANCES = 4
 ENGINES = {"e1": "a", "e2": "a", "e3": "b"}
 PLAIN_SERVERS = {"p1": "a", "p2": "b"}
 OTHER_SERVERS = {"q1": "a", "q2": "b"}
 FIRST_MODELS = {"e1": "m1,m2,m3", "e2": "m4,m5", "e3": "m1,m2"}
 READY_TIMEOUT_S = 10.0
+READY_TIMEOUT_EACH_S = 1.0
+"""Time for all processes to become ready, and more for each instance."""
 
 
 def make_routes(moved_to: str, version: int) -> dict:
@@ -42,6 +44,11 @@
     return make_configuration(*routes, version=version, Services=[engine, *plain])
 
 
+def name_instances(count: int) -> dict[str, str]:
+    """Return the data centres of a number of instances by name, half of them in each."""
+    return {f"i{number}": "a" if number <= count / 2 else "b" for number in range(1, count + 1)}
+
+
 @define(eq=False)
 class Program:
     """Process that the soak started, and what is needed to start it again."""
@@ -96,6 +103,7 @@
 
     folder: Path
     seed: int
+    instances: dict[str, str] = field(factory=lambda: name_instances(INSTANCES))
     history: History = field(factory=History)
     programs: dict[str, Program] = field(factory=dict)
     relays: dict[str, Relay] = field(factory=dict)
@@ -124,9 +132,9 @@
         for service, servers in groups:
             for name, data_centre in servers.items():
                 await self.add_server(name, service, data_centre)
-        for name, data_centre in INSTANCES.items():
+        for name, data_centre in self.instances.items():
             await self.add_instance(name, data_centre)
-        for name in INSTANCES:
+        for name in self.instances:
             await self.wait_until(lambda name=name: self.is_ready(name))
 
     def add(self, name: str, *arguments: str, **environment: str) -> None:
@@ -193,7 +201,7 @@
 
     async def wait_until(self, condition) -> None:
         """Wait until an asynchronous condition holds."""
-        until = time.monotonic() + READY_TIMEOUT_S
+        until = time.monotonic() + READY_TIMEOUT_S + READY_TIMEOUT_EACH_S * len(self.instances)
         while not await condition():
             if time.monotonic() > until:
                 raise TimeoutError("the processes did not become ready in time")
@@ -223,7 +231,7 @@
 
     def record_unexpected_exits(self) -> None:
         """Record instances that exited without the soak's action, and start them again."""
-        for name in INSTANCES:
+        for name in self.instances:
             program = self.programs[name]
             if name not in self.disrupted and not program.is_running:
                 self.history.own_ends.append(f"{name} ended with {program.process.returncode}")
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -1,5 +1,6 @@
 """Run seeds of the fault soak test in parallel and print the verdicts."""
 
+import functools
 import shutil
 import sys
 from concurrent.futures import ProcessPoolExecutor
@@ -8,6 +9,7 @@
 
 from test.soak.mutations import MUTATIONS, Mutation, apply_mutation
 from test.soak.run import Verdict, play_seed
+from test.soak.scene import INSTANCES
 
 app = typer.Typer(add_completion=False, pretty_exceptions_enable=False)
 
@@ -18,12 +20,13 @@
     count: int = typer.Option(1, help="Seeds to play."),
     seconds: float = typer.Option(20.0, help="Time in which faults begin, for each seed."),
     jobs: int = typer.Option(2, help="Seeds beside each other; each is a dozen processes."),
+    instances: int = typer.Option(INSTANCES, help="Instances; three callers use each."),
 ) -> None:
     """Play seeds; exit with 1 where one broke a promise. Logs of those that did are kept."""
     failed = 0
     with ProcessPoolExecutor(jobs) as pool:
-        seeds = range(seed, seed + count)
-        for verdict in pool.map(play_seed, seeds, [seconds] * count, [None] * count):
+        run = functools.partial(play_seed, seconds=seconds, instances=instances)
+        for verdict in pool.map(run, range(seed, seed + count)):
             failed += print_verdict(verdict)
     print(f"{count - failed} passed, {failed} failed")
     sys.exit(1 if failed else 0)
