Check every request around a planned stop in the soak

Change: callers send half of their requests as the answer before ends, some in parts, and a quarter of the streams lasts 4.8 s. Around each stop, others use streams that outlast the announcement, open connections, parts, and many connections at once as the listener closes. Stops come in series of up to four, beside changes of the configuration and faults of the store, with a second SIGTERM or SIGHUP; every run begins with one.

The check is the rule: no end without a complete answer once a request was passed on, or later than 0.2 s after its last byte. It is stricter than before: a fault of the store excuses nothing, the 3 s without a fault count from the request, and only a stream may be broken off by its server. Not counted, as in the rule, is a request sent within 3 s of SIGTERM at which a server works 6.7 s after it; no request lasted so long before.

--- a/standin/run.py
+++ b/standin/run.py
@@ -27,9 +27,12 @@
 ANSWER_DELAY_S = 0.03
 EVENT_INTERVAL_S = 0.1
 EVENTS_PER_STREAM = 12
+SLOW_STREAM_PATH = "/s/slow/"
+SLOW_EVENT_INTERVALS = 4
 LATE_ORDER_DELAY_S = (1.0, 4.0)
 """Duration of plain answers, stream events and late orders; a stream takes longer than the time
-allowed to end the work of a caller that disconnected."""
+allowed to end the work of a caller that disconnected, a slow one longer than an instance announces
+its stop. An event of a slow stream comes after several intervals."""
 
 FAILED_FRACTION, LOST_FRACTION, TRUNCATED_FRACTION, LATE_ORDER_FRACTION = 0.01, 0.01, 0.01, 0.05
 """Fractions of requests that fail, lose their answer or get a truncated one, and of orders that are
@@ -121,7 +124,10 @@
                 return
             exchange.send_event(number)
             await exchange.writer.drain()
-            await asyncio.sleep(EVENT_INTERVAL_S)
+            for _ in range(SLOW_EVENT_INTERVALS if SLOW_STREAM_PATH in exchange.target else 1):
+                await asyncio.sleep(EVENT_INTERVAL_S)
+                if exchange.writer.transport.is_closing():
+                    return
             if draw < LOST_FRACTION + TRUNCATED_FRACTION and number == EVENTS_PER_STREAM // 2:
                 exchange.write(b"20\r\nid: 9")
                 self.reset_answer(exchange)
--- a/test/soak/callers.py
+++ b/test/soak/callers.py
@@ -6,18 +6,20 @@
 import time
 from collections.abc import Callable
 
-from attrs import define, field
+from attrs import define
 
+from standin.run import SLOW_STREAM_PATH
 from test.helper_edge import HOST, Answer, read_answer
-from test.soak.history import Asked, History
+from test.soak.history import Asked, History, Sent
 
 ANSWER_TIMEOUT_S = 4.0
+STREAM_TIMEOUT_S = 7.0
 REQUEST_INTERVAL_S = (0.02, 0.25)
 DISCONNECT_FRACTION = 0.05
 DISCONNECT_AFTER_S = (0.02, 0.2)
 CONNECT_TIMEOUT_S = 1.0
-"""Time for which callers wait for an answer, pauses between requests, fraction of requests whose
-caller disconnects early and after which time, and time to connect."""
+"""Time for which callers wait for an answer or a whole stream, pauses between requests, fraction of
+requests whose caller disconnects early and after which time, and time to connect."""
 
 LATE_DISCONNECT_EVERY = 3
 LATE_DISCONNECT_FACTOR = 8.0
@@ -28,6 +30,13 @@
 """Which disconnects end only the caller's own direction first, with the answer unread, for how
 long."""
 
+AT_ONCE_FRACTION = 0.5
+PARTS_FRACTION = 0.1
+PART_PAUSE_S = (0.02, 0.6)
+SLOW_STREAM_FRACTION = 0.25
+"""Fraction of requests sent as the answer before ends, of those that are sent in two parts and the
+pause between these, and of streams that outlast the time in which a stop is announced."""
+
 MODELS = (
     *("m1", "m2", "m3", "m4", "m5"),
     *(f"m1/a{number}" for number in range(1, 10)),
@@ -37,6 +46,20 @@
 are loaded and unloaded all the time."""
 
 
+@define(eq=False)
+class Link:
+    """Connection of a caller to an instance."""
+
+    instance: str
+    reader: asyncio.StreamReader
+    writer: asyncio.StreamWriter
+
+    @property
+    def is_ended(self) -> bool:
+        """Return whether the end of the connection has been seen."""
+        return self.reader.at_eof() or self.writer.transport.is_closing()
+
+
 @define(eq=False)
 class Caller:
     """Caller that uses one instance after another, each while its connection lasts."""
@@ -46,52 +69,62 @@
     history: History
     choose_instance: Callable[[], tuple[str, int]]
     sent_count: int = 0
-    tasks: set[asyncio.Task] = field(factory=set)
+    slow_fraction: float = SLOW_STREAM_FRACTION
 
     async def run(self) -> None:
         """Send requests until cancelled."""
         while True:
             instance, port = self.choose_instance()
-            try:
-                async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                    reader, writer = await asyncio.open_connection("127.0.0.1", port)
-            except (OSError, TimeoutError):
+            if (link := await connect(instance, port)) is None:
                 await asyncio.sleep(self.rng.uniform(*REQUEST_INTERVAL_S))
                 continue
             try:
-                reused = False
-                while await self.send_request(instance, reader, writer, reused):
-                    reused = True
-                    await asyncio.sleep(self.rng.uniform(*REQUEST_INTERVAL_S))
+                await self.use(link, Sent.NEW)
             finally:
-                writer.transport.abort()
-
-    async def send_request(
-        self,
-        instance: str,
-        reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
-        reused: bool,
-    ) -> bool:
+                link.writer.transport.abort()
+
+    async def use(self, link: Link, how: Sent) -> None:
+        """Send requests on a connection until it ends, the first one as `how`."""
+        while await self.send_request(link, how, self.draw_path()):
+            how = Sent.AT_ONCE
+            if self.rng.random() >= AT_ONCE_FRACTION:
+                await asyncio.sleep(self.rng.uniform(*REQUEST_INTERVAL_S))
+                how = Sent.KEPT
+
+    def draw_path(self) -> str:
+        """Draw the path of the next request, without its id."""
+        path = self.rng.choice(("/p/", "/u/", "/s/", "/s/", "/x/"))
+        slow = path == "/s/" and self.rng.random() < self.slow_fraction
+        return SLOW_STREAM_PATH if slow else path
+
+    async def send_request(self, link: Link, how: Sent, path: str) -> bool:
         """Send one request and record its answer; return whether the connection stays usable."""
         self.sent_count += 1
         request_id = f"{self.name}-{self.sent_count}"
-        path = self.rng.choice(("/p/", "/u/", "/s/", "/s/", "/x/")) + request_id
+        path += request_id
         payload = b"" if path.startswith("/p/") else request_id.encode() * 3
+        data = self.make_request(request_id, path, payload)
         sent_at = time.monotonic()
-        writer.write(self.make_request(request_id, path, payload))
+        if how is Sent.PARTS or self.rng.random() < PARTS_FRACTION:
+            how = Sent.PARTS
+            data = await self.send_part(link, data)
+        last_byte_at = 0.0 if link.is_ended else time.monotonic()
+        link.writer.write(data)
         disconnects = self.rng.random() < DISCONNECT_FRACTION
-        timeout_s = self.rng.uniform(*DISCONNECT_AFTER_S) if disconnects else ANSWER_TIMEOUT_S + 1.0
+        timeout_s = find_timeout(path) + 1.0
+        if disconnects:
+            timeout_s = self.rng.uniform(*DISCONNECT_AFTER_S)
         if disconnects and self.sent_count % LATE_DISCONNECT_EVERY == 0:
             timeout_s *= LATE_DISCONNECT_FACTOR
-        answer = await read_within(reader, timeout_s)
+        waits_from = time.monotonic()
+        answer = await read_within(link.reader, timeout_s)
         ended_at = time.monotonic()
-        disconnected = not answer.whole and ended_at - sent_at >= timeout_s
+        disconnected = not answer.whole and ended_at - waits_from >= timeout_s
         headers = answer.headers
         record = Asked(
             request_id,
             path,
-            instance,
+            link.instance,
             sent_at,
             ended_at,
             answer.status,
@@ -101,13 +134,21 @@
             payload,
             headers.get("retry-after", ""),
             disconnected,
-            reused,
+            how,
+            last_byte_at,
         )
         self.history.asked.append(record)
         if disconnected:
-            await self.disconnect(writer)
+            await self.disconnect(link.writer)
         return answer.whole and not disconnected and headers.get("connection") != "close"
 
+    async def send_part(self, link: Link, data: bytes) -> bytes:
+        """Send the first part of a request, pause, and return the rest."""
+        size = self.rng.randrange(1, len(data))
+        link.writer.write(data[:size])
+        await asyncio.sleep(self.rng.uniform(*PART_PAUSE_S))
+        return data[size:]
+
     async def disconnect(self, writer: asyncio.StreamWriter) -> None:
         """End a connection, at times without reading what is on its way."""
         if self.sent_count % HALF_CLOSED_EVERY == 0 and not writer.transport.is_closing():
@@ -122,7 +163,7 @@
             f"{'POST' if payload else 'GET'} {path} HTTP/1.1",
             f"Host: {HOST}",
             f"Rhubarbshed-Request-Id: {request_id}",
-            f"Rhubarbshed-Deadline-Remaining: {int(ANSWER_TIMEOUT_S * 1000)}",
+            f"Rhubarbshed-Deadline-Remaining: {int(find_timeout(path) * 1000)}",
         ]
         if path.startswith("/s/"):
             lines.append(f"Rhubarbshed-Model: {self.rng.choice(MODELS)}")
@@ -131,6 +172,20 @@
         return "\r\n".join(lines).encode() + b"\r\n\r\n" + payload
 
 
+async def connect(instance: str, port: int) -> Link | None:
+    """Return a new connection, None if there is none in time."""
+    try:
+        async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            return Link(instance, *await asyncio.open_connection("127.0.0.1", port))
+    except (OSError, TimeoutError):
+        return None
+
+
+def find_timeout(path: str) -> float:
+    """Return the time for which a caller waits for the answer to a request."""
+    return STREAM_TIMEOUT_S if path.startswith("/s/") else ANSWER_TIMEOUT_S
+
+
 async def read_within(reader: asyncio.StreamReader, timeout_s: float) -> Answer:
     """Read an answer, or the part of it that arrives within a time.
 
--- a/test/soak/checks.py
+++ b/test/soak/checks.py
@@ -1,11 +1,12 @@
 """Guarantees of the system, each as a function that returns its violations in a history."""
 
 import collections
+import math
 import re
 from collections.abc import Callable
 
 from standin.run import EVENTS_PER_STREAM
-from test.soak.history import Asked, History
+from test.soak.history import Asked, History, Stop
 
 LEASE_S = 3.0
 DRAIN_S = 2.0
@@ -13,9 +14,14 @@
 FAULT_FREE_S = 3.0
 STOP_MAX_S = 8.0
 WORK_END_MAX_S = 0.5
+ANNOUNCE_S = 3.0
+CROSSING_MAX_S = 0.2
+LATE_WORK_S = STOP_MAX_S * 5 / 6
 TOLERANCE_S = 0.3
 """Bounds from the platform's pages, and the tolerance for delays of a busy machine in times that
-the soak measures."""
+the soak measures. New requests are accepted for `ANNOUNCE_S` after SIGTERM; one that crosses the
+end of its connection was sent within `CROSSING_MAX_S`; a server that is at work `LATE_WORK_S` after
+SIGTERM on a request sent in the announcement may be cut off."""
 
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 EVENT = re.compile(rb"id: (\d+)\ndata: t\1\n\n")
@@ -126,28 +132,78 @@
 
 
 def check_stops(history: History) -> list[str]:
-    """Check that a planned stop cuts off no request and that the process exits with 0 in time."""
+    """Check that a planned stop loses no request and that the process exits with 0 in time.
+
+    A request is lost if it ends without a complete answer once it was passed on to a server, or
+    later than a crossing after its last byte. Faults of the store excuse nothing.
+    """
     broken = [
         f"{stop.instance} ended with {stop.code} after {stop.ended_at - stop.at:.2f} s"
         for stop in history.stops
-        if not history.was_disturbed(stop.instance, stop.at - FAULT_FREE_S, stop.ended_at)
+        if not history.was_disturbed(stop.instance, stop.at - FAULT_FREE_S, stop.ended_at, False)
         and (stop.code != 0 or stop.ended_at - stop.at > STOP_MAX_S)
     ]
-    reached = {each.request_id for each in history.seen if each.what == "run"}
-    # The guarantee excludes answers that the backend server itself broke off.
-    reached -= {each.request_id for each in history.seen if each.what == "broke"}
+    runs = _list_runs(history)
     for stop in history.stops:
-        if history.was_disturbed(stop.instance, stop.at - FAULT_FREE_S, stop.ended_at):
-            continue
         for each in history.asked:
-            cut = each.status == 0 or not each.whole
-            during = each.sent_at < stop.ended_at and each.ended_at > stop.at
-            own = each.instance == stop.instance and not each.left
-            if own and during and cut and each.request_id in reached:
-                broken.append(f"{each.request_id} was cut off as {stop.instance} stopped")
+            if _was_open(each, stop) and (loss := _describe_loss(history, each, stop, runs)):
+                broken.append(f"{each.request_id} {loss}")
     return broken
 
 
+Runs = dict[str, list[tuple[float, float]]]
+
+
+def _list_runs(history: History) -> Runs:
+    """Return begin and end of each request's runs; one whose end is not recorded has none."""
+    begun: dict[tuple[str, str, int], float] = {}
+    runs: Runs = {}
+    for each in history.seen:
+        key = (each.request_id, each.server, each.born)
+        if each.what == "run":
+            begun[key] = each.at
+        elif each.what == "end" and key in begun:
+            runs.setdefault(each.request_id, []).append((begun.pop(key), each.at))
+    for (request_id, _, _), at in begun.items():
+        runs.setdefault(request_id, []).append((at, math.inf))
+    return runs
+
+
+def _was_open(asked: Asked, stop: Stop) -> bool:
+    during = asked.sent_at < stop.ended_at and asked.ended_at > stop.at
+    return asked.instance == stop.instance and during
+
+
+def _describe_loss(history: History, asked: Asked, stop: Stop, runs: Runs) -> str:
+    """Return how a request that was open during a stop was lost, "" if it was not."""
+    if asked.left or (asked.status != 0 and asked.whole):
+        return ""
+    since = max(stop.at, asked.sent_at) - FAULT_FREE_S
+    until = min(asked.ended_at, stop.ended_at)
+    if history.was_disturbed(stop.instance, since, until, False):
+        return ""
+    if "/s/" in asked.path and asked.request_id in _find_broken_off(history):
+        return ""
+    own_runs = runs.get(asked.request_id, ())
+    late_at = stop.at + LATE_WORK_S
+    sent_at = max(asked.sent_at, asked.last_byte_at)
+    if sent_at <= stop.at + ANNOUNCE_S and asked.ended_at >= late_at:
+        if any(begun_at <= asked.ended_at and end_at >= late_at for begun_at, end_at in own_runs):
+            return ""
+    times = f"{sent_at - stop.at:.3f} s after SIGTERM ({asked.how.value})"
+    if own_runs:
+        return f"was passed on, sent {times}, and cut off at {asked.ended_at - stop.at:.3f} s"
+    late_s = asked.ended_at - asked.last_byte_at
+    if asked.last_byte_at and late_s > CROSSING_MAX_S:
+        return f"was sent {times} and closed {late_s:.3f} s after its last byte"
+    return ""
+
+
+def _find_broken_off(history: History) -> set[str]:
+    """Return the requests whose answer the backend server itself broke off."""
+    return {each.request_id for each in history.seen if each.what == "broke"}
+
+
 def check_disconnected(history: History) -> list[str]:
     """Check that nothing is sent for a disconnected caller, and work for it ends, in time."""
     disconnected = {each.request_id: each for each in history.asked if each.left}
--- a/test/soak/faults.py
+++ b/test/soak/faults.py
@@ -9,9 +9,10 @@
 from attrs import define, field
 
 from standin.run import call_store
-from test.soak.history import ALL, Disturbance, Leaving
+from test.soak.history import ALL, STORE, Disturbance, Leaving
 from test.soak.relay import Mode
 from test.soak.scene import ENGINES, OTHER_SERVERS, PLAIN_SERVERS, Scene
+from test.soak.visitors import LEAD_S, visit_stop
 
 SERVERS = (*ENGINES, *PLAIN_SERVERS, *OTHER_SERVERS)
 STOP_TIMEOUT_S = 8.0
@@ -25,6 +26,10 @@
 LEAVING_SERVE_S = 4.0
 """Time for which a removed server keeps serving, longer than it may get new requests."""
 
+STOPS_MAX = 4
+SECOND_SIGNAL_S = (0.0, 2.9)
+"""Instances in a series of stops, and time from SIGTERM to a second signal or a configuration."""
+
 PLANNED_FRACTION = 0.3
 """Fraction of draws that choose a planned change instead of a fault."""
 
@@ -44,14 +49,15 @@
     tasks: set[asyncio.Task] = field(factory=set)
 
     async def play(self, seconds: float) -> None:
-        """Start overlapping faults one after another, with fault-free times for planned changes."""
+        """Start overlapping faults one after another, with fault-free times for planned changes.
+
+        A stop comes first, so that each run has one.
+        """
+        await self.change_as_planned(self.rng.choice(STOPS))
         until = time.monotonic() + seconds
         while time.monotonic() < until:
             if self.rng.random() < PLANNED_FRACTION:
-                await self.wait_for_faults()
-                await asyncio.sleep(PLANNED_GAP_S)
-                await self.rng.choice(PLANNED_CHANGES)(self)
-                await asyncio.sleep(PLANNED_GAP_S)
+                await self.change_as_planned(self.rng.choice(PLANNED_CHANGES))
                 continue
             fault = self.rng.choice(FAULTS)
             task = asyncio.create_task(fault(self))
@@ -60,6 +66,13 @@
             await asyncio.sleep(self.rng.uniform(*FAULT_INTERVAL_S))
         await self.wait_for_faults()
 
+    async def change_as_planned(self, change: Fault) -> None:
+        """Carry out a planned change with no fault before and after it."""
+        await self.wait_for_faults()
+        await asyncio.sleep(PLANNED_GAP_S)
+        await change(self)
+        await asyncio.sleep(PLANNED_GAP_S)
+
     async def wait_for_faults(self) -> None:
         """Wait until all faults have ended."""
         while self.tasks:
@@ -128,7 +141,7 @@
     faults.scene.disrupted.add(name)
     program.send(signal.SIGSTOP)
     program.paused = True
-    await faults.wait_fault(ALL if name == "store" else name, "paused", LONG_FAULT_S)
+    await faults.wait_fault(name, "paused", LONG_FAULT_S)
     program.send(signal.SIGCONT)
     program.paused = False
     faults.scene.disrupted.discard(name)
@@ -161,7 +174,7 @@
     port = faults.scene.store_port
     kind = faults.rng.choice(("down", "lose_answers", "forget"))
     await call_store(port, kind, on="1")
-    await faults.wait_fault(ALL, kind, LONG_FAULT_S)
+    await faults.wait_fault(STORE, kind, LONG_FAULT_S)
     await call_store(port, kind, on="0") if kind != "forget" else None
 
 
@@ -175,18 +188,50 @@
 
 async def stop_instance(faults: Faults) -> None:
     """Stop an instance as planned; callers keep their connections until it has ended."""
-    await faults.scene.stop_instance(
-        faults.rng.choice(list(faults.scene.instances)), STOP_TIMEOUT_S
-    )
+    await _stop(faults, faults.rng.choice(list(faults.scene.instances)))
+
 
+async def stop_beside_changes(faults: Faults) -> None:
+    """Stop an instance while the configuration changes."""
+    await asyncio.gather(stop_instance(faults), _change_during_stop(faults))
 
-async def stop_in_turn(faults: Faults) -> None:
-    """Stop two instances, the second while the first drains."""
-    first, second = faults.rng.sample(list(faults.scene.instances), 2)
-    stopping = asyncio.create_task(faults.scene.stop_instance(first, STOP_TIMEOUT_S))
-    await asyncio.sleep(faults.rng.uniform(*FAULT_INTERVAL_S))
-    await faults.scene.stop_instance(second, STOP_TIMEOUT_S)
-    await stopping
+
+async def stop_beside_store_fault(faults: Faults) -> None:
+    """Stop an instance while the store is faulty, which excuses no loss."""
+    await asyncio.gather(stop_instance(faults), disturb_store(faults))
+
+
+async def stop_series(faults: Faults) -> None:
+    """Stop two or more instances, each while those before it drain."""
+    names = list(faults.scene.instances)
+    names = faults.rng.sample(names, faults.rng.randint(2, min(len(names), STOPS_MAX)))
+    stops = []
+    for name in names:
+        stops.append(asyncio.create_task(_stop(faults, name)))
+        await asyncio.sleep(faults.rng.uniform(*FAULT_INTERVAL_S))
+    await asyncio.gather(*stops)
+
+
+async def _stop(faults: Faults, name: str) -> None:
+    scene = faults.scene
+    visits = asyncio.create_task(visit_stop(scene, faults.rng, name, time.monotonic() + LEAD_S))
+    await asyncio.sleep(LEAD_S)
+    signals = asyncio.create_task(_signal_during_stop(faults, name))
+    await scene.stop_instance(name, STOP_TIMEOUT_S)
+    await asyncio.gather(visits, signals)
+
+
+async def _signal_during_stop(faults: Faults, name: str) -> None:
+    """Send a stopping instance a second SIGTERM, or SIGHUP, in some stops."""
+    number = faults.rng.choice((None, None, signal.SIGTERM, signal.SIGHUP))
+    await asyncio.sleep(faults.rng.uniform(*SECOND_SIGNAL_S))
+    if number is not None:
+        faults.scene.programs[name].send(number)
+
+
+async def _change_during_stop(faults: Faults) -> None:
+    await asyncio.sleep(LEAD_S + faults.rng.uniform(*SECOND_SIGNAL_S))
+    await change_configuration(faults)
 
 
 async def remove_server(faults: Faults) -> None:
@@ -223,9 +268,15 @@
     disturb_store,
     change_configuration,
 )
-PLANNED_CHANGES: tuple[Fault, ...] = (
+STOPS: tuple[Fault, ...] = (
     stop_instance,
-    stop_in_turn,
+    stop_beside_changes,
+    stop_beside_store_fault,
+    stop_series,
+    stop_series,
+)
+PLANNED_CHANGES: tuple[Fault, ...] = (
+    *STOPS,
     change_configuration,
     remove_server,
     remove_server,
--- a/test/soak/history.py
+++ b/test/soak/history.py
@@ -1,5 +1,6 @@
 """Records of what callers, backend servers and the soak itself observed."""
 
+import enum
 import json
 from pathlib import Path
 
@@ -8,13 +9,28 @@
 ALL = "*"
 """Subject of a disturbance that affects every instance."""
 
+STORE = "store"
+"""Subject of a disturbance of the store, which affects every instance too."""
+
+
+class Sent(enum.Enum):
+    """How a request was sent: on which connection, and when on it."""
+
+    NEW = "new connection"
+    KEPT = "kept connection"
+    AT_ONCE = "as an answer ended"
+    PARTS = "in parts"
+    IDLE = "connection without a request before"
+    QUEUED = "many connections at once"
+
 
 @frozen
 class Asked:
     """Request as its caller saw it; times are monotonic seconds, `status` 0 is no answer.
 
     `signed` means that a server's answer was relayed, `whole` that the answer is complete, `left`
-    that the caller disconnected before, `reused` that the connection served an earlier request.
+    that the caller disconnected before. `last_byte_at` is when the request was sent completely, or
+    0 if its connection ended before.
     """
 
     request_id: str
@@ -29,7 +45,8 @@
     payload: bytes = b""
     retry_after: str = ""
     left: bool = False
-    reused: bool = False
+    how: Sent = Sent.NEW
+    last_byte_at: float = 0.0
 
 
 @frozen
@@ -50,7 +67,7 @@
 
 @frozen
 class Disturbance:
-    """Fault on an instance, a server or `ALL` from `since` to `until`."""
+    """Fault on an instance, a server, `STORE` or `ALL` from `since` to `until`."""
 
     subject: str
     kind: str
@@ -90,10 +107,16 @@
     own_ends: list[str] = field(factory=list)
     calm_from: float = 0.0
 
-    def was_disturbed(self, subject: str, since: float, until: float) -> bool:
-        """Return whether a fault affected a subject, or all, within a time span."""
+    def was_disturbed(
+        self, subject: str, since: float, until: float, with_store: bool = True
+    ) -> bool:
+        """Return whether a fault affected a subject, or all, within a time span.
+
+        Faults of the store affect all, unless `with_store` is false.
+        """
+        subjects = (subject, ALL, STORE) if with_store else (subject, ALL)
         return any(
-            each.subject in (subject, ALL) and each.since <= until and each.until >= since
+            each.subject in subjects and each.since <= until and each.until >= since
             for each in self.disturbances
         )
 
--- a/test/soak/mutations.py
+++ b/test/soak/mutations.py
@@ -1,4 +1,4 @@
-"""Mutations of the code, one per guarantee, which show that the soak can fail."""
+"""Mutations of the code, at least one per guarantee, which show that the soak can fail."""
 
 import shutil
 import tempfile
@@ -71,6 +71,12 @@
         "if open_requests == 0 or self.is_over(now):",
         "if passed_s:",
     ),
+    Mutation(
+        "stops",
+        f"{EDGE}/view.py",
+        "drain_s = max(0.0, settings.grace_s - ANNOUNCE_S - CLOSE_MARGIN_S)",
+        "drain_s = 0.5",
+    ),
     Mutation(
         "gone",
         f"{EDGE}/caller_connections.py",
--- a/test/soak/scene.py
+++ b/test/soak/scene.py
@@ -35,7 +35,7 @@
     routes = (
         make_route("idempotent", "/p/", Service="plain"),
         make_route("non_idempotent", "/u/", Service="plain"),
-        make_route("streaming", "/s/", Resumable=True, TargetGapMs=150, Attempts=3),
+        make_route("streaming", "/s/", Resumable=True, TargetGapMs=500, Attempts=3, TimeoutMs=7000),
         make_route("idempotent", "/x/", Service=moved_to),
     )
     engine = make_engine_service({"m1": 9, "m2": 3, "m3": 0, "m4": 0, "m5": 0})
@@ -108,8 +108,10 @@
     programs: dict[str, Program] = field(factory=dict)
     relays: dict[str, Relay] = field(factory=dict)
     callers: dict[str, int] = field(factory=dict)
+    listeners: dict[str, int] = field(factory=dict)
     services: dict[str, str] = field(factory=dict)
     disrupted: set[str] = field(factory=set)
+    visitors: int = 0
     version: int = 1
     moved_to: str = "plain"
     store_port: int = 0
@@ -172,6 +174,7 @@
         """Start an instance, with relays for its callers and for its connections to the store."""
         port, ready = find_port(), find_port()
         self.callers[name] = await self.add_relay(name, port)
+        self.listeners[name] = port
         text = SETTINGS_TEXT.format(
             name=name,
             data_centre=data_centre,
@@ -184,13 +187,13 @@
         )
         path = self.folder / f"{name}.ini"
         path.write_text(text, encoding="utf-8")
-        self.callers[f"ready-{name}"] = ready
+        self.listeners[f"ready-{name}"] = ready
         self.add(name, "-m", "rhubarbshed.front", RHUBARBSHED_SETTINGS=str(path))
 
     async def is_ready(self, name: str) -> bool:
         """Return whether an instance reports that it is ready for new connections."""
         try:
-            port = self.callers[f"ready-{name}"]
+            port = self.listeners[f"ready-{name}"]
             reader, writer = await asyncio.open_connection("127.0.0.1", port)
             writer.write(b"GET /rhubarbshed/ready HTTP/1.1\r\nHost: x\r\n\r\n")
             line = await asyncio.wait_for(reader.readline(), 1.0)
--- /dev/null
+++ b/test/soak/visitors.py
@@ -0,0 +1,80 @@
+"""Callers around one planned stop: on each kind of connection, at the times that matter most."""
+
+import asyncio
+import random
+import time
+
+from attrs import frozen
+
+from test.soak.callers import SLOW_STREAM_PATH, Caller, connect
+from test.soak.checks import ANNOUNCE_S
+from test.soak.history import Sent
+from test.soak.scene import Scene
+
+LEAD_S = 1.2
+"""Time from the arrival of the first visitors to SIGTERM."""
+
+BURST_S = (ANNOUNCE_S - 0.12, ANNOUNCE_S + 0.06)
+"""Range of times at which many connections come at once: the listener closes in it."""
+
+Range = tuple[float, float]
+
+
+@frozen
+class Visit:
+    """Connection opened within `connects` and first used within `sends`, in s from SIGTERM.
+
+    A visit with `path` "" draws its path. One that `stays` sends further requests.
+    """
+
+    how: Sent
+    connects: Range
+    sends: Range
+    path: str = ""
+    stays: bool = True
+
+
+VISITS = (
+    *(Visit(Sent.NEW, (-0.9, -0.1), (-0.9, -0.1), SLOW_STREAM_PATH) for _ in range(3)),
+    *(Visit(Sent.IDLE, (-0.6, -0.1), (ANNOUNCE_S - 0.1, ANNOUNCE_S + 0.3)) for _ in range(3)),
+    *(Visit(Sent.IDLE, (-0.6, 2.0), (0.0, 6.0)) for _ in range(2)),
+    *(Visit(Sent.PARTS, (-0.6, 0.5), (ANNOUNCE_S - 0.5, ANNOUNCE_S + 0.1)) for _ in range(2)),
+    *(Visit(Sent.NEW, (0.0, ANNOUNCE_S), (0.0, ANNOUNCE_S)) for _ in range(2)),
+)
+QUEUED_VISITS = 6
+SLOW_FRACTION = 0.6
+"""Visits on connections that come at once, and fraction of slow streams among those of visitors."""
+
+
+async def visit_stop(scene: Scene, rng: random.Random, instance: str, stops_at: float) -> None:
+    """Send requests around the stop of an instance, until their connections have ended."""
+    burst_s = rng.uniform(*BURST_S)
+    burst = (burst_s, burst_s)
+    queued = [Visit(Sent.QUEUED, burst, burst, stays=False) for _ in range(QUEUED_VISITS)]
+    visits = (_visit(scene, rng, instance, stops_at, each) for each in (*VISITS, *queued))
+    await asyncio.gather(*visits)
+
+
+async def _visit(
+    scene: Scene, rng: random.Random, instance: str, stops_at: float, visit: Visit
+) -> None:
+    # Only a connection past the relay waits in the queue of the instance's own listener.
+    port = scene.listeners[instance]
+    scene.visitors += 1
+    name = f"v{scene.visitors}"
+    caller = Caller(name, random.Random(f"{scene.seed}{name}"), scene.history, lambda: ("", 0))
+    caller.slow_fraction = SLOW_FRACTION
+    connects_at = stops_at + rng.uniform(*visit.connects)
+    sends_at = max(connects_at, stops_at + rng.uniform(*visit.sends))
+    await asyncio.sleep(max(0.0, connects_at - time.monotonic()))
+    if (link := await connect(instance, port)) is None:
+        return
+    try:
+        await asyncio.sleep(max(0.0, sends_at - time.monotonic()))
+        if link.is_ended:
+            return
+        path = visit.path or caller.draw_path()
+        if await caller.send_request(link, visit.how, path) and visit.stays:
+            await caller.use(link, Sent.AT_ONCE)
+    finally:
+        link.writer.transport.abort()
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -8,7 +8,7 @@
 
 from test.soak.callers import read_within
 from test.soak.checks import CHECKS, check_all
-from test.soak.history import ALL, Asked, Disturbance, History, Leaving, Seen, Stop
+from test.soak.history import ALL, STORE, Asked, Disturbance, History, Leaving, Seen, Sent, Stop
 from test.soak.run import play_seed
 
 CI_SEED, CI_SECONDS = 1, 12.0
@@ -107,6 +107,57 @@
         assert name in check_all(evolve(BROKEN[name], disturbances=fault))
 
 
+TAKEN = Asked("c1-5", "/s/c1-5", "i1", 5.5, 7.7, 200, True, how=Sent.AT_ONCE, last_byte_at=5.5)
+"""Request sent 5.5 s after SIGTERM as a stream on its connection ended, and cut off at 7.7 s."""
+
+TAKEN_RUN = Seen(5.6, "run", "e1", 1, "c1-5", "/s/c1-5")
+TAKEN_END = evolve(TAKEN_RUN, at=7.7, what="end")
+LONG_STOP = Stop("i1", 0.0, 7.9, 0)
+
+
+def find_losses(*seen, asked=TAKEN, disturbances=(), stop=LONG_STOP):
+    history = History([asked], list(seen), list(disturbances), [stop])
+    return check_all(history).get("stops", [])
+
+
+def test_request_that_a_stopping_instance_takes_and_gives_up_is_told():
+    sent = "sent 5.500 s after SIGTERM (as an answer ended)"
+    losses = [f"c1-5 was passed on, {sent}, and cut off at 7.700 s"]
+    assert find_losses(TAKEN_RUN, TAKEN_END) == losses
+
+
+def test_request_is_lost_if_it_was_not_passed_on_and_is_no_crossing():
+    closed = evolve(TAKEN, status=0, signed=False, last_byte_at=7.45)
+    assert find_losses(asked=closed)
+    assert not find_losses(asked=evolve(closed, last_byte_at=7.55))
+    assert not find_losses(asked=evolve(closed, last_byte_at=0.0))
+    assert find_losses(TAKEN_RUN, asked=evolve(closed, last_byte_at=7.55))
+
+
+def test_stream_that_its_server_interrupted_is_not_lost_but_another_answer_is():
+    broke = evolve(TAKEN_RUN, what="broke", at=7.6)
+    assert not find_losses(TAKEN_RUN, broke, TAKEN_END)
+    plain = evolve(TAKEN, path="/u/c1-5")
+    seen = [evolve(each, path="/u/c1-5") for each in (TAKEN_RUN, broke, TAKEN_END)]
+    assert find_losses(*seen, asked=plain)
+
+
+def test_stream_sent_in_the_announcement_may_be_cut_off_at_the_end_of_the_grace_time():
+    early = evolve(TAKEN, sent_at=2.9, last_byte_at=2.9)
+    assert not find_losses(TAKEN_RUN, TAKEN_END, asked=early)
+    assert find_losses(TAKEN_RUN, TAKEN_END, asked=evolve(early, last_byte_at=3.1))
+    cut_early = evolve(early, ended_at=6.0)
+    assert find_losses(TAKEN_RUN, evolve(TAKEN_END, at=6.0), asked=cut_early)
+    assert find_losses(TAKEN_RUN, evolve(TAKEN_END, at=6.0), asked=early)
+
+
+def test_fault_of_the_store_excuses_no_loss_and_one_long_before_the_request_neither():
+    seen = (TAKEN_RUN, TAKEN_END)
+    assert find_losses(*seen, disturbances=[Disturbance(STORE, "down", 4.0, 6.0)])
+    assert find_losses(*seen, disturbances=[Disturbance("i1", "reset", 1.0, 2.0)])
+    assert not find_losses(*seen, disturbances=[Disturbance("i1", "reset", 2.0, 3.0)])
+
+
 def test_short_run_breaks_no_promise():
     verdict = play_seed(CI_SEED, CI_SECONDS)
     assert not verdict.broken, verdict.describe()
