--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -10,6 +10,7 @@
 from test.soak.checks import CHECKS, check_all
 from test.soak.history import ALL, STORE, Asked, Disturbance, History, Leaving, Seen, Sent, Stop
 from test.soak.run import play_seed
+from tools.soak import describe_margin
 
 CI_SEED, CI_SECONDS = 1, 12.0
 EVENTS = b"".join(b"id: %d\ndata: t%d\n\n" % (number, number) for number in range(1, 13))
@@ -158,6 +159,16 @@
     assert not find_losses(*seen, disturbances=[Disturbance("i1", "reset", 2.0, 3.0)])
 
 
+def test_margin_tells_for_each_stop_what_answered():
+    crossed = evolve(TAKEN, request_id="c1-6", status=0, signed=False)
+    history = History([TAKEN, crossed, PLAIN], [TAKEN_RUN], [], [LONG_STOP])
+    lines = describe_margin(history).splitlines()
+    assert lines[0] == "i1 at 0.000 s, exit 0 after 7900 ms"
+    assert lines[2].split(" | ") == [
+        *("  5500 to 6000", "as an answer ended", "0", "0", "1", "1", "0", "2200", "2200", "7700")
+    ]
+
+
 def test_short_run_breaks_no_promise():
     verdict = play_seed(CI_SEED, CI_SECONDS)
     assert not verdict.broken, verdict.describe()
