Check in the soak that streams keep to one software version

The soak had one version, and its callers dropped a broken stream.

Change: a stand-in replica has a version and names it, and its own run, in each event; 6 in 100 streams are interrupted, also if they were taken up. The four engines of a run have two versions, and a release brings an engine of a third while one drains, also beside a stop. Callers take broken streams up at another instance, with `Last-Event-Id` and `Resumes`, up to two times.

Three checks: no stream holds events of two versions, over all attempts at it, which nothing excuses; no event is missing or comes twice; of 12 or more streams taken up where nothing is disturbed, the share that goes on is at least half of the share of new streams that begin. The check of recovery leaves out streams that were taken up, since they depend on the servers of their version; new requests are checked as before.

--- a/standin/replica.py
+++ b/standin/replica.py
@@ -56,9 +56,10 @@
         ]
         self.write("\r\n".join(head).encode() + b"\r\n\r\n")
 
-    def send_event(self, number: int) -> None:
-        """Send one event of a stream."""
-        self.send_chunk(f"id: {number}\ndata: t{number}\n\n".encode())
+    def send_event(self, number: int, *words: str) -> None:
+        """Send one event of a stream, with further words in its data."""
+        data = " ".join((f"t{number}", *words))
+        self.send_chunk(f"id: {number}\ndata: {data}\n\n".encode())
 
     def send_chunk(self, data: bytes) -> None:
         """Send one chunk."""
@@ -93,6 +94,7 @@
     data_centre: str = "a"
     slots: int = 8
     started_ms: int = 1
+    version: str = "v1"
     models: dict[str, list[str]] = field(factory=dict)
     reply: Reply = echo_body
     orders: int = 0
@@ -122,15 +124,19 @@
         for writer in list(self._writers):
             writer.transport.abort()
 
+    def drain(self) -> None:
+        """Report from now on that the replica drains."""
+        self.draining = True
+
     def describe(self, **changes: object) -> dict:
         """Return the entry of the replica in the store, with changed fields."""
         entry = {
             "Service": self.service,
             "Address": f"{self.address[0]}:{self.address[1]}",
             "Zone": self.data_centre,
-            "Version": "v1",
+            "Version": self.version,
             "Slots": self.slots,
-            "State": "ready",
+            "State": "draining" if self.draining else "ready",
             "ColdRemainingMs": 0,
             "Seq": 1,
             "born": self.started_ms,
--- a/standin/run.py
+++ b/standin/run.py
@@ -35,8 +35,9 @@
 its stop. An event of a slow stream comes after several intervals."""
 
 FAILED_FRACTION, LOST_FRACTION, TRUNCATED_FRACTION, LATE_ORDER_FRACTION = 0.01, 0.01, 0.01, 0.05
-"""Fractions of requests that fail, lose their answer or get a truncated one, and of orders that are
-executed late without an answer."""
+INTERRUPTED_FRACTION = 0.06
+"""Fractions of requests that fail, lose their answer or get a truncated one, of orders that are
+executed late without an answer, and of streams that are interrupted."""
 
 LOAD_S = 0.2
 MODELS_MAX = 3
@@ -67,6 +68,7 @@
     recorder: Recorder
     rng: random.Random
     faulty: bool
+    run_count: int = 0
     tasks: set[asyncio.Task] = field(factory=set)
 
     def on_overfull(self) -> None:
@@ -117,18 +119,24 @@
         exchange.reset()
 
     async def stream(self, exchange: Exchange, after: int, draw: float) -> None:
-        """Send the events after number `after`, or reset the stream halfway by the drawn number."""
+        """Send the events after number `after`, or reset the stream halfway by the drawn number.
+
+        Each event names this run and the version of the software.
+        """
+        self.run_count += 1
+        run = f"{self.recorder.server_id}/{self.recorder.started_ms}/{self.run_count}"
+        halfway = (after + EVENTS_PER_STREAM) // 2
         exchange.begin_stream()
         for number in range(after + 1, EVENTS_PER_STREAM + 1):
             if exchange.writer.transport.is_closing():
                 return
-            exchange.send_event(number)
+            exchange.send_event(number, run, exchange.replica.version)
             await exchange.writer.drain()
             for _ in range(SLOW_EVENT_INTERVALS if SLOW_STREAM_PATH in exchange.target else 1):
                 await asyncio.sleep(EVENT_INTERVAL_S)
                 if exchange.writer.transport.is_closing():
                     return
-            if draw < LOST_FRACTION + TRUNCATED_FRACTION and number == EVENTS_PER_STREAM // 2:
+            if draw < INTERRUPTED_FRACTION and number == halfway:
                 exchange.write(b"20\r\nid: 9")
                 self.reset_answer(exchange)
                 return
@@ -192,8 +200,12 @@
     told_port: int = typer.Option(0, help="Port in the store entry, on which a relay listens."),
     models: str = typer.Option("", help="Models that an engine holds at start, comma-separated."),
     trouble: int = typer.Option(0, help="Seed of random failures; 0 for none."),
+    version: str = typer.Option("v1", help="Version of the software in the store entry."),
 ) -> None:
-    """Serve requests and orders until the process is terminated; SIGUSR1 stops random failures."""
+    """Serve requests and orders until the process is terminated.
+
+    SIGUSR1 stops random failures, SIGUSR2 reports in the store that the replica drains.
+    """
     descriptor = os.open(record, os.O_WRONLY | os.O_APPEND | os.O_CREAT)
     started_ms = int(time.time() * 1000)
     recorder = Recorder(server_id, started_ms, descriptor)
@@ -203,6 +215,7 @@
         service,
         data_centre,
         started_ms=started_ms,
+        version=version,
         models={name: [] for name in models.split(",") if name},
         reply=handler.reply,
         models_max=MODELS_MAX,
@@ -221,6 +234,7 @@
     """Serve until cancelled, with heartbeats that announce `announced_port`."""
     await engine.start()
     asyncio.get_running_loop().add_signal_handler(signal.SIGUSR1, handler.stop_faults)
+    asyncio.get_running_loop().add_signal_handler(signal.SIGUSR2, engine.drain)
     handler.recorder.write("start")
     while True:
         entry = engine.describe(Address=f"127.0.0.1:{announced_port}")
--- a/test/soak/callers.py
+++ b/test/soak/callers.py
@@ -37,6 +37,13 @@
 """Fraction of requests sent as the answer before ends, of those that are sent in two parts and the
 pause between these, and of streams that outlast the time in which a stop is announced."""
 
+RESUMES_MAX = 2
+RESUME_TIME_MIN_S = 0.5
+BREAK_FRACTION = 0.15
+BREAK_AFTER_S = (0.3, 0.9)
+"""Further attempts at a broken stream, the least time that they need, and fraction of streams whose
+connection the caller loses by itself, after which time."""
+
 MODELS = (
     *("m1", "m2", "m3", "m4", "m5"),
     *(f"m1/a{number}" for number in range(1, 10)),
@@ -53,6 +60,7 @@
     instance: str
     reader: asyncio.StreamReader
     writer: asyncio.StreamWriter
+    is_kept: bool = False
 
     @property
     def is_ended(self) -> bool:
@@ -70,6 +78,7 @@
     choose_instance: Callable[[], tuple[str, int]]
     sent_count: int = 0
     slow_fraction: float = SLOW_STREAM_FRACTION
+    gave_up: bool = False
 
     async def run(self) -> None:
         """Send requests until cancelled."""
@@ -85,7 +94,7 @@
 
     async def use(self, link: Link, how: Sent) -> None:
         """Send requests on a connection until it ends, the first one as `how`."""
-        while await self.send_request(link, how, self.draw_path()):
+        while await self.ask(link, how, self.draw_path()):
             how = Sent.AT_ONCE
             if self.rng.random() >= AT_ONCE_FRACTION:
                 await asyncio.sleep(self.rng.uniform(*REQUEST_INTERVAL_S))
@@ -97,50 +106,87 @@
         slow = path == "/s/" and self.rng.random() < self.slow_fraction
         return SLOW_STREAM_PATH if slow else path
 
-    async def send_request(self, link: Link, how: Sent, path: str) -> bool:
-        """Send one request and record its answer; return whether the connection stays usable."""
+    async def ask(self, link: Link, how: Sent, path: str) -> bool:
+        """Send one request, and take a broken stream up; return whether `link` stays usable."""
+        asked = await self.send_request(link, how, path)
+        until = asked.sent_at + STREAM_TIMEOUT_S - RESUME_TIME_MIN_S
+        for _ in range(RESUMES_MAX):
+            broken = asked.last_event and not (asked.status == 200 and asked.whole)
+            if not broken or self.gave_up or time.monotonic() > until:
+                break
+            asked = await self.take_up(asked, until)
+        return link.is_kept
+
+    async def take_up(self, earlier: Asked, until: float) -> Asked:
+        """Take a stream up at another instance; return the attempt, `earlier` without one."""
+        instance, port = self.choose_instance()
+        while instance == earlier.instance:
+            instance, port = self.choose_instance()
+        if (link := await connect(instance, port)) is None:
+            return earlier
+        timeout_s = until - time.monotonic()
+        try:
+            asked = await self.send_request(link, Sent.NEW, earlier.path, earlier, timeout_s)
+        finally:
+            link.writer.transport.abort()
+        if asked.status not in (0, 200):
+            await asyncio.sleep(self.rng.uniform(*REQUEST_INTERVAL_S))
+        return asked
+
+    async def send_request(
+        self, link: Link, how: Sent, path: str, earlier: Asked | None = None, timeout_s: float = 0.0
+    ) -> Asked:
+        """Send one request and record its answer; one with an `earlier` takes up its stream."""
         self.sent_count += 1
         request_id = f"{self.name}-{self.sent_count}"
-        path += request_id
-        payload = b"" if path.startswith("/p/") else request_id.encode() * 3
-        data = self.make_request(request_id, path, payload)
+        if earlier is None:
+            path += request_id
+            timeout_s = STREAM_TIMEOUT_S if path.startswith("/s/") else ANSWER_TIMEOUT_S
+            payload = b"" if path.startswith("/p/") else request_id.encode() * 3
+            model, first, after = self.rng.choice(MODELS), "", 0
+        else:
+            payload, model, after = earlier.payload, earlier.model, earlier.last_event
+            first = earlier.first or earlier.request_id
+        lines = [f"Rhubarbshed-Deadline-Remaining: {int(timeout_s * 1000)}"]
+        if path.startswith("/s/"):
+            lines.append(f"Rhubarbshed-Model: {model}")
+        if earlier:
+            lines += [f"Last-Event-Id: {after}", f"Resumes: {first}"]
+        data = make_request(request_id, path, payload, lines)
         sent_at = time.monotonic()
-        if how is Sent.PARTS or self.rng.random() < PARTS_FRACTION:
+        if how is Sent.PARTS or (not earlier and self.rng.random() < PARTS_FRACTION):
             how = Sent.PARTS
             data = await self.send_part(link, data)
         last_byte_at = 0.0 if link.is_ended else time.monotonic()
         link.writer.write(data)
-        disconnects = self.rng.random() < DISCONNECT_FRACTION
-        timeout_s = find_timeout(path) + 1.0
-        if disconnects:
-            timeout_s = self.rng.uniform(*DISCONNECT_AFTER_S)
-        if disconnects and self.sent_count % LATE_DISCONNECT_EVERY == 0:
-            timeout_s *= LATE_DISCONNECT_FACTOR
+        patience_s = timeout_s + 1.0 if earlier else self.draw_patience(path, timeout_s)
         waits_from = time.monotonic()
-        answer = await read_within(link.reader, timeout_s)
+        answer = await read_within(link.reader, patience_s)
         ended_at = time.monotonic()
-        disconnected = not answer.whole and ended_at - waits_from >= timeout_s
+        left = not answer.whole and ended_at - waits_from >= patience_s
+        self.gave_up = self.gave_up and left
         headers = answer.headers
-        record = Asked(
-            request_id,
-            path,
-            link.instance,
-            sent_at,
-            ended_at,
-            answer.status,
-            "rhubarbshed-response-signature" in headers,
-            answer.whole,
-            answer.body,
-            payload,
-            headers.get("retry-after", ""),
-            disconnected,
-            how,
-            last_byte_at,
+        signed = "rhubarbshed-response-signature" in headers
+        asked = Asked(
+            *(request_id, path, link.instance, sent_at, ended_at, answer.status, signed),
+            *(answer.whole, answer.body, payload, headers.get("retry-after", ""), left, how),
+            *(last_byte_at, model, first, after),
         )
-        self.history.asked.append(record)
-        if disconnected:
+        self.history.asked.append(asked)
+        if left:
             await self.disconnect(link.writer)
-        return answer.whole and not disconnected and headers.get("connection") != "close"
+        link.is_kept = answer.whole and headers.get("connection") != "close"
+        return asked
+
+    def draw_patience(self, path: str, timeout_s: float) -> float:
+        """Draw the time after which the caller leaves: for good, or to take its stream up."""
+        self.gave_up = self.rng.random() < DISCONNECT_FRACTION
+        if self.gave_up:
+            factor = 1.0 if self.sent_count % LATE_DISCONNECT_EVERY else LATE_DISCONNECT_FACTOR
+            return self.rng.uniform(*DISCONNECT_AFTER_S) * factor
+        if path.startswith("/s/") and self.rng.random() < BREAK_FRACTION:
+            return self.rng.uniform(*BREAK_AFTER_S)
+        return timeout_s + 1.0
 
     async def send_part(self, link: Link, data: bytes) -> bytes:
         """Send the first part of a request, pause, and return the rest."""
@@ -151,25 +197,25 @@
 
     async def disconnect(self, writer: asyncio.StreamWriter) -> None:
         """End a connection, at times without reading what is on its way."""
-        if self.sent_count % HALF_CLOSED_EVERY == 0 and not writer.transport.is_closing():
+        half_closed = self.gave_up and self.sent_count % HALF_CLOSED_EVERY == 0
+        if half_closed and not writer.transport.is_closing():
             writer.transport.pause_reading()
             writer.write_eof()
             await asyncio.sleep(HALF_CLOSED_S)
         writer.transport.abort()
 
-    def make_request(self, request_id: str, path: str, payload: bytes) -> bytes:
-        """Return the bytes of a request."""
-        lines = [
-            f"{'POST' if payload else 'GET'} {path} HTTP/1.1",
-            f"Host: {HOST}",
-            f"Rhubarbshed-Request-Id: {request_id}",
-            f"Rhubarbshed-Deadline-Remaining: {int(find_timeout(path) * 1000)}",
-        ]
-        if path.startswith("/s/"):
-            lines.append(f"Rhubarbshed-Model: {self.rng.choice(MODELS)}")
-        if payload:
-            lines.append(f"Content-Length: {len(payload)}")
-        return "\r\n".join(lines).encode() + b"\r\n\r\n" + payload
+
+def make_request(request_id: str, path: str, payload: bytes, lines: list[str]) -> bytes:
+    """Return the bytes of a request with further header lines."""
+    head = [
+        f"{'POST' if payload else 'GET'} {path} HTTP/1.1",
+        f"Host: {HOST}",
+        f"Rhubarbshed-Request-Id: {request_id}",
+        *lines,
+    ]
+    if payload:
+        head.append(f"Content-Length: {len(payload)}")
+    return "\r\n".join(head).encode() + b"\r\n\r\n" + payload
 
 
 async def connect(instance: str, port: int) -> Link | None:
@@ -181,11 +227,6 @@
         return None
 
 
-def find_timeout(path: str) -> float:
-    """Return the time for which a caller waits for the answer to a request."""
-    return STREAM_TIMEOUT_S if path.startswith("/s/") else ANSWER_TIMEOUT_S
-
-
 async def read_within(reader: asyncio.StreamReader, timeout_s: float) -> Answer:
     """Read an answer, or the part of it that arrives within a time.
 
--- a/test/soak/checks.py
+++ b/test/soak/checks.py
@@ -1,12 +1,10 @@
 """Guarantees of the system, each as a function that returns its violations in a history."""
 
 import collections
-import math
-import re
 from collections.abc import Callable
 
 from standin.run import EVENTS_PER_STREAM
-from test.soak.history import Asked, History, Stop
+from test.soak.history import Asked, History
 
 LEASE_S = 3.0
 DRAIN_S = 2.0
@@ -18,13 +16,14 @@
 CROSSING_MAX_S = 0.2
 LATE_WORK_S = STOP_MAX_S * 5 / 6
 TOLERANCE_S = 0.3
+RESUMES_MIN = 12
 """Bounds from the platform's pages, and the tolerance for delays of a busy machine in times that
 the soak measures. New requests are accepted for `ANNOUNCE_S` after SIGTERM; one that crosses the
 end of its connection was sent within `CROSSING_MAX_S`; a server that is at work `LATE_WORK_S` after
-SIGTERM on a request sent in the announcement may be cut off."""
+SIGTERM on a request sent in the announcement may be cut off. The share of streams that go on is
+checked from `RESUMES_MIN` on."""
 
 NOT_RUN_STATUSES = (408, 421, 429, 503)
-EVENT = re.compile(rb"id: (\d+)\ndata: t\1\n\n")
 
 Check = Callable[[History], list[str]]
 
@@ -62,9 +61,47 @@
     if "/s/" not in asked.path:
         expected = b"done:" + asked.request_id.encode() + b":" + asked.payload
         return asked.body == expected if asked.whole else expected.startswith(asked.body)
-    numbers = [int(number) for number in EVENT.findall(asked.body)]
-    in_order = numbers == list(range(1, len(numbers) + 1))
-    return in_order and (not asked.whole or len(numbers) == EVENTS_PER_STREAM)
+    numbers = [number for number, _ in asked.events]
+    in_order = numbers == list(range(asked.after + 1, asked.last_event + 1))
+    return in_order and (not asked.whole or asked.last_event == EVENTS_PER_STREAM)
+
+
+def check_versions(history: History) -> list[str]:
+    """Check that no stream, over all attempts at it, holds events of two versions."""
+    versions: dict[str, set[str]] = collections.defaultdict(set)
+    broken = []
+    for each in sorted(history.asked, key=lambda each: each.sent_at):
+        own = {version for _, version in each.events}
+        before = versions[each.first or each.request_id]
+        if len(own) > 1:
+            broken.append(f"{each.request_id} holds {sorted(own)} in one answer")
+        elif len(before | own) > 1 and own - before:
+            broken.append(f"{each.request_id} goes on in {sorted(own)} after {sorted(before)}")
+        before |= own
+    return broken
+
+
+def check_resumes(history: History) -> list[str]:
+    """Check that streams go on at undisturbed instances at least half as often as new ones begin.
+
+    They count while two servers of their version serve undisturbed.
+    """
+    versions = {each.request_id: each.events[0][1] for each in history.asked if each.events}
+    begun, resumed = [], []
+    for each in history.asked:
+        since, until = each.sent_at - FAULT_FREE_S, each.ended_at
+        if "/s/" not in each.path or history.was_disturbed(each.instance, since, until):
+            continue
+        served = each.status == 200 and (each.whole or bool(each.events))
+        if (each.left and not served) or history.was_stopped(each.instance, since, until):
+            continue
+        if not each.first:
+            begun.append(served)
+        elif history.count_engines(versions[each.first], since, until) >= 2:
+            resumed.append(served)
+    if len(resumed) < RESUMES_MIN or 2 * sum(resumed) * len(begun) >= sum(begun) * len(resumed):
+        return []
+    return [f"{sum(resumed)} of {len(resumed)} went on, {sum(begun)} of {len(begun)} new began"]
 
 
 def check_capacity(history: History) -> list[str]:
@@ -143,67 +180,38 @@
         if not history.was_disturbed(stop.instance, stop.at - FAULT_FREE_S, stop.ended_at, False)
         and (stop.code != 0 or stop.ended_at - stop.at > STOP_MAX_S)
     ]
-    runs = _list_runs(history)
+    passed_on = {each.request_id for each in history.seen if each.what == "run"}
+    ends = {each.request_id: each.at for each in history.seen if each.what == "end"}
+    broken_off = {each.request_id for each in history.seen if each.what == "broke"}
     for stop in history.stops:
         for each in history.asked:
-            if _was_open(each, stop) and (loss := _describe_loss(history, each, stop, runs)):
-                broken.append(f"{each.request_id} {loss}")
+            own = each.instance == stop.instance and not each.left
+            during = each.sent_at < stop.ended_at and each.ended_at > stop.at
+            if not own or not during or (each.status != 0 and each.whole):
+                continue
+            since = max(stop.at, each.sent_at) - FAULT_FREE_S
+            until = min(each.ended_at, stop.ended_at)
+            interrupted = "/s/" in each.path and each.request_id in broken_off
+            if interrupted or history.was_disturbed(stop.instance, since, until, False):
+                continue
+            sent_s = max(each.sent_at, each.last_byte_at) - stop.at
+            late_at = stop.at + LATE_WORK_S
+            works_late = (
+                each.request_id in passed_on and ends.get(each.request_id, late_at) >= late_at
+            )
+            if sent_s <= ANNOUNCE_S and works_late and each.ended_at >= late_at:
+                continue
+            text = f"{each.request_id}, sent {sent_s:.3f} s after SIGTERM ({each.how.value}),"
+            crossing = not each.last_byte_at or each.ended_at - each.last_byte_at <= CROSSING_MAX_S
+            if each.request_id in passed_on:
+                broken.append(
+                    f"{text} was passed on and cut off at {each.ended_at - stop.at:.3f} s"
+                )
+            elif not crossing:
+                broken.append(f"{text} was closed at {each.ended_at - stop.at:.3f} s")
     return broken
 
 
-Runs = dict[str, list[tuple[float, float]]]
-
-
-def _list_runs(history: History) -> Runs:
-    """Return begin and end of each request's runs; one whose end is not recorded has none."""
-    begun: dict[tuple[str, str, int], float] = {}
-    runs: Runs = {}
-    for each in history.seen:
-        key = (each.request_id, each.server, each.born)
-        if each.what == "run":
-            begun[key] = each.at
-        elif each.what == "end" and key in begun:
-            runs.setdefault(each.request_id, []).append((begun.pop(key), each.at))
-    for (request_id, _, _), at in begun.items():
-        runs.setdefault(request_id, []).append((at, math.inf))
-    return runs
-
-
-def _was_open(asked: Asked, stop: Stop) -> bool:
-    during = asked.sent_at < stop.ended_at and asked.ended_at > stop.at
-    return asked.instance == stop.instance and during
-
-
-def _describe_loss(history: History, asked: Asked, stop: Stop, runs: Runs) -> str:
-    """Return how a request that was open during a stop was lost, "" if it was not."""
-    if asked.left or (asked.status != 0 and asked.whole):
-        return ""
-    since = max(stop.at, asked.sent_at) - FAULT_FREE_S
-    until = min(asked.ended_at, stop.ended_at)
-    if history.was_disturbed(stop.instance, since, until, False):
-        return ""
-    if "/s/" in asked.path and asked.request_id in _find_broken_off(history):
-        return ""
-    own_runs = runs.get(asked.request_id, ())
-    late_at = stop.at + LATE_WORK_S
-    sent_at = max(asked.sent_at, asked.last_byte_at)
-    if sent_at <= stop.at + ANNOUNCE_S and asked.ended_at >= late_at:
-        if any(begun_at <= asked.ended_at and end_at >= late_at for begun_at, end_at in own_runs):
-            return ""
-    times = f"{sent_at - stop.at:.3f} s after SIGTERM ({asked.how.value})"
-    if own_runs:
-        return f"was passed on, sent {times}, and cut off at {asked.ended_at - stop.at:.3f} s"
-    late_s = asked.ended_at - asked.last_byte_at
-    if asked.last_byte_at and late_s > CROSSING_MAX_S:
-        return f"was sent {times} and closed {late_s:.3f} s after its last byte"
-    return ""
-
-
-def _find_broken_off(history: History) -> set[str]:
-    """Return the requests whose answer the backend server itself broke off."""
-    return {each.request_id for each in history.seen if each.what == "broke"}
-
-
 def check_disconnected(history: History) -> list[str]:
     """Check that nothing is sent for a disconnected caller, and work for it ends, in time."""
     disconnected = {each.request_id: each for each in history.asked if each.left}
@@ -252,6 +260,8 @@
 def check_recovery(history: History) -> list[str]:
     """Check that every request after the end of all faults is served."""
     late = [each for each in history.asked if each.sent_at >= history.calm_from and not each.left]
+    # Whether a stream can go on depends on the servers of its version: see `check_resumes`.
+    late = [each for each in late if not each.first]
     if history.calm_from and not late:
         return ["no request was sent after the faults"]
     return [
@@ -265,6 +275,8 @@
     "once": check_once,
     "not_run": check_not_run,
     "answers": check_answers,
+    "versions": check_versions,
+    "resumes": check_resumes,
     "room": check_capacity,
     "holders": check_holders,
     "leaving": check_leaving,
--- a/test/soak/faults.py
+++ b/test/soak/faults.py
@@ -11,10 +11,9 @@
 from standin.run import call_store
 from test.soak.history import ALL, STORE, Disturbance, Leaving
 from test.soak.relay import Mode
-from test.soak.scene import ENGINES, OTHER_SERVERS, PLAIN_SERVERS, Scene
+from test.soak.scene import VERSIONS, Scene
 from test.soak.visitors import LEAD_S, visit_stop
 
-SERVERS = (*ENGINES, *PLAIN_SERVERS, *OTHER_SERVERS)
 STOP_TIMEOUT_S = 8.0
 SHORT_FAULT_S = (0.2, 1.5)
 LONG_FAULT_S = (1.0, 4.0)
@@ -24,7 +23,9 @@
 that a relay adds."""
 
 LEAVING_SERVE_S = 4.0
-"""Time for which a removed server keeps serving, longer than it may get new requests."""
+RELEASE_SERVE_S = 8.0
+"""Time for which a removed server keeps serving, longer than it may get new requests, and for which
+one keeps serving that a release replaces, until its streams have ended."""
 
 STOPS_MAX = 4
 SECOND_SIGNAL_S = (0.0, 2.9)
@@ -51,9 +52,10 @@
     async def play(self, seconds: float) -> None:
         """Start overlapping faults one after another, with fault-free times for planned changes.
 
-        A stop comes first, so that each run has one.
+        A stop and a release come first, so that each run has them.
         """
         await self.change_as_planned(self.rng.choice(STOPS))
+        await self.change_as_planned(release_version)
         until = time.monotonic() + seconds
         while time.monotonic() < until:
             if self.rng.random() < PLANNED_FRACTION:
@@ -98,8 +100,8 @@
 
 
 async def kill_server(faults: Faults) -> None:
-    """Kill a backend server, which restarts with its initial models."""
-    await _kill(faults, SERVERS, "killed")
+    """Kill a backend server, mostly an engine, which restarts with its initial models."""
+    await _kill(faults, (*faults.scene.services, *faults.scene.engines), "killed")
 
 
 async def _kill(faults: Faults, names: tuple[str, ...], kind: str) -> None:
@@ -133,7 +135,7 @@
 async def pause_process(faults: Faults) -> None:
     """Pause a process with SIGSTOP; a lease holder may resume after its lease has expired."""
     name = faults.draw_process(
-        (*faults.scene.instances, *faults.scene.instances, *SERVERS, "store")
+        (*faults.scene.instances, *faults.scene.instances, *faults.scene.services, "store")
     )
     if not name:
         return
@@ -191,22 +193,20 @@
     await _stop(faults, faults.rng.choice(list(faults.scene.instances)))
 
 
-async def stop_beside_changes(faults: Faults) -> None:
-    """Stop an instance while the configuration changes."""
-    await asyncio.gather(stop_instance(faults), _change_during_stop(faults))
-
-
-async def stop_beside_store_fault(faults: Faults) -> None:
-    """Stop an instance while the store is faulty, which excuses no loss."""
-    await asyncio.gather(stop_instance(faults), disturb_store(faults))
+async def stop_beside_change(faults: Faults) -> None:
+    """Stop an instance beside planned work or a fault of the store, which excuses no loss."""
+    others = (change_configuration, disturb_store, release_version)
+    stopping = asyncio.create_task(stop_instance(faults))
+    await asyncio.sleep(LEAD_S + faults.rng.uniform(*SECOND_SIGNAL_S))
+    await faults.rng.choice(others)(faults)
+    await stopping
 
 
 async def stop_series(faults: Faults) -> None:
     """Stop two or more instances, each while those before it drain."""
     names = list(faults.scene.instances)
-    names = faults.rng.sample(names, faults.rng.randint(2, min(len(names), STOPS_MAX)))
     stops = []
-    for name in names:
+    for name in faults.rng.sample(names, faults.rng.randint(2, min(len(names), STOPS_MAX))):
         stops.append(asyncio.create_task(_stop(faults, name)))
         await asyncio.sleep(faults.rng.uniform(*FAULT_INTERVAL_S))
     await asyncio.gather(*stops)
@@ -229,14 +229,9 @@
         faults.scene.programs[name].send(number)
 
 
-async def _change_during_stop(faults: Faults) -> None:
-    await asyncio.sleep(LEAD_S + faults.rng.uniform(*SECOND_SIGNAL_S))
-    await change_configuration(faults)
-
-
 async def remove_server(faults: Faults) -> None:
     """Remove a backend server as planned: its entry is deleted while it keeps serving."""
-    name = faults.rng.choice(("e2", "p1", "p2"))
+    name = faults.rng.choice((faults.rng.choice(faults.scene.engines), "p1", "p2"))
     scene = faults.scene
     program = scene.programs[name]
     scene.disrupted.add(name)
@@ -254,10 +249,19 @@
     scene.disrupted.discard(name)
 
 
+async def release_version(faults: Faults) -> None:
+    """Replace an engine by one of another version, which drains while its streams go on."""
+    scene = faults.scene
+    old = faults.rng.choice(scene.engines)
+    version = VERSIONS[-1] if not scene.released else faults.rng.choice(VERSIONS)
+    await scene.release(old, version, RELEASE_SERVE_S)
+
+
 FAULTS: tuple[Fault, ...] = (
     kill_instance,
     kill_server,
     kill_server,
+    kill_server,
     kill_all_instances,
     pause_process,
     pause_process,
@@ -270,13 +274,15 @@
 )
 STOPS: tuple[Fault, ...] = (
     stop_instance,
-    stop_beside_changes,
-    stop_beside_store_fault,
+    stop_beside_change,
+    stop_beside_change,
     stop_series,
     stop_series,
 )
 PLANNED_CHANGES: tuple[Fault, ...] = (
     *STOPS,
+    release_version,
+    release_version,
     change_configuration,
     remove_server,
     remove_server,
--- a/test/soak/history.py
+++ b/test/soak/history.py
@@ -2,6 +2,8 @@
 
 import enum
 import json
+import math
+import re
 from pathlib import Path
 
 from attrs import define, field, frozen
@@ -13,6 +15,10 @@
 """Subject of a disturbance of the store, which affects every instance too."""
 
 
+EVENT = re.compile(rb"id: (\d+)\ndata: t\1 (\S+) ([^\n]+)\n\n")
+"""Event of a stream, with its number, the server's run and the version of the server's software."""
+
+
 class Sent(enum.Enum):
     """How a request was sent: on which connection, and when on it."""
 
@@ -30,7 +36,8 @@
 
     `signed` means that a server's answer was relayed, `whole` that the answer is complete, `left`
     that the caller disconnected before. `last_byte_at` is when the request was sent completely, or
-    0 if its connection ended before.
+    0 if its connection ended before. A request that takes up a stream names its `first` attempt and
+    the number of the last event `after` which it goes on.
     """
 
     request_id: str
@@ -47,6 +54,20 @@
     left: bool = False
     how: Sent = Sent.NEW
     last_byte_at: float = 0.0
+    model: str = ""
+    first: str = ""
+    after: int = 0
+
+    @property
+    def events(self) -> list[tuple[int, str]]:
+        """Return number and version of each whole event of a stream."""
+        found = EVENT.findall(self.body) if "/s/" in self.path else []
+        return [(int(number), version.decode()) for number, _, version in found]
+
+    @property
+    def last_event(self) -> int:
+        """Return the number of the last event that the caller has, from all attempts."""
+        return max([self.after, *(number for number, _ in self.events)])
 
 
 @frozen
@@ -94,6 +115,16 @@
     until: float
 
 
+@define
+class Serving:
+    """Time in which an engine of some version takes new requests."""
+
+    server: str
+    version: str
+    since: float
+    until: float = math.inf
+
+
 @define
 class History:
     """All records of a run; `moves` are route changes as (time, old, new) server prefixes."""
@@ -103,6 +134,7 @@
     disturbances: list[Disturbance] = field(factory=list)
     stops: list[Stop] = field(factory=list)
     leavings: list[Leaving] = field(factory=list)
+    engines: list[Serving] = field(factory=list)
     moves: list[tuple[float, str, str]] = field(factory=list)
     own_ends: list[str] = field(factory=list)
     calm_from: float = 0.0
@@ -120,6 +152,21 @@
             for each in self.disturbances
         )
 
+    def was_stopped(self, instance: str, since: float, until: float) -> bool:
+        """Return whether a planned stop of an instance falls into a time span."""
+        stops = [each for each in self.stops if each.instance == instance]
+        return any(each.at <= until and each.ended_at >= since for each in stops)
+
+    def count_engines(self, version: str, since: float, until: float) -> int:
+        """Return the number of engines of a version that serve undisturbed all of a time span."""
+        return sum(
+            each.version == version
+            and each.since <= since
+            and each.until >= until
+            and not self.was_disturbed(each.server, since, until)
+            for each in self.engines
+        )
+
     def read_records(self, path: Path) -> None:
         """Read the events that backend servers recorded."""
         for line in path.read_text(encoding="utf-8").splitlines():
--- a/test/soak/mutations.py
+++ b/test/soak/mutations.py
@@ -21,87 +21,91 @@
     new: str
 
 
-MUTATIONS = (
-    Mutation(
+ROWS = (
+    (
         "once",
         f"{SERVING}/retry_budget.py",
         "if tries.run > 0 and not route.repeatable:\n        return False\n"
         "    if tries.run >= route.attempts_max:",
         "if tries.run >= 3:",
     ),
-    Mutation(
+    (
         "not_run",
         f"{EDGE}/relay.py",
         "if self.tries.run > 0:\n            return",
         "if 0:\n            return",
     ),
-    Mutation(
+    (
         "answers",
         f"{EDGE}/attempts.py",
         'caller_response.splitter.last_id if route.resumable else ""',
         '""',
     ),
-    Mutation(
+    (
+        "answers",
+        "rhubarbshed/platform/headers.py",
+        "if not (after and pair[0].lower() == LAST_EVENT_ID)",
+        "if pair[0].lower() != LAST_EVENT_ID",
+    ),
+    ("versions", "standin/replica.py", '"Version": self.version,', '"Version": "v1",'),
+    (
+        "resumes",
+        "rhubarbshed/platform/headers.py",
+        "caller_timeout_s=None if patience_ms is None else",
+        "caller_timeout_s=0.0 if LAST_EVENT_ID in values else",
+    ),
+    (
         "room",
         "rhubarbshed/state/placement/engine_states.py",
         "return len(set(self.adapters) | set(self.pending) | unconfirmed)",
         "return 0",
     ),
-    Mutation(
+    (
         "holders",
         f"{EDGE}/lease.py",
         "return LEASE_PREFIX + self.data_centre",
         "return LEASE_PREFIX + self.data_centre + self.name",
     ),
-    Mutation(
-        "leaving",
-        f"{EDGE}/follower.py",
-        "elif record.missing_since is None:",
-        "elif not server_id:",
-    ),
-    Mutation(
+    ("leaving", f"{EDGE}/follower.py", "elif record.missing_since is None:", "elif not server_id:"),
+    (
         "configuration",
         f"{EDGE}/follower.py",
         "if known is not None and read.unwrap().version <= known.version:",
         "if known is not None:",
     ),
-    Mutation(
+    (
         "stops",
         "rhubarbshed/coordination/requests/drain.py",
         "if open_requests == 0 or self.is_over(now):",
         "if passed_s:",
     ),
-    Mutation(
+    (
         "stops",
         f"{EDGE}/view.py",
         "drain_s = max(0.0, settings.grace_s - ANNOUNCE_S - CLOSE_MARGIN_S)",
         "drain_s = 0.5",
     ),
-    Mutation(
+    (
         "gone",
         f"{EDGE}/caller_connections.py",
         "            self.task.cancel()\n",
         "            pass\n",
     ),
-    Mutation(
+    (
         "refusals",
         f"{SERVING}/refusals.py",
         "retryable=True, retry_after_s=after_s",
         "retryable=True",
     ),
-    Mutation(
-        "own_ends",
-        f"{EDGE}/node.py",
-        "ticks += 1\n",
-        "ticks += 1\n            assert ticks < 60\n",
-    ),
-    Mutation(
+    ("own_ends", f"{EDGE}/node.py", "ticks += 1\n", "ticks += 1\n            assert ticks < 60\n"),
+    (
         "recovery",
         f"{EDGE}/follower.py",
         "pause_s = min(PAUSE_LONGEST_S, pause_s * 2)",
         "pause_s = 3600.0",
     ),
 )
+MUTATIONS = tuple(Mutation(*row) for row in ROWS)
 
 
 def apply_mutation(mutation: Mutation) -> Path:
--- a/test/soak/run.py
+++ b/test/soak/run.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import functools
 import os
 import random
 import signal
@@ -58,14 +59,9 @@
     rng = random.Random(scene.seed)
     await scene.start(environment)
 
-    def choose_instance() -> tuple[str, int]:
-        name = rng.choice(list(scene.instances))
-        return name, scene.callers[name]
-
+    choose = functools.partial(scene.choose_instance, rng)
     callers = [
-        Caller(
-            f"c{number}", random.Random(f"{scene.seed}c{number}"), scene.history, choose_instance
-        )
+        Caller(f"c{number}", random.Random(f"{scene.seed}c{number}"), scene.history, choose)
         for number in range(CALLERS_PER_INSTANCE * len(scene.instances))
     ]
     tasks = [asyncio.create_task(caller.run()) for caller in callers]
--- a/test/soak/scene.py
+++ b/test/soak/scene.py
@@ -1,6 +1,8 @@
 """Processes of a run: a store, and instances, engines and plain servers behind relays."""
 
 import asyncio
+import math
+import random
 import signal
 import subprocess
 import sys
@@ -17,14 +19,19 @@
     make_engine_service,
     make_route,
 )
-from test.soak.history import History, Stop
+from test.soak.history import History, Leaving, Serving, Stop
 from test.soak.relay import Relay
 
 INSTANCES = 4
-ENGINES = {"e1": "a", "e2": "a", "e3": "b"}
+REPORT_S = 1.0
+"""Time in which a server's state is in the store: two heartbeats, and the start of a process."""
+
+ENGINES = {"e1": "a", "e2": "a", "e3": "b", "e4": "b"}
+VERSIONS = ("v1", "v1.1", "2026.12 beta")
+ENGINE_VERSIONS = dict(zip(ENGINES, VERSIONS[:2] * 2, strict=True))
 PLAIN_SERVERS = {"p1": "a", "p2": "b"}
 OTHER_SERVERS = {"q1": "a", "q2": "b"}
-FIRST_MODELS = {"e1": "m1,m2,m3", "e2": "m4,m5", "e3": "m1,m2"}
+FIRST_MODELS = {"e1": "m1,m2,m3", "e2": "m4,m5", "e3": "m1,m2", "e4": "m1,m4"}
 READY_TIMEOUT_S = 10.0
 READY_TIMEOUT_EACH_S = 1.0
 """Time for all processes to become ready, and more for each instance."""
@@ -111,7 +118,9 @@
     listeners: dict[str, int] = field(factory=dict)
     services: dict[str, str] = field(factory=dict)
     disrupted: set[str] = field(factory=set)
+    data_centres: dict[str, str] = field(factory=dict)
     visitors: int = 0
+    released: int = 0
     version: int = 1
     moved_to: str = "plain"
     store_port: int = 0
@@ -133,7 +142,8 @@
         groups = (("svc", ENGINES), ("plain", PLAIN_SERVERS), ("other", OTHER_SERVERS))
         for service, servers in groups:
             for name, data_centre in servers.items():
-                await self.add_server(name, service, data_centre)
+                version = ENGINE_VERSIONS.get(name, "")
+                await self.add_server(name, service, data_centre, version)
         for name, data_centre in self.instances.items():
             await self.add_instance(name, data_centre)
         for name in self.instances:
@@ -153,10 +163,13 @@
         await relay.start()
         return relay.port
 
-    async def add_server(self, name: str, service: str, data_centre: str) -> None:
+    async def add_server(
+        self, name: str, service: str, data_centre: str, version: str = ""
+    ) -> None:
         """Start a backend server behind a relay."""
         port = find_port()
         self.services[name] = service
+        self.data_centres[name] = data_centre
         relay_port = await self.add_relay(name, port)
         positional = [
             str(port),
@@ -168,6 +181,9 @@
         ]
         models = FIRST_MODELS.get(name, "")
         options = ["--told-port", str(relay_port), "--models", models, "--trouble", str(self.seed)]
+        if version:
+            options += ["--version", version]
+            self.history.engines.append(Serving(name, version, time.monotonic() + REPORT_S))
         self.add(name, "-m", "standin.run", "replica", *positional, *options)
 
     async def add_instance(self, name: str, data_centre: str) -> None:
@@ -232,6 +248,31 @@
         program.start()
         self.disrupted.discard(name)
 
+    @property
+    def engines(self) -> list[str]:
+        """Return the engines that take new requests."""
+        return [each.server for each in self.history.engines if math.isinf(each.until)]
+
+    def choose_instance(self, rng: random.Random) -> tuple[str, int]:
+        """Draw the instance of a caller's next connection; return its name and port."""
+        name = rng.choice(list(self.instances))
+        return name, self.callers[name]
+
+    async def release(self, old: str, version: str, serve_s: float) -> None:
+        """Start an engine at a version and let an old one drain, serve for a time and end."""
+        self.released += 1
+        self.disrupted.add(old)
+        await self.add_server(f"r{self.released}", "svc", self.data_centres[old], version)
+        await asyncio.sleep(REPORT_S)
+        serving = next(each for each in self.history.engines if each.server == old)
+        self.programs[old].send(signal.SIGUSR2)
+        serving.until = time.monotonic()
+        await asyncio.sleep(serve_s)
+        await self.programs[old].end(signal.SIGKILL, 1.0)
+        self.history.leavings.append(Leaving(old, serving.until + REPORT_S, time.monotonic()))
+        del self.services[old]
+        self.relays.pop(old).stop()
+
     def record_unexpected_exits(self) -> None:
         """Record instances that exited without the soak's action, and start them again."""
         for name in self.instances:
--- a/test/soak/visitors.py
+++ b/test/soak/visitors.py
@@ -1,6 +1,7 @@
 """Callers around one planned stop: on each kind of connection, at the times that matter most."""
 
 import asyncio
+import functools
 import random
 import time
 
@@ -24,14 +25,13 @@
 class Visit:
     """Connection opened within `connects` and first used within `sends`, in s from SIGTERM.
 
-    A visit with `path` "" draws its path. One that `stays` sends further requests.
+    A visit with `path` "" draws its path; further requests follow until the connection ends.
     """
 
     how: Sent
     connects: Range
     sends: Range
     path: str = ""
-    stays: bool = True
 
 
 VISITS = (
@@ -39,6 +39,7 @@
     *(Visit(Sent.IDLE, (-0.6, -0.1), (ANNOUNCE_S - 0.1, ANNOUNCE_S + 0.3)) for _ in range(3)),
     *(Visit(Sent.IDLE, (-0.6, 2.0), (0.0, 6.0)) for _ in range(2)),
     *(Visit(Sent.PARTS, (-0.6, 0.5), (ANNOUNCE_S - 0.5, ANNOUNCE_S + 0.1)) for _ in range(2)),
+    Visit(Sent.PARTS, (-0.6, 0.5), (ANNOUNCE_S - 0.05, ANNOUNCE_S), SLOW_STREAM_PATH),
     *(Visit(Sent.NEW, (0.0, ANNOUNCE_S), (0.0, ANNOUNCE_S)) for _ in range(2)),
 )
 QUEUED_VISITS = 6
@@ -50,9 +51,8 @@
     """Send requests around the stop of an instance, until their connections have ended."""
     burst_s = rng.uniform(*BURST_S)
     burst = (burst_s, burst_s)
-    queued = [Visit(Sent.QUEUED, burst, burst, stays=False) for _ in range(QUEUED_VISITS)]
-    visits = (_visit(scene, rng, instance, stops_at, each) for each in (*VISITS, *queued))
-    await asyncio.gather(*visits)
+    visits = (*VISITS, *(Visit(Sent.QUEUED, burst, burst) for _ in range(QUEUED_VISITS)))
+    await asyncio.gather(*(_visit(scene, rng, instance, stops_at, each) for each in visits))
 
 
 async def _visit(
@@ -62,7 +62,9 @@
     port = scene.listeners[instance]
     scene.visitors += 1
     name = f"v{scene.visitors}"
-    caller = Caller(name, random.Random(f"{scene.seed}{name}"), scene.history, lambda: ("", 0))
+    own_rng = random.Random(f"{scene.seed}{name}")
+    choose = functools.partial(scene.choose_instance, own_rng)
+    caller = Caller(name, own_rng, scene.history, choose)
     caller.slow_fraction = SLOW_FRACTION
     connects_at = stops_at + rng.uniform(*visit.connects)
     sends_at = max(connects_at, stops_at + rng.uniform(*visit.sends))
@@ -74,7 +76,7 @@
         if link.is_ended:
             return
         path = visit.path or caller.draw_path()
-        if await caller.send_request(link, visit.how, path) and visit.stays:
+        if await caller.ask(link, visit.how, path):
             await caller.use(link, Sent.AT_ONCE)
     finally:
         link.writer.transport.abort()
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -8,16 +8,42 @@
 
 from test.soak.callers import read_within
 from test.soak.checks import CHECKS, check_all
-from test.soak.history import ALL, STORE, Asked, Disturbance, History, Leaving, Seen, Sent, Stop
+from test.soak.history import (
+    ALL,
+    STORE,
+    Asked,
+    Disturbance,
+    History,
+    Leaving,
+    Seen,
+    Sent,
+    Serving,
+    Stop,
+)
 from test.soak.run import play_seed
 from tools.soak import describe_margin
 
 CI_SEED, CI_SECONDS = 1, 12.0
-EVENTS = b"".join(b"id: %d\ndata: t%d\n\n" % (number, number) for number in range(1, 13))
+
+
+def make_events(first, last, version="v1"):
+    head = "id: {0}\ndata: t{0} e1/1/1 "
+    texts = (f"{head.format(number)}{version}\n\n" for number in range(first, last + 1))
+    return "".join(texts).encode()
+
+
+EVENTS = make_events(1, 12)
 PLAIN = Asked("c1-1", "/u/c1-1", "i1", 10.0, 10.1, 200, True, True, b"done:c1-1:x", b"x")
 STREAM = Asked("c1-2", "/s/c1-2", "i1", 10.0, 10.5, 200, True, True, EVENTS)
 REFUSED = Asked("c1-3", "/u/c1-3", "i1", 10.0, 10.1, 503, False, True, retry_after="0.3")
 LEFT = Asked("c1-4", "/s/c1-4", "i1", 10.0, 10.1, left=True)
+BROKEN_STREAM = evolve(STREAM, whole=False, left=True, body=make_events(1, 5), model="m1")
+RESUMED = Asked(
+    *("c1-6", "/s/c1-2", "i2", 11.0, 11.5, 200, True, True, make_events(6, 12)),
+    first="c1-2",
+    after=5,
+)
+ENGINES = [Serving("e1", "v1", 0.0), Serving("e2", "v1", 0.0)]
 RUN = Seen(10.0, "run", "p1", 1, "c1-1", "/u/c1-1")
 ORDER = Seen(10.0, "order", "e1", 1, holder="i1", token=5)
 STOP = Stop("i1", 9.0, 12.0, 0)
@@ -39,6 +65,12 @@
     "once": make_history(seen=[RUN, evolve(RUN, at=11.0, server="p2")]),
     "not_run": make_history(seen=[evolve(RUN, at=30.0, request_id="c1-3")]),
     "answers": make_history(asked=[evolve(PLAIN, body=b"done:c1-9:x")]),
+    "versions": make_history(
+        asked=[evolve(STREAM, body=make_events(1, 5) + make_events(6, 12, "v1.1"))]
+    ),
+    "resumes": make_history(
+        asked=[BROKEN_STREAM, *[evolve(RESUMED, status=503, body=b"")] * 12], engines=ENGINES
+    ),
     "room": make_history(seen=[evolve(RUN, what="overfull")]),
     "holders": make_history(seen=[ORDER, evolve(ORDER, at=12.0, holder="i2", token=6)]),
     "leaving": make_history(leavings=[Leaving("p1", 7.0, 20.0)]),
@@ -68,13 +100,48 @@
 
 @pytest.mark.parametrize(
     "body",
-    [EVENTS[:40] + EVENTS[60:], EVENTS + EVENTS[-20:], EVENTS[:-16], EVENTS[18:]],
+    [
+        make_events(1, 4) + make_events(6, 12),
+        EVENTS + make_events(12, 12),
+        EVENTS[:-8],
+        make_events(2, 12),
+    ],
     ids=["missing", "twice", "short", "late"],
 )
 def test_stream_with_a_piece_too_few_or_too_many_is_told(body):
     assert "answers" in check_all(make_history(asked=[evolve(STREAM, body=body)]))
 
 
+def test_stream_taken_up_has_to_go_on_after_the_last_event_at_one_version():
+    assert not check_all(make_history(asked=[BROKEN_STREAM, RESUMED]))
+    for first, last in ((5, 12), (7, 12), (1, 12), (6, 11)):
+        asked = evolve(RESUMED, body=make_events(first, last))
+        assert "answers" in check_all(make_history(asked=[BROKEN_STREAM, asked]))
+    other = evolve(RESUMED, body=make_events(6, 12, "v1.1"))
+    fault = [Disturbance(ALL, "down", 6.0, 12.0)]
+    found = check_all(make_history(asked=[BROKEN_STREAM, other], disturbances=fault))
+    assert found["versions"] == ["c1-6 goes on in ['v1.1'] after ['v1']"]
+    again = evolve(other, request_id="c1-7", sent_at=12.0, body=make_events(9, 12), after=8)
+    partly = evolve(RESUMED, whole=False, body=make_events(6, 8))
+    assert not check_all(make_history(asked=[BROKEN_STREAM, partly, again]))
+
+
+def test_share_of_streams_that_go_on_counts_where_nothing_is_disturbed():
+    history = BROKEN["resumes"]
+    half = [BROKEN_STREAM, *[RESUMED] * 6, *[evolve(RESUMED, status=503, body=b"")] * 6]
+    assert "resumes" not in check_all(evolve(history, asked=half))
+    assert "resumes" in check_all(evolve(history, asked=half[:1] + half[2:] + half[-1:]))
+    assert "resumes" not in check_all(evolve(history, asked=history.asked[:-1]))
+    for excuse in (
+        {"disturbances": [Disturbance("i2", "reset", 7.0, 8.5)]},
+        {"disturbances": [Disturbance("e2", "killed", 7.0, 8.5)]},
+        {"stops": [Stop("i2", 1.0, 8.5, 0)]},
+        {"engines": [ENGINES[0], evolve(ENGINES[1], until=11.2)]},
+        {"engines": [ENGINES[0], evolve(ENGINES[1], version="v1.1")]},
+    ):
+        assert "resumes" not in check_all(evolve(history, **excuse))
+
+
 def test_request_sent_after_its_caller_left_is_told():
     seen = [evolve(RUN, at=11.0, request_id="c1-4", path="/p/c1-4")]
     assert "gone" in check_all(make_history(asked=[LEFT], seen=seen))
@@ -123,7 +190,7 @@
 
 def test_request_that_a_stopping_instance_takes_and_gives_up_is_told():
     sent = "sent 5.500 s after SIGTERM (as an answer ended)"
-    losses = [f"c1-5 was passed on, {sent}, and cut off at 7.700 s"]
+    losses = [f"c1-5, {sent}, was passed on and cut off at 7.700 s"]
     assert find_losses(TAKEN_RUN, TAKEN_END) == losses
 
 
