--- a/test/soak/faults.py
+++ b/test/soak/faults.py
@@ -9,11 +9,11 @@
 from attrs import define, field
 
 from standin.run import call_store
-from test.soak.history import ALL, Disturbance, Leaving
+from test.soak.history import ALL, STORE, Disturbance, Leaving
 from test.soak.relay import Mode
-from test.soak.scene import ENGINES, INSTANCES, OTHER_SERVERS, PLAIN_SERVERS, Scene
+from test.soak.scene import VERSIONS, Scene
+from test.soak.visitors import LEAD_S, visit_stop
 
-SERVERS = (*ENGINES, *PLAIN_SERVERS, *OTHER_SERVERS)
 STOP_TIMEOUT_S = 8.0
 SHORT_FAULT_S = (0.2, 1.5)
 LONG_FAULT_S = (1.0, 4.0)
@@ -23,7 +23,13 @@
 that a relay adds."""
 
 LEAVING_SERVE_S = 4.0
-"""Time for which a removed server keeps serving, longer than it may get new requests."""
+RELEASE_SERVE_S = 8.0
+"""Time for which a removed server keeps serving, longer than it may get new requests, and for which
+one keeps serving that a release replaces, until its streams have ended."""
+
+STOPS_MAX = 4
+SECOND_SIGNAL_S = (0.0, 2.9)
+"""Instances in a series of stops, and time from SIGTERM to a second signal or a configuration."""
 
 PLANNED_FRACTION = 0.3
 """Fraction of draws that choose a planned change instead of a fault."""
@@ -44,14 +50,16 @@
     tasks: set[asyncio.Task] = field(factory=set)
 
     async def play(self, seconds: float) -> None:
-        """Start overlapping faults one after another, with fault-free times for planned changes."""
+        """Start overlapping faults one after another, with fault-free times for planned changes.
+
+        A stop and a release come first, so that each run has them.
+        """
+        await self.change_as_planned(self.rng.choice(STOPS))
+        await self.change_as_planned(release_version)
         until = time.monotonic() + seconds
         while time.monotonic() < until:
             if self.rng.random() < PLANNED_FRACTION:
-                await self.wait_for_faults()
-                await asyncio.sleep(PLANNED_GAP_S)
-                await self.rng.choice(PLANNED_CHANGES)(self)
-                await asyncio.sleep(PLANNED_GAP_S)
+                await self.change_as_planned(self.rng.choice(PLANNED_CHANGES))
                 continue
             fault = self.rng.choice(FAULTS)
             task = asyncio.create_task(fault(self))
@@ -60,6 +68,13 @@
             await asyncio.sleep(self.rng.uniform(*FAULT_INTERVAL_S))
         await self.wait_for_faults()
 
+    async def change_as_planned(self, change: Fault) -> None:
+        """Carry out a planned change with no fault before and after it."""
+        await self.wait_for_faults()
+        await asyncio.sleep(PLANNED_GAP_S)
+        await change(self)
+        await asyncio.sleep(PLANNED_GAP_S)
+
     async def wait_for_faults(self) -> None:
         """Wait until all faults have ended."""
         while self.tasks:
@@ -81,12 +96,12 @@
 
 async def kill_instance(faults: Faults) -> None:
     """Kill an instance and start it again."""
-    await _kill(faults, tuple(INSTANCES), "killed")
+    await _kill(faults, tuple(faults.scene.instances), "killed")
 
 
 async def kill_server(faults: Faults) -> None:
-    """Kill a backend server, which restarts with its initial models."""
-    await _kill(faults, SERVERS, "killed")
+    """Kill a backend server, mostly an engine, which restarts with its initial models."""
+    await _kill(faults, (*faults.scene.services, *faults.scene.engines), "killed")
 
 
 async def _kill(faults: Faults, names: tuple[str, ...], kind: str) -> None:
@@ -105,7 +120,7 @@
 
 async def kill_all_instances(faults: Faults) -> None:
     """Kill all instances at the same time."""
-    names = [name for name in INSTANCES if name not in faults.scene.disrupted]
+    names = [name for name in faults.scene.instances if name not in faults.scene.disrupted]
     faults.scene.disrupted.update(names)
     for name in names:
         faults.scene.programs[name].send(signal.SIGKILL)
@@ -119,14 +134,16 @@
 
 async def pause_process(faults: Faults) -> None:
     """Pause a process with SIGSTOP; a lease holder may resume after its lease has expired."""
-    name = faults.draw_process((*INSTANCES, *INSTANCES, *SERVERS, "store"))
+    name = faults.draw_process(
+        (*faults.scene.instances, *faults.scene.instances, *faults.scene.services, "store")
+    )
     if not name:
         return
     program = faults.scene.programs[name]
     faults.scene.disrupted.add(name)
     program.send(signal.SIGSTOP)
     program.paused = True
-    await faults.wait_fault(ALL if name == "store" else name, "paused", LONG_FAULT_S)
+    await faults.wait_fault(name, "paused", LONG_FAULT_S)
     program.send(signal.SIGCONT)
     program.paused = False
     faults.scene.disrupted.discard(name)
@@ -159,7 +176,7 @@
     port = faults.scene.store_port
     kind = faults.rng.choice(("down", "lose_answers", "forget"))
     await call_store(port, kind, on="1")
-    await faults.wait_fault(ALL, kind, LONG_FAULT_S)
+    await faults.wait_fault(STORE, kind, LONG_FAULT_S)
     await call_store(port, kind, on="0") if kind != "forget" else None
 
 
@@ -173,21 +190,48 @@
 
 async def stop_instance(faults: Faults) -> None:
     """Stop an instance as planned; callers keep their connections until it has ended."""
-    await faults.scene.stop_instance(faults.rng.choice(list(INSTANCES)), STOP_TIMEOUT_S)
+    await _stop(faults, faults.rng.choice(list(faults.scene.instances)))
 
 
-async def stop_in_turn(faults: Faults) -> None:
-    """Stop two instances, the second while the first drains."""
-    first, second = faults.rng.sample(list(INSTANCES), 2)
-    stopping = asyncio.create_task(faults.scene.stop_instance(first, STOP_TIMEOUT_S))
-    await asyncio.sleep(faults.rng.uniform(*FAULT_INTERVAL_S))
-    await faults.scene.stop_instance(second, STOP_TIMEOUT_S)
+async def stop_beside_change(faults: Faults) -> None:
+    """Stop an instance beside planned work or a fault of the store, which excuses no loss."""
+    others = (change_configuration, disturb_store, release_version)
+    stopping = asyncio.create_task(stop_instance(faults))
+    await asyncio.sleep(LEAD_S + faults.rng.uniform(*SECOND_SIGNAL_S))
+    await faults.rng.choice(others)(faults)
     await stopping
 
 
+async def stop_series(faults: Faults) -> None:
+    """Stop two or more instances, each while those before it drain."""
+    names = list(faults.scene.instances)
+    stops = []
+    for name in faults.rng.sample(names, faults.rng.randint(2, min(len(names), STOPS_MAX))):
+        stops.append(asyncio.create_task(_stop(faults, name)))
+        await asyncio.sleep(faults.rng.uniform(*FAULT_INTERVAL_S))
+    await asyncio.gather(*stops)
+
+
+async def _stop(faults: Faults, name: str) -> None:
+    scene = faults.scene
+    visits = asyncio.create_task(visit_stop(scene, faults.rng, name, time.monotonic() + LEAD_S))
+    await asyncio.sleep(LEAD_S)
+    signals = asyncio.create_task(_signal_during_stop(faults, name))
+    await scene.stop_instance(name, STOP_TIMEOUT_S)
+    await asyncio.gather(visits, signals)
+
+
+async def _signal_during_stop(faults: Faults, name: str) -> None:
+    """Send a stopping instance a second SIGTERM, or SIGHUP, in some stops."""
+    number = faults.rng.choice((None, None, signal.SIGTERM, signal.SIGHUP))
+    await asyncio.sleep(faults.rng.uniform(*SECOND_SIGNAL_S))
+    if number is not None:
+        faults.scene.programs[name].send(number)
+
+
 async def remove_server(faults: Faults) -> None:
     """Remove a backend server as planned: its entry is deleted while it keeps serving."""
-    name = faults.rng.choice(("e2", "p1", "p2"))
+    name = faults.rng.choice((faults.rng.choice(faults.scene.engines), "p1", "p2"))
     scene = faults.scene
     program = scene.programs[name]
     scene.disrupted.add(name)
@@ -205,10 +249,19 @@
     scene.disrupted.discard(name)
 
 
+async def release_version(faults: Faults) -> None:
+    """Replace an engine by one of another version, which drains while its streams go on."""
+    scene = faults.scene
+    old = faults.rng.choice(scene.engines)
+    version = VERSIONS[-1] if not scene.released else faults.rng.choice(VERSIONS)
+    await scene.release(old, version, RELEASE_SERVE_S)
+
+
 FAULTS: tuple[Fault, ...] = (
     kill_instance,
     kill_server,
     kill_server,
+    kill_server,
     kill_all_instances,
     pause_process,
     pause_process,
@@ -219,9 +272,17 @@
     disturb_store,
     change_configuration,
 )
-PLANNED_CHANGES: tuple[Fault, ...] = (
+STOPS: tuple[Fault, ...] = (
     stop_instance,
-    stop_in_turn,
+    stop_beside_change,
+    stop_beside_change,
+    stop_series,
+    stop_series,
+)
+PLANNED_CHANGES: tuple[Fault, ...] = (
+    *STOPS,
+    release_version,
+    release_version,
     change_configuration,
     remove_server,
     remove_server,
--- a/test/soak/history.py
+++ b/test/soak/history.py
@@ -1,6 +1,9 @@
 """Records of what callers, backend servers and the soak itself observed."""
 
+import enum
 import json
+import math
+import re
 from pathlib import Path
 
 from attrs import define, field, frozen
@@ -8,13 +11,33 @@
 ALL = "*"
 """Subject of a disturbance that affects every instance."""
 
+STORE = "store"
+"""Subject of a disturbance of the store, which affects every instance too."""
+
+
+EVENT = re.compile(rb"id: (\d+)\ndata: t\1 (\S+) ([^\n]+)\n\n")
+"""Event of a stream, with its number, the server's run and the version of the server's software."""
+
+
+class Sent(enum.Enum):
+    """How a request was sent: on which connection, and when on it."""
+
+    NEW = "new connection"
+    KEPT = "kept connection"
+    AT_ONCE = "as an answer ended"
+    PARTS = "in parts"
+    IDLE = "connection without a request before"
+    QUEUED = "many connections at once"
+
 
 @frozen
 class Asked:
     """Request as its caller saw it; times are monotonic seconds, `status` 0 is no answer.
 
     `signed` means that a server's answer was relayed, `whole` that the answer is complete, `left`
-    that the caller disconnected before, `reused` that the connection served an earlier request.
+    that the caller disconnected before. `last_byte_at` is when the request was sent completely, or
+    0 if its connection ended before. A request that takes up a stream names its `first` attempt and
+    the number of the last event `after` which it goes on.
     """
 
     request_id: str
@@ -29,7 +52,22 @@
     payload: bytes = b""
     retry_after: str = ""
     left: bool = False
-    reused: bool = False
+    how: Sent = Sent.NEW
+    last_byte_at: float = 0.0
+    model: str = ""
+    first: str = ""
+    after: int = 0
+
+    @property
+    def events(self) -> list[tuple[int, str]]:
+        """Return number and version of each whole event of a stream."""
+        found = EVENT.findall(self.body) if "/s/" in self.path else []
+        return [(int(number), version.decode()) for number, _, version in found]
+
+    @property
+    def last_event(self) -> int:
+        """Return the number of the last event that the caller has, from all attempts."""
+        return max([self.after, *(number for number, _ in self.events)])
 
 
 @frozen
@@ -50,7 +88,7 @@
 
 @frozen
 class Disturbance:
-    """Fault on an instance, a server or `ALL` from `since` to `until`."""
+    """Fault on an instance, a server, `STORE` or `ALL` from `since` to `until`."""
 
     subject: str
     kind: str
@@ -77,6 +115,16 @@
     until: float
 
 
+@define
+class Serving:
+    """Time in which an engine of some version takes new requests."""
+
+    server: str
+    version: str
+    since: float
+    until: float = math.inf
+
+
 @define
 class History:
     """All records of a run; `moves` are route changes as (time, old, new) server prefixes."""
@@ -86,17 +134,39 @@
     disturbances: list[Disturbance] = field(factory=list)
     stops: list[Stop] = field(factory=list)
     leavings: list[Leaving] = field(factory=list)
+    engines: list[Serving] = field(factory=list)
     moves: list[tuple[float, str, str]] = field(factory=list)
     own_ends: list[str] = field(factory=list)
     calm_from: float = 0.0
 
-    def was_disturbed(self, subject: str, since: float, until: float) -> bool:
-        """Return whether a fault affected a subject, or all, within a time span."""
+    def was_disturbed(
+        self, subject: str, since: float, until: float, with_store: bool = True
+    ) -> bool:
+        """Return whether a fault affected a subject, or all, within a time span.
+
+        Faults of the store affect all, unless `with_store` is false.
+        """
+        subjects = (subject, ALL, STORE) if with_store else (subject, ALL)
         return any(
-            each.subject in (subject, ALL) and each.since <= until and each.until >= since
+            each.subject in subjects and each.since <= until and each.until >= since
             for each in self.disturbances
         )
 
+    def was_stopped(self, instance: str, since: float, until: float) -> bool:
+        """Return whether a planned stop of an instance falls into a time span."""
+        stops = [each for each in self.stops if each.instance == instance]
+        return any(each.at <= until and each.ended_at >= since for each in stops)
+
+    def count_engines(self, version: str, since: float, until: float) -> int:
+        """Return the number of engines of a version that serve undisturbed all of a time span."""
+        return sum(
+            each.version == version
+            and each.since <= since
+            and each.until >= until
+            and not self.was_disturbed(each.server, since, until)
+            for each in self.engines
+        )
+
     def read_records(self, path: Path) -> None:
         """Read the events that backend servers recorded."""
         for line in path.read_text(encoding="utf-8").splitlines():
--- a/test/soak/scene.py
+++ b/test/soak/scene.py
@@ -1,6 +1,8 @@
 """Processes of a run: a store, and instances, engines and plain servers behind relays."""
 
 import asyncio
+import math
+import random
 import signal
 import subprocess
 import sys
@@ -17,15 +19,22 @@
     make_engine_service,
     make_route,
 )
-from test.soak.history import History, Stop
+from test.soak.history import History, Leaving, Serving, Stop
 from test.soak.relay import Relay
 
-INSTANCES = {"i1": "a", "i2": "a", "i3": "b", "i4": "b"}
-ENGINES = {"e1": "a", "e2": "a", "e3": "b"}
+INSTANCES = 4
+REPORT_S = 1.0
+"""Time in which a server's state is in the store: two heartbeats, and the start of a process."""
+
+ENGINES = {"e1": "a", "e2": "a", "e3": "b", "e4": "b"}
+VERSIONS = ("v1", "v1.1", "2026.12 beta")
+ENGINE_VERSIONS = dict(zip(ENGINES, VERSIONS[:2] * 2, strict=True))
 PLAIN_SERVERS = {"p1": "a", "p2": "b"}
 OTHER_SERVERS = {"q1": "a", "q2": "b"}
-FIRST_MODELS = {"e1": "m1,m2,m3", "e2": "m4,m5", "e3": "m1,m2"}
+FIRST_MODELS = {"e1": "m1,m2,m3", "e2": "m4,m5", "e3": "m1,m2", "e4": "m1,m4"}
 READY_TIMEOUT_S = 10.0
+READY_TIMEOUT_EACH_S = 1.0
+"""Time for all processes to become ready, and more for each instance."""
 
 
 def make_routes(moved_to: str, version: int) -> dict:
@@ -33,7 +42,7 @@
     routes = (
         make_route("idempotent", "/p/", Service="plain"),
         make_route("non_idempotent", "/u/", Service="plain"),
-        make_route("streaming", "/s/", Resumable=True, TargetGapMs=150, Attempts=3),
+        make_route("streaming", "/s/", Resumable=True, TargetGapMs=500, Attempts=3, TimeoutMs=7000),
         make_route("idempotent", "/x/", Service=moved_to),
     )
     engine = make_engine_service({"m1": 9, "m2": 3, "m3": 0, "m4": 0, "m5": 0})
@@ -42,6 +51,11 @@
     return make_configuration(*routes, version=version, Services=[engine, *plain])
 
 
+def name_instances(count: int) -> dict[str, str]:
+    """Return the data centres of a number of instances by name, half of them in each."""
+    return {f"i{number}": "a" if number <= count / 2 else "b" for number in range(1, count + 1)}
+
+
 @define(eq=False)
 class Program:
     """Process that the soak started, and what is needed to start it again."""
@@ -96,12 +110,17 @@
 
     folder: Path
     seed: int
+    instances: dict[str, str] = field(factory=lambda: name_instances(INSTANCES))
     history: History = field(factory=History)
     programs: dict[str, Program] = field(factory=dict)
     relays: dict[str, Relay] = field(factory=dict)
     callers: dict[str, int] = field(factory=dict)
+    listeners: dict[str, int] = field(factory=dict)
     services: dict[str, str] = field(factory=dict)
     disrupted: set[str] = field(factory=set)
+    data_centres: dict[str, str] = field(factory=dict)
+    visitors: int = 0
+    released: int = 0
     version: int = 1
     moved_to: str = "plain"
     store_port: int = 0
@@ -123,10 +142,11 @@
         groups = (("svc", ENGINES), ("plain", PLAIN_SERVERS), ("other", OTHER_SERVERS))
         for service, servers in groups:
             for name, data_centre in servers.items():
-                await self.add_server(name, service, data_centre)
-        for name, data_centre in INSTANCES.items():
+                version = ENGINE_VERSIONS.get(name, "")
+                await self.add_server(name, service, data_centre, version)
+        for name, data_centre in self.instances.items():
             await self.add_instance(name, data_centre)
-        for name in INSTANCES:
+        for name in self.instances:
             await self.wait_until(lambda name=name: self.is_ready(name))
 
     def add(self, name: str, *arguments: str, **environment: str) -> None:
@@ -143,10 +163,13 @@
         await relay.start()
         return relay.port
 
-    async def add_server(self, name: str, service: str, data_centre: str) -> None:
+    async def add_server(
+        self, name: str, service: str, data_centre: str, version: str = ""
+    ) -> None:
         """Start a backend server behind a relay."""
         port = find_port()
         self.services[name] = service
+        self.data_centres[name] = data_centre
         relay_port = await self.add_relay(name, port)
         positional = [
             str(port),
@@ -158,12 +181,16 @@
         ]
         models = FIRST_MODELS.get(name, "")
         options = ["--told-port", str(relay_port), "--models", models, "--trouble", str(self.seed)]
+        if version:
+            options += ["--version", version]
+            self.history.engines.append(Serving(name, version, time.monotonic() + REPORT_S))
         self.add(name, "-m", "standin.run", "replica", *positional, *options)
 
     async def add_instance(self, name: str, data_centre: str) -> None:
         """Start an instance, with relays for its callers and for its connections to the store."""
         port, ready = find_port(), find_port()
         self.callers[name] = await self.add_relay(name, port)
+        self.listeners[name] = port
         text = SETTINGS_TEXT.format(
             name=name,
             data_centre=data_centre,
@@ -176,13 +203,13 @@
         )
         path = self.folder / f"{name}.ini"
         path.write_text(text, encoding="utf-8")
-        self.callers[f"ready-{name}"] = ready
+        self.listeners[f"ready-{name}"] = ready
         self.add(name, "-m", "rhubarbshed.front", RHUBARBSHED_SETTINGS=str(path))
 
     async def is_ready(self, name: str) -> bool:
         """Return whether an instance reports that it is ready for new connections."""
         try:
-            port = self.callers[f"ready-{name}"]
+            port = self.listeners[f"ready-{name}"]
             reader, writer = await asyncio.open_connection("127.0.0.1", port)
             writer.write(b"GET /rhubarbshed/ready HTTP/1.1\r\nHost: x\r\n\r\n")
             line = await asyncio.wait_for(reader.readline(), 1.0)
@@ -193,7 +220,7 @@
 
     async def wait_until(self, condition) -> None:
         """Wait until an asynchronous condition holds."""
-        until = time.monotonic() + READY_TIMEOUT_S
+        until = time.monotonic() + READY_TIMEOUT_S + READY_TIMEOUT_EACH_S * len(self.instances)
         while not await condition():
             if time.monotonic() > until:
                 raise TimeoutError("the processes did not become ready in time")
@@ -221,9 +248,34 @@
         program.start()
         self.disrupted.discard(name)
 
+    @property
+    def engines(self) -> list[str]:
+        """Return the engines that take new requests."""
+        return [each.server for each in self.history.engines if math.isinf(each.until)]
+
+    def choose_instance(self, rng: random.Random) -> tuple[str, int]:
+        """Draw the instance of a caller's next connection; return its name and port."""
+        name = rng.choice(list(self.instances))
+        return name, self.callers[name]
+
+    async def release(self, old: str, version: str, serve_s: float) -> None:
+        """Start an engine at a version and let an old one drain, serve for a time and end."""
+        self.released += 1
+        self.disrupted.add(old)
+        await self.add_server(f"r{self.released}", "svc", self.data_centres[old], version)
+        await asyncio.sleep(REPORT_S)
+        serving = next(each for each in self.history.engines if each.server == old)
+        self.programs[old].send(signal.SIGUSR2)
+        serving.until = time.monotonic()
+        await asyncio.sleep(serve_s)
+        await self.programs[old].end(signal.SIGKILL, 1.0)
+        self.history.leavings.append(Leaving(old, serving.until + REPORT_S, time.monotonic()))
+        del self.services[old]
+        self.relays.pop(old).stop()
+
     def record_unexpected_exits(self) -> None:
         """Record instances that exited without the soak's action, and start them again."""
-        for name in INSTANCES:
+        for name in self.instances:
             program = self.programs[name]
             if name not in self.disrupted and not program.is_running:
                 self.history.own_ends.append(f"{name} ended with {program.process.returncode}")
