Limit gaps between reads of a server, not its whole plain answer

Callers saw plain answers of over 256 KB cut off, and shorter ones run twice, though the server sent steadily or the caller was the one that paused.

Cause: the limit of 0.8 s (or 2.5 targets) for the first bytes covered the whole plain answer, with the waits for a slow caller, and bytes did not reset it. Once an answer had begun it was given up if another server was free, which cannot go on with a plain answer.

Evidence: four tests fail before: 2 runs instead of 1 for 100 KB in steps of 0.1 s; 400 KB in such steps ends after 358,335 bytes; the same behind a silence of 1.2 s; 2.8 of 8 MB for a caller that pauses for 1.5 s.

One timer per attempt now compares with the start of the present wait for bytes; there is none while the caller is waited for. A response that has begun is given up only on a resumable route. All four tests pass.

--- a/rhubarbshed/transport/edge/attempts.py
+++ b/rhubarbshed/transport/edge/attempts.py
@@ -1,9 +1,8 @@
 """One attempt of a request at one backend server, and the response relayed to the caller."""
 
 import asyncio
-import contextlib
 import time
-from collections.abc import AsyncIterator, Callable
+from collections.abc import Callable
 
 import h11
 from attrs import define, field
@@ -22,20 +21,18 @@
     NotListeningError,
 )
 from rhubarbshed.transport.edge.pools import Pool
+from rhubarbshed.transport.edge.silence import SilenceTimer
 from rhubarbshed.transport.edge.streams import EventSplitter
 
 FIRST_BYTES_TIMEOUT_S = 0.8
 FIRST_BYTES_TIMEOUT_TARGETS = 2.5
-"""Longest wait for the first bytes of a response while another attempt is possible: this time, or
-this many times the route's target if that is longer."""
+"""Longest wait for the first bytes of a response, and between two reads of a plain one, while
+another attempt is possible: this time, or this many times the route's target if that is longer."""
 
 STREAM_GAP_TIMEOUT_S = 1.0
 """Longest gap within a stream that another server can continue; callers give up after two
 seconds."""
 
-SILENCE_CHECK_INTERVAL_S = 0.1
-"""Time between two checks whether another server could go on with a silent server's stream."""
-
 BUFFERED_BYTES_MAX = 262_144
 """Length up to which a plain response is buffered until it is complete, so that a truncated one can
 be requested again."""
@@ -207,12 +204,11 @@
         )
         self.sent = True
         self.channel.start(request.method, request.target, tuple(headers), request.body)
-        wait_s = (
-            max(FIRST_BYTES_TIMEOUT_S, FIRST_BYTES_TIMEOUT_TARGETS * route.target_s)
-            if may_retry
-            else None
-        )
-        async with self.limit_silence(wait_s):
+        first_bytes_s = max(FIRST_BYTES_TIMEOUT_S, FIRST_BYTES_TIMEOUT_TARGETS * route.target_s)
+        timer = SilenceTimer(self.channel, first_bytes_s, self.may_give_up)
+        if may_retry:
+            timer.start()
+        try:
             response, head = await self.receive_head()
             self.status = head.status
             if head.load is not None:
@@ -223,32 +219,22 @@
                 return await self.relay_complete(response, head, may_retry)
             self.check_success(head)
             first = await self.channel.receive()
-        return await self.relay_stream(response, head, first, may_retry)
+            timer.limit_s = STREAM_GAP_TIMEOUT_S
+            if may_retry:
+                timer.start()
+            return await self.relay_stream(response, head, first)
+        finally:
+            timer.cancel()
 
-    @contextlib.asynccontextmanager
-    async def limit_silence(self, limit_s: float | None) -> AsyncIterator[None]:
-        """Raise `TimeoutError` after `limit_s`, in a response that has begun only to move it.
+    def may_give_up(self) -> bool:
+        """Return whether the response of a silent server may be left to another one.
 
-        To give up a silent server that no other can stand in for would end the response sooner.
+        To give up a server that no other can stand in for would end the response sooner, and only a
+        resumable stream can go on at another server once it has begun.
         """
-        loop = asyncio.get_running_loop()
-        timer: asyncio.TimerHandle | None = None
-
-        def check() -> None:
-            nonlocal timer
-            if not self.caller_response.begun or self.may_move():
-                timeout.reschedule(loop.time())
-            else:
-                timer = loop.call_later(SILENCE_CHECK_INTERVAL_S, check)
-
-        async with asyncio.timeout(None) as timeout:
-            if limit_s is not None:
-                timer = loop.call_later(limit_s, check)
-            try:
-                yield
-            finally:
-                if timer is not None:
-                    timer.cancel()
+        if not self.caller_response.begun:
+            return True
+        return self.caller_response.route.resumable and self.may_move()
 
     async def receive_head(self) -> tuple[h11.Response, ResponseHead]:
         """Return the head of the response, skipping late responses to other requests."""
@@ -330,7 +316,7 @@
         return ExchangeEnd.DONE
 
     async def relay_stream(
-        self, response: h11.Response, head: ResponseHead, event: Event, may_retry: bool
+        self, response: h11.Response, head: ResponseHead, event: Event
     ) -> ExchangeEnd:
         """Relay events as they arrive; a stream that breaks off is never terminated."""
         caller_response = self.caller_response
@@ -340,8 +326,7 @@
         while not isinstance(event, h11.EndOfMessage):
             data = bytes(event.data)
             await caller_response.send(caller_response.splitter.feed(data) if resumable else data)
-            async with self.limit_silence(STREAM_GAP_TIMEOUT_S if may_retry else None):
-                event = await self.channel.receive()
+            event = await self.channel.receive()
         if resumable:
             await caller_response.send(caller_response.splitter.flush())
         self.channel.finish(response, time.monotonic())
--- a/rhubarbshed/transport/edge/channels.py
+++ b/rhubarbshed/transport/edge/channels.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import re
+import time
 
 import h11
 from attrs import define, field
@@ -42,6 +43,7 @@
     _parser: h11.Connection | None = None
     _request: h11.Request | None = None
     _waiter: asyncio.Future | None = None
+    _waits_since: float = 0.0
     _error: Exception | None = None
     _closed: bool = False
     _unread: int = 0
@@ -109,11 +111,23 @@
             if self._closed or self._error is not None:
                 raise ChannelError(f"the connection ended: {self._error}")
             self._waiter = asyncio.get_running_loop().create_future()
+            self._waits_since = time.monotonic()
             try:
                 await self._waiter
             finally:
                 self._waiter = None
 
+    def measure_wait(self, now: float) -> float:
+        """Return for how long bytes have been awaited; 0 while the response isn't read."""
+        if self._waiter is None or self._waiter.done():
+            return 0.0
+        return now - self._waits_since
+
+    def end_wait(self) -> None:
+        """Make the wait for bytes raise `TimeoutError`."""
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_exception(TimeoutError("no bytes in time"))
+
     def skip_answer(self) -> None:
         """Start a new parser after a complete response that belongs to another request."""
         trailing, closed = self._parser.trailing_data
--- /dev/null
+++ b/test/test_edge_silence.py
@@ -0,0 +1,106 @@
+"""Plain answers that take long though their servers are not silent."""
+
+import asyncio
+
+import pytest
+
+from standin.replica import Exchange, Replica, Reply
+from test.helper_edge import make_configuration, make_route, play, run_edge
+from test.test_edge_drain import connect, make_request
+
+ROUTES = (make_route("idempotent", "/p/"),)
+SHORT_BYTES = 100_000
+LONG_BYTES = 400_000
+UNREAD_BYTES = 8_000_000
+"""Length of an answer that does not fit in the buffers between a server and its caller."""
+
+STEPS = 12
+STEP_S = 0.1
+"""Pause of a steady server; all steps together take longer than the wait for the first bytes."""
+
+SILENCE_S = 1.2
+"""Pause of a server that is longer than the wait for the first bytes."""
+
+CALLER_PAUSE_S = 1.5
+"""Pause of a caller that is longer than the wait for the first bytes."""
+
+
+def send_part(exchange: Exchange, length: int, first: int) -> None:
+    """Send the head of a plain answer of this length, and its first bytes."""
+    head = [
+        "HTTP/1.1 200 OK",
+        f"Content-Length: {length}",
+        f"Rhubarbshed-Request-Id: {exchange.request_id}",
+        f"Rhubarbshed-Response-Signature: sig-{exchange.replica.server_id}",
+    ]
+    exchange.write("\r\n".join(head).encode() + b"\r\n\r\n" + bytes(first))
+
+
+def answer_steadily(length: int, first: int) -> Reply:
+    """Return a reply with a plain answer in steps, of which `first` bytes come at once."""
+
+    async def send_in_steps(exchange: Exchange) -> None:
+        send_part(exchange, length, first)
+        step = (length - first) // STEPS
+        assert first + STEPS * step == length
+        for _ in range(STEPS):
+            await asyncio.sleep(STEP_S)
+            exchange.write(bytes(step))
+
+    return send_in_steps
+
+
+@pytest.mark.parametrize(("length", "first"), [(SHORT_BYTES, 4), (LONG_BYTES, 300_004)])
+def test_steady_plain_answer_is_neither_cut_nor_run_twice(length, first):
+    """Its whole length had to come within the wait for first bytes."""
+
+    async def scene():
+        replicas = [Replica(f"b{each}", reply=answer_steadily(length, first)) for each in range(2)]
+        async with run_edge(make_configuration(*ROUTES), *replicas) as edge:
+            answer = await edge.ask("/p/x", b"x")
+            assert (answer.status, answer.whole, len(answer.body)) == (200, True, length)
+            assert sum(len(each.got) for each in replicas) == 1
+
+    play(scene)
+
+
+def test_long_plain_answer_is_not_cut_for_a_silence():
+    """It was given up for another server, which cannot go on with a plain answer."""
+
+    async def pause(exchange: Exchange) -> None:
+        send_part(exchange, LONG_BYTES, 300_000)
+        await asyncio.sleep(SILENCE_S)
+        exchange.write(bytes(LONG_BYTES - 300_000))
+
+    async def scene():
+        replicas = [Replica(f"b{each}", reply=pause) for each in range(2)]
+        async with run_edge(make_configuration(*ROUTES), *replicas) as edge:
+            answer = await edge.ask("/p/x", b"x")
+            assert (answer.status, answer.whole) == (200, True)
+
+    play(scene)
+
+
+def test_caller_that_pauses_gets_its_whole_plain_answer():
+    """The wait for the caller counted as a silence of the server."""
+
+    async def answer_long(exchange: Exchange) -> None:
+        exchange.answer(200, bytes(UNREAD_BYTES))
+
+    async def scene():
+        replicas = [Replica(f"b{each}", reply=answer_long) for each in range(2)]
+        async with run_edge(make_configuration(*ROUTES), *replicas) as edge:
+            caller = connect(edge, 4096)
+            caller.setblocking(False)
+            loop = asyncio.get_running_loop()
+            await loop.sock_sendall(caller, make_request("/p/x"))
+            await asyncio.sleep(CALLER_PAUSE_S)
+            got = 0
+            async with asyncio.timeout(5.0):
+                while got < UNREAD_BYTES and (data := await loop.sock_recv(caller, 1 << 20)):
+                    got += len(data)
+            caller.close()
+            assert got > UNREAD_BYTES
+            assert sum(len(each.got) for each in replicas) == 1
+
+    play(scene)
