Answer all requests at the end of a drain, whatever one of them raises

Callers saw connections reset at the end of a drain, and no 408 for a HEAD request that did not become whole; its connection stayed open.

Cause: a refusal has a body, which the parser does not send for HEAD. The exception left cut_off and so ended the drain, before the other connections and before the timer that closes this one was set.

Evidence: four tests fail before: no 408 within 3 s; LocalProtocolError "Too much data for declared Content-Length" out of the drain; two with an exception in one refusal and in one answer.

A refusal of HEAD has no body now, its timer is set first, and an exception at one request or connection is logged, resets this one, and the drain goes on. All four tests pass.

--- a/rhubarbshed/transport/edge/caller_connections.py
+++ b/rhubarbshed/transport/edge/caller_connections.py
@@ -202,8 +202,7 @@
     def send_complete(self, status: int, headers: Headers, body: bytes) -> None:
         """Send a complete response at once."""
         self.send_head(status, headers, len(body))
-        if self._request is None or self._request.method != b"HEAD":
-            self.send_data(body)
+        self._send_body(body)
         self.send_end()
 
     def refuse(self, status: int, reason: str, retry_after_s: float | None = None) -> None:
@@ -212,22 +211,27 @@
             return
         self._cancel_timer()
         self._close_after = True
+        self._timer = asyncio.get_running_loop().call_later(DISCARD_S, self.close)
         if self._parser.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             text = reason.encode("ascii", "replace") + b"\n"
             headers = [(b"content-type", b"text/plain"), (b"connection", b"close")]
             if retry_after_s is not None:
                 headers.append((b"retry-after", f"{retry_after_s:.3f}".encode()))
             self.send_head(status, tuple(headers), len(text))
-            self.send_data(text)
+            self._send_body(text)
         # A close with unread bytes resets the connection, which may destroy the answer on its way.
         self._transport.write_eof()
-        self._timer = asyncio.get_running_loop().call_later(DISCARD_S, self.close)
 
     def cancel_work(self) -> None:
         """Cancel the work on the request in progress, at its next wait."""
         if self.task is not None and not self.task.cancelling():
             self.task.cancel()
 
+    def _send_body(self, body: bytes) -> None:
+        """Send the body of a response of a known length, which a HEAD request does not get."""
+        if self._request is None or self._request.method != b"HEAD":
+            self.send_data(body)
+
     def _write(self, data: bytes) -> None:
         self.sent_bytes += len(data)
         self._transport.write(data)
--- a/rhubarbshed/transport/edge/node.py
+++ b/rhubarbshed/transport/edge/node.py
@@ -318,12 +318,20 @@
         """Answer all requests that are left at the end of the drain, complete ones or not."""
         self.relay.cut_off()
         for connection in list(self.connections):
-            if connection.is_idle:
-                connection.close()
-            elif connection.is_receiving:
-                retry_after_s = draw_retry_after(DRAINING_RETRY_S, self.view.rng)
-                error = self.view.drain.check_open(retry_after_s, now)
-                connection.refuse(error.status, error.message, retry_after_s)
+            try:
+                self.cut_off_connection(connection, now)
+            except Exception:
+                LOG.critical("event=defect", exc_info=True)
+                connection.abort()
+
+    def cut_off_connection(self, connection: CallerConnection, now: float) -> None:
+        """Close an idle connection, or refuse the request that has arrived in part."""
+        if connection.is_idle:
+            connection.close()
+        elif connection.is_receiving:
+            retry_after_s = draw_retry_after(DRAINING_RETRY_S, self.view.rng)
+            error = self.view.drain.check_open(retry_after_s, now)
+            connection.refuse(error.status, error.message, retry_after_s)
 
     def log_connections(self, event: str, **fields: object) -> None:
         """Log a step of the drain with the time since its start and the callers' connections."""
--- a/rhubarbshed/transport/edge/relay.py
+++ b/rhubarbshed/transport/edge/relay.py
@@ -96,7 +96,12 @@
     def cut_off(self) -> None:
         """Answer the requests that are still open when a drain's time has run out."""
         for progress in list(self.open_requests):
-            progress.cut_off()
+            try:
+                progress.cut_off()
+            except Exception:
+                request_id = progress.request.request_id
+                LOG.critical("event=defect request=%s", request_id, exc_info=True)
+                progress.connection.abort()
 
     async def handle(
         self, connection: CallerConnection, head: h11.Request, body: bytes, begun_at: float
