Read what the kernel holds before a drain closes connections

Callers saw a reset in place of an answer or a refusal around a stop.

Cause: the drain may run before the reads that the same pass found, and a close with unread bytes resets a connection, so a whole request that had come already was lost: on an idle connection, at the first check and at the end; on a connection that could first be read in that pass; and on one that waited at the listener as it closed.

The drain leaves a connection open that a read would not find empty: it is read next and refused. Waiting connections are accepted right before the listener closes.

--- a/rhubarbshed/transport/edge/caller_connections.py
+++ b/rhubarbshed/transport/edge/caller_connections.py
@@ -10,7 +10,7 @@
 from rhubarbshed.protocol.exchanges import Headers
 from rhubarbshed.protocol.routes import CallerLimits
 from rhubarbshed.transport.edge.sockets import set_options
-from rhubarbshed.util.sockets import has_peer_closed
+from rhubarbshed.util.sockets import has_peer_closed, has_unread_bytes
 
 PIPELINED_BYTES_MAX = 65_536
 """Bytes of later requests that are accepted while one is being answered."""
@@ -171,6 +171,14 @@
         """Close the connection after what has been written."""
         self._transport.close()
 
+    def close_idle(self) -> None:
+        """Close the connection if it is idle, also with regard to bytes that are not read yet.
+
+        They may be a whole request, which a close would reset; it is answered once it is read.
+        """
+        if self.is_idle and not has_unread_bytes(self._transport.get_extra_info("socket")):
+            self.close()
+
     def abort(self) -> None:
         """Reset the connection, so that an unfinished response does not look complete."""
         self._transport.abort()
@@ -329,8 +337,8 @@
         self._transport.resume_reading()
         self._set_timer(self.read_limits().idle_timeout_s)
         self._read()
-        if self.is_refusing() and self.is_idle:
-            self.close()
+        if self.is_refusing():
+            self.close_idle()
 
     def _watch_paused(self) -> None:
         """Look for the caller's end of the connection while it is not read."""
--- a/rhubarbshed/transport/edge/node.py
+++ b/rhubarbshed/transport/edge/node.py
@@ -6,7 +6,7 @@
 import signal
 import time
 import uuid
-from collections.abc import Awaitable, Callable, Coroutine
+from collections.abc import Coroutine
 from typing import Any
 
 import h11
@@ -17,7 +17,7 @@
 from rhubarbshed.coordination.serving.lease_state import LeaseState, draw_jitter
 from rhubarbshed.coordination.serving.refusals import DRAINING_RETRY_S, draw_retry_after
 from rhubarbshed.protocol.messages import InstancesMessage, InstancesQuestion, StreamMessage
-from rhubarbshed.transport.edge.caller_connections import CallerConnection
+from rhubarbshed.transport.edge.caller_connections import CallerConnection, Handler
 from rhubarbshed.transport.edge.follower import Follower
 from rhubarbshed.transport.edge.holder_protocol import HolderProtocol
 from rhubarbshed.transport.edge.instance_lists import InstanceLists
@@ -26,6 +26,7 @@
 from rhubarbshed.transport.edge.order_dispatcher import OrderDispatcher
 from rhubarbshed.transport.edge.pools import Pool
 from rhubarbshed.transport.edge.relay import Relay
+from rhubarbshed.transport.edge.sockets import accept_waiting
 from rhubarbshed.transport.edge.store import StoreClient
 from rhubarbshed.transport.edge.stream_registry import StreamRegistry
 from rhubarbshed.transport.edge.view import View
@@ -180,26 +181,27 @@
         """Open all listening sockets."""
         loop = asyncio.get_running_loop()
         await self.holder_protocol.datagrams.listen((self.settings.host, self.settings.peers_port))
-        endpoints: list[tuple[tuple[str, int], Callable[..., Awaitable[None]]]] = [
+        endpoints: list[tuple[tuple[str, int], Handler]] = [
             (self.settings.callers, self.relay.handle),
             (self.settings.ready, self.answer_ready),
             ((self.settings.host, self.settings.metrics_port), self.answer_metrics),
         ]
         for address, handle in endpoints:
             connections = self.connections if address == self.settings.callers else set()
-            make = functools.partial(
-                CallerConnection,
-                handle,
-                lambda: self.view.limits,
-                self.is_closing,
-                self.is_refusing,
-                connections,
-            )
+            make = functools.partial(self.make_connection, handle, connections)
             listener = await loop.create_server(
                 make, *address, backlog=ACCEPT_BACKLOG, reuse_address=True
             )
             self.listeners.append(listener)
 
+    def make_connection(
+        self, handle: Handler, connections: set[CallerConnection]
+    ) -> CallerConnection:
+        """Return the state of a new connection."""
+        return CallerConnection(
+            handle, lambda: self.view.limits, self.is_closing, self.is_refusing, connections
+        )
+
     def is_closing(self) -> bool:
         """Return whether callers should connect to another instance."""
         return self.view.drain.started_at is not None
@@ -306,13 +308,18 @@
         return self.view.drain.find_phase(self.relay.open + len(self.connections), now)
 
     async def stop_accepting(self) -> None:
-        """Close the callers' listener once all connections accepted from it are known."""
+        """Close the callers' listener once all connections made to it are known."""
         loop = asyncio.get_running_loop()
-        for sock in self.listeners[0].sockets:
+        listener = self.listeners[0]
+        for sock in listener.sockets:
             loop.remove_reader(sock.fileno())
         for _ in range(ACCEPT_PASSES):
             await asyncio.sleep(0)
-        self.listeners[0].close()
+        accepted = [each for sock in listener.sockets for each in accept_waiting(sock.dup())]
+        listener.close()
+        make = functools.partial(self.make_connection, self.relay.handle, self.connections)
+        for sock in accepted:
+            await loop.connect_accepted_socket(make, sock)
 
     def cut_off(self, now: float) -> None:
         """Answer all requests that are left at the end of the drain, complete ones or not."""
@@ -326,12 +333,12 @@
 
     def cut_off_connection(self, connection: CallerConnection, now: float) -> None:
         """Close an idle connection, or refuse the request that has arrived in part."""
-        if connection.is_idle:
-            connection.close()
-        elif connection.is_receiving:
+        if connection.is_receiving:
             retry_after_s = draw_retry_after(DRAINING_RETRY_S, self.view.rng)
             error = self.view.drain.check_open(retry_after_s, now)
             connection.refuse(error.status, error.message, retry_after_s)
+        else:
+            connection.close_idle()
 
     def log_connections(self, event: str, **fields: object) -> None:
         """Log a step of the drain with the time since its start and the callers' connections."""
@@ -344,8 +351,7 @@
     def close_idle(self) -> None:
         """Close the callers' connections without a request in progress."""
         for connection in list(self.connections):
-            if connection.is_idle:
-                connection.close()
+            connection.close_idle()
 
 
 def handle_stream_message(
--- a/rhubarbshed/transport/edge/sockets.py
+++ b/rhubarbshed/transport/edge/sockets.py
@@ -1,9 +1,15 @@
 """Options of the sockets that an instance uses."""
 
 import asyncio
+import errno
+import logging
 import socket
 import struct
 
+from rhubarbshed.util.logs import log_event
+
+LOG = logging.getLogger(__name__)
+
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
@@ -35,3 +41,22 @@
     if sock is not None and not transport.is_closing():
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_NONE)
     transport.abort()
+
+
+def accept_waiting(listener: socket.socket) -> list[socket.socket]:
+    """Accept all connections that wait at a non-blocking listener, and close this handle of it."""
+    accepted = []
+    with listener:
+        while True:
+            try:
+                sock, _ = listener.accept()
+            except BlockingIOError:
+                return accepted
+            except OSError as error:
+                # A connection that has ended already is reported here; others may wait behind it.
+                log_event(LOG, logging.WARNING, "accept_failed", reason=repr(error))
+                if error.errno != errno.ECONNABORTED:
+                    return accepted
+                continue
+            sock.setblocking(False)
+            accepted.append(sock)
--- a/rhubarbshed/util/sockets.py
+++ b/rhubarbshed/util/sockets.py
@@ -11,3 +11,12 @@
     poller = select.poll()
     poller.register(sock, select.POLLRDHUP)
     return bool(poller.poll(0))
+
+
+def has_unread_bytes(sock: socket.socket) -> bool:
+    """Return whether a read would return at once, with bytes or the end of the connection."""
+    if sock.fileno() < 0:
+        return False
+    poller = select.poll()
+    poller.register(sock, select.POLLIN)
+    return bool(poller.poll(0))
--- a/test/test_edge_closing.py
+++ b/test/test_edge_closing.py
@@ -1,6 +1,8 @@
 """Connections that an instance closes: what was written arrives, what was sent is answered."""
 
 import asyncio
+import socket
+import time
 
 import pytest
 
@@ -9,7 +11,7 @@
 from rhubarbshed.transport.edge.relay import RequestProgress
 from standin.replica import Replica
 from test.helper_edge import make_configuration, play, read_answer, run_edge
-from test.test_edge_drain import ROUTES, Caller, check_not_run, hang, make_request, stop
+from test.test_edge_drain import ROUTES, Caller, hang, make_request, stop
 
 WAIT_S = 3.0
 SHORT_TIMEOUTS = {
@@ -87,3 +89,69 @@
 
     play(scene)
     assert "event=defect" in caplog.text
+
+
+def read_statuses(socks: list[socket.socket]) -> list[bytes]:
+    """Return the first bytes of the answer on each connection, or the error in place of it."""
+    got = []
+    for sock in socks:
+        sock.settimeout(1.0)
+        try:
+            got.append(sock.recv(4096)[:12])
+        except OSError as error:
+            got.append(repr(error).encode())
+        sock.close()
+    return got
+
+
+@pytest.mark.parametrize("way", ("first_check", "end"))
+def test_request_that_arrives_as_idle_connections_are_closed_is_refused(way, monkeypatch):
+    """It was in the kernel but not read yet, and the close reset its connection."""
+    name = "close_idle" if way == "first_check" else "cut_off"
+    real = getattr(node.Node, name)
+    socks: list[socket.socket] = []
+
+    def close_late(self, *args: object) -> None:
+        for sock in socks:
+            sock.sendall(make_request("/p/x"))
+        monkeypatch.setattr(node.Node, name, real)
+        time.sleep(0.05)
+        real(self, *args)
+
+    async def scene():
+        async with run_edge(make_configuration(*ROUTES), Replica("b1", reply=hang)) as edge:
+            if way == "end":
+                monkeypatch.setattr(node.Node, "close_idle", lambda self: None)
+            socks.extend(socket.create_connection(edge.node.settings.callers) for _ in range(5))
+            await asyncio.sleep(0.05)
+            monkeypatch.setattr(node.Node, name, close_late)
+            stop(edge)
+            await edge.task
+            assert read_statuses(socks) == [b"HTTP/1.1 503"] * 5
+
+    play(scene)
+
+
+@pytest.mark.parametrize("passes", (0, 1, 2))
+def test_request_on_a_connection_made_as_the_listener_closes_is_refused(passes, monkeypatch):
+    """Its connection was closed in the pass in which it could first be read, or never accepted."""
+    real = node.Node.stop_accepting
+    socks: list[socket.socket] = []
+
+    async def stop_accepting(self) -> None:
+        for _ in range(5):
+            sock = socket.create_connection(self.settings.callers)
+            sock.sendall(make_request("/p/x"))
+            socks.append(sock)
+        for _ in range(passes):
+            await asyncio.sleep(0)
+        await real(self)
+
+    async def scene():
+        async with run_edge(make_configuration(*ROUTES), Replica("b1", reply=hang)) as edge:
+            monkeypatch.setattr(node.Node, "stop_accepting", stop_accepting)
+            stop(edge)
+            await edge.task
+            assert read_statuses(socks) == [b"HTTP/1.1 503"] * 5
+
+    play(scene)
