--- a/rhubarbshed/transport/edge/caller_connections.py
+++ b/rhubarbshed/transport/edge/caller_connections.py
@@ -10,7 +10,7 @@
 from rhubarbshed.protocol.exchanges import Headers
 from rhubarbshed.protocol.routes import CallerLimits
 from rhubarbshed.transport.edge.sockets import set_options
-from rhubarbshed.util.sockets import has_peer_closed
+from rhubarbshed.util.sockets import has_peer_closed, has_unread_bytes
 
 PIPELINED_BYTES_MAX = 65_536
 """Bytes of later requests that are accepted while one is being answered."""
@@ -171,6 +171,14 @@
         """Close the connection after what has been written."""
         self._transport.close()
 
+    def close_idle(self) -> None:
+        """Close the connection if it is idle, also with regard to bytes that are not read yet.
+
+        They may be a whole request, which a close would reset; it is answered once it is read.
+        """
+        if self.is_idle and not has_unread_bytes(self._transport.get_extra_info("socket")):
+            self.close()
+
     def abort(self) -> None:
         """Reset the connection, so that an unfinished response does not look complete."""
         self._transport.abort()
@@ -202,8 +210,7 @@
     def send_complete(self, status: int, headers: Headers, body: bytes) -> None:
         """Send a complete response at once."""
         self.send_head(status, headers, len(body))
-        if self._request is None or self._request.method != b"HEAD":
-            self.send_data(body)
+        self._send_body(body)
         self.send_end()
 
     def refuse(self, status: int, reason: str, retry_after_s: float | None = None) -> None:
@@ -212,22 +219,27 @@
             return
         self._cancel_timer()
         self._close_after = True
+        self._timer = asyncio.get_running_loop().call_later(DISCARD_S, self.close)
         if self._parser.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             text = reason.encode("ascii", "replace") + b"\n"
             headers = [(b"content-type", b"text/plain"), (b"connection", b"close")]
             if retry_after_s is not None:
                 headers.append((b"retry-after", f"{retry_after_s:.3f}".encode()))
             self.send_head(status, tuple(headers), len(text))
-            self.send_data(text)
+            self._send_body(text)
         # A close with unread bytes resets the connection, which may destroy the answer on its way.
         self._transport.write_eof()
-        self._timer = asyncio.get_running_loop().call_later(DISCARD_S, self.close)
 
     def cancel_work(self) -> None:
         """Cancel the work on the request in progress, at its next wait."""
         if self.task is not None and not self.task.cancelling():
             self.task.cancel()
 
+    def _send_body(self, body: bytes) -> None:
+        """Send the body of a response of a known length, which a HEAD request does not get."""
+        if self._request is None or self._request.method != b"HEAD":
+            self.send_data(body)
+
     def _write(self, data: bytes) -> None:
         self.sent_bytes += len(data)
         self._transport.write(data)
@@ -325,8 +337,8 @@
         self._transport.resume_reading()
         self._set_timer(self.read_limits().idle_timeout_s)
         self._read()
-        if self.is_refusing() and self.is_idle:
-            self.close()
+        if self.is_refusing():
+            self.close_idle()
 
     def _watch_paused(self) -> None:
         """Look for the caller's end of the connection while it is not read."""
--- /dev/null
+++ b/test/test_edge_closing.py
@@ -0,0 +1,157 @@
+"""Connections that an instance closes: what was written arrives, what was sent is answered."""
+
+import asyncio
+import socket
+import time
+
+import pytest
+
+from rhubarbshed.transport.edge import node
+from rhubarbshed.transport.edge.caller_connections import CallerConnection
+from rhubarbshed.transport.edge.relay import RequestProgress
+from standin.replica import Replica
+from test.helper_edge import make_configuration, play, read_answer, run_edge
+from test.test_edge_drain import ROUTES, Caller, hang, make_request, stop
+
+WAIT_S = 3.0
+SHORT_TIMEOUTS = {
+    "MaxHeaderBytes": 16_384,
+    "MaxBodyBytes": 100_000,
+    "HeaderTimeoutMs": 300,
+    "IdleTimeoutMs": 300,
+}
+
+
+def make_part_of_head_request() -> bytes:
+    """Return a HEAD request whose body is not whole."""
+    return make_request("/p/x", b"whole").replace(b"POST", b"HEAD")[:-2]
+
+
+def test_refusal_of_a_head_request_in_part_arrives_and_ends_its_connection():
+    """It had a body, which the parser does not send for HEAD: neither came."""
+
+    async def scene():
+        limits = {"Limits": SHORT_TIMEOUTS}
+        async with run_edge(make_configuration(*ROUTES, **limits), Replica("b1")) as edge:
+            caller = await Caller.connect(edge)
+            caller.send(make_part_of_head_request())
+            data = await asyncio.wait_for(caller.reader.read(), WAIT_S)
+            head, _, body = data.partition(b"\r\n\r\n")
+            assert head.startswith(b"HTTP/1.1 408 ") and not body
+
+    play(scene)
+
+
+def test_head_request_in_part_at_the_end_of_the_drain_leaves_other_requests_answered():
+    """Its refusal raised an exception, which ended the drain before the others."""
+
+    async def scene():
+        async with run_edge(make_configuration(*ROUTES), Replica("b1", reply=hang)) as edge:
+            callers = [await Caller.connect(edge) for _ in range(4)]
+            for caller in callers[:-2]:
+                caller.send(make_part_of_head_request())
+            for caller in callers[-2:]:
+                caller.send(make_request("/p/x", b"whole")[:-2])
+            await asyncio.sleep(0.05)
+            stop(edge)
+            for answer in [await read_answer(caller.reader) for caller in callers[-2:]]:
+                assert answer.whole and answer.status == 503
+            assert await edge.task == node.EXIT_OK
+
+    play(scene)
+
+
+@pytest.mark.parametrize("part", ("refusal", "answer"))
+def test_defect_at_the_end_of_the_drain_leaves_other_requests_answered(part, monkeypatch, caplog):
+    """An exception at one connection or request ended the drain before the others."""
+    owner, name = (CallerConnection, "refuse") if part == "refusal" else (RequestProgress, "answer")
+    real, failed = getattr(owner, name), []
+
+    def fail_once(self, *args: object) -> None:
+        if not failed:
+            failed.append(self)
+            raise KeyError("defect")
+        real(self, *args)
+
+    async def scene():
+        replica = Replica("b1", reply=hang)
+        async with run_edge(make_configuration(*ROUTES), replica) as edge:
+            callers = [await Caller.connect(edge) for _ in range(4)]
+            for caller in callers:
+                data = make_request("/p/x", b"whole")
+                caller.send(data[:-2] if part == "refusal" else data)
+            await asyncio.sleep(0.1)
+            stop(edge)
+            monkeypatch.setattr(owner, name, fail_once)
+            answers = await asyncio.gather(*(read_answer(caller.reader) for caller in callers))
+            assert sorted(answer.whole for answer in answers) == [False, True, True, True]
+            assert await edge.task == node.EXIT_OK
+
+    play(scene)
+    assert "event=defect" in caplog.text
+
+
+def read_statuses(socks: list[socket.socket]) -> list[bytes]:
+    """Return the first bytes of the answer on each connection, or the error in place of it."""
+    got = []
+    for sock in socks:
+        sock.settimeout(1.0)
+        try:
+            got.append(sock.recv(4096)[:12])
+        except OSError as error:
+            got.append(repr(error).encode())
+        sock.close()
+    return got
+
+
+@pytest.mark.parametrize("way", ("first_check", "end"))
+def test_request_that_arrives_as_idle_connections_are_closed_is_refused(way, monkeypatch):
+    """It was in the kernel but not read yet, and the close reset its connection."""
+    name = "close_idle" if way == "first_check" else "cut_off"
+    real = getattr(node.Node, name)
+    socks: list[socket.socket] = []
+
+    def close_late(self, *args: object) -> None:
+        for sock in socks:
+            sock.sendall(make_request("/p/x"))
+        monkeypatch.setattr(node.Node, name, real)
+        time.sleep(0.05)
+        real(self, *args)
+
+    async def scene():
+        async with run_edge(make_configuration(*ROUTES), Replica("b1", reply=hang)) as edge:
+            if way == "end":
+                monkeypatch.setattr(node.Node, "close_idle", lambda self: None)
+            socks.extend(socket.create_connection(edge.node.settings.callers) for _ in range(5))
+            await asyncio.sleep(0.05)
+            monkeypatch.setattr(node.Node, name, close_late)
+            stop(edge)
+            await edge.task
+            assert read_statuses(socks) == [b"HTTP/1.1 503"] * 5
+
+    play(scene)
+
+
+@pytest.mark.parametrize("passes", (0, 1, 2))
+def test_request_on_a_connection_made_as_the_listener_closes_is_refused(passes, monkeypatch):
+    """Its connection was closed in the pass in which it could first be read, or never accepted."""
+    real = node.Node.stop_accepting
+    socks: list[socket.socket] = []
+
+    async def stop_accepting(self) -> None:
+        for _ in range(5):
+            sock = socket.create_connection(self.settings.callers)
+            sock.sendall(make_request("/p/x"))
+            socks.append(sock)
+        for _ in range(passes):
+            await asyncio.sleep(0)
+        await real(self)
+
+    async def scene():
+        async with run_edge(make_configuration(*ROUTES), Replica("b1", reply=hang)) as edge:
+            monkeypatch.setattr(node.Node, "stop_accepting", stop_accepting)
+            stop(edge)
+            await edge.task
+            assert read_statuses(socks) == [b"HTTP/1.1 503"] * 5
+
+    play(scene)
