Continue no stream whose id was recorded at two versions

A caller that names an id borne by two streams of two versions could get the rest of the wrong one: the newer record replaced the older, at the instance that began the second stream and at each that was told of it. Instances that were asked could contradict only if one of them had missed the second record.

A second version of the same service now makes the id unknown until the record's age ends, here, in replies and in what is handed over, and both versions count as evidence against a sole one. A record of another service still replaces the older one, as the route moved.

--- a/rhubarbshed/protocol/messages.py
+++ b/rhubarbshed/protocol/messages.py
@@ -20,6 +20,9 @@
 STREAMS_PER_MESSAGE = 16
 """Most streams in one datagram; an id, a service and a version have about 50 bytes."""
 
+ORIGINS_PER_REPLY = 2 * STREAMS_PER_MESSAGE
+"""Most origins in a reply: an id that two streams bear has two of them."""
+
 VERSIONS_PER_MESSAGE = 128
 """Most (service, version) pairs in one datagram."""
 
@@ -196,12 +199,12 @@
 class OriginReply:
     """Reply to an `OriginQuestion`.
 
-    `origins` are (stream, service, version), `unknown` the streams asked for of which the replier
-    has no record. `versions` are the (service, version) that it has seen lately.
+    `origins` are (stream, service, version), two of them for an id that was recorded with two
+    versions; `unknown` are the streams asked for of which the replier has no record. `versions` are the (service, version) that it has seen lately.
     """
 
     origins: tuple[tuple[str, str, str], ...] = field(
-        validator=_check_tuples(3, STREAMS_PER_MESSAGE)
+        validator=_check_tuples(3, ORIGINS_PER_REPLY)
     )
     unknown: tuple[str, ...] = field(factory=tuple, validator=_check_texts)
     versions: tuple[tuple[str, str], ...] = field(
--- a/rhubarbshed/state/requests/stream_origins.py
+++ b/rhubarbshed/state/requests/stream_origins.py
@@ -20,35 +20,58 @@
 
 @define
 class StreamOrigins:
-    """Origins by stream id, the one recorded last at the end."""
+    """Origins by stream id, the one recorded last at the end.
+
+    A record is an origin, a second one of the same service with another version if there was one,
+    and the monotonic seconds at which it was recorded.
+    """
 
     keep_s: float = KEEP_S
     records_max: int = RECORDS_MAX
-    _records: OrderedDict[str, tuple[StreamOrigin, float]] = field(factory=OrderedDict)
+    _records: OrderedDict[str, tuple[StreamOrigin, StreamOrigin | None, float]] = field(
+        factory=OrderedDict
+    )
 
     def __len__(self) -> int:
         return len(self._records)
 
     def record(self, stream_id: str, origin: StreamOrigin, now: float) -> None:
-        """Record a stream's origin; an id that is used again gets the new one."""
-        self._records[stream_id] = (origin, now)
+        """Record a stream's origin; one of another service replaces what is known of the id."""
+        known = self.list_origins(stream_id, now)
+        rival = None
+        if known and known[0].service == origin.service:
+            # Two streams bear the id, and nobody can tell which of them a caller takes up.
+            rival = next((each for each in (*known, origin) if each != known[0]), None)
+            origin = known[0]
+        self._records[stream_id] = (origin, rival, now)
         self._records.move_to_end(stream_id)
         self.drop_old(now)
 
     def find(self, stream_id: str, now: float) -> StreamOrigin | None:
-        """Return a stream's origin, None if it is unknown or its record too old."""
-        origin, recorded_at = self._records.get(stream_id, (None, now))
-        return origin if now - recorded_at <= self.keep_s else None
+        """Return a stream's origin, None if it is unknown, too old, or one of two."""
+        origins = self.list_origins(stream_id, now)
+        return origins[0] if len(origins) == 1 else None
+
+    def list_origins(self, stream_id: str, now: float) -> tuple[StreamOrigin, ...]:
+        """List the origins recorded for an id: none, one, or two that differ in the version."""
+        origin, rival, recorded_at = self._records.get(stream_id, (None, None, now))
+        if origin is None or now - recorded_at > self.keep_s:
+            return ()
+        return (origin,) if rival is None else (origin, rival)
 
     def list_live(self, now: float) -> list[tuple[str, StreamOrigin]]:
-        """List the streams that may still be continued, with their origins."""
+        """List the streams that may still be continued, with each of their origins."""
         self.drop_old(now)
-        return [(stream_id, origin) for stream_id, (origin, _) in self._records.items()]
+        return [
+            (stream_id, origin)
+            for stream_id in self._records
+            for origin in self.list_origins(stream_id, now)
+        ]
 
     def drop_old(self, now: float) -> None:
         """Drop records that are too old or too many, the oldest first."""
         while self._records:
-            _, recorded_at = next(iter(self._records.values()))
+            _, _, recorded_at = next(iter(self._records.values()))
             if len(self._records) <= self.records_max and now - recorded_at <= self.keep_s:
                 return
             self._records.popitem(last=False)
--- a/rhubarbshed/transport/edge/stream_registry.py
+++ b/rhubarbshed/transport/edge/stream_registry.py
@@ -156,10 +156,13 @@
     async def find_stream(self, stream_id: str, now: float) -> StreamLookup:
         """Find the origin of a stream: in the own memory, else by asking other instances."""
         stream_id = make_key(stream_id)
-        origin = self.origins.find(stream_id, now)
-        if origin is not None:
-            self.counts.count_lookup("own", 0.0)
-            return StreamLookup(origin)
+        known = self.origins.list_origins(stream_id, now)
+        if known:
+            self.counts.count_lookup("own" if len(known) == 1 else "disagree", 0.0)
+            if len(known) > 1:
+                versions = ",".join(each.version for each in known)
+                log_event(LOG, logging.INFO, "stream_contested", stream=stream_id, versions=versions)
+            return StreamLookup(combine_origins(frozenset(known)), versions=list_pairs(known))
         started_at = time.monotonic()
         search = Search()
         self._searches.setdefault(stream_id, []).append(search)
@@ -182,19 +185,21 @@
         if isinstance(message, OriginQuestion):
             self._reply(message, address, now)
             return
-        origins = {stream_id: StreamOrigin(*rest) for stream_id, *rest in message.origins}
+        origins = [(stream_id, StreamOrigin(*rest)) for stream_id, *rest in message.origins]
         if isinstance(message, OriginsMessage):
-            for stream_id, origin in origins.items():
+            for stream_id, origin in origins:
                 self.origins.record(stream_id, origin, now)
                 for search in self._searches.get(stream_id, ()):
                     search.add_reply((), (origin,))
             return
         self.counts.replies += 1
-        for stream_id in (*origins, *message.unknown):
-            found = origins.get(stream_id)
+        found: dict[str, list[StreamOrigin]] = {stream_id: [] for stream_id in message.unknown}
+        for stream_id, origin in origins:
+            found.setdefault(stream_id, []).append(origin)
+        for stream_id, each in found.items():
             for search in self._searches.get(stream_id, ()):
                 search.versions.update(message.versions)
-                search.add_reply((address,), () if found is None else (found,))
+                search.add_reply((address,), each)
 
     def learn_instances(
         self, instances: Mapping[str, Collection[Address]], is_listed: bool, now: float
@@ -211,8 +216,7 @@
             return
         untold, self.untold = self.untold, OrderedDict()
         for stream_id in untold:
-            origin = self.origins.find(stream_id, now)
-            if origin is not None:
+            for origin in self.origins.list_origins(stream_id, now):
                 self._tell(stream_id, origin)
 
     async def hand_over(self, now: float) -> None:
@@ -274,18 +278,17 @@
                 self.counts.asked += len(addresses)
 
     def _reply(self, question: OriginQuestion, address: Address, now: float) -> None:
-        found = {each: self._find_sendable(each, now) for each in question.streams}
+        found = {each: self._list_sendable(each, now) for each in question.streams}
         reply = OriginReply(
-            tuple((each, it.service, it.version) for each, it in found.items() if it is not None),
-            tuple(each for each, it in found.items() if it is None),
+            tuple((name, it.service, it.version) for name, each in found.items() for it in each),
+            tuple(name for name, each in found.items() if not each),
             self._list_versions(now),
         )
         self.send(reply, address)
 
-    def _find_sendable(self, stream_id: str, now: float) -> StreamOrigin | None:
-        origin = self.origins.find(stream_id, now)
-        sendable = origin is not None and is_text(origin.service) and is_text(origin.version)
-        return origin if sendable else None
+    def _list_sendable(self, stream_id: str, now: float) -> list[StreamOrigin]:
+        origins = self.origins.list_origins(stream_id, now)
+        return [each for each in origins if is_text(each.service) and is_text(each.version)]
 
     def _list_versions(self, now: float) -> tuple[tuple[str, str], ...]:
         pairs = [pair for pair in self.list_versions(now) if all(map(is_text, pair))]
@@ -317,7 +320,9 @@
         replied = len(replies.replied & replies.asked)
         origin = combine_origins(replies.origins)
         if origin is not None:
+            # What was recorded here meanwhile counts too.
             self.origins.record(stream_id, origin, now + took_s)
+            origin = self.origins.find(stream_id, now + took_s)
         outcome = "told" if origin else "disagree" if replies.origins else "unknown"
         self.counts.count_lookup(outcome, took_s)
         log_event(
@@ -332,4 +337,10 @@
             replied=replied,
             took_ms=round(took_s * 1000),
         )
-        return StreamLookup(origin, len(replies.asked), replied, frozenset(search.versions))
+        versions = frozenset(search.versions) | list_pairs(replies.origins)
+        return StreamLookup(origin, len(replies.asked), replied, versions)
+
+
+def list_pairs(origins: Iterable[StreamOrigin]) -> frozenset[tuple[str, str]]:
+    """List origins as the (service, version) pairs that contradict a sole version."""
+    return frozenset((each.service, each.version) for each in origins)
--- a/test/test_stream_messages.py
+++ b/test/test_stream_messages.py
@@ -81,6 +81,7 @@
         ("origin_question", ("s",) * 17),
         ("origin_question", ("s" * 201,)),
         ("origin_reply", (), (), tuple(("svc", "v") for _ in range(129))),
+        ("origin_reply", tuple(("s", "svc", "v") for _ in range(33))),
         ("instances", "a", 1, "a", 1, 1, 1, b""),
         ("instances", "a", 1, "a", 1, 0, 65, b""),
         ("instances", "a", 1, "a", 1, 0, 1, b"12345"),
