Give the entries in the tests of versions a port

Two tests of test_versions.py failed since entries without a usable port are unreadable: their rows came from a replica that listens nowhere, at port 0. The rows now name port 1; what the tests check is unchanged.

--- a/test/test_versions.py
+++ b/test/test_versions.py
@@ -136,7 +136,8 @@
 
 def make_row(server_id: str, version: str | None, revision: int) -> Row:
     """Return the row of a server's entry, or of its removal."""
-    value = Replica(server_id, version=version or "").describe() if version is not None else None
+    replica = Replica(server_id, version=version or "", address=("127.0.0.1", 1))
+    value = replica.describe() if version is not None else None
     return Row(server_id, revision, value, revision)
 
 
