Keep the age of a stream's record that is passed on

A record that was asked for, or handed over, lived for another 60 s at each instance that got it, so an id could stay bound to a version long after its stream, and contradict a later stream of the same id.

Replies and what is handed over now carry the whole seconds since each record was made, rounded up; a record ends with its own age. The ages are checked for type and size, and have to fit the origins.

--- a/rhubarbshed/protocol/messages.py
+++ b/rhubarbshed/protocol/messages.py
@@ -29,6 +29,9 @@
 ADDRESSES_PER_MESSAGE = 180
 """Most addresses in one datagram: 6 bytes each, so that it has at most 1,200 bytes."""
 
+AGE_MAX_S = 2**31
+"""Greatest number of seconds in a message."""
+
 TEXT_LENGTH_MAX = 200
 """Most characters of a stream's id, a service or a version in a message."""
 
@@ -167,6 +170,12 @@
         raise ValueError(f"{attribute.name} is not a number")
 
 
+def _check_ages(message: object, attribute: Attribute, value: object) -> None:
+    fits = isinstance(value, tuple) and len(value) in (0, len(message.origins))
+    if not fits or not all(type(each) is int and 0 <= each <= AGE_MAX_S for each in value):
+        raise ValueError(f"{attribute.name} are not the ages of all origins")
+
+
 def _check_packed(message: object, attribute: Attribute, value: object) -> None:
     most = ADDRESSES_PER_MESSAGE * PACKED_ADDRESS_BYTES
     if not isinstance(value, bytes) or len(value) > most or len(value) % PACKED_ADDRESS_BYTES:
@@ -181,11 +190,15 @@
 
 @frozen
 class OriginsMessage:
-    """Origins of streams for an instance that is to keep them, as (stream, service, version)."""
+    """Origins of streams for an instance that is to keep them, as (stream, service, version).
+
+    `ages` are the whole seconds since each was recorded first, none if all begin now.
+    """
 
     origins: tuple[tuple[str, str, str], ...] = field(
         validator=_check_tuples(3, STREAMS_PER_MESSAGE)
     )
+    ages: tuple[int, ...] = field(factory=tuple, validator=_check_ages)
 
 
 @frozen
@@ -203,13 +216,12 @@
     versions; `unknown` are the streams asked for of which the replier has no record. `versions` are the (service, version) that it has seen lately.
     """
 
-    origins: tuple[tuple[str, str, str], ...] = field(
-        validator=_check_tuples(3, ORIGINS_PER_REPLY)
-    )
+    origins: tuple[tuple[str, str, str], ...] = field(validator=_check_tuples(3, ORIGINS_PER_REPLY))
     unknown: tuple[str, ...] = field(factory=tuple, validator=_check_texts)
     versions: tuple[tuple[str, str], ...] = field(
         factory=tuple, validator=_check_tuples(2, VERSIONS_PER_MESSAGE)
     )
+    ages: tuple[int, ...] = field(factory=tuple, validator=_check_ages)
 
 
 @frozen
--- a/rhubarbshed/state/requests/stream_origins.py
+++ b/rhubarbshed/state/requests/stream_origins.py
@@ -35,15 +35,21 @@
     def __len__(self) -> int:
         return len(self._records)
 
-    def record(self, stream_id: str, origin: StreamOrigin, now: float) -> None:
-        """Record a stream's origin; one of another service replaces what is known of the id."""
+    def record(self, stream_id: str, origin: StreamOrigin, now: float, age_s: float = 0.0) -> None:
+        """Record a stream's origin; one of another service replaces what is known of the id.
+
+        `age_s` is the time since another instance recorded it.
+        """
+        if age_s > self.keep_s:
+            return
         known = self.list_origins(stream_id, now)
         rival = None
         if known and known[0].service == origin.service:
             # Two streams bear the id, and nobody can tell which of them a caller takes up.
             rival = next((each for each in (*known, origin) if each != known[0]), None)
             origin = known[0]
-        self._records[stream_id] = (origin, rival, now)
+            age_s = min(age_s, self.find_age(stream_id, now))
+        self._records[stream_id] = (origin, rival, now - age_s)
         self._records.move_to_end(stream_id)
         self.drop_old(now)
 
@@ -59,6 +65,11 @@
             return ()
         return (origin,) if rival is None else (origin, rival)
 
+    def find_age(self, stream_id: str, now: float) -> float:
+        """Return the seconds since an id was recorded, 0 if it is not."""
+        *_, recorded_at = self._records.get(stream_id, (None, None, now))
+        return now - recorded_at
+
     def list_live(self, now: float) -> list[tuple[str, StreamOrigin]]:
         """List the streams that may still be continued, with each of their origins."""
         self.drop_old(now)
--- a/rhubarbshed/transport/edge/stream_registry.py
+++ b/rhubarbshed/transport/edge/stream_registry.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import logging
+import math
 import time
 from collections import OrderedDict
 from collections.abc import Callable, Collection, Iterable, Mapping
@@ -95,10 +96,11 @@
 
 @define(eq=False)
 class Search:
-    """Search in progress for the origin of one stream."""
+    """Search in progress for the origin of one stream, and when that was last recorded."""
 
     replies: Replies = Replies()
     versions: set[tuple[str, str]] = field(factory=set)
+    recorded_at: float = -math.inf
     progress: asyncio.Event = field(factory=asyncio.Event)
 
     def add_asked(self, addresses: Iterable[Address]) -> None:
@@ -161,7 +163,9 @@
             self.counts.count_lookup("own" if len(known) == 1 else "disagree", 0.0)
             if len(known) > 1:
                 versions = ",".join(each.version for each in known)
-                log_event(LOG, logging.INFO, "stream_contested", stream=stream_id, versions=versions)
+                log_event(
+                    LOG, logging.INFO, "stream_contested", stream=stream_id, versions=versions
+                )
             return StreamLookup(combine_origins(frozenset(known)), versions=list_pairs(known))
         started_at = time.monotonic()
         search = Search()
@@ -186,9 +190,13 @@
             self._reply(message, address, now)
             return
         origins = [(stream_id, StreamOrigin(*rest)) for stream_id, *rest in message.origins]
+        ages = message.ages or (0,) * len(origins)
+        for (stream_id, _), age_s in zip(origins, ages, strict=True):
+            for search in self._searches.get(stream_id, ()):
+                search.recorded_at = max(search.recorded_at, now - age_s)
         if isinstance(message, OriginsMessage):
-            for stream_id, origin in origins:
-                self.origins.record(stream_id, origin, now)
+            for (stream_id, origin), age_s in zip(origins, ages, strict=True):
+                self.origins.record(stream_id, origin, now, age_s)
                 for search in self._searches.get(stream_id, ()):
                     search.add_reply((), (origin,))
             return
@@ -221,26 +229,30 @@
 
     async def hand_over(self, now: float) -> None:
         """Tell all origins known here to the instances that keep them without this one."""
-        batches: dict[Address, list[tuple[str, str, str]]] = {}
+        batches: dict[Address, list[tuple[tuple[str, str, str], int]]] = {}
         for number, (stream_id, origin) in enumerate(self.origins.list_live(now)):
             if number % HAND_OVER_STEP == 0:
                 await asyncio.sleep(0)
             if is_text(origin.service) and is_text(origin.version):
+                row = (stream_id, origin.service, origin.version)
+                aged = (row, self._measure_age(stream_id, now))
                 for address in choose_keepers(stream_id, self.data_centre, self.instances):
-                    row = (stream_id, origin.service, origin.version)
-                    batches.setdefault(address, []).append(row)
-        for address, rows in batches.items():
-            for start in range(0, len(rows), STREAMS_PER_MESSAGE):
-                self._send_origins(tuple(rows[start : start + STREAMS_PER_MESSAGE]), address)
+                    batches.setdefault(address, []).append(aged)
+        for address, each in batches.items():
+            for start in range(0, len(each), STREAMS_PER_MESSAGE):
+                rows, ages = zip(*each[start : start + STREAMS_PER_MESSAGE], strict=True)
+                self.send(OriginsMessage(rows, ages), address)
+                self.counts.told += 1
+
+    def _measure_age(self, stream_id: str, now: float) -> int:
+        # Rounded up, so that a record does not get younger each time that it is passed on.
+        return max(0, math.ceil(self.origins.find_age(stream_id, now)))
 
     def _tell(self, stream_id: str, origin: StreamOrigin) -> None:
         keepers = choose_keepers(stream_id, self.data_centre, self.instances)
         if keepers:
-            self._send_origins(((stream_id, origin.service, origin.version),), *keepers)
-
-    def _send_origins(self, rows: tuple[tuple[str, str, str], ...], *addresses: Address) -> None:
-        self.send(OriginsMessage(rows), *addresses)
-        self.counts.told += len(addresses)
+            self.send(OriginsMessage(((stream_id, origin.service, origin.version),)), *keepers)
+            self.counts.told += len(keepers)
 
     async def _ask(
         self, search: Search, stream_id: str, targets: Collection[Address], round_s: float
@@ -283,6 +295,7 @@
             tuple((name, it.service, it.version) for name, each in found.items() for it in each),
             tuple(name for name, each in found.items() if not each),
             self._list_versions(now),
+            tuple(self._measure_age(name, now) for name, each in found.items() for _ in each),
         )
         self.send(reply, address)
 
@@ -321,7 +334,8 @@
         origin = combine_origins(replies.origins)
         if origin is not None:
             # What was recorded here meanwhile counts too.
-            self.origins.record(stream_id, origin, now + took_s)
+            age_s = max(0.0, now + took_s - search.recorded_at)
+            self.origins.record(stream_id, origin, now + took_s, age_s)
             origin = self.origins.find(stream_id, now + took_s)
         outcome = "told" if origin else "disagree" if replies.origins else "unknown"
         self.counts.count_lookup(outcome, took_s)
--- a/test/test_stream_origins.py
+++ b/test/test_stream_origins.py
@@ -44,6 +44,18 @@
     assert origins.find("s", 13.0 + KEEP_S) == V2
 
 
+def test_record_that_others_made_before_ends_with_its_own_age():
+    origins = StreamOrigins()
+    origins.record("s", V1, 100.0, 50.0)
+    assert origins.find("s", 110.0) == V1 and origins.find_age("s", 105.0) == 55.0
+    assert origins.find("s", 110.1) is None and origins.list_live(110.1) == []
+    origins.record("t", V1, 100.0, KEEP_S + 1.0)
+    assert origins.find("t", 100.0) is None
+    origins.record("u", V1, 100.0)
+    origins.record("u", V1, 101.0, 30.0)
+    assert origins.find("u", 100.0 + KEEP_S) == V1
+
+
 def test_record_of_another_service_replaces_an_older_one():
     origins = StreamOrigins()
     origins.record("s", V1, 1.0)
--- a/test/test_stream_registry.py
+++ b/test/test_stream_registry.py
@@ -189,6 +189,28 @@
     play(scene)
 
 
+def test_record_that_is_asked_for_or_handed_over_again_and_again_ends_with_its_age():
+    async def scene():
+        first, second = Network(), Network()
+        now = time.monotonic()
+        first.registry.origins.record("s", V1, now - 50.0)
+        first.registry.handle_message(OriginQuestion(("s",)), A[0], now)
+        (reply,) = first.list_sent(OriginReply)
+        second.silent = {*A, *B}
+        search = asyncio.create_task(second.registry.find_stream("s", now))
+        await asyncio.sleep(2 * COLLECT_S)
+        second.registry.handle_message(reply, A[1], time.monotonic())
+        assert (await search).origin == V1
+        await first.registry.hand_over(now)
+        third = Network()
+        third.registry.handle_message(first.list_sent(OriginsMessage)[0], A[1], now)
+        for network in (second, third):
+            assert network.registry.origins.find("s", now + 8.0) == V1
+            assert network.registry.origins.find("s", now + 12.0) is None
+
+    play(scene)
+
+
 def test_instance_that_is_told_during_a_search_counts():
     async def scene():
         network = Network()
