--- a/test/soak/mutations.py
+++ b/test/soak/mutations.py
@@ -52,7 +52,7 @@
         "resumes",
         "rhubarbshed/platform/headers.py",
         "caller_timeout_s=None if patience_ms is None else",
-        "caller_timeout_s=0.0 if LAST_EVENT_ID in values else",
+        "caller_timeout_s=0.001 if LAST_EVENT_ID in values else",
     ),
     (
         "room",
