Require two instances in a soak run

Why: a caller takes a broken stream up at another instance, and would look for one without end. Not run with one instance, which the option refuses.

--- a/tools/soak.py
+++ b/tools/soak.py
@@ -31,7 +31,7 @@
     count: int = typer.Option(1, help="Seeds to play."),
     seconds: float = typer.Option(20.0, help="Time in which faults begin, for each seed."),
     jobs: int = typer.Option(2, help="Seeds beside each other; each is a dozen processes."),
-    instances: int = typer.Option(INSTANCES, help="Instances; three callers use each."),
+    instances: int = typer.Option(INSTANCES, min=2, help="Instances; three callers use each."),
     margin: bool = typer.Option(False, help="Print the requests around each planned stop."),
 ) -> None:
     """Play seeds; exit with 1 where one broke a promise. Logs of those that did are kept."""
