Let a last answer arrive before its connection is closed

Callers lost the tail of an answer, or an error, around a stop; a whole request behind an answer with "Connection: close" got nothing at all.

Cause: a close with unread bytes resets the connection and destroys what is on its way. Bytes of a next request may be unread behind any last answer, also because reading is paused. Only refusals read and discarded them first.

Evidence: four tests fail before: ConnectionResetError in the middle of 150 KB behind a stream's end and with reading paused, and in place of the error of a request cut off; status 0 for the request behind an answer with close.

All of these now end in one way: the write side is closed, what still comes is discarded for 0.5 s, then the connection is closed. A request that was read behind an answer with close gets a 503. A connection with nothing left to write does not delay the exit.

--- a/rhubarbshed/transport/edge/caller_connections.py
+++ b/rhubarbshed/transport/edge/caller_connections.py
@@ -16,7 +16,10 @@
 """Bytes of later requests that are accepted while one is being answered."""
 
 DISCARD_S = 0.5
-"""Time for which the rest of a refused request is read and discarded."""
+"""Time for which what a caller still sends is read and discarded before a close."""
+
+CLOSED_RETRY_S = 0.05
+"""Time after which a caller may repeat a request that came behind a final answer."""
 
 PAUSED_CHECK_INTERVAL_S = 0.1
 """Time between two checks for the end of a connection that is not read."""
@@ -82,6 +85,7 @@
     _writable: asyncio.Event = field(factory=asyncio.Event)
     _close_after: bool = False
     _answering: bool = False
+    _ending: bool = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Wait for the first request."""
@@ -96,7 +100,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse bytes of a request."""
-        if self._close_after and not self._answering:
+        if self._ending or (self._close_after and not self._answering):
             return
         self._parser.receive_data(data)
         if self._answering:
@@ -114,7 +118,7 @@
         Work in progress ends at once: `connection_lost` follows only when all bytes are sent.
         """
         self._note_disconnect("end")
-        if self.task is not None:
+        if self.task is not None and not self._ending:
             self.cancel_work()
             self.abort()
         return False
@@ -157,6 +161,11 @@
         """Return whether a request has arrived in part."""
         return not self._answering and not self.is_idle and not self._close_after
 
+    @property
+    def is_ended(self) -> bool:
+        """Return whether all is written, and only what the caller still sends is discarded."""
+        return self._ending and not self._transport.get_write_buffer_size()
+
     @property
     def is_answered(self) -> bool:
         """Return whether the response to the current request is complete."""
@@ -171,6 +180,27 @@
         """Close the connection after what has been written."""
         self._transport.close()
 
+    def end(self) -> None:
+        """Close the connection once what was written has had time to arrive.
+
+        A close with unread bytes resets the connection, which may destroy an answer on its way, so
+        what the caller still sends is read and discarded first.
+        """
+        if self._ending or not self.is_open:
+            return
+        self._ending = self._close_after = True
+        self._cancel_timer()
+        self._timer = asyncio.get_running_loop().call_later(DISCARD_S, self.close)
+        self._transport.resume_reading()
+        self._transport.write_eof()
+
+    def end_now(self) -> None:
+        """Close the connection if all is written and its answer complete, else reset it."""
+        if self.is_ended:
+            self.close()
+        else:
+            self.abort()
+
     def close_idle(self) -> None:
         """Close the connection if it is idle, also with regard to bytes that are not read yet.
 
@@ -219,16 +249,16 @@
             return
         self._cancel_timer()
         self._close_after = True
-        self._timer = asyncio.get_running_loop().call_later(DISCARD_S, self.close)
-        if self._parser.our_state in (h11.IDLE, h11.SEND_RESPONSE):
-            text = reason.encode("ascii", "replace") + b"\n"
-            headers = [(b"content-type", b"text/plain"), (b"connection", b"close")]
-            if retry_after_s is not None:
-                headers.append((b"retry-after", f"{retry_after_s:.3f}".encode()))
-            self.send_head(status, tuple(headers), len(text))
-            self._send_body(text)
-        # A close with unread bytes resets the connection, which may destroy the answer on its way.
-        self._transport.write_eof()
+        try:
+            if self._parser.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+                text = reason.encode("ascii", "replace") + b"\n"
+                headers = [(b"content-type", b"text/plain"), (b"connection", b"close")]
+                if retry_after_s is not None:
+                    headers.append((b"retry-after", f"{retry_after_s:.3f}".encode()))
+                self.send_head(status, tuple(headers), len(text))
+                self._send_body(text)
+        finally:
+            self.end()
 
     def cancel_work(self) -> None:
         """Cancel the work on the request in progress, at its next wait."""
@@ -321,7 +351,7 @@
         self.task = None
         self._answering = False
         self._request = None
-        if not self.is_open:
+        if not self.is_open or self._ending:
             return
         if task.cancelled() or task.exception() is not None:
             self.abort()
@@ -330,7 +360,7 @@
                 loop.call_exception_handler({"message": "defect", "exception": task.exception()})
             return
         if self._parser.our_state is not h11.DONE or self._parser.their_state is not h11.DONE:
-            self.close()
+            self._end_answered()
             return
         self._parser.start_next_cycle()
         self._pipelined_bytes = 0
@@ -340,6 +370,17 @@
         if self.is_refusing():
             self.close_idle()
 
+    def _end_answered(self) -> None:
+        """End the connection behind its last answer; refuse a request that this instance has read.
+
+        Such a request was sent before the caller knew that the connection would close.
+        """
+        data, _ = self._parser.trailing_data
+        if data and self.is_closing() and self._parser.our_state is h11.MUST_CLOSE:
+            self._parser = h11.Connection(h11.SERVER)
+            self.refuse(503, "this connection is closing; ask again", CLOSED_RETRY_S)
+        self.end()
+
     def _watch_paused(self) -> None:
         """Look for the caller's end of the connection while it is not read."""
         self._paused_check = None
--- a/rhubarbshed/transport/edge/node.py
+++ b/rhubarbshed/transport/edge/node.py
@@ -300,12 +300,16 @@
         self.cut_off(time.monotonic())
         await asyncio.sleep(CLOSE_DELAY_S)
         for connection in list(self.connections):
-            connection.abort()
+            connection.end_now()
         self.holder_protocol.datagrams.close()
 
     def find_phase(self, now: float) -> DrainPhase:
         """Return the phase of the drain by the requests and callers' connections that are open."""
-        return self.view.drain.find_phase(self.relay.open + len(self.connections), now)
+        return self.view.drain.find_phase(self.relay.open + len(self.list_pending()), now)
+
+    def list_pending(self) -> list[CallerConnection]:
+        """List the callers' connections on which a request or an answer may still be moving."""
+        return [each for each in self.connections if not each.is_ended]
 
     async def stop_accepting(self) -> None:
         """Close the callers' listener once all connections made to it are known."""
@@ -344,8 +348,9 @@
         """Log a step of the drain with the time since its start and the callers' connections."""
         started_at = self.view.drain.started_at
         passed_ms = round((time.monotonic() - started_at) * 1000)
-        idle = sum(connection.is_idle for connection in self.connections)
-        busy = len(self.connections) - idle
+        pending = self.list_pending()
+        idle = sum(connection.is_idle for connection in pending)
+        busy = len(pending) - idle
         log_event(LOG, logging.INFO, event, after_ms=passed_ms, idle=idle, busy=busy, **fields)
 
     def close_idle(self) -> None:
--- a/rhubarbshed/transport/edge/relay.py
+++ b/rhubarbshed/transport/edge/relay.py
@@ -162,7 +162,7 @@
     def cut_off(self) -> None:
         """End the request now, because the process stops."""
         self.answer(make_timeout(self.tries.run > 0 or self.in_flight))
-        self.connection.close()
+        self.connection.end()
         self.connection.cancel_work()
 
     async def run(self) -> None:
--- a/test/test_edge_closing.py
+++ b/test/test_edge_closing.py
@@ -9,9 +9,9 @@
 from rhubarbshed.transport.edge import node
 from rhubarbshed.transport.edge.caller_connections import CallerConnection
 from rhubarbshed.transport.edge.relay import RequestProgress
-from standin.replica import Replica
-from test.helper_edge import make_configuration, play, read_answer, run_edge
-from test.test_edge_drain import ROUTES, Caller, hang, make_request, stop
+from standin.replica import Exchange, Replica
+from test.helper_edge import Edge, make_configuration, play, read_answer, run_edge
+from test.test_edge_drain import ANNOUNCE_S, ROUTES, Caller, connect, hang, make_request, stop
 
 WAIT_S = 3.0
 SHORT_TIMEOUTS = {
@@ -155,3 +155,128 @@
             assert read_statuses(socks) == [b"HTTP/1.1 503"] * 5
 
     play(scene)
+
+
+async def read_all(sock: socket.socket) -> bytes:
+    """Return what comes on a connection up to its regular end or a reset."""
+    loop, got = asyncio.get_running_loop(), b""
+    async with asyncio.timeout(WAIT_S):
+        try:
+            while data := await loop.sock_recv(sock, 65_536):
+                got += data
+        except ConnectionError as error:
+            got += repr(error).encode()
+    sock.close()
+    return got
+
+
+def open_slow(edge: Edge) -> socket.socket:
+    """Return a caller's non-blocking connection with a short buffer for what it receives."""
+    caller = connect(edge, 4096)
+    caller.setblocking(False)
+    return caller
+
+
+def test_close_behind_an_answer_leaves_it_whole_beside_a_next_request(monkeypatch):
+    """Bytes of the next request were in the kernel: the close reset the answer's tail."""
+    length = 150_000
+
+    async def stream(exchange: Exchange) -> None:
+        exchange.begin_stream()
+        exchange.send_event(0)
+        await asyncio.sleep(ANNOUNCE_S + 0.1)
+        exchange.send_chunk(b"id: 1\ndata: " + b"x" * length + b"\n\n")
+        exchange.end_stream()
+
+    async def scene():
+        async with run_edge(make_configuration(*ROUTES), Replica("b1", reply=stream)) as edge:
+            caller = open_slow(edge)
+            real = CallerConnection._finish
+
+            def finish(self, task: asyncio.Task) -> None:
+                caller.send(make_request("/p/x", name="next"))
+                real(self, task)
+
+            monkeypatch.setattr(CallerConnection, "_finish", finish)
+            loop = asyncio.get_running_loop()
+            await loop.sock_sendall(caller, make_request("/s/x"))
+            await edge.wait_until(lambda: edge.node.relay.open == 1)
+            stop(edge)
+            await asyncio.sleep(ANNOUNCE_S + 0.2)
+            got = await read_all(caller)
+            assert got.count(b"x" * length) == 1 and b"Error" not in got
+            assert b"\r\n0\r\n\r\n" in got
+
+    play(scene)
+
+
+def test_close_behind_an_answer_leaves_it_whole_though_reading_is_paused():
+    """So many bytes were pipelined that reading paused: the close reset the answer's tail."""
+    length = 150_000
+
+    async def answer(exchange: Exchange) -> None:
+        await asyncio.sleep(0.2)
+        exchange.answer(200, bytes(length))
+
+    async def scene():
+        replica = Replica("b1", reply=answer)
+        async with run_edge(make_configuration(*ROUTES), replica) as edge:
+            caller = open_slow(edge)
+            loop = asyncio.get_running_loop()
+            await loop.sock_sendall(caller, make_request("/p/x"))
+            await edge.wait_until(lambda: len(replica.got) == 1)
+            stop(edge)
+            for _ in range(20):
+                await loop.sock_sendall(caller, make_request("/p/x", bytes(10_000), "next"))
+            await asyncio.sleep(0.3)
+            got = await read_all(caller)
+            assert got.startswith(b"HTTP/1.1 200 ") and b"Error" not in got
+            assert got.count(bytes(length)) == 1
+
+    play(scene)
+
+
+def test_whole_request_behind_an_answer_with_close_is_refused():
+    """It had been read and got neither an answer nor a refusal."""
+
+    async def answer(exchange: Exchange) -> None:
+        await asyncio.sleep(0.1)
+        exchange.answer(200, b"ok")
+
+    async def scene():
+        replica = Replica("b1", reply=answer)
+        async with run_edge(make_configuration(*ROUTES), replica) as edge:
+            caller = await Caller.connect(edge)
+            caller.send(make_request("/p/x", name="first"))
+            await edge.wait_until(lambda: len(replica.got) == 1)
+            stop(edge)
+            caller.send(make_request("/p/x"))
+            first, second = await read_answer(caller.reader), await read_answer(caller.reader)
+            assert first.whole and first.status == 200
+            assert second.whole and second.status == 503
+
+    play(scene)
+
+
+def test_error_at_the_end_of_the_drain_arrives_beside_a_next_request(monkeypatch):
+    """Bytes of the next request were in the kernel: the close reset the error on its way."""
+
+    async def scene():
+        replica = Replica("b1", reply=hang)
+        async with run_edge(make_configuration(*ROUTES), replica) as edge:
+            caller = await Caller.connect(edge)
+            real = RequestProgress.cut_off
+
+            def cut_off(self) -> None:
+                caller.writer.write(make_request("/p/x", name="next"))
+                real(self)
+
+            monkeypatch.setattr(RequestProgress, "cut_off", cut_off)
+            caller.send(make_request("/p/x"))
+            await edge.wait_until(lambda: len(replica.got) == 1)
+            stop(edge)
+            answer = await read_answer(caller.reader)
+            assert (answer.status, answer.whole) == (504, True)
+            assert await caller.reader.read() == b""
+
+    play(scene)
