End the announcement of a stop 0.3 s before requests may be lost

Callers could lose a request sent more than 3 s after SIGTERM.

Cause: new requests were accepted for 3.0 s from when the loop saw the signal; a late loop sees it late, and only requests sent within 3 s of the signal may be cut off at the end of the grace time.

Evidence: with the loop 0.2 s late, a request sent 3.01 s after the signal was passed on to a server and cut off; the test fails with 3.0 and passes with 2.7.

The platform takes an instance out after two failed checks, one a second, so 2.7 s keep 0.7 s for that and 0.3 s for a late loop. The end of the drain stays where it was in the grace time.

--- a/rhubarbshed/transport/edge/view.py
+++ b/rhubarbshed/transport/edge/view.py
@@ -15,9 +15,11 @@
 
 LIMITS_DEFAULT = CallerLimits()
 
-ANNOUNCE_S = 3.0
-"""Time after a stop was requested in which new connections are still served: the platform takes an
-instance out after two failed readiness checks, one a second."""
+ANNOUNCE_S = 2.7
+"""Time after a stop was requested in which new requests are still accepted.
+
+The platform takes an instance out after two failed readiness checks, one a second. A loop that is
+late sees the signal late: the rest is room below the 3 s after which no request may be lost."""
 
 CLOSE_MARGIN_S = 0.7
 """Part of the grace time kept for closing; the platform kills the process at its end."""
--- a/test/test_edge_closing.py
+++ b/test/test_edge_closing.py
@@ -1,6 +1,8 @@
 """Connections that an instance closes: what was written arrives, what was sent is answered."""
 
 import asyncio
+import os
+import signal
 import socket
 import time
 
@@ -9,9 +11,19 @@
 from rhubarbshed.transport.edge import node
 from rhubarbshed.transport.edge.caller_connections import CallerConnection
 from rhubarbshed.transport.edge.relay import RequestProgress
+from rhubarbshed.transport.edge.view import ANNOUNCE_S as ANNOUNCED_S
 from standin.replica import Exchange, Replica
 from test.helper_edge import Edge, make_configuration, play, read_answer, run_edge
-from test.test_edge_drain import ANNOUNCE_S, ROUTES, Caller, connect, hang, make_request, stop
+from test.test_edge_drain import (
+    ANNOUNCE_S,
+    ROUTES,
+    Caller,
+    check_not_run,
+    connect,
+    hang,
+    make_request,
+    stop,
+)
 
 WAIT_S = 3.0
 SHORT_TIMEOUTS = {
@@ -280,3 +292,23 @@
             assert await caller.reader.read() == b""
 
     play(scene)
+
+
+def test_request_sent_3_s_after_a_signal_seen_late_does_not_run():
+    """It was accepted, and cut off at the end of the drain: the 3 s began as the loop woke up."""
+    late_s, bound_s = 0.2, 3.0
+
+    async def scene():
+        replica = Replica("b1", reply=hang)
+        async with run_edge(make_configuration(*ROUTES), replica) as edge:
+            drain = edge.node.view.drain
+            drain.announce_s, drain.drain_s = ANNOUNCED_S, 0.3
+            caller = await Caller.connect(edge)
+            os.kill(os.getpid(), signal.SIGTERM)
+            signalled_at = time.monotonic()
+            time.sleep(late_s)
+            await asyncio.sleep(signalled_at + bound_s + 0.01 - time.monotonic())
+            check_not_run(await caller.ask(), replica)
+            await edge.task
+
+    play(scene)
