Count no gap where the store's feed goes on after an outage

After an outage of the store, streams of unknown origin were refused for two more timeouts of their route, though the service had one version all the time: the return of the store counted as a gap.

The feed reports each row that changed since the known revision and marks removed ones, so where it goes on nothing was missed. The rule is now off while the store is lost and until the entries' feed has gone on (asked at once, without waiting for a change), or a settled message of the order holder shows that nothing is missing. A full read and the removal of a server that was never seen remain gaps. A holder calls its messages settled only once its own feed has gone on; an unsettled one no longer resets.

--- a/rhubarbshed/coordination/serving/versions.py
+++ b/rhubarbshed/coordination/serving/versions.py
@@ -93,6 +93,8 @@
 ) -> str | None:
     """Return the only version that can have begun a stream at a service, None if not certain."""
     age_s = STREAM_AGE_TIMEOUTS * route.timeout_s
+    if history.is_suspended:
+        return None
     if history.followed_since is None or now - history.followed_since < age_s or age_s > KEPT_S:
         return None
     if now - history.confirmed_at > CONFIRMATION_AGE_MAX_S:
--- a/rhubarbshed/protocol/messages.py
+++ b/rhubarbshed/protocol/messages.py
@@ -101,8 +101,8 @@
 
     `rows` are the servers' rows, as (key, version, value or None), that changed after revision
     `before` up to `revision`. `settled` is whether rows that expired while the store was
-    unavailable would have been written again by now. `configuration` is the version of the
-    configuration known to the holder.
+    unavailable would have been written again by now, and the holder reads changes again.
+    `configuration` is the version of the configuration known to the holder.
     """
 
     sender: str
--- a/rhubarbshed/state/membership/versions.py
+++ b/rhubarbshed/state/membership/versions.py
@@ -15,12 +15,14 @@
 class VersionHistory:
     """(service, version) pairs with the monotonic seconds at which each was last seen.
 
-    Since `followed_since` no entry was missed; None while the store is lost. At `confirmed_at` the
-    entries were last known to be current. `known_servers` are the ids of all entries, also
+    Since `followed_since` no entry was missed, as far as the entries were read; None before the first
+    read. While `is_suspended` changes may be unread: the store is lost, or was and the feed has not
+    gone on yet. At `confirmed_at` the entries were last known to be current. `known_servers` are the ids of all entries, also
     unreadable ones, since the removal of another one shows that an entry was missed.
     """
 
     followed_since: float | None = None
+    is_suspended: bool = False
     confirmed_at: float = -math.inf
     last_seen: dict[tuple[str, str], float] = field(factory=dict)
     known_servers: dict[str, float] = field(factory=dict)
@@ -31,7 +33,11 @@
 
     def suspend(self) -> None:
         """Record that the entries cannot be followed."""
-        self.followed_since = None
+        self.is_suspended = True
+
+    def resume(self) -> None:
+        """Record that all changes were read: the feed went on where it was, or all were read."""
+        self.is_suspended = False
 
     def confirm(self, now: float) -> None:
         """Record that all changes up to now are known."""
--- a/rhubarbshed/transport/edge/follower.py
+++ b/rhubarbshed/transport/edge/follower.py
@@ -107,12 +107,14 @@
         if message.configuration > (known.version if known is not None else 0):
             self.new_configuration.fire()
         versions = self.view.versions
-        if not message.settled and versions.followed_since is not None:
-            versions.restart(now)
+        if not message.settled:
+            versions.suspend()
         if self.servers_revision is None:
             return
         if message.before <= self.servers_revision <= message.revision and message.settled:
             versions.confirm(now)
+            if self.lost_at is None:
+                versions.resume()
         if message.revision <= self.servers_revision:
             return
         if message.before > self.servers_revision:
@@ -137,6 +139,9 @@
         if self.lost_at is not None:
             return 0.0
         if table == SERVERS_TABLE:
+            if self.view.versions.is_suspended:
+                # The answer shows whether anything changed while the store was away.
+                return 0.0
             return 0.0 if self.has_recent_message(time.monotonic()) else SERVERS_WAIT_S
         return (
             OPERATOR_BACKUP_WAIT_S if self.has_recent_message(time.monotonic()) else OPERATOR_WAIT_S
@@ -165,6 +170,7 @@
                 apply(scan.rows, is_full_read, now)
                 if table == SERVERS_TABLE:
                     self.servers_revision = revision
+                    self.view.versions.resume()
                     if before is not None and scan.rows:
                         self.publish(before, revision, scan.rows)
                         await asyncio.sleep(CHANGE_BATCH_S)
@@ -172,6 +178,8 @@
             if result.failure().fault is TableFault.CONFLICT:
                 log_event(LOG, logging.WARNING, "history_gone", table=table, revision=revision)
                 revision = None
+                if table == SERVERS_TABLE:
+                    self.view.versions.suspend()
                 continue
             self._record_failure(table, result.failure(), now)
             self.failing_tables.add(table)
@@ -222,7 +230,6 @@
             log_event(LOG, logging.WARNING, "dependency_regained", name="store", away_s=away_s)
             self.lost_at = None
             self.regained_at = now
-            self.view.versions.restart(now)
             self.store_returned.fire()
 
     def _record_failure(self, table: str, error: TableError, now: float) -> None:
--- a/rhubarbshed/transport/edge/holder_protocol.py
+++ b/rhubarbshed/transport/edge/holder_protocol.py
@@ -245,13 +245,14 @@
     ) -> None:
         """Announce how far the store was read, with the rows that changed."""
         settings, known = self.view.settings, self.view.configuration
+        settled = self.follower.is_settled(now) and not self.view.versions.is_suspended
         for first, reached, part in split_rows(before, revision, rows):
             message = StoreMessage(
                 settings.name,
                 settings.data_centre,
                 self.lease.lease_state.token,
                 known.version if known is not None else 0,
-                self.follower.is_settled(now),
+                settled,
                 first,
                 reached,
                 tuple((row.key, row.version, row.value) for row in part),
