Let replies vouch for how long the entries were followed

After a restart an instance refused each stream of unknown origin for two timeouts of its route, though its neighbours had followed the servers' entries all the time and seen one version.

The sole version counts where this instance or one that was asked and replied has followed for long enough; this one has to be current in any case, and the versions that both have seen are united as before, so a contrary version still refuses the stream.

--- a/rhubarbshed/coordination/serving/versions.py
+++ b/rhubarbshed/coordination/serving/versions.py
@@ -93,11 +93,9 @@
 ) -> str | None:
     """Return the only version that can have begun a stream at a service, None if not certain."""
     age_s = STREAM_AGE_TIMEOUTS * route.timeout_s
-    if history.is_suspended:
+    if not is_current(history, now) or age_s > KEPT_S:
         return None
-    if history.followed_since is None or now - history.followed_since < age_s or age_s > KEPT_S:
-        return None
-    if now - history.confirmed_at > CONFIRMATION_AGE_MAX_S:
+    if max(measure_followed(history, now), lookup.followed_s) < age_s:
         return None
     if lookup.asked and not lookup.replied:
         return None
@@ -106,6 +104,17 @@
     return versions.pop() if len(versions) == 1 else None
 
 
+def is_current(history: VersionHistory, now: float) -> bool:
+    """Return whether the entries known here are those in force."""
+    confirmed = now - history.confirmed_at <= CONFIRMATION_AGE_MAX_S
+    return confirmed and not history.is_suspended and history.followed_since is not None
+
+
+def measure_followed(history: VersionHistory, now: float) -> float:
+    """Return the seconds for which the entries were followed without a gap, 0 if not up to now."""
+    return now - history.followed_since if is_current(history, now) else 0.0
+
+
 def find_stream_age_max(configuration: Configuration | None) -> float:
     """Return the greatest age in seconds that a stream may have when it is taken up."""
     routes = configuration.routes.values() if configuration is not None else ()
--- a/rhubarbshed/protocol/messages.py
+++ b/rhubarbshed/protocol/messages.py
@@ -176,6 +176,11 @@
         raise ValueError(f"{attribute.name} are not the ages of all origins")
 
 
+def _check_seconds(message: object, attribute: Attribute, value: object) -> None:
+    if type(value) is not int or not 0 <= value <= AGE_MAX_S:
+        raise ValueError(f"{attribute.name} is not a number of seconds")
+
+
 def _check_packed(message: object, attribute: Attribute, value: object) -> None:
     most = ADDRESSES_PER_MESSAGE * PACKED_ADDRESS_BYTES
     if not isinstance(value, bytes) or len(value) > most or len(value) % PACKED_ADDRESS_BYTES:
@@ -222,6 +227,7 @@
         factory=tuple, validator=_check_tuples(2, VERSIONS_PER_MESSAGE)
     )
     ages: tuple[int, ...] = field(factory=tuple, validator=_check_ages)
+    followed_s: int = field(default=0, validator=_check_seconds)
 
 
 @frozen
--- a/rhubarbshed/transport/edge/node.py
+++ b/rhubarbshed/transport/edge/node.py
@@ -108,7 +108,10 @@
         follower.publish = holder_protocol.publish
         follower.is_holder = lambda: lease_state.held
         streams = StreamRegistry(
-            settings.data_centre, holder_protocol.datagrams.send, view.list_versions
+            settings.data_centre,
+            holder_protocol.datagrams.send,
+            view.list_versions,
+            view.measure_followed,
         )
         instance_lists = InstanceLists(
             settings.data_centre,
--- a/rhubarbshed/transport/edge/view.py
+++ b/rhubarbshed/transport/edge/view.py
@@ -7,7 +7,7 @@
 
 from rhubarbshed.coordination.requests.drain import Drain
 from rhubarbshed.coordination.serving.retry_budget import ServiceRetryBudget
-from rhubarbshed.coordination.serving.versions import find_stream_age_max
+from rhubarbshed.coordination.serving.versions import find_stream_age_max, measure_followed
 from rhubarbshed.protocol.routes import CallerLimits, Configuration
 from rhubarbshed.state.membership.fleet import Fleet
 from rhubarbshed.state.membership.versions import VersionHistory
@@ -112,6 +112,10 @@
         since = now - find_stream_age_max(self.configuration)
         return tuple(sorted(self.versions.list_seen(self.fleet, since)))
 
+    def measure_followed(self, now: float) -> float:
+        """Return the seconds for which the servers' entries were followed without a gap."""
+        return measure_followed(self.versions, now)
+
     @property
     def is_ready(self) -> bool:
         """Return whether new connections should come here."""
--- a/test/test_versions.py
+++ b/test/test_versions.py
@@ -5,6 +5,7 @@
     decide_continuation,
     find_sole_version,
     find_stream_age_max,
+    measure_followed,
 )
 from rhubarbshed.protocol.exchanges import CallerRequest
 from rhubarbshed.protocol.messages import StoreMessage
@@ -70,6 +71,29 @@
     assert decide(fleet, history).refused
 
 
+def test_another_instance_that_followed_for_long_enough_counts_if_this_one_is_current():
+    fleet, history = make_history(make_entry("b1", "v1"), followed_s=1.0)
+    seen = frozenset({("svc", "v1")})
+    for followed_s, refused in ((19, True), (20, False)):
+        lookup = StreamLookup(None, 2, 1, seen, followed_s)
+        assert decide(fleet, history, lookup).refused == refused, followed_s
+    lookup = StreamLookup(None, 2, 1, seen | {("svc", "v2")}, 500)
+    assert decide(fleet, history, lookup).refused
+    lookup = StreamLookup(None, 2, 1, seen, 500)
+    assert decide(fleet, history, lookup, now=NOW + 3.1).refused
+    history.suspend()
+    assert decide(fleet, history, lookup).refused
+
+
+def test_instance_that_is_not_up_to_date_followed_for_no_time():
+    _, history = make_history(make_entry("b1", "v1"))
+    assert measure_followed(history, NOW + 3.0) == 23.0
+    assert measure_followed(history, NOW + 3.1) == 0.0
+    history.suspend()
+    assert measure_followed(history, NOW) == 0.0
+    assert measure_followed(VersionHistory(), NOW) == 0.0
+
+
 def test_version_that_left_counts_for_the_age_of_a_stream():
     fleet, history = make_history(make_entry("b1", "v1"), followed_s=100.0)
     history.record_entry(make_entry("b2", "v1.1"), NOW - 20.0)
