Know at the first start that no stream is older

When the whole system starts, no instance has followed the store for two timeouts, so streams of unknown origin were refused for that time though no stream can be older than the instances.

The platform says in Bootstrap whether the whole system starts for the first time, as true or false. The settings pass it on as the optional key [instance] first_start, false if it is missing or empty, so that files written before stay valid. The first full read then counts as followed since ever; any later one is a gap as before.

--- a/rhubarbshed/transport/edge/follower.py
+++ b/rhubarbshed/transport/edge/follower.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import math
 import time
 from collections.abc import Callable
 
@@ -277,7 +278,9 @@
         present = set()
         view.versions.drop_older(view.fleet, now)
         if is_full_read:
-            view.versions.restart(now)
+            # At the first start of the whole system no stream is older than the first read.
+            is_first = view.settings.first_start and view.versions.followed_since is None
+            view.versions.restart(-math.inf if is_first else now)
         for row in rows:
             if row.value is None:
                 view.versions.record_removal(row.key, now)
--- a/rhubarbshed/util/front.py
+++ b/rhubarbshed/util/front.py
@@ -10,7 +10,8 @@
 class FrontSettings:
     """Settings of an instance; addresses are (IP, port), times in seconds.
 
-    `cores` is the processor time that the instance gets, in usual cores.
+    `cores` is the processor time that the instance gets, in usual cores. `first_start` is whether
+    the whole system starts for the first time, so that no stream is older than it.
     """
 
     name: str
@@ -32,6 +33,7 @@
     ceiling_overage: float
     cores: float
     link_mbps: float
+    first_start: bool = False
 
     @classmethod
     def from_file(cls, path: str) -> Result["FrontSettings", list[str]]:
@@ -57,6 +59,7 @@
             "peers_port": reader.read_port("listen", "peers_ports"),
             "metrics_port": int(reader.read_number("listen", "metrics_port")),
             "store": reader.read_address("platform", "store"),
+            "first_start": reader.read_flag("instance", "first_start"),
             "log_level": reader.read_text("log", "level"),
         }
         for name in (
@@ -103,6 +106,13 @@
                 self.errors.append(f"[{section}] {key} is no number: {text!r}")
             return 0.0
 
+    def read_flag(self, section: str, key: str) -> bool:
+        """Return whether an optional key is true; it is false in files written without it."""
+        text = self.parser.get(section, key, fallback="").strip()
+        if text not in ("true", "false", ""):
+            self.errors.append(f"[{section}] {key} is neither true nor false: {text!r}")
+        return text == "true"
+
     def read_address(self, section: str, key: str) -> tuple[str, int]:
         text = self.read_text(section, key)
         host, _, port = text.rpartition(":")
--- a/test/test_edge_front.py
+++ b/test/test_edge_front.py
@@ -7,6 +7,7 @@
 import subprocess
 import sys
 import time
+from pathlib import Path
 
 from returns.result import Failure
 
@@ -49,6 +50,23 @@
         assert word in told
 
 
+def test_first_start_of_the_system_is_read_and_optional(tmp_path):
+    path = tmp_path / "node.ini"
+    for line, expected in (
+        ("", False),
+        ("first_start = true", True),
+        ("first_start = false", False),
+        ("first_start =", False),
+    ):
+        path.write_text(make_text(1).replace("host = ", f"{line}\nhost = ", 1))
+        assert FrontSettings.from_file(str(path)).unwrap().first_start is expected, line
+    path.write_text(make_text(1).replace("host = ", "first_start = soon\nhost = ", 1))
+    (told,) = FrontSettings.from_file(str(path)).failure()
+    assert "first_start is neither true nor false" in told
+    template = (Path(__file__).parent.parent / "deploy" / "settings.ini").read_text()
+    assert "first_start = {{Bootstrap}}" in template
+
+
 def test_missing_settings_end_the_daemon_with_one_line_and_code_2():
     environment = {**os.environ, "RHUBARBSHED_SETTINGS": "/nowhere.ini"}
     done = subprocess.run(
--- a/test/test_edge_versions.py
+++ b/test/test_edge_versions.py
@@ -481,6 +481,15 @@
     play(scene)
 
 
+def test_stream_goes_on_without_memory_at_once_at_the_first_start_of_the_system():
+    async def scene():
+        configuration = make_configuration(STREAM_SHORT)
+        async with run_edge(configuration, make_replica("b1"), first_start=True) as edge:
+            assert (await take_up(edge)).whole
+
+    play(scene)
+
+
 @pytest.mark.parametrize("missed", ["nothing", "a_removal", "the_history"])
 def test_stream_is_refused_without_memory_while_the_store_is_lost_and_after_a_gap(missed: str):
     async def scene():
