Show the time of searches for streams' origins by outcome

Operators saw only the sum of the seconds, which hides a few searches that waited for both rounds, and could not tell known streams from unknown ones. The registry's observer was not set; it now feeds the histogram rhubarbshed_stream_lookup_seconds_by_outcome.

--- a/rhubarbshed/transport/edge/metrics.py
+++ b/rhubarbshed/transport/edge/metrics.py
@@ -25,6 +25,7 @@
     request_seconds: Histogram
     first_bytes_seconds: Histogram
     loop_delay_seconds: Histogram
+    lookup_seconds: Histogram
     gauges_by_name: dict[str, Gauge]
 
     @classmethod
@@ -63,6 +64,11 @@
             make_histogram("request_seconds", "Time from arrival to the answer's end.", "route"),
             make_histogram("first_bytes_seconds", "Time from arrival to the answer's first bytes."),
             make_histogram("loop_delay_seconds", "Delay of a timer of the event loop."),
+            make_histogram(
+                "stream_lookup_seconds_by_outcome",
+                "Time of a search for a stream's origin.",
+                "outcome",
+            ),
             {},
         )
 
@@ -94,6 +100,10 @@
         """Record by how much a timer of the event loop was late."""
         self.loop_delay_seconds.observe(delay_s)
 
+    def observe_lookup(self, outcome: str, took_s: float) -> None:
+        """Record the time that a search for a stream's origin took."""
+        self.lookup_seconds.labels(outcome).observe(took_s)
+
     def count_store_call(self, kind: str, table: str) -> None:
         """Count a call to the store."""
         self.store_calls.labels(kind, table).inc()
--- a/rhubarbshed/transport/edge/node.py
+++ b/rhubarbshed/transport/edge/node.py
@@ -113,6 +113,7 @@
             view.list_versions,
             view.measure_followed,
         )
+        streams.counts.observe = metrics.observe_lookup
         instance_lists = InstanceLists(
             settings.data_centre,
             address,
--- a/test/test_stream_instances.py
+++ b/test/test_stream_instances.py
@@ -281,3 +281,14 @@
                 assert (await find(instances[name], "s1")).origin == ORIGIN, name
 
     play(scene)
+
+
+def test_time_of_a_search_is_shown_by_its_outcome():
+    async def scene():
+        async with run_instances(a1="a", a2="a") as instances:
+            await find(instances["a1"], "s1")
+            text = instances["a1"].metrics.render({}).decode()
+            name = "rhubarbshed_stream_lookup_seconds_by_outcome_count"
+            assert f'{name}{{outcome="unknown"}} 1.0' in text
+
+    play(scene)
