--- a/test/test_stream_instances.py
+++ b/test/test_stream_instances.py
@@ -292,3 +292,25 @@
             assert f'{name}{{outcome="unknown"}} 1.0' in text
 
     play(scene)
+
+
+def test_origin_outlives_a_stop_of_each_instance_one_after_the_other():
+    async def scene():
+        async with run_instances(a1="a", a2="a", a3="a", b1="b") as instances:
+            record(instances["a1"], "s1")
+            await asyncio.sleep(TOLD_S)
+            for name in ("a1", "a2", "a3"):
+                node = instances[name]
+                node.stop.set()
+                await asyncio.wait_for(asyncio.shield(instances.tasks[name]), 10.0)
+                await instances.kill(name)
+                instances.start(name, "a")
+                await instances.wait_until(instances.know_each_other)
+            held = [
+                name
+                for name in instances.tasks
+                if instances[name].streams.origins.find("s1", time.monotonic()) == ORIGIN
+            ]
+            assert len(held) >= 2, held
+
+    play(scene)
