--- a/rhubarbshed/transport/edge/node.py
+++ b/rhubarbshed/transport/edge/node.py
@@ -109,8 +109,12 @@
         follower.publish = holder_protocol.publish
         follower.is_holder = lambda: lease_state.held
         streams = StreamRegistry(
-            settings.data_centre, holder_protocol.datagrams.send, view.list_versions
+            settings.data_centre,
+            holder_protocol.datagrams.send,
+            view.list_versions,
+            view.measure_followed,
         )
+        streams.counts.observe = metrics.observe_lookup
         instance_lists = InstanceLists(
             settings.data_centre,
             address,
@@ -290,6 +294,8 @@
         while self.find_phase(time.monotonic()) is DrainPhase.ANNOUNCING:
             await asyncio.sleep(DRAIN_CHECK_INTERVAL_S)
         self.log_connections("announcement_ended", open_requests=self.relay.open)
+        # Streams that begin in the drain are told to their keepers as ever.
+        self.spawn(self.streams.hand_over(time.monotonic()))
         await self.stop_accepting()
         while self.find_phase(time.monotonic()) is DrainPhase.DRAINING:
             self.close_idle()
--- a/test/test_stream_instances.py
+++ b/test/test_stream_instances.py
@@ -216,6 +216,17 @@
     play(scene)
 
 
+def test_replies_say_for_how_long_an_instance_followed_the_entries():
+    async def scene():
+        async with run_instances(a1="a", a2="a") as instances:
+            await asyncio.sleep(1.2)
+            instances.start("b1", "b")
+            await instances.wait_until(instances.know_each_other)
+            assert (await find(instances["b1"], "s1")).followed_s >= 1
+
+    play(scene)
+
+
 def test_cut_between_data_centres_leaves_origins_known_on_each_side():
     async def scene():
         async with run_instances(**FIVE) as instances:
@@ -270,3 +281,36 @@
                 assert (await find(instances[name], "s1")).origin == ORIGIN, name
 
     play(scene)
+
+
+def test_time_of_a_search_is_shown_by_its_outcome():
+    async def scene():
+        async with run_instances(a1="a", a2="a") as instances:
+            await find(instances["a1"], "s1")
+            text = instances["a1"].metrics.render({}).decode()
+            name = "rhubarbshed_stream_lookup_seconds_by_outcome_count"
+            assert f'{name}{{outcome="unknown"}} 1.0' in text
+
+    play(scene)
+
+
+def test_origin_outlives_a_stop_of_each_instance_one_after_the_other():
+    async def scene():
+        async with run_instances(a1="a", a2="a", a3="a", b1="b") as instances:
+            record(instances["a1"], "s1")
+            await asyncio.sleep(TOLD_S)
+            for name in ("a1", "a2", "a3"):
+                node = instances[name]
+                node.stop.set()
+                await asyncio.wait_for(asyncio.shield(instances.tasks[name]), 10.0)
+                await instances.kill(name)
+                instances.start(name, "a")
+                await instances.wait_until(instances.know_each_other)
+            held = [
+                name
+                for name in instances.tasks
+                if instances[name].streams.origins.find("s1", time.monotonic()) == ORIGIN
+            ]
+            assert len(held) >= 2, held
+
+    play(scene)
