Limit a head that arrives in parts by the limit in force

Callers with a kept connection got 431 for a head that a change of the configuration had allowed, if it came in parts.

Cause: the parser keeps the limit with which its connection was opened.

Evidence: a head of 8 KB in two parts, after a change from 1,000 to 16,384 bytes, gets 431 before and 200 after.

The parser has a high constant as its bound, and the limit in force is checked as bytes of a head arrive. It also holds for the head of a chunk, which the parser's bound covered: tests of 17 and 200 KB without an end get 431.

--- a/rhubarbshed/transport/edge/caller_connections.py
+++ b/rhubarbshed/transport/edge/caller_connections.py
@@ -21,6 +21,10 @@
 CLOSED_RETRY_S = 0.05
 """Time after which a caller may repeat a request that came behind a final answer."""
 
+PARSED_HEAD_BYTES_MAX = 16_777_216
+"""Bound of the parser for a head in parts, above all limits that an operator sets: those may change
+while a connection is open, and are checked as bytes of a head arrive."""
+
 PAUSED_CHECK_INTERVAL_S = 0.1
 """Time between two checks for the end of a connection that is not read."""
 
@@ -93,7 +97,7 @@
         self.opened_at = time.monotonic()
         set_options(transport)
         limits = self.read_limits()
-        self._parser = h11.Connection(h11.SERVER, max_incomplete_event_size=limits.header_bytes)
+        self._parser = make_parser()
         self._writable.set()
         self.connections.add(self)
         self._set_timer(limits.header_timeout_s)
@@ -305,8 +309,14 @@
                 return
 
     def _limit_head(self) -> None:
-        """Give a head that has begun to arrive its own time, not what is left of the idle time."""
-        if self._request is None and not self._head_begun and self._parser.trailing_data[0]:
+        """Refuse a head, or one of a chunk, that is too long so far.
+
+        A request's head that has begun gets its own time, not what is left of the idle time.
+        """
+        length = len(self._parser.trailing_data[0])
+        if length > self.read_limits().header_bytes:
+            self.refuse(431, "the head is longer than allowed")
+        elif length and self._request is None and not self._head_begun:
             self._head_begun = True
             self._set_timer(self.read_limits().header_timeout_s)
 
@@ -377,7 +387,7 @@
         """
         data, _ = self._parser.trailing_data
         if data and self.is_closing() and self._parser.our_state is h11.MUST_CLOSE:
-            self._parser = h11.Connection(h11.SERVER)
+            self._parser = make_parser()
             self.refuse(503, "this connection is closing; ask again", CLOSED_RETRY_S)
         self.end()
 
@@ -409,8 +419,13 @@
             self.refuse(408, "the request took too long to arrive")
 
 
+def make_parser() -> h11.Connection:
+    """Return a parser of a caller's requests."""
+    return h11.Connection(h11.SERVER, max_incomplete_event_size=PARSED_HEAD_BYTES_MAX)
+
+
 def measure_head(request: h11.Request) -> int:
-    """Return the bytes of a request's head; the parser bounds only heads that arrive in parts."""
+    """Return the bytes of a request's whole head."""
     head_lines_bytes = sum(
         len(name) + len(value) + len(b": \r\n") for name, value in request.headers
     )
--- a/test/test_edge_changes.py
+++ b/test/test_edge_changes.py
@@ -333,3 +333,44 @@
         raise KeyError("defect")
 
     play(scene)
+
+
+def test_head_in_parts_may_have_the_length_that_a_change_allows():
+    """A kept connection bounded it by the limit with which it was opened, and answered 431."""
+    short = {**LIMITS, "MaxHeaderBytes": 1_000}
+
+    async def scene():
+        async with run_edge(make_configuration(*ROUTES, Limits=short), Replica("b1")) as edge:
+            reader, writer = await asyncio.open_connection(*edge.node.settings.callers)
+            writer.write(make_head("/p/x"))
+            assert (await read_answer(reader)).status == 200
+            await change(edge, make_configuration(*ROUTES, version=2, Limits=LIMITS))
+            data = make_head("/p/x", X_Long="a" * 8_000)
+            writer.write(data[:4_000])
+            await asyncio.sleep(0.05)
+            writer.write(data[4_000:])
+            answer = await read_answer(reader)
+            assert (answer.status, answer.whole) == (200, True)
+            writer.close()
+
+    play(scene)
+
+
+@pytest.mark.parametrize("part", ["head", "chunk"])
+@pytest.mark.parametrize("length", [17_000, 200_000])
+def test_head_in_parts_that_is_too_long_is_refused_before_it_ends(part, length):
+    async def scene():
+        async with run_edge(make_configuration(*ROUTES, Limits=LIMITS), Replica("b1")) as edge:
+            reader, writer = await asyncio.open_connection(*edge.node.settings.callers)
+            head = make_head("/p/x", X_Long="a" * length)[:-2]
+            if part == "chunk":
+                head = make_head("/p/x").replace(
+                    b"Content-Length: 0", b"Transfer-Encoding: chunked"
+                )
+                head += b"5;" + b"a" * length
+            writer.write(head)
+            answer = await read_answer(reader)
+            assert (answer.status, answer.whole) == (431, True)
+            writer.close()
+
+    play(scene)
