Bound the slots and the address in a server's entry

Callers got 503 for requests while one entry in the store was broken, though other servers were well.

Cause: "Slots" of 10**400 overflows in the choice of a server, and a host of 64 digits raises a UnicodeError as its name is resolved, which is no error of a channel: both are defects of the request.

Evidence: two entries fail the test before with 503, and the pool raises UnicodeError; with the bound, a check of the address as IPv4 and ValueError taken as an unreachable server, all cases are answered without a defect. The cases "999.1.1.1", a superscript digit and negative slots passed before, too.

--- a/rhubarbshed/platform/records.py
+++ b/rhubarbshed/platform/records.py
@@ -1,5 +1,6 @@
 """Decoding of configuration, server entries and engine reports in the platform's format."""
 
+import ipaddress
 import json
 from typing import Any
 
@@ -20,6 +21,9 @@
 PORT_MAX = 65_535
 """Highest TCP port."""
 
+SLOTS_MAX = 1_000_000
+"""Most slots of a server, far above real ones; sums and shares of them stay computable."""
+
 DECODE_ERRORS = (AttributeError, KeyError, OverflowError, RecursionError, TypeError, ValueError)
 """Raised while decoding unexpected bytes, fields or types from other writers."""
 
@@ -112,7 +116,7 @@
                 port=_require_port(port),
                 data_centre=_require(plain["Zone"], str),
                 state=ServerState(plain["State"]),
-                slots=_require(plain["Slots"], int),
+                slots=_require_slots(plain["Slots"]),
                 # A model's "Version" is that of its weights.
                 version=_require(plain["Version"], str),
                 models=_read_models(plain.get("Models") or ()),
@@ -168,10 +172,14 @@
     return value
 
 
+def _require_slots(number: Any) -> int:
+    if not 0 <= _require(number, int) <= SLOTS_MAX:
+        raise ValueError(f"{number!r} is not a number of slots")
+    return number
+
+
 def _require_address(host: str) -> str:
-    if not host or not all(part.isdigit() for part in host.split(".")):
-        raise ValueError(f"{host!r} is not an IP address")
-    return host
+    return str(ipaddress.IPv4Address(host))
 
 
 def _require_port(port: str) -> int:
--- a/rhubarbshed/transport/edge/pools.py
+++ b/rhubarbshed/transport/edge/pools.py
@@ -47,7 +47,7 @@
                 _, channel = await loop.create_connection(Channel, *address)
         except ConnectionRefusedError as error:
             raise NotListeningError(f"no connection: {error!r}") from error
-        except (OSError, TimeoutError) as error:
+        except (OSError, TimeoutError, ValueError) as error:
             raise ChannelError(f"no connection: {error!r}") from error
         self.opened += 1
         return channel
--- a/test/test_edge_changes.py
+++ b/test/test_edge_changes.py
@@ -5,6 +5,8 @@
 
 import pytest
 
+from rhubarbshed.transport.edge.channels import ChannelError
+from rhubarbshed.transport.edge.pools import Pool
 from rhubarbshed.transport.edge.relay import RequestProgress
 from standin.replica import Exchange, Replica, Reply
 from test.helper_edge import (
@@ -286,13 +288,18 @@
     ("key", "fields"),
     [
         ("b2", {"Address": "127.0.0.1:70000"}),
+        ("b2", {"Address": "1" * 64 + ":80"}),
+        ("b2", {"Address": "127.0.0.\N{SUPERSCRIPT TWO}:80"}),
+        ("b2", {"Address": "999.1.1.1:80"}),
+        ("b2", {"Slots": 10**400}),
+        ("b2", {"Slots": -1}),
         ("b\N{EURO SIGN}", {}),
         ("b2 ", {}),
         ("b\n2", {}),
     ],
-    ids=["port", "letter", "space", "line"],
+    ids=["port", "long host", "digit", "host", "slots", "no slots", "letter", "space", "line"],
 )
-def test_entry_that_names_no_server_ends_no_request(key, fields):
+def test_entry_that_names_no_server_ends_no_request(key, fields, caplog):
     async def scene():
         replica = Replica("b1")
         async with run_edge(make_configuration(*ROUTES), replica) as edge:
@@ -303,6 +310,7 @@
                 assert (answer.status, answer.whole) == (200, True)
 
     play(scene)
+    assert "event=defect" not in caplog.text
 
 
 @pytest.mark.parametrize(
@@ -374,3 +382,13 @@
             writer.close()
 
     play(scene)
+
+
+def test_address_that_cannot_be_resolved_is_an_unreachable_server():
+    """Its error was no error of a channel, and ended the request as a defect."""
+
+    async def scene():
+        with pytest.raises(ChannelError):
+            await Pool(1.0).open(("1" * 64, 80))
+
+    play(scene)
