Refuse settings that cannot be applied, and keep the old ones

A changed settings file stopped the instance: an unknown level of the log, or a port of the metrics that is not a finite number, raised in the reload, which runs in a task whose failure stops the process.

Evidence: the test fails before with ValueError "Unknown level: 'TRACE'", ValueError and OverflowError for nan and inf as the port, and takes over nan as the processor share and inf as the lease's time.

The levels, ports and numbers are checked where settings are read; the reload logs the reason and goes on with the old ones.

--- a/rhubarbshed/util/front.py
+++ b/rhubarbshed/util/front.py
@@ -1,10 +1,15 @@
 """Settings of an instance on the users' platform, from INI."""
 
 import configparser
+import logging
+import math
 
 from attrs import frozen
 from returns.result import Failure, Result, Success
 
+PORT_MAX = 65_535
+"""Highest TCP port."""
+
 
 @frozen
 class FrontSettings:
@@ -55,9 +60,9 @@
             "callers": reader.read_address("listen", "callers"),
             "ready": reader.read_address("listen", "ready"),
             "peers_port": reader.read_port("listen", "peers_ports"),
-            "metrics_port": int(reader.read_number("listen", "metrics_port")),
+            "metrics_port": reader.read_number_of_port("listen", "metrics_port"),
             "store": reader.read_address("platform", "store"),
-            "log_level": reader.read_text("log", "level"),
+            "log_level": reader.read_level("log", "level"),
         }
         for name in (
             "drain_s",
@@ -97,22 +102,38 @@
     def read_number(self, section: str, key: str) -> float:
         text = self.read_text(section, key)
         try:
-            return float(text)
+            number = float(text)
         except ValueError:
-            if text:
-                self.errors.append(f"[{section}] {key} is no number: {text!r}")
-            return 0.0
+            number = math.nan
+        if text and not math.isfinite(number):
+            self.errors.append(f"[{section}] {key} is no number: {text!r}")
+        return number
+
+    def read_number_of_port(self, section: str, key: str) -> int:
+        number = self.read_number(section, key)
+        if math.isnan(number):
+            return 0
+        if not 0 <= number <= PORT_MAX:
+            self.errors.append(f"[{section}] {key} is no port: {number!r}")
+            return 0
+        return int(number)
+
+    def read_level(self, section: str, key: str) -> str:
+        text = self.read_text(section, key)
+        if text and text.upper() not in logging.getLevelNamesMapping():
+            self.errors.append(f"[{section}] {key} is no level of a log: {text!r}")
+        return text
 
     def read_address(self, section: str, key: str) -> tuple[str, int]:
         text = self.read_text(section, key)
         host, _, port = text.rpartition(":")
-        if text and not (host and port.isdigit()):
+        if text and not (host and port.isdecimal()):
             self.errors.append(f"[{section}] {key} is no address IP:PORT: {text!r}")
-        return host, int(port) if port.isdigit() else 0
+        return host, int(port) if port.isdecimal() else 0
 
     def read_port(self, section: str, key: str) -> int:
         """Return the first port of a range FIRST,LAST."""
         text = self.read_text(section, key).partition(",")[0]
-        if text and not text.isdigit():
+        if text and not text.isdecimal():
             self.errors.append(f"[{section}] {key} is no range of ports: {text!r}")
-        return int(text) if text.isdigit() else 0
+        return int(text) if text.isdecimal() else 0
--- a/test/test_edge_changes.py
+++ b/test/test_edge_changes.py
@@ -11,6 +11,7 @@
 from standin.replica import Exchange, Replica, Reply
 from test.helper_edge import (
     HOST,
+    SETTINGS_TEXT,
     Edge,
     make_configuration,
     make_engine_service,
@@ -392,3 +393,40 @@
             await Pool(1.0).open(("1" * 64, 80))
 
     play(scene)
+
+
+@pytest.mark.parametrize(
+    ("line", "other"),
+    [
+        ("level = info", "level = trace"),
+        ("metrics_port = ", "metrics_port = nan\n#"),
+        ("metrics_port = ", "metrics_port = inf\n#"),
+        ("cpu_share = 0.5", "cpu_share = nan"),
+        ("lease_ms = 3000", "lease_ms = inf"),
+    ],
+)
+def test_settings_that_cannot_be_applied_leave_the_old_ones(line, other, tmp_path, caplog):
+    """An unknown level or a port that is no number raised an exception and stopped the instance."""
+
+    async def scene():
+        async with run_edge(make_configuration(*ROUTES), Replica("b1")) as edge:
+            settings = edge.node.settings
+            text = SETTINGS_TEXT.format(
+                name=settings.name,
+                data_centre="a",
+                callers=settings.callers[1],
+                ready=settings.ready[1],
+                peers=settings.peers_port,
+                metrics=settings.metrics_port,
+                store=settings.store[1],
+                level="info",
+            )
+            assert line in text
+            path = tmp_path / "settings.ini"
+            path.write_text(text.replace(line, other))
+            edge.node.path = str(path)
+            edge.node.reload()
+            assert edge.node.settings == settings
+            assert any(each.message == "reload_failed" for each in caplog.records)
+
+    play(scene)
