--- a/test/test_edge_changes.py
+++ b/test/test_edge_changes.py
@@ -5,10 +5,13 @@
 
 import pytest
 
+from rhubarbshed.transport.edge.channels import ChannelError
+from rhubarbshed.transport.edge.pools import Pool
 from rhubarbshed.transport.edge.relay import RequestProgress
 from standin.replica import Exchange, Replica, Reply
 from test.helper_edge import (
     HOST,
+    SETTINGS_TEXT,
     Edge,
     make_configuration,
     make_engine_service,
@@ -286,13 +289,18 @@
     ("key", "fields"),
     [
         ("b2", {"Address": "127.0.0.1:70000"}),
+        ("b2", {"Address": "1" * 64 + ":80"}),
+        ("b2", {"Address": "127.0.0.\N{SUPERSCRIPT TWO}:80"}),
+        ("b2", {"Address": "999.1.1.1:80"}),
+        ("b2", {"Slots": 10**400}),
+        ("b2", {"Slots": -1}),
         ("b\N{EURO SIGN}", {}),
         ("b2 ", {}),
         ("b\n2", {}),
     ],
-    ids=["port", "letter", "space", "line"],
+    ids=["port", "long host", "digit", "host", "slots", "no slots", "letter", "space", "line"],
 )
-def test_entry_that_names_no_server_ends_no_request(key, fields):
+def test_entry_that_names_no_server_ends_no_request(key, fields, caplog):
     async def scene():
         replica = Replica("b1")
         async with run_edge(make_configuration(*ROUTES), replica) as edge:
@@ -303,6 +311,7 @@
                 assert (answer.status, answer.whole) == (200, True)
 
     play(scene)
+    assert "event=defect" not in caplog.text
 
 
 @pytest.mark.parametrize(
@@ -333,3 +342,91 @@
         raise KeyError("defect")
 
     play(scene)
+
+
+def test_head_in_parts_may_have_the_length_that_a_change_allows():
+    """A kept connection bounded it by the limit with which it was opened, and answered 431."""
+    short = {**LIMITS, "MaxHeaderBytes": 1_000}
+
+    async def scene():
+        async with run_edge(make_configuration(*ROUTES, Limits=short), Replica("b1")) as edge:
+            reader, writer = await asyncio.open_connection(*edge.node.settings.callers)
+            writer.write(make_head("/p/x"))
+            assert (await read_answer(reader)).status == 200
+            await change(edge, make_configuration(*ROUTES, version=2, Limits=LIMITS))
+            data = make_head("/p/x", X_Long="a" * 8_000)
+            writer.write(data[:4_000])
+            await asyncio.sleep(0.05)
+            writer.write(data[4_000:])
+            answer = await read_answer(reader)
+            assert (answer.status, answer.whole) == (200, True)
+            writer.close()
+
+    play(scene)
+
+
+@pytest.mark.parametrize("part", ["head", "chunk"])
+@pytest.mark.parametrize("length", [17_000, 200_000])
+def test_head_in_parts_that_is_too_long_is_refused_before_it_ends(part, length):
+    async def scene():
+        async with run_edge(make_configuration(*ROUTES, Limits=LIMITS), Replica("b1")) as edge:
+            reader, writer = await asyncio.open_connection(*edge.node.settings.callers)
+            head = make_head("/p/x", X_Long="a" * length)[:-2]
+            if part == "chunk":
+                head = make_head("/p/x").replace(
+                    b"Content-Length: 0", b"Transfer-Encoding: chunked"
+                )
+                head += b"5;" + b"a" * length
+            writer.write(head)
+            answer = await read_answer(reader)
+            assert (answer.status, answer.whole) == (431, True)
+            writer.close()
+
+    play(scene)
+
+
+def test_address_that_cannot_be_resolved_is_an_unreachable_server():
+    """Its error was no error of a channel, and ended the request as a defect."""
+
+    async def scene():
+        with pytest.raises(ChannelError):
+            await Pool(1.0).open(("1" * 64, 80))
+
+    play(scene)
+
+
+@pytest.mark.parametrize(
+    ("line", "other"),
+    [
+        ("level = info", "level = trace"),
+        ("metrics_port = ", "metrics_port = nan\n#"),
+        ("metrics_port = ", "metrics_port = inf\n#"),
+        ("cpu_share = 0.5", "cpu_share = nan"),
+        ("lease_ms = 3000", "lease_ms = inf"),
+    ],
+)
+def test_settings_that_cannot_be_applied_leave_the_old_ones(line, other, tmp_path, caplog):
+    """An unknown level or a port that is no number raised an exception and stopped the instance."""
+
+    async def scene():
+        async with run_edge(make_configuration(*ROUTES), Replica("b1")) as edge:
+            settings = edge.node.settings
+            text = SETTINGS_TEXT.format(
+                name=settings.name,
+                data_centre="a",
+                callers=settings.callers[1],
+                ready=settings.ready[1],
+                peers=settings.peers_port,
+                metrics=settings.metrics_port,
+                store=settings.store[1],
+                level="info",
+            )
+            assert line in text
+            path = tmp_path / "settings.ini"
+            path.write_text(text.replace(line, other))
+            edge.node.path = str(path)
+            edge.node.reload()
+            assert edge.node.settings == settings
+            assert any(each.message == "reload_failed" for each in caplog.records)
+
+    play(scene)
