Log why a stream of unknown version is refused

A refused continuation showed only origin=unknown: neither which versions the service was known to have had, nor whether this instance or one that replied had followed the entries for long enough to know a sole one.

stream_refused has these beside the age that such a stream may have. The new test failed before and passes now.

--- a/rhubarbshed/transport/edge/continuations.py
+++ b/rhubarbshed/transport/edge/continuations.py
@@ -1,19 +1,27 @@
 """Streams that callers take up again: search for their origin, record and count of the outcome."""
 
+import logging
 import time
 from collections.abc import Awaitable, Callable
 from typing import TYPE_CHECKING
 
 from rhubarbshed.coordination.serving.refusals import make_refusal
-from rhubarbshed.coordination.serving.versions import Continuation, decide_continuation
+from rhubarbshed.coordination.serving.versions import (
+    STREAM_AGE_TIMEOUTS,
+    Continuation,
+    decide_continuation,
+)
 from rhubarbshed.protocol.errors import RequestError
 from rhubarbshed.protocol.exchanges import CallerRequest
 from rhubarbshed.protocol.routes import Route
 from rhubarbshed.protocol.streams import StreamLookup, StreamOrigin
+from rhubarbshed.util.logs import log_event
 
 if TYPE_CHECKING:
     from rhubarbshed.transport.edge.relay import RequestProgress
 
+LOG = logging.getLogger(__name__)
+
 RecordStream = Callable[[str, StreamOrigin, float], None]
 """Recorder of the origin of a stream: id, origin, monotonic seconds."""
 
@@ -52,7 +60,31 @@
     progress.continuation = continuation
     progress.service = continuation.service
     progress.caller_response.origin = continuation.origin
-    return make_refusal("version_unknown", view.rng) if continuation.refused else None
+    if not continuation.refused:
+        return None
+    log_refused(progress, lookup, now)
+    return make_refusal("version_unknown", view.rng)
+
+
+def log_refused(progress: "RequestProgress", lookup: StreamLookup, now: float) -> None:
+    """Log what is known of the versions that may have begun a refused stream."""
+    request, service, view = progress.request, progress.service, progress.relay.view
+    age_s = STREAM_AGE_TIMEOUTS * progress.route.timeout_s
+    seen = view.versions.list_seen(view.fleet, now - age_s) | lookup.versions
+    log_event(
+        LOG,
+        logging.INFO,
+        "stream_refused",
+        request=request.request_id,
+        stream=request.stream_id,
+        service=service,
+        versions=",".join(sorted(version for name, version in seen if name == service)),
+        age_max_s=age_s,
+        followed_s=round(view.measure_followed(now), 1),
+        others_followed_s=lookup.followed_s,
+        asked=lookup.asked,
+        replied=lookup.replied,
+    )
 
 
 def record_origin(progress: "RequestProgress", origin: StreamOrigin) -> None:
--- a/test/test_edge_versions.py
+++ b/test/test_edge_versions.py
@@ -619,6 +619,29 @@
     assert [each["versions"] for each in ended] == ["v1", "v1", "v1", "", ""]
 
 
+def test_operators_see_why_a_stream_of_unknown_version_was_refused(caplog):
+    async def scene():
+        replicas = [make_replica("b1"), make_replica("b2", "v1.1")]
+        async with run_edge(make_configuration(STREAM_SHORT), *replicas) as edge:
+            Memory({}, 2, 1).attach(edge)
+            await asyncio.sleep(0.2)
+            await take_up(edge, "q9")
+
+    with caplog.at_level(logging.INFO):
+        play(scene)
+    (line,) = [each.pairs for each in caplog.records if each.getMessage() == "stream_refused"]
+    assert 0.0 < line.pop("followed_s") < 5.0 and line.pop("request")
+    assert line == {
+        "stream": "q9",
+        "service": "svc",
+        "versions": "v1,v1.1",
+        "age_max_s": 0.8,
+        "others_followed_s": 0.0,
+        "asked": 2,
+        "replied": 1,
+    }
+
+
 # --- A small model of a day: several versions, crashes, tries.
 
 STREAMS = 80
