--- a/rhubarbshed/state/membership/versions.py
+++ b/rhubarbshed/state/membership/versions.py
@@ -15,10 +15,11 @@
 class VersionHistory:
     """(service, version) pairs with the monotonic seconds at which each was last seen.
 
-    Since `followed_since` no entry was missed, as far as the entries were read; None before the first
-    read. While `is_suspended` changes may be unread: the store is lost, or was and the feed has not
-    gone on yet. At `confirmed_at` the entries were last known to be current. `known_servers` are the ids of all entries, also
-    unreadable ones, since the removal of another one shows that an entry was missed.
+    Since `followed_since` no entry was missed, as far as the entries were read; None before the
+    first read. While `is_suspended` changes may be unread: the store is lost, or was and the feed
+    has not gone on yet. At `confirmed_at` the entries were last known to be current.
+    `known_servers` are the ids of all entries, also unreadable ones, since the removal of another
+    one shows that an entry was missed.
     """
 
     followed_since: float | None = None
