Reset a connection whose answer is cut off

A caller of HTTP/1.0 saw a stream that was cut off as complete: with nothing left to write, the abort ended the connection regularly, which is the end of such a stream.

Evidence: a stream of HTTP/1.0 that the end of a drain cuts off ends without ConnectionResetError before, and with it now that the abort resets.

--- a/rhubarbshed/transport/edge/caller_connections.py
+++ b/rhubarbshed/transport/edge/caller_connections.py
@@ -9,7 +9,7 @@
 
 from rhubarbshed.protocol.exchanges import Headers
 from rhubarbshed.protocol.routes import CallerLimits
-from rhubarbshed.transport.edge.sockets import set_options
+from rhubarbshed.transport.edge.sockets import abort_with_reset, set_options
 from rhubarbshed.util.sockets import has_peer_closed, has_unread_bytes
 
 PIPELINED_BYTES_MAX = 65_536
@@ -215,7 +215,7 @@
 
     def abort(self) -> None:
         """Reset the connection, so that an unfinished response does not look complete."""
-        self._transport.abort()
+        abort_with_reset(self._transport)
 
     async def wait_writable(self) -> None:
         """Wait until the caller has read most of what was written."""
--- a/test/test_edge_closing.py
+++ b/test/test_edge_closing.py
@@ -312,3 +312,20 @@
             await edge.task
 
     play(scene)
+
+
+def test_stream_cut_off_is_reset_though_its_end_is_that_of_its_connection():
+    """To a caller of HTTP/1.0 a stream that is cut off by a regular end looks complete."""
+
+    async def scene():
+        replica = Replica("b1", reply=hang)
+        async with run_edge(make_configuration(*ROUTES), replica) as edge:
+            caller = await Caller.connect(edge)
+            caller.send(make_request("/s/5").replace(b"HTTP/1.1", b"HTTP/1.0"))
+            await edge.wait_until(lambda: len(replica.got) == 1)
+            await asyncio.sleep(0.05)
+            stop(edge)
+            with pytest.raises(ConnectionResetError):
+                await asyncio.wait_for(caller.reader.read(), WAIT_S)
+
+    play(scene)
