--- a/test/test_edge_versions.py
+++ b/test/test_edge_versions.py
@@ -9,7 +9,9 @@
 import pytest
 from attrs import define, field
 
+from rhubarbshed.protocol.messages import Message
 from rhubarbshed.protocol.streams import StreamLookup, StreamOrigin
+from rhubarbshed.transport.edge.datagrams import Datagrams
 from standin.replica import Exchange, Replica
 from test.helper_edge import (
     Answer,
@@ -490,6 +492,24 @@
     play(scene)
 
 
+def test_holder_does_not_vouch_for_its_entries_before_its_own_feed_has_gone_on(monkeypatch):
+    async def scene():
+        async with run_edge(make_configuration(STREAM_SHORT), make_replica("b1")) as edge:
+            node, sent = edge.node, []
+
+            def record(datagrams: Datagrams, message: Message, *addresses: tuple) -> None:
+                sent.append(message)
+
+            monkeypatch.setattr(Datagrams, "send", record)
+            now = time.monotonic()
+            node.holder_protocol.send_store_messages(now, 5, 5)
+            node.view.versions.suspend()
+            node.holder_protocol.send_store_messages(now, 5, 5)
+            assert [message.settled for message in sent] == [True, False]
+
+    play(scene)
+
+
 @pytest.mark.parametrize("missed", ["nothing", "a_removal", "the_history"])
 def test_stream_is_refused_without_memory_while_the_store_is_lost_and_after_a_gap(missed: str):
     async def scene():
