Find an origin whose record ends during the search

A reply whose record was as old as records get counted as a contradiction, since the record was dropped at once. Only two recorded versions do now. The new test failed before; test_stream_registry, test_edge_versions and test_versions pass.

--- a/rhubarbshed/transport/edge/stream_registry.py
+++ b/rhubarbshed/transport/edge/stream_registry.py
@@ -345,7 +345,8 @@
             # What was recorded here meanwhile counts too.
             age_s = max(0.0, now + took_s - search.recorded_at)
             self.origins.record(stream_id, origin, now + took_s, age_s)
-            origin = self.origins.find(stream_id, now + took_s)
+            if len(self.origins.list_origins(stream_id, now + took_s)) > 1:
+                origin = None
         outcome = "told" if origin else "disagree" if replies.origins else "unknown"
         self.counts.count_lookup(outcome, took_s)
         log_event(
--- a/test/test_stream_registry.py
+++ b/test/test_stream_registry.py
@@ -211,6 +211,19 @@
     play(scene)
 
 
+def test_origin_whose_record_ends_during_the_search_is_still_found():
+    async def scene():
+        network = Network(silent={*A, *B})
+        search = asyncio.create_task(network.registry.find_stream("s", time.monotonic()))
+        await asyncio.sleep(2 * COLLECT_S)
+        reply = OriginReply((("s", "svc", "v1"),), ages=(60,))
+        network.registry.handle_message(reply, A[1], time.monotonic())
+        assert (await search).origin == V1
+        assert network.registry.counts.lookups["told"] == 1
+
+    play(scene)
+
+
 def test_instance_that_is_told_during_a_search_counts():
     async def scene():
         network = Network()
