Give each process of the edge tests a loopback address of its own

A test failed once with start_failed: another process of the tests took a port between the look for a free one and the instance's listening, since all used 127.0.0.1. The tests of several instances already use an address drawn from the process id; those of one instance now use the same function.

--- a/test/helper_edge.py
+++ b/test/helper_edge.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import os
 import time
 from collections.abc import AsyncIterator, Callable
 
@@ -49,6 +50,12 @@
 """
 
 
+def make_host(number: int) -> str:
+    """Return a loopback address that only this process uses, so that nobody takes its ports."""
+    process = os.getpid()
+    return f"127.{1 + process % 250}.{process // 250 % 250}.{number}"
+
+
 def find_port() -> int:
     """Return a free port."""
     return find_free_ports(1)[0]
@@ -59,9 +66,9 @@
     values = {
         "name": "i1",
         "data_centre": "a",
-        "host": "127.0.0.1",
-        "callers": ("127.0.0.1", find_port()),
-        "ready": ("127.0.0.1", find_port()),
+        "host": make_host(1),
+        "callers": (make_host(1), find_port()),
+        "ready": (make_host(1), find_port()),
         "peers_port": find_port(),
         "metrics_port": find_port(),
         "store": store,
--- a/test/helper_instances.py
+++ b/test/helper_instances.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import os
 import random
 import time
 from collections.abc import AsyncIterator, Callable
@@ -12,7 +11,7 @@
 from rhubarbshed.protocol.messages import Message
 from rhubarbshed.transport.edge.node import Node
 from standin.rows import RowStore
-from test.helper_edge import WAIT_S, make_settings
+from test.helper_edge import WAIT_S, make_host, make_settings
 from tools.processes import find_free_ports
 
 PORTS_PER_INSTANCE = 4
@@ -97,12 +96,6 @@
             await asyncio.sleep(0.02)
 
 
-def make_host(number: int) -> str:
-    """Return a loopback address that only this process uses, so that nobody takes its ports."""
-    process = os.getpid()
-    return f"127.{1 + process % 250}.{process // 250 % 250}.{number}"
-
-
 def list_known(node: Node) -> list[tuple[str, int]]:
     """List the addresses of the other instances that an instance knows."""
     return [address for named in node.streams.instances.values() for address in named.values()]
--- a/test/test_edge_front.py
+++ b/test/test_edge_front.py
@@ -129,8 +129,8 @@
     async def scene():
         async with run_edge(make_configuration(make_route()), Replica("b1")) as edge:
             await edge.ask()
-            port = edge.node.settings.metrics_port
-            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            settings = edge.node.settings
+            reader, writer = await asyncio.open_connection(settings.host, settings.metrics_port)
             writer.write(b"GET /metrics HTTP/1.1\r\nHost: m\r\nConnection: close\r\n\r\n")
             text = (await reader.read()).decode()
             assert 'rhubarbshed_requests_total{route="rp",status="200"} 1.0' in text
