Refuse to continue a stream whose service its route left

Callers got events of two services, and of two versions of the second one, in one stream after an operator had moved the route.

Cause: a known origin at a service that the route no longer leads to bound nothing. Any version of the new service could go on, although another instance had continued the stream at one of its versions since.

Evidence: six instances, 16 streams begun at svc before the route moved to svc2 with two versions: 16 of 16 were continued with the events of svc2; of 3 streams taken up first at an instance without a record and then at the one that began them, one held both versions of svc2.

What two services write fits together no better than two versions, and the operator has taken the route away from the first. So a request with a Last-Event-Id is refused as for a version that is gone; one that has no event yet begins anew at the new service.

--- a/rhubarbshed/coordination/serving/versions.py
+++ b/rhubarbshed/coordination/serving/versions.py
@@ -51,6 +51,11 @@
     source: OriginSource
     refused: bool = False
 
+    @property
+    def refusal_reason(self) -> str:
+        """Return why a request is refused."""
+        return "version_unknown" if self.origin is None else "version_gone"
+
 
 def decide_continuation(
     request: CallerRequest,
@@ -66,7 +71,9 @@
         source = OriginSource.TOLD if lookup.asked else OriginSource.OWN
         if leads_to(route, lookup.origin.service):
             return Continuation(lookup.origin.service, lookup.origin, source)
-        # The version of another service says nothing about the servers of this one.
+        if request.last_event_id:
+            # What two services write fits together no better than two versions.
+            return Continuation(lookup.origin.service, lookup.origin, source, refused=True)
         return Continuation(service, None, source)
     if not request.last_event_id:
         # The caller has no event yet that another version could contradict.
--- a/rhubarbshed/transport/edge/continuations.py
+++ b/rhubarbshed/transport/edge/continuations.py
@@ -52,7 +52,7 @@
     progress.continuation = continuation
     progress.service = continuation.service
     progress.caller_response.origin = continuation.origin
-    return make_refusal("version_unknown", view.rng) if continuation.refused else None
+    return make_refusal(continuation.refusal_reason, view.rng) if continuation.refused else None
 
 
 def record_origin(progress: "RequestProgress", origin: StreamOrigin) -> None:
@@ -73,6 +73,6 @@
     """Return what became of a stream that a request takes up, as a metric's label."""
     if begun:
         return "continued" if request.last_event_id else "began_anew"
-    if continuation is not None and continuation.refused:
+    if continuation is not None and continuation.refused and continuation.origin is None:
         return "refused_unknown"
     return "refused_gone" if error_code == "version_gone" else "failed"
--- a/test/test_edge_versions.py
+++ b/test/test_edge_versions.py
@@ -411,18 +411,24 @@
     play(scene)
 
 
-def test_stream_whose_route_moved_to_another_service_goes_on_there():
+def test_stream_whose_route_moved_to_another_service_is_refused_or_begins_anew_there():
     async def scene():
         first = make_replica("b1")
         others = [make_replica(f"c{n}", f"w{n}", service="svc2") for n in (1, 2)]
         async with run_edge(add_service(CONFIGURATION, "svc2"), first, *others) as edge:
-            Memory().attach(edge)
+            memory = Memory().attach(edge)
             await begin(edge)
             moved = make_configuration({**STREAM, "Service": "svc2"}, version=2)
             edge.store.put("op", "config", add_service(moved, "svc2"))
             await edge.wait_until(lambda: edge.node.view.configuration.version == 2)
-            answer = await take_up(edge)
-            assert (answer.whole, list_ids(answer)) == (True, [3, 4])
+            for _ in range(4):
+                assert_refused(await take_up(edge), b"version_gone")
+            assert [len(each.got) for each in (first, *others)] == [1, 0, 0]
+            assert memory.origins == {"q1": StreamOrigin("svc", "v1")}
+            text = edge.node.metrics.render({}).decode()
+            assert 'rhubarbshed_continuations_total{outcome="refused_gone"} 4.0' in text
+            answer = await take_up(edge, after=0)
+            assert (answer.whole, list_ids(answer)) == (True, [1, 2, 3, 4])
             assert len(first.got) == 1
             (version,) = list_versions(answer)
             (chosen,) = (each for each in others if each.got)
--- a/test/test_versions.py
+++ b/test/test_versions.py
@@ -134,7 +134,17 @@
 def test_stream_does_not_go_to_a_service_that_its_route_gives_no_weight():
     fleet, history = make_history(make_entry("c1", "w1", "svc2"))
     lookup = StreamLookup(StreamOrigin("svc2", "w1"))
+    assert decide(fleet, history, lookup).refused
+    decision = decide(fleet, history, lookup, last_event_id="")
+    assert (decision.service, decision.origin, decision.refused) == ("svc", None, False)
+
+
+def test_stream_of_a_service_that_its_route_left_is_refused_unless_it_has_no_event():
+    fleet, history = make_history(make_entry("b1", "v1"))
+    lookup = StreamLookup(StreamOrigin("svc3", "x1"))
     decision = decide(fleet, history, lookup)
+    assert (decision.refused, decision.refusal_reason) == (True, "version_gone")
+    decision = decide(fleet, history, lookup, last_event_id="")
     assert (decision.service, decision.origin, decision.refused) == ("svc", None, False)
 
 
