Bind a stream to its service also at weight 0

Streams held two versions where the operator had set the weight of a service to 0, the usual step before it is taken away.

Cause: a share of weight 0 did not count as a service of the route, so a known origin there bound nothing, although choose_service still draws such a service where all weights are 0.

Evidence: the new tests, a stream that b2 (v1.1) began with the shares svc 0, svc2 0 and svc 0, svc2 1 and taken up 8 times, failed.

A weight says who gets new streams, not who may finish the old ones: a service that the route names at all keeps them.

--- a/rhubarbshed/coordination/serving/versions.py
+++ b/rhubarbshed/coordination/serving/versions.py
@@ -85,9 +85,8 @@
 
 
 def leads_to(route: Route, service: str) -> bool:
-    """Return whether the route's requests may go to a service."""
-    shares = dict(route.shares)
-    return service in shares and (shares[service] > 0.0 or len(shares) == 1)
+    """Return whether a service is one of the route's, also one that gets no new streams."""
+    return any(name == service for name, _ in route.shares)
 
 
 def find_sole_version(
--- a/test/test_edge_versions.py
+++ b/test/test_edge_versions.py
@@ -460,6 +460,27 @@
     play(scene)
 
 
+@pytest.mark.parametrize("shares", [[("svc", 0), ("svc2", 0)], [("svc", 0), ("svc2", 1)]])
+def test_stream_stays_with_its_version_while_its_service_has_no_weight(shares: list):
+    async def scene():
+        replicas = [
+            make_replica("b1"),
+            make_replica("b2", "v1.1"),
+            make_replica("c1", "w1", service="svc2"),
+        ]
+        split = [{"Service": name, "Weight": weight} for name, weight in shares]
+        configuration = add_service(
+            make_configuration({**STREAM, "TrafficSplit": split, "Service": None}), "svc2"
+        )
+        async with run_edge(configuration, *replicas) as edge:
+            for _ in range(8):
+                Memory({"q1": StreamOrigin("svc", "v1.1")}).attach(edge)
+                assert list_versions(await take_up(edge)) == {b"data: <v1.1>"}
+            assert (replicas[0].got, replicas[2].got) == ([], [])
+
+    play(scene)
+
+
 def test_plain_request_with_the_headers_of_a_stream_is_served_as_ever():
     async def scene():
         routes = (make_route(), make_route("streaming", "/o/", Attempts=1, TargetGapMs=150))
