Let no timeout of a route shorten the age of a stream

Streams of which nobody knew the version went on at the sole version of their service although they were older than the rule allowed for, and another version had begun them.

Cause: the rule took twice the present timeout of the route for the age. An operator may lower the timeout while streams last, and callers may wait longer than it.

Evidence: test_timeout_of_the_route_does_not_shorten_the_age_of_a_stream failed before: a version that left 59 s ago did not count at a timeout of 0.4 s.

Now the age is one constant of 60 s, the time for which records are kept, for the rule and for the versions that instances tell each other. The new test passes at timeouts of 0.4, 10 and 40 s.

The tests of the rule that used a route of 0.4 s set the constant to the same 0.8 s; those of the decision use 60 s where they used the 20 s of their route. test_versions_that_others_are_told_of_are_kept_for_the_ longest_age checks the list that others are told, with any routes, since find_stream_age_max is gone.

--- a/rhubarbshed/coordination/serving/versions.py
+++ b/rhubarbshed/coordination/serving/versions.py
@@ -13,17 +13,11 @@
 from attrs import frozen
 
 from rhubarbshed.protocol.exchanges import CallerRequest
-from rhubarbshed.protocol.routes import Configuration, Route
+from rhubarbshed.protocol.routes import Route
 from rhubarbshed.protocol.streams import StreamLookup, StreamOrigin
 from rhubarbshed.state.membership.fleet import Fleet
-from rhubarbshed.state.membership.versions import KEPT_S, VersionHistory
-
-STREAM_AGE_TIMEOUTS = 2.0
-"""Age that a stream may have when it is taken up, as a multiple of its route's timeout: its caller
-waits no longer than the timeout, and instances learn of changes at slightly different times."""
-
-STREAM_AGE_DEFAULT_S = 60.0
-"""Age that a stream may have where no resumable route is known."""
+from rhubarbshed.state.membership.versions import VersionHistory
+from rhubarbshed.state.requests.stream_origins import STREAM_AGE_MAX_S
 
 CONFIRMATION_AGE_MAX_S = 3.0
 """Time after the last answer of the store, or message of the order holder, for which the known
@@ -98,14 +92,13 @@
     now: float,
 ) -> str | None:
     """Return the only version that can have begun a stream at a service, None if not certain."""
-    age_s = STREAM_AGE_TIMEOUTS * route.timeout_s
-    if not is_current(history, now) or age_s > KEPT_S:
+    if not is_current(history, now):
         return None
-    if max(measure_followed(history, now), lookup.followed_s) < age_s:
+    if max(measure_followed(history, now), lookup.followed_s) < STREAM_AGE_MAX_S:
         return None
     if lookup.asked and not lookup.replied:
         return None
-    seen = history.list_seen(fleet, now - age_s) | lookup.versions
+    seen = history.list_seen(fleet, now - STREAM_AGE_MAX_S) | lookup.versions
     versions = {version for name, version in seen if name == service}
     return versions.pop() if len(versions) == 1 else None
 
@@ -119,10 +112,3 @@
 def measure_followed(history: VersionHistory, now: float) -> float:
     """Return the seconds for which the entries were followed without a gap, 0 if not up to now."""
     return now - history.followed_since if is_current(history, now) else 0.0
-
-
-def find_stream_age_max(configuration: Configuration | None) -> float:
-    """Return the greatest age in seconds that a stream may have when it is taken up."""
-    routes = configuration.routes.values() if configuration is not None else ()
-    timeouts = [route.timeout_s for each in routes for route in each if route.resumable]
-    return STREAM_AGE_TIMEOUTS * max(timeouts) if timeouts else STREAM_AGE_DEFAULT_S
--- a/rhubarbshed/state/requests/stream_origins.py
+++ b/rhubarbshed/state/requests/stream_origins.py
@@ -10,9 +10,12 @@
 
 from rhubarbshed.protocol.streams import StreamOrigin
 
-KEEP_S = 60.0
-"""Time for which an origin is kept: a stream can be continued for two timeouts of its route, and
-the longest timeout is 20 s."""
+STREAM_AGE_MAX_S = 60.0
+"""Age that a stream may have when it is taken up. The longest timeout of a route is 20 s, but one
+may be lowered while its streams last, and callers may wait longer than it."""
+
+KEEP_S = STREAM_AGE_MAX_S
+"""Time for which an origin is kept."""
 
 RECORDS_MAX = 20_000
 """Most records; 4,000 streams a second leave 2,600 at each of 370 instances within `KEEP_S`."""
--- a/rhubarbshed/transport/edge/view.py
+++ b/rhubarbshed/transport/edge/view.py
@@ -7,10 +7,11 @@
 
 from rhubarbshed.coordination.requests.drain import Drain
 from rhubarbshed.coordination.serving.retry_budget import ServiceRetryBudget
-from rhubarbshed.coordination.serving.versions import find_stream_age_max, measure_followed
+from rhubarbshed.coordination.serving.versions import measure_followed
 from rhubarbshed.protocol.routes import CallerLimits, Configuration
 from rhubarbshed.state.membership.fleet import Fleet
 from rhubarbshed.state.membership.versions import VersionHistory
+from rhubarbshed.state.requests.stream_origins import STREAM_AGE_MAX_S
 from rhubarbshed.util.front import FrontSettings
 
 LIMITS_DEFAULT = CallerLimits()
@@ -109,8 +110,7 @@
 
     def list_versions(self, now: float) -> tuple[tuple[str, str], ...]:
         """List the (service, version) pairs seen for as long as a stream may be old."""
-        since = now - find_stream_age_max(self.configuration)
-        return tuple(sorted(self.versions.list_seen(self.fleet, since)))
+        return tuple(sorted(self.versions.list_seen(self.fleet, now - STREAM_AGE_MAX_S)))
 
     def measure_followed(self, now: float) -> float:
         """Return the seconds for which the servers' entries were followed without a gap."""
--- a/test/test_edge_versions.py
+++ b/test/test_edge_versions.py
@@ -25,8 +25,8 @@
 """Events of a whole stream."""
 
 STREAM = make_route("streaming", "/s/", Resumable=True, TargetGapMs=150)
-STREAM_SHORT = {**STREAM, "TimeoutMs": 400}
-"""Route whose streams cannot be older than 0.8 s."""
+AGE_SHORT_S = 0.8
+"""Age that streams may have in tests of the rule of the sole version, instead of a minute."""
 
 CONFIGURATION = make_configuration(STREAM)
 VERSIONS = {
@@ -41,6 +41,13 @@
 """Pairs of versions that differ, whatever order or form one would expect."""
 
 
+@pytest.fixture
+def short_age(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Let streams last for a short time only."""
+    module = "rhubarbshed.coordination.serving.versions"
+    monkeypatch.setattr(f"{module}.STREAM_AGE_MAX_S", AGE_SHORT_S)
+
+
 def add_service(configuration: dict, name: str) -> dict:
     """Return the configuration with another service."""
     services = [*configuration["Services"], {**configuration["Services"][0], "Name": name}]
@@ -497,9 +504,10 @@
 # --- Without anybody's memory: a service that has had one version for as long as a stream may last.
 
 
+@pytest.mark.usefixtures("short_age")
 def test_stream_goes_on_without_memory_once_only_one_version_was_seen_for_its_age():
     async def scene():
-        async with run_edge(make_configuration(STREAM_SHORT), make_replica("b1")) as edge:
+        async with run_edge(CONFIGURATION, make_replica("b1")) as edge:
             assert_refused(await take_up(edge), b"version_unknown")
             await asyncio.sleep(0.9)
             answer = await take_up(edge)
@@ -510,17 +518,17 @@
 
 def test_stream_goes_on_without_memory_at_once_at_the_first_start_of_the_system():
     async def scene():
-        configuration = make_configuration(STREAM_SHORT)
-        async with run_edge(configuration, make_replica("b1"), first_start=True) as edge:
+        async with run_edge(CONFIGURATION, make_replica("b1"), first_start=True) as edge:
             assert (await take_up(edge)).whole
 
     play(scene)
 
 
+@pytest.mark.usefixtures("short_age")
 @pytest.mark.parametrize("missed", ["nothing", "a_removal", "the_history"])
 def test_stream_is_refused_without_memory_while_the_store_is_lost_and_after_a_gap(missed: str):
     async def scene():
-        async with run_edge(make_configuration(STREAM_SHORT), make_replica("b1")) as edge:
+        async with run_edge(CONFIGURATION, make_replica("b1")) as edge:
             versions = edge.node.view.versions
             await asyncio.sleep(0.9)
             assert (await take_up(edge, "q1")).whole
@@ -549,10 +557,11 @@
     play(scene)
 
 
+@pytest.mark.usefixtures("short_age")
 def test_stream_is_refused_without_memory_while_two_versions_serve_and_for_its_age_after():
     async def scene():
         first, other = make_replica("b1"), make_replica("b2", "v1.1")
-        async with run_edge(make_configuration(STREAM_SHORT), first) as edge:
+        async with run_edge(CONFIGURATION, first) as edge:
             await add_replica(edge, other)
             await asyncio.sleep(0.9)
             assert_refused(await take_up(edge), b"version_unknown")
@@ -568,9 +577,10 @@
     play(scene)
 
 
+@pytest.mark.usefixtures("short_age")
 def test_stream_is_refused_without_memory_after_a_server_that_was_never_seen_left():
     async def scene():
-        async with run_edge(make_configuration(STREAM_SHORT), make_replica("b1")) as edge:
+        async with run_edge(CONFIGURATION, make_replica("b1")) as edge:
             await asyncio.sleep(0.9)
             assert (await take_up(edge, "q1")).whole
             # The first entry is read at once and the next ones half a second later, together.
@@ -587,6 +597,7 @@
     play(scene)
 
 
+@pytest.mark.usefixtures("short_age")
 @pytest.mark.parametrize(
     ("asked", "replied", "versions", "goes_on"),
     [
@@ -602,7 +613,7 @@
     asked: int, replied: int, versions: list, goes_on: bool
 ):
     async def scene():
-        async with run_edge(make_configuration(STREAM_SHORT), make_replica("b1")) as edge:
+        async with run_edge(CONFIGURATION, make_replica("b1")) as edge:
             Memory({}, asked, replied, frozenset(versions)).attach(edge)
             await asyncio.sleep(0.9)
             answer = await take_up(edge)
--- a/test/test_versions.py
+++ b/test/test_versions.py
@@ -2,11 +2,12 @@
 
 import math
 
+from attrs import evolve
+
 from rhubarbshed.coordination.serving.versions import (
     OriginSource,
     decide_continuation,
     find_sole_version,
-    find_stream_age_max,
     measure_followed,
 )
 from rhubarbshed.protocol.exchanges import CallerRequest
@@ -41,7 +42,7 @@
     )
 
 
-def make_history(*entries: ServerEntry, followed_s: float = 20.0) -> tuple[Fleet, VersionHistory]:
+def make_history(*entries: ServerEntry, followed_s: float = 60.0) -> tuple[Fleet, VersionHistory]:
     """Return servers that have been there for some time, and what an instance saw of them."""
     fleet, history = Fleet(), VersionHistory()
     history.restart(NOW - followed_s)
@@ -59,7 +60,7 @@
 
 
 def test_sole_version_is_certain_only_after_the_age_of_a_stream_without_a_gap():
-    for followed_s, version in ((19.9, None), (20.0, "v1"), (5000.0, "v1")):
+    for followed_s, version in ((59.9, None), (60.0, "v1"), (5000.0, "v1")):
         fleet, history = make_history(make_entry("b1", "v1"), followed_s=followed_s)
         found = find_sole_version(ROUTE, "svc", NOT_FOUND, fleet, history, NOW)
         assert found == version, followed_s
@@ -76,7 +77,7 @@
 def test_another_instance_that_followed_for_long_enough_counts_if_this_one_is_current():
     fleet, history = make_history(make_entry("b1", "v1"), followed_s=1.0)
     seen = frozenset({("svc", "v1")})
-    for followed_s, refused in ((19, True), (20, False)):
+    for followed_s, refused in ((59, True), (60, False)):
         lookup = StreamLookup(None, 2, 1, seen, followed_s)
         assert decide(fleet, history, lookup).refused == refused, followed_s
     lookup = StreamLookup(None, 2, 1, seen | {("svc", "v2")}, 500)
@@ -89,7 +90,7 @@
 
 def test_instance_that_is_not_up_to_date_followed_for_no_time():
     _, history = make_history(make_entry("b1", "v1"))
-    assert measure_followed(history, NOW + 3.0) == 23.0
+    assert measure_followed(history, NOW + 3.0) == 63.0
     assert measure_followed(history, NOW + 3.1) == 0.0
     history.suspend()
     assert measure_followed(history, NOW) == 0.0
@@ -98,7 +99,7 @@
 
 def test_version_that_left_counts_for_the_age_of_a_stream():
     fleet, history = make_history(make_entry("b1", "v1"), followed_s=100.0)
-    history.record_entry(make_entry("b2", "v1.1"), NOW - 20.0)
+    history.record_entry(make_entry("b2", "v1.1"), NOW - 60.0)
     assert decide(fleet, history).refused
     assert decide(fleet, history, now=NOW + 0.1).source is OriginSource.SOLE
 
@@ -108,7 +109,7 @@
     history.record_unreadable("b2", NOW)
     for server_id in ("b1", "b1", "b2"):
         history.record_removal(server_id, NOW)
-    assert history.followed_since == NOW - 20.0
+    assert history.followed_since == NOW - 60.0
     history.record_removal("b3", NOW)
     assert history.followed_since == NOW
 
@@ -148,14 +149,25 @@
     assert (decision.service, decision.origin, decision.refused) == ("svc", None, False)
 
 
+def test_timeout_of_the_route_does_not_shorten_the_age_of_a_stream():
+    fleet, history = make_history(make_entry("b2", "v1.1"))
+    history.record_entry(make_entry("b1", "v1"), NOW - 59.0)
+    for timeout_s in (0.4, 10.0, 40.0):
+        route = evolve(ROUTE, timeout_s=timeout_s)
+        for now, version in ((NOW, None), (NOW + 1.1, "v1.1")):
+            found = find_sole_version(route, "svc", NOT_FOUND, fleet, history, now)
+            assert found == version, (timeout_s, now)
+
+
 def test_versions_that_others_are_told_of_are_kept_for_the_longest_age():
     fleet, history = make_history(make_entry("b1", "v1"))
-    history.record_entry(make_entry("b2", ""), NOW - 15.0)
-    history.record_entry(make_entry("b3", "v0"), NOW - 21.0)
-    assert history.list_seen(fleet, NOW - 20.0) == {("svc", "v1"), ("svc", "")}
-    configuration = Configuration(1, {"h": (ROUTE,)})
-    assert find_stream_age_max(configuration) == 20.0
-    assert find_stream_age_max(None) == 60.0
+    history.record_entry(make_entry("b2", ""), NOW - 55.0)
+    history.record_entry(make_entry("b3", "v0"), NOW - 61.0)
+    view = View.from_settings(make_settings(("127.0.0.1", 1)))
+    view.fleet, view.versions = fleet, history
+    for routes in ((), (evolve(ROUTE, timeout_s=0.4),), (ROUTE,)):
+        view.configuration = Configuration(1, {"h": routes})
+        assert view.list_versions(NOW) == (("svc", ""), ("svc", "v1"))
 
 
 # --- What an instance follows.
