Count the version of a server whose entry lapsed for an hour

A stream that a server began behind a cut went on at another version on this side of it, as the sole version of the service.

Cause: an entry that lapsed without an announcement was taken for a server that is gone, so its version counted for a minute only. The server may serve on where it cannot reach the store.

Evidence: test_server_whose_entry_lapsed_counts_for_an_hour_unless_it_ returns failed before: 80 s after the lapse v1.1 was not listed.

Now the version counts for an hour, or until the entry returns and for the age of a stream from then. The test passes.

test_stream_is_refused_without_memory_while_two_versions_serve_and_for_ its_age_after wrote the announcement and the removal at once, and the feed names the last change of a row only, so the instance had read a lapse. It now waits until the announcement was read, as servers do; its checks are the same.

--- a/rhubarbshed/transport/edge/follower.py
+++ b/rhubarbshed/transport/edge/follower.py
@@ -345,7 +345,9 @@
 
     def _drop(self, server_id: str, why: str, now: float) -> None:
         record = self.view.fleet.get(server_id)
-        if record is not None:
+        if record is not None and record.leaving_at is None:
+            self.view.versions.record_lapsed(record.entry, now)
+        elif record is not None:
             self.view.versions.record_entry(record.entry, now)
         self.view.fleet.remove(server_id)
         log_event(LOG, logging.INFO, "server_gone", server=server_id, why=why)
--- a/test/test_edge_versions.py
+++ b/test/test_edge_versions.py
@@ -565,7 +565,7 @@
             await add_replica(edge, other)
             await asyncio.sleep(0.9)
             assert_refused(await take_up(edge), b"version_unknown")
-            edge.store.put("servers", "b2", other.describe(State="draining"))
+            await remove_replica(edge, other)
             edge.store.remove("servers", "b2")
             await edge.wait_until(lambda: len(edge.node.view.fleet.servers) == 1)
             assert_refused(await take_up(edge), b"version_unknown")
--- a/test/test_versions.py
+++ b/test/test_versions.py
@@ -218,6 +218,27 @@
     assert view.list_versions(NOW + 62.0) == (("svc", "v1"),)
 
 
+def test_server_whose_entry_lapsed_counts_for_an_hour_unless_it_returns():
+    for returns in (False, True):
+        follower = make_follower()
+        came, lapsed = make_row("b2", "v1.1", 6), make_row("b2", None, 7)
+        follower.handle_store_message(make_message(5, 7, came, lapsed), NOW)
+        follower.drop_missing(NOW + 10.0)
+        view = follower.view
+        assert list(view.fleet.servers) == ["b1"]
+        both = (("svc", "v1"), ("svc", "v1.1"))
+        if returns:
+            again = make_row("b2", "v1", 8)
+            follower.handle_store_message(make_message(7, 8, again), NOW + 20.0)
+            assert view.list_versions(NOW + 79.0) == both
+            assert view.list_versions(NOW + 81.0) == (("svc", "v1"),)
+            continue
+        for after_s, expected in ((80.0, both), (3600.0, both), (3620.0, both[:1])):
+            follower.handle_store_message(make_message(7, 7), NOW + after_s)
+            view.versions.drop_older(view.fleet, NOW + after_s)
+            assert view.list_versions(NOW + after_s) == expected, after_s
+
+
 def test_server_that_starts_again_at_another_version_leaves_both_versions_seen():
     follower = make_follower()
     again = make_row("b1", "v2", 6)
