Ask all services of a route for the sole version

A stream of unknown origin, whose route leads to two services, went on at either of them, by chance.

Cause: the rule of the sole version was asked of the service drawn for a new stream, although the other one may have begun it.

Evidence: with one server at v1 in each of two services, the decision before was to go on at (svc, v1) or (svc2, v1), whichever was drawn; the new test_sole_version_of_a_split_route_is_the_only_one_of_all_its_ services is the same case.

Now the services of the route together need to have just one (service, version), and the stream goes there.

Two tests had a server of svc2, which their route names with weight 0, for one of a service that does not count; they use svc3, and the case of svc2 is in the new test. find_sole_version became find_sole_origin, with the same cases.

--- a/rhubarbshed/coordination/serving/versions.py
+++ b/rhubarbshed/coordination/serving/versions.py
@@ -72,10 +72,10 @@
     if not request.last_event_id:
         # The caller has no event yet that another version could contradict.
         return Continuation(service, None, OriginSource.UNKNOWN)
-    version = find_sole_version(route, service, lookup, fleet, history, now)
-    if version is None:
+    origin = find_sole_origin(route, lookup, fleet, history, now)
+    if origin is None:
         return Continuation(service, None, OriginSource.UNKNOWN, refused=True)
-    return Continuation(service, StreamOrigin(service, version), OriginSource.SOLE)
+    return Continuation(origin.service, origin, OriginSource.SOLE)
 
 
 def leads_to(route: Route, service: str) -> bool:
@@ -83,15 +83,14 @@
     return any(name == service for name, _ in route.shares)
 
 
-def find_sole_version(
+def find_sole_origin(
     route: Route,
-    service: str,
     lookup: StreamLookup,
     fleet: Fleet,
     history: VersionHistory,
     now: float,
-) -> str | None:
-    """Return the only version that can have begun a stream at a service, None if not certain."""
+) -> StreamOrigin | None:
+    """Return the only origin that a stream of a route can have, None if not certain."""
     if not is_current(history, now):
         return None
     if max(measure_followed(history, now), lookup.followed_s) < STREAM_AGE_MAX_S:
@@ -99,8 +98,8 @@
     if lookup.asked and not lookup.replied:
         return None
     seen = history.list_seen(fleet, now - STREAM_AGE_MAX_S) | lookup.versions
-    versions = {version for name, version in seen if name == service}
-    return versions.pop() if len(versions) == 1 else None
+    origins = [StreamOrigin(*pair) for pair in seen if leads_to(route, pair[0])]
+    return origins[0] if len(origins) == 1 else None
 
 
 def is_current(history: VersionHistory, now: float) -> bool:
--- a/test/test_versions.py
+++ b/test/test_versions.py
@@ -7,7 +7,7 @@
 from rhubarbshed.coordination.serving.versions import (
     OriginSource,
     decide_continuation,
-    find_sole_version,
+    find_sole_origin,
     measure_followed,
 )
 from rhubarbshed.protocol.exchanges import CallerRequest
@@ -62,8 +62,8 @@
 def test_sole_version_is_certain_only_after_the_age_of_a_stream_without_a_gap():
     for followed_s, version in ((59.9, None), (60.0, "v1"), (5000.0, "v1")):
         fleet, history = make_history(make_entry("b1", "v1"), followed_s=followed_s)
-        found = find_sole_version(ROUTE, "svc", NOT_FOUND, fleet, history, NOW)
-        assert found == version, followed_s
+        found = find_sole_origin(ROUTE, NOT_FOUND, fleet, history, NOW)
+        assert found == (version and StreamOrigin("svc", version)), followed_s
 
 
 def test_sole_version_is_not_certain_while_entries_are_not_confirmed():
@@ -122,13 +122,13 @@
 
 
 def test_versions_of_other_services_do_not_count():
-    fleet, history = make_history(make_entry("b1", "v1"), make_entry("c1", "w1", "svc2"))
-    lookup = StreamLookup(None, 1, 1, frozenset({("svc2", "w2"), ("svc", "v1")}))
+    fleet, history = make_history(make_entry("b1", "v1"), make_entry("c1", "w1", "svc3"))
+    lookup = StreamLookup(None, 1, 1, frozenset({("svc3", "w2"), ("svc", "v1")}))
     assert decide(fleet, history, lookup).origin == StreamOrigin("svc", "v1")
 
 
 def test_service_without_any_known_version_has_no_sole_one():
-    fleet, history = make_history(make_entry("c1", "w1", "svc2"))
+    fleet, history = make_history(make_entry("c1", "w1", "svc3"))
     assert decide(fleet, history).refused
 
 
@@ -149,14 +149,27 @@
     assert (decision.service, decision.origin, decision.refused) == ("svc", None, False)
 
 
+def test_sole_version_of_a_split_route_is_the_only_one_of_all_its_services():
+    for others, refused in (((), False), ((make_entry("c1", "v1", "svc2"),), True)):
+        fleet, history = make_history(make_entry("b1", "v1"), *others)
+        for service in ("svc", "svc2"):
+            request = make_request()
+            decision = decide_continuation(request, ROUTE, service, NOT_FOUND, fleet, history, NOW)
+            expected = None if refused else StreamOrigin("svc", "v1")
+            assert (decision.refused, decision.origin) == (refused, expected), service
+    fleet, history = make_history(make_entry("b1", "v1"))
+    lookup = StreamLookup(None, 1, 1, frozenset({("svc2", "w1")}))
+    assert decide(fleet, history, lookup).refused
+
+
 def test_timeout_of_the_route_does_not_shorten_the_age_of_a_stream():
     fleet, history = make_history(make_entry("b2", "v1.1"))
     history.record_entry(make_entry("b1", "v1"), NOW - 59.0)
     for timeout_s in (0.4, 10.0, 40.0):
         route = evolve(ROUTE, timeout_s=timeout_s)
         for now, version in ((NOW, None), (NOW + 1.1, "v1.1")):
-            found = find_sole_version(route, "svc", NOT_FOUND, fleet, history, now)
-            assert found == version, (timeout_s, now)
+            found = find_sole_origin(route, NOT_FOUND, fleet, history, now)
+            assert found == (version and StreamOrigin("svc", version)), (timeout_s, now)
 
 
 def test_versions_that_others_are_told_of_are_kept_for_the_longest_age():
