Keep a stream at its version on a route that lost Resumable

Streams held two versions where the operator had taken `Resumable` from their route while callers still took them up.

Cause: the origin of a stream was looked up on resumable routes only.

Now a taking-up on any streamed route looks for the origin, and a known one binds or refuses it. One of unknown origin is served as before where the route is not resumable.

--- a/rhubarbshed/transport/edge/continuations.py
+++ b/rhubarbshed/transport/edge/continuations.py
@@ -33,8 +33,8 @@
 
 
 def is_continuation(request: CallerRequest, route: Route) -> bool:
-    """Return whether a request takes up a stream that a server may continue."""
-    return route.streamed and route.resumable and request.takes_up_stream
+    """Return whether a request takes up a stream."""
+    return route.streamed and request.takes_up_stream
 
 
 async def decide_stream(progress: "RequestProgress") -> RequestError | None:
@@ -45,6 +45,8 @@
     lookup = NOT_FOUND
     if request.stream_id:
         lookup = await progress.relay.find_stream(request.stream_id, time.monotonic())
+    if lookup.origin is None and not route.resumable:
+        return None
     now = time.monotonic()
     continuation = decide_continuation(
         request, route, progress.service, lookup, view.fleet, view.versions, now
--- a/rhubarbshed/transport/edge/request_logs.py
+++ b/rhubarbshed/transport/edge/request_logs.py
@@ -92,7 +92,8 @@
 def count_stream(progress: "RequestProgress", error: RequestError | None) -> dict[str, object]:
     """Count what became of a request's stream; return the fields for its log line."""
     request, response = progress.request, progress.caller_response
-    if response is None or not response.route.resumable:
+    # A route may have lost `Resumable` since a stream began whose origin is known.
+    if response is None or not (response.route.resumable or progress.continuation):
         return {}
     metrics = progress.relay.metrics
     metrics.count_stream_parts(response.parts_same, response.parts_other)
--- a/test/test_edge_versions.py
+++ b/test/test_edge_versions.py
@@ -501,6 +501,24 @@
     play(scene)
 
 
+def test_stream_of_a_route_that_is_not_resumable_any_more_stays_with_its_version():
+    async def scene():
+        replicas = [make_replica("b1"), make_replica("b2", "v1.1")]
+        configuration = make_configuration({**STREAM, "Resumable": False})
+        async with run_edge(configuration, *replicas) as edge:
+            origins = {"q1": StreamOrigin("svc", "v1.1"), "q2": StreamOrigin("svc", "v9")}
+            Memory(origins).attach(edge)
+            for _ in range(8):
+                assert list_versions(await take_up(edge)) == {b"data: <v1.1>"}
+            assert_refused(await take_up(edge, "q2"), b"version_gone")
+            assert replicas[0].got == []
+            text = edge.node.metrics.render({}).decode()
+            for outcome, count in (("continued", 8.0), ("refused_gone", 1.0)):
+                assert f'continuations_total{{outcome="{outcome}"}} {count}' in text
+
+    play(scene)
+
+
 # --- Without anybody's memory: a service that has had one version for as long as a stream may last.
 
 
