--- a/rhubarbshed/transport/edge/continuations.py
+++ b/rhubarbshed/transport/edge/continuations.py
@@ -6,15 +6,12 @@
 from typing import TYPE_CHECKING
 
 from rhubarbshed.coordination.serving.refusals import make_refusal
-from rhubarbshed.coordination.serving.versions import (
-    STREAM_AGE_TIMEOUTS,
-    Continuation,
-    decide_continuation,
-)
+from rhubarbshed.coordination.serving.versions import Continuation, decide_continuation
 from rhubarbshed.protocol.errors import RequestError
 from rhubarbshed.protocol.exchanges import CallerRequest
 from rhubarbshed.protocol.routes import Route
 from rhubarbshed.protocol.streams import StreamLookup, StreamOrigin
+from rhubarbshed.state.requests.stream_origins import STREAM_AGE_MAX_S
 from rhubarbshed.util.logs import log_event
 
 if TYPE_CHECKING:
@@ -41,8 +38,8 @@
 
 
 def is_continuation(request: CallerRequest, route: Route) -> bool:
-    """Return whether a request takes up a stream that a server may continue."""
-    return route.streamed and route.resumable and request.takes_up_stream
+    """Return whether a request takes up a stream."""
+    return route.streamed and request.takes_up_stream
 
 
 async def decide_stream(progress: "RequestProgress") -> RequestError | None:
@@ -53,6 +50,8 @@
     lookup = NOT_FOUND
     if request.stream_id:
         lookup = await progress.relay.find_stream(request.stream_id, time.monotonic())
+    if lookup.origin is None and not route.resumable:
+        return None
     now = time.monotonic()
     continuation = decide_continuation(
         request, route, progress.service, lookup, view.fleet, view.versions, now
@@ -62,15 +61,15 @@
     progress.caller_response.origin = continuation.origin
     if not continuation.refused:
         return None
-    log_refused(progress, lookup, now)
-    return make_refusal("version_unknown", view.rng)
+    if continuation.origin is None:
+        log_refused(progress, lookup, now)
+    return make_refusal(continuation.refusal_reason, view.rng)
 
 
 def log_refused(progress: "RequestProgress", lookup: StreamLookup, now: float) -> None:
     """Log what is known of the versions that may have begun a refused stream."""
     request, service, view = progress.request, progress.service, progress.relay.view
-    age_s = STREAM_AGE_TIMEOUTS * progress.route.timeout_s
-    seen = view.versions.list_seen(view.fleet, now - age_s) | lookup.versions
+    seen = view.versions.list_seen(view.fleet, now - STREAM_AGE_MAX_S) | lookup.versions
     log_event(
         LOG,
         logging.INFO,
@@ -79,7 +78,7 @@
         stream=request.stream_id,
         service=service,
         versions=",".join(sorted(version for name, version in seen if name == service)),
-        age_max_s=age_s,
+        age_max_s=STREAM_AGE_MAX_S,
         followed_s=round(view.measure_followed(now), 1),
         others_followed_s=lookup.followed_s,
         asked=lookup.asked,
@@ -105,6 +104,6 @@
     """Return what became of a stream that a request takes up, as a metric's label."""
     if begun:
         return "continued" if request.last_event_id else "began_anew"
-    if continuation is not None and continuation.refused:
+    if continuation is not None and continuation.refused and continuation.origin is None:
         return "refused_unknown"
     return "refused_gone" if error_code == "version_gone" else "failed"
