Let leaving servers finish the streams of their version

Callers were refused as soon as the last servers of a version announced that they leave, although these serve for the drain time.

Cause: only servers that stay were chosen for the rest of a stream.

An announcement read in the first read or after the loss of the store may be older than its read and does not count.

--- a/rhubarbshed/coordination/serving/choice.py
+++ b/rhubarbshed/coordination/serving/choice.py
@@ -4,6 +4,7 @@
 that was idle a moment ago, and a server that fails must not attract requests because it is empty.
 """
 
+import math
 import random
 
 from attrs import frozen
@@ -71,6 +72,22 @@
     ]
 
 
+def list_leaving(
+    fleet: Fleet, service: str, version: str, needs: tuple[str, str], since: float, now: float
+) -> list[ServerRecord]:
+    """List the servers of a version that hold the model and announced after `since` to leave."""
+    model, adapter = needs
+    return [
+        record
+        for record in fleet.list_service(service)
+        if record.entry.version == version
+        and record.leaving_at is not None
+        and record.leaving_at > since
+        and record.unresponsive_until <= now
+        and (not model or record.holds(model, adapter))
+    ]
+
+
 def choose_server(
     fleet: Fleet,
     service: str,
@@ -80,14 +97,18 @@
     now: float,
     rng: random.Random,
     version: str | None = None,
+    leaving_since: float = math.inf,
 ) -> Choice | NoServer:
     """Choose the least loaded available server that holds (model, adapter).
 
     Servers to `avoid` have failed an earlier attempt of the request. The rest of a stream may come
-    from servers of one software `version` only.
+    from servers of one software `version` only; if none stays, from one that announced after
+    `leaving_since` that it leaves, which still serves.
     """
     model, adapter = needs
     staying = list_staying(fleet, service, version)
+    if not staying and version is not None:
+        staying = list_leaving(fleet, service, version, needs, leaving_since, now)
     if not staying:
         return NoServer("no_servers" if version is None else "version_gone")
     capable = [record for record in staying if record.takes_work(now)]
--- a/rhubarbshed/state/membership/versions.py
+++ b/rhubarbshed/state/membership/versions.py
@@ -27,6 +27,7 @@
     last_seen: dict[tuple[str, str], float] = field(factory=dict)
     known_servers: dict[str, float] = field(factory=dict)
     lapsed: dict[str, tuple[str, str, float]] = field(factory=dict)
+    resumed_at: float = -math.inf
 
     def restart(self, now: float) -> None:
         """Record that entries may have come and gone unseen until now."""
@@ -38,8 +39,14 @@
 
     def resume(self) -> None:
         """Record that all changes were read: the feed went on where it was, or all were read."""
+        if self.is_suspended:
+            self.resumed_at = self.confirmed_at
         self.is_suspended = False
 
+    def find_current_since(self) -> float:
+        """Return since when changes are read as they come; earlier reads may show old ones."""
+        return max(self.resumed_at, self.followed_since or -math.inf)
+
     def confirm(self, now: float) -> None:
         """Record that all changes up to now are known."""
         self.confirmed_at = now
--- a/rhubarbshed/transport/edge/relay.py
+++ b/rhubarbshed/transport/edge/relay.py
@@ -45,6 +45,7 @@
     record_nothing,
     record_origin,
 )
+from rhubarbshed.transport.edge.follower import DROP_MARGIN_S
 from rhubarbshed.transport.edge.metrics import FrontMetrics
 from rhubarbshed.transport.edge.pools import Pool
 from rhubarbshed.transport.edge.request_logs import Stage, log_end
@@ -260,6 +261,7 @@
             now,
             view.rng,
             self.caller_response.version,
+            max(now - (view.settings.drain_s - DROP_MARGIN_S), view.versions.find_current_since()),
         )
 
     async def attempt(self, chosen: Choice) -> ExchangeEnd:
--- a/test/test_edge_choice.py
+++ b/test/test_edge_choice.py
@@ -71,6 +71,30 @@
     assert full == NoServer("full", holders=1, capable=1)
 
 
+def test_rest_of_a_stream_may_come_from_a_leaving_server_while_no_other_has_its_version():
+    def choose(version: str | None, needs: tuple[str, str] = ("", "")) -> Choice | NoServer:
+        rng = random.Random(1)
+        avoid = frozenset()
+        return choose_server(fleet, "svc", needs, avoid, "a", NOW, rng, version, NOW - 1.0)
+
+    fleet = make_fleet(make_entry("old", version="v2"), make_entry("new", version="v10"))
+    fleet.get("old").leaving_at = NOW - 0.9
+    assert choose("v2").server.entry.server_id == "old"
+    assert choose("v2", ("unknown", "")) == NoServer("version_gone")
+    assert choose(None).server.entry.server_id == "new"
+    fleet.get("old").unresponsive_until = NOW + 0.1
+    assert choose("v2") == NoServer("version_gone")
+    fleet.get("old").unresponsive_until = NOW
+    fleet.get("old").leaving_at = NOW - 1.0
+    assert choose("v2") == NoServer("version_gone")
+    fleet.get("old").leaving_at = NOW
+    fleet.apply(make_entry("other", version="v2"), NOW)
+    assert choose("v2").server.entry.server_id == "other"
+    fleet.get("new").leaving_at = NOW
+    fleet.get("other").leaving_at = NOW
+    assert choose(None) == NoServer("no_servers")
+
+
 def test_instances_with_the_same_old_news_do_not_all_take_one_server():
     fleet = make_fleet(*(make_entry(f"b{number}") for number in range(4)))
     taken = {choose(fleet, seed=seed).server.entry.server_id for seed in range(40)}
--- a/test/test_versions.py
+++ b/test/test_versions.py
@@ -301,3 +301,16 @@
     assert versions.is_suspended and versions.followed_since == NOW - 100.0
     follower._apply_servers((make_row("b1", "v1", 9),), True, NOW + 2.0)
     assert versions.followed_since == NOW + 2.0
+
+
+def test_leaving_that_was_read_after_a_gap_may_be_older_than_the_read():
+    follower = make_follower()
+    versions = follower.view.versions
+    assert versions.find_current_since() == NOW - 100.0
+    versions.suspend()
+    leaving = make_row("b1", "v1", 6)
+    leaving.value["State"] = "draining"
+    follower.handle_store_message(make_message(5, 6, leaving), NOW)
+    assert follower.view.fleet.get("b1").leaving_at <= versions.find_current_since() == NOW
+    follower.handle_store_message(make_message(6, 6), NOW + 1.0)
+    assert versions.find_current_since() == NOW
