--- a/rhubarbshed/coordination/serving/stream_keepers.py
+++ b/rhubarbshed/coordination/serving/stream_backups.py
@@ -1,7 +1,7 @@
 """Instances that keep the origin of a stream, and whom to ask for it.
 
 Answers a crash of an instance in the middle of a stream: the caller tries again at another one,
-which has to know the software version that began the stream. The keepers follow from the stream's
+which has to know the software version that began the stream. The backups follow from the stream's
 id alone, so an instance finds them without communication; lists of instances that differ for a
 moment cost a second round of questions, never a wrong origin.
 """
@@ -20,16 +20,16 @@
 Instances = Mapping[str, Mapping[str, Address]]
 """Addresses of the other instances by data centre and name."""
 
-KEEPERS = 3
+BACKUPS = 3
 """Other instances that are told of a stream: its origin survives the loss of any three."""
 
-KEEPERS_ELSEWHERE = 1
-"""Keepers in another data centre, for the loss of a whole one."""
+BACKUPS_ELSEWHERE = 1
+"""Backups in another data centre, for the loss of a whole one."""
 
-LIKELY_KEEPERS = 3
-"""Instances asked in each data centre in the first round. The two keepers in a data centre are
+LIKELY_BACKUPS = 3
+"""Instances asked in each data centre in the first round. The two backups in a data centre are
 among its first three, as the instance that chose them is not on its own list. Where there is one
-data centre only, the last of three keepers may be the fourth."""
+data centre only, the last of three backups may be the fourth."""
 
 
 @frozen
@@ -62,7 +62,7 @@
     }
 
 
-def choose_keepers(
+def choose_backups(
     stream_id: str, own_data_centre: str, instances: Instances
 ) -> tuple[Address, ...]:
     """Choose the instances to be told of a stream.
@@ -72,17 +72,17 @@
     local = _rank(stream_id, instances.get(own_data_centre, {}))
     others = [name for name in instances if name != own_data_centre]
     count = sum(len(instances[name]) for name in others)
-    chosen = local[: KEEPERS - min(KEEPERS_ELSEWHERE, count)]
+    chosen = local[: BACKUPS - min(BACKUPS_ELSEWHERE, count)]
     elsewhere = _take_by_turns(stream_id, rank_by_rendezvous(stream_id, others), instances)
-    return (*chosen, *itertools.islice(elsewhere, KEEPERS - len(chosen)))
+    return (*chosen, *itertools.islice(elsewhere, BACKUPS - len(chosen)))
 
 
 def choose_first_round(stream_id: str, instances: Instances) -> tuple[Address, ...]:
-    """Choose the instances to ask first for a stream: its likely keepers in each data centre."""
+    """Choose the instances to ask first for a stream: its likely backups in each data centre."""
     return tuple(
         address
         for named in instances.values()
-        for address in _rank(stream_id, named)[:LIKELY_KEEPERS]
+        for address in _rank(stream_id, named)[:LIKELY_BACKUPS]
     )
 
 
@@ -131,7 +131,7 @@
     silent = asked_twice - replies.replied
     for named in instances.values():
         here = frozenset(named.values())
-        if len(silent & here) >= min(LIKELY_KEEPERS, len(here)) and not replies.replied & here:
+        if len(silent & here) >= min(LIKELY_BACKUPS, len(here)) and not replies.replied & here:
             silent |= here
     return silent
 
@@ -151,7 +151,7 @@
 ) -> Iterator[Address]:
     """Yield the first of each data centre, then the second; only those needed are ranked."""
     ranked: dict[str, list[Address]] = {}
-    for rank in range(KEEPERS):
+    for rank in range(BACKUPS):
         for name in data_centres:
             if name not in ranked:
                 ranked[name] = _rank(stream_id, instances[name])
--- a/rhubarbshed/transport/edge/node.py
+++ b/rhubarbshed/transport/edge/node.py
@@ -294,7 +294,7 @@
         while self.find_phase(time.monotonic()) is DrainPhase.ANNOUNCING:
             await asyncio.sleep(DRAIN_CHECK_INTERVAL_S)
         self.log_connections("announcement_ended", open_requests=self.relay.open)
-        # Streams that begin in the drain are told to their keepers as ever.
+        # Streams that begin in the drain are told to their backups as ever.
         self.spawn(self.streams.hand_over(time.monotonic()))
         await self.stop_accepting()
         while self.find_phase(time.monotonic()) is DrainPhase.DRAINING:
--- a/rhubarbshed/transport/edge/stream_registry.py
+++ b/rhubarbshed/transport/edge/stream_registry.py
@@ -13,10 +13,10 @@
 
 from attrs import define, field
 
-from rhubarbshed.coordination.serving.stream_keepers import (
+from rhubarbshed.coordination.serving.stream_backups import (
     Replies,
+    choose_backups,
     choose_first_round,
-    choose_keepers,
     choose_second_round,
     combine_origins,
     find_silent,
@@ -42,7 +42,7 @@
 Address = tuple[str, int]
 
 FIRST_ROUND_S = 0.08
-"""Time for the replies of the likely keepers: a round trip takes 3 ms, and the loops of both ends
+"""Time for the replies of the likely backups: a round trip takes 3 ms, and the loops of both ends
 are late by tens of milliseconds now and then."""
 
 SECOND_ROUND_S = 0.15
@@ -145,7 +145,7 @@
     _flush: asyncio.TimerHandle | None = None
 
     def record_stream(self, stream_id: str, origin: StreamOrigin, now: float) -> None:
-        """Record the origin of a stream that begins here, and tell its keepers."""
+        """Record the origin of a stream that begins here, and tell its backups."""
         stream_id = make_key(stream_id)
         self.origins.record(stream_id, origin, now)
         if not (is_text(origin.service) and is_text(origin.version)):
@@ -240,7 +240,7 @@
             if is_text(origin.service) and is_text(origin.version):
                 row = (stream_id, origin.service, origin.version)
                 aged = (row, self._measure_age(stream_id, now))
-                for address in choose_keepers(stream_id, self.data_centre, self.instances):
+                for address in choose_backups(stream_id, self.data_centre, self.instances):
                     batches.setdefault(address, []).append(aged)
         for address, each in batches.items():
             for start in range(0, len(each), STREAMS_PER_MESSAGE):
@@ -253,10 +253,10 @@
         return max(0, math.ceil(self.origins.find_age(stream_id, now)))
 
     def _tell(self, stream_id: str, origin: StreamOrigin) -> None:
-        keepers = choose_keepers(stream_id, self.data_centre, self.instances)
-        if keepers:
-            self.send(OriginsMessage(((stream_id, origin.service, origin.version),)), *keepers)
-            self.counts.told += len(keepers)
+        backups = choose_backups(stream_id, self.data_centre, self.instances)
+        if backups:
+            self.send(OriginsMessage(((stream_id, origin.service, origin.version),)), *backups)
+            self.counts.told += len(backups)
 
     async def _ask(
         self, search: Search, stream_id: str, targets: Collection[Address], round_s: float
--- a/test/test_stream_keepers.py
+++ b/test/test_stream_backups.py
@@ -1,13 +1,13 @@
-"""Keepers of a stream's origin: whom to tell, whom to ask, how replies combine."""
+"""Backups of a stream's origin: whom to tell, whom to ask, how replies combine."""
 
 from hypothesis import given
 from hypothesis import strategies as st
 
-from rhubarbshed.coordination.serving.stream_keepers import (
-    KEEPERS,
+from rhubarbshed.coordination.serving.stream_backups import (
+    BACKUPS,
     Replies,
+    choose_backups,
     choose_first_round,
-    choose_keepers,
     choose_second_round,
     combine_origins,
     is_round_over,
@@ -33,11 +33,11 @@
     )
 
 
-def test_keepers_are_two_of_the_own_data_centre_and_one_of_another():
+def test_backups_are_two_of_the_own_data_centre_and_one_of_another():
     named = name_instances(make_instances(62))
     for number in range(50):
-        keepers = choose_keepers(f"s{number}", "a", named)
-        assert [address in named["a"].values() for address in keepers] == [True, True, False]
+        backups = choose_backups(f"s{number}", "a", named)
+        assert [address in named["a"].values() for address in backups] == [True, True, False]
 
 
 @given(
@@ -47,41 +47,41 @@
     st.integers(0, 47),
     st.integers(0, 47),
 )
-def test_any_other_instance_asks_all_keepers_first(stream_id, count, centres, first, asker):
+def test_any_other_instance_asks_all_backups_first(stream_id, count, centres, first, asker):
     instances = make_instances(count, DATA_CENTRES[:centres])
     everyone = [(name, each) for name, listed in instances.items() for each in listed]
     own, teller = everyone[first % len(everyone)]
     _, asking = everyone[asker % len(everyone)]
-    keepers = choose_keepers(stream_id, own, leave_out(instances, teller))
-    assert len(keepers) == len(set(keepers)) == min(KEEPERS, len(everyone) - 1)
+    backups = choose_backups(stream_id, own, leave_out(instances, teller))
+    assert len(backups) == len(set(backups)) == min(BACKUPS, len(everyone) - 1)
     asked = choose_first_round(stream_id, leave_out(instances, asking))
-    missed = set(keepers) - {asking} - set(asked)
-    # In a sole data centre all keepers are local, and the teller may rank before one of them.
+    missed = set(backups) - {asking} - set(asked)
+    # In a sole data centre all backups are local, and the teller may rank before one of them.
     assert len(missed) <= (1 if centres == 1 else 0)
 
 
 def test_few_instances_of_the_own_data_centre_are_replaced_by_others():
     named = name_instances({"a": [], "b": [("b1", 1)], "c": [("c1", 1), ("c2", 1)]})
-    keepers = choose_keepers("s", "a", named)
-    assert set(keepers) == {("b1", 1), ("c1", 1), ("c2", 1)}
-    assert choose_keepers("s", "a", {}) == ()
+    backups = choose_backups("s", "a", named)
+    assert set(backups) == {("b1", 1), ("c1", 1), ("c2", 1)}
+    assert choose_backups("s", "a", {}) == ()
 
 
 def test_loss_of_one_instance_moves_only_its_own_streams():
     instances = make_instances(20)
     gone = instances["a"][3]
     for number in range(100):
-        before = choose_keepers(f"s{number}", "a", name_instances(instances))
-        after = choose_keepers(f"s{number}", "a", leave_out(instances, gone))
+        before = choose_backups(f"s{number}", "a", name_instances(instances))
+        after = choose_backups(f"s{number}", "a", leave_out(instances, gone))
         assert gone in before or before == after
-        assert len(set(before) & set(after)) >= KEEPERS - 1
+        assert len(set(before) & set(after)) >= BACKUPS - 1
 
 
 def test_streams_are_spread_over_the_instances():
     named = name_instances(make_instances(10))
     kept = dict.fromkeys(named["a"].values(), 0)
     for number in range(1000):
-        for address in choose_keepers(f"s{number}", "a", named)[:2]:
+        for address in choose_backups(f"s{number}", "a", named)[:2]:
             kept[address] += 1
     assert 130 < min(kept.values()) and max(kept.values()) < 270
 
--- a/test/test_stream_instances.py
+++ b/test/test_stream_instances.py
@@ -57,19 +57,19 @@
     play(scene)
 
 
-def test_origin_is_known_after_a_keeper_is_killed_too():
+def test_origin_is_known_after_a_backup_is_killed_too():
     async def scene():
         async with run_instances(**FIVE) as instances:
             record(instances["a1"], "s1")
             await asyncio.sleep(TOLD_S)
-            keepers = [
+            backups = [
                 name
                 for name in ("a2", "a3", "b1", "b2")
                 if instances[name].streams.origins.find("s1", time.monotonic())
             ]
-            assert len(keepers) == 3
+            assert len(backups) == 3
             await instances.kill("a1")
-            await instances.kill(keepers[0])
+            await instances.kill(backups[0])
             for name in instances.tasks:
                 assert (await find(instances[name], "s1")).origin == ORIGIN, name
 
@@ -136,7 +136,7 @@
             await asyncio.sleep(TOLD_S)
             await instances.kill("a1")
             lookups = [await find(instances["b2"], f"s{number}") for number in range(40)]
-            # All three keepers miss a stream once in 125; both rounds fail less often.
+            # All three backups miss a stream once in 125; both rounds fail less often.
             assert sum(lookup.origin == ORIGIN for lookup in lookups) >= 36
             assert not any(lookup.origin not in (ORIGIN, None) for lookup in lookups)
 
--- a/test/test_stream_registry.py
+++ b/test/test_stream_registry.py
@@ -165,26 +165,26 @@
 
 def test_id_that_two_streams_bear_is_unknown_here_at_others_and_where_it_is_handed_over():
     async def scene():
-        keeper, asking, next_keeper = Network(), Network(), Network()
-        keeper.registry.record_stream("s", V1, time.monotonic())
+        backup, asking, next_backup = Network(), Network(), Network()
+        backup.registry.record_stream("s", V1, time.monotonic())
         told = OriginsMessage((("s", "svc", "v2"),))
-        keeper.registry.handle_message(told, A[0], time.monotonic())
-        lookup, _ = await find(keeper, "s")
+        backup.registry.handle_message(told, A[0], time.monotonic())
+        lookup, _ = await find(backup, "s")
         assert lookup.origin is None and lookup.versions == {("svc", "v1"), ("svc", "v2")}
-        assert keeper.registry.counts.lookups["disagree"] == 1
-        keeper.registry.handle_message(OriginQuestion(("s",)), A[0], time.monotonic())
-        (reply,) = keeper.list_sent(OriginReply)
+        assert backup.registry.counts.lookups["disagree"] == 1
+        backup.registry.handle_message(OriginQuestion(("s",)), A[0], time.monotonic())
+        (reply,) = backup.list_sent(OriginReply)
         asking.silent = {*A, *B}
         search = asyncio.create_task(asking.registry.find_stream("s", time.monotonic()))
         await asyncio.sleep(2 * COLLECT_S)
         asking.registry.handle_message(reply, A[1], time.monotonic())
         lookup = await search
         assert lookup.origin is None and lookup.versions == {("svc", "v1"), ("svc", "v2")}
-        keeper.sent.clear()
-        await keeper.registry.hand_over(time.monotonic())
-        for message in keeper.list_sent(OriginsMessage):
-            next_keeper.registry.handle_message(message, A[2], time.monotonic())
-        assert (await find(next_keeper, "s"))[0].origin is None
+        backup.sent.clear()
+        await backup.registry.hand_over(time.monotonic())
+        for message in backup.list_sent(OriginsMessage):
+            next_backup.registry.handle_message(message, A[2], time.monotonic())
+        assert (await find(next_backup, "s"))[0].origin is None
 
     play(scene)
 
--- a/tools/capacity_streams.py
+++ b/tools/capacity_streams.py
@@ -13,7 +13,7 @@
 import tracemalloc
 from collections.abc import Callable
 
-from rhubarbshed.coordination.serving.stream_keepers import choose_first_round
+from rhubarbshed.coordination.serving.stream_backups import choose_first_round
 from rhubarbshed.protocol.messages import (
     InstancesMessage,
     Message,
@@ -138,13 +138,13 @@
     listed = len(pack_message(list(messages.values())[-1]))
     print(f"lists: {listed / ROTATION_INTERVAL_S / 1000:.2f} KB/s of payload")
     print(f"a record: {measure_memory(ids):.0f} bytes")
-    keeper = make_registry()
+    backup = make_registry()
     for stream_id in ids[:KEPT]:
-        keeper.origins.record(stream_id, ORIGIN, 1.0)
+        backup.origins.record(stream_id, ORIGIN, 1.0)
     started = time.process_time()
-    asyncio.run(keeper.hand_over(2.0))
+    asyncio.run(backup.hand_over(2.0))
     took_ms = (time.process_time() - started) * 1000
-    print(f"hand_over of {KEPT}: {took_ms:.0f} ms, {keeper.counts.told} datagrams")
+    print(f"hand_over of {KEPT}: {took_ms:.0f} ms, {backup.counts.told} datagrams")
 
 
 if __name__ == "__main__":
