Ask an instance for a stream only once it knows the model's server

The test of a second signal failed once in a whole run at a load of 14: the log shows that the stream was refused as not_resident 50 ms before the first peer was connected, so nothing was open to be cut and the exit code was 0. The test now waits until the instance answers a short request; what it checks is unchanged.

--- a/test/test_daemon.py
+++ b/test/test_daemon.py
@@ -22,7 +22,7 @@
     wait_for_open,
 )
 from tools.fleet import ENVIRONMENT, ask
-from tools.processes import start_instance
+from tools.processes import start_instance, wait_until
 
 GOOD = {"model": "m1", "messages": [{"role": "user", "content": "hello"}], "max_tokens": 2}
 SMALL_BODY = "[callers]\nbody_bytes_max = 4096\nheader_bytes_max = 2048\n"
@@ -260,6 +260,8 @@
 
 def test_a_second_signal_stops_at_once_and_says_what_it_cut(fleet):
     c = fleet.add_instance("c", "dc-1")
+    # It refuses requests until its peers have said which server holds the model.
+    assert wait_until(lambda: is_own_answer(chat(c, "short", tokens=1), "short", 1), 10.0)
     stream = Task.start(chat, c, "long", tokens=600)
     wait_for_open(fleet, "c", 1)
     time.sleep(0.3)
