Log which requests are the same and which servers have ended

attempt_failed of an attempt that may have run now has the fingerprint of the request, the parts of its prompt and whether an event had come. After an attempt without a whole response the instance connects to the server's address: refused means that the server has ended (server_ended), which attempts that find nobody there show as well. A server that announced its end, or that has no entry, is not checked.

No decision changes.

--- a/rhubarbshed/coordination/requests/quarantine.py
+++ b/rhubarbshed/coordination/requests/quarantine.py
@@ -1,8 +1,5 @@
 """Quarantine of requests that crash backend servers: first run isolated, then refused."""
 
-import json
-
-import xxhash
 from attrs import evolve, frozen
 
 from rhubarbshed.protocol.codec import from_stored, to_plain
@@ -15,15 +12,6 @@
 LOST_RUNS_MAX = 1
 
 
-def compute_fingerprint(target: str, body: bytes) -> str:
-    """Return the fingerprint of a request; JSON bodies that differ only in layout are equal."""
-    try:
-        canonical = json.dumps(json.loads(body), sort_keys=True, separators=(",", ":")).encode()
-    except (ValueError, RecursionError):
-        canonical = body
-    return xxhash.xxh3_128_hexdigest(target.encode() + b"\0" + canonical)
-
-
 def describe_refused(fingerprint: str) -> RequestError:
     """Return the error of a request refused permanently as it crashes backend servers."""
     return RequestError(
--- a/rhubarbshed/protocol/exchanges.py
+++ b/rhubarbshed/protocol/exchanges.py
@@ -1,9 +1,12 @@
 """Requests of callers as forwarded to backend servers, and how each attempt ended."""
 
 import enum
+import functools
 
 from attrs import evolve, field, frozen
 
+from rhubarbshed.util.fingerprints import compute_fingerprint
+
 Headers = tuple[tuple[bytes, bytes], ...]
 
 
@@ -33,6 +36,13 @@
     resumes: str = ""
     last_event_id: str = ""
 
+    @functools.cached_property
+    def fingerprint(self) -> str:
+        """Return what all tries of the request have in common, whoever sends them."""
+        target = self.target.decode("latin-1")
+        what = f"{self.host} {self.method.decode()} {target} {self.model}/{self.adapter}"
+        return compute_fingerprint(what, self.body)
+
     @property
     def stream_id(self) -> str:
         """Return the id of the request that brought, or will bring, the stream's first event."""
--- a/rhubarbshed/transport/edge/attempts.py
+++ b/rhubarbshed/transport/edge/attempts.py
@@ -22,7 +22,7 @@
 )
 from rhubarbshed.transport.edge.pools import Pool
 from rhubarbshed.transport.edge.silence import SilenceTimer
-from rhubarbshed.transport.edge.streams import EventSplitter
+from rhubarbshed.transport.edge.streams import EventSplitter, has_event
 
 FIRST_BYTES_TIMEOUT_S = 0.8
 FIRST_BYTES_TIMEOUT_TARGETS = 2.5
@@ -41,6 +41,11 @@
 """Statuses that tell a caller that its request did not run."""
 
 
+def is_cut_off(end: ExchangeEnd, attempt: "Attempt") -> bool:
+    """Return whether an attempt ended without a whole response, as it does if its server ends."""
+    return end.may_have_run and end is not ExchangeEnd.DONE and not attempt.failed
+
+
 @define(eq=False)
 class CallerResponse:
     """Response to one request as its caller sees it, across all attempts.
@@ -124,9 +129,11 @@
 class Attempt:
     """One attempt at a server.
 
-    `sent` means that the server may have got the request, `failed` that the response counts against
-    the server. `may_move` returns whether another server may go on with a response that has begun.
-    `origin` is as of the choice of the server: its entry may change in the meantime.
+    `sent` means that the server may have got the request, which it did at `sent_at` at the earliest
+    (monotonic seconds), `failed` that the response counts against the server, and `begun` that a
+    whole event of a stream came. `may_move` returns whether another server may go on with a
+    response that has begun. `origin` is as of the choice of the server: its entry may change in the
+    meantime.
     """
 
     pool: Pool
@@ -137,7 +144,9 @@
     status: int = 0
     detail: str = ""
     sent: bool = False
+    sent_at: float = 0.0
     failed: bool = False
+    begun: bool = False
     channel: Channel | None = None
     origin: StreamOrigin = field(init=False)
 
@@ -202,7 +211,7 @@
         headers = make_headers(
             request, self.record.entry.server_id, self.deadline - now, priority, after
         )
-        self.sent = True
+        self.sent, self.sent_at = True, now
         self.channel.start(request.method, request.target, tuple(headers), request.body)
         first_bytes_s = max(FIRST_BYTES_TIMEOUT_S, FIRST_BYTES_TIMEOUT_TARGETS * route.target_s)
         timer = SilenceTimer(self.channel, first_bytes_s, self.may_give_up)
@@ -325,7 +334,9 @@
         caller_response.begin_stream(head, self.origin)
         while not isinstance(event, h11.EndOfMessage):
             data = bytes(event.data)
-            await caller_response.send(caller_response.splitter.feed(data) if resumable else data)
+            complete = caller_response.splitter.feed(data) if resumable else data
+            self.begun = self.begun or has_event(complete)
+            await caller_response.send(complete)
             event = await self.channel.receive()
         if resumable:
             await caller_response.send(caller_response.splitter.flush())
--- a/rhubarbshed/transport/edge/node.py
+++ b/rhubarbshed/transport/edge/node.py
@@ -26,6 +26,7 @@
 from rhubarbshed.transport.edge.order_dispatcher import OrderDispatcher
 from rhubarbshed.transport.edge.pools import Pool
 from rhubarbshed.transport.edge.relay import Relay
+from rhubarbshed.transport.edge.server_checks import ServerChecks
 from rhubarbshed.transport.edge.sockets import accept_waiting
 from rhubarbshed.transport.edge.store import StoreClient
 from rhubarbshed.transport.edge.stream_registry import StreamRegistry
@@ -136,6 +137,7 @@
             holder_protocol.count_demand,
             holder_protocol.count_run,
             holder_protocol.report_missing,
+            ServerChecks(pool),
             streams.record_stream,
             streams.find_stream,
         )
--- a/rhubarbshed/transport/edge/relay.py
+++ b/rhubarbshed/transport/edge/relay.py
@@ -35,7 +35,7 @@
 from rhubarbshed.protocol.exchanges import CallerRequest, ExchangeEnd
 from rhubarbshed.protocol.routes import Route
 from rhubarbshed.state.membership.fleet import ServerRecord
-from rhubarbshed.transport.edge.attempts import Attempt, CallerResponse
+from rhubarbshed.transport.edge.attempts import Attempt, CallerResponse, is_cut_off
 from rhubarbshed.transport.edge.caller_connections import CallerConnection
 from rhubarbshed.transport.edge.continuations import (
     FindStream,
@@ -48,7 +48,8 @@
 from rhubarbshed.transport.edge.follower import DROP_MARGIN_S
 from rhubarbshed.transport.edge.metrics import FrontMetrics
 from rhubarbshed.transport.edge.pools import Pool
-from rhubarbshed.transport.edge.request_logs import Stage, log_end
+from rhubarbshed.transport.edge.request_logs import Stage, log_end, log_failed_attempt
+from rhubarbshed.transport.edge.server_checks import ServerChecks
 from rhubarbshed.transport.edge.view import View
 from rhubarbshed.util.logs import log_event
 
@@ -85,6 +86,7 @@
     count_demand: Callable[[str, str, str, int], None]
     count_run: Callable[[str, str, str, float], None]
     report_missing: Callable[[str, int, str, str], None]
+    server_checks: ServerChecks
     record_stream: RecordStream = record_nothing
     find_stream: FindStream = find_nothing
     open_requests: set["RequestProgress"] = field(factory=set)
@@ -338,24 +340,16 @@
             record.record_unresponsive(now)
         if end in (ExchangeEnd.CONNECTION_REFUSED, ExchangeEnd.WRONG_SERVER):
             self.relay.report_missing(*record.key, "", "")
+            self.relay.server_checks.record_refused(record, now)
         if end is ExchangeEnd.MODEL_MISSING and self.request.model:
             record.remove_held(self.request.model, self.request.adapter)
             self.relay.report_missing(*record.key, self.request.model, self.request.adapter)
             self.relay.report_awaited(self.service, self.request.model, self.request.adapter)
         self.relay.metrics.count_attempt(self.service, end.value)
+        if is_cut_off(end, attempt):
+            self.relay.server_checks.check(record)
         if end is not ExchangeEnd.DONE:
-            log_event(
-                LOG,
-                logging.INFO,
-                "attempt_failed",
-                request=self.request.request_id,
-                server=record.entry.server_id,
-                end=end.value,
-                status=attempt.status,
-                detail=attempt.detail,
-                run=self.tries.run,
-                refused=self.tries.refused,
-            )
+            log_failed_attempt(self, attempt, end)
 
     def pay_retry(self, now: float) -> bool:
         """Return whether the budget allows the next retry, and count it there once."""
--- a/rhubarbshed/transport/edge/request_logs.py
+++ b/rhubarbshed/transport/edge/request_logs.py
@@ -5,14 +5,19 @@
 from typing import TYPE_CHECKING
 
 from rhubarbshed.protocol.errors import RequestError
+from rhubarbshed.protocol.exchanges import ExchangeEnd
 from rhubarbshed.transport.edge.continuations import is_continuation, name_outcome
 from rhubarbshed.util.logs import log_event
 
 if TYPE_CHECKING:
+    from rhubarbshed.transport.edge.attempts import Attempt
     from rhubarbshed.transport.edge.relay import RequestProgress
 
 LOG = logging.getLogger(__name__)
 
+PARTS_LOGGED_MAX = 8
+"""Most parts of a prompt in a line of the log."""
+
 
 class Stage(enum.Enum):
     """What a request is waiting for."""
@@ -37,6 +42,25 @@
     return Stage.BODY if attempt.status else Stage.RESPONSE
 
 
+def log_failed_attempt(progress: "RequestProgress", attempt: "Attempt", end: ExchangeEnd) -> None:
+    """Log why a server did not answer; a fingerprint tells which tries are of one request."""
+    request = progress.request
+    fields = {
+        "request": request.request_id,
+        "server": attempt.record.entry.server_id,
+        "end": end.value,
+        "status": attempt.status,
+        "detail": attempt.detail,
+        "run": progress.tries.run,
+        "refused": progress.tries.refused,
+    }
+    if end.may_have_run:
+        fields["begun"] = int(attempt.begun)
+        fields["fingerprint"] = request.fingerprint
+        fields["parts"] = ",".join(name for name, _ in request.parts[:PARTS_LOGGED_MAX])
+    log_event(LOG, logging.INFO, "attempt_failed", **fields)
+
+
 def log_end(
     progress: "RequestProgress", outcome: str, error: RequestError | None, now: float
 ) -> None:
--- /dev/null
+++ b/rhubarbshed/transport/edge/server_checks.py
@@ -0,0 +1,93 @@
+"""Checks whether a server at which an attempt broke off has ended.
+
+A connection also breaks off for other reasons: a reset, a truncated answer, a cut. A server that
+has ended refuses new connections.
+"""
+
+import asyncio
+import logging
+import time
+from collections import OrderedDict
+from collections.abc import Callable
+
+from attrs import define, field
+
+from rhubarbshed.state.membership.fleet import ServerRecord
+from rhubarbshed.transport.edge.channels import ChannelError, NotListeningError
+from rhubarbshed.transport.edge.pools import Pool
+from rhubarbshed.util.logs import log_event
+
+LOG = logging.getLogger(__name__)
+
+ENDED_MAX = 1_000
+"""Most ended servers that are remembered."""
+
+Incarnation = tuple[str, int]
+"""Id of a server and the Unix milliseconds of its start."""
+
+
+@define(eq=False)
+class ServerChecks:
+    """Checks in progress, and the servers known to have ended by themselves.
+
+    `on_ended` is called once for each of these, `on_alive` after a check that found a server alive,
+    with the monotonic time at which the check began.
+    """
+
+    pool: Pool
+    on_ended: Callable[[Incarnation, float], None] = lambda incarnation, now: None
+    on_alive: Callable[[Incarnation, float], None] = lambda incarnation, since: None
+    ended: OrderedDict[Incarnation, float] = field(factory=OrderedDict)
+    running: dict[Incarnation, asyncio.Task] = field(factory=dict)
+
+    def check(self, record: ServerRecord) -> None:
+        """Find out whether a server has ended, unless that is known or being checked."""
+        if record.key in self.ended or record.key in self.running or is_leaving(record):
+            return
+        task = asyncio.get_running_loop().create_task(self._connect(record))
+        self.running[record.key] = task
+        task.add_done_callback(lambda _: self.running.pop(record.key, None))
+
+    def record_refused(self, record: ServerRecord, now: float) -> None:
+        """Record that an attempt found nobody, or another server, at a server's address."""
+        if not is_leaving(record):
+            self.record_ended(record.key, "refused", now)
+
+    def record_ended(self, incarnation: Incarnation, how: str, now: float) -> None:
+        """Record that a server has ended; `how` is known for the log."""
+        if incarnation in self.ended:
+            return
+        self.ended[incarnation] = now
+        if len(self.ended) > ENDED_MAX:
+            self.ended.popitem(last=False)
+        server_id, started_ms = incarnation
+        log_event(
+            LOG, logging.INFO, "server_ended", server=server_id, started_ms=started_ms, how=how
+        )
+        self.on_ended(incarnation, now)
+
+    async def _connect(self, record: ServerRecord) -> None:
+        address = (record.entry.host, record.entry.port)
+        since = time.monotonic()
+        try:
+            channel = await self.pool.open(address)
+        except NotListeningError:
+            self.record_ended(record.key, "checked", time.monotonic())
+        except ChannelError as error:
+            # A cut, or a machine without power: not known, so nothing is concluded.
+            log_event(
+                LOG,
+                logging.INFO,
+                "server_unchecked",
+                server=record.entry.server_id,
+                detail=str(error),
+            )
+        else:
+            channel.idle_since = time.monotonic()
+            self.pool.release(address, channel)
+            self.on_alive(record.key, since)
+
+
+def is_leaving(record: ServerRecord) -> bool:
+    """Return whether a server's end would be no surprise: it announced it, or has no entry."""
+    return record.leaving_at is not None or record.missing_since is not None
--- a/rhubarbshed/transport/edge/streams.py
+++ b/rhubarbshed/transport/edge/streams.py
@@ -10,6 +10,11 @@
 """Longest event that is buffered until it is complete."""
 
 
+def has_event(data: bytes) -> bool:
+    """Return whether an event of a stream ends in a piece of it."""
+    return any(mark in data for mark in EVENT_ENDS)
+
+
 @define
 class EventSplitter:
     """Splitter that passes on complete events and keeps the last id; a partial event is dropped."""
--- a/rhubarbshed/transport/gateway.py
+++ b/rhubarbshed/transport/gateway.py
@@ -30,7 +30,6 @@
     claim_isolation,
     release_isolation,
 )
-from rhubarbshed.coordination.requests.quarantine import compute_fingerprint
 from rhubarbshed.coordination.requests.settlement import Settlement, Settlements, claim, settle
 from rhubarbshed.coordination.requests.trials import IsolatedRunPending
 from rhubarbshed.protocol.answers import JSON_TYPE, BufferedResponse
@@ -43,6 +42,7 @@
 from rhubarbshed.state.timeline import Timeline
 from rhubarbshed.transport.loop_calls import LoopCallQueue
 from rhubarbshed.transport.metrics import Metrics
+from rhubarbshed.util.fingerprints import compute_fingerprint
 from rhubarbshed.util.settings import Settings
 
 RETRY_AFTER_FULL_S = 1.0
--- /dev/null
+++ b/rhubarbshed/util/fingerprints.py
@@ -0,0 +1,14 @@
+"""Fingerprints of requests, equal for copies of one request."""
+
+import json
+
+import xxhash
+
+
+def compute_fingerprint(target: str, body: bytes) -> str:
+    """Return the fingerprint of a request; JSON bodies that differ only in layout are equal."""
+    try:
+        canonical = json.dumps(json.loads(body), sort_keys=True, separators=(",", ":")).encode()
+    except (ValueError, RecursionError):
+        canonical = body
+    return xxhash.xxh3_128_hexdigest(target.encode(errors="surrogatepass") + b"\0" + canonical)
--- a/test/test_quarantine.py
+++ b/test/test_quarantine.py
@@ -19,7 +19,6 @@
 from rhubarbshed.coordination.requests.quarantine import (
     IsolatedRunBusy,
     IsolatedRunRefused,
-    compute_fingerprint,
 )
 from rhubarbshed.coordination.requests.trials import (
     IDLE_WAIT_MAX_S,
@@ -29,6 +28,7 @@
 from rhubarbshed.protocol.quarantine import CrashId, QuarantineEntry, merge_entries
 from rhubarbshed.protocol.requests import AttemptEnd, Dispatch, Refusal
 from rhubarbshed.state.requests.quarantine import QuarantineView
+from rhubarbshed.util.fingerprints import compute_fingerprint
 from test.helper_requests import (
     FaultyTable,
     end,
