Stop requests that end server after server at all instances together

Cause: nothing on the platform's path counted the ends of servers against a request. The quarantine of coordination/requests was not used there; each try has an id of its own, and each instance saw a part of the ends only.

Change: an instance that sees a server end (its connections broke off and its address refuses new ones) tells all others which requests it had there, by fingerprint. Each instance keeps these as entries of the QuarantineView, with the requests behind each crash, and stops a request after two ends one after the other before it began, or three after it had begun. Ends of servers at the same time count as one, servers that announced their end not at all. An answer clears a request everywhere. A request that is stopped while it waits at a server is withdrawn. After 5, 60 and 600 s one more is sent, as a trial of the verdict. Each instance asks another one every second for what it does not know, which covers lost messages, cuts and its own restart.

--- a/rhubarbshed/coordination/serving/refusals.py
+++ b/rhubarbshed/coordination/serving/refusals.py
@@ -22,9 +22,10 @@
 NOT_READY_RETRY_S = 0.5
 BUSY_RETRY_S = 0.3
 DRAINING_RETRY_S = 0.05
+QUARANTINED_RETRY_S = 5.0
 """Retry times in seconds: lost servers are known again within a heartbeat, a full server has
-finished some of its work, a starting instance has read the store, and another instance answers at
-once."""
+finished some of its work, a starting instance has read the store, another instance answers at
+once, and a request that ends servers is tried again."""
 
 
 @frozen
@@ -50,10 +51,13 @@
     "not_configured": RefusalReason(
         "not_configured", "no configuration is known", NOT_READY_RETRY_S
     ),
+    "quarantined": RefusalReason(
+        "quarantined", "backend servers ended while they ran this request", QUARANTINED_RETRY_S
+    ),
     "budget": RefusalReason("no_repeats", "the budget of repeats is used up", BUSY_RETRY_S),
 }
 
-STATED_REASONS = ("no_servers", "version_gone", "absent", "full", "budget")
+STATED_REASONS = ("no_servers", "version_gone", "absent", "full", "budget", "quarantined")
 """Ends of a search for a server that a refusal states; the others count as "all_tried"."""
 
 
--- a/rhubarbshed/protocol/exchanges.py
+++ b/rhubarbshed/protocol/exchanges.py
@@ -5,7 +5,7 @@
 
 from attrs import evolve, field, frozen
 
-from rhubarbshed.util.fingerprints import compute_fingerprint
+from rhubarbshed.util.fingerprints import hash_request
 
 Headers = tuple[tuple[bytes, bytes], ...]
 
@@ -41,7 +41,7 @@
         """Return what all tries of the request have in common, whoever sends them."""
         target = self.target.decode("latin-1")
         what = f"{self.host} {self.method.decode()} {target} {self.model}/{self.adapter}"
-        return compute_fingerprint(what, self.body)
+        return hash_request(what, self.body)
 
     @property
     def stream_id(self) -> str:
--- a/rhubarbshed/protocol/messages.py
+++ b/rhubarbshed/protocol/messages.py
@@ -2,7 +2,7 @@
 
 Each data centre has one order holder, the instance that sends orders to the engines in it.
 Instances exchange messages with the holder of their own data centre, and holders with each other.
-Only messages on the origin of streams go from any instance to any other.
+Only messages on the origin of streams and on ended servers go from any instance to any other.
 """
 
 import re
@@ -14,6 +14,9 @@
 from attrs import Attribute, astuple, field, frozen
 from returns.result import Failure, Result, Success
 
+from rhubarbshed.protocol.crash_messages import CrashMessage, CrashQuestion, TrialMessage
+from rhubarbshed.protocol.message_checks import check_number, check_text, is_text
+
 FORMAT = 4
 DECODE_ERRORS = (KeyError, TypeError, ValueError, IndexError, msgpack.UnpackException)
 
@@ -32,9 +35,6 @@
 AGE_MAX_S = 2**31
 """Greatest number of seconds in a message."""
 
-TEXT_LENGTH_MAX = 200
-"""Most characters of a stream's id, a service or a version in a message."""
-
 PARTS_MAX = 64
 """Most datagrams of one list of instances."""
 
@@ -115,11 +115,6 @@
     rows: tuple[tuple[str, int, dict | None], ...] = field(factory=tuple)
 
 
-def is_text(value: object) -> bool:
-    """Return whether a value is text that a message may carry."""
-    return isinstance(value, str) and len(value) <= TEXT_LENGTH_MAX and _is_encodable(value)
-
-
 def is_address(value: object) -> bool:
     """Return whether a value is an IP address and a port; a name would have to be looked up."""
     if not isinstance(value, tuple) or len(value) != 2:
@@ -137,11 +132,6 @@
     return True
 
 
-def _is_encodable(text: str) -> bool:
-    # JSON may carry lone surrogates, which have no UTF-8 form.
-    return text.isascii() or not any("\ud800" <= character <= "\udfff" for character in text)
-
-
 def _check_tuples(width: int, most: int) -> Callable[[object, Attribute, object], None]:
     def check(message: object, attribute: Attribute, value: object) -> None:
         fits = isinstance(value, tuple) and len(value) <= most
@@ -160,16 +150,6 @@
         raise ValueError(f"{attribute.name} is not a short list of text")
 
 
-def _check_text(message: object, attribute: Attribute, value: object) -> None:
-    if not is_text(value):
-        raise ValueError(f"{attribute.name} is not short text")
-
-
-def _check_number(message: object, attribute: Attribute, value: object) -> None:
-    if type(value) is not int or value < 0:
-        raise ValueError(f"{attribute.name} is not a number")
-
-
 def _check_ages(message: object, attribute: Attribute, value: object) -> None:
     fits = isinstance(value, tuple) and len(value) in (0, len(message.origins))
     if not fits or not all(type(each) is int and 0 <= each <= AGE_MAX_S for each in value):
@@ -242,12 +222,12 @@
     each; `others` are IPv6 addresses.
     """
 
-    data_centre: str = field(validator=_check_text)
-    token: int = field(validator=_check_number)
-    listed: str = field(validator=_check_text)
-    number: int = field(validator=_check_number)
-    part: int = field(validator=_check_number)
-    parts: int = field(validator=_check_number)
+    data_centre: str = field(validator=check_text)
+    token: int = field(validator=check_number)
+    listed: str = field(validator=check_text)
+    number: int = field(validator=check_number)
+    part: int = field(validator=check_number)
+    parts: int = field(validator=check_number)
     packed: bytes = field(validator=_check_packed)
     others: tuple[Address, ...] = field(factory=tuple, validator=_check_addresses)
 
@@ -294,7 +274,9 @@
 
 
 StreamMessage = OriginsMessage | OriginQuestion | OriginReply | InstancesMessage | InstancesQuestion
-Message = DemandMessage | HolderMessage | StoreMessage | StreamMessage
+CrashNews = CrashMessage | CrashQuestion | TrialMessage
+InstanceMessage = StreamMessage | CrashNews
+Message = DemandMessage | HolderMessage | StoreMessage | InstanceMessage
 KINDS: dict[str, type] = {
     "demand": DemandMessage,
     "holder": HolderMessage,
@@ -304,6 +286,9 @@
     "origin_reply": OriginReply,
     "instances": InstancesMessage,
     "instances_question": InstancesQuestion,
+    "crash": CrashMessage,
+    "crash_question": CrashQuestion,
+    "trial": TrialMessage,
 }
 KIND_NAMES = {kind: name for name, kind in KINDS.items()}
 
--- a/rhubarbshed/protocol/quarantine.py
+++ b/rhubarbshed/protocol/quarantine.py
@@ -1,4 +1,4 @@
-"""Crashes of backend servers and suspected requests, as exchanged between instances."""
+"""Crashes of backend servers and suspected requests."""
 
 from attrs import evolve, field, frozen
 
@@ -50,6 +50,24 @@
     return tuple(sorted({*left, *right}))
 
 
+@frozen
+class Sighting:
+    """Request that was at a backend server when that ended.
+
+    `request` is its fingerprint; the times are monotonic seconds of this instance, those of other
+    instances' requests late by the time that a message takes. `begun` is whether an event of its
+    answer had come. `after` is the last such end that the sending instance saw before it sent the
+    request.
+    """
+
+    crash: CrashId
+    request: str
+    sent_at: float
+    ended_at: float
+    begun: bool = False
+    after: CrashId | None = None
+
+
 @frozen
 class QuarantineUpdate:
     """Entry sent to a peer; it last grew `age_s` seconds before sending."""
--- a/rhubarbshed/state/requests/possible_crashes.py
+++ b/rhubarbshed/state/requests/possible_crashes.py
@@ -4,7 +4,7 @@
 
 from attrs import define, field, frozen
 
-from rhubarbshed.protocol.quarantine import CrashId
+from rhubarbshed.protocol.quarantine import CrashId, Sighting
 
 POSSIBLE_CRASH_S = 60.0
 POSSIBLE_CRASHES_MAX = 5_000
@@ -14,12 +14,16 @@
 
 @frozen
 class PossibleCrash:
-    """Fingerprint that was in flight when its connection to a server broke."""
+    """Fingerprint that was in flight when its connection to a server broke.
+
+    `sighting` has the details where they are known.
+    """
 
     fingerprint: str
     crash: CrashId
     alone: bool
     at: float
+    sighting: Sighting | None = None
 
 
 @define
--- a/rhubarbshed/state/requests/quarantine.py
+++ b/rhubarbshed/state/requests/quarantine.py
@@ -1,4 +1,7 @@
-"""Fingerprints that crashed backend servers, and servers isolated for a suspect request."""
+"""Fingerprints that crashed backend servers, and servers isolated for a suspect request.
+
+The platform's request path decides by the sightings, the own interface's by the crashes alone.
+"""
 
 from collections.abc import Iterable
 
@@ -9,11 +12,15 @@
     IsolatedRunNotice,
     QuarantineEntry,
     QuarantineUpdate,
+    Sighting,
     merge_entries,
 )
 from rhubarbshed.util.settings import QuarantineSettings
 
 ENTRIES_MAX = 20_000
+SIGHTINGS_MAX = 64
+"""Most requests kept for one entry."""
+
 ISOLATION_ANNOUNCED_S = 3.0
 
 
@@ -31,12 +38,19 @@
 
 @define
 class QuarantineView:
-    """Quarantine entries known to this instance; `seen_at` is when each of them last grew."""
+    """Quarantine entries known to this instance; `seen_at` is when each of them last grew.
+
+    `is_final` is whether an entry with `crashes_max` crashes is refused for good. `sightings` are
+    the requests behind the crashes of an entry, by crash and request, where they are known.
+    """
 
     settings: QuarantineSettings
+    is_final: bool = True
+    entries_max: int = ENTRIES_MAX
     entries: dict[str, QuarantineEntry] = field(factory=dict)
     seen_at: dict[str, float] = field(factory=dict)
     isolations: dict[str, ServerIsolation] = field(factory=dict)
+    sightings: dict[str, dict[tuple[CrashId, str], Sighting]] = field(factory=dict)
 
     def find_entry(self, fingerprint: str) -> QuarantineEntry:
         """Return the entry of a fingerprint, an empty one if none is known."""
@@ -56,6 +70,25 @@
         reported = QuarantineEntry(fingerprint, (crash,), (crash,) if alone else ())
         self.merge_entry(reported, now)
 
+    def record_sighting(self, fingerprint: str, sighting: Sighting, now: float) -> bool:
+        """Record a request behind a crash; return whether it is new."""
+        age_s = now - sighting.ended_at
+        if age_s >= self.settings.memory_s:
+            return False
+        known = self.sightings.setdefault(fingerprint, {})
+        mark = (sighting.crash, sighting.request)
+        if mark in known or len(known) >= SIGHTINGS_MAX:
+            return False
+        known[mark] = sighting
+        self.merge_entry(QuarantineEntry(fingerprint, (sighting.crash,)), now, age_s)
+        return True
+
+    def list_open_sightings(self, fingerprint: str) -> tuple[Sighting, ...]:
+        """Return the known requests behind the crashes that an entry is not cleared of."""
+        cleared = self.find_entry(fingerprint).cleared
+        known = self.sightings.get(fingerprint, {}).values()
+        return tuple(sighting for sighting in known if sighting.crash not in cleared)
+
     def record_complete_answer(self, fingerprint: str, now: float) -> None:
         """Clear a fingerprint of the crashes known so far."""
         entry = self.entries.get(fingerprint)
@@ -72,7 +105,7 @@
         """Merge a reported entry; return whether it changed anything."""
         known = self.find_entry(reported.fingerprint)
         merged = merge_entries(known, reported)
-        if len(merged.open_crashes) >= self.settings.crashes_max:
+        if self.is_final and len(merged.open_crashes) >= self.settings.crashes_max:
             merged = evolve(merged, refused=True)
         if merged == known:
             return False
@@ -83,7 +116,7 @@
         return True
 
     def _bound_entries(self) -> None:
-        while len(self.entries) > ENTRIES_MAX:
+        while len(self.entries) > self.entries_max:
             oldest = min(
                 self.entries,
                 key=lambda name: (self.entries[name].refused, self.seen_at[name]),
@@ -93,6 +126,7 @@
     def _drop(self, fingerprint: str) -> None:
         del self.entries[fingerprint]
         del self.seen_at[fingerprint]
+        self.sightings.pop(fingerprint, None)
 
     def forget_old(self, now: float) -> None:
         """Drop entries that have not grown for the configured time, and expired isolations."""
@@ -102,6 +136,12 @@
         for name in [name for name, isolation in self.isolations.items() if isolation.until <= now]:
             del self.isolations[name]
 
+    def forget_cleared(self, until: float) -> None:
+        """Drop entries without open crashes that have not grown since a time."""
+        for name in [name for name, seen in self.seen_at.items() if seen < until]:
+            if not self.entries[name].open_crashes:
+                self._drop(name)
+
     def list_news(self, now: float, age_max_s: float | None = None) -> tuple[QuarantineUpdate, ...]:
         """Return the entries that grew within `age_max_s`, or all, to be sent to peers."""
         longest = age_max_s if age_max_s is not None else self.settings.memory_s
--- a/rhubarbshed/transport/edge/attempts.py
+++ b/rhubarbshed/transport/edge/attempts.py
@@ -147,6 +147,8 @@
     sent_at: float = 0.0
     failed: bool = False
     begun: bool = False
+    withdrawn: bool = False
+    on_begun: Callable[[], None] = lambda: None
     channel: Channel | None = None
     origin: StreamOrigin = field(init=False)
 
@@ -188,7 +190,7 @@
             self.detail = str(error)
             return ExchangeEnd.MALFORMED
         except ChannelError as error:
-            self.detail = str(error)
+            self.detail = self.detail or str(error)
             return ExchangeEnd.BROKEN
         except TimeoutError:
             if time.monotonic() >= self.deadline:
@@ -245,6 +247,14 @@
             return True
         return self.caller_response.route.resumable and self.may_move()
 
+    def withdraw(self) -> None:
+        """Take the request back from its server, which should not begin it."""
+        if self.channel is not None and self.sent and not self.begun:
+            self.withdrawn = True
+            self.detail = "withdrawn"
+            self.channel.abort()
+            self.channel.wake()
+
     async def receive_head(self) -> tuple[h11.Response, ResponseHead]:
         """Return the head of the response, skipping late responses to other requests."""
         while True:
@@ -335,7 +345,9 @@
         while not isinstance(event, h11.EndOfMessage):
             data = bytes(event.data)
             complete = caller_response.splitter.feed(data) if resumable else data
-            self.begun = self.begun or has_event(complete)
+            if not self.begun and has_event(complete):
+                self.begun = True
+                self.on_begun()
             await caller_response.send(complete)
             event = await self.channel.receive()
         if resumable:
--- a/rhubarbshed/transport/edge/channels.py
+++ b/rhubarbshed/transport/edge/channels.py
@@ -64,7 +64,7 @@
         self._unread += len(data)
         if self._unread > UNREAD_BYTES_MAX:
             self._transport.pause_reading()
-        self._wake()
+        self.wake()
 
     def connection_lost(self, error: Exception | None) -> None:
         """Record the end of the connection; a reset does not end a response."""
@@ -74,7 +74,7 @@
         elif self._parser is not None and self._error is None:
             self._parser.receive_data(b"")
         self._drained.set()
-        self._wake()
+        self.wake()
 
     def pause_writing(self) -> None:
         """Record that the server does not read and the write buffer is full."""
@@ -195,7 +195,8 @@
                 self._transport.resume_reading()
         return event
 
-    def _wake(self) -> None:
+    def wake(self) -> None:
+        """Let whoever waits for bytes look at the state of the connection."""
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_result(None)
 
--- a/rhubarbshed/transport/edge/holder_protocol.py
+++ b/rhubarbshed/transport/edge/holder_protocol.py
@@ -17,9 +17,9 @@
 from rhubarbshed.protocol.messages import (
     DemandMessage,
     HolderMessage,
+    InstanceMessage,
     Message,
     StoreMessage,
-    StreamMessage,
 )
 from rhubarbshed.protocol.tables import Row
 from rhubarbshed.state.membership.fleet import SAMPLE_WINDOW_S
@@ -93,7 +93,7 @@
     holders: dict[str, KnownHolder] = field(factory=dict)
     demand_buffer: DemandBuffer = field(factory=DemandBuffer)
     loads_reported_at: float = -1e9
-    handle_stream_message: Callable[[StreamMessage, Address, float], None] = (
+    handle_instance_message: Callable[[InstanceMessage, Address, float], None] = (
         lambda message, address, now: None
     )
 
@@ -304,8 +304,8 @@
             log_event(LOG, logging.INFO, "word_unreadable", sender=address[0], why=read.failure())
             return
         message = read.unwrap()
-        if isinstance(message, StreamMessage):
-            self.handle_stream_message(message, address, now)
+        if isinstance(message, InstanceMessage):
+            self.handle_instance_message(message, address, now)
             return
         if isinstance(message, HolderMessage):
             self.handle_holder_message(message, now)
--- a/rhubarbshed/transport/edge/node.py
+++ b/rhubarbshed/transport/edge/node.py
@@ -6,7 +6,7 @@
 import signal
 import time
 import uuid
-from collections.abc import Coroutine
+from collections.abc import Collection, Coroutine, Mapping
 from typing import Any
 
 import h11
@@ -16,8 +16,14 @@
 from rhubarbshed.coordination.requests.drain import DrainPhase
 from rhubarbshed.coordination.serving.lease_state import LeaseState, draw_jitter
 from rhubarbshed.coordination.serving.refusals import DRAINING_RETRY_S, draw_retry_after
-from rhubarbshed.protocol.messages import InstancesMessage, InstancesQuestion, StreamMessage
+from rhubarbshed.protocol.messages import (
+    CrashNews,
+    InstanceMessage,
+    InstancesMessage,
+    InstancesQuestion,
+)
 from rhubarbshed.transport.edge.caller_connections import CallerConnection, Handler
+from rhubarbshed.transport.edge.crash_registry import CrashRegistry
 from rhubarbshed.transport.edge.follower import Follower
 from rhubarbshed.transport.edge.holder_protocol import HolderProtocol
 from rhubarbshed.transport.edge.instance_lists import InstanceLists
@@ -84,6 +90,7 @@
     holder_protocol: HolderProtocol
     relay: Relay
     streams: StreamRegistry
+    crashes: CrashRegistry
     instance_lists: InstanceLists
     stop: asyncio.Event = field(factory=asyncio.Event)
     connections: set[CallerConnection] = field(factory=set)
@@ -109,6 +116,7 @@
         lease.on_holders_read = holder_protocol.learn_addresses
         follower.publish = holder_protocol.publish
         follower.is_holder = lambda: lease_state.held
+        crashes = CrashRegistry(holder_protocol.datagrams.send, ServerChecks(pool), view.rng)
         streams = StreamRegistry(
             settings.data_centre,
             holder_protocol.datagrams.send,
@@ -124,10 +132,10 @@
             lambda: lease_state.token,
             holder_protocol.instances,
             holder_protocol.list_holders,
-            streams.learn_instances,
+            lambda *known: learn_instances(streams, crashes, *known),
         )
-        holder_protocol.handle_stream_message = functools.partial(
-            handle_stream_message, streams, instance_lists
+        holder_protocol.handle_instance_message = functools.partial(
+            handle_instance_message, streams, crashes, instance_lists
         )
         relay = Relay(
             view,
@@ -137,10 +145,11 @@
             holder_protocol.count_demand,
             holder_protocol.count_run,
             holder_protocol.report_missing,
-            ServerChecks(pool),
+            crashes,
             streams.record_stream,
             streams.find_stream,
         )
+        crashes.on_verdict = relay.withdraw
         return cls(
             path,
             settings,
@@ -153,6 +162,7 @@
             holder_protocol,
             relay,
             streams,
+            crashes,
             instance_lists,
         )
 
@@ -175,6 +185,7 @@
             self.holder_protocol.announce_repeatedly,
             self.holder_protocol.report_demand_repeatedly,
             self.instance_lists.maintain,
+            self.crashes.maintain,
             self.sweep,
         ):
             self.spawn(work())
@@ -236,6 +247,7 @@
             "connections_opened": self.pool.opened,
             "order_holder": int(self.lease.lease_state.held),
             **self.streams.counts.list_values(),
+            **self.crashes.list_values(),
         }
         headers = ((b"content-type", b"text/plain; version=0.0.4"),)
         connection.send_complete(200, headers, self.metrics.render(gauge_values))
@@ -367,15 +379,30 @@
             connection.close_idle()
 
 
-def handle_stream_message(
+def learn_instances(
     streams: StreamRegistry,
+    crashes: CrashRegistry,
+    instances: Mapping[str, Collection[tuple[str, int]]],
+    is_listed: bool,
+    now: float,
+) -> None:
+    """Pass a change of the known instances on to the parts that send messages to all of them."""
+    streams.learn_instances(instances, is_listed, now)
+    crashes.learn_instances(instances, is_listed, now)
+
+
+def handle_instance_message(
+    streams: StreamRegistry,
+    crashes: CrashRegistry,
     instance_lists: InstanceLists,
-    message: StreamMessage,
+    message: InstanceMessage,
     address: tuple[str, int],
     now: float,
 ) -> None:
     """Pass a message on to the part of the instance that it is for."""
     if isinstance(message, InstancesMessage | InstancesQuestion):
         instance_lists.handle_message(message, address, now)
+    elif isinstance(message, CrashNews):
+        crashes.handle_message(message, address, now)
     else:
         streams.handle_message(message, address, now)
--- a/rhubarbshed/transport/edge/relay.py
+++ b/rhubarbshed/transport/edge/relay.py
@@ -35,7 +35,7 @@
 from rhubarbshed.protocol.exchanges import CallerRequest, ExchangeEnd
 from rhubarbshed.protocol.routes import Route
 from rhubarbshed.state.membership.fleet import ServerRecord
-from rhubarbshed.transport.edge.attempts import Attempt, CallerResponse, is_cut_off
+from rhubarbshed.transport.edge.attempts import Attempt, CallerResponse
 from rhubarbshed.transport.edge.caller_connections import CallerConnection
 from rhubarbshed.transport.edge.continuations import (
     FindStream,
@@ -45,11 +45,11 @@
     record_nothing,
     record_origin,
 )
+from rhubarbshed.transport.edge.crash_registry import CrashRegistry, list_keys
 from rhubarbshed.transport.edge.follower import DROP_MARGIN_S
 from rhubarbshed.transport.edge.metrics import FrontMetrics
 from rhubarbshed.transport.edge.pools import Pool
 from rhubarbshed.transport.edge.request_logs import Stage, log_end, log_failed_attempt
-from rhubarbshed.transport.edge.server_checks import ServerChecks
 from rhubarbshed.transport.edge.view import View
 from rhubarbshed.util.logs import log_event
 
@@ -86,7 +86,7 @@
     count_demand: Callable[[str, str, str, int], None]
     count_run: Callable[[str, str, str, float], None]
     report_missing: Callable[[str, int, str, str], None]
-    server_checks: ServerChecks
+    crashes: CrashRegistry
     record_stream: RecordStream = record_nothing
     find_stream: FindStream = find_nothing
     open_requests: set["RequestProgress"] = field(factory=set)
@@ -106,6 +106,13 @@
                 LOG.critical("event=defect request=%s", request_id, exc_info=True)
                 progress.connection.abort()
 
+    def withdraw(self, key: str) -> None:
+        """Take requests under a verdict back from the servers that have not begun them."""
+        for progress in list(self.open_requests):
+            attempt = progress.last_attempt
+            if progress.in_flight and key in list_keys(progress.request):
+                attempt.withdraw()
+
     async def handle(
         self, connection: CallerConnection, head: h11.Request, body: bytes, begun_at: float
     ) -> None:
@@ -135,7 +142,8 @@
     so far were down or lacked the model. `waited_s` was spent on a load and `queued_s` on full
     servers. `available_in_s` is when a load that it needs should be complete. `waits_for` is the
     stage it is in while no attempt is in flight. `retry_paid` means that the budget has counted the
-    next retry.
+    next retry. `stopped_by` is the key of the verdict that stopped it, `trial_keys` those of the
+    verdicts that its next attempt puts to a trial.
     """
 
     relay: Relay
@@ -161,6 +169,8 @@
     waits_for: Stage = Stage.CHOICE
     last_attempt: Attempt | None = None
     continuation: Continuation | None = None
+    trial_keys: frozenset[str] = frozenset()
+    stopped_by: str = ""
 
     def cut_off(self) -> None:
         """End the request now, because the process stops."""
@@ -231,6 +241,8 @@
             now = time.monotonic()
             if self.deadline - now < TIME_LEFT_MIN_S:
                 return make_timeout(self.tries.run > 0)
+            if not self.check_quarantine(now):
+                return self.give_up("quarantined")
             chosen = self.choose(now)
             if isinstance(chosen, NoServer):
                 if chosen.reason == "full" and await self.wait_for_room(now):
@@ -255,6 +267,16 @@
                 return self.give_up("budget")
             self.retry_paid = False
 
+    def check_quarantine(self, now: float) -> bool:
+        """Return whether the request may be sent: it is not known to end servers, or is a trial."""
+        crashes = self.relay.crashes
+        verdict, self.trial_keys = crashes.admit(self.request, self.trial_keys, now)
+        if verdict is None:
+            return True
+        self.stopped_by = verdict.key
+        self.available_in_s = crashes.measure_pause(verdict, now)
+        return False
+
     def choose(self, now: float) -> Choice | NoServer:
         """Choose a server that this request has not tried."""
         view = self.relay.view
@@ -292,6 +314,7 @@
             self.caller_response,
             self.deadline,
             lambda: self.may_move(record, time.monotonic()),
+            on_begun=lambda: self.relay.crashes.record_begun(self.request, time.monotonic()),
         )
         self.last_attempt = attempt
         more = self.tries.run + 1 < self.route.attempts_max and self.route.repeatable
@@ -304,6 +327,7 @@
             record.open -= 1
         # A timeout leaves this true: the server may be running the request.
         self.in_flight = False
+        self.trial_keys = frozenset()
         self.note_end(record, attempt, end)
         run_s = time.monotonic() - begun_at
         if end is ExchangeEnd.DONE:
@@ -340,14 +364,13 @@
             record.record_unresponsive(now)
         if end in (ExchangeEnd.CONNECTION_REFUSED, ExchangeEnd.WRONG_SERVER):
             self.relay.report_missing(*record.key, "", "")
-            self.relay.server_checks.record_refused(record, now)
+            self.relay.crashes.checks.record_refused(record, now)
         if end is ExchangeEnd.MODEL_MISSING and self.request.model:
             record.remove_held(self.request.model, self.request.adapter)
             self.relay.report_missing(*record.key, self.request.model, self.request.adapter)
             self.relay.report_awaited(self.service, self.request.model, self.request.adapter)
         self.relay.metrics.count_attempt(self.service, end.value)
-        if is_cut_off(end, attempt):
-            self.relay.server_checks.check(record)
+        self.relay.crashes.record_attempt(self.request, attempt, end, now)
         if end is not ExchangeEnd.DONE:
             log_failed_attempt(self, attempt, end)
 
@@ -429,7 +452,7 @@
         if self.tries.run > 0:
             return make_failure(reason, "the backend server gave no whole answer")
         known = reason if reason in STATED_REASONS else "all_tried"
-        available_in_s = self.available_in_s if known == "absent" else None
+        available_in_s = self.available_in_s if known in ("absent", "quarantined") else None
         return make_refusal(known, self.relay.view.rng, available_in_s)
 
     def answer_defect(self) -> None:
--- a/rhubarbshed/transport/edge/request_logs.py
+++ b/rhubarbshed/transport/edge/request_logs.py
@@ -97,6 +97,8 @@
         fields["gap_ms"] = round(response.gap_s * 1000)
         progress.relay.metrics.observe_first_bytes(response.first_at - request.received_at)
     fields |= count_stream(progress, error)
+    if progress.stopped_by:
+        fields["stopped_by"] = progress.stopped_by
     if error is not None and error.retry_after_s is not None:
         fields["retry_after_s"] = round(error.retry_after_s, 3)
     connection, stop_at = progress.connection, view.drain.started_at
--- a/rhubarbshed/util/fingerprints.py
+++ b/rhubarbshed/util/fingerprints.py
@@ -5,10 +5,15 @@
 import xxhash
 
 
+def hash_request(target: str, body: bytes) -> str:
+    """Return the fingerprint of a request, for bodies that are compared byte by byte."""
+    return xxhash.xxh3_128_hexdigest(target.encode(errors="surrogatepass") + b"\0" + body)
+
+
 def compute_fingerprint(target: str, body: bytes) -> str:
     """Return the fingerprint of a request; JSON bodies that differ only in layout are equal."""
     try:
         canonical = json.dumps(json.loads(body), sort_keys=True, separators=(",", ":")).encode()
     except (ValueError, RecursionError):
         canonical = body
-    return xxhash.xxh3_128_hexdigest(target.encode(errors="surrogatepass") + b"\0" + canonical)
+    return hash_request(target, canonical)
--- a/test/test_stream_backups.py
+++ b/test/test_stream_backups.py
@@ -14,7 +14,7 @@
     make_key,
     name_instances,
 )
-from rhubarbshed.protocol.messages import TEXT_LENGTH_MAX, is_text
+from rhubarbshed.protocol.message_checks import TEXT_LENGTH_MAX, is_text
 from rhubarbshed.protocol.streams import StreamOrigin
 
 V1, V2 = StreamOrigin("svc", "v1"), StreamOrigin("svc", "v2")
