Test what clears a request and what does not stop one

A withdrawn attempt no longer counts as a failure of its server, and its request ends as quarantined, which a test showed: it was answered as broken.

--- a/rhubarbshed/transport/edge/relay.py
+++ b/rhubarbshed/transport/edge/relay.py
@@ -110,8 +110,10 @@
         """Take requests under a verdict back from the servers that have not begun them."""
         for progress in list(self.open_requests):
             attempt = progress.last_attempt
-            if progress.in_flight and key in list_keys(progress.request):
-                attempt.withdraw()
+            if not progress.in_flight or attempt.begun or key not in list_keys(progress.request):
+                continue
+            attempt.withdraw()
+            progress.stopped_by = key
 
     async def handle(
         self, connection: CallerConnection, head: h11.Request, body: bytes, begun_at: float
@@ -260,6 +262,8 @@
             end = await self.attempt(chosen)
             if end is ExchangeEnd.DONE:
                 return None
+            if self.last_attempt.withdrawn:
+                return self.give_up("quarantined")
             if not is_retry_allowed(self.route, end, self.tries):
                 return self.give_up(end.value)
             # The budget counts attempts that reached a server, beyond the first.
@@ -351,7 +355,8 @@
             self.only_missing = False
         if end.may_have_run:
             self.tries = Tries(self.tries.run + 1, self.tries.refused)
-            record.record_end(end is not ExchangeEnd.DONE or attempt.failed, now)
+            if not attempt.withdrawn:
+                record.record_end(end is not ExchangeEnd.DONE or attempt.failed, now)
         elif end.was_sent:
             self.tries = Tries(self.tries.run, self.tries.refused + 1)
         if end in (
--- /dev/null
+++ b/test/test_crash_registry.py
@@ -0,0 +1,304 @@
+"""Exchange of what instances know about requests at ended servers."""
+
+import asyncio
+import random
+import time
+
+import msgpack
+import pytest
+from attrs import define, field
+from returns.result import Failure
+
+from rhubarbshed.protocol.crash_messages import KEYS_PER_MESSAGE, SIGHTINGS_PER_MESSAGE
+from rhubarbshed.protocol.exchanges import CallerRequest, ExchangeEnd
+from rhubarbshed.protocol.messages import (
+    FORMAT,
+    CrashMessage,
+    CrashQuestion,
+    TrialMessage,
+    pack_message,
+    unpack_message,
+)
+from rhubarbshed.protocol.quarantine import CrashId, Sighting
+from rhubarbshed.state.requests.possible_crashes import PossibleCrash
+from rhubarbshed.transport.edge.crash_registry import (
+    CLEAR_DELAY_S,
+    CLEARED_MEMORY_S,
+    COLLECT_S,
+    ENTRIES_MAX,
+    MEMORY_S,
+    REPEAT_S,
+    REPLY_MESSAGES_MAX,
+    TRIAL_RESERVED_S,
+    CrashRegistry,
+    News,
+    make_messages,
+)
+from rhubarbshed.transport.edge.pools import Pool
+from rhubarbshed.transport.edge.server_checks import ServerChecks
+from test.helper_edge import play
+
+DATAGRAM_BYTES_MAX = 1_232
+"""Bytes that fit into one packet on any path."""
+
+START_MS = 1_792_161_387_283
+
+
+def make_request(body: bytes = b"x", request_id: str = "q1") -> CallerRequest:
+    return CallerRequest(request_id, b"GET", b"/p/x", "svc.example", (), 0.0, body)
+
+
+@define
+class Group:
+    """Registries that send each other messages at once, encoded as on the wire."""
+
+    registries: dict[tuple[str, int], CrashRegistry] = field(factory=dict)
+    sent: list[bytes] = field(factory=list)
+    lost: float = 0.0
+    rng: random.Random = field(factory=lambda: random.Random(1))
+
+    def add(self, number: int) -> CrashRegistry:
+        """Add an instance; all know all others."""
+        address = (f"10.0.0.{number}", 7380)
+
+        def send(message, *addresses):
+            for target in addresses:
+                self.sent.append(pack_message(message))
+                if self.rng.random() >= self.lost:
+                    read = unpack_message(self.sent[-1]).unwrap()
+                    loop = asyncio.get_running_loop()
+                    loop.call_soon(self.deliver, target, read, address)
+
+        checks = ServerChecks(Pool(0.1))
+        self.registries[address] = CrashRegistry(send, checks, random.Random(number))
+        for own, registry in self.registries.items():
+            others = [each for each in self.registries if each != own]
+            registry.learn_instances({"a": others}, True, time.monotonic())
+        return self.registries[address]
+
+    def deliver(self, target, message, address) -> None:
+        self.registries[target].handle_message(message, address, time.monotonic())
+
+
+def crash(registry: CrashRegistry, request: CallerRequest, number: int, begun=False) -> None:
+    """Let a request be at a server as that ends, sent after all ends before."""
+    now = time.monotonic()
+    incarnation = (f"r{number}", START_MS)
+    mark = CrashId(f"r{number}", str(START_MS))
+    sighting = Sighting(mark, request.fingerprint, now - 0.0005, now, begun)
+    registry.possible.add(PossibleCrash(request.fingerprint, mark, False, now, sighting))
+    registry.checks.record_ended(incarnation, "checked", now)
+
+
+def is_stopped(registry: CrashRegistry, request: CallerRequest) -> bool:
+    return request.fingerprint in registry.stopped
+
+
+async def settle(seconds: float = COLLECT_S + 0.03) -> None:
+    await asyncio.sleep(seconds)
+
+
+def test_ends_seen_by_different_instances_are_one_verdict_at_all():
+    async def scene():
+        group = Group()
+        first, second, third = (group.add(number) for number in (1, 2, 3))
+        crash(first, make_request(request_id="q1"), 1)
+        await settle()
+        crash(second, make_request(request_id="q2"), 2)
+        await settle()
+        assert all(is_stopped(each, make_request()) for each in (first, second, third))
+        assert not is_stopped(third, make_request(b"y"))
+
+    play(scene)
+
+
+def test_answer_clears_a_request_at_all_instances():
+    async def scene():
+        group = Group()
+        first, second, third = (group.add(number) for number in (1, 2, 3))
+        crash(first, make_request(), 1)
+        await settle()
+        second.record_answer(make_request(request_id="q2"), time.monotonic())
+        await settle(CLEAR_DELAY_S + 0.03)
+        crash(third, make_request(), 2)
+        await settle()
+        assert not any(is_stopped(each, make_request()) for each in (first, second, third))
+
+    play(scene)
+
+
+def test_instances_that_see_a_clear_together_do_not_all_tell_it():
+    async def scene():
+        group = Group()
+        registries = [group.add(number) for number in range(1, 31)]
+        crash(registries[0], make_request(), 1)
+        await settle()
+        group.sent.clear()
+        for registry in registries:
+            registry.record_answer(make_request(), time.monotonic())
+        await settle(CLEAR_DELAY_S + 0.02)
+        # Each tells 29 others if it tells; far from all of them do.
+        assert len(group.sent) <= 29 * 10
+
+    play(scene)
+
+
+def test_lost_datagrams_are_made_up_for_by_questions():
+    async def scene():
+        group = Group(lost=1.0)
+        first, second = group.add(1), group.add(2)
+        for number in (1, 2):
+            crash(first, make_request(), number)
+            await settle()
+        await settle(REPEAT_S)
+        assert is_stopped(first, make_request()) and not is_stopped(second, make_request())
+        group.lost = 0.0
+        second._ask(1)
+        await settle()
+        assert is_stopped(second, make_request())
+        group.sent.clear()
+        second._ask(1)
+        await settle()
+        assert len(group.sent) == 1, "a reply though both know the same"
+
+    play(scene)
+
+
+def test_repeated_message_covers_a_lost_one():
+    async def scene():
+        group = Group(lost=1.0)
+        first, second = group.add(1), group.add(2)
+        crash(first, make_request(), 1)
+        crash(first, make_request(), 2)
+        await settle()
+        group.lost = 0.0
+        await settle(REPEAT_S)
+        assert is_stopped(second, make_request())
+
+    play(scene)
+
+
+def test_trial_at_one_instance_is_reserved_at_the_others():
+    async def scene():
+        group = Group()
+        first, second = group.add(1), group.add(2)
+        for number in (1, 2):
+            crash(first, make_request(), number)
+            await settle()
+        due_at = first.stopped[make_request().fingerprint].trial_at + 0.01
+        verdict, granted = first.admit(make_request(), (), due_at)
+        assert verdict is None and granted
+        assert first.admit(make_request(), granted, due_at) == (None, granted)
+        await settle()
+        assert second.admit(make_request(), (), due_at)[0] is None or second.trials
+        now = time.monotonic()
+        assert second.find_trial_at(second.stopped[make_request().fingerprint]) > now
+        assert second.trials[make_request().fingerprint] == pytest.approx(
+            now + TRIAL_RESERVED_S, abs=0.5
+        )
+
+    play(scene)
+
+
+def test_check_that_finds_the_server_alive_drops_the_suspicion():
+    async def scene():
+        group = Group()
+        registry = group.add(1)
+        now = time.monotonic()
+        mark = CrashId("r1", str(START_MS))
+        sighting = Sighting(mark, make_request().fingerprint, now - 1.0, now)
+        registry.possible.add(PossibleCrash(make_request().fingerprint, mark, False, now, sighting))
+        registry.rule_out(("r1", START_MS), now + 0.001)
+        registry.checks.record_ended(("r1", START_MS), "refused", now + 5.0)
+        assert not registry.view.entries
+
+    play(scene)
+
+
+def test_old_and_cleared_entries_are_dropped_and_all_are_bounded():
+    async def scene():
+        registry = Group().add(1)
+        now = time.monotonic()
+        crash(registry, make_request(b"open"), 1)
+        crash(registry, make_request(b"cleared"), 2)
+        registry.record_answer(make_request(b"cleared"), now)
+        registry.forget_old(now + CLEARED_MEMORY_S + 1.0)
+        assert list(registry.view.entries) == [make_request(b"open").fingerprint]
+        registry.forget_old(now + MEMORY_S + 1.0)
+        assert not registry.view.entries and not registry.view.sightings
+        for number in range(ENTRIES_MAX + 50):
+            mark = CrashId("r3", "1")
+            sighting = Sighting(mark, f"{number:032x}", now - 1.0, now + number * 1e-6)
+            registry.view.record_sighting(f"{number:032x}", sighting, now)
+        assert len(registry.view.entries) == ENTRIES_MAX == len(registry.view.sightings)
+        sent = []
+        registry.send = lambda message, *addresses: sent.append(message)
+        registry.handle_message(CrashQuestion(0), ("10.0.0.9", 1), now)
+        assert 0 < len(sent) <= REPLY_MESSAGES_MAX
+
+    play(scene)
+
+
+def test_messages_fit_into_a_packet():
+    mark = CrashId("i-0123456789abcdef", str(START_MS))
+    news = News()
+    for number in range(100):
+        key = f"{number:032x}"
+        sighting = Sighting(mark, key, -800.0, 0.0, True, mark)
+        news.sightings[key, key] = sighting
+        news.cleared.add(key)
+    messages = make_messages(mark, news, 100.0)
+    assert sum(len(each.sightings) for each in messages) == 100
+    assert sum(len(each.cleared) for each in messages) == 100
+    assert max(len(pack_message(each)) for each in messages) <= DATAGRAM_BYTES_MAX
+
+
+KEY = bytes(16)
+ROW = (KEY, KEY, 5, 3, False, "", 0)
+
+
+@pytest.mark.parametrize(
+    "kind, fields",
+    [
+        ("crash", ("r1", -1, (), ())),
+        ("crash", (7, 1, (), ())),
+        ("crash", ("r" * 300, 1, (), ())),
+        ("crash", ("r1", 1, (ROW[:6],), ())),
+        ("crash", ("r1", 1, ((b"short", *ROW[1:]),), ())),
+        ("crash", ("r1", 1, ((KEY, KEY, -5, 3, False, "", 0),), ())),
+        ("crash", ("r1", 1, ((KEY, KEY, 5, 3, 2, "", 0),), ())),
+        ("crash", ("r1", 1, ((KEY, KEY, 5, 2**60, False, "", 0),), ())),
+        ("crash", ("r1", 1, (ROW,) * (SIGHTINGS_PER_MESSAGE + 1), ())),
+        ("crash", ("r1", 1, (), (KEY,) * (KEYS_PER_MESSAGE + 1))),
+        ("crash", ("r1", 1, (), ("text",))),
+        ("crash", ("r1", 1.5, (), ())),
+        ("crash_question", (-1,)),
+        ("crash_question", ("x",)),
+        ("trial", ((b"x",),)),
+        ("trial", (KEY,)),
+    ],
+)
+def test_malformed_message_is_unreadable(kind, fields):
+    assert isinstance(unpack_message(msgpack.packb((FORMAT, kind, *fields))), Failure)
+
+
+@pytest.mark.parametrize(
+    "message",
+    [CrashMessage("r1", 1, (ROW,), (KEY,)), CrashQuestion(7), TrialMessage((KEY,))],
+)
+def test_message_is_read_as_it_was_sent(message):
+    assert unpack_message(pack_message(message)).unwrap() == message
+
+
+def test_attempt_with_a_whole_response_is_no_suspicion():
+    async def scene():
+        registry = Group().add(1)
+        crash(registry, make_request(), 1)
+
+        class Answered:
+            failed = True
+
+        registry.record_attempt(make_request(), Answered(), ExchangeEnd.BROKEN, time.monotonic())
+        assert not registry.view.find_entry(make_request().fingerprint).open_crashes
+
+    play(scene)
