Stop parts of prompts that end server after server

Cause: only copies of one request were known to have anything in common; no two requests with the part are alike, so each ended one or two engines.

Change: an end counts also against the parts that the requests there share with others (all but the last), if no event of the answer had come. A part is stopped after two different requests at ends one after the other, three or four if answers on it have begun lately at this instance. An answer that begins on a part clears it everywhere of the ends before, so that the parts of sound requests, at the same ends in dozens, are cleared by them. A request under several verdicts is no trial, as it could show nothing of any one.

--- a/rhubarbshed/coordination/requests/verdicts.py
+++ b/rhubarbshed/coordination/requests/verdicts.py
@@ -1,11 +1,12 @@
-"""Verdicts on requests that were at backend servers when these ended.
+"""Verdicts on requests, and on parts of prompts, that were at backend servers when these ended.
 
 Answers a request that crashes each server that runs it and that its caller sends again, with a new
-id and at any instance. Servers also end for other reasons, several at a time, each with dozens of
-sound requests: what counts are ends one after the other.
+id and at any instance, and a part of prompts that crashes each server that begins an answer on it,
+in requests that are all different. Servers also end for other reasons, several at a time, each with
+dozens of sound requests: what counts are ends one after the other.
 """
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from attrs import frozen
 
@@ -17,6 +18,13 @@
 """A request is stopped after two ends if it was about to begin at both, after three if it had
 begun: a sound stream lasts for seconds and may be at several servers that end."""
 
+REQUESTS_OF_VERDICT = 2
+REQUESTS_IF_BEGUN = 3
+REQUESTS_IF_POPULAR = 4
+POPULAR_BEGUN = 10
+"""Different requests with a part, at ends one after the other, after which the part is stopped:
+more if answers on it have begun lately, here at least once or `POPULAR_BEGUN` times."""
+
 TRIAL_PAUSES_S = (5.0, 60.0, 600.0)
 """Seconds after the last end until one more request is sent, to find out whether a verdict is
 wrong; longer after each trial that ended a server too."""
@@ -24,7 +32,7 @@
 
 @frozen
 class Verdict:
-    """Finding that a request ends the servers that run it.
+    """Finding that a request, or a part of prompts, ends the servers that run it.
 
     `rounds` are the ends that count, in order. From `trial_at` (monotonic seconds) on the verdict
     is put to a trial.
@@ -40,7 +48,9 @@
     return later.after == earlier.crash or later.sent_at > earlier.ended_at
 
 
-def choose_rounds(sightings: Iterable[Sighting]) -> tuple[Sighting, ...]:
+def choose_rounds(
+    sightings: Iterable[Sighting], weigh: Callable[[Iterable[Sighting]], int]
+) -> tuple[Sighting, ...]:
     """Choose the series of ends with the greatest weight, each request sent after the end before.
 
     Servers that end together, in a lost rack for instance, say no more about the requests at them
@@ -56,19 +66,44 @@
     return best
 
 
-def weigh(rounds: Iterable[Sighting]) -> int:
-    """Return the weight of a series of ends."""
+def weigh_ends(rounds: Iterable[Sighting]) -> int:
+    """Return the weight of the ends under copies of one request."""
     return sum(WEIGHT_BEGUN if each.begun else WEIGHT_UNBEGUN for each in rounds)
 
 
-def find_verdict(key: str, sightings: Iterable[Sighting]) -> Verdict | None:
-    """Return the verdict on a request by its open sightings, None if it may be sent."""
-    rounds = choose_rounds(sightings)
-    if weigh(rounds) < WEIGHT_OF_VERDICT:
+def count_requests(rounds: Iterable[Sighting]) -> int:
+    """Return the number of different requests at a series of ends."""
+    return len({each.request for each in rounds})
+
+
+def choose_requests_min(begun_lately: int) -> int:
+    """Return how many requests with a part are needed for a verdict on it.
+
+    `begun_lately` is the number of answers on it that have begun: many sound requests share a part
+    that is often used, and with ends in quick succession some wait at each of them.
+    """
+    if begun_lately >= POPULAR_BEGUN:
+        return REQUESTS_IF_POPULAR
+    return REQUESTS_IF_BEGUN if begun_lately else REQUESTS_OF_VERDICT
+
+
+def find_verdict(
+    key: str, sightings: Iterable[Sighting], requests_min: int = REQUESTS_OF_VERDICT
+) -> Verdict | None:
+    """Return the verdict on a key by its open sightings, None if its requests may be sent.
+
+    The key is a request's fingerprint, or that of a part, of which `requests_min` different
+    requests are needed: one request that crashes servers says nothing about its parts.
+    """
+    sightings = tuple(sightings)
+    if all(each.request == key for each in sightings):
+        weigh, limit = weigh_ends, WEIGHT_OF_VERDICT
+    else:
+        weigh, limit = count_requests, requests_min
+    rounds = choose_rounds(sightings, weigh)
+    if weigh(rounds) < limit:
         return None
-    needed = next(
-        count for count in range(1, len(rounds) + 1) if weigh(rounds[:count]) >= WEIGHT_OF_VERDICT
-    )
+    needed = next(count for count in range(1, len(rounds) + 1) if weigh(rounds[:count]) >= limit)
     failed_trials = min(len(rounds) - needed, len(TRIAL_PAUSES_S) - 1)
     last_at = max(each.ended_at for each in rounds)
     return Verdict(key, rounds, last_at + TRIAL_PAUSES_S[failed_trials])
--- a/rhubarbshed/protocol/exchanges.py
+++ b/rhubarbshed/protocol/exchanges.py
@@ -5,10 +5,13 @@
 
 from attrs import evolve, field, frozen
 
-from rhubarbshed.util.fingerprints import hash_request
+from rhubarbshed.util.fingerprints import hash_part, hash_request
 
 Headers = tuple[tuple[bytes, bytes], ...]
 
+SHARED_PARTS_MAX = 64
+"""Most parts of a prompt that are known as shared ones; a caller may list thousands."""
+
 
 @frozen
 class CallerRequest:
@@ -43,6 +46,12 @@
         what = f"{self.host} {self.method.decode()} {target} {self.model}/{self.adapter}"
         return hash_request(what, self.body)
 
+    @functools.cached_property
+    def part_fingerprints(self) -> tuple[str, ...]:
+        """Return the fingerprints of the parts that others may share, so not of the last."""
+        shared = dict.fromkeys(name for name, _ in self.parts[:-1][:SHARED_PARTS_MAX])
+        return tuple(hash_part(name) for name in shared)
+
     @property
     def stream_id(self) -> str:
         """Return the id of the request that brought, or will bring, the stream's first event."""
--- a/rhubarbshed/state/requests/quarantine.py
+++ b/rhubarbshed/state/requests/quarantine.py
@@ -41,7 +41,7 @@
     """Quarantine entries known to this instance; `seen_at` is when each of them last grew.
 
     `is_final` is whether an entry with `crashes_max` crashes is refused for good. `sightings` are
-    the requests behind the crashes of an entry, by crash and request, where they are known.
+    the requests behind the open crashes of an entry, by crash and request, where they are known.
     """
 
     settings: QuarantineSettings
@@ -73,7 +73,8 @@
     def record_sighting(self, fingerprint: str, sighting: Sighting, now: float) -> bool:
         """Record a request behind a crash; return whether it is new."""
         age_s = now - sighting.ended_at
-        if age_s >= self.settings.memory_s:
+        is_cleared = sighting.crash in self.find_entry(fingerprint).cleared
+        if age_s >= self.settings.memory_s or is_cleared:
             return False
         known = self.sightings.setdefault(fingerprint, {})
         mark = (sighting.crash, sighting.request)
@@ -83,11 +84,9 @@
         self.merge_entry(QuarantineEntry(fingerprint, (sighting.crash,)), now, age_s)
         return True
 
-    def list_open_sightings(self, fingerprint: str) -> tuple[Sighting, ...]:
-        """Return the known requests behind the crashes that an entry is not cleared of."""
-        cleared = self.find_entry(fingerprint).cleared
-        known = self.sightings.get(fingerprint, {}).values()
-        return tuple(sighting for sighting in known if sighting.crash not in cleared)
+    def list_sightings(self, fingerprint: str) -> tuple[Sighting, ...]:
+        """Return the known requests behind the open crashes of an entry."""
+        return tuple(self.sightings.get(fingerprint, {}).values())
 
     def record_complete_answer(self, fingerprint: str, now: float) -> None:
         """Clear a fingerprint of the crashes known so far."""
@@ -110,16 +109,27 @@
         if merged == known:
             return False
         self.entries[reported.fingerprint] = merged
+        self._drop_cleared_sightings(merged)
         seen_before = self.seen_at.get(reported.fingerprint, now - age_s)
         self.seen_at[reported.fingerprint] = max(seen_before, now - age_s)
         self._bound_entries()
         return True
 
+    def _drop_cleared_sightings(self, entry: QuarantineEntry) -> None:
+        known = self.sightings.get(entry.fingerprint, {})
+        for mark in [mark for mark in known if mark[0] in entry.cleared]:
+            del known[mark]
+
     def _bound_entries(self) -> None:
         while len(self.entries) > self.entries_max:
+            # Entries with a single crash go first: a caller can bring about many of them at once.
             oldest = min(
                 self.entries,
-                key=lambda name: (self.entries[name].refused, self.seen_at[name]),
+                key=lambda name: (
+                    self.entries[name].refused,
+                    len(self.entries[name].open_crashes) > 1,
+                    self.seen_at[name],
+                ),
             )
             self._drop(oldest)
 
--- a/rhubarbshed/transport/edge/crash_registry.py
+++ b/rhubarbshed/transport/edge/crash_registry.py
@@ -15,7 +15,11 @@
 import xxhash
 from attrs import define, evolve, field
 
-from rhubarbshed.coordination.requests.verdicts import Verdict, find_verdict
+from rhubarbshed.coordination.requests.verdicts import (
+    Verdict,
+    choose_requests_min,
+    find_verdict,
+)
 from rhubarbshed.protocol.crash_messages import (
     KEYS_PER_MESSAGE,
     SIGHTINGS_PER_MESSAGE,
@@ -27,6 +31,7 @@
 from rhubarbshed.protocol.exchanges import CallerRequest, ExchangeEnd
 from rhubarbshed.protocol.messages import CrashNews, Message
 from rhubarbshed.protocol.quarantine import CrashId, QuarantineEntry, Sighting
+from rhubarbshed.state.requests.begun_parts import BegunParts
 from rhubarbshed.state.requests.possible_crashes import PossibleCrash, PossibleCrashes
 from rhubarbshed.state.requests.quarantine import QuarantineView
 from rhubarbshed.transport.edge.attempts import Attempt, is_cut_off
@@ -71,6 +76,9 @@
 TRIAL_RESERVED_S = 5.0
 """Time for which nobody else tries a request that an instance tries."""
 
+SEVERAL_PAUSE_S = 60.0
+"""Further time until a request under several verdicts may be a trial of all of them."""
+
 RETRY_AFTER_MIN_S = 1.0
 """Shortest time after which a stopped request may come again."""
 
@@ -115,6 +123,7 @@
         )
     )
     possible: PossibleCrashes = field(factory=PossibleCrashes)
+    begun: BegunParts = field(factory=BegunParts)
     counts: CrashCounts = field(factory=CrashCounts)
     others: tuple[Address, ...] = ()
     trials: dict[str, float] = field(factory=dict)
@@ -147,22 +156,20 @@
     ) -> tuple[Verdict | None, frozenset[str]]:
         """Return the verdict that stops a request, or the keys for whose trial it is sent.
 
-        `granted` are the keys that an earlier call granted it a trial for.
+        `granted` are the keys that an earlier call granted it a trial for. A request under several
+        verdicts could show nothing of any single one, so others go first.
         """
         if not self.stopped:
             return None, frozenset(granted)
-        due = []
-        for key in list_keys(request):
-            verdict = self.stopped.get(key)
-            if verdict is None or key in granted:
-                continue
-            if now < self.find_trial_at(verdict):
-                self.counts.stopped += 1
-                return verdict, frozenset()
-            due.append(key)
-        if due:
-            self._start_trial(request, due, now)
-        return None, frozenset((*granted, *due))
+        keys = [key for key in list_keys(request) if key in self.stopped and key not in granted]
+        if not keys:
+            return None, frozenset(granted)
+        last = max((self.stopped[key] for key in keys), key=self.find_trial_at)
+        if now < self.find_trial_at(last) + (SEVERAL_PAUSE_S if len(keys) > 1 else 0.0):
+            self.counts.stopped += 1
+            return last, frozenset()
+        self._start_trial(request, keys, now)
+        return None, frozenset((*granted, *keys))
 
     def find_trial_at(self, verdict: Verdict) -> float:
         """Return the monotonic time from which a verdict may be put to a trial."""
@@ -187,7 +194,7 @@
         if attempt.withdrawn or is_leaving(record):
             return
         crash = make_crash_id(record.key)
-        for key in list_keys(request):
+        for key in self._list_suspects(request, attempt):
             sighting = Sighting(crash, request.fingerprint, attempt.sent_at, now, attempt.begun)
             self.possible.add(PossibleCrash(key, crash, False, now, sighting))
         if record.key in self.checks.ended:
@@ -195,6 +202,17 @@
         else:
             self.checks.check(record)
 
+    def _list_suspects(self, request: CallerRequest, attempt: Attempt) -> tuple[str, ...]:
+        """List the keys that the end of an attempt's server may count against.
+
+        A part on which an answer has begun since the attempt was sent crashes no server.
+        """
+        if attempt.begun:
+            return (request.fingerprint,)
+        parts = request.part_fingerprints
+        suspects = (key for key in parts if not self.begun.has_begun_since(key, attempt.sent_at))
+        return (request.fingerprint, *suspects)
+
     def record_answer(self, request: CallerRequest, now: float) -> None:
         """Clear a request that a server has run to the end."""
         if not self.view.entries and not self.possible.items:
@@ -202,22 +220,23 @@
         for key in list_keys(request):
             if self.possible.items:
                 self.possible.clear_fingerprint(key)
-            self._clear(key, self.view.find_entry(key).open_crashes, request, now)
+            crashes = self.view.find_entry(key).open_crashes
+            self._clear(key, crashes, request.request_id, now)
 
     def record_begun(self, request: CallerRequest, now: float) -> None:
-        """Clear a request that has begun of the ends before it could begin."""
+        """Clear a request that has begun, and its parts, of the ends before it could begin."""
+        for key in request.part_fingerprints:
+            self.begun.record(key, now)
         if not self.view.entries:
             return
         for key in list_keys(request):
-            open_sightings = self.view.list_open_sightings(key)
-            begun = {each.crash for each in open_sightings if each.begun}
-            unbegun = {each.crash for each in open_sightings} - begun
-            self._clear(key, tuple(unbegun), request, now)
+            sightings = self.view.list_sightings(key)
+            begun = {each.crash for each in sightings if each.begun}
+            unbegun = {each.crash for each in sightings} - begun
+            self._clear(key, unbegun, request.request_id, now)
 
-    def _clear(
-        self, key: str, crashes: Iterable[CrashId], request: CallerRequest, now: float
-    ) -> None:
-        """Clear a key of ends, here and at all others."""
+    def _clear(self, key: str, crashes: Iterable[CrashId], by: str, now: float) -> None:
+        """Clear a key of ends, here and at all others; `by` tells the log what did."""
         crashes = tuple(sorted(crashes))
         if not crashes:
             return
@@ -226,7 +245,7 @@
             news = self._outbox.setdefault(crash, News())
             news.cleared.add(key)
         if key in self.stopped:
-            log_event(LOG, logging.INFO, "quarantine_ended", key=key, request=request.request_id)
+            log_event(LOG, logging.INFO, "quarantine_ended", key=key, by=by)
         self._judge((key,), now)
         self._flush_within(self.rng.uniform(0.0, CLEAR_DELAY_S), now)
 
@@ -252,7 +271,7 @@
             return None
         before = [
             each
-            for each in self.view.list_open_sightings(item.fingerprint)
+            for each in self.view.list_sightings(item.fingerprint)
             if each.ended_at < sighting.sent_at and each.crash != sighting.crash
         ]
         last = max(before, key=lambda each: each.ended_at, default=None)
@@ -314,8 +333,11 @@
         changed = []
         for row in message.sightings:
             key, sighting = read_sighting(row, crash, now)
-            if self.view.record_sighting(key, sighting, now):
-                changed.append(key)
+            if not self.view.record_sighting(key, sighting, now):
+                continue
+            changed.append(key)
+            if key != sighting.request and self.begun.has_begun_since(key, sighting.sent_at):
+                self._clear(key, (crash,), "begun", now)
         if message.sightings:
             self.checks.record_ended((message.server_id, message.started_ms), "told", now)
         self._judge((*changed, *cleared), now)
@@ -334,7 +356,8 @@
         """Reach or end the verdicts on requests whose evidence has changed."""
         self._digest = None
         for key in dict.fromkeys(keys):
-            verdict = find_verdict(key, self.view.list_open_sightings(key))
+            requests_min = choose_requests_min(self.begun.count_lately(key, now))
+            verdict = find_verdict(key, self.view.list_sightings(key), requests_min)
             is_new = verdict is not None and key not in self.stopped
             if verdict is None:
                 self.stopped.pop(key, None)
@@ -407,7 +430,7 @@
 
 def list_keys(request: CallerRequest) -> tuple[str, ...]:
     """List the keys under which ends of servers count against a request."""
-    return (request.fingerprint,)
+    return (request.fingerprint, *request.part_fingerprints)
 
 
 def make_crash_id(incarnation: Incarnation) -> CrashId:
