Let a verdict on a request explain the streams that had begun beside it

Cause: each key was judged by itself. Change: an end counts only against the keys that it says most about. A verdict on requests that waited to begin explains the same ends under streams that had; verdicts are judged again as others come and go.

test_sound_streams_at_the_ends_that_a_request_brought_about_are_not_stopped failed before: the stream was stopped.

--- a/rhubarbshed/coordination/requests/verdicts.py
+++ b/rhubarbshed/coordination/requests/verdicts.py
@@ -6,11 +6,12 @@
 dozens of sound requests: what counts are ends one after the other.
 """
 
-from collections.abc import Callable, Iterable
+import enum
+from collections.abc import Callable, Collection, Iterable
 
 from attrs import frozen
 
-from rhubarbshed.protocol.quarantine import Sighting
+from rhubarbshed.protocol.quarantine import CrashId, Sighting
 
 WEIGHT_UNBEGUN = 3
 WEIGHT_BEGUN = 2
@@ -30,17 +31,57 @@
 wrong; longer after each trial that ended a server too."""
 
 
+class Strength(enum.IntEnum):
+    """How much an end says about a key that was there, compared with other keys."""
+
+    BEGUN = 0
+    UNBEGUN = 1
+    PART = 2
+
+
 @frozen
 class Verdict:
     """Finding that a request, or a part of prompts, ends the servers that run it.
 
-    `rounds` are the ends that count, in order. From `trial_at` (monotonic seconds) on the verdict
-    is put to a trial.
+    `rounds` are the ends that count, in order, and `crashes` all that the key was at. From
+    `trial_at` (monotonic seconds) on the verdict is put to a trial.
     """
 
     key: str
     rounds: tuple[Sighting, ...]
     trial_at: float
+    crashes: frozenset[CrashId]
+
+    @property
+    def strength(self) -> Strength:
+        """Return how much the ends say about the key."""
+        return min(find_strength(self.key, each) for each in self.rounds)
+
+
+def find_strength(key: str, sighting: Sighting) -> Strength:
+    """Return how much an end says about a key."""
+    if sighting.request != key:
+        return Strength.PART
+    return Strength.BEGUN if sighting.begun else Strength.UNBEGUN
+
+
+def drop_explained(
+    key: str, sightings: Iterable[Sighting], verdicts: Collection[Verdict]
+) -> tuple[Sighting, ...]:
+    """Leave out the ends that the verdict on another key explains better.
+
+    A request that ends servers does so under dozens of streams that had begun, and sound ones that
+    are sent again may be at each of its ends.
+    """
+    explained = {
+        strength: frozenset().union(
+            *(each.crashes for each in verdicts if each.key != key and each.strength > strength)
+        )
+        for strength in Strength
+    }
+    return tuple(
+        each for each in sightings if each.crash not in explained[find_strength(key, each)]
+    )
 
 
 def is_sent_after(later: Sighting, earlier: Sighting) -> bool:
@@ -106,4 +147,5 @@
     needed = next(count for count in range(1, len(rounds) + 1) if weigh(rounds[:count]) >= limit)
     failed_trials = min(len(rounds) - needed, len(TRIAL_PAUSES_S) - 1)
     last_at = max(each.ended_at for each in rounds)
-    return Verdict(key, rounds, last_at + TRIAL_PAUSES_S[failed_trials])
+    crashes = frozenset(each.crash for each in sightings)
+    return Verdict(key, rounds, last_at + TRIAL_PAUSES_S[failed_trials], crashes)
--- a/rhubarbshed/transport/edge/crash_registry.py
+++ b/rhubarbshed/transport/edge/crash_registry.py
@@ -16,8 +16,10 @@
 from attrs import define, evolve, field
 
 from rhubarbshed.coordination.requests.verdicts import (
+    Strength,
     Verdict,
     choose_requests_min,
+    drop_explained,
     find_verdict,
 )
 from rhubarbshed.protocol.crash_messages import (
@@ -221,7 +223,7 @@
             if self.possible.items:
                 self.possible.clear_fingerprint(key)
             crashes = self.view.find_entry(key).open_crashes
-            self._clear(key, crashes, request.request_id, now)
+            self._clear(key, crashes, now)
 
     def record_begun(self, request: CallerRequest, now: float) -> None:
         """Clear a request that has begun, and its parts, of the ends before it could begin."""
@@ -233,10 +235,10 @@
             sightings = self.view.list_sightings(key)
             begun = {each.crash for each in sightings if each.begun}
             unbegun = {each.crash for each in sightings} - begun
-            self._clear(key, unbegun, request.request_id, now)
+            self._clear(key, unbegun, now)
 
-    def _clear(self, key: str, crashes: Iterable[CrashId], by: str, now: float) -> None:
-        """Clear a key of ends, here and at all others; `by` tells the log what did."""
+    def _clear(self, key: str, crashes: Iterable[CrashId], now: float) -> None:
+        """Clear a key of ends, here and at all others."""
         crashes = tuple(sorted(crashes))
         if not crashes:
             return
@@ -244,8 +246,6 @@
         for crash in crashes:
             news = self._outbox.setdefault(crash, News())
             news.cleared.add(key)
-        if key in self.stopped:
-            log_event(LOG, logging.INFO, "quarantine_ended", key=key, by=by)
         self._judge((key,), now)
         self._flush_within(self.rng.uniform(0.0, CLEAR_DELAY_S), now)
 
@@ -337,7 +337,7 @@
                 continue
             changed.append(key)
             if key != sighting.request and self.begun.has_begun_since(key, sighting.sent_at):
-                self._clear(key, (crash,), "begun", now)
+                self._clear(key, (crash,), now)
         if message.sightings:
             self.checks.record_ended((message.server_id, message.started_ms), "told", now)
         self._judge((*changed, *cleared), now)
@@ -353,19 +353,46 @@
         return self._digest
 
     def _judge(self, keys: Iterable[str], now: float) -> None:
-        """Reach or end the verdicts on requests whose evidence has changed."""
+        """Reach or end the verdicts on keys whose evidence has changed."""
         self._digest = None
-        for key in dict.fromkeys(keys):
-            requests_min = choose_requests_min(self.begun.count_lately(key, now))
-            verdict = find_verdict(key, self.view.list_sightings(key), requests_min)
-            is_new = verdict is not None and key not in self.stopped
-            if verdict is None:
-                self.stopped.pop(key, None)
-                continue
-            self.stopped[key] = verdict
-            if is_new:
-                log_verdict(verdict, now)
-                self.on_verdict(key)
+        pending = sorted(dict.fromkeys(keys), key=self._is_request)
+        # A verdict bears on what is weaker, and that on what is weaker still.
+        for _ in Strength:
+            before = dict(self.stopped)
+            for key in pending:
+                self._judge_key(key, now)
+            changed = {
+                crash
+                for key in before.keys() | self.stopped.keys()
+                if before.get(key) != self.stopped.get(key)
+                for crash in (self.stopped.get(key) or before[key]).crashes
+            }
+            pending = self._list_at(changed)
+
+    def _is_request(self, key: str) -> bool:
+        return any(request == key for _, request in self.view.sightings.get(key, ()))
+
+    def _judge_key(self, key: str, now: float) -> None:
+        sightings = drop_explained(key, self.view.list_sightings(key), self.stopped.values())
+        requests_min = choose_requests_min(self.begun.count_lately(key, now))
+        verdict = find_verdict(key, sightings, requests_min)
+        if verdict is None:
+            if self.stopped.pop(key, None) is not None:
+                log_event(LOG, logging.INFO, "quarantine_ended", key=key)
+            return
+        is_new = key not in self.stopped
+        self.stopped[key] = verdict
+        if is_new:
+            log_verdict(verdict, now)
+            self.on_verdict(key)
+
+    def _list_at(self, crashes: Collection[CrashId]) -> list[str]:
+        """List the keys of requests that were at several ends, some of these among them."""
+        return [
+            key
+            for key, known in self.view.sightings.items()
+            if len(known) > 1 and any(crash in crashes for crash, _ in known)
+        ]
 
     def _start_trial(self, request: CallerRequest, keys: Collection[str], now: float) -> None:
         for key in keys:
--- a/test/test_crash_registry.py
+++ b/test/test_crash_registry.py
@@ -32,10 +32,12 @@
     TRIAL_RESERVED_S,
     CrashRegistry,
     News,
+    list_keys,
     make_messages,
 )
 from rhubarbshed.transport.edge.pools import Pool
 from rhubarbshed.transport.edge.server_checks import ServerChecks
+from rhubarbshed.util.fingerprints import hash_part
 from test.helper_edge import play
 
 DATAGRAM_BYTES_MAX = 1_232
@@ -44,8 +46,11 @@
 START_MS = 1_792_161_387_283
 
 
-def make_request(body: bytes = b"x", request_id: str = "q1") -> CallerRequest:
-    return CallerRequest(request_id, b"GET", b"/p/x", "svc.example", (), 0.0, body)
+def make_request(body: bytes = b"x", request_id: str = "q1", *parts: str) -> CallerRequest:
+    listed = tuple((name, 100) for name in (*parts, "own"))
+    return CallerRequest(
+        request_id, b"GET", b"/p/x", "svc.example", (), 0.0, body, parts=listed if parts else ()
+    )
 
 
 @define
@@ -86,7 +91,10 @@
     incarnation = (f"r{number}", START_MS)
     mark = CrashId(f"r{number}", str(START_MS))
     sighting = Sighting(mark, request.fingerprint, now - 0.0005, now, begun)
-    registry.possible.add(PossibleCrash(request.fingerprint, mark, False, now, sighting))
+    for key in (request.fingerprint,) if begun else list_keys(request):
+        registry.possible.add(PossibleCrash(key, mark, False, now, sighting))
+    if incarnation in registry.checks.ended:
+        registry.confirm_end(incarnation, now)
     registry.checks.record_ended(incarnation, "checked", now)
 
 
@@ -302,3 +310,21 @@
         assert not registry.view.find_entry(make_request().fingerprint).open_crashes
 
     play(scene)
+
+
+def list_stopped(registry: CrashRegistry, *names: str) -> set[str]:
+    """Return which of the parts are stopped."""
+    return {name for name in names if hash_part(name) in registry.stopped}
+
+
+def test_sound_streams_at_the_ends_that_a_request_brought_about_are_not_stopped():
+    async def scene():
+        registry = Group().add(1)
+        begun, deadly = make_request(b"begun"), make_request(b"deadly")
+        for number in range(3):
+            crash(registry, begun, number, begun=True)
+            crash(registry, deadly, number)
+            await settle()
+        assert is_stopped(registry, deadly) and not is_stopped(registry, begun)
+
+    play(scene)
