Test what a verdict on a part means for the requests beside it

A trial is left to requests under a single verdict; of a request with thousands of parts only some count; and entries of one end do not push out a verdict.

--- a/test/test_crash_registry.py
+++ b/test/test_crash_registry.py
@@ -10,7 +10,7 @@
 from returns.result import Failure
 
 from rhubarbshed.protocol.crash_messages import KEYS_PER_MESSAGE, SIGHTINGS_PER_MESSAGE
-from rhubarbshed.protocol.exchanges import CallerRequest, ExchangeEnd
+from rhubarbshed.protocol.exchanges import SHARED_PARTS_MAX, CallerRequest, ExchangeEnd
 from rhubarbshed.protocol.messages import (
     FORMAT,
     CrashMessage,
@@ -317,6 +317,26 @@
     return {name for name in names if hash_part(name) in registry.stopped}
 
 
+def test_sound_streams_at_the_ends_that_a_part_brought_about_are_not_stopped():
+    """They had begun at three servers, or waited at two, and were stopped with the part."""
+
+    async def scene():
+        registry = Group().add(1)
+        begun, waiting = make_request(b"begun"), make_request(b"waiting")
+        for number in range(3):
+            crash(registry, begun, number, begun=True)
+            crash(registry, waiting, number)
+            crash(registry, make_request(b"%d" % number, "q", "dead"), number)
+            await settle()
+        assert list_stopped(registry, "dead") == {"dead"}
+        assert not is_stopped(registry, begun) and not is_stopped(registry, waiting)
+        # Once the part is found to be sound, the ends count against the one that waited.
+        registry.record_begun(make_request(b"other", "q", "dead"), time.monotonic())
+        assert is_stopped(registry, waiting) and not is_stopped(registry, begun)
+
+    play(scene)
+
+
 def test_sound_streams_at_the_ends_that_a_request_brought_about_are_not_stopped():
     async def scene():
         registry = Group().add(1)
@@ -328,3 +348,45 @@
         assert is_stopped(registry, deadly) and not is_stopped(registry, begun)
 
     play(scene)
+
+
+def test_trial_is_left_to_requests_under_a_single_verdict():
+    async def scene():
+        registry = Group().add(1)
+        for number in range(2):
+            crash(registry, make_request(b"%d" % number, "q", "sound", "dead"), number)
+            await settle()
+        due_at = registry.stopped[hash_part("dead")].trial_at + 0.01
+        both = make_request(b"new", "q", "sound", "dead")
+        assert registry.admit(both, (), due_at)[0] is not None
+        single = make_request(b"new", "q", "sound")
+        assert registry.admit(single, (), due_at) == (None, frozenset((hash_part("sound"),)))
+        registry.record_begun(single, due_at)
+        assert list_stopped(registry, "sound", "dead") == {"dead"}
+
+    play(scene)
+
+
+def test_only_some_parts_of_a_request_with_thousands_count():
+    async def scene():
+        registry = Group().add(1)
+        crash(registry, make_request(b"x", "q", *map(str, range(10_000))), 1)
+        assert len(registry.view.entries) <= SHARED_PARTS_MAX + 1
+
+    play(scene)
+
+
+def test_many_entries_of_one_end_do_not_push_out_a_verdict():
+    async def scene():
+        registry = Group().add(1)
+        for number in range(2):
+            crash(registry, make_request(b"%d" % number, "q", "dead"), number)
+            await settle()
+        for number in range(ENTRIES_MAX // SHARED_PARTS_MAX + 2):
+            names = (f"{number}.{each}" for each in range(SHARED_PARTS_MAX))
+            crash(registry, make_request(b"n%d" % number, "q", *names), 100 + number)
+        registry.forget_old(time.monotonic())
+        assert len(registry.view.entries) <= ENTRIES_MAX
+        assert list_stopped(registry, "dead") == {"dead"}
+
+    play(scene)
