Stop a new part after two ends that are apart, not one after the other

Change: for a part that no other answers have begun on lately, ends 10 ms apart are enough; ends of one cause, such as a lost rack, come closer together. Parts in use, and copies of one request, need a request sent after an end, as before. What a wrong verdict costs is small here: the part is in hardly any other request, and a trial ends it after 5 s.

test_part_that_is_new_is_stopped_after_two_ends_that_are_not_together failed before.

--- a/rhubarbshed/coordination/requests/verdicts.py
+++ b/rhubarbshed/coordination/requests/verdicts.py
@@ -26,6 +26,9 @@
 """Different requests with a part, at ends one after the other, after which the part is stopped:
 more if answers on it have begun lately, here at least once or `POPULAR_BEGUN` times."""
 
+APART_S = 0.01
+"""Time between two ends that do not come from one cause, such as a lost rack, for new parts."""
+
 TRIAL_PAUSES_S = (5.0, 60.0, 600.0)
 """Seconds after the last end until one more request is sent, to find out whether a verdict is
 wrong; longer after each trial that ended a server too."""
@@ -89,10 +92,17 @@
     return later.after == earlier.crash or later.sent_at > earlier.ended_at
 
 
+def is_apart(later: Sighting, earlier: Sighting) -> bool:
+    """Return whether an end came noticeably later than another, whenever its request was sent."""
+    return later.ended_at - earlier.ended_at >= APART_S or is_sent_after(later, earlier)
+
+
 def choose_rounds(
-    sightings: Iterable[Sighting], weigh: Callable[[Iterable[Sighting]], int]
+    sightings: Iterable[Sighting],
+    weigh: Callable[[Iterable[Sighting]], int],
+    follows: Callable[[Sighting, Sighting], bool] = is_sent_after,
 ) -> tuple[Sighting, ...]:
-    """Choose the series of ends with the greatest weight, each request sent after the end before.
+    """Choose the series of ends with the greatest weight, each of which follows the one before.
 
     Servers that end together, in a lost rack for instance, say no more about the requests at them
     than one server does.
@@ -100,7 +110,7 @@
     best: tuple[Sighting, ...] = ()
     series: list[tuple[Sighting, ...]] = []
     for sighting in sorted(sightings, key=lambda each: each.ended_at):
-        before = [each for each in series if is_sent_after(sighting, each[-1])]
+        before = [each for each in series if follows(sighting, each[-1])]
         chosen = (*max(before, key=weigh, default=()), sighting)
         series.append(chosen)
         best = max(best, chosen, key=weigh)
@@ -134,14 +144,18 @@
     """Return the verdict on a key by its open sightings, None if its requests may be sent.
 
     The key is a request's fingerprint, or that of a part, of which `requests_min` different
-    requests are needed: one request that crashes servers says nothing about its parts.
+    requests are needed: one request that crashes servers says nothing about its parts. Requests
+    with a part often overlap. Where hardly any other request has it, a verdict does not wait for
+    one that was sent after an end, as each end before it costs a server.
     """
     sightings = tuple(sightings)
+    follows = is_sent_after
     if all(each.request == key for each in sightings):
         weigh, limit = weigh_ends, WEIGHT_OF_VERDICT
     else:
         weigh, limit = count_requests, requests_min
-    rounds = choose_rounds(sightings, weigh)
+        follows = is_apart if requests_min <= REQUESTS_OF_VERDICT else is_sent_after
+    rounds = choose_rounds(sightings, weigh, follows)
     if weigh(rounds) < limit:
         return None
     needed = next(count for count in range(1, len(rounds) + 1) if weigh(rounds[:count]) >= limit)
--- a/test/test_verdicts.py
+++ b/test/test_verdicts.py
@@ -95,3 +95,16 @@
         assert choose_requests_min(begun) == needed
         assert find_verdict("part", sightings[: needed - 1], needed) is None
         assert find_verdict("part", sightings[:needed], needed) is not None
+
+
+def test_part_that_is_new_is_stopped_after_two_ends_that_are_not_together():
+    """Requests with a part often overlap; to wait for one that was sent later costs servers."""
+    first = see(1, -0.10, 0.0, request="q1")
+    second = see(2, -0.05, 0.03, request="q2")
+    assert find_verdict("part", (first, second)) is not None
+    assert find_verdict("part", (first, second), REQUESTS_IF_BEGUN) is None
+    together = see(2, -0.05, 0.004, request="q2")
+    assert find_verdict("part", (first, together)) is None
+    # Copies of one request, on the other hand, may be many.
+    copy = see(2, -0.05, 0.03, request="q")
+    assert find_verdict("q", (see(1, -0.10, 0.0), copy)) is None
