Tell others of parts at an end that answers have begun on lately

test_part_that_others_have_begun_on_lately_is_not_stopped_with_a_deadly_one failed before: the first and the second part were stopped with the third.

--- a/rhubarbshed/protocol/crash_messages.py
+++ b/rhubarbshed/protocol/crash_messages.py
@@ -73,3 +73,10 @@
     """Announcement that a request with a verdict is sent, to find out whether that is wrong."""
 
     keys: tuple[bytes, ...] = field(validator=_check_keys)
+
+
+@frozen
+class BegunPartsMessage:
+    """Parts of prompts that were at an ended server and that answers have begun on lately."""
+
+    keys: tuple[bytes, ...] = field(validator=_check_keys)
--- a/rhubarbshed/protocol/messages.py
+++ b/rhubarbshed/protocol/messages.py
@@ -14,7 +14,12 @@
 from attrs import Attribute, astuple, field, frozen
 from returns.result import Failure, Result, Success
 
-from rhubarbshed.protocol.crash_messages import CrashMessage, CrashQuestion, TrialMessage
+from rhubarbshed.protocol.crash_messages import (
+    BegunPartsMessage,
+    CrashMessage,
+    CrashQuestion,
+    TrialMessage,
+)
 from rhubarbshed.protocol.message_checks import check_number, check_text, is_text
 
 FORMAT = 4
@@ -274,7 +279,7 @@
 
 
 StreamMessage = OriginsMessage | OriginQuestion | OriginReply | InstancesMessage | InstancesQuestion
-CrashNews = CrashMessage | CrashQuestion | TrialMessage
+CrashNews = CrashMessage | CrashQuestion | TrialMessage | BegunPartsMessage
 InstanceMessage = StreamMessage | CrashNews
 Message = DemandMessage | HolderMessage | StoreMessage | InstanceMessage
 KINDS: dict[str, type] = {
@@ -289,6 +294,7 @@
     "crash": CrashMessage,
     "crash_question": CrashQuestion,
     "trial": TrialMessage,
+    "begun_parts": BegunPartsMessage,
 }
 KIND_NAMES = {kind: name for name, kind in KINDS.items()}
 
--- a/rhubarbshed/transport/edge/crash_registry.py
+++ b/rhubarbshed/transport/edge/crash_registry.py
@@ -25,6 +25,7 @@
 from rhubarbshed.protocol.crash_messages import (
     KEYS_PER_MESSAGE,
     SIGHTINGS_PER_MESSAGE,
+    BegunPartsMessage,
     CrashMessage,
     CrashQuestion,
     SightingRow,
@@ -133,6 +134,7 @@
     _is_listed: bool = False
     _digest: int | None = None
     _outbox: dict[CrashId, News] = field(factory=dict)
+    _begun_outbox: dict[str, None] = field(factory=dict)
     _flush: asyncio.TimerHandle | None = None
     _flush_at: float = 0.0
 
@@ -259,6 +261,8 @@
                 news = self._outbox.setdefault(crash, News())
                 news.sightings[item.fingerprint, sighting.request] = sighting
                 changed.append(item.fingerprint)
+                if item.fingerprint != sighting.request:
+                    self._speak_for(item.fingerprint, sighting, now)
         if changed:
             self._judge(changed, now)
             self._flush_within(COLLECT_S, now)
@@ -319,6 +323,12 @@
         elif isinstance(message, TrialMessage):
             for key in message.keys:
                 self.trials[key.hex()] = now + TRIAL_RESERVED_S
+        elif isinstance(message, BegunPartsMessage):
+            keys = [key.hex() for key in message.keys]
+            for key in keys:
+                self.begun.record_report(key, now)
+                self._begun_outbox.pop(key, None)
+            self._judge(keys, now)
         else:
             self._apply(message, now)
 
@@ -335,12 +345,20 @@
             if not self.view.record_sighting(key, sighting, now):
                 continue
             changed.append(key)
-            if key != sighting.request and self.begun.has_begun_since(key, sighting.sent_at):
-                self._clear(key, (crash,), now)
+            if key != sighting.request:
+                self._speak_for(key, sighting, now)
         if message.sightings:
             self.checks.record_ended((message.server_id, message.started_ms), "told", now)
         self._judge((*changed, *cleared), now)
 
+    def _speak_for(self, key: str, sighting: Sighting, now: float) -> None:
+        """Tell others of answers that have begun on a part which was at an ended server."""
+        if self.begun.has_begun_since(key, sighting.sent_at):
+            self._clear(key, (sighting.crash,), now)
+        if self.begun.is_report_due(key, now):
+            self._begun_outbox[key] = None
+            self._flush_within(self.rng.uniform(0.0, CLEAR_DELAY_S), now)
+
     def compute_digest(self) -> int:
         """Return a digest of all entries, equal for instances that know the same."""
         if self._digest is None:
@@ -439,6 +457,7 @@
         self._flush = None
         outbox, self._outbox = self._outbox, {}
         self._send_news(outbox)
+        self._report_begun(time.monotonic())
         if outbox:
             loop = asyncio.get_running_loop()
             loop.call_later(REPEAT_S, self._send_news, outbox)
@@ -449,6 +468,17 @@
             for message in make_messages(crash, news, now):
                 self._send(message, *self.others)
 
+    def _report_begun(self, now: float) -> None:
+        """Report parts that answers have begun on here, unless another instance has done so."""
+        keys, self._begun_outbox = list(self._begun_outbox), {}
+        for key in keys:
+            self.begun.record_report(key, now)
+        packed = [bytes.fromhex(key) for key in keys]
+        for start in range(0, len(packed), KEYS_PER_MESSAGE):
+            part = tuple(packed[start : start + KEYS_PER_MESSAGE])
+            self._send(BegunPartsMessage(part), *self.others)
+        self._judge(keys, now)
+
     def _send(self, message: Message, *addresses: Address) -> None:
         self.send(message, *addresses)
         self.counts.told += len(addresses)
--- a/test/test_crash_registry.py
+++ b/test/test_crash_registry.py
@@ -13,6 +13,7 @@
 from rhubarbshed.protocol.exchanges import SHARED_PARTS_MAX, CallerRequest, ExchangeEnd
 from rhubarbshed.protocol.messages import (
     FORMAT,
+    BegunPartsMessage,
     CrashMessage,
     CrashQuestion,
     TrialMessage,
@@ -286,6 +287,7 @@
         ("crash_question", ("x",)),
         ("trial", ((b"x",),)),
         ("trial", (KEY,)),
+        ("begun_parts", ((KEY, b""),)),
     ],
 )
 def test_malformed_message_is_unreadable(kind, fields):
@@ -294,7 +296,12 @@
 
 @pytest.mark.parametrize(
     "message",
-    [CrashMessage("r1", 1, (ROW,), (KEY,)), CrashQuestion(7), TrialMessage((KEY,))],
+    [
+        CrashMessage("r1", 1, (ROW,), (KEY,)),
+        CrashQuestion(7),
+        TrialMessage((KEY,)),
+        BegunPartsMessage((KEY,)),
+    ],
 )
 def test_message_is_read_as_it_was_sent(message):
     assert unpack_message(pack_message(message)).unwrap() == message
@@ -352,6 +359,25 @@
     play(scene)
 
 
+def test_part_that_others_have_begun_on_lately_is_not_stopped_with_a_deadly_one():
+    """Both were at all ends; only some instances knew that answers on one of them begin."""
+
+    async def scene():
+        group = Group()
+        registries = [group.add(number) for number in range(1, 6)]
+        registries[0].record_begun(make_request(b"old", "q", "f", "sound"), time.monotonic())
+        await settle(0.1)
+        for number in range(2):
+            request = make_request(b"%d" % number, "q", "f", "sound", "dead")
+            crash(registries[1 + number], request, number)
+            await settle()
+        await settle(CLEAR_DELAY_S + 0.05)
+        for registry in registries:
+            assert list_stopped(registry, "f", "sound", "dead") == {"dead"}
+
+    play(scene)
+
+
 def test_trial_is_left_to_requests_under_a_single_verdict():
     async def scene():
         registry = Group().add(1)
