Wait for the check of a server before a request is sent again

Change: a further attempt waits for a check of the server of the one before that is under way, 30 ms at most.

test_request_is_not_sent_again_before_it_is_known_whether_its_server_ended failed before, three times of three: three servers got the request.

--- a/rhubarbshed/transport/edge/relay.py
+++ b/rhubarbshed/transport/edge/relay.py
@@ -270,6 +270,8 @@
             if self.delivered and not self.pay_retry(time.monotonic()):
                 return self.give_up("budget")
             self.retry_paid = False
+            # The end of the server may be what stops the request.
+            await self.relay.crashes.checks.wait(chosen.server)
 
     def check_quarantine(self, now: float) -> bool:
         """Return whether the request may be sent: it is not known to end servers, or is a trial."""
--- a/rhubarbshed/transport/edge/server_checks.py
+++ b/rhubarbshed/transport/edge/server_checks.py
@@ -22,6 +22,9 @@
 ENDED_MAX = 1_000
 """Most ended servers that are remembered."""
 
+CHECK_WAIT_S = 0.03
+"""Longest time that a request waits for the check of its server; a round trip takes 3 ms."""
+
 Incarnation = tuple[str, int]
 """Id of a server and the Unix milliseconds of its start."""
 
@@ -48,6 +51,12 @@
         self.running[record.key] = task
         task.add_done_callback(lambda _: self.running.pop(record.key, None))
 
+    async def wait(self, record: ServerRecord) -> None:
+        """Wait for the check of a server, if there is one, but no longer than it usually takes."""
+        task = self.running.get(record.key)
+        if task is not None:
+            await asyncio.wait((task,), timeout=CHECK_WAIT_S)
+
     def record_refused(self, record: ServerRecord, now: float) -> None:
         """Record that an attempt found nobody, or another server, at a server's address."""
         if not is_leaving(record):
--- a/test/helper_crashes.py
+++ b/test/helper_crashes.py
@@ -21,6 +21,7 @@
 
 CONFIGURATION = make_configuration(
     make_route("idempotent", "/p/", Attempts=2),
+    make_route("idempotent", "/t/", Attempts=3),
     make_route("non_idempotent", "/u/", Attempts=1),
     make_route("streaming", "/s/", Resumable=True, TargetGapMs=150),
     make_route("streaming", "/n/", Attempts=1, TargetGapMs=150),
--- a/test/test_edge_crashes.py
+++ b/test/test_edge_crashes.py
@@ -312,3 +312,16 @@
             assert answer.status == 502 and b"quarantined" in answer.body
 
     play(run)
+
+
+def test_request_is_not_sent_again_before_it_is_known_whether_its_server_ended():
+    """Its instance sent it to a third server within a millisecond of the second end."""
+
+    async def run():
+        async with run_crash_scene(6, {"a1": "a", "b1": "b"}) as scene:
+            for name in ("a1", "b1"):
+                await scene.ask(name, "/t/x", b"deadly")
+                await asyncio.sleep(GAP_S)
+            assert len(scene.arrived) == 2
+
+    play(run)
