Forget the end of a server that answers, and confirm it oneself

An instance behind a cut that refuses connections takes servers that live for ended, and told all others, which took every later break of a connection there for an end.

Change: what another instance reports confirms the breaks that this one had at the server, and no more; a server that answers, or takes a connection, is no longer taken for ended, and what broke off there before is not counted at its end later.

test_instance_whose_connections_are_refused_does_not_blame_requests_for_good failed before.

--- a/rhubarbshed/transport/edge/crash_registry.py
+++ b/rhubarbshed/transport/edge/crash_registry.py
@@ -189,6 +189,8 @@
         if is_cut_off(end, attempt):
             self._record_cut(request, attempt, now)
         elif end.may_have_run:
+            self.checks.record_alive(attempt.record.key)
+            self.rule_out(attempt.record.key, attempt.sent_at)
             self.record_answer(request, now)
 
     def _record_cut(self, request: CallerRequest, attempt: Attempt, now: float) -> None:
@@ -282,8 +284,9 @@
 
     def rule_out(self, incarnation: Incarnation, since: float) -> None:
         """Drop suspicions about a server that was found alive."""
-        crash = make_crash_id(incarnation)
-        self.possible.rule_out(crash.backend_server, crash.boot_id, since)
+        if self.possible.items:
+            crash = make_crash_id(incarnation)
+            self.possible.rule_out(crash.backend_server, crash.boot_id, since)
 
     def learn_instances(
         self, instances: Mapping[str, Collection[Address]], is_listed: bool, now: float
@@ -348,7 +351,7 @@
             if key != sighting.request:
                 self._speak_for(key, sighting, now)
         if message.sightings:
-            self.checks.record_ended((message.server_id, message.started_ms), "told", now)
+            self.confirm_end((message.server_id, message.started_ms), now)
         self._judge((*changed, *cleared), now)
 
     def _speak_for(self, key: str, sighting: Sighting, now: float) -> None:
--- a/rhubarbshed/transport/edge/server_checks.py
+++ b/rhubarbshed/transport/edge/server_checks.py
@@ -75,6 +75,10 @@
         )
         self.on_ended(incarnation, now)
 
+    def record_alive(self, incarnation: Incarnation) -> None:
+        """Record that a server has answered; a cut may have refused connections to it before."""
+        self.ended.pop(incarnation, None)
+
     async def _connect(self, record: ServerRecord) -> None:
         address = (record.entry.host, record.entry.port)
         since = time.monotonic()
@@ -92,6 +96,7 @@
                 detail=str(error),
             )
         else:
+            self.record_alive(record.key)
             channel.idle_since = time.monotonic()
             self.pool.release(address, channel)
             self.on_alive(record.key, since)
--- a/test/test_crash_registry.py
+++ b/test/test_crash_registry.py
@@ -307,16 +307,30 @@
     assert unpack_message(pack_message(message)).unwrap() == message
 
 
-def test_attempt_with_a_whole_response_is_no_suspicion():
+def test_attempt_with_a_whole_response_is_no_suspicion_and_shows_that_its_server_lives():
     async def scene():
         registry = Group().add(1)
         crash(registry, make_request(), 1)
+        broken = CrashId("r2", str(START_MS))
+        key, now = make_request(b"y").fingerprint, time.monotonic()
+        sighting = Sighting(broken, key, now - 1.0, now)
+        registry.possible.add(PossibleCrash(key, broken, False, now, sighting))
 
+        @define
+        class Server:
+            key: tuple[str, int] = ("r2", START_MS)
+
+        @define
         class Answered:
-            failed = True
+            failed: bool = True
+            record: Server = field(factory=Server)
+            sent_at: float = now + 0.1
 
-        registry.record_attempt(make_request(), Answered(), ExchangeEnd.BROKEN, time.monotonic())
+        registry.record_attempt(make_request(), Answered(), ExchangeEnd.BROKEN, now + 0.2)
         assert not registry.view.find_entry(make_request().fingerprint).open_crashes
+        # What broke off there before is no end of that server.
+        registry.checks.record_ended(("r2", START_MS), "refused", now + 5.0)
+        assert key not in registry.view.entries
 
     play(scene)
 
--- a/test/test_edge_crashes.py
+++ b/test/test_edge_crashes.py
@@ -325,3 +325,21 @@
             assert len(scene.arrived) == 2
 
     play(run)
+
+
+def test_instance_whose_connections_are_refused_does_not_blame_requests_for_good():
+    """A cut may refuse connections to servers that live; what breaks there later is no end."""
+
+    async def run():
+        async with run_crash_scene(4) as scene:
+            checks = scene.instances["a1"].crashes.checks
+            record = next(iter(scene.instances["a1"].view.fleet.servers.values()))
+            checks.record_refused(record, time.monotonic())
+            for _ in range(12):
+                assert (await scene.ask("a1", body=b"sound")).status == 200
+            assert record.key not in checks.ended
+            await asyncio.sleep(0.1)
+            other = scene.instances["b1"].crashes.checks
+            assert record.key not in other.ended
+
+    play(run)
