Take a stream that ends inside an event for broken off

Cause: the end of the connection was the end of the answer, as it is for plain answers of that form, and a piece of an event was passed on at the end.

Change: a stream of events must end after an event, and one with neither length nor chunks must have one. Otherwise it goes on at another server where its route allows it, or its caller's connection is reset. Its server is checked, as after any attempt that broke off: a request that crashes servers is known there, too.

--- a/rhubarbshed/transport/edge/attempts.py
+++ b/rhubarbshed/transport/edge/attempts.py
@@ -22,7 +22,12 @@
 )
 from rhubarbshed.transport.edge.pools import Pool
 from rhubarbshed.transport.edge.silence import SilenceTimer
-from rhubarbshed.transport.edge.streams import EventSplitter, has_event
+from rhubarbshed.transport.edge.streams import (
+    TAIL_BYTES,
+    EventSplitter,
+    check_stream_end,
+    has_event,
+)
 
 FIRST_BYTES_TIMEOUT_S = 0.8
 FIRST_BYTES_TIMEOUT_TARGETS = 2.5
@@ -342,14 +347,19 @@
         resumable = caller_response.route.resumable
         caller_response.splitter.drop_partial()
         caller_response.begin_stream(head, self.origin)
+        tail = b""
         while not isinstance(event, h11.EndOfMessage):
             data = bytes(event.data)
+            tail = (tail + data)[-TAIL_BYTES:]
             complete = caller_response.splitter.feed(data) if resumable else data
             if not self.begun and has_event(complete):
                 self.begun = True
                 self.on_begun()
             await caller_response.send(complete)
             event = await self.channel.receive()
+        broken_off = check_stream_end(response, tail)
+        if broken_off:
+            raise ChannelError(broken_off)
         if resumable:
             await caller_response.send(caller_response.splitter.flush())
         self.channel.finish(response, time.monotonic())
--- a/rhubarbshed/transport/edge/streams.py
+++ b/rhubarbshed/transport/edge/streams.py
@@ -1,15 +1,40 @@
 """Event streams split into complete events, so that another server can continue a stream."""
 
 import re
+from collections.abc import Mapping
 
+import h11
 from attrs import define
 
 EVENT_ID = re.compile(rb"^id:[ ]?([^\r\n]*)", re.MULTILINE)
 EVENT_ENDS = (b"\n\n", b"\r\n\r\n")
+EVENT_STREAM = b"text/event-stream"
 EVENT_BYTES_MAX = 1_048_576
 """Longest event that is buffered until it is complete."""
 
 
+TAIL_BYTES = max(map(len, EVENT_ENDS))
+"""Last bytes of a stream that show whether an event ends there."""
+
+
+def check_stream_end(response: h11.Response, tail: bytes) -> str:
+    """Return why the end of a stream is not the end of its answer, "" if it is.
+
+    `tail` are the last bytes. An answer with neither a length nor chunks ends with its connection,
+    as it does if its server ends, so one without any event may have been broken off.
+    """
+    headers = dict(response.headers)
+    if tail and not tail.endswith(EVENT_ENDS) and is_event_stream(headers):
+        return "the stream ended inside an event"
+    is_framed = b"content-length" in headers or b"transfer-encoding" in headers
+    return "" if tail or is_framed else "the stream ended without an event"
+
+
+def is_event_stream(headers: Mapping[bytes, bytes]) -> bool:
+    """Return whether a response says that it is a stream of events."""
+    return headers.get(b"content-type", b"").strip().lower().startswith(EVENT_STREAM)
+
+
 def has_event(data: bytes) -> bool:
     """Return whether an event of a stream ends in a piece of it."""
     return any(mark in data for mark in EVENT_ENDS)
