Separate the decisions on requests that end servers from their exchange

The verdicts, the evidence and the trials are coordination/requests/crash_quarantine.py now, which does no I/O; what is sent is made and read in transport/edge/crash_news.py. Behaviour is the same but for one fault that the move showed: a reply to a question was cut after 32 datagrams in the order of entries, so that among many ends an instance that started learnt of no verdict. What verdicts rest on goes first now; test_reply_begins_with_what_verdicts_rest_on failed before.

--- a/rhubarbshed/transport/edge/relay.py
+++ b/rhubarbshed/transport/edge/relay.py
@@ -9,6 +9,7 @@
 import h11
 from attrs import define, field
 
+from rhubarbshed.coordination.requests.crash_quarantine import list_keys
 from rhubarbshed.coordination.serving.choice import (
     Choice,
     NoServer,
@@ -45,7 +46,7 @@
     record_nothing,
     record_origin,
 )
-from rhubarbshed.transport.edge.crash_registry import CrashRegistry, list_keys
+from rhubarbshed.transport.edge.crash_registry import CrashRegistry
 from rhubarbshed.transport.edge.follower import DROP_MARGIN_S
 from rhubarbshed.transport.edge.metrics import FrontMetrics
 from rhubarbshed.transport.edge.pools import Pool
@@ -276,11 +277,12 @@
     def check_quarantine(self, now: float) -> bool:
         """Return whether the request may be sent: it is not known to end servers, or is a trial."""
         crashes = self.relay.crashes
-        verdict, self.trial_keys = crashes.admit(self.request, self.trial_keys, now)
-        if verdict is None:
+        admission = crashes.admit(self.request, self.trial_keys, now)
+        self.trial_keys = admission.trial_keys
+        if admission.stopped_by is None:
             return True
-        self.stopped_by = verdict.key
-        self.available_in_s = crashes.measure_pause(verdict, now)
+        self.stopped_by = admission.stopped_by.key
+        self.available_in_s = crashes.quarantine.measure_pause(admission.stopped_by, now)
         return False
 
     def choose(self, now: float) -> Choice | NoServer:
--- a/rhubarbshed/transport/edge/server_checks.py
+++ b/rhubarbshed/transport/edge/server_checks.py
@@ -14,6 +14,7 @@
 
 from rhubarbshed.state.membership.fleet import ServerRecord
 from rhubarbshed.transport.edge.channels import ChannelError, NotListeningError
+from rhubarbshed.transport.edge.crash_news import Incarnation
 from rhubarbshed.transport.edge.pools import Pool
 from rhubarbshed.util.logs import log_event
 
@@ -25,9 +26,6 @@
 CHECK_WAIT_S = 0.03
 """Longest time that a request waits for the check of its server; a round trip takes 3 ms."""
 
-Incarnation = tuple[str, int]
-"""Id of a server and the Unix milliseconds of its start."""
-
 
 @define(eq=False)
 class ServerChecks:
--- a/test/test_crash_registry.py
+++ b/test/test_crash_registry.py
@@ -9,6 +9,14 @@
 from attrs import define, evolve, field
 from returns.result import Failure
 
+from rhubarbshed.coordination.requests.crash_quarantine import (
+    CLEARED_MEMORY_S,
+    ENTRIES_MAX,
+    MEMORY_S,
+    TRIAL_RESERVED_S,
+    Admission,
+    list_keys,
+)
 from rhubarbshed.protocol.crash_messages import KEYS_PER_MESSAGE, SIGHTINGS_PER_MESSAGE
 from rhubarbshed.protocol.exchanges import SHARED_PARTS_MAX, CallerRequest, ExchangeEnd
 from rhubarbshed.protocol.messages import (
@@ -22,19 +30,13 @@
 )
 from rhubarbshed.protocol.quarantine import CrashId, Sighting
 from rhubarbshed.state.requests.possible_crashes import PossibleCrash
+from rhubarbshed.transport.edge.crash_news import News, make_messages
 from rhubarbshed.transport.edge.crash_registry import (
     CLEAR_DELAY_S,
-    CLEARED_MEMORY_S,
     COLLECT_S,
-    ENTRIES_MAX,
-    MEMORY_S,
     REPEAT_S,
     REPLY_MESSAGES_MAX,
-    TRIAL_RESERVED_S,
     CrashRegistry,
-    News,
-    list_keys,
-    make_messages,
 )
 from rhubarbshed.transport.edge.pools import Pool
 from rhubarbshed.transport.edge.server_checks import ServerChecks
@@ -93,14 +95,37 @@
     mark = CrashId(f"r{number}", str(START_MS))
     sighting = Sighting(mark, request.fingerprint, now - 0.0005, now, begun)
     for key in (request.fingerprint,) if begun else list_keys(request):
-        registry.possible.add(PossibleCrash(key, mark, False, now, sighting))
+        registry.quarantine.possible.add(PossibleCrash(key, mark, False, now, sighting))
     if incarnation in registry.checks.ended:
         registry.confirm_end(incarnation, now)
     registry.checks.record_ended(incarnation, "checked", now)
 
 
 def is_stopped(registry: CrashRegistry, request: CallerRequest) -> bool:
-    return request.fingerprint in registry.stopped
+    return request.fingerprint in registry.quarantine.stopped
+
+
+@define
+class Server:
+    """Server of an attempt."""
+
+    key: tuple[str, int] = ("r9", START_MS)
+
+
+@define
+class Answered:
+    """Attempt with a whole response."""
+
+    failed: bool = False
+    signed: bool = True
+    status: int = 200
+    record: Server = field(factory=Server)
+    sent_at: float = 0.0
+
+
+def answer(registry: CrashRegistry, request: CallerRequest) -> None:
+    """Let a request be answered."""
+    registry.record_attempt(request, Answered(), ExchangeEnd.DONE, time.monotonic())
 
 
 async def settle(seconds: float = COLLECT_S + 0.03) -> None:
@@ -127,7 +152,7 @@
         first, second, third = (group.add(number) for number in (1, 2, 3))
         crash(first, make_request(), 1)
         await settle()
-        second.record_answer(make_request(request_id="q2"), time.monotonic())
+        answer(second, make_request(request_id="q2"))
         await settle(CLEAR_DELAY_S + 0.03)
         crash(third, make_request(), 2)
         await settle()
@@ -144,7 +169,7 @@
         await settle()
         group.sent.clear()
         for registry in registries:
-            registry.record_answer(make_request(), time.monotonic())
+            answer(registry, make_request())
         await settle(CLEAR_DELAY_S + 0.02)
         # Each tells 29 others if it tells; far from all of them do.
         assert len(group.sent) <= 29 * 10
@@ -199,14 +224,15 @@
         key = make_request().fingerprint
         now = time.monotonic()
         for registry in (first, second):
-            registry.stopped[key] = evolve(registry.stopped[key], trial_at=now)
-        verdict, granted = first.admit(make_request(), (), now)
-        assert verdict is None and granted == {key}
-        assert first.admit(make_request(), granted, now) == (None, granted)
-        assert first.admit(make_request(), (), now)[0] is not None
+            stopped = registry.quarantine.stopped
+            stopped[key] = evolve(stopped[key], trial_at=now)
+        admission = first.admit(make_request(), (), now)
+        assert admission == Admission(None, frozenset((key,)))
+        assert first.admit(make_request(), admission.trial_keys, now) == admission
+        assert first.admit(make_request(), (), now).stopped_by is not None
         await settle()
-        assert second.admit(make_request(), (), now + 0.1)[0] is not None
-        assert second.trials[key] == pytest.approx(now + TRIAL_RESERVED_S, abs=0.5)
+        assert second.admit(make_request(), (), now + 0.1).stopped_by is not None
+        assert second.quarantine.trials[key] == pytest.approx(now + TRIAL_RESERVED_S, abs=0.5)
 
     play(scene)
 
@@ -218,10 +244,11 @@
         now = time.monotonic()
         mark = CrashId("r1", str(START_MS))
         sighting = Sighting(mark, make_request().fingerprint, now - 1.0, now)
-        registry.possible.add(PossibleCrash(make_request().fingerprint, mark, False, now, sighting))
+        possible = PossibleCrash(make_request().fingerprint, mark, False, now, sighting)
+        registry.quarantine.possible.add(possible)
         registry.rule_out(("r1", START_MS), now + 0.001)
         registry.checks.record_ended(("r1", START_MS), "refused", now + 5.0)
-        assert not registry.view.entries
+        assert not registry.quarantine.view.entries
 
     play(scene)
 
@@ -232,16 +259,17 @@
         now = time.monotonic()
         crash(registry, make_request(b"open"), 1)
         crash(registry, make_request(b"cleared"), 2)
-        registry.record_answer(make_request(b"cleared"), now)
-        registry.forget_old(now + CLEARED_MEMORY_S + 1.0)
-        assert list(registry.view.entries) == [make_request(b"open").fingerprint]
-        registry.forget_old(now + MEMORY_S + 1.0)
-        assert not registry.view.entries and not registry.view.sightings
+        answer(registry, make_request(b"cleared"))
+        registry.quarantine.forget_old(now + CLEARED_MEMORY_S + 1.0)
+        assert list(registry.quarantine.view.entries) == [make_request(b"open").fingerprint]
+        registry.quarantine.forget_old(now + MEMORY_S + 1.0)
+        assert not registry.quarantine.view.entries and not registry.quarantine.view.sightings
         for number in range(ENTRIES_MAX + 50):
             mark = CrashId("r3", "1")
             sighting = Sighting(mark, f"{number:032x}", now - 1.0, now + number * 1e-6)
-            registry.view.record_sighting(f"{number:032x}", sighting, now)
-        assert len(registry.view.entries) == ENTRIES_MAX == len(registry.view.sightings)
+            registry.quarantine.view.record_sighting(f"{number:032x}", sighting, now)
+        view = registry.quarantine.view
+        assert len(view.entries) == ENTRIES_MAX == len(view.sightings)
         sent = []
         registry.send = lambda message, *addresses: sent.append(message)
         registry.handle_message(CrashQuestion(0), ("10.0.0.9", 1), now)
@@ -258,7 +286,7 @@
         sighting = Sighting(mark, key, -800.0, 0.0, True, mark)
         news.sightings[key, key] = sighting
         news.cleared.add(key)
-    messages = make_messages(mark, news, 100.0)
+    messages = list(make_messages({mark: news}, 100.0))
     assert sum(len(each.sightings) for each in messages) == 100
     assert sum(len(each.cleared) for each in messages) == 100
     assert max(len(pack_message(each)) for each in messages) <= DATAGRAM_BYTES_MAX
@@ -314,30 +342,21 @@
         broken = CrashId("r2", str(START_MS))
         key, now = make_request(b"y").fingerprint, time.monotonic()
         sighting = Sighting(broken, key, now - 1.0, now)
-        registry.possible.add(PossibleCrash(key, broken, False, now, sighting))
-
-        @define
-        class Server:
-            key: tuple[str, int] = ("r2", START_MS)
+        registry.quarantine.possible.add(PossibleCrash(key, broken, False, now, sighting))
 
-        @define
-        class Answered:
-            failed: bool = True
-            record: Server = field(factory=Server)
-            sent_at: float = now + 0.1
-
-        registry.record_attempt(make_request(), Answered(), ExchangeEnd.BROKEN, now + 0.2)
-        assert not registry.view.find_entry(make_request().fingerprint).open_crashes
+        failure = Answered(True, status=500, record=Server(("r2", START_MS)), sent_at=now + 0.1)
+        registry.record_attempt(make_request(), failure, ExchangeEnd.BROKEN, now + 0.2)
+        assert not registry.quarantine.view.find_entry(make_request().fingerprint).open_crashes
         # What broke off there before is no end of that server.
         registry.checks.record_ended(("r2", START_MS), "refused", now + 5.0)
-        assert key not in registry.view.entries
+        assert key not in registry.quarantine.view.entries
 
     play(scene)
 
 
 def list_stopped(registry: CrashRegistry, *names: str) -> set[str]:
     """Return which of the parts are stopped."""
-    return {name for name in names if hash_part(name) in registry.stopped}
+    return {name for name in names if hash_part(name) in registry.quarantine.stopped}
 
 
 def test_sound_streams_at_the_ends_that_a_part_brought_about_are_not_stopped():
@@ -398,11 +417,12 @@
         for number in range(2):
             crash(registry, make_request(b"%d" % number, "q", "sound", "dead"), number)
             await settle()
-        due_at = registry.stopped[hash_part("dead")].trial_at + 0.01
+        due_at = registry.quarantine.stopped[hash_part("dead")].trial_at + 0.01
         both = make_request(b"new", "q", "sound", "dead")
-        assert registry.admit(both, (), due_at)[0] is not None
+        assert registry.admit(both, (), due_at).stopped_by is not None
         single = make_request(b"new", "q", "sound")
-        assert registry.admit(single, (), due_at) == (None, frozenset((hash_part("sound"),)))
+        trial_keys = frozenset((hash_part("sound"),))
+        assert registry.admit(single, (), due_at) == Admission(None, trial_keys)
         registry.record_begun(single, due_at)
         assert list_stopped(registry, "sound", "dead") == {"dead"}
 
@@ -413,7 +433,7 @@
     async def scene():
         registry = Group().add(1)
         crash(registry, make_request(b"x", "q", *map(str, range(10_000))), 1)
-        assert len(registry.view.entries) <= SHARED_PARTS_MAX + 1
+        assert len(registry.quarantine.view.entries) <= SHARED_PARTS_MAX + 1
 
     play(scene)
 
@@ -427,8 +447,26 @@
         for number in range(ENTRIES_MAX // SHARED_PARTS_MAX + 2):
             names = (f"{number}.{each}" for each in range(SHARED_PARTS_MAX))
             crash(registry, make_request(b"n%d" % number, "q", *names), 100 + number)
-        registry.forget_old(time.monotonic())
-        assert len(registry.view.entries) <= ENTRIES_MAX
+        registry.quarantine.forget_old(time.monotonic())
+        assert len(registry.quarantine.view.entries) <= ENTRIES_MAX
         assert list_stopped(registry, "dead") == {"dead"}
 
     play(scene)
+
+
+def test_reply_begins_with_what_verdicts_rest_on():
+    """An instance that started among many ends learnt of most, but of no verdict."""
+
+    async def scene():
+        group = Group()
+        registry = group.add(1)
+        for number in range(2):
+            crash(registry, make_request(b"%d" % number, "q", "dead"), number)
+            await settle(0.02)
+        for number in range(3 * REPLY_MESSAGES_MAX):
+            crash(registry, make_request(b"n%d" % number, "q", f"p{number}"), 100 + number)
+        newcomer = group.add(2)
+        await settle(0.1)
+        assert list_stopped(newcomer, "dead") == {"dead"}
+
+    play(scene)
--- a/test/test_edge_crashes.py
+++ b/test/test_edge_crashes.py
@@ -249,7 +249,7 @@
             for replica in scene.replicas.values():
                 replica.reply = scene.reply
             assert (await scene.ask("a1", body=b"sound")).status == 200
-            assert not scene.instances["a1"].crashes.view.entries
+            assert not scene.instances["a1"].crashes.quarantine.view.entries
 
     play(run)
 
@@ -272,7 +272,7 @@
                 scene.run_s = 0.02
                 await asyncio.gather(*tasks)
                 await scene.wait_ready("a1")
-            assert not scene.instances["a1"].crashes.view.entries
+            assert not scene.instances["a1"].crashes.quarantine.view.entries
             assert (await scene.ask("a1", "/u/x", b"sound")).status == 200
 
     play(run)
--- a/tools/capacity_crashes.py
+++ b/tools/capacity_crashes.py
@@ -9,15 +9,12 @@
 import time
 import tracemalloc
 
+from rhubarbshed.coordination.requests.crash_quarantine import list_keys
 from rhubarbshed.protocol.exchanges import CallerRequest
 from rhubarbshed.protocol.messages import CrashQuestion, pack_message, unpack_message
 from rhubarbshed.protocol.quarantine import CrashId, Sighting
-from rhubarbshed.transport.edge.crash_registry import (
-    CrashRegistry,
-    News,
-    list_keys,
-    make_messages,
-)
+from rhubarbshed.transport.edge.crash_news import News, make_messages
+from rhubarbshed.transport.edge.crash_registry import CrashRegistry
 from rhubarbshed.transport.edge.pools import Pool
 from rhubarbshed.transport.edge.server_checks import ServerChecks
 from tools.capacity_streams import INSTANCES, time_call
@@ -67,7 +64,7 @@
         mark = CrashId(f"i-{number % 10:010x}", str(START_MS))
         request = make_request(number)
         for key in list_keys(request):
-            registry.view.record_sighting(
+            registry.quarantine.view.record_sighting(
                 key, Sighting(mark, request.fingerprint, now - 0.2, now), now
             )
 
@@ -75,7 +72,7 @@
 def main() -> None:
     """Print the figures."""
     mark = CrashId("i-0123456789", str(START_MS))
-    messages = make_messages(mark, make_news(20_000, AT_SERVER), 1.0)
+    messages = list(make_messages({mark: make_news(20_000, AT_SERVER)}, 1.0))
     packed = [pack_message(each) for each in messages]
     print(
         f"report of {AT_SERVER} requests: {len(packed)} datagram(s), {sum(map(len, packed))} bytes"
@@ -99,12 +96,12 @@
         ),
         "admit, nothing known": (lambda number: empty.admit(requests[number], (), now), 10_000),
         "answer, nothing known": (
-            lambda number: empty.record_answer(requests[number], now),
+            lambda number: empty.quarantine.record_answer(requests[number], now),
             10_000,
         ),
         "keys of a request": (lambda number: list_keys(make_request(number)), 2_000),
         f"answer, {ENTRIES} known": (
-            lambda number: filled.record_answer(make_request(10_000 + number), now),
+            lambda number: filled.quarantine.record_answer(make_request(10_000 + number), now),
             2_000,
         ),
         f"digest of {ENTRIES}": (lambda number: digest(filled), 200),
@@ -116,7 +113,7 @@
 
 def digest(registry: CrashRegistry) -> int:
     """Compute the digest anew."""
-    registry.forget_old(time.monotonic())
+    registry._digest = None
     return registry.compute_digest()
 
 
