Count the end of a server behind something that answers 502 in its place

A request that ends servers behind a gateway was stopped nowhere: the 502 in the server's place is a whole response, which cleared it.

Change: after a failure without the server's signature the server is checked as after an attempt that broke off, and the request is cleared by nothing.

test_request_that_ends_servers_behind_a_gateway_is_stopped failed before: five servers ended in five tries.

--- a/rhubarbshed/transport/edge/attempts.py
+++ b/rhubarbshed/transport/edge/attempts.py
@@ -47,8 +47,13 @@
 
 
 def is_cut_off(end: ExchangeEnd, attempt: "Attempt") -> bool:
-    """Return whether an attempt ended without a whole response, as it does if its server ends."""
-    return end.may_have_run and end is not ExchangeEnd.DONE and not attempt.failed
+    """Return whether an attempt ended without a whole response, as it does if its server ends.
+
+    A failure without the server's signature may come from something in between.
+    """
+    if end is ExchangeEnd.DONE or attempt.failed:
+        return attempt.status >= 500 and not attempt.signed
+    return end.may_have_run
 
 
 @define(eq=False)
@@ -147,6 +152,7 @@
     deadline: float
     may_move: Callable[[], bool] = lambda: True
     status: int = 0
+    signed: bool = False
     detail: str = ""
     sent: bool = False
     sent_at: float = 0.0
@@ -226,7 +232,7 @@
             timer.start()
         try:
             response, head = await self.receive_head()
-            self.status = head.status
+            self.status, self.signed = head.status, head.signed
             if head.load is not None:
                 self.record.record_load_sample(head.load[0], head.load[1], time.monotonic())
             if head.not_run:
--- a/test/test_edge_crashes.py
+++ b/test/test_edge_crashes.py
@@ -343,3 +343,29 @@
             assert record.key not in other.ended
 
     play(run)
+
+
+def test_request_that_ends_servers_behind_a_gateway_is_stopped():
+    """What stands between answers in place of a server that ended, without its signature."""
+
+    async def run():
+        async with run_crash_scene(6) as scene:
+
+            async def reply(exchange):
+                if b"deadly" not in exchange.body:
+                    await scene.reply(exchange)
+                    return
+                scene.arrived.append((time.monotonic(), exchange.replica.server_id, exchange))
+                exchange.answer(502, b"no answer", signed=False)
+                await exchange.writer.drain()
+                await scene.crash(exchange.replica)
+
+            for replica in scene.replicas.values():
+                replica.reply = reply
+            scene.back_s = 60.0
+            for name in ("a1", "b1", "a2", "b2", "a3"):
+                await scene.ask(name, "/u/x", b"deadly")
+                await asyncio.sleep(GAP_S)
+            assert len(scene.crashed) <= ENDED_MAX
+
+    play(run)
