--- a/rhubarbshed/coordination/requests/verdicts.py
+++ b/rhubarbshed/coordination/requests/verdicts.py
@@ -109,11 +109,14 @@
     """
     best: tuple[Sighting, ...] = ()
     series: list[tuple[Sighting, ...]] = []
-    for sighting in sorted(sightings, key=lambda each: each.ended_at):
-        before = [each for each in series if follows(sighting, each[-1])]
-        chosen = (*max(before, key=weigh, default=()), sighting)
-        series.append(chosen)
-        best = max(best, chosen, key=weigh)
+    for sighting in sorted(sightings, key=lambda each: (each.ended_at, each.request)):
+        longer = [
+            (*each, sighting)
+            for each in series
+            if follows(sighting, each[-1]) and all(it.crash != sighting.crash for it in each)
+        ]
+        series.append(max([(sighting,), *longer], key=weigh))
+        best = max(best, series[-1], key=weigh)
     return best
 
 
--- a/rhubarbshed/state/requests/quarantine.py
+++ b/rhubarbshed/state/requests/quarantine.py
@@ -18,8 +18,9 @@
 from rhubarbshed.util.settings import QuarantineSettings
 
 ENTRIES_MAX = 20_000
-SIGHTINGS_MAX = 64
-"""Most requests kept for one entry."""
+SIGHTINGS_MAX = 32
+SIGHTINGS_PER_CRASH = 4
+"""Most requests kept for one entry, and for one of its crashes."""
 
 ISOLATION_ANNOUNCED_S = 3.0
 
@@ -81,6 +82,12 @@
         if mark in known or len(known) >= SIGHTINGS_MAX:
             return False
         known[mark] = sighting
+        # The same ones are kept on all instances, in whatever order they come to know them.
+        same = sorted(each for each in known if each[0] == sighting.crash)
+        for surplus in same[SIGHTINGS_PER_CRASH:]:
+            del known[surplus]
+        if mark not in known:
+            return False
         self.merge_entry(QuarantineEntry(fingerprint, (sighting.crash,)), now, age_s)
         return True
 
--- a/test/test_quarantine.py
+++ b/test/test_quarantine.py
@@ -25,7 +25,7 @@
     PROPAGATION_S,
     IsolatedRunPending,
 )
-from rhubarbshed.protocol.quarantine import CrashId, QuarantineEntry, merge_entries
+from rhubarbshed.protocol.quarantine import CrashId, QuarantineEntry, Sighting, merge_entries
 from rhubarbshed.protocol.requests import AttemptEnd, Dispatch, Refusal
 from rhubarbshed.state.requests.quarantine import QuarantineView
 from rhubarbshed.util.fingerprints import compute_fingerprint
@@ -457,3 +457,18 @@
     )
     lost = [len(set(play_poison(seed).crashes)) for seed in range(20)]
     assert max(lost) > 2
+
+
+def test_few_sightings_of_one_end_are_kept_and_the_same_in_any_order():
+    """A part that all requests have would fill an entry with those of a single end."""
+    sightings = [Sighting(FIRST, f"{number:02d}", -1.0, 0.0) for number in range(40)]
+    kept = []
+    for order in (sightings, sightings[::-1]):
+        view = QuarantineView(SETTINGS, is_final=False)
+        for sighting in order:
+            view.record_sighting("f", sighting, 0.0)
+        view.record_sighting("f", Sighting(SECOND, "q", 0.5, 0.6), 1.0)
+        kept.append(set(view.list_sightings("f")))
+    assert kept[0] == kept[1]
+    assert {sighting.crash for sighting in kept[0]} == {FIRST, SECOND}
+    assert len(kept[0]) <= 8
--- a/test/test_verdicts.py
+++ b/test/test_verdicts.py
@@ -108,3 +108,20 @@
     # Copies of one request, on the other hand, may be many.
     copy = see(2, -0.05, 0.03, request="q")
     assert find_verdict("q", (see(1, -0.10, 0.0), copy)) is None
+
+
+def test_several_requests_at_one_end_are_one_round():
+    """Instances that are late see the end of one server tens of milliseconds apart."""
+    one_end = [see(1, -1.0, 0.02 * number, request=f"q{number}") for number in range(4)]
+    assert find_verdict("part", one_end) is None
+    later = see(2, -1.0, 0.05, request="q9")
+    verdict = find_verdict("part", [*one_end, later])
+    assert len(verdict.rounds) == len({each.crash for each in verdict.rounds}) == 2
+
+
+def test_two_requests_that_are_at_both_of_two_ends_are_a_verdict_on_their_part():
+    """Both were sent on to the same server, and the third end was awaited."""
+    first = [see(1, -0.1, 0.0, request=name) for name in ("q1", "q2")]
+    second = [see(2, 0.01, 0.1, request=name) for name in ("q1", "q2")]
+    for sightings in ([*first, *second], [*reversed(first), *second]):
+        assert find_verdict("part", sightings, REQUESTS_OF_VERDICT) is not None
