Keep each request with a part at an end until the end is confirmed

Cause: attempts that broke off wait for the check of their server by key and server, so that of the requests with one part only the first was kept.

--- a/rhubarbshed/state/requests/possible_crashes.py
+++ b/rhubarbshed/state/requests/possible_crashes.py
@@ -1,4 +1,7 @@
-"""Broken attempts that may prove to be crashes of their backend servers."""
+"""Broken attempts that may prove to be crashes of their backend servers.
+
+A fingerprint is that of a request, or of a part that several requests at one server may share.
+"""
 
 from collections.abc import Callable
 
@@ -30,17 +33,18 @@
 class PossibleCrashes:
     """Broken attempts, until a report shows whether their server crashed."""
 
-    items: dict[tuple[str, CrashId], PossibleCrash] = field(factory=dict)
+    items: dict[tuple[str, CrashId, str], PossibleCrash] = field(factory=dict)
 
     def add(self, possible: PossibleCrash) -> None:
         """Add a possible crash; a repeated report of it changes nothing."""
-        self.items.setdefault((possible.fingerprint, possible.crash), possible)
+        request = possible.sighting.request if possible.sighting is not None else ""
+        self.items.setdefault((possible.fingerprint, possible.crash, request), possible)
         while len(self.items) > POSSIBLE_CRASHES_MAX:
             del self.items[next(iter(self.items))]
 
     def list_crashes(self, fingerprint: str) -> tuple[CrashId, ...]:
         """Return the possible crashes of a fingerprint."""
-        return tuple(crash for name, crash in self.items if name == fingerprint)
+        return tuple(crash for name, crash, _ in self.items if name == fingerprint)
 
     def rule_out(self, backend_server: str, boot_id: str, alive_at: float) -> None:
         """Drop possible crashes from before a time at which the same boot was still alive.
--- a/test/test_edge_parts.py
+++ b/test/test_edge_parts.py
@@ -9,6 +9,7 @@
 import pytest
 from attrs import define, field
 
+from rhubarbshed.util.fingerprints import hash_part
 from standin.replica import Exchange
 from test.helper_crashes import CrashScene, run_crash_scene
 from test.helper_edge import Answer, play
@@ -184,3 +185,22 @@
             assert len(scene.arrived) - before <= 1
 
     play(run)
+
+
+def test_requests_of_one_instance_at_the_same_two_ends_stop_their_part():
+    """Only the first of them counted at each end, so a third server had to end."""
+
+    async def run():
+        names = {"a1": "a", "b1": "b"}
+        async with run_crash_scene(2, names, is_deadly=has_part(DEADLY), back_s=0.5) as scene:
+            # Both go to the server of the same data centre first, then to the other one.
+            header = {"Rhubarbshed_Prompt_Prefix": f"{DEADLY}:10,own:10"}
+            await asyncio.gather(
+                *(scene.ask("a1", "/s/x", body, **header) for body in (b"one", b"two"))
+            )
+            assert [server_id for _, server_id, _ in scene.arrived] == ["r0", "r0", "r1", "r1"]
+            await asyncio.sleep(0.05)
+            for name in names:
+                assert hash_part(DEADLY) in scene.instances[name].crashes.quarantine.stopped
+
+    play(run)
