Send requests that end servers in the soak

Each run now has a caller that sends one again and again at any instance, in a series of its own first and beside other faults later; the stand-in exits as it runs it, and its relay refuses connections meanwhile.

Checked by the platform's bound: three sends at most, later than three seconds after the third end, by undisturbed instances.

--- a/standin/run.py
+++ b/standin/run.py
@@ -39,6 +39,9 @@
 """Fractions of requests that fail, lose their answer or get a truncated one, of orders that are
 executed late without an answer, and of streams that are interrupted."""
 
+DEADLY_BODY = b"deadly"
+"""Beginning of the body of a request that ends the process that runs it."""
+
 LOAD_S = 0.2
 MODELS_MAX = 3
 ADAPTERS_MAX = 4
@@ -91,6 +94,8 @@
         name, path = exchange.request_id, exchange.target
         self.recorder.write("run", id=name, path=path, after=after)
         draw = self.rng.random() if self.faulty else 1.0
+        if is_deadly(exchange):
+            await self.crash(exchange)
         try:
             if "/s/" in path:
                 await self.stream(exchange, after, draw)
@@ -100,6 +105,14 @@
             closed = exchange.writer.transport.is_closing()
             self.recorder.write("end", id=name, path=path, cut=closed)
 
+    async def crash(self, exchange: Exchange) -> None:
+        """End the process, as the answer is about to begin."""
+        if "/s/" in exchange.target:
+            exchange.begin_stream()
+        await asyncio.sleep(ANSWER_DELAY_S)
+        self.recorder.write("crash", id=exchange.request_id, path=exchange.target)
+        os._exit(1)
+
     async def answer(self, exchange: Exchange, draw: float) -> None:
         """Send a complete answer, or fail by the drawn number."""
         await asyncio.sleep(ANSWER_DELAY_S)
@@ -159,6 +172,11 @@
         replica.execute_order(plain)
 
 
+def is_deadly(exchange: Exchange) -> bool:
+    """Return whether a request ends the process that runs it."""
+    return exchange.body.startswith(DEADLY_BODY)
+
+
 async def call_store(port: int, name: str, body: object = None, **query: str) -> int:
     """Send a command to the store stand-in without a relay; return the status, 0 for no answer."""
     data = b"" if body is None else json.dumps(body).encode()
--- a/test/soak/checks.py
+++ b/test/soak/checks.py
@@ -17,6 +17,8 @@
 LATE_WORK_S = STOP_MAX_S * 5 / 6
 TOLERANCE_S = 0.3
 RESUMES_MIN = 12
+DEADLY_ENDS = 3
+DEADLY_SENDS = 3
 """Bounds from the platform's pages, and the tolerance for delays of a busy machine in times that
 the soak measures. New requests are accepted for `ANNOUNCE_S` after SIGTERM; one that crosses the
 end of its connection was sent within `CROSSING_MAX_S`; a server that is at work `LATE_WORK_S` after
@@ -271,7 +273,35 @@
     ]
 
 
+def check_deadly(history: History) -> list[str]:
+    """Check that requests that end servers are stopped: few are sent once three have ended.
+
+    Counted are those sent by undisturbed instances that long after the end.
+    """
+    asked = {each.request_id: each for each in history.deadly}
+    ends: dict[str, list[float]] = collections.defaultdict(list)
+    for each in history.seen:
+        if each.what == "crash" and each.request_id in asked:
+            ends[asked[each.request_id].kind].append(each.at)
+    late: dict[str, list[str]] = collections.defaultdict(list)
+    for each in history.seen:
+        found = asked.get(each.request_id)
+        if each.what != "run" or found is None or len(ends[found.kind]) < DEADLY_ENDS:
+            continue
+        known_at = ends[found.kind][DEADLY_ENDS - 1] + FAULT_FREE_S
+        if each.at > known_at and not history.was_disturbed(
+            found.instance, each.at - FAULT_FREE_S, each.at
+        ):
+            late[found.kind].append(f"{each.request_id} at {each.at - known_at:.2f} s")
+    return [
+        f"{kind} was sent {len(names)} times more ({names[0]}); {len(ends[kind])} servers ended"
+        for kind, names in late.items()
+        if len(names) > DEADLY_SENDS
+    ]
+
+
 CHECKS: dict[str, Check] = {
+    "deadly": check_deadly,
     "once": check_once,
     "not_run": check_not_run,
     "answers": check_answers,
--- a/test/soak/faults.py
+++ b/test/soak/faults.py
@@ -9,6 +9,7 @@
 from attrs import define, field
 
 from standin.run import call_store
+from test.soak.deadly import send_deadly_request
 from test.soak.history import ALL, STORE, Disturbance, Leaving
 from test.soak.relay import Mode
 from test.soak.scene import VERSIONS, Scene
@@ -52,10 +53,11 @@
     async def play(self, seconds: float) -> None:
         """Start overlapping faults one after another, with fault-free times for planned changes.
 
-        A stop and a release come first, so that each run has them.
+        A stop, a release and a request that ends servers come first, so that each run has them.
         """
         await self.change_as_planned(self.rng.choice(STOPS))
         await self.change_as_planned(release_version)
+        await self.change_as_planned(send_deadly)
         until = time.monotonic() + seconds
         while time.monotonic() < until:
             if self.rng.random() < PLANNED_FRACTION:
@@ -180,6 +182,11 @@
     await call_store(port, kind, on="0") if kind != "forget" else None
 
 
+async def send_deadly(faults: Faults) -> None:
+    """Send a request that ends the servers that run it, for some seconds."""
+    await send_deadly_request(faults.scene, faults.rng)
+
+
 async def change_configuration(faults: Faults) -> None:
     """Move a route to the other service, up to three times in a row."""
     for _ in range(faults.rng.randint(1, 3)):
@@ -271,6 +278,8 @@
     reset_links,
     disturb_store,
     change_configuration,
+    send_deadly,
+    send_deadly,
 )
 STOPS: tuple[Fault, ...] = (
     stop_instance,
--- a/test/soak/history.py
+++ b/test/soak/history.py
@@ -115,6 +115,16 @@
     until: float
 
 
+@frozen
+class Deadly:
+    """Request that ends the servers that run it; `kind` is what those like it have in common."""
+
+    request_id: str
+    kind: str
+    instance: str
+    sent_at: float
+
+
 @define
 class Serving:
     """Time in which an engine of some version takes new requests."""
@@ -135,6 +145,7 @@
     stops: list[Stop] = field(factory=list)
     leavings: list[Leaving] = field(factory=list)
     engines: list[Serving] = field(factory=list)
+    deadly: list[Deadly] = field(factory=list)
     moves: list[tuple[float, str, str]] = field(factory=list)
     own_ends: list[str] = field(factory=list)
     calm_from: float = 0.0
--- a/test/soak/mutations.py
+++ b/test/soak/mutations.py
@@ -97,6 +97,12 @@
         "retryable=True, retry_after_s=after_s",
         "retryable=True",
     ),
+    (
+        "deadly",
+        "rhubarbshed/coordination/requests/crash_quarantine.py",
+        "        if not new:\n",
+        "        if new is not None:\n",
+    ),
     ("own_ends", f"{EDGE}/node.py", "ticks += 1\n", "ticks += 1\n            assert ticks < 60\n"),
     (
         "recovery",
--- a/test/soak/relay.py
+++ b/test/soak/relay.py
@@ -9,6 +9,9 @@
 
 CHUNK_BYTES = 65_536
 
+TARGET_CHECK_INTERVAL_S = 0.02
+"""Time between two checks whether somebody listens at a target again."""
+
 
 class Mode(enum.Enum):
     """Treatment of data and new connections by a relay."""
@@ -24,13 +27,15 @@
 class Relay:
     """Relay of connections to `target`; `DROP_ALL` drops both directions, `DROP_ANSWERS` answers.
 
-    A connection with dropped data stays silenced, as if a middlebox had lost its state.
+    A connection with dropped data stays silenced, as if a middlebox had lost its state. With
+    `follows_target` the port is closed while nobody listens at the target.
     """
 
     port: int
     target: int
     mode: Mode = Mode.PASS
     delay_s: float = 0.0
+    follows_target: bool = False
     pairs: set[tuple[asyncio.StreamWriter, asyncio.StreamWriter]] = field(factory=set)
     silenced: set[asyncio.StreamWriter] = field(factory=set)
     tasks: set[asyncio.Task] = field(factory=set)
@@ -40,6 +45,30 @@
         """Listen on the relay's port."""
         self.server = await asyncio.start_server(self._accept, "127.0.0.1", self.port)
 
+    async def check_target(self) -> None:
+        """Close the port if nobody listens at the target, until somebody does again."""
+        if not self.follows_target or self.server is None or await self._is_target_up():
+            return
+        if self.server is not None:
+            self.server.close()
+            self.server = None
+            task = asyncio.create_task(self._wait_for_target())
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
+
+    async def _wait_for_target(self) -> None:
+        while not await self._is_target_up():
+            await asyncio.sleep(TARGET_CHECK_INTERVAL_S)
+        await self.start()
+
+    async def _is_target_up(self) -> bool:
+        try:
+            _, writer = await asyncio.open_connection("127.0.0.1", self.target)
+        except OSError:
+            return False
+        writer.close()
+        return True
+
     def stop(self) -> None:
         """Close the port and reset all connections."""
         if self.server is not None:
@@ -94,9 +123,11 @@
                     continue
                 writer.write(data)
                 await writer.drain()
+            await self.check_target() if is_answer else None
             if writer not in self.silenced:
                 writer.close()
         except OSError:
+            await self.check_target() if is_answer else None
             _reset(writer)
 
 
--- a/test/soak/run.py
+++ b/test/soak/run.py
@@ -48,8 +48,9 @@
 
 
 async def watch(scene: Scene) -> None:
-    """Watch for instances that exit unexpectedly, until cancelled."""
+    """Watch for processes that exit unexpectedly, until cancelled."""
     while True:
+        scene.restart_crashed_servers()
         scene.record_unexpected_exits()
         await asyncio.sleep(WATCH_INTERVAL_S)
 
--- a/test/soak/scene.py
+++ b/test/soak/scene.py
@@ -19,13 +19,16 @@
     make_engine_service,
     make_route,
 )
-from test.soak.history import History, Leaving, Serving, Stop
+from test.soak.history import Disturbance, History, Leaving, Serving, Stop
 from test.soak.relay import Relay
 
 INSTANCES = 4
 REPORT_S = 1.0
 """Time in which a server's state is in the store: two heartbeats, and the start of a process."""
 
+CRASHED_S = 0.6
+"""Time until a server that a request ended is started again."""
+
 ENGINES = {"e1": "a", "e2": "a", "e3": "b", "e4": "b"}
 VERSIONS = ("v1", "v1.1", "2026.12 beta")
 ENGINE_VERSIONS = dict(zip(ENGINES, VERSIONS[:2] * 2, strict=True))
@@ -119,6 +122,8 @@
     services: dict[str, str] = field(factory=dict)
     disrupted: set[str] = field(factory=set)
     data_centres: dict[str, str] = field(factory=dict)
+    crashed_at: dict[str, float] = field(factory=dict)
+    deadly: int = 0
     visitors: int = 0
     released: int = 0
     version: int = 1
@@ -171,6 +176,7 @@
         self.services[name] = service
         self.data_centres[name] = data_centre
         relay_port = await self.add_relay(name, port)
+        self.relays[name].follows_target = True
         positional = [
             str(port),
             name,
@@ -273,6 +279,21 @@
         del self.services[old]
         self.relays.pop(old).stop()
 
+    def restart_crashed_servers(self) -> None:
+        """Start the servers again that a request ended, and record that they were disturbed."""
+        for name in self.services:
+            program = self.programs[name]
+            if name not in self.disrupted and not program.is_running:
+                self.disrupted.add(name)
+                self.crashed_at[name] = time.monotonic()
+        for name, at in list(self.crashed_at.items()):
+            if time.monotonic() > at + CRASHED_S:
+                del self.crashed_at[name]
+                self.programs[name].start()
+                self.disrupted.discard(name)
+                until = time.monotonic() + REPORT_S
+                self.history.disturbances.append(Disturbance(name, "crashed", at - 1.0, until))
+
     def record_unexpected_exits(self) -> None:
         """Record instances that exited without the soak's action, and start them again."""
         for name in self.instances:
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -12,6 +12,7 @@
     ALL,
     STORE,
     Asked,
+    Deadly,
     Disturbance,
     History,
     Leaving,
@@ -88,6 +89,13 @@
         ],
     ),
     "refusals": make_history(asked=[evolve(REFUSED, retry_after="")]),
+    "deadly": make_history(
+        deadly=[Deadly(f"d-{number}", "d", "i1", 5.0 + number) for number in range(12)],
+        seen=[
+            *(Seen(5.0 + each, "crash", f"p{each}", 1, f"d-{each}", "/p/d") for each in range(3)),
+            *(Seen(5.0 + each, "run", "p1", 1, f"d-{each}", "/p/d") for each in range(12)),
+        ],
+    ),
     "own_ends": make_history(own_ends=["i1 ended with 1"]),
     "recovery": make_history(calm_from=9.0),
 }
