Send requests with a part that ends servers in the soak

Each run has different requests with such a part, in front of or behind the first part that sound streams have, too. Checked by the platform's bound: three sends at most, later than three seconds after the fifth end.

--- a/standin/run.py
+++ b/standin/run.py
@@ -40,7 +40,9 @@
 executed late without an answer, and of streams that are interrupted."""
 
 DEADLY_BODY = b"deadly"
-"""Beginning of the body of a request that ends the process that runs it."""
+DEADLY_PART = "fatal"
+"""Beginning of the body of a request that ends the process that runs it, and of the id of a part of
+prompts that does unless it is the last one."""
 
 LOAD_S = 0.2
 MODELS_MAX = 3
@@ -174,7 +176,10 @@
 
 def is_deadly(exchange: Exchange) -> bool:
     """Return whether a request ends the process that runs it."""
-    return exchange.body.startswith(DEADLY_BODY)
+    parts = exchange.headers.get("rhubarbshed-prompt-prefix", "").split(",")
+    return exchange.body.startswith(DEADLY_BODY) or any(
+        part.startswith(DEADLY_PART) for part in parts[:-1]
+    )
 
 
 async def call_store(port: int, name: str, body: object = None, **query: str) -> int:
--- a/test/soak/callers.py
+++ b/test/soak/callers.py
@@ -44,6 +44,9 @@
 """Further attempts at a broken stream, the least time that they need, and fraction of streams whose
 connection the caller loses by itself, after which time."""
 
+FIRST_PART = "f1"
+"""Part that all prompts begin with."""
+
 MODELS = (
     *("m1", "m2", "m3", "m4", "m5"),
     *(f"m1/a{number}" for number in range(1, 10)),
@@ -150,6 +153,7 @@
         lines = [f"Rhubarbshed-Deadline-Remaining: {int(timeout_s * 1000)}"]
         if path.startswith("/s/"):
             lines.append(f"Rhubarbshed-Model: {model}")
+            lines.append(f"Rhubarbshed-Prompt-Prefix: {FIRST_PART}:100,{first or request_id}:20")
         if earlier:
             lines += [f"Last-Event-Id: {after}", f"Resumes: {first}"]
         data = make_request(request_id, path, payload, lines)
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -150,6 +150,20 @@
         assert "resumes" not in check_all(evolve(history, **excuse))
 
 
+@pytest.mark.parametrize("kind, ends", [("deadly1", 3), ("fatal1", 5)])
+def test_requests_that_end_servers_may_be_sent_three_times_more(kind, ends):
+    deadly = [Deadly(f"d-{number}", kind, "i1", 5.0 + number) for number in range(20)]
+    crashes = [
+        Seen(5.0 + each, "crash", f"p{each}", 1, f"d-{each}", "/p/d") for each in range(ends)
+    ]
+    first_late = ends - 1 + 3
+    for more, told in ((3, False), (4, True)):
+        runs = range(first_late + 1, first_late + 1 + more)
+        seen = [*crashes, *(Seen(5.0 + each, "run", "p1", 1, f"d-{each}", "/p/d") for each in runs)]
+        history = make_history(deadly=deadly, seen=seen)
+        assert ("deadly" in check_all(history)) is told
+
+
 def test_request_sent_after_its_caller_left_is_told():
     seen = [evolve(RUN, at=11.0, request_id="c1-4", path="/p/c1-4")]
     assert "gone" in check_all(make_history(asked=[LEFT], seen=seen))
