Test what a wrong verdict on a part costs, and a caller that forges one

A part at servers that ended for another reason is back after one trial, everywhere; of thousands of sound requests at six servers that end one after the other at most one in a hundred is stopped; a part that another caller lists in its deadly requests goes on.

--- a/test/test_edge_parts.py
+++ b/test/test_edge_parts.py
@@ -9,6 +9,7 @@
 import pytest
 from attrs import define, field
 
+from rhubarbshed.coordination.requests import verdicts
 from rhubarbshed.util.fingerprints import hash_part
 from standin.replica import Exchange
 from test.helper_crashes import CrashScene, run_crash_scene
@@ -204,3 +205,74 @@
                 assert hash_part(DEADLY) in scene.instances[name].crashes.quarantine.stopped
 
     play(run)
+
+
+def test_part_that_was_stopped_wrongly_is_back_after_a_trial(monkeypatch):
+    """Servers with requests on it ended for another reason, one after the other."""
+    monkeypatch.setattr(verdicts, "TRIAL_PAUSES_S", (1.0, 30.0))
+
+    async def run():
+        async with run_crash_scene(6, is_deadly=lambda exchange: False) as scene:
+            traffic = Traffic(scene)
+            for _ in range(2):
+                scene.run_s = 0.3
+                task = asyncio.create_task(traffic.ask(("rare",), "/n/x"))
+                await asyncio.sleep(0.1)
+                busy = [each for each in scene.replicas.values() if each.got]
+                await scene.crash(busy[-1])
+                scene.run_s = 0.02
+                await task
+                await asyncio.sleep(0.1)
+            refused = await traffic.ask(("rare", "other"))
+            assert refused.status == 503 and b"quarantined" in refused.body
+            assert (await traffic.ask(("other",))).status == 200
+            await asyncio.sleep(1.0)
+            assert (await traffic.ask(("rare", "other"))).status == 200
+            await asyncio.sleep(0.1)
+            for _ in range(10):
+                assert (await traffic.ask(("rare", "third"))).status == 200
+
+    play(run)
+
+
+def test_sound_requests_at_many_servers_that_end_one_after_the_other_go_on():
+    """Thirty streams wait or run at each server that ends, and none has a deadly part."""
+
+    async def run():
+        async with run_crash_scene(8, is_deadly=lambda exchange: False, back_s=0.3) as scene:
+            traffic = Traffic(scene)
+            scene.run_s = 0.1
+            for number in range(12):
+                traffic.start((FIRST, f"s{number}"), 6.0, 5.0)
+            for _ in range(6):
+                await asyncio.sleep(0.6)
+                await scene.crash(next(iter(scene.replicas.values())))
+            await traffic.end()
+            stopped = [each for each in traffic.answers if b"quarantined" in each[2].body]
+            assert len(stopped) <= len(traffic.answers) // 100
+
+    play(run)
+
+
+def test_caller_that_lists_the_part_of_another_does_not_stop_it_for_long():
+    """It sends deadly requests that name the part, which the other's sound requests have."""
+
+    async def run():
+        async with run_crash_scene(8, is_deadly=has_part(DEADLY), back_s=0.5) as scene:
+            traffic = Traffic(scene)
+            traffic.start((FIRST, "victim"), 4.0, 6.0)
+            await asyncio.sleep(1.0)
+            for number in range(6):
+                # A deadly part of its own for each two requests, to keep a series of ends going.
+                deadly = (DEADLY, f"mask{number // 2}", "victim")
+                await asyncio.gather(*(traffic.ask(deadly) for _ in range(2)))
+                await asyncio.sleep(0.3)
+            await traffic.end()
+            sound = [
+                answer.status == 200 and answer.whole
+                for _, parts, answer in traffic.answers
+                if DEADLY not in parts
+            ]
+            assert sum(sound) >= 0.8 * len(sound)
+
+    play(run)
