--- a/standin/replica.py
+++ b/standin/replica.py
@@ -125,6 +125,12 @@
         for writer in list(self._writers):
             writer.transport.abort()
 
+    async def crash(self) -> None:
+        """End as a killed process does: its kernel closes all its sockets."""
+        self._server.close()
+        for writer in list(self._writers):
+            writer.close()
+
     def drain(self) -> None:
         """Report from now on that the replica drains."""
         self.draining = True
@@ -183,10 +189,16 @@
             await self.answer_order(exchange, json.loads(exchange.body))
         elif exchange.target == "/rhubarbshed/order":
             exchange.answer(self.execute_order(json.loads(exchange.body)), b"", signed=False)
+        elif exchange.target == "/health":
+            await self._answer_health(exchange)
         else:
             self.got.append(exchange)
             await self.reply(exchange)
 
+    async def _answer_health(self, exchange: Exchange) -> None:
+        line = f"Rhubarbshed-Instance-Id: {self.server_id}"
+        exchange.answer(503 if self.draining else 200, b"", line, signed=False)
+
     def _report(self) -> dict:
         return {
             "Stage": "both",
--- a/test/test_edge_unframed.py
+++ b/test/test_edge_unframed.py
@@ -5,12 +5,22 @@
 import pytest
 
 from standin.replica import Exchange, Replica
-from test.helper_edge import Answer, make_configuration, make_route, play, run_edge
+from test.helper_edge import (
+    Answer,
+    make_configuration,
+    make_engine_service,
+    make_route,
+    play,
+    run_edge,
+)
 
 RESUMABLE = make_route("streaming", "/s/", Resumable=True, TargetGapMs=150)
 SINGLE = make_route("streaming", "/n/", Attempts=1, TargetGapMs=150)
 PLAIN = make_route("idempotent", "/p/")
-CONFIGURATION = make_configuration(RESUMABLE, SINGLE, PLAIN)
+PAYMENT = make_route("non_idempotent", "/u/", Attempts=1)
+ROUTES = (RESUMABLE, SINGLE, PLAIN, PAYMENT)
+CONFIGURATION = make_configuration(*ROUTES)
+ENGINES = make_configuration(*ROUTES, Services=[make_engine_service({"m1": 0})])
 EVENTS = 4
 
 
@@ -140,3 +150,159 @@
             assert resets and answer.whole and answer.body == b"x" * 10
 
     play(scene)
+
+
+async def crash(exchange: Exchange) -> None:
+    """End the server, some time after what it has written."""
+    await exchange.writer.drain()
+    await asyncio.sleep(0.02)
+    await exchange.replica.crash()
+
+
+async def crash_and_restart(exchange: Exchange) -> None:
+    """End the server; another incarnation has its address before anybody could ask it."""
+    replica = exchange.replica
+    await crash(exchange)
+    replica.started_ms += 1
+    replica.server_id += "-again" if replica.models == {} else ""
+    await replica.start()
+
+
+async def cut_off(exchange: Exchange) -> None:
+    """Close the connection; the server gives no further answer."""
+    replica = exchange.replica
+
+    async def answer_nothing(exchange: Exchange) -> None:
+        await asyncio.sleep(60)
+
+    replica._route = answer_nothing
+    await close(exchange)
+
+
+class BrokenOff:
+    """Reply whose first answer ends after `whole` events, by what happens to its server."""
+
+    def __init__(self, happen, whole: int = 2) -> None:
+        self.happen, self.whole, self.broken = happen, whole, 0
+
+    async def __call__(self, exchange: Exchange) -> None:
+        begin(exchange)
+        after = int(exchange.headers.get("last-event-id", 0))
+        for number in range(after + 1, EVENTS + 1):
+            if not self.broken and number > self.whole:
+                self.broken += 1
+                await self.happen(exchange)
+                raise ConnectionResetError
+            exchange.write(make_event(number))
+            await exchange.writer.drain()
+            await asyncio.sleep(0.01)
+        await close(exchange)
+
+
+HAPPENINGS = {
+    "server ended": (crash, CONFIGURATION, {}),
+    "engine ended": (crash, ENGINES, {"m1": []}),
+    "other server at the address": (crash_and_restart, CONFIGURATION, {}),
+    "engine restarted under its id": (crash_and_restart, ENGINES, {"m1": []}),
+    "server silent": (cut_off, CONFIGURATION, {}),
+}
+
+
+@pytest.mark.parametrize("happen, configuration, models", HAPPENINGS.values(), ids=HAPPENINGS)
+def test_stream_of_a_server_that_ends_between_two_events_goes_on(happen, configuration, models):
+    async def scene():
+        reply = BrokenOff(happen)
+        replicas = [Replica(f"r{n}", reply=reply, models=dict(models)) for n in (1, 2)]
+        async with run_edge(configuration, *replicas) as edge:
+            named = {"Rhubarbshed_Model": "m1"} if models else {}
+            answer = await edge.ask("/s/x", b"x", **named)
+            assert reply.broken == 1
+            assert answer.whole and answer.body == WHOLE
+
+    play(scene)
+
+
+@pytest.mark.parametrize("happen, configuration, models", HAPPENINGS.values(), ids=HAPPENINGS)
+def test_stream_of_a_server_that_ends_between_two_events_never_looks_complete(
+    happen, configuration, models
+):
+    async def scene():
+        replica = Replica("r1", reply=BrokenOff(happen), models=dict(models))
+        async with run_edge(configuration, replica) as edge:
+            named = {"Rhubarbshed_Model": "m1"} if models else {}
+            answer = await edge.ask("/n/x", b"x", **named)
+            assert answer.status == 200 and not answer.whole
+            assert answer.body == make_event(1) + make_event(2)
+
+    play(scene)
+
+
+class BrokenBody:
+    """Reply whose first plain answer is cut in the middle, by what happens to its server."""
+
+    def __init__(self, happen, size: int) -> None:
+        self.happen, self.size, self.broken = happen, size, 0
+
+    async def __call__(self, exchange: Exchange) -> None:
+        begin(exchange)
+        if not self.broken:
+            self.broken += 1
+            exchange.write(b"x" * (self.size // 2))
+            await self.happen(exchange)
+            raise ConnectionResetError
+        exchange.write(b"x" * self.size)
+        await close(exchange)
+
+
+@pytest.mark.parametrize("happen, configuration, models", HAPPENINGS.values(), ids=HAPPENINGS)
+def test_plain_answer_of_a_server_that_ended_is_asked_for_again(happen, configuration, models):
+    async def scene():
+        reply = BrokenBody(happen, 100)
+        replicas = [Replica(f"r{n}", reply=reply, models=dict(models)) for n in (1, 2)]
+        async with run_edge(configuration, *replicas) as edge:
+            answer = await edge.ask("/p/x")
+            assert reply.broken == 1 and answer.whole and answer.body == b"x" * 100
+
+    play(scene)
+
+
+@pytest.mark.parametrize("happen, configuration, models", HAPPENINGS.values(), ids=HAPPENINGS)
+def test_payment_at_a_server_that_ended_in_its_answer_is_not_passed_on_as_complete(
+    happen, configuration, models
+):
+    async def scene():
+        replicas = [
+            Replica(f"r{n}", reply=BrokenBody(happen, 100), models=dict(models)) for n in (1, 2)
+        ]
+        async with run_edge(configuration, *replicas) as edge:
+            answer = await edge.ask("/u/x", b"x")
+            assert answer.status == 502
+            assert sum(len(each.got) for each in replicas) == 1
+
+    play(scene)
+
+
+def test_long_answer_of_a_server_that_ended_never_looks_complete():
+    async def scene():
+        reply = BrokenBody(crash, 800_000)
+        async with run_edge(CONFIGURATION, Replica("r1", reply=reply)) as edge:
+            answer = await edge.ask("/p/x")
+            assert answer.status == 200 and not answer.whole
+
+    play(scene)
+
+
+def test_answer_without_a_body_needs_no_proof_that_it_is_complete():
+    async def scene():
+        async def reply(exchange: Exchange) -> None:
+            exchange.write(
+                b"HTTP/1.1 204 X\r\nRhubarbshed-Response-Signature: s\r\n"
+                b"Rhubarbshed-Request-Id: " + exchange.request_id.encode() + b"\r\n\r\n"
+            )
+            await crash(exchange)
+
+        async with run_edge(CONFIGURATION, Replica("r1", reply=reply)) as edge:
+            answer = await edge.ask("/p/x")
+            assert answer.status == 204
+
+    play(scene)
