Log what shows where an answer ends

`request_ended` and `attempt_failed` did not tell an answer that ends with its connection from one with a length or chunks, so the hypotheses on streams that passed as complete could not be told apart by the log of one request. The field `framing` is length, chunks, no_body or close.

--- a/rhubarbshed/transport/edge/attempts.py
+++ b/rhubarbshed/transport/edge/attempts.py
@@ -25,8 +25,10 @@
 from rhubarbshed.transport.edge.streams import (
     TAIL_BYTES,
     EventSplitter,
+    Framing,
     check_stream_end,
     has_event,
+    read_framing,
 )
 
 FIRST_BYTES_TIMEOUT_S = 0.8
@@ -153,6 +155,7 @@
     may_move: Callable[[], bool] = lambda: True
     status: int = 0
     signed: bool = False
+    framing: Framing | None = None
     detail: str = ""
     sent: bool = False
     sent_at: float = 0.0
@@ -233,6 +236,7 @@
         try:
             response, head = await self.receive_head()
             self.status, self.signed = head.status, head.signed
+            self.framing = read_framing(request.method, response)
             if head.load is not None:
                 self.record.record_load_sample(head.load[0], head.load[1], time.monotonic())
             if head.not_run:
--- a/rhubarbshed/transport/edge/request_logs.py
+++ b/rhubarbshed/transport/edge/request_logs.py
@@ -51,6 +51,7 @@
         "end": end.value,
         "status": attempt.status,
         "detail": attempt.detail,
+        "framing": attempt.framing.value if attempt.framing is not None else "",
         "run": progress.tries.run,
         "refused": progress.tries.refused,
     }
@@ -96,6 +97,9 @@
         fields["first_ms"] = round((response.first_at - request.received_at) * 1000)
         fields["gap_ms"] = round(response.gap_s * 1000)
         progress.relay.metrics.observe_first_bytes(response.first_at - request.received_at)
+    attempt = progress.last_attempt
+    if attempt is not None and attempt.framing is not None:
+        fields["framing"] = attempt.framing.value
     fields |= count_stream(progress, error)
     if progress.stopped_by:
         fields["stopped_by"] = progress.stopped_by
--- a/rhubarbshed/transport/edge/streams.py
+++ b/rhubarbshed/transport/edge/streams.py
@@ -1,5 +1,6 @@
 """Event streams split into complete events, so that another server can continue a stream."""
 
+import enum
 import re
 from collections.abc import Mapping
 
@@ -16,6 +17,31 @@
 TAIL_BYTES = max(map(len, EVENT_ENDS))
 """Last bytes of a stream that show whether an event ends there."""
 
+BODILESS_STATUSES = (204, 304)
+"""Statuses of answers that have no body, whatever their headers say."""
+
+
+class Framing(enum.Enum):
+    """What shows where an answer ends."""
+
+    LENGTH = "length"
+    CHUNKS = "chunks"
+    NO_BODY = "no_body"
+    CLOSE = "close"
+
+
+def read_framing(method: bytes, response: h11.Response) -> Framing:
+    """Return what shows where the answer to a request of `method` ends.
+
+    With `CLOSE` it ends with its connection, as it also does if its server ends.
+    """
+    headers = dict(response.headers)
+    if method == b"HEAD" or response.status_code in BODILESS_STATUSES:
+        return Framing.NO_BODY
+    if b"transfer-encoding" in headers:
+        return Framing.CHUNKS
+    return Framing.LENGTH if b"content-length" in headers else Framing.CLOSE
+
 
 def check_stream_end(response: h11.Response, tail: bytes) -> str:
     """Return why the end of a stream is not the end of its answer, "" if it is.
@@ -26,7 +52,7 @@
     headers = dict(response.headers)
     if tail and not tail.endswith(EVENT_ENDS) and is_event_stream(headers):
         return "the stream ended inside an event"
-    is_framed = b"content-length" in headers or b"transfer-encoding" in headers
+    is_framed = read_framing(b"GET", response) is not Framing.CLOSE
     return "" if tail or is_framed else "the stream ended without an event"
 
 
