Pass on an answer that ends with its connection only if its server lives

What callers saw: an answer of a server that had ended, cut between two events or in a plain body, framed as complete.

Cause: for an answer with neither a length nor chunks, the end of the connection was the proof that it is complete.

Change: behind such an end, the same incarnation has to answer something: an engine its report, which says when it started, another server its health check, for which another server at the address answers 421. Within three attempts of 0.3 s nothing is concluded from silence. Without a sign the attempt has broken off: a resumable stream goes on elsewhere, an idempotent request is sent again, else the caller gets a 502 or a reset. A response that the server sends after the end cannot come from one that ended before, so the order of the messages does not matter, nor does a late event loop.

A resumed stream without further events is complete if its server lives.

--- a/rhubarbshed/platform/orders.py
+++ b/rhubarbshed/platform/orders.py
@@ -42,3 +42,9 @@
     """Return the call that fetches an engine's report."""
     headers = ((EXPECT_INSTANCE, server_id.encode()),)
     return ControlCall(b"GET", b"/rhubarbshed/report", headers=headers)
+
+
+def make_health_call(server_id: str, path: str) -> ControlCall:
+    """Return the health check of one server; another one at its address answers 421."""
+    headers = ((EXPECT_INSTANCE, server_id.encode()),)
+    return ControlCall(b"GET", path.encode("latin-1"), headers=headers)
--- a/rhubarbshed/transport/edge/attempts.py
+++ b/rhubarbshed/transport/edge/attempts.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import time
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import h11
 from attrs import define, field
@@ -137,6 +137,11 @@
         return True
 
 
+async def assume_running() -> bool:
+    """Return that a server has not ended; for attempts whose answers cannot end with it."""
+    return True
+
+
 @define(eq=False)
 class Attempt:
     """One attempt at a server.
@@ -144,8 +149,8 @@
     `sent` means that the server may have got the request, which it did at `sent_at` at the earliest
     (monotonic seconds), `failed` that the response counts against the server, and `begun` that a
     whole event of a stream came. `may_move` returns whether another server may go on with a
-    response that has begun. `origin` is as of the choice of the server: its entry may change in the
-    meantime.
+    response that has begun, `confirm_running` whether the server shows that it has not
+    ended. `origin` is as of the choice of the server: its entry may change in the meantime.
     """
 
     pool: Pool
@@ -163,6 +168,7 @@
     begun: bool = False
     withdrawn: bool = False
     on_begun: Callable[[], None] = lambda: None
+    confirm_running: Callable[[], Awaitable[bool]] = assume_running
     channel: Channel | None = None
     origin: StreamOrigin = field(init=False)
 
@@ -323,6 +329,8 @@
                 streaming = True
                 self.caller_response.begin(head, None)
                 await self.caller_response.send(b"".join(pieces))
+        if not resumed:
+            await self.check_closed_end()
         self.channel.finish(response, time.monotonic())
         if resumed:
             # The caller has the head of another server's stream: this response cannot continue it.
@@ -349,6 +357,15 @@
         self.caller_response.send_complete(head, body)
         return ExchangeEnd.DONE
 
+    async def check_closed_end(self) -> None:
+        """Raise `ChannelError` if nothing shows that an answer that has ended is complete.
+
+        The kernel closes the connections of a server that ends as the server does behind an answer
+        with neither a length nor chunks.
+        """
+        if self.framing is Framing.CLOSE and not await self.confirm_running():
+            raise ChannelError("the connection ended, and the server may have")
+
     async def relay_stream(
         self, response: h11.Response, head: ResponseHead, event: Event
     ) -> ExchangeEnd:
@@ -356,6 +373,7 @@
         caller_response = self.caller_response
         resumable = caller_response.route.resumable
         caller_response.splitter.drop_partial()
+        resumed = caller_response.splitter.events > 0
         caller_response.begin_stream(head, self.origin)
         tail = b""
         while not isinstance(event, h11.EndOfMessage):
@@ -367,9 +385,10 @@
                 self.on_begun()
             await caller_response.send(complete)
             event = await self.channel.receive()
-        broken_off = check_stream_end(response, tail)
+        broken_off = check_stream_end(response, tail, resumed)
         if broken_off:
             raise ChannelError(broken_off)
+        await self.check_closed_end()
         if resumable:
             await caller_response.send(caller_response.splitter.flush())
         self.channel.finish(response, time.monotonic())
--- a/rhubarbshed/transport/edge/relay.py
+++ b/rhubarbshed/transport/edge/relay.py
@@ -323,6 +323,7 @@
             self.deadline,
             lambda: self.may_move(record, time.monotonic()),
             on_begun=lambda: self.relay.crashes.record_begun(self.request, time.monotonic()),
+            confirm_running=lambda: self.confirm_running(record),
         )
         self.last_attempt = attempt
         more = self.tries.run + 1 < self.route.attempts_max and self.route.repeatable
@@ -344,6 +345,11 @@
             self.relay.count_run(self.service, self.request.model, self.request.adapter, run_s)
         return end
 
+    async def confirm_running(self, record: ServerRecord) -> bool:
+        """Return whether a server shows that it has not ended."""
+        service = self.relay.view.configuration.services.get(record.entry.service)
+        return await self.relay.crashes.checks.confirm_running(record, service)
+
     def note_end(self, record: ServerRecord, attempt: Attempt, end: ExchangeEnd) -> None:
         """Record what an attempt showed about its server."""
         now = time.monotonic()
--- a/rhubarbshed/transport/edge/server_checks.py
+++ b/rhubarbshed/transport/edge/server_checks.py
@@ -1,7 +1,8 @@
 """Checks whether a server at which an attempt broke off has ended.
 
 A connection also breaks off for other reasons: a reset, a truncated answer, a cut. A server that
-has ended refuses new connections.
+has ended refuses new connections. An answer that ends with its connection needs more: a sign of
+life that the same incarnation gave after the end.
 """
 
 import asyncio
@@ -11,9 +12,15 @@
 from collections.abc import Callable
 
 from attrs import define, field
+from returns.result import Success
 
+from rhubarbshed.platform.headers import STATUS_MISDIRECTED
+from rhubarbshed.platform.orders import make_health_call, make_report_call
+from rhubarbshed.platform.records import read_report
+from rhubarbshed.protocol.routes import ServiceSpec
 from rhubarbshed.state.membership.fleet import ServerRecord
 from rhubarbshed.transport.edge.channels import ChannelError, NotListeningError
+from rhubarbshed.transport.edge.control import ControlAnswer, call
 from rhubarbshed.transport.edge.crash_news import Incarnation
 from rhubarbshed.transport.edge.pools import Pool
 from rhubarbshed.util.logs import log_event
@@ -26,6 +33,14 @@
 CHECK_WAIT_S = 0.03
 """Longest time that a request waits for the check of its server; a round trip takes 3 ms."""
 
+SIGN_TIMEOUT_S = 0.3
+"""Time for a sign of life; a health check may wait for a slot of a busy server."""
+
+SIGN_ATTEMPTS = 3
+SIGN_PAUSE_S = 0.05
+"""Attempts at a sign of life, and the pause between them: one message may be lost, a sound server
+may be silent for a second, and callers of a stream leave after two."""
+
 
 @define(eq=False)
 class ServerChecks:
@@ -77,6 +92,35 @@
         """Record that a server has answered; a cut may have refused connections to it before."""
         self.ended.pop(incarnation, None)
 
+    async def confirm_running(self, record: ServerRecord, service: ServiceSpec | None) -> bool:
+        """Return whether a server shows that it has not ended by now.
+
+        Only an answer of the same incarnation shows that: the address may belong to another one.
+        """
+        for attempt in range(SIGN_ATTEMPTS):
+            if attempt:
+                await asyncio.sleep(SIGN_PAUSE_S)
+            sign = await self._ask_for_sign(record, service)
+            if sign is not None:
+                return sign
+        return False
+
+    async def _ask_for_sign(self, record: ServerRecord, service: ServiceSpec | None) -> bool | None:
+        """Return whether the server itself answers, None if nobody does."""
+        entry = record.entry
+        has_engine = service is not None and service.engine is not None
+        if has_engine:
+            sent = make_report_call(entry.server_id)
+        else:
+            sent = make_health_call(entry.server_id, service.health_path if service else "/")
+        result = await call(self.pool, (entry.host, entry.port), sent, SIGN_TIMEOUT_S)
+        if not isinstance(result, Success):
+            return None
+        answer = result.unwrap()
+        if answer.status == STATUS_MISDIRECTED:
+            return False
+        return not has_engine or is_same_start(record, answer)
+
     async def _connect(self, record: ServerRecord) -> None:
         address = (record.entry.host, record.entry.port)
         since = time.monotonic()
@@ -103,3 +147,12 @@
 def is_leaving(record: ServerRecord) -> bool:
     """Return whether a server's end would be no surprise: it announced it, or has no entry."""
     return record.leaving_at is not None or record.missing_since is not None
+
+
+def is_same_start(record: ServerRecord, answer: ControlAnswer) -> bool:
+    """Return whether an engine's report is of the start that its entry is of.
+
+    An engine may start again under its id.
+    """
+    report = read_report(answer.body)
+    return isinstance(report, Success) and report.unwrap().started_ms == record.entry.started_ms
--- a/rhubarbshed/transport/edge/streams.py
+++ b/rhubarbshed/transport/edge/streams.py
@@ -43,17 +43,18 @@
     return Framing.LENGTH if b"content-length" in headers else Framing.CLOSE
 
 
-def check_stream_end(response: h11.Response, tail: bytes) -> str:
+def check_stream_end(response: h11.Response, tail: bytes, resumed: bool) -> str:
     """Return why the end of a stream is not the end of its answer, "" if it is.
 
     `tail` are the last bytes. An answer with neither a length nor chunks ends with its connection,
-    as it does if its server ends, so one without any event may have been broken off.
+    as it does if its server ends, so one without any event may have been broken off; only behind
+    the events of an earlier server there may be none left.
     """
     headers = dict(response.headers)
     if tail and not tail.endswith(EVENT_ENDS) and is_event_stream(headers):
         return "the stream ended inside an event"
     is_framed = read_framing(b"GET", response) is not Framing.CLOSE
-    return "" if tail or is_framed else "the stream ended without an event"
+    return "" if tail or is_framed or resumed else "the stream ended without an event"
 
 
 def is_event_stream(headers: Mapping[bytes, bytes]) -> bool:
--- a/standin/replica.py
+++ b/standin/replica.py
@@ -85,8 +85,9 @@
 class Replica:
     """Backend server that answers requests by `reply` and checks orders as the platform does.
 
-    A load above `models_max` or `adapters_max` calls `on_overfull`. An order for a model takes
-    `load_s`; the replica refuses a further one until then.
+    A `silent` one reads and does not answer. A load above `models_max` or `adapters_max` calls
+    `on_overfull`. An order for a model takes `load_s`; the replica refuses a further one until
+    then.
     """
 
     server_id: str
@@ -107,6 +108,7 @@
     load_s: float = 0.0
     busy_until: float = 0.0
     draining: bool = False
+    silent: bool = False
     on_overfull: Callable[[], None] = lambda: None
     answer_order: Callable[["Exchange", dict], Awaitable[None]] | None = None
     address: tuple[str, int] = ("127.0.0.1", 0)
@@ -179,6 +181,8 @@
         return Exchange(method, target, headers, body, writer, self)
 
     async def _route(self, exchange: Exchange) -> None:
+        if self.silent:
+            return
         expected = exchange.headers.get("rhubarbshed-expect-instance", self.server_id)
         if expected != self.server_id:
             line = f"Rhubarbshed-Instance-Id: {self.server_id}"
--- a/test/test_edge_unframed.py
+++ b/test/test_edge_unframed.py
@@ -168,14 +168,9 @@
     await replica.start()
 
 
-async def cut_off(exchange: Exchange) -> None:
+async def fall_silent(exchange: Exchange) -> None:
     """Close the connection; the server gives no further answer."""
-    replica = exchange.replica
-
-    async def answer_nothing(exchange: Exchange) -> None:
-        await asyncio.sleep(60)
-
-    replica._route = answer_nothing
+    exchange.replica.silent = True
     await close(exchange)
 
 
@@ -204,7 +199,7 @@
     "engine ended": (crash, ENGINES, {"m1": []}),
     "other server at the address": (crash_and_restart, CONFIGURATION, {}),
     "engine restarted under its id": (crash_and_restart, ENGINES, {"m1": []}),
-    "server silent": (cut_off, CONFIGURATION, {}),
+    "server silent": (fall_silent, CONFIGURATION, {}),
 }
 
 
@@ -306,3 +301,40 @@
             assert answer.status == 204
 
     play(scene)
+
+
+def test_stream_resumed_after_its_last_event_ends_where_nothing_follows():
+    async def scene():
+        sent = []
+
+        async def write_all_and_crash(exchange: Exchange) -> None:
+            begin(exchange)
+            if sent:
+                await close(exchange)
+            sent.append(exchange)
+            exchange.write(WHOLE)
+            await crash(exchange)
+
+        replicas = [Replica(f"r{n}", reply=write_all_and_crash) for n in (1, 2)]
+        async with run_edge(CONFIGURATION, *replicas) as edge:
+            answer = await edge.ask("/s/x", b"x")
+            assert answer.whole and answer.body == WHOLE
+
+    play(scene)
+
+
+def test_busy_server_that_answers_its_health_check_late_has_not_ended():
+    async def scene():
+        async def reply(exchange: Exchange) -> None:
+            begin(exchange)
+            exchange.write(b"x" * 10)
+            exchange.replica.silent = True
+            asyncio.get_running_loop().call_later(0.5, setattr, exchange.replica, "silent", False)
+            await close(exchange)
+
+        replica = Replica("r1", reply=reply)
+        async with run_edge(CONFIGURATION, replica) as edge:
+            answer = await edge.ask("/u/x", b"x")
+            assert answer.whole and answer.body == b"x" * 10
+
+    play(scene)
