Watch whether an instance reaches the servers at all

Nothing told an instance that is cut off from all servers from servers that are down: one had to count `attempt_failed` over all of them.

No decision on a request changes yet.

--- a/rhubarbshed/transport/edge/node.py
+++ b/rhubarbshed/transport/edge/node.py
@@ -28,6 +28,7 @@
 from rhubarbshed.transport.edge.holder_protocol import HolderProtocol
 from rhubarbshed.transport.edge.instance_lists import InstanceLists
 from rhubarbshed.transport.edge.lease import LeaseClient
+from rhubarbshed.transport.edge.link_monitor import LinkMonitor
 from rhubarbshed.transport.edge.metrics import FrontMetrics
 from rhubarbshed.transport.edge.order_dispatcher import OrderDispatcher
 from rhubarbshed.transport.edge.pools import Pool
@@ -92,6 +93,7 @@
     streams: StreamRegistry
     crashes: CrashRegistry
     instance_lists: InstanceLists
+    links: LinkMonitor
     stop: asyncio.Event = field(factory=asyncio.Event)
     connections: set[CallerConnection] = field(factory=set)
     listeners: list[asyncio.Server] = field(factory=list)
@@ -102,6 +104,8 @@
         """Create an instance that is not running yet."""
         view = View.from_settings(settings)
         pool = Pool(CONNECT_TIMEOUT_S)
+        links = LinkMonitor(view, pool)
+        pool.on_failed = links.suspect
         metrics = FrontMetrics.from_instance()
         store = StoreClient(settings.store, Pool(STORE_CONNECT_TIMEOUT_S), metrics.count_store_call)
         jitter_s = draw_jitter(settings.cores, settings.link_mbps, view.rng)
@@ -164,6 +168,7 @@
             streams,
             crashes,
             instance_lists,
+            links,
         )
 
     async def run(self) -> int:
@@ -245,6 +250,7 @@
                 self.view.configuration.version if self.view.configuration else 0
             ),
             "connections_opened": self.pool.opened,
+            "servers_unreachable": int(self.links.is_cut),
             "order_holder": int(self.lease.lease_state.held),
             **self.streams.counts.list_values(),
             **self.crashes.list_values(),
@@ -317,6 +323,7 @@
         self.log_connections("stopped", cut_off=self.relay.open)
         for task in self.tasks:
             task.cancel()
+        self.links.stop()
         self.cut_off(time.monotonic())
         await asyncio.sleep(CLOSE_DELAY_S)
         for connection in list(self.connections):
--- a/rhubarbshed/transport/edge/pools.py
+++ b/rhubarbshed/transport/edge/pools.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+from collections.abc import Awaitable, Callable
 
 from attrs import define, field
 
@@ -20,12 +21,26 @@
 
 Address = tuple[str, int]
 
+Connect = Callable[[Address], Awaitable[Channel]]
+
+
+async def connect_channel(address: Address) -> Channel:
+    """Open a connection to an address."""
+    loop = asyncio.get_running_loop()
+    _, channel = await loop.create_connection(Channel, *address)
+    return channel
+
 
 @define
 class Pool:
-    """Idle connections; the one that was used last is used first."""
+    """Idle connections; the one that was used last is used first.
+
+    `on_failed` is called when a connection could not be opened.
+    """
 
     connect_timeout_s: float
+    connect: Connect = connect_channel
+    on_failed: Callable[[], None] = lambda: None
     idle: dict[Address, collections.deque[Channel]] = field(factory=dict)
     opened: int = 0
 
@@ -41,13 +56,14 @@
 
     async def open(self, address: Address) -> Channel:
         """Open a connection."""
-        loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(self.connect_timeout_s):
-                _, channel = await loop.create_connection(Channel, *address)
+                channel = await self.connect(address)
         except ConnectionRefusedError as error:
+            self.on_failed()
             raise NotListeningError(f"no connection: {error!r}") from error
         except (OSError, TimeoutError, ValueError) as error:
+            self.on_failed()
             raise ChannelError(f"no connection: {error!r}") from error
         self.opened += 1
         return channel
