--- /dev/null
+++ b/test/test_edge_cut_off.py
@@ -0,0 +1,210 @@
+"""Instances that reach callers, the store and other instances, but no backend server."""
+
+import asyncio
+import time
+
+import pytest
+
+from rhubarbshed.coordination.serving.reachability import Reachability
+from test.helper_crashes import EVENTS
+from test.helper_cuts import run_cut_scene
+from test.helper_edge import play
+
+HOWS = ("hang", "reset", "refuse")
+STREAM = b"".join(f"id: {n}\ndata: t{n}\n\n".encode() for n in range(1, EVENTS + 1))
+
+
+@pytest.mark.parametrize("how", HOWS)
+def test_callers_of_an_instance_without_links_to_servers_are_served_at_the_first_try(how):
+    async def scene():
+        async with run_cut_scene() as cuts:
+            await cuts.ask("a1")
+            await cuts.cut(how, "a1")
+            for number in range(4):
+                body = f"b{number}".encode()
+                asked = (
+                    cuts.ask("a1", "/p/x"),
+                    cuts.ask("a1", "/u/x", body),
+                    cuts.ask("a1", "/s/x", b"x"),
+                    cuts.ask("a1", "/n/x", b"x"),
+                )
+                plain, payment, *streams = await asyncio.gather(*asked)
+                assert plain.status == 200 and plain.body == b"done:"
+                assert payment.status == 200 and payment.body == b"done:" + body
+                assert cuts.count_runs(body) == 1
+                assert all(each.whole and each.body == STREAM for each in streams)
+
+    play(scene)
+
+
+@pytest.mark.parametrize("how", HOWS)
+def test_callers_are_served_while_most_instances_have_lost_their_links(how):
+    async def scene():
+        async with run_cut_scene() as cuts:
+            cut = ("a1", "a2", "a3", "b1")
+            await cuts.cut(how, *cut)
+            for _ in range(3):
+                for name in cut:
+                    answer = await cuts.ask(name, "/u/x", b"x")
+                    assert answer.status == 200
+            answer = await cuts.ask("b2", "/u/x", b"x")
+            assert answer.status == 200
+
+    play(scene)
+
+
+@pytest.mark.parametrize("how", HOWS)
+def test_an_instance_uses_its_own_links_again_once_they_are_back(how):
+    async def scene():
+        async with run_cut_scene() as cuts:
+            await cuts.cut(how, "a1")
+            cuts.links["a1"].heal()
+            await asyncio.sleep(1.0)
+            before = cuts.links["a1"].opened
+            answers = await asyncio.gather(*(cuts.ask("a1", "/u/x", b"x") for _ in range(5)))
+            assert all(answer.status == 200 for answer in answers)
+            assert cuts.links["a1"].opened >= before + 5
+
+    play(scene)
+
+
+@pytest.mark.parametrize("how", ("hang", "reset"))
+def test_stream_whose_link_is_cut_goes_on_through_another_instance(how):
+    async def scene():
+        async with run_cut_scene(run_s=0.3) as cuts:
+            task = asyncio.create_task(cuts.ask("a1", "/s/x", b"x"))
+            await asyncio.sleep(0.75)
+            cuts.links["a1"].cut(how)
+            answer = await task
+            assert answer.whole and answer.body == STREAM
+
+    play(scene)
+
+
+@pytest.mark.parametrize("how", HOWS)
+def test_cut_links_are_not_taken_for_the_ends_of_servers(how):
+    async def scene():
+        async with run_cut_scene() as cuts:
+            await cuts.cut(how, "a1", "a2")
+            for name in ("a1", "a2", "a3", "b1", "b2"):
+                assert not cuts[name].crashes.checks.ended
+                assert not cuts[name].crashes.quarantine.stopped
+
+    play(scene)
+
+
+def test_servers_that_have_all_ended_are_refused_at_once_and_asked_for_by_nobody_else():
+    async def scene():
+        async with run_cut_scene(back_s=60.0) as cuts:
+            for replica in list(cuts.crashes.replicas.values()):
+                await cuts.crashes.crash(replica)
+            await asyncio.gather(*(cuts.ask(name) for name in cuts.links))
+            for name in cuts.links:
+                begun_at = time.monotonic()
+                answer = await cuts.ask(name)
+                assert answer.status == 503
+                assert time.monotonic() - begun_at < 1.0
+
+    play(scene)
+
+
+def test_caller_that_leaves_ends_the_work_at_the_server_also_through_another_instance():
+    async def scene():
+        async with run_cut_scene(run_s=3.0) as cuts:
+            cuts.crashes.run_s = 0.01
+            await cuts.cut("hang", "a1")
+            cuts.crashes.run_s = 3.0
+            task = asyncio.create_task(cuts.ask("a1", "/s/gone", b"gone"))
+            instances = cuts.crashes.instances
+            await instances.wait_until(lambda: cuts.count_runs(b"gone") == 1)
+            task.cancel()
+            await asyncio.sleep(0.4)
+            assert not any(node.relay.open for node in instances.nodes.values())
+
+    play(scene)
+
+
+def test_a_stranger_cannot_hand_in_a_request_as_an_instance():
+    async def scene():
+        async with run_cut_scene() as cuts:
+            settings = cuts["a2"].settings
+            reader, writer = await asyncio.open_connection(settings.host, settings.peers_port)
+            writer.write(
+                b"GET /p/stranger HTTP/1.1\r\nHost: svc.example\r\nContent-Length: 0\r\n"
+                b"Rhubarbshed-Request-Id: q1\r\n\r\n"
+            )
+            line = await asyncio.wait_for(reader.readline(), 2.0)
+            assert line.split()[1] == b"403"
+            writer.close()
+            targets = [
+                exchange.target
+                for replica in cuts.crashes.replicas.values()
+                for exchange in replica.got
+            ]
+            assert "/p/stranger" not in targets
+
+    play(scene)
+
+
+def test_a_caller_cannot_pass_for_an_instance_at_the_callers_port():
+    async def scene():
+        async with run_cut_scene() as cuts:
+            answer = await cuts.ask("a1", "/p/x", b"x", Forwarded_Attempts="1")
+            assert answer.status == 200
+            got = [
+                exchange.headers
+                for replica in cuts.crashes.replicas.values()
+                for exchange in replica.got
+                if exchange.body == b"x"
+            ]
+            assert got and not any("forwarded-attempts" in headers for headers in got)
+
+    play(scene)
+
+
+def test_an_instance_that_stops_leaves_requests_to_others():
+    async def scene():
+        async with run_cut_scene() as cuts:
+            await cuts.cut("hang", "a1")
+            for name in ("a2", "a3"):
+                cuts[name].view.drain.start(time.monotonic() - 60.0)
+            for _ in range(4):
+                assert (await cuts.ask("a1", "/u/x", b"x")).status == 200
+            for name in ("a2", "a3"):
+                cuts[name].view.drain.started_at = None
+
+    play(scene)
+
+
+def test_payment_runs_once_if_the_other_instance_is_killed():
+    async def scene():
+        async with run_cut_scene() as cuts:
+            await cuts.cut("hang", "a1")
+            cuts.crashes.run_s = 0.5
+            tasks = [
+                asyncio.create_task(cuts.ask("a1", "/u/x", f"k{n}".encode())) for n in range(8)
+            ]
+            await asyncio.sleep(0.2)
+            await cuts.crashes.instances.kill("a2")
+            for connection in list(cuts["a2"].connections):
+                connection.abort()
+            answers = await asyncio.gather(*tasks)
+            assert {answer.status for answer in answers} <= {200, 502}
+            assert any(answer.status == 502 for answer in answers)
+            assert any(answer.status == 200 for answer in answers)
+            for number in range(8):
+                assert cuts.count_runs(f"k{number}".encode()) == 1
+            answer = await cuts.ask("a1", "/u/x", b"later")
+            assert answer.status == 200
+
+    play(scene)
+
+
+def test_a_cut_counts_as_healed_once_half_of_the_probed_servers_are_reached():
+    state = Reachability()
+    assert state.suspect() and not state.suspect()
+    assert not state.record_probes(1, 4, 0.0) and not state.is_cut
+    assert state.suspect() and state.record_probes(0, 4, 1.0) and state.is_cut
+    assert not state.record_probes(1, 4, 2.0) and state.is_cut
+    assert not state.record_probes(0, 0, 2.5) and state.is_cut
+    assert state.record_probes(2, 4, 3.0) and not state.is_cut
