Forward requests to another instance while no server can be reached

Cause: an instance served by its own links only, and each request found out anew, server by server, that none could be reached.

Change: an instance whose probes reach no server offers each request to others that it knows, those of its data centre first, four at most, each at most once unless it may be repeated. The other one treats it as a caller's request, with what is left of the time and of the servers that may run it, and never forwards it further. One that is cut off itself, stops or has no configuration declines, which costs a round trip, and is left alone for half a second. Its answer comes back whole or its connection is reset. A stream that its cut link broke off goes on by way of another instance, which finds its origin as it does for callers. Requests are accepted from the addresses of known instances only.

--- a/rhubarbshed/coordination/serving/reachability.py
+++ b/rhubarbshed/coordination/serving/reachability.py
@@ -40,9 +40,10 @@
 
     def suspect(self) -> bool:
         """Record that a connection to a server failed; return whether a round of probes is due."""
-        due = not self.suspected and not self.is_cut
+        if self.is_cut or self.suspected:
+            return False
         self.suspected = True
-        return due
+        return True
 
     def record_probes(self, reached: int, probed: int, now: float) -> bool:
         """Record a round of probes; return whether it changed anything."""
--- a/rhubarbshed/platform/headers.py
+++ b/rhubarbshed/platform/headers.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 
 from rhubarbshed.protocol.exchanges import CallerRequest, Headers, ResponseHead
+from rhubarbshed.protocol.forwarding import ATTEMPTS_LEFT, DECLINED
 
 REQUEST_ID = b"rhubarbshed-request-id"
 DEADLINE = b"rhubarbshed-deadline-remaining"
@@ -46,6 +47,7 @@
         b"rhubarbshed-kv-backup",
         b"kv-from",
         b"kv-fetch",
+        ATTEMPTS_LEFT,
     )
 )
 STATUS_MISDIRECTED = 421
@@ -98,15 +100,31 @@
     request: CallerRequest, server_id: str, remaining_s: float, priority: int | None, after: str
 ) -> list[tuple[bytes, bytes]]:
     """Return the headers of an attempt; `after` is the last event id that the caller received."""
+    headers = _make_common_headers(request, remaining_s, after)
+    headers.append((EXPECT_INSTANCE, server_id.encode("latin-1")))
+    if priority is not None:
+        headers.append((PRIORITY, str(priority).encode()))
+    return headers
+
+
+def make_forward_headers(
+    request: CallerRequest, remaining_s: float, after: str, attempts_left: int
+) -> list[tuple[bytes, bytes]]:
+    """Return the headers of a request that is forwarded to another instance."""
+    headers = _make_common_headers(request, remaining_s, after)
+    headers.append((ATTEMPTS_LEFT, str(attempts_left).encode()))
+    return headers
+
+
+def _make_common_headers(
+    request: CallerRequest, remaining_s: float, after: str
+) -> list[tuple[bytes, bytes]]:
     headers = [pair for pair in request.headers if not (after and pair[0].lower() == LAST_EVENT_ID)]
     if after:
         headers.append((LAST_EVENT_ID, after.encode("latin-1")))
     if request.body or request.method in (b"POST", b"PUT", b"PATCH"):
         headers.append((b"content-length", str(len(request.body)).encode()))
-    headers.append((EXPECT_INSTANCE, server_id.encode("latin-1")))
     headers.append((DEADLINE, str(max(1, int(remaining_s * 1000))).encode()))
-    if priority is not None:
-        headers.append((PRIORITY, str(priority).encode()))
     return headers
 
 
@@ -123,6 +141,8 @@
         encoded=b"content-encoding" in values,
         server_id=values.get(INSTANCE_ID, b"").decode("latin-1"),
         load=_read_load(values.get(SERVER_LOAD, b"")),
+        declined=DECLINED in values,
+        retry_after_s=_read_number(values.get(b"retry-after", b"")),
     )
 
 
--- a/rhubarbshed/protocol/exchanges.py
+++ b/rhubarbshed/protocol/exchanges.py
@@ -78,7 +78,7 @@
 
     `request_id` is the one that the server echoes. `not_run` means that the server says it did not
     run the request. `server_id` is set if another server now has the address. `load` is (running,
-    waiting, slots).
+    waiting, slots). `declined` means that another instance may serve the request.
     """
 
     status: int
@@ -89,6 +89,8 @@
     encoded: bool = False
     server_id: str = ""
     load: tuple[int, int, int] | None = None
+    declined: bool = False
+    retry_after_s: float | None = None
 
 
 @frozen
--- /dev/null
+++ b/rhubarbshed/protocol/forwarding.py
@@ -0,0 +1,21 @@
+"""Requests that one instance forwards to another.
+
+They are requests as callers send them, at the address for other instances, with these headers.
+"""
+
+from rhubarbshed.protocol.exchanges import Headers
+
+ATTEMPTS_LEFT = b"forwarded-attempts"
+"""Header of a forwarded request: how many backend servers may still run it."""
+
+DECLINED = b"forward-declined"
+"""Header of an error: the request did not run, and another instance may serve it."""
+
+STATUS_NOT_TRUSTED = 403
+"""Status for requests from addresses that are not those of instances."""
+
+
+def read_attempts_left(headers: Headers) -> int:
+    """Return how many servers may run a forwarded request, 1 if the header is missing or wrong."""
+    value = dict(headers).get(ATTEMPTS_LEFT, b"")
+    return max(1, int(value)) if value.isdigit() and len(value) <= 3 else 1
--- a/rhubarbshed/state/membership/fleet.py
+++ b/rhubarbshed/state/membership/fleet.py
@@ -197,6 +197,12 @@
         self.by_service.get(record.entry.service, {}).pop(server_id, None)
         return True
 
+    def end_pauses(self) -> None:
+        """Let requests go to all servers again, as the links to them were cut and not they."""
+        for record in self.servers.values():
+            record.unresponsive_until = -math.inf
+            record.unresponsive_count = 0
+
     def apply_held_models(self, server_id: str, started_ms: int, held: dict, now: float) -> None:
         """Apply the order holder's announcement of a server's models and adapters."""
         record = self.servers.get(server_id)
--- a/rhubarbshed/transport/edge/attempts.py
+++ b/rhubarbshed/transport/edge/attempts.py
@@ -1,4 +1,7 @@
-"""One attempt of a request at one backend server, and the response relayed to the caller."""
+"""One attempt of a request at one backend server, and the response relayed to the caller.
+
+An attempt may also go by way of another instance, whose own errors tell it from a server.
+"""
 
 import asyncio
 import time
@@ -8,7 +11,8 @@
 from attrs import define, field
 
 from rhubarbshed.platform.headers import STATUS_MISDIRECTED, make_headers, read_head
-from rhubarbshed.protocol.exchanges import CallerRequest, ExchangeEnd, ResponseHead
+from rhubarbshed.protocol.errors import Outcome, RequestError
+from rhubarbshed.protocol.exchanges import CallerRequest, ExchangeEnd, Headers, ResponseHead
 from rhubarbshed.protocol.routes import Route
 from rhubarbshed.protocol.streams import StreamOrigin
 from rhubarbshed.state.membership.fleet import ServerRecord
@@ -20,7 +24,7 @@
     MalformedAnswerError,
     NotListeningError,
 )
-from rhubarbshed.transport.edge.pools import Pool
+from rhubarbshed.transport.edge.pools import Address, Pool
 from rhubarbshed.transport.edge.silence import SilenceTimer
 from rhubarbshed.transport.edge.streams import (
     TAIL_BYTES,
@@ -87,8 +91,14 @@
         """Return the only software version that may write the stream, if there is one."""
         return self.origin.version if self.origin is not None else None
 
-    def begin_stream(self, head: ResponseHead, origin: StreamOrigin) -> None:
-        """Send the head of the first response of a stream; later ones only continue it."""
+    def begin_stream(self, head: ResponseHead, origin: StreamOrigin | None) -> None:
+        """Send the head of the first response of a stream; later ones only continue it.
+
+        Without an origin the response comes by way of another instance, which records it.
+        """
+        if origin is None:
+            self.begin(head, None)
+            return
         if not self.begun and self.route.resumable:
             self.origin = origin
             self.record_origin(origin)
@@ -151,12 +161,16 @@
     whole event of a stream came. `may_move` returns whether another server may go on with a
     response that has begun, `confirm_running` whether the server shows that it has not
     ended. `origin` is as of the choice of the server: its entry may change in the meantime.
+    An attempt by way of another instance has neither `record` nor `origin`; `instance_error` is
+    that one's answer if no server gave one, and `declined` that another instance may do better.
     """
 
     pool: Pool
-    record: ServerRecord
+    address: Address
     caller_response: CallerResponse
     deadline: float
+    make_headers: Callable[[float, str], Headers]
+    record: ServerRecord | None = None
     may_move: Callable[[], bool] = lambda: True
     status: int = 0
     signed: bool = False
@@ -170,16 +184,30 @@
     on_begun: Callable[[], None] = lambda: None
     confirm_running: Callable[[], Awaitable[bool]] = assume_running
     channel: Channel | None = None
-    origin: StreamOrigin = field(init=False)
+    origin: StreamOrigin | None = None
+    instance_error: RequestError | None = None
+    declined: bool = False
+
+    @classmethod
+    def from_server(
+        cls, pool: Pool, record: ServerRecord, response: CallerResponse, deadline: float
+    ) -> "Attempt":
+        """Create an attempt at a server."""
+        entry, route = record.entry, response.route
+        priority = min(9, route.priority) if route.streamed else None
+
+        def make_server_headers(remaining_s: float, after: str) -> Headers:
+            return make_headers(response.request, entry.server_id, remaining_s, priority, after)
 
-    def __attrs_post_init__(self) -> None:
-        """Keep the service and version that the server was chosen for."""
-        self.origin = StreamOrigin(self.record.entry.service, self.record.entry.version)
+        attempt = cls(
+            pool, (entry.host, entry.port), response, deadline, make_server_headers, record
+        )
+        attempt.origin = StreamOrigin(entry.service, entry.version)
+        return attempt
 
     async def run(self, may_retry: bool) -> ExchangeEnd:
         """Send the request and relay the response; return how the attempt ended."""
-        entry = self.record.entry
-        address = (entry.host, entry.port)
+        address = self.address
         fresh = not self.caller_response.route.repeatable
         try:
             self.channel = await self.pool.acquire(address, time.monotonic(), fresh)
@@ -229,10 +257,7 @@
         request, route = caller_response.request, caller_response.route
         now = time.monotonic()
         after = caller_response.splitter.last_id if route.resumable else ""
-        priority = min(9, route.priority) if route.streamed else None
-        headers = make_headers(
-            request, self.record.entry.server_id, self.deadline - now, priority, after
-        )
+        headers = self.make_headers(self.deadline - now, after)
         self.sent, self.sent_at = True, now
         self.channel.start(request.method, request.target, tuple(headers), request.body)
         first_bytes_s = max(FIRST_BYTES_TIMEOUT_S, FIRST_BYTES_TIMEOUT_TARGETS * route.target_s)
@@ -243,7 +268,9 @@
             response, head = await self.receive_head()
             self.status, self.signed = head.status, head.signed
             self.framing = read_framing(request.method, response)
-            if head.load is not None:
+            if self.record is None and not head.signed:
+                return await self.read_instance_error(response, head)
+            if head.load is not None and self.record is not None:
                 self.record.record_load_sample(head.load[0], head.load[1], time.monotonic())
             if head.not_run:
                 return await self.read_refusal(response, head)
@@ -296,12 +323,32 @@
         while not isinstance(await self.channel.receive(), h11.EndOfMessage):
             pass
         self.channel.finish(response, time.monotonic())
-        if head.server_id not in ("", self.record.entry.server_id):
+        if self.record is not None and head.server_id not in ("", self.record.entry.server_id):
             return ExchangeEnd.WRONG_SERVER
         return (
             ExchangeEnd.MODEL_MISSING if head.status == STATUS_MISDIRECTED else ExchangeEnd.REFUSED
         )
 
+    async def read_instance_error(self, response: h11.Response, head: ResponseHead) -> ExchangeEnd:
+        """Read the error that another instance answers with; no server did."""
+        pieces = []
+        while isinstance(event := await self.channel.receive(), h11.Data):
+            pieces.append(bytes(event.data))
+        self.channel.finish(response, time.monotonic())
+        code, _, message = b"".join(pieces).decode("latin-1").strip().partition(": ")
+        not_run = head.declined or head.status in REFUSAL_STATUSES or head.status < 500
+        self.detail = code
+        # A 4xx of another instance is about what that one knows, such as older routes.
+        self.declined = head.declined or (head.status < 500 and head.status != STATUS_MISDIRECTED)
+        self.instance_error = RequestError(
+            head.status,
+            code,
+            message,
+            Outcome.NOT_RUN if not_run else Outcome.UNKNOWN,
+            retry_after_s=head.retry_after_s,
+        )
+        return ExchangeEnd.REFUSED if not_run else ExchangeEnd.BROKEN
+
     def check_success(self, head: ResponseHead) -> None:
         """Raise `MalformedAnswerError` if a success is not the server's own."""
         if not head.signed or head.encoded:
--- a/rhubarbshed/transport/edge/caller_connections.py
+++ b/rhubarbshed/transport/edge/caller_connections.py
@@ -30,6 +30,7 @@
 
 REASON_PHRASES = {
     400: b"Bad Request",
+    403: b"Forbidden",
     404: b"Not Found",
     408: b"Request Timeout",
     413: b"Content Too Large",
@@ -175,6 +176,11 @@
         """Return whether the response to the current request is complete."""
         return self._parser.our_state not in (h11.IDLE, h11.SEND_RESPONSE, h11.SEND_BODY)
 
+    @property
+    def peer_host(self) -> str:
+        """Return the IP address that the connection comes from."""
+        return self._transport.get_extra_info("peername", ("",))[0]
+
     @property
     def is_open(self) -> bool:
         """Return whether the caller can still be answered."""
--- /dev/null
+++ b/rhubarbshed/transport/edge/forwarding.py
@@ -0,0 +1,137 @@
+"""Requests forwarded to other instances while this one reaches no backend server."""
+
+import logging
+import time
+from typing import TYPE_CHECKING
+
+from attrs import define, frozen
+
+from rhubarbshed.coordination.serving.peer_choice import (
+    BROKEN_PAUSE_S,
+    DECLINED_PAUSE_S,
+    PEERS_ASKED_MAX,
+    Address,
+    PeerStates,
+)
+from rhubarbshed.coordination.serving.refusals import make_failure
+from rhubarbshed.platform.headers import make_forward_headers
+from rhubarbshed.protocol.errors import RequestError
+from rhubarbshed.protocol.exchanges import ExchangeEnd, Headers
+from rhubarbshed.transport.edge.attempts import Attempt
+from rhubarbshed.transport.edge.metrics import FrontMetrics
+from rhubarbshed.transport.edge.pools import Pool
+from rhubarbshed.util.logs import log_event
+
+if TYPE_CHECKING:
+    from rhubarbshed.transport.edge.relay import RequestProgress
+
+LOG = logging.getLogger(__name__)
+
+RETURN_MARGIN_S = 0.01
+"""Part of a request's time that is kept for the way back of the other instance's answer."""
+
+TIME_LEFT_MIN_S = 0.03
+"""Time left below which a request is not forwarded."""
+
+
+@frozen
+class Forwarded:
+    """Whether another instance took a request, and the error to answer with, if any."""
+
+    taken: bool
+    error: RequestError | None = None
+
+
+NOT_TAKEN = Forwarded(False)
+
+
+@define(eq=False)
+class Forwarder:
+    """Forwarding of requests to instances that reach backend servers.
+
+    A request that an instance may have taken is sent to a further one only if it may be repeated.
+    """
+
+    pool: Pool
+    peers: PeerStates
+    metrics: FrontMetrics
+
+    def has_peer(self, progress: "RequestProgress", now: float) -> bool:
+        """Return whether there is an instance that a request may be sent to."""
+        return self.peers.choose((), now, progress.relay.view.rng) is not None
+
+    async def forward(self, progress: "RequestProgress") -> Forwarded:
+        """Offer a request to one instance after the other until one takes it."""
+        asked: list[Address] = []
+        broken = 0
+        while len(asked) < PEERS_ASKED_MAX:
+            now = time.monotonic()
+            address = self.peers.choose(asked, now, progress.relay.view.rng)
+            if address is None or progress.deadline - now < TIME_LEFT_MIN_S:
+                break
+            asked.append(address)
+            attempt = self.make_attempt(progress, address, broken)
+            end = await self.run(progress, attempt)
+            now = time.monotonic()
+            if end is ExchangeEnd.DONE:
+                return Forwarded(True)
+            if attempt.declined or not end.was_sent:
+                pause_s = DECLINED_PAUSE_S if attempt.declined else BROKEN_PAUSE_S
+                self.peers.pause(address, pause_s, now)
+                continue
+            if attempt.instance_error is not None:
+                return Forwarded(True, attempt.instance_error)
+            self.peers.pause(address, BROKEN_PAUSE_S, now)
+            broken += 1
+            if not self.may_repeat(progress, broken, now):
+                break
+        if broken:
+            return Forwarded(True, make_failure("forward_broken", "another instance broke off"))
+        return NOT_TAKEN
+
+    def may_repeat(self, progress: "RequestProgress", broken: int, now: float) -> bool:
+        """Return whether a request may be sent on after instances that may have taken it broke."""
+        route = progress.route
+        left = route.attempts_max - progress.tries.run - broken
+        return route.repeatable and left > 0 and progress.pay_retry(now)
+
+    def make_attempt(self, progress: "RequestProgress", address: Address, broken: int) -> Attempt:
+        """Return an attempt of a request by way of another instance."""
+        attempts_left = max(1, progress.route.attempts_max - progress.tries.run - broken)
+
+        def make_headers(remaining_s: float, after: str) -> Headers:
+            return make_forward_headers(
+                progress.request, remaining_s - RETURN_MARGIN_S, after, attempts_left
+            )
+
+        return Attempt(
+            self.pool, address, progress.caller_response, progress.deadline, make_headers
+        )
+
+    async def run(self, progress: "RequestProgress", attempt: Attempt) -> ExchangeEnd:
+        """Send a request to another instance and relay its answer."""
+        begun_at = time.monotonic()
+        progress.last_attempt = attempt
+        progress.in_flight = True
+        self.peers.open[attempt.address] += 1
+        try:
+            end = await attempt.run(may_retry=False)
+        finally:
+            self.peers.open[attempt.address] -= 1
+        # A timeout leaves this true: a server may be running the request.
+        progress.in_flight = False
+        name = "declined" if attempt.declined else end.value
+        self.metrics.count_forward(name)
+        host, port = attempt.address
+        log_event(
+            LOG,
+            logging.INFO,
+            "forwarded",
+            request=progress.request.request_id,
+            instance=f"{host}:{port}",
+            end=name,
+            status=attempt.status,
+            detail=attempt.detail,
+            took_ms=round((time.monotonic() - begun_at) * 1000),
+        )
+        return end
--- a/rhubarbshed/transport/edge/link_monitor.py
+++ b/rhubarbshed/transport/edge/link_monitor.py
@@ -20,6 +20,9 @@
 
 LOG = logging.getLogger(__name__)
 
+SETTLE_CHECK_S = 0.005
+"""Time between two looks at a round of probes; a connection takes a few milliseconds."""
+
 
 @define(eq=False)
 class LinkMonitor:
@@ -48,8 +51,8 @@
 
     async def settle(self) -> bool:
         """Wait for the round of probes in progress, if any; return whether there is a cut."""
-        while self.state.suspected and self._task is not None and not self._task.done():
-            await asyncio.wait((self._task,), timeout=0.005)
+        while self.state.suspected and not self.is_cut and not self._task.done():
+            await asyncio.wait((self._task,), timeout=SETTLE_CHECK_S)
         return self.is_cut
 
     def stop(self) -> None:
--- a/rhubarbshed/transport/edge/metrics.py
+++ b/rhubarbshed/transport/edge/metrics.py
@@ -20,6 +20,8 @@
     attempts: Counter
     continuations: Counter
     stream_parts: Counter
+    forwards: Counter
+    cut_requests: Counter
     orders: Counter
     store_calls: Counter
     request_seconds: Histogram
@@ -57,6 +59,12 @@
                 "Parts of one answer's stream after its first, by whether the version is the same.",
                 "version",
             ),
+            make_counter("forwards_total", "Requests offered to other instances, by end.", "end"),
+            make_counter(
+                "cut_requests_total",
+                "Requests ended while no server could be reached, by status.",
+                "status",
+            ),
             make_counter("orders_total", "Orders to engines, by kind and end.", "kind", "end"),
             make_counter(
                 "store_calls_total", "Calls to the store, by kind and table.", "kind", "table"
@@ -92,6 +100,14 @@
         if other:
             self.stream_parts.labels("other").inc(other)
 
+    def count_forward(self, end: str) -> None:
+        """Count a request that was offered to another instance."""
+        self.forwards.labels(end).inc()
+
+    def count_cut_request(self, status: int) -> None:
+        """Count a request that ended while this instance reached no server."""
+        self.cut_requests.labels(status).inc()
+
     def observe_first_bytes(self, after_s: float) -> None:
         """Record the time to the first bytes of a response."""
         self.first_bytes_seconds.observe(after_s)
--- a/rhubarbshed/transport/edge/node.py
+++ b/rhubarbshed/transport/edge/node.py
@@ -15,6 +15,7 @@
 
 from rhubarbshed.coordination.requests.drain import DrainPhase
 from rhubarbshed.coordination.serving.lease_state import LeaseState, draw_jitter
+from rhubarbshed.coordination.serving.peer_choice import PeerStates
 from rhubarbshed.coordination.serving.refusals import DRAINING_RETRY_S, draw_retry_after
 from rhubarbshed.protocol.messages import (
     CrashNews,
@@ -25,13 +26,14 @@
 from rhubarbshed.transport.edge.caller_connections import CallerConnection, Handler
 from rhubarbshed.transport.edge.crash_registry import CrashRegistry
 from rhubarbshed.transport.edge.follower import Follower
+from rhubarbshed.transport.edge.forwarding import Forwarder
 from rhubarbshed.transport.edge.holder_protocol import HolderProtocol
 from rhubarbshed.transport.edge.instance_lists import InstanceLists
 from rhubarbshed.transport.edge.lease import LeaseClient
 from rhubarbshed.transport.edge.link_monitor import LinkMonitor
 from rhubarbshed.transport.edge.metrics import FrontMetrics
 from rhubarbshed.transport.edge.order_dispatcher import OrderDispatcher
-from rhubarbshed.transport.edge.pools import Pool
+from rhubarbshed.transport.edge.pools import Pool, connect_from
 from rhubarbshed.transport.edge.relay import Relay
 from rhubarbshed.transport.edge.server_checks import ServerChecks
 from rhubarbshed.transport.edge.sockets import accept_waiting
@@ -59,6 +61,9 @@
 DRAIN_CHECK_INTERVAL_S = 0.05
 """Time between two checks whether the drain may go on to its next phase."""
 
+SERVING_LISTENERS = 2
+"""Listeners that accept requests for backend servers: the callers' and that of other instances."""
+
 ACCEPT_PASSES = 3
 """Passes of the event loop from accepting a connection to its first call."""
 
@@ -105,8 +110,11 @@
         view = View.from_settings(settings)
         pool = Pool(CONNECT_TIMEOUT_S)
         links = LinkMonitor(view, pool)
+        links.on_change = lambda is_cut, now: None if is_cut else view.fleet.end_pauses()
         pool.on_failed = links.suspect
         metrics = FrontMetrics.from_instance()
+        peers = PeerStates(settings.data_centre)
+        forwarder = Forwarder(Pool(CONNECT_TIMEOUT_S, connect_from(settings.host)), peers, metrics)
         store = StoreClient(settings.store, Pool(STORE_CONNECT_TIMEOUT_S), metrics.count_store_call)
         jitter_s = draw_jitter(settings.cores, settings.link_mbps, view.rng)
         lease_state = LeaseState.from_start(settings.lease_s, jitter_s, time.monotonic())
@@ -136,7 +144,7 @@
             lambda: lease_state.token,
             holder_protocol.instances,
             holder_protocol.list_holders,
-            lambda *known: learn_instances(streams, crashes, *known),
+            lambda *known: learn_instances(streams, crashes, peers, *known),
         )
         holder_protocol.handle_instance_message = functools.partial(
             handle_instance_message, streams, crashes, instance_lists
@@ -150,6 +158,8 @@
             holder_protocol.count_run,
             holder_protocol.report_missing,
             crashes,
+            links,
+            forwarder,
             streams.record_stream,
             streams.find_stream,
         )
@@ -205,11 +215,12 @@
         await self.holder_protocol.datagrams.listen((self.settings.host, self.settings.peers_port))
         endpoints: list[tuple[tuple[str, int], Handler]] = [
             (self.settings.callers, self.relay.handle),
+            ((self.settings.host, self.settings.peers_port), self.relay.handle_forwarded),
             (self.settings.ready, self.answer_ready),
             ((self.settings.host, self.settings.metrics_port), self.answer_metrics),
         ]
-        for address, handle in endpoints:
-            connections = self.connections if address == self.settings.callers else set()
+        for number, (address, handle) in enumerate(endpoints):
+            connections = self.connections if number < SERVING_LISTENERS else set()
             make = functools.partial(self.make_connection, handle, connections)
             listener = await loop.create_server(
                 make, *address, backlog=ACCEPT_BACKLOG, reuse_address=True
@@ -339,18 +350,21 @@
         return [each for each in self.connections if not each.is_ended]
 
     async def stop_accepting(self) -> None:
-        """Close the callers' listener once all connections made to it are known."""
+        """Close the listeners for requests once all connections made to them are known."""
+        serving = self.listeners[:SERVING_LISTENERS]
         loop = asyncio.get_running_loop()
-        listener = self.listeners[0]
-        for sock in listener.sockets:
+        for sock in [sock for listener in serving for sock in listener.sockets]:
             loop.remove_reader(sock.fileno())
         for _ in range(ACCEPT_PASSES):
             await asyncio.sleep(0)
-        accepted = [each for sock in listener.sockets for each in accept_waiting(sock.dup())]
-        listener.close()
-        make = functools.partial(self.make_connection, self.relay.handle, self.connections)
-        for sock in accepted:
-            await loop.connect_accepted_socket(make, sock)
+        for listener, handle in zip(
+            serving, (self.relay.handle, self.relay.handle_forwarded), strict=True
+        ):
+            accepted = [each for sock in listener.sockets for each in accept_waiting(sock.dup())]
+            listener.close()
+            make = functools.partial(self.make_connection, handle, self.connections)
+            for sock in accepted:
+                await loop.connect_accepted_socket(make, sock)
 
     def cut_off(self, now: float) -> None:
         """Answer all requests that are left at the end of the drain, complete ones or not."""
@@ -389,6 +403,7 @@
 def learn_instances(
     streams: StreamRegistry,
     crashes: CrashRegistry,
+    peers: PeerStates,
     instances: Mapping[str, Collection[tuple[str, int]]],
     is_listed: bool,
     now: float,
@@ -396,6 +411,7 @@
     """Pass a change of the known instances on to the parts that send messages to all of them."""
     streams.learn_instances(instances, is_listed, now)
     crashes.learn_instances(instances, is_listed, now)
+    peers.learn_instances(instances)
 
 
 def handle_instance_message(
--- a/rhubarbshed/transport/edge/pools.py
+++ b/rhubarbshed/transport/edge/pools.py
@@ -31,6 +31,17 @@
     return channel
 
 
+def connect_from(host: str) -> Connect:
+    """Return a function that opens connections from an address of this machine."""
+
+    async def connect(address: Address) -> Channel:
+        loop = asyncio.get_running_loop()
+        _, channel = await loop.create_connection(Channel, *address, local_addr=(host, 0))
+        return channel
+
+    return connect
+
+
 @define
 class Pool:
     """Idle connections; the one that was used last is used first.
--- a/rhubarbshed/transport/edge/relay.py
+++ b/rhubarbshed/transport/edge/relay.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 
 import h11
-from attrs import define, field
+from attrs import define, evolve, field
 
 from rhubarbshed.coordination.requests.crash_quarantine import list_keys
 from rhubarbshed.coordination.serving.choice import (
@@ -32,8 +32,9 @@
 from rhubarbshed.coordination.serving.retry_budget import Tries, is_retry_allowed
 from rhubarbshed.coordination.serving.versions import Continuation
 from rhubarbshed.platform.headers import echo_request_id, read_request
-from rhubarbshed.protocol.errors import RequestError
+from rhubarbshed.protocol.errors import Outcome, RequestError
 from rhubarbshed.protocol.exchanges import CallerRequest, ExchangeEnd
+from rhubarbshed.protocol.forwarding import DECLINED, STATUS_NOT_TRUSTED, read_attempts_left
 from rhubarbshed.protocol.routes import Route
 from rhubarbshed.state.membership.fleet import ServerRecord
 from rhubarbshed.transport.edge.attempts import Attempt, CallerResponse
@@ -48,6 +49,8 @@
 )
 from rhubarbshed.transport.edge.crash_registry import CrashRegistry
 from rhubarbshed.transport.edge.follower import DROP_MARGIN_S
+from rhubarbshed.transport.edge.forwarding import NOT_TAKEN, Forwarded, Forwarder
+from rhubarbshed.transport.edge.link_monitor import LinkMonitor
 from rhubarbshed.transport.edge.metrics import FrontMetrics
 from rhubarbshed.transport.edge.pools import Pool
 from rhubarbshed.transport.edge.request_logs import Stage, log_end, log_failed_attempt
@@ -65,6 +68,17 @@
 SECOND_PASS_PAUSE_S = 0.06
 """Pause before servers that failed a request are tried again, about the time of a plain run."""
 
+UNREACHED = (
+    ExchangeEnd.NOT_SENT,
+    ExchangeEnd.CONNECTION_REFUSED,
+    ExchangeEnd.NO_RESPONSE,
+    ExchangeEnd.BROKEN,
+)
+"""Ends of attempts after which the links to servers may be cut."""
+
+DECLINED_CODES = ("draining", "not_configured", "no_route")
+"""Codes of errors that are due to this instance alone, so that another one may do better."""
+
 AWAITED_REPORT_INTERVAL_S = 0.1
 """Time after which an awaited target is reported to the order holder again; a message may be
 lost."""
@@ -88,6 +102,8 @@
     count_run: Callable[[str, str, str, float], None]
     report_missing: Callable[[str, int, str, str], None]
     crashes: CrashRegistry
+    links: LinkMonitor
+    forwarder: Forwarder
     record_stream: RecordStream = record_nothing
     find_stream: FindStream = find_nothing
     open_requests: set["RequestProgress"] = field(factory=set)
@@ -121,7 +137,26 @@
     ) -> None:
         """Answer one request; cancelled when its caller disconnects."""
         request = read_request(head.method, head.target, tuple(head.headers), begun_at)
+        await self.serve(RequestProgress(self, connection, request.with_body(body)))
+
+    async def handle_forwarded(
+        self, connection: CallerConnection, head: h11.Request, body: bytes, begun_at: float
+    ) -> None:
+        """Answer a request that another instance forwards, and nobody else."""
+        host = connection.peer_host
+        if not self.forwarder.peers.is_instance(host):
+            log_event(LOG, logging.WARNING, "forward_not_trusted", host=host)
+            connection.send_complete(STATUS_NOT_TRUSTED, (), b"not_trusted: not an instance\n")
+            return
+        request = read_request(head.method, head.target, tuple(head.headers), begun_at)
         progress = RequestProgress(self, connection, request.with_body(body))
+        progress.forwarded_by = host
+        progress.attempts_max = read_attempts_left(tuple(head.headers))
+        await self.serve(progress)
+
+    async def serve(self, progress: "RequestProgress") -> None:
+        """Carry one request through to its end."""
+        request = progress.request
         self.open_requests.add(progress)
         try:
             await progress.run()
@@ -146,7 +181,8 @@
     servers. `available_in_s` is when a load that it needs should be complete. `waits_for` is the
     stage it is in while no attempt is in flight. `retry_paid` means that the budget has counted the
     next retry. `stopped_by` is the key of the verdict that stopped it, `trial_keys` those of the
-    verdicts that its next attempt puts to a trial.
+    verdicts that its next attempt puts to a trial. `forwarded_by` is the instance that it came
+    from, with `attempts_max` servers left that may run it.
     """
 
     relay: Relay
@@ -174,6 +210,8 @@
     continuation: Continuation | None = None
     trial_keys: frozenset[str] = frozenset()
     stopped_by: str = ""
+    forwarded_by: str = ""
+    attempts_max: int | None = None
 
     def cut_off(self) -> None:
         """End the request now, because the process stops."""
@@ -195,6 +233,9 @@
         if self.route is None:
             self.answer(make_no_route())
             return
+        if self.attempts_max is not None:
+            attempts_max = min(self.route.attempts_max, self.attempts_max)
+            self.route = evolve(self.route, attempts_max=attempts_max)
         self.service = choose_service(self.route, self.request.request_id, view.rng)
         caller_timeout_s = self.request.caller_timeout_s or TIMEOUT_DEFAULT_S
         self.deadline = self.request.received_at + min(caller_timeout_s, self.route.timeout_s)
@@ -202,12 +243,7 @@
         self.caller_response.record_origin = functools.partial(record_origin, self)
         try:
             async with asyncio.timeout_at(self.deadline):
-                self.waits_for = Stage.LOOKUP
-                error = await decide_stream(self)
-                self.waits_for = Stage.CHOICE
-                if error is None:
-                    self.count()
-                    error = await self.send()
+                error = await self.serve()
         except TimeoutError:
             error = make_timeout(self.tries.run > 0 or self.in_flight)
         if error is not None:
@@ -215,6 +251,27 @@
         else:
             log_end(self, "answered", None, time.monotonic())
 
+    async def serve(self) -> RequestError | None:
+        """Send the request, by way of another instance if no server can be reached from here."""
+        forwarded = await self.forward_if_cut()
+        if forwarded.taken:
+            return forwarded.error
+        if self.forwarded_by and self.relay.links.is_cut:
+            return make_refusal("no_servers", self.relay.view.rng)
+        self.waits_for = Stage.LOOKUP
+        error = await decide_stream(self)
+        self.waits_for = Stage.CHOICE
+        if error is not None:
+            return error
+        self.count()
+        return await self.send()
+
+    async def forward_if_cut(self) -> Forwarded:
+        """Forward the request if this instance is cut off; never one that was forwarded."""
+        if not self.relay.links.is_cut or self.forwarded_by:
+            return NOT_TAKEN
+        return await self.relay.forwarder.forward(self)
+
     def check_draining(self, now: float) -> RequestError | None:
         """Return the error for a request that was read after the announcement of a stop."""
         view = self.relay.view
@@ -273,6 +330,10 @@
             self.retry_paid = False
             # The end of the server may be what stops the request.
             await self.relay.crashes.checks.wait(chosen.server)
+            if end in UNREACHED and await self.relay.links.settle():
+                forwarded = await self.forward_if_cut()
+                if forwarded.taken:
+                    return forwarded.error
 
     def check_quarantine(self, now: float) -> bool:
         """Return whether the request may be sent: it is not known to end servers, or is a trial."""
@@ -316,15 +377,10 @@
             sample_age_s=round(min(chosen.sample_age_s, 999.0), 2),
             candidates=chosen.candidates,
         )
-        attempt = Attempt(
-            self.relay.pool,
-            record,
-            self.caller_response,
-            self.deadline,
-            lambda: self.may_move(record, time.monotonic()),
-            on_begun=lambda: self.relay.crashes.record_begun(self.request, time.monotonic()),
-            confirm_running=lambda: self.confirm_running(record),
-        )
+        attempt = Attempt.from_server(self.relay.pool, record, self.caller_response, self.deadline)
+        attempt.may_move = lambda: self.may_move(record, time.monotonic())
+        attempt.on_begun = lambda: self.relay.crashes.record_begun(self.request, time.monotonic())
+        attempt.confirm_running = lambda: self.confirm_running(record)
         self.last_attempt = attempt
         more = self.tries.run + 1 < self.route.attempts_max and self.route.repeatable
         record.open += 1
@@ -377,6 +433,8 @@
         ):
             self.relay.pool.drop((record.entry.host, record.entry.port))
             record.record_unresponsive(now)
+        if end in (ExchangeEnd.NO_RESPONSE, ExchangeEnd.BROKEN) and not attempt.failed:
+            self.relay.links.suspect()
         if end in (ExchangeEnd.CONNECTION_REFUSED, ExchangeEnd.WRONG_SERVER):
             self.relay.report_missing(*record.key, "", "")
             self.relay.crashes.checks.record_refused(record, now)
@@ -399,6 +457,8 @@
 
         The retry is paid for at once: many streams may become silent together.
         """
+        if self.relay.links.is_cut and not self.forwarded_by:
+            return self.relay.forwarder.has_peer(self, now) and self.pay_retry(now)
         tried = self.excluded
         self.excluded = tried | {record.key}
         chosen = self.choose(now)
@@ -491,6 +551,14 @@
         headers = [(b"content-type", b"text/plain"), *echo_request_id(self.request.request_id)]
         if error.retry_after_s is not None:
             headers.append((b"retry-after", f"{error.retry_after_s:.3f}".encode()))
+        if self.forwarded_by and self.is_declined(error):
+            headers.append((DECLINED, error.code.encode()))
         self.connection.send_complete(
             error.status, tuple(headers), f"{error.code}: {error.message}\n".encode()
         )
+
+    def is_declined(self, error: RequestError) -> bool:
+        """Return whether another instance may serve a request that this one does not."""
+        if error.outcome is not Outcome.NOT_RUN or self.delivered:
+            return False
+        return error.code in DECLINED_CODES or self.relay.links.is_cut
--- a/rhubarbshed/transport/edge/request_logs.py
+++ b/rhubarbshed/transport/edge/request_logs.py
@@ -97,6 +97,10 @@
         fields["first_ms"] = round((response.first_at - request.received_at) * 1000)
         fields["gap_ms"] = round(response.gap_s * 1000)
         progress.relay.metrics.observe_first_bytes(response.first_at - request.received_at)
+    if progress.forwarded_by:
+        fields["from_instance"] = progress.forwarded_by
+    if progress.relay.links.is_cut:
+        progress.relay.metrics.count_cut_request(status)
     attempt = progress.last_attempt
     if attempt is not None and attempt.framing is not None:
         fields["framing"] = attempt.framing.value
