Tell cut links from servers that are down, and report no ends by them

Cause: a refused connection was taken for the end of its server. It is one for an instance in touch; a cut refuses all of them.

Change: an instance whose probes reach no server asks up to six others whether they reach one, which they find out by probes of their own, at most every 0.3 s. Only if one does are the links cut; else the servers are down, refused connections count as before, and nothing is forwarded. A refused connection is reported only after the probes that it starts, some milliseconds in touch.

--- a/rhubarbshed/coordination/serving/peer_choice.py
+++ b/rhubarbshed/coordination/serving/peer_choice.py
@@ -18,6 +18,11 @@
 NEAR_PEERS_ASKED_MAX = 2
 """Instances of the own data centre that one request is offered to before those of others."""
 
+NEAR_PEERS_QUESTIONED = 3
+FAR_PEERS_QUESTIONED = 3
+"""Instances of the own data centre and of others that are asked together whether they reach
+servers; most of a data centre may be cut off."""
+
 DECLINED_PAUSE_S = 0.5
 BROKEN_PAUSE_S = 1.0
 """Time without requests to an instance that declined one, or that did not answer."""
@@ -53,6 +58,20 @@
         """Leave an instance alone for a while."""
         self.paused_until[address] = now + pause_s
 
+    def draw_questioned(self, rng: random.Random) -> list[Address]:
+        """Draw the instances to ask whether they reach servers."""
+        near = self.instances.get(self.data_centre, ())
+        far = [
+            address
+            for name, group in self.instances.items()
+            if name != self.data_centre
+            for address in group
+        ]
+        return [
+            *rng.sample(near, min(NEAR_PEERS_QUESTIONED, len(near))),
+            *rng.sample(far, min(FAR_PEERS_QUESTIONED, len(far))),
+        ]
+
     def choose(self, asked: Collection[Address], now: float, rng: random.Random) -> Address | None:
         """Choose an instance that was not asked yet, one of the own data centre if possible."""
         near, far = [], []
--- a/rhubarbshed/coordination/serving/reachability.py
+++ b/rhubarbshed/coordination/serving/reachability.py
@@ -2,6 +2,7 @@
 
 Failure: the links of an instance to all servers are cut while callers, the store and other
 instances still reach it. Each request would find that out anew, server by server, and be refused.
+If all servers have ended, they look the same from here, but also from every other instance.
 """
 
 import random
@@ -12,11 +13,15 @@
 from rhubarbshed.state.membership.fleet import Fleet, ServerRecord
 
 PROBED_SERVERS = 4
-"""Servers that are probed together; that all of them ended at once is rare, and an instance that
-takes it for a cut only asks others in vain."""
+"""Servers that are probed together; that all of them have ended is rare."""
 
 PROBE_INTERVAL_S = 0.3
-"""Time between two rounds of probes of an instance that is cut off."""
+"""Time between two rounds of probes of an instance that is cut off, and the age up to which a
+round answers the questions of other instances."""
+
+PROBE_INTERVAL_MAX_S = 1.2
+"""Longest time between two rounds while no instance is known to reach a server; it is doubled up
+to this, since all instances may be asking."""
 
 REACHED_SHARE = 0.5
 """Share of the probed servers that must be reached again until the cut counts as healed: links come
@@ -25,36 +30,46 @@
 
 @define
 class Reachability:
-    """What the last round of probes showed; `cut_since` is monotonic seconds, None while in touch.
+    """What rounds of probes showed; `cut_since` is monotonic seconds, None while in touch.
 
-    `suspected` means that a connection failed and no round of probes has been made since.
+    `suspected` means that a connection failed and no round of probes has been made since. `vain`
+    counts the rounds in a row in which neither this instance nor another one reached a server.
     """
 
     cut_since: float | None = None
     suspected: bool = False
+    vain: int = 0
 
     @property
     def is_cut(self) -> bool:
-        """Return whether no server can be reached."""
+        """Return whether no server can be reached from here, but from other instances."""
         return self.cut_since is not None
 
     def suspect(self) -> bool:
         """Record that a connection to a server failed; return whether a round of probes is due."""
-        if self.is_cut or self.suspected:
+        if self.is_cut or self.suspected or self.vain:
             return False
         self.suspected = True
         return True
 
-    def record_probes(self, reached: int, probed: int, now: float) -> bool:
-        """Record a round of probes; return whether it changed anything."""
+    def record_round(self, reached: int, probed: int, others_reach: bool, now: float) -> bool:
+        """Record a round of probes; return whether it began or ended a cut.
+
+        `others_reach` is whether another instance said that it reaches servers.
+        """
         self.suspected = False
         was_cut = self.is_cut
-        if not was_cut and probed and not reached:
-            self.cut_since = now
-        elif was_cut and reached >= max(1.0, REACHED_SHARE * probed):
+        if was_cut and reached >= max(1.0, REACHED_SHARE * probed):
             self.cut_since = None
+        elif not was_cut and probed and not reached and others_reach:
+            self.cut_since = now
+        self.vain = 0 if reached or self.is_cut else self.vain + 1
         return self.is_cut != was_cut
 
+    def measure_pause(self) -> float:
+        """Return the seconds until the next round of probes."""
+        return min(PROBE_INTERVAL_MAX_S, PROBE_INTERVAL_S * 2 ** max(0, self.vain - 1))
+
 
 def choose_probed(fleet: Fleet, rng: random.Random) -> list[ServerRecord]:
     """Choose the servers of the next round of probes, at random among those that stay."""
--- a/rhubarbshed/protocol/forwarding.py
+++ b/rhubarbshed/protocol/forwarding.py
@@ -11,10 +11,21 @@
 DECLINED = b"forward-declined"
 """Header of an error: the request did not run, and another instance may serve it."""
 
+REACHABILITY_TARGET = b"/reachability"
+STATUS_REACHED = 200
+STATUS_UNREACHED = 503
+"""Target of the question whether an instance reaches backend servers, without the header of a
+forwarded request, and the statuses of its answer."""
+
 STATUS_NOT_TRUSTED = 403
 """Status for requests from addresses that are not those of instances."""
 
 
+def is_question(target: bytes, headers: Headers) -> bool:
+    """Return whether a request asks for the reachability of servers."""
+    return target == REACHABILITY_TARGET and ATTEMPTS_LEFT not in dict(headers)
+
+
 def read_attempts_left(headers: Headers) -> int:
     """Return how many servers may run a forwarded request, 1 if the header is missing or wrong."""
     value = dict(headers).get(ATTEMPTS_LEFT, b"")
--- a/rhubarbshed/transport/edge/forwarding.py
+++ b/rhubarbshed/transport/edge/forwarding.py
@@ -1,10 +1,13 @@
 """Requests forwarded to other instances while this one reaches no backend server."""
 
+import asyncio
 import logging
+import random
 import time
 from typing import TYPE_CHECKING
 
 from attrs import define, frozen
+from returns.result import Success
 
 from rhubarbshed.coordination.serving.peer_choice import (
     BROKEN_PAUSE_S,
@@ -16,8 +19,10 @@
 from rhubarbshed.coordination.serving.refusals import make_failure
 from rhubarbshed.platform.headers import make_forward_headers
 from rhubarbshed.protocol.errors import RequestError
-from rhubarbshed.protocol.exchanges import ExchangeEnd, Headers
+from rhubarbshed.protocol.exchanges import ControlCall, ExchangeEnd, Headers
+from rhubarbshed.protocol.forwarding import REACHABILITY_TARGET, STATUS_REACHED
 from rhubarbshed.transport.edge.attempts import Attempt
+from rhubarbshed.transport.edge.control import call
 from rhubarbshed.transport.edge.metrics import FrontMetrics
 from rhubarbshed.transport.edge.pools import Pool
 from rhubarbshed.util.logs import log_event
@@ -30,6 +35,9 @@
 RETURN_MARGIN_S = 0.01
 """Part of a request's time that is kept for the way back of the other instance's answer."""
 
+QUESTION_TIMEOUT_S = 0.5
+"""Time for another instance to answer whether it reaches servers; it may have to probe them."""
+
 TIME_LEFT_MIN_S = 0.03
 """Time left below which a request is not forwarded."""
 
@@ -55,10 +63,29 @@
     pool: Pool
     peers: PeerStates
     metrics: FrontMetrics
+    rng: random.Random
+
+    async def ask_others(self) -> bool:
+        """Return whether another instance reaches a backend server, as soon as one says so."""
+        asked = self.peers.draw_questioned(self.rng)
+        tasks = [asyncio.create_task(self._ask(address)) for address in asked]
+        try:
+            for finished in asyncio.as_completed(tasks):
+                if await finished:
+                    return True
+        finally:
+            for task in tasks:
+                task.cancel()
+        return False
+
+    async def _ask(self, address: Address) -> bool:
+        sent = ControlCall(b"GET", REACHABILITY_TARGET)
+        result = await call(self.pool, address, sent, QUESTION_TIMEOUT_S)
+        return isinstance(result, Success) and result.unwrap().status == STATUS_REACHED
 
     def has_peer(self, progress: "RequestProgress", now: float) -> bool:
         """Return whether there is an instance that a request may be sent to."""
-        return self.peers.choose((), now, progress.relay.view.rng) is not None
+        return self.peers.choose((), now, self.rng) is not None
 
     async def forward(self, progress: "RequestProgress") -> Forwarded:
         """Offer a request to one instance after the other until one takes it."""
@@ -66,7 +93,7 @@
         broken = 0
         while len(asked) < PEERS_ASKED_MAX:
             now = time.monotonic()
-            address = self.peers.choose(asked, now, progress.relay.view.rng)
+            address = self.peers.choose(asked, now, self.rng)
             if address is None or progress.deadline - now < TIME_LEFT_MIN_S:
                 break
             asked.append(address)
--- a/rhubarbshed/transport/edge/link_monitor.py
+++ b/rhubarbshed/transport/edge/link_monitor.py
@@ -2,8 +2,9 @@
 
 import asyncio
 import logging
+import math
 import time
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from attrs import define, field
 
@@ -20,8 +21,15 @@
 
 LOG = logging.getLogger(__name__)
 
-SETTLE_CHECK_S = 0.005
-"""Time between two looks at a round of probes; a connection takes a few milliseconds."""
+SETTLE_CHECK_S = 0.003
+SETTLE_MAX_S = 0.9
+"""Time between two looks at a round of probes, about a round trip, and the longest wait for one: a
+connection that hangs and an instance that asks others in vain."""
+
+
+async def ask_nobody() -> bool:
+    """Return that no other instance is known to reach servers."""
+    return False
 
 
 @define(eq=False)
@@ -29,51 +37,69 @@
     """Links of this instance to all servers.
 
     The first failed connection starts a round of probes, which ends as soon as one server is
-    reached. While none is, rounds go on. `on_change` is called with whether the instance is cut
-    off, and monotonic seconds.
+    reached. If none is, `ask_others` returns whether another instance reaches one, and rounds go
+    on. `on_change` is called with whether the instance is cut off, and monotonic seconds.
     """
 
     view: View
     pool: Pool
     state: Reachability = field(factory=Reachability)
+    ask_others: Callable[[], Awaitable[bool]] = ask_nobody
     on_change: Callable[[bool, float], None] = lambda is_cut, now: None
-    _task: asyncio.Task | None = None
+    _due: asyncio.Event = field(factory=asyncio.Event)
+    _check: asyncio.Task | None = None
+    _checked_at: float = -math.inf
 
     @property
     def is_cut(self) -> bool:
-        """Return whether no server can be reached."""
+        """Return whether no server can be reached from here, but from other instances."""
         return self.state.is_cut
 
     def suspect(self) -> None:
         """Record that a connection to a server failed or fell silent."""
-        if self.state.suspect() and (self._task is None or self._task.done()):
-            self._task = asyncio.get_running_loop().create_task(self._probe_until_reached())
+        if self.state.suspect():
+            self._due.set()
 
     async def settle(self) -> bool:
-        """Wait for the round of probes in progress, if any; return whether there is a cut."""
-        while self.state.suspected and not self.is_cut and not self._task.done():
-            await asyncio.wait((self._task,), timeout=SETTLE_CHECK_S)
+        """Wait for the first round of probes, if one is due; return whether there is a cut."""
+        until = time.monotonic() + SETTLE_MAX_S
+        while self.state.suspected and time.monotonic() < until:
+            await asyncio.sleep(SETTLE_CHECK_S)
         return self.is_cut
 
-    def stop(self) -> None:
-        """End the probes."""
-        if self._task is not None:
-            self._task.cancel()
+    async def check(self) -> bool:
+        """Return whether a server can be reached, for another instance that asks."""
+        if self.is_cut:
+            return False
+        if self._check is None or time.monotonic() - self._checked_at > PROBE_INTERVAL_S:
+            self._checked_at = time.monotonic()
+            probed = choose_probed(self.view.fleet, self.view.rng)
+            probe = self._probe(probed, stop_at_first=True)
+            self._check = asyncio.get_running_loop().create_task(probe)
+        return bool(await asyncio.shield(self._check))
+
+    async def maintain(self) -> None:
+        """Probe servers whenever the links to them are suspected, forever."""
+        while True:
+            await self._due.wait()
+            await self._probe_until_reached()
+            self._due.clear()
 
     async def _probe_until_reached(self) -> None:
         while True:
             probed = choose_probed(self.view.fleet, self.view.rng)
             reached = await self._probe(probed, stop_at_first=not self.is_cut)
+            others_reach = not reached and not self.is_cut and await self.ask_others()
             now = time.monotonic()
-            if self.state.record_probes(reached, len(probed), now):
+            if self.state.record_round(reached, len(probed), others_reach, now):
                 self._report(reached, len(probed), now)
-            if not self.is_cut:
+            if reached and not self.is_cut:
                 return
-            await asyncio.sleep(PROBE_INTERVAL_S)
+            await asyncio.sleep(self.state.measure_pause())
 
     async def _probe(self, records: list[ServerRecord], stop_at_first: bool) -> int:
         """Open a connection to each server; return to how many one could be opened."""
-        tasks = {asyncio.create_task(self._connect(record)) for record in records}
+        tasks = [asyncio.create_task(self._connect(record)) for record in records]
         reached = 0
         try:
             for finished in asyncio.as_completed(tasks):
--- a/rhubarbshed/transport/edge/node.py
+++ b/rhubarbshed/transport/edge/node.py
@@ -114,7 +114,9 @@
         pool.on_failed = links.suspect
         metrics = FrontMetrics.from_instance()
         peers = PeerStates(settings.data_centre)
-        forwarder = Forwarder(Pool(CONNECT_TIMEOUT_S, connect_from(settings.host)), peers, metrics)
+        peers_pool = Pool(CONNECT_TIMEOUT_S, connect_from(settings.host))
+        forwarder = Forwarder(peers_pool, peers, metrics, view.rng)
+        links.ask_others = forwarder.ask_others
         store = StoreClient(settings.store, Pool(STORE_CONNECT_TIMEOUT_S), metrics.count_store_call)
         jitter_s = draw_jitter(settings.cores, settings.link_mbps, view.rng)
         lease_state = LeaseState.from_start(settings.lease_s, jitter_s, time.monotonic())
@@ -128,7 +130,8 @@
         lease.on_holders_read = holder_protocol.learn_addresses
         follower.publish = holder_protocol.publish
         follower.is_holder = lambda: lease_state.held
-        crashes = CrashRegistry(holder_protocol.datagrams.send, ServerChecks(pool), view.rng)
+        checks = ServerChecks(pool, find_cut=links.settle)
+        crashes = CrashRegistry(holder_protocol.datagrams.send, checks, view.rng)
         streams = StreamRegistry(
             settings.data_centre,
             holder_protocol.datagrams.send,
@@ -201,6 +204,7 @@
             self.holder_protocol.report_demand_repeatedly,
             self.instance_lists.maintain,
             self.crashes.maintain,
+            self.links.maintain,
             self.sweep,
         ):
             self.spawn(work())
@@ -334,7 +338,6 @@
         self.log_connections("stopped", cut_off=self.relay.open)
         for task in self.tasks:
             task.cancel()
-        self.links.stop()
         self.cut_off(time.monotonic())
         await asyncio.sleep(CLOSE_DELAY_S)
         for connection in list(self.connections):
--- a/rhubarbshed/transport/edge/relay.py
+++ b/rhubarbshed/transport/edge/relay.py
@@ -34,7 +34,14 @@
 from rhubarbshed.platform.headers import echo_request_id, read_request
 from rhubarbshed.protocol.errors import Outcome, RequestError
 from rhubarbshed.protocol.exchanges import CallerRequest, ExchangeEnd
-from rhubarbshed.protocol.forwarding import DECLINED, STATUS_NOT_TRUSTED, read_attempts_left
+from rhubarbshed.protocol.forwarding import (
+    DECLINED,
+    STATUS_NOT_TRUSTED,
+    STATUS_REACHED,
+    STATUS_UNREACHED,
+    is_question,
+    read_attempts_left,
+)
 from rhubarbshed.protocol.routes import Route
 from rhubarbshed.state.membership.fleet import ServerRecord
 from rhubarbshed.transport.edge.attempts import Attempt, CallerResponse
@@ -148,6 +155,10 @@
             log_event(LOG, logging.WARNING, "forward_not_trusted", host=host)
             connection.send_complete(STATUS_NOT_TRUSTED, (), b"not_trusted: not an instance\n")
             return
+        if is_question(head.target, tuple(head.headers)):
+            reached = await self.links.check()
+            connection.send_complete(STATUS_REACHED if reached else STATUS_UNREACHED, (), b"")
+            return
         request = read_request(head.method, head.target, tuple(head.headers), begun_at)
         progress = RequestProgress(self, connection, request.with_body(body))
         progress.forwarded_by = host
@@ -318,6 +329,8 @@
                     continue
                 return self.give_up(chosen.reason)
             end = await self.attempt(chosen)
+            if end is ExchangeEnd.CONNECTION_REFUSED and not await self.relay.links.settle():
+                self.report_ended(chosen.server, time.monotonic())
             if end is ExchangeEnd.DONE:
                 return None
             if self.last_attempt.withdrawn:
@@ -435,9 +448,8 @@
             record.record_unresponsive(now)
         if end in (ExchangeEnd.NO_RESPONSE, ExchangeEnd.BROKEN) and not attempt.failed:
             self.relay.links.suspect()
-        if end in (ExchangeEnd.CONNECTION_REFUSED, ExchangeEnd.WRONG_SERVER):
-            self.relay.report_missing(*record.key, "", "")
-            self.relay.crashes.checks.record_refused(record, now)
+        if end is ExchangeEnd.WRONG_SERVER:
+            self.report_ended(record, now)
         if end is ExchangeEnd.MODEL_MISSING and self.request.model:
             record.remove_held(self.request.model, self.request.adapter)
             self.relay.report_missing(*record.key, self.request.model, self.request.adapter)
@@ -447,6 +459,11 @@
         if end is not ExchangeEnd.DONE:
             log_failed_attempt(self, attempt, end)
 
+    def report_ended(self, record: ServerRecord, now: float) -> None:
+        """Report a server that is not at its address; not if the links to all of them are cut."""
+        self.relay.report_missing(*record.key, "", "")
+        self.relay.crashes.checks.record_refused(record, now)
+
     def pay_retry(self, now: float) -> bool:
         """Return whether the budget allows the next retry, and count it there once."""
         self.retry_paid = self.retry_paid or self.relay.view.budget.try_spend(self.service, now)
--- a/rhubarbshed/transport/edge/server_checks.py
+++ b/rhubarbshed/transport/edge/server_checks.py
@@ -1,15 +1,15 @@
 """Checks whether a server at which an attempt broke off has ended.
 
 A connection also breaks off for other reasons: a reset, a truncated answer, a cut. A server that
-has ended refuses new connections. An answer that ends with its connection needs more: a sign of
-life that the same incarnation gave after the end.
+has ended refuses new connections, and so does a cut of the links to all servers. An answer that
+ends with its connection needs more: a sign of life that the same incarnation gave after the end.
 """
 
 import asyncio
 import logging
 import time
 from collections import OrderedDict
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from attrs import define, field
 from returns.result import Success
@@ -42,17 +42,24 @@
 may be silent for a second, and callers of a stream leave after two."""
 
 
+async def find_no_cut() -> bool:
+    """Return that the links to servers are not cut; for checks without a monitor of links."""
+    return False
+
+
 @define(eq=False)
 class ServerChecks:
     """Checks in progress, and the servers known to have ended by themselves.
 
     `on_ended` is called once for each of these, `on_alive` after a check that found a server alive,
-    with the monotonic time at which the check began.
+    with the monotonic time at which the check began. `find_cut` returns whether the links to all
+    servers are cut.
     """
 
     pool: Pool
     on_ended: Callable[[Incarnation, float], None] = lambda incarnation, now: None
     on_alive: Callable[[Incarnation, float], None] = lambda incarnation, since: None
+    find_cut: Callable[[], Awaitable[bool]] = find_no_cut
     ended: OrderedDict[Incarnation, float] = field(factory=OrderedDict)
     running: dict[Incarnation, asyncio.Task] = field(factory=dict)
 
@@ -127,6 +134,8 @@
         try:
             channel = await self.pool.open(address)
         except NotListeningError:
+            if await self.find_cut():
+                return
             self.record_ended(record.key, "checked", time.monotonic())
         except ChannelError as error:
             # A cut, or a machine without power: not known, so nothing is concluded.
--- a/test/test_edge_cut_off.py
+++ b/test/test_edge_cut_off.py
@@ -203,8 +203,20 @@
 def test_a_cut_counts_as_healed_once_half_of_the_probed_servers_are_reached():
     state = Reachability()
     assert state.suspect() and not state.suspect()
-    assert not state.record_probes(1, 4, 0.0) and not state.is_cut
-    assert state.suspect() and state.record_probes(0, 4, 1.0) and state.is_cut
-    assert not state.record_probes(1, 4, 2.0) and state.is_cut
-    assert not state.record_probes(0, 0, 2.5) and state.is_cut
-    assert state.record_probes(2, 4, 3.0) and not state.is_cut
+    assert not state.record_round(1, 4, False, 0.0) and not state.is_cut
+    assert state.suspect() and state.record_round(0, 4, True, 1.0) and state.is_cut
+    assert not state.record_round(1, 4, False, 2.0) and state.is_cut
+    assert not state.record_round(0, 0, False, 2.5) and state.is_cut
+    assert state.record_round(2, 4, False, 3.0) and not state.is_cut
+
+
+def test_servers_that_nobody_reaches_are_probed_ever_more_rarely_and_are_no_cut():
+    state = Reachability()
+    assert state.suspect()
+    pauses = []
+    for _ in range(4):
+        assert not state.record_round(0, 4, False, 0.0) and not state.is_cut
+        pauses.append(state.measure_pause())
+    assert pauses == [0.3, 0.6, 1.2, 1.2]
+    assert not state.suspect()
+    assert state.record_round(0, 4, True, 9.0) and state.is_cut
