Keep brittle servers from falling over under the load of all instances

Cause: a server counts as full at one and a half times its slots, by a load that is old by up to half a second and that decays within two runs, so all instances together send a full server whatever its queue does not hold.

Change: for a brittle server, an instance uses its share of 0.9 of the slots at most, keeps a reported load for longer, and after a rejection pauses for so long that all instances together stay below N a second (0.25 to 3 s). It ends with the first answer without the header.

--- a/rhubarbshed/coordination/serving/choice.py
+++ b/rhubarbshed/coordination/serving/choice.py
@@ -9,6 +9,7 @@
 
 from attrs import frozen
 
+from rhubarbshed.coordination.serving.brittle_servers import has_room
 from rhubarbshed.protocol.routes import Route
 from rhubarbshed.state.membership.fleet import Fleet, ServerRecord
 
@@ -98,12 +99,13 @@
     rng: random.Random,
     version: str | None = None,
     leaving_since: float = math.inf,
+    instances: int = 1,
 ) -> Choice | NoServer:
     """Choose the least loaded available server that holds (model, adapter).
 
     Servers to `avoid` have failed an earlier attempt of the request. The rest of a stream may come
     from servers of one software `version` only; if none stays, from one that announced after
-    `leaving_since` that it leaves, which still serves.
+    `leaving_since` that it leaves, which still serves. So many `instances` send requests.
     """
     model, adapter = needs
     staying = list_staying(fleet, service, version)
@@ -121,7 +123,7 @@
     if not untried:
         return NoServer("all_tried", holders=len(holders), capable=len(capable))
     confirmed = [record for record in untried if record.missing_since is None] or untried
-    free = [record for record in confirmed if not is_full(record, now)]
+    free = [record for record in confirmed if not is_full(record, instances, now)]
     if not free:
         return NoServer("full", holders=len(holders), capable=len(capable))
     sampled = _sample_candidates(free, data_centre, rng)
@@ -147,8 +149,13 @@
     ]
 
 
-def is_full(record: ServerRecord, now: float) -> bool:
-    """Return whether a server would refuse another request or queue it for long."""
+def is_full(record: ServerRecord, instances: int, now: float) -> bool:
+    """Return whether a server would refuse another request or queue it for long.
+
+    `instances` share its slots.
+    """
+    if record.rejections_borne is not None:
+        return not has_room(record, instances, now)
     return record.estimate_load(now) >= record.entry.slots * (1.0 + QUEUE_FRACTION)
 
 
--- a/rhubarbshed/platform/headers.py
+++ b/rhubarbshed/platform/headers.py
@@ -16,6 +16,7 @@
 NOT_EXECUTED = b"rhubarbshed-not-executed"
 INSTANCE_ID = b"rhubarbshed-instance-id"
 SERVER_LOAD = b"rhubarbshed-server-load"
+SERVER_BRITTLE = b"server-brittle"
 LAST_EVENT_ID = b"last-event-id"
 RESUMES = b"resumes"
 
@@ -141,6 +142,7 @@
         encoded=b"content-encoding" in values,
         server_id=values.get(INSTANCE_ID, b"").decode("latin-1"),
         load=_read_load(values.get(SERVER_LOAD, b"")),
+        rejections_borne=_read_number(values.get(SERVER_BRITTLE, b"")),
         declined=DECLINED in values,
         retry_after_s=_read_number(values.get(b"retry-after", b"")),
     )
--- a/rhubarbshed/protocol/exchanges.py
+++ b/rhubarbshed/protocol/exchanges.py
@@ -78,7 +78,8 @@
 
     `request_id` is the one that the server echoes. `not_run` means that the server says it did not
     run the request. `server_id` is set if another server now has the address. `load` is (running,
-    waiting, slots). `declined` means that another instance may serve the request.
+    waiting, slots). `rejections_borne` is how many requests a brittle server may turn away in a
+    second, None if it is not brittle. `declined` means that another instance may serve the request.
     """
 
     status: int
@@ -89,6 +90,7 @@
     encoded: bool = False
     server_id: str = ""
     load: tuple[int, int, int] | None = None
+    rejections_borne: float | None = None
     declined: bool = False
     retry_after_s: float | None = None
 
--- a/rhubarbshed/state/membership/fleet.py
+++ b/rhubarbshed/state/membership/fleet.py
@@ -41,6 +41,7 @@
     last reported, to this instance at `answered_at` or to another, known here since `sampled_at`;
     `others_load` is the part of it that is not from this instance. `run_s` is the mean time of its
     runs. `held` are the models with their adapters. `failures` and `attempts` are decaying sums.
+    `rejections_borne` is set for a brittle server, which gets nothing before `rejecting_until`.
     `unloading` and `loading` name models in transition, the latter due at `loaded_at`.
     """
 
@@ -61,6 +62,8 @@
     decayed_at: float = 0.0
     unresponsive_until: float = -math.inf
     unresponsive_count: int = 0
+    rejections_borne: float | None = None
+    rejecting_until: float = -math.inf
     unloading: str = ""
     loading: str = ""
     loaded_at: float = math.inf
--- a/rhubarbshed/transport/edge/attempts.py
+++ b/rhubarbshed/transport/edge/attempts.py
@@ -10,6 +10,7 @@
 import h11
 from attrs import define, field
 
+from rhubarbshed.coordination.serving.brittle_servers import apply_brittleness
 from rhubarbshed.platform.headers import STATUS_MISDIRECTED, make_headers, read_head
 from rhubarbshed.protocol.errors import Outcome, RequestError
 from rhubarbshed.protocol.exchanges import CallerRequest, ExchangeEnd, Headers, ResponseHead
@@ -272,6 +273,8 @@
                 return await self.read_instance_error(response, head)
             if head.load is not None and self.record is not None:
                 self.record.record_load_sample(head.load[0], head.load[1], time.monotonic())
+            if self.record is not None:
+                apply_brittleness(self.record, head.rejections_borne)
             if head.not_run:
                 return await self.read_refusal(response, head)
             if not 200 <= head.status < 300 or not route.streamed:
--- a/rhubarbshed/transport/edge/relay.py
+++ b/rhubarbshed/transport/edge/relay.py
@@ -10,6 +10,7 @@
 from attrs import define, evolve, field
 
 from rhubarbshed.coordination.requests.crash_quarantine import list_keys
+from rhubarbshed.coordination.serving.brittle_servers import record_rejection
 from rhubarbshed.coordination.serving.choice import (
     Choice,
     NoServer,
@@ -373,6 +374,7 @@
             view.rng,
             self.caller_response.version,
             max(now - (view.settings.drain_s - DROP_MARGIN_S), view.versions.find_current_since()),
+            view.budget.instances,
         )
 
     async def attempt(self, chosen: Choice) -> ExchangeEnd:
@@ -448,6 +450,8 @@
             record.record_unresponsive(now)
         if end in (ExchangeEnd.NO_RESPONSE, ExchangeEnd.BROKEN) and not attempt.failed:
             self.relay.links.suspect()
+        if end is ExchangeEnd.REFUSED:
+            record_rejection(record, self.relay.view.budget.instances, now)
         if end is ExchangeEnd.WRONG_SERVER:
             self.report_ended(record, now)
         if end is ExchangeEnd.MODEL_MISSING and self.request.model:
