Let an instance that reaches the engines give the orders

It now releases the lease after 0.35 of it, and an instance that is cut off takes it one lease later than others would. If the whole data centre is cut off, one of them takes it in the end and keeps it, as somebody has to pass the store's changes and the lists on.

Tests: both cases in test_edge_cut_off.py.

--- a/rhubarbshed/coordination/serving/lease_state.py
+++ b/rhubarbshed/coordination/serving/lease_state.py
@@ -32,6 +32,14 @@
 with this fraction of a core and this link can carry the messages and orders of some fifty engines
 and instances, and does not wait."""
 
+CUT_RELEASE_FRACTION = 0.35
+"""Fraction of a lease after which a holder that reaches no engine releases the lease; shorter cuts
+cost fewer orders than a change of the holder."""
+
+CUT_DELAY_FRACTION = 1.0
+"""Fraction of a lease by which an instance that reaches no engine lets others take the lease first.
+If all of its data centre are cut off, one of them still has to pass messages on."""
+
 NO_MESSAGE_FRACTION = 0.25
 """Fraction of a lease without a message from the holder after which its row is read."""
 
@@ -44,6 +52,7 @@
     CREATE = "create"
     TAKE_OVER = "take_over"
     RENEW = "renew"
+    RELEASE = "release"
 
 
 def draw_jitter(cores: float, link_mbps: float, rng: random.Random) -> float:
@@ -58,7 +67,7 @@
 
     `version` is the version of the row as last read, and `version_seen_at` when that version was
     first read. Orders are allowed from `may_order_from`, until which a new holder waits, to
-    `may_order_until`.
+    `may_order_until`. A holder that took the lease while it was cut off keeps it through that cut.
     """
 
     lease_s: float
@@ -73,6 +82,7 @@
     may_order_until: float = 0.0
     may_order_from: float = 0.0
     renewed_at: float = 0.0
+    acquired_in_cut: bool = False
 
     @classmethod
     def from_start(cls, lease_s: float, jitter_s: float, now: float) -> "LeaseState":
@@ -87,12 +97,16 @@
         """Return whether this instance may give orders."""
         return self.held and self.may_order_from <= now < self.may_order_until
 
-    def choose_step(self, now: float) -> Step:
-        """Choose the next action on the lease."""
+    def choose_step(self, now: float, cut_s: float = 0.0) -> Step:
+        """Choose the next action on the lease of an instance that is cut off since `cut_s`."""
+        self.acquired_in_cut = self.acquired_in_cut and cut_s > 0.0
+        if self.held and not self.acquired_in_cut and cut_s > self.lease_s * CUT_RELEASE_FRACTION:
+            return Step.RELEASE
         if self.held:
             due = now - self.renewed_at >= self.lease_s * RENEWAL_INTERVAL_FRACTION
             return Step.RENEW if due else Step.WAIT
-        if now - self.last_received_at < self.lease_s * NO_MESSAGE_FRACTION + self.jitter_s:
+        delay_s = self.jitter_s + (self.lease_s * CUT_DELAY_FRACTION if cut_s > 0.0 else 0.0)
+        if now - self.last_received_at < self.lease_s * NO_MESSAGE_FRACTION + delay_s:
             return Step.WAIT
         if now - self.read_at < self.lease_s * TAKEOVER_FRACTION:
             return Step.WAIT
@@ -110,7 +124,9 @@
         self.holder = holder
         self.read_at = now
 
-    def record_acquired(self, version: int, sent_at: float, waits: bool) -> None:
+    def record_acquired(
+        self, version: int, sent_at: float, waits: bool, in_cut: bool = False
+    ) -> None:
         """Record that this instance acquired the lease, and when its orders may start.
 
         With `waits` there was a holder before, and orders start a lease after the end of its right.
@@ -118,6 +134,7 @@
         """
         last_right = self.version_seen_at + self.lease_s * ORDER_RIGHT_FRACTION
         self.held = True
+        self.acquired_in_cut = in_cut
         self.version = version
         self.token = version
         self.renewed_at = sent_at
--- a/rhubarbshed/coordination/serving/reachability.py
+++ b/rhubarbshed/coordination/serving/reachability.py
@@ -45,6 +45,10 @@
         """Return whether no server can be reached from here, but from other instances."""
         return self.cut_since is not None
 
+    def measure_cut(self, now: float) -> float:
+        """Return the seconds since the links were found to be cut, 0 while they are not."""
+        return 0.0 if self.cut_since is None else max(1e-3, now - self.cut_since)
+
     def suspect(self) -> bool:
         """Record that a connection to a server failed; return whether a round of probes is due."""
         if self.is_cut or self.suspected or self.vain:
--- a/rhubarbshed/transport/edge/lease.py
+++ b/rhubarbshed/transport/edge/lease.py
@@ -36,7 +36,8 @@
     """Client that keeps or takes the lease of a data centre.
 
     `address` is where this instance receives messages (IP, port). `other_holders` are the addresses
-    of the other data centres' holders as their rows name them.
+    of the other data centres' holders as their rows name them. `measure_cut` returns for how many
+    seconds no engine could be reached.
     """
 
     store: StoreClient
@@ -46,6 +47,7 @@
     address: tuple[str, int]
     nonce: str
     on_holders_read: Callable[[dict[str, tuple[str, int]]], None] = lambda other_holders: None
+    measure_cut: Callable[[float], float] = lambda now: 0.0
     holder_address: tuple[str, int] | None = None
     lapsed: bool = False
     other_holders: dict[str, tuple[str, int]] = field(factory=dict)
@@ -55,9 +57,12 @@
     async def maintain(self) -> None:
         """Renew, take or follow the lease forever."""
         while True:
-            step = self.lease_state.choose_step(time.monotonic())
+            now = time.monotonic()
+            step = self.lease_state.choose_step(now, self.measure_cut(now))
             if step is Step.RENEW:
                 await self._renew()
+            elif step is Step.RELEASE:
+                await self.release()
             elif step is Step.READ:
                 await self._read()
             elif step in (Step.CREATE, Step.TAKE_OVER):
@@ -68,7 +73,7 @@
             await asyncio.sleep(LEASE_POLL_S)
 
     async def release(self) -> None:
-        """Release the lease before a stop."""
+        """Release the lease before a stop, or while no engine can be reached."""
         if self.lease_state.held:
             written = await self._write()
             self._lose_lease("released" if isinstance(written, Success) else "stopping_unwritten")
@@ -159,7 +164,8 @@
         result = await self._write()
         if isinstance(result, Success):
             version = result.unwrap().revision
-            self.lease_state.record_acquired(version, sent_at, waits=step is Step.TAKE_OVER)
+            in_cut = self.measure_cut(sent_at) > 0.0
+            self.lease_state.record_acquired(version, sent_at, step is Step.TAKE_OVER, in_cut)
             self.holder_address = self.address
             log_event(
                 LOG, logging.INFO, "lease_taken", token=version, before=self.lease_state.holder
--- a/rhubarbshed/transport/edge/node.py
+++ b/rhubarbshed/transport/edge/node.py
@@ -124,6 +124,7 @@
         lease = LeaseClient(
             store, lease_state, settings.name, settings.data_centre, address, uuid.uuid4().hex
         )
+        lease.measure_cut = links.state.measure_cut
         dispatcher = OrderDispatcher(view, pool, metrics, lease_state)
         follower = Follower(store, view)
         holder_protocol = HolderProtocol(view, lease, dispatcher, follower)
--- a/rhubarbshed/transport/edge/sockets.py
+++ b/rhubarbshed/transport/edge/sockets.py
@@ -16,7 +16,9 @@
 """A dead connection is noticed within about 3 s, the time in which a reset counts."""
 
 UNACKNOWLEDGED_MS = 2_500
-"""Time in milliseconds after which unacknowledged data ends a connection."""
+"""Time in milliseconds after which unacknowledged data ends a connection. On Linux it also decides
+on idle ones, at the first unanswered probe after it, whatever the number of probes. It is longer
+than a sound server's silence."""
 
 LINGER_NONE = struct.pack("ii", 1, 0)
 """Value of SO_LINGER with which closing resets a connection and discards unsent bytes."""
--- a/test/test_edge_cut_off.py
+++ b/test/test_edge_cut_off.py
@@ -220,3 +220,36 @@
     assert pauses == [0.3, 0.6, 1.2, 1.2]
     assert not state.suspect()
     assert state.record_round(0, 4, True, 9.0) and state.is_cut
+
+
+def test_orders_are_given_by_an_instance_that_reaches_the_engines():
+    async def scene():
+        async with run_cut_scene() as cuts:
+            instances = cuts.crashes.instances
+            holder = instances.find_holder("a")
+            await cuts.cut("hang", holder)
+            others = [name for name in ("a1", "a2", "a3") if name != holder]
+            await instances.wait_until(
+                lambda: any(cuts[name].lease.lease_state.held for name in others)
+            )
+            assert not cuts[holder].lease.lease_state.held
+
+    play(scene)
+
+
+def test_a_data_centre_that_is_cut_off_whole_keeps_an_order_holder():
+    async def scene():
+        async with run_cut_scene() as cuts:
+            instances = cuts.crashes.instances
+            first = instances.find_holder("a")
+            await cuts.cut("refuse", "a1", "a2", "a3")
+            names = ("a1", "a2", "a3")
+            states = [cuts[name].lease.lease_state for name in names]
+            await instances.wait_until(lambda: not cuts[first].lease.lease_state.held)
+            await instances.wait_until(lambda: any(state.held for state in states))
+            second = instances.find_holder("a")
+            await asyncio.sleep(2.5)
+            assert instances.find_holder("a") == second
+            assert (await cuts.ask("a1", "/u/x", b"x")).status == 200
+
+    play(scene)
