Forward requests whose servers alone do not answer this instance

Cause: a server that did not answer lately is chosen where there is no other, here, though another instance may reach it.

Change: such a request is offered to other instances first. One that would have to do the same declines; after two of these the servers count as down for half a second for that service, model and adapter, so an ended server costs two round trips at most. Demand is now counted where the caller sent the request, and the budget of repeats where it is sent to servers.

--- a/rhubarbshed/coordination/serving/peer_choice.py
+++ b/rhubarbshed/coordination/serving/peer_choice.py
@@ -27,6 +27,12 @@
 BROKEN_PAUSE_S = 1.0
 """Time without requests to an instance that declined one, or that did not answer."""
 
+UNREACHED_MAX = 2
+VAIN_PAUSE_S = 0.5
+VAIN_MAX = 1_000
+"""Instances that do not reach the servers for a request either, after which they count as down;
+the time without offers of such requests then, and how many kinds of them are remembered."""
+
 SAMPLED_PEERS = 2
 """Instances drawn for comparison; taking the one with fewer requests spreads them evenly."""
 
@@ -36,12 +42,14 @@
     """Other instances by data centre, as far as requests may go there.
 
     `open` counts the requests that this instance has at each, `paused_until` is monotonic seconds.
+    `vain_until` names (service, model, adapter) whose servers no instance asked lately reached.
     """
 
     data_centre: str
     instances: dict[str, tuple[Address, ...]] = field(factory=dict)
     open: collections.Counter[Address] = field(factory=collections.Counter)
     paused_until: dict[Address, float] = field(factory=dict)
+    vain_until: dict[tuple[str, str, str], float] = field(factory=dict)
 
     def learn_instances(self, instances: Mapping[str, Collection[Address]]) -> None:
         """Record all other instances."""
@@ -58,6 +66,16 @@
         """Leave an instance alone for a while."""
         self.paused_until[address] = now + pause_s
 
+    def record_vain(self, need: tuple[str, str, str], now: float) -> None:
+        """Record that other instances do not reach the servers for a kind of request either."""
+        if len(self.vain_until) >= VAIN_MAX:
+            self.vain_until.clear()
+        self.vain_until[need] = now + VAIN_PAUSE_S
+
+    def is_vain(self, need: tuple[str, str, str], now: float) -> bool:
+        """Return whether no other instance would reach the servers for a kind of request."""
+        return self.vain_until.get(need, 0.0) > now
+
     def draw_questioned(self, rng: random.Random) -> list[Address]:
         """Draw the instances to ask whether they reach servers."""
         near = self.instances.get(self.data_centre, ())
--- a/rhubarbshed/coordination/serving/refusals.py
+++ b/rhubarbshed/coordination/serving/refusals.py
@@ -9,6 +9,7 @@
 from attrs import frozen
 
 from rhubarbshed.protocol.errors import Outcome, RequestError
+from rhubarbshed.protocol.forwarding import UNREACHED_CODE
 
 RETRY_AFTER_MIN_S = 0.05
 """Shortest time after which a caller is asked to retry."""
@@ -81,6 +82,13 @@
     return max(RETRY_AFTER_MIN_S, base_s * (1.0 + rng.uniform(0.0, RETRY_AFTER_SPREAD)))
 
 
+def make_unreached() -> RequestError:
+    """Return the error for another instance's request that no server here is known to answer."""
+    return RequestError(
+        503, UNREACHED_CODE, "the backend servers for it do not answer", Outcome.NOT_RUN
+    )
+
+
 def make_failure(code: str, message: str) -> RequestError:
     """Return the error for a request that may have run."""
     return RequestError(502, code, message, Outcome.UNKNOWN)
--- a/rhubarbshed/protocol/forwarding.py
+++ b/rhubarbshed/protocol/forwarding.py
@@ -11,6 +11,9 @@
 DECLINED = b"forward-declined"
 """Header of an error: the request did not run, and another instance may serve it."""
 
+UNREACHED_CODE = "unreached"
+"""Code of the error of an instance that does not reach the servers for a request either."""
+
 REACHABILITY_TARGET = b"/reachability"
 STATUS_REACHED = 200
 STATUS_UNREACHED = 503
--- a/rhubarbshed/transport/edge/forwarding.py
+++ b/rhubarbshed/transport/edge/forwarding.py
@@ -13,6 +13,7 @@
     BROKEN_PAUSE_S,
     DECLINED_PAUSE_S,
     PEERS_ASKED_MAX,
+    UNREACHED_MAX,
     Address,
     PeerStates,
 )
@@ -20,7 +21,7 @@
 from rhubarbshed.platform.headers import make_forward_headers
 from rhubarbshed.protocol.errors import RequestError
 from rhubarbshed.protocol.exchanges import ControlCall, ExchangeEnd, Headers
-from rhubarbshed.protocol.forwarding import REACHABILITY_TARGET, STATUS_REACHED
+from rhubarbshed.protocol.forwarding import REACHABILITY_TARGET, STATUS_REACHED, UNREACHED_CODE
 from rhubarbshed.transport.edge.attempts import Attempt
 from rhubarbshed.transport.edge.control import call
 from rhubarbshed.transport.edge.metrics import FrontMetrics
@@ -87,9 +88,17 @@
         """Return whether there is an instance that a request may be sent to."""
         return self.peers.choose((), now, self.rng) is not None
 
-    async def forward(self, progress: "RequestProgress") -> Forwarded:
-        """Offer a request to one instance after the other until one takes it."""
+    async def forward(self, progress: "RequestProgress", only_reached: bool = False) -> Forwarded:
+        """Offer a request to one instance after the other until one takes it.
+
+        With `only_reached` none is asked for a while after instances that do not reach the servers
+        for it either: those are down, and not the links to them.
+        """
+        need = (progress.service, progress.request.model, progress.request.adapter)
+        if only_reached and self.peers.is_vain(need, time.monotonic()):
+            return NOT_TAKEN
         asked: list[Address] = []
+        unreached = 0
         broken = 0
         while len(asked) < PEERS_ASKED_MAX:
             now = time.monotonic()
@@ -102,6 +111,12 @@
             now = time.monotonic()
             if end is ExchangeEnd.DONE:
                 return Forwarded(True)
+            if attempt.declined and attempt.detail == UNREACHED_CODE:
+                unreached += 1
+                if unreached >= UNREACHED_MAX:
+                    self.peers.record_vain(need, now)
+                    break
+                continue
             if attempt.declined or not end.was_sent:
                 pause_s = DECLINED_PAUSE_S if attempt.declined else BROKEN_PAUSE_S
                 self.peers.pause(address, pause_s, now)
--- a/rhubarbshed/transport/edge/relay.py
+++ b/rhubarbshed/transport/edge/relay.py
@@ -29,6 +29,7 @@
     make_no_route,
     make_refusal,
     make_timeout,
+    make_unreached,
 )
 from rhubarbshed.coordination.serving.retry_budget import Tries, is_retry_allowed
 from rhubarbshed.coordination.serving.versions import Continuation
@@ -40,6 +41,7 @@
     STATUS_NOT_TRUSTED,
     STATUS_REACHED,
     STATUS_UNREACHED,
+    UNREACHED_CODE,
     is_question,
     read_attempts_left,
 )
@@ -84,7 +86,7 @@
 )
 """Ends of attempts after which the links to servers may be cut."""
 
-DECLINED_CODES = ("draining", "not_configured", "no_route")
+DECLINED_CODES = ("draining", "not_configured", "no_route", UNREACHED_CODE)
 """Codes of errors that are due to this instance alone, so that another one may do better."""
 
 AWAITED_REPORT_INTERVAL_S = 0.1
@@ -265,6 +267,8 @@
 
     async def serve(self) -> RequestError | None:
         """Send the request, by way of another instance if no server can be reached from here."""
+        if not self.forwarded_by:
+            self.count_demand()
         forwarded = await self.forward_if_cut()
         if forwarded.taken:
             return forwarded.error
@@ -275,7 +279,7 @@
         self.waits_for = Stage.CHOICE
         if error is not None:
             return error
-        self.count()
+        self.relay.view.budget.count_request(self.service, time.monotonic())
         return await self.send()
 
     async def forward_if_cut(self) -> Forwarded:
@@ -284,6 +288,15 @@
             return NOT_TAKEN
         return await self.relay.forwarder.forward(self)
 
+    async def forward_unreached(self) -> Forwarded:
+        """Forward the request if all servers that could serve it gave no answer here lately.
+
+        If they do not answer the other instance either, it declines, and one of them is tried here.
+        """
+        if self.forwarded_by:
+            return Forwarded(True, make_unreached())
+        return await self.relay.forwarder.forward(self, only_reached=True)
+
     def check_draining(self, now: float) -> RequestError | None:
         """Return the error for a request that was read after the announcement of a stop."""
         view = self.relay.view
@@ -298,9 +311,8 @@
         spec = engine.models.get(self.request.model) if engine is not None else None
         return spec is not None and spec.has_adapter(self.request.adapter)
 
-    def count(self) -> None:
-        """Count the request for its service and model."""
-        self.relay.view.budget.count_request(self.service, time.monotonic())
+    def count_demand(self) -> None:
+        """Count the request for its model, where its caller sent it."""
         if self.is_configured:
             request = self.request
             self.relay.count_demand(
@@ -324,11 +336,19 @@
                 )
                 if (chosen.reason == "absent" or all_missing) and await self.wait_for_load(now):
                     continue
+                if chosen.reason == "all_tried" and not self.delivered:
+                    forwarded = await self.forward_unreached()
+                    if forwarded.taken:
+                        return forwarded.error
                 if chosen.reason == "all_tried" and not all_missing and self.start_second_pass():
                     self.waits_for = Stage.PAUSE
                     await asyncio.sleep(SECOND_PASS_PAUSE_S)
                     continue
                 return self.give_up(chosen.reason)
+            if chosen.server.unresponsive_until > now:
+                forwarded = await self.forward_unreached()
+                if forwarded.taken:
+                    return forwarded.error
             end = await self.attempt(chosen)
             if end is ExchangeEnd.CONNECTION_REFUSED and not await self.relay.links.settle():
                 self.report_ended(chosen.server, time.monotonic())
--- a/test/helper_crashes.py
+++ b/test/helper_crashes.py
@@ -4,7 +4,7 @@
 import contextlib
 import itertools
 import time
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Sequence
 
 from attrs import define, field
 
@@ -117,15 +117,22 @@
 
 @contextlib.asynccontextmanager
 async def run_crash_scene(
-    replicas: int = 4, names: dict[str, str] | None = None, **changes: object
+    replicas: int = 4,
+    names: dict[str, str] | None = None,
+    models: Sequence[str] = (),
+    **changes: object,
 ) -> AsyncIterator[CrashScene]:
-    """Run five instances, or those named, and replicas until the block ends."""
+    """Run five instances, or those named, and replicas until the block ends.
+
+    Given `models`, each replica holds one of them, and there are as many.
+    """
     names = names or {"a1": "a", "a2": "a", "a3": "a", "b1": "b", "b2": "b"}
     async with run_instances(**names) as instances:
         scene = CrashScene(instances, **changes)
         instances.store.put("op", "config", CONFIGURATION)
-        for number in range(replicas):
-            await scene.add_replica(data_centre="ab"[number % 2])
+        for number in range(len(models) or replicas):
+            held = {models[number]: []} if models else {}
+            await scene.add_replica(data_centre="ab"[number % 2], models=held)
         await scene.wait_ready(*instances.tasks)
         try:
             yield scene
--- a/test/helper_cuts.py
+++ b/test/helper_cuts.py
@@ -49,11 +49,12 @@
 class Links:
     """Links of one instance to all replicas; `how` is "hang", "reset", "refuse" or empty.
 
-    With "refuse" open connections go on.
+    With "refuse" open connections go on. With `only` just the links to that address are cut.
     """
 
     node: Node
     how: str = ""
+    only: Address | None = None
     channels: list[Channel] = field(factory=list)
     opened: int = 0
 
@@ -63,24 +64,27 @@
 
     async def connect(self, address: Address) -> Channel:
         """Open a connection, or fail as the cut does."""
-        if self.how == "hang":
+        how = self.how if self.only in (None, address) else ""
+        if how == "hang":
             await asyncio.sleep(HANG_S)
-        if self.how == "reset":
+        if how == "reset":
             raise ConnectionResetError
-        if self.how == "refuse":
+        if how == "refuse":
             raise ConnectionRefusedError
         channel = await connect_channel(address)
         self.channels.append(channel)
         self.opened += 1
         return channel
 
-    def cut(self, how: str) -> None:
-        """Cut all links."""
-        self.how = how
+    def cut(self, how: str, only: Address | None = None) -> None:
+        """Cut all links, or those to one address."""
+        self.how, self.only = how, only
         for channel in self.channels:
             transport = channel._transport
             if transport.is_closing() or how == "refuse":
                 continue
+            if only not in (None, transport.get_extra_info("peername")):
+                continue
             if how == "hang":
                 channel._transport = SilentTransport(transport)
             else:
--- a/test/test_edge_cut_off.py
+++ b/test/test_edge_cut_off.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from rhubarbshed.coordination.serving.peer_choice import UNREACHED_MAX
 from rhubarbshed.coordination.serving.reachability import Reachability
 from test.helper_crashes import EVENTS
 from test.helper_cuts import run_cut_scene
@@ -253,3 +254,35 @@
             assert (await cuts.ask("a1", "/u/x", b"x")).status == 200
 
     play(scene)
+
+
+@pytest.mark.parametrize("how", HOWS)
+def test_request_for_a_model_whose_server_is_not_reached_goes_by_way_of_another_instance(how):
+    async def scene():
+        async with run_cut_scene(models=("m1", "m2")) as cuts:
+            lost = cuts.crashes.replicas["r0"].address
+            cuts.links["a1"].cut(how, lost)
+            for _ in range(4):
+                for path, body in (("/u/x", b"x"), ("/s/x", b"x"), ("/p/x", b"")):
+                    answer = await cuts.ask("a1", path, body, Rhubarbshed_Model="m1")
+                    assert answer.status == 200
+                    answer = await cuts.ask("a1", path, body, Rhubarbshed_Model="m2")
+                    assert answer.status == 200
+            assert not cuts["a1"].links.is_cut
+
+    play(scene)
+
+
+def test_request_for_a_server_that_nobody_reaches_is_offered_in_vain_twice_at_most():
+    async def scene():
+        async with run_cut_scene(models=("m1", "m2"), back_s=60.0) as cuts:
+            crashes = cuts.crashes
+            await crashes.crash(crashes.replicas["r0"])
+            for _ in range(4):
+                for name in cuts.links:
+                    answer = await cuts.ask(name, "/u/x", b"x", Rhubarbshed_Model="m1")
+                    assert answer.status == 503
+            metrics = cuts["a1"].metrics.forwards
+            assert metrics.labels("declined")._value.get() <= 2 * UNREACHED_MAX
+
+    play(scene)
