Count the demand for a forwarded request once, and leave withdrawals to its server's instance

Found by reading: a stream that is continued was counted for the service drawn at first; a verdict on a request aborted its forwarded attempt and gave a 502, though the other instance takes it back by itself; a repeat after a broken forward was not paid a second time; a model whose only server is not reached was waited for first; each broken answer started probes; a connection that closes at once had no address.

--- a/rhubarbshed/coordination/serving/reachability.py
+++ b/rhubarbshed/coordination/serving/reachability.py
@@ -6,7 +6,6 @@
 """
 
 import random
-from collections.abc import Collection
 
 from attrs import define
 
@@ -77,9 +76,7 @@
 
 def choose_probed(fleet: Fleet, rng: random.Random) -> list[ServerRecord]:
     """Choose the servers of the next round of probes, at random among those that stay."""
-    staying: Collection[ServerRecord] = [
-        record
-        for record in fleet.servers.values()
-        if record.leaving_at is None and record.missing_since is None
-    ] or list(fleet.servers.values())
-    return rng.sample(list(staying), min(PROBED_SERVERS, len(staying)))
+    records = list(fleet.servers.values())
+    staying = [each for each in records if each.leaving_at is None and each.missing_since is None]
+    candidates = staying or records
+    return rng.sample(candidates, min(PROBED_SERVERS, len(candidates)))
--- a/rhubarbshed/transport/edge/caller_connections.py
+++ b/rhubarbshed/transport/edge/caller_connections.py
@@ -178,8 +178,8 @@
 
     @property
     def peer_host(self) -> str:
-        """Return the IP address that the connection comes from."""
-        return self._transport.get_extra_info("peername", ("",))[0]
+        """Return the IP address that the connection comes from, "" if it is closed."""
+        return (self._transport.get_extra_info("peername") or ("",))[0]
 
     @property
     def is_open(self) -> bool:
--- a/rhubarbshed/transport/edge/forwarding.py
+++ b/rhubarbshed/transport/edge/forwarding.py
@@ -84,7 +84,7 @@
         result = await call(self.pool, address, sent, QUESTION_TIMEOUT_S)
         return isinstance(result, Success) and result.unwrap().status == STATUS_REACHED
 
-    def has_peer(self, progress: "RequestProgress", now: float) -> bool:
+    def has_peer(self, now: float) -> bool:
         """Return whether there is an instance that a request may be sent to."""
         return self.peers.choose((), now, self.rng) is not None
 
@@ -135,7 +135,9 @@
         """Return whether a request may be sent on after instances that may have taken it broke."""
         route = progress.route
         left = route.attempts_max - progress.tries.run - broken
-        return route.repeatable and left > 0 and progress.pay_retry(now)
+        allowed = route.repeatable and left > 0 and progress.pay_retry(now)
+        progress.retry_paid = False
+        return allowed
 
     def make_attempt(self, progress: "RequestProgress", address: Address, broken: int) -> Attempt:
         """Return an attempt of a request by way of another instance."""
--- a/rhubarbshed/transport/edge/relay.py
+++ b/rhubarbshed/transport/edge/relay.py
@@ -137,7 +137,10 @@
         """Take requests under a verdict back from the servers that have not begun them."""
         for progress in list(self.open_requests):
             attempt = progress.last_attempt
-            if not progress.in_flight or attempt.begun or key not in list_keys(progress.request):
+            if not progress.in_flight or attempt.begun or attempt.record is None:
+                # Another instance takes back what it was forwarded.
+                continue
+            if key not in list_keys(progress.request):
                 continue
             attempt.withdraw()
             progress.stopped_by = key
@@ -267,18 +270,21 @@
 
     async def serve(self) -> RequestError | None:
         """Send the request, by way of another instance if no server can be reached from here."""
-        if not self.forwarded_by:
-            self.count_demand()
-        forwarded = await self.forward_if_cut()
-        if forwarded.taken:
-            return forwarded.error
-        if self.forwarded_by and self.relay.links.is_cut:
+        is_cut = self.relay.links.is_cut
+        if is_cut and self.forwarded_by:
             return make_refusal("no_servers", self.relay.view.rng)
+        if is_cut:
+            self.count_demand()
+            forwarded = await self.forward_if_cut()
+            if forwarded.taken:
+                return forwarded.error
         self.waits_for = Stage.LOOKUP
         error = await decide_stream(self)
         self.waits_for = Stage.CHOICE
         if error is not None:
             return error
+        if not is_cut and not self.forwarded_by:
+            self.count_demand()
         self.relay.view.budget.count_request(self.service, time.monotonic())
         return await self.send()
 
@@ -331,15 +337,15 @@
             if isinstance(chosen, NoServer):
                 if chosen.reason == "full" and await self.wait_for_room(now):
                     continue
+                if chosen.reason == "all_tried" and not self.delivered:
+                    forwarded = await self.forward_unreached()
+                    if forwarded.taken:
+                        return forwarded.error
                 all_missing = (
                     chosen.reason == "all_tried" and self.only_missing and self.request.model
                 )
                 if (chosen.reason == "absent" or all_missing) and await self.wait_for_load(now):
                     continue
-                if chosen.reason == "all_tried" and not self.delivered:
-                    forwarded = await self.forward_unreached()
-                    if forwarded.taken:
-                        return forwarded.error
                 if chosen.reason == "all_tried" and not all_missing and self.start_second_pass():
                     self.waits_for = Stage.PAUSE
                     await asyncio.sleep(SECOND_PASS_PAUSE_S)
@@ -468,7 +474,7 @@
         ):
             self.relay.pool.drop((record.entry.host, record.entry.port))
             record.record_unresponsive(now)
-        if end in (ExchangeEnd.NO_RESPONSE, ExchangeEnd.BROKEN) and not attempt.failed:
+        if end is ExchangeEnd.NO_RESPONSE:
             self.relay.links.suspect()
         if end is ExchangeEnd.REFUSED:
             record_rejection(record, self.relay.view.budget.instances, now)
@@ -484,7 +490,7 @@
             log_failed_attempt(self, attempt, end)
 
     def report_ended(self, record: ServerRecord, now: float) -> None:
-        """Report a server that is not at its address; not if the links to all of them are cut."""
+        """Report a server that was not found at its address, as one that has ended."""
         self.relay.report_missing(*record.key, "", "")
         self.relay.crashes.checks.record_refused(record, now)
 
@@ -499,7 +505,7 @@
         The retry is paid for at once: many streams may become silent together.
         """
         if self.relay.links.is_cut and not self.forwarded_by:
-            return self.relay.forwarder.has_peer(self, now) and self.pay_retry(now)
+            return self.relay.forwarder.has_peer(now) and self.pay_retry(now)
         tried = self.excluded
         self.excluded = tried | {record.key}
         chosen = self.choose(now)
