Clear no request of ended servers by a server's error

Callers saw servers end on under one request while another server answered every second try with 500: the error counted as an answer and cleared the request of all ends. Cause: any whole, signed answer was taken as a run. A faulty server sends errors without having run the request, so now only answers below 500 clear; that the server lives is still concluded from any. A case of test_crash_registry that let a 500 clear the request was wrong by this; it now asks that the error leaves the end standing and that a success clears it.

--- a/rhubarbshed/transport/edge/crash_registry.py
+++ b/rhubarbshed/transport/edge/crash_registry.py
@@ -62,6 +62,9 @@
 REPLY_MESSAGES_MAX = 32
 """Most datagrams in reply to a question."""
 
+ERROR_STATUS_MIN = 500
+"""Lowest status of an error, which a faulty server may send without having run the request."""
+
 DIGEST_SHIFT = 11
 """Bits by which a digest is shortened to the numbers that messages carry."""
 
@@ -136,7 +139,8 @@
         elif end.may_have_run:
             self.checks.record_alive(attempt.record.key)
             self.rule_out(attempt.record.key, attempt.sent_at)
-            self._tell_cleared(self.quarantine.record_answer(request, now), now)
+            if attempt.status < ERROR_STATUS_MIN:
+                self._tell_cleared(self.quarantine.record_answer(request, now), now)
 
     def _record_cut(self, request: CallerRequest, attempt: Attempt, now: float) -> None:
         record = attempt.record
--- a/test/test_crash_registry.py
+++ b/test/test_crash_registry.py
@@ -346,6 +346,10 @@
 
         failure = Answered(True, status=500, record=Server(("r2", START_MS)), sent_at=now + 0.1)
         registry.record_attempt(make_request(), failure, ExchangeEnd.BROKEN, now + 0.2)
+        # An error shows that the server lives, but not that it ran the request.
+        assert registry.quarantine.view.find_entry(make_request().fingerprint).open_crashes
+        success = evolve(failure, status=200)
+        registry.record_attempt(make_request(), success, ExchangeEnd.DONE, now + 0.3)
         assert not registry.quarantine.view.find_entry(make_request().fingerprint).open_crashes
         # What broke off there before is no end of that server.
         registry.checks.record_ended(("r2", START_MS), "refused", now + 5.0)
