Claim the trial of a stopped request in the store

Callers of a request that ends servers had it sent again by every instance that got it at the moment a trial was due, and every 5 s for as long as servers turned the trial away. Cause: each instance granted trials by itself; the announcement to others arrives after they have sent, and only an end made the next trial rarer. Now the instance that sends a trial claims it first: a row for each key, with the trials so far and the time of the next on the store's clock.

--- a/rhubarbshed/coordination/requests/crash_quarantine.py
+++ b/rhubarbshed/coordination/requests/crash_quarantine.py
@@ -93,9 +93,11 @@
         self.reserve_trials(new, now)
         return Admission(trial_keys=frozenset((*granted, *new)))
 
-    def reserve_trials(self, keys: Iterable[str], now: float) -> None:
+    def reserve_trials(
+        self, keys: Iterable[str], now: float, reserved_s: float = TRIAL_RESERVED_S
+    ) -> None:
         """Hold back further trials of keys for a while."""
-        self.trials |= dict.fromkeys(keys, now + TRIAL_RESERVED_S)
+        self.trials |= dict.fromkeys(keys, now + reserved_s)
 
     def find_trial_at(self, verdict: Verdict) -> float:
         """Return the monotonic time from which a verdict may be put to a trial."""
--- a/rhubarbshed/platform/rows.py
+++ b/rhubarbshed/platform/rows.py
@@ -16,6 +16,7 @@
 CONFIGURATION_KEY = "config"
 SERVERS_TABLE = "servers"
 OWN_TABLE = "rhubarbshed"
+QUARANTINE_TABLE = "rhubarbshed-quarantine"
 ROWS_MAX = 500
 """Rows in one response, from the platform's documentation."""
 
--- a/rhubarbshed/transport/edge/crash_registry.py
+++ b/rhubarbshed/transport/edge/crash_registry.py
@@ -11,10 +11,11 @@
 import logging
 import random
 import time
-from collections.abc import Callable, Collection, Iterable, Mapping
+from collections.abc import Awaitable, Callable, Collection, Iterable, Mapping, Sequence
 
 import xxhash
 from attrs import define, field
+from returns.result import Result, Success
 
 from rhubarbshed.coordination.requests.crash_quarantine import Admission, CrashQuarantine
 from rhubarbshed.protocol.crash_messages import (
@@ -81,17 +82,24 @@
     refused: int = 0
 
 
+async def claim_alone(keys: Sequence[str]) -> Result[None, float]:
+    """Claim a trial where there is no other instance."""
+    return Success(None)
+
+
 @define(eq=False)
 class CrashRegistry:
     """Requests at ended servers as this instance sees them, and what it tells and is told.
 
-    `on_verdict` is called with the key of each new verdict.
+    `on_verdict` is called with the key of each new verdict. `claim` claims the next trial of keys,
+    or returns the seconds until it may be claimed.
     """
 
     send: Callable[..., None]
     checks: ServerChecks
     rng: random.Random
     on_verdict: Callable[[str], None] = lambda key: None
+    claim: Callable[[Sequence[str]], Awaitable[Result[None, float]]] = claim_alone
     quarantine: CrashQuarantine = field(factory=CrashQuarantine)
     counts: CrashCounts = field(factory=CrashCounts)
     others: tuple[Address, ...] = ()
@@ -119,17 +127,25 @@
         }
 
     def admit(self, request: CallerRequest, granted: Collection[str], now: float) -> Admission:
-        """Decide whether a request may be sent; tell others if it is a trial."""
+        """Decide whether a request may be sent; announce to others if it is to be a trial."""
         admission = self.quarantine.admit(request, granted, now)
         if admission.stopped_by is not None:
             self.counts.refused += 1
         elif new := sorted(admission.trial_keys.difference(granted)):
-            self.counts.trials += 1
-            keys = ",".join(new)
-            log_event(LOG, logging.INFO, "quarantine_trial", request=request.request_id, keys=keys)
             self._send_keys(TrialMessage, new)
         return admission
 
+    async def claim_trial(self, request: CallerRequest, keys: Collection[str]) -> str | None:
+        """Claim a trial of all keys before other instances; return a key that stops it, if any."""
+        claimed = await self.claim(sorted(keys))
+        if isinstance(claimed, Success):
+            self.counts.trials += 1
+            names = ",".join(sorted(keys))
+            log_event(LOG, logging.INFO, "quarantine_trial", request=request.request_id, keys=names)
+            return None
+        self.quarantine.reserve_trials(keys, time.monotonic(), claimed.failure())
+        return next((key for key in sorted(keys) if key in self.quarantine.stopped), None)
+
     def record_attempt(
         self, request: CallerRequest, attempt: Attempt, end: ExchangeEnd, now: float
     ) -> None:
--- a/rhubarbshed/transport/edge/node.py
+++ b/rhubarbshed/transport/edge/node.py
@@ -39,6 +39,7 @@
 from rhubarbshed.transport.edge.sockets import accept_waiting
 from rhubarbshed.transport.edge.store import StoreClient
 from rhubarbshed.transport.edge.stream_registry import StreamRegistry
+from rhubarbshed.transport.edge.verdict_store import VerdictStore
 from rhubarbshed.transport.edge.view import View
 from rhubarbshed.util.front import FrontSettings
 from rhubarbshed.util.logs import log_event
@@ -133,6 +134,8 @@
         follower.is_holder = lambda: lease_state.held
         checks = ServerChecks(pool, find_cut=links.settle)
         crashes = CrashRegistry(holder_protocol.datagrams.send, checks, view.rng)
+        verdict_store = VerdictStore(store, lambda: follower.lost_at is None)
+        crashes.claim = verdict_store.claim_trial
         streams = StreamRegistry(
             settings.data_centre,
             holder_protocol.datagrams.send,
--- a/rhubarbshed/transport/edge/relay.py
+++ b/rhubarbshed/transport/edge/relay.py
@@ -331,7 +331,7 @@
             now = time.monotonic()
             if self.deadline - now < TIME_LEFT_MIN_S:
                 return make_timeout(self.tries.run > 0)
-            if not self.check_quarantine(now):
+            if not await self.check_quarantine(now):
                 return self.give_up("quarantined")
             chosen = self.choose(now)
             if isinstance(chosen, NoServer):
@@ -375,15 +375,22 @@
                 if forwarded.taken:
                     return forwarded.error
 
-    def check_quarantine(self, now: float) -> bool:
+    async def check_quarantine(self, now: float) -> bool:
         """Return whether the request may be sent: it is not known to end servers, or is a trial."""
         crashes = self.relay.crashes
         admission = crashes.admit(self.request, self.trial_keys, now)
-        self.trial_keys = admission.trial_keys
-        if admission.stopped_by is None:
+        new = admission.trial_keys - self.trial_keys
+        stopped_by = admission.stopped_by
+        if new and isinstance(self.choose(now), NoServer):
+            # Nothing would be sent, so the trial is left to a later request.
             return True
-        self.stopped_by = admission.stopped_by.key
-        self.available_in_s = crashes.quarantine.measure_pause(admission.stopped_by, now)
+        if new and (key := await crashes.claim_trial(self.request, new)) is not None:
+            stopped_by = crashes.quarantine.stopped[key]
+        if stopped_by is None:
+            self.trial_keys = admission.trial_keys
+            return True
+        self.stopped_by = stopped_by.key
+        self.available_in_s = crashes.quarantine.measure_pause(stopped_by, time.monotonic())
         return False
 
     def choose(self, now: float) -> Choice | NoServer:
