Keep verdicts on requests that end servers in the store, too

Callers of such a request had two more servers ended by it at each instance that was cut off from the others, and again after all instances had been killed. Cause: the ends that a verdict rests on were only in the memory of instances and in datagrams between them. Now the instance that reaches a verdict by an end it saw also writes the ends to the row that trials are claimed in. Instances read the rows as they start, and each second while nothing arrives from any other; they reach the verdict from the ends as ever. An answer that lifts a verdict removes its row.

--- a/rhubarbshed/coordination/requests/trial_records.py
+++ b/rhubarbshed/coordination/requests/trial_records.py
@@ -4,6 +4,7 @@
 again and each send a trial, and every one of these may end a server.
 """
 
+import math
 from collections.abc import Iterable, Mapping
 from typing import Any
 
@@ -11,21 +12,36 @@
 from returns.result import Failure, Result, Success
 
 from rhubarbshed.coordination.requests.crash_quarantine import MEMORY_S
-from rhubarbshed.coordination.requests.verdicts import TRIAL_PAUSES_S
+from rhubarbshed.coordination.requests.verdicts import choose_pause
+from rhubarbshed.protocol.crash_messages import CrashMessage
+from rhubarbshed.protocol.messages import pack_message, unpack_message
 
 MS_PER_S = 1000.0
 
+ENDS_MAX = 4
+"""Most messages on ends in one record; four ends are enough for any verdict."""
+
 
 @frozen
 class TrialRecord:
-    """Trials of one key so far, and the time on the store's clock from which the next is due."""
+    """Trials of one key so far, and the time on the store's clock from which the next is due.
+
+    `ends` are what the verdict rests on, with ages as of `written_ms` on that clock.
+    """
 
     trials: int = 0
     next_ms: float = 0.0
+    written_ms: float = 0.0
+    ends: tuple[CrashMessage, ...] = field(factory=tuple)
 
     def to_value(self) -> dict[str, Any]:
         """Return the value of the row."""
-        return {"trials": self.trials, "next_ms": self.next_ms}
+        return {
+            "trials": self.trials,
+            "next_ms": self.next_ms,
+            "written_ms": self.written_ms,
+            "ends": [pack_message(each).hex() for each in self.ends],
+        }
 
 
 @frozen
@@ -41,9 +57,26 @@
     trials, next_ms = value.get("trials"), value.get("next_ms")
     if type(trials) is not int or trials < 0:
         return Failure(f"trials {trials!r}")
-    if type(next_ms) not in (int, float) or not 0.0 <= next_ms:
-        return Failure(f"next_ms {next_ms!r}")
-    return Success(TrialRecord(trials, float(next_ms)))
+    written_ms = value.get("written_ms")
+    for name, number in (("next_ms", next_ms), ("written_ms", written_ms)):
+        if type(number) not in (int, float) or not 0.0 <= number < math.inf:
+            return Failure(f"{name} {number!r}")
+    try:
+        ends = [unpack_message(bytes.fromhex(each)) for each in value["ends"][:ENDS_MAX]]
+    except (KeyError, TypeError, ValueError) as error:
+        return Failure(f"ends: {error!r}")
+    messages = [read.value_or(None) for read in ends]
+    if not all(isinstance(each, CrashMessage) for each in messages):
+        return Failure("ends are no messages on ends")
+    return Success(TrialRecord(trials, float(next_ms), float(written_ms), tuple(messages)))
+
+
+def make_trial_record(
+    ends: Iterable[CrashMessage], trial_in_s: float, now_ms: float
+) -> TrialRecord:
+    """Return the record of a new verdict, whose first trial is due after some seconds."""
+    next_ms = now_ms + max(0.0, trial_in_s) * MS_PER_S
+    return TrialRecord(0, next_ms, now_ms, tuple(ends)[:ENDS_MAX])
 
 
 def plan_trial(records: Mapping[str, TrialRecord], keys: Iterable[str], now_ms: float) -> TrialPlan:
@@ -60,8 +93,7 @@
 
 def _count_trial(record: TrialRecord, now_ms: float) -> TrialRecord:
     trials = record.trials + 1
-    pause_s = TRIAL_PAUSES_S[min(trials, len(TRIAL_PAUSES_S) - 1)]
-    return evolve(record, trials=trials, next_ms=now_ms + pause_s * MS_PER_S)
+    return evolve(record, trials=trials, next_ms=now_ms + choose_pause(trials) * MS_PER_S)
 
 
 def is_outdated(record: TrialRecord, now_ms: float) -> bool:
--- a/rhubarbshed/coordination/requests/verdicts.py
+++ b/rhubarbshed/coordination/requests/verdicts.py
@@ -162,7 +162,11 @@
     if weigh(rounds) < limit:
         return None
     needed = next(count for count in range(1, len(rounds) + 1) if weigh(rounds[:count]) >= limit)
-    failed_trials = min(len(rounds) - needed, len(TRIAL_PAUSES_S) - 1)
     last_at = max(each.ended_at for each in rounds)
     crashes = frozenset(each.crash for each in sightings)
-    return Verdict(key, rounds, last_at + TRIAL_PAUSES_S[failed_trials], crashes)
+    return Verdict(key, rounds, last_at + choose_pause(len(rounds) - needed), crashes)
+
+
+def choose_pause(trials: int) -> float:
+    """Return the seconds until the next trial after so many."""
+    return TRIAL_PAUSES_S[min(trials, len(TRIAL_PAUSES_S) - 1)]
--- a/rhubarbshed/transport/edge/crash_news.py
+++ b/rhubarbshed/transport/edge/crash_news.py
@@ -43,11 +43,17 @@
             outbox.setdefault(crash, News()).cleared.add(key)
 
 
-def collect_all(view: QuarantineView, first: Iterable[str]) -> Outbox:
-    """Return all that is known, that of some keys first."""
+def collect_sightings(view: QuarantineView, keys: Iterable[str]) -> Outbox:
+    """Return what is known of the ends under some keys."""
     outbox: Outbox = {}
-    for key in dict.fromkeys((*first, *view.sightings)):
+    for key in keys:
         add_sightings(outbox, ((key, each) for each in view.list_sightings(key)))
+    return outbox
+
+
+def collect_all(view: QuarantineView, first: Iterable[str]) -> Outbox:
+    """Return all that is known, that of some keys first."""
+    outbox = collect_sightings(view, dict.fromkeys((*first, *view.sightings)))
     add_cleared(outbox, {key: entry.cleared for key, entry in view.entries.items()})
     return outbox
 
--- a/rhubarbshed/transport/edge/crash_registry.py
+++ b/rhubarbshed/transport/edge/crash_registry.py
@@ -11,13 +11,18 @@
 import logging
 import random
 import time
-from collections.abc import Awaitable, Callable, Collection, Iterable, Mapping, Sequence
+from collections.abc import Callable, Collection, Coroutine, Iterable, Mapping
+from typing import Any
 
 import xxhash
 from attrs import define, field
 from returns.result import Result, Success
 
-from rhubarbshed.coordination.requests.crash_quarantine import Admission, CrashQuarantine
+from rhubarbshed.coordination.requests.crash_quarantine import (
+    Admission,
+    CrashQuarantine,
+    list_keys,
+)
 from rhubarbshed.protocol.crash_messages import (
     KEYS_PER_MESSAGE,
     BegunPartsMessage,
@@ -35,11 +40,13 @@
     add_cleared,
     add_sightings,
     collect_all,
+    collect_sightings,
     make_crash_id,
     make_messages,
     read_sightings,
 )
 from rhubarbshed.transport.edge.server_checks import ServerChecks, is_leaving
+from rhubarbshed.transport.edge.verdict_store import VerdictStore
 from rhubarbshed.util.logs import log_event
 
 LOG = logging.getLogger(__name__)
@@ -60,6 +67,10 @@
 FIRST_QUESTIONS = 3
 """Instances asked at once by one that has just got to know others."""
 
+SILENCE_S = 1.0
+"""Time without any message from others after which what they have stored is read instead; a holder
+sends four a second, and is sent two by each instance."""
+
 REPLY_MESSAGES_MAX = 32
 """Most datagrams in reply to a question."""
 
@@ -82,24 +93,20 @@
     refused: int = 0
 
 
-async def claim_alone(keys: Sequence[str]) -> Result[None, float]:
-    """Claim a trial where there is no other instance."""
-    return Success(None)
-
-
 @define(eq=False)
 class CrashRegistry:
     """Requests at ended servers as this instance sees them, and what it tells and is told.
 
-    `on_verdict` is called with the key of each new verdict. `claim` claims the next trial of keys,
-    or returns the seconds until it may be claimed.
+    `on_verdict` is called with the key of each new verdict. `measure_silence` returns the seconds
+    since another instance sent anything.
     """
 
     send: Callable[..., None]
     checks: ServerChecks
     rng: random.Random
     on_verdict: Callable[[str], None] = lambda key: None
-    claim: Callable[[Sequence[str]], Awaitable[Result[None, float]]] = claim_alone
+    verdict_store: VerdictStore | None = None
+    measure_silence: Callable[[float], float] = lambda now: 0.0
     quarantine: CrashQuarantine = field(factory=CrashQuarantine)
     counts: CrashCounts = field(factory=CrashCounts)
     others: tuple[Address, ...] = ()
@@ -109,6 +116,8 @@
     _begun_parts: dict[str, None] = field(factory=dict)
     _flush: asyncio.TimerHandle | None = None
     _flush_at: float = 0.0
+    _is_store_read: bool = False
+    _tasks: set[asyncio.Task] = field(factory=set)
 
     def __attrs_post_init__(self) -> None:
         """Have the ends of servers reported."""
@@ -137,7 +146,9 @@
 
     async def claim_trial(self, request: CallerRequest, keys: Collection[str]) -> str | None:
         """Claim a trial of all keys before other instances; return a key that stops it, if any."""
-        claimed = await self.claim(sorted(keys))
+        claimed: Result[None, float] = Success(None)
+        if self.verdict_store is not None:
+            claimed = await self.verdict_store.claim_trial(sorted(keys))
         if isinstance(claimed, Success):
             self.counts.trials += 1
             names = ",".join(sorted(keys))
@@ -156,7 +167,9 @@
             self.checks.record_alive(attempt.record.key)
             self.rule_out(attempt.record.key, attempt.sent_at)
             if attempt.status < ERROR_STATUS_MIN:
+                stopped = [key for key in list_keys(request) if key in self.quarantine.stopped]
                 self._tell_cleared(self.quarantine.record_answer(request, now), now)
+                self._remove_stored([key for key in stopped if key not in self.quarantine.stopped])
 
     def _record_cut(self, request: CallerRequest, attempt: Attempt, now: float) -> None:
         record = attempt.record
@@ -181,6 +194,8 @@
         add_sightings(self._outbox, new)
         self._flush_within(COLLECT_S, now)
         self._speak_for(new, now)
+        for key in self.quarantine.fresh:
+            self._store_verdict(key, now)
         self._note_change()
 
     def rule_out(self, incarnation: Incarnation, since: float) -> None:
@@ -198,14 +213,47 @@
         self._ask(min(FIRST_QUESTIONS, len(self.others)))
 
     async def maintain(self) -> None:
-        """Ask other instances and drop what is old, forever."""
+        """Ask other instances, read the store where it is due, and drop what is old, forever."""
+        await self._read_stored()
         while True:
             await asyncio.sleep(QUESTION_INTERVAL_S * self.rng.uniform(0.8, 1.2))
-            self.quarantine.forget_old(time.monotonic())
+            now = time.monotonic()
+            self.quarantine.forget_old(now)
+            if not self._is_store_read or (self.others and self.measure_silence(now) > SILENCE_S):
+                await self._read_stored()
             self._digest = None
             if self.others:
                 self._ask(1)
 
+    async def _read_stored(self) -> None:
+        """Record what other instances have stored."""
+        if self.verdict_store is None:
+            return
+        stored = await self.verdict_store.list_ends()
+        if stored is None:
+            return
+        self._is_store_read = True
+        now = time.monotonic()
+        for message, age_s in stored:
+            self.quarantine.record(read_sightings(message, now - age_s), now)
+        self._note_change()
+
+    def _store_verdict(self, key: str, now: float) -> None:
+        if self.verdict_store is None or key not in self.quarantine.stopped:
+            return
+        trial_in_s = self.quarantine.stopped[key].trial_at - now
+        ends = list(make_messages(collect_sightings(self.quarantine.view, (key,)), now))
+        self._spawn(self.verdict_store.add_verdict(key, ends, trial_in_s))
+
+    def _remove_stored(self, keys: Collection[str]) -> None:
+        if keys and self.verdict_store is not None:
+            self._spawn(self.verdict_store.remove_verdicts(keys))
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
     def handle_message(self, message: CrashNews, address: Address, now: float) -> None:
         """Apply what another instance told, or reply to its question."""
         self.counts.received += 1
--- a/rhubarbshed/transport/edge/holder_protocol.py
+++ b/rhubarbshed/transport/edge/holder_protocol.py
@@ -93,6 +93,7 @@
     holders: dict[str, KnownHolder] = field(factory=dict)
     demand_buffer: DemandBuffer = field(factory=DemandBuffer)
     loads_reported_at: float = -1e9
+    received_at: float = -1e9
     handle_instance_message: Callable[[InstanceMessage, Address, float], None] = (
         lambda message, address, now: None
     )
@@ -300,6 +301,7 @@
     def handle_datagram(self, read: Result[Message, str], address: Address) -> None:
         """Decode and apply a datagram."""
         now = time.monotonic()
+        self.received_at = now
         if isinstance(read, Failure):
             log_event(LOG, logging.INFO, "word_unreadable", sender=address[0], why=read.failure())
             return
@@ -322,6 +324,10 @@
         else:
             self.handle_demand(message, now)
 
+    def measure_silence(self, now: float) -> float:
+        """Return the seconds since another instance sent anything."""
+        return now - self.received_at
+
     def handle_local_demand(self, message: DemandMessage, now: float) -> None:
         """Apply a demand message of the own data centre, and keep it to be forwarded."""
         self.handle_demand(message, now)
--- a/rhubarbshed/transport/edge/node.py
+++ b/rhubarbshed/transport/edge/node.py
@@ -134,8 +134,8 @@
         follower.is_holder = lambda: lease_state.held
         checks = ServerChecks(pool, find_cut=links.settle)
         crashes = CrashRegistry(holder_protocol.datagrams.send, checks, view.rng)
-        verdict_store = VerdictStore(store, lambda: follower.lost_at is None)
-        crashes.claim = verdict_store.claim_trial
+        crashes.verdict_store = VerdictStore(store, lambda: follower.lost_at is None)
+        crashes.measure_silence = holder_protocol.measure_silence
         streams = StreamRegistry(
             settings.data_centre,
             holder_protocol.datagrams.send,
--- a/test/test_verdict_store.py
+++ b/test/test_verdict_store.py
@@ -11,11 +11,13 @@
     TrialPlan,
     TrialRecord,
     is_outdated,
+    make_trial_record,
     plan_trial,
     read_trial_record,
 )
 from rhubarbshed.coordination.requests.verdicts import TRIAL_PAUSES_S
 from rhubarbshed.platform.rows import QUARANTINE_TABLE
+from rhubarbshed.protocol.crash_messages import CrashMessage
 from rhubarbshed.transport.edge.pools import Pool
 from rhubarbshed.transport.edge.store import StoreClient
 from rhubarbshed.transport.edge.verdict_store import VerdictStore
@@ -52,7 +54,15 @@
 
 
 @pytest.mark.parametrize(
-    "value", ({}, {"trials": -1, "next_ms": 1}, {"trials": 1, "next_ms": "x"}, {"trials": True})
+    "value",
+    (
+        {},
+        {"trials": -1, "next_ms": 1},
+        {"trials": 1, "next_ms": "x"},
+        {"trials": True},
+        {"trials": 1, "next_ms": 1, "written_ms": 1, "ends": ["00"]},
+        {"trials": 1, "next_ms": 1, "written_ms": float("inf"), "ends": []},
+    ),
 )
 def test_row_of_another_writer_is_unreadable(value):
     assert isinstance(read_trial_record(value), Failure)
@@ -104,3 +114,26 @@
         assert len(rows.calls) == calls
 
     run_with_store(scene)
+
+
+END = CrashMessage("r1", 1_792_161_387_283, ((b"k" * 16, b"k" * 16, 200, 100, False, "", 0),))
+
+
+def test_stored_verdict_is_read_with_the_age_of_its_ends_and_removed_once_it_is_wrong():
+    async def scene(rows: RowStore, verdicts: VerdictStore):
+        await verdicts.add_verdict("k", [END], 10.0)
+        await verdicts.add_verdict("k", [], 0.0)
+        await asyncio.sleep(0.05)
+        [(end, age_s)] = await verdicts.list_ends()
+        assert end == END and 0.04 <= age_s < 2.0
+        assert 8.0 < (await verdicts.claim_trial(["k"])).failure() <= 10.0
+        await verdicts.remove_verdicts(["k", "other"])
+        assert rows.read(QUARANTINE_TABLE, "k") is None
+
+    run_with_store(scene)
+
+
+def test_trial_keeps_the_ends_that_are_stored():
+    record = make_trial_record([END], 0.0, 5_000.0)
+    after = plan_trial({"k": record}, ["k"], 5_000.0).records["k"]
+    assert read_trial_record(after.to_value()) == Success(after) and after.ends == (END,)
