Log what servers name as their limits

The header is decoded, kept with the server and logged at each change; nothing is decided by it yet. A value that cannot be read changes nothing; only an answer of a run ends a limit.

--- a/rhubarbshed/platform/headers.py
+++ b/rhubarbshed/platform/headers.py
@@ -1,5 +1,6 @@
 """HTTP headers of requests and responses on the platform."""
 
+import math
 from collections.abc import Iterable
 
 from rhubarbshed.protocol.exchanges import CallerRequest, Headers, ResponseHead
@@ -17,6 +18,7 @@
 INSTANCE_ID = b"rhubarbshed-instance-id"
 SERVER_LOAD = b"rhubarbshed-server-load"
 SERVER_BRITTLE = b"server-brittle"
+SERVER_LIMIT = b"server-limit"
 LAST_EVENT_ID = b"last-event-id"
 RESUMES = b"resumes"
 
@@ -143,6 +145,8 @@
         server_id=values.get(INSTANCE_ID, b"").decode("latin-1"),
         load=_read_load(values.get(SERVER_LOAD, b"")),
         rejections_borne=_read_number(values.get(SERVER_BRITTLE, b"")),
+        names_limit=SERVER_LIMIT in values,
+        limit_per_s=_read_limit(values.get(SERVER_LIMIT, b"")),
         declined=DECLINED in values,
         retry_after_s=_read_number(values.get(b"retry-after", b"")),
     )
@@ -161,6 +165,14 @@
     return number if 0.0 <= number < 1e9 else None
 
 
+def _read_limit(value: bytes) -> float | None:
+    try:
+        number = float(value)
+    except ValueError:
+        return None
+    return number if 0.0 <= number < math.inf else None
+
+
 def _read_tokens(value: bytes) -> tuple[int, int]:
     first, _, second = value.partition(b",")
     return int(_read_number(first) or 0), int(_read_number(second) or 0)
--- a/rhubarbshed/protocol/exchanges.py
+++ b/rhubarbshed/protocol/exchanges.py
@@ -79,7 +79,9 @@
     `request_id` is the one that the server echoes. `not_run` means that the server says it did not
     run the request. `server_id` is set if another server now has the address. `load` is (running,
     waiting, slots). `rejections_borne` is how many requests a brittle server may turn away in a
-    second, None if it is not brittle. `declined` means that another instance may serve the request.
+    second, None if it is not brittle. `names_limit` means that it names the requests a second that
+    it takes from all instances, `limit_per_s` if that can be read. `declined` means that another
+    instance may serve the request.
     """
 
     status: int
@@ -91,6 +93,8 @@
     server_id: str = ""
     load: tuple[int, int, int] | None = None
     rejections_borne: float | None = None
+    names_limit: bool = False
+    limit_per_s: float | None = None
     declined: bool = False
     retry_after_s: float | None = None
 
--- a/rhubarbshed/state/membership/fleet.py
+++ b/rhubarbshed/state/membership/fleet.py
@@ -42,6 +42,8 @@
     `others_load` is the part of it that is not from this instance. `run_s` is the mean time of its
     runs. `held` are the models with their adapters. `failures` and `attempts` are decaying sums.
     `rejections_borne` is set for a brittle server, which gets nothing before `rejecting_until`.
+    `limit_per_s` are the requests that the server takes from all instances, if it names a limit,
+    which it did last at `limit_named_at`.
     `unloading` and `loading` name models in transition, the latter due at `loaded_at`.
     """
 
@@ -64,6 +66,8 @@
     unresponsive_count: int = 0
     rejections_borne: float | None = None
     rejecting_until: float = -math.inf
+    limit_per_s: float | None = None
+    limit_named_at: float = -math.inf
     unloading: str = ""
     loading: str = ""
     loaded_at: float = math.inf
--- a/rhubarbshed/transport/edge/attempts.py
+++ b/rhubarbshed/transport/edge/attempts.py
@@ -182,6 +182,7 @@
     failed: bool = False
     begun: bool = False
     withdrawn: bool = False
+    on_head: Callable[[ResponseHead], None] = lambda head: None
     on_begun: Callable[[], None] = lambda: None
     confirm_running: Callable[[], Awaitable[bool]] = assume_running
     channel: Channel | None = None
@@ -275,6 +276,7 @@
                 self.record.record_load_sample(head.load[0], head.load[1], time.monotonic())
             if self.record is not None:
                 apply_brittleness(self.record, head.rejections_borne)
+            self.on_head(head)
             if head.not_run:
                 return await self.read_refusal(response, head)
             if not 200 <= head.status < 300 or not route.streamed:
--- a/rhubarbshed/transport/edge/node.py
+++ b/rhubarbshed/transport/edge/node.py
@@ -30,6 +30,7 @@
 from rhubarbshed.transport.edge.holder_protocol import HolderProtocol
 from rhubarbshed.transport.edge.instance_lists import InstanceLists
 from rhubarbshed.transport.edge.lease import LeaseClient
+from rhubarbshed.transport.edge.limit_registry import LimitRegistry
 from rhubarbshed.transport.edge.link_monitor import LinkMonitor
 from rhubarbshed.transport.edge.metrics import FrontMetrics
 from rhubarbshed.transport.edge.order_dispatcher import OrderDispatcher
@@ -167,6 +168,7 @@
             crashes,
             links,
             forwarder,
+            LimitRegistry(),
             streams.record_stream,
             streams.find_stream,
         )
--- a/rhubarbshed/transport/edge/relay.py
+++ b/rhubarbshed/transport/edge/relay.py
@@ -60,6 +60,7 @@
 from rhubarbshed.transport.edge.crash_registry import CrashRegistry
 from rhubarbshed.transport.edge.follower import DROP_MARGIN_S
 from rhubarbshed.transport.edge.forwarding import NOT_TAKEN, Forwarded, Forwarder
+from rhubarbshed.transport.edge.limit_registry import LimitRegistry
 from rhubarbshed.transport.edge.link_monitor import LinkMonitor
 from rhubarbshed.transport.edge.metrics import FrontMetrics
 from rhubarbshed.transport.edge.pools import Pool
@@ -114,6 +115,7 @@
     crashes: CrashRegistry
     links: LinkMonitor
     forwarder: Forwarder
+    limits: LimitRegistry
     record_stream: RecordStream = record_nothing
     find_stream: FindStream = find_nothing
     open_requests: set["RequestProgress"] = field(factory=set)
@@ -427,6 +429,7 @@
         )
         attempt = Attempt.from_server(self.relay.pool, record, self.caller_response, self.deadline)
         attempt.may_move = lambda: self.may_move(record, time.monotonic())
+        attempt.on_head = lambda head: self.relay.limits.record_head(record, head, attempt.sent_at)
         attempt.on_begun = lambda: self.relay.crashes.record_begun(self.request, time.monotonic())
         attempt.confirm_running = lambda: self.confirm_running(record)
         self.last_attempt = attempt
