Keep to the limits that servers name, all instances together

Now one instance, ranked for each server by rendezvous hashing with those of its data centre first, hands out the requests to it one after the other, and every instance asks it before an attempt: first ones, repeats, rests of streams and forwarded ones. What does not fit goes to another server, waits as for a slot, or is refused with the time at which the limit has room.

--- a/rhubarbshed/coordination/serving/choice.py
+++ b/rhubarbshed/coordination/serving/choice.py
@@ -154,6 +154,8 @@
 
     `instances` share its slots.
     """
+    if now < record.limited_until:
+        return True
     if record.rejections_borne is not None:
         return not has_room(record, instances, now)
     return record.estimate_load(now) >= record.entry.slots * (1.0 + QUEUE_FRACTION)
--- a/rhubarbshed/coordination/serving/queueing.py
+++ b/rhubarbshed/coordination/serving/queueing.py
@@ -23,5 +23,10 @@
 
     The request has waited for `queued_s`, and its caller disconnects in `left_s`.
     """
+    return POLL_INTERVAL_S if measure_wait(route, queued_s, left_s) > 0.0 else 0.0
+
+
+def measure_wait(route: Route, queued_s: float, left_s: float) -> float:
+    """Return the seconds for which a request may still wait for a slot."""
     longest_s = min(WAIT_MAX_S, WAIT_FRACTION * route.target_s, WAIT_FRACTION * left_s)
-    return POLL_INTERVAL_S if queued_s < longest_s else 0.0
+    return max(0.0, longest_s - queued_s)
--- a/rhubarbshed/protocol/messages.py
+++ b/rhubarbshed/protocol/messages.py
@@ -2,7 +2,8 @@
 
 Each data centre has one order holder, the instance that sends orders to the engines in it.
 Instances exchange messages with the holder of their own data centre, and holders with each other.
-Only messages on the origin of streams and on ended servers go from any instance to any other.
+Only messages on the origin of streams, on ended servers and on servers' limits go from any instance
+to any other.
 """
 
 import re
@@ -20,6 +21,13 @@
     CrashQuestion,
     TrialMessage,
 )
+from rhubarbshed.protocol.limit_messages import (
+    LimitMessage,
+    LimitQuestion,
+    LimitReply,
+    PresenceQuestion,
+    PresenceReply,
+)
 from rhubarbshed.protocol.message_checks import check_number, check_text, is_text
 
 FORMAT = 4
@@ -280,7 +288,8 @@
 
 StreamMessage = OriginsMessage | OriginQuestion | OriginReply | InstancesMessage | InstancesQuestion
 CrashNews = CrashMessage | CrashQuestion | TrialMessage | BegunPartsMessage
-InstanceMessage = StreamMessage | CrashNews
+LimitNews = LimitMessage | LimitQuestion | LimitReply | PresenceQuestion | PresenceReply
+InstanceMessage = StreamMessage | CrashNews | LimitNews
 Message = DemandMessage | HolderMessage | StoreMessage | InstanceMessage
 KINDS: dict[str, type] = {
     "demand": DemandMessage,
@@ -295,6 +304,11 @@
     "crash_question": CrashQuestion,
     "trial": TrialMessage,
     "begun_parts": BegunPartsMessage,
+    "limit": LimitMessage,
+    "limit_question": LimitQuestion,
+    "limit_reply": LimitReply,
+    "presence_question": PresenceQuestion,
+    "presence_reply": PresenceReply,
 }
 KIND_NAMES = {kind: name for name, kind in KINDS.items()}
 
--- a/rhubarbshed/state/membership/fleet.py
+++ b/rhubarbshed/state/membership/fleet.py
@@ -43,7 +43,8 @@
     runs. `held` are the models with their adapters. `failures` and `attempts` are decaying sums.
     `rejections_borne` is set for a brittle server, which gets nothing before `rejecting_until`.
     `limit_per_s` are the requests that the server takes from all instances, if it names a limit,
-    which it did last at `limit_named_at`.
+    which it did last at `limit_named_at`. It gets none from here before `limited_until`, and
+    refused callers may expect room at `limit_retry_at`.
     `unloading` and `loading` name models in transition, the latter due at `loaded_at`.
     """
 
@@ -68,6 +69,8 @@
     rejecting_until: float = -math.inf
     limit_per_s: float | None = None
     limit_named_at: float = -math.inf
+    limited_until: float = -math.inf
+    limit_retry_at: float = -math.inf
     unloading: str = ""
     loading: str = ""
     loaded_at: float = math.inf
--- a/rhubarbshed/transport/edge/limit_registry.py
+++ b/rhubarbshed/transport/edge/limit_registry.py
@@ -1,32 +1,383 @@
-"""Limits of servers as this instance knows them."""
+"""Requests to servers with limits: asked for from the instance that hands them out, or handed out.
 
+Each server has one such instance, chosen alike everywhere. One that does not answer is left alone
+for a while, and the next one stands in for it.
+"""
+
+import asyncio
 import logging
+import random
 import time
+from collections import OrderedDict
+from collections.abc import Callable, Collection, Mapping
 
-from attrs import define
+from attrs import define, field
 
-from rhubarbshed.coordination.serving.server_limits import LimitChange, apply_head
+from rhubarbshed.coordination.serving.server_limits import (
+    SUBSTITUTE_FRACTION,
+    Grant,
+    LimitBucket,
+    LimitChange,
+    apply_head,
+    apply_reported_limit,
+    measure_burst,
+    rank_allocators,
+)
 from rhubarbshed.protocol.exchanges import ResponseHead
-from rhubarbshed.state.membership.fleet import ServerRecord
+from rhubarbshed.protocol.limit_messages import (
+    LimitMessage,
+    LimitQuestion,
+    LimitReply,
+    PresenceQuestion,
+    PresenceReply,
+)
+from rhubarbshed.protocol.messages import LimitNews
+from rhubarbshed.state.membership.fleet import Fleet, ServerRecord
 from rhubarbshed.util.logs import log_event
 
 LOG = logging.getLogger(__name__)
 
+REPEAT_S = 0.05
+SENDS_MAX = 3
+"""Time after which a question is sent again, and how often it is sent before its instance counts as
+silent. A round trip takes 3 ms, and a busy instance is late by some tens of milliseconds."""
+
+PAUSE_FIRST_S = 0.5
+PAUSE_LONGEST_S = 30.0
+"""Time without questions to an instance that is silent, doubled up to the longest: one of the build
+before never replies."""
+
+SILENT_MIN = 2
+"""Questions in a row without a reply after which another instance takes an instance's place: three
+messages may be lost."""
+
+ISOLATED_S = 0.6
+"""Time without any message after which an instance takes itself to be cut off from the others; it
+receives at least one every half second."""
+
+INSTANCES_ASSUMED = 16
+"""Number of instances until a list of them has come."""
+
+ASKED_MAX = 2
+"""Instances that one request is asked for of; each silent one costs it a timeout."""
+
+SILENT_RETRY_S = 0.02
+"""Pause of requests to a server after nobody replied; another instance may."""
+
+FREE_IN_MIN_S = 0.01
+"""Shortest pause of requests to a server after one was refused."""
+
+REPLIES_MAX = 4_096
+"""Most grants kept for questions that are repeated."""
+
+BUCKETS_MAX = 2_000
+"""Most servers whose requests are handed out here."""
+
+NEWS_INTERVAL_S = 1.0
+"""Shortest time between two messages of this instance on one server's limit."""
+
+NUMBER_START_MAX = 2**48
+"""Bound of the first question's number, drawn at random: a restarted instance uses new ones."""
+
+MS_PER_S = 1000.0
+
+Address = tuple[str, int]
+Incarnation = tuple[str, int]
+
+
+@define
+class LimitCounts:
+    """Counts for metrics."""
+
+    asked: int = 0
+    silent: int = 0
+    granted: int = 0
+    refused: int = 0
+    alone: int = 0
+
 
 @define(eq=False)
 class LimitRegistry:
-    """What servers name as their limits."""
+    """Limits of servers as this instance knows them, and what it hands out.
+
+    `address` is its own, `instances` are all, with it, by data centre, once `is_listed`.
+    `measure_silence` returns the seconds since another instance sent anything. `buckets` are what
+    this instance hands out, `own_shares` its share of limits while no other instance can be asked.
+    `silent` counts questions in a row without a reply.
+    """
+
+    fleet: Fleet
+    data_centre: str
+    address: Address
+    send: Callable[..., None]
+    rng: random.Random
+    measure_silence: Callable[[float], float] = lambda now: 0.0
+    counts: LimitCounts = field(factory=LimitCounts)
+    instances: dict[str, tuple[Address, ...]] = field(factory=dict)
+    buckets: OrderedDict[Incarnation, LimitBucket] = field(factory=OrderedDict)
+    own_shares: dict[Incarnation, LimitBucket] = field(factory=dict)
+    paused_until: dict[Address, float] = field(factory=dict)
+    silent: dict[Address, int] = field(factory=dict)
+    is_listed: bool = False
+    _ranked: dict[str, list[Address]] = field(factory=dict)
+    _waiting: dict[int, asyncio.Future] = field(factory=dict)
+    _probed: set[Address] = field(factory=set)
+    _replies: OrderedDict[tuple[Address, int], LimitReply] = field(factory=OrderedDict)
+    _news_at: dict[Incarnation, float] = field(factory=dict)
+    _tasks: set[asyncio.Task] = field(factory=set)
+    _number: int = 0
+
+    def __attrs_post_init__(self) -> None:
+        """Draw the number of the first question."""
+        self._number = self.rng.randrange(NUMBER_START_MAX)
+        self.learn_instances({}, False)
+
+    def list_values(self) -> dict[str, float]:
+        """Return the values for metrics by name."""
+        limited = sum(each.limit_per_s is not None for each in self.fleet.servers.values())
+        return {
+            "limited_servers": limited,
+            "limit_questions": self.counts.asked,
+            "limit_questions_silent": self.counts.silent,
+            "limit_granted": self.counts.granted,
+            "limit_refused": self.counts.refused,
+            "limit_own_shares": self.counts.alone,
+        }
+
+    def learn_instances(self, others: Mapping[str, Collection[Address]], is_listed: bool) -> None:
+        """Record all other instances by data centre; `is_listed` if a holder has listed them."""
+        self.is_listed = self.is_listed or is_listed
+        self.instances = {name: tuple(group) for name, group in others.items()}
+        own = self.instances.get(self.data_centre, ())
+        self.instances[self.data_centre] = (*own, self.address)
+        self._ranked.clear()
+        known = {address for group in self.instances.values() for address in group}
+        for kept in (self.paused_until, self.silent):
+            for address in [each for each in kept if each not in known]:
+                del kept[address]
 
     def record_head(self, record: ServerRecord, head: ResponseHead, sent_at: float) -> None:
-        """Record what the head of an answer says of its server's limit."""
+        """Record what the head of an answer says of its server's limit, and pass a change on."""
         now = time.monotonic()
         change = apply_head(record, head, sent_at, now)
+        if change is LimitChange.NONE:
+            return
+        log_limit(record, change, "answer")
+        if change is LimitChange.UNREADABLE:
+            return
+        if now - self._news_at.get(record.key, -NEWS_INTERVAL_S) >= NEWS_INTERVAL_S:
+            self._news_at[record.key] = now
+            self._forget_news(now)
+            others = [each for group in self.instances.values() for each in group]
+            others.remove(self.address)
+            self.send(LimitMessage(*record.key, record.limit_per_s), *others)
+
+    def _forget_news(self, now: float) -> None:
+        for key in [key for key, at in self._news_at.items() if now - at > NEWS_INTERVAL_S]:
+            del self._news_at[key]
+
+    async def acquire(self, record: ServerRecord, wait_max_s: float) -> Grant:
+        """Ask for one request to a server; a granted one is sent after `send_in_s`."""
+        now = time.monotonic()
+        if record.limit_per_s is None:
+            return Grant(0.0)
+        if now < record.limited_until:
+            return Grant(None, record.limited_until - now, record.limit_retry_at - now)
+        grant = await self._ask_for_grant(record, wait_max_s)
+        now = time.monotonic()
+        if grant.send_in_s is None:
+            self.counts.refused += 1
+            record.limited_until = now + max(FREE_IN_MIN_S, grant.free_in_s)
+            record.limit_retry_at = now + grant.retry_in_s
+        else:
+            self.counts.granted += 1
+        return grant
+
+    async def _ask_for_grant(self, record: ServerRecord, wait_max_s: float) -> Grant:
+        ranked = self._rank(record)
+        now = time.monotonic()
+        if not self.is_listed:
+            return self._take_own_share(record, INSTANCES_ASSUMED, wait_max_s, now)
+        if len(ranked) > 1 and self.measure_silence(now) > ISOLATED_S:
+            return self._take_own_share(record, len(ranked), wait_max_s, now)
+        usable = [each for each in ranked if self._is_usable(each, now)]
+        for address in usable[:ASKED_MAX]:
+            if record.limit_per_s is None:
+                return Grant(0.0)
+            if address == self.address:
+                return self._hand_out(record, wait_max_s, time.monotonic())
+            reply = await self._ask(address, record, wait_max_s)
+            if reply is not None:
+                return read_grant(reply)
+        return Grant(None, SILENT_RETRY_S, SILENT_RETRY_S)
+
+    def _rank(self, record: ServerRecord) -> list[Address]:
+        server_id = record.entry.server_id
+        if server_id not in self._ranked:
+            if len(self._ranked) >= BUCKETS_MAX:
+                self._ranked.clear()
+            ranked = rank_allocators(server_id, record.entry.data_centre, self.instances)
+            self._ranked[server_id] = ranked
+        return self._ranked[server_id]
+
+    def _is_usable(self, address: Address, now: float) -> bool:
+        return now >= self.paused_until.get(address, 0.0)
+
+    async def _ask(
+        self, address: Address, record: ServerRecord, wait_max_s: float
+    ) -> LimitReply | None:
+        """Ask an instance; return its reply, None if it is silent."""
+        self.counts.asked += 1
+        now = time.monotonic()
+        question = LimitQuestion(
+            self._take_number(),
+            *record.key,
+            record.limit_per_s,
+            max(0, round((now - record.limit_named_at) * MS_PER_S)),
+            max(0, round(wait_max_s * MS_PER_S)),
+        )
+        return await self._exchange(question, address)
+
+    def _take_number(self) -> int:
+        self._number += 1
+        return self._number
+
+    async def _exchange(
+        self, question: LimitQuestion | PresenceQuestion, address: Address
+    ) -> LimitReply | PresenceReply | None:
+        waiting = asyncio.get_running_loop().create_future()
+        self._waiting[question.number] = waiting
+        try:
+            for _ in range(SENDS_MAX):
+                self.send(question, address)
+                await asyncio.wait((waiting,), timeout=REPEAT_S)
+                if waiting.done():
+                    self.silent.pop(address, None)
+                    return waiting.result()
+        finally:
+            del self._waiting[question.number]
+        self._pause(address, time.monotonic())
+        return None
+
+    def _pause(self, address: Address, now: float) -> None:
+        if not self._is_usable(address, now):
+            return
+        self.counts.silent += 1
+        before = self.silent.get(address, 0)
+        self.silent[address] = before + 1
+        pause_s = min(PAUSE_LONGEST_S, PAUSE_FIRST_S * 2**before)
+        self.paused_until[address] = now + pause_s
+        log_event(
+            LOG, logging.INFO, "limit_instance_silent", instance=address[0], pause_s=round(pause_s)
+        )
+
+    def _take_own_share(
+        self, record: ServerRecord, instances: int, wait_max_s: float, now: float
+    ) -> Grant:
+        """Use an equal share of a limit, as nobody can be asked; from a time on that is drawn.
+
+        All instances may be cut off from each other, and must not begin together.
+        """
+        self.counts.alone += 1
+        rate_per_s = record.limit_per_s / instances
+        if record.key not in self.own_shares:
+            if len(self.own_shares) >= BUCKETS_MAX:
+                self.own_shares.clear()
+            first_at = now + self.rng.uniform(0.0, 1.0 / rate_per_s)
+            self.own_shares[record.key] = LimitBucket(first_at)
+        return self.own_shares[record.key].take(rate_per_s, wait_max_s, now)
+
+    def _hand_out(self, record: ServerRecord, wait_max_s: float, now: float) -> Grant:
+        """Hand out a request to a server, fewer of them in place of an instance that may do so."""
+        rate_per_s = record.limit_per_s
+        if self._find_running(record, now):
+            rate_per_s *= SUBSTITUTE_FRACTION
+        # Another instance may have handed out requests until now.
+        first_at = now + measure_burst(rate_per_s) + 1.0 / rate_per_s
+        bucket = self.buckets.setdefault(record.key, LimitBucket(first_at))
+        self.buckets.move_to_end(record.key)
+        if len(self.buckets) > BUCKETS_MAX:
+            self.buckets.popitem(last=False)
+        return bucket.take(rate_per_s, wait_max_s, now)
+
+    def _find_running(self, record: ServerRecord, now: float) -> bool:
+        """Return whether an instance whose place this one takes may be running."""
+        ranked = self._rank(record)
+        before = ranked[: ranked.index(self.address)]
+        running = [each for each in before if self.silent.get(each, 0) < SILENT_MIN]
+        for address in running[:ASKED_MAX]:
+            if self._is_usable(address, now):
+                self._probe(address)
+        return bool(running)
+
+    def _probe(self, address: Address) -> None:
+        """Find out whether an instance replies, which pauses it if not."""
+        if address in self._probed:
+            return
+        self._probed.add(address)
+        question = PresenceQuestion(self._take_number())
+        task = asyncio.get_running_loop().create_task(self._exchange(question, address))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(lambda _: self._probed.discard(address))
+
+    def handle_message(self, message: LimitNews, address: Address, now: float) -> None:
+        """Apply what another instance sent, or reply to its question."""
+        if isinstance(message, LimitMessage):
+            self._apply_reported(message, message.limit_per_s, now)
+        elif isinstance(message, LimitQuestion):
+            self.send(self._answer(message, address, now), address)
+        elif isinstance(message, PresenceQuestion):
+            self.send(PresenceReply(message.number), address)
+        elif (waiting := self._waiting.get(message.number)) is not None and not waiting.done():
+            waiting.set_result(message)
+
+    def _apply_reported(
+        self, message: LimitMessage | LimitQuestion, limit_per_s: float | None, named_at: float
+    ) -> ServerRecord | None:
+        record = self.fleet.get(message.server_id)
+        if record is None or record.key != (message.server_id, message.started_ms):
+            return None
+        change = apply_reported_limit(record, limit_per_s, named_at)
         if change is not LimitChange.NONE:
-            log_limit(record, change)
+            log_limit(record, change, "instance")
+        return record
+
+    def _answer(self, question: LimitQuestion, address: Address, now: float) -> LimitReply:
+        """Return the reply to a question, the same one to a question that is repeated."""
+        mark = (address, question.number)
+        if mark in self._replies:
+            return self._replies[mark]
+        named_at = now - question.age_ms / MS_PER_S
+        record = self._apply_reported(question, question.limit_per_s, named_at)
+        if record is None:
+            grant = Grant(None, SILENT_RETRY_S, SILENT_RETRY_S)
+        elif record.limit_per_s is None:
+            grant = Grant(0.0)
+        else:
+            grant = self._hand_out(record, question.wait_ms / MS_PER_S, now)
+        reply = make_reply(question.number, grant)
+        self._replies[mark] = reply
+        if len(self._replies) > REPLIES_MAX:
+            self._replies.popitem(last=False)
+        return reply
+
+
+def make_reply(number: int, grant: Grant) -> LimitReply:
+    """Return a grant as it is sent."""
+    send_in_ms = None if grant.send_in_s is None else round(grant.send_in_s * MS_PER_S)
+    times = (round(each * MS_PER_S) for each in (grant.free_in_s, grant.retry_in_s))
+    return LimitReply(number, send_in_ms, *times)
+
+
+def read_grant(reply: LimitReply) -> Grant:
+    """Return the grant of a reply."""
+    send_in_s = None if reply.send_in_ms is None else reply.send_in_ms / MS_PER_S
+    return Grant(send_in_s, reply.free_in_ms / MS_PER_S, reply.retry_in_ms / MS_PER_S)
 
 
-def log_limit(record: ServerRecord, change: LimitChange) -> None:
-    """Log a change of a server's limit."""
+def log_limit(record: ServerRecord, change: LimitChange, source: str) -> None:
+    """Log a change of a server's limit, and whether an answer or another instance named it."""
     log_event(
         LOG,
         logging.INFO,
@@ -34,4 +385,5 @@
         server=record.entry.server_id,
         change=change.value,
         limit_per_s=record.limit_per_s,
+        source=source,
     )
--- a/rhubarbshed/transport/edge/node.py
+++ b/rhubarbshed/transport/edge/node.py
@@ -22,6 +22,7 @@
     InstanceMessage,
     InstancesMessage,
     InstancesQuestion,
+    LimitNews,
 )
 from rhubarbshed.transport.edge.caller_connections import CallerConnection, Handler
 from rhubarbshed.transport.edge.crash_registry import CrashRegistry
@@ -144,6 +145,14 @@
             view.measure_followed,
         )
         streams.counts.observe = metrics.observe_lookup
+        limits = LimitRegistry(
+            view.fleet,
+            settings.data_centre,
+            address,
+            holder_protocol.datagrams.send,
+            view.rng,
+            holder_protocol.measure_silence,
+        )
         instance_lists = InstanceLists(
             settings.data_centre,
             address,
@@ -152,10 +161,10 @@
             lambda: lease_state.token,
             holder_protocol.instances,
             holder_protocol.list_holders,
-            lambda *known: learn_instances(streams, crashes, peers, *known),
+            lambda *known: learn_instances(streams, crashes, peers, limits, *known),
         )
         holder_protocol.handle_instance_message = functools.partial(
-            handle_instance_message, streams, crashes, instance_lists
+            handle_instance_message, streams, crashes, limits, instance_lists
         )
         relay = Relay(
             view,
@@ -168,7 +177,7 @@
             crashes,
             links,
             forwarder,
-            LimitRegistry(),
+            limits,
             streams.record_stream,
             streams.find_stream,
         )
@@ -275,6 +284,7 @@
             "order_holder": int(self.lease.lease_state.held),
             **self.streams.counts.list_values(),
             **self.crashes.list_values(),
+            **self.relay.limits.list_values(),
         }
         headers = ((b"content-type", b"text/plain; version=0.0.4"),)
         connection.send_complete(200, headers, self.metrics.render(gauge_values))
@@ -413,6 +423,7 @@
     streams: StreamRegistry,
     crashes: CrashRegistry,
     peers: PeerStates,
+    limits: LimitRegistry,
     instances: Mapping[str, Collection[tuple[str, int]]],
     is_listed: bool,
     now: float,
@@ -421,11 +432,13 @@
     streams.learn_instances(instances, is_listed, now)
     crashes.learn_instances(instances, is_listed, now)
     peers.learn_instances(instances)
+    limits.learn_instances(instances, is_listed)
 
 
 def handle_instance_message(
     streams: StreamRegistry,
     crashes: CrashRegistry,
+    limits: LimitRegistry,
     instance_lists: InstanceLists,
     message: InstanceMessage,
     address: tuple[str, int],
@@ -436,5 +449,7 @@
         instance_lists.handle_message(message, address, now)
     elif isinstance(message, CrashNews):
         crashes.handle_message(message, address, now)
+    elif isinstance(message, LimitNews):
+        limits.handle_message(message, address, now)
     else:
         streams.handle_message(message, address, now)
--- a/rhubarbshed/transport/edge/relay.py
+++ b/rhubarbshed/transport/edge/relay.py
@@ -19,7 +19,7 @@
     list_staying,
 )
 from rhubarbshed.coordination.serving.missing_models import LoadWait, decide_load_wait
-from rhubarbshed.coordination.serving.queueing import decide_wait
+from rhubarbshed.coordination.serving.queueing import decide_wait, measure_wait
 from rhubarbshed.coordination.serving.refusals import (
     DRAINING_RETRY_S,
     STATED_REASONS,
@@ -357,6 +357,8 @@
                 forwarded = await self.forward_unreached()
                 if forwarded.taken:
                     return forwarded.error
+            if not await self.pass_limit(chosen.server, now):
+                continue
             end = await self.attempt(chosen)
             if end is ExchangeEnd.CONNECTION_REFUSED and not await self.relay.links.settle():
                 self.report_ended(chosen.server, time.monotonic())
@@ -395,6 +397,32 @@
         self.available_in_s = crashes.quarantine.measure_pause(stopped_by, time.monotonic())
         return False
 
+    async def pass_limit(self, record: ServerRecord, now: float) -> bool:
+        """Return whether a server's limit lets the request through, if need be after a wait.
+
+        It does not wait for one server while another is free.
+        """
+        if record.limit_per_s is None:
+            return True
+        is_sole = isinstance(self.choose_other(record, now), NoServer)
+        left_s = measure_wait(self.route, self.queued_s, self.deadline - now) if is_sole else 0.0
+        self.waits_for = Stage.SLOT
+        grant = await self.relay.limits.acquire(record, left_s)
+        if grant.send_in_s:
+            await asyncio.sleep(grant.send_in_s)
+        self.queued_s += time.monotonic() - now
+        if grant.send_in_s is None:
+            return False
+        return not grant.send_in_s or await self.check_quarantine(time.monotonic())
+
+    def choose_other(self, record: ServerRecord, now: float) -> Choice | NoServer:
+        """Choose a server that this request has not tried, other than one."""
+        tried = self.excluded
+        self.excluded = tried | {record.key}
+        chosen = self.choose(now)
+        self.excluded = tried
+        return chosen
+
     def choose(self, now: float) -> Choice | NoServer:
         """Choose a server that this request has not tried."""
         view = self.relay.view
@@ -516,14 +544,12 @@
         """
         if self.relay.links.is_cut and not self.forwarded_by:
             return self.relay.forwarder.has_peer(now) and self.pay_retry(now)
-        tried = self.excluded
-        self.excluded = tried | {record.key}
-        chosen = self.choose(now)
+        chosen = self.choose_other(record, now)
         if isinstance(chosen, NoServer) and chosen.reason == "all_tried":
             # A second pass may choose the silent server again, which may just have lost the answer.
-            self.excluded = set()
+            tried, self.excluded = self.excluded, set()
             chosen = chosen if self.second_pass_started else self.choose(now)
-        self.excluded = tried
+            self.excluded = tried
         return isinstance(chosen, Choice) and self.pay_retry(now)
 
     async def wait_for_load(self, now: float) -> bool:
@@ -585,8 +611,21 @@
             return make_failure(reason, "the backend server gave no whole answer")
         known = reason if reason in STATED_REASONS else "all_tried"
         available_in_s = self.available_in_s if known in ("absent", "quarantined") else None
+        if known == "full":
+            available_in_s = self.measure_limit_retry(time.monotonic())
         return make_refusal(known, self.relay.view.rng, available_in_s)
 
+    def measure_limit_retry(self, now: float) -> float | None:
+        """Return the seconds until a server's limit has room, None if none is why all are full."""
+        servers = list_staying(self.relay.view.fleet, self.service, self.caller_response.version)
+        retries = [
+            max(record.limited_until, record.limit_retry_at) - now
+            for record in servers
+            if now < record.limited_until
+            and (not self.request.model or record.holds(self.request.model, self.request.adapter))
+        ]
+        return min(retries, default=None)
+
     def answer_defect(self) -> None:
         """Answer a request whose handling raised an unexpected exception, if that is still due."""
         if self.connection.is_answered:
