Ask the instance that hands out requests on behalf of one that it does not answer

It now asks on behalf of the other, and hands out by itself only without a reply. Four questions in place of three come before an instance counts as silent. Instances that receive nothing use half of their equal share, as others may hand out the whole: three of five had brought the sum to 30.

--- a/rhubarbshed/coordination/serving/server_limits.py
+++ b/rhubarbshed/coordination/serving/server_limits.py
@@ -30,6 +30,9 @@
 """Part of a limit that an instance hands out in place of another one that it finds running, and
 which may be handing out the rest to those that reach it."""
 
+OWN_SHARE_FRACTION = 0.5
+"""Part of its equal share of a limit that an instance uses while it can ask no other."""
+
 RETRY_MAX_S = 10.0
 """Longest time after which a refused caller is asked to come back."""
 
--- a/rhubarbshed/protocol/limit_messages.py
+++ b/rhubarbshed/protocol/limit_messages.py
@@ -64,17 +64,3 @@
     def _check_send_in(self, attribute: Attribute, value: object) -> None:
         if value is not None:
             check_number(self, attribute, value)
-
-
-@frozen
-class PresenceQuestion:
-    """Question whether an instance answers at all; its reply has the same number."""
-
-    number: int = field(validator=check_number)
-
-
-@frozen
-class PresenceReply:
-    """Reply to a `PresenceQuestion`."""
-
-    number: int = field(validator=check_number)
--- a/rhubarbshed/protocol/messages.py
+++ b/rhubarbshed/protocol/messages.py
@@ -25,8 +25,6 @@
     LimitMessage,
     LimitQuestion,
     LimitReply,
-    PresenceQuestion,
-    PresenceReply,
 )
 from rhubarbshed.protocol.message_checks import check_number, check_text, is_text
 
@@ -288,7 +286,7 @@
 
 StreamMessage = OriginsMessage | OriginQuestion | OriginReply | InstancesMessage | InstancesQuestion
 CrashNews = CrashMessage | CrashQuestion | TrialMessage | BegunPartsMessage
-LimitNews = LimitMessage | LimitQuestion | LimitReply | PresenceQuestion | PresenceReply
+LimitNews = LimitMessage | LimitQuestion | LimitReply
 InstanceMessage = StreamMessage | CrashNews | LimitNews
 Message = DemandMessage | HolderMessage | StoreMessage | InstanceMessage
 KINDS: dict[str, type] = {
@@ -307,8 +305,6 @@
     "limit": LimitMessage,
     "limit_question": LimitQuestion,
     "limit_reply": LimitReply,
-    "presence_question": PresenceQuestion,
-    "presence_reply": PresenceReply,
 }
 KIND_NAMES = {kind: name for name, kind in KINDS.items()}
 
--- a/rhubarbshed/transport/edge/limit_registry.py
+++ b/rhubarbshed/transport/edge/limit_registry.py
@@ -9,11 +9,13 @@
 import random
 import time
 from collections import OrderedDict
-from collections.abc import Callable, Collection, Mapping
+from collections.abc import Callable, Collection, Coroutine, Mapping
+from typing import Any
 
 from attrs import define, field
 
 from rhubarbshed.coordination.serving.server_limits import (
+    OWN_SHARE_FRACTION,
     SUBSTITUTE_FRACTION,
     Grant,
     LimitBucket,
@@ -28,8 +30,6 @@
     LimitMessage,
     LimitQuestion,
     LimitReply,
-    PresenceQuestion,
-    PresenceReply,
 )
 from rhubarbshed.protocol.messages import LimitNews
 from rhubarbshed.state.membership.fleet import Fleet, ServerRecord
@@ -37,10 +37,12 @@
 
 LOG = logging.getLogger(__name__)
 
-REPEAT_S = 0.05
-SENDS_MAX = 3
+REPEAT_S = 0.04
+SENDS_MAX = 4
+SUBSTITUTE_SENDS_MAX = 8
 """Time after which a question is sent again, and how often it is sent before its instance counts as
-silent. A round trip takes 3 ms, and a busy instance is late by some tens of milliseconds."""
+silent; more often to one that may have to ask another one first. A round trip takes 3 ms, and a
+busy instance is late by some tens of milliseconds."""
 
 PAUSE_FIRST_S = 0.5
 PAUSE_LONGEST_S = 30.0
@@ -48,8 +50,8 @@
 before never replies."""
 
 SILENT_MIN = 2
-"""Questions in a row without a reply after which another instance takes an instance's place: three
-messages may be lost."""
+"""Questions in a row without a reply after which another instance takes an instance's place: all
+messages of one may be lost."""
 
 ISOLATED_S = 1.0
 """Time without any message after which an instance takes itself to be cut off from the others; it
@@ -68,7 +70,7 @@
 """Shortest pause of requests to a server after one was refused."""
 
 REPLIES_MAX = 4_096
-"""Most grants kept for questions that are repeated."""
+"""Most replies kept for questions that are repeated."""
 
 BUCKETS_MAX = 2_000
 """Most servers whose requests are handed out here."""
@@ -121,8 +123,7 @@
     is_listed: bool = False
     _ranked: dict[str, list[Address]] = field(factory=dict)
     _waiting: dict[int, asyncio.Future] = field(factory=dict)
-    _probed: set[Address] = field(factory=set)
-    _replies: OrderedDict[tuple[Address, int], LimitReply] = field(factory=OrderedDict)
+    _answered: OrderedDict[tuple[Address, int], LimitReply | None] = field(factory=OrderedDict)
     _news_at: dict[Incarnation, float] = field(factory=dict)
     _tasks: set[asyncio.Task] = field(factory=set)
     _number: int = 0
@@ -206,7 +207,8 @@
                 return Grant(0.0)
             if address == self.address:
                 return self._hand_out(record, wait_max_s, time.monotonic())
-            reply = await self._ask(address, record, wait_max_s)
+            sends = SENDS_MAX if address == ranked[0] else SUBSTITUTE_SENDS_MAX
+            reply = await self._ask(address, record, wait_max_s, sends)
             if reply is not None:
                 return read_grant(reply)
         return Grant(None, SILENT_RETRY_S, SILENT_RETRY_S)
@@ -224,31 +226,23 @@
         return now >= self.paused_until.get(address, 0.0)
 
     async def _ask(
-        self, address: Address, record: ServerRecord, wait_max_s: float
+        self, address: Address, record: ServerRecord, wait_max_s: float, sends: int
     ) -> LimitReply | None:
         """Ask an instance; return its reply, None if it is silent."""
         self.counts.asked += 1
         now = time.monotonic()
+        self._number += 1
         question = LimitQuestion(
-            self._take_number(),
+            self._number,
             *record.key,
             record.limit_per_s,
             max(0, round((now - record.limit_named_at) * MS_PER_S)),
             max(0, round(wait_max_s * MS_PER_S)),
         )
-        return await self._exchange(question, address)
-
-    def _take_number(self) -> int:
-        self._number += 1
-        return self._number
-
-    async def _exchange(
-        self, question: LimitQuestion | PresenceQuestion, address: Address
-    ) -> LimitReply | PresenceReply | None:
         waiting = asyncio.get_running_loop().create_future()
         self._waiting[question.number] = waiting
         try:
-            for _ in range(SENDS_MAX):
+            for _ in range(sends):
                 self.send(question, address)
                 await asyncio.wait((waiting,), timeout=REPEAT_S)
                 if waiting.done():
@@ -274,12 +268,13 @@
     def _take_own_share(
         self, record: ServerRecord, instances: int, wait_max_s: float, now: float
     ) -> Grant:
-        """Use an equal share of a limit, as nobody can be asked; from a time on that is drawn.
+        """Use a part of an equal share, as nobody can be asked; from a time on that is drawn.
 
-        All instances may be cut off from each other, and must not begin together.
+        All instances may be cut off from each other, and must not begin together; or others that
+        are in touch hand out the whole limit.
         """
         self.counts.alone += 1
-        rate_per_s = record.limit_per_s / instances
+        rate_per_s = OWN_SHARE_FRACTION * record.limit_per_s / instances
         if record.key not in self.own_shares:
             if len(self.own_shares) >= BUCKETS_MAX:
                 self.own_shares.clear()
@@ -290,7 +285,7 @@
     def _hand_out(self, record: ServerRecord, wait_max_s: float, now: float) -> Grant:
         """Hand out a request to a server, fewer of them in place of an instance that may do so."""
         rate_per_s = record.limit_per_s
-        if self._find_running(record, now):
+        if self._may_be_handing_out(record):
             rate_per_s *= SUBSTITUTE_FRACTION
         # Another instance may have handed out requests until now.
         first_at = now + measure_burst(rate_per_s) + 1.0 / rate_per_s
@@ -300,35 +295,18 @@
             self.buckets.popitem(last=False)
         return bucket.take(rate_per_s, wait_max_s, now)
 
-    def _find_running(self, record: ServerRecord, now: float) -> bool:
+    def _may_be_handing_out(self, record: ServerRecord) -> bool:
         """Return whether an instance whose place this one takes may be running."""
         ranked = self._rank(record)
         before = ranked[: ranked.index(self.address)]
-        running = [each for each in before if self.silent.get(each, 0) < SILENT_MIN]
-        for address in running[:ASKED_MAX]:
-            if self._is_usable(address, now):
-                self._probe(address)
-        return bool(running)
-
-    def _probe(self, address: Address) -> None:
-        """Find out whether an instance replies, which pauses it if not."""
-        if address in self._probed:
-            return
-        self._probed.add(address)
-        question = PresenceQuestion(self._take_number())
-        task = asyncio.get_running_loop().create_task(self._exchange(question, address))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-        task.add_done_callback(lambda _: self._probed.discard(address))
+        return any(self.silent.get(each, 0) < SILENT_MIN for each in before)
 
     def handle_message(self, message: LimitNews, address: Address, now: float) -> None:
         """Apply what another instance sent, or reply to its question."""
         if isinstance(message, LimitMessage):
             self._apply_reported(message, message.limit_per_s, now)
         elif isinstance(message, LimitQuestion):
-            self.send(self._answer(message, address, now), address)
-        elif isinstance(message, PresenceQuestion):
-            self.send(PresenceReply(message.number), address)
+            self._answer(message, address, now)
         elif (waiting := self._waiting.get(message.number)) is not None and not waiting.done():
             waiting.set_result(message)
 
@@ -343,24 +321,44 @@
             log_limit(record, change, "instance")
         return record
 
-    def _answer(self, question: LimitQuestion, address: Address, now: float) -> LimitReply:
-        """Return the reply to a question, the same one to a question that is repeated."""
+    def _answer(self, question: LimitQuestion, address: Address, now: float) -> None:
+        """Reply to a question, in the same way if it is repeated."""
         mark = (address, question.number)
-        if mark in self._replies:
-            return self._replies[mark]
+        if mark in self._answered:
+            reply = self._answered[mark]
+            if reply is not None:
+                self.send(reply, address)
+            return
+        self._answered[mark] = None
+        if len(self._answered) > REPLIES_MAX:
+            self._answered.popitem(last=False)
         named_at = now - question.age_ms / MS_PER_S
         record = self._apply_reported(question, question.limit_per_s, named_at)
+        wait_max_s = question.wait_ms / MS_PER_S
         if record is None:
-            grant = Grant(None, SILENT_RETRY_S, SILENT_RETRY_S)
+            self._reply(question, address, Grant(None, SILENT_RETRY_S, SILENT_RETRY_S))
         elif record.limit_per_s is None:
-            grant = Grant(0.0)
+            self._reply(question, address, Grant(0.0))
+        elif self._rank(record)[0] == self.address:
+            self._reply(question, address, self._hand_out(record, wait_max_s, now))
         else:
-            grant = self._hand_out(record, question.wait_ms / MS_PER_S, now)
+            self._spawn(self._ask_on_behalf(question, address, record, wait_max_s))
+
+    async def _ask_on_behalf(
+        self, question: LimitQuestion, address: Address, record: ServerRecord, wait_max_s: float
+    ) -> None:
+        """Reply for an instance that the one before this in rank may be running for."""
+        self._reply(question, address, await self._ask_for_grant(record, wait_max_s))
+
+    def _reply(self, question: LimitQuestion, address: Address, grant: Grant) -> None:
         reply = make_reply(question.number, grant)
-        self._replies[mark] = reply
-        if len(self._replies) > REPLIES_MAX:
-            self._replies.popitem(last=False)
-        return reply
+        self._answered[address, question.number] = reply
+        self.send(reply, address)
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
 
 
 def make_reply(number: int, grant: Grant) -> LimitReply:
--- a/test/test_server_limits.py
+++ b/test/test_server_limits.py
@@ -27,8 +27,6 @@
     LimitMessage,
     LimitQuestion,
     LimitReply,
-    PresenceQuestion,
-    PresenceReply,
 )
 from rhubarbshed.protocol.messages import FORMAT, pack_message, unpack_message
 from rhubarbshed.protocol.servers import ServerEntry, ServerState
@@ -137,8 +135,6 @@
         LimitQuestion(7, "s", 1, 4.4, 20, 150),
         LimitReply(7, 0, 0, 0),
         LimitReply(7, None, 250, 900),
-        PresenceQuestion(8),
-        PresenceReply(8),
     ),
 )
 def test_message_is_read_as_it_was_sent(message):
@@ -159,8 +155,6 @@
         ("limit_question", 7, "s", 1, 4.0, 20),
         ("limit_reply", 7, -1, 0, 0),
         ("limit_reply", 7, 0, None, 0),
-        ("presence_question", "x"),
-        ("presence_reply",),
     ),
 )
 def test_malformed_message_is_unreadable(fields):
