Load models elsewhere whose engines name limits below their demand

Two thirds of the requests at a server that named a limit of 3.8 a second were for a model that no other engine held (18 a second). With the limit kept, most of them would have been refused for as long as it lasts: placement compares what runs with slots, and the slots behind a limit are free. Requests beyond the limits of all holders now count as not served, as those of a missing model do.

--- a/rhubarbshed/coordination/serving/order_plan.py
+++ b/rhubarbshed/coordination/serving/order_plan.py
@@ -237,6 +237,20 @@
                 gain += AWAITED_RATE_PER_S + WAITED_RATE_PER_S * max(waits)
         return gain
 
+    def measure_limited_rate(self, model: str, without: str = "") -> float:
+        """Return the requests per second for a model beyond the limits that its engines name.
+
+        It is 0 if one of them, other than `without`, names no limit.
+        """
+        limits = [
+            self.records[each.server_id].limit_per_s
+            for each in self.list_holders(model)
+            if each.server_id != without
+        ]
+        if not limits or None in limits:
+            return 0.0
+        return max(0.0, self.measure_rate(model) - sum(limits))
+
     def measure_load(self, model: str) -> float:
         """Return the number of engines that a model alone would utilise fully."""
         load = self._loads.get(model)
@@ -305,7 +319,7 @@
         if loss is None:
             others = 0 if key[1] else max(0, len(self.list_holders(model)) - 1)
             loss = self._losses[key] = self.measure_gain(model, others)
-        return loss
+        return max(loss, self.measure_limited_rate(model, engine_state.server_id))
 
     def rank_copies(self, engine_state: EngineState) -> list[tuple[float, str, float]]:
         """Return the copies on an engine as (value, model, megabytes), the least valuable first."""
--- a/rhubarbshed/coordination/serving/placement.py
+++ b/rhubarbshed/coordination/serving/placement.py
@@ -51,6 +51,9 @@
 """Seconds that an unload takes for a model without runs, and for one with more requests per second
 than this rate: it waits for its runs, and a stream lasts some seconds."""
 
+LIMIT_LASTS_S = 10.0
+"""Time for which an engine that names a limit is expected to take few of a new copy's requests."""
+
 CEILING_EXTRA_LOADS = 3
 """Loads that the platform's ceiling allows in a window beyond the rate."""
 
@@ -105,7 +108,7 @@
     additions = []
     for name in plan.engine.models:
         copies = len(plan.list_holders(name))
-        value = plan.measure_gain(name, copies)
+        value = max(plan.measure_gain(name, copies), plan.measure_limited_rate(name))
         if value >= RARE_RATE_PER_S:
             additions.append((value, name, "copy" if copies else "missing"))
     for value, name, reason in sorted(additions, reverse=True):
@@ -181,6 +184,8 @@
         sum(plan.measure_loss(engine_state, evicted) for _, evicted in evictions)
         * EVICTED_ABSENCE_S
     )
+    if plan.records[engine_state.server_id].limit_per_s is not None:
+        takes_s += LIMIT_LASTS_S
     waiting = max(value, WAITING_COST_MIN_PER_S) if plan.list_awaited_for_model(name) else value
     return lost + takes_s * (
         waiting + BLOCKED_RATE_FRACTION * plan.measure_blocked_rate(engine_state)
