--- a/test/test_edge_planning.py
+++ b/test/test_edge_planning.py
@@ -210,21 +210,24 @@
     assert [move.server_id for move in moves] == ["e2"]
 
 
+LIMITED_MODELS = ("m1", "m2", "m3", "m4", "m5", "m6")
+
+
 def make_limited_plan(limit_per_s: float, held: dict[str, list[str]]) -> OrderPlan:
     """Return engines of which the first names a limit, and 18 requests a second for one model."""
-    models = {name: ModelSpec(name, 60.0, 4.0, 0.8, 0.5) for name in ("m1", "m2", "m3", "m4")}
+    models = {name: ModelSpec(name, 60.0, 4.0, 0.8, 0.5) for name in LIMITED_MODELS}
     plan = make_small_plan(models, held)
     plan.records["e1"].limit_per_s = limit_per_s
     plan.usage.count(("svc", "m1", ""), Tally(18 * 5, 18 * 500, 18 * 5, 18.0), NOW)
     plan.usage.models["svc", "m1"].fast = 0.0
-    for name in ("m2", "m3", "m4"):
-        plan.usage.count(("svc", name, ""), Tally(5), NOW)
+    for name in LIMITED_MODELS[1:]:
+        plan.usage.count(("svc", name, ""), Tally(10), NOW)
     return plan
 
 
 def test_model_whose_only_engine_names_a_limit_is_loaded_on_another():
     """Its slots were free, so no copy seemed to be needed, and most requests were refused."""
-    held = {"e1": ["m1", "m2", "m3"], "e2": ["m2", "m3", "m4"]}
+    held = {"e1": ["m1", "m5", "m6"], "e2": ["m2", "m3", "m4"]}
     moves = plan_models(make_limited_plan(3.8, held), LoadRateLimiter(9, 5.0, 1))
     assert [(move.server_id, move.reason) for move in moves] == [("e2", "room_for_copy")]
     assert plan_models(make_limited_plan(30.0, held), LoadRateLimiter(9, 5.0, 1)) == []
