Assume several instances until their number is known, for the budget of repeats

An instance that had just started took itself for the only one, and so the whole fixed part of the common budget of repeats, for up to a second or more: after a kill of all, as many budgets as instances. It assumes 16 until an order holder has counted them.

--- a/rhubarbshed/transport/edge/limit_registry.py
+++ b/rhubarbshed/transport/edge/limit_registry.py
@@ -33,6 +33,7 @@
 )
 from rhubarbshed.protocol.messages import LimitNews
 from rhubarbshed.state.membership.fleet import Fleet, ServerRecord
+from rhubarbshed.transport.edge.view import INSTANCES_ASSUMED
 from rhubarbshed.util.logs import log_event
 
 LOG = logging.getLogger(__name__)
@@ -57,9 +58,6 @@
 """Time without any message after which an instance takes itself to be cut off from the others; it
 receives two a second at least, and any of them may be lost."""
 
-INSTANCES_ASSUMED = 16
-"""Number of instances until a list of them has come."""
-
 ASKED_MAX = 2
 """Instances that one request is asked for of; each silent one costs it a timeout."""
 
--- a/rhubarbshed/transport/edge/view.py
+++ b/rhubarbshed/transport/edge/view.py
@@ -16,6 +16,9 @@
 
 LIMITS_DEFAULT = CallerLimits()
 
+INSTANCES_ASSUMED = 16
+"""Number of instances that share a limit until an order holder has counted them."""
+
 ANNOUNCE_S = 2.7
 """Time after a stop was requested in which new requests are still accepted.
 
@@ -100,7 +103,10 @@
             settings=settings,
             drain=Drain(ANNOUNCE_S, drain_s),
             budget=ServiceRetryBudget(
-                settings.retry_ratio, settings.retry_extra, settings.retry_window_s
+                settings.retry_ratio,
+                settings.retry_extra,
+                settings.retry_window_s,
+                INSTANCES_ASSUMED,
             ),
             rng=random.Random(settings.name),
         )
--- a/test/test_edge_choice.py
+++ b/test/test_edge_choice.py
@@ -18,6 +18,8 @@
 from rhubarbshed.protocol.routes import EngineSpec, ModelSpec, Route, RouteKind
 from rhubarbshed.protocol.servers import ServerEntry, ServerState
 from rhubarbshed.state.membership.fleet import Fleet
+from rhubarbshed.transport.edge.view import View
+from test.helper_edge import make_settings
 
 NOW = 1000.0
 
@@ -159,6 +161,13 @@
     assert fleet.get("b1").leaving_at is None
 
 
+def test_instance_that_has_just_started_takes_a_part_of_the_common_budget_of_repeats():
+    """All instances that start together took the whole fixed part each."""
+    settings = make_settings(("127.0.0.1", 1), retry_extra=100.0)
+    budget = View.from_settings(settings).budget
+    assert 1 <= sum(budget.try_spend("svc", NOW) for _ in range(200)) <= 100.0 / 10
+
+
 def test_budget_of_repeats_is_a_part_of_the_common_one():
     budget = ServiceRetryBudget(0.2, 100.0, 10.0, instances=10)
     for number in range(100):
