--- a/test/test_edge_crash_trials.py
+++ b/test/test_edge_crash_trials.py
@@ -8,6 +8,7 @@
 from rhubarbshed.coordination.requests import crash_quarantine, verdicts
 from standin.replica import Exchange
 from test.helper_crashes import CrashScene, run_crash_scene
+from test.helper_cuts import run_cut_scene
 from test.helper_edge import play
 
 NAMES = ("a1", "a2", "a3", "b1", "b2")
@@ -130,3 +131,33 @@
             assert len(scene.crashed) == ended
 
     play(run)
+
+
+def test_request_that_cut_off_instances_forward_is_stopped():
+    """The instance that sends it to a replica counts its end, whoever took it from the caller."""
+
+    async def run():
+        async with run_cut_scene() as cut:
+            scene = cut.crashes
+            await cut.cut("reset", "a1", "a2")
+            await ask_in_turn(scene, 15)
+            assert len(scene.crashed) <= ENDED_MAX
+
+    play(run)
+
+
+def test_instance_that_starts_late_knows_what_is_stopped_before_it_serves():
+    async def run():
+        async with run_crash_scene(8) as scene:
+            await scene.instances.kill("a3")
+            for name in ("a1", "b1", "a2"):
+                await scene.ask(name, body=b"deadly")
+                await asyncio.sleep(GAP_S)
+            before = len(scene.arrived)
+            scene.instances.start("a3", "a")
+            await scene.wait_ready("a3")
+            await asyncio.sleep(GAP_S)
+            assert (await scene.ask("a3", body=b"deadly")).status == 503
+            assert len(scene.arrived) == before
+
+    play(run)
