Release no suspect by a server's error in the own interface

The same fault as on the platform's path: a whole answer of 500 and above counted as a run, and cleared the request of the crash that it was suspected of. A faulty server sends errors without having run the request. Found by reading; the test failed before (the suspect was released).

--- a/rhubarbshed/coordination/requests/coordinator.py
+++ b/rhubarbshed/coordination/requests/coordinator.py
@@ -10,7 +10,11 @@
     Admission,
     describe_unknown_target,
 )
-from rhubarbshed.coordination.requests.attempt_results import record_abandoned, record_end
+from rhubarbshed.coordination.requests.attempt_results import (
+    SERVER_ERROR,
+    record_abandoned,
+    record_end,
+)
 from rhubarbshed.coordination.requests.drain import Drain
 from rhubarbshed.coordination.requests.isolation import IsolatedRunAnswer, IsolatedRunHeld
 from rhubarbshed.coordination.requests.lookup import FindAdapter, FindModel, FindService, Lookup
@@ -216,7 +220,7 @@
         if result.end is AttemptEnd.CRASHED:
             self.report_crash(sent.backend_server, item.boots.get(sent.attempt, ""), now)
         self.suspects.clear_isolation(sent.backend_server, item.request.fingerprint)
-        if result.end is AttemptEnd.DONE:
+        if result.end is AttemptEnd.DONE and result.status < SERVER_ERROR:
             self.suspects.record_complete_answer(item.request.fingerprint, now)
         if result.end in (AttemptEnd.DONE, AttemptEnd.CALLER_GONE):
             self.cancel(result.request_id, now)
--- a/test/test_quarantine.py
+++ b/test/test_quarantine.py
@@ -4,7 +4,7 @@
 import random
 
 import pytest
-from attrs import define, field
+from attrs import define, evolve, field
 
 from rhubarbshed.coordination.requests.coordinator import IsolatedRunNeeded, RequestCoordinator
 from rhubarbshed.coordination.requests.isolation import (
@@ -177,6 +177,17 @@
     )
 
 
+def test_error_of_a_faulty_server_releases_no_suspect():
+    """A faulty server answers without running the request, which crashed the one before."""
+    coordinator = make_coordinator()
+    _, need = crash_first(coordinator)
+    isolated = start_alone(
+        coordinator, need.request_id, IsolatedRunHeld(QuarantineEntry("f0")), 2.1
+    )
+    assert coordinator.end_attempt(evolve(end(isolated, AttemptEnd.DONE), status=500), 3.5) is None
+    assert coordinator.suspects.is_suspect("f0")
+
+
 def test_suspect_without_an_idle_server_is_told_to_come_back_to_one():
     coordinator = make_coordinator()
     first = coordinator.open_request(make_request(0), 0.0)
