--- a/test/helper_limits.py
+++ b/test/helper_limits.py
@@ -41,7 +41,18 @@
         await asyncio.sleep(RUN_S)
         limit = self.limits.get(name)
         lines = (f"Server-Limit: {limit}",) if limit is not None else ()
-        exchange.answer(self.status, b"done", *lines)
+        if exchange.target.startswith("/s/"):
+            await self.break_off(exchange, lines)
+        else:
+            exchange.answer(self.status, b"done", *lines)
+
+    async def break_off(self, exchange: Exchange, lines: Sequence[str]) -> None:
+        """Send one event of a stream, then reset the connection."""
+        exchange.begin_stream(*lines)
+        exchange.send_event(int(exchange.headers.get("last-event-id", 0)) + 1)
+        await exchange.writer.drain()
+        await asyncio.sleep(RUN_S)
+        exchange.reset()
 
     def serve(self, scene: CrashScene) -> None:
         """Answer for all replicas of a scene."""
--- a/test/test_edge_limits.py
+++ b/test/test_edge_limits.py
@@ -58,13 +58,14 @@
     play(run)
 
 
-def test_repeats_count_towards_a_limit():
+@pytest.mark.parametrize("path", ("/t/x", "/s/x"), ids=("repeats", "rests of streams"))
+def test_repeats_count_towards_a_limit(path):
     async def run():
         async with run_crash_scene(4) as scene:
             replicas = LimitedReplicas(dict.fromkeys(scene.replicas, str(LIMIT)), status=500)
             replicas.serve(scene)
             begun_at = time.monotonic()
-            await Load(scene, NAMES, 40.0, "/t/x").run(STABLE_S + WINDOW_S + 1.0)
+            await Load(scene, NAMES, 40.0, path).run(STABLE_S + WINDOW_S + 1.0)
             for name in scene.replicas:
                 assert replicas.count_most(name, begun_at + STABLE_S) <= allow(LIMIT)
 
