--- a/test/test_edge_cut_off.py
+++ b/test/test_edge_cut_off.py
@@ -54,6 +54,27 @@
     play(scene)
 
 
+@pytest.mark.parametrize("how", ("reset", "refuse"))
+def test_instances_that_do_not_know_yet_that_they_are_cut_off_do_not_stand_for_servers_down(how):
+    """They answered as if the servers did not answer, and after two such nobody else was asked."""
+
+    async def know_of_one_in_touch() -> bool:
+        return True
+
+    async def scene():
+        async with run_cut_scene() as cuts:
+            for name in ("a1", "a2", "a3", "b1"):
+                cuts.links[name].cut(how)
+                # So a forwarded request is the first that needs a connection at each.
+                cuts[name].links.ask_others = know_of_one_in_touch
+            for number in range(6):
+                answer = await cuts.ask("a1", "/u/x", b"x%d" % number)
+                assert answer.status == 200
+            assert not cuts["a1"].relay.forwarder.peers.vain_until
+
+    play(scene)
+
+
 @pytest.mark.parametrize("how", HOWS)
 def test_an_instance_uses_its_own_links_again_once_they_are_back(how):
     async def scene():
