--- a/standin/run.py
+++ b/standin/run.py
@@ -44,6 +44,12 @@
 """Beginning of the body of a request that ends the process that runs it, and of the id of a part of
 prompts that does unless it is the last one."""
 
+LIMIT_PER_S = 1.0
+LIMITED_S = (4.0, 9.0)
+UNLIMITED_S = (1.0, 6.0)
+"""Requests a second that a replica in need takes from all instances, and the times for which it
+says so and does not."""
+
 LOAD_S = 0.2
 MODELS_MAX = 3
 ADAPTERS_MAX = 4
@@ -74,6 +80,7 @@
     rng: random.Random
     faulty: bool
     run_count: int = 0
+    limit_per_s: float = 0.0
     tasks: set[asyncio.Task] = field(factory=set)
 
     def on_overfull(self) -> None:
@@ -82,8 +89,26 @@
         os._exit(1)
 
     def stop_faults(self) -> None:
-        """Stop random failures."""
+        """Stop random failures, and name no limit."""
         self.faulty = False
+        self.limit_per_s = 0.0
+
+    async def name_limits(self, rng: random.Random) -> None:
+        """Name a limit for some seconds again and again, as long as there are failures."""
+        while True:
+            await asyncio.sleep(rng.uniform(*UNLIMITED_S))
+            if not self.faulty:
+                return
+            self.limit_per_s = LIMIT_PER_S
+            self.recorder.write("limit", limit=LIMIT_PER_S)
+            await asyncio.sleep(rng.uniform(*LIMITED_S))
+            self.limit_per_s = 0.0
+            self.recorder.write("limit", limit=0.0)
+
+    @property
+    def lines(self) -> tuple[str, ...]:
+        """Return the header lines of an answer."""
+        return (f"Server-Limit: {self.limit_per_s}",) if self.limit_per_s else ()
 
     async def reply(self, exchange: Exchange) -> None:
         """Run one request, or refuse it if its model or adapter is missing."""
@@ -119,14 +144,15 @@
         """Send a complete answer, or fail by the drawn number."""
         await asyncio.sleep(ANSWER_DELAY_S)
         if draw < FAILED_FRACTION:
-            exchange.answer(500, b"failed")
+            exchange.answer(500, b"failed", *self.lines)
         elif draw < FAILED_FRACTION + LOST_FRACTION:
             self.reset_answer(exchange)
         elif draw < FAILED_FRACTION + LOST_FRACTION + TRUNCATED_FRACTION:
             exchange.write(b"HTTP/1.1 200 OK\r\nContent-Length: 500\r\n\r\nhalf")
             self.reset_answer(exchange)
         else:
-            exchange.answer(200, b"done:" + exchange.request_id.encode() + b":" + exchange.body)
+            body = b"done:" + exchange.request_id.encode() + b":" + exchange.body
+            exchange.answer(200, body, *self.lines)
 
     def reset_answer(self, exchange: Exchange) -> None:
         """Reset an answer's connection and record that this server did so."""
@@ -223,6 +249,7 @@
     told_port: int = typer.Option(0, help="Port in the store entry, on which a relay listens."),
     models: str = typer.Option("", help="Models that an engine holds at start, comma-separated."),
     trouble: int = typer.Option(0, help="Seed of random failures; 0 for none."),
+    limits: bool = typer.Option(False, help="Name a limit now and then."),
     version: str = typer.Option("v1", help="Version of the software in the store entry."),
 ) -> None:
     """Serve requests and orders until the process is terminated.
@@ -248,17 +275,24 @@
         answer_order=handler.answer_order,
         address=("127.0.0.1", port),
     )
-    asyncio.run(serve_replica(engine, handler, store_port, told_port or port))
+    rng = random.Random(f"{trouble}{server_id} limits") if limits else None
+    asyncio.run(serve_replica(engine, handler, store_port, told_port or port, rng))
 
 
 async def serve_replica(
-    engine: Replica, handler: FaultyHandler, store_port: int, announced_port: int
+    engine: Replica,
+    handler: FaultyHandler,
+    store_port: int,
+    announced_port: int,
+    limits: random.Random | None = None,
 ) -> None:
     """Serve until cancelled, with heartbeats that announce `announced_port`."""
     await engine.start()
     asyncio.get_running_loop().add_signal_handler(signal.SIGUSR1, handler.stop_faults)
     asyncio.get_running_loop().add_signal_handler(signal.SIGUSR2, engine.drain)
     handler.recorder.write("start")
+    if limits is not None:
+        handler.tasks.add(asyncio.create_task(handler.name_limits(limits)))
     while True:
         entry = engine.describe(Address=f"127.0.0.1:{announced_port}")
         await call_store(store_port, "beat", entry, Key=engine.server_id)
--- a/test/soak/checks.py
+++ b/test/soak/checks.py
@@ -3,7 +3,7 @@
 import collections
 from collections.abc import Callable
 
-from standin.run import DEADLY_PART, EVENTS_PER_STREAM
+from standin.run import DEADLY_PART, EVENTS_PER_STREAM, LIMIT_PER_S
 from test.soak.history import Asked, History
 
 LEASE_S = 3.0
@@ -20,6 +20,9 @@
 DEADLY_ENDS = 3
 DEADLY_PART_ENDS = 5
 DEADLY_SENDS = 3
+LIMIT_WINDOW_S = 4.0
+LIMIT_OVERAGE = 1.5
+LIMIT_EXTRA = 5
 """Bounds from the platform's pages, and the tolerance for delays of a busy machine in times that
 the soak measures. New requests are accepted for `ANNOUNCE_S` after SIGTERM; one that crosses the
 end of its connection was sent within `CROSSING_MAX_S`; a server that is at work `LATE_WORK_S` after
@@ -304,8 +307,52 @@
     ]
 
 
+def check_limits(history: History) -> list[str]:
+    """Check that all instances together keep to a limit that a server names.
+
+    Counted from the bound for it, without the requests of disturbed instances.
+    """
+    instances = {each.request_id: each.instance for each in history.asked}
+    broken = []
+    for server, since, until in _list_limited(history):
+        runs = [
+            each.at
+            for each in history.seen
+            if each.what == "run" and each.server == server
+            if since + FAULT_FREE_S <= each.at <= until
+            if not _is_excused(history, instances.get(each.request_id, ""), each.at)
+        ]
+        most = max(
+            (sum(at <= each < at + LIMIT_WINDOW_S for each in runs) for at in runs), default=0
+        )
+        if most > LIMIT_OVERAGE * LIMIT_WINDOW_S * LIMIT_PER_S + LIMIT_EXTRA:
+            broken.append(f"{server} ran {most} requests in {LIMIT_WINDOW_S:.0f} s")
+    return broken
+
+
+def _is_excused(history: History, instance: str, at: float) -> bool:
+    since = at - FAULT_FREE_S
+    return history.was_disturbed(instance, since, at, with_store=False) or history.was_stopped(
+        instance, since, at
+    )
+
+
+def _list_limited(history: History) -> list[tuple[str, float, float]]:
+    """List servers with the times from and until which they name a limit."""
+    since: dict[tuple[str, int], float] = {}
+    spans = []
+    for each in history.seen:
+        key = (each.server, each.born)
+        if each.what == "limit" and each.limit:
+            since[key] = each.at
+        elif each.what in ("limit", "crash") and key in since:
+            spans.append((each.server, since.pop(key), each.at))
+    return spans
+
+
 CHECKS: dict[str, Check] = {
     "deadly": check_deadly,
+    "limits": check_limits,
     "once": check_once,
     "not_run": check_not_run,
     "answers": check_answers,
--- a/test/soak/history.py
+++ b/test/soak/history.py
@@ -84,6 +84,7 @@
     cut: bool = False
     holder: str = ""
     token: int = 0
+    limit: float = 0.0
 
 
 @frozen
--- a/test/soak/mutations.py
+++ b/test/soak/mutations.py
@@ -103,6 +103,12 @@
         "        if not new:\n",
         "        if new is not None:\n",
     ),
+    (
+        "limits",
+        f"{EDGE}/relay.py",
+        "if record.limit_per_s is None:\n            return True",
+        "if record:\n            return True",
+    ),
     ("own_ends", f"{EDGE}/node.py", "ticks += 1\n", "ticks += 1\n            assert ticks < 60\n"),
     (
         "recovery",
--- a/test/soak/scene.py
+++ b/test/soak/scene.py
@@ -187,6 +187,8 @@
         ]
         models = FIRST_MODELS.get(name, "")
         options = ["--told-port", str(relay_port), "--models", models, "--trouble", str(self.seed)]
+        if service != "svc":
+            options.append("--limits")
         if version:
             options += ["--version", version]
             self.history.engines.append(Serving(name, version, time.monotonic() + REPORT_S))
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -96,6 +96,13 @@
             *(Seen(5.0 + each, "run", "p1", 1, f"d-{each}", "/p/d") for each in range(12)),
         ],
     ),
+    "limits": make_history(
+        seen=[
+            Seen(1.0, "limit", "p1", 1, limit=1.0),
+            *(Seen(5.0 + each / 10, "run", "p1", 1, f"c1-{each}", "/p/x") for each in range(12)),
+            Seen(9.0, "limit", "p1", 1),
+        ],
+    ),
     "own_ends": make_history(own_ends=["i1 ended with 1"]),
     "recovery": make_history(calm_from=9.0),
 }
