Send small changes of a limit to nobody

A server whose limit wavers from answer to answer would have had each instance write to all others once a second: n times n messages. Found by reading, not seen. A limit within a fifth of the one known is kept and used, but neither sent nor logged; each question states it anyway. Unreadable limits are logged once a second at most.

--- a/rhubarbshed/coordination/serving/server_limits.py
+++ b/rhubarbshed/coordination/serving/server_limits.py
@@ -27,8 +27,12 @@
 """Time by which requests may be ahead of an even rate, by one at least: they come unevenly."""
 
 SUBSTITUTE_FRACTION = 0.25
-"""Part of a limit that an instance hands out in place of another one that it finds running, and
-which may be handing out the rest to those that reach it."""
+"""Part of a limit that an instance hands out in place of another one that may be handing out all of
+it, to those that reach it."""
+
+ADJUSTED_RATIO_MIN = 0.8
+"""Least ratio of two limits, the lower to the higher, that are no change worth a message to all
+others: each question states the limit that its instance knows."""
 
 OWN_SHARE_FRACTION = 0.5
 """Part of its equal share of a limit that an instance uses while it can ask no other."""
@@ -42,6 +46,7 @@
 
     NONE = "none"
     NAMED = "named"
+    ADJUSTED = "adjusted"
     ENDED = "ended"
     UNREADABLE = "unreadable"
 
@@ -78,6 +83,8 @@
     if limit_per_s is None:
         record.limited_until = record.limit_retry_at = -math.inf
         return LimitChange.ENDED
+    if known is not None and min(limit_per_s, known) / max(limit_per_s, known) > ADJUSTED_RATIO_MIN:
+        return LimitChange.ADJUSTED
     return LimitChange.NAMED
 
 
--- a/rhubarbshed/transport/edge/limit_registry.py
+++ b/rhubarbshed/transport/edge/limit_registry.py
@@ -74,7 +74,11 @@
 """Most servers whose requests are handed out here."""
 
 NEWS_INTERVAL_S = 1.0
-"""Shortest time between two messages of this instance on one server's limit."""
+"""Shortest time between two messages, and two lines of the log, of this instance on one server's
+limit."""
+
+SILENT_CHANGES = (LimitChange.NONE, LimitChange.ADJUSTED)
+"""Changes of a limit that are neither logged nor passed on."""
 
 NUMBER_START_MAX = 2**48
 """Bound of the first question's number, drawn at random: a restarted instance uses new ones."""
@@ -159,14 +163,14 @@
         """Record what the head of an answer says of its server's limit, and pass a change on."""
         now = time.monotonic()
         change = apply_head(record, head, sent_at, now)
-        if change is LimitChange.NONE:
+        if change in SILENT_CHANGES:
             return
-        log_limit(record, change, "answer")
-        if change is LimitChange.UNREADABLE:
+        if now - self._news_at.get(record.key, -NEWS_INTERVAL_S) < NEWS_INTERVAL_S:
             return
-        if now - self._news_at.get(record.key, -NEWS_INTERVAL_S) >= NEWS_INTERVAL_S:
-            self._news_at[record.key] = now
-            self._forget_news(now)
+        self._news_at[record.key] = now
+        self._forget_news(now)
+        log_limit(record, change, "answer")
+        if change is not LimitChange.UNREADABLE:
             others = [each for group in self.instances.values() for each in group]
             others.remove(self.address)
             self.send(LimitMessage(*record.key, record.limit_per_s), *others)
@@ -315,7 +319,7 @@
         if record is None or record.key != (message.server_id, message.started_ms):
             return None
         change = apply_reported_limit(record, limit_per_s, named_at)
-        if change is not LimitChange.NONE:
+        if change not in SILENT_CHANGES:
             log_limit(record, change, "instance")
         return record
 
--- a/test/test_server_limits.py
+++ b/test/test_server_limits.py
@@ -30,7 +30,8 @@
 )
 from rhubarbshed.protocol.messages import FORMAT, pack_message, unpack_message
 from rhubarbshed.protocol.servers import ServerEntry, ServerState
-from rhubarbshed.state.membership.fleet import ServerRecord
+from rhubarbshed.state.membership.fleet import Fleet, ServerRecord
+from rhubarbshed.transport.edge.limit_registry import LimitRegistry
 
 NAMED = ResponseHead(200, (), names_limit=True, limit_per_s=4.0)
 UNNAMED = ResponseHead(200, ())
@@ -71,6 +72,9 @@
     record = make_record()
     assert apply_head(record, NAMED, 0.5, 1.0) is LimitChange.NAMED
     assert apply_head(record, NAMED, 1.1, 1.2) is LimitChange.NONE
+    for limit_per_s, change in ((4.4, "adjusted"), (2.0, "named"), (4.0, "named")):
+        head = evolve(NAMED, limit_per_s=limit_per_s)
+        assert apply_head(record, head, 1.1, 1.2).value == change
     unreadable = evolve(NAMED, limit_per_s=None)
     assert apply_head(record, unreadable, 1.3, 1.4) is LimitChange.UNREADABLE
     # Sent before it was named last, and not run at all.
@@ -159,3 +163,20 @@
 )
 def test_malformed_message_is_unreadable(fields):
     assert isinstance(unpack_message(msgpack.packb((FORMAT, *fields))), Failure)
+
+
+def test_limit_that_wavers_is_not_sent_to_all_others_each_time():
+    sent = []
+    registry = LimitRegistry(
+        Fleet(), "a", ("10.0.0.1", 1), lambda message, *to: sent.append(message), random.Random(1)
+    )
+    registry.learn_instances({"a": [("10.0.0.2", 1)]}, True)
+    record = make_record()
+    for number in range(50):
+        head = evolve(NAMED, limit_per_s=4.0 + 0.01 * number)
+        registry.record_head(record, head, 0.0)
+    assert sent == [LimitMessage("s", 1, 4.0)] and record.limit_per_s == 4.49
+    # One that changes much is not sent more than once a second either.
+    for limit_per_s in (1.0, 9.0, 2.0):
+        registry.record_head(record, evolve(NAMED, limit_per_s=limit_per_s), 0.0)
+    assert len(sent) == 1
