Ask silent instances again by those that took their place

Servers with a limit of 8 a second got 67 and 68 requests in 4 s (53 allowed) after the instances that hand out their requests had been cut off from the others for 9 s: their pauses, up to 8 s, end at a different moment at each instance, so some asked them and others still their substitutes, and both handed out the whole limit. A substitute now asks the instance before it twice a second and hands back as soon as that replies; whatever an instance sends ends its pause.

--- a/rhubarbshed/coordination/serving/server_limits.py
+++ b/rhubarbshed/coordination/serving/server_limits.py
@@ -12,6 +12,7 @@
 from attrs import define, frozen
 
 from rhubarbshed.protocol.exchanges import ResponseHead
+from rhubarbshed.protocol.limit_messages import LimitReply
 from rhubarbshed.state.membership.fleet import ServerRecord
 from rhubarbshed.util.rendezvous import rank_by_rendezvous
 
@@ -37,6 +38,8 @@
 OWN_SHARE_FRACTION = 0.5
 """Part of its equal share of a limit that an instance uses while it can ask no other."""
 
+MS_PER_S = 1000.0
+
 RETRY_MAX_S = 10.0
 """Longest time after which a refused caller is asked to come back."""
 
@@ -153,3 +156,16 @@
         for host, port in group
     }
     return [group[name] for group in (near, far) for name in rank_by_rendezvous(server_id, group)]
+
+
+def make_reply(number: int, grant: Grant) -> LimitReply:
+    """Return a grant as it is sent."""
+    send_in_ms = None if grant.send_in_s is None else round(grant.send_in_s * MS_PER_S)
+    times = (round(each * MS_PER_S) for each in (grant.free_in_s, grant.retry_in_s))
+    return LimitReply(number, send_in_ms, *times)
+
+
+def read_grant(reply: LimitReply) -> Grant:
+    """Return the grant of a reply."""
+    send_in_s = None if reply.send_in_ms is None else reply.send_in_ms / MS_PER_S
+    return Grant(send_in_s, reply.free_in_ms / MS_PER_S, reply.retry_in_ms / MS_PER_S)
--- a/rhubarbshed/transport/edge/limit_registry.py
+++ b/rhubarbshed/transport/edge/limit_registry.py
@@ -15,6 +15,7 @@
 from attrs import define, field
 
 from rhubarbshed.coordination.serving.server_limits import (
+    MS_PER_S,
     OWN_SHARE_FRACTION,
     SUBSTITUTE_FRACTION,
     Grant,
@@ -22,8 +23,10 @@
     LimitChange,
     apply_head,
     apply_reported_limit,
+    make_reply,
     measure_burst,
     rank_allocators,
+    read_grant,
 )
 from rhubarbshed.protocol.exchanges import ResponseHead
 from rhubarbshed.protocol.limit_messages import (
@@ -54,6 +57,9 @@
 """Questions in a row without a reply after which another instance takes an instance's place: all
 messages of one may be lost."""
 
+PROBE_INTERVAL_S = 0.5
+"""Time between two questions to an instance whose place this one takes."""
+
 ISOLATED_S = 1.0
 """Time without any message after which an instance takes itself to be cut off from the others; it
 receives two a second at least, and any of them may be lost."""
@@ -83,8 +89,6 @@
 NUMBER_START_MAX = 2**48
 """Bound of the first question's number, drawn at random: a restarted instance uses new ones."""
 
-MS_PER_S = 1000.0
-
 Address = tuple[str, int]
 Incarnation = tuple[str, int]
 
@@ -125,6 +129,7 @@
     is_listed: bool = False
     _ranked: dict[str, list[Address]] = field(factory=dict)
     _waiting: dict[int, asyncio.Future] = field(factory=dict)
+    _probed_at: dict[Address, float] = field(factory=dict)
     _answered: OrderedDict[tuple[Address, int], LimitReply | None] = field(factory=OrderedDict)
     _news_at: dict[Incarnation, float] = field(factory=dict)
     _tasks: set[asyncio.Task] = field(factory=set)
@@ -155,7 +160,7 @@
         self.instances[self.data_centre] = (*own, self.address)
         self._ranked.clear()
         known = {address for group in self.instances.values() for address in group}
-        for kept in (self.paused_until, self.silent):
+        for kept in (self.paused_until, self.silent, self._probed_at):
             for address in [each for each in kept if each not in known]:
                 del kept[address]
 
@@ -248,7 +253,6 @@
                 self.send(question, address)
                 await asyncio.wait((waiting,), timeout=REPEAT_S)
                 if waiting.done():
-                    self.silent.pop(address, None)
                     return waiting.result()
         finally:
             del self._waiting[question.number]
@@ -289,6 +293,7 @@
         rate_per_s = record.limit_per_s
         if self._may_be_handing_out(record):
             rate_per_s *= SUBSTITUTE_FRACTION
+        self._probe_silent(record, now)
         # Another instance may have handed out requests until now.
         first_at = now + measure_burst(rate_per_s) + 1.0 / rate_per_s
         bucket = self.buckets.setdefault(record.key, LimitBucket(first_at))
@@ -297,6 +302,26 @@
             self.buckets.popitem(last=False)
         return bucket.take(rate_per_s, wait_max_s, now)
 
+    def _probe_silent(self, record: ServerRecord, now: float) -> None:
+        """Ask the instances whose place this one takes again, as they may be back.
+
+        Those that ask them at once would get requests from two instances otherwise.
+        """
+        ranked = self._rank(record)
+        for address in ranked[: ranked.index(self.address)][:ASKED_MAX]:
+            if now - self._probed_at.get(address, -PROBE_INTERVAL_S) < PROBE_INTERVAL_S:
+                continue
+            self._probed_at[address] = now
+            self._spawn(self._probe(address, record))
+
+    async def _probe(self, address: Address, record: ServerRecord) -> None:
+        await self._ask(address, record, 0.0, SENDS_MAX)
+
+    def _record_alive(self, address: Address) -> None:
+        """Record that an instance has sent something, so it may be asked again."""
+        self.silent.pop(address, None)
+        self.paused_until.pop(address, None)
+
     def _may_be_handing_out(self, record: ServerRecord) -> bool:
         """Return whether an instance whose place this one takes may be running."""
         ranked = self._rank(record)
@@ -305,6 +330,7 @@
 
     def handle_message(self, message: LimitNews, address: Address, now: float) -> None:
         """Apply what another instance sent, or reply to its question."""
+        self._record_alive(address)
         if isinstance(message, LimitMessage):
             self._apply_reported(message, message.limit_per_s, now)
         elif isinstance(message, LimitQuestion):
@@ -363,19 +389,6 @@
         task.add_done_callback(self._tasks.discard)
 
 
-def make_reply(number: int, grant: Grant) -> LimitReply:
-    """Return a grant as it is sent."""
-    send_in_ms = None if grant.send_in_s is None else round(grant.send_in_s * MS_PER_S)
-    times = (round(each * MS_PER_S) for each in (grant.free_in_s, grant.retry_in_s))
-    return LimitReply(number, send_in_ms, *times)
-
-
-def read_grant(reply: LimitReply) -> Grant:
-    """Return the grant of a reply."""
-    send_in_s = None if reply.send_in_ms is None else reply.send_in_ms / MS_PER_S
-    return Grant(send_in_s, reply.free_in_ms / MS_PER_S, reply.retry_in_ms / MS_PER_S)
-
-
 def log_limit(record: ServerRecord, change: LimitChange, source: str) -> None:
     """Log a change of a server's limit, and whether an answer or another instance named it."""
     log_event(
--- a/test/test_edge_limits.py
+++ b/test/test_edge_limits.py
@@ -212,3 +212,31 @@
             datagrams.handle = lambda *_: None
 
     play(lambda: run_beside(fall_silent))
+
+
+CUT_S = 9.0
+"""Time after which the pauses of a silent instance differ by seconds among the others."""
+
+
+def test_limit_holds_when_instances_that_hand_out_requests_are_back():
+    """Some instances asked them at once, others still who had taken their place."""
+
+    async def run():
+        async with run_crash_scene(4) as scene:
+            replicas = LimitedReplicas(dict.fromkeys(scene.replicas, "8"))
+            replicas.serve(scene)
+            running = asyncio.create_task(Load(scene, NAMES, 130.0).run(CUT_S + 2 * WINDOW_S))
+            await asyncio.sleep(1.0)
+            cut = [scene.instances[name].holder_protocol.datagrams for name in ("a1", "b1")]
+            before = [(each.handle, each._transport) for each in cut]
+            for each in cut:
+                each.handle, each._transport = lambda *_: None, None
+            await asyncio.sleep(CUT_S)
+            healed_at = time.monotonic()
+            for each, (handle, transport) in zip(cut, before, strict=True):
+                each.handle, each._transport = handle, transport
+            await running
+            for name in scene.replicas:
+                assert replicas.count_most(name, healed_at - CUT_S + STABLE_S) <= allow(8.0)
+
+    play(run)
