Let no order holder vouch for a store that it does not reach

Cause: an order holder that is cut off from the store finds out by queries that wait for seconds, and went on to announce four times a second that nothing had changed; its instances rely on that and do not ask the store. Now a holder is silent once a renewal of its lease is overdue (0.9 s), and instances ask the store after 0.75 s without a message, checked every 0.15 s.

--- a/rhubarbshed/coordination/serving/lease_state.py
+++ b/rhubarbshed/coordination/serving/lease_state.py
@@ -44,6 +44,11 @@
 """Fraction of a lease without a message from the holder after which its row is read."""
 
 
+CONFIRMED_FRACTION = 0.3
+"""Fraction of a lease after its last answered renewal from which a holder may miss changes of the
+store: a renewal is overdue."""
+
+
 class Step(enum.Enum):
     """Next action of an instance on the lease."""
 
@@ -97,6 +102,10 @@
         """Return whether this instance may give orders."""
         return self.held and self.may_order_from <= now < self.may_order_until
 
+    def is_confirmed(self, now: float) -> bool:
+        """Return whether this holder reached the store lately."""
+        return self.held and now - self.renewed_at < self.lease_s * CONFIRMED_FRACTION
+
     def choose_step(self, now: float, cut_s: float = 0.0) -> Step:
         """Choose the next action on the lease of an instance that is cut off since `cut_s`."""
         self.acquired_in_cut = self.acquired_in_cut and cut_s > 0.0
--- a/rhubarbshed/transport/edge/follower.py
+++ b/rhubarbshed/transport/edge/follower.py
@@ -48,9 +48,12 @@
 """Part of the drain time that remains when a server without an entry is dropped: changes are
 collected for half a second before they are read, and a request may be on its way."""
 
-STORE_MESSAGE_AGE_MAX_S = 1.0
+STORE_MESSAGE_AGE_MAX_S = 0.75
 """Age of the order holder's last store message up to which an instance does not query servers
-itself."""
+itself: three messages in a row are lost."""
+
+STORE_MESSAGE_TURN_S = 0.15
+"""Time between two checks of that age."""
 
 OPERATOR_BACKUP_WAIT_S = 25.0
 """Time for which the store may hold a query for a configuration while the order holder's messages
@@ -133,7 +136,7 @@
             and self.has_recent_message(time.monotonic())
             and not self.is_behind
         ):
-            await self.fell_behind.wait(STORE_MESSAGE_AGE_MAX_S)
+            await self.fell_behind.wait(STORE_MESSAGE_TURN_S)
         self.is_behind = False
 
     def _choose_wait(self, table: str) -> float:
--- a/rhubarbshed/transport/edge/holder_protocol.py
+++ b/rhubarbshed/transport/edge/holder_protocol.py
@@ -233,7 +233,7 @@
             del self.instances[address]
         self.lease.check_holders(self.holders, now)
         revision = self.follower.servers_revision or 0
-        if self.follower.lost_at is None:
+        if self.follower.lost_at is None and self.lease.lease_state.is_confirmed(now):
             self.send_store_messages(now, revision, revision)
 
     def publish(self, before: int, revision: int, rows: tuple[Row, ...]) -> None:
