Use a limit that rises at once

After a limit of 0.1 a second the next request was due up to 20 s later, and instances paused until then, also once the server named 4 a second: its limit was idle while callers were refused. A rise ends the pauses, and a bucket is never further ahead than its present rate and the longest wait explain. Found by reading; the test failed before (no request within 4 s).

--- a/rhubarbshed/coordination/serving/server_limits.py
+++ b/rhubarbshed/coordination/serving/server_limits.py
@@ -11,6 +11,7 @@
 
 from attrs import define, frozen
 
+from rhubarbshed.coordination.serving.queueing import WAIT_MAX_S
 from rhubarbshed.protocol.exchanges import ResponseHead
 from rhubarbshed.protocol.limit_messages import LimitReply
 from rhubarbshed.state.membership.fleet import ServerRecord
@@ -83,8 +84,9 @@
         record.limit_named_at = named_at
     if limit_per_s == known:
         return LimitChange.NONE
-    if limit_per_s is None:
+    if limit_per_s is None or (known is not None and limit_per_s > known):
         record.limited_until = record.limit_retry_at = -math.inf
+    if limit_per_s is None:
         return LimitChange.ENDED
     if known is not None and min(limit_per_s, known) / max(limit_per_s, known) > ADJUSTED_RATIO_MIN:
         return LimitChange.ADJUSTED
@@ -125,8 +127,11 @@
     def take(self, rate_per_s: float, wait_max_s: float, now: float) -> Grant:
         """Grant a request now or within `wait_max_s`, or refuse it."""
         interval_s = 1.0 / rate_per_s
+        burst_s = measure_burst(rate_per_s)
+        # A limit may have been far lower when the last request was granted.
+        self.due_at = min(self.due_at, now + burst_s + interval_s + WAIT_MAX_S)
         due_at = max(self.due_at, now)
-        wait_s = max(0.0, due_at - measure_burst(rate_per_s) - now)
+        wait_s = max(0.0, due_at - burst_s - now)
         if wait_s <= wait_max_s:
             self.due_at = due_at + interval_s
             return Grant(wait_s)
--- a/test/test_server_limits.py
+++ b/test/test_server_limits.py
@@ -111,6 +111,19 @@
     assert len(sent) >= 0.9 * 40.0 * rate
 
 
+def test_limit_that_rises_is_used_within_two_seconds():
+    bucket, record = LimitBucket(0.0), make_record()
+    for _ in range(3):
+        bucket.take(0.1, 0.0, 0.0)
+    grants = [bucket.take(4.0, 0.0, 0.1 * number) for number in range(40)]
+    first = next(number for number, each in enumerate(grants) if each.send_in_s is not None)
+    assert 0.1 * first <= 2.0
+    apply_head(record, evolve(NAMED, limit_per_s=0.1), 0.5, 1.0)
+    record.limited_until = 10.0
+    apply_head(record, NAMED, 1.5, 2.0)
+    assert not is_full(record, 1, 2.0)
+
+
 def test_refused_callers_are_asked_back_one_after_the_other():
     bucket = LimitBucket(0.0)
     for _ in range(2):
