Record when a server of the soak stops naming its limit

By the records the limit lasted until 3482.9; by the instances' log the server named none from 3479.3 on, when the soak ends all faults by a signal: the stand-in then stopped naming the limit without recording it, and only some seconds later recorded its end. The check counted what came in between. The record is now written at each change, and a truncated answer names the limit as whole ones do. The check and its bound stay as they were.

--- a/standin/run.py
+++ b/standin/run.py
@@ -91,7 +91,7 @@
     def stop_faults(self) -> None:
         """Stop random failures, and name no limit."""
         self.faulty = False
-        self.limit_per_s = 0.0
+        self.set_limit(0.0)
 
     async def name_limits(self, rng: random.Random) -> None:
         """Name a limit for some seconds again and again, as long as there are failures."""
@@ -99,11 +99,14 @@
             await asyncio.sleep(rng.uniform(*UNLIMITED_S))
             if not self.faulty:
                 return
-            self.limit_per_s = LIMIT_PER_S
-            self.recorder.write("limit", limit=LIMIT_PER_S)
+            self.set_limit(LIMIT_PER_S)
             await asyncio.sleep(rng.uniform(*LIMITED_S))
-            self.limit_per_s = 0.0
-            self.recorder.write("limit", limit=0.0)
+            self.set_limit(0.0)
+
+    def set_limit(self, limit_per_s: float) -> None:
+        """Name a limit from now on, or none, and record that."""
+        self.limit_per_s = limit_per_s
+        self.recorder.write("limit", limit=limit_per_s)
 
     @property
     def lines(self) -> tuple[str, ...]:
@@ -148,7 +151,8 @@
         elif draw < FAILED_FRACTION + LOST_FRACTION:
             self.reset_answer(exchange)
         elif draw < FAILED_FRACTION + LOST_FRACTION + TRUNCATED_FRACTION:
-            exchange.write(b"HTTP/1.1 200 OK\r\nContent-Length: 500\r\n\r\nhalf")
+            head = ("HTTP/1.1 200 OK", "Content-Length: 500", *self.lines)
+            exchange.write("\r\n".join(head).encode() + b"\r\n\r\nhalf")
             self.reset_answer(exchange)
         else:
             body = b"done:" + exchange.request_id.encode() + b":" + exchange.body
