--- a/rhubarbshed/transport/edge/crash_registry.py
+++ b/rhubarbshed/transport/edge/crash_registry.py
@@ -98,7 +98,7 @@
     """Requests at ended servers as this instance sees them, and what it tells and is told.
 
     `on_verdict` is called with the key of each new verdict. `measure_silence` returns the seconds
-    since another instance sent anything.
+    since another instance sent anything. `is_store_read` is whether the stored verdicts are known.
     """
 
     send: Callable[..., None]
@@ -107,6 +107,7 @@
     on_verdict: Callable[[str], None] = lambda key: None
     verdict_store: VerdictStore | None = None
     measure_silence: Callable[[float], float] = lambda now: 0.0
+    is_store_read: bool = False
     quarantine: CrashQuarantine = field(factory=CrashQuarantine)
     counts: CrashCounts = field(factory=CrashCounts)
     others: tuple[Address, ...] = ()
@@ -116,7 +117,6 @@
     _begun_parts: dict[str, None] = field(factory=dict)
     _flush: asyncio.TimerHandle | None = None
     _flush_at: float = 0.0
-    _is_store_read: bool = False
     _tasks: set[asyncio.Task] = field(factory=set)
 
     def __attrs_post_init__(self) -> None:
@@ -214,12 +214,13 @@
 
     async def maintain(self) -> None:
         """Ask other instances, read the store where it is due, and drop what is old, forever."""
-        await self._read_stored()
+        if not self.is_store_read:
+            await self._read_stored()
         while True:
             await asyncio.sleep(QUESTION_INTERVAL_S * self.rng.uniform(0.8, 1.2))
             now = time.monotonic()
             self.quarantine.forget_old(now)
-            if not self._is_store_read or (self.others and self.measure_silence(now) > SILENCE_S):
+            if not self.is_store_read or (self.others and self.measure_silence(now) > SILENCE_S):
                 await self._read_stored()
             self._digest = None
             if self.others:
@@ -232,7 +233,7 @@
         stored = await self.verdict_store.list_ends()
         if stored is None:
             return
-        self._is_store_read = True
+        self.is_store_read = True
         now = time.monotonic()
         for message, age_s in stored:
             self.quarantine.record(read_sightings(message, now - age_s), now)
