Answer no forwarded request as not run that a server may have run

A caller got 503 without a retry time for a stream that its only server had taken and then fallen silent on: 503 says that a request did not run. Cause: an instance that another one forwards to answers that the servers do not answer it, also after it has sent the request; the other one took that for a refusal. Once a server got the request, the instance now goes on as for its own callers. Evidence: the test failed before (503 for a request that ran once) and passes now.

--- a/rhubarbshed/transport/edge/relay.py
+++ b/rhubarbshed/transport/edge/relay.py
@@ -301,6 +301,8 @@
 
         If they do not answer the other instance either, it declines, and one of them is tried here.
         """
+        if self.forwarded_by and self.delivered:
+            return NOT_TAKEN
         if self.forwarded_by and await self.relay.links.settle():
             return Forwarded(True, make_refusal("no_servers", self.relay.view.rng))
         if self.forwarded_by:
--- a/test/test_edge_cut_off.py
+++ b/test/test_edge_cut_off.py
@@ -311,3 +311,22 @@
             assert declined <= UNREACHED_MAX * pauses
 
     play(scene)
+
+
+def test_forwarded_request_that_may_have_run_is_not_answered_as_not_run():
+    """Its only server fell silent, and the other instance answered as if it had never sent it."""
+
+    async def scene():
+        async with run_cut_scene(replicas=1) as cuts:
+            [replica] = cuts.crashes.replicas.values()
+
+            async def keep_silent(exchange):
+                await asyncio.sleep(60.0 if exchange.body == b"silent" else 0.0)
+                exchange.answer(200, b"done:" + exchange.body)
+
+            replica.reply = keep_silent
+            await cuts.cut("reset", "a1")
+            answer = await cuts.ask("a1", "/t/x", b"silent")
+            assert cuts.count_runs(b"silent") and answer.status in (502, 504)
+
+    play(scene)
