Probe more servers before refused connections count as a cut

Callers saw: a request that crashes servers, sent to all instances at once, went on ending servers; 25 sends where 3 are allowed.

Cause: an instance that is refused a connection probes four servers. The copies had ended five of eight at once, and where all four were among these, another instance reached one, so this one took itself for cut off, counted no ends and reported none.

Fix: refused connections alone do not tell ended servers from a cut, so such a round goes on to up to 32 servers. Only if none of them is reached are others asked. Probes that hang are no sign of an end and stay at four, so a cut that hangs is noticed as fast as before.

Open: where nearly all, but not all, links are refused, the few that work keep the instance from counting as cut off; its requests are forwarded one by one.

--- a/rhubarbshed/coordination/serving/reachability.py
+++ b/rhubarbshed/coordination/serving/reachability.py
@@ -7,12 +7,16 @@
 
 import random
 
-from attrs import define
+from attrs import define, frozen
 
 from rhubarbshed.state.membership.fleet import Fleet, ServerRecord
 
 PROBED_SERVERS = 4
-"""Servers that are probed together; that all of them have ended is rare."""
+"""Servers that are probed first in a round."""
+
+PROBED_SERVERS_MAX = 32
+"""Most servers of a round in which connections were refused: as a cut does it, and servers that
+have ended, of which there may be many at once."""
 
 PROBE_INTERVAL_S = 0.3
 """Time between two rounds of probes of an instance that is cut off, and the age up to which a
@@ -27,6 +31,15 @@
 back in parts, and meanwhile other instances serve better."""
 
 
+@frozen
+class ProbeResult:
+    """Numbers of servers that a round of probes tried, reached, and was refused a connection by."""
+
+    probed: int = 0
+    reached: int = 0
+    refused: int = 0
+
+
 @define
 class Reachability:
     """What rounds of probes showed; `cut_since` is monotonic seconds, None while in touch.
@@ -75,8 +88,16 @@
 
 
 def choose_probed(fleet: Fleet, rng: random.Random) -> list[ServerRecord]:
-    """Choose the servers of the next round of probes, at random among those that stay."""
+    """Choose the servers of the next round of probes, at random among those that stay.
+
+    All but the first `PROBED_SERVERS` are for a round that `is_ambiguous`.
+    """
     records = list(fleet.servers.values())
     staying = [each for each in records if each.leaving_at is None and each.missing_since is None]
     candidates = staying or records
-    return rng.sample(candidates, min(PROBED_SERVERS, len(candidates)))
+    return rng.sample(candidates, min(PROBED_SERVERS_MAX, len(candidates)))
+
+
+def is_ambiguous(result: ProbeResult) -> bool:
+    """Return whether probes met servers that have ended, for all that they show, and no others."""
+    return not result.reached and result.refused > 0
--- a/rhubarbshed/transport/edge/link_monitor.py
+++ b/rhubarbshed/transport/edge/link_monitor.py
@@ -1,6 +1,7 @@
 """Probes that tell a cut of this instance's links from servers that are down."""
 
 import asyncio
+import enum
 import logging
 import math
 import time
@@ -10,11 +11,14 @@
 
 from rhubarbshed.coordination.serving.reachability import (
     PROBE_INTERVAL_S,
+    PROBED_SERVERS,
+    ProbeResult,
     Reachability,
     choose_probed,
+    is_ambiguous,
 )
 from rhubarbshed.state.membership.fleet import ServerRecord
-from rhubarbshed.transport.edge.channels import ChannelError
+from rhubarbshed.transport.edge.channels import ChannelError, NotListeningError
 from rhubarbshed.transport.edge.pools import Pool
 from rhubarbshed.transport.edge.view import View
 from rhubarbshed.util.logs import log_event
@@ -27,6 +31,14 @@
 connection that hangs and an instance that asks others in vain."""
 
 
+class ProbeOutcome(enum.Enum):
+    """What became of a connection to one server."""
+
+    REACHED = "reached"
+    REFUSED = "refused"
+    SILENT = "silent"
+
+
 async def ask_nobody() -> bool:
     """Return that no other instance is known to reach servers."""
     return False
@@ -73,10 +85,8 @@
             return False
         if self._check is None or time.monotonic() - self._checked_at > PROBE_INTERVAL_S:
             self._checked_at = time.monotonic()
-            probed = choose_probed(self.view.fleet, self.view.rng)
-            probe = self._probe(probed, stop_at_first=True)
-            self._check = asyncio.get_running_loop().create_task(probe)
-        return bool(await asyncio.shield(self._check))
+            self._check = asyncio.get_running_loop().create_task(self._probe_round())
+        return (await asyncio.shield(self._check)).reached > 0
 
     async def maintain(self) -> None:
         """Probe servers whenever the links to them are suspected, forever."""
@@ -87,42 +97,61 @@
 
     async def _probe_until_reached(self) -> None:
         while True:
-            probed = choose_probed(self.view.fleet, self.view.rng)
-            reached = await self._probe(probed, stop_at_first=not self.is_cut)
-            others_reach = not reached and not self.is_cut and await self.ask_others()
+            result = await self._probe_round()
+            others_reach = not result.reached and not self.is_cut and await self.ask_others()
             now = time.monotonic()
-            if self.state.record_round(reached, len(probed), others_reach, now):
-                self._report(reached, len(probed), now)
-            if reached and not self.is_cut:
+            if self.state.record_round(result.reached, result.probed, others_reach, now):
+                self._report(result, now)
+            if result.reached and not self.is_cut:
                 return
             await asyncio.sleep(self.state.measure_pause())
 
-    async def _probe(self, records: list[ServerRecord], stop_at_first: bool) -> int:
-        """Open a connection to each server; return to how many one could be opened."""
+    async def _probe_round(self) -> ProbeResult:
+        """Probe some servers, and more of them if these may just have ended."""
+        records = choose_probed(self.view.fleet, self.view.rng)
+        result = await self._probe(records[:PROBED_SERVERS])
+        if self.is_cut or not is_ambiguous(result):
+            return result
+        more = await self._probe(records[PROBED_SERVERS:])
+        return ProbeResult(len(records), more.reached, result.refused + more.refused)
+
+    async def _probe(self, records: list[ServerRecord]) -> ProbeResult:
+        """Open a connection to each server, in touch until one is reached."""
         tasks = [asyncio.create_task(self._connect(record)) for record in records]
-        reached = 0
+        reached = refused = 0
         try:
             for finished in asyncio.as_completed(tasks):
-                reached += await finished
-                if reached and stop_at_first:
+                outcome = await finished
+                reached += outcome is ProbeOutcome.REACHED
+                refused += outcome is ProbeOutcome.REFUSED
+                if reached and not self.is_cut:
                     break
         finally:
             for task in tasks:
                 task.cancel()
-        return reached
+        return ProbeResult(len(records), reached, refused)
 
-    async def _connect(self, record: ServerRecord) -> bool:
+    async def _connect(self, record: ServerRecord) -> ProbeOutcome:
         address = (record.entry.host, record.entry.port)
         try:
             channel = await self.pool.open(address)
+        except NotListeningError:
+            return ProbeOutcome.REFUSED
         except ChannelError:
-            return False
+            return ProbeOutcome.SILENT
         channel.idle_since = time.monotonic()
         self.pool.release(address, channel)
-        return True
+        return ProbeOutcome.REACHED
 
-    def _report(self, reached: int, probed: int, now: float) -> None:
+    def _report(self, result: ProbeResult, now: float) -> None:
         event = "servers_unreachable" if self.is_cut else "servers_reachable"
-        log_event(LOG, logging.WARNING, event, probed=probed, reached=reached)
+        log_event(
+            LOG,
+            logging.WARNING,
+            event,
+            probed=result.probed,
+            reached=result.reached,
+            refused=result.refused,
+        )
         self.view.changed.fire()
         self.on_change(self.is_cut, now)
--- a/test/test_edge_cut_off.py
+++ b/test/test_edge_cut_off.py
@@ -115,6 +115,26 @@
     play(scene)
 
 
+def test_servers_that_have_nearly_all_ended_are_counted_as_ended_and_not_as_a_cut():
+    """An instance whose probes met only ended servers took itself for cut off."""
+
+    async def scene():
+        async with run_cut_scene(replicas=12, back_s=60.0) as cuts:
+            servers = cuts["a1"].view.fleet.servers
+            ended = [servers[each].key for each in list(cuts.crashes.replicas)[1:]]
+            await asyncio.gather(*(cuts.ask(name) for name in cuts.links))
+            for replica in list(cuts.crashes.replicas.values())[1:]:
+                await cuts.crashes.crash(replica)
+            for _ in range(12):
+                await asyncio.gather(*(cuts.ask(name) for name in cuts.links))
+                assert not [name for name in cuts.links if cuts[name].links.is_cut]
+            for name in cuts.links:
+                assert cuts[name].crashes.checks.ended.keys() <= set(ended)
+                assert cuts[name].crashes.checks.ended
+
+    play(scene)
+
+
 def test_servers_that_have_all_ended_are_refused_at_once_and_asked_for_by_nobody_else():
     async def scene():
         async with run_cut_scene(back_s=60.0) as cuts:
