Check a server again whose end was recorded before a request was sent

Callers saw: a sound request refused with 503 quarantined for 10 s, by two ends 3 ms apart, of which one had not happened.

Cause: a server that once refused a connection, as in a cut, counts as ended until it answers a request. An attempt that broke off there in the meantime was taken as a further end, without a check, although the server had just taken the request.

Fix: an end counts for a request only if it was found after the request was sent; otherwise the server is checked again.

--- a/rhubarbshed/transport/edge/crash_registry.py
+++ b/rhubarbshed/transport/edge/crash_registry.py
@@ -177,7 +177,7 @@
             return
         crash = make_crash_id(record.key)
         self.quarantine.suspect(request, crash, attempt.sent_at, attempt.begun, now)
-        if record.key in self.checks.ended:
+        if self.checks.has_ended_since(record.key, attempt.sent_at):
             self.confirm_end(record.key, now)
         else:
             self.checks.check(record)
--- a/rhubarbshed/transport/edge/server_checks.py
+++ b/rhubarbshed/transport/edge/server_checks.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import logging
+import math
 import time
 from collections import OrderedDict
 from collections.abc import Awaitable, Callable
@@ -49,9 +50,9 @@
 
 @define(eq=False)
 class ServerChecks:
-    """Checks in progress, and the servers known to have ended by themselves.
+    """Checks in progress, and the servers known to have ended by themselves, with the time.
 
-    `on_ended` is called once for each of these, `on_alive` after a check that found a server alive,
+    `on_ended` is called for each of these, again if one is found so again, `on_alive` after a check that found a server alive,
     with the monotonic time at which the check began. `find_cut` returns whether the links to all
     servers are cut.
     """
@@ -64,8 +65,8 @@
     running: dict[Incarnation, asyncio.Task] = field(factory=dict)
 
     def check(self, record: ServerRecord) -> None:
-        """Find out whether a server has ended, unless that is known or being checked."""
-        if record.key in self.ended or record.key in self.running or is_leaving(record):
+        """Find out whether a server has ended by now, unless that is being checked."""
+        if record.key in self.running or is_leaving(record):
             return
         task = asyncio.get_running_loop().create_task(self._connect(record))
         self.running[record.key] = task
@@ -84,17 +85,23 @@
 
     def record_ended(self, incarnation: Incarnation, how: str, now: float) -> None:
         """Record that a server has ended; `how` is known for the log."""
-        if incarnation in self.ended:
-            return
+        if incarnation not in self.ended:
+            server_id, started_ms = incarnation
+            log_event(
+                LOG, logging.INFO, "server_ended", server=server_id, started_ms=started_ms, how=how
+            )
         self.ended[incarnation] = now
         if len(self.ended) > ENDED_MAX:
             self.ended.popitem(last=False)
-        server_id, started_ms = incarnation
-        log_event(
-            LOG, logging.INFO, "server_ended", server=server_id, started_ms=started_ms, how=how
-        )
         self.on_ended(incarnation, now)
 
+    def has_ended_since(self, incarnation: Incarnation, sent_at: float) -> bool:
+        """Return whether a server is known to have ended after a request was sent to it.
+
+        One that took a request later has not: a cut had refused connections to it.
+        """
+        return self.ended.get(incarnation, -math.inf) >= sent_at
+
     def record_alive(self, incarnation: Incarnation) -> None:
         """Record that a server has answered; a cut may have refused connections to it before."""
         self.ended.pop(incarnation, None)
--- a/test/test_edge_crashes.py
+++ b/test/test_edge_crashes.py
@@ -345,6 +345,31 @@
     play(run)
 
 
+def test_connection_that_breaks_at_a_server_once_taken_for_ended_is_checked_again():
+    """It counted as a further end at once, and two such stopped a sound request."""
+
+    async def run():
+        async with run_crash_scene(4) as scene:
+
+            async def reset(exchange):
+                exchange.reset()
+
+            node = scene.instances["a1"]
+            for record in node.view.fleet.servers.values():
+                # As a cut does that refuses connections to servers that live.
+                node.crashes.checks.record_refused(record, time.monotonic())
+            for replica in scene.replicas.values():
+                replica.reply = reset
+            for _ in range(3):
+                await scene.ask("a1", "/u/x", b"sound")
+            for replica in scene.replicas.values():
+                replica.reply = scene.reply
+            assert (await scene.ask("a1", "/u/x", b"sound")).status == 200
+            assert not node.crashes.quarantine.stopped
+
+    play(run)
+
+
 def test_request_that_ends_servers_behind_a_gateway_is_stopped():
     """What stands between answers in place of a server that ended, without its signature."""
 
