Count the time of questions about a limit as waiting

Cause: the wait for room was bounded, the questions were not: up to four sends of 40 ms to one instance and eight to the next, for each of the servers, and a server about which nobody replied was asked about again 20 ms later.

Fix: replies are awaited for as long as the request may wait, 40 ms at least; after that no server is asked about twice. The question goes on without its request, so an instance that is silent is still found out.

--- a/rhubarbshed/transport/edge/limit_registry.py
+++ b/rhubarbshed/transport/edge/limit_registry.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import logging
+import math
 import random
 import time
 from collections import OrderedDict
@@ -184,14 +185,17 @@
         for key in [key for key, at in self._news_at.items() if now - at > NEWS_INTERVAL_S]:
             del self._news_at[key]
 
-    async def acquire(self, record: ServerRecord, wait_max_s: float) -> Grant:
-        """Ask for one request to a server; a granted one is sent after `send_in_s`."""
+    async def acquire(self, record: ServerRecord, wait_max_s: float, patience_s: float) -> Grant:
+        """Ask for one request to a server; a granted one is sent after `send_in_s`.
+
+        It may wait for `wait_max_s`, and for `patience_s` for the replies of other instances.
+        """
         now = time.monotonic()
         if record.limit_per_s is None:
             return Grant(0.0)
         if now < record.limited_until:
             return Grant(None, record.limited_until - now, record.limit_retry_at - now)
-        grant = await self._ask_for_grant(record, wait_max_s)
+        grant = await self._ask_for_grant(record, wait_max_s, now + max(REPEAT_S, patience_s))
         now = time.monotonic()
         if grant.send_in_s is None:
             self.counts.refused += 1
@@ -201,7 +205,9 @@
             self.counts.granted += 1
         return grant
 
-    async def _ask_for_grant(self, record: ServerRecord, wait_max_s: float) -> Grant:
+    async def _ask_for_grant(
+        self, record: ServerRecord, wait_max_s: float, until: float = math.inf
+    ) -> Grant:
         ranked = self._rank(record)
         now = time.monotonic()
         if not self.is_listed:
@@ -215,8 +221,13 @@
             if address == self.address:
                 return self._hand_out(record, wait_max_s, time.monotonic())
             sends = SENDS_MAX if address == ranked[0] else SUBSTITUTE_SENDS_MAX
-            reply = await self._ask(address, record, wait_max_s, sends)
-            if reply is not None:
+            # The question goes on after its request, as it also finds out who is silent.
+            asked = self._spawn(self._ask(address, record, wait_max_s, sends))
+            left_s = None if until == math.inf else max(0.0, until - time.monotonic())
+            await asyncio.wait((asked,), timeout=left_s)
+            if not asked.done():
+                break
+            if (reply := asked.result()) is not None:
                 return read_grant(reply)
         return Grant(None, SILENT_RETRY_S, SILENT_RETRY_S)
 
@@ -383,10 +394,11 @@
         self._answered[address, question.number] = reply
         self.send(reply, address)
 
-    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+    def _spawn(self, work: Coroutine[Any, Any, Any]) -> asyncio.Task:
         task = asyncio.get_running_loop().create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+        return task
 
 
 def log_limit(record: ServerRecord, change: LimitChange, source: str) -> None:
--- a/rhubarbshed/transport/edge/relay.py
+++ b/rhubarbshed/transport/edge/relay.py
@@ -194,14 +194,15 @@
 class RequestProgress:
     """Progress of one request.
 
-    `excluded` are the servers already tried and `tries` the outcome there; `in_flight` means that a
-    server may be running the request, `delivered` that one received it, and `only_missing` that all
-    so far were down or lacked the model. `waited_s` was spent on a load and `queued_s` on full
-    servers. `available_in_s` is when a load that it needs should be complete. `waits_for` is the
-    stage it is in while no attempt is in flight. `retry_paid` means that the budget has counted the
-    next retry. `stopped_by` is the key of the verdict that stopped it, `trial_keys` those of the
-    verdicts that its next attempt puts to a trial. `forwarded_by` is the instance that it came
-    from, with `attempts_max` servers left that may run it.
+    `excluded` are the servers already tried and `tries` the outcome there; `limited` are those
+    whose limits had no room since the last attempt. `in_flight` means that a server may be running
+    the request, `delivered` that one received it, and `only_missing` that all so far were down or
+    lacked the model. `waited_s` was spent on a load and `queued_s` on full servers.
+    `available_in_s` is when a load that it needs should be complete. `waits_for` is the stage it is
+    in while no attempt is in flight. `retry_paid` means that the budget has counted the next retry.
+    `stopped_by` is the key of the verdict that stopped it, `trial_keys` those of the verdicts that
+    its next attempt puts to a trial. `forwarded_by` is the instance that it came from, with
+    `attempts_max` servers left that may run it.
     """
 
     relay: Relay
@@ -211,6 +212,7 @@
     service: str = ""
     tries: Tries = field(factory=Tries)
     excluded: set[tuple[str, int]] = field(factory=set)
+    limited: set[tuple[str, int]] = field(factory=set)
     servers: list[str] = field(factory=list)
     versions: list[str] = field(factory=list)
     caller_response: CallerResponse | None = None
@@ -340,6 +342,8 @@
             if not await self.check_quarantine(now):
                 return self.give_up("quarantined")
             chosen = self.choose(now)
+            if isinstance(chosen, NoServer) and self.limited and not self.measure_patience(now):
+                return self.give_up("full")
             if isinstance(chosen, NoServer):
                 if chosen.reason == "full" and await self.wait_for_room(now):
                     continue
@@ -409,16 +413,21 @@
         if record.limit_per_s is None:
             return True
         is_sole = isinstance(self.choose_other(record, now), NoServer)
-        left_s = measure_wait(self.route, self.queued_s, self.deadline - now) if is_sole else 0.0
+        left_s = self.measure_patience(now)
         self.waits_for = Stage.SLOT
-        grant = await self.relay.limits.acquire(record, left_s)
+        grant = await self.relay.limits.acquire(record, left_s if is_sole else 0.0, left_s)
         if grant.send_in_s:
             await asyncio.sleep(grant.send_in_s)
         self.queued_s += time.monotonic() - now
         if grant.send_in_s is None:
+            self.limited.add(record.key)
             return False
         return not grant.send_in_s or await self.check_quarantine(time.monotonic())
 
+    def measure_patience(self, now: float) -> float:
+        """Return the seconds for which the request may still wait for a server."""
+        return measure_wait(self.route, self.queued_s, self.deadline - now)
+
     def choose_other(self, record: ServerRecord, now: float) -> Choice | NoServer:
         """Choose a server that this request has not tried, other than one."""
         tried = self.excluded
@@ -428,14 +437,19 @@
         return chosen
 
     def choose(self, now: float) -> Choice | NoServer:
-        """Choose a server that this request has not tried."""
+        """Choose a server that this request has not tried.
+
+        Once it may not wait any longer, servers whose limits had no room are not asked again.
+        """
         view = self.relay.view
+        is_waiting = not self.limited or self.measure_patience(now) > 0.0
+        excluded = self.excluded if is_waiting else self.excluded | self.limited
         needs = (self.request.model, self.request.adapter)
         return choose_server(
             view.fleet,
             self.service,
             needs,
-            frozenset(self.excluded),
+            frozenset(excluded),
             view.settings.data_centre,
             now,
             view.rng,
@@ -447,6 +461,7 @@
     async def attempt(self, chosen: Choice) -> ExchangeEnd:
         """Send the request to one server, and record the outcome."""
         record = chosen.server
+        self.limited.clear()
         self.servers.append(record.entry.server_id)
         self.versions.append(record.entry.version)
         log_event(
--- a/test/test_edge_limits.py
+++ b/test/test_edge_limits.py
@@ -71,6 +71,24 @@
     play(run)
 
 
+def test_request_is_refused_in_time_by_an_instance_whose_questions_nobody_answers():
+    """It asked two instances for each of four servers in turn, for up to half a second each."""
+
+    async def run():
+        async with run_crash_scene(4) as scene:
+            replicas = LimitedReplicas(dict.fromkeys(scene.replicas, "0.4"))
+            replicas.serve(scene)
+            await Load(scene, NAMES, 40.0).run(1.0)
+            for name in NAMES[1:]:
+                scene.instances[name].relay.limits.send = lambda *_: None
+            load = Load(scene, ("a1",), 40.0)
+            await load.run(3.0)
+            for _, took_s, answer in load.answers:
+                assert answer.status == 200 or took_s <= REFUSED_S
+
+    play(run)
+
+
 @pytest.mark.parametrize("path", ("/t/x", "/s/x"), ids=("repeats", "rests of streams"))
 def test_repeats_count_towards_a_limit(path):
     async def run():
