--- a/rhubarbshed/transport/edge/server_checks.py
+++ b/rhubarbshed/transport/edge/server_checks.py
@@ -52,9 +52,9 @@
 class ServerChecks:
     """Checks in progress, and the servers known to have ended by themselves, with the time.
 
-    `on_ended` is called for each of these, again if one is found so again, `on_alive` after a check that found a server alive,
-    with the monotonic time at which the check began. `find_cut` returns whether the links to all
-    servers are cut.
+    `on_ended` is called for each of these, again if one is found so again, `on_alive` after a check
+    that found a server alive, with the monotonic time at which the check began. `find_cut` returns
+    whether the links to all servers are cut.
     """
 
     pool: Pool
