--- a/test/helper_instances.py
+++ b/test/helper_instances.py
@@ -124,7 +124,7 @@
         await instances.wait_until(instances.know_each_other)
         yield instances
         for name, task in instances.tasks.items():
-            assert not instances[name].stop.is_set() and not task.done(), f"{name} stopped"
+            assert not instances[name].stop.is_set() and not task.done(), f"{name} stopped: {task}"
     finally:
         for name in list(instances.tasks):
             await asyncio.wait_for(instances.kill(name), WAIT_S)
