--- a/rhubarbshed/coordination/serving/lease_state.py
+++ b/rhubarbshed/coordination/serving/lease_state.py
@@ -43,7 +43,6 @@
 NO_MESSAGE_FRACTION = 0.25
 """Fraction of a lease without a message from the holder after which its row is read."""
 
-
 CONFIRMED_FRACTION = 0.3
 """Fraction of a lease after its last answered renewal from which a holder may miss changes of the
 store: a renewal is overdue."""
--- a/rhubarbshed/coordination/serving/reachability.py
+++ b/rhubarbshed/coordination/serving/reachability.py
@@ -15,8 +15,8 @@
 """Servers that are probed first in a round."""
 
 PROBED_SERVERS_MAX = 32
-"""Most servers of a round in which connections were refused: as a cut does it, and servers that
-have ended, of which there may be many at once."""
+"""Most servers that are probed in a round in which connections are refused: both a cut and servers
+that have ended refuse them, and many may end at once."""
 
 PROBE_INTERVAL_S = 0.3
 """Time between two rounds of probes of an instance that is cut off, and the age up to which a
@@ -99,5 +99,5 @@
 
 
 def is_ambiguous(result: ProbeResult) -> bool:
-    """Return whether probes met servers that have ended, for all that they show, and no others."""
+    """Return whether the servers of a round may have ended: some refused, and none was reached."""
     return not result.reached and result.refused > 0
