Put a question about a limit together before its task starts

Callers saw: a 503 without a retry time, code defect.

Cause: since a question is sent by a task of its own, which read the server's limit as it started; the limit may have ended by then, and a question without one is invalid. Tasks that ask silent instances again had the same fault before.

--- a/rhubarbshed/transport/edge/limit_registry.py
+++ b/rhubarbshed/transport/edge/limit_registry.py
@@ -226,7 +226,8 @@
                 return self._hand_out(record, wait_max_s, time.monotonic())
             sends = SENDS_MAX if address == ranked[0] else SUBSTITUTE_SENDS_MAX
             # The question goes on after its request, as it also finds out who is silent.
-            asked = self._spawn(self._ask(address, record, wait_max_s, sends))
+            question = self._make_question(record, wait_max_s, time.monotonic())
+            asked = self._spawn(self._ask(address, question, sends))
             left_s = None if until == math.inf else max(0.0, until - time.monotonic())
             await asyncio.wait((asked,), timeout=left_s)
             if not asked.done():
@@ -247,20 +248,22 @@
     def _is_usable(self, address: Address, now: float) -> bool:
         return now >= self.paused_until.get(address, 0.0)
 
-    async def _ask(
-        self, address: Address, record: ServerRecord, wait_max_s: float, sends: int
-    ) -> LimitReply | None:
-        """Ask an instance; return its reply, None if it is silent."""
-        self.counts.asked += 1
-        now = time.monotonic()
+    def _make_question(self, record: ServerRecord, wait_max_s: float, now: float) -> LimitQuestion:
+        """Return a question about a server while it names a limit."""
         self._number += 1
-        question = LimitQuestion(
+        return LimitQuestion(
             self._number,
             *record.key,
             record.limit_per_s,
             max(0, round((now - record.limit_named_at) * MS_PER_S)),
             max(0, round(wait_max_s * MS_PER_S)),
         )
+
+    async def _ask(
+        self, address: Address, question: LimitQuestion, sends: int
+    ) -> LimitReply | None:
+        """Ask an instance; return its reply, None if it is silent."""
+        self.counts.asked += 1
         waiting = asyncio.get_running_loop().create_future()
         self._waiting[question.number] = waiting
         try:
@@ -327,10 +330,7 @@
             if now - self._probed_at.get(address, -PROBE_INTERVAL_S) < PROBE_INTERVAL_S:
                 continue
             self._probed_at[address] = now
-            self._spawn(self._probe(address, record))
-
-    async def _probe(self, address: Address, record: ServerRecord) -> None:
-        await self._ask(address, record, 0.0, SENDS_MAX)
+            self._spawn(self._ask(address, self._make_question(record, 0.0, now), SENDS_MAX))
 
     def _record_alive(self, address: Address) -> None:
         """Record that an instance has sent something, so it may be asked again."""
--- a/test/test_edge_limits.py
+++ b/test/test_edge_limits.py
@@ -115,6 +115,22 @@
     play(run)
 
 
+def test_limit_that_ends_as_a_question_about_it_is_about_to_be_sent_is_no_defect():
+    async def run():
+        async with run_crash_scene(1) as scene:
+            record = scene.instances["a1"].view.fleet.servers["r0"]
+            registry = scene.instances["a1"].relay.limits
+            others = [each for each in registry._rank(record) if each != registry.address]
+            registry._ranked["r0"] = others
+            record.limit_per_s, record.limit_named_at = LIMIT, time.monotonic()
+            asking = asyncio.create_task(registry.acquire(record, 0.1, 0.1))
+            await asyncio.sleep(0)
+            record.limit_per_s = None
+            await asking
+
+    play(run)
+
+
 @pytest.mark.parametrize("path", ("/t/x", "/s/x"), ids=("repeats", "rests of streams"))
 def test_repeats_count_towards_a_limit(path):
     async def run():
