Answer no request as not run that ran before it was forwarded

Callers saw: 503 for a request that a server had begun; 503 says that it did not run and never will.

Cause: a request whose server broke off may go by way of another instance. That one finds all servers full, knows only of its own attempts, and says not run; its answer was passed on as it is.

--- a/rhubarbshed/transport/edge/forwarding.py
+++ b/rhubarbshed/transport/edge/forwarding.py
@@ -19,7 +19,7 @@
 )
 from rhubarbshed.coordination.serving.refusals import make_failure
 from rhubarbshed.platform.headers import make_forward_headers
-from rhubarbshed.protocol.errors import RequestError
+from rhubarbshed.protocol.errors import Outcome, RequestError
 from rhubarbshed.protocol.exchanges import ControlCall, ExchangeEnd, Headers
 from rhubarbshed.protocol.forwarding import REACHABILITY_TARGET, STATUS_REACHED, UNREACHED_CODE
 from rhubarbshed.transport.edge.attempts import Attempt
@@ -122,7 +122,7 @@
                 self.peers.pause(address, pause_s, now)
                 continue
             if attempt.instance_error is not None:
-                return Forwarded(True, attempt.instance_error)
+                return Forwarded(True, make_error(progress, attempt.instance_error, broken))
             self.peers.pause(address, BROKEN_PAUSE_S, now)
             broken += 1
             if not self.may_repeat(progress, broken, now):
@@ -179,3 +179,13 @@
             took_ms=round((time.monotonic() - begun_at) * 1000),
         )
         return end
+
+
+def make_error(progress: "RequestProgress", error: RequestError, broken: int) -> RequestError:
+    """Return the error of another instance, which knows only of its own attempts.
+
+    The request may have run before it was sent there, here or at `broken` other instances.
+    """
+    if error.outcome is Outcome.NOT_RUN and (progress.tries.run or broken):
+        return make_failure(error.code, "the backend server gave no whole answer")
+    return error
--- a/test/test_edge_cut_off.py
+++ b/test/test_edge_cut_off.py
@@ -7,6 +7,9 @@
 
 from rhubarbshed.coordination.serving.peer_choice import UNREACHED_MAX, VAIN_PAUSE_S
 from rhubarbshed.coordination.serving.reachability import Reachability
+from rhubarbshed.coordination.serving.refusals import make_refusal
+from rhubarbshed.protocol.exchanges import ExchangeEnd
+from rhubarbshed.transport.edge.forwarding import Forwarder
 from test.helper_crashes import EVENTS
 from test.helper_cuts import run_cut_scene
 from test.helper_edge import play
@@ -350,3 +353,27 @@
             assert cuts.count_runs(b"silent") and answer.status in (502, 504)
 
     play(scene)
+
+
+def test_request_that_ran_here_is_not_refused_as_not_run_after_it_was_forwarded(monkeypatch):
+    """Its server broke off as the links were cut, and the other instance found all servers full."""
+
+    async def scene():
+        async with run_cut_scene(replicas=1) as cuts:
+            [replica] = cuts.crashes.replicas.values()
+            node = cuts["a1"]
+
+            async def run_and_reset(exchange):
+                node.links.state.cut_since = time.monotonic()
+                exchange.reset()
+
+            async def refuse(forwarder, progress, attempt):
+                attempt.instance_error = make_refusal("full", node.view.rng)
+                return ExchangeEnd.REFUSED
+
+            replica.reply = run_and_reset
+            monkeypatch.setattr(Forwarder, "run", refuse)
+            answer = await cuts.ask("a1", "/p/x", b"x")
+            assert cuts.count_runs(b"x") and answer.status == 502
+
+    play(scene)
