Keep connections of live peers when the event loop stood still

Observed: after the event loop of an instance (rhubarbshedd) had stood still for longer than the silence allowed to peers, it closed the connections of all live peers at its next step. Cause: the step compares the time of the last frame that was read with the present time, and frames that came meanwhile lie unread in the kernel's buffer. Change: the time for which the loop stood still is added to the silence allowed, until it has had one heartbeat to read. It is bounded by the delay itself, so a loop that is always late still finds silent peers. Evidence: test_event_loop_that_stood_still_closes_no_connection_of_live_peers fails without the change and passes with it.

--- a/rhubarbshed/transport/peers.py
+++ b/rhubarbshed/transport/peers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import math
 import random
 import time
 from collections.abc import Callable, Collection
@@ -64,7 +65,9 @@
 
     `topology` has the peers to connect to, `links` the open connections by peer. `backoffs` and
     `dialing` are by peer name, or by address for seeds. `handshakes` counts accepted connections
-    that are not authenticated yet; peers in `refused_peers` get no connection.
+    that are not authenticated yet; peers in `refused_peers` get no connection. Until
+    `delayed_until` frames may be unread that came in the `delay_s` for which the event loop stood
+    still.
     """
 
     identity: Identity
@@ -85,6 +88,9 @@
     tasks: set[asyncio.Task] = Factory(set)
     handshakes: int = 0
     heartbeat_at: float = float("-inf")
+    stepped_at: float = math.inf
+    delay_s: float = 0.0
+    delayed_until: float = -math.inf
     last_heartbeat: Heartbeat | None = None
     server: asyncio.Server | None = None
 
@@ -164,6 +170,7 @@
 
     def step(self, now: float) -> None:
         """Close faulty connections, dial peers without one, send heartbeats when due."""
+        self._note_delay(now)
         self._close_faulty(now)
         is_heartbeat_due = (
             now - self.heartbeat_at >= self._choose_interval() * HEARTBEAT_INTERVAL_RATIO_MIN
@@ -242,9 +249,19 @@
     def _list_connected(self) -> dict[str, str]:
         return {name: link.info.data_centre for name, link in self.links.items()}
 
+    def _note_delay(self, now: float) -> None:
+        """Record for how long the event loop stood still, which is no silence of the peers."""
+        if now - self.stepped_at > self.settings.heartbeat_s:
+            self.delay_s = now - self.stepped_at
+            self.delayed_until = now + self.settings.heartbeat_s
+        self.stepped_at = now
+
     def _close_faulty(self, now: float) -> None:
+        silence_s = self.settings.silence_s
+        if now < self.delayed_until:
+            silence_s += self.delay_s
         for name, link in tuple(self.links.items()):
-            fault = link.find_fault(now, self.settings.silence_s)
+            fault = link.find_fault(now, silence_s)
             if name in self.refused_peers:
                 fault = "refused"
             if fault:
--- a/test/test_peers.py
+++ b/test/test_peers.py
@@ -14,6 +14,7 @@
     Challenge,
     DemandDigest,
     Envelope,
+    Heartbeat,
     LeavingMember,
     LeavingNotice,
     LoadDigest,
@@ -25,6 +26,7 @@
 from rhubarbshed.transport.peers import PeerNetwork
 from rhubarbshed.util.settings import TlsSettings
 from test.helper_peers import (
+    HEARTBEAT_S,
     SILENCE_S,
     are_meshed,
     list_peers,
@@ -129,6 +131,26 @@
     run(peers, scenario)
 
 
+def test_event_loop_that_stood_still_closes_no_connection_of_live_peers():
+    """The frames of the peer lie in the kernel's buffer meanwhile."""
+    peers = make_peers({"a1": "dc-1", "a2": "dc-1"})
+
+    async def scenario() -> None:
+        await wait_for(lambda: are_meshed(peers))
+        await asyncio.sleep(2 * HEARTBEAT_S)
+        late, live = peers["a1"].network, peers["a2"].network
+        link = late.links["a2"]
+        for _ in range(3):
+            time.sleep(SILENCE_S / 2)
+            live.send("a1", Heartbeat())
+        late.step(time.monotonic())
+        assert late.links.get("a2") is link
+        await asyncio.sleep(2 * SILENCE_S)
+        assert late.links.get("a2") is link
+
+    run(peers, scenario)
+
+
 def test_peer_that_does_not_answer_holds_nothing_up():
     """A listener that accepts connections but sends nothing is suspected; other peers are not."""
     peers = make_peers(THREE)
