Test at the platform's times that a stop takes no stream after 3 s

Twelve streams of 20 s are sent 3.003 to 3.03 s after SIGTERM to an instance that runs as a process: on kept connections, behind streams that end just before, and on new connections. None may reach a server.

No change of logic.

--- /dev/null
+++ b/test/test_edge_stop_signal.py
@@ -0,0 +1,182 @@
+"""Stops by SIGTERM of an instance that runs as a process, at the platform's times."""
+
+import asyncio
+import contextlib
+import os
+import signal
+import sys
+import time
+from collections.abc import AsyncIterator, Callable
+from pathlib import Path
+
+from attrs import define, field, frozen
+
+from rhubarbshed.util.front import FrontSettings
+from standin.replica import Exchange, Replica, Reply
+from standin.rows import RowStore
+from test.helper_edge import (
+    SETTINGS_TEXT,
+    WAIT_S,
+    make_configuration,
+    make_settings,
+    play,
+    read_answer,
+)
+from test.test_edge_drain import ROUTES, make_request
+
+EXCUSED_S = 3.0
+"""Time after SIGTERM up to which a request was sent that may be cut off at the grace time's end."""
+
+GRACE_S = 8.0
+EVENT_INTERVAL_S = 0.05
+
+
+@frozen
+class Outcome:
+    """End of a request of the stop: its last status, and when it ended after SIGTERM."""
+
+    name: str
+    status: int
+    whole: bool
+    ended_s: float
+
+
+@define(eq=False)
+class Front:
+    """Instance in a process of its own, with stand-ins of the store and of a server."""
+
+    settings: FrontSettings
+    replica: Replica
+    process: asyncio.subprocess.Process
+    stopped_at: float = 0.0
+    outcomes: list[Outcome] = field(factory=list)
+    writers: list[asyncio.StreamWriter] = field(factory=list)
+
+    def stop(self) -> None:
+        """Send SIGTERM."""
+        self.stopped_at = time.monotonic()
+        self.process.send_signal(signal.SIGTERM)
+
+    async def wait_until(self, after_s: float) -> None:
+        """Wait until a time after SIGTERM."""
+        await asyncio.sleep(max(0.0, self.stopped_at + after_s - time.monotonic()))
+
+    async def ask(
+        self, path: str, name: str, link: tuple | None = None, rest: bytes = b""
+    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        """Send a request, on a new connection without a `link`; record and return its end."""
+        reader, writer = link or await asyncio.open_connection(*self.settings.callers)
+        self.writers.append(writer)
+        writer.write(rest or make_request(path, name=name))
+        answer = await asyncio.wait_for(read_answer(reader), 20.0)
+        ended_s = time.monotonic() - self.stopped_at
+        self.outcomes.append(Outcome(name, answer.status, answer.whole, round(ended_s, 3)))
+        return reader, writer
+
+    def list_accepted(self, *prefixes: str) -> list[Outcome]:
+        """List the ends of requests by the beginning of their names that reached a server."""
+        got = {each.request_id for each in self.replica.got}
+        return [
+            each for each in self.outcomes if each.name.startswith(prefixes) and each.name in got
+        ]
+
+
+async def stream(exchange: Exchange) -> None:
+    """Send events for as many seconds as the path says."""
+    until = time.monotonic() + float(exchange.target.removeprefix("/s/"))
+    exchange.begin_stream()
+    number = 0
+    while time.monotonic() < until:
+        exchange.send_event(number)
+        number += 1
+        await asyncio.sleep(EVENT_INTERVAL_S)
+    exchange.send_event(number)
+    exchange.end_stream()
+
+
+@contextlib.asynccontextmanager
+async def run_front(
+    folder: Path, reply: Reply = stream, code: str = "", *routes: dict
+) -> AsyncIterator[Front]:
+    """Run an instance until the block ends; it is ready when the block starts.
+
+    The process runs `code` in place of the daemon's module, if given.
+    """
+    store, replica = RowStore(), Replica("b1", slots=100, reply=reply)
+    await store.start()
+    await replica.start()
+    store.put("op", "config", make_configuration(*(routes or ROUTES)))
+    store.put("servers", replica.server_id, replica.describe())
+    settings = make_settings(store.address, host="127.0.0.1")
+    ports = (settings.callers[1], settings.ready[1], settings.peers_port, settings.metrics_port)
+    names = ("callers", "ready", "peers", "metrics")
+    path = folder / "node.ini"
+    path.write_text(
+        SETTINGS_TEXT.format(
+            name="i1",
+            data_centre="a",
+            level="info",
+            store=store.address[1],
+            **dict(zip(names, ports, strict=True)),
+        )
+    )
+    settings = FrontSettings.from_file(str(path)).unwrap()
+    with (folder / "log").open("wb") as log:
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            *(("-c", code) if code else ("-m", "rhubarbshed.front")),
+            env={**os.environ, "RHUBARBSHED_SETTINGS": str(path)},
+            # The working directory would precede PYTHONPATH.
+            cwd=folder,
+            stdout=log,
+        )
+    front = Front(settings, replica, process)
+    try:
+        await wait_for(lambda: "event=server_came" in (folder / "log").read_text())
+        yield front
+    finally:
+        if process.returncode is None:
+            process.kill()
+            await process.wait()
+        for writer in front.writers:
+            writer.transport.abort()
+        await replica.stop()
+        await store.stop()
+
+
+async def wait_for(condition: Callable[[], bool]) -> None:
+    """Wait until a condition holds."""
+    until = time.monotonic() + WAIT_S
+    while not condition():
+        assert time.monotonic() < until, "the condition did not hold in time"
+        await asyncio.sleep(0.02)
+
+
+def test_stream_sent_3_s_after_sigterm_does_not_run(tmp_path):
+    """It was accepted on a kept connection, and cut off at the end of the grace time."""
+    sent_s = (3.003, 3.01, 3.03, 3.03)
+
+    async def scene():
+        async with run_front(tmp_path) as front:
+            kept = [await front.ask("/s/0", "before") for _ in sent_s]
+            busy = [
+                asyncio.create_task(front.ask(f"/s/{each + 0.18}", "during")) for each in sent_s
+            ]
+            await asyncio.sleep(0.2)
+            front.stop()
+
+            async def ask_at(after_s: float, name: str, link: object) -> None:
+                link = await link if isinstance(link, asyncio.Task) else link
+                await front.wait_until(after_s)
+                with contextlib.suppress(OSError):
+                    await front.ask("/s/20", f"{name} {after_s}", link)
+
+            await asyncio.gather(
+                *(ask_at(each, "kept", link) for each, link in zip(sent_s, kept, strict=True)),
+                *(ask_at(each, "busy", link) for each, link in zip(sent_s, busy, strict=True)),
+                *(ask_at(each, "new", None) for each in sent_s),
+            )
+            assert await asyncio.wait_for(front.process.wait(), GRACE_S) == 0
+            assert front.list_accepted("kept", "busy", "new") == []
+
+    play(scene)
