--- a/test/test_edge_stop_signal.py
+++ b/test/test_edge_stop_signal.py
@@ -28,6 +28,26 @@
 """Time after SIGTERM up to which a request was sent that may be cut off at the grace time's end."""
 
 GRACE_S = 8.0
+STARTS = 8
+START_S = 0.8
+"""Starts in a test, and the time from the first step of one until it is certainly through."""
+
+BUSY_AT_START = """
+import time
+from rhubarbshed import front
+from rhubarbshed.transport.edge.node import Node
+real = Node.listen
+async def listen(self):
+    await real(self)
+    print("listening", flush=True)
+    until = time.monotonic() + 1.0
+    while time.monotonic() < until:
+        pass
+Node.listen = listen
+front.main()
+"""
+"""Program of an instance that is busy for a second as it begins to listen."""
+
 EVENT_INTERVAL_S = 0.05
 
 
@@ -96,16 +116,16 @@
 
 @contextlib.asynccontextmanager
 async def run_front(
-    folder: Path, reply: Reply = stream, code: str = "", *routes: dict
+    folder: Path, code: str = "", until: str = "event=server_came", reply: Reply = stream
 ) -> AsyncIterator[Front]:
-    """Run an instance until the block ends; it is ready when the block starts.
+    """Run an instance until the block ends; the block starts as `until` is in its log.
 
     The process runs `code` in place of the daemon's module, if given.
     """
     store, replica = RowStore(), Replica("b1", slots=100, reply=reply)
     await store.start()
     await replica.start()
-    store.put("op", "config", make_configuration(*(routes or ROUTES)))
+    store.put("op", "config", make_configuration(*ROUTES))
     store.put("servers", replica.server_id, replica.describe())
     settings = make_settings(store.address, host="127.0.0.1")
     ports = (settings.callers[1], settings.ready[1], settings.peers_port, settings.metrics_port)
@@ -132,7 +152,7 @@
         )
     front = Front(settings, replica, process)
     try:
-        await wait_for(lambda: "event=server_came" in (folder / "log").read_text())
+        await wait_for(lambda: until in (folder / "log").read_text())
         yield front
     finally:
         if process.returncode is None:
@@ -180,3 +200,47 @@
             assert front.list_accepted("kept", "busy", "new") == []
 
     play(scene)
+
+
+def test_request_3_s_after_a_sigterm_during_the_start_does_not_run(tmp_path):
+    """The drain began with the end of the start, so its announcement was late by as much."""
+
+    async def scene():
+        async with run_front(tmp_path, BUSY_AT_START, "listening") as front:
+            link = await asyncio.open_connection(*front.settings.callers)
+            front.stop()
+            await front.wait_until(1.5)
+            # It keeps the instance from ending before.
+            busy = asyncio.create_task(front.ask("/s/2", "early"))
+            await front.wait_until(EXCUSED_S + 0.03)
+            with contextlib.suppress(OSError):
+                await front.ask("/s/20", "kept", link)
+            await busy
+            assert await asyncio.wait_for(front.process.wait(), GRACE_S) == 0
+            assert [each.whole for each in front.list_accepted("early")] == [True]
+            assert front.list_accepted("kept") == []
+
+    play(scene)
+
+
+def test_sigterm_at_any_time_of_the_start_loses_no_request(tmp_path):
+    async def scene(number: int):
+        folder = tmp_path / str(number)
+        folder.mkdir()
+        async with run_front(folder, until="") as front:
+            await asyncio.sleep(START_S * number / STARTS)
+            front.stop()
+            # The interpreter ends at once before it handles the signal.
+            while front.process.returncode is None:
+                name = f"q{len(front.outcomes)}"
+                with contextlib.suppress(OSError):
+                    await front.ask("/s/0.05", name)
+                await asyncio.sleep(0.02)
+            assert front.process.returncode in (0, -signal.SIGTERM)
+            assert time.monotonic() < front.stopped_at + GRACE_S
+            assert all(each.whole for each in front.list_accepted("q"))
+
+    async def scenes():
+        await asyncio.gather(*(scene(number) for number in range(STARTS)))
+
+    play(scenes)
