Log each close of a caller's connection with its reason

A request that crossed a regular close could not be told from one that was read and given up: nothing was logged when this side closed a connection. Now one line, connection_closed, has the reason, the state, requests, age, idle time and the bytes that are unparsed here, unread in the kernel and unsent; connection_late_bytes has those that arrived behind a close. A close that the caller asked for has level debug while the instance serves, as it may come with each request; others come at most once for a connection. The line on a configuration names its limits on callers.

--- a/rhubarbshed/coordination/requests/drain.py
+++ b/rhubarbshed/coordination/requests/drain.py
@@ -55,6 +55,10 @@
             return False
         return now - self.started_at >= self.announce_s + self.drain_s
 
+    def measure_stopping(self, now: float) -> float | None:
+        """Return the seconds since the drain started, None while serving."""
+        return None if self.started_at is None else now - self.started_at
+
     def is_refusing(self, now: float) -> bool:
         """Return whether new requests are refused, as the announcement is over."""
         return self.started_at is not None and now - self.started_at >= self.announce_s
--- a/rhubarbshed/transport/edge/caller_connections.py
+++ b/rhubarbshed/transport/edge/caller_connections.py
@@ -9,8 +9,9 @@
 
 from rhubarbshed.protocol.exchanges import Headers
 from rhubarbshed.protocol.routes import CallerLimits
+from rhubarbshed.transport.edge.connection_logs import CloseLog, CloseReason, ConnectionState
 from rhubarbshed.transport.edge.sockets import abort_with_reset, set_options
-from rhubarbshed.util.sockets import has_peer_closed, has_unread_bytes
+from rhubarbshed.util.sockets import count_unread_bytes, has_peer_closed, has_unread_bytes
 
 PIPELINED_BYTES_MAX = 65_536
 """Bytes of later requests that are accepted while one is being answered."""
@@ -63,7 +64,9 @@
 
     `is_closing` returns whether callers should connect elsewhere after this response, `is_refusing`
     whether further requests are refused. `requests` counts those read completely, the last at
-    `read_at`; `sent_bytes` were written since then.
+    `read_at`; `sent_bytes` were written since then. `active_at` is when bytes were last read or an
+    answer ended. `close_reason` is why this side closed, at `closed_at`, and `late_bytes` arrived
+    after that.
     """
 
     handle: Handler
@@ -71,12 +74,17 @@
     is_closing: Callable[[], bool]
     is_refusing: Callable[[], bool]
     connections: set["CallerConnection"]
+    close_log: CloseLog | None = None
     task: asyncio.Task | None = None
     disconnect: Disconnect | None = None
     opened_at: float = 0.0
     read_at: float = 0.0
     requests: int = 0
     sent_bytes: int = 0
+    active_at: float = 0.0
+    close_reason: CloseReason | None = None
+    closed_at: float = 0.0
+    late_bytes: int = 0
     _transport: asyncio.Transport | None = None
     _parser: h11.Connection | None = None
     _request: h11.Request | None = None
@@ -95,7 +103,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Wait for the first request."""
         self._transport = transport
-        self.opened_at = time.monotonic()
+        self.opened_at = self.active_at = time.monotonic()
         set_options(transport)
         limits = self.read_limits()
         self._parser = make_parser()
@@ -106,7 +114,9 @@
     def data_received(self, data: bytes) -> None:
         """Parse bytes of a request."""
         if self._ending or (self._close_after and not self._answering):
+            self.late_bytes += len(data)
             return
+        self.active_at = time.monotonic()
         self._parser.receive_data(data)
         if self._answering:
             self._pipelined_bytes += len(data)
@@ -125,7 +135,7 @@
         self._note_disconnect("end")
         if self.task is not None and not self._ending:
             self.cancel_work()
-            self.abort()
+            abort_with_reset(self._transport)
         return False
 
     def notice_disconnect(self) -> bool:
@@ -142,6 +152,8 @@
         """Cancel the work for a caller that has disconnected."""
         self._note_disconnect("end" if error is None else "reset")
         self._cancel_timer()
+        if self.late_bytes and self.close_log is not None:
+            self.close_log.record_late_bytes(self, time.monotonic())
         self.connections.discard(self)
         self._writable.set()
         self.cancel_work()
@@ -176,6 +188,36 @@
         """Return whether the response to the current request is complete."""
         return self._parser.our_state not in (h11.IDLE, h11.SEND_RESPONSE, h11.SEND_BODY)
 
+    @property
+    def state(self) -> ConnectionState:
+        """Return how far the request that arrives or is answered has got."""
+        if self._answering:
+            return ConnectionState.ANSWERING
+        if self._request is not None:
+            return ConnectionState.BODY
+        return ConnectionState.HEAD if self.unparsed_bytes else ConnectionState.IDLE
+
+    @property
+    def unparsed_bytes(self) -> int:
+        """Return the number of bytes that were read and belong to no whole head or body yet."""
+        return len(self._parser.trailing_data[0])
+
+    @property
+    def unread_bytes(self) -> int:
+        """Return the number of bytes that the kernel holds for this connection."""
+        return count_unread_bytes(self._transport.get_extra_info("socket"))
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Return the number of bytes that were written and that the kernel has not taken yet."""
+        return self._transport.get_write_buffer_size()
+
+    @property
+    def peer(self) -> str:
+        """Return the address that the connection comes from."""
+        host, port, *_ = self._transport.get_extra_info("peername") or ("", 0)
+        return f"{host}:{port}"
+
     @property
     def peer_host(self) -> str:
         """Return the IP address that the connection comes from, "" if it is closed."""
@@ -186,11 +228,12 @@
         """Return whether the caller can still be answered."""
         return self._transport is not None and not self._transport.is_closing()
 
-    def close(self) -> None:
+    def close(self, reason: CloseReason) -> None:
         """Close the connection after what has been written."""
+        self._record_close(reason)
         self._transport.close()
 
-    def end(self) -> None:
+    def end(self, reason: CloseReason, status: int = 0) -> None:
         """Close the connection once what was written has had time to arrive.
 
         A close with unread bytes resets the connection, which may destroy an answer on its way, so
@@ -198,18 +241,19 @@
         """
         if self._ending or not self.is_open:
             return
+        self._record_close(reason, status)
         self._ending = self._close_after = True
         self._cancel_timer()
-        self._timer = asyncio.get_running_loop().call_later(DISCARD_S, self.close)
+        self._timer = asyncio.get_running_loop().call_later(DISCARD_S, self._transport.close)
         self._transport.resume_reading()
         self._transport.write_eof()
 
     def end_now(self) -> None:
         """Close the connection if all is written and its answer complete, else reset it."""
         if self.is_ended:
-            self.close()
+            self._transport.close()
         else:
-            self.abort()
+            self.abort(CloseReason.CUT_OFF)
 
     def close_idle(self) -> None:
         """Close the connection if it is idle, also with regard to bytes that are not read yet.
@@ -217,10 +261,11 @@
         They may be a whole request, which a close would reset; it is answered once it is read.
         """
         if self.is_idle and not has_unread_bytes(self._transport.get_extra_info("socket")):
-            self.close()
+            self.close(CloseReason.DRAIN)
 
-    def abort(self) -> None:
+    def abort(self, reason: CloseReason) -> None:
         """Reset the connection, so that an unfinished response does not look complete."""
+        self._record_close(reason)
         abort_with_reset(self._transport)
 
     async def wait_writable(self) -> None:
@@ -268,7 +313,7 @@
                 self.send_head(status, tuple(headers), len(text))
                 self._send_body(text)
         finally:
-            self.end()
+            self.end(CloseReason.REFUSED, status)
 
     def cancel_work(self) -> None:
         """Cancel the work on the request in progress, at its next wait."""
@@ -280,14 +325,21 @@
         if self._request is None or self._request.method != b"HEAD":
             self.send_data(body)
 
+    def _record_close(self, reason: CloseReason, status: int = 0) -> None:
+        """Record a close of this side, once; one that follows the caller's is not ours."""
+        if self.close_reason is not None or self.disconnect is not None or not self.is_open:
+            return
+        self.close_reason, self.closed_at = reason, time.monotonic()
+        if self.close_log is not None:
+            self.close_log.record_close(self, reason, status, self.closed_at)
+
     def _write(self, data: bytes) -> None:
         self.sent_bytes += len(data)
         self._transport.write(data)
 
     def _note_disconnect(self, kind: str) -> None:
         if self.disconnect is None:
-            unsent_bytes = self._transport.get_write_buffer_size()
-            self.disconnect = Disconnect(kind, time.monotonic(), unsent_bytes)
+            self.disconnect = Disconnect(kind, time.monotonic(), self.unsent_bytes)
 
     def _read(self) -> None:
         try:
@@ -311,7 +363,7 @@
             elif isinstance(event, h11.EndOfMessage):
                 self._answer()
             else:
-                self._transport.close()
+                self.close(CloseReason.LAST_ANSWER)
                 return
 
     def _limit_head(self) -> None:
@@ -367,10 +419,11 @@
         self.task = None
         self._answering = False
         self._request = None
+        self.active_at = time.monotonic()
         if not self.is_open or self._ending:
             return
         if task.cancelled() or task.exception() is not None:
-            self.abort()
+            self.abort(CloseReason.ABORTED if task.cancelled() else CloseReason.DEFECT)
             if not task.cancelled():
                 loop = asyncio.get_running_loop()
                 loop.call_exception_handler({"message": "defect", "exception": task.exception()})
@@ -395,7 +448,7 @@
         if data and self.is_closing() and self._parser.our_state is h11.MUST_CLOSE:
             self._parser = make_parser()
             self.refuse(503, "this connection is closing; ask again", CLOSED_RETRY_S)
-        self.end()
+        self.end(CloseReason.LAST_ANSWER)
 
     def _watch_paused(self) -> None:
         """Look for the caller's end of the connection while it is not read."""
@@ -420,7 +473,7 @@
     def _time_out(self) -> None:
         self._timer = None
         if self.is_idle:
-            self.close()
+            self.close(CloseReason.IDLE_TIME)
         else:
             self.refuse(408, "the request took too long to arrive")
 
--- a/rhubarbshed/transport/edge/follower.py
+++ b/rhubarbshed/transport/edge/follower.py
@@ -272,6 +272,8 @@
                 before=known.version if known else 0,
                 revision=row.version,
                 routes=sum(len(each) for each in view.configuration.routes.values()),
+                header_ms=round(view.limits.header_timeout_s * 1000),
+                idle_ms=round(view.limits.idle_timeout_s * 1000),
             )
             view.changed.fire()
 
--- a/rhubarbshed/transport/edge/metrics.py
+++ b/rhubarbshed/transport/edge/metrics.py
@@ -22,6 +22,7 @@
     stream_parts: Counter
     forwards: Counter
     cut_requests: Counter
+    closes: Counter
     orders: Counter
     store_calls: Counter
     request_seconds: Histogram
@@ -65,6 +66,9 @@
                 "Requests ended while no server could be reached, by status.",
                 "status",
             ),
+            make_counter(
+                "connections_closed_total", "Callers' connections closed here, by reason.", "reason"
+            ),
             make_counter("orders_total", "Orders to engines, by kind and end.", "kind", "end"),
             make_counter(
                 "store_calls_total", "Calls to the store, by kind and table.", "kind", "table"
@@ -108,6 +112,10 @@
         """Count a request that ended while this instance reached no server."""
         self.cut_requests.labels(status).inc()
 
+    def count_close(self, reason: str) -> None:
+        """Count a caller's connection that this instance closed."""
+        self.closes.labels(reason).inc()
+
     def observe_first_bytes(self, after_s: float) -> None:
         """Record the time to the first bytes of a response."""
         self.first_bytes_seconds.observe(after_s)
--- a/rhubarbshed/transport/edge/node.py
+++ b/rhubarbshed/transport/edge/node.py
@@ -25,6 +25,7 @@
     LimitNews,
 )
 from rhubarbshed.transport.edge.caller_connections import CallerConnection, Handler
+from rhubarbshed.transport.edge.connection_logs import CloseLog, CloseReason
 from rhubarbshed.transport.edge.crash_registry import CrashRegistry
 from rhubarbshed.transport.edge.follower import Follower
 from rhubarbshed.transport.edge.forwarding import Forwarder
@@ -265,8 +266,16 @@
         self, handle: Handler, connections: set[CallerConnection]
     ) -> CallerConnection:
         """Return the state of a new connection."""
+        close_log = None
+        if connections is self.connections:
+            close_log = CloseLog(self.metrics, self.view.drain.measure_stopping)
         return CallerConnection(
-            handle, lambda: self.view.limits, self.is_closing, self.is_refusing, connections
+            handle,
+            lambda: self.view.limits,
+            self.is_closing,
+            self.is_refusing,
+            connections,
+            close_log,
         )
 
     def is_closing(self) -> bool:
@@ -411,7 +420,7 @@
                 self.cut_off_connection(connection, now)
             except Exception:
                 LOG.critical("event=defect", exc_info=True)
-                connection.abort()
+                connection.abort(CloseReason.DEFECT)
 
     def cut_off_connection(self, connection: CallerConnection, now: float) -> None:
         """Close an idle connection, or refuse the request that has arrived in part."""
--- a/rhubarbshed/transport/edge/relay.py
+++ b/rhubarbshed/transport/edge/relay.py
@@ -49,6 +49,7 @@
 from rhubarbshed.state.membership.fleet import ServerRecord
 from rhubarbshed.transport.edge.attempts import Attempt, CallerResponse
 from rhubarbshed.transport.edge.caller_connections import CallerConnection
+from rhubarbshed.transport.edge.connection_logs import CloseReason
 from rhubarbshed.transport.edge.continuations import (
     FindStream,
     RecordStream,
@@ -133,7 +134,7 @@
             except Exception:
                 request_id = progress.request.request_id
                 LOG.critical("event=defect request=%s", request_id, exc_info=True)
-                progress.connection.abort()
+                progress.connection.abort(CloseReason.DEFECT)
 
     def withdraw(self, key: str) -> None:
         """Take requests under a verdict back from the servers that have not begun them."""
@@ -237,7 +238,7 @@
     def cut_off(self) -> None:
         """End the request now, because the process stops."""
         self.answer(make_timeout(self.tries.run > 0 or self.in_flight))
-        self.connection.end()
+        self.connection.end(CloseReason.CUT_OFF)
         self.connection.cancel_work()
 
     async def run(self) -> None:
@@ -661,7 +662,7 @@
         """Send an error of this instance, or abort a response that has begun."""
         self.ended = True
         if self.caller_response is not None and self.caller_response.begun:
-            self.connection.abort()
+            self.connection.abort(CloseReason.ABORTED)
         else:
             self.send_error(error)
         log_end(self, error.code, error, time.monotonic())
--- a/rhubarbshed/util/sockets.py
+++ b/rhubarbshed/util/sockets.py
@@ -1,7 +1,10 @@
 """State of a connection that only its socket shows."""
 
+import array
+import fcntl
 import select
 import socket
+import termios
 
 
 def has_peer_closed(sock: socket.socket) -> bool:
@@ -20,3 +23,12 @@
     poller = select.poll()
     poller.register(sock, select.POLLIN)
     return bool(poller.poll(0))
+
+
+def count_unread_bytes(sock: socket.socket) -> int:
+    """Return how many bytes have arrived and are not read yet, 0 if the connection is closed."""
+    if sock.fileno() < 0:
+        return 0
+    count = array.array("i", [0])
+    fcntl.ioctl(sock.fileno(), termios.FIONREAD, count)
+    return count[0]
--- a/test/test_edge_closing.py
+++ b/test/test_edge_closing.py
@@ -1,6 +1,7 @@
 """Connections that an instance closes: what was written arrives, what was sent is answered."""
 
 import asyncio
+import logging
 import os
 import signal
 import socket
@@ -22,6 +23,7 @@
     block_until,
     check_not_run,
     connect,
+    find_lines,
     hang,
     make_request,
     stop,
@@ -366,3 +368,69 @@
                 await asyncio.wait_for(caller.reader.read(), WAIT_S)
 
     play(scene)
+
+
+@pytest.mark.parametrize(
+    ("reason", "state"),
+    [
+        ("idle_time", "idle"),
+        ("drain", "idle"),
+        ("last_answer", "idle"),
+        ("refused", "body"),
+        ("cut_off", "answering"),
+        ("aborted", "answering"),
+    ],
+)
+def test_log_shows_why_a_connection_was_closed(reason, state, caplog):
+    """A request that crossed a close looked like one that was read and lost."""
+    caplog.set_level(logging.DEBUG)
+    path = "/s/5" if reason == "aborted" else "/p/x"
+
+    async def scene():
+        short = reason in ("idle_time", "refused")
+        limits = {"Limits": SHORT_TIMEOUTS} if short else {}
+        reply = hang if state == "answering" else None
+        async with run_edge(
+            make_configuration(*ROUTES, **limits), Replica("b1", reply=reply)
+        ) as edge:
+            caller = await Caller.connect(edge)
+            if state == "idle":
+                assert (await caller.ask()).whole
+            if reason == "last_answer":
+                caller.send(make_request("/p/x").replace(b"Host", b"Connection: close\r\nHost"))
+            elif state != "idle":
+                data = make_request(path, b"whole")
+                caller.send(data[:-2] if state == "body" else data)
+            await asyncio.sleep(0.1)
+            if not short and reason != "last_answer":
+                stop(edge)
+            await edge.wait_until(lambda: bool(find_lines(caplog, "connection_closed")))
+            metrics = edge.node.metrics.render({}).decode()
+            assert f'connections_closed_total{{reason="{reason}"}} 1.0' in metrics
+            caller.writer.close()
+
+    play(scene)
+    (line,) = find_lines(caplog, "connection_closed")
+    assert (line["reason"], line["state"]) == (reason, state)
+    assert line["status"] == (408 if reason == "refused" else "")
+    assert line["conn_requests"] == {"last_answer": 2, "refused": 0}.get(reason, 1)
+    assert (line["unparsed_bytes"], line["unread_bytes"], line["unsent_bytes"]) == (0, 0, 0)
+    assert (line["stopping_ms"] == "") == (reason in ("idle_time", "last_answer", "refused"))
+
+
+def test_log_shows_bytes_that_arrive_after_a_close(caplog):
+    caplog.set_level(logging.INFO)
+
+    async def scene():
+        limits = {"Limits": {**SHORT_TIMEOUTS, "MaxBodyBytes": 100}}
+        async with run_edge(make_configuration(*ROUTES, **limits), Replica("b1")) as edge:
+            caller = await Caller.connect(edge)
+            caller.send(make_request("/p/x", bytes(1_000))[:-1_000])
+            assert (await read_answer(caller.reader)).status == 413
+            caller.send(bytes(1_000))
+            caller.writer.close()
+            await edge.wait_until(lambda: bool(find_lines(caplog, "connection_late_bytes")))
+
+    play(scene)
+    (line,) = find_lines(caplog, "connection_late_bytes")
+    assert (line["reason"], line["late_bytes"]) == ("refused", 1_000)
--- a/test/test_edge_cut_off.py
+++ b/test/test_edge_cut_off.py
@@ -9,6 +9,7 @@
 from rhubarbshed.coordination.serving.reachability import Reachability
 from rhubarbshed.coordination.serving.refusals import make_refusal
 from rhubarbshed.protocol.exchanges import ExchangeEnd
+from rhubarbshed.transport.edge.connection_logs import CloseReason
 from rhubarbshed.transport.edge.forwarding import Forwarder
 from test.helper_crashes import EVENTS
 from test.helper_cuts import run_cut_scene
@@ -234,7 +235,7 @@
             await instances.wait_until(lambda: all(cuts.count_runs(body) for body in bodies))
             await instances.kill("a2")
             for connection in list(cuts["a2"].connections):
-                connection.abort()
+                connection.abort(CloseReason.ABORTED)
             answers = await asyncio.gather(*tasks)
             assert {answer.status for answer in answers} <= {200, 502}
             assert any(answer.status == 502 for answer in answers)
