Read the entries anew before a version counts as the sole one

What callers saw: nothing here yet. In tests, a stream that began at a new version went on at the old one, with 200 and nothing in the answer to show it, where the instance that began it was killed and the one that got the next try had missed the release: its store connection had fallen silent up to 3 s before, or the store answered about the configuration only, then without any bound.

Cause: "no other version was seen for 60 s" was decided on entries as of the last confirmation, and any answer of the store counted as one. What began the stream is newer than that. An instance that has just started and knows nothing replied too, and its silence about versions counted as agreement.

Fix: a stream is bound to a sole version only after a read of the entries' changes that began after the caller's try came. Whatever began the stream was in the store by then, so no clock and no other instance has to be trusted. Requests that wait share a read; an instance makes four a second at most. Without an answer the stream is refused.

--- a/rhubarbshed/coordination/serving/versions.py
+++ b/rhubarbshed/coordination/serving/versions.py
@@ -74,10 +74,15 @@
         return Continuation(service, None, OriginSource.UNKNOWN)
     origin = find_sole_origin(route, lookup, fleet, history, now)
     if origin is None:
-        return Continuation(service, None, OriginSource.UNKNOWN, refused=True)
+        return refuse_unknown(service)
     return Continuation(origin.service, origin, OriginSource.SOLE)
 
 
+def refuse_unknown(service: str) -> Continuation:
+    """Return the refusal of a stream whose version is not known."""
+    return Continuation(service, None, OriginSource.UNKNOWN, refused=True)
+
+
 def leads_to(route: Route, service: str) -> bool:
     """Return whether a service is one of the route's, also one that gets no new streams."""
     return any(name == service for name, _ in route.shares)
--- a/rhubarbshed/transport/edge/continuations.py
+++ b/rhubarbshed/transport/edge/continuations.py
@@ -6,7 +6,12 @@
 from typing import TYPE_CHECKING
 
 from rhubarbshed.coordination.serving.refusals import make_refusal
-from rhubarbshed.coordination.serving.versions import Continuation, decide_continuation
+from rhubarbshed.coordination.serving.versions import (
+    Continuation,
+    OriginSource,
+    decide_continuation,
+    refuse_unknown,
+)
 from rhubarbshed.protocol.errors import RequestError
 from rhubarbshed.protocol.exchanges import CallerRequest
 from rhubarbshed.protocol.routes import Route
@@ -25,6 +30,9 @@
 FindStream = Callable[[str, float], Awaitable[StreamLookup]]
 """Search for the origin of a stream: id, monotonic seconds."""
 
+ConfirmEntries = Callable[[], Awaitable[bool]]
+"""Read of the versions of all entries up to now; False if that was not possible."""
+
 NOT_FOUND = StreamLookup(None)
 
 
@@ -37,6 +45,11 @@
     return NOT_FOUND
 
 
+async def confirm_nothing() -> bool:
+    """Confirm no entries; for an instance that does not follow any."""
+    return False
+
+
 def is_continuation(request: CallerRequest, route: Route) -> bool:
     """Return whether a request takes up a stream."""
     return route.streamed and request.takes_up_stream
@@ -52,17 +65,24 @@
         lookup = await progress.relay.find_stream(request.stream_id, time.monotonic())
     if lookup.origin is None and not route.resumable:
         return None
-    now = time.monotonic()
-    continuation = decide_continuation(
-        request, route, progress.service, lookup, view.fleet, view.versions, now
-    )
+    service = progress.service
+
+    def decide() -> Continuation:
+        now = time.monotonic()
+        return decide_continuation(request, route, service, lookup, view.fleet, view.versions, now)
+
+    continuation = decide()
+    if continuation.source is OriginSource.SOLE:
+        # A version may have come since the entries known here were read, and begun the stream.
+        confirmed = await progress.relay.confirm_entries()
+        continuation = decide() if confirmed else refuse_unknown(service)
     progress.continuation = continuation
     progress.service = continuation.service
     progress.caller_response.origin = continuation.origin
     if not continuation.refused:
         return None
     if continuation.origin is None:
-        log_refused(progress, lookup, now)
+        log_refused(progress, lookup, time.monotonic())
     return make_refusal(continuation.refusal_reason, view.rng)
 
 
--- /dev/null
+++ b/rhubarbshed/transport/edge/entry_checks.py
@@ -0,0 +1,69 @@
+"""Reads of the servers' entries for decisions that must not rest on older ones."""
+
+import asyncio
+import logging
+import time
+
+from attrs import define, field
+from returns.result import Failure
+
+from rhubarbshed.platform.records import read_server
+from rhubarbshed.platform.rows import SERVERS_TABLE
+from rhubarbshed.protocol.tables import Row
+from rhubarbshed.state.membership.versions import VersionHistory
+from rhubarbshed.transport.edge.follower import Follower
+from rhubarbshed.transport.edge.store import StoreClient
+from rhubarbshed.util.logs import log_event
+
+LOG = logging.getLogger(__name__)
+
+READ_INTERVAL_S = 0.25
+"""Shortest time between two reads: 370 instances at once stay below the 2,000 reads a second that
+the store takes."""
+
+
+@define(eq=False)
+class EntryCheck:
+    """Reads of changes that the follower may not have read yet; requests share them."""
+
+    store: StoreClient
+    follower: Follower
+    _started_at: float = -1e9
+    _succeeded: bool = False
+    _lock: asyncio.Lock = field(factory=asyncio.Lock)
+
+    async def confirm(self) -> bool:
+        """Record the versions of all entries up to now; return whether the store answered."""
+        asked_at = time.monotonic()
+        async with self._lock:
+            if self._started_at < asked_at:
+                await asyncio.sleep(max(0.0, self._started_at + READ_INTERVAL_S - asked_at))
+                self._started_at, self._succeeded = time.monotonic(), False
+                self._succeeded = await self._read()
+            return self._succeeded
+
+    async def _read(self) -> bool:
+        revision = self.follower.servers_revision
+        if revision is None:
+            return False
+        result = await self.store.follow(SERVERS_TABLE, revision, 0.0)
+        if isinstance(result, Failure):
+            reason = result.failure().detail
+            log_event(LOG, logging.INFO, "entries_unconfirmed", reason=reason)
+            return False
+        versions = self.follower.view.versions
+        for row in result.unwrap().scan.rows:
+            record_versions(versions, row, time.monotonic())
+        return True
+
+
+def record_versions(versions: VersionHistory, row: Row, now: float) -> None:
+    """Record the version in a changed entry; the follower applies the entry itself."""
+    if row.value is None:
+        versions.record_removal(row.key, now)
+        return
+    read = read_server(row.key, row.value)
+    if isinstance(read, Failure):
+        versions.record_unreadable(row.key, now)
+    else:
+        versions.record_entry(read.unwrap(), now)
--- a/rhubarbshed/transport/edge/node.py
+++ b/rhubarbshed/transport/edge/node.py
@@ -27,6 +27,7 @@
 from rhubarbshed.transport.edge.caller_connections import CallerConnection, Handler
 from rhubarbshed.transport.edge.connection_logs import CloseLog, CloseReason
 from rhubarbshed.transport.edge.crash_registry import CrashRegistry
+from rhubarbshed.transport.edge.entry_checks import EntryCheck
 from rhubarbshed.transport.edge.follower import Follower
 from rhubarbshed.transport.edge.forwarding import Forwarder
 from rhubarbshed.transport.edge.holder_protocol import HolderProtocol
@@ -183,6 +184,7 @@
             limits,
             streams.record_stream,
             streams.find_stream,
+            EntryCheck(store, follower).confirm,
         )
         crashes.on_verdict = relay.withdraw
         return cls(
--- a/rhubarbshed/transport/edge/relay.py
+++ b/rhubarbshed/transport/edge/relay.py
@@ -51,8 +51,10 @@
 from rhubarbshed.transport.edge.caller_connections import CallerConnection
 from rhubarbshed.transport.edge.connection_logs import CloseReason
 from rhubarbshed.transport.edge.continuations import (
+    ConfirmEntries,
     FindStream,
     RecordStream,
+    confirm_nothing,
     decide_stream,
     find_nothing,
     record_nothing,
@@ -103,7 +105,7 @@
     `report_awaited` asks the order holder for a (service, model, adapter); `count_demand` counts a
     request for one, `count_run` a run with its seconds. `report_missing` reports to the holder a
     (server, started_ms, model, adapter) that is not there. `record_stream` and `find_stream` are
-    the memory of the origins of streams.
+    the memory of the origins of streams, `confirm_entries` reads all versions up to now.
     """
 
     view: View
@@ -119,6 +121,7 @@
     limits: LimitRegistry
     record_stream: RecordStream = record_nothing
     find_stream: FindStream = find_nothing
+    confirm_entries: ConfirmEntries = confirm_nothing
     open_requests: set["RequestProgress"] = field(factory=set)
 
     @property
--- a/standin/rows.py
+++ b/standin/rows.py
@@ -1,7 +1,8 @@
 """Stand-in of the platform's store: versioned rows, conditional writes and a change feed.
 
 Faults are switches: `down` refuses calls, `silent` accepts them without an answer, `lose_answers`
-commits writes and closes the connection, `forget` drops the history. As a separate process it
+commits writes and closes the connection, `forget` drops the history, calls about `held_tables` get
+no answer. As a separate process it
 accepts them as `POST /standin/NAME`, and entries of servers without heartbeats expire.
 """
 
@@ -28,6 +29,7 @@
     down: bool = False
     unresponsive_count: int = 0
     lose_answers: bool = False
+    held_tables: set[str] = field(factory=set)
     calls: list[str] = field(factory=list)
     heartbeats: dict[str, float] = field(factory=dict)
     retired: set[str] = field(factory=set)
@@ -128,6 +130,8 @@
         status, plain = await self._answer(method, target, body)
         if self.silent or count_before < self.unresponsive_count:
             await asyncio.sleep(3600)
+        if any(f"Table={table}&" in target for table in self.held_tables):
+            await asyncio.sleep(3600)
         if self.lose_answers and target == "/rhubarbshed/rows-tx":
             return False
         data = json.dumps(plain).encode()
--- a/test/helper_instances.py
+++ b/test/helper_instances.py
@@ -6,7 +6,7 @@
 import time
 from collections.abc import AsyncIterator, Callable
 
-from attrs import define, field
+from attrs import define, evolve, field
 
 from rhubarbshed.protocol.messages import Message
 from rhubarbshed.transport.edge.node import Node
@@ -28,23 +28,29 @@
     def __getitem__(self, name: str) -> Node:
         return self.nodes[name]
 
-    def start(self, name: str, data_centre: str) -> None:
-        """Start an instance; one that was killed starts again at its address, without memory."""
+    def start(self, name: str, data_centre: str, **changes: object) -> None:
+        """Start an instance; one that was killed starts again at its address, without memory.
+
+        `changes` are settings.
+        """
         before = self.nodes.get(name)
         if before is not None:
-            settings = before.settings
+            settings = evolve(before.settings, **changes)
         else:
             callers, ready, peers, metrics = find_free_ports(PORTS_PER_INSTANCE)
             host = make_host(len(self.nodes) + 1)
             settings = make_settings(
-                self.store.address,
-                name=name,
-                data_centre=data_centre,
-                host=host,
-                callers=(host, callers),
-                ready=(host, ready),
-                peers_port=peers,
-                metrics_port=metrics,
+                **{
+                    "store": self.store.address,
+                    "name": name,
+                    "data_centre": data_centre,
+                    "host": host,
+                    "callers": (host, callers),
+                    "ready": (host, ready),
+                    "peers_port": peers,
+                    "metrics_port": metrics,
+                    **changes,
+                }
             )
         node = self.nodes[name] = Node.from_settings(settings, "")
         self.tasks[name] = asyncio.create_task(node.run())
