Refuse the rest of a stream whose route is not resumable any more

What callers saw: nothing here yet. In a test, a stream went on at another version, with 200, where the operator had taken `Resumable` from its route, and all instances were killed.

Cause: without anybody's memory, requests of a route that is not resumable were sent to any server, with the caller's `Last-Event-Id`. That a route is not resumable now does not show that it was not when the stream began.

Fix: a request of a streaming route that names an event which its caller has is decided on as on resumable routes: it goes on at its version, or is refused. Without an event it begins anew, as before.

Evidence: test_edge_sole_version.py, "route that is not resumable any more", failed before (200 from v2 for a stream of v1).

--- a/rhubarbshed/transport/edge/continuations.py
+++ b/rhubarbshed/transport/edge/continuations.py
@@ -63,7 +63,7 @@
     lookup = NOT_FOUND
     if request.stream_id:
         lookup = await progress.relay.find_stream(request.stream_id, time.monotonic())
-    if lookup.origin is None and not route.resumable:
+    if lookup.origin is None and not route.resumable and not request.last_event_id:
         return None
     service = progress.service
 
--- a/test/test_edge_sole_version.py
+++ b/test/test_edge_sole_version.py
@@ -11,11 +11,12 @@
 from rhubarbshed.state.requests.stream_origins import StreamOrigins
 from standin.replica import Replica
 from standin.rows import RowStore
-from test.helper_edge import Answer, Edge, find_port, play
+from test.helper_edge import Answer, Edge, find_port, make_configuration, play
 from test.helper_instances import Instances
 from test.helper_streams import (
     AGE_SHORT_S,
     CONFIGURATION,
+    STREAM,
     assert_refused,
     begin,
     let_streams_last_shortly,
@@ -161,3 +162,18 @@
             assert_refused(await take_up(scene.get_edge("a1"), stream_id), b"version_unknown")
 
     play(scene)
+
+
+def test_stream_of_a_route_that_is_not_resumable_any_more_is_refused_once_nobody_remembers_it():
+    async def scene():
+        async with run_scene("b1", a1="a") as scene:
+            await scene.add("b2", "v2", "a1")
+            await scene.begin_at("a1", "b1")
+            await scene.kill("a1")
+            changed = make_configuration({**STREAM, "Resumable": False}, version=2)
+            scene.store.put("op", "config", changed)
+            await scene.start_again("a1")
+            for stream_id in ("", "q1"):
+                assert_refused(await take_up(scene.get_edge("a1"), stream_id), b"version_unknown")
+
+    play(scene)
