Keep the versions in service in the store for instances that start

What callers saw: after a loss of all instances, each stream that was taken up was refused for a minute, also where its service had had one version all along, as no instance knew what had served before it started.

Fix: the order holder of a data centre writes a record every 5 s: the versions of the last minute, since when no entry was missed, digests of the ids that have entries, and the same for routes. It claims nothing beyond its revision. An instance that starts, or has a gap, reads the store's feed from there, so that it knows of every change up to its own reads; history that is gone, an id that came and left unseen, another configuration, or a record that cannot be read leave the gap as it was. Times are of the store's clock, converted so that a machine that stood still claims less, not more.

Two calls every 5 s for each data centre, and two for each start.

--- a/rhubarbshed/platform/rows.py
+++ b/rhubarbshed/platform/rows.py
@@ -17,6 +17,7 @@
 SERVERS_TABLE = "servers"
 OWN_TABLE = "rhubarbshed"
 QUARANTINE_TABLE = "rhubarbshed-quarantine"
+VERSIONS_TABLE = "rhubarbshed-versions"
 ROWS_MAX = 500
 """Rows in one response, from the platform's documentation."""
 
--- a/rhubarbshed/transport/edge/follower.py
+++ b/rhubarbshed/transport/edge/follower.py
@@ -16,7 +16,7 @@
 from rhubarbshed.protocol.servers import ServerEntry
 from rhubarbshed.protocol.tables import Row, TableError, TableFault
 from rhubarbshed.transport.edge.store import StoreClient
-from rhubarbshed.transport.edge.view import Signal, View
+from rhubarbshed.transport.edge.view import LatchedSignal, Signal, View
 from rhubarbshed.util.logs import log_event
 
 LOG = logging.getLogger(__name__)
@@ -85,6 +85,7 @@
     is_holder: Callable[[], bool] = lambda: False
     servers_revision: int | None = None
     configuration_revision: int = 0
+    read_anew: LatchedSignal = field(factory=LatchedSignal)
     message_received_at: float = -1e9
     message_settled: bool = True
     fell_behind: Signal = field(factory=Signal)
@@ -177,6 +178,9 @@
                 if table == SERVERS_TABLE:
                     self.servers_revision = revision
                     self.view.versions.resume()
+                if is_full_read:
+                    self.read_anew.fire()
+                if table == SERVERS_TABLE:
                     if before is not None and scan.rows:
                         self.publish(before, revision, scan.rows)
                         await asyncio.sleep(CHANGE_BATCH_S)
--- a/rhubarbshed/transport/edge/node.py
+++ b/rhubarbshed/transport/edge/node.py
@@ -44,6 +44,7 @@
 from rhubarbshed.transport.edge.store import StoreClient
 from rhubarbshed.transport.edge.stream_registry import StreamRegistry
 from rhubarbshed.transport.edge.verdict_store import VerdictStore
+from rhubarbshed.transport.edge.version_store import VersionStore
 from rhubarbshed.transport.edge.view import View
 from rhubarbshed.util.front import FrontSettings
 from rhubarbshed.util.logs import log_event
@@ -104,6 +105,7 @@
     crashes: CrashRegistry
     instance_lists: InstanceLists
     links: LinkMonitor
+    version_store: VersionStore
     stop: asyncio.Event = field(factory=asyncio.Event)
     connections: set[CallerConnection] = field(factory=set)
     listeners: list[asyncio.Server] = field(factory=list)
@@ -202,6 +204,7 @@
             crashes,
             instance_lists,
             links,
+            VersionStore(store, follower, follower.is_holder),
         )
 
     async def run(self) -> int:
@@ -222,6 +225,7 @@
             self.instance_lists.maintain,
             self.crashes.maintain,
             self.links.maintain,
+            self.version_store.maintain,
             self.sweep,
         ):
             self.spawn(work())
--- /dev/null
+++ b/rhubarbshed/transport/edge/version_store.py
@@ -0,0 +1,162 @@
+"""Rows of the store with the versions in service: written by order holders, read at a start."""
+
+import asyncio
+import logging
+import math
+import time
+from collections.abc import Callable, Iterable
+
+from attrs import define
+from returns.result import Failure, Success
+
+from rhubarbshed.coordination.serving.version_records import (
+    ClockReading,
+    VersionRecord,
+    choose_record,
+    go_on_from,
+    make_digest,
+    make_record,
+    read_record,
+)
+from rhubarbshed.platform.records import read_server
+from rhubarbshed.platform.rows import SERVERS_TABLE, VERSIONS_TABLE, Page
+from rhubarbshed.protocol.servers import ServerEntry
+from rhubarbshed.protocol.tables import Check, Row, TableFault, Transaction, Write
+from rhubarbshed.transport.edge.follower import Follower
+from rhubarbshed.transport.edge.store import StoreClient
+from rhubarbshed.util.logs import log_event
+
+LOG = logging.getLogger(__name__)
+
+WRITE_INTERVAL_S = 5.0
+"""Time between two writes of a record; the store keeps its history for 20 s, in which instances
+have to be back."""
+
+CHECK_INTERVAL_S = 1.0
+"""Time between two checks whether a record is due."""
+
+ATTEMPTS_MAX = 4
+ATTEMPT_PAUSE_S = 0.3
+"""Attempts to go on from a record: many instances that start together may exceed what the store
+takes."""
+
+
+@define(eq=False)
+class VersionStore:
+    """Record of the data centre in the store.
+
+    `is_holder` returns whether this instance writes it. `tried_at` is the gap for which the records
+    were last read.
+    """
+
+    store: StoreClient
+    follower: Follower
+    is_holder: Callable[[], bool]
+    tried_at: float | None = None
+    written_at: float = -1e9
+
+    async def maintain(self) -> None:
+        """Go on from a record after each gap, and write records as the order holder, forever."""
+        while True:
+            await self.follower.read_anew.wait(CHECK_INTERVAL_S)
+            gap_at = self.follower.view.versions.followed_since
+            is_known = bool(self.follower.configuration_revision)
+            if is_known and gap_at not in (None, -math.inf, self.tried_at):
+                self.tried_at = gap_at
+                await self._close_gap()
+            is_due = time.monotonic() - self.written_at >= WRITE_INTERVAL_S
+            if is_known and is_due and self.is_holder():
+                await self._write()
+
+    async def _close_gap(self) -> None:
+        for _ in range(ATTEMPTS_MAX):
+            if await self._go_on():
+                return
+            await asyncio.sleep(ATTEMPT_PAUSE_S)
+
+    async def _go_on(self) -> bool:
+        """Go on from a record if that is possible; return False if it is worth another attempt."""
+        versions, gap_at = self.follower.view.versions, self.follower.view.versions.followed_since
+        page = await self._read_records()
+        if page is None:
+            return False
+        clock = ClockReading(page.now_ms, time.monotonic())
+        record = choose_record(list_records(page), page.now_ms)
+        if record is None:
+            return True
+        changes = await self.store.follow(SERVERS_TABLE, record.revision, 0.0)
+        now = time.monotonic()
+        if isinstance(changes, Failure):
+            error = changes.failure()
+            log_event(LOG, logging.INFO, "versions_not_kept", reason=error.detail)
+            return error.fault is TableFault.CONFLICT
+        entries = list_entries(changes.unwrap().scan.rows, record)
+        if entries is None or versions.followed_since != gap_at:
+            log_event(LOG, logging.INFO, "versions_not_kept", reason="an entry was missed")
+            return True
+        for entry in entries:
+            versions.record_entry(entry, now)
+        go_on_from(versions, record, self.follower.configuration_revision, clock, now)
+        self.tried_at = versions.followed_since
+        followed_s = round(now - versions.followed_since, 1)
+        log_event(
+            LOG, logging.INFO, "versions_kept", followed_s=followed_s, revision=record.revision
+        )
+        return True
+
+    async def _read_records(self) -> Page | None:
+        read = await self.store.read_all(VERSIONS_TABLE)
+        if isinstance(read, Failure):
+            log_event(LOG, logging.INFO, "versions_unread", reason=read.failure().detail)
+            return None
+        return read.unwrap()
+
+    async def _write(self) -> None:
+        """Write the record of what was seen up to now."""
+        view, key = self.follower.view, self.follower.view.settings.data_centre
+        sent_at = time.monotonic()
+        page = await self._read_records()
+        record = page and make_record(
+            view.versions,
+            view.fleet,
+            self.follower.servers_revision,
+            self.follower.configuration_revision,
+            ClockReading(page.now_ms, sent_at),
+            time.monotonic(),
+        )
+        if not record:
+            return
+        self.written_at = time.monotonic()
+        version = next((row.version for row in page.scan.rows if row.key == key), 0)
+        transaction = Transaction((Check(key, version),), (Write(key, record.to_value()),))
+        written = await self.store.commit(VERSIONS_TABLE, transaction)
+        if isinstance(written, Failure):
+            reason = written.failure().detail
+            log_event(LOG, logging.INFO, "versions_unwritten", reason=reason)
+
+
+def list_records(page: Page) -> list[VersionRecord]:
+    """Decode the rows; one that cannot be read counts for nothing."""
+    records = []
+    for row in page.scan.rows:
+        read = read_record(row.value or {}, page.now_ms)
+        if isinstance(read, Failure):
+            log_event(LOG, logging.INFO, "versions_unreadable", key=row.key, reason=read.failure())
+        elif read.unwrap().revision <= page.scan.revision:
+            records.append(read.unwrap())
+    return records
+
+
+def list_entries(rows: Iterable[Row], record: VersionRecord) -> list[ServerEntry] | None:
+    """List the entries among the changes since a record, None if one came and left unseen."""
+    entries: list[ServerEntry] = []
+    known = set()
+    for row in rows:
+        if row.value is None and row.key not in known:
+            if make_digest(row.key) not in record.servers:
+                return None
+        if row.value is not None:
+            known.add(row.key)
+            read = read_server(row.key, row.value)
+            entries += [read.unwrap()] if isinstance(read, Success) else []
+    return entries
--- a/test/helper_streams.py
+++ b/test/helper_streams.py
@@ -21,8 +21,9 @@
 
 def let_streams_last_shortly(monkeypatch: pytest.MonkeyPatch) -> None:
     """Let streams last for a short time only."""
-    module = "rhubarbshed.coordination.serving.versions"
-    monkeypatch.setattr(f"{module}.STREAM_AGE_MAX_S", AGE_SHORT_S)
+    for module in ("versions", "version_records"):
+        name = f"rhubarbshed.coordination.serving.{module}.STREAM_AGE_MAX_S"
+        monkeypatch.setattr(name, AGE_SHORT_S)
 
 
 @define
--- a/test/test_edge_sole_version.py
+++ b/test/test_edge_sole_version.py
@@ -86,6 +86,21 @@
         assert list_versions(answer) == {f"data: <{version}>".encode()}, answer
         return answer
 
+    async def wait_recorded(self) -> None:
+        """Wait until each holder has recorded all that the store holds of the servers."""
+        revision = max((ver for ver, table, *_ in self.store.changes if table == "servers"))
+
+        def is_recorded() -> bool:
+            names = {node.settings.data_centre for node in self.instances.nodes.values()}
+            records = [self.store.read("rhubarbshed-versions", name) for name in names]
+            return all(record and record["revision"] >= revision for record in records)
+
+        await self.instances.wait_until(is_recorded)
+
+    def measure_followed(self, name: str) -> float:
+        """Return the seconds for which an instance has followed the entries without a gap."""
+        return self.instances[name].view.measure_followed(time.monotonic())
+
     def forget_streams(self, name: str) -> None:
         """Let an instance know no stream, as if it were none of their backups."""
         self.instances[name].streams.origins = StreamOrigins()
@@ -218,3 +233,23 @@
             assert (await take_up(scene.get_edge("a1"))).whole
 
     play(scene)
+
+
+@pytest.mark.parametrize("names", [{"a1": "a"}, {"a1": "a", "a2": "a", "c1": "c"}])
+def test_stream_goes_on_after_all_are_killed_if_its_service_had_one_version(names: dict):
+    async def scene():
+        async with run_scene("b1", **names) as scene:
+            await scene.wait_recorded()
+            await scene.begin_at("a1", "b1")
+            await scene.kill(*names)
+            await scene.start_again(*names)
+            await scene.instances.wait_until(
+                lambda: all(scene.measure_followed(name) > CERTAIN_S for name in names), 0.5
+            )
+            for name in names:
+                assert (await take_up(scene.get_edge(name), "")).whole
+            await scene.instances.wait_until(scene.instances.know_each_other)
+            for name in names:
+                assert (await take_up(scene.get_edge(name))).whole
+
+    play(scene)
