Show by tests what odd values of other writers do to an instance

What callers saw: an instance that holds the orders ended by itself after another writer had left one odd entry among those of the servers, and the next holder ended as well.

A lease row with port 70000 closes the datagram socket for good.

--- /dev/null
+++ b/test/test_odd_entries.py
@@ -0,0 +1,169 @@
+"""Rows of other writers, pages of the store and engines' reports end no instance.
+
+Bytes that another writer left among the entries ended each order holder that published them.
+"""
+
+import asyncio
+import json
+import math
+
+import pytest
+from returns.result import Failure, Result, Success
+
+from rhubarbshed.protocol.messages import StoreMessage
+from rhubarbshed.protocol.tables import TableError, TableFault
+from rhubarbshed.transport.edge import follower, order_dispatcher
+from rhubarbshed.transport.edge.control import ControlAnswer
+from standin.replica import Replica
+from test.helper_odd_values import ODD_JSON, PLACE, MemoryNode, fill, play_odd
+
+ENTRY = Replica("x", models={"m1": ["a1"]}, address=("127.0.0.1", 2)).describe(RemainingMs=500)
+ENTRIES = {
+    "whole": PLACE,
+    **{name: {**ENTRY, name: PLACE} for name in (*ENTRY, "Unused")},
+    "model": {**ENTRY, "Models": [PLACE]},
+    "model name": {**ENTRY, "Models": [{"Name": PLACE, "Adapters": []}]},
+    "weights": {**ENTRY, "Models": [{"Name": "m1", "Version": PLACE}]},
+    "adapters": {**ENTRY, "Models": [{"Name": "m1", "Adapters": PLACE}]},
+    "adapter": {**ENTRY, "Models": [{"Name": "m1", "Adapters": ["a1", PLACE]}]},
+    "cached": {**ENTRY, "AtHand": PLACE},
+    "in memory": {**ENTRY, "AtHand": {"InMemory": PLACE}},
+    "on disk": {**ENTRY, "AtHand": {"OnDisk": ["m1", PLACE]}},
+}
+KEYS = {
+    "surrogate": "\ud800",
+    "surrogate inside": "a\udfffb",
+    "long": "k" * 300,
+    "control": "a\x00\n\x7f",
+    "empty": "",
+}
+PAGE = {"Rows": [], "HasMore": False, "Ver": 1, "NowMs": 5}
+ROW = {"Table": "servers", "part": "", "Key": "x", "Ver": 1, "Value": "e30="}
+PAGES = {
+    "whole": PLACE,
+    **{name: {**PAGE, name: PLACE} for name in PAGE},
+    **{f"row's {name}": {**PAGE, "Rows": [{**ROW, name: PLACE}]} for name in (*ROW, "Deleted")},
+    "row": {**PAGE, "Rows": [PLACE]},
+    "last key": {**PAGE, "Rows": [{**ROW, "Key": PLACE}], "HasMore": True},
+}
+REPORT = {
+    "Models": [{"Name": "m1", "Version": 1, "Adapters": []}],
+    "Busy": False,
+    "Seq": 2,
+    "Queued": 1,
+    "Active": 2,
+    "KvUsed": 1,
+    "KvTotal": 2,
+    "born": 1,
+    "Pending": ["m1/a1@1"],
+    "AtHand": {"InMemory": ["m1"], "OnDisk": ["m2"]},
+}
+REPORTS = {
+    "whole": PLACE,
+    **{name: {**REPORT, name: PLACE} for name in (*REPORT, "Unused")},
+    "model": {**REPORT, "Models": [PLACE]},
+    "model name": {**REPORT, "Models": [{"Name": PLACE, "Adapters": []}]},
+    "adapters": {**REPORT, "Models": [{"Name": "m1", "Adapters": PLACE}]},
+    "adapter": {**REPORT, "Models": [{"Name": "m1", "Adapters": ["a1", PLACE]}]},
+    "pending": {**REPORT, "Pending": [PLACE]},
+    "in memory": {**REPORT, "AtHand": {"InMemory": PLACE, "OnDisk": ["m1"]}},
+    "on disk": {**REPORT, "AtHand": {"InMemory": ["m1"], "OnDisk": PLACE}},
+}
+
+
+@pytest.fixture(autouse=True)
+def short_pauses(monkeypatch):
+    for name in ("CHANGE_BATCH_S", "PAUSE_FIRST_S", "PAUSE_LONGEST_S", "RETRY_DELEGATION_S"):
+        monkeypatch.setattr(follower, name, 0.001)
+
+
+@pytest.fixture(autouse=True)
+def engines(monkeypatch):
+    """Answer calls to engines with what a test sets, at first not at all."""
+    answers = [Failure(TableError(TableFault.UNAVAILABLE))]
+
+    async def call(*_: object) -> Result[ControlAnswer, TableError]:
+        await asyncio.sleep(0)
+        return answers[0]
+
+    monkeypatch.setattr(order_dispatcher, "call", call)
+    return answers
+
+
+async def check_followed(memory: MemoryNode) -> None:
+    """Check that a sound entry that is written now is known here and sent to others."""
+    await memory.settle()
+    memory.use()
+    sound = Replica("b2", address=("127.0.0.1", 3)).describe()
+    memory.store.rows.put("servers", "b2", sound)
+    await memory.settle()
+    memory.use()
+    assert {"b1", "b2"} <= set(memory.node.view.fleet.servers)
+    messages = [each for each in memory.read_sent() if isinstance(each, StoreMessage)]
+    assert any(key == "b2" and value for each in messages for key, _, value in each.rows)
+
+
+@pytest.mark.parametrize("when", ["before", "after"])
+@pytest.mark.parametrize("name", ENTRIES)
+def test_odd_value_in_an_entry_ends_no_instance_that_follows(name, when):
+    async def scene():
+        async with MemoryNode.start() as memory:
+            if when == "after":
+                await memory.settle()
+            for number, raw in enumerate(ODD_JSON.values()):
+                memory.store.rows.put("servers", f"x{number}", fill(ENTRIES[name], raw))
+            await check_followed(memory)
+
+    play_odd(scene)
+
+
+@pytest.mark.parametrize("key", KEYS.values(), ids=KEYS)
+def test_odd_key_of_an_entry_ends_no_instance_that_follows(key):
+    async def scene():
+        async with MemoryNode.start() as memory:
+            await memory.settle()
+            memory.store.rows.put("servers", key, ENTRY)
+            await memory.settle()
+            memory.store.rows.remove("servers", key)
+            await check_followed(memory)
+            assert key not in memory.node.view.fleet.servers
+
+    play_odd(scene)
+
+
+@pytest.mark.parametrize("when", ["before", "after"])
+@pytest.mark.parametrize("name", PAGES)
+def test_odd_value_in_a_page_ends_no_instance_that_follows(name, when):
+    async def scene():
+        for raw in ODD_JSON.values():
+            async with MemoryNode.start() as memory:
+                if when == "after":
+                    await memory.settle()
+                    memory.store.rows.put("servers", "b3", ENTRY)
+                memory.store.answers += [(200, fill(PAGES[name], raw))] * 2
+                await check_followed(memory)
+
+    play_odd(scene)
+
+
+@pytest.mark.parametrize("name", REPORTS)
+def test_odd_value_in_a_report_ends_no_instance_that_gives_orders(name, engines):
+    async def scene():
+        async with MemoryNode.start() as memory:
+            await memory.settle()
+            memory.use()
+            dispatcher = memory.node.dispatcher
+            for raw in ODD_JSON.values():
+                engines[0] = Success(ControlAnswer(200, fill(REPORTS[name], raw)))
+                await dispatcher.read_report("b1")
+                memory.use()
+                for engine_state in dispatcher.engine_states.values():
+                    engine_state.complete_pending(math.inf)
+                memory.use()
+            engines[0] = Success(ControlAnswer(200, json.dumps(REPORT).encode()))
+            await dispatcher.read_report("b1")
+            assert dispatcher.engine_states["b1"].orders == 2
+            memory.use()
+            memory.read_sent()
+
+    play_odd(scene)
--- /dev/null
+++ b/test/test_odd_messages.py
@@ -0,0 +1,246 @@
+"""Datagrams of anybody, rows of the own tables and configurations end no instance."""
+
+import asyncio
+import json
+import time
+
+import msgpack
+import pytest
+
+from rhubarbshed.coordination.serving.choice import Choice, choose_server
+from rhubarbshed.platform.rows import OWN_TABLE, QUARANTINE_TABLE
+from rhubarbshed.protocol.crash_messages import CrashMessage
+from rhubarbshed.protocol.messages import FORMAT, KINDS, DemandMessage, pack_message
+from rhubarbshed.transport.edge import follower
+from rhubarbshed.transport.edge.datagrams import Datagrams
+from standin.replica import Replica
+from test.helper_edge import make_configuration, make_engine_service, make_host, make_route
+from test.helper_odd_values import ODD_JSON, PEER, PLACE, MemoryNode, fill, play_odd
+
+ODD_PARTS = {
+    "none": None,
+    "true": True,
+    "number beyond 53 bits": 2**64 - 1,
+    "negative": -(2**63),
+    "NaN": float("nan"),
+    "infinity": float("inf"),
+    "1e300": 1e300,
+    "fraction": 1.5,
+    "text": "x",
+    "empty text": "",
+    "long text": "a" * 60_000,
+    "bytes": b"\xff",
+    "list": ["x", 3],
+    "nested": [[[[]]]],
+    "object": {"x": 1},
+    "thousands": list(range(9_000)),
+}
+REPLICA = Replica("b1", models={"m1": ["a1"]}, address=("127.0.0.1", 1)).describe()
+KEY = b"k" * 16
+SAMPLES = {
+    "demand": ("i2", "a", [("svc", "m1", "a1", 1, 2, 1, 0.5)], [("svc", "m2", "")],
+               [("b1", 1, "m1", "a1")], [("b1", 3)]),
+    "holder": ("i2", "b", "127.0.0.3", 7000, 9, True, 2, 3, [("b1", 1, [("m1", ["a1"])])],
+               [("b1", "m2", 1.0, "")], [("c", "127.0.0.4", 7000)], [("b1", 3)]),
+    "news": ("i2", "a", 9, 1, True, 2, 4, [("b1", 4, REPLICA)]),
+    "origins": ([("s1", "svc", "v1")], [1]),
+    "origin_question": (["s1"],),
+    "origin_reply": ([("s1", "svc", "v1")], ["s2"], [("svc", "v1")], [1], 5),
+    "instances": ("a", 9, "a", 1, 0, 1, b"", [("::1", 7000)]),
+    "instances_question": (),
+    "crash": ("b1", 1, [(KEY, KEY, 1, 1, True, "b2", 1)], [KEY]),
+    "crash_question": (1,),
+    "trial": ([KEY],),
+    "begun_parts": ([KEY],),
+    "limit": ("b1", 1, 5.0),
+    "limit_question": (1, "b1", 1, 5.0, 1, 1),
+    "limit_reply": (1, 1, 1, 1),
+}  # fmt: skip
+LEASE = {"holder": "i2", "host": "127.0.0.3", "port": 7000, "nonce": "n"}
+VERDICT = {
+    "trials": 1,
+    "next_ms": 5.0,
+    "written_ms": 1.0,
+    "ends": [pack_message(CrashMessage("b1", 1)).hex()],
+}
+CONFIGURATION = make_configuration(
+    make_route(), version=2, Services=[make_engine_service({"m1": 2, "m2": 0})]
+)
+
+
+@pytest.fixture(autouse=True)
+def short_pauses(monkeypatch):
+    for name in ("CHANGE_BATCH_S", "PAUSE_FIRST_S", "PAUSE_LONGEST_S", "RETRY_DELEGATION_S"):
+        monkeypatch.setattr(follower, name, 0.001)
+
+
+def replace_each(value: object, odd: object) -> list[object]:
+    """Return copies of a value, each with an odd one in place of one of its parts."""
+    copies = [odd]
+    if isinstance(value, dict):
+        for key, part in value.items():
+            copies += [{**value, key: other} for other in replace_each(part, odd)]
+    elif isinstance(value, list | tuple):
+        for index, part in enumerate(value):
+            head, tail = list(value[:index]), list(value[index + 1 :])
+            copies += [[*head, other, *tail] for other in replace_each(part, odd)]
+        copies += [[*value, odd], list(value)[:-1]]
+    return copies
+
+
+def choose_after(memory: MemoryNode) -> None:
+    """Check that a request finds the server."""
+    node, now = memory.node, time.monotonic()
+    chosen = choose_server(
+        node.view.fleet, "svc", ("", ""), frozenset(), "a", now, node.view.rng,
+        instances=node.view.budget.instances,
+    )  # fmt: skip
+    assert isinstance(chosen, Choice)
+
+
+@pytest.mark.parametrize("is_holder", [True, False], ids=["holder", "other"])
+@pytest.mark.parametrize("kind", KINDS)
+def test_odd_datagram_ends_no_instance(kind, is_holder, caplog):
+    async def scene():
+        async with MemoryNode.start() as memory:
+            await memory.settle()
+            memory.use()
+            memory.node.lease.lease_state.held = is_holder
+            for odd in ODD_PARTS.values():
+                for parts in replace_each(SAMPLES[kind], odd):
+                    listed = parts if isinstance(parts, list) else [parts]
+                    data = msgpack.packb((FORMAT, kind, *listed))
+                    memory.node.holder_protocol.datagrams.datagram_received(data, PEER)
+                memory.use()
+                await asyncio.sleep(0)
+            memory.node.lease.lease_state.held = True
+            memory.node.lease.lease_state.may_order_until = time.monotonic() + 60.0
+            memory.use()
+            choose_after(memory)
+            memory.read_sent()
+
+    play_odd(scene)
+    assert "never retrieved" not in caplog.text
+
+
+@pytest.mark.parametrize("name", ["whole", *LEASE])
+def test_odd_value_in_a_lease_row_cuts_off_no_instance(name):
+    template = PLACE if name == "whole" else {**LEASE, name: PLACE}
+    ports = {"port 0": "0", "port 70000": "70000", "name": '"a.example"'}
+
+    async def scene():
+        async with MemoryNode.start() as memory:
+            await memory.settle()
+            node = memory.node
+            for raw in (*ODD_JSON.values(), *ports.values()):
+                for data_centre in "ab":
+                    key = f"orders/{data_centre}"
+                    memory.store.rows.put(OWN_TABLE, key, fill(template, raw))
+                node.lease.lease_state.held = False
+                await node.lease._read()
+                await node.lease._read_other_holders()
+                node.lease.lease_state.last_received_at = -1e9
+                node.holder_protocol.report_demand(time.monotonic())
+                node.instance_lists.check(time.monotonic())
+                node.lease.lease_state.held = True
+                memory.use()
+            memory.store.rows.put(OWN_TABLE, "orders/b", LEASE)
+            await node.lease._read_other_holders()
+            assert node.holder_protocol.holders["b"].address == ("127.0.0.3", 7000)
+
+    play_odd(scene)
+
+
+@pytest.mark.parametrize("port", [70_000, -1])
+def test_datagram_to_an_odd_address_leaves_the_socket_open(port):
+    """An address that a socket takes for a defect closed the endpoint for good."""
+
+    async def scene():
+        sender, receiver = Datagrams(print), Datagrams(lambda read, _: got.append(read))
+        await sender.listen((make_host(1), 0))
+        await receiver.listen((make_host(2), 0))
+        address = receiver._transport.get_extra_info("sockname")
+        sender.send(DemandMessage("i1", "a"), (make_host(2), port), ("a\ud800", 1), address)
+        await asyncio.sleep(0.05)
+        sender.send(DemandMessage("i1", "a"), address)
+        await asyncio.sleep(0.05)
+        assert len(got) == 2
+        sender.close()
+        receiver.close()
+
+    got: list[object] = []
+    play_odd(scene)
+
+
+def test_message_that_cannot_be_packed_is_left_out():
+    async def scene():
+        async with MemoryNode.start() as memory:
+            datagrams = memory.node.holder_protocol.datagrams
+            for odd in (2**70, "\ud800", object(), "a" * 70_000):
+                datagrams.send(DemandMessage("i1", odd), PEER)
+            datagrams.send(DemandMessage("i1", "a"), PEER)
+            assert memory.read_sent() == [DemandMessage("i1", "a")]
+
+    play_odd(scene)
+
+
+@pytest.mark.parametrize("name", ["whole", *VERDICT, "end"])
+def test_odd_value_in_a_verdict_row_ends_no_instance(name):
+    changed = {"ends": [PLACE]} if name == "end" else {name: PLACE}
+    template = PLACE if name == "whole" else {**VERDICT, **changed}
+    key = KEY.hex()
+
+    async def scene():
+        async with MemoryNode.start() as memory:
+            await memory.settle()
+            crashes = memory.node.crashes
+            for raw in ODD_JSON.values():
+                memory.store.rows.put(QUARANTINE_TABLE, key, fill(template, raw))
+                await crashes._read_stored()
+                await crashes.verdict_store.claim_trial((key, "other"))
+                await crashes.verdict_store.add_verdict(key, (), 5.0)
+                crashes.quarantine.forget_old(time.monotonic())
+                memory.use()
+            assert crashes.is_store_read
+            sound = {**VERDICT, "next_ms": 0.0}
+            memory.store.rows.put(QUARANTINE_TABLE, key, json.dumps(sound).encode())
+            await crashes.verdict_store.claim_trial((key,))
+            written = json.loads(memory.store.rows.rows[QUARANTINE_TABLE, key][0])
+            assert written["trials"] == 2
+
+    play_odd(scene)
+
+
+def list_templates(value: object) -> list[object]:
+    """Return copies of a configuration, each with a place for one of its parts."""
+    return replace_each(value, PLACE)
+
+
+@pytest.mark.parametrize("name", ODD_JSON)
+def test_odd_value_in_a_configuration_ends_no_instance(name):
+    async def scene():
+        async with MemoryNode.start() as memory:
+            await memory.settle()
+            view = memory.node.view
+            for template in list_templates(CONFIGURATION):
+                view.configuration = None
+                memory.store.rows.put("op", "config", fill(template, ODD_JSON[name]))
+                before = view.configured_at
+                for _ in range(500):
+                    if view.configured_at > before:
+                        break
+                    await asyncio.sleep(0.0005)
+                await memory.settle()
+                memory.use()
+                if view.configuration is not None:
+                    view.configuration.find_route("svc.example", "/p/x")
+                    assert view.limits.idle_timeout_s < 1e9
+            view.configuration = None
+            memory.store.rows.put("op", "config", CONFIGURATION)
+            for _ in range(500):
+                await asyncio.sleep(0.001)
+                if view.configuration is not None:
+                    return
+            raise AssertionError("the configuration is not followed")
+
+    play_odd(scene)
