Make each row of the servers' table a value of ours before it goes on

What callers saw: one odd entry of another writer ended the order holder, and the next holder after the lease, so that orders stopped and connections were closed.

Cause: `Follower.publish` sent the rows on as they were read from JSON, and JSON holds what msgpack cannot: integers beyond 64 bits and lone surrogates, in fields that are used and in others. `pack_message` raised in a task whose failure stops the process.

Rows become an `EntryChange` once, in `platform`: a server's entry whose texts can be encoded and are short, whose numbers fit into messages and whose lists have a bounded length, or a reason why it names no server, logged and counted by `rhubarbshed_unreadable_total`. What goes to other instances is written from that value, in the platform's format and in the message's old shape, so that other builds read it: known fields only, empty for an unreadable entry, none for a removal. A port is five plain digits at most: "1_0" and unicode digits were read.

--- a/rhubarbshed/platform/records.py
+++ b/rhubarbshed/platform/records.py
@@ -2,10 +2,25 @@
 
 import ipaddress
 import json
+from collections.abc import Iterable
 from typing import Any
 
 from returns.result import Failure, Result, Success
 
+from rhubarbshed.platform.values import (
+    DECODE_ERRORS,
+    NAMES_MAX,
+    describe,
+    require_count,
+    require_header_value,
+    require_list,
+    require_name,
+    require_names,
+    require_number,
+    require_object,
+    require_port,
+    require_text,
+)
 from rhubarbshed.protocol.routes import (
     CallerLimits,
     Configuration,
@@ -16,17 +31,18 @@
     ServiceSpec,
     index_routes,
 )
-from rhubarbshed.protocol.servers import Models, ServerEntry, ServerReport, ServerState
-
-PORT_MAX = 65_535
-"""Highest TCP port."""
+from rhubarbshed.protocol.servers import (
+    EntryChange,
+    Models,
+    ServerEntry,
+    ServerReport,
+    ServerState,
+)
+from rhubarbshed.protocol.tables import Row
 
 SLOTS_MAX = 1_000_000
 """Most slots of a server, far above real ones; sums and shares of them stay computable."""
 
-DECODE_ERRORS = (AttributeError, KeyError, OverflowError, RecursionError, TypeError, ValueError)
-"""Raised while decoding unexpected bytes, fields or types from other writers."""
-
 
 def read_configuration(plain: dict[str, Any]) -> Result[Configuration, str]:
     """Decode the operator's latest configuration."""
@@ -102,33 +118,74 @@
     )
 
 
+def read_entries(rows: Iterable[Row]) -> tuple[EntryChange, ...]:
+    """Decode rows of the servers' table; none goes on as it was read."""
+    return tuple(_read_entry(row) for row in rows)
+
+
+def _read_entry(row: Row) -> EntryChange:
+    if row.value is None:
+        return EntryChange(row.key, row.version)
+    read = read_server(row.key, row.value)
+    if isinstance(read, Failure):
+        return EntryChange(row.key, row.version, unreadable=read.failure())
+    return EntryChange(row.key, row.version, read.unwrap())
+
+
+def write_entry(change: EntryChange) -> dict[str, Any] | None:
+    """Return a change as the row for other instances: None if removed, empty if unreadable."""
+    if change.entry is not None:
+        return _write_server(change.entry)
+    return {} if change.unreadable else None
+
+
 def read_server(key: str, plain: dict[str, Any]) -> Result[ServerEntry, str]:
     """Decode a backend server's entry; rows of other writers fail."""
     try:
-        host, _, port = plain["Address"].rpartition(":")
-        cached = plain.get("AtHand") or {}
+        host, _, port = require_text(plain["Address"]).rpartition(":")
+        cached = require_object(plain.get("AtHand"))
         remaining_ms = plain.get("RemainingMs")
         return Success(
             ServerEntry(
-                server_id=_require_header_value(key),
-                service=_require(plain["Service"], str),
-                host=_require_address(host),
-                port=_require_port(port),
-                data_centre=_require(plain["Zone"], str),
+                server_id=require_header_value(key),
+                service=require_text(plain["Service"]),
+                host=str(ipaddress.IPv4Address(host)),
+                port=require_port(port),
+                data_centre=require_text(plain["Zone"]),
                 state=ServerState(plain["State"]),
-                slots=_require_slots(plain["Slots"]),
+                slots=require_count(plain["Slots"], SLOTS_MAX),
                 # A model's "Version" is that of its weights.
-                version=_require(plain["Version"], str),
-                models=_read_models(plain.get("Models") or ()),
-                changes=_require(plain.get("Seq", 0), int),
-                started_ms=_require(plain.get("born", 0), int),
-                remaining_s=None if remaining_ms is None else float(remaining_ms) / 1000.0,
-                in_memory=frozenset(cached.get("InMemory") or ()),
-                on_disk=frozenset(cached.get("OnDisk") or ()),
+                version=require_text(plain["Version"]),
+                models=_read_models(plain.get("Models")),
+                changes=require_count(plain.get("Seq", 0)),
+                started_ms=require_count(plain.get("born", 0)),
+                remaining_s=None if remaining_ms is None else require_number(remaining_ms) / 1000.0,
+                in_memory=require_names(cached.get("InMemory")),
+                on_disk=require_names(cached.get("OnDisk")),
             )
         )
     except DECODE_ERRORS as error:
-        return Failure(f"unreadable entry: {error!r}")
+        return Failure(f"unreadable entry: {describe(error)}")
+
+
+def _write_server(entry: ServerEntry) -> dict[str, Any]:
+    plain: dict[str, Any] = {
+        "Service": entry.service,
+        "Address": f"{entry.host}:{entry.port}",
+        "Zone": entry.data_centre,
+        "State": entry.state.value,
+        "Slots": entry.slots,
+        "Version": entry.version,
+        "Models": [
+            {"Name": name, "Adapters": sorted(adapters)} for name, adapters in entry.models.items()
+        ],
+        "Seq": entry.changes,
+        "born": entry.started_ms,
+        "AtHand": {"InMemory": sorted(entry.in_memory), "OnDisk": sorted(entry.on_disk)},
+    }
+    if entry.remaining_s is not None:
+        plain["RemainingMs"] = entry.remaining_s * 1000.0
+    return plain
 
 
 def read_report(data: bytes) -> Result[ServerReport, str]:
@@ -138,7 +195,7 @@
         cached = plain.get("AtHand") or {}
         return Success(
             ServerReport(
-                models=_read_models(plain.get("Models") or ()),
+                models=_read_held(plain.get("Models") or ()),
                 busy=bool(plain["Busy"]),
                 # "Seq" counts accepted orders here; in an entry it counts heartbeats.
                 orders=_require(plain["Seq"], int),
@@ -157,6 +214,16 @@
 
 
 def _read_models(plain: Any) -> Models:
+    models = {
+        require_name(each["Name"]): require_names(each.get("Adapters"))
+        for each in require_list(plain)
+    }
+    if sum(map(len, models.values())) > NAMES_MAX:
+        raise ValueError("too many adapters")
+    return models
+
+
+def _read_held(plain: Any) -> Models:
     return {str(each["Name"]): frozenset(each.get("Adapters") or ()) for each in plain}
 
 
@@ -170,26 +237,3 @@
     if not isinstance(value, kind) or isinstance(value, bool):
         raise TypeError(f"{value!r} is not of type {kind.__name__}")
     return value
-
-
-def _require_slots(number: Any) -> int:
-    if not 0 <= _require(number, int) <= SLOTS_MAX:
-        raise ValueError(f"{number!r} is not a number of slots")
-    return number
-
-
-def _require_address(host: str) -> str:
-    return str(ipaddress.IPv4Address(host))
-
-
-def _require_port(port: str) -> int:
-    if not 0 < int(port) <= PORT_MAX:
-        raise ValueError(f"{port!r} is not a port")
-    return int(port)
-
-
-def _require_header_value(text: str) -> str:
-    """Return an id that each request to its server can name in a header."""
-    if not text.isascii() or not text.isprintable() or text != text.strip() or not text:
-        raise ValueError(f"{text!r} cannot be a header's value")
-    return text
--- a/rhubarbshed/protocol/servers.py
+++ b/rhubarbshed/protocol/servers.py
@@ -52,6 +52,19 @@
         return (self.server_id, self.started_ms)
 
 
+@frozen
+class EntryChange:
+    """Change of one entry at a revision of the store.
+
+    Without an `entry` it was removed, or names no server for the reason `unreadable`.
+    """
+
+    server_id: str
+    revision: int
+    entry: ServerEntry | None = None
+    unreadable: str = ""
+
+
 @frozen
 class ServerReport:
     """State of a model engine; `orders` counts the orders it has accepted.
--- a/rhubarbshed/transport/edge/follower.py
+++ b/rhubarbshed/transport/edge/follower.py
@@ -9,11 +9,11 @@
 from attrs import define, field
 from returns.result import Failure, Result, Success
 
-from rhubarbshed.platform.records import read_configuration, read_server
+from rhubarbshed.platform.records import read_configuration, read_entries
 from rhubarbshed.platform.rows import CONFIGURATION_KEY, OPERATOR_TABLE, SERVERS_TABLE, Page
 from rhubarbshed.protocol.messages import StoreMessage
 from rhubarbshed.protocol.routes import Configuration
-from rhubarbshed.protocol.servers import ServerEntry
+from rhubarbshed.protocol.servers import EntryChange, ServerEntry
 from rhubarbshed.protocol.tables import Row, TableError, TableFault
 from rhubarbshed.transport.edge.store import StoreClient
 from rhubarbshed.transport.edge.view import LatchedSignal, Signal, View
@@ -63,7 +63,7 @@
 STORE_MESSAGE_CHECK_S = 0.3
 """Time between two checks whether the order holder still sends store messages."""
 
-ApplyRows = Callable[[tuple[Row, ...], bool, float], None]
+ApplyRows = Callable[[tuple[Row, ...], bool, float], tuple[EntryChange, ...]]
 
 
 @define
@@ -81,7 +81,10 @@
     store_suspected: Signal = field(factory=Signal)
     lost_at: float | None = None
     regained_at: float = -1e9
-    publish: Callable[[int, int, tuple[Row, ...]], None] = lambda before, revision, rows: None
+    publish: Callable[[int, int, tuple[EntryChange, ...]], None] = (
+        lambda before, revision, changes: None
+    )
+    count_unreadable: Callable[[str], None] = lambda kind: None
     is_holder: Callable[[], bool] = lambda: False
     servers_revision: int | None = None
     configuration_revision: int = 0
@@ -174,16 +177,15 @@
                 scan = result.unwrap().scan
                 before, revision = revision, scan.revision
                 pause_s = PAUSE_FIRST_S
-                apply(scan.rows, is_full_read, now)
+                changes = apply(scan.rows, is_full_read, now)
                 if table == SERVERS_TABLE:
                     self.servers_revision = revision
                     self.view.versions.resume()
                 if is_full_read:
                     self.read_anew.fire()
-                if table == SERVERS_TABLE:
-                    if before is not None and scan.rows:
-                        self.publish(before, revision, scan.rows)
-                        await asyncio.sleep(CHANGE_BATCH_S)
+                elif table == SERVERS_TABLE and changes:
+                    self.publish(before, revision, changes)
+                    await asyncio.sleep(CHANGE_BATCH_S)
                 continue
             if result.failure().fault is TableFault.CONFLICT:
                 log_event(LOG, logging.WARNING, "history_gone", table=table, revision=revision)
@@ -256,13 +258,16 @@
             )
             self.store_suspected.fire()
 
-    def _apply_operator(self, rows: tuple[Row, ...], is_full_read: bool, now: float) -> None:
+    def _apply_operator(
+        self, rows: tuple[Row, ...], is_full_read: bool, now: float
+    ) -> tuple[EntryChange, ...]:
         view = self.view
         for row in rows:
             if row.key != CONFIGURATION_KEY or row.value is None:
                 continue
             read = read_configuration(row.value)
             if isinstance(read, Failure):
+                self.count_unreadable("configuration")
                 log_event(LOG, logging.ERROR, "configuration_unreadable", reason=read.failure())
                 continue
             self.configuration_revision = row.version
@@ -284,6 +289,7 @@
             )
             view.changed.fire()
         view.configured_at = now
+        return ()
 
     def _record_routes(
         self, before: Configuration | None, after: Configuration, is_full_read: bool, now: float
@@ -297,7 +303,9 @@
         else:
             routes.record(before, after, now)
 
-    def _apply_servers(self, rows: tuple[Row, ...], is_full_read: bool, now: float) -> None:
+    def _apply_servers(
+        self, rows: tuple[Row, ...], is_full_read: bool, now: float
+    ) -> tuple[EntryChange, ...]:
         view = self.view
         view.fleet_at = now
         present = set()
@@ -306,26 +314,29 @@
             # At the first start of the whole system no stream is older than the first read.
             is_first = view.settings.first_start and view.versions.followed_since is None
             view.versions.restart(-math.inf if is_first else now)
-        for row in rows:
-            if row.value is None:
-                view.versions.record_removal(row.key, now)
-                self._mark_missing(row.key, now)
-                continue
-            read = read_server(row.key, row.value)
-            if isinstance(read, Failure):
-                view.versions.record_unreadable(row.key, now)
-                log_event(
-                    LOG, logging.INFO, "entry_unreadable", server=row.key, reason=read.failure()
-                )
-                continue
-            present.add(row.key)
-            self._apply_entry(row, read.unwrap(), now)
+        changes = read_entries(rows)
+        for change in changes:
+            if change.entry is not None:
+                present.add(change.server_id)
+                self._apply_entry(change.entry, change.revision, now)
+            elif change.unreadable:
+                self._skip_unreadable(change, now)
+            else:
+                view.versions.record_removal(change.server_id, now)
+                self._mark_missing(change.server_id, now)
         if is_full_read:
             for server_id in view.fleet.mark_missing(present, now):
                 log_event(LOG, logging.INFO, "server_missing", server=server_id, why="not_listed")
         view.changed.fire()
+        return changes
 
-    def _apply_entry(self, row: Row, entry: ServerEntry, now: float) -> None:
+    def _skip_unreadable(self, change: EntryChange, now: float) -> None:
+        self.view.versions.record_unreadable(change.server_id, now)
+        self.count_unreadable("entry")
+        reason = change.unreadable
+        log_event(LOG, logging.INFO, "entry_unreadable", server=change.server_id, reason=reason)
+
+    def _apply_entry(self, entry: ServerEntry, revision: int, now: float) -> None:
         known = self.view.fleet.get(entry.server_id)
         if known is not None:
             self.view.versions.record_entry(known.entry, now)
@@ -343,7 +354,7 @@
                 address=f"{entry.host}:{entry.port}",
                 models=",".join(sorted(entry.models)),
                 version=entry.version,
-                revision=row.version,
+                revision=revision,
             )
 
     def _mark_missing(self, server_id: str, now: float) -> None:
--- a/rhubarbshed/transport/edge/holder_messages.py
+++ b/rhubarbshed/transport/edge/holder_messages.py
@@ -2,8 +2,10 @@
 
 from collections.abc import Iterable, Iterator
 
+from rhubarbshed.platform.records import write_entry
+from rhubarbshed.protocol.message_checks import is_text
 from rhubarbshed.protocol.messages import DemandMessage
-from rhubarbshed.protocol.tables import Row
+from rhubarbshed.protocol.servers import EntryChange
 from rhubarbshed.state.placement.demand_buffer import DemandBuffer, list_counts
 from rhubarbshed.state.placement.engine_states import EngineState
 
@@ -30,18 +32,25 @@
         awaited = missing = loads = ()
 
 
-def split_rows(
-    before: int, revision: int, rows: tuple[Row, ...]
-) -> Iterator[tuple[int, int, tuple[Row, ...]]]:
-    """Yield rows in parts, each with the revisions before and after it."""
-    for start in range(0, max(1, len(rows)), ROWS_PER_MESSAGE):
-        part = rows[start : start + ROWS_PER_MESSAGE]
-        last = start + ROWS_PER_MESSAGE >= len(rows)
-        reached = revision if last else part[-1].version
-        yield before, reached, part
+def split_changes(
+    before: int, revision: int, changes: tuple[EntryChange, ...]
+) -> Iterator[tuple[int, int, tuple[tuple[str, int, dict | None], ...]]]:
+    """Yield the rows of changes in parts, each with the revisions before and after it."""
+    for start in range(0, max(1, len(changes)), ROWS_PER_MESSAGE):
+        part = changes[start : start + ROWS_PER_MESSAGE]
+        last = start + ROWS_PER_MESSAGE >= len(changes)
+        reached = revision if last else part[-1].revision
+        yield before, reached, tuple(_make_rows(part))
         before = reached
 
 
+def _make_rows(changes: Iterable[EntryChange]) -> Iterator[tuple[str, int, dict | None]]:
+    for change in changes:
+        # Under a key that a message cannot carry there is no server.
+        if is_text(change.server_id):
+            yield change.server_id, change.revision, write_entry(change)
+
+
 def list_held(
     engine_states: Iterable[EngineState],
 ) -> tuple[tuple[str, int, tuple[tuple[str, tuple[str, ...]], ...]], ...]:
--- a/rhubarbshed/transport/edge/holder_protocol.py
+++ b/rhubarbshed/transport/edge/holder_protocol.py
@@ -21,7 +21,7 @@
     Message,
     StoreMessage,
 )
-from rhubarbshed.protocol.tables import Row
+from rhubarbshed.protocol.servers import EntryChange
 from rhubarbshed.state.membership.fleet import SAMPLE_WINDOW_S
 from rhubarbshed.state.placement.demand_buffer import DemandBuffer, list_counts
 from rhubarbshed.state.placement.engine_states import EngineState
@@ -32,7 +32,7 @@
     list_changes,
     list_held,
     make_demand_messages,
-    split_rows,
+    split_changes,
 )
 from rhubarbshed.transport.edge.lease import LeaseClient
 from rhubarbshed.transport.edge.order_dispatcher import OrderDispatcher
@@ -236,18 +236,18 @@
         if self.follower.lost_at is None and self.lease.lease_state.is_confirmed(now):
             self.send_store_messages(now, revision, revision)
 
-    def publish(self, before: int, revision: int, rows: tuple[Row, ...]) -> None:
+    def publish(self, before: int, revision: int, changes: tuple[EntryChange, ...]) -> None:
         """Announce changes in the store to the local instances."""
         if self.is_holder:
-            self.send_store_messages(time.monotonic(), before, revision, rows)
+            self.send_store_messages(time.monotonic(), before, revision, changes)
 
     def send_store_messages(
-        self, now: float, before: int, revision: int, rows: tuple[Row, ...] = ()
+        self, now: float, before: int, revision: int, changes: tuple[EntryChange, ...] = ()
     ) -> None:
-        """Announce how far the store was read, with the rows that changed."""
+        """Announce how far the store was read, with the entries that changed."""
         settings, known = self.view.settings, self.view.configuration
         settled = self.follower.is_settled(now) and not self.view.versions.is_suspended
-        for first, reached, part in split_rows(before, revision, rows):
+        for first, reached, rows in split_changes(before, revision, changes):
             message = StoreMessage(
                 settings.name,
                 settings.data_centre,
@@ -256,7 +256,7 @@
                 settled,
                 first,
                 reached,
-                tuple((row.key, row.version, row.value) for row in part),
+                rows,
             )
             self.datagrams.send(message, *self.instances)
 
--- a/rhubarbshed/transport/edge/metrics.py
+++ b/rhubarbshed/transport/edge/metrics.py
@@ -25,6 +25,7 @@
     closes: Counter
     orders: Counter
     store_calls: Counter
+    unreadable: Counter
     request_seconds: Histogram
     first_bytes_seconds: Histogram
     loop_delay_seconds: Histogram
@@ -73,6 +74,9 @@
             make_counter(
                 "store_calls_total", "Calls to the store, by kind and table.", "kind", "table"
             ),
+            make_counter(
+                "unreadable_total", "What others wrote and cannot be decoded, by kind.", "kind"
+            ),
             make_histogram("request_seconds", "Time from arrival to the answer's end.", "route"),
             make_histogram("first_bytes_seconds", "Time from arrival to the answer's first bytes."),
             make_histogram("loop_delay_seconds", "Delay of a timer of the event loop."),
@@ -132,6 +136,10 @@
         """Count a call to the store."""
         self.store_calls.labels(kind, table).inc()
 
+    def count_unreadable(self, kind: str) -> None:
+        """Count what another writer left and cannot be decoded."""
+        self.unreadable.labels(kind).inc()
+
     def count_order(self, kind: str, end: str) -> None:
         """Count an order to an engine."""
         self.orders.labels(kind, end).inc()
--- a/rhubarbshed/transport/edge/node.py
+++ b/rhubarbshed/transport/edge/node.py
@@ -138,6 +138,7 @@
         lease.on_holders_read = holder_protocol.learn_addresses
         follower.publish = holder_protocol.publish
         follower.is_holder = lambda: lease_state.held
+        follower.count_unreadable = metrics.count_unreadable
         checks = ServerChecks(pool, find_cut=links.settle)
         crashes = CrashRegistry(holder_protocol.datagrams.send, checks, view.rng)
         crashes.verdict_store = VerdictStore(store, lambda: follower.lost_at is None)
--- a/test/test_odd_entries.py
+++ b/test/test_odd_entries.py
@@ -10,8 +10,9 @@
 import pytest
 from returns.result import Failure, Result, Success
 
-from rhubarbshed.protocol.messages import StoreMessage
-from rhubarbshed.protocol.tables import TableError, TableFault
+from rhubarbshed.platform.records import read_entries, read_server, write_entry
+from rhubarbshed.protocol.messages import StoreMessage, pack_message, unpack_message
+from rhubarbshed.protocol.tables import Row, TableError, TableFault
 from rhubarbshed.transport.edge import follower, order_dispatcher
 from rhubarbshed.transport.edge.control import ControlAnswer
 from standin.replica import Replica
@@ -30,6 +31,9 @@
     "in memory": {**ENTRY, "AtHand": {"InMemory": PLACE}},
     "on disk": {**ENTRY, "AtHand": {"OnDisk": ["m1", PLACE]}},
 }
+DROPPED = ("ColdRemainingMs", "Unused")
+"""Fields of an entry that no instance uses."""
+
 KEYS = {
     "surrogate": "\ud800",
     "surrogate inside": "a\udfffb",
@@ -131,6 +135,22 @@
     play_odd(scene)
 
 
+def test_entry_goes_on_to_other_instances_in_the_format_of_the_platform():
+    """Instances of other builds read it as they read a row of the store."""
+    cached = {"InMemory": ["m1"], "OnDisk": ["m1", "m2"]}
+    plain = {**ENTRY, "AtHand": cached, "Unused": 10**30}
+    sound, odd, removed = read_entries(
+        (Row("x", 5, plain, 5), Row("x", 6, {**plain, "Slots": "8"}, 6), Row("x", 7, None, 7))
+    )
+    known = {name: value for name, value in plain.items() if name not in DROPPED}
+    known["Models"] = [{"Name": "m1", "Adapters": ["a1"]}]
+    assert write_entry(sound) == known
+    message = StoreMessage("i1", "a", 1, 1, True, 4, 5, (("x", 5, write_entry(sound)),))
+    ((_, _, received),) = unpack_message(pack_message(message)).unwrap().rows
+    assert read_server("x", received) == Success(sound.entry)
+    assert (write_entry(odd), write_entry(removed)) == ({}, None)
+
+
 @pytest.mark.parametrize("when", ["before", "after"])
 @pytest.mark.parametrize("name", PAGES)
 def test_odd_value_in_a_page_ends_no_instance_that_follows(name, when):
