Read names in a report of an engine as texts that can be sent and sorted

What callers saw: a report with a lone surrogate in a model's name, or with adapters of mixed types, ended the instance that gives the engine its orders.

Cause: the names went as they were read into the announcement of what engines hold. `sorted` raised for mixed types, and `pack_message` for what UTF-8 cannot hold, both in a task whose failure stops the process.

A report is checked like an entry: names are short texts, counts whole numbers that a message can carry, lists of bounded length. One that cannot be read leaves what is known, and has a log line (`report_unreadable`) and a count; before, it had neither.

--- a/rhubarbshed/platform/records.py
+++ b/rhubarbshed/platform/records.py
@@ -192,25 +192,27 @@
     """Decode an engine's report."""
     try:
         plain = json.loads(data)
-        cached = plain.get("AtHand") or {}
+        cached = require_object(plain.get("AtHand"))
         return Success(
             ServerReport(
-                models=_read_held(plain.get("Models") or ()),
+                models=_read_models(plain.get("Models")),
                 busy=bool(plain["Busy"]),
                 # "Seq" counts accepted orders here; in an entry it counts heartbeats.
-                orders=_require(plain["Seq"], int),
-                queued=_require(plain.get("Queued", 0), int),
-                active=_require(plain.get("Active", 0), int),
-                kv_used=int(plain.get("KvUsed", 0)),
-                kv_total=int(plain.get("KvTotal", 0)),
-                started_ms=_require(plain.get("born", 0), int),
-                pending=frozenset(_read_pending(item) for item in plain.get("Pending") or ()),
-                in_memory=frozenset(cached.get("InMemory") or ()),
-                on_disk=frozenset(cached.get("OnDisk") or ()),
+                orders=require_count(plain["Seq"]),
+                queued=require_count(plain.get("Queued", 0)),
+                active=require_count(plain.get("Active", 0)),
+                kv_used=int(require_number(plain.get("KvUsed", 0))),
+                kv_total=int(require_number(plain.get("KvTotal", 0))),
+                started_ms=require_count(plain.get("born", 0)),
+                pending=frozenset(
+                    _read_pending(item) for item in require_list(plain.get("Pending"))
+                ),
+                in_memory=require_names(cached.get("InMemory")),
+                on_disk=require_names(cached.get("OnDisk")),
             )
         )
     except DECODE_ERRORS as error:
-        return Failure(f"unreadable report: {error!r}")
+        return Failure(f"unreadable report: {describe(error)}")
 
 
 def _read_models(plain: Any) -> Models:
@@ -223,17 +225,7 @@
     return models
 
 
-def _read_held(plain: Any) -> Models:
-    return {str(each["Name"]): frozenset(each.get("Adapters") or ()) for each in plain}
-
-
-def _read_pending(item: str) -> tuple[str, str]:
-    name = item.rpartition("@")[0] or item
+def _read_pending(item: Any) -> tuple[str, str]:
+    name = require_name(item).rpartition("@")[0] or item
     model, _, adapter = name.partition("/")
     return model, adapter
-
-
-def _require(value: Any, kind: type) -> Any:
-    if not isinstance(value, kind) or isinstance(value, bool):
-        raise TypeError(f"{value!r} is not of type {kind.__name__}")
-    return value
--- a/rhubarbshed/transport/edge/order_dispatcher.py
+++ b/rhubarbshed/transport/edge/order_dispatcher.py
@@ -35,7 +35,12 @@
 from rhubarbshed.state.placement.usage import Target, Usage
 from rhubarbshed.transport.edge.control import call
 from rhubarbshed.transport.edge.metrics import FrontMetrics
-from rhubarbshed.transport.edge.order_logs import log_order, log_unserved
+from rhubarbshed.transport.edge.order_logs import (
+    log_order,
+    log_report,
+    log_unreadable_report,
+    log_unserved,
+)
 from rhubarbshed.transport.edge.pools import Pool
 from rhubarbshed.transport.edge.view import LatchedSignal, View
 from rhubarbshed.util.logs import log_event
@@ -280,24 +285,15 @@
                 log_event(LOG, logging.INFO, "report_unread", server=server_id)
                 return
             report = read_report(answer.unwrap().body)
+            if isinstance(report, Failure):
+                self.metrics.count_unreadable("report")
+                log_unreadable_report(server_id, report.failure())
+                return
             now = time.monotonic()
-            if (
-                isinstance(report, Success)
-                and report.unwrap().started_ms == engine_state.started_ms
-            ):
+            if report.unwrap().started_ms == engine_state.started_ms:
                 engine_state.apply_report(report.unwrap(), now)
                 self.mark_changed(server_id)
-                log_event(
-                    LOG,
-                    logging.INFO,
-                    "report",
-                    server=server_id,
-                    orders=engine_state.orders,
-                    at_hand=",".join(sorted(report.unwrap().in_memory | report.unwrap().on_disk)),
-                    models=",".join(sorted(engine_state.models)),
-                    adapters=len(engine_state.adapters),
-                    busy=report.unwrap().busy,
-                )
+                log_report(engine_state, report.unwrap())
         finally:
             self.busy.discard(server_id)
 
--- a/rhubarbshed/transport/edge/order_logs.py
+++ b/rhubarbshed/transport/edge/order_logs.py
@@ -4,7 +4,7 @@
 
 from rhubarbshed.coordination.serving.order_plan import Move, OrderPlan
 from rhubarbshed.coordination.serving.placement import LoadRateLimiter
-from rhubarbshed.protocol.servers import OrderEnd, ServerOrder
+from rhubarbshed.protocol.servers import OrderEnd, ServerOrder, ServerReport
 from rhubarbshed.state.placement.engine_states import EngineState
 from rhubarbshed.state.placement.usage import Target
 from rhubarbshed.util.logs import log_event
@@ -66,3 +66,23 @@
         places_taken=engine_state.count_adapter_slots(),
         from_store=from_store,
     )
+
+
+def log_report(engine_state: EngineState, report: ServerReport) -> None:
+    """Log what an engine reports to hold."""
+    log_event(
+        LOG,
+        logging.INFO,
+        "report",
+        server=engine_state.server_id,
+        orders=engine_state.orders,
+        at_hand=",".join(sorted(report.in_memory | report.on_disk)),
+        models=",".join(sorted(engine_state.models)),
+        adapters=len(engine_state.adapters),
+        busy=report.busy,
+    )
+
+
+def log_unreadable_report(server_id: str, reason: str) -> None:
+    """Log that an engine's report cannot be decoded, so what it holds stays as it was known."""
+    log_event(LOG, logging.INFO, "report_unreadable", server=server_id, reason=reason)
