Follow the store past rows and fields of an answer that cannot be decoded

What callers saw: nothing yet; an instance ended, or followed the store no longer, after one odd field in an answer of the store.

Cause: deep nesting and infinite numbers raise RecursionError and OverflowError, which were not among the errors of decoding, so the task that follows the store ended the process. A key with a lone surrogate at the end of a page raised as the next page was asked for. One row without a usable version made the whole page unreadable, each time it was read, and a version beyond 64 bits came into messages.

The errors are those of all other decoding. Rows without a usable key or version are left out, counted and logged (`rows_unreadable`), and the rest is applied. After a key that no call can name, the read goes on from the next one that it can.

--- a/rhubarbshed/platform/rows.py
+++ b/rhubarbshed/platform/rows.py
@@ -1,15 +1,17 @@
 """Calls to the platform's store: reads of rows, transactions and the change feed."""
 
 import base64
-import binascii
 import json
+import re
 from typing import Any
 from urllib.parse import urlencode
 
 from attrs import frozen
 from returns.result import Failure, Result, Success
 
+from rhubarbshed.platform.values import DECODE_ERRORS, describe, require_count, require_number
 from rhubarbshed.protocol.exchanges import ControlCall
+from rhubarbshed.protocol.message_checks import is_number
 from rhubarbshed.protocol.tables import Committed, Row, Scan, TableError, TableFault, Transaction
 
 OPERATOR_TABLE = "op"
@@ -22,19 +24,23 @@
 """Rows in one response, from the platform's documentation."""
 
 JSON_HEADERS = ((b"content-type", b"application/json"),)
-DECODE_ERRORS = (KeyError, TypeError, ValueError, AttributeError)
+SURROGATE = re.compile("[\ud800-\udfff]")
+SURROGATES_END = "\ue000"
+"""Code points without a UTF-8 form, and the first one after them."""
 
 
 @frozen
 class Page:
     """Page of rows of a table; `next_key` is the key to continue from, None at the end.
 
-    `now_ms` is the time of the store's monotonic clock.
+    `now_ms` is the time of the store's monotonic clock. `unreadable` counts rows without a usable
+    key or version, which are left out.
     """
 
     scan: Scan
     next_key: str | None = None
     now_ms: float = 0.0
+    unreadable: int = 0
 
 
 def make_read(table: str, start: str = "") -> ControlCall:
@@ -78,11 +84,20 @@
         return Failure(TableError(TableFault.UNAVAILABLE, detail=f"status {status}"))
     try:
         plain = json.loads(body)
-        rows = tuple(_read_row(each) for each in plain["Rows"])
-        more = rows[-1].key + "\0" if plain.get("HasMore") and rows else None
-        return Success(Page(Scan(rows, int(plain["Ver"])), more, float(plain.get("NowMs", 0))))
+        rows, unreadable = _read_rows(plain["Rows"])
+        more = _find_key_after(rows[-1].key) if plain.get("HasMore") and rows else None
+        scan = Scan(rows, require_count(plain["Ver"]))
+        return Success(Page(scan, more, require_number(plain.get("NowMs", 0)), unreadable))
     except DECODE_ERRORS as error:
-        return Failure(TableError(TableFault.UNKNOWN, detail=f"unreadable answer: {error!r}"))
+        return Failure(
+            TableError(TableFault.UNKNOWN, detail=f"unreadable answer: {describe(error)}")
+        )
+
+
+def _find_key_after(key: str) -> str:
+    """Return the first key after another one that a call can name."""
+    found = SURROGATE.search(key)
+    return key + "\0" if found is None else key[: found.start()] + SURROGATES_END
 
 
 def read_commit(status: int, body: bytes) -> Result[Committed, TableError]:
@@ -92,12 +107,14 @@
     try:
         plain = json.loads(body)
         if status == 412:
-            rows = tuple(_read_row(each) for each in plain["Rows"])
+            rows, _ = _read_rows(plain["Rows"])
             return Failure(TableError(TableFault.CONFLICT, rows, "a row has changed"))
         if status == 200:
-            return Success(Committed(int(plain["Ver"])))
+            return Success(Committed(require_count(plain["Ver"])))
     except DECODE_ERRORS as error:
-        return Failure(TableError(TableFault.UNKNOWN, detail=f"unreadable answer: {error!r}"))
+        return Failure(
+            TableError(TableFault.UNKNOWN, detail=f"unreadable answer: {describe(error)}")
+        )
     return Failure(TableError(TableFault.UNKNOWN, detail=f"status {status}"))
 
 
@@ -105,18 +122,30 @@
     return base64.b64encode(json.dumps(value).encode()).decode()
 
 
+def _read_rows(plain: list[Any]) -> tuple[tuple[Row, ...], int]:
+    """Return the rows with a usable key and version, and the number of others."""
+    usable = [each for each in plain if _is_row(each)]
+    return tuple(map(_read_row, usable)), len(plain) - len(usable)
+
+
+def _is_row(plain: Any) -> bool:
+    if type(plain) is not dict or type(plain.get("Key")) is not str:
+        return False
+    return is_number(plain.get("Ver", 0))
+
+
 def _read_row(plain: dict[str, Any]) -> Row:
     # The store has one counter for all rows, so a row's version is the revision that wrote it.
-    version = int(plain.get("Ver") or 0)
+    version = plain.get("Ver", 0)
     if plain.get("Deleted") or plain.get("Value") is None:
-        return Row(str(plain["Key"]), version, None, version)
-    return Row(str(plain["Key"]), version, _decode(plain["Value"]), version)
+        return Row(plain["Key"], version, None, version)
+    return Row(plain["Key"], version, _decode(plain["Value"]), version)
 
 
 def _decode(value: Any) -> dict[str, Any]:
     """Return the JSON object stored in a row; empty if other writers stored something else."""
     try:
         plain = json.loads(base64.b64decode(value))
-    except (binascii.Error, RecursionError, TypeError, ValueError):
+    except DECODE_ERRORS:
         return {}
     return plain if isinstance(plain, dict) else {}
--- a/rhubarbshed/transport/edge/node.py
+++ b/rhubarbshed/transport/edge/node.py
@@ -125,6 +125,7 @@
         forwarder = Forwarder(peers_pool, peers, metrics, view.rng)
         links.ask_others = forwarder.ask_others
         store = StoreClient(settings.store, Pool(STORE_CONNECT_TIMEOUT_S), metrics.count_store_call)
+        store.count_unreadable = metrics.count_unreadable
         jitter_s = draw_jitter(settings.cores, settings.link_mbps, view.rng)
         lease_state = LeaseState.from_start(settings.lease_s, jitter_s, time.monotonic())
         address = (settings.host, settings.peers_port)
--- a/rhubarbshed/transport/edge/store.py
+++ b/rhubarbshed/transport/edge/store.py
@@ -1,5 +1,6 @@
 """Client of the platform's store."""
 
+import logging
 from collections.abc import Callable
 
 from attrs import define
@@ -17,6 +18,9 @@
 from rhubarbshed.protocol.tables import Committed, Row, Scan, TableError, Transaction
 from rhubarbshed.transport.edge.control import ControlAnswer, call
 from rhubarbshed.transport.edge.pools import Address, Pool
+from rhubarbshed.util.logs import log_event
+
+LOG = logging.getLogger(__name__)
 
 CALL_TIMEOUT_S = 0.8
 """Time for a response; the store takes a few milliseconds, and a quarter of a second when it is
@@ -30,12 +34,13 @@
 class StoreClient:
     """Client for rows of the store; each table has its own connection for following changes.
 
-    `count` takes the kind and table of each call.
+    `count` takes the kind and table of each call, `count_unreadable` what cannot be decoded.
     """
 
     address: Address
     pool: Pool
     count: Callable[[str, str], None] = lambda kind, table: None
+    count_unreadable: Callable[[str], None] = lambda kind: None
 
     async def read_all(self, table: str) -> Result[Page, TableError]:
         """Return all rows of a table; `scan.revision` is that of the first page read."""
@@ -44,8 +49,7 @@
         first: Page | None = None
         while start is not None:
             self.count("read", table)
-            answer = await self._call(make_read(table, start), CALL_TIMEOUT_S)
-            page = answer.bind(lambda got: read_page(got.status, got.body))
+            page = await self._read(table, make_read(table, start), CALL_TIMEOUT_S)
             if isinstance(page, Failure):
                 return page
             found = page.unwrap()
@@ -57,8 +61,8 @@
     async def follow(self, table: str, after: int, wait_s: float) -> Result[Page, TableError]:
         """Return the rows that changed after a revision, once there are any."""
         self.count("follow", table)
-        answer = await self._call(make_feed_read(table, after, wait_s), wait_s + FOLLOW_MARGIN_S)
-        return answer.bind(lambda got: read_page(got.status, got.body))
+        sent = make_feed_read(table, after, wait_s)
+        return await self._read(table, sent, wait_s + FOLLOW_MARGIN_S)
 
     async def commit(self, table: str, transaction: Transaction) -> Result[Committed, TableError]:
         """Change rows of a table."""
@@ -66,5 +70,15 @@
         answer = await self._call(make_commit(table, transaction), CALL_TIMEOUT_S)
         return answer.bind(lambda got: read_commit(got.status, got.body))
 
+    async def _read(
+        self, table: str, sent: ControlCall, timeout_s: float
+    ) -> Result[Page, TableError]:
+        answer = await self._call(sent, timeout_s)
+        page = answer.bind(lambda got: read_page(got.status, got.body))
+        if isinstance(page, Success) and (count := page.unwrap().unreadable):
+            self.count_unreadable("row")
+            log_event(LOG, logging.WARNING, "rows_unreadable", table=table, count=count)
+        return page
+
     async def _call(self, sent: ControlCall, timeout_s: float) -> Result[ControlAnswer, TableError]:
         return await call(self.pool, self.address, sent, timeout_s)
