Send datagrams only to addresses, also where a lease row names another

What callers saw: nothing yet; an instance that read an odd lease row lost all messages of the others, sent and received, until it was started again.

Cause: a lease row's host and port were used as they were read. For port 70000 or a host that cannot be encoded `sendto` raises an error that is no OSError, which the event loop takes for a defect of the socket: "Fatal write error on datagram transport", and it closes it. Rows under any number of keys counted as holders of further data centres, which all went into each message.

A lease row becomes a `LeaseRow` or is unreadable, logged and counted; one that cannot be read still counts as a lease, which lapses unless it changes. The endpoint itself sends to IP addresses with a port only.

--- a/rhubarbshed/transport/edge/datagrams.py
+++ b/rhubarbshed/transport/edge/datagrams.py
@@ -7,7 +7,13 @@
 from attrs import define, field
 from returns.result import Result, Success
 
-from rhubarbshed.protocol.messages import Message, UnknownMessage, pack_message, unpack_message
+from rhubarbshed.protocol.messages import (
+    Message,
+    UnknownMessage,
+    is_address,
+    pack_message,
+    unpack_message,
+)
 from rhubarbshed.util.logs import log_event
 
 LOG = logging.getLogger(__name__)
@@ -60,7 +66,11 @@
             return
         data = pack_message(message)
         for address in addresses:
-            self._transport.sendto(data, address)
+            if is_address(address[:2]):
+                self._transport.sendto(data, address)
+            else:
+                # The event loop closes a socket for an address that is none.
+                log_event(LOG, logging.WARNING, "address_unusable", address=repr(address))
 
     def close(self) -> None:
         """Close the socket."""
--- a/rhubarbshed/transport/edge/lease.py
+++ b/rhubarbshed/transport/edge/lease.py
@@ -4,12 +4,15 @@
 import logging
 import time
 from collections.abc import Callable
+from typing import Any
 
-from attrs import define, field
+from attrs import define, field, frozen
 from returns.result import Failure, Result, Success
 
 from rhubarbshed.coordination.serving.lease_state import LeaseState, Step
 from rhubarbshed.platform.rows import OWN_TABLE
+from rhubarbshed.protocol.message_checks import is_text
+from rhubarbshed.protocol.messages import is_address
 from rhubarbshed.protocol.tables import (
     Check,
     Committed,
@@ -19,11 +22,14 @@
     Transaction,
     Write,
 )
+from rhubarbshed.state.requests.known_instances import DATA_CENTRES_MAX
 from rhubarbshed.transport.edge.store import StoreClient
 from rhubarbshed.util.logs import log_event
 
 LOG = logging.getLogger(__name__)
 
+Address = tuple[str, int]
+
 LEASE_PREFIX = "orders/"
 HOLDERS_READ_INTERVAL_S = 1.0
 """Shortest time between two reads of the rows of the other holders, while one is unknown."""
@@ -31,6 +37,26 @@
 """Time between two checks whether a step is due; a small part of the shortest lease."""
 
 
+@frozen
+class LeaseRow:
+    """Value of a lease's row: its holder and where that receives messages."""
+
+    holder: str
+    address: Address
+    nonce: str = ""
+
+
+def read_lease_row(value: dict[str, Any]) -> Result[LeaseRow, str]:
+    """Decode the value of a lease's row; another build or writer may have left another one."""
+    holder, nonce = value.get("holder", ""), value.get("nonce", "")
+    address = (value.get("host"), value.get("port"))
+    if not (is_text(holder) and is_text(nonce)):
+        return Failure("its holder is no short text")
+    if not is_address(address):
+        return Failure("its address is none")
+    return Success(LeaseRow(holder, address, nonce))
+
+
 @define
 class LeaseClient:
     """Client that keeps or takes the lease of a data centre.
@@ -48,6 +74,7 @@
     nonce: str
     on_holders_read: Callable[[dict[str, tuple[str, int]]], None] = lambda other_holders: None
     measure_cut: Callable[[float], float] = lambda now: 0.0
+    count_unreadable: Callable[[str], None] = lambda kind: None
     holder_address: tuple[str, int] | None = None
     lapsed: bool = False
     other_holders: dict[str, tuple[str, int]] = field(factory=dict)
@@ -119,13 +146,25 @@
     def _record_other_holders(self, rows: tuple[Row, ...]) -> None:
         for row in rows:
             data_centre = row.key.removeprefix(LEASE_PREFIX)
-            value = row.value or {}
-            host, port = value.get("host"), value.get("port")
-            other = row.key.startswith(LEASE_PREFIX) and data_centre != self.data_centre
-            if other and isinstance(host, str) and isinstance(port, int):
-                self.other_holders[data_centre] = (host, port)
+            is_lease = row.key.startswith(LEASE_PREFIX) and row.value is not None
+            if not is_lease or data_centre == self.data_centre:
+                continue
+            read = self._read_row(row)
+            is_new = data_centre not in self.other_holders
+            if read is None or (is_new and len(self.other_holders) >= DATA_CENTRES_MAX):
+                continue
+            self.other_holders[data_centre] = read.address
         self.on_holders_read(self.other_holders)
 
+    def _read_row(self, row: Row) -> LeaseRow | None:
+        read = read_lease_row(row.value or {})
+        if isinstance(read, Success) and is_text(row.key):
+            return read.unwrap()
+        self.count_unreadable("lease")
+        why = read.failure() if isinstance(read, Failure) else "its key is no short text"
+        log_event(LOG, logging.INFO, "lease_unreadable", key=row.key, reason=why)
+        return None
+
     def _make_value(self) -> dict[str, object]:
         host, port = self.address
         return {"holder": self.name, "host": host, "port": port, "nonce": self.nonce}
@@ -145,19 +184,20 @@
         self._record_other_holders(result.unwrap().scan.rows)
         for row in result.unwrap().scan.rows:
             if row.key == self.key and row.value is not None:
-                self._record_row(row.version, row.value, now)
+                self._record_row(row, now)
                 return
         self.lease_state.record_row(0, "", now)
 
-    def _record_row(self, version: int, value: dict, now: float) -> None:
-        holder = str(value.get("holder", ""))
+    def _record_row(self, row: Row, now: float) -> None:
+        read = self._read_row(row)
+        # A row that cannot be read is a lease as well, which lapses unless it changes.
+        holder = read.holder if read is not None else ""
         before = self.lease_state.holder
-        self.lease_state.record_row(version, holder, now)
-        host, port = value.get("host"), value.get("port")
-        if isinstance(host, str) and isinstance(port, int):
-            self.holder_address = (host, port)
+        self.lease_state.record_row(row.version, holder, now)
+        if read is not None:
+            self.holder_address = read.address
         if holder != before:
-            log_event(LOG, logging.INFO, "order_holder", holder=holder, version=version)
+            log_event(LOG, logging.INFO, "order_holder", holder=holder, version=row.version)
 
     async def _take_lease(self, step: Step) -> None:
         sent_at = time.monotonic()
@@ -195,7 +235,7 @@
         self.lease_state.read_at = now
         for row in error.rows:
             if row.key == self.key and row.value is not None:
-                self._record_row(row.version, row.value, now)
+                self._record_row(row, now)
         if error.fault is not TableFault.CONFLICT:
             log_event(LOG, logging.INFO, "lease_not_taken", reason=error.detail)
             self.lease_state.version = -1
--- a/rhubarbshed/transport/edge/node.py
+++ b/rhubarbshed/transport/edge/node.py
@@ -132,6 +132,7 @@
         lease = LeaseClient(
             store, lease_state, settings.name, settings.data_centre, address, uuid.uuid4().hex
         )
+        lease.count_unreadable = metrics.count_unreadable
         lease.measure_cut = links.state.measure_cut
         dispatcher = OrderDispatcher(view, pool, metrics, lease_state)
         follower = Follower(store, view)
--- a/test/test_odd_messages.py
+++ b/test/test_odd_messages.py
@@ -144,9 +144,15 @@
                 node.instance_lists.check(time.monotonic())
                 node.lease.lease_state.held = True
                 memory.use()
+            for number in range(2_000):
+                memory.store.rows.put(
+                    OWN_TABLE, f"orders/z{number}" + "\ud800" * (number % 2), LEASE
+                )
             memory.store.rows.put(OWN_TABLE, "orders/b", LEASE)
             await node.lease._read_other_holders()
             assert node.holder_protocol.holders["b"].address == ("127.0.0.3", 7000)
+            memory.use()
+            memory.read_sent()
 
     play_odd(scene)
 
