Let callers see the close of an idle connection at once

What callers saw, in runs of our own: a request that was sent on an open connection 2.7 to 3.0 s after SIGTERM was closed unanswered up to 0.18 s later.

Cause: a drain looks whether a connection is idle, and that the kernel holds no bytes for it, and closes the transport. asyncio closes the socket in the next pass of the event loop. A request that arrived in between was reset by that close, and if the pass was late, so was the reset.

The test test_callers_see_the_close_of_an_idle_connection_before_the_next_pass failed before.

The end of the connection is now sent as the decision is taken. A request that crosses it finds its caller's connection ended within a round trip, however late the loop is.

--- a/rhubarbshed/transport/edge/caller_connections.py
+++ b/rhubarbshed/transport/edge/caller_connections.py
@@ -1,6 +1,7 @@
 """Connections of callers: requests in, responses out, one at a time on each."""
 
 import asyncio
+import logging
 import time
 from collections.abc import Awaitable, Callable
 
@@ -11,8 +12,11 @@
 from rhubarbshed.protocol.routes import CallerLimits
 from rhubarbshed.transport.edge.connection_logs import CloseLog, CloseReason, ConnectionState
 from rhubarbshed.transport.edge.sockets import abort_with_reset, set_options
+from rhubarbshed.util.logs import log_event
 from rhubarbshed.util.sockets import count_unread_bytes, has_peer_closed, has_unread_bytes
 
+LOG = logging.getLogger(__name__)
+
 PIPELINED_BYTES_MAX = 65_536
 """Bytes of later requests that are accepted while one is being answered."""
 
@@ -261,6 +265,11 @@
         They may be a whole request, which a close would reset; it is answered once it is read.
         """
         if self.is_idle and not has_unread_bytes(self._transport.get_extra_info("socket")):
+            # The socket is closed in the next pass of the event loop, which may be late.
+            try:
+                self._transport.write_eof()
+            except OSError as error:
+                log_event(LOG, logging.DEBUG, "reset_by_caller", reason=repr(error))
             self.close(CloseReason.DRAIN)
 
     def abort(self, reason: CloseReason) -> None:
--- a/test/test_edge_closing.py
+++ b/test/test_edge_closing.py
@@ -9,9 +9,10 @@
 
 import pytest
 
-from rhubarbshed.transport.edge import node
+from rhubarbshed.transport.edge import caller_connections, node
 from rhubarbshed.transport.edge.caller_connections import CallerConnection
 from rhubarbshed.transport.edge.relay import RequestProgress
+from rhubarbshed.transport.edge.sockets import LINGER_NONE
 from rhubarbshed.transport.edge.view import ANNOUNCE_S as ANNOUNCED_S
 from standin.replica import Exchange, Replica
 from test.helper_edge import Edge, make_configuration, play, read_answer, run_edge
@@ -148,6 +149,50 @@
     play(scene)
 
 
+def test_callers_see_the_close_of_an_idle_connection_before_the_next_pass(monkeypatch):
+    """A request that was sent before a late loop came to that pass was reset after it."""
+    real, seen = node.Node.close_idle, []
+    socks: list[socket.socket] = []
+
+    def close_and_be_late(self) -> None:
+        real(self)
+        seen.extend(read_statuses(socks))
+        socks.clear()
+
+    async def scene():
+        async with run_edge(make_configuration(*ROUTES), Replica("b1")) as edge:
+            socks.extend(socket.create_connection(edge.node.settings.callers) for _ in range(3))
+            await asyncio.sleep(0.05)
+            monkeypatch.setattr(node.Node, "close_idle", close_and_be_late)
+            stop(edge)
+            await edge.task
+            assert seen == [b""] * 3
+
+    play(scene)
+
+
+def test_reset_that_crosses_the_close_of_its_connection_leaves_the_drain_running(monkeypatch):
+    socks: list[socket.socket] = []
+
+    def reset_all(sock: socket.socket) -> bool:
+        while socks:
+            caller = socks.pop()
+            caller.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_NONE)
+            caller.close()
+        return False
+
+    async def scene():
+        async with run_edge(make_configuration(*ROUTES), Replica("b1")) as edge:
+            socks.extend(socket.create_connection(edge.node.settings.callers) for _ in range(3))
+            await asyncio.sleep(0.05)
+            monkeypatch.setattr(caller_connections, "has_unread_bytes", reset_all)
+            stop(edge)
+            assert await edge.task == node.EXIT_OK
+            assert not socks and not edge.node.connections
+
+    play(scene)
+
+
 @pytest.mark.parametrize("passes", (0, 1, 2))
 def test_request_on_a_connection_made_as_the_listener_closes_is_refused(passes, monkeypatch):
     """Its connection was closed in the pass in which it could first be read, or never accepted."""
