Count no request of the soak as lost whose connection was refused

When an instance no longer listens, which it does from 2.70 to 2.75 s after SIGTERM on, the relay finds the connection refused and resets the caller's, in further passes of the soak's own loop. If that loop is late, the caller counts a close 0.2 s and more after its last byte. The rule is about requests that a process has read.

Evidence: test_request_whose_connection_was_refused_behind_its_relay_is_not_lost makes the loop late by 0.3 s and failed before with "sent 0.001 s after SIGTERM (new connection), was closed at 0.302 s".

The relay records which connections were refused; only these are left out, and only if the request reached no server.

--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -1,12 +1,15 @@
 """A short soak run, and tests that each check reports a violation in a made-up history."""
 
 import asyncio
+import random
 import shutil
+import time
 
 import pytest
 from attrs import evolve
 
-from test.soak.callers import read_within
+from test.helper_edge import find_port
+from test.soak.callers import Caller, connect, read_within
 from test.soak.checks import CHECKS, check_all
 from test.soak.history import (
     ALL,
@@ -21,6 +24,7 @@
     Serving,
     Stop,
 )
+from test.soak.relay import Relay
 from test.soak.run import play_seed
 from tools.soak import describe_margin
 
@@ -231,6 +235,35 @@
     assert find_losses(TAKEN_RUN, asked=evolve(closed, last_byte_at=7.55))
 
 
+async def ask_refused(how: Sent, late_s: float) -> list[str]:
+    """Ask behind a relay at whose target nobody listens, with a late loop; list the losses."""
+    history = History()
+    relay = Relay(find_port(), find_port(), refused=history.refused)
+    await relay.start()
+    stopped_at = time.monotonic()
+    link = await connect("i1", relay.port)
+    asking = asyncio.create_task(
+        Caller("c1", random.Random(1), history, None).send_request(link, how, "/p/")
+    )
+    await asyncio.sleep(0)
+    time.sleep(late_s)
+    await asking
+    relay.stop()
+    history.stops.append(Stop("i1", stopped_at, time.monotonic() + 1.0, 0))
+    return check_all(history).get("stops", [])
+
+
+def test_request_whose_connection_was_refused_behind_its_relay_is_not_lost():
+    """With a late loop of the soak, the relay's reset came too late for a crossing."""
+    assert asyncio.run(ask_refused(Sent.NEW, 0.3)) == []
+
+
+def test_refused_connection_excuses_no_request_that_was_passed_on():
+    refused = evolve(TAKEN, status=0, signed=False, last_byte_at=7.4, refused=True)
+    assert not find_losses(asked=refused)
+    assert find_losses(TAKEN_RUN, asked=refused)
+
+
 def test_stream_that_its_server_interrupted_is_not_lost_but_another_answer_is():
     broke = evolve(TAKEN_RUN, what="broke", at=7.6)
     assert not find_losses(TAKEN_RUN, broke, TAKEN_END)
