Leave out a message that no datagram can carry, with a log line and a count

What callers saw: the process of an instance ended when one message could not be packed, whatever else it did.

Cause: `Datagrams.send` packed in the task that sends, without a value for failure; a message over 64 KB was lost without a trace.

`pack_datagram` returns the bytes or the reason, and the endpoint logs and counts what it leaves out (`message_unsent`, `rhubarbshed_messages_unsent_total`). This is the bound for defects; what others write is checked where it is read.

--- a/rhubarbshed/protocol/messages.py
+++ b/rhubarbshed/protocol/messages.py
@@ -30,6 +30,7 @@
 
 FORMAT = 4
 DECODE_ERRORS = (KeyError, TypeError, ValueError, IndexError, msgpack.UnpackException)
+PACK_ERRORS = (OverflowError, RecursionError, TypeError, ValueError, msgpack.PackException)
 
 STREAMS_PER_MESSAGE = 16
 """Most streams in one datagram; an id, a service and a version have about 50 bytes."""
@@ -52,6 +53,9 @@
 KIND_NAME = re.compile(r"[a-z_]{1,24}")
 """Names that a message kind of another build may have."""
 
+DATAGRAM_BYTES_MAX = 65_507
+"""Most bytes of a datagram over IPv4."""
+
 PACKED_ADDRESS_BYTES = 6
 PORT_MAX = 65535
 
@@ -314,6 +318,17 @@
     return msgpack.packb((FORMAT, KIND_NAMES[type(message)], *astuple(message, recurse=False)))
 
 
+def pack_datagram(message: Message) -> Result[bytes, str]:
+    """Encode a message as a datagram, or return the reason why that fails."""
+    try:
+        data = pack_message(message)
+    except PACK_ERRORS as error:
+        return Failure(repr(error))
+    if len(data) > DATAGRAM_BYTES_MAX:
+        return Failure(f"{len(data)} bytes")
+    return Success(data)
+
+
 def unpack_message(data: bytes) -> Result[Message | UnknownMessage, str]:
     """Decode a datagram, or return the reason why that fails."""
     try:
--- a/rhubarbshed/transport/edge/datagrams.py
+++ b/rhubarbshed/transport/edge/datagrams.py
@@ -5,13 +5,14 @@
 from collections.abc import Callable
 
 from attrs import define, field
-from returns.result import Result, Success
+from returns.result import Failure, Result, Success
 
 from rhubarbshed.protocol.messages import (
+    KIND_NAMES,
     Message,
     UnknownMessage,
     is_address,
-    pack_message,
+    pack_datagram,
     unpack_message,
 )
 from rhubarbshed.util.logs import log_event
@@ -29,6 +30,7 @@
     """Datagram endpoint for messages; a lost message is not resent, as the next one replaces it."""
 
     handle: Callable[[Result[Message, str], Address], None]
+    count_unsent: Callable[[str], None] = lambda kind: None
     unknown_kinds: dict[str, int] = field(factory=dict)
     _transport: asyncio.DatagramTransport | None = None
 
@@ -61,13 +63,18 @@
         """Ignore that a peer's port is closed; unresponsive peers are detected elsewhere."""
 
     def send(self, message: Message, *addresses: Address) -> None:
-        """Send a message, packed once, to each address."""
+        """Send a message, packed once, to each address; one that cannot be sent is left out."""
         if self._transport is None or self._transport.is_closing() or not addresses:
             return
-        data = pack_message(message)
+        packed = pack_datagram(message)
+        if isinstance(packed, Failure):
+            kind = KIND_NAMES[type(message)]
+            self.count_unsent(kind)
+            log_event(LOG, logging.WARNING, "message_unsent", kind=kind, why=packed.failure())
+            return
         for address in addresses:
             if is_address(address[:2]):
-                self._transport.sendto(data, address)
+                self._transport.sendto(packed.unwrap(), address)
             else:
                 # The event loop closes a socket for an address that is none.
                 log_event(LOG, logging.WARNING, "address_unusable", address=repr(address))
--- a/rhubarbshed/transport/edge/metrics.py
+++ b/rhubarbshed/transport/edge/metrics.py
@@ -26,6 +26,7 @@
     orders: Counter
     store_calls: Counter
     unreadable: Counter
+    unsent: Counter
     request_seconds: Histogram
     first_bytes_seconds: Histogram
     loop_delay_seconds: Histogram
@@ -77,6 +78,7 @@
             make_counter(
                 "unreadable_total", "What others wrote and cannot be decoded, by kind.", "kind"
             ),
+            make_counter("messages_unsent_total", "Messages that no datagram can carry.", "kind"),
             make_histogram("request_seconds", "Time from arrival to the answer's end.", "route"),
             make_histogram("first_bytes_seconds", "Time from arrival to the answer's first bytes."),
             make_histogram("loop_delay_seconds", "Delay of a timer of the event loop."),
@@ -140,6 +142,10 @@
         """Count what another writer left and cannot be decoded."""
         self.unreadable.labels(kind).inc()
 
+    def count_unsent(self, kind: str) -> None:
+        """Count a message that no datagram can carry."""
+        self.unsent.labels(kind).inc()
+
     def count_order(self, kind: str, end: str) -> None:
         """Count an order to an engine."""
         self.orders.labels(kind, end).inc()
--- a/rhubarbshed/transport/edge/node.py
+++ b/rhubarbshed/transport/edge/node.py
@@ -137,6 +137,7 @@
         dispatcher = OrderDispatcher(view, pool, metrics, lease_state)
         follower = Follower(store, view)
         holder_protocol = HolderProtocol(view, lease, dispatcher, follower)
+        holder_protocol.datagrams.count_unsent = metrics.count_unsent
         lease.on_holders_read = holder_protocol.learn_addresses
         follower.publish = holder_protocol.publish
         follower.is_holder = lambda: lease_state.held
