Check the fields of demand, holder and store messages as they are received

What callers saw: nothing yet; one odd datagram of another build, or of anybody who reaches the port, ended an instance, or made its servers look full.

Cause: three of 15 kinds of messages had no checks of their fields. Tuples of the wrong width raised half-way through their application, and what got through (a count that is no number, a port beyond 65535, a load of 2**64) broke a later step of the order holder, in a task whose failure stops the process.

The three kinds are checked as a whole where they are unpacked: one with an odd value is unreadable, counted and applied in no part. The checks are not made where a message is created, as a holder with one odd value would end; what goes in is bounded at its source: names that a caller alone has given and sums beyond 2**53 are not sent. Reasons in the log are cut at 200 characters.

The sample for store messages has a server id of its own now: as a change of the only server, its odd service was a sound entry that took the server away.

--- a/rhubarbshed/platform/records.py
+++ b/rhubarbshed/platform/records.py
@@ -10,7 +10,6 @@
 from rhubarbshed.platform.values import (
     DECODE_ERRORS,
     NAMES_MAX,
-    describe,
     require_count,
     require_header_value,
     require_list,
@@ -21,6 +20,7 @@
     require_port,
     require_text,
 )
+from rhubarbshed.protocol.message_checks import describe
 from rhubarbshed.protocol.routes import (
     CallerLimits,
     Configuration,
--- a/rhubarbshed/platform/rows.py
+++ b/rhubarbshed/platform/rows.py
@@ -9,9 +9,9 @@
 from attrs import frozen
 from returns.result import Failure, Result, Success
 
-from rhubarbshed.platform.values import DECODE_ERRORS, describe, require_count, require_number
+from rhubarbshed.platform.values import DECODE_ERRORS, require_count, require_number
 from rhubarbshed.protocol.exchanges import ControlCall
-from rhubarbshed.protocol.message_checks import is_number
+from rhubarbshed.protocol.message_checks import describe, is_number
 from rhubarbshed.protocol.tables import Committed, Row, Scan, TableError, TableFault, Transaction
 
 OPERATOR_TABLE = "op"
--- a/rhubarbshed/platform/values.py
+++ b/rhubarbshed/platform/values.py
@@ -4,7 +4,13 @@
 from collections.abc import Sequence
 from typing import Any
 
-from rhubarbshed.protocol.message_checks import NUMBER_MAX, is_number, is_text
+from rhubarbshed.protocol.message_checks import (
+    NUMBER_MAX,
+    PORT_MAX,
+    is_number,
+    is_quantity,
+    is_text,
+)
 
 DECODE_ERRORS = (AttributeError, KeyError, OverflowError, RecursionError, TypeError, ValueError)
 """Raised while decoding unexpected bytes, fields or types from other writers."""
@@ -12,17 +18,8 @@
 NAMES_MAX = 4_000
 """Most names in one list, some ten times as many as an engine has places for adapters."""
 
-REASON_LENGTH_MAX = 200
-"""Most characters of a reason in the log; the value that caused it may be long."""
-
 PORT = re.compile(r"[0-9]{1,5}")
-PORT_MAX = 65_535
-"""Highest TCP port."""
-
-
-def describe(error: Exception) -> str:
-    """Return why something could not be decoded, for the log."""
-    return repr(error)[:REASON_LENGTH_MAX]
+"""A port in plain digits; `int` takes other ones as well."""
 
 
 def require_text(value: Any) -> str:
@@ -48,7 +45,7 @@
 
 def require_number(value: Any) -> float:
     """Return a finite number that is not negative."""
-    if type(value) not in (int, float) or not 0.0 <= value <= NUMBER_MAX:
+    if not is_quantity(value):
         raise ValueError("not a number in its bounds")
     return float(value)
 
--- a/rhubarbshed/protocol/message_checks.py
+++ b/rhubarbshed/protocol/message_checks.py
@@ -1,5 +1,8 @@
 """Checks of the fields of messages between instances."""
 
+import socket
+from socket import AF_INET, AF_INET6
+
 from attrs import Attribute
 
 TEXT_LENGTH_MAX = 200
@@ -8,6 +11,17 @@
 NUMBER_MAX = 2**53
 """Greatest number in a message: milliseconds since 1970 fit."""
 
+PORT_MAX = 65_535
+"""Highest port."""
+
+REASON_LENGTH_MAX = 200
+"""Most characters of a reason in the log; the value that caused it may be long."""
+
+
+def describe(error: Exception) -> str:
+    """Return why something could not be decoded, for the log."""
+    return repr(error)[:REASON_LENGTH_MAX]
+
 
 def is_text(value: object) -> bool:
     """Return whether a value is text that a message may carry."""
@@ -19,6 +33,29 @@
     return type(value) is int and 0 <= value <= most
 
 
+def is_quantity(value: object) -> bool:
+    """Return whether a value is a number, also in parts, that can be summed and compared."""
+    return type(value) in (int, float) and 0.0 <= value <= NUMBER_MAX
+
+
+def is_address(value: object) -> bool:
+    """Return whether a value is an IP address and a port; a name would have to be looked up."""
+    if not isinstance(value, tuple) or len(value) != 2:
+        return False
+    host, port = value
+    is_port = type(port) is int and 0 < port <= PORT_MAX
+    return is_port and is_text(host) and (is_ip(host, AF_INET) or is_ip(host, AF_INET6))
+
+
+def is_ip(host: str, family: int) -> bool:
+    """Return whether text is an IP address of a family."""
+    try:
+        socket.inet_pton(family, host)
+    except (OSError, ValueError):
+        return False
+    return True
+
+
 def check_text(message: object, attribute: Attribute, value: object) -> None:
     """Raise `ValueError` unless a field is short text."""
     if not is_text(value):
--- a/rhubarbshed/protocol/messages.py
+++ b/rhubarbshed/protocol/messages.py
@@ -9,7 +9,7 @@
 import re
 import socket
 from collections.abc import Callable, Sequence
-from socket import AF_INET, AF_INET6
+from socket import AF_INET
 
 import msgpack
 from attrs import Attribute, astuple, field, frozen
@@ -21,12 +21,20 @@
     CrashQuestion,
     TrialMessage,
 )
+from rhubarbshed.protocol.holder_checks import check_demand, check_holder, check_store
 from rhubarbshed.protocol.limit_messages import (
     LimitMessage,
     LimitQuestion,
     LimitReply,
 )
-from rhubarbshed.protocol.message_checks import check_number, check_text, is_text
+from rhubarbshed.protocol.message_checks import (
+    check_number,
+    check_text,
+    describe,
+    is_address,
+    is_ip,
+    is_text,
+)
 
 FORMAT = 4
 DECODE_ERRORS = (KeyError, TypeError, ValueError, IndexError, msgpack.UnpackException)
@@ -57,7 +65,6 @@
 """Most bytes of a datagram over IPv4."""
 
 PACKED_ADDRESS_BYTES = 6
-PORT_MAX = 65535
 
 Address = tuple[str, int]
 
@@ -130,23 +137,6 @@
     rows: tuple[tuple[str, int, dict | None], ...] = field(factory=tuple)
 
 
-def is_address(value: object) -> bool:
-    """Return whether a value is an IP address and a port; a name would have to be looked up."""
-    if not isinstance(value, tuple) or len(value) != 2:
-        return False
-    host, port = value
-    is_port = type(port) is int and 0 < port <= PORT_MAX
-    return is_port and is_text(host) and (_is_ip(host, AF_INET) or _is_ip(host, AF_INET6))
-
-
-def _is_ip(host: str, family: int) -> bool:
-    try:
-        socket.inet_pton(family, host)
-    except (OSError, ValueError):
-        return False
-    return True
-
-
 def _check_tuples(width: int, most: int) -> Callable[[object, Attribute, object], None]:
     def check(message: object, attribute: Attribute, value: object) -> None:
         fits = isinstance(value, tuple) and len(value) <= most
@@ -268,7 +258,7 @@
     """Return IPv4 addresses as bytes, and IPv6 addresses; what is neither is left out."""
     packed, others = bytearray(), []
     for host, port in addresses:
-        if _is_ip(host, AF_INET):
+        if is_ip(host, AF_INET):
             packed += socket.inet_pton(AF_INET, host) + port.to_bytes(2)
         elif is_address((host, port)):
             others.append((host, port))
@@ -311,6 +301,8 @@
     "limit_reply": LimitReply,
 }
 KIND_NAMES = {kind: name for name, kind in KINDS.items()}
+CHECKS = {DemandMessage: check_demand, HolderMessage: check_holder, StoreMessage: check_store}
+"""Checks of received messages whose fields have no validators."""
 
 
 def pack_message(message: Message) -> bytes:
@@ -323,7 +315,7 @@
     try:
         data = pack_message(message)
     except PACK_ERRORS as error:
-        return Failure(repr(error))
+        return Failure(describe(error))
     if len(data) > DATAGRAM_BYTES_MAX:
         return Failure(f"{len(data)} bytes")
     return Success(data)
@@ -337,6 +329,9 @@
             return Failure(f"format {version!r}")
         if isinstance(kind, str) and kind not in KINDS and KIND_NAME.fullmatch(kind):
             return Success(UnknownMessage(kind))
-        return Success(KINDS[kind](*parts))
+        message = KINDS[kind](*parts)
+        if type(message) in CHECKS:
+            CHECKS[type(message)](message)
+        return Success(message)
     except DECODE_ERRORS as error:
-        return Failure(repr(error))
+        return Failure(describe(error))
--- a/rhubarbshed/state/placement/demand_buffer.py
+++ b/rhubarbshed/state/placement/demand_buffer.py
@@ -2,6 +2,7 @@
 
 from attrs import define, field
 
+from rhubarbshed.protocol.message_checks import NUMBER_MAX
 from rhubarbshed.protocol.messages import DemandMessage
 from rhubarbshed.state.placement.usage import Tally, Target
 
@@ -37,6 +38,12 @@
 def list_counts(counts: dict[Target, Tally]) -> list[Count]:
     """Return tallies in the form sent in messages."""
     return [
-        (*target, tally.requests, tally.tokens, tally.runs, round(tally.run_s, 3))
+        (
+            *target,
+            min(tally.requests, NUMBER_MAX),
+            min(tally.tokens, NUMBER_MAX),
+            min(tally.runs, NUMBER_MAX),
+            min(round(tally.run_s, 3), NUMBER_MAX),
+        )
         for target, tally in counts.items()
     ]
--- a/rhubarbshed/transport/edge/datagrams.py
+++ b/rhubarbshed/transport/edge/datagrams.py
@@ -7,11 +7,11 @@
 from attrs import define, field
 from returns.result import Failure, Result, Success
 
+from rhubarbshed.protocol.message_checks import is_address
 from rhubarbshed.protocol.messages import (
     KIND_NAMES,
     Message,
     UnknownMessage,
-    is_address,
     pack_datagram,
     unpack_message,
 )
--- a/rhubarbshed/transport/edge/holder_protocol.py
+++ b/rhubarbshed/transport/edge/holder_protocol.py
@@ -14,6 +14,7 @@
 from attrs import define, field
 from returns.result import Failure, Result
 
+from rhubarbshed.protocol.message_checks import is_text
 from rhubarbshed.protocol.messages import (
     DemandMessage,
     HolderMessage,
@@ -118,6 +119,8 @@
     def report_awaited(self, service: str, model: str, adapter: str) -> None:
         """Report to the holder at once that a caller waits for a target."""
         target = (service, model, adapter)
+        if not all(map(is_text, target)):
+            return
         now = time.monotonic()
         if now - self.awaited_reported_at.get(target, -1e9) < AWAITED_REPORT_PAUSE_S:
             return
@@ -126,7 +129,8 @@
 
     def report_missing(self, server_id: str, started_ms: int, model: str, adapter: str) -> None:
         """Report to the holder that a server does not hold a model, or is down (no model given)."""
-        self.report_demand(time.monotonic(), missing=((server_id, started_ms, model, adapter),))
+        if is_text(model) and is_text(adapter):
+            self.report_demand(time.monotonic(), missing=((server_id, started_ms, model, adapter),))
 
     def report_demand(
         self,
@@ -303,6 +307,7 @@
         now = time.monotonic()
         self.received_at = now
         if isinstance(read, Failure):
+            self.dispatcher.metrics.count_unreadable("message")
             log_event(LOG, logging.INFO, "word_unreadable", sender=address[0], why=read.failure())
             return
         message = read.unwrap()
--- a/rhubarbshed/transport/edge/lease.py
+++ b/rhubarbshed/transport/edge/lease.py
@@ -11,8 +11,7 @@
 
 from rhubarbshed.coordination.serving.lease_state import LeaseState, Step
 from rhubarbshed.platform.rows import OWN_TABLE
-from rhubarbshed.protocol.message_checks import is_text
-from rhubarbshed.protocol.messages import is_address
+from rhubarbshed.protocol.message_checks import is_address, is_text
 from rhubarbshed.protocol.tables import (
     Check,
     Committed,
--- a/test/test_odd_messages.py
+++ b/test/test_odd_messages.py
@@ -13,6 +13,7 @@
 from rhubarbshed.protocol.messages import FORMAT, KINDS, DemandMessage, pack_message
 from rhubarbshed.transport.edge import follower
 from rhubarbshed.transport.edge.datagrams import Datagrams
+from rhubarbshed.transport.edge.holder_protocol import KnownHolder
 from standin.replica import Replica
 from test.helper_edge import make_configuration, make_engine_service, make_host, make_route
 from test.helper_odd_values import ODD_JSON, PEER, PLACE, MemoryNode, fill, play_odd
@@ -42,7 +43,7 @@
                [("b1", 1, "m1", "a1")], [("b1", 3)]),
     "holder": ("i2", "b", "127.0.0.3", 7000, 9, True, 2, 3, [("b1", 1, [("m1", ["a1"])])],
                [("b1", "m2", 1.0, "")], [("c", "127.0.0.4", 7000)], [("b1", 3)]),
-    "news": ("i2", "a", 9, 1, True, 2, 4, [("b1", 4, REPLICA)]),
+    "news": ("i2", "a", 9, 1, True, 2, 4, [("b9", 4, REPLICA)]),
     "origins": ([("s1", "svc", "v1")], [1]),
     "origin_question": (["s1"],),
     "origin_reply": ([("s1", "svc", "v1")], ["s2"], [("svc", "v1")], [1], 5),
@@ -123,6 +124,30 @@
     assert "never retrieved" not in caplog.text
 
 
+def test_names_and_sums_that_others_would_refuse_are_not_sent():
+    """One of them made the whole message unreadable, with the demand for sound models."""
+
+    async def scene():
+        async with MemoryNode.start() as memory:
+            protocol = memory.node.holder_protocol
+            await memory.settle()
+            protocol.lease.holder_address = PEER
+            protocol.holders["b"] = KnownHolder(PEER, 1, time.monotonic(), 1)
+            for is_holder in (True, False):
+                memory.node.lease.lease_state.held = is_holder
+                for name in ("m" * 300, "\ud800"):
+                    protocol.report_awaited("svc", name, "")
+                    protocol.report_missing("b1", 1, "m1", name)
+                protocol.count_demand("svc", "m1", "", 2**60)
+                protocol.awaited_reported_at.clear()
+                protocol.report_awaited("svc", "m2", "")
+                memory.use()
+            sent = [each for each in memory.read_sent() if isinstance(each, DemandMessage)]
+            assert {target for each in sent for target in each.awaited} == {("svc", "m2", "")}
+
+    play_odd(scene)
+
+
 @pytest.mark.parametrize("name", ["whole", *LEASE])
 def test_odd_value_in_a_lease_row_cuts_off_no_instance(name):
     template = PLACE if name == "whole" else {**LEASE, name: PLACE}
