Let no instance stand in for what another one missed

What callers saw: nothing here yet. In a test, a stream that began at v2 went on at v1, with 200: the instance that began it was killed and started again after v2 had left, and another one replied that it had followed the entries for long. It had, but nothing had reached it from the store for a moment, in which v2 came and left.

Cause: a reply says for how long its sender has followed the entries, not up to when. That may end before the asking instance's own first read, by seconds where the sender's connection is silent or its machine stood still, and the time between is seen by nobody.

Fix: what others have followed does not count any more; what they have seen still speaks against a sole version. Replies carry 0 for older builds, and `stream_refused` shows since when the route leads where it does instead.

Two tests of the registry and one with instances asked for the time of others; they are replaced by tests that none is claimed or used.

--- a/rhubarbshed/coordination/serving/versions.py
+++ b/rhubarbshed/coordination/serving/versions.py
@@ -98,10 +98,9 @@
     """Return the only origin that a stream of a route can have, None if not certain."""
     if not is_current(history, now):
         return None
-    if max(measure_followed(history, now), lookup.followed_s) < STREAM_AGE_MAX_S:
+    if measure_followed(history, now) < STREAM_AGE_MAX_S:
         return None
-    routed_since = history.routes.find_since(route)
-    if routed_since is None or now - routed_since < STREAM_AGE_MAX_S:
+    if history.routes.measure_age(route, now) < STREAM_AGE_MAX_S:
         # The stream may have begun at a service that the route led to before.
         return None
     if lookup.asked and not lookup.replied:
--- a/rhubarbshed/protocol/messages.py
+++ b/rhubarbshed/protocol/messages.py
@@ -205,8 +205,8 @@
     `origins` are (stream, service, version), two of them for an id that was recorded with two
     versions, and `ages` the whole seconds since each was recorded first. `unknown` are the streams
     asked for of which the replier has no record. `versions` are the (service, version) that it has
-    seen lately. `followed_s` are the whole seconds for which it has followed the servers' entries
-    without a gap, 0 if it is not up to date or `versions` are not complete.
+    seen lately. `followed_s` is not used any more: older builds bind streams by what another
+    instance has followed, which may have missed what the asking one did not see either.
     """
 
     origins: tuple[tuple[str, str, str], ...] = field(validator=_check_tuples(3, ORIGINS_PER_REPLY))
--- a/rhubarbshed/protocol/streams.py
+++ b/rhubarbshed/protocol/streams.py
@@ -16,12 +16,10 @@
     """Outcome of a search for the origin of a stream.
 
     `origin` is None if no instance knows it, or if answers disagree. `asked` and `replied` count
-    other instances. `versions` are the (service, version) that those which replied have seen;
-    `followed_s` is the longest time for which one of them has followed the entries without a gap.
+    other instances. `versions` are the (service, version) that those which replied have seen.
     """
 
     origin: StreamOrigin | None
     asked: int = 0
     replied: int = 0
     versions: frozenset[tuple[str, str]] = frozenset()
-    followed_s: float = 0.0
--- a/rhubarbshed/state/membership/route_history.py
+++ b/rhubarbshed/state/membership/route_history.py
@@ -49,6 +49,11 @@
             return None
         return max(self.followed_since, self.changed_at.get((route.host, route.prefix), -math.inf))
 
+    def measure_age(self, route: Route, now: float) -> float:
+        """Return the seconds for which a route has led to its services as far as known."""
+        since = self.find_since(route)
+        return 0.0 if since is None else now - since
+
 
 def map_services(configuration: Configuration) -> dict[RouteKey, frozenset[str]]:
     """Return the services of each route."""
--- a/rhubarbshed/transport/edge/continuations.py
+++ b/rhubarbshed/transport/edge/continuations.py
@@ -100,7 +100,7 @@
         versions=",".join(sorted(version for name, version in seen if name == service)),
         age_max_s=STREAM_AGE_MAX_S,
         followed_s=round(view.measure_followed(now), 1),
-        others_followed_s=lookup.followed_s,
+        routed_s=round(view.versions.routes.measure_age(progress.route, now), 1),
         asked=lookup.asked,
         replied=lookup.replied,
     )
--- a/rhubarbshed/transport/edge/node.py
+++ b/rhubarbshed/transport/edge/node.py
@@ -152,7 +152,6 @@
             settings.data_centre,
             holder_protocol.datagrams.send,
             view.list_versions,
-            view.measure_followed,
         )
         streams.counts.observe = metrics.observe_lookup
         limits = LimitRegistry(
--- a/rhubarbshed/transport/edge/stream_registry.py
+++ b/rhubarbshed/transport/edge/stream_registry.py
@@ -25,7 +25,6 @@
     name_instances,
 )
 from rhubarbshed.protocol.messages import (
-    AGE_MAX_S,
     STREAMS_PER_MESSAGE,
     VERSIONS_PER_MESSAGE,
     OriginQuestion,
@@ -101,7 +100,6 @@
 
     replies: Replies = Replies()
     versions: set[tuple[str, str]] = field(factory=set)
-    followed_s: dict[Address, int] = field(factory=dict)
     recorded_at: float = -math.inf
     progress: asyncio.Event = field(factory=asyncio.Event)
 
@@ -133,7 +131,6 @@
     data_centre: str
     send: Callable[..., None]
     list_versions: Callable[[float], tuple[tuple[str, str], ...]] = lambda now: ()
-    measure_followed: Callable[[float], float] = lambda now: 0.0
     origins: StreamOrigins = field(factory=StreamOrigins)
     counts: StreamCounts = field(factory=StreamCounts)
     instances: dict[str, dict[str, Address]] = field(factory=dict)
@@ -210,7 +207,6 @@
         for stream_id, each in found.items():
             for search in self._searches.get(stream_id, ()):
                 search.versions.update(message.versions)
-                search.followed_s[address] = message.followed_s
                 search.add_reply((address,), each)
 
     def learn_instances(
@@ -295,14 +291,12 @@
 
     def _reply(self, question: OriginQuestion, address: Address, now: float) -> None:
         found = {each: self._list_sendable(each, now) for each in question.streams}
-        versions, is_complete = self._list_versions(now)
-        followed_s = min(AGE_MAX_S, self.measure_followed(now)) if is_complete else 0.0
+        versions = self._list_versions(now)
         reply = OriginReply(
             tuple((name, it.service, it.version) for name, each in found.items() for it in each),
             tuple(name for name, each in found.items() if not each),
             versions,
             tuple(self._measure_age(name, now) for name, each in found.items() for _ in each),
-            int(followed_s),
         )
         self.send(reply, address)
 
@@ -310,17 +304,16 @@
         origins = self.origins.list_origins(stream_id, now)
         return [each for each in origins if is_text(each.service) and is_text(each.version)]
 
-    def _list_versions(self, now: float) -> tuple[tuple[tuple[str, str], ...], bool]:
-        """List the versions that a reply can carry, and whether these are all."""
-        seen = self.list_versions(now)
-        pairs = [pair for pair in seen if all(map(is_text, pair))]
+    def _list_versions(self, now: float) -> tuple[tuple[str, str], ...]:
+        """List the versions that a reply can carry."""
+        pairs = [pair for pair in self.list_versions(now) if all(map(is_text, pair))]
         if len(pairs) <= VERSIONS_PER_MESSAGE:
-            return tuple(pairs), len(pairs) == len(seen)
+            return tuple(pairs)
         # What contradicts a sole version matters most: services with several versions come first.
         services = [service for service, _ in pairs]
         pairs.sort(key=lambda pair: -services.count(pair[0]))
         log_event(LOG, logging.WARNING, "versions_cut", versions=len(pairs))
-        return tuple(pairs[:VERSIONS_PER_MESSAGE]), False
+        return tuple(pairs[:VERSIONS_PER_MESSAGE])
 
     def _mark_silent(self, silent: frozenset[Address]) -> None:
         new = silent - self.silent
@@ -362,11 +355,7 @@
             took_ms=round(took_s * 1000),
         )
         versions = frozenset(search.versions) | list_pairs(replies.origins)
-        followed_s = max(
-            (each for address, each in search.followed_s.items() if address in replies.asked),
-            default=0,
-        )
-        return StreamLookup(origin, len(replies.asked), replied, versions, followed_s)
+        return StreamLookup(origin, len(replies.asked), replied, versions)
 
 
 def list_pairs(origins: Iterable[StreamOrigin]) -> frozenset[tuple[str, str]]:
--- a/test/test_edge_sole_version.py
+++ b/test/test_edge_sole_version.py
@@ -253,3 +253,20 @@
                 assert (await take_up(scene.get_edge(name))).whole
 
     play(scene)
+
+
+def test_version_that_came_and_left_while_another_instance_heard_nothing_is_not_forgotten():
+    async def scene():
+        async with run_scene("b1", a1="a", c1="c") as scene:
+            scene.relays["c1"].mode = Mode.DROP_ANSWERS
+            await scene.add("b2", "v2", "a1")
+            await scene.begin_at("a1", "b2")
+            scene.forget_streams("c1")
+            await scene.kill("a1")
+            scene.store.remove("servers", "b2")
+            await scene.start_again("a1")
+            streams = scene.instances["a1"].streams
+            await scene.instances.wait_until(lambda: bool(streams.instances))
+            assert_refused(await take_up(scene.get_edge("a1")), b"version_unknown")
+
+    play(scene)
--- a/test/test_edge_versions.py
+++ b/test/test_edge_versions.py
@@ -642,12 +642,12 @@
         play(scene)
     (line,) = [each.pairs for each in caplog.records if each.getMessage() == "stream_refused"]
     assert 0.0 < line.pop("followed_s") < 5.0 and line.pop("request")
+    assert 0.0 < line.pop("routed_s") < 5.0
     assert line == {
         "stream": "q9",
         "service": "svc",
         "versions": "v1,v1.1",
         "age_max_s": 60.0,
-        "others_followed_s": 0.0,
         "asked": 2,
         "replied": 1,
     }
--- a/test/test_stream_instances.py
+++ b/test/test_stream_instances.py
@@ -216,17 +216,6 @@
     play(scene)
 
 
-def test_replies_say_for_how_long_an_instance_followed_the_entries():
-    async def scene():
-        async with run_instances(a1="a", a2="a") as instances:
-            await asyncio.sleep(1.2)
-            instances.start("b1", "b")
-            await instances.wait_until(instances.know_each_other)
-            assert (await find(instances["b1"], "s1")).followed_s >= 1
-
-    play(scene)
-
-
 def test_cut_between_data_centres_leaves_origins_known_on_each_side():
     async def scene():
         async with run_instances(**FIVE) as instances:
--- a/test/test_stream_registry.py
+++ b/test/test_stream_registry.py
@@ -311,31 +311,14 @@
     assert {("svc199", "v1"), ("svc199", "v2")} <= set(versions)
 
 
-def test_reply_says_how_long_its_sender_followed_unless_its_versions_are_cut():
+def test_reply_claims_nothing_about_the_time_that_its_sender_followed():
     network = Network()
-    network.registry.measure_followed = lambda now: 41.9
-    for versions, followed_s in (
-        ((("svc", "v1"),), 41),
-        ((("svc", "\ud800"),), 0),
-        (tuple((f"svc{number}", "v1") for number in range(VERSIONS_PER_MESSAGE + 1)), 0),
-    ):
+    for versions in ((("svc", "v1"),), (("svc", "\ud800"),)):
         network.sent.clear()
         network.registry.list_versions = lambda now, versions=versions: versions
         network.registry.handle_message(OriginQuestion(("s",)), A[0], 1.0)
-        assert network.sent[0][0].followed_s == followed_s
-
-
-def test_longest_time_that_an_instance_which_was_asked_followed_counts():
-    async def scene():
-        network = Network(silent={*A, *B})
-        search = asyncio.create_task(network.registry.find_stream("s", time.monotonic()))
-        await asyncio.sleep(2 * COLLECT_S)
-        for address, followed_s in ((A[0], 5), (A[1], 30), (("10.9.9.9", 1), 90)):
-            reply = OriginReply((), ("s",), followed_s=followed_s)
-            network.registry.handle_message(reply, address, time.monotonic())
-        assert (await search).followed_s == 30
-
-    play(scene)
+        reply = network.sent[0][0]
+        assert (reply.followed_s, reply.versions) == (0, versions if versions[0][1] == "v1" else ())
 
 
 def test_handing_over_tells_instances_that_are_left():
--- a/test/test_versions.py
+++ b/test/test_versions.py
@@ -75,18 +75,19 @@
     assert decide(fleet, history).refused
 
 
-def test_another_instance_that_followed_for_long_enough_counts_if_this_one_is_current():
-    fleet, history = make_history(make_entry("b1", "v1"), followed_s=1.0)
+def test_what_another_instance_says_does_not_stand_in_for_a_gap_here():
     seen = frozenset({("svc", "v1")})
-    for followed_s, refused in ((59, True), (60, False)):
-        lookup = StreamLookup(None, 2, 1, seen, followed_s)
+    for followed_s, versions, refused in (
+        (59.0, seen, True),
+        (60.0, seen, False),
+        (60.0, seen | {("svc", "v2")}, True),
+    ):
+        fleet, history = make_history(make_entry("b1", "v1"), followed_s=followed_s)
+        lookup = StreamLookup(None, 2, 1, versions)
         assert decide(fleet, history, lookup).refused == refused, followed_s
-    lookup = StreamLookup(None, 2, 1, seen | {("svc", "v2")}, 500)
-    assert decide(fleet, history, lookup).refused
-    lookup = StreamLookup(None, 2, 1, seen, 500)
-    assert decide(fleet, history, lookup, now=NOW + 3.1).refused
-    history.suspend()
-    assert decide(fleet, history, lookup).refused
+        assert decide(fleet, history, lookup, now=NOW + 3.1).refused
+        history.suspend()
+        assert decide(fleet, history, lookup).refused
 
 
 def test_instance_that_is_not_up_to_date_followed_for_no_time():
