Write the record of versions with one call every 8 s

The row's version is known from the write before, and the store's time from an earlier reading, as long as no gap is later than it; a conflict or a gap reads both again. 8 s leave 12 s of the history that the store keeps for instances that were killed to be back.

test_version_store.py, "written with one call", counts the calls.

--- a/rhubarbshed/transport/edge/version_store.py
+++ b/rhubarbshed/transport/edge/version_store.py
@@ -28,9 +28,9 @@
 
 LOG = logging.getLogger(__name__)
 
-WRITE_INTERVAL_S = 5.0
-"""Time between two writes of a record; the store keeps its history for 20 s, in which instances
-have to be back."""
+WRITE_INTERVAL_S = 8.0
+"""Time between two writes of a record; the store keeps its history for 20 s, and instances that
+were killed are back within some seconds."""
 
 CHECK_INTERVAL_S = 1.0
 """Time between two checks whether a record is due."""
@@ -54,6 +54,7 @@
     is_holder: Callable[[], bool]
     tried_at: float | None = None
     written_at: float = -1e9
+    _row: tuple[int, ClockReading] | None = None
 
     async def maintain(self) -> None:
         """Go on from a record after each gap, and write records as the order holder, forever."""
@@ -114,25 +115,39 @@
     async def _write(self) -> None:
         """Write the record of what was seen up to now."""
         view, key = self.follower.view, self.follower.view.settings.data_centre
-        sent_at = time.monotonic()
-        page = await self._read_records()
-        record = page and make_record(
-            view.versions,
-            view.fleet,
+        if view.versions.is_suspended:
+            return
+        self._row = self._row or await self._read_row(key)
+        if self._row is None:
+            return
+        version, clock = self._row
+        revision, configuration = (
             self.follower.servers_revision,
             self.follower.configuration_revision,
-            ClockReading(page.now_ms, sent_at),
-            time.monotonic(),
         )
-        if not record:
+        now = time.monotonic()
+        record = make_record(view.versions, view.fleet, revision, configuration, clock, now)
+        # A gap later than the reading of the clock needs a newer one.
+        self._row = None
+        if record is None:
             return
-        self.written_at = time.monotonic()
-        version = next((row.version for row in page.scan.rows if row.key == key), 0)
+        self.written_at = now
         transaction = Transaction((Check(key, version),), (Write(key, record.to_value()),))
         written = await self.store.commit(VERSIONS_TABLE, transaction)
         if isinstance(written, Failure):
             reason = written.failure().detail
             log_event(LOG, logging.INFO, "versions_unwritten", reason=reason)
+        else:
+            self._row = written.unwrap().revision, clock
+
+    async def _read_row(self, key: str) -> tuple[int, ClockReading] | None:
+        """Return the version of the data centre's row, and the store's time."""
+        sent_at = time.monotonic()
+        page = await self._read_records()
+        if page is None:
+            return None
+        version = next((row.version for row in page.scan.rows if row.key == key), 0)
+        return version, ClockReading(page.now_ms, sent_at)
 
 
 def list_records(page: Page) -> list[VersionRecord]:
--- a/test/test_version_store.py
+++ b/test/test_version_store.py
@@ -195,6 +195,36 @@
     play(scene)
 
 
+def test_record_is_written_with_one_call_until_another_holder_writes_it_or_there_is_a_gap():
+    async def scene():
+        store = RowStore()
+        await store.start()
+        store.put("op", "config", make_configuration(STREAM))
+        put_server(store, "b1")
+        async with start(store) as holder:
+            write, versions = holder.version_store._write, holder.follower.view.versions
+
+            async def count_calls() -> list[bool]:
+                count = len(store.calls)
+                await write()
+                calls = [call for call in store.calls[count:] if "servers" not in call]
+                return ["rows-tx" in call for call in calls if "Table=op" not in call]
+
+            assert await count_calls() == [False, True]
+            assert await count_calls() == await count_calls() == [True]
+            store.put(TABLE, "a", store.read(TABLE, "a"))
+            assert await count_calls() == [True]
+            assert await count_calls() == [False, True]
+            versions.restart(time.monotonic())
+            assert await count_calls() == []
+            assert await count_calls() == [False, True]
+            versions.suspend()
+            assert await count_calls() == []
+        await store.stop()
+
+    play(scene)
+
+
 def test_start_goes_on_once_the_store_takes_its_calls_again():
     async def scene():
         store = RowStore()
