Believe in a first start only while the store shows no earlier one

What callers saw: nothing here yet. In a test, all instances were killed and started again while their settings still said that the whole system starts for the first time. Streams that had begun at v1 went on at v2, with 200, as v1 had left in between.

Cause: `first_start` alone made the first read count as "followed since ever". A process that is killed starts again with the settings in force, and nobody promises that these have changed by then.

--- a/rhubarbshed/transport/edge/follower.py
+++ b/rhubarbshed/transport/edge/follower.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import logging
-import math
 import time
 from collections.abc import Callable
 
@@ -295,9 +294,7 @@
         self, before: Configuration | None, after: Configuration, is_full_read: bool, now: float
     ) -> None:
         routes = self.view.versions.routes
-        if before is None:
-            routes.restart(-math.inf if self.view.settings.first_start else now)
-        elif is_full_read or self.regained_at > self.view.configured_at:
+        if before is None or is_full_read or self.regained_at > self.view.configured_at:
             # Configurations between the two may not have been read.
             routes.restart(now)
         else:
@@ -311,9 +308,7 @@
         present = set()
         view.versions.drop_older(view.fleet, now)
         if is_full_read:
-            # At the first start of the whole system no stream is older than the first read.
-            is_first = view.settings.first_start and view.versions.followed_since is None
-            view.versions.restart(-math.inf if is_first else now)
+            view.versions.restart(now)
         changes = read_entries(rows)
         for change in changes:
             if change.entry is not None:
--- a/rhubarbshed/transport/edge/version_store.py
+++ b/rhubarbshed/transport/edge/version_store.py
@@ -19,7 +19,7 @@
     read_record,
 )
 from rhubarbshed.platform.records import read_server
-from rhubarbshed.platform.rows import SERVERS_TABLE, VERSIONS_TABLE, Page
+from rhubarbshed.platform.rows import OWN_TABLE, SERVERS_TABLE, VERSIONS_TABLE, Page
 from rhubarbshed.protocol.servers import ServerEntry
 from rhubarbshed.protocol.tables import Check, Row, TableFault, Transaction, Write
 from rhubarbshed.transport.edge.follower import Follower
@@ -46,13 +46,14 @@
     """Record of the data centre in the store.
 
     `is_holder` returns whether this instance writes it. `tried_at` is the gap for which the records
-    were last read.
+    were last read, `has_started` whether they were read after the start.
     """
 
     store: StoreClient
     follower: Follower
     is_holder: Callable[[], bool]
     tried_at: float | None = None
+    has_started: bool = False
     written_at: float = -1e9
     _row: tuple[int, ClockReading] | None = None
 
@@ -62,9 +63,10 @@
             await self.follower.read_anew.wait(CHECK_INTERVAL_S)
             gap_at = self.follower.view.versions.followed_since
             is_known = bool(self.follower.configuration_revision)
-            if is_known and gap_at not in (None, -math.inf, self.tried_at):
+            if is_known and gap_at not in (None, self.tried_at):
                 self.tried_at = gap_at
                 await self._close_gap()
+                self.has_started = True
             is_due = time.monotonic() - self.written_at >= WRITE_INTERVAL_S
             if is_known and is_due and self.is_holder():
                 await self._write()
@@ -84,7 +86,7 @@
         clock = ClockReading(page.now_ms, time.monotonic())
         record = choose_record(list_records(page), page.now_ms)
         if record is None:
-            return True
+            return await self._settle_first_start(page)
         changes = await self.store.follow(SERVERS_TABLE, record.revision, 0.0)
         now = time.monotonic()
         if isinstance(changes, Failure):
@@ -105,6 +107,25 @@
         )
         return True
 
+    async def _settle_first_start(self, page: Page) -> bool:
+        """Record that no stream is older than this start, if the store shows no earlier one.
+
+        Instances that are killed may start again with the settings of the first start. Return
+        False if the store shows nothing.
+        """
+        versions = self.follower.view.versions
+        if self.has_started or page.scan.rows or not self.follower.view.settings.first_start:
+            return True
+        leases = await self.store.read_all(OWN_TABLE)
+        if isinstance(leases, Failure):
+            log_event(LOG, logging.INFO, "versions_unread", reason=leases.failure().detail)
+            return False
+        if not leases.unwrap().scan.rows:
+            versions.restart(-math.inf)
+            versions.routes.restart(-math.inf)
+            self.tried_at = versions.followed_since
+        return True
+
     async def _read_records(self) -> Page | None:
         read = await self.store.read_all(VERSIONS_TABLE)
         if isinstance(read, Failure):
--- a/test/test_edge_sole_version.py
+++ b/test/test_edge_sole_version.py
@@ -270,3 +270,20 @@
             assert_refused(await take_up(scene.get_edge("a1")), b"version_unknown")
 
     play(scene)
+
+
+@pytest.mark.parametrize("first_start", [False, True])
+def test_system_that_is_started_again_as_if_for_the_first_time_binds_no_stream(first_start: bool):
+    async def scene():
+        async with run_scene("b1", a1="a", c1="c") as scene:
+            await scene.begin_at("a1", "b1")
+            await scene.kill("a1", "c1")
+            scene.store.remove("servers", "b1")
+            await scene.add("b2", "v2")
+            await scene.start_again("a1", "c1", first_start=first_start)
+            for name in ("a1", "c1"):
+                for stream_id in ("", "q1"):
+                    answer = await take_up(scene.get_edge(name), stream_id)
+                    assert_refused(answer, b"version_unknown")
+
+    play(scene)
--- a/test/test_edge_versions.py
+++ b/test/test_edge_versions.py
@@ -474,6 +474,7 @@
 def test_stream_goes_on_without_memory_at_once_at_the_first_start_of_the_system():
     async def scene():
         async with run_edge(CONFIGURATION, make_replica("b1"), first_start=True) as edge:
+            await edge.wait_until(lambda: edge.node.version_store.has_started, 0.2)
             assert (await take_up(edge)).whole
 
     play(scene)
--- a/test/test_version_store.py
+++ b/test/test_version_store.py
@@ -174,6 +174,43 @@
     play(scene)
 
 
+@pytest.mark.parametrize(
+    ("first_start", "table", "expected"),
+    [
+        (True, "", V1),
+        (True, "other", V1),
+        (True, "rhubarbshed", None),
+        (True, TABLE, None),
+        (False, "", None),
+    ],
+)
+def test_first_start_is_the_one_at_which_the_store_shows_no_earlier_one(
+    first_start: bool, table: str, expected: StreamOrigin | None
+):
+    async def scene():
+        store = RowStore()
+        await store.start()
+        store.put("op", "config", make_configuration(STREAM))
+        put_server(store, "b1")
+        if table:
+            store.put(table, "orders/a", b"{}")
+        async with start(store, goes_on=False, first_start=first_start) as started:
+            store.down = bool(table)
+            closing = asyncio.create_task(started.version_store._close_gap())
+            await asyncio.sleep(0.1)
+            store.down = False
+            await closing
+            await started.read(lambda: not started.follower.view.versions.is_suspended)
+            assert started.find() == expected
+            started.version_store.has_started = True
+            started.follower.view.versions.restart(time.monotonic())
+            await started.version_store._close_gap()
+            assert started.find() is None
+        await store.stop()
+
+    play(scene)
+
+
 def test_versions_of_a_start_are_kept_for_the_next_one_also_if_it_follows_at_once():
     async def scene():
         store = RowStore()
