--- a/test/soak/callers.py
+++ b/test/soak/callers.py
@@ -128,11 +128,10 @@
 
     async def take_up(self, earlier: Asked, until: float) -> Asked:
         """Take a stream up at another instance; return the attempt, `earlier` without one."""
-        instance, port = self.choose_instance()
-        while instance == earlier.instance:
-            instance, port = self.choose_instance()
-        if (link := await connect(instance, port)) is None:
-            return earlier
+        while (link := await self.connect_elsewhere(earlier.instance)) is None:
+            await asyncio.sleep(self.rng.uniform(*REQUEST_INTERVAL_S))
+            if time.monotonic() > until:
+                return earlier
         timeout_s = until - time.monotonic()
         try:
             asked = await self.send_request(link, Sent.NEW, earlier.path, earlier, timeout_s)
@@ -142,6 +141,13 @@
             await asyncio.sleep(self.rng.uniform(*REQUEST_INTERVAL_S))
         return asked
 
+    async def connect_elsewhere(self, left: str) -> Link | None:
+        """Connect to an instance other than the one that was left, which may be back by now."""
+        instance, port = self.choose_instance()
+        while instance == left:
+            instance, port = self.choose_instance()
+        return await connect(instance, port)
+
     async def send_request(
         self, link: Link, how: Sent, path: str, earlier: Asked | None = None, timeout_s: float = 0.0
     ) -> Asked:
--- a/test/soak/faults.py
+++ b/test/soak/faults.py
@@ -12,7 +12,7 @@
 from test.soak.deadly import send_deadly_requests
 from test.soak.history import ALL, STORE, Disturbance, Leaving
 from test.soak.relay import Mode
-from test.soak.scene import VERSIONS, Scene
+from test.soak.scene import REPORT_S, VERSIONS, Scene
 from test.soak.visitors import LEAD_S, visit_stop
 
 STOP_TIMEOUT_S = 8.0
@@ -53,11 +53,12 @@
     async def play(self, seconds: float) -> None:
         """Start overlapping faults one after another, with fault-free times for planned changes.
 
-        A stop, a release, a request and a part of prompts that end servers come first, so that each
-        run has them.
+        A stop, a release, one in which all instances are killed, a request and a part of prompts
+        that end servers come first, so that each run has them.
         """
         await self.change_as_planned(self.rng.choice(STOPS))
         await self.change_as_planned(release_version)
+        await kill_all_in_release(self)
         await self.change_as_planned(send_deadly)
         await self.change_as_planned(send_deadly_part)
         until = time.monotonic() + seconds
@@ -136,6 +137,14 @@
     faults.scene.disrupted.difference_update(names)
 
 
+async def kill_all_in_release(faults: Faults) -> None:
+    """Kill all instances while servers of two versions or more serve, one of which drains."""
+    release = asyncio.create_task(release_version(faults))
+    await asyncio.sleep(REPORT_S + faults.rng.uniform(*LONG_FAULT_S))
+    await kill_all_instances(faults)
+    await release
+
+
 async def pause_process(faults: Faults) -> None:
     """Pause a process with SIGSTOP; a lease holder may resume after its lease has expired."""
     name = faults.draw_process(
--- a/test/soak/scene.py
+++ b/test/soak/scene.py
@@ -148,6 +148,8 @@
         for service, servers in groups:
             for name, data_centre in servers.items():
                 version = ENGINE_VERSIONS.get(name, "")
+                if version and self.seed % 2 == 0:
+                    version = VERSIONS[0]
                 await self.add_server(name, service, data_centre, version)
         for name, data_centre in self.instances.items():
             await self.add_instance(name, data_centre)
@@ -210,6 +212,8 @@
             store=await self.add_relay(f"store-{name}", self.store_port),
         )
         path = self.folder / f"{name}.ini"
+        # Killed instances start again with it.
+        text = text.replace("unknown = ignored", "first_start = true")
         path.write_text(text, encoding="utf-8")
         self.listeners[f"ready-{name}"] = ready
         self.add(name, "-m", "rhubarbshed.front", RHUBARBSHED_SETTINGS=str(path))
--- a/test/test_edge_sole_version.py
+++ b/test/test_edge_sole_version.py
@@ -1,30 +1,21 @@
 """Streams whose beginning no instance remembers, taken up after kills, releases and cuts."""
 
 import asyncio
-import contextlib
-import time
-from collections.abc import AsyncIterator
 
 import pytest
-from attrs import define, field
 
-from rhubarbshed.state.requests.stream_origins import StreamOrigins
-from standin.replica import Replica
-from standin.rows import RowStore
-from test.helper_edge import Answer, Edge, find_port, make_configuration, play
-from test.helper_instances import Instances
+from test.helper_edge import make_configuration, play
+from test.helper_scene import run_scene
 from test.helper_streams import (
     AGE_SHORT_S,
     CONFIGURATION,
     STREAM,
     assert_refused,
-    begin,
     let_streams_last_shortly,
-    list_versions,
     make_replica,
     take_up,
 )
-from test.soak.relay import Mode, Relay
+from test.soak.relay import Mode
 
 CERTAIN_S = AGE_SHORT_S + 0.1
 
@@ -35,121 +26,11 @@
     let_streams_last_shortly(monkeypatch)
 
 
-@define
-class Scene:
-    """Instances, each with a relay to the store of its own, and servers of several versions."""
-
-    instances: Instances
-    servers: dict[str, Replica] = field(factory=dict)
-    relays: dict[str, Relay] = field(factory=dict)
-
-    @property
-    def store(self) -> RowStore:
-        """Return the store that all instances share."""
-        return self.instances.store
-
-    async def add(self, name: str, version: str, *seen_by: str) -> None:
-        """Start a server, and wait until instances know it."""
-        server = self.servers.setdefault(name, make_replica(name, version))
-        if server.address[1] == 0:
-            await server.start()
-        self.store.put("servers", name, server.describe())
-        await self.wait_known(name, True, *seen_by)
-
-    async def remove(self, name: str, *seen_by: str) -> None:
-        """Remove the entry of a server, and wait until instances do not use it any more."""
-        server = self.servers[name]
-        self.store.put("servers", name, server.describe(State="draining"))
-        self.store.remove("servers", name)
-        await self.wait_known(name, False, *seen_by)
-
-    async def wait_known(self, name: str, known: bool, *seen_by: str) -> None:
-        """Wait until instances know a server, or do not."""
-        for instance in seen_by:
-            fleet = self.instances[instance].view.fleet
-            await self.instances.wait_until(
-                lambda fleet=fleet: (fleet.get(name) is not None) == known
-            )
-
-    def get_edge(self, name: str) -> Edge:
-        """Return an instance as callers reach it."""
-        node, task = self.instances[name], self.instances.tasks[name]
-        return Edge(self.store, list(self.servers.values()), node, task)
-
-    async def begin_at(self, instance: str, server: str, stream_id: str = "q1") -> Answer:
-        """Begin a stream at a server by way of an instance."""
-        fleet = self.instances[instance].view.fleet
-        for name, record in fleet.servers.items():
-            record.record_load_sample(0 if name == server else 7, 0, time.monotonic())
-        answer = await begin(self.get_edge(instance), stream_id)
-        version = self.servers[server].version
-        assert list_versions(answer) == {f"data: <{version}>".encode()}, answer
-        return answer
-
-    async def wait_recorded(self) -> None:
-        """Wait until each holder has recorded all that the store holds of the servers."""
-        revision = max((ver for ver, table, *_ in self.store.changes if table == "servers"))
-
-        def is_recorded() -> bool:
-            names = {node.settings.data_centre for node in self.instances.nodes.values()}
-            records = [self.store.read("rhubarbshed-versions", name) for name in names]
-            return all(record and record["revision"] >= revision for record in records)
-
-        await self.instances.wait_until(is_recorded)
-
-    def measure_followed(self, name: str) -> float:
-        """Return the seconds for which an instance has followed the entries without a gap."""
-        return self.instances[name].view.measure_followed(time.monotonic())
-
-    def forget_streams(self, name: str) -> None:
-        """Let an instance know no stream, as if it were none of their backups."""
-        self.instances[name].streams.origins = StreamOrigins()
-
-    async def kill(self, *names: str) -> None:
-        """Kill instances."""
-        for name in names:
-            await self.instances.kill(name)
-
-    async def start_again(self, *names: str, **changes: object) -> None:
-        """Start killed instances and wait until they serve."""
-        for name in names:
-            self.instances.start(name, self.instances[name].settings.data_centre, **changes)
-        for name in names:
-            await self.instances.wait_until(lambda name=name: self.instances[name].view.is_ready)
-
-
-@contextlib.asynccontextmanager
-async def run_scene(
-    *servers: str, configuration: dict = CONFIGURATION, **names: str
-) -> AsyncIterator[Scene]:
-    """Run instances, given as name=data centre, and servers of v1, for longer than a stream."""
-    store = RowStore()
-    await store.start()
-    store.put("op", "config", configuration)
-    scene = Scene(Instances(store))
-    try:
-        for name in servers:
-            await scene.add(name, "v1")
-        for name, data_centre in names.items():
-            relay = scene.relays[name] = Relay(find_port(), store.address[1])
-            await relay.start()
-            scene.instances.start(name, data_centre, store=("127.0.0.1", relay.port))
-        await scene.instances.wait_until(scene.instances.know_each_other)
-        await asyncio.sleep(CERTAIN_S)
-        yield scene
-    finally:
-        await scene.kill(*scene.instances.tasks)
-        for server in scene.servers.values():
-            await server.stop()
-        for relay in scene.relays.values():
-            relay.stop()
-        await store.stop()
-
-
 @pytest.mark.parametrize("stream_id", ["", "q1"])
 def test_instance_that_missed_a_release_takes_no_version_for_the_sole_one(stream_id: str):
     async def scene():
         async with run_scene("b1", a1="a", c1="c") as scene:
+            await asyncio.sleep(CERTAIN_S)
             assert (await take_up(scene.get_edge("a1"), "q0")).whole
             scene.relays["a1"].mode = Mode.DROP_ANSWERS
             await scene.add("b2", "v2", "c1")
@@ -169,6 +50,7 @@
 def test_instance_that_hears_of_no_servers_takes_no_version_for_the_sole_one(stream_id: str):
     async def scene():
         async with run_scene("b1", a1="a") as scene:
+            await asyncio.sleep(CERTAIN_S)
             assert (await take_up(scene.get_edge("a1"), "q0")).whole
             scene.store.held_tables.add("servers")
             await scene.add("b2", "v2")
@@ -182,6 +64,7 @@
 def test_stream_of_a_route_that_is_not_resumable_any_more_is_refused_once_nobody_remembers_it():
     async def scene():
         async with run_scene("b1", a1="a") as scene:
+            await asyncio.sleep(CERTAIN_S)
             await scene.add("b2", "v2", "a1")
             await scene.begin_at("a1", "b1")
             await scene.kill("a1")
@@ -226,6 +109,7 @@
 def test_stream_is_refused_while_a_newer_configuration_is_not_in_force_here():
     async def scene():
         async with run_scene("b1", a1="a") as scene:
+            await asyncio.sleep(CERTAIN_S)
             follower = scene.instances["a1"].follower
             follower.configuration_revision -= 1
             assert_refused(await take_up(scene.get_edge("a1")), b"version_unknown")
@@ -239,6 +123,7 @@
 def test_stream_goes_on_after_all_are_killed_if_its_service_had_one_version(names: dict):
     async def scene():
         async with run_scene("b1", **names) as scene:
+            await asyncio.sleep(CERTAIN_S)
             await scene.wait_recorded()
             await scene.begin_at("a1", "b1")
             await scene.kill(*names)
@@ -258,6 +143,7 @@
 def test_version_that_came_and_left_while_another_instance_heard_nothing_is_not_forgotten():
     async def scene():
         async with run_scene("b1", a1="a", c1="c") as scene:
+            await asyncio.sleep(CERTAIN_S)
             scene.relays["c1"].mode = Mode.DROP_ANSWERS
             await scene.add("b2", "v2", "a1")
             await scene.begin_at("a1", "b2")
@@ -276,6 +162,7 @@
 def test_system_that_is_started_again_as_if_for_the_first_time_binds_no_stream(first_start: bool):
     async def scene():
         async with run_scene("b1", a1="a", c1="c") as scene:
+            await asyncio.sleep(CERTAIN_S)
             await scene.begin_at("a1", "b1")
             await scene.kill("a1", "c1")
             scene.store.remove("servers", "b1")
