Add failing tests of answers that are written once more

What callers would see: 503 for a request that a server runs, the answer to another caller's request, a stream with others' text in it, or up to four runs.

--- a/test/test_upstream.py
+++ b/test/test_upstream.py
@@ -1,5 +1,8 @@
 """Test how long the client waits for the response of a backend server."""
 
+import itertools
+import socketserver
+import threading
 from collections.abc import Iterator
 
 import pytest
@@ -23,17 +26,20 @@
     process.stop()
 
 
-def fetch(service: Process, upstream_client: UpstreamClient, first_byte_timeout_s: float):
+def fetch(
+    port: int, upstream_client: UpstreamClient, first_byte_timeout_s: float, request_id: str = "r1"
+):
     dispatch = Dispatch(
-        request_id="r1",
+        request_id=request_id,
         attempt=0,
         backend_server="s1",
         host="127.0.0.1",
-        port=service.port,
+        port=port,
         first_byte_timeout_s=first_byte_timeout_s,
         gap_timeout_s=5.0,
     )
-    call = Call(Request("r1", "c1", "service:s", 0.0, 60.0, service="s"), "GET", "/slow", b"")
+    request = Request(request_id, "c1", "service:s", 0.0, 60.0, service="s")
+    call = Call(request, "GET", "/slow", b"")
     return upstream_client.fetch(Attempt.from_dispatch(dispatch), call)
 
 
@@ -41,10 +47,57 @@
     """The second request reuses the connection of the first one."""
     upstream_client = UpstreamClient(ConnectionPool(60.0), None, "a1", 65536)
     for _ in range(2):
-        answer = fetch(service, upstream_client, 2 * SERVICE_S)
+        answer = fetch(service.port, upstream_client, 2 * SERVICE_S)
         assert isinstance(answer, BufferedResponse) and answer.status == 200
 
 
 def test_answer_is_not_waited_for_longer(service):
     upstream_client = UpstreamClient(ConnectionPool(60.0), None, "a1", 65536)
-    assert fetch(service, upstream_client, SERVICE_S / 2) is AttemptEnd.TIMED_OUT
+    assert fetch(service.port, upstream_client, SERVICE_S / 2) is AttemptEnd.TIMED_OUT
+
+
+class RepeatingHandler(socketserver.StreamRequestHandler):
+    """Connection on which the first answer is written once more before each later one."""
+
+    def handle(self) -> None:
+        earlier = request_id = b""
+        while line := self.rfile.readline():
+            if line.startswith(b"X-Request-Id: "):
+                request_id = line.split()[1]
+            if line != b"\r\n":
+                continue
+            number = next(self.server.numbers)
+            own = self.server.answers[min(number, 1)] % (request_id, number)
+            self.wfile.write(earlier + own)
+            earlier = earlier or own
+
+
+SERVED = b"HTTP/1.1 200 X\r\nContent-Length: 6\r\nX-Request-Id: %b\r\n\r\nrun %02d"
+UNNAMED = b"HTTP/1.1 200 X\r\nContent-Length: 6\r\nX-Other: %b\r\n\r\nrun %02d"
+FIRST = {
+    "refused": b"HTTP/1.1 429 X\r\nContent-Length: 5\r\nX-Refused: %.0b\r\n\r\nno %02d",
+    "failed": b"HTTP/1.1 500 X\r\nContent-Length: 5\r\nX-Request-Id: %b\r\n\r\nno %02d",
+    "served": SERVED,
+    "without an id": UNNAMED,
+}
+
+
+@pytest.mark.parametrize(
+    "request_ids", (("r1", "r1", "r1"), ("r1", "r2", "r3")), ids=("same", "other")
+)
+@pytest.mark.parametrize("first", FIRST)
+def test_earlier_answer_once_more_is_not_taken_for_the_next(first, request_ids):
+    """A request was refused while it ran, or its caller got another one's answer."""
+    server = socketserver.ThreadingTCPServer(("127.0.0.1", 0), RepeatingHandler)
+    server.daemon_threads, server.numbers = True, itertools.count()
+    server.answers = (FIRST[first], UNNAMED if first == "without an id" else SERVED)
+    threading.Thread(target=server.serve_forever, daemon=True).start()
+    try:
+        upstream_client = UpstreamClient(ConnectionPool(60.0), None, "a1", 65536)
+        port = server.server_address[1]
+        answers = [fetch(port, upstream_client, 5.0, each) for each in request_ids]
+        for number, answer in enumerate(answers[1:], 1):
+            assert answer is AttemptEnd.BROKEN or answer.body == b"run %02d" % number
+    finally:
+        server.shutdown()
+        server.server_close()
