--- a/rhubarbshed/transport/edge/attempts.py
+++ b/rhubarbshed/transport/edge/attempts.py
@@ -1,4 +1,4 @@
-"""One attempt of a request at one backend server, and the response relayed to the caller.
+"""One attempt of a request at one backend server, whose response is relayed to the caller.
 
 An attempt may also go by way of another instance, whose own errors tell it from a server.
 """
@@ -8,16 +8,15 @@
 from collections.abc import Awaitable, Callable
 
 import h11
-from attrs import define, field
+from attrs import define
 
 from rhubarbshed.coordination.serving.brittle_servers import apply_brittleness
 from rhubarbshed.platform.headers import STATUS_MISDIRECTED, make_headers, read_head
 from rhubarbshed.protocol.errors import Outcome, RequestError
-from rhubarbshed.protocol.exchanges import CallerRequest, ExchangeEnd, Headers, ResponseHead
-from rhubarbshed.protocol.routes import Route
+from rhubarbshed.protocol.exchanges import ExchangeEnd, Headers, ResponseHead
 from rhubarbshed.protocol.streams import StreamOrigin
 from rhubarbshed.state.membership.fleet import ServerRecord
-from rhubarbshed.transport.edge.caller_connections import CallerConnection
+from rhubarbshed.transport.edge.caller_responses import CallerResponse
 from rhubarbshed.transport.edge.channels import (
     Channel,
     ChannelError,
@@ -29,7 +28,6 @@
 from rhubarbshed.transport.edge.silence import SilenceTimer
 from rhubarbshed.transport.edge.streams import (
     TAIL_BYTES,
-    EventSplitter,
     Framing,
     check_stream_end,
     has_event,
@@ -63,91 +61,6 @@
     return end.may_have_run
 
 
-@define(eq=False)
-class CallerResponse:
-    """Response to one request as its caller sees it, across all attempts.
-
-    `origin` is that of a resumable stream, recorded when its head goes out. `parts_same` and
-    `parts_other` count the later servers that sent parts of it, of the version of its origin and of
-    other ones.
-    """
-
-    connection: CallerConnection
-    request: CallerRequest
-    route: Route
-    begun: bool = False
-    status: int = 0
-    first_at: float | None = None
-    last_at: float = 0.0
-    gap_s: float = 0.0
-    splitter: EventSplitter = field(factory=EventSplitter)
-    kept_failure: tuple[ResponseHead, bytes] | None = None
-    origin: StreamOrigin | None = None
-    record_origin: Callable[[StreamOrigin], None] = lambda origin: None
-    parts_same: int = 0
-    parts_other: int = 0
-
-    @property
-    def version(self) -> str | None:
-        """Return the only software version that may write the stream, if there is one."""
-        return self.origin.version if self.origin is not None else None
-
-    def begin_stream(self, head: ResponseHead, origin: StreamOrigin | None) -> None:
-        """Send the head of the first response of a stream; later ones only continue it.
-
-        Without an origin the response comes by way of another instance, which records it.
-        """
-        if origin is None:
-            self.begin(head, None)
-            return
-        if not self.begun and self.route.resumable:
-            self.origin = origin
-            self.record_origin(origin)
-        elif self.begun and origin == self.origin:
-            self.parts_same += 1
-        elif self.begun:
-            self.parts_other += 1
-        self.begin(head, None)
-
-    def begin(self, head: ResponseHead, length: int | None) -> None:
-        """Send the head of the first response; later ones only continue it."""
-        if self.begun:
-            return
-        self.begun = True
-        self.status = head.status
-        self.connection.send_head(head.status, head.headers, length)
-
-    async def send(self, data: bytes) -> None:
-        """Send a piece of the body and wait while the caller reads slowly."""
-        if not data:
-            return
-        now = time.monotonic()
-        if self.first_at is None:
-            self.first_at = now
-        else:
-            self.gap_s = max(self.gap_s, now - self.last_at)
-        self.last_at = now
-        self.connection.send_data(data)
-        await self.connection.wait_writable()
-
-    def send_complete(self, head: ResponseHead, body: bytes) -> None:
-        """Send a response that was received completely."""
-        self.begun = True
-        self.status = head.status
-        self.first_at = time.monotonic()
-        self.connection.send_complete(head.status, head.headers, body)
-
-    def send_kept_failure(self) -> bool:
-        """Send a server's own failure that was kept because another attempt might have succeeded.
-
-        Return whether there was one to send.
-        """
-        if self.kept_failure is None or self.begun:
-            return False
-        self.send_complete(*self.kept_failure)
-        return True
-
-
 async def assume_running() -> bool:
     """Return that a server has not ended; for attempts whose answers cannot end with it."""
     return True
--- a/rhubarbshed/transport/edge/relay.py
+++ b/rhubarbshed/transport/edge/relay.py
@@ -47,8 +47,9 @@
 )
 from rhubarbshed.protocol.routes import Route
 from rhubarbshed.state.membership.fleet import ServerRecord
-from rhubarbshed.transport.edge.attempts import Attempt, CallerResponse
+from rhubarbshed.transport.edge.attempts import Attempt
 from rhubarbshed.transport.edge.caller_connections import CallerConnection
+from rhubarbshed.transport.edge.caller_responses import CallerResponse
 from rhubarbshed.transport.edge.connection_logs import CloseReason
 from rhubarbshed.transport.edge.continuations import (
     ConfirmEntries,
