Test the wait for a slot at a stop, and say what delays a signal now

No change of logic: a request that waits for a slot as SIGTERM comes is refused at once, whole, and does not run. The comments of the announcement and of the view follow the handler that notes the time of a signal.

--- a/rhubarbshed/transport/edge/view.py
+++ b/rhubarbshed/transport/edge/view.py
@@ -22,8 +22,9 @@
 ANNOUNCE_S = 2.7
 """Time after a stop was requested in which new requests are still accepted.
 
-The platform takes an instance out after two failed readiness checks, one a second. A loop that is
-late sees the signal late: the rest is room below the 3 s after which no request may be lost."""
+The platform takes an instance out after two failed readiness checks, one a second. A process that
+has to wait for the processor notes the signal late: the rest is room below the 3 s after which no
+request may be lost."""
 
 CLOSE_MARGIN_S = 0.7
 """Part of the grace time kept for closing; the platform kills the process at its end."""
@@ -79,7 +80,7 @@
 
 @define
 class View:
-    """Known state and budgets of one instance; they change on the event loop only.
+    """Known state and budgets of one instance; they change in the event loop's thread only.
 
     `configured_at` and `fleet_at` are when the store last confirmed each (monotonic seconds).
     """
--- a/test/test_edge_stop_waits.py
+++ b/test/test_edge_stop_waits.py
@@ -12,7 +12,7 @@
 from rhubarbshed.transport.edge.relay import RequestProgress
 from standin.replica import Replica
 from test.helper_cuts import run_cut_scene
-from test.helper_edge import Edge, make_configuration, play, read_answer, run_edge
+from test.helper_edge import Edge, make_configuration, make_route, play, read_answer, run_edge
 from test.test_edge_drain import (
     ANNOUNCE_S,
     DRAIN_S,
@@ -63,6 +63,26 @@
     play(scene)
 
 
+def test_request_that_waits_for_a_slot_is_refused_as_its_instance_stops():
+    """It would be sent late, and the servers are no freer for other instances' requests."""
+
+    async def scene():
+        replica = Replica("b1", slots=1, reply=hang)
+        route = make_route("idempotent", "/p/", TargetLatencyMs=4000, TimeoutMs=20_000)
+        async with run_edge(make_configuration(route), replica) as edge:
+            caller = await Caller.connect(edge)
+            edge.node.view.fleet.get("b1").record_load_sample(40, 0, time.monotonic())
+            asking = asyncio.create_task(caller.ask())
+            await asyncio.sleep(0.1)
+            assert not asking.done()
+            stop(edge)
+            answer = await asyncio.wait_for(asking, 0.2)
+            assert answer.whole
+            check_not_run(answer, replica)
+
+    play(scene)
+
+
 @pytest.mark.parametrize("first", ("POST", "HEAD"))
 def test_second_request_of_one_read_is_refused_behind_an_answer_of_the_announcement(first):
     """Both were read in the announcement; the second one's turn came after it."""
