Refuse a request that crosses the close of an idle connection

Callers saw: a request on a connection that an instance closed as idle, at the end of the announcement of a stop or after the idle time, ended without an answer. Its caller could not tell whether it ran, so one that may not be repeated was lost.

Cause: an idle connection was closed with nothing said. A request that was on its way, as long as the path from the caller takes, met the end of the connection or a reset.

Fix: before the end of its own direction an instance sends a refusal without a body, 503 in a stop and 408 after the idle time, and discards what comes in the next 0.5 s. A request that is on its way takes the refusal for its answer, and it is one: nothing that arrives later is read as a request. A caller without a request on its way has the end of the connection right behind it; RFC 9110 provides for 408 in this place.

Test: test_request_that_crosses_the_close_of_an_idle_connection_is_refused failed before in its four cases (broken pipe or no answer). Two tests waited for the bare end of an idle connection: they now ask for the refusal and then the end within the same bounds.

Joined with the end of the connection that is sent as the decision is taken: the test of that asks for the refusal and the end before the next pass, as the bare end alone is no longer sent; a caller's reset in between is logged by the end of every connection.

--- a/rhubarbshed/transport/edge/caller_connections.py
+++ b/rhubarbshed/transport/edge/caller_connections.py
@@ -24,7 +24,7 @@
 """Time for which what a caller still sends is read and discarded before a close."""
 
 CLOSED_RETRY_S = 0.05
-"""Time after which a caller may repeat a request that came behind a final answer."""
+"""Time after which a caller may repeat a request that met the close of its connection."""
 
 PARSED_HEAD_BYTES_MAX = 16_777_216
 """Bound of the parser for a head in parts, above all limits that an operator sets: those may change
@@ -250,7 +250,11 @@
         self._cancel_timer()
         self._timer = asyncio.get_running_loop().call_later(DISCARD_S, self._transport.close)
         self._transport.resume_reading()
-        self._transport.write_eof()
+        # Sent at once: the socket is closed in a later pass of the event loop.
+        try:
+            self._transport.write_eof()
+        except OSError as error:
+            log_event(LOG, logging.DEBUG, "reset_by_caller", reason=repr(error))
 
     def end_now(self) -> None:
         """Close the connection if all is written and its answer complete, else reset it."""
@@ -265,12 +269,7 @@
         They may be a whole request, which a close would reset; it is answered once it is read.
         """
         if self.is_idle and not has_unread_bytes(self._transport.get_extra_info("socket")):
-            # The socket is closed in the next pass of the event loop, which may be late.
-            try:
-                self._transport.write_eof()
-            except OSError as error:
-                log_event(LOG, logging.DEBUG, "reset_by_caller", reason=repr(error))
-            self.close(CloseReason.DRAIN)
+            self._end_idle(CloseReason.DRAIN, 503)
 
     def abort(self, reason: CloseReason) -> None:
         """Reset the connection, so that an unfinished response does not look complete."""
@@ -286,7 +285,7 @@
         pairs = list(headers)
         if length is not None:
             pairs.append((b"content-length", str(length).encode()))
-        if self.is_closing():
+        if self._close_after or self.is_closing():
             pairs.append((b"connection", b"close"))
         reason = REASON_PHRASES.get(status, b"OK" if status == 200 else b"")
         head = h11.Response(status_code=status, headers=pairs, reason=reason)
@@ -316,9 +315,9 @@
         try:
             if self._parser.our_state in (h11.IDLE, h11.SEND_RESPONSE):
                 text = reason.encode("ascii", "replace") + b"\n"
-                headers = [(b"content-type", b"text/plain"), (b"connection", b"close")]
+                headers = [(b"content-type", b"text/plain")]
                 if retry_after_s is not None:
-                    headers.append((b"retry-after", f"{retry_after_s:.3f}".encode()))
+                    headers.append(make_retry_header(retry_after_s))
                 self.send_head(status, tuple(headers), len(text))
                 self._send_body(text)
         finally:
@@ -459,6 +458,17 @@
             self.refuse(503, "this connection is closing; ask again", CLOSED_RETRY_S)
         self.end(CloseReason.LAST_ANSWER)
 
+    def _end_idle(self, reason: CloseReason, status: int) -> None:
+        """Close the connection; refuse a request that is on its way, as nothing of it will be read.
+
+        The refusal has no body, as the method of that request is not known.
+        """
+        if not self.is_open:
+            return
+        self._close_after = True
+        self.send_head(status, (make_retry_header(CLOSED_RETRY_S),), 0)
+        self.end(reason, status)
+
     def _watch_paused(self) -> None:
         """Look for the caller's end of the connection while it is not read."""
         self._paused_check = None
@@ -482,7 +492,7 @@
     def _time_out(self) -> None:
         self._timer = None
         if self.is_idle:
-            self.close(CloseReason.IDLE_TIME)
+            self._end_idle(CloseReason.IDLE_TIME, 408)
         else:
             self.refuse(408, "the request took too long to arrive")
 
@@ -492,6 +502,11 @@
     return h11.Connection(h11.SERVER, max_incomplete_event_size=PARSED_HEAD_BYTES_MAX)
 
 
+def make_retry_header(after_s: float) -> tuple[bytes, bytes]:
+    """Return the header that states when a request may be sent again."""
+    return (b"retry-after", f"{after_s:.3f}".encode())
+
+
 def measure_head(request: h11.Request) -> int:
     """Return the bytes of a request's whole head."""
     head_lines_bytes = sum(
--- a/test/test_edge_closing.py
+++ b/test/test_edge_closing.py
@@ -149,6 +149,13 @@
     play(scene)
 
 
+def read_to_end(sock: socket.socket) -> bytes:
+    """Return the first bytes that are read up to the end of a connection, which has to come."""
+    sock.settimeout(1.0)
+    with sock, sock.makefile("rb") as file:
+        return file.read()[:12]
+
+
 def test_callers_see_the_close_of_an_idle_connection_before_the_next_pass(monkeypatch):
     """A request that was sent before a late loop came to that pass was reset after it."""
     real, seen = node.Node.close_idle, []
@@ -156,7 +163,7 @@
 
     def close_and_be_late(self) -> None:
         real(self)
-        seen.extend(read_statuses(socks))
+        seen.extend(map(read_to_end, socks))
         socks.clear()
 
     async def scene():
@@ -166,7 +173,7 @@
             monkeypatch.setattr(node.Node, "close_idle", close_and_be_late)
             stop(edge)
             await edge.task
-            assert seen == [b""] * 3
+            assert seen == [b"HTTP/1.1 503"] * 3
 
     play(scene)
 
@@ -457,7 +464,7 @@
     play(scene)
     (line,) = find_lines(caplog, "connection_closed")
     assert (line["reason"], line["state"]) == (reason, state)
-    assert line["status"] == (408 if reason == "refused" else "")
+    assert line["status"] == {"refused": 408, "idle_time": 408, "drain": 503}.get(reason, "")
     assert line["conn_requests"] == {"last_answer": 2, "refused": 0}.get(reason, 1)
     assert (line["unparsed_bytes"], line["unread_bytes"], line["unsent_bytes"]) == (0, 0, 0)
     assert (line["stopping_ms"] == "") == (reason in ("idle_time", "last_answer", "refused"))
@@ -479,3 +486,41 @@
     play(scene)
     (line,) = find_lines(caplog, "connection_late_bytes")
     assert (line["reason"], line["late_bytes"]) == ("refused", 1_000)
+
+
+@pytest.mark.parametrize("requests", (0, 1))
+@pytest.mark.parametrize(("reason", "status"), [("idle_time", 408), ("drain", 503)])
+def test_request_that_crosses_the_close_of_an_idle_connection_is_refused(
+    reason, status, requests, caplog
+):
+    """It got the end of its connection, or a reset: its caller could not tell whether it ran."""
+    caplog.set_level(logging.INFO)
+
+    async def scene():
+        replica = Replica("b1")
+        limits = {"Limits": SHORT_TIMEOUTS} if reason == "idle_time" else {}
+        async with run_edge(make_configuration(*ROUTES, **limits), replica) as edge:
+            sock = socket.create_connection(edge.node.settings.callers)
+            for _ in range(requests):
+                sock.sendall(make_request("/p/x", name="first"))
+                await edge.wait_until(lambda: bool(find_lines(caplog, "request_ended")))
+                assert sock.recv(4096).startswith(b"HTTP/1.1 200 ")
+            if reason == "drain":
+                await asyncio.sleep(0.05)
+                stop(edge)
+            await edge.wait_until(lambda: bool(find_lines(caplog, "connection_closed")))
+            data = make_request("/p/x", b"whole")
+            sock.sendall(data[:-2])
+            await asyncio.sleep(0.02)
+            sock.sendall(data[-2:])
+            await asyncio.sleep(0.02)
+            answer = await read_all(sock)
+            assert answer.startswith(f"HTTP/1.1 {status} ".encode()) and b"Error" not in answer
+            assert b"\r\nretry-after: " in answer and b"\r\nconnection: close\r\n" in answer
+            assert "asked" not in [each.request_id for each in replica.got]
+
+    play(scene)
+    (line,) = find_lines(caplog, "connection_closed")
+    assert (line["reason"], line["state"], line["status"]) == (reason, "idle", status)
+    (late,) = find_lines(caplog, "connection_late_bytes")
+    assert late["late_bytes"] == len(make_request("/p/x", b"whole"))
--- a/test/test_edge_drain.py
+++ b/test/test_edge_drain.py
@@ -452,6 +452,8 @@
             stop(edge)
             assert (await reading).whole
             ended_at = time.monotonic()
+            refusal = await asyncio.wait_for(read_answer(caller.reader), 1.0)
+            assert (refusal.status, refusal.whole) == (503, True)
             assert await asyncio.wait_for(caller.reader.read(), 1.0) == b""
             assert time.monotonic() < ended_at + 0.05
 
--- a/test/test_edge_requests.py
+++ b/test/test_edge_requests.py
@@ -364,7 +364,8 @@
                 b"GET /p/x HTTP/1.1\r\nHost: svc.example\r\nRhubarbshed-Request-Id: q\r\n\r\n"
             )
             assert (await read_answer(reader)).status == 200
-            assert await asyncio.wait_for(reader.read(), 1.0) == b""
+            assert (await asyncio.wait_for(read_answer(reader), 1.0)).status == 408
+            assert await asyncio.wait_for(reader.read(), 0.1) == b""
 
     play(scene)
 
