Go on with a drain though a caller leaves as its connection is closed

Seen in the review of the last change of closes, not by callers: the end of the own direction of a connection raises ENOTCONN if the caller's reset came just before. In the drain that exception ended the loop over all idle connections, and with it the process, before open requests had ended. A refusal of what cannot be read raised it too, within one connection.

Test: test_caller_that_leaves_as_its_idle_connection_is_closed_leaves_others_ answered failed before with that exception.

Fix: the error ends this connection alone, with a line of level debug.

--- a/rhubarbshed/transport/edge/caller_connections.py
+++ b/rhubarbshed/transport/edge/caller_connections.py
@@ -254,7 +254,8 @@
         try:
             self._transport.write_eof()
         except OSError as error:
-            log_event(LOG, logging.DEBUG, "reset_by_caller", reason=repr(error))
+            log_event(LOG, logging.DEBUG, "caller_left", caller=self.peer, reason=str(error))
+            self._transport.close()
 
     def end_now(self) -> None:
         """Close the connection if all is written and its answer complete, else reset it."""
--- a/test/test_edge_closing.py
+++ b/test/test_edge_closing.py
@@ -524,3 +524,28 @@
     assert (line["reason"], line["state"], line["status"]) == (reason, "idle", status)
     (late,) = find_lines(caplog, "connection_late_bytes")
     assert late["late_bytes"] == len(make_request("/p/x", b"whole"))
+
+
+def test_caller_that_leaves_as_its_idle_connection_is_closed_leaves_others_answered(monkeypatch):
+    """The end of the own direction raised an exception, which ended the drain before the others."""
+    real, ended = caller_connections.has_unread_bytes, []
+
+    async def scene():
+        async with run_edge(make_configuration(*ROUTES), Replica("b1", reply=hang)) as edge:
+            idle = socket.create_connection(edge.node.settings.callers)
+            caller = await Caller.connect(edge)
+            caller.send(make_request("/p/x"))
+            await edge.wait_until(lambda: edge.node.relay.open == 1)
+
+            def check(sock: socket.socket) -> bool:
+                found = real(sock)
+                ended.append(idle.close())
+                return found
+
+            monkeypatch.setattr(caller_connections, "has_unread_bytes", check)
+            stop(edge)
+            answer = await read_answer(caller.reader)
+            assert (answer.status, answer.whole) == (504, True)
+            assert await edge.task == node.EXIT_OK and ended
+
+    play(scene)
