Keep the connection of a caller that pauses reading its answer

Callers saw: an answer was reset in the middle when its caller had read nothing for 2.5 s while more was on its way, though the caller was there.

Cause: connections to callers have the user timeout that notices silent servers. Linux also applies it to a peer whose window is closed, even though it answers each probe.

Fix: a caller is given up after the idle time of the configuration, which is what the operator lets it be idle; servers and other instances as before. A caller that is gone without notice is noticed as much later, its work ends by then or at its deadline.

Test: test_answer_outlasts_a_pause_of_its_reader failed before (connection reset by peer).

That this is what was reported beside a change of the configuration is not shown: it needs a caller that does not read.

--- a/rhubarbshed/transport/edge/caller_connections.py
+++ b/rhubarbshed/transport/edge/caller_connections.py
@@ -11,7 +11,11 @@
 from rhubarbshed.protocol.exchanges import Headers
 from rhubarbshed.protocol.routes import CallerLimits
 from rhubarbshed.transport.edge.connection_logs import CloseLog, CloseReason, ConnectionState
-from rhubarbshed.transport.edge.sockets import abort_with_reset, set_options
+from rhubarbshed.transport.edge.sockets import (
+    UNACKNOWLEDGED_MS,
+    abort_with_reset,
+    set_options,
+)
 from rhubarbshed.util.logs import log_event
 from rhubarbshed.util.sockets import count_unread_bytes, has_peer_closed, has_unread_bytes
 
@@ -67,10 +71,11 @@
     """Connection of one caller that passes each request, complete, to `handle`.
 
     `is_closing` returns whether callers should connect elsewhere after this response, `is_refusing`
-    whether further requests are refused. `requests` counts those read completely, the last at
-    `read_at`; `sent_bytes` were written since then. `active_at` is when bytes were last read or an
-    answer ended. `close_reason` is why this side closed, at `closed_at`, and `late_bytes` arrived
-    after that.
+    whether further requests are refused. A peer that `may_pause` is given up after the idle time
+    without reading, another one as a silent server is. `requests` counts those read completely, the
+    last at `read_at`; `sent_bytes` were written since then. `active_at` is when bytes were last
+    read or an answer ended. `close_reason` is why this side closed, at `closed_at`, and
+    `late_bytes` arrived after that.
     """
 
     handle: Handler
@@ -79,6 +84,7 @@
     is_refusing: Callable[[], bool]
     connections: set["CallerConnection"]
     close_log: CloseLog | None = None
+    may_pause: bool = False
     task: asyncio.Task | None = None
     disconnect: Disconnect | None = None
     opened_at: float = 0.0
@@ -108,8 +114,9 @@
         """Wait for the first request."""
         self._transport = transport
         self.opened_at = self.active_at = time.monotonic()
-        set_options(transport)
         limits = self.read_limits()
+        silence_ms = round(limits.idle_timeout_s * 1000) if self.may_pause else 0
+        set_options(transport, max(silence_ms, UNACKNOWLEDGED_MS))
         self._parser = make_parser()
         self._writable.set()
         self.connections.add(self)
--- a/rhubarbshed/transport/edge/node.py
+++ b/rhubarbshed/transport/edge/node.py
@@ -285,6 +285,7 @@
             self.is_refusing,
             connections,
             close_log,
+            may_pause=handle == self.relay.handle,
         )
 
     def is_closing(self) -> bool:
--- a/rhubarbshed/transport/edge/sockets.py
+++ b/rhubarbshed/transport/edge/sockets.py
@@ -24,8 +24,13 @@
 """Value of SO_LINGER with which closing resets a connection and discards unsent bytes."""
 
 
-def set_options(transport: asyncio.BaseTransport) -> None:
-    """Send small pieces at once, and detect peers that are gone without closing."""
+def set_options(
+    transport: asyncio.BaseTransport, unacknowledged_ms: int = UNACKNOWLEDGED_MS
+) -> None:
+    """Send small pieces at once, and detect peers that are gone without closing.
+
+    Linux also takes a peer for gone that reads nothing for as long while there is more for it.
+    """
     sock = transport.get_extra_info("socket")
     if sock is None or sock.family not in (socket.AF_INET, socket.AF_INET6):
         return
@@ -34,7 +39,7 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, unacknowledged_ms)
 
 
 def abort_with_reset(transport: asyncio.Transport) -> None:
--- a/test/test_edge_sockets.py
+++ b/test/test_edge_sockets.py
@@ -9,7 +9,9 @@
     UNACKNOWLEDGED_MS,
     set_options,
 )
-from test.helper_edge import play
+from standin.replica import Exchange, Replica
+from test.helper_edge import make_configuration, play, run_edge
+from test.test_edge_drain import ROUTES, connect, make_request
 
 SILENCE_S = 1.5
 """Time for which a sound server may be silent."""
@@ -49,3 +51,27 @@
         server.close()
 
     play(scene)
+
+
+def test_answer_outlasts_a_pause_of_its_reader():
+    """Linux reset the connection of a caller that read nothing for 2.5 s, as if it were gone."""
+    length = 500_000
+
+    async def answer(exchange: Exchange) -> None:
+        exchange.answer(200, bytes(length))
+
+    async def scene():
+        async with run_edge(make_configuration(*ROUTES), Replica("b1", reply=answer)) as edge:
+            caller = connect(edge, 4096)
+            caller.setblocking(False)
+            loop, got = asyncio.get_running_loop(), b""
+            await loop.sock_sendall(caller, make_request("/p/x"))
+            await asyncio.sleep(UNACKNOWLEDGED_MS / 1000.0 + 1.0)
+            async with asyncio.timeout(2.0):
+                while got.count(b"\0") < length:
+                    data = await loop.sock_recv(caller, 65_536)
+                    assert data, len(got)
+                    got += data
+            caller.close()
+
+    play(scene)
