Bound the times and trials in stored verdicts

What callers saw: nothing yet; an odd row among the verdicts ended the task that reads them, so that an instance learned no verdict of the store any more.

Cause: a whole number of 400 digits passed the check of times and raised OverflowError as it became a float. A time far ahead put the trials off for good.

Times and trials have bounds, a row out of them is unreadable as others are, and counted. A trial is put off by the longest pause at most.

Evidence: two listed tests and the new one fail before and pass now: `python -m pytest test/test_odd_messages.py -k "verdict or trial"`.

--- a/rhubarbshed/coordination/requests/trial_records.py
+++ b/rhubarbshed/coordination/requests/trial_records.py
@@ -4,7 +4,6 @@
 again and each send a trial, and every one of these may end a server.
 """
 
-import math
 from collections.abc import Iterable, Mapping
 from typing import Any
 
@@ -14,10 +13,14 @@
 from rhubarbshed.coordination.requests.crash_quarantine import MEMORY_S
 from rhubarbshed.coordination.requests.verdicts import choose_pause
 from rhubarbshed.protocol.crash_messages import CrashMessage
+from rhubarbshed.protocol.message_checks import describe, is_number, is_quantity
 from rhubarbshed.protocol.messages import pack_message, unpack_message
 
 MS_PER_S = 1000.0
 
+TRIALS_MAX = 1_000_000
+"""Most trials of one key that a record can count; there is one in ten minutes at most."""
+
 ENDS_MAX = 4
 """Most messages on ends in one record; four ends are enough for any verdict."""
 
@@ -54,21 +57,20 @@
 
 def read_trial_record(value: Mapping[str, Any]) -> Result[TrialRecord, str]:
     """Decode the value of a row."""
-    trials, next_ms = value.get("trials"), value.get("next_ms")
-    if type(trials) is not int or trials < 0:
-        return Failure(f"trials {trials!r}")
-    written_ms = value.get("written_ms")
-    for name, number in (("next_ms", next_ms), ("written_ms", written_ms)):
-        if type(number) not in (int, float) or not 0.0 <= number < math.inf:
-            return Failure(f"{name} {number!r}")
+    trials = value.get("trials")
+    if not is_number(trials, TRIALS_MAX):
+        return Failure("trials out of bounds")
+    times = [value.get(name) for name in ("next_ms", "written_ms")]
+    if not all(map(is_quantity, times)):
+        return Failure("times out of bounds")
     try:
         ends = [unpack_message(bytes.fromhex(each)) for each in value["ends"][:ENDS_MAX]]
     except (KeyError, TypeError, ValueError) as error:
-        return Failure(f"ends: {error!r}")
+        return Failure(f"ends: {describe(error)}")
     messages = [read.value_or(None) for read in ends]
     if not all(isinstance(each, CrashMessage) for each in messages):
         return Failure("ends are no messages on ends")
-    return Success(TrialRecord(trials, float(next_ms), float(written_ms), tuple(messages)))
+    return Success(TrialRecord(trials, *map(float, times), tuple(messages)))
 
 
 def make_trial_record(
@@ -87,7 +89,8 @@
     known = {key: records.get(key, TrialRecord()) for key in keys}
     wait_ms = max(record.next_ms for record in known.values()) - now_ms
     if wait_ms > 0.0:
-        return TrialPlan(wait_s=wait_ms / MS_PER_S)
+        # A time that no build has written does not put the trial off for longer.
+        return TrialPlan(wait_s=min(wait_ms / MS_PER_S, choose_pause(TRIALS_MAX)))
     return TrialPlan({key: _count_trial(record, now_ms) for key, record in known.items()})
 
 
--- a/rhubarbshed/transport/edge/verdict_store.py
+++ b/rhubarbshed/transport/edge/verdict_store.py
@@ -47,7 +47,7 @@
         page = await self._read("trial_unclaimed")
         if page is None:
             return Failure(TRIAL_RESERVED_S)
-        records = read_records(page)
+        records = read_records(page, self.store.count_unreadable)
         plan = plan_trial(records, keys, page.now_ms)
         if not plan.records:
             return Failure(plan.wait_s)
@@ -78,7 +78,7 @@
             return None
         return [
             (end, max(0.0, read.now_ms - record.written_ms) / MS_PER_S)
-            for record in read_records(read).values()
+            for record in read_records(read, self.store.count_unreadable).values()
             for end in record.ends
         ]
 
@@ -98,12 +98,15 @@
         return isinstance(written, Success)
 
 
-def read_records(page: Page) -> dict[str, TrialRecord]:
+def read_records(
+    page: Page, count_unreadable: Callable[[str], None] = lambda kind: None
+) -> dict[str, TrialRecord]:
     """Decode the rows; one that cannot be read counts as outdated."""
     records = {}
     for row in page.scan.rows:
         read = read_trial_record(row.value or {})
         if isinstance(read, Failure):
+            count_unreadable("verdict")
             log_event(LOG, logging.INFO, "verdict_unreadable", key=row.key, reason=read.failure())
         records[row.key] = read.value_or(TrialRecord())
     return records
--- a/test/test_odd_messages.py
+++ b/test/test_odd_messages.py
@@ -7,6 +7,8 @@
 import msgpack
 import pytest
 
+from rhubarbshed.coordination.requests.trial_records import TrialRecord, plan_trial
+from rhubarbshed.coordination.requests.verdicts import TRIAL_PAUSES_S
 from rhubarbshed.coordination.serving.choice import Choice, choose_server
 from rhubarbshed.platform.rows import OWN_TABLE, QUARANTINE_TABLE
 from rhubarbshed.protocol.crash_messages import CrashMessage
@@ -242,6 +244,11 @@
     play_odd(scene)
 
 
+def test_trial_that_a_row_puts_off_for_years_is_due_after_the_longest_pause():
+    plan = plan_trial({"k": TrialRecord(next_ms=2.0**52)}, ["k"], 1.0)
+    assert not plan.records and plan.wait_s == TRIAL_PAUSES_S[-1]
+
+
 def list_templates(value: object) -> list[object]:
     """Return copies of a configuration, each with a place for one of its parts."""
     return replace_each(value, PLACE)
