Bound the numbers and names of a configuration

What callers saw: nothing yet; an odd number in the operator's configuration ended the order holder, though the store accepts valid ones only.

Cause: a version beyond 64 bits went into messages, infinite rates raised where the limit of loads is computed, and names of models were keys as they were read, so that sorting them raised for mixed types: each in a task whose failure ends the process.

Names are short texts, times, counts and sizes finite numbers within bounds. A configuration out of them is unreadable, logged and counted, as one with a missing field was; the one before stays in force. A service's health path has to fit into the first line of a request.

--- a/rhubarbshed/platform/records.py
+++ b/rhubarbshed/platform/records.py
@@ -17,8 +17,11 @@
     require_names,
     require_number,
     require_object,
+    require_path,
     require_port,
+    require_seconds,
     require_text,
+    require_whole,
 )
 from rhubarbshed.protocol.message_checks import describe
 from rhubarbshed.protocol.routes import (
@@ -43,42 +46,51 @@
 SLOTS_MAX = 1_000_000
 """Most slots of a server, far above real ones; sums and shares of them stay computable."""
 
+LOAD_MAX_S = 86_400.0
+"""Longest load of a model."""
+
 
 def read_configuration(plain: dict[str, Any]) -> Result[Configuration, str]:
     """Decode the operator's latest configuration."""
     try:
-        limits = plain.get("Limits", {})
+        services = [_read_service(each) for each in require_list(plain["Services"])]
         return Success(
             Configuration(
-                version=int(plain["Version"]),
-                routes=index_routes([_read_route(each) for each in plain["Routes"]]),
-                services={each["Name"]: _read_service(each) for each in plain["Services"]},
-                limits=CallerLimits(
-                    header_bytes=int(limits.get("MaxHeaderBytes", 16_384)),
-                    body_bytes=int(limits.get("MaxBodyBytes", 4_194_304)),
-                    header_timeout_s=float(limits.get("HeaderTimeoutMs", 5_000)) / 1000.0,
-                    idle_timeout_s=float(limits.get("IdleTimeoutMs", 30_000)) / 1000.0,
-                ),
+                version=require_count(plain["Version"]),
+                routes=index_routes([_read_route(each) for each in require_list(plain["Routes"])]),
+                services={each.name: each for each in services},
+                limits=_read_limits(require_object(plain.get("Limits"))),
             )
         )
     except DECODE_ERRORS as error:
-        return Failure(f"unreadable configuration: {error!r}")
+        return Failure(f"unreadable configuration: {describe(error)}")
+
+
+def _read_limits(plain: dict[str, Any]) -> CallerLimits:
+    return CallerLimits(
+        header_bytes=require_whole(plain.get("MaxHeaderBytes", 16_384)),
+        body_bytes=require_whole(plain.get("MaxBodyBytes", 4_194_304)),
+        header_timeout_s=require_seconds(plain.get("HeaderTimeoutMs", 5_000)),
+        idle_timeout_s=require_seconds(plain.get("IdleTimeoutMs", 30_000)),
+    )
 
 
 def _read_route(plain: dict[str, Any]) -> Route:
     # "TrafficSplit" replaces "Service" if requests go to several services.
     split = plain.get("TrafficSplit") or [{"Service": plain.get("Service"), "Weight": 1}]
     return Route(
-        name=str(plain["Name"]),
-        host=str(plain["Host"]).lower(),
-        prefix=str(plain["Prefix"]),
+        name=require_text(plain["Name"]),
+        host=require_text(plain["Host"]).lower(),
+        prefix=require_text(plain["Prefix"]),
         kind=RouteKind(plain["Kind"]),
-        timeout_s=float(plain["TimeoutMs"]) / 1000.0,
-        target_s=float(plain.get("TargetLatencyMs") or plain["TimeoutMs"]) / 1000.0,
-        gap_s=float(plain.get("TargetGapMs") or 0) / 1000.0,
-        priority=int(plain.get("Priority") or 0),
-        shares=tuple((str(each["Service"]), float(each["Weight"])) for each in split),
-        attempts_max=max(1, int(plain.get("Attempts") or 1)),
+        timeout_s=require_seconds(plain["TimeoutMs"]),
+        target_s=require_seconds(plain.get("TargetLatencyMs") or plain["TimeoutMs"]),
+        gap_s=require_seconds(plain.get("TargetGapMs") or 0),
+        priority=require_whole(plain.get("Priority") or 0),
+        shares=tuple(
+            (require_text(each["Service"]), require_number(each["Weight"])) for each in split
+        ),
+        attempts_max=max(1, require_whole(plain.get("Attempts") or 1)),
         resumable=bool(plain.get("Resumable", False)),
     )
 
@@ -86,35 +98,36 @@
 def _read_service(plain: dict[str, Any]) -> ServiceSpec:
     engine = plain.get("Engine")
     return ServiceSpec(
-        name=str(plain["Name"]),
-        health_path=str(plain.get("HealthCheck") or "/"),
-        connections_max=int(plain.get("MaxConnections") or 0),
+        name=require_text(plain["Name"]),
+        health_path=require_path(plain.get("HealthCheck") or "/"),
+        connections_max=require_whole(plain.get("MaxConnections") or 0),
         engine=_read_engine(engine) if engine else None,
     )
 
 
 def _read_engine(plain: dict[str, Any]) -> EngineSpec:
+    models = [_read_model(each) for each in require_list(plain.get("Models"))]
     return EngineSpec(
-        slots=int(plain["Slots"]),
-        kv_tokens=int(plain["KvCapacity"]),
-        weights_mb=float(plain.get("WeightsMb", 0.0)),
-        adapter_slots=int(plain.get("AdapterSlots", 0)),
-        loads_per_s=float(plain.get("LoadsPerS", 0.0)),
-        models={each["Name"]: _read_model(each) for each in plain.get("Models", ())},
+        slots=require_whole(plain["Slots"], SLOTS_MAX),
+        kv_tokens=require_whole(plain["KvCapacity"]),
+        weights_mb=require_number(plain.get("WeightsMb", 0.0)),
+        adapter_slots=require_whole(plain.get("AdapterSlots", 0), SLOTS_MAX),
+        loads_per_s=require_number(plain.get("LoadsPerS", 0.0), SLOTS_MAX),
+        models={each.name: each for each in models},
     )
 
 
 def _read_model(plain: dict[str, Any]) -> ModelSpec:
-    load_s = float(plain["LoadTimeS"])
+    load_s = require_number(plain["LoadTimeS"], LOAD_MAX_S)
     return ModelSpec(
-        name=str(plain["Name"]),
-        size_mb=float(plain["WeightsMb"]),
+        name=require_text(plain["Name"]),
+        size_mb=require_number(plain["WeightsMb"]),
         load_s=load_s,
-        disk_load_s=float(plain.get("DiskLoadS", load_s)),
-        warm_load_s=float(plain.get("WarmS", load_s)),
+        disk_load_s=require_number(plain.get("DiskLoadS", load_s), LOAD_MAX_S),
+        warm_load_s=require_number(plain.get("WarmS", load_s), LOAD_MAX_S),
         # "Adapters" is a number here, but a list of names in entries and reports of servers.
-        adapters=int(plain.get("Adapters", 0)),
-        adapter_mb=float(plain.get("AdapterMb", 0.0)),
+        adapters=require_whole(plain.get("Adapters", 0), NAMES_MAX),
+        adapter_mb=require_number(plain.get("AdapterMb", 0.0)),
     )
 
 
@@ -201,8 +214,8 @@
                 orders=require_count(plain["Seq"]),
                 queued=require_count(plain.get("Queued", 0)),
                 active=require_count(plain.get("Active", 0)),
-                kv_used=int(require_number(plain.get("KvUsed", 0))),
-                kv_total=int(require_number(plain.get("KvTotal", 0))),
+                kv_used=require_whole(plain.get("KvUsed", 0)),
+                kv_total=require_whole(plain.get("KvTotal", 0)),
                 started_ms=require_count(plain.get("born", 0)),
                 pending=frozenset(
                     _read_pending(item) for item in require_list(plain.get("Pending"))
--- a/rhubarbshed/platform/values.py
+++ b/rhubarbshed/platform/values.py
@@ -18,6 +18,11 @@
 NAMES_MAX = 4_000
 """Most names in one list, some ten times as many as an engine has places for adapters."""
 
+MILLISECONDS_MAX = 1e10
+"""Longest time, some months; a timer of the event loop takes it."""
+
+PATH = re.compile(r"/[!-~]*")
+
 PORT = re.compile(r"[0-9]{1,5}")
 """A port in plain digits; `int` takes other ones as well."""
 
@@ -43,13 +48,23 @@
     return value
 
 
-def require_number(value: Any) -> float:
+def require_number(value: Any, most: float = NUMBER_MAX) -> float:
     """Return a finite number that is not negative."""
-    if not is_quantity(value):
+    if not is_quantity(value) or value > most:
         raise ValueError("not a number in its bounds")
     return float(value)
 
 
+def require_whole(value: Any, most: float = NUMBER_MAX) -> int:
+    """Return a number without its fraction."""
+    return int(require_number(value, most))
+
+
+def require_seconds(value: Any) -> float:
+    """Return the seconds of a time in milliseconds."""
+    return require_number(value, MILLISECONDS_MAX) / 1000.0
+
+
 def require_list(value: Any) -> Sequence[Any]:
     """Return a list of bounded length, empty if there is none; messages carry it as a tuple."""
     if value is None:
@@ -73,6 +88,13 @@
     return value
 
 
+def require_path(value: Any) -> str:
+    """Return a path that the first line of a request can hold."""
+    if not PATH.fullmatch(require_text(value)):
+        raise ValueError("not a path")
+    return value
+
+
 def require_port(text: str) -> int:
     """Return a TCP port, written in plain digits."""
     if not PORT.fullmatch(text) or not 0 < int(text) <= PORT_MAX:
