Split messages on servers and demand by their size

What callers saw: nothing yet; one server with a long list of adapters took the news on eleven others out of the messages to other instances.

Cause: messages were split by the number of rows, engines and targets only, and the demand of an instance not at all.

Evidence: with 12 servers of 1,500 adapters each and 3,000 targets none of the rows arrived before, and all rows, engines and counts arrive now: `python -m pytest test/test_odd_entries.py -k long_lists`.

--- a/rhubarbshed/transport/edge/holder_protocol.py
+++ b/rhubarbshed/transport/edge/holder_protocol.py
@@ -24,16 +24,18 @@
 )
 from rhubarbshed.protocol.servers import EntryChange
 from rhubarbshed.state.membership.fleet import SAMPLE_WINDOW_S
-from rhubarbshed.state.placement.demand_buffer import DemandBuffer, list_counts
+from rhubarbshed.state.placement.demand_buffer import DemandBuffer
 from rhubarbshed.state.placement.engine_states import EngineState
 from rhubarbshed.state.placement.usage import Tally, Target
 from rhubarbshed.transport.edge.datagrams import Datagrams
 from rhubarbshed.transport.edge.follower import Follower
 from rhubarbshed.transport.edge.holder_messages import (
+    OWN_COUNTS_PER_MESSAGE,
     list_changes,
     list_held,
     make_demand_messages,
     split_changes,
+    split_engines,
 )
 from rhubarbshed.transport.edge.lease import LeaseClient
 from rhubarbshed.transport.edge.order_dispatcher import OrderDispatcher
@@ -56,9 +58,6 @@
 INSTANCE_EXPIRY_S = 5.0
 """Time without a message after which a holder no longer counts an instance."""
 
-SERVERS_PER_MESSAGE = 12
-"""Most engines announced in one datagram, which keeps it within a packet or two."""
-
 CHANGE_BATCH_S = 0.025
 """Time in which changes are collected before they are announced: hardly noticeable for a caller
 that waits for an adapter, and at most 40 messages a second from a holder to each instance."""
@@ -140,19 +139,19 @@
     ) -> None:
         """Report the demand since the last report to the holder."""
         settings = self.view.settings
-        counts = tuple(list_counts(self.counts))
-        loads = tuple(
-            (server_id, record.reported_load)
+        loads = {
+            server_id: record.reported_load
             for server_id, record in self.view.fleet.servers.items()
             if record.answered_at > self.loads_reported_at
-        )
-        message = DemandMessage(
-            settings.name, settings.data_centre, counts, awaited, missing, loads
-        )
-        if self.is_holder:
-            self.handle_local_demand(message, now)
-        elif not self.send_demand(message, now):
-            return
+        }
+        demand = DemandBuffer(self.counts, dict.fromkeys(awaited), dict.fromkeys(missing), loads)
+        for message in make_demand_messages(
+            settings.name, settings.data_centre, demand, OWN_COUNTS_PER_MESSAGE
+        ):
+            if self.is_holder:
+                self.handle_local_demand(message, now)
+            elif not self.send_demand(message, now):
+                return
         self.counts.clear()
         self.loads_reported_at = now
 
@@ -283,8 +282,7 @@
             (data_centre, *known.address) for data_centre, known in self.holders.items()
         )
         messages = []
-        for start in range(0, max(1, len(engine_states)), SERVERS_PER_MESSAGE):
-            part = engine_states[start : start + SERVERS_PER_MESSAGE]
+        for part in split_engines(engine_states):
             message = HolderMessage(
                 settings.name,
                 settings.data_centre,
--- a/test/test_odd_entries.py
+++ b/test/test_odd_entries.py
@@ -11,12 +11,18 @@
 from returns.result import Failure, Result, Success
 
 from rhubarbshed.platform.records import read_entries, read_server, write_entry
-from rhubarbshed.protocol.messages import StoreMessage, pack_message, unpack_message
+from rhubarbshed.protocol.messages import (
+    DemandMessage,
+    HolderMessage,
+    StoreMessage,
+    pack_message,
+    unpack_message,
+)
 from rhubarbshed.protocol.tables import Row, TableError, TableFault
 from rhubarbshed.transport.edge import follower, order_dispatcher
 from rhubarbshed.transport.edge.control import ControlAnswer
 from standin.replica import Replica
-from test.helper_odd_values import ODD_JSON, PLACE, MemoryNode, fill, play_odd
+from test.helper_odd_values import ODD_JSON, PEER, PLACE, MemoryNode, fill, play_odd
 
 ENTRY = Replica("x", models={"m1": ["a1"]}, address=("127.0.0.1", 2)).describe(RemainingMs=500)
 ENTRIES = {
@@ -151,6 +157,41 @@
     assert (write_entry(odd), write_entry(removed)) == ({}, None)
 
 
+def test_long_lists_of_many_servers_reach_others_in_messages_that_fit(engines):
+    """Too many bytes for one datagram were lost without a trace, with all else in it."""
+    names = [f"adapter-{number:04}" for number in range(1_500)]
+    models = [{"Name": "m1", "Version": 1, "Adapters": names}]
+    report = {**REPORT, "Models": models, "Pending": []}
+    keys = {f"x{number}" for number in range(12)}
+
+    async def scene():
+        async with MemoryNode.start() as memory:
+            await memory.settle()
+            for key in sorted(keys):
+                memory.store.rows.put("servers", key, {**ENTRY, "Models": models})
+            await memory.settle()
+            engines[0] = Success(ControlAnswer(200, json.dumps(report).encode()))
+            memory.use()
+            for key in keys:
+                await memory.node.dispatcher.read_report(key)
+            for _ in range(12):
+                memory.use()
+            for number in range(3_000):
+                memory.node.holder_protocol.count_demand("svc", f"model-{number}", "", 1)
+            memory.node.lease.lease_state.held = False
+            memory.node.lease.holder_address = PEER
+            memory.use()
+            sent = memory.read_sent()
+            rows = {row[0] for each in sent if isinstance(each, StoreMessage) for row in each.rows}
+            held = {row[0] for each in sent if isinstance(each, HolderMessage) for row in each.held}
+            counts = [
+                row for each in sent if isinstance(each, DemandMessage) for row in each.counts
+            ]
+            assert keys <= rows and keys <= held and len(counts) == 3_000
+
+    play_odd(scene)
+
+
 @pytest.mark.parametrize("when", ["before", "after"])
 @pytest.mark.parametrize("name", PAGES)
 def test_odd_value_in_a_page_ends_no_instance_that_follows(name, when):
