Draw odd entries, reports and configurations by Hypothesis

Each copy of a sample in which parts are left out, doubled or other values is read or refused, and what was read can be sent, ordered and announced.

--- a/test/test_odd_entries.py
+++ b/test/test_odd_entries.py
@@ -8,9 +8,18 @@
 import math
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 from returns.result import Failure, Result, Success
 
-from rhubarbshed.platform.records import read_entries, read_server, write_entry
+from rhubarbshed.platform.orders import make_health_call, make_order
+from rhubarbshed.platform.records import (
+    read_configuration,
+    read_entries,
+    read_report,
+    read_server,
+    write_entry,
+)
 from rhubarbshed.protocol.messages import (
     DemandMessage,
     HolderMessage,
@@ -18,10 +27,15 @@
     pack_message,
     unpack_message,
 )
+from rhubarbshed.protocol.orders import OrderKind
+from rhubarbshed.protocol.servers import ServerOrder
 from rhubarbshed.protocol.tables import Row, TableError, TableFault
+from rhubarbshed.state.placement.engine_states import EngineState
 from rhubarbshed.transport.edge import follower, order_dispatcher
 from rhubarbshed.transport.edge.control import ControlAnswer
+from rhubarbshed.transport.edge.holder_messages import list_changes, list_held, split_changes
 from standin.replica import Replica
+from test.helper_edge import make_configuration, make_engine_service, make_route
 from test.helper_odd_values import ODD_JSON, PEER, PLACE, MemoryNode, fill, play_odd
 
 ENTRY = Replica("x", models={"m1": ["a1"]}, address=("127.0.0.1", 2)).describe(RemainingMs=500)
@@ -68,6 +82,9 @@
     "Pending": ["m1/a1@1"],
     "AtHand": {"InMemory": ["m1"], "OnDisk": ["m2"]},
 }
+CONFIGURATION = make_configuration(
+    make_route(), version=2, Services=[make_engine_service({"m1": 2, "m2": 0})]
+)
 REPORTS = {
     "whole": PLACE,
     **{name: {**REPORT, name: PLACE} for name in (*REPORT, "Unused")},
@@ -228,3 +245,65 @@
             memory.read_sent()
 
     play_odd(scene)
+
+
+JSON = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.integers()
+    | st.integers(min_value=2**62, max_value=2**70)
+    | st.floats()
+    | st.text(st.characters(exclude_categories=()), max_size=5)
+    | st.sampled_from(["ready", "svc", "127.0.0.1:80", "m1", "streaming", "/", "m1/a1@1"]),
+    lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.text(max_size=3), inner),
+    max_leaves=6,
+)
+
+
+@st.composite
+def mutated(draw: st.DrawFn, sample: object) -> object:
+    """Draw a copy of a sample in which some parts are other values."""
+    if draw(st.integers(0, 9)) == 0:
+        return draw(JSON)
+    if isinstance(sample, dict):
+        kept = {name: value for name, value in sample.items() if draw(st.integers(0, 19))}
+        return {name: draw(mutated(value)) for name, value in kept.items()}
+    if isinstance(sample, list):
+        return [draw(mutated(each)) for each in sample for _ in range(draw(st.integers(1, 2)))]
+    return sample
+
+
+@given(mutated({**ENTRY, "AtHand": {"InMemory": ["m1"], "OnDisk": ["m1"]}}), st.text(max_size=4))
+def test_any_entry_can_be_sent_once_it_was_read(plain, key):
+    value = plain if isinstance(plain, dict) else {}
+    (change,) = read_entries((Row(key, 5, value, 5),))
+    ((_, _, rows),) = split_changes(4, 5, (change,))
+    message = StoreMessage("i1", "a", 1, 1, True, 4, 5, rows)
+    received = unpack_message(pack_message(message)).unwrap()
+    assert [row[0] for row in received.rows] == [key]
+    if change.entry is not None:
+        assert read_server(key, received.rows[0][2]).unwrap() == change.entry
+
+
+@given(mutated(REPORT))
+def test_any_report_can_be_announced_once_it_was_read(plain):
+    read = read_report(json.dumps(plain).encode())
+    if isinstance(read, Success):
+        state = EngineState("b1", 1)
+        state.apply_report(read.unwrap(), 1.0)
+        state.complete_pending(2.0)
+        message = HolderMessage(
+            "i1", "a", "127.0.0.1", 1, 1, True, 1, 0, list_held([state]), list_changes([state], 1.0)
+        )
+        assert isinstance(unpack_message(pack_message(message)), Success)
+
+
+@given(mutated(CONFIGURATION))
+def test_any_configuration_is_read_or_refused(plain):
+    read = read_configuration(plain if isinstance(plain, dict) else {})
+    if isinstance(read, Success):
+        for service in read.unwrap().services.values():
+            make_health_call("b1", service.health_path)
+            for spec in service.engine.models.values() if service.engine is not None else ():
+                order = ServerOrder(OrderKind.LOAD, spec.name, "i1", 1)
+                assert make_order(order, "b1").body and min(spec.load_s, spec.size_mb) < math.inf
