Use a new connection when a server gets a request again

What callers saw: 503 for a request that a server was running, or the same request run by two servers, after a server had refused it and then wrote that refusal once more on the kept connection on which it got the request again.

Cause: an answer is matched by the id of its request, which all attempts of the request have in common, also those of a request that another instance forwards here again. On a connection that carried an attempt before, a second copy of the first answer has the id that is expected.

Why it works: a connection keeps the ids that it has carried, and is not used for any of them again. So an answer with an id belongs to the only attempt with it there. It is given up after 512 requests, as the ids use memory. The id is not taken from callers on trust: one that uses an id twice gets a new connection.

--- a/rhubarbshed/transport/edge/attempts.py
+++ b/rhubarbshed/transport/edge/attempts.py
@@ -123,9 +123,10 @@
     async def run(self, may_retry: bool) -> ExchangeEnd:
         """Send the request and relay the response; return how the attempt ended."""
         address = self.address
-        fresh = not self.caller_response.route.repeatable
+        request_id = self.caller_response.request.request_id
+        fresh = not self.caller_response.route.repeatable or not request_id
         try:
-            self.channel = await self.pool.acquire(address, time.monotonic(), fresh)
+            self.channel = await self.pool.acquire(address, time.monotonic(), fresh, request_id)
         except NotListeningError as error:
             self.detail = str(error)
             return ExchangeEnd.CONNECTION_REFUSED
@@ -174,7 +175,9 @@
         after = caller_response.splitter.last_id if route.resumable else ""
         headers = self.make_headers(self.deadline - now, after)
         self.sent, self.sent_at = True, now
-        self.channel.start(request.method, request.target, tuple(headers), request.body)
+        self.channel.start(
+            request.method, request.target, tuple(headers), request.body, request.request_id
+        )
         first_bytes_s = max(FIRST_BYTES_TIMEOUT_S, FIRST_BYTES_TIMEOUT_TARGETS * route.target_s)
         timer = SilenceTimer(self.channel, first_bytes_s, self.may_give_up)
         if may_retry:
--- a/rhubarbshed/transport/edge/channels.py
+++ b/rhubarbshed/transport/edge/channels.py
@@ -16,6 +16,9 @@
 HEAD_BYTES_MAX = 65_536
 """Longest head of a response; servers send well below a kilobyte."""
 
+REQUESTS_MAX = 512
+"""Requests after which a connection is not used again, as it keeps their ids."""
+
 KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout=(\d+)")
 
 Event = h11.Response | h11.InformationalResponse | h11.Data | h11.EndOfMessage
@@ -37,6 +40,7 @@
 class Channel(asyncio.Protocol):
     """Connection that carries one exchange after another."""
 
+    exchanges: int = 0
     idle_since: float = 0.0
     idle_max_s: float | None = None
     _transport: asyncio.Transport | None = None
@@ -47,6 +51,7 @@
     _error: Exception | None = None
     _closed: bool = False
     _unread: int = 0
+    _request_ids: set[str] = field(factory=set)
     _drained: asyncio.Event = field(factory=asyncio.Event)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -86,12 +91,23 @@
 
     def is_usable(self, now: float) -> bool:
         """Return whether another exchange may begin."""
-        if self._closed or self._parser is not None:
+        if self._closed or self._parser is not None or self.exchanges >= REQUESTS_MAX:
             return False
         return self.idle_max_s is None or now - self.idle_since < self.idle_max_s
 
-    def start(self, method: bytes, target: bytes, headers: Headers, body: bytes) -> None:
+    def has_carried(self, request_id: str) -> bool:
+        """Return whether an attempt of a request was sent on this connection.
+
+        Another one would expect the same id again, which an extra response to the first one bears.
+        """
+        return request_id in self._request_ids
+
+    def start(
+        self, method: bytes, target: bytes, headers: Headers, body: bytes, request_id: str = ""
+    ) -> None:
         """Send a complete request."""
+        self.exchanges += 1
+        self._request_ids.add(request_id)
         self._request = h11.Request(method=method, target=target, headers=list(headers))
         self._parser = h11.Connection(h11.CLIENT, max_incomplete_event_size=HEAD_BYTES_MAX)
         data = self._parser.send(self._request)
--- a/rhubarbshed/transport/edge/pools.py
+++ b/rhubarbshed/transport/edge/pools.py
@@ -55,15 +55,26 @@
     idle: dict[Address, collections.deque[Channel]] = field(factory=dict)
     opened: int = 0
 
-    async def acquire(self, address: Address, now: float, fresh: bool = False) -> Channel:
-        """Return a connection; raise `ChannelError` if none can be opened."""
-        kept = self.idle.get(address)
-        while kept and not fresh:
-            channel = kept.pop()
-            if channel.is_usable(now):
+    async def acquire(
+        self, address: Address, now: float, fresh: bool = False, request_id: str = ""
+    ) -> Channel:
+        """Return a connection that has not carried the request; raise `ChannelError` if none opens.
+
+        One that is not for a request of a caller has no id.
+        """
+        channel = None if fresh else self._take_idle(address, now, request_id)
+        return channel or await self.open(address)
+
+    def _take_idle(self, address: Address, now: float, request_id: str) -> Channel | None:
+        kept = self.idle.get(address, ())
+        for channel in reversed(list(kept)):
+            if not channel.is_usable(now):
+                kept.remove(channel)
+                channel.abort()
+            elif not request_id or not channel.has_carried(request_id):
+                kept.remove(channel)
                 return channel
-            channel.abort()
-        return await self.open(address)
+        return None
 
     async def open(self, address: Address) -> Channel:
         """Open a connection."""
--- a/standin/repeats.py
+++ b/standin/repeats.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import enum
+import re
 from collections.abc import Callable
 
 from attrs import define, evolve, field
@@ -46,6 +47,11 @@
     return recording.data
 
 
+def drop_id(answer: bytes) -> bytes:
+    """Return an answer without the id of its request."""
+    return re.sub(rb"Rhubarbshed-Request-Id: [^\r]*\r\n", b"", answer)
+
+
 def run(exchange: Exchange) -> None:
     """Answer a plain request or a stream that has run."""
     if not exchange.target.startswith(("/s/", "/n/")):
--- a/test/test_edge_repeated_answers.py
+++ b/test/test_edge_repeated_answers.py
@@ -12,7 +12,8 @@
 from rhubarbshed.coordination.serving.retry_budget import REFUSED_ATTEMPTS_MAX
 from rhubarbshed.protocol.orders import OrderKind
 from rhubarbshed.protocol.servers import OrderEnd, ServerOrder
-from standin.repeats import EVENTS, PAUSE_S, RUN_S, Repeater, RepeatingReplica, When
+from rhubarbshed.transport.edge import channels
+from standin.repeats import EVENTS, PAUSE_S, RUN_S, Repeater, RepeatingReplica, When, drop_id
 from standin.replica import Exchange, Replica
 from test.helper_cuts import run_cut_scene
 from test.helper_edge import (
@@ -41,10 +42,6 @@
 """Requests that follow on the first one of each server."""
 
 
-def drop_id(answer: bytes) -> bytes:
-    return re.sub(rb"Rhubarbshed-Request-Id: [^\r]*\r\n", b"", answer)
-
-
 def change_id(answer: bytes) -> bytes:
     return re.sub(rb"(Rhubarbshed-Request-Id: )[^\r]*", rb"\1other", answer)
 
@@ -295,3 +292,15 @@
             assert len(replica.got) == 1
 
     play(scene)
+
+
+def test_connection_is_given_up_before_the_ids_that_it_has_carried_use_much_memory(monkeypatch):
+    monkeypatch.setattr(channels, "REQUESTS_MAX", 3)
+
+    async def scene():
+        async with run_edge(CONFIGURATION, Replica("b1")) as edge:
+            for _ in range(6):
+                assert (await edge.ask("/p/x")).status == 200
+            assert edge.node.pool.opened == 2
+
+    play(scene)
