End the mark of a missing adapter when its engine's holder has it again

The one of e2's data centre ends its mark when it orders the load or asks the engine. The one of i4's data centre, i3, does neither for an engine of the other data centre, so its mark stayed, and it announced e2 without a2 to i4, whatever e2's holder announced.

Evidence: i4 alone refused, five times in 12 s; i3, which applies its own announcements and those of e2's holder in turn, waited 0.2 to 0.4 s for m1/a2 each time before it sent a request to e2.

The mark at another data centre's holder is there for the time in which the engine's own holder does not know of the report yet. It ends with the first announcement without the adapter, or after a second.

--- a/rhubarbshed/state/placement/engine_states.py
+++ b/rhubarbshed/state/placement/engine_states.py
@@ -16,6 +16,9 @@
 RECENT_LOAD_S = 0.5
 """Time after the load of an adapter within which a report that it is missing may be older."""
 
+MISSING_KEPT_S = 1.0
+"""Time after such a report in which the engine's own holder may not know of it yet."""
+
 
 @define
 class UnconfirmedOrder:
@@ -34,7 +37,7 @@
     accepted, None until a report was read. `busy` is set while an order is in progress, also one of
     a former holder. `pending` are adapters being loaded, with the time at which they should be
     loaded. `reserved_model` is a model for which room is being made. `missing_adapters` turned out
-    to be missing from the engine; they keep their slots.
+    to be missing from the engine, with the time of the report; they keep their slots.
     """
 
     server_id: str
@@ -53,7 +56,7 @@
     unconfirmed: list[UnconfirmedOrder] = field(factory=list)
     read_at: float = 0.0
     needs_reread: bool = False
-    missing_adapters: set[tuple[str, str]] = field(factory=set)
+    missing_adapters: dict[tuple[str, str], float] = field(factory=dict)
     reserved_model: str = ""
     reserved_until: float = 0.0
 
@@ -65,7 +68,8 @@
         self.models = set(report.models)
         held = {(model, adapter) for model, names in report.models.items() for adapter in names}
         self.adapters = {key: self.adapters.get(key, -math.inf) for key in held}
-        self.missing_adapters -= held
+        for key in held & self.missing_adapters.keys():
+            del self.missing_adapters[key]
         self.pending = {key: now for key in report.pending if key not in held}
         self.busy = report.busy
         if not report.busy:
@@ -93,7 +97,7 @@
 
         Return whether it changes anything.
         """
-        before = (self.models, set(self.adapters), self.loading, self.unloading)
+        before = self._summarize()
         self.reported_at = now
         self.models = set(held)
         self.adapters = {
@@ -101,9 +105,18 @@
             for model, names in held.items()
             for adapter in names
         }
+        self.missing_adapters = {
+            key: at
+            for key, at in self.missing_adapters.items()
+            if key in self.adapters and now - at < MISSING_KEPT_S
+        }
         self.loading, left_s, self.unloading = change
         self.busy_until = now + left_s
-        return before != (self.models, set(self.adapters), self.loading, self.unloading)
+        return before != self._summarize()
+
+    def _summarize(self) -> tuple[object, ...]:
+        held = self.adapters.keys() - self.missing_adapters.keys()
+        return self.models, held, self.loading, self.unloading
 
     def list_unconfirmed_loads(self) -> set[tuple[str, str]]:
         """List the (model, adapter) pairs that unconfirmed orders may still load."""
@@ -132,7 +145,7 @@
     def record_missing_adapter(self, key: tuple[str, str], now: float) -> None:
         """Mark an adapter as missing, unless it was loaded a moment ago."""
         if now - self.adapters.get(key, now) > RECENT_LOAD_S:
-            self.missing_adapters.add(key)
+            self.missing_adapters[key] = now
 
     def has_adapter(self, key: tuple[str, str]) -> bool:
         """Return whether an adapter is loaded or being loaded."""
@@ -167,7 +180,7 @@
         self.ordered_at = now
         self.unconfirmed = []
         key = (order.model, order.adapter)
-        self.missing_adapters.discard(key)
+        self.missing_adapters.pop(key, None)
         if order.kind is OrderKind.LOAD and order.adapter:
             self.pending[key] = done_at
         elif order.kind is OrderKind.LOAD:
@@ -187,7 +200,7 @@
         key = (order.model, order.adapter)
         if order.adapter:
             self.adapters[key] = now
-            self.missing_adapters.discard(key)
+            self.missing_adapters.pop(key, None)
         else:
             self.models.add(order.model)
 
--- a/test/test_edge_orders.py
+++ b/test/test_edge_orders.py
@@ -3,6 +3,8 @@
 import asyncio
 import logging
 
+import pytest
+
 from rhubarbshed.coordination.serving.adapters import (
     forget_served_targets,
     plan_adapters,
@@ -19,6 +21,7 @@
 from rhubarbshed.state.membership.fleet import Fleet
 from rhubarbshed.state.placement.engine_states import RECENT_LOAD_S, EngineState, UnconfirmedOrder
 from rhubarbshed.state.placement.usage import Tally, Usage
+from rhubarbshed.transport.edge.holder_messages import list_held
 from rhubarbshed.transport.edge.node import Node
 from standin.replica import Exchange, Replica
 from test.helper_edge import (
@@ -228,6 +231,23 @@
     assert engine_state.has_adapter(("m1", "a1"))
 
 
+@pytest.mark.parametrize("reports", (((0.3, False), (0.5, True)), ((0.3, True), (1.5, True))))
+def test_adapter_reported_missing_elsewhere_is_announced_once_its_holder_has_it_again(reports):
+    """The mark at the order holder of the other data centre stayed, and its callers were refused.
+
+    The engine's own holder may have loaded the adapter between two of its announcements.
+    """
+    engine_state = EngineState("b1", 1, is_local=False)
+    nothing = ("", 0.0, "")
+    engine_state.apply_holder_report({"m1": ("a1",)}, nothing, NOW - 9.0)
+    engine_state.record_missing_adapter(("m1", "a1"), NOW)
+    assert list_held([engine_state]) == (("b1", 1, (("m1", ()),)),)
+    for after_s, is_held in reports:
+        held = {"m1": ("a1",) if is_held else ()}
+        changed = engine_state.apply_holder_report(held, nothing, NOW + after_s)
+    assert changed and list_held([engine_state]) == (("b1", 1, (("m1", ("a1",)),)),)
+
+
 def test_model_order_without_an_answer_counts_in_memory():
     engine = make_engine(2, m1=0, m2=0, m3=0, m4=0)
     engine_state = EngineState("b1", 1, orders=0)
