Refuse a part of a request that the kernel held at the end of a drain

Callers saw: a request in part that reached an instance as its drain ended was reset without an answer.

Cause: the connections with bytes in the kernel are left open for the last 0.1 s, as their request is refused once it is read. A request that is read only in part then was not looked at again.

Fix: the check for requests in part and idle connections is repeated until the process ends, every 25 ms.

Test: test_request_that_arrives_as_idle_connections_are_closed_is_refused [end-part] failed before (connection reset by peer); its other three cases passed.

--- a/rhubarbshed/transport/edge/node.py
+++ b/rhubarbshed/transport/edge/node.py
@@ -64,6 +64,9 @@
 CLOSE_DELAY_S = 0.1
 """Time for the last responses to leave before the process ends."""
 
+CLOSE_CHECKS = 4
+"""Checks in this time for requests that the kernel still held at the end of the drain."""
+
 DRAIN_CHECK_INTERVAL_S = 0.05
 """Time between two checks whether the drain may go on to its next phase."""
 
@@ -392,7 +395,10 @@
         for task in self.tasks:
             task.cancel()
         self.cut_off(time.monotonic())
-        await asyncio.sleep(CLOSE_DELAY_S)
+        for _ in range(CLOSE_CHECKS):
+            await asyncio.sleep(CLOSE_DELAY_S / CLOSE_CHECKS)
+            self.refuse_unanswered(time.monotonic())
+        await asyncio.sleep(CLOSE_DELAY_S / CLOSE_CHECKS)
         for connection in list(self.connections):
             connection.end_now()
         self.holder_protocol.datagrams.close()
@@ -425,6 +431,10 @@
     def cut_off(self, now: float) -> None:
         """Answer all requests that are left at the end of the drain, complete ones or not."""
         self.relay.cut_off()
+        self.refuse_unanswered(now)
+
+    def refuse_unanswered(self, now: float) -> None:
+        """Refuse the requests that have arrived in part, and close connections without one."""
         for connection in list(self.connections):
             try:
                 self.cut_off_connection(connection, now)
--- a/test/test_edge_closing.py
+++ b/test/test_edge_closing.py
@@ -121,8 +121,9 @@
     return got
 
 
+@pytest.mark.parametrize("length", (None, 40), ids=("whole", "part"))
 @pytest.mark.parametrize("way", ("first_check", "end"))
-def test_request_that_arrives_as_idle_connections_are_closed_is_refused(way, monkeypatch):
+def test_request_that_arrives_as_idle_connections_are_closed_is_refused(way, length, monkeypatch):
     """It was in the kernel but not read yet, and the close reset its connection."""
     name = "close_idle" if way == "first_check" else "cut_off"
     real = getattr(node.Node, name)
@@ -130,7 +131,7 @@
 
     def close_late(self, *args: object) -> None:
         for sock in socks:
-            sock.sendall(make_request("/p/x"))
+            sock.sendall(make_request("/p/x")[:length])
         monkeypatch.setattr(node.Node, name, real)
         time.sleep(0.05)
         real(self, *args)
