Offer a request that met the close of an instance's connection to another one

Seen in the review of the refusal before a close, not by callers: a request that an instance which is cut off forwards, and that crosses the close of an idle connection there, was answered 503 with an empty code, though it had been read by nobody and another instance could take it. Before that refusal it counted as broken off: repeated if it may be, else answered 502.

Test: test_forwarded_request_that_crosses_a_close_is_offered_to_another_ instance failed before (503).

Fix: a refusal without a code, which only that close sends, counts as declined.

--- a/rhubarbshed/transport/edge/attempts.py
+++ b/rhubarbshed/transport/edge/attempts.py
@@ -259,8 +259,11 @@
         code, _, message = b"".join(pieces).decode("latin-1").strip().partition(": ")
         not_run = head.declined or head.status in REFUSAL_STATUSES or head.status < 500
         self.detail = code
-        # A 4xx of another instance is about what that one knows, such as older routes.
-        self.declined = head.declined or (head.status < 500 and head.status != STATUS_MISDIRECTED)
+        # A 4xx of another instance is about what that one knows, such as older routes. A refusal
+        # without a code was sent before the request arrived, as the connection was closed.
+        is_unread = not_run and not code
+        is_other = head.status < 500 and head.status != STATUS_MISDIRECTED
+        self.declined = head.declined or is_unread or is_other
         self.instance_error = RequestError(
             head.status,
             code,
--- a/test/test_edge_cut_off.py
+++ b/test/test_edge_cut_off.py
@@ -9,6 +9,7 @@
 from rhubarbshed.coordination.serving.reachability import Reachability
 from rhubarbshed.coordination.serving.refusals import make_refusal
 from rhubarbshed.protocol.exchanges import ExchangeEnd
+from rhubarbshed.transport.edge.caller_connections import CallerConnection
 from rhubarbshed.transport.edge.connection_logs import CloseReason
 from rhubarbshed.transport.edge.forwarding import Forwarder
 from test.helper_crashes import EVENTS
@@ -378,3 +379,24 @@
             assert cuts.count_runs(b"x") and answer.status == 502
 
     play(scene)
+
+
+def test_forwarded_request_that_crosses_a_close_is_offered_to_another_instance(monkeypatch):
+    """Its refusal was passed on to the caller, as if that instance had decided on the request."""
+    real, closed = CallerConnection.data_received, []
+
+    def close_first(self, data: bytes) -> None:
+        if not self.may_pause and b" /u/x " in data and not closed:
+            closed.append(self)
+            self._end_idle(CloseReason.DRAIN, 503)
+        real(self, data)
+
+    async def scene():
+        async with run_cut_scene() as cuts:
+            await cuts.cut("hang", "a1")
+            monkeypatch.setattr(CallerConnection, "data_received", close_first)
+            answer = await cuts.ask("a1", "/u/x", b"payment")
+            assert answer.status == 200 and closed
+            assert cuts.count_runs(b"payment") == 1
+
+    play(scene)
