Leave odd entries of another writer in the soak

One of six kinds of unreadable entries is written first, and further ones among the faults; they stay to the end.

--- a/test/soak/faults.py
+++ b/test/soak/faults.py
@@ -39,6 +39,16 @@
 """Time without faults before and after a planned change: checks exempt disturbed subjects, so
 its guarantees are checked only without faults."""
 
+ODD_FIELDS = (
+    {"State": "odd", "Unused": 10**30},
+    {"Service": "\ud800"},
+    {"born": 2**70},
+    {"Address": "127.0.0.1:70000"},
+    {"Models": [{"Name": "m1", "Adapters": ["x", 3]}]},
+    {"Version": "v" * 60_000},
+)
+"""What makes an entry of another writer unreadable."""
+
 Fault = Callable[["Faults"], Awaitable[None]]
 
 
@@ -53,9 +63,10 @@
     async def play(self, seconds: float) -> None:
         """Start overlapping faults one after another, with fault-free times for planned changes.
 
-        A stop, a release, one in which all instances are killed, a request and a part of prompts
-        that end servers come first, so that each run has them.
+        An odd entry, a stop, a release, one in which all instances are killed, a request and a part
+        of prompts that end servers come first, so that each run has them.
         """
+        await write_odd_entry(self)
         await self.change_as_planned(self.rng.choice(STOPS))
         await self.change_as_planned(release_version)
         await kill_all_in_release(self)
@@ -193,6 +204,14 @@
     await call_store(port, kind, on="0") if kind != "forget" else None
 
 
+async def write_odd_entry(faults: Faults) -> None:
+    """Leave an odd entry of another writer among those of the servers, for good."""
+    sound = {"Service": "svc", "Address": "127.0.0.1:1", "Zone": "a", "Version": "v1", "Slots": 8}
+    entry = {**sound, "State": "ready", **faults.rng.choice(ODD_FIELDS)}
+    key = f"odd-{faults.rng.randrange(9)}"
+    await call_store(faults.scene.store_port, "put", entry, Table="servers", Key=key)
+
+
 async def send_deadly(faults: Faults) -> None:
     """Send a request that ends the servers that run it, for some seconds."""
     await send_deadly_requests(faults.scene, faults.rng, alike=True)
@@ -293,6 +312,7 @@
     reset_links,
     reset_links,
     disturb_store,
+    write_odd_entry,
     change_configuration,
     send_deadly,
     send_deadly_part,
