Write all kinds of odd entries after the first stop of a soak run

Instances send to an order holder only half a second after they are ready, so an entry written at the start was never packed.

--- a/test/soak/faults.py
+++ b/test/soak/faults.py
@@ -63,11 +63,11 @@
     async def play(self, seconds: float) -> None:
         """Start overlapping faults one after another, with fault-free times for planned changes.
 
-        An odd entry, a stop, a release, one in which all instances are killed, a request and a part
+        A stop, odd entries, a release, one in which all instances are killed, a request and a part
         of prompts that end servers come first, so that each run has them.
         """
-        await write_odd_entry(self)
         await self.change_as_planned(self.rng.choice(STOPS))
+        await write_odd_entries(self)
         await self.change_as_planned(release_version)
         await kill_all_in_release(self)
         await self.change_as_planned(send_deadly)
@@ -204,12 +204,13 @@
     await call_store(port, kind, on="0") if kind != "forget" else None
 
 
-async def write_odd_entry(faults: Faults) -> None:
-    """Leave an odd entry of another writer among those of the servers, for good."""
+async def write_odd_entries(faults: Faults) -> None:
+    """Leave odd entries of another writer among those of the servers, for good."""
     sound = {"Service": "svc", "Address": "127.0.0.1:1", "Zone": "a", "Version": "v1", "Slots": 8}
-    entry = {**sound, "State": "ready", **faults.rng.choice(ODD_FIELDS)}
-    key = f"odd-{faults.rng.randrange(9)}"
-    await call_store(faults.scene.store_port, "put", entry, Table="servers", Key=key)
+    for number, fields in enumerate(ODD_FIELDS):
+        entry = {**sound, "State": "ready", "Seq": faults.rng.randrange(99), **fields}
+        key = f"odd-{number}"
+        await call_store(faults.scene.store_port, "put", entry, Table="servers", Key=key)
 
 
 async def send_deadly(faults: Faults) -> None:
@@ -312,7 +313,7 @@
     reset_links,
     reset_links,
     disturb_store,
-    write_odd_entry,
+    write_odd_entries,
     change_configuration,
     send_deadly,
     send_deadly_part,
