--- a/rhubarbshed/protocol/codec.py
+++ b/rhubarbshed/protocol/codec.py
@@ -9,12 +9,18 @@
 from returns.result import Failure, Result, Success
 
 from rhubarbshed.protocol.catalogue import CatalogueBody
+from rhubarbshed.protocol.message_checks import NUMBER_MAX, is_encodable
 
 T = TypeVar("T")
+N = TypeVar("N", int, float)
 
 
 def _make_converter(forbid_extra_keys: bool) -> Converter:
+    """Make a converter that reads only numbers and texts which frames can carry."""
     converter = Converter(forbid_extra_keys=forbid_extra_keys)
+    converter.register_structure_hook(int, lambda plain, _: _require_bounded(int(plain)))
+    converter.register_structure_hook(float, lambda plain, _: _require_bounded(float(plain)))
+    converter.register_structure_hook(str, lambda plain, _: _require_encodable(str(plain)))
     converter.register_unstructure_hook(enum.Enum, lambda member: member.value)
     configure_tagged_union(
         CatalogueBody,
@@ -26,6 +32,18 @@
     return converter
 
 
+def _require_bounded(number: N) -> N:
+    if not -NUMBER_MAX <= number <= NUMBER_MAX:
+        raise ValueError("a number out of its bounds")
+    return number
+
+
+def _require_encodable(text: str) -> str:
+    if not is_encodable(text):
+        raise ValueError("text with a lone surrogate")
+    return text
+
+
 def _register_optional_body(converter: Converter) -> None:
     """Register hooks that also tag a catalogue body where it may be None."""
     optional = CatalogueBody | None
--- a/rhubarbshed/protocol/message_checks.py
+++ b/rhubarbshed/protocol/message_checks.py
@@ -25,7 +25,7 @@
 
 def is_text(value: object) -> bool:
     """Return whether a value is text that a message may carry."""
-    return isinstance(value, str) and len(value) <= TEXT_LENGTH_MAX and _is_encodable(value)
+    return isinstance(value, str) and len(value) <= TEXT_LENGTH_MAX and is_encodable(value)
 
 
 def is_number(value: object, most: int = NUMBER_MAX) -> bool:
@@ -68,6 +68,7 @@
         raise ValueError(f"{attribute.name} is not a number")
 
 
-def _is_encodable(text: str) -> bool:
+def is_encodable(text: str) -> bool:
+    """Return whether text has a UTF-8 form."""
     # JSON may carry lone surrogates, which have no UTF-8 form.
     return text.isascii() or not any("\ud800" <= character <= "\udfff" for character in text)
--- a/rhubarbshed/transport/http.py
+++ b/rhubarbshed/transport/http.py
@@ -24,7 +24,7 @@
         """Return the body decoded from JSON, or None if it is not JSON."""
         try:
             return json.loads(self.body)
-        except ValueError:
+        except (RecursionError, ValueError):
             return None
 
 
--- /dev/null
+++ b/test/test_odd_answers.py
@@ -0,0 +1,75 @@
+"""Odd values in answers of the table service and in engines' reports end no instance."""
+
+import pytest
+from attrs import NOTHING, fields
+from returns.result import Result, Success
+
+from rhubarbshed.protocol.codec import pack
+from rhubarbshed.protocol.events import Stamp
+from rhubarbshed.protocol.members import BackendServerInfo
+from rhubarbshed.protocol.peers import Envelope, pack_envelope, unpack_envelope
+from rhubarbshed.state.membership.digests import LoadOutbox
+from rhubarbshed.transport.engines import fetch_service_report, make_engine_client
+from rhubarbshed.transport.http import Answer, ExchangeError
+from rhubarbshed.transport.table import make_table_client
+from test.helper_odd_values import ODD_JSON, PLACE, fill
+from test.test_odd_messages import replace_each
+
+ROWS = {"rows": [{"key": "k", "version": 1, "value": {"a": 1}, "revision": 2}], "revision": 3}
+REPORT = {
+    "backend_server": "b1",
+    "age_s": 0.1,
+    "running": 1,
+    "waiting": 0,
+    "waiting_tokens": 0,
+    "memory_bytes_used": 1,
+    "memory_bytes_total": 2,
+    "fencing_token": 1,
+    "tokens_per_s": 1.0,
+    "prefill_tokens_per_s": 1.0,
+    "slots": 4,
+    "resident": [{"name": "m1", "version": "1", "memory_bytes": 3}],
+    "cache_events": [{"sequence": 1, "stored": True, "prefix": "p"}],
+    "boot_id": "x",
+}
+SERVER = BackendServerInfo(
+    **{each.name: "x" for each in fields(BackendServerInfo) if each.default is NOTHING}
+)
+
+
+class Http:
+    """Client that answers each call with the same body."""
+
+    def __init__(self, body: bytes) -> None:
+        self.answer = Answer(200, body)
+
+    def exchange(self, *_: object, **__: object) -> Result[Answer, ExchangeError]:
+        return Success(self.answer)
+
+    post_json = exchange
+
+
+@pytest.mark.parametrize("raw", ODD_JSON.values(), ids=ODD_JSON)
+def test_odd_value_in_an_answer_of_the_table_is_an_error_value(raw):
+    for template in replace_each(ROWS, PLACE):
+        client = make_table_client(Http(fill(template, raw)), "u")
+        for read in (client.read(("k",)), client.scan("k", 0)):
+            assert isinstance(read, Result)
+
+
+@pytest.mark.parametrize("raw", ODD_JSON.values(), ids=ODD_JSON)
+def test_odd_value_in_a_report_is_an_error_value_or_can_be_sent(raw):
+    """Numbers and texts that frames cannot hold ended the instance as it sent its digest."""
+    for template in replace_each(REPORT, PLACE):
+        http = Http(fill(template, raw))
+        for read in (
+            make_engine_client(http).fetch_report(SERVER, 0),
+            fetch_service_report(http, SERVER),
+        ):
+            if isinstance(read, Success):
+                assert pack(read.unwrap())
+        read = make_engine_client(http).fetch_report(SERVER, 0)
+        if isinstance(read, Success):
+            digest = LoadOutbox().make_digest(((read.unwrap(), 1.0),), 2.0)
+            data = pack_envelope(Envelope(digest, Stamp(1, 2, "i1")))
+            assert isinstance(unpack_envelope(data, "i1"), Success)
