Take no response without an id for that to a later request

What callers saw: after a server had written one refusal without an id on a kept connection and went on to write it once more before each answer, every request there got 503 and ran: 7 runs for 6 requests. A success without an id was passed on as the answer to another caller's request, also in the middle of a stream.

Cause: a response without an id was taken for the one expected, and responses to other requests were skipped and the connection was kept, however far it was out of step.

In the cases where the copy has lost its id the request costs an attempt and is served by the next one.

Why it works: a connection is kept only while each response on it names the request that it came for. So a copy of an earlier one names another request, and is skipped. A response without an id on a connection that has carried others may still be an earlier one that lost its id: the attempt has an unknown outcome, and other idle connections to the server are closed. Servers echo the id of each request, so this costs sound ones nothing. On a new connection such a response is accepted.

Skipped responses are logged (response_skipped), with the id that they name and whether the connection has carried it.

--- a/rhubarbshed/transport/edge/attempts.py
+++ b/rhubarbshed/transport/edge/attempts.py
@@ -25,6 +25,7 @@
     NotListeningError,
 )
 from rhubarbshed.transport.edge.pools import Address, Pool
+from rhubarbshed.transport.edge.request_logs import log_skipped
 from rhubarbshed.transport.edge.silence import SilenceTimer
 from rhubarbshed.transport.edge.streams import (
     TAIL_BYTES,
@@ -75,6 +76,7 @@
     whole event of a stream came. `may_move` returns whether another server may go on with a
     response that has begun, `confirm_running` whether the server shows that it has not
     ended. `origin` is as of the choice of the server: its entry may change in the meantime.
+    `in_step` means that each answer on the connection named the request that it came for.
     An attempt by way of another instance has neither `record` nor `origin`; `instance_error` is
     that one's answer if no server gave one, and `declined` that another instance may do better.
     """
@@ -100,6 +102,7 @@
     confirm_running: Callable[[], Awaitable[bool]] = assume_running
     channel: Channel | None = None
     origin: StreamOrigin | None = None
+    in_step: bool = True
     instance_error: RequestError | None = None
     declined: bool = False
 
@@ -162,7 +165,8 @@
             self.detail = "no response in time"
             return ExchangeEnd.NO_RESPONSE
         finally:
-            if (finished or not self.sent) and self.channel.is_usable(time.monotonic()):
+            is_kept = (finished and self.in_step) or not self.sent
+            if is_kept and self.channel.is_usable(time.monotonic()):
                 self.pool.release(address, self.channel)
             else:
                 self.channel.abort()
@@ -225,7 +229,11 @@
             self.channel.wake()
 
     async def receive_head(self) -> tuple[h11.Response, ResponseHead]:
-        """Return the head of the response, skipping late responses to other requests."""
+        """Return the head of the response, skipping extra responses to other requests.
+
+        On a kept connection only the id tells these from the one expected. So one without an id
+        shows nothing, and a connection is kept only while all responses bear the id expected.
+        """
         while True:
             response = await self.channel.receive()
             while isinstance(response, h11.InformationalResponse):
@@ -233,12 +241,27 @@
             if not isinstance(response, h11.Response):
                 raise MalformedAnswerError("body without a head")
             head = read_head(response.status_code, response.headers)
-            if not head.request_id or head.request_id == self.caller_response.request.request_id:
+            if head.request_id and head.request_id == self.caller_response.request.request_id:
+                return response, head
+            self.in_step = False
+            if not head.request_id:
+                self.check_unnamed(head)
                 return response, head
+            log_skipped(self, head)
             while not isinstance(await self.channel.receive(), h11.EndOfMessage):
                 pass
             self.channel.skip_answer()
 
+    def check_unnamed(self, head: ResponseHead) -> None:
+        """Raise `MalformedAnswerError` for a response without an id that may be an earlier one.
+
+        Other instances write no extra ones, and have not read the id of a request that is too long.
+        """
+        if self.record is None or self.channel.exchanges == 1:
+            return
+        self.pool.drop(self.address)
+        raise MalformedAnswerError(f"status {head.status} without an id on a kept connection")
+
     async def read_refusal(self, response: h11.Response, head: ResponseHead) -> ExchangeEnd:
         """Read a refusal to its end."""
         while not isinstance(await self.channel.receive(), h11.EndOfMessage):
--- a/rhubarbshed/transport/edge/request_logs.py
+++ b/rhubarbshed/transport/edge/request_logs.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from rhubarbshed.protocol.errors import RequestError
-from rhubarbshed.protocol.exchanges import ExchangeEnd
+from rhubarbshed.protocol.exchanges import ExchangeEnd, ResponseHead
 from rhubarbshed.transport.edge.continuations import is_continuation, name_outcome
 from rhubarbshed.util.logs import log_event
 
@@ -62,6 +62,22 @@
     log_event(LOG, logging.INFO, "attempt_failed", **fields)
 
 
+def log_skipped(attempt: "Attempt", head: ResponseHead) -> None:
+    """Log a response to another request in place of the one expected."""
+    channel = attempt.channel
+    log_event(
+        LOG,
+        logging.INFO,
+        "response_skipped",
+        request=attempt.caller_response.request.request_id,
+        server=attempt.record.entry.server_id if attempt.record is not None else "",
+        named=head.request_id,
+        status=head.status,
+        earlier=int(channel.has_carried(head.request_id)),
+        conn_request=channel.exchanges,
+    )
+
+
 def log_end(
     progress: "RequestProgress", outcome: str, error: RequestError | None, now: float
 ) -> None:
