--- a/rhubarbshed/transport/connections.py
+++ b/rhubarbshed/transport/connections.py
@@ -9,6 +9,8 @@
 
 CONNECT_TIMEOUT_S = 1.0
 IDLE_PER_SERVER_MAX = 32
+# Requests after which a connection is not used again, as it keeps their ids.
+REQUESTS_MAX = 512
 
 
 @frozen
@@ -28,7 +30,7 @@
 
 @define(eq=False)
 class Channel:
-    """A connection with the monotonic time it was made.
+    """A connection with the monotonic time it was made, and the ids of the requests it has carried.
 
     `sock` is its socket once connected: http.client drops its reference before a body that ends
     with the connection is read.
@@ -38,39 +40,57 @@
     connection: HTTPConnection
     opened_at: float
     sock: socket.socket | None = None
+    request_ids: set[str] = field(factory=set)
 
 
 @define
 class ConnectionPool:
     """Idle connections by backend server; thread-safe.
 
-    A connection is returned only after a complete exchange, so that the answer to an earlier
-    request cannot be read as that of a later one.
+    A connection is returned only after a complete exchange whose answer names its request, and is
+    not used for that request again. So an earlier answer that a server writes once more names
+    another request than the one expected.
     """
 
     age_max_s: float
     _idle: dict[Address, collections.deque[Channel]] = field(factory=dict)
     _lock: threading.Lock = field(factory=threading.Lock)
 
-    def take(self, address: Address, now: float, fresh: bool = False) -> Channel:
-        """Return an idle connection that is young enough, or a new one not yet connected."""
-        while not fresh:
-            with self._lock:
-                queue = self._idle.get(address)
-                channel = queue.pop() if queue else None
-            if channel is None:
-                break
-            if self._is_usable(channel, now):
-                return channel
+    def take(self, address: Address, now: float, request_id: str, fresh: bool = False) -> Channel:
+        """Return an idle connection that has not carried a request, or a new one not connected."""
+        found = None if fresh else self._take_idle(address, now, request_id)
+        if found is None:
+            connection = HTTPConnection(address.host, address.port, timeout=CONNECT_TIMEOUT_S)
+            found = Channel(address, connection, now)
+        found.request_ids.add(request_id)
+        return found
+
+    def _take_idle(self, address: Address, now: float, request_id: str) -> Channel | None:
+        found, carried, ended = None, [], []
+        with self._lock:
+            queue = self._idle.get(address, collections.deque())
+            while queue and found is None:
+                channel = queue.pop()
+                if not self._is_usable(channel, now):
+                    ended.append(channel)
+                elif request_id in channel.request_ids:
+                    carried.append(channel)
+                else:
+                    found = channel
+            queue.extend(reversed(carried))
+        for channel in ended:
             channel.connection.close()
-        connection = HTTPConnection(address.host, address.port, timeout=CONNECT_TIMEOUT_S)
-        return Channel(address, connection, now)
+        return found
 
     def give_back(self, channel: Channel, now: float) -> None:
         """Keep a connection for reuse after a complete exchange."""
         with self._lock:
             queue = self._idle.setdefault(channel.address, collections.deque())
-            keep = len(queue) < IDLE_PER_SERVER_MAX and self._is_young(channel, now)
+            keep = (
+                len(queue) < IDLE_PER_SERVER_MAX
+                and len(channel.request_ids) < REQUESTS_MAX
+                and self._is_young(channel, now)
+            )
             if keep:
                 queue.append(channel)
         if not keep:
--- a/rhubarbshed/transport/upstream.py
+++ b/rhubarbshed/transport/upstream.py
@@ -35,6 +35,7 @@
 from rhubarbshed.transport.timeouts import set_timeouts
 from rhubarbshed.util.sockets import has_peer_closed
 
+REQUEST_ID_HEADER = "X-Request-Id"
 # Fraction of a timeout that must have passed for a failure to count as a timeout.
 TIMEOUT_ELAPSED_RATIO = 0.95
 
@@ -66,21 +67,23 @@
         opened = self._open(channel, attempt, call, watched)
         if isinstance(opened, AttemptEnd):
             return opened
+        named = opened.headers.get(REQUEST_ID_HEADER, "")
         try:
             body = _read_body(opened, self.answer_bytes_max)
         except ERRORS:
             return self._fail(channel, attempt)
-        if body is None:
+        is_other = named not in ("", call.request.request_id)
+        if body is None or is_other:
             channel.connection.close()
             return AttemptEnd.BROKEN
         if call.request.model and _is_refusal(attempt):
-            self._finish(channel)
+            self._finish(channel, named)
             return AttemptEnd.REFUSED
         if call.request.model and not _is_answer_to(body, attempt):
             channel.connection.close()
             return AttemptEnd.BROKEN
         attempt.first_token_at = time.monotonic()
-        self._finish(channel)
+        self._finish(channel, named)
         return BufferedResponse(opened.status, opened.headers.get("Content-Type", ""), body)
 
     def stream(
@@ -174,8 +177,10 @@
 
     def _take_channel(self, attempt: Attempt, call: Call) -> Channel:
         """Take a connection from the pool; a non-idempotent request gets an unused one."""
+        request = call.request
         address = Address(attempt.dispatch.host, attempt.dispatch.port)
-        return self.connections.take(address, time.monotonic(), fresh=not call.request.idempotent)
+        now = time.monotonic()
+        return self.connections.take(address, now, request.request_id, not request.idempotent)
 
     def _open(
         self,
@@ -251,8 +256,12 @@
             return BufferedResponse(attempt.status, response.headers.get("Content-Type", ""), body)
         return AttemptEnd.BROKEN
 
-    def _finish(self, channel: Channel) -> None:
-        self.connections.give_back(channel, time.monotonic())
+    def _finish(self, channel: Channel, named: str) -> None:
+        """Keep a connection unless its answer did not say to which request it belongs."""
+        if named:
+            self.connections.give_back(channel, time.monotonic())
+        else:
+            channel.connection.close()
 
     def _fail(self, channel: Channel, attempt: Attempt) -> AttemptEnd:
         """Close a failed connection; on a timeout, also the idle connections to the same server.
@@ -295,7 +304,7 @@
     headers = {
         "Host": f"{attempt.dispatch.host}:{attempt.dispatch.port}",
         INSTANCE_HEADER: instance,
-        "X-Request-Id": request.request_id,
+        REQUEST_ID_HEADER: request.request_id,
         "X-Priority": str(int(request.priority)),
     }
     if call.content_type:
