Send orders to engines on new connections in the other program

What an operator would see: an order that an engine rejected is taken for carried out, so the memory of the engine is counted wrongly from then on.

Cause: orders used kept connections, and their responses bear nothing that names the order. One to an earlier order that is written once more as the next is sent was taken for that one's.

Evidence: test_earlier_answer_to_an_order_once_more_is_not_taken_for_one_to_a_new_order failed and passes.

Orders are rare and take seconds. Reports still use kept connections: an earlier one, written once more, is older than the one expected by one interval, and is replaced by the next.

--- a/rhubarbshed/transport/engines.py
+++ b/rhubarbshed/transport/engines.py
@@ -23,7 +23,10 @@
 
     def send_order(server: BackendServerInfo, order: Order) -> Result[None, OrderError]:
         url = f"{make_base_url(server)}/control/orders"
-        result = http.post_json(url, to_plain(order), ORDER_TIMEOUT_S)
+        # On a kept connection an earlier answer, written once more, could not be told from this.
+        client = http.with_new_connections()
+        result = client.post_json(url, to_plain(order), ORDER_TIMEOUT_S)
+        client.pool.clear()
         if isinstance(result, Failure):
             return Failure(_make_order_error(result.failure()))
         return _read_order_answer(result.unwrap())
--- a/test/test_upstream.py
+++ b/test/test_upstream.py
@@ -1,17 +1,23 @@
 """Test how long the client waits for the response of a backend server."""
 
+import contextlib
 import itertools
 import socketserver
 import threading
 from collections.abc import Iterator
 
 import pytest
+from returns.result import Success
 
 from rhubarbshed.protocol.answers import BufferedResponse
 from rhubarbshed.protocol.calls import Call
+from rhubarbshed.protocol.members import BackendKind, BackendServerInfo
+from rhubarbshed.protocol.orders import Order, OrderFault, OrderKind
 from rhubarbshed.protocol.requests import AttemptEnd, Dispatch, Request
 from rhubarbshed.transport.connections import CONNECT_TIMEOUT_S, ConnectionPool
+from rhubarbshed.transport.engines import make_engine_client
 from rhubarbshed.transport.events import Attempt
+from rhubarbshed.transport.http import HttpClient
 from rhubarbshed.transport.upstream import UpstreamClient
 from tools.processes import Process, start_standin
 
@@ -61,17 +67,35 @@
 
     def handle(self) -> None:
         earlier = request_id = b""
+        length = 0
         while line := self.rfile.readline():
             if line.startswith(b"X-Request-Id: "):
                 request_id = line.split()[1]
+            if line.startswith(b"Content-Length: "):
+                length = int(line.split()[1])
             if line != b"\r\n":
                 continue
+            self.rfile.read(length)
             number = next(self.server.numbers)
             own = self.server.answers[min(number, 1)] % (request_id, number)
             self.wfile.write(earlier + own)
             earlier = earlier or own
 
 
+@contextlib.contextmanager
+def run_repeating(first: bytes, later: bytes) -> Iterator[int]:
+    """Run a server that writes the first answer of a connection once more; return its port."""
+    server = socketserver.ThreadingTCPServer(("127.0.0.1", 0), RepeatingHandler)
+    server.daemon_threads, server.numbers = True, itertools.count()
+    server.answers = (first, later)
+    threading.Thread(target=server.serve_forever, daemon=True).start()
+    try:
+        yield server.server_address[1]
+    finally:
+        server.shutdown()
+        server.server_close()
+
+
 SERVED = b"HTTP/1.1 200 X\r\nContent-Length: 6\r\nX-Request-Id: %b\r\n\r\nrun %02d"
 UNNAMED = b"HTTP/1.1 200 X\r\nContent-Length: 6\r\nX-Other: %b\r\n\r\nrun %02d"
 FIRST = {
@@ -88,16 +112,20 @@
 @pytest.mark.parametrize("first", FIRST)
 def test_earlier_answer_once_more_is_not_taken_for_the_next(first, request_ids):
     """A request was refused while it ran, or its caller got another one's answer."""
-    server = socketserver.ThreadingTCPServer(("127.0.0.1", 0), RepeatingHandler)
-    server.daemon_threads, server.numbers = True, itertools.count()
-    server.answers = (FIRST[first], UNNAMED if first == "without an id" else SERVED)
-    threading.Thread(target=server.serve_forever, daemon=True).start()
-    try:
+    with run_repeating(FIRST[first], UNNAMED if first == "without an id" else SERVED) as port:
         upstream_client = UpstreamClient(ConnectionPool(60.0), None, "a1", 65536)
-        port = server.server_address[1]
         answers = [fetch(port, upstream_client, 5.0, each) for each in request_ids]
         for number, answer in enumerate(answers[1:], 1):
             assert answer is AttemptEnd.BROKEN or answer.body == b"run %02d" % number
-    finally:
-        server.shutdown()
-        server.server_close()
+
+
+def test_earlier_answer_to_an_order_once_more_is_not_taken_for_one_to_a_new_order():
+    """An order that the engine rejected was taken for carried out."""
+    rejected = b"HTTP/1.1 422 X\r\nContent-Length: 6\r\nX-Other: %b\r\n\r\nrun %02d"
+    with run_repeating(UNNAMED, rejected) as port:
+        client = make_engine_client(HttpClient.from_config("a1", 5.0))
+        server = BackendServerInfo("e1", BackendKind.ENGINE, "dc-1", "r1", "127.0.0.1", port)
+        orders = [Order(f"o{number}", OrderKind.LOAD, 1, "m1") for number in range(3)]
+        ends = [client.send_order(server, order) for order in orders]
+        faults = [end.failure().fault for end in ends[1:]]
+        assert isinstance(ends[0], Success) and faults == [OrderFault.REFUSED] * 2
