Let the soak's watch outlive a release

A server is listed before its relay is there and its process after that; a watch that came by in between raised KeyError, which nobody saw.

A server is listed once its process is started, and what ends a caller or the watch ends the run. test_soak.py, "while another one is added", failed before with that KeyError.

--- a/test/soak/run.py
+++ b/test/soak/run.py
@@ -1,7 +1,6 @@
 """One run of the soak: start a scene, inject faults, let it recover, check the guarantees."""
 
 import asyncio
-import contextlib
 import functools
 import os
 import random
@@ -76,8 +75,9 @@
     await asyncio.sleep(RECOVERED_S)
     for task in tasks:
         task.cancel()
-    with contextlib.suppress(asyncio.CancelledError):
-        await asyncio.gather(*tasks, return_exceptions=True)
+    for outcome in await asyncio.gather(*tasks, return_exceptions=True):
+        if isinstance(outcome, Exception):
+            raise outcome
 
 
 def play_seed(
--- a/test/soak/scene.py
+++ b/test/soak/scene.py
@@ -175,7 +175,6 @@
     ) -> None:
         """Start a backend server behind a relay."""
         port = find_port()
-        self.services[name] = service
         self.data_centres[name] = data_centre
         relay_port = await self.add_relay(name, port)
         self.relays[name].follows_target = True
@@ -195,6 +194,7 @@
             options += ["--version", version]
             self.history.engines.append(Serving(name, version, time.monotonic() + REPORT_S))
         self.add(name, "-m", "standin.run", "replica", *positional, *options)
+        self.services[name] = service
 
     async def add_instance(self, name: str, data_centre: str) -> None:
         """Start an instance, with relays for its callers and for its connections to the store."""
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -26,6 +26,7 @@
 )
 from test.soak.relay import Relay
 from test.soak.run import play_seed
+from test.soak.scene import Scene
 from tools.soak import describe_margin
 
 CI_SEED, CI_SECONDS = 1, 12.0
@@ -298,6 +299,20 @@
     ]
 
 
+def test_ended_servers_are_started_again_also_while_another_one_is_added(tmp_path, monkeypatch):
+    async def add_relay(scene: Scene, name: str, port: int) -> int:
+        # The watch comes by at this moment.
+        scene.restart_crashed_servers()
+        scene.relays[name] = Relay(0, port)
+        return 0
+
+    monkeypatch.setattr(Scene, "add_relay", add_relay)
+    monkeypatch.setattr(Scene, "add", lambda *arguments: None)
+    scene = Scene(tmp_path, 1)
+    asyncio.run(scene.add_server("r1", "svc", "a", "v1"))
+    assert scene.services == {"r1": "svc"}
+
+
 def test_short_run_breaks_no_promise():
     verdict = play_seed(CI_SEED, CI_SECONDS)
     assert not verdict.broken, verdict.describe()
