Keep the origins of streams in the store while a service has several versions

Cause: which version began a stream is known to its instance and three others. If all are killed while two versions are in use, nobody knows, and the sole version decides nothing. Fix: while a service may have several versions, its instances pass what begins there to their order holder, which writes the origins of up to 2,000 streams in one row every 0.5 s, as digests, over the oldest of 120 rows. An instance that finds no origin elsewhere reads the table, once a second at most. A row that is missing or cannot be read proves nothing; two origins of an id refuse it as ever. With one version nothing is written or read.

--- a/rhubarbshed/platform/rows.py
+++ b/rhubarbshed/platform/rows.py
@@ -20,6 +20,7 @@
 OWN_TABLE = "rhubarbshed"
 QUARANTINE_TABLE = "rhubarbshed-quarantine"
 VERSIONS_TABLE = "rhubarbshed-versions"
+STREAMS_TABLE = "rhubarbshed-streams"
 ROWS_MAX = 500
 """Rows in one response, from the platform's documentation."""
 
--- a/rhubarbshed/transport/edge/node.py
+++ b/rhubarbshed/transport/edge/node.py
@@ -37,6 +37,7 @@
 from rhubarbshed.transport.edge.link_monitor import LinkMonitor
 from rhubarbshed.transport.edge.metrics import FrontMetrics
 from rhubarbshed.transport.edge.order_dispatcher import OrderDispatcher
+from rhubarbshed.transport.edge.origin_store import OriginStore
 from rhubarbshed.transport.edge.pools import Pool, connect_from
 from rhubarbshed.transport.edge.relay import Relay
 from rhubarbshed.transport.edge.server_checks import ServerChecks
@@ -157,6 +158,13 @@
             view.list_versions,
         )
         streams.counts.observe = metrics.observe_lookup
+        streams.origin_store = OriginStore(
+            store,
+            view,
+            follower.is_holder,
+            lambda: lease.holder_address,
+            holder_protocol.datagrams.send,
+        )
         limits = LimitRegistry(
             view.fleet,
             settings.data_centre,
@@ -232,6 +240,7 @@
             self.crashes.maintain,
             self.links.maintain,
             self.version_store.maintain,
+            self.streams.origin_store.maintain,
             self.sweep,
         ):
             self.spawn(work())
--- a/rhubarbshed/transport/edge/stream_registry.py
+++ b/rhubarbshed/transport/edge/stream_registry.py
@@ -34,6 +34,7 @@
 )
 from rhubarbshed.protocol.streams import StreamLookup, StreamOrigin
 from rhubarbshed.state.requests.stream_origins import StreamOrigins
+from rhubarbshed.transport.edge.origin_store import OriginStore
 from rhubarbshed.util.logs import log_event
 
 LOG = logging.getLogger(__name__)
@@ -125,12 +126,14 @@
     """Origins of streams known here, and the search for the others.
 
     `silent` are instances that did not reply to two questions in a row. `untold` are streams that
-    were recorded before a list of other instances had come.
+    were recorded before a list of other instances had come. `origin_store` keeps origins beyond
+    the loss of all instances.
     """
 
     data_centre: str
     send: Callable[..., None]
     list_versions: Callable[[float], tuple[tuple[str, str], ...]] = lambda now: ()
+    origin_store: OriginStore | None = None
     origins: StreamOrigins = field(factory=StreamOrigins)
     counts: StreamCounts = field(factory=StreamCounts)
     instances: dict[str, dict[str, Address]] = field(factory=dict)
@@ -154,6 +157,8 @@
             if len(self.untold) > UNTOLD_MAX:
                 self.untold.popitem(last=False)
         self._tell(stream_id, origin)
+        if self.origin_store is not None:
+            self.origin_store.record_begun(stream_id, origin, now)
 
     async def find_stream(self, stream_id: str, now: float) -> StreamLookup:
         """Find the origin of a stream: in the own memory, else by asking other instances."""
@@ -175,6 +180,8 @@
             await self._ask(search, stream_id, first, FIRST_ROUND_S)
             second = choose_second_round(self.instances, search.replies)
             await self._ask(search, stream_id, second, SECOND_ROUND_S)
+            if self.origin_store is not None and not search.replies.origins:
+                search.add_reply((), await self.origin_store.find(stream_id))
             asked_twice = frozenset(first).intersection(second)
             self._mark_silent(find_silent(self.instances, asked_twice, search.replies))
         finally:
@@ -197,6 +204,8 @@
         if isinstance(message, OriginsMessage):
             for (stream_id, origin), age_s in zip(origins, ages, strict=True):
                 self.origins.record(stream_id, origin, now, age_s)
+                if self.origin_store is not None:
+                    self.origin_store.add(stream_id, origin)
                 for search in self._searches.get(stream_id, ()):
                     search.add_reply((), (origin,))
             return
--- a/test/helper_streams.py
+++ b/test/helper_streams.py
@@ -21,7 +21,7 @@
 
 def let_streams_last_shortly(monkeypatch: pytest.MonkeyPatch) -> None:
     """Let streams last for a short time only."""
-    for module in ("versions", "version_records"):
+    for module in ("versions", "version_records", "origin_batches"):
         name = f"rhubarbshed.coordination.serving.{module}.STREAM_AGE_MAX_S"
         monkeypatch.setattr(name, AGE_SHORT_S)
 
