Let the rest of a stream queue at a server that is full for new ones

Cause: the rest of a stream can come from servers of its version only, and these count as full at the same load as for any request, which other servers could take. Fix: for the rest of a stream a server counts as full with one request queued for each slot, in place of one for every two. Evidence: test_rest_of_a_stream_may_queue_at_a_server_that_is_full_for_new_ones failed before.

--- a/rhubarbshed/coordination/serving/choice.py
+++ b/rhubarbshed/coordination/serving/choice.py
@@ -28,7 +28,9 @@
 choose alike."""
 
 QUEUE_FRACTION = 0.5
-"""Requests that may queue at a server, as a fraction of its slots, before it counts as full."""
+BOUND_QUEUE_FRACTION = 1.0
+"""Requests that may queue at a server, as a fraction of its slots, before it counts as full: for
+any request, and for the rest of a stream, which only some servers can write."""
 
 
 @frozen
@@ -123,7 +125,8 @@
     if not untried:
         return NoServer("all_tried", holders=len(holders), capable=len(capable))
     confirmed = [record for record in untried if record.missing_since is None] or untried
-    free = [record for record in confirmed if not is_full(record, instances, now)]
+    queue_fraction = QUEUE_FRACTION if version is None else BOUND_QUEUE_FRACTION
+    free = [record for record in confirmed if not is_full(record, instances, now, queue_fraction)]
     if not free:
         return NoServer("full", holders=len(holders), capable=len(capable))
     sampled = _sample_candidates(free, data_centre, rng)
@@ -149,7 +152,9 @@
     ]
 
 
-def is_full(record: ServerRecord, instances: int, now: float) -> bool:
+def is_full(
+    record: ServerRecord, instances: int, now: float, queue_fraction: float = QUEUE_FRACTION
+) -> bool:
     """Return whether a server would refuse another request or queue it for long.
 
     `instances` share its slots.
@@ -158,7 +163,7 @@
         return True
     if record.rejections_borne is not None:
         return not has_room(record, instances, now)
-    return record.estimate_load(now) >= record.entry.slots * (1.0 + QUEUE_FRACTION)
+    return record.estimate_load(now) >= record.entry.slots * (1.0 + queue_fraction)
 
 
 def compute_cost(record: ServerRecord, data_centre: str, now: float, rng: random.Random) -> float:
--- a/test/test_edge_choice.py
+++ b/test/test_edge_choice.py
@@ -73,6 +73,16 @@
     assert full == NoServer("full", holders=1, capable=1)
 
 
+def test_rest_of_a_stream_may_queue_at_a_server_that_is_full_for_new_ones():
+    fleet = make_fleet(make_entry("old", version="v2"))
+    for load, reasons in ((11, (None, None)), (12, ("full", None)), (16, ("full", "full"))):
+        fleet.get("old").record_load_sample(load, 0, NOW)
+        for version, reason in zip((None, "v2"), reasons, strict=True):
+            rng = random.Random(1)
+            chosen = choose_server(fleet, "svc", ("", ""), frozenset(), "a", NOW, rng, version)
+            assert getattr(chosen, "reason", None) == reason
+
+
 def test_rest_of_a_stream_may_come_from_a_leaving_server_while_no_other_has_its_version():
     def choose(version: str | None, needs: tuple[str, str] = ("", "")) -> Choice | NoServer:
         rng = random.Random(1)
