Break a stream off at an event whose offset is no number

What callers saw: nothing yet; an engine's event with an odd offset raised in the request, or NaN was passed on as the next token.

Cause: the offset was compared as JSON held it, and one of 5,000 digits or an event nested 100,000 deep raised errors that were not expected there.

--- a/rhubarbshed/transport/events.py
+++ b/rhubarbshed/transport/events.py
@@ -7,13 +7,14 @@
 from attrs import define, frozen
 from urllib3.exceptions import HTTPError
 
+from rhubarbshed.protocol.message_checks import is_number
 from rhubarbshed.protocol.requests import AttemptEnd, AttemptResult, Dispatch
 
 READ_BYTES = 65536
 EVENT_END = b"\n\n"
 EVENT_PREFIX = b"data: "
 EVENT_DONE = b"data: [DONE]"
-EVENT_HEAD = re.compile(rb'data: \{"id": ?"([0-9A-Za-z-]+)", ?"offset": ?([0-9]+)[,}]')
+EVENT_HEAD = re.compile(rb'data: \{"id": ?"([0-9A-Za-z-]+)", ?"offset": ?([0-9]{1,15})[,}]')
 EVENT_CANCELLED = re.compile(rb'"finish_reason": ?"cancelled"')
 ERRORS = (HTTPError, http.client.HTTPException, OSError)
 
@@ -111,6 +112,7 @@
         return None
     try:
         plain = json.loads(event[len(EVENT_PREFIX) :])
-        return plain["offset"] if plain["id"] == request_id else None
-    except (ValueError, KeyError, TypeError):
+        is_own = plain["id"] == request_id and is_number(plain["offset"])
+        return plain["offset"] if is_own else None
+    except (RecursionError, ValueError, KeyError, TypeError):
         return None
--- a/test/test_odd_answers.py
+++ b/test/test_odd_answers.py
@@ -8,8 +8,10 @@
 from rhubarbshed.protocol.events import Stamp
 from rhubarbshed.protocol.members import BackendServerInfo
 from rhubarbshed.protocol.peers import Envelope, pack_envelope, unpack_envelope
+from rhubarbshed.protocol.requests import AttemptEnd, Dispatch
 from rhubarbshed.state.membership.digests import LoadOutbox
 from rhubarbshed.transport.engines import fetch_service_report, make_engine_client
+from rhubarbshed.transport.events import EVENT_END, Attempt, EventBuffer
 from rhubarbshed.transport.http import Answer, ExchangeError
 from rhubarbshed.transport.table import make_table_client
 from test.helper_odd_values import ODD_JSON, PLACE, fill
@@ -73,3 +75,12 @@
             digest = LoadOutbox().make_digest(((read.unwrap(), 1.0),), 2.0)
             data = pack_envelope(Envelope(digest, Stamp(1, 2, "i1")))
             assert isinstance(unpack_envelope(data, "i1"), Success)
+
+
+@pytest.mark.parametrize("raw", ODD_JSON.values(), ids=ODD_JSON)
+def test_odd_offset_of_an_event_breaks_the_stream_off(raw):
+    """It raised in the request, or passed as the next token."""
+    for plain in ({"id": "r1", "offset": PLACE}, {"offset": PLACE, "id": "r1"}):
+        attempt = Attempt(Dispatch("r1", 1, "b1", "127.0.0.1", 1, 1.0, 1.0), 0)
+        piece, end = EventBuffer().feed(b"data: " + fill(plain, raw) + EVENT_END, attempt)
+        assert (piece.tokens, end) == (0, AttemptEnd.BROKEN)
