--- a/rhubarbshed/transport/peers.py
+++ b/rhubarbshed/transport/peers.py
@@ -24,6 +24,7 @@
     make_leaving_notices,
 )
 from rhubarbshed.protocol.members import InstanceInfo
+from rhubarbshed.protocol.message_checks import describe
 from rhubarbshed.protocol.peers import (
     Envelope,
     Frame,
@@ -316,6 +317,10 @@
                 )
         except (OSError, TimeoutError):
             return
+        except (OverflowError, ValueError) as error:
+            # Another writer's entry or hello names a host or a port that is none.
+            log_event(LOG, logging.WARNING, "peer_refused", peer=name, reason=describe(error))
+            return
         finally:
             self.dialing.discard(name)
         await self._serve(reader, writer, dials=True)
