Quote values in the log that hold unprintable characters

What operators saw: an id or a name of another writer could put control characters into the log as they were, and one with a lone surrogate was written as "?".

Cause: only spaces, quotes and the first 32 control characters were quoted. DEL, the second set of controls, marks of direction and surrogates are now as well.

--- a/rhubarbshed/util/logs.py
+++ b/rhubarbshed/util/logs.py
@@ -16,9 +16,13 @@
 
 
 def quote_value(value: object) -> str:
-    """Return a value as text, as a JSON string if it has spaces, quotes or control characters."""
+    """Return a value as text, as a JSON string if it has spaces, quotes or unprintable characters.
+
+    Ids and names come from callers and other writers.
+    """
     text = f"{value:g}" if isinstance(value, float) else str(value)
-    return text if PLAIN_VALUE.fullmatch(text) else json.dumps(text)
+    is_plain = text.isprintable() and PLAIN_VALUE.fullmatch(text)
+    return text if is_plain else json.dumps(text).replace("\x7f", "\\u007f")
 
 
 def parse_pairs(line: str) -> tuple[tuple[str, str], ...]:
--- a/test/test_ui_logs.py
+++ b/test/test_ui_logs.py
@@ -4,6 +4,7 @@
 
 from rhubarbshed.protocol.errors import UserError
 from rhubarbshed.ui.logs import explain, list_around, read_lines, show_timeline
+from rhubarbshed.util.logs import format_pairs, parse_pairs
 
 HEAD = "at=2026-03-01T10:00:{second} level=info logger=x event="
 
@@ -71,3 +72,13 @@
     assert "lease_taken" in text and "request_ended" not in text
     lines = read_lines([path])
     assert [each.get("event") for each in list_around(lines, lines[2:])] == ["lease_taken"]
+
+
+@pytest.mark.parametrize(
+    "text", ["a\x7fb", "\x9b31m", "\ud800", "a\u2028b", "\u202eb", "a\r\n\x00", "e\u00e9", ""]
+)
+def test_value_of_another_writer_changes_no_other_line(text):
+    """Control characters of a caller's id went raw into the log, and a surrogate was lost there."""
+    written = format_pairs([("event", "x"), ("key", text), ("last", 1)])
+    assert written.isprintable() and written.encode()
+    assert parse_pairs(written) == (("event", "x"), ("key", text), ("last", "1"))
