Take no load from a header that other instances would refuse in a message

One server that names a load of 999,999,999 made all of the messages unreadable that carry it, with the loads and the demand of sound ones, since received loads are bounded. The header is unreadable above the same bound.

--- a/rhubarbshed/platform/headers.py
+++ b/rhubarbshed/platform/headers.py
@@ -5,6 +5,7 @@
 
 from rhubarbshed.protocol.exchanges import CallerRequest, Headers, ResponseHead
 from rhubarbshed.protocol.forwarding import ATTEMPTS_LEFT, DECLINED
+from rhubarbshed.protocol.holder_checks import LOAD_MAX
 
 REQUEST_ID = b"rhubarbshed-request-id"
 DEADLINE = b"rhubarbshed-deadline-remaining"
@@ -192,4 +193,4 @@
     if len(numbers) != 3 or None in numbers:
         return None
     running, waiting, slots = (int(number) for number in numbers if number is not None)
-    return running, waiting, slots
+    return (running, waiting, slots) if running + waiting <= LOAD_MAX else None
--- a/test/test_odd_messages.py
+++ b/test/test_odd_messages.py
@@ -6,13 +6,21 @@
 
 import msgpack
 import pytest
+from returns.result import Success
 
 from rhubarbshed.coordination.requests.trial_records import TrialRecord, plan_trial
 from rhubarbshed.coordination.requests.verdicts import TRIAL_PAUSES_S
 from rhubarbshed.coordination.serving.choice import Choice, choose_server
+from rhubarbshed.platform.headers import SERVER_LOAD, read_head
 from rhubarbshed.platform.rows import OWN_TABLE, QUARANTINE_TABLE
 from rhubarbshed.protocol.crash_messages import CrashMessage
-from rhubarbshed.protocol.messages import FORMAT, KINDS, DemandMessage, pack_message
+from rhubarbshed.protocol.messages import (
+    FORMAT,
+    KINDS,
+    DemandMessage,
+    pack_message,
+    unpack_message,
+)
 from rhubarbshed.transport.edge import follower
 from rhubarbshed.transport.edge.datagrams import Datagrams
 from rhubarbshed.transport.edge.holder_protocol import KnownHolder
@@ -150,6 +158,15 @@
     play_odd(scene)
 
 
+@pytest.mark.parametrize("load", [b"999999999,0,8", b"600000,600000,8", b"1000000,0,1", b"3,0,8"])
+def test_load_that_others_would_refuse_is_not_sent(load):
+    """One server's header made all of the message unreadable."""
+    head = read_head(200, ((SERVER_LOAD, load),))
+    loads = (("b1", sum(head.load[:2])),) if head.load is not None else ()
+    message = DemandMessage("i1", "a", loads=loads)
+    assert unpack_message(pack_message(message)) == Success(message)
+
+
 @pytest.mark.parametrize("name", ["whole", *LEASE])
 def test_odd_value_in_a_lease_row_cuts_off_no_instance(name):
     template = PLACE if name == "whole" else {**LEASE, name: PLACE}
