Keep a gap that comes while an earlier one is closed

By reading: an instance at its first start asked the store for leases and then recorded that it had followed since ever, also if an entry had been missed meanwhile, or the configuration had changed.

The gap has to be the one that was being closed, and the routes keep their changes. test_version_store.py, "another one is closed", failed before at a first start; the case with a record passed.

--- a/rhubarbshed/transport/edge/version_store.py
+++ b/rhubarbshed/transport/edge/version_store.py
@@ -113,16 +113,15 @@
         Instances that are killed may start again with the settings of the first start. Return
         False if the store shows nothing.
         """
-        versions = self.follower.view.versions
+        versions, gap_at = self.follower.view.versions, self.follower.view.versions.followed_since
         if self.has_started or page.scan.rows or not self.follower.view.settings.first_start:
             return True
         leases = await self.store.read_all(OWN_TABLE)
         if isinstance(leases, Failure):
             log_event(LOG, logging.INFO, "versions_unread", reason=leases.failure().detail)
             return False
-        if not leases.unwrap().scan.rows:
-            versions.restart(-math.inf)
-            versions.routes.restart(-math.inf)
+        if not leases.unwrap().scan.rows and versions.followed_since == gap_at:
+            versions.followed_since = versions.routes.followed_since = -math.inf
             self.tried_at = versions.followed_since
         return True
 
--- a/test/test_version_store.py
+++ b/test/test_version_store.py
@@ -211,6 +211,36 @@
     play(scene)
 
 
+@pytest.mark.parametrize("kept", [False, True])
+def test_gap_that_comes_while_another_one_is_closed_stays(monkeypatch, kept: bool):
+    async def scene():
+        store = RowStore()
+        await store.start()
+        store.put("op", "config", make_configuration(STREAM))
+        put_server(store, "b1")
+        if kept:
+            async with start(store) as before:
+                before.follower.view.versions.followed_since -= MINUTE_S
+                before.follower.view.versions.routes.followed_since -= MINUTE_S
+                await before.version_store._write()
+        async with start(store, goes_on=False, first_start=True) as started:
+            read_all = StoreClient.read_all
+
+            async def read_beside_a_gap(*arguments: object):
+                started.follower.view.versions.restart(time.monotonic())
+                return await read_all(*arguments)
+
+            monkeypatch.setattr(StoreClient, "read_all", read_beside_a_gap)
+            await started.version_store._go_on()
+            assert started.find() is None
+            monkeypatch.setattr(StoreClient, "read_all", read_all)
+            await started.version_store._go_on()
+            assert started.find() == V1
+        await store.stop()
+
+    play(scene)
+
+
 def test_versions_of_a_start_are_kept_for_the_next_one_also_if_it_follows_at_once():
     async def scene():
         store = RowStore()
