Kill all instances in the soak before and in a release

The soak killed all instances at random only, always with two versions in service, and a caller spent its two tries within some milliseconds at relays without an instance behind them, so no stream was taken up after such a kill.

--- a/test/soak/callers.py
+++ b/test/soak/callers.py
@@ -119,11 +119,14 @@
         """Send one request, and take a broken stream up; return whether `link` stays usable."""
         asked = await self.send_request(link, how, path)
         until = asked.sent_at + STREAM_TIMEOUT_S - RESUME_TIME_MIN_S
-        for _ in range(RESUMES_MAX):
+        answered = 0
+        while answered < RESUMES_MAX:
             broken = asked.last_event and not (asked.status == 200 and asked.whole)
             if not broken or self.gave_up or time.monotonic() > until:
                 break
             asked = await self.take_up(asked, until)
+            # A relay without an instance behind it accepts and resets.
+            answered += asked.status != 0
         return link.is_kept
 
     async def take_up(self, earlier: Asked, until: float) -> Asked:
@@ -137,7 +140,7 @@
             asked = await self.send_request(link, Sent.NEW, earlier.path, earlier, timeout_s)
         finally:
             link.writer.transport.abort()
-        if asked.status not in (0, 200):
+        if asked.status != 200:
             await asyncio.sleep(self.rng.uniform(*REQUEST_INTERVAL_S))
         return asked
 
--- a/test/soak/faults.py
+++ b/test/soak/faults.py
@@ -63,11 +63,12 @@
     async def play(self, seconds: float) -> None:
         """Start overlapping faults one after another, with fault-free times for planned changes.
 
-        A stop, odd entries, a release, one in which all instances are killed, a request and a part
-        of prompts that end servers come first, so that each run has them.
+        A stop, odd entries, releases, kills of all instances before and in them, a request and a
+        part of prompts that end servers come first, so that each run has them.
         """
         await self.change_as_planned(self.rng.choice(STOPS))
         await write_odd_entries(self)
+        await kill_all_instances(self)
         await self.change_as_planned(release_version)
         await kill_all_in_release(self)
         await self.change_as_planned(send_deadly)
