Let requests use the connections of calls to backend servers again

Cause: the connections of orders and reports were closed behind their answers, which requests used before. That was more than safety needs: an earlier answer to such a call bears no id, and no answer without an id is taken on a connection that has carried others; the request goes to another connection.

--- a/rhubarbshed/transport/connections.py
+++ b/rhubarbshed/transport/connections.py
@@ -10,7 +10,7 @@
 CONNECT_TIMEOUT_S = 1.0
 IDLE_PER_SERVER_MAX = 32
 # Requests after which a connection is not used again, as it keeps their ids.
-REQUESTS_MAX = 512
+REQUESTS_MAX = 128
 
 
 @frozen
--- a/rhubarbshed/transport/edge/channels.py
+++ b/rhubarbshed/transport/edge/channels.py
@@ -16,7 +16,7 @@
 HEAD_BYTES_MAX = 65_536
 """Longest head of a response; servers send well below a kilobyte."""
 
-REQUESTS_MAX = 512
+REQUESTS_MAX = 128
 """Requests after which a connection is not used again, as it keeps their ids."""
 
 KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout=(\d+)")
--- a/rhubarbshed/transport/edge/control.py
+++ b/rhubarbshed/transport/edge/control.py
@@ -27,28 +27,27 @@
 async def call_server(
     pool: Pool, address: Address, sent: ControlCall, timeout_s: float
 ) -> Result[ControlAnswer, TableError]:
-    """Make a call to a backend server, on a connection of its own.
+    """Make a call to a backend server, on a new connection, which requests may use afterwards.
 
     Responses to such calls bear no id. On a kept connection an extra one, to an earlier call or
     request, could not be told from the one expected.
     """
-    return await call(pool, address, sent, timeout_s, is_kept=False)
+    return await call(pool, address, sent, timeout_s, fresh=True)
 
 
 async def call(
-    pool: Pool, address: Address, sent: ControlCall, timeout_s: float, is_kept: bool = True
+    pool: Pool, address: Address, sent: ControlCall, timeout_s: float, fresh: bool = False
 ) -> Result[ControlAnswer, TableError]:
     """Make a call; `UNAVAILABLE` never left this instance, `UNKNOWN` may take effect later."""
     now = time.monotonic()
     try:
-        fresh = not is_kept or sent.method != b"GET"
-        channel = await pool.acquire(address, now, fresh)
+        channel = await pool.acquire(address, now, fresh or sent.method != b"GET")
     except ChannelError as error:
         return Failure(TableError(TableFault.UNAVAILABLE, detail=str(error)))
     try:
         async with asyncio.timeout(timeout_s):
             answer = await _exchange(address, channel, sent)
-            if is_kept and channel.is_usable(time.monotonic()):
+            if channel.is_usable(time.monotonic()):
                 pool.release(address, channel)
             return Success(answer)
     except TimeoutError:
@@ -56,7 +55,7 @@
     except ChannelError as error:
         return Failure(TableError(TableFault.UNKNOWN, detail=str(error)))
     finally:
-        if not is_kept or not channel.is_usable(time.monotonic()):
+        if not channel.is_usable(time.monotonic()):
             channel.abort()
 
 
