Look for a record of versions again while streams may be older than the start

What callers would see: at the first start of the whole system, an instance that reads the store after others have taken their leases does not count as started first, and refuses each stream that nobody remembers for a minute; so does one whose first look found no record that bridges its gap. Slow machines start seconds after fast ones. Fix: while the gap is younger than a stream may be, they are read again as often as they are written. Evidence: test_instance_that_starts_late_goes_on_once_there_is_a_record failed before and passes now.

--- a/rhubarbshed/transport/edge/version_store.py
+++ b/rhubarbshed/transport/edge/version_store.py
@@ -22,6 +22,7 @@
 from rhubarbshed.platform.rows import OWN_TABLE, SERVERS_TABLE, VERSIONS_TABLE, Page
 from rhubarbshed.protocol.servers import ServerEntry
 from rhubarbshed.protocol.tables import Check, Row, TableFault, Transaction, Write
+from rhubarbshed.state.requests.stream_origins import STREAM_AGE_MAX_S
 from rhubarbshed.transport.edge.follower import Follower
 from rhubarbshed.transport.edge.store import StoreClient
 from rhubarbshed.util.logs import log_event
@@ -55,22 +56,33 @@
     tried_at: float | None = None
     has_started: bool = False
     written_at: float = -1e9
+    _try_again_at: float = -1e9
     _row: tuple[int, ClockReading] | None = None
 
     async def maintain(self) -> None:
         """Go on from a record after each gap, and write records as the order holder, forever."""
         while True:
             await self.follower.read_anew.wait(CHECK_INTERVAL_S)
-            gap_at = self.follower.view.versions.followed_since
             is_known = bool(self.follower.configuration_revision)
-            if is_known and gap_at not in (None, self.tried_at):
-                self.tried_at = gap_at
+            if is_known and self._has_gap(time.monotonic()):
+                self.tried_at = self.follower.view.versions.followed_since
+                self._try_again_at = time.monotonic() + WRITE_INTERVAL_S
                 await self._close_gap()
                 self.has_started = True
             is_due = time.monotonic() - self.written_at >= WRITE_INTERVAL_S
             if is_known and is_due and self.is_holder():
                 await self._write()
 
+    def _has_gap(self, now: float) -> bool:
+        """Return whether to look for a record: for a new gap, and then as often as one is written.
+
+        An instance that starts later than others finds no record of theirs yet.
+        """
+        gap_at = self.follower.view.versions.followed_since
+        if gap_at is None or gap_at != self.tried_at:
+            return gap_at is not None
+        return now - gap_at < STREAM_AGE_MAX_S and now >= self._try_again_at
+
     async def _close_gap(self) -> None:
         for _ in range(ATTEMPTS_MAX):
             if await self._go_on():
--- a/test/test_version_store.py
+++ b/test/test_version_store.py
@@ -211,6 +211,31 @@
     play(scene)
 
 
+def test_instance_that_starts_late_goes_on_once_there_is_a_record(monkeypatch):
+    """Others had taken a lease, so it was not the first start, and it waited for a minute."""
+    for name in ("WRITE_INTERVAL_S", "CHECK_INTERVAL_S"):
+        monkeypatch.setattr(f"rhubarbshed.transport.edge.version_store.{name}", 0.1)
+
+    async def scene():
+        store = RowStore()
+        await store.start()
+        store.put("op", "config", make_configuration(STREAM))
+        put_server(store, "b1")
+        async with start(store, first_start=True) as early:
+            store.put("rhubarbshed", "orders/a", b"{}")
+            async with start(store, goes_on=False, first_start=True) as late:
+                late.version_store.is_holder = lambda: False
+                task = asyncio.create_task(late.version_store.maintain())
+                await asyncio.sleep(0.3)
+                assert (early.find(), late.find()) == (V1, None)
+                await early.version_store._write()
+                await late.read(lambda: late.find() == V1)
+                task.cancel()
+        await store.stop()
+
+    play(scene)
+
+
 @pytest.mark.parametrize("kept", [False, True])
 def test_gap_that_comes_while_another_one_is_closed_stays(monkeypatch, kept: bool):
     async def scene():
