Follow changed names and arguments in two tests

Joined changes: the calls to engines are call_server, and the start of an exchange takes the id of its request. The tests replaced both by functions of their own; what they check is as it was.

--- a/test/test_edge_disconnects.py
+++ b/test/test_edge_disconnects.py
@@ -215,9 +215,9 @@
     left_at: dict[str, float] = {}
     start = Channel.start
 
-    def record_start(channel, method, target, headers, body):
+    def record_start(channel, method, target, headers, body, *request_id):
         sent_at[dict(headers).get(b"rhubarbshed-request-id", b"").decode()] = time.monotonic()
-        start(channel, method, target, headers, body)
+        start(channel, method, target, headers, body, *request_id)
 
     async def reply(exchange: Exchange) -> None:
         await asyncio.sleep(rng.uniform(0.0, 0.1))
--- a/test/test_odd_entries.py
+++ b/test/test_odd_entries.py
@@ -113,7 +113,7 @@
         await asyncio.sleep(0)
         return answers[0]
 
-    monkeypatch.setattr(order_dispatcher, "call", call)
+    monkeypatch.setattr(order_dispatcher, "call_server", call)
     return answers
 
 
