--- a/test/test_daemon.py
+++ b/test/test_daemon.py
@@ -22,7 +22,7 @@
     wait_for_open,
 )
 from tools.fleet import ENVIRONMENT, ask
-from tools.processes import start_instance, wait_until
+from tools.processes import find_free_ports, start_instance, wait_until
 
 GOOD = {"model": "m1", "messages": [{"role": "user", "content": "hello"}], "max_tokens": 2}
 SMALL_BODY = "[callers]\nbody_bytes_max = 4096\nheader_bytes_max = 2048\n"
@@ -234,10 +234,7 @@
 @pytest.mark.parametrize("place", [0, 1, 2])
 def test_a_port_in_use_is_one_line(fleet, place):
     with socket.create_server(("127.0.0.1", 0)) as taken:
-        ports = [socket.create_server(("127.0.0.1", 0)) for _ in range(2)]
-        numbers = [each.getsockname()[1] for each in ports]
-        for each in ports:
-            each.close()
+        numbers = find_free_ports(2)
         numbers.insert(place, taken.getsockname()[1])
         text = fleet._make_settings("z", "dc-1", tuple(numbers)) + fleet.settings
         process = start_instance(text, "", ready_path="", environment=ENVIRONMENT)
