--- a/rhubarbshed/transport/edge/node.py
+++ b/rhubarbshed/transport/edge/node.py
@@ -405,9 +405,9 @@
             task.cancel()
         self.cut_off(time.monotonic())
         for _ in range(CLOSE_CHECKS):
-            await asyncio.sleep(CLOSE_DELAY_S / CLOSE_CHECKS)
+            await asyncio.sleep(CLOSE_DELAY_S / (CLOSE_CHECKS + 1))
             self.refuse_unanswered(time.monotonic())
-        await asyncio.sleep(CLOSE_DELAY_S / CLOSE_CHECKS)
+        await asyncio.sleep(CLOSE_DELAY_S / (CLOSE_CHECKS + 1))
         for connection in list(self.connections):
             connection.end_now()
         self.holder_protocol.datagrams.close()
