Read a page again that says there is more and has no row to go on from

With all of its rows left out, the read ended there, and a whole read would have marked servers as missing.

--- a/rhubarbshed/platform/rows.py
+++ b/rhubarbshed/platform/rows.py
@@ -86,7 +86,9 @@
     try:
         plain = json.loads(body)
         rows, unreadable = _read_rows(plain["Rows"])
-        more = _find_key_after(rows[-1].key) if plain.get("HasMore") and rows else None
+        if plain.get("HasMore") and not rows:
+            raise ValueError("no row to go on from")
+        more = _find_key_after(rows[-1].key) if plain.get("HasMore") else None
         scan = Scan(rows, require_count(plain["Ver"]))
         return Success(Page(scan, more, require_number(plain.get("NowMs", 0)), unreadable))
     except DECODE_ERRORS as error:
