Read the stored verdicts at each start

What callers saw: nothing here yet. In a test, all instances were killed twice and started again with settings that still named the first start; a request that ends servers, and was stopped before, took down 10 servers in place of 2.

Cause: the same as for streams: with `first_start` the verdicts counted as read, as nothing could be stored. Fix: they are read at each start, one call more at the first.

Evidence: test_edge_crash_trials.py, "stays stopped when all instances are killed", with the flag: failed before (10 ended, 2 asked for).

--- a/rhubarbshed/transport/edge/node.py
+++ b/rhubarbshed/transport/edge/node.py
@@ -150,8 +150,6 @@
         crashes = CrashRegistry(holder_protocol.datagrams.send, checks, view.rng)
         crashes.verdict_store = VerdictStore(store, lambda: follower.lost_at is None)
         crashes.measure_silence = holder_protocol.measure_silence
-        # Nothing is stored before the whole system starts for the first time.
-        crashes.is_store_read = settings.first_start
         streams = StreamRegistry(
             settings.data_centre,
             holder_protocol.datagrams.send,
--- a/test/helper_instances.py
+++ b/test/helper_instances.py
@@ -65,13 +65,13 @@
             listener.close()
         await asyncio.gather(task, *node.tasks, return_exceptions=True)
 
-    async def restart(self, *names: str) -> None:
-        """Kill instances and start them again."""
+    async def restart(self, *names: str, **changes: object) -> None:
+        """Kill instances and start them again, with changed settings."""
         for name in names:
             await self.kill(name)
         await asyncio.sleep(0.05)
         for name in names:
-            self.start(name, self.nodes[name].settings.data_centre)
+            self.start(name, self.nodes[name].settings.data_centre, **changes)
 
     def find_holder(self, data_centre: str) -> str:
         """Return the name of a data centre's order holder."""
--- a/test/test_edge_crash_trials.py
+++ b/test/test_edge_crash_trials.py
@@ -118,13 +118,16 @@
     play(run)
 
 
-def test_request_stays_stopped_when_all_instances_are_killed():
+@pytest.mark.parametrize("first_start", [False, True])
+def test_request_stays_stopped_when_all_instances_are_killed(first_start: bool):
+    """The settings may say for long that this is the first start."""
+
     async def run():
         async with run_crash_scene(8) as scene:
             await ask_in_turn(scene, 5)
             ended = len(scene.crashed)
             for _ in range(2):
-                await scene.instances.restart(*NAMES)
+                await scene.instances.restart(*NAMES, first_start=first_start)
                 await asyncio.sleep(0.5)
                 await scene.wait_ready(*NAMES)
                 await ask_in_turn(scene, 5)
