--- a/test/test_odd_headers.py
+++ b/test/test_odd_headers.py
@@ -1,9 +1,11 @@
 """Odd rows and odd headers at real instances: all go on, and other requests are answered."""
 
 import asyncio
+import time
 
 import pytest
 
+from rhubarbshed.platform.rows import OWN_TABLE
 from standin.replica import Exchange, Replica
 from test.helper_edge import (
     HOST,
@@ -100,6 +102,34 @@
     play(scene)
 
 
+@pytest.mark.parametrize(
+    "value", [{"port": 70_000}, {"host": "\ud800"}, {"holder": {}, "port": "x"}]
+)
+def test_instances_agree_again_after_a_lease_row_of_another_writer(value):
+    """The instance that read it sent to no address any more and followed no change."""
+    row = {"holder": "x", "host": "127.0.0.1", "port": 9, "nonce": "x", **value}
+
+    async def scene():
+        async with run_instances(a1="a", a2="a") as instances:
+            instances.store.put(OWN_TABLE, "orders/a", row)
+            states = [each.lease.lease_state for each in instances.nodes.values()]
+            await instances.wait_until(lambda: not any(each.held for each in states))
+            await instances.wait_until(lambda: any(each.held for each in states))
+            holder = instances[instances.find_holder("a")]
+            before = time.monotonic()
+            await instances.wait_until(
+                lambda: any(at > before for at in holder.holder_protocol.instances.values())
+            )
+            await instances.wait_until(
+                lambda: all(
+                    each is holder or each.follower.message_received_at > before
+                    for each in instances.nodes.values()
+                )
+            )
+
+    play(scene)
+
+
 async def send(edge, path: str, **headers: bytes):
     """Send a request with headers given as bytes; return its answer."""
     reader, writer = await asyncio.open_connection(*edge.node.settings.callers)
