Probe only servers of configured services

What callers saw: nothing yet; after a cut of its links had healed, an instance went on sending requests by way of others, for as long as the entries stayed.

Cause: entries of another writer can be well-formed and name a service that nobody configured. No request goes there, but they were probed like servers, and a cut ends only once half of the probed ones are reached.

Servers of services that the configuration names, or one of its routes, are probed; others only if there are none of these.

--- a/rhubarbshed/coordination/serving/reachability.py
+++ b/rhubarbshed/coordination/serving/reachability.py
@@ -6,6 +6,7 @@
 """
 
 import random
+from collections.abc import Collection
 
 from attrs import define, frozen
 
@@ -87,12 +88,16 @@
         return min(PROBE_INTERVAL_MAX_S, PROBE_INTERVAL_S * 2 ** max(0, self.vain - 1))
 
 
-def choose_probed(fleet: Fleet, rng: random.Random) -> list[ServerRecord]:
+def choose_probed(
+    fleet: Fleet, services: Collection[str], rng: random.Random
+) -> list[ServerRecord]:
     """Choose the servers of the next round of probes, at random among those that stay.
 
-    All but the first `PROBED_SERVERS` are for a round that `is_ambiguous`.
+    Requests go to these `services` only; other entries may be of another writer. All but the first
+    `PROBED_SERVERS` are for a round that `is_ambiguous`.
     """
-    records = list(fleet.servers.values())
+    known = list(fleet.servers.values())
+    records = [each for each in known if each.entry.service in services] or known
     staying = [each for each in records if each.leaving_at is None and each.missing_since is None]
     candidates = staying or records
     return rng.sample(candidates, min(PROBED_SERVERS_MAX, len(candidates)))
--- a/rhubarbshed/protocol/routes.py
+++ b/rhubarbshed/protocol/routes.py
@@ -122,6 +122,12 @@
     services: dict[str, ServiceSpec] = field(factory=dict)
     limits: CallerLimits = field(factory=CallerLimits)
 
+    @functools.cached_property
+    def service_names(self) -> frozenset[str]:
+        """Names of all services, also of those that only routes name."""
+        routes = (route for found in self.routes.values() for route in found)
+        return frozenset(self.services) | {name for route in routes for name, _ in route.shares}
+
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the host's route with the longest matching prefix, or None."""
         for route in self.routes.get(host, ()):
--- a/rhubarbshed/transport/edge/link_monitor.py
+++ b/rhubarbshed/transport/edge/link_monitor.py
@@ -108,7 +108,9 @@
 
     async def _probe_round(self) -> ProbeResult:
         """Probe some servers, and more of them if these may just have ended."""
-        records = choose_probed(self.view.fleet, self.view.rng)
+        configuration = self.view.configuration
+        services = configuration.service_names if configuration is not None else frozenset()
+        records = choose_probed(self.view.fleet, services, self.view.rng)
         result = await self._probe(records[:PROBED_SERVERS])
         if self.is_cut or not is_ambiguous(result):
             return result
--- a/test/test_link_monitor.py
+++ b/test/test_link_monitor.py
@@ -8,7 +8,12 @@
 import pytest
 from attrs import define, field
 
-from rhubarbshed.coordination.serving.reachability import PROBED_SERVERS, PROBED_SERVERS_MAX
+from rhubarbshed.coordination.serving.reachability import (
+    PROBE_INTERVAL_S,
+    PROBED_SERVERS,
+    PROBED_SERVERS_MAX,
+)
+from rhubarbshed.protocol.routes import Configuration, ServiceSpec
 from rhubarbshed.protocol.servers import ServerEntry, ServerState
 from rhubarbshed.state.membership.fleet import Fleet, ServerRecord
 from rhubarbshed.transport.edge.channels import ChannelError, NotListeningError
@@ -37,14 +42,22 @@
         """Keep a connection."""
 
 
-def make_monitor(links: Links, seed: int = 1) -> LinkMonitor:
+def make_monitor(links: Links, seed: int = 1, named: int = PROBED_SERVERS_MAX) -> LinkMonitor:
+    """Return a monitor of servers, so many of them of the service that is configured."""
     fleet = Fleet()
     for port in range(PROBED_SERVERS_MAX):
-        entry = ServerEntry(f"b{port}", "svc", "h", port, "a", ServerState.READY, 4, "v1")
+        service = "svc" if port < named else "odd"
+        entry = ServerEntry(f"b{port}", service, "h", port, "a", ServerState.READY, 4, "v1")
         fleet.servers[entry.server_id] = ServerRecord(entry, 0.0)
     changed = SimpleNamespace(fire=lambda: None)
     return LinkMonitor(
-        SimpleNamespace(fleet=fleet, rng=random.Random(seed), changed=changed), links
+        SimpleNamespace(
+            fleet=fleet,
+            rng=random.Random(seed),
+            changed=changed,
+            configuration=Configuration(1, services={"svc": ServiceSpec("svc")}),
+        ),
+        links,
     )
 
 
@@ -85,3 +98,22 @@
     links = Links(ChannelError)
     assert asyncio.run(settle(make_monitor(links)))
     assert links.opened.total() == PROBED_SERVERS
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_cut_ends_though_entries_of_a_service_that_is_not_configured_are_out_of_reach(seed):
+    """Another writer left them; with half of all probed servers out of reach it went on."""
+
+    async def scene():
+        links = Links(ChannelError)
+        monitor = make_monitor(links, seed, named=3)
+        monitor.ask_others = confirm_reached
+        monitor.suspect()
+        task = asyncio.create_task(monitor.maintain())
+        assert await monitor.settle()
+        links.alive = frozenset(range(3))
+        await asyncio.sleep(2.5 * PROBE_INTERVAL_S)
+        assert not monitor.is_cut
+        task.cancel()
+
+    asyncio.run(scene())
