Let servers of the soak write refusals once more

Plain servers and engines refuse one request in twenty, and write the refusal once more before the next answer on its connection; three in ten without an id.

--- a/standin/run.py
+++ b/standin/run.py
@@ -16,6 +16,7 @@
 import typer
 from attrs import define, field
 
+from standin.repeats import drop_id, record_answer
 from standin.replica import Exchange, Replica
 from standin.rows import RowStore
 
@@ -39,6 +40,10 @@
 """Fractions of requests that fail, lose their answer or get a truncated one, of orders that are
 executed late without an answer, and of streams that are interrupted."""
 
+REFUSED_FRACTION, UNNAMED_FRACTION = 0.05, 0.3
+"""Fraction of requests that are refused, with a refusal that comes once more on its connection, and
+of such refusals without an id."""
+
 DEADLY_BODY = b"deadly"
 DEADLY_PART = "fatal"
 """Beginning of the body of a request that ends the process that runs it, and of the id of a part of
@@ -81,6 +86,7 @@
     faulty: bool
     run_count: int = 0
     limit_per_s: float = 0.0
+    refusals: dict[asyncio.StreamWriter, bytes] = field(factory=dict)
     tasks: set[asyncio.Task] = field(factory=set)
 
     def on_overfull(self) -> None:
@@ -120,6 +126,10 @@
         if model and (model not in held or (adapter and adapter not in held[model])):
             exchange.refuse(421)
             return
+        exchange.write(self.refusals.pop(exchange.writer, b""))
+        if self.faulty and self.rng.random() < REFUSED_FRACTION:
+            self.refuse(exchange)
+            return
         after = int(exchange.headers.get("last-event-id", 0))
         name, path = exchange.request_id, exchange.target
         self.recorder.write("run", id=name, path=path, after=after)
@@ -135,6 +145,14 @@
             closed = exchange.writer.transport.is_closing()
             self.recorder.write("end", id=name, path=path, cut=closed)
 
+    def refuse(self, exchange: Exchange) -> None:
+        """Refuse a request; the refusal comes once more as the next one of its connection runs."""
+        refusal = record_answer(exchange, Exchange.refuse)
+        if self.rng.random() < UNNAMED_FRACTION:
+            refusal = drop_id(refusal)
+        self.refusals[exchange.writer] = refusal
+        exchange.write(refusal)
+
     async def crash(self, exchange: Exchange) -> None:
         """End the process, as the answer is about to begin."""
         if "/s/" in exchange.target:
--- a/test/soak/mutations.py
+++ b/test/soak/mutations.py
@@ -35,6 +35,19 @@
         "if self.tries.run > 0:\n            return",
         "if 0:\n            return",
     ),
+    (
+        "not_run",
+        f"{EDGE}/pools.py",
+        "elif not channel.has_carried(request_id):",
+        "else:",
+    ),
+    (
+        "not_run",
+        f"{EDGE}/attempts.py",
+        "self.in_step = False\n            if not head.request_id:\n"
+        "                self.check_unnamed(head)\n",
+        "if not head.request_id:\n",
+    ),
     (
         "answers",
         f"{EDGE}/attempts.py",
