--- a/test/test_edge_repeated_answers.py
+++ b/test/test_edge_repeated_answers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import logging
 import re
 import time
 from collections.abc import Callable
@@ -306,3 +307,20 @@
             assert edge.node.pool.opened == 2
 
     play(scene)
+
+
+def test_late_answer_to_another_request_costs_no_attempt_and_is_logged(caplog):
+    caplog.set_level(logging.INFO)
+
+    async def scene():
+        repeater = Repeater(serve, When.BEFORE)
+        async with run_edge(CONFIGURATION, Replica("b1", reply=repeater)) as edge:
+            for number in range(4):
+                answer = await edge.ask("/p/x", Rhubarbshed_Request_Id=f"q{number}")
+                assert answer.body == make_body("/p/", f"q{number}")
+            assert repeater.runs == ["q0", "q1", "q2", "q3"]
+            assert edge.node.pool.opened == 2
+
+    play(scene)
+    (skipped,) = [each for each in caplog.records if each.message == "response_skipped"]
+    assert skipped.pairs["named"] == "q0" and skipped.pairs["earlier"] == 1
