Take a deeply nested answer for none to a request, in rhubarbshedd

By reading: json.loads raises RecursionError for 100,000 open brackets, which is none of the errors that were caught; the request that got such an answer ended with a defect. test_body_that_is_no_object_is_no_answer_to_a_request; its nested case fails without the change.

--- a/rhubarbshed/transport/upstream.py
+++ b/rhubarbshed/transport/upstream.py
@@ -341,7 +341,7 @@
         return attempt.status // 100 == 4
     try:
         return json.loads(body).get("id") == attempt.dispatch.request_id
-    except (ValueError, AttributeError):
+    except (AttributeError, RecursionError, ValueError):
         return False
 
 
--- a/test/test_upstream.py
+++ b/test/test_upstream.py
@@ -18,7 +18,7 @@
 from rhubarbshed.transport.engines import make_engine_client
 from rhubarbshed.transport.events import Attempt
 from rhubarbshed.transport.http import HttpClient
-from rhubarbshed.transport.upstream import UpstreamClient
+from rhubarbshed.transport.upstream import UpstreamClient, _is_answer_to
 from tools.processes import Process, start_standin
 
 SERVICE_S = CONNECT_TIMEOUT_S + 0.5
@@ -57,6 +57,14 @@
         assert isinstance(answer, BufferedResponse) and answer.status == 200
 
 
+@pytest.mark.parametrize("body", [b"", b"[]", b"{", b"\xff", b"1" * 5000, b"[" * 100_000])
+def test_body_that_is_no_object_is_no_answer_to_a_request(body):
+    dispatch = Dispatch("r1", 0, "e1", "127.0.0.1", 1, 1.0, 1.0)
+    attempt = Attempt.from_dispatch(dispatch)
+    attempt.status = 200
+    assert not _is_answer_to(body, attempt)
+
+
 def test_answer_is_not_waited_for_longer(service):
     upstream_client = UpstreamClient(ConnectionPool(60.0), None, "a1", 65536)
     assert fetch(service.port, upstream_client, SERVICE_S / 2) is AttemptEnd.TIMED_OUT
