--- a/rhubarbshed/transport/edge/attempts.py
+++ b/rhubarbshed/transport/edge/attempts.py
@@ -231,8 +231,8 @@
     async def receive_head(self) -> tuple[h11.Response, ResponseHead]:
         """Return the head of the response, skipping extra responses to other requests.
 
-        On a kept connection only the id tells these from the one expected. So one without an id
-        shows nothing, and a connection is kept only while all responses bear the id expected.
+        On a kept connection only the id distinguishes these from the one expected. One without an
+        id shows nothing, and a connection is kept only while all responses bear the id expected.
         """
         while True:
             response = await self.channel.receive()
--- a/rhubarbshed/transport/edge/control.py
+++ b/rhubarbshed/transport/edge/control.py
@@ -30,7 +30,7 @@
     """Make a call to a backend server, on a new connection, which requests may use afterwards.
 
     Responses to such calls bear no id. On a kept connection an extra one, to an earlier call or
-    request, could not be told from the one expected.
+    request, could not be distinguished from the one expected.
     """
     return await call(pool, address, sent, timeout_s, fresh=True)
 
--- a/rhubarbshed/transport/engines.py
+++ b/rhubarbshed/transport/engines.py
@@ -23,7 +23,7 @@
 
     def send_order(server: BackendServerInfo, order: Order) -> Result[None, OrderError]:
         url = f"{make_base_url(server)}/control/orders"
-        # On a kept connection an earlier answer, written once more, could not be told from this.
+        # On a kept connection an earlier answer could pass for this one.
         client = http.with_new_connections()
         result = client.post_json(url, to_plain(order), ORDER_TIMEOUT_S)
         client.pool.clear()
