--- a/rhubarbshed/coordination/serving/order_plan.py
+++ b/rhubarbshed/coordination/serving/order_plan.py
@@ -4,6 +4,8 @@
 is computed once and updated as orders are planned, which keeps a round cheap on a small instance.
 """
 
+import collections
+import enum
 import functools
 
 from attrs import define, field, frozen
@@ -70,6 +72,41 @@
 eviction."""
 
 
+DEMAND_MIN_PER_S = 0.1
+"""Requests per second from which a model counts as in demand."""
+
+
+class Postponement(enum.Enum):
+    """Reason why an addition is not ordered in a round."""
+
+    GATE = "gate"
+    NO_ROOM = "no_room"
+    ELSEWHERE = "elsewhere"
+    BUSY = "busy"
+    LOAD_RATE = "load_rate"
+
+
+@frozen
+class PlacementSummary:
+    """What engines hold and do, and what is in demand, after a planning round.
+
+    `changing` engines carry out an order for a model, `open` ones could take another. `missing`
+    models are in demand and not on any engine, `coming` ones are being loaded or have room being
+    made for them.
+    """
+
+    engines: int
+    open: int
+    changing: int
+    unconfirmed: int
+    copies: int
+    free_mb: float
+    in_demand: int
+    missing: int
+    coming: int
+    awaited: int
+
+
 @frozen
 class Move:
     """Order for one engine to load or unload a model or adapter, with a reason for the log."""
@@ -97,6 +134,7 @@
     sees_all_engines: bool = True
     moves: list[Move] = field(factory=list)
     ordered: set[str] = field(factory=set)
+    postponed: collections.Counter[Postponement] = field(factory=collections.Counter)
     _rates: dict[str, float] = field(factory=dict)
     _free: dict[str, float] = field(factory=dict)
     _blocked: dict[str, float] = field(factory=dict)
@@ -217,6 +255,30 @@
         """Count the engines that are carrying out an order for a model."""
         return sum(1 for engine_state in self.engine_states.values() if self.is_busy(engine_state))
 
+    def summarize(self) -> PlacementSummary:
+        """Return what the available engines hold and do, and what is in demand."""
+        engine_states = [self.engine_states[server_id] for server_id in self.available]
+        in_demand = {
+            name for name in self.engine.models if self.measure_rate(name) >= DEMAND_MIN_PER_S
+        }
+        held = {name for engine_state in engine_states for name in engine_state.models}
+        free_mb = [
+            self.engine.weights_mb - engine_state.measure_weights_mb(self.engine)
+            for engine_state in engine_states
+        ]
+        return PlacementSummary(
+            engines=len(engine_states),
+            open=len(self.list_orderable_now()),
+            changing=sum(1 for each in engine_states if self.is_busy(each)),
+            unconfirmed=sum(1 for each in engine_states if each.unconfirmed),
+            copies=sum(len(each.models) for each in engine_states),
+            free_mb=sum(free_mb),
+            in_demand=len(in_demand),
+            missing=len(in_demand - held),
+            coming=len((in_demand - held) & self.holders.keys()),
+            awaited=len(self.awaited_by_model.keys() - held),
+        )
+
     def measure_gain(self, model: str, copies: int) -> float:
         """Return the value of one more copy in requests per second, given the number of copies."""
         rate = self.measure_rate(model)
--- a/rhubarbshed/coordination/serving/placement.py
+++ b/rhubarbshed/coordination/serving/placement.py
@@ -9,7 +9,12 @@
 
 from attrs import define, field
 
-from rhubarbshed.coordination.serving.order_plan import RARE_RATE_PER_S, Move, OrderPlan
+from rhubarbshed.coordination.serving.order_plan import (
+    RARE_RATE_PER_S,
+    Move,
+    OrderPlan,
+    Postponement,
+)
 from rhubarbshed.protocol.orders import OrderKind
 from rhubarbshed.protocol.routes import ModelSpec
 from rhubarbshed.state.membership.fleet import ServerRecord
@@ -118,6 +123,8 @@
             plan.engine_states
         ):
             _plan_copy(plan, rate, value, name, reason)
+        else:
+            plan.postponed[Postponement.GATE] += 1
     return plan.moves
 
 
@@ -134,10 +141,15 @@
     else:
         options += _list_options(plan, plan.list_busy_with_cached(name), value, name)
     if not options:
+        plan.postponed[Postponement.NO_ROOM] += 1
         return
     _, server_id, evictions = min(options)
     engine_state = plan.engine_states[server_id]
-    if not engine_state.is_local or plan.is_busy(engine_state):
+    if not engine_state.is_local:
+        plan.postponed[Postponement.ELSEWHERE] += 1
+        return
+    if plan.is_busy(engine_state):
+        plan.postponed[Postponement.BUSY] += 1
         return
     if evictions:
         plan.reserve_room(engine_state, name, plan.now + RESERVATION_S)
@@ -145,6 +157,7 @@
         return
     if is_from_store(plan, engine_state, name):
         if not rate.allows(plan.sees_all_engines, plan.now):
+            plan.postponed[Postponement.LOAD_RATE] += 1
             return
         rate.record_load(True, plan.now)
     plan.plan_order(engine_state, OrderKind.LOAD, name, "", reason)
--- a/rhubarbshed/transport/edge/metrics.py
+++ b/rhubarbshed/transport/edge/metrics.py
@@ -31,6 +31,7 @@
     first_bytes_seconds: Histogram
     loop_delay_seconds: Histogram
     lookup_seconds: Histogram
+    load_wait_seconds: Histogram
     gauges_by_name: dict[str, Gauge]
 
     @classmethod
@@ -87,6 +88,11 @@
                 "Time of a search for a stream's origin.",
                 "outcome",
             ),
+            make_histogram(
+                "load_wait_seconds",
+                "Time that requests waited for a load, by what became of them.",
+                "outcome",
+            ),
             {},
         )
 
@@ -134,6 +140,10 @@
         """Record the time that a search for a stream's origin took."""
         self.lookup_seconds.labels(outcome).observe(took_s)
 
+    def observe_load_wait(self, outcome: str, waited_s: float) -> None:
+        """Record the time that a request waited for a load."""
+        self.load_wait_seconds.labels(outcome).observe(waited_s)
+
     def count_store_call(self, kind: str, table: str) -> None:
         """Count a call to the store."""
         self.store_calls.labels(kind, table).inc()
--- a/rhubarbshed/transport/edge/node.py
+++ b/rhubarbshed/transport/edge/node.py
@@ -329,6 +329,7 @@
             **self.streams.counts.list_values(),
             **self.crashes.list_values(),
             **self.relay.limits.list_values(),
+            **self.dispatcher.list_values(),
         }
         headers = ((b"content-type", b"text/plain; version=0.0.4"),)
         connection.send_complete(200, headers, self.metrics.render(gauge_values))
--- a/rhubarbshed/transport/edge/order_dispatcher.py
+++ b/rhubarbshed/transport/edge/order_dispatcher.py
@@ -15,7 +15,12 @@
     plan_prefetch,
 )
 from rhubarbshed.coordination.serving.lease_state import LeaseState
-from rhubarbshed.coordination.serving.order_plan import REPORT_AGE_MAX_S, Move, OrderPlan
+from rhubarbshed.coordination.serving.order_plan import (
+    REPORT_AGE_MAX_S,
+    Move,
+    OrderPlan,
+    PlacementSummary,
+)
 from rhubarbshed.coordination.serving.placement import (
     LoadRateLimiter,
     estimate_load_time,
@@ -37,6 +42,8 @@
 from rhubarbshed.transport.edge.metrics import FrontMetrics
 from rhubarbshed.transport.edge.order_logs import (
     log_order,
+    log_order_done,
+    log_placement,
     log_report,
     log_unreadable_report,
     log_unserved,
@@ -66,6 +73,9 @@
 """Part of the processor time that planning may take: on a slow instance rounds are less
 frequent."""
 
+PLACEMENT_LOG_INTERVAL_S = 2.0
+"""Time between two log lines on what the engines of a service hold."""
+
 REPORT_REREAD_PAUSE_S = 0.35
 """Pause before an engine's report is read again: it lags by some hundred milliseconds."""
 
@@ -87,6 +97,8 @@
     busy: set[str] = field(factory=set)
     tasks: set[asyncio.Task] = field(factory=set)
     unserved_logged_at: dict[Target, float] = field(factory=dict)
+    placement_logged_at: dict[str, float] = field(factory=dict)
+    summaries: dict[str, PlacementSummary] = field(factory=dict)
 
     async def run(self) -> None:
         """Plan and send orders forever, while the lease allows."""
@@ -98,6 +110,7 @@
                 if not self.lease_state.held:
                     self.engine_states.clear()
                     self.rates.clear()
+                    self.summaries.clear()
                 continue
             with_models = now >= models_from
             for service, engine in self.list_engines():
@@ -130,6 +143,7 @@
                 rate = self.rates[service] = self.make_load_rate(service, engine)
             moves += plan_prefetch(plan, moves) or plan_models(plan, rate)
             log_unserved(plan, rate, self.unserved_logged_at)
+            self.record_placement(plan)
         for server_id in {move.server_id for move in moves}:
             if server_id in self.busy:
                 continue
@@ -137,6 +151,25 @@
             self.busy.add(server_id)
             self.spawn(self.send_orders(plan, server_id, server_moves))
 
+    def record_placement(self, plan: OrderPlan) -> None:
+        """Keep and log what engines hold and do after a round, at most once in an interval."""
+        logged_at = self.placement_logged_at.get(plan.service, -PLACEMENT_LOG_INTERVAL_S)
+        if plan.now - logged_at < PLACEMENT_LOG_INTERVAL_S:
+            return
+        self.placement_logged_at[plan.service] = plan.now
+        self.summaries[plan.service] = summary = plan.summarize()
+        log_placement(plan, summary)
+
+    def list_values(self) -> dict[str, float]:
+        """Return the gauges of this holder's engines, summed over services."""
+        summaries = self.summaries.values()
+        return {
+            "engines_changing": sum(each.changing for each in summaries),
+            "engines_free_megabytes": sum(each.free_mb for each in summaries),
+            "models_in_demand": sum(each.in_demand for each in summaries),
+            "models_missing": sum(each.missing for each in summaries),
+        }
+
     def make_load_rate(self, service: str, engine: EngineSpec) -> LoadRateLimiter:
         """Return the shared rate of loads; each data centre with engines has a holder."""
         servers = self.view.fleet.list_service(service)
@@ -293,7 +326,12 @@
                 return
             now = time.monotonic()
             if report.unwrap().started_ms == engine_state.started_ms:
+                loading, unloading = engine_state.loading, engine_state.unloading
+                expected_s = engine_state.busy_until - engine_state.ordered_at
                 engine_state.apply_report(report.unwrap(), now)
+                if (loading or unloading) and not engine_state.is_busy:
+                    kind = OrderKind.LOAD if loading else OrderKind.UNLOAD
+                    log_order_done(engine_state, kind, loading or unloading, expected_s, now)
                 self.mark_changed(server_id)
                 log_report(engine_state, report.unwrap())
         finally:
--- a/rhubarbshed/transport/edge/order_logs.py
+++ b/rhubarbshed/transport/edge/order_logs.py
@@ -2,8 +2,16 @@
 
 import logging
 
-from rhubarbshed.coordination.serving.order_plan import Move, OrderPlan
+from attrs import asdict
+
+from rhubarbshed.coordination.serving.order_plan import (
+    Move,
+    OrderPlan,
+    PlacementSummary,
+    Postponement,
+)
 from rhubarbshed.coordination.serving.placement import LoadRateLimiter
+from rhubarbshed.protocol.orders import OrderKind
 from rhubarbshed.protocol.servers import OrderEnd, ServerOrder, ServerReport
 from rhubarbshed.state.placement.engine_states import EngineState
 from rhubarbshed.state.placement.usage import Target
@@ -41,6 +49,36 @@
         )
 
 
+def log_placement(plan: OrderPlan, summary: PlacementSummary) -> None:
+    """Log what engines hold and do after a round, and why additions were not ordered in it."""
+    postponed = {f"postponed_{each.value}": plan.postponed[each] for each in Postponement}
+    log_event(
+        LOG,
+        logging.INFO,
+        "placement",
+        service=plan.service,
+        **asdict(summary),
+        ordered=len(plan.ordered),
+        **postponed,
+    )
+
+
+def log_order_done(
+    engine_state: EngineState, kind: OrderKind, model: str, expected_s: float, now: float
+) -> None:
+    """Log that the report of an engine shows a model order as carried out."""
+    log_event(
+        LOG,
+        logging.INFO,
+        "order_done",
+        kind=kind.value,
+        server=engine_state.server_id,
+        model=model,
+        took_ms=round((now - engine_state.ordered_at) * 1000),
+        expected_ms=round(expected_s * 1000),
+    )
+
+
 def log_order(
     plan: OrderPlan,
     engine_state: EngineState,
--- a/rhubarbshed/transport/edge/request_logs.py
+++ b/rhubarbshed/transport/edge/request_logs.py
@@ -113,6 +113,10 @@
         fields["first_ms"] = round((response.first_at - request.received_at) * 1000)
         fields["gap_ms"] = round(response.gap_s * 1000)
         progress.relay.metrics.observe_first_bytes(response.first_at - request.received_at)
+    if progress.waited_s > 0.0:
+        outcome = name_load_wait(progress, status)
+        progress.relay.metrics.observe_load_wait(outcome, progress.waited_s)
+        fields["load_wait"] = outcome
     if progress.forwarded_by:
         fields["from_instance"] = progress.forwarded_by
     if progress.relay.links.is_cut:
@@ -139,6 +143,15 @@
     log_event(LOG, logging.INFO, "request_ended", **fields)
 
 
+def name_load_wait(progress: "RequestProgress", status: int) -> str:
+    """Return what became of a request that waited for a load."""
+    response = progress.caller_response
+    if response is None or response.first_at is None or not 200 <= status < 300:
+        return "left" if progress.connection.disconnect is not None else "refused"
+    first_s = response.first_at - progress.request.received_at
+    return "on_time" if first_s <= progress.route.target_s else "late"
+
+
 def count_stream(progress: "RequestProgress", error: RequestError | None) -> dict[str, object]:
     """Count what became of a request's stream; return the fields for its log line."""
     request, response = progress.request, progress.caller_response
--- a/test/test_edge_orders.py
+++ b/test/test_edge_orders.py
@@ -383,6 +383,30 @@
     play(scene)
 
 
+def test_line_of_a_round_says_what_is_missing_and_why_nothing_is_ordered_for_it(caplog):
+    async def scene():
+        caplog.set_level(logging.INFO)
+        service = make_engine_service({"m1": 0, "m2": 0})
+        route = make_route("streaming", "/s/", TimeoutMs=20_000, TargetLatencyMs=5_000)
+        configuration = make_configuration(route, Services=[service])
+        engines = make_engines("b1", m1=[])
+        async with run_edge(configuration, *engines) as edge:
+            await edge.wait_until(lambda: edge.node.lease.lease_state.held)
+            answer = await edge.ask("/s/x", b"p", Rhubarbshed_Model="m2")
+            assert answer.status == 200
+            pairs = [(each.getMessage(), getattr(each, "pairs", {})) for each in caplog.records]
+            done = [fields for event, fields in pairs if event == "order_done"]
+            assert done[0]["kind"] == "load" and done[0]["model"] == "m2"
+            placed = [fields for event, fields in pairs if event == "placement"]
+            assert placed[0].keys() >= {"free_mb", "changing", "missing", "postponed_no_room"}
+            waits = [fields for event, fields in pairs if event == "request_ended"]
+            assert waits[0].get("load_wait") in ("on_time", None)
+            text = edge.node.metrics.render(edge.node.dispatcher.list_values()).decode()
+            assert "rhubarbshed_models_missing" in text
+
+    play(scene)
+
+
 def test_caller_that_waits_for_a_load_is_sent_elsewhere_when_the_instance_stops():
     async def scene():
         service = make_engine_service({"m1": 0, "m2": 0})
--- a/test/test_edge_planning.py
+++ b/test/test_edge_planning.py
@@ -10,7 +10,7 @@
     plan_adapters,
     plan_prefetch,
 )
-from rhubarbshed.coordination.serving.order_plan import OrderPlan
+from rhubarbshed.coordination.serving.order_plan import OrderPlan, Postponement
 from rhubarbshed.coordination.serving.placement import LoadRateLimiter, plan_models
 from rhubarbshed.protocol.routes import EngineSpec, ModelSpec
 from rhubarbshed.protocol.servers import ServerReport
@@ -247,3 +247,14 @@
     plan.records["e3"].limit_per_s = 1.0
     moves = plan_models(plan, LoadRateLimiter(9, 5.0, 1))
     assert ("e2", "m1") in [(move.server_id, move.model) for move in moves]
+
+
+def test_summary_of_a_round_counts_models_in_demand_that_no_engine_has():
+    models = {name: ModelSpec(name, 60.0, 4.0, 0.8, 0.5) for name in ("m1", "m2", "m3", "m4", "m5")}
+    plan = make_small_plan(models, {"e1": ["m1", "m2", "m3"], "e2": []})
+    for name in ("m1", "m4", "m5"):
+        plan.usage.count(("svc", name, ""), Tally(10), NOW)
+    plan_models(plan, LoadRateLimiter(0, 5.0, 1))
+    summary = plan.summarize()
+    assert (summary.engines, summary.copies, summary.in_demand, summary.missing) == (2, 3, 3, 2)
+    assert plan.postponed == {Postponement.LOAD_RATE: 3}, "m4, m5 and a copy of m1"
