--- a/tools/engine_play.py
+++ b/tools/engine_play.py
@@ -156,7 +156,7 @@
                     break
                 pool.remove(name)
                 engine.models.add(name)
-            for name in (*self.rng.sample(names, 4), *engine.models):
+            for name in (*self.rng.sample(names, 4), *sorted(engine.models)):
                 engine._cache(engine.cached, name, self.day.disk_mb)
             engine.host_mb = self.day.host_mb
             engine.take_snapshot(self.now - 1.0)
--- a/tools/engine_scenario.py
+++ b/tools/engine_scenario.py
@@ -139,4 +139,11 @@
     return Day(5, 3, spec, callers, loads_at_once=6, lead_s=11.0, crashes=crashes)
 
 
-DAYS = {"large": make_large, "quiet": make_quiet, "small": make_small}
+def make_crowded(rng: random.Random) -> Day:
+    """Return ten engines and some more models of overnight requests than they have room for."""
+    spec = EngineSpec(24, 70_000, 200_000.0, 8, 10.0, make_models(48, rng))
+    caller = evolve(OVERNIGHT, per_s=15.3, first=0, models=34, in_use=34)
+    return Day(10, 1, spec, (caller,), shifts=())
+
+
+DAYS = {"large": make_large, "quiet": make_quiet, "small": make_small, "crowded": make_crowded}
