--- a/rhubarbshed/coordination/serving/order_plan.py
+++ b/rhubarbshed/coordination/serving/order_plan.py
@@ -5,11 +5,11 @@
 """
 
 import collections
-import enum
 import functools
 
 from attrs import define, field, frozen
 
+from rhubarbshed.coordination.serving.placement_summary import PlacementSummary, Postponement
 from rhubarbshed.protocol.orders import OrderKind
 from rhubarbshed.protocol.routes import EngineSpec
 from rhubarbshed.state.membership.fleet import ServerRecord
@@ -71,42 +71,10 @@
 """Fraction of a copy's requests per second added to its value when it is a candidate for
 eviction."""
 
-
 DEMAND_MIN_PER_S = 0.1
 """Requests per second from which a model counts as in demand."""
 
 
-class Postponement(enum.Enum):
-    """Reason why an addition is not ordered in a round."""
-
-    GATE = "gate"
-    NO_ROOM = "no_room"
-    ELSEWHERE = "elsewhere"
-    BUSY = "busy"
-    LOAD_RATE = "load_rate"
-
-
-@frozen
-class PlacementSummary:
-    """What engines hold and do, and what is in demand, after a planning round.
-
-    `changing` engines carry out an order for a model, `open` ones could take another. `missing`
-    models are in demand and not on any engine, `coming` ones are being loaded or have room being
-    made for them.
-    """
-
-    engines: int
-    open: int
-    changing: int
-    unconfirmed: int
-    copies: int
-    free_mb: float
-    in_demand: int
-    missing: int
-    coming: int
-    awaited: int
-
-
 @frozen
 class Move:
     """Order for one engine to load or unload a model or adapter, with a reason for the log."""
--- a/rhubarbshed/coordination/serving/placement.py
+++ b/rhubarbshed/coordination/serving/placement.py
@@ -5,16 +5,9 @@
 higher value.
 """
 
-import collections
-
-from attrs import define, field
-
-from rhubarbshed.coordination.serving.order_plan import (
-    RARE_RATE_PER_S,
-    Move,
-    OrderPlan,
-    Postponement,
-)
+from rhubarbshed.coordination.serving.load_rate import LoadRateLimiter
+from rhubarbshed.coordination.serving.order_plan import RARE_RATE_PER_S, Move, OrderPlan
+from rhubarbshed.coordination.serving.placement_summary import Postponement
 from rhubarbshed.protocol.orders import OrderKind
 from rhubarbshed.protocol.routes import ModelSpec
 from rhubarbshed.state.membership.fleet import ServerRecord
@@ -59,54 +52,10 @@
 LIMIT_LASTS_S = 10.0
 """Time for which an engine that names a limit is expected to take few of a new copy's requests."""
 
-CEILING_EXTRA_LOADS = 3
-"""Loads that the platform's ceiling allows in a window beyond the rate."""
-
-WINDOW_MARGIN_S = 0.3
-"""Time added to a window, since a load begins some time after its order was sent."""
-
-
 Option = tuple[float, str, list[tuple[float, str]]]
 """Cost of a copy on an engine, the engine, and the copies to evict there."""
 
 
-@define
-class LoadRateLimiter:
-    """Limiter of the loads that all order holders begin from the weight store.
-
-    Together the `holders` may begin `limit` loads in `window_s`. While they all receive each
-    other's messages, each counts the loads of all of them and leaves one load for each other holder
-    whose last one may not be known yet. A holder that misses messages of another uses only its own
-    part of the limit.
-    """
-
-    limit: int
-    window_s: float
-    holders: int
-    started: collections.deque[tuple[float, bool]] = field(factory=collections.deque)
-
-    @classmethod
-    def from_bounds(
-        cls, loads_per_s: float, window_s: float, overage: float, holders: int
-    ) -> "LoadRateLimiter":
-        """Make a limiter from the platform's bounds, which allow three loads beyond the rate."""
-        limit = int(loads_per_s * window_s * overage) + CEILING_EXTRA_LOADS - 1
-        return cls(max(holders, limit), window_s, holders)
-
-    def allows(self, sees_all_engines: bool, now: float) -> bool:
-        """Return whether a load may begin."""
-        while self.started and self.started[0][0] <= now - self.window_s - WINDOW_MARGIN_S:
-            self.started.popleft()
-        own = sum(1 for _, is_own in self.started if is_own)
-        if sees_all_engines:
-            return len(self.started) + self.holders <= self.limit
-        return own + 1 <= self.limit // self.holders
-
-    def record_load(self, is_own: bool, now: float) -> None:
-        """Record a load that begins."""
-        self.started.append((now, is_own))
-
-
 def plan_models(plan: OrderPlan, rate: LoadRateLimiter) -> list[Move]:
     """Plan loads and unloads of models: copies by value, each on the engine of least cost."""
     own = {engine_state.server_id for engine_state in plan.orderable if engine_state.is_local}
--- a/rhubarbshed/transport/edge/order_dispatcher.py
+++ b/rhubarbshed/transport/edge/order_dispatcher.py
@@ -15,18 +15,14 @@
     plan_prefetch,
 )
 from rhubarbshed.coordination.serving.lease_state import LeaseState
-from rhubarbshed.coordination.serving.order_plan import (
-    REPORT_AGE_MAX_S,
-    Move,
-    OrderPlan,
-    PlacementSummary,
-)
+from rhubarbshed.coordination.serving.load_rate import LoadRateLimiter
+from rhubarbshed.coordination.serving.order_plan import REPORT_AGE_MAX_S, Move, OrderPlan
 from rhubarbshed.coordination.serving.placement import (
-    LoadRateLimiter,
     estimate_load_time,
     is_from_store,
     plan_models,
 )
+from rhubarbshed.coordination.serving.placement_summary import PlacementSummary
 from rhubarbshed.coordination.serving.update_queue import UpdateQueue
 from rhubarbshed.platform.orders import make_order, make_report_call, read_order_end
 from rhubarbshed.platform.records import read_report
--- a/rhubarbshed/transport/edge/order_logs.py
+++ b/rhubarbshed/transport/edge/order_logs.py
@@ -4,13 +4,9 @@
 
 from attrs import asdict
 
-from rhubarbshed.coordination.serving.order_plan import (
-    Move,
-    OrderPlan,
-    PlacementSummary,
-    Postponement,
-)
-from rhubarbshed.coordination.serving.placement import LoadRateLimiter
+from rhubarbshed.coordination.serving.load_rate import LoadRateLimiter
+from rhubarbshed.coordination.serving.order_plan import Move, OrderPlan
+from rhubarbshed.coordination.serving.placement_summary import PlacementSummary, Postponement
 from rhubarbshed.protocol.orders import OrderKind
 from rhubarbshed.protocol.servers import OrderEnd, ServerOrder, ServerReport
 from rhubarbshed.state.placement.engine_states import EngineState
--- a/test/test_edge_orders.py
+++ b/test/test_edge_orders.py
@@ -10,11 +10,9 @@
     plan_adapters,
     plan_prefetch,
 )
+from rhubarbshed.coordination.serving.load_rate import LoadRateLimiter
 from rhubarbshed.coordination.serving.order_plan import OrderPlan
-from rhubarbshed.coordination.serving.placement import (
-    LoadRateLimiter,
-    plan_models,
-)
+from rhubarbshed.coordination.serving.placement import plan_models
 from rhubarbshed.protocol.orders import OrderKind
 from rhubarbshed.protocol.routes import EngineSpec, ModelSpec
 from rhubarbshed.protocol.servers import ServerOrder, ServerReport
--- a/tools/engine_play.py
+++ b/tools/engine_play.py
@@ -7,10 +7,10 @@
 from attrs import Factory, define, evolve, field
 
 from rhubarbshed.coordination.serving.adapters import forget_served_targets
+from rhubarbshed.coordination.serving.load_rate import LoadRateLimiter
 from rhubarbshed.coordination.serving.missing_models import LoadWait, decide_load_wait
 from rhubarbshed.coordination.serving.order_plan import Move, OrderPlan
 from rhubarbshed.coordination.serving.placement import (
-    LoadRateLimiter,
     estimate_load_time,
     is_from_store,
     plan_models,
