Load a model into the room made for it as soon as that is free

Callers saw: models that were asked for stayed missing for up to four seconds although an engine had made room for them.

Cause: while room was reserved for a model, its engine counted as a holder, also once the unload had ended. So the model's value was that of a second copy, under 0.1 requests/s for a rare one, and it was not ordered until the reservation lapsed, 4 s after the order to unload. Meanwhile the room was kept from all other models.

Room now counts as a copy while it is being made; after that it is only kept from other models. Test failed before.

--- a/rhubarbshed/coordination/serving/order_plan.py
+++ b/rhubarbshed/coordination/serving/order_plan.py
@@ -164,15 +164,17 @@
 
     @functools.cached_property
     def holders(self) -> dict[str, list[EngineState]]:
-        """Engines by model that hold it or are about to, and do not unload it."""
+        """Engines by model that hold it or are about to, and do not unload it.
+
+        Room counts as the copy that it is made for while it is being made; once it is free, the
+        model has to be loaded.
+        """
         found: dict[str, list[EngineState]] = {}
         for server_id in self.available:
             engine_state = self.engine_states[server_id]
-            names = {
-                *engine_state.models,
-                engine_state.loading,
-                engine_state.find_reserved_model(self.now),
-            }
+            names = {*engine_state.models, engine_state.loading}
+            if engine_state.unloading:
+                names.add(engine_state.reserved_model)
             for name in names - {"", engine_state.unloading}:
                 found.setdefault(name, []).append(engine_state)
         return found
--- a/rhubarbshed/coordination/serving/placement.py
+++ b/rhubarbshed/coordination/serving/placement.py
@@ -25,7 +25,7 @@
 """
 
 RESERVATION_S = 4.0
-"""Time for which room being made counts as the copy for which it is reserved."""
+"""Time for which room is kept for the model that it is made for."""
 
 BLOCKED_RATE_FRACTION = 0.3
 """Fraction of an engine's adapter requests that a model order delays, since the engine takes no
--- a/test/test_edge_planning.py
+++ b/test/test_edge_planning.py
@@ -14,8 +14,9 @@
 from rhubarbshed.coordination.serving.order_plan import OrderPlan
 from rhubarbshed.coordination.serving.placement import plan_models
 from rhubarbshed.coordination.serving.placement_summary import Postponement
+from rhubarbshed.protocol.orders import OrderKind
 from rhubarbshed.protocol.routes import EngineSpec, ModelSpec
-from rhubarbshed.protocol.servers import ServerReport
+from rhubarbshed.protocol.servers import ServerOrder, ServerReport
 from rhubarbshed.state.membership.fleet import Fleet
 from rhubarbshed.state.placement.engine_states import EngineState
 from rhubarbshed.state.placement.usage import Tally, Usage
@@ -260,3 +261,24 @@
     summary = plan.summarize()
     assert (summary.engines, summary.copies, summary.in_demand, summary.missing) == (2, 3, 3, 2)
     assert plan.postponed == {Postponement.LOAD_RATE: 3}, "m4, m5 and a copy of m1"
+
+
+def test_model_is_loaded_into_the_room_made_for_it_as_soon_as_that_is_free():
+    """The room counted as a copy until its reservation ended, seconds after the unload."""
+    models = {name: ModelSpec(name, 60.0, 4.0, 0.8, 0.5) for name in ("m1", "m2", "m3", "m4")}
+    plan = make_small_plan(models, {"e1": ["m1", "m2", "m3"]})
+    for name, count in (("m1", 9), ("m2", 9), ("m4", 4)):
+        plan.usage.count(("svc", name, ""), Tally(count), NOW)
+    assert [(move.kind, move.model) for move in plan_models(plan, LoadRateLimiter(9, 5.0, 1))] == [
+        (OrderKind.UNLOAD, "m3")
+    ]
+    engine_state = plan.engine_states["e1"]
+    engine_state.record_accepted(
+        ServerOrder(OrderKind.UNLOAD, "m3", "i1", 1, "", 0), NOW + 0.5, False, NOW
+    )
+    held = {"m1": frozenset(), "m2": frozenset()}
+    engine_state.apply_report(ServerReport(held, False, 1, 0, 0, 0, 0, 1), NOW + 0.6)
+    again = OrderPlan("svc", plan.engine, plan.engine_states, plan.records, plan.usage, NOW + 0.6)
+    assert [(move.kind, move.model) for move in plan_models(again, LoadRateLimiter(9, 5.0, 1))] == [
+        (OrderKind.LOAD, "m4")
+    ]
