Order first the loads that gain most in the engines' time

Callers saw: engines that had returned from a restart held one model after 5 s and three after 13 s, while 30 models were missing and memory was free.

Cause: additions were ordered by their value, and each took the engine of least cost. An engine carries out one order at a time. So the most valuable model, mostly a further copy of a busy one, took the next free engine for the 4.2 s of a load from the weight store, although the engine's own disk had three models that were missing, of a second each. Class: a queue served by value alone where the time of the server is what is short.

Additions now compete by what they gain until a horizon of 10 s for each second of the engine's time, an engine is given to one addition in a round, also one of another holder, and a load that the weight store does not allow yet takes no engine.

The new test of an engine that returns failed before.

--- a/rhubarbshed/coordination/serving/placement.py
+++ b/rhubarbshed/coordination/serving/placement.py
@@ -1,10 +1,15 @@
 """Choice of the models that engines load and unload.
 
 Demand moves to other models within seconds, rare models are asked for at once, and engines return
-empty after a restart. Copies are added by value, and a copy is evicted only for one of clearly
-higher value.
+empty after a restart, but with their disks. Copies are added by what they gain in the time that
+their engines need, and a copy is evicted only for one of clearly higher value.
 """
 
+import heapq
+from collections.abc import Iterator
+
+from attrs import define, frozen
+
 from rhubarbshed.coordination.serving.load_rate import LoadRateLimiter
 from rhubarbshed.coordination.serving.order_plan import RARE_RATE_PER_S, Move, OrderPlan
 from rhubarbshed.coordination.serving.placement_summary import Postponement
@@ -35,14 +40,6 @@
 """Factor on the value of evicted copies if the new model's weights are cached in memory or on a
 disk: the evicted weights are cached as well, and are loaded again in less than a second."""
 
-WAITING_COST_MIN_PER_S = 1.0
-"""Least cost of a load's duration, in requests per second, while a caller waits for it: that
-request is late, and so are those that arrive in the meantime."""
-
-EVICTED_ABSENCE_S = 2.0
-"""Time for which requests for an evicted copy find none; it is loaded again from its engine's disk
-when it is asked for."""
-
 UNLOAD_IDLE_S = 0.4
 UNLOAD_BUSY_S = 3.0
 BUSY_RATE_PER_S = 1.0
@@ -52,133 +49,192 @@
 LIMIT_LASTS_S = 10.0
 """Time for which an engine that names a limit is expected to take few of a new copy's requests."""
 
-Option = tuple[float, str, list[tuple[float, str]]]
-"""Cost of a copy on an engine, the engine, and the copies to evict there."""
+HORIZON_S = 10.0
+"""Time for which demand is expected to last: a copy answers its requests from the end of its load
+until then."""
+
+ORDER_OVERHEAD_S = 0.4
+"""Time from the end of an order until the engine's report shows it and the next one is sent."""
+
+
+@frozen
+class Addition:
+    """One more copy of a model, worth `value` requests per second."""
+
+    name: str
+    value: float
+    reason: str
+
+
+@define
+class Candidate:
+    """Engine that may get an order, with the figures on it that all additions need.
+
+    `ranked` are its copies as (value, model, megabytes), the least valuable first. `delay_s` passes
+    before the order begins, `blocked_rate` are the requests per second that its orders delay.
+    """
+
+    engine_state: EngineState
+    record: ServerRecord
+    ranked: list[tuple[float, str, float]]
+    delay_s: float
+    blocked_rate: float
+
+    @classmethod
+    def from_plan(cls, plan: OrderPlan, engine_state: EngineState) -> "Candidate":
+        """Return an engine as this round sees it."""
+        record = plan.records[engine_state.server_id]
+        delay_s = ORDER_OVERHEAD_S
+        if engine_state.is_busy:
+            delay_s += max(0.0, engine_state.busy_until - plan.now)
+        if record.limit_per_s is not None:
+            delay_s += LIMIT_LASTS_S
+        blocked_rate = BLOCKED_RATE_FRACTION * plan.measure_blocked_rate(engine_state)
+        return cls(engine_state, record, plan.rank_copies(engine_state), delay_s, blocked_rate)
+
+
+@frozen
+class Option:
+    """Way to add a copy: the gain in requests for each second of the engine's time.
+
+    The engine loads the model once it has unloaded `evictions`, maybe from the weight store.
+    """
+
+    gain: float
+    server_id: str
+    evictions: tuple[str, ...]
+    from_store: bool
 
 
 def plan_models(plan: OrderPlan, rate: LoadRateLimiter) -> list[Move]:
-    """Plan loads and unloads of models: copies by value, each on the engine of least cost."""
+    """Plan loads and unloads of models, first those that gain most in the time that they take.
+
+    An engine carries out one order at a time, so its time is what additions compete for: several
+    loads from its disk are worth more than a load from the weight store in the same time.
+    """
     own = {engine_state.server_id for engine_state in plan.orderable if engine_state.is_local}
-    additions = []
+    taken: set[str] = set()
+    queue: list[tuple[float, str, Addition, list[Option]]] = []
+    candidates = [Candidate.from_plan(plan, each) for each in plan.list_orderable_now()]
+    for addition in _list_additions(plan):
+        options = _list_options(plan, candidates, addition)
+        if options:
+            queue.append((-options[-1].gain, addition.name, addition, options))
+        else:
+            plan.postponed[Postponement.NO_ROOM] += 1
+    heapq.heapify(queue)
+    while queue and not own <= taken:
+        _, name, addition, options = heapq.heappop(queue)
+        option = options.pop()
+        lacks_rate = option.from_store and not rate.allows(plan.sees_all_engines, plan.now)
+        if option.server_id not in taken and not lacks_rate:
+            taken.add(option.server_id)
+            _plan_option(plan, rate, addition, option)
+        elif options:
+            heapq.heappush(queue, (-options[-1].gain, name, addition, options))
+        else:
+            plan.postponed[Postponement.LOAD_RATE if lacks_rate else Postponement.TAKEN] += 1
+    return plan.moves
+
+
+def _list_additions(plan: OrderPlan) -> Iterator[Addition]:
     for name in plan.engine.models:
         copies = len(plan.list_holders(name))
         value = max(plan.measure_gain(name, copies), plan.measure_limited_rate(name))
         if value >= RARE_RATE_PER_S:
-            additions.append((value, name, "copy" if copies else "missing"))
-    for value, name, reason in sorted(additions, reverse=True):
-        if own <= plan.ordered:
-            break
-        if value >= URGENT_VALUE_PER_S or plan.count_busy() < BUSY_FRACTION_MAX * len(
-            plan.engine_states
-        ):
-            _plan_copy(plan, rate, value, name, reason)
-        else:
-            plan.postponed[Postponement.GATE] += 1
-    return plan.moves
+            yield Addition(name, value, "copy" if copies else "missing")
 
 
-def _plan_copy(
-    plan: OrderPlan, rate: LoadRateLimiter, value: float, name: str, reason: str
-) -> None:
-    """Plan the next order towards one more copy of a model, if its value covers the evictions."""
-    options = _list_options(plan, plan.list_orderable_now(), value, name)
-    overdue = any(
-        plan.is_overdue(target, MODEL_OVERDUE_S) for target in plan.list_awaited_for_model(name)
-    )
-    if overdue:
-        options = [option for option in options if plan.engine_states[option[1]].is_local]
+def _list_options(plan: OrderPlan, candidates: list[Candidate], addition: Addition) -> list[Option]:
+    """List the ways to add a copy, the best last."""
+    spec = plan.engine.models[addition.name]
+    if any(
+        plan.is_overdue(target, MODEL_OVERDUE_S)
+        for target in plan.list_awaited_for_model(addition.name)
+    ):
+        candidates = [each for each in candidates if each.engine_state.is_local]
     else:
-        options += _list_options(plan, plan.list_busy_with_cached(name), value, name)
-    if not options:
-        plan.postponed[Postponement.NO_ROOM] += 1
-        return
-    _, server_id, evictions = min(options)
-    engine_state = plan.engine_states[server_id]
-    if not engine_state.is_local:
-        plan.postponed[Postponement.ELSEWHERE] += 1
-        return
-    if plan.is_busy(engine_state):
-        plan.postponed[Postponement.BUSY] += 1
-        return
-    if evictions:
-        plan.reserve_room(engine_state, name, plan.now + RESERVATION_S)
-        plan.plan_order(engine_state, OrderKind.UNLOAD, evictions[0][1], "", f"room_for_{reason}")
-        return
-    if is_from_store(plan, engine_state, name):
-        if not rate.allows(plan.sees_all_engines, plan.now):
-            plan.postponed[Postponement.LOAD_RATE] += 1
-            return
-        rate.record_load(True, plan.now)
-    plan.plan_order(engine_state, OrderKind.LOAD, name, "", reason)
-
-
-def _list_options(
-    plan: OrderPlan, engine_states: list[EngineState], value: float, name: str
-) -> list[Option]:
+        busy = plan.list_busy_with_cached(addition.name)
+        candidates = candidates + [Candidate.from_plan(plan, each) for each in busy]
     options = []
-    for engine_state in engine_states:
-        if name in engine_state.models:
+    for candidate in candidates:
+        if addition.name in candidate.engine_state.models:
             continue
-        evictions = _choose_evictions(plan, engine_state, plan.engine.models[name], value)
+        evictions = _choose_evictions(plan, candidate, spec, addition.value)
         if evictions is not None:
-            cost = _measure_cost(plan, engine_state, name, value, evictions)
-            options.append((cost, engine_state.server_id, evictions))
-    return options
-
-
-def _measure_cost(
-    plan: OrderPlan,
-    engine_state: EngineState,
-    name: str,
-    value: float,
-    evictions: list[tuple[float, str]],
-) -> float:
-    """Return the cost of a load in requests, from evictions, waiting and delayed adapter orders.
-
-    Callers wait for a missing model, so a load from the engine's disk is preferred to one from the
-    weight store that would spare another model.
-    """
-    takes_s = estimate_load_time(plan.records[engine_state.server_id], plan.engine.models[name])
-    takes_s += max(0.0, engine_state.busy_until - plan.now) if engine_state.is_busy else 0.0
-    for _, evicted in evictions:
-        takes_s += UNLOAD_BUSY_S if plan.measure_rate(evicted) > BUSY_RATE_PER_S else UNLOAD_IDLE_S
-    lost = (
-        sum(plan.measure_loss(engine_state, evicted) for _, evicted in evictions)
-        * EVICTED_ABSENCE_S
-    )
-    if plan.records[engine_state.server_id].limit_per_s is not None:
-        takes_s += LIMIT_LASTS_S
-    waiting = max(value, WAITING_COST_MIN_PER_S) if plan.list_awaited_for_model(name) else value
-    return lost + takes_s * (
-        waiting + BLOCKED_RATE_FRACTION * plan.measure_blocked_rate(engine_state)
-    )
+            gain = _measure_gain(plan, candidate, spec, addition.value, evictions)
+            from_store = is_from_store(plan, candidate.engine_state, spec.name)
+            server_id = candidate.engine_state.server_id
+            options.append(Option(gain, server_id, evictions, from_store))
+    return sorted(options, key=lambda option: (option.gain, option.server_id))
 
 
 def _choose_evictions(
-    plan: OrderPlan, engine_state: EngineState, spec: ModelSpec, value: float
-) -> list[tuple[float, str]] | None:
-    """Return the copies to evict from an engine for a model, with the value of each.
+    plan: OrderPlan, candidate: Candidate, spec: ModelSpec, value: float
+) -> tuple[str, ...] | None:
+    """Return the copies to evict from an engine for a model.
 
     None if there is no room, or if the evicted copies are worth as much as the new one.
     """
-    ranked = plan.rank_copies(engine_state)
-    eviction_factor = (
-        CACHED_EVICTION_FACTOR
-        if spec.name in plan.records[engine_state.server_id].entry.cached_models
-        else 1.0
-    )
-    free = plan.measure_free_mb(engine_state, spec.name)
+    free = plan.measure_free_mb(candidate.engine_state, spec.name)
+    if free >= spec.size_mb:
+        return ()
+    is_cached = spec.name in candidate.record.entry.cached_models
+    value_max = value / CACHED_EVICTION_FACTOR if is_cached else value
     lost = 0.0
-    evictions: list[tuple[float, str]] = []
-    for held, model, size_mb in ranked:
-        if free >= spec.size_mb:
-            break
+    evictions: list[str] = []
+    for held, model, size_mb in candidate.ranked:
         lost += held
-        if lost * eviction_factor >= value:
+        if lost >= value_max:
             return None
-        evictions.append((held, model))
+        evictions.append(model)
         free += size_mb
-    return evictions if free >= spec.size_mb else None
+        if free >= spec.size_mb:
+            return tuple(evictions)
+    return None
+
+
+def _measure_gain(
+    plan: OrderPlan,
+    candidate: Candidate,
+    spec: ModelSpec,
+    value: float,
+    evictions: tuple[str, ...],
+) -> float:
+    """Return the requests gained until the horizon, for each second of the engine's time.
+
+    Lost are those for the evicted copies, and those whose adapters the engine cannot load while it
+    carries out the orders.
+    """
+    takes_s = candidate.delay_s + estimate_load_time(candidate.record, spec)
+    lost = 0.0
+    for name in evictions:
+        takes_s += UNLOAD_BUSY_S if plan.measure_rate(name) > BUSY_RATE_PER_S else UNLOAD_IDLE_S
+        lost += plan.measure_loss(candidate.engine_state, name)
+    gained = value * (HORIZON_S - takes_s) - lost * HORIZON_S
+    return gained / takes_s - candidate.blocked_rate
+
+
+def _plan_option(
+    plan: OrderPlan, rate: LoadRateLimiter, addition: Addition, option: Option
+) -> None:
+    """Plan the next order of an option, unless another holder or a later round has to give it."""
+    engine_state = plan.engine_states[option.server_id]
+    is_gated = plan.count_busy() >= BUSY_FRACTION_MAX * len(plan.engine_states)
+    if addition.value < URGENT_VALUE_PER_S and is_gated:
+        plan.postponed[Postponement.GATE] += 1
+    elif not engine_state.is_local:
+        plan.postponed[Postponement.ELSEWHERE] += 1
+    elif plan.is_busy(engine_state):
+        plan.postponed[Postponement.BUSY] += 1
+    elif option.evictions:
+        plan.reserve_room(engine_state, addition.name, plan.now + RESERVATION_S)
+        reason = f"room_for_{addition.reason}"
+        plan.plan_order(engine_state, OrderKind.UNLOAD, option.evictions[0], "", reason)
+    else:
+        if option.from_store:
+            rate.record_load(True, plan.now)
+        plan.plan_order(engine_state, OrderKind.LOAD, addition.name, "", addition.reason)
 
 
 def estimate_load_time(record: ServerRecord, spec: ModelSpec) -> float:
--- a/rhubarbshed/coordination/serving/placement_summary.py
+++ b/rhubarbshed/coordination/serving/placement_summary.py
@@ -10,6 +10,7 @@
 
     GATE = "gate"
     NO_ROOM = "no_room"
+    TAKEN = "taken"
     ELSEWHERE = "elsewhere"
     BUSY = "busy"
     LOAD_RATE = "load_rate"
--- a/test/test_edge_planning.py
+++ b/test/test_edge_planning.py
@@ -282,3 +282,29 @@
     assert [(move.kind, move.model) for move in plan_models(again, LoadRateLimiter(9, 5.0, 1))] == [
         (OrderKind.LOAD, "m4")
     ]
+
+
+def test_engine_that_returns_loads_what_its_disk_has_before_a_copy_from_the_weight_store():
+    """Three models took it 13 s, each from the weight store, though others were on its disk."""
+    names = [f"m{number}" for number in range(1, 7)]
+    models = {name: ModelSpec(name, 60.0, 4.0, 0.8, 0.5) for name in names}
+    plan = make_small_plan(models, {"e1": [], "e2": ["m1", "m5", "m6"]})
+    plan.usage.count(("svc", "m1", ""), Tally(8 * 5, 8 * 5 * 600, 8 * 5, 8 * 5.0), NOW)
+    plan.usage.models["svc", "m1"].fast = 0.0
+    for name, count in (("m2", 2), ("m3", 2), ("m4", 2), ("m5", 10), ("m6", 10)):
+        plan.usage.count(("svc", name, ""), Tally(count), NOW)
+    entry = plan.records["e1"].entry
+    plan.records["e1"].entry = evolve(entry, on_disk=frozenset(["m2", "m3", "m4"]))
+    assert plan.measure_gain("m1", 1) > plan.measure_gain("m2", 0) > 0.4
+    moves = plan_models(plan, LoadRateLimiter(9, 5.0, 1))
+    assert [(move.server_id, move.model) for move in moves] == [("e1", "m2")]
+
+
+def test_engine_is_not_kept_for_a_load_that_the_weight_store_does_not_allow_yet():
+    models = {name: ModelSpec(name, 60.0, 4.0, 0.8, 0.5) for name in ("m1", "m2", "m3")}
+    plan = make_small_plan(models, {"e1": []})
+    plan.usage.count(("svc", "m1", ""), Tally(40), NOW)
+    plan.usage.count(("svc", "m2", ""), Tally(2), NOW)
+    plan.records["e1"].entry = evolve(plan.records["e1"].entry, on_disk=frozenset(["m2"]))
+    moves = plan_models(plan, LoadRateLimiter(0, 5.0, 1))
+    assert [(move.server_id, move.model) for move in moves] == [("e1", "m2")]
