--- a/tools/engine_play.py
+++ b/tools/engine_play.py
@@ -184,6 +184,7 @@
         """Return the models that a kind of request is for at a time, with their weights."""
         models = self.ranks[f"{caller.first}"]
         weights = [1.0 / (rank + 1) ** caller.skew for rank in range(caller.in_use)]
+        weights[0] *= caller.top
         if caller.in_use == len(models):
             return list(zip(models, weights, strict=True))
         offset, part = 0, 0.0
--- a/tools/engine_scenario.py
+++ b/tools/engine_scenario.py
@@ -16,7 +16,8 @@
 class Caller:
     """Kind of request: `models` of the catalogue from `first` on, of which `in_use` at a time.
 
-    `skew` is the exponent of their popularity by rank. Runs take `run_s` on an idle engine.
+    `skew` is the exponent of their popularity by rank, beside which the first one has `top` times
+    as much. Runs take `run_s` on an idle engine.
     """
 
     name: str
@@ -33,6 +34,7 @@
     models: int
     in_use: int
     skew: float
+    top: float = 1.0
 
 
 @frozen
@@ -94,8 +96,8 @@
     return models
 
 
-LISTENERS = Caller("listeners", 160, 0.3, 2.0, 12.0, 2.2, 0.22, 1.5, 0.7, 715, 0, 50, 20, 0.8)
-INDEX = Caller("index", 170, 0.3, 2.0, 4.0, 0.96, 0.096, 0.25, 1.2, 383, 0, 50, 20, 0.8)
+LISTENERS = Caller("listeners", 160, 0.3, 2.0, 12.0, 2.2, 0.22, 1.5, 0.7, 715, 0, 50, 20, 0.68, 1.7)
+INDEX = Caller("index", 170, 0.3, 2.0, 4.0, 0.96, 0.096, 0.25, 1.2, 383, 0, 50, 20, 0.68, 1.7)
 OVERNIGHT = Caller("overnight", 22.5, 3.0, 12.0, 20.0, 2.2, 0.22, 1.5, 0.7, 715, 50, 54, 54, 0.4)
 
 
