Value a missing model by its demand and the time without a copy

Callers saw: most of the overnight summaries that were answered came late; each model was unloaded as soon as it had been loaded.

Cause: the value of a missing model grew by 0.1 requests/s for each second that its callers waited, and a load from the weight store takes as long as they wait. So each load evicted a copy that had been loaded a moment before for others, whose callers then waited in turn. Class: priority by waiting time for a resource that takes longer to move than the wait, which thrashes.

A model without a copy gains 0.05 requests/s for each second since it was first asked for, whether its callers wait or were refused; the time ends with a copy, or with the demand. So a copy is kept for some time, and each model still has its turn.

Test changed: in test_copies_do_not_take_all_room_... the waiting caller's request is counted as well, as it is by each instance; without it the model had no demand at all. The new test of a copy that was just loaded failed before, the one of turns did not.

--- a/rhubarbshed/coordination/serving/adapters.py
+++ b/rhubarbshed/coordination/serving/adapters.py
@@ -23,10 +23,13 @@
 
 
 def forget_served_targets(plan: OrderPlan) -> None:
-    """Remove awaited targets that an engine holds.
+    """Remove awaited targets that an engine holds, and models that are not asked for any more.
 
     Otherwise an adapter that is evicted later would be loaded again although no caller waits.
     """
+    for service, model in list(plan.usage.unserved_since):
+        if service == plan.service and (plan.is_held(model) or not plan.is_in_demand(model)):
+            plan.usage.forget_unserved(service, model)
     for target in plan.awaited:
         _, model, adapter = target
         key = (model, adapter)
--- a/rhubarbshed/coordination/serving/order_plan.py
+++ b/rhubarbshed/coordination/serving/order_plan.py
@@ -55,9 +55,9 @@
 evicted copy is missing. With it, a model that is asked for now and then replaces one without
 requests for some seconds, but none that is in more use."""
 
-WAITED_RATE_PER_S = 0.1
-"""Requests per second added for each second that a caller has waited, so that each model is loaded
-before its callers disconnect."""
+UNSERVED_RATE_PER_S = 0.05
+"""Requests per second added for each second in which a model is asked for and no engine has it, so
+that each model has its turn. A copy is kept for many times as long as its load takes."""
 
 SWAP_GAIN_MIN_PER_S = 0.2
 """Least gain of a swap in requests per second, since it costs a load and some seconds in which
@@ -190,6 +190,14 @@
             rate = self._rates[model] = self.usage.measure_model(self.service, model, self.now)
         return rate
 
+    def is_in_demand(self, model: str) -> bool:
+        """Return whether a model was asked for lately."""
+        return self.measure_rate(model) >= DEMAND_MIN_PER_S or model in self.awaited_by_model
+
+    def is_held(self, model: str) -> bool:
+        """Return whether an available engine holds a model and does not unload it."""
+        return any(model in each.models for each in self.list_holders(model))
+
     def list_awaited_for_model(self, model: str) -> list[Target]:
         """List the awaited targets of a model and its adapters."""
         return self.awaited_by_model.get(model, [])
@@ -228,9 +236,7 @@
     def summarize(self) -> PlacementSummary:
         """Return what the available engines hold and do, and what is in demand."""
         engine_states = [self.engine_states[server_id] for server_id in self.available]
-        in_demand = {
-            name for name in self.engine.models if self.measure_rate(name) >= DEMAND_MIN_PER_S
-        }
+        in_demand = {name for name in self.engine.models if self.is_in_demand(name)}
         held = {name for engine_state in engine_states for name in engine_state.models}
         free_mb = [
             self.engine.weights_mb - engine_state.measure_weights_mb(self.engine)
@@ -260,13 +266,10 @@
             part = min(1.0, part + EXCESS_UTILISATION_WEIGHT * max(0.0, without - beside))
         gain = rate * part
         if copies == 0:
-            gain += RARE_RATE_PER_S
-            waits = [
-                self.usage.measure_wait_s(target, self.now)
-                for target in self.list_awaited_for_model(model)
-            ]
-            if waits:
-                gain += AWAITED_RATE_PER_S + WAITED_RATE_PER_S * max(waits)
+            unserved_s = self.usage.measure_unserved_s(self.service, model, self.now)
+            gain += RARE_RATE_PER_S + UNSERVED_RATE_PER_S * unserved_s
+            if self.list_awaited_for_model(model):
+                gain += AWAITED_RATE_PER_S
         return gain
 
     def measure_limited_rate(self, model: str, without: str = "") -> float:
--- a/rhubarbshed/state/placement/usage.py
+++ b/rhubarbshed/state/placement/usage.py
@@ -94,12 +94,17 @@
 
 @define
 class Usage:
-    """Use of models and adapters, and the targets that callers wait for."""
+    """Use of models and adapters, and the targets that callers wait for.
+
+    `unserved_since` are the times since which models that no engine has are asked for, also while
+    no caller waits.
+    """
 
     models: dict[tuple[str, str], DecayingSums] = field(factory=dict)
     adapters: dict[Target, DecayingSums] = field(factory=dict)
     awaited: dict[Target, float] = field(factory=dict)
     awaited_since: dict[Target, float] = field(factory=dict)
+    unserved_since: dict[tuple[str, str], float] = field(factory=dict)
     since: float = math.inf
 
     def count(self, target: Target, tally: Tally, now: float) -> None:
@@ -122,12 +127,21 @@
         if now - self.awaited.get(target, -math.inf) > AWAITED_GAP_S:
             self.awaited_since[target] = now
         self.awaited[target] = now
+        self.unserved_since.setdefault(target[:2], now)
 
     def forget_awaited(self, target: Target) -> None:
         """Remove an awaited target that a server holds now."""
         self.awaited.pop(target, None)
         self.awaited_since.pop(target, None)
 
+    def forget_unserved(self, service: str, model: str) -> None:
+        """Record that an engine has a model, or that it is not asked for any more."""
+        self.unserved_since.pop((service, model), None)
+
+    def measure_unserved_s(self, service: str, model: str, now: float) -> float:
+        """Return the seconds for which a model has been asked for while no engine had it."""
+        return now - self.unserved_since.get((service, model), now)
+
     def measure_wait_s(self, target: Target, now: float) -> float:
         """Return the seconds for which callers have waited for a target without a gap."""
         return now - self.awaited_since.get(target, now)
--- a/test/test_edge_planning.py
+++ b/test/test_edge_planning.py
@@ -169,6 +169,7 @@
     for name in ("m1", "m2", "m3"):
         plan.usage.count(("svc", name, ""), Tally(26 * 5, 26 * 5 * 600, 26 * 5, 26 * 5.0), NOW)
         plan.usage.models["svc", name].fast = 0.0
+    plan.usage.count(("svc", "m5", ""), Tally(1), NOW - 1.4)
     for at in (NOW - 1.4, NOW - 0.9, NOW - 0.4, NOW):
         plan.usage.record_awaited(("svc", "m5", ""), at)
     assert plan.mean_utilisation > 0.9
@@ -308,3 +309,41 @@
     plan.records["e1"].entry = evolve(plan.records["e1"].entry, on_disk=frozenset(["m2"]))
     moves = plan_models(plan, LoadRateLimiter(0, 5.0, 1))
     assert [(move.server_id, move.model) for move in moves] == [("e1", "m2")]
+
+
+def make_turn_plan(unserved_s: float) -> OrderPlan:
+    """Return a full engine, and a model that has been missing for so long; all in equal demand."""
+    models = {name: ModelSpec(name, 60.0, 4.0, 0.8, 0.5) for name in ("m1", "m2", "m3", "m4")}
+    plan = make_small_plan(models, {"e1": ["m1", "m2", "m3"]})
+    for name in models:
+        plan.usage.count(("svc", name, ""), Tally(2), NOW)
+    for steps in range(round(unserved_s / 0.4), -1, -1):
+        plan.usage.record_awaited(("svc", "m4", ""), NOW - 0.4 * steps)
+    return plan
+
+
+def test_copy_that_was_just_loaded_is_not_evicted_for_callers_who_waited_meanwhile():
+    """They waited as long as the load took; each model was evicted as soon as it was loaded."""
+    for waited_s in (0.0, 2.0, 4.0):
+        assert plan_models(make_turn_plan(waited_s), LoadRateLimiter(9, 5.0, 1)) == []
+
+
+def test_model_that_is_asked_for_has_its_turn_though_its_callers_are_refused():
+    moves = plan_models(make_turn_plan(20.0), LoadRateLimiter(9, 5.0, 1))
+    assert [move.reason for move in moves] == ["room_for_missing"]
+
+
+def test_time_without_a_copy_ends_with_a_load_and_with_the_demand():
+    plan = make_turn_plan(20.0)
+    assert plan.usage.measure_unserved_s("svc", "m4", NOW) == 20.0
+    forget_served_targets(plan)
+    assert plan.usage.measure_unserved_s("svc", "m4", NOW) == 20.0
+    plan.engine_states["e1"].models.add("m4")
+    held = OrderPlan("svc", plan.engine, plan.engine_states, plan.records, plan.usage, NOW)
+    forget_served_targets(held)
+    assert plan.usage.measure_unserved_s("svc", "m4", NOW) == 0.0
+    plan = make_turn_plan(20.0)
+    later = NOW + 30.0
+    idle = OrderPlan("svc", plan.engine, plan.engine_states, plan.records, plan.usage, later)
+    forget_served_targets(idle)
+    assert plan.usage.measure_unserved_s("svc", "m4", later) == 0.0
