Let additions wait for what they cost and not for the number of busy engines

Before traffic, seven of thirty idle engines loaded at a time, and 30 loads took 12 s of the 14 before the first request. Later, models with little demand were put off whenever a fifth of the engines carried out orders, which was nearly always.

Thirty engines with orders of some seconds are always above that, also those without any adapter in demand.

What a busy engine delays is now part of the gain: its requests for adapters count against it for the time of the orders, and an addition that does not pay for that and for the evicted copies within 30 s is not made.

The new test failed before (2 of 10 engines).

Test changed: test_missing_model_is_loaded_where_it_is_at_hand_... asserts the engine that the model gets; the other engine, idle with free room, now loads another one.

--- a/rhubarbshed/coordination/serving/placement.py
+++ b/rhubarbshed/coordination/serving/placement.py
@@ -18,11 +18,6 @@
 from rhubarbshed.state.membership.fleet import ServerRecord
 from rhubarbshed.state.placement.engine_states import EngineState
 
-URGENT_VALUE_PER_S = 1.0
-BUSY_FRACTION_MAX = 0.2
-"""Requests per second that a change must be worth to be made at any time. Other changes wait while
-this fraction of the engines carries out orders, since a busy engine takes no adapters."""
-
 MODEL_OVERDUE_S = 1.5
 ADAPTER_OVERDUE_S = 0.15
 """Time that a target is awaited before each holder loads it on its own engines. Until then each
@@ -53,6 +48,10 @@
 """Time for which demand is expected to last: a copy answers its requests from the end of its load
 until then."""
 
+PAYBACK_S = 30.0
+"""Time in which a copy has to answer more requests than are lost for it: those for the evicted
+copies, and those whose adapters the engine cannot load while it carries out the orders."""
+
 ORDER_OVERHEAD_S = 0.4
 """Time from the end of an order until the engine's report shows it and the next one is sent."""
 
@@ -95,7 +94,7 @@
 
 @frozen
 class Option:
-    """Way to add a copy: the gain in requests for each second of the engine's time.
+    """Way to add a copy: the requests gained until the horizon for each second that it takes.
 
     The engine loads the model once it has unloaded `evictions`, maybe from the weight store.
     """
@@ -146,7 +145,7 @@
 
 
 def _list_options(plan: OrderPlan, candidates: list[Candidate], addition: Addition) -> list[Option]:
-    """List the ways to add a copy, the best last."""
+    """List the ways to add a copy that gain more requests than they cost, the best last."""
     spec = plan.engine.models[addition.name]
     if any(
         plan.is_overdue(target, MODEL_OVERDUE_S)
@@ -156,19 +155,34 @@
     else:
         busy = plan.list_busy_with_cached(addition.name)
         candidates = candidates + [Candidate.from_plan(plan, each) for each in busy]
-    options = []
-    for candidate in candidates:
-        if addition.name in candidate.engine_state.models:
-            continue
-        evictions = _choose_evictions(plan, candidate, spec, addition.value)
-        if evictions is not None:
-            gain = _measure_gain(plan, candidate, spec, addition.value, evictions)
-            from_store = is_from_store(plan, candidate.engine_state, spec.name)
-            server_id = candidate.engine_state.server_id
-            options.append(Option(gain, server_id, evictions, from_store))
+    made = (_make_option(plan, candidate, addition.value, spec) for candidate in candidates)
+    options = [option for option in made if option is not None]
     return sorted(options, key=lambda option: (option.gain, option.server_id))
 
 
+def _make_option(
+    plan: OrderPlan, candidate: Candidate, value: float, spec: ModelSpec
+) -> Option | None:
+    """Return the way to add a copy on one engine, None if it costs more than it gains."""
+    engine_state = candidate.engine_state
+    if spec.name in engine_state.models:
+        return None
+    evictions = _choose_evictions(plan, candidate, spec, value)
+    if evictions is None:
+        return None
+    takes_s = _estimate_time(plan, candidate, spec, evictions)
+    lost = sum(plan.measure_loss(engine_state, each) for each in evictions)
+
+    def measure_gain(until_s: float) -> float:
+        gained = value * (until_s - takes_s) - lost * until_s
+        return gained / takes_s - candidate.blocked_rate
+
+    if measure_gain(PAYBACK_S) <= 0.0:
+        return None
+    from_store = is_from_store(plan, engine_state, spec.name)
+    return Option(measure_gain(HORIZON_S), engine_state.server_id, evictions, from_store)
+
+
 def _choose_evictions(
     plan: OrderPlan, candidate: Candidate, spec: ModelSpec, value: float
 ) -> tuple[str, ...] | None:
@@ -194,25 +208,14 @@
     return None
 
 
-def _measure_gain(
-    plan: OrderPlan,
-    candidate: Candidate,
-    spec: ModelSpec,
-    value: float,
-    evictions: tuple[str, ...],
+def _estimate_time(
+    plan: OrderPlan, candidate: Candidate, spec: ModelSpec, evictions: tuple[str, ...]
 ) -> float:
-    """Return the requests gained until the horizon, for each second of the engine's time.
-
-    Lost are those for the evicted copies, and those whose adapters the engine cannot load while it
-    carries out the orders.
-    """
+    """Return the seconds until a copy is loaded and the engine is free again."""
     takes_s = candidate.delay_s + estimate_load_time(candidate.record, spec)
-    lost = 0.0
     for name in evictions:
         takes_s += UNLOAD_BUSY_S if plan.measure_rate(name) > BUSY_RATE_PER_S else UNLOAD_IDLE_S
-        lost += plan.measure_loss(candidate.engine_state, name)
-    gained = value * (HORIZON_S - takes_s) - lost * HORIZON_S
-    return gained / takes_s - candidate.blocked_rate
+    return takes_s
 
 
 def _plan_option(
@@ -220,10 +223,7 @@
 ) -> None:
     """Plan the next order of an option, unless another holder or a later round has to give it."""
     engine_state = plan.engine_states[option.server_id]
-    is_gated = plan.count_busy() >= BUSY_FRACTION_MAX * len(plan.engine_states)
-    if addition.value < URGENT_VALUE_PER_S and is_gated:
-        plan.postponed[Postponement.GATE] += 1
-    elif not engine_state.is_local:
+    if not engine_state.is_local:
         plan.postponed[Postponement.ELSEWHERE] += 1
     elif plan.is_busy(engine_state):
         plan.postponed[Postponement.BUSY] += 1
--- a/rhubarbshed/coordination/serving/placement_summary.py
+++ b/rhubarbshed/coordination/serving/placement_summary.py
@@ -8,7 +8,6 @@
 class Postponement(enum.Enum):
     """Reason why an addition is not ordered in a round."""
 
-    GATE = "gate"
     NO_ROOM = "no_room"
     TAKEN = "taken"
     ELSEWHERE = "elsewhere"
--- a/test/test_edge_planning.py
+++ b/test/test_edge_planning.py
@@ -211,7 +211,9 @@
     for at in (NOW - 0.4, NOW):
         plan.usage.record_awaited(("svc", "m7", ""), at)
     moves = plan_models(plan, LoadRateLimiter(9, 5.0, 1))
-    assert [move.server_id for move in moves] == ["e2"]
+    assert ("e2", "room_for_missing") in [(move.server_id, move.reason) for move in moves]
+    assert plan.engine_states["e2"].reserved_model == "m7"
+    assert "m7" not in [move.model for move in moves if move.server_id == "e1"]
 
 
 LIMITED_MODELS = ("m1", "m2", "m3", "m4", "m5", "m6")
@@ -347,3 +349,11 @@
     idle = OrderPlan("svc", plan.engine, plan.engine_states, plan.records, plan.usage, later)
     forget_served_targets(idle)
     assert plan.usage.measure_unserved_s("svc", "m4", later) == 0.0
+
+
+def test_engines_that_are_idle_before_traffic_all_load_what_is_missing():
+    """Seven at a time did, as all changes were worth little and a fifth of the engines was busy."""
+    models = {f"m{number}": ModelSpec(f"m{number}", 60.0, 4.0, 0.8, 0.5) for number in range(30)}
+    plan = make_small_plan(models, {f"e{number}": [f"m{number}"] for number in range(10)})
+    moves = plan_models(plan, LoadRateLimiter(50, 5.0, 1))
+    assert len({move.server_id for move in moves}) == len({move.model for move in moves}) == 10
