Evict the copies of least value together, and no more than make room

Memory fell to 50 of 86 copies: for a model of 73 GB, an engine first unloaded its least valuable copy of 43 GB, and then another one, although a single copy of 73 GB and little more value was there. The small one was evicted for nothing, and loaded again elsewhere.

Cause: copies were taken in the order of their value until there was room.

The new test failed before (it unloaded m1 and then m2).

--- a/rhubarbshed/coordination/serving/placement.py
+++ b/rhubarbshed/coordination/serving/placement.py
@@ -6,6 +6,7 @@
 """
 
 import heapq
+import itertools
 from collections.abc import Iterator
 
 from attrs import define, frozen
@@ -31,6 +32,9 @@
 """Fraction of an engine's adapter requests that a model order delays, since the engine takes no
 order for adapters while it carries it out."""
 
+EVICTIONS_MAX = 3
+"""Most copies that are evicted for one."""
+
 CACHED_EVICTION_FACTOR = 0.5
 """Factor on the value of evicted copies if the new model's weights are cached in memory or on a
 disk: the evicted weights are cached as well, and are loaded again in less than a second."""
@@ -69,13 +73,14 @@
 class Candidate:
     """Engine that may get an order, with the figures on it that all additions need.
 
-    `ranked` are its copies as (value, model, megabytes), the least valuable first. `delay_s` passes
-    before the order begins, `blocked_rate` are the requests per second that its orders delay.
+    `evictable` are sets of its copies as (value, megabytes, models), the least valuable first.
+    `delay_s` passes before the order begins, `blocked_rate` are the requests per second that its
+    orders delay.
     """
 
     engine_state: EngineState
     record: ServerRecord
-    ranked: list[tuple[float, str, float]]
+    evictable: list[tuple[float, float, tuple[str, ...]]]
     delay_s: float
     blocked_rate: float
 
@@ -89,7 +94,8 @@
         if record.limit_per_s is not None:
             delay_s += LIMIT_LASTS_S
         blocked_rate = BLOCKED_RATE_FRACTION * plan.measure_blocked_rate(engine_state)
-        return cls(engine_state, record, plan.rank_copies(engine_state), delay_s, blocked_rate)
+        evictable = _list_evictable(plan.rank_copies(engine_state))
+        return cls(engine_state, record, evictable, delay_s, blocked_rate)
 
 
 @frozen
@@ -136,6 +142,24 @@
     return plan.moves
 
 
+def _list_evictable(
+    copies: list[tuple[float, str, float]],
+) -> list[tuple[float, float, tuple[str, ...]]]:
+    """List the sets of an engine's copies that may be evicted together, the least valuable first.
+
+    A single large copy may make the room for which several small ones of less value each would go.
+    """
+    return sorted(
+        (
+            sum(value for value, _, _ in chosen),
+            sum(size_mb for _, _, size_mb in chosen),
+            tuple(model for _, model, _ in chosen),
+        )
+        for count in range(1, EVICTIONS_MAX + 1)
+        for chosen in itertools.combinations(copies, count)
+    )
+
+
 def _list_additions(plan: OrderPlan) -> Iterator[Addition]:
     for name in plan.engine.models:
         copies = len(plan.list_holders(name))
@@ -186,25 +210,20 @@
 def _choose_evictions(
     plan: OrderPlan, candidate: Candidate, spec: ModelSpec, value: float
 ) -> tuple[str, ...] | None:
-    """Return the copies to evict from an engine for a model.
+    """Return the copies of least value that make room on an engine for a model.
 
-    None if there is no room, or if the evicted copies are worth as much as the new one.
+    None if there are none, or if they are worth as much as the new one.
     """
-    free = plan.measure_free_mb(candidate.engine_state, spec.name)
-    if free >= spec.size_mb:
+    needed_mb = spec.size_mb - plan.measure_free_mb(candidate.engine_state, spec.name)
+    if needed_mb <= 0.0:
         return ()
     is_cached = spec.name in candidate.record.entry.cached_models
     value_max = value / CACHED_EVICTION_FACTOR if is_cached else value
-    lost = 0.0
-    evictions: list[str] = []
-    for held, model, size_mb in candidate.ranked:
-        lost += held
+    for lost, freed_mb, names in candidate.evictable:
         if lost >= value_max:
             return None
-        evictions.append(model)
-        free += size_mb
-        if free >= spec.size_mb:
-            return tuple(evictions)
+        if freed_mb >= needed_mb:
+            return names
     return None
 
 
--- a/test/test_edge_planning.py
+++ b/test/test_edge_planning.py
@@ -357,3 +357,15 @@
     plan = make_small_plan(models, {f"e{number}": [f"m{number}"] for number in range(10)})
     moves = plan_models(plan, LoadRateLimiter(50, 5.0, 1))
     assert len({move.server_id for move in moves}) == len({move.model for move in moves}) == 10
+
+
+def test_one_copy_makes_room_where_it_is_large_enough_and_not_two_of_less_value():
+    """Two models were unloaded for one, the smaller one for nothing."""
+    sizes = {"m1": 40.0, "m2": 70.0, "m3": 80.0, "m4": 70.0}
+    models = {name: ModelSpec(name, size, 4.0, 0.8, 0.5) for name, size in sizes.items()}
+    plan = make_small_plan(models, {"e1": ["m1", "m2", "m3"]})
+    for name, count in (("m1", 1), ("m2", 2), ("m3", 30), ("m4", 20)):
+        plan.usage.count(("svc", name, ""), Tally(count), NOW)
+        plan.usage.models["svc", name].fast = 0.0
+    moves = plan_models(plan, LoadRateLimiter(9, 5.0, 1))
+    assert [(move.kind, move.model) for move in moves] == [(OrderKind.UNLOAD, "m2")]
