--- a/tools/engine_play.py
+++ b/tools/engine_play.py
@@ -1,6 +1,7 @@
 """Play of a day on modelled engines, with the placement of real order holders."""
 
 import collections
+import math
 import random
 from collections.abc import Iterator
 
@@ -435,7 +436,7 @@
         if engine is None or not engine.is_up(self.now) or not state.has_room(order, self.day.spec):
             self.orders["held_back"] += 1
             return
-        if self.now < holder.silent_until.get(move.server_id, 0.0):
+        if self.now < holder.silent_until.get(move.server_id, -math.inf):
             return
         if engine.order is not None:
             self.orders["conflict"] += 1
