Tell the other order holders which engines take no orders

Cause: all holders choose the best engine of all for a missing model, and each gives orders to its own. An engine that did not answer its holder's order, or whose holder may give no orders, looked free to the others, so each left the model to it. After 1.5 s of waiting each holder acted alone, on a model with one request every two seconds as on this one; and room made by one holder was planned for by the others.

Evidence: want_unserved lines of all three holders, 1.0 to 1.2 s, rate=64.85 to 118.2, holders=0 engines_open=9 load_allowed=True, and one order without an answer (6.86 s) before the first that was accepted, at 8.12 s.

Holders now exchange, in a message of its own kind that older builds skip, the engines that have not answered for 0.1 s and the reserved room; an engine is closed for a second at most without news. A model is overdue after eight requests have come for it, which takes a busy one a tenth of a second and a rare one over ten.

Tests: engines that take no order, reserved room and overdue models in plans, former holders' messages.

--- a/rhubarbshed/coordination/serving/adapters.py
+++ b/rhubarbshed/coordination/serving/adapters.py
@@ -6,7 +6,6 @@
 """
 
 from rhubarbshed.coordination.serving.order_plan import REPORT_AGE_MAX_S, Move, OrderPlan
-from rhubarbshed.coordination.serving.placement import ADAPTER_OVERDUE_S
 from rhubarbshed.protocol.orders import OrderKind
 from rhubarbshed.state.placement.engine_states import EngineState
 
@@ -17,6 +16,10 @@
 """Shortest time that an adapter stays after its load, so that it serves the request that waited for
 it and those that follow."""
 
+ADAPTER_OVERDUE_S = 0.15
+"""Time that an adapter is awaited before each holder loads it on its own engines; until then each
+holder chooses the best engine of all, and may leave it to another."""
+
 PREFETCH_MOVES_MAX = 3
 """Most adapters loaded ahead to one engine in one planning round, so that awaited adapters are not
 held up."""
--- a/rhubarbshed/coordination/serving/order_plan.py
+++ b/rhubarbshed/coordination/serving/order_plan.py
@@ -136,6 +136,7 @@
             if engine_state.is_known
             and (engine_state.is_local or self.now - engine_state.reported_at < REPORT_AGE_MAX_S)
             and not engine_state.is_busy
+            and self.now >= engine_state.closed_until
             and server_id in self.available
         )
 
@@ -162,6 +163,14 @@
         """Return whether callers have waited so long that no other holder seems to act."""
         return self.usage.measure_wait_s(target, self.now) > after_s
 
+    def count_waiting(self, model: str) -> float:
+        """Estimate the requests for a model since callers began to wait for it."""
+        waits = [
+            self.usage.measure_wait_s(target, self.now)
+            for target in self.list_awaited_for_model(model)
+        ]
+        return max(waits, default=0.0) * max(self.measure_rate(model), AWAITED_RATE_PER_S)
+
     @functools.cached_property
     def holders(self) -> dict[str, list[EngineState]]:
         """Engines by model that hold it or are about to, and do not unload it.
--- a/rhubarbshed/coordination/serving/placement.py
+++ b/rhubarbshed/coordination/serving/placement.py
@@ -19,11 +19,10 @@
 from rhubarbshed.state.membership.fleet import ServerRecord
 from rhubarbshed.state.placement.engine_states import EngineState
 
-MODEL_OVERDUE_S = 1.5
-ADAPTER_OVERDUE_S = 0.15
-"""Time that a target is awaited before each holder loads it on its own engines. Until then each
-holder chooses the best engine of all, and since their views differ, each may leave it to another.
-"""
+OVERDUE_REQUESTS = 8.0
+"""Requests for a missing model after which each holder loads it on its own engines, more than a
+surplus load costs. Until then each holder chooses the best engine of all, and since their views
+differ, each may leave it to another."""
 
 RESERVATION_S = 4.0
 """Time for which room is kept for the model that it is made for."""
@@ -171,10 +170,7 @@
 def _list_options(plan: OrderPlan, candidates: list[Candidate], addition: Addition) -> list[Option]:
     """List the ways to add a copy that gain more requests than they cost, the best last."""
     spec = plan.engine.models[addition.name]
-    if any(
-        plan.is_overdue(target, MODEL_OVERDUE_S)
-        for target in plan.list_awaited_for_model(addition.name)
-    ):
+    if plan.count_waiting(addition.name) > OVERDUE_REQUESTS:
         candidates = [each for each in candidates if each.engine_state.is_local]
     else:
         busy = plan.list_busy_with_cached(addition.name)
--- a/rhubarbshed/protocol/holder_checks.py
+++ b/rhubarbshed/protocol/holder_checks.py
@@ -9,7 +9,12 @@
 from rhubarbshed.protocol.message_checks import is_address, is_number, is_quantity, is_text
 
 if TYPE_CHECKING:
-    from rhubarbshed.protocol.messages import DemandMessage, HolderMessage, StoreMessage
+    from rhubarbshed.protocol.messages import (
+        DemandMessage,
+        HolderMessage,
+        PlansMessage,
+        StoreMessage,
+    )
 
 Check = Callable[[object], bool]
 
@@ -46,6 +51,15 @@
     _require("loads", _are_rows(message.loads, is_text, _is_load))
 
 
+def check_plans(message: "PlansMessage") -> None:
+    """Raise `ValueError` unless a holder's plans can be applied."""
+    _check_sender(message)
+    _require("token", is_number(message.token))
+    _require("gives_orders", type(message.gives_orders) is bool)
+    _require("closed", _are_texts(message.closed))
+    _require("reserved", _are_rows(message.reserved, is_text, is_text))
+
+
 def check_store(message: "StoreMessage") -> None:
     """Raise `ValueError` unless a store message can be applied; its entries are decoded later."""
     _check_sender(message)
@@ -55,7 +69,7 @@
     _require("rows", _are_rows(message.rows, is_text, is_number, _is_row_value))
 
 
-def _check_sender(message: "DemandMessage | HolderMessage | StoreMessage") -> None:
+def _check_sender(message: "DemandMessage | HolderMessage | PlansMessage | StoreMessage") -> None:
     _require("sender", is_text(message.sender) and is_text(message.data_centre))
 
 
--- a/rhubarbshed/protocol/messages.py
+++ b/rhubarbshed/protocol/messages.py
@@ -21,7 +21,7 @@
     CrashQuestion,
     TrialMessage,
 )
-from rhubarbshed.protocol.holder_checks import check_demand, check_holder, check_store
+from rhubarbshed.protocol.holder_checks import check_demand, check_holder, check_plans, check_store
 from rhubarbshed.protocol.limit_messages import (
     LimitMessage,
     LimitQuestion,
@@ -117,6 +117,23 @@
     loads: tuple[tuple[str, int], ...] = field(factory=tuple)
 
 
+@frozen
+class PlansMessage:
+    """What an order holder plans for its own engines, sent to the other holders.
+
+    `gives_orders` is whether its lease is valid now. `closed` are all engines that take no order
+    now, `reserved` all (server, model for which it has or makes room). It is a message of its own,
+    as older builds cannot read a longer `HolderMessage`.
+    """
+
+    sender: str
+    data_centre: str
+    token: int
+    gives_orders: bool
+    closed: tuple[str, ...] = field(factory=tuple)
+    reserved: tuple[tuple[str, str], ...] = field(factory=tuple)
+
+
 @frozen
 class StoreMessage:
     """Rows read from the store, sent by an order holder to the instances of its data centre.
@@ -282,10 +299,11 @@
 CrashNews = CrashMessage | CrashQuestion | TrialMessage | BegunPartsMessage
 LimitNews = LimitMessage | LimitQuestion | LimitReply
 InstanceMessage = StreamMessage | CrashNews | LimitNews
-Message = DemandMessage | HolderMessage | StoreMessage | InstanceMessage
+Message = DemandMessage | HolderMessage | PlansMessage | StoreMessage | InstanceMessage
 KINDS: dict[str, type] = {
     "demand": DemandMessage,
     "holder": HolderMessage,
+    "plans": PlansMessage,
     "news": StoreMessage,
     "origins": OriginsMessage,
     "origin_question": OriginQuestion,
@@ -301,7 +319,12 @@
     "limit_reply": LimitReply,
 }
 KIND_NAMES = {kind: name for name, kind in KINDS.items()}
-CHECKS = {DemandMessage: check_demand, HolderMessage: check_holder, StoreMessage: check_store}
+CHECKS = {
+    DemandMessage: check_demand,
+    HolderMessage: check_holder,
+    PlansMessage: check_plans,
+    StoreMessage: check_store,
+}
 """Checks of received messages whose fields have no validators."""
 
 
--- a/rhubarbshed/state/placement/engine_states.py
+++ b/rhubarbshed/state/placement/engine_states.py
@@ -33,17 +33,19 @@
     """State of one incarnation of an engine; slots and sizes include what may still be loaded.
 
     `is_local` is set if this instance gives the engine's orders; other engines are reported by
-    their holder, last at `reported_at`. `orders` is the number of orders that the engine has
-    accepted, None until a report was read. `busy` is set while an order is in progress, also one of
-    a former holder. `pending` are adapters being loaded, with the time at which they should be
-    loaded. `reserved_model` is a model for which room is being made. `missing_adapters` turned out
-    to be missing from the engine, with the time of the report; they keep their slots.
+    their holder, last at `reported_at`, and take no order before `closed_until`. `orders` is the
+    number of orders that the engine has accepted, None until a report was read. `busy` is set while
+    an order is in progress, also one of a former holder. `pending` are adapters being loaded, with
+    the time at which they should be loaded. `reserved_model` is a model for which room is being
+    made. `missing_adapters` turned out to be missing from the engine, with the time of the report;
+    they keep their slots.
     """
 
     server_id: str
     started_ms: int
     is_local: bool = True
     reported_at: float = 0.0
+    closed_until: float = -math.inf
     orders: int | None = None
     ordered_at: float = 0.0
     models: set[str] = field(factory=set)
@@ -114,6 +116,12 @@
         self.busy_until = now + left_s
         return before != self._summarize()
 
+    def apply_holder_plans(self, closed: bool, reserved_model: str, until: float) -> None:
+        """Apply another holder's plans for its engine, which it announces again before `until`."""
+        self.closed_until = until if closed else -math.inf
+        self.reserved_model = reserved_model
+        self.reserved_until = until if reserved_model else -math.inf
+
     def _summarize(self) -> tuple[object, ...]:
         held = self.adapters.keys() - self.missing_adapters.keys()
         return self.models, held, self.loading, self.unloading
--- a/rhubarbshed/transport/edge/holder_protocol.py
+++ b/rhubarbshed/transport/edge/holder_protocol.py
@@ -20,6 +20,7 @@
     HolderMessage,
     InstanceMessage,
     Message,
+    PlansMessage,
     StoreMessage,
 )
 from rhubarbshed.protocol.servers import EntryChange
@@ -227,6 +228,7 @@
             others = self.list_other_holders()
             for message in self.make_holder_messages(own, now):
                 self.datagrams.send(message, *others)
+            self.datagrams.send(self.make_plans_message(now), *others)
         if regular or self.demand_buffer.is_urgent:
             self.forward_demand()
 
@@ -300,6 +302,18 @@
             loads = ()
         return messages
 
+    def make_plans_message(self, now: float) -> PlansMessage:
+        """Return what this holder plans for its own engines."""
+        settings, lease_state = self.view.settings, self.lease.lease_state
+        return PlansMessage(
+            settings.name,
+            settings.data_centre,
+            lease_state.token,
+            lease_state.may_order(now),
+            self.dispatcher.list_closed(now),
+            self.dispatcher.list_reserved(now),
+        )
+
     def handle_datagram(self, read: Result[Message, str], address: Address) -> None:
         """Decode and apply a datagram."""
         now = time.monotonic()
@@ -321,6 +335,9 @@
             return
         if not self.is_holder:
             return
+        if isinstance(message, PlansMessage):
+            self.handle_plans_message(message, now)
+            return
         if message.data_centre == self.view.settings.data_centre:
             self.instances[address] = now
             self.handle_local_demand(message, now)
@@ -396,6 +413,12 @@
         self.apply_loads(message.loads, message.sender, now)
         self.view.changed.fire()
 
+    def handle_plans_message(self, message: PlansMessage, now: float) -> None:
+        """Apply the plans of another holder, unless it is a former one."""
+        known = self.holders.get(message.data_centre)
+        if known is None or message.token >= known.token:
+            self.dispatcher.handle_plans(message, now)
+
     def learn_holders(self, message: HolderMessage, now: float) -> None:
         """Record where the other holders are, in case the local one becomes unresponsive."""
         for data_centre, host, port in message.holders:
--- a/rhubarbshed/transport/edge/order_dispatcher.py
+++ b/rhubarbshed/transport/edge/order_dispatcher.py
@@ -26,7 +26,7 @@
 from rhubarbshed.coordination.serving.update_queue import UpdateQueue
 from rhubarbshed.platform.orders import make_order, make_report_call, read_order_end
 from rhubarbshed.platform.records import read_report
-from rhubarbshed.protocol.messages import HolderMessage
+from rhubarbshed.protocol.messages import HolderMessage, PlansMessage
 from rhubarbshed.protocol.orders import OrderKind
 from rhubarbshed.protocol.routes import EngineSpec
 from rhubarbshed.protocol.servers import OrderEnd, ServerOrder
@@ -53,6 +53,9 @@
 ORDER_TIMEOUT_S = 0.6
 """Time for an engine's response to an order or a report call, which takes a few milliseconds."""
 
+ANSWER_LATE_S = 0.1
+"""Time without an answer after which other holders should not count on an engine."""
+
 ADAPTER_LOAD_S = 0.03
 """Time after which an ordered adapter is available; loads take 5 to 10 ms."""
 
@@ -78,7 +81,10 @@
 
 @define
 class OrderDispatcher:
-    """Planner and sender of orders while the lease is held; `changed` requests a holder message."""
+    """Planner and sender of orders while the lease is held; `changed` requests a holder message.
+
+    `busy` are engines with a call in flight, with the time since when.
+    """
 
     view: View
     pool: Pool
@@ -90,7 +96,7 @@
     wake: LatchedSignal = field(factory=LatchedSignal)
     changed: LatchedSignal = field(factory=LatchedSignal)
     updates: UpdateQueue = field(factory=UpdateQueue)
-    busy: set[str] = field(factory=set)
+    busy: dict[str, float] = field(factory=dict)
     tasks: set[asyncio.Task] = field(factory=set)
     unserved_logged_at: dict[Target, float] = field(factory=dict)
     placement_logged_at: dict[str, float] = field(factory=dict)
@@ -144,7 +150,7 @@
             if server_id in self.busy:
                 continue
             server_moves = [move for move in moves if move.server_id == server_id]
-            self.busy.add(server_id)
+            self.busy[server_id] = now
             self.spawn(self.send_orders(plan, server_id, server_moves))
 
     def record_placement(self, plan: OrderPlan) -> None:
@@ -207,7 +213,7 @@
                 self.mark_changed(server_id)
             if self.needs_report(engine_state, record, now) and server_id not in self.busy:
                 engine_state.read_at = now
-                self.busy.add(server_id)
+                self.busy[server_id] = now
                 self.spawn(self.read_report(server_id))
         for server_id in [key for key in self.engine_states if self.view.fleet.get(key) is None]:
             del self.engine_states[server_id]
@@ -253,6 +259,36 @@
             ):
                 engine_state.reported_at = now
 
+    def handle_plans(self, message: PlansMessage, now: float) -> None:
+        """Apply what the holder of another data centre plans for its engines."""
+        reserved = dict(message.reserved)
+        for server_id, engine_state in self.engine_states.items():
+            record = self.view.fleet.get(server_id)
+            if record is None or record.entry.data_centre != message.data_centre:
+                continue
+            if engine_state.is_local:
+                continue
+            closed = not message.gives_orders or server_id in message.closed
+            reserved_model = reserved.get(server_id, "")
+            engine_state.apply_holder_plans(closed, reserved_model, now + REPORT_AGE_MAX_S)
+
+    def list_closed(self, now: float) -> tuple[str, ...]:
+        """List own engines that take no order now, as they are unknown or do not answer."""
+        return tuple(
+            server_id
+            for server_id, engine_state in self.engine_states.items()
+            if engine_state.is_local
+            and (now - self.busy.get(server_id, now) > ANSWER_LATE_S or not engine_state.is_known)
+        )
+
+    def list_reserved(self, now: float) -> tuple[tuple[str, str], ...]:
+        """List own engines with the models for which they have or make room."""
+        return tuple(
+            (server_id, model)
+            for server_id, engine_state in self.engine_states.items()
+            if engine_state.is_local and (model := engine_state.find_reserved_model(now))
+        )
+
     def list_known_engines(self, now: float) -> dict[str, EngineState]:
         """Return engines whose contents are known: own ones, and others as recently announced."""
         return {
@@ -331,7 +367,7 @@
                 self.mark_changed(server_id)
                 log_report(engine_state, report.unwrap())
         finally:
-            self.busy.discard(server_id)
+            self.busy.pop(server_id, None)
 
     async def send_orders(self, plan: OrderPlan, server_id: str, moves: list[Move]) -> None:
         """Send one engine its orders, one after another."""
@@ -343,11 +379,11 @@
                 end = await self.send_order(plan, engine_state, move)
                 if end not in (OrderEnd.ACCEPTED, OrderEnd.ALREADY_DONE):
                     await asyncio.sleep(REPORT_REREAD_PAUSE_S)
-                    self.busy.add(server_id)
+                    self.busy.setdefault(server_id, time.monotonic())
                     await self.read_report(server_id)
                     return
         finally:
-            self.busy.discard(server_id)
+            self.busy.pop(server_id, None)
             self.wake.fire()
 
     async def send_order(self, plan: OrderPlan, engine_state: EngineState, move: Move) -> OrderEnd:
--- a/test/test_edge_orders.py
+++ b/test/test_edge_orders.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import logging
+import time
 
 import pytest
+from returns.result import Success
 
 from rhubarbshed.coordination.serving.adapters import (
     forget_served_targets,
@@ -13,6 +15,7 @@
 from rhubarbshed.coordination.serving.load_rate import LoadRateLimiter
 from rhubarbshed.coordination.serving.order_plan import OrderPlan
 from rhubarbshed.coordination.serving.placement import plan_models
+from rhubarbshed.protocol.messages import PlansMessage
 from rhubarbshed.protocol.orders import OrderKind
 from rhubarbshed.protocol.routes import EngineSpec, ModelSpec
 from rhubarbshed.protocol.servers import ServerOrder, ServerReport
@@ -20,6 +23,7 @@
 from rhubarbshed.state.placement.engine_states import RECENT_LOAD_S, EngineState, UnconfirmedOrder
 from rhubarbshed.state.placement.usage import Tally, Usage
 from rhubarbshed.transport.edge.holder_messages import list_held
+from rhubarbshed.transport.edge.holder_protocol import KnownHolder
 from rhubarbshed.transport.edge.node import Node
 from standin.replica import Exchange, Replica
 from test.helper_edge import (
@@ -246,6 +250,32 @@
     assert changed and list_held([engine_state]) == (("b1", 1, (("m1", ("a1",)),)),)
 
 
+def test_plans_of_a_former_holder_are_not_applied_and_those_of_others_close_no_own_engine():
+    async def scene():
+        service = make_engine_service({"m1": 0})
+        configuration = make_configuration(STREAM, Services=[service])
+        engines = [*make_engines("b1"), *make_engines("b2")]
+        engines[1].data_centre = "b"
+        async with run_edge(configuration, *engines) as edge:
+            await edge.wait_until(lambda: edge.node.lease.lease_state.held)
+            dispatcher, protocol = edge.node.dispatcher, edge.node.holder_protocol
+            await edge.wait_until(lambda: len(dispatcher.engine_states) == 2)
+            now = time.monotonic()
+            protocol.holders["b"] = KnownHolder(("127.0.0.9", 1), 7, now, 1)
+            for token, closes in ((6, False), (7, True)):
+                plans = PlansMessage("i9", "b", token, True, ("b1", "b2"), (("b2", "m1"),))
+                protocol.handle_datagram(Success(plans), ("127.0.0.9", 1))
+                assert (dispatcher.engine_states["b2"].closed_until > now) == closes
+            assert dispatcher.engine_states["b1"].closed_until < now
+            assert dispatcher.engine_states["b2"].find_reserved_model(now) == "m1"
+            plans = PlansMessage("i9", "b", 8, False)
+            protocol.handle_datagram(Success(plans), ("127.0.0.9", 1))
+            assert dispatcher.engine_states["b2"].closed_until > now, "it gives no orders"
+            assert dispatcher.engine_states["b2"].find_reserved_model(now) == ""
+
+    play(scene)
+
+
 def test_model_order_without_an_answer_counts_in_memory():
     engine = make_engine(2, m1=0, m2=0, m3=0, m4=0)
     engine_state = EngineState("b1", 1, orders=0)
--- a/test/test_edge_planning.py
+++ b/test/test_edge_planning.py
@@ -369,3 +369,46 @@
         plan.usage.models["svc", name].fast = 0.0
     moves = plan_models(plan, LoadRateLimiter(9, 5.0, 1))
     assert [(move.kind, move.model) for move in moves] == [(OrderKind.UNLOAD, "m2")]
+
+
+def make_shared_plan(rate: float, waited_s: float) -> OrderPlan:
+    """Return an own engine, another holder's with m1 on its disk, and callers that wait for m1."""
+    models = {"m1": ModelSpec("m1", 60.0, 4.0, 0.8, 0.5)}
+    plan = make_small_plan(models, {"e1": [], "e2": []})
+    plan.engine_states["e2"].is_local = False
+    plan.engine_states["e2"].reported_at = NOW
+    plan.records["e2"].entry = evolve(plan.records["e2"].entry, on_disk=frozenset(["m1"]))
+    plan.usage.count(("svc", "m1", ""), Tally(5 * rate), NOW)
+    plan.usage.models["svc", "m1"].fast = 0.0
+    for steps in range(round(waited_s / 0.1), -1, -1):
+        plan.usage.record_awaited(("svc", "m1", ""), NOW - 0.1 * steps)
+    return plan
+
+
+def test_missing_model_is_not_left_to_an_engine_that_takes_no_order():
+    """Three holders left the busiest model to an engine that did not answer its own holder."""
+    plan = make_shared_plan(1.0, 0.3)
+    assert plan_models(plan, LoadRateLimiter(9, 5.0, 1)) == []
+    plan = make_shared_plan(1.0, 0.3)
+    plan.engine_states["e2"].apply_holder_plans(True, "", NOW + 1.0)
+    assert [move.server_id for move in plan_models(plan, LoadRateLimiter(9, 5.0, 1))] == ["e1"]
+    plan = make_shared_plan(1.0, 0.3)
+    plan.engine_states["e2"].apply_holder_plans(True, "", NOW - 0.1)
+    assert plan_models(plan, LoadRateLimiter(9, 5.0, 1)) == []
+
+
+def test_room_that_another_holder_keeps_for_a_model_is_free_for_that_one_only():
+    plan = make_shared_plan(1.0, 0.3)
+    plan.engine_states["e2"].apply_holder_plans(False, "m2", NOW + 1.0)
+    plan.engine.models["m2"] = ModelSpec("m2", 150.0, 4.0, 0.8, 0.5)
+    assert plan.measure_free_mb(plan.engine_states["e2"], "m1") == 50.0
+    assert plan.measure_free_mb(plan.engine_states["e2"], "m2") == 200.0
+
+
+def test_busy_model_is_overdue_at_once_and_a_rare_one_is_not_loaded_by_each_holder():
+    """A model at 65 requests a second waited 1.2 s to be overdue, as long as one at 0.5."""
+    moves = plan_models(make_shared_plan(20.0, 0.5), LoadRateLimiter(9, 5.0, 1))
+    assert [move.server_id for move in moves] == ["e1"]
+    assert plan_models(make_shared_plan(0.6, 3.0), LoadRateLimiter(9, 5.0, 1)) == []
+    moves = plan_models(make_shared_plan(0.6, 20.0), LoadRateLimiter(9, 5.0, 1))
+    assert [move.server_id for move in moves] == ["e1"]
--- a/tools/engine_play.py
+++ b/tools/engine_play.py
@@ -409,6 +409,9 @@
                         other.rate.record_load(False, self.now)
                 change = (state.loading, left_s, state.unloading)
                 known.apply_holder_report(held, change, self.now)
+                closed = self.now < holder.silent_until.get(server_id, -math.inf)
+                reserved_model = state.find_reserved_model(self.now)
+                known.apply_holder_plans(closed, reserved_model, self.now + COUNT_INTERVAL_S)
 
     def loses_answer(self) -> bool:
         """Draw whether the answer to an order is lost."""
