Give up a silent server only for a repeat that can be made

Cause: a server that had sent nothing for 0.8 s was given up before it was known whether the budget pays for a repeat, and whether another server can take the request. With the budget used up the request was ended for nothing, though the server might have answered. Class: something is ended in favour of what may then be denied; streams that had begun were cured of it before, attempts without a first byte were not.

An attempt now ends for a silence only once a server is chosen and the repeat is paid for, begun or not. While it goes on, the server counts as unresponsive, so that others are preferred, and the links are checked as before.

Same class looked for: failures kept for a retry are sent if the retry is denied; refusals, model loads and forwarding end nothing first. Four tests (a plain and a stream answer, a budget that is refilled, further requests) failed before.

--- a/rhubarbshed/transport/edge/attempts.py
+++ b/rhubarbshed/transport/edge/attempts.py
@@ -72,9 +72,10 @@
     """One attempt at a server.
 
     `sent` means that the server may have got the request, which it did at `sent_at` at the earliest
-    (monotonic seconds), `failed` that the response counts against the server, and `begun` that a
-    whole event of a stream came. `may_move` returns whether another server may go on with a
-    response that has begun, `confirm_running` whether the server shows that it has not
+    (monotonic seconds), `failed` that the response counts against the server, `begun` that a
+    whole event of a stream came, and `silent` that the server was noted as unresponsive though the
+    attempt goes on. `may_move` returns whether another attempt can be made in place
+    of a silent one, `confirm_running` whether the server shows that it has not
     ended. `origin` is as of the choice of the server: its entry may change in the meantime.
     `in_step` means that each answer on the connection named the request that it came for.
     An attempt by way of another instance has neither `record` nor `origin`; `instance_error` is
@@ -96,6 +97,7 @@
     sent_at: float = 0.0
     failed: bool = False
     begun: bool = False
+    silent: bool = False
     withdrawn: bool = False
     on_head: Callable[[ResponseHead], None] = lambda head: None
     on_begun: Callable[[], None] = lambda: None
@@ -213,12 +215,13 @@
     def may_give_up(self) -> bool:
         """Return whether the response of a silent server may be left to another one.
 
-        To give up a server that no other can stand in for would end the response sooner, and only a
-        resumable stream can go on at another server once it has begun.
+        To give up a server that no other can stand in for, or that the budget allows no repeat of,
+        would end the response sooner, and only a resumable stream can go on at another server once
+        it has begun.
         """
-        if not self.caller_response.begun:
-            return True
-        return self.caller_response.route.resumable and self.may_move()
+        return (not self.caller_response.begun or self.caller_response.route.resumable) and (
+            self.may_move()
+        )
 
     def withdraw(self) -> None:
         """Take the request back from its server, which should not begin it."""
--- a/rhubarbshed/transport/edge/relay.py
+++ b/rhubarbshed/transport/edge/relay.py
@@ -485,7 +485,7 @@
             candidates=chosen.candidates,
         )
         attempt = Attempt.from_server(self.relay.pool, record, self.caller_response, self.deadline)
-        attempt.may_move = lambda: self.may_move(record, time.monotonic())
+        attempt.may_move = lambda: self.may_move(record, attempt, time.monotonic())
         attempt.on_head = lambda head: self.relay.limits.record_head(record, head, attempt.sent_at)
         attempt.on_begun = lambda: self.relay.crashes.record_begun(self.request, time.monotonic())
         attempt.confirm_running = lambda: self.confirm_running(record)
@@ -566,10 +566,19 @@
         self.retry_paid = self.retry_paid or self.relay.view.budget.try_spend(self.service, now)
         return self.retry_paid
 
-    def may_move(self, record: ServerRecord, now: float) -> bool:
-        """Return whether a server can go on with a stream in place of a silent one.
+    def may_move(self, record: ServerRecord, attempt: Attempt, now: float) -> bool:
+        """Return whether another attempt can be made in place of one at a silent server."""
+        may_move = self.pay_move(record, now)
+        if not may_move and not attempt.silent and not attempt.begun:
+            attempt.silent = True
+            record.record_unresponsive(now)
+            self.relay.links.suspect()
+        return may_move
+
+    def pay_move(self, record: ServerRecord, now: float) -> bool:
+        """Pay for a retry if another server can take the request; return whether it did.
 
-        The retry is paid for at once: many streams may become silent together.
+        The retry is paid for at once: many servers may become silent together.
         """
         if self.relay.links.is_cut and not self.forwarded_by:
             return self.relay.forwarder.has_peer(now) and self.pay_retry(now)
--- a/test/test_edge_silence.py
+++ b/test/test_edge_silence.py
@@ -104,3 +104,64 @@
             assert sum(len(each.got) for each in replicas) == 1
 
     play(scene)
+
+
+async def answer_late(exchange: Exchange) -> None:
+    """Answer whole, after a silence, with a stream or plainly."""
+    await asyncio.sleep(SILENCE_S)
+    if exchange.target.startswith("/s/"):
+        exchange.begin_stream()
+        exchange.send_event(1)
+        exchange.end_stream()
+    else:
+        exchange.answer(200, b"late")
+
+
+STREAM = make_route("streaming", "/s/", Resumable=True, TargetGapMs=150)
+
+
+@pytest.mark.parametrize("path", ["/p/x", "/s/x"])
+def test_silent_server_is_not_given_up_for_a_repeat_that_the_budget_denies(path):
+    """Its caller got 502 after 0.8 s, although the server answered a moment later."""
+
+    async def scene():
+        replicas = [Replica(f"b{each}", reply=answer_late) for each in range(2)]
+        async with run_edge(make_configuration(*ROUTES, STREAM), *replicas) as edge:
+            edge.node.view.budget.ratio = edge.node.view.budget.extra = 0.0
+            answer = await edge.ask(path, b"x")
+            assert (answer.status, answer.whole) == (200, True)
+            assert sum(len(each.got) for each in replicas) == 1
+
+    play(scene)
+
+
+def test_silent_server_is_given_up_once_the_budget_pays_for_a_repeat():
+    async def scene():
+        replicas = [Replica(f"b{each}", reply=answer_late) for each in range(2)]
+        async with run_edge(make_configuration(*ROUTES), *replicas) as edge:
+            budget = edge.node.view.budget
+            budget.ratio = budget.extra = 0.0
+            asking = asyncio.create_task(edge.ask("/p/x", b"x"))
+            await asyncio.sleep(0.9)
+            assert sum(len(each.got) for each in replicas) == 1
+            budget.extra = 100.0
+            await asyncio.sleep(0.2)
+            assert sum(len(each.got) for each in replicas) == 2
+            assert (await asking).status == 200
+
+    play(scene)
+
+
+def test_silent_server_gets_no_further_requests_though_no_repeat_is_paid_for():
+    async def scene():
+        replicas = [Replica("b0", reply=answer_late), Replica("b1")]
+        async with run_edge(make_configuration(*ROUTES), *replicas) as edge:
+            edge.node.view.budget.ratio = edge.node.view.budget.extra = 0.0
+            record = edge.node.view.fleet.get("b0")
+            edge.node.view.fleet.get("b1").leaving_at = 0.0
+            asking = asyncio.create_task(edge.ask("/p/x", b"x"))
+            await asyncio.sleep(0.95)
+            assert record.unresponsive_until > asyncio.get_running_loop().time()
+            assert (await asking).status == 200
+
+    play(scene)
