Refuse a request once its target has passed without a load under way

Cause: the length of the wait was decided once, from the shortest load that any engine could make, and held whether or not a load was ever ordered.

The decision is made again at the end of each wait: a load has to be under way by the route's target (a second at least), and is then waited for until 0.7 s after its expected end. Else the caller is refused and asked to come back after the load's time or the target, whichever is longer. Not known is whether a model will have its turn; what is refused now might have been answered late.

The new tests failed before (the signature is new).

--- a/rhubarbshed/coordination/serving/missing_models.py
+++ b/rhubarbshed/coordination/serving/missing_models.py
@@ -16,11 +16,31 @@
 ORDER_DELAY_S = 0.25
 """Time for a message to the order holder, its decision and its order."""
 
+ORDERED_WAIT_MIN_S = 1.0
+"""Least time that a request waits until its model is being loaded; one with a longer target waits
+for as long as that. A model that is not being loaded by then has to wait for its turn, and its
+callers are asked to come back."""
+
+LOADED_MARGIN_S = 0.7
+"""Time for which a load is waited for beyond its expected end, as reports lag."""
+
 WAIT_FRACTION_MAX = 0.8
 """Largest fraction of a caller's remaining time spent waiting for a load; the rest is for the
 answer."""
 
 
+@frozen
+class CallerPatience:
+    """Time that a caller has for a load: it waits from `since` to `until` (monotonic seconds).
+
+    Its route's target is `target_s`.
+    """
+
+    since: float
+    until: float
+    target_s: float
+
+
 @frozen
 class LoadWait:
     """Wait until a time (monotonic seconds) for a load that should take `expected_s`."""
@@ -41,24 +61,28 @@
     engine: EngineSpec | None,
     needs: tuple[str, str],
     capable: list[ServerRecord],
-    deadline: float,
+    patience: CallerPatience,
     now: float,
 ) -> LoadWait | LoadRefusal:
-    """Decide whether a request whose (model, adapter) no server holds waits for a load.
+    """Decide whether a request whose (model, adapter) no server holds waits, or waits on.
 
-    Its caller waits until `deadline` (monotonic seconds).
+    At the end of the wait it is decided anew.
     """
     model, adapter = needs
     spec = engine.models.get(model) if engine is not None else None
     if spec is None or not capable:
         return LoadRefusal("absent")
-    left_s = (deadline - now) * WAIT_FRACTION_MAX
+    left_s = (patience.until - now) * WAIT_FRACTION_MAX
     if adapter and any(model in record.held for record in capable):
-        return LoadWait(now + min(ADAPTER_WAIT_S, left_s), ORDER_DELAY_S)
-    expected_s = min(_find_ready_time(spec, record, now) for record in capable)
-    if expected_s > left_s:
-        return LoadRefusal("absent", expected_s)
-    return LoadWait(now + left_s, expected_s)
+        expected_s, until = ORDER_DELAY_S, patience.since + ADAPTER_WAIT_S
+    else:
+        expected_s = min(_find_ready_time(spec, record, now) for record in capable)
+        ordered_by = patience.since + max(ORDERED_WAIT_MIN_S, patience.target_s)
+        due = [record.loaded_at + LOADED_MARGIN_S for record in capable if record.loading == model]
+        until = min(due, default=ordered_by)
+    if expected_s > left_s or until <= now:
+        return LoadRefusal("absent", max(expected_s, patience.target_s))
+    return LoadWait(min(until, now + left_s), expected_s)
 
 
 def _find_ready_time(spec: ModelSpec, record: ServerRecord, now: float) -> float:
--- a/rhubarbshed/transport/edge/relay.py
+++ b/rhubarbshed/transport/edge/relay.py
@@ -18,7 +18,11 @@
     choose_service,
     list_staying,
 )
-from rhubarbshed.coordination.serving.missing_models import LoadWait, decide_load_wait
+from rhubarbshed.coordination.serving.missing_models import (
+    CallerPatience,
+    LoadWait,
+    decide_load_wait,
+)
 from rhubarbshed.coordination.serving.queueing import decide_wait, measure_wait
 from rhubarbshed.coordination.serving.refusals import (
     DRAINING_RETRY_S,
@@ -203,8 +207,9 @@
     whose limits had no room since the last attempt. `in_flight` means that a server may be running
     the request, `delivered` that one received it, and `only_missing` that all so far were down or
     lacked the model. `waited_s` was spent on a load and `queued_s` on full servers.
-    `available_in_s` is when a load that it needs should be complete. `waits_for` is the stage it is
-    in while no attempt is in flight. `retry_paid` means that the budget has counted the next retry.
+    `available_in_s` is when a load that it needs should be complete, and `load_awaited_at` since
+    when it waits for one. `waits_for` is the stage it is in while no attempt is in flight.
+    `retry_paid` means that the budget has counted the next retry.
     `stopped_by` is the key of the verdict that stopped it, `trial_keys` those of the verdicts that
     its next attempt puts to a trial. `forwarded_by` is the instance that it came from, with
     `attempts_max` servers left that may run it.
@@ -231,6 +236,7 @@
     only_missing: bool = True
     delivered: bool = False
     retry_paid: bool = False
+    load_awaited_at: float | None = None
     waits_for: Stage = Stage.CHOICE
     last_attempt: Attempt | None = None
     continuation: Continuation | None = None
@@ -594,30 +600,31 @@
         """Wait for a load of what is missing; return whether to choose again."""
         view = self.relay.view
         model, adapter = self.request.model, self.request.adapter
-        capable = list_staying(view.fleet, self.service, self.caller_response.version)
         engine = view.configuration.find_engine(self.service)
-        waits_until = min(self.deadline, self.request.received_at + self.route.stall_timeout_s)
         if not self.is_configured:
             return False
-        decision = decide_load_wait(engine, (model, adapter), capable, waits_until, now)
-        self.relay.report_awaited(self.service, model, adapter)
-        if not isinstance(decision, LoadWait):
-            self.available_in_s = decision.available_in_s
-            return False
-        self.available_in_s = decision.expected_s
-        self.waits_for = Stage.LOAD
-        while time.monotonic() < decision.until and view.drain.started_at is None:
-            left_s = decision.until - time.monotonic()
-            await view.changed.wait(min(left_s, AWAITED_REPORT_INTERVAL_S))
-            chosen = self.choose(time.monotonic())
-            if isinstance(chosen, Choice) or chosen.reason == "version_gone":
-                self.waited_s += time.monotonic() - now
-                return True
+        if self.load_awaited_at is None:
+            self.load_awaited_at = now
+        until = min(self.deadline, self.request.received_at + self.route.stall_timeout_s)
+        patience = CallerPatience(self.load_awaited_at, until, self.route.target_s)
+        begun_at, is_ready = now, False
+        while not is_ready and view.drain.started_at is None:
+            capable = list_staying(view.fleet, self.service, self.caller_response.version)
+            decision = decide_load_wait(engine, (model, adapter), capable, patience, now)
             self.relay.report_awaited(self.service, model, adapter)
-        self.waited_s += time.monotonic() - now
+            if not isinstance(decision, LoadWait):
+                self.available_in_s = decision.available_in_s
+                break
+            self.available_in_s = decision.expected_s
+            self.waits_for = Stage.LOAD
+            await view.changed.wait(min(decision.until - now, AWAITED_REPORT_INTERVAL_S))
+            now = time.monotonic()
+            chosen = self.choose(now)
+            is_ready = isinstance(chosen, Choice) or chosen.reason == "version_gone"
+        self.waited_s += now - begun_at
         if view.drain.started_at is not None:
             self.available_in_s = 0.0
-        return False
+        return is_ready
 
     def start_second_pass(self) -> bool:
         """Return whether to retry servers that failed this request; if so, clear `excluded`.
--- a/test/test_edge_choice.py
+++ b/test/test_edge_choice.py
@@ -6,7 +6,12 @@
 
 from rhubarbshed.coordination.serving import choice
 from rhubarbshed.coordination.serving.choice import Choice, NoServer, choose_server
-from rhubarbshed.coordination.serving.missing_models import LoadRefusal, LoadWait, decide_load_wait
+from rhubarbshed.coordination.serving.missing_models import (
+    CallerPatience,
+    LoadRefusal,
+    LoadWait,
+    decide_load_wait,
+)
 from rhubarbshed.coordination.serving.queueing import decide_wait
 from rhubarbshed.coordination.serving.refusals import make_refusal, make_timeout
 from rhubarbshed.coordination.serving.retry_budget import (
@@ -209,30 +214,66 @@
     return EngineSpec(8, 1000, 200.0, 4, 1.6, {"m1": spec})
 
 
+def make_patience(left_s: float, since: float = NOW, target_s: float = 3.0) -> CallerPatience:
+    return CallerPatience(since, since + left_s, target_s)
+
+
 def test_wait_for_an_adapter_is_short_and_for_a_load_ends_before_the_caller_leaves():
     holder, empty = make_entry("b1", models={"m1": []}), make_entry("b2")
     fleet = make_fleet(holder)
-    found = decide_load_wait(make_engine(), ("m1", "a1"), fleet.list_service("svc"), NOW + 2, NOW)
+    found = decide_load_wait(
+        make_engine(), ("m1", "a1"), fleet.list_service("svc"), make_patience(2.0), NOW
+    )
     assert isinstance(found, LoadWait) and found.until <= NOW + 0.6
     fleet = make_fleet(empty)
     capable = fleet.list_service("svc")
-    found = decide_load_wait(make_engine(), ("m1", ""), capable, NOW + 2.0, NOW)
+    found = decide_load_wait(make_engine(), ("m1", ""), capable, make_patience(2.0), NOW)
     assert isinstance(found, LoadRefusal) and found.available_in_s > 4.0
-    found = decide_load_wait(make_engine(), ("m1", ""), capable, NOW + 12.0, NOW)
+    found = decide_load_wait(make_engine(), ("m1", ""), capable, make_patience(12.0), NOW)
     assert isinstance(found, LoadWait) and found.until <= NOW + 12.0
     assert isinstance(
-        decide_load_wait(make_engine(), ("m9", ""), capable, NOW + 9, NOW), LoadRefusal
+        decide_load_wait(make_engine(), ("m9", ""), capable, make_patience(9.0), NOW), LoadRefusal
+    )
+    assert isinstance(
+        decide_load_wait(make_engine(), ("m1", ""), [], make_patience(9.0), NOW), LoadRefusal
     )
-    assert isinstance(decide_load_wait(make_engine(), ("m1", ""), [], NOW + 9, NOW), LoadRefusal)
 
 
 def test_load_under_way_is_reckoned_by_its_own_time():
     fleet = make_fleet(make_entry("b1"))
     fleet.apply_pending_changes("b1", "m1", 0.7, "", NOW)
-    found = decide_load_wait(make_engine(), ("m1", ""), fleet.list_service("svc"), NOW + 2, NOW)
+    found = decide_load_wait(
+        make_engine(), ("m1", ""), fleet.list_service("svc"), make_patience(2.0), NOW
+    )
     assert isinstance(found, LoadWait) and found.expected_s == pytest.approx(0.7)
 
 
+def test_request_is_refused_once_its_target_has_passed_without_a_load_under_way():
+    """Most callers were held for 9.6 s and then refused, while nothing was loaded for them."""
+    fleet = make_fleet(make_entry("b1"))
+
+    def decide(now: float, since: float = NOW, target_s: float = 3.0) -> LoadWait | LoadRefusal:
+        patience = make_patience(12.0, since, target_s)
+        servers = fleet.list_service("svc")
+        return decide_load_wait(make_engine(), ("m1", ""), servers, patience, now)
+
+    assert decide(NOW).until == pytest.approx(NOW + 3.0)
+    assert isinstance(decide(NOW + 3.0), LoadRefusal)
+    assert decide(NOW + 3.0).available_in_s >= 3.0
+    assert decide(NOW, target_s=0.1).until == pytest.approx(NOW + 1.0)
+    fleet.apply_pending_changes("b1", "m1", 4.0, "", NOW + 2.5)
+    assert NOW + 6.5 < decide(NOW + 3.0).until < NOW + 8.0, "it waits on for a load under way"
+    assert isinstance(decide(NOW + 9.0), LoadRefusal), "the load is overdue"
+
+
+def test_request_waits_for_its_adapter_once():
+    fleet = make_fleet(make_entry("b1", models={"m1": []}))
+    servers, needs = fleet.list_service("svc"), ("m1", "a1")
+    assert isinstance(
+        decide_load_wait(make_engine(), needs, servers, make_patience(9.0), NOW + 0.6), LoadRefusal
+    )
+
+
 def test_refusal_promises_only_what_is_true():
     assert make_timeout(ran=True).status == 504
     assert make_timeout(ran=False).status == 503
--- a/tools/engine_play.py
+++ b/tools/engine_play.py
@@ -9,7 +9,11 @@
 
 from rhubarbshed.coordination.serving.adapters import forget_served_targets
 from rhubarbshed.coordination.serving.load_rate import LoadRateLimiter
-from rhubarbshed.coordination.serving.missing_models import LoadWait, decide_load_wait
+from rhubarbshed.coordination.serving.missing_models import (
+    CallerPatience,
+    LoadWait,
+    decide_load_wait,
+)
 from rhubarbshed.coordination.serving.order_plan import Move, OrderPlan
 from rhubarbshed.coordination.serving.placement import (
     estimate_load_time,
@@ -66,7 +70,7 @@
     model: str
     arrived_at: float
     tries_left: int = 1
-    wait_until: float = 0.0
+    patience: CallerPatience | None = None
 
 
 @define
@@ -275,17 +279,28 @@
         self.counts[request.model] += 1
         if self.send(request):
             return
-        deadline = min(
-            request.arrived_at + request.caller.deadline_s, self.now + request.caller.stall_s
+        request.patience = CallerPatience(
+            self.now,
+            min(request.arrived_at + request.caller.deadline_s, self.now + request.caller.stall_s),
+            request.caller.target_s,
         )
-        records = self.fleet.list_service("svc")
-        decision = decide_load_wait(self.day.spec, (request.model, ""), records, deadline, self.now)
+        if self.await_load(request):
+            self.waiting.append(request)
+
+    def await_load(self, request: Request) -> bool:
+        """Let a request wait for a load, or on, and return whether; or refuse it."""
         self.usage.record_awaited(("svc", request.model, ""), self.now)
+        records = self.fleet.list_service("svc")
+        decision = decide_load_wait(
+            self.day.spec, (request.model, ""), records, request.patience, self.now
+        )
         if isinstance(decision, LoadWait):
-            request.wait_until = decision.until
-            self.waiting.append(request)
-        else:
-            self.refuse(request, decision.available_in_s or FULL_RETRY_S)
+            return True
+        held_s = self.now - request.patience.since
+        if held_s > 0.0:
+            self.outcomes[request.caller.name].held_s.append(held_s)
+        self.refuse(request, decision.available_in_s or FULL_RETRY_S)
+        return False
 
     def send(self, request: Request) -> bool:
         """Send a request to the less loaded of two engines that hold its model."""
@@ -329,18 +344,11 @@
 
     def check_waiting(self) -> None:
         """Send waiting requests whose model was loaded, and refuse those that waited too long."""
-        still = []
-        for request in self.waiting:
-            if self.send(request):
-                continue
-            if self.now >= request.wait_until:
-                held_s = self.now - request.arrived_at
-                self.refuse(request, FULL_RETRY_S)
-                self.outcomes[request.caller.name].held_s.append(held_s)
-                continue
-            self.usage.record_awaited(("svc", request.model, ""), self.now)
-            still.append(request)
-        self.waiting = still
+        self.waiting = [
+            request
+            for request in self.waiting
+            if not self.send(request) and self.await_load(request)
+        ]
 
     def refuse(self, request: Request, retry_after_s: float) -> None:
         """Refuse a request, whose caller returns once."""
