Continue a stream only with the rest of it

Reported by other operators: clients found the text of an error, at times its whole head, in the middle of their stream, or the stream ended as if it were complete. It does happen here.

Cause: once a stream had begun, any signed success of the next server was taken for its rest: the status had to be 2xx and the signature there, nothing else was compared with what the caller had. So a text, 204 or 206, the head of another answer, a stream from the beginning or with a gap were passed on and ended as whole. An answer whose events have no ids was continued as well, from its beginning. Class: a reply is taken for what was asked for, as it came where that was expected.

The rest must have the status and the media type that the caller has, and its first event an id that follows the last one: another one, a higher one if they are numbers, the next one if they have risen by one so far. Comments may come before it. Anything else ends the attempt, and the stream goes on at a further server or is broken off. What was sent without an id is not continued. By way of another instance it is the same code. A framed stream without events still ends the answer: the first server may have broken off behind its last event, and nothing tells the two apart.

--- a/rhubarbshed/transport/edge/attempts.py
+++ b/rhubarbshed/transport/edge/attempts.py
@@ -204,6 +204,8 @@
             if not 200 <= head.status < 300 or not route.streamed:
                 return await self.relay_complete(response, head, may_retry)
             self.check_success(head)
+            if caller_response.begun and not caller_response.is_rest(head):
+                raise MalformedAnswerError(f"status {head.status} in place of the rest of a stream")
             first = await self.channel.receive()
             timer.limit_s = STREAM_GAP_TIMEOUT_S
             if may_retry:
--- a/rhubarbshed/transport/edge/caller_responses.py
+++ b/rhubarbshed/transport/edge/caller_responses.py
@@ -9,7 +9,7 @@
 from rhubarbshed.protocol.routes import Route
 from rhubarbshed.protocol.streams import StreamOrigin
 from rhubarbshed.transport.edge.caller_connections import CallerConnection
-from rhubarbshed.transport.edge.streams import EventSplitter
+from rhubarbshed.transport.edge.streams import EventSplitter, read_media_type
 
 
 @define(eq=False)
@@ -29,6 +29,7 @@
     first_at: float | None = None
     last_at: float = 0.0
     gap_s: float = 0.0
+    media_type: bytes = b""
     splitter: EventSplitter = field(factory=EventSplitter)
     kept_failure: tuple[ResponseHead, bytes] | None = None
     origin: StreamOrigin | None = None
@@ -41,6 +42,16 @@
         """Return the only software version that may write the stream, if there is one."""
         return self.origin.version if self.origin is not None else None
 
+    @property
+    def may_continue(self) -> bool:
+        """Whether another server can go on: nothing was sent, or it is known up to which event."""
+        return self.first_at is None or bool(self.splitter.last_id)
+
+    def is_rest(self, head: ResponseHead) -> bool:
+        """Return whether a response can be the rest of the stream that the caller has."""
+        media_type = read_media_type(dict(head.headers))
+        return head.status == self.status and media_type == self.media_type
+
     def begin_stream(self, head: ResponseHead, origin: StreamOrigin | None) -> None:
         """Send the head of the first response of a stream; later ones only continue it.
 
@@ -64,6 +75,7 @@
             return
         self.begun = True
         self.status = head.status
+        self.media_type = read_media_type(dict(head.headers))
         self.connection.send_head(head.status, head.headers, length)
 
     async def send(self, data: bytes) -> None:
--- a/rhubarbshed/transport/edge/forwarding.py
+++ b/rhubarbshed/transport/edge/forwarding.py
@@ -135,7 +135,8 @@
         """Return whether a request may be sent on after instances that may have taken it broke."""
         route = progress.route
         left = route.attempts_max - progress.tries.run - broken
-        allowed = route.repeatable and left > 0 and progress.pay_retry(now)
+        may_repeat = route.repeatable and progress.caller_response.may_continue
+        allowed = may_repeat and left > 0 and progress.pay_retry(now)
         progress.retry_paid = False
         return allowed
 
--- a/rhubarbshed/transport/edge/relay.py
+++ b/rhubarbshed/transport/edge/relay.py
@@ -387,6 +387,8 @@
                 return self.give_up("quarantined")
             if not is_retry_allowed(self.route, end, self.tries):
                 return self.give_up(end.value)
+            if not self.caller_response.may_continue:
+                return self.give_up(end.value)
             # The budget counts attempts that reached a server, beyond the first.
             if self.delivered and not self.pay_retry(time.monotonic()):
                 return self.give_up("budget")
@@ -586,6 +588,8 @@
 
         The retry is paid for at once: many servers may become silent together.
         """
+        if not self.caller_response.may_continue:
+            return False
         if self.relay.links.is_cut and not self.forwarded_by:
             return self.relay.forwarder.has_peer(now) and self.pay_retry(now)
         chosen = self.choose_other(record, now)
--- a/rhubarbshed/transport/edge/streams.py
+++ b/rhubarbshed/transport/edge/streams.py
@@ -7,9 +7,16 @@
 import h11
 from attrs import define
 
+from rhubarbshed.transport.edge.channels import MalformedAnswerError
+
 EVENT_ID = re.compile(rb"^id:[ ]?([^\r\n]*)", re.MULTILINE)
 EVENT_ENDS = (b"\n\n", b"\r\n\r\n")
+EVENT_BLOCK = re.compile(rb"\r?\n\r?\n")
+COMMENT = b":"
 EVENT_STREAM = b"text/event-stream"
+ID_DIGITS_MAX = 18
+"""Digits up to which an event's id is read as a number."""
+
 EVENT_BYTES_MAX = 1_048_576
 """Longest event that is buffered until it is complete."""
 
@@ -59,7 +66,25 @@
 
 def is_event_stream(headers: Mapping[bytes, bytes]) -> bool:
     """Return whether a response says that it is a stream of events."""
-    return headers.get(b"content-type", b"").strip().lower().startswith(EVENT_STREAM)
+    return read_media_type(headers) == EVENT_STREAM
+
+
+def read_media_type(headers: Mapping[bytes, bytes]) -> bytes:
+    """Return the media type of a response without its parameters, empty if it names none."""
+    return headers.get(b"content-type", b"").split(b";", 1)[0].strip().lower()
+
+
+def find_first_id(events: bytes) -> str | None:
+    """Return the id of the first of some whole events, empty if it has none.
+
+    None if there are only comments, which servers send to keep a connection alive.
+    """
+    for block in EVENT_BLOCK.split(events):
+        lines = [line for line in block.splitlines() if line]
+        if lines and not all(line.startswith(COMMENT) for line in lines):
+            found = EVENT_ID.search(block)
+            return found[1].decode("latin-1") if found else ""
+    return None
 
 
 def has_event(data: bytes) -> bool:
@@ -67,29 +92,67 @@
     return any(mark in data for mark in EVENT_ENDS)
 
 
+def measure_step(before: str, after: str) -> int | None:
+    """Return by how much an id is above the one before, None if one of them is not a number."""
+    if any(not each.isdecimal() or len(each) > ID_DIGITS_MAX for each in (before, after)):
+        return None
+    return int(after) - int(before)
+
+
 @define
 class EventSplitter:
-    """Splitter that passes on complete events and keeps the last id; a partial event is dropped."""
+    """Splitter that passes on complete events and keeps the last id; a partial event is dropped.
+
+    `counts_up` is set while the ids seen so far rise by one. The first event behind a break has to
+    follow the last one, or it is not the rest of the stream.
+    """
 
     last_id: str = ""
     events: int = 0
+    counts_up: bool = False
     _held: bytes = b""
+    _behind_break: bool = False
 
     def feed(self, data: bytes) -> bytes:
-        """Return the events that are complete, in order."""
+        """Return the events that are complete, in order.
+
+        Raise `MalformedAnswerError` if they are not the rest of a stream that broke off.
+        """
         self._held += data
         end = max(self._find_end(mark) for mark in EVENT_ENDS)
         if end <= 0 and len(self._held) > EVENT_BYTES_MAX:
             end = len(self._held)
         if end <= 0:
             return b""
+        if self._behind_break:
+            self._check_rest(self._held[:end])
         complete, self._held = self._held[:end], self._held[end:]
-        ids = EVENT_ID.findall(complete)
-        if ids:
-            self.last_id = ids[-1].decode("latin-1")
-            self.events += len(ids)
+        for found in EVENT_ID.findall(complete):
+            self._record_id(found.decode("latin-1"))
         return complete
 
+    def _check_rest(self, complete: bytes) -> None:
+        first = find_first_id(complete)
+        if first is None:
+            return
+        if not first:
+            raise MalformedAnswerError("an event without an id in place of the rest of a stream")
+        step = measure_step(self.last_id, first)
+        if step is None:
+            follows = first != self.last_id
+        else:
+            follows = step == 1 or (step > 0 and not self.counts_up)
+        if not follows:
+            raise MalformedAnswerError(f"event {first[:20]} behind event {self.last_id[:20]}")
+        self._behind_break = False
+
+    def _record_id(self, event_id: str) -> None:
+        if self.events:
+            is_next = measure_step(self.last_id, event_id) == 1
+            self.counts_up = is_next and (self.counts_up or self.events == 1)
+        self.last_id = event_id
+        self.events += 1
+
     def flush(self) -> bytes:
         """Return what follows the last complete event of a stream that ended."""
         rest, self._held = self._held, b""
@@ -98,6 +161,7 @@
     def drop_partial(self) -> None:
         """Discard the part of an event that arrived before a break."""
         self._held = b""
+        self._behind_break = self.events > 0
 
     def _find_end(self, mark: bytes) -> int:
         found = self._held.rfind(mark)
