Log how much of an answer's body an attempt read, and for how long

To tell the hypotheses on bytes without end apart: attempt_failed and request_ended had neither the bytes read since an answer's head nor the time, so an answer that was kept without a bound looked like one whose end was awaited. No logic is changed.

--- a/rhubarbshed/transport/edge/attempts.py
+++ b/rhubarbshed/transport/edge/attempts.py
@@ -78,6 +78,7 @@
     of a silent one, `confirm_running` whether the server shows that it has not
     ended. `origin` is as of the choice of the server: its entry may change in the meantime.
     `in_step` means that each answer on the connection named the request that it came for.
+    `body_bytes` of the response were read since its head at `head_at` (monotonic seconds).
     An attempt by way of another instance has neither `record` nor `origin`; `instance_error` is
     that one's answer if no server gave one, and `declined` that another instance may do better.
     """
@@ -105,6 +106,8 @@
     channel: Channel | None = None
     origin: StreamOrigin | None = None
     in_step: bool = True
+    head_at: float | None = None
+    body_bytes: int = 0
     instance_error: RequestError | None = None
     declined: bool = False
 
@@ -190,6 +193,7 @@
             timer.start()
         try:
             response, head = await self.receive_head()
+            self.head_at, self.body_bytes = time.monotonic(), 0
             self.status, self.signed = head.status, head.signed
             self.framing = read_framing(request.method, response)
             if self.record is None and not head.signed:
@@ -206,7 +210,7 @@
             self.check_success(head)
             if caller_response.begun and not caller_response.is_rest(head):
                 raise MalformedAnswerError(f"status {head.status} in place of the rest of a stream")
-            first = await self.channel.receive()
+            first = await self.receive_body()
             timer.limit_s = STREAM_GAP_TIMEOUT_S
             if may_retry:
                 timer.start()
@@ -214,6 +218,13 @@
         finally:
             timer.cancel()
 
+    async def receive_body(self) -> Event:
+        """Return the next piece of the response's body, or its end."""
+        event = await self.channel.receive()
+        if isinstance(event, h11.Data):
+            self.body_bytes += len(event.data)
+        return event
+
     def may_give_up(self) -> bool:
         """Return whether the response of a silent server may be left to another one.
 
@@ -253,7 +264,7 @@
                 self.check_unnamed(head)
                 return response, head
             log_skipped(self, head)
-            while not isinstance(await self.channel.receive(), h11.EndOfMessage):
+            while not isinstance(await self.receive_body(), h11.EndOfMessage):
                 pass
             self.channel.skip_answer()
 
@@ -269,7 +280,7 @@
 
     async def read_refusal(self, response: h11.Response, head: ResponseHead) -> ExchangeEnd:
         """Read a refusal to its end."""
-        while not isinstance(await self.channel.receive(), h11.EndOfMessage):
+        while not isinstance(await self.receive_body(), h11.EndOfMessage):
             pass
         self.channel.finish(response, time.monotonic())
         if self.record is not None and head.server_id not in ("", self.record.entry.server_id):
@@ -281,7 +292,7 @@
     async def read_instance_error(self, response: h11.Response, head: ResponseHead) -> ExchangeEnd:
         """Read the error that another instance answers with; no server did."""
         pieces = []
-        while isinstance(event := await self.channel.receive(), h11.Data):
+        while isinstance(event := await self.receive_body(), h11.Data):
             pieces.append(bytes(event.data))
         self.channel.finish(response, time.monotonic())
         code, _, message = b"".join(pieces).decode("latin-1").strip().partition(": ")
@@ -317,7 +328,7 @@
         streaming = False
         pieces: list[bytes] = []
         length = 0
-        while isinstance(event := await self.channel.receive(), h11.Data):
+        while isinstance(event := await self.receive_body(), h11.Data):
             data = bytes(event.data)
             if streaming:
                 await self.caller_response.send(data)
@@ -383,7 +394,7 @@
                 self.begun = True
                 self.on_begun()
             await caller_response.send(complete)
-            event = await self.channel.receive()
+            event = await self.receive_body()
         broken_off = check_stream_end(response, tail, resumed)
         if broken_off:
             raise ChannelError(broken_off)
--- a/rhubarbshed/transport/edge/relay.py
+++ b/rhubarbshed/transport/edge/relay.py
@@ -562,7 +562,7 @@
         self.relay.metrics.count_attempt(self.service, end.value)
         self.relay.crashes.record_attempt(self.request, attempt, end, now)
         if end is not ExchangeEnd.DONE:
-            log_failed_attempt(self, attempt, end)
+            log_failed_attempt(self, attempt, end, now)
 
     def report_ended(self, record: ServerRecord, now: float) -> None:
         """Report a server that was not found at its address, as one that has ended."""
--- a/rhubarbshed/transport/edge/request_logs.py
+++ b/rhubarbshed/transport/edge/request_logs.py
@@ -42,7 +42,9 @@
     return Stage.BODY if attempt.status else Stage.RESPONSE
 
 
-def log_failed_attempt(progress: "RequestProgress", attempt: "Attempt", end: ExchangeEnd) -> None:
+def log_failed_attempt(
+    progress: "RequestProgress", attempt: "Attempt", end: ExchangeEnd, now: float
+) -> None:
     """Log why a server did not answer; a fingerprint tells which tries are of one request."""
     request = progress.request
     fields = {
@@ -52,6 +54,8 @@
         "status": attempt.status,
         "detail": attempt.detail,
         "framing": attempt.framing.value if attempt.framing is not None else "",
+        "body_bytes": attempt.body_bytes,
+        "body_ms": measure_body(attempt, now),
         "run": progress.tries.run,
         "refused": progress.tries.refused,
     }
@@ -62,6 +66,11 @@
     log_event(LOG, logging.INFO, "attempt_failed", **fields)
 
 
+def measure_body(attempt: "Attempt", now: float) -> int | str:
+    """Return the milliseconds since an attempt's response began, "" if it did not."""
+    return "" if attempt.head_at is None else round((now - attempt.head_at) * 1000)
+
+
 def log_skipped(attempt: "Attempt", head: ResponseHead) -> None:
     """Log a response to another request in place of the one expected."""
     channel = attempt.channel
@@ -124,6 +133,7 @@
     attempt = progress.last_attempt
     if attempt is not None and attempt.framing is not None:
         fields["framing"] = attempt.framing.value
+        fields["body_bytes"] = attempt.body_bytes
     fields |= count_stream(progress, error)
     if progress.stopped_by:
         fields["stopped_by"] = progress.stopped_by
