Bound the errors of servers that are kept until they are complete

Cause: a success was buffered up to BUFFERED_BYTES_MAX and passed on from there; every other answer was kept to its end, however long. Class: a bound on one kind of what others send, none on the rest.

The same bound holds for all answers now. A 4xx that is the server's last word is passed on beyond it, as a success is; a failure is given up, for a repeat if one may be made, else with 502 at once. The server's body is a bytearray, as a list of small pieces costs many times their bytes.

--- a/rhubarbshed/transport/edge/attempts.py
+++ b/rhubarbshed/transport/edge/attempts.py
@@ -46,7 +46,7 @@
 
 BUFFERED_BYTES_MAX = 262_144
 """Length up to which a plain response is buffered until it is complete, so that a truncated one can
-be requested again."""
+be requested again. A longer one is passed on as it arrives, or given up if it is a failure."""
 
 REFUSAL_STATUSES = (408, 421, 429, 503)
 """Statuses that tell a caller that its request did not run."""
@@ -325,20 +325,22 @@
         if success:
             self.check_success(head)
         resumed = self.caller_response.begun
+        is_final = head.status < 500 and head.status not in REFUSAL_STATUSES and not resumed
         streaming = False
-        pieces: list[bytes] = []
-        length = 0
+        body = bytearray()
         while isinstance(event := await self.receive_body(), h11.Data):
-            data = bytes(event.data)
             if streaming:
-                await self.caller_response.send(data)
+                await self.caller_response.send(bytes(event.data))
+                continue
+            body += event.data
+            if len(body) <= BUFFERED_BYTES_MAX:
                 continue
-            pieces.append(data)
-            length += len(data)
-            if length > BUFFERED_BYTES_MAX and success and not resumed:
-                streaming = True
-                self.caller_response.begin(head, None)
-                await self.caller_response.send(b"".join(pieces))
+            if not is_final:
+                raise MalformedAnswerError(f"status {head.status} with a body without an end")
+            streaming = True
+            self.caller_response.begin(head, None)
+            await self.caller_response.send(bytes(body))
+            body.clear()
         if not resumed:
             await self.check_closed_end()
         self.channel.finish(response, time.monotonic())
@@ -350,7 +352,7 @@
         if streaming:
             self.caller_response.connection.send_end()
             return ExchangeEnd.DONE
-        return self.deliver_complete(head, b"".join(pieces), may_retry)
+        return self.deliver_complete(head, bytes(body), may_retry)
 
     def deliver_complete(self, head: ResponseHead, body: bytes, may_retry: bool) -> ExchangeEnd:
         """Send a complete response to the caller, or keep or drop it in favour of a retry."""
--- /dev/null
+++ b/test/test_edge_endless_answers.py
@@ -0,0 +1,101 @@
+"""Servers that send bytes without end in place of an answer."""
+
+import asyncio
+import time
+
+import pytest
+
+from rhubarbshed.transport.edge.attempts import BUFFERED_BYTES_MAX
+from standin.replica import Exchange, Replica
+from test.helper_edge import make_configuration, make_route, play, run_edge
+
+ROUTES = {
+    "/p/x": make_route("idempotent", "/p/"),
+    "/u/x": make_route("non_idempotent", "/u/", Attempts=1),
+    "/s/x": make_route("streaming", "/s/", Resumable=True, TargetGapMs=150),
+    "/n/x": make_route("streaming", "/n/", Attempts=1, TargetGapMs=150),
+}
+FRAMINGS = {
+    "length": "Content-Length: 100000000000",
+    "chunks": "Transfer-Encoding: chunked",
+    "close": "Connection: close",
+}
+PIECE = 65_536
+POURED_MAX = 64_000_000
+"""Bytes after which a server pauses, so that a failing test does not fill the memory."""
+
+BUFFERS = 16_000_000
+"""Bytes that the buffers of both sockets can hold at the most."""
+
+SOON_S = 1.0
+
+
+def make_head(exchange: Exchange, status: int, *lines: str) -> bytes:
+    head = [
+        f"HTTP/1.1 {status} X",
+        f"Rhubarbshed-Request-Id: {exchange.request_id}",
+        "Rhubarbshed-Response-Signature: sig",
+        *lines,
+    ]
+    return "\r\n".join(head).encode() + b"\r\n\r\n"
+
+
+class PouringServer:
+    """Reply whose body has no end."""
+
+    def __init__(self, status: int, framing: str, *lines: str) -> None:
+        self.status, self.framing, self.lines, self.poured = status, framing, lines, 0
+
+    async def __call__(self, exchange: Exchange) -> None:
+        exchange.write(make_head(exchange, self.status, FRAMINGS[self.framing], *self.lines))
+        piece = b"x" * PIECE
+        if self.framing == "chunks":
+            piece = f"{PIECE:x}\r\n".encode() + piece + b"\r\n"
+        while True:
+            while self.poured >= POURED_MAX:
+                await asyncio.sleep(0.1)
+            exchange.write(piece)
+            self.poured += len(piece)
+            await exchange.writer.drain()
+
+
+async def ask(server: PouringServer, path: str):
+    replicas = [Replica(f"b{number}", reply=server) for number in range(2)]
+    async with run_edge(make_configuration(*ROUTES.values()), *replicas) as edge:
+        began_at = time.monotonic()
+        answer = await edge.ask(path, b"x")
+        return answer, time.monotonic() - began_at
+
+
+@pytest.mark.parametrize("path", ROUTES)
+@pytest.mark.parametrize("framing", FRAMINGS)
+@pytest.mark.parametrize("status", [500, 502, 429, 503])
+def test_error_without_end_does_not_fill_the_memory(status, framing, path):
+    async def scene():
+        server = PouringServer(status, framing)
+        answer, took_s = await ask(server, path)
+        assert (answer.status, took_s < SOON_S) == (502, True), took_s
+        assert server.poured < 2 * (BUFFERED_BYTES_MAX + BUFFERS)
+
+    play(scene)
+
+
+@pytest.mark.parametrize("path", ROUTES)
+@pytest.mark.parametrize("framing", FRAMINGS)
+def test_client_error_without_end_does_not_fill_the_memory(framing, path):
+    """It is the server's own answer, which is passed on as fast as the caller reads."""
+
+    async def scene():
+        server = PouringServer(404, framing)
+        replicas = [Replica("b1", reply=server)]
+        async with run_edge(make_configuration(*ROUTES.values()), *replicas) as edge:
+            reader, writer = await asyncio.open_connection(*edge.node.settings.callers, limit=PIECE)
+            head = f"GET {path} HTTP/1.1\r\nHost: svc.example\r\nRhubarbshed-Request-Id: q1\r\n"
+            writer.write(head.encode() + b"Rhubarbshed-Deadline-Remaining: 2000\r\n\r\n")
+            assert b" 404 " in await reader.readline()
+            await asyncio.sleep(SOON_S)
+            poured = server.poured
+            writer.transport.abort()
+            assert poured < BUFFERED_BYTES_MAX + 2 * BUFFERS
+
+    play(scene)
