Do not wait for the end of a body that decides nothing

Callers saw: a server that refused a request in its answer's head, and then sent bytes without end or one at a time, kept the caller waiting until its deadline (504), though the head said that the request had not run and another server could have served it. An error of another instance was kept whole.

Cause: a refusal was read to its end only to keep its connection, and an instance's error to have its text; neither had a bound. Class: a wait for something that is not needed.

Both have 64 KiB and 0.05 s now. Beyond that the connection is given up and what the head says counts.

--- a/rhubarbshed/transport/edge/attempts.py
+++ b/rhubarbshed/transport/edge/attempts.py
@@ -48,6 +48,10 @@
 """Length up to which a plain response is buffered until it is complete, so that a truncated one can
 be requested again. A longer one is passed on as it arrives, or given up if it is a failure."""
 
+UNUSED_BYTES_MAX = 65_536
+UNUSED_BODY_S = 0.05
+"""Bytes and time in which a body that decides nothing has to end for its connection to be kept."""
+
 REFUSAL_STATUSES = (408, 421, 429, 503)
 """Statuses that tell a caller that its request did not run."""
 
@@ -268,6 +272,25 @@
                 pass
             self.channel.skip_answer()
 
+    async def skip_body(self, bytes_max: int, time_max_s: float) -> bool:
+        """Read a body that is not used; return whether it ended within these bounds."""
+        return await self.read_short_body(bytearray(), bytes_max, time_max_s)
+
+    async def read_short_body(self, body: bytearray, bytes_max: int, time_max_s: float) -> bool:
+        """Add the rest of a body to `body`; return whether it ended within these bounds.
+
+        The bytes that earlier calls of an attempt have read count towards `bytes_max`.
+        """
+        try:
+            async with asyncio.timeout(time_max_s):
+                while isinstance(event := await self.receive_body(), h11.Data):
+                    if self.body_bytes > bytes_max:
+                        return False
+                    body += event.data
+        except TimeoutError:
+            return False
+        return True
+
     def check_unnamed(self, head: ResponseHead) -> None:
         """Raise `MalformedAnswerError` for a response without an id that may be an earlier one.
 
@@ -279,10 +302,9 @@
         raise MalformedAnswerError(f"status {head.status} without an id on a kept connection")
 
     async def read_refusal(self, response: h11.Response, head: ResponseHead) -> ExchangeEnd:
-        """Read a refusal to its end."""
-        while not isinstance(await self.receive_body(), h11.EndOfMessage):
-            pass
-        self.channel.finish(response, time.monotonic())
+        """Return what a refusal says; its body may keep only its connection waiting."""
+        if await self.skip_body(UNUSED_BYTES_MAX, UNUSED_BODY_S):
+            self.channel.finish(response, time.monotonic())
         if self.record is not None and head.server_id not in ("", self.record.entry.server_id):
             return ExchangeEnd.WRONG_SERVER
         return (
@@ -291,11 +313,10 @@
 
     async def read_instance_error(self, response: h11.Response, head: ResponseHead) -> ExchangeEnd:
         """Read the error that another instance answers with; no server did."""
-        pieces = []
-        while isinstance(event := await self.receive_body(), h11.Data):
-            pieces.append(bytes(event.data))
-        self.channel.finish(response, time.monotonic())
-        code, _, message = b"".join(pieces).decode("latin-1").strip().partition(": ")
+        body = bytearray()
+        if await self.read_short_body(body, UNUSED_BYTES_MAX, UNUSED_BODY_S):
+            self.channel.finish(response, time.monotonic())
+        code, _, message = body.decode("latin-1").strip().partition(": ")
         not_run = head.declined or head.status in REFUSAL_STATUSES or head.status < 500
         self.detail = code
         # A 4xx of another instance is about what that one knows, such as older routes. A refusal
--- a/test/test_edge_endless_answers.py
+++ b/test/test_edge_endless_answers.py
@@ -2,11 +2,15 @@
 
 import asyncio
 import time
+from types import SimpleNamespace
 
 import pytest
 
+from rhubarbshed.protocol.forwarding import DECLINED
 from rhubarbshed.transport.edge.attempts import BUFFERED_BYTES_MAX
+from rhubarbshed.transport.edge.relay import RequestProgress
 from standin.replica import Exchange, Replica
+from test.helper_cuts import run_cut_scene
 from test.helper_edge import make_configuration, make_route, play, run_edge
 
 ROUTES = {
@@ -99,3 +103,73 @@
             assert poured < BUFFERED_BYTES_MAX + 2 * BUFFERS
 
     play(scene)
+
+
+async def trickle(exchange: Exchange) -> None:
+    while True:
+        exchange.write(b"x")
+        await exchange.writer.drain()
+        await asyncio.sleep(0.05)
+
+
+async def pour(exchange: Exchange) -> None:
+    poured = 0
+    while True:
+        while poured >= POURED_MAX:
+            await asyncio.sleep(0.1)
+        exchange.write(b"x" * PIECE)
+        poured += PIECE
+        await exchange.writer.drain()
+
+
+LENGTH = "Content-Length: 100000000000"
+REFUSED = "Rhubarbshed-Not-Executed: 1"
+
+
+@pytest.mark.parametrize("send", [pour, trickle])
+@pytest.mark.parametrize("path", ROUTES)
+def test_refusal_whose_body_has_no_end_is_passed_on_at_once(path, send):
+    """Its head says that the request did not run; the caller was refused at its deadline."""
+
+    async def refuse(exchange: Exchange) -> None:
+        exchange.write(make_head(exchange, 503, LENGTH, REFUSED))
+        await send(exchange)
+
+    async def scene():
+        async with run_edge(
+            make_configuration(*ROUTES.values()), Replica("b1", reply=refuse)
+        ) as edge:
+            began_at = time.monotonic()
+            answer = await edge.ask(path, b"x")
+            took_s = time.monotonic() - began_at
+            assert (answer.status, took_s < SOON_S) == (503, True), took_s
+
+    play(scene)
+
+
+@pytest.mark.parametrize("send", [pour, trickle])
+@pytest.mark.parametrize("declined", [True, False])
+def test_error_of_another_instance_without_end_does_not_fill_the_memory(
+    declined, send, monkeypatch
+):
+    real = RequestProgress.run
+
+    async def run(self: RequestProgress) -> None:
+        if not self.forwarded_by:
+            await real(self)
+            return
+        lines = [b"HTTP/1.1 503 X", LENGTH.encode(), *([DECLINED + b": full"] if declined else [])]
+        self.connection._write(b"\r\n".join(lines) + b"\r\n\r\nfull: no\n")
+        writer = SimpleNamespace(drain=self.connection.wait_writable)
+        await send(SimpleNamespace(write=self.connection._write, writer=writer))
+
+    async def scene():
+        async with run_cut_scene() as cuts:
+            await cuts.cut("reset", "a1")
+            monkeypatch.setattr(RequestProgress, "run", run)
+            began_at = time.monotonic()
+            answer = await cuts.ask("a1", "/p/x", b"x")
+            took_s = time.monotonic() - began_at
+            assert (answer.status, took_s < 2 * SOON_S) == (503, True), took_s
+
+    play(scene)
