Give up a server that answers everything but the request

Callers saw: a server that wrote interim responses without end, or answers to other requests, kept a request until its deadline (504); a second server was never asked. Thousands of answers in one read also held the event loop for 0.2 s at a time, as each one copies what is left of the buffer.

Cause: interim heads and answers to other requests were skipped without a bound on their number, their bytes or the time.

16 of each, 256 KiB and half a second for an answer are the bounds; beyond them the answer is malformed, which is repeated elsewhere if the request may be.

Tests: interim heads, short answers, and one other answer without an end; 3 of 3 failed before (504, or 4 s), all pass.

--- a/rhubarbshed/transport/edge/attempts.py
+++ b/rhubarbshed/transport/edge/attempts.py
@@ -52,6 +52,15 @@
 UNUSED_BODY_S = 0.05
 """Bytes and time in which a body that decides nothing has to end for its connection to be kept."""
 
+SKIPPED_ANSWERS_MAX = 16
+SKIPPED_BYTES_MAX = 262_144
+SKIPPED_S = 0.5
+"""Most answers to other requests that are skipped, the bytes that all may have, and the time for
+each."""
+
+INTERIM_HEADS_MAX = 16
+"""Interim responses after which a server is not expected to send a final one."""
+
 REFUSAL_STATUSES = (408, 421, 429, 503)
 """Statuses that tell a caller that its request did not run."""
 
@@ -254,12 +263,8 @@
         On a kept connection only the id distinguishes these from the one expected. One without an
         id shows nothing, and a connection is kept only while all responses bear the id expected.
         """
-        while True:
-            response = await self.channel.receive()
-            while isinstance(response, h11.InformationalResponse):
-                response = await self.channel.receive()
-            if not isinstance(response, h11.Response):
-                raise MalformedAnswerError("body without a head")
+        for _ in range(SKIPPED_ANSWERS_MAX):
+            response = await self.receive_final_head()
             head = read_head(response.status_code, response.headers)
             if head.request_id and head.request_id == self.caller_response.request.request_id:
                 return response, head
@@ -268,9 +273,20 @@
                 self.check_unnamed(head)
                 return response, head
             log_skipped(self, head)
-            while not isinstance(await self.receive_body(), h11.EndOfMessage):
-                pass
+            if not await self.skip_body(SKIPPED_BYTES_MAX, SKIPPED_S):
+                raise MalformedAnswerError("an answer to another request without an end")
             self.channel.skip_answer()
+        raise MalformedAnswerError("answers to other requests without an end")
+
+    async def receive_final_head(self) -> h11.Response:
+        """Return the next head that is not of an interim response."""
+        for _ in range(INTERIM_HEADS_MAX):
+            response = await self.channel.receive()
+            if isinstance(response, h11.Response):
+                return response
+            if not isinstance(response, h11.InformationalResponse):
+                raise MalformedAnswerError("body without a head")
+        raise MalformedAnswerError("interim responses without an end")
 
     async def skip_body(self, bytes_max: int, time_max_s: float) -> bool:
         """Read a body that is not used; return whether it ended within these bounds."""
--- a/test/test_edge_endless_answers.py
+++ b/test/test_edge_endless_answers.py
@@ -122,6 +122,21 @@
         await exchange.writer.drain()
 
 
+async def pour_heads(exchange: Exchange) -> None:
+    while True:
+        exchange.write(b"HTTP/1.1 102 Processing\r\n\r\n")
+        await exchange.writer.drain()
+        await asyncio.sleep(0)
+
+
+async def pour_answers(exchange: Exchange) -> None:
+    other = b"HTTP/1.1 200 OK\r\nRhubarbshed-Request-Id: other\r\nContent-Length: 2\r\n\r\nno"
+    while True:
+        exchange.write(other * 100)
+        await exchange.writer.drain()
+        await asyncio.sleep(0)
+
+
 LENGTH = "Content-Length: 100000000000"
 REFUSED = "Rhubarbshed-Not-Executed: 1"
 
@@ -147,6 +162,27 @@
     play(scene)
 
 
+async def send_other_answer(exchange: Exchange) -> None:
+    exchange.write(b"HTTP/1.1 200 OK\r\nRhubarbshed-Request-Id: other\r\n")
+    exchange.write(LENGTH.encode() + b"\r\n\r\n")
+    await trickle(exchange)
+
+
+@pytest.mark.parametrize("send", [pour_heads, pour_answers, send_other_answer])
+def test_server_that_answers_everything_but_the_request_is_left_for_another(send):
+    async def scene():
+        replicas = [Replica("b1", reply=send), Replica("b2")]
+        async with run_edge(make_configuration(*ROUTES.values()), *replicas) as edge:
+            for _ in range(6):
+                began_at = time.monotonic()
+                answer = await edge.ask("/p/x", b"x")
+                took_s = time.monotonic() - began_at
+                assert (answer.status, took_s < SOON_S) == (200, True), took_s
+            assert replicas[0].got
+
+    play(scene)
+
+
 @pytest.mark.parametrize("send", [pour, trickle])
 @pytest.mark.parametrize("declined", [True, False])
 def test_error_of_another_instance_without_end_does_not_fill_the_memory(
