Give other tasks a turn while a server's bytes are read

Cause: `Channel.receive` returns without a wait while bytes are buffered, and a caller that reads does not make it wait either, so all events of one read were handled in one pass of the loop. Class: work that another party chooses, on the loop of all callers.

After 64 events the loop has a turn, before the next event is taken: none is lost if the reader is cancelled there. Timers are due in that turn, so time limits hold.

Tests: events between two passes on four routes, for a success, a 404 and a refusal; 12 of 12 failed before, all pass. A reader that is cancelled as it gives way loses no event; that is for the new code. 275 cases of the files about answers, streams, silence and disconnects pass.

--- a/rhubarbshed/transport/edge/channels.py
+++ b/rhubarbshed/transport/edge/channels.py
@@ -19,6 +19,10 @@
 REQUESTS_MAX = 128
 """Requests after which a connection is not used again, as it keeps their ids."""
 
+EVENTS_IN_ROW_MAX = 64
+"""Events of buffered bytes after which the other tasks of the loop have a turn; each takes some
+tens of microseconds, and one server may delay the other callers by 20 ms at most."""
+
 KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout=(\d+)")
 
 Event = h11.Response | h11.InformationalResponse | h11.Data | h11.EndOfMessage
@@ -51,6 +55,7 @@
     _error: Exception | None = None
     _closed: bool = False
     _unread: int = 0
+    _events_in_row: int = 0
     _request_ids: set[str] = field(factory=set)
     _drained: asyncio.Event = field(factory=asyncio.Event)
 
@@ -119,7 +124,12 @@
         self._transport.write(data)
 
     async def receive(self) -> Event:
-        """Return the next event of the response."""
+        """Return the next event of the response; give way after each `EVENTS_IN_ROW_MAX`."""
+        if self._events_in_row >= EVENTS_IN_ROW_MAX:
+            self._events_in_row = 0
+            # Before an event is taken, as one would be lost if its reader were cancelled here.
+            await asyncio.sleep(0)
+        self._events_in_row += 1
         while True:
             event = self._next_event()
             if event is not h11.NEED_DATA:
@@ -132,6 +142,7 @@
                 await self._waiter
             finally:
                 self._waiter = None
+            self._events_in_row = 1
 
     def measure_wait(self, now: float) -> float:
         """Return for how long bytes have been awaited; 0 while the response isn't read."""
--- a/test/test_edge_stream_work.py
+++ b/test/test_edge_stream_work.py
@@ -1,8 +1,16 @@
 """Work that the bytes of one server make, however they are divided."""
 
+import asyncio
+from unittest.mock import Mock
+
+import h11
 import pytest
 
+from rhubarbshed.transport.edge.channels import EVENTS_IN_ROW_MAX, Channel
 from rhubarbshed.transport.edge.streams import EVENT_BYTES_MAX, EventSplitter
+from standin.replica import Exchange, Replica
+from test.helper_edge import make_configuration, play, run_edge
+from test.test_edge_endless_answers import FRAMINGS, ROUTES, make_head
 
 
 class CountedBytes(bytearray):
@@ -44,3 +52,63 @@
     piece = b"x" * 65_536
     passed = [splitter.feed(piece) for _ in range(EVENT_BYTES_MAX // len(piece) + 1)]
     assert [len(each) for each in passed if each] == [EVENT_BYTES_MAX + len(piece)]
+
+
+async def count_between_passes(counts: list[int]) -> None:
+    """Add a count for each pass of the loop."""
+    while True:
+        counts.append(0)
+        await asyncio.sleep(0)
+
+
+@pytest.mark.parametrize("status", [200, 404, 503])
+@pytest.mark.parametrize("path", ROUTES)
+def test_chunks_of_one_byte_do_not_hold_the_loop(path, status, monkeypatch):
+    """Other callers waited until some 40,000 pieces of one read were handled."""
+    counts = [0]
+    take_next = Channel._next_event
+
+    def count(self: Channel):
+        counts[-1] += 1
+        return take_next(self)
+
+    async def pour(exchange: Exchange) -> None:
+        lines = ("Rhubarbshed-Not-Executed: 1",) if status == 503 else ()
+        exchange.write(make_head(exchange, status, FRAMINGS["chunks"], *lines))
+        for _ in range(40):
+            exchange.write(b"1\r\nx\r\n" * 10_000)
+            await exchange.writer.drain()
+
+    async def scene():
+        monkeypatch.setattr(Channel, "_next_event", count)
+        servers = [Replica("b1", reply=pour)]
+        async with run_edge(make_configuration(*ROUTES.values()), *servers) as edge:
+            counting = asyncio.create_task(count_between_passes(counts))
+            asking = asyncio.create_task(edge.ask(path, b"x"))
+            await asyncio.sleep(0.5)
+            counting.cancel()
+            asking.cancel()
+            assert EVENTS_IN_ROW_MAX // 2 < max(counts) <= 2 * EVENTS_IN_ROW_MAX
+
+    play(scene)
+
+
+def test_no_event_is_lost_where_a_reader_that_gives_way_is_cancelled():
+    async def scene():
+        channel = Channel()
+        channel.connection_made(Mock())
+        channel.start(b"GET", b"/", ((b"host", b"x"),), b"")
+        pieces = [b"%d" % (number % 10) for number in range(1000)]
+        head = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
+        channel.data_received(head + b"".join(b"1\r\n" + each + b"\r\n" for each in pieces))
+        await channel.receive()
+        got, cancelled = [], 0
+        while len(got) < len(pieces):
+            receiving = asyncio.create_task(channel.receive())
+            await asyncio.sleep(0)
+            cancelled += receiving.cancel()
+            result = (await asyncio.gather(receiving, return_exceptions=True))[0]
+            got += [bytes(result.data)] if isinstance(result, h11.Data) else []
+        assert got == pieces and cancelled
+
+    play(scene)
