Bound each answer to a call of the instance by what it can need

Operators would see: a faulty server that answers an order, a report, a health check or a question without an end makes an instance keep 8 MiB for each such call, at many servers at once. An order whose status had arrived counted as unknown, after all the time that a call has.

Cause: `control.call` had one bound of 8 MiB for all answers, that of the store's largest one; it read every body, though for orders, health checks and reachability only the status counts, and skipped interim responses without a bound on their number. Class: a bound or a wait that is not derived from what is needed. Evidence: 8,454,192 bytes read of each answer, 1.5 s (all of the time given) for a body in single bytes and for interim responses.

A call states the longest answer that it can need: a report 256 KiB, a page or a transaction of the store 3 MB (the pages' 1 MB in base64, with the rows' other fields), changes 8 MiB as before, as the pages state no bound. Where only the status counts, the body has 64 KiB and 0.05 s, as that of a refusal has; beyond that the connection is given up. 16 interim responses end a call, by the code that requests use.

Tests: orders, health checks and reachability (pour, single bytes), reports, pages and transactions (pour), interim responses (4 calls); 17 of 17 failed before, all pass.

--- a/rhubarbshed/platform/orders.py
+++ b/rhubarbshed/platform/orders.py
@@ -6,6 +6,9 @@
 from rhubarbshed.protocol.exchanges import ControlCall
 from rhubarbshed.protocol.servers import OrderEnd, ServerOrder
 
+REPORT_BYTES_MAX = 262_144
+"""Longest report: as many names as a list may have, of 60 bytes each."""
+
 ENDS_BY_STATUS = {
     200: OrderEnd.ALREADY_DONE,
     202: OrderEnd.ACCEPTED,
@@ -41,7 +44,9 @@
 def make_report_call(server_id: str) -> ControlCall:
     """Return the call that fetches an engine's report."""
     headers = ((EXPECT_INSTANCE, server_id.encode()),)
-    return ControlCall(b"GET", b"/rhubarbshed/report", headers=headers)
+    return ControlCall(
+        b"GET", b"/rhubarbshed/report", headers=headers, answer_bytes_max=REPORT_BYTES_MAX
+    )
 
 
 def make_health_call(server_id: str, path: str) -> ControlCall:
--- a/rhubarbshed/platform/rows.py
+++ b/rhubarbshed/platform/rows.py
@@ -24,6 +24,13 @@
 ROWS_MAX = 500
 """Rows in one response, from the platform's documentation."""
 
+PAGE_BYTES_MAX = 3_000_000
+"""Longest answer with rows: 1 MB of values, a third more in base64, and for each row 3 KB of other
+fields, whose 400 bytes may be escaped."""
+
+FEED_BYTES_MAX = 8_388_608
+"""Longest answer with changes; the platform's documentation states none."""
+
 JSON_HEADERS = ((b"content-type", b"application/json"),)
 SURROGATE = re.compile("[\ud800-\udfff]")
 SURROGATES_END = "\ue000"
@@ -49,13 +56,15 @@
     query = {"Table": table, "part": "", "Limit": ROWS_MAX}
     if start:
         query["From"] = start
-    return ControlCall(b"GET", f"/rhubarbshed/rows-get?{urlencode(query)}".encode())
+    target = f"/rhubarbshed/rows-get?{urlencode(query)}".encode()
+    return ControlCall(b"GET", target, answer_bytes_max=PAGE_BYTES_MAX)
 
 
 def make_feed_read(table: str, after: int, wait_s: float) -> ControlCall:
     """Return the call that waits for rows of a table changed after a revision."""
     query = {"Table": table, "after": after, "WaitMs": int(wait_s * 1000)}
-    return ControlCall(b"GET", f"/rhubarbshed/rows-feed?{urlencode(query)}".encode())
+    target = f"/rhubarbshed/rows-feed?{urlencode(query)}".encode()
+    return ControlCall(b"GET", target, answer_bytes_max=FEED_BYTES_MAX)
 
 
 def make_commit(table: str, transaction: Transaction) -> ControlCall:
@@ -74,7 +83,8 @@
             {**location, "Key": write.key} for write in transaction.writes if write.value is None
         ],
     }
-    return ControlCall(b"POST", b"/rhubarbshed/rows-tx", json.dumps(body).encode(), JSON_HEADERS)
+    data = json.dumps(body).encode()
+    return ControlCall(b"POST", b"/rhubarbshed/rows-tx", data, JSON_HEADERS, PAGE_BYTES_MAX)
 
 
 def read_page(status: int, body: bytes) -> Result[Page, TableError]:
--- a/rhubarbshed/protocol/exchanges.py
+++ b/rhubarbshed/protocol/exchanges.py
@@ -101,12 +101,16 @@
 
 @frozen
 class ControlCall:
-    """HTTP call of this instance to the store or an engine."""
+    """HTTP call of this instance to the store, a server or another instance.
+
+    `answer_bytes_max` is the longest body that its answer can need, 0 if only the status is used.
+    """
 
     method: bytes
     target: bytes
     body: bytes = b""
     headers: Headers = ()
+    answer_bytes_max: int = 0
 
 
 class ExchangeEnd(enum.Enum):
--- a/rhubarbshed/transport/edge/attempts.py
+++ b/rhubarbshed/transport/edge/attempts.py
@@ -18,6 +18,8 @@
 from rhubarbshed.state.membership.fleet import ServerRecord
 from rhubarbshed.transport.edge.caller_responses import CallerResponse
 from rhubarbshed.transport.edge.channels import (
+    UNUSED_BODY_S,
+    UNUSED_BYTES_MAX,
     Channel,
     ChannelError,
     Event,
@@ -48,19 +50,12 @@
 """Length up to which a plain response is buffered until it is complete, so that a truncated one can
 be requested again. A longer one is passed on as it arrives, or given up if it is a failure."""
 
-UNUSED_BYTES_MAX = 65_536
-UNUSED_BODY_S = 0.05
-"""Bytes and time in which a body that decides nothing has to end for its connection to be kept."""
-
 SKIPPED_ANSWERS_MAX = 16
 SKIPPED_BYTES_MAX = 262_144
 SKIPPED_S = 0.5
 """Most answers to other requests that are skipped, the bytes that all may have, and the time for
 each."""
 
-INTERIM_HEADS_MAX = 16
-"""Interim responses after which a server is not expected to send a final one."""
-
 REFUSAL_STATUSES = (408, 421, 429, 503)
 """Statuses that tell a caller that its request did not run."""
 
@@ -264,7 +259,7 @@
         id shows nothing, and a connection is kept only while all responses bear the id expected.
         """
         for _ in range(SKIPPED_ANSWERS_MAX):
-            response = await self.receive_final_head()
+            response = await self.channel.receive_final_head()
             head = read_head(response.status_code, response.headers)
             if head.request_id and head.request_id == self.caller_response.request.request_id:
                 return response, head
@@ -278,16 +273,6 @@
             self.channel.skip_answer()
         raise MalformedAnswerError("answers to other requests without an end")
 
-    async def receive_final_head(self) -> h11.Response:
-        """Return the next head that is not of an interim response."""
-        for _ in range(INTERIM_HEADS_MAX):
-            response = await self.channel.receive()
-            if isinstance(response, h11.Response):
-                return response
-            if not isinstance(response, h11.InformationalResponse):
-                raise MalformedAnswerError("body without a head")
-        raise MalformedAnswerError("interim responses without an end")
-
     async def skip_body(self, bytes_max: int, time_max_s: float) -> bool:
         """Read a body that is not used; return whether it ended within these bounds."""
         return await self.read_short_body(bytearray(), bytes_max, time_max_s)
--- a/rhubarbshed/transport/edge/channels.py
+++ b/rhubarbshed/transport/edge/channels.py
@@ -23,6 +23,13 @@
 """Events of buffered bytes after which the other tasks of the loop have a turn; each takes some
 tens of microseconds, and one server may delay the other callers by 20 ms at most."""
 
+UNUSED_BYTES_MAX = 65_536
+UNUSED_BODY_S = 0.05
+"""Bytes and time in which a body that decides nothing has to end for its connection to be kept."""
+
+INTERIM_HEADS_MAX = 16
+"""Interim responses after which a server is not expected to send a final one."""
+
 KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout=(\d+)")
 
 Event = h11.Response | h11.InformationalResponse | h11.Data | h11.EndOfMessage
@@ -144,6 +151,16 @@
                 self._waiter = None
             self._events_in_row = 1
 
+    async def receive_final_head(self) -> h11.Response:
+        """Return the next head that is not of an interim response."""
+        for _ in range(INTERIM_HEADS_MAX):
+            response = await self.receive()
+            if isinstance(response, h11.Response):
+                return response
+            if not isinstance(response, h11.InformationalResponse):
+                raise MalformedAnswerError("body without a head")
+        raise MalformedAnswerError("interim responses without an end")
+
     def measure_wait(self, now: float) -> float:
         """Return for how long bytes have been awaited; 0 while the response isn't read."""
         if self._waiter is None or self._waiter.done():
--- a/rhubarbshed/transport/edge/control.py
+++ b/rhubarbshed/transport/edge/control.py
@@ -9,16 +9,18 @@
 
 from rhubarbshed.protocol.exchanges import ControlCall
 from rhubarbshed.protocol.tables import TableError, TableFault
-from rhubarbshed.transport.edge.channels import Channel, ChannelError
+from rhubarbshed.transport.edge.channels import (
+    UNUSED_BODY_S,
+    UNUSED_BYTES_MAX,
+    Channel,
+    ChannelError,
+)
 from rhubarbshed.transport.edge.pools import Address, Pool
 
-BODY_BYTES_MAX = 8_388_608
-"""Longest response to such a call; the store sends 1 MB of rows at most."""
-
 
 @frozen
 class ControlAnswer:
-    """Response to a call made by this instance."""
+    """Response to a call made by this instance; `body` is empty if only the status is used."""
 
     status: int
     body: bytes
@@ -64,15 +66,32 @@
     if sent.body or sent.method != b"GET":
         headers.append((b"content-length", str(len(sent.body)).encode()))
     channel.start(sent.method, sent.target, tuple(headers), sent.body)
-    response = await channel.receive()
-    while isinstance(response, h11.InformationalResponse):
-        response = await channel.receive()
-    pieces: list[bytes] = []
-    length = 0
+    response = await channel.receive_final_head()
+    body = b""
+    if sent.answer_bytes_max:
+        body = await _read_body(channel, sent.answer_bytes_max)
+        if body is None:
+            raise ChannelError(f"the response is longer than {sent.answer_bytes_max} bytes")
+        channel.finish(response, time.monotonic())
+    elif await _skip_body(channel):
+        channel.finish(response, time.monotonic())
+    return ControlAnswer(response.status_code, body)
+
+
+async def _read_body(channel: Channel, bytes_max: int) -> bytes | None:
+    """Return the body, None if it is longer than `bytes_max`."""
+    body = bytearray()
     while isinstance(event := await channel.receive(), h11.Data):
-        pieces.append(bytes(event.data))
-        length += len(event.data)
-        if length > BODY_BYTES_MAX:
-            raise ChannelError(f"the response is longer than {BODY_BYTES_MAX} bytes")
-    channel.finish(response, time.monotonic())
-    return ControlAnswer(response.status_code, b"".join(pieces))
+        body += event.data
+        if len(body) > bytes_max:
+            return None
+    return bytes(body)
+
+
+async def _skip_body(channel: Channel) -> bool:
+    """Return whether a body that decides nothing ended soon, so that its connection is kept."""
+    try:
+        async with asyncio.timeout(UNUSED_BODY_S):
+            return await _read_body(channel, UNUSED_BYTES_MAX) is not None
+    except TimeoutError:
+        return False
