Hold no more of a caller's pipelined requests than the bound

Cause: what arrived during an answer was counted from 0 after each answer and reading was resumed, though the parser still held what had come before: one read more for each answer. Class: a bound on what is added, none on what is held.

What has arrived is kept beside the parser, which gets 16 KiB at once. Reading is resumed only when PIPELINED_BYTES_MAX or less is held, so that one read more (256 KiB) is the most; as the parser's rest is short, measuring it copies little, however much is held.

A caller that disconnects while it is not read is noticed, before and now.

Not noticed before an answer's end, before and now: the regular end of a caller that has more requests on their way than the bound and the kernel's buffers hold, as its end is behind them.

--- a/rhubarbshed/transport/edge/caller_connections.py
+++ b/rhubarbshed/transport/edge/caller_connections.py
@@ -22,7 +22,10 @@
 LOG = logging.getLogger(__name__)
 
 PIPELINED_BYTES_MAX = 65_536
-"""Bytes of later requests that are accepted while one is being answered."""
+"""Bytes of later requests above which nothing is read while one is being answered."""
+
+PARSED_BYTES = 16_384
+"""Bytes that the parser gets at once, as what it has not used is copied to be measured."""
 
 DISCARD_S = 0.5
 """Time for which what a caller still sends is read and discarded before a close."""
@@ -102,7 +105,7 @@
     _head_begun: bool = False
     _body: list[bytes] = field(factory=list)
     _body_bytes: int = 0
-    _pipelined_bytes: int = 0
+    _unparsed: bytearray = field(factory=bytearray)
     _timer: asyncio.TimerHandle | None = None
     _paused_check: asyncio.TimerHandle | None = None
     _writable: asyncio.Event = field(factory=asyncio.Event)
@@ -128,15 +131,10 @@
             self.late_bytes += len(data)
             return
         self.active_at = time.monotonic()
-        self._parser.receive_data(data)
-        if self._answering:
-            self._pipelined_bytes += len(data)
-            if self._pipelined_bytes > PIPELINED_BYTES_MAX:
-                self._transport.pause_reading()
-                if self._paused_check is None:
-                    self._watch_paused()
-            return
-        self._read()
+        self._unparsed += data
+        if not self._answering:
+            self._read()
+        self._limit_reading()
 
     def eof_received(self) -> bool:
         """Treat the caller's end of the connection as a disconnect.
@@ -182,7 +180,7 @@
         """Return whether no request has begun to arrive, and none is being refused."""
         if self._answering or self._close_after:
             return False
-        return self._request is None and not self._parser.trailing_data[0]
+        return self._request is None and not self.unparsed_bytes
 
     @property
     def is_receiving(self) -> bool:
@@ -211,7 +209,7 @@
     @property
     def unparsed_bytes(self) -> int:
         """Return the number of bytes that were read and belong to no whole head or body yet."""
-        return len(self._parser.trailing_data[0])
+        return len(self._parser.trailing_data[0]) + len(self._unparsed)
 
     @property
     def unread_bytes(self) -> int:
@@ -254,6 +252,7 @@
             return
         self._record_close(reason, status)
         self._ending = self._close_after = True
+        self._unparsed.clear()
         self._cancel_timer()
         self._timer = asyncio.get_running_loop().call_later(DISCARD_S, self._transport.close)
         self._transport.resume_reading()
@@ -367,12 +366,13 @@
         while not self._answering and not self._close_after:
             event = self._parser.next_event()
             if event is h11.NEED_DATA:
-                if self._parser.they_are_waiting_for_100_continue:
-                    interim = h11.InformationalResponse(status_code=100, headers=[])
-                    self._write(self._parser.send(interim))
                 self._limit_head()
-                return
-            if isinstance(event, h11.Request):
+                if self._close_after or not self._unparsed:
+                    self._continue_body()
+                    return
+                self._parser.receive_data(bytes(self._unparsed[:PARSED_BYTES]))
+                del self._unparsed[:PARSED_BYTES]
+            elif isinstance(event, h11.Request):
                 self._begin(event)
             elif isinstance(event, h11.Data):
                 self._add_body(bytes(event.data))
@@ -382,6 +382,12 @@
                 self.close(CloseReason.LAST_ANSWER)
                 return
 
+    def _continue_body(self) -> None:
+        """Let a caller send the body that it has announced."""
+        if not self._close_after and self._parser.they_are_waiting_for_100_continue:
+            interim = h11.InformationalResponse(status_code=100, headers=[])
+            self._write(self._parser.send(interim))
+
     def _limit_head(self) -> None:
         """Refuse a head, or one of a chunk, that is too long so far.
 
@@ -448,10 +454,9 @@
             self._end_answered()
             return
         self._parser.start_next_cycle()
-        self._pipelined_bytes = 0
-        self._transport.resume_reading()
         self._set_timer(self.read_limits().idle_timeout_s)
         self._read()
+        self._limit_reading()
         if self.is_refusing():
             self.close_idle()
 
@@ -460,8 +465,8 @@
 
         Such a request was sent before the caller knew that the connection would close.
         """
-        data, _ = self._parser.trailing_data
-        if data and self.is_closing() and self._parser.our_state is h11.MUST_CLOSE:
+        is_unread = self.unparsed_bytes > 0
+        if is_unread and self.is_closing() and self._parser.our_state is h11.MUST_CLOSE:
             self._parser = make_parser()
             self.refuse(503, "this connection is closing; ask again", CLOSED_RETRY_S)
         self.end(CloseReason.LAST_ANSWER)
@@ -477,6 +482,15 @@
         self.send_head(status, (make_retry_header(CLOSED_RETRY_S),), 0)
         self.end(reason, status)
 
+    def _limit_reading(self) -> None:
+        """Read on unless more is held than may be."""
+        if self.unparsed_bytes <= PIPELINED_BYTES_MAX:
+            self._transport.resume_reading()
+            return
+        self._transport.pause_reading()
+        if self._paused_check is None:
+            self._watch_paused()
+
     def _watch_paused(self) -> None:
         """Look for the caller's end of the connection while it is not read."""
         self._paused_check = None
--- /dev/null
+++ b/test/test_edge_endless_requests.py
@@ -0,0 +1,68 @@
+"""Callers that send without end, or in the smallest pieces."""
+
+import asyncio
+
+from rhubarbshed.transport.edge.caller_connections import PIPELINED_BYTES_MAX, CallerConnection
+from standin.replica import Exchange, Replica
+from test.helper_edge import HOST, Edge, make_configuration, make_route, play, read_answer, run_edge
+
+ROUTE = make_route("idempotent", "/p/")
+READ_BYTES = 262_144
+"""Most that the event loop reads at once."""
+
+LATE_S = 0.02
+"""Target for how late one party may make the requests of all others."""
+
+
+def make_head(name: str, *lines: str) -> bytes:
+    head = [f"POST /p/x HTTP/1.1\r\nHost: {HOST}", f"Rhubarbshed-Request-Id: {name}", *lines]
+    return "\r\n".join([*head, "Rhubarbshed-Deadline-Remaining: 4000"]).encode() + b"\r\n\r\n"
+
+
+async def open_caller(
+    edge: Edge,
+) -> tuple[asyncio.StreamReader, asyncio.StreamWriter, CallerConnection]:
+    reader, writer = await asyncio.open_connection(*edge.node.settings.callers)
+    await edge.wait_until(lambda: len(edge.node.connections) == 1)
+    return reader, writer, next(iter(edge.node.connections))
+
+
+def test_requests_one_behind_the_other_do_not_fill_the_memory():
+    """Reading went on after each answer, whatever was held already."""
+
+    async def scene():
+        async with run_edge(make_configuration(ROUTE), Replica("b1")) as edge:
+            reader, writer, connection = await open_caller(edge)
+            names = [f"q{number}" for number in range(600)]
+            for name in names:
+                writer.write(make_head(name, "Content-Length: 10000") + b"x" * 10_000)
+            held = 0
+            for name in names:
+                answer = await asyncio.wait_for(read_answer(reader), 5.0)
+                assert (answer.status, answer.headers["rhubarbshed-request-id"]) == (200, name)
+                held = max(held, connection.unparsed_bytes)
+            assert 0 < held <= PIPELINED_BYTES_MAX + READ_BYTES
+            writer.close()
+
+    play(scene)
+
+
+def test_caller_of_many_requests_that_disconnects_is_noticed():
+    async def answer(exchange: Exchange) -> None:
+        if exchange.request_id == "q9":
+            await asyncio.sleep(4.0)
+        exchange.answer(200, b"")
+
+    async def scene():
+        async with run_edge(make_configuration(ROUTE), Replica("b1", reply=answer)) as edge:
+            reader, writer, connection = await open_caller(edge)
+            for number in range(30):
+                body = b"x" * 10_000
+                writer.write(make_head(f"q{number}", "Content-Length: 10000") + body)
+            for _ in range(9):
+                await read_answer(reader)
+            await edge.wait_until(lambda: connection.unparsed_bytes > PIPELINED_BYTES_MAX)
+            writer.transport.abort()
+            await edge.wait_until(lambda: connection not in edge.node.connections, 1.0)
+
+    play(scene)
