Keep a request's body as its bytes

Callers saw: nothing yet, as nobody has sent such a body; by reading, one of 4 MiB in chunks of two bytes takes some 100 MB, so that two callers end an instance.

Cause: each chunk was kept as an object of its own until the body was complete. Class: a bound on the bytes that others send, while what is kept for each of them has none.

The body is a bytearray now, which is copied once when it is complete.

--- a/rhubarbshed/transport/edge/caller_connections.py
+++ b/rhubarbshed/transport/edge/caller_connections.py
@@ -103,8 +103,7 @@
     _request: h11.Request | None = None
     _begun_at: float = 0.0
     _head_begun: bool = False
-    _body: list[bytes] = field(factory=list)
-    _body_bytes: int = 0
+    _body: bytearray = field(factory=bytearray)
     _unparsed: bytearray = field(factory=bytearray)
     _timer: asyncio.TimerHandle | None = None
     _paused_check: asyncio.TimerHandle | None = None
@@ -370,12 +369,12 @@
                 if self._close_after or not self._unparsed:
                     self._continue_body()
                     return
-                self._parser.receive_data(bytes(self._unparsed[:PARSED_BYTES]))
+                self._parser.receive_data(self._unparsed[:PARSED_BYTES])
                 del self._unparsed[:PARSED_BYTES]
             elif isinstance(event, h11.Request):
                 self._begin(event)
             elif isinstance(event, h11.Data):
-                self._add_body(bytes(event.data))
+                self._add_body(event.data)
             elif isinstance(event, h11.EndOfMessage):
                 self._answer()
             else:
@@ -405,7 +404,7 @@
         self._request = request
         self._head_begun = False
         self._begun_at = time.monotonic()
-        self._body, self._body_bytes = [], 0
+        self._body = bytearray()
         names = [name for name, _ in request.headers]
         if b"transfer-encoding" in names and b"content-length" in names:
             self.refuse(400, "both a length and chunks")
@@ -418,11 +417,10 @@
             if name == b"content-length" and int(value) > limits.body_bytes:
                 self.refuse(413, "the body is longer than allowed")
 
-    def _add_body(self, data: bytes) -> None:
-        self._body.append(data)
-        self._body_bytes += len(data)
+    def _add_body(self, data: bytearray) -> None:
+        self._body += data
         self._set_timer(self.read_limits().idle_timeout_s)
-        if self._body_bytes > self.read_limits().body_bytes:
+        if len(self._body) > self.read_limits().body_bytes:
             self.refuse(413, "the body is longer than allowed")
 
     def _answer(self) -> None:
@@ -431,8 +429,8 @@
         self.read_at = time.monotonic()
         self.requests += 1
         self.sent_bytes = 0
-        body = b"".join(self._body)
-        self._body = []
+        body = bytes(self._body)
+        self._body = bytearray()
         work = self.handle(self, self._request, body, self._begun_at)
         self.task = asyncio.get_running_loop().create_task(work)
         self.task.add_done_callback(self._finish)
--- a/test/test_edge_endless_requests.py
+++ b/test/test_edge_endless_requests.py
@@ -1,6 +1,7 @@
 """Callers that send without end, or in the smallest pieces."""
 
 import asyncio
+import tracemalloc
 
 from rhubarbshed.transport.edge.caller_connections import PIPELINED_BYTES_MAX, CallerConnection
 from standin.replica import Exchange, Replica
@@ -27,6 +28,16 @@
     return reader, writer, next(iter(edge.node.connections))
 
 
+async def wait_parsed(
+    edge: Edge, writer: asyncio.StreamWriter, connection: CallerConnection
+) -> None:
+    def is_parsed() -> bool:
+        unsent = writer.transport.get_write_buffer_size()
+        return not unsent and not connection.unread_bytes and not connection.unparsed_bytes
+
+    await edge.wait_until(is_parsed, 10.0)
+
+
 def test_requests_one_behind_the_other_do_not_fill_the_memory():
     """Reading went on after each answer, whatever was held already."""
 
@@ -66,3 +77,26 @@
             await edge.wait_until(lambda: connection not in edge.node.connections, 1.0)
 
     play(scene)
+
+
+def test_body_in_small_chunks_takes_the_memory_of_its_bytes():
+    """Each chunk was kept as an object of its own."""
+
+    async def scene():
+        async with run_edge(make_configuration(ROUTE), Replica("b1")) as edge:
+            reader, writer, connection = await open_caller(edge)
+            writer.write(make_head("q1", "Transfer-Encoding: chunked"))
+            chunks = b"2\r\nxx\r\n" * 30_000
+            tracemalloc.start()
+            try:
+                writer.write(chunks)
+                await wait_parsed(edge, writer, connection)
+                held, _ = tracemalloc.get_traced_memory()
+            finally:
+                tracemalloc.stop()
+            assert held < 600_000
+            writer.write(b"0\r\n\r\n")
+            assert (await read_answer(reader)).body == b"done:" + b"xx" * 30_000
+            writer.close()
+
+    play(scene)
