Parse what one caller sends in turns with other callers

Cause: all events of what had arrived, up to 256 KiB at a time, were handled in one pass of the loop. Class: a bound in bytes on work whose cost is in events.

A connection parses for 1 ms, a twentieth of the 20 ms that one party may delay others, and goes on in a later pass. The order, limits and refusals are as before, as only the loop is left in between; what arrives meanwhile waits behind it, reading pauses beyond PIPELINED_BYTES_MAX, and a close ends the turns. A body's time is set once for each turn rather than for each chunk.

Not covered: turns are shared by connections, not by parties, so that one party with more than some 20 connections can exceed the 20 ms.

--- a/rhubarbshed/transport/edge/caller_connections.py
+++ b/rhubarbshed/transport/edge/caller_connections.py
@@ -27,6 +27,10 @@
 PARSED_BYTES = 16_384
 """Bytes that the parser gets at once, as what it has not used is copied to be measured."""
 
+TURN_S = 0.001
+"""Time for which one caller's bytes are parsed before others have their turn: a twentieth of what
+all that one party sends may delay the requests of others."""
+
 DISCARD_S = 0.5
 """Time for which what a caller still sends is read and discarded before a close."""
 
@@ -107,6 +111,7 @@
     _unparsed: bytearray = field(factory=bytearray)
     _timer: asyncio.TimerHandle | None = None
     _paused_check: asyncio.TimerHandle | None = None
+    _next_turn: asyncio.Handle | None = None
     _writable: asyncio.Event = field(factory=asyncio.Event)
     _close_after: bool = False
     _answering: bool = False
@@ -131,7 +136,7 @@
             return
         self.active_at = time.monotonic()
         self._unparsed += data
-        if not self._answering:
+        if self._next_turn is None:
             self._read()
         self._limit_reading()
 
@@ -160,6 +165,7 @@
         """Cancel the work for a caller that has disconnected."""
         self._note_disconnect("end" if error is None else "reset")
         self._cancel_timer()
+        self._cancel_turn()
         if self.late_bytes and self.close_log is not None:
             self.close_log.record_late_bytes(self, time.monotonic())
         self.connections.discard(self)
@@ -253,6 +259,7 @@
         self._ending = self._close_after = True
         self._unparsed.clear()
         self._cancel_timer()
+        self._cancel_turn()
         self._timer = asyncio.get_running_loop().call_later(DISCARD_S, self._transport.close)
         self._transport.resume_reading()
         # Sent at once: the socket is closed in a later pass of the event loop.
@@ -356,13 +363,32 @@
             self.disconnect = Disconnect(kind, time.monotonic(), self.unsent_bytes)
 
     def _read(self) -> None:
+        """Parse what has arrived; a body gets its time anew in each turn that adds to it."""
+        body_bytes = len(self._body)
         try:
-            self._read_events()
+            self._read_events(time.monotonic() + TURN_S)
         except h11.RemoteProtocolError as error:
             self.refuse(error.error_status_hint, str(error))
+        if len(self._body) > body_bytes and not self._close_after:
+            self._set_timer(self.read_limits().idle_timeout_s)
+
+    def _take_turn(self) -> None:
+        """Parse more of what arrived earlier."""
+        self._next_turn = None
+        if self.is_open:
+            self._read()
+            self._limit_reading()
+
+    def _cancel_turn(self) -> None:
+        if self._next_turn is not None:
+            self._next_turn.cancel()
+            self._next_turn = None
 
-    def _read_events(self) -> None:
+    def _read_events(self, until: float) -> None:
         while not self._answering and not self._close_after:
+            if time.monotonic() >= until:
+                self._next_turn = asyncio.get_running_loop().call_soon(self._take_turn)
+                return
             event = self._parser.next_event()
             if event is h11.NEED_DATA:
                 self._limit_head()
@@ -419,7 +445,6 @@
 
     def _add_body(self, data: bytearray) -> None:
         self._body += data
-        self._set_timer(self.read_limits().idle_timeout_s)
         if len(self._body) > self.read_limits().body_bytes:
             self.refuse(413, "the body is longer than allowed")
 
@@ -495,6 +520,7 @@
         if not self.is_open or self._transport.is_reading():
             return
         if self.notice_disconnect():
+            self._transport.close()
             return
         self._paused_check = asyncio.get_running_loop().call_later(
             PAUSED_CHECK_INTERVAL_S, self._watch_paused
--- a/test/test_edge_endless_requests.py
+++ b/test/test_edge_endless_requests.py
@@ -1,7 +1,13 @@
 """Callers that send without end, or in the smallest pieces."""
 
 import asyncio
+import contextlib
+import gc
+import time
 import tracemalloc
+from collections.abc import AsyncIterator
+
+import pytest
 
 from rhubarbshed.transport.edge.caller_connections import PIPELINED_BYTES_MAX, CallerConnection
 from standin.replica import Exchange, Replica
@@ -38,6 +44,27 @@
     await edge.wait_until(is_parsed, 10.0)
 
 
+@contextlib.asynccontextmanager
+async def measure_passes() -> AsyncIterator[list[float]]:
+    """Collect the processor time of each pass of the event loop, without the test's own garbage."""
+    passes = []
+
+    async def measure() -> None:
+        while True:
+            began = time.process_time()
+            await asyncio.sleep(0)
+            passes.append(time.process_time() - began)
+
+    gc.collect()
+    gc.freeze()
+    task = asyncio.create_task(measure())
+    try:
+        yield passes
+    finally:
+        task.cancel()
+        gc.unfreeze()
+
+
 def test_requests_one_behind_the_other_do_not_fill_the_memory():
     """Reading went on after each answer, whatever was held already."""
 
@@ -100,3 +127,24 @@
             writer.close()
 
     play(scene)
+
+
+CHUNKED = make_head("q1", "Transfer-Encoding: chunked")
+SMALL_PIECES = {
+    "chunks": CHUNKED + b"1\r\nx\r\n" * 40_000 + b"0\r\n\r\n",
+}
+
+
+@pytest.mark.parametrize("sent", SMALL_PIECES)
+def test_what_one_caller_sends_does_not_keep_others_waiting(sent):
+    async def scene():
+        async with run_edge(make_configuration(ROUTE), Replica("b1")) as edge:
+            reader, writer, connection = await open_caller(edge)
+            async with measure_passes() as passes:
+                writer.write(SMALL_PIECES[sent])
+                answer = await asyncio.wait_for(read_answer(reader), 10.0)
+                assert max(passes) < LATE_S
+            assert answer.status == 200
+            writer.close()
+
+    play(scene)
