Take a response whose head was cut off for broken

Cause: http.client takes the end of the connection for the blank line that ends a head. What was read by then counts: the status, and no length if its line had not come, so the body is empty. Class: the end of a connection is taken for the end of what it carried. Plain and encrypted connections alike. The operators' commands use urllib3 as it is; without JSON they report an error.

A response class for both clients tells whether the connection ended among the lines of the head, and raises the error that http.client has for a body that is cut. It is read through the public `begin`, as the functions that read the lines are private.

--- a/rhubarbshed/transport/connections.py
+++ b/rhubarbshed/transport/connections.py
@@ -7,6 +7,8 @@
 from attrs import define, field, frozen
 from urllib3.connection import HTTPConnection
 
+from rhubarbshed.transport.heads import PlainConnection
+
 CONNECT_TIMEOUT_S = 1.0
 IDLE_PER_SERVER_MAX = 32
 # Requests after which a connection is not used again, as it keeps their ids.
@@ -21,7 +23,7 @@
     port: int
 
 
-class StreamConnection(HTTPConnection):
+class StreamConnection(PlainConnection):
     """HTTP/1.0 connection, whose answer ends with the connection and is not chunked."""
 
     _http_vsn = 10
@@ -60,7 +62,7 @@
         """Return an idle connection that has not carried a request, or a new one not connected."""
         found = None if fresh else self._take_idle(address, now, request_id)
         if found is None:
-            connection = HTTPConnection(address.host, address.port, timeout=CONNECT_TIMEOUT_S)
+            connection = PlainConnection(address.host, address.port, timeout=CONNECT_TIMEOUT_S)
             found = Channel(address, connection, now)
         found.request_ids.add(request_id)
         return found
--- /dev/null
+++ b/rhubarbshed/transport/heads.py
@@ -0,0 +1,82 @@
+"""Connections that tell a response whose head was cut off from a complete one.
+
+`http.client` takes the end of the connection for the end of the head. A server that stops in the
+middle of it then seems to have sent a whole answer, with its status and without a body.
+"""
+
+import http.client
+from typing import Any, BinaryIO
+
+from attrs import define
+from urllib3 import HTTPConnectionPool, HTTPSConnectionPool, PoolManager
+from urllib3.connection import HTTPConnection, HTTPSConnection
+
+
+@define(eq=False)
+class HeadReader:
+    """Reader of a response's lines that records whether the connection ended among them."""
+
+    source: BinaryIO
+    ended: bool = False
+
+    def readline(self, limit: int = -1) -> bytes:
+        """Return the next line, empty at the end of the connection."""
+        line = self.source.readline(limit)
+        self.ended = self.ended or not line
+        return line
+
+    def flush(self) -> None:
+        """Flush the source, as a response does when it is closed."""
+        self.source.flush()
+
+    def close(self) -> None:
+        """Close the source."""
+        self.source.close()
+
+
+class CompleteHeadResponse(http.client.HTTPResponse):
+    """Response that fails if the connection ends within its head."""
+
+    def begin(self) -> None:
+        """Read the head; raise `IncompleteRead` if it was cut off."""
+        reader = HeadReader(self.fp)
+        self.fp = reader
+        try:
+            super().begin()
+        finally:
+            if self.fp is reader:
+                self.fp = reader.source
+        if reader.ended:
+            self.close()
+            raise http.client.IncompleteRead(b"")
+
+
+class PlainConnection(HTTPConnection):
+    """Connection whose responses have complete heads."""
+
+    response_class = CompleteHeadResponse
+
+
+class EncryptedConnection(HTTPSConnection):
+    """Encrypted connection whose responses have complete heads."""
+
+    response_class = CompleteHeadResponse
+
+
+class PlainPool(HTTPConnectionPool):
+    """Connections to one server."""
+
+    ConnectionCls = PlainConnection
+
+
+class EncryptedPool(HTTPSConnectionPool):
+    """Encrypted connections to one server."""
+
+    ConnectionCls = EncryptedConnection
+
+
+def make_pool_manager(**settings: Any) -> PoolManager:
+    """Return a pool manager whose connections tell heads that were cut off."""
+    manager = PoolManager(**settings)
+    manager.pool_classes_by_scheme = {"http": PlainPool, "https": EncryptedPool}
+    return manager
--- a/rhubarbshed/transport/http.py
+++ b/rhubarbshed/transport/http.py
@@ -8,6 +8,8 @@
 from returns.result import Failure, Result, Success
 from urllib3.exceptions import ConnectTimeoutError, HTTPError, NewConnectionError
 
+from rhubarbshed.transport.heads import make_pool_manager
+
 INSTANCE_HEADER = "X-Instance"
 CONNECTIONS_PER_HOST = 8
 HOSTS_MAX = 1024
@@ -50,12 +52,12 @@
         headers = {INSTANCE_HEADER: instance, "Content-Type": "application/json"}
         if credential:
             headers["Authorization"] = f"Bearer {credential}"
-        pool = urllib3.PoolManager(num_pools=HOSTS_MAX, maxsize=CONNECTIONS_PER_HOST)
+        pool = make_pool_manager(num_pools=HOSTS_MAX, maxsize=CONNECTIONS_PER_HOST)
         return cls(pool, headers, timeout_s)
 
     def with_new_connections(self) -> "HttpClient":
         """Return a client with the same headers and new connections, as open ones may hang."""
-        return HttpClient(urllib3.PoolManager(), self.headers, self.timeout_s)
+        return HttpClient(make_pool_manager(), self.headers, self.timeout_s)
 
     def exchange(
         self, method: str, url: str, body: bytes | None = None, timeout_s: float | None = None
--- a/test/test_upstream.py
+++ b/test/test_upstream.py
@@ -2,12 +2,14 @@
 
 import contextlib
 import itertools
+import pathlib
 import socketserver
+import ssl
 import threading
 from collections.abc import Iterator
 
 import pytest
-from returns.result import Success
+from returns.result import Failure, Success
 
 from rhubarbshed.protocol.answers import BufferedResponse
 from rhubarbshed.protocol.calls import Call
@@ -21,6 +23,7 @@
 from rhubarbshed.transport.upstream import UpstreamClient, _is_answer_to
 from tools.processes import Process, start_standin
 
+CERTIFICATE = pathlib.Path(__file__).parent / "tls" / "peer.crt"
 SERVICE_S = CONNECT_TIMEOUT_S + 0.5
 
 
@@ -137,3 +140,60 @@
         ends = [client.send_order(server, order) for order in orders]
         faults = [end.failure().fault for end in ends[1:]]
         assert isinstance(ends[0], Success) and faults == [OrderFault.REFUSED] * 2
+
+
+WHOLE_HEADS = {
+    "length": b"X-Request-Id: r1\r\nContent-Length: 5\r\n\r\n",
+    "chunks": b"X-Request-Id: r1\r\nTransfer-Encoding: chunked\r\n\r\n",
+    "close": b"X-Request-Id: r1\r\nConnection: close\r\n\r\n",
+    "no bytes": b"Content-Length: 0\r\nX-Request-Id: r1\r\n\r\n",
+}
+
+
+class CuttingHandler(socketserver.StreamRequestHandler):
+    """Connection that is closed in the middle of an answer's head, at a later place each time."""
+
+    def handle(self) -> None:
+        while self.rfile.readline() not in (b"\r\n", b""):
+            pass
+        self.wfile.write(self.server.head[: next(self.server.places)])
+
+
+@contextlib.contextmanager
+def run_cutting(head: bytes, encrypted: bool = False) -> Iterator[int]:
+    """Run a server that cuts this head at each place in turn; return its port."""
+    server = socketserver.ThreadingTCPServer(("127.0.0.1", 0), CuttingHandler)
+    server.daemon_threads, server.head, server.places = True, head, itertools.count()
+    if encrypted:
+        context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+        context.load_cert_chain(CERTIFICATE, CERTIFICATE.with_suffix(".key"))
+        server.socket = context.wrap_socket(server.socket, server_side=True)
+    threading.Thread(target=server.serve_forever, daemon=True).start()
+    try:
+        yield server.server_address[1]
+    finally:
+        server.shutdown()
+        server.server_close()
+
+
+@pytest.mark.parametrize("lines", WHOLE_HEADS.values(), ids=WHOLE_HEADS)
+def test_answer_that_is_cut_in_its_head_is_not_passed_on_as_an_empty_one(lines):
+    """Callers of plain services got a whole answer with status 200 and no body."""
+    head = b"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n" + lines
+    with run_cutting(head) as port:
+        upstream_client = UpstreamClient(ConnectionPool(60.0), None, "a1", 65536)
+        for place in range(len(head)):
+            assert fetch(port, upstream_client, 5.0) is AttemptEnd.BROKEN, head[:place]
+
+
+@pytest.mark.parametrize("scheme", ["http", "https"])
+@pytest.mark.parametrize("lines", WHOLE_HEADS.values(), ids=WHOLE_HEADS)
+def test_answer_to_the_platform_client_that_is_cut_in_its_head_is_none(lines, scheme):
+    """Calls to the table service, for objects, to engines and to other instances use it."""
+    head = b"HTTP/1.1 200 OK\r\n" + lines
+    with run_cutting(head, scheme == "https") as port:
+        client = HttpClient.from_config("a1", 5.0)
+        client.pool.connection_pool_kw.update(ca_certs=str(CERTIFICATE), assert_hostname=False)
+        for place in range(len(head)):
+            answer = client.exchange("GET", f"{scheme}://127.0.0.1:{port}/x")
+            assert isinstance(answer, Failure) and answer.failure().sent, head[:place]
