Test what engines send in place of the rest of a stream

The report of errors in place of a stream's rest does not hold for rhubarbshedd: it relays only events that name their request and the next token.

--- a/test/test_upstream.py
+++ b/test/test_upstream.py
@@ -18,7 +18,7 @@
 from rhubarbshed.protocol.requests import AttemptEnd, Dispatch, Request
 from rhubarbshed.transport.connections import CONNECT_TIMEOUT_S, ConnectionPool
 from rhubarbshed.transport.engines import make_engine_client
-from rhubarbshed.transport.events import Attempt
+from rhubarbshed.transport.events import Attempt, EventBuffer
 from rhubarbshed.transport.http import HttpClient
 from rhubarbshed.transport.upstream import UpstreamClient, _is_answer_to
 from tools.processes import Process, start_standin
@@ -197,3 +197,22 @@
         for place in range(len(head)):
             answer = client.exchange("GET", f"{scheme}://127.0.0.1:{port}/x")
             assert isinstance(answer, Failure) and answer.failure().sent, head[:place]
+
+
+@pytest.mark.parametrize(
+    "other",
+    [
+        b"engine: no memory\n\n",
+        b'{"error": {"code": "oops"}}\n\n',
+        b"HTTP/1.1 500 X\r\nContent-Length: 2\r\n\r\nno\n\n",
+        b"data: oops\n\n",
+        b'data: {"id": "r1", "offset": 4}\n\n',
+        b'data: {"id": "r2", "offset": 3}\n\n',
+    ],
+)
+def test_what_is_not_the_rest_of_a_stream_is_not_relayed(other):
+    attempt = Attempt.from_dispatch(
+        Dispatch("r1", 1, "e1", "127.0.0.1", 1, 1.0, 1.0, resume_offset=3)
+    )
+    piece, end = EventBuffer().feed(other, attempt)
+    assert (piece.data, end) == (b"", AttemptEnd.BROKEN)
