Continue streams only at engines that show the start their entry is of

Reported by other operators: while servers of a new version joined, an instance that was out of step let a stream go on at a server of another version. It does happen here if a server starts again under its id and at its address, which the platform allows: the id in the request does not tell the two apart.

Cause: the version of a server is taken from the entry known here. That is behind by half a second in usual times, as changes are collected, and by as long as the instance is cut off from the store or stands still. Class: what was read once is taken for what is in force, where a wrong guess cannot be undone.

Before an engine gets the rest of a stream, also within one answer, it is asked for its report, which names its start, and is not used if that is another one. It costs a round trip and a probe for each part of a stream but the first.

Open: servers without reports do not tell their start, and a new stream on such a server is recorded with the version that is known here.

--- a/rhubarbshed/transport/edge/relay.py
+++ b/rhubarbshed/transport/edge/relay.py
@@ -378,6 +378,8 @@
                     return forwarded.error
             if not await self.pass_limit(chosen.server, now):
                 continue
+            if not await self.check_start(chosen.server):
+                continue
             end = await self.attempt(chosen)
             if end is ExchangeEnd.CONNECTION_REFUSED and not await self.relay.links.settle():
                 self.report_ended(chosen.server, time.monotonic())
@@ -517,6 +519,19 @@
             self.relay.count_run(self.service, self.request.model, self.request.adapter, run_s)
         return end
 
+    async def check_start(self, record: ServerRecord) -> bool:
+        """Return whether a server may write the rest of a stream, if the request is for that.
+
+        It may have started again with another version, which its entry does not show here yet.
+        """
+        service = self.relay.view.configuration.services.get(record.entry.service)
+        checks = self.relay.crashes.checks
+        if self.caller_response.version is None or not await checks.has_restarted(record, service):
+            return True
+        self.excluded.add(record.key)
+        self.report_ended(record, time.monotonic())
+        return False
+
     async def confirm_running(self, record: ServerRecord) -> bool:
         """Return whether a server shows that it has not ended."""
         service = self.relay.view.configuration.services.get(record.entry.service)
--- a/rhubarbshed/transport/edge/server_checks.py
+++ b/rhubarbshed/transport/edge/server_checks.py
@@ -119,21 +119,41 @@
                 return sign
         return False
 
+    async def has_restarted(self, record: ServerRecord, service: ServiceSpec | None) -> bool:
+        """Return whether a server shows that it is not the start that its entry is of.
+
+        Only engines name their start. One that gives no report shows nothing.
+        """
+        if service is None or service.engine is None:
+            return False
+        answer = await self._call(record, service)
+        if answer is None:
+            return False
+        if answer.status == STATUS_MISDIRECTED:
+            return True
+        return isinstance(read_report(answer.body), Success) and not is_same_start(record, answer)
+
     async def _ask_for_sign(self, record: ServerRecord, service: ServiceSpec | None) -> bool | None:
         """Return whether the server itself answers, None if nobody does."""
-        entry = record.entry
+        answer = await self._call(record, service)
+        if answer is None:
+            return None
+        if answer.status == STATUS_MISDIRECTED:
+            return False
         has_engine = service is not None and service.engine is not None
-        if has_engine:
+        return not has_engine or is_same_start(record, answer)
+
+    async def _call(
+        self, record: ServerRecord, service: ServiceSpec | None
+    ) -> ControlAnswer | None:
+        """Ask an engine for its report, or another server for its health."""
+        entry = record.entry
+        if service is not None and service.engine is not None:
             sent = make_report_call(entry.server_id)
         else:
             sent = make_health_call(entry.server_id, service.health_path if service else "/")
         result = await call_server(self.pool, (entry.host, entry.port), sent, SIGN_TIMEOUT_S)
-        if not isinstance(result, Success):
-            return None
-        answer = result.unwrap()
-        if answer.status == STATUS_MISDIRECTED:
-            return False
-        return not has_engine or is_same_start(record, answer)
+        return result.unwrap() if isinstance(result, Success) else None
 
     async def _connect(self, record: ServerRecord) -> None:
         address = (record.entry.host, record.entry.port)
