Test takings-up at an instance that is out of step during a release

Not covered: a version that came and left under the id of a known server while its entries were not read.

--- a/test/test_edge_out_of_step.py
+++ b/test/test_edge_out_of_step.py
@@ -7,15 +7,30 @@
 
 from standin.replica import Exchange, Replica
 from test.helper_edge import make_configuration, make_engine_service, play, run_edge
+from test.helper_scene import Scene, run_scene
 from test.helper_streams import (
+    AGE_SHORT_S,
     STREAM,
     Writer,
+    assert_refused,
     begin,
+    let_streams_last_shortly,
     list_ids,
     list_versions,
     make_replica,
     take_up,
 )
+from test.soak.relay import Mode
+
+CERTAIN_S = AGE_SHORT_S + 0.1
+STALL_S = 2.0
+"""Shorter than the age up to which entries count as current."""
+
+
+@pytest.fixture(autouse=True)
+def short_age(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Let streams last for a short time only."""
+    let_streams_last_shortly(monkeypatch)
 
 
 async def start_again_as(replica: Replica, version: str) -> None:
@@ -25,6 +40,13 @@
     await replica.start()
 
 
+def isolate(scene: Scene, name: str) -> None:
+    """Lose all datagrams that an instance sends, and all answers of the store to it."""
+    node = scene.instances[name]
+    node.streams.send = node.instance_lists.send = lambda message, *addresses: None
+    scene.relays[name].mode = Mode.DROP_ANSWERS
+
+
 @pytest.mark.parametrize("within_answer", [True, False])
 def test_stream_does_not_go_on_at_an_engine_whose_new_start_is_not_known_yet(within_answer: bool):
     async def scene():
@@ -51,3 +73,56 @@
             assert (list_versions(*answers), list_ids(*answers)) == ({b"data: <v1>"}, [1, 2, 3, 4])
 
     play(scene)
+
+
+@pytest.mark.parametrize("stream_id", ["", "q1"])
+def test_instance_that_stood_still_while_a_version_came_takes_no_other_for_the_sole_one(stream_id):
+    async def scene():
+        async with run_scene("b1", a1="a", a2="a", c1="c") as scene:
+            await asyncio.sleep(CERTAIN_S)
+            isolate(scene, "c1")
+            await scene.add("b2", "v2", "a1", "a2")
+            await scene.begin_at("a1", "b2")
+            await asyncio.sleep(STALL_S)
+            scene.forget_streams("c1")
+            assert_refused(await take_up(scene.get_edge("c1"), stream_id), b"version_unknown")
+            scene.relays["c1"].mode = Mode.PASS
+            assert_refused(await take_up(scene.get_edge("c1"), stream_id), b"version_unknown")
+
+    play(scene)
+
+
+@pytest.mark.parametrize("left", [False, True])
+def test_instance_that_hears_only_one_that_is_as_far_behind_takes_no_version_for_the_sole_one(left):
+    async def scene():
+        async with run_scene("b1", a1="a", c1="c", d1="d") as scene:
+            await asyncio.sleep(CERTAIN_S)
+            for name in ("c1", "d1"):
+                scene.relays[name].mode = Mode.DROP_ANSWERS
+            await scene.add("b2", "v2", "a1")
+            await scene.begin_at("a1", "b2")
+            for name in ("c1", "d1"):
+                scene.forget_streams(name)
+            await scene.kill("a1")
+            if left:
+                scene.store.remove("servers", "b2")
+            scene.relays["c1"].mode = Mode.PASS
+            scene.relays["c1"].reset()
+            for stream_id in ("", "q1"):
+                assert_refused(await take_up(scene.get_edge("c1"), stream_id), b"version_unknown")
+
+    play(scene)
+
+
+def test_stream_taken_up_without_an_event_begins_anew_at_an_instance_out_of_step():
+    async def scene():
+        async with run_scene("b1", a1="a", c1="c") as scene:
+            isolate(scene, "c1")
+            await scene.add("b2", "v2", "a1")
+            await scene.begin_at("a1", "b2")
+            scene.forget_streams("c1")
+            answer = await take_up(scene.get_edge("c1"), "q1", 0)
+            assert (answer.whole, list_ids(answer)) == (True, [1, 2, 3, 4])
+            assert list_versions(answer) == {b"data: <v1>"}
+
+    play(scene)
