Answer what is open as rhubarbshedd stops

Cause: the daemon ended by os._exit while its threads still waited for backend servers and callers. Class: an end of the process is taken for an end of what it has promised.

The drain is cut off first: from there nothing is accepted, sent or repeated, and the sockets on which threads wait are shut, so each thread goes its usual way to an answer. A request of which no server got a byte is refused as draining (503, not run), others end with cut_off (502, failed, or unknown if they may not be repeated), a stream with the error event of a stream that can't be finished. A key's claim is settled. A server is not blamed, and a body without framing that ends so is no answer. The process waits at most 2 s for the answers and 3 s for its HTTP servers; a thread that writes to a slow caller, or waits for the table for longer, is still cut.

Tests, a process on stand-ins: a keyed and an unkeyed filing, a whole answer and a stream, and a body in part, at the end of the drain and at a second signal; 4 of 4 failed before (RemoteDisconnected, no bytes), all pass.

--- a/rhubarbshed/coordination/requests/attempt_results.py
+++ b/rhubarbshed/coordination/requests/attempt_results.py
@@ -8,6 +8,8 @@
 
 NOT_FOUND = 404
 SERVER_ERROR = 500
+# Ends that say nothing of the server.
+ENDED_HERE = (AttemptEnd.CALLER_GONE, AttemptEnd.CUT_OFF)
 
 
 def record_end(
@@ -20,7 +22,7 @@
 ) -> None:
     """Record how an attempt ended; a crash of its server is reported separately."""
     has_failed = result.end is not AttemptEnd.DONE or result.status >= SERVER_ERROR
-    failed = None if result.end is AttemptEnd.CALLER_GONE else has_failed
+    failed = None if result.end in ENDED_HERE else has_failed
     key = (result.request_id, result.attempt)
     load.record_end(sent.backend_server, key, failed, now, result.first_token_at)
     item.has_run = item.has_run or may_have_run(result.end)
@@ -29,7 +31,7 @@
         item.failed_servers.add(sent.backend_server)
     if result.end is AttemptEnd.REFUSED and result.status == NOT_FOUND:
         item.servers_missing_model.add(sent.backend_server)
-    if result.end in (AttemptEnd.CALLER_GONE, AttemptEnd.TIMED_OUT):
+    if result.end in (*ENDED_HERE, AttemptEnd.TIMED_OUT):
         record_abandoned(suspects, item, sent, now)
     if result.end in (AttemptEnd.BROKEN, AttemptEnd.CRASHED):
         name, boot_id = sent.backend_server, item.boots.get(sent.attempt, "")
--- a/rhubarbshed/coordination/requests/coordinator.py
+++ b/rhubarbshed/coordination/requests/coordinator.py
@@ -15,7 +15,7 @@
     record_abandoned,
     record_end,
 )
-from rhubarbshed.coordination.requests.drain import Drain
+from rhubarbshed.coordination.requests.drain import DRAINING_MESSAGE, Drain
 from rhubarbshed.coordination.requests.isolation import IsolatedRunAnswer, IsolatedRunHeld
 from rhubarbshed.coordination.requests.lookup import FindAdapter, FindModel, FindService, Lookup
 from rhubarbshed.coordination.requests.quarantine import IsolatedRunRefused, describe_refused
@@ -177,6 +177,8 @@
             return self._refuse_busy(item, "suspect_pending", PENDING_MESSAGE, ISOLATED_RUN_WAIT_S)
         if now >= item.request.deadline:
             return self._refuse(item, describe_deadline(item.request, item.has_run))
+        if self.drain.is_over(now):
+            return self._refuse_busy(item, "draining", DRAINING_MESSAGE)
         return None
 
     def _begin_trial(self, item: OpenRequest, now: float) -> IsolatedRunPending | Refusal:
@@ -419,6 +421,8 @@
             return self._refuse(item, describe_quarantined(item.request, item.has_run))
         if now >= request.deadline:
             return self._refuse(item, describe_deadline(request, item.has_run))
+        if self.drain.is_over(now) and not item.has_run:
+            return self._refuse_busy(item, "draining", DRAINING_MESSAGE)
         can_retry = (
             may_retry(request, result.end)
             and item.attempts < self.settings.retries.attempts_max
--- a/rhubarbshed/coordination/requests/drain.py
+++ b/rhubarbshed/coordination/requests/drain.py
@@ -7,6 +7,8 @@
 from rhubarbshed.protocol.errors import Outcome, RequestError
 from rhubarbshed.util.settings import ShutdownSettings
 
+DRAINING_MESSAGE = "this instance is shutting down; another one will answer"
+
 
 class DrainPhase(enum.Enum):
     """Step of a graceful shutdown."""
@@ -19,11 +21,15 @@
 
 @define
 class Drain:
-    """Progress of a drain; `started_at` is monotonic seconds, None while serving."""
+    """Progress of a drain; `started_at` is monotonic seconds, None while serving.
+
+    `is_cut_off` means that requests in progress are ended, however much time they have left.
+    """
 
     announce_s: float
     drain_s: float
     started_at: float | None = None
+    is_cut_off: bool = False
 
     @classmethod
     def from_settings(cls, settings: ShutdownSettings) -> "Drain":
@@ -35,6 +41,10 @@
         if self.started_at is None:
             self.started_at = now
 
+    def cut_off(self) -> None:
+        """End the drain: nothing new is accepted, and nothing is sent or repeated any more."""
+        self.is_cut_off = True
+
     def find_phase(self, pending: int, now: float) -> DrainPhase:
         """Return the phase; exit is due once nothing is pending after the announcement, or late.
 
@@ -53,7 +63,7 @@
         """Return whether the time for requests in progress has run out."""
         if self.started_at is None:
             return False
-        return now - self.started_at >= self.announce_s + self.drain_s
+        return self.is_cut_off or now - self.started_at >= self.announce_s + self.drain_s
 
     def measure_stopping(self, now: float) -> float | None:
         """Return the seconds since the drain started, None while serving."""
@@ -61,7 +71,9 @@
 
     def is_refusing(self, now: float) -> bool:
         """Return whether new requests are refused, as the announcement is over."""
-        return self.started_at is not None and now - self.started_at >= self.announce_s
+        if self.started_at is None:
+            return False
+        return self.is_cut_off or now - self.started_at >= self.announce_s
 
     def check_open(self, retry_after_s: float, now: float) -> RequestError | None:
         """Return the error for a new request once the announcement is over, else None.
@@ -73,7 +85,7 @@
         return RequestError(
             status=503,
             code="draining",
-            message="this instance is shutting down; another one will answer",
+            message=DRAINING_MESSAGE,
             outcome=Outcome.NOT_RUN,
             retryable=True,
             retry_after_s=retry_after_s,
--- a/rhubarbshed/coordination/requests/retries.py
+++ b/rhubarbshed/coordination/requests/retries.py
@@ -127,6 +127,10 @@
 def describe_failure(request: Request, result: AttemptResult, has_run: bool) -> RequestError:
     """Return the error of a request that is not retried after its last attempt failed."""
     outcome = find_outcome(request, has_run)
+    if result.end is AttemptEnd.CUT_OFF:
+        message = "this instance stopped before the answer was whole"
+        retryable = outcome is not Outcome.UNKNOWN
+        return RequestError(BAD_GATEWAY, "cut_off", message, outcome, retryable)
     timed_out = result.end is AttemptEnd.TIMED_OUT
     return RequestError(
         status=GATEWAY_TIMEOUT if timed_out else BAD_GATEWAY,
--- a/rhubarbshed/daemon.py
+++ b/rhubarbshed/daemon.py
@@ -24,7 +24,7 @@
 
 @app.command()
 def run(settings: str = typer.Option(..., help="Settings file (INI).")) -> None:
-    """Run an instance until SIGTERM, which drains it; a second signal stops it at once."""
+    """Run an instance until SIGTERM, which drains it; a second signal ends open requests."""
     result = Settings.from_file(settings, os.environ)
     if isinstance(result, Failure):
         for error in result.failure():
@@ -40,7 +40,7 @@
 
 
 def exit_at_once(code: int) -> NoReturn:
-    """End the process without waiting for the threads of requests that are cut off."""
+    """End the process without waiting for threads that still write to slow callers."""
     logging.shutdown()
     sys.stdout.flush()
     sys.stderr.flush()
--- a/rhubarbshed/protocol/requests.py
+++ b/rhubarbshed/protocol/requests.py
@@ -74,7 +74,8 @@
 
     `NOT_SENT` never left this instance. `REFUSED` was answered by the server without being run.
     With `TIMED_OUT` and `BROKEN`, bytes were sent and no complete response arrived. `CRASHED` is
-    a broken attempt whose server was found restarted or gone.
+    a broken attempt whose server was found restarted or gone. `CUT_OFF` was ended by the stop of
+    this instance.
     """
 
     DONE = "done"
@@ -84,6 +85,7 @@
     BROKEN = "broken"
     CRASHED = "crashed"
     CALLER_GONE = "caller_gone"
+    CUT_OFF = "cut_off"
 
 
 @frozen
--- a/rhubarbshed/transport/callers.py
+++ b/rhubarbshed/transport/callers.py
@@ -9,7 +9,7 @@
 
 import cherrypy
 from attrs import define, field
-from returns.result import Failure
+from returns.result import Failure, Result
 
 from rhubarbshed.protocol.answers import JSON_TYPE, BufferedResponse, render_error
 from rhubarbshed.protocol.calls import (
@@ -30,6 +30,7 @@
     answer_error,
     read_body,
 )
+from rhubarbshed.transport.open_sockets import OpenSockets
 from rhubarbshed.transport.races import Race
 from rhubarbshed.transport.stream_relay import CallerConnection
 from rhubarbshed.transport.upstream import UpstreamClient
@@ -122,7 +123,7 @@
     """Serve one request of a caller from its body to its answer."""
     headers = cherrypy.request.headers
     caller_request_id = headers.get(REQUEST_ID_HEADER, "")
-    body = read_body(gateway.settings.callers.body_bytes_max)
+    body = _read_body(gateway, upstream_client.open_sockets)
     parsed = body.bind(lambda data: _parse(gateway, path, data))
     if isinstance(parsed, Failure):
         return answer_error(parsed.failure(), caller_request_id)
@@ -142,6 +143,16 @@
     return answer_error(ended, caller_request_id)
 
 
+def _read_body(gateway: Gateway, open_sockets: OpenSockets) -> Result[bytes, RequestError]:
+    """Read the body of the current request; a stop of the instance ends the wait for the rest."""
+    caller_connection = cherrypy.request.wsgi_environ.get(CALLER_CONNECTION_KEY)
+    with open_sockets.hold_caller(caller_connection.socket):
+        body = read_body(gateway.settings.callers.body_bytes_max)
+    if open_sockets.is_shut:
+        return Failure(gateway.run_on_loop(gateway.make_draining_error()))
+    return body
+
+
 def _parse(gateway: Gateway, path: tuple[str, ...], body: bytes) -> Any:
     request = cherrypy.request
     arrival = CallContext(
--- a/rhubarbshed/transport/gateway.py
+++ b/rhubarbshed/transport/gateway.py
@@ -121,6 +121,10 @@
             503, "instance_full", text, retryable=True, retry_after_s=RETRY_AFTER_FULL_S
         )
 
+    async def make_draining_error(self) -> RequestError:
+        """Make the error of a request that was read too late in a stop."""
+        return self.coordinator.drain.check_open(RETRY_AFTER_FULL_S, time.monotonic())
+
     async def list_models(self) -> list[str]:
         """Return the names of all models and adapters that callers may request."""
         adapters = self.catalogue.group_adapters()
@@ -152,6 +156,7 @@
         self, call: Call, result: AttemptResult, answer: BufferedResponse | None = None
     ) -> Dispatch | Refusal | None:
         """Decide what follows an attempt; None if the request is finished."""
+        result = self._mark_cut_off(result)
         self._record_attempt(result, result.end.value, result.tokens)
         if result.end is AttemptEnd.BROKEN:
             await self.check_server(result.backend_server)
@@ -170,9 +175,17 @@
 
         Copies of the request may have crashed backend servers during the stall.
         """
-        while self.coordinator.stall.is_catching_up(time.monotonic()):
+        while not self.coordinator.drain.is_cut_off and self.coordinator.stall.is_catching_up(
+            time.monotonic()
+        ):
             await asyncio.sleep(CATCH_UP_POLL_S)
 
+    def _mark_cut_off(self, result: AttemptResult) -> AttemptResult:
+        """Return the result of an attempt; one that a stop has ended does not blame its server."""
+        if result.end is AttemptEnd.BROKEN and self.coordinator.drain.is_cut_off:
+            return evolve(result, end=AttemptEnd.CUT_OFF)
+        return result
+
     async def hedge(self, call: Call) -> Dispatch | None:
         """Decide whether a request without a first token gets a second attempt; None if not."""
         await self._catch_up()
@@ -183,6 +196,7 @@
 
     async def end_losing_attempt(self, result: AttemptResult) -> None:
         """Record the failure of one of two attempts while the other continues."""
+        result = self._mark_cut_off(result)
         self._record_attempt(result, result.end.value, result.tokens)
         self.coordinator.end_attempt(result, time.monotonic())
 
--- a/rhubarbshed/transport/instance.py
+++ b/rhubarbshed/transport/instance.py
@@ -41,6 +41,10 @@
 SETTLE_INTERVAL_S = 1.0
 DRAIN_POLL_S = 0.05
 HAND_OVER_ATTEMPTS_MAX = 20
+# Time for the answers to requests that are cut off, which need no backend server.
+CUT_OFF_WAIT_S = 2.0
+# Time to stop with requests cut off; threads may be writing their answers to slow callers.
+CLOSE_WAIT_S = 3.0
 LAG_INTERVAL_S = 0.1
 
 
@@ -73,8 +77,11 @@
     log_event(LOG, logging.INFO, "started", instance=settings.instance.name)
     await stop.requested.wait()
     code = await drain(runtime, stop)
-    if code != EXIT_CUT_OFF:
-        await close(runtime)
+    try:
+        # The answers of requests that were cut off are still being written.
+        await asyncio.wait_for(close(runtime), CLOSE_WAIT_S if code == EXIT_CUT_OFF else None)
+    except TimeoutError:
+        log_event(LOG, logging.WARNING, "close_timed_out", open_requests=runtime.count_open())
     return code
 
 
@@ -167,12 +174,22 @@
             break
         await asyncio.sleep(DRAIN_POLL_S)
     count = runtime.count_open()
+    await cut_off(runtime)
     if not stop.immediate.is_set():
         await hand_over_all(runtime)
     log_event(LOG, logging.INFO, "drain_ended", cut_off=count)
     return EXIT_CUT_OFF if count else EXIT_OK
 
 
+async def cut_off(runtime: Runtime) -> None:
+    """End the requests that are left, and wait until their callers have answers."""
+    runtime.coordinator.drain.cut_off()
+    runtime.open_sockets.shut()
+    until = time.monotonic() + CUT_OFF_WAIT_S
+    while runtime.count_open() and time.monotonic() < until:
+        await asyncio.sleep(DRAIN_POLL_S)
+
+
 async def hand_over_all(runtime: Runtime) -> None:
     """Release ownership, retrying while orders are in flight; the rest expires with the lease."""
     for _ in range(HAND_OVER_ATTEMPTS_MAX):
--- a/rhubarbshed/transport/runtime.py
+++ b/rhubarbshed/transport/runtime.py
@@ -53,6 +53,7 @@
 from rhubarbshed.transport.http_servers import HttpServer, HttpServerLimits
 from rhubarbshed.transport.metrics import Metrics
 from rhubarbshed.transport.objects import make_object_client
+from rhubarbshed.transport.open_sockets import OpenSockets
 from rhubarbshed.transport.peers import PeerNetwork
 from rhubarbshed.transport.platform import make_list_client
 from rhubarbshed.transport.stream_relay import StreamRelay
@@ -116,6 +117,7 @@
     network: PeerNetwork = field(init=False)
     request_slots: RequestSlots = field(init=False)
     stream_relay: StreamRelay = field(init=False)
+    open_sockets: OpenSockets = field(factory=OpenSockets)
     exchange: PeerExchange = field(factory=PeerExchange)
     retention: Retention = field(factory=Retention)
     catalogue_wakeup: asyncio.Event = field(factory=asyncio.Event)
@@ -321,7 +323,11 @@
         instance = self.settings.instance
         connections = ConnectionPool(self.settings.routing.connection_age_max_s)
         upstream_client = UpstreamClient(
-            connections, self.stream_relay, instance.name, limits.answer_bytes_max
+            connections,
+            self.stream_relay,
+            instance.name,
+            limits.answer_bytes_max,
+            self.open_sockets,
         )
         server_limits = HttpServerLimits(
             threads=limits.threads + SPARE_THREADS,
--- a/rhubarbshed/transport/upstream.py
+++ b/rhubarbshed/transport/upstream.py
@@ -8,7 +8,7 @@
 from collections.abc import Iterator
 
 import urllib3
-from attrs import frozen
+from attrs import field, frozen
 
 from rhubarbshed.protocol.answers import BufferedResponse
 from rhubarbshed.protocol.calls import Call
@@ -23,6 +23,7 @@
 )
 from rhubarbshed.transport.events import ERRORS, READ_BYTES, Attempt, EventBuffer, Piece
 from rhubarbshed.transport.http import INSTANCE_HEADER
+from rhubarbshed.transport.open_sockets import OpenSockets
 from rhubarbshed.transport.races import (
     STATUS_OK,
     STATUSES_NOT_RUN,
@@ -51,6 +52,7 @@
     stream_relay: StreamRelay
     instance: str
     answer_bytes_max: int
+    open_sockets: OpenSockets = field(factory=OpenSockets)
 
     def fetch(
         self, attempt: Attempt, call: Call, caller_connection: CallerConnection | None = None
@@ -73,7 +75,7 @@
         except ERRORS:
             return self._fail(channel, attempt)
         is_other = named not in ("", call.request.request_id)
-        if body is None or is_other:
+        if body is None or is_other or self._is_cut_short(opened):
             channel.connection.close()
             return AttemptEnd.BROKEN
         if call.request.model and _is_refusal(attempt):
@@ -206,6 +208,9 @@
             return AttemptEnd.NOT_SENT
         try:
             channel.sock = connection.sock
+            if not self.open_sockets.add_server(channel.sock):
+                connection.close()
+                return AttemptEnd.NOT_SENT
             # With a value, urllib3 would set the socket's own timeout from it on each request.
             connection.timeout = None
             set_timeouts(channel.sock, attempt.dispatch.first_byte_timeout_s)
@@ -248,7 +253,7 @@
         self, response: urllib3.HTTPResponse, attempt: Attempt
     ) -> BufferedResponse | AttemptEnd:
         body = _read_body(response, self.answer_bytes_max)
-        if body is None:
+        if body is None or self._is_cut_short(response):
             return AttemptEnd.BROKEN
         if _is_refusal(attempt):
             return AttemptEnd.REFUSED
@@ -256,6 +261,11 @@
             return BufferedResponse(attempt.status, response.headers.get("Content-Type", ""), body)
         return AttemptEnd.BROKEN
 
+    def _is_cut_short(self, response: urllib3.HTTPResponse) -> bool:
+        """Return whether a body without framing may have ended by the shutting of its socket."""
+        is_framed = response.chunked or "Content-Length" in response.headers
+        return self.open_sockets.is_shut and not is_framed
+
     def _finish(self, channel: Channel, named: str) -> None:
         """Keep a connection unless its answer did not say to which request it belongs."""
         if named:
--- /dev/null
+++ b/test/test_cut_off.py
@@ -0,0 +1,104 @@
+"""Tests that an instance answers the requests that are open as it stops, as a process."""
+
+import json
+import signal
+import socket
+import time
+
+import pytest
+
+from test.helper_processes import (
+    CHAT_PATH,
+    FILINGS_PATH,
+    Task,
+    apply_ticket,
+    chat,
+    is_own_answer,
+    make_ticket,
+    read_runs,
+    run_fleet,
+    send,
+    wait_for_open,
+)
+from tools.processes import wait_until
+
+EXIT_CUT_OFF = 3
+STOP_BOUND_S = 6.0
+TOKENS = 1000
+# Beyond the end of the drain, and not ended by a timeout before.
+SERVICE_MS = "8000"
+TIMES = {"drain_s = 15": "drain_s = 0.5", "first_byte_timeout_s = 2": "first_byte_timeout_s = 30"}
+
+
+@pytest.fixture(scope="module")
+def fleet():
+    with run_fleet() as running:
+        for before, after in TIMES.items():
+            assert before in running.settings
+            running.settings = running.settings.replace(before, after)
+        running.add_engine("engine-1", "dc-1")
+        running.add_service("records-1", "dc-1", "--service-ms", SERVICE_MS)
+        running.add_instance("other", "dc-1")
+        apply_ticket(running, "other", make_ticket(1))
+        yield running
+
+
+@pytest.fixture(params=["drain", "signal"])
+def stopping(request, fleet):
+    """Return an instance that serves, and a function that stops it and returns its exit code."""
+    name = f"{request.param}-{time.monotonic_ns()}"
+    instance = fleet.add_instance(name, "dc-1")
+    assert wait_until(lambda: is_own_answer(chat(instance, "a", tokens=1), "a", 1), 10.0)
+
+    def stop():
+        instance.process.popen.send_signal(signal.SIGTERM)
+        if request.param == "signal":
+            time.sleep(0.2)
+            instance.process.popen.send_signal(signal.SIGINT)
+        return instance.process.popen.wait(STOP_BOUND_S)
+
+    return instance, stop
+
+
+def file_when_known(instance, key):
+    """Send a filing until the instance knows how busy the service is; return its answer."""
+    while (answer := send(instance, "POST", FILINGS_PATH, b"{}", key)).code == "overloaded":
+        time.sleep(0.1)
+    return answer
+
+
+def test_open_requests_are_answered_as_the_instance_stops(fleet, stopping):
+    instance, stop = stopping
+    key = f"key-{instance.name}"
+    headers = {"Idempotency-Key": key, "X-Caller": "brewery"}
+    keyed = Task.start(file_when_known, instance, headers)
+    unkeyed = Task.start(file_when_known, instance, {})
+    whole = Task.start(chat, instance, "whole", tokens=TOKENS, stream=False)
+    stream = Task.start(chat, instance, "stream", tokens=TOKENS)
+    wait_for_open(fleet, instance.name, 4)
+    assert wait_until(lambda: read_runs(fleet).get(key) == 1, 5.0)
+    time.sleep(0.3)
+    assert stop() == EXIT_CUT_OFF
+    for filing in (keyed.wait(), unkeyed.wait()):
+        assert (filing.status, filing.code, filing.outcome) == (502, "cut_off", "unknown"), filing
+    answer = whole.wait()
+    assert (answer.status, answer.code, answer.outcome) == (502, "cut_off", "failed"), answer
+    events = stream.wait().body.split(b"\n\n")
+    assert events[0].startswith(b"data: ") and not stream.wait().is_done
+    error = json.loads(events[-2].removeprefix(b"event: error\ndata: "))["error"]
+    assert (error["code"], error["outcome"]) == ("cut_off", "failed")
+    assert "cut_off=4" in instance.process.read_log()
+    again = send(fleet.instances["other"], "POST", FILINGS_PATH, b"{}", headers)
+    assert again.code == "outcome_unknown" and read_runs(fleet)[key] == 1
+
+
+def test_request_in_part_is_refused_as_the_instance_stops(fleet, stopping):
+    instance, stop = stopping
+    head = f"POST {CHAT_PATH} HTTP/1.1\r\nHost: a\r\nContent-Length: 50\r\n\r\n{{"
+    with socket.create_connection(("127.0.0.1", instance.process.port), STOP_BOUND_S) as caller:
+        caller.sendall(head.encode())
+        time.sleep(0.3)
+        assert stop() == EXIT_CUT_OFF
+        answer = caller.recv(65536)
+    assert answer.startswith(b"HTTP/1.1 503") and b'"draining"' in answer, answer
+    assert b'"not_run"' in answer
