Count a stop of rhubarbshedd from its signal

Cause: the drain started as the loop came to the signal.

Both programs share the handler now, which notes the time between two instructions.

--- a/rhubarbshed/transport/edge/node.py
+++ b/rhubarbshed/transport/edge/node.py
@@ -47,6 +47,7 @@
 from rhubarbshed.transport.edge.verdict_store import VerdictStore
 from rhubarbshed.transport.edge.version_store import VersionStore
 from rhubarbshed.transport.edge.view import View
+from rhubarbshed.transport.stop_signals import handle_stop_signals
 from rhubarbshed.util.front import FrontSettings
 from rhubarbshed.util.logs import log_event
 
@@ -249,19 +250,8 @@
 
     def handle_signals(self) -> None:
         """Stop at SIGTERM and SIGINT, and reload at SIGHUP."""
-        loop = asyncio.get_running_loop()
-
-        # No bound method: the signal module prints handlers, and that would print the instance.
-        def start_drain(*_: object) -> None:
-            """Start the drain, from which its times count; called between any two instructions."""
-            self.view.drain.start(time.monotonic())
-
-        for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, self.stop.set)
-            # The event loop may be late. It is still notified: it has set the wakeup descriptor.
-            signal.signal(number, start_drain)
-            signal.siginterrupt(number, False)
-        loop.add_signal_handler(signal.SIGHUP, self.reload)
+        handle_stop_signals((signal.SIGTERM, signal.SIGINT), self.view.drain, self.stop.set)
+        asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, self.reload)
 
     async def listen(self) -> None:
         """Open all listening sockets."""
--- a/rhubarbshed/transport/instance.py
+++ b/rhubarbshed/transport/instance.py
@@ -27,6 +27,7 @@
 from rhubarbshed.transport.operators import make_operator_handler
 from rhubarbshed.transport.placing import hand_over_servers, maintain_leases, run_placement
 from rhubarbshed.transport.runtime import Runtime
+from rhubarbshed.transport.stop_signals import handle_stop_signals
 from rhubarbshed.util.logs import log_event
 from rhubarbshed.util.settings import Settings
 
@@ -67,8 +68,7 @@
     loop = asyncio.get_running_loop()
     runtime = Runtime.from_settings(settings, loop)
     stop = StopSignals(asyncio.Event(), asyncio.Event())
-    for number in signals:
-        loop.add_signal_handler(number, stop.request)
+    handle_stop_signals(signals, runtime.coordinator.drain, stop.request)
     listening = await listen(runtime, stop)
     if isinstance(listening, Failure):
         log_event(LOG, logging.ERROR, "start_failed", reason=listening.failure())
--- /dev/null
+++ b/rhubarbshed/transport/stop_signals.py
@@ -0,0 +1,26 @@
+"""Signals that stop an instance."""
+
+import asyncio
+import signal
+import time
+from collections.abc import Callable, Iterable
+
+from rhubarbshed.coordination.requests.drain import Drain
+
+
+def handle_stop_signals(
+    numbers: Iterable[signal.Signals], drain: Drain, on_stop: Callable[[], None]
+) -> None:
+    """Start a drain as a signal arrives, and call `on_stop` as the event loop comes to it."""
+    loop = asyncio.get_running_loop()
+
+    # No bound method: the signal module prints handlers, and that would print the instance.
+    def start_drain(*_: object) -> None:
+        """Start the drain, from which its times count; called between any two instructions."""
+        drain.start(time.monotonic())
+
+    for number in numbers:
+        loop.add_signal_handler(number, on_stop)
+        # The event loop may be late. It is still notified: it has set the wakeup descriptor.
+        signal.signal(number, start_drain)
+        signal.siginterrupt(number, False)
--- a/test/test_cut_off.py
+++ b/test/test_cut_off.py
@@ -22,6 +22,7 @@
 )
 from tools.processes import wait_until
 
+ANNOUNCE_S = 0.5
 EXIT_CUT_OFF = 3
 STOP_BOUND_S = 6.0
 TOKENS = 1000
@@ -102,3 +103,16 @@
         answer = caller.recv(65536)
     assert answer.startswith(b"HTTP/1.1 503") and b'"draining"' in answer, answer
     assert b'"not_run"' in answer
+
+
+def test_times_of_a_drain_count_from_the_signal_of_a_late_loop(fleet, monkeypatch):
+    monkeypatch.setattr(fleet, "module", "test.late_daemon")
+    instance = fleet.add_instance("late", "dc-1")
+    assert wait_until(lambda: is_own_answer(chat(instance, "a", tokens=1), "a", 1), 10.0)
+    instance.process.popen.send_signal(signal.SIGUSR1)
+    time.sleep(0.1)
+    instance.process.popen.send_signal(signal.SIGTERM)
+    time.sleep(ANNOUNCE_S + 0.3)
+    answer = chat(instance, "late", tokens=1)
+    assert (answer.status, answer.code, answer.outcome) == (503, "draining", "not_run"), answer
+    assert instance.process.popen.wait(STOP_BOUND_S) == 0
