Tell which requests a stop cut off that may not be repeated

`request_ended` of such a request has `cut_off` (not_run, repeatable, not_repeatable), `stopped` has `not_repeatable`, and rhubarbshed_cut_off_total counts them by route. No decision is changed.

--- a/rhubarbshed/transport/edge/metrics.py
+++ b/rhubarbshed/transport/edge/metrics.py
@@ -23,6 +23,7 @@
     forwards: Counter
     cut_requests: Counter
     closes: Counter
+    cut_offs: Counter
     orders: Counter
     store_calls: Counter
     unreadable: Counter
@@ -72,6 +73,12 @@
             make_counter(
                 "connections_closed_total", "Callers' connections closed here, by reason.", "reason"
             ),
+            make_counter(
+                "cut_off_total",
+                "Requests cut off by a stop, by whether they may be sent again.",
+                "route",
+                "repeat",
+            ),
             make_counter("orders_total", "Orders to engines, by kind and end.", "kind", "end"),
             make_counter(
                 "store_calls_total", "Calls to the store, by kind and table.", "kind", "table"
@@ -128,6 +135,10 @@
         """Count a caller's connection that this instance closed."""
         self.closes.labels(reason).inc()
 
+    def count_cut_off(self, route: str, repeat: str) -> None:
+        """Count a request that was still open at the end of a drain."""
+        self.cut_offs.labels(route, repeat).inc()
+
     def observe_first_bytes(self, after_s: float) -> None:
         """Record the time to the first bytes of a response."""
         self.first_bytes_seconds.observe(after_s)
--- a/rhubarbshed/transport/edge/node.py
+++ b/rhubarbshed/transport/edge/node.py
@@ -389,7 +389,8 @@
         while self.find_phase(time.monotonic()) is DrainPhase.DRAINING:
             self.close_idle()
             await asyncio.sleep(DRAIN_CHECK_INTERVAL_S)
-        self.log_connections("stopped", cut_off=self.relay.open)
+        not_repeatable = self.relay.count_not_repeatable()
+        self.log_connections("stopped", cut_off=self.relay.open, not_repeatable=not_repeatable)
         for task in self.tasks:
             task.cancel()
         self.cut_off(time.monotonic())
--- a/rhubarbshed/transport/edge/relay.py
+++ b/rhubarbshed/transport/edge/relay.py
@@ -72,7 +72,7 @@
 from rhubarbshed.transport.edge.link_monitor import LinkMonitor
 from rhubarbshed.transport.edge.metrics import FrontMetrics
 from rhubarbshed.transport.edge.pools import Pool
-from rhubarbshed.transport.edge.request_logs import Stage, log_end, log_failed_attempt
+from rhubarbshed.transport.edge.request_logs import Repeat, Stage, log_end, log_failed_attempt
 from rhubarbshed.transport.edge.view import View
 from rhubarbshed.util.logs import log_event
 
@@ -134,6 +134,10 @@
         """Return the number of requests in progress."""
         return len(self.open_requests)
 
+    def count_not_repeatable(self) -> int:
+        """Count the requests in progress that may not be sent again if they are ended now."""
+        return sum(each.repeat is Repeat.NOT_REPEATABLE for each in self.open_requests)
+
     def cut_off(self) -> None:
         """Answer the requests that are still open when a drain's time has run out."""
         for progress in list(self.open_requests):
@@ -212,7 +216,7 @@
     `retry_paid` means that the budget has counted the next retry.
     `stopped_by` is the key of the verdict that stopped it, `trial_keys` those of the verdicts that
     its next attempt puts to a trial. `forwarded_by` is the instance that it came from, with
-    `attempts_max` servers left that may run it.
+    `attempts_max` servers left that may run it. `cut_off_as` is set as a stop cuts it off.
     """
 
     relay: Relay
@@ -244,9 +248,20 @@
     stopped_by: str = ""
     forwarded_by: str = ""
     attempts_max: int | None = None
+    cut_off_as: Repeat | None = None
+
+    @property
+    def repeat(self) -> Repeat:
+        """Whether the request may be sent again if it is ended now."""
+        if self.tries.run == 0 and not self.in_flight:
+            return Repeat.NOT_RUN
+        return Repeat.REPEATABLE if self.route.repeatable else Repeat.NOT_REPEATABLE
 
     def cut_off(self) -> None:
         """End the request now, because the process stops."""
+        self.cut_off_as = self.repeat
+        route_name = self.route.name if self.route else ""
+        self.relay.metrics.count_cut_off(route_name, self.cut_off_as.value)
         self.answer(make_timeout(self.tries.run > 0 or self.in_flight))
         self.connection.end(CloseReason.CUT_OFF)
         self.connection.cancel_work()
--- a/rhubarbshed/transport/edge/request_logs.py
+++ b/rhubarbshed/transport/edge/request_logs.py
@@ -32,6 +32,14 @@
     BODY = "body"
 
 
+class Repeat(enum.Enum):
+    """Whether a request that was ended may be sent again, by what is known here."""
+
+    NOT_RUN = "not_run"
+    REPEATABLE = "repeatable"
+    NOT_REPEATABLE = "not_repeatable"
+
+
 def find_stage(progress: "RequestProgress") -> Stage:
     """Return what a request is waiting for: a decision, or an attempt's next step."""
     attempt = progress.last_attempt
@@ -135,6 +143,8 @@
         fields["framing"] = attempt.framing.value
         fields["body_bytes"] = attempt.body_bytes
     fields |= count_stream(progress, error)
+    if progress.cut_off_as is not None:
+        fields["cut_off"] = progress.cut_off_as.value
     if progress.stopped_by:
         fields["stopped_by"] = progress.stopped_by
     if error is not None and error.retry_after_s is not None:
--- a/test/test_edge_drain.py
+++ b/test/test_edge_drain.py
@@ -553,3 +553,33 @@
 
     play(scene)
     assert len(find_lines(caplog, "drain_started")) == 1
+
+
+@pytest.mark.parametrize(
+    ("path", "expected"),
+    (("/p/x", "repeatable"), ("/n/x", "not_repeatable"), ("/s/9", "repeatable"), ("", "not_run")),
+)
+def test_log_and_metrics_tell_whether_what_was_cut_off_may_be_repeated(
+    caplog, monkeypatch, path, expected
+):
+    caplog.set_level(logging.INFO)
+
+    async def scene():
+        routes = (*ROUTES, make_route("non_idempotent", "/n/"))
+        async with run_edge(make_configuration(*routes), Replica("b1", reply=hang)) as edge:
+            if not path:
+                monkeypatch.setattr(relay, "decide_stream", lambda _: asyncio.sleep(30.0))
+            caller = await Caller.connect(edge)
+            caller.send(make_request(path or "/n/x"))
+            await edge.wait_until(lambda: edge.node.relay.open == 1)
+            await asyncio.sleep(0.05)
+            stop(edge)
+            await edge.task
+            name, metrics = f"r{path[1:2] or 'n'}", edge.node.metrics.render({}).decode()
+            assert f'cut_off_total{{repeat="{expected}",route="{name}"}} 1.0' in metrics
+
+    play(scene)
+    (ended,) = find_lines(caplog, "request_ended")
+    assert ended["cut_off"] == expected
+    (stopped,) = find_lines(caplog, "stopped")
+    assert stopped["cut_off"] == 1 and stopped["not_repeatable"] == (expected == "not_repeatable")
