--- a/test/test_edge_out_of_step.py
+++ b/test/test_edge_out_of_step.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from rhubarbshed.transport.edge.origin_store import WRITE_INTERVAL_S
 from standin.replica import Exchange, Replica
 from test.helper_edge import make_configuration, make_engine_service, play, run_edge
 from test.helper_scene import Scene, run_scene
@@ -40,6 +41,11 @@
     await replica.start()
 
 
+async def reset(exchange: Exchange) -> None:
+    """Break an answer off."""
+    exchange.reset()
+
+
 def isolate(scene: Scene, name: str) -> None:
     """Lose all datagrams that an instance sends, and all answers of the store to it."""
     node = scene.instances[name]
@@ -75,6 +81,59 @@
     play(scene)
 
 
+@pytest.mark.parametrize("within_answer", [True, False])
+def test_stream_that_began_at_an_engine_whose_new_start_was_not_known_goes_on_there_alone(
+    within_answer: bool,
+):
+    async def scene():
+        first, other = make_replica("b1"), make_replica("b2")
+        route = {**STREAM, "Attempts": 2 if within_answer else 1}
+        configuration = make_configuration(route, Services=[make_engine_service({})])
+        async with run_edge(configuration, first, other) as edge:
+            fleet = edge.node.view.fleet
+            edge.store.put("servers", "b1", first.describe(Seq=2))
+            await asyncio.sleep(0.1)
+            other.reply = Writer(3, reset)
+            await start_again_as(other, "v2")
+            edge.store.put("servers", "b2", other.describe())
+            fleet.get("b1").record_load_sample(7, 0, time.monotonic())
+            assert fleet.get("b2").entry.version == "v1"
+            answers = [await begin(edge)]
+            if not within_answer:
+                answers.append(await take_up(edge))
+            assert list_versions(*answers) == {b"data: <v2>"}
+
+    play(scene)
+
+
+@pytest.mark.parametrize("recorded", [True, False])
+def test_version_that_came_and_left_under_the_id_of_another_is_not_forgotten(recorded: bool):
+    async def scene():
+        async with run_scene("b1", "b2", a1="a", c1="c") as scene:
+            await asyncio.sleep(CERTAIN_S)
+            scene.relays["c1"].mode = Mode.DROP_ANSWERS
+            await start_again_as(scene.servers["b2"], "v2")
+            scene.store.put("servers", "b2", scene.servers["b2"].describe())
+            fleet = scene.instances["a1"].view.fleet
+            await scene.instances.wait_until(lambda: fleet.get("b2").entry.version == "v2")
+            await scene.begin_at("a1", "b2")
+            if recorded:
+                await asyncio.sleep(2 * WRITE_INTERVAL_S)
+            scene.forget_streams("c1")
+            await scene.kill("a1")
+            scene.store.remove("servers", "b2")
+            scene.relays["c1"].mode = Mode.PASS
+            scene.relays["c1"].reset()
+            await scene.start_again("a1")
+            await scene.wait_known("b2", False, "c1")
+            streams = scene.instances["c1"].streams
+            await scene.instances.wait_until(lambda: bool(streams.instances))
+            answer = await take_up(scene.get_edge("c1"))
+            assert answer.status == 503, answer
+
+    play(scene)
+
+
 @pytest.mark.parametrize("stream_id", ["", "q1"])
 def test_instance_that_stood_still_while_a_version_came_takes_no_other_for_the_sole_one(stream_id):
     async def scene():
