Parse the bytes of a server in pieces of 8 KiB

Callers saw: the loop stood still for 0.07 to 0.09 s at a time while one server sent heads with thousands of lines, or a resumable stream of short events, however often the reader of its events gave way.

Cause: all bytes of a read went to the parser at once, up to 512 KiB, so one event of it could be a body of that length with 40,000 events of a stream, or a head or trailer beyond `HEAD_BYTES_MAX`, which the parser checks only while it lacks bytes. Class: work that another party chooses, on the loop of all callers.

The channel keeps what it read and gives the parser 8 KiB at a time, with a turn for the loop between two pieces. A head may have 16 KiB and a piece. The end of the connection follows the last piece, and bytes that were not parsed count as bytes behind an answer.

--- a/rhubarbshed/transport/edge/channels.py
+++ b/rhubarbshed/transport/edge/channels.py
@@ -13,8 +13,12 @@
 UNREAD_BYTES_MAX = 262_144
 """Bytes of a response buffered for a slow caller before reading from the server is paused."""
 
-HEAD_BYTES_MAX = 65_536
-"""Longest head of a response; servers send well below a kilobyte."""
+PIECE_BYTES = 8_192
+"""Bytes of a response that are parsed before the other tasks of the loop have a turn."""
+
+HEAD_BYTES_MAX = 16_384
+"""Longest head of a response, to which a piece may come; servers send well below a kilobyte, and
+each line takes some microseconds."""
 
 REQUESTS_MAX = 128
 """Requests after which a connection is not used again, as it keeps their ids."""
@@ -61,7 +65,8 @@
     _waits_since: float = 0.0
     _error: Exception | None = None
     _closed: bool = False
-    _unread: int = 0
+    _ended: bool = False
+    _received: bytearray = field(factory=bytearray)
     _events_in_row: int = 0
     _request_ids: set[str] = field(factory=set)
     _drained: asyncio.Event = field(factory=asyncio.Event)
@@ -77,10 +82,11 @@
         if self._parser is None:
             self.abort()
             return
-        self._parser.receive_data(data)
-        self._unread += len(data)
-        if self._unread > UNREAD_BYTES_MAX:
+        self._received += data
+        if len(self._received) > UNREAD_BYTES_MAX:
             self._transport.pause_reading()
+        if self._waiter is not None:
+            self._feed()
         self.wake()
 
     def connection_lost(self, error: Exception | None) -> None:
@@ -88,8 +94,8 @@
         self._closed = True
         if error is not None:
             self._error = error
-        elif self._parser is not None and self._error is None:
-            self._parser.receive_data(b"")
+        else:
+            self._ended = True
         self._drained.set()
         self.wake()
 
@@ -141,6 +147,14 @@
             event = self._next_event()
             if event is not h11.NEED_DATA:
                 return event
+            if self._received:
+                self._events_in_row = 1
+                await asyncio.sleep(0)
+                self._feed()
+                continue
+            if self._ended and not self._parser.trailing_data[1]:
+                self._parser.receive_data(b"")
+                continue
             if self._closed or self._error is not None:
                 raise ChannelError(f"the connection ended: {self._error}")
             self._waiter = asyncio.get_running_loop().create_future()
@@ -174,7 +188,7 @@
 
     def skip_answer(self) -> None:
         """Start a new parser after a complete response that belongs to another request."""
-        trailing, closed = self._parser.trailing_data
+        trailing, _ = self._parser.trailing_data
         self._parser = h11.Connection(h11.CLIENT, max_incomplete_event_size=HEAD_BYTES_MAX)
         self._parser.send(self._request)
         if any(name == b"content-length" for name, _ in self._request.headers):
@@ -184,8 +198,6 @@
         self._parser.send(h11.EndOfMessage())
         if trailing:
             self._parser.receive_data(trailing)
-        if closed or self._closed:
-            self._parser.receive_data(b"")
 
     def finish(self, response: h11.Response, now: float) -> bool:
         """End an exchange after a complete response; return whether the connection is reusable."""
@@ -193,6 +205,7 @@
         trailing, closed = parser.trailing_data
         reusable = (
             not trailing
+            and not self._received
             and not closed
             and not self._closed
             and parser.our_state is h11.DONE
@@ -233,12 +246,16 @@
             raise MalformedAnswerError(str(error)) from error
         if event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
             raise ChannelError("the connection ended without a response")
-        if event is h11.NEED_DATA and self._unread:
-            self._unread = 0
-            if not self._closed:
-                self._transport.resume_reading()
         return event
 
+    def _feed(self) -> None:
+        """Let the parser have the next piece; reading goes on once all were taken."""
+        piece = self._received[:PIECE_BYTES]
+        del self._received[:PIECE_BYTES]
+        self._parser.receive_data(piece)
+        if not self._received and not self._closed:
+            self._transport.resume_reading()
+
     def wake(self) -> None:
         """Let whoever waits for bytes look at the state of the connection."""
         if self._waiter is not None and not self._waiter.done():
--- a/test/test_edge_stream_work.py
+++ b/test/test_edge_stream_work.py
@@ -6,7 +6,12 @@
 import h11
 import pytest
 
-from rhubarbshed.transport.edge.channels import EVENTS_IN_ROW_MAX, Channel
+from rhubarbshed.transport.edge.channels import (
+    EVENTS_IN_ROW_MAX,
+    HEAD_BYTES_MAX,
+    PIECE_BYTES,
+    Channel,
+)
 from rhubarbshed.transport.edge.streams import EVENT_BYTES_MAX, EventSplitter
 from standin.replica import Exchange, Replica
 from test.helper_edge import make_configuration, play, run_edge
@@ -112,3 +117,41 @@
         assert got == pieces and cancelled
 
     play(scene)
+
+
+EVENTS = b"data: x\n\n" * 20_000
+LINES = b"a:\r\n" * 60_000
+
+
+@pytest.mark.parametrize("path", ["/s/x", "/n/x", "/p/x"])
+@pytest.mark.parametrize(
+    ("sent", "whole"),
+    [
+        (b"%x\r\n" % len(EVENTS) + EVENTS + b"\r\n0\r\n\r\n", True),
+        (b"0\r\n" + LINES + b"\r\n", False),
+    ],
+)
+def test_bytes_of_one_read_are_parsed_in_pieces(sent, whole, path, monkeypatch):
+    """All events of a read, or a head or trailer of any length in it, were one piece of work."""
+    given = []
+    next_event = h11.Connection.next_event
+
+    def measure(self: h11.Connection):
+        if self.our_role is h11.CLIENT:
+            given.append(len(self.trailing_data[0]))
+        return next_event(self)
+
+    async def reply(exchange: Exchange) -> None:
+        exchange.write(make_head(exchange, 200, FRAMINGS["chunks"]) + sent)
+        await exchange.writer.drain()
+
+    async def scene():
+        monkeypatch.setattr(h11.Connection, "next_event", measure)
+        servers = [Replica("b1", reply=reply)]
+        async with run_edge(make_configuration(*ROUTES.values()), *servers) as edge:
+            given.clear()
+            answer = await edge.ask(path, b"x")
+            assert (answer.status, answer.whole, answer.body) == (200, True, EVENTS) or not whole
+            assert max(given) <= HEAD_BYTES_MAX + PIECE_BYTES
+
+    play(scene)
