Give up a table whose pages have no end

Operators would see: a store that always names a next page, after new rows or after the same ones, keeps one read going and its rows growing for ever; on a start no request is served, as the configuration is read so.

Cause: `StoreClient.read_all` joined pages until there was none. Class: a bound that relies on another party's word.

Otherwise the read fails with `UNKNOWN`, which is logged and repeated as every failure of the store is.

--- a/rhubarbshed/transport/edge/store.py
+++ b/rhubarbshed/transport/edge/store.py
@@ -15,7 +15,14 @@
     read_page,
 )
 from rhubarbshed.protocol.exchanges import ControlCall
-from rhubarbshed.protocol.tables import Committed, Row, Scan, TableError, Transaction
+from rhubarbshed.protocol.tables import (
+    Committed,
+    Row,
+    Scan,
+    TableError,
+    TableFault,
+    Transaction,
+)
 from rhubarbshed.transport.edge.control import ControlAnswer, call
 from rhubarbshed.transport.edge.pools import Address, Pool
 from rhubarbshed.util.logs import log_event
@@ -26,6 +33,9 @@
 """Time for a response; the store takes a few milliseconds, and a quarter of a second when it is
 slow. A call to an unresponsive store is never answered, so the next one should not wait long."""
 
+PAGES_MAX = 64
+"""Most pages of a table: the largest one has 8 for each data centre, its 120 rows of 64 KB."""
+
 FOLLOW_MARGIN_S = 0.8
 """Time beyond the agreed wait after which a request for changes is abandoned."""
 
@@ -45,9 +55,9 @@
     async def read_all(self, table: str) -> Result[Page, TableError]:
         """Return all rows of a table; `scan.revision` is that of the first page read."""
         rows: list[Row] = []
-        start: str | None = ""
+        start = ""
         first: Page | None = None
-        while start is not None:
+        for _ in range(PAGES_MAX):
             self.count("read", table)
             page = await self._read(table, make_read(table, start), CALL_TIMEOUT_S)
             if isinstance(page, Failure):
@@ -55,8 +65,12 @@
             found = page.unwrap()
             first = first or found
             rows += found.scan.rows
+            if found.next_key is None:
+                return Success(Page(Scan(tuple(rows), first.scan.revision), None, first.now_ms))
+            if found.next_key <= start:
+                break
             start = found.next_key
-        return Success(Page(Scan(tuple(rows), first.scan.revision), None, first.now_ms))
+        return Failure(TableError(TableFault.UNKNOWN, detail="pages without an end"))
 
     async def follow(self, table: str, after: int, wait_s: float) -> Result[Page, TableError]:
         """Return the rows that changed after a revision, once there are any."""
--- a/test/test_edge_control.py
+++ b/test/test_edge_control.py
@@ -1,10 +1,12 @@
 """Servers that send bytes without end to a call that an instance itself makes."""
 
 import asyncio
+import json
 import time
+from itertools import count
 
 import pytest
-from returns.result import Failure, Success
+from returns.result import Failure, Result, Success
 
 from rhubarbshed.platform.orders import make_health_call, make_order, make_report_call
 from rhubarbshed.platform.rows import OWN_TABLE, make_commit, make_feed_read, make_read
@@ -12,10 +14,11 @@
 from rhubarbshed.protocol.forwarding import REACHABILITY_TARGET
 from rhubarbshed.protocol.orders import OrderKind
 from rhubarbshed.protocol.servers import ServerOrder
-from rhubarbshed.protocol.tables import TableFault, Transaction
+from rhubarbshed.protocol.tables import TableError, TableFault, Transaction
 from rhubarbshed.transport.edge.channels import Channel
-from rhubarbshed.transport.edge.control import call
+from rhubarbshed.transport.edge.control import ControlAnswer, call
 from rhubarbshed.transport.edge.pools import Pool
+from rhubarbshed.transport.edge.store import PAGES_MAX, StoreClient
 
 TIMEOUT_S = 1.5
 SOON_S = 0.75
@@ -93,3 +96,22 @@
 def test_answer_in_single_bytes_ends_at_its_time(sent, monkeypatch):
     result, took_s, _ = asyncio.run(make_call(sent, HEAD, b"x", 0.01, monkeypatch))
     assert isinstance(result, Failure) and took_s < 2 * TIMEOUT_S
+
+
+@pytest.mark.parametrize(("key", "calls"), [("k{:09}", PAGES_MAX), ("k", 2)])
+def test_table_whose_pages_have_no_end_is_not_read_for_ever(key, calls):
+    numbers = count(1)
+
+    class PagingStore(StoreClient):
+        async def _call(
+            self, sent: ControlCall, timeout_s: float
+        ) -> Result[ControlAnswer, TableError]:
+            number = next(numbers)
+            assert number < 1_000
+            row = {"Key": key.format(number), "Ver": 1, "Value": "e30="}
+            page = {"Rows": [row], "HasMore": True, "Ver": 1, "NowMs": 5}
+            return Success(ControlAnswer(200, json.dumps(page).encode()))
+
+    result = asyncio.run(PagingStore(("127.0.0.1", 1), Pool(TIMEOUT_S)).read_all(OWN_TABLE))
+    assert isinstance(result, Failure) and result.failure().fault is TableFault.UNKNOWN
+    assert next(numbers) == calls + 1
