Give other tasks a turn between batches of stream origins

Callers would see: the loop stands still while an instance reads the origins of streams from the store, which it does up to once a second while unknown streams are asked for.

Cause: all rows were decoded in one pass. Class: work in one pass that grows with what others wrote.

The loop has a turn after each row; searches use the batches of the read before until all are decoded.

Tests: rows decoded between two passes; failed before (100), passes; so do the files on origins in the store and on work of streams.

--- a/rhubarbshed/transport/edge/origin_store.py
+++ b/rhubarbshed/transport/edge/origin_store.py
@@ -156,20 +156,22 @@
         self._reading = None
 
     async def _read(self) -> tuple[Row, ...] | None:
-        """Read all batches."""
+        """Read all batches; each takes a millisecond, so the loop has a turn after it."""
         result = await self.store.read_all(STREAMS_TABLE)
         if isinstance(result, Failure):
             log_event(LOG, logging.INFO, "origins_unread", reason=result.failure().detail)
             return None
         rows = result.unwrap().scan.rows
-        self.batches = {}
+        batches = {}
         for row in rows:
             read = read_batch(row.value or {})
             if isinstance(read, Success):
-                self.batches[row.key] = read.unwrap()
+                batches[row.key] = read.unwrap()
             else:
                 reason = read.failure()
                 log_event(LOG, logging.INFO, "origins_unreadable", key=row.key, reason=reason)
+            await asyncio.sleep(0)
+        self.batches = batches
         return rows
 
     async def _write(self) -> None:
--- a/test/test_edge_stream_work.py
+++ b/test/test_edge_stream_work.py
@@ -1,17 +1,22 @@
 """Work that the bytes of one server make, however they are divided."""
 
 import asyncio
-from unittest.mock import Mock
+from unittest.mock import AsyncMock, Mock
 
 import h11
 import pytest
+from returns.result import Success
 
+from rhubarbshed.coordination.serving.origin_batches import OriginBatch
+from rhubarbshed.platform.rows import Page
+from rhubarbshed.protocol.tables import Row, Scan
 from rhubarbshed.transport.edge.channels import (
     EVENTS_IN_ROW_MAX,
     HEAD_BYTES_MAX,
     PIECE_BYTES,
     Channel,
 )
+from rhubarbshed.transport.edge.origin_store import OriginStore
 from rhubarbshed.transport.edge.streams import EVENT_BYTES_MAX, EventSplitter
 from standin.replica import Exchange, Replica
 from test.helper_edge import make_configuration, play, run_edge
@@ -164,3 +169,29 @@
             assert max(given) <= HEAD_BYTES_MAX + PIECE_BYTES
 
     play(scene)
+
+
+def test_batches_of_stream_origins_do_not_hold_the_loop(monkeypatch):
+    """Those of one data centre have 240,000 streams, all decoded in one pass."""
+    counts = [0]
+
+    def read(value):
+        counts[-1] += 1
+        return Success(OriginBatch(value["number"]))
+
+    async def scene():
+        monkeypatch.setattr("rhubarbshed.transport.edge.origin_store.read_batch", read)
+        rows = tuple(Row(f"a/{each}", 1, {"number": each}, 1) for each in range(100))
+        store = AsyncMock(read_all=AsyncMock(return_value=Success(Page(Scan(rows, 1)))))
+        origins = OriginStore(store, Mock(), bool, Mock(), Mock())
+        origins.batches["kept"] = OriginBatch(0)
+        counting = asyncio.create_task(count_between_passes(counts))
+        reading = asyncio.create_task(origins._read())
+        while not reading.done():
+            assert list(origins.batches) == ["kept"]
+            await asyncio.sleep(0)
+        counting.cancel()
+        assert list(origins.batches) == [row.key for row in rows]
+        assert max(counts) <= 2
+
+    asyncio.run(scene())
