Bound the reasons of unreadable messages and records in the log

Operators would see: a log line of 60 KB for each datagram with an odd format or row of versions with an odd value, from anybody who reaches the port or writes the row.

Cause: both reasons quote the value, and were not cut to `REASON_LENGTH_MAX` as all others are. Class: a bound on most kinds of what others send, none on the rest.

Tests: a datagram's format and a record's revision of 60,000 characters; 2 of 3 cases failed before (an odd kind was bounded), all pass; so do the files on messages and on records of versions.

--- a/rhubarbshed/coordination/serving/version_records.py
+++ b/rhubarbshed/coordination/serving/version_records.py
@@ -13,6 +13,7 @@
 from attrs import field, frozen
 from returns.result import Failure, Result, Success
 
+from rhubarbshed.protocol.message_checks import describe
 from rhubarbshed.state.membership.fleet import Fleet
 from rhubarbshed.state.membership.versions import KEPT_S, VersionHistory
 from rhubarbshed.state.requests.stream_origins import STREAM_AGE_MAX_S
@@ -129,7 +130,7 @@
             ),
         )
     except (KeyError, OverflowError, TypeError, ValueError) as error:
-        return Failure(repr(error))
+        return Failure(describe(error))
     return Success(record)
 
 
--- a/rhubarbshed/protocol/messages.py
+++ b/rhubarbshed/protocol/messages.py
@@ -28,6 +28,7 @@
     LimitReply,
 )
 from rhubarbshed.protocol.message_checks import (
+    REASON_LENGTH_MAX,
     check_number,
     check_text,
     describe,
@@ -349,7 +350,7 @@
     try:
         version, kind, *parts = msgpack.unpackb(data, use_list=False)
         if version != FORMAT:
-            return Failure(f"format {version!r}")
+            return Failure(f"format {version!r}"[:REASON_LENGTH_MAX])
         if isinstance(kind, str) and kind not in KINDS and KIND_NAME.fullmatch(kind):
             return Success(UnknownMessage(kind))
         message = KINDS[kind](*parts)
--- a/test/test_stream_messages.py
+++ b/test/test_stream_messages.py
@@ -6,6 +6,7 @@
 from hypothesis import strategies as st
 from returns.result import Failure, Success
 
+from rhubarbshed.protocol.message_checks import REASON_LENGTH_MAX
 from rhubarbshed.protocol.messages import (
     ADDRESSES_PER_MESSAGE,
     FORMAT,
@@ -101,6 +102,12 @@
     assert isinstance(unpack_message(msgpack.packb((FORMAT, *parts))), Failure)
 
 
+@pytest.mark.parametrize("datagram", [("x" * 60_000, "demand"), (FORMAT, "x" * 60_000)])
+def test_reason_why_a_datagram_is_unreadable_is_short(datagram):
+    """It is logged for each datagram; a format of another build was quoted in full."""
+    assert len(unpack_message(msgpack.packb(datagram)).failure()) <= REASON_LENGTH_MAX
+
+
 def unpack_as_before(data: bytes):
     """Decode as the build before these kinds did (fc3f50e)."""
     kinds = {name: KINDS[name] for name in ("demand", "holder", "news")}
--- a/test/test_version_store.py
+++ b/test/test_version_store.py
@@ -20,6 +20,7 @@
     read_record,
 )
 from rhubarbshed.coordination.serving.versions import find_sole_origin
+from rhubarbshed.protocol.message_checks import REASON_LENGTH_MAX
 from rhubarbshed.protocol.servers import ServerEntry, ServerState
 from rhubarbshed.protocol.streams import StreamLookup, StreamOrigin
 from rhubarbshed.state.membership.fleet import Fleet
@@ -401,6 +402,10 @@
     assert read_record(record.to_value(), 5_000_000.0).unwrap() == record
 
 
+def test_reason_why_a_record_is_unreadable_is_short():
+    assert len(read_record({"revision": "x" * 60_000}, 0.0).failure()) <= REASON_LENGTH_MAX
+
+
 @pytest.mark.parametrize(
     ("count", "listed"), [(SERVERS_MAX + 1, SERVERS_MAX), (SERVERS_MAX + 2, 0)]
 )
