Bound what callers' requests hold together

Callers saw: nothing yet; by reading, callers that together send much more than an instance's memory of some 220 MB, such as 60 that stop before the end of a body of 4 MiB, or 700 with requests behind one in progress, end it, and the requests of all others there.

Cause: a connection has bounds, the sum of all connections had none. Class: a bound for each of many, with none on the many.

Beyond that, the connection with the most bytes that are not of a request in progress is refused with 503 and a time to ask again; requests behind one in progress get that after its answer. The requests in progress count too: a body is complete only if there is room for it.

Not covered: answers on their way to slow callers, and what servers send.

--- a/rhubarbshed/transport/edge/caller_connections.py
+++ b/rhubarbshed/transport/edge/caller_connections.py
@@ -11,6 +11,7 @@
 from rhubarbshed.protocol.exchanges import Headers
 from rhubarbshed.protocol.routes import CallerLimits
 from rhubarbshed.transport.edge.connection_logs import CloseLog, CloseReason, ConnectionState
+from rhubarbshed.transport.edge.received_bytes import ReceivedBytes
 from rhubarbshed.transport.edge.sockets import (
     UNACKNOWLEDGED_MS,
     abort_with_reset,
@@ -37,6 +38,9 @@
 CLOSED_RETRY_S = 0.05
 """Time after which a caller may repeat a request that met the close of its connection."""
 
+CROWDED_RETRY_S = 1.0
+"""Time after which a caller may repeat a request for which there was no room."""
+
 PARSED_HEAD_BYTES_MAX = 16_777_216
 """Bound of the parser for a head in parts, above all limits that an operator sets: those may change
 while a connection is open, and are checked as bytes of a head arrive."""
@@ -44,6 +48,8 @@
 PAUSED_CHECK_INTERVAL_S = 0.1
 """Time between two checks for the end of a connection that is not read."""
 
+CROWDED = "there is no room for more requests; ask again"
+
 REASON_PHRASES = {
     400: b"Bad Request",
     403: b"Forbidden",
@@ -81,8 +87,9 @@
     whether further requests are refused. A peer that `may_pause` is given up after the idle time
     without reading, another one as a silent server is. `requests` counts those read completely, the
     last at `read_at`; `sent_bytes` were written since then. `active_at` is when bytes were last
-    read or an answer ended. `close_reason` is why this side closed, at `closed_at`, and
-    `late_bytes` arrived after that.
+    read or an answer ended. `answered_bytes` are in the body of the request in progress, and what
+    follows it is refused if `_is_crowded`. `close_reason` is why this side closed, at `closed_at`,
+    and `late_bytes` arrived after that.
     """
 
     handle: Handler
@@ -92,6 +99,7 @@
     connections: set["CallerConnection"]
     close_log: CloseLog | None = None
     may_pause: bool = False
+    received: ReceivedBytes = field(factory=ReceivedBytes)
     task: asyncio.Task | None = None
     disconnect: Disconnect | None = None
     opened_at: float = 0.0
@@ -102,6 +110,7 @@
     close_reason: CloseReason | None = None
     closed_at: float = 0.0
     late_bytes: int = 0
+    answered_bytes: int = 0
     _transport: asyncio.Transport | None = None
     _parser: h11.Connection | None = None
     _request: h11.Request | None = None
@@ -116,6 +125,7 @@
     _close_after: bool = False
     _answering: bool = False
     _ending: bool = False
+    _is_crowded: bool = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Wait for the first request."""
@@ -134,6 +144,8 @@
         if self._ending or (self._close_after and not self._answering):
             self.late_bytes += len(data)
             return
+        if self._is_crowded:
+            return
         self.active_at = time.monotonic()
         self._unparsed += data
         if self._next_turn is None:
@@ -166,6 +178,7 @@
         self._note_disconnect("end" if error is None else "reset")
         self._cancel_timer()
         self._cancel_turn()
+        self.received.record(self, 0, 0)
         if self.late_bytes and self.close_log is not None:
             self.close_log.record_late_bytes(self, time.monotonic())
         self.connections.discard(self)
@@ -216,6 +229,11 @@
         """Return the number of bytes that were read and belong to no whole head or body yet."""
         return len(self._parser.trailing_data[0]) + len(self._unparsed)
 
+    @property
+    def may_give_up(self) -> bool:
+        """Return whether what is held for no request in progress may be given up, once."""
+        return not self._close_after and not self._is_crowded
+
     @property
     def unread_bytes(self) -> int:
         """Return the number of bytes that the kernel holds for this connection."""
@@ -257,9 +275,8 @@
             return
         self._record_close(reason, status)
         self._ending = self._close_after = True
-        self._unparsed.clear()
+        self._drop_unanswered()
         self._cancel_timer()
-        self._cancel_turn()
         self._timer = asyncio.get_running_loop().call_later(DISCARD_S, self._transport.close)
         self._transport.resume_reading()
         # Sent at once: the socket is closed in a later pass of the event loop.
@@ -336,6 +353,15 @@
         finally:
             self.end(CloseReason.REFUSED, status)
 
+    def give_up_unanswered(self) -> None:
+        """Refuse the request that arrives, or those behind the one that is being answered."""
+        if self._answering:
+            self._is_crowded = True
+            self._drop_unanswered()
+            self._pause_reading()
+        else:
+            self.refuse(503, CROWDED, CROWDED_RETRY_S)
+
     def cancel_work(self) -> None:
         """Cancel the work on the request in progress, at its next wait."""
         if self.task is not None and not self.task.cancelling():
@@ -379,6 +405,22 @@
             self._read()
             self._limit_reading()
 
+    def _drop_unanswered(self) -> None:
+        """Forget what is held and not of a request in progress."""
+        self._unparsed.clear()
+        self._body = bytearray()
+        self._cancel_turn()
+        self._record_received()
+
+    def _make_room(self) -> None:
+        """Give up what is not of a request in progress while all hold too much; it may be this."""
+        self._record_received()
+        while (excess := self.received.find_excess()) is not None:
+            excess.give_up_unanswered()
+
+    def _record_received(self) -> None:
+        self.received.record(self, self.unparsed_bytes + len(self._body), self.answered_bytes)
+
     def _cancel_turn(self) -> None:
         if self._next_turn is not None:
             self._next_turn.cancel()
@@ -449,12 +491,16 @@
             self.refuse(413, "the body is longer than allowed")
 
     def _answer(self) -> None:
+        self._make_room()
+        if self._close_after:
+            return
         self._cancel_timer()
         self._answering = True
         self.read_at = time.monotonic()
         self.requests += 1
         self.sent_bytes = 0
         body = bytes(self._body)
+        self.answered_bytes = len(body)
         self._body = bytearray()
         work = self.handle(self, self._request, body, self._begun_at)
         self.task = asyncio.get_running_loop().create_task(work)
@@ -464,6 +510,7 @@
         self.task = None
         self._answering = False
         self._request = None
+        self.answered_bytes = 0
         self.active_at = time.monotonic()
         if not self.is_open or self._ending:
             return
@@ -476,6 +523,10 @@
         if self._parser.our_state is not h11.DONE or self._parser.their_state is not h11.DONE:
             self._end_answered()
             return
+        if self._is_crowded:
+            self._parser = make_parser()
+            self.refuse(503, CROWDED, CROWDED_RETRY_S)
+            return
         self._parser.start_next_cycle()
         self._set_timer(self.read_limits().idle_timeout_s)
         self._read()
@@ -506,9 +557,15 @@
         self.end(reason, status)
 
     def _limit_reading(self) -> None:
-        """Read on unless more is held than may be."""
-        if self.unparsed_bytes <= PIPELINED_BYTES_MAX:
+        """Read on unless more is held than may be, here or by all connections."""
+        self._make_room()
+        if self._is_crowded or self.unparsed_bytes > PIPELINED_BYTES_MAX:
+            self._pause_reading()
+        else:
             self._transport.resume_reading()
+
+    def _pause_reading(self) -> None:
+        if self._ending:
             return
         self._transport.pause_reading()
         if self._paused_check is None:
--- a/rhubarbshed/transport/edge/node.py
+++ b/rhubarbshed/transport/edge/node.py
@@ -39,6 +39,7 @@
 from rhubarbshed.transport.edge.order_dispatcher import OrderDispatcher
 from rhubarbshed.transport.edge.origin_store import OriginStore
 from rhubarbshed.transport.edge.pools import Pool, connect_from
+from rhubarbshed.transport.edge.received_bytes import ReceivedBytes
 from rhubarbshed.transport.edge.relay import Relay
 from rhubarbshed.transport.edge.server_checks import ServerChecks
 from rhubarbshed.transport.edge.sockets import accept_waiting
@@ -113,6 +114,7 @@
     version_store: VersionStore
     stop: asyncio.Event = field(factory=asyncio.Event)
     connections: set[CallerConnection] = field(factory=set)
+    received: ReceivedBytes = field(factory=ReceivedBytes)
     listeners: list[asyncio.Server] = field(factory=list)
     tasks: list[asyncio.Task] = field(factory=list)
 
@@ -286,6 +288,7 @@
             connections,
             close_log,
             may_pause=handle == self.relay.handle,
+            received=self.received,
         )
 
     def is_closing(self) -> bool:
--- a/test/test_edge_endless_requests.py
+++ b/test/test_edge_endless_requests.py
@@ -10,6 +10,7 @@
 import pytest
 
 from rhubarbshed.transport.edge.caller_connections import PIPELINED_BYTES_MAX, CallerConnection
+from rhubarbshed.transport.edge.received_bytes import SHORT_BYTES_MAX
 from standin.replica import Exchange, Replica
 from test.helper_edge import HOST, Edge, make_configuration, make_route, play, read_answer, run_edge
 
@@ -34,6 +35,10 @@
     return reader, writer, next(iter(edge.node.connections))
 
 
+def count_held(connection: CallerConnection) -> int:
+    return connection.unparsed_bytes + len(connection._body) + connection.answered_bytes
+
+
 async def wait_parsed(
     edge: Edge, writer: asyncio.StreamWriter, connection: CallerConnection
 ) -> None:
@@ -148,3 +153,66 @@
             writer.close()
 
     play(scene)
+
+
+TOGETHER_MAX = 16_000_000
+LONG = make_head("q1", "Content-Length: 4000000") + bytes(3_900_000)
+BEHIND = make_head("q1") + (make_head("q2", "Content-Length: 10000") + bytes(10_000)) * 30
+WHOLE = make_head("q1", "Content-Length: 250000") + bytes(250_000)
+
+
+@pytest.mark.parametrize(
+    ("callers", "sent"), [(10, LONG), (300, BEHIND), (90, WHOLE)], ids=["long", "behind", "whole"]
+)
+def test_what_all_callers_send_together_does_not_fill_the_memory(callers, sent):
+    """Only what each connection may hold had a bound."""
+    go_on = asyncio.Event()
+
+    async def answer(exchange: Exchange) -> None:
+        await go_on.wait()
+        exchange.answer(200, b"")
+
+    async def scene():
+        route = {**ROUTE, "TimeoutMs": 20_000}
+        async with run_edge(
+            make_configuration(route), Replica("b1", slots=100, reply=answer)
+        ) as edge:
+            edge.node.received.bytes_max = TOGETHER_MAX
+            opened = [
+                await asyncio.open_connection(*edge.node.settings.callers) for _ in range(callers)
+            ]
+            held = 0
+            for _, writer in opened:
+                writer.write(sent)
+                await asyncio.sleep(0.01)
+                held = max(held, sum(count_held(each) for each in edge.node.connections))
+            assert held <= TOGETHER_MAX + READ_BYTES + callers * SHORT_BYTES_MAX
+            assert (await edge.ask("/none", b"x")).status == 404
+            go_on.set()
+            for _, writer in opened:
+                writer.transport.abort()
+
+    play(scene)
+
+
+def test_requests_given_up_behind_one_in_progress_are_refused_after_its_answer():
+    async def answer(exchange: Exchange) -> None:
+        await asyncio.sleep(0.2)
+        exchange.answer(200, b"first")
+
+    async def scene():
+        async with run_edge(make_configuration(ROUTE), Replica("b1", reply=answer)) as edge:
+            edge.node.received.bytes_max = 0
+            reader, writer, connection = await open_caller(edge)
+            writer.write(make_head("q1"))
+            await edge.wait_until(lambda: connection.requests == 1)
+            writer.write(LONG)
+            assert (await read_answer(reader)).body == b"first"
+            refusal = await read_answer(reader)
+            assert (refusal.status, refusal.headers["retry-after"]) == (503, "1.000")
+            assert await reader.read() == b""
+            writer.close()
+            await edge.wait_until(lambda: not edge.node.connections)
+            assert edge.node.received.total == 0
+
+    play(scene)
