Wait with a request until its caller reads the answers before it

Callers saw: nothing yet; a caller that sends short requests one behind the other and reads nothing makes the instance hold all their answers, 256 KiB for a request of 100 bytes, until its memory ends.

Cause: a stream waits for a caller that reads slowly, plain answers did not, and the next request was answered whatever was still unsent. Class: a bound on one kind of what is passed on, none on the rest.

A connection's next request waits now while more than 4 MiB of its answers are unsent, or while all connections hold too much, in which unsent answers are counted. It goes on as the caller reads, with its idle time anew; a caller that reads nothing is given up by that time, as before.

Tests: 120 requests whose answers have 200 KB each; 19.7 MB were unsent before, within 4 MiB and one answer now (64 KiB and one answer if all connections hold too much), and all answers arrive in order once the caller reads. Both cases failed before.

Not covered: one answer of up to 256 KiB that is unsent on each of very many connections.

--- a/rhubarbshed/transport/edge/caller_connections.py
+++ b/rhubarbshed/transport/edge/caller_connections.py
@@ -25,6 +25,10 @@
 PIPELINED_BYTES_MAX = 65_536
 """Bytes of later requests above which nothing is read while one is being answered."""
 
+UNSENT_BYTES_MAX = 4_194_304
+"""Bytes of answers that their caller has not read above which its next request waits: as many as a
+request has at the most, by default."""
+
 PARSED_BYTES = 16_384
 """Bytes that the parser gets at once, as what it has not used is copied to be measured."""
 
@@ -190,8 +194,13 @@
         self._writable.clear()
 
     def resume_writing(self) -> None:
-        """Let `wait_writable` return."""
+        """Let `wait_writable` return, and answer what waits for the caller to read."""
         self._writable.set()
+        self._record_received()
+        if self._answering or self._close_after or not self.unparsed_bytes:
+            return
+        self._set_timer(self.read_limits().idle_timeout_s)
+        self._plan_turn()
 
     @property
     def is_idle(self) -> bool:
@@ -419,7 +428,21 @@
             excess.give_up_unanswered()
 
     def _record_received(self) -> None:
-        self.received.record(self, self.unparsed_bytes + len(self._body), self.answered_bytes)
+        unread_answers = 0 if self._writable.is_set() else self.unsent_bytes
+        unanswered = self.unparsed_bytes + len(self._body)
+        self.received.record(self, unanswered, self.answered_bytes + unread_answers)
+
+    @property
+    def _may_parse(self) -> bool:
+        """Return whether another request may be read: there is room for its answer, too."""
+        if self._answering or self._close_after:
+            return False
+        has_room = self.unsent_bytes <= UNSENT_BYTES_MAX and self.received.has_room
+        return has_room or self._writable.is_set()
+
+    def _plan_turn(self) -> None:
+        if self._next_turn is None:
+            self._next_turn = asyncio.get_running_loop().call_soon(self._take_turn)
 
     def _cancel_turn(self) -> None:
         if self._next_turn is not None:
@@ -427,9 +450,9 @@
             self._next_turn = None
 
     def _read_events(self, until: float) -> None:
-        while not self._answering and not self._close_after:
+        while self._may_parse:
             if time.monotonic() >= until:
-                self._next_turn = asyncio.get_running_loop().call_soon(self._take_turn)
+                self._plan_turn()
                 return
             event = self._parser.next_event()
             if event is h11.NEED_DATA:
--- a/rhubarbshed/transport/edge/received_bytes.py
+++ b/rhubarbshed/transport/edge/received_bytes.py
@@ -19,25 +19,30 @@
 
 @define(eq=False)
 class ReceivedBytes:
-    """Bytes of requests that connections hold until these are answered."""
+    """Bytes of requests that connections hold until these are answered and the answers taken."""
 
     bytes_max: int = RECEIVED_BYTES_MAX
     total: int = 0
     _held: dict["CallerConnection", tuple[int, int]] = field(factory=dict)
 
     def record(self, connection: "CallerConnection", unanswered: int, answered: int) -> None:
-        """Record what a connection holds now, of later requests and of one in progress."""
+        """Record what a connection holds, of later requests and of others with answers."""
         self.total += unanswered + answered - sum(self._held.pop(connection, (0, 0)))
         if unanswered or answered:
             self._held[connection] = (unanswered, answered)
 
+    @property
+    def has_room(self) -> bool:
+        """Return whether all connections may hold more."""
+        return self.total <= self.bytes_max
+
     def find_excess(self) -> "CallerConnection | None":
         """Return the connection whose bytes to give up, if all hold too many together.
 
         It is the one with the most that are not of a request in progress, and never one with few,
         so that no caller of short requests has to make room for one of long ones.
         """
-        if self.total <= self.bytes_max:
+        if self.has_room:
             return None
         candidates = (each for each in self._held if each.may_give_up)
         largest = max(candidates, key=lambda each: self._held[each][0], default=None)
--- a/test/test_edge_endless_requests.py
+++ b/test/test_edge_endless_requests.py
@@ -9,7 +9,12 @@
 
 import pytest
 
-from rhubarbshed.transport.edge.caller_connections import PIPELINED_BYTES_MAX, CallerConnection
+from rhubarbshed.transport.edge.attempts import BUFFERED_BYTES_MAX
+from rhubarbshed.transport.edge.caller_connections import (
+    PIPELINED_BYTES_MAX,
+    UNSENT_BYTES_MAX,
+    CallerConnection,
+)
 from rhubarbshed.transport.edge.received_bytes import SHORT_BYTES_MAX
 from standin.replica import Exchange, Replica
 from test.helper_edge import HOST, Edge, make_configuration, make_route, play, read_answer, run_edge
@@ -216,3 +221,34 @@
             assert edge.node.received.total == 0
 
     play(scene)
+
+
+@pytest.mark.parametrize(
+    ("together_max", "unsent_max"),
+    [(TOGETHER_MAX, UNSENT_BYTES_MAX), (0, PIPELINED_BYTES_MAX)],
+    ids=["one", "all"],
+)
+def test_answers_that_their_caller_does_not_read_do_not_fill_the_memory(together_max, unsent_max):
+    """The next request was answered whether or not the last answer had been taken."""
+    length = 200_000
+
+    async def answer(exchange: Exchange) -> None:
+        exchange.answer(200, bytes(length))
+
+    async def scene():
+        async with run_edge(make_configuration(ROUTE), Replica("b1", reply=answer)) as edge:
+            edge.node.received.bytes_max = together_max
+            reader, writer, connection = await open_caller(edge)
+            names = [f"q{number}" for number in range(120)]
+            writer.write(b"".join(make_head(name) for name in names))
+            unsent = 0
+            for _ in range(100):
+                await asyncio.sleep(0.01)
+                unsent = max(unsent, connection.unsent_bytes)
+            assert 0 < unsent <= unsent_max + BUFFERED_BYTES_MAX + PIPELINED_BYTES_MAX
+            for name in names:
+                got = await asyncio.wait_for(read_answer(reader), 5.0)
+                assert (got.headers["rhubarbshed-request-id"], len(got.body)) == (name, length)
+            writer.close()
+
+    play(scene)
