Keep digests of request ids on connections to servers, not the ids

Callers saw: nothing yet; by reading, a caller whose request ids are as long as a head may be (16 KiB) leaves up to 128 of them, 2 MB, on each kept connection to a server, so that some 100 connections end an instance.

Cause: a connection keeps the ids of the requests that it has carried, as the caller wrote them. Class: a bound on the number of records, none on their length. Streams, parts and verdicts have digests already.

Test: 100 ids of 10 KB took 1.0 MB of a connection before, under 0.1 MB now, and the connection still tells which it has carried.

--- a/rhubarbshed/transport/edge/channels.py
+++ b/rhubarbshed/transport/edge/channels.py
@@ -5,6 +5,7 @@
 import time
 
 import h11
+import xxhash
 from attrs import define, field
 
 from rhubarbshed.protocol.exchanges import Headers
@@ -21,7 +22,7 @@
 each line takes some microseconds."""
 
 REQUESTS_MAX = 128
-"""Requests after which a connection is not used again, as it keeps their ids."""
+"""Requests after which a connection is not used again, as it keeps digests of their ids."""
 
 EVENTS_IN_ROW_MAX = 64
 """Events of buffered bytes after which the other tasks of the loop have a turn; each takes some
@@ -68,7 +69,7 @@
     _ended: bool = False
     _received: bytearray = field(factory=bytearray)
     _events_in_row: int = 0
-    _request_ids: set[str] = field(factory=set)
+    _request_digests: set[int] = field(factory=set)
     _drained: asyncio.Event = field(factory=asyncio.Event)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -118,14 +119,14 @@
 
         Another one would expect the same id again, which an extra response to the first one bears.
         """
-        return request_id in self._request_ids
+        return hash_id(request_id) in self._request_digests
 
     def start(
         self, method: bytes, target: bytes, headers: Headers, body: bytes, request_id: str = ""
     ) -> None:
         """Send a complete request."""
         self.exchanges += 1
-        self._request_ids.add(request_id)
+        self._request_digests.add(hash_id(request_id))
         self._request = h11.Request(method=method, target=target, headers=list(headers))
         self._parser = h11.Connection(h11.CLIENT, max_incomplete_event_size=HEAD_BYTES_MAX)
         data = self._parser.send(self._request)
@@ -269,3 +270,8 @@
             if found is not None:
                 return float(found[1])
     return None
+
+
+def hash_id(request_id: str) -> int:
+    """Return a digest of a request's id, which its caller makes as long as a head may be."""
+    return xxhash.xxh3_64_intdigest(request_id.encode(errors="surrogatepass"))
--- a/test/test_edge_endless_requests.py
+++ b/test/test_edge_endless_requests.py
@@ -6,6 +6,7 @@
 import time
 import tracemalloc
 from collections.abc import AsyncIterator
+from types import SimpleNamespace
 
 import pytest
 
@@ -15,6 +16,7 @@
     UNSENT_BYTES_MAX,
     CallerConnection,
 )
+from rhubarbshed.transport.edge.channels import Channel
 from rhubarbshed.transport.edge.received_bytes import SHORT_BYTES_MAX
 from standin.replica import Exchange, Replica
 from test.helper_edge import HOST, Edge, make_configuration, make_route, play, read_answer, run_edge
@@ -252,3 +254,18 @@
             writer.close()
 
     play(scene)
+
+
+def test_connection_that_carries_long_ids_does_not_keep_them():
+    channel = Channel()
+    channel._transport = SimpleNamespace(write=len)
+    tracemalloc.start()
+    try:
+        for number in range(100):
+            channel.start(b"GET", b"/", ((b"host", b"a"),), b"", f"{number}" + "x" * 10_000)
+            channel._parser = None
+        held, _ = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    assert held < 100_000
+    assert channel.has_carried("7" + "x" * 10_000) and not channel.has_carried("7")
