Let callers' connections take turns in parsing, one in each pass

Callers saw: nothing yet; one party that sends small chunks on 60 connections keeps all others waiting for 64 ms at a time.

Cause: each connection has its turn of 1 ms in each pass of the event loop. Class: a bound for each of many, with none on the many.

All connections of an instance share the turns now, of which a pass has one. What arrives on a connection without a turn gets eight steps of the parser at once, which a request in one piece needs, so that ordinary requests do not wait behind the turns of others.

--- a/rhubarbshed/transport/edge/caller_connections.py
+++ b/rhubarbshed/transport/edge/caller_connections.py
@@ -11,6 +11,7 @@
 from rhubarbshed.protocol.exchanges import Headers
 from rhubarbshed.protocol.routes import CallerLimits
 from rhubarbshed.transport.edge.connection_logs import CloseLog, CloseReason, ConnectionState
+from rhubarbshed.transport.edge.parsing_turns import ParsingTurns
 from rhubarbshed.transport.edge.received_bytes import ReceivedBytes
 from rhubarbshed.transport.edge.sockets import (
     UNACKNOWLEDGED_MS,
@@ -33,8 +34,12 @@
 """Bytes that the parser gets at once, as what it has not used is copied to be measured."""
 
 TURN_S = 0.001
-"""Time for which one caller's bytes are parsed before others have their turn: a twentieth of what
-all that one party sends may delay the requests of others."""
+"""Time for which the bytes of one of the connections with more to parse are parsed in a pass of the
+event loop: a twentieth of what all that one party sends may delay the requests of others."""
+
+EVENTS_AT_ONCE = 8
+"""Steps of the parser that what arrives gets at once: enough for a request in one piece, so that it
+doesn't wait behind the turns of others."""
 
 DISCARD_S = 0.5
 """Time for which what a caller still sends is read and discarded before a close."""
@@ -104,6 +109,7 @@
     close_log: CloseLog | None = None
     may_pause: bool = False
     received: ReceivedBytes = field(factory=ReceivedBytes)
+    turns: ParsingTurns = field(factory=ParsingTurns)
     task: asyncio.Task | None = None
     disconnect: Disconnect | None = None
     opened_at: float = 0.0
@@ -124,7 +130,6 @@
     _unparsed: bytearray = field(factory=bytearray)
     _timer: asyncio.TimerHandle | None = None
     _paused_check: asyncio.TimerHandle | None = None
-    _next_turn: asyncio.Handle | None = None
     _writable: asyncio.Event = field(factory=asyncio.Event)
     _close_after: bool = False
     _answering: bool = False
@@ -152,7 +157,7 @@
             return
         self.active_at = time.monotonic()
         self._unparsed += data
-        if self._next_turn is None:
+        if self not in self.turns:
             self._read()
         self._limit_reading()
 
@@ -181,7 +186,7 @@
         """Cancel the work for a caller that has disconnected."""
         self._note_disconnect("end" if error is None else "reset")
         self._cancel_timer()
-        self._cancel_turn()
+        self.turns.remove(self)
         self.received.record(self, 0, 0)
         if self.late_bytes and self.close_log is not None:
             self.close_log.record_late_bytes(self, time.monotonic())
@@ -200,7 +205,7 @@
         if self._answering or self._close_after or not self.unparsed_bytes:
             return
         self._set_timer(self.read_limits().idle_timeout_s)
-        self._plan_turn()
+        self.turns.add(self)
 
     @property
     def is_idle(self) -> bool:
@@ -362,6 +367,12 @@
         finally:
             self.end(CloseReason.REFUSED, status)
 
+    def take_turn(self) -> None:
+        """Parse more of what arrived earlier."""
+        if self.is_open:
+            self._read(TURN_S)
+            self._limit_reading()
+
     def give_up_unanswered(self) -> None:
         """Refuse the request that arrives, or those behind the one that is being answered."""
         if self._answering:
@@ -397,28 +408,21 @@
         if self.disconnect is None:
             self.disconnect = Disconnect(kind, time.monotonic(), self.unsent_bytes)
 
-    def _read(self) -> None:
+    def _read(self, time_s: float = 0.0) -> None:
         """Parse what has arrived; a body gets its time anew in each turn that adds to it."""
         body_bytes = len(self._body)
         try:
-            self._read_events(time.monotonic() + TURN_S)
+            self._read_events(time.monotonic() + time_s)
         except h11.RemoteProtocolError as error:
             self.refuse(error.error_status_hint, str(error))
         if len(self._body) > body_bytes and not self._close_after:
             self._set_timer(self.read_limits().idle_timeout_s)
 
-    def _take_turn(self) -> None:
-        """Parse more of what arrived earlier."""
-        self._next_turn = None
-        if self.is_open:
-            self._read()
-            self._limit_reading()
-
     def _drop_unanswered(self) -> None:
         """Forget what is held and not of a request in progress."""
         self._unparsed.clear()
         self._body = bytearray()
-        self._cancel_turn()
+        self.turns.remove(self)
         self._record_received()
 
     def _make_room(self) -> None:
@@ -440,20 +444,13 @@
         has_room = self.unsent_bytes <= UNSENT_BYTES_MAX and self.received.has_room
         return has_room or self._writable.is_set()
 
-    def _plan_turn(self) -> None:
-        if self._next_turn is None:
-            self._next_turn = asyncio.get_running_loop().call_soon(self._take_turn)
-
-    def _cancel_turn(self) -> None:
-        if self._next_turn is not None:
-            self._next_turn.cancel()
-            self._next_turn = None
-
     def _read_events(self, until: float) -> None:
+        steps = 0
         while self._may_parse:
-            if time.monotonic() >= until:
-                self._plan_turn()
+            if steps >= EVENTS_AT_ONCE and time.monotonic() >= until:
+                self.turns.add(self)
                 return
+            steps += 1
             event = self._parser.next_event()
             if event is h11.NEED_DATA:
                 self._limit_head()
--- a/rhubarbshed/transport/edge/node.py
+++ b/rhubarbshed/transport/edge/node.py
@@ -38,6 +38,7 @@
 from rhubarbshed.transport.edge.metrics import FrontMetrics
 from rhubarbshed.transport.edge.order_dispatcher import OrderDispatcher
 from rhubarbshed.transport.edge.origin_store import OriginStore
+from rhubarbshed.transport.edge.parsing_turns import ParsingTurns
 from rhubarbshed.transport.edge.pools import Pool, connect_from
 from rhubarbshed.transport.edge.received_bytes import ReceivedBytes
 from rhubarbshed.transport.edge.relay import Relay
@@ -115,6 +116,7 @@
     stop: asyncio.Event = field(factory=asyncio.Event)
     connections: set[CallerConnection] = field(factory=set)
     received: ReceivedBytes = field(factory=ReceivedBytes)
+    turns: ParsingTurns = field(factory=ParsingTurns)
     listeners: list[asyncio.Server] = field(factory=list)
     tasks: list[asyncio.Task] = field(factory=list)
 
@@ -289,6 +291,7 @@
             close_log,
             may_pause=handle == self.relay.handle,
             received=self.received,
+            turns=self.turns,
         )
 
     def is_closing(self) -> bool:
--- a/test/test_edge_endless_requests.py
+++ b/test/test_edge_endless_requests.py
@@ -162,6 +162,27 @@
     play(scene)
 
 
+def test_what_one_party_sends_on_many_connections_does_not_keep_others_waiting():
+    """Each connection had its turn in each pass of the event loop."""
+
+    async def scene():
+        async with run_edge(make_configuration(ROUTE), Replica("b1")) as edge:
+            address = edge.node.settings.callers
+            opened = [await asyncio.open_connection(*address) for _ in range(60)]
+            async with measure_passes() as passes:
+                for _, writer in opened:
+                    writer.write(SMALL_PIECES["chunks"])
+                    await asyncio.sleep(0)
+                for _ in range(10):
+                    assert (await asyncio.wait_for(edge.ask("/p/x", b"x"), 1.0)).status == 200
+                    await asyncio.sleep(0.05)
+                assert max(passes) < LATE_S
+            for _, writer in opened:
+                writer.transport.abort()
+
+    play(scene)
+
+
 TOGETHER_MAX = 16_000_000
 LONG = make_head("q1", "Content-Length: 4000000") + bytes(3_900_000)
 BEHIND = make_head("q1") + (make_head("q2", "Content-Length: 10000") + bytes(10_000)) * 30
