Bound the hand-over of a stop by the lease

Callers saw: nothing; met by a test of requests that wait for their key's claim as the instance stops. With a table that does not answer, the process did not end within 12 s of SIGTERM with a drain of 0.5 s, and its callers' idle connections stayed open as long.

Cause: the hand-over of ownership was tried 20 times, each for as long as the table's timeouts and their repeats take. Class: a wait for something that is not needed, as what is not handed over expires with the lease. The lease's term is the bound now.

--- a/rhubarbshed/transport/instance.py
+++ b/rhubarbshed/transport/instance.py
@@ -192,10 +192,14 @@
 
 async def hand_over_all(runtime: Runtime) -> None:
     """Release ownership, retrying while orders are in flight; the rest expires with the lease."""
-    for _ in range(HAND_OVER_ATTEMPTS_MAX):
-        if await hand_over_servers(runtime):
-            return
-        await asyncio.sleep(DRAIN_POLL_S)
+    try:
+        async with asyncio.timeout(runtime.settings.leases.term_s):
+            for _ in range(HAND_OVER_ATTEMPTS_MAX):
+                if await hand_over_servers(runtime):
+                    return
+                await asyncio.sleep(DRAIN_POLL_S)
+    except TimeoutError:
+        log_event(LOG, logging.WARNING, "hand_over_timed_out")
 
 
 async def close(runtime: Runtime) -> None:
