Answer what reaches rhubarbshedd as it closes

Requests that were sent as the process ended, on kept or new connections, were reset without an answer. None had been read.

Cause: the end was never announced on kept connections, and the listener was closed with connections that nobody had accepted.

From SIGTERM each answer closes its connection and says so, and what waits at the listener is accepted and answered after its close. A connection made between the last accept and the close is still reset by the kernel.

--- a/rhubarbshed/transport/edge/sockets.py
+++ b/rhubarbshed/transport/edge/sockets.py
@@ -51,9 +51,10 @@
 
 
 def accept_waiting(listener: socket.socket) -> list[socket.socket]:
-    """Accept all connections that wait at a non-blocking listener, and close this handle of it."""
+    """Accept all connections that wait at a listener, and close this handle of it."""
     accepted = []
     with listener:
+        listener.setblocking(False)
         while True:
             try:
                 sock, _ = listener.accept()
--- a/rhubarbshed/transport/http_servers.py
+++ b/rhubarbshed/transport/http_servers.py
@@ -9,12 +9,14 @@
 
 import cherrypy
 from attrs import frozen
+from cheroot.makefile import MakeFile
 from cheroot.server import HTTPConnection, HTTPRequest
 from cheroot.wsgi import Gateway_10, Server
 from returns.result import Failure, Result, Success
 
 from rhubarbshed.protocol.answers import make_error_headers, render_error
 from rhubarbshed.protocol.errors import Outcome, RequestError
+from rhubarbshed.transport.edge.sockets import accept_waiting
 from rhubarbshed.transport.stream_relay import CallerConnection
 from rhubarbshed.transport.timeouts import set_timeouts
 
@@ -96,8 +98,20 @@
         self.thread.start()
         return Success(None)
 
+    def close_after_answers(self) -> None:
+        """Close callers' connections after their next answers, which say so."""
+        self.server.keep_alive_conn_limit = 0
+
     def stop(self) -> None:
-        """Stop listening and end the worker threads."""
+        """Stop listening, answer what has arrived on connections, and end the worker threads."""
+        if self.server.ready:
+            listener = self.server.socket
+            # The close resets connections that nobody has accepted.
+            accepted = accept_waiting(listener.dup())
+            listener.close()
+            self.server.socket = None
+            for sock in accepted:
+                self.server.process_conn(make_connection(self.server, sock, MakeFile))
         self.server.stop()
 
 
--- a/rhubarbshed/transport/instance.py
+++ b/rhubarbshed/transport/instance.py
@@ -161,6 +161,8 @@
     now = time.monotonic()
     name = runtime.settings.instance.name
     runtime.coordinator.drain.start(now)
+    for http_server in runtime.http_servers:
+        http_server.close_after_answers()
     runtime.timeline.record("drain_started", instance=name)
     log_event(
         LOG, logging.INFO, "drain_started", open_requests=len(runtime.coordinator.list_open())
--- a/test/test_cut_off.py
+++ b/test/test_cut_off.py
@@ -1,9 +1,11 @@
 """Tests that an instance answers the requests that are open as it stops, as a process."""
 
+import http.client
 import json
 import signal
 import socket
 import time
+from collections import Counter
 
 import pytest
 
@@ -23,6 +25,7 @@
 from tools.processes import wait_until
 
 ANNOUNCE_S = 0.5
+CALLERS = 10
 EXIT_CUT_OFF = 3
 STOP_BOUND_S = 12.0
 TOKENS = 1000
@@ -131,3 +134,37 @@
         fleet.table.popen.send_signal(signal.SIGCONT)
     assert (answer.status, answer.outcome) == (503, "not_run"), answer
     assert headers["Idempotency-Key"] not in read_runs(fleet)
+
+
+@pytest.mark.parametrize("kept", [False, True])
+def test_requests_sent_as_the_instance_ends_are_answered(fleet, kept):
+    instance = fleet.add_instance(f"ends-{kept}", "dc-1")
+
+    def ask_repeatedly():
+        """Send requests on new connections, or on one while it is kept; return what they got."""
+        got = []
+        while True:
+            caller = http.client.HTTPConnection("127.0.0.1", instance.process.port, timeout=5.0)
+            try:
+                caller.connect()
+            except OSError:
+                return got
+            is_open = True
+            while is_open:
+                try:
+                    caller.request("POST", FILINGS_PATH, b"{}")
+                    answer = caller.getresponse()
+                except (OSError, http.client.HTTPException) as error:
+                    return [*got, repr(error)]
+                answer.read()
+                got.append(answer.status)
+                is_open = kept and not answer.will_close
+                time.sleep(0.01)
+            caller.close()
+
+    callers = [Task.start(ask_repeatedly) for _ in range(CALLERS)]
+    time.sleep(0.2)
+    assert instance.process.stop() in (0, EXIT_CUT_OFF)
+    ends = Counter(caller.wait()[-1] for caller in callers)
+    # The kernel resets a connection that is made between the last accept and the close.
+    assert ends[503] >= CALLERS - 1, ends
