Bound the start of an event that rhubarbshedd keeps

Callers saw: an engine whose stream had no end of an event filled the memory of its instance, and held its event loop, with all other streams, for longer and longer times.

Cause: EventBuffer kept what came without a bound, and joined and split all of it anew for each piece. Class: a bound on one kind of what others send, none on the rest; and work that is quadratic in it.

An event may have 256 KiB now, beyond which the attempt is broken off, so that the stream goes on at another server; only new bytes are searched for its end.

--- a/rhubarbshed/transport/events.py
+++ b/rhubarbshed/transport/events.py
@@ -4,13 +4,15 @@
 import json
 import re
 
-from attrs import define, frozen
+from attrs import define, field, frozen
 from urllib3.exceptions import HTTPError
 
 from rhubarbshed.protocol.message_checks import is_number
 from rhubarbshed.protocol.requests import AttemptEnd, AttemptResult, Dispatch
 
 READ_BYTES = 65536
+# Length up to which the start of an event is kept; an event has one token.
+EVENT_BYTES_MAX = 262_144
 EVENT_END = b"\n\n"
 EVENT_PREFIX = b"data: "
 EVENT_DONE = b"data: [DONE]"
@@ -65,11 +67,17 @@
 class EventBuffer:
     """Buffer of the start of an event that has not completely arrived."""
 
-    rest: bytes = b""
+    rest: bytearray = field(factory=bytearray)
 
     def feed(self, data: bytes, attempt: Attempt) -> tuple[Piece, AttemptEnd | None]:
         """Add received bytes; return the new events, and the stream's end if it is reached."""
-        *events, self.rest = (self.rest + data).split(EVENT_END)
+        searched = max(0, len(self.rest) - len(EVENT_END) + 1)
+        self.rest += data
+        if self.rest.find(EVENT_END, searched) < 0:
+            is_long = len(self.rest) > EVENT_BYTES_MAX
+            return Piece(b"", 0), AttemptEnd.BROKEN if is_long else None
+        *events, rest = bytes(self.rest).split(EVENT_END)
+        self.rest = bytearray(rest)
         piece, whole, done = _check_events(events, attempt)
         if not whole:
             return piece, AttemptEnd.BROKEN
