Bound the answers to short exchanges in bytes and time

Callers saw: an engine, or a service of the platform, that answered without end filled the memory of each instance that called it; one that sent a byte at a time kept a control or order thread for as long as it liked. A Content-Length of 100 GB ended the call with a MemoryError at once.

Cause: HttpClient read each answer whole, and its timeout held for each wait for bytes only. Class: no bound on what others send.

An answer may have 8 MiB now (engines and replicas: 1 MiB) and its body the time of one exchange; beyond that it is an error value, as a lost answer is, and the connection is closed. Compressed answers are not unpacked, as none are asked for.

--- a/rhubarbshed/transport/engines.py
+++ b/rhubarbshed/transport/engines.py
@@ -16,6 +16,8 @@
 ORDER_TIMEOUT_S = 60.0
 CANCEL_TIMEOUT_S = 1.0
 REPORT_TIMEOUT_S = 1.0
+# Longest answer of an engine or replica that is read; a report lists what it holds.
+ANSWER_BYTES_MAX = 1_048_576
 
 
 def make_engine_client(http: HttpClient) -> EngineClient:
@@ -25,7 +27,7 @@
         url = f"{make_base_url(server)}/control/orders"
         # On a kept connection an earlier answer could pass for this one.
         client = http.with_new_connections()
-        result = client.post_json(url, to_plain(order), ORDER_TIMEOUT_S)
+        result = client.post_json(url, to_plain(order), ORDER_TIMEOUT_S, ANSWER_BYTES_MAX)
         client.pool.clear()
         if isinstance(result, Failure):
             return Failure(_make_order_error(result.failure()))
@@ -33,7 +35,7 @@
 
     def fetch_report(server: BackendServerInfo, sequence: int) -> Result[EngineReport, OrderError]:
         url = f"{make_base_url(server)}/control/report?sequence={sequence}"
-        result = http.exchange("GET", url, timeout_s=REPORT_TIMEOUT_S)
+        result = _get_report(http, url)
         if isinstance(result, Failure):
             return Failure(_make_order_error(result.failure()))
         answer = result.unwrap()
@@ -54,7 +56,7 @@
     """
     url = f"{make_base_url(server)}/control/cancel"
     client = http.with_new_connections()
-    client.post_json(url, {"request_id": request_id}, CANCEL_TIMEOUT_S)
+    client.post_json(url, {"request_id": request_id}, CANCEL_TIMEOUT_S, ANSWER_BYTES_MAX)
     client.pool.clear()
 
 
@@ -63,6 +65,10 @@
     return f"http://{server.host}:{server.port}"
 
 
+def _get_report(http: HttpClient, url: str) -> Result[Answer, ExchangeError]:
+    return http.exchange("GET", url, timeout_s=REPORT_TIMEOUT_S, bytes_max=ANSWER_BYTES_MAX)
+
+
 def _make_order_error(error: ExchangeError) -> OrderError:
     fault = OrderFault.UNKNOWN if error.sent else OrderFault.UNAVAILABLE
     return OrderError(fault, error.detail)
@@ -85,9 +91,7 @@
     http: HttpClient, server: BackendServerInfo
 ) -> Result[ServiceReport, OrderError]:
     """Read the load report of a replica of a plain service."""
-    result = http.exchange(
-        "GET", f"{make_base_url(server)}/control/report", timeout_s=REPORT_TIMEOUT_S
-    )
+    result = _get_report(http, f"{make_base_url(server)}/control/report")
     if isinstance(result, Failure):
         return Failure(_make_order_error(result.failure()))
     plain = result.unwrap().read_json()
--- a/rhubarbshed/transport/http.py
+++ b/rhubarbshed/transport/http.py
@@ -1,6 +1,7 @@
 """Short HTTP exchanges with external systems, with errors as result values."""
 
 import json
+import time
 from typing import Any
 
 import urllib3
@@ -13,6 +14,9 @@
 INSTANCE_HEADER = "X-Instance"
 CONNECTIONS_PER_HOST = 8
 HOSTS_MAX = 1024
+READ_BYTES = 65_536
+# Longest answer that is read; the largest are those of the platform, which stores tickets.
+ANSWER_BYTES_MAX = 8_388_608
 
 
 @frozen
@@ -60,27 +64,54 @@
         return HttpClient(make_pool_manager(), self.headers, self.timeout_s)
 
     def exchange(
-        self, method: str, url: str, body: bytes | None = None, timeout_s: float | None = None
+        self,
+        method: str,
+        url: str,
+        body: bytes | None = None,
+        timeout_s: float | None = None,
+        bytes_max: int = ANSWER_BYTES_MAX,
     ) -> Result[Answer, ExchangeError]:
-        """Send one request once and read its whole answer; blocks the calling thread."""
+        """Send one request once and read its whole answer; blocks the calling thread.
+
+        `timeout_s` holds for each wait for bytes, and for the whole body from its head on.
+        """
+        timeout_s = timeout_s or self.timeout_s
         try:
             response = self.pool.request(
                 method,
                 url,
                 body=body,
                 headers=self.headers,
-                timeout=timeout_s or self.timeout_s,
+                timeout=timeout_s,
                 retries=False,
                 redirect=False,
+                preload_content=False,
             )
+            return _read_answer(response, bytes_max, time.monotonic() + timeout_s)
         except (NewConnectionError, ConnectTimeoutError) as error:
             return Failure(ExchangeError(False, str(error)))
         except (HTTPError, OSError) as error:
             return Failure(ExchangeError(True, str(error)))
-        return Success(Answer(response.status, response.data))
 
     def post_json(
-        self, url: str, message: Any, timeout_s: float | None = None
+        self,
+        url: str,
+        message: Any,
+        timeout_s: float | None = None,
+        bytes_max: int = ANSWER_BYTES_MAX,
     ) -> Result[Answer, ExchangeError]:
         """Send a plain value as JSON by POST."""
-        return self.exchange("POST", url, json.dumps(message).encode(), timeout_s)
+        return self.exchange("POST", url, json.dumps(message).encode(), timeout_s, bytes_max)
+
+
+def _read_answer(
+    response: urllib3.BaseHTTPResponse, bytes_max: int, until: float
+) -> Result[Answer, ExchangeError]:
+    """Read an answer to its end; the connection of one that is too long or too late is closed."""
+    body = bytearray()
+    while data := response.read1(READ_BYTES, decode_content=False):
+        body += data
+        if len(body) > bytes_max or time.monotonic() > until:
+            response.close()
+            return Failure(ExchangeError(True, f"the answer has not ended after {len(body)} bytes"))
+    return Success(Answer(response.status, bytes(body)))
--- a/test/test_endless_answers.py
+++ b/test/test_endless_answers.py
@@ -8,21 +8,29 @@
 from collections.abc import Iterator
 
 import pytest
+from returns.result import Failure
 
 from rhubarbshed.protocol.calls import Call
+from rhubarbshed.protocol.members import BackendKind, BackendServerInfo
+from rhubarbshed.protocol.orders import Order, OrderKind
 from rhubarbshed.protocol.requests import AttemptEnd, Dispatch, Request
+from rhubarbshed.transport import engines
 from rhubarbshed.transport.connections import ConnectionPool
 from rhubarbshed.transport.events import EVENT_BYTES_MAX, Attempt, EventBuffer, Piece
+from rhubarbshed.transport.http import HttpClient
 from rhubarbshed.transport.loop_calls import LoopCallQueue
+from rhubarbshed.transport.objects import make_object_client
+from rhubarbshed.transport.platform import make_list_client
 from rhubarbshed.transport.stream_relay import StreamRelay
+from rhubarbshed.transport.table import make_table_client
 from rhubarbshed.transport.upstream import UpstreamClient
 from test.test_races import BODY, HEAD, TOKEN, Play
 
 POURED_MAX = 32_000_000
 """Bytes after which a server pauses, so that a failing test does not fill the memory."""
 
-BUFFERS = 16_000_000
-"""Bytes that the buffers of both sockets can hold at the most."""
+POURS_S = 6.0
+"""Time after which a server ends its answer, so that a failing test ends."""
 
 SOON_S = 1.0
 RELAY_MAX_S = 4.0
@@ -33,10 +41,11 @@
 
     def handle(self) -> None:
         server = self.server
+        until = time.monotonic() + POURS_S
         self.rfile.readline()
         with contextlib.suppress(OSError):
             self.wfile.write(server.start)
-            while not server.stopped.is_set():
+            while time.monotonic() < until and not server.stopped.is_set():
                 if server.poured < POURED_MAX:
                     self.wfile.write(server.piece)
                     server.poured += len(server.piece)
@@ -82,7 +91,7 @@
     began_at = time.monotonic()
     yield
     took_s = time.monotonic() - began_at
-    assert took_s < soon_s and server.poured < BUFFERS, (took_s, server.poured)
+    assert took_s < soon_s and server.poured < POURED_MAX, (took_s, server.poured)
 
 
 CHUNKED = HEAD.replace(b"1.0", b"1.1").replace(
@@ -122,3 +131,39 @@
     for _ in range(EVENT_BYTES_MAX // 4):
         assert buffer.feed(b"x", attempt) == (Piece(b"", 0), None)
     assert time.monotonic() - began_at < SOON_S
+
+
+ENDLESS = {
+    "length": (b"HTTP/1.1 200 X\r\nContent-Length: 100000000000\r\n\r\n", POURED, 0.0),
+    "failure": (b"HTTP/1.1 500 X\r\nContent-Length: 100000000000\r\n\r\n", POURED, 0.0),
+    "chunks": (CHUNKED, make_chunk(POURED), 0.0),
+    "trailer": (CHUNKED + b"0\r\n", POURED, 0.0),
+    "close": (HEAD, POURED, 0.0),
+    "slow": (HEAD, b"x", 0.05),
+}
+
+
+@pytest.mark.parametrize("answer", ENDLESS)
+@pytest.mark.parametrize(
+    "called", ["report", "service report", "order", "cancel", "list", "row", "object"]
+)
+def test_short_exchange_whose_answer_has_no_end_fails_soon(called, answer, monkeypatch):
+    """Answers of engines, replicas and the platform were kept whole, for as long as bytes came."""
+    for name in ("ORDER_TIMEOUT_S", "CANCEL_TIMEOUT_S", "REPORT_TIMEOUT_S"):
+        monkeypatch.setattr(engines, name, SOON_S)
+    http = HttpClient.from_config("a1", SOON_S)
+    with run_pouring(*ENDLESS[answer]) as server, assert_bounded(server, 2.5 * SOON_S):
+        info = BackendServerInfo("e1", BackendKind.ENGINE, "dc-1", "r1", "127.0.0.1", server.port)
+        url = f"http://127.0.0.1:{server.port}"
+        calls = {
+            "report": lambda: engines.make_engine_client(http).fetch_report(info, 0),
+            "service report": lambda: engines.fetch_service_report(http, info),
+            "order": lambda: engines.make_engine_client(http).send_order(
+                info, Order("o1", OrderKind.LOAD, 1, "m1")
+            ),
+            "cancel": lambda: engines.cancel_request(http, info, "r1") or Failure(None),
+            "list": lambda: make_list_client(http, url).fetch(),
+            "row": lambda: make_table_client(http, url).read(("a",)),
+            "object": lambda: make_object_client(http, url).get("a"),
+        }
+        assert isinstance(calls[called](), Failure)
