Do not wait for bodies of rhubarbshedd's servers that do not end

Callers saw: an engine that refused a request in its answer's head, or failed, and then sent bytes without end or one at a time, kept the caller waiting, and a worker thread with it, for as long as bytes came. A refusal whose body was too long counted as a failure that may have run. A whole answer in single bytes had no end either, not even the deadline.

Cause: each body was read to its end before the status was looked at, and only the wait for the next bytes had a time. Class: a wait for something that is not needed, or for as long as the other likes.

What the head decides is returned now; a refusal has 64 KiB and 0.05 s in which to end, so that its connection is kept. A whole answer has the time that was left for it when its request was sent, which the dispatch names. Bodies are collected in one bytearray, as a list of small chunks costs many times their bytes.

--- a/rhubarbshed/coordination/requests/coordinator.py
+++ b/rhubarbshed/coordination/requests/coordinator.py
@@ -394,6 +394,7 @@
             port=info.port,
             first_byte_timeout_s=min(left_s, first_byte_s),
             gap_timeout_s=min(left_s, self.settings.routing.gap_timeout_s),
+            answer_timeout_s=left_s,
             resume_offset=item.tokens,
             hedge_after_s=self._find_hedge_delay(item, route),
         )
--- a/rhubarbshed/protocol/requests.py
+++ b/rhubarbshed/protocol/requests.py
@@ -1,6 +1,7 @@
 """Requests of callers, the decisions on them and the results of attempts."""
 
 import enum
+import math
 
 from attrs import field, frozen
 
@@ -46,6 +47,7 @@
     """Decision to send an attempt of a request to a backend server.
 
     If no first token arrives within `hedge_after_s`, a second attempt is requested; 0 means never.
+    `answer_timeout_s` is the time for a whole answer that is not a stream.
     """
 
     request_id: str
@@ -57,6 +59,7 @@
     gap_timeout_s: float
     resume_offset: int = 0
     hedge_after_s: float = 0.0
+    answer_timeout_s: float = math.inf
 
 
 @frozen
--- a/rhubarbshed/transport/upstream.py
+++ b/rhubarbshed/transport/upstream.py
@@ -39,6 +39,9 @@
 REQUEST_ID_HEADER = "X-Request-Id"
 # Fraction of a timeout that must have passed for a failure to count as a timeout.
 TIMEOUT_ELAPSED_RATIO = 0.95
+# Bytes and time in which a body that decides nothing has to end for its connection to be kept.
+UNUSED_BYTES_MAX = 65_536
+UNUSED_BODY_S = 0.05
 
 
 @frozen
@@ -70,18 +73,17 @@
         if isinstance(opened, AttemptEnd):
             return opened
         named = opened.headers.get(REQUEST_ID_HEADER, "")
+        if named not in ("", call.request.request_id):
+            channel.connection.close()
+            return AttemptEnd.BROKEN
+        if call.request.model and not _is_body_needed(attempt):
+            return self._skip_body(opened, channel, attempt, named)
         try:
-            body = _read_body(opened, self.answer_bytes_max)
+            body = _read_body(opened, self.answer_bytes_max, _find_deadline(attempt))
         except ERRORS:
             return self._fail(channel, attempt)
-        is_other = named not in ("", call.request.request_id)
-        if body is None or is_other or self._is_cut_short(opened):
-            channel.connection.close()
-            return AttemptEnd.BROKEN
-        if call.request.model and _is_refusal(attempt):
-            self._finish(channel, named)
-            return AttemptEnd.REFUSED
-        if call.request.model and not _is_answer_to(body, attempt):
+        is_cut = body is None or self._is_cut_short(opened)
+        if is_cut or (call.request.model and not _is_answer_to(body, attempt)):
             channel.connection.close()
             return AttemptEnd.BROKEN
         attempt.first_token_at = time.monotonic()
@@ -111,7 +113,7 @@
                     opened, channel, attempt, self.stream_relay, caller_connection
                 )
             else:
-                yield self._read_refusal(opened, attempt)
+                yield self._read_rejection(opened, attempt)
         except ERRORS:
             yield self._fail(channel, attempt)
         finally:
@@ -249,17 +251,31 @@
             channel.connection.close()
         return failure
 
-    def _read_refusal(
+    def _read_rejection(
         self, response: urllib3.HTTPResponse, attempt: Attempt
     ) -> BufferedResponse | AttemptEnd:
-        body = _read_body(response, self.answer_bytes_max)
+        """Read the answer in place of a stream, if it is one for the caller."""
+        if not _is_body_needed(attempt):
+            return _find_end(attempt)
+        body = _read_body(response, self.answer_bytes_max, _find_deadline(attempt))
         if body is None or self._is_cut_short(response):
             return AttemptEnd.BROKEN
-        if _is_refusal(attempt):
-            return AttemptEnd.REFUSED
-        if attempt.status // 100 == 4:
-            return BufferedResponse(attempt.status, response.headers.get("Content-Type", ""), body)
-        return AttemptEnd.BROKEN
+        return BufferedResponse(attempt.status, response.headers.get("Content-Type", ""), body)
+
+    def _skip_body(
+        self, response: urllib3.HTTPResponse, channel: Channel, attempt: Attempt, named: str
+    ) -> AttemptEnd:
+        """Return how an attempt ended by its head; keep the connection if its body ends soon."""
+        set_timeouts(channel.sock, UNUSED_BODY_S)
+        try:
+            body = _read_body(response, UNUSED_BYTES_MAX, time.monotonic() + UNUSED_BODY_S)
+        except ERRORS:
+            body = None
+        if body is None or not _is_refusal(attempt):
+            channel.connection.close()
+        else:
+            self._finish(channel, named)
+        return _find_end(attempt)
 
     def _is_cut_short(self, response: urllib3.HTTPResponse) -> bool:
         """Return whether a body without framing may have ended by the shutting of its socket."""
@@ -309,6 +325,21 @@
     return attempt.status in STATUSES_NOT_RUN
 
 
+def _is_body_needed(attempt: Attempt) -> bool:
+    """Return whether an engine's answer may be one for the caller, which its head alone is not."""
+    is_answer = attempt.status == STATUS_OK or attempt.status // 100 == 4
+    return is_answer and not _is_refusal(attempt)
+
+
+def _find_deadline(attempt: Attempt) -> float:
+    """Return when an answer has to be whole; no wait has begun since the request was sent."""
+    return attempt.waiting_since + attempt.dispatch.answer_timeout_s
+
+
+def _find_end(attempt: Attempt) -> AttemptEnd:
+    return AttemptEnd.REFUSED if _is_refusal(attempt) else AttemptEnd.BROKEN
+
+
 def _make_headers(instance: str, attempt: Attempt, call: Call) -> dict[str, str]:
     request = call.request
     headers = {
@@ -333,16 +364,17 @@
         return None
 
 
-def _read_body(response: urllib3.HTTPResponse, bytes_max: int) -> bytes | None:
-    """Return the complete body, or None if it is longer than `bytes_max`."""
-    pieces = []
-    length = 0
-    for data in response.stream(READ_BYTES, decode_content=False):
-        length += len(data)
-        if length > bytes_max:
+def _read_body(response: urllib3.HTTPResponse, bytes_max: int, until: float) -> bytes | None:
+    """Return the complete body, or None if it is longer than `bytes_max` or ends after `until`.
+
+    `until` is in monotonic seconds.
+    """
+    body = bytearray()
+    while data := response.read1(READ_BYTES, decode_content=False):
+        body += data
+        if len(body) > bytes_max or time.monotonic() > until:
             return None
-        pieces.append(data)
-    return b"".join(pieces)
+    return bytes(body)
 
 
 def _is_answer_to(body: bytes, attempt: Attempt) -> bool:
--- a/test/test_endless_answers.py
+++ b/test/test_endless_answers.py
@@ -8,6 +8,7 @@
 from collections.abc import Iterator
 
 import pytest
+from attrs import evolve
 from returns.result import Failure
 
 from rhubarbshed.protocol.calls import Call
@@ -167,3 +168,32 @@
             "object": lambda: make_object_client(http, url).get("a"),
         }
         assert isinstance(calls[called](), Failure)
+
+
+def fetch(server: socketserver.ThreadingTCPServer, streamed: bool, model: str = "m1") -> object:
+    """Send a request with `SOON_S` left; return its answer or how its attempt ended."""
+    request = Request("r1", "c1", "k1", 0.0, SOON_S, model=model)
+    call = Call(request, "POST", "/v1/x", BODY)
+    client = UpstreamClient(ConnectionPool(60.0), None, "a1", 65536)
+    play = Play(server, None)
+    play.race.attempt.dispatch = evolve(play.race.attempt.dispatch, answer_timeout_s=SOON_S)
+    if streamed:
+        return list(client.stream(play.race, call, play.line))[-1]
+    return client.fetch(play.race.attempt, call, play.line)
+
+
+def test_slow_answer_without_end_ends_at_the_deadline():
+    with run_pouring(*ENDLESS["slow"]) as server, assert_bounded(server, 2.5 * SOON_S):
+        assert isinstance(fetch(server, streamed=False, model=""), AttemptEnd)
+
+
+@pytest.mark.parametrize("streamed", [False, True], ids=["answer", "stream"])
+@pytest.mark.parametrize("answer", ["length", "slow"])
+@pytest.mark.parametrize("status", [429, 503, 500])
+def test_head_that_decides_is_not_kept_waiting_for_its_body(status, answer, streamed):
+    """A refusal came as late as its body ended, and one that was too long as a failure."""
+    start, piece, pause_s = ENDLESS[answer]
+    start = start.replace(b"200", str(status).encode())
+    with run_pouring(start, piece, pause_s) as server, assert_bounded(server, SOON_S):
+        expected = AttemptEnd.BROKEN if status == 500 else AttemptEnd.REFUSED
+        assert fetch(server, streamed) is expected
