Do not lose a whole answer to a reset behind it

Callers would see: 502, or a second run, for an answer that had arrived whole, as its server reset the connection behind it.

Cause: a reset ended the connection at once, with what had come before it unread. Class: the end of a connection is taken for the end of what it carried, the other way round.

What was received before the reset is read; the reset is raised where more is needed. An answer that ends with its connection is still broken by it, and an abort of this side is still raised at once.

Test: an answer in chunks, whole and in part, and one that ends with its connection; on the code before the whole one was lost (the others could not be told apart there, as all failed at the first piece).

--- a/rhubarbshed/transport/edge/channels.py
+++ b/rhubarbshed/transport/edge/channels.py
@@ -65,6 +65,7 @@
     _waiter: asyncio.Future | None = None
     _waits_since: float = 0.0
     _error: Exception | None = None
+    _lost: Exception | None = None
     _closed: bool = False
     _ended: bool = False
     _received: bytearray = field(factory=bytearray)
@@ -91,12 +92,10 @@
         self.wake()
 
     def connection_lost(self, error: Exception | None) -> None:
-        """Record the end of the connection; a reset does not end a response."""
+        """Record the end of the connection; a reset ends no response, nor loses what came first."""
         self._closed = True
-        if error is not None:
-            self._error = error
-        else:
-            self._ended = True
+        self._lost = error
+        self._ended = error is None
         self._drained.set()
         self.wake()
 
@@ -156,8 +155,8 @@
             if self._ended and not self._parser.trailing_data[1]:
                 self._parser.receive_data(b"")
                 continue
-            if self._closed or self._error is not None:
-                raise ChannelError(f"the connection ended: {self._error}")
+            if self._closed:
+                raise ChannelError(f"the connection broke: {self._lost}")
             self._waiter = asyncio.get_running_loop().create_future()
             self._waits_since = time.monotonic()
             try:
--- a/test/test_edge_stream_work.py
+++ b/test/test_edge_stream_work.py
@@ -15,6 +15,7 @@
     HEAD_BYTES_MAX,
     PIECE_BYTES,
     Channel,
+    ChannelError,
 )
 from rhubarbshed.transport.edge.origin_store import OriginStore
 from rhubarbshed.transport.edge.streams import EVENT_BYTES_MAX, EventSplitter
@@ -195,3 +196,31 @@
         assert max(counts) <= 2
 
     asyncio.run(scene())
+
+
+@pytest.mark.parametrize(
+    ("framing", "is_whole"), [("chunked", True), ("chunked, in part", False), ("close", False)]
+)
+def test_whole_answer_is_not_lost_to_a_reset_behind_it(framing, is_whole):
+    """A reader that gave way found the connection broken, with the answer's end unread."""
+
+    async def scene():
+        channel = Channel()
+        channel.connection_made(Mock())
+        channel.start(b"GET", b"/", ((b"host", b"x"),), b"")
+        if framing == "close":
+            channel.data_received(b"HTTP/1.1 200 OK\r\n\r\n" + b"x" * 20_000)
+        else:
+            channel.data_received(b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n")
+            end = b"0\r\n\r\n" if is_whole else b""
+            channel.data_received(b"2\r\nxx\r\n" * 10_000 + end)
+        channel.connection_lost(ConnectionResetError())
+        event, length = await channel.receive(), 0
+        try:
+            while isinstance(event := await channel.receive(), h11.Data):
+                length += len(event.data)
+        except ChannelError as error:
+            event = error
+        assert length == 20_000 and isinstance(event, h11.EndOfMessage) == is_whole
+
+    play(scene)
