Read a long head to its end

Callers would see: 408 for a head of more than 64 KiB that comes in parts, where the operator allows such heads.

Cause: reading paused for bytes that the parser holds of a head in part, and only an answer's end or a turn of parsing lets it go on. The pause is for what waits to be parsed; a head in part has its own limit.

Test: a head of 120 KB in parts, 256 KiB allowed; failed before (408), passes; the file twice: 13 passed.

--- a/rhubarbshed/transport/edge/caller_connections.py
+++ b/rhubarbshed/transport/edge/caller_connections.py
@@ -579,7 +579,9 @@
     def _limit_reading(self) -> None:
         """Read on unless more is held than may be, here or by all connections."""
         self._make_room()
-        if self._is_crowded or self.unparsed_bytes > PIPELINED_BYTES_MAX:
+        # What the parser holds alone is a head in part, which has a limit of its own.
+        is_full = bool(self._unparsed) and self.unparsed_bytes > PIPELINED_BYTES_MAX
+        if self._is_crowded or is_full:
             self._pause_reading()
         else:
             self._transport.resume_reading()
--- a/test/test_edge_endless_requests.py
+++ b/test/test_edge_endless_requests.py
@@ -290,3 +290,21 @@
         tracemalloc.stop()
     assert held < 100_000
     assert channel.has_carried("7" + "x" * 10_000) and not channel.has_carried("7")
+
+
+def test_long_head_within_the_limit_is_read_to_its_end():
+    """Reading paused for the part of a head that the parser holds, and never went on."""
+
+    async def scene():
+        limits = {"MaxHeaderBytes": 262_144, "HeaderTimeoutMs": 2000}
+        async with run_edge(make_configuration(ROUTE, Limits=limits), Replica("b1")) as edge:
+            reader, writer, _ = await open_caller(edge)
+            head = make_head("q1", *(f"X-{number}: {'x' * 1_000}" for number in range(120)))
+            head = head.replace(b"/p/x", b"/no/route")
+            for start in range(0, len(head), 30_000):
+                writer.write(head[start : start + 30_000])
+                await asyncio.sleep(0.02)
+            assert (await asyncio.wait_for(read_answer(reader), 5.0)).status == 404
+            writer.close()
+
+    play(scene)
