Break off a stream that a stop of rhubarbshedd cuts

Callers would see: the error event of a stream that a stop had cut off, and then a whole last chunk, as of a complete answer; a client that doesn't look at events took it for whole.

Cause: the generator of the stream ended as any other. The connection is ended behind the error event now, so that the last chunk is missing.

--- a/rhubarbshed/coordination/requests/retries.py
+++ b/rhubarbshed/coordination/requests/retries.py
@@ -4,7 +4,7 @@
 
 from attrs import define, field
 
-from rhubarbshed.protocol.errors import Outcome, RequestError
+from rhubarbshed.protocol.errors import CUT_OFF_CODE, Outcome, RequestError
 from rhubarbshed.protocol.requests import AttemptEnd, AttemptResult, Request
 from rhubarbshed.util.pauses import choose_pause
 from rhubarbshed.util.settings import RetrySettings
@@ -130,7 +130,7 @@
     if result.end is AttemptEnd.CUT_OFF:
         message = "this instance stopped before the answer was whole"
         retryable = outcome is not Outcome.UNKNOWN
-        return RequestError(BAD_GATEWAY, "cut_off", message, outcome, retryable)
+        return RequestError(BAD_GATEWAY, CUT_OFF_CODE, message, outcome, retryable)
     timed_out = result.end is AttemptEnd.TIMED_OUT
     return RequestError(
         status=GATEWAY_TIMEOUT if timed_out else BAD_GATEWAY,
--- a/rhubarbshed/protocol/errors.py
+++ b/rhubarbshed/protocol/errors.py
@@ -4,6 +4,9 @@
 
 from attrs import frozen
 
+# Code of requests that were in progress as their instance stopped.
+CUT_OFF_CODE = "cut_off"
+
 
 class Outcome(enum.Enum):
     """Whether a request that got no response was run, and how that ended."""
--- a/rhubarbshed/transport/callers.py
+++ b/rhubarbshed/transport/callers.py
@@ -20,7 +20,7 @@
     parse_inference,
     parse_service_call,
 )
-from rhubarbshed.protocol.errors import Outcome, RequestError
+from rhubarbshed.protocol.errors import CUT_OFF_CODE, Outcome, RequestError
 from rhubarbshed.protocol.requests import AttemptEnd, Dispatch, Refusal
 from rhubarbshed.transport.events import Attempt, Piece
 from rhubarbshed.transport.gateway import Gateway
@@ -267,17 +267,26 @@
         return answer_error(first, request_id)
     cherrypy.response.stream = True
     cherrypy.response.headers["Content-Type"] = STREAM_TYPE
-    return _yield_stream(first, items, request_id, free_slot)
+    return _yield_stream(first, items, request_id, free_slot, caller_connection)
 
 
 def _yield_stream(
-    first: bytes, items: Iterator[Any], request_id: str, free_slot: Callable[[], None]
+    first: bytes,
+    items: Iterator[Any],
+    request_id: str,
+    free_slot: Callable[[], None],
+    caller_connection: CallerConnection,
 ) -> Iterator[bytes]:
-    """Yield a stream's bytes; a stream that ends early ends with an error event."""
+    """Yield a stream's bytes; a stream that ends early ends with an error event.
+
+    One that a stop of the instance cuts off is broken off behind it, without a last chunk.
+    """
     try:
         yield first
         for item in items:
             yield item if isinstance(item, bytes) else _render_error_event(item, request_id)
+            if isinstance(item, RequestError) and item.code == CUT_OFF_CODE:
+                caller_connection.end()
     finally:
         items.close()
         free_slot()
--- a/rhubarbshed/transport/stream_relay.py
+++ b/rhubarbshed/transport/stream_relay.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import contextlib
 import select
 import socket
 import threading
@@ -32,6 +33,11 @@
         """Return whether a write would not block."""
         return bool(select.select((), (self.socket,), (), 0)[1])
 
+    def end(self) -> None:
+        """End what is sent to the caller, who may have closed the connection before."""
+        with contextlib.suppress(OSError):
+            self.socket.shutdown(socket.SHUT_WR)
+
 
 @define(eq=False)
 class RelayedStream:
--- a/test/test_cut_off.py
+++ b/test/test_cut_off.py
@@ -88,10 +88,11 @@
     answer = whole.wait()
     assert (answer.status, answer.code, answer.outcome) == (502, "cut_off", "failed"), answer
     events = stream.wait().body.split(b"\n\n")
-    assert events[0].startswith(b"data: ") and not stream.wait().is_done
+    assert events[0].startswith(b"data: ") and not stream.wait().whole
     error = json.loads(events[-2].removeprefix(b"event: error\ndata: "))["error"]
     assert (error["code"], error["outcome"]) == ("cut_off", "failed")
-    assert "cut_off=4" in instance.process.read_log()
+    log = instance.process.read_log()
+    assert "cut_off=4" in log and "Traceback" not in log
     again = send(fleet.instances["other"], "POST", FILINGS_PATH, b"{}", headers)
     assert again.code == "outcome_unknown" and read_runs(fleet)[key] == 1
 
