Take a refusal for one however its body breaks off

Callers saw: 502 for a request that may not be repeated, though the head of its server's answer said that it had not run, and another server could have served it: the refusal's body was cut or malformed. An order, a health check and a question to another instance counted as unanswered in the same case.

Cause: the status alone decides, and yet an error while its body was read decided otherwise. Class as before: a wait for something that is not needed.

--- a/rhubarbshed/transport/edge/attempts.py
+++ b/rhubarbshed/transport/edge/attempts.py
@@ -277,6 +277,17 @@
         """Read a body that is not used; return whether it ended within these bounds."""
         return await self.read_short_body(bytearray(), bytes_max, time_max_s)
 
+    async def read_unused_body(self, body: bytearray) -> bool:
+        """Add what comes soon of a body that decides nothing; return whether it ended.
+
+        However it breaks off, the response's head has said what there is to say.
+        """
+        try:
+            return await self.read_short_body(body, UNUSED_BYTES_MAX, UNUSED_BODY_S)
+        except ChannelError as error:
+            self.detail = str(error)
+            return False
+
     async def read_short_body(self, body: bytearray, bytes_max: int, time_max_s: float) -> bool:
         """Add the rest of a body to `body`; return whether it ended within these bounds.
 
@@ -304,7 +315,7 @@
 
     async def read_refusal(self, response: h11.Response, head: ResponseHead) -> ExchangeEnd:
         """Return what a refusal says; its body may keep only its connection waiting."""
-        if await self.skip_body(UNUSED_BYTES_MAX, UNUSED_BODY_S):
+        if await self.read_unused_body(bytearray()):
             self.channel.finish(response, time.monotonic())
         if self.record is not None and head.server_id not in ("", self.record.entry.server_id):
             return ExchangeEnd.WRONG_SERVER
@@ -315,7 +326,7 @@
     async def read_instance_error(self, response: h11.Response, head: ResponseHead) -> ExchangeEnd:
         """Read the error that another instance answers with; no server did."""
         body = bytearray()
-        if await self.read_short_body(body, UNUSED_BYTES_MAX, UNUSED_BODY_S):
+        if await self.read_unused_body(body):
             self.channel.finish(response, time.monotonic())
         code, _, message = body.decode("latin-1").strip().partition(": ")
         not_run = head.declined or head.status in REFUSAL_STATUSES or head.status < 500
--- a/rhubarbshed/transport/edge/control.py
+++ b/rhubarbshed/transport/edge/control.py
@@ -93,5 +93,6 @@
     try:
         async with asyncio.timeout(UNUSED_BODY_S):
             return await _read_body(channel, UNUSED_BYTES_MAX) is not None
-    except TimeoutError:
+    except (ChannelError, TimeoutError):
+        # The status counts, however its body breaks off.
         return False
--- a/test/test_edge_control.py
+++ b/test/test_edge_control.py
@@ -77,6 +77,14 @@
     assert (result.unwrap().body, took_s < SOON_S, read < 1_000_000) == (b"", True, True)
 
 
+@pytest.mark.parametrize("kind", STATUS_CALLS)
+def test_status_is_taken_with_a_body_that_is_no_body(kind, monkeypatch):
+    head = b"HTTP/1.1 202 X\r\nTransfer-Encoding: chunked\r\n\r\n"
+    sent = STATUS_CALLS[kind]
+    result, *_ = asyncio.run(make_call(sent, head, b"no chunk\r\n", 0.01, monkeypatch))
+    assert isinstance(result, Success) and result.unwrap().status == 202
+
+
 @pytest.mark.parametrize("kind", BODY_CALLS)
 def test_answer_is_bounded_by_what_its_call_can_need(kind, monkeypatch):
     sent, most = BODY_CALLS[kind]
--- a/test/test_edge_endless_answers.py
+++ b/test/test_edge_endless_answers.py
@@ -162,6 +162,42 @@
     play(scene)
 
 
+CUT_BODIES = {
+    "length": b"Content-Length: 5\r\n\r\nno",
+    "chunk": b"Transfer-Encoding: chunked\r\n\r\n5\r\nno",
+    "no chunk": b"Transfer-Encoding: chunked\r\n\r\nno chunk\r\n",
+}
+
+
+@pytest.mark.parametrize("rest", CUT_BODIES.values(), ids=CUT_BODIES)
+@pytest.mark.parametrize("path", ROUTES)
+def test_refusal_whose_body_breaks_off_is_still_one(path, rest):
+    """A request that may not be repeated was not sent elsewhere, though it had not run."""
+
+    async def refuse(exchange: Exchange) -> None:
+        exchange.write(make_head(exchange, 503, REFUSED)[:-2] + rest)
+        await exchange.writer.drain()
+        exchange.writer.close()
+        raise ConnectionResetError
+
+    async def scene():
+        refusing, other = Replica("b1", reply=refuse), Replica("b2", reply=end_stream_or_echo)
+        async with run_edge(make_configuration(*ROUTES.values()), refusing, other) as edge:
+            statuses = [(await edge.ask(path, b"x")).status for _ in range(8)]
+            assert statuses == [200] * 8 and refusing.got
+
+    play(scene)
+
+
+async def end_stream_or_echo(exchange: Exchange) -> None:
+    if exchange.target.startswith(("/s/", "/n/")):
+        exchange.begin_stream()
+        exchange.send_event(1)
+        exchange.end_stream()
+    else:
+        exchange.answer(200, exchange.body)
+
+
 async def send_other_answer(exchange: Exchange) -> None:
     exchange.write(b"HTTP/1.1 200 OK\r\nRhubarbshed-Request-Id: other\r\n")
     exchange.write(LENGTH.encode() + b"\r\n\r\n")
