Write long pieces of a stream to the caller outside of the event loop

Callers saw: while one caller read slowly, a long event to it held the event loop of its instance, and with it all other streams, until that caller had read on (up to socket_timeout_s, 20 s).

Cause: the loop wrote any piece to a blocking socket that was writable, which says that a part of its buffer is free, not that the piece fits. Class: work in the loop that another party can draw out.

The loop writes up to 4096 bytes at once, which a writable socket takes. The worker thread writes a longer piece, and gives the stream back to the loop unless its caller reads slowly.

--- a/rhubarbshed/transport/stream_relay.py
+++ b/rhubarbshed/transport/stream_relay.py
@@ -2,7 +2,8 @@
 
 With a worker thread per stream, each token would wake a thread that contends for the interpreter
 lock; the loop copies what has arrived on all streams in one iteration. The worker waits meanwhile.
-It resumes a stream whose caller reads slowly, since the loop must never block on a socket.
+It resumes a stream whose caller reads slowly, and writes what may not fit into the caller's socket,
+since the loop must never block on one.
 """
 
 import asyncio
@@ -21,6 +22,10 @@
 from rhubarbshed.transport.loop_calls import LoopCallQueue
 from rhubarbshed.util.sockets import has_peer_closed
 
+# Bytes that the loop writes at once: a socket that is writable has a third of its buffer free,
+# which is 16 KiB at least (tcp(7), tcp_wmem).
+LOOP_WRITE_BYTES_MAX = 4096
+
 
 @frozen
 class CallerConnection:
@@ -43,7 +48,8 @@
 class RelayedStream:
     """Stream that the loop copies to a caller.
 
-    `end` is None while the stream continues, also when the worker must resume it with `pending`.
+    `end` is None while the stream continues, also when the worker must resume it with `pending`:
+    until its end if the caller is `slow`, else until these bytes are written.
     """
 
     response: urllib3.HTTPResponse
@@ -53,6 +59,7 @@
     caller_connection: CallerConnection
     end: AttemptEnd | None = None
     pending: bytes = b""
+    slow: bool = False
     done: threading.Event = field(factory=threading.Event)
 
 
@@ -94,7 +101,8 @@
             return
         relayed.attempt.waiting_since = time.monotonic()
         piece, end = relayed.buffer.feed(data, relayed.attempt)
-        if piece.data and not relayed.caller_connection.is_writable():
+        relayed.slow = bool(piece.data) and not relayed.caller_connection.is_writable()
+        if relayed.slow or len(piece.data) > LOOP_WRITE_BYTES_MAX:
             relayed.pending = piece.data
             self._remove(descriptor, end)
             return
--- a/rhubarbshed/transport/upstream.py
+++ b/rhubarbshed/transport/upstream.py
@@ -403,8 +403,8 @@
 ) -> Iterator[Piece | AttemptEnd]:
     """Yield complete events up to the stream's end mark; without it, the attempt ends as BROKEN.
 
-    After the first piece the loop relays the stream, unless its body is chunked: a partial chunk
-    would block the loop.
+    After the first piece the loop relays the stream, unless its caller reads slowly or its body is
+    chunked: a partial chunk would block the loop.
     """
     buffer = EventBuffer()
     for data in _iterate_body(response):
@@ -420,7 +420,8 @@
             stream_relay.relay(relayed)
             if relayed.pending:
                 yield Piece(relayed.pending, 0)
-            end, caller_connection = relayed.end, None
+            end = relayed.end
+            caller_connection = None if relayed.slow else caller_connection
         if end is not None:
             yield end
             return
--- a/test/test_endless_answers.py
+++ b/test/test_endless_answers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import itertools
 import socketserver
 import threading
 import time
@@ -25,7 +26,7 @@
 from rhubarbshed.transport.stream_relay import StreamRelay
 from rhubarbshed.transport.table import make_table_client
 from rhubarbshed.transport.upstream import UpstreamClient
-from test.test_races import BODY, HEAD, TOKEN, Play
+from test.test_races import BODY, DONE, HEAD, TOKEN, Play
 
 POURED_MAX = 32_000_000
 """Bytes after which a server pauses, so that a failing test does not fill the memory."""
@@ -197,3 +198,33 @@
     with run_pouring(start, piece, pause_s) as server, assert_bounded(server, SOON_S):
         expected = AttemptEnd.BROKEN if status == 500 else AttemptEnd.REFUSED
         assert fetch(server, streamed) is expected
+
+
+def test_long_event_to_a_slow_caller_does_not_hold_the_loop():
+    """The loop wrote it to a socket that had room for a part of it."""
+    event = TOKEN.replace(b": 0}", b': 1, "x": "%b"}' % (b"x" * (EVENT_BYTES_MAX - 1000)))
+    ticks = []
+
+    def tick() -> None:
+        ticks.append(time.monotonic())
+        relay.loop.call_later(0.02, tick)
+
+    def read() -> None:
+        received = 0
+        while received < len(TOKEN + event + DONE):
+            received += len(play.caller.recv(65_536))
+
+    with run_pouring(HEAD + TOKEN, event + DONE, SOON_S) as server, run_relay() as relay:
+        relay.loop.call_soon_threadsafe(tick)
+        play = Play(server, None)
+        reader = threading.Timer(SOON_S, read)
+        reader.daemon = True
+        reader.start()
+        call = Call(Request("r1", "c1", "m1", 0.0, 60.0, model="m1"), "POST", "/v1/x", BODY)
+        client = UpstreamClient(ConnectionPool(60.0), relay, "a1", 65536)
+        for each in client.stream(play.race, call, play.line):
+            if isinstance(each, Piece):
+                play.line.write(each.data)
+        reader.join(2 * SOON_S)
+        assert each is AttemptEnd.DONE and not reader.is_alive()
+    assert max(late - early for early, late in itertools.pairwise(ticks)) < SOON_S / 2
