Read a caller's chunked body in bounded pieces

Callers saw: one caller whose body had a chunk of 4 GB, or a line with its length that did not end, made rhubarbshedd keep all that it sent, though bodies may have 2 MiB. A caller whose chunk did not come in time got 500 as for a defect, not 408.

Cause: the HTTP server reads a chunk and its line whole, and body_bytes_max was looked at after that. Its reader has no answer to a timeout that the kernel enforces, which it gets as None. Class: a bound that holds only once the bytes are there.

A chunk is read in pieces of 64 KiB, a line has 1 KiB, and None is a timeout.

Tests: a chunk and a line without an end (32 MB were kept before, then 500 after 4 s; now 413 and 400 within 1 s), four bodies that stop (500 before, 408 now); 6 of 6 failed before, all pass.

--- a/rhubarbshed/transport/http_servers.py
+++ b/rhubarbshed/transport/http_servers.py
@@ -9,8 +9,8 @@
 
 import cherrypy
 from attrs import frozen
-from cheroot.makefile import MakeFile
-from cheroot.server import HTTPConnection, HTTPRequest
+from cheroot.makefile import MakeFile, StreamReader
+from cheroot.server import ChunkedRFile, HTTPConnection, HTTPRequest
 from cheroot.wsgi import Gateway_10, Server
 from returns.result import Failure, Result, Success
 
@@ -27,6 +27,10 @@
 # Unread bytes of a refused request's body that are still read to keep the connection open.
 UNREAD_BYTES_MAX = 256 * 1024
 BODY_TIMEOUT = 408
+READ_BYTES = 65_536
+# Longest line with the length of a chunk and its extensions.
+CHUNK_LINE_BYTES_MAX = 1024
+LINE_END = b"\r\n"
 
 Handler = Callable[..., Any]
 
@@ -40,6 +44,64 @@
     socket_timeout_s: float
 
 
+class TimedReader(StreamReader):
+    """Reader of a socket whose timeouts the kernel enforces, which returns None for them."""
+
+    def read(self, *args: int) -> bytes:
+        """Read bytes; raise what cheroot takes for a timeout if none came in time."""
+        data = super(StreamReader, self).read(*args)
+        if data is None:
+            raise TimeoutError("timed out")
+        self.bytes_read += len(data)
+        return data
+
+
+class BoundedChunks(ChunkedRFile):
+    """Body in chunks that is read in pieces, whatever lengths its chunks claim to have."""
+
+    left = 0
+
+    def _fetch(self) -> None:
+        """Read the next piece; `left` are the bytes of its chunk that have not been read."""
+        if self.closed:
+            return
+        if not self.left:
+            self.left = self._read_length()
+        if not self.left:
+            self.closed = True
+            return
+        self.buffer = _check_received(self.rfile.read(min(self.left, READ_BYTES)))
+        self.left -= len(self.buffer)
+        if not self.left and _check_received(self.rfile.read(len(LINE_END))) != LINE_END:
+            raise ValueError("a chunk is longer than its length")
+
+    def _read_length(self) -> int:
+        line = _check_received(self.rfile.readline(CHUNK_LINE_BYTES_MAX))
+        length = int(line.partition(b";")[0], 16)
+        if not line.endswith(LINE_END) or length < 0:
+            raise ValueError("a chunk has no length")
+        return length
+
+    def read(self, size: int) -> bytes:
+        """Read up to `size` bytes; fewer only at the end of the body."""
+        data = bytearray()
+        while len(data) < size:
+            if not self.buffer:
+                self._fetch()
+            if not self.buffer:
+                break
+            wanted = size - len(data)
+            data += self.buffer[:wanted]
+            self.buffer = self.buffer[wanted:]
+        return bytes(data)
+
+
+def _check_received(data: bytes) -> bytes:
+    if not data:
+        raise ValueError("the body is shorter than its chunks")
+    return data
+
+
 class BoundedRequest(HTTPRequest):
     """Request that closes the connection after a body that was not read to its end.
 
@@ -117,12 +179,18 @@
 
 def make_connection(server: Server, sock: socket.socket, makefile: Any) -> HTTPConnection:
     """Make a connection on a blocking socket with kernel timeouts, which needs no poll per send."""
+
+    def make_file(sock: socket.socket, mode: str, size: int) -> Any:
+        return (TimedReader if mode == "rb" else makefile)(sock, mode, size)
+
     set_timeouts(sock, server.timeout)
-    return BoundedConnection(server, sock, makefile)
+    return BoundedConnection(server, sock, make_file)
 
 
 def make_gateway(request: HTTPRequest) -> Gateway_10:
     """Make the server's WSGI gateway, with the caller's connection in its environment."""
+    if request.chunked_read:
+        request.rfile = BoundedChunks(request.conn.rfile, 0)
     gateway = Gateway_10(request)
     gateway.env[CALLER_CONNECTION_KEY] = CallerConnection(request.conn.socket, gateway.write)
     return gateway
