End a stream of rhubarbshedd whose next event does not come

Callers saw: a server that sent events again which the caller had, or a byte at a time of an event, kept a stream without a next token for as long as it liked; another server was not asked.

Cause: gap_timeout_s is the longest wait between tokens, yet any byte began it anew, and events that the caller had were skipped without a bound. Class: a wait for as long as the other likes.

Only an event ends the wait for one now, and no more events are skipped than the caller has. A part of a chunk is read as it comes, as its end may not.

Tests: events repeated without end and single bytes, relayed by the loop and in chunks; 4 of 4 failed before (3 to 6 s, when the test ended the stream), all pass.

--- a/rhubarbshed/transport/events.py
+++ b/rhubarbshed/transport/events.py
@@ -33,13 +33,15 @@
 class Attempt:
     """State of one attempt; `offset` is the offset of the next expected token.
 
-    `waiting_since` is when the current wait for bytes began, in monotonic seconds.
+    `waiting_since` is when the current wait for an event began, in monotonic seconds; `skipped` is
+    the number of events received that the caller has already.
     """
 
     dispatch: Dispatch
     offset: int
     first_token_at: float | None = None
     waiting_since: float = 0.0
+    skipped: int = 0
     status: int = 0
     retry_after_s: float | None = None
 
@@ -65,9 +67,10 @@
 
 @define
 class EventBuffer:
-    """Buffer of the start of an event that has not completely arrived."""
+    """Buffer of the start of an event that has not completely arrived, after `events` others."""
 
     rest: bytearray = field(factory=bytearray)
+    events: int = 0
 
     def feed(self, data: bytes, attempt: Attempt) -> tuple[Piece, AttemptEnd | None]:
         """Add received bytes; return the new events, and the stream's end if it is reached."""
@@ -78,6 +81,7 @@
             return Piece(b"", 0), AttemptEnd.BROKEN if is_long else None
         *events, rest = bytes(self.rest).split(EVENT_END)
         self.rest = bytearray(rest)
+        self.events += len(events)
         piece, whole, done = _check_events(events, attempt)
         if not whole:
             return piece, AttemptEnd.BROKEN
@@ -96,6 +100,9 @@
         if offset is None or offset > attempt.offset or _is_cancelled(event):
             return Piece(b"".join(kept), tokens), False, False
         if offset < attempt.offset:
+            attempt.skipped += 1
+            if attempt.skipped > attempt.offset:
+                return Piece(b"".join(kept), tokens), False, False
             continue
         attempt.offset += 1
         tokens += 1
--- a/rhubarbshed/transport/stream_relay.py
+++ b/rhubarbshed/transport/stream_relay.py
@@ -99,8 +99,10 @@
         if not data:
             self._remove(descriptor, AttemptEnd.BROKEN)
             return
-        relayed.attempt.waiting_since = time.monotonic()
+        events = relayed.buffer.events
         piece, end = relayed.buffer.feed(data, relayed.attempt)
+        if relayed.buffer.events > events:
+            relayed.attempt.waiting_since = time.monotonic()
         relayed.slow = bool(piece.data) and not relayed.caller_connection.is_writable()
         if relayed.slow or len(piece.data) > LOOP_WRITE_BYTES_MAX:
             relayed.pending = piece.data
@@ -115,7 +117,7 @@
             self._remove(descriptor, end)
 
     def sweep(self, now: float) -> None:
-        """End streams that received nothing for `gap_timeout_s`, or whose callers have left."""
+        """End streams that received no event for `gap_timeout_s`, or whose callers have left."""
         for descriptor, relayed in list(self.streams.items()):
             if has_peer_closed(relayed.caller_connection.socket):
                 self._remove(descriptor, AttemptEnd.CALLER_GONE)
--- a/rhubarbshed/transport/upstream.py
+++ b/rhubarbshed/transport/upstream.py
@@ -389,8 +389,6 @@
 
 def _iterate_body(response: urllib3.HTTPResponse) -> Iterator[bytes]:
     """Return an iterator over a body's bytes as they arrive."""
-    if response.chunked:
-        return response.stream(READ_BYTES, decode_content=False)
     return iter(functools.partial(response.read1, READ_BYTES), b"")
 
 
@@ -408,13 +406,18 @@
     """
     buffer = EventBuffer()
     for data in _iterate_body(response):
-        attempt.waiting_since = time.monotonic()
+        now = time.monotonic()
         if attempt.first_token_at is None:
-            attempt.first_token_at = attempt.waiting_since
+            attempt.first_token_at = attempt.waiting_since = now
             set_timeouts(channel.sock, attempt.dispatch.gap_timeout_s)
+        events = buffer.events
         piece, end = buffer.feed(data, attempt)
         if piece.data:
             yield piece
+        if buffer.events > events:
+            attempt.waiting_since = time.monotonic()
+        elif end is None and now - attempt.waiting_since >= attempt.dispatch.gap_timeout_s:
+            end = AttemptEnd.TIMED_OUT
         if end is None and caller_connection is not None and not response.chunked:
             relayed = RelayedStream(response, channel.sock, attempt, buffer, caller_connection)
             stream_relay.relay(relayed)
--- a/test/test_endless_answers.py
+++ b/test/test_endless_answers.py
@@ -228,3 +228,28 @@
         reader.join(2 * SOON_S)
         assert each is AttemptEnd.DONE and not reader.is_alive()
     assert max(late - early for early, late in itertools.pairwise(ticks)) < SOON_S / 2
+
+
+@pytest.mark.parametrize(
+    ("piece", "pause_s"), [(TOKEN * 100, 0.0), (b"x", 0.1)], ids=["repeated", "single bytes"]
+)
+@pytest.mark.parametrize("kind", ["relayed", "chunked"])
+def test_stream_whose_next_event_does_not_come_is_ended(kind, piece, pause_s):
+    """Any byte counted as progress, so that a stream without a next token had no end."""
+    make_piece, head = (make_chunk, CHUNKED) if kind == "chunked" else (bytes, HEAD)
+    with run_pouring(head + make_piece(TOKEN), make_piece(piece), pause_s) as server:
+        with run_relay() as relay:
+            play = Play(server, None)
+            dispatch = evolve(play.race.attempt.dispatch, gap_timeout_s=SOON_S)
+            play.race.attempt = Attempt.from_dispatch(dispatch)
+            relay.loop.call_soon_threadsafe(sweep, relay)
+            client = UpstreamClient(ConnectionPool(60.0), relay, "a1", 65536)
+            call = Call(Request("r1", "c1", "m1", 0.0, 60.0, model="m1"), "POST", "/v1/x", BODY)
+            with assert_bounded(server, 2 * SOON_S):
+                *_, end = client.stream(play.race, call, play.line)
+            assert end is (AttemptEnd.TIMED_OUT if pause_s else AttemptEnd.BROKEN)
+
+
+def sweep(relay: StreamRelay) -> None:
+    relay.sweep(time.monotonic())
+    relay.loop.call_later(0.1, sweep, relay)
