Bound the time in which an engine shows its start

Callers would see: a stream that breaks off for a silence of a second, and goes on after over two, when they have left: the check of the next engine's start had 0.3 s, and as much as a connection may take on top. A slot of a server's limit was also spent on an engine that the check then left out.

The check has 0.1 s in all, and comes before the limit is asked, behind which a request's verdict is looked at once more. An engine that does not answer in time has shown nothing and is used as before.

Test: an engine that hangs as it is connected, or reports nothing; 2 of 2 failed before (60 and 0.3 s), both pass.

--- a/rhubarbshed/transport/edge/relay.py
+++ b/rhubarbshed/transport/edge/relay.py
@@ -391,10 +391,10 @@
                 forwarded = await self.forward_unreached()
                 if forwarded.taken:
                     return forwarded.error
-            if not await self.pass_limit(chosen.server, now):
-                continue
             if not await self.check_start(chosen.server):
                 continue
+            if not await self.pass_limit(chosen.server, time.monotonic()):
+                continue
             end = await self.attempt(chosen)
             if end is ExchangeEnd.CONNECTION_REFUSED and not await self.relay.links.settle():
                 self.report_ended(chosen.server, time.monotonic())
--- a/rhubarbshed/transport/edge/server_checks.py
+++ b/rhubarbshed/transport/edge/server_checks.py
@@ -37,6 +37,10 @@
 SIGN_TIMEOUT_S = 0.3
 """Time for a sign of life; a health check may wait for a slot of a busy server."""
 
+START_TIMEOUT_S = 0.1
+"""Time in which an engine may show its start; its report needs no slot, and callers of a stream
+that broke off for a silence of a second leave after two."""
+
 SIGN_ATTEMPTS = 3
 SIGN_PAUSE_S = 0.05
 """Attempts at a sign of life, and the pause between them: one message may be lost, a sound server
@@ -126,7 +130,11 @@
         """
         if service is None or service.engine is None:
             return False
-        answer = await self._call(record, service)
+        try:
+            async with asyncio.timeout(START_TIMEOUT_S):
+                answer = await self._call(record, service)
+        except TimeoutError:
+            return False
         if answer is None:
             return False
         if answer.status == STATUS_MISDIRECTED:
--- a/test/test_edge_out_of_step.py
+++ b/test/test_edge_out_of_step.py
@@ -2,10 +2,14 @@
 
 import asyncio
 import time
+from types import SimpleNamespace
 
 import pytest
 
+from rhubarbshed.state.membership.fleet import ServerRecord
 from rhubarbshed.transport.edge.origin_store import WRITE_INTERVAL_S
+from rhubarbshed.transport.edge.pools import Pool
+from rhubarbshed.transport.edge.server_checks import SIGN_TIMEOUT_S, ServerChecks
 from standin.replica import Exchange, Replica
 from test.helper_edge import make_configuration, make_engine_service, play, run_edge
 from test.helper_scene import Scene, run_scene
@@ -185,3 +189,26 @@
             assert list_versions(answer) == {b"data: <v1>"}
 
     play(scene)
+
+
+@pytest.mark.parametrize("hangs", ["connecting", "reporting"])
+def test_stream_is_not_held_up_by_an_engine_that_does_not_show_its_start(hangs, monkeypatch):
+    """The time to connect came on top, and callers leave two seconds after the last event."""
+
+    async def wait(*_: object) -> None:
+        await asyncio.sleep(60.0)
+
+    async def scene():
+        pool = Pool(60.0, connect=wait) if hangs == "connecting" else Pool(1.0)
+        replica = Replica("b1", silent=True)
+        await replica.start()
+        host, port = replica.address
+        entry = SimpleNamespace(server_id="b1", host=host, port=port, started_ms=1)
+        record = ServerRecord(entry, seen_at=0.0)
+        service = SimpleNamespace(engine=object())
+        began_at = time.monotonic()
+        assert not await ServerChecks(pool).has_restarted(record, service)
+        assert time.monotonic() - began_at < SIGN_TIMEOUT_S
+        await replica.stop()
+
+    play(scene)
