--- a/rhubarbshed/transport/edge/caller_connections.py
+++ b/rhubarbshed/transport/edge/caller_connections.py
@@ -47,7 +47,7 @@
 CLOSED_RETRY_S = 0.05
 """Time after which a caller may repeat a request that met the close of its connection."""
 
-CROWDED_RETRY_S = 1.0
+NO_ROOM_RETRY_S = 1.0
 """Time after which a caller may repeat a request for which there was no room."""
 
 PARSED_HEAD_BYTES_MAX = 16_777_216
@@ -57,7 +57,7 @@
 PAUSED_CHECK_INTERVAL_S = 0.1
 """Time between two checks for the end of a connection that is not read."""
 
-CROWDED = "there is no room for more requests; ask again"
+NO_ROOM = "there is no room for more requests; ask again"
 
 REASON_PHRASES = {
     400: b"Bad Request",
@@ -97,8 +97,8 @@
     without reading, another one as a silent server is. `requests` counts those read completely, the
     last at `read_at`; `sent_bytes` were written since then. `active_at` is when bytes were last
     read or an answer ended. `answered_bytes` are in the body of the request in progress, and what
-    follows it is refused if `_is_crowded`. `close_reason` is why this side closed, at `closed_at`,
-    and `late_bytes` arrived after that.
+    follows it is refused if `_rest_refused`. `close_reason` is why this side closed, at
+    `closed_at`, and `late_bytes` arrived after that.
     """
 
     handle: Handler
@@ -134,7 +134,7 @@
     _close_after: bool = False
     _answering: bool = False
     _ending: bool = False
-    _is_crowded: bool = False
+    _rest_refused: bool = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Wait for the first request."""
@@ -153,7 +153,7 @@
         if self._ending or (self._close_after and not self._answering):
             self.late_bytes += len(data)
             return
-        if self._is_crowded:
+        if self._rest_refused:
             return
         self.active_at = time.monotonic()
         self._unparsed += data
@@ -246,7 +246,7 @@
     @property
     def may_give_up(self) -> bool:
         """Return whether what is held for no request in progress may be given up, once."""
-        return not self._close_after and not self._is_crowded
+        return not self._close_after and not self._rest_refused
 
     @property
     def unread_bytes(self) -> int:
@@ -376,11 +376,11 @@
     def give_up_unanswered(self) -> None:
         """Refuse the request that arrives, or those behind the one that is being answered."""
         if self._answering:
-            self._is_crowded = True
+            self._rest_refused = True
             self._drop_unanswered()
             self._pause_reading()
         else:
-            self.refuse(503, CROWDED, CROWDED_RETRY_S)
+            self.refuse(503, NO_ROOM, NO_ROOM_RETRY_S)
 
     def cancel_work(self) -> None:
         """Cancel the work on the request in progress, at its next wait."""
@@ -543,9 +543,9 @@
         if self._parser.our_state is not h11.DONE or self._parser.their_state is not h11.DONE:
             self._end_answered()
             return
-        if self._is_crowded:
+        if self._rest_refused:
             self._parser = make_parser()
-            self.refuse(503, CROWDED, CROWDED_RETRY_S)
+            self.refuse(503, NO_ROOM, NO_ROOM_RETRY_S)
             return
         self._parser.start_next_cycle()
         self._set_timer(self.read_limits().idle_timeout_s)
@@ -581,7 +581,7 @@
         self._make_room()
         # What the parser holds alone is a head in part, which has a limit of its own.
         is_full = bool(self._unparsed) and self.unparsed_bytes > PIPELINED_BYTES_MAX
-        if self._is_crowded or is_full:
+        if self._rest_refused or is_full:
             self._pause_reading()
         else:
             self._transport.resume_reading()
