Refuse the rest of a stream whose engine had started again unseen

Cause: a new stream is recorded with the version of its server's entry, which shows a restart under the same id half a second late. Its rest was then written by servers of the version before. Ruled out: asking each engine for its start before each new stream; it costs a probe a stream.

--- a/rhubarbshed/protocol/streams.py
+++ b/rhubarbshed/protocol/streams.py
@@ -2,6 +2,9 @@
 
 from attrs import frozen
 
+UNKNOWN_VERSION = "?"
+"""Version of a stream whose server had started again before its entry showed that."""
+
 
 @frozen
 class StreamOrigin:
--- a/rhubarbshed/transport/edge/relay.py
+++ b/rhubarbshed/transport/edge/relay.py
@@ -50,6 +50,7 @@
     read_attempts_left,
 )
 from rhubarbshed.protocol.routes import Route
+from rhubarbshed.protocol.streams import UNKNOWN_VERSION, StreamOrigin
 from rhubarbshed.state.membership.fleet import ServerRecord
 from rhubarbshed.transport.edge.attempts import Attempt
 from rhubarbshed.transport.edge.caller_connections import CallerConnection
@@ -402,6 +403,8 @@
                 return None
             if self.last_attempt.withdrawn:
                 return self.give_up("quarantined")
+            if not await self.check_origin(self.last_attempt):
+                return self.give_up("version_unknown")
             if not is_retry_allowed(self.route, end, self.tries):
                 return self.give_up(end.value)
             if not self.caller_response.may_continue:
@@ -547,6 +550,24 @@
         self.report_ended(record, time.monotonic())
         return False
 
+    async def check_origin(self, attempt: Attempt) -> bool:
+        """Return whether the version of a stream that broke off is that of its server's entry.
+
+        The server may have started again with another version before the stream began, and its
+        entry may not show that yet. Nobody may continue the stream then.
+        """
+        response = self.caller_response
+        if not attempt.begun or attempt.record is None or response.origin is not attempt.origin:
+            return True
+        service = self.relay.view.configuration.services.get(attempt.record.entry.service)
+        if not await self.relay.crashes.checks.has_restarted(attempt.record, service):
+            return True
+        response.origin = StreamOrigin(attempt.origin.service, UNKNOWN_VERSION)
+        # A second origin of the stream makes it one that nobody can tell the version of.
+        response.record_origin(response.origin)
+        self.report_ended(attempt.record, time.monotonic())
+        return False
+
     async def confirm_running(self, record: ServerRecord) -> bool:
         """Return whether a server shows that it has not ended."""
         service = self.relay.view.configuration.services.get(record.entry.service)
