Let callers of a starting instance wait for its first read of the store

Ruled out: listening from the first moment; a caller of a single killed instance is better off with a refused connection and another instance than with a wait beyond its target. Change: the callers' socket is opened when half of the program is loaded. Requests wait for the configuration and the servers for 1 s after the start at most and a quarter of their time (start_wait, pure). The first request of a connection that may have waited in the kernel counts from the socket's opening, so servers get no more time than is left. Calls to the store are logged by kind every 5 s (store_calls). test_deploy imports what is loaded late now as well. Result: the new tests fail with the wait or the socket taken out (503, refused, started before).

--- /dev/null
+++ b/rhubarbshed/transport/early_listener.py
@@ -0,0 +1,19 @@
+"""Socket for callers that is opened while the rest of the program is still loaded.
+
+After a loss of power to all instances there is nobody else whom a caller could ask, and one whose
+connection is refused has used up its retry. What the kernel accepts meanwhile waits for less time
+than the targets of most routes.
+"""
+
+import socket
+
+ACCEPT_BACKLOG = 512
+"""New connections that wait to be accepted."""
+
+
+def open_listener(address: tuple[str, int]) -> socket.socket | None:
+    """Open a listening socket, or return None, so that the start fails where it is logged."""
+    try:
+        return socket.create_server(address, backlog=ACCEPT_BACKLOG)
+    except OSError:
+        return None
--- a/rhubarbshed/transport/edge/caller_connections.py
+++ b/rhubarbshed/transport/edge/caller_connections.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import math
 import time
 from collections.abc import Awaitable, Callable
 
@@ -98,7 +99,8 @@
     last at `read_at`; `sent_bytes` were written since then. `active_at` is when bytes were last
     read or an answer ended. `answered_bytes` are in the body of the request in progress, and what
     follows it is refused if `_rest_refused`. `close_reason` is why this side closed, at
-    `closed_at`, and `late_bytes` arrived after that.
+    `closed_at`, and `late_bytes` arrived after that. The first request may have waited to be read
+    since `waiting_since`.
     """
 
     handle: Handler
@@ -121,6 +123,7 @@
     closed_at: float = 0.0
     late_bytes: int = 0
     answered_bytes: int = 0
+    waiting_since: float = math.inf
     _transport: asyncio.Transport | None = None
     _parser: h11.Connection | None = None
     _request: h11.Request | None = None
@@ -491,7 +494,8 @@
         limits = self.read_limits()
         self._request = request
         self._head_begun = False
-        self._begun_at = time.monotonic()
+        self._begun_at = min(time.monotonic(), self.waiting_since)
+        self.waiting_since = math.inf
         self._body = bytearray()
         names = [name for name, _ in request.headers]
         if b"transfer-encoding" in names and b"content-length" in names:
--- a/rhubarbshed/transport/edge/metrics.py
+++ b/rhubarbshed/transport/edge/metrics.py
@@ -92,6 +92,18 @@
     counts: collections.Counter[tuple[str, ...]] = field(factory=collections.Counter)
     observations: dict[tuple[str, ...], Observations] = field(factory=dict)
     gauges: dict[str, float] = field(factory=dict)
+    _taken: dict[tuple[str, ...], int] = field(factory=dict)
+
+    def take_new_counts(self, name: str) -> dict[tuple[str, ...], int]:
+        """Return what a counter has counted since the last call, by the values of its labels."""
+        new = {
+            key[1:]: count - self._taken.get(key, 0)
+            for key, count in self.counts.items()
+            if key[0] == name and count > self._taken.get(key, 0)
+        }
+        for labels, count in new.items():
+            self._taken[name, *labels] = self._taken.get((name, *labels), 0) + count
+        return new
 
     def count(self, name: str, *labels: object, by: int = 1) -> None:
         """Count what happened, `by` times."""
--- a/rhubarbshed/transport/edge/node.py
+++ b/rhubarbshed/transport/edge/node.py
@@ -3,7 +3,9 @@
 import asyncio
 import functools
 import logging
+import math
 import signal
+import socket
 import time
 import uuid
 from collections.abc import Collection, Coroutine, Mapping
@@ -24,6 +26,7 @@
     InstancesQuestion,
     LimitNews,
 )
+from rhubarbshed.transport.early_listener import ACCEPT_BACKLOG
 from rhubarbshed.transport.edge.caller_connections import CallerConnection, Handler
 from rhubarbshed.transport.edge.connection_logs import CloseLog, CloseReason
 from rhubarbshed.transport.edge.crash_registry import CrashRegistry
@@ -44,7 +47,7 @@
 from rhubarbshed.transport.edge.relay import Relay
 from rhubarbshed.transport.edge.server_checks import ServerChecks
 from rhubarbshed.transport.edge.sockets import accept_waiting
-from rhubarbshed.transport.edge.store import StoreClient
+from rhubarbshed.transport.edge.store import StoreClient, log_calls
 from rhubarbshed.transport.edge.stream_registry import StreamRegistry
 from rhubarbshed.transport.edge.verdict_store import VerdictStore
 from rhubarbshed.transport.edge.version_store import VersionStore
@@ -62,8 +65,9 @@
 STORE_CONNECT_TIMEOUT_S = 1.0
 """Time for a connection to the store."""
 
-ACCEPT_BACKLOG = 512
-"""New connections that wait to be accepted."""
+FIRST_ACCEPTS_S = 0.05
+"""Time after the listeners are opened in which connections are accepted that may have waited since
+the early listener was opened."""
 
 CLOSE_DELAY_S = 0.1
 """Time for the last responses to leave before the process ends."""
@@ -90,13 +94,20 @@
 SWEEPS_PER_RELOAD = 8
 """Sweeps between two checks of the settings file and of connections to servers that are gone."""
 
+SWEEPS_PER_CALL_LOG = 20
+"""Sweeps between two log lines on the calls to the store."""
+
 EXIT_OK = 0
 EXIT_START_FAILED = 1
 
 
 @define(eq=False)
 class Node:
-    """One instance with its parts."""
+    """One instance with its parts.
+
+    `early_listener` is the socket for callers if it was opened before, at `opened_at`; connections
+    are accepted from `listening_at` on (monotonic seconds).
+    """
 
     path: str
     settings: FrontSettings
@@ -118,6 +129,9 @@
     received: ReceivedBytes = field(factory=ReceivedBytes)
     turns: ParsingTurns = field(factory=ParsingTurns)
     listeners: list[asyncio.Server] = field(factory=list)
+    early_listener: socket.socket | None = None
+    opened_at: float = math.inf
+    listening_at: float = 0.0
     tasks: list[asyncio.Task] = field(factory=list)
 
     @classmethod
@@ -267,12 +281,18 @@
             (self.settings.ready, self.answer_ready),
             ((self.settings.host, self.settings.metrics_port), self.answer_metrics),
         ]
+        self.listening_at = time.monotonic()
         for number, (address, handle) in enumerate(endpoints):
             connections = self.connections if number < SERVING_LISTENERS else set()
             make = functools.partial(self.make_connection, handle, connections)
-            listener = await loop.create_server(
-                make, *address, backlog=ACCEPT_BACKLOG, reuse_address=True
-            )
+            if address == self.settings.callers and self.early_listener is not None:
+                listener = await loop.create_server(
+                    make, sock=self.early_listener, backlog=ACCEPT_BACKLOG
+                )
+            else:
+                listener = await loop.create_server(
+                    make, *address, backlog=ACCEPT_BACKLOG, reuse_address=True
+                )
             self.listeners.append(listener)
 
     def make_connection(
@@ -282,7 +302,7 @@
         close_log = None
         if connections is self.connections:
             close_log = CloseLog(self.metrics, self.view.drain.measure_stopping)
-        return CallerConnection(
+        connection = CallerConnection(
             handle,
             lambda: self.view.limits,
             self.is_closing,
@@ -293,6 +313,9 @@
             received=self.received,
             turns=self.turns,
         )
+        if time.monotonic() - self.listening_at < FIRST_ACCEPTS_S:
+            connection.waiting_since = self.opened_at
+        return connection
 
     def is_closing(self) -> bool:
         """Return whether callers should connect to another instance."""
@@ -368,6 +391,8 @@
                 self.reload()
                 records = self.view.fleet.servers.values()
                 self.pool.keep_only({(each.entry.host, each.entry.port) for each in records})
+            if ticks % SWEEPS_PER_CALL_LOG == 0:
+                log_calls(self.metrics.take_new_counts("store_calls"))
 
     def report_loop_delay(self, delay_s: float) -> None:
         """Record by how much the event loop was late, and log a long delay."""
--- a/rhubarbshed/transport/edge/relay.py
+++ b/rhubarbshed/transport/edge/relay.py
@@ -36,6 +36,7 @@
     make_unreached,
 )
 from rhubarbshed.coordination.serving.retry_budget import Tries, is_retry_allowed
+from rhubarbshed.coordination.serving.start_wait import measure_start_wait
 from rhubarbshed.coordination.serving.versions import Continuation
 from rhubarbshed.platform.headers import echo_request_id, read_request
 from rhubarbshed.protocol.errors import Outcome, RequestError
@@ -274,6 +275,8 @@
         if draining is not None:
             self.answer(draining)
             return
+        if not view.is_known:
+            await self.wait_for_start()
         if view.configuration is None:
             self.answer(make_refusal("not_configured", view.rng))
             return
@@ -299,6 +302,18 @@
         else:
             log_end(self, "answered", None, time.monotonic())
 
+    async def wait_for_start(self) -> None:
+        """Wait until this instance, which has just started, has read the store, if that is soon."""
+        view, received_at = self.relay.view, self.request.received_at
+        caller_timeout_s = self.request.caller_timeout_s or TIMEOUT_DEFAULT_S
+        while not view.is_known and view.drain.started_at is None:
+            now = time.monotonic()
+            left_s = received_at + caller_timeout_s - now
+            wait_s = measure_start_wait(view.started_at, received_at, left_s, now)
+            if wait_s <= 0.0:
+                return
+            await view.changed.wait(wait_s)
+
     async def serve(self) -> RequestError | None:
         """Send the request, by way of another instance if no server can be reached from here."""
         is_cut = self.relay.links.is_cut
@@ -666,7 +681,8 @@
         while not is_ready and view.drain.started_at is None:
             capable = list_staying(view.fleet, self.service, self.caller_response.version)
             decision = decide_load_wait(engine, (model, adapter), capable, patience, now)
-            self.relay.report_awaited(self.service, model, adapter)
+            if now < patience.urgent_until:
+                self.relay.report_awaited(self.service, model, adapter)
             if not isinstance(decision, LoadWait):
                 self.available_in_s = decision.available_in_s
                 break
--- a/rhubarbshed/transport/edge/store.py
+++ b/rhubarbshed/transport/edge/store.py
@@ -96,3 +96,10 @@
 
     async def _call(self, sent: ControlCall, timeout_s: float) -> Result[ControlAnswer, TableError]:
         return await call(self.pool, self.address, sent, timeout_s)
+
+
+def log_calls(counts: dict[tuple[str, ...], int]) -> None:
+    """Log the number of calls since the last line, by kind and table."""
+    if counts:
+        calls = ",".join(f"{kind}:{table}={count}" for (kind, table), count in counts.items())
+        log_event(LOG, logging.INFO, "store_calls", total=sum(counts.values()), calls=calls)
--- a/rhubarbshed/transport/edge/view.py
+++ b/rhubarbshed/transport/edge/view.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import time
 
 from attrs import define, field
 
@@ -82,7 +83,8 @@
 class View:
     """Known state and budgets of one instance; they change in the event loop's thread only.
 
-    `configured_at` and `fleet_at` are when the store last confirmed each (monotonic seconds).
+    `configured_at` and `fleet_at` are when the store last confirmed each, `started_at` when the
+    instance started (monotonic seconds).
     """
 
     settings: FrontSettings
@@ -95,6 +97,7 @@
     fleet_at: float = 0.0
     changed: Signal = field(factory=Signal)
     versions: VersionHistory = field(factory=VersionHistory)
+    started_at: float = field(factory=time.monotonic)
 
     @classmethod
     def from_settings(cls, settings: FrontSettings) -> "View":
@@ -125,8 +128,12 @@
         """Return the seconds for which the servers' entries were followed without a gap."""
         return measure_followed(self.versions, now)
 
+    @property
+    def is_known(self) -> bool:
+        """Return whether the configuration and servers were read from the store."""
+        return self.configuration is not None and bool(self.fleet.servers)
+
     @property
     def is_ready(self) -> bool:
         """Return whether new connections should come here."""
-        known = self.configuration is not None and bool(self.fleet.servers)
-        return known and self.drain.started_at is None
+        return self.is_known and self.drain.started_at is None
--- a/test/test_deploy.py
+++ b/test/test_deploy.py
@@ -8,7 +8,11 @@
 
 ROOT = Path(__file__).parent.parent
 REQUIREMENTS = ROOT / "deploy" / "requirements.txt"
-LIST_MODULES = "import sys, rhubarbshed.front; print(*{name.split('.')[0] for name in sys.modules})"
+LIST_MODULES = """
+import sys, rhubarbshed.front, rhubarbshed.transport.edge.node
+rhubarbshed.transport.edge.node.FrontMetrics().render({})
+print(*{name.split('.')[0] for name in sys.modules})
+"""
 
 
 def test_front_imports_no_library_that_is_not_installed_with_it():
--- a/test/test_edge_front.py
+++ b/test/test_edge_front.py
@@ -3,19 +3,23 @@
 import asyncio
 import logging
 import os
+import re
 import signal
 import subprocess
 import sys
 import time
+from datetime import UTC, datetime
 from pathlib import Path
 
 from returns.result import Failure
 
+from rhubarbshed.coordination.serving.start_wait import START_WAIT_MAX_S
 from rhubarbshed.util.bounded_logs import LINES_BURST, LINES_PER_S, BoundedHandler
 from rhubarbshed.util.front import FrontSettings
 from rhubarbshed.util.logs import log_event
 from standin.replica import Replica
 from test.helper_edge import (
+    HOST,
     SETTINGS_TEXT,
     make_configuration,
     make_route,
@@ -109,6 +113,88 @@
     play(scene)
 
 
+def test_request_that_comes_as_an_instance_starts_waits_for_its_first_read_of_the_store():
+    """After a loss of power to all instances callers were refused until the store was read."""
+
+    async def scene():
+        async with run_edge(None) as edge:
+            replica = Replica("b1")
+            await replica.start()
+            asked = asyncio.create_task(edge.ask())
+            await asyncio.sleep(0.1)
+            edge.store.put("servers", "b1", replica.describe())
+            edge.store.put("op", "config", make_configuration(make_route()))
+            assert (await asked).status == 200
+            await replica.stop()
+
+    play(scene)
+
+
+def test_request_at_an_instance_that_cannot_read_the_store_is_refused_at_once_after_the_start():
+    async def scene():
+        async with run_edge(None) as edge:
+            begun_at = time.monotonic()
+            assert (await edge.ask()).status == 503
+            assert time.monotonic() - begun_at < START_WAIT_MAX_S
+            await asyncio.sleep(edge.node.view.started_at + START_WAIT_MAX_S - time.monotonic())
+            begun_at = time.monotonic()
+            assert (await edge.ask()).status == 503
+            assert time.monotonic() - begun_at < 0.2
+
+    play(scene)
+
+
+def test_caller_of_a_starting_process_waits_and_its_server_gets_the_time_that_is_left(tmp_path):
+    """Connections were refused until the whole program was loaded."""
+
+    async def scene():
+        async with run_edge(make_configuration(make_route()), Replica("b1")) as edge:
+            path = tmp_path / "node.ini"
+            path.write_text(make_text(edge.store.address[1]))
+            settings = FrontSettings.from_file(str(path)).unwrap()
+            process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "rhubarbshed.front",
+                env={**os.environ, "RHUBARBSHED_SETTINGS": str(path)},
+                stdout=asyncio.subprocess.PIPE,
+            )
+            connected_at = await wait_listening(settings.callers)
+            connected = datetime.now(UTC)
+            reader, writer = await asyncio.open_connection(*settings.callers)
+            writer.write(
+                f"POST /p/x HTTP/1.1\r\nHost: {HOST}\r\nContent-Length: 1\r\n"
+                "Rhubarbshed-Request-Id: q1\r\n"
+                "Rhubarbshed-Deadline-Remaining: 3000\r\n\r\nx".encode()
+            )
+            head = await asyncio.wait_for(reader.readuntil(b"\r\n"), 8.0)
+            waited_ms = 1000 * (time.monotonic() - connected_at)
+            assert b" 200 " in head
+            (got,) = edge.replicas[0].got
+            left_ms = int(got.headers["rhubarbshed-deadline-remaining"])
+            assert left_ms <= 3000 - 0.5 * waited_ms
+            line = (
+                await asyncio.wait_for(process.stdout.readuntil(b"event=started"), 8.0)
+            ).decode()
+            written_at = re.findall(r"at=(\S+)", line)[-1]
+            assert datetime.fromisoformat(f"{written_at}+00:00") > connected
+            writer.close()
+            process.kill()
+            await process.wait()
+
+    async def wait_listening(address: tuple[str, int]) -> float:
+        while True:
+            try:
+                _, writer = await asyncio.open_connection(*address)
+            except OSError:
+                await asyncio.sleep(0.002)
+            else:
+                writer.close()
+                return time.monotonic()
+
+    play(scene)
+
+
 def test_each_request_leaves_a_line_with_what_decided(caplog):
     async def scene():
         async with run_edge(make_configuration(make_route()), Replica("b1")) as edge:
