--- a/tools/engine_scenario.py
+++ b/tools/engine_scenario.py
@@ -148,4 +148,47 @@
     return Day(10, 1, spec, (caller,), shifts=())
 
 
-DAYS = {"large": make_large, "quiet": make_quiet, "small": make_small, "crowded": make_crowded}
+def make_brisk(rng: random.Random) -> Day:
+    """Return engines that load a model in a second, for callers who wait for several.
+
+    Seventy models share a seventh of the streams, worth twice as much each as the others.
+    """
+    models = {
+        name: evolve(model, load_s=1.2, disk_load_s=0.6, warm_load_s=0.5)
+        for name, model in make_models(95, rng).items()
+    }
+    spec = EngineSpec(16, 53_000, 200_000.0, 8, 12.0, models)
+    live, index, overnight = (
+        evolve(LISTENERS, per_s=154, stall_s=9.0, deadline_s=10.0, worth=1.6, late_worth=0.16),
+        evolve(INDEX, per_s=177, stall_s=3.5, worth=1.3, late_worth=0.13),
+        evolve(OVERNIGHT, per_s=21.4, target_s=1.2, stall_s=9.6, deadline_s=12.0),
+    )
+    callers = (
+        evolve(live, models=25, in_use=10),
+        evolve(index, models=25, in_use=10),
+        evolve(overnight, worth=3.2, late_worth=0.32, first=25, models=70, in_use=70),
+    )
+    return Day(
+        39,
+        5,
+        spec,
+        callers,
+        loads_at_once=14,
+        lasts_s=41.0,
+        crashes=(Crash(7.1, 0.17, 3.3),),
+        late_orders=(LateOrders(1.0, 6.0, 0.3),),
+        bursts=(
+            Burst("overnight", 1.05, 3.0, 2.54),
+            Burst("index", 6.05, 3.0, 2.4),
+            Burst("listeners", 4.9, 3.2, 1.6),
+        ),
+    )
+
+
+DAYS = {
+    "large": make_large,
+    "quiet": make_quiet,
+    "small": make_small,
+    "crowded": make_crowded,
+    "brisk": make_brisk,
+}
