Query the store for servers less often while no order holder announces them

Change: an instance that is no holder collects changes for a quarter of the time for which a leaving server may get requests, 0.5 s at least and 1 s at most; so nothing changes where that is 2 s.

--- a/rhubarbshed/transport/edge/follower.py
+++ b/rhubarbshed/transport/edge/follower.py
@@ -29,8 +29,14 @@
 stopped responding."""
 
 CHANGE_BATCH_S = 0.5
-"""Time in which changes of servers are collected before the next query: each query has a cost, and
-a leaving server may get requests for two seconds."""
+"""Time in which an order holder collects changes of servers before the next query; each query has
+a cost."""
+
+DRAIN_FRACTION = 0.25
+CHANGE_BATCH_MAX_S = 1.0
+"""Fraction of the time for which a leaving server may get requests in which another instance
+collects changes, and the longest such time: without a holder's messages, as after a start of all,
+each instance queries for itself."""
 
 PAUSE_FIRST_S = 0.1
 PAUSE_LONGEST_S = 1.0
@@ -144,6 +150,13 @@
             await self.fell_behind.wait(STORE_MESSAGE_TURN_S)
         self.is_behind = False
 
+    def measure_batch_s(self) -> float:
+        """Return the seconds in which changes are collected before the next query for servers."""
+        if self.is_holder():
+            return CHANGE_BATCH_S
+        allowed_s = DRAIN_FRACTION * self.view.settings.drain_s
+        return max(CHANGE_BATCH_S, min(CHANGE_BATCH_MAX_S, allowed_s))
+
     def _choose_wait(self, table: str) -> float:
         if self.lost_at is not None:
             return 0.0
@@ -184,7 +197,7 @@
                     self.read_anew.fire()
                 elif table == SERVERS_TABLE and changes:
                     self.publish(before, revision, changes)
-                    await asyncio.sleep(CHANGE_BATCH_S)
+                    await asyncio.sleep(self.measure_batch_s())
                 continue
             if result.failure().fault is TableFault.CONFLICT:
                 log_event(LOG, logging.WARNING, "history_gone", table=table, revision=revision)
