--- a/tools/engine_play.py
+++ b/tools/engine_play.py
@@ -289,11 +289,11 @@
 
     def await_load(self, request: Request) -> bool:
         """Let a request wait for a load, or on, and return whether; or refuse it."""
-        target = ("svc", request.model, "")
+        self.usage.record_awaited(("svc", request.model, ""), self.now)
         records = self.fleet.list_service("svc")
-        decision = decide_load_wait(self.day.spec, target[1:], records, request.patience, self.now)
-        if self.now < request.patience.urgent_until:
-            self.usage.record_awaited(target, self.now)
+        decision = decide_load_wait(
+            self.day.spec, (request.model, ""), records, request.patience, self.now
+        )
         if isinstance(decision, LoadWait):
             return True
         held_s = self.now - request.patience.since
