Remember the usual load of servers, and repeat loads that do not change

Cause: an order holder announces a load only when it has changed by a fifth, while each instance lets what it was told fade within a second or two. Ruled out: letting the load itself fade more slowly; a queue reported once would refuse requests again (test_load_of_short_runs_is_forgotten_within_some_of_them). Change: servers are compared by what they usually have where reports are old (an average over 2 s that is kept for 5 s); whether one is full is decided by the last report as before. All loads are sent again every 2 s.

--- a/rhubarbshed/coordination/serving/choice.py
+++ b/rhubarbshed/coordination/serving/choice.py
@@ -1,7 +1,9 @@
 """Choice of a backend server for an attempt.
 
-The load of servers changes faster than they report it. Instances must not all choose the server
-that was idle a moment ago, and a server that fails must not attract requests because it is empty.
+Load patterns: hundreds of instances with a few requests a second each, whose own view of a server
+is some seconds old. They must not all choose the server that was idle a moment ago, nor take one
+that is always full for an empty one; a server that fails must not attract requests because it is
+empty.
 """
 
 import math
@@ -132,7 +134,7 @@
     sampled = _sample_candidates(free, data_centre, rng)
     best = min(sampled, key=lambda record: compute_cost(record, data_centre, now, rng))
     age_s = now - best.sampled_at
-    return Choice(best, best.estimate_load(now), age_s, len(free))
+    return Choice(best, best.estimate_usual_load(now), age_s, len(free))
 
 
 def _sample_candidates(
@@ -169,7 +171,7 @@
 def compute_cost(record: ServerRecord, data_centre: str, now: float, rng: random.Random) -> float:
     """Return the cost of a request at a server, as a fraction of its slots."""
     slots = max(1, record.entry.slots)
-    cost = record.estimate_load(now) / slots
+    cost = record.estimate_usual_load(now) / slots
     if record.entry.data_centre != data_centre:
         cost += OTHER_CENTRE_COST
     cost += FAILURE_COST * record.measure_failures(now)
--- a/rhubarbshed/coordination/serving/update_queue.py
+++ b/rhubarbshed/coordination/serving/update_queue.py
@@ -21,6 +21,10 @@
 """Time between two messages with the load of servers, which changes within the length of a
 stream."""
 
+LOADS_REPEATED = 4
+"""Messages with loads after which all are sent again, also those that have not changed: receivers
+take an old load for an uncertain one."""
+
 LOAD_CHANGE_MIN_REQUESTS = 2
 LOAD_CHANGE_FRACTION = 0.2
 """Least change of a load that is sent, in requests and as a fraction of the load sent before."""
@@ -37,12 +41,16 @@
     rotation: collections.deque[str] = field(factory=collections.deque)
     sent_loads: dict[str, int] = field(factory=dict)
     loads_sent_at: float = -math.inf
+    loads_messages: int = 0
 
     def choose_loads(self, loads: dict[str, int], now: float) -> tuple[tuple[str, int], ...]:
-        """Choose the loads that have changed since they were last sent."""
+        """Choose the loads that have changed since they were last sent, now and then all."""
         if now - self.loads_sent_at < LOADS_INTERVAL_S:
             return ()
         self.loads_sent_at = now
+        self.loads_messages += 1
+        if self.loads_messages % LOADS_REPEATED == 0:
+            self.sent_loads = {}
         changed = {
             server_id: load
             for server_id, load in loads.items()
--- a/rhubarbshed/state/membership/fleet.py
+++ b/rhubarbshed/state/membership/fleet.py
@@ -16,6 +16,11 @@
 RUN_WEIGHT = 0.1
 """Initial estimate of a run's seconds, and the weight of each new run in their mean."""
 
+USUAL_WINDOW_S = 2.0
+USUAL_KEPT_S = 5.0
+"""Time over which reported loads are averaged, and in which the average decays by a factor of e
+without a report: a server that was busy all the time still is when its last report is old."""
+
 REPORTED_AGE_MAX_S = 0.5
 """Maximum age at which a load reported through another instance and the order holders arrives."""
 
@@ -39,8 +44,9 @@
 
     `open` counts this instance's unfinished attempts. `reported_load` is the load that the server
     last reported, to this instance at `answered_at` or to another, known here since `sampled_at`;
-    `others_load` is the part of it that is not from this instance. `run_s` is the mean time of its
-    runs. `held` are the models with their adapters. `failures` and `attempts` are decaying sums.
+    `others_load` is the part of it that is not from this instance, `usual_load` an average of the
+    reported ones. `run_s` is the mean time of its runs. `held` are the models with their adapters.
+    `failures` and `attempts` are decaying sums.
     `rejections_borne` is set for a brittle server, which gets nothing before `rejecting_until`.
     `limit_per_s` are the requests that the server takes from all instances, if it names a limit,
     which it did last at `limit_named_at`. It gets none from here before `limited_until`, and
@@ -57,6 +63,7 @@
     open: int = 0
     others_load: float = 0.0
     reported_load: int = 0
+    usual_load: float = 0.0
     sampled_at: float = -math.inf
     answered_at: float = -math.inf
     run_s: float = RUN_INITIAL_S
@@ -98,10 +105,29 @@
         return self.leaving_at is None and now >= self.unresponsive_until
 
     def estimate_load(self, now: float) -> float:
-        """Return the estimated number of requests on the server."""
+        """Return the number of requests that are certainly still on the server.
+
+        It falls to the own ones with the age of the last report, so that nobody is refused for an
+        old one.
+        """
+        return self.open + self.others_load * self._measure_freshness(now)
+
+    def estimate_usual_load(self, now: float) -> float:
+        """Return the number of requests to expect on the server, to compare it with others.
+
+        Where reports are old, what the server usually had takes their place: without it a server
+        that is always full looks empty to an instance that sends it little.
+        """
+        age_s = max(0.0, now - self.sampled_at)
+        usual = self.usual_load * math.exp(-age_s / USUAL_KEPT_S)
+        unknown = (1.0 - self._measure_freshness(now)) * max(0.0, usual - self.open)
+        return self.estimate_load(now) + unknown
+
+    def _measure_freshness(self, now: float) -> float:
+        """Return which part of the reported load is still on the server."""
         age_s = max(0.0, now - self.sampled_at)
         window_s = min(SAMPLE_WINDOW_S, max(SAMPLE_WINDOW_MIN_S, SAMPLE_RUNS * self.run_s))
-        return self.open + self.others_load * math.exp(-age_s / window_s)
+        return math.exp(-age_s / window_s)
 
     def record_run(self, run_s: float) -> None:
         """Update the mean time of a run with the time that one request took."""
@@ -118,6 +144,8 @@
             self._apply_load(load, now)
 
     def _apply_load(self, load: int, now: float) -> None:
+        weight = 1.0 - math.exp(-max(0.0, now - self.sampled_at) / USUAL_WINDOW_S)
+        self.usual_load += weight * (load - self.usual_load)
         self.reported_load = load
         self.others_load = max(0.0, load - self.open)
         self.sampled_at = now
--- a/test/test_edge_choice.py
+++ b/test/test_edge_choice.py
@@ -1,5 +1,6 @@
 """Choice of a server, retries, refusals and waits, without sockets."""
 
+import collections
 import random
 
 import pytest
@@ -19,6 +20,7 @@
     Tries,
     is_retry_allowed,
 )
+from rhubarbshed.coordination.serving.update_queue import UpdateQueue
 from rhubarbshed.protocol.exchanges import ExchangeEnd
 from rhubarbshed.protocol.routes import EngineSpec, ModelSpec, Route, RouteKind
 from rhubarbshed.protocol.servers import ServerEntry, ServerState
@@ -309,6 +311,25 @@
     assert apart < play_with_old_news() / 2
 
 
+def test_server_that_is_always_full_is_not_taken_for_an_empty_one_where_traffic_is_thin():
+    """Its load was announced once, as it did not change, and had faded a second later."""
+    loads = {"b1": 15, "b2": 3}
+    entries = [make_entry(name, slots=16) for name in loads]
+    views = [(make_fleet(*entries), random.Random(seed)) for seed in range(195)]
+    queue = UpdateQueue()
+    chosen = collections.Counter()
+    for step in range(40):
+        now = NOW + 0.25 * step
+        for name, load in queue.choose_loads(loads, now):
+            for fleet, _ in views:
+                fleet.get(name).apply_reported_load(load, now)
+        for number in range(12):
+            fleet, chance = views[(12 * step + number) % len(views)]
+            found = choose_server(fleet, "svc", ("", ""), frozenset(), "a", now + 0.2, chance)
+            chosen[found.server.entry.server_id] += 1
+    assert chosen["b1"] <= 0.05 * chosen.total()
+
+
 def test_load_that_another_instance_was_told_counts_unless_the_server_answered_here_since():
     fleet = make_fleet(make_entry("b1"))
     record = fleet.get("b1")
