--- a/rhubarbshed/transport/edge/relay.py
+++ b/rhubarbshed/transport/edge/relay.py
@@ -681,8 +681,7 @@
         while not is_ready and view.drain.started_at is None:
             capable = list_staying(view.fleet, self.service, self.caller_response.version)
             decision = decide_load_wait(engine, (model, adapter), capable, patience, now)
-            if now < patience.urgent_until:
-                self.relay.report_awaited(self.service, model, adapter)
+            self.relay.report_awaited(self.service, model, adapter)
             if not isinstance(decision, LoadWait):
                 self.available_in_s = decision.available_in_s
                 break
