Measure the right to order by a clock that counts suspensions, and ask again

Cause: "a process that had been paused acted on a permission that had run out". Two ways were found by reading: time.monotonic stands still while a machine is suspended (the platform's pages say so of their machines), so a holder that wakes believed in its lease for up to 1.2 s after others took it over; and the right was checked before the connection for an order is made, which takes up to 0.3 s and as long as the process stands still, and not when the order is written. Ruled out: fencing tokens at the engines; the platform says that they are not checked there. Change: all times of the lease are read from CLOCK_BOOTTIME (read_lease_clock); an order is written only if the right still holds once there is a connection. An order held back so is no sign of its engine. Not looked at: requests that wait for a grant of a server's limit while the machine is suspended.

--- a/rhubarbshed/transport/edge/control.py
+++ b/rhubarbshed/transport/edge/control.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from collections.abc import Callable
 
 import h11
 from attrs import frozen
@@ -26,26 +27,46 @@
     body: bytes
 
 
+def allow() -> bool:
+    """Return that a call may be sent; for calls that need no permission."""
+    return True
+
+
 async def call_server(
-    pool: Pool, address: Address, sent: ControlCall, timeout_s: float
+    pool: Pool,
+    address: Address,
+    sent: ControlCall,
+    timeout_s: float,
+    may_send: Callable[[], bool] = allow,
 ) -> Result[ControlAnswer, TableError]:
     """Make a call to a backend server, on a new connection, which requests may use afterwards.
 
     Responses to such calls bear no id. On a kept connection an extra one, to an earlier call or
     request, could not be distinguished from the one expected.
     """
-    return await call(pool, address, sent, timeout_s, fresh=True)
+    return await call(pool, address, sent, timeout_s, fresh=True, may_send=may_send)
 
 
 async def call(
-    pool: Pool, address: Address, sent: ControlCall, timeout_s: float, fresh: bool = False
+    pool: Pool,
+    address: Address,
+    sent: ControlCall,
+    timeout_s: float,
+    fresh: bool = False,
+    may_send: Callable[[], bool] = allow,
 ) -> Result[ControlAnswer, TableError]:
-    """Make a call; `UNAVAILABLE` never left this instance, `UNKNOWN` may take effect later."""
+    """Make a call; `UNAVAILABLE` never left this instance, `UNKNOWN` may take effect later.
+
+    `may_send` is asked once there is a connection: the process may have stood still meanwhile.
+    """
     now = time.monotonic()
     try:
         channel = await pool.acquire(address, now, fresh or sent.method != b"GET")
     except ChannelError as error:
         return Failure(TableError(TableFault.UNAVAILABLE, detail=str(error)))
+    if not may_send():
+        pool.release(address, channel)
+        return Failure(TableError(TableFault.UNAVAILABLE, detail="the permission has run out"))
     try:
         async with asyncio.timeout(timeout_s):
             answer = await _exchange(address, channel, sent)
--- a/rhubarbshed/transport/edge/holder_protocol.py
+++ b/rhubarbshed/transport/edge/holder_protocol.py
@@ -41,6 +41,7 @@
 from rhubarbshed.transport.edge.lease import LeaseClient
 from rhubarbshed.transport.edge.order_dispatcher import OrderDispatcher
 from rhubarbshed.transport.edge.view import View
+from rhubarbshed.util.clocks import read_lease_clock
 from rhubarbshed.util.logs import log_event
 
 LOG = logging.getLogger(__name__)
@@ -164,7 +165,7 @@
         own = self.lease.holder_address
         if own is not None:
             self.datagrams.send(message, own)
-        unresponsive = now - self.lease.lease_state.last_received_at > HOLDER_TIMEOUT_S
+        unresponsive = self.lease.measure_silence() > HOLDER_TIMEOUT_S
         others = [known.address for known in self.holders.values() if known.address != own]
         if unresponsive:
             for address in others:
@@ -238,7 +239,9 @@
             del self.instances[address]
         self.lease.check_holders(self.holders, now)
         revision = self.follower.servers_revision or 0
-        if self.follower.lost_at is None and self.lease.lease_state.is_confirmed(now):
+        if self.follower.lost_at is None and self.lease.lease_state.is_confirmed(
+            read_lease_clock()
+        ):
             self.send_store_messages(now, revision, revision)
 
     def publish(self, before: int, revision: int, changes: tuple[EntryChange, ...]) -> None:
@@ -279,7 +282,8 @@
         """Return the holder's messages on engines; the first one carries the loads."""
         lease_state = self.lease.lease_state
         settings = self.view.settings
-        gives_orders = lease_state.may_order(now) or now < lease_state.may_order_from
+        lease_now = read_lease_clock()
+        gives_orders = lease_state.may_order(lease_now) or lease_now < lease_state.may_order_from
         holders = tuple(
             (data_centre, *known.address) for data_centre, known in self.holders.items()
         )
@@ -309,7 +313,7 @@
             settings.name,
             settings.data_centre,
             lease_state.token,
-            lease_state.may_order(now),
+            lease_state.may_order(read_lease_clock()),
             self.dispatcher.list_closed(now),
             self.dispatcher.list_reserved(now),
         )
@@ -401,7 +405,7 @@
         if message.data_centre == self.view.settings.data_centre:
             self.view.budget.instances = message.instances + message.instances_elsewhere
         if message.data_centre == self.view.settings.data_centre:
-            self.lease.apply_holder_message(message.token, address, message.gives_orders, now)
+            self.lease.apply_holder_message(message.token, address, message.gives_orders)
             self.learn_holders(message, now)
         elif self.is_holder:
             self.dispatcher.handle_remote_message(message, now)
--- a/rhubarbshed/transport/edge/lease.py
+++ b/rhubarbshed/transport/edge/lease.py
@@ -23,6 +23,7 @@
 )
 from rhubarbshed.state.requests.known_instances import DATA_CENTRES_MAX
 from rhubarbshed.transport.edge.store import StoreClient
+from rhubarbshed.util.clocks import read_lease_clock
 from rhubarbshed.util.logs import log_event
 
 LOG = logging.getLogger(__name__)
@@ -83,8 +84,8 @@
     async def maintain(self) -> None:
         """Renew, take or follow the lease forever."""
         while True:
-            now = time.monotonic()
-            step = self.lease_state.choose_step(now, self.measure_cut(now))
+            now = read_lease_clock()
+            step = self.lease_state.choose_step(now, self.measure_cut(time.monotonic()))
             if step is Step.RENEW:
                 await self._renew()
             elif step is Step.RELEASE:
@@ -95,7 +96,7 @@
                 await self._take_lease(step)
             elif self.other_holders_due:
                 await self._read_other_holders()
-            self._log_order_right(time.monotonic())
+            self._log_order_right(read_lease_clock())
             await asyncio.sleep(LEASE_POLL_S)
 
     async def release(self) -> None:
@@ -109,8 +110,12 @@
         """Return the key of the lease's row."""
         return LEASE_PREFIX + self.data_centre
 
+    def measure_silence(self) -> float:
+        """Return the seconds since the last message of the holder of this data centre."""
+        return read_lease_clock() - self.lease_state.last_received_at
+
     def apply_holder_message(
-        self, token: int, address: tuple[str, int], gives_orders: bool, now: float
+        self, token: int, address: tuple[str, int], gives_orders: bool
     ) -> None:
         """Record a message of the holder of this data centre as a sign that it is alive."""
         if token < self.lease_state.token:
@@ -119,7 +124,7 @@
             self.lease_state.token = token
             self.holder_address = address
         if gives_orders:
-            self.lease_state.last_received_at = now
+            self.lease_state.last_received_at = read_lease_clock()
 
     def check_holders(self, known: dict, now: float) -> None:
         """Request a read of the other holders' rows where one is unknown or unresponsive."""
@@ -175,7 +180,7 @@
 
     async def _read(self) -> None:
         result = await self.store.read_all(OWN_TABLE)
-        now = time.monotonic()
+        now = read_lease_clock()
         if isinstance(result, Failure):
             self.lease_state.read_at = now
             log_event(LOG, logging.INFO, "lease_unread", reason=result.failure().detail)
@@ -199,11 +204,11 @@
             log_event(LOG, logging.INFO, "order_holder", holder=holder, version=row.version)
 
     async def _take_lease(self, step: Step) -> None:
-        sent_at = time.monotonic()
+        sent_at = read_lease_clock()
         result = await self._write()
         if isinstance(result, Success):
             version = result.unwrap().revision
-            in_cut = self.measure_cut(sent_at) > 0.0
+            in_cut = self.measure_cut(time.monotonic()) > 0.0
             self.lease_state.record_acquired(version, sent_at, step is Step.TAKE_OVER, in_cut)
             self.holder_address = self.address
             log_event(
@@ -213,7 +218,7 @@
         self._apply_conflict(result.failure())
 
     async def _renew(self) -> None:
-        sent_at = time.monotonic()
+        sent_at = read_lease_clock()
         result = await self._write()
         if isinstance(result, Success):
             self.lease_state.record_renewed(result.unwrap().revision, sent_at)
@@ -230,7 +235,7 @@
         self._lose_lease("taken_by_another")
 
     def _apply_conflict(self, error: TableError) -> None:
-        now = time.monotonic()
+        now = read_lease_clock()
         self.lease_state.read_at = now
         for row in error.rows:
             if row.key == self.key and row.value is not None:
@@ -250,4 +255,4 @@
     def _lose_lease(self, why: str) -> None:
         log_event(LOG, logging.WARNING, "lease_lost", token=self.lease_state.token, why=why)
         self.lapsed = False
-        self.lease_state.record_lost(time.monotonic())
+        self.lease_state.record_lost(read_lease_clock())
--- a/rhubarbshed/transport/edge/node.py
+++ b/rhubarbshed/transport/edge/node.py
@@ -53,6 +53,7 @@
 from rhubarbshed.transport.edge.version_store import VersionStore
 from rhubarbshed.transport.edge.view import View
 from rhubarbshed.transport.stop_signals import handle_stop_signals
+from rhubarbshed.util.clocks import read_lease_clock
 from rhubarbshed.util.front import FrontSettings
 from rhubarbshed.util.logs import log_event
 
@@ -150,7 +151,7 @@
         store = StoreClient(settings.store, Pool(STORE_CONNECT_TIMEOUT_S), metrics.count_store_call)
         store.count_unreadable = metrics.count_unreadable
         jitter_s = draw_jitter(settings.cores, settings.link_mbps, view.rng)
-        lease_state = LeaseState.from_start(settings.lease_s, jitter_s, time.monotonic())
+        lease_state = LeaseState.from_start(settings.lease_s, jitter_s, read_lease_clock())
         address = (settings.host, settings.peers_port)
         lease = LeaseClient(
             store, lease_state, settings.name, settings.data_centre, address, uuid.uuid4().hex
--- a/rhubarbshed/transport/edge/order_dispatcher.py
+++ b/rhubarbshed/transport/edge/order_dispatcher.py
@@ -46,6 +46,7 @@
 )
 from rhubarbshed.transport.edge.pools import Pool
 from rhubarbshed.transport.edge.view import LatchedSignal, View
+from rhubarbshed.util.clocks import read_lease_clock
 from rhubarbshed.util.logs import log_event
 
 LOG = logging.getLogger(__name__)
@@ -108,7 +109,7 @@
         while True:
             await self.wake.wait(0.05)
             now = time.monotonic()
-            if not self.lease_state.may_order(now):
+            if not self.may_order():
                 if not self.lease_state.held:
                     self.engine_states.clear()
                     self.rates.clear()
@@ -122,6 +123,10 @@
                 models_from = now + max(MODEL_PLAN_INTERVAL_S, took_s / PLANNING_CPU_SHARE)
             await asyncio.sleep(max(PLAN_PAUSE_MIN_S, took_s))
 
+    def may_order(self) -> bool:
+        """Return whether this instance may give orders now."""
+        return self.lease_state.may_order(read_lease_clock())
+
     def list_engines(self) -> list[tuple[str, EngineSpec]]:
         """List services of engines with their specifications by the operator."""
         configuration = self.view.configuration
@@ -390,7 +395,7 @@
         """Send one order and record its outcome."""
         now = time.monotonic()
         record = self.view.fleet.get(engine_state.server_id)
-        if record is None or not self.lease_state.may_order(now):
+        if record is None or not self.may_order():
             return OrderEnd.NOT_SENT
         order = ServerOrder(
             move.kind,
@@ -420,7 +425,7 @@
             engine_state.unconfirmed.remove(unconfirmed_order)
         if end in (OrderEnd.ACCEPTED, OrderEnd.ALREADY_DONE):
             self.apply_accepted(engine_state, order, end, now + takes_s, now)
-        if end is OrderEnd.NOT_SENT:
+        if end is OrderEnd.NOT_SENT and self.may_order():
             record.record_unresponsive(now)
         self.metrics.count_order(move.kind.value, end.value)
         log_order(plan, engine_state, move, order, end, from_store)
@@ -430,7 +435,7 @@
         """Send an order and return the outcome that the engine's response means."""
         address = (record.entry.host, record.entry.port)
         sent = make_order(order, record.entry.server_id)
-        answer = await call_server(self.pool, address, sent, ORDER_TIMEOUT_S)
+        answer = await call_server(self.pool, address, sent, ORDER_TIMEOUT_S, self.may_order)
         if isinstance(answer, Success):
             return read_order_end(answer.unwrap().status)
         if answer.failure().fault is TableFault.UNAVAILABLE:
--- a/test/helper_odd_values.py
+++ b/test/helper_odd_values.py
@@ -16,6 +16,7 @@
 from rhubarbshed.transport.edge.control import ControlAnswer
 from rhubarbshed.transport.edge.node import Node
 from rhubarbshed.transport.edge.store import StoreClient
+from rhubarbshed.util.clocks import read_lease_clock
 from standin.replica import Replica
 from standin.rows import RowStore
 from test.helper_edge import (
@@ -160,7 +161,7 @@
         node.holder_protocol.datagrams.connection_made(transport)
         now = time.monotonic()
         node.lease.lease_state.record_acquired(1, now, False)
-        node.lease.lease_state.may_order_until = now + 60.0
+        node.lease.lease_state.may_order_until = read_lease_clock() + 60.0
         node.holder_protocol.instances[PEER] = now
         works = (node.follower.follow_configuration, node.follower.follow_servers)
         return cls(node, store, transport, [asyncio.create_task(work()) for work in works])
@@ -168,7 +169,7 @@
     async def settle(self) -> None:
         """Wait until the tasks that follow the store have read all; they must not end."""
         node = self.node
-        node.lease.lease_state.renewed_at = time.monotonic()
+        node.lease.lease_state.renewed_at = read_lease_clock()
         for _ in range(200):
             await asyncio.sleep(0.001)
             for task in self.tasks:
--- a/test/test_odd_messages.py
+++ b/test/test_odd_messages.py
@@ -24,6 +24,7 @@
 from rhubarbshed.transport.edge import follower
 from rhubarbshed.transport.edge.datagrams import Datagrams
 from rhubarbshed.transport.edge.holder_protocol import KnownHolder
+from rhubarbshed.util.clocks import read_lease_clock
 from standin.replica import Replica
 from test.helper_edge import make_configuration, make_engine_service, make_host, make_route
 from test.helper_odd_values import ODD_JSON, PEER, PLACE, MemoryNode, fill, play_odd
@@ -126,7 +127,7 @@
                 memory.use()
                 await asyncio.sleep(0)
             memory.node.lease.lease_state.held = True
-            memory.node.lease.lease_state.may_order_until = time.monotonic() + 60.0
+            memory.node.lease.lease_state.may_order_until = read_lease_clock() + 60.0
             memory.use()
             choose_after(memory)
             memory.read_sent()
