Tell an engine that had started again before a stream from one that ended in it

Cause: refused the rest of each stream whose engine was back under its id when it was asked; test_edge_unframed ("engine restarted under its id") failed since, and was not run then. Change: only a start that was made before the request was sent casts doubt on the version; engines name it in Unix time.

--- a/rhubarbshed/transport/edge/relay.py
+++ b/rhubarbshed/transport/edge/relay.py
@@ -575,7 +575,9 @@
         if not attempt.begun or attempt.record is None or response.origin is not attempt.origin:
             return True
         service = self.relay.view.configuration.services.get(attempt.record.entry.service)
-        if not await self.relay.crashes.checks.has_restarted(attempt.record, service):
+        begun_ms = (time.time() - time.monotonic() + attempt.sent_at) * 1000.0
+        checks = self.relay.crashes.checks
+        if not await checks.had_restarted(attempt.record, service, begun_ms):
             return True
         response.origin = StreamOrigin(attempt.origin.service, UNKNOWN_VERSION)
         # A second origin of the stream makes it one that nobody can tell the version of.
--- a/rhubarbshed/transport/edge/server_checks.py
+++ b/rhubarbshed/transport/edge/server_checks.py
@@ -128,19 +128,38 @@
 
         Only engines name their start. One that gives no report shows nothing.
         """
-        if service is None or service.engine is None:
-            return False
-        try:
-            async with asyncio.timeout(START_TIMEOUT_S):
-                answer = await self._call(record, service)
-        except TimeoutError:
-            return False
+        answer = await self._ask_for_start(record, service)
         if answer is None:
             return False
         if answer.status == STATUS_MISDIRECTED:
             return True
         return isinstance(read_report(answer.body), Success) and not is_same_start(record, answer)
 
+    async def had_restarted(
+        self, record: ServerRecord, service: ServiceSpec | None, at_ms: float
+    ) -> bool:
+        """Return whether an engine shows another start than its entry, made before `at_ms`.
+
+        That is milliseconds of Unix time, as engines name their start.
+        """
+        answer = await self._ask_for_start(record, service)
+        if answer is None or answer.status == STATUS_MISDIRECTED or is_same_start(record, answer):
+            return False
+        report = read_report(answer.body)
+        return isinstance(report, Success) and report.unwrap().started_ms < at_ms
+
+    async def _ask_for_start(
+        self, record: ServerRecord, service: ServiceSpec | None
+    ) -> ControlAnswer | None:
+        """Ask an engine for its report, which names its start; None if there is no answer soon."""
+        if service is None or service.engine is None:
+            return None
+        try:
+            async with asyncio.timeout(START_TIMEOUT_S):
+                return await self._call(record, service)
+        except TimeoutError:
+            return None
+
     async def _ask_for_sign(self, record: ServerRecord, service: ServiceSpec | None) -> bool | None:
         """Return whether the server itself answers, None if nobody does."""
         answer = await self._call(record, service)
