Move a stalled stream that sends a byte now and then

A stream counted as silent by its bytes alone, so a byte each 0.3 s inside one event kept it at its server until the route's timeout, and its caller got no whole answer though another server was free. Change: what counts is a whole event, or 4 KiB of one that is not complete.

--- a/rhubarbshed/transport/edge/attempts.py
+++ b/rhubarbshed/transport/edge/attempts.py
@@ -46,6 +46,10 @@
 """Longest gap within a stream that another server can continue; callers give up after two
 seconds."""
 
+PROGRESS_BYTES_MIN = 4_096
+"""Bytes of an event that is not complete yet which count as progress of its stream; a server that
+sends a byte now and then is stalled."""
+
 BUFFERED_BYTES_MAX = 262_144
 """Length up to which a plain response is buffered until it is complete, so that a truncated one can
 be requested again. A longer one is passed on as it arrives, or given up if it is a failure."""
@@ -222,7 +226,7 @@
             timer.limit_s = STREAM_GAP_TIMEOUT_S
             if may_retry:
                 timer.start()
-            return await self.relay_stream(response, head, first)
+            return await self.relay_stream(response, head, first, timer)
         finally:
             timer.cancel()
 
@@ -412,7 +416,7 @@
             raise ChannelError("the connection ended, and the server may have")
 
     async def relay_stream(
-        self, response: h11.Response, head: ResponseHead, event: Event
+        self, response: h11.Response, head: ResponseHead, event: Event, timer: SilenceTimer
     ) -> ExchangeEnd:
         """Relay events as they arrive; a stream that breaks off is never terminated."""
         caller_response = self.caller_response
@@ -420,7 +424,8 @@
         caller_response.splitter.drop_partial()
         resumed = caller_response.splitter.events > 0
         caller_response.begin_stream(head, self.origin)
-        tail = b""
+        tail, counted = b"", 0
+        timer.progress_at = time.monotonic()
         while not isinstance(event, h11.EndOfMessage):
             data = bytes(event.data)
             tail = (tail + data)[-TAIL_BYTES:]
@@ -429,6 +434,8 @@
                 self.begun = True
                 self.on_begun()
             await caller_response.send(complete)
+            if complete or self.body_bytes - counted >= PROGRESS_BYTES_MIN:
+                timer.progress_at, counted = time.monotonic(), self.body_bytes
             event = await self.receive_body()
         broken_off = check_stream_end(response, tail, resumed)
         if broken_off:
--- a/test/test_edge_silence.py
+++ b/test/test_edge_silence.py
@@ -1,6 +1,7 @@
 """Plain answers that take long though their servers are not silent."""
 
 import asyncio
+import time
 
 import pytest
 
@@ -165,3 +166,44 @@
             assert (await asking).status == 200
 
     play(scene)
+
+
+def write_slowly(text: bytes, step: int) -> Reply:
+    """Return a reply with one whole event, and then parts of the next one."""
+
+    async def send_parts(exchange: Exchange) -> None:
+        exchange.begin_stream()
+        exchange.send_chunk(b"id: 1\ndata: a\n\n")
+        for start in range(0, len(text), step):
+            await asyncio.sleep(SILENCE_S / 4)
+            exchange.send_chunk(text[start : start + step])
+        exchange.end_stream()
+
+    return send_parts
+
+
+async def finish(exchange: Exchange) -> None:
+    """Write the second and last event of a stream."""
+    exchange.begin_stream()
+    exchange.send_chunk(b"id: 2\ndata: b\n\n")
+    exchange.end_stream()
+
+
+@pytest.mark.parametrize(
+    ("text", "step", "servers"),
+    [(b"id: 2\ndata: b\n\n", 1, 2), (b"id: 2\ndata: " + bytes(48_000) + b"\n\n", 6_000, 1)],
+)
+def test_stalled_stream_goes_on_elsewhere_and_a_long_event_is_waited_for(text, step, servers):
+    """A byte now and then kept a stalled stream at its server until the route's timeout."""
+
+    async def scene():
+        replicas = [Replica("b1", reply=write_slowly(text, step)), Replica("b2", reply=finish)]
+        route = make_route("streaming", "/s/", Resumable=True, TargetGapMs=150)
+        async with run_edge(make_configuration(route), *replicas) as edge:
+            edge.node.view.fleet.get("b2").record_load_sample(7, 0, time.monotonic())
+            answer = await edge.ask("/s/x", b"x")
+            assert answer.whole and answer.body.endswith(b"\n\n")
+            assert answer.body.count(b"id: 1") == answer.body.count(b"id: 2") == 1
+            assert sum(len(replica.got) for replica in replicas) == servers
+
+    play(scene)
