Count the wait in the kernel for all connections of the first 0.2 s

Cause: a small instance needs more than the 0.05 s to accept what has queued at the early listener, and the later ones of these requests would have kept more time than their callers have left. Change: FIRST_ACCEPTS_S is 0.2 s; a request that comes just then loses half a second at most.

--- a/rhubarbshed/transport/edge/node.py
+++ b/rhubarbshed/transport/edge/node.py
@@ -66,7 +66,7 @@
 STORE_CONNECT_TIMEOUT_S = 1.0
 """Time for a connection to the store."""
 
-FIRST_ACCEPTS_S = 0.05
+FIRST_ACCEPTS_S = 0.2
 """Time after the listeners are opened in which connections are accepted that may have waited since
 the early listener was opened."""
 
