--- a/rhubarbshed/coordination/serving/update_queue.py
+++ b/rhubarbshed/coordination/serving/update_queue.py
@@ -21,7 +21,7 @@
 """Time between two messages with the load of servers, which changes within the length of a
 stream."""
 
-LOADS_REPEATED = 4
+LOADS_REPEAT_MESSAGES = 4
 """Messages with loads after which all are sent again, also those that have not changed: receivers
 take an old load for an uncertain one."""
 
@@ -49,7 +49,7 @@
             return ()
         self.loads_sent_at = now
         self.loads_messages += 1
-        if self.loads_messages % LOADS_REPEATED == 0:
+        if self.loads_messages % LOADS_REPEAT_MESSAGES == 0:
             self.sent_loads = {}
         changed = {
             server_id: load
--- a/rhubarbshed/transport/edge/control.py
+++ b/rhubarbshed/transport/edge/control.py
@@ -65,6 +65,7 @@
     except ChannelError as error:
         return Failure(TableError(TableFault.UNAVAILABLE, detail=str(error)))
     if not may_send():
+        channel.idle_since = time.monotonic()
         pool.release(address, channel)
         return Failure(TableError(TableFault.UNAVAILABLE, detail="the permission has run out"))
     try:
