--- a/test/test_edge_repeated_answers.py
+++ b/test/test_edge_repeated_answers.py
@@ -256,6 +256,7 @@
         async with run_edge(ENGINES, replica) as edge:
             record = edge.node.view.fleet.get("b1")
             order = ServerOrder(OrderKind.LOAD, "m2", "i1", 1, "", 0)
+            await edge.wait_until(edge.node.dispatcher.may_order)
             ends = [await edge.node.dispatcher.call_engine(record, order) for _ in range(3)]
             assert ends == [OrderEnd.ACCEPTED, OrderEnd.CONFLICT, OrderEnd.CONFLICT]
 
