Log as callers can connect to a starting instance

What callers saw: see docs/incidents/signals-during-the-start.md. Cause: nothing was logged before `started`, so an instance that ended with callers waiting looked like one that was killed before anybody could connect. Change: `listening` as the callers' socket is opened; without `started` behind it, callers were lost.

--- a/rhubarbshed/front.py
+++ b/rhubarbshed/front.py
@@ -2,6 +2,7 @@
 
 import gc
 import importlib
+import logging
 import os
 import sys
 import time
@@ -11,6 +12,9 @@
 from rhubarbshed.transport.early_listener import open_listener
 from rhubarbshed.util.bounded_logs import start_bounded_logging
 from rhubarbshed.util.front import FrontSettings
+from rhubarbshed.util.logs import log_event
+
+LOG = logging.getLogger(__name__)
 
 SETTINGS_VARIABLE = "RHUBARBSHED_SETTINGS"
 EXIT_BAD_SETTINGS = 2
@@ -40,6 +44,8 @@
     gc.disable()
     importlib.import_module(LOADED_BEFORE_LISTENING)
     listener, opened_at = open_listener(settings.callers), time.monotonic()
+    if listener is not None:
+        log_event(LOG, logging.INFO, "listening", instance=settings.name)
     import asyncio
 
     from rhubarbshed.transport.edge.node import Node
