Note signals from the first step of a start on

What callers saw: one who had connected to a starting instance and sent a whole request was reset if the instance got SIGTERM, SIGINT or SIGHUP, a changed configuration included, before its event loop ran. Cause: the callers' socket was opened before any handler was set, so the signals had their default action, which ends the process. Change: the handlers are set before anything else is loaded and note the time. Those of the event loop take over what was noted: a stop counts from its signal, SIGHUP reloads once the loop runs, and a stop before the callers' socket is open ends the start, with exit code 0. The module of the start is apart from the program's entry, so that what it imports is loaded behind the handlers.

--- a/rhubarbshed/transport/edge/node.py
+++ b/rhubarbshed/transport/edge/node.py
@@ -107,7 +107,8 @@
     """One instance with its parts.
 
     `early_listener` is the socket for callers if it was opened before, at `opened_at`; connections
-    are accepted from `listening_at` on (monotonic seconds).
+    are accepted from `listening_at` on (monotonic seconds). `noted_signals` came before its own
+    handlers.
     """
 
     path: str
@@ -134,6 +135,7 @@
     opened_at: float = math.inf
     listening_at: float = 0.0
     tasks: list[asyncio.Task] = field(factory=list)
+    noted_signals: Mapping[signal.Signals, float] = field(factory=dict)
 
     @classmethod
     def from_settings(cls, settings: FrontSettings, path: str) -> "Node":
@@ -268,9 +270,12 @@
         return EXIT_OK
 
     def handle_signals(self) -> None:
-        """Stop at SIGTERM and SIGINT, and reload at SIGHUP."""
-        handle_stop_signals((signal.SIGTERM, signal.SIGINT), self.view.drain, self.stop.set)
+        """Stop at SIGTERM and SIGINT, and reload at SIGHUP, also at those of the start."""
+        stops, noted = (signal.SIGTERM, signal.SIGINT), self.noted_signals
+        handle_stop_signals(stops, self.view.drain, self.stop.set, noted)
         asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, self.reload)
+        if signal.SIGHUP in noted:
+            self.reload()
 
     async def listen(self) -> None:
         """Open all listening sockets."""
--- a/rhubarbshed/transport/instance.py
+++ b/rhubarbshed/transport/instance.py
@@ -68,7 +68,7 @@
     loop = asyncio.get_running_loop()
     runtime = Runtime.from_settings(settings, loop)
     stop = StopSignals(asyncio.Event(), asyncio.Event())
-    handle_stop_signals(signals, runtime.coordinator.drain, stop.request)
+    handle_stop_signals(signals, runtime.coordinator.drain, stop.request, noted={})
     listening = await listen(runtime, stop)
     if isinstance(listening, Failure):
         log_event(LOG, logging.ERROR, "start_failed", reason=listening.failure())
--- /dev/null
+++ b/rhubarbshed/transport/startup.py
@@ -0,0 +1,69 @@
+"""Start of an instance: settings, the callers' socket, the rest of the program."""
+
+import gc
+import importlib
+import logging
+import os
+import signal
+import sys
+import time
+from collections.abc import Mapping
+
+from returns.result import Failure
+
+from rhubarbshed.transport.early_listener import open_listener
+from rhubarbshed.transport.start_signals import find_stop
+from rhubarbshed.util.bounded_logs import start_bounded_logging
+from rhubarbshed.util.front import FrontSettings
+from rhubarbshed.util.logs import log_event
+
+LOG = logging.getLogger(__name__)
+
+SETTINGS_VARIABLE = "RHUBARBSHED_SETTINGS"
+EXIT_OK = 0
+EXIT_BAD_SETTINGS = 2
+
+LOADED_BEFORE_LISTENING = "rhubarbshed.transport.edge.attempts"
+"""Module that brings in half of the program; callers do not wait for the time that this half takes,
+which on a small instance is longer than their targets."""
+
+
+def start(noted: Mapping[signal.Signals, float]) -> int:
+    """Read the settings that the environment names, run an instance, and return its exit code.
+
+    `noted` are the signals since the start of the process, and gets those to come.
+    """
+    path = os.environ.get(SETTINGS_VARIABLE, "")
+    read = FrontSettings.from_file(path)
+    if isinstance(read, Failure):
+        print(f"rhubarbshed-front: {'; '.join(read.failure())}", file=sys.stderr)
+        return EXIT_BAD_SETTINGS
+    settings = read.unwrap()
+    handler = start_bounded_logging(settings.log_level)
+    code = run(settings, path, noted)
+    handler.flush()
+    return code
+
+
+def run(settings: FrontSettings, path: str, noted: Mapping[signal.Signals, float]) -> int:
+    """Load the program and run it until it is stopped; return its exit code."""
+    # What modules define lives as long as the process; collecting it delays the start by a tenth.
+    gc.disable()
+    importlib.import_module(LOADED_BEFORE_LISTENING)
+    if find_stop(noted) is not None:
+        log_event(LOG, logging.INFO, "stopped_before_listening", instance=settings.name)
+        return EXIT_OK
+    listener, opened_at = open_listener(settings.callers), time.monotonic()
+    if listener is not None:
+        log_event(LOG, logging.INFO, "listening", instance=settings.name)
+    import asyncio
+
+    from rhubarbshed.transport.edge.node import Node
+
+    gc.freeze()
+    gc.enable()
+    node = Node.from_settings(settings, path)
+    node.noted_signals = noted
+    if listener is not None:
+        node.early_listener, node.opened_at = listener, opened_at
+    return asyncio.run(node.run())
--- a/test/test_deploy.py
+++ b/test/test_deploy.py
@@ -9,7 +9,7 @@
 ROOT = Path(__file__).parent.parent
 REQUIREMENTS = ROOT / "deploy" / "requirements.txt"
 LIST_MODULES = """
-import sys, rhubarbshed.front, rhubarbshed.transport.edge.node
+import sys, rhubarbshed.front, rhubarbshed.transport.startup, rhubarbshed.transport.edge.node
 rhubarbshed.transport.edge.node.FrontMetrics().render({})
 print(*{name.split('.')[0] for name in sys.modules})
 """
--- /dev/null
+++ b/test/test_edge_start.py
@@ -0,0 +1,110 @@
+"""Starts of an instance that runs as a process: signals during them, and starts that fail."""
+
+import asyncio
+import signal
+import time
+from pathlib import Path
+
+import pytest
+
+from test.helper_edge import WAIT_S, play, read_answer
+from test.test_edge_drain import make_request
+from test.test_edge_stop_signal import GRACE_S, Front, run_front, wait_for
+
+CALLERS = 4
+STARTS = 8
+START_S = 0.4
+"""Starts in a test, and the time from the first step of one in which a signal comes."""
+
+SLOW_START = """
+import time
+from rhubarbshed.transport import early_listener
+real = early_listener.open_listener
+def open_listener(*args):
+    opened = real(*args)
+    print("opened", flush=True)
+    time.sleep(0.5)
+    return opened
+early_listener.open_listener = open_listener
+from rhubarbshed import front
+front.main()
+"""
+"""Program of an instance that takes half a second more once its callers can connect."""
+
+
+async def ask(front: Front, name: str, path: str = "/s/0.05") -> int | None:
+    """Return the status of a whole answer, 0 without one, or None if nobody listens."""
+    try:
+        reader, writer = await asyncio.open_connection(*front.settings.callers)
+    except OSError:
+        return None
+    front.writers.append(writer)
+    writer.write(make_request(path, name=name))
+    try:
+        answer = await asyncio.wait_for(read_answer(reader), WAIT_S)
+    except OSError:
+        return 0
+    return answer.status if answer.whole else 0
+
+
+def catches(process: int, number: signal.Signals) -> bool:
+    """Return whether a process has a handler for a signal."""
+    status = Path(f"/proc/{process}/status").read_text()
+    (line,) = [each for each in status.splitlines() if each.startswith("SigCgt:")]
+    return bool(int(line.split()[1], 16) >> (number - 1) & 1)
+
+
+@pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGINT, signal.SIGHUP])
+def test_signal_during_the_start_ends_no_caller_without_an_answer(tmp_path, number):
+    """The process ended by the signal, as its handlers were set after its callers' socket."""
+
+    async def scene():
+        async with run_front(tmp_path, SLOW_START, "opened") as front:
+            asked = [asyncio.create_task(ask(front, f"q{each}")) for each in range(CALLERS)]
+            await asyncio.sleep(0.1)
+            signalled_at = time.monotonic()
+            front.process.send_signal(number)
+            got = await asyncio.gather(*asked)
+            if number == signal.SIGHUP:
+                assert got == [200] * CALLERS
+                assert await ask(front, "later") == 200
+                front.process.terminate()
+            # An instance that stops before it has read the store refuses.
+            assert set(got) <= {200, 503}, got
+            assert await asyncio.wait_for(front.process.wait(), GRACE_S) == 0
+            assert time.monotonic() < signalled_at + GRACE_S
+
+    play(scene)
+
+
+@pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGHUP])
+def test_signal_at_any_time_of_the_start_ends_no_caller_without_an_answer(tmp_path, number):
+    """Also in the time between the first handlers and those of the event loop."""
+
+    async def scene(step: int):
+        folder = tmp_path / str(step)
+        folder.mkdir()
+        async with run_front(folder, until="") as front:
+            await wait_for(lambda: catches(front.process.pid, number))
+            asking = asyncio.create_task(ask_repeatedly(front))
+            await asyncio.sleep(START_S * step / STARTS)
+            front.process.send_signal(number)
+            await asyncio.sleep(1.0)
+            if number == signal.SIGHUP:
+                assert front.process.returncode is None
+                assert await ask(front, "later") == 200
+                front.process.terminate()
+            assert await asyncio.wait_for(front.process.wait(), GRACE_S) == 0
+            assert 0 not in await asking
+
+    async def ask_repeatedly(front: Front) -> list[int | None]:
+        got = []
+        while front.process.returncode is None:
+            got.append(await ask(front, f"q{len(got)}"))
+            await asyncio.sleep(0.005)
+        return got
+
+    async def scenes():
+        await asyncio.gather(*(scene(step) for step in range(STARTS)))
+
+    play(scenes)
