Hold signals back once the event loop has ended

What operators saw: an instance that had served its callers to the end exited by the second SIGTERM or a SIGHUP (-15, -1) in place of 0, and its last log lines could be missing. Cause: asyncio restores the default actions as the loop is closed, and the process goes on for a while. Change: the signals are blocked before the loop is closed; the process ends by itself from there. Result: test_signal_behind_the_event_loop_... fails for SIGTERM and SIGHUP on the code before.

--- a/rhubarbshed/transport/start_signals.py
+++ b/rhubarbshed/transport/start_signals.py
@@ -30,3 +30,8 @@
     # A copy in one step, as a signal adds to it between any two.
     stops = [at for number, at in list(noted.items()) if number != signal.SIGHUP]
     return min(stops, default=None)
+
+
+def block_signals() -> None:
+    """Hold signals back until the process ends: a closed event loop restores their defaults."""
+    signal.pthread_sigmask(signal.SIG_BLOCK, NOTED_SIGNALS)
--- a/rhubarbshed/transport/startup.py
+++ b/rhubarbshed/transport/startup.py
@@ -12,7 +12,7 @@
 from returns.result import Failure
 
 from rhubarbshed.transport.early_listener import open_listener
-from rhubarbshed.transport.start_signals import find_stop
+from rhubarbshed.transport.start_signals import block_signals, find_stop
 from rhubarbshed.util.bounded_logs import start_bounded_logging
 from rhubarbshed.util.front import FrontSettings
 from rhubarbshed.util.logs import log_event
@@ -66,4 +66,7 @@
     node.noted_signals = noted
     if listener is not None:
         node.early_listener, node.opened_at = listener, opened_at
-    return asyncio.run(node.run())
+    with asyncio.Runner() as runner:
+        code = runner.run(node.run())
+        block_signals()
+    return code
--- a/test/test_edge_start.py
+++ b/test/test_edge_start.py
@@ -31,6 +31,14 @@
 """
 """Program of an instance that takes half a second more once its callers can connect."""
 
+SLOW_END = """
+import atexit, time
+from rhubarbshed import front
+atexit.register(lambda: (print("ending", flush=True), time.sleep(0.3)))
+front.main()
+"""
+"""Program of an instance that takes 0.3 s more to end."""
+
 
 async def ask(front: Front, name: str, path: str = "/s/0.05") -> int | None:
     """Return the status of a whole answer, 0 without one, or None if nobody listens."""
@@ -108,3 +116,17 @@
         await asyncio.gather(*(scene(step) for step in range(STARTS)))
 
     play(scenes)
+
+
+@pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGINT, signal.SIGHUP])
+def test_signal_behind_the_event_loop_is_no_other_end(tmp_path, number):
+    """The exit code was that of the signal, as the closed loop had restored its default action."""
+
+    async def scene():
+        async with run_front(tmp_path, SLOW_END) as front:
+            front.stop()
+            await wait_for(lambda: "ending" in (tmp_path / "log").read_text())
+            front.process.send_signal(number)
+            assert await asyncio.wait_for(front.process.wait(), GRACE_S) == 0
+
+    play(scene)
