Refuse the callers that wait as a start fails

What callers saw: one who had connected to a starting instance and sent a whole request was reset if the start failed: a port for readiness, metrics or other instances in use, or a broken invariant. Cause: the callers' socket is opened before it is known that the start succeeds, and nobody answered what the kernel had accepted. With a port in use the request could have been read already, as the callers' server was started before the others were bound. Change: all ports are bound before any request is read. Whatever ends the start, what waits at the callers' socket gets a 503 with Retry-After before the socket is closed; a defect is logged as one.

--- a/rhubarbshed/transport/edge/node.py
+++ b/rhubarbshed/transport/edge/node.py
@@ -291,15 +291,16 @@
         for number, (address, handle) in enumerate(endpoints):
             connections = self.connections if number < SERVING_LISTENERS else set()
             make = functools.partial(self.make_connection, handle, connections)
+            given: dict[str, Any] = {"reuse_address": True}
             if address == self.settings.callers and self.early_listener is not None:
-                listener = await loop.create_server(
-                    make, sock=self.early_listener, backlog=ACCEPT_BACKLOG
-                )
-            else:
-                listener = await loop.create_server(
-                    make, *address, backlog=ACCEPT_BACKLOG, reuse_address=True
-                )
+                given, address = {"sock": self.early_listener}, ()
+            listener = await loop.create_server(
+                make, *address, backlog=ACCEPT_BACKLOG, start_serving=False, **given
+            )
             self.listeners.append(listener)
+        # No request is read before all ports are known to be free.
+        for listener in self.listeners:
+            await listener.start_serving()
 
     def make_connection(
         self, handle: Handler, connections: set[CallerConnection]
--- a/rhubarbshed/transport/startup.py
+++ b/rhubarbshed/transport/startup.py
@@ -3,15 +3,17 @@
 import gc
 import importlib
 import logging
+import math
 import os
 import signal
+import socket
 import sys
 import time
 from collections.abc import Mapping
 
 from returns.result import Failure
 
-from rhubarbshed.transport.early_listener import open_listener
+from rhubarbshed.transport.early_listener import open_listener, refuse_waiting
 from rhubarbshed.transport.start_signals import block_signals, find_stop
 from rhubarbshed.util.bounded_logs import start_bounded_logging
 from rhubarbshed.util.front import FrontSettings
@@ -21,6 +23,7 @@
 
 SETTINGS_VARIABLE = "RHUBARBSHED_SETTINGS"
 EXIT_OK = 0
+EXIT_START_FAILED = 1
 EXIT_BAD_SETTINGS = 2
 
 LOADED_BEFORE_LISTENING = "rhubarbshed.transport.edge.attempts"
@@ -54,8 +57,29 @@
         log_event(LOG, logging.INFO, "stopped_before_listening", instance=settings.name)
         return EXIT_OK
     listener, opened_at = open_listener(settings.callers), time.monotonic()
-    if listener is not None:
-        log_event(LOG, logging.INFO, "listening", instance=settings.name)
+    if listener is None:
+        return serve(settings, path, noted)
+    log_event(LOG, logging.INFO, "listening", instance=settings.name)
+    try:
+        return serve(settings, path, noted, listener, opened_at)
+    except Exception:
+        LOG.critical("event=defect", exc_info=True)
+        return EXIT_START_FAILED
+    finally:
+        refuse_waiting(listener)
+
+
+def serve(
+    settings: FrontSettings,
+    path: str,
+    noted: Mapping[signal.Signals, float],
+    listener: socket.socket | None = None,
+    opened_at: float = math.inf,
+) -> int:
+    """Load the rest of the program and run it until it is stopped; return its exit code.
+
+    `listener` is the callers' socket if it was opened before, at `opened_at` (monotonic seconds).
+    """
     import asyncio
 
     from rhubarbshed.transport.edge.node import Node
@@ -64,8 +88,7 @@
     gc.enable()
     node = Node.from_settings(settings, path)
     node.noted_signals = noted
-    if listener is not None:
-        node.early_listener, node.opened_at = listener, opened_at
+    node.early_listener, node.opened_at = listener, opened_at
     with asyncio.Runner() as runner:
         code = runner.run(node.run())
         block_signals()
--- a/test/test_edge_start.py
+++ b/test/test_edge_start.py
@@ -2,11 +2,14 @@
 
 import asyncio
 import signal
+import socket
 import time
+from collections.abc import Callable
 from pathlib import Path
 
 import pytest
 
+from rhubarbshed.util.front import FrontSettings
 from test.helper_edge import WAIT_S, play, read_answer
 from test.test_edge_drain import make_request
 from test.test_edge_stop_signal import GRACE_S, Front, run_front, wait_for
@@ -31,6 +34,18 @@
 """
 """Program of an instance that takes half a second more once its callers can connect."""
 
+BROKEN_START = """
+import time
+from rhubarbshed.transport.edge import node
+from rhubarbshed import front
+def from_settings(*args):
+    time.sleep(0.3)
+    raise RuntimeError("a broken invariant")
+node.Node.from_settings = from_settings
+front.main()
+"""
+"""Program of an instance that cannot be created, 0.3 s after its callers can connect."""
+
 SLOW_END = """
 import atexit, time
 from rhubarbshed import front
@@ -55,6 +70,15 @@
     return answer.status if answer.whole else 0
 
 
+async def ask_repeatedly(front: Front) -> list[int | None]:
+    """Ask every few milliseconds until the process has ended; return what `ask` returned."""
+    got = []
+    while front.process.returncode is None:
+        got.append(await ask(front, f"q{len(got)}"))
+        await asyncio.sleep(0.005)
+    return got
+
+
 def catches(process: int, number: signal.Signals) -> bool:
     """Return whether a process has a handler for a signal."""
     status = Path(f"/proc/{process}/status").read_text()
@@ -105,13 +129,6 @@
             assert await asyncio.wait_for(front.process.wait(), GRACE_S) == 0
             assert 0 not in await asking
 
-    async def ask_repeatedly(front: Front) -> list[int | None]:
-        got = []
-        while front.process.returncode is None:
-            got.append(await ask(front, f"q{len(got)}"))
-            await asyncio.sleep(0.005)
-        return got
-
     async def scenes():
         await asyncio.gather(*(scene(step) for step in range(STARTS)))
 
@@ -130,3 +147,45 @@
             assert await asyncio.wait_for(front.process.wait(), GRACE_S) == 0
 
     play(scene)
+
+
+@pytest.mark.parametrize(
+    ("find_port", "kind"),
+    [
+        (lambda settings: settings.ready[1], socket.SOCK_STREAM),
+        (lambda settings: settings.metrics_port, socket.SOCK_STREAM),
+        (lambda settings: settings.peers_port, socket.SOCK_STREAM),
+        (lambda settings: settings.peers_port, socket.SOCK_DGRAM),
+    ],
+    ids=["ready", "metrics", "peers", "datagrams"],
+)
+def test_caller_of_a_start_that_fails_by_a_port_in_use_is_not_reset(
+    tmp_path, find_port: Callable, kind: socket.SocketKind
+):
+    """It had connected, and sent a whole request, before the port was tried."""
+
+    async def scene():
+        async with run_front(tmp_path, until="", prepare=occupy) as front:
+            assert 0 not in await ask_repeatedly(front)
+            assert front.process.returncode == 1
+            log = (tmp_path / "log").read_text()
+            assert "event=start_failed" in log and "Traceback" not in log
+
+    def occupy(settings: FrontSettings) -> None:
+        taken.bind((settings.host, find_port(settings)))
+        if kind == socket.SOCK_STREAM:
+            taken.listen()
+
+    with socket.socket(type=kind) as taken:
+        play(scene)
+
+
+def test_caller_of_a_start_that_fails_by_a_defect_is_refused(tmp_path):
+    async def scene():
+        async with run_front(tmp_path, BROKEN_START, "event=listening") as front:
+            asked = [asyncio.create_task(ask(front, f"q{each}")) for each in range(CALLERS)]
+            assert await asyncio.gather(*asked) == [503] * CALLERS
+            assert await asyncio.wait_for(front.process.wait(), WAIT_S) == 1
+            assert "event=defect" in (tmp_path / "log").read_text()
+
+    play(scene)
--- a/test/test_edge_stop_signal.py
+++ b/test/test_edge_stop_signal.py
@@ -116,11 +116,15 @@
 
 @contextlib.asynccontextmanager
 async def run_front(
-    folder: Path, code: str = "", until: str = "event=server_came", reply: Reply = stream
+    folder: Path,
+    code: str = "",
+    until: str = "event=server_came",
+    reply: Reply = stream,
+    prepare: Callable[[FrontSettings], None] = lambda settings: None,
 ) -> AsyncIterator[Front]:
     """Run an instance until the block ends; the block starts as `until` is in its log.
 
-    The process runs `code` in place of the daemon's module, if given.
+    The process runs `code` in place of the daemon's module, if given, once `prepare` has returned.
     """
     store, replica = RowStore(), Replica("b1", slots=100, reply=reply)
     await store.start()
@@ -141,6 +145,7 @@
         )
     )
     settings = FrontSettings.from_file(str(path)).unwrap()
+    prepare(settings)
     with (folder / "log").open("wb") as log:
         process = await asyncio.create_subprocess_exec(
             sys.executable,
