Send signals to starting instances in the soak

Change: after some stops an instance gets SIGHUP, or is stopped once more, up to 0.3 s after callers can connect to it. A mutation leaves signals their default action until the event loop runs. Two mutations had lost the lines that they replace (a drain's end, a connection's earlier requests); they apply again.

--- a/test/soak/faults.py
+++ b/test/soak/faults.py
@@ -32,6 +32,9 @@
 SECOND_SIGNAL_S = (0.0, 2.9)
 """Instances in a series of stops, and time from SIGTERM to a second signal or a configuration."""
 
+START_SIGNAL_S = (0.0, 0.3)
+"""Time from the first connection to a starting instance to a signal."""
+
 PLANNED_FRACTION = 0.3
 """Fraction of draws that choose a planned change instead of a fault."""
 
@@ -273,6 +276,19 @@
         faults.scene.programs[name].send(number)
 
 
+async def signal_as_it_starts(faults: Faults) -> None:
+    """Stop an instance, and send it SIGHUP or stop it once more while it starts again."""
+    scene, rng = faults.scene, faults.rng
+    name = rng.choice(list(scene.instances))
+    await _stop(faults, name)
+    await scene.wait_listening(name)
+    await asyncio.sleep(rng.uniform(*START_SIGNAL_S))
+    if rng.random() < 0.5:
+        scene.programs[name].send(signal.SIGHUP)
+    else:
+        await scene.stop_instance(name, STOP_TIMEOUT_S)
+
+
 async def remove_server(faults: Faults) -> None:
     """Remove a backend server as planned: its entry is deleted while it keeps serving."""
     name = faults.rng.choice((faults.rng.choice(faults.scene.engines), "p1", "p2"))
@@ -325,6 +341,7 @@
     stop_beside_change,
     stop_series,
     stop_series,
+    signal_as_it_starts,
 )
 PLANNED_CHANGES: tuple[Fault, ...] = (
     *STOPS,
--- a/test/soak/mutations.py
+++ b/test/soak/mutations.py
@@ -38,7 +38,7 @@
     (
         "not_run",
         f"{EDGE}/pools.py",
-        "elif not channel.has_carried(request_id):",
+        "elif not request_id or not channel.has_carried(request_id):",
         "else:",
     ),
     (
@@ -89,7 +89,7 @@
     (
         "stops",
         "rhubarbshed/coordination/requests/drain.py",
-        "if open_requests == 0 or self.is_over(now):",
+        "if pending == 0 or self.is_over(now):",
         "if passed_s:",
     ),
     (
@@ -98,6 +98,7 @@
         "drain_s = max(0.0, settings.grace_s - ANNOUNCE_S - CLOSE_MARGIN_S)",
         "drain_s = 0.5",
     ),
+    ("stops", "rhubarbshed/front.py", "noted = note_signals()", "noted = {}"),
     (
         "gone",
         f"{EDGE}/caller_connections.py",
--- a/test/soak/scene.py
+++ b/test/soak/scene.py
@@ -230,6 +230,18 @@
         except (OSError, TimeoutError):
             return False
 
+    async def wait_listening(self, name: str) -> None:
+        """Wait until callers can connect to an instance, which may be far from ready."""
+        until = time.monotonic() + READY_TIMEOUT_S
+        while time.monotonic() < until:
+            try:
+                _, writer = await asyncio.open_connection("127.0.0.1", self.listeners[name])
+            except OSError:
+                await asyncio.sleep(0.005)
+            else:
+                writer.close()
+                return
+
     async def wait_until(self, condition) -> None:
         """Wait until an asynchronous condition holds."""
         until = time.monotonic() + READY_TIMEOUT_S + READY_TIMEOUT_EACH_S * len(self.instances)
