Give orders at once as a holder starts again

Cause: whoever takes the lease waits a lease for the orders of the holder before, also where that was an earlier process of the same instance, which has ended. Change: the lease's row says whether its holder gives orders (it waits for nobody). An instance that finds its own row of another process with that mark takes it over at once and gives orders. Without the mark, as an earlier build leaves it, or if its own process still waited for another holder, it waits as before. Loads from the weight store wait in any case, as those of the earlier process count towards the common rate.

--- a/rhubarbshed/coordination/serving/lease_state.py
+++ b/rhubarbshed/coordination/serving/lease_state.py
@@ -5,6 +5,10 @@
 in flight: a holder stops `ORDER_RIGHT_FRACTION` of a lease after it sent its last answered renewal,
 and the next holder waits a lease from that moment. A holder that cannot reach the store stops, and
 resumes once a renewal shows that no other instance has taken over.
+
+After a loss of power to all instances nobody gives orders until the lease has a holder again. An
+instance whose own earlier process held the lease, and gave orders, takes it back at once: its
+process has ended, and no other holder's orders can be less than a lease old.
 """
 
 import enum
@@ -70,8 +74,10 @@
     """Lease as known to one instance; times are monotonic seconds.
 
     `version` is the version of the row as last read, and `version_seen_at` when that version was
-    first read. Orders are allowed from `may_order_from`, until which a new holder waits, to
-    `may_order_until`. A holder that took the lease while it was cut off keeps it through that cut.
+    first read; an earlier process of this instance, which gave orders, left it if `is_resumable`.
+    Orders are allowed from `may_order_from`, until which a new holder waits, to `may_order_until`;
+    those that count towards a common rate wait until `may_load_from` in any case. A holder that
+    took the lease while it was cut off keeps it through that cut.
     """
 
     lease_s: float
@@ -85,6 +91,8 @@
     token: int = 0
     may_order_until: float = 0.0
     may_order_from: float = 0.0
+    may_load_from: float = 0.0
+    is_resumable: bool = False
     renewed_at: float = 0.0
     acquired_in_cut: bool = False
 
@@ -116,6 +124,8 @@
         delay_s = self.jitter_s + (self.lease_s * CUT_DELAY_FRACTION if cut_s > 0.0 else 0.0)
         if now - self.last_received_at < self.lease_s * NO_MESSAGE_FRACTION + delay_s:
             return Step.WAIT
+        if self.version > 0 and self.is_resumable:
+            return Step.TAKE_OVER
         if now - self.read_at < self.lease_s * TAKEOVER_FRACTION:
             return Step.WAIT
         if self.version == 0:
@@ -124,12 +134,20 @@
             return Step.TAKE_OVER
         return Step.READ
 
-    def record_row(self, version: int, holder: str, now: float) -> None:
+    def gives_orders(self, now: float) -> bool:
+        """Return whether the row may state that its holder gives orders and waits for no other.
+
+        It is written with a takeover, too, for a process that reads it after this one has ended.
+        """
+        return now >= self.may_order_from if self.held else self.is_resumable or self.version == 0
+
+    def record_row(self, version: int, holder: str, now: float, is_resumable: bool = False) -> None:
         """Record the row as read; a row that does not exist has version 0."""
         if version != self.version:
             self.version = version
             self.version_seen_at = now
         self.holder = holder
+        self.is_resumable = is_resumable
         self.read_at = now
 
     def record_acquired(
@@ -137,8 +155,9 @@
     ) -> None:
         """Record that this instance acquired the lease, and when its orders may start.
 
-        With `waits` there was a holder before, and orders start a lease after the end of its right.
-        It sent its last renewal before the row was first seen at this version.
+        With `waits` there was a holder before, and orders start a lease after the end of its right,
+        unless it was an earlier process of this instance. It sent its last renewal before the row
+        was first seen at this version.
         """
         last_right = self.version_seen_at + self.lease_s * ORDER_RIGHT_FRACTION
         self.held = True
@@ -147,7 +166,9 @@
         self.token = version
         self.renewed_at = sent_at
         self.may_order_until = sent_at + self.lease_s * ORDER_RIGHT_FRACTION
-        self.may_order_from = last_right + self.lease_s if waits else sent_at
+        self.may_load_from = last_right + self.lease_s if waits else sent_at
+        self.may_order_from = sent_at if self.is_resumable else self.may_load_from
+        self.is_resumable = False
 
     def record_renewed(self, version: int, sent_at: float) -> None:
         """Record a renewal that the store has confirmed."""
@@ -159,5 +180,6 @@
         """Record the loss of the lease."""
         self.held = False
         self.version = -1
+        self.is_resumable = False
         self.read_at = -1e9
         self.last_received_at = now
--- a/rhubarbshed/coordination/serving/load_rate.py
+++ b/rhubarbshed/coordination/serving/load_rate.py
@@ -1,6 +1,7 @@
 """Limit of the loads that begin from the weight store, common to all order holders."""
 
 import collections
+import math
 
 from attrs import define, field
 
@@ -18,12 +19,14 @@
     Together the `holders` may begin `limit` loads in `window_s`. While they all receive each
     other's messages, each counts the loads of all of them and leaves one load for each other holder
     whose last one may not be known yet. A holder that misses messages of another uses only its own
-    part of the limit.
+    part of the limit. One that does not know what its earlier process began starts none before
+    `not_before` (monotonic seconds).
     """
 
     limit: int
     window_s: float
     holders: int
+    not_before: float = -math.inf
     started: collections.deque[tuple[float, bool]] = field(factory=collections.deque)
 
     @classmethod
@@ -36,6 +39,8 @@
 
     def allows(self, sees_all_engines: bool, now: float) -> bool:
         """Return whether a load may begin."""
+        if now < self.not_before:
+            return False
         while self.started and self.started[0][0] <= now - self.window_s - WINDOW_MARGIN_S:
             self.started.popleft()
         own = sum(1 for _, is_own in self.started if is_own)
--- a/rhubarbshed/transport/edge/lease.py
+++ b/rhubarbshed/transport/edge/lease.py
@@ -39,11 +39,15 @@
 
 @frozen
 class LeaseRow:
-    """Value of a lease's row: its holder and where that receives messages."""
+    """Value of a lease's row: its holder and where that receives messages.
+
+    `nonce` is that of the holder's process, which `gives_orders`: it waits for no other holder.
+    """
 
     holder: str
     address: Address
     nonce: str = ""
+    gives_orders: bool = False
 
 
 def read_lease_row(value: dict[str, Any]) -> Result[LeaseRow, str]:
@@ -54,7 +58,7 @@
         return Failure("its holder is no short text")
     if not is_address(address):
         return Failure("its address is none")
-    return Success(LeaseRow(holder, address, nonce))
+    return Success(LeaseRow(holder, address, nonce, value.get("gives_orders") is True))
 
 
 @define
@@ -169,13 +173,24 @@
         log_event(LOG, logging.INFO, "lease_unreadable", key=row.key, reason=why)
         return None
 
-    def _make_value(self) -> dict[str, object]:
+    def _make_value(self, now: float) -> dict[str, object]:
         host, port = self.address
-        return {"holder": self.name, "host": host, "port": port, "nonce": self.nonce}
+        return {
+            "holder": self.name,
+            "host": host,
+            "port": port,
+            "nonce": self.nonce,
+            "gives_orders": self.lease_state.gives_orders(now),
+        }
+
+    def _is_resumable(self, row: LeaseRow) -> bool:
+        """Return whether an earlier process of this instance left the row, and gave orders."""
+        is_own = (row.holder, row.address) == (self.name, self.address)
+        return is_own and row.nonce != self.nonce and row.gives_orders
 
     async def _write(self) -> Result[Committed, TableError]:
         checks = (Check(self.key, self.lease_state.version),)
-        write = Write(self.key, self._make_value())
+        write = Write(self.key, self._make_value(read_lease_clock()))
         return await self.store.commit(OWN_TABLE, Transaction(checks, (write,)))
 
     async def _read(self) -> None:
@@ -197,7 +212,8 @@
         # A row that cannot be read is a lease as well, which lapses unless it changes.
         holder = read.holder if read is not None else ""
         before = self.lease_state.holder
-        self.lease_state.record_row(row.version, holder, now)
+        is_resumable = read is not None and self._is_resumable(read)
+        self.lease_state.record_row(row.version, holder, now, is_resumable)
         if read is not None:
             self.holder_address = read.address
         if holder != before:
@@ -209,10 +225,12 @@
         if isinstance(result, Success):
             version = result.unwrap().revision
             in_cut = self.measure_cut(time.monotonic()) > 0.0
+            resumed = self.lease_state.is_resumable
             self.lease_state.record_acquired(version, sent_at, step is Step.TAKE_OVER, in_cut)
             self.holder_address = self.address
+            before = self.lease_state.holder
             log_event(
-                LOG, logging.INFO, "lease_taken", token=version, before=self.lease_state.holder
+                LOG, logging.INFO, "lease_taken", token=version, before=before, resumed=resumed
             )
             return
         self._apply_conflict(result.failure())
--- a/rhubarbshed/transport/edge/order_dispatcher.py
+++ b/rhubarbshed/transport/edge/order_dispatcher.py
@@ -148,6 +148,8 @@
             rate = self.rates.get(service)
             if rate is None:
                 rate = self.rates[service] = self.make_load_rate(service, engine)
+                # The lease has a clock of its own, which counts suspensions.
+                rate.not_before = now + self.lease_state.may_load_from - read_lease_clock()
             moves += plan_prefetch(plan, moves) or plan_models(plan, rate)
             log_unserved(plan, rate, self.unserved_logged_at)
             self.record_placement(plan)
