Hold signals back also as a start is stopped or fails

What callers saw: nothing; a process that was stopped before it listened, or that had failed and was refusing its callers, ended by a further signal in place of its exit code. Cause: signals were held back only once the event loop had returned. As it raises, its close restores the default actions, and so does the interpreter's end behind a start without a loop. Change: signals are held back before the loop is closed however it ends, and before the interpreter ends.

--- a/rhubarbshed/front.py
+++ b/rhubarbshed/front.py
@@ -2,7 +2,7 @@
 
 import sys
 
-from rhubarbshed.transport.start_signals import note_signals
+from rhubarbshed.transport.start_signals import block_signals, note_signals
 
 
 def main() -> None:
@@ -11,7 +11,9 @@
     # Imported once signals are noted, as that takes a tenth of a second.
     from rhubarbshed.transport.startup import start
 
-    sys.exit(start(noted))
+    code = start(noted)
+    block_signals()
+    sys.exit(code)
 
 
 if __name__ == "__main__":
--- a/rhubarbshed/transport/start_signals.py
+++ b/rhubarbshed/transport/start_signals.py
@@ -33,5 +33,8 @@
 
 
 def block_signals() -> None:
-    """Hold signals back until the process ends: a closed event loop restores their defaults."""
+    """Hold signals back until the process ends.
+
+    An event loop that is closed restores their default actions, and so does the interpreter's end.
+    """
     signal.pthread_sigmask(signal.SIG_BLOCK, NOTED_SIGNALS)
--- a/rhubarbshed/transport/startup.py
+++ b/rhubarbshed/transport/startup.py
@@ -90,6 +90,7 @@
     node.noted_signals = noted
     node.early_listener, node.opened_at = listener, opened_at
     with asyncio.Runner() as runner:
-        code = runner.run(node.run())
-        block_signals()
-    return code
+        try:
+            return runner.run(node.run())
+        finally:
+            block_signals()
--- a/test/test_edge_start.py
+++ b/test/test_edge_start.py
@@ -46,6 +46,32 @@
 """
 """Program of an instance that cannot be created, 0.3 s after its callers can connect."""
 
+BROKEN_RUN = """
+import time
+from rhubarbshed.transport.edge import node
+from rhubarbshed import front
+async def run(self):
+    self.handle_signals()
+    time.sleep(0.3)
+    raise RuntimeError("a broken invariant")
+node.Node.run = run
+front.main()
+"""
+"""Program of an instance that fails in its event loop, 0.3 s after its callers can connect."""
+
+STOPPED_START = """
+import os, signal, time
+from rhubarbshed import front
+class SlowEnd:
+    def __del__(self, write=os.write, sleep=time.sleep):
+        write(1, b"ending")
+        sleep(0.3)
+slow_end, note = SlowEnd(), front.note_signals
+front.note_signals = lambda: (note(), signal.raise_signal(signal.SIGTERM))[0]
+front.main()
+"""
+"""Program of an instance that is stopped at its first step, and takes 0.3 s more to end."""
+
 SLOW_END = """
 import atexit, time
 from rhubarbshed import front
@@ -149,6 +175,31 @@
     play(scene)
 
 
+def test_second_signal_to_a_stopped_start_is_no_other_end(tmp_path):
+    """The exit code was the signal's: the interpreter's end had restored its default action."""
+
+    async def scene():
+        async with run_front(tmp_path, STOPPED_START, "ending") as front:
+            front.stop()
+            assert await asyncio.wait_for(front.process.wait(), WAIT_S) == 0
+
+    play(scene)
+
+
+def test_signal_to_a_failed_start_is_no_other_end(tmp_path):
+    """It ended the process beside its last refusals: the closed loop had restored defaults."""
+
+    async def scene():
+        async with run_front(tmp_path, BROKEN_RUN, "event=listening") as front:
+            asked = [asyncio.create_task(ask(front, f"q{each}")) for each in range(CALLERS)]
+            await wait_for(lambda: "event=waiting_refused" in (tmp_path / "log").read_text())
+            front.stop()
+            assert await asyncio.gather(*asked) == [503] * CALLERS
+            assert await asyncio.wait_for(front.process.wait(), WAIT_S) == 1
+
+    play(scene)
+
+
 @pytest.mark.parametrize(
     ("find_port", "kind"),
     [
