Answer what is open as a defect ends a drain

What callers saw: as a step of a drain raised, all connections were closed with what had been read on them, at once and with neither an answer nor a refusal. Cause: the exception left the event loop, whose close cancels the work on requests; the kernel closed their sockets. (A reset in one close of an idle connection had that effect before.) Evidence: the test's four requests at a server got no answer where the first or a later step of the drain fails; with the change each gets 504 at once. Exit code 1 as before. Change: a drain that fails goes on with its end, which answers all open requests.

--- a/rhubarbshed/transport/edge/node.py
+++ b/rhubarbshed/transport/edge/node.py
@@ -100,6 +100,7 @@
 
 EXIT_OK = 0
 EXIT_START_FAILED = 1
+EXIT_DEFECT = 1
 
 
 @define(eq=False)
@@ -266,8 +267,15 @@
             self.spawn(work())
         log_event(LOG, logging.INFO, "started", instance=self.settings.name)
         await self.stop.wait()
-        await self.drain()
-        return EXIT_OK
+        code = EXIT_OK
+        try:
+            await self.drain()
+        except Exception:
+            LOG.critical("event=defect", exc_info=True)
+            self.view.drain.cut_off()
+            code = EXIT_DEFECT
+        await self.end()
+        return code
 
     def handle_signals(self) -> None:
         """Stop at SIGTERM and SIGINT, and reload at SIGHUP, also at those of the start."""
@@ -408,7 +416,7 @@
             log_event(LOG, logging.WARNING, "loop_late", delay_ms=round(delay_s * 1000))
 
     async def drain(self) -> None:
-        """Stop accepting callers, finish open requests, and end."""
+        """Stop accepting callers, and finish open requests."""
         view = self.view
         view.drain.start(time.monotonic())
         view.changed.fire()
@@ -429,6 +437,9 @@
             await asyncio.sleep(DRAIN_CHECK_INTERVAL_S)
         not_repeatable = self.relay.count_not_repeatable()
         self.log_connections("stopped", cut_off=self.relay.open, not_repeatable=not_repeatable)
+
+    async def end(self) -> None:
+        """Answer what is left, and close all callers' connections."""
         for task in self.tasks:
             task.cancel()
         self.cut_off(time.monotonic())
--- a/test/test_edge_stop_signal.py
+++ b/test/test_edge_stop_signal.py
@@ -9,6 +9,7 @@
 from collections.abc import AsyncIterator, Callable
 from pathlib import Path
 
+import pytest
 from attrs import define, field, frozen
 
 from rhubarbshed.util.front import FrontSettings
@@ -51,6 +52,17 @@
 EVENT_INTERVAL_S = 0.05
 
 
+BROKEN_DRAIN = """
+from rhubarbshed.transport.edge import node
+from rhubarbshed import front
+def fail(*_):
+    raise RuntimeError("a broken invariant")
+node.Node.{} = fail
+front.main()
+"""
+"""Program of an instance with a step of its drain that fails."""
+
+
 @frozen
 class Outcome:
     """End of a request of the stop: its last status, and when it ended after SIGTERM."""
@@ -228,6 +240,26 @@
     play(scene)
 
 
+@pytest.mark.parametrize("step", ["find_phase", "close_idle"])
+def test_defect_in_a_drain_ends_no_caller_without_an_answer(tmp_path, step):
+    """All connections were closed with what had been read on them."""
+
+    async def scene():
+        async with run_front(tmp_path, BROKEN_DRAIN.format(step), reply=hold) as front:
+            asked = [asyncio.create_task(front.ask("/s/20", f"q{each}")) for each in range(4)]
+            await wait_for(lambda: len(front.replica.got) == len(asked))
+            front.stop()
+            await asyncio.gather(*asked)
+            assert [(each.status, each.whole) for each in front.outcomes] == [(504, True)] * 4
+            assert await asyncio.wait_for(front.process.wait(), GRACE_S) == 1
+            assert (tmp_path / "log").read_text().count("event=defect") == 1
+
+    async def hold(exchange: Exchange) -> None:
+        await asyncio.sleep(20)
+
+    play(scene)
+
+
 def test_sigterm_at_any_time_of_the_start_loses_no_request(tmp_path):
     async def scene(number: int):
         folder = tmp_path / str(number)
