Carry out a stop that the event loop was not told of

What callers saw: behind a storm of signals an instance that was asked to stop refused every request once its announcement was over, and ran on until it was killed. Cause: the interpreter tells the event loop of each signal by a byte in a socket. Between two passes of the loop it holds some 280 of them; the kernel drops what is beyond. SIGTERM had started the drain's times, but nobody waited for its end.

--- a/rhubarbshed/transport/edge/node.py
+++ b/rhubarbshed/transport/edge/node.py
@@ -401,6 +401,9 @@
             await asyncio.sleep(SWEEP_INTERVAL_S)
             self.report_loop_delay(time.monotonic() - due_at)
             self.follower.drop_missing(time.monotonic())
+            if self.is_closing():
+                # A storm of signals may have filled what tells the event loop of each.
+                self.stop.set()
             ticks += 1
             if ticks % SWEEPS_PER_RELOAD == 0:
                 self.reload()
--- a/test/test_edge_stop_signal.py
+++ b/test/test_edge_stop_signal.py
@@ -49,6 +49,22 @@
 """
 """Program of an instance that is busy for a second as it begins to listen."""
 
+SIGNAL_STORM = """
+import signal, sys
+from rhubarbshed import front
+from rhubarbshed.transport.edge.node import Node
+real = Node.listen
+async def listen(self):
+    await real(self)
+    # The interpreter reports each signal of which it could not tell the loop.
+    sys.stderr = None
+    for number in [signal.SIGHUP] * 1000 + [signal.SIGTERM]:
+        signal.raise_signal(number)
+Node.listen = listen
+front.main()
+"""
+"""Program of an instance that gets 1,000 signals before its stop, in one pass of its loop."""
+
 EVENT_INTERVAL_S = 0.05
 
 
@@ -240,6 +256,16 @@
     play(scene)
 
 
+def test_stop_behind_a_storm_of_signals_is_carried_out(tmp_path):
+    """The loop was not told of it: the instance refused all, and ran until it was killed."""
+
+    async def scene():
+        async with run_front(tmp_path, SIGNAL_STORM, "event=started") as front:
+            assert await asyncio.wait_for(front.process.wait(), GRACE_S) == 0
+
+    play(scene)
+
+
 @pytest.mark.parametrize("step", ["find_phase", "close_idle"])
 def test_defect_in_a_drain_ends_no_caller_without_an_answer(tmp_path, step):
     """All connections were closed with what had been read on them."""
