--- a/test/test_edge_start.py
+++ b/test/test_edge_start.py
@@ -1,6 +1,7 @@
 """Starts of an instance that runs as a process: signals during them, and starts that fail."""
 
 import asyncio
+import re
 import signal
 import socket
 import time
@@ -131,6 +132,20 @@
             assert set(got) <= {200, 503}, got
             assert await asyncio.wait_for(front.process.wait(), GRACE_S) == 0
             assert time.monotonic() < signalled_at + GRACE_S
+            (late_ms,) = re.findall(r"late_ms=(\d+)", (tmp_path / "log").read_text())
+            assert number == signal.SIGHUP or int(late_ms) >= 300, "counted from the loop's start"
+
+    play(scene)
+
+
+def test_settings_that_change_during_the_start_are_read_at_its_end(tmp_path):
+    async def scene():
+        async with run_front(tmp_path, SLOW_START, "opened") as front:
+            path = tmp_path / "node.ini"
+            path.write_text(path.read_text().replace("level = info", "level = debug"))
+            front.process.send_signal(signal.SIGHUP)
+            await wait_for(lambda: "event=started" in (tmp_path / "log").read_text())
+            assert "event=reloaded" in (tmp_path / "log").read_text()
 
     play(scene)
 
@@ -182,6 +197,7 @@
         async with run_front(tmp_path, STOPPED_START, "ending") as front:
             front.stop()
             assert await asyncio.wait_for(front.process.wait(), WAIT_S) == 0
+            assert "event=listening" not in (tmp_path / "log").read_text()
 
     play(scene)
 
