Refuse callers as the store is known to be away at a start

What callers saw: at an instance that starts while its store refuses connections or answers 503, they waited until a second after the start, and were then refused with a Retry-After that could end before the store was asked again. Cause: the wait for the first read of the store knew the time since the start, and nothing of how the reads had ended. Change: the follower counts the reads of a table that fail in a row. From the second one on nobody waits, as the store is away; a single one may be lost, and 429 only says that many ask at once, as after a loss of power to all instances. Retry-After names no time before the next read.

--- a/rhubarbshed/platform/rows.py
+++ b/rhubarbshed/platform/rows.py
@@ -92,7 +92,8 @@
     if status == 410:
         return Failure(TableError(TableFault.CONFLICT, detail="history is gone"))
     if status != 200:
-        return Failure(TableError(TableFault.UNAVAILABLE, detail=f"status {status}"))
+        detail, is_busy = f"status {status}", status == 429
+        return Failure(TableError(TableFault.UNAVAILABLE, detail=detail, is_busy=is_busy))
     try:
         plain = json.loads(body)
         rows, unreadable = _read_rows(plain["Rows"])
--- a/rhubarbshed/protocol/tables.py
+++ b/rhubarbshed/protocol/tables.py
@@ -73,8 +73,12 @@
 
 @frozen
 class TableError:
-    """Failed call; `rows` are the current rows of failed checks."""
+    """Failed call; `rows` are the current rows of failed checks.
+
+    `is_busy` means that the service serves, but had more calls than it takes.
+    """
 
     fault: TableFault
     rows: tuple[Row, ...] = field(factory=tuple)
     detail: str = ""
+    is_busy: bool = False
--- a/rhubarbshed/transport/edge/follower.py
+++ b/rhubarbshed/transport/edge/follower.py
@@ -185,6 +185,7 @@
             now = time.monotonic()
             if isinstance(result, Success):
                 self.failing_tables.discard(table)
+                del self.view.failed_reads[table]
                 self._record_response(now)
                 scan = result.unwrap().scan
                 before, revision = revision, scan.revision
@@ -207,7 +208,9 @@
                 continue
             self._record_failure(table, result.failure(), now)
             self.failing_tables.add(table)
-            await self._pause(table, pause_s * (0.75 + 0.5 * self.view.rng.random()))
+            spread_s = pause_s * (0.75 + 0.5 * self.view.rng.random())
+            self._record_failed_read(table, result.failure(), now + spread_s)
+            await self._pause(table, spread_s)
             pause_s = min(PAUSE_LONGEST_S, pause_s * 2)
 
     async def _pause(self, table: str, pause_s: float) -> None:
@@ -270,6 +273,13 @@
             )
             self.store_suspected.fire()
 
+    def _record_failed_read(self, table: str, error: TableError, next_read_at: float) -> None:
+        view = self.view
+        view.failed_reads[table] = 0 if error.is_busy else view.failed_reads[table] + 1
+        view.next_read_at = next_read_at
+        # Callers may be waiting for the first read.
+        view.changed.fire()
+
     def _apply_operator(
         self, rows: tuple[Row, ...], is_full_read: bool, now: float
     ) -> tuple[EntryChange, ...]:
--- a/rhubarbshed/transport/edge/relay.py
+++ b/rhubarbshed/transport/edge/relay.py
@@ -36,7 +36,7 @@
     make_unreached,
 )
 from rhubarbshed.coordination.serving.retry_budget import Tries, is_retry_allowed
-from rhubarbshed.coordination.serving.start_wait import measure_start_wait
+from rhubarbshed.coordination.serving.start_wait import estimate_first_read, measure_start_wait
 from rhubarbshed.coordination.serving.versions import Continuation
 from rhubarbshed.platform.headers import echo_request_id, read_request
 from rhubarbshed.protocol.errors import Outcome, RequestError
@@ -278,7 +278,8 @@
         if not view.is_known:
             await self.wait_for_start()
         if view.configuration is None:
-            self.answer(make_refusal("not_configured", view.rng))
+            read_in_s = estimate_first_read(view.next_read_at, time.monotonic())
+            self.answer(make_refusal("not_configured", view.rng, read_in_s))
             return
         self.route = view.configuration.find_route(self.request.host, self.request.path)
         if self.route is None:
@@ -309,7 +310,8 @@
         while not view.is_known and view.drain.started_at is None:
             now = time.monotonic()
             left_s = received_at + caller_timeout_s - now
-            wait_s = measure_start_wait(view.started_at, received_at, left_s, now)
+            failed = max(view.failed_reads.values(), default=0)
+            wait_s = measure_start_wait(view.started_at, received_at, left_s, failed, now)
             if wait_s <= 0.0:
                 return
             await view.changed.wait(wait_s)
--- a/rhubarbshed/transport/edge/view.py
+++ b/rhubarbshed/transport/edge/view.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import time
+from collections import Counter
 
 from attrs import define, field
 
@@ -83,8 +84,9 @@
 class View:
     """Known state and budgets of one instance; they change in the event loop's thread only.
 
-    `configured_at` and `fleet_at` are when the store last confirmed each, `started_at` when the
-    instance started (monotonic seconds).
+    `configured_at` and `fleet_at` are when the store last confirmed each, `next_read_at` when a
+    failed read is repeated, `started_at` when the instance started (monotonic seconds).
+    `failed_reads` are those in a row that failed, by table, other than for too many calls.
     """
 
     settings: FrontSettings
@@ -95,6 +97,8 @@
     configured_at: float = 0.0
     fleet: Fleet = field(factory=Fleet)
     fleet_at: float = 0.0
+    failed_reads: Counter[str] = field(factory=Counter)
+    next_read_at: float = 0.0
     changed: Signal = field(factory=Signal)
     versions: VersionHistory = field(factory=VersionHistory)
     started_at: float = field(factory=time.monotonic)
--- a/test/test_edge_front.py
+++ b/test/test_edge_front.py
@@ -11,16 +11,24 @@
 from datetime import UTC, datetime
 from pathlib import Path
 
+import pytest
 from returns.result import Failure
 
-from rhubarbshed.coordination.serving.start_wait import START_WAIT_MAX_S
+from rhubarbshed.coordination.serving.refusals import NOT_READY_RETRY_S
+from rhubarbshed.coordination.serving.start_wait import (
+    START_WAIT_MAX_S,
+    estimate_first_read,
+    measure_start_wait,
+)
 from rhubarbshed.util.bounded_logs import LINES_BURST, LINES_PER_S, BoundedHandler
 from rhubarbshed.util.front import FrontSettings
 from rhubarbshed.util.logs import log_event
 from standin.replica import Replica
+from standin.rows import RowStore
 from test.helper_edge import (
     HOST,
     SETTINGS_TEXT,
+    WAIT_S,
     make_configuration,
     make_route,
     make_settings,
@@ -144,6 +152,47 @@
     play(scene)
 
 
+@pytest.mark.parametrize(("status", "got"), [(503, 503), (429, 200)])
+def test_caller_of_a_starting_instance_does_not_wait_for_a_store_that_is_away(
+    monkeypatch, status, got
+):
+    """It waited for a second while each read was refused; too many calls are soon over."""
+    answer, failing = RowStore._answer, True
+
+    async def fail(store: RowStore, *call: object) -> tuple[int, dict]:
+        return (status, {}) if failing else await answer(store, *call)
+
+    async def scene():
+        nonlocal failing
+        async with run_edge(make_configuration(make_route())) as edge, asyncio.timeout(WAIT_S):
+            replica = Replica("b1")
+            await replica.start()
+            edge.store.put("servers", "b1", replica.describe())
+            asked, begun_at = asyncio.create_task(edge.ask()), time.monotonic()
+            await asyncio.sleep(0.2)
+            assert asked.done() == (got == 503)
+            failing = False
+            reply = await asked
+            assert reply.status == got
+            if got == 503:
+                due_s = max(0.5, edge.node.view.next_read_at - begun_at - 0.1)
+                assert float(reply.headers["retry-after"]) >= due_s
+            await replica.stop()
+
+    monkeypatch.setattr(RowStore, "_answer", fail)
+    play(scene)
+
+
+def test_caller_is_not_asked_to_come_back_before_the_store_is_read_again():
+    assert estimate_first_read(next_read_at=11.2, now=10.0) == pytest.approx(1.2)
+    assert estimate_first_read(next_read_at=9.0, now=10.0) == NOT_READY_RETRY_S
+
+
+def test_single_failed_read_ends_no_wait_for_the_start():
+    assert measure_start_wait(0.0, 0.0, 4.0, failed_reads=1, now=0.1) > 0.0
+    assert measure_start_wait(0.0, 0.0, 4.0, failed_reads=2, now=0.1) == 0.0
+
+
 def test_caller_of_a_starting_process_waits_and_its_server_gets_the_time_that_is_left(tmp_path):
     """Connections were refused until the whole program was loaded."""
 
