Count what a request waits in the kernel by its own arrival

What servers saw: a Rhubarbshed-Deadline-Remaining that was longer than the time its caller had left, where a starting instance began to accept later than 0.2 s after it listened (a process that stands still, or many connections at once); and a shorter one for a caller that had connected long after the socket was opened, as its time was counted from the opening. Cause: connections of the first 0.2 s were taken to have waited since the opening, all others not at all, though the kernel knows for each when its last bytes arrived. The times of opening and listening are needed no more.

--- a/rhubarbshed/transport/edge/caller_connections.py
+++ b/rhubarbshed/transport/edge/caller_connections.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import logging
-import math
 import time
 from collections.abc import Awaitable, Callable
 
@@ -20,7 +19,12 @@
     set_options,
 )
 from rhubarbshed.util.logs import log_event
-from rhubarbshed.util.sockets import count_unread_bytes, has_peer_closed, has_unread_bytes
+from rhubarbshed.util.sockets import (
+    count_unread_bytes,
+    has_peer_closed,
+    has_unread_bytes,
+    measure_silence,
+)
 
 LOG = logging.getLogger(__name__)
 
@@ -99,8 +103,7 @@
     last at `read_at`; `sent_bytes` were written since then. `active_at` is when bytes were last
     read or an answer ended. `answered_bytes` are in the body of the request in progress, and what
     follows it is refused if `_rest_refused`. `close_reason` is why this side closed, at
-    `closed_at`, and `late_bytes` arrived after that. The first request may have waited to be read
-    since `waiting_since`.
+    `closed_at`, and `late_bytes` arrived after that.
     """
 
     handle: Handler
@@ -123,7 +126,6 @@
     closed_at: float = 0.0
     late_bytes: int = 0
     answered_bytes: int = 0
-    waiting_since: float = math.inf
     _transport: asyncio.Transport | None = None
     _parser: h11.Connection | None = None
     _request: h11.Request | None = None
@@ -494,8 +496,9 @@
         limits = self.read_limits()
         self._request = request
         self._head_begun = False
-        self._begun_at = min(time.monotonic(), self.waiting_since)
-        self.waiting_since = math.inf
+        # What its caller has waited while it was in the kernel, as during a start, counts too.
+        silence_s = measure_silence(self._transport.get_extra_info("socket"))
+        self._begun_at = time.monotonic() - silence_s
         self._body = bytearray()
         names = [name for name, _ in request.headers]
         if b"transfer-encoding" in names and b"content-length" in names:
--- a/rhubarbshed/transport/edge/node.py
+++ b/rhubarbshed/transport/edge/node.py
@@ -3,7 +3,6 @@
 import asyncio
 import functools
 import logging
-import math
 import signal
 import socket
 import time
@@ -66,10 +65,6 @@
 STORE_CONNECT_TIMEOUT_S = 1.0
 """Time for a connection to the store."""
 
-FIRST_ACCEPTS_S = 0.2
-"""Time after the listeners are opened in which connections are accepted that may have waited since
-the early listener was opened."""
-
 CLOSE_DELAY_S = 0.1
 """Time for the last responses to leave before the process ends."""
 
@@ -107,9 +102,8 @@
 class Node:
     """One instance with its parts.
 
-    `early_listener` is the socket for callers if it was opened before, at `opened_at`; connections
-    are accepted from `listening_at` on (monotonic seconds). `noted_signals` came before its own
-    handlers.
+    `early_listener` is the socket for callers if it was opened before. `noted_signals` came before
+    its own handlers.
     """
 
     path: str
@@ -133,8 +127,6 @@
     turns: ParsingTurns = field(factory=ParsingTurns)
     listeners: list[asyncio.Server] = field(factory=list)
     early_listener: socket.socket | None = None
-    opened_at: float = math.inf
-    listening_at: float = 0.0
     tasks: list[asyncio.Task] = field(factory=list)
     noted_signals: Mapping[signal.Signals, float] = field(factory=dict)
 
@@ -295,7 +287,6 @@
             (self.settings.ready, self.answer_ready),
             ((self.settings.host, self.settings.metrics_port), self.answer_metrics),
         ]
-        self.listening_at = time.monotonic()
         for number, (address, handle) in enumerate(endpoints):
             connections = self.connections if number < SERVING_LISTENERS else set()
             make = functools.partial(self.make_connection, handle, connections)
@@ -317,7 +308,7 @@
         close_log = None
         if connections is self.connections:
             close_log = CloseLog(self.metrics, self.view.drain.measure_stopping)
-        connection = CallerConnection(
+        return CallerConnection(
             handle,
             lambda: self.view.limits,
             self.is_closing,
@@ -328,9 +319,6 @@
             received=self.received,
             turns=self.turns,
         )
-        if time.monotonic() - self.listening_at < FIRST_ACCEPTS_S:
-            connection.waiting_since = self.opened_at
-        return connection
 
     def is_closing(self) -> bool:
         """Return whether callers should connect to another instance."""
--- a/rhubarbshed/transport/startup.py
+++ b/rhubarbshed/transport/startup.py
@@ -3,12 +3,10 @@
 import gc
 import importlib
 import logging
-import math
 import os
 import signal
 import socket
 import sys
-import time
 from collections.abc import Mapping
 
 from returns.result import Failure
@@ -56,12 +54,12 @@
     if find_stop(noted) is not None:
         log_event(LOG, logging.INFO, "stopped_before_listening", instance=settings.name)
         return EXIT_OK
-    listener, opened_at = open_listener(settings.callers), time.monotonic()
+    listener = open_listener(settings.callers)
     if listener is None:
         return serve(settings, path, noted)
     log_event(LOG, logging.INFO, "listening", instance=settings.name)
     try:
-        return serve(settings, path, noted, listener, opened_at)
+        return serve(settings, path, noted, listener)
     except Exception:
         LOG.critical("event=defect", exc_info=True)
         return EXIT_START_FAILED
@@ -74,11 +72,10 @@
     path: str,
     noted: Mapping[signal.Signals, float],
     listener: socket.socket | None = None,
-    opened_at: float = math.inf,
 ) -> int:
     """Load the rest of the program and run it until it is stopped; return its exit code.
 
-    `listener` is the callers' socket if it was opened before, at `opened_at` (monotonic seconds).
+    `listener` is the callers' socket if it was opened before.
     """
     import asyncio
 
@@ -88,7 +85,7 @@
     gc.enable()
     node = Node.from_settings(settings, path)
     node.noted_signals = noted
-    node.early_listener, node.opened_at = listener, opened_at
+    node.early_listener = listener
     with asyncio.Runner() as runner:
         try:
             return runner.run(node.run())
--- a/test/test_edge_start.py
+++ b/test/test_edge_start.py
@@ -73,6 +73,20 @@
 """
 """Program of an instance that is stopped at its first step, and takes 0.3 s more to end."""
 
+SLOW_ACCEPTS = """
+import time
+from rhubarbshed import front
+from rhubarbshed.transport.edge.node import Node
+real = Node.listen
+async def listen(self):
+    await real(self)
+    print("listening", flush=True)
+    time.sleep(0.7)
+Node.listen = listen
+front.main()
+"""
+"""Program of an instance that accepts nothing for 0.7 s once it listens."""
+
 SLOW_END = """
 import atexit, time
 from rhubarbshed import front
@@ -247,6 +261,21 @@
         play(scene)
 
 
+def test_time_in_the_kernel_counts_for_a_caller_that_is_accepted_late(tmp_path):
+    """A server was handed the time that had passed if accepting began 0.2 s after listening."""
+
+    async def scene():
+        async with run_front(tmp_path, SLOW_ACCEPTS, "event=listening") as front:
+            asked_at = time.monotonic()
+            assert await ask(front, "q") == 200
+            (got,) = front.replica.got
+            left_s = float(got.headers["rhubarbshed-deadline-remaining"]) / 1000
+            assert left_s < 15.0 - 0.5
+            assert left_s > 15.0 - (time.monotonic() - asked_at) - 0.2
+
+    play(scene)
+
+
 def test_caller_of_a_start_that_fails_by_a_defect_is_refused(tmp_path):
     async def scene():
         async with run_front(tmp_path, BROKEN_START, "event=listening") as front:
