Log when the first bytes arrived behind a close

What the log could not show: whether a request crossed the close of its connection or was sent by a caller that had the refusal already: after_ms is the time to the end of the connection, which both kinds of caller end alike. Change: connection_late_bytes has first_ms, from the close to the first of these bytes, to compare with a round trip, and conn_requests, which tells fresh connections from kept ones. Result: test_log_shows_bytes_that_arrive_after_a_close fails on the code before.

--- a/rhubarbshed/transport/edge/caller_connections.py
+++ b/rhubarbshed/transport/edge/caller_connections.py
@@ -103,7 +103,7 @@
     last at `read_at`; `sent_bytes` were written since then. `active_at` is when bytes were last
     read or an answer ended. `answered_bytes` are in the body of the request in progress, and what
     follows it is refused if `_rest_refused`. `close_reason` is why this side closed, at
-    `closed_at`, and `late_bytes` arrived after that.
+    `closed_at`, and `late_bytes` arrived after that, the first at `late_at`.
     """
 
     handle: Handler
@@ -125,6 +125,7 @@
     close_reason: CloseReason | None = None
     closed_at: float = 0.0
     late_bytes: int = 0
+    late_at: float = 0.0
     answered_bytes: int = 0
     _transport: asyncio.Transport | None = None
     _parser: h11.Connection | None = None
@@ -156,6 +157,7 @@
     def data_received(self, data: bytes) -> None:
         """Parse bytes of a request."""
         if self._ending or (self._close_after and not self._answering):
+            self.late_at = self.late_at or time.monotonic()
             self.late_bytes += len(data)
             return
         if self._rest_refused:
--- a/rhubarbshed/transport/edge/connection_logs.py
+++ b/rhubarbshed/transport/edge/connection_logs.py
@@ -72,13 +72,18 @@
         )
 
     def record_late_bytes(self, connection: "CallerConnection", now: float) -> None:
-        """Log that a caller sent more before it saw the close; nothing of it was read."""
+        """Log that a caller sent more after the close; nothing of it was read.
+
+        Bytes that come later than a round trip were sent by a caller that had the refusal.
+        """
         log_event(
             LOG,
             logging.INFO,
             "connection_late_bytes",
             reason=connection.close_reason.value,
             late_bytes=connection.late_bytes,
+            conn_requests=connection.requests,
+            first_ms=round((connection.late_at - connection.closed_at) * 1000),
             after_ms=round((now - connection.closed_at) * 1000),
             caller=connection.peer,
         )
--- a/test/test_edge_closing.py
+++ b/test/test_edge_closing.py
@@ -480,13 +480,16 @@
             caller = await Caller.connect(edge)
             caller.send(make_request("/p/x", bytes(1_000))[:-1_000])
             assert (await read_answer(caller.reader)).status == 413
+            await asyncio.sleep(0.1)
             caller.send(bytes(1_000))
+            await asyncio.sleep(0.1)
             caller.writer.close()
             await edge.wait_until(lambda: bool(find_lines(caplog, "connection_late_bytes")))
 
     play(scene)
     (line,) = find_lines(caplog, "connection_late_bytes")
-    assert (line["reason"], line["late_bytes"]) == ("refused", 1_000)
+    assert (line["reason"], line["late_bytes"], line["conn_requests"]) == ("refused", 1_000, 0)
+    assert 90 <= line["first_ms"] <= line["after_ms"] - 90
 
 
 @pytest.mark.parametrize("requests", (0, 1))
