Leave a new connection time for its first request in a drain

What callers saw: a caller that connected some milliseconds before the end of the announcement of a stop got a refusal that it had not asked for and the end of its connection, as its request was on its way or before it had sent it. A client that reads the refusal before it sends has to drop the connection and connect anew. Cause: connections without a request were closed as idle at the end of the announcement, however young; a caller that has just connected is about to send. Change: such a connection is closed 1 s after it was made, or at the end of the drain if that is earlier. What arrives until then is refused as any request behind the announcement (503 draining). The exit waits for that bound only if there is such a connection. Four tests of closes set the bound to 0, since their connections have no request; what they check is as before.

--- a/rhubarbshed/transport/edge/caller_connections.py
+++ b/rhubarbshed/transport/edge/caller_connections.py
@@ -49,6 +49,10 @@
 DISCARD_S = 0.5
 """Time for which what a caller still sends is read and discarded before a close."""
 
+FIRST_REQUEST_S = 1.0
+"""Time that a new connection has for its first request as the instance stops: its caller is about
+to send one, and clients give up a request that nobody has read for as long."""
+
 CLOSED_RETRY_S = 0.05
 """Time after which a caller may repeat a request that met the close of its connection."""
 
@@ -221,6 +225,10 @@
             return False
         return self._request is None and not self.unparsed_bytes
 
+    def is_fresh(self, now: float) -> bool:
+        """Return whether the first request of a new connection may still be on its way."""
+        return self.requests == 0 and now - self.opened_at < FIRST_REQUEST_S
+
     @property
     def is_receiving(self) -> bool:
         """Return whether a request has arrived in part."""
--- a/rhubarbshed/transport/edge/node.py
+++ b/rhubarbshed/transport/edge/node.py
@@ -500,9 +500,14 @@
         log_event(LOG, logging.INFO, event, after_ms=passed_ms, idle=idle, busy=busy, **fields)
 
     def close_idle(self) -> None:
-        """Close the callers' connections without a request in progress."""
+        """Close the callers' connections without a request, but for those just made.
+
+        Their callers are about to send, and the close would cross the request.
+        """
+        now = time.monotonic()
         for connection in list(self.connections):
-            connection.close_idle()
+            if not connection.is_fresh(now):
+                connection.close_idle()
 
 
 def learn_instances(
--- a/test/test_edge_closing.py
+++ b/test/test_edge_closing.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from rhubarbshed.coordination.requests.drain import DRAINING_MESSAGE
 from rhubarbshed.transport.edge import caller_connections, node
 from rhubarbshed.transport.edge.caller_connections import CallerConnection
 from rhubarbshed.transport.edge.relay import RequestProgress
@@ -18,6 +19,7 @@
 from test.helper_edge import Edge, make_configuration, play, read_answer, run_edge
 from test.test_edge_drain import (
     ANNOUNCE_S,
+    CLOSE_S,
     DRAIN_S,
     ROUTES,
     Caller,
@@ -125,6 +127,7 @@
 @pytest.mark.parametrize("way", ("first_check", "end"))
 def test_request_that_arrives_as_idle_connections_are_closed_is_refused(way, length, monkeypatch):
     """It was in the kernel but not read yet, and the close reset its connection."""
+    monkeypatch.setattr(caller_connections, "FIRST_REQUEST_S", 0.0)
     name = "close_idle" if way == "first_check" else "cut_off"
     real = getattr(node.Node, name)
     socks: list[socket.socket] = []
@@ -159,6 +162,7 @@
 
 def test_callers_see_the_close_of_an_idle_connection_before_the_next_pass(monkeypatch):
     """A request that was sent before a late loop came to that pass was reset after it."""
+    monkeypatch.setattr(caller_connections, "FIRST_REQUEST_S", 0.0)
     real, seen = node.Node.close_idle, []
     socks: list[socket.socket] = []
 
@@ -180,6 +184,7 @@
 
 
 def test_reset_that_crosses_the_close_of_its_connection_leaves_the_drain_running(monkeypatch):
+    monkeypatch.setattr(caller_connections, "FIRST_REQUEST_S", 0.0)
     socks: list[socket.socket] = []
 
     def reset_all(sock: socket.socket) -> bool:
@@ -532,6 +537,7 @@
 
 def test_caller_that_leaves_as_its_idle_connection_is_closed_leaves_others_answered(monkeypatch):
     """The end of the own direction raised an exception, which ended the drain before the others."""
+    monkeypatch.setattr(caller_connections, "FIRST_REQUEST_S", 0.0)
     real, ended = caller_connections.has_unread_bytes, []
 
     async def scene():
@@ -553,3 +559,34 @@
             assert await edge.task == node.EXIT_OK and ended
 
     play(scene)
+
+
+def test_new_connection_has_a_bounded_time_for_its_first_request_in_a_drain(monkeypatch, caplog):
+    """It was closed some ms after it was made, and the request of its caller crossed the close."""
+    caplog.set_level(logging.INFO)
+    bound_s = 0.4
+    monkeypatch.setattr(caller_connections, "FIRST_REQUEST_S", bound_s)
+
+    async def scene():
+        replica = Replica("b1")
+        async with run_edge(make_configuration(*ROUTES), replica) as edge:
+            kept = await Caller.connect(edge)
+            assert (await kept.ask(name="first")).whole
+            over_at = stop(edge, drain_s=WAIT_S)
+            await asyncio.sleep(ANNOUNCE_S - 0.05)
+            asking, silent = await Caller.connect(edge), await Caller.connect(edge)
+            made_at = time.monotonic()
+            assert (await read_answer(kept.reader)).status == 503
+            assert time.monotonic() < over_at + 0.1
+            await asyncio.sleep(made_at + bound_s / 2 - time.monotonic())
+            answer = await asking.ask()
+            check_not_run(answer, replica)
+            assert DRAINING_MESSAGE.encode() in answer.body
+            assert (await read_answer(silent.reader)).status == 503
+            assert made_at + bound_s - 0.01 < time.monotonic() < made_at + bound_s + 0.1
+            assert await edge.task == node.EXIT_OK
+            assert time.monotonic() < made_at + bound_s + CLOSE_S
+
+    play(scene)
+    assert [each["conn_requests"] for each in find_lines(caplog, "connection_closed")] == [1, 1, 0]
+    assert not find_lines(caplog, "connection_late_bytes")
