Refuse who connects as a failed drain ends

What callers saw: one that connected in the last 0.1 s of an instance whose drain had failed early was closed without an answer. Cause: a drain that fails may have closed no listener, and connections were accepted up to the last pass of the loop, in which all are closed. Change: the end of an instance leaves new connections to the kernel; they are refused behind the loop.

--- a/rhubarbshed/transport/edge/node.py
+++ b/rhubarbshed/transport/edge/node.py
@@ -430,7 +430,11 @@
         self.log_connections("stopped", cut_off=self.relay.open, not_repeatable=not_repeatable)
 
     async def end(self) -> None:
-        """Answer what is left, and close all callers' connections."""
+        """Answer what is left, and close all callers' connections.
+
+        Whoever connects now, as a drain that failed has closed no listener, is refused behind it.
+        """
+        self.pause_accepting()
         for task in self.tasks:
             task.cancel()
         self.cut_off(time.monotonic())
@@ -454,8 +458,7 @@
         """Close the listeners for requests once all connections made to them are known."""
         serving = self.listeners[:SERVING_LISTENERS]
         loop = asyncio.get_running_loop()
-        for sock in [sock for listener in serving for sock in listener.sockets]:
-            loop.remove_reader(sock.fileno())
+        self.pause_accepting()
         for _ in range(ACCEPT_PASSES):
             await asyncio.sleep(0)
         for listener, handle in zip(
@@ -467,6 +470,13 @@
             for sock in accepted:
                 await loop.connect_accepted_socket(make, sock)
 
+    def pause_accepting(self) -> None:
+        """Leave new connections for requests to the kernel."""
+        loop = asyncio.get_running_loop()
+        for listener in self.listeners[:SERVING_LISTENERS]:
+            for sock in listener.sockets:
+                loop.remove_reader(sock.fileno())
+
     def cut_off(self, now: float) -> None:
         """Answer all requests that are left at the end of the drain, complete ones or not."""
         self.relay.cut_off()
--- a/test/test_edge_stop_signal.py
+++ b/test/test_edge_stop_signal.py
@@ -277,7 +277,12 @@
             front.stop()
             await asyncio.gather(*asked)
             assert [(each.status, each.whole) for each in front.outcomes] == [(504, True)] * 4
-            assert await asyncio.wait_for(front.process.wait(), GRACE_S) == 1
+            while front.process.returncode is None:
+                # A connection is refused once the listener is closed.
+                with contextlib.suppress(ConnectionRefusedError):
+                    await front.ask("/s/0", "late")
+            assert front.process.returncode == 1
+            assert {each.status for each in front.outcomes[4:]} <= {503}
             assert (tmp_path / "log").read_text().count("event=defect") == 1
 
     async def hold(exchange: Exchange) -> None:
