Let callers of a slow start wait for the store out of what they have left

What callers saw: an instance that took long to load refused them as it read them, with a Retry-After of 0.5 s and more, though the store answered it 10 ms later; after a loss of power to all instances nobody else could serve them sooner. Cause: the wait for the store had a quarter of the caller's time, counted from the request's arrival in the kernel, and ended a second after the instance was created: both are used up by a start on a small or busy machine, before the store is asked at all. Change: the quarter is of what is left as the request is read, and the second counts from the first call to the store. A caller without time left is refused at once, as before.

--- a/rhubarbshed/transport/edge/node.py
+++ b/rhubarbshed/transport/edge/node.py
@@ -242,6 +242,7 @@
         except OSError as error:
             log_event(LOG, logging.ERROR, "start_failed", reason=str(error))
             return EXIT_START_FAILED
+        self.view.started_at = time.monotonic()
         for work in (
             self.follower.follow_configuration,
             self.follower.follow_servers,
--- a/rhubarbshed/transport/edge/relay.py
+++ b/rhubarbshed/transport/edge/relay.py
@@ -305,13 +305,12 @@
 
     async def wait_for_start(self) -> None:
         """Wait until this instance, which has just started, has read the store, if that is soon."""
-        view, received_at = self.relay.view, self.request.received_at
-        caller_timeout_s = self.request.caller_timeout_s or TIMEOUT_DEFAULT_S
+        view, read_at = self.relay.view, self.connection.read_at
+        deadline = self.request.received_at + (self.request.caller_timeout_s or TIMEOUT_DEFAULT_S)
         while not view.is_known and view.drain.started_at is None:
             now = time.monotonic()
-            left_s = received_at + caller_timeout_s - now
             failed = max(view.failed_reads.values(), default=0)
-            wait_s = measure_start_wait(view.started_at, received_at, left_s, failed, now)
+            wait_s = measure_start_wait(view.started_at, read_at, deadline - now, failed, now)
             if wait_s <= 0.0:
                 return
             await view.changed.wait(wait_s)
--- a/rhubarbshed/transport/edge/view.py
+++ b/rhubarbshed/transport/edge/view.py
@@ -85,7 +85,7 @@
     """Known state and budgets of one instance; they change in the event loop's thread only.
 
     `configured_at` and `fleet_at` are when the store last confirmed each, `next_read_at` when a
-    failed read is repeated, `started_at` when the instance started (monotonic seconds).
+    failed read is repeated, `started_at` when it began to ask it (monotonic seconds).
     `failed_reads` are those in a row that failed, by table, other than for too many calls.
     """
 
--- a/test/test_edge_start.py
+++ b/test/test_edge_start.py
@@ -73,6 +73,16 @@
 """
 """Program of an instance that is stopped at its first step, and takes 0.3 s more to end."""
 
+SLOW_LOAD = """
+import time
+from rhubarbshed.transport import startup
+real = startup.serve
+startup.serve = lambda *args: (time.sleep(1.0), real(*args))[1]
+from rhubarbshed import front
+front.main()
+"""
+"""Program of an instance that loads the rest of itself for a second more."""
+
 SLOW_ACCEPTS = """
 import time
 from rhubarbshed import front
@@ -96,14 +106,14 @@
 """Program of an instance that takes 0.3 s more to end."""
 
 
-async def ask(front: Front, name: str, path: str = "/s/0.05") -> int | None:
+async def ask(front: Front, name: str, path: str = "/s/0.05", left_ms: int = 15_000) -> int | None:
     """Return the status of a whole answer, 0 without one, or None if nobody listens."""
     try:
         reader, writer = await asyncio.open_connection(*front.settings.callers)
     except OSError:
         return None
     front.writers.append(writer)
-    writer.write(make_request(path, name=name))
+    writer.write(make_request(path, name=name).replace(b": 15000", f": {left_ms}".encode()))
     try:
         answer = await asyncio.wait_for(read_answer(reader), WAIT_S)
     except OSError:
@@ -276,6 +286,16 @@
     play(scene)
 
 
+def test_caller_whom_a_slow_start_took_much_time_is_served_all_the_same(tmp_path):
+    """It was refused unasked, as a quarter of its time was over before the store could be read."""
+
+    async def scene():
+        async with run_front(tmp_path, SLOW_LOAD, "event=listening") as front:
+            assert await ask(front, "q", left_ms=3000) == 200
+
+    play(scene)
+
+
 def test_caller_of_a_start_that_fails_by_a_defect_is_refused(tmp_path):
     async def scene():
         async with run_front(tmp_path, BROKEN_START, "event=listening") as front:
