Bound a request's waits for probes by one time, at all instances

What callers saw: a refusal by servers that had all ended could wait for a round of probes after each refused connection, and once more at each of two instances that it was offered to. With probes whose questions to other instances stay without a reply it took the caller's whole 4.0 s (503 too_late). Cause: LinkMonitor.settle has a bound of 0.9 s, but every call of a request began it anew. Why it works: a request has one time for such waits. What it spends is taken off, also what an offer took that another instance declined, and what is left goes with an offer (forwarded-probe-wait-ms). An instance that had no time to find out does not make the servers count as down; the next one is asked. Instances of the build before neither send nor read the header and wait as they did.

--- a/rhubarbshed/platform/headers.py
+++ b/rhubarbshed/platform/headers.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterable
 
 from rhubarbshed.protocol.exchanges import CallerRequest, Headers, ResponseHead
-from rhubarbshed.protocol.forwarding import ATTEMPTS_LEFT, DECLINED
+from rhubarbshed.protocol.forwarding import ATTEMPTS_LEFT, DECLINED, PROBE_WAIT_MS
 from rhubarbshed.protocol.holder_checks import LOAD_MAX
 
 REQUEST_ID = b"rhubarbshed-request-id"
@@ -52,6 +52,7 @@
         b"kv-from",
         b"kv-fetch",
         ATTEMPTS_LEFT,
+        PROBE_WAIT_MS,
     )
 )
 STATUS_MISDIRECTED = 421
@@ -112,11 +113,16 @@
 
 
 def make_forward_headers(
-    request: CallerRequest, remaining_s: float, after: str, attempts_left: int
+    request: CallerRequest,
+    remaining_s: float,
+    after: str,
+    attempts_left: int,
+    probe_wait_s: float,
 ) -> list[tuple[bytes, bytes]]:
     """Return the headers of a request that is forwarded to another instance."""
     headers = _make_common_headers(request, remaining_s, after)
     headers.append((ATTEMPTS_LEFT, str(attempts_left).encode()))
+    headers.append((PROBE_WAIT_MS, str(int(probe_wait_s * 1000)).encode()))
     return headers
 
 
--- a/rhubarbshed/protocol/forwarding.py
+++ b/rhubarbshed/protocol/forwarding.py
@@ -8,6 +8,10 @@
 ATTEMPTS_LEFT = b"forwarded-attempts"
 """Header of a forwarded request: how many backend servers may still run it."""
 
+PROBE_WAIT_MS = b"forwarded-probe-wait-ms"
+"""Header of a forwarded request: for how long it may still wait until it is known whether servers
+can be reached. Instances of earlier builds neither send nor read it."""
+
 DECLINED = b"forward-declined"
 """Header of an error: the request did not run, and another instance may serve it."""
 
@@ -33,3 +37,9 @@
     """Return how many servers may run a forwarded request, 1 if the header is missing or wrong."""
     value = dict(headers).get(ATTEMPTS_LEFT, b"")
     return max(1, int(value)) if value.isdigit() and len(value) <= 3 else 1
+
+
+def read_probe_wait(headers: Headers, longest_s: float) -> float:
+    """Return the seconds for which a forwarded request may wait for probes, at most `longest_s`."""
+    value = dict(headers).get(PROBE_WAIT_MS, b"")
+    return min(longest_s, int(value) / 1000.0) if value.isdigit() and len(value) <= 6 else longest_s
--- a/rhubarbshed/transport/edge/forwarding.py
+++ b/rhubarbshed/transport/edge/forwarding.py
@@ -108,10 +108,15 @@
             asked.append(address)
             attempt = self.make_attempt(progress, address, broken)
             end = await self.run(progress, attempt)
-            now = time.monotonic()
+            begun_at, now = now, time.monotonic()
             if end is ExchangeEnd.DONE:
                 return Forwarded(True)
+            if attempt.declined:
+                progress.count_probe_wait(now - begun_at)
             if attempt.declined and attempt.detail == UNREACHED_CODE:
+                if not progress.probe_wait_s:
+                    # It had no time to find out, so the servers do not count as down.
+                    continue
                 unreached += 1
                 if unreached >= UNREACHED_MAX:
                     self.peers.record_vain(need, now)
@@ -146,7 +151,11 @@
 
         def make_headers(remaining_s: float, after: str) -> Headers:
             return make_forward_headers(
-                progress.request, remaining_s - RETURN_MARGIN_S, after, attempts_left
+                progress.request,
+                remaining_s - RETURN_MARGIN_S,
+                after,
+                attempts_left,
+                progress.probe_wait_s,
             )
 
         return Attempt(
--- a/rhubarbshed/transport/edge/link_monitor.py
+++ b/rhubarbshed/transport/edge/link_monitor.py
@@ -27,8 +27,9 @@
 
 SETTLE_CHECK_S = 0.003
 SETTLE_MAX_S = 0.9
-"""Time between two looks at a round of probes, about a round trip, and the longest wait for one: a
-connection that hangs and an instance that asks others in vain."""
+"""Time between two looks at a round of probes, about a round trip, and the longest time that one
+request waits for such rounds, here and at the instances that it is offered to: a connection that
+hangs and an instance that asks others in vain."""
 
 
 class ProbeOutcome(enum.Enum):
@@ -72,9 +73,9 @@
         if self.state.suspect():
             self._due.set()
 
-    async def settle(self) -> bool:
+    async def settle(self, wait_max_s: float = SETTLE_MAX_S) -> bool:
         """Wait for the first round of probes, if one is due; return whether there is a cut."""
-        until = time.monotonic() + SETTLE_MAX_S
+        until = time.monotonic() + wait_max_s
         while self.state.suspected and time.monotonic() < until:
             await asyncio.sleep(SETTLE_CHECK_S)
         return self.is_cut
--- a/rhubarbshed/transport/edge/relay.py
+++ b/rhubarbshed/transport/edge/relay.py
@@ -49,6 +49,7 @@
     UNREACHED_CODE,
     is_question,
     read_attempts_left,
+    read_probe_wait,
 )
 from rhubarbshed.protocol.routes import Route
 from rhubarbshed.protocol.streams import UNKNOWN_VERSION, StreamOrigin
@@ -71,7 +72,7 @@
 from rhubarbshed.transport.edge.follower import DROP_MARGIN_S
 from rhubarbshed.transport.edge.forwarding import NOT_TAKEN, Forwarded, Forwarder
 from rhubarbshed.transport.edge.limit_registry import PATIENCE_MIN_S, REPEAT_S, LimitRegistry
-from rhubarbshed.transport.edge.link_monitor import LinkMonitor
+from rhubarbshed.transport.edge.link_monitor import SETTLE_MAX_S, LinkMonitor
 from rhubarbshed.transport.edge.metrics import FrontMetrics
 from rhubarbshed.transport.edge.pools import Pool
 from rhubarbshed.transport.edge.request_logs import Repeat, Stage, log_end, log_failed_attempt
@@ -186,6 +187,7 @@
         progress = RequestProgress(self, connection, request.with_body(body))
         progress.forwarded_by = host
         progress.attempts_max = read_attempts_left(tuple(head.headers))
+        progress.probe_wait_s = read_probe_wait(tuple(head.headers), SETTLE_MAX_S)
         await self.serve(progress)
 
     async def serve(self, progress: "RequestProgress") -> None:
@@ -218,7 +220,8 @@
     `retry_paid` means that the budget has counted the next retry.
     `stopped_by` is the key of the verdict that stopped it, `trial_keys` those of the verdicts that
     its next attempt puts to a trial. `forwarded_by` is the instance that it came from, with
-    `attempts_max` servers left that may run it. `cut_off_as` is set as a stop cuts it off.
+    `attempts_max` servers left that may run it. It may still wait for `probe_wait_s` until it is
+    known whether servers can be reached. `cut_off_as` is set as a stop cuts it off.
     """
 
     relay: Relay
@@ -250,6 +253,7 @@
     stopped_by: str = ""
     forwarded_by: str = ""
     attempts_max: int | None = None
+    probe_wait_s: float = SETTLE_MAX_S
     cut_off_as: Repeat | None = None
 
     @property
@@ -348,12 +352,26 @@
         """
         if self.forwarded_by and self.delivered:
             return NOT_TAKEN
-        if self.forwarded_by and await self.relay.links.settle():
+        if self.forwarded_by and await self.settle_links():
             return Forwarded(True, make_refusal("no_servers", self.relay.view.rng))
         if self.forwarded_by:
             return Forwarded(True, make_unreached())
         return await self.relay.forwarder.forward(self, only_reached=True)
 
+    async def settle_links(self) -> bool:
+        """Wait until it is known whether servers can be reached; return whether there is a cut.
+
+        All such waits of a request have one bound: they come one after the other, also at others.
+        """
+        begun_at = time.monotonic()
+        is_cut = await self.relay.links.settle(self.probe_wait_s)
+        self.count_probe_wait(time.monotonic() - begun_at)
+        return is_cut
+
+    def count_probe_wait(self, waited_s: float) -> None:
+        """Take a wait for probes from what the request has left for them."""
+        self.probe_wait_s = max(0.0, self.probe_wait_s - waited_s)
+
     def check_draining(self, now: float) -> RequestError | None:
         """Return the error for a request that was read after the announcement of a stop."""
         view = self.relay.view
@@ -413,7 +431,7 @@
             if not await self.pass_limit(chosen.server, time.monotonic()):
                 continue
             end = await self.attempt(chosen)
-            if end is ExchangeEnd.CONNECTION_REFUSED and not await self.relay.links.settle():
+            if end is ExchangeEnd.CONNECTION_REFUSED and not await self.settle_links():
                 self.report_ended(chosen.server, time.monotonic())
             if end is ExchangeEnd.DONE:
                 return None
@@ -431,7 +449,7 @@
             self.retry_paid = False
             # The end of the server may be what stops the request.
             await self.relay.crashes.checks.wait(chosen.server)
-            if end in UNREACHED and await self.relay.links.settle():
+            if end in UNREACHED and await self.settle_links():
                 forwarded = await self.forward_if_cut()
                 if forwarded.taken:
                     return forwarded.error
--- a/test/helper_clock.py
+++ b/test/helper_clock.py
@@ -7,7 +7,7 @@
 import asyncio
 import selectors
 import time
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from typing import Any
 
 from attrs import define
@@ -75,3 +75,13 @@
     clock.begin_pass(None)
     with asyncio.Runner(loop_factory=lambda: PassLoop(clock)) as runner:
         runner.run(work)
+
+
+def play_by_clock(scene: Callable[[], Coroutine[Any, Any, None]]) -> None:
+    """Run an asynchronous test whose times are those of its loop, `read_loop_time`."""
+    run_by_clock(PassClock(), scene())
+
+
+def read_loop_time() -> float:
+    """Return the time by the clock of the running loop."""
+    return asyncio.get_running_loop().time()
--- a/test/test_edge_cut_off.py
+++ b/test/test_edge_cut_off.py
@@ -12,8 +12,10 @@
 from rhubarbshed.transport.edge.caller_connections import CallerConnection
 from rhubarbshed.transport.edge.connection_logs import CloseReason
 from rhubarbshed.transport.edge.forwarding import Forwarder
+from rhubarbshed.transport.edge.link_monitor import SETTLE_MAX_S
+from test.helper_clock import play_by_clock, read_loop_time
 from test.helper_crashes import EVENTS
-from test.helper_cuts import run_cut_scene
+from test.helper_cuts import HANG_S, run_cut_scene
 from test.helper_edge import play
 
 HOWS = ("hang", "reset", "refuse")
@@ -155,6 +157,29 @@
     play(scene)
 
 
+@pytest.mark.parametrize("path", ("/p/x", "/u/x"))
+def test_request_waits_for_probes_here_and_elsewhere_no_longer_than_for_one_round(path):
+    """Each look at the links had a bound of its own, at each instance it was offered to, too."""
+
+    async def ask_in_vain() -> bool:
+        await asyncio.sleep(HANG_S)
+        return False
+
+    async def scene():
+        async with run_cut_scene(back_s=60.0) as cuts:
+            for name in cuts.links:
+                cuts[name].links.ask_others = ask_in_vain
+            for replica in list(cuts.crashes.replicas.values()):
+                await cuts.crashes.crash(replica)
+            for _ in range(2):
+                begun_at = read_loop_time()
+                answer = await cuts.ask("a1", path, b"x")
+                assert answer.status == 503
+                assert read_loop_time() - begun_at < SETTLE_MAX_S + 0.5
+
+    play_by_clock(scene)
+
+
 def test_caller_that_leaves_ends_the_work_at_the_server_also_through_another_instance():
     async def scene():
         async with run_cut_scene(run_s=3.0) as cuts:
