Keep the addresses of an instance through a reload during its start

What callers saw: SIGHUP while an instance loads, beside a settings file with other ports: it opened the ports that it had not opened yet at the new addresses, and announced the old one to the other instances; if a new port was in use, the start failed and 25 of 25 callers that waited were refused. Cause: reload replaced all settings, and the listeners are opened from them afterwards. Change: what others know an instance by holds until the process ends, whenever the file is read; `reloaded` names the changes that it ignores, once a change. Result: a running instance is as before. test_reload_during_the_start_moves_no_port fails on the code before (nobody listens at the port of readiness).

--- a/rhubarbshed/transport/edge/node.py
+++ b/rhubarbshed/transport/edge/node.py
@@ -11,8 +11,8 @@
 from typing import Any
 
 import h11
-from attrs import define, field
-from returns.result import Failure, Success
+from attrs import define, evolve, field
+from returns.result import Failure
 
 from rhubarbshed.coordination.requests.drain import DrainPhase
 from rhubarbshed.coordination.serving.lease_state import LeaseState, draw_jitter
@@ -93,6 +93,18 @@
 SWEEPS_PER_CALL_LOG = 20
 """Sweeps between two log lines on the calls to the store."""
 
+FIXED_SETTINGS = (
+    "name",
+    "data_centre",
+    "host",
+    "callers",
+    "ready",
+    "peers_port",
+    "metrics_port",
+    "store",
+)
+"""Settings that hold until the process ends: others know the instance by them."""
+
 EXIT_OK = 0
 EXIT_START_FAILED = 1
 EXIT_DEFECT = 1
@@ -103,7 +115,7 @@
     """One instance with its parts.
 
     `early_listener` is the socket for callers if it was opened before. `noted_signals` came before
-    its own handlers.
+    its own handlers. `last_read` are the settings as they were read, if that was after the start.
     """
 
     path: str
@@ -129,6 +141,7 @@
     early_listener: socket.socket | None = None
     tasks: list[asyncio.Task] = field(factory=list)
     noted_signals: Mapping[signal.Signals, float] = field(factory=dict)
+    last_read: FrontSettings | None = None
 
     @classmethod
     def from_settings(cls, settings: FrontSettings, path: str) -> "Node":
@@ -371,16 +384,20 @@
         self.stop.set()
 
     def reload(self) -> None:
-        """Apply settings that may change while the instance runs: the level of the log."""
+        """Apply settings that may change while the instance runs, during its start as well."""
         read = FrontSettings.from_file(self.path)
         if isinstance(read, Failure):
             log_event(LOG, logging.ERROR, "reload_failed", reason="; ".join(read.failure()))
             return
-        if isinstance(read, Success) and read.unwrap() != self.settings:
-            self.settings = read.unwrap()
-            self.view.settings = self.settings
-            logging.getLogger().setLevel(self.settings.log_level.upper())
-            log_event(LOG, logging.INFO, "reloaded", instance=self.settings.name)
+        changed = read.unwrap()
+        if changed == (self.last_read or self.settings):
+            return
+        self.last_read = changed
+        fixed = {name: getattr(self.settings, name) for name in FIXED_SETTINGS}
+        ignored = ",".join(name for name in fixed if getattr(changed, name) != fixed[name])
+        self.settings = self.view.settings = evolve(changed, **fixed)
+        logging.getLogger().setLevel(self.settings.log_level.upper())
+        log_event(LOG, logging.INFO, "reloaded", instance=self.settings.name, ignored=ignored)
 
     async def sweep(self) -> None:
         """Drop servers that are gone, and apply changed settings without a signal."""
--- a/test/test_edge_start.py
+++ b/test/test_edge_start.py
@@ -11,7 +11,7 @@
 import pytest
 
 from rhubarbshed.util.front import FrontSettings
-from test.helper_edge import WAIT_S, play, read_answer
+from test.helper_edge import WAIT_S, find_port, play, read_answer
 from test.test_edge_drain import make_request
 from test.test_edge_stop_signal import GRACE_S, Front, run_front, wait_for
 
@@ -270,6 +270,23 @@
         play(scene)
 
 
+def test_reload_during_the_start_moves_no_port(tmp_path):
+    """Ports that were not open yet were opened at the changed addresses, which nobody was told."""
+
+    async def scene():
+        async with run_front(tmp_path, SLOW_LOAD, "event=listening") as front:
+            path, moved = tmp_path / "node.ini", f"127.0.0.1:{find_port()}"
+            text = path.read_text().replace(":".join(map(str, front.settings.ready)), moved)
+            path.write_text(text.replace("level = info", "level = debug"))
+            front.process.send_signal(signal.SIGHUP)
+            assert await ask(front, "q") == 200
+            _, writer = await asyncio.open_connection(*front.settings.ready)
+            front.writers.append(writer)
+            assert "ignored=ready" in (tmp_path / "log").read_text()
+
+    play(scene)
+
+
 def test_time_in_the_kernel_counts_for_a_caller_that_is_accepted_late(tmp_path):
     """A server was handed the time that had passed if accepting began 0.2 s after listening."""
 
