Start without standard streams

What operators saw: an instance with standard output closed did not start (exit code 1, a stack of an AttributeError). With standard input or error closed alone it served. Cause: the log sets options of descriptor 1. A number that is closed is given to the next file or socket. Change: the null device is opened in place of closed standard streams, before anything else is.

--- a/rhubarbshed/transport/startup.py
+++ b/rhubarbshed/transport/startup.py
@@ -20,6 +20,9 @@
 LOG = logging.getLogger(__name__)
 
 SETTINGS_VARIABLE = "RHUBARBSHED_SETTINGS"
+STANDARD_STREAMS = (0, 1, 2)
+"""File descriptors of standard input, output and error."""
+
 EXIT_OK = 0
 EXIT_START_FAILED = 1
 EXIT_BAD_SETTINGS = 2
@@ -34,6 +37,7 @@
 
     `noted` are the signals since the start of the process, and gets those to come.
     """
+    open_closed_streams()
     path = os.environ.get(SETTINGS_VARIABLE, "")
     read = FrontSettings.from_file(path)
     if isinstance(read, Failure):
@@ -46,6 +50,16 @@
     return code
 
 
+def open_closed_streams() -> None:
+    """Open the null device in place of closed standard streams, or sockets get their numbers."""
+    for descriptor in STANDARD_STREAMS:
+        try:
+            os.fstat(descriptor)
+        except OSError:
+            # It gets the lowest number that is free.
+            os.open(os.devnull, os.O_RDWR)
+
+
 def run(settings: FrontSettings, path: str, noted: Mapping[signal.Signals, float]) -> int:
     """Load the program and run it until it is stopped; return its exit code."""
     # What modules define lives as long as the process; collecting it delays the start by a tenth.
--- a/test/test_edge_start.py
+++ b/test/test_edge_start.py
@@ -1,6 +1,7 @@
 """Starts of an instance that runs as a process: signals during them, and starts that fail."""
 
 import asyncio
+import os
 import re
 import signal
 import socket
@@ -105,6 +106,14 @@
 """
 """Program of an instance that takes 0.3 s more to end."""
 
+CLOSED_STREAMS = """
+import os
+os.closerange(0, 3)
+from rhubarbshed import front
+front.main()
+"""
+"""Program of an instance without standard streams."""
+
 
 async def ask(front: Front, name: str, path: str = "/s/0.05", left_ms: int = 15_000) -> int | None:
     """Return the status of a whole answer, 0 without one, or None if nobody listens."""
@@ -321,3 +330,18 @@
             assert "event=defect" in (tmp_path / "log").read_text()
 
     play(scene)
+
+
+def test_instance_without_standard_streams_starts(tmp_path):
+    """It ended as its log could not be opened; sockets of callers may get the streams' numbers."""
+
+    async def scene():
+        async with run_front(tmp_path, CLOSED_STREAMS, until="") as front:
+            while (status := await ask(front, "q")) is None:
+                assert front.process.returncode is None
+                await asyncio.sleep(0.02)
+            assert status == 200
+            streams = [os.readlink(f"/proc/{front.process.pid}/fd/{each}") for each in range(3)]
+            assert streams == [os.devnull] * 3
+
+    play(scene)
