Accept what connects until the moment at which the listener is closed

What callers saw: a connection that was made, and its reset without an answer to the request on it, as a stopping instance closed its listener at the end of the announcement. Cause: all that waited was accepted, and then the listener was closed, some steps later. What connected in between was established for its caller, in no list of the instance, and was reset with the listener. Change: the listener is closed first, while a copy of it keeps the port open, and what waits is accepted until the copy is closed in the next step. What remains is the handshake that is still under way at the close: its caller may believe it made, and an instance that has not accepted it cannot answer.

--- a/rhubarbshed/transport/edge/node.py
+++ b/rhubarbshed/transport/edge/node.py
@@ -482,8 +482,10 @@
         for listener, handle in zip(
             serving, (self.relay.handle, self.relay.handle_forwarded), strict=True
         ):
-            accepted = [each for sock in listener.sockets for each in accept_waiting(sock.dup())]
+            # The copies keep the port open until nothing waits at it: there is no time between.
+            copies = [sock.dup() for sock in listener.sockets]
             listener.close()
+            accepted = [each for copy in copies for each in accept_waiting(copy)]
             make = functools.partial(self.make_connection, handle, self.connections)
             for sock in accepted:
                 await loop.connect_accepted_socket(make, sock)
--- a/test/test_edge_closing.py
+++ b/test/test_edge_closing.py
@@ -231,6 +231,30 @@
     play(scene)
 
 
+def test_request_on_a_connection_made_behind_the_last_accept_is_refused(monkeypatch):
+    """It was established, and reset as the listener closed; a busy processor made many of them."""
+    real = asyncio.Server.close
+    socks: list[socket.socket] = []
+
+    async def scene():
+        async with run_edge(make_configuration(*ROUTES), Replica("b1", reply=hang)) as edge:
+            settings = edge.node.settings
+
+            def close(self) -> None:
+                if edge.node.stop.is_set() and not socks:
+                    socks.extend(socket.create_connection(settings.callers) for _ in range(5))
+                    for sock in socks:
+                        sock.sendall(make_request("/p/x"))
+                real(self)
+
+            monkeypatch.setattr(asyncio.Server, "close", close)
+            stop(edge)
+            await edge.task
+            assert read_statuses(socks) == [b"HTTP/1.1 503"] * 5
+
+    play(scene)
+
+
 async def read_all(sock: socket.socket) -> bytes:
     """Return what comes on a connection up to its regular end or a reset."""
     loop, got = asyncio.get_running_loop(), b""
