Hold connections back for the last accepts of a listener alone

What callers would see: one who connects as a listener closes waits a second for its next try, as the packet that opens the connection is dropped. Before the filter was set first and all that waited was accepted behind it, so this held for as long as that takes. Change: what waits is accepted first; the filter is for the few accepts between that and the close.

--- a/rhubarbshed/transport/edge/sockets.py
+++ b/rhubarbshed/transport/edge/sockets.py
@@ -65,10 +65,11 @@
     transport.abort()
 
 
-def stop_handshakes(listener: socket.socket) -> None:
-    """Let no further connection begin at a listener; those that have begun go on.
+def accept_waiting(listener: socket.socket) -> list[socket.socket]:
+    """Accept all connections that wait at a listener to be closed, and close this handle of it.
 
-    A caller that tries meanwhile tries again after a second, and is refused once it is closed.
+    The close resets a connection that nobody has accepted. So no further one may begin for the last
+    accepts, which are few: a caller that tries meanwhile tries again after a second.
     """
     # Imported late, as it would take 3 ms of a start.
     import ctypes
@@ -76,31 +77,29 @@
     code = ctypes.create_string_buffer(OPENING_FILTER)
     count = len(OPENING_FILTER) // struct.calcsize("HBBI")
     program = struct.pack("HP", count, ctypes.addressof(code))
-    try:
-        listener.setsockopt(socket.SOL_SOCKET, SO_ATTACH_FILTER, program)
-    except OSError as error:
-        log_event(LOG, logging.WARNING, "handshakes_not_stopped", reason=str(error))
-
+    with listener:
+        listener.setblocking(False)
+        accepted = accept_until_none_waits(listener)
+        try:
+            listener.setsockopt(socket.SOL_SOCKET, SO_ATTACH_FILTER, program)
+        except OSError as error:
+            log_event(LOG, logging.WARNING, "handshakes_not_stopped", reason=str(error))
+        return accepted + accept_until_none_waits(listener)
 
-def accept_waiting(listener: socket.socket) -> list[socket.socket]:
-    """Accept all connections that wait at a listener to be closed, and close this handle of it.
 
-    The close resets a connection that nobody has accepted, so none is made after the last accept.
-    """
+def accept_until_none_waits(listener: socket.socket) -> list[socket.socket]:
+    """Accept all connections that wait at a listener that does not block."""
     accepted = []
-    with listener:
-        stop_handshakes(listener)
-        listener.setblocking(False)
-        while True:
-            try:
-                sock, _ = listener.accept()
-            except BlockingIOError:
+    while True:
+        try:
+            sock, _ = listener.accept()
+        except BlockingIOError:
+            return accepted
+        except OSError as error:
+            # A connection that has ended already is reported here; others may wait behind it.
+            log_event(LOG, logging.WARNING, "accept_failed", reason=repr(error))
+            if error.errno != errno.ECONNABORTED:
                 return accepted
-            except OSError as error:
-                # A connection that has ended already is reported here; others may wait behind it.
-                log_event(LOG, logging.WARNING, "accept_failed", reason=repr(error))
-                if error.errno != errno.ECONNABORTED:
-                    return accepted
-                continue
-            sock.setblocking(False)
-            accepted.append(sock)
+            continue
+        sock.setblocking(False)
+        accepted.append(sock)
