Refuse a request that crosses the close of a kept connection

What callers saw: one whose connection rhubarbshedd had kept, because the last answer on it had begun before the stop or it had been idle since, and whose request crossed the close at the end of the stop, got a reset or an end without an answer. It also did where the request had arrived and was unread. Cause: as its server stops, cheroot shuts and closes what waits for another request. Change: a worker ends such a connection: it answers what has arrived, else it sends the refusal of a stop (503, draining, not_run) and discards for 0.1 s what still comes, as rhubarbshed-front does. Left: cheroot's close of a connection that was idle for socket_timeout_s, which no stop causes.

--- a/rhubarbshed/transport/http_servers.py
+++ b/rhubarbshed/transport/http_servers.py
@@ -1,8 +1,12 @@
 """HTTP servers of an instance: one CherryPy application per port."""
 
+import contextlib
+import http
 import logging
+import select
 import socket
 import threading
+import time
 from collections.abc import Callable
 from types import SimpleNamespace
 from typing import Any
@@ -14,6 +18,7 @@
 from cheroot.wsgi import Gateway_10, Server
 from returns.result import Failure, Result, Success
 
+from rhubarbshed.coordination.requests.drain import DRAINING_MESSAGE
 from rhubarbshed.protocol.answers import make_error_headers, render_error
 from rhubarbshed.protocol.errors import Outcome, RequestError
 from rhubarbshed.transport.edge.sockets import accept_waiting
@@ -31,6 +36,9 @@
 # Longest line with the length of a chunk and its extensions.
 CHUNK_LINE_BYTES_MAX = 1024
 LINE_END = b"\r\n"
+# Time in which what a caller sends behind a refusal is read, as unread bytes make a close a reset.
+DISCARD_S = 0.1
+CLOSING = RequestError(503, "draining", DRAINING_MESSAGE, retryable=True, retry_after_s=1.0)
 
 Handler = Callable[..., Any]
 
@@ -119,9 +127,45 @@
 
 
 class BoundedConnection(HTTPConnection):
-    """Connection whose requests limit the bytes read after their answer."""
+    """Connection whose requests limit the bytes read after their answer.
+
+    One that `is_kept` waits for another request. A stop refuses a request that may be on its way.
+    """
 
     RequestHandlerClass = BoundedRequest
+    is_kept = False
+
+    def communicate(self) -> bool:
+        """Answer a request, or refuse one to come in a stop; return whether to wait for another."""
+        while True:
+            if self.is_kept and not self.server.ready and not self._has_arrived():
+                self.is_kept = False
+                self._refuse_next()
+                return False
+            self.is_kept = super().communicate()
+            if not self.is_kept or self.server.ready:
+                return self.is_kept
+
+    def close(self) -> None:
+        """Close the connection; a stop has a worker do that for one that is kept."""
+        if self.is_kept and not self.server.ready:
+            self.server.process_conn(self)
+        else:
+            super().close()
+
+    def _has_arrived(self) -> bool:
+        return self.rfile.has_data() or bool(select.select((self.socket,), (), (), 0)[0])
+
+    def _refuse_next(self) -> None:
+        """Refuse the request that may be on its way; nothing of it is run."""
+        until = time.monotonic() + DISCARD_S
+        with contextlib.suppress(OSError):  # of a caller that has left
+            self.socket.sendall(render_refusal(CLOSING))
+            self.socket.shutdown(socket.SHUT_WR)
+            while (left_s := until - time.monotonic()) > 0:
+                self.socket.settimeout(left_s)
+                if not self.socket.recv(READ_BYTES):
+                    return
 
 
 @frozen
@@ -177,6 +221,15 @@
         self.server.stop()
 
 
+def render_refusal(error: RequestError) -> bytes:
+    """Return the bytes of a refusal that ends a connection."""
+    body = render_error(error, "")
+    headers = make_error_headers(error) | {"Content-Length": str(len(body)), "Connection": "close"}
+    lines = [f"HTTP/1.1 {error.status} {http.HTTPStatus(error.status).phrase}"]
+    lines += [f"{name}: {value}" for name, value in headers.items()]
+    return "\r\n".join([*lines, "", ""]).encode() + body
+
+
 def make_connection(server: Server, sock: socket.socket, makefile: Any) -> HTTPConnection:
     """Make a connection on a blocking socket with kernel timeouts, which needs no poll per send."""
 
