Ask callers of a model whose engines are down to come back once it may be loaded

Its callers were refused with all_refused and a Retry-After of 0.3 to 0.45 s, came back, waited 0.9 s and were refused again until no try was left; a load takes 3.4 to 5.8 s. Cause: the wait for a load knows how long it takes, and that was stated only where no engine was listed with the model, not where all that are listed are down. Change: where all engines of a model are down or lack it, the refusal is that of a model that has to be loaded (model_absent), with its time.

--- a/rhubarbshed/transport/edge/relay.py
+++ b/rhubarbshed/transport/edge/relay.py
@@ -421,7 +421,8 @@
                     self.waits_for = Stage.PAUSE
                     await asyncio.sleep(SECOND_PASS_PAUSE_S)
                     continue
-                return self.give_up(chosen.reason)
+                # All that hold the model are down, so it has to be loaded elsewhere.
+                return self.give_up("absent" if all_missing else chosen.reason)
             if chosen.server.unresponsive_until > now:
                 forwarded = await self.forward_unreached()
                 if forwarded.taken:
--- a/test/test_edge_orders.py
+++ b/test/test_edge_orders.py
@@ -377,6 +377,24 @@
     play(scene)
 
 
+def test_caller_of_a_model_whose_engines_are_down_is_asked_back_once_it_may_be_loaded():
+    """It was asked back after 0.3 s, and refused again: its load takes seconds."""
+
+    async def scene():
+        service = make_engine_service({"m1": 0})
+        service["Engine"]["Models"][0]["LoadTimeS"] = 3.0
+        configuration = make_configuration(STREAM, Services=[service])
+        engines = make_engines("b1", m1=[]) + make_engines("b2")
+        engines[1].refuse_orders = True
+        async with run_edge(configuration, *engines) as edge:
+            await engines[0].stop()
+            answer = await edge.ask("/s/x", b"p", Rhubarbshed_Model="m1")
+            assert answer.status == 503
+            assert float(answer.headers["retry-after"]) >= 3.0
+
+    play(scene)
+
+
 def test_request_goes_back_to_an_engine_that_lacked_its_adapter_once_it_is_loaded():
     async def scene():
         service = make_engine_service({"m1": 3})
