Give replicas of tests an address that only their process uses

All stand-ins of replicas listened on 127.0.0.1. A replica that crashes leaves its port, another test process may get it at once, and instances then send to that one what is meant for the replica. Evidence: of six plays of test_servers_that_have_all_ended_..., two at a time, one had 500 with the body of the stand-in of the store ({}) and one 504 in place of 503; a listener at the port of one crashed replica gives just these: 500 from such a store, 504 after 4.0 s from a silent one, 502 from one that closes, at each of five instances. Change: replicas listen on a loopback address of their process, as the instances of tests do since make_host, which moves to the stand-ins. No test is changed.

--- a/standin/replica.py
+++ b/standin/replica.py
@@ -9,6 +9,12 @@
 
 from attrs import define, field
 
+from standin.hosts import make_host
+
+HOST_NUMBER = 254
+"""Number of the replicas' own address: another process may listen at once on a port that a crashed
+replica has left, if their address is the same, and answer in its place."""
+
 Reply = Callable[["Exchange"], Awaitable[None]]
 
 
@@ -111,7 +117,7 @@
     silent: bool = False
     on_overfull: Callable[[], None] = lambda: None
     answer_order: Callable[["Exchange", dict], Awaitable[None]] | None = None
-    address: tuple[str, int] = ("127.0.0.1", 0)
+    address: tuple[str, int] = field(factory=lambda: (make_host(HOST_NUMBER), 0))
     version: str = "v1"
     _server: asyncio.Server | None = None
     _writers: set[asyncio.StreamWriter] = field(factory=set)
--- a/test/helper_edge.py
+++ b/test/helper_edge.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import os
 import time
 from collections.abc import AsyncIterator, Callable
 
@@ -10,6 +9,7 @@
 
 from rhubarbshed.transport.edge.node import Node
 from rhubarbshed.util.front import FrontSettings
+from standin.hosts import make_host
 from standin.replica import Replica
 from standin.rows import RowStore
 from tools.processes import find_free_ports
@@ -50,12 +50,6 @@
 """
 
 
-def make_host(number: int) -> str:
-    """Return a loopback address that only this process uses, so that nobody takes its ports."""
-    process = os.getpid()
-    return f"127.{1 + process % 250}.{process // 250 % 250}.{number}"
-
-
 def find_port() -> int:
     """Return a free port."""
     return find_free_ports(1)[0]
