Let SIGHUP end nothing in rhubarbshedd, and note signals from its first step

What callers saw: SIGHUP, which other programs take as a request to read their settings again, ended rhubarbshedd at any time of its life, with all open requests. SIGTERM and SIGINT ended it by the signal (-15, -2) before its event loop ran, and SIGTERM and SIGHUP once that had ended. Cause: the signals had their default action; handlers of SIGTERM and SIGINT were set by the event loop, behind most of a second of imports, and removed with it. SIGHUP had none. SIGHUP is logged (nothing_reloaded). A stop that comes before the callers' port is open ends the start with exit code 0. In the time of the interpreter's own start the default actions stay.

--- a/rhubarbshed/transport/instance.py
+++ b/rhubarbshed/transport/instance.py
@@ -4,7 +4,7 @@
 import logging
 import signal
 import time
-from collections.abc import Coroutine, Iterable
+from collections.abc import Coroutine, Iterable, Mapping
 from typing import Any
 
 from attrs import define
@@ -63,18 +63,29 @@
         self.requested.set()
 
 
-async def run_instance(settings: Settings, signals: Iterable[signal.Signals]) -> int:
-    """Run an instance until it is asked to stop; return the exit code."""
+async def run_instance(
+    settings: Settings,
+    signals: Iterable[signal.Signals],
+    noted: Mapping[signal.Signals, float],
+) -> int:
+    """Run an instance until it is asked to stop; return the exit code.
+
+    `noted` are the signals that came before.
+    """
     loop = asyncio.get_running_loop()
     runtime = Runtime.from_settings(settings, loop)
     stop = StopSignals(asyncio.Event(), asyncio.Event())
-    handle_stop_signals(signals, runtime.coordinator.drain, stop.request, noted={})
+    handle_stop_signals(signals, runtime.coordinator.drain, stop.request, noted)
+    loop.add_signal_handler(signal.SIGHUP, log_hangup)
+    if signal.SIGHUP in noted:
+        log_hangup()
     listening = await listen(runtime, stop)
     if isinstance(listening, Failure):
         log_event(LOG, logging.ERROR, "start_failed", reason=listening.failure())
         await close(runtime)
         return EXIT_START_FAILED
-    log_event(LOG, logging.INFO, "started", instance=settings.instance.name)
+    event = "started" if runtime.http_servers else "stopped_before_listening"
+    log_event(LOG, logging.INFO, event, instance=settings.instance.name)
     await stop.requested.wait()
     code = await drain(runtime, stop)
     try:
@@ -85,14 +96,24 @@
     return code
 
 
+def log_hangup() -> None:
+    """Log a SIGHUP, which asks other programs to read their settings again."""
+    log_event(LOG, logging.WARNING, "nothing_reloaded", reason="settings are read at a start only")
+
+
 async def listen(runtime: Runtime, stop: StopSignals) -> Result[None, str]:
-    """Listen and start all tasks, or return which port is unavailable."""
+    """Listen and start all tasks, or return which port is unavailable.
+
+    An instance that is to stop by then does not listen for callers.
+    """
     try:
         await runtime.network.start()
     except OSError as error:
         return Failure(f"cannot listen for peers: {error}")
     await restore_catalogue(runtime)
     start_tasks(runtime)
+    if stop.requested.is_set():
+        return Success(None)
     actions = make_operator_actions(runtime, stop.request)
     token = runtime.settings.secrets.operator_token
     return runtime.start_http_servers(make_operator_handler(actions, token))
