Name the steps of a start, its stop signals and the exit codes

A review of the start found three functions that all run until stopped and return the exit code, two paths to the event loop of which one logged no defect, exit codes in three modules, and stops defined as what is not SIGHUP. Now: start reads the settings, listen_and_run opens the callers' socket and refuses what is left at it, run_node runs the event loop; STOP_SIGNALS and exit_codes stand once. The callers' listener starts last, as another process may still take a port between its binding and listening. The test of a port in use takes it also where a connection of another process has just left it: it met that once, beside other tests.

--- a/rhubarbshed/transport/daemon_command.py
+++ b/rhubarbshed/transport/daemon_command.py
@@ -11,13 +11,13 @@
 import typer
 from returns.result import Failure
 
-from rhubarbshed.transport.instance import EXIT_CUT_OFF, EXIT_OK, run_instance
+from rhubarbshed.transport.exit_codes import EXIT_BAD_SETTINGS, EXIT_CUT_OFF, EXIT_OK
+from rhubarbshed.transport.instance import run_instance
 from rhubarbshed.transport.start_signals import block_signals, find_stop, note_signals
 from rhubarbshed.util.logs import log_event, start_logging
 from rhubarbshed.util.settings import Settings
 
 LOG = logging.getLogger(__name__)
-EXIT_BAD_SETTINGS = 2
 # Worker threads copy streams while the event loop decides; with the interpreter's default of 5 ms
 # each decision would wait for several of them.
 SWITCH_INTERVAL_S = 0.0005
@@ -53,7 +53,7 @@
         log_event(LOG, logging.INFO, "stopped_before_listening", instance=settings.instance.name)
         return EXIT_OK
     with asyncio.Runner() as runner:
-        code = runner.run(run_instance(settings, (signal.SIGTERM, signal.SIGINT), noted))
+        code = runner.run(run_instance(settings, noted))
         block_signals()
     # The closed loop has restored the default actions, and other threads take signals too.
     note_signals()
--- a/rhubarbshed/transport/edge/node.py
+++ b/rhubarbshed/transport/edge/node.py
@@ -51,6 +51,7 @@
 from rhubarbshed.transport.edge.verdict_store import VerdictStore
 from rhubarbshed.transport.edge.version_store import VersionStore
 from rhubarbshed.transport.edge.view import View
+from rhubarbshed.transport.exit_codes import EXIT_DEFECT, EXIT_OK, EXIT_START_FAILED
 from rhubarbshed.transport.stop_signals import handle_stop_signals
 from rhubarbshed.util.clocks import read_lease_clock
 from rhubarbshed.util.front import FrontSettings
@@ -105,10 +106,6 @@
 )
 """Settings that hold until the process ends: others know the instance by them."""
 
-EXIT_OK = 0
-EXIT_START_FAILED = 1
-EXIT_DEFECT = 1
-
 
 @define(eq=False)
 class Node:
@@ -284,16 +281,14 @@
         return code
 
     def handle_signals(self) -> None:
-        """Stop at SIGTERM and SIGINT, and reload at SIGHUP, also at those of the start."""
-        stops, noted = (signal.SIGTERM, signal.SIGINT), self.noted_signals
-        handle_stop_signals(stops, self.view.drain, self.stop.set, noted)
+        """Stop at a stop signal, and reload at SIGHUP, also at those of the start."""
+        handle_stop_signals(self.view.drain, self.stop.set, self.noted_signals)
         asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, self.reload)
-        if signal.SIGHUP in noted:
+        if signal.SIGHUP in self.noted_signals:
             self.reload()
 
     async def listen(self) -> None:
         """Open all listening sockets."""
-        loop = asyncio.get_running_loop()
         await self.holder_protocol.datagrams.listen((self.settings.host, self.settings.peers_port))
         endpoints: list[tuple[tuple[str, int], Handler]] = [
             (self.settings.callers, self.relay.handle),
@@ -301,18 +296,19 @@
             (self.settings.ready, self.answer_ready),
             ((self.settings.host, self.settings.metrics_port), self.answer_metrics),
         ]
+        open_server = functools.partial(
+            asyncio.get_running_loop().create_server, backlog=ACCEPT_BACKLOG, start_serving=False
+        )
         for number, (address, handle) in enumerate(endpoints):
             connections = self.connections if number < SERVING_LISTENERS else set()
             make = functools.partial(self.make_connection, handle, connections)
-            given: dict[str, Any] = {"reuse_address": True}
-            if address == self.settings.callers and self.early_listener is not None:
-                given, address = {"sock": self.early_listener}, ()
-            listener = await loop.create_server(
-                make, *address, backlog=ACCEPT_BACKLOG, start_serving=False, **given
-            )
+            if handle == self.relay.handle and self.early_listener is not None:
+                listener = await open_server(make, sock=self.early_listener)
+            else:
+                listener = await open_server(make, *address, reuse_address=True)
             self.listeners.append(listener)
-        # No request is read before all ports are known to be free.
-        for listener in self.listeners:
+        # No request is read before all ports are known to be free; the callers' listener is last.
+        for listener in reversed(self.listeners):
             await listener.start_serving()
 
     def make_connection(
--- /dev/null
+++ b/rhubarbshed/transport/exit_codes.py
@@ -0,0 +1,7 @@
+"""Exit codes of the daemons."""
+
+EXIT_OK = 0
+EXIT_START_FAILED = 1
+EXIT_DEFECT = 1
+EXIT_BAD_SETTINGS = 2
+EXIT_CUT_OFF = 3
--- a/rhubarbshed/transport/instance.py
+++ b/rhubarbshed/transport/instance.py
@@ -4,7 +4,7 @@
 import logging
 import signal
 import time
-from collections.abc import Coroutine, Iterable, Mapping
+from collections.abc import Coroutine, Mapping
 from typing import Any
 
 from attrs import define
@@ -14,6 +14,7 @@
 from rhubarbshed.protocol.peers import LeavingMember, LeavingNotice
 from rhubarbshed.transport.admin import make_operator_actions
 from rhubarbshed.transport.exchange import announce_suspects
+from rhubarbshed.transport.exit_codes import EXIT_CUT_OFF, EXIT_OK, EXIT_START_FAILED
 from rhubarbshed.transport.loops import (
     probe_unreachable_servers,
     read_catalogue,
@@ -32,9 +33,6 @@
 from rhubarbshed.util.settings import Settings
 
 LOG = logging.getLogger(__name__)
-EXIT_OK = 0
-EXIT_START_FAILED = 1
-EXIT_CUT_OFF = 3
 SWEEP_INTERVAL_S = 0.25
 # Interval at which unresponsive members are detected; leaving notices and the list act at once.
 STANDINGS_INTERVAL_S = 1.0
@@ -65,7 +63,6 @@
 
 async def run_instance(
     settings: Settings,
-    signals: Iterable[signal.Signals],
     noted: Mapping[signal.Signals, float],
 ) -> int:
     """Run an instance until it is asked to stop; return the exit code.
@@ -75,7 +72,7 @@
     loop = asyncio.get_running_loop()
     runtime = Runtime.from_settings(settings, loop)
     stop = StopSignals(asyncio.Event(), asyncio.Event())
-    handle_stop_signals(signals, runtime.coordinator.drain, stop.request, noted)
+    handle_stop_signals(runtime.coordinator.drain, stop.request, noted)
     loop.add_signal_handler(signal.SIGHUP, log_hangup)
     if signal.SIGHUP in noted:
         log_hangup()
--- a/rhubarbshed/transport/start_signals.py
+++ b/rhubarbshed/transport/start_signals.py
@@ -4,8 +4,10 @@
 import time
 from collections.abc import Mapping
 
-NOTED_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
-"""Signals whose default action would end a process that callers are connected to."""
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+NOTED_SIGNALS = (*STOP_SIGNALS, signal.SIGHUP)
+"""Signals that ask for a stop, and all whose default action would end a process that callers are
+connected to."""
 
 
 def note_signals() -> dict[signal.Signals, float]:
@@ -28,7 +30,7 @@
 def find_stop(noted: Mapping[signal.Signals, float]) -> float | None:
     """Return when a stop was first asked for (monotonic seconds), None if none was."""
     # A copy in one step, as a signal adds to it between any two.
-    stops = [at for number, at in list(noted.items()) if number != signal.SIGHUP]
+    stops = [at for number, at in list(noted.items()) if number in STOP_SIGNALS]
     return min(stops, default=None)
 
 
--- a/rhubarbshed/transport/startup.py
+++ b/rhubarbshed/transport/startup.py
@@ -12,6 +12,7 @@
 from returns.result import Failure
 
 from rhubarbshed.transport.early_listener import open_listener, refuse_waiting
+from rhubarbshed.transport.exit_codes import EXIT_BAD_SETTINGS, EXIT_OK, EXIT_START_FAILED
 from rhubarbshed.transport.start_signals import block_signals, find_stop
 from rhubarbshed.util.bounded_logs import start_bounded_logging
 from rhubarbshed.util.front import FrontSettings
@@ -23,10 +24,6 @@
 STANDARD_STREAMS = (0, 1, 2)
 """File descriptors of standard input, output and error."""
 
-EXIT_OK = 0
-EXIT_START_FAILED = 1
-EXIT_BAD_SETTINGS = 2
-
 LOADED_BEFORE_LISTENING = "rhubarbshed.transport.edge.attempts"
 """Module that brings in half of the program; callers do not wait for the time that this half takes,
 which on a small instance is longer than their targets."""
@@ -45,7 +42,7 @@
         return EXIT_BAD_SETTINGS
     settings = read.unwrap()
     handler = start_bounded_logging(settings.log_level)
-    code = run(settings, path, noted)
+    code = listen_and_run(settings, path, noted)
     handler.flush()
     return code
 
@@ -60,8 +57,13 @@
             os.open(os.devnull, os.O_RDWR)
 
 
-def run(settings: FrontSettings, path: str, noted: Mapping[signal.Signals, float]) -> int:
-    """Load the program and run it until it is stopped; return its exit code."""
+def listen_and_run(
+    settings: FrontSettings, path: str, noted: Mapping[signal.Signals, float]
+) -> int:
+    """Open the callers' socket half way through loading, run the instance, return its exit code.
+
+    Whoever waits at the socket is refused if the instance ends without accepting it.
+    """
     # What modules define lives as long as the process; collecting it delays the start by a tenth.
     gc.disable()
     importlib.import_module(LOADED_BEFORE_LISTENING)
@@ -69,27 +71,28 @@
         log_event(LOG, logging.INFO, "stopped_before_listening", instance=settings.name)
         return EXIT_OK
     listener = open_listener(settings.callers)
-    if listener is None:
-        return serve(settings, path, noted)
-    log_event(LOG, logging.INFO, "listening", instance=settings.name)
+    if listener is not None:
+        log_event(LOG, logging.INFO, "listening", instance=settings.name)
     try:
-        return serve(settings, path, noted, listener)
+        return run_node(settings, path, noted, listener)
     except Exception:
         LOG.critical("event=defect", exc_info=True)
         return EXIT_START_FAILED
     finally:
-        refuse_waiting(listener)
+        # A drain has closed it; it is open here only behind a start or drain that failed.
+        if listener is not None:
+            refuse_waiting(listener)
 
 
-def serve(
+def run_node(
     settings: FrontSettings,
     path: str,
     noted: Mapping[signal.Signals, float],
-    listener: socket.socket | None = None,
+    listener: socket.socket | None,
 ) -> int:
-    """Load the rest of the program and run it until it is stopped; return its exit code.
+    """Load the rest of the program, and run the event loop until the instance has stopped.
 
-    `listener` is the callers' socket if it was opened before.
+    `listener` is the callers' socket if it could be opened early.
     """
     import asyncio
 
--- a/rhubarbshed/transport/stop_signals.py
+++ b/rhubarbshed/transport/stop_signals.py
@@ -3,14 +3,13 @@
 import asyncio
 import signal
 import time
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Mapping
 
 from rhubarbshed.coordination.requests.drain import Drain
-from rhubarbshed.transport.start_signals import find_stop
+from rhubarbshed.transport.start_signals import STOP_SIGNALS, find_stop
 
 
 def handle_stop_signals(
-    numbers: Iterable[signal.Signals],
     drain: Drain,
     on_stop: Callable[[], None],
     noted: Mapping[signal.Signals, float],
@@ -26,7 +25,7 @@
         """Start the drain, from which its times count; called between any two instructions."""
         drain.start(time.monotonic())
 
-    for number in numbers:
+    for number in STOP_SIGNALS:
         loop.add_signal_handler(number, on_stop)
         # The event loop may be late. It is still notified: it has set the wakeup descriptor.
         signal.signal(number, start_drain)
--- a/test/test_daemon.py
+++ b/test/test_daemon.py
@@ -7,8 +7,7 @@
 
 import pytest
 
-from rhubarbshed.transport.daemon_command import EXIT_BAD_SETTINGS
-from rhubarbshed.transport.instance import EXIT_CUT_OFF, EXIT_START_FAILED
+from rhubarbshed.transport.exit_codes import EXIT_BAD_SETTINGS, EXIT_CUT_OFF, EXIT_START_FAILED
 from test.helper_processes import (
     CHAT_PATH,
     Task,
--- a/test/test_edge_start.py
+++ b/test/test_edge_start.py
@@ -77,8 +77,8 @@
 SLOW_LOAD = """
 import time
 from rhubarbshed.transport import startup
-real = startup.serve
-startup.serve = lambda *args: (time.sleep(1.0), real(*args))[1]
+real = startup.run_node
+startup.run_node = lambda *args: (time.sleep(1.0), real(*args))[1]
 from rhubarbshed import front
 front.main()
 """
@@ -271,6 +271,8 @@
             assert "event=start_failed" in log and "Traceback" not in log
 
     def occupy(settings: FrontSettings) -> None:
+        # Another process may have had the port for a connection of its own.
+        taken.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, kind == socket.SOCK_STREAM)
         taken.bind((settings.host, find_port(settings)))
         if kind == socket.SOCK_STREAM:
             taken.listen()
