Refuse what a new instance cannot know yet in place of denying it

Cause: a target is looked up in the catalogue, also in one that has never been read. Only readiness asked whether it had been. Change: until the catalogue is confirmed, by the table or another instance, a request for a target that it lacks gets 503 catalogue_unknown, not_run, to be tried again. Result: test_request_before_the_catalogue_is_read_is_not_denied fails before (404).

--- a/rhubarbshed/transport/gateway.py
+++ b/rhubarbshed/transport/gateway.py
@@ -46,6 +46,13 @@
 from rhubarbshed.util.settings import Settings
 
 RETRY_AFTER_FULL_S = 1.0
+CATALOGUE_UNKNOWN = RequestError(
+    503,
+    "catalogue_unknown",
+    "this instance does not know yet which models and services there are",
+    retryable=True,
+    retry_after_s=RETRY_AFTER_FULL_S,
+)
 RETRY_AFTER_CLAIM_S = 2.0
 RELEASE_POLL_S = 0.5
 ISOLATION_POLL_S = 0.25
@@ -89,6 +96,7 @@
     check_server: Callable[[str], Awaitable[None]]
     cancel_attempt: Callable[[Dispatch], Awaitable[None]]
     has_serving_state: Callable[[], bool]
+    is_catalogue_known: Callable[[], bool]
     settlements: Settlements = field(factory=Settlements)
     isolation_releases: IsolatedRunReleases = field(factory=IsolatedRunReleases)
     claims: dict[str, ClaimRequest] = field(factory=dict)
@@ -140,6 +148,8 @@
         request = call.request
         target = f"{call.method} {request.target} {call.path}"
         request = evolve(request, fingerprint=compute_fingerprint(target, call.body))
+        if not self.is_catalogue_known() and self.coordinator.lookup.find_target_s(request) is None:
+            return await self._finish(call, Refusal(CATALOGUE_UNKNOWN))
         if not request.idempotent and request.idempotency_key:
             refused = self.coordinator.check_new(request, time.monotonic())
             if refused is not None:
--- a/rhubarbshed/transport/runtime.py
+++ b/rhubarbshed/transport/runtime.py
@@ -232,6 +232,7 @@
             check_server=self.check_server,
             cancel_attempt=self.cancel_attempt,
             has_serving_state=self.has_serving_state,
+            is_catalogue_known=lambda: self.catalogue_known,
         )
 
     def has_serving_state(self) -> bool:
--- a/test/test_daemon.py
+++ b/test/test_daemon.py
@@ -20,7 +20,7 @@
     send_raw,
     wait_for_open,
 )
-from tools.fleet import ENVIRONMENT, ask
+from tools.fleet import ENVIRONMENT, Instance, ask
 from tools.processes import find_free_ports, start_instance, wait_until
 
 GOOD = {"model": "m1", "messages": [{"role": "user", "content": "hello"}], "max_tokens": 2}
@@ -267,3 +267,22 @@
     assert c.process.popen.wait(STOP_BOUND_S) == EXIT_CUT_OFF
     assert "cut_off=1" in c.process.read_log()
     assert not is_own_answer(stream.wait(), "long", 600)
+
+
+def test_request_before_the_catalogue_is_read_is_not_denied(fleet):
+    """It was answered 404, as if no operator had created its model."""
+    stores = [fleet.table, fleet.objects, fleet.platform]
+    ports = tuple(find_free_ports(3))
+    text = fleet._make_settings("new", "dc-1", ports) + fleet.settings
+    url = f"http://127.0.0.1:{ports[0]}"
+    try:
+        for store in stores:
+            store.popen.send_signal(signal.SIGSTOP)
+        process = start_instance(text, url, "/health", ENVIRONMENT)
+        answer = chat(Instance("new", "dc-1", process, ports), "hello")
+        assert (answer.status, answer.code) == (503, "catalogue_unknown"), answer
+        assert answer.outcome == "not_run"
+    finally:
+        for store in stores:
+            store.popen.send_signal(signal.SIGCONT)
+    assert process.stop() == 0
