Offer a request to an instance in its pause before it is refused

What callers saw: 503 all_refused after some 70 ms, with nearly 4 s left, from an instance whose links to servers are cut, though another instance reaches them. Cause: a connection to the only instance in touch was late once (the loop stood still) and timed out after 0.3 s, so it was left alone for 1.0 s (BROKEN_PAUSE_S). A request in that second was offered to the others, which are cut off too, and then refused. Of a failure's lines: forwarded to the instance in touch not_sent 'no connection: TimeoutError()' at 7.474 s, its pause ends at 8.474, and at 8.359 a request is declined by one that is cut off (no_servers), refused by the links here, and answered 503 at 8.43. test_request_is_offered_to_an_instance_in_its_pause_before_it_is_refused fails before (503). Why it works: a pause says where to ask last. Once no other instance is left to ask, the one whose pause ends first is asked, four in all as before. Offers for servers that may be down themselves (only_reached) are not made more often.

--- a/rhubarbshed/coordination/serving/peer_choice.py
+++ b/rhubarbshed/coordination/serving/peer_choice.py
@@ -76,6 +76,11 @@
         """Return whether no other instance would reach the servers for a kind of request."""
         return self.vain_until.get(need, 0.0) > now
 
+    def choose_paused(self, asked: Collection[Address]) -> Address | None:
+        """Choose the instance whose pause ends first, for a request that would be refused."""
+        paused = [address for address in self.paused_until if address not in asked]
+        return min(paused, key=self.paused_until.__getitem__, default=None)
+
     def draw_questioned(self, rng: random.Random) -> list[Address]:
         """Draw the instances to ask whether they reach servers."""
         near = self.instances.get(self.data_centre, ())
--- a/rhubarbshed/transport/edge/forwarding.py
+++ b/rhubarbshed/transport/edge/forwarding.py
@@ -103,6 +103,8 @@
         while len(asked) < PEERS_ASKED_MAX:
             now = time.monotonic()
             address = self.peers.choose(asked, now, self.rng)
+            if address is None and not only_reached:
+                address = self.peers.choose_paused(asked)
             if address is None or progress.deadline - now < TIME_LEFT_MIN_S:
                 break
             asked.append(address)
--- a/test/test_edge_cut_off.py
+++ b/test/test_edge_cut_off.py
@@ -61,6 +61,21 @@
     play(scene)
 
 
+def test_request_is_offered_to_an_instance_in_its_pause_before_it_is_refused():
+    """One late connection to the only instance in touch, and a second of requests was refused."""
+
+    async def scene():
+        async with run_cut_scene() as cuts:
+            await cuts.cut("refuse", "a1", "a2", "a3", "b1")
+            peers = cuts["a1"].relay.forwarder.peers
+            for name in ("a2", "a3", "b1", "b2"):
+                settings = cuts[name].settings
+                peers.pause((settings.host, settings.peers_port), 60.0, time.monotonic())
+            assert (await cuts.ask("a1", "/u/x", b"x")).status == 200
+
+    play(scene)
+
+
 @pytest.mark.parametrize("how", ("reset", "refuse"))
 def test_instances_that_do_not_know_yet_that_they_are_cut_off_do_not_stand_for_servers_down(how):
     """They answered as if the servers did not answer, and after two such nobody else was asked."""
