--- a/rhubarbshed/transport/edge/node.py
+++ b/rhubarbshed/transport/edge/node.py
@@ -478,7 +478,7 @@
         for listener, handle in zip(
             serving, (self.relay.handle, self.relay.handle_forwarded), strict=True
         ):
-            # The copies keep the port open until nothing waits at it: there is no time between.
+            # The copies keep the port open until nothing waits at it.
             copies = [sock.dup() for sock in listener.sockets]
             listener.close()
             accepted = [each for copy in copies for each in accept_waiting(copy)]
