Stop the server of a test once it keeps the connection

Cause: the caller had its answer, and the test stopped the server before the worker had handed the connection back. The worker then refuses it by itself, as it should, and the caller of the test sent half a second after that refusal had reached it. Change: the test waits until the connection is among those that the server keeps, which is what its name says.

--- a/test/test_http_servers.py
+++ b/test/test_http_servers.py
@@ -11,7 +11,7 @@
 
 from rhubarbshed.transport import http_servers
 from rhubarbshed.transport.http_servers import HttpServer, HttpServerLimits, answer
-from tools.processes import find_free_ports
+from tools.processes import find_free_ports, wait_until
 
 LIMITS = HttpServerLimits(threads=2, header_bytes_max=16384, socket_timeout_s=5.0)
 DISCARD_S = 1.0
@@ -30,6 +30,9 @@
         caller.request("POST", "/", b"{}")
         answered = caller.getresponse()
         assert answered.read() == b"" and not answered.will_close
+        # Until its worker has handed it back, that refuses it as the server stops.
+        kept = server.server._connections._selector
+        assert wait_until(lambda: len(list(kept.connections)) == 2, 5.0)
         yield server, caller
     finally:
         server.stop()
