review: case 5, Server-Leaving is not read

Seen: the store turns the order holder away while a server leaves as planned and says so in its answers. The holder passes these on and sends requests to the server until it ends; those in progress are lost. Cause: the header is not read.

--- /dev/null
+++ b/review/5/case.py
@@ -0,0 +1,146 @@
+"""A replica leaves as planned and says so in its answers, while the store turns one machine away."""
+
+import asyncio
+import sys
+import tempfile
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
+
+from common.replica import Replica
+from common.scene import (
+    BOUNDS,
+    Client,
+    Record,
+    find_holder,
+    find_ports,
+    is_troubled,
+    make_configuration,
+    make_instances,
+    make_route,
+    make_service,
+)
+from common.store import Store
+
+DRAIN_S = BOUNDS["Bounds.DrainMs"] / 1000.0
+CALM_S = 6.0
+REJECTED_S = 9.0
+LEAVES_AFTER_S = 1.0
+LONGER_S = 1.5
+RUN_S = 0.4
+
+
+async def ask_repeatedly(client: Client, instances: list) -> None:
+    """Send a request that may run once only to each ready instance, ten a second."""
+    tasks = set()
+    while True:
+        for instance in instances:
+            task = asyncio.create_task(client.ask(instance, "POST", "/u/x"))
+            tasks.add(task)
+            task.add_done_callback(tasks.discard)
+        await asyncio.sleep(0.1)
+
+
+def check_drain(record: Record, server_id: str) -> list[str]:
+    """Return the requests that reached a leaving replica by an instance that had been told.
+
+    They were sent later than `DrainMs` after that instance had passed on an answer that says so.
+    """
+    told: dict[str, float] = {}
+    for event in record.list("answered"):
+        if event["leaving"] and event["server"] == server_id:
+            told.setdefault(event["instance"], event["at"])
+    sent = {event["request"]: event for event in record.list("sent")}
+    broken = []
+    for run in record.list("run"):
+        request = sent[run["request"]]
+        late_s = request["at"] - told.get(request["instance"], request["at"])
+        if run["server"] == server_id and late_s > DRAIN_S:
+            broken.append(
+                f"{run['request']} sent to {request['instance']} {late_s:.2f} s after that passed "
+                f"on an answer with Server-Leaving reached {server_id}"
+            )
+    return broken
+
+
+def list_lost(record: Record, server_id: str) -> list[str]:
+    """Return the requests that a replica ran and whose clients got no success."""
+    run = {event["request"] for event in record.list("run") if event["server"] == server_id}
+    return [
+        f"{event['request']} got {event['status']}"
+        for event in record.list("answered")
+        if event["request"] in run and event["status"] != 200
+    ]
+
+
+async def play(record: Record, folder: Path) -> int:
+    """Play the case; return the exit code."""
+    store = Store()
+    store_ports = find_ports(3)
+    await store.start(store_ports)
+    routes = [make_route("/u/", "non_idempotent", "plain")]
+    store.put("op", "config", make_configuration(3, routes, [make_service("plain")]))
+    replicas = [Replica(store, record.write, f"i-{n}", "plain", "a", RUN_S) for n in (1, 2, 3)]
+    leaving = replicas[0]
+    for replica in replicas:
+        await replica.start()
+    instances = make_instances(record, folder, {"f1": "a", "f2": "a", "f3": "a"}, store_ports)
+    asking = None
+    started = list(replicas)
+    try:
+        for instance in instances:
+            instance.start()
+        for instance in instances:
+            await instance.wait_ready()
+        asking = asyncio.create_task(ask_repeatedly(Client(record), instances))
+        await asyncio.sleep(CALM_S)
+        turned_away = await find_holder(instances)
+        if turned_away is None:
+            record.write("no_holder")
+            return 2
+        if is_troubled():
+            store.rejected.add(turned_away.ports["store"])
+            store.reset(turned_away.ports["store"])
+            record.write("turned_away", instance=turned_away.name)
+        await asyncio.sleep(LEAVES_AFTER_S)
+        leaving.state, leaving.says_leaving = "draining", True
+        leaving.beat()
+        record.write("draining_acknowledged", server=leaving.server_id, version=store.version)
+        await asyncio.sleep(DRAIN_S + LONGER_S)
+        record.write("ready", instance=turned_away.name, ready=await turned_away.is_ready())
+        store.remove("servers", leaving.server_id)
+        leaving.is_listed = False
+        leaving.end()
+        started.remove(leaving)
+        await asyncio.sleep(REJECTED_S - LEAVES_AFTER_S - DRAIN_S - LONGER_S)
+        store.rejected.clear()
+        broken = check_drain(record, leaving.server_id)
+        for line in broken[:20]:
+            record.write("broken", rule="DRAIN", detail=line)
+        for line in list_lost(record, leaving.server_id):
+            record.write("lost", detail=line)
+        record.write("result", broken=len(broken))
+        return 1 if broken else 0
+    finally:
+        if asking is not None:
+            asking.cancel()
+        for instance in instances:
+            instance.kill()
+        for replica in started:
+            replica.end()
+        store.stop()
+
+
+def main() -> int:
+    """Play the case with its record beside this file."""
+    record = Record(Path(__file__).with_name("record.txt"))
+    with tempfile.TemporaryDirectory() as folder:
+        try:
+            return asyncio.run(asyncio.wait_for(play(record, Path(folder)), 110.0))
+        except (OSError, TimeoutError) as error:
+            record.write("could_not_run", error=repr(error))
+            return 2
+
+
+if __name__ == "__main__":
+    sys.exit(main())
