--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,4 +1,4 @@
-"""A drill of the store while an order holder is restarted as planned: who gives orders then?"""
+"""A drill of the store while an order holder is restarted as planned, and who gives orders."""
 
 import asyncio
 import signal
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,4 +1,4 @@
-"""A replica leaves as planned and says so in its answers, while the store turns one machine away."""
+"""A replica leaves and says so in its answers, while the store turns one machine away."""
 
 import asyncio
 import sys
--- a/review/common/__init__.py
+++ b/review/common/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins and processes that the cases share."""
