--- a/review/1/case.py
+++ b/review/1/case.py
@@ -9,8 +9,8 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 
-from common.replica import Replica
-from common.scene import (
+from replica import Replica
+from scene import (
     BOUNDS,
     RESTART_S,
     Client,
@@ -23,7 +23,7 @@
     make_route,
     make_service,
 )
-from common.store import Store
+from store import Store
 
 LEASE_S = BOUNDS["Bounds.LeaseMs"] / 1000.0
 GRACE_S = BOUNDS["Bounds.GraceS"]
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -8,8 +8,8 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 
-from common.replica import Replica
-from common.scene import (
+from replica import Replica
+from scene import (
     BOUNDS,
     Client,
     Record,
@@ -21,7 +21,7 @@
     make_route,
     make_service,
 )
-from common.store import Store
+from store import Store
 
 DRAIN_S = BOUNDS["Bounds.DrainMs"] / 1000.0
 CALM_S = 8.0
--- a/review/common/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Stand-ins and processes that the cases share."""
--- a/review/common/replica.py
+++ b/review/replica.py
@@ -5,7 +5,7 @@
 import time
 from collections.abc import Callable
 
-from common.store import Store
+from store import Store
 
 HEARTBEAT_S = 1.2
 ADAPTER_LOAD_S = 0.007
--- a/review/common/scene.py
+++ b/review/scene.py
@@ -12,7 +12,7 @@
 import urllib.request
 from pathlib import Path
 
-REPOSITORY = Path(__file__).resolve().parents[2]
+REPOSITORY = Path(__file__).resolve().parents[1]
 HOST = "svc.example"
 READY_TIMEOUT_S = 20.0
 RESTART_S = 0.3
