Do not resume a lease from a restored copy of the store

Cause: the row of an earlier process of the same instance was taken as proof that nobody had ordered since, also if the row came from a copy; the fencing token was the row's version, which a restored store gives out again. `Store-Era` was read nowhere.

Now the era is decoded from each answer. A row of an earlier era is not resumed, tokens hold the era above the version, and a holder keeps the lease across a restore only if a renewal is answered in the new era before its right has lapsed: until then no other instance can have taken over. Otherwise the takeover waits as after any holder, also if the row is missing. Answers of an earlier era are dropped.

--- a/rhubarbshed/coordination/serving/lease_state.py
+++ b/rhubarbshed/coordination/serving/lease_state.py
@@ -9,6 +9,12 @@
 After a loss of power to all instances nobody gives orders until the lease has a holder again. An
 instance whose own earlier process held the lease, and gave orders, takes it back at once: its
 process has ended, and no other holder's orders can be less than a lease old.
+
+When the store is restored from a copy, its row may be older than the last one that was
+acknowledged, and versions are given out again. A holder keeps the lease if it is renewed in the new
+era before its right has lapsed, as no other instance can have taken over until then. Everybody else
+takes the row for one that was first seen in the new era, and nobody trusts one that was written
+before.
 """
 
 import enum
@@ -16,6 +22,8 @@
 
 from attrs import define
 
+from rhubarbshed.protocol.tables import FIRST_ERA
+
 ORDER_RIGHT_FRACTION = 0.4
 """Fraction of a lease during which a renewal allows orders, counted from when it was sent."""
 
@@ -47,6 +55,9 @@
 NO_MESSAGE_FRACTION = 0.25
 """Fraction of a lease without a message from the holder after which its row is read."""
 
+TOKEN_VERSION_BITS = 39
+"""Bits of a fencing token that hold a version of the store; those above hold the era."""
+
 CONFIRMED_FRACTION = 0.3
 """Fraction of a lease after its last answered renewal from which a holder may miss changes of the
 store: a renewal is overdue."""
@@ -69,15 +80,34 @@
     return JITTER_S * rng.random() + SMALL_INSTANCE_DELAY_MAX_S * (1.0 - size)
 
 
+def count_restores(era: int) -> int:
+    """Return how often a store had been restored before an era."""
+    return max(0, era - FIRST_ERA)
+
+
+def make_token(era: int, version: int) -> int:
+    """Return a fencing token that is unique and rises across restores of the store.
+
+    Those of the first era are the versions themselves, as in builds that do not read the era.
+    """
+    return count_restores(era) << TOKEN_VERSION_BITS | version
+
+
+def read_restores(token: int) -> int:
+    """Return how often the store had been restored before a fencing token was made."""
+    return token >> TOKEN_VERSION_BITS
+
+
 @define
 class LeaseState:
     """Lease as known to one instance; times are monotonic seconds.
 
-    `version` is the version of the row as last read, and `version_seen_at` when that version was
+    `version` is the version of the row as last read in `era`, and `version_seen_at` when it was
     first read; an earlier process of this instance, which gave orders, left it if `is_resumable`.
     Orders are allowed from `may_order_from`, until which a new holder waits, to `may_order_until`;
     those that count towards a common rate wait until `may_load_from` in any case. A holder that
-    took the lease while it was cut off keeps it through that cut.
+    took the lease while it was cut off keeps it through that cut. `renewed_era` is the era of the
+    last answered renewal.
     """
 
     lease_s: float
@@ -95,6 +125,8 @@
     is_resumable: bool = False
     renewed_at: float = 0.0
     acquired_in_cut: bool = False
+    era: int = 0
+    renewed_era: int = 0
 
     @classmethod
     def from_start(cls, lease_s: float, jitter_s: float, now: float) -> "LeaseState":
@@ -139,7 +171,31 @@
 
         It is written with a takeover, too, for a process that reads it after this one has ended.
         """
-        return now >= self.may_order_from if self.held else self.is_resumable or self.version == 0
+        if self.held:
+            return now >= self.may_order_from
+        return self.is_resumable or not self.may_have_holder()
+
+    def may_have_holder(self) -> bool:
+        """Return whether there may have been a holder before; a restore may have lost its row."""
+        return self.version != 0 or self.era > FIRST_ERA
+
+    def record_era(self, era: int, now: float) -> None:
+        """Record a new era of the store, in which the row has yet to be read or renewed."""
+        self.era = era
+        self.is_resumable = False
+        if self.held:
+            # A renewal is due at once, and changes of the store may be missed until then.
+            self.renewed_at = now - self.lease_s
+        else:
+            self.version = -1
+            self.read_at = -1e9
+
+    def has_lapsed_in_restore(self, now: float) -> bool:
+        """Return whether the right ended before it was renewed in the store's new era.
+
+        Another instance may have had the lease in between, of which the copy shows nothing.
+        """
+        return self.held and self.renewed_era != self.era and now >= self.may_order_until
 
     def record_row(self, version: int, holder: str, now: float, is_resumable: bool = False) -> None:
         """Record the row as read; a row that does not exist has version 0."""
@@ -155,15 +211,16 @@
     ) -> None:
         """Record that this instance acquired the lease, and when its orders may start.
 
-        With `waits` there was a holder before, and orders start a lease after the end of its right,
-        unless it was an earlier process of this instance. It sent its last renewal before the row
-        was first seen at this version.
+        With `waits` there may have been a holder before, and orders start a lease after the end of
+        its right, unless it was an earlier process of this instance. It sent its last renewal
+        before the row was first seen at this version.
         """
         last_right = self.version_seen_at + self.lease_s * ORDER_RIGHT_FRACTION
         self.held = True
         self.acquired_in_cut = in_cut
         self.version = version
-        self.token = version
+        self.token = make_token(self.era, version)
+        self.renewed_era = self.era
         self.renewed_at = sent_at
         self.may_order_until = sent_at + self.lease_s * ORDER_RIGHT_FRACTION
         self.may_load_from = last_right + self.lease_s if waits else sent_at
@@ -171,7 +228,10 @@
         self.is_resumable = False
 
     def record_renewed(self, version: int, sent_at: float) -> None:
-        """Record a renewal that the store has confirmed."""
+        """Record a renewal that the store has confirmed, maybe the first one of an era."""
+        if self.renewed_era != self.era:
+            self.token = make_token(self.era, version)
+            self.renewed_era = self.era
         self.version = version
         self.renewed_at = sent_at
         self.may_order_until = sent_at + self.lease_s * ORDER_RIGHT_FRACTION
--- a/rhubarbshed/platform/rows.py
+++ b/rhubarbshed/platform/rows.py
@@ -10,7 +10,7 @@
 from returns.result import Failure, Result, Success
 
 from rhubarbshed.platform.values import DECODE_ERRORS, require_count, require_number
-from rhubarbshed.protocol.exchanges import ControlCall
+from rhubarbshed.protocol.exchanges import ControlCall, Headers
 from rhubarbshed.protocol.message_checks import describe, is_number
 from rhubarbshed.protocol.tables import Committed, Row, Scan, TableError, TableFault, Transaction
 
@@ -21,6 +21,9 @@
 QUARANTINE_TABLE = "rhubarbshed-quarantine"
 VERSIONS_TABLE = "rhubarbshed-versions"
 STREAMS_TABLE = "rhubarbshed-streams"
+ERA = b"store-era"
+"""Header of all answers; the number rises by one when the store is restored from a copy."""
+
 ROWS_MAX = 500
 """Rows in one response, from the platform's documentation."""
 
@@ -32,6 +35,7 @@
 """Longest answer with changes; the platform's documentation states none."""
 
 JSON_HEADERS = ((b"content-type", b"application/json"),)
+ERA_VALUE = re.compile(rb"[0-9]{1,4}")
 SURROGATE = re.compile("[\ud800-\udfff]")
 SURROGATES_END = "\ue000"
 """Code points without a UTF-8 form, and the first one after them."""
@@ -87,10 +91,16 @@
     return ControlCall(b"POST", b"/rhubarbshed/rows-tx", data, JSON_HEADERS, PAGE_BYTES_MAX)
 
 
-def read_page(status: int, body: bytes) -> Result[Page, TableError]:
+def read_era(headers: Headers) -> int | None:
+    """Return the era of the store that answered, None if it states none."""
+    value = next((value for name, value in headers if name.lower() == ERA), b"")
+    return int(value) if ERA_VALUE.fullmatch(value) else None
+
+
+def read_page(status: int, body: bytes, era: int = 0) -> Result[Page, TableError]:
     """Decode the response to a read or to a read of the change feed."""
     if status == 410:
-        return Failure(TableError(TableFault.CONFLICT, detail="history is gone"))
+        return Failure(TableError(TableFault.CONFLICT, detail="history is gone", era=era))
     if status != 200:
         detail, is_busy = f"status {status}", status == 429
         return Failure(TableError(TableFault.UNAVAILABLE, detail=detail, is_busy=is_busy))
@@ -100,7 +110,7 @@
         if plain.get("HasMore") and not rows:
             raise ValueError("no row to go on from")
         more = _find_key_after(rows[-1].key) if plain.get("HasMore") else None
-        scan = Scan(rows, require_count(plain["Ver"]))
+        scan = Scan(rows, require_count(plain["Ver"]), era)
         return Success(Page(scan, more, require_number(plain.get("NowMs", 0)), unreadable))
     except DECODE_ERRORS as error:
         return Failure(
@@ -114,7 +124,7 @@
     return key + "\0" if found is None else key[: found.start()] + SURROGATES_END
 
 
-def read_commit(status: int, body: bytes) -> Result[Committed, TableError]:
+def read_commit(status: int, body: bytes, era: int = 0) -> Result[Committed, TableError]:
     """Decode the response to a transaction."""
     if status in (429, 503):
         return Failure(TableError(TableFault.UNAVAILABLE, detail=f"status {status}"))
@@ -122,9 +132,9 @@
         plain = json.loads(body)
         if status == 412:
             rows, _ = _read_rows(plain["Rows"])
-            return Failure(TableError(TableFault.CONFLICT, rows, "a row has changed"))
+            return Failure(TableError(TableFault.CONFLICT, rows, "a row has changed", era=era))
         if status == 200:
-            return Success(Committed(require_count(plain["Ver"])))
+            return Success(Committed(require_count(plain["Ver"]), era))
     except DECODE_ERRORS as error:
         return Failure(
             TableError(TableFault.UNKNOWN, detail=f"unreadable answer: {describe(error)}")
--- a/rhubarbshed/protocol/tables.py
+++ b/rhubarbshed/protocol/tables.py
@@ -5,6 +5,9 @@
 
 from attrs import field, frozen
 
+FIRST_ERA = 1
+"""Era of a store that was never restored from a copy; each restore raises the era by one."""
+
 
 @frozen
 class Row:
@@ -46,17 +49,22 @@
 
 @frozen
 class Committed:
-    """Commit number of a committed transaction."""
+    """Commit number of a committed transaction, and the era of the store that counts it."""
 
     revision: int
+    era: int = 0
 
 
 @frozen
 class Scan:
-    """Result of a scan: rows with a prefix changed after a revision, and the store's revision."""
+    """Result of a scan: rows with a prefix changed after a revision, and the store's revision.
+
+    Revisions of different eras cannot be compared; `era` is 0 if the store does not state it.
+    """
 
     rows: tuple[Row, ...]
     revision: int
+    era: int = 0
 
 
 class TableFault(enum.Enum):
@@ -73,7 +81,7 @@
 
 @frozen
 class TableError:
-    """Failed call; `rows` are the current rows of failed checks.
+    """Failed call; `rows` are the current rows of failed checks, in the store's `era`.
 
     `is_busy` means that the service serves, but had more calls than it takes.
     """
@@ -82,3 +90,4 @@
     rows: tuple[Row, ...] = field(factory=tuple)
     detail: str = ""
     is_busy: bool = False
+    era: int = 0
--- a/rhubarbshed/transport/edge/control.py
+++ b/rhubarbshed/transport/edge/control.py
@@ -8,7 +8,7 @@
 from attrs import frozen
 from returns.result import Failure, Result, Success
 
-from rhubarbshed.protocol.exchanges import ControlCall
+from rhubarbshed.protocol.exchanges import ControlCall, Headers
 from rhubarbshed.protocol.tables import TableError, TableFault
 from rhubarbshed.transport.edge.channels import (
     UNUSED_BODY_S,
@@ -25,6 +25,7 @@
 
     status: int
     body: bytes
+    headers: Headers = ()
 
 
 def allow() -> bool:
@@ -97,7 +98,7 @@
         channel.finish(response, time.monotonic())
     elif await _skip_body(channel):
         channel.finish(response, time.monotonic())
-    return ControlAnswer(response.status_code, body)
+    return ControlAnswer(response.status_code, body, tuple(response.headers))
 
 
 async def _read_body(channel: Channel, bytes_max: int) -> bytes | None:
--- a/rhubarbshed/transport/edge/lease.py
+++ b/rhubarbshed/transport/edge/lease.py
@@ -11,7 +11,7 @@
 
 from rhubarbshed.coordination.serving.lease_state import LeaseState, Step
 from rhubarbshed.platform.rows import OWN_TABLE
-from rhubarbshed.protocol.message_checks import is_address, is_text
+from rhubarbshed.protocol.message_checks import is_address, is_number, is_text
 from rhubarbshed.protocol.tables import (
     Check,
     Committed,
@@ -42,12 +42,14 @@
     """Value of a lease's row: its holder and where that receives messages.
 
     `nonce` is that of the holder's process, which `gives_orders`: it waits for no other holder.
+    `era` is that of the store as known to the process.
     """
 
     holder: str
     address: Address
     nonce: str = ""
     gives_orders: bool = False
+    era: int = 0
 
 
 def read_lease_row(value: dict[str, Any]) -> Result[LeaseRow, str]:
@@ -58,7 +60,9 @@
         return Failure("its holder is no short text")
     if not is_address(address):
         return Failure("its address is none")
-    return Success(LeaseRow(holder, address, nonce, value.get("gives_orders") is True))
+    era = value.get("era", 0)
+    gives_orders = value.get("gives_orders") is True and is_number(era)
+    return Success(LeaseRow(holder, address, nonce, gives_orders, era if is_number(era) else 0))
 
 
 @define
@@ -89,6 +93,7 @@
         """Renew, take or follow the lease forever."""
         while True:
             now = read_lease_clock()
+            self._check_era(now)
             step = self.lease_state.choose_step(now, self.measure_cut(time.monotonic()))
             if step is Step.RENEW:
                 await self._renew()
@@ -181,12 +186,24 @@
             "port": port,
             "nonce": self.nonce,
             "gives_orders": self.lease_state.gives_orders(now),
+            "era": self.lease_state.era,
         }
 
     def _is_resumable(self, row: LeaseRow) -> bool:
-        """Return whether an earlier process of this instance left the row, and gave orders."""
+        """Return whether an earlier process of this instance left the row, and gave orders.
+
+        A row of an earlier era comes from a copy: another instance may have taken over since.
+        """
         is_own = (row.holder, row.address) == (self.name, self.address)
-        return is_own and row.nonce != self.nonce and row.gives_orders
+        is_latest = row.era == self.lease_state.era
+        return is_own and is_latest and row.nonce != self.nonce and row.gives_orders
+
+    def _check_era(self, now: float) -> None:
+        """Start anew in a new era of the store, but for a right that has not lapsed."""
+        if self.store.era != self.lease_state.era:
+            self.lease_state.record_era(self.store.era, now)
+        if self.lease_state.has_lapsed_in_restore(now):
+            self._lose_lease("lapsed_in_restore")
 
     async def _write(self) -> Result[Committed, TableError]:
         checks = (Check(self.key, self.lease_state.version),)
@@ -200,6 +217,9 @@
             self.lease_state.read_at = now
             log_event(LOG, logging.INFO, "lease_unread", reason=result.failure().detail)
             return
+        self._check_era(now)
+        if result.unwrap().scan.era != self.lease_state.era:
+            return
         self._record_other_holders(result.unwrap().scan.rows)
         for row in result.unwrap().scan.rows:
             if row.key == self.key and row.value is not None:
@@ -224,27 +244,36 @@
         result = await self._write()
         if isinstance(result, Success):
             version = result.unwrap().revision
+            if result.unwrap().era != self.lease_state.era:
+                # The version that was checked is one of an earlier era; the row has to be read.
+                return
             in_cut = self.measure_cut(time.monotonic()) > 0.0
             resumed = self.lease_state.is_resumable
-            self.lease_state.record_acquired(version, sent_at, step is Step.TAKE_OVER, in_cut)
+            waits = self.lease_state.may_have_holder()
+            self.lease_state.record_acquired(version, sent_at, waits, in_cut)
             self.holder_address = self.address
             before = self.lease_state.holder
-            log_event(
-                LOG, logging.INFO, "lease_taken", token=version, before=before, resumed=resumed
-            )
+            token = self.lease_state.token
+            log_event(LOG, logging.INFO, "lease_taken", token=token, before=before, resumed=resumed)
             return
         self._apply_conflict(result.failure())
 
     async def _renew(self) -> None:
         sent_at = read_lease_clock()
         result = await self._write()
+        self._check_era(read_lease_clock())
+        if not self.lease_state.held:
+            return
         if isinstance(result, Success):
-            self.lease_state.record_renewed(result.unwrap().revision, sent_at)
+            if result.unwrap().era == self.lease_state.era:
+                self.lease_state.record_renewed(result.unwrap().revision, sent_at)
             return
         error = result.failure()
         if error.fault is not TableFault.CONFLICT:
             log_event(LOG, logging.INFO, "lease_unrenewed", reason=error.detail)
             return
+        if error.era != self.lease_state.era:
+            return
         row = next((row for row in error.rows if row.key == self.key), None)
         if row is not None and row.value and row.value.get("nonce") == self.nonce:
             # A renewal whose response was lost took effect: this instance still holds the row.
@@ -254,8 +283,9 @@
 
     def _apply_conflict(self, error: TableError) -> None:
         now = read_lease_clock()
+        self._check_era(now)
         self.lease_state.read_at = now
-        for row in error.rows:
+        for row in error.rows if error.era == self.lease_state.era else ():
             if row.key == self.key and row.value is not None:
                 self._record_row(row, now)
         if error.fault is not TableFault.CONFLICT:
--- a/rhubarbshed/transport/edge/store.py
+++ b/rhubarbshed/transport/edge/store.py
@@ -3,7 +3,7 @@
 import logging
 from collections.abc import Callable
 
-from attrs import define
+from attrs import define, evolve, field
 from returns.result import Failure, Result, Success
 
 from rhubarbshed.platform.rows import (
@@ -12,13 +12,13 @@
     make_feed_read,
     make_read,
     read_commit,
+    read_era,
     read_page,
 )
 from rhubarbshed.protocol.exchanges import ControlCall
 from rhubarbshed.protocol.tables import (
     Committed,
     Row,
-    Scan,
     TableError,
     TableFault,
     Transaction,
@@ -44,13 +44,17 @@
 class StoreClient:
     """Client for rows of the store; each table has its own connection for following changes.
 
-    `count` takes the kind and table of each call, `count_unreadable` what cannot be decoded.
+    `count` takes the kind and table of each call, `count_unreadable` what cannot be decoded. `era`
+    is the latest era that the store stated, 0 before; `on_restored` are called when it rises.
     """
 
     address: Address
     pool: Pool
     count: Callable[[str, str], None] = lambda kind, table: None
     count_unreadable: Callable[[str], None] = lambda kind: None
+    era: int = 0
+    on_restored: list[Callable[[], None]] = field(factory=list)
+    _states_era: bool = False
 
     async def read_all(self, table: str) -> Result[Page, TableError]:
         """Return all rows of a table; `scan.revision` is that of the first page read."""
@@ -64,9 +68,12 @@
                 return page
             found = page.unwrap()
             first = first or found
+            if found.scan.era != first.scan.era:
+                return Failure(TableError(TableFault.UNKNOWN, detail="restored between two pages"))
             rows += found.scan.rows
             if found.next_key is None:
-                return Success(Page(Scan(tuple(rows), first.scan.revision), None, first.now_ms))
+                scan = evolve(first.scan, rows=tuple(rows))
+                return Success(Page(scan, None, first.now_ms))
             if found.next_key <= start:
                 break
             start = found.next_key
@@ -82,20 +89,37 @@
         """Change rows of a table."""
         self.count("commit", table)
         answer = await self._call(make_commit(table, transaction), CALL_TIMEOUT_S)
-        return answer.bind(lambda got: read_commit(got.status, got.body))
+        return answer.bind(lambda got: read_commit(got.status, got.body, self.era))
 
     async def _read(
         self, table: str, sent: ControlCall, timeout_s: float
     ) -> Result[Page, TableError]:
         answer = await self._call(sent, timeout_s)
-        page = answer.bind(lambda got: read_page(got.status, got.body))
+        page = answer.bind(lambda got: read_page(got.status, got.body, self.era))
         if isinstance(page, Success) and (count := page.unwrap().unreadable):
             self.count_unreadable("row")
             log_event(LOG, logging.WARNING, "rows_unreadable", table=table, count=count)
         return page
 
     async def _call(self, sent: ControlCall, timeout_s: float) -> Result[ControlAnswer, TableError]:
-        return await call(self.pool, self.address, sent, timeout_s)
+        answer = await call(self.pool, self.address, sent, timeout_s)
+        return answer.bind(self._check_era)
+
+    def _check_era(self, answer: ControlAnswer) -> Result[ControlAnswer, TableError]:
+        """Record the era of an answer; one from before a restore proves nothing any more."""
+        era = read_era(answer.headers)
+        if era is None:
+            return Success(answer)
+        if era < self.era:
+            log_event(LOG, logging.INFO, "answer_outdated", era=era, known=self.era)
+            return Failure(TableError(TableFault.UNKNOWN, detail="an answer of an earlier era"))
+        before, self.era = self.era, era
+        was_stated, self._states_era = self._states_era, True
+        if was_stated and era > before:
+            log_event(LOG, logging.WARNING, "store_restored", era=era, before=before)
+            for handle in self.on_restored:
+                handle()
+        return Success(answer)
 
 
 def log_calls(counts: dict[tuple[str, ...], int]) -> None:
--- a/standin/rows.py
+++ b/standin/rows.py
@@ -2,8 +2,8 @@
 
 Faults are switches: `down` refuses calls, `silent` accepts them without an answer, `lose_answers`
 commits writes and closes the connection, `forget` drops the history, calls about `held_tables` get
-no answer. As a separate process it
-accepts them as `POST /standin/NAME`, and entries of servers without heartbeats expire.
+no answer. A restore goes back to a copy and begins a new era. As a separate process it accepts
+the switches as `POST /standin/NAME`, and entries of servers without heartbeats expire.
 """
 
 import asyncio
@@ -15,6 +15,7 @@
 from attrs import define, field
 
 Key = tuple[str, str]
+Copy = tuple[dict[Key, tuple[bytes, int]], int]
 ANSWER_500 = (500, {})
 
 
@@ -25,6 +26,7 @@
     rows: dict[Key, tuple[bytes, int]] = field(factory=dict)
     changes: list[tuple[int, str, str, bytes | None]] = field(factory=list)
     version: int = 0
+    era: int = 1
     dropped_version: int = 0
     down: bool = False
     unresponsive_count: int = 0
@@ -78,6 +80,18 @@
         self.dropped_version = self.version
         self.changes.clear()
 
+    def make_copy(self) -> Copy:
+        """Return the rows and the version as they are now."""
+        return dict(self.rows), self.version
+
+    def restore(self, copy: Copy) -> None:
+        """Go back to a copy in a new era, and close all connections."""
+        self.rows, self.version = dict(copy[0]), copy[1]
+        self.changes = [change for change in self.changes if change[0] <= self.version]
+        self.era += 1
+        for writer in list(self._writers):
+            writer.transport.abort()
+
     def record_heartbeat(self, key: str, value: dict, now: float) -> None:
         """Record a server's heartbeat; its entry is written only if the value has changed."""
         self.heartbeats[key] = now
@@ -135,7 +149,8 @@
         if self.lose_answers and target == "/rhubarbshed/rows-tx":
             return False
         data = json.dumps(plain).encode()
-        writer.write(f"HTTP/1.1 {status} X\r\nContent-Length: {len(data)}\r\n\r\n".encode() + data)
+        lines = (f"HTTP/1.1 {status} X", f"Store-Era: {self.era}", f"Content-Length: {len(data)}")
+        writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + data)
         await writer.drain()
         return True
 
@@ -193,7 +208,7 @@
     async def _feed(self, table: str, after: int, wait_s: float) -> tuple[int, dict]:
         deadline = time.monotonic() + wait_s
         while True:
-            if after < self.dropped_version:
+            if after < self.dropped_version or after > self.version:
                 return 410, self._make_version_fields()
             found = {
                 key: (data, ver)
