Read all servers again once the store was restored

Cause: it compared the holder's new, lower revisions with its own from before the restore and ignored the changes; its own queries went on from the old revision as well.

Revisions now belong to an era of the store. In a new era all entries and the configuration are read again. The holder's token names the era of its messages: an earlier one is ignored, a later one leads to a query, whose answer states the era.

--- a/rhubarbshed/transport/edge/follower.py
+++ b/rhubarbshed/transport/edge/follower.py
@@ -8,6 +8,7 @@
 from attrs import define, field
 from returns.result import Failure, Result, Success
 
+from rhubarbshed.coordination.serving.lease_state import count_restores, read_restores
 from rhubarbshed.platform.records import read_configuration, read_entries
 from rhubarbshed.platform.rows import CONFIGURATION_KEY, OPERATOR_TABLE, SERVERS_TABLE, Page
 from rhubarbshed.protocol.messages import StoreMessage
@@ -78,7 +79,8 @@
     `lost_at` is when the store became unavailable, None while it responds. An order holder
     publishes what it read; other instances apply its messages (the last one at
     `message_received_at`) and query the store themselves if they missed changes or the messages
-    stop.
+    stop. `servers_revision` is in `servers_era` of the store, and unknown in a later one until all
+    entries are read again.
     """
 
     store: StoreClient
@@ -92,6 +94,7 @@
     count_unreadable: Callable[[str], None] = lambda kind: None
     is_holder: Callable[[], bool] = lambda: False
     servers_revision: int | None = None
+    servers_era: int = 0
     configuration_revision: int = 0
     read_anew: LatchedSignal = field(factory=LatchedSignal)
     message_received_at: float = -1e9
@@ -114,8 +117,29 @@
         """Return whether the order holder announces changes to this instance."""
         return not self.is_holder() and now - self.message_received_at < STORE_MESSAGE_AGE_MAX_S
 
+    def handle_restore(self, now: float) -> None:
+        """Read all tables again, as revisions of the store's former era mean nothing any more."""
+        self.servers_revision = None
+        self.view.versions.suspend()
+        # Servers write again what is missing in the copy, as after an outage.
+        self.regained_at = now
+        self._query_again()
+
+    def _query_again(self) -> None:
+        self.is_behind = True
+        self.fell_behind.fire()
+        self.store_suspected.fire()
+        self.new_configuration.fire()
+
     def handle_store_message(self, message: StoreMessage, now: float) -> None:
         """Apply the order holder's store message; if earlier ones were missed, query the store."""
+        restores = read_restores(message.token)
+        if restores < count_restores(self.servers_era):
+            return
+        if restores > count_restores(self.servers_era):
+            # The answer to a query states the era, in which all entries are read.
+            self._query_again()
+            return
         self.message_received_at = now
         self.message_settled = message.settled
         known = self.view.configuration
@@ -171,11 +195,14 @@
 
     async def _follow(self, table: str, apply: ApplyRows) -> None:
         revision: int | None = None
+        era = self.store.era
         pause_s = PAUSE_FIRST_S
         while True:
             if table == SERVERS_TABLE and revision is not None:
                 await self._wait_for_turn(table)
                 revision = max(revision, self.servers_revision or 0)
+            if era != self.store.era:
+                revision = None
             wait_s = self._choose_wait(table)
             is_full_read = revision is None
             if is_full_read:
@@ -188,11 +215,13 @@
                 del self.view.failed_reads[table]
                 self._record_response(now)
                 scan = result.unwrap().scan
-                before, revision = revision, scan.revision
+                if scan.era != (self.store.era if is_full_read else era):
+                    continue
+                before, revision, era = revision, scan.revision, scan.era
                 pause_s = PAUSE_FIRST_S
                 changes = apply(scan.rows, is_full_read, now)
                 if table == SERVERS_TABLE:
-                    self.servers_revision = revision
+                    self.servers_revision, self.servers_era = revision, era
                     self.view.versions.resume()
                 if is_full_read:
                     self.read_anew.fire()
--- a/rhubarbshed/transport/edge/holder_protocol.py
+++ b/rhubarbshed/transport/edge/holder_protocol.py
@@ -109,6 +109,11 @@
         """Return whether this instance holds the lease of its data centre."""
         return self.lease.lease_state.held
 
+    @property
+    def reads_current_era(self) -> bool:
+        """Return whether servers were read in the era of the lease, which messages name."""
+        return self.follower.servers_era == self.lease.lease_state.renewed_era
+
     def count_demand(self, service: str, model: str, adapter: str, tokens: int) -> None:
         """Count a request and the tokens of its prompt for the next report."""
         self.counts.setdefault((service, model, adapter), Tally()).add(Tally(1, tokens))
@@ -239,14 +244,13 @@
             del self.instances[address]
         self.lease.check_holders(self.holders, now)
         revision = self.follower.servers_revision or 0
-        if self.follower.lost_at is None and self.lease.lease_state.is_confirmed(
-            read_lease_clock()
-        ):
+        is_confirmed = self.lease.lease_state.is_confirmed(read_lease_clock())
+        if self.follower.lost_at is None and is_confirmed and self.reads_current_era:
             self.send_store_messages(now, revision, revision)
 
     def publish(self, before: int, revision: int, changes: tuple[EntryChange, ...]) -> None:
         """Announce changes in the store to the local instances."""
-        if self.is_holder:
+        if self.is_holder and self.reads_current_era:
             self.send_store_messages(time.monotonic(), before, revision, changes)
 
     def send_store_messages(
--- a/rhubarbshed/transport/edge/node.py
+++ b/rhubarbshed/transport/edge/node.py
@@ -170,6 +170,7 @@
         lease.on_holders_read = holder_protocol.learn_addresses
         follower.publish = holder_protocol.publish
         follower.is_holder = lambda: lease_state.held
+        store.on_restored.append(lambda: follower.handle_restore(time.monotonic()))
         follower.count_unreadable = metrics.count_unreadable
         checks = ServerChecks(pool, find_cut=links.settle)
         crashes = CrashRegistry(holder_protocol.datagrams.send, checks, view.rng)
--- a/test/test_store_restore.py
+++ b/test/test_store_restore.py
@@ -7,12 +7,16 @@
 from attrs import define, field
 
 from rhubarbshed.coordination.serving.lease_state import LeaseState, Step
+from test.helper_crashes import run_crash_scene
 from test.helper_edge import play
 from test.helper_instances import run_instances
 
 LEASE_S = 3.0
 COPY_AGE_MAX_S = 6.0
 
+DRAIN_S = 2.0
+"""Time after which a leaving server may get no more requests, the platform's bound."""
+
 
 def test_restarted_holder_does_not_resume_from_a_copy_that_names_it():
     """It gave orders a second after the other holder, with that one's fencing token."""
@@ -179,3 +183,37 @@
 def test_somebody_orders_most_of_the_time_between_restores():
     shares = [len({round(at, 1) for at, _, _ in play_restores(seed)}) / 600 for seed in range(30)]
     assert sum(shares) / len(shares) > 0.25
+
+
+def test_server_that_leaves_after_a_restore_is_known_to_all_in_time():
+    """Instances took the lower versions of the holder's messages for those of old changes."""
+
+    async def run():
+        names = ("a1", "a2")
+        async with run_crash_scene(3, dict.fromkeys(names, "a")) as scene:
+            store = scene.instances.store
+            copy = store.make_copy()
+            for number in range(40):
+                store.put("other", f"row{number}", {})
+            servers = list(scene.replicas.values())
+            store.put("servers", servers[0].server_id, servers[0].describe(Slots=9))
+            await scene.instances.wait_until(
+                lambda: all(
+                    scene.instances[each].follower.servers_revision == store.version
+                    for each in names
+                ),
+                DRAIN_S,
+            )
+            store.restore(copy)
+            await asyncio.sleep(0.5)
+            leaving = servers[1]
+            leaving.drain()
+            store.put("servers", leaving.server_id, leaving.describe())
+            records = [
+                scene.instances[each].view.fleet.servers[leaving.server_id] for each in names
+            ]
+            await scene.instances.wait_until(
+                lambda: all(record.leaving_at is not None for record in records), DRAIN_S
+            )
+
+    play(run)
