Notice a lost answer on servers within the drain time

Cause: the answer to the open query for servers was lost, and its connection delivered nothing more. The store may hold that query for 20 s; the query for the configuration, whose answers came, was to notice. Answers on the configuration also confirmed the known servers, to other instances as well.

The store now holds a query for servers for 1.6 s at most, four fifths of the drain time, so a dead connection is noticed within 2.4 s. Only its answers confirm the servers, and a holder without a recent one sends no store messages, so that the others query the store. This costs each data centre one call more in 1.6 s.

--- a/rhubarbshed/coordination/serving/versions.py
+++ b/rhubarbshed/coordination/serving/versions.py
@@ -21,7 +21,7 @@
 
 CONFIRMATION_AGE_MAX_S = 3.0
 """Time after the last answer of the store, or message of the order holder, for which the known
-entries count as current; the store answers a query for a new configuration within two seconds."""
+entries count as current; the store holds a query for servers for less than that."""
 
 
 class OriginSource(enum.Enum):
--- a/rhubarbshed/transport/edge/follower.py
+++ b/rhubarbshed/transport/edge/follower.py
@@ -9,6 +9,7 @@
 from returns.result import Failure, Result, Success
 
 from rhubarbshed.coordination.serving.lease_state import count_restores, read_restores
+from rhubarbshed.coordination.serving.versions import is_current
 from rhubarbshed.platform.records import read_configuration, read_entries
 from rhubarbshed.platform.rows import CONFIGURATION_KEY, OPERATOR_TABLE, SERVERS_TABLE, Page
 from rhubarbshed.protocol.messages import StoreMessage
@@ -25,9 +26,12 @@
 """Time for which the store may hold a query for a new configuration. A connection that stopped
 responding is noticed only after it, and a configuration has to be in force within two seconds."""
 
-SERVERS_WAIT_S = 20.0
-"""Time for which the store may hold a query for servers; the other query detects that the store
-stopped responding."""
+SERVERS_WAIT_FRACTION = 0.8
+SERVERS_WAIT_MAX_S = 1.6
+"""Fraction of the time for which a leaving server may get requests in which the store may hold a
+query for servers, and the longest such time. Only an answer to that query shows that no change was
+missed: its connection may be dead while others work. With the time in which changes are collected
+it is shorter than the age up to which entries count as current."""
 
 CHANGE_BATCH_S = 0.5
 """Time in which an order holder collects changes of servers before the next query; each query has
@@ -188,7 +192,10 @@
             if self.view.versions.is_suspended:
                 # The answer shows whether anything changed while the store was away.
                 return 0.0
-            return 0.0 if self.has_recent_message(time.monotonic()) else SERVERS_WAIT_S
+            if self.has_recent_message(time.monotonic()):
+                return 0.0
+            allowed_s = SERVERS_WAIT_FRACTION * self.view.settings.drain_s
+            return min(SERVERS_WAIT_MAX_S, allowed_s)
         return (
             OPERATOR_BACKUP_WAIT_S if self.has_recent_message(time.monotonic()) else OPERATOR_WAIT_S
         )
@@ -222,6 +229,7 @@
                 changes = apply(scan.rows, is_full_read, now)
                 if table == SERVERS_TABLE:
                     self.servers_revision, self.servers_era = revision, era
+                    self.view.versions.confirm(now)
                     self.view.versions.resume()
                 if is_full_read:
                     self.read_anew.fire()
@@ -279,8 +287,11 @@
             if wait_s > OPERATOR_WAIT_S and not self.has_recent_message(time.monotonic()):
                 return
 
+    def is_confirmed(self, now: float) -> bool:
+        """Return whether the store confirmed lately that the known servers are the current ones."""
+        return self.lost_at is None and is_current(self.view.versions, now)
+
     def _record_response(self, now: float) -> None:
-        self.view.versions.confirm(now)
         if self.lost_at is not None:
             away_s = round(now - self.lost_at, 2)
             log_event(LOG, logging.WARNING, "dependency_regained", name="store", away_s=away_s)
--- a/rhubarbshed/transport/edge/holder_protocol.py
+++ b/rhubarbshed/transport/edge/holder_protocol.py
@@ -245,7 +245,7 @@
         self.lease.check_holders(self.holders, now)
         revision = self.follower.servers_revision or 0
         is_confirmed = self.lease.lease_state.is_confirmed(read_lease_clock())
-        if self.follower.lost_at is None and is_confirmed and self.reads_current_era:
+        if self.follower.is_confirmed(now) and is_confirmed and self.reads_current_era:
             self.send_store_messages(now, revision, revision)
 
     def publish(self, before: int, revision: int, changes: tuple[EntryChange, ...]) -> None:
--- a/test/test_edge_store_cut.py
+++ b/test/test_edge_store_cut.py
@@ -13,6 +13,13 @@
 DRAIN_S = 2.0
 """Time after which a leaving server may get no more requests, the platform's bound."""
 
+STABLE_S = 3.0
+"""Time after a disturbance of the store from which the platform's bounds hold again."""
+
+SETTLED_S = 2.5
+"""Time after which only the order holder queries servers."""
+
+LOST_S = 0.3
 CUTS = 4
 
 
@@ -35,6 +42,32 @@
             relay.stop()
 
 
+def test_server_that_leaves_is_known_though_an_earlier_answer_on_servers_was_lost():
+    """The connection of the holder's query was dead, which a query for the configuration hid."""
+
+    async def run():
+        names = ("a1", "a2", "a3")
+        async with run_crash_scene(3, dict.fromkeys(names, "a")) as scene:
+            store = scene.instances.store
+            first, leaving, _ = scene.replicas.values()
+            await asyncio.sleep(SETTLED_S)
+            store.held_tables.add("servers")
+            store.put("servers", first.server_id, first.describe(Slots=9))
+            await asyncio.sleep(LOST_S)
+            store.held_tables.clear()
+            await asyncio.sleep(STABLE_S)
+            leaving.drain()
+            store.put("servers", leaving.server_id, leaving.describe())
+            records = [
+                scene.instances[each].view.fleet.servers[leaving.server_id] for each in names
+            ]
+            await scene.instances.wait_until(
+                lambda: all(record.leaving_at is not None for record in records), DRAIN_S
+            )
+
+    play(run)
+
+
 def test_server_that_leaves_as_an_order_holder_loses_the_store_is_known_in_time():
     """The holder went on to announce that nothing had changed, and they did not ask the store."""
 
