Obey Server-Leaving in the answers of servers

Cause: the header was read nowhere; only the entry in the store said that a server leaves.

It now counts in every answer of a server: to requests, also by way of another instance and extra ones, to health checks, reports and orders. That incarnation of the server counts as leaving at once, and no entry of it undoes that.

--- a/rhubarbshed/protocol/exchanges.py
+++ b/rhubarbshed/protocol/exchanges.py
@@ -81,7 +81,7 @@
     waiting, slots). `rejections_borne` is how many requests a brittle server may turn away in a
     second, None if it is not brittle. `names_limit` means that it names the requests a second that
     it takes from all instances, `limit_per_s` if that can be read. `declined` means that another
-    instance may serve the request.
+    instance may serve the request. `leaving` means that the server takes no more requests soon.
     """
 
     status: int
@@ -97,6 +97,7 @@
     limit_per_s: float | None = None
     declined: bool = False
     retry_after_s: float | None = None
+    leaving: bool = False
 
 
 @frozen
--- a/rhubarbshed/state/membership/fleet.py
+++ b/rhubarbshed/state/membership/fleet.py
@@ -40,8 +40,9 @@
 
 @define
 class ServerRecord:
-    """State of one backend server; times are monotonic seconds.
+    """State of one incarnation of a backend server; times are monotonic seconds.
 
+    `known_since` is when its entry was first read.
     `open` counts this instance's unfinished attempts. `reported_load` is the load that the server
     last reported, to this instance at `answered_at` or to another, known here since `sampled_at`;
     `others_load` is the part of it that is not from this instance, `usual_load` an average of the
@@ -56,6 +57,7 @@
 
     entry: ServerEntry
     seen_at: float
+    known_since: float = -math.inf
     leaving_at: float | None = None
     missing_since: float | None = None
     held: dict[str, set[str]] = field(factory=dict)
@@ -205,7 +207,7 @@
 
     def _add(self, entry: ServerEntry, now: float) -> None:
         self.remove(entry.server_id)
-        record = ServerRecord(entry, now, held=_copy_held(entry))
+        record = ServerRecord(entry, now, now, held=_copy_held(entry))
         if entry.state is ServerState.DRAINING:
             record.leaving_at = now
         self.servers[entry.server_id] = record
--- a/rhubarbshed/transport/edge/attempts.py
+++ b/rhubarbshed/transport/edge/attempts.py
@@ -11,7 +11,7 @@
 from attrs import define
 
 from rhubarbshed.coordination.serving.brittle_servers import apply_brittleness
-from rhubarbshed.platform.headers import STATUS_MISDIRECTED, make_headers, read_head
+from rhubarbshed.platform.headers import STATUS_MISDIRECTED, make_headers, name_server, read_head
 from rhubarbshed.protocol.errors import Outcome, RequestError
 from rhubarbshed.protocol.exchanges import ExchangeEnd, Headers, ResponseHead
 from rhubarbshed.protocol.streams import StreamOrigin
@@ -91,6 +91,7 @@
     ended. `origin` is as of the choice of the server: its entry may change in the meantime.
     `in_step` means that each answer on the connection named the request that it came for.
     `body_bytes` of the response were read since its head at `head_at` (monotonic seconds).
+    `on_leaving` is called with the id that a server gives in an answer as it leaves.
     An attempt by way of another instance has neither `record` nor `origin`; `instance_error` is
     that one's answer if no server gave one, and `declined` that another instance may do better.
     """
@@ -114,6 +115,7 @@
     withdrawn: bool = False
     on_head: Callable[[ResponseHead], None] = lambda head: None
     on_begun: Callable[[], None] = lambda: None
+    on_leaving: Callable[[str], None] = lambda server_id: None
     confirm_running: Callable[[], Awaitable[bool]] = assume_running
     channel: Channel | None = None
     origin: StreamOrigin | None = None
@@ -264,7 +266,7 @@
         """
         for _ in range(SKIPPED_ANSWERS_MAX):
             response = await self.channel.receive_final_head()
-            head = read_head(response.status_code, response.headers)
+            head = self.note_leaving(read_head(response.status_code, response.headers))
             if head.request_id and head.request_id == self.caller_response.request.request_id:
                 return response, head
             self.in_step = False
@@ -277,6 +279,13 @@
             self.channel.skip_answer()
         raise MalformedAnswerError("answers to other requests without an end")
 
+    def note_leaving(self, head: ResponseHead) -> ResponseHead:
+        """Report a server that says that it leaves, and return the head with its id."""
+        if head.leaving:
+            head = head if self.record is None else name_server(head, self.record.entry.server_id)
+            self.on_leaving(head.server_id)
+        return head
+
     async def skip_body(self, bytes_max: int, time_max_s: float) -> bool:
         """Read a body that is not used; return whether it ended within these bounds."""
         return await self.read_short_body(bytearray(), bytes_max, time_max_s)
--- a/rhubarbshed/transport/edge/forwarding.py
+++ b/rhubarbshed/transport/edge/forwarding.py
@@ -4,6 +4,7 @@
 import logging
 import random
 import time
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 from attrs import define, frozen
@@ -58,6 +59,8 @@
 class Forwarder:
     """Forwarding of requests to instances that reach backend servers.
 
+    `on_leaving` is called with the id of a server that says in an answer that it leaves, and the
+    monotonic seconds at which the request was sent on.
     A request that an instance may have taken is sent to a further one only if it may be repeated.
     """
 
@@ -65,6 +68,7 @@
     peers: PeerStates
     metrics: FrontMetrics
     rng: random.Random
+    on_leaving: Callable[[str, float], None] = lambda server_id, since: None
 
     async def ask_others(self) -> bool:
         """Return whether another instance reaches a backend server, as soon as one says so."""
@@ -160,9 +164,12 @@
                 progress.probe_wait_s,
             )
 
-        return Attempt(
+        attempt = Attempt(
             self.pool, address, progress.caller_response, progress.deadline, make_headers
         )
+        asked_at = time.monotonic()
+        attempt.on_leaving = lambda server_id: self.on_leaving(server_id, asked_at)
+        return attempt
 
     async def run(self, progress: "RequestProgress", attempt: Attempt) -> ExchangeEnd:
         """Send a request to another instance and relay its answer."""
--- a/rhubarbshed/transport/edge/node.py
+++ b/rhubarbshed/transport/edge/node.py
@@ -153,6 +153,9 @@
         peers_pool = Pool(CONNECT_TIMEOUT_S, connect_from(settings.host))
         forwarder = Forwarder(peers_pool, peers, metrics, view.rng)
         links.ask_others = forwarder.ask_others
+        forwarder.on_leaving = lambda server_id, since: view.record_leaving_elsewhere(
+            server_id, since, time.monotonic()
+        )
         store = StoreClient(settings.store, Pool(STORE_CONNECT_TIMEOUT_S), metrics.count_store_call)
         store.count_unreadable = metrics.count_unreadable
         jitter_s = draw_jitter(settings.cores, settings.link_mbps, view.rng)
@@ -173,6 +176,7 @@
         store.on_restored.append(lambda: follower.handle_restore(time.monotonic()))
         follower.count_unreadable = metrics.count_unreadable
         checks = ServerChecks(pool, find_cut=links.settle)
+        checks.on_leaving = lambda record: view.record_leaving(record, time.monotonic())
         crashes = CrashRegistry(holder_protocol.datagrams.send, checks, view.rng)
         crashes.verdict_store = VerdictStore(store, lambda: follower.lost_at is None)
         crashes.measure_silence = holder_protocol.measure_silence
--- a/rhubarbshed/transport/edge/order_dispatcher.py
+++ b/rhubarbshed/transport/edge/order_dispatcher.py
@@ -24,6 +24,7 @@
 )
 from rhubarbshed.coordination.serving.placement_summary import PlacementSummary
 from rhubarbshed.coordination.serving.update_queue import UpdateQueue
+from rhubarbshed.platform.headers import STATUS_MISDIRECTED, announces_leaving
 from rhubarbshed.platform.orders import make_order, make_report_call, read_order_end
 from rhubarbshed.platform.records import read_report
 from rhubarbshed.protocol.messages import HolderMessage, PlansMessage
@@ -34,7 +35,7 @@
 from rhubarbshed.state.membership.fleet import ServerRecord
 from rhubarbshed.state.placement.engine_states import UNCONFIRMED_S, EngineState, UnconfirmedOrder
 from rhubarbshed.state.placement.usage import Target, Usage
-from rhubarbshed.transport.edge.control import call_server
+from rhubarbshed.transport.edge.control import ControlAnswer, call_server
 from rhubarbshed.transport.edge.metrics import FrontMetrics
 from rhubarbshed.transport.edge.order_logs import (
     log_order,
@@ -358,6 +359,7 @@
             if isinstance(answer, Failure) or answer.unwrap().status != 200:
                 log_event(LOG, logging.INFO, "report_unread", server=server_id)
                 return
+            self.note_leaving(record, answer.unwrap())
             report = read_report(answer.unwrap().body)
             if isinstance(report, Failure):
                 self.metrics.count_unreadable("report")
@@ -439,11 +441,17 @@
         sent = make_order(order, record.entry.server_id)
         answer = await call_server(self.pool, address, sent, ORDER_TIMEOUT_S, self.may_order)
         if isinstance(answer, Success):
+            self.note_leaving(record, answer.unwrap())
             return read_order_end(answer.unwrap().status)
         if answer.failure().fault is TableFault.UNAVAILABLE:
             return OrderEnd.NOT_SENT
         return OrderEnd.UNKNOWN
 
+    def note_leaving(self, record: ServerRecord, answer: ControlAnswer) -> None:
+        """Record an engine that says that it leaves; another one may have its address."""
+        if answer.status != STATUS_MISDIRECTED and announces_leaving(answer.headers):
+            self.view.record_leaving(record, time.monotonic())
+
     def apply_accepted(
         self,
         engine_state: EngineState,
--- a/rhubarbshed/transport/edge/relay.py
+++ b/rhubarbshed/transport/edge/relay.py
@@ -137,6 +137,12 @@
         """Return the number of requests in progress."""
         return len(self.open_requests)
 
+    def record_leaving(self, asked: ServerRecord, server_id: str) -> None:
+        """Record that the server that was asked, or now has its address, leaves."""
+        record = asked if server_id == asked.entry.server_id else self.view.fleet.get(server_id)
+        if record is not None:
+            self.view.record_leaving(record, time.monotonic())
+
     def count_not_repeatable(self) -> int:
         """Count the requests in progress that may not be sent again if they are ended now."""
         return sum(each.repeat is Repeat.NOT_REPEATABLE for each in self.open_requests)
@@ -553,6 +559,7 @@
         attempt = Attempt.from_server(self.relay.pool, record, self.caller_response, self.deadline)
         attempt.may_move = lambda: self.may_move(record, attempt, time.monotonic())
         attempt.on_head = lambda head: self.relay.limits.record_head(record, head, attempt.sent_at)
+        attempt.on_leaving = lambda server_id: self.relay.record_leaving(record, server_id)
         attempt.on_begun = lambda: self.relay.crashes.record_begun(self.request, time.monotonic())
         attempt.confirm_running = lambda: self.confirm_running(record)
         self.last_attempt = attempt
--- a/rhubarbshed/transport/edge/server_checks.py
+++ b/rhubarbshed/transport/edge/server_checks.py
@@ -13,9 +13,9 @@
 from collections.abc import Awaitable, Callable
 
 from attrs import define, field
-from returns.result import Success
+from returns.result import Failure, Success
 
-from rhubarbshed.platform.headers import STATUS_MISDIRECTED
+from rhubarbshed.platform.headers import STATUS_MISDIRECTED, announces_leaving
 from rhubarbshed.platform.orders import make_health_call, make_report_call
 from rhubarbshed.platform.records import read_report
 from rhubarbshed.protocol.routes import ServiceSpec
@@ -58,13 +58,15 @@
 
     `on_ended` is called for each of these, again if one is found so again, `on_alive` after a check
     that found a server alive, with the monotonic time at which the check began. `find_cut` returns
-    whether the links to all servers are cut.
+    whether the links to all servers are cut. `on_leaving` is called for a server that says that it
+    leaves.
     """
 
     pool: Pool
     on_ended: Callable[[Incarnation, float], None] = lambda incarnation, now: None
     on_alive: Callable[[Incarnation, float], None] = lambda incarnation, since: None
     find_cut: Callable[[], Awaitable[bool]] = find_no_cut
+    on_leaving: Callable[[ServerRecord], None] = lambda record: None
     ended: OrderedDict[Incarnation, float] = field(factory=OrderedDict)
     running: dict[Incarnation, asyncio.Task] = field(factory=dict)
 
@@ -180,7 +182,12 @@
         else:
             sent = make_health_call(entry.server_id, service.health_path if service else "/")
         result = await call_server(self.pool, (entry.host, entry.port), sent, SIGN_TIMEOUT_S)
-        return result.unwrap() if isinstance(result, Success) else None
+        if isinstance(result, Failure):
+            return None
+        answer = result.unwrap()
+        if answer.status != STATUS_MISDIRECTED and announces_leaving(answer.headers):
+            self.on_leaving(record)
+        return answer
 
     async def _connect(self, record: ServerRecord) -> None:
         address = (record.entry.host, record.entry.port)
--- a/rhubarbshed/transport/edge/view.py
+++ b/rhubarbshed/transport/edge/view.py
@@ -1,6 +1,7 @@
 """State that the parts of an instance on the platform share."""
 
 import asyncio
+import logging
 import random
 import time
 from collections import Counter
@@ -11,10 +12,13 @@
 from rhubarbshed.coordination.serving.retry_budget import ServiceRetryBudget
 from rhubarbshed.coordination.serving.versions import measure_followed
 from rhubarbshed.protocol.routes import CallerLimits, Configuration
-from rhubarbshed.state.membership.fleet import Fleet
+from rhubarbshed.state.membership.fleet import Fleet, ServerRecord
 from rhubarbshed.state.membership.versions import VersionHistory
 from rhubarbshed.state.requests.stream_origins import STREAM_AGE_MAX_S
 from rhubarbshed.util.front import FrontSettings
+from rhubarbshed.util.logs import log_event
+
+LOG = logging.getLogger(__name__)
 
 LIMITS_DEFAULT = CallerLimits()
 
@@ -132,6 +136,26 @@
         """Return the seconds for which the servers' entries were followed without a gap."""
         return measure_followed(self.versions, now)
 
+    def record_leaving(self, record: ServerRecord, now: float) -> None:
+        """Record that a server says in an answer that it leaves; its entry may not say so yet."""
+        if record.leaving_at is not None:
+            return
+        record.leaving_at = now
+        server_id, service = record.entry.server_id, record.entry.service
+        log_event(
+            LOG, logging.INFO, "server_leaving", server=server_id, service=service, why="answer"
+        )
+        self.changed.fire()
+
+    def record_leaving_elsewhere(self, server_id: str, since: float, now: float) -> None:
+        """Record that a server said that it leaves, in an answer by way of another instance.
+
+        One that is known later than `since`, when it was asked, may have started again.
+        """
+        record = self.fleet.get(server_id)
+        if record is not None and record.known_since <= since:
+            self.record_leaving(record, now)
+
     @property
     def is_known(self) -> bool:
         """Return whether the configuration and servers were read from the store."""
--- a/standin/replica.py
+++ b/standin/replica.py
@@ -42,6 +42,7 @@
         """Send a complete answer, with the server's signature unless `signed` is false."""
         head = [f"HTTP/1.1 {status} X", f"Content-Length: {len(body)}", *lines]
         head.append(f"Rhubarbshed-Request-Id: {self.request_id}")
+        head += self.replica.list_leaving_lines()
         if signed:
             head.append(f"Rhubarbshed-Response-Signature: sig-{self.replica.server_id}")
         self.write("\r\n".join(head).encode() + b"\r\n\r\n" + body)
@@ -58,6 +59,7 @@
             "Transfer-Encoding: chunked",
             f"Rhubarbshed-Request-Id: {self.request_id}",
             f"Rhubarbshed-Response-Signature: sig-{self.replica.server_id}",
+            *self.replica.list_leaving_lines(),
             *lines,
         ]
         self.write("\r\n".join(head).encode() + b"\r\n\r\n")
@@ -114,6 +116,7 @@
     load_s: float = 0.0
     busy_until: float = 0.0
     draining: bool = False
+    says_leaving: bool = False
     silent: bool = False
     on_overfull: Callable[[], None] = lambda: None
     answer_order: Callable[["Exchange", dict], Awaitable[None]] | None = None
@@ -143,6 +146,10 @@
         """Report from now on that the replica drains."""
         self.draining = True
 
+    def list_leaving_lines(self) -> list[str]:
+        """Return the header of all answers of a replica that leaves and says so in them."""
+        return ["Server-Leaving: 1"] if self.says_leaving else []
+
     def describe(self, **changes: object) -> dict:
         """Return the entry of the replica in the store, with changed fields."""
         entry = {
