Send nothing to a server for the time that it asks for

Callers' requests, and repeats of them, reached servers that had turned requests away and named in `Retry-After` for how long they want nothing.

Cause: the header of a server's 503 was not used.

Until then the server counts as full and gets no orders; requests go to other servers, wait as for a full one, or are refused at once with the time until the first pause ends. Before a request is sent, an instance looks once more whether its server has asked for a pause or left since it was chosen.

--- a/rhubarbshed/coordination/serving/choice.py
+++ b/rhubarbshed/coordination/serving/choice.py
@@ -137,6 +137,12 @@
     return Choice(best, best.estimate_usual_load(now), age_s, len(free))
 
 
+def wants_nothing(record: ServerRecord, chosen_at: float, now: float) -> bool:
+    """Return whether a server said, since it was chosen, that it wants no more requests."""
+    has_left = record.leaving_at is not None and record.leaving_at >= chosen_at
+    return has_left or now < record.backoff_until
+
+
 def _sample_candidates(
     free: list[ServerRecord], data_centre: str, rng: random.Random
 ) -> list[ServerRecord]:
@@ -157,11 +163,11 @@
 def is_full(
     record: ServerRecord, instances: int, now: float, queue_fraction: float = QUEUE_FRACTION
 ) -> bool:
-    """Return whether a server would refuse another request or queue it for long.
+    """Return whether a server would refuse another request or queue it for long, or wants none.
 
     `instances` share its slots.
     """
-    if now < record.limited_until:
+    if now < max(record.limited_until, record.backoff_until):
         return True
     if record.rejections_borne is not None:
         return not has_room(record, instances, now)
--- a/rhubarbshed/protocol/exchanges.py
+++ b/rhubarbshed/protocol/exchanges.py
@@ -2,6 +2,7 @@
 
 import enum
 import functools
+from http import HTTPStatus
 
 from attrs import evolve, field, frozen
 
@@ -99,6 +100,12 @@
     retry_after_s: float | None = None
     leaving: bool = False
 
+    @property
+    def backoff_s(self) -> float:
+        """Return the seconds for which the server wants nothing after it turned a request away."""
+        is_turned_away = self.status == HTTPStatus.SERVICE_UNAVAILABLE
+        return self.retry_after_s or 0.0 if is_turned_away else 0.0
+
 
 @frozen
 class ControlCall:
--- a/rhubarbshed/state/membership/fleet.py
+++ b/rhubarbshed/state/membership/fleet.py
@@ -32,6 +32,9 @@
 """Time for which an unresponsive server gets no requests, doubled with each failure up to the
 longest; a crashed server returns after some seconds."""
 
+REQUESTED_BACKOFF_MAX_S = 300.0
+"""Longest time for which a server that asks for it gets nothing."""
+
 ANNOUNCEMENT_KEPT_S = 4.0
 """Time for which the order holder's announcement of a server's models takes precedence over the
 server's own entry, which may have been written before the order was carried out; longer than the
@@ -51,7 +54,8 @@
     `rejections_borne` is set for a brittle server, which gets nothing before `rejecting_until`.
     `limit_per_s` are the requests that the server takes from all instances, if it names a limit,
     which it did last at `limit_named_at`. It gets none from here before `limited_until`, and
-    refused callers may expect room at `limit_retry_at`.
+    refused callers may expect room at `limit_retry_at`. Before `backoff_until` it asked for nothing
+    at all.
     `unloading` and `loading` name models in transition, the latter due at `loaded_at`.
     """
 
@@ -80,6 +84,7 @@
     limit_named_at: float = -math.inf
     limited_until: float = -math.inf
     limit_retry_at: float = -math.inf
+    backoff_until: float = -math.inf
     unloading: str = ""
     loading: str = ""
     loaded_at: float = math.inf
@@ -104,7 +109,8 @@
 
     def takes_work(self, now: float) -> bool:
         """Return whether new requests may go to the server."""
-        return self.leaving_at is None and now >= self.unresponsive_until
+        paused_until = max(self.unresponsive_until, self.backoff_until)
+        return self.leaving_at is None and now >= paused_until
 
     def estimate_load(self, now: float) -> float:
         """Return the number of requests that are certainly still on the server.
@@ -167,6 +173,16 @@
         self.unresponsive_until = now + pause_s
         return pause_s
 
+    def record_backoff(self, backoff_s: float, now: float) -> bool:
+        """Record that the server asked to get nothing for a while; return whether that is new.
+
+        An answer that asks for less does not shorten what an earlier one asked for.
+        """
+        is_new = now >= self.backoff_until
+        until = now + min(REQUESTED_BACKOFF_MAX_S, backoff_s)
+        self.backoff_until = max(self.backoff_until, until)
+        return is_new and now < until
+
     def measure_failures(self, now: float) -> float:
         """Return the share of recent attempts that failed, biased to 0 for few attempts."""
         self._decay(now)
--- a/rhubarbshed/transport/edge/relay.py
+++ b/rhubarbshed/transport/edge/relay.py
@@ -17,6 +17,7 @@
     choose_server,
     choose_service,
     list_staying,
+    wants_nothing,
 )
 from rhubarbshed.coordination.serving.missing_models import (
     CallerPatience,
@@ -40,7 +41,7 @@
 from rhubarbshed.coordination.serving.versions import Continuation
 from rhubarbshed.platform.headers import echo_request_id, read_request
 from rhubarbshed.protocol.errors import Outcome, RequestError
-from rhubarbshed.protocol.exchanges import CallerRequest, ExchangeEnd
+from rhubarbshed.protocol.exchanges import CallerRequest, ExchangeEnd, ResponseHead
 from rhubarbshed.protocol.forwarding import (
     DECLINED,
     STATUS_NOT_TRUSTED,
@@ -437,6 +438,8 @@
                 continue
             if not await self.pass_limit(chosen.server, time.monotonic()):
                 continue
+            if wants_nothing(chosen.server, now, time.monotonic()):
+                continue
             end = await self.attempt(chosen)
             # Without time to find out, a refused connection may be that of a cut.
             may_settle = self.probe_wait_s > 0.0 or not self.relay.links.state.suspected
@@ -558,7 +561,7 @@
         )
         attempt = Attempt.from_server(self.relay.pool, record, self.caller_response, self.deadline)
         attempt.may_move = lambda: self.may_move(record, attempt, time.monotonic())
-        attempt.on_head = lambda head: self.relay.limits.record_head(record, head, attempt.sent_at)
+        attempt.on_head = lambda head: self.note_head(record, head, attempt.sent_at)
         attempt.on_leaving = lambda server_id: self.relay.record_leaving(record, server_id)
         attempt.on_begun = lambda: self.relay.crashes.record_begun(self.request, time.monotonic())
         attempt.confirm_running = lambda: self.confirm_running(record)
@@ -582,6 +585,12 @@
             self.relay.count_run(self.service, self.request.model, self.request.adapter, run_s)
         return end
 
+    def note_head(self, record: ServerRecord, head: ResponseHead, sent_at: float) -> None:
+        """Record what the head of a response says of its server."""
+        self.relay.limits.record_head(record, head, sent_at)
+        if head.backoff_s:
+            self.relay.view.record_backoff(record, head.backoff_s, time.monotonic())
+
     async def check_start(self, record: ServerRecord) -> bool:
         """Return whether a server may write the rest of a stream, if the request is for that.
 
@@ -763,12 +772,12 @@
         return make_refusal(known, self.relay.view.rng, available_in_s)
 
     def measure_limit_retry(self, now: float) -> float | None:
-        """Return the seconds until a server's limit has room, None if none is why all are full."""
+        """Return the seconds until a server may have room, None if none is why all are full."""
         servers = list_staying(self.relay.view.fleet, self.service, self.caller_response.version)
         retries = [
-            max(record.limited_until, record.limit_retry_at) - now
+            max(record.limited_until, record.limit_retry_at, record.backoff_until) - now
             for record in servers
-            if now < record.limited_until
+            if now < max(record.limited_until, record.backoff_until)
             and (not self.request.model or record.holds(self.request.model, self.request.adapter))
         ]
         return min(retries, default=None)
--- a/rhubarbshed/transport/edge/view.py
+++ b/rhubarbshed/transport/edge/view.py
@@ -156,6 +156,12 @@
         if record is not None and record.known_since <= since:
             self.record_leaving(record, now)
 
+    def record_backoff(self, record: ServerRecord, backoff_s: float, now: float) -> None:
+        """Record that a server turned a request away and wants nothing for a while."""
+        if record.record_backoff(backoff_s, now):
+            server_id, backoff_s = record.entry.server_id, round(record.backoff_until - now, 2)
+            log_event(LOG, logging.INFO, "server_backoff", server=server_id, backoff_s=backoff_s)
+
     @property
     def is_known(self) -> bool:
         """Return whether the configuration and servers were read from the store."""
