Keep the shares of the retry budget as an order holder changes

As an order holder was killed, its successor counted itself alone for a quarter of a second, and every instance took that number: the fixed parts of the budget that all may spend came to 1.9 of the whole (6 and 12 instances). With a service silent at that moment its repeats may pile up beyond BUDGET.

A lower number now counts once no higher one came for a window of the budget, as long as what was spent counts.

test_edge_budget failed before (shares of 1.92) and passes.

--- a/rhubarbshed/coordination/serving/retry_budget.py
+++ b/rhubarbshed/coordination/serving/retry_budget.py
@@ -5,6 +5,7 @@
 """
 
 import collections
+import math
 
 from attrs import define, field, frozen
 
@@ -37,15 +38,26 @@
 class ServiceRetryBudget:
     """Share of one instance in the retries that all may make together, by service.
 
-    `instances` share the fixed part of the budget, `extra`.
+    `instances` share the fixed part of the budget, `extra`. So many were last counted at
+    `counted_at`, or have been assumed since the start.
     """
 
     ratio: float
     extra: float
     window_s: float
     instances: int = 1
+    counted_at: float = -math.inf
     windows: dict[str, RetryWindow] = field(factory=dict)
 
+    def record_instances(self, count: int, now: float) -> None:
+        """Record how many instances share the budget.
+
+        A lower number counts once it has been lower for a whole window: an order holder that has
+        just taken over does not know all instances yet, and what was spent still counts.
+        """
+        if count >= self.instances or now - self.counted_at >= self.window_s:
+            self.instances, self.counted_at = count, now
+
     def count_request(self, service: str, now: float) -> None:
         """Count the first attempt of a request."""
         window = self.windows.setdefault(service, RetryWindow())
--- a/rhubarbshed/transport/edge/holder_protocol.py
+++ b/rhubarbshed/transport/edge/holder_protocol.py
@@ -407,7 +407,8 @@
             address, message.token, now, message.instances
         )
         if message.data_centre == self.view.settings.data_centre:
-            self.view.budget.instances = message.instances + message.instances_elsewhere
+            count = message.instances + message.instances_elsewhere
+            self.view.budget.record_instances(count, now)
         if message.data_centre == self.view.settings.data_centre:
             self.lease.apply_holder_message(message.token, address, message.gives_orders)
             self.learn_holders(message, now)
