Judge by the own connection whether entries lapsed in an outage

Cause: after one reset of the order holder's connections to the store, all instances of its data centre waited 2.2 s from the store's return before they dropped a server, as if it had been away for all, long enough that entries may have lapsed.

An outage now counts only if it is as long as a heartbeat, from when a response may have been lost. An instance does not rely on a holder that has lost the store lately, but queries the store itself and judges by its own connection.

--- a/rhubarbshed/protocol/tables.py
+++ b/rhubarbshed/protocol/tables.py
@@ -83,7 +83,8 @@
 class TableError:
     """Failed call; `rows` are the current rows of failed checks, in the store's `era`.
 
-    `is_busy` means that the service serves, but had more calls than it takes.
+    `is_busy` means that the service serves, but had more calls than it takes. `waited_s` is for how
+    many seconds a response was awaited in vain.
     """
 
     fault: TableFault
@@ -91,3 +92,4 @@
     detail: str = ""
     is_busy: bool = False
     era: int = 0
+    waited_s: float = 0.0
--- a/rhubarbshed/transport/edge/control.py
+++ b/rhubarbshed/transport/edge/control.py
@@ -76,7 +76,8 @@
                 pool.release(address, channel)
             return Success(answer)
     except TimeoutError:
-        return Failure(TableError(TableFault.UNKNOWN, detail=f"no response in {timeout_s:g} s"))
+        detail = f"no response in {timeout_s:g} s"
+        return Failure(TableError(TableFault.UNKNOWN, detail=detail, waited_s=timeout_s))
     except ChannelError as error:
         return Failure(TableError(TableFault.UNKNOWN, detail=str(error)))
     finally:
--- a/rhubarbshed/transport/edge/follower.py
+++ b/rhubarbshed/transport/edge/follower.py
@@ -51,6 +51,10 @@
 RETRY_DELEGATION_S = 2.0
 """Longest time for which the query for servers leaves retries to the other query."""
 
+LAPSE_OUTAGE_MIN_S = 1.2
+"""Shortest outage in which an entry can lapse: servers write about as often, and their entries
+lapse after three such intervals."""
+
 ENTRY_RECOVERY_S = 2.2
 """Time after the store's return within which lapsed entries of live servers are back; the
 platform's documentation says about two seconds."""
@@ -80,7 +84,8 @@
 class Follower:
     """Follower of the store that keeps a view up to date.
 
-    `lost_at` is when the store became unavailable, None while it responds. An order holder
+    `lost_at` is when the store became unavailable, None while it responds. Until `unsettled_until`
+    entries may be missing that lapsed in an outage and will be back. An order holder
     publishes what it read; other instances apply its messages (the last one at
     `message_received_at`) and query the store themselves if they missed changes or the messages
     stop. `servers_revision` is in `servers_era` of the store, and unknown in a later one until all
@@ -92,6 +97,7 @@
     store_suspected: Signal = field(factory=Signal)
     lost_at: float | None = None
     regained_at: float = -1e9
+    unsettled_until: float = -1e9
     publish: Callable[[int, int, tuple[EntryChange, ...]], None] = (
         lambda before, revision, changes: None
     )
@@ -118,8 +124,12 @@
         await self._follow(SERVERS_TABLE, self._apply_servers)
 
     def has_recent_message(self, now: float) -> bool:
-        """Return whether the order holder announces changes to this instance."""
-        return not self.is_holder() and now - self.message_received_at < STORE_MESSAGE_AGE_MAX_S
+        """Return whether the order holder announces changes to this instance.
+
+        One that has lost the store, or did lately, is not relied on: others may reach it.
+        """
+        is_recent = now - self.message_received_at < STORE_MESSAGE_AGE_MAX_S
+        return is_recent and self.message_settled and not self.is_holder()
 
     def handle_restore(self, now: float) -> None:
         """Read all tables again, as revisions of the store's former era mean nothing any more."""
@@ -127,6 +137,7 @@
         self.view.versions.suspend()
         # Servers write again what is missing in the copy, as after an outage.
         self.regained_at = now
+        self.unsettled_until = now + ENTRY_RECOVERY_S
         self._query_again()
 
     def _query_again(self) -> None:
@@ -293,15 +304,19 @@
 
     def _record_response(self, now: float) -> None:
         if self.lost_at is not None:
-            away_s = round(now - self.lost_at, 2)
-            log_event(LOG, logging.WARNING, "dependency_regained", name="store", away_s=away_s)
+            away_s = now - self.lost_at
+            log_event(
+                LOG, logging.WARNING, "dependency_regained", name="store", away_s=round(away_s, 2)
+            )
+            if away_s >= LAPSE_OUTAGE_MIN_S:
+                self.unsettled_until = now + ENTRY_RECOVERY_S
             self.lost_at = None
             self.regained_at = now
             self.store_returned.fire()
 
     def _record_failure(self, table: str, error: TableError, now: float) -> None:
         if self.lost_at is None:
-            self.lost_at = now
+            self.lost_at = now - error.waited_s
             self.view.versions.suspend()
             log_event(
                 LOG,
@@ -427,11 +442,11 @@
 
     def is_settled(self, now: float) -> bool:
         """Return whether entries that lapsed while the store was unavailable would be back."""
-        return self.lost_at is None and now - self.regained_at >= ENTRY_RECOVERY_S
+        return self.lost_at is None and now >= self.unsettled_until
 
     def drop_missing(self, now: float) -> None:
         """Drop servers that have been without an entry for long enough to be gone."""
-        if not self.is_settled(now) or (self.has_recent_message(now) and not self.message_settled):
+        if not self.is_settled(now):
             return
         keep_s = max(0.2, self.view.settings.drain_s - DROP_MARGIN_S)
         for server_id in self.view.fleet.list_missing_since(now - keep_s):
--- /dev/null
+++ b/test/test_edge_missing.py
@@ -0,0 +1,60 @@
+"""Servers whose entry is removed without an announcement, as an order holder is in trouble."""
+
+import asyncio
+import time
+
+import pytest
+
+from rhubarbshed.protocol.tables import TableError, TableFault
+from rhubarbshed.transport.edge.follower import ENTRY_RECOVERY_S, LAPSE_OUTAGE_MIN_S
+from test.helper_crashes import CrashScene, run_crash_scene
+from test.helper_edge import play
+from test.test_edge_store_cut import SETTLED_S, run_behind_relays
+from test.test_versions import NOW, make_follower
+
+DRAIN_S = 2.0
+"""Time for which a server without an entry serves on, the platform's bound."""
+
+NAMES = ("a1", "a2", "a3")
+
+
+async def measure_drop(scene: CrashScene, names: list[str], server_id: str) -> float:
+    """Wait until instances have dropped a server; return the seconds that it takes from now."""
+    begun_at = time.monotonic()
+    await scene.instances.wait_until(
+        lambda: all(server_id not in scene.instances[name].view.fleet.servers for name in names),
+        2 * DRAIN_S,
+    )
+    return time.monotonic() - begun_at
+
+
+def test_reset_of_the_holders_connections_does_not_delay_the_drop_at_others():
+    """All kept a server without an entry for 2.2 s more, as if the store had been away."""
+
+    async def run():
+        async with run_crash_scene(3, dict.fromkeys(NAMES, "a")) as scene:
+            async with run_behind_relays(scene, *NAMES) as relays:
+                await asyncio.sleep(SETTLED_S)
+                holder = scene.instances.find_holder("a")
+                others = [name for name in NAMES if name != holder]
+                scene.instances.store.remove("servers", "r0")
+                dropping = asyncio.create_task(measure_drop(scene, others, "r0"))
+                await asyncio.sleep(0.3)
+                relays[holder].reset()
+                assert await dropping < DRAIN_S
+
+    play(run)
+
+
+@pytest.mark.parametrize(
+    ("away_s", "waited_s", "settled"),
+    [(0.1, 0.0, True), (LAPSE_OUTAGE_MIN_S + 0.1, 0.0, False), (0.1, 2.4, False)],
+)
+def test_entries_may_have_lapsed_in_an_outage_that_is_long_enough(away_s, waited_s, settled):
+    follower = make_follower()
+    error = TableError(TableFault.UNKNOWN, detail="away", waited_s=waited_s)
+    follower._record_failure("servers", error, NOW)
+    assert not follower.is_settled(NOW)
+    follower._record_response(NOW + away_s)
+    assert follower.is_settled(NOW + away_s) == settled
+    assert follower.is_settled(NOW + away_s + ENTRY_RECOVERY_S)
