Count the age of a removal from the last confirmation of the entries

Cause: the others wait 0.75 s for the holder's messages, query the store, and kept the server for a whole second from then.

What the store answers at once may have changed at any time since the entries were last confirmed, and counts from then. After a gap as long as a heartbeat entries may have lapsed in an outage, and the time for which they may come back is waited for.

--- a/rhubarbshed/transport/edge/follower.py
+++ b/rhubarbshed/transport/edge/follower.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import math
 import time
 from collections.abc import Callable
 
@@ -55,6 +56,9 @@
 """Shortest outage in which an entry can lapse: servers write about as often, and their entries
 lapse after three such intervals."""
 
+IMMEDIATE_ANSWER_S = 0.5
+"""Time within which the store answers a query for what has changed before, also when it is slow."""
+
 ENTRY_RECOVERY_S = 2.2
 """Time after the store's return within which lapsed entries of live servers are back; the
 platform's documentation says about two seconds."""
@@ -85,7 +89,8 @@
     """Follower of the store that keeps a view up to date.
 
     `lost_at` is when the store became unavailable, None while it responds. Until `unsettled_until`
-    entries may be missing that lapsed in an outage and will be back. An order holder
+    entries may be missing that lapsed in an outage and will be back. What was read last may have
+    changed at `changed_since` already. An order holder
     publishes what it read; other instances apply its messages (the last one at
     `message_received_at`) and query the store themselves if they missed changes or the messages
     stop. `servers_revision` is in `servers_era` of the store, and unknown in a later one until all
@@ -98,6 +103,7 @@
     lost_at: float | None = None
     regained_at: float = -1e9
     unsettled_until: float = -1e9
+    changed_since: float = math.inf
     publish: Callable[[int, int, tuple[EntryChange, ...]], None] = (
         lambda before, revision, changes: None
     )
@@ -177,6 +183,7 @@
             return
         rows = tuple(Row(key, version, value, version) for key, version, value in message.rows)
         self.servers_revision = message.revision
+        self.changed_since = now
         self._apply_servers(rows, False, now)
 
     async def _wait_for_turn(self, table: str) -> None:
@@ -223,6 +230,7 @@
                 revision = None
             wait_s = self._choose_wait(table)
             is_full_read = revision is None
+            sent_at = time.monotonic()
             if is_full_read:
                 result = await self.store.read_all(table)
             else:
@@ -237,6 +245,8 @@
                     continue
                 before, revision, era = revision, scan.revision, scan.era
                 pause_s = PAUSE_FIRST_S
+                if table == SERVERS_TABLE:
+                    self._date_changes(sent_at, now)
                 changes = apply(scan.rows, is_full_read, now)
                 if table == SERVERS_TABLE:
                     self.servers_revision, self.servers_era = revision, era
@@ -261,6 +271,17 @@
             await self._pause(table, spread_s)
             pause_s = min(PAUSE_LONGEST_S, pause_s * 2)
 
+    def _date_changes(self, sent_at: float, now: float) -> None:
+        """Record since when entries may have changed that a query sent at `sent_at` shows.
+
+        The store answers at once what changed before the query, which may have been long before if
+        the order holder's messages had stopped, and in an outage entries may have lapsed as well.
+        """
+        confirmed_at = self.view.versions.confirmed_at
+        self.changed_since = confirmed_at if now - sent_at < IMMEDIATE_ANSWER_S else now
+        if LAPSE_OUTAGE_MIN_S <= sent_at - confirmed_at < math.inf:
+            self.unsettled_until = max(self.unsettled_until, now + ENTRY_RECOVERY_S)
+
     async def _pause(self, table: str, pause_s: float) -> None:
         """Wait before a retry; while both queries fail, one is enough to detect the return."""
         if table == SERVERS_TABLE and OPERATOR_TABLE in self.failing_tables:
@@ -437,7 +458,7 @@
         if record.leaving_at is not None:
             self._drop(server_id, "left", now)
         elif record.missing_since is None:
-            record.missing_since = now
+            record.missing_since = min(now, self.changed_since)
             log_event(LOG, logging.INFO, "server_missing", server=server_id, why="entry_removed")
 
     def is_settled(self, now: float) -> bool:
--- a/test/test_edge_missing.py
+++ b/test/test_edge_missing.py
@@ -46,6 +46,27 @@
     play(run)
 
 
+@pytest.mark.parametrize("after_s", [0.05, 0.25, 0.35])
+def test_kill_of_the_holder_does_not_delay_the_drop_at_others(after_s: float):
+    """Others read the removal late, and counted the time for which they keep a server from then."""
+
+    async def run():
+        async with run_crash_scene(3, dict.fromkeys(NAMES, "a")) as scene:
+            await asyncio.sleep(SETTLED_S)
+            holder = scene.instances.find_holder("a")
+            others = [name for name in NAMES if name != holder]
+            # The holder collects changes for a while behind this one.
+            await scene.add_replica()
+            await asyncio.sleep(0.1)
+            scene.instances.store.remove("servers", "r0")
+            dropping = asyncio.create_task(measure_drop(scene, others, "r0"))
+            await asyncio.sleep(after_s)
+            await scene.instances.kill(holder)
+            assert await dropping < DRAIN_S
+
+    play(run)
+
+
 @pytest.mark.parametrize(
     ("away_s", "waited_s", "settled"),
     [(0.1, 0.0, True), (LAPSE_OUTAGE_MIN_S + 0.1, 0.0, False), (0.1, 2.4, False)],
