Ignore records of versions that were made before a restore

Instances that start go on from the revision in a record of the versions in service. A write of it that the store carries out after a restore names a revision of the former era; once that one is given out again, changes of servers before it would be missed, and a stream could go on at another version. Found by reading; no run showed it.

The record names the era of its revisions and counts in that era alone. The test failed before, as records had no era.

--- a/rhubarbshed/coordination/serving/version_records.py
+++ b/rhubarbshed/coordination/serving/version_records.py
@@ -55,7 +55,7 @@
     From `followed_ms` to `revision` no entry was missed. `pairs` are the (service, version) of the
     last minute before it, `servers` digests of the ids that had entries. `configuration` is the
     revision of the configuration, before which none was missed from `routed_ms` on; `changed` are
-    (host, prefix, ms) of routes that changed since.
+    (host, prefix, ms) of routes that changed since. All revisions are of one `era` of the store.
     """
 
     revision: int
@@ -65,6 +65,7 @@
     configuration: int = 0
     routed_ms: float = math.inf
     changed: tuple[tuple[str, str, float], ...] = field(factory=tuple)
+    era: int = 0
 
     def to_value(self) -> dict[str, Any]:
         """Return the value of the row."""
@@ -76,6 +77,7 @@
             "configuration": self.configuration,
             "routed_ms": self.routed_ms,
             "changed": [list(each) for each in self.changed],
+            "era": self.era,
         }
 
 
@@ -128,6 +130,7 @@
                 (_check_text(host), _check_text(prefix), _check_number(ms, float, now_ms))
                 for host, prefix, ms in value["changed"]
             ),
+            _check_number(value.get("era", 0), int),
         )
     except (KeyError, OverflowError, TypeError, ValueError) as error:
         return Failure(describe(error))
--- a/rhubarbshed/transport/edge/version_store.py
+++ b/rhubarbshed/transport/edge/version_store.py
@@ -6,9 +6,10 @@
 import time
 from collections.abc import Callable, Iterable
 
-from attrs import define
+from attrs import define, evolve
 from returns.result import Failure, Success
 
+from rhubarbshed.coordination.serving.lease_state import count_restores
 from rhubarbshed.coordination.serving.version_records import (
     ClockReading,
     VersionRecord,
@@ -21,7 +22,7 @@
 from rhubarbshed.platform.records import read_server
 from rhubarbshed.platform.rows import OWN_TABLE, SERVERS_TABLE, VERSIONS_TABLE, Page
 from rhubarbshed.protocol.servers import ServerEntry
-from rhubarbshed.protocol.tables import Check, Row, TableFault, Transaction, Write
+from rhubarbshed.protocol.tables import Check, Row, Scan, TableFault, Transaction, Write
 from rhubarbshed.state.requests.stream_origins import STREAM_AGE_MAX_S
 from rhubarbshed.transport.edge.follower import Follower
 from rhubarbshed.transport.edge.store import StoreClient
@@ -164,7 +165,8 @@
         if record is None:
             return
         self.written_at = now
-        transaction = Transaction((Check(key, version),), (Write(key, record.to_value()),))
+        value = evolve(record, era=self.follower.servers_era).to_value()
+        transaction = Transaction((Check(key, version),), (Write(key, value),))
         written = await self.store.commit(VERSIONS_TABLE, transaction)
         if isinstance(written, Failure):
             reason = written.failure().detail
@@ -189,11 +191,20 @@
         read = read_record(row.value or {}, page.now_ms)
         if isinstance(read, Failure):
             log_event(LOG, logging.INFO, "versions_unreadable", key=row.key, reason=read.failure())
-        elif read.unwrap().revision <= page.scan.revision:
+        elif counts_for(read.unwrap(), page.scan):
             records.append(read.unwrap())
     return records
 
 
+def counts_for(record: VersionRecord, scan: Scan) -> bool:
+    """Return whether changes can be read from where a record was made.
+
+    The write of an earlier era's record may be carried out after a restore.
+    """
+    is_same_era = count_restores(record.era) == count_restores(scan.era)
+    return is_same_era and record.revision <= scan.revision
+
+
 def list_entries(rows: Iterable[Row], record: VersionRecord) -> list[ServerEntry] | None:
     """List the entries among the changes since a record, None if one came and left unseen."""
     entries: list[ServerEntry] = []
--- a/test/test_store_restore.py
+++ b/test/test_store_restore.py
@@ -7,6 +7,10 @@
 from attrs import define, field
 
 from rhubarbshed.coordination.serving.lease_state import LeaseState, Step
+from rhubarbshed.coordination.serving.version_records import VersionRecord
+from rhubarbshed.platform.rows import Page
+from rhubarbshed.protocol.tables import Row, Scan
+from rhubarbshed.transport.edge.version_store import list_records
 from test.helper_crashes import run_crash_scene
 from test.helper_edge import play
 from test.helper_instances import run_instances
@@ -217,3 +221,12 @@
             )
 
     play(run)
+
+
+def test_record_of_versions_of_an_earlier_era_counts_for_nothing():
+    """Whoever went on from its revision missed the changes before that one was given out again."""
+    for written_in, read_in, counts in ((1, 1, True), (0, 1, True), (1, 2, False), (2, 2, True)):
+        record = VersionRecord(40, 0.0, frozenset({("svc", "v1")}), routed_ms=0.0, era=written_in)
+        row = Row("a", 50, record.to_value(), 50)
+        page = Page(Scan((row,), 60, read_in), now_ms=1000.0)
+        assert bool(list_records(page)) == counts, (written_in, read_in)
