Restore the store and pause all plain servers in the soak

The stand-in of the store keeps copies of the last 8 s. A fault takes it away for up to 0.6 s and back from a copy 1 to 7 s old, in a new era; another pauses all plain servers for a second beside changes of the configuration.

--- a/standin/rows.py
+++ b/standin/rows.py
@@ -16,6 +16,9 @@
 
 Key = tuple[str, str]
 Copy = tuple[dict[Key, tuple[bytes, int]], int]
+COPY_AGE_MAX_S = 8.0
+"""Age up to which copies are kept."""
+
 ANSWER_500 = (500, {})
 
 
@@ -34,6 +37,7 @@
     held_tables: set[str] = field(factory=set)
     calls: list[str] = field(factory=list)
     heartbeats: dict[str, float] = field(factory=dict)
+    copies: list[tuple[float, Copy]] = field(factory=list)
     retired: set[str] = field(factory=set)
     address: tuple[str, int] = ("127.0.0.1", 0)
     _server: asyncio.Server | None = None
@@ -92,6 +96,27 @@
         for writer in list(self._writers):
             writer.transport.abort()
 
+    def keep_copy(self, now: float) -> None:
+        """Make one of the copies of the last seconds that a restore may go back to."""
+        self.copies.append((now, self.make_copy()))
+        self.copies = [copy for copy in self.copies if now - copy[0] <= COPY_AGE_MAX_S]
+
+    def restore_aged(self, age_s: float, now: float) -> None:
+        """Go back to a copy of some age, and write again what the operator and servers wrote.
+
+        Live servers write their entries themselves.
+        """
+        if not self.copies:
+            return
+        configurations = {key: row[0] for key, row in self.rows.items() if key[0] == "op"}
+        at, copy = min(self.copies, key=lambda each: abs(now - age_s - each[0]))
+        self.copies = [each for each in self.copies if each[0] <= at]
+        self.restore(copy)
+        for (table, key), value in configurations.items():
+            self.put(table, key, value)
+        for key in self.retired & {key for table, key in self.rows if table == "servers"}:
+            self.remove("servers", key)
+
     def record_heartbeat(self, key: str, value: dict, now: float) -> None:
         """Record a server's heartbeat; its entry is written only if the value has changed."""
         self.heartbeats[key] = now
@@ -183,6 +208,8 @@
             self.record_heartbeat(query["Key"], json.loads(body), time.monotonic())
         elif name == "forget":
             self.forget()
+        elif name == "restore":
+            self.restore_aged(float(query["age_s"]), time.monotonic())
         elif name in ("down", "lose_answers"):
             setattr(self, name, query["on"] == "1")
         return 200, self._make_version_fields()
--- a/standin/run.py
+++ b/standin/run.py
@@ -256,6 +256,7 @@
         while True:
             await asyncio.sleep(HEARTBEAT_INTERVAL_S / 4)
             rows.expire_entries(ENTRY_EXPIRY_S, time.monotonic())
+            rows.keep_copy(time.monotonic())
 
     asyncio.run(serve())
 
--- a/test/soak/faults.py
+++ b/test/soak/faults.py
@@ -18,10 +18,14 @@
 STOP_TIMEOUT_S = 8.0
 SHORT_FAULT_S = (0.2, 1.5)
 LONG_FAULT_S = (1.0, 4.0)
+AWAY_S = (0.1, 0.6)
+COPY_AGE_S = (1.0, 7.0)
+HUSHED_S = (1.0, 1.3)
 FAULT_INTERVAL_S = (0.1, 1.5)
 RELAY_DELAY_S = (0.02, 0.3)
-"""Time for a planned stop, duration of faults, time between the starts of two faults, and delay
-that a relay adds."""
+"""Time for a planned stop, duration of faults, time for which a store that is restored is away, age
+of its copy, pause of all plain servers, time between the starts of two faults, and delay that a
+relay adds."""
 
 LEAVING_SERVE_S = 4.0
 RELEASE_SERVE_S = 8.0
@@ -208,6 +212,38 @@
     await call_store(port, kind, on="0") if kind != "forget" else None
 
 
+async def restore_store(faults: Faults) -> None:
+    """Let the store be away for a moment and come back from a copy some seconds old."""
+    port, age_s = faults.scene.store_port, faults.rng.uniform(*COPY_AGE_S)
+    await call_store(port, "down", on="1")
+    await faults.wait_fault(STORE, "restored", AWAY_S)
+    await call_store(port, "restore", age_s=f"{age_s:.2f}")
+    await call_store(port, "down", on="0")
+
+
+async def hush_servers(faults: Faults) -> None:
+    """Pause all plain servers for a moment, beside a change of the configuration."""
+    scene = faults.scene
+    names = [
+        name
+        for name, service in scene.services.items()
+        if service != "svc" and name not in scene.disrupted
+    ]
+    scene.disrupted.update(names)
+    await change_configuration(faults)
+    for name in names:
+        scene.programs[name].send(signal.SIGSTOP)
+        scene.programs[name].paused = True
+    since = time.monotonic()
+    await asyncio.sleep(faults.rng.uniform(*HUSHED_S))
+    for name in names:
+        scene.programs[name].send(signal.SIGCONT)
+        scene.programs[name].paused = False
+    until = time.monotonic() + 0.1
+    scene.history.disturbances += [Disturbance(name, "paused", since, until) for name in names]
+    scene.disrupted.difference_update(names)
+
+
 async def write_odd_entries(faults: Faults) -> None:
     """Leave odd entries of another writer among those of the servers, for good."""
     sound = {"Service": "svc", "Address": "127.0.0.1:1", "Zone": "a", "Version": "v1", "Slots": 8}
@@ -330,6 +366,8 @@
     reset_links,
     reset_links,
     disturb_store,
+    restore_store,
+    hush_servers,
     write_odd_entries,
     change_configuration,
     send_deadly,
