--- a/rhubarbshed/transport/edge/follower.py
+++ b/rhubarbshed/transport/edge/follower.py
@@ -90,11 +90,10 @@
 
     `lost_at` is when the store became unavailable, None while it responds. Until `unsettled_until`
     entries may be missing that lapsed in an outage and will be back. What was read last may have
-    changed at `changed_since` already. An order holder
-    publishes what it read; other instances apply its messages (the last one at
-    `message_received_at`) and query the store themselves if they missed changes or the messages
-    stop. `servers_revision` is in `servers_era` of the store, and unknown in a later one until all
-    entries are read again.
+    changed at `changed_since` already. An order holder publishes what it read; other instances
+    apply its messages (the last one at `message_received_at`) and query the store themselves if
+    they missed changes or the messages stop. `servers_revision` is in `servers_era` of the store,
+    and unknown in a later one until all entries are read again.
     """
 
     store: StoreClient
--- a/test/soak/mutations.py
+++ b/test/soak/mutations.py
@@ -80,6 +80,13 @@
         "return LEASE_PREFIX + self.data_centre + self.name",
     ),
     ("leaving", f"{EDGE}/follower.py", "elif record.missing_since is None:", "elif not server_id:"),
+    ("leaving", f"{EDGE}/store.py", "era = read_era(answer.headers)", "era = None"),
+    (
+        "holders",
+        f"{EDGE}/lease.py",
+        "is_latest = row.era == self.lease_state.era",
+        "is_latest = True",
+    ),
     (
         "configuration",
         f"{EDGE}/follower.py",
--- a/test/test_store_restore.py
+++ b/test/test_store_restore.py
@@ -230,3 +230,15 @@
         row = Row("a", 50, record.to_value(), 50)
         page = Page(Scan((row,), 60, read_in), now_ms=1000.0)
         assert bool(list_records(page)) == counts, (written_in, read_in)
+
+
+def test_first_renewal_in_an_era_does_not_state_that_its_holder_gives_orders():
+    """It may come too late to keep the right, and a restarted process would resume by it."""
+    lease_state = LeaseState(LEASE_S, 0.0, era=1)
+    lease_state.record_row(0, "", 100.0)
+    lease_state.record_acquired(5, 100.0, waits=False)
+    assert lease_state.gives_orders(100.1)
+    lease_state.record_era(2, 100.2)
+    assert not lease_state.gives_orders(100.2)
+    lease_state.record_renewed(3, 100.3)
+    assert lease_state.gives_orders(100.4)
