--- a/rhubarbshed/coordination/serving/lease_state.py
+++ b/rhubarbshed/coordination/serving/lease_state.py
@@ -169,8 +169,8 @@
     def gives_orders(self, now: float) -> bool:
         """Return whether the row may state that its holder gives orders and waits for no other.
 
-        It is written with a takeover, too, for a process that reads it after this one has ended. The
-        first renewal in an era does not state it, as it may come too late to keep the right.
+        It is written with a takeover, too, for a process that reads it after this one has ended.
+        The first renewal in an era does not state it, as it may come too late to keep the right.
         """
         if self.held:
             return now >= self.may_order_from and self.renewed_era == self.era
