Leave requests at servers that are silent for a second with all others

Cause: a stream was taken from its server after a second and given to one that was silent as well, or full as all streams changed places at once. If that one turned the rest away, or the budget ran out, the stream ended.

A stream now stays for 1.5 s without an event; callers leave after two. A request does not leave a silent server while the others that requests wait for are silent too, up to 1.5 s, and never for one that is silent. A server noted as unresponsive serves again once it answers.

--- a/rhubarbshed/state/membership/fleet.py
+++ b/rhubarbshed/state/membership/fleet.py
@@ -46,7 +46,8 @@
     """State of one incarnation of a backend server; times are monotonic seconds.
 
     `known_since` is when its entry was first read.
-    `open` counts this instance's unfinished attempts. `reported_load` is the load that the server
+    `open` counts this instance's unfinished attempts, since `open_since` without a break; the last
+    of them to receive anything did so at `heard_at`. `reported_load` is the load that the server
     last reported, to this instance at `answered_at` or to another, known here since `sampled_at`;
     `others_load` is the part of it that is not from this instance, `usual_load` an average of the
     reported ones. `run_s` is the mean time of its runs. `held` are the models with their adapters.
@@ -67,6 +68,8 @@
     held: dict[str, set[str]] = field(factory=dict)
     announced_at: float = -math.inf
     open: int = 0
+    open_since: float = -math.inf
+    heard_at: float = -math.inf
     others_load: float = 0.0
     reported_load: int = 0
     usual_load: float = 0.0
@@ -137,6 +140,19 @@
         window_s = min(SAMPLE_WINDOW_S, max(SAMPLE_WINDOW_MIN_S, SAMPLE_RUNS * self.run_s))
         return math.exp(-age_s / window_s)
 
+    def begin_attempt(self, now: float) -> None:
+        """Count an attempt that begins."""
+        if not self.open:
+            self.open_since = now
+        self.open += 1
+
+    def measure_silence(self, now: float, own: int = 0) -> float:
+        """Return for how many seconds no attempt received anything, 0 if none waits for it.
+
+        A silence that only `own` attempts met may be that of a lost response.
+        """
+        return now - max(self.open_since, self.heard_at) if self.open > own else 0.0
+
     def record_run(self, run_s: float) -> None:
         """Update the mean time of a run with the time that one request took."""
         self.run_s += RUN_WEIGHT * (run_s - self.run_s)
@@ -173,6 +189,11 @@
         self.unresponsive_until = now + pause_s
         return pause_s
 
+    def end_pause(self) -> None:
+        """Let requests go to the server again, which was cut off or has sent something since."""
+        self.unresponsive_until = -math.inf
+        self.unresponsive_count = 0
+
     def record_backoff(self, backoff_s: float, now: float) -> bool:
         """Record that the server asked to get nothing for a while; return whether that is new.
 
@@ -256,8 +277,7 @@
     def end_pauses(self) -> None:
         """Let requests go to all servers again, as the links to them were cut and not they."""
         for record in self.servers.values():
-            record.unresponsive_until = -math.inf
-            record.unresponsive_count = 0
+            record.end_pause()
 
     def apply_held_models(self, server_id: str, started_ms: int, held: dict, now: float) -> None:
         """Apply the order holder's announcement of a server's models and adapters."""
--- a/rhubarbshed/transport/edge/attempts.py
+++ b/rhubarbshed/transport/edge/attempts.py
@@ -42,9 +42,9 @@
 """Longest wait for the first bytes of a response, and between two reads of a plain one, while
 another attempt is possible: this time, or this many times the route's target if that is longer."""
 
-STREAM_GAP_TIMEOUT_S = 1.0
-"""Longest gap within a stream that another server can continue; callers give up after two
-seconds."""
+STREAM_GAP_TIMEOUT_S = 1.5
+"""Longest gap within a stream that another server can continue. A sound server may be silent for a
+second or so, and the other one may refuse the rest; callers give up after two seconds."""
 
 PROGRESS_BYTES_MIN = 4_096
 """Bytes of an event that is not complete yet which count as progress of its stream; a server that
@@ -235,10 +235,20 @@
     async def receive_body(self) -> Event:
         """Return the next piece of the response's body, or its end."""
         event = await self.channel.receive()
+        self.note_heard()
         if isinstance(event, h11.Data):
             self.body_bytes += len(event.data)
         return event
 
+    def note_heard(self) -> None:
+        """Record that the server sent something, also one that was noted as unresponsive."""
+        if self.record is None:
+            return
+        self.record.heard_at = time.monotonic()
+        if self.silent:
+            self.silent = False
+            self.record.end_pause()
+
     def may_give_up(self) -> bool:
         """Return whether the response of a silent server may be left to another one.
 
@@ -266,6 +276,7 @@
         """
         for _ in range(SKIPPED_ANSWERS_MAX):
             response = await self.channel.receive_final_head()
+            self.note_heard()
             head = self.note_leaving(read_head(response.status_code, response.headers))
             if head.request_id and head.request_id == self.caller_response.request.request_id:
                 return response, head
--- a/rhubarbshed/transport/edge/relay.py
+++ b/rhubarbshed/transport/edge/relay.py
@@ -91,6 +91,13 @@
 SECOND_PASS_PAUSE_S = 0.06
 """Pause before servers that failed a request are tried again, about the time of a plain run."""
 
+SERVER_SILENCE_S = 0.5
+"""Time without a byte after which a server that requests wait for counts as silent."""
+
+SERVICE_SILENCE_S = 1.5
+"""Time for which requests stay at a silent server while all others that requests wait for are
+silent as well. Sound servers may be for a second or so; callers of a stream leave after two."""
+
 UNREACHED = (
     ExchangeEnd.NOT_SENT,
     ExchangeEnd.CONNECTION_REFUSED,
@@ -567,9 +574,9 @@
         attempt.confirm_running = lambda: self.confirm_running(record)
         self.last_attempt = attempt
         more = self.tries.run + 1 < self.route.attempts_max and self.route.repeatable
-        record.open += 1
-        self.in_flight = True
         begun_at = time.monotonic()
+        record.begin_attempt(begun_at)
+        self.in_flight = True
         try:
             end = await attempt.run(more)
         finally:
@@ -684,28 +691,51 @@
     def may_move(self, record: ServerRecord, attempt: Attempt, now: float) -> bool:
         """Return whether another attempt can be made in place of one at a silent server."""
         may_move = self.pay_move(record, now)
-        if not may_move and not attempt.silent and not attempt.begun:
+        if not may_move and not attempt.silent:
             attempt.silent = True
-            record.record_unresponsive(now)
             self.relay.links.suspect()
+            if not attempt.begun:
+                record.record_unresponsive(now)
         return may_move
 
     def pay_move(self, record: ServerRecord, now: float) -> bool:
         """Pay for a retry if another server can take the request; return whether it did.
 
-        The retry is paid for at once: many servers may become silent together.
+        The retry is paid for at once: many servers may become silent together. To leave a server
+        for one that is silent as well gains nothing, and the other one may refuse the request.
         """
         if not self.caller_response.may_continue:
             return False
         if self.relay.links.is_cut and not self.forwarded_by:
             return self.relay.forwarder.has_peer(now) and self.pay_retry(now)
+        silent = self.list_silent(record, now)
+        if silent and record.measure_silence(now) < SERVICE_SILENCE_S and not self.has_heard(now):
+            return False
+        tried, self.excluded = self.excluded, self.excluded | silent
         chosen = self.choose_other(record, now)
-        if isinstance(chosen, NoServer) and chosen.reason == "all_tried":
+        is_second_pass = not self.second_pass_started and not silent
+        if isinstance(chosen, NoServer) and chosen.reason == "all_tried" and is_second_pass:
             # A second pass may choose the silent server again, which may just have lost the answer.
-            tried, self.excluded = self.excluded, set()
-            chosen = chosen if self.second_pass_started else self.choose(now)
-            self.excluded = tried
-        return isinstance(chosen, Choice) and self.pay_retry(now)
+            self.excluded = set()
+            chosen = self.choose(now)
+        self.excluded = tried
+        may_move = isinstance(chosen, Choice) and self.pay_retry(now)
+        if may_move:
+            self.excluded |= silent
+        return may_move
+
+    def has_heard(self, now: float) -> bool:
+        """Return whether any server of the service sent this instance something lately."""
+        servers = self.relay.view.fleet.list_service(self.service)
+        return any(now - each.heard_at < SERVER_SILENCE_S for each in servers)
+
+    def list_silent(self, asked: ServerRecord, now: float) -> set[tuple[str, int]]:
+        """List the servers of the service that are silent to other requests of this instance."""
+        return {
+            each.key
+            for each in self.relay.view.fleet.list_service(self.service)
+            if each.measure_silence(now, own=int(each is asked)) >= SERVER_SILENCE_S
+        }
 
     async def wait_for_load(self, now: float) -> bool:
         """Wait for a load of what is missing; return whether to choose again."""
