--- a/test/helper_crashes.py
+++ b/test/helper_crashes.py
@@ -57,6 +57,15 @@
         self.instances.store.put("servers", server_id, replica.describe())
         return replica
 
+    async def let_leave(self, replica: Replica, names: Sequence[str], timeout_s: float) -> None:
+        """Enter in the store that a replica leaves, and wait until instances know it in time."""
+        replica.drain()
+        self.instances.store.put("servers", replica.server_id, replica.describe())
+        records = [self.instances[name].view.fleet.servers[replica.server_id] for name in names]
+        await self.instances.wait_until(
+            lambda: all(record.leaving_at is not None for record in records), timeout_s
+        )
+
     async def reply(self, exchange: Exchange) -> None:
         """Answer or stream after a while, or crash."""
         deadly = self.is_deadly(exchange)
--- a/test/test_edge_store_cut.py
+++ b/test/test_edge_store_cut.py
@@ -56,14 +56,7 @@
             await asyncio.sleep(LOST_S)
             store.held_tables.clear()
             await asyncio.sleep(STABLE_S)
-            leaving.drain()
-            store.put("servers", leaving.server_id, leaving.describe())
-            records = [
-                scene.instances[each].view.fleet.servers[leaving.server_id] for each in names
-            ]
-            await scene.instances.wait_until(
-                lambda: all(record.leaving_at is not None for record in records), DRAIN_S
-            )
+            await scene.let_leave(leaving, names, DRAIN_S)
 
     play(run)
 
--- a/test/test_store_restore.py
+++ b/test/test_store_restore.py
@@ -210,15 +210,7 @@
             )
             store.restore(copy)
             await asyncio.sleep(0.5)
-            leaving = servers[1]
-            leaving.drain()
-            store.put("servers", leaving.server_id, leaving.describe())
-            records = [
-                scene.instances[each].view.fleet.servers[leaving.server_id] for each in names
-            ]
-            await scene.instances.wait_until(
-                lambda: all(record.leaving_at is not None for record in records), DRAIN_S
-            )
+            await scene.let_leave(servers[1], names, DRAIN_S)
 
     play(run)
 
