Ask again for a lost answer though another server is silent

Found by reading.

Cause: the second pass was withheld whenever a server was silent, also one that could not serve the request. It is withheld now only if the server itself is silent to other requests.

The new test of test_edge_hushed failed on (504) and passes.

--- a/rhubarbshed/transport/edge/relay.py
+++ b/rhubarbshed/transport/edge/relay.py
@@ -713,10 +713,10 @@
             return False
         tried, self.excluded = self.excluded, self.excluded | silent
         chosen = self.choose_other(record, now)
-        is_second_pass = not self.second_pass_started and not silent
+        is_second_pass = not self.second_pass_started and record.key not in silent
         if isinstance(chosen, NoServer) and chosen.reason == "all_tried" and is_second_pass:
             # A second pass may choose the silent server again, which may just have lost the answer.
-            self.excluded = set()
+            self.excluded = silent
             chosen = self.choose(now)
         self.excluded = tried
         may_move = isinstance(chosen, Choice) and self.pay_retry(now)
--- a/test/test_edge_hushed.py
+++ b/test/test_edge_hushed.py
@@ -6,9 +6,16 @@
 import pytest
 from attrs import define, field
 
-from standin.replica import Exchange
+from standin.replica import Exchange, Replica
 from test.helper_crashes import CONFIGURATION, CrashScene, run_crash_scene
-from test.helper_edge import Answer, play
+from test.helper_edge import (
+    Answer,
+    make_configuration,
+    make_engine_service,
+    make_route,
+    play,
+    run_edge,
+)
 
 INSTANCES = {"a1": "a", "a2": "a", "b1": "b"}
 SERVERS = 4
@@ -107,3 +114,47 @@
                 assert servers.count_repeats() <= REPEATS_MAX
 
     play(run)
+
+
+def test_lost_answer_is_asked_for_again_though_another_server_is_silent():
+    """The sole server of a model is not left, and another one of the service is down."""
+
+    async def scene():
+        lost: list[Exchange] = []
+
+        async def lose_first(exchange: Exchange) -> None:
+            if exchange.body == b"lost" and not lost:
+                lost.append(exchange)
+                return
+            exchange.begin_stream()
+            exchange.send_event(1)
+            exchange.end_stream()
+
+        async def be_silent(exchange: Exchange) -> None:
+            """Answer nothing."""
+
+        engines = [
+            Replica("b1", models={"m1": []}, reply=lose_first),
+            Replica("b2", models={"m2": []}, reply=be_silent),
+        ]
+        routes = (
+            make_route("streaming", "/s/", Resumable=True, TargetGapMs=150),
+            make_route("streaming", "/n/", Attempts=1, TargetGapMs=150),
+        )
+        service = make_engine_service({"m1": 0, "m2": 0})
+        async with run_edge(make_configuration(*routes, Services=[service]), *engines) as edge:
+
+            def ask(body: bytes, model: str, path: str = "/s/x") -> asyncio.Task[Answer]:
+                return asyncio.create_task(edge.ask(path, body, Rhubarbshed_Model=model))
+
+            down = ask(b"x", "m2", "/n/x")
+            asked = ask(b"lost", "m1")
+            others = []
+            for _ in range(20):
+                await asyncio.sleep(0.1)
+                others.append(ask(b"x", "m1"))
+            answer = await asked
+            assert (answer.status, answer.whole) == (200, True)
+            await asyncio.gather(down, *others)
+
+    play(scene)
