Take a rejected or unanswered call for an outage, however short

Cause: the length was counted from the first failed call. A store that rejects calls may have done so before, as an open query shows nothing of it.

Any call that is rejected or not answered counts as an outage again, and so does a second connection that breaks.

--- a/rhubarbshed/transport/edge/follower.py
+++ b/rhubarbshed/transport/edge/follower.py
@@ -52,9 +52,9 @@
 RETRY_DELEGATION_S = 2.0
 """Longest time for which the query for servers leaves retries to the other query."""
 
-LAPSE_OUTAGE_MIN_S = 1.2
-"""Shortest outage in which an entry can lapse: servers write about as often, and their entries
-lapse after three such intervals."""
+UNCONFIRMED_MAX_S = 1.2
+"""Time without a confirmation of the entries after which some may have lapsed in an outage that was
+not noticed: servers write about as often, and entries lapse after three such intervals."""
 
 IMMEDIATE_ANSWER_S = 0.5
 """Time within which the store answers a query for what has changed before, also when it is slow."""
@@ -88,18 +88,20 @@
 class Follower:
     """Follower of the store that keeps a view up to date.
 
-    `lost_at` is when the store became unavailable, None while it responds. Until `unsettled_until`
-    entries may be missing that lapsed in an outage and will be back. What was read last may have
-    changed at `changed_since` already. An order holder publishes what it read; other instances
-    apply its messages (the last one at `message_received_at`) and query the store themselves if
-    they missed changes or the messages stop. `servers_revision` is in `servers_era` of the store,
-    and unknown in a later one until all entries are read again.
+    `lost_at` is when the store became unavailable, None while it responds, `is_outage` whether more
+    than a connection broke since. Until `unsettled_until` entries may be missing that lapsed in an
+    outage and will be back. What was read last may have changed at `changed_since` already. An
+    order holder publishes what it read; other instances apply its messages (the last one at
+    `message_received_at`) and query the store themselves if they missed changes or the messages
+    stop. `servers_revision` is in `servers_era` of the store, and unknown in a later one until all
+    entries are read again.
     """
 
     store: StoreClient
     view: View
     store_suspected: Signal = field(factory=Signal)
     lost_at: float | None = None
+    is_outage: bool = False
     regained_at: float = -1e9
     unsettled_until: float = -1e9
     changed_since: float = math.inf
@@ -278,7 +280,7 @@
         """
         confirmed_at = self.view.versions.confirmed_at
         self.changed_since = confirmed_at if now - sent_at < IMMEDIATE_ANSWER_S else now
-        if LAPSE_OUTAGE_MIN_S <= sent_at - confirmed_at < math.inf:
+        if UNCONFIRMED_MAX_S <= sent_at - confirmed_at < math.inf:
             self.unsettled_until = max(self.unsettled_until, now + ENTRY_RECOVERY_S)
 
     async def _pause(self, table: str, pause_s: float) -> None:
@@ -328,13 +330,17 @@
             log_event(
                 LOG, logging.WARNING, "dependency_regained", name="store", away_s=round(away_s, 2)
             )
-            if away_s >= LAPSE_OUTAGE_MIN_S:
+            if self.is_outage:
                 self.unsettled_until = now + ENTRY_RECOVERY_S
-            self.lost_at = None
+            self.lost_at, self.is_outage = None, False
             self.regained_at = now
             self.store_returned.fire()
 
     def _record_failure(self, table: str, error: TableError, now: float) -> None:
+        is_broken = error.fault is TableFault.UNKNOWN and not error.waited_s
+        if not is_broken or table in self.failing_tables:
+            # A connection that breaks once, as by a reset, does not show that the store is away.
+            self.is_outage = True
         if self.lost_at is None:
             self.lost_at = now - error.waited_s
             self.view.versions.suspend()
