--- a/test/test_edge_missing.py
+++ b/test/test_edge_missing.py
@@ -1,6 +1,7 @@
 """Servers whose entry is removed without an announcement, as an order holder is in trouble."""
 
 import asyncio
+import itertools
 import time
 
 import pytest
@@ -17,6 +18,8 @@
 
 NAMES = ("a1", "a2", "a3")
 
+OTHER_ROWS_INTERVAL_S = 0.1
+
 
 async def measure_drop(scene: CrashScene, names: list[str], server_id: str) -> float:
     """Wait until instances have dropped a server; return the seconds that it takes from now."""
@@ -46,6 +49,39 @@
     play(run)
 
 
+async def write_other_rows(scene: CrashScene) -> None:
+    """Write rows of another table, as instances and operators do all the time."""
+    for number in itertools.count():
+        scene.instances.store.put("other", "row", {"number": number})
+        await asyncio.sleep(OTHER_ROWS_INTERVAL_S)
+
+
+async def wait_for_read(scene: CrashScene, name: str) -> None:
+    """Wait until an instance knows of a later revision of the store."""
+    follower = scene.instances[name].follower
+    revision = follower.servers_revision
+    await scene.instances.wait_until(lambda: follower.servers_revision != revision, 3 * DRAIN_S)
+
+
+@pytest.mark.parametrize("after_s", [0.0, 0.1, 0.8, 1.5])
+def test_removed_entry_on_a_calm_day_does_not_keep_a_server_in_use(after_s: float):
+    """Instances that rely on an order holder took the day for an outage and waited 2.2 s more."""
+
+    async def run():
+        async with run_crash_scene(3, dict.fromkeys(NAMES, "a")) as scene:
+            writing = asyncio.create_task(write_other_rows(scene))
+            await asyncio.sleep(SETTLED_S)
+            holder = scene.instances.find_holder("a")
+            for _ in range(2):
+                await wait_for_read(scene, next(name for name in NAMES if name != holder))
+            await asyncio.sleep(after_s)
+            scene.instances.store.remove("servers", "r0")
+            assert await measure_drop(scene, NAMES, "r0") < DRAIN_S
+            writing.cancel()
+
+    play(run)
+
+
 @pytest.mark.parametrize("after_s", [0.05, 0.25, 0.35])
 def test_kill_of_the_holder_does_not_delay_the_drop_at_others(after_s: float):
     """Others read the removal late, and counted the time for which they keep a server from then."""
