Log why lapsed entries are waited for and how old a removal is

entries_unsettled names the reason and the age of the view; server_missing has the age of the removal as far as it is known, and whether lapsed entries are waited for.

--- a/rhubarbshed/transport/edge/follower.py
+++ b/rhubarbshed/transport/edge/follower.py
@@ -144,7 +144,7 @@
         self.view.versions.suspend()
         # Servers write again what is missing in the copy, as after an outage.
         self.regained_at = now
-        self.unsettled_until = now + ENTRY_RECOVERY_S
+        self._expect_lapsed("restored", now)
         self._query_again()
 
     def _query_again(self) -> None:
@@ -281,7 +281,12 @@
         confirmed_at = self.view.versions.confirmed_at
         self.changed_since = confirmed_at if now - sent_at < IMMEDIATE_ANSWER_S else now
         if UNCONFIRMED_MAX_S <= sent_at - confirmed_at < math.inf:
-            self.unsettled_until = max(self.unsettled_until, now + ENTRY_RECOVERY_S)
+            self._expect_lapsed("unconfirmed", now, sent_at - confirmed_at)
+
+    def _expect_lapsed(self, why: str, now: float, age_s: float = 0.0) -> None:
+        """Record that entries of servers that serve on may be missing for a while."""
+        self.unsettled_until = max(self.unsettled_until, now + ENTRY_RECOVERY_S)
+        log_event(LOG, logging.INFO, "entries_unsettled", why=why, age_ms=round(age_s * 1000))
 
     async def _pause(self, table: str, pause_s: float) -> None:
         """Wait before a retry; while both queries fail, one is enough to detect the return."""
@@ -331,7 +336,7 @@
                 LOG, logging.WARNING, "dependency_regained", name="store", away_s=round(away_s, 2)
             )
             if self.is_outage:
-                self.unsettled_until = now + ENTRY_RECOVERY_S
+                self._expect_lapsed("outage", now, away_s)
             self.lost_at, self.is_outage = None, False
             self.regained_at = now
             self.store_returned.fire()
@@ -425,7 +430,7 @@
                 self._mark_missing(change.server_id, now)
         if is_full_read:
             for server_id in view.fleet.mark_missing(present, now):
-                log_event(LOG, logging.INFO, "server_missing", server=server_id, why="not_listed")
+                self._log_missing(server_id, "not_listed", now, now)
         view.changed.fire()
         return changes
 
@@ -464,7 +469,18 @@
             self._drop(server_id, "left", now)
         elif record.missing_since is None:
             record.missing_since = min(now, self.changed_since)
-            log_event(LOG, logging.INFO, "server_missing", server=server_id, why="entry_removed")
+            self._log_missing(server_id, "entry_removed", record.missing_since, now)
+
+    def _log_missing(self, server_id: str, why: str, since: float, now: float) -> None:
+        log_event(
+            LOG,
+            logging.INFO,
+            "server_missing",
+            server=server_id,
+            why=why,
+            since_ms=round((now - since) * 1000),
+            settled=self.is_settled(now),
+        )
 
     def is_settled(self, now: float) -> bool:
         """Return whether entries that lapsed while the store was unavailable would be back."""
