Announce the revisions at which the entries are the same

Cause: a holder's regular message named one revision, that of its last query. An instance that knew an earlier revision took itself for one that had missed changes and queried the servers; it then knew a later one than the holder, so that no message confirmed its view until it queried again 1.75 s later, by which time it took the gap for an outage and kept servers without an entry for 2.2 s.

A holder now names the range of revisions at which its entries are the same, and a change begins where that range does. Whoever knows any revision in it has missed nothing.

--- a/rhubarbshed/transport/edge/follower.py
+++ b/rhubarbshed/transport/edge/follower.py
@@ -94,7 +94,7 @@
     order holder publishes what it read; other instances apply its messages (the last one at
     `message_received_at`) and query the store themselves if they missed changes or the messages
     stop. `servers_revision` is in `servers_era` of the store, and unknown in a later one until all
-    entries are read again.
+    entries are read again. The entries are the same at all revisions from `changed_revision` on.
     """
 
     store: StoreClient
@@ -111,6 +111,7 @@
     count_unreadable: Callable[[str], None] = lambda kind: None
     is_holder: Callable[[], bool] = lambda: False
     servers_revision: int | None = None
+    changed_revision: int = 0
     servers_era: int = 0
     configuration_revision: int = 0
     read_anew: LatchedSignal = field(factory=LatchedSignal)
@@ -182,10 +183,12 @@
             self.is_behind = True
             self.fell_behind.fire()
             return
-        rows = tuple(Row(key, version, value, version) for key, version, value in message.rows)
         self.servers_revision = message.revision
-        self.changed_since = now
-        self._apply_servers(rows, False, now)
+        rows = tuple(Row(key, version, value, version) for key, version, value in message.rows)
+        if rows:
+            self.changed_revision = message.revision
+            self.changed_since = now
+            self._apply_servers(rows, False, now)
 
     async def _wait_for_turn(self, table: str) -> None:
         """Delay a query for servers as long as the order holder announces all changes."""
@@ -244,13 +247,16 @@
                 scan = result.unwrap().scan
                 if scan.era != (self.store.era if is_full_read else era):
                     continue
-                before, revision, era = revision, scan.revision, scan.era
+                revision, era = scan.revision, scan.era
                 pause_s = PAUSE_FIRST_S
                 if table == SERVERS_TABLE:
                     self._date_changes(sent_at, now)
                 changes = apply(scan.rows, is_full_read, now)
                 if table == SERVERS_TABLE:
+                    before = self.changed_revision
                     self.servers_revision, self.servers_era = revision, era
+                    if is_full_read or scan.rows:
+                        self.changed_revision = revision
                     self.view.versions.confirm(now)
                     self.view.versions.resume()
                 if is_full_read:
--- a/rhubarbshed/transport/edge/holder_protocol.py
+++ b/rhubarbshed/transport/edge/holder_protocol.py
@@ -243,10 +243,12 @@
         for address in [key for key, at in self.instances.items() if now - at > INSTANCE_EXPIRY_S]:
             del self.instances[address]
         self.lease.check_holders(self.holders, now)
-        revision = self.follower.servers_revision or 0
+        follower = self.follower
         is_confirmed = self.lease.lease_state.is_confirmed(read_lease_clock())
-        if self.follower.is_confirmed(now) and is_confirmed and self.reads_current_era:
-            self.send_store_messages(now, revision, revision)
+        if follower.is_confirmed(now) and is_confirmed and self.reads_current_era:
+            # Most revisions come from other tables: an instance that knows any of this range needs
+            # no query of its own.
+            self.send_store_messages(now, follower.changed_revision, follower.servers_revision or 0)
 
     def publish(self, before: int, revision: int, changes: tuple[EntryChange, ...]) -> None:
         """Announce changes in the store to the local instances."""
--- a/test/test_edge_missing.py
+++ b/test/test_edge_missing.py
@@ -82,6 +82,28 @@
     play(run)
 
 
+def test_instances_with_an_order_holder_make_no_queries_of_their_own_on_a_calm_day():
+    """Each revision of another table's row made them query the servers, once in 1.6 s."""
+
+    async def run():
+        async with run_crash_scene(3, dict.fromkeys(NAMES, "a")) as scene:
+            writing = asyncio.create_task(write_other_rows(scene))
+            await asyncio.sleep(SETTLED_S)
+            holder = scene.instances.find_holder("a")
+            others = [scene.instances[name] for name in NAMES if name != holder]
+            for node in others:
+                node.metrics.take_new_counts("store_calls")
+            await asyncio.sleep(2 * DRAIN_S)
+            for node in others:
+                counts = node.metrics.take_new_counts("store_calls")
+                assert ("follow", "servers") not in counts, counts
+                assert node.follower.is_confirmed(time.monotonic())
+            assert scene.instances.find_holder("a") == holder
+            writing.cancel()
+
+    play(run)
+
+
 @pytest.mark.parametrize("after_s", [0.05, 0.25, 0.35])
 def test_kill_of_the_holder_does_not_delay_the_drop_at_others(after_s: float):
     """Others read the removal late, and counted the time for which they keep a server from then."""
