Decide in one place how old the known entries are

Cause: whether entries may have lapsed in an outage was judged by the time since the view was last confirmed. A view that nobody confirmed for 1.2 s was taken for one that may have missed an outage, though the store served all the while: an instance that knows a later revision than its order holder is confirmed by none of its messages until the holder's next query.

EntryAge has them now: the known entries and whether the store serves are two matters. Any response of the store, and any message of a holder that is in touch with it, shows that the store serves; only a gap in this as long as a heartbeat may hide an outage. The heartbeat comes from the platform's settings (1.2 s in older files). An outage is still judged by the own calls alone.

--- a/rhubarbshed/coordination/serving/version_records.py
+++ b/rhubarbshed/coordination/serving/version_records.py
@@ -96,7 +96,7 @@
 ) -> VersionRecord | None:
     """Return the record of what was seen up to a revision, None if that is not known for long."""
     followed_since, routed_since = versions.followed_since, versions.routes.followed_since
-    if followed_since is None or routed_since is None or versions.is_suspended:
+    if followed_since is None or routed_since is None or versions.entry_age.is_suspended:
         return None
     if max(followed_since, routed_since) > clock.at:
         return None
--- a/rhubarbshed/coordination/serving/versions.py
+++ b/rhubarbshed/coordination/serving/versions.py
@@ -19,10 +19,6 @@
 from rhubarbshed.state.membership.versions import VersionHistory
 from rhubarbshed.state.requests.stream_origins import STREAM_AGE_MAX_S
 
-CONFIRMATION_AGE_MAX_S = 3.0
-"""Time after the last answer of the store, or message of the order holder, for which the known
-entries count as current; the store holds a query for servers for less than that."""
-
 
 class OriginSource(enum.Enum):
     """How the origin of a stream is known: by this instance, by others, by elimination, or not."""
@@ -112,8 +108,7 @@
 
 def is_current(history: VersionHistory, now: float) -> bool:
     """Return whether the entries known here are those in force."""
-    confirmed = now - history.confirmed_at <= CONFIRMATION_AGE_MAX_S
-    return confirmed and not history.is_suspended and history.followed_since is not None
+    return history.followed_since is not None and history.entry_age.is_current(now)
 
 
 def measure_followed(history: VersionHistory, now: float) -> float:
--- a/rhubarbshed/state/membership/versions.py
+++ b/rhubarbshed/state/membership/versions.py
@@ -1,10 +1,9 @@
 """Software versions that an instance has seen in the services, and since when it misses none."""
 
-import math
-
 from attrs import define, field
 
 from rhubarbshed.protocol.servers import ServerEntry
+from rhubarbshed.state.membership.entry_age import EntryAge
 from rhubarbshed.state.membership.fleet import Fleet
 from rhubarbshed.state.membership.route_history import RouteHistory
 
@@ -16,43 +15,23 @@
 class VersionHistory:
     """(service, version) pairs with the monotonic seconds at which each was last seen.
 
-    Since `followed_since` no entry was missed, as far as the entries were read; None before the
-    first read. While `is_suspended` changes may be unread: the store is lost, or was and the feed
-    has not gone on yet. At `confirmed_at` the entries were last known to be current.
+    Since `followed_since` no entry was missed, as far as the entries were read (`entry_age`); None
+    before the first read.
     `known_servers` are the ids of all entries, also unreadable ones, since the removal of another
     one shows that an entry was missed. `routes` show where a stream may have begun.
     """
 
     followed_since: float | None = None
-    is_suspended: bool = False
-    confirmed_at: float = -math.inf
+    entry_age: EntryAge = field(factory=EntryAge)
     last_seen: dict[tuple[str, str], float] = field(factory=dict)
     known_servers: dict[str, float] = field(factory=dict)
     lapsed: dict[str, tuple[str, str, float]] = field(factory=dict)
-    resumed_at: float = -math.inf
     routes: RouteHistory = field(factory=RouteHistory)
 
     def restart(self, now: float) -> None:
         """Record that entries may have come and gone unseen until now."""
         self.followed_since = now
-
-    def suspend(self) -> None:
-        """Record that the entries cannot be followed."""
-        self.is_suspended = True
-
-    def resume(self) -> None:
-        """Record that all changes were read: the feed went on where it was, or all were read."""
-        if self.is_suspended:
-            self.resumed_at = self.confirmed_at
-        self.is_suspended = False
-
-    def find_current_since(self) -> float:
-        """Return since when changes are read as they come; earlier reads may show old ones."""
-        return max(self.resumed_at, self.followed_since or -math.inf)
-
-    def confirm(self, now: float) -> None:
-        """Record that all changes up to now are known."""
-        self.confirmed_at = now
+        self.entry_age.record_gap(now)
 
     def record_entry(self, entry: ServerEntry, now: float) -> None:
         """Record an entry that is, or until now was, in force."""
--- a/rhubarbshed/transport/edge/follower.py
+++ b/rhubarbshed/transport/edge/follower.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import logging
-import math
 import time
 from collections.abc import Callable
 
@@ -17,6 +16,7 @@
 from rhubarbshed.protocol.routes import Configuration
 from rhubarbshed.protocol.servers import EntryChange, ServerEntry
 from rhubarbshed.protocol.tables import Row, TableError, TableFault
+from rhubarbshed.state.membership.entry_age import EntryAge
 from rhubarbshed.transport.edge.store import StoreClient
 from rhubarbshed.transport.edge.view import LatchedSignal, Signal, View
 from rhubarbshed.util.logs import log_event
@@ -52,21 +52,6 @@
 RETRY_DELEGATION_S = 2.0
 """Longest time for which the query for servers leaves retries to the other query."""
 
-UNCONFIRMED_MAX_S = 1.2
-"""Time without a confirmation of the entries after which some may have lapsed in an outage that was
-not noticed: servers write about as often, and entries lapse after three such intervals."""
-
-IMMEDIATE_ANSWER_S = 0.5
-"""Time within which the store answers a query for what has changed before, also when it is slow."""
-
-ENTRY_RECOVERY_S = 2.2
-"""Time after the store's return within which lapsed entries of live servers are back; the
-platform's documentation says about two seconds."""
-
-DROP_MARGIN_S = 1.0
-"""Part of the drain time that remains when a server without an entry is dropped: changes are
-collected for half a second before they are read, and a request may be on its way."""
-
 STORE_MESSAGE_AGE_MAX_S = 0.75
 """Age of the order holder's last store message up to which an instance does not query servers
 itself: three messages in a row are lost."""
@@ -88,10 +73,7 @@
 class Follower:
     """Follower of the store that keeps a view up to date.
 
-    `lost_at` is when the store became unavailable, None while it responds, `is_outage` whether more
-    than a connection broke since. Until `unsettled_until` entries may be missing that lapsed in an
-    outage and will be back. What was read last may have changed at `changed_since` already. An
-    order holder publishes what it read; other instances apply its messages (the last one at
+    An order holder publishes what it read; other instances apply its messages (the last one at
     `message_received_at`) and query the store themselves if they missed changes or the messages
     stop. `servers_revision` is in `servers_era` of the store, and unknown in a later one until all
     entries are read again. The entries are the same at all revisions from `changed_revision` on.
@@ -100,11 +82,7 @@
     store: StoreClient
     view: View
     store_suspected: Signal = field(factory=Signal)
-    lost_at: float | None = None
-    is_outage: bool = False
     regained_at: float = -1e9
-    unsettled_until: float = -1e9
-    changed_since: float = math.inf
     publish: Callable[[int, int, tuple[EntryChange, ...]], None] = (
         lambda before, revision, changes: None
     )
@@ -123,6 +101,11 @@
     failing_tables: set[str] = field(factory=set)
     store_returned: Signal = field(factory=Signal)
 
+    @property
+    def entry_age(self) -> EntryAge:
+        """Return the age of the known entries."""
+        return self.view.versions.entry_age
+
     async def follow_configuration(self) -> None:
         """Follow the operator's configuration forever."""
         await self._follow(OPERATOR_TABLE, self._apply_operator)
@@ -142,10 +125,8 @@
     def handle_restore(self, now: float) -> None:
         """Read all tables again, as revisions of the store's former era mean nothing any more."""
         self.servers_revision = None
-        self.view.versions.suspend()
-        # Servers write again what is missing in the copy, as after an outage.
+        self.entry_age.record_restore(now)
         self.regained_at = now
-        self._expect_lapsed("restored", now)
         self._query_again()
 
     def _query_again(self) -> None:
@@ -168,18 +149,13 @@
         known = self.view.configuration
         if message.configuration > (known.version if known is not None else 0):
             self.new_configuration.fire()
-        versions = self.view.versions
-        if not message.settled:
-            versions.suspend()
-        if self.servers_revision is None:
-            return
-        if message.before <= self.servers_revision <= message.revision and message.settled:
-            versions.confirm(now)
-            if self.lost_at is None:
-                versions.resume()
-        if message.revision <= self.servers_revision:
+        revision = self.servers_revision
+        misses_nothing = revision is not None and message.before <= revision <= message.revision
+        heartbeat_s = self.view.settings.heartbeat_s
+        self.entry_age.record_message(message.settled, misses_nothing, now, heartbeat_s)
+        if revision is None or message.revision <= revision:
             return
-        if message.before > self.servers_revision:
+        if message.before > revision:
             self.is_behind = True
             self.fell_behind.fire()
             return
@@ -187,7 +163,6 @@
         rows = tuple(Row(key, version, value, version) for key, version, value in message.rows)
         if rows:
             self.changed_revision = message.revision
-            self.changed_since = now
             self._apply_servers(rows, False, now)
 
     async def _wait_for_turn(self, table: str) -> None:
@@ -208,10 +183,10 @@
         return max(CHANGE_BATCH_S, min(CHANGE_BATCH_MAX_S, allowed_s))
 
     def _choose_wait(self, table: str) -> float:
-        if self.lost_at is not None:
+        if self.entry_age.lost_at is not None:
             return 0.0
         if table == SERVERS_TABLE:
-            if self.view.versions.is_suspended:
+            if self.entry_age.is_suspended:
                 # The answer shows whether anything changed while the store was away.
                 return 0.0
             if self.has_recent_message(time.monotonic()):
@@ -243,22 +218,20 @@
             if isinstance(result, Success):
                 self.failing_tables.discard(table)
                 del self.view.failed_reads[table]
-                self._record_response(now)
+                self._record_response(sent_at, now)
                 scan = result.unwrap().scan
                 if scan.era != (self.store.era if is_full_read else era):
                     continue
                 revision, era = scan.revision, scan.era
                 pause_s = PAUSE_FIRST_S
                 if table == SERVERS_TABLE:
-                    self._date_changes(sent_at, now)
+                    self.entry_age.record_read(sent_at, now, is_full_read)
                 changes = apply(scan.rows, is_full_read, now)
                 if table == SERVERS_TABLE:
                     before = self.changed_revision
                     self.servers_revision, self.servers_era = revision, era
                     if is_full_read or scan.rows:
                         self.changed_revision = revision
-                    self.view.versions.confirm(now)
-                    self.view.versions.resume()
                 if is_full_read:
                     self.read_anew.fire()
                 elif table == SERVERS_TABLE and changes:
@@ -269,7 +242,7 @@
                 log_event(LOG, logging.WARNING, "history_gone", table=table, revision=revision)
                 revision = None
                 if table == SERVERS_TABLE:
-                    self.view.versions.suspend()
+                    self.entry_age.suspend()
                 continue
             self._record_failure(table, result.failure(), now)
             self.failing_tables.add(table)
@@ -278,22 +251,6 @@
             await self._pause(table, spread_s)
             pause_s = min(PAUSE_LONGEST_S, pause_s * 2)
 
-    def _date_changes(self, sent_at: float, now: float) -> None:
-        """Record since when entries may have changed that a query sent at `sent_at` shows.
-
-        The store answers at once what changed before the query, which may have been long before if
-        the order holder's messages had stopped, and in an outage entries may have lapsed as well.
-        """
-        confirmed_at = self.view.versions.confirmed_at
-        self.changed_since = confirmed_at if now - sent_at < IMMEDIATE_ANSWER_S else now
-        if UNCONFIRMED_MAX_S <= sent_at - confirmed_at < math.inf:
-            self._expect_lapsed("unconfirmed", now, sent_at - confirmed_at)
-
-    def _expect_lapsed(self, why: str, now: float, age_s: float = 0.0) -> None:
-        """Record that entries of servers that serve on may be missing for a while."""
-        self.unsettled_until = max(self.unsettled_until, now + ENTRY_RECOVERY_S)
-        log_event(LOG, logging.INFO, "entries_unsettled", why=why, age_ms=round(age_s * 1000))
-
     async def _pause(self, table: str, pause_s: float) -> None:
         """Wait before a retry; while both queries fail, one is enough to detect the return."""
         if table == SERVERS_TABLE and OPERATOR_TABLE in self.failing_tables:
@@ -333,28 +290,19 @@
 
     def is_confirmed(self, now: float) -> bool:
         """Return whether the store confirmed lately that the known servers are the current ones."""
-        return self.lost_at is None and is_current(self.view.versions, now)
+        return self.entry_age.lost_at is None and is_current(self.view.versions, now)
 
-    def _record_response(self, now: float) -> None:
-        if self.lost_at is not None:
-            away_s = now - self.lost_at
+    def _record_response(self, sent_at: float, now: float) -> None:
+        away_s = self.entry_age.record_response(sent_at, now, self.view.settings.heartbeat_s)
+        if away_s is not None:
             log_event(
                 LOG, logging.WARNING, "dependency_regained", name="store", away_s=round(away_s, 2)
             )
-            if self.is_outage:
-                self._expect_lapsed("outage", now, away_s)
-            self.lost_at, self.is_outage = None, False
             self.regained_at = now
             self.store_returned.fire()
 
     def _record_failure(self, table: str, error: TableError, now: float) -> None:
-        is_broken = error.fault is TableFault.UNKNOWN and not error.waited_s
-        if not is_broken or table in self.failing_tables:
-            # A connection that breaks once, as by a reset, does not show that the store is away.
-            self.is_outage = True
-        if self.lost_at is None:
-            self.lost_at = now - error.waited_s
-            self.view.versions.suspend()
+        if self.entry_age.record_failure(error, table in self.failing_tables, now):
             log_event(
                 LOG,
                 logging.WARNING,
@@ -474,7 +422,7 @@
         if record.leaving_at is not None:
             self._drop(server_id, "left", now)
         elif record.missing_since is None:
-            record.missing_since = min(now, self.changed_since)
+            record.missing_since = self.entry_age.date_removal(now)
             self._log_missing(server_id, "entry_removed", record.missing_since, now)
 
     def _log_missing(self, server_id: str, why: str, since: float, now: float) -> None:
@@ -485,19 +433,15 @@
             server=server_id,
             why=why,
             since_ms=round((now - since) * 1000),
-            settled=self.is_settled(now),
+            settled=not self.entry_age.may_have_lapsed(now),
         )
 
-    def is_settled(self, now: float) -> bool:
-        """Return whether entries that lapsed while the store was unavailable would be back."""
-        return self.lost_at is None and now >= self.unsettled_until
-
     def drop_missing(self, now: float) -> None:
         """Drop servers that have been without an entry for long enough to be gone."""
-        if not self.is_settled(now):
+        before = self.entry_age.find_removed_before(self.view.settings.drain_s, now)
+        if before is None:
             return
-        keep_s = max(0.2, self.view.settings.drain_s - DROP_MARGIN_S)
-        for server_id in self.view.fleet.list_missing_since(now - keep_s):
+        for server_id in self.view.fleet.list_missing_since(before):
             self._drop(server_id, "without_entry", now)
 
     def _drop(self, server_id: str, why: str, now: float) -> None:
--- a/rhubarbshed/transport/edge/holder_protocol.py
+++ b/rhubarbshed/transport/edge/holder_protocol.py
@@ -260,7 +260,7 @@
     ) -> None:
         """Announce how far the store was read, with the entries that changed."""
         settings, known = self.view.settings, self.view.configuration
-        settled = self.follower.is_settled(now) and not self.view.versions.is_suspended
+        settled = self.follower.entry_age.is_settled(now)
         for first, reached, rows in split_changes(before, revision, changes):
             message = StoreMessage(
                 settings.name,
--- a/rhubarbshed/transport/edge/node.py
+++ b/rhubarbshed/transport/edge/node.py
@@ -178,7 +178,7 @@
         checks = ServerChecks(pool, find_cut=links.settle)
         checks.on_leaving = lambda record: view.record_leaving(record, time.monotonic())
         crashes = CrashRegistry(holder_protocol.datagrams.send, checks, view.rng)
-        crashes.verdict_store = VerdictStore(store, lambda: follower.lost_at is None)
+        crashes.verdict_store = VerdictStore(store, lambda: follower.entry_age.lost_at is None)
         crashes.measure_silence = holder_protocol.measure_silence
         streams = StreamRegistry(
             settings.data_centre,
--- a/rhubarbshed/transport/edge/relay.py
+++ b/rhubarbshed/transport/edge/relay.py
@@ -70,7 +70,6 @@
     record_origin,
 )
 from rhubarbshed.transport.edge.crash_registry import CrashRegistry
-from rhubarbshed.transport.edge.follower import DROP_MARGIN_S
 from rhubarbshed.transport.edge.forwarding import NOT_TAKEN, Forwarded, Forwarder
 from rhubarbshed.transport.edge.limit_registry import PATIENCE_MIN_S, REPEAT_S, LimitRegistry
 from rhubarbshed.transport.edge.link_monitor import SETTLE_MAX_S, LinkMonitor
@@ -546,7 +545,7 @@
             now,
             view.rng,
             self.caller_response.version,
-            max(now - (view.settings.drain_s - DROP_MARGIN_S), view.versions.find_current_since()),
+            view.versions.entry_age.find_announced_since(view.settings.drain_s, now),
             view.budget.instances,
         )
 
--- a/rhubarbshed/transport/edge/version_store.py
+++ b/rhubarbshed/transport/edge/version_store.py
@@ -148,7 +148,7 @@
     async def _write(self) -> None:
         """Write the record of what was seen up to now."""
         view, key = self.follower.view, self.follower.view.settings.data_centre
-        if view.versions.is_suspended:
+        if view.versions.entry_age.is_suspended:
             return
         self._row = self._row or await self._read_row(key)
         if self._row is None:
--- a/rhubarbshed/util/front.py
+++ b/rhubarbshed/util/front.py
@@ -7,6 +7,9 @@
 from attrs import frozen
 from returns.result import Failure, Result, Success
 
+HEARTBEAT_DEFAULT_MS = 1_200
+"""Time between two writes of a server's entry, for settings of builds before it was one of them."""
+
 PORT_MAX = 65_535
 """Highest TCP port."""
 
@@ -29,6 +32,7 @@
     store: tuple[str, int]
     log_level: str
     drain_s: float
+    heartbeat_s: float
     grace_s: float
     lease_s: float
     retry_ratio: float
@@ -72,6 +76,9 @@
             "lease_s",
         ):
             values[name] = reader.read_number("bounds", name.replace("_s", "_ms")) / 1000.0
+        values["heartbeat_s"] = (
+            reader.read_number_or("bounds", "heartbeat_ms", HEARTBEAT_DEFAULT_MS) / 1000.0
+        )
         for name in (
             "grace_s",
             "retry_ratio",
@@ -112,6 +119,10 @@
             self.errors.append(f"[{section}] {key} is no number: {text!r}")
         return number
 
+    def read_number_or(self, section: str, key: str, default: float) -> float:
+        is_set = self.parser.get(section, key, fallback="").strip()
+        return self.read_number(section, key) if is_set else default
+
     def read_number_of_port(self, section: str, key: str) -> int:
         number = self.read_number(section, key)
         if math.isnan(number):
--- a/test/helper_edge.py
+++ b/test/helper_edge.py
@@ -68,6 +68,7 @@
         "store": store,
         "log_level": "info",
         "drain_s": 2.0,
+        "heartbeat_s": 1.2,
         "grace_s": 8.0,
         "lease_s": 3.0,
         "retry_ratio": 0.2,
--- a/test/test_edge_beliefs.py
+++ b/test/test_edge_beliefs.py
@@ -87,13 +87,13 @@
             edge.store.down = True
             edge.store.put("servers", "b1", edge.replicas[0].describe(Seq=9))
             edge.store.put("op", "config", {"Version": 0})
-            await edge.wait_until(lambda: edge.node.follower.lost_at is not None)
+            await edge.wait_until(lambda: edge.node.follower.entry_age.lost_at is not None)
             before = len(edge.store.calls)
             await asyncio.sleep(4.0)
             asked = [call for call in edge.store.calls[before:] if "rows-feed" in call]
             assert 2 <= len(asked) <= 10
             edge.store.down = False
-            await edge.wait_until(lambda: edge.node.follower.lost_at is None, 2.0)
+            await edge.wait_until(lambda: edge.node.follower.entry_age.lost_at is None, 2.0)
 
     play(scene)
 
--- a/test/test_edge_front.py
+++ b/test/test_edge_front.py
@@ -79,6 +79,17 @@
     assert "first_start = {{Bootstrap}}" in template
 
 
+def test_heartbeat_of_servers_is_read_and_optional(tmp_path):
+    path = tmp_path / "node.ini"
+    for line, expected in (("", 1.2), ("heartbeat_ms = 900", 0.9), ("heartbeat_ms =", 1.2)):
+        path.write_text(make_text(1).replace("drain_ms = ", f"{line}\ndrain_ms = ", 1))
+        assert FrontSettings.from_file(str(path)).unwrap().heartbeat_s == expected, line
+    path.write_text(make_text(1).replace("drain_ms = ", "heartbeat_ms = soon\ndrain_ms = ", 1))
+    assert "heartbeat_ms is no number" in FrontSettings.from_file(str(path)).failure()[0]
+    template = (Path(__file__).parent.parent / "deploy" / "settings.ini").read_text()
+    assert "heartbeat_ms = {{HeartbeatMs}}" in template
+
+
 def test_missing_settings_end_the_daemon_with_one_line_and_code_2():
     environment = {**os.environ, "RHUBARBSHED_SETTINGS": "/nowhere.ini"}
     done = subprocess.run(
--- a/test/test_edge_missing.py
+++ b/test/test_edge_missing.py
@@ -7,7 +7,7 @@
 import pytest
 
 from rhubarbshed.protocol.tables import TableError, TableFault
-from rhubarbshed.transport.edge.follower import ENTRY_RECOVERY_S
+from rhubarbshed.state.membership.entry_age import ENTRY_RECOVERY_S
 from test.helper_crashes import CrashScene, run_crash_scene
 from test.helper_edge import play
 from test.test_edge_store_cut import SETTLED_S, run_behind_relays
@@ -125,6 +125,27 @@
     play(run)
 
 
+def test_kill_of_the_holder_does_not_delay_the_drop_at_an_instance_that_just_started():
+    """It knows a later revision than the holder, whose messages therefore confirm nothing."""
+
+    async def run():
+        async with run_crash_scene(3, dict.fromkeys(NAMES, "a")) as scene:
+            writing = asyncio.create_task(write_other_rows(scene))
+            await asyncio.sleep(SETTLED_S)
+            holder = scene.instances.find_holder("a")
+            started = next(name for name in NAMES if name != holder)
+            await wait_for_read(scene, holder)
+            await scene.instances.restart(started)
+            await scene.wait_ready(started)
+            await asyncio.sleep(0.5)
+            await scene.instances.kill(holder)
+            scene.instances.store.remove("servers", "r0")
+            assert await measure_drop(scene, [started], "r0") < DRAIN_S
+            writing.cancel()
+
+    play(run)
+
+
 BROKEN = TableError(TableFault.UNKNOWN, detail="the connection broke")
 REJECTED = TableError(TableFault.UNAVAILABLE, detail="status 503")
 UNANSWERED = TableError(TableFault.UNKNOWN, detail="no response in 0.8 s", waited_s=0.8)
@@ -145,8 +166,8 @@
     for error in errors:
         follower._record_failure("servers", error, NOW)
         follower.failing_tables.add("servers")
-        assert not follower.is_settled(NOW)
-    follower._record_response(NOW + 0.1)
-    assert follower.is_settled(NOW + 0.1) == settled
-    assert follower.is_settled(NOW + 0.1 + ENTRY_RECOVERY_S)
-    assert not follower.is_outage
+        assert follower.entry_age.may_have_lapsed(NOW)
+    follower._record_response(NOW, NOW + 0.1)
+    assert follower.entry_age.may_have_lapsed(NOW + 0.1) != settled
+    assert not follower.entry_age.may_have_lapsed(NOW + 0.1 + ENTRY_RECOVERY_S)
+    assert not follower.entry_age.is_outage
--- a/test/test_edge_versions.py
+++ b/test/test_edge_versions.py
@@ -10,8 +10,8 @@
 
 from rhubarbshed.protocol.messages import Message
 from rhubarbshed.protocol.streams import StreamLookup, StreamOrigin
+from rhubarbshed.state.membership.entry_age import measure_kept
 from rhubarbshed.transport.edge.datagrams import Datagrams
-from rhubarbshed.transport.edge.follower import DROP_MARGIN_S
 from standin.replica import Exchange, Replica
 from test.helper_edge import (
     Edge,
@@ -239,7 +239,7 @@
             await remove_replica(edge, first)
             assert list_versions(await take_up(edge)) == {b"data: <v1>"}
             # A leaving server gets requests until the drain time is nearly over.
-            await asyncio.sleep(edge.node.view.settings.drain_s - DROP_MARGIN_S)
+            await asyncio.sleep(measure_kept(edge.node.view.settings.drain_s))
             begun = time.monotonic()
             assert_refused(await take_up(edge), b"version_gone")
             assert time.monotonic() - begun < 0.3
@@ -491,7 +491,7 @@
             monkeypatch.setattr(Datagrams, "send", record)
             now = time.monotonic()
             node.holder_protocol.send_store_messages(now, 5, 5)
-            node.view.versions.suspend()
+            node.view.versions.entry_age.suspend()
             node.holder_protocol.send_store_messages(now, 5, 5)
             assert [message.settled for message in sent] == [True, False]
 
@@ -507,7 +507,7 @@
             await asyncio.sleep(0.9)
             assert (await take_up(edge, "q1")).whole
             await edge.store.stop()
-            await edge.wait_until(lambda: edge.node.follower.lost_at is not None)
+            await edge.wait_until(lambda: edge.node.follower.entry_age.lost_at is not None)
             assert_refused(await take_up(edge, "q2"), b"version_unknown")
             await asyncio.sleep(0.9)
             assert_refused(await take_up(edge, "q3"), b"version_unknown")
@@ -519,8 +519,8 @@
                 edge.store.put("servers", "b1", edge.replicas[0].describe(Seq=2))
                 edge.store.forget()
             await edge.store.start()
-            await edge.wait_until(lambda: edge.node.follower.lost_at is None)
-            await edge.wait_until(lambda: not versions.is_suspended)
+            await edge.wait_until(lambda: edge.node.follower.entry_age.lost_at is None)
+            await edge.wait_until(lambda: not versions.entry_age.is_suspended)
             if missed == "nothing":
                 assert (await take_up(edge, "q4")).whole
                 return
--- a/test/test_version_store.py
+++ b/test/test_version_store.py
@@ -201,7 +201,7 @@
             await asyncio.sleep(0.1)
             store.down = False
             await closing
-            await started.read(lambda: not started.follower.view.versions.is_suspended)
+            await started.read(lambda: not started.follower.view.versions.entry_age.is_suspended)
             assert started.find() == expected
             started.version_store.has_started = True
             started.follower.view.versions.restart(time.monotonic())
@@ -311,7 +311,7 @@
             versions.restart(time.monotonic())
             assert await count_calls() == []
             assert await count_calls() == [False, True]
-            versions.suspend()
+            versions.entry_age.suspend()
             assert await count_calls() == []
         await store.stop()
 
@@ -378,7 +378,7 @@
     cases = {
         "never read": lambda history: setattr(history, "followed_since", None),
         "no routes": lambda history: setattr(history.routes, "followed_since", None),
-        "suspended": lambda history: history.suspend(),
+        "suspended": lambda history: history.entry_age.suspend(),
         "gap after the clock was read": lambda history: history.restart(now - 0.5),
         "routes missed after it": lambda history: history.routes.restart(now - 0.5),
         "route changed after it": lambda history: history.routes.changed_at.update(
--- a/test/test_versions.py
+++ b/test/test_versions.py
@@ -50,7 +50,7 @@
     for entry in entries:
         fleet.apply(entry, NOW - followed_s)
         history.record_entry(entry, NOW - followed_s)
-    history.confirm(NOW)
+    history.entry_age.confirmed_at = NOW
     return fleet, history
 
 
@@ -71,7 +71,7 @@
     fleet, history = make_history(make_entry("b1", "v1"))
     assert decide(fleet, history, now=NOW + 2.9).origin == StreamOrigin("svc", "v1")
     assert decide(fleet, history, now=NOW + 3.1).refused
-    history.suspend()
+    history.entry_age.suspend()
     assert decide(fleet, history).refused
 
 
@@ -86,7 +86,7 @@
         lookup = StreamLookup(None, 2, 1, versions)
         assert decide(fleet, history, lookup).refused == refused, followed_s
         assert decide(fleet, history, lookup, now=NOW + 3.1).refused
-        history.suspend()
+        history.entry_age.suspend()
         assert decide(fleet, history, lookup).refused
 
 
@@ -94,7 +94,7 @@
     _, history = make_history(make_entry("b1", "v1"))
     assert measure_followed(history, NOW + 3.0) == 63.0
     assert measure_followed(history, NOW + 3.1) == 0.0
-    history.suspend()
+    history.entry_age.suspend()
     assert measure_followed(history, NOW) == 0.0
     assert measure_followed(VersionHistory(), NOW) == 0.0
 
@@ -118,9 +118,9 @@
 
 def test_removal_of_an_unknown_entry_does_not_end_the_loss_of_the_store():
     _, history = make_history()
-    history.suspend()
+    history.entry_age.suspend()
     history.record_removal("b3", NOW)
-    assert history.is_suspended and history.followed_since == NOW
+    assert history.entry_age.is_suspended and history.followed_since == NOW
 
 
 def test_versions_of_other_services_do_not_count():
@@ -216,9 +216,12 @@
     for before, revision, settled, confirmed in cases:
         follower = make_follower()
         follower.handle_store_message(make_message(before, revision, settled=settled), NOW)
-        assert (follower.view.versions.confirmed_at == NOW) == confirmed, (before, revision)
+        assert (follower.entry_age.confirmed_at == NOW) == confirmed, (before, revision)
         versions = follower.view.versions
-        assert (versions.followed_since, versions.is_suspended) == (NOW - 100.0, not settled)
+        assert (versions.followed_since, versions.entry_age.is_suspended) == (
+            NOW - 100.0,
+            not settled,
+        )
 
 
 def test_versions_of_servers_that_came_and_left_are_told_for_the_age_of_a_stream():
@@ -274,11 +277,11 @@
         (5, 6, True, True, False),
     ]:
         follower = make_follower()
-        follower.view.versions.suspend()
-        follower.lost_at = NOW - 1.0 if lost else None
+        follower.entry_age.suspend()
+        follower.entry_age.lost_at = NOW - 1.0 if lost else None
         follower.handle_store_message(make_message(before, revision, settled=settled), NOW)
         versions = follower.view.versions
-        assert versions.is_suspended != ends, (before, revision, settled, lost)
+        assert versions.entry_age.is_suspended != ends, (before, revision, settled, lost)
         assert versions.followed_since == NOW - 100.0
 
 
@@ -286,10 +289,10 @@
     follower = make_follower()
     versions = follower.view.versions
     follower._record_failure("op", TableError(TableFault.UNKNOWN, detail="away"), NOW)
-    assert versions.is_suspended
+    assert versions.entry_age.is_suspended
     # The answer may be about the configuration only.
-    follower._record_response(NOW + 1.0)
-    assert versions.is_suspended and versions.followed_since == NOW - 100.0
+    follower._record_response(NOW + 1.0, NOW + 1.0)
+    assert versions.entry_age.is_suspended and versions.followed_since == NOW - 100.0
     follower._apply_servers((make_row("b1", "v1", 9),), True, NOW + 2.0)
     assert versions.followed_since == NOW + 2.0
 
@@ -297,11 +300,11 @@
 def test_leaving_that_was_read_after_a_gap_may_be_older_than_the_read():
     follower = make_follower()
     versions = follower.view.versions
-    assert versions.find_current_since() == NOW - 100.0
-    versions.suspend()
+    assert versions.entry_age.current_since == NOW - 100.0
+    versions.entry_age.suspend()
     leaving = make_row("b1", "v1", 6)
     leaving.value["State"] = "draining"
     follower.handle_store_message(make_message(5, 6, leaving), NOW)
-    assert follower.view.fleet.get("b1").leaving_at <= versions.find_current_since() == NOW
+    assert follower.view.fleet.get("b1").leaving_at <= versions.entry_age.current_since == NOW
     follower.handle_store_message(make_message(6, 6), NOW + 1.0)
-    assert versions.find_current_since() == NOW
+    assert versions.entry_age.current_since == NOW
