Date removals that a full read shows like all others

After a kill of the order holder beside a removal, if the store had lost its history, the others read all entries 0.9 s later and kept the server without an entry for a whole second from then: 2.2 s in all.

Cause: a full read dated all missing entries when it was read. It shows all that changed since the entries were last confirmed, however long it takes, and counts from then now.

--- a/rhubarbshed/state/membership/entry_age.py
+++ b/rhubarbshed/state/membership/entry_age.py
@@ -102,7 +102,7 @@
         The store answers at once what changed before the query, which may have been long before. A
         held query is answered when something changes.
         """
-        is_immediate = now - sent_at < IMMEDIATE_ANSWER_S
+        is_immediate = is_full_read or now - sent_at < IMMEDIATE_ANSWER_S
         self.changed_since = self.confirmed_at if is_immediate else now
         self._confirm(now)
         if is_full_read:
--- a/rhubarbshed/transport/edge/follower.py
+++ b/rhubarbshed/transport/edge/follower.py
@@ -383,8 +383,9 @@
                 view.versions.record_removal(change.server_id, now)
                 self._mark_missing(change.server_id, now)
         if is_full_read:
-            for server_id in view.fleet.mark_missing(present, now):
-                self._log_missing(server_id, "not_listed", now, now)
+            since = self.entry_age.date_removal(now)
+            for server_id in view.fleet.mark_missing(present, since):
+                self._log_missing(server_id, "not_listed", since, now)
         view.changed.fire()
         return changes
 
--- a/test/test_edge_missing.py
+++ b/test/test_edge_missing.py
@@ -146,6 +146,27 @@
     play(run)
 
 
+@pytest.mark.parametrize("after_s", [0.05, 0.25, 0.35])
+def test_lost_history_as_the_holder_is_killed_does_not_delay_the_drop_at_others(after_s: float):
+    """What a whole read showed as missing counted as removed just then."""
+
+    async def run():
+        async with run_crash_scene(3, dict.fromkeys(NAMES, "a")) as scene:
+            await asyncio.sleep(SETTLED_S)
+            holder = scene.instances.find_holder("a")
+            others = [name for name in NAMES if name != holder]
+            await scene.add_replica()
+            await asyncio.sleep(0.1)
+            scene.instances.store.remove("servers", "r0")
+            dropping = asyncio.create_task(measure_drop(scene, others, "r0"))
+            await asyncio.sleep(after_s)
+            await scene.instances.kill(holder)
+            scene.instances.store.forget()
+            assert await dropping < DRAIN_S
+
+    play(run)
+
+
 BROKEN = TableError(TableFault.UNKNOWN, detail="the connection broke")
 REJECTED = TableError(TableFault.UNAVAILABLE, detail="status 503")
 UNANSWERED = TableError(TableFault.UNKNOWN, detail="no response in 0.8 s", waited_s=0.8)
