--- a/rhubarbshed/util/front.py
+++ b/rhubarbshed/util/front.py
@@ -8,7 +8,7 @@
 from returns.result import Failure, Result, Success
 
 HEARTBEAT_DEFAULT_MS = 1_200
-"""Time between two writes of a server's entry, for settings of builds before it was one of them."""
+"""Time between two writes of a server's entry at all known sites, unless the settings name one."""
 
 PORT_MAX = 65_535
 """Highest TCP port."""
