Query servers as long as the store counts as lost

Cause: an instance whose query had no answer takes the store for lost until an own call is answered. Its query for servers then waited for the new holder's messages to stop, and that for the configuration was held for 25 s.

The query for servers no longer waits while the store counts as lost, so that its answer ends the loss.

--- a/rhubarbshed/transport/edge/follower.py
+++ b/rhubarbshed/transport/edge/follower.py
@@ -166,10 +166,14 @@
             self._apply_servers(rows, False, now)
 
     async def _wait_for_turn(self, table: str) -> None:
-        """Delay a query for servers as long as the order holder announces all changes."""
+        """Delay a query for servers as long as the order holder announces all changes.
+
+        Once the store is lost, only an answer to an own call shows that it is back.
+        """
         while (
             table == SERVERS_TABLE
             and self.has_recent_message(time.monotonic())
+            and self.entry_age.lost_at is None
             and not self.is_behind
         ):
             await self.fell_behind.wait(STORE_MESSAGE_TURN_S)
--- a/test/test_edge_missing.py
+++ b/test/test_edge_missing.py
@@ -5,12 +5,14 @@
 import time
 
 import pytest
+from returns.result import Failure
 
 from rhubarbshed.protocol.tables import TableError, TableFault
 from rhubarbshed.state.membership.entry_age import ENTRY_RECOVERY_S
+from rhubarbshed.transport.edge.store import FOLLOW_MARGIN_S, StoreClient
 from test.helper_crashes import CrashScene, run_crash_scene
 from test.helper_edge import play
-from test.test_edge_store_cut import SETTLED_S, run_behind_relays
+from test.test_edge_store_cut import SETTLED_S, STABLE_S, run_behind_relays
 from test.test_versions import NOW, make_follower
 
 DRAIN_S = 2.0
@@ -20,6 +22,9 @@
 
 OTHER_ROWS_INTERVAL_S = 0.1
 
+LOST_ANSWER_S = 2.5
+"""Time after which a query for servers whose answer is lost has failed."""
+
 
 async def measure_drop(scene: CrashScene, names: list[str], server_id: str) -> float:
     """Wait until instances have dropped a server; return the seconds that it takes from now."""
@@ -167,6 +172,41 @@
     play(run)
 
 
+@pytest.mark.parametrize("number", [0, 1])
+def test_lost_answer_as_another_holder_takes_over_does_not_keep_a_server(number, monkeypatch):
+    """The instance took the store for lost while its query for the configuration was held."""
+    lost: list[StoreClient] = []
+    follow = StoreClient.follow
+
+    async def lose_answer(store: StoreClient, table: str, after: int, wait_s: float):
+        if table != "servers" or not any(store is each for each in lost):
+            return await follow(store, table, after, wait_s)
+        lost.remove(store)
+        waited_s = wait_s + FOLLOW_MARGIN_S
+        await asyncio.sleep(waited_s)
+        return Failure(TableError(TableFault.UNKNOWN, detail="no response", waited_s=waited_s))
+
+    monkeypatch.setattr(StoreClient, "follow", lose_answer)
+
+    async def run():
+        async with run_crash_scene(3, dict.fromkeys(NAMES, "a")) as scene:
+            writing = asyncio.create_task(write_other_rows(scene))
+            await asyncio.sleep(SETTLED_S)
+            holder = scene.instances.find_holder("a")
+            others = [name for name in NAMES if name != holder]
+            await scene.instances.kill(holder)
+            # Both query the servers, and the store loses one answer; one of them takes the lease.
+            lost.append(scene.instances[others[number]].follower.store)
+            await scene.instances.wait_until(lambda: not lost, 2 * DRAIN_S)
+            await asyncio.sleep(LOST_ANSWER_S + STABLE_S)
+            assert scene.instances.find_holder("a") in others
+            scene.instances.store.remove("servers", "r0")
+            assert await measure_drop(scene, others, "r0") < DRAIN_S
+            writing.cancel()
+
+    play(run)
+
+
 BROKEN = TableError(TableFault.UNKNOWN, detail="the connection broke")
 REJECTED = TableError(TableFault.UNAVAILABLE, detail="status 503")
 UNANSWERED = TableError(TableFault.UNKNOWN, detail="no response in 0.8 s", waited_s=0.8)
