Date announcements that are read late like removals

Removals were dated by the last confirmation of the view, announcements were not.

An announcement is dated in the same way, by EntryAge.date_change. When it became known is kept beside it, for requests that chose the server before and wait.

--- a/rhubarbshed/coordination/serving/choice.py
+++ b/rhubarbshed/coordination/serving/choice.py
@@ -139,8 +139,7 @@
 
 def wants_nothing(record: ServerRecord, chosen_at: float, now: float) -> bool:
     """Return whether a server said, since it was chosen, that it wants no more requests."""
-    has_left = record.leaving_at is not None and record.leaving_at >= chosen_at
-    return has_left or now < record.backoff_until
+    return record.leaving_known_at >= chosen_at or now < record.backoff_until
 
 
 def _sample_candidates(
--- a/rhubarbshed/state/membership/entry_age.py
+++ b/rhubarbshed/state/membership/entry_age.py
@@ -154,8 +154,8 @@
         """Return whether an order holder may state that others can rely on what it read."""
         return not self.may_have_lapsed(now) and not self.is_suspended
 
-    def date_removal(self, now: float) -> float:
-        """Return since when an entry may have been missing that is read as missing now."""
+    def date_change(self, now: float) -> float:
+        """Return since when an entry may have been as it is read now."""
         return min(now, self.changed_since)
 
     def find_removed_before(self, drain_s: float, now: float) -> float | None:
--- a/rhubarbshed/state/membership/fleet.py
+++ b/rhubarbshed/state/membership/fleet.py
@@ -45,7 +45,8 @@
 class ServerRecord:
     """State of one incarnation of a backend server; times are monotonic seconds.
 
-    `known_since` is when its entry was first read.
+    `known_since` is when its entry was first read. The server may have announced at `leaving_at`
+    that it leaves, which is known here since `leaving_known_at`.
     `open` counts this instance's unfinished attempts, since `open_since` without a break; the last
     of them to receive anything did so at `heard_at`. `reported_load` is the load that the server
     last reported, to this instance at `answered_at` or to another, known here since `sampled_at`;
@@ -64,6 +65,7 @@
     seen_at: float
     known_since: float = -math.inf
     leaving_at: float | None = None
+    leaving_known_at: float = -math.inf
     missing_since: float | None = None
     held: dict[str, set[str]] = field(factory=dict)
     announced_at: float = -math.inf
@@ -110,6 +112,10 @@
         else:
             self.held.pop(model, None)
 
+    def leave(self, since: float, now: float) -> None:
+        """Record that the server announced, at `since` or later, that it leaves."""
+        self.leaving_at, self.leaving_known_at = since, now
+
     def takes_work(self, now: float) -> bool:
         """Return whether new requests may go to the server."""
         paused_until = max(self.unresponsive_until, self.backoff_until)
@@ -231,26 +237,29 @@
         """Return a server."""
         return self.servers.get(server_id)
 
-    def apply(self, entry: ServerEntry, now: float) -> str:
-        """Apply a server's entry; return the change, or "" if the entry is older or the same."""
+    def apply(self, entry: ServerEntry, now: float, since: float | None = None) -> str:
+        """Apply a server's entry; return the change, or "" if the entry is older or the same.
+
+        It may have changed at `since` already, or just now.
+        """
+        since = now if since is None else since
         known = self.servers.get(entry.server_id)
         if known is not None and known.entry.started_ms > entry.started_ms:
             return ""
         if known is None or known.entry.started_ms != entry.started_ms:
-            self._add(entry, now)
+            self._add(entry, now, since)
             return "came" if known is None else "restarted"
-        changed = self._update(known, entry, now)
-        return changed
+        return self._update(known, entry, now, since)
 
-    def _add(self, entry: ServerEntry, now: float) -> None:
+    def _add(self, entry: ServerEntry, now: float, since: float) -> None:
         self.remove(entry.server_id)
         record = ServerRecord(entry, now, now, held=_copy_held(entry))
         if entry.state is ServerState.DRAINING:
-            record.leaving_at = now
+            record.leave(since, now)
         self.servers[entry.server_id] = record
         self.by_service.setdefault(entry.service, {})[entry.server_id] = record
 
-    def _update(self, record: ServerRecord, entry: ServerEntry, now: float) -> str:
+    def _update(self, record: ServerRecord, entry: ServerEntry, now: float, since: float) -> str:
         before = record.entry
         if entry.service != before.service:
             self.by_service.get(before.service, {}).pop(entry.server_id, None)
@@ -261,7 +270,7 @@
         if now - record.announced_at > ANNOUNCEMENT_KEPT_S:
             record.held = _copy_held(entry)
         if entry.state is ServerState.DRAINING and record.leaving_at is None:
-            record.leaving_at = now
+            record.leave(since, now)
             return "leaving"
         # A drain is final: an older entry that arrives late does not undo it.
         return "changed" if entry != before else ""
--- a/rhubarbshed/transport/edge/follower.py
+++ b/rhubarbshed/transport/edge/follower.py
@@ -387,7 +387,7 @@
                 view.versions.record_removal(change.server_id, now)
                 self._mark_missing(change.server_id, now)
         if is_full_read:
-            since = self.entry_age.date_removal(now)
+            since = self.entry_age.date_change(now)
             for server_id in view.fleet.mark_missing(present, since):
                 self._log_missing(server_id, "not_listed", since, now)
         view.changed.fire()
@@ -404,7 +404,7 @@
         if known is not None:
             self.view.versions.record_entry(known.entry, now)
         self.view.versions.record_entry(entry, now)
-        what = self.view.fleet.apply(entry, now)
+        what = self.view.fleet.apply(entry, now, self.entry_age.date_change(now))
         if what:
             log_event(
                 LOG,
@@ -427,7 +427,7 @@
         if record.leaving_at is not None:
             self._drop(server_id, "left", now)
         elif record.missing_since is None:
-            record.missing_since = self.entry_age.date_removal(now)
+            record.missing_since = self.entry_age.date_change(now)
             self._log_missing(server_id, "entry_removed", record.missing_since, now)
 
     def _log_missing(self, server_id: str, why: str, since: float, now: float) -> None:
--- a/rhubarbshed/transport/edge/view.py
+++ b/rhubarbshed/transport/edge/view.py
@@ -140,7 +140,7 @@
         """Record that a server says in an answer that it leaves; its entry may not say so yet."""
         if record.leaving_at is not None:
             return
-        record.leaving_at = now
+        record.leave(now, now)
         server_id, service = record.entry.server_id, record.entry.service
         log_event(
             LOG, logging.INFO, "server_leaving", server=server_id, service=service, why="answer"
--- a/test/test_edge_missing.py
+++ b/test/test_edge_missing.py
@@ -7,6 +7,7 @@
 import pytest
 from returns.result import Failure
 
+from rhubarbshed.coordination.serving.choice import list_leaving
 from rhubarbshed.protocol.tables import TableError, TableFault
 from rhubarbshed.state.membership.entry_age import ENTRY_RECOVERY_S
 from rhubarbshed.transport.edge.store import FOLLOW_MARGIN_S, StoreClient
@@ -172,6 +173,44 @@
     play(run)
 
 
+def is_used(scene: CrashScene, name: str, server_id: str) -> bool:
+    """Return whether an instance may send the rest of a stream to a server."""
+    view, now = scene.instances[name].view, time.monotonic()
+    record = view.fleet.get(server_id)
+    if record is None:
+        return False
+    since = view.versions.entry_age.find_announced_since(DRAIN_S, now)
+    entry = record.entry
+    leaving = list_leaving(view.fleet, entry.service, entry.version, ("", ""), since, now)
+    return record.leaving_at is None or record in leaving
+
+
+@pytest.mark.parametrize("after_s", [0.25, 0.35, 0.45])
+def test_kill_of_the_holder_does_not_delay_the_end_of_streams_at_a_server_that_announced(after_s):
+    """Others read the announcement late, and counted the time for which they use it from then."""
+
+    async def run():
+        async with run_crash_scene(3, dict.fromkeys(NAMES, "a")) as scene:
+            await asyncio.sleep(SETTLED_S)
+            holder = scene.instances.find_holder("a")
+            others = [name for name in NAMES if name != holder]
+            # The holder collects changes for a while behind this one.
+            await scene.add_replica()
+            await asyncio.sleep(0.02)
+            replica = scene.replicas["r0"]
+            replica.drain()
+            begun_at = time.monotonic()
+            scene.instances.store.put("servers", "r0", replica.describe())
+            await asyncio.sleep(after_s)
+            await scene.instances.kill(holder)
+            await scene.instances.wait_until(
+                lambda: not any(is_used(scene, name, "r0") for name in others), 2 * DRAIN_S
+            )
+            assert time.monotonic() - begun_at < DRAIN_S
+
+    play(run)
+
+
 @pytest.mark.parametrize("number", [0, 1])
 def test_lost_answer_as_another_holder_takes_over_does_not_keep_a_server(number, monkeypatch):
     """The instance took the store for lost while its query for the configuration was held."""
--- a/test/test_entry_age.py
+++ b/test/test_entry_age.py
@@ -150,7 +150,7 @@
 def test_server_whose_entry_is_removed_is_dropped_within_the_drain_time(play):
     age = make_age()
     removed_at, now = play(age)
-    missing_since = age.date_removal(now)
+    missing_since = age.date_change(now)
     while (before := age.find_removed_before(DRAIN_S, now)) is None or missing_since > before:
         now += ROUND_TRIP_S
     assert now + SWEEP_S - removed_at < DRAIN_S
@@ -228,7 +228,7 @@
     assert age.may_have_lapsed(back_at)
     assert age.find_removed_before(DRAIN_S, back_at + 2.0) is None
     assert not age.may_have_lapsed(back_at + ENTRY_RECOVERY_S)
-    assert age.date_removal(back_at) <= age.find_removed_before(DRAIN_S, back_at + ENTRY_RECOVERY_S)
+    assert age.date_change(back_at) <= age.find_removed_before(DRAIN_S, back_at + ENTRY_RECOVERY_S)
 
 
 def test_entries_are_kept_while_the_store_is_lost():
