Read again a view that messages do not resume

Streams of unknown origin were refused for up to 1.6 s after an order holder had been in trouble, at instances that knew a later revision than it (found by a review).

Cause: an unsettled message suspends the view, and settled ones resume it only if they go on from what is known. An instance ahead of its holder waited for the holder's next query, as its messages came.

The query for servers waits no longer while the view is suspended. Nothing is asked where the next message resumes it.

test_edge_missing, a view that messages do not resume: an instance ahead failed before.

--- a/rhubarbshed/transport/edge/follower.py
+++ b/rhubarbshed/transport/edge/follower.py
@@ -168,12 +168,13 @@
     async def _wait_for_turn(self, table: str) -> None:
         """Delay a query for servers as long as the order holder announces all changes.
 
-        Once the store is lost, only an answer to an own call shows that it is back.
+        Messages do not resume a view that changes may be missing from, if it is ahead of the holder
+        or the store is lost here: only an answer to an own call does.
         """
         while (
             table == SERVERS_TABLE
             and self.has_recent_message(time.monotonic())
-            and self.entry_age.lost_at is None
+            and not self.entry_age.is_suspended
             and not self.is_behind
         ):
             await self.fell_behind.wait(STORE_MESSAGE_TURN_S)
--- a/test/test_edge_missing.py
+++ b/test/test_edge_missing.py
@@ -14,7 +14,7 @@
 from test.helper_crashes import CrashScene, run_crash_scene
 from test.helper_edge import play
 from test.test_edge_store_cut import SETTLED_S, STABLE_S, run_behind_relays
-from test.test_versions import NOW, make_follower
+from test.test_versions import NOW, make_follower, make_message, make_row
 
 DRAIN_S = 2.0
 """Time for which a server without an entry serves on, the platform's bound."""
@@ -271,3 +271,37 @@
     assert follower.entry_age.may_have_lapsed(NOW + 0.1) != settled
     assert not follower.entry_age.may_have_lapsed(NOW + 0.1 + ENTRY_RECOVERY_S)
     assert not follower.entry_age.is_outage
+
+
+@pytest.mark.parametrize(
+    ("before", "revision", "lost", "waits"),
+    [(5, 5, False, True), (3, 6, False, True), (3, 4, False, False), (5, 5, True, False)],
+)
+def test_view_that_messages_do_not_resume_is_read_again(before, revision, lost, waits):
+    """An instance ahead of its holder was not current until the holder's next query."""
+
+    async def run():
+        follower = make_follower()
+        now = time.monotonic()
+        if lost:
+            follower.entry_age.record_failure(UNANSWERED, False, now)
+        for settled in (False, True):
+            message = make_message(before, revision, settled=settled)
+            follower.handle_store_message(message, now)
+        waiting = asyncio.create_task(follower._wait_for_turn("servers"))
+        await asyncio.sleep(0.3)
+        assert waiting.done() != waits
+        waiting.cancel()
+
+    asyncio.run(run())
+
+
+def test_range_of_revisions_begins_at_the_last_change_that_an_instance_knows():
+    """One that becomes the order holder announces it to others, who may know an older revision."""
+    follower = make_follower()
+    follower.handle_store_message(make_message(5, 8), NOW)
+    assert (follower.changed_revision, follower.servers_revision) == (0, 8)
+    follower.handle_store_message(make_message(5, 9, make_row("b2", "v1", 9)), NOW)
+    assert (follower.changed_revision, follower.servers_revision) == (9, 9)
+    follower.handle_store_message(make_message(9, 12), NOW)
+    assert (follower.changed_revision, follower.servers_revision) == (9, 12)
