Announce rows of one revision in one message

Instances could miss changes of servers that one transaction of the store made, if an order holder announced them in two messages: the second one names no later revision and counted as known. By reading of a review; platform's servers write one row each, so it was not seen.

--- a/rhubarbshed/transport/edge/holder_messages.py
+++ b/rhubarbshed/transport/edge/holder_messages.py
@@ -1,5 +1,6 @@
 """Parts of an order holder's messages, each small enough for a packet or two."""
 
+import itertools
 from collections.abc import Iterable, Iterator, Sequence
 from typing import TypeVar
 
@@ -20,7 +21,7 @@
 """Most engines announced in one datagram, which keeps it within a packet or two."""
 
 ROWS_PER_MESSAGE = 8
-"""Most rows of the store in one datagram; a server's row has some hundred bytes."""
+"""Most revisions of rows in one datagram; a server's row has some hundred bytes."""
 
 COUNTS_PER_MESSAGE = 40
 """Most targets counted in one datagram between holders."""
@@ -69,14 +70,17 @@
 def split_changes(
     before: int, revision: int, changes: tuple[EntryChange, ...]
 ) -> Iterator[tuple[int, int, tuple[tuple[str, int, dict | None], ...]]]:
-    """Yield the rows of changes in parts, each with the revisions before and after it."""
-    rows = tuple(_make_rows(changes))
-    parts = split_items(rows, map(measure, rows), ROWS_PER_MESSAGE)
+    """Yield the rows of changes in parts, each with the revisions before and after it.
+
+    Rows of one revision stay together: who has read a part knows all of the revision that it names.
+    """
+    rows = _make_rows(changes)
+    groups = tuple(tuple(group) for _, group in itertools.groupby(rows, lambda row: row[1]))
     done = 0
-    for part in parts:
+    for part in split_items(groups, map(measure, groups), ROWS_PER_MESSAGE):
         done += len(part)
-        reached = revision if done == len(rows) else part[-1][1]
-        yield before, reached, part
+        reached = revision if done == len(groups) else part[-1][0][1]
+        yield before, reached, tuple(itertools.chain.from_iterable(part))
         before = reached
 
 
--- a/test/test_edge_missing.py
+++ b/test/test_edge_missing.py
@@ -8,8 +8,11 @@
 from returns.result import Failure
 
 from rhubarbshed.coordination.serving.choice import list_leaving
+from rhubarbshed.platform.records import read_entries
+from rhubarbshed.protocol.messages import StoreMessage
 from rhubarbshed.protocol.tables import TableError, TableFault
 from rhubarbshed.state.membership.entry_age import ENTRY_RECOVERY_S
+from rhubarbshed.transport.edge.holder_messages import split_changes
 from rhubarbshed.transport.edge.store import FOLLOW_MARGIN_S, StoreClient
 from test.helper_crashes import CrashScene, run_crash_scene
 from test.helper_edge import play
@@ -305,3 +308,14 @@
     assert (follower.changed_revision, follower.servers_revision) == (9, 9)
     follower.handle_store_message(make_message(9, 12), NOW)
     assert (follower.changed_revision, follower.servers_revision) == (9, 12)
+
+
+def test_rows_of_one_revision_reach_others_together():
+    """The rest of a revision that was announced in two parts counted as known, and was lost."""
+    follower = make_follower()
+    rows = [make_row(f"b{number}", "v1", 6 + number // 12) for number in range(2, 22)]
+    changes = read_entries(tuple(rows))
+    for before, reached, part in split_changes(5, 7, changes):
+        message = StoreMessage("i2", "a", 1, 0, True, before, reached, part)
+        follower.handle_store_message(message, NOW)
+    assert len(follower.view.fleet.servers) == 21 and follower.servers_revision == 7
