Refuse a heartbeat of servers that is not positive

With heartbeat_ms = 0 every message of an order holder looked like the end of an outage, so that no server without an entry was ever dropped (found by a review; no known site sets it).

Such settings are refused with a line that names the key.

--- a/rhubarbshed/state/membership/entry_age.py
+++ b/rhubarbshed/state/membership/entry_age.py
@@ -5,10 +5,11 @@
 is away, and is back some time after the store's return. An instance sees the same in both cases,
 and has to drop the one server in time and to keep the other.
 
-Entries lapse only in an outage about as long as a heartbeat of the servers. An instance rules that
-out as long as it knows at shorter intervals that the store serves, by its own calls or by messages
-of an order holder that is in touch with the store. It takes no outage from others: a store may be
-away for one instance alone, and the bound on the drain time holds for the rest.
+An entry lapses after three heartbeats of its server, which has to miss two of them in a row. An
+instance rules that out as long as it knows at shorter intervals that the store serves, by its own
+calls or by messages of an order holder, whose lease was renewed within the last second. It takes no
+outage from others: a store may be away for one instance alone, and the bound on the drain time
+holds for the rest.
 """
 
 import logging
--- a/rhubarbshed/util/front.py
+++ b/rhubarbshed/util/front.py
@@ -76,9 +76,8 @@
             "lease_s",
         ):
             values[name] = reader.read_number("bounds", name.replace("_s", "_ms")) / 1000.0
-        values["heartbeat_s"] = (
-            reader.read_number_or("bounds", "heartbeat_ms", HEARTBEAT_DEFAULT_MS) / 1000.0
-        )
+        heartbeat_ms = reader.read_positive("bounds", "heartbeat_ms", HEARTBEAT_DEFAULT_MS)
+        values["heartbeat_s"] = heartbeat_ms / 1000.0
         for name in (
             "grace_s",
             "retry_ratio",
@@ -119,9 +118,13 @@
             self.errors.append(f"[{section}] {key} is no number: {text!r}")
         return number
 
-    def read_number_or(self, section: str, key: str, default: float) -> float:
-        is_set = self.parser.get(section, key, fallback="").strip()
-        return self.read_number(section, key) if is_set else default
+    def read_positive(self, section: str, key: str, default: float) -> float:
+        if not self.parser.get(section, key, fallback="").strip():
+            return default
+        number = self.read_number(section, key)
+        if number <= 0.0:
+            self.errors.append(f"[{section}] {key} is not positive: {number!r}")
+        return number
 
     def read_number_of_port(self, section: str, key: str) -> int:
         number = self.read_number(section, key)
--- a/test/test_edge_front.py
+++ b/test/test_edge_front.py
@@ -84,8 +84,10 @@
     for line, expected in (("", 1.2), ("heartbeat_ms = 900", 0.9), ("heartbeat_ms =", 1.2)):
         path.write_text(make_text(1).replace("drain_ms = ", f"{line}\ndrain_ms = ", 1))
         assert FrontSettings.from_file(str(path)).unwrap().heartbeat_s == expected, line
-    path.write_text(make_text(1).replace("drain_ms = ", "heartbeat_ms = soon\ndrain_ms = ", 1))
-    assert "heartbeat_ms is no number" in FrontSettings.from_file(str(path)).failure()[0]
+    for value, told in (("soon", "is no number"), ("0", "is not positive"), ("-1", "not positive")):
+        text = make_text(1).replace("drain_ms = ", f"heartbeat_ms = {value}\ndrain_ms = ", 1)
+        path.write_text(text)
+        assert told in FrontSettings.from_file(str(path)).failure()[0], value
 
 
 def test_missing_settings_end_the_daemon_with_one_line_and_code_2():
