Test stops beside a silent server and a full one

Callers' streams were reset in the middle of the answer while their instance stopped: it had taken them from a sound server after 1.0 s of silence, and the next one was full.

Here the first server runs each request once, the other one only refuses, and nothing is left to the budget.

--- /dev/null
+++ b/test/test_edge_hushed_stops.py
@@ -0,0 +1,188 @@
+"""Stops of an instance while a sound server is silent for a second and the other one is full."""
+
+import asyncio
+import contextlib
+import time
+from collections.abc import AsyncIterator
+
+import pytest
+from attrs import define, field
+
+from standin.replica import Exchange, Replica
+from test.helper_edge import Answer, Edge, make_configuration, make_route, play, run_edge
+from test.test_edge_drain import stop
+
+ROUTES = (
+    make_route("idempotent", "/p/"),
+    make_route("streaming", "/s/", Resumable=True, TargetGapMs=150),
+    make_route("streaming", "/n/", Attempts=1, TargetGapMs=150),
+)
+
+HUSHED_S = 1.2
+EVENTS = 40
+GAP_S = 0.05
+"""Time for which a server is silent, events of a stream, and the time between two of each."""
+
+ANNOUNCE_S = 1.0
+DRAIN_S = 4.0
+"""Times of a stop; streams that were silent once end within them."""
+
+SHORT_DRAIN_S = 0.6
+"""Time of a drain in which no stream ends."""
+
+SLOTS = 64
+"""Slots that both servers announce; neither is full by what an instance knows."""
+
+RETRIES = 1000.0
+"""Retries of the budget, which ends no request of these tests."""
+
+NEIGHBOUR = b"neighbour"
+"""Body of the one request that the full server runs."""
+
+CENTRES = {"tried": "ba", "untried": "ab"}
+"""Data centres of the two servers with which requests try the full one first, or the other one."""
+
+
+@define
+class BusyServers:
+    """Two servers without a slot to spare: the first runs each request once, the other one none.
+
+    A slot that comes free is taken by callers of other instances. The first server runs nothing
+    and writes nothing unless `awake` is set.
+    """
+
+    edge: Edge
+    awake: asyncio.Event = field(factory=asyncio.Event)
+    admitted: set[str] = field(factory=set)
+
+    async def reply(self, exchange: Exchange) -> None:
+        """Write a stream or a plain response, or turn the request away."""
+        is_first = exchange.replica is self.edge.replicas[0]
+        await self.wait(exchange)
+        is_new = exchange.request_id not in self.admitted
+        if not is_new or is_first == (exchange.body == NEIGHBOUR):
+            exchange.refuse()
+            return
+        self.admitted.add(exchange.request_id)
+        if exchange.target.startswith("/p/"):
+            await self.wait(exchange, GAP_S)
+            exchange.answer(200, b"done")
+            return
+        exchange.begin_stream()
+        for number in range(1, EVENTS + 1):
+            exchange.send_event(number)
+            await exchange.writer.drain()
+            await self.wait(exchange, GAP_S)
+        exchange.end_stream()
+
+    async def wait(self, exchange: Exchange, after_s: float = 0.0) -> None:
+        """Wait for a time, and for the end of a silence."""
+        await asyncio.sleep(after_s)
+        if exchange.replica is self.edge.replicas[0]:
+            await self.awake.wait()
+
+    def ask(self, path: str, body: bytes = b"x") -> asyncio.Task[Answer]:
+        """Send a request."""
+        return asyncio.create_task(self.edge.ask(path, body))
+
+    async def be_silent(self, after_s: float, for_s: float = HUSHED_S) -> None:
+        """Let the first server be silent once, after a while."""
+        await asyncio.sleep(after_s)
+        self.awake.clear()
+        await asyncio.sleep(for_s)
+        self.awake.set()
+
+
+@contextlib.asynccontextmanager
+async def run_busy_servers(known: str, heard: bool) -> AsyncIterator[BusyServers]:
+    """Run an instance before busy servers, of which the full one is heard all the time, or not."""
+    centres = CENTRES[known]
+    replicas = [
+        Replica(name, data_centre=centre, slots=SLOTS)
+        for name, centre in zip(("b1", "b2"), centres, strict=True)
+    ]
+    configuration = make_configuration(*ROUTES)
+    async with run_edge(configuration, *replicas, retry_extra=RETRIES) as edge:
+        servers = BusyServers(edge)
+        servers.awake.set()
+        for replica in replicas:
+            replica.reply = servers.reply
+        other = [servers.ask("/n/x", NEIGHBOUR)] if heard else []
+        await asyncio.sleep(0.1)
+        yield servers
+        await asyncio.gather(*other)
+
+
+def list_ends(answers: list[Answer]) -> list[tuple[int, bool]]:
+    """List the statuses of answers, and whether they are whole."""
+    return [(each.status, each.whole) for each in answers]
+
+
+@pytest.mark.parametrize(
+    ("silent_after_s", "known", "heard"),
+    [
+        (0.5, "untried", True),
+        (0.5, "tried", False),
+        (ANNOUNCE_S + 0.1, "untried", True),
+        (ANNOUNCE_S + 0.1, "untried", False),
+    ],
+)
+def test_stream_of_a_stop_is_not_taken_from_its_silent_server(silent_after_s, known, heard):
+    """It was left to a full server after a second, and reset in the middle of its answer."""
+
+    async def scene():
+        async with run_busy_servers(known, heard) as servers:
+            asked = [servers.ask("/s/x") for _ in range(3)]
+            await asyncio.sleep(0.2)
+            stop(servers.edge, ANNOUNCE_S, DRAIN_S)
+            silence = asyncio.create_task(servers.be_silent(silent_after_s))
+            await asyncio.sleep(0.2)
+            asked += [servers.ask("/s/x") for _ in range(3)]
+            assert list_ends(await asyncio.gather(*asked)) == [(200, True)] * len(asked)
+            await silence
+
+    play(scene)
+
+
+@pytest.mark.parametrize(
+    ("path", "known", "heard"),
+    [
+        ("/s/x", "tried", True),
+        ("/s/x", "untried", False),
+        ("/p/x", "tried", False),
+        ("/p/x", "untried", False),
+    ],
+)
+def test_request_of_a_stop_waits_for_the_first_bytes_of_its_silent_server(path, known, heard):
+    """It was left to a full server after 0.8 s, and answered 502 though its server would run it."""
+
+    async def scene():
+        async with run_busy_servers(known, heard) as servers:
+            begun = [servers.ask("/s/x") for _ in range(2)]
+            await asyncio.sleep(0.2)
+            stop(servers.edge, ANNOUNCE_S, DRAIN_S)
+            silence = asyncio.create_task(servers.be_silent(0.3))
+            await asyncio.sleep(0.35)
+            asked = [*begun, *(servers.ask(path) for _ in range(2))]
+            assert list_ends(await asyncio.gather(*asked)) == [(200, True)] * len(asked)
+            await silence
+
+    play(scene)
+
+
+def test_stream_that_is_silent_as_a_drain_ends_is_cut_no_sooner():
+    """It was left to a full server after a second, and reset before the time was up."""
+
+    async def scene():
+        async with run_busy_servers("untried", heard=True) as servers:
+            asked = [servers.ask("/s/x") for _ in range(3)]
+            await asyncio.sleep(0.2)
+            over_at = stop(servers.edge, ANNOUNCE_S, SHORT_DRAIN_S) + SHORT_DRAIN_S
+            silent_after_s = over_at - time.monotonic() - 1.25
+            silence = asyncio.create_task(servers.be_silent(silent_after_s, for_s=1.35))
+            await asyncio.wait(asked, return_when=asyncio.FIRST_COMPLETED)
+            assert time.monotonic() >= over_at
+            assert list_ends(await asyncio.gather(*asked)) == [(200, False)] * len(asked)
+            await silence
+
+    play(scene)
