Add a failing test of a silent server left for a full one that is heard

Callers get 502 though their server is sound: a request that is sent to it as it falls silent is taken from it after 0.8 s without a byte, as another server of the service is heard and was not asked yet. That one is full, is asked once more 0.06 s later, and refuses again.

Cause: RequestProgress.pay_move keeps a request at a silent server only while no server of the service is heard. That a server is heard does not show that it has a slot. The second pass does not come back to the first server either, which counts as unresponsive by then.

--- a/test/test_edge_hushed_stops.py
+++ b/test/test_edge_hushed_stops.py
@@ -186,3 +186,21 @@
             await silence
 
     play(scene)
+
+
+@pytest.mark.parametrize("path", ("/s/x", "/p/x"))
+def test_request_of_a_stop_is_not_left_to_a_full_server_that_is_heard(path):
+    """It was taken from its silent server after 0.8 s, and answered 502 though that went on."""
+
+    async def scene():
+        async with run_busy_servers("untried", heard=True) as servers:
+            begun = [servers.ask("/s/x") for _ in range(2)]
+            await asyncio.sleep(0.2)
+            stop(servers.edge, ANNOUNCE_S, DRAIN_S)
+            silence = asyncio.create_task(servers.be_silent(0.3))
+            await asyncio.sleep(0.35)
+            asked = [*begun, *(servers.ask(path) for _ in range(2))]
+            assert list_ends(await asyncio.gather(*asked)) == [(200, True)] * len(asked)
+            await silence
+
+    play(scene)
