Add a failing test of a silence of 1.75 s in a stop beside a full server

Callers' streams are reset in the middle of the answer, before the last sixth of the grace time, if their sound server is silent for longer than STREAM_GAP_TIMEOUT_S (1.5 s) and the other one is full. Callers themselves leave after two seconds. The rule takes no silence for a reason to end an answer sooner.

Cause: the attempt at the silent server is given up before another server has taken the rest. The second pass 0.06 s later asks the full server again, as the silent one counts as unresponsive.

--- a/test/test_edge_hushed_stops.py
+++ b/test/test_edge_hushed_stops.py
@@ -204,3 +204,18 @@
             await silence
 
     play(scene)
+
+
+def test_stream_of_a_stop_outlasts_a_silence_that_its_caller_bears():
+    """It was left to a full server after 1.5 s, and reset; callers leave after two seconds."""
+
+    async def scene():
+        async with run_busy_servers("untried", heard=True) as servers:
+            asked = [servers.ask("/s/x") for _ in range(3)]
+            await asyncio.sleep(0.2)
+            stop(servers.edge, ANNOUNCE_S, DRAIN_S)
+            silence = asyncio.create_task(servers.be_silent(0.3, for_s=1.75))
+            assert list_ends(await asyncio.gather(*asked)) == [(200, True)] * len(asked)
+            await silence
+
+    play(scene)
