Keep a silent server until another one has taken the request

Streams that a stopping instance had accepted were reset in the middle of the answer though their server was sound (LOST).

Cause: a stream was taken from its server after 1.5 s without an event, and its connection closed, before any other server had taken it. A pause of 1.3 s makes gaps of up to 1.6 s (the pause, an event's time and the queue behind it). The class: an end that is decided by time alone, before its replacement stands.

The attempt at the silent server is kept open now. Once another server answers with a success it is left; it is left 0.25 s after the request was sent to the other one in any case, as two may not work on a stream for 0.4 s. If nobody takes the request, who was full is asked once more, and then the silent server is waited for.

The bound on two servers fails if the silent one is kept for 5 s.

--- a/rhubarbshed/coordination/serving/choice.py
+++ b/rhubarbshed/coordination/serving/choice.py
@@ -137,6 +137,11 @@
     return Choice(best, best.estimate_usual_load(now), age_s, len(free))
 
 
+def is_responsive(chosen: Choice | NoServer, now: float) -> bool:
+    """Return whether a server was chosen that was not silent or out of reach a moment ago."""
+    return isinstance(chosen, Choice) and chosen.server.unresponsive_until <= now
+
+
 def wants_nothing(record: ServerRecord, chosen_at: float, now: float) -> bool:
     """Return whether a server said, since it was chosen, that it wants no more requests."""
     return record.leaving_known_at >= chosen_at or now < record.backoff_until
--- a/rhubarbshed/state/membership/fleet.py
+++ b/rhubarbshed/state/membership/fleet.py
@@ -152,6 +152,10 @@
             self.open_since = now
         self.open += 1
 
+    def is_heard(self, since: float) -> bool:
+        """Return whether the server sent this instance anything later than `since`."""
+        return self.heard_at > since
+
     def measure_silence(self, now: float, own: int = 0) -> float:
         """Return for how many seconds no attempt received anything, 0 if none waits for it.
 
--- a/rhubarbshed/transport/edge/attempts.py
+++ b/rhubarbshed/transport/edge/attempts.py
@@ -5,7 +5,7 @@
 
 import asyncio
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Coroutine
 
 import h11
 from attrs import define
@@ -79,6 +79,16 @@
     return True
 
 
+@define(eq=False)
+class StreamProgress:
+    """Stream of a server as far as it was relayed; `counted` bytes of it were progress."""
+
+    response: h11.Response
+    resumed: bool
+    tail: bytes = b""
+    counted: int = 0
+
+
 @define(eq=False)
 class Attempt:
     """One attempt at a server.
@@ -92,6 +102,9 @@
     `in_step` means that each answer on the connection named the request that it came for.
     `body_bytes` of the response were read since its head at `head_at` (monotonic seconds).
     `on_leaving` is called with the id that a server gives in an answer as it leaves.
+    An attempt whose server is silent is left with `is_kept`: its connection stays open while
+    another server is asked. `on_sent` and `on_accepted` are called once the server may have got the
+    request, and once its answer is a success.
     An attempt by way of another instance has neither `record` nor `origin`; `instance_error` is
     that one's answer if no server gave one, and `declined` that another instance may do better.
     """
@@ -115,6 +128,8 @@
     withdrawn: bool = False
     on_head: Callable[[ResponseHead], None] = lambda head: None
     on_begun: Callable[[], None] = lambda: None
+    on_sent: Callable[[], None] = lambda: None
+    on_accepted: Callable[[], None] = lambda: None
     on_leaving: Callable[[str], None] = lambda server_id: None
     confirm_running: Callable[[], Awaitable[bool]] = assume_running
     channel: Channel | None = None
@@ -124,6 +139,9 @@
     body_bytes: int = 0
     instance_error: RequestError | None = None
     declined: bool = False
+    is_kept: bool = False
+    was_resumed: bool = False
+    stream: StreamProgress | None = None
 
     @classmethod
     def from_server(
@@ -155,12 +173,27 @@
         except ChannelError as error:
             self.detail = str(error)
             return ExchangeEnd.NOT_SENT
+        return await self.carry_out(self.exchange(may_retry))
+
+    async def go_on(self, may_retry: bool) -> ExchangeEnd:
+        """Wait again for a server that was kept as it was silent; return how the attempt ended."""
+        self.is_kept, self.was_resumed, self.silent = False, True, True
+        if self.stream is None:
+            return await self.carry_out(self.read_answer(may_retry))
+        timer = SilenceTimer(self.channel, STREAM_GAP_TIMEOUT_S, self.may_give_up)
+        return await self.carry_out(self.relay_rest(self.stream, timer, may_retry))
+
+    def abandon(self) -> None:
+        """Close the connection to a server that was kept."""
+        if self.is_kept:
+            self.is_kept = False
+            self.channel.abort()
+
+    async def carry_out(self, exchange: Coroutine[None, None, ExchangeEnd]) -> ExchangeEnd:
+        """Return how an exchange on the channel ended, and release, keep or close the channel."""
         finished = False
         try:
-            # A late loop may have read the request but not yet the end of its caller's connection.
-            if self.caller_response.connection.notice_disconnect():
-                await asyncio.sleep(0)
-            end = await self.exchange(may_retry)
+            end = await exchange
             finished = (
                 end
                 in (
@@ -182,16 +215,20 @@
             if time.monotonic() >= self.deadline:
                 raise
             self.detail = "no response in time"
+            self.is_kept = self.record is not None and (self.head_at is None or self.begun)
             return ExchangeEnd.NO_RESPONSE
         finally:
-            is_kept = (finished and self.in_step) or not self.sent
-            if is_kept and self.channel.is_usable(time.monotonic()):
-                self.pool.release(address, self.channel)
-            else:
+            is_reusable = (finished and self.in_step) or not self.sent
+            if is_reusable and self.channel.is_usable(time.monotonic()):
+                self.pool.release(self.address, self.channel)
+            elif not self.is_kept:
                 self.channel.abort()
 
     async def exchange(self, may_retry: bool) -> ExchangeEnd:
-        """Send the request, read the head of the response and continue by its status."""
+        """Send the request and read the answer."""
+        # A late loop may have read the request but not yet the end of its caller's connection.
+        if self.caller_response.connection.notice_disconnect():
+            await asyncio.sleep(0)
         caller_response = self.caller_response
         request, route = caller_response.request, caller_response.route
         now = time.monotonic()
@@ -201,6 +238,12 @@
         self.channel.start(
             request.method, request.target, tuple(headers), request.body, request.request_id
         )
+        self.on_sent()
+        return await self.read_answer(may_retry)
+
+    async def read_answer(self, may_retry: bool) -> ExchangeEnd:
+        """Read the head of the response and continue by its status."""
+        caller_response, route = self.caller_response, self.caller_response.route
         first_bytes_s = max(FIRST_BYTES_TIMEOUT_S, FIRST_BYTES_TIMEOUT_TARGETS * route.target_s)
         timer = SilenceTimer(self.channel, first_bytes_s, self.may_give_up)
         if may_retry:
@@ -209,7 +252,7 @@
             response, head = await self.receive_head()
             self.head_at, self.body_bytes = time.monotonic(), 0
             self.status, self.signed = head.status, head.signed
-            self.framing = read_framing(request.method, response)
+            self.framing = read_framing(caller_response.request.method, response)
             if self.record is None and not head.signed:
                 return await self.read_instance_error(response, head)
             if head.load is not None and self.record is not None:
@@ -219,16 +262,17 @@
             self.on_head(head)
             if head.not_run:
                 return await self.read_refusal(response, head)
+            if 200 <= head.status < 300:
+                self.on_accepted()
             if not 200 <= head.status < 300 or not route.streamed:
                 return await self.relay_complete(response, head, may_retry)
             self.check_success(head)
             if caller_response.begun and not caller_response.is_rest(head):
                 raise MalformedAnswerError(f"status {head.status} in place of the rest of a stream")
             first = await self.receive_body()
+            timer.cancel()
             timer.limit_s = STREAM_GAP_TIMEOUT_S
-            if may_retry:
-                timer.start()
-            return await self.relay_stream(response, head, first, timer)
+            return await self.relay_stream(response, head, first, timer, may_retry)
         finally:
             timer.cancel()
 
@@ -436,33 +480,54 @@
             raise ChannelError("the connection ended, and the server may have")
 
     async def relay_stream(
-        self, response: h11.Response, head: ResponseHead, event: Event, timer: SilenceTimer
+        self,
+        response: h11.Response,
+        head: ResponseHead,
+        first: Event,
+        timer: SilenceTimer,
+        may_retry: bool,
     ) -> ExchangeEnd:
-        """Relay events as they arrive; a stream that breaks off is never terminated."""
+        """Relay a stream from its first piece on."""
         caller_response = self.caller_response
-        resumable = caller_response.route.resumable
         caller_response.splitter.drop_partial()
-        resumed = caller_response.splitter.events > 0
+        self.stream = StreamProgress(response, caller_response.splitter.events > 0)
         caller_response.begin_stream(head, self.origin)
-        tail, counted = b"", 0
+        return await self.relay_rest(self.stream, timer, may_retry, first)
+
+    async def relay_rest(
+        self,
+        stream: StreamProgress,
+        timer: SilenceTimer,
+        may_retry: bool,
+        event: Event | None = None,
+    ) -> ExchangeEnd:
+        """Relay events as they arrive; a stream that breaks off is never terminated."""
+        caller_response = self.caller_response
+        resumable = caller_response.route.resumable
         timer.progress_at = time.monotonic()
-        while not isinstance(event, h11.EndOfMessage):
-            data = bytes(event.data)
-            tail = (tail + data)[-TAIL_BYTES:]
-            complete = caller_response.splitter.feed(data) if resumable else data
-            if not self.begun and has_event(complete):
-                self.begun = True
-                self.on_begun()
-            await caller_response.send(complete)
-            if complete or self.body_bytes - counted >= PROGRESS_BYTES_MIN:
-                timer.progress_at, counted = time.monotonic(), self.body_bytes
-            event = await self.receive_body()
-        broken_off = check_stream_end(response, tail, resumed)
+        if may_retry:
+            timer.start()
+        try:
+            event = event or await self.receive_body()
+            while not isinstance(event, h11.EndOfMessage):
+                data = bytes(event.data)
+                stream.tail = (stream.tail + data)[-TAIL_BYTES:]
+                complete = caller_response.splitter.feed(data) if resumable else data
+                if not self.begun and has_event(complete):
+                    self.begun = True
+                    self.on_begun()
+                await caller_response.send(complete)
+                if complete or self.body_bytes - stream.counted >= PROGRESS_BYTES_MIN:
+                    timer.progress_at, stream.counted = time.monotonic(), self.body_bytes
+                event = await self.receive_body()
+        finally:
+            timer.cancel()
+        broken_off = check_stream_end(stream.response, stream.tail, stream.resumed)
         if broken_off:
             raise ChannelError(broken_off)
         await self.check_closed_end()
         if resumable:
             await caller_response.send(caller_response.splitter.flush())
-        self.channel.finish(response, time.monotonic())
+        self.channel.finish(stream.response, time.monotonic())
         caller_response.connection.send_end()
         return ExchangeEnd.DONE
--- a/rhubarbshed/transport/edge/relay.py
+++ b/rhubarbshed/transport/edge/relay.py
@@ -16,6 +16,7 @@
     NoServer,
     choose_server,
     choose_service,
+    is_responsive,
     list_staying,
     wants_nothing,
 )
@@ -93,6 +94,10 @@
 SERVER_SILENCE_S = 0.5
 """Time without a byte after which a server that requests wait for counts as silent."""
 
+KEPT_S = 0.25
+"""Time for which a silent server is kept once the request was sent to another one: that one refuses
+at once or runs it, and two may not work on a stream for longer than 0.4 s."""
+
 SERVICE_SILENCE_S = 1.5
 """Time for which requests stay at a silent server while all others that requests wait for are
 silent as well. Sound servers may be for a second or so; callers of a stream leave after two."""
@@ -234,7 +239,9 @@
     `stopped_by` is the key of the verdict that stopped it, `trial_keys` those of the verdicts that
     its next attempt puts to a trial. `forwarded_by` is the instance that it came from, with
     `attempts_max` servers left that may run it. It may still wait for `probe_wait_s` until it is
-    known whether servers can be reached. `cut_off_as` is set as a stop cuts it off.
+    known whether servers can be reached. `kept` is an attempt at a silent server, which may go on
+    until `kept_limit` if no other server takes the request. `cut_off_as` is set as a stop cuts it
+    off.
     """
 
     relay: Relay
@@ -268,6 +275,9 @@
     attempts_max: int | None = None
     probe_wait_s: float = SETTLE_MAX_S
     cut_off_as: Repeat | None = None
+    kept: Attempt | None = None
+    kept_limit: asyncio.TimerHandle | None = None
+    others_asked_again: bool = False
 
     @property
     def repeat(self) -> Repeat:
@@ -350,12 +360,16 @@
         if not is_cut and not self.forwarded_by:
             self.count_demand()
         self.relay.view.budget.count_request(self.service, time.monotonic())
-        return await self.send()
+        try:
+            return await self.send()
+        finally:
+            self.abandon_kept()
 
     async def forward_if_cut(self) -> Forwarded:
         """Forward the request if this instance is cut off; never one that was forwarded."""
         if not self.relay.links.is_cut or self.forwarded_by:
             return NOT_TAKEN
+        self.abandon_kept()
         return await self.relay.forwarder.forward(self)
 
     async def forward_unreached(self) -> Forwarded:
@@ -416,6 +430,23 @@
             if not await self.check_quarantine(now):
                 return self.give_up("quarantined")
             chosen = self.choose(now)
+            if self.kept is not None and not is_responsive(chosen, now):
+                if not self.others_asked_again:
+                    # Who was full for a moment is asked once more, but not the silent server.
+                    self.others_asked_again = True
+                    self.excluded = {self.kept.record.key}
+                    await asyncio.sleep(SECOND_PASS_PAUSE_S)
+                    continue
+                if self.kept.was_resumed or self.kept.record.is_heard(now - SERVER_SILENCE_S):
+                    # The answer may be lost.
+                    self.abandon_kept()
+                    continue
+                end = await self.resume_kept()
+                if end is ExchangeEnd.DONE:
+                    return None
+                if (reason := self.check_retry(end, time.monotonic())) is not None:
+                    return self.give_up(reason)
+                continue
             if isinstance(chosen, NoServer) and self.limited and not self.measure_patience(now):
                 return self.give_up("full")
             if isinstance(chosen, NoServer):
@@ -458,14 +489,13 @@
                 return self.give_up("quarantined")
             if not await self.check_origin(self.last_attempt):
                 return self.give_up("version_unknown")
-            if not is_retry_allowed(self.route, end, self.tries):
-                return self.give_up(end.value)
-            if not self.caller_response.may_continue:
-                return self.give_up(end.value)
-            # The budget counts attempts that reached a server, beyond the first.
-            if self.delivered and not self.pay_retry(time.monotonic()):
-                return self.give_up("budget")
-            self.retry_paid = False
+            reason = self.check_retry(end, time.monotonic())
+            if reason is not None and self.kept is not None and not self.kept.was_resumed:
+                end = await self.resume_kept()
+                if end is ExchangeEnd.DONE:
+                    return None
+            if reason is not None:
+                return self.give_up(reason)
             # The end of the server may be what stops the request.
             await self.relay.crashes.checks.wait(chosen.server)
             if end in UNREACHED and await self.settle_links():
@@ -473,6 +503,18 @@
                 if forwarded.taken:
                     return forwarded.error
 
+    def check_retry(self, end: ExchangeEnd, now: float) -> str | None:
+        """Return why the request may not be sent again after an attempt, None if it may."""
+        if not is_retry_allowed(self.route, end, self.tries):
+            return end.value
+        if not self.caller_response.may_continue:
+            return end.value
+        # The budget counts attempts that reached a server, beyond the first.
+        if self.delivered and not self.pay_retry(now):
+            return "budget"
+        self.retry_paid = False
+        return None
+
     async def check_quarantine(self, now: float) -> bool:
         """Return whether the request may be sent: it is not known to end servers, or is a trial."""
         crashes = self.relay.crashes
@@ -576,10 +618,17 @@
         begun_at = time.monotonic()
         record.begin_attempt(begun_at)
         self.in_flight = True
+        attempt.on_accepted = self.abandon_kept
+        attempt.on_sent = self.limit_kept
         try:
             end = await attempt.run(more)
         finally:
             record.open -= 1
+            if self.kept_limit is not None:
+                self.kept_limit.cancel()
+        if attempt.is_kept:
+            self.abandon_kept()
+            self.kept = attempt
         # A timeout leaves this true: the server may be running the request.
         self.in_flight = False
         self.trial_keys = frozenset()
@@ -591,6 +640,37 @@
             self.relay.count_run(self.service, self.request.model, self.request.adapter, run_s)
         return end
 
+    async def resume_kept(self) -> ExchangeEnd:
+        """Wait for the silent server again, as no other one takes the request."""
+        attempt, self.kept = self.kept, None
+        record, begun_at = attempt.record, time.monotonic()
+        self.last_attempt = attempt
+        record.begin_attempt(begun_at)
+        self.in_flight = True
+        try:
+            end = await attempt.go_on(self.tries.run < self.route.attempts_max)
+        finally:
+            record.open -= 1
+        self.in_flight = False
+        if end is ExchangeEnd.DONE:
+            record.record_end(False, time.monotonic())
+        else:
+            log_failed_attempt(self, attempt, end, time.monotonic())
+        if attempt.is_kept:
+            self.kept = attempt
+        return end
+
+    def limit_kept(self) -> None:
+        """Leave the silent server soon, as another one may be at work on the request."""
+        if self.kept is not None:
+            self.kept_limit = asyncio.get_running_loop().call_later(KEPT_S, self.abandon_kept)
+
+    def abandon_kept(self) -> None:
+        """Leave the silent server for good."""
+        if self.kept is not None:
+            self.kept.abandon()
+            self.kept = None
+
     def note_head(self, record: ServerRecord, head: ResponseHead, sent_at: float) -> None:
         """Record what the head of a response says of its server."""
         self.relay.limits.record_head(record, head, sent_at)
@@ -726,7 +806,7 @@
     def has_heard(self, now: float) -> bool:
         """Return whether any server of the service sent this instance something lately."""
         servers = self.relay.view.fleet.list_service(self.service)
-        return any(now - each.heard_at < SERVER_SILENCE_S for each in servers)
+        return any(each.is_heard(now - SERVER_SILENCE_S) for each in servers)
 
     def list_silent(self, asked: ServerRecord, now: float) -> set[tuple[str, int]]:
         """List the servers of the service that are silent to other requests of this instance."""
--- a/test/test_edge_hushed_stops.py
+++ b/test/test_edge_hushed_stops.py
@@ -30,6 +30,10 @@
 SHORT_DRAIN_S = 0.6
 """Time of a drain in which no stream ends."""
 
+SLOW_START_S = 0.6
+LEFT_S = 0.4
+"""Time in which a server begins a stream, and after which no other one may work on it still."""
+
 SLOTS = 64
 """Slots that both servers announce; neither is full by what an instance knows."""
 
@@ -219,3 +223,33 @@
             await silence
 
     play(scene)
+
+
+def test_silent_server_is_left_soon_once_another_one_has_the_stream():
+    """Its answer is kept while the other server may refuse; two may not work on a stream."""
+
+    async def scene():
+        silent: list[Exchange] = []
+        taken_at: list[float] = []
+
+        async def fall_silent(exchange: Exchange) -> None:
+            exchange.begin_stream()
+            exchange.send_event(1)
+            silent.append(exchange)
+
+        async def take(exchange: Exchange) -> None:
+            taken_at.append(time.monotonic())
+            await asyncio.sleep(SLOW_START_S)
+            exchange.begin_stream()
+            exchange.send_event(2)
+            exchange.end_stream()
+
+        replicas = [Replica("b1", reply=fall_silent), Replica("b2", reply=take, data_centre="b")]
+        async with run_edge(make_configuration(*ROUTES), *replicas) as edge:
+            asked = asyncio.create_task(edge.ask("/s/x", b"x"))
+            await edge.wait_until(lambda: taken_at)
+            await edge.wait_until(silent[0].writer.transport.is_closing)
+            assert time.monotonic() - taken_at[0] < LEFT_S
+            assert list_ends([await asked]) == [(200, True)]
+
+    play(scene)
