Remove servers without an announcement on a calm store in the soak

The soak removed servers, but the others of their service took the requests: a server without an entry gets some only as long as there is no other for them. And the check let 0.3 s more pass than the rule.

Two servers are now each the only one of their service. Each leaves once before there are callers, so that no entry changes and nothing is disturbed, and again beside odd entries and the kill of an order holder or a new configuration; all instances are asked for them. The check counts from the store's acknowledgement: a request that its caller sent later than 2 s may not run, without a tolerance; one sent before has 2.3 s still.

--- a/test/soak/checks.py
+++ b/test/soak/checks.py
@@ -140,16 +140,20 @@
 def check_leaving(history: History) -> list[str]:
     """Check that a removed server gets no new work after the drain time.
 
-    Instances that a fault disturbed are exempt.
+    One that was sent after it counts however soon it ran. Instances that a fault disturbed are
+    exempt.
     """
-    instances = {each.request_id: each.instance for each in history.asked}
+    asked = {each.request_id: each for each in history.asked}
     broken = []
     for left in history.leavings:
+        late_from = left.at + DRAIN_S
         for each in history.seen:
-            late = left.at + DRAIN_S + TOLERANCE_S < each.at <= left.until
+            found = asked.get(each.request_id)
+            was_sent_late = found is not None and found.sent_at > late_from
+            late = each.at <= left.until and (was_sent_late or each.at > late_from + TOLERANCE_S)
             if each.what != "run" or each.server != left.server or not late:
                 continue
-            instance = instances.get(each.request_id, "")
+            instance = "" if found is None else found.instance
             if not history.was_disturbed(instance, left.at - FAULT_FREE_S, each.at):
                 broken.append(
                     f"{each.request_id} ran at {each.server} {each.at - left.at:.2f} s late"
--- a/test/soak/faults.py
+++ b/test/soak/faults.py
@@ -1,6 +1,7 @@
 """External faults drawn from a seed, in series in which they overlap."""
 
 import asyncio
+import itertools
 import random
 import signal
 import time
@@ -9,11 +10,12 @@
 from attrs import define, field
 
 from standin.run import call_store
+from test.soak.checks import DRAIN_S
 from test.soak.deadly import send_deadly_requests
 from test.soak.history import ALL, STORE, Disturbance, Leaving
 from test.soak.relay import Mode
-from test.soak.scene import REPORT_S, VERSIONS, Scene
-from test.soak.visitors import LEAD_S, visit_stop
+from test.soak.scene import LONE_SERVERS, REPORT_S, VERSIONS, Scene
+from test.soak.visitors import LEAD_S, ask_repeatedly, visit_stop
 
 STOP_TIMEOUT_S = 8.0
 SHORT_FAULT_S = (0.2, 1.5)
@@ -29,8 +31,14 @@
 
 LEAVING_SERVE_S = 4.0
 RELEASE_SERVE_S = 8.0
+SERVED_ON_S = (0.3, 1.5)
 """Time for which a removed server keeps serving, longer than it may get new requests, and for which
-one keeps serving that a release replaces, until its streams have ended."""
+one keeps serving that a release replaces, until its streams have ended, and time beyond the drain
+time for which the only server of a service does."""
+
+LONE_INTERVAL_S = (2.0, 4.5)
+BEHIND_S = (0.2, 0.45)
+"""Time before the removal of such a server, and between it and another change."""
 
 STOPS_MAX = 4
 SECOND_SIGNAL_S = (0.0, 2.9)
@@ -70,10 +78,11 @@
     async def play(self, seconds: float) -> None:
         """Start overlapping faults one after another, with fault-free times for planned changes.
 
-        A stop, odd entries, releases, kills of all instances before and in them, a request and a
-        part of prompts that end servers come first, so that each run has them.
+        A stop, removals, odd entries, releases, kills of all instances before and in them, a
+        request and a part of prompts that end servers come first, so that each run has them.
         """
         await self.change_as_planned(self.rng.choice(STOPS))
+        await self.change_as_planned(remove_beside_change)
         await write_odd_entries(self)
         await kill_all_instances(self)
         await self.change_as_planned(release_version)
@@ -123,6 +132,11 @@
     await _kill(faults, tuple(faults.scene.instances), "killed")
 
 
+async def kill_holder(faults: Faults) -> None:
+    """Kill the order holder of a data centre and start it again."""
+    await _kill(faults, tuple(faults.scene.find_holders()), "killed")
+
+
 async def kill_server(faults: Faults) -> None:
     """Kill a backend server, mostly an engine, which restarts with its initial models."""
     await _kill(faults, (*faults.scene.services, *faults.scene.engines), "killed")
@@ -328,13 +342,48 @@
 async def remove_server(faults: Faults) -> None:
     """Remove a backend server as planned: its entry is deleted while it keeps serving."""
     name = faults.rng.choice((faults.rng.choice(faults.scene.engines), "p1", "p2"))
+    await _remove(faults, name, LEAVING_SERVE_S)
+
+
+async def remove_lone_servers(faults: Faults, *others: Fault) -> None:
+    """Remove the only server of a service, then that of another, as all instances are asked.
+
+    Just behind each removal comes one of the `others`, if any, while order holders collect changes.
+    """
+    scene, rng = faults.scene, faults.rng
+    pairs = itertools.product(scene.instances, LONE_SERVERS)
+    asking = [asyncio.create_task(ask_repeatedly(scene, *pair)) for pair in pairs]
+    changes = []
+    for name in rng.sample(list(LONE_SERVERS), len(LONE_SERVERS)):
+        await asyncio.sleep(rng.uniform(*LONE_INTERVAL_S))
+        if others:
+            await write_odd_entries(faults)
+        serve_s = DRAIN_S + rng.uniform(*SERVED_ON_S)
+        changes.append(asyncio.create_task(_remove(faults, name, serve_s)))
+        if others:
+            await asyncio.sleep(rng.uniform(*BEHIND_S))
+            changes.append(asyncio.create_task(rng.choice(others)(faults)))
+    await asyncio.gather(*changes)
+    for task in asking:
+        task.cancel()
+    for outcome in await asyncio.gather(*asking, return_exceptions=True):
+        if isinstance(outcome, Exception):
+            raise outcome
+
+
+async def remove_beside_change(faults: Faults) -> None:
+    """Remove lone servers beside the kill of an order holder or a change of the configuration."""
+    await remove_lone_servers(faults, kill_holder, kill_holder, change_configuration)
+
+
+async def _remove(faults: Faults, name: str, serve_s: float) -> None:
     scene = faults.scene
     program = scene.programs[name]
     scene.disrupted.add(name)
     # Its heartbeats would write the entry again, so the store ignores them until "admit".
     await call_store(scene.store_port, "retire", Key=name)
     left_at = time.monotonic()
-    await asyncio.sleep(LEAVING_SERVE_S)
+    await asyncio.sleep(serve_s)
     await program.end(signal.SIGKILL, 1.0)
     ended_at = time.monotonic()
     scene.history.leavings.append(Leaving(name, left_at, ended_at))
@@ -388,4 +437,5 @@
     change_configuration,
     remove_server,
     remove_server,
+    remove_beside_change,
 )
--- a/test/soak/run.py
+++ b/test/soak/run.py
@@ -13,7 +13,7 @@
 
 from test.soak.callers import Caller
 from test.soak.checks import check_all
-from test.soak.faults import Faults
+from test.soak.faults import Faults, remove_lone_servers
 from test.soak.history import History
 from test.soak.scene import INSTANCES, Scene, name_instances
 
@@ -58,6 +58,9 @@
     """Inject faults for some seconds while callers send requests, then let the scene recover."""
     rng = random.Random(scene.seed)
     await scene.start(environment)
+    faults = Faults(scene, rng)
+    # Without callers the entries of servers do not change, and nothing else disturbs the store.
+    await remove_lone_servers(faults)
 
     choose = functools.partial(scene.choose_instance, rng)
     callers = [
@@ -66,7 +69,6 @@
     ]
     tasks = [asyncio.create_task(caller.run()) for caller in callers]
     tasks.append(asyncio.create_task(watch(scene)))
-    faults = Faults(scene, rng)
     await faults.play(seconds)
     for name in scene.services:
         scene.programs[name].send(signal.SIGUSR1)
--- a/test/soak/scene.py
+++ b/test/soak/scene.py
@@ -3,6 +3,7 @@
 import asyncio
 import math
 import random
+import re
 import signal
 import subprocess
 import sys
@@ -34,7 +35,11 @@
 ENGINE_VERSIONS = dict(zip(ENGINES, VERSIONS[:2] * 2, strict=True))
 PLAIN_SERVERS = {"p1": "a", "p2": "b"}
 OTHER_SERVERS = {"q1": "a", "q2": "b"}
+LONE_SERVERS = {"l1": "a", "l2": "b"}
+"""Servers that are each the only one of the service of their name, and name no limits."""
+
 FIRST_MODELS = {"e1": "m1,m2,m3", "e2": "m4,m5", "e3": "m1,m2", "e4": "m1,m4"}
+HOLDER = re.compile(r"event=order_holder holder=(\S+) data_centre=(\S+) token=(\d+)")
 READY_TIMEOUT_S = 10.0
 READY_TIMEOUT_EACH_S = 1.0
 """Time for all processes to become ready, and more for each instance."""
@@ -47,10 +52,13 @@
         make_route("non_idempotent", "/u/", Service="plain"),
         make_route("streaming", "/s/", Resumable=True, TargetGapMs=500, Attempts=3, TimeoutMs=7000),
         make_route("idempotent", "/x/", Service=moved_to),
+        *(make_route("idempotent", f"/{name}/", Service=name) for name in LONE_SERVERS),
     )
     engine = make_engine_service({"m1": 9, "m2": 3, "m3": 0, "m4": 0, "m5": 0})
-    plain = [{"Name": name, "HealthCheck": "/health", "MaxConnections": 100} for name in ("plain",)]
-    plain.append({"Name": "other", "HealthCheck": "/health", "MaxConnections": 100})
+    plain = [
+        {"Name": name, "HealthCheck": "/health", "MaxConnections": 100}
+        for name in ("plain", "other", *LONE_SERVERS)
+    ]
     return make_configuration(*routes, version=version, Services=[engine, *plain])
 
 
@@ -144,7 +152,8 @@
         self.add("store", "-m", "standin.run", "store", str(self.store_port))
         await self.wait_until(lambda: call_store(self.store_port, "admit", Key="none"))
         await self.configure("plain")
-        groups = (("svc", ENGINES), ("plain", PLAIN_SERVERS), ("other", OTHER_SERVERS))
+        groups = [("svc", ENGINES), ("plain", PLAIN_SERVERS), ("other", OTHER_SERVERS)]
+        groups += [(name, {name: data_centre}) for name, data_centre in LONE_SERVERS.items()]
         for service, servers in groups:
             for name, data_centre in servers.items():
                 version = ENGINE_VERSIONS.get(name, "")
@@ -188,7 +197,7 @@
         ]
         models = FIRST_MODELS.get(name, "")
         options = ["--told-port", str(relay_port), "--models", models, "--trouble", str(self.seed)]
-        if service != "svc":
+        if service in ("plain", "other"):
             options.append("--limits")
         if version:
             options += ["--version", version]
@@ -272,6 +281,15 @@
         program.start()
         self.disrupted.discard(name)
 
+    def find_holders(self) -> list[str]:
+        """Return the order holder of each data centre, as the instances' logs name it."""
+        named: dict[str, tuple[int, str]] = {}
+        for name in self.instances:
+            for found in HOLDER.finditer(self.programs[name].output.read_text(encoding="utf-8")):
+                holder, data_centre, token = found.groups()
+                named[data_centre] = max(named.get(data_centre, (0, "")), (int(token), holder))
+        return [holder for _, holder in named.values()]
+
     @property
     def engines(self) -> list[str]:
         """Return the engines that take new requests."""
--- a/test/soak/visitors.py
+++ b/test/soak/visitors.py
@@ -44,7 +44,9 @@
 )
 QUEUED_VISITS = 6
 SLOW_FRACTION = 0.6
-"""Visits on connections that come at once, and fraction of slow streams among those of visitors."""
+ASK_INTERVAL_S = 0.05
+"""Visits on connections that come at once, fraction of slow streams among those of visitors, and
+pause of one who asks for the only server of a service."""
 
 
 async def visit_stop(scene: Scene, rng: random.Random, instance: str, stops_at: float) -> None:
@@ -80,3 +82,18 @@
             await caller.use(link, Sent.AT_ONCE)
     finally:
         link.writer.transport.abort()
+
+
+async def ask_repeatedly(scene: Scene, instance: str, server: str) -> None:
+    """Send requests for the only server of a service to an instance, until cancelled."""
+    scene.visitors += 1
+    name = f"v{scene.visitors}"
+    rng = random.Random(f"{scene.seed}{name}")
+    caller = Caller(name, rng, scene.history, functools.partial(scene.choose_instance, rng))
+    while True:
+        if (link := await connect(instance, scene.callers[instance])) is not None:
+            try:
+                await caller.send_request(link, Sent.NEW, f"/{server}/")
+            finally:
+                link.writer.transport.abort()
+        await asyncio.sleep(ASK_INTERVAL_S)
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -147,6 +147,17 @@
     assert not check_all(make_history(asked=[BROKEN_STREAM, partly, again]))
 
 
+@pytest.mark.parametrize(("sent_s", "ran_s", "told"), [(1.9, 2.2, 0), (2.1, 2.2, 1), (1.9, 2.4, 1)])
+def test_request_that_a_server_gets_after_it_has_left_is_told(sent_s, ran_s, told):
+    """Only one that ran 2.3 s after the removal was, so that 2.2 s passed."""
+    history = make_history(
+        leavings=[Leaving("p1", 8.0, 20.0)],
+        asked=[evolve(PLAIN, sent_at=8.0 + sent_s)],
+        seen=[evolve(RUN, at=8.0 + ran_s)],
+    )
+    assert len(check_all(history).get("leaving", ())) == told
+
+
 def test_share_of_streams_that_go_on_counts_where_nothing_is_disturbed():
     history = BROKEN["resumes"]
     half = [BROKEN_STREAM, *[RESUMED] * 6, *[evolve(RESUMED, status=503, body=b"")] * 6]
