--- a/test/soak/mutations.py
+++ b/test/soak/mutations.py
@@ -9,6 +9,7 @@
 ROOT = Path(__file__).parents[2]
 SERVING = "rhubarbshed/coordination/serving"
 EDGE = "rhubarbshed/transport/edge"
+ENTRY_AGE = "rhubarbshed/state/membership/entry_age.py"
 
 
 @frozen
@@ -81,6 +82,26 @@
     ),
     ("leaving", f"{EDGE}/follower.py", "elif record.missing_since is None:", "elif not server_id:"),
     ("leaving", f"{EDGE}/store.py", "era = read_era(answer.headers)", "era = None"),
+    (
+        "leaving",
+        ENTRY_AGE,
+        "        self._record_service(now, now, heartbeat_s)\n        if not misses_nothing",
+        "        if not misses_nothing",
+    ),
+    ("leaving", ENTRY_AGE, "return min(now, self.changed_since)", "return now"),
+    ("leaving", ENTRY_AGE, "heartbeat_s <= unknown_s", "0.1 <= unknown_s"),
+    (
+        "leaving",
+        ENTRY_AGE,
+        "now - measure_kept(drain_s)\n\n    def find_a",
+        "now - drain_s\n\n    def find_a",
+    ),
+    (
+        "recovery",
+        ENTRY_AGE,
+        "        if self.is_outage:\n            self._exp",
+        "        if 0:\n            self._exp",
+    ),
     (
         "holders",
         f"{EDGE}/lease.py",
