Log when a silent server is waited for again

A stream that went on at its server after others had refused it looked in the log like one that had failed there. attempt_resumed has the request, the server, and whether an event had come.

--- a/rhubarbshed/transport/edge/relay.py
+++ b/rhubarbshed/transport/edge/relay.py
@@ -643,9 +643,17 @@
     async def resume_kept(self) -> ExchangeEnd:
         """Wait for the silent server again, as no other one takes the request."""
         attempt, self.kept = self.kept, None
-        record, begun_at = attempt.record, time.monotonic()
+        record = attempt.record
+        log_event(
+            LOG,
+            logging.INFO,
+            "attempt_resumed",
+            request=self.request.request_id,
+            server=record.entry.server_id,
+            begun=int(attempt.begun),
+        )
         self.last_attempt = attempt
-        record.begin_attempt(begun_at)
+        record.begin_attempt(time.monotonic())
         self.in_flight = True
         try:
             end = await attempt.go_on(self.tries.run < self.route.attempts_max)
