Wait for a stream whose server is heard on other streams

Cause: its server had gone on 0.2 s before, and was heard on other streams. That was taken for a lost answer, so that the kept attempt was abandoned and the request sent again. An answer that has begun is not lost while its connection stands: the stream's turn comes behind the others.

Only an answer that has not begun counts as lost now if its server writes others.

test_edge_hushed_stops, a stream whose turn comes late: failed before, passes.

--- a/rhubarbshed/transport/edge/relay.py
+++ b/rhubarbshed/transport/edge/relay.py
@@ -437,8 +437,9 @@
                     self.excluded = {self.kept.record.key}
                     await asyncio.sleep(SECOND_PASS_PAUSE_S)
                     continue
-                if self.kept.was_resumed or self.kept.record.is_heard(now - SERVER_SILENCE_S):
-                    # The answer may be lost.
+                is_heard = self.kept.record.is_heard(now - SERVER_SILENCE_S)
+                if self.kept.was_resumed or (is_heard and not self.kept.begun):
+                    # An answer that has not begun at a server that writes others may be lost.
                     self.abandon_kept()
                     continue
                 end = await self.resume_kept()
--- a/test/test_edge_hushed_stops.py
+++ b/test/test_edge_hushed_stops.py
@@ -41,7 +41,10 @@
 """Retries of the budget, which ends no request of these tests."""
 
 NEIGHBOUR = b"neighbour"
-"""Body of the one request that the full server runs."""
+LATE = b"late"
+LATE_S = 0.4
+"""Body of the one request that the full server runs, and of one whose turn comes late behind a
+silence, with the time that this takes."""
 
 CENTRES = {"tried": "ba", "untried": "ab"}
 """Data centres of the two servers with which requests try the full one first, or the other one."""
@@ -82,8 +85,9 @@
     async def wait(self, exchange: Exchange, after_s: float = 0.0) -> None:
         """Wait for a time, and for the end of a silence."""
         await asyncio.sleep(after_s)
-        if exchange.replica is self.edge.replicas[0]:
+        if exchange.replica is self.edge.replicas[0] and not self.awake.is_set():
             await self.awake.wait()
+            await asyncio.sleep(LATE_S if exchange.body == LATE else 0.0)
 
     def ask(self, path: str, body: bytes = b"x") -> asyncio.Task[Answer]:
         """Send a request."""
@@ -225,6 +229,21 @@
     play(scene)
 
 
+def test_stream_whose_turn_comes_late_behind_a_silence_goes_on():
+    """Its server was heard on other streams by then, which was taken for a lost answer."""
+
+    async def scene():
+        async with run_busy_servers("untried", heard=True) as servers:
+            asked = [servers.ask("/s/x", body) for body in (b"x", LATE, b"x")]
+            await asyncio.sleep(0.2)
+            stop(servers.edge, ANNOUNCE_S, DRAIN_S)
+            silence = asyncio.create_task(servers.be_silent(0.3, for_s=1.3))
+            assert list_ends(await asyncio.gather(*asked)) == [(200, True)] * len(asked)
+            await silence
+
+    play(scene)
+
+
 def test_silent_server_is_left_soon_once_another_one_has_the_stream():
     """Its answer is kept while the other server may refuse; two may not work on a stream."""
 
