--- a/test/test_edge_hushed_stops.py
+++ b/test/test_edge_hushed_stops.py
@@ -34,6 +34,9 @@
 LEFT_S = 0.4
 """Time in which a server begins a stream, and after which no other one may work on it still."""
 
+LONG_SILENCE_S = 1.65
+"""Silence that is longer than a stream stays at its server without being kept."""
+
 SLOTS = 64
 """Slots that both servers announce; neither is full by what an instance knows."""
 
@@ -253,3 +256,108 @@
             assert list_ends([await asked]) == [(200, True)]
 
     play(scene)
+
+
+def test_stream_outlasts_a_second_silence():
+    """It was resumed after the first one only, and reset in the second."""
+
+    async def scene():
+        begun: list[str] = []
+
+        async def fall_silent_twice(exchange: Exchange) -> None:
+            if exchange.request_id in begun:
+                exchange.refuse()
+                return
+            begun.append(exchange.request_id)
+            exchange.begin_stream()
+            for number in range(1, 4):
+                exchange.send_event(number)
+                await asyncio.sleep(LONG_SILENCE_S if number < 3 else 0.0)
+            exchange.end_stream()
+
+        async def refuse(exchange: Exchange) -> None:
+            exchange.refuse()
+
+        replicas = [
+            Replica("b1", reply=fall_silent_twice, slots=SLOTS),
+            Replica("b2", reply=refuse, slots=SLOTS, data_centre="b"),
+        ]
+        configuration = make_configuration(*ROUTES)
+        async with run_edge(configuration, *replicas, retry_extra=RETRIES) as edge:
+            assert list_ends([await edge.ask("/s/x", b"x")]) == [(200, True)]
+
+    play(scene)
+
+
+@pytest.mark.parametrize("woken_after_s", (1.52, 1.54))
+def test_stream_is_not_left_as_its_server_goes_on_with_another_one(woken_after_s):
+    """What the server sent on another stream made its kept answer count as lost."""
+
+    async def scene():
+        awake = asyncio.Event()
+        begun: list[str] = []
+
+        async def fall_silent(exchange: Exchange) -> None:
+            if exchange.body == NEIGHBOUR or exchange.request_id in begun:
+                exchange.refuse()
+                return
+            begun.append(exchange.request_id)
+            exchange.begin_stream()
+            exchange.send_event(1)
+            await awake.wait()
+            exchange.send_event(2)
+            exchange.end_stream()
+
+        async def run_neighbour(exchange: Exchange) -> None:
+            if exchange.body != NEIGHBOUR:
+                exchange.refuse()
+                return
+            exchange.begin_stream()
+            for number in range(1, EVENTS + 1):
+                exchange.send_event(number)
+                await asyncio.sleep(GAP_S)
+            exchange.end_stream()
+
+        replicas = [
+            Replica("b1", reply=fall_silent, slots=SLOTS),
+            Replica("b2", reply=run_neighbour, slots=SLOTS, data_centre="b"),
+        ]
+        configuration = make_configuration(*ROUTES)
+        async with run_edge(configuration, *replicas, retry_extra=RETRIES) as edge:
+            other = asyncio.create_task(edge.ask("/n/x", NEIGHBOUR))
+            await asyncio.sleep(0.1)
+            first = asyncio.create_task(edge.ask("/s/x", b"x"))
+            await edge.wait_until(lambda: begun)
+            begun_at = time.monotonic()
+            await asyncio.sleep(0.1)
+            later = asyncio.create_task(edge.ask("/s/x", b"x"))
+            await edge.wait_until(lambda: len(begun) == 2)
+            await asyncio.sleep(begun_at + woken_after_s - time.monotonic())
+            awake.set()
+            assert list_ends(await asyncio.gather(first, later)) == [(200, True)] * 2
+            await other
+
+    play(scene)
+
+
+def test_end_without_an_answer_is_not_waited_for_until_the_deadline():
+    """A lost answer was waited for without a limit once the other server had broken off."""
+
+    async def scene():
+        async def answer_nothing(exchange: Exchange) -> None:
+            await asyncio.sleep(60.0)
+
+        async def reset(exchange: Exchange) -> None:
+            exchange.reset()
+
+        replicas = [
+            Replica("b1", reply=answer_nothing),
+            Replica("b2", reply=reset, data_centre="b"),
+        ]
+        configuration = make_configuration(*ROUTES)
+        async with run_edge(configuration, *replicas, retry_extra=RETRIES) as edge:
+            begun_at = time.monotonic()
+            assert list_ends([await edge.ask("/p/x", b"x")]) == [(502, True)]
+            assert time.monotonic() - begun_at < 2.5
+
+    play(scene)
