--- a/test/test_edge_crashes.py
+++ b/test/test_edge_crashes.py
@@ -394,3 +394,30 @@
             assert len(scene.crashed) <= ENDED_MAX
 
     play(run)
+
+
+def test_request_that_ends_servers_after_a_silence_is_stopped():
+    """The end of a server that had been silent and was waited for again counted for nothing."""
+
+    async def run():
+        running: list[str] = []
+
+        async with run_crash_scene(6) as scene:
+            scene.run_s = 1.2
+            crash = scene.reply
+
+            async def crash_one_at_a_time(exchange):
+                if running and running[-1] not in scene.crashed:
+                    exchange.refuse()
+                    return
+                running.append(exchange.replica.server_id)
+                await crash(exchange)
+
+            for number in range(5):
+                for replica in scene.replicas.values():
+                    replica.reply = crash_one_at_a_time
+                await scene.ask(("a1", "a2")[number % 2], "/p/x", b"deadly")
+                await asyncio.sleep(GAP_S)
+            assert len(scene.crashed) <= ENDED_MAX
+
+    play(run)
--- a/test/test_edge_hushed_stops.py
+++ b/test/test_edge_hushed_stops.py
@@ -340,24 +340,76 @@
     play(scene)
 
 
-def test_end_without_an_answer_is_not_waited_for_until_the_deadline():
-    """A lost answer was waited for without a limit once the other server had broken off."""
+def test_lost_answer_of_a_server_that_is_heard_is_not_waited_for():
+    """It was waited for until the deadline once the other server had broken off."""
 
     async def scene():
-        async def answer_nothing(exchange: Exchange) -> None:
-            await asyncio.sleep(60.0)
+        async def lose_answer(exchange: Exchange) -> None:
+            if exchange.body == NEIGHBOUR:
+                exchange.answer(200, b"done")
 
         async def reset(exchange: Exchange) -> None:
             exchange.reset()
 
         replicas = [
-            Replica("b1", reply=answer_nothing),
-            Replica("b2", reply=reset, data_centre="b"),
+            Replica("b1", reply=lose_answer, slots=SLOTS),
+            Replica("b2", reply=reset, slots=SLOTS, data_centre="b"),
         ]
         configuration = make_configuration(*ROUTES)
         async with run_edge(configuration, *replicas, retry_extra=RETRIES) as edge:
+
             begun_at = time.monotonic()
-            assert list_ends([await edge.ask("/p/x", b"x")]) == [(502, True)]
-            assert time.monotonic() - begun_at < 2.5
+            asked = asyncio.create_task(edge.ask("/p/x", b"x"))
+            for _ in range(7):
+                await asyncio.sleep(0.1)
+                await edge.ask("/p/x", NEIGHBOUR)
+            assert list_ends([await asked]) == [(502, True)]
+            assert time.monotonic() - begun_at < 2.0
+
+    play(scene)
+
+
+def test_silent_server_is_not_left_to_another_silent_one():
+    """That one was among those that were asked once more, and kept the request until it refused."""
+
+    async def scene():
+        awake = asyncio.Event()
+        awake.set()
+        begun: list[str] = []
+
+        async def reply(exchange: Exchange) -> None:
+            name = exchange.replica.server_id
+            if exchange.target == "/n/x" and exchange.body.decode() == name:
+                exchange.begin_stream()
+                for number in range(1, EVENTS + 1):
+                    exchange.send_event(number)
+                    await asyncio.sleep(GAP_S)
+                    if name != "full":
+                        await awake.wait()
+                exchange.end_stream()
+                return
+            if name != "full":
+                await awake.wait()
+            if exchange.target == "/n/x" or name != "first" or exchange.request_id in begun:
+                exchange.refuse()
+                return
+            begun.append(exchange.request_id)
+            exchange.answer(200, b"done")
+
+        replicas = [
+            Replica("first", reply=reply, slots=SLOTS),
+            Replica("other", reply=reply, slots=SLOTS),
+            Replica("full", reply=reply, slots=SLOTS, data_centre="b"),
+        ]
+        configuration = make_configuration(make_route("idempotent", "/p/", Attempts=3), ROUTES[2])
+        async with run_edge(configuration, *replicas, retry_extra=RETRIES) as edge:
+            streams = [asyncio.create_task(edge.ask("/n/x", name)) for name in (b"other", b"full")]
+            await asyncio.sleep(0.3)
+            awake.clear()
+            asked = asyncio.create_task(edge.ask("/p/x", b"x"))
+            await asyncio.sleep(1.3)
+            awake.set()
+            assert list_ends([await asked]) == [(200, True)]
+            await asyncio.gather(*streams)
 
     play(scene)
