Resume a kept attempt whose answer has come, and no lost one

Found by a review of kept attempts. And a lost answer was waited for until the deadline once the other server had broken off, 504 after 4.0 s in place of 502 after 0.8 s, as one of two places did not ask whether the server is heard.

One decision now, may_resume: unread bytes or an ended connection are looked at in any case; else an attempt is resumed once, and not if its answer has not begun at a server that writes others.

--- a/rhubarbshed/transport/edge/channels.py
+++ b/rhubarbshed/transport/edge/channels.py
@@ -113,6 +113,11 @@
             return False
         return self.idle_max_s is None or now - self.idle_since < self.idle_max_s
 
+    @property
+    def has_news(self) -> bool:
+        """Return whether bytes have come that nobody has read, or the connection has ended."""
+        return bool(self._received) or self._closed
+
     def has_carried(self, request_id: str) -> bool:
         """Return whether an attempt of a request was sent on this connection.
 
--- a/rhubarbshed/transport/edge/relay.py
+++ b/rhubarbshed/transport/edge/relay.py
@@ -437,9 +437,7 @@
                     self.excluded = {self.kept.record.key}
                     await asyncio.sleep(SECOND_PASS_PAUSE_S)
                     continue
-                is_heard = self.kept.record.is_heard(now - SERVER_SILENCE_S)
-                if self.kept.was_resumed or (is_heard and not self.kept.begun):
-                    # An answer that has not begun at a server that writes others may be lost.
+                if not self.may_resume(now):
                     self.abandon_kept()
                     continue
                 end = await self.resume_kept()
@@ -491,7 +489,7 @@
             if not await self.check_origin(self.last_attempt):
                 return self.give_up("version_unknown")
             reason = self.check_retry(end, time.monotonic())
-            if reason is not None and self.kept is not None and not self.kept.was_resumed:
+            if reason is not None and self.kept is not None and self.may_resume(time.monotonic()):
                 end = await self.resume_kept()
                 if end is ExchangeEnd.DONE:
                     return None
@@ -641,6 +639,15 @@
             self.relay.count_run(self.service, self.request.model, self.request.adapter, run_s)
         return end
 
+    def may_resume(self, now: float) -> bool:
+        """Return whether the silent server may still answer.
+
+        An answer that has not begun at a server that writes others may be lost.
+        """
+        kept = self.kept
+        is_lost = not kept.begun and kept.record.is_heard(now - SERVER_SILENCE_S)
+        return kept.channel.has_news or not (kept.was_resumed or is_lost)
+
     async def resume_kept(self) -> ExchangeEnd:
         """Wait for the silent server again, as no other one takes the request."""
         attempt, self.kept = self.kept, None
