Take each silence of a server for a new one

Cause: an attempt was resumed once in all, whatever its server had sent since.

test_edge_hushed_stops, a second silence: failed on.

--- a/rhubarbshed/transport/edge/attempts.py
+++ b/rhubarbshed/transport/edge/attempts.py
@@ -289,6 +289,7 @@
         if self.record is None:
             return
         self.record.heard_at = time.monotonic()
+        self.was_resumed = False
         if self.silent:
             self.silent = False
             self.record.end_pause()
--- a/rhubarbshed/transport/edge/relay.py
+++ b/rhubarbshed/transport/edge/relay.py
@@ -674,6 +674,8 @@
             log_failed_attempt(self, attempt, end, time.monotonic())
         if attempt.is_kept:
             self.kept = attempt
+            # Each silence of a server that has written since is a new one.
+            self.others_asked_again = self.others_asked_again and attempt.was_resumed
         return end
 
     def limit_kept(self) -> None:
