Leave no silent server for another silent one

Cause: who was full is asked once more, and the servers that are silent to other requests were asked with them.

test_edge_hushed_stops, another silent server: failed on.

--- a/rhubarbshed/transport/edge/relay.py
+++ b/rhubarbshed/transport/edge/relay.py
@@ -434,7 +434,7 @@
                 if not self.others_asked_again:
                     # Who was full for a moment is asked once more, but not the silent server.
                     self.others_asked_again = True
-                    self.excluded = {self.kept.record.key}
+                    self.excluded = self.list_silent(self.kept.record, now) | {self.kept.record.key}
                     await asyncio.sleep(SECOND_PASS_PAUSE_S)
                     continue
                 if not self.may_resume(now):
