Count a crash under a resumed attempt as one under its request

Cause: the end of an attempt that was given up and resumed is where the crash shows, and it was not recorded.

test_edge_crashes, ends servers after a silence: five servers were down, three are allowed.

--- a/rhubarbshed/transport/edge/relay.py
+++ b/rhubarbshed/transport/edge/relay.py
@@ -672,6 +672,7 @@
             record.record_end(False, time.monotonic())
         else:
             log_failed_attempt(self, attempt, end, time.monotonic())
+        self.relay.crashes.record_attempt(self.request, attempt, end, time.monotonic())
         if attempt.is_kept:
             self.kept = attempt
             # Each silence of a server that has written since is a new one.
