Check the version of a server whose resumed stream breaks off

By reading (a review): a stream that went on at a silent server and broke off there went on at another server without the check whether the first one had started again with another version. Every other broken stream is checked; this one is now. There is no test of this order of events yet.

--- a/rhubarbshed/transport/edge/relay.py
+++ b/rhubarbshed/transport/edge/relay.py
@@ -443,6 +443,8 @@
                 end = await self.resume_kept()
                 if end is ExchangeEnd.DONE:
                     return None
+                if not await self.check_origin(self.last_attempt):
+                    return self.give_up("version_unknown")
                 if (reason := self.check_retry(end, time.monotonic())) is not None:
                     return self.give_up(reason)
                 continue
