Read server loads that state a fourth figure

Cause: a load header of four figures was discarded whole.

Change: the header is read with three or four figures into StatedLoad. One with odd figures is left out and counted as rhubarbshed_unreadable_total{kind="load"}. Nothing uses the fourth figure yet.

The new cases fail on the code before.

--- a/rhubarbshed/platform/headers.py
+++ b/rhubarbshed/platform/headers.py
@@ -5,7 +5,7 @@
 
 from attrs import evolve
 
-from rhubarbshed.protocol.exchanges import CallerRequest, Headers, ResponseHead
+from rhubarbshed.protocol.exchanges import CallerRequest, Headers, ResponseHead, StatedLoad
 from rhubarbshed.protocol.forwarding import ATTEMPTS_LEFT, DECLINED, PROBE_WAIT_MS
 from rhubarbshed.protocol.holder_checks import LOAD_MAX
 
@@ -60,6 +60,11 @@
 )
 STATUS_MISDIRECTED = 421
 
+SLOWNESS_USUAL = 100.0
+SLOWNESS_MAX = 100_000.0
+"""Figure of a server's load at which work takes as long as usual, and the greatest one that counts
+as readable: work that takes a thousand times as long."""
+
 
 def strip_hop_by_hop(headers: Iterable[tuple[bytes, bytes]]) -> Headers:
     """Return the headers to forward, without those that apply to one connection only."""
@@ -145,6 +150,7 @@
     """Decode the head of a backend server's response."""
     pairs = tuple(headers)
     values = {name.lower(): value for name, value in pairs}
+    load = _read_load(values.get(SERVER_LOAD, b""))
     return ResponseHead(
         status=status,
         headers=strip_hop_by_hop(pairs),
@@ -153,7 +159,8 @@
         not_run=NOT_EXECUTED in values or status == STATUS_MISDIRECTED,
         encoded=b"content-encoding" in values,
         server_id=values.get(INSTANCE_ID, b"").decode("latin-1"),
-        load=_read_load(values.get(SERVER_LOAD, b"")),
+        load=load,
+        has_odd_load=load is None and SERVER_LOAD in values,
         rejections_borne=_read_number(values.get(SERVER_BRITTLE, b"")),
         names_limit=SERVER_LIMIT in values,
         limit_per_s=_read_limit(values.get(SERVER_LIMIT, b"")),
@@ -211,9 +218,16 @@
     return tuple(parts)
 
 
-def _read_load(value: bytes) -> tuple[int, int, int] | None:
+def _read_load(value: bytes) -> StatedLoad | None:
+    """Return a load of three or four figures; None if any of them is out of its bounds."""
     numbers = [_read_number(item) for item in value.split(b",")]
-    if len(numbers) != 3 or None in numbers:
+    if len(numbers) not in (3, 4) or None in numbers:
+        return None
+    running, waiting, slots = (int(number) for number in numbers[:3])
+    if running + waiting > LOAD_MAX:
+        return None
+    if len(numbers) == 3:
+        return StatedLoad(running, waiting, slots)
+    if not 0.0 < numbers[3] <= SLOWNESS_MAX:
         return None
-    running, waiting, slots = (int(number) for number in numbers if number is not None)
-    return (running, waiting, slots) if running + waiting <= LOAD_MAX else None
+    return StatedLoad(running, waiting, slots, numbers[3] / SLOWNESS_USUAL)
--- a/rhubarbshed/protocol/exchanges.py
+++ b/rhubarbshed/protocol/exchanges.py
@@ -73,16 +73,31 @@
         return evolve(self, body=body)
 
 
+@frozen
+class StatedLoad:
+    """Load that a server states: requests running and waiting, and its slots.
+
+    `slowness` is how long work takes on its machine at this moment, 1.0 as usual; None if the
+    server does not state it.
+    """
+
+    running: int
+    waiting: int
+    slots: int
+    slowness: float | None = None
+
+
 @frozen
 class ResponseHead:
     """Head of a backend server's response.
 
     `request_id` is the one that the server echoes. `not_run` means that the server says it did not
-    run the request. `server_id` is set if another server now has the address. `load` is (running,
-    waiting, slots). `rejections_borne` is how many requests a brittle server may turn away in a
-    second, None if it is not brittle. `names_limit` means that it names the requests a second that
-    it takes from all instances, `limit_per_s` if that can be read. `declined` means that another
-    instance may serve the request. `leaving` means that the server takes no more requests soon.
+    run the request. `server_id` is set if another server now has the address. `load` is None if the
+    server states none that can be read, which `has_odd_load` tells apart. `rejections_borne` is how
+    many requests a brittle server may turn away in a second, None if it is not brittle.
+    `names_limit` means that it names the requests a second that it takes from all instances,
+    `limit_per_s` if that can be read. `declined` means that another instance may serve the request.
+    `leaving` means that the server takes no more requests soon.
     """
 
     status: int
@@ -92,7 +107,8 @@
     not_run: bool = False
     encoded: bool = False
     server_id: str = ""
-    load: tuple[int, int, int] | None = None
+    load: StatedLoad | None = None
+    has_odd_load: bool = False
     rejections_borne: float | None = None
     names_limit: bool = False
     limit_per_s: float | None = None
--- a/rhubarbshed/transport/edge/attempts.py
+++ b/rhubarbshed/transport/edge/attempts.py
@@ -256,7 +256,9 @@
             if self.record is None and not head.signed:
                 return await self.read_instance_error(response, head)
             if head.load is not None and self.record is not None:
-                self.record.record_load_sample(head.load[0], head.load[1], time.monotonic())
+                self.record.record_load_sample(
+                    head.load.running, head.load.waiting, time.monotonic()
+                )
             if self.record is not None:
                 apply_brittleness(self.record, head.rejections_borne)
             self.on_head(head)
--- a/rhubarbshed/transport/edge/relay.py
+++ b/rhubarbshed/transport/edge/relay.py
@@ -695,6 +695,8 @@
     def note_head(self, record: ServerRecord, head: ResponseHead, sent_at: float) -> None:
         """Record what the head of a response says of its server."""
         self.relay.limits.record_head(record, head, sent_at)
+        if head.has_odd_load:
+            self.relay.metrics.count_unreadable("load")
         if head.backoff_s:
             self.relay.view.record_backoff(record, head.backoff_s, time.monotonic())
 
--- a/test/test_odd_messages.py
+++ b/test/test_odd_messages.py
@@ -14,6 +14,7 @@
 from rhubarbshed.platform.headers import SERVER_LOAD, read_head
 from rhubarbshed.platform.rows import OWN_TABLE, QUARANTINE_TABLE
 from rhubarbshed.protocol.crash_messages import CrashMessage
+from rhubarbshed.protocol.exchanges import StatedLoad
 from rhubarbshed.protocol.messages import (
     FORMAT,
     KINDS,
@@ -164,11 +165,35 @@
 def test_load_that_others_would_refuse_is_not_sent(load):
     """One server's header made all of the message unreadable."""
     head = read_head(200, ((SERVER_LOAD, load),))
-    loads = (("b1", sum(head.load[:2])),) if head.load is not None else ()
+    loads = (("b1", head.load.running + head.load.waiting),) if head.load is not None else ()
     message = DemandMessage("i1", "a", loads=loads)
     assert unpack_message(pack_message(message)) == Success(message)
 
 
+@pytest.mark.parametrize(
+    ("figures", "load"),
+    [
+        (b"3,1,8", StatedLoad(3, 1, 8)),
+        (b"3,1,8,100", StatedLoad(3, 1, 8, 1.0)),
+        (b"3, 1, 8, 250", StatedLoad(3, 1, 8, 2.5)),
+        (b"3,1,8,62.5", StatedLoad(3, 1, 8, 0.625)),
+        (b"3,1", None),
+        (b"3,1,8,100,1", None),
+        (b"3,1,8,", None),
+        (b"3,1,8,0", None),
+        (b"3,1,8,-60", None),
+        (b"3,1,8,nan", None),
+        (b"3,1,8,inf", None),
+        (b"3,1,8,1e8", None),
+    ],
+)
+def test_load_of_four_figures_is_read_and_an_odd_one_is_noted(figures, load):
+    """Loads with a fourth figure were discarded, so no load of those servers was known."""
+    head = read_head(200, ((SERVER_LOAD, figures),))
+    assert (head.load, head.has_odd_load) == (load, load is None)
+    assert not read_head(200, ()).has_odd_load
+
+
 @pytest.mark.parametrize("name", ["whole", *LEASE])
 def test_odd_value_in_a_lease_row_cuts_off_no_instance(name):
     template = PLACE if name == "whole" else {**LEASE, name: PLACE}
