Split the relay of requests into the steps of a request

Change: the steps are functions in modules of their own, called in the order in which they happen. The state of a request and the parts that it uses are in modules below them, so no import cycle is left, also under TYPE_CHECKING. No behaviour changes. Tests that replaced methods replace the functions in their place.

--- a/rhubarbshed/transport/edge/attempts.py
+++ b/rhubarbshed/transport/edge/attempts.py
@@ -16,6 +16,7 @@
 from rhubarbshed.protocol.exchanges import ExchangeEnd, Headers, ResponseHead
 from rhubarbshed.protocol.streams import StreamOrigin
 from rhubarbshed.state.membership.fleet import ServerRecord
+from rhubarbshed.transport.edge.attempt_logs import log_skipped
 from rhubarbshed.transport.edge.caller_responses import CallerResponse
 from rhubarbshed.transport.edge.channels import (
     UNUSED_BODY_S,
@@ -27,7 +28,6 @@
     NotListeningError,
 )
 from rhubarbshed.transport.edge.pools import Address, Pool
-from rhubarbshed.transport.edge.request_logs import log_skipped
 from rhubarbshed.transport.edge.silence import SilenceTimer
 from rhubarbshed.transport.edge.streams import (
     TAIL_BYTES,
@@ -331,7 +331,7 @@
             if not head.request_id:
                 self.check_unnamed(head)
                 return response, head
-            log_skipped(self, head)
+            log_skipped(self.caller_response.request, self.record, self.channel, head)
             if not await self.skip_body(SKIPPED_BYTES_MAX, SKIPPED_S):
                 raise MalformedAnswerError("an answer to another request without an end")
             self.channel.skip_answer()
--- a/rhubarbshed/transport/edge/continuations.py
+++ b/rhubarbshed/transport/edge/continuations.py
@@ -2,8 +2,6 @@
 
 import logging
 import time
-from collections.abc import Awaitable, Callable
-from typing import TYPE_CHECKING
 
 from rhubarbshed.coordination.serving.refusals import make_refusal
 from rhubarbshed.coordination.serving.versions import (
@@ -17,45 +15,19 @@
 from rhubarbshed.protocol.routes import Route
 from rhubarbshed.protocol.streams import StreamLookup, StreamOrigin
 from rhubarbshed.state.requests.stream_origins import STREAM_AGE_MAX_S
+from rhubarbshed.transport.edge.relay_parts import NOT_FOUND
+from rhubarbshed.transport.edge.request_progress import RequestProgress
 from rhubarbshed.util.logs import log_event
 
-if TYPE_CHECKING:
-    from rhubarbshed.transport.edge.relay import RequestProgress
-
 LOG = logging.getLogger(__name__)
 
-RecordStream = Callable[[str, StreamOrigin, float], None]
-"""Recorder of the origin of a stream: id, origin, monotonic seconds."""
-
-FindStream = Callable[[str, float], Awaitable[StreamLookup]]
-"""Search for the origin of a stream: id, monotonic seconds."""
-
-ConfirmEntries = Callable[[], Awaitable[bool]]
-"""Read of the versions of all entries up to now; False if that was not possible."""
-
-NOT_FOUND = StreamLookup(None)
-
-
-def record_nothing(stream_id: str, origin: StreamOrigin, now: float) -> None:
-    """Record no origin; for an instance without a registry of streams."""
-
-
-async def find_nothing(stream_id: str, now: float) -> StreamLookup:
-    """Find no origin; for an instance without a registry of streams."""
-    return NOT_FOUND
-
-
-async def confirm_nothing() -> bool:
-    """Confirm no entries; for an instance that does not follow any."""
-    return False
-
 
 def is_continuation(request: CallerRequest, route: Route) -> bool:
     """Return whether a request takes up a stream."""
     return route.streamed and request.takes_up_stream
 
 
-async def decide_stream(progress: "RequestProgress") -> RequestError | None:
+async def decide_stream(progress: RequestProgress) -> RequestError | None:
     """Find who may continue the stream that a request takes up; return its refusal, if any."""
     request, route, view = progress.request, progress.route, progress.relay.view
     if not is_continuation(request, route):
@@ -86,7 +58,7 @@
     return make_refusal(continuation.refusal_reason, view.rng)
 
 
-def log_refused(progress: "RequestProgress", lookup: StreamLookup, now: float) -> None:
+def log_refused(progress: RequestProgress, lookup: StreamLookup, now: float) -> None:
     """Log what is known of the versions that may have begun a refused stream."""
     request, service, view = progress.request, progress.service, progress.relay.view
     seen = view.versions.list_seen(view.fleet, now - STREAM_AGE_MAX_S) | lookup.versions
@@ -106,7 +78,7 @@
     )
 
 
-def record_origin(progress: "RequestProgress", origin: StreamOrigin) -> None:
+def record_origin(progress: RequestProgress, origin: StreamOrigin) -> None:
     """Record the origin of a stream when the head of its first response goes out."""
     request = progress.request
     stream_ids = {request.stream_id}
--- a/rhubarbshed/transport/edge/node.py
+++ b/rhubarbshed/transport/edge/node.py
@@ -31,7 +31,7 @@
 from rhubarbshed.transport.edge.crash_registry import CrashRegistry
 from rhubarbshed.transport.edge.entry_checks import EntryCheck
 from rhubarbshed.transport.edge.follower import Follower
-from rhubarbshed.transport.edge.forwarding import Forwarder
+from rhubarbshed.transport.edge.forwarder import Forwarder
 from rhubarbshed.transport.edge.holder_protocol import HolderProtocol
 from rhubarbshed.transport.edge.instance_lists import InstanceLists
 from rhubarbshed.transport.edge.lease import LeaseClient
--- a/rhubarbshed/transport/edge/request_logs.py
+++ b/rhubarbshed/transport/edge/request_logs.py
@@ -1,46 +1,21 @@
 """Log lines on the ends of requests."""
 
-import enum
 import logging
-from typing import TYPE_CHECKING
 
 from rhubarbshed.protocol.errors import RequestError
-from rhubarbshed.protocol.exchanges import ExchangeEnd, ResponseHead
+from rhubarbshed.protocol.exchanges import ExchangeEnd
+from rhubarbshed.transport.edge.attempts import Attempt
 from rhubarbshed.transport.edge.continuations import is_continuation, name_outcome
+from rhubarbshed.transport.edge.request_progress import RequestProgress, Stage
 from rhubarbshed.util.logs import log_event
 
-if TYPE_CHECKING:
-    from rhubarbshed.transport.edge.attempts import Attempt
-    from rhubarbshed.transport.edge.relay import RequestProgress
-
 LOG = logging.getLogger(__name__)
 
 PARTS_LOGGED_MAX = 8
 """Most parts of a prompt in a line of the log."""
 
 
-class Stage(enum.Enum):
-    """What a request is waiting for."""
-
-    CHOICE = "choice"
-    LOOKUP = "lookup"
-    LOAD = "load"
-    SLOT = "slot"
-    PAUSE = "pause"
-    CONNECTION = "connection"
-    RESPONSE = "response"
-    BODY = "body"
-
-
-class Repeat(enum.Enum):
-    """Whether a request that was ended may be sent again, by what is known here."""
-
-    NOT_RUN = "not_run"
-    REPEATABLE = "repeatable"
-    NOT_REPEATABLE = "not_repeatable"
-
-
-def find_stage(progress: "RequestProgress") -> Stage:
+def find_stage(progress: RequestProgress) -> Stage:
     """Return what a request is waiting for: a decision, or an attempt's next step."""
     attempt = progress.last_attempt
     if not progress.in_flight or attempt is None:
@@ -51,7 +26,7 @@
 
 
 def log_failed_attempt(
-    progress: "RequestProgress", attempt: "Attempt", end: ExchangeEnd, now: float
+    progress: RequestProgress, attempt: Attempt, end: ExchangeEnd, now: float
 ) -> None:
     """Log why a server did not answer; a fingerprint tells which tries are of one request."""
     request = progress.request
@@ -74,29 +49,13 @@
     log_event(LOG, logging.INFO, "attempt_failed", **fields)
 
 
-def measure_body(attempt: "Attempt", now: float) -> int | str:
+def measure_body(attempt: Attempt, now: float) -> int | str:
     """Return the milliseconds since an attempt's response began, "" if it did not."""
     return "" if attempt.head_at is None else round((now - attempt.head_at) * 1000)
 
 
-def log_skipped(attempt: "Attempt", head: ResponseHead) -> None:
-    """Log a response to another request in place of the one expected."""
-    channel = attempt.channel
-    log_event(
-        LOG,
-        logging.INFO,
-        "response_skipped",
-        request=attempt.caller_response.request.request_id,
-        server=attempt.record.entry.server_id if attempt.record is not None else "",
-        named=head.request_id,
-        status=head.status,
-        earlier=int(channel.has_carried(head.request_id)),
-        conn_request=channel.exchanges,
-    )
-
-
 def log_end(
-    progress: "RequestProgress", outcome: str, error: RequestError | None, now: float
+    progress: RequestProgress, outcome: str, error: RequestError | None, now: float
 ) -> None:
     """Count the end of a request, and log the line that shows an operator what decided on it."""
     view = progress.relay.view
@@ -163,7 +122,7 @@
     log_event(LOG, logging.INFO, "request_ended", **fields)
 
 
-def name_load_wait(progress: "RequestProgress", status: int) -> str:
+def name_load_wait(progress: RequestProgress, status: int) -> str:
     """Return what became of a request that waited for a load."""
     response = progress.caller_response
     if response is None or response.first_at is None or not 200 <= status < 300:
@@ -172,7 +131,7 @@
     return "on_time" if first_s <= progress.route.target_s else "late"
 
 
-def count_stream(progress: "RequestProgress", error: RequestError | None) -> dict[str, object]:
+def count_stream(progress: RequestProgress, error: RequestError | None) -> dict[str, object]:
     """Count what became of a request's stream; return the fields for its log line."""
     request, response = progress.request, progress.caller_response
     # A route may have lost `Resumable` since a stream began whose origin is known.
--- a/test/soak/mutations.py
+++ b/test/soak/mutations.py
@@ -32,9 +32,9 @@
     ),
     (
         "not_run",
-        f"{EDGE}/relay.py",
-        "if self.tries.run > 0:\n            return",
-        "if 0:\n            return",
+        f"{EDGE}/final_answers.py",
+        "if progress.tries.run > 0:\n        return",
+        "if 0:\n        return",
     ),
     (
         "not_run",
--- a/test/test_edge_changes.py
+++ b/test/test_edge_changes.py
@@ -5,9 +5,9 @@
 
 import pytest
 
+from rhubarbshed.transport.edge import server_attempts
 from rhubarbshed.transport.edge.channels import ChannelError
 from rhubarbshed.transport.edge.pools import Pool
-from rhubarbshed.transport.edge.relay import RequestProgress
 from standin.replica import Exchange, Replica, Reply
 from test.helper_edge import (
     HOST,
@@ -326,7 +326,7 @@
                 edge.node.relay.count_demand = fail
             elif where == "sent":
                 replica.reply = break_off
-                monkeypatch.setattr(RequestProgress, "note_end", fail)
+                monkeypatch.setattr(server_attempts, "note_end", fail)
             else:
                 edge.node.relay.count_run = fail
             answer = await edge.ask("/u/x", b"x", Rhubarbshed_Model="m1")
--- a/test/test_edge_closing.py
+++ b/test/test_edge_closing.py
@@ -10,9 +10,9 @@
 import pytest
 
 from rhubarbshed.coordination.requests.drain import DRAINING_MESSAGE
-from rhubarbshed.transport.edge import caller_connections, node
+from rhubarbshed.transport.edge import caller_connections, final_answers, node, relay
 from rhubarbshed.transport.edge.caller_connections import CallerConnection
-from rhubarbshed.transport.edge.relay import RequestProgress
+from rhubarbshed.transport.edge.request_progress import RequestProgress
 from rhubarbshed.transport.edge.sockets import LINGER_NONE
 from rhubarbshed.transport.edge.view import ANNOUNCE_S as ANNOUNCED_S
 from standin.replica import Exchange, Replica
@@ -83,7 +83,9 @@
 @pytest.mark.parametrize("part", ("refusal", "answer"))
 def test_defect_at_the_end_of_the_drain_leaves_other_requests_answered(part, monkeypatch, caplog):
     """An exception at one connection or request ended the drain before the others."""
-    owner, name = (CallerConnection, "refuse") if part == "refusal" else (RequestProgress, "answer")
+    owner, name = (
+        (CallerConnection, "refuse") if part == "refusal" else (final_answers, "answer_error")
+    )
     real, failed = getattr(owner, name), []
 
     def fail_once(self, *args: object) -> None:
@@ -363,13 +365,13 @@
         replica = Replica("b1", reply=hang)
         async with run_edge(make_configuration(*ROUTES), replica) as edge:
             caller = await Caller.connect(edge)
-            real = RequestProgress.cut_off
+            real = relay.cut_off_request
 
-            def cut_off(self) -> None:
+            def cut_off(progress: RequestProgress) -> None:
                 caller.writer.write(make_request("/p/x", name="next"))
-                real(self)
+                real(progress)
 
-            monkeypatch.setattr(RequestProgress, "cut_off", cut_off)
+            monkeypatch.setattr(relay, "cut_off_request", cut_off)
             caller.send(make_request("/p/x"))
             await edge.wait_until(lambda: len(replica.got) == 1)
             stop(edge)
--- a/test/test_edge_cut_off.py
+++ b/test/test_edge_cut_off.py
@@ -9,9 +9,9 @@
 from rhubarbshed.coordination.serving.reachability import Reachability
 from rhubarbshed.coordination.serving.refusals import make_refusal
 from rhubarbshed.protocol.exchanges import ExchangeEnd
+from rhubarbshed.transport.edge import forwarding
 from rhubarbshed.transport.edge.caller_connections import CallerConnection
 from rhubarbshed.transport.edge.connection_logs import CloseReason
-from rhubarbshed.transport.edge.forwarding import Forwarder
 from rhubarbshed.transport.edge.link_monitor import SETTLE_MAX_S
 from test.helper_clock import play_by_clock, read_loop_time
 from test.helper_crashes import EVENTS
@@ -413,12 +413,12 @@
                 node.links.state.cut_since = time.monotonic()
                 exchange.reset()
 
-            async def refuse(forwarder, progress, attempt):
+            async def refuse(progress, attempt):
                 attempt.instance_error = make_refusal("full", node.view.rng)
                 return ExchangeEnd.REFUSED
 
             replica.reply = run_and_reset
-            monkeypatch.setattr(Forwarder, "run", refuse)
+            monkeypatch.setattr(forwarding, "run_forwarded", refuse)
             answer = await cuts.ask("a1", "/p/x", b"x")
             assert cuts.count_runs(b"x") and answer.status == 502
 
--- a/test/test_edge_drain.py
+++ b/test/test_edge_drain.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from rhubarbshed.transport.edge import node, relay
+from rhubarbshed.transport.edge import node, request_steps
 from standin.replica import Exchange, Replica
 from test.helper_edge import (
     HOST,
@@ -281,7 +281,7 @@
 def test_request_refused_at_the_end_of_the_drain_does_not_run_after(unread, monkeypatch):
     """A refusal promises that; behind answers that its caller had not read, the work went on."""
     monkeypatch.setattr(node, "DRAIN_CHECK_INTERVAL_S", 0.005)
-    monkeypatch.setattr(relay, "SECOND_PASS_PAUSE_S", 0.08)
+    monkeypatch.setattr(request_steps, "SECOND_PASS_PAUSE_S", 0.08)
     got_at: list[float] = []
     over_at = 0.0
 
@@ -568,7 +568,7 @@
         routes = (*ROUTES, make_route("non_idempotent", "/n/"))
         async with run_edge(make_configuration(*routes), Replica("b1", reply=hang)) as edge:
             if not path:
-                monkeypatch.setattr(relay, "decide_stream", lambda _: asyncio.sleep(30.0))
+                monkeypatch.setattr(request_steps, "decide_stream", lambda _: asyncio.sleep(30.0))
             caller = await Caller.connect(edge)
             caller.send(make_request(path or "/n/x"))
             await edge.wait_until(lambda: edge.node.relay.open == 1)
--- a/test/test_edge_endless_answers.py
+++ b/test/test_edge_endless_answers.py
@@ -7,8 +7,9 @@
 import pytest
 
 from rhubarbshed.protocol.forwarding import DECLINED
+from rhubarbshed.transport.edge import relay
 from rhubarbshed.transport.edge.attempts import BUFFERED_BYTES_MAX
-from rhubarbshed.transport.edge.relay import RequestProgress
+from rhubarbshed.transport.edge.request_progress import RequestProgress
 from standin.replica import Exchange, Replica
 from test.helper_cuts import run_cut_scene
 from test.helper_edge import make_configuration, make_route, play, run_edge
@@ -224,21 +225,21 @@
 def test_error_of_another_instance_without_end_does_not_fill_the_memory(
     declined, send, monkeypatch
 ):
-    real = RequestProgress.run
+    real = relay.run_request
 
-    async def run(self: RequestProgress) -> None:
-        if not self.forwarded_by:
-            await real(self)
+    async def run(progress: RequestProgress) -> None:
+        if not progress.forwarded_by:
+            await real(progress)
             return
         lines = [b"HTTP/1.1 503 X", LENGTH.encode(), *([DECLINED + b": full"] if declined else [])]
-        self.connection._write(b"\r\n".join(lines) + b"\r\n\r\nfull: no\n")
-        writer = SimpleNamespace(drain=self.connection.wait_writable)
-        await send(SimpleNamespace(write=self.connection._write, writer=writer))
+        progress.connection._write(b"\r\n".join(lines) + b"\r\n\r\nfull: no\n")
+        writer = SimpleNamespace(drain=progress.connection.wait_writable)
+        await send(SimpleNamespace(write=progress.connection._write, writer=writer))
 
     async def scene():
         async with run_cut_scene() as cuts:
             await cuts.cut("reset", "a1")
-            monkeypatch.setattr(RequestProgress, "run", run)
+            monkeypatch.setattr(relay, "run_request", run)
             began_at = time.monotonic()
             answer = await cuts.ask("a1", "/p/x", b"x")
             took_s = time.monotonic() - began_at
--- a/test/test_edge_stop_waits.py
+++ b/test/test_edge_stop_waits.py
@@ -7,9 +7,8 @@
 
 import pytest
 
-from rhubarbshed.transport.edge import relay
+from rhubarbshed.transport.edge import request_steps
 from rhubarbshed.transport.edge.pools import Pool
-from rhubarbshed.transport.edge.relay import RequestProgress
 from standin.replica import Replica
 from test.helper_cuts import run_cut_scene
 from test.helper_edge import Edge, make_configuration, make_route, play, read_answer, run_edge
@@ -25,9 +24,9 @@
 )
 
 WAITS = (
-    (RequestProgress, "check_quarantine"),
-    (RequestProgress, "pass_limit"),
-    (relay, "decide_stream"),
+    (request_steps, "check_quarantine"),
+    (request_steps, "pass_limit"),
+    (request_steps, "decide_stream"),
     (Pool, "acquire"),
 )
 """Steps of each request that may wait: for a verdict, a limit, an origin and a connection."""
