--- a/test/soak/mutations.py
+++ b/test/soak/mutations.py
@@ -147,8 +147,8 @@
     ),
     (
         "limits",
-        f"{EDGE}/relay.py",
-        "if record.limit_per_s is None:\n            return True",
+        f"{EDGE}/server_selection.py",
+        "if record.limit_per_s is None:\n        return True",
         "if record:\n            return True",
     ),
     ("own_ends", f"{EDGE}/node.py", "ticks += 1\n", "ticks += 1\n            assert ticks < 60\n"),
