Add the types and settings of client accounts

Cause: nothing in the code knows an account of callers, and the parts that are built next share these types. Change: accounts, their limits and the bounds on them as attrs data; optional settings, rendered by the template from the platform's fields. Nothing uses them yet.

--- a/rhubarbshed/platform/headers.py
+++ b/rhubarbshed/platform/headers.py
@@ -103,6 +103,7 @@
         adapter=adapter,
         prompt_tokens=prompt_tokens,
         output_tokens_max=output_tokens,
+        states_tokens=TOKENS in values,
         parts=_read_parts(values.get(PREFIX, b"")),
         resumes=values.get(RESUMES, b"").decode("latin-1"),
         last_event_id=values.get(LAST_EVENT_ID, b"").decode("latin-1"),
--- a/rhubarbshed/protocol/exchanges.py
+++ b/rhubarbshed/protocol/exchanges.py
@@ -19,7 +19,8 @@
     """Request of a caller; `headers` are those to forward, `received_at` is monotonic seconds.
 
     `caller_timeout_s` is how long the caller waits from `received_at`; None if it did not say.
-    `parts` are the prompt's parts that it shares with others, as (id, tokens) in order. A caller
+    `states_tokens` is whether it stated the tokens of its prompt and output. `parts` are the
+    prompt's parts that it shares with others, as (id, tokens) in order. A caller
     that takes a stream up sets `last_event_id`, the last event that it has, and `resumes`, the id
     of the request that brought the first one.
     """
@@ -36,6 +37,7 @@
     adapter: str = ""
     prompt_tokens: int = 0
     output_tokens_max: int = 0
+    states_tokens: bool = False
     parts: tuple[tuple[str, int], ...] = field(factory=tuple)
     resumes: str = ""
     last_event_id: str = ""
--- a/rhubarbshed/protocol/routes.py
+++ b/rhubarbshed/protocol/routes.py
@@ -5,6 +5,8 @@
 
 from attrs import field, frozen
 
+from rhubarbshed.protocol.accounts import Accounts
+
 
 class RouteKind(enum.Enum):
     """Kind of a route's requests, which determines whether they may be retried."""
@@ -66,7 +68,8 @@
 class Route:
     """Route of requests; times in seconds, priority 0 first, `shares` as (service, weight).
 
-    `attempts_max` is how many servers may run one request.
+    `attempts_max` is how many servers may run one request. `needs_key` applies where the
+    configuration has client accounts.
     """
 
     name: str
@@ -80,6 +83,7 @@
     shares: tuple[tuple[str, float], ...]
     attempts_max: int = 1
     resumable: bool = False
+    needs_key: bool = True
 
     @property
     def repeatable(self) -> bool:
@@ -115,12 +119,16 @@
 
 @frozen
 class Configuration:
-    """Configuration at one version; routes by host, longest prefix first."""
+    """Configuration at one version; routes by host, longest prefix first.
+
+    `accounts` is None where callers need no account.
+    """
 
     version: int
     routes: dict[str, tuple[Route, ...]] = field(factory=dict)
     services: dict[str, ServiceSpec] = field(factory=dict)
     limits: CallerLimits = field(factory=CallerLimits)
+    accounts: Accounts | None = None
 
     @functools.cached_property
     def service_names(self) -> frozenset[str]:
--- a/rhubarbshed/util/front.py
+++ b/rhubarbshed/util/front.py
@@ -10,6 +10,11 @@
 HEARTBEAT_DEFAULT_MS = 1_200
 """Time between two writes of a server's entry at all known sites, unless the settings name one."""
 
+REVOCATION_DEFAULT_S = 5.0
+CONFIG_APPLY_DEFAULT_S = 3.0
+QUOTA_WINDOW_DEFAULT_S = 8.0
+"""Bounds on client accounts where the settings name none, as at the known sites."""
+
 PORT_MAX = 65_535
 """Highest TCP port."""
 
@@ -20,6 +25,11 @@
 
     `cores` is the processor time that the instance gets, in usual cores. `first_start` is whether
     the whole system starts for the first time, so that no stream is older than it.
+
+    With `strict_revocation` no request with a key that was taken away more than `revocation_s` ago
+    may run, at any instance. What accounts send in `quota_window_s` may exceed their limits by the
+    fraction `quota_overage` and by `quota_slack` in the limit's unit. `has_pressure` is whether the
+    deployment's load calls for scheduling of requests and spreading over servers.
     """
 
     name: str
@@ -43,6 +53,13 @@
     cores: float
     link_mbps: float
     first_start: bool = False
+    strict_revocation: bool = False
+    revocation_s: float = REVOCATION_DEFAULT_S
+    config_apply_s: float = CONFIG_APPLY_DEFAULT_S
+    quota_window_s: float = QUOTA_WINDOW_DEFAULT_S
+    quota_overage: float = 0.0
+    quota_slack: float = 0.0
+    has_pressure: bool = False
 
     @classmethod
     def from_file(cls, path: str) -> Result["FrontSettings", list[str]]:
@@ -87,6 +104,19 @@
             "ceiling_overage",
         ):
             values[name] = reader.read_number("bounds", name)
+        values["strict_revocation"] = reader.read_flag("bounds", "strict_revocation")
+        for name, default_s in (
+            ("revocation_s", REVOCATION_DEFAULT_S),
+            ("config_apply_s", CONFIG_APPLY_DEFAULT_S),
+        ):
+            key = name.replace("_s", "_ms")
+            values[name] = reader.read_positive("bounds", key, default_s * 1000.0) / 1000.0
+        values["quota_window_s"] = reader.read_positive(
+            "bounds", "quota_window_s", QUOTA_WINDOW_DEFAULT_S
+        )
+        values["quota_overage"] = reader.read_optional("bounds", "quota_overage", 0.0)
+        values["quota_slack"] = reader.read_optional("bounds", "quota_slack", 0.0)
+        values["has_pressure"] = "pressure" in reader.read_names("features", "enabled")
         share, speed = (reader.read_number("limits", key) for key in ("cpu_share", "core_speed"))
         values["cores"] = share * speed
         values["link_mbps"] = reader.read_number("limits", "link_mbps")
@@ -126,6 +156,19 @@
             self.errors.append(f"[{section}] {key} is not positive: {number!r}")
         return number
 
+    def read_optional(self, section: str, key: str, default: float) -> float:
+        if not self.parser.get(section, key, fallback="").strip():
+            return default
+        number = self.read_number(section, key)
+        if number < 0.0:
+            self.errors.append(f"[{section}] {key} is negative: {number!r}")
+        return number
+
+    def read_names(self, section: str, key: str) -> frozenset[str]:
+        """Return the names of an optional list; unknown ones are ignored."""
+        text = self.parser.get(section, key, fallback="")
+        return frozenset(name.strip() for name in text.split(","))
+
     def read_number_of_port(self, section: str, key: str) -> int:
         number = self.read_number(section, key)
         if math.isnan(number):
