Render settings without a value as empty in a test

Cause: the platform renders nothing for a field that a deployment does not have, but the test's own rendering of deploy/settings.ini knew no field without a value, and failed on the settings of client accounts. Change: fields without a value are empty, as on the platform. Measured: both cases of test_edge_calm_removal failed in a whole run for this reason.

--- a/test/test_edge_calm_removal.py
+++ b/test/test_edge_calm_removal.py
@@ -136,7 +136,7 @@
             "Platform.Address": ":".join(map(str, self.store.address)),
         }
         path = self.folder / f"{name}.ini"
-        path.write_text(PLACEHOLDER.sub(lambda found: str(values[found[1]]), SETTINGS.read_text()))
+        path.write_text(PLACEHOLDER.sub(lambda found: str(values.get(found[1], "")), SETTINGS.read_text()))
         program = Program(
             name,
             [sys.executable, "-m", "rhubarbshed.front"],
