Admit requests by the keys of client accounts

Tenants and NoAuth of a configuration were ignored, and keys were forwarded to servers.

The accounts are read one by one, so that one that cannot be read leaves the others and the routes valid. A request is checked once its route is known, and again right before it is sent to a server or another instance. Servers get the account's name and never the key; another instance gets the key and decides by its own configuration.

--- a/rhubarbshed/coordination/serving/refusals.py
+++ b/rhubarbshed/coordination/serving/refusals.py
@@ -8,6 +8,7 @@
 
 from attrs import frozen
 
+from rhubarbshed.coordination.serving.account_access import Refusal
 from rhubarbshed.protocol.errors import Outcome, RequestError
 from rhubarbshed.protocol.forwarding import UNREACHED_CODE
 
@@ -24,9 +25,12 @@
 BUSY_RETRY_S = 0.3
 DRAINING_RETRY_S = 0.05
 QUARANTINED_RETRY_S = 5.0
+UNCONFIRMED_RETRY_S = 0.5
+UNREADABLE_RETRY_S = 5.0
 """Retry times in seconds: lost servers are known again within a heartbeat, a full server has
 finished some of its work, a starting instance has read the store, another instance answers at
-once, and a request that ends servers is tried again."""
+once, and a request that ends servers is tried again. Instances ask twice a second for confirmation
+of the configuration, and the operator has to correct an account."""
 
 
 @frozen
@@ -56,6 +60,12 @@
         "quarantined", "backend servers ended while they ran this request", QUARANTINED_RETRY_S
     ),
     "budget": RefusalReason("no_repeats", "the budget of repeats is used up", BUSY_RETRY_S),
+    "account_unreadable": RefusalReason(
+        "account_unreadable", "the key's account cannot be read", UNREADABLE_RETRY_S
+    ),
+    "keys_unconfirmed": RefusalReason(
+        "keys_unconfirmed", "the validity of keys is not confirmed", UNCONFIRMED_RETRY_S
+    ),
 }
 
 STATED_REASONS = ("no_servers", "version_gone", "absent", "full", "budget", "quarantined")
@@ -77,6 +87,22 @@
     )
 
 
+def make_access_refusal(
+    refusal: Refusal, rng: random.Random, confirmed_in_s: float
+) -> RequestError:
+    """Return the error for a request that its key does not allow.
+
+    `confirmed_in_s` is the time until the configuration may be confirmed again, if known.
+    """
+    if refusal is Refusal.NO_KEY:
+        return RequestError(401, refusal.value, "the request needs a key")
+    if refusal is Refusal.UNKNOWN_KEY:
+        return RequestError(401, refusal.value, "the key is not known")
+    if refusal is Refusal.KEYS_UNCONFIRMED:
+        return make_refusal(refusal.value, rng, max(UNCONFIRMED_RETRY_S, confirmed_in_s))
+    return make_refusal(refusal.value, rng)
+
+
 def draw_retry_after(base_s: float, rng: random.Random) -> float:
     """Return the time after which one of several refused callers should retry."""
     return max(RETRY_AFTER_MIN_S, base_s * (1.0 + rng.uniform(0.0, RETRY_AFTER_SPREAD)))
--- a/rhubarbshed/platform/headers.py
+++ b/rhubarbshed/platform/headers.py
@@ -16,6 +16,8 @@
 PREFIX = b"rhubarbshed-prompt-prefix"
 EXPECT_INSTANCE = b"rhubarbshed-expect-instance"
 PRIORITY = b"rhubarbshed-request-priority"
+KEY = b"rhubarbshed-key"
+ACCOUNT = b"rhubarbshed-tenant"
 SIGNATURE = b"rhubarbshed-response-signature"
 NOT_EXECUTED = b"rhubarbshed-not-executed"
 INSTANCE_ID = b"rhubarbshed-instance-id"
@@ -41,13 +43,15 @@
         b"expect",
     )
 )
-# Only this system sets these: a caller could use them to reserve, pin or copy memory, or to resume
-# from memory that is not its own.
+# Only this system sets these: a caller could use them to reserve, pin or copy memory, to resume
+# from memory that is not its own, or to pass for another account. No server receives a key.
 SYSTEM_ONLY = frozenset(
     (
         DEADLINE,
         EXPECT_INSTANCE,
         PRIORITY,
+        KEY,
+        ACCOUNT,
         b"rhubarbshed-expect-version",
         b"rhubarbshed-hold",
         b"rhubarbshed-pin-duration",
@@ -107,17 +111,28 @@
         parts=_read_parts(values.get(PREFIX, b"")),
         resumes=values.get(RESUMES, b"").decode("latin-1"),
         last_event_id=values.get(LAST_EVENT_ID, b"").decode("latin-1"),
+        key=_read_key(values.get(KEY, b"")),
     )
 
 
 def make_headers(
-    request: CallerRequest, server_id: str, remaining_s: float, priority: int | None, after: str
+    request: CallerRequest,
+    server_id: str,
+    remaining_s: float,
+    priority: int | None,
+    after: str,
+    account: str = "",
 ) -> list[tuple[bytes, bytes]]:
-    """Return the headers of an attempt; `after` is the last event id that the caller received."""
+    """Return the headers of an attempt for an account, "" if there is none.
+
+    `after` is the last event id that the caller received.
+    """
     headers = _make_common_headers(request, remaining_s, after)
     headers.append((EXPECT_INSTANCE, server_id.encode("latin-1")))
     if priority is not None:
         headers.append((PRIORITY, str(priority).encode()))
+    if account:
+        headers.append((ACCOUNT, account.encode("latin-1")))
     return headers
 
 
@@ -128,10 +143,15 @@
     attempts_left: int,
     probe_wait_s: float,
 ) -> list[tuple[bytes, bytes]]:
-    """Return the headers of a request that is forwarded to another instance."""
+    """Return the headers of a request that is forwarded to another instance.
+
+    That one decides on the key by its own configuration.
+    """
     headers = _make_common_headers(request, remaining_s, after)
     headers.append((ATTEMPTS_LEFT, str(attempts_left).encode()))
     headers.append((PROBE_WAIT_MS, str(int(probe_wait_s * 1000)).encode()))
+    if request.key is not None:
+        headers.append((KEY, request.key.encode("utf-8", "surrogateescape")))
     return headers
 
 
@@ -189,6 +209,11 @@
     return ((REQUEST_ID, request_id.encode("latin-1")),) if request_id else ()
 
 
+def _read_key(value: bytes) -> str | None:
+    """Return a key, None if there is none; bytes that are no UTF-8 make one that nobody has."""
+    return value.decode("utf-8", "surrogateescape") if value else None
+
+
 def _read_number(value: bytes) -> float | None:
     try:
         number = float(value)
--- a/rhubarbshed/platform/records.py
+++ b/rhubarbshed/platform/records.py
@@ -7,6 +7,7 @@
 
 from returns.result import Failure, Result, Success
 
+from rhubarbshed.platform.accounts import read_accounts
 from rhubarbshed.platform.values import (
     DECODE_ERRORS,
     NAMES_MAX,
@@ -60,6 +61,7 @@
                 routes=index_routes([_read_route(each) for each in require_list(plain["Routes"])]),
                 services={each.name: each for each in services},
                 limits=_read_limits(require_object(plain.get("Limits"))),
+                accounts=read_accounts(plain.get("Tenants")),
             )
         )
     except DECODE_ERRORS as error:
@@ -92,6 +94,8 @@
         ),
         attempts_max=max(1, require_whole(plain.get("Attempts") or 1)),
         resumable=bool(plain.get("Resumable", False)),
+        # Only a plain true opens a route to callers without a key.
+        needs_key=plain.get("NoAuth") is not True,
     )
 
 
--- a/rhubarbshed/protocol/accounts.py
+++ b/rhubarbshed/protocol/accounts.py
@@ -61,12 +61,14 @@
 class Accounts:
     """All accounts of a configuration by key.
 
-    Requests with one of `unreadable_keys` are refused for as long as the problem lasts.
+    Requests with one of `unreadable_keys`, each with the name of its account, are refused for as
+    long as the problem lasts. `is_readable` is False if the keys are not known at all.
     """
 
     by_key: Mapping[str, Account] = field(factory=dict, repr=False)
-    unreadable_keys: frozenset[str] = field(factory=frozenset, repr=False)
+    unreadable_keys: Mapping[str, str] = field(factory=dict, repr=False)
     problems: tuple[AccountProblem, ...] = ()
+    is_readable: bool = True
 
     def list_accounts(self) -> list[Account]:
         """List the accounts that have a key, each once."""
--- a/rhubarbshed/protocol/exchanges.py
+++ b/rhubarbshed/protocol/exchanges.py
@@ -18,6 +18,8 @@
 class CallerRequest:
     """Request of a caller; `headers` are those to forward, `received_at` is monotonic seconds.
 
+    `key` is that of its account, None if it has none; it is no part of the `headers`.
+
     `caller_timeout_s` is how long the caller waits from `received_at`; None if it did not say.
     `states_tokens` is whether it stated the tokens of its prompt and output. `parts` are the
     prompt's parts that it shares with others, as (id, tokens) in order. A caller
@@ -41,6 +43,7 @@
     parts: tuple[tuple[str, int], ...] = field(factory=tuple)
     resumes: str = ""
     last_event_id: str = ""
+    key: str | None = field(default=None, repr=False)
 
     @functools.cached_property
     def fingerprint(self) -> str:
@@ -142,13 +145,15 @@
 class ExchangeEnd(enum.Enum):
     """How an attempt ended.
 
-    `NOT_SENT` and `CONNECTION_REFUSED` never left this instance. `REFUSED`, `MODEL_MISSING` (the
+    `NOT_SENT` and `CONNECTION_REFUSED` never left this instance, nor did `WITHHELD`, whose key lost
+    its validity before the request was sent. `REFUSED`, `MODEL_MISSING` (the
     server does not hold the model) and `WRONG_SERVER` (another server has the address) were
     refused by the server and did not run. `BROKEN`, `MALFORMED` and `NO_RESPONSE` may have run.
     """
 
     DONE = "done"
     NOT_SENT = "not_sent"
+    WITHHELD = "withheld"
     CONNECTION_REFUSED = "down"
     REFUSED = "refused"
     MODEL_MISSING = "absent"
@@ -170,4 +175,8 @@
     @property
     def was_sent(self) -> bool:
         """Whether the request reached a server."""
-        return self not in (ExchangeEnd.NOT_SENT, ExchangeEnd.CONNECTION_REFUSED)
+        return self not in (
+            ExchangeEnd.NOT_SENT,
+            ExchangeEnd.CONNECTION_REFUSED,
+            ExchangeEnd.WITHHELD,
+        )
--- a/rhubarbshed/state/membership/entry_age.py
+++ b/rhubarbshed/state/membership/entry_age.py
@@ -10,6 +10,10 @@
 calls or by messages of an order holder, whose lease was renewed within the last second. It takes no
 outage from others: a store may be away for one instance alone, and the bound on the drain time
 holds for the rest.
+
+The configuration has an age of its own, by which keys of callers are trusted. It is dated by when a
+confirmation was asked for: a process that stood still reads old answers late. Its times are of
+`util.clocks.read_lease_clock`, which goes on while the machine is suspended.
 """
 
 import logging
@@ -37,6 +41,11 @@
 """Part of the drain time that remains when a server without an entry is dropped: changes are
 collected for half a second before they are read, and a request may be on its way."""
 
+TRUST_MARGIN_S = 0.25
+TRUST_MARGIN_FRACTION = 0.1
+"""Part of the bound on revoked keys after which none is trusted any more, at most this fraction of
+it: the way of a request to its server, and its wait until that one reads it."""
+
 KEPT_MIN_S = 0.2
 """Shortest time for which a server without an entry is kept, however short the drain time."""
 
@@ -48,7 +57,7 @@
 
 @define
 class EntryAge:
-    """Age of the known entries; times are monotonic seconds.
+    """Age of the known entries and configuration; times of entries are monotonic seconds.
 
     All changes before `confirmed_at` are known, and from `current_since` on they were read as they
     came. While `is_suspended` changes may be unread: the store is lost, or was and the feed has not
@@ -57,6 +66,9 @@
     The store was last known to serve at `served_at`. It is lost since `lost_at`, None while it
     responds, and `is_outage` if more than a connection broke. Until `lapses_until` entries may be
     missing that lapsed in an outage and will be back.
+
+    The known configuration was the store's at `configuration_asked_at` or later, in seconds of the
+    lease clock.
     """
 
     confirmed_at: float = -math.inf
@@ -67,6 +79,7 @@
     lost_at: float | None = None
     is_outage: bool = False
     lapses_until: float = -math.inf
+    configuration_asked_at: float = -math.inf
 
     def record_response(self, sent_at: float, now: float, heartbeat_s: float) -> float | None:
         """Record a response of the store to any call that was sent at `sent_at`.
@@ -173,6 +186,25 @@
         """
         return max(now - measure_kept(drain_s), self.current_since)
 
+    def confirm_configuration(self, asked_at: float, now: float) -> None:
+        """Record that the known configuration is in force, as was asked for at `asked_at`.
+
+        An answer to an earlier question may come after that to a later one.
+        """
+        self.configuration_asked_at = max(self.configuration_asked_at, min(asked_at, now))
+
+    def measure_configuration_age(self, now: float) -> float:
+        """Return the seconds since the configuration was confirmed, infinite if it never was."""
+        return now - self.configuration_asked_at
+
+    def is_configuration_trusted(self, limit_s: float, now: float) -> bool:
+        """Return whether keys of the known configuration may be used.
+
+        A key that was taken away may be used for `limit_s` from when the store has it.
+        """
+        margin_s = min(TRUST_MARGIN_S, TRUST_MARGIN_FRACTION * limit_s)
+        return self.measure_configuration_age(now) < limit_s - margin_s
+
     def _confirm(self, now: float) -> None:
         self.confirmed_at = now
         if self.is_suspended:
--- a/rhubarbshed/transport/edge/attempts.py
+++ b/rhubarbshed/transport/edge/attempts.py
@@ -10,8 +10,10 @@
 import h11
 from attrs import define
 
+from rhubarbshed.coordination.serving.account_access import rank_priority
 from rhubarbshed.coordination.serving.brittle_servers import apply_brittleness
 from rhubarbshed.platform.headers import STATUS_MISDIRECTED, make_headers, name_server, read_head
+from rhubarbshed.protocol.accounts import Account
 from rhubarbshed.protocol.errors import Outcome, RequestError
 from rhubarbshed.protocol.exchanges import ExchangeEnd, Headers, ResponseHead
 from rhubarbshed.protocol.streams import StreamOrigin
@@ -104,7 +106,8 @@
     `on_leaving` is called with the id that a server gives in an answer as it leaves.
     An attempt whose server is silent is left with `is_kept`: its connection stays open while
     another server is asked. `on_sent` and `on_accepted` are called once the server may have got the
-    request, and once its answer is a success.
+    request, and once its answer is a success. `may_send` returns right before the request is sent
+    whether its key allows that.
     An attempt by way of another instance has neither `record` nor `origin`; `instance_error` is
     that one's answer if no server gave one, and `declined` that another instance may do better.
     """
@@ -128,6 +131,7 @@
     withdrawn: bool = False
     on_head: Callable[[ResponseHead], None] = lambda head: None
     on_begun: Callable[[], None] = lambda: None
+    may_send: Callable[[], bool] = lambda: True
     on_sent: Callable[[], None] = lambda: None
     on_accepted: Callable[[], None] = lambda: None
     on_leaving: Callable[[str], None] = lambda server_id: None
@@ -145,14 +149,23 @@
 
     @classmethod
     def from_server(
-        cls, pool: Pool, record: ServerRecord, response: CallerResponse, deadline: float
+        cls,
+        pool: Pool,
+        record: ServerRecord,
+        response: CallerResponse,
+        deadline: float,
+        find_account: Callable[[], Account | None] = lambda: None,
     ) -> "Attempt":
-        """Create an attempt at a server."""
+        """Create an attempt at a server; `find_account` returns the account as it is sent."""
         entry, route = record.entry, response.route
-        priority = min(9, route.priority) if route.streamed else None
 
         def make_server_headers(remaining_s: float, after: str) -> Headers:
-            return make_headers(response.request, entry.server_id, remaining_s, priority, after)
+            account = find_account()
+            priority = rank_priority(account, route) if route.streamed else None
+            name = account.name if account is not None else ""
+            return make_headers(
+                response.request, entry.server_id, remaining_s, priority, after, name
+            )
 
         attempt = cls(
             pool, (entry.host, entry.port), response, deadline, make_server_headers, record
@@ -233,6 +246,8 @@
         request, route = caller_response.request, caller_response.route
         now = time.monotonic()
         after = caller_response.splitter.last_id if route.resumable else ""
+        if not self.may_send():
+            return ExchangeEnd.WITHHELD
         headers = self.make_headers(self.deadline - now, after)
         self.sent, self.sent_at = True, now
         self.channel.start(
--- a/rhubarbshed/transport/edge/final_answers.py
+++ b/rhubarbshed/transport/edge/final_answers.py
@@ -2,6 +2,7 @@
 
 import time
 
+from rhubarbshed.coordination.serving.account_access import Refusal
 from rhubarbshed.coordination.serving.choice import list_staying
 from rhubarbshed.coordination.serving.refusals import (
     STATED_REASONS,
@@ -17,7 +18,13 @@
 from rhubarbshed.transport.edge.request_logs import log_end
 from rhubarbshed.transport.edge.request_progress import RequestProgress
 
-DECLINED_CODES = ("draining", "not_configured", "no_route", UNREACHED_CODE)
+DECLINED_CODES = (
+    "draining",
+    "not_configured",
+    "no_route",
+    UNREACHED_CODE,
+    *(refusal.value for refusal in Refusal),
+)
 """Codes of errors that are due to this instance alone, so that another one may do better."""
 
 
--- a/rhubarbshed/transport/edge/follower.py
+++ b/rhubarbshed/transport/edge/follower.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import math
 import time
 from collections.abc import Callable
 
@@ -19,6 +20,7 @@
 from rhubarbshed.state.membership.entry_age import EntryAge
 from rhubarbshed.transport.edge.store import StoreClient
 from rhubarbshed.transport.edge.view import LatchedSignal, Signal, View
+from rhubarbshed.util.clocks import read_lease_clock
 from rhubarbshed.util.logs import log_event
 
 LOG = logging.getLogger(__name__)
@@ -63,6 +65,19 @@
 """Time for which the store may hold a query for a configuration while the order holder's messages
 would announce a new one; the store holds none for longer than 30 s."""
 
+CONFIRMATION_FRACTION = 0.16
+CONFIRMATION_WAIT_MIN_S = 0.7
+"""Part of the bound on revoked keys for which the store may hold a query for a new configuration,
+and the shortest such time, which makes one query a second more than usual. Each answer is dated by
+when it was asked for, so its age reaches twice this part."""
+
+RELIED_AGE_FRACTION = 0.6
+"""Part of that bound up to which an instance leaves the confirmation to the order holder; what is
+left is enough for a query of its own."""
+
+PROBLEMS_LOGGED_MAX = 32
+"""Most accounts of a configuration that cannot be read that are logged one by one."""
+
 STORE_MESSAGE_CHECK_S = 0.3
 """Time between two checks whether the order holder still sends store messages."""
 
@@ -77,6 +92,8 @@
     `message_received_at`) and query the store themselves if they missed changes or the messages
     stop. `servers_revision` is in `servers_era` of the store, and unknown in a later one until all
     entries are read again. The entries are the same at all revisions from `changed_revision` on.
+    The last query for a configuration was sent at `operator_asked_at` (lease clock); while
+    `is_configuration_unread`, the latest one could not be read, and nothing confirms the known one.
     """
 
     store: StoreClient
@@ -87,11 +104,14 @@
         lambda before, revision, changes: None
     )
     count_unreadable: Callable[[str], None] = lambda kind: None
+    count_account_problem: Callable[[str, str], None] = lambda account, reason: None
     is_holder: Callable[[], bool] = lambda: False
     servers_revision: int | None = None
     changed_revision: int = 0
     servers_era: int = 0
     configuration_revision: int = 0
+    operator_asked_at: float = -math.inf
+    is_configuration_unread: bool = False
     read_anew: LatchedSignal = field(factory=LatchedSignal)
     message_received_at: float = -1e9
     message_settled: bool = True
@@ -106,6 +126,13 @@
         """Return the age of the known entries."""
         return self.view.versions.entry_age
 
+    @property
+    def must_confirm(self) -> bool:
+        """Return whether keys are trusted only while the configuration is confirmed."""
+        known = self.view.configuration
+        has_accounts = known is not None and known.accounts is not None
+        return has_accounts and self.view.settings.strict_revocation
+
     async def follow_configuration(self) -> None:
         """Follow the operator's configuration forever."""
         await self._follow(OPERATOR_TABLE, self._apply_operator)
@@ -122,6 +149,17 @@
         is_recent = now - self.message_received_at < STORE_MESSAGE_AGE_MAX_S
         return is_recent and self.message_settled and not self.is_holder()
 
+    def relies_on_holder(self, now: float) -> bool:
+        """Return whether the order holder announces new configurations, and confirms this one.
+
+        One of an older build confirms nothing.
+        """
+        if not self.must_confirm:
+            return self.has_recent_message(now)
+        age_s = self.entry_age.measure_configuration_age(read_lease_clock())
+        is_confirmed = age_s < RELIED_AGE_FRACTION * self.view.settings.revocation_s
+        return is_confirmed and self.has_recent_message(now)
+
     def handle_restore(self, now: float) -> None:
         """Read all tables again, as revisions of the store's former era mean nothing any more."""
         self.servers_revision = None
@@ -198,9 +236,12 @@
                 return 0.0
             allowed_s = SERVERS_WAIT_FRACTION * self.view.settings.drain_s
             return min(SERVERS_WAIT_MAX_S, allowed_s)
-        return (
-            OPERATOR_BACKUP_WAIT_S if self.has_recent_message(time.monotonic()) else OPERATOR_WAIT_S
-        )
+        if self.relies_on_holder(time.monotonic()):
+            return OPERATOR_BACKUP_WAIT_S
+        if not self.must_confirm:
+            return OPERATOR_WAIT_S
+        wait_s = CONFIRMATION_FRACTION * self.view.settings.revocation_s
+        return min(OPERATOR_WAIT_S, max(CONFIRMATION_WAIT_MIN_S, wait_s))
 
     async def _follow(self, table: str, apply: ApplyRows) -> None:
         revision: int | None = None
@@ -215,6 +256,8 @@
             wait_s = self._choose_wait(table)
             is_full_read = revision is None
             sent_at = time.monotonic()
+            if table == OPERATOR_TABLE:
+                self.operator_asked_at = read_lease_clock()
             if is_full_read:
                 result = await self.store.read_all(table)
             else:
@@ -232,6 +275,8 @@
                 if table == SERVERS_TABLE:
                     self.entry_age.record_read(sent_at, now, is_full_read)
                 changes = apply(scan.rows, is_full_read, now)
+                if table == OPERATOR_TABLE:
+                    self._confirm_configuration(result.unwrap())
                 if table == SERVERS_TABLE:
                     before = self.changed_revision
                     self.servers_revision, self.servers_era = revision, era
@@ -275,6 +320,7 @@
                 return query.result()
             if table == OPERATOR_TABLE:
                 # The connection may be dead, so the query is repeated on another one.
+                self.operator_asked_at = read_lease_clock()
                 return await self.store.follow(table, revision, 0.0)
             return Failure(TableError(TableFault.UNKNOWN, detail="the store stopped responding"))
         finally:
@@ -290,7 +336,7 @@
         while time.monotonic() < until:
             if await self.new_configuration.wait(STORE_MESSAGE_CHECK_S):
                 return
-            if wait_s > OPERATOR_WAIT_S and not self.has_recent_message(time.monotonic()):
+            if wait_s > OPERATOR_WAIT_S and not self.relies_on_holder(time.monotonic()):
                 return
 
     def is_confirmed(self, now: float) -> bool:
@@ -334,10 +380,12 @@
                 continue
             read = read_configuration(row.value)
             if isinstance(read, Failure):
+                self.is_configuration_unread = True
                 self.count_unreadable("configuration")
                 log_event(LOG, logging.ERROR, "configuration_unreadable", reason=read.failure())
                 continue
             self.configuration_revision = row.version
+            self.is_configuration_unread = False
             known = view.configuration
             if known is not None and read.unwrap().version <= known.version:
                 continue
@@ -354,10 +402,36 @@
                 header_ms=round(view.limits.header_timeout_s * 1000),
                 idle_ms=round(view.limits.idle_timeout_s * 1000),
             )
+            self._report_accounts(view.configuration)
             view.changed.fire()
         view.configured_at = now
         return ()
 
+    def _report_accounts(self, configuration: Configuration) -> None:
+        """Count and log what cannot be read of the accounts of a new configuration."""
+        problems = configuration.accounts.problems if configuration.accounts is not None else ()
+        for number, problem in enumerate(problems):
+            self.count_account_problem(problem.name, problem.reason)
+            if number < PROBLEMS_LOGGED_MAX:
+                log_event(
+                    LOG,
+                    logging.WARNING,
+                    "account_unreadable",
+                    account=problem.name,
+                    reason=problem.reason,
+                    effect=problem.effect,
+                    configuration=configuration.version,
+                    problems=len(problems),
+                )
+
+    def _confirm_configuration(self, page: Page) -> None:
+        """Record that the known configuration is in force, if the store's latest one is known."""
+        is_read = any(row.key == CONFIGURATION_KEY for row in page.scan.rows)
+        if page.unreadable and not is_read:
+            self.is_configuration_unread = True
+        if self.view.configuration is not None and not self.is_configuration_unread:
+            self.entry_age.confirm_configuration(self.operator_asked_at, read_lease_clock())
+
     def _record_routes(
         self, before: Configuration | None, after: Configuration, is_full_read: bool, now: float
     ) -> None:
--- a/rhubarbshed/transport/edge/forwarding.py
+++ b/rhubarbshed/transport/edge/forwarding.py
@@ -17,8 +17,10 @@
 from rhubarbshed.protocol.errors import Outcome, RequestError
 from rhubarbshed.protocol.exchanges import ExchangeEnd, Headers
 from rhubarbshed.protocol.forwarding import UNREACHED_CODE
+from rhubarbshed.transport.edge.access_checks import check_access, may_send
 from rhubarbshed.transport.edge.attempts import Attempt
 from rhubarbshed.transport.edge.request_progress import RequestProgress
+from rhubarbshed.util.clocks import read_lease_clock
 from rhubarbshed.util.logs import log_event
 
 LOG = logging.getLogger(__name__)
@@ -61,12 +63,16 @@
             address = forwarder.peers.choose_paused(asked)
         if address is None or progress.deadline - now < TIME_LEFT_MIN_S:
             break
+        if (refused := check_access(progress)) is not None:
+            return Forwarded(True, make_error(progress, refused, broken))
         asked.append(address)
         attempt = make_attempt(progress, address, broken)
         end = await run_forwarded(progress, attempt)
         begun_at, now = now, time.monotonic()
         if end is ExchangeEnd.DONE:
             return Forwarded(True)
+        if end is ExchangeEnd.WITHHELD:
+            continue
         if attempt.declined:
             progress.count_probe_wait(now - begun_at)
         if attempt.declined and attempt.detail == UNREACHED_CODE:
@@ -124,6 +130,7 @@
         progress.deadline,
         make_headers,
     )
+    attempt.may_send = lambda: may_send(progress, read_lease_clock())
     asked_at = time.monotonic()
     attempt.on_leaving = lambda server_id: forwarder.on_leaving(server_id, asked_at)
     return attempt
--- a/rhubarbshed/transport/edge/metrics.py
+++ b/rhubarbshed/transport/edge/metrics.py
@@ -48,6 +48,14 @@
     "orders": Family("Orders to engines, by kind and end.", ("kind", "end")),
     "store_calls": Family("Calls to the store, by kind and table.", ("kind", "table")),
     "unreadable": Family("What others wrote and cannot be decoded, by kind.", ("kind",)),
+    "access_refused": Family(
+        "Requests that their key did not allow, by its account, if known, and reason.",
+        ("account", "reason"),
+    ),
+    "account_problems": Family(
+        "Accounts that a configuration has and that cannot be read, by reason.",
+        ("account", "reason"),
+    ),
     "messages_unsent": Family("Messages that no datagram can carry.", ("kind",)),
 }
 HISTOGRAMS = {
@@ -177,6 +185,14 @@
         """Count what another writer left and cannot be decoded."""
         self.count("unreadable", kind)
 
+    def count_access_refused(self, account: str, reason: str) -> None:
+        """Count a request that its key did not allow."""
+        self.count("access_refused", account, reason)
+
+    def count_account_problem(self, account: str, reason: str) -> None:
+        """Count what cannot be read of an account in a new configuration."""
+        self.count("account_problems", account, reason)
+
     def count_unsent(self, kind: str) -> None:
         """Count a message that no datagram can carry."""
         self.count("messages_unsent", kind)
--- a/rhubarbshed/transport/edge/node.py
+++ b/rhubarbshed/transport/edge/node.py
@@ -26,6 +26,7 @@
     LimitNews,
 )
 from rhubarbshed.transport.early_listener import ACCEPT_BACKLOG
+from rhubarbshed.transport.edge.access_checks import list_account_values
 from rhubarbshed.transport.edge.caller_connections import CallerConnection, Handler
 from rhubarbshed.transport.edge.connection_logs import CloseLog, CloseReason
 from rhubarbshed.transport.edge.crash_registry import CrashRegistry
@@ -175,6 +176,7 @@
         follower.is_holder = lambda: lease_state.held
         store.on_restored.append(lambda: follower.handle_restore(time.monotonic()))
         follower.count_unreadable = metrics.count_unreadable
+        follower.count_account_problem = metrics.count_account_problem
         checks = ServerChecks(pool, find_cut=links.settle)
         checks.on_leaving = lambda record: view.record_leaving(record, time.monotonic())
         crashes = CrashRegistry(holder_protocol.datagrams.send, checks, view.rng)
@@ -367,6 +369,7 @@
             **self.crashes.list_values(),
             **self.relay.limits.list_values(),
             **self.dispatcher.list_values(),
+            **list_account_values(self.view),
         }
         headers = ((b"content-type", b"text/plain; version=0.0.4"),)
         connection.send_complete(200, headers, self.metrics.render(gauge_values))
--- a/rhubarbshed/transport/edge/request_logs.py
+++ b/rhubarbshed/transport/edge/request_logs.py
@@ -93,6 +93,8 @@
         outcome = name_load_wait(progress, status)
         progress.relay.metrics.observe_load_wait(outcome, progress.waited_s)
         fields["load_wait"] = outcome
+    if progress.account is not None:
+        fields["account"] = progress.account.name
     if progress.forwarded_by:
         fields["from_instance"] = progress.forwarded_by
     if progress.relay.links.is_cut:
--- a/rhubarbshed/transport/edge/request_progress.py
+++ b/rhubarbshed/transport/edge/request_progress.py
@@ -7,6 +7,7 @@
 
 from rhubarbshed.coordination.serving.retry_budget import Tries
 from rhubarbshed.coordination.serving.versions import Continuation
+from rhubarbshed.protocol.accounts import Account
 from rhubarbshed.protocol.exchanges import CallerRequest
 from rhubarbshed.protocol.routes import Route
 from rhubarbshed.transport.edge.attempts import Attempt
@@ -53,7 +54,7 @@
     `attempts_max` servers left that may run it. It may still wait for `probe_wait_s` until it is
     known whether servers can be reached. `kept` is an attempt at a silent server, which may go on
     until `kept_limit` if no other server takes the request. `cut_off_as` is set as a stop cuts it
-    off.
+    off. `account` is whose key was last found valid, None without accounts.
     """
 
     relay: RelayParts
@@ -90,6 +91,7 @@
     kept: Attempt | None = None
     kept_limit: asyncio.TimerHandle | None = None
     others_asked_again: bool = False
+    account: Account | None = None
 
     @property
     def repeat(self) -> Repeat:
--- a/rhubarbshed/transport/edge/request_steps.py
+++ b/rhubarbshed/transport/edge/request_steps.py
@@ -24,6 +24,7 @@
 from rhubarbshed.coordination.serving.start_wait import estimate_first_read, measure_start_wait
 from rhubarbshed.protocol.errors import RequestError
 from rhubarbshed.protocol.exchanges import ExchangeEnd
+from rhubarbshed.transport.edge.access_checks import check_access
 from rhubarbshed.transport.edge.caller_responses import CallerResponse
 from rhubarbshed.transport.edge.continuations import decide_stream, record_origin
 from rhubarbshed.transport.edge.final_answers import answer_error, give_up
@@ -73,6 +74,8 @@
     if draining is not None:
         answer_error(progress, draining)
         return
+    if refuse_early(progress):
+        return
     if not view.is_known:
         await wait_for_start(progress)
     if view.configuration is None:
@@ -83,6 +86,9 @@
     if progress.route is None:
         answer_error(progress, make_no_route())
         return
+    if (refused := check_access(progress)) is not None:
+        answer_error(progress, refused)
+        return
     if progress.attempts_max is not None:
         attempts_max = min(progress.route.attempts_max, progress.attempts_max)
         progress.route = evolve(progress.route, attempts_max=attempts_max)
@@ -104,6 +110,21 @@
         log_end(progress, "answered", None, time.monotonic())
 
 
+def refuse_early(progress: RequestProgress) -> bool:
+    """Refuse a request whose key is not valid before it waits for a start; return whether it was.
+
+    The servers may not be known yet, and no wait makes a key known that the operator did not list.
+    """
+    view = progress.relay.view
+    if view.is_known or view.configuration is None:
+        return False
+    progress.route = view.configuration.find_route(progress.request.host, progress.request.path)
+    refused = check_access(progress) if progress.route is not None else None
+    if refused is not None:
+        answer_error(progress, refused)
+    return refused is not None
+
+
 async def wait_for_start(progress: RequestProgress) -> None:
     """Wait until this instance, which has just started, has read the store, if that is soon."""
     view, read_at = progress.relay.view, progress.connection.read_at
@@ -190,6 +211,8 @@
         now = time.monotonic()
         if progress.deadline - now < TIME_LEFT_MIN_S:
             return make_timeout(progress.tries.run > 0)
+        if (refused := check_access(progress)) is not None:
+            return await end_without_access(progress, refused, now)
         if not await check_quarantine(progress, now):
             return give_up(progress, "quarantined")
         chosen = choose_next(progress, now)
@@ -248,6 +271,8 @@
         if wants_nothing(chosen.server, now, time.monotonic()):
             continue
         end = await run_attempt(progress, chosen)
+        if end is ExchangeEnd.WITHHELD:
+            continue
         # Without time to find out, a refused connection may be that of a cut.
         may_settle = progress.probe_wait_s > 0.0 or not progress.relay.links.state.suspected
         if end is ExchangeEnd.CONNECTION_REFUSED and not await settle_links(progress):
@@ -278,6 +303,19 @@
                 return forwarded.error
 
 
+async def end_without_access(
+    progress: RequestProgress, refused: RequestError, now: float
+) -> RequestError | None:
+    """Return the error of a request that may not be sent any more, None if a server answers it.
+
+    A server that is at work on it already, though silent, may complete it.
+    """
+    if progress.kept is not None and may_resume(progress, now):
+        if await resume_kept(progress) is ExchangeEnd.DONE:
+            return None
+    return give_up(progress, refused.code) if progress.tries.run > 0 else refused
+
+
 def check_retry(progress: RequestProgress, end: ExchangeEnd, now: float) -> str | None:
     """Return why the request may not be sent again after an attempt, None if it may."""
     if not is_retry_allowed(progress.route, end, progress.tries):
--- a/rhubarbshed/transport/edge/server_attempts.py
+++ b/rhubarbshed/transport/edge/server_attempts.py
@@ -10,6 +10,7 @@
 from rhubarbshed.protocol.exchanges import ExchangeEnd, ResponseHead
 from rhubarbshed.protocol.streams import UNKNOWN_VERSION, StreamOrigin
 from rhubarbshed.state.membership.fleet import ServerRecord
+from rhubarbshed.transport.edge.access_checks import may_send
 from rhubarbshed.transport.edge.attempts import Attempt
 from rhubarbshed.transport.edge.kept_attempts import abandon_kept, limit_kept
 from rhubarbshed.transport.edge.request_logs import log_failed_attempt
@@ -20,6 +21,7 @@
     has_heard,
     list_silent,
 )
+from rhubarbshed.util.clocks import read_lease_clock
 from rhubarbshed.util.logs import log_event
 
 LOG = logging.getLogger(__name__)
@@ -46,8 +48,13 @@
         candidates=chosen.candidates,
     )
     attempt = Attempt.from_server(
-        progress.relay.pool, record, progress.caller_response, progress.deadline
+        progress.relay.pool,
+        record,
+        progress.caller_response,
+        progress.deadline,
+        lambda: progress.account,
     )
+    attempt.may_send = lambda: may_send(progress, read_lease_clock())
     attempt.may_move = lambda: may_move(progress, record, attempt, time.monotonic())
     attempt.on_head = lambda head: note_head(progress, record, head, attempt.sent_at)
     attempt.on_leaving = lambda server_id: progress.relay.record_leaving(record, server_id)
@@ -74,6 +81,9 @@
     # A timeout leaves this true: the server may be running the request.
     progress.in_flight = False
     progress.trial_keys = frozenset()
+    if end is ExchangeEnd.WITHHELD:
+        # The server got nothing, so this shows nothing of it.
+        return end
     note_end(progress, record, attempt, end)
     run_s = time.monotonic() - begun_at
     if end is ExchangeEnd.DONE:
