Confirm the configuration by order holders

With strict revocation an instance trusts keys only while the configuration was confirmed lately. Instances that rely on an order holder hold their own query for 25 s, so they had to query the store every 3 s to keep their keys.

They ask the holder twice a second, with a time of their own clock, and the reply states the version and how old the holder's knowledge is. A reply is dated by its question, so an instance that stood still trusts nothing by an old one. Older builds skip both messages; beside an older holder instances go on with their own queries. Nothing is sent without accounts or the setting.

--- a/rhubarbshed/protocol/messages.py
+++ b/rhubarbshed/protocol/messages.py
@@ -2,8 +2,8 @@
 
 Each data centre has one order holder, the instance that sends orders to the engines in it.
 Instances exchange messages with the holder of their own data centre, and holders with each other.
-Only messages on the origin of streams, on ended servers and on servers' limits go from any instance
-to any other.
+Only messages on the origin of streams, on ended servers, on servers' limits and on the
+configuration in force go from any instance to any other.
 """
 
 import re
@@ -15,6 +15,7 @@
 from attrs import Attribute, astuple, field, frozen
 from returns.result import Failure, Result, Success
 
+from rhubarbshed.protocol.confirmation_messages import ConfirmationQuestion, ConfirmationReply
 from rhubarbshed.protocol.crash_messages import (
     BegunPartsMessage,
     CrashMessage,
@@ -299,7 +300,8 @@
 StreamMessage = OriginsMessage | OriginQuestion | OriginReply | InstancesMessage | InstancesQuestion
 CrashNews = CrashMessage | CrashQuestion | TrialMessage | BegunPartsMessage
 LimitNews = LimitMessage | LimitQuestion | LimitReply
-InstanceMessage = StreamMessage | CrashNews | LimitNews
+ConfirmationNews = ConfirmationQuestion | ConfirmationReply
+InstanceMessage = StreamMessage | CrashNews | LimitNews | ConfirmationNews
 Message = DemandMessage | HolderMessage | PlansMessage | StoreMessage | InstanceMessage
 KINDS: dict[str, type] = {
     "demand": DemandMessage,
@@ -318,6 +320,8 @@
     "limit": LimitMessage,
     "limit_question": LimitQuestion,
     "limit_reply": LimitReply,
+    "confirmation_question": ConfirmationQuestion,
+    "confirmation_reply": ConfirmationReply,
 }
 KIND_NAMES = {kind: name for name, kind in KINDS.items()}
 CHECKS = {
--- a/rhubarbshed/transport/edge/node.py
+++ b/rhubarbshed/transport/edge/node.py
@@ -19,6 +19,7 @@
 from rhubarbshed.coordination.serving.peer_choice import PeerStates
 from rhubarbshed.coordination.serving.refusals import DRAINING_RETRY_S, draw_retry_after
 from rhubarbshed.protocol.messages import (
+    ConfirmationNews,
     CrashNews,
     InstanceMessage,
     InstancesMessage,
@@ -28,6 +29,7 @@
 from rhubarbshed.transport.early_listener import ACCEPT_BACKLOG
 from rhubarbshed.transport.edge.access_checks import list_account_values
 from rhubarbshed.transport.edge.caller_connections import CallerConnection, Handler
+from rhubarbshed.transport.edge.confirmations import Confirmations
 from rhubarbshed.transport.edge.connection_logs import CloseLog, CloseReason
 from rhubarbshed.transport.edge.crash_registry import CrashRegistry
 from rhubarbshed.transport.edge.entry_checks import EntryCheck
@@ -131,6 +133,7 @@
     instance_lists: InstanceLists
     links: LinkMonitor
     version_store: VersionStore
+    confirmations: Confirmations
     stop: asyncio.Event = field(factory=asyncio.Event)
     connections: set[CallerConnection] = field(factory=set)
     received: ReceivedBytes = field(factory=ReceivedBytes)
@@ -213,8 +216,11 @@
             holder_protocol.list_holders,
             lambda *known: learn_instances(streams, crashes, peers, limits, *known),
         )
+        confirmations = Confirmations(
+            follower, lease, holder_protocol.list_holders, holder_protocol.datagrams.send
+        )
         holder_protocol.handle_instance_message = functools.partial(
-            handle_instance_message, streams, crashes, limits, instance_lists
+            handle_instance_message, streams, crashes, limits, instance_lists, confirmations
         )
         relay = Relay(
             view,
@@ -249,6 +255,7 @@
             instance_lists,
             links,
             VersionStore(store, follower, follower.is_holder),
+            confirmations,
         )
 
     async def run(self) -> int:
@@ -271,6 +278,7 @@
             self.crashes.maintain,
             self.links.maintain,
             self.version_store.maintain,
+            self.confirmations.ask_repeatedly,
             self.streams.origin_store.maintain,
             self.sweep,
         ):
@@ -565,6 +573,7 @@
     crashes: CrashRegistry,
     limits: LimitRegistry,
     instance_lists: InstanceLists,
+    confirmations: Confirmations,
     message: InstanceMessage,
     address: tuple[str, int],
     now: float,
@@ -576,5 +585,7 @@
         crashes.handle_message(message, address, now)
     elif isinstance(message, LimitNews):
         limits.handle_message(message, address, now)
+    elif isinstance(message, ConfirmationNews):
+        confirmations.handle_message(message, address)
     else:
         streams.handle_message(message, address, now)
--- a/test/test_account_access.py
+++ b/test/test_account_access.py
@@ -2,8 +2,10 @@
 
 import json
 import math
+from types import SimpleNamespace
 
 import pytest
+from attrs import define, field
 from returns.result import Success
 
 from rhubarbshed.coordination.serving.account_access import (
@@ -16,9 +18,15 @@
 from rhubarbshed.platform.headers import make_forward_headers, make_headers, read_request
 from rhubarbshed.platform.records import read_configuration
 from rhubarbshed.protocol.accounts import Account, AccountLimit, Accounts, LimitUnit
+from rhubarbshed.protocol.confirmation_messages import ConfirmationQuestion, ConfirmationReply
+from rhubarbshed.protocol.messages import UnknownMessage, pack_message, unpack_message
 from rhubarbshed.protocol.routes import Route, RouteKind
 from rhubarbshed.state.membership.entry_age import EntryAge
-from test.helper_edge import HOST, make_configuration, make_route
+from rhubarbshed.transport.edge.access_checks import may_trust_keys
+from rhubarbshed.transport.edge.confirmations import Confirmations
+from rhubarbshed.transport.edge.node import Node
+from rhubarbshed.util.clocks import read_lease_clock
+from test.helper_edge import HOST, make_configuration, make_route, make_settings
 from test.helper_odd_values import ODD_JSON, PLACE, fill
 
 NOW = 1000.0
@@ -236,3 +244,138 @@
     age = EntryAge()
     age.confirm_configuration(math.inf, NOW)
     assert not age.is_configuration_trusted(LIMIT_S, NOW + LIMIT_S)
+
+
+# --- Confirmation by other instances.
+
+HOLDER = ("127.0.0.2", 7000)
+STRANGER = ("127.0.0.9", 7000)
+VERSION = 7
+
+
+@define(eq=False)
+class Asker:
+    """Instance without sockets that asks an order holder; its clock stands at `now`."""
+
+    node: Node = field(init=False)
+    sent: list[tuple] = field(factory=list)
+    now: float = NOW
+
+    def __attrs_post_init__(self) -> None:
+        """Let the instance know a configuration with accounts."""
+        settings = make_settings(("127.0.0.1", 1), strict_revocation=True, revocation_s=LIMIT_S)
+        self.node = Node.from_settings(settings, "")
+        plain = make_configuration(make_route(), version=VERSION, Tenants=[make_tenant()])
+        self.node.view.configuration = read_configuration(plain).unwrap()
+        self.node.lease.holder_address = HOLDER
+        self.confirmations.send = lambda message, *addresses: self.sent.append((message, addresses))
+        self.confirmations.read_clock = lambda: self.now
+
+    @property
+    def confirmations(self) -> Confirmations:
+        """Return the part that asks and replies."""
+        return self.node.confirmations
+
+    def ask(self) -> ConfirmationQuestion:
+        """Ask the holder and return the question."""
+        self.confirmations.ask(self.now)
+        message, addresses = self.sent.pop()
+        assert addresses == (HOLDER,)
+        return message
+
+    def receive(self, question: ConfirmationQuestion, address=HOLDER, **changes: int) -> bool:
+        """Receive a reply; return whether keys are trusted then."""
+        values = {"asked_ms": question.asked_ms, "version": VERSION, "age_ms": 1_000, **changes}
+        self.confirmations.handle_message(ConfirmationReply(**values), address)
+        return may_trust_keys(self.node.view, self.now)
+
+
+def test_reply_confirms_from_when_the_replier_had_confirmed():
+    asker = Asker()
+    question = asker.ask()
+    asker.now += 0.5
+    assert asker.receive(question)
+    assert asker.node.view.versions.entry_age.measure_configuration_age(asker.now) == 1.5
+
+
+def test_reply_that_a_frozen_instance_reads_first_confirms_nothing():
+    asker = Asker()
+    question = asker.ask()
+    asker.now += 3600.0
+    assert not asker.receive(question, age_ms=0)
+    assert asker.receive(asker.ask())
+
+
+def test_reply_of_a_holder_that_was_frozen_states_the_age_of_what_it_knows():
+    asker, holder = Asker(), Asker()
+    holder.confirmations.handle_message(asker.ask(), STRANGER)
+    assert not holder.sent
+    holder.node.view.versions.entry_age.confirm_configuration(NOW, NOW)
+    holder.now += 3600.0
+    holder.confirmations.handle_message(asker.ask(), STRANGER)
+    ((reply, addresses),) = holder.sent
+    assert addresses == (STRANGER,) and reply.age_ms == 3_600_000 and reply.version == VERSION
+    asker.confirmations.handle_message(reply, HOLDER)
+    assert not may_trust_keys(asker.node.view, asker.now)
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [{"asked_ms": int(NOW * 1000) + 1}, {"address": STRANGER}, {"version": VERSION - 1}],
+    ids=["not asked", "stranger", "earlier version"],
+)
+def test_reply_that_does_not_fit_the_question_or_the_known_configuration_confirms_nothing(changes):
+    asker = Asker()
+    assert not asker.receive(asker.ask(), **changes)
+
+
+def test_later_version_at_the_holder_is_read_from_the_store_and_confirms_nothing():
+    asker, fired = Asker(), []
+    asker.node.follower.new_configuration = SimpleNamespace(fire=lambda: fired.append(asker.now))
+    for _ in range(4):
+        assert not asker.receive(asker.ask(), version=VERSION + 1)
+        asker.now += 0.5
+    # Each makes a call to the store.
+    assert fired == [NOW, NOW + 1.0]
+
+
+def test_duplicated_reply_makes_the_configuration_no_younger():
+    asker = Asker()
+    question = asker.ask()
+    assert asker.receive(question)
+    asker.now += LIMIT_S
+    assert not asker.receive(question)
+
+
+def test_questions_go_to_the_other_holders_once_the_local_one_confirms_nothing():
+    asker = Asker()
+    others = {"a": HOLDER, "b": ("127.0.0.3", 7000), "c": ("127.0.0.4", 7000)}
+    asker.confirmations.list_holders = lambda: others
+    asker.node.lease.lease_state.last_received_at = read_lease_clock()
+    age = asker.node.view.versions.entry_age
+    age.confirm_configuration(NOW, NOW)
+    assert asker.confirmations.choose_holders(NOW + 1.0) == [HOLDER]
+    assert asker.confirmations.choose_holders(NOW + 3.0) == list(others.values())
+    asker.node.lease.lease_state.last_received_at = read_lease_clock() - 0.7
+    assert asker.confirmations.choose_holders(NOW + 1.0) == list(others.values())
+    asker.node.lease.lease_state.held = True
+    assert asker.confirmations.choose_holders(NOW + 1.0) == []
+
+
+@pytest.mark.parametrize("changes", [{"strict_revocation": False}, {}])
+def test_nobody_is_asked_without_accounts_or_strict_revocation(changes):
+    asker = Asker()
+    if changes:
+        asker.node.view.settings = make_settings(("127.0.0.1", 1), **changes)
+    else:
+        plain = make_configuration(make_route(), version=VERSION)
+        asker.node.view.configuration = read_configuration(plain).unwrap()
+    asker.confirmations.ask(NOW)
+    assert not asker.sent and not asker.node.follower.must_confirm
+
+
+@pytest.mark.parametrize("message", [ConfirmationQuestion(5), ConfirmationReply(5, 6, 7)])
+def test_confirmation_messages_are_read_as_they_were_sent(message):
+    assert unpack_message(pack_message(message)) == Success(message)
+    later = pack_message(message).replace(b"confirmation_", b"configurated_")
+    assert isinstance(unpack_message(later).unwrap(), UnknownMessage)
