Split the search for allocators from server limits

The part that ranks instances, repeats questions, finds silent instances and keeps replies is to serve the limits of accounts as well. It moves from limit_registry.py to allocators.py, without a change of behaviour. Two tests that replaced private names of LimitRegistry replace those of Allocators.

--- a/rhubarbshed/transport/edge/node.py
+++ b/rhubarbshed/transport/edge/node.py
@@ -26,6 +26,7 @@
     LimitNews,
 )
 from rhubarbshed.transport.early_listener import ACCEPT_BACKLOG
+from rhubarbshed.transport.edge.allocators import Allocators
 from rhubarbshed.transport.edge.caller_connections import CallerConnection, Handler
 from rhubarbshed.transport.edge.connection_logs import CloseLog, CloseReason
 from rhubarbshed.transport.edge.crash_registry import CrashRegistry
@@ -193,14 +194,14 @@
             lambda: lease.holder_address,
             holder_protocol.datagrams.send,
         )
-        limits = LimitRegistry(
-            view.fleet,
+        allocators = Allocators(
             settings.data_centre,
             address,
             holder_protocol.datagrams.send,
             view.rng,
             holder_protocol.measure_silence,
         )
+        limits = LimitRegistry(view.fleet, allocators)
         instance_lists = InstanceLists(
             settings.data_centre,
             address,
@@ -554,7 +555,7 @@
     streams.learn_instances(instances, is_listed, now)
     crashes.learn_instances(instances, is_listed, now)
     peers.learn_instances(instances)
-    limits.learn_instances(instances, is_listed)
+    limits.allocators.learn_instances(instances, is_listed)
 
 
 def handle_instance_message(
--- a/rhubarbshed/transport/edge/server_selection.py
+++ b/rhubarbshed/transport/edge/server_selection.py
@@ -11,7 +11,7 @@
 )
 from rhubarbshed.coordination.serving.queueing import decide_wait, measure_wait
 from rhubarbshed.state.membership.fleet import ServerRecord
-from rhubarbshed.transport.edge.limit_registry import PATIENCE_MIN_S, REPEAT_S
+from rhubarbshed.transport.edge.allocators import PATIENCE_MIN_S, REPEAT_S
 from rhubarbshed.transport.edge.request_progress import RequestProgress, Stage
 
 SERVER_SILENCE_S = 0.5
--- a/test/test_edge_limits.py
+++ b/test/test_edge_limits.py
@@ -84,7 +84,7 @@
             replicas.serve(scene)
             await Load(scene, NAMES, 40.0).run(1.0)
             for name in NAMES[1:]:
-                scene.instances[name].relay.limits.send = lambda *_: None
+                scene.instances[name].relay.limits.allocators.send = lambda *_: None
             load = Load(scene, ("a1",), 40.0)
             await load.run(3.0)
             for _, took_s, answer in load.answers:
@@ -103,11 +103,11 @@
             LimitedReplicas({"r0": "10"}).serve(scene)
             await Load(scene, NAMES, 10.0, "/u/x").run(1.5)
             record = scene.instances["a1"].view.fleet.servers["r0"]
-            first = scene.instances["a1"].relay.limits._rank(record)[0]
+            first = scene.instances["a1"].relay.limits.rank(record)[0]
             (late,) = [name for name in NAMES if scene.instances.get_address(name) == first]
-            registry = scene.instances[late].relay.limits
-            send, loop = registry.send, asyncio.get_running_loop()
-            registry.send = lambda *each: loop.call_later(LATE_S, send, *each)
+            allocators = scene.instances[late].relay.limits.allocators
+            send, loop = allocators.send, asyncio.get_running_loop()
+            allocators.send = lambda *each: loop.call_later(LATE_S, send, *each)
             others = [name for name in NAMES if name != late]
             for name in others:
                 await asyncio.sleep(0.2)
@@ -121,8 +121,9 @@
         async with run_crash_scene(1) as scene:
             record = scene.instances["a1"].view.fleet.servers["r0"]
             registry = scene.instances["a1"].relay.limits
-            others = [each for each in registry._rank(record) if each != registry.address]
-            registry._ranked["r0"] = others
+            allocators = registry.allocators
+            others = [each for each in registry.rank(record) if each != allocators.address]
+            allocators.ranked["r0"] = others
             record.limit_per_s, record.limit_named_at = LIMIT, time.monotonic()
             asking = asyncio.create_task(registry.acquire(record, 0.1, 0.1))
             await asyncio.sleep(0)
--- a/test/test_server_limits.py
+++ b/test/test_server_limits.py
@@ -31,6 +31,7 @@
 from rhubarbshed.protocol.messages import FORMAT, pack_message, unpack_message
 from rhubarbshed.protocol.servers import ServerEntry, ServerState
 from rhubarbshed.state.membership.fleet import Fleet, ServerRecord
+from rhubarbshed.transport.edge.allocators import Allocators
 from rhubarbshed.transport.edge.limit_registry import LimitRegistry
 
 NAMED = ResponseHead(200, (), names_limit=True, limit_per_s=4.0)
@@ -180,10 +181,11 @@
 
 def test_limit_that_wavers_is_not_sent_to_all_others_each_time():
     sent = []
-    registry = LimitRegistry(
-        Fleet(), "a", ("10.0.0.1", 1), lambda message, *to: sent.append(message), random.Random(1)
+    allocators = Allocators(
+        "a", ("10.0.0.1", 1), lambda message, *to: sent.append(message), random.Random(1)
     )
-    registry.learn_instances({"a": [("10.0.0.2", 1)]}, True)
+    registry = LimitRegistry(Fleet(), allocators)
+    allocators.learn_instances({"a": [("10.0.0.2", 1)]}, True)
     record = make_record()
     for number in range(50):
         head = evolve(NAMED, limit_per_s=4.0 + 0.01 * number)
