--- a/rhubarbshed/transport/edge/account_credit.py
+++ b/rhubarbshed/transport/edge/account_credit.py
@@ -165,15 +165,16 @@
         now = self.allocators.clock()
         if not self.allocators.is_listed:
             return await self._request_unlisted(account, held, cost, until)
-        ranked = self.grants.rank(account.name)
+        instances = len(self.allocators.list_all())
         if self.allocators.is_isolated(now):
             since = now - self.allocators.measure_silence(now) + ISOLATED_S
-            return self._take_own_share(account, len(ranked), cost, since, now)
+            return self._take_own_share(account, instances, cost, since, now)
+        ranked = self.grants.rank(account.name)
         outcome = await self._ask(account, held, cost, ranked, until)
         if outcome is not None:
             return outcome
         now = self.allocators.clock()
-        outcome = self._take_own_share(account, len(ranked), cost, now, now)
+        outcome = self._take_own_share(account, instances, cost, now, now)
         if isinstance(outcome, Taken):
             return outcome
         return Refused(SILENT_RETRY_S, CreditSource.SILENCE)
@@ -268,10 +269,11 @@
         """Do what is due at a time."""
         self.grants.check_time(now)
         self.grants.update_buckets(now)
+        may_ask = self.allocators.is_listed and not self.allocators.is_isolated(now)
         for name, held in list(self.held.items()):
             if name not in self.grants.limits or now - held.counted_at > FORGET_S:
                 del self.held[name]
-            elif self.allocators.is_listed and not self.allocators.is_isolated(now):
+            elif may_ask and (held.parts or held.measure_prefetch(now) > 0.0):
                 self._renew(name, held, now)
 
     def _renew(self, name: str, held: HeldCredit, now: float) -> None:
--- a/rhubarbshed/transport/edge/account_grants.py
+++ b/rhubarbshed/transport/edge/account_grants.py
@@ -53,8 +53,8 @@
     _known: Configuration | None = None
 
     def rank(self, name: str) -> list[Address]:
-        """Rank all instances by who grants an account's credit."""
-        return self.allocators.rank(name, "")
+        """Rank instances by who grants an account's credit."""
+        return self.allocators.rank_first(name)
 
     def make_question(self, name: str, demand: CreditDemand) -> CreditQuestion:
         """Return a question for credit of an account."""
@@ -134,12 +134,12 @@
         bucket = self.buckets.get(name)
         if bucket is None or (not is_first and now - bucket.asked_at > IDLE_S):
             bucket = self.buckets[name] = CreditBucket(now)
-        fraction = SUBSTITUTE_FRACTION if self.allocators.may_be_allocating(ranked) else 1.0
-        if self.allocators.is_listed:
+        if not self.allocators.is_listed:
+            fraction = UNLISTED_FRACTION
+        else:
             probe = CreditDemand(0.0)
             self.allocators.probe_silent(ranked, lambda: self.make_question(name, probe), now)
-        else:
-            fraction = UNLISTED_FRACTION
+            fraction = SUBSTITUTE_FRACTION if self.allocators.may_be_allocating(ranked) else 1.0
         debt_max = self.find_bound().measure_debt(limit)
         return bucket.grant(limit, debt_max, demand, asker, fraction, now)
 
--- a/rhubarbshed/transport/edge/allocators.py
+++ b/rhubarbshed/transport/edge/allocators.py
@@ -19,6 +19,7 @@
 from rhubarbshed.coordination.serving.server_limits import rank_allocators
 from rhubarbshed.protocol.messages import Message
 from rhubarbshed.util.logs import log_event
+from rhubarbshed.util.rendezvous import find_first_by_rendezvous
 
 LOG = logging.getLogger(__name__)
 
@@ -58,6 +59,10 @@
 RANKED_MAX = 2_000
 """Most keys whose ranking is kept."""
 
+FIRST_COUNT = 8
+"""Instances of a ranking that are kept where there may be a thousand keys. If all of them are
+silent, nobody else stands in."""
+
 NUMBER_START_MAX = 2**48
 """Bound of the first question's number, drawn at random: a restarted instance uses new ones."""
 
@@ -107,6 +112,7 @@
     silent: dict[Address, int] = field(factory=dict)
     is_listed: bool = False
     ranked: dict[str, list[Address]] = field(factory=dict)
+    _by_name: dict[str, Address] = field(factory=dict)
     _waiting: dict[int, asyncio.Future] = field(factory=dict)
     _probed_at: dict[Address, float] = field(factory=dict)
     _answered: OrderedDict[tuple[Address, int], Message | None] = field(factory=OrderedDict)
@@ -125,7 +131,8 @@
         own = self.instances.get(self.data_centre, ())
         self.instances[self.data_centre] = (*own, self.address)
         self.ranked.clear()
-        known = set(self.list_all())
+        self._by_name = {f"{host}:{port}": (host, port) for host, port in self.list_all()}
+        known = set(self._by_name.values())
         for kept in (self.paused_until, self.silent, self._probed_at):
             for address in [each for each in kept if each not in known]:
                 del kept[address]
@@ -142,6 +149,15 @@
             self.ranked[key] = rank_allocators(key, data_centre, self.instances)
         return self.ranked[key]
 
+    def rank_first(self, key: str) -> list[Address]:
+        """Rank the first instances by who allocates for a key, whatever their data centres are."""
+        if key not in self.ranked:
+            if len(self.ranked) >= RANKED_MAX:
+                self.ranked.clear()
+            names = find_first_by_rendezvous(key, self._by_name, FIRST_COUNT)
+            self.ranked[key] = [self._by_name[name] for name in names]
+        return self.ranked[key]
+
     def is_isolated(self, now: float) -> bool:
         """Return whether this instance takes itself to be cut off from all others."""
         has_others = any(each != self.address for each in self.list_all())
--- a/test/helper_credit.py
+++ b/test/helper_credit.py
@@ -209,7 +209,7 @@
     def find_allocator(self, account: Account) -> Address:
         """Return the instance that grants an account's credit."""
         member = next(iter(self.members.values()))
-        return member.credit.allocators.rank(account.name, "")[0]
+        return member.credit.grants.rank(account.name)[0]
 
     def measure_served(self, account: Account, since: float = 0.0) -> float:
         """Return the part of an account's requests that got credit since a time."""
--- a/test/test_account_limits.py
+++ b/test/test_account_limits.py
@@ -465,6 +465,23 @@
     play_steps(scene)
 
 
+def test_instance_that_reaches_none_of_the_first_in_rank_does_not_grant_the_whole():
+    """Each instance would, while most of the others are of the build before."""
+
+    async def scene():
+        group, addresses = await start_group(5)
+        ranked = group.members[addresses[0]].credit.grants.rank("big")
+        for address in ranked:
+            group.members[address].old = True
+        others = [each for each in addresses if each not in ranked]
+        await load_account(group, BIG, 2.0, lambda: group.rng.choice(others))
+        check_bound(group, BIG)
+        used = sum(cost for _, cost in group.used["big"])
+        assert 0.1 * RUN_S * 60_000.0 <= used <= 0.5 * RUN_S * 60_000.0
+
+    play_steps(scene)
+
+
 def test_credit_that_is_given_back_ends_when_it_would_have():
     """Given a new time, credit was used in a later window than it was granted for."""
 
--- a/test/test_edge_account_limits.py
+++ b/test/test_edge_account_limits.py
@@ -103,8 +103,7 @@
         async with run_crash_scene(4) as scene:
             LimitedReplicas().serve(scene)
             await configure(scene, *NAMES)
-            allocators = scene.instances["a1"].relay.credit.allocators
-            first = allocators.rank("calm", "")[0]
+            first = scene.instances["a1"].relay.credit.grants.rank("calm")[0]
             (killed,) = [name for name in NAMES if scene.instances.get_address(name) == first]
             await scene.instances.kill(killed)
             load = make_load(scene, CALM, 20.0)
