--- a/rhubarbshed/protocol/messages.py
+++ b/rhubarbshed/protocol/messages.py
@@ -2,8 +2,8 @@
 
 Each data centre has one order holder, the instance that sends orders to the engines in it.
 Instances exchange messages with the holder of their own data centre, and holders with each other.
-Only messages on the origin of streams, on ended servers, on servers' limits and on the
-configuration in force go from any instance to any other.
+Only messages on the origin of streams, on ended servers, on servers' limits, on the credit of
+accounts and on the configuration in force go from any instance to any other.
 """
 
 import re
@@ -22,6 +22,7 @@
     CrashQuestion,
     TrialMessage,
 )
+from rhubarbshed.protocol.credit_messages import CreditQuestion, CreditReply
 from rhubarbshed.protocol.holder_checks import check_demand, check_holder, check_plans, check_store
 from rhubarbshed.protocol.limit_messages import (
     LimitMessage,
@@ -301,7 +302,8 @@
 CrashNews = CrashMessage | CrashQuestion | TrialMessage | BegunPartsMessage
 LimitNews = LimitMessage | LimitQuestion | LimitReply
 ConfirmationNews = ConfirmationQuestion | ConfirmationReply
-InstanceMessage = StreamMessage | CrashNews | LimitNews | ConfirmationNews
+CreditNews = CreditQuestion | CreditReply
+InstanceMessage = StreamMessage | CrashNews | LimitNews | ConfirmationNews | CreditNews
 Message = DemandMessage | HolderMessage | PlansMessage | StoreMessage | InstanceMessage
 KINDS: dict[str, type] = {
     "demand": DemandMessage,
@@ -322,6 +324,8 @@
     "limit_reply": LimitReply,
     "confirmation_question": ConfirmationQuestion,
     "confirmation_reply": ConfirmationReply,
+    "credit_question": CreditQuestion,
+    "credit_reply": CreditReply,
 }
 KIND_NAMES = {kind: name for name, kind in KINDS.items()}
 CHECKS = {
--- a/rhubarbshed/transport/edge/metrics.py
+++ b/rhubarbshed/transport/edge/metrics.py
@@ -56,6 +56,10 @@
         "Accounts that a configuration has and that cannot be read, by reason.",
         ("account", "reason"),
     ),
+    "account_credit": Family(
+        "Requests of accounts with a limit, by what decided on their credit.",
+        ("account", "source", "taken"),
+    ),
     "messages_unsent": Family("Messages that no datagram can carry.", ("kind",)),
 }
 HISTOGRAMS = {
@@ -65,6 +69,7 @@
     "stream_lookup_seconds_by_outcome": Family(
         "Time of a search for a stream's origin.", ("outcome",)
     ),
+    "credit_wait_seconds": Family("Time that requests waited for credit of their account."),
     "load_wait_seconds": Family(
         "Time that requests waited for a load, by what became of them.", ("outcome",)
     ),
@@ -193,6 +198,14 @@
         """Count what cannot be read of an account in a new configuration."""
         self.count("account_problems", account, reason)
 
+    def count_credit(self, account: str, source: str, is_taken: bool) -> None:
+        """Count a request of an account with a limit, and what decided on its credit."""
+        self.count("account_credit", account, source, "yes" if is_taken else "no")
+
+    def observe_credit_wait(self, waited_s: float) -> None:
+        """Record the time that a request waited for credit of its account."""
+        self.observe("credit_wait_seconds", waited_s)
+
     def count_unsent(self, kind: str) -> None:
         """Count a message that no datagram can carry."""
         self.count("messages_unsent", kind)
--- a/rhubarbshed/transport/edge/node.py
+++ b/rhubarbshed/transport/edge/node.py
@@ -15,12 +15,14 @@
 from returns.result import Failure
 
 from rhubarbshed.coordination.requests.drain import DrainPhase
+from rhubarbshed.coordination.serving.account_limits import QuotaBound
 from rhubarbshed.coordination.serving.lease_state import LeaseState, draw_jitter
 from rhubarbshed.coordination.serving.peer_choice import PeerStates
 from rhubarbshed.coordination.serving.refusals import DRAINING_RETRY_S, draw_retry_after
 from rhubarbshed.protocol.messages import (
     ConfirmationNews,
     CrashNews,
+    CreditNews,
     InstanceMessage,
     InstancesMessage,
     InstancesQuestion,
@@ -28,6 +30,9 @@
 )
 from rhubarbshed.transport.early_listener import ACCEPT_BACKLOG
 from rhubarbshed.transport.edge.access_checks import list_account_values
+from rhubarbshed.transport.edge.account_credit import AccountCredit
+from rhubarbshed.transport.edge.account_grants import AccountGrants
+from rhubarbshed.transport.edge.allocators import Allocators
 from rhubarbshed.transport.edge.caller_connections import CallerConnection, Handler
 from rhubarbshed.transport.edge.confirmations import Confirmations
 from rhubarbshed.transport.edge.connection_logs import CloseLog, CloseReason
@@ -198,14 +203,25 @@
             lambda: lease.holder_address,
             holder_protocol.datagrams.send,
         )
-        limits = LimitRegistry(
-            view.fleet,
+        make_allocators = functools.partial(
+            Allocators,
             settings.data_centre,
             address,
             holder_protocol.datagrams.send,
             view.rng,
-            holder_protocol.measure_silence,
         )
+        limits = LimitRegistry(view.fleet, make_allocators(holder_protocol.measure_silence))
+        credit_allocators = make_allocators(
+            lambda now: holder_protocol.measure_silence(time.monotonic()),
+            silent_event="credit_instance_silent",
+            clock=read_lease_clock,
+        )
+        grants = AccountGrants(
+            credit_allocators,
+            lambda: view.configuration,
+            lambda: QuotaBound.from_settings(view.settings),
+        )
+        credit = AccountCredit(credit_allocators, grants, metrics)
         instance_lists = InstanceLists(
             settings.data_centre,
             address,
@@ -214,13 +230,19 @@
             lambda: lease_state.token,
             holder_protocol.instances,
             holder_protocol.list_holders,
-            lambda *known: learn_instances(streams, crashes, peers, limits, *known),
+            lambda *known: learn_instances(streams, crashes, peers, limits, credit, *known),
         )
         confirmations = Confirmations(
             follower, lease, holder_protocol.list_holders, holder_protocol.datagrams.send
         )
         holder_protocol.handle_instance_message = functools.partial(
-            handle_instance_message, streams, crashes, limits, instance_lists, confirmations
+            handle_instance_message,
+            streams,
+            crashes,
+            limits,
+            credit,
+            instance_lists,
+            confirmations,
         )
         relay = Relay(
             view,
@@ -237,6 +259,7 @@
             streams.record_stream,
             streams.find_stream,
             EntryCheck(store, follower).confirm,
+            credit,
         )
         crashes.on_verdict = relay.withdraw
         return cls(
@@ -277,6 +300,7 @@
             self.instance_lists.maintain,
             self.crashes.maintain,
             self.links.maintain,
+            self.relay.credit.maintain,
             self.version_store.maintain,
             self.confirmations.ask_repeatedly,
             self.streams.origin_store.maintain,
@@ -376,6 +400,7 @@
             **self.streams.counts.list_values(),
             **self.crashes.list_values(),
             **self.relay.limits.list_values(),
+            **self.relay.credit.list_values(),
             **self.dispatcher.list_values(),
             **list_account_values(self.view),
         }
@@ -557,6 +582,7 @@
     crashes: CrashRegistry,
     peers: PeerStates,
     limits: LimitRegistry,
+    credit: AccountCredit,
     instances: Mapping[str, Collection[tuple[str, int]]],
     is_listed: bool,
     now: float,
@@ -565,13 +591,15 @@
     streams.learn_instances(instances, is_listed, now)
     crashes.learn_instances(instances, is_listed, now)
     peers.learn_instances(instances)
-    limits.learn_instances(instances, is_listed)
+    limits.allocators.learn_instances(instances, is_listed)
+    credit.learn_instances(instances, is_listed)
 
 
 def handle_instance_message(
     streams: StreamRegistry,
     crashes: CrashRegistry,
     limits: LimitRegistry,
+    credit: AccountCredit,
     instance_lists: InstanceLists,
     confirmations: Confirmations,
     message: InstanceMessage,
@@ -587,5 +615,7 @@
         limits.handle_message(message, address, now)
     elif isinstance(message, ConfirmationNews):
         confirmations.handle_message(message, address)
+    elif isinstance(message, CreditNews):
+        credit.handle_message(message, address)
     else:
         streams.handle_message(message, address, now)
