Tell a server's lasting slowness from its disturbances

Servers on unequal machines state how long work takes as a fourth figure of their load, which was read and not kept. Each server's record keeps the figure stated last, and the lower third of nine samples of 0.2 s as the lasting slowness: a disturbance only makes a server slower. With disturbances in a tenth of the time under 2 % of the estimates differ from the lasting slowness, at 1 to 100 reports a second; a lasting change from 0.6 to 1.6 or back is followed within 3 s at 20 reports a second.

--- a/rhubarbshed/state/membership/fleet.py
+++ b/rhubarbshed/state/membership/fleet.py
@@ -5,6 +5,7 @@
 from attrs import define, field
 
 from rhubarbshed.protocol.servers import ServerEntry, ServerState
+from rhubarbshed.state.membership.server_speed import ServerSpeed
 
 SAMPLE_WINDOW_S = 3.0
 SAMPLE_WINDOW_MIN_S = 0.05
@@ -59,6 +60,7 @@
     refused callers may expect room at `limit_retry_at`. Before `backoff_until` it asked for nothing
     at all.
     `unloading` and `loading` name models in transition, the latter due at `loaded_at`.
+    `speed` is None if the server has not stated how slow it is.
     """
 
     entry: ServerEntry
@@ -93,6 +95,7 @@
     unloading: str = ""
     loading: str = ""
     loaded_at: float = math.inf
+    speed: ServerSpeed | None = None
 
     @property
     def key(self) -> tuple[str, int]:
@@ -167,10 +170,30 @@
         """Update the mean time of a run with the time that one request took."""
         self.run_s += RUN_WEIGHT * (run_s - self.run_s)
 
-    def record_load_sample(self, running: int, waiting: int, now: float) -> None:
-        """Record the load that the server reports in an answer."""
+    def record_load_sample(
+        self, running: int, waiting: int, now: float, slowness: float | None = None
+    ) -> None:
+        """Record the load that the server reports in an answer, and its slowness if stated."""
         self._apply_load(running + waiting, now)
         self.answered_at = now
+        if slowness is not None:
+            self._record_slowness(slowness, slowness, now)
+            self.speed.answered_at = now
+
+    def apply_reported_slowness(self, stated: float, sample: float, now: float) -> None:
+        """Apply a slowness stated to another instance, unless the server answered here since."""
+        if self.speed is None or now - self.speed.answered_at > REPORTED_AGE_MAX_S:
+            self._record_slowness(stated, sample, now)
+
+    def _record_slowness(self, stated: float, sample: float, now: float) -> None:
+        if self.speed is None:
+            self.speed = ServerSpeed(stated, now)
+        self.speed.record(stated, sample, now)
+
+    @property
+    def slowness(self) -> float:
+        """Return how long work lastingly takes on the server, 1.0 as usual or if not stated."""
+        return self.speed.lasting if self.speed is not None else 1.0
 
     def apply_reported_load(self, load: int, now: float) -> None:
         """Apply a load reported to another instance, unless the server answered here since."""
--- a/rhubarbshed/transport/edge/attempts.py
+++ b/rhubarbshed/transport/edge/attempts.py
@@ -257,7 +257,7 @@
                 return await self.read_instance_error(response, head)
             if head.load is not None and self.record is not None:
                 self.record.record_load_sample(
-                    head.load.running, head.load.waiting, time.monotonic()
+                    head.load.running, head.load.waiting, time.monotonic(), head.load.slowness
                 )
             if self.record is not None:
                 apply_brittleness(self.record, head.rejections_borne)
--- /dev/null
+++ b/test/test_server_speed.py
@@ -0,0 +1,67 @@
+"""The lasting speed of a server is told from its disturbances, without sockets."""
+
+import random
+
+import pytest
+
+from rhubarbshed.state.membership.server_speed import DISTURBANCE_FACTOR, ServerSpeed
+from test.test_edge_choice import NOW, make_entry, make_fleet
+
+
+def report(speed: ServerSpeed, lasting: float, now: float, seconds: float, per_s: float, rng):
+    """Let a server state its slowness at random times; a tenth of the time it is disturbed."""
+    until, disturbed_from, disturbed_until = now + seconds, now, now
+    while now < until:
+        now += rng.expovariate(per_s)
+        while now > disturbed_until:
+            disturbed_from = disturbed_until + rng.expovariate(1.0 / 2.7)
+            disturbed_until = disturbed_from + rng.uniform(0.1, 0.5)
+        factor = DISTURBANCE_FACTOR if now >= disturbed_from else 1.0
+        stated = lasting * factor
+        speed.record(stated, stated, now)
+        yield now
+
+
+@pytest.mark.parametrize("per_s", [1.0, 10.0, 100.0])
+@pytest.mark.parametrize("lasting", [0.6, 1.0, 1.6])
+def test_disturbances_do_not_count_as_lasting(lasting, per_s):
+    """A disturbed server lost its share, and the others were overrun, until long after."""
+    rng, wrong, reports = random.Random(3), 0, 0
+    for _ in range(10):
+        speed = ServerSpeed(lasting, NOW)
+        for _ in report(speed, lasting, NOW, 20.0, per_s, rng):
+            wrong, reports = wrong + (speed.lasting != lasting), reports + 1
+    assert wrong <= 0.02 * reports
+
+
+@pytest.mark.parametrize(("before", "after"), [(0.6, 1.6), (1.6, 0.6)])
+def test_lasting_change_is_followed_within_seconds(before, after):
+    rng = random.Random(4)
+    speed = ServerSpeed(before, NOW)
+    last = [*report(speed, before, NOW, 10.0, 20.0, rng)][-1]
+    assert speed.lasting == before
+    for _ in report(speed, after, last, 3.0, 20.0, rng):
+        pass
+    assert speed.lasting == after
+
+
+def test_report_is_right_at_once_and_a_disturbance_passes():
+    speed = ServerSpeed(1.0, NOW)
+    speed.record(2.5, 2.5, NOW)
+    assert speed.lasting == 2.5
+    speed.record(1.0, 1.0, NOW + 0.05)
+    assert speed.lasting == 1.0
+    speed.record(2.5, 2.5, NOW + 1.0)
+    assert speed.estimate(NOW + 1.0) == 2.5 and speed.estimate(NOW + 2.0) < 1.1
+
+
+def test_server_that_states_no_slowness_has_none_and_another_instance_reports_it():
+    """The own answers of a server outweigh what a message reports, which is older."""
+    record = make_fleet(make_entry("b1")).get("b1")
+    record.record_load_sample(1, 0, NOW)
+    assert record.speed is None and record.slowness == 1.0
+    record.apply_reported_slowness(1.6, 1.6, NOW)
+    assert record.slowness == 1.6
+    record.record_load_sample(1, 0, NOW + 1.0, 0.6)
+    record.apply_reported_slowness(4.0, 1.6, NOW + 1.2)
+    assert record.speed.stated == 0.6
