Carry the slowness of servers beside their loads

Instances knew a server's slowness only from its answers to themselves. Those are rare with 72 instances, and a new instance has none. A message kind of its own carries it: to the holder as stated, which estimates the lasting slowness from the statements to all instances, and from there to the instances and the other holders. Builds without the kind skip it, and it is not sent while no server states its slowness. With three instances the slowness reaches one that sent no request.

--- a/rhubarbshed/protocol/messages.py
+++ b/rhubarbshed/protocol/messages.py
@@ -36,6 +36,7 @@
     is_ip,
     is_text,
 )
+from rhubarbshed.protocol.speed_messages import SpeedsMessage
 
 FORMAT = 4
 DECODE_ERRORS = (KeyError, TypeError, ValueError, IndexError, msgpack.UnpackException)
@@ -300,7 +301,8 @@
 CrashNews = CrashMessage | CrashQuestion | TrialMessage | BegunPartsMessage
 LimitNews = LimitMessage | LimitQuestion | LimitReply
 InstanceMessage = StreamMessage | CrashNews | LimitNews
-Message = DemandMessage | HolderMessage | PlansMessage | StoreMessage | InstanceMessage
+HolderNews = DemandMessage | HolderMessage | PlansMessage | StoreMessage | SpeedsMessage
+Message = HolderNews | InstanceMessage
 KINDS: dict[str, type] = {
     "demand": DemandMessage,
     "holder": HolderMessage,
@@ -318,6 +320,7 @@
     "limit": LimitMessage,
     "limit_question": LimitQuestion,
     "limit_reply": LimitReply,
+    "speeds": SpeedsMessage,
 }
 KIND_NAMES = {kind: name for name, kind in KINDS.items()}
 CHECKS = {
--- a/rhubarbshed/transport/edge/holder_protocol.py
+++ b/rhubarbshed/transport/edge/holder_protocol.py
@@ -24,6 +24,7 @@
     StoreMessage,
 )
 from rhubarbshed.protocol.servers import EntryChange
+from rhubarbshed.protocol.speed_messages import SpeedsMessage
 from rhubarbshed.state.membership.fleet import SAMPLE_WINDOW_S
 from rhubarbshed.state.placement.demand_buffer import DemandBuffer
 from rhubarbshed.state.placement.engine_states import EngineState
@@ -40,6 +41,7 @@
 )
 from rhubarbshed.transport.edge.lease import LeaseClient
 from rhubarbshed.transport.edge.order_dispatcher import OrderDispatcher
+from rhubarbshed.transport.edge.speed_exchange import SpeedExchange
 from rhubarbshed.transport.edge.view import View
 from rhubarbshed.util.clocks import read_lease_clock
 from rhubarbshed.util.logs import log_event
@@ -89,6 +91,7 @@
     dispatcher: OrderDispatcher
     follower: Follower
     datagrams: Datagrams = field(init=False)
+    speeds: SpeedExchange = field(init=False)
     counts: dict[Target, Tally] = field(factory=dict)
     awaited_reported_at: dict[Target, float] = field(factory=dict)
     instances: dict[Address, float] = field(factory=dict)
@@ -101,8 +104,9 @@
     )
 
     def __attrs_post_init__(self) -> None:
-        """Create the datagram endpoint."""
+        """Create the datagram endpoint, and the exchange that sends by it."""
         self.datagrams = Datagrams(self.handle_datagram)
+        self.speeds = SpeedExchange(self.view, self.datagrams.send)
 
     @property
     def is_holder(self) -> bool:
@@ -159,23 +163,24 @@
                 self.handle_local_demand(message, now)
             elif not self.send_demand(message, now):
                 return
+        self.speeds.report(self.list_demand_receivers(), self.is_holder, now)
         self.counts.clear()
         self.loads_reported_at = now
 
+    def list_demand_receivers(self) -> list[Address]:
+        """List the local holder, and while that is unresponsive the others as well."""
+        own = self.lease.holder_address
+        others = [known.address for known in self.holders.values() if known.address != own]
+        unresponsive = self.lease.measure_silence() > HOLDER_TIMEOUT_S
+        return ([own] if own is not None else []) + (others if unresponsive else [])
+
     def send_demand(self, message: DemandMessage, now: float) -> bool:
         """Send a message to the local holder, and while that is unresponsive to the others as well.
 
         Return whether any holder is known.
         """
-        own = self.lease.holder_address
-        if own is not None:
-            self.datagrams.send(message, own)
-        unresponsive = self.lease.measure_silence() > HOLDER_TIMEOUT_S
-        others = [known.address for known in self.holders.values() if known.address != own]
-        if unresponsive:
-            for address in others:
-                self.datagrams.send(message, address)
-        return own is not None or bool(others)
+        self.datagrams.send(message, *self.list_demand_receivers())
+        return self.lease.holder_address is not None or bool(self.holders)
 
     def forward_demand(self) -> None:
         """Forward to the other holders what was received from the own data centre."""
@@ -235,6 +240,8 @@
             for message in self.make_holder_messages(own, now):
                 self.datagrams.send(message, *others)
             self.datagrams.send(self.make_plans_message(now), *others)
+        if regular:
+            self.speeds.announce(self.instances, self.list_other_holders(), now)
         if regular or self.demand_buffer.is_urgent:
             self.forward_demand()
 
@@ -339,6 +346,9 @@
         if isinstance(message, HolderMessage):
             self.handle_holder_message(message, now)
             return
+        if isinstance(message, SpeedsMessage):
+            self.speeds.apply(message, self.is_holder, now)
+            return
         if isinstance(message, StoreMessage):
             if message.token >= self.lease.lease_state.token and not self.is_holder:
                 self.follower.handle_store_message(message, now)
--- a/test/test_odd_messages.py
+++ b/test/test_odd_messages.py
@@ -69,6 +69,7 @@
     "limit": ("b1", 1, 5.0),
     "limit_question": (1, "b1", 1, 5.0, 1, 1),
     "limit_reply": (1, 1, 1, 1),
+    "speeds": ("i2", "a", [("b1", 2.5, 1.0)]),
 }  # fmt: skip
 LEASE = {"holder": "i2", "host": "127.0.0.3", "port": 7000, "nonce": "n"}
 VERDICT = {
--- a/test/test_server_speed.py
+++ b/test/test_server_speed.py
@@ -1,10 +1,18 @@
 """The lasting speed of a server is told from its disturbances, without sockets."""
 
+import asyncio
 import random
 
 import pytest
+from returns.result import Success
 
+from rhubarbshed.protocol import messages
+from rhubarbshed.protocol.messages import UnknownMessage, pack_message, unpack_message
+from rhubarbshed.protocol.speed_messages import SpeedsMessage
 from rhubarbshed.state.membership.server_speed import DISTURBANCE_FACTOR, ServerSpeed
+from rhubarbshed.transport.edge.node import Node
+from standin.replica import Exchange, Replica
+from test.helper_edge import make_configuration, make_route, make_settings, play, run_edge
 from test.test_edge_choice import NOW, make_entry, make_fleet
 
 
@@ -65,3 +73,48 @@
     record.record_load_sample(1, 0, NOW + 1.0, 0.6)
     record.apply_reported_slowness(4.0, 1.6, NOW + 1.2)
     assert record.speed.stated == 0.6
+
+
+def test_build_that_does_not_know_the_message_skips_it(monkeypatch):
+    data = pack_message(SpeedsMessage("i1", "a", (("b1", 2.5, 1.0),)))
+    assert unpack_message(data) == Success(SpeedsMessage("i1", "a", (("b1", 2.5, 1.0),)))
+    monkeypatch.delitem(messages.KINDS, "speeds")
+    assert unpack_message(data) == Success(UnknownMessage("speeds"))
+
+
+@pytest.mark.parametrize("load", ["1,0,6,160", "1,0,6"])
+def test_slowness_that_one_instance_was_told_reaches_the_others(load):
+    """An instance without requests took a slow server for a usual one until its first answers.
+
+    Nothing is sent if no server states its slowness.
+    """
+
+    async def state_load(exchange: Exchange) -> None:
+        exchange.answer(200, b"done", f"Rhubarbshed-Server-Load: {load}")
+
+    async def scene():
+        configuration = make_configuration(make_route())
+        async with run_edge(configuration, Replica("b1", reply=state_load)) as edge:
+            await edge.wait_until(lambda: edge.node.lease.lease_state.held)
+            others = [
+                Node.from_settings(make_settings(edge.store.address, name=name), "")
+                for name in ("i2", "i3")
+            ]
+            tasks = [asyncio.create_task(other.run()) for other in others]
+            await edge.wait_until(lambda: len(edge.node.holder_protocol.instances) == 2)
+            first, edge.node = edge.node, others[0]
+            assert (await edge.ask()).status == 200
+            edge.node = first
+            fleets = [node.view.fleet for node in (first, others[1])]
+            if load.count(",") == 3:
+                await edge.wait_until(lambda: all(each.get("b1").speed for each in fleets))
+                assert all(each.get("b1").slowness == 1.6 for each in fleets)
+            else:
+                await asyncio.sleep(1.5)
+                assert not any(each.get("b1").speed for each in fleets)
+            for other in others:
+                other.stop.set()
+                other.view.drain.announce_s = other.view.drain.drain_s = 0.0
+            await asyncio.gather(*tasks)
+
+    play(scene)
