Choose servers by expected time, and spread by load interpretation

Servers were compared by requests over slots, so a server whose work takes 1.6 times the usual time got as much as any other, and instances that saw loads late all chose the server that the last report showed idle. Where servers state their slowness, they are compared by the work ahead and their speed; streams with a gap prefer servers where it holds in a disturbance, and patient work takes slow ones. With the feature 'pressure', a server is drawn so that all are equally busy once what all instances send in between has arrived. Without either, choice is as before.

--- a/rhubarbshed/coordination/serving/choice.py
+++ b/rhubarbshed/coordination/serving/choice.py
@@ -12,6 +12,17 @@
 from attrs import frozen
 
 from rhubarbshed.coordination.serving.brittle_servers import has_room
+from rhubarbshed.coordination.serving.expected_time import (
+    RequestPace,
+    compute_expected_cost,
+    compute_pace_cost,
+    estimate_seconds,
+)
+from rhubarbshed.coordination.serving.spreading import (
+    SPREAD_SERVERS_MAX,
+    draw_server,
+    estimate_run,
+)
 from rhubarbshed.protocol.routes import Route
 from rhubarbshed.state.membership.fleet import Fleet, ServerRecord
 
@@ -29,6 +40,9 @@
 """Largest random addition to the cost, so that instances with the same outdated load do not all
 choose alike."""
 
+USUAL_PACE = RequestPace(target_s=0.3)
+"""Pace of a request whose route is not known."""
+
 QUEUE_FRACTION = 0.5
 BOUND_QUEUE_FRACTION = 1.0
 """Requests that may queue at a server, as a fraction of its slots, before it counts as full: for
@@ -37,12 +51,17 @@
 
 @frozen
 class Choice:
-    """Chosen server, with the figures behind the choice for the log."""
+    """Chosen server, with the figures behind the choice for the log.
+
+    `slowness` is None if the server does not state it.
+    """
 
     server: ServerRecord
     load: float
     sample_age_s: float
     candidates: int
+    slowness: float | None = None
+    expected_s: float = 0.0
 
 
 @frozen
@@ -104,12 +123,15 @@
     version: str | None = None,
     leaving_since: float = math.inf,
     instances: int = 1,
+    pace: RequestPace = USUAL_PACE,
+    spreads: bool = False,
 ) -> Choice | NoServer:
     """Choose the least loaded available server that holds (model, adapter).
 
     Servers to `avoid` have failed an earlier attempt of the request. The rest of a stream may come
     from servers of one software `version` only; if none stays, from one that announced after
-    `leaving_since` that it leaves, which still serves. So many `instances` send requests.
+    `leaving_since` that it leaves, which still serves. So many `instances` send requests. If
+    `spreads` is set, servers are drawn by what all of these send until the next load report.
     """
     model, adapter = needs
     staying = list_staying(fleet, service, version)
@@ -128,13 +150,56 @@
         return NoServer("all_tried", holders=len(holders), capable=len(capable))
     confirmed = [record for record in untried if record.missing_since is None] or untried
     queue_fraction = QUEUE_FRACTION if version is None else BOUND_QUEUE_FRACTION
-    free = [record for record in confirmed if not is_full(record, instances, now, queue_fraction)]
+    run_s = estimate_run(confirmed) if spreads else None
+    free = [
+        record for record in confirmed if not is_full(record, instances, now, queue_fraction, run_s)
+    ]
     if not free:
         return NoServer("full", holders=len(holders), capable=len(capable))
-    sampled = _sample_candidates(free, data_centre, rng)
-    best = min(sampled, key=lambda record: compute_cost(record, data_centre, now, rng))
-    age_s = now - best.sampled_at
-    return Choice(best, best.estimate_usual_load(now), age_s, len(free))
+    return _describe(_choose_free(free, data_centre, pace, spreads, now, rng), len(free), now)
+
+
+def _describe(best: ServerRecord, candidates: int, now: float) -> Choice:
+    """Return a choice with the figures on its server."""
+    return Choice(
+        best,
+        best.estimate_usual_load(now),
+        now - best.sampled_at,
+        candidates,
+        best.speed.lasting if best.speed is not None else None,
+        estimate_seconds(best, now),
+    )
+
+
+def _choose_free(
+    free: list[ServerRecord],
+    data_centre: str,
+    pace: RequestPace,
+    spreads: bool,
+    now: float,
+    rng: random.Random,
+) -> ServerRecord:
+    """Choose one of the servers that are not full."""
+    count = SPREAD_SERVERS_MAX if spreads else SAMPLED_SERVERS
+    sampled = _sample_candidates(free, data_centre, rng, count)
+    has_speeds = any(record.speed is not None for record in free)
+    if spreads:
+        # Plain work that is urgent has one pace, so that its draw follows the speeds as they are.
+        is_paced = has_speeds and (pace.streamed or pace.is_patient)
+        costs = [
+            _measure_penalty(record, data_centre, now)
+            + (compute_pace_cost(record, pace) if is_paced else 0.0)
+            for record in sampled
+        ]
+        return draw_server(sampled, costs, now, rng)
+    if has_speeds:
+        return min(
+            sampled,
+            key=lambda record: compute_expected_cost(record, pace, now)
+            + _measure_penalty(record, data_centre, now)
+            + rng.uniform(0.0, COST_JITTER),
+        )
+    return min(sampled, key=lambda record: compute_cost(record, data_centre, now, rng))
 
 
 def is_responsive(chosen: Choice | NoServer, now: float) -> bool:
@@ -148,9 +213,9 @@
 
 
 def _sample_candidates(
-    free: list[ServerRecord], data_centre: str, rng: random.Random
+    free: list[ServerRecord], data_centre: str, rng: random.Random, count: int
 ) -> list[ServerRecord]:
-    """Sample two servers of the own data centre and two of the others.
+    """Sample `count` servers of the own data centre and as many of the others.
 
     Taking the less loaded of two random servers spreads requests nearly as well as taking the least
     loaded of all, and does not send all instances to the same server until its next load report.
@@ -158,31 +223,36 @@
     local = [record for record in free if record.entry.data_centre == data_centre]
     remote = [record for record in free if record.entry.data_centre != data_centre]
     return [
-        record
-        for group in (local, remote)
-        for record in rng.sample(group, min(SAMPLED_SERVERS, len(group)))
+        record for group in (local, remote) for record in rng.sample(group, min(count, len(group)))
     ]
 
 
 def is_full(
-    record: ServerRecord, instances: int, now: float, queue_fraction: float = QUEUE_FRACTION
+    record: ServerRecord,
+    instances: int,
+    now: float,
+    queue_fraction: float = QUEUE_FRACTION,
+    run_s: float | None = None,
 ) -> bool:
     """Return whether a server would refuse another request or queue it for long, or wants none.
 
-    `instances` share its slots.
+    `instances` share its slots. If `run_s` is given, reported requests end after so long.
     """
     if now < max(record.limited_until, record.backoff_until):
         return True
     if record.rejections_borne is not None:
         return not has_room(record, instances, now)
-    return record.estimate_load(now) >= record.entry.slots * (1.0 + queue_fraction)
+    load = record.estimate_load(now) if run_s is None else record.split_load(run_s, now)[0]
+    return load >= record.entry.slots * (1.0 + queue_fraction)
 
 
 def compute_cost(record: ServerRecord, data_centre: str, now: float, rng: random.Random) -> float:
     """Return the cost of a request at a server, as a fraction of its slots."""
-    slots = max(1, record.entry.slots)
-    cost = record.estimate_usual_load(now) / slots
-    if record.entry.data_centre != data_centre:
-        cost += OTHER_CENTRE_COST
-    cost += FAILURE_COST * record.measure_failures(now)
-    return cost + rng.uniform(0.0, COST_JITTER)
+    load = record.estimate_usual_load(now) / max(1, record.entry.slots)
+    return load + _measure_penalty(record, data_centre, now) + rng.uniform(0.0, COST_JITTER)
+
+
+def _measure_penalty(record: ServerRecord, data_centre: str, now: float) -> float:
+    """Return the cost of a server's distance and failures, as a fraction of its slots."""
+    centre_cost = OTHER_CENTRE_COST if record.entry.data_centre != data_centre else 0.0
+    return centre_cost + FAILURE_COST * record.measure_failures(now)
--- a/rhubarbshed/state/membership/fleet.py
+++ b/rhubarbshed/state/membership/fleet.py
@@ -5,7 +5,7 @@
 from attrs import define, field
 
 from rhubarbshed.protocol.servers import ServerEntry, ServerState
-from rhubarbshed.state.membership.server_speed import ServerSpeed
+from rhubarbshed.state.membership.server_speed import ServerSpeed, UsualGap
 
 SAMPLE_WINDOW_S = 3.0
 SAMPLE_WINDOW_MIN_S = 0.05
@@ -52,7 +52,8 @@
     of them to receive anything did so at `heard_at`. `reported_load` is the load that the server
     last reported, to this instance at `answered_at` or to another, known here since `sampled_at`;
     `others_load` is the part of it that is not from this instance, `usual_load` an average of the
-    reported ones. `run_s` is the mean time of its runs. `held` are the models with their adapters.
+    reported ones. `run_s` is the mean time of its runs, which begins with a guess, and
+    `measured_run_s` that of the `runs` that ended here. `held` are the models with their adapters.
     `failures` and `attempts` are decaying sums.
     `rejections_borne` is set for a brittle server, which gets nothing before `rejecting_until`.
     `limit_per_s` are the requests that the server takes from all instances, if it names a limit,
@@ -80,6 +81,8 @@
     sampled_at: float = -math.inf
     answered_at: float = -math.inf
     run_s: float = RUN_INITIAL_S
+    runs: int = 0
+    measured_run_s: float = 0.0
     failures: float = 0.0
     attempts: float = 0.0
     decayed_at: float = 0.0
@@ -143,6 +146,16 @@
         unknown = (1.0 - self._measure_freshness(now)) * max(0.0, usual - self.open)
         return self.estimate_load(now) + unknown
 
+    def split_load(self, run_s: float, now: float) -> tuple[float, float]:
+        """Return the requests known to be on the server, and those to expect beside them.
+
+        Of what was reported, each run of `run_s` ends a part; what others sent since takes its
+        place, as much as the server usually had.
+        """
+        past = math.exp(-max(0.0, now - self.sampled_at) / run_s)
+        known = self.open + self.others_load * past
+        return known, (1.0 - past) * max(0.0, self.usual_load - self.open)
+
     def _measure_freshness(self, now: float) -> float:
         """Return which part of the reported load is still on the server."""
         age_s = max(0.0, now - self.sampled_at)
@@ -169,6 +182,9 @@
     def record_run(self, run_s: float) -> None:
         """Update the mean time of a run with the time that one request took."""
         self.run_s += RUN_WEIGHT * (run_s - self.run_s)
+        self.runs += 1
+        weight = max(RUN_WEIGHT, 1.0 / self.runs)
+        self.measured_run_s += weight * (run_s - self.measured_run_s)
 
     def record_load_sample(
         self, running: int, waiting: int, now: float, slowness: float | None = None
@@ -255,6 +271,7 @@
 
     servers: dict[str, ServerRecord] = field(factory=dict)
     by_service: dict[str, dict[str, ServerRecord]] = field(factory=dict)
+    usual_gaps: dict[str, UsualGap] = field(factory=dict)
 
     def list_service(self, service: str) -> list[ServerRecord]:
         """List the servers of a service."""
@@ -264,6 +281,17 @@
         """Return a server."""
         return self.servers.get(server_id)
 
+    def record_gap(self, record: ServerRecord, longest_s: float) -> None:
+        """Record the longest gap of a stream that a server which states its speed wrote alone."""
+        if record.speed is not None and longest_s > 0.0:
+            gap = self.usual_gaps.setdefault(record.entry.service, UsualGap())
+            gap.record(longest_s, record.slowness)
+
+    def find_usual_gap(self, service: str) -> float | None:
+        """Return the gap between events at a server of usual speed, None if it is not known."""
+        gap = self.usual_gaps.get(service)
+        return gap.usual_s if gap is not None else None
+
     def apply(self, entry: ServerEntry, now: float, since: float | None = None) -> str:
         """Apply a server's entry; return the change, or "" if the entry is older or the same.
 
--- a/rhubarbshed/state/membership/server_speed.py
+++ b/rhubarbshed/state/membership/server_speed.py
@@ -32,6 +32,27 @@
 e."""
 
 
+GAPS_MAX = 24
+GAPS_MIN = 6
+GAP_RANK = 1 / 8
+"""Number of streams whose longest gaps are kept, the number from which these show the usual gap,
+and the rank of that: three of four streams of some seconds meet a disturbance."""
+
+
+@define
+class UsualGap:
+    """Gap between the events of a service's streams at a server of usual speed, in seconds."""
+
+    usual_s: float | None = None
+    _gaps: collections.deque[float] = field(factory=lambda: collections.deque(maxlen=GAPS_MAX))
+
+    def record(self, longest_s: float, slowness: float) -> None:
+        """Record the longest gap of a stream that one server wrote."""
+        self._gaps.append(longest_s / slowness)
+        if len(self._gaps) >= GAPS_MIN:
+            self.usual_s = sorted(self._gaps)[int(len(self._gaps) * GAP_RANK)]
+
+
 @define
 class ServerSpeed:
     """Slowness of one server, 1.0 as usual; times are monotonic seconds.
--- a/rhubarbshed/transport/edge/metrics.py
+++ b/rhubarbshed/transport/edge/metrics.py
@@ -60,6 +60,8 @@
     "load_wait_seconds": Family(
         "Time that requests waited for a load, by what became of them.", ("outcome",)
     ),
+    "load_age_seconds": Family("Age of the load of a server as it was chosen."),
+    "chosen_slowness": Family("Lasting slowness of chosen servers that state it, 1 as usual."),
 }
 
 
@@ -169,6 +171,14 @@
         """Record the time that a request waited for a load."""
         self.observe("load_wait_seconds", waited_s, outcome)
 
+    def observe_load_age(self, age_s: float) -> None:
+        """Record the age of the load of a server as it was chosen."""
+        self.observe("load_age_seconds", age_s)
+
+    def observe_slowness(self, slowness: float) -> None:
+        """Record the lasting slowness of a chosen server."""
+        self.observe("chosen_slowness", slowness)
+
     def count_store_call(self, kind: str, table: str) -> None:
         """Count a call to the store."""
         self.count("store_calls", kind, table)
--- a/rhubarbshed/transport/edge/request_logs.py
+++ b/rhubarbshed/transport/edge/request_logs.py
@@ -1,7 +1,9 @@
 """Log lines on the ends of requests."""
 
 import logging
+import math
 
+from rhubarbshed.coordination.serving.choice import Choice
 from rhubarbshed.protocol.errors import RequestError
 from rhubarbshed.protocol.exchanges import ExchangeEnd
 from rhubarbshed.transport.edge.attempts import Attempt
@@ -25,6 +27,27 @@
     return Stage.BODY if attempt.status else Stage.RESPONSE
 
 
+def log_dispatched(progress: RequestProgress, chosen: Choice) -> None:
+    """Log the figures behind the choice of a server, and count them."""
+    metrics, age_s = progress.relay.metrics, chosen.sample_age_s
+    if age_s != math.inf:
+        metrics.observe_load_age(age_s)
+    if chosen.slowness is not None:
+        metrics.observe_slowness(chosen.slowness)
+    log_event(
+        LOG,
+        logging.DEBUG,
+        "dispatched",
+        request=progress.request.request_id,
+        server=chosen.server.entry.server_id,
+        load=round(chosen.load, 1),
+        sample_age_s=round(min(age_s, 999.0), 2),
+        candidates=chosen.candidates,
+        slowness="" if chosen.slowness is None else round(chosen.slowness, 2),
+        expected_ms=round(chosen.expected_s * 1000),
+    )
+
+
 def log_failed_attempt(
     progress: RequestProgress, attempt: Attempt, end: ExchangeEnd, now: float
 ) -> None:
--- a/rhubarbshed/transport/edge/server_attempts.py
+++ b/rhubarbshed/transport/edge/server_attempts.py
@@ -1,7 +1,6 @@
 """Attempts of a request at backend servers, and what their ends show of these."""
 
 import functools
-import logging
 import time
 
 from rhubarbshed.coordination.serving.brittle_servers import record_rejection
@@ -12,7 +11,7 @@
 from rhubarbshed.state.membership.fleet import ServerRecord
 from rhubarbshed.transport.edge.attempts import Attempt
 from rhubarbshed.transport.edge.kept_attempts import abandon_kept, limit_kept
-from rhubarbshed.transport.edge.request_logs import log_failed_attempt
+from rhubarbshed.transport.edge.request_logs import log_dispatched, log_failed_attempt
 from rhubarbshed.transport.edge.request_progress import RequestProgress
 from rhubarbshed.transport.edge.server_selection import (
     choose_next,
@@ -20,9 +19,6 @@
     has_heard,
     list_silent,
 )
-from rhubarbshed.util.logs import log_event
-
-LOG = logging.getLogger(__name__)
 
 SERVICE_SILENCE_S = 1.5
 """Time for which requests stay at a silent server while all others that requests wait for are
@@ -35,16 +31,7 @@
     progress.limited.clear()
     progress.servers.append(record.entry.server_id)
     progress.versions.append(record.entry.version)
-    log_event(
-        LOG,
-        logging.DEBUG,
-        "dispatched",
-        request=progress.request.request_id,
-        server=record.entry.server_id,
-        load=round(chosen.load, 1),
-        sample_age_s=round(min(chosen.sample_age_s, 999.0), 2),
-        candidates=chosen.candidates,
-    )
+    log_dispatched(progress, chosen)
     attempt = Attempt.from_server(
         progress.relay.pool, record, progress.caller_response, progress.deadline
     )
@@ -78,6 +65,7 @@
     run_s = time.monotonic() - begun_at
     if end is ExchangeEnd.DONE:
         record.record_run(run_s)
+        note_gap(progress, record)
     if end is ExchangeEnd.DONE and progress.is_configured:
         progress.relay.count_run(
             progress.service, progress.request.model, progress.request.adapter, run_s
@@ -85,6 +73,12 @@
     return end
 
 
+def note_gap(progress: RequestProgress, record: ServerRecord) -> None:
+    """Record the longest gap of a stream that only one server wrote."""
+    if progress.route.streamed and len(progress.servers) == 1:
+        progress.relay.view.fleet.record_gap(record, progress.caller_response.gap_s)
+
+
 def may_move(progress: RequestProgress, record: ServerRecord, attempt: Attempt, now: float) -> bool:
     """Return whether another attempt can be made in place of one at a silent server."""
     may_move = pay_move(progress, record, now)
--- a/rhubarbshed/transport/edge/server_selection.py
+++ b/rhubarbshed/transport/edge/server_selection.py
@@ -4,6 +4,7 @@
 import time
 
 from rhubarbshed.coordination.serving.choice import Choice, NoServer, choose_server, list_staying
+from rhubarbshed.coordination.serving.expected_time import RequestPace
 from rhubarbshed.coordination.serving.missing_models import (
     CallerPatience,
     LoadWait,
@@ -61,9 +62,18 @@
         progress.caller_response.version,
         view.versions.entry_age.find_announced_since(view.settings.drain_s, now),
         view.budget.instances,
+        read_pace(progress),
+        view.settings.has_pressure,
     )
 
 
+def read_pace(progress: RequestProgress) -> RequestPace:
+    """Return what a request asks of the speed of its server."""
+    route = progress.route
+    usual_gap_s = progress.relay.view.fleet.find_usual_gap(progress.service)
+    return RequestPace(route.target_s, route.gap_s, route.streamed, usual_gap_s)
+
+
 def choose_other(progress: RequestProgress, record: ServerRecord, now: float) -> Choice | NoServer:
     """Choose a server that this request has not tried, other than one."""
     tried = progress.excluded
