Prefer fast engines for models in demand, and slow ones for rare models

The gain of a copy is now divided by the engine's lasting slowness from one request a second on, and grows with its square root for rarer models. Engines that state no slowness are weighed as before.

The load table also has fixed subsets and the connections opened.

--- a/rhubarbshed/coordination/serving/placement.py
+++ b/rhubarbshed/coordination/serving/placement.py
@@ -55,6 +55,15 @@
 """Time in which a copy has to answer more requests than are lost for it: those for the evicted
 copies, and those whose adapters the engine cannot load while it carries out the orders."""
 
+SPEED_RATE_PER_S = 1.0
+"""Requests per second for a model from which its copies belong on fast engines."""
+
+SLOW_ENGINE_GAIN_EXPONENT = 0.5
+SLOWNESS_RANGE = (0.5, 2.0)
+"""Exponent of an engine's slowness in the gain of a copy that is rarely asked for, and the bounds
+of the slowness that counts: slow engines answer those requests well enough, so that the memory of
+fast ones stays free."""
+
 ORDER_OVERHEAD_S = 0.4
 """Time from the end of an order until the engine's report shows it and the next one is sent."""
 
@@ -200,7 +209,20 @@
     if measure_gain(PAYBACK_S) <= 0.0:
         return None
     from_store = is_from_store(plan, engine_state, spec.name)
-    return Option(measure_gain(HORIZON_S), engine_state.server_id, evictions, from_store)
+    gain = measure_gain(HORIZON_S)
+    if gain > 0.0:
+        gain *= weigh_speed(candidate.record, plan.measure_rate(spec.name))
+    return Option(gain, engine_state.server_id, evictions, from_store)
+
+
+def weigh_speed(record: ServerRecord, rate_per_s: float) -> float:
+    """Return the factor on the gain of a copy at an engine's lasting speed, 1.0 if not stated.
+
+    A copy in demand answers fewer requests on a slow engine, and its streams have longer gaps.
+    """
+    least, most = SLOWNESS_RANGE
+    slowness = min(most, max(least, record.slowness))
+    return 1.0 / slowness if rate_per_s >= SPEED_RATE_PER_S else slowness**SLOW_ENGINE_GAIN_EXPONENT
 
 
 def _choose_evictions(
--- a/test/test_edge_orders.py
+++ b/test/test_edge_orders.py
@@ -98,6 +98,23 @@
     assert moves and moves[0].kind is OrderKind.UNLOAD
 
 
+@pytest.mark.parametrize(("requests", "chosen"), [(60, "b1"), (0, "b2")])
+def test_model_in_demand_is_loaded_on_a_fast_engine_and_a_rare_one_on_a_slow_one(requests, chosen):
+    """A copy on a slow engine answered fewer requests, and its streams came late."""
+    engine, usage = make_engine(m1=0), Usage()
+    for _ in range(requests):
+        usage.count(("svc", "m1", ""), Tally(1), NOW)
+    usage.record_awaited(("svc", "m1", ""), NOW)
+    first = []
+    for slowness in ({"b1": 0.6, "b2": 1.6}, {"b1": 1.6, "b2": 0.6}):
+        plan = make_plan(engine, usage, b1={}, b2={})
+        for name, value in slowness.items():
+            plan.records[name].record_load_sample(0, 0, NOW, value)
+        first.append(plan_models(plan, make_rate())[0].server_id)
+    other = {"b1": "b2", "b2": "b1"}[chosen]
+    assert first == [chosen, other]
+
+
 def test_engine_without_an_entry_is_neither_a_holder_nor_gets_orders():
     usage = Usage()
     usage.record_awaited(("svc", "m1", ""), NOW)
--- a/tools/load_table.py
+++ b/tools/load_table.py
@@ -14,11 +14,12 @@
 import typer
 from attrs import define, field, frozen
 
-from rhubarbshed.coordination.serving.choice import Choice, choose_server
+from rhubarbshed.coordination.serving.choice import Choice, NoServer, choose_server
 from rhubarbshed.coordination.serving.expected_time import RequestPace
 from rhubarbshed.protocol.servers import ServerEntry, ServerState
 from rhubarbshed.state.membership.fleet import Fleet
 from rhubarbshed.state.membership.server_speed import DISTURBANCE_FACTOR
+from rhubarbshed.util.rendezvous import weigh
 
 SLOTS = 6
 RUN_S = 0.06
@@ -34,9 +35,13 @@
 
 DISTURBANCE_S = 0.3
 DISTURBANCE_SHARE = 0.1
-POLICIES = ("ideal", "random", "shares", "present", "expected", "new")
+POLICIES = ("ideal", "random", "shares", "present", "expected", "new", "subset")
 """`shares` are fixed by capacity, `present` is the choice without speeds and spreading, `expected`
-the less loaded of two by expected time, `new` the choice by load interpretation."""
+the less loaded of two by expected time, `new` the choice by load interpretation. With `subset` each
+instance chooses so among one server, drawn by capacity, and among all while that one is full."""
+
+KEPT_S = 1.5
+"""Time for which an idle connection is kept, if servers state a keep-alive time of 2 s."""
 
 
 @frozen
@@ -77,6 +82,8 @@
     idle: float = 0.0
     excess: float = 0.0
     seconds: float = 0.0
+    requests: int = 0
+    opened: int = 0
 
     def add(self, servers: list[Server], took_s: float) -> None:
         """Add a time in which nothing changed."""
@@ -98,6 +105,7 @@
     servers: list[Server]
     fleets: list[Fleet]
     totals: Totals = field(factory=Totals)
+    kept: dict = field(factory=lambda: collections.defaultdict(list))
     events: list = field(factory=list)
     now: float = 0.0
     count: int = 0
@@ -154,9 +162,19 @@
             self.schedule(RETRY_S, self.send, instance, arrived_at)
             return
         fleet.get(server.entry.server_id).begin_attempt(self.now)
+        self.connect((id(fleet), server.entry.server_id))
         server.waiting.append((arrived_at, fleet))
         self.start_next(server)
 
+    def connect(self, key: tuple[int, str]) -> None:
+        """Take the connection that was used last, or open one."""
+        kept = self.kept[key] = [at for at in self.kept[key] if self.now - at < KEPT_S]
+        self.totals.requests += 1
+        if kept:
+            kept.pop()
+        else:
+            self.totals.opened += 1
+
     def choose(self, instance: int) -> Server | None:
         """Choose a server by the policy."""
         if self.policy == "ideal":
@@ -165,19 +183,37 @@
             return self.rng.choice(self.servers)
         if self.policy == "shares":
             return self.rng.choices(self.servers, [1.0 / each.slowness for each in self.servers])[0]
-        chosen = choose_server(
+        chosen = self.choose_among(instance, self.list_outside(instance))
+        if self.policy == "subset" and not isinstance(chosen, Choice):
+            chosen = self.choose_among(instance, frozenset())
+        return self.find(chosen) if isinstance(chosen, Choice) else None
+
+    def choose_among(self, instance: int, avoid: frozenset[tuple[str, int]]) -> Choice | NoServer:
+        """Choose by the product's function among the servers that are not to be avoided."""
+        return choose_server(
             self.fleets[instance],
             "svc",
             ("", ""),
-            frozenset(),
+            avoid,
             f"z{instance % CENTRES}",
             self.now,
             self.rng,
             instances=len(self.fleets),
             pace=RequestPace(0.3),
-            spreads=self.policy == "new",
+            spreads=self.policy in ("new", "subset"),
         )
-        return self.find(chosen) if isinstance(chosen, Choice) else None
+
+    def list_outside(self, instance: int) -> frozenset[tuple[str, int]]:
+        """Return the servers outside of an instance's subset, by weighted rendezvous hashing."""
+        if self.policy != "subset":
+            return frozenset()
+
+        def weigh_server(server: Server) -> float:
+            part = (weigh(server.entry.server_id, f"i{instance}") + 1) / 2**64
+            return math.log(part) * server.slowness
+
+        ranked = sorted(self.servers, key=weigh_server, reverse=True)
+        return frozenset(server.entry.incarnation for server in ranked[1:])
 
     def find(self, chosen: Choice) -> Server:
         """Return the simulated server of a choice."""
@@ -203,6 +239,7 @@
         server.running -= 1
         record = fleet.get(server.entry.server_id)
         record.open -= 1
+        self.kept[id(fleet), server.entry.server_id].append(self.now)
         record.record_run(self.now - arrived_at)
         record.record_load_sample(
             server.running, len(server.waiting), self.now, self.get_stated(server)
@@ -255,7 +292,7 @@
     seed: int = 1,
 ) -> None:
     """Print the measured figures for each case and policy."""
-    print("instances age_s speeds arrivals policy idle_slots wait_p99_ms excess")
+    print("instances age_s speeds arrivals policy idle_slots wait_p99_ms excess opened")
     for count, age_s, kind, bursty, policy in itertools.product(
         map(int, instances.split(",")),
         map(float, ages.split(",")),
@@ -268,10 +305,9 @@
         arrivals = "bursty" if bursty else "steady"
         idle, excess = (each / totals.seconds for each in (totals.idle, totals.excess))
         wait_ms = 1000 * find_percentile(totals.waits, 0.99)
-        print(
-            f"{count} {age_s} {kind} {arrivals} {policy} {idle:.3f} {wait_ms:.1f} {excess:.3f}",
-            flush=True,
-        )
+        opened = totals.opened / max(1, totals.requests)
+        case_name = f"{count} {age_s} {kind} {arrivals}"
+        print(f"{case_name} {policy} {idle:.3f} {wait_ms:.1f} {excess:.3f} {opened:.2f}")
 
 
 if __name__ == "__main__":
