--- a/tools/load_table.py
+++ b/tools/load_table.py
@@ -178,7 +178,7 @@
     def choose(self, instance: int) -> Server | None:
         """Choose a server by the policy."""
         if self.policy == "ideal":
-            return min(self.servers, key=self.estimate_end)
+            return min(self.servers, key=self.rank_ideally)
         if self.policy == "random":
             return self.rng.choice(self.servers)
         if self.policy == "shares":
@@ -219,10 +219,12 @@
         """Return the simulated server of a choice."""
         return self.servers[int(chosen.server.entry.server_id[1:])]
 
-    def estimate_end(self, server: Server) -> float:
-        """Return the runs until a request's end, for a choice that knows everything."""
-        queued = max(0, server.load + 1 - SLOTS) / SLOTS
-        return server.slowness * server.factor * (1.0 + queued)
+    def rank_ideally(self, server: Server) -> tuple[float, float]:
+        """Return the rank for a choice that knows everything: free slots, then the speed."""
+        slowness = server.slowness * server.factor
+        if server.load < SLOTS:
+            return server.load / SLOTS, slowness
+        return 1.0 + (server.load + 1 - SLOTS) * slowness, slowness
 
     def start_next(self, server: Server) -> None:
         """Start waiting requests while slots are free."""
