--- a/rhubarbshed/protocol/messages.py
+++ b/rhubarbshed/protocol/messages.py
@@ -38,6 +38,7 @@
     is_ip,
     is_text,
 )
+from rhubarbshed.protocol.speed_messages import SpeedsMessage
 
 FORMAT = 4
 DECODE_ERRORS = (KeyError, TypeError, ValueError, IndexError, msgpack.UnpackException)
@@ -304,7 +305,8 @@
 ConfirmationNews = ConfirmationQuestion | ConfirmationReply
 CreditNews = CreditQuestion | CreditReply
 InstanceMessage = StreamMessage | CrashNews | LimitNews | ConfirmationNews | CreditNews
-Message = DemandMessage | HolderMessage | PlansMessage | StoreMessage | InstanceMessage
+HolderNews = DemandMessage | HolderMessage | PlansMessage | StoreMessage | SpeedsMessage
+Message = HolderNews | InstanceMessage
 KINDS: dict[str, type] = {
     "demand": DemandMessage,
     "holder": HolderMessage,
@@ -326,6 +328,7 @@
     "confirmation_reply": ConfirmationReply,
     "credit_question": CreditQuestion,
     "credit_reply": CreditReply,
+    "speeds": SpeedsMessage,
 }
 KIND_NAMES = {kind: name for name, kind in KINDS.items()}
 CHECKS = {
