Answer 503 to requests that no server received

Cause: a connection that a server reset before any byte of the request was written, and a deadline that passed while a connection was being opened, counted as possible runs, so that unsafe requests got 502 or 504.

Change: a write that the kernel took nothing of ends the attempt as `closed`, which neither ran nor counts against the budget. A request in flight counts as a possible run only once it was sent. After a server has ended a new connection without an answer, unsafe requests wait 5 ms on new connections to it, in which such a reset arrives.

--- a/rhubarbshed/protocol/exchanges.py
+++ b/rhubarbshed/protocol/exchanges.py
@@ -142,7 +142,8 @@
 class ExchangeEnd(enum.Enum):
     """How an attempt ended.
 
-    `NOT_SENT` and `CONNECTION_REFUSED` never left this instance. `REFUSED`, `MODEL_MISSING` (the
+    `NOT_SENT`, `CONNECTION_REFUSED` and `CLOSED` (the connection ended before any byte of the
+    request was sent on it) never left this instance. `REFUSED`, `MODEL_MISSING` (the
     server does not hold the model) and `WRONG_SERVER` (another server has the address) were
     refused by the server and did not run. `BROKEN`, `MALFORMED` and `NO_RESPONSE` may have run.
     """
@@ -150,6 +151,7 @@
     DONE = "done"
     NOT_SENT = "not_sent"
     CONNECTION_REFUSED = "down"
+    CLOSED = "closed"
     REFUSED = "refused"
     MODEL_MISSING = "absent"
     WRONG_SERVER = "gone"
@@ -170,4 +172,8 @@
     @property
     def was_sent(self) -> bool:
         """Whether the request reached a server."""
-        return self not in (ExchangeEnd.NOT_SENT, ExchangeEnd.CONNECTION_REFUSED)
+        return self not in (
+            ExchangeEnd.NOT_SENT,
+            ExchangeEnd.CONNECTION_REFUSED,
+            ExchangeEnd.CLOSED,
+        )
--- a/rhubarbshed/state/membership/fleet.py
+++ b/rhubarbshed/state/membership/fleet.py
@@ -58,6 +58,7 @@
     which it did last at `limit_named_at`. It gets none from here before `limited_until`, and
     refused callers may expect room at `limit_retry_at`. Before `backoff_until` it asked for nothing
     at all.
+    At `reset_at` it last ended a new connection from here before it answered anything on it.
     `unloading` and `loading` name models in transition, the latter due at `loaded_at`.
     """
 
@@ -90,6 +91,7 @@
     limited_until: float = -math.inf
     limit_retry_at: float = -math.inf
     backoff_until: float = -math.inf
+    reset_at: float = -math.inf
     unloading: str = ""
     loading: str = ""
     loaded_at: float = math.inf
--- a/rhubarbshed/transport/edge/attempts.py
+++ b/rhubarbshed/transport/edge/attempts.py
@@ -25,6 +25,7 @@
     ChannelError,
     Event,
     MalformedAnswerError,
+    NothingSentError,
     NotListeningError,
 )
 from rhubarbshed.transport.edge.pools import Address, Pool
@@ -105,6 +106,7 @@
     An attempt whose server is silent is left with `is_kept`: its connection stays open while
     another server is asked. `on_sent` and `on_accepted` are called once the server may have got the
     request, and once its answer is a success.
+    `settle_s` passes before a new connection is used, in which a server over its cap may reset it.
     An attempt by way of another instance has neither `record` nor `origin`; `instance_error` is
     that one's answer if no server gave one, and `declined` that another instance may do better.
     """
@@ -142,6 +144,7 @@
     is_kept: bool = False
     was_resumed: bool = False
     stream: StreamProgress | None = None
+    settle_s: float = 0.0
 
     @classmethod
     def from_server(
@@ -229,15 +232,21 @@
         # A late loop may have read the request but not yet the end of its caller's connection.
         if self.caller_response.connection.notice_disconnect():
             await asyncio.sleep(0)
+        if self.settle_s and not self.channel.exchanges:
+            await asyncio.sleep(self.settle_s)
         caller_response = self.caller_response
         request, route = caller_response.request, caller_response.route
         now = time.monotonic()
         after = caller_response.splitter.last_id if route.resumable else ""
         headers = self.make_headers(self.deadline - now, after)
         self.sent, self.sent_at = True, now
-        self.channel.start(
-            request.method, request.target, tuple(headers), request.body, request.request_id
-        )
+        try:
+            self.channel.start(
+                request.method, request.target, tuple(headers), request.body, request.request_id
+            )
+        except NothingSentError as error:
+            self.sent, self.detail = False, str(error)
+            return ExchangeEnd.CLOSED
         self.on_sent()
         return await self.read_answer(may_retry)
 
@@ -278,6 +287,11 @@
         finally:
             timer.cancel()
 
+    @property
+    def is_unanswered_first(self) -> bool:
+        """Whether it was the first exchange of its connection and nothing came back."""
+        return self.channel is not None and self.channel.exchanges <= 1 and self.head_at is None
+
     async def receive_body(self) -> Event:
         """Return the next piece of the response's body, or its end."""
         event = await self.channel.receive()
--- a/rhubarbshed/transport/edge/channels.py
+++ b/rhubarbshed/transport/edge/channels.py
@@ -48,6 +48,10 @@
     """Address at which nobody listens."""
 
 
+class NothingSentError(ChannelError):
+    """Connection that ended before any byte of a request was sent on it."""
+
+
 class MalformedAnswerError(ChannelError):
     """Bytes that are not a response of the protocol."""
 
@@ -128,7 +132,12 @@
     def start(
         self, method: bytes, target: bytes, headers: Headers, body: bytes, request_id: str = ""
     ) -> None:
-        """Send a complete request."""
+        """Send a complete request; raise `NothingSentError` if the connection has ended already.
+
+        The transport sends at once while its buffer is empty, so that it closes within the write
+        only if the kernel took nothing. A server resets connections over its cap as it accepts
+        them, also those that are open here already.
+        """
         self.exchanges += 1
         self._request_digests.add(hash_id(request_id))
         self._request = h11.Request(method=method, target=target, headers=list(headers))
@@ -137,9 +146,12 @@
         if body:
             data += self._parser.send(h11.Data(data=body))
         data += self._parser.send(h11.EndOfMessage())
-        if self._closed:
-            raise ChannelError("the connection is closed")
+        if self._closed or self._transport.is_closing():
+            raise NothingSentError("the connection is closed")
+        is_first = self._transport.get_write_buffer_size() == 0
         self._transport.write(data)
+        if is_first and self._transport.is_closing():
+            raise NothingSentError("the connection was reset before the request")
 
     async def receive(self) -> Event:
         """Return the next event of the response; give way after each `EVENTS_IN_ROW_MAX`."""
--- a/rhubarbshed/transport/edge/final_answers.py
+++ b/rhubarbshed/transport/edge/final_answers.py
@@ -26,7 +26,7 @@
     progress.cut_off_as = progress.repeat
     route_name = progress.route.name if progress.route else ""
     progress.relay.metrics.count_cut_off(route_name, progress.cut_off_as.value)
-    answer_error(progress, make_timeout(progress.tries.run > 0 or progress.in_flight))
+    answer_error(progress, make_timeout(progress.may_have_run))
     progress.connection.end(CloseReason.CUT_OFF)
     progress.connection.cancel_work()
 
--- a/rhubarbshed/transport/edge/request_progress.py
+++ b/rhubarbshed/transport/edge/request_progress.py
@@ -43,7 +43,8 @@
 
     `excluded` are the servers already tried and `tries` the outcome there; `limited` are those
     whose limits had no room since the last attempt. `in_flight` means that a server may be running
-    the request, `delivered` that one received it, and `only_missing` that all so far were down or
+    the request, `delivered` that one received it, `was_closed` that one ended a connection before
+    it was sent anything, and `only_missing` that all so far were down or
     lacked the model. `waited_s` was spent on a load and `queued_s` on full servers.
     `available_in_s` is when a load that it needs should be complete, and `load_awaited_at` since
     when it waits for one. `waits_for` is the stage it is in while no attempt is in flight.
@@ -76,6 +77,7 @@
     ended: bool = False
     only_missing: bool = True
     delivered: bool = False
+    was_closed: bool = False
     retry_paid: bool = False
     load_awaited_at: float | None = None
     waits_for: Stage = Stage.CHOICE
@@ -91,10 +93,18 @@
     kept_limit: asyncio.TimerHandle | None = None
     others_asked_again: bool = False
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether a server may have run the request, or may be running it.
+
+        An attempt in flight has sent nothing while its connection is being opened.
+        """
+        return self.tries.run > 0 or (self.in_flight and self.last_attempt.sent)
+
     @property
     def repeat(self) -> Repeat:
         """Whether the request may be sent again if it is ended now."""
-        if self.tries.run == 0 and not self.in_flight:
+        if not self.may_have_run:
             return Repeat.NOT_RUN
         return Repeat.REPEATABLE if self.route.repeatable else Repeat.NOT_REPEATABLE
 
--- a/rhubarbshed/transport/edge/request_steps.py
+++ b/rhubarbshed/transport/edge/request_steps.py
@@ -97,7 +97,7 @@
         async with asyncio.timeout_at(progress.deadline):
             error = await serve_request(progress)
     except TimeoutError:
-        error = make_timeout(progress.tries.run > 0 or progress.in_flight)
+        error = make_timeout(progress.may_have_run)
     if error is not None:
         answer_error(progress, error)
     else:
@@ -222,7 +222,7 @@
         if isinstance(chosen, NoServer):
             if chosen.reason == "full" and await wait_for_room(progress, now):
                 continue
-            if chosen.reason == "all_tried" and not progress.delivered:
+            if chosen.reason == "all_tried" and not (progress.delivered or progress.was_closed):
                 forwarded = await forward_unreached(progress)
                 if forwarded.taken:
                     return forwarded.error
--- a/rhubarbshed/transport/edge/server_attempts.py
+++ b/rhubarbshed/transport/edge/server_attempts.py
@@ -28,6 +28,12 @@
 """Time for which requests stay at a silent server while all others that requests wait for are
 silent as well. Sound servers may be for a second or so; callers of a stream leave after two."""
 
+RESET_KEPT_S = 5.0
+RESET_SETTLE_S = 0.005
+"""Time for which a server that ended a new connection gets requests that may not be repeated only
+on connections that have been open for a moment. A server over its cap resets a connection as it
+accepts it, a round trip after it opened here; a request that was not sent by then has not run."""
+
 
 async def run_attempt(progress: RequestProgress, chosen: Choice) -> ExchangeEnd:
     """Send the request to one server, and record the outcome."""
@@ -58,6 +64,8 @@
     progress.last_attempt = attempt
     more = progress.tries.run + 1 < progress.route.attempts_max and progress.route.repeatable
     begun_at = time.monotonic()
+    if not progress.route.repeatable and begun_at - record.reset_at < RESET_KEPT_S:
+        attempt.settle_s = RESET_SETTLE_S
     record.begin_attempt(begun_at)
     progress.in_flight = True
     attempt.on_accepted = functools.partial(abandon_kept, progress)
@@ -140,6 +148,7 @@
     """Record what an attempt showed about its server."""
     now = time.monotonic()
     progress.delivered = progress.delivered or end.was_sent
+    progress.was_closed = progress.was_closed or end is ExchangeEnd.CLOSED
     if end is not ExchangeEnd.MODEL_MISSING or not progress.request.model:
         progress.excluded.add(record.key)
     if end not in (
@@ -163,6 +172,8 @@
     ):
         progress.relay.pool.drop((record.entry.host, record.entry.port))
         record.record_unresponsive(now)
+    if end in (ExchangeEnd.BROKEN, ExchangeEnd.CLOSED) and attempt.is_unanswered_first:
+        record.reset_at = now
     if end is ExchangeEnd.NO_RESPONSE:
         progress.relay.links.suspect()
     if end is ExchangeEnd.REFUSED:
