Decide on waits for loads by whether one is under way

Cause: a request for a model that no engine holds waits for a second, or its whole target, for a load that nobody has begun, and is refused then.

Change: decide_scheduled_load_wait, for deployments with scheduling. It waits for the holder's announcement for a quarter of the target, at most 0.5 s, and then only for a load that ends before the caller leaves. An overdue load that is announced again does not prolong the wait.

--- a/rhubarbshed/coordination/serving/missing_models.py
+++ b/rhubarbshed/coordination/serving/missing_models.py
@@ -28,25 +28,35 @@
 """Largest fraction of a caller's remaining time spent waiting for a load; the rest is for the
 answer."""
 
+REPLY_FRACTION = 0.25
+REPLY_WAIT_MAX_S = 0.5
+"""Part of its target, and longest time, that a request waits under overload until the order holder
+announces a load of its model."""
+
 
 @frozen
 class CallerPatience:
     """Time that a caller has for a load: it waits from `since` to `until` (monotonic seconds).
 
-    Its route's target is `target_s`.
+    Its route's target is `target_s`. A load that it began to wait for was to end by `due_at`.
     """
 
     since: float
     until: float
     target_s: float
+    due_at: float | None = None
 
 
 @frozen
 class LoadWait:
-    """Wait until a time (monotonic seconds) for a load that should take `expected_s`."""
+    """Wait until a time (monotonic seconds) for a load that should take `expected_s`.
+
+    `is_under_way` means that the order holder has announced the load.
+    """
 
     until: float
     expected_s: float
+    is_under_way: bool = False
 
 
 @frozen
@@ -85,6 +95,42 @@
     return LoadWait(min(until, now + left_s), expected_s)
 
 
+def decide_scheduled_load_wait(
+    engine: EngineSpec | None,
+    needs: tuple[str, str],
+    capable: list[ServerRecord],
+    patience: CallerPatience,
+    now: float,
+) -> LoadWait | LoadRefusal:
+    """Decide as `decide_load_wait`, without a wait for loads that are not under way.
+
+    Load patterns: more models than slots, and demand that moves to models that nobody holds. Most
+    requests waited for a second and more, and were refused then.
+
+    A load that ends before the caller leaves is waited for even if the target is missed: the answer
+    comes no later than after a refusal, and a caller comes back only if it is asked to within a
+    third of the time that it has left. A load that has not begun may never begin.
+    """
+    model, adapter = needs
+    spec = engine.models.get(model) if engine is not None else None
+    if spec is None or not capable:
+        return LoadRefusal("absent")
+    if adapter and any(model in record.held for record in capable):
+        return decide_load_wait(engine, needs, capable, patience, now)
+    left_s = (patience.until - now) * WAIT_FRACTION_MAX
+    loading = [record.loaded_at for record in capable if record.loading == model]
+    if loading:
+        # An overdue load is announced as due now, again and again.
+        due_at = min(loading) if patience.due_at is None else min(*loading, patience.due_at)
+        expected_s, until = max(0.0, due_at - now), due_at + LOADED_MARGIN_S
+    else:
+        expected_s = min(_find_ready_time(spec, record, now) for record in capable)
+        until = patience.since + min(REPLY_FRACTION * patience.target_s, REPLY_WAIT_MAX_S)
+    if until <= now or (loading and expected_s > left_s):
+        return LoadRefusal("absent", max(expected_s, ORDER_DELAY_S))
+    return LoadWait(min(until, now + left_s), expected_s, bool(loading))
+
+
 def _find_ready_time(spec: ModelSpec, record: ServerRecord, now: float) -> float:
     """Return the seconds until a server could hold a model; the known end of a load in progress."""
     if record.loading == spec.name:
