Schedule the requests that wait for a slot

Cause: a request whose servers are all full polls for a slot on its own every 30 ms, without regard to targets, priorities and accounts, for at most a second, and refused callers are all asked back after 0.3 s.

Change: with [features] pressure, waiting requests are tickets in an order of urgency, priority, fair share of accounts, returns and arrival, with a quarter of the proportional share for each account and route. The end of an attempt, a newer load, a changed entry or their own time wakes them. Who cannot be served in time is refused at once, and callers are asked back one after the other. Latency-tolerant requests do not queue at servers, others only as far as their targets allow.

--- a/rhubarbshed/coordination/serving/choice.py
+++ b/rhubarbshed/coordination/serving/choice.py
@@ -34,6 +34,10 @@
 """Requests that may queue at a server, as a fraction of its slots, before it counts as full: for
 any request, and for the rest of a stream, which only some servers can write."""
 
+YIELDING_QUEUE_FRACTION = 0.0
+"""The same for latency-tolerant requests under overload: they wait at their instances, so that the
+queues of the servers are left to urgent ones of all instances."""
+
 
 @frozen
 class Choice:
@@ -104,12 +108,14 @@
     version: str | None = None,
     leaving_since: float = math.inf,
     instances: int = 1,
+    queue_fraction: float | None = None,
 ) -> Choice | NoServer:
     """Choose the least loaded available server that holds (model, adapter).
 
     Servers to `avoid` have failed an earlier attempt of the request. The rest of a stream may come
     from servers of one software `version` only; if none stays, from one that announced after
-    `leaving_since` that it leaves, which still serves. So many `instances` send requests.
+    `leaving_since` that it leaves, which still serves. So many `instances` send requests. Requests
+    may queue at a server for `queue_fraction` of its slots, as usual if that is None.
     """
     model, adapter = needs
     staying = list_staying(fleet, service, version)
@@ -127,7 +133,8 @@
     if not untried:
         return NoServer("all_tried", holders=len(holders), capable=len(capable))
     confirmed = [record for record in untried if record.missing_since is None] or untried
-    queue_fraction = QUEUE_FRACTION if version is None else BOUND_QUEUE_FRACTION
+    if queue_fraction is None:
+        queue_fraction = QUEUE_FRACTION if version is None else BOUND_QUEUE_FRACTION
     free = [record for record in confirmed if not is_full(record, instances, now, queue_fraction)]
     if not free:
         return NoServer("full", holders=len(holders), capable=len(capable))
--- a/rhubarbshed/transport/edge/final_answers.py
+++ b/rhubarbshed/transport/edge/final_answers.py
@@ -2,6 +2,8 @@
 
 import time
 
+from attrs import evolve
+
 from rhubarbshed.coordination.serving.choice import list_staying
 from rhubarbshed.coordination.serving.refusals import (
     STATED_REASONS,
@@ -41,7 +43,11 @@
     available_in_s = progress.available_in_s if known in ("absent", "quarantined") else None
     if known == "full":
         available_in_s = measure_limit_retry(progress, time.monotonic())
-    return make_refusal(known, progress.relay.view.rng, available_in_s)
+    refusal = make_refusal(known, progress.relay.view.rng, available_in_s)
+    if known == "full" and progress.slot_in_s is not None:
+        # Callers are asked back one after the other, so nothing is added at random.
+        return evolve(refusal, retry_after_s=max(progress.slot_in_s, available_in_s or 0.0))
+    return refusal
 
 
 def measure_limit_retry(progress: RequestProgress, now: float) -> float | None:
--- a/rhubarbshed/transport/edge/holder_protocol.py
+++ b/rhubarbshed/transport/edge/holder_protocol.py
@@ -389,6 +389,7 @@
             record = self.view.fleet.get(server_id)
             if record is not None:
                 record.apply_reported_load(load, now)
+        self.view.loads_changed.fire()
 
     def handle_holder_message(self, message: HolderMessage, now: float) -> None:
         """Apply a holder's message, unless it is one of a former holder."""
--- a/rhubarbshed/transport/edge/kept_attempts.py
+++ b/rhubarbshed/transport/edge/kept_attempts.py
@@ -46,6 +46,7 @@
         end = await attempt.go_on(progress.tries.run < progress.route.attempts_max)
     finally:
         record.open -= 1
+        progress.relay.view.loads_changed.fire()
     progress.in_flight = False
     if end is ExchangeEnd.DONE:
         record.record_end(False, time.monotonic())
--- a/rhubarbshed/transport/edge/metrics.py
+++ b/rhubarbshed/transport/edge/metrics.py
@@ -48,6 +48,7 @@
     "orders": Family("Orders to engines, by kind and end.", ("kind", "end")),
     "store_calls": Family("Calls to the store, by kind and table.", ("kind", "table")),
     "unreadable": Family("What others wrote and cannot be decoded, by kind.", ("kind",)),
+    "turns": Family("Waits for a slot that ended, by outcome.", ("route", "outcome")),
     "messages_unsent": Family("Messages that no datagram can carry.", ("kind",)),
 }
 HISTOGRAMS = {
@@ -60,6 +61,7 @@
     "load_wait_seconds": Family(
         "Time that requests waited for a load, by what became of them.", ("outcome",)
     ),
+    "turn_wait_seconds": Family("Time that requests waited for a slot, by outcome.", ("outcome",)),
 }
 
 
@@ -169,6 +171,11 @@
         """Record the time that a request waited for a load."""
         self.observe("load_wait_seconds", waited_s, outcome)
 
+    def count_turn(self, route: str, outcome: str, waited_s: float) -> None:
+        """Count a wait for a slot that has ended."""
+        self.count("turns", route, outcome)
+        self.observe("turn_wait_seconds", waited_s, outcome)
+
     def count_store_call(self, kind: str, table: str) -> None:
         """Count a call to the store."""
         self.count("store_calls", kind, table)
--- a/rhubarbshed/transport/edge/node.py
+++ b/rhubarbshed/transport/edge/node.py
@@ -367,6 +367,7 @@
             **self.crashes.list_values(),
             **self.relay.limits.list_values(),
             **self.dispatcher.list_values(),
+            **self.relay.slots.list_values(),
         }
         headers = ((b"content-type", b"text/plain; version=0.0.4"),)
         connection.send_complete(200, headers, self.metrics.render(gauge_values))
--- a/rhubarbshed/transport/edge/relay_parts.py
+++ b/rhubarbshed/transport/edge/relay_parts.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Awaitable, Callable
 
-from attrs import define
+from attrs import define, field
 
 from rhubarbshed.protocol.streams import StreamLookup, StreamOrigin
 from rhubarbshed.transport.edge.crash_registry import CrashRegistry
@@ -11,6 +11,7 @@
 from rhubarbshed.transport.edge.link_monitor import LinkMonitor
 from rhubarbshed.transport.edge.metrics import FrontMetrics
 from rhubarbshed.transport.edge.pools import Pool
+from rhubarbshed.transport.edge.slot_queue import SlotQueue
 from rhubarbshed.transport.edge.view import View
 
 RecordStream = Callable[[str, StreamOrigin, float], None]
@@ -46,7 +47,8 @@
     `report_awaited` asks the order holder for a (service, model, adapter); `count_demand` counts a
     request for one, `count_run` a run with its seconds. `report_missing` reports to the holder a
     (server, started_ms, model, adapter) that is not there. `record_stream` and `find_stream` are
-    the memory of the origins of streams, `confirm_entries` reads all versions up to now.
+    the memory of the origins of streams, `confirm_entries` reads all versions up to now. `slots`
+    are the requests that wait for a slot.
     """
 
     view: View
@@ -63,3 +65,8 @@
     record_stream: RecordStream = record_nothing
     find_stream: FindStream = find_nothing
     confirm_entries: ConfirmEntries = confirm_nothing
+    slots: SlotQueue = field(init=False)
+
+    @slots.default
+    def _make_slots(self) -> SlotQueue:
+        return SlotQueue(self.view, self.metrics)
--- a/rhubarbshed/transport/edge/request_progress.py
+++ b/rhubarbshed/transport/edge/request_progress.py
@@ -6,7 +6,9 @@
 from attrs import define, field
 
 from rhubarbshed.coordination.serving.retry_budget import Tries
+from rhubarbshed.coordination.serving.turns import Ticket
 from rhubarbshed.coordination.serving.versions import Continuation
+from rhubarbshed.protocol.accounts import Account
 from rhubarbshed.protocol.exchanges import CallerRequest
 from rhubarbshed.protocol.routes import Route
 from rhubarbshed.transport.edge.attempts import Attempt
@@ -54,7 +56,9 @@
     `attempts_max` servers left that may run it. It may still wait for `probe_wait_s` until it is
     known whether servers can be reached. `kept` is an attempt at a silent server, which may go on
     until `kept_limit` if no other server takes the request. `cut_off_as` is set as a stop cuts it
-    off.
+    off. `account` is that of its caller. `ticket` is its place among the requests that wait for
+    slots, `has_turn` whether it may choose a server ahead of these, and `slot_in_s` when a refused
+    one can expect a slot. A load that it waits for should end by `load_due_at`.
     """
 
     relay: RelayParts
@@ -92,6 +96,11 @@
     kept: Attempt | None = None
     kept_limit: asyncio.TimerHandle | None = None
     others_asked_again: bool = False
+    account: Account | None = None
+    ticket: Ticket | None = None
+    has_turn: bool = False
+    slot_in_s: float | None = None
+    load_due_at: float | None = None
 
     @property
     def may_have_run(self) -> bool:
--- a/rhubarbshed/transport/edge/request_steps.py
+++ b/rhubarbshed/transport/edge/request_steps.py
@@ -7,6 +7,7 @@
 from attrs import evolve
 
 from rhubarbshed.coordination.serving.choice import (
+    Choice,
     NoServer,
     choose_service,
     is_responsive,
@@ -47,6 +48,7 @@
     wait_for_load,
     wait_for_room,
 )
+from rhubarbshed.transport.edge.turn_waits import is_behind
 
 TIME_LEFT_MIN_S = 0.02
 """Time left below which a request is not sent, as no server could answer it."""
@@ -193,6 +195,8 @@
         if not await check_quarantine(progress, now):
             return give_up(progress, "quarantined")
         chosen = choose_next(progress, now)
+        if isinstance(chosen, Choice) and is_behind(progress, now):
+            chosen = NoServer("full")
         if progress.kept is not None and not is_responsive(chosen, now):
             if not progress.others_asked_again:
                 # Who was full for a moment is asked once more, but not the silent server.
--- a/rhubarbshed/transport/edge/server_attempts.py
+++ b/rhubarbshed/transport/edge/server_attempts.py
@@ -20,6 +20,7 @@
     has_heard,
     list_silent,
 )
+from rhubarbshed.transport.edge.turn_waits import note_start
 from rhubarbshed.util.logs import log_event
 
 LOG = logging.getLogger(__name__)
@@ -67,6 +68,7 @@
     if not progress.route.repeatable and begun_at - record.reset_at < RESET_KEPT_S:
         attempt.settle_s = RESET_SETTLE_S
     record.begin_attempt(begun_at)
+    note_start(progress, begun_at)
     progress.in_flight = True
     attempt.on_accepted = functools.partial(abandon_kept, progress)
     attempt.on_sent = functools.partial(limit_kept, progress)
@@ -74,6 +76,7 @@
         end = await attempt.run(more)
     finally:
         record.open -= 1
+        progress.relay.view.loads_changed.fire()
         if progress.kept_limit is not None:
             progress.kept_limit.cancel()
     if attempt.is_kept:
@@ -138,6 +141,8 @@
     progress.relay.limits.record_head(record, head, sent_at)
     if head.has_odd_load:
         progress.relay.metrics.count_unreadable("load")
+    if head.load is not None:
+        progress.relay.view.loads_changed.fire()
     if head.backoff_s:
         progress.relay.view.record_backoff(record, head.backoff_s, time.monotonic())
 
--- a/rhubarbshed/transport/edge/server_selection.py
+++ b/rhubarbshed/transport/edge/server_selection.py
@@ -8,11 +8,18 @@
     CallerPatience,
     LoadWait,
     decide_load_wait,
+    decide_scheduled_load_wait,
 )
-from rhubarbshed.coordination.serving.queueing import decide_wait, measure_wait
+from rhubarbshed.coordination.serving.queueing import decide_wait as decide_room_wait
+from rhubarbshed.coordination.serving.queueing import measure_wait
 from rhubarbshed.state.membership.fleet import ServerRecord
 from rhubarbshed.transport.edge.limit_registry import PATIENCE_MIN_S, REPEAT_S
 from rhubarbshed.transport.edge.request_progress import RequestProgress, Stage
+from rhubarbshed.transport.edge.turn_waits import (
+    find_queue_fraction,
+    find_ticket,
+    wait_for_turn,
+)
 
 SERVER_SILENCE_S = 0.5
 """Time without a byte after which a server that requests wait for counts as silent."""
@@ -61,6 +68,7 @@
         progress.caller_response.version,
         view.versions.entry_age.find_announced_since(view.settings.drain_s, now),
         view.budget.instances,
+        find_queue_fraction(progress, now),
     )
 
 
@@ -121,8 +129,17 @@
 
 
 async def wait_for_room(progress: RequestProgress, now: float) -> bool:
-    """Wait briefly for room at a server; return whether to choose again."""
-    left_s = decide_wait(progress.route, progress.queued_s, progress.deadline - now)
+    """Wait for room at a server; return whether to choose again."""
+    if progress.relay.view.settings.has_pressure:
+
+        def is_free(at: float) -> bool:
+            # Servers that are gone, or lack the model by now, call for another decision as well.
+            chosen = choose_next(progress, at)
+            return isinstance(chosen, Choice) or chosen.reason != "full"
+
+        progress.waits_for = Stage.SLOT
+        return await wait_for_turn(progress, is_free, now)
+    left_s = decide_room_wait(progress.route, progress.queued_s, progress.deadline - now)
     if left_s <= 0.0 or progress.relay.view.drain.started_at is not None:
         return False
     progress.waits_for = Stage.SLOT
@@ -133,6 +150,19 @@
 
 async def wait_for_load(progress: RequestProgress, now: float) -> bool:
     """Wait for a load of what is missing; return whether to choose again."""
+    if not progress.relay.view.settings.has_pressure:
+        return await wait_until_loaded(progress, now)
+    turns, ticket = progress.relay.slots.turns, find_ticket(progress, now)
+    if not turns.hold(ticket):
+        return False
+    try:
+        return await wait_until_loaded(progress, now)
+    finally:
+        turns.let_go(ticket)
+
+
+async def wait_until_loaded(progress: RequestProgress, now: float) -> bool:
+    """Wait for a load while the decision on it says so; return whether to choose again."""
     view = progress.relay.view
     model, adapter = progress.request.model, progress.request.adapter
     engine = view.configuration.find_engine(progress.service)
@@ -141,16 +171,21 @@
     if progress.load_awaited_at is None:
         progress.load_awaited_at = now
     until = min(progress.deadline, progress.request.received_at + progress.route.stall_timeout_s)
-    patience = CallerPatience(progress.load_awaited_at, until, progress.route.target_s)
     begun_at, is_ready = now, False
+    decide_wait = decide_scheduled_load_wait if view.settings.has_pressure else decide_load_wait
     while not is_ready and view.drain.started_at is None:
         capable = list_staying(view.fleet, progress.service, progress.caller_response.version)
-        decision = decide_load_wait(engine, (model, adapter), capable, patience, now)
+        patience = CallerPatience(
+            progress.load_awaited_at, until, progress.route.target_s, progress.load_due_at
+        )
+        decision = decide_wait(engine, (model, adapter), capable, patience, now)
         progress.relay.report_awaited(progress.service, model, adapter)
         if not isinstance(decision, LoadWait):
             progress.available_in_s = decision.available_in_s
             break
         progress.available_in_s = decision.expected_s
+        if decision.is_under_way and progress.load_due_at is None:
+            progress.load_due_at = now + decision.expected_s
         progress.waits_for = Stage.LOAD
         await view.changed.wait(min(decision.until - now, AWAITED_REPORT_INTERVAL_S))
         now = time.monotonic()
--- a/rhubarbshed/transport/edge/view.py
+++ b/rhubarbshed/transport/edge/view.py
@@ -5,6 +5,7 @@
 import random
 import time
 from collections import Counter
+from collections.abc import Callable
 
 from attrs import define, field
 
@@ -38,9 +39,10 @@
 
 @define
 class Signal:
-    """Change notification that wakes all waiters."""
+    """Change notification that wakes all waiters and calls all listeners."""
 
     waiters: set[asyncio.Future] = field(factory=set)
+    listeners: list[Callable[[], None]] = field(factory=list)
 
     def fire(self) -> None:
         """Wake all waiters."""
@@ -48,6 +50,8 @@
             if not waiter.done():
                 waiter.set_result(None)
         self.waiters.clear()
+        for listener in self.listeners:
+            listener()
 
     async def wait(self, timeout_s: float) -> bool:
         """Wait for a change or the timeout; return whether there was a change."""
@@ -90,6 +94,7 @@
 
     `configured_at` and `fleet_at` are when the store last confirmed each, `next_read_at` when a
     failed read is repeated, `started_at` when it began to ask it (monotonic seconds).
+    `changed` tells of entries and settings, `loads_changed` of newer loads and ended attempts.
     `failed_reads` are those in a row that failed, by table, other than for too many calls.
     """
 
@@ -104,6 +109,7 @@
     failed_reads: Counter[str] = field(factory=Counter)
     next_read_at: float = 0.0
     changed: Signal = field(factory=Signal)
+    loads_changed: Signal = field(factory=Signal)
     versions: VersionHistory = field(factory=VersionHistory)
     started_at: float = field(factory=time.monotonic)
 
