Count refused requests for a missing model as waiting

Cause: requests that are refused soon report for 75 ms that their model is awaited. With gaps of over 0.5 s between them the holder counted from 0 each time, and never took the model for overdue, which is when each holder loads it on its own engines.

Change: where requests are refused soon, the count is at least the time for which the model has been asked for and not held, times its demand, which all instances report, with refused requests.

Result: a model that is asked for every 0.7 s for 14 s counts as overdue, and did not before (test_turns.py); test_edge_planning.py passes.

--- a/rhubarbshed/coordination/serving/order_plan.py
+++ b/rhubarbshed/coordination/serving/order_plan.py
@@ -90,6 +90,8 @@
 class OrderPlan:
     """State of one service's engines during one planning round, and the orders planned.
 
+    With `refuses_soon` requests for a missing model are refused before they have waited for long.
+
     Figures computed on the way are cached until the end of the round.
     """
 
@@ -100,6 +102,7 @@
     usage: Usage
     now: float
     sees_all_engines: bool = True
+    refuses_soon: bool = False
     moves: list[Move] = field(factory=list)
     ordered: set[str] = field(factory=set)
     postponed: collections.Counter[Postponement] = field(factory=collections.Counter)
@@ -164,12 +167,19 @@
         return self.usage.measure_wait_s(target, self.now) > after_s
 
     def count_waiting(self, model: str) -> float:
-        """Estimate the requests for a model since callers began to wait for it."""
+        """Estimate the requests for a model since callers began to wait for it.
+
+        Refused ones count as well: they are in the rate of the demand over all instances.
+        """
         waits = [
             self.usage.measure_wait_s(target, self.now)
             for target in self.list_awaited_for_model(model)
         ]
-        return max(waits, default=0.0) * max(self.measure_rate(model), AWAITED_RATE_PER_S)
+        waited = max(waits, default=0.0) * max(self.measure_rate(model), AWAITED_RATE_PER_S)
+        if not self.refuses_soon:
+            return waited
+        unserved_s = self.usage.measure_unserved_s(self.service, model, self.now)
+        return max(waited, unserved_s * self.measure_rate(model))
 
     @functools.cached_property
     def holders(self) -> dict[str, list[EngineState]]:
--- a/rhubarbshed/transport/edge/order_dispatcher.py
+++ b/rhubarbshed/transport/edge/order_dispatcher.py
@@ -202,7 +202,16 @@
             engine_state.is_local or now - engine_state.reported_at < REPORT_AGE_MAX_S
             for engine_state in engine_states.values()
         )
-        return OrderPlan(service, engine, engine_states, records, self.usage, now, sees_all_engines)
+        return OrderPlan(
+            service,
+            engine,
+            engine_states,
+            records,
+            self.usage,
+            now,
+            sees_all_engines,
+            self.view.settings.has_pressure,
+        )
 
     def refresh_engine_states(self, service: str, now: float) -> None:
         """Track servers that joined, left or restarted, and orders that should be complete."""
--- a/test/test_turns.py
+++ b/test/test_turns.py
@@ -18,6 +18,8 @@
     decide_load_wait,
     decide_scheduled_load_wait,
 )
+from rhubarbshed.coordination.serving.order_plan import OrderPlan
+from rhubarbshed.coordination.serving.placement import OVERDUE_REQUESTS
 from rhubarbshed.coordination.serving.shares import FLOOR_FRACTION
 from rhubarbshed.coordination.serving.slot_waits import Returns, SlotRate, can_be_served
 from rhubarbshed.coordination.serving.turns import (
@@ -29,6 +31,8 @@
     Urgency,
 )
 from rhubarbshed.protocol.routes import EngineSpec, ModelSpec
+from rhubarbshed.state.placement.engine_states import EngineState
+from rhubarbshed.state.placement.usage import Tally, Usage
 from test.test_edge_choice import make_entry, make_fleet
 from tools.turn_play import PATIENT, URGENT, Design, Kind, Play
 
@@ -295,6 +299,19 @@
     assert isinstance(decide(fleet, NOW + 1.5, due_at=NOW + 0.7), LoadRefusal)
 
 
+@pytest.mark.parametrize("refuses_soon", (False, True))
+def test_refused_requests_count_towards_those_that_wait_for_a_model(refuses_soon):
+    """Short waits leave gaps in the reports, after which the holder began to count anew."""
+    usage = Usage()
+    for number in range(20):
+        usage.count(("svc", "m1", ""), Tally(requests=1), NOW + 0.7 * number)
+        usage.record_awaited(("svc", "m1", ""), NOW + 0.7 * number)
+    fleet = make_fleet(make_entry("b1"))
+    records, states = dict(fleet.servers), {"b1": EngineState("b1", 1, orders=0)}
+    plan = OrderPlan("svc", ENGINE, states, records, usage, NOW + 14.0, refuses_soon=refuses_soon)
+    assert (plan.count_waiting("m1") > OVERDUE_REQUESTS) is refuses_soon
+
+
 def test_instance_that_is_cut_from_the_holder_refuses_without_its_reply():
     fleet = make_fleet(make_entry("b1"))
     fleet.apply_pending_changes("b1", "m1", 0.5, "", NOW - 9.0)
