--- a/rhubarbshed/coordination/serving/choice.py
+++ b/rhubarbshed/coordination/serving/choice.py
@@ -48,6 +48,10 @@
 """Requests that may queue at a server, as a fraction of its slots, before it counts as full: for
 any request, and for the rest of a stream, which only some servers can write."""
 
+YIELDING_QUEUE_FRACTION = 0.0
+"""The same for latency-tolerant requests under overload: they wait at their instances, so that the
+queues of the servers are left to urgent ones of all instances."""
+
 
 @frozen
 class Choice:
@@ -125,6 +129,7 @@
     instances: int = 1,
     pace: RequestPace = USUAL_PACE,
     spreads: bool = False,
+    queue_fraction: float | None = None,
 ) -> Choice | NoServer:
     """Choose the least loaded available server that holds (model, adapter).
 
@@ -132,6 +137,7 @@
     from servers of one software `version` only; if none stays, from one that announced after
     `leaving_since` that it leaves, which still serves. So many `instances` send requests. If
     `spreads` is set, servers are drawn by what all of these send until the next load report.
+    Requests may queue at a server for `queue_fraction` of its slots, as usual if that is None.
     """
     model, adapter = needs
     staying = list_staying(fleet, service, version)
@@ -149,7 +155,8 @@
     if not untried:
         return NoServer("all_tried", holders=len(holders), capable=len(capable))
     confirmed = [record for record in untried if record.missing_since is None] or untried
-    queue_fraction = QUEUE_FRACTION if version is None else BOUND_QUEUE_FRACTION
+    if queue_fraction is None:
+        queue_fraction = QUEUE_FRACTION if version is None else BOUND_QUEUE_FRACTION
     run_s = estimate_run(confirmed) if spreads else None
     free = [
         record for record in confirmed if not is_full(record, instances, now, queue_fraction, run_s)
--- a/rhubarbshed/protocol/exchanges.py
+++ b/rhubarbshed/protocol/exchanges.py
@@ -145,8 +145,9 @@
 class ExchangeEnd(enum.Enum):
     """How an attempt ended.
 
-    `NOT_SENT` and `CONNECTION_REFUSED` never left this instance, nor did `WITHHELD`, whose key lost
-    its validity before the request was sent. `REFUSED`, `MODEL_MISSING` (the
+    `NOT_SENT`, `CONNECTION_REFUSED`, `CLOSED` (the connection ended before any byte of the request
+    was sent on it) and `WITHHELD` (its key lost its validity before it was sent) never left this
+    instance. `REFUSED`, `MODEL_MISSING` (the
     server does not hold the model) and `WRONG_SERVER` (another server has the address) were
     refused by the server and did not run. `BROKEN`, `MALFORMED` and `NO_RESPONSE` may have run.
     """
@@ -155,6 +156,7 @@
     NOT_SENT = "not_sent"
     WITHHELD = "withheld"
     CONNECTION_REFUSED = "down"
+    CLOSED = "closed"
     REFUSED = "refused"
     MODEL_MISSING = "absent"
     WRONG_SERVER = "gone"
@@ -179,4 +181,5 @@
             ExchangeEnd.NOT_SENT,
             ExchangeEnd.CONNECTION_REFUSED,
             ExchangeEnd.WITHHELD,
+            ExchangeEnd.CLOSED,
         )
--- a/rhubarbshed/transport/edge/final_answers.py
+++ b/rhubarbshed/transport/edge/final_answers.py
@@ -2,6 +2,8 @@
 
 import time
 
+from attrs import evolve
+
 from rhubarbshed.coordination.serving.account_access import Refusal
 from rhubarbshed.coordination.serving.choice import list_staying
 from rhubarbshed.coordination.serving.refusals import (
@@ -33,7 +35,7 @@
     progress.cut_off_as = progress.repeat
     route_name = progress.route.name if progress.route else ""
     progress.relay.metrics.count_cut_off(route_name, progress.cut_off_as.value)
-    answer_error(progress, make_timeout(progress.tries.run > 0 or progress.in_flight))
+    answer_error(progress, make_timeout(progress.may_have_run))
     progress.connection.end(CloseReason.CUT_OFF)
     progress.connection.cancel_work()
 
@@ -48,7 +50,11 @@
     available_in_s = progress.available_in_s if known in ("absent", "quarantined") else None
     if known == "full":
         available_in_s = measure_limit_retry(progress, time.monotonic())
-    return make_refusal(known, progress.relay.view.rng, available_in_s)
+    refusal = make_refusal(known, progress.relay.view.rng, available_in_s)
+    if known == "full" and progress.slot_in_s is not None:
+        # Callers are asked back one after the other, so nothing is added at random.
+        return evolve(refusal, retry_after_s=max(progress.slot_in_s, available_in_s or 0.0))
+    return refusal
 
 
 def measure_limit_retry(progress: RequestProgress, now: float) -> float | None:
--- a/rhubarbshed/transport/edge/metrics.py
+++ b/rhubarbshed/transport/edge/metrics.py
@@ -60,6 +60,7 @@
         "Requests of accounts with a limit, by what decided on their credit.",
         ("account", "source", "taken"),
     ),
+    "turns": Family("Waits for a slot that ended, by outcome.", ("route", "outcome")),
     "messages_unsent": Family("Messages that no datagram can carry.", ("kind",)),
 }
 HISTOGRAMS = {
@@ -75,6 +76,7 @@
     ),
     "load_age_seconds": Family("Age of the load of a server as it was chosen."),
     "chosen_slowness": Family("Lasting slowness of chosen servers that state it, 1 as usual."),
+    "turn_wait_seconds": Family("Time that requests waited for a slot, by outcome.", ("outcome",)),
 }
 
 
@@ -192,6 +194,11 @@
         """Record the lasting slowness of a chosen server."""
         self.observe("chosen_slowness", slowness)
 
+    def count_turn(self, route: str, outcome: str, waited_s: float) -> None:
+        """Count a wait for a slot that has ended."""
+        self.count("turns", route, outcome)
+        self.observe("turn_wait_seconds", waited_s, outcome)
+
     def count_store_call(self, kind: str, table: str) -> None:
         """Count a call to the store."""
         self.count("store_calls", kind, table)
--- a/rhubarbshed/transport/edge/node.py
+++ b/rhubarbshed/transport/edge/node.py
@@ -403,6 +403,7 @@
             **self.relay.credit.list_values(),
             **self.dispatcher.list_values(),
             **list_account_values(self.view),
+            **self.relay.slots.list_values(),
         }
         headers = ((b"content-type", b"text/plain; version=0.0.4"),)
         connection.send_complete(200, headers, self.metrics.render(gauge_values))
--- a/rhubarbshed/transport/edge/request_progress.py
+++ b/rhubarbshed/transport/edge/request_progress.py
@@ -6,6 +6,7 @@
 from attrs import define, field
 
 from rhubarbshed.coordination.serving.retry_budget import Tries
+from rhubarbshed.coordination.serving.turns import Ticket
 from rhubarbshed.coordination.serving.versions import Continuation
 from rhubarbshed.protocol.accounts import Account
 from rhubarbshed.protocol.exchanges import CallerRequest
@@ -46,7 +47,8 @@
 
     `excluded` are the servers already tried and `tries` the outcome there; `limited` are those
     whose limits had no room since the last attempt. `in_flight` means that a server may be running
-    the request, `delivered` that one received it, and `only_missing` that all so far were down or
+    the request, `delivered` that one received it, `was_closed` that one ended a connection before
+    it was sent anything, and `only_missing` that all so far were down or
     lacked the model. `waited_s` was spent on a load and `queued_s` on full servers.
     `available_in_s` is when a load that it needs should be complete, and `load_awaited_at` since
     when it waits for one. `waits_for` is the stage it is in while no attempt is in flight.
@@ -57,7 +59,9 @@
     known whether servers can be reached. `kept` is an attempt at a silent server, which may go on
     until `kept_limit` if no other server takes the request. `cut_off_as` is set as a stop cuts it
     off. `account` is whose key was last found valid, None without accounts, and `credit` what the
-    request took of its limit.
+    request took of its limit. `ticket` is its place among the requests that wait for slots,
+    `has_turn` whether it may choose a server ahead of these, and `slot_in_s` when a refused one can
+    expect a slot. A load that it waits for should end by `load_due_at`.
     """
 
     relay: RelayParts
@@ -80,6 +84,7 @@
     ended: bool = False
     only_missing: bool = True
     delivered: bool = False
+    was_closed: bool = False
     retry_paid: bool = False
     load_awaited_at: float | None = None
     waits_for: Stage = Stage.CHOICE
@@ -96,11 +101,23 @@
     others_asked_again: bool = False
     account: Account | None = None
     credit: Taken | None = None
+    ticket: Ticket | None = None
+    has_turn: bool = False
+    slot_in_s: float | None = None
+    load_due_at: float | None = None
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether a server may have run the request, or may be running it.
+
+        An attempt in flight has sent nothing while its connection is being opened.
+        """
+        return self.tries.run > 0 or (self.in_flight and self.last_attempt.sent)
 
     @property
     def repeat(self) -> Repeat:
         """Whether the request may be sent again if it is ended now."""
-        if self.tries.run == 0 and not self.in_flight:
+        if not self.may_have_run:
             return Repeat.NOT_RUN
         return Repeat.REPEATABLE if self.route.repeatable else Repeat.NOT_REPEATABLE
 
--- a/rhubarbshed/transport/edge/request_steps.py
+++ b/rhubarbshed/transport/edge/request_steps.py
@@ -7,6 +7,7 @@
 from attrs import evolve
 
 from rhubarbshed.coordination.serving.choice import (
+    Choice,
     NoServer,
     choose_service,
     is_responsive,
@@ -53,6 +54,7 @@
     wait_for_load,
     wait_for_room,
 )
+from rhubarbshed.transport.edge.turn_waits import is_behind
 
 TIME_LEFT_MIN_S = 0.02
 """Time left below which a request is not sent, as no server could answer it."""
@@ -108,7 +110,7 @@
         async with asyncio.timeout_at(progress.deadline):
             error = await serve_request(progress)
     except TimeoutError:
-        error = make_timeout(progress.tries.run > 0 or progress.in_flight)
+        error = make_timeout(progress.may_have_run)
     if error is not None:
         answer_error(progress, error)
     else:
@@ -222,6 +224,8 @@
         if not await check_quarantine(progress, now):
             return give_up(progress, "quarantined")
         chosen = choose_next(progress, now)
+        if isinstance(chosen, Choice) and is_behind(progress, now):
+            chosen = NoServer("full")
         if progress.kept is not None and not is_responsive(chosen, now):
             if not progress.others_asked_again:
                 # Who was full for a moment is asked once more, but not the silent server.
@@ -251,7 +255,7 @@
         if isinstance(chosen, NoServer):
             if chosen.reason == "full" and await wait_for_room(progress, now):
                 continue
-            if chosen.reason == "all_tried" and not progress.delivered:
+            if chosen.reason == "all_tried" and not (progress.delivered or progress.was_closed):
                 forwarded = await forward_unreached(progress)
                 if forwarded.taken:
                     return forwarded.error
