Take keys away in the soak

No run of several processes covered the bound on revoked keys. Callers send requests with the key in force and the one before it to each instance; keys are replaced, one of them while an instance has no store for 8 s and is paused for a part of it. Servers record the account and whether a key came, and the check "accounts" counts runs later than 5 s after the store had the change, headers that should not be there, and refusals after the recovery.

Configurations are written one after the other, so that faults that overlap do not leave an older one in the store.

--- a/standin/run.py
+++ b/standin/run.py
@@ -132,7 +132,9 @@
             return
         after = int(exchange.headers.get("last-event-id", 0))
         name, path = exchange.request_id, exchange.target
-        self.recorder.write("run", id=name, path=path, after=after)
+        account = exchange.headers.get("rhubarbshed-tenant", "")
+        has_key = "rhubarbshed-key" in exchange.headers
+        self.recorder.write("run", id=name, path=path, after=after, account=account, key=has_key)
         draw = self.rng.random() if self.faulty else 1.0
         if is_deadly(exchange):
             await self.crash(exchange)
--- a/test/soak/checks.py
+++ b/test/soak/checks.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 
 from standin.run import DEADLY_PART, EVENTS_PER_STREAM, LIMIT_PER_S
+from test.soak.accounts import check_accounts
 from test.soak.history import Asked, History
 
 LEASE_S = 3.0
@@ -370,6 +371,7 @@
     "stops": check_stops,
     "gone": check_disconnected,
     "refusals": check_refusals,
+    "accounts": check_accounts,
     "own_ends": check_unexpected_exits,
     "recovery": check_recovery,
 }
--- a/test/soak/faults.py
+++ b/test/soak/faults.py
@@ -40,6 +40,10 @@
 BEHIND_S = (0.2, 0.45)
 """Time before the removal of such a server, and between it and another change."""
 
+REVOKED_CUT_S = 8.0
+"""Time for which an instance has no store as a key is taken away, longer than the key may be used
+from then on."""
+
 STOPS_MAX = 4
 SECOND_SIGNAL_S = (0.0, 2.9)
 """Instances in a series of stops, and time from SIGTERM to a second signal or a configuration."""
@@ -83,6 +87,7 @@
         """
         await self.change_as_planned(self.rng.choice(STOPS))
         await self.change_as_planned(remove_beside_change)
+        await self.change_as_planned(change_key_behind_cut)
         await write_odd_entries(self)
         await kill_all_instances(self)
         await self.change_as_planned(release_version)
@@ -285,6 +290,38 @@
         await asyncio.sleep(faults.rng.uniform(*FAULT_INTERVAL_S))
 
 
+async def change_key(faults: Faults) -> None:
+    """Take the key in force away."""
+    await faults.scene.change_key()
+
+
+async def change_key_behind_cut(faults: Faults) -> None:
+    """Take the key away while an instance is cut off from the store, and paused for a part of it.
+
+    Once it goes on it has the known configuration and requests that came meanwhile, but no answer
+    of the store.
+    """
+    scene = faults.scene
+    name = faults.draw_process(tuple(scene.instances))
+    if not name:
+        return
+    scene.disrupted.add(name)
+    relay, program, since = scene.relays[f"store-{name}"], scene.programs[name], time.monotonic()
+    relay.mode = Mode.DROP_ALL
+    relay.silence_open()
+    await scene.change_key()
+    program.send(signal.SIGSTOP)
+    program.paused = True
+    await asyncio.sleep(faults.rng.uniform(*LONG_FAULT_S))
+    program.send(signal.SIGCONT)
+    program.paused = False
+    await asyncio.sleep(since + REVOKED_CUT_S - time.monotonic())
+    relay.mode = Mode.PASS
+    relay.reset()
+    scene.history.disturbances.append(Disturbance(name, "cut", since, time.monotonic() + 0.1))
+    scene.disrupted.discard(name)
+
+
 async def stop_instance(faults: Faults) -> None:
     """Stop an instance as planned; callers keep their connections until it has ended."""
     await _stop(faults, faults.rng.choice(list(faults.scene.instances)))
@@ -419,6 +456,7 @@
     hush_servers,
     write_odd_entries,
     change_configuration,
+    change_key,
     send_deadly,
     send_deadly_part,
 )
@@ -438,4 +476,5 @@
     remove_server,
     remove_server,
     remove_beside_change,
+    change_key_behind_cut,
 )
--- a/test/soak/history.py
+++ b/test/soak/history.py
@@ -87,6 +87,8 @@
     holder: str = ""
     token: int = 0
     limit: float = 0.0
+    account: str = ""
+    key: bool = False
 
 
 @frozen
@@ -128,6 +130,17 @@
     sent_at: float
 
 
+@frozen
+class Keyed:
+    """Request with a client account's key, by its number; `status` 0 is no answer."""
+
+    request_id: str
+    key: int
+    instance: str
+    sent_at: float
+    status: int
+
+
 @define
 class Serving:
     """Time in which an engine of some version takes new requests."""
@@ -142,6 +155,7 @@
 class History:
     """All records of a run; `moves` are route changes as (time, old, new) server prefixes.
 
+    `revoked` are the times at which the store had a configuration without a key, by its number.
     `refused` are the addresses of callers whose connection an instance or a server behind a relay
     refused, with the time.
     """
@@ -153,6 +167,8 @@
     leavings: list[Leaving] = field(factory=list)
     engines: list[Serving] = field(factory=list)
     deadly: list[Deadly] = field(factory=list)
+    keyed: list[Keyed] = field(factory=list)
+    revoked: dict[int, float] = field(factory=dict)
     moves: list[tuple[float, str, str]] = field(factory=list)
     own_ends: list[str] = field(factory=list)
     refused: dict[tuple[str, int], float] = field(factory=dict)
--- a/test/soak/mutations.py
+++ b/test/soak/mutations.py
@@ -151,6 +151,18 @@
         "if record.limit_per_s is None:\n        return True",
         "if record:\n            return True",
     ),
+    (
+        "accounts",
+        ENTRY_AGE,
+        "return self.measure_configuration_age(now) < limit_s - margin_s",
+        "return True",
+    ),
+    (
+        "accounts",
+        "rhubarbshed/platform/headers.py",
+        "        KEY,\n        ACCOUNT,\n",
+        "",
+    ),
     ("own_ends", f"{EDGE}/node.py", "ticks += 1\n", "ticks += 1\n            assert ticks < 60\n"),
     (
         "recovery",
--- a/test/soak/run.py
+++ b/test/soak/run.py
@@ -11,6 +11,7 @@
 
 from attrs import frozen
 
+from test.soak.accounts import send_keyed_requests
 from test.soak.callers import Caller
 from test.soak.checks import check_all
 from test.soak.faults import Faults, remove_lone_servers
@@ -68,6 +69,7 @@
         for number in range(CALLERS_PER_INSTANCE * len(scene.instances))
     ]
     tasks = [asyncio.create_task(caller.run()) for caller in callers]
+    tasks += [asyncio.create_task(send_keyed_requests(scene, name)) for name in scene.instances]
     tasks.append(asyncio.create_task(watch(scene)))
     await faults.play(seconds)
     for name in scene.services:
--- a/test/soak/scene.py
+++ b/test/soak/scene.py
@@ -45,21 +45,47 @@
 """Time for all processes to become ready, and more for each instance."""
 
 
-def make_routes(moved_to: str, version: int) -> dict:
-    """Return the configuration in which the route `/x/` leads to the service `moved_to`."""
+KEYED_PATH = "/k/"
+"""Path of the only route that needs a key."""
+
+KEY_RETRY_S = 0.3
+"""Time after which a configuration that the store did not acknowledge is written again."""
+
+
+def name_key(number: int) -> str:
+    """Return the key of a number."""
+    return f"secret-{number}"
+
+
+def name_account(number: int) -> str:
+    """Return the account that a key belongs to."""
+    return f"account-{number}"
+
+
+def make_routes(moved_to: str, version: int, key_number: int) -> dict:
+    """Return the configuration in which the route `/x/` leads to the service `moved_to`.
+
+    It has one account, with the key of that number.
+    """
+    streamed = {"Resumable": True, "TargetGapMs": 500, "Attempts": 3, "TimeoutMs": 7000}
     routes = (
-        make_route("idempotent", "/p/", Service="plain"),
-        make_route("non_idempotent", "/u/", Service="plain"),
-        make_route("streaming", "/s/", Resumable=True, TargetGapMs=500, Attempts=3, TimeoutMs=7000),
-        make_route("idempotent", "/x/", Service=moved_to),
-        *(make_route("idempotent", f"/{name}/", Service=name) for name in LONE_SERVERS),
+        make_route("idempotent", "/p/", Service="plain", NoAuth=True),
+        make_route("non_idempotent", "/u/", Service="plain", NoAuth=True),
+        make_route("streaming", "/s/", NoAuth=True, **streamed),
+        make_route("idempotent", "/x/", Service=moved_to, NoAuth=True),
+        make_route("idempotent", KEYED_PATH, Service="plain"),
+        *(
+            make_route("idempotent", f"/{name}/", Service=name, NoAuth=True)
+            for name in LONE_SERVERS
+        ),
     )
+    tenant = {"Name": name_account(key_number), "ApiKeys": [name_key(key_number)], "Priority": 1}
     engine = make_engine_service({"m1": 9, "m2": 3, "m3": 0, "m4": 0, "m5": 0})
     plain = [
         {"Name": name, "HealthCheck": "/health", "MaxConnections": 100}
         for name in ("plain", "other", *LONE_SERVERS)
     ]
-    return make_configuration(*routes, version=version, Services=[engine, *plain])
+    return make_configuration(*routes, version=version, Services=[engine, *plain], Tenants=[tenant])
 
 
 def name_instances(count: int) -> dict[str, str]:
@@ -135,6 +161,8 @@
     visitors: int = 0
     released: int = 0
     version: int = 1
+    key_number: int = 1
+    operator: asyncio.Lock = field(factory=asyncio.Lock)
     moved_to: str = "plain"
     store_port: int = 0
     environment: dict[str, str] = field(factory=dict)
@@ -223,6 +251,7 @@
         path = self.folder / f"{name}.ini"
         # Killed instances start again with it.
         text = text.replace("unknown = ignored", "first_start = true")
+        text = text.replace("[bounds]", "[bounds]\nstrict_revocation = true")
         path.write_text(text, encoding="utf-8")
         self.listeners[f"ready-{name}"] = ready
         self.add(name, "-m", "rhubarbshed.front", RHUBARBSHED_SETTINGS=str(path))
@@ -259,17 +288,34 @@
                 raise TimeoutError("the processes did not become ready in time")
             await asyncio.sleep(0.1)
 
-    async def configure(self, moved_to: str) -> None:
-        """Write the next configuration as the operator does, and record it once acknowledged."""
-        self.version += 3
-        body = make_routes(moved_to, self.version)
-        status = await call_store(self.store_port, "put", body, Table="op", Key="config")
-        if status == 200 and moved_to != self.moved_to:
+    async def configure(self, moved_to: str) -> bool:
+        """Write the next configuration as the operator does, and record it once acknowledged.
+
+        One after the other, so that the store does not end with an older one. Return whether it
+        was acknowledged.
+        """
+        async with self.operator:
+            self.version += 3
+            key_number = self.key_number
+            body = make_routes(moved_to, self.version, key_number)
+            status = await call_store(self.store_port, "put", body, Table="op", Key="config")
+        if status != 200:
+            return False
+        if moved_to != self.moved_to:
             prefixes = {"plain": "p", "other": "q"}
             self.history.moves.append(
                 (time.monotonic(), prefixes[self.moved_to], prefixes[moved_to])
             )
             self.moved_to = moved_to
+        for number in range(1, key_number):
+            self.history.revoked.setdefault(number, time.monotonic())
+        return True
+
+    async def change_key(self) -> None:
+        """Replace the account with its key by another one."""
+        self.key_number += 1
+        while not await self.configure(self.moved_to):
+            await asyncio.sleep(KEY_RETRY_S)
 
     async def stop_instance(self, name: str, grace_s: float) -> None:
         """Stop an instance as planned, record its exit, and start it again."""
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -19,6 +19,7 @@
     Deadly,
     Disturbance,
     History,
+    Keyed,
     Leaving,
     Seen,
     Sent,
@@ -109,6 +110,11 @@
             Seen(9.0, "limit", "p1", 1),
         ],
     ),
+    "accounts": make_history(
+        keyed=[Keyed("k1-1", 1, "i1", 15.8, 200)],
+        revoked={1: 10.0},
+        seen=[Seen(16.0, "run", "p1", 1, "k1-1", "/k/k1-1", account="account-1")],
+    ),
     "own_ends": make_history(own_ends=["i1 ended with 1"]),
     "recovery": make_history(calm_from=9.0),
 }
