--- a/test/test_server_speed.py
+++ b/test/test_server_speed.py
@@ -75,6 +75,21 @@
     assert record.speed.stated == 0.6
 
 
+def test_usual_gap_is_that_of_streams_without_a_disturbance():
+    """With the gaps of disturbed streams, no server would have seemed fit for any."""
+    fleet = make_fleet(make_entry("fast"), make_entry("slow"))
+    for name, slowness in (("fast", 0.6), ("slow", 1.6)):
+        fleet.get(name).record_load_sample(0, 0, NOW, slowness)
+    rng = random.Random(5)
+    for count in range(24):
+        record = fleet.get(rng.choice(("fast", "slow")))
+        factor = 1.0 if rng.random() < 0.3 else DISTURBANCE_FACTOR
+        fleet.record_gap(record, 0.044 * record.slowness * factor * rng.uniform(1.0, 1.1))
+        assert (fleet.find_usual_gap("svc") is None) == (count < 5)
+    assert 0.044 <= fleet.find_usual_gap("svc") <= 0.05
+    assert fleet.find_usual_gap("other") is None
+
+
 def test_build_that_does_not_know_the_message_skips_it(monkeypatch):
     data = pack_message(SpeedsMessage("i1", "a", (("b1", 2.5, 1.0),)))
     assert unpack_message(data) == Success(SpeedsMessage("i1", "a", (("b1", 2.5, 1.0),)))
@@ -94,7 +109,8 @@
 
     async def scene():
         configuration = make_configuration(make_route())
-        async with run_edge(configuration, Replica("b1", reply=state_load)) as edge:
+        replica = Replica("b1", reply=state_load)
+        async with run_edge(configuration, replica, has_pressure=True) as edge:
             await edge.wait_until(lambda: edge.node.lease.lease_state.held)
             others = [
                 Node.from_settings(make_settings(edge.store.address, name=name), "")
@@ -109,6 +125,9 @@
             if load.count(",") == 3:
                 await edge.wait_until(lambda: all(each.get("b1").speed for each in fleets))
                 assert all(each.get("b1").slowness == 1.6 for each in fleets)
+                assert (await edge.ask()).status == 200
+                found = edge.node.metrics.observations
+                assert found["chosen_slowness",].sum_s == 1.6 and ("load_age_seconds",) in found
             else:
                 await asyncio.sleep(1.5)
                 assert not any(each.get("b1").speed for each in fleets)
