--- a/test/test_server_speed.py
+++ b/test/test_server_speed.py
@@ -90,6 +90,15 @@
     assert fleet.find_usual_gap("other") is None
 
 
+def test_message_that_is_late_or_comes_twice_changes_nothing_that_lasts():
+    record = make_fleet(make_entry("b1")).get("b1")
+    for number in range(20):
+        record.apply_reported_slowness(1.0, 1.0, NOW + 0.5 * number)
+    for _ in range(2):
+        record.apply_reported_slowness(4.0, 1.6, NOW + 10.0)
+    assert record.slowness == 1.0
+
+
 def test_build_that_does_not_know_the_message_skips_it(monkeypatch):
     data = pack_message(SpeedsMessage("i1", "a", (("b1", 2.5, 1.0),)))
     assert unpack_message(data) == Success(SpeedsMessage("i1", "a", (("b1", 2.5, 1.0),)))
--- a/test/test_spreading.py
+++ b/test/test_spreading.py
@@ -119,3 +119,28 @@
         found.server.begin_attempt(NOW)
         chosen[found.server.entry.server_id] += 1
     assert max(chosen.values()) - min(chosen.values()) <= 1
+
+
+def test_instance_without_news_draws_by_capacity_and_leaves_out_a_silent_server():
+    """Cut off or frozen for a while, it trusted the last report and overran what was idle then."""
+    fleet = make_unequal(6, fast=5, usual=0, slow=3)
+    chosen = count_chosen(fleet, RequestPace(0.3), True, NOW + 2.0)
+    assert chosen["fast"] > 1.3 * chosen["usual"] and chosen["usual"] > 1.2 * chosen["slow"]
+    fleet.get("fast").record_unresponsive(NOW + 2.0)
+    assert count_chosen(fleet, RequestPace(0.3), True, NOW + 2.1)["fast"] == 0
+
+
+def test_choice_without_speeds_and_spreading_is_the_one_before():
+    """Deployments that enable neither get the same servers, with the same random numbers."""
+    fleet = make_fleet(*(make_entry(f"b{number}", slots=16) for number in range(12)))
+    for number, record in enumerate(fleet.servers.values()):
+        record.record_load_sample(number % 7, 0, NOW)
+    for seed in range(50):
+        rng, same = random.Random(seed), random.Random(seed)
+        found = choose_server(fleet, "svc", ("", ""), frozenset(), "a", NOW + 0.1, rng, pace=STREAM)
+        sampled = same.sample(list(fleet.servers.values()), 2)
+        costs = [
+            record.estimate_usual_load(NOW + 0.1) / 16 + same.uniform(0.0, 0.08)
+            for record in sampled
+        ]
+        assert found.server is sampled[costs.index(min(costs))]
