Bound the slowness that counts, and give its histogram own buckets

A stated slowness that rounds to 0 divided by 0 and made the message unreadable for others; a server in great trouble attracted all patient work, which slow servers get up to 2.5 times the usual time now. The buckets of seconds did not tell a slowness of 0.6 from 1.0.

--- a/rhubarbshed/coordination/serving/expected_time.py
+++ b/rhubarbshed/coordination/serving/expected_time.py
@@ -15,7 +15,9 @@
 whose work takes the usual time longer is worth this part of its slots being busy."""
 
 PATIENT_TARGET_S = 1.0
-"""Shortest target of patient requests, which leave fast servers to others."""
+PATIENT_SLOWNESS_MAX = 2.5
+"""Shortest target of patient requests, which leave fast servers to others, and the greatest
+slowness that is good enough for them: a machine in real trouble would attract them all."""
 
 UNFIT_COST = 1.0
 """Cost of a server, as a fraction of its slots, whose gaps exceed the route's in a disturbance:
@@ -48,7 +50,7 @@
 
 def compute_pace_cost(record: ServerRecord, pace: RequestPace) -> float:
     """Return the cost of a server's lasting slowness for a request, as a fraction of its slots."""
-    if pace.is_patient:
+    if pace.is_patient and record.slowness <= PATIENT_SLOWNESS_MAX:
         return -OWN_RUN_WEIGHT * record.slowness
     if pace.is_indifferent:
         return 0.0
--- a/rhubarbshed/state/membership/server_speed.py
+++ b/rhubarbshed/state/membership/server_speed.py
@@ -27,6 +27,10 @@
 DISTURBANCE_FACTOR = 2.5
 """Factor by which a disturbance slows a server down."""
 
+SLOWNESS_MIN = 0.01
+SLOWNESS_MAX = 1_000.0
+"""Bounds of a slowness that counts; with one of 0, a server would get all requests."""
+
 DISTURBANCE_KEPT_S = 0.3
 """Time in which the difference between the stated and the lasting slowness decays by a factor of
 e."""
@@ -70,7 +74,8 @@
 
     def record(self, stated: float, sample: float, now: float) -> None:
         """Record a stated slowness, and a sample of the lasting one, which may be the same."""
-        self.stated, self.stated_at = stated, now
+        self.stated, self.stated_at = _limit(stated), now
+        sample = _limit(sample)
         if self._samples and now - self._samples[-1][0] < SAMPLE_SPACING_S:
             begun_at, least = self._samples.pop()
             self._samples.append((begun_at, min(least, sample)))
@@ -91,3 +96,7 @@
         """Return the slowness to expect now."""
         age_s = max(0.0, now - self.stated_at)
         return self.lasting + (self.stated - self.lasting) * math.exp(-age_s / DISTURBANCE_KEPT_S)
+
+
+def _limit(slowness: float) -> float:
+    return min(SLOWNESS_MAX, max(SLOWNESS_MIN, slowness))
--- a/rhubarbshed/transport/edge/metrics.py
+++ b/rhubarbshed/transport/edge/metrics.py
@@ -17,16 +17,20 @@
 SECONDS_BUCKETS = (0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0, 4.0, 8.0, 16.0)
 """Upper bounds in seconds, around the targets of 0.2 to 4 s that routes have."""
 
+SLOWNESS_BUCKETS = (0.5, 0.7, 0.9, 1.1, 1.4, 1.8, 2.5, 4.0)
+"""Upper bounds around the usual slowness of 1."""
+
 PREFIX = "rhubarbshed_"
 """Beginning of the names of all metrics."""
 
 
 @frozen
 class Family:
-    """Description of a counter or histogram, and the names of its labels."""
+    """Description of a counter or histogram, the names of its labels, and its buckets' bounds."""
 
     doc: str
     labels: tuple[str, ...] = ()
+    bounds: tuple[float, ...] = SECONDS_BUCKETS
 
 
 COUNTERS = {
@@ -61,7 +65,9 @@
         "Time that requests waited for a load, by what became of them.", ("outcome",)
     ),
     "load_age_seconds": Family("Age of the load of a server as it was chosen."),
-    "chosen_slowness": Family("Lasting slowness of chosen servers that state it, 1 as usual."),
+    "chosen_slowness": Family(
+        "Lasting slowness of chosen servers that state it, 1 as usual.", (), SLOWNESS_BUCKETS
+    ),
 }
 
 
@@ -69,17 +75,22 @@
 class Observations:
     """Observed times: their number in each bucket, one beyond the last, and their sum."""
 
-    counts: list[int] = field(factory=lambda: [0] * (len(SECONDS_BUCKETS) + 1))
+    bounds: tuple[float, ...] = SECONDS_BUCKETS
+    counts: list[int] = field(init=False)
     sum_s: float = 0.0
 
+    def __attrs_post_init__(self) -> None:
+        """Create the empty buckets."""
+        self.counts = [0] * (len(self.bounds) + 1)
+
     def add(self, value_s: float) -> None:
         """Add a time in seconds; one that equals a bound lies below it."""
-        self.counts[bisect.bisect_left(SECONDS_BUCKETS, value_s)] += 1
+        self.counts[bisect.bisect_left(self.bounds, value_s)] += 1
         self.sum_s += value_s
 
     def accumulate(self) -> list[tuple[str, int]]:
         """Return each bucket's bound with the number of times up to it."""
-        bounds = (*map(str, SECONDS_BUCKETS), "+Inf")
+        bounds = (*map(str, self.bounds), "+Inf")
         found, total = [], 0
         for bound, count in zip(bounds, self.counts, strict=True):
             total += count
@@ -116,7 +127,7 @@
         key = (name, *labels)
         found = self.observations.get(key)
         if found is None:
-            found = self.observations[key] = Observations()
+            found = self.observations[key] = Observations(HISTOGRAMS[name].bounds)
         found.add(value_s)
 
     def count_request(self, route: str, status: int, took_s: float) -> None:
@@ -222,7 +233,7 @@
             histogram = HistogramMetricFamily(PREFIX + name, family.doc, labels=family.labels)
             found = {key: each for key, each in self.observations.items() if key[0] == name}
             if not family.labels:
-                found.setdefault((name,), Observations())
+                found.setdefault((name,), Observations(family.bounds))
             for (_, *labels), each in found.items():
                 histogram.add_metric(labels, each.accumulate(), each.sum_s)
             yield histogram
--- a/test/test_spreading.py
+++ b/test/test_spreading.py
@@ -8,6 +8,7 @@
 from rhubarbshed.coordination.serving.choice import Choice, NoServer, choose_server
 from rhubarbshed.coordination.serving.expected_time import RequestPace
 from rhubarbshed.coordination.serving.spreading import Level, compute_shares
+from rhubarbshed.platform.headers import SERVER_LOAD, read_head
 from rhubarbshed.state.membership.fleet import Fleet
 from test.test_edge_choice import NOW, make_entry, make_fleet
 from tools.load_table import Case, Simulation, find_percentile
@@ -66,6 +67,24 @@
     assert count_chosen(fleet, STREAM, True).total() == 300
 
 
+@pytest.mark.parametrize("spreads", [True, False])
+@pytest.mark.parametrize("stated", [b"5e-324", b"100000"])
+def test_server_that_states_an_extreme_slowness_ends_no_choice(stated, spreads):
+    """A slowness that rounds to 0 divided by 0; one in great trouble got all patient work."""
+    fleet = make_unequal()
+    load = read_head(200, ((SERVER_LOAD, b"0,0,24," + stated),)).load
+    for number in range(20):
+        at = NOW + 0.3 * number
+        fleet.get("slow").apply_reported_slowness(load.slowness, load.slowness, at)
+    fleet.get("slow").record_load_sample(0, 0, NOW + 9.0, load.slowness)
+    for pace in (STREAM, PATIENT, RequestPace(0.3)):
+        chosen = count_chosen(fleet, pace, spreads, NOW + 9.0)
+        assert stated != b"100000" or chosen["slow"] <= 3
+    for _ in range(6):
+        fleet.record_gap(fleet.get("slow"), 0.1)
+    assert fleet.find_usual_gap("svc") > 0.0
+
+
 @pytest.mark.parametrize("spreads", [True, False])
 def test_stream_with_a_gap_goes_where_a_disturbance_leaves_its_events_on_time(spreads):
     """At 1.6 times 50 ms a disturbance of 2.5 makes a gap of 200 ms late; patient work is not."""
