Divide limits between data centres that are cut off

Each side granted the whole of an account's limit: two sides used up to twice as much for as long as the cut lasted. An instance that grants credit now finds out which data centres it reaches, and grants the part that the instances there are of all.

--- a/rhubarbshed/coordination/serving/account_limits.py
+++ b/rhubarbshed/coordination/serving/account_limits.py
@@ -9,7 +9,7 @@
 import random
 from collections import deque
 
-from attrs import define, field, frozen
+from attrs import define, evolve, field, frozen
 
 from rhubarbshed.protocol.accounts import AccountLimit
 from rhubarbshed.util.front import FrontSettings
@@ -122,9 +122,9 @@
     expected_at: float = -math.inf
     granted_to: dict[Address, deque[tuple[float, float]]] = field(factory=dict)
 
-    def fill(self, limit: AccountLimit, fraction: float, now: float) -> None:
-        """Add what has flowed in since the last time, at a fraction of the limit's rate."""
-        flow = fraction * limit.rate_per_s * max(0.0, now - self.filled_at)
+    def fill(self, limit: AccountLimit, now: float) -> None:
+        """Add what has flowed in since the last time."""
+        flow = limit.rate_per_s * max(0.0, now - self.filled_at)
         self.level = min(limit.burst, self.level + flow)
         self.filled_at = now
 
@@ -139,20 +139,16 @@
         debt_max: float,
         demand: CreditDemand,
         asker: Address,
-        fraction: float,
         now: float,
     ) -> Credit:
-        """Grant the cost of a request and a part of its prefetch, or refuse it.
-
-        Stands in for another instance if `fraction` is below one.
-        """
-        self.fill(limit, fraction, now)
+        """Grant the cost of a request and a part of its prefetch, or refuse it."""
+        self.fill(limit, now)
         self.asked_at = now
         self._take_back(demand.returned, limit, asker, now)
-        rate_per_s = fraction * limit.rate_per_s
-        wait_s = max(0.0, find_level(limit, debt_max, demand.cost) - self.level) / rate_per_s
+        lacking = max(0.0, find_level(limit, debt_max, demand.cost) - self.level)
+        wait_s = lacking / limit.rate_per_s
         if demand.cost > 0.0 and wait_s > GRANT_WAIT_S:
-            return self._refuse(demand.cost / rate_per_s, wait_s, now)
+            return self._refuse(demand.cost / limit.rate_per_s, wait_s, now)
         spare = max(0.0, self.level - demand.cost - RESERVED_FRACTION * limit.burst)
         prefetched = min(demand.prefetch, PREFETCH_FRACTION * spare)
         granted = demand.cost + prefetched
@@ -181,6 +177,13 @@
         return Credit(0.0, retry_in_s=self.expected_at - now)
 
 
+def scale_limit(limit: AccountLimit, fraction: float) -> AccountLimit:
+    """Return the part of a limit that an instance grants while another one may grant the rest."""
+    if fraction == 1.0:
+        return limit
+    return evolve(limit, rate_per_s=fraction * limit.rate_per_s, burst=fraction * limit.burst)
+
+
 def find_level(limit: AccountLimit, debt_max: float, cost: float) -> float:
     """Return the level from which a request is granted.
 
--- a/rhubarbshed/transport/edge/account_credit.py
+++ b/rhubarbshed/transport/edge/account_credit.py
@@ -198,18 +198,17 @@
         self, account: Account, held: HeldCredit, cost: float, ranked: list[Address], until: float
     ) -> Taken | Refused | None:
         """Ask the instances of a ranking for credit; return None if none of them can decide."""
-        clock = self.allocators.clock
-        asked_at = clock()
+        asked_at = self.allocators.clock()
 
         def make_question() -> CreditQuestion:
             nonlocal asked_at
-            asked_at = clock()
+            asked_at = self.allocators.clock()
             prefetch = held.measure_prefetch(asked_at)
             return self.grants.make_question(account.name, CreditDemand(cost, prefetch))
 
         self.grants.probe_beside(account.name, ranked)
         asked = await self.allocators.ask_in_turn(ranked, make_question, until)
-        now = clock()
+        now = self.allocators.clock()
         if asked is NoReply.OWN:
             asked_at = now
             demand, own = CreditDemand(cost), self.allocators.address
@@ -252,6 +251,7 @@
     def handle_message(self, message: CreditNews, address: Address) -> None:
         """Reply to another instance's question, or take its reply."""
         self.allocators.record_alive(address)
+        self.grants.record_heard(address, self.allocators.clock())
         if isinstance(message, CreditReply):
             self.allocators.settle(message)
         elif self.allocators.begin_answer(message, address):
--- a/rhubarbshed/transport/edge/account_grants.py
+++ b/rhubarbshed/transport/edge/account_grants.py
@@ -16,12 +16,14 @@
     CreditBucket,
     CreditDemand,
     QuotaBound,
+    scale_limit,
 )
+from rhubarbshed.coordination.serving.centre_reach import CentreReach
 from rhubarbshed.coordination.serving.server_limits import MS_PER_S, SUBSTITUTE_FRACTION
 from rhubarbshed.protocol.accounts import AccountLimit
 from rhubarbshed.protocol.credit_messages import CreditQuestion, CreditReply
 from rhubarbshed.protocol.routes import Configuration
-from rhubarbshed.transport.edge.allocators import Address, Allocators, NoReply
+from rhubarbshed.transport.edge.allocators import SENDS_MAX, Address, Allocators, NoReply
 from rhubarbshed.util.logs import log_event
 
 LOG = logging.getLogger(__name__)
@@ -49,6 +51,7 @@
     limits: dict[str, AccountLimit] = field(factory=dict)
     buckets: dict[str, CreditBucket] = field(factory=dict)
     unranked: list[str] = field(factory=list)
+    reach: CentreReach = field(factory=CentreReach)
     _checked_at: float | None = None
     _known: Configuration | None = None
 
@@ -104,16 +107,18 @@
 
         They are to be full when requests come, and empty where another one may be granting.
         """
+        self._keep_reach(now)
         if self.allocators.is_isolated(now):
             for bucket in self.buckets.values():
                 bucket.empty(now)
             return
+        reached = self._measure_reach()
         for name, bucket in list(self.buckets.items()):
             if name not in self.limits:
                 # A request that began under an earlier configuration.
                 del self.buckets[name]
             elif self.rank(name)[0] == self.allocators.address:
-                bucket.fill(self.limits[name], 1.0, now)
+                bucket.fill(scale_limit(self.limits[name], reached), now)
             elif now - bucket.asked_at > IDLE_S:
                 del self.buckets[name]
         if not self.allocators.is_listed:
@@ -140,8 +145,47 @@
             probe = CreditDemand(0.0)
             self.allocators.probe_silent(ranked, lambda: self.make_question(name, probe), now)
             fraction = SUBSTITUTE_FRACTION if self.allocators.may_be_allocating(ranked) else 1.0
+            fraction *= self._measure_reach()
         debt_max = self.find_bound().measure_debt(limit)
-        return bucket.grant(limit, debt_max, demand, asker, fraction, now)
+        return bucket.grant(scale_limit(limit, fraction), debt_max, demand, asker, now)
+
+    def record_heard(self, address: Address, now: float) -> None:
+        """Record a message of another instance."""
+        if (centre := self.allocators.find_centre(address)) is not None:
+            self.reach.record(centre, now)
+
+    def _keep_reach(self, now: float) -> None:
+        """Find out which data centres are reached, if there is anything to grant."""
+        if not self.buckets:
+            self.reach.clear()
+            return
+        for centre in self.reach.update(self._count_others(), now):
+            log_event(
+                LOG,
+                logging.INFO,
+                "credit_reach",
+                data_centre=centre,
+                reached=int(centre not in self.reach.lost),
+                fraction=round(self._measure_reach(), 2),
+            )
+        for centre in self.reach.list_due(now):
+            group = self.allocators.instances[centre]
+            usable = [each for each in group if self.allocators.is_usable(each, now)]
+            address = self.allocators.rng.choice(usable or group)
+            # A question about no account is replied to at once.
+            question = self.make_question("", CreditDemand(0.0))
+            self.allocators.spawn(self.allocators.ask(address, question, SENDS_MAX))
+
+    def _count_others(self) -> dict[str, int]:
+        own = self.allocators.data_centre
+        groups = self.allocators.instances
+        return {centre: len(group) for centre, group in groups.items() if centre != own}
+
+    def _measure_reach(self) -> float:
+        if not self.reach.lost:
+            return 1.0
+        own = len(self.allocators.instances[self.allocators.data_centre])
+        return self.reach.measure(own, self._count_others())
 
     def answer(self, question: CreditQuestion, address: Address) -> None:
         """Reply to a question, by way of the instance before this one in rank if it may run."""
--- a/rhubarbshed/transport/edge/allocators.py
+++ b/rhubarbshed/transport/edge/allocators.py
@@ -113,6 +113,7 @@
     is_listed: bool = False
     ranked: dict[str, list[Address]] = field(factory=dict)
     _by_name: dict[str, Address] = field(factory=dict)
+    _centres: dict[Address, str] = field(factory=dict)
     _waiting: dict[int, asyncio.Future] = field(factory=dict)
     _probed_at: dict[Address, float] = field(factory=dict)
     _answered: OrderedDict[tuple[Address, int], Message | None] = field(factory=OrderedDict)
@@ -132,7 +133,8 @@
         self.instances[self.data_centre] = (*own, self.address)
         self.ranked.clear()
         self._by_name = {f"{host}:{port}": (host, port) for host, port in self.list_all()}
-        known = set(self._by_name.values())
+        self._centres = {each: name for name, group in self.instances.items() for each in group}
+        known = set(self._centres)
         for kept in (self.paused_until, self.silent, self._probed_at):
             for address in [each for each in kept if each not in known]:
                 del kept[address]
@@ -141,6 +143,10 @@
         """List all instances, with this one."""
         return [address for group in self.instances.values() for address in group]
 
+    def find_centre(self, address: Address) -> str | None:
+        """Return the data centre of an instance, None if it is not known."""
+        return self._centres.get(address)
+
     def rank(self, key: str, data_centre: str) -> list[Address]:
         """Rank all instances by who allocates for a key, first those of a data centre."""
         if key not in self.ranked:
--- a/test/helper_credit.py
+++ b/test/helper_credit.py
@@ -88,11 +88,17 @@
 
 @define(eq=False)
 class Group:
-    """Instances that ask each other; `fate` returns the delays of the copies of a message."""
+    """Instances that ask each other, in turn in one of the `centres`.
+
+    `fate` returns the delays of the copies of a message. Instances on different `sides` are cut off
+    from each other.
+    """
 
     configuration: Configuration
     rng: random.Random
     fate: Callable[[random.Random], list[float]] = lambda rng: [rng.uniform(0.001, 0.003)]
+    centres: int = 1
+    sides: dict[Address, object] = field(factory=dict)
     members: dict[Address, Member] = field(factory=dict)
     used: dict[str, list[tuple[float, float]]] = field(factory=lambda: defaultdict(list))
     refused: dict[str, list[tuple[float, Refused]]] = field(factory=lambda: defaultdict(list))
@@ -116,7 +122,7 @@
                 self.send(message, address, each)
 
         allocators = Allocators(
-            "a",
+            self.find_centre(address),
             address,
             send,
             random.Random(self.rng.random()),
@@ -133,8 +139,15 @@
     def list_all(self) -> None:
         """Let all instances know of each other."""
         for address, member in self.members.items():
-            others = [each for each in self.members if each != address]
-            member.credit.learn_instances({"a": others}, True)
+            others = defaultdict(list)
+            for other in self.members:
+                if other != address:
+                    others[self.find_centre(other)].append(other)
+            member.credit.learn_instances(others, True)
+
+    def find_centre(self, address: Address) -> str:
+        """Return the data centre of an instance."""
+        return "abc"[(address[1] - 1) % self.centres]
 
     async def tick(self, member: Member) -> None:
         """Do what the instance does at intervals; any message from the others is heard."""
@@ -161,7 +174,7 @@
         """Deliver the copies of a message, as they are read by the other side."""
         read = unpack_message(pack_message(message)).unwrap()
         source = self.members.get(sender)
-        if source is None or source.cut:
+        if source is None or source.cut or self.sides.get(sender) != self.sides.get(to):
             return
         for delay_s in self.fate(self.rng):
             asyncio.get_running_loop().call_later(delay_s, self.deliver, read, sender, to)
--- a/test/test_account_limits.py
+++ b/test/test_account_limits.py
@@ -48,7 +48,7 @@
 def grant(bucket, cost, now, limit=LIMIT, debt_max=0.0, **changes):
     """Ask a bucket for credit."""
     demand = CreditDemand(cost, **changes)
-    return bucket.grant(limit, debt_max, demand, ASKER, 1.0, now)
+    return bucket.grant(limit, debt_max, demand, ASKER, now)
 
 
 def test_bucket_starts_empty_and_holds_no_more_than_the_burst():
@@ -354,6 +354,38 @@
     play_steps(lambda: run_beside(seed, disturb, used_min))
 
 
+def test_allocator_that_wakes_starts_with_an_empty_bucket():
+    """Its bucket was full, as was that of its substitute, and callers used both."""
+
+    async def scene():
+        group, _ = await start_group(6)
+        first = group.find_allocator(BIG)
+        bucket = group.members[first].credit.grants.buckets["big"]
+        assert bucket.level == BIG.limit.burst
+        group.members[first].frozen = True
+        await asyncio.sleep(3.0)
+        group.wake(first)
+        await asyncio.sleep(0.11)
+        assert bucket.level <= 0.2 * BIG.limit.rate_per_s
+
+    play_steps(scene)
+
+
+def test_process_that_was_frozen_does_not_use_the_credit_of_an_old_reply():
+    async def scene():
+        group, addresses = await start_group(7)
+        own = next(each for each in addresses if each != group.find_allocator(BIG))
+        credit = group.members[own].credit
+        asking = asyncio.create_task(credit.take(BIG, 500.0, 0.2))
+        await asyncio.sleep(0.001)
+        credit.allocators.clock = lambda: read_now() + 2 * CREDIT_S
+        outcome = await asking
+        assert outcome.source in (CreditSource.OWN_SHARE, CreditSource.SILENCE)
+        assert credit.held["big"].measure(read_now()) == 0.0
+
+    play_steps(scene)
+
+
 def lose_third(rng):
     """Lose a third of all messages."""
     return [] if rng.random() < 1 / 3 else [rng.uniform(0.001, 0.003)]
@@ -439,6 +471,61 @@
     play_steps(scene)
 
 
+@pytest.mark.parametrize("seed", range(3))
+def test_data_centres_cut_off_from_each_other_grant_the_limit_together(seed):
+    """Each side granted the whole."""
+
+    async def scene():
+        group = Group(make_version(1, BIG, CALM), random.Random(seed), centres=3)
+        addresses = group.add(INSTANCES)
+        await asyncio.sleep(1.5)
+        lone = addresses[0::3]
+
+        def choose():
+            return group.rng.choice(addresses)
+
+        loads = asyncio.gather(
+            load_account(group, BIG, 2.0, choose, 16.0),
+            load_account(group, CALM, 0.5, choose, 16.0),
+        )
+        await asyncio.sleep(2.0)
+        group.sides = {address: address in lone for address in addresses}
+        await asyncio.sleep(8.0)
+        group.sides = {}
+        healed_at = read_now()
+        await loads
+        check_bound(group, BIG, CALM)
+        used = sum(cost for at, cost in group.used["big"])
+        assert used >= 0.85 * 16.0 * BIG.limit.rate_per_s
+        assert group.measure_served(CALM) >= 0.95
+        assert group.measure_served(CALM, healed_at + 1.5) >= 0.99
+
+    play_steps(scene)
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_accounts_are_served_after_all_instances_of_a_data_centre_ended(seed):
+    """They stay listed elsewhere for a minute."""
+
+    async def scene():
+        group = Group(make_version(1, BIG, CALM), random.Random(seed), centres=3)
+        addresses = group.add(INSTANCES)
+        await asyncio.sleep(1.5)
+        for address in addresses[0::3]:
+            group.kill(address)
+        killed_at = read_now()
+        left = list(group.members)
+        loads = (
+            load_account(group, BIG, 2.0, lambda: group.rng.choice(left)),
+            load_account(group, CALM, 0.5, lambda: group.rng.choice(left)),
+        )
+        await asyncio.gather(*loads)
+        check_bound(group, BIG, CALM)
+        assert group.measure_served(CALM, killed_at + 2.5) >= 0.97
+
+    play_steps(scene)
+
+
 def test_instances_cut_off_from_each_other_use_half_of_the_limit_at_most():
     async def scene():
         group, addresses = await start_group(2)
