Serve accounts without a burst or with a long name

A rate without a burst found no room for any request under the stated bound, and a name of over 200 characters did not fit a message, which would have ended the request with a defect. Where no bound is stated, requests beyond the burst are paid for afterwards.

--- a/rhubarbshed/coordination/serving/account_limits.py
+++ b/rhubarbshed/coordination/serving/account_limits.py
@@ -11,7 +11,9 @@
 
 from attrs import define, evolve, field, frozen
 
-from rhubarbshed.protocol.accounts import AccountLimit
+from rhubarbshed.protocol.accounts import Account, AccountLimit
+from rhubarbshed.protocol.message_checks import is_text
+from rhubarbshed.util.fingerprints import hash_part
 from rhubarbshed.util.front import FrontSettings
 
 Address = tuple[str, int]
@@ -59,6 +61,9 @@
 """Part of a limit that an instance without a list grants to others without one: another one may be
 granting the whole, and lists come within a second."""
 
+BURST_MIN_S = 0.1
+"""Burst of a limit that names none, in seconds at its rate."""
+
 IDLE_S = 0.5
 """Time without a question after which an instance that stands in starts with an empty bucket: who
 it stood in for has granted credit meanwhile."""
@@ -84,11 +89,30 @@
         return cls(settings.quota_window_s, settings.quota_overage, settings.quota_slack)
 
     def measure_debt(self, limit: AccountLimit) -> float:
-        """Return by how much one request may exceed an account's burst."""
+        """Return by how much one request may exceed an account's burst.
+
+        Without a stated bound that is any amount: the bucket pays for it afterwards.
+        """
+        if not self.overage and not self.slack:
+            return math.inf
         allowed = self.overage * (limit.rate_per_s * self.window_s + limit.burst) + self.slack
         return max(0.0, allowed - OVERLAP_S * limit.rate_per_s)
 
 
+def normalize_account(account: Account) -> Account:
+    """Return an account with a limit as instances exchange credit for it.
+
+    A name too long for a message is replaced, and a rate without a burst gets a small one, which
+    credit for a whole request needs; the bound leaves room for it.
+    """
+    if not is_text(account.name):
+        account = evolve(account, name=hash_part(account.name))
+    if not account.limit.burst:
+        burst = BURST_MIN_S * account.limit.rate_per_s
+        account = evolve(account, limit=evolve(account.limit, burst=burst))
+    return account
+
+
 @frozen
 class CreditDemand:
     """Cost of a request, what is to be prefetched, and unused credit that is returned."""
--- a/rhubarbshed/transport/edge/account_credit.py
+++ b/rhubarbshed/transport/edge/account_credit.py
@@ -20,6 +20,7 @@
     HeldCredit,
     OwnShare,
     is_excessive,
+    normalize_account,
 )
 from rhubarbshed.coordination.serving.server_limits import MS_PER_S
 from rhubarbshed.protocol.accounts import Account
@@ -125,6 +126,7 @@
 
     async def take(self, account: Account, cost: float, patience_s: float) -> Taken | Refused:
         """Take the credit for a request, if need be after replies of others within a time."""
+        account = normalize_account(account)
         begun_at = now = self.allocators.clock()
         self.grants.check_time(now)
         if account.name not in self.held:
@@ -155,6 +157,7 @@
 
     def give_back(self, account: Account, taken: Taken, now: float) -> None:
         """Hold the credit of a request that did not run; it ends when it would have anyway."""
+        account = normalize_account(account)
         if account.name in self.held:
             self.held[account.name].add(taken.amount, taken.expires_at, now)
 
--- a/rhubarbshed/transport/edge/account_grants.py
+++ b/rhubarbshed/transport/edge/account_grants.py
@@ -16,6 +16,7 @@
     CreditBucket,
     CreditDemand,
     QuotaBound,
+    normalize_account,
     scale_limit,
 )
 from rhubarbshed.coordination.serving.centre_reach import CentreReach
@@ -77,7 +78,8 @@
         if (known := self.find_accounts()) is not self._known:
             self._known = known
             accounts = known.accounts.list_accounts() if known is not None else ()
-            self.limits = {each.name: each.limit for each in accounts if each.limit is not None}
+            limited = [normalize_account(each) for each in accounts if each.limit is not None]
+            self.limits = {each.name: each.limit for each in limited}
             self.unranked = list(self.limits)
             for name in [name for name in self.buckets if name not in self.limits]:
                 del self.buckets[name]
--- a/test/test_edge_account_limits.py
+++ b/test/test_edge_account_limits.py
@@ -91,6 +91,9 @@
             assert {answer.status for answer in refused} == {429}
             assert all(answer.body.startswith(b"account_limit: ") for answer in refused)
             assert all(0.0 < float(each.headers["retry-after"]) <= 10.0 for each in refused)
+            shown = scene.instances["a1"].relay.metrics.render({}).decode()
+            assert 'account_credit_total{account="hot",source="allocator",taken="no"}' in shown
+            assert "credit_wait_seconds_count" in shown
 
     play(run)
     line, *_ = [each for each in caplog.records if each.getMessage() == "account_limited"]
