--- a/rhubarbshed/coordination/serving/account_limits.py
+++ b/rhubarbshed/coordination/serving/account_limits.py
@@ -9,9 +9,11 @@
 import random
 from collections import deque
 
-from attrs import define, field, frozen
+from attrs import define, evolve, field, frozen
 
-from rhubarbshed.protocol.accounts import AccountLimit
+from rhubarbshed.protocol.accounts import Account, AccountLimit
+from rhubarbshed.protocol.message_checks import is_text
+from rhubarbshed.util.fingerprints import hash_part
 from rhubarbshed.util.front import FrontSettings
 
 Address = tuple[str, int]
@@ -59,6 +61,9 @@
 """Part of a limit that an instance without a list grants to others without one: another one may be
 granting the whole, and lists come within a second."""
 
+BURST_MIN_S = 0.1
+"""Burst of a limit that names none, in seconds at its rate."""
+
 IDLE_S = 0.5
 """Time without a question after which an instance that stands in starts with an empty bucket: who
 it stood in for has granted credit meanwhile."""
@@ -84,11 +89,30 @@
         return cls(settings.quota_window_s, settings.quota_overage, settings.quota_slack)
 
     def measure_debt(self, limit: AccountLimit) -> float:
-        """Return by how much one request may exceed an account's burst."""
+        """Return by how much one request may exceed an account's burst.
+
+        Without a stated bound that is any amount: the bucket pays for it afterwards.
+        """
+        if not self.overage and not self.slack:
+            return math.inf
         allowed = self.overage * (limit.rate_per_s * self.window_s + limit.burst) + self.slack
         return max(0.0, allowed - OVERLAP_S * limit.rate_per_s)
 
 
+def normalize_account(account: Account) -> Account:
+    """Return an account with a limit as instances exchange credit for it.
+
+    A name too long for a message is replaced, and a rate without a burst gets a small one, which
+    credit for a whole request needs; the bound leaves room for it.
+    """
+    if not is_text(account.name):
+        account = evolve(account, name=hash_part(account.name))
+    if not account.limit.burst:
+        burst = BURST_MIN_S * account.limit.rate_per_s
+        account = evolve(account, limit=evolve(account.limit, burst=burst))
+    return account
+
+
 @frozen
 class CreditDemand:
     """Cost of a request, what is to be prefetched, and unused credit that is returned."""
@@ -122,9 +146,9 @@
     expected_at: float = -math.inf
     granted_to: dict[Address, deque[tuple[float, float]]] = field(factory=dict)
 
-    def fill(self, limit: AccountLimit, fraction: float, now: float) -> None:
-        """Add what has flowed in since the last time, at a fraction of the limit's rate."""
-        flow = fraction * limit.rate_per_s * max(0.0, now - self.filled_at)
+    def fill(self, limit: AccountLimit, now: float) -> None:
+        """Add what has flowed in since the last time."""
+        flow = limit.rate_per_s * max(0.0, now - self.filled_at)
         self.level = min(limit.burst, self.level + flow)
         self.filled_at = now
 
@@ -139,20 +163,16 @@
         debt_max: float,
         demand: CreditDemand,
         asker: Address,
-        fraction: float,
         now: float,
     ) -> Credit:
-        """Grant the cost of a request and a part of its prefetch, or refuse it.
-
-        Stands in for another instance if `fraction` is below one.
-        """
-        self.fill(limit, fraction, now)
+        """Grant the cost of a request and a part of its prefetch, or refuse it."""
+        self.fill(limit, now)
         self.asked_at = now
         self._take_back(demand.returned, limit, asker, now)
-        rate_per_s = fraction * limit.rate_per_s
-        wait_s = max(0.0, find_level(limit, debt_max, demand.cost) - self.level) / rate_per_s
+        lacking = max(0.0, find_level(limit, debt_max, demand.cost) - self.level)
+        wait_s = lacking / limit.rate_per_s
         if demand.cost > 0.0 and wait_s > GRANT_WAIT_S:
-            return self._refuse(demand.cost / rate_per_s, wait_s, now)
+            return self._refuse(demand.cost / limit.rate_per_s, wait_s, now)
         spare = max(0.0, self.level - demand.cost - RESERVED_FRACTION * limit.burst)
         prefetched = min(demand.prefetch, PREFETCH_FRACTION * spare)
         granted = demand.cost + prefetched
@@ -181,6 +201,13 @@
         return Credit(0.0, retry_in_s=self.expected_at - now)
 
 
+def scale_limit(limit: AccountLimit, fraction: float) -> AccountLimit:
+    """Return the part of a limit that an instance grants while another one may grant the rest."""
+    if fraction == 1.0:
+        return limit
+    return evolve(limit, rate_per_s=fraction * limit.rate_per_s, burst=fraction * limit.burst)
+
+
 def find_level(limit: AccountLimit, debt_max: float, cost: float) -> float:
     """Return the level from which a request is granted.
 
--- a/rhubarbshed/transport/edge/account_credit.py
+++ b/rhubarbshed/transport/edge/account_credit.py
@@ -20,6 +20,7 @@
     HeldCredit,
     OwnShare,
     is_excessive,
+    normalize_account,
 )
 from rhubarbshed.coordination.serving.server_limits import MS_PER_S
 from rhubarbshed.protocol.accounts import Account
@@ -125,6 +126,7 @@
 
     async def take(self, account: Account, cost: float, patience_s: float) -> Taken | Refused:
         """Take the credit for a request, if need be after replies of others within a time."""
+        account = normalize_account(account)
         begun_at = now = self.allocators.clock()
         self.grants.check_time(now)
         if account.name not in self.held:
@@ -155,6 +157,7 @@
 
     def give_back(self, account: Account, taken: Taken, now: float) -> None:
         """Hold the credit of a request that did not run; it ends when it would have anyway."""
+        account = normalize_account(account)
         if account.name in self.held:
             self.held[account.name].add(taken.amount, taken.expires_at, now)
 
@@ -198,18 +201,17 @@
         self, account: Account, held: HeldCredit, cost: float, ranked: list[Address], until: float
     ) -> Taken | Refused | None:
         """Ask the instances of a ranking for credit; return None if none of them can decide."""
-        clock = self.allocators.clock
-        asked_at = clock()
+        asked_at = self.allocators.clock()
 
         def make_question() -> CreditQuestion:
             nonlocal asked_at
-            asked_at = clock()
+            asked_at = self.allocators.clock()
             prefetch = held.measure_prefetch(asked_at)
             return self.grants.make_question(account.name, CreditDemand(cost, prefetch))
 
         self.grants.probe_beside(account.name, ranked)
         asked = await self.allocators.ask_in_turn(ranked, make_question, until)
-        now = clock()
+        now = self.allocators.clock()
         if asked is NoReply.OWN:
             asked_at = now
             demand, own = CreditDemand(cost), self.allocators.address
@@ -252,6 +254,7 @@
     def handle_message(self, message: CreditNews, address: Address) -> None:
         """Reply to another instance's question, or take its reply."""
         self.allocators.record_alive(address)
+        self.grants.record_heard(address, self.allocators.clock())
         if isinstance(message, CreditReply):
             self.allocators.settle(message)
         elif self.allocators.begin_answer(message, address):
