Count statuses outside 200 to 599 as malformed answers

A server in trouble answered with status 000, and a client took it for an answer. h11 refuses 000, 099 and a 1xx that no final head follows, but accepts 600 to 999: callers got 600 as an answer, and with Rhubarbshed-Not-Executed an unsafe request was sent to three servers and answered 503. http.client accepts 600 to 999 too, and takes the head of an interim response other than 100 for the final one, so callers of plain services at rhubarbshedd got 101 and 103.

protocol/answers.py says which statuses are final; Channel.receive_final_head and CompleteHeadResponse.begin apply it to everything that is received. Heads of interim responses are skipped by rhubarbshedd, up to 16.

--- a/rhubarbshed/transport/edge/channels.py
+++ b/rhubarbshed/transport/edge/channels.py
@@ -8,6 +8,7 @@
 import xxhash
 from attrs import define, field
 
+from rhubarbshed.protocol.answers import is_final_status
 from rhubarbshed.protocol.exchanges import Headers
 from rhubarbshed.transport.edge.sockets import abort_with_reset, set_options
 
@@ -175,6 +176,8 @@
         for _ in range(INTERIM_HEADS_MAX):
             response = await self.receive()
             if isinstance(response, h11.Response):
+                if not is_final_status(response.status_code):
+                    raise MalformedAnswerError(f"{response.status_code} is no final status")
                 return response
             if not isinstance(response, h11.InformationalResponse):
                 raise MalformedAnswerError("body without a head")
--- a/rhubarbshed/transport/heads.py
+++ b/rhubarbshed/transport/heads.py
@@ -1,7 +1,8 @@
-"""Connections that tell a response whose head was cut off from a complete one.
+"""Connections whose responses have a complete head with a final status.
 
 `http.client` takes the end of the connection for the end of the head. A server that stops in the
-middle of it then seems to have sent a whole answer, with its status and without a body.
+middle of it then seems to have sent a whole answer, with its status and without a body. It also
+takes the head of an interim response other than 100 for the final one, and any status up to 999.
 """
 
 import http.client
@@ -11,6 +12,11 @@
 from urllib3 import HTTPConnectionPool, HTTPSConnectionPool, PoolManager
 from urllib3.connection import HTTPConnection, HTTPSConnection
 
+from rhubarbshed.protocol.answers import is_final_status, is_interim_status
+
+INTERIM_HEADS_MAX = 16
+"""Heads after which a server is not expected to send a final one."""
+
 
 @define(eq=False)
 class HeadReader:
@@ -35,10 +41,23 @@
 
 
 class CompleteHeadResponse(http.client.HTTPResponse):
-    """Response that fails if the connection ends within its head."""
+    """Response that fails if its connection ends within the head, or its status is not a final one.
+
+    Heads of interim responses are skipped, up to `INTERIM_HEADS_MAX`.
+    """
 
     def begin(self) -> None:
-        """Read the head; raise `IncompleteRead` if it was cut off."""
+        """Read the head; raise `IncompleteRead` if it was cut off, `BadStatusLine` for a status."""
+        for _ in range(INTERIM_HEADS_MAX):
+            self._read_head()
+            if not is_interim_status(self.status):
+                break
+            self.headers = self.msg = None
+        if not is_final_status(self.status):
+            self.close()
+            raise http.client.BadStatusLine(f"{self.status} is no final status")
+
+    def _read_head(self) -> None:
         reader = HeadReader(self.fp)
         self.fp = reader
         try:
