Keep the check of statuses free of the codec

Cause: the check was in protocol/answers.py, which imports cattrs, which instances on the platform do not install; no instance started there after the merge. test_deploy guards against that. Change: a module of its own. Measured: test_deploy failed before and passes.

--- a/rhubarbshed/transport/edge/channels.py
+++ b/rhubarbshed/transport/edge/channels.py
@@ -8,8 +8,8 @@
 import xxhash
 from attrs import define, field
 
-from rhubarbshed.protocol.answers import is_final_status
 from rhubarbshed.protocol.exchanges import Headers
+from rhubarbshed.protocol.statuses import is_final_status
 from rhubarbshed.transport.edge.sockets import abort_with_reset, set_options
 
 UNREAD_BYTES_MAX = 262_144
--- a/rhubarbshed/transport/heads.py
+++ b/rhubarbshed/transport/heads.py
@@ -12,7 +12,7 @@
 from urllib3 import HTTPConnectionPool, HTTPSConnectionPool, PoolManager
 from urllib3.connection import HTTPConnection, HTTPSConnection
 
-from rhubarbshed.protocol.answers import is_final_status, is_interim_status
+from rhubarbshed.protocol.statuses import is_final_status, is_interim_status
 
 INTERIM_HEADS_MAX = 16
 """Heads after which a server is not expected to send a final one."""
