--- a/test/test_odd_statuses_daemon.py
+++ b/test/test_odd_statuses_daemon.py
@@ -8,11 +8,12 @@
 import pytest
 from returns.result import Failure, Success
 
-from rhubarbshed.protocol.answers import BufferedResponse, is_final_status, is_interim_status
+from rhubarbshed.protocol.answers import BufferedResponse
 from rhubarbshed.protocol.calls import Call
 from rhubarbshed.protocol.members import BackendKind, BackendServerInfo
 from rhubarbshed.protocol.orders import Order, OrderFault, OrderKind
 from rhubarbshed.protocol.requests import AttemptEnd, Dispatch, Request
+from rhubarbshed.protocol.statuses import is_final_status, is_interim_status
 from rhubarbshed.protocol.tables import TableFault, Transaction
 from rhubarbshed.transport import engines
 from rhubarbshed.transport.connections import ConnectionPool
