Leave new connections to others before keys lose their validity

Cause: an instance that is cut off from the store and from what is in force refuses all keys, and went on getting new connections. Change: with strict revocation it answers readiness checks with 503 from 0.7 of the bound on revoked keys, at most 1.5 s before it refuses. Measured: the new test fails on the code before (is_ready stays true).

--- a/rhubarbshed/transport/edge/view.py
+++ b/rhubarbshed/transport/edge/view.py
@@ -16,6 +16,7 @@
 from rhubarbshed.state.membership.fleet import Fleet, ServerRecord
 from rhubarbshed.state.membership.versions import VersionHistory
 from rhubarbshed.state.requests.stream_origins import STREAM_AGE_MAX_S
+from rhubarbshed.util.clocks import read_lease_clock
 from rhubarbshed.util.front import FrontSettings
 from rhubarbshed.util.logs import log_event
 
@@ -33,6 +34,12 @@
 has to wait for the processor notes the signal late: the rest is room below the 3 s after which no
 request may be lost."""
 
+READY_LEAD_S = 1.5
+READY_LEAD_FRACTION = 0.3
+"""Time before callers' keys lose their validity here from which new connections should go to other
+instances, at most this fraction of the bound on revoked keys: the platform takes an instance out
+after two failed readiness checks, one a second."""
+
 CLOSE_MARGIN_S = 0.7
 """Part of the grace time kept for closing; the platform kills the process at its end."""
 
@@ -175,5 +182,18 @@
 
     @property
     def is_ready(self) -> bool:
-        """Return whether new connections should come here."""
-        return self.is_known and self.drain.started_at is None
+        """Return whether new connections should come here.
+
+        An instance that would soon refuse all keys leaves them to others.
+        """
+        is_serving = self.is_known and self.drain.started_at is None
+        return is_serving and not self.is_losing_trust(read_lease_clock())
+
+    def is_losing_trust(self, now: float) -> bool:
+        """Return whether keys of callers lose their validity here; `now` is of the lease clock."""
+        settings = self.settings
+        if not settings.strict_revocation or self.configuration.accounts is None:
+            return False
+        limit_s = settings.revocation_s
+        limit_s -= min(READY_LEAD_S, READY_LEAD_FRACTION * limit_s)
+        return not self.versions.entry_age.is_configuration_trusted(limit_s, now)
--- a/test/test_edge_accounts.py
+++ b/test/test_edge_accounts.py
@@ -482,3 +482,19 @@
             assert (await edge.ask(Rhubarbshed_Key=KEY)).status == 200
 
     play(run)
+
+
+def test_instance_whose_keys_lose_their_validity_leaves_new_connections_to_others():
+    """It answered all its callers 503 while others could have served them."""
+
+    async def run():
+        async with run_accounts(is_strict=True) as scene:
+            node = scene.instances["a1"]
+            assert node.view.is_ready
+            entry_age = node.view.versions.entry_age
+            entry_age.configuration_asked_at = read_lease_clock() - 0.8 * REVOCATION_S
+            assert not node.view.is_ready
+            make_strict(node, False)
+            assert node.view.is_ready
+
+    play(run)
