Add rhubarbshed explain, which tells where a request would go

An operator could see why a request failed only from the logs after its end. GET /explain on the metrics port of rhubarbshed-front, and the command that asks it, state the route, the service, the servers with what speaks for and against each, and the refusal with its Retry-After.

For that the retry time of full servers (find_limit_retry) and the check for a configured model (EngineSpec.has_target) are functions without a request.

--- a/rhubarbshed/coordination/serving/server_limits.py
+++ b/rhubarbshed/coordination/serving/server_limits.py
@@ -174,3 +174,20 @@
     """Return the grant of a reply."""
     send_in_s = None if reply.send_in_ms is None else reply.send_in_ms / MS_PER_S
     return Grant(send_in_s, reply.free_in_ms / MS_PER_S, reply.retry_in_ms / MS_PER_S)
+
+
+def find_limit_retry(
+    servers: Collection[ServerRecord], needs: tuple[str, str], now: float
+) -> float | None:
+    """Return the seconds until a server that holds (model, adapter) may have room.
+
+    None if no limit and no pause that a server asked for is why all are full.
+    """
+    model, adapter = needs
+    retries = [
+        max(record.limited_until, record.limit_retry_at, record.backoff_until) - now
+        for record in servers
+        if now < max(record.limited_until, record.backoff_until)
+        and (not model or record.holds(model, adapter))
+    ]
+    return min(retries, default=None)
--- a/rhubarbshed/protocol/routes.py
+++ b/rhubarbshed/protocol/routes.py
@@ -53,6 +53,11 @@
     loads_per_s: float
     models: dict[str, ModelSpec] = field(factory=dict)
 
+    def has_target(self, model: str, adapter: str) -> bool:
+        """Return whether the operator knows a model and adapter; callers may name anything."""
+        spec = self.models.get(model)
+        return spec is not None and spec.has_adapter(adapter)
+
 
 @frozen
 class ServiceSpec:
--- a/rhubarbshed/transport/edge/final_answers.py
+++ b/rhubarbshed/transport/edge/final_answers.py
@@ -10,6 +10,7 @@
     make_refusal,
     make_timeout,
 )
+from rhubarbshed.coordination.serving.server_limits import find_limit_retry
 from rhubarbshed.platform.headers import echo_request_id
 from rhubarbshed.protocol.errors import Outcome, RequestError
 from rhubarbshed.protocol.forwarding import DECLINED, UNREACHED_CODE
@@ -40,25 +41,12 @@
     known = reason if reason in STATED_REASONS else "all_tried"
     available_in_s = progress.available_in_s if known in ("absent", "quarantined") else None
     if known == "full":
-        available_in_s = measure_limit_retry(progress, time.monotonic())
-    return make_refusal(known, progress.relay.view.rng, available_in_s)
-
-
-def measure_limit_retry(progress: RequestProgress, now: float) -> float | None:
-    """Return the seconds until a server may have room, None if none is why all are full."""
-    servers = list_staying(
-        progress.relay.view.fleet, progress.service, progress.caller_response.version
-    )
-    retries = [
-        max(record.limited_until, record.limit_retry_at, record.backoff_until) - now
-        for record in servers
-        if now < max(record.limited_until, record.backoff_until)
-        and (
-            not progress.request.model
-            or record.holds(progress.request.model, progress.request.adapter)
+        staying = list_staying(
+            progress.relay.view.fleet, progress.service, progress.caller_response.version
         )
-    ]
-    return min(retries, default=None)
+        needs = (progress.request.model, progress.request.adapter)
+        available_in_s = find_limit_retry(staying, needs, time.monotonic())
+    return make_refusal(known, progress.relay.view.rng, available_in_s)
 
 
 def answer_defect(progress: RequestProgress) -> None:
--- a/rhubarbshed/transport/edge/node.py
+++ b/rhubarbshed/transport/edge/node.py
@@ -30,6 +30,7 @@
 from rhubarbshed.transport.edge.connection_logs import CloseLog, CloseReason
 from rhubarbshed.transport.edge.crash_registry import CrashRegistry
 from rhubarbshed.transport.edge.entry_checks import EntryCheck
+from rhubarbshed.transport.edge.explanations import JSON_HEADERS, answer_explain, is_explain
 from rhubarbshed.transport.edge.follower import Follower
 from rhubarbshed.transport.edge.forwarder import Forwarder
 from rhubarbshed.transport.edge.holder_protocol import HolderProtocol
@@ -353,7 +354,11 @@
     async def answer_metrics(
         self, connection: CallerConnection, head: h11.Request, *_: object
     ) -> None:
-        """Answer with all metrics."""
+        """Answer with all metrics, or where a request would be sent."""
+        if is_explain(head.target):
+            status, body = answer_explain(self.relay, head.target, tuple(head.headers))
+            connection.send_complete(status, JSON_HEADERS, body)
+            return
         gauge_values = {
             "open_requests": self.relay.open,
             "servers": len(self.view.fleet.servers),
--- a/rhubarbshed/transport/edge/request_progress.py
+++ b/rhubarbshed/transport/edge/request_progress.py
@@ -102,8 +102,7 @@
     def is_configured(self) -> bool:
         """Return whether the operator knows the model and adapter; callers may name anything."""
         engine = self.relay.view.configuration.find_engine(self.service)
-        spec = engine.models.get(self.request.model) if engine is not None else None
-        return spec is not None and spec.has_adapter(self.request.adapter)
+        return engine is not None and engine.has_target(self.request.model, self.request.adapter)
 
     def count_demand(self) -> None:
         """Count the request for its model, where its caller sent it."""
--- a/rhubarbshed/ui/common.py
+++ b/rhubarbshed/ui/common.py
@@ -59,11 +59,12 @@
         except ValueError:
             raise UserError(f"{url} did not answer with JSON, status {response.status}") from None
         if response.status >= 400:
-            raise UserError(_describe_error(plain, response.status))
+            raise UserError(describe_error(plain, response.status))
         return plain
 
 
-def _describe_error(plain: Any, status: int) -> str:
+def describe_error(plain: Any, status: int) -> str:
+    """Return the text of an error answer."""
     error = plain.get("error", {}) if isinstance(plain, dict) else {}
     text = error.get("message", "no message")
     if "retry_after_s" in error:
--- a/rhubarbshed/ui/main.py
+++ b/rhubarbshed/ui/main.py
@@ -5,6 +5,7 @@
 import typer
 
 from rhubarbshed.protocol.errors import UserError
+from rhubarbshed.ui.explain import register_explanation
 from rhubarbshed.ui.logs import logs_app
 from rhubarbshed.ui.observe import register_observation
 from rhubarbshed.ui.settings import settings_app
@@ -23,6 +24,7 @@
 app.add_typer(settings_app, name="settings", help="Check settings files.")
 app.add_typer(logs_app, name="logs", help="Read logs of instances on the platform.")
 register_observation(app)
+register_explanation(app)
 
 
 def main() -> None:
