Explain waits of requests in progress by the time that they have left

A request that had waited for a slot was explained as one that may wait the whole time, and the route's own timeout was left out. Tests compare the refusals that are explained with those that a request gets.

--- a/rhubarbshed/coordination/serving/explanation.py
+++ b/rhubarbshed/coordination/serving/explanation.py
@@ -50,10 +50,10 @@
 
 @frozen
 class Query:
-    """Request that is asked about; its caller waits for `timeout_s`.
+    """Request that is asked about; its caller waits for `timeout_s` more.
 
-    The servers in `tried`, the `service` and, for the rest of a stream, the `version` are those of
-    a request in progress.
+    The servers in `tried`, the `service`, the `version` that the rest of a stream is bound to, and
+    `queued_s`, for which it has waited at full servers, are those of a request in progress.
     """
 
     host: str
@@ -64,6 +64,7 @@
     tried: frozenset[tuple[str, int]] = frozenset()
     service: str = ""
     version: str | None = None
+    queued_s: float = 0.0
 
     @property
     def needs(self) -> tuple[str, str]:
@@ -252,12 +253,13 @@
     """Return for what a request would wait for which there is no server, and how it would end."""
     staying = list_staying(fleet, service, query.version)
     wait_s, expected_s, available_in_s = 0.0, None, None
+    left_s = min(query.timeout_s, route.timeout_s)
     if found.reason == "full":
-        wait_s = measure_wait(route, 0.0, query.timeout_s)
+        wait_s = measure_wait(route, query.queued_s, left_s)
         available_in_s = find_limit_retry(staying, query.needs, now)
     engine = configuration.find_engine(service)
     if found.reason == "absent" and engine is not None and engine.has_target(*query.needs):
-        until = now + min(query.timeout_s, route.timeout_s, route.stall_timeout_s)
+        until = now + min(left_s, route.stall_timeout_s)
         patience = CallerPatience(now, until, route.target_s)
         decision = decide_load_wait(engine, query.needs, staying, patience, now)
         if isinstance(decision, LoadWait):
--- a/rhubarbshed/transport/edge/explanations.py
+++ b/rhubarbshed/transport/edge/explanations.py
@@ -130,6 +130,7 @@
         frozenset(progress.excluded),
         progress.service,
         progress.caller_response.version if progress.caller_response is not None else None,
+        progress.queued_s,
     )
     found = explain(query, survey(relay, now), relay.view.rng, now)
     return render({"progress": plain, **to_plain(found)})
--- a/test/test_ui_explain.py
+++ b/test/test_ui_explain.py
@@ -31,7 +31,15 @@
 from rhubarbshed.state.membership.fleet import Fleet
 from rhubarbshed.transport.edge.explanations import answer_explain, name_account
 from standin.replica import Exchange, Replica
-from test.helper_edge import HOST, Edge, make_configuration, make_route, play, run_edge
+from test.helper_edge import (
+    HOST,
+    Edge,
+    make_configuration,
+    make_engine_service,
+    make_route,
+    play,
+    run_edge,
+)
 from test.test_edge_choice import NOW, make_entry, make_fleet
 
 ROUTE = Route(
@@ -103,6 +111,9 @@
     assert (found.decision, found.reason) == ("waits", "full")
     assert found.wait_s == pytest.approx(0.15) and 2.0 <= found.error.retry_after_s <= 3.0
     assert [(each.state, each.limited_s) for each in found.candidates] == [("full", 2.0)] * 2
+    assert ask(fleet, evolve(QUERY, queued_s=0.1)).wait_s == pytest.approx(0.05)
+    assert ask(fleet, evolve(QUERY, queued_s=0.2)).decision == "refused"
+    assert ask(fleet, evolve(QUERY, timeout_s=0.1)).wait_s == pytest.approx(0.05)
 
 
 @pytest.mark.parametrize(
@@ -224,6 +235,44 @@
     play(scene)
 
 
+def test_refusal_that_is_explained_is_the_one_that_a_request_gets():
+    services = [make_engine_service({"m1": 0})]
+    configuration = make_configuration(make_route("idempotent", "/p/"), Services=services)
+
+    async def scene():
+        async with run_edge(configuration, Replica("b1", models={"m1": []})) as edge:
+            for path, model, status in (
+                ("/p/x", "m9", 503),
+                ("/q/x", "m1", 404),
+                ("/p/x", "m1", 200),
+            ):
+                target = f"/explain?host={HOST}&path={path}&model={model}".encode()
+                found = json.loads(answer_explain(edge.node.relay, target, ())[1])
+                answer = await edge.ask(path, Rhubarbshed_Model=model)
+                assert answer.status == status
+                if status == 200:
+                    assert (found["decision"], found["attempts"]) == ("sent", ["b1"])
+                    continue
+                assert (found["decision"], found["error"]["status"]) == ("refused", status)
+                assert answer.body.startswith(found["error"]["code"].encode())
+
+    play(scene)
+
+
+def test_question_that_names_no_request_or_no_time_is_refused():
+    async def scene():
+        async with run_edge(make_configuration(make_route()), Replica("b1")) as edge:
+            for query in ("", "host=h", "host=h&path=x", "path=/x", "host=h&path=/x&timeout_ms=-1"):
+                target = f"/explain?{query}".encode()
+                assert answer_explain(edge.node.relay, target, ())[0] == 400, query
+            odd = (
+                b"/explain?host=%ff%00&path=/%ff&model=" + b"x" * 5000 + b"&timeout_ms=" + b"9" * 99
+            )
+            assert answer_explain(edge.node.relay, odd, ())[0] in (200, 400)
+
+    play(scene)
+
+
 def test_command_explains_a_request_in_progress():
     configuration = make_configuration(make_route("idempotent", "/p/"))
 
