Bound the heads of interim responses that rhubarbshedd skips

http.client skips any number of heads with status 100, so a server that sent nothing else kept a thread for as long as they came. All lines up to the end of the final head are bounded by 256.

--- a/rhubarbshed/transport/heads.py
+++ b/rhubarbshed/transport/heads.py
@@ -17,6 +17,10 @@
 INTERIM_HEADS_MAX = 16
 """Heads after which a server is not expected to send a final one."""
 
+HEAD_LINES_MAX = 256
+"""Lines up to the end of a head. `http.client` takes 100 for one head, and skips any number of those
+with status 100 before it."""
+
 
 @define(eq=False)
 class HeadReader:
@@ -24,9 +28,13 @@
 
     source: BinaryIO
     ended: bool = False
+    lines: int = 0
 
     def readline(self, limit: int = -1) -> bytes:
         """Return the next line, empty at the end of the connection."""
+        self.lines += 1
+        if self.lines > HEAD_LINES_MAX:
+            raise http.client.BadStatusLine("interim responses without an end")
         line = self.source.readline(limit)
         self.ended = self.ended or not line
         return line
--- a/test/test_odd_statuses_daemon.py
+++ b/test/test_odd_statuses_daemon.py
@@ -100,9 +100,11 @@
         assert isinstance(got, BufferedResponse) and (got.status, got.body) == (200, ANSWER)
 
 
-@pytest.mark.parametrize("status", ["102", "103"])
-def test_interim_heads_without_an_end_are_no_answer(status):
-    with run_answering(make_answer(status, 0, ID) * 100) as (port, _):
+@pytest.mark.parametrize("status", ["100", "102", "103"])
+def test_many_interim_heads_are_no_answer(status):
+    """Heads of 100 without an end would have kept a thread for as long as they came."""
+    answer = make_answer("200", len(ANSWER), ID).replace(b"o" * len(ANSWER), ANSWER)
+    with run_answering(make_answer(status, 0, ID) * 200 + answer) as (port, _):
         assert fetch(port, make_client()) is AttemptEnd.BROKEN
 
 
