--- a/rhubarbshed/transport/heads.py
+++ b/rhubarbshed/transport/heads.py
@@ -18,8 +18,8 @@
 """Heads after which a server is not expected to send a final one."""
 
 HEAD_LINES_MAX = 256
-"""Lines up to the end of a head. `http.client` takes 100 for one head, and skips any number of those
-with status 100 before it."""
+"""Lines up to the end of a head. `http.client` has a bound for one head, and skips any number of
+heads with status 100 before it."""
 
 
 @define(eq=False)
