--- a/rhubarbshed/transport/edge/final_answers.py
+++ b/rhubarbshed/transport/edge/final_answers.py
@@ -13,6 +13,7 @@
     make_refusal,
     make_timeout,
 )
+from rhubarbshed.coordination.serving.server_limits import find_limit_retry
 from rhubarbshed.platform.headers import echo_request_id
 from rhubarbshed.protocol.errors import Outcome, RequestError
 from rhubarbshed.protocol.forwarding import DECLINED, UNREACHED_CODE
@@ -49,7 +50,11 @@
     known = reason if reason in STATED_REASONS else "all_tried"
     available_in_s = progress.available_in_s if known in ("absent", "quarantined") else None
     if known == "full":
-        available_in_s = measure_limit_retry(progress, time.monotonic())
+        staying = list_staying(
+            progress.relay.view.fleet, progress.service, progress.caller_response.version
+        )
+        needs = (progress.request.model, progress.request.adapter)
+        available_in_s = find_limit_retry(staying, needs, time.monotonic())
     refusal = make_refusal(known, progress.relay.view.rng, available_in_s)
     if known == "full" and progress.slot_in_s is not None:
         # Callers are asked back one after the other, so nothing is added at random.
@@ -57,23 +62,6 @@
     return refusal
 
 
-def measure_limit_retry(progress: RequestProgress, now: float) -> float | None:
-    """Return the seconds until a server may have room, None if none is why all are full."""
-    servers = list_staying(
-        progress.relay.view.fleet, progress.service, progress.caller_response.version
-    )
-    retries = [
-        max(record.limited_until, record.limit_retry_at, record.backoff_until) - now
-        for record in servers
-        if now < max(record.limited_until, record.backoff_until)
-        and (
-            not progress.request.model
-            or record.holds(progress.request.model, progress.request.adapter)
-        )
-    ]
-    return min(retries, default=None)
-
-
 def answer_defect(progress: RequestProgress) -> None:
     """Answer a request whose handling raised an unexpected exception, if that is still due."""
     if progress.connection.is_answered:
