Examine faded loads less and less often

Cause: a wait is decided again when a load should have faded. Where the choice of a server sees no room then, the estimate says so again, which amounts to a poll.

Change: the shortest time to the next such decision doubles with each one that the timer starts, up to 0.16 s, until there is other news.

--- a/rhubarbshed/transport/edge/slot_queue.py
+++ b/rhubarbshed/transport/edge/slot_queue.py
@@ -19,6 +19,10 @@
 TIMER_MIN_S = 0.005
 """Shortest time until the next timer, also if one is due."""
 
+FADE_DELAY_MAX_S = 0.16
+"""Longest time until loads are examined again that should have faded; it doubles from the shortest
+one with each timer after which no server had room, as that would be a poll."""
+
 GRANTED, EXPIRED, EVICTED, DRAINING = "granted", "expired", "evicted", "draining"
 
 
@@ -50,6 +54,7 @@
     choosing: dict[str, tuple[Ticket, float]] = field(factory=dict)
     _scheduled: bool = False
     _timer: asyncio.TimerHandle | None = None
+    _fade_delay_s: float = TIMER_MIN_S
 
     def __attrs_post_init__(self) -> None:
         """Listen to the events that may make room."""
@@ -89,6 +94,7 @@
 
     def wake(self) -> None:
         """Decide on all waits once the current event has been handled."""
+        self._fade_delay_s = TIMER_MIN_S
         if self.waiters and not self._scheduled:
             self._scheduled = True
             asyncio.get_running_loop().call_soon(self.decide)
@@ -139,8 +145,12 @@
             kind = (ticket.need, ticket.yields(now))
             if kind not in examined:
                 examined.add(kind)
-                times.append(waiter.find_room(now))
+                times.append(max(waiter.find_room(now), now + self._fade_delay_s))
         due_at = min(times, default=math.inf)
         if self.waiters and due_at < math.inf:
             delay_s = max(TIMER_MIN_S, due_at - now)
-            self._timer = asyncio.get_running_loop().call_later(delay_s, self.decide)
+            self._timer = asyncio.get_running_loop().call_later(delay_s, self._decide_in_time)
+
+    def _decide_in_time(self) -> None:
+        self._fade_delay_s = min(FADE_DELAY_MAX_S, 2.0 * self._fade_delay_s)
+        self.decide()
--- a/test/test_edge_turns.py
+++ b/test/test_edge_turns.py
@@ -6,6 +6,8 @@
 
 import pytest
 
+from rhubarbshed.coordination.serving.turns import Turns
+from rhubarbshed.transport.edge import turn_waits
 from standin.replica import Exchange, Replica
 from test.helper_edge import make_configuration, make_engine_service, make_route, play, run_edge
 
@@ -78,6 +80,29 @@
     play(scene)
 
 
+def test_wait_for_a_load_that_should_have_faded_is_no_poll(monkeypatch):
+    """A choice that saw no room where the estimate did was repeated every 10 ms."""
+    monkeypatch.setattr(turn_waits, "has_room", lambda *_: True)
+
+    async def scene():
+        replica = Replica("b1", slots=1)
+        replica.silent = True
+        async with run_scheduled(replica) as edge:
+            tasks = ask_several(edge, "/p/", 2)
+            await asyncio.sleep(0.1)
+            slots, decided = edge.node.relay.slots, []
+            decide = slots.turns.pick
+            monkeypatch.setattr(
+                Turns, "pick", lambda *found: decided.append(1) or decide(*found[1:])
+            )
+            await asyncio.sleep(0.7)
+            assert slots.turns.count == 1 and 1 <= len(decided) <= 14
+            for task in tasks:
+                task.cancel()
+
+    play(scene)
+
+
 def test_request_that_cannot_be_served_in_time_is_refused_at_once_with_a_true_time():
     """All waited for half of their targets first, and were asked back after the same 0.3 s."""
 
