--- a/rhubarbshed/transport/edge/turn_waits.py
+++ b/rhubarbshed/transport/edge/turn_waits.py
@@ -140,19 +140,13 @@
     if view.drain.started_at is not None:
         return False
     able = [record for record in list_able(progress, ticket.need) if record.takes_work(now)]
-    instances = view.budget.instances
-    rate = measure_rate(able, slots.turns.count, instances, now)
+    rate = measure_rate(able, slots.turns.count, view.budget.instances, now)
     position = slots.turns.find_position(ticket, now)
     wait_s = 0.0 if not position.ahead and is_free(now) else estimate_wait(position, rate)
     outcome = REFUSED
     if can_be_served(wait_s, until - now):
-
-        def find_room(at: float) -> float:
-            servers = list_able(progress, ticket.need)
-            return find_room_time(lambda then: has_room(servers, ticket, instances, then), at)
-
         try:
-            outcome = await slots.wait(ticket, is_free, find_room, now)
+            outcome = await slots.wait(ticket, is_free, make_room_finder(progress, ticket), now)
         except asyncio.CancelledError:
             waited_s = time.monotonic() - now
             log_turn(progress, position, rate, wait_s, LEFT, waited_s)
@@ -166,6 +160,17 @@
     return progress.has_turn
 
 
+def make_room_finder(progress: RequestProgress, ticket: Ticket) -> Callable[[float], float]:
+    """Return a function that returns when a server should have room, from a time on."""
+
+    def find_room(now: float) -> float:
+        servers = list_able(progress, ticket.need)
+        instances = progress.relay.view.budget.instances
+        return find_room_time(lambda then: has_room(servers, ticket, instances, then), now)
+
+    return find_room
+
+
 def has_room(servers: list[ServerRecord], ticket: Ticket, instances: int, now: float) -> bool:
     """Return whether one of the servers takes a request at a time, by what is known now."""
     queue_fraction = BOUND_QUEUE_FRACTION
