--- a/test/test_turns.py
+++ b/test/test_turns.py
@@ -269,7 +269,7 @@
 
 @pytest.mark.parametrize(("target_s", "reply_s"), ((0.3, 0.075), (6.0, 1.75)))
 def test_request_for_more_models_than_slots_is_refused_once_no_load_is_announced(target_s, reply_s):
-    """Urgent ones waited for a second, patient ones when no load could end by their target any more.
+    """Urgent ones waited for a second, patient ones also when no load could end in time any more.
 
     With a short wait for all, seven of ten patient requests for rare models were refused.
     """
