Keep instances in use that decline a key

An instance that declines a forwarded request because of its key was paused like one that drains, also for requests with other keys or none. It is only passed over for that request.

--- a/rhubarbshed/transport/edge/follower.py
+++ b/rhubarbshed/transport/edge/follower.py
@@ -18,6 +18,7 @@
 from rhubarbshed.protocol.servers import EntryChange, ServerEntry
 from rhubarbshed.protocol.tables import Row, TableError, TableFault
 from rhubarbshed.state.membership.entry_age import EntryAge
+from rhubarbshed.transport.edge.account_logs import report_accounts
 from rhubarbshed.transport.edge.store import StoreClient
 from rhubarbshed.transport.edge.view import LatchedSignal, Signal, View
 from rhubarbshed.util.clocks import read_lease_clock
@@ -75,9 +76,6 @@
 """Part of that bound up to which an instance leaves the confirmation to the order holder; what is
 left is enough for a query of its own."""
 
-PROBLEMS_LOGGED_MAX = 32
-"""Most accounts of a configuration that cannot be read that are logged one by one."""
-
 STORE_MESSAGE_CHECK_S = 0.3
 """Time between two checks whether the order holder still sends store messages."""
 
@@ -402,28 +400,11 @@
                 header_ms=round(view.limits.header_timeout_s * 1000),
                 idle_ms=round(view.limits.idle_timeout_s * 1000),
             )
-            self._report_accounts(view.configuration)
+            report_accounts(view.configuration, self.count_account_problem)
             view.changed.fire()
         view.configured_at = now
         return ()
 
-    def _report_accounts(self, configuration: Configuration) -> None:
-        """Count and log what cannot be read of the accounts of a new configuration."""
-        problems = configuration.accounts.problems if configuration.accounts is not None else ()
-        for number, problem in enumerate(problems):
-            self.count_account_problem(problem.name, problem.reason)
-            if number < PROBLEMS_LOGGED_MAX:
-                log_event(
-                    LOG,
-                    logging.WARNING,
-                    "account_unreadable",
-                    account=problem.name,
-                    reason=problem.reason,
-                    effect=problem.effect,
-                    configuration=configuration.version,
-                    problems=len(problems),
-                )
-
     def _confirm_configuration(self, page: Page) -> None:
         """Record that the known configuration is in force, if the store's latest one is known."""
         is_read = any(row.key == CONFIGURATION_KEY for row in page.scan.rows)
--- a/rhubarbshed/transport/edge/forwarding.py
+++ b/rhubarbshed/transport/edge/forwarding.py
@@ -5,6 +5,7 @@
 
 from attrs import frozen
 
+from rhubarbshed.coordination.serving.account_access import Refusal
 from rhubarbshed.coordination.serving.peer_choice import (
     BROKEN_PAUSE_S,
     DECLINED_PAUSE_S,
@@ -32,6 +33,10 @@
 """Time left below which a request is not forwarded."""
 
 
+KEY_CODES = tuple(refusal.value for refusal in Refusal)
+"""Codes of errors that another instance declines a request with because of its key."""
+
+
 @frozen
 class Forwarded:
     """Whether another instance took a request, and the error to answer with, if any."""
@@ -84,6 +89,9 @@
                 forwarder.peers.record_vain(need, now)
                 break
             continue
+        if attempt.declined and attempt.detail in KEY_CODES:
+            # It may take requests with other keys, and those that need none.
+            continue
         if attempt.declined or not end.was_sent:
             pause_s = DECLINED_PAUSE_S if attempt.declined else BROKEN_PAUSE_S
             forwarder.peers.pause(address, pause_s, now)
--- a/test/test_edge_accounts.py
+++ b/test/test_edge_accounts.py
@@ -201,8 +201,10 @@
             answer = await ask(cuts, "a1", "/u/x", b"x")
             assert answer.status == 503
             assert cuts.count_runs(b"x") == 0
-            declined = cuts["a1"].metrics.counts["forwards", "declined"]
-            assert declined >= 1
+            assert cuts["a1"].metrics.counts["forwards", "declined"] >= 1
+            # They were not paused for it: a request that needs no key goes there.
+            assert (await ask(cuts, "a1", "/o/x")).status == 200
+            assert cuts["a1"].relay.forwarder.has_peer(time.monotonic())
 
     play(run)
 
