Cover the messages on credit by the test of odd datagrams

The test lists a message of each kind and failed for the two new ones.

Measured: test_odd_messages.py and test_edge_account_limits.py pass.

--- a/rhubarbshed/transport/edge/node.py
+++ b/rhubarbshed/transport/edge/node.py
@@ -245,7 +245,7 @@
             streams.record_stream,
             streams.find_stream,
             EntryCheck(store, follower).confirm,
-            credit,
+            credit=credit,
         )
         crashes.on_verdict = relay.withdraw
         return cls(
--- a/test/test_odd_messages.py
+++ b/test/test_odd_messages.py
@@ -69,6 +69,8 @@
     "limit": ("b1", 1, 5.0),
     "limit_question": (1, "b1", 1, 5.0, 1, 1),
     "limit_reply": (1, 1, 1, 1),
+    "credit_question": (1, "a1", 1, 5.0, 5.0, 5.0),
+    "credit_reply": (1, 5.0, 1),
 }  # fmt: skip
 LEASE = {"holder": "i2", "host": "127.0.0.3", "port": 7000, "nonce": "n"}
 VERDICT = {
