--- a/rhubarbshed/coordination/serving/choice.py
+++ b/rhubarbshed/coordination/serving/choice.py
@@ -21,7 +21,7 @@
 from rhubarbshed.coordination.serving.spreading import (
     SPREAD_SERVERS_MAX,
     draw_server,
-    estimate_run,
+    estimate_mean_run,
 )
 from rhubarbshed.protocol.routes import Route
 from rhubarbshed.state.membership.fleet import Fleet, ServerRecord
@@ -157,7 +157,7 @@
     confirmed = [record for record in untried if record.missing_since is None] or untried
     if queue_fraction is None:
         queue_fraction = QUEUE_FRACTION if version is None else BOUND_QUEUE_FRACTION
-    run_s = estimate_run(confirmed) if spreads else None
+    run_s = estimate_mean_run(confirmed) if spreads else None
     free = [
         record for record in confirmed if not is_full(record, instances, now, queue_fraction, run_s)
     ]
--- a/rhubarbshed/coordination/serving/explanation.py
+++ b/rhubarbshed/coordination/serving/explanation.py
@@ -6,6 +6,7 @@
 import copy
 import math
 import random
+from collections.abc import Callable
 
 from attrs import field, frozen
 
@@ -21,10 +22,12 @@
     is_responsive,
     list_staying,
 )
+from rhubarbshed.coordination.serving.expected_time import RequestPace
 from rhubarbshed.coordination.serving.missing_models import (
     CallerPatience,
     LoadWait,
     decide_load_wait,
+    decide_scheduled_load_wait,
 )
 from rhubarbshed.coordination.serving.queueing import measure_wait
 from rhubarbshed.coordination.serving.refusals import make_no_route, make_refusal
@@ -78,7 +81,8 @@
 
     `refused` is the error for all requests that come now, `read_in_s` the time until the store may
     have been read. `is_cut` means that the instance reaches no server. Servers that announced after
-    `leaving_since` that they leave still serve rests of streams.
+    `leaving_since` that they leave still serve rests of streams. `has_pressure` means that requests
+    are scheduled and spread, `check_access` returns the error for the request's key on a route.
     """
 
     configuration: Configuration | None
@@ -89,6 +93,8 @@
     refused: RequestError | None = None
     read_in_s: float = 0.0
     leaving_since: float = math.inf
+    has_pressure: bool = False
+    check_access: Callable[[Route], RequestError | None] = lambda route: None
 
 
 @frozen
@@ -162,6 +168,8 @@
     route = configuration.find_route(query.host.lower(), query.path)
     if route is None:
         return refuse(make_no_route(), configuration=configuration.version)
+    if (refused := surroundings.check_access(route)) is not None:
+        return refuse(refused, route=route.name, configuration=configuration.version)
     service = query.service or choose_service(route, "", rng)
     fleet = copy_service(surroundings.fleet, service)
     attempts, last = list_attempts(query, surroundings, route, service, fleet, rng, now)
@@ -183,7 +191,7 @@
         reason = "" if is_responsive(attempts[0], now) else "silent"
         names = tuple(each.server.entry.server_id for each in attempts)
         return Explanation("sent", reason, attempts=names, **facts)
-    return explain_absence(query, configuration, route, service, fleet, last, rng, now, facts)
+    return explain_absence(query, surroundings, route, service, fleet, last, rng, now, facts)
 
 
 def refuse(error: RequestError, **facts: object) -> Explanation:
@@ -219,6 +227,8 @@
     """
     found: list[Choice] = []
     avoid = query.tried
+    usual_gap_s = fleet.find_usual_gap(service)
+    pace = RequestPace(route.target_s, route.gap_s, route.streamed, usual_gap_s)
     for _ in range(route.attempts_max if route.repeatable else 1):
         chosen = choose_server(
             fleet,
@@ -231,6 +241,8 @@
             query.version,
             surroundings.leaving_since,
             surroundings.instances,
+            pace,
+            surroundings.has_pressure,
         )
         if isinstance(chosen, NoServer):
             return found, chosen
@@ -241,7 +253,7 @@
 
 def explain_absence(
     query: Query,
-    configuration: Configuration,
+    surroundings: Surroundings,
     route: Route,
     service: str,
     fleet: Fleet,
@@ -257,11 +269,12 @@
     if found.reason == "full":
         wait_s = measure_wait(route, query.queued_s, left_s)
         available_in_s = find_limit_retry(staying, query.needs, now)
-    engine = configuration.find_engine(service)
+    engine = surroundings.configuration.find_engine(service)
     if found.reason == "absent" and engine is not None and engine.has_target(*query.needs):
         until = now + min(left_s, route.stall_timeout_s)
         patience = CallerPatience(now, until, route.target_s)
-        decision = decide_load_wait(engine, query.needs, staying, patience, now)
+        decide = decide_scheduled_load_wait if surroundings.has_pressure else decide_load_wait
+        decision = decide(engine, query.needs, staying, patience, now)
         if isinstance(decision, LoadWait):
             wait_s, available_in_s = decision.until - now, decision.expected_s
             expected_s = decision.expected_s
--- a/rhubarbshed/coordination/serving/slot_waits.py
+++ b/rhubarbshed/coordination/serving/slot_waits.py
@@ -13,9 +13,10 @@
 
 from rhubarbshed.coordination.serving.choice import QUEUE_FRACTION, YIELDING_QUEUE_FRACTION
 from rhubarbshed.coordination.serving.queueing import WAIT_FRACTION
+from rhubarbshed.coordination.serving.spreading import estimate_mean_run
 from rhubarbshed.coordination.serving.turns import Need, Position, Ticket
 from rhubarbshed.protocol.routes import Route
-from rhubarbshed.state.membership.fleet import ServerRecord
+from rhubarbshed.state.membership.fleet import RUN_INITIAL_S, ServerRecord
 
 HOPELESS_FACTOR = 1.5
 """Expected wait, as a multiple of what a request may wait, from which it is refused at once. Waits
@@ -55,7 +56,8 @@
 
 def estimate_run(servers: Iterable[ServerRecord]) -> float:
     """Return the seconds that a run takes at the fastest of some servers."""
-    return min((record.run_s for record in servers), default=0.0)
+    measured = [record.measured_run_s for record in servers if record.runs]
+    return min(measured, default=RUN_INITIAL_S)
 
 
 def measure_rate(servers: list[ServerRecord], waiting: int, instances: int, now: float) -> SlotRate:
@@ -63,7 +65,8 @@
 
     An instance gets as large a part as its part of the requests there, and its even share at least.
     """
-    all_per_s = sum(record.entry.slots / max(record.run_s, RUN_MIN_S) for record in servers)
+    run_s = max(RUN_MIN_S, estimate_mean_run(servers))
+    all_per_s = sum(record.entry.slots / run_s for record in servers)
     own = waiting + 1 + sum(record.open for record in servers)
     loads = waiting + 1 + sum(record.estimate_usual_load(now) for record in servers)
     part = max(1.0 / max(1, instances), min(1.0, own / max(loads, 1.0)))
--- a/rhubarbshed/coordination/serving/spreading.py
+++ b/rhubarbshed/coordination/serving/spreading.py
@@ -44,7 +44,7 @@
     return Level(known / slots + cost, slots, estimate_slowness(record, now), unknown)
 
 
-def estimate_run(records: Sequence[ServerRecord]) -> float:
+def estimate_mean_run(records: Sequence[ServerRecord]) -> float:
     """Return the mean time of a run at these servers, as measured here."""
     measured = [record.measured_run_s for record in records if record.runs]
     return max(RUN_MIN_S, sum(measured) / len(measured)) if measured else RUN_INITIAL_S
@@ -78,7 +78,7 @@
     records: Sequence[ServerRecord], costs: Sequence[float], now: float, rng: random.Random
 ) -> ServerRecord:
     """Draw one of the candidates with the costs of each, as fractions of its slots."""
-    run_s = estimate_run(records)
+    run_s = estimate_mean_run(records)
     levels = [
         measure_level(record, cost, run_s, now) for record, cost in zip(records, costs, strict=True)
     ]
--- a/rhubarbshed/transport/edge/explanations.py
+++ b/rhubarbshed/transport/edge/explanations.py
@@ -6,10 +6,12 @@
 import json
 import random
 import time
+from collections.abc import Callable
 from urllib.parse import parse_qs
 
-from attrs import asdict
+from attrs import asdict, evolve
 
+from rhubarbshed.coordination.serving.account_access import decide_access
 from rhubarbshed.coordination.serving.explanation import (
     Explanation,
     Query,
@@ -17,15 +19,22 @@
     copy_random,
     explain,
 )
-from rhubarbshed.coordination.serving.refusals import DRAINING_RETRY_S, draw_retry_after
+from rhubarbshed.coordination.serving.refusals import (
+    DRAINING_RETRY_S,
+    draw_retry_after,
+    make_access_refusal,
+)
 from rhubarbshed.coordination.serving.start_wait import estimate_first_read
 from rhubarbshed.protocol.accounts import Accounts
 from rhubarbshed.protocol.errors import RequestError
 from rhubarbshed.protocol.exchanges import Headers
+from rhubarbshed.protocol.routes import Route
+from rhubarbshed.transport.edge.access_checks import may_trust_keys
 from rhubarbshed.transport.edge.relay import Relay
 from rhubarbshed.transport.edge.request_logs import find_stage
 from rhubarbshed.transport.edge.request_progress import RequestProgress
 from rhubarbshed.transport.edge.view import View
+from rhubarbshed.util.clocks import read_lease_clock
 
 EXPLAIN_PATH = b"/explain"
 KEY = b"rhubarbshed-key"
@@ -61,10 +70,10 @@
         asked.get("adapter", ""),
         int(timeout_ms[:9]) / 1000.0,
     )
-    found = explain(query, survey(relay, now), relay.view.rng, now)
-    plain = to_plain(found)
-    plain |= describe_account(relay.view, query, headers)
-    return render(plain)
+    key = read_key(headers)
+    surroundings = evolve(survey(relay, now), check_access=make_access_check(relay.view, key))
+    found = explain(query, surroundings, relay.view.rng, now)
+    return render({**to_plain(found), **describe_account(relay.view, query, key)})
 
 
 def read_parameters(target: bytes) -> dict[str, str]:
@@ -85,6 +94,7 @@
         is_cut=relay.links.is_cut,
         refused=check_draining(view, copy_random(view.rng), now),
         read_in_s=estimate_first_read(view.next_read_at, now),
+        has_pressure=view.settings.has_pressure,
         leaving_since=view.versions.entry_age.find_announced_since(view.settings.drain_s, now),
     )
 
@@ -107,6 +117,7 @@
     request, attempt = progress.request, progress.last_attempt
     plain: dict[str, object] = {
         "id": request.request_id,
+        "account": progress.account.name if progress.account is not None else None,
         "stage": find_stage(progress).value,
         "tried": progress.servers,
         "run": progress.tries.run,
@@ -136,7 +147,28 @@
     return render({"progress": plain, **to_plain(found)})
 
 
-def describe_account(view: View, query: Query, headers: Headers) -> dict[str, object]:
+def read_key(headers: Headers) -> str | None:
+    """Return the key that came with a question, None without one."""
+    values = [value for name, value in headers if name.lower() == KEY]
+    return values[-1].decode("latin-1") if values else None
+
+
+def make_access_check(view: View, key: str | None) -> Callable[[Route], RequestError | None]:
+    """Return what decides on a key for a route, as for a request that has it."""
+    accounts = view.configuration.accounts if view.configuration is not None else None
+
+    def check(route: Route) -> RequestError | None:
+        at = read_lease_clock()
+        access = decide_access(accounts, route, key, lambda now: may_trust_keys(view, now), at)
+        if access.refusal is None:
+            return None
+        confirmed_in_s = view.next_read_at - time.monotonic()
+        return make_access_refusal(access.refusal, copy_random(view.rng), confirmed_in_s)
+
+    return check
+
+
+def describe_account(view: View, query: Query, key: str | None) -> dict[str, object]:
     """Return the account of the key that came with a question, by its name."""
     configuration = view.configuration
     if configuration is None or configuration.accounts is None:
@@ -144,8 +176,7 @@
     route = configuration.find_route(query.host.lower(), query.path)
     if route is not None and not route.needs_key:
         return {"key": "not_needed"}
-    values = [value for name, value in headers if name.lower() == KEY]
-    return name_account(configuration.accounts, values[-1].decode("latin-1") if values else "")
+    return name_account(configuration.accounts, key or "")
 
 
 def name_account(accounts: Accounts, key: str) -> dict[str, object]:
--- a/rhubarbshed/transport/edge/turn_waits.py
+++ b/rhubarbshed/transport/edge/turn_waits.py
@@ -22,6 +22,7 @@
     measure_rate,
     measure_until,
 )
+from rhubarbshed.coordination.serving.spreading import estimate_mean_run
 from rhubarbshed.coordination.serving.turns import Need, Position, Ticket
 from rhubarbshed.state.membership.fleet import ServerRecord
 from rhubarbshed.transport.edge.request_progress import RequestProgress
@@ -176,8 +177,9 @@
     queue_fraction = BOUND_QUEUE_FRACTION
     if ticket.need.version is None:
         queue_fraction = measure_queue_fraction(ticket, now)
+    run_s = estimate_mean_run(servers)
     return any(
-        record.takes_work(now) and not is_full(record, instances, now, queue_fraction)
+        record.takes_work(now) and not is_full(record, instances, now, queue_fraction, run_s)
         for record in servers
     )
 
--- a/test/test_ui_explain.py
+++ b/test/test_ui_explain.py
@@ -11,6 +11,7 @@
 from attrs import evolve
 
 from rhubarbshed.coordination.serving.choice import Choice, choose_server
+from rhubarbshed.coordination.serving.expected_time import RequestPace
 from rhubarbshed.coordination.serving.explanation import (
     CANDIDATES_MAX,
     Query,
@@ -63,9 +64,10 @@
     return fleet
 
 
+@pytest.mark.parametrize("spreads", [False, True], ids=["sampled", "spread"])
 @pytest.mark.parametrize("seed", range(20))
-def test_explanation_names_the_server_that_would_be_chosen(seed):
-    found = ask(make_loaded_fleet(), seed=seed)
+def test_explanation_names_the_server_that_would_be_chosen(seed, spreads):
+    found = ask(make_loaded_fleet(), seed=seed, has_pressure=spreads)
     chosen = choose_server(
         make_loaded_fleet(),
         "svc",
@@ -75,6 +77,8 @@
         NOW,
         random.Random(seed),
         instances=4,
+        pace=RequestPace(ROUTE.target_s),
+        spreads=spreads,
     )
     assert isinstance(chosen, Choice)
     assert (found.decision, found.attempts[0]) == ("sent", chosen.server.entry.server_id)
@@ -226,6 +230,9 @@
             assert plain["account"] == "shop" and "account shop" in text.out
             assert not any(replica.got for replica in replicas)
             assert "secret" not in shown.out + shown.err + text.out + text.err + caplog.text
+            for key, code in (("", "no_key"), ("other", "unknown_key")):
+                refused = await run_command(edge, *words, key=key)
+                assert refused.code == 0 and f"refused: 401 {code}" in refused.out
             missing = await run_command(edge, "--host", HOST, "--path", "/none")
             assert missing.code == 0 and "404 no_route" in missing.out
             unknown = await run_command(edge, "--id", "q9")
