Grant by the limit in force to requests of an earlier configuration

An allocator's own request that began before a limit was lowered would have filled its bucket at the former rate once.

Measured: test_account_limits.py, test_edge_account_limits.py, test_server_limits.py, test_edge_limits.py and test_stream_messages.py pass with 2 workers, 188 tests.

--- a/rhubarbshed/transport/edge/account_grants.py
+++ b/rhubarbshed/transport/edge/account_grants.py
@@ -136,6 +136,8 @@
     ) -> Credit:
         """Grant credit as the account's allocator, or less in place of one that may be running."""
         self.check_time(now)
+        # A request may have begun under an earlier configuration.
+        limit = self.limits.get(name, limit)
         ranked = self.rank(name)
         is_first = ranked[0] == self.allocators.address
         bucket = self.buckets.get(name)
