Give credit back to the account that it was taken from

A request's account is decided again before each attempt, and may be another one or none by the end of the request: its credit would have gone to that one, or the request would have ended with a defect.

--- a/rhubarbshed/transport/edge/account_credit.py
+++ b/rhubarbshed/transport/edge/account_credit.py
@@ -65,12 +65,16 @@
 
 @frozen
 class Taken:
-    """Credit that a request took, usable until `expires_at`; it waited for `waited_s`."""
+    """Credit of an `account` that a request took, usable until `expires_at`.
+
+    The request waited for it for `waited_s`.
+    """
 
     amount: float
     expires_at: float
     source: CreditSource
     waited_s: float = 0.0
+    account: str = ""
 
 
 @frozen
@@ -142,7 +146,7 @@
             outcome = await self._request(account, held, cost, now + patience_s)
         now = self.allocators.clock()
         if isinstance(outcome, Taken):
-            outcome = evolve(outcome, waited_s=now - begun_at)
+            outcome = evolve(outcome, waited_s=now - begun_at, account=account.name)
         else:
             outcome = evolve(outcome, credit_age_s=now - held.granted_at)
         is_taken = isinstance(outcome, Taken)
@@ -155,11 +159,10 @@
         debt_max = self.grants.find_bound().measure_debt(account.limit)
         return is_excessive(account.limit, debt_max, cost)
 
-    def give_back(self, account: Account, taken: Taken, now: float) -> None:
+    def give_back(self, taken: Taken, now: float) -> None:
         """Hold the credit of a request that did not run; it ends when it would have anyway."""
-        account = normalize_account(account)
-        if account.name in self.held:
-            self.held[account.name].add(taken.amount, taken.expires_at, now)
+        if taken.account in self.held:
+            self.held[taken.account].add(taken.amount, taken.expires_at, now)
 
     async def _request(
         self, account: Account, held: HeldCredit, cost: float, until: float
--- a/rhubarbshed/transport/edge/credit_steps.py
+++ b/rhubarbshed/transport/edge/credit_steps.py
@@ -77,5 +77,5 @@
     """Give the credit of a request back that no server ran."""
     if progress.credit is None or progress.tries.run > 0 or progress.in_flight:
         return
-    progress.relay.credit.give_back(progress.account, progress.credit, read_lease_clock())
+    progress.relay.credit.give_back(progress.credit, read_lease_clock())
     progress.credit = None
--- a/test/test_account_limits.py
+++ b/test/test_account_limits.py
@@ -585,13 +585,13 @@
         group, (first, *_) = await start_group(1, 3)
         credit = group.members[first].credit
         taken = await credit.take(BIG, 500.0, 0.2)
-        credit.give_back(BIG, taken, read_now())
+        credit.give_back(taken, read_now())
         again = await credit.take(BIG, 500.0, 0.2)
         assert isinstance(again, Taken) and again.source is CreditSource.HELD
         assert again.expires_at == taken.expires_at
         await asyncio.sleep(CREDIT_S)
         before = credit.held["big"].measure(read_now())
-        credit.give_back(BIG, again, read_now())
+        credit.give_back(again, read_now())
         assert credit.held["big"].measure(read_now()) == before
 
     play_steps(scene)
