Wake seldom for accounts where there are none

Cause: credit and confirmations were checked ten times and twice a second in all deployments, also in those without client accounts, and each wake-up costs processor time. Change: once a second each until there is something to do. Measured: the tests of limits, accounts and explain pass.

--- a/rhubarbshed/transport/edge/account_credit.py
+++ b/rhubarbshed/transport/edge/account_credit.py
@@ -49,6 +49,9 @@
 TICK_S = 0.1
 """Time between two checks of held credit and of the accounts that this instance grants for."""
 
+IDLE_TICK_S = 1.0
+"""The same time while no account has a limit, so that other deployments hardly wake for it."""
+
 FORGET_S = 10.0
 """Time without a request after which the mean rates of an account are forgotten."""
 
@@ -267,7 +270,7 @@
     async def maintain(self) -> None:
         """Renew held credit, and keep the buckets of the accounts that this instance grants for."""
         while True:
-            await asyncio.sleep(TICK_S)
+            await asyncio.sleep(TICK_S if self.grants.has_work else IDLE_TICK_S)
             if self.grants.has_work:
                 self.check(self.allocators.clock())
 
--- a/rhubarbshed/transport/edge/confirmations.py
+++ b/rhubarbshed/transport/edge/confirmations.py
@@ -21,6 +21,9 @@
 """Time between two questions: with the age of the holder's knowledge, an instance's own one stays
 below half of the usual bound of 5 s."""
 
+IDLE_INTERVAL_S = 1.0
+"""Time between two checks whether keys have to be confirmed."""
+
 QUESTION_SPREAD = 0.2
 """Random part of that time, so that instances that started together do not ask together."""
 
@@ -61,7 +64,8 @@
         """Ask order holders forever, while keys have to be confirmed."""
         while True:
             spread = 1.0 + QUESTION_SPREAD * (self.rng.random() - 0.5)
-            await asyncio.sleep(QUESTION_INTERVAL_S * spread)
+            interval_s = QUESTION_INTERVAL_S if self.follower.must_confirm else IDLE_INTERVAL_S
+            await asyncio.sleep(interval_s * spread)
             self.ask(self.read_clock())
 
     def ask(self, now: float) -> None:
