Give the transports of channel tests the methods that are called

Cause: five tests of channels use stand-ins for a transport that have no is_closing, or one that is true, and failed since a channel asks before it writes whether its connection has ended. Change: the stand-ins answer as an open connection does. What the tests check is unchanged.

--- a/test/test_edge_endless_requests.py
+++ b/test/test_edge_endless_requests.py
@@ -279,7 +279,9 @@
 
 def test_connection_that_carries_long_ids_does_not_keep_them():
     channel = Channel()
-    channel._transport = SimpleNamespace(write=len)
+    channel._transport = SimpleNamespace(
+        write=len, is_closing=lambda: False, get_write_buffer_size=lambda: 0
+    )
     tracemalloc.start()
     try:
         for number in range(100):
--- a/test/test_edge_stream_work.py
+++ b/test/test_edge_stream_work.py
@@ -34,6 +34,11 @@
         return super().rfind(mark, start)
 
 
+def make_open_transport() -> Mock:
+    """Return a transport that takes all bytes, of a connection that stays open."""
+    return Mock(is_closing=Mock(return_value=False), get_write_buffer_size=Mock(return_value=0))
+
+
 @pytest.mark.parametrize("event", [b"data: ", b"\n:", b"\r\n:"])
 def test_event_in_single_bytes_is_searched_once(event):
     """All that was held was joined and searched again for each byte."""
@@ -116,7 +121,7 @@
 def test_no_event_is_lost_where_a_reader_that_gives_way_is_cancelled():
     async def scene():
         channel = Channel()
-        channel.connection_made(Mock())
+        channel.connection_made(make_open_transport())
         channel.start(b"GET", b"/", ((b"host", b"x"),), b"")
         pieces = [b"%d" % (number % 10) for number in range(1000)]
         head = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
@@ -206,7 +211,7 @@
 
     async def scene():
         channel = Channel()
-        channel.connection_made(Mock())
+        channel.connection_made(make_open_transport())
         channel.start(b"GET", b"/", ((b"host", b"x"),), b"")
         if framing == "close":
             channel.data_received(b"HTTP/1.1 200 OK\r\n\r\n" + b"x" * 20_000)
