--- a/test/test_ui_explain.py
+++ b/test/test_ui_explain.py
@@ -281,7 +281,8 @@
 
 
 def test_command_explains_a_request_in_progress():
-    configuration = make_configuration(make_route("idempotent", "/p/"))
+    # One that may be repeated would be sent again after 0.8 s without an answer.
+    configuration = make_configuration(make_route("non_idempotent", "/p/"))
 
     async def scene():
         may_answer = asyncio.Event()
