--- a/review/6/scene.py
+++ b/review/6/scene.py
@@ -29,8 +29,12 @@
 """Time after which the unanswered order is carried out: 2 to 12 s by the list of disruptions."""
 
 DOWN_S = 2.0
-MODELS = dict.fromkeys(("daka510000", "rada7437b5", "gopu49ded4", "base151689"), 72700.0)
-FIRST, LATE, THIRD, FOURTH = MODELS
+FIRST, *QUIET = ("daka510000", "rada7437b5", "gopu49ded4", "base151689", "wexo04b178", "wexo14b179")
+BUSY = ("kelo83ab12", "nira20cd47")
+MODELS = dict.fromkeys((FIRST, *QUIET, *BUSY), 72700.0)
+OTHERS = tuple(f"i-5c20e8a{number}" for number in range(8))
+"""Eight more servers, full with the two busy models; one server of nine (0.11) crashes."""
+
 ENGINE = {
     "models": MODELS,
     "weights_mb": 200000.0,
@@ -122,8 +126,8 @@
         self.tasks = []
 
     async def answer(self, plain: dict, writer) -> bool:
-        """Leave the first load of the late model without an answer."""
-        is_late = (plain["Operation"], plain["Model"]) == ("load", LATE)
+        """Leave the first load behind two other orders without an answer."""
+        is_late = plain["Operation"] == "load" and plain.get("Expected") == 2
         if not TROUBLE or not is_late or self.order is not None:
             return False
         self.order = plain
@@ -155,19 +159,24 @@
     await store.start()
     store.put("op", "config", make_configuration())
     engine = Server(record, store, "i-7f3a91c2", "huvo11a", run_stream, ENGINE)
-    engine.on_disk = {THIRD, FOURTH}
+    engine.on_disk = set(QUIET)
     overfull = []
     engine.on_overfull = lambda: overfull.append(time.monotonic())
     late = LateOrder(record, engine)
     engine.answer_order = late.answer
     await engine.start()
+    for name in OTHERS:
+        other = Server(record, store, name, "huvo11a", run_stream, ENGINE)
+        other.models = {model: [] for model in BUSY}
+        other.on_disk = set(BUSY)
+        await other.start()
     for number in (1, 2):
         instance = Instance(record, work, f"front-zapopan-{number}", store.address)
         instances.append(instance)
         instance.start()
     for instance in instances:
         await instance.wait_ready()
-    clients, wanted, tasks = Clients(record), [FIRST], set()
+    clients, wanted, tasks = Clients(record), [FIRST, *BUSY], set()
 
     async def send() -> None:
         number = 0
@@ -184,10 +193,10 @@
 
     sending = asyncio.create_task(send())
     await wait_until(lambda: len(engine.models.get(FIRST, ())) == 1, 25.0, "the first load")
-    wanted[:] = [LATE]
-    await wait_until(lambda: late.order or LATE in engine.models, 15.0, "the second order")
+    await wait_until(lambda: late.order or engine.orders > 2, 15.0, "the third order")
     # Demand moves to other models.
-    wanted[:] = [THIRD, FOURTH]
+    others = [name for name in QUIET if name != (late.order or {}).get("Model")]
+    wanted[:] = [*others, *BUSY]
     if TROUBLE:
         await asyncio.sleep(1.0)
         engine.crash()
