Log by which configuration a request without a route was refused

Cause: the line of a 404 named the version of the configuration, but not its age nor what was asked for, so that refusals of routes that exist could not be distinguished from those of callers who are wrong. A call to the store that timed out did not show whether its answer was arriving, or there but read late. Change: request_ended has host, path, configuration_age_ms and store_lost_ms where no route fits; dependency_lost has the bytes that came and the lateness of the event loop; store_read has the size and time of answers with configurations.

--- a/rhubarbshed/transport/edge/channels.py
+++ b/rhubarbshed/transport/edge/channels.py
@@ -62,6 +62,7 @@
     """Connection that carries one exchange after another."""
 
     exchanges: int = 0
+    received_bytes: int = 0
     idle_since: float = 0.0
     idle_max_s: float | None = None
     _transport: asyncio.Transport | None = None
@@ -89,6 +90,7 @@
         if self._parser is None:
             self.abort()
             return
+        self.received_bytes += len(data)
         self._received += data
         if len(self._received) > UNREAD_BYTES_MAX:
             self._transport.pause_reading()
--- a/rhubarbshed/transport/edge/control.py
+++ b/rhubarbshed/transport/edge/control.py
@@ -69,6 +69,7 @@
         channel.idle_since = time.monotonic()
         pool.release(address, channel)
         return Failure(TableError(TableFault.UNAVAILABLE, detail="the permission has run out"))
+    began_at, bytes_before = time.monotonic(), channel.received_bytes
     try:
         async with asyncio.timeout(timeout_s):
             answer = await _exchange(address, channel, sent)
@@ -76,7 +77,9 @@
                 pool.release(address, channel)
             return Success(answer)
     except TimeoutError:
-        detail = f"no response in {timeout_s:g} s"
+        received = channel.received_bytes - bytes_before
+        late_ms = round((time.monotonic() - began_at - timeout_s) * 1000)
+        detail = f"no response in {timeout_s:g} s: {received} bytes came, {late_ms} ms late"
         return Failure(TableError(TableFault.UNKNOWN, detail=detail, waited_s=timeout_s))
     except ChannelError as error:
         return Failure(TableError(TableFault.UNKNOWN, detail=str(error)))
--- a/rhubarbshed/transport/edge/request_logs.py
+++ b/rhubarbshed/transport/edge/request_logs.py
@@ -2,13 +2,16 @@
 
 import logging
 import math
+import time
 
 from rhubarbshed.coordination.serving.choice import Choice
 from rhubarbshed.protocol.errors import RequestError
 from rhubarbshed.protocol.exchanges import ExchangeEnd
+from rhubarbshed.transport.edge.access_checks import measure_age_ms
 from rhubarbshed.transport.edge.attempts import Attempt
 from rhubarbshed.transport.edge.continuations import is_continuation, name_outcome
 from rhubarbshed.transport.edge.request_progress import RequestProgress, Stage
+from rhubarbshed.util.clocks import read_lease_clock
 from rhubarbshed.util.logs import log_event
 
 LOG = logging.getLogger(__name__)
@@ -16,6 +19,9 @@
 PARTS_LOGGED_MAX = 8
 """Most parts of a prompt in a line of the log."""
 
+ASKED_CHARS_MAX = 80
+"""Most characters in a line of the log of the host and the path that no route fits."""
+
 
 def find_stage(progress: RequestProgress) -> Stage:
     """Return what a request is waiting for: a decision, or an attempt's next step."""
@@ -108,6 +114,8 @@
         "configuration": view.configuration.version if view.configuration else "",
         "fleet_age_s": round(now - view.fleet_at, 1),
     }
+    if error is not None and progress.route is None:
+        fields |= describe_unrouted(progress)
     if response is not None and response.first_at is not None:
         fields["first_ms"] = round((response.first_at - request.received_at) * 1000)
         fields["gap_ms"] = round(response.gap_s * 1000)
@@ -147,6 +155,18 @@
     log_event(LOG, logging.INFO, "request_ended", **fields)
 
 
+def describe_unrouted(progress: RequestProgress) -> dict[str, object]:
+    """Return what a request without a route asked for, and how old the configuration is."""
+    request, view = progress.request, progress.relay.view
+    lost_at = view.versions.entry_age.lost_at
+    return {
+        "host": request.host[:ASKED_CHARS_MAX],
+        "path": request.path[:ASKED_CHARS_MAX],
+        "configuration_age_ms": measure_age_ms(view, read_lease_clock()),
+        "store_lost_ms": "" if lost_at is None else round((time.monotonic() - lost_at) * 1000),
+    }
+
+
 def name_load_wait(progress: RequestProgress, status: int) -> str:
     """Return what became of a request that waited for a load."""
     response = progress.caller_response
--- a/rhubarbshed/transport/edge/store.py
+++ b/rhubarbshed/transport/edge/store.py
@@ -1,12 +1,14 @@
 """Client of the platform's store."""
 
 import logging
+import time
 from collections.abc import Callable
 
 from attrs import define, evolve, field
 from returns.result import Failure, Result, Success
 
 from rhubarbshed.platform.rows import (
+    OPERATOR_TABLE,
     Page,
     make_commit,
     make_feed_read,
@@ -36,6 +38,9 @@
 PAGES_MAX = 64
 """Most pages of a table: the largest one has 8 for each data centre, its 120 rows of 64 KB."""
 
+LOGGED_BYTES_MIN = 65_536
+"""Size from which each answer with rows is logged."""
+
 FOLLOW_MARGIN_S = 0.8
 """Time beyond the agreed wait after which a request for changes is abandoned."""
 
@@ -94,8 +99,12 @@
     async def _read(
         self, table: str, sent: ControlCall, timeout_s: float
     ) -> Result[Page, TableError]:
+        sent_at = time.monotonic()
         answer = await self._call(sent, timeout_s)
+        took_s = time.monotonic() - sent_at
         page = answer.bind(lambda got: read_page(got.status, got.body, self.era))
+        if isinstance(page, Success):
+            _log_read(table, len(page.unwrap().scan.rows), len(answer.unwrap().body), took_s)
         if isinstance(page, Success) and (count := page.unwrap().unreadable):
             self.count_unreadable("row")
             log_event(LOG, logging.WARNING, "rows_unreadable", table=table, count=count)
@@ -122,6 +131,15 @@
         return Success(answer)
 
 
+def _log_read(table: str, rows: int, size: int, took_s: float) -> None:
+    """Log an answer that has configurations, or many bytes."""
+    if rows and (table == OPERATOR_TABLE or size > LOGGED_BYTES_MIN):
+        took_ms = round(took_s * 1000)
+        log_event(
+            LOG, logging.INFO, "store_read", table=table, rows=rows, bytes=size, took_ms=took_ms
+        )
+
+
 def log_calls(counts: dict[tuple[str, ...], int]) -> None:
     """Log the number of calls since the last line, by kind and table."""
     if counts:
