--- a/standin/rows.py
+++ b/standin/rows.py
@@ -2,8 +2,9 @@
 
 Faults are switches: `down` refuses calls, `silent` accepts them without an answer, `lose_answers`
 commits writes and closes the connection, `forget` drops the history, calls about `held_tables` get
-no answer. A restore goes back to a copy and begins a new era. As a separate process it accepts
-the switches as `POST /standin/NAME`, and entries of servers without heartbeats expire.
+no answer, and each answer takes `delay_s` longer. A restore goes back to a copy and begins a new
+era. As a separate process it accepts the switches as `POST /standin/NAME`, and entries of servers
+without heartbeats expire.
 """
 
 import asyncio
@@ -35,6 +36,7 @@
     unresponsive_count: int = 0
     lose_answers: bool = False
     held_tables: set[str] = field(factory=set)
+    delay_s: float = 0.0
     calls: list[str] = field(factory=list)
     heartbeats: dict[str, float] = field(factory=dict)
     copies: list[tuple[float, Copy]] = field(factory=list)
@@ -171,6 +173,8 @@
             await asyncio.sleep(3600)
         if any(f"Table={table}&" in target for table in self.held_tables):
             await asyncio.sleep(3600)
+        if self.delay_s:
+            await asyncio.sleep(self.delay_s)
         if self.lose_answers and target == "/rhubarbshed/rows-tx":
             return False
         data = json.dumps(plain).encode()
--- a/test/soak/relay.py
+++ b/test/soak/relay.py
@@ -9,6 +9,8 @@
 from attrs import define, field
 
 CHUNK_BYTES = 65_536
+PACED_CHUNK_BYTES = 4_096
+"""Size of the pieces in which a link with a limited rate carries data."""
 
 TARGET_CHECK_INTERVAL_S = 0.02
 """Time between two checks whether somebody listens at a target again."""
@@ -30,19 +32,22 @@
 
     A connection with dropped data stays silenced, as if a middlebox had lost its state. With
     `follows_target` the port is closed while nobody listens at the target. `refused` are the
-    addresses of callers whose connection the target refused, with the time.
+    addresses of callers whose connection the target refused, with the time. All answers together
+    take no more than `bytes_per_s`.
     """
 
     port: int
     target: int
     mode: Mode = Mode.PASS
     delay_s: float = 0.0
+    bytes_per_s: float | None = None
     follows_target: bool = False
     pairs: set[tuple[asyncio.StreamWriter, asyncio.StreamWriter]] = field(factory=set)
     silenced: set[asyncio.StreamWriter] = field(factory=set)
     tasks: set[asyncio.Task] = field(factory=set)
     server: asyncio.Server | None = None
     refused: dict[tuple[str, int], float] = field(factory=dict)
+    _free_at: float = 0.0
 
     async def start(self) -> None:
         """Listen on the relay's port."""
@@ -119,7 +124,9 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, is_answer: bool
     ) -> None:
         try:
-            while data := await reader.read(CHUNK_BYTES):
+            while data := await reader.read(PACED_CHUNK_BYTES if self.bytes_per_s else CHUNK_BYTES):
+                if is_answer and self.bytes_per_s:
+                    await self._wait_for_link(len(data))
                 if self.mode is Mode.DELAY:
                     await asyncio.sleep(self.delay_s)
                 if self.mode is Mode.DROP_ALL or (is_answer and self.mode is Mode.DROP_ANSWERS):
@@ -135,6 +142,12 @@
             await self.check_target() if is_answer else None
             _reset(writer)
 
+    async def _wait_for_link(self, size: int) -> None:
+        """Wait until the link, which all answers share, has carried `size` bytes more."""
+        now = time.monotonic()
+        self._free_at = max(now, self._free_at) + size / self.bytes_per_s
+        await asyncio.sleep(self._free_at - now)
+
 
 def _reset(writer: asyncio.StreamWriter) -> None:
     sock = writer.transport.get_extra_info("socket")
--- a/test/test_edge_old_configuration.py
+++ b/test/test_edge_old_configuration.py
@@ -1,10 +1,45 @@
 """Requests that a configuration refuses which may be out of date."""
 
+import asyncio
+import contextlib
 import logging
+import socket
+import threading
+import time
+from collections.abc import AsyncIterator
 
+import pytest
+
+from rhubarbshed.protocol.exchanges import ControlCall
+from rhubarbshed.transport.edge.control import call
+from rhubarbshed.transport.edge.node import Node
+from rhubarbshed.transport.edge.pools import Pool
 from rhubarbshed.util.logs import PairFormatter
 from standin.replica import Replica
-from test.helper_edge import HOST, make_configuration, make_route, play, run_edge
+from standin.rows import RowStore
+from test.helper_edge import (
+    HOST,
+    WAIT_S,
+    Edge,
+    find_port,
+    make_configuration,
+    make_route,
+    make_settings,
+    play,
+    run_edge,
+)
+from test.soak.relay import Mode, Relay
+
+KEY = "secret"
+TENANTS = [{"Name": "gold", "ApiKeys": [KEY]}]
+APPLY_S = 1.0
+"""Bound in tests on the time until a configuration is in force."""
+
+LINK_BYTES_PER_S = 125_000
+"""Rate of a slow link, 1 Mbit/s."""
+
+WIDE_MODELS = 4000
+"""Models that make a configuration take longer over that link than any time limit on silence."""
 
 
 def list_lines(caplog, event: str) -> list[str]:
@@ -34,3 +69,147 @@
     assert int(second["store_lost_ms"]) >= 0
     assert "0 bytes came" in list_lines(caplog, "dependency_lost")[0]
     assert "table=op rows=1" in list_lines(caplog, "store_read")[0]
+
+
+def make_wide(version: int, *routes: dict) -> dict:
+    """Return a configuration of about 400 KB."""
+    models = [
+        {
+            "Name": f"model-{n:05}",
+            "WeightsMb": 1.0,
+            "LoadTimeS": 0.2,
+            "Adapters": 0,
+            "AdapterMb": 1.0,
+        }
+        for n in range(WIDE_MODELS)
+    ]
+    engine = {"Slots": 8, "KvCapacity": 1000, "WeightsMb": 200.0, "AdapterSlots": 4}
+    engine |= {"LoadsPerS": 10.0, "Models": models}
+    service = {"Name": "wide", "HealthCheck": "/health", "MaxConnections": 100, "Engine": engine}
+    configuration = make_configuration(make_route(), *routes, version=version)
+    return {**configuration, "Services": [*configuration["Services"], service]}
+
+
+@contextlib.asynccontextmanager
+async def run_behind_relay(
+    configuration: dict, bytes_per_s: float | None = None, **changes: object
+) -> AsyncIterator[tuple[Edge, Relay]]:
+    """Run an instance that reaches the store by way of a relay."""
+    store, replica = RowStore(), Replica("b1")
+    await store.start()
+    await replica.start()
+    relay = Relay(find_port(), store.address[1], bytes_per_s=bytes_per_s)
+    await relay.start()
+    store.put("op", "config", configuration)
+    store.put("servers", "b1", replica.describe())
+    node = Node.from_settings(make_settings(("127.0.0.1", relay.port), **changes), "")
+    edge = Edge(store, [replica], node, asyncio.create_task(node.run()))
+    try:
+        await asyncio.sleep(0.1)
+        yield edge, relay
+    finally:
+        node.stop.set()
+        node.view.drain.announce_s = node.view.drain.drain_s = 0.0
+        await asyncio.wait_for(edge.task, WAIT_S)
+        relay.stop()
+        await replica.stop()
+        await store.stop()
+
+
+@pytest.mark.parametrize("is_strict", [False, True])
+def test_route_or_key_that_was_added_is_not_refused_for_good_by_an_instance_without_the_store(
+    is_strict,
+):
+    async def run():
+        before = make_configuration(make_route(), Tenants=TENANTS)
+        bounds = {"strict_revocation": is_strict, "revocation_s": 2.0, "config_apply_s": APPLY_S}
+        async with run_behind_relay(before, **bounds) as (edge, relay):
+            await edge.wait_until(lambda: edge.node.view.is_ready)
+            assert (await edge.ask("/new/x", Rhubarbshed_Key=KEY)).status == 404
+            assert (await edge.ask(Rhubarbshed_Key="new")).status == 401
+            relay.mode = Mode.DROP_ALL
+            relay.silence_open()
+            tenants = [{"Name": "gold", "ApiKeys": [KEY, "new"]}]
+            routes = [make_route(), make_route(prefix="/new/")]
+            after = make_configuration(*routes, version=2, Tenants=tenants)
+            edge.store.put("op", "config", after)
+            acknowledged_at = time.monotonic()
+            while time.monotonic() < acknowledged_at + 3.0 * APPLY_S:
+                is_due = time.monotonic() > acknowledged_at + APPLY_S
+                answers = [
+                    await edge.ask("/new/x", Rhubarbshed_Key=KEY),
+                    await edge.ask(Rhubarbshed_Key="new"),
+                ]
+                for answer in answers if is_due else ():
+                    assert answer.status == 503
+                    assert float(answer.headers["retry-after"]) > 0.0
+                await asyncio.sleep(0.1)
+            relay.mode = Mode.PASS
+            relay.reset()
+            await edge.wait_until(lambda: edge.node.view.configuration.version == 2)
+            assert (await edge.ask("/new/x", Rhubarbshed_Key=KEY)).status == 200
+            assert (await edge.ask(Rhubarbshed_Key="new")).status == 200
+            assert (await edge.ask("/never/x", Rhubarbshed_Key=KEY)).status == 404
+
+    play(run)
+
+
+def test_configuration_that_arrives_slowly_is_in_force():
+    async def run():
+        async with run_behind_relay(make_wide(1)) as (edge, relay):
+            await edge.wait_until(lambda: edge.node.view.is_ready)
+            relay.bytes_per_s = LINK_BYTES_PER_S
+            edge.store.put("op", "config", make_wide(2, make_route(prefix="/new/")))
+            node = edge.node
+            await edge.wait_until(lambda: node.view.configuration.version == 2, 2.0 * WAIT_S)
+            assert (await edge.ask("/new/x")).status == 200
+
+    play(run)
+
+
+def test_instance_starts_behind_a_link_over_which_the_configuration_arrives_slowly():
+    async def run():
+        async with run_behind_relay(make_wide(1), LINK_BYTES_PER_S) as (edge, _):
+            await edge.wait_until(lambda: edge.node.view.is_ready, 2.0 * WAIT_S)
+
+    play(run)
+
+
+def test_configuration_of_a_store_that_answers_late_is_in_force():
+    async def run():
+        async with run_behind_relay(make_configuration(make_route())) as (edge, _):
+            await edge.wait_until(lambda: edge.node.view.is_ready)
+            edge.store.delay_s = 1.0
+            await edge.wait_until(lambda: edge.node.follower.entry_age.lost_at is not None)
+            routes = [make_route(), make_route(prefix="/new/")]
+            edge.store.put("op", "config", make_configuration(*routes, version=2))
+            await edge.wait_until(lambda: edge.node.view.configuration.version == 2)
+            assert (await edge.ask("/new/x")).status == 200
+
+    play(run)
+
+
+def answer_once(listener: socket.socket) -> None:
+    """Answer the first call in 0.1 s."""
+    connection, _ = listener.accept()
+    with connection:
+        connection.recv(65_536)
+        time.sleep(0.1)
+        connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+        time.sleep(1.0)
+
+
+def test_answer_that_came_in_time_counts_though_the_event_loop_is_late():
+    async def run():
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            server = threading.Thread(target=answer_once, args=(listener,))
+            server.start()
+            sent = ControlCall(b"GET", b"/x", answer_bytes_max=100)
+            task = asyncio.create_task(call(Pool(1.0), listener.getsockname(), sent, 0.2))
+            await asyncio.sleep(0.05)
+            time.sleep(0.4)
+            result = await task
+            server.join()
+            assert result.unwrap().body == b"ok"
+
+    play(run)
