Take answers of the store that arrive slowly or late

What callers saw: 404 for routes that had been acknowledged, 503 keys_unconfirmed for sound keys; an instance behind a slow link was never ready. Cause: a call to the store had 0.8 s for its whole answer. One that was arriving over a slow link, that a slow store gave after 0.9 s, or that was there while the event loop was late was discarded, and asked for again from its first byte, without end. Change: the limit is on the silence before and within an answer, and a transfer may take 15 s in all. The event loop reads what has come before it finds a time over. A query for a configuration that is given up is repeated as before, while its answer is still taken for 3.2 s and dated by when it was asked for. A query whose answer is arriving is not abandoned when the holder names a later version. After an outage every instance reads the latest configuration only, not just with strict revocation. The test of the late loop calls call_server now, whose arguments are the same before and after. The repeated query goes over a new connection: a kept one may be as dead as the first one's. A double of StoreClient.follow in test_edge_missing passes further arguments on.

--- a/rhubarbshed/transport/edge/control.py
+++ b/rhubarbshed/transport/edge/control.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 
 import h11
-from attrs import frozen
+from attrs import define, field, frozen
 from returns.result import Failure, Result, Success
 
 from rhubarbshed.protocol.exchanges import ControlCall, Headers
@@ -18,6 +18,9 @@
 )
 from rhubarbshed.transport.edge.pools import Address, Pool
 
+LATE_LOOP_MIN_S = 0.05
+"""Delay of the event loop from which bytes may have come in time that were read behind it."""
+
 
 @frozen
 class ControlAnswer:
@@ -33,6 +36,55 @@
     return True
 
 
+@frozen
+class AnswerLimits:
+    """Limits of an answer in seconds: until its first byte, between two bytes, and in all."""
+
+    first_s: float
+    silence_s: float
+    total_s: float
+
+    @classmethod
+    def from_total(cls, total_s: float) -> "AnswerLimits":
+        """Return the limits of an answer that has to be complete in time."""
+        return cls(total_s, total_s, total_s)
+
+
+@define(eq=False)
+class Transfer:
+    """Answer to a call as it arrives."""
+
+    _channel: Channel | None = None
+    _bytes_before: int = 0
+
+    def start(self, channel: Channel) -> None:
+        """Count the bytes of a connection from now on."""
+        self._channel, self._bytes_before = channel, channel.received_bytes
+
+    @property
+    def received_bytes(self) -> int:
+        """Return how many bytes of the answer have come."""
+        return 0 if self._channel is None else self._channel.received_bytes - self._bytes_before
+
+
+KeepExchange = Callable[["asyncio.Task[ControlAnswer]", Channel], None]
+"""Taker of an exchange whose answer may still come, and of its connection."""
+
+
+@frozen
+class CallOptions:
+    """Options of a call: its limits, and what follows its answer as it arrives.
+
+    A `fresh` connection carries a call where kept ones may no longer respond. `keep` takes an
+    exchange of which nothing came in time.
+    """
+
+    limits: AnswerLimits
+    fresh: bool = False
+    transfer: Transfer = field(factory=Transfer)
+    keep: KeepExchange | None = None
+
+
 async def call_server(
     pool: Pool,
     address: Address,
@@ -55,6 +107,18 @@
     timeout_s: float,
     fresh: bool = False,
     may_send: Callable[[], bool] = allow,
+) -> Result[ControlAnswer, TableError]:
+    """Make a call whose whole answer is due in time."""
+    options = CallOptions(AnswerLimits.from_total(timeout_s), fresh)
+    return await call_with_options(pool, address, sent, options, may_send)
+
+
+async def call_with_options(
+    pool: Pool,
+    address: Address,
+    sent: ControlCall,
+    options: CallOptions,
+    may_send: Callable[[], bool] = allow,
 ) -> Result[ControlAnswer, TableError]:
     """Make a call; `UNAVAILABLE` never left this instance, `UNKNOWN` may take effect later.
 
@@ -62,30 +126,69 @@
     """
     now = time.monotonic()
     try:
-        channel = await pool.acquire(address, now, fresh or sent.method != b"GET")
+        channel = await pool.acquire(address, now, options.fresh or sent.method != b"GET")
     except ChannelError as error:
         return Failure(TableError(TableFault.UNAVAILABLE, detail=str(error)))
     if not may_send():
         channel.idle_since = time.monotonic()
         pool.release(address, channel)
         return Failure(TableError(TableFault.UNAVAILABLE, detail="the permission has run out"))
-    began_at, bytes_before = time.monotonic(), channel.received_bytes
+    limits, transfer = options.limits, options.transfer
+    transfer.start(channel)
+    exchange = asyncio.create_task(_exchange(address, channel, sent))
+    began_at = time.monotonic()
+    is_kept = False
     try:
-        async with asyncio.timeout(timeout_s):
-            answer = await _exchange(address, channel, sent)
+        if await _is_answered(exchange, transfer, limits):
+            answer = exchange.result()
             if channel.is_usable(time.monotonic()):
                 pool.release(address, channel)
             return Success(answer)
-    except TimeoutError:
-        received = channel.received_bytes - bytes_before
-        late_ms = round((time.monotonic() - began_at - timeout_s) * 1000)
-        detail = f"no response in {timeout_s:g} s: {received} bytes came, {late_ms} ms late"
-        return Failure(TableError(TableFault.UNKNOWN, detail=detail, waited_s=timeout_s))
+        waited_s = time.monotonic() - began_at
+        if options.keep is not None and not transfer.received_bytes:
+            options.keep(exchange, channel)
+            is_kept = True
+        return Failure(_make_timeout(limits, transfer, waited_s))
     except ChannelError as error:
         return Failure(TableError(TableFault.UNKNOWN, detail=str(error)))
     finally:
-        if not channel.is_usable(time.monotonic()):
-            channel.abort()
+        if not is_kept:
+            exchange.cancel()
+            if not channel.is_usable(time.monotonic()):
+                channel.abort()
+
+
+async def _is_answered(
+    exchange: "asyncio.Task[ControlAnswer]", transfer: Transfer, limits: AnswerLimits
+) -> bool:
+    """Wait for an answer; return whether it ended within the limits.
+
+    A late event loop finds bytes and the end of the time at once. If some came, it gets once more
+    the time by which it was late.
+    """
+    until, was_late = time.monotonic() + limits.total_s, False
+    while True:
+        received, now = transfer.received_bytes, time.monotonic()
+        due_at = min(until, now + (limits.silence_s if received else limits.first_s))
+        done, _ = await asyncio.wait((exchange,), timeout=max(0.0, due_at - now))
+        if done:
+            return True
+        if transfer.received_bytes == received:
+            return False
+        now = time.monotonic()
+        late_s = now - due_at
+        if now >= until and (was_late or late_s < LATE_LOOP_MIN_S):
+            return False
+        if now >= until:
+            until, was_late = now + late_s, True
+
+
+def _make_timeout(limits: AnswerLimits, transfer: Transfer, waited_s: float) -> TableError:
+    received = transfer.received_bytes
+    limit_s = limits.total_s if received else limits.first_s
+    late_ms = max(0, round((waited_s - limit_s) * 1000))
+    detail = f"no response in {limit_s:g} s: {received} bytes came, {late_ms} ms late"
+    return TableError(TableFault.UNKNOWN, detail=detail, waited_s=waited_s)
 
 
 async def _exchange(address: Address, channel: Channel, sent: ControlCall) -> ControlAnswer:
--- a/rhubarbshed/transport/edge/follower.py
+++ b/rhubarbshed/transport/edge/follower.py
@@ -19,6 +19,7 @@
 from rhubarbshed.protocol.tables import Row, TableError, TableFault
 from rhubarbshed.state.membership.entry_age import EntryAge
 from rhubarbshed.transport.edge.account_logs import report_accounts
+from rhubarbshed.transport.edge.control import Transfer
 from rhubarbshed.transport.edge.store import StoreClient
 from rhubarbshed.transport.edge.view import LatchedSignal, Signal, View
 from rhubarbshed.util.clocks import read_lease_clock
@@ -79,7 +80,8 @@
 STORE_MESSAGE_CHECK_S = 0.3
 """Time between two checks whether the order holder still sends store messages."""
 
-ApplyRows = Callable[[tuple[Row, ...], bool, float], tuple[EntryChange, ...]]
+ApplyPage = Callable[[Page, bool, float], tuple[EntryChange, ...]]
+"""Application of an answer, which has all rows or changes, at a time (monotonic seconds)."""
 
 
 @define
@@ -90,8 +92,9 @@
     `message_received_at`) and query the store themselves if they missed changes or the messages
     stop. `servers_revision` is in `servers_era` of the store, and unknown in a later one until all
     entries are read again. The entries are the same at all revisions from `changed_revision` on.
-    The last query for a configuration was sent at `operator_asked_at` (lease clock); while
-    `is_configuration_unread`, the latest one could not be read, and nothing confirms the known one.
+    All configurations up to `operator_revision` in `operator_era` are known. The last query for one
+    was sent at `operator_asked_at` (lease clock); while `is_configuration_unread`, the latest one
+    could not be read, and nothing confirms the known one.
     """
 
     store: StoreClient
@@ -109,6 +112,8 @@
     servers_era: int = 0
     configuration_revision: int = 0
     operator_asked_at: float = -math.inf
+    operator_revision: int | None = None
+    operator_era: int = 0
     is_configuration_unread: bool = False
     read_anew: LatchedSignal = field(factory=LatchedSignal)
     message_received_at: float = -1e9
@@ -133,11 +138,13 @@
 
     async def follow_configuration(self) -> None:
         """Follow the operator's configuration forever."""
-        await self._follow(OPERATOR_TABLE, self._apply_operator)
+        await self._follow(OPERATOR_TABLE, self._apply_operator_page)
 
     async def follow_servers(self) -> None:
         """Follow the servers' entries forever."""
-        await self._follow(SERVERS_TABLE, self._apply_servers)
+        await self._follow(
+            SERVERS_TABLE, lambda page, *when: self._apply_servers(page.scan.rows, *when)
+        )
 
     def has_recent_message(self, now: float) -> bool:
         """Return whether the order holder announces changes to this instance.
@@ -241,7 +248,7 @@
         wait_s = CONFIRMATION_FRACTION * self.view.settings.revocation_s
         return min(OPERATOR_WAIT_S, max(CONFIRMATION_WAIT_MIN_S, wait_s))
 
-    async def _follow(self, table: str, apply: ApplyRows) -> None:
+    async def _follow(self, table: str, apply: ApplyPage) -> None:
         revision: int | None = None
         era = self.store.era
         pause_s = PAUSE_FIRST_S
@@ -249,6 +256,8 @@
             if table == SERVERS_TABLE and revision is not None:
                 await self._wait_for_turn(table)
                 revision = max(revision, self.servers_revision or 0)
+            elif table == OPERATOR_TABLE and revision is not None and self.operator_era == era:
+                revision = max(revision, self.operator_revision or 0)
             if era != self.store.era:
                 revision = None
             wait_s = self._choose_wait(table)
@@ -272,9 +281,7 @@
                 pause_s = PAUSE_FIRST_S
                 if table == SERVERS_TABLE:
                     self.entry_age.record_read(sent_at, now, is_full_read)
-                changes = apply(scan.rows, is_full_read, now)
-                if table == OPERATOR_TABLE:
-                    self._confirm_configuration(result.unwrap())
+                changes = apply(result.unwrap(), is_full_read, now)
                 if table == SERVERS_TABLE:
                     before = self.changed_revision
                     self.servers_revision, self.servers_era = revision, era
@@ -289,12 +296,14 @@
             if result.failure().fault is TableFault.CONFLICT:
                 log_event(LOG, logging.WARNING, "history_gone", table=table, revision=revision)
                 revision = None
+                if table == OPERATOR_TABLE:
+                    self.operator_revision = None
                 if table == SERVERS_TABLE:
                     self.entry_age.suspend()
                 continue
             self._record_failure(table, result.failure(), now)
             self.failing_tables.add(table)
-            if table == OPERATOR_TABLE and self.must_confirm and self.entry_age.is_outage:
+            if table == OPERATOR_TABLE and self.entry_age.is_outage:
                 # The history has each configuration whole: several of them do not come in time over
                 # a slow link, while the latest one is all that is needed.
                 revision = None
@@ -314,21 +323,52 @@
         self, table: str, revision: int, wait_s: float
     ) -> Result[Page, TableError]:
         """Query changes; abandon a long query once another one got no response."""
-        query = asyncio.ensure_future(self.store.follow(table, revision, wait_s))
+        transfer = Transfer()
+        query = asyncio.ensure_future(self.store.follow(table, revision, wait_s, transfer))
         overdue = asyncio.ensure_future(self._wait_until_suspect(table, wait_s))
         try:
             await asyncio.wait((query, overdue), return_when=asyncio.FIRST_COMPLETED)
-            if query.done():
-                return query.result()
+            if query.done() or transfer.received_bytes:
+                return await query
             if table == OPERATOR_TABLE:
                 # The connection may be dead, so the query is repeated on another one.
                 self.operator_asked_at = read_lease_clock()
-                return await self.store.follow(table, revision, 0.0)
+                return await self.store.follow(table, revision, 0.0, fresh=True)
             return Failure(TableError(TableFault.UNKNOWN, detail="the store stopped responding"))
         finally:
             query.cancel()
             overdue.cancel()
 
+    def handle_late_answer(self, table: str, page: Page, asked_at: float) -> None:
+        """Apply an answer on the configuration that came after its query was given up."""
+        now = time.monotonic()
+        age_s = read_lease_clock() - asked_at
+        log_event(LOG, logging.INFO, "late_answer", table=table, age_ms=round(age_s * 1000))
+        self._record_response(now - age_s, now)
+        if page.scan.era == self.store.era:
+            self._apply_configurations(page, False, asked_at, now)
+
+    def _apply_operator_page(
+        self, page: Page, is_full_read: bool, now: float
+    ) -> tuple[EntryChange, ...]:
+        self._apply_configurations(page, is_full_read, self.operator_asked_at, now)
+        return ()
+
+    def _apply_configurations(
+        self, page: Page, is_full_read: bool, asked_at: float, now: float
+    ) -> None:
+        """Apply an answer to a query that was sent at `asked_at` (lease clock).
+
+        An answer with changes that comes after a later one has nothing new.
+        """
+        scan = page.scan
+        known = self.operator_revision if scan.era == self.operator_era else None
+        if not is_full_read and known is not None and scan.revision < known:
+            return
+        self.operator_revision, self.operator_era = scan.revision, scan.era
+        self._apply_operator(scan.rows, is_full_read, now)
+        self._confirm_configuration(page, asked_at)
+
     async def _wait_until_suspect(self, table: str, wait_s: float) -> None:
         """Wait until a query should not be waited for any longer."""
         until = time.monotonic() + wait_s * 2 + 1.0
@@ -373,9 +413,7 @@
         # Callers may be waiting for the first read.
         view.changed.fire()
 
-    def _apply_operator(
-        self, rows: tuple[Row, ...], is_full_read: bool, now: float
-    ) -> tuple[EntryChange, ...]:
+    def _apply_operator(self, rows: tuple[Row, ...], is_full_read: bool, now: float) -> None:
         view = self.view
         for row in rows:
             if row.key != CONFIGURATION_KEY or row.value is None:
@@ -407,15 +445,14 @@
             report_accounts(view.configuration, self.count_account_problem)
             view.changed.fire()
         view.configured_at = now
-        return ()
 
-    def _confirm_configuration(self, page: Page) -> None:
+    def _confirm_configuration(self, page: Page, asked_at: float) -> None:
         """Record that the known configuration is in force, if the store's latest one is known."""
         is_read = any(row.key == CONFIGURATION_KEY for row in page.scan.rows)
         if page.unreadable and not is_read:
             self.is_configuration_unread = True
         if self.view.configuration is not None and not self.is_configuration_unread:
-            self.entry_age.confirm_configuration(self.operator_asked_at, read_lease_clock())
+            self.entry_age.confirm_configuration(asked_at, read_lease_clock())
 
     def _record_routes(
         self, before: Configuration | None, after: Configuration, is_full_read: bool, now: float
--- a/rhubarbshed/transport/edge/node.py
+++ b/rhubarbshed/transport/edge/node.py
@@ -178,6 +178,7 @@
         lease.measure_cut = links.state.measure_cut
         dispatcher = OrderDispatcher(view, pool, metrics, lease_state)
         follower = Follower(store, view)
+        store.on_late = follower.handle_late_answer
         holder_protocol = HolderProtocol(view, lease, dispatcher, follower)
         holder_protocol.datagrams.count_unsent = metrics.count_unsent
         lease.on_holders_read = holder_protocol.learn_addresses
--- a/rhubarbshed/transport/edge/store.py
+++ b/rhubarbshed/transport/edge/store.py
@@ -1,7 +1,9 @@
 """Client of the platform's store."""
 
+import asyncio
+import collections
+import functools
 import logging
-import time
 from collections.abc import Callable
 
 from attrs import define, evolve, field
@@ -25,8 +27,16 @@
     TableFault,
     Transaction,
 )
-from rhubarbshed.transport.edge.control import ControlAnswer, call
+from rhubarbshed.transport.edge.channels import Channel
+from rhubarbshed.transport.edge.control import (
+    AnswerLimits,
+    CallOptions,
+    ControlAnswer,
+    Transfer,
+    call_with_options,
+)
 from rhubarbshed.transport.edge.pools import Address, Pool
+from rhubarbshed.util.clocks import read_lease_clock
 from rhubarbshed.util.logs import log_event
 
 LOG = logging.getLogger(__name__)
@@ -35,6 +45,15 @@
 """Time for a response; the store takes a few milliseconds, and a quarter of a second when it is
 slow. A call to an unresponsive store is never answered, so the next one should not wait long."""
 
+TRANSFER_MAX_S = 15.0
+"""Longest time for an answer that goes on arriving: the largest one takes 13 s over 5 Mbit/s."""
+
+LATE_ANSWER_S = 3.2
+"""Time for which an answer to a query for a configuration is still taken, once it is overdue."""
+
+LATE_ANSWERS_MAX = 3
+"""Most overdue answers that are waited for."""
+
 PAGES_MAX = 64
 """Most pages of a table: the largest one has 8 for each data centre, its 120 rows of 64 KB."""
 
@@ -44,6 +63,8 @@
 FOLLOW_MARGIN_S = 0.8
 """Time beyond the agreed wait after which a request for changes is abandoned."""
 
+READ_LIMITS = AnswerLimits(CALL_TIMEOUT_S, CALL_TIMEOUT_S, TRANSFER_MAX_S)
+
 
 @define
 class StoreClient:
@@ -51,15 +72,19 @@
 
     `count` takes the kind and table of each call, `count_unreadable` what cannot be decoded. `era`
     is the latest era that the store stated, 0 before; `on_restored` are called when it rises.
+    `on_late` takes overdue answers on changes of the configuration: table, page, and when they were
+    asked for, in seconds of the lease clock.
     """
 
     address: Address
     pool: Pool
     count: Callable[[str, str], None] = lambda kind, table: None
     count_unreadable: Callable[[str], None] = lambda kind: None
+    on_late: Callable[[str, Page, float], None] = lambda table, page, asked_at: None
     era: int = 0
     on_restored: list[Callable[[], None]] = field(factory=list)
     _states_era: bool = False
+    _late_answers: collections.deque[asyncio.Task] = field(factory=collections.deque)
 
     async def read_all(self, table: str) -> Result[Page, TableError]:
         """Return all rows of a table; `scan.revision` is that of the first page read."""
@@ -68,7 +93,7 @@
         first: Page | None = None
         for _ in range(PAGES_MAX):
             self.count("read", table)
-            page = await self._read(table, make_read(table, start), CALL_TIMEOUT_S)
+            page = await self._read(table, make_read(table, start), CallOptions(READ_LIMITS))
             if isinstance(page, Failure):
                 return page
             found = page.unwrap()
@@ -84,36 +109,80 @@
             start = found.next_key
         return Failure(TableError(TableFault.UNKNOWN, detail="pages without an end"))
 
-    async def follow(self, table: str, after: int, wait_s: float) -> Result[Page, TableError]:
-        """Return the rows that changed after a revision, once there are any."""
+    async def follow(
+        self,
+        table: str,
+        after: int,
+        wait_s: float,
+        transfer: Transfer | None = None,
+        fresh: bool = False,
+    ) -> Result[Page, TableError]:
+        """Return the rows that changed after a revision, once there are any.
+
+        A `fresh` connection carries the call where kept ones may no longer respond.
+        """
         self.count("follow", table)
         sent = make_feed_read(table, after, wait_s)
-        return await self._read(table, sent, wait_s + FOLLOW_MARGIN_S)
+        limits = AnswerLimits(wait_s + FOLLOW_MARGIN_S, CALL_TIMEOUT_S, wait_s + TRANSFER_MAX_S)
+        return await self._read(table, sent, CallOptions(limits, fresh, transfer or Transfer()))
 
     async def commit(self, table: str, transaction: Transaction) -> Result[Committed, TableError]:
         """Change rows of a table."""
         self.count("commit", table)
-        answer = await self._call(make_commit(table, transaction), CALL_TIMEOUT_S)
+        answer = await self._call(make_commit(table, transaction), CallOptions(READ_LIMITS))
         return answer.bind(lambda got: read_commit(got.status, got.body, self.era))
 
     async def _read(
-        self, table: str, sent: ControlCall, timeout_s: float
+        self, table: str, sent: ControlCall, options: CallOptions
+    ) -> Result[Page, TableError]:
+        asked_at = read_lease_clock()
+        if table == OPERATOR_TABLE:
+            options = evolve(options, keep=functools.partial(self._keep_exchange, table, asked_at))
+        answer = await self._call(sent, options)
+        return self._read_answer(table, answer, asked_at)
+
+    def _read_answer(
+        self, table: str, answer: Result[ControlAnswer, TableError], asked_at: float
     ) -> Result[Page, TableError]:
-        sent_at = time.monotonic()
-        answer = await self._call(sent, timeout_s)
-        took_s = time.monotonic() - sent_at
         page = answer.bind(lambda got: read_page(got.status, got.body, self.era))
         if isinstance(page, Success):
+            took_s = read_lease_clock() - asked_at
             _log_read(table, len(page.unwrap().scan.rows), len(answer.unwrap().body), took_s)
         if isinstance(page, Success) and (count := page.unwrap().unreadable):
             self.count_unreadable("row")
             log_event(LOG, logging.WARNING, "rows_unreadable", table=table, count=count)
         return page
 
-    async def _call(self, sent: ControlCall, timeout_s: float) -> Result[ControlAnswer, TableError]:
-        answer = await call(self.pool, self.address, sent, timeout_s)
+    async def _call(
+        self, sent: ControlCall, options: CallOptions
+    ) -> Result[ControlAnswer, TableError]:
+        answer = await call_with_options(self.pool, self.address, sent, options)
         return answer.bind(self._check_era)
 
+    def _keep_exchange(
+        self, table: str, asked_at: float, exchange: asyncio.Task, channel: Channel
+    ) -> None:
+        """Wait for an overdue answer, which a slow store gives after its query was repeated."""
+        work = self._take_late_answer(table, asked_at, exchange, channel)
+        self._late_answers.append(asyncio.create_task(work))
+        if len(self._late_answers) > LATE_ANSWERS_MAX:
+            self._late_answers.popleft().cancel()
+
+    async def _take_late_answer(
+        self, table: str, asked_at: float, exchange: asyncio.Task, channel: Channel
+    ) -> None:
+        try:
+            await asyncio.wait((exchange,), timeout=LATE_ANSWER_S)
+            if not exchange.done() or exchange.exception() is not None:
+                return
+            answer = Success(exchange.result()).bind(self._check_era)
+            page = self._read_answer(table, answer, asked_at)
+            if isinstance(page, Success):
+                self.on_late(table, page.unwrap(), asked_at)
+        finally:
+            exchange.cancel()
+            channel.abort()
+
     def _check_era(self, answer: ControlAnswer) -> Result[ControlAnswer, TableError]:
         """Record the era of an answer; one from before a restore proves nothing any more."""
         era = read_era(answer.headers)
--- a/test/test_edge_missing.py
+++ b/test/test_edge_missing.py
@@ -220,9 +220,11 @@
     lost: list[StoreClient] = []
     follow = StoreClient.follow
 
-    async def lose_answer(store: StoreClient, table: str, after: int, wait_s: float):
+    async def lose_answer(
+        store: StoreClient, table: str, after: int, wait_s: float, *rest: object, **more: object
+    ):
         if table != "servers" or not any(store is each for each in lost):
-            return await follow(store, table, after, wait_s)
+            return await follow(store, table, after, wait_s, *rest, **more)
         lost.remove(store)
         waited_s = wait_s + FOLLOW_MARGIN_S
         await asyncio.sleep(waited_s)
--- a/test/test_edge_old_configuration.py
+++ b/test/test_edge_old_configuration.py
@@ -11,7 +11,7 @@
 import pytest
 
 from rhubarbshed.protocol.exchanges import ControlCall
-from rhubarbshed.transport.edge.control import call
+from rhubarbshed.transport.edge.control import call_server
 from rhubarbshed.transport.edge.node import Node
 from rhubarbshed.transport.edge.pools import Pool
 from rhubarbshed.util.logs import PairFormatter
@@ -205,7 +205,8 @@
             server = threading.Thread(target=answer_once, args=(listener,))
             server.start()
             sent = ControlCall(b"GET", b"/x", answer_bytes_max=100)
-            task = asyncio.create_task(call(Pool(1.0), listener.getsockname(), sent, 0.2))
+            address = listener.getsockname()
+            task = asyncio.create_task(call_server(Pool(1.0), address, sent, 0.2))
             await asyncio.sleep(0.05)
             time.sleep(0.4)
             result = await task
