Refuse for good only by a configuration that is recent

What callers saw: 404 no_route and 401 for routes and keys that the store had acknowledged long before, from instances that refused known keys at the same moment because their configuration was old. Cause: a final refusal had no bound on the age of the configuration that it is decided by. Change: a 404 or 401 needs a configuration that the store confirmed within the time in which a later one has to be in force (config_apply_ms). With an older one the instance queries the store first, once for all requests that wait, on a connection of its own, then serves, refuses, or answers 503 route_unconfirmed or keys_unconfirmed with Retry-After; at once while the store is known to be lost. A known key after a pause of the process is confirmed that way too, in place of a 503. The decisions are a table in final_refusals.py. Why this works: a request was sent before it is decided on, so the configuration was confirmed less than the bound before the request was sent, and has all versions that are due.

--- a/rhubarbshed/coordination/serving/account_access.py
+++ b/rhubarbshed/coordination/serving/account_access.py
@@ -1,7 +1,8 @@
 """Decision on the key of a request, and the rank of accounts and routes at engines.
 
 A key that the operator takes away has to lose its validity at an instance that is cut off from the
-store as well, so no key is trusted there once the known configuration was not confirmed for long.
+store as well, so no key is trusted there once the known configuration was not confirmed for long. A
+request is refused for good only while a later configuration could not allow it.
 """
 
 import enum
@@ -50,17 +51,18 @@
     route: Route,
     key: str | None,
     may_trust: Callable[[float], bool],
+    may_refuse: Callable[[float], bool],
     now: float,
 ) -> Access:
     """Return the account of a request on a route, or why it is refused.
 
     `may_trust` returns whether the keys of the known configuration are trusted at a time, which is
-    given as seconds of the lease clock.
+    given as seconds of the lease clock, and `may_refuse` whether others are refused for good.
     """
     if accounts is None or not route.needs_key:
         return OPEN
     if key is None:
-        return Access(refusal=Refusal.NO_KEY)
+        return Access(refusal=Refusal.NO_KEY if may_refuse(now) else Refusal.KEYS_UNCONFIRMED)
     account = accounts.by_key.get(key)
     named = account.name if account is not None else accounts.unreadable_keys.get(key, "")
     if not may_trust(now):
@@ -69,7 +71,7 @@
         return Access(account, named=named)
     if not accounts.is_readable or key in accounts.unreadable_keys:
         return Access(refusal=Refusal.ACCOUNT_UNREADABLE, named=named)
-    return Access(refusal=Refusal.UNKNOWN_KEY)
+    return Access(refusal=Refusal.UNKNOWN_KEY if may_refuse(now) else Refusal.KEYS_UNCONFIRMED)
 
 
 def rank_priority(account: Account | None, route: Route) -> int:
--- a/rhubarbshed/coordination/serving/refusals.py
+++ b/rhubarbshed/coordination/serving/refusals.py
@@ -67,6 +67,9 @@
     "account_unreadable": RefusalReason(
         "account_unreadable", "the key's account cannot be read", UNREADABLE_RETRY_S
     ),
+    "route_unconfirmed": RefusalReason(
+        "route_unconfirmed", "it is not confirmed that no route fits", UNCONFIRMED_RETRY_S
+    ),
     "keys_unconfirmed": RefusalReason(
         "keys_unconfirmed", "the validity of keys is not confirmed", UNCONFIRMED_RETRY_S
     ),
@@ -91,6 +94,14 @@
     )
 
 
+def make_unconfirmed(reason: str, rng: random.Random, confirmed_in_s: float) -> RequestError:
+    """Return the error for a request that only a confirmed configuration can decide on.
+
+    `confirmed_in_s` is the time until the configuration may be confirmed again, if known.
+    """
+    return make_refusal(reason, rng, max(UNCONFIRMED_RETRY_S, confirmed_in_s))
+
+
 def make_access_refusal(
     refusal: Refusal, rng: random.Random, confirmed_in_s: float
 ) -> RequestError:
@@ -103,7 +114,7 @@
     if refusal is Refusal.UNKNOWN_KEY:
         return RequestError(401, refusal.value, "the key is not known")
     if refusal is Refusal.KEYS_UNCONFIRMED:
-        return make_refusal(refusal.value, rng, max(UNCONFIRMED_RETRY_S, confirmed_in_s))
+        return make_unconfirmed(refusal.value, rng, confirmed_in_s)
     return make_refusal(refusal.value, rng)
 
 
--- a/rhubarbshed/transport/edge/explanations.py
+++ b/rhubarbshed/transport/edge/explanations.py
@@ -29,7 +29,7 @@
 from rhubarbshed.protocol.errors import RequestError
 from rhubarbshed.protocol.exchanges import Headers
 from rhubarbshed.protocol.routes import Route
-from rhubarbshed.transport.edge.access_checks import may_trust_keys
+from rhubarbshed.transport.edge.access_checks import may_refuse, may_trust_keys
 from rhubarbshed.transport.edge.relay import Relay
 from rhubarbshed.transport.edge.request_logs import find_stage
 from rhubarbshed.transport.edge.request_progress import RequestProgress
@@ -159,7 +159,14 @@
 
     def check(route: Route) -> RequestError | None:
         at = read_lease_clock()
-        access = decide_access(accounts, route, key, lambda now: may_trust_keys(view, now), at)
+        access = decide_access(
+            accounts,
+            route,
+            key,
+            lambda now: may_trust_keys(view, now),
+            lambda now: may_refuse(view, now),
+            at,
+        )
         if access.refusal is None:
             return None
         confirmed_in_s = view.next_read_at - time.monotonic()
--- a/rhubarbshed/transport/edge/final_answers.py
+++ b/rhubarbshed/transport/edge/final_answers.py
@@ -25,6 +25,7 @@
     "draining",
     "not_configured",
     "no_route",
+    "route_unconfirmed",
     UNREACHED_CODE,
     *(refusal.value for refusal in Refusal),
 )
--- a/rhubarbshed/transport/edge/follower.py
+++ b/rhubarbshed/transport/edge/follower.py
@@ -339,6 +339,21 @@
             query.cancel()
             overdue.cancel()
 
+    async def confirm_configuration(self) -> None:
+        """Query a later configuration once, beside the query that the store holds.
+
+        Without an answer the follower's own query is repeated, which shows whether the store is
+        lost.
+        """
+        asked_at, revision, era = read_lease_clock(), self.operator_revision, self.operator_era
+        if revision is None or era != self.store.era:
+            return
+        result = await self.store.follow(OPERATOR_TABLE, revision, 0.0, fresh=True)
+        if isinstance(result, Failure):
+            self.new_configuration.fire()
+        elif result.unwrap().scan.era == era:
+            self._apply_configurations(result.unwrap(), False, asked_at, time.monotonic())
+
     def handle_late_answer(self, table: str, page: Page, asked_at: float) -> None:
         """Apply an answer on the configuration that came after its query was given up."""
         now = time.monotonic()
--- a/rhubarbshed/transport/edge/node.py
+++ b/rhubarbshed/transport/edge/node.py
@@ -34,6 +34,7 @@
 from rhubarbshed.transport.edge.account_grants import AccountGrants
 from rhubarbshed.transport.edge.allocators import Allocators
 from rhubarbshed.transport.edge.caller_connections import CallerConnection, Handler
+from rhubarbshed.transport.edge.configuration_check import ConfigurationCheck
 from rhubarbshed.transport.edge.confirmations import Confirmations
 from rhubarbshed.transport.edge.connection_logs import CloseLog, CloseReason
 from rhubarbshed.transport.edge.crash_registry import CrashRegistry
@@ -261,6 +262,7 @@
             streams.record_stream,
             streams.find_stream,
             EntryCheck(store, follower).confirm,
+            confirm_configuration=ConfigurationCheck(follower).confirm,
             credit=credit,
         )
         crashes.on_verdict = relay.withdraw
--- a/rhubarbshed/transport/edge/relay_parts.py
+++ b/rhubarbshed/transport/edge/relay_parts.py
@@ -21,6 +21,9 @@
 FindStream = Callable[[str, float], Awaitable[StreamLookup]]
 """Search for the origin of a stream: id, monotonic seconds."""
 
+ConfirmConfiguration = Callable[[float], Awaitable[None]]
+"""Confirmation of the known configuration by the store, awaited for some seconds at most."""
+
 ConfirmEntries = Callable[[], Awaitable[bool]]
 """Read of the versions of all entries up to now; False if that was not possible."""
 
@@ -36,6 +39,10 @@
     return NOT_FOUND
 
 
+async def confirm_no_configuration(wait_s: float) -> None:
+    """Confirm no configuration; for an instance that does not follow any."""
+
+
 async def confirm_nothing() -> bool:
     """Confirm no entries; for an instance that does not follow any."""
     return False
@@ -48,8 +55,9 @@
     `report_awaited` asks the order holder for a (service, model, adapter); `count_demand` counts a
     request for one, `count_run` a run with its seconds. `report_missing` reports to the holder a
     (server, started_ms, model, adapter) that is not there. `record_stream` and `find_stream` are
-    the memory of the origins of streams, `confirm_entries` reads all versions up to now. `credit`
-    is that of accounts with limits, `slots` are the requests that wait for a slot.
+    the memory of the origins of streams, `confirm_entries` reads all versions up to now, and
+    `confirm_configuration` a later configuration. `credit` is that of accounts with limits, `slots`
+    are the requests that wait for a slot.
     """
 
     view: View
@@ -66,6 +74,7 @@
     record_stream: RecordStream = record_nothing
     find_stream: FindStream = find_nothing
     confirm_entries: ConfirmEntries = confirm_nothing
+    confirm_configuration: ConfirmConfiguration = confirm_no_configuration
     credit: AccountCredit | None = None
     slots: SlotQueue = field(init=False)
 
--- a/rhubarbshed/transport/edge/request_steps.py
+++ b/rhubarbshed/transport/edge/request_steps.py
@@ -13,19 +13,21 @@
     is_responsive,
     wants_nothing,
 )
+from rhubarbshed.coordination.serving.final_refusals import measure_confirmation_wait
 from rhubarbshed.coordination.serving.refusals import (
     DRAINING_RETRY_S,
     draw_retry_after,
     make_no_route,
     make_refusal,
     make_timeout,
+    make_unconfirmed,
     make_unreached,
 )
 from rhubarbshed.coordination.serving.retry_budget import is_retry_allowed
 from rhubarbshed.coordination.serving.start_wait import estimate_first_read, measure_start_wait
 from rhubarbshed.protocol.errors import RequestError
 from rhubarbshed.protocol.exchanges import ExchangeEnd
-from rhubarbshed.transport.edge.access_checks import check_access
+from rhubarbshed.transport.edge.access_checks import check_access, is_undecided
 from rhubarbshed.transport.edge.caller_responses import CallerResponse
 from rhubarbshed.transport.edge.continuations import decide_stream, record_origin
 from rhubarbshed.transport.edge.credit_steps import (
@@ -81,7 +83,7 @@
     if draining is not None:
         answer_error(progress, draining)
         return
-    if refuse_early(progress):
+    if await refuse_early(progress):
         return
     if not view.is_known:
         await wait_for_start(progress)
@@ -89,11 +91,7 @@
         read_in_s = estimate_first_read(view.next_read_at, time.monotonic())
         answer_error(progress, make_refusal("not_configured", view.rng, read_in_s))
         return
-    progress.route = view.configuration.find_route(progress.request.host, progress.request.path)
-    if progress.route is None:
-        answer_error(progress, make_no_route())
-        return
-    if (refused := check_access(progress)) is not None:
+    if (refused := await check_configuration(progress)) is not None:
         answer_error(progress, refused)
         return
     if progress.attempts_max is not None:
@@ -117,7 +115,32 @@
         log_end(progress, "answered", None, time.monotonic())
 
 
-def refuse_early(progress: RequestProgress) -> bool:
+def find_route(progress: RequestProgress) -> None:
+    """Set the route that the known configuration has for the request, None without one."""
+    configuration = progress.relay.view.configuration
+    progress.route = configuration.find_route(progress.request.host, progress.request.path)
+
+
+async def check_configuration(progress: RequestProgress) -> RequestError | None:
+    """Set the route; return the error for a request that the configuration does not allow."""
+    view = progress.relay.view
+    find_route(progress)
+    if is_undecided(progress):
+        left_s = progress.request.caller_timeout_s or TIMEOUT_DEFAULT_S
+        is_lost = view.versions.entry_age.lost_at is not None
+        wait_s = measure_confirmation_wait(left_s, is_lost)
+        if wait_s > 0.0:
+            await progress.relay.confirm_configuration(wait_s)
+            find_route(progress)
+    if progress.route is not None:
+        return check_access(progress)
+    if is_undecided(progress):
+        confirmed_in_s = view.next_read_at - time.monotonic()
+        return make_unconfirmed("route_unconfirmed", view.rng, confirmed_in_s)
+    return make_no_route()
+
+
+async def refuse_early(progress: RequestProgress) -> bool:
     """Refuse a request whose key is not valid before it waits for a start; return whether it was.
 
     The servers may not be known yet, and no wait makes a key known that the operator did not list.
@@ -125,8 +148,8 @@
     view = progress.relay.view
     if view.is_known or view.configuration is None:
         return False
-    progress.route = view.configuration.find_route(progress.request.host, progress.request.path)
-    refused = check_access(progress) if progress.route is not None else None
+    find_route(progress)
+    refused = await check_configuration(progress) if progress.route is not None else None
     if refused is not None:
         answer_error(progress, refused)
     return refused is not None
--- a/test/test_account_access.py
+++ b/test/test_account_access.py
@@ -55,10 +55,16 @@
     )
 
 
-def decide(key: str | None, accounts: Accounts | None = ACCOUNTS, trusted=True, needs_key=True):
+def decide(
+    key: str | None,
+    accounts: Accounts | None = ACCOUNTS,
+    trusted: bool = True,
+    needs_key: bool = True,
+    is_recent: bool = True,
+):
     """Return the decision on a key."""
     route = make_plain_route(needs_key=needs_key)
-    return decide_access(accounts, route, key, lambda now: trusted, NOW)
+    return decide_access(accounts, route, key, lambda now: trusted, lambda now: is_recent, NOW)
 
 
 # --- Accounts as the operator writes them.
--- a/test/test_edge_old_configuration.py
+++ b/test/test_edge_old_configuration.py
@@ -14,6 +14,7 @@
 from rhubarbshed.transport.edge.control import call_server
 from rhubarbshed.transport.edge.node import Node
 from rhubarbshed.transport.edge.pools import Pool
+from rhubarbshed.util.clocks import read_lease_clock
 from rhubarbshed.util.logs import PairFormatter
 from standin.replica import Replica
 from standin.rows import RowStore
@@ -154,6 +155,74 @@
     play(run)
 
 
+def age_configuration(edge: Edge, age_s: float) -> None:
+    """Let an instance know that its configuration was not confirmed for some time."""
+    edge.node.follower.entry_age.configuration_asked_at = read_lease_clock() - age_s
+
+
+def count_operator_calls(edge: Edge) -> int:
+    """Count the calls to the store about the configuration."""
+    return sum("Table=op&" in call for call in edge.store.calls)
+
+
+def test_request_on_a_route_that_was_added_is_served_while_the_news_of_it_is_lost():
+    async def run():
+        before = make_configuration(make_route())
+        async with run_behind_relay(before, config_apply_s=APPLY_S) as (edge, relay):
+            await edge.wait_until(lambda: edge.node.view.is_ready)
+            await asyncio.sleep(0.5)
+            relay.silence_open()
+            routes = [make_route(), make_route(prefix="/new/")]
+            edge.store.put("op", "config", make_configuration(*routes, version=2))
+            age_configuration(edge, APPLY_S + 0.1)
+            assert (await edge.ask("/new/x")).status == 200
+
+    play(run)
+
+
+def test_known_key_is_served_at_once_after_a_pause_of_the_process():
+    async def run():
+        before = make_configuration(make_route(), Tenants=TENANTS)
+        bounds = {"strict_revocation": True, "revocation_s": 5.0}
+        async with run_edge(before, Replica("b1"), **bounds) as edge:
+            age_configuration(edge, 7.0)
+            assert (await edge.ask(Rhubarbshed_Key=KEY)).status == 200
+
+    play(run)
+
+
+def test_callers_who_are_wrong_are_refused_for_good_with_few_queries_of_the_store():
+    async def run():
+        before = make_configuration(make_route(), Tenants=TENANTS)
+        async with run_edge(before, Replica("b1"), config_apply_s=APPLY_S) as edge:
+            age_configuration(edge, APPLY_S + 0.1)
+            calls = count_operator_calls(edge)
+            asked_at = time.monotonic()
+            answers = await asyncio.gather(*(edge.ask(f"/wrong/{n}") for n in range(20)))
+            answers += await asyncio.gather(*(edge.ask(Rhubarbshed_Key="x") for _ in range(20)))
+            assert [each.status for each in answers] == 20 * [404] + 20 * [401]
+            assert time.monotonic() < asked_at + APPLY_S
+            assert count_operator_calls(edge) - calls <= 3
+
+    play(run)
+
+
+def test_nobody_waits_for_a_confirmation_while_the_store_is_lost():
+    async def run():
+        async with run_edge(make_configuration(make_route()), Replica("b1")) as edge:
+            edge.store.silent = True
+            await edge.wait_until(lambda: edge.node.follower.entry_age.lost_at is not None)
+            age_configuration(edge, 60.0)
+            asked_at = time.monotonic()
+            answer = await edge.ask("/new/x")
+            assert answer.status == 503 and answer.body.startswith(b"route_unconfirmed")
+            assert time.monotonic() < asked_at + 0.2
+            assert (await edge.ask()).status == 200
+            edge.store.silent = False
+
+    play(run)
+
+
 def test_configuration_that_arrives_slowly_is_in_force():
     async def run():
         async with run_behind_relay(make_wide(1)) as (edge, relay):
