--- a/test/test_edge_old_configuration.py
+++ b/test/test_edge_old_configuration.py
@@ -207,6 +207,21 @@
     play(run)
 
 
+def test_configuration_that_cannot_be_read_is_not_queried_for_each_request():
+    async def run():
+        async with run_edge(make_configuration(make_route()), Replica("b1")) as edge:
+            edge.store.put("op", "config", {"Version": 2, "Routes": "x"})
+            await edge.wait_until(lambda: edge.node.follower.is_configuration_unread)
+            age_configuration(edge, 60.0)
+            calls, asked_at = count_operator_calls(edge), time.monotonic()
+            for n in range(20):
+                assert (await edge.ask(f"/wrong/{n}")).status == 503
+            most = 2 + 3 * (time.monotonic() - asked_at)
+            assert count_operator_calls(edge) - calls <= most
+
+    play(run)
+
+
 def test_nobody_waits_for_a_confirmation_while_the_store_is_lost():
     async def run():
         async with run_edge(make_configuration(make_route()), Replica("b1")) as edge:
