Count a connection that is made while the event loop is late

Cause: a limit on the time to connect cancelled the task whose connection was there, when the loop was late by more than the rest of the limit; the store or server counted as not reachable. Change: such a limit grants once more the time by which the loop is late (late_loops.limit_time). A call writes its request before anything else runs, as it did before its answer got a task of its own.

--- a/rhubarbshed/transport/edge/control.py
+++ b/rhubarbshed/transport/edge/control.py
@@ -16,11 +16,9 @@
     Channel,
     ChannelError,
 )
+from rhubarbshed.transport.edge.late_loops import LATE_LOOP_MIN_S
 from rhubarbshed.transport.edge.pools import Address, Pool
 
-LATE_LOOP_MIN_S = 0.05
-"""Delay of the event loop from which bytes may have come in time that were read behind it."""
-
 
 @frozen
 class ControlAnswer:
@@ -135,10 +133,11 @@
         return Failure(TableError(TableFault.UNAVAILABLE, detail="the permission has run out"))
     limits, transfer = options.limits, options.transfer
     transfer.start(channel)
-    exchange = asyncio.create_task(_exchange(address, channel, sent))
     began_at = time.monotonic()
-    is_kept = False
+    exchange, is_kept = None, False
     try:
+        _send(address, channel, sent)
+        exchange = asyncio.create_task(_receive(channel, sent))
         if await _is_answered(exchange, transfer, limits):
             answer = exchange.result()
             if channel.is_usable(time.monotonic()):
@@ -152,10 +151,10 @@
     except ChannelError as error:
         return Failure(TableError(TableFault.UNKNOWN, detail=str(error)))
     finally:
-        if not is_kept:
+        if exchange is not None and not is_kept:
             exchange.cancel()
-            if not channel.is_usable(time.monotonic()):
-                channel.abort()
+        if not is_kept and not channel.is_usable(time.monotonic()):
+            channel.abort()
 
 
 async def _is_answered(
@@ -191,11 +190,14 @@
     return TableError(TableFault.UNKNOWN, detail=detail, waited_s=waited_s)
 
 
-async def _exchange(address: Address, channel: Channel, sent: ControlCall) -> ControlAnswer:
+def _send(address: Address, channel: Channel, sent: ControlCall) -> None:
     headers = [(b"host", f"{address[0]}:{address[1]}".encode()), *sent.headers]
     if sent.body or sent.method != b"GET":
         headers.append((b"content-length", str(len(sent.body)).encode()))
     channel.start(sent.method, sent.target, tuple(headers), sent.body)
+
+
+async def _receive(channel: Channel, sent: ControlCall) -> ControlAnswer:
     response = await channel.receive_final_head()
     body = b""
     if sent.answer_bytes_max:
--- a/rhubarbshed/transport/edge/pools.py
+++ b/rhubarbshed/transport/edge/pools.py
@@ -7,6 +7,7 @@
 from attrs import define, field
 
 from rhubarbshed.transport.edge.channels import Channel, ChannelError, NotListeningError
+from rhubarbshed.transport.edge.late_loops import limit_time
 
 IDLE_MARGIN_S = 0.5
 """Part of a server's keep-alive time that is not used: it may close while a request is on its
@@ -79,7 +80,7 @@
     async def open(self, address: Address) -> Channel:
         """Open a connection."""
         try:
-            async with asyncio.timeout(self.connect_timeout_s):
+            async with limit_time(self.connect_timeout_s):
                 channel = await self.connect(address)
         except ConnectionRefusedError as error:
             self.on_failed()
--- a/test/test_edge_old_configuration.py
+++ b/test/test_edge_old_configuration.py
@@ -273,6 +273,18 @@
     play(run)
 
 
+def test_connection_that_is_made_in_time_counts_though_the_event_loop_is_late():
+    async def run():
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            task = asyncio.create_task(Pool(0.2).open(listener.getsockname()))
+            await asyncio.sleep(0)
+            time.sleep(0.4)
+            channel = await task
+            channel.abort()
+
+    play(run)
+
+
 def answer_once(listener: socket.socket) -> None:
     """Answer the first call in 0.1 s."""
     connection, _ = listener.accept()
