Take late answers that arrive slowly, and keep checks off their link

Late pages count only if they are the whole table, and of the same era. - A check that was refused (429, 503) had the held query abandoned, and the store taken for lost. - The wait for a check was taken from the time that the caller stated, not from what is left by the route. A check of a start of a server does not count the lateness of the event loop either.

--- a/rhubarbshed/transport/edge/control.py
+++ b/rhubarbshed/transport/edge/control.py
@@ -138,7 +138,7 @@
     try:
         _send(address, channel, sent)
         exchange = asyncio.create_task(_receive(channel, sent))
-        if await _is_answered(exchange, transfer, limits):
+        if await is_answered(exchange, transfer, limits):
             answer = exchange.result()
             if channel.is_usable(time.monotonic()):
                 pool.release(address, channel)
@@ -157,7 +157,7 @@
             channel.abort()
 
 
-async def _is_answered(
+async def is_answered(
     exchange: "asyncio.Task[ControlAnswer]", transfer: Transfer, limits: AnswerLimits
 ) -> bool:
     """Wait for an answer; return whether it ended within the limits.
--- a/rhubarbshed/transport/edge/follower.py
+++ b/rhubarbshed/transport/edge/follower.py
@@ -9,6 +9,7 @@
 from attrs import define, field
 from returns.result import Failure, Result, Success
 
+from rhubarbshed.coordination.serving.final_refusals import CONFIRMATION_WAIT_MAX_S
 from rhubarbshed.coordination.serving.lease_state import count_restores, read_restores
 from rhubarbshed.coordination.serving.versions import is_current
 from rhubarbshed.platform.records import read_configuration, read_entries
@@ -92,9 +93,10 @@
     `message_received_at`) and query the store themselves if they missed changes or the messages
     stop. `servers_revision` is in `servers_era` of the store, and unknown in a later one until all
     entries are read again. The entries are the same at all revisions from `changed_revision` on.
-    All configurations up to `operator_revision` in `operator_era` are known. The last query for one
-    was sent at `operator_asked_at` (lease clock); while `is_configuration_unread`, the latest one
-    could not be read, and nothing confirms the known one.
+    The query for a configuration that is in progress was sent at `operator_asked_at` (lease clock),
+    and its answer arrives by `operator_transfer`. All configurations up to `operator_revision` in
+    `operator_era` are known, and up to `late_revision` if its answer came late. While
+    `is_configuration_unread`, the latest one could not be read, and nothing confirms the known one.
     """
 
     store: StoreClient
@@ -112,14 +114,17 @@
     servers_era: int = 0
     configuration_revision: int = 0
     operator_asked_at: float = -math.inf
+    operator_transfer: Transfer = field(factory=Transfer)
     operator_revision: int | None = None
     operator_era: int = 0
+    late_revision: int | None = None
     is_configuration_unread: bool = False
     read_anew: LatchedSignal = field(factory=LatchedSignal)
     message_received_at: float = -1e9
     message_settled: bool = True
     fell_behind: Signal = field(factory=Signal)
     new_configuration: Signal = field(factory=Signal)
+    configuration_applied: Signal = field(factory=Signal)
     is_behind: bool = False
     failing_tables: set[str] = field(factory=set)
     store_returned: Signal = field(factory=Signal)
@@ -256,8 +261,8 @@
             if table == SERVERS_TABLE and revision is not None:
                 await self._wait_for_turn(table)
                 revision = max(revision, self.servers_revision or 0)
-            elif table == OPERATOR_TABLE and revision is not None and self.operator_era == era:
-                revision = max(revision, self.operator_revision or 0)
+            elif table == OPERATOR_TABLE:
+                revision, era = self._find_known(revision, era)
             if era != self.store.era:
                 revision = None
             wait_s = self._choose_wait(table)
@@ -266,10 +271,12 @@
             if table == OPERATOR_TABLE:
                 self.operator_asked_at = read_lease_clock()
             if is_full_read:
-                result = await self.store.read_all(table)
+                result = await self._read_all(table)
             else:
                 result = await self._query_changes(table, revision, wait_s)
             now = time.monotonic()
+            if table == OPERATOR_TABLE:
+                self.operator_transfer = Transfer()
             if isinstance(result, Success):
                 self.failing_tables.discard(table)
                 del self.view.failed_reads[table]
@@ -312,8 +319,28 @@
             await self._pause(table, spread_s)
             pause_s = min(PAUSE_LONGEST_S, pause_s * 2)
 
+    def _find_known(self, revision: int | None, era: int) -> tuple[int | None, int]:
+        """Return up to where the configuration is known, if other answers than the last one count.
+
+        Takes and returns a revision, None if all has to be read, and its era.
+        """
+        late, self.late_revision = self.late_revision, None
+        if revision is None and late is not None:
+            return late, self.operator_era
+        if revision is not None and self.operator_era == era:
+            return max(revision, self.operator_revision or 0), era
+        return revision, era
+
+    async def _read_all(self, table: str) -> Result[Page, TableError]:
+        transfer = Transfer()
+        if table == OPERATOR_TABLE:
+            self.operator_transfer = transfer
+        return await self.store.read_all(table, transfer)
+
     async def _pause(self, table: str, pause_s: float) -> None:
         """Wait before a retry; while both queries fail, one is enough to detect the return."""
+        if table == OPERATOR_TABLE:
+            await self.store.wait_for_arriving()
         if table == SERVERS_TABLE and OPERATOR_TABLE in self.failing_tables:
             await self.store_returned.wait(RETRY_DELEGATION_S)
         else:
@@ -324,6 +351,8 @@
     ) -> Result[Page, TableError]:
         """Query changes; abandon a long query once another one got no response."""
         transfer = Transfer()
+        if table == OPERATOR_TABLE:
+            self.operator_transfer = transfer
         query = asyncio.ensure_future(self.store.follow(table, revision, wait_s, transfer))
         overdue = asyncio.ensure_future(self._wait_until_suspect(table, wait_s))
         try:
@@ -333,7 +362,8 @@
             if table == OPERATOR_TABLE:
                 # The connection may be dead, so the query is repeated on another one.
                 self.operator_asked_at = read_lease_clock()
-                return await self.store.follow(table, revision, 0.0, fresh=True)
+                self.operator_transfer = transfer = Transfer()
+                return await self.store.follow(table, revision, 0.0, transfer, fresh=True)
             return Failure(TableError(TableFault.UNKNOWN, detail="the store stopped responding"))
         finally:
             query.cancel()
@@ -342,15 +372,22 @@
     async def confirm_configuration(self) -> None:
         """Query a later configuration once, beside the query that the store holds.
 
-        Without an answer the follower's own query is repeated, which shows whether the store is
-        lost.
+        Without an answer in the time that a request waits the follower's own query is repeated,
+        which shows whether the store is lost and takes an answer that arrives slowly.
         """
         asked_at, revision, era = read_lease_clock(), self.operator_revision, self.operator_era
         if revision is None or era != self.store.era:
             return
-        result = await self.store.follow(OPERATOR_TABLE, revision, 0.0, fresh=True)
+        if self.operator_transfer.received_bytes:
+            # A second answer would share the link with the one that is arriving.
+            await self.configuration_applied.wait(CONFIRMATION_WAIT_MAX_S)
+            return
+        result = await self.store.follow(
+            OPERATOR_TABLE, revision, 0.0, fresh=True, transfer_max_s=CONFIRMATION_WAIT_MAX_S
+        )
         if isinstance(result, Failure):
-            self.new_configuration.fire()
+            if result.failure().waited_s:
+                self.new_configuration.fire()
         elif result.unwrap().scan.era == era:
             self._apply_configurations(result.unwrap(), False, asked_at, time.monotonic())
 
@@ -360,8 +397,8 @@
         age_s = read_lease_clock() - asked_at
         log_event(LOG, logging.INFO, "late_answer", table=table, age_ms=round(age_s * 1000))
         self._record_response(now - age_s, now)
-        if page.scan.era == self.store.era:
-            self._apply_configurations(page, False, asked_at, now)
+        self._apply_configurations(page, False, asked_at, now)
+        self.late_revision = self.operator_revision
 
     def _apply_operator_page(
         self, page: Page, is_full_read: bool, now: float
@@ -383,6 +420,7 @@
         self.operator_revision, self.operator_era = scan.revision, scan.era
         self._apply_operator(scan.rows, is_full_read, now)
         self._confirm_configuration(page, asked_at)
+        self.configuration_applied.fire()
 
     async def _wait_until_suspect(self, table: str, wait_s: float) -> None:
         """Wait until a query should not be waited for any longer."""
--- a/rhubarbshed/transport/edge/request_steps.py
+++ b/rhubarbshed/transport/edge/request_steps.py
@@ -121,12 +121,20 @@
     progress.route = configuration.find_route(progress.request.host, progress.request.path)
 
 
+def measure_left(progress: RequestProgress, now: float) -> float:
+    """Return the seconds that a request has left, by its caller and its route if one is known."""
+    timeout_s = progress.request.caller_timeout_s or TIMEOUT_DEFAULT_S
+    if progress.route is not None:
+        timeout_s = min(timeout_s, progress.route.timeout_s)
+    return timeout_s - (now - progress.request.received_at)
+
+
 async def check_configuration(progress: RequestProgress) -> RequestError | None:
     """Set the route; return the error for a request that the configuration does not allow."""
     view = progress.relay.view
     find_route(progress)
     if is_undecided(progress):
-        left_s = progress.request.caller_timeout_s or TIMEOUT_DEFAULT_S
+        left_s = measure_left(progress, time.monotonic())
         is_lost = view.versions.entry_age.lost_at is not None
         wait_s = measure_confirmation_wait(left_s, is_lost)
         if wait_s > 0.0:
--- a/rhubarbshed/transport/edge/server_checks.py
+++ b/rhubarbshed/transport/edge/server_checks.py
@@ -23,6 +23,7 @@
 from rhubarbshed.transport.edge.channels import ChannelError, NotListeningError
 from rhubarbshed.transport.edge.control import ControlAnswer, call_server
 from rhubarbshed.transport.edge.crash_news import Incarnation
+from rhubarbshed.transport.edge.late_loops import limit_time
 from rhubarbshed.transport.edge.pools import Pool
 from rhubarbshed.util.logs import log_event
 
@@ -157,7 +158,7 @@
         if service is None or service.engine is None:
             return None
         try:
-            async with asyncio.timeout(START_TIMEOUT_S):
+            async with limit_time(START_TIMEOUT_S):
                 return await self._call(record, service)
         except TimeoutError:
             return None
--- a/rhubarbshed/transport/edge/store.py
+++ b/rhubarbshed/transport/edge/store.py
@@ -1,7 +1,6 @@
 """Client of the platform's store."""
 
 import asyncio
-import collections
 import functools
 import logging
 from collections.abc import Callable
@@ -34,6 +33,7 @@
     ControlAnswer,
     Transfer,
     call_with_options,
+    is_answered,
 )
 from rhubarbshed.transport.edge.pools import Address, Pool
 from rhubarbshed.util.clocks import read_lease_clock
@@ -49,7 +49,7 @@
 """Longest time for an answer that goes on arriving: the largest one takes 13 s over 5 Mbit/s."""
 
 LATE_ANSWER_S = 3.2
-"""Time for which an answer to a query for a configuration is still taken, once it is overdue."""
+"""Time in which an overdue answer to a query for a configuration may still begin."""
 
 LATE_ANSWERS_MAX = 3
 """Most overdue answers that are waited for."""
@@ -64,6 +64,7 @@
 """Time beyond the agreed wait after which a request for changes is abandoned."""
 
 READ_LIMITS = AnswerLimits(CALL_TIMEOUT_S, CALL_TIMEOUT_S, TRANSFER_MAX_S)
+LATE_LIMITS = AnswerLimits(LATE_ANSWER_S, CALL_TIMEOUT_S, TRANSFER_MAX_S)
 
 
 @define
@@ -84,16 +85,19 @@
     era: int = 0
     on_restored: list[Callable[[], None]] = field(factory=list)
     _states_era: bool = False
-    _late_answers: collections.deque[asyncio.Task] = field(factory=collections.deque)
+    _late_answers: dict[asyncio.Task, Transfer] = field(factory=dict)
 
-    async def read_all(self, table: str) -> Result[Page, TableError]:
+    async def read_all(
+        self, table: str, transfer: Transfer | None = None
+    ) -> Result[Page, TableError]:
         """Return all rows of a table; `scan.revision` is that of the first page read."""
         rows: list[Row] = []
         start = ""
         first: Page | None = None
         for _ in range(PAGES_MAX):
             self.count("read", table)
-            page = await self._read(table, make_read(table, start), CallOptions(READ_LIMITS))
+            options = CallOptions(READ_LIMITS, transfer=transfer or Transfer())
+            page = await self._read(table, make_read(table, start), options, not start)
             if isinstance(page, Failure):
                 return page
             found = page.unwrap()
@@ -116,14 +120,16 @@
         wait_s: float,
         transfer: Transfer | None = None,
         fresh: bool = False,
+        transfer_max_s: float = TRANSFER_MAX_S,
     ) -> Result[Page, TableError]:
         """Return the rows that changed after a revision, once there are any.
 
-        A `fresh` connection carries the call where kept ones may no longer respond.
+        A `fresh` connection carries the call where kept ones may no longer respond. The answer may
+        take `transfer_max_s` beyond the wait.
         """
         self.count("follow", table)
         sent = make_feed_read(table, after, wait_s)
-        limits = AnswerLimits(wait_s + FOLLOW_MARGIN_S, CALL_TIMEOUT_S, wait_s + TRANSFER_MAX_S)
+        limits = AnswerLimits(wait_s + FOLLOW_MARGIN_S, CALL_TIMEOUT_S, wait_s + transfer_max_s)
         return await self._read(table, sent, CallOptions(limits, fresh, transfer or Transfer()))
 
     async def commit(self, table: str, transaction: Transaction) -> Result[Committed, TableError]:
@@ -133,11 +139,12 @@
         return answer.bind(lambda got: read_commit(got.status, got.body, self.era))
 
     async def _read(
-        self, table: str, sent: ControlCall, options: CallOptions
+        self, table: str, sent: ControlCall, options: CallOptions, is_first: bool = True
     ) -> Result[Page, TableError]:
         asked_at = read_lease_clock()
-        if table == OPERATOR_TABLE:
-            options = evolve(options, keep=functools.partial(self._keep_exchange, table, asked_at))
+        if table == OPERATOR_TABLE and is_first:
+            keep = functools.partial(self._keep_exchange, table, asked_at, self.era)
+            options = evolve(options, keep=keep)
         answer = await self._call(sent, options)
         return self._read_answer(table, answer, asked_at)
 
@@ -159,25 +166,44 @@
         answer = await call_with_options(self.pool, self.address, sent, options)
         return answer.bind(self._check_era)
 
+    async def wait_for_arriving(self) -> None:
+        """Wait until no overdue answer is arriving; another one would share its link."""
+        while arriving := [
+            task for task, transfer in self._late_answers.items() if transfer.received_bytes
+        ]:
+            await asyncio.wait(arriving)
+
     def _keep_exchange(
-        self, table: str, asked_at: float, exchange: asyncio.Task, channel: Channel
+        self, table: str, asked_at: float, era: int, exchange: asyncio.Task, channel: Channel
     ) -> None:
         """Wait for an overdue answer, which a slow store gives after its query was repeated."""
-        work = self._take_late_answer(table, asked_at, exchange, channel)
-        self._late_answers.append(asyncio.create_task(work))
-        if len(self._late_answers) > LATE_ANSWERS_MAX:
-            self._late_answers.popleft().cancel()
+        transfer = Transfer()
+        transfer.start(channel)
+        work = self._take_late_answer(table, asked_at, era, exchange, channel, transfer)
+        task = asyncio.create_task(work)
+        self._late_answers[task] = transfer
+        task.add_done_callback(self._late_answers.pop)
+        waiting = [each for each, begun in self._late_answers.items() if not begun.received_bytes]
+        if len(waiting) > LATE_ANSWERS_MAX:
+            waiting[0].cancel()
 
     async def _take_late_answer(
-        self, table: str, asked_at: float, exchange: asyncio.Task, channel: Channel
+        self,
+        table: str,
+        asked_at: float,
+        era: int,
+        exchange: asyncio.Task,
+        channel: Channel,
+        transfer: Transfer,
     ) -> None:
         try:
-            await asyncio.wait((exchange,), timeout=LATE_ANSWER_S)
-            if not exchange.done() or exchange.exception() is not None:
+            if not await is_answered(exchange, transfer, LATE_LIMITS) or exchange.exception():
                 return
             answer = Success(exchange.result()).bind(self._check_era)
             page = self._read_answer(table, answer, asked_at)
-            if isinstance(page, Success):
+            # The rest of a table may have the configuration, and an earlier era proves nothing.
+            is_whole = isinstance(page, Success) and page.unwrap().next_key is None
+            if is_whole and self.era == era:
                 self.on_late(table, page.unwrap(), asked_at)
         finally:
             exchange.cancel()
--- a/test/test_edge_old_configuration.py
+++ b/test/test_edge_old_configuration.py
@@ -9,11 +9,14 @@
 from collections.abc import AsyncIterator
 
 import pytest
+from returns.result import Failure
 
 from rhubarbshed.protocol.exchanges import ControlCall
+from rhubarbshed.protocol.tables import TableError, TableFault
 from rhubarbshed.transport.edge.control import call_server
 from rhubarbshed.transport.edge.node import Node
 from rhubarbshed.transport.edge.pools import Pool
+from rhubarbshed.transport.edge.store import StoreClient
 from rhubarbshed.util.clocks import read_lease_clock
 from rhubarbshed.util.logs import PairFormatter
 from standin.replica import Replica
@@ -39,6 +42,9 @@
 LINK_BYTES_PER_S = 125_000
 """Rate of a slow link, 1 Mbit/s."""
 
+SLOWEST_BYTES_PER_S = 55_000
+"""Rate of a link over which two answers together take longer than an answer may."""
+
 WIDE_MODELS = 4000
 """Models that make a configuration take longer over that link than any time limit on silence."""
 
@@ -251,6 +257,116 @@
     play(run)
 
 
+def test_answer_that_is_arriving_is_not_abandoned_for_news_of_it():
+    async def run():
+        async with run_behind_relay(make_wide(1)) as (edge, relay):
+            node = edge.node
+            await edge.wait_until(lambda: node.view.is_ready)
+            relay.bytes_per_s = LINK_BYTES_PER_S
+            edge.store.put("op", "config", make_wide(2))
+            await edge.wait_until(lambda: node.follower.operator_transfer.received_bytes > 0)
+            calls = count_operator_calls(edge)
+            while node.view.configuration.version < 2:
+                node.follower.new_configuration.fire()
+                await asyncio.sleep(0.1)
+            # The store may be asked for the next one by then.
+            assert count_operator_calls(edge) <= calls + 1
+
+    play(run)
+
+
+def test_checks_do_not_keep_a_configuration_that_arrives_slowly_from_arriving():
+    """Each of them had the same rows sent once more over the same link."""
+
+    async def run():
+        async with run_behind_relay(make_wide(1), config_apply_s=APPLY_S) as (edge, relay):
+            node = edge.node
+            await edge.wait_until(lambda: node.view.is_ready)
+            relay.bytes_per_s = SLOWEST_BYTES_PER_S
+            edge.store.put("op", "config", make_wide(2, make_route(prefix="/new/")))
+            until = time.monotonic() + 15.0
+            while node.view.configuration.version < 2:
+                assert time.monotonic() < until
+                assert (await edge.ask("/wrong/x")).status in (404, 503)
+                await asyncio.sleep(0.2)
+
+    play(run)
+
+
+def test_configuration_that_arrives_late_and_slowly_is_in_force():
+    async def run():
+        async with run_behind_relay(make_wide(1)) as (edge, relay):
+            node = edge.node
+            await edge.wait_until(lambda: node.view.is_ready)
+            relay.bytes_per_s = LINK_BYTES_PER_S
+            edge.store.delay_s = 1.0
+            await edge.wait_until(lambda: node.follower.entry_age.lost_at is not None)
+            edge.store.put("op", "config", make_wide(2, make_route(prefix="/new/")))
+            await edge.wait_until(lambda: node.view.configuration.version == 2, 30.0)
+
+    play(run)
+
+
+def test_page_without_the_configuration_does_not_confirm_it():
+    async def run():
+        before = make_configuration(make_route())
+        async with run_edge(before, Replica("b1"), config_apply_s=2.0) as edge:
+            for n in range(600):
+                edge.store.put("op", f"a{n:04}", {})
+            edge.store.down = True
+            await edge.wait_until(lambda: edge.node.follower.entry_age.is_outage)
+            edge.store.down, edge.store.delay_s = False, 1.0
+            routes = [make_route(), make_route(prefix="/new/")]
+            edge.store.put("op", "config", make_configuration(*routes, version=2))
+            until = time.monotonic() + 6.0
+            await asyncio.sleep(2.0)
+            while time.monotonic() < until:
+                assert (await edge.ask("/new/x")).status in (200, 503)
+                await asyncio.sleep(0.1)
+
+    play(run)
+
+
+def test_busy_store_does_not_count_as_lost_by_a_check(monkeypatch):
+    follow = StoreClient.follow
+
+    async def answer_busy(store: StoreClient, table: str, after: int, wait_s: float, *_, **rest):
+        if table == "op" and not wait_s:
+            return Failure(TableError(TableFault.UNAVAILABLE, detail="status 429", is_busy=True))
+        return await follow(store, table, after, wait_s, *_, **rest)
+
+    async def run():
+        async with run_edge(make_configuration(make_route()), Replica("b1")) as edge:
+            await asyncio.sleep(0.5)
+            monkeypatch.setattr(StoreClient, "follow", answer_busy)
+            reads = edge.node.metrics.counts["store_calls", "read", "op"]
+            for _ in range(4):
+                age_configuration(edge, 60.0)
+                assert (await edge.ask("/new/x")).status == 503
+                await asyncio.sleep(0.6)
+            # The configuration is read whole again after the store was lost.
+            assert edge.node.metrics.counts["store_calls", "read", "op"] == reads
+
+    play(run)
+
+
+def test_body_within_a_limit_that_was_raised_is_not_refused_for_good_without_the_store():
+    async def run():
+        limits = {"MaxHeaderBytes": 16384, "HeaderTimeoutMs": 5000, "IdleTimeoutMs": 30000}
+        before = make_configuration(make_route(), Limits={**limits, "MaxBodyBytes": 1000})
+        async with run_behind_relay(before, config_apply_s=APPLY_S) as (edge, relay):
+            await edge.wait_until(lambda: edge.node.view.is_ready)
+            await asyncio.sleep(0.5)
+            relay.silence_open()
+            raised = {**limits, "MaxBodyBytes": 100_000}
+            after = make_configuration(make_route(), version=2, Limits=raised)
+            edge.store.put("op", "config", after)
+            age_configuration(edge, APPLY_S + 0.1)
+            assert (await edge.ask(body=b"x" * 2000)).status != 413
+
+    play(run)
+
+
 def test_instance_starts_behind_a_link_over_which_the_configuration_arrives_slowly():
     async def run():
         async with run_behind_relay(make_wide(1), LINK_BYTES_PER_S) as (edge, _):
