Check final refusals by an old configuration in the soak

Cause: no caller of the soak asked for a route that a configuration had just added, and the status of a refusal was not checked against what the store had acknowledged. Change: each configuration adds a route, and one caller for each instance asks for the routes of the last three. The check "final" allows no 404 for a route and no 401 for a key that the store had acknowledged more than 3 s before the request was sent. No fault excuses it, as 503 with Retry-After is always possible.

--- a/test/soak/accounts.py
+++ b/test/soak/accounts.py
@@ -47,7 +47,8 @@
         answer = await read_within(link.reader, TIMEOUT_S + 1.0)
     finally:
         link.writer.transport.abort()
-    scene.history.keyed.append(Keyed(request_id, key, instance, sent_at, answer.status))
+    keyed = Keyed(request_id, key, instance, sent_at, answer.status, time.monotonic())
+    scene.history.keyed.append(keyed)
 
 
 def check_accounts(history: History) -> list[str]:
--- a/test/soak/checks.py
+++ b/test/soak/checks.py
@@ -1,6 +1,8 @@
 """Guarantees of the system, each as a function that returns its violations in a history."""
 
 import collections
+import math
+import re
 from collections.abc import Callable
 
 from standin.run import DEADLY_PART, EVENTS_PER_STREAM, LIMIT_PER_S
@@ -10,6 +12,7 @@
 LEASE_S = 3.0
 DRAIN_S = 2.0
 CONFIGURATION_DELAY_S = 2.0
+CONFIGURATION_APPLY_S = 3.0
 FAULT_FREE_S = 3.0
 STOP_MAX_S = 8.0
 WORK_END_MAX_S = 0.5
@@ -30,6 +33,8 @@
 SIGTERM on a request sent in the announcement may be cut off. The share of streams that go on is
 checked from `RESUMES_MIN` on."""
 
+ADDED_PATH = re.compile(r"/n(\d+)/")
+FINAL_STATUSES = (401, 404)
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 
 Check = Callable[[History], list[str]]
@@ -179,6 +184,26 @@
     return broken
 
 
+def check_final_refusals(history: History) -> list[str]:
+    """Check that no route or key is refused for good that the store had acknowledged in time.
+
+    No fault excuses it: an instance that may not know the latest configuration can answer 503.
+    """
+    broken = []
+    for each in history.asked:
+        if each.status not in FINAL_STATUSES or not (found := ADDED_PATH.match(each.path)):
+            continue
+        age_s = each.sent_at - history.added[int(found[1])]
+        if age_s > CONFIGURATION_APPLY_S:
+            broken.append(f"{each.request_id} got {each.status} {age_s:.2f} s after {found[0]}")
+    for each in history.keyed:
+        age_s = each.sent_at - history.listed.get(each.key, each.sent_at)
+        is_listed = each.ended_at < history.unlisted.get(each.key, math.inf)
+        if each.status in FINAL_STATUSES and is_listed and age_s > CONFIGURATION_APPLY_S:
+            broken.append(f"{each.request_id} got {each.status} {age_s:.2f} s after its key")
+    return broken
+
+
 def check_stops(history: History) -> list[str]:
     """Check that a planned stop loses no request and that the process exits with 0 in time.
 
@@ -368,6 +393,7 @@
     "holders": check_holders,
     "leaving": check_leaving,
     "configuration": check_configuration,
+    "final": check_final_refusals,
     "stops": check_stops,
     "gone": check_disconnected,
     "refusals": check_refusals,
--- a/test/soak/faults.py
+++ b/test/soak/faults.py
@@ -15,7 +15,7 @@
 from test.soak.history import ALL, STORE, Disturbance, Leaving
 from test.soak.relay import Mode
 from test.soak.scene import LONE_SERVERS, REPORT_S, VERSIONS, Scene
-from test.soak.visitors import LEAD_S, ask_repeatedly, visit_stop
+from test.soak.visitors import LEAD_S, ask_for_server, visit_stop
 
 STOP_TIMEOUT_S = 8.0
 SHORT_FAULT_S = (0.2, 1.5)
@@ -389,7 +389,7 @@
     """
     scene, rng = faults.scene, faults.rng
     pairs = itertools.product(scene.instances, LONE_SERVERS)
-    asking = [asyncio.create_task(ask_repeatedly(scene, *pair)) for pair in pairs]
+    asking = [asyncio.create_task(ask_for_server(scene, *pair)) for pair in pairs]
     changes = []
     for name in rng.sample(list(LONE_SERVERS), len(LONE_SERVERS)):
         await asyncio.sleep(rng.uniform(*LONE_INTERVAL_S))
--- a/test/soak/history.py
+++ b/test/soak/history.py
@@ -139,6 +139,7 @@
     instance: str
     sent_at: float
     status: int
+    ended_at: float = 0.0
 
 
 @define
@@ -155,6 +156,8 @@
 class History:
     """All records of a run; `moves` are route changes as (time, old, new) server prefixes.
 
+    `added` are the times at which the store acknowledged the configuration of a version, `listed`
+    one with a key, by its number, and `unlisted` those from which one without it was written.
     `revoked` are the times at which the store had a configuration without a key, by its number.
     `refused` are the addresses of callers whose connection an instance or a server behind a relay
     refused, with the time.
@@ -168,6 +171,9 @@
     engines: list[Serving] = field(factory=list)
     deadly: list[Deadly] = field(factory=list)
     keyed: list[Keyed] = field(factory=list)
+    added: dict[int, float] = field(factory=dict)
+    listed: dict[int, float] = field(factory=dict)
+    unlisted: dict[int, float] = field(factory=dict)
     revoked: dict[int, float] = field(factory=dict)
     moves: list[tuple[float, str, str]] = field(factory=list)
     own_ends: list[str] = field(factory=list)
--- a/test/soak/mutations.py
+++ b/test/soak/mutations.py
@@ -114,6 +114,7 @@
         "if known is not None and read.unwrap().version <= known.version:",
         "if known is not None:",
     ),
+    ("final", f"{SERVING}/final_refusals.py", "return age_s <= apply_s", "return True"),
     (
         "stops",
         "rhubarbshed/coordination/requests/drain.py",
--- a/test/soak/run.py
+++ b/test/soak/run.py
@@ -17,6 +17,7 @@
 from test.soak.faults import Faults, remove_lone_servers
 from test.soak.history import History
 from test.soak.scene import INSTANCES, Scene, name_instances
+from test.soak.visitors import ask_for_added_routes
 
 CALLERS_PER_INSTANCE = 3
 RECOVERY_S = 12.0
@@ -70,6 +71,7 @@
     ]
     tasks = [asyncio.create_task(caller.run()) for caller in callers]
     tasks += [asyncio.create_task(send_keyed_requests(scene, name)) for name in scene.instances]
+    tasks += [asyncio.create_task(ask_for_added_routes(scene, name)) for name in scene.instances]
     tasks.append(asyncio.create_task(watch(scene)))
     await faults.play(seconds)
     for name in scene.services:
--- a/test/soak/scene.py
+++ b/test/soak/scene.py
@@ -48,6 +48,9 @@
 KEYED_PATH = "/k/"
 """Path of the only route that needs a key."""
 
+VERSION_STEP = 3
+"""Difference between the versions of two configurations."""
+
 KEY_RETRY_S = 0.3
 """Time after which a configuration that the store did not acknowledge is written again."""
 
@@ -62,10 +65,15 @@
     return f"account-{number}"
 
 
+def name_added_route(version: int) -> str:
+    """Return the path of the route that a configuration adds to those before it."""
+    return f"/n{version}/"
+
+
 def make_routes(moved_to: str, version: int, key_number: int) -> dict:
     """Return the configuration in which the route `/x/` leads to the service `moved_to`.
 
-    It has one account, with the key of that number.
+    It has one account, with the key of that number, and a route that the one before it lacks.
     """
     streamed = {"Resumable": True, "TargetGapMs": 500, "Attempts": 3, "TimeoutMs": 7000}
     routes = (
@@ -78,6 +86,10 @@
             make_route("idempotent", f"/{name}/", Service=name, NoAuth=True)
             for name in LONE_SERVERS
         ),
+        *(
+            make_route("idempotent", name_added_route(added), Service="plain", NoAuth=True)
+            for added in range(version, 1, -VERSION_STEP)
+        ),
     )
     tenant = {"Name": name_account(key_number), "ApiKeys": [name_key(key_number)], "Priority": 1}
     engine = make_engine_service({"m1": 9, "m2": 3, "m3": 0, "m4": 0, "m5": 0})
@@ -295,12 +307,14 @@
         was acknowledged.
         """
         async with self.operator:
-            self.version += 3
-            key_number = self.key_number
-            body = make_routes(moved_to, self.version, key_number)
+            self.version += VERSION_STEP
+            version, key_number = self.version, self.key_number
+            body = make_routes(moved_to, version, key_number)
             status = await call_store(self.store_port, "put", body, Table="op", Key="config")
         if status != 200:
             return False
+        self.history.added[version] = time.monotonic()
+        self.history.listed.setdefault(key_number, time.monotonic())
         if moved_to != self.moved_to:
             prefixes = {"plain": "p", "other": "q"}
             self.history.moves.append(
@@ -313,6 +327,7 @@
 
     async def change_key(self) -> None:
         """Replace the account with its key by another one."""
+        self.history.unlisted[self.key_number] = time.monotonic()
         self.key_number += 1
         while not await self.configure(self.moved_to):
             await asyncio.sleep(KEY_RETRY_S)
--- a/test/soak/visitors.py
+++ b/test/soak/visitors.py
@@ -4,13 +4,14 @@
 import functools
 import random
 import time
+from collections.abc import Callable
 
 from attrs import frozen
 
 from test.soak.callers import SLOW_STREAM_PATH, Caller, connect
 from test.soak.checks import ANNOUNCE_S
 from test.soak.history import Sent
-from test.soak.scene import Scene
+from test.soak.scene import Scene, name_added_route
 
 LEAD_S = 1.2
 """Time from the arrival of the first visitors to SIGTERM."""
@@ -48,6 +49,10 @@
 """Visits on connections that come at once, fraction of slow streams among those of visitors, and
 pause of one who asks for the only server of a service."""
 
+ADDED_INTERVAL_S = (0.1, 0.4)
+ADDED_ROUTES = 3
+"""Pause of a visitor who asks for the routes that the last so many configurations added."""
+
 
 async def visit_stop(scene: Scene, rng: random.Random, instance: str, stops_at: float) -> None:
     """Send requests around the stop of an instance, until their connections have ended."""
@@ -84,8 +89,24 @@
         link.writer.transport.abort()
 
 
-async def ask_repeatedly(scene: Scene, instance: str, server: str) -> None:
+async def ask_for_server(scene: Scene, instance: str, server: str) -> None:
     """Send requests for the only server of a service to an instance, until cancelled."""
+    pause_s = (ASK_INTERVAL_S, ASK_INTERVAL_S)
+    await _ask_repeatedly(scene, instance, lambda rng: f"/{server}/", pause_s)
+
+
+async def ask_for_added_routes(scene: Scene, instance: str) -> None:
+    """Send requests for the routes that the last configurations added, until cancelled."""
+
+    def draw_path(rng: random.Random) -> str:
+        return name_added_route(rng.choice(list(scene.history.added)[-ADDED_ROUTES:]))
+
+    await _ask_repeatedly(scene, instance, draw_path, ADDED_INTERVAL_S)
+
+
+async def _ask_repeatedly(
+    scene: Scene, instance: str, draw_path: Callable[[random.Random], str], pause_s: Range
+) -> None:
     scene.visitors += 1
     name = f"v{scene.visitors}"
     rng = random.Random(f"{scene.seed}{name}")
@@ -93,7 +114,7 @@
     while True:
         if (link := await connect(instance, scene.callers[instance])) is not None:
             try:
-                await caller.send_request(link, Sent.NEW, f"/{server}/")
+                await caller.send_request(link, Sent.NEW, draw_path(rng))
             finally:
                 link.writer.transport.abort()
-        await asyncio.sleep(ASK_INTERVAL_S)
+        await asyncio.sleep(rng.uniform(*pause_s))
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -87,6 +87,9 @@
         seen=[evolve(RUN, path="/x/c1-1")],
         moves=[(7.0, "p", "q")],
     ),
+    "final": make_history(
+        asked=[evolve(PLAIN, path="/n4/c1-1", status=404, signed=False)], added={4: 6.9}
+    ),
     "stops": make_history(asked=[evolve(PLAIN, whole=False)], stops=[STOP]),
     "gone": make_history(
         asked=[LEFT],
@@ -164,6 +167,20 @@
     assert len(check_all(history).get("leaving", ())) == told
 
 
+def test_route_or_key_is_refused_for_good_only_while_the_store_may_not_have_it():
+    late = evolve(BROKEN["final"], added={4: 7.1})
+    assert "final" not in check_all(late)
+    keyed = Keyed("k1-1", 1, "i1", 10.0, 401, 10.1)
+    history = make_history(keyed=[keyed], listed={1: 6.9})
+    assert "final" in check_all(history)
+    assert "final" in check_all(evolve(history, unlisted={1: 10.2}))
+    assert "final" not in check_all(evolve(history, unlisted={1: 10.05}))
+    assert "final" not in check_all(evolve(history, listed={1: 7.1}))
+    assert "final" not in check_all(evolve(history, keyed=[evolve(keyed, status=503)]))
+    fault = [Disturbance(ALL, "down", 6.0, 12.0)]
+    assert "final" in check_all(evolve(history, disturbances=fault))
+
+
 def test_share_of_streams_that_go_on_counts_where_nothing_is_disturbed():
     history = BROKEN["resumes"]
     half = [BROKEN_STREAM, *[RESUMED] * 6, *[evolve(RESUMED, status=503, body=b"")] * 6]
@@ -223,7 +240,7 @@
     fault = [Disturbance(ALL, "down", 6.0, 8.0)]
     assert "leaving" not in check_all(evolve(BROKEN["leaving"], disturbances=fault))
     assert "stops" not in check_all(evolve(BROKEN["stops"], disturbances=fault))
-    for name in ("once", "not_run", "answers", "room", "holders"):
+    for name in ("once", "not_run", "answers", "room", "holders", "final"):
         assert name in check_all(evolve(BROKEN[name], disturbances=fault))
 
 
