Let the store be late and its links slow in the soak

Change: two faults, answers of the store that are 0.5 to 1.5 s late for all instances, and a link to one instance that carries 6 to 60 KB a second. Switches of the stand-in are not delayed, so that writes of the operator and heartbeats go on.

--- a/standin/rows.py
+++ b/standin/rows.py
@@ -3,8 +3,8 @@
 Faults are switches: `down` refuses calls, `silent` accepts them without an answer, `lose_answers`
 commits writes and closes the connection, `forget` drops the history, calls about `held_tables` get
 no answer, and each answer takes `delay_s` longer. A restore goes back to a copy and begins a new
-era. As a separate process it accepts the switches as `POST /standin/NAME`, and entries of servers
-without heartbeats expire.
+era. As a separate process it accepts the switches as `POST /standin/NAME`, which no fault delays,
+and entries of servers without heartbeats expire.
 """
 
 import asyncio
@@ -173,7 +173,7 @@
             await asyncio.sleep(3600)
         if any(f"Table={table}&" in target for table in self.held_tables):
             await asyncio.sleep(3600)
-        if self.delay_s:
+        if self.delay_s and not target.startswith("/standin/"):
             await asyncio.sleep(self.delay_s)
         if self.lose_answers and target == "/rhubarbshed/rows-tx":
             return False
@@ -214,6 +214,8 @@
             self.forget()
         elif name == "restore":
             self.restore_aged(float(query["age_s"]), time.monotonic())
+        elif name == "delay":
+            self.delay_s = float(query["s"])
         elif name in ("down", "lose_answers"):
             setattr(self, name, query["on"] == "1")
         return 200, self._make_version_fields()
--- a/test/soak/faults.py
+++ b/test/soak/faults.py
@@ -25,9 +25,11 @@
 HUSHED_S = (1.0, 1.3)
 FAULT_INTERVAL_S = (0.1, 1.5)
 RELAY_DELAY_S = (0.02, 0.3)
+STORE_DELAY_S = (0.5, 1.5)
+LINK_BYTES_PER_S = (6_000, 60_000)
 """Time for a planned stop, duration of faults, time for which a store that is restored is away, age
-of its copy, pause of all plain servers, time between the starts of two faults, and delay that a
-relay adds."""
+of its copy, pause of all plain servers, time between the starts of two faults, delay that a
+relay adds, delay of a late store, and rate of a slow link to it: a configuration has some KB."""
 
 LEAVING_SERVE_S = 4.0
 RELEASE_SERVE_S = 8.0
@@ -231,6 +233,29 @@
     await call_store(port, kind, on="0") if kind != "forget" else None
 
 
+async def slow_link_to_store(faults: Faults) -> None:
+    """Limit the rate of the answers of the store to one instance."""
+    name = faults.rng.choice(list(faults.scene.instances))
+    relay, since = faults.scene.relays[f"store-{name}"], time.monotonic()
+    relay.bytes_per_s = faults.rng.uniform(*LINK_BYTES_PER_S)
+    await asyncio.sleep(faults.rng.uniform(*LONG_FAULT_S))
+    await relay.widen()
+    until = time.monotonic() + 0.1
+    faults.scene.history.disturbances.append(Disturbance(name, "slow link", since, until))
+
+
+async def delay_store(faults: Faults) -> None:
+    """Let all answers of the store come late."""
+    port, since = faults.scene.store_port, time.monotonic()
+    delay_s = faults.rng.uniform(*STORE_DELAY_S)
+    await call_store(port, "delay", s=f"{delay_s:.2f}")
+    await asyncio.sleep(faults.rng.uniform(*LONG_FAULT_S))
+    await call_store(port, "delay", s="0")
+    # Answers that were on their way still come late.
+    until = time.monotonic() + delay_s + 0.1
+    faults.scene.history.disturbances.append(Disturbance(STORE, "late", since, until))
+
+
 async def restore_store(faults: Faults) -> None:
     """Let the store be away for a moment and come back from a copy some seconds old."""
     port, age_s = faults.scene.store_port, faults.rng.uniform(*COPY_AGE_S)
@@ -452,6 +477,8 @@
     reset_links,
     reset_links,
     disturb_store,
+    slow_link_to_store,
+    delay_store,
     restore_store,
     hush_servers,
     write_odd_entries,
--- a/test/soak/relay.py
+++ b/test/soak/relay.py
@@ -95,6 +95,11 @@
         """Drop all further data on open connections; new ones work."""
         self.silenced.update(writer for pair in self.pairs for writer in pair)
 
+    async def widen(self) -> None:
+        """Lift the limit of the rate, and wait until the link has carried what it holds."""
+        self.bytes_per_s = None
+        await asyncio.sleep(self._free_at - time.monotonic())
+
     async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         if self.mode is Mode.REFUSE:
             _reset(writer)
