Read the latest configuration while more come than arrive

What callers saw: 404 or 503 for routes that had been acknowledged long before, at an instance that had stood still during a storm of configurations. Cause: the history has each configuration whole. Over a slow link an answer with several of them takes so long that as many more have come by its end. Change: once an answer of over 0.5 s has several configurations, the table is read, which has the latest one only, until nothing new comes. The feed of the stand-in can have the whole history.

--- a/rhubarbshed/transport/edge/follower.py
+++ b/rhubarbshed/transport/edge/follower.py
@@ -74,6 +74,9 @@
 and the shortest such time, which makes one query a second more than usual. Each answer is dated by
 when it was asked for, so its age reaches twice this part."""
 
+BACKLOG_TRANSFER_S = 0.5
+"""Time for an answer from which several configurations in it mean that more have come meanwhile."""
+
 RELIED_AGE_FRACTION = 0.6
 """Part of that bound up to which an instance leaves the confirmation to the order holder; what is
 left is enough for a query of its own."""
@@ -97,6 +100,7 @@
     and its answer arrives by `operator_transfer`. All configurations up to `operator_revision` in
     `operator_era` are known, and up to `late_revision` if its answer came late. While
     `is_configuration_unread`, the latest one could not be read, and nothing confirms the known one.
+    While `is_catching_up`, configurations come faster than they arrive.
     """
 
     store: StoreClient
@@ -119,6 +123,7 @@
     operator_era: int = 0
     late_revision: int | None = None
     is_configuration_unread: bool = False
+    is_catching_up: bool = False
     read_anew: LatchedSignal = field(factory=LatchedSignal)
     message_received_at: float = -1e9
     message_settled: bool = True
@@ -288,7 +293,13 @@
                 pause_s = PAUSE_FIRST_S
                 if table == SERVERS_TABLE:
                     self.entry_age.record_read(sent_at, now, is_full_read)
+                known = self.view.configuration
                 changes = apply(result.unwrap(), is_full_read, now)
+                if table == OPERATOR_TABLE:
+                    has_news = self.view.configuration is not known
+                    self._check_backlog(scan.rows, has_news, now - sent_at)
+                    if self.is_catching_up:
+                        revision = None
                 if table == SERVERS_TABLE:
                     before = self.changed_revision
                     self.servers_revision, self.servers_era = revision, era
@@ -331,6 +342,18 @@
             return max(revision, self.operator_revision or 0), era
         return revision, era
 
+    def _check_backlog(self, rows: tuple[Row, ...], has_news: bool, took_s: float) -> None:
+        """Decide whether to read the latest configuration next rather than the history.
+
+        The history has each configuration whole. Over a slow link, more of them may come than
+        arrive. An answer with `rows` took some seconds, and `has_news` or not.
+        """
+        was_catching_up = self.is_catching_up
+        count = sum(row.key == CONFIGURATION_KEY for row in rows)
+        self.is_catching_up = took_s > BACKLOG_TRANSFER_S and (
+            count > 1 or (was_catching_up and has_news)
+        )
+
     async def _read_all(self, table: str) -> Result[Page, TableError]:
         transfer = Transfer()
         if table == OPERATOR_TABLE:
--- a/standin/rows.py
+++ b/standin/rows.py
@@ -2,7 +2,8 @@
 
 Faults are switches: `down` refuses calls, `silent` accepts them without an answer, `lose_answers`
 commits writes and closes the connection, `forget` drops the history, calls about `held_tables` get
-no answer, and each answer takes `delay_s` longer. A restore goes back to a copy and begins a new
+no answer, and each answer takes `delay_s` longer. The feed has the last change of each row, or all
+of them with `has_whole_history`. A restore goes back to a copy and begins a new
 era. As a separate process it accepts the switches as `POST /standin/NAME`, which no fault delays,
 and entries of servers without heartbeats expire.
 """
@@ -37,6 +38,7 @@
     lose_answers: bool = False
     held_tables: set[str] = field(factory=set)
     delay_s: float = 0.0
+    has_whole_history: bool = False
     calls: list[str] = field(factory=list)
     heartbeats: dict[str, float] = field(factory=dict)
     copies: list[tuple[float, Copy]] = field(factory=list)
@@ -244,13 +246,13 @@
             if after < self.dropped_version or after > self.version:
                 return 410, self._make_version_fields()
             found = {
-                key: (data, ver)
+                (key, ver if self.has_whole_history else 0): (key, data, ver)
                 for ver, name, key, data in self.changes
                 if name == table and ver > after
             }
             left_s = deadline - time.monotonic()
             if found or left_s <= 0:
-                rows = [self._encode_row(table, key, *row) for key, row in found.items()]
+                rows = [self._encode_row(table, *row) for row in found.values()]
                 return 200, {"Rows": rows, **self._make_version_fields()}
             try:
                 await asyncio.wait_for(self._changed.wait(), left_s)
--- a/test/test_edge_old_configuration.py
+++ b/test/test_edge_old_configuration.py
@@ -78,9 +78,9 @@
     assert "table=op rows=1" in list_lines(caplog, "store_read")[0]
 
 
-def make_wide(version: int, *routes: dict) -> dict:
-    """Return a configuration of about 400 KB."""
-    models = [
+def make_wide(version: int, *routes: dict, models: int = WIDE_MODELS) -> dict:
+    """Return a configuration of about 100 bytes for each model."""
+    listed = [
         {
             "Name": f"model-{n:05}",
             "WeightsMb": 1.0,
@@ -88,10 +88,10 @@
             "Adapters": 0,
             "AdapterMb": 1.0,
         }
-        for n in range(WIDE_MODELS)
+        for n in range(models)
     ]
     engine = {"Slots": 8, "KvCapacity": 1000, "WeightsMb": 200.0, "AdapterSlots": 4}
-    engine |= {"LoadsPerS": 10.0, "Models": models}
+    engine |= {"LoadsPerS": 10.0, "Models": listed}
     service = {"Name": "wide", "HealthCheck": "/health", "MaxConnections": 100, "Engine": engine}
     configuration = make_configuration(make_route(), *routes, version=version)
     return {**configuration, "Services": [*configuration["Services"], service]}
@@ -99,7 +99,9 @@
 
 @contextlib.asynccontextmanager
 async def run_behind_relay(
-    configuration: dict, bytes_per_s: float | None = None, **changes: object
+    configuration: dict,
+    bytes_per_s: float | None = None,
+    **changes: object,
 ) -> AsyncIterator[tuple[Edge, Relay]]:
     """Run an instance that reaches the store by way of a relay."""
     store, replica = RowStore(), Replica("b1")
@@ -367,6 +369,22 @@
     play(run)
 
 
+def test_latest_of_many_configurations_is_in_force_soon_behind_a_slow_link():
+    """The history has all of them whole, and more came while they arrived."""
+
+    async def run():
+        async with run_behind_relay(make_wide(1, models=1000)) as (edge, relay):
+            await edge.wait_until(lambda: edge.node.view.is_ready)
+            edge.store.has_whole_history = True
+            relay.bytes_per_s = LINK_BYTES_PER_S
+            for version in range(2, 32):
+                edge.store.put("op", "config", make_wide(version, models=1000))
+                await asyncio.sleep(0.3)
+            await edge.wait_until(lambda: edge.node.view.configuration.version == 31)
+
+    play(run)
+
+
 def test_instance_starts_behind_a_link_over_which_the_configuration_arrives_slowly():
     async def run():
         async with run_behind_relay(make_wide(1), LINK_BYTES_PER_S) as (edge, _):
