Let an instance start with a store that answers late

What callers saw: no instance that starts is ever ready while the store takes over 0.8 s for an answer. Cause: the read of all servers gave it the same time again and again. Change: the time to begin that answer is doubled after each silence, up to 3.2 s.

--- a/rhubarbshed/transport/edge/follower.py
+++ b/rhubarbshed/transport/edge/follower.py
@@ -21,7 +21,7 @@
 from rhubarbshed.state.membership.entry_age import EntryAge
 from rhubarbshed.transport.edge.account_logs import report_accounts
 from rhubarbshed.transport.edge.control import Transfer
-from rhubarbshed.transport.edge.store import StoreClient
+from rhubarbshed.transport.edge.store import CALL_TIMEOUT_S, StoreClient
 from rhubarbshed.transport.edge.view import LatchedSignal, Signal, View
 from rhubarbshed.util.clocks import read_lease_clock
 from rhubarbshed.util.logs import log_event
@@ -74,6 +74,9 @@
 and the shortest such time, which makes one query a second more than usual. Each answer is dated by
 when it was asked for, so its age reaches twice this part."""
 
+FIRST_BYTE_MAX_S = 3.2
+"""Longest time that a silent store gets to begin its answer to a read of all servers."""
+
 BACKLOG_TRANSFER_S = 0.5
 """Time for an answer from which several configurations in it mean that more have come meanwhile."""
 
@@ -262,6 +265,7 @@
         revision: int | None = None
         era = self.store.era
         pause_s = PAUSE_FIRST_S
+        first_s = CALL_TIMEOUT_S
         while True:
             if table == SERVERS_TABLE and revision is not None:
                 await self._wait_for_turn(table)
@@ -276,7 +280,7 @@
             if table == OPERATOR_TABLE:
                 self.operator_asked_at = read_lease_clock()
             if is_full_read:
-                result = await self._read_all(table)
+                result = await self._read_all(table, first_s)
             else:
                 result = await self._query_changes(table, revision, wait_s)
             now = time.monotonic()
@@ -290,7 +294,7 @@
                 if scan.era != (self.store.era if is_full_read else era):
                     continue
                 revision, era = scan.revision, scan.era
-                pause_s = PAUSE_FIRST_S
+                pause_s, first_s = PAUSE_FIRST_S, CALL_TIMEOUT_S
                 if table == SERVERS_TABLE:
                     self.entry_age.record_read(sent_at, now, is_full_read)
                 known = self.view.configuration
@@ -321,6 +325,9 @@
                 continue
             self._record_failure(table, result.failure(), now)
             self.failing_tables.add(table)
+            if table == SERVERS_TABLE and is_full_read and result.failure().waited_s:
+                # A slow store never gets the entries through in the same time.
+                first_s = min(FIRST_BYTE_MAX_S, first_s * 2.0)
             if table == OPERATOR_TABLE and self.entry_age.is_outage:
                 # The history has each configuration whole: several of them do not come in time over
                 # a slow link, while the latest one is all that is needed.
@@ -354,11 +361,11 @@
             count > 1 or (was_catching_up and has_news)
         )
 
-    async def _read_all(self, table: str) -> Result[Page, TableError]:
+    async def _read_all(self, table: str, first_s: float) -> Result[Page, TableError]:
         transfer = Transfer()
         if table == OPERATOR_TABLE:
             self.operator_transfer = transfer
-        return await self.store.read_all(table, transfer)
+        return await self.store.read_all(table, transfer, first_s)
 
     async def _pause(self, table: str, pause_s: float) -> None:
         """Wait before a retry; while both queries fail, one is enough to detect the return."""
--- a/rhubarbshed/transport/edge/store.py
+++ b/rhubarbshed/transport/edge/store.py
@@ -88,15 +88,19 @@
     _late_answers: dict[asyncio.Task, Transfer] = field(factory=dict)
 
     async def read_all(
-        self, table: str, transfer: Transfer | None = None
+        self, table: str, transfer: Transfer | None = None, first_s: float = CALL_TIMEOUT_S
     ) -> Result[Page, TableError]:
-        """Return all rows of a table; `scan.revision` is that of the first page read."""
+        """Return all rows of a table; `scan.revision` is that of the first page read.
+
+        The store has `first_s` to begin each page.
+        """
         rows: list[Row] = []
         start = ""
         first: Page | None = None
         for _ in range(PAGES_MAX):
             self.count("read", table)
-            options = CallOptions(READ_LIMITS, transfer=transfer or Transfer())
+            limits = evolve(READ_LIMITS, first_s=first_s)
+            options = CallOptions(limits, transfer=transfer or Transfer())
             page = await self._read(table, make_read(table, start), options, not start)
             if isinstance(page, Failure):
                 return page
--- a/test/test_edge_old_configuration.py
+++ b/test/test_edge_old_configuration.py
@@ -101,10 +101,11 @@
 async def run_behind_relay(
     configuration: dict,
     bytes_per_s: float | None = None,
+    delay_s: float = 0.0,
     **changes: object,
 ) -> AsyncIterator[tuple[Edge, Relay]]:
     """Run an instance that reaches the store by way of a relay."""
-    store, replica = RowStore(), Replica("b1")
+    store, replica = RowStore(delay_s=delay_s), Replica("b1")
     await store.start()
     await replica.start()
     relay = Relay(find_port(), store.address[1], bytes_per_s=bytes_per_s)
@@ -419,6 +420,15 @@
     play(run)
 
 
+def test_instance_starts_with_a_store_that_answers_late():
+    async def run():
+        async with run_behind_relay(make_configuration(make_route()), delay_s=1.0) as (edge, _):
+            await edge.wait_until(lambda: edge.node.view.is_ready, 2.0 * WAIT_S)
+            assert (await edge.ask()).status == 200
+
+    play(run)
+
+
 def answer_once(listener: socket.socket) -> None:
     """Answer the first call in 0.1 s."""
     connection, _ = listener.accept()
