Read the latest configuration after a pause of the process

Cause: the first answer after a pause has the change that came as the pause began, and the next one all those since, whole, which takes seconds over a slow link. Change: a loop that was late by a second or more, suspensions included, has the follower read the table after that first answer. Before: the new test failed. After: it passes.

--- a/rhubarbshed/transport/edge/follower.py
+++ b/rhubarbshed/transport/edge/follower.py
@@ -103,7 +103,8 @@
     and its answer arrives by `operator_transfer`. All configurations up to `operator_revision` in
     `operator_era` are known, and up to `late_revision` if its answer came late. While
     `is_configuration_unread`, the latest one could not be read, and nothing confirms the known one.
-    While `is_catching_up`, configurations come faster than they arrive.
+    While `is_catching_up`, configurations come faster than they arrive. `was_paused` is whether the
+    process stood still during the query for one.
     """
 
     store: StoreClient
@@ -127,6 +128,7 @@
     late_revision: int | None = None
     is_configuration_unread: bool = False
     is_catching_up: bool = False
+    was_paused: bool = False
     read_anew: LatchedSignal = field(factory=LatchedSignal)
     message_received_at: float = -1e9
     message_settled: bool = True
@@ -185,6 +187,10 @@
         self.regained_at = now
         self._query_again()
 
+    def handle_pause(self) -> None:
+        """Read the latest configuration next, as the process stood still."""
+        self.was_paused = True
+
     def _query_again(self) -> None:
         self.is_behind = True
         self.fell_behind.fire()
@@ -302,8 +308,9 @@
                 if table == OPERATOR_TABLE:
                     has_news = self.view.configuration is not known
                     self._check_backlog(scan.rows, has_news, now - sent_at)
-                    if self.is_catching_up:
+                    if self.is_catching_up or self.was_paused:
                         revision = None
+                    self.was_paused = False
                 if table == SERVERS_TABLE:
                     before = self.changed_revision
                     self.servers_revision, self.servers_era = revision, era
--- a/rhubarbshed/transport/edge/node.py
+++ b/rhubarbshed/transport/edge/node.py
@@ -91,6 +91,9 @@
 ACCEPT_PASSES = 3
 """Passes of the event loop from accepting a connection to its first call."""
 
+PAUSE_MIN_S = 1.0
+"""Delay of the event loop from which several configurations may have been missed."""
+
 SWEEP_INTERVAL_S = 0.25
 """Time between two checks for servers without entries."""
 
@@ -450,8 +453,12 @@
         ticks = 0
         while True:
             due_at = time.monotonic() + SWEEP_INTERVAL_S
+            # The machine may be suspended, which the monotonic clock does not count.
+            resumes_at = read_lease_clock() + SWEEP_INTERVAL_S
             await asyncio.sleep(SWEEP_INTERVAL_S)
             self.report_loop_delay(time.monotonic() - due_at)
+            if read_lease_clock() - resumes_at >= PAUSE_MIN_S:
+                self.follower.handle_pause()
             self.follower.drop_missing(time.monotonic())
             if self.is_closing():
                 # A storm of signals may have filled what tells the event loop of each.
--- a/test/test_edge_old_configuration.py
+++ b/test/test_edge_old_configuration.py
@@ -386,6 +386,21 @@
     play(run)
 
 
+def test_instance_that_stood_still_reads_the_latest_configuration_and_not_the_history():
+    async def run():
+        async with run_edge(make_configuration(make_route()), Replica("b1")) as edge:
+            node, read = edge.node, ("store_calls", "read", "op")
+            reads = node.metrics.counts[read]
+            await asyncio.sleep(0.5)
+            # Blocks the event loop, which this instance shares with its store.
+            time.sleep(1.5)
+            edge.store.put("op", "config", make_configuration(make_route(), version=2))
+            await edge.wait_until(lambda: node.view.configuration.version == 2)
+            await edge.wait_until(lambda: node.metrics.counts[read] > reads)
+
+    play(run)
+
+
 def test_instance_starts_behind_a_link_over_which_the_configuration_arrives_slowly():
     async def run():
         async with run_behind_relay(make_wide(1), LINK_BYTES_PER_S) as (edge, _):
