--- a/test/test_edge_old_configuration.py
+++ b/test/test_edge_old_configuration.py
@@ -444,20 +444,45 @@
     play(run)
 
 
-def answer_once(listener: socket.socket) -> None:
-    """Answer the first call in 0.1 s."""
+def answer_once(listener: socket.socket, read_at: list[float]) -> None:
+    """Answer the first call 0.1 s after it is read."""
     connection, _ = listener.accept()
     with connection:
         connection.recv(65_536)
+        read_at.append(time.monotonic())
         time.sleep(0.1)
         connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
         time.sleep(1.0)
 
 
+def test_call_is_written_before_a_late_loop_outdates_its_permission():
+    """Its answer had a task of its own, which wrote the call when the loop came to it."""
+
+    async def run():
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            asked_at, read_at = [], []
+            server = threading.Thread(target=answer_once, args=(listener, read_at))
+            server.start()
+
+            def allow() -> bool:
+                asked_at.append(time.monotonic())
+                asyncio.get_running_loop().call_soon(time.sleep, 0.5)
+                return True
+
+            sent = ControlCall(b"GET", b"/x", answer_bytes_max=100)
+            address = listener.getsockname()
+            result = await call_server(Pool(1.0), address, sent, 2.0, allow)
+            server.join()
+            assert result.unwrap().body == b"ok"
+            assert read_at[0] < asked_at[0] + 0.3
+
+    play(run)
+
+
 def test_answer_that_came_in_time_counts_though_the_event_loop_is_late():
     async def run():
         with socket.create_server(("127.0.0.1", 0)) as listener:
-            server = threading.Thread(target=answer_once, args=(listener,))
+            server = threading.Thread(target=answer_once, args=(listener, []))
             server.start()
             sent = ControlCall(b"GET", b"/x", answer_bytes_max=100)
             address = listener.getsockname()
