Refuse long requests for good only by limits that are recent

Callers of an instance without the store got a final 413 or 431 for requests that a later configuration allows. Cause: these two were decided as bytes arrive, by limits of any age, while 404 and 401 need a configuration that the store confirmed within config_apply_ms.

Now a request beyond a limit that may be out of date is held, and nothing more of its connection is read, until the configuration is confirmed: it goes on if the limit was raised, is refused if not, and gets 503 with Retry-After if the store does not answer. The lookup takes at most 0.8 s and none while the store is known to be lost; recent limits refuse at once as before.

--- a/rhubarbshed/coordination/serving/explanation.py
+++ b/rhubarbshed/coordination/serving/explanation.py
@@ -23,6 +23,7 @@
     list_staying,
 )
 from rhubarbshed.coordination.serving.expected_time import RequestPace
+from rhubarbshed.coordination.serving.final_refusals import measure_confirmation_wait
 from rhubarbshed.coordination.serving.missing_models import (
     CallerPatience,
     LoadWait,
@@ -30,7 +31,11 @@
     decide_scheduled_load_wait,
 )
 from rhubarbshed.coordination.serving.queueing import measure_wait
-from rhubarbshed.coordination.serving.refusals import make_no_route, make_refusal
+from rhubarbshed.coordination.serving.refusals import (
+    make_no_route,
+    make_refusal,
+    make_unconfirmed,
+)
 from rhubarbshed.coordination.serving.server_limits import find_limit_retry
 from rhubarbshed.protocol.errors import RequestError
 from rhubarbshed.protocol.routes import Configuration, Route
@@ -83,6 +88,8 @@
     have been read. `is_cut` means that the instance reaches no server. Servers that announced after
     `leaving_since` that they leave still serve rests of streams. `has_pressure` means that requests
     are scheduled and spread, `check_access` returns the error for the request's key on a route.
+    `may_refuse` is whether the configuration may refuse for good, else it is confirmed in
+    `confirmed_in_s` unless `is_store_lost`.
     """
 
     configuration: Configuration | None
@@ -95,6 +102,9 @@
     leaving_since: float = math.inf
     has_pressure: bool = False
     check_access: Callable[[Route], RequestError | None] = lambda route: None
+    may_refuse: bool = True
+    is_store_lost: bool = False
+    confirmed_in_s: float = 0.0
 
 
 @frozen
@@ -167,7 +177,7 @@
         return refuse(make_refusal("not_configured", rng, surroundings.read_in_s))
     route = configuration.find_route(query.host.lower(), query.path)
     if route is None:
-        return refuse(make_no_route(), configuration=configuration.version)
+        return explain_no_route(query, surroundings, configuration, rng)
     if (refused := surroundings.check_access(route)) is not None:
         return refuse(refused, route=route.name, configuration=configuration.version)
     service = query.service or choose_service(route, "", rng)
@@ -194,6 +204,26 @@
     return explain_absence(query, surroundings, route, service, fleet, last, rng, now, facts)
 
 
+def explain_no_route(
+    query: Query, surroundings: Surroundings, configuration: Configuration, rng: random.Random
+) -> Explanation:
+    """Return the explanation of a request that no known route fits.
+
+    A configuration that may be out of date is confirmed first.
+    """
+    if surroundings.may_refuse:
+        return refuse(make_no_route(), configuration=configuration.version)
+    error = make_unconfirmed("route_unconfirmed", rng, surroundings.confirmed_in_s)
+    wait_s = measure_confirmation_wait(query.timeout_s, surroundings.is_store_lost)
+    return Explanation(
+        "waits" if wait_s > 0.0 else "refused",
+        error.code,
+        wait_s=wait_s,
+        error=error,
+        configuration=configuration.version,
+    )
+
+
 def refuse(error: RequestError, **facts: object) -> Explanation:
     """Return the explanation of a request that is refused before a server is chosen."""
     return Explanation("refused", error.code, error=error, **facts)
--- a/rhubarbshed/coordination/serving/final_refusals.py
+++ b/rhubarbshed/coordination/serving/final_refusals.py
@@ -8,8 +8,9 @@
 the store a few milliseconds, once in that time at most. If that fails, the caller is asked to come
 back: a caller who is wrong asks in vain once more, while one who is right is served.
 
-    configuration      no route, no or unknown key     known key            route without keys
-    recent             404, 401                        served               served
+    configuration      no route, no or unknown key,    known key            route without keys
+                       longer than allowed
+    recent             404, 401, 431 or 413            served               served
     older              confirmed, then as recent       served               served
     not confirmable    503 with Retry-After            served; with strict  served
                                                        revocation 503 from
--- a/rhubarbshed/coordination/serving/refusals.py
+++ b/rhubarbshed/coordination/serving/refusals.py
@@ -70,6 +70,11 @@
     "route_unconfirmed": RefusalReason(
         "route_unconfirmed", "it is not confirmed that no route fits", UNCONFIRMED_RETRY_S
     ),
+    "limits_unconfirmed": RefusalReason(
+        "limits_unconfirmed",
+        "the request is longer than was allowed when limits were last confirmed",
+        UNCONFIRMED_RETRY_S,
+    ),
     "keys_unconfirmed": RefusalReason(
         "keys_unconfirmed", "the validity of keys is not confirmed", UNCONFIRMED_RETRY_S
     ),
--- a/rhubarbshed/transport/edge/access_checks.py
+++ b/rhubarbshed/transport/edge/access_checks.py
@@ -5,7 +5,6 @@
 import time
 
 from rhubarbshed.coordination.serving.account_access import Access, Refusal, decide_access
-from rhubarbshed.coordination.serving.final_refusals import may_refuse_finally
 from rhubarbshed.coordination.serving.refusals import make_access_refusal
 from rhubarbshed.protocol.errors import RequestError
 from rhubarbshed.transport.edge.request_progress import RequestProgress
@@ -26,17 +25,11 @@
     return view.versions.entry_age.is_configuration_trusted(view.settings.revocation_s, now)
 
 
-def may_refuse(view: View, now: float) -> bool:
-    """Return whether the known configuration may refuse for good; `now` is of the lease clock."""
-    age_s = view.versions.entry_age.measure_configuration_age(now)
-    return may_refuse_finally(age_s, view.settings.config_apply_s)
-
-
 def is_undecided(progress: RequestProgress) -> bool:
     """Return whether only a confirmed configuration can decide on the request."""
     now = read_lease_clock()
     if progress.route is None:
-        return not may_refuse(progress.relay.view, now)
+        return not progress.relay.view.may_refuse_finally(now)
     return find_access(progress, now).refusal is Refusal.KEYS_UNCONFIRMED
 
 
@@ -53,7 +46,7 @@
         progress.route,
         progress.request.key,
         lambda at: may_trust_keys(view, at),
-        lambda at: may_refuse(view, at),
+        view.may_refuse_finally,
         now,
     )
     if access.refusal is None:
--- a/rhubarbshed/transport/edge/caller_connections.py
+++ b/rhubarbshed/transport/edge/caller_connections.py
@@ -1,6 +1,7 @@
 """Connections of callers: requests in, responses out, one at a time on each."""
 
 import asyncio
+import functools
 import logging
 import time
 from collections.abc import Awaitable, Callable
@@ -13,6 +14,13 @@
 from rhubarbshed.transport.edge.connection_logs import CloseLog, CloseReason, ConnectionState
 from rhubarbshed.transport.edge.parsing_turns import ParsingTurns
 from rhubarbshed.transport.edge.received_bytes import ReceivedBytes
+from rhubarbshed.transport.edge.request_limits import (
+    FindExcess,
+    LimitCheck,
+    find_excess_bytes,
+    measure_announced,
+    measure_head,
+)
 from rhubarbshed.transport.edge.sockets import (
     UNACKNOWLEDGED_MS,
     abort_with_reset,
@@ -112,6 +120,7 @@
 
     handle: Handler
     read_limits: Callable[[], CallerLimits]
+    limit_check: LimitCheck
     is_closing: Callable[[], bool]
     is_refusing: Callable[[], bool]
     connections: set["CallerConnection"]
@@ -145,6 +154,7 @@
     _answering: bool = False
     _ending: bool = False
     _rest_refused: bool = False
+    _limit_wait: asyncio.Task | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Wait for the first request."""
@@ -204,6 +214,8 @@
         self.connections.discard(self)
         self._writable.set()
         self.cancel_work()
+        if self._limit_wait is not None:
+            self._limit_wait.cancel()
 
     def pause_writing(self) -> None:
         """Make `wait_writable` wait while the caller does not read."""
@@ -454,7 +466,7 @@
     @property
     def _may_parse(self) -> bool:
         """Return whether another request may be read: there is room for its answer, too."""
-        if self._answering or self._close_after:
+        if self._answering or self._close_after or self._limit_wait is not None:
             return False
         has_room = self.unsent_bytes <= UNSENT_BYTES_MAX and self.received.has_room
         return has_room or self._writable.is_set()
@@ -469,6 +481,8 @@
             event = self._parser.next_event()
             if event is h11.NEED_DATA:
                 self._limit_head()
+                if self._limit_wait is not None:
+                    return
                 if self._close_after or not self._unparsed:
                     self._continue_body()
                     return
@@ -496,9 +510,8 @@
         A request's head that has begun gets its own time, not what is left of the idle time.
         """
         length = len(self._parser.trailing_data[0])
-        if length > self.read_limits().header_bytes:
-            self.refuse(431, "the head is longer than allowed")
-        elif length and self._request is None and not self._head_begun:
+        is_refused = self._limit(functools.partial(find_excess_bytes, length, 0))
+        if length and self._request is None and not self._head_begun and not is_refused:
             self._head_begun = True
             self._set_timer(self.read_limits().header_timeout_s)
 
@@ -515,17 +528,42 @@
             self.refuse(400, "both a length and chunks")
             return
         self._set_timer(limits.idle_timeout_s)
-        if measure_head(request) > limits.header_bytes:
-            self.refuse(431, "the head is longer than allowed")
-            return
-        for name, value in request.headers:
-            if name == b"content-length" and int(value) > limits.body_bytes:
-                self.refuse(413, "the body is longer than allowed")
+        announced = measure_announced(request)
+        self._limit(functools.partial(find_excess_bytes, measure_head(request), announced))
 
     def _add_body(self, data: bytearray) -> None:
         self._body += data
-        if len(self._body) > self.read_limits().body_bytes:
-            self.refuse(413, "the body is longer than allowed")
+        self._limit(functools.partial(find_excess_bytes, 0, len(self._body)))
+
+    def _limit(self, find_excess: FindExcess) -> bool:
+        """Refuse a request that is beyond a limit, and return whether it was.
+
+        Nothing more of it is read while a limit that may be out of date is confirmed.
+        """
+        excess = find_excess(self.read_limits())
+        if excess is None:
+            return False
+        if self.limit_check.is_recent:
+            self.refuse(*excess)
+            return True
+        self._limit_wait = asyncio.create_task(self._confirm_limit(find_excess))
+        return False
+
+    async def _confirm_limit(self, find_excess: FindExcess) -> None:
+        """Go on with a request once the limit that it is beyond is confirmed or raised."""
+        await self.limit_check.confirm()
+        self._limit_wait = None
+        if self._close_after or not self.is_open:
+            return
+        excess = find_excess(self.read_limits())
+        if excess is None:
+            self._read()
+            self._limit_reading()
+        elif self.limit_check.is_recent:
+            self.refuse(*excess)
+        else:
+            error = self.limit_check.make_refusal(time.monotonic())
+            self.refuse(error.status, error.message, error.retry_after_s)
 
     def _answer(self) -> None:
         self._make_room()
@@ -598,7 +636,7 @@
         self._make_room()
         # What the parser holds alone is a head in part, which has a limit of its own.
         is_full = bool(self._unparsed) and self.unparsed_bytes > PIPELINED_BYTES_MAX
-        if self._rest_refused or is_full:
+        if self._rest_refused or is_full or self._limit_wait is not None:
             self._pause_reading()
         else:
             self._transport.resume_reading()
@@ -647,11 +685,3 @@
 def make_retry_header(after_s: float) -> tuple[bytes, bytes]:
     """Return the header that states when a request may be sent again."""
     return (b"retry-after", f"{after_s:.3f}".encode())
-
-
-def measure_head(request: h11.Request) -> int:
-    """Return the bytes of a request's whole head."""
-    head_lines_bytes = sum(
-        len(name) + len(value) + len(b": \r\n") for name, value in request.headers
-    )
-    return len(request.method) + len(request.target) + len(b"  HTTP/1.1\r\n\r\n") + head_lines_bytes
--- a/rhubarbshed/transport/edge/explanations.py
+++ b/rhubarbshed/transport/edge/explanations.py
@@ -29,7 +29,7 @@
 from rhubarbshed.protocol.errors import RequestError
 from rhubarbshed.protocol.exchanges import Headers
 from rhubarbshed.protocol.routes import Route
-from rhubarbshed.transport.edge.access_checks import may_refuse, may_trust_keys
+from rhubarbshed.transport.edge.access_checks import may_trust_keys
 from rhubarbshed.transport.edge.relay import Relay
 from rhubarbshed.transport.edge.request_logs import find_stage
 from rhubarbshed.transport.edge.request_progress import RequestProgress
@@ -96,6 +96,9 @@
         read_in_s=estimate_first_read(view.next_read_at, now),
         has_pressure=view.settings.has_pressure,
         leaving_since=view.versions.entry_age.find_announced_since(view.settings.drain_s, now),
+        may_refuse=view.may_refuse_finally(read_lease_clock()),
+        is_store_lost=view.versions.entry_age.lost_at is not None,
+        confirmed_in_s=view.next_read_at - now,
     )
 
 
@@ -164,7 +167,7 @@
             route,
             key,
             lambda now: may_trust_keys(view, now),
-            lambda now: may_refuse(view, now),
+            view.may_refuse_finally,
             at,
         )
         if access.refusal is None:
--- a/rhubarbshed/transport/edge/node.py
+++ b/rhubarbshed/transport/edge/node.py
@@ -54,6 +54,7 @@
 from rhubarbshed.transport.edge.pools import Pool, connect_from
 from rhubarbshed.transport.edge.received_bytes import ReceivedBytes
 from rhubarbshed.transport.edge.relay import Relay
+from rhubarbshed.transport.edge.request_limits import LimitCheck
 from rhubarbshed.transport.edge.server_checks import ServerChecks
 from rhubarbshed.transport.edge.sockets import accept_waiting
 from rhubarbshed.transport.edge.store import StoreClient, log_calls
@@ -153,6 +154,11 @@
     tasks: list[asyncio.Task] = field(factory=list)
     noted_signals: Mapping[signal.Signals, float] = field(factory=dict)
     last_read: FrontSettings | None = None
+    limit_check: LimitCheck = field(init=False)
+
+    @limit_check.default
+    def _make_limit_check(self) -> LimitCheck:
+        return LimitCheck(self.view, self.relay.confirm_configuration)
 
     @classmethod
     def from_settings(cls, settings: FrontSettings, path: str) -> "Node":
@@ -367,6 +373,7 @@
         return CallerConnection(
             handle,
             lambda: self.view.limits,
+            self.limit_check,
             self.is_closing,
             self.is_refusing,
             connections,
--- a/rhubarbshed/transport/edge/view.py
+++ b/rhubarbshed/transport/edge/view.py
@@ -10,6 +10,7 @@
 from attrs import define, field
 
 from rhubarbshed.coordination.requests.drain import Drain
+from rhubarbshed.coordination.serving.final_refusals import may_refuse_finally
 from rhubarbshed.coordination.serving.retry_budget import ServiceRetryBudget
 from rhubarbshed.coordination.serving.versions import measure_followed
 from rhubarbshed.protocol.routes import CallerLimits, Configuration
@@ -197,3 +198,8 @@
         limit_s = settings.revocation_s
         limit_s -= min(READY_LEAD_S, READY_LEAD_FRACTION * limit_s)
         return not self.versions.entry_age.is_configuration_trusted(limit_s, now)
+
+    def may_refuse_finally(self, now: float) -> bool:
+        """Return whether the configuration may refuse for good; `now` is of the lease clock."""
+        age_s = self.versions.entry_age.measure_configuration_age(now)
+        return may_refuse_finally(age_s, self.settings.config_apply_s)
--- a/test/test_edge_old_configuration.py
+++ b/test/test_edge_old_configuration.py
@@ -24,12 +24,14 @@
 from test.helper_edge import (
     HOST,
     WAIT_S,
+    Answer,
     Edge,
     find_port,
     make_configuration,
     make_route,
     make_settings,
     play,
+    read_answer,
     run_edge,
 )
 from test.soak.relay import Mode, Relay
@@ -370,6 +372,105 @@
     play(run)
 
 
+LIMITS = {
+    "MaxHeaderBytes": 1000,
+    "MaxBodyBytes": 1000,
+    "HeaderTimeoutMs": 5000,
+    "IdleTimeoutMs": 30000,
+}
+RAISED = {**LIMITS, "MaxHeaderBytes": 100_000, "MaxBodyBytes": 100_000}
+HEAD = f"POST /p/x HTTP/1.1\r\nHost: {HOST}\r\nRhubarbshed-Request-Id: q1\r\n".encode()
+LONG = {
+    "head": (HEAD + b"X-Long: " + b"x" * 2000 + b"\r\n\r\n", 431),
+    "part of a head": (HEAD + b"X-Long: " + b"x" * 20_000 + b"\r\n\r\n", 431),
+    "announced body": (HEAD + b"Content-Length: 2000\r\n\r\n" + b"x" * 2000, 413),
+    "chunk": (HEAD + b"Transfer-Encoding: chunked\r\n\r\n7d0\r\n" + b"x" * 2000, 413),
+}
+REST = {"chunk": b"\r\n0\r\n\r\n"}
+
+
+async def send_long(edge: Edge, kind: str) -> Answer:
+    """Send a request that is longer than `LIMITS` allow, in pieces."""
+    reader, writer = await asyncio.open_connection(*edge.node.settings.callers)
+    sent, _ = LONG[kind]
+    for first in range(0, len(sent), 1500):
+        writer.write(sent[first : first + 1500])
+        await asyncio.sleep(0.01)
+    writer.write(REST.get(kind, b""))
+    try:
+        return await asyncio.wait_for(read_answer(reader), WAIT_S)
+    finally:
+        writer.close()
+
+
+@pytest.mark.parametrize("kind", LONG)
+def test_request_within_a_limit_that_was_raised_is_served_while_the_news_of_it_is_lost(kind):
+    async def run():
+        before = make_configuration(make_route(), Limits=LIMITS)
+        async with run_behind_relay(before, config_apply_s=APPLY_S) as (edge, relay):
+            await edge.wait_until(lambda: edge.node.view.is_ready)
+            assert (await send_long(edge, kind)).status == LONG[kind][1]
+            await asyncio.sleep(0.5)
+            relay.silence_open()
+            after = make_configuration(make_route(), version=2, Limits=RAISED)
+            edge.store.put("op", "config", after)
+            age_configuration(edge, APPLY_S + 0.1)
+            assert (await send_long(edge, kind)).status == 200
+
+    play(run)
+
+
+@pytest.mark.parametrize("kind", LONG)
+def test_request_beyond_a_limit_is_refused_for_good_once_the_limit_is_confirmed(kind):
+    async def run():
+        before = make_configuration(make_route(), Limits=LIMITS)
+        async with run_edge(before, Replica("b1"), config_apply_s=APPLY_S) as edge:
+            for _ in range(2):
+                age_configuration(edge, APPLY_S + 0.1)
+                assert (await send_long(edge, kind)).status == LONG[kind][1]
+                await asyncio.sleep(0.6)
+
+    play(run)
+
+
+@pytest.mark.parametrize("kind", LONG)
+def test_request_beyond_a_limit_is_not_refused_for_good_without_the_store(kind):
+    async def run():
+        before = make_configuration(make_route(), Limits=LIMITS)
+        async with run_behind_relay(before, config_apply_s=APPLY_S) as (edge, relay):
+            await edge.wait_until(lambda: edge.node.view.is_ready)
+            relay.mode = Mode.DROP_ALL
+            for _ in range(2):
+                age_configuration(edge, APPLY_S + 0.1)
+                answer = await send_long(edge, kind)
+                assert answer.status == 503 and float(answer.headers["retry-after"]) > 0.0
+                assert answer.headers["connection"] == "close"
+            await edge.wait_until(lambda: edge.node.follower.entry_age.lost_at is not None)
+            begun_at = time.monotonic()
+            assert (await send_long(edge, kind)).status == 503
+            assert time.monotonic() - begun_at < 0.5
+
+    play(run)
+
+
+def test_caller_that_leaves_while_a_limit_is_confirmed_ends_the_wait():
+    async def run():
+        before = make_configuration(make_route(), Limits=LIMITS)
+        async with run_behind_relay(before, config_apply_s=APPLY_S) as (edge, relay):
+            await edge.wait_until(lambda: edge.node.view.is_ready)
+            relay.mode = Mode.DROP_ALL
+            age_configuration(edge, APPLY_S + 0.1)
+            _, writer = await asyncio.open_connection(*edge.node.settings.callers)
+            writer.write(LONG["head"][0])
+            await asyncio.sleep(0.2)
+            (connection,) = edge.node.connections
+            assert connection.is_receiving
+            writer.transport.abort()
+            await edge.wait_until(lambda: not edge.node.connections, 0.4)
+
+    play(run)
+
+
 def test_latest_of_many_configurations_is_in_force_soon_behind_a_slow_link():
     """The history has all of them whole, and more came while they arrived."""
 
--- a/test/test_ui_explain.py
+++ b/test/test_ui_explain.py
@@ -107,6 +107,16 @@
     assert ask(Fleet()).reason == "no_servers"
 
 
+def test_request_without_a_route_waits_until_the_configuration_is_confirmed():
+    nowhere = evolve(QUERY, path="/none")
+    found = ask(Fleet(), nowhere, may_refuse=False, confirmed_in_s=3.0)
+    assert (found.decision, found.reason) == ("waits", "route_unconfirmed")
+    assert found.wait_s == pytest.approx(0.8) and found.error.retry_after_s >= 3.0
+    assert ask(Fleet(), evolve(nowhere, timeout_s=2.0), may_refuse=False).wait_s == 0.5
+    found = ask(Fleet(), nowhere, may_refuse=False, is_store_lost=True)
+    assert (found.decision, found.error.status, found.wait_s) == ("refused", 503, 0.0)
+
+
 def test_request_for_full_servers_waits_and_is_told_when_there_is_room():
     fleet = make_loaded_fleet(2)
     for record in fleet.list_service("svc"):
