Offer a request that another instance refused unread to a further one

Callers of an instance that reaches no server got 503 at once when the instance that their request was forwarded to had an old body limit and no store. Before that one answered 413, which counts as declined.

Cause: a refusal that is written before a request is read is a sentence without a code. The sentence counted as the code, so the refusal looked like the final error of an instance that had handled the request.

Change: a refusal without a code and a message is one that was sent unread, and the request goes on to a further instance.

--- a/rhubarbshed/transport/edge/attempts.py
+++ b/rhubarbshed/transport/edge/attempts.py
@@ -433,8 +433,8 @@
         not_run = head.declined or head.status in REFUSAL_STATUSES or head.status < 500
         self.detail = code
         # A 4xx of another instance is about what that one knows, such as older routes. A refusal
-        # without a code was sent before the request arrived, as the connection was closed.
-        is_unread = not_run and not code
+        # without a code was sent before the request was read.
+        is_unread = not_run and not message
         is_other = head.status < 500 and head.status != STATUS_MISDIRECTED
         is_other = is_other and code != ACCOUNT_LIMIT_CODE
         self.declined = head.declined or is_unread or is_other
--- a/test/test_edge_old_configuration.py
+++ b/test/test_edge_old_configuration.py
@@ -9,6 +9,7 @@
 from collections.abc import AsyncIterator
 
 import pytest
+from attrs import evolve
 from returns.result import Failure
 
 from rhubarbshed.protocol.exchanges import ControlCall
@@ -21,6 +22,7 @@
 from rhubarbshed.util.logs import PairFormatter
 from standin.replica import Replica
 from standin.rows import RowStore
+from test.helper_cuts import run_cut_scene
 from test.helper_edge import (
     HOST,
     WAIT_S,
@@ -453,6 +455,28 @@
     play(run)
 
 
+def test_forwarded_request_beyond_an_old_limit_is_offered_to_another_instance():
+    """The instance that is asked first has no store; its refusal does not count for the fleet."""
+
+    async def run():
+        async with run_cut_scene() as cuts:
+            await cuts.cut("refuse", "a1")
+            old = cuts["a2"].view
+            limits = evolve(old.configuration.limits, body_bytes=1000)
+            old.configuration = evolve(old.configuration, limits=limits)
+            entry_age = cuts["a2"].follower.entry_age
+            entry_age.configuration_asked_at = read_lease_clock() - 60.0
+            entry_age.lost_at = time.monotonic()
+            peers = cuts["a1"].relay.forwarder.peers
+            for name in ("a3", "b1", "b2"):
+                settings = cuts[name].settings
+                peers.pause((settings.host, settings.peers_port), 60.0, time.monotonic())
+            answer = await cuts.ask("a1", "/u/x", b"x" * 2000)
+            assert answer.status == 200
+
+    play(run)
+
+
 def test_caller_that_leaves_while_a_limit_is_confirmed_ends_the_wait():
     async def run():
         before = make_configuration(make_route(), Limits=LIMITS)
