Limit the time for which a caller waits for a check of entries

Change: both reads of the check have the time of one call. Without them the caller is asked to come back, as before.

--- a/rhubarbshed/transport/edge/entry_checks.py
+++ b/rhubarbshed/transport/edge/entry_checks.py
@@ -12,7 +12,8 @@
 from rhubarbshed.protocol.tables import Row
 from rhubarbshed.state.membership.versions import VersionHistory
 from rhubarbshed.transport.edge.follower import Follower
-from rhubarbshed.transport.edge.store import StoreClient
+from rhubarbshed.transport.edge.late_loops import limit_time
+from rhubarbshed.transport.edge.store import CALL_TIMEOUT_S, StoreClient
 from rhubarbshed.util.logs import log_event
 
 LOG = logging.getLogger(__name__)
@@ -21,6 +22,9 @@
 """Shortest time between two reads of both tables: 370 instances at once stay below the 2,000 reads
 a second that the store takes."""
 
+READ_TIMEOUT_S = CALL_TIMEOUT_S
+"""Time for both reads: a caller that continues a stream waits for them, and leaves soon."""
+
 
 @define(eq=False)
 class EntryCheck:
@@ -47,9 +51,15 @@
         revision = self.follower.servers_revision
         if revision is None:
             return False
-        servers, operator = await asyncio.gather(
+        reads = asyncio.gather(
             self.store.follow(SERVERS_TABLE, revision, 0.0), self.store.read_all(OPERATOR_TABLE)
         )
+        try:
+            async with limit_time(READ_TIMEOUT_S):
+                servers, operator = await reads
+        except TimeoutError:
+            log_event(LOG, logging.INFO, "entries_unconfirmed", reason="the answer took too long")
+            return False
         for result in (servers, operator):
             if isinstance(result, Failure):
                 reason = result.failure().detail
--- a/test/test_edge_old_configuration.py
+++ b/test/test_edge_old_configuration.py
@@ -604,6 +604,24 @@
     play(run)
 
 
+def test_check_of_entries_ends_soon_behind_a_link_over_which_the_configuration_arrives_slowly():
+    """A caller that continues a stream waits for it."""
+
+    async def run():
+        async with run_behind_relay(make_configuration(make_route())) as (edge, relay):
+            await edge.wait_until(lambda: edge.node.view.is_ready)
+            edge.store.put("op", "config", make_wide(2))
+            await edge.wait_until(lambda: edge.node.view.configuration.version == 2)
+            await asyncio.sleep(0.5)
+            relay.bytes_per_s = SLOWEST_BYTES_PER_S
+            begun_at = time.monotonic()
+            assert not await edge.node.relay.confirm_entries()
+            assert time.monotonic() - begun_at < 2.0
+            await relay.widen()
+
+    play(run)
+
+
 def test_answer_that_came_in_time_counts_though_the_event_loop_is_late():
     async def run():
         with socket.create_server(("127.0.0.1", 0)) as listener:
