Suspect a store that accepts no connection for a check

While an order holder's messages arrive, callers whose route is not known each waited 0.8 s for up to 25 s, as the store was not known to be lost.

Cause: a check repeats the query that shows a loss only after a call that got no answer. A connection that hangs has no call yet, so it did not count.

Change: the time that the check took decides. A busy store refuses at once.

--- a/rhubarbshed/transport/edge/follower.py
+++ b/rhubarbshed/transport/edge/follower.py
@@ -423,7 +423,8 @@
             OPERATOR_TABLE, revision, 0.0, fresh=True, transfer_max_s=CONFIRMATION_WAIT_MAX_S
         )
         if isinstance(result, Failure):
-            if result.failure().waited_s:
+            # A busy store refuses at once; one that is lost accepts no connection, or is silent.
+            if read_lease_clock() - asked_at >= CALL_TIMEOUT_S:
                 self.new_configuration.fire()
         elif result.unwrap().scan.era == era:
             self._apply_configurations(result.unwrap(), False, asked_at, time.monotonic())
--- a/test/test_edge_old_configuration.py
+++ b/test/test_edge_old_configuration.py
@@ -15,6 +15,7 @@
 from rhubarbshed.protocol.exchanges import ControlCall
 from rhubarbshed.protocol.tables import TableError, TableFault
 from rhubarbshed.transport.edge.control import call_server
+from rhubarbshed.transport.edge.follower import Follower
 from rhubarbshed.transport.edge.node import Node
 from rhubarbshed.transport.edge.pools import Pool
 from rhubarbshed.transport.edge.store import StoreClient
@@ -622,6 +623,32 @@
     play(run)
 
 
+def test_store_that_accepts_no_connection_is_known_to_be_lost_after_a_check(monkeypatch):
+    """The connection in use is silent, and the messages of an order holder still arrive."""
+
+    async def hang(address):
+        await asyncio.sleep(60.0)
+
+    async def run():
+        monkeypatch.setattr(Follower, "has_recent_message", lambda self, now: True)
+        before = make_configuration(make_route())
+        async with run_behind_relay(before, config_apply_s=APPLY_S) as (edge, relay):
+            await edge.wait_until(lambda: edge.node.view.is_ready)
+            await asyncio.sleep(3.0)
+            edge.node.follower.store.pool.connect = hang
+            relay.silence_open()
+            age_configuration(edge, APPLY_S + 0.1)
+            for _ in range(4):
+                assert (await edge.ask("/unknown/x")).status == 503
+                await asyncio.sleep(0.2)
+            begun_at = time.monotonic()
+            assert (await edge.ask("/unknown/x")).status == 503
+            assert time.monotonic() - begun_at < 0.5
+            assert edge.node.follower.entry_age.lost_at is not None
+
+    play(run)
+
+
 def test_answer_that_came_in_time_counts_though_the_event_loop_is_late():
     async def run():
         with socket.create_server(("127.0.0.1", 0)) as listener:
