Do not count the lateness of the event loop in the wait for a check

A caller got 503 though the answer that confirms the configuration had come in time, as the event loop found it together with the end of the wait.

Change: the wait goes by limit_time, as other calls do since.

--- a/rhubarbshed/transport/edge/configuration_check.py
+++ b/rhubarbshed/transport/edge/configuration_check.py
@@ -1,12 +1,14 @@
 """Query of the store for a later configuration, for requests that only a recent one decides on."""
 
 import asyncio
+import contextlib
 import math
 import time
 
 from attrs import define
 
 from rhubarbshed.transport.edge.follower import Follower
+from rhubarbshed.transport.edge.late_loops import limit_time
 
 QUERY_INTERVAL_S = 0.5
 """Shortest time between two queries: one that confirmed nothing, as the latest configuration cannot
@@ -29,4 +31,6 @@
                 return
             self._asked_at = now
             self._query = asyncio.create_task(self.follower.confirm_configuration())
-        await asyncio.wait((self._query,), timeout=wait_s)
+        with contextlib.suppress(TimeoutError):
+            async with limit_time(wait_s):
+                await asyncio.wait((self._query,))
--- a/test/test_edge_old_configuration.py
+++ b/test/test_edge_old_configuration.py
@@ -14,6 +14,7 @@
 
 from rhubarbshed.protocol.exchanges import ControlCall
 from rhubarbshed.protocol.tables import TableError, TableFault
+from rhubarbshed.transport.edge.configuration_check import ConfigurationCheck
 from rhubarbshed.transport.edge.control import call_server
 from rhubarbshed.transport.edge.follower import Follower
 from rhubarbshed.transport.edge.node import Node
@@ -649,6 +650,26 @@
     play(run)
 
 
+def test_confirmation_that_came_in_time_counts_though_the_event_loop_is_late():
+    class Confirming:
+        is_confirmed = False
+
+        async def confirm_configuration(self) -> None:
+            await asyncio.sleep(0.1)
+            # The tasks between the bytes of an answer and its end.
+            for _ in range(4):
+                await asyncio.sleep(0)
+            self.is_confirmed = True
+
+    async def run():
+        follower = Confirming()
+        asyncio.get_running_loop().call_later(0.05, time.sleep, 1.0)
+        await ConfigurationCheck(follower).confirm(0.8)
+        assert follower.is_confirmed
+
+    play(run)
+
+
 def test_answer_that_came_in_time_counts_though_the_event_loop_is_late():
     async def run():
         with socket.create_server(("127.0.0.1", 0)) as listener:
