Leave callers their time while a limit is confirmed

A caller with 600 ms left got its 503 after 0.8 s. One whose whole head had come got 408 as too slow, where the time for a head is short.

Cause: the wait for a limit did not take the caller's deadline into account, while that for a route leaves most of it. The time for a head and the idle time went on while nothing was read.

No time limit on the caller passes during it.

--- a/rhubarbshed/platform/headers.py
+++ b/rhubarbshed/platform/headers.py
@@ -1,7 +1,7 @@
 """HTTP headers of requests and responses on the platform."""
 
 import math
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
 from attrs import evolve
 
@@ -93,7 +93,6 @@
     values = {name.lower(): value for name, value in headers}
     model, _, adapter = values.get(MODEL, b"").decode("latin-1").partition("/")
     prompt_tokens, output_tokens = _read_tokens(values.get(TOKENS, b""))
-    patience_ms = _read_number(values.get(DEADLINE, b""))
     kept = strip_hop_by_hop(headers)
     return CallerRequest(
         request_id=values.get(REQUEST_ID, b"").decode("latin-1"),
@@ -102,7 +101,7 @@
         host=values.get(b"host", b"").decode("latin-1").lower(),
         headers=tuple(pair for pair in kept if pair[0].lower() not in SYSTEM_ONLY),
         received_at=now,
-        caller_timeout_s=None if patience_ms is None else patience_ms / 1000.0,
+        caller_timeout_s=read_timeout(values),
         model=model,
         adapter=adapter,
         prompt_tokens=prompt_tokens,
@@ -115,6 +114,12 @@
     )
 
 
+def read_timeout(values: Mapping[bytes, bytes]) -> float | None:
+    """Return the seconds that a caller waits, by its headers; None if they do not say."""
+    timeout_ms = _read_number(values.get(DEADLINE, b""))
+    return None if timeout_ms is None else timeout_ms / 1000.0
+
+
 def make_headers(
     request: CallerRequest,
     server_id: str,
--- a/rhubarbshed/transport/edge/caller_connections.py
+++ b/rhubarbshed/transport/edge/caller_connections.py
@@ -3,6 +3,7 @@
 import asyncio
 import functools
 import logging
+import math
 import time
 from collections.abc import Awaitable, Callable
 
@@ -20,6 +21,7 @@
     find_excess_bytes,
     measure_announced,
     measure_head,
+    measure_left,
 )
 from rhubarbshed.transport.edge.sockets import (
     UNACKNOWLEDGED_MS,
@@ -510,10 +512,10 @@
         A request's head that has begun gets its own time, not what is left of the idle time.
         """
         length = len(self._parser.trailing_data[0])
-        is_refused = self._limit(functools.partial(find_excess_bytes, length, 0))
-        if length and self._request is None and not self._head_begun and not is_refused:
+        if length and self._request is None and not self._head_begun:
             self._head_begun = True
             self._set_timer(self.read_limits().header_timeout_s)
+        self._limit(functools.partial(find_excess_bytes, length, 0))
 
     def _begin(self, request: h11.Request) -> None:
         limits = self.read_limits()
@@ -535,28 +537,33 @@
         self._body += data
         self._limit(functools.partial(find_excess_bytes, 0, len(self._body)))
 
-    def _limit(self, find_excess: FindExcess) -> bool:
-        """Refuse a request that is beyond a limit, and return whether it was.
+    def _limit(self, find_excess: FindExcess) -> None:
+        """Refuse a request that is beyond a limit.
 
         Nothing more of it is read while a limit that may be out of date is confirmed.
         """
         excess = find_excess(self.read_limits())
         if excess is None:
-            return False
+            return
         if self.limit_check.is_recent:
             self.refuse(*excess)
-            return True
-        self._limit_wait = asyncio.create_task(self._confirm_limit(find_excess))
-        return False
+        else:
+            self._limit_wait = asyncio.create_task(self._confirm_limit(find_excess))
 
     async def _confirm_limit(self, find_excess: FindExcess) -> None:
         """Go on with a request once the limit that it is beyond is confirmed or raised."""
-        await self.limit_check.confirm()
+        # The time for a head or a body does not pass while it is not read.
+        self._cancel_timer()
+        now = time.monotonic()
+        left_s = measure_left(self._request, self._begun_at, now) if self._request else math.inf
+        await self.limit_check.confirm(left_s)
         self._limit_wait = None
         if self._close_after or not self.is_open:
             return
-        excess = find_excess(self.read_limits())
+        limits = self.read_limits()
+        excess = find_excess(limits)
         if excess is None:
+            self._set_timer(limits.idle_timeout_s if self._request else limits.header_timeout_s)
             self._read()
             self._limit_reading()
         elif self.limit_check.is_recent:
--- a/rhubarbshed/transport/edge/request_limits.py
+++ b/rhubarbshed/transport/edge/request_limits.py
@@ -8,6 +8,7 @@
 
 from rhubarbshed.coordination.serving.final_refusals import measure_confirmation_wait
 from rhubarbshed.coordination.serving.refusals import make_unconfirmed
+from rhubarbshed.platform.headers import read_timeout
 from rhubarbshed.protocol.errors import RequestError
 from rhubarbshed.protocol.routes import CallerLimits
 from rhubarbshed.transport.edge.view import View
@@ -43,6 +44,12 @@
     )
 
 
+def measure_left(request: h11.Request, begun_at: float, now: float) -> float:
+    """Return the seconds that a caller still waits for the answer to a request that began."""
+    timeout_s = read_timeout(dict(request.headers))
+    return math.inf if timeout_s is None else timeout_s - (now - begun_at)
+
+
 @define(eq=False)
 class LimitCheck:
     """Check whether the known limits may refuse a request for good.
@@ -58,10 +65,13 @@
         """Return whether the configuration that states the limits may refuse for good."""
         return self.view.may_refuse_finally(read_lease_clock())
 
-    async def confirm(self) -> None:
-        """Query a later configuration, unless the store is known to be lost."""
+    async def confirm(self, left_s: float) -> None:
+        """Query a later configuration for a caller that leaves in `left_s`.
+
+        The store is not queried while it is known to be lost.
+        """
         is_lost = self.view.versions.entry_age.lost_at is not None
-        wait_s = measure_confirmation_wait(math.inf, is_lost)
+        wait_s = measure_confirmation_wait(left_s, is_lost)
         if wait_s > 0.0:
             await self.confirm_configuration(wait_s)
 
--- a/test/test_edge_old_configuration.py
+++ b/test/test_edge_old_configuration.py
@@ -479,6 +479,46 @@
     play(run)
 
 
+def test_wait_for_a_limit_leaves_most_of_the_time_that_the_caller_has():
+    async def run():
+        before = make_configuration(make_route(), Limits=LIMITS)
+        async with run_behind_relay(before, config_apply_s=APPLY_S) as (edge, relay):
+            await edge.wait_until(lambda: edge.node.view.is_ready)
+            relay.mode = Mode.DROP_ALL
+            age_configuration(edge, APPLY_S + 0.1)
+            begun_at = time.monotonic()
+            answer = await edge.ask(body=b"x" * 2000, Rhubarbshed_Deadline_Remaining="600")
+            assert answer.status == 503
+            assert time.monotonic() - begun_at < 0.3
+
+    play(run)
+
+
+def test_time_for_a_head_does_not_pass_while_its_limit_is_confirmed():
+    async def run():
+        limits = {**LIMITS, "HeaderTimeoutMs": 400}
+        before = make_configuration(make_route(), Limits=limits)
+        bounds = {"config_apply_s": APPLY_S, "delay_s": 0.5}
+        async with run_behind_relay(before, **bounds) as (edge, relay):
+            await edge.wait_until(lambda: edge.node.view.is_ready)
+            await asyncio.sleep(0.5)
+            relay.silence_open()
+            raised = {**limits, "MaxHeaderBytes": 100_000}
+            after = make_configuration(make_route(), version=2, Limits=raised)
+            edge.store.put("op", "config", after)
+            age_configuration(edge, APPLY_S + 0.1)
+            reader, writer = await asyncio.open_connection(*edge.node.settings.callers)
+            sent, _ = LONG["part of a head"]
+            writer.write(sent[:1500])
+            await asyncio.sleep(0.05)
+            writer.write(sent[1500:])
+            answer = await asyncio.wait_for(read_answer(reader), WAIT_S)
+            writer.close()
+            assert answer.status == 200
+
+    play(run)
+
+
 def test_caller_that_leaves_while_a_limit_is_confirmed_ends_the_wait():
     async def run():
         before = make_configuration(make_route(), Limits=LIMITS)
