Log by which limits a long request was refused, and their age

A 413, 431 or 503 for a long request had only the line of its closed connection, which is the same as for other refusals. Whether it was decided by an old configuration could not be seen.

Change: limit_refused has the status, the caller, the configuration and its age. The new test fails without it.

--- a/rhubarbshed/transport/edge/access_checks.py
+++ b/rhubarbshed/transport/edge/access_checks.py
@@ -1,14 +1,13 @@
 """Checks of the keys of requests: once their route is known, and before each attempt."""
 
 import logging
-import math
 import time
 
 from rhubarbshed.coordination.serving.account_access import Access, Refusal, decide_access
 from rhubarbshed.coordination.serving.refusals import make_access_refusal
 from rhubarbshed.protocol.errors import RequestError
 from rhubarbshed.transport.edge.request_progress import RequestProgress
-from rhubarbshed.transport.edge.view import View
+from rhubarbshed.transport.edge.view import View, measure_age_ms
 from rhubarbshed.util.clocks import read_lease_clock
 from rhubarbshed.util.logs import log_event
 
@@ -89,9 +88,3 @@
         "accounts_unreadable": len(accounts.problems),
         "configuration_age_seconds": age_s,
     }
-
-
-def measure_age_ms(view: View, now: float) -> int | str:
-    """Return the milliseconds since the configuration was confirmed, "" if it never was."""
-    age_s = view.versions.entry_age.measure_configuration_age(now)
-    return "" if age_s == math.inf else round(age_s * 1000)
--- a/rhubarbshed/transport/edge/caller_connections.py
+++ b/rhubarbshed/transport/edge/caller_connections.py
@@ -546,7 +546,7 @@
         if excess is None:
             return
         if self.limit_check.is_recent:
-            self.refuse(*excess)
+            self._refuse_long(*excess)
         else:
             self._limit_wait = asyncio.create_task(self._confirm_limit(find_excess))
 
@@ -567,10 +567,14 @@
             self._read()
             self._limit_reading()
         elif self.limit_check.is_recent:
-            self.refuse(*excess)
+            self._refuse_long(*excess)
         else:
             error = self.limit_check.make_refusal(time.monotonic())
-            self.refuse(error.status, error.message, error.retry_after_s)
+            self._refuse_long(error.status, error.message, error.retry_after_s)
+
+    def _refuse_long(self, status: int, reason: str, retry_after_s: float | None = None) -> None:
+        self.limit_check.log_refusal(status, self.peer)
+        self.refuse(status, reason, retry_after_s)
 
     def _answer(self) -> None:
         self._make_room()
--- a/rhubarbshed/transport/edge/request_limits.py
+++ b/rhubarbshed/transport/edge/request_limits.py
@@ -1,5 +1,6 @@
 """Limits on what callers send, and the age of the configuration that states them."""
 
+import logging
 import math
 from collections.abc import Awaitable, Callable
 
@@ -11,8 +12,11 @@
 from rhubarbshed.platform.headers import read_timeout
 from rhubarbshed.protocol.errors import RequestError
 from rhubarbshed.protocol.routes import CallerLimits
-from rhubarbshed.transport.edge.view import View
+from rhubarbshed.transport.edge.view import View, measure_age_ms
 from rhubarbshed.util.clocks import read_lease_clock
+from rhubarbshed.util.logs import log_event
+
+LOG = logging.getLogger(__name__)
 
 Excess = tuple[int, str]
 """Status and reason of the refusal of a request that is beyond a limit."""
@@ -75,6 +79,18 @@
         if wait_s > 0.0:
             await self.confirm_configuration(wait_s)
 
+    def log_refusal(self, status: int, caller: str) -> None:
+        """Log the refusal of a request, and the age of the limits that it is refused by."""
+        log_event(
+            LOG,
+            logging.INFO,
+            "limit_refused",
+            status=status,
+            caller=caller,
+            configuration=self.view.configuration.version if self.view.configuration else "",
+            configuration_age_ms=measure_age_ms(self.view, read_lease_clock()),
+        )
+
     def make_refusal(self, now: float) -> RequestError:
         """Return the error for a request that the limits may not refuse for good."""
         confirmed_in_s = self.view.next_read_at - now
--- a/rhubarbshed/transport/edge/request_logs.py
+++ b/rhubarbshed/transport/edge/request_logs.py
@@ -7,10 +7,10 @@
 from rhubarbshed.coordination.serving.choice import Choice
 from rhubarbshed.protocol.errors import RequestError
 from rhubarbshed.protocol.exchanges import ExchangeEnd
-from rhubarbshed.transport.edge.access_checks import measure_age_ms
 from rhubarbshed.transport.edge.attempts import Attempt
 from rhubarbshed.transport.edge.continuations import is_continuation, name_outcome
 from rhubarbshed.transport.edge.request_progress import RequestProgress, Stage
+from rhubarbshed.transport.edge.view import measure_age_ms
 from rhubarbshed.util.clocks import read_lease_clock
 from rhubarbshed.util.logs import log_event
 
--- a/rhubarbshed/transport/edge/view.py
+++ b/rhubarbshed/transport/edge/view.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import math
 import random
 import time
 from collections import Counter
@@ -203,3 +204,9 @@
         """Return whether the configuration may refuse for good; `now` is of the lease clock."""
         age_s = self.versions.entry_age.measure_configuration_age(now)
         return may_refuse_finally(age_s, self.settings.config_apply_s)
+
+
+def measure_age_ms(view: View, now: float) -> int | str:
+    """Return the milliseconds since the configuration was confirmed, "" if it never was."""
+    age_s = view.versions.entry_age.measure_configuration_age(now)
+    return "" if age_s == math.inf else round(age_s * 1000)
--- a/test/test_edge_old_configuration.py
+++ b/test/test_edge_old_configuration.py
@@ -437,6 +437,21 @@
     play(run)
 
 
+def test_line_of_a_long_request_shows_the_age_of_the_limits(caplog):
+    async def run():
+        before = make_configuration(make_route(), version=7, Limits=LIMITS)
+        async with run_edge(before, Replica("b1")) as edge:
+            edge.node.follower.entry_age.configuration_asked_at -= 2.0
+            assert (await edge.ask(body=b"x" * 2000)).status == 413
+
+    with caplog.at_level(logging.INFO):
+        play(run)
+    (line,) = list_lines(caplog, "limit_refused")
+    pairs = dict(pair.split("=", 1) for pair in line.split()[1:])
+    assert pairs["status"] == "413" and pairs["configuration"] == "7"
+    assert int(pairs["configuration_age_ms"]) >= 2000
+
+
 @pytest.mark.parametrize("kind", LONG)
 def test_request_beyond_a_limit_is_not_refused_for_good_without_the_store(kind):
     async def run():
