Read all waiting datagrams in a pass of the event loop

Instances learned seconds late that servers leave: asyncio reads one datagram in each pass of the loop. In an instance with many callers that also grants the credit of a busy account, questions for credit come faster than that, more so as each is repeated every 40 ms until it is answered. The messages of order holders wait behind them. One that comes late still confirms the view as of its receipt, so the instance does not query the store itself, and dates what it reads by then.

Up to 64 datagrams are read in a pass now, from a socket of our own, as a transport does not give access to its socket.

--- a/rhubarbshed/transport/edge/datagrams.py
+++ b/rhubarbshed/transport/edge/datagrams.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import socket
 from collections.abc import Callable
 
 from attrs import define, field
@@ -22,6 +23,13 @@
 UNKNOWN_KINDS_MAX = 32
 """Most kinds of messages of other builds that are counted one by one."""
 
+READ_MAX = 64
+"""Most datagrams that are read in one pass of the event loop. Asyncio reads one: in a busy loop
+messages of order holders would wait for seconds behind questions that are no longer of use."""
+
+READ_BYTES_MAX = 65_536
+"""Longest datagram that is read."""
+
 Address = tuple[str, int]
 
 
@@ -33,17 +41,40 @@
     count_unsent: Callable[[str], None] = lambda kind: None
     unknown_kinds: dict[str, int] = field(factory=dict)
     _transport: asyncio.DatagramTransport | None = None
+    _socket: socket.socket | None = None
 
     async def listen(self, address: Address) -> None:
         """Open the socket."""
         loop = asyncio.get_running_loop()
-        await loop.create_datagram_endpoint(lambda: self, local_addr=address)
+        found = await loop.getaddrinfo(*address, type=socket.SOCK_DGRAM)
+        family, kind, protocol, _, local_address = found[0]
+        opened = socket.socket(family, kind, protocol)
+        try:
+            opened.setblocking(False)
+            opened.bind(local_address)
+        except OSError:
+            opened.close()
+            raise
+        self._socket = opened
+        await loop.create_datagram_endpoint(lambda: self, sock=opened)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the open socket."""
         self._transport = transport
 
     def datagram_received(self, data: bytes, address: Address) -> None:
+        """Pass on the message of a datagram, and those of others that wait behind it."""
+        self._pass_on(data, address)
+        for _ in range(READ_MAX - 1):
+            if self._socket is None or self._transport.is_closing():
+                return
+            try:
+                data, address = self._socket.recvfrom(READ_BYTES_MAX)
+            except OSError:
+                return
+            self._pass_on(data, address)
+
+    def _pass_on(self, data: bytes, address: Address) -> None:
         """Decode a message and pass it on."""
         read = unpack_message(data)
         if isinstance(read, Success) and isinstance(read.unwrap(), UnknownMessage):
