Offer only a request beyond old limits to further instances

Cause: took every refusal that is written before a request is read for one that another instance may do better.

Change: the refusal by limits that may be out of date has a code, and that one alone is declined, without a pause, as those of keys are.

--- a/rhubarbshed/transport/edge/attempts.py
+++ b/rhubarbshed/transport/edge/attempts.py
@@ -16,7 +16,7 @@
 from rhubarbshed.protocol.accounts import Account
 from rhubarbshed.protocol.errors import Outcome, RequestError
 from rhubarbshed.protocol.exchanges import ExchangeEnd, Headers, ResponseHead
-from rhubarbshed.protocol.forwarding import ACCOUNT_LIMIT_CODE
+from rhubarbshed.protocol.forwarding import ACCOUNT_LIMIT_CODE, LIMITS_UNCONFIRMED_CODE
 from rhubarbshed.protocol.streams import StreamOrigin
 from rhubarbshed.state.membership.fleet import ServerRecord
 from rhubarbshed.transport.edge.attempt_logs import log_skipped
@@ -433,8 +433,8 @@
         not_run = head.declined or head.status in REFUSAL_STATUSES or head.status < 500
         self.detail = code
         # A 4xx of another instance is about what that one knows, such as older routes. A refusal
-        # without a code was sent before the request was read.
-        is_unread = not_run and not message
+        # without a code was sent before the request arrived, as the connection was closed.
+        is_unread = not_run and (not code or code == LIMITS_UNCONFIRMED_CODE)
         is_other = head.status < 500 and head.status != STATUS_MISDIRECTED
         is_other = is_other and code != ACCOUNT_LIMIT_CODE
         self.declined = head.declined or is_unread or is_other
--- a/rhubarbshed/transport/edge/caller_connections.py
+++ b/rhubarbshed/transport/edge/caller_connections.py
@@ -570,7 +570,7 @@
             self._refuse_long(*excess)
         else:
             error = self.limit_check.make_refusal(time.monotonic())
-            self._refuse_long(error.status, error.message, error.retry_after_s)
+            self._refuse_long(error.status, f"{error.code}: {error.message}", error.retry_after_s)
 
     def _refuse_long(self, status: int, reason: str, retry_after_s: float | None = None) -> None:
         self.limit_check.log_refusal(status, self.peer)
--- a/rhubarbshed/transport/edge/forwarding.py
+++ b/rhubarbshed/transport/edge/forwarding.py
@@ -17,7 +17,7 @@
 from rhubarbshed.platform.headers import make_forward_headers
 from rhubarbshed.protocol.errors import Outcome, RequestError
 from rhubarbshed.protocol.exchanges import ExchangeEnd, Headers
-from rhubarbshed.protocol.forwarding import UNREACHED_CODE
+from rhubarbshed.protocol.forwarding import LIMITS_UNCONFIRMED_CODE, UNREACHED_CODE
 from rhubarbshed.transport.edge.access_checks import check_access, may_send
 from rhubarbshed.transport.edge.attempts import Attempt
 from rhubarbshed.transport.edge.request_progress import RequestProgress
@@ -33,8 +33,8 @@
 """Time left below which a request is not forwarded."""
 
 
-KEY_CODES = tuple(refusal.value for refusal in Refusal)
-"""Codes of errors that another instance declines a request with because of its key."""
+OWN_CODES = (*(refusal.value for refusal in Refusal), LIMITS_UNCONFIRMED_CODE)
+"""Codes of errors that another instance declines a request with because of its key or length."""
 
 
 @frozen
@@ -89,8 +89,8 @@
                 forwarder.peers.record_vain(need, now)
                 break
             continue
-        if attempt.declined and attempt.detail in KEY_CODES:
-            # It may take requests with other keys, and those that need none.
+        if attempt.declined and attempt.detail in OWN_CODES:
+            # It may take requests with other keys, shorter ones, and those that need no key.
             continue
         if attempt.declined or not end.was_sent:
             pause_s = DECLINED_PAUSE_S if attempt.declined else BROKEN_PAUSE_S
--- a/rhubarbshed/transport/edge/request_limits.py
+++ b/rhubarbshed/transport/edge/request_limits.py
@@ -11,6 +11,7 @@
 from rhubarbshed.coordination.serving.refusals import make_unconfirmed
 from rhubarbshed.platform.headers import read_timeout
 from rhubarbshed.protocol.errors import RequestError
+from rhubarbshed.protocol.forwarding import LIMITS_UNCONFIRMED_CODE
 from rhubarbshed.protocol.routes import CallerLimits
 from rhubarbshed.transport.edge.view import View, measure_age_ms
 from rhubarbshed.util.clocks import read_lease_clock
@@ -94,4 +95,4 @@
     def make_refusal(self, now: float) -> RequestError:
         """Return the error for a request that the limits may not refuse for good."""
         confirmed_in_s = self.view.next_read_at - now
-        return make_unconfirmed("limits_unconfirmed", self.view.rng, confirmed_in_s)
+        return make_unconfirmed(LIMITS_UNCONFIRMED_CODE, self.view.rng, confirmed_in_s)
--- a/test/test_edge_cut_off.py
+++ b/test/test_edge_cut_off.py
@@ -10,7 +10,7 @@
 from rhubarbshed.coordination.serving.refusals import make_refusal
 from rhubarbshed.protocol.exchanges import ExchangeEnd
 from rhubarbshed.transport.edge import forwarding
-from rhubarbshed.transport.edge.caller_connections import CallerConnection
+from rhubarbshed.transport.edge.caller_connections import NO_ROOM_RETRY_S, CallerConnection
 from rhubarbshed.transport.edge.connection_logs import CloseReason
 from rhubarbshed.transport.edge.link_monitor import SETTLE_MAX_S
 from test.helper_clock import play_by_clock, read_loop_time
@@ -444,3 +444,19 @@
             assert cuts.count_runs(b"payment") == 1
 
     play(scene)
+
+
+def test_body_that_another_instance_has_no_room_for_is_not_offered_to_all():
+    """Instances that are full got the body one after the other, and nothing else for a while."""
+
+    async def run():
+        async with run_cut_scene() as cuts:
+            await cuts.cut("refuse", "a1")
+            for name in ("a2", "a3", "b1", "b2"):
+                cuts[name].received.bytes_max = 0
+            answer = await cuts.ask("a1", "/u/x", b"x" * 100_000)
+            assert answer.status == 503 and b"no room" in answer.body
+            assert float(answer.headers["retry-after"]) == NO_ROOM_RETRY_S
+            assert not cuts["a1"].relay.forwarder.peers.paused_until
+
+    play(run)
