Take late answers to a check of entries again

Since the check was abandoned before the calls in it, so that a store which answers after 1.2 s no longer confirmed the configuration by it.

Change: the check has somewhat longer than a call to a silent store.

--- a/rhubarbshed/transport/edge/entry_checks.py
+++ b/rhubarbshed/transport/edge/entry_checks.py
@@ -22,8 +22,9 @@
 """Shortest time between two reads of both tables: 370 instances at once stay below the 2,000 reads
 a second that the store takes."""
 
-READ_TIMEOUT_S = CALL_TIMEOUT_S
-"""Time for both reads: a caller that continues a stream waits for them, and leaves soon."""
+READ_TIMEOUT_S = CALL_TIMEOUT_S + 0.2
+"""Time for both reads: a caller that continues a stream waits for them, and leaves soon. A store that
+does not begin to answer is found out before, and its late answer still counts."""
 
 
 @define(eq=False)
--- a/test/test_edge_old_configuration.py
+++ b/test/test_edge_old_configuration.py
@@ -700,6 +700,22 @@
             begun_at = time.monotonic()
             assert (await edge.ask("/unknown/x")).status == 503
             assert time.monotonic() - begun_at < 0.5
+def test_late_answer_to_a_check_of_entries_is_still_taken():
+    async def run():
+        async with run_behind_relay(make_configuration(make_route())) as (edge, relay):
+            await edge.wait_until(lambda: edge.node.view.is_ready)
+            await asyncio.sleep(0.5)
+            late = []
+            edge.node.follower.store.on_late = lambda *answer: late.append(answer)
+            edge.store.delay_s = 1.2
+            assert not await edge.node.relay.confirm_entries()
+            await asyncio.sleep(1.0)
+            edge.store.delay_s = 0.0
+            assert late
+
+    play(run)
+
+
             assert edge.node.follower.entry_age.lost_at is not None
 
     play(run)
