Close a connection that is refused as the check of its limit begins

A connection stayed open for as long as its caller kept it, if its request was refused for want of room in the pass of the event loop in which the check of a limit began.

Cause: the check cancels the timer of the request, which by then was the one that closes the connection.

Change: nothing is checked for a connection that is refused. Its time does not begin anew either as its caller reads while a limit is confirmed.

--- a/rhubarbshed/transport/edge/caller_connections.py
+++ b/rhubarbshed/transport/edge/caller_connections.py
@@ -229,6 +229,8 @@
         self._record_received()
         if self._answering or self._close_after or not self.unparsed_bytes:
             return
+        if self._limit_wait is not None:
+            return
         self._set_timer(self.read_limits().idle_timeout_s)
         self.turns.add(self)
 
@@ -552,6 +554,9 @@
 
     async def _confirm_limit(self, find_excess: FindExcess) -> None:
         """Go on with a request once the limit that it is beyond is confirmed or raised."""
+        if self._close_after:
+            self._limit_wait = None
+            return
         # The time for a head or a body does not pass while it is not read.
         self._cancel_timer()
         now = time.monotonic()
--- a/test/test_edge_old_configuration.py
+++ b/test/test_edge_old_configuration.py
@@ -534,6 +534,27 @@
     play(run)
 
 
+def test_connection_given_up_before_its_limit_is_confirmed_is_closed():
+    """A request that has no room is refused in the pass of the loop in which the check begins."""
+
+    async def run():
+        before = make_configuration(make_route(), Limits=LIMITS)
+        async with run_behind_relay(before, config_apply_s=APPLY_S) as (edge, relay):
+            await edge.wait_until(lambda: edge.node.view.is_ready)
+            relay.mode = Mode.DROP_ALL
+            age_configuration(edge, APPLY_S + 0.1)
+            edge.node.received.bytes_max = 20_000
+            reader, writer = await asyncio.open_connection(*edge.node.settings.callers)
+            writer.write(HEAD + b"Content-Length: 60000\r\n\r\n" + b"x" * 60_000)
+            answer = await asyncio.wait_for(read_answer(reader), WAIT_S)
+            assert answer.status == 503
+            # The caller keeps its side open.
+            await edge.wait_until(lambda: not edge.node.connections)
+            writer.close()
+
+    play(run)
+
+
 def test_caller_that_leaves_while_a_limit_is_confirmed_ends_the_wait():
     async def run():
         before = make_configuration(make_route(), Limits=LIMITS)
@@ -679,6 +700,22 @@
     play(run)
 
 
+def test_late_answer_to_a_check_of_entries_is_still_taken():
+    async def run():
+        async with run_behind_relay(make_configuration(make_route())) as (edge, relay):
+            await edge.wait_until(lambda: edge.node.view.is_ready)
+            await asyncio.sleep(0.5)
+            late = []
+            edge.node.follower.store.on_late = lambda *answer: late.append(answer)
+            edge.store.delay_s = 1.2
+            assert not await edge.node.relay.confirm_entries()
+            await asyncio.sleep(1.0)
+            edge.store.delay_s = 0.0
+            assert late
+
+    play(run)
+
+
 def test_store_that_accepts_no_connection_is_known_to_be_lost_after_a_check(monkeypatch):
     """The connection in use is silent, and the messages of an order holder still arrive."""
 
@@ -700,22 +737,6 @@
             begun_at = time.monotonic()
             assert (await edge.ask("/unknown/x")).status == 503
             assert time.monotonic() - begun_at < 0.5
-def test_late_answer_to_a_check_of_entries_is_still_taken():
-    async def run():
-        async with run_behind_relay(make_configuration(make_route())) as (edge, relay):
-            await edge.wait_until(lambda: edge.node.view.is_ready)
-            await asyncio.sleep(0.5)
-            late = []
-            edge.node.follower.store.on_late = lambda *answer: late.append(answer)
-            edge.store.delay_s = 1.2
-            assert not await edge.node.relay.confirm_entries()
-            await asyncio.sleep(1.0)
-            edge.store.delay_s = 0.0
-            assert late
-
-    play(run)
-
-
             assert edge.node.follower.entry_age.lost_at is not None
 
     play(run)
