--- a/rhubarbshed/protocol/forwarding.py
+++ b/rhubarbshed/protocol/forwarding.py
@@ -22,7 +22,7 @@
 """Code of the error of a request beyond its account's limit, which holds at all instances."""
 
 LIMITS_UNCONFIRMED_CODE = "limits_unconfirmed"
-"""Code of the error of a request that was not read, as it is beyond limits that may be out of date."""
+"""Code of the error of a request that was not read: it is beyond limits that may be out of date."""
 
 REACHABILITY_TARGET = b"/reachability"
 STATUS_REACHED = 200
