--- a/rhubarbshed/transport/edge/entry_checks.py
+++ b/rhubarbshed/transport/edge/entry_checks.py
@@ -23,8 +23,8 @@
 a second that the store takes."""
 
 READ_TIMEOUT_S = CALL_TIMEOUT_S + 0.2
-"""Time for both reads, as a caller that continues a stream waits for them and leaves soon. The calls
-to a store that does not begin to answer end before, and its late answer still counts."""
+"""Time for both reads: a caller that continues a stream waits for them, and leaves soon. Calls to a
+silent store end before, so that its late answer is still taken."""
 
 
 @define(eq=False)
